--- a/policy/BalancingPolicy.hpp
+++ b/policy/BalancingPolicy.hpp
@@ -2,6 +2,7 @@
 
 #include "common/SliceTable.hpp"
 #include "kernel/StrategyRegistry.hpp"
+#include "policy/BuiltInPolicies.hpp"
 
 #include <memory>
 #include <string>
