Add the data path of the router: attempts, outcomes and ledger rules

Cause: callers' requests need a way to the owning backend server with exactly classified outcomes.

Ruled out: a fixed attempt id. An abandoned attempt is cancelled by its id, so each idempotent attempt has an id of its own, and a late cancellation cannot hit its replacement. A ledger message without a token was ruled out too: a late "not run" of one attempt would erase the record of the next one.

Before: nothing. It has no program and no test yet.

--- /dev/null
+++ b/router/AdmissionGate.cpp
@@ -0,0 +1,146 @@
+#include "AdmissionGate.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace cactuspitch {
+
+namespace detail {
+
+/// Reused by each thread so that the hot path does not allocate.
+GateActions& ClearedActions()
+{
+  static thread_local GateActions actions;
+  actions.run_.clear();
+  actions.refuse_.clear();
+  actions.nextPollMs_ = INT64_MAX;
+  return actions;
+}
+
+}
+
+AdmissionGate::AdmissionGate(const Clock& aClock,
+                             std::unique_ptr<ServerGate> aGate,
+                             std::string aPolicyName)
+  : clock_(aClock)
+  , policyName_(std::move(aPolicyName))
+  , gate_(std::move(aGate))
+{
+}
+
+GateResult AdmissionGate::Enter(KeyHash aKey, TimeMs aDeadlineMs)
+{
+  auto& actions = detail::ClearedActions();
+  std::unique_lock lock(mutex_);
+  const auto id = nextId_++;
+  gate_->Arrive({ id, aKey, aDeadlineMs }, clock_.NowMs(), actions);
+  GateResult result;
+  bool decided = false;
+  std::erase_if(actions.run_, [&](uint64_t aId) {
+    result.admitted_ |= aId == id;
+    return aId == id;
+  });
+  decided = result.admitted_;
+  std::erase_if(actions.refuse_, [&](const RefusedRequest& aRefused) {
+    if (aRefused.id_ == id) {
+      decided = true;
+      result.retryAfterMs_ = aRefused.retryAfterMs_;
+    }
+    return aRefused.id_ == id;
+  });
+  Apply(actions);
+  return decided ? result : Wait(lock, id, aDeadlineMs);
+}
+
+GateResult AdmissionGate::Wait(std::unique_lock<std::mutex>& aLock,
+                               uint64_t aId,
+                               TimeMs aDeadlineMs)
+{
+  Waiter waiter;
+  waiters_.emplace(aId, &waiter);
+  while (waiter.state_ == State::Waiting) {
+    const TimeMs now = clock_.NowMs();
+    if (now >= aDeadlineMs && gate_->Remove(aId)) {
+      waiters_.erase(aId);
+      return { false, gate_->RetryAfterMs(now) };
+    }
+    if (now >= nextPollMs_) {
+      auto& actions = detail::ClearedActions();
+      gate_->Poll(now, actions);
+      Apply(actions);
+      continue;
+    }
+    const TimeMs until = std::min(aDeadlineMs, nextPollMs_);
+    waiter.changed_.wait_for(
+      aLock, std::chrono::milliseconds(std::max<TimeMs>(1, until - now)));
+  }
+  return { waiter.state_ == State::Admitted, waiter.retryAfterMs_ };
+}
+
+void AdmissionGate::Apply(const GateActions& aActions)
+{
+  nextPollMs_ = aActions.nextPollMs_;
+  const auto decide = [this](uint64_t aId, State aState, TimeMs aRetryAfterMs) {
+    const auto found = waiters_.find(aId);
+    if (found == waiters_.end()) {
+      return;
+    }
+    auto* waiter = found->second;
+    waiters_.erase(found);
+    waiter->state_ = aState;
+    waiter->retryAfterMs_ = aRetryAfterMs;
+    waiter->changed_.notify_one();
+  };
+  for (const auto id : aActions.run_) {
+    decide(id, State::Admitted, 0);
+  }
+  for (const auto& refused : aActions.refuse_) {
+    decide(refused.id_, State::Refused, refused.retryAfterMs_);
+  }
+}
+
+void AdmissionGate::Leave(AttemptEnd aEnd, double aLatencyMs)
+{
+  auto& actions = detail::ClearedActions();
+  const std::lock_guard lock(mutex_);
+  gate_->Finish(aEnd, aLatencyMs, clock_.NowMs(), actions);
+  Apply(actions);
+}
+
+void AdmissionGate::OnColdStart()
+{
+  const std::lock_guard lock(mutex_);
+  gate_->Policy().OnColdStart(clock_.NowMs());
+}
+
+void AdmissionGate::OnLoadHint(double aLoad)
+{
+  const std::lock_guard lock(mutex_);
+  gate_->Policy().OnLoadHint(clock_.NowMs(), aLoad);
+}
+
+TimeMs AdmissionGate::RetryAfterMs()
+{
+  const std::lock_guard lock(mutex_);
+  return gate_->RetryAfterMs(clock_.NowMs());
+}
+
+double AdmissionGate::Limit() const
+{
+  const std::lock_guard lock(mutex_);
+  return gate_->Policy().Limit(clock_.NowMs());
+}
+
+int AdmissionGate::InFlight() const
+{
+  const std::lock_guard lock(mutex_);
+  return gate_->Policy().InFlight();
+}
+
+size_t AdmissionGate::Waiting() const
+{
+  const std::lock_guard lock(mutex_);
+  return gate_->Waiting();
+}
+
+}
--- /dev/null
+++ b/router/AdmissionGate.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "common/Clock.hpp"
+#include "policy/ServerGate.hpp"
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+namespace cactuspitch {
+
+struct GateResult
+{
+  bool admitted_ = false;
+  /// Time after which a refused caller should come back.
+  TimeMs retryAfterMs_ = 0;
+};
+
+/// ServerGate for the threads of the router: a request waits in its own thread
+/// until it is admitted or refused.
+class AdmissionGate
+{
+public:
+  AdmissionGate(const Clock& aClock,
+                std::unique_ptr<ServerGate> aGate,
+                std::string aPolicyName);
+
+  /// An admitted request must be given back with Leave().
+  GateResult Enter(KeyHash aKey, TimeMs aDeadlineMs);
+  void Leave(AttemptEnd aEnd, double aLatencyMs);
+  void OnColdStart();
+  void OnLoadHint(double aLoad);
+  TimeMs RetryAfterMs();
+  double Limit() const;
+  int InFlight() const;
+  size_t Waiting() const;
+  const std::string& PolicyName() const { return policyName_; }
+
+private:
+  enum class State : uint8_t
+  {
+    Waiting,
+    Admitted,
+    Refused
+  };
+  struct Waiter
+  {
+    std::condition_variable changed_;
+    State state_ = State::Waiting;
+    TimeMs retryAfterMs_ = 0;
+  };
+
+  GateResult Wait(std::unique_lock<std::mutex>& aLock,
+                  uint64_t aId,
+                  TimeMs aDeadlineMs);
+  /// Wakes the threads that aActions names.
+  void Apply(const GateActions& aActions);
+
+  const Clock& clock_;
+  std::string policyName_;
+  mutable std::mutex mutex_;
+  std::unique_ptr<ServerGate> gate_;
+  std::unordered_map<uint64_t, Waiter*> waiters_;
+  uint64_t nextId_ = 1;
+  TimeMs nextPollMs_ = INT64_MAX;
+};
+
+}
--- /dev/null
+++ b/router/AnswerWriter.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "LedgerClient.hpp"
+#include "ServerExchange.hpp"
+#include "common/HttpServer.hpp"
+#include "common/Types.hpp"
+
+#include <string_view>
+
+namespace cactuspitch {
+
+/// Final answers to a caller; each carries X-Outcome.
+class AnswerWriter
+{
+public:
+  explicit AnswerWriter(HttpExchange& aCaller)
+    : caller_(aCaller)
+  {
+  }
+
+  /// False when the caller is gone.
+  bool Complete(const ExchangeResult& aResult);
+  /// aRetryAfterMs is spread by jitter, so that refused callers do not come
+  /// back together.
+  void NotRun(NotRunReason aReason,
+              TimeMs aRetryAfterMs,
+              std::string_view aText);
+  void Unknown(bool aTimedOut, std::string_view aText);
+  /// The request ledger knows the id already.
+  void Repeated(LedgerEntry aState);
+  /// Input that cannot be forwarded.
+  void Refuse(int aStatus, std::string_view aText);
+
+  /// Between half of and one and a half times aMs, at least 1.
+  static TimeMs Jitter(TimeMs aMs);
+
+private:
+  HttpHeaders NotRunHeaders(TimeMs aRetryAfterMs) const;
+
+  HttpExchange& caller_;
+};
+
+}
--- /dev/null
+++ b/router/HeaderRules.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "common/HttpConnection.hpp"
+
+#include <string_view>
+
+namespace cactuspitch {
+
+/// Which headers pass the router. Hop-by-hop headers, those named by a
+/// Connection header and those of the internal protocol are removed.
+class HeaderRules
+{
+public:
+  /// Headers of a caller's request that go to a backend server.
+  static HttpHeaders ForServer(const HttpHeaders& aHeaders);
+  /// Headers of a backend server's answer that go to the caller.
+  static HttpHeaders ForCaller(const HttpHeaders& aHeaders);
+};
+
+}
--- /dev/null
+++ b/router/LedgerClient.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "RequestLedger.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactuspitch {
+
+/// One attempt to run a non-idempotent request.
+struct LedgerId
+{
+  std::string service_;
+  std::string requestId_;
+  uint64_t token_ = 0;
+};
+
+/// Answer of one holder.
+enum class HolderAnswer : uint8_t
+{
+  Recorded,
+  Seen,
+  Unreachable, ///< not asked, refused or no answer
+  Count
+};
+
+/// Calls to the ledger of one router instance; tests fake it.
+class LedgerPeers
+{
+public:
+  virtual ~LedgerPeers() = default;
+  virtual HolderAnswer Begin(const std::string& aPeer,
+                             const LedgerId& aId,
+                             LedgerEntry& aState) = 0;
+  /// Reports the end now; without effect when the peer cannot be asked.
+  virtual void Finish(const std::string& aPeer,
+                      const LedgerId& aId,
+                      LedgerEntry aState) = 0;
+  /// Reports the end later, repeating for some time until the peer confirms.
+  virtual void FinishLater(const std::string& aPeer,
+                           const LedgerId& aId,
+                           LedgerEntry aState) = 0;
+};
+
+/// Permission to forward a non-idempotent request.
+struct LedgerTicket
+{
+  enum class Verdict : uint8_t
+  {
+    Forward,
+    AlreadySeen, ///< answer unknown with state_
+    Unavailable  ///< no holder could be asked: refuse as not run
+  };
+  Verdict verdict_ = Verdict::Unavailable;
+  LedgerEntry state_ = LedgerEntry::Unseen;
+  LedgerId id_;
+  std::vector<std::string> holders_;
+};
+
+/// Rules of the request ledger (docs/design.md, section 6): the two holders of
+/// an id are asked in the order of their rank.
+class LedgerClient
+{
+public:
+  explicit LedgerClient(LedgerPeers& aPeers);
+
+  LedgerTicket Begin(const std::vector<std::string>& aRouters, LedgerId aId);
+  /// Reports the end of a request that Begin allowed. NotRun waits for the
+  /// holders, so that the caller's repeat is not taken for a duplicate.
+  void Finish(const LedgerTicket& aTicket, LedgerEntry aState);
+
+  /// The holders of an id, highest rank first.
+  static std::vector<std::string> Holders(
+    const std::vector<std::string>& aRouters,
+    std::string_view aRequestId);
+  static constexpr size_t kHolders = 2;
+
+private:
+  LedgerPeers& peers_;
+};
+
+}
--- /dev/null
+++ b/router/QuarantineKeeper.cpp
@@ -0,0 +1,76 @@
+#include "QuarantineKeeper.hpp"
+
+namespace cactuspitch {
+
+QuarantineKeeper::QuarantineKeeper(const Clock& aClock,
+                                   QuarantineOptions aOptions)
+  : clock_(aClock)
+  , quarantine_(aOptions)
+{
+}
+
+void QuarantineKeeper::Publish()
+{
+  hasSuspects_.store(quarantine_.HasSuspects(), std::memory_order_release);
+}
+
+SuspectDecision QuarantineKeeper::TryBegin(uint64_t aFingerprint,
+                                           std::string_view aServer)
+{
+  const std::lock_guard lock(mutex_);
+  auto decision = quarantine_.TryBegin(aFingerprint, aServer, clock_.NowMs());
+  Publish();
+  return decision;
+}
+
+void QuarantineKeeper::OnEnd(uint64_t aFingerprint,
+                             std::string_view aServer,
+                             bool aEndedWell)
+{
+  const std::lock_guard lock(mutex_);
+  quarantine_.OnEnd(aFingerprint, aServer, aEndedWell);
+  Publish();
+}
+
+void QuarantineKeeper::OnCrash(std::string_view aServer, uint64_t aFingerprint)
+{
+  const std::lock_guard lock(mutex_);
+  quarantine_.OnCrash(aServer, { aFingerprint }, clock_.NowMs());
+  Publish();
+}
+
+void QuarantineKeeper::Release(uint64_t aFingerprint)
+{
+  const std::lock_guard lock(mutex_);
+  quarantine_.Release(aFingerprint);
+  Publish();
+}
+
+void QuarantineKeeper::Merge(const std::vector<CrashSuspect>& aEntries)
+{
+  const std::lock_guard lock(mutex_);
+  quarantine_.Merge(aEntries, clock_.NowMs());
+  Publish();
+}
+
+std::vector<CrashSuspect> QuarantineKeeper::Entries()
+{
+  const std::lock_guard lock(mutex_);
+  auto entries = quarantine_.Entries(clock_.NowMs());
+  Publish();
+  return entries;
+}
+
+bool QuarantineKeeper::TakeChanged()
+{
+  const std::lock_guard lock(mutex_);
+  return quarantine_.TakeChanged();
+}
+
+void QuarantineKeeper::SetRouterRank(int aRank, int aRouters)
+{
+  const std::lock_guard lock(mutex_);
+  quarantine_.SetRouterRank(aRank, aRouters);
+}
+
+}
--- /dev/null
+++ b/router/QuarantineKeeper.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "common/Clock.hpp"
+#include "policy/CrashQuarantine.hpp"
+
+#include <atomic>
+#include <mutex>
+#include <string_view>
+#include <vector>
+
+namespace cactuspitch {
+
+/// CrashQuarantine of this router, for many threads.
+class QuarantineKeeper
+{
+public:
+  explicit QuarantineKeeper(const Clock& aClock,
+                            QuarantineOptions aOptions = {});
+
+  /// Lock-free; lets the hot path skip the other calls.
+  bool HasSuspects() const
+  {
+    return hasSuspects_.load(std::memory_order_acquire);
+  }
+  SuspectDecision TryBegin(uint64_t aFingerprint, std::string_view aServer);
+  void OnEnd(uint64_t aFingerprint, std::string_view aServer, bool aEndedWell);
+  void OnCrash(std::string_view aServer, uint64_t aFingerprint);
+  void Release(uint64_t aFingerprint);
+  void Merge(const std::vector<CrashSuspect>& aEntries);
+  std::vector<CrashSuspect> Entries();
+  bool TakeChanged();
+  void SetRouterRank(int aRank, int aRouters);
+
+private:
+  void Publish();
+
+  const Clock& clock_;
+  std::mutex mutex_;
+  CrashQuarantine quarantine_;
+  std::atomic<bool> hasSuspects_ = false;
+};
+
+}
--- /dev/null
+++ b/router/RequestRun.cpp
@@ -0,0 +1,524 @@
+#include "RequestRun.hpp"
+
+#include "HeaderRules.hpp"
+#include "common/Log.hpp"
+
+#include <algorithm>
+#include <random>
+#include <thread>
+
+#include <xxhash.h>
+
+namespace cactuspitch {
+
+namespace detail {
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kTooLarge = 413;
+constexpr int kFirstServerError = 500;
+
+/// Waits for a newer table grow, since a router that asks each millisecond
+/// would load an assigner that is already late.
+constexpr TimeMs kFirstParkMs = 5;
+constexpr TimeMs kLongestParkMs = 100;
+constexpr TimeMs kViewLeasePollMs = 10;
+/// A view lease that ends sooner leaves the server no time to run.
+constexpr TimeMs kMinViewLeaseMs = 20;
+constexpr TimeMs kCrashCheckMs = 100;
+/// Time after which an owner is usually found again (docs/design.md, 4.5).
+constexpr TimeMs kTakeoverRetryMs = 1000;
+constexpr TimeMs kDefaultRetryMs = 500;
+constexpr TimeMs kQuarantineRetryMs = 60000;
+
+uint64_t Fingerprint(const CallerRequest& aRequest, std::string_view aBody)
+{
+  const auto method =
+    XXH3_64bits(aRequest.method_.data(), aRequest.method_.size());
+  const auto path = XXH3_64bits_withSeed(
+    aRequest.target_.data(), aRequest.target_.size(), method);
+  return aBody.empty() ? path
+                       : XXH3_64bits_withSeed(aBody.data(), aBody.size(), path);
+}
+
+uint64_t RandomToken()
+{
+  static thread_local std::mt19937_64 random(std::random_device{}());
+  return random();
+}
+
+AttemptEnd ToGateEnd(const ExchangeResult& aResult)
+{
+  switch (aResult.end_) {
+    case ExchangeEnd::Complete:
+    case ExchangeEnd::PartialAfterHead:
+      return AttemptEnd::Answered;
+    case ExchangeEnd::Refused:
+      return aResult.reason_ == NotRunReason::Busy ? AttemptEnd::Shed
+                                                   : AttemptEnd::Cancelled;
+    case ExchangeEnd::CallerGone:
+      return AttemptEnd::Cancelled;
+    default:
+      return AttemptEnd::Failed;
+  }
+}
+
+bool IsOwnershipRefusal(NotRunReason aReason)
+{
+  return aReason == NotRunReason::StaleEpoch ||
+         aReason == NotRunReason::NotOwner ||
+         aReason == NotRunReason::LeaseExpired ||
+         aReason == NotRunReason::Draining;
+}
+
+}
+
+RequestRun::RequestRun(RouterContext& aContext, HttpExchange& aCaller)
+  : context_(aContext)
+  , caller_(aCaller)
+  , answer_(aCaller)
+  , startMs_(aContext.clock_.NowMs())
+{
+}
+
+void RequestRun::Run()
+{
+  if (Accept() && ReadBody() && BeginLedger()) {
+    RunAttempts();
+  }
+}
+
+bool RequestRun::Accept()
+{
+  const CallerInput input{ caller_.Method(),
+                           caller_.Path(),
+                           caller_.Query(),
+                           caller_.Header(header::kRequestId),
+                           caller_.Header(header::kDeadlineMs) };
+  const auto refusal = ParseCallerRequest(input, context_.limits_, request_);
+  if (refusal.status_ != 0) {
+    answer_.Refuse(refusal.status_, refusal.text_);
+    return false;
+  }
+  if (!context_.tables_.Table(request_.service_, request_.hash_)) {
+    if (context_.tables_.IsReady()) {
+      answer_.Refuse(detail::kNotFound, "unknown service");
+    } else {
+      answer_.NotRun(NotRunReason::NoOwner,
+                     detail::kTakeoverRetryMs,
+                     "the router has no table yet");
+    }
+    return false;
+  }
+  service_ = context_.registry_.Service(request_.service_);
+  rules_ = service_->BeginRequest();
+  const auto length =
+    std::min(request_.deadlineMs_.value_or(rules_->defaultDeadlineMs_),
+             rules_->maxDeadlineMs_);
+  deadlineMs_ = startMs_ + length;
+  // A default deadline bounds the wait for the answer, not a long download.
+  streamEndMs_ =
+    request_.deadlineMs_ ? deadlineMs_ : startMs_ + rules_->maxDeadlineMs_;
+  return true;
+}
+
+bool RequestRun::ReadBody()
+{
+  if (caller_.ContentLength() > 0) {
+    auto body = caller_.ReadBody(static_cast<size_t>(rules_->maxRequestBytes_));
+    if (!body.ok()) {
+      answer_.Refuse(absl::IsOutOfRange(body.status()) ? detail::kTooLarge
+                                                       : detail::kBadRequest,
+                     body.status().message().data());
+      return false;
+    }
+    body_ = *std::move(body);
+  }
+  headers_ = HeaderRules::ForServer(caller_.Headers());
+  fingerprint_ = detail::Fingerprint(request_, body_);
+  if (request_.requestId_.empty()) {
+    request_.requestId_ =
+      Concat(context_.instance_,
+             "-",
+             context_.nextRequest_.fetch_add(1, std::memory_order_relaxed));
+  }
+  return true;
+}
+
+bool RequestRun::BeginLedger()
+{
+  if (request_.isIdempotent_) {
+    return true;
+  }
+  ticket_ = context_.ledger_.Begin(
+    context_.tables_.RouterPeers(),
+    { request_.service_, request_.requestId_, detail::RandomToken() });
+  switch (ticket_.verdict_) {
+    case LedgerTicket::Verdict::Forward:
+      return true;
+    case LedgerTicket::Verdict::AlreadySeen:
+      answer_.Repeated(ticket_.state_);
+      Count(Outcome::Unknown, {});
+      return false;
+    case LedgerTicket::Verdict::Unavailable:
+      break;
+  }
+  answer_.NotRun(NotRunReason::Ledger,
+                 detail::kDefaultRetryMs,
+                 "no holder of the request ledger can be asked");
+  Count(Outcome::NotRun, EnumName(NotRunReason::Ledger));
+  return false;
+}
+
+void RequestRun::RunAttempts()
+{
+  while (FindTarget() && EnterQuarantine() && EnterGate()) {
+    const auto result = RunExchange();
+    Settle(result);
+    if (!Continue(result)) {
+      return;
+    }
+  }
+}
+
+bool RequestRun::FindTarget()
+{
+  while (true) {
+    target_.table_ = context_.tables_.Table(request_.service_, request_.hash_);
+    if (!target_.table_) {
+      EndNotRun(NotRunReason::NoOwner, detail::kTakeoverRetryMs, "no table");
+      return false;
+    }
+    const auto& table = target_.table_->table_;
+    target_.slice_ = &table.FindSlice(request_.hash_);
+    target_.record_ = table.Server(target_.slice_->owner_);
+    if (!target_.record_) {
+      if (!Park(NotRunReason::NoOwner, "the key has no owner now")) {
+        return false;
+      }
+      continue;
+    }
+    if (!HasViewLease()) {
+      if (!Park(NotRunReason::ViewLease, "the table may be out of date")) {
+        return false;
+      }
+      continue;
+    }
+    if (context_.clock_.NowMs() >= deadlineMs_) {
+      EndNotRun(
+        NotRunReason::Deadline, detail::kDefaultRetryMs, "deadline passed");
+      return false;
+    }
+    target_.server_ = context_.registry_.Server(*target_.record_);
+    return true;
+  }
+}
+
+bool RequestRun::HasViewLease() const
+{
+  return target_.record_->checksFence_ ||
+         target_.table_->viewLeaseUntilMs_ >
+           context_.clock_.NowMs() + detail::kMinViewLeaseMs;
+}
+
+bool RequestRun::Park(NotRunReason aReason, std::string_view aText)
+{
+  const TimeMs now = context_.clock_.NowMs();
+  if (now >= deadlineMs_) {
+    EndNotRun(aReason, detail::kTakeoverRetryMs, aText);
+    return false;
+  }
+  if (context_.parked_.fetch_add(1) >= context_.maxParked_) {
+    context_.parked_.fetch_sub(1);
+    EndNotRun(aReason, detail::kTakeoverRetryMs, aText);
+    return false;
+  }
+  const auto& table = target_.table_->table_;
+  context_.tables_.RequestRefresh(request_.service_, request_.hash_);
+  constexpr int kMaxShift = 5;
+  // A renewed view lease comes with an unchanged table version.
+  const TimeMs step =
+    aReason == NotRunReason::ViewLease
+      ? detail::kViewLeasePollMs
+      : std::min(detail::kLongestParkMs,
+                 detail::kFirstParkMs << std::min(parks_, kMaxShift));
+  ++parks_;
+  context_.tables_.WaitNewer(request_.service_,
+                             request_.hash_,
+                             table.term_,
+                             table.sequence_,
+                             std::min(deadlineMs_, now + step));
+  context_.parked_.fetch_sub(1);
+  return true;
+}
+
+bool RequestRun::EnterQuarantine()
+{
+  while (context_.quarantine_.HasSuspects()) {
+    const auto decision =
+      context_.quarantine_.TryBegin(fingerprint_, target_.server_->Id());
+    if (decision.verdict_ == SuspectVerdict::Run) {
+      isSuspect_ = true;
+      return true;
+    }
+    if (decision.verdict_ == SuspectVerdict::Refuse) {
+      EndNotRun(NotRunReason::Quarantined,
+                detail::kQuarantineRetryMs,
+                decision.reason_);
+      return false;
+    }
+    const TimeMs left = deadlineMs_ - context_.clock_.NowMs();
+    if (left <= 0) {
+      EndNotRun(NotRunReason::Quarantined,
+                detail::kTakeoverRetryMs,
+                "other suspects of a crash run first");
+      return false;
+    }
+    std::this_thread::sleep_for(
+      std::chrono::milliseconds(std::clamp<TimeMs>(decision.waitMs_, 1, left)));
+  }
+  return true;
+}
+
+bool RequestRun::EnterGate()
+{
+  gate_ = target_.server_->Gate(*rules_, *target_.record_, context_.routers_);
+  const auto result = gate_->Enter(request_.hash_, deadlineMs_);
+  if (result.admitted_) {
+    return true;
+  }
+  if (isSuspect_) {
+    context_.quarantine_.OnEnd(fingerprint_, target_.server_->Id(), false);
+    isSuspect_ = false;
+  }
+  EndNotRun(NotRunReason::Overload,
+            result.retryAfterMs_,
+            "the backend server is at its limit");
+  return false;
+}
+
+OutboundRequest RequestRun::MakeOutbound() const
+{
+  const TimeMs now = context_.clock_.NowMs();
+  OutboundRequest outbound;
+  outbound.http_ = { request_.method_, request_.target_, headers_, body_ };
+  outbound.requestId_ = attemptId_;
+  outbound.epoch_ = target_.slice_->epoch_;
+  outbound.isIdempotent_ = request_.isIdempotent_;
+  outbound.needsClock_ = !target_.record_->checksFence_;
+  outbound.attemptEndMs_ =
+    request_.isIdempotent_
+      ? std::min(deadlineMs_, now + rules_->attemptTimeoutMs_)
+      : deadlineMs_;
+  outbound.serverDeadlineMs_ =
+    outbound.needsClock_
+      ? std::min(deadlineMs_, target_.table_->viewLeaseUntilMs_)
+      : deadlineMs_;
+  outbound.streamEndMs_ = streamEndMs_;
+  outbound.streamStallMs_ = rules_->attemptTimeoutMs_;
+  return outbound;
+}
+
+ExchangeResult RequestRun::RunExchange()
+{
+  ++attempts_;
+  // Each attempt has an id of its own, so that a cancellation cannot hit the
+  // attempt that replaced it. A repeated non-idempotent request keeps its id.
+  attemptId_ = attempts_ > 1 && request_.isIdempotent_
+                 ? Concat(request_.requestId_, ".", attempts_)
+                 : request_.requestId_;
+  auto outbound = MakeOutbound();
+  auto& server = *target_.server_;
+  server.inFlight_.fetch_add(1, std::memory_order_relaxed);
+  auto result = ServerExchange(context_.clock_, server).Run(outbound, caller_);
+  server.inFlight_.fetch_sub(1, std::memory_order_relaxed);
+  return result;
+}
+
+void RequestRun::Settle(const ExchangeResult& aResult)
+{
+  auto& server = *target_.server_;
+  server.requests_.fetch_add(1, std::memory_order_relaxed);
+  gate_->Leave(detail::ToGateEnd(aResult), aResult.headMs_);
+  switch (aResult.end_) {
+    case ExchangeEnd::Complete:
+    case ExchangeEnd::CallerGone:
+    case ExchangeEnd::PartialAfterHead:
+      server.Latency().Record(static_cast<int64_t>(aResult.headMs_ * 1000));
+      context_.measurements_.Record(request_.service_,
+                                    target_.slice_->begin_,
+                                    request_.hash_,
+                                    aResult.latencyMs_);
+      break;
+    case ExchangeEnd::Refused:
+      server.refusals_.fetch_add(1, std::memory_order_relaxed);
+      break;
+    default:
+      server.failures_.fetch_add(1, std::memory_order_relaxed);
+  }
+  if (aResult.end_ == ExchangeEnd::CallerGone ||
+      aResult.end_ == ExchangeEnd::Silent) {
+    context_.canceller_.Cancel(target_.record_->address_, attemptId_);
+  }
+  if (aResult.mayBeCrash_) {
+    CheckCrash(aResult);
+  }
+  if (isSuspect_) {
+    context_.quarantine_.OnEnd(
+      fingerprint_, server.Id(), aResult.end_ == ExchangeEnd::Complete);
+    isSuspect_ = false;
+  }
+}
+
+bool RequestRun::Continue(const ExchangeResult& aResult)
+{
+  if (aResult.end_ == ExchangeEnd::Refused || aResult.isRefusedConnection_) {
+    return ContinueRefused(aResult);
+  }
+  const bool mayRetry =
+    OutcomeClassifier::Decide(aResult.end_, request_.isIdempotent_, true) ==
+      AttemptAction::Retry &&
+    CanRetry();
+  switch (
+    OutcomeClassifier::Decide(aResult.end_, request_.isIdempotent_, mayRetry)) {
+    case AttemptAction::Retry:
+      return true;
+    case AttemptAction::Answer:
+      EndComplete(aResult);
+      return false;
+    case AttemptAction::AnswerNotRun:
+      EndNotRun(aResult.reason_, detail::kDefaultRetryMs, aResult.text_);
+      return false;
+    case AttemptAction::AnswerUnknown:
+      EndUnknown(aResult.end_ == ExchangeEnd::Silent, aResult.text_);
+      return false;
+    case AttemptAction::CloseCaller:
+    case AttemptAction::Count:
+      break;
+  }
+  EndTruncated(aResult);
+  return false;
+}
+
+bool RequestRun::ContinueRefused(const ExchangeResult& aResult)
+{
+  // Ownership is about to change; these retries cost the server nothing and
+  // do not use the retry budget.
+  if (aResult.isRefusedConnection_) {
+    return Park(NotRunReason::Unreachable, aResult.text_);
+  }
+  if (detail::IsOwnershipRefusal(aResult.reason_)) {
+    return Park(aResult.reason_, "refused by the backend server");
+  }
+  if (CanRetry()) {
+    return true;
+  }
+  EndNotRun(aResult.reason_,
+            aResult.reason_ == NotRunReason::Busy ? gate_->RetryAfterMs()
+                                                  : detail::kDefaultRetryMs,
+            "refused by the backend server");
+  return false;
+}
+
+bool RequestRun::CanRetry()
+{
+  return attempts_ < rules_->maxAttempts_ &&
+         context_.clock_.NowMs() < deadlineMs_ && service_->TryTakeRetry();
+}
+
+void RequestRun::CheckCrash(const ExchangeResult& aResult)
+{
+  auto& server = *target_.server_;
+  const auto incarnation =
+    aResult.incarnation_ != 0 ? aResult.incarnation_ : server.Incarnation();
+  if (!IsProcessGone(incarnation)) {
+    return;
+  }
+  server.OnProcessGone();
+  if (server.IsNewCrashOf(fingerprint_, incarnation)) {
+    Log(LogLevel::Warning,
+        "backend server was lost with a request in flight",
+        { { "server", server.Id() },
+          { "service", request_.service_ },
+          { "fingerprint", fingerprint_ } });
+    context_.quarantine_.OnCrash(server.Id(), fingerprint_);
+  }
+}
+
+bool RequestRun::IsProcessGone(uint64_t aIncarnation)
+{
+  constexpr size_t kMaxHealthBytes = 64 * 1024;
+  const TimeMs bound = context_.clock_.NowMs() + detail::kCrashCheckMs;
+  HttpConnection probe(context_.clock_, target_.record_->address_);
+  const auto health = probe.Exchange(
+    { "GET", "/_cactuspitch/health", {}, {} }, bound, kMaxHealthBytes);
+  if (!health.ok()) {
+    return absl::IsUnavailable(health.status());
+  }
+  const auto now = health->head_.Header(header::kIncarnation);
+  return !now.empty() && aIncarnation != 0 && HashKey(now) != aIncarnation;
+}
+
+std::string_view RequestRun::CompleteCause(int aStatus) const
+{
+  if (aStatus >= detail::kFirstServerError) {
+    return "server-error";
+  }
+  return context_.clock_.NowMs() - startMs_ > rules_->latencyMs_ ? "slow" : "";
+}
+
+void RequestRun::EndComplete(const ExchangeResult& aResult)
+{
+  FinishLedger(LedgerEntry::Completed);
+  if (!aResult.isStreamed_) {
+    answer_.Complete(aResult);
+  }
+  Count(Outcome::Complete, CompleteCause(aResult.head_.status_));
+}
+
+void RequestRun::EndNotRun(NotRunReason aReason,
+                           TimeMs aRetryAfterMs,
+                           std::string_view aText)
+{
+  // Before the answer, so that an early repeat of the caller may run.
+  FinishLedger(LedgerEntry::NotRun);
+  answer_.NotRun(aReason, aRetryAfterMs, aText);
+  Count(Outcome::NotRun, EnumName(aReason));
+}
+
+void RequestRun::EndUnknown(bool aTimedOut, std::string_view aText)
+{
+  FinishLedger(LedgerEntry::Unknown);
+  answer_.Unknown(aTimedOut, aText);
+  Count(Outcome::Unknown, "unknown");
+}
+
+void RequestRun::EndTruncated(const ExchangeResult& aResult)
+{
+  caller_.CloseAfter();
+  const bool callerGone = aResult.end_ == ExchangeEnd::CallerGone;
+  FinishLedger(callerGone ? LedgerEntry::Completed : LedgerEntry::Unknown);
+  Count(Outcome::Unknown,
+        callerGone ? std::string_view() : std::string_view("truncated"));
+}
+
+void RequestRun::FinishLedger(LedgerEntry aState)
+{
+  if (!request_.isIdempotent_) {
+    context_.ledger_.Finish(ticket_, aState);
+  }
+}
+
+void RequestRun::Count(Outcome aOutcome, std::string_view aCause)
+{
+  const auto* server = target_.server_.get();
+  context_.slo_.Record(
+    request_.service_,
+    aCause,
+    server ? std::string_view(server->Id()) : std::string_view(),
+    server ? std::string_view(server->FailureDomain()) : std::string_view());
+  context_.outcomes_[static_cast<size_t>(aOutcome)].fetch_add(
+    1, std::memory_order_relaxed);
+}
+
+}
--- /dev/null
+++ b/router/RequestRun.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "AnswerWriter.hpp"
+#include "RouterContext.hpp"
+#include "ServerExchange.hpp"
+
+#include <memory>
+#include <string>
+
+namespace cactuspitch {
+
+/// The way of one caller's request from its check to its final answer. Runs on
+/// the thread of the caller's connection.
+class RequestRun
+{
+public:
+  RequestRun(RouterContext& aContext, HttpExchange& aCaller);
+
+  void Run();
+
+private:
+  /// Where the next attempt goes.
+  struct Target
+  {
+    std::shared_ptr<const FollowedTable> table_;
+    const SliceRecord* slice_ = nullptr;
+    const BackendServerRecord* record_ = nullptr;
+    std::shared_ptr<BackendServer> server_;
+  };
+
+  /// False when the request was refused and answered.
+  bool Accept();
+  bool ReadBody();
+  bool BeginLedger();
+  /// Runs attempts until one of the final answers was given.
+  void RunAttempts();
+  /// Waits for an owner that may be used; false after a final answer.
+  bool FindTarget();
+  bool HasViewLease() const;
+  /// Waits for a newer table; false after a final answer.
+  bool Park(NotRunReason aReason, std::string_view aText);
+  bool EnterQuarantine();
+  bool EnterGate();
+  ExchangeResult RunExchange();
+  OutboundRequest MakeOutbound() const;
+  void Settle(const ExchangeResult& aResult);
+  /// Acts on the end of an attempt; false when the request has ended.
+  bool Continue(const ExchangeResult& aResult);
+  bool ContinueRefused(const ExchangeResult& aResult);
+  bool CanRetry();
+  /// Reports a crash when the server's process is gone.
+  void CheckCrash(const ExchangeResult& aResult);
+  bool IsProcessGone(uint64_t aIncarnation);
+
+  void EndComplete(const ExchangeResult& aResult);
+  void EndNotRun(NotRunReason aReason,
+                 TimeMs aRetryAfterMs,
+                 std::string_view aText);
+  void EndUnknown(bool aTimedOut, std::string_view aText);
+  void EndTruncated(const ExchangeResult& aResult);
+  void FinishLedger(LedgerEntry aState);
+  /// Counts the end of the request; aCause is a literal.
+  void Count(Outcome aOutcome, std::string_view aCause);
+  std::string_view CompleteCause(int aStatus) const;
+
+  RouterContext& context_;
+  HttpExchange& caller_;
+  AnswerWriter answer_;
+  CallerRequest request_;
+  std::shared_ptr<ServiceState> service_;
+  std::shared_ptr<const ServiceRules> rules_;
+  HttpHeaders headers_;
+  std::string body_;
+  TimeMs startMs_;
+  TimeMs deadlineMs_ = 0;
+  TimeMs streamEndMs_ = 0;
+  uint64_t fingerprint_ = 0;
+  LedgerTicket ticket_;
+  Target target_;
+  std::shared_ptr<AdmissionGate> gate_;
+  std::string attemptId_;
+  int attempts_ = 0;
+  int parks_ = 0;
+  bool isSuspect_ = false;
+};
+
+}
--- /dev/null
+++ b/router/RouterContext.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "CallerRequest.hpp"
+#include "Canceller.hpp"
+#include "LedgerClient.hpp"
+#include "Measurements.hpp"
+#include "QuarantineKeeper.hpp"
+#include "SloCounters.hpp"
+#include "StateRegistry.hpp"
+#include "TableSource.hpp"
+
+#include <array>
+#include <atomic>
+#include <string>
+
+namespace cactuspitch {
+
+/// Everything that a request needs; owned by Router.
+struct RouterContext
+{
+  const Clock& clock_;
+  TableSource& tables_;
+  StateRegistry& registry_;
+  LedgerClient& ledger_;
+  QuarantineKeeper& quarantine_;
+  Measurements& measurements_;
+  SloCounters& slo_;
+  Canceller& canceller_;
+  std::string instance_;
+  InputLimits limits_;
+  /// Requests that may wait for an owner at once. Each holds a thread; more
+  /// would starve the requests of other services.
+  int maxParked_ = 1;
+
+  std::atomic<int> parked_ = 0;
+  std::atomic<int> routers_ = 1; ///< live routers, this one included
+  std::atomic<uint64_t> nextRequest_ = 1;
+  std::array<std::atomic<int64_t>, static_cast<size_t>(Outcome::Count)>
+    outcomes_{};
+};
+
+}
--- /dev/null
+++ b/router/ServerExchange.cpp
@@ -0,0 +1,287 @@
+#include "ServerExchange.hpp"
+
+#include "HeaderRules.hpp"
+#include "common/Strings.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+namespace cactuspitch {
+
+namespace detail {
+
+/// An answer that fits is sent in one piece and can be retried until it is
+/// complete; a larger one is handed through in parts of this size.
+constexpr size_t kBufferBytes = 64 * 1024;
+/// An idle connection may have been closed at the other end, unseen so far.
+/// A non-idempotent request cannot be retried then, so it waits less.
+constexpr TimeMs kMaxIdleMs = 10000;
+constexpr TimeMs kMaxIdleNonIdempotentMs = 1000;
+constexpr TimeMs kSilenceCheckMs = 50;
+constexpr size_t kMaxHealthBytes = 64 * 1024;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kServiceUnavailable = 503;
+
+std::vector<char>& ThreadBuffer()
+{
+  static thread_local std::vector<char> buffer(kBufferBytes);
+  return buffer;
+}
+
+}
+
+ServerExchange::ServerExchange(const Clock& aClock, BackendServer& aServer)
+  : clock_(aClock)
+  , server_(aServer)
+{
+}
+
+ExchangeResult ServerExchange::Run(OutboundRequest& aRequest,
+                                   HttpExchange& aCaller)
+{
+  ExchangeResult result;
+  start_ = std::chrono::steady_clock::now();
+  if (Prepare(aRequest, result) && ReadHead(aRequest, result)) {
+    ReadAnswer(aRequest, result, aCaller);
+  }
+  if (connection_) {
+    result.incarnation_ = connection_->incarnation_;
+    server_.Pool().Release(std::move(connection_));
+  }
+  result.latencyMs_ = ElapsedMs();
+  if (result.headMs_ == 0) {
+    result.headMs_ = result.latencyMs_;
+  }
+  return result;
+}
+
+double ServerExchange::ElapsedMs() const
+{
+  const auto taken = std::chrono::steady_clock::now() - start_;
+  return std::chrono::duration<double, std::milli>(taken).count();
+}
+
+bool ServerExchange::Prepare(OutboundRequest& aRequest, ExchangeResult& aResult)
+{
+  connection_ = server_.Pool().Acquire(aRequest.attemptEndMs_,
+                                       aRequest.isIdempotent_
+                                         ? detail::kMaxIdleMs
+                                         : detail::kMaxIdleNonIdempotentMs);
+  if (!connection_) {
+    aResult.reason_ = NotRunReason::Overload;
+    aResult.text_ = "connection limit of the backend server is reached";
+    return false;
+  }
+  if (!ConnectIfNew(aRequest, aResult)) {
+    return false;
+  }
+  auto& headers = aRequest.http_.headers_;
+  const auto plainHeaders = headers.size();
+  headers.emplace_back(header::kSliceEpoch, std::to_string(aRequest.epoch_));
+  headers.emplace_back(header::kRequestId, aRequest.requestId_);
+  const auto offset = connection_->clockKnown_
+                        ? std::optional(connection_->clockOffsetMs_)
+                        : server_.ClockOffsetMs();
+  if (offset) {
+    headers.emplace_back(header::kDeadlineClockMs,
+                         std::to_string(aRequest.serverDeadlineMs_ + *offset));
+  }
+  server_.Silence().OnSend(connection_->silenceId_);
+  const auto written =
+    connection_->http_.Write(aRequest.http_, aRequest.attemptEndMs_);
+  headers.resize(plainHeaders);
+  if (!written.ok()) {
+    Fail(written, aResult);
+  }
+  return written.ok();
+}
+
+bool ServerExchange::ConnectIfNew(const OutboundRequest& aRequest,
+                                  ExchangeResult& aResult)
+{
+  auto& http = connection_->http_;
+  if (!http.IsOpen()) {
+    const auto connected = http.Connect(aRequest.attemptEndMs_);
+    if (!connected.ok()) {
+      aResult.isRefusedConnection_ =
+        connected.code() == absl::StatusCode::kUnavailable;
+      if (aResult.isRefusedConnection_) {
+        server_.OnProcessGone();
+      }
+      Fail(connected, aResult);
+      return false;
+    }
+  }
+  // The clock of another process could be far behind, and a deadline in its
+  // terms far in the future, so it is learned on the connection itself.
+  const bool learn =
+    aRequest.needsClock_ ? !connection_->clockKnown_ : !server_.ClockOffsetMs();
+  if (!learn) {
+    return true;
+  }
+  const auto learned = LearnClock(aRequest.attemptEndMs_);
+  if (learned.ok() && (connection_->clockKnown_ || !aRequest.needsClock_)) {
+    return true;
+  }
+  http.Close();
+  aResult.text_ = Concat("clock of the backend server is unknown: ",
+                         std::string(learned.message()));
+  return false;
+}
+
+absl::Status ServerExchange::LearnClock(TimeMs aDeadlineMs)
+{
+  auto& http = connection_->http_;
+  const HttpRequest probe{ "GET", "/_cactuspitch/health", {}, {} };
+  auto status = http.Write(probe, aDeadlineMs);
+  if (!status.ok()) {
+    return status;
+  }
+  const auto head = http.ReadHead(aDeadlineMs);
+  if (!head.ok()) {
+    return head.status();
+  }
+  server_.OnAnswer(*connection_, *head);
+  auto& buffer = detail::ThreadBuffer();
+  size_t total = 0;
+  while (total <= detail::kMaxHealthBytes) {
+    const auto got = http.ReadBody(buffer.data(), buffer.size(), aDeadlineMs);
+    if (!got.ok()) {
+      return got.status();
+    }
+    if (*got == 0) {
+      return http.IsReusable() ? absl::OkStatus()
+                               : absl::UnknownError("connection was closed");
+    }
+    total += *got;
+  }
+  return absl::DataLossError("health answer is too large");
+}
+
+bool ServerExchange::ReadHead(const OutboundRequest& aRequest,
+                              ExchangeResult& aResult)
+{
+  auto& http = connection_->http_;
+  auto& silence = server_.Silence();
+  const TimeMs sentMs = clock_.NowMs();
+  TimeMs boundMs = std::min(aRequest.attemptEndMs_, sentMs + silence.LimitMs());
+  while (true) {
+    auto head = http.ReadHead(boundMs);
+    if (head.ok()) {
+      server_.OnAnswer(*connection_, *head);
+      if (head->status_ < detail::kFirstFinalStatus) {
+        continue;
+      }
+      silence.OnAnswer(connection_->silenceId_);
+      aResult.head_ = *std::move(head);
+      aResult.headMs_ = ElapsedMs();
+      return true;
+    }
+    const TimeMs now = clock_.NowMs();
+    if (!absl::IsDeadlineExceeded(head.status()) ||
+        now >= aRequest.attemptEndMs_) {
+      Fail(head.status(), aResult);
+      return false;
+    }
+    if (silence.IsSilent(connection_->silenceId_)) {
+      // Siblings of the same age probably took the same broken path.
+      server_.Pool().CloseIdleOpenedBefore(connection_->openedMs_);
+      if (aRequest.isIdempotent_) {
+        Fail(head.status(), aResult);
+        return false;
+      }
+    }
+    boundMs = std::min(aRequest.attemptEndMs_, now + detail::kSilenceCheckMs);
+  }
+}
+
+void ServerExchange::ReadAnswer(const OutboundRequest& aRequest,
+                                ExchangeResult& aResult,
+                                HttpExchange& aCaller)
+{
+  auto& buffer = detail::ThreadBuffer();
+  size_t size = 0;
+  while (size < buffer.size()) {
+    const auto got = connection_->http_.ReadBody(
+      buffer.data() + size, buffer.size() - size, aRequest.attemptEndMs_);
+    if (!got.ok()) {
+      Fail(got.status(), aResult);
+      return;
+    }
+    if (*got == 0) {
+      aResult.body_ = { buffer.data(), size };
+      aResult.end_ = ExchangeEnd::Complete;
+      CheckRefusal(aResult);
+      return;
+    }
+    size += *got;
+  }
+  Stream(aRequest, aResult, aCaller, size);
+}
+
+void ServerExchange::Stream(const OutboundRequest& aRequest,
+                            ExchangeResult& aResult,
+                            HttpExchange& aCaller,
+                            size_t aBuffered)
+{
+  auto headers = HeaderRules::ForCaller(aResult.head_.headers_);
+  headers.emplace_back(header::kOutcome, EnumName(Outcome::Complete));
+  const auto length = aResult.head_.contentLength_;
+  aResult.isStreamed_ = true;
+  bool sent = length
+                ? aCaller.BeginAnswer(aResult.head_.status_, headers, *length)
+                : aCaller.BeginChunked(aResult.head_.status_, headers);
+  auto& buffer = detail::ThreadBuffer();
+  size_t size = aBuffered;
+  while (sent && size > 0) {
+    sent = aCaller.Write({ buffer.data(), size });
+    if (!sent) {
+      break;
+    }
+    const TimeMs bound =
+      std::min(aRequest.streamEndMs_, clock_.NowMs() + aRequest.streamStallMs_);
+    const auto got =
+      connection_->http_.ReadBody(buffer.data(), buffer.size(), bound);
+    if (!got.ok()) {
+      aResult.end_ = ExchangeEnd::PartialAfterHead;
+      aResult.text_ = std::string(got.status().message());
+      connection_->http_.Close();
+      return;
+    }
+    size = *got;
+  }
+  if (sent && !length) {
+    sent = aCaller.EndChunked();
+  }
+  aResult.end_ = sent ? ExchangeEnd::Complete : ExchangeEnd::CallerGone;
+  if (!sent) {
+    connection_->http_.Close();
+  }
+}
+
+void ServerExchange::Fail(const absl::Status& aStatus, ExchangeResult& aResult)
+{
+  const auto stage = connection_->http_.Stage();
+  aResult.end_ =
+    OutcomeClassifier::FailureEnd(stage, aStatus.code(), aResult.isStreamed_);
+  aResult.text_ = std::string(aStatus.message());
+  const bool wasSent = stage == ExchangeStage::Writing ||
+                       stage == ExchangeStage::AwaitingHead ||
+                       stage == ExchangeStage::ReadingBody;
+  aResult.mayBeCrash_ = wasSent && !absl::IsDeadlineExceeded(aStatus);
+  connection_->http_.Close();
+}
+
+void ServerExchange::CheckRefusal(ExchangeResult& aResult) const
+{
+  const auto refusal = aResult.head_.Header(header::kNotRun);
+  if (aResult.head_.status_ != detail::kServiceUnavailable || refusal.empty()) {
+    return;
+  }
+  aResult.end_ = ExchangeEnd::Refused;
+  aResult.reason_ =
+    ParseEnum<NotRunReason>(refusal).value_or(NotRunReason::Busy);
+}
+
+}
--- /dev/null
+++ b/router/ServerExchange.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "BackendServer.hpp"
+#include "OutcomeClassifier.hpp"
+#include "common/HttpServer.hpp"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cactuspitch {
+
+/// One attempt, ready to be sent.
+struct OutboundRequest
+{
+  HttpRequest http_; ///< without the protocol headers
+  std::string_view requestId_;
+  Epoch epoch_ = 0;
+  bool isIdempotent_ = true;
+  /// The server does not check the fence, so its clock must be known.
+  bool needsClock_ = false;
+  /// End of the attempt, and the deadline that is sent to the server.
+  TimeMs attemptEndMs_ = 0;
+  TimeMs serverDeadlineMs_ = 0;
+  /// Bounds of an answer whose head was sent to the caller.
+  TimeMs streamEndMs_ = 0;
+  TimeMs streamStallMs_ = 0;
+};
+
+struct ExchangeResult
+{
+  ExchangeEnd end_ = ExchangeEnd::NoConnection;
+  NotRunReason reason_ = NotRunReason::Unreachable;
+  std::string text_;
+  HttpResponseHead head_;
+  /// The whole body when end_ is Complete and isStreamed_ is false. Valid
+  /// until the next exchange of this thread.
+  std::string_view body_;
+  /// The caller has received the answer, or its head.
+  bool isStreamed_ = false;
+  /// The connection ended without an answer, which a crash can have caused.
+  bool mayBeCrash_ = false;
+  bool isRefusedConnection_ = false;
+  uint64_t incarnation_ = 0;
+  /// Time to the answer, and to its end including a slow caller.
+  double headMs_ = 0;
+  double latencyMs_ = 0;
+};
+
+/// Runs one attempt at a backend server and hands large answers through to the
+/// caller with a bounded buffer.
+class ServerExchange
+{
+public:
+  ServerExchange(const Clock& aClock, BackendServer& aServer);
+
+  ExchangeResult Run(OutboundRequest& aRequest, HttpExchange& aCaller);
+
+private:
+  bool Prepare(OutboundRequest& aRequest, ExchangeResult& aResult);
+  bool ConnectIfNew(const OutboundRequest& aRequest, ExchangeResult& aResult);
+  /// Learns the clock of the process at the other end of this connection.
+  absl::Status LearnClock(TimeMs aDeadlineMs);
+  bool ReadHead(const OutboundRequest& aRequest, ExchangeResult& aResult);
+  void ReadAnswer(const OutboundRequest& aRequest,
+                  ExchangeResult& aResult,
+                  HttpExchange& aCaller);
+  void Stream(const OutboundRequest& aRequest,
+              ExchangeResult& aResult,
+              HttpExchange& aCaller,
+              size_t aBuffered);
+  void Fail(const absl::Status& aStatus, ExchangeResult& aResult);
+  double ElapsedMs() const;
+  void CheckRefusal(ExchangeResult& aResult) const;
+
+  const Clock& clock_;
+  BackendServer& server_;
+  std::unique_ptr<PooledConnection> connection_;
+  std::chrono::steady_clock::time_point start_;
+};
+
+}
--- /dev/null
+++ b/router/TableSource.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "rpc/TableFollower.hpp"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactuspitch {
+
+/// What the data path needs of the TableFollower; tests fake it.
+class TableSource
+{
+public:
+  virtual ~TableSource() = default;
+  virtual std::shared_ptr<const FollowedTable> Table(std::string_view aService,
+                                                     KeyHash aHash) const = 0;
+  virtual std::vector<std::shared_ptr<const FollowedTable>> Tables() const = 0;
+  virtual std::vector<std::string> RouterPeers() const = 0;
+  virtual std::shared_ptr<const FollowedConfig> Config() const = 0;
+  virtual bool IsReady() const = 0;
+  virtual bool WaitNewer(std::string_view aService,
+                         KeyHash aHash,
+                         Term aTerm,
+                         int64_t aSequence,
+                         TimeMs aDeadlineMs) = 0;
+  virtual void RequestRefresh(std::string_view aService, KeyHash aHash) = 0;
+};
+
+/// TableSource of a running TableFollower.
+class FollowerTableSource final : public TableSource
+{
+public:
+  explicit FollowerTableSource(TableFollower& aFollower)
+    : follower_(aFollower)
+  {
+  }
+
+  std::shared_ptr<const FollowedTable> Table(std::string_view aService,
+                                             KeyHash aHash) const override
+  {
+    return follower_.Table(aService, aHash);
+  }
+  std::vector<std::shared_ptr<const FollowedTable>> Tables() const override
+  {
+    return follower_.Tables();
+  }
+  std::vector<std::string> RouterPeers() const override
+  {
+    return follower_.RouterPeers();
+  }
+  std::shared_ptr<const FollowedConfig> Config() const override
+  {
+    return follower_.Config();
+  }
+  bool IsReady() const override { return follower_.IsReady(); }
+  bool WaitNewer(std::string_view aService,
+                 KeyHash aHash,
+                 Term aTerm,
+                 int64_t aSequence,
+                 TimeMs aDeadlineMs) override
+  {
+    return follower_.WaitNewer(aService, aHash, aTerm, aSequence, aDeadlineMs);
+  }
+  void RequestRefresh(std::string_view aService, KeyHash aHash) override
+  {
+    follower_.RequestRefresh(aService, aHash);
+  }
+
+private:
+  TableFollower& follower_;
+};
+
+}
