Add the HTTP object store client and its stand-in

Cause: the control role, the configuration and the admin process need the platform's store, and tests need one that can be down, slow, lose answers of writes that took effect, and serve lagging lists.

Before: the interface without an implementation.

Conclusion: a write that may have taken effect is Unknown, one whose bytes were not all handed to the kernel is Unavailable; a deleted object appears in a watch with version 0.

--- a/common/HttpConnection.cpp
+++ b/common/HttpConnection.cpp
@@ -175,7 +175,8 @@
   size_t aMaxBodyBytes,
   const CancelSignal* aCancel)
 {
-  if (!IsReusable()) {
+  const bool isFresh = IsOpen() && Stage() == ExchangeStage::Connecting;
+  if (!isFresh && !IsReusable()) {
     const auto connected = Connect(aDeadlineMs, aCancel);
     if (!connected.ok()) {
       return connected;
--- a/common/HttpConnection.hpp
+++ b/common/HttpConnection.hpp
@@ -87,8 +87,9 @@
                                   size_t aSize,
                                   TimeMs aDeadlineMs,
                                   const CancelSignal* aCancel = nullptr);
-  /// Connects when necessary and runs a whole exchange. Fails with DataLoss
-  /// when the body exceeds aMaxBodyBytes.
+  /// Connects when necessary and runs a whole exchange; a connection that
+  /// Connect() just opened is used as it is. Fails with DataLoss when the body
+  /// exceeds aMaxBodyBytes.
   absl::StatusOr<HttpResponse> Exchange(const HttpRequest& aRequest,
                                         TimeMs aDeadlineMs,
                                         size_t aMaxBodyBytes,
--- a/common/HttpServer.cpp
+++ b/common/HttpServer.cpp
@@ -240,6 +240,16 @@
   mg_disable_connection_keep_alive(connection_);
 }
 
+void HttpExchange::Abort()
+{
+  // CivetWeb takes a non-zero status as a request that was handled.
+  constexpr int kNoAnswer = 444;
+  status_ = kNoAnswer;
+  started_ = true;
+  ended_ = true;
+  CloseAfter();
+}
+
 HttpServer::HttpServer(HttpServerOptions aOptions, Handler aHandler)
   : options_(std::move(aOptions))
   , handler_(std::move(aHandler))
--- a/common/HttpServer.hpp
+++ b/common/HttpServer.hpp
@@ -53,6 +53,8 @@
   bool EndChunked();
   /// Closes the connection after this exchange, also in mid answer.
   void CloseAfter();
+  /// Closes the connection without an answer.
+  void Abort();
   bool HasStarted() const { return started_; }
 
 private:
--- /dev/null
+++ b/standin/StandinStore.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "StoreFaults.hpp"
+#include "VersionedObjects.hpp"
+#include "common/HttpServer.hpp"
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace cactuspitch {
+
+/// Kind of call, as the platform counts them.
+enum class StoreCall : uint8_t
+{
+  Get,
+  List,
+  Put,
+  Delete,
+  Watch,
+  Count
+};
+
+template<>
+struct EnumNames<StoreCall>
+{
+  static constexpr std::string_view kNames[] = { "get",
+                                                 "list",
+                                                 "put",
+                                                 "delete",
+                                                 "watch" };
+};
+
+/// Stand-in for the platform's object store (docs/design.md, section 7.3).
+/// Beyond its protocol it offers, uncounted and free of faults:
+/// - PUT, DELETE /_platform/{kind}/{name}: writes without precondition, for
+///   the lists that the platform owns.
+/// - GET /_stats: calls by kind of call and by kind of object.
+/// - GET, POST /_fault: the faults to show, as JSON.
+class StandinStore
+{
+public:
+  StandinStore(const Clock& aClock, std::string aListen);
+
+  absl::Status Start();
+  void Stop();
+
+private:
+  void Handle(HttpExchange& aExchange);
+  void HandleCall(HttpExchange& aExchange,
+                  StoreCall aCall,
+                  const std::string& aKind,
+                  const std::string& aName);
+  /// True when the fault has ended the call.
+  bool ShowFault(HttpExchange& aExchange, const StoreFault& aFault);
+  void Read(HttpExchange& aExchange,
+            const std::string& aKind,
+            const std::string& aName);
+  void List(HttpExchange& aExchange, const std::string& aKind);
+  void Watch(HttpExchange& aExchange, const std::string& aKind);
+  void Write(HttpExchange& aExchange,
+             const std::string& aKind,
+             const std::string& aName,
+             const ExpectedVersion& aExpected,
+             bool aLosesAnswer);
+  void HandleFault(HttpExchange& aExchange);
+  void CountCall(StoreCall aCall, const std::string& aKind);
+  std::string Stats() const;
+
+  VersionedObjects objects_;
+  StoreFaults faults_;
+  HttpServer server_;
+  std::array<std::atomic<int64_t>, static_cast<size_t>(StoreCall::Count)>
+    calls_{};
+  mutable std::mutex mutex_;
+  std::map<std::string, int64_t> callsByKind_;
+  std::atomic<int64_t> lostAnswers_ = 0;
+  std::atomic<bool> stopping_ = false;
+};
+
+}
--- /dev/null
+++ b/standin/VersionedObjects.cpp
@@ -0,0 +1,134 @@
+#include "VersionedObjects.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace cactuspitch {
+
+namespace detail {
+
+/// Longest lag that a list can show.
+constexpr TimeMs kKeptMs = 120000;
+/// Lagged states become visible without a notification.
+constexpr TimeMs kLagPollMs = 10;
+
+}
+
+VersionedObjects::VersionedObjects(const Clock& aClock)
+  : clock_(aClock)
+{
+}
+
+std::optional<ObjectRevision> VersionedObjects::Get(const std::string& aKind,
+                                                    const std::string& aName,
+                                                    TimeMs aLagMs) const
+{
+  const std::lock_guard lock(mutex_);
+  const auto kind = kinds_.find(aKind);
+  if (kind == kinds_.end()) {
+    return std::nullopt;
+  }
+  const auto object = kind->second.find(aName);
+  if (object == kind->second.end()) {
+    return std::nullopt;
+  }
+  const auto* state = VisibleAt(object->second, clock_.NowMs() - aLagMs);
+  return state && state->value_ ? std::optional(*state) : std::nullopt;
+}
+
+std::vector<ObjectRevision> VersionedObjects::Changes(const std::string& aKind,
+                                                      int64_t aSince,
+                                                      TimeMs aLagMs) const
+{
+  const std::lock_guard lock(mutex_);
+  return ChangesLocked(aKind, aSince, aLagMs);
+}
+
+std::vector<ObjectRevision> VersionedObjects::WaitChanges(
+  const std::string& aKind,
+  int64_t aSince,
+  TimeMs aLagMs,
+  TimeMs aWaitMs) const
+{
+  std::unique_lock lock(mutex_);
+  const TimeMs end = clock_.NowMs() + aWaitMs;
+  while (true) {
+    auto changes = ChangesLocked(aKind, aSince, aLagMs);
+    const TimeMs left = end - clock_.NowMs();
+    if (!changes.empty() || left <= 0 || closed_) {
+      return changes;
+    }
+    const TimeMs step = aLagMs > 0 ? std::min(left, detail::kLagPollMs) : left;
+    changed_.wait_for(lock, std::chrono::milliseconds(step));
+  }
+}
+
+bool VersionedObjects::Write(const std::string& aKind,
+                             const std::string& aName,
+                             const ExpectedVersion& aExpected,
+                             std::optional<std::string> aValue,
+                             int64_t& aVersion)
+{
+  {
+    const std::lock_guard lock(mutex_);
+    auto& history = kinds_[aKind][aName];
+    const bool exists = !history.empty() && history.back().value_;
+    const int64_t current = exists ? history.back().revision_ : 0;
+    if (aExpected && *aExpected != current) {
+      aVersion = current;
+      return false;
+    }
+    const TimeMs now = clock_.NowMs();
+    history.push_back({ aName, ++revision_, now, std::move(aValue) });
+    // Keeps the newest state that is older than the kept time.
+    const auto firstKept =
+      std::ranges::find_if(history, [now](const auto& aState) {
+        return aState.writtenMs_ > now - detail::kKeptMs;
+      });
+    if (firstKept - history.begin() > 1) {
+      history.erase(history.begin(), firstKept - 1);
+    }
+    aVersion = revision_;
+  }
+  changed_.notify_all();
+  return true;
+}
+
+void VersionedObjects::Close()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    closed_ = true;
+  }
+  changed_.notify_all();
+}
+
+std::vector<ObjectRevision> VersionedObjects::ChangesLocked(
+  const std::string& aKind,
+  int64_t aSince,
+  TimeMs aLagMs) const
+{
+  std::vector<ObjectRevision> changes;
+  const auto kind = kinds_.find(aKind);
+  if (kind == kinds_.end()) {
+    return changes;
+  }
+  const TimeMs time = clock_.NowMs() - aLagMs;
+  for (const auto& [name, history] : kind->second) {
+    const auto* state = VisibleAt(history, time);
+    if (state && state->revision_ > aSince && (state->value_ || aSince > 0)) {
+      changes.push_back(*state);
+    }
+  }
+  return changes;
+}
+
+const ObjectRevision* VersionedObjects::VisibleAt(const History& aHistory,
+                                                  TimeMs aTime) const
+{
+  const auto later =
+    std::ranges::upper_bound(aHistory, aTime, {}, &ObjectRevision::writtenMs_);
+  return later == aHistory.begin() ? nullptr : &*(later - 1);
+}
+
+}
--- /dev/null
+++ b/store/HttpObjectStore.cpp
@@ -0,0 +1,281 @@
+#include "HttpObjectStore.hpp"
+
+#include "common/Strings.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/ascii.h>
+#include <nlohmann/json.hpp>
+
+namespace cactuspitch {
+
+namespace detail {
+
+constexpr int kOk = 200;
+constexpr int kCreated = 201;
+constexpr int kNoContent = 204;
+constexpr int kNotFound = 404;
+constexpr int kPreconditionFailed = 412;
+constexpr int kServerError = 500;
+constexpr int kServiceUnavailable = 503;
+/// A list holds every object of a kind, each up to 1 MB.
+constexpr size_t kMaxAnswerBytes = 64 << 20;
+constexpr size_t kMaxIdleConnections = 8;
+
+std::string EncodeSegment(std::string_view aText)
+{
+  constexpr char kHex[] = "0123456789ABCDEF";
+  constexpr std::string_view kPlain = "-_.~";
+  std::string result;
+  for (const char character : aText) {
+    const auto byte = static_cast<unsigned char>(character);
+    if (absl::ascii_isalnum(byte) ||
+        kPlain.find(character) != std::string_view::npos) {
+      result.push_back(character);
+    } else {
+      result.push_back('%');
+      result.push_back(kHex[byte >> 4]);
+      result.push_back(kHex[byte & 0xf]);
+    }
+  }
+  return result;
+}
+
+std::string ObjectTarget(const std::string& aKind, const std::string& aName)
+{
+  return Concat("/objects/", EncodeSegment(aKind), "/", EncodeSegment(aName));
+}
+
+HttpHeaders Precondition(int64_t aExpectedVersion)
+{
+  if (aExpectedVersion == kMustNotExist) {
+    return { { "If-None-Match", "*" } };
+  }
+  return { { "If-Match", std::to_string(aExpectedVersion) } };
+}
+
+absl::StatusOr<int64_t> VersionOf(const HttpResponse& aResponse)
+{
+  int64_t version = 0;
+  auto tag = aResponse.head_.Header("ETag");
+  if (tag.size() >= 2 && tag.front() == '"') {
+    tag = tag.substr(1, tag.size() - 2);
+  }
+  if (!ParseNumber(tag, version)) {
+    return absl::UnknownError("store: answer without a version");
+  }
+  return version;
+}
+
+absl::Status StatusError(const HttpResponse& aResponse)
+{
+  const auto text = Concat("store: status ", aResponse.head_.status_);
+  switch (aResponse.head_.status_) {
+    case kNotFound:
+      return absl::NotFoundError(text);
+    case kPreconditionFailed:
+      return absl::FailedPreconditionError(text);
+    case kServiceUnavailable:
+      return absl::UnavailableError(text);
+    default:
+      // An internal error does not say whether a write took effect.
+      return aResponse.head_.status_ >= kServerError
+               ? absl::UnknownError(text)
+               : absl::InvalidArgumentError(text);
+  }
+}
+
+absl::StatusOr<std::vector<StoredObject>> ParseObjects(const std::string& aKind,
+                                                       const std::string& aBody,
+                                                       int64_t& aRevision)
+{
+  const auto document = nlohmann::json::parse(aBody, nullptr, false);
+  if (document.is_discarded() || !document.contains("objects")) {
+    return absl::UnknownError("store: malformed list");
+  }
+  try {
+    aRevision = document.value("revision", aRevision);
+    std::vector<StoredObject> objects;
+    for (const auto& entry : document["objects"]) {
+      objects.push_back({ aKind,
+                          entry.at("name").get<std::string>(),
+                          entry.at("version").get<int64_t>(),
+                          entry.at("value").get<std::string>() });
+    }
+    return objects;
+  } catch (const nlohmann::json::exception& failure) {
+    return absl::UnknownError(
+      Concat("store: malformed list: ", failure.what()));
+  }
+}
+
+}
+
+HttpObjectStore::HttpObjectStore(const Clock& aClock,
+                                 HttpObjectStoreOptions aOptions)
+  : clock_(aClock)
+  , options_(std::move(aOptions))
+{
+}
+
+absl::StatusOr<StoredObject> HttpObjectStore::Get(const std::string& aKind,
+                                                  const std::string& aName)
+{
+  auto response = Read(detail::ObjectTarget(aKind, aName), 0);
+  if (!response.ok()) {
+    return response.status();
+  }
+  const auto version = detail::VersionOf(*response);
+  if (!version.ok()) {
+    return version.status();
+  }
+  return StoredObject{ aKind, aName, *version, std::move(response->body_) };
+}
+
+absl::StatusOr<std::vector<StoredObject>> HttpObjectStore::List(
+  const std::string& aKind)
+{
+  const auto response =
+    Read(Concat("/objects/", detail::EncodeSegment(aKind)), 0);
+  if (!response.ok()) {
+    return response.status();
+  }
+  int64_t revision = 0;
+  return detail::ParseObjects(aKind, response->body_, revision);
+}
+
+absl::StatusOr<int64_t> HttpObjectStore::Put(const std::string& aKind,
+                                             const std::string& aName,
+                                             int64_t aExpectedVersion,
+                                             const std::string& aValue)
+{
+  const auto response = Write({ "PUT",
+                                detail::ObjectTarget(aKind, aName),
+                                detail::Precondition(aExpectedVersion),
+                                aValue });
+  if (!response.ok()) {
+    return response.status();
+  }
+  return detail::VersionOf(*response);
+}
+
+absl::Status HttpObjectStore::Delete(const std::string& aKind,
+                                     const std::string& aName,
+                                     int64_t aExpectedVersion)
+{
+  return Write({ "DELETE",
+                 detail::ObjectTarget(aKind, aName),
+                 detail::Precondition(aExpectedVersion),
+                 {} })
+    .status();
+}
+
+absl::StatusOr<std::vector<StoredObject>> HttpObjectStore::Watch(
+  const std::string& aKind,
+  int64_t aSince,
+  TimeMs aWaitMs,
+  int64_t& aRevision)
+{
+  const auto response = Read(Concat("/watch/",
+                                    detail::EncodeSegment(aKind),
+                                    "?since=",
+                                    aSince,
+                                    "&timeoutMs=",
+                                    aWaitMs),
+                             aWaitMs);
+  if (!response.ok()) {
+    return response.status();
+  }
+  return detail::ParseObjects(aKind, response->body_, aRevision);
+}
+
+absl::StatusOr<HttpResponse> HttpObjectStore::Read(const std::string& aTarget,
+                                                   TimeMs aExtraMs)
+{
+  bool sent = false;
+  auto response = Call({ "GET", aTarget, {}, {} }, aExtraMs, sent);
+  if (response.ok()) {
+    return response->head_.status_ == detail::kOk
+             ? std::move(response)
+             : detail::StatusError(*response);
+  }
+  return absl::IsDeadlineExceeded(response.status())
+           ? response.status()
+           : absl::UnavailableError(response.status().message());
+}
+
+absl::StatusOr<HttpResponse> HttpObjectStore::Write(const HttpRequest& aRequest)
+{
+  bool sent = false;
+  auto response = Call(aRequest, 0, sent);
+  if (!response.ok()) {
+    const auto text = std::string(response.status().message());
+    return sent ? absl::UnknownError(text) : absl::UnavailableError(text);
+  }
+  const int status = response->head_.status_;
+  const bool done = status == detail::kOk || status == detail::kCreated ||
+                    status == detail::kNoContent;
+  return done ? std::move(response) : detail::StatusError(*response);
+}
+
+absl::StatusOr<HttpResponse> HttpObjectStore::Call(const HttpRequest& aRequest,
+                                                   TimeMs aExtraMs,
+                                                   bool& aSent)
+{
+  const TimeMs deadline = clock_.NowMs() + options_.callTimeoutMs_ + aExtraMs;
+  auto connection = TakeConnection();
+  const auto connected = EnsureConnected(*connection, deadline);
+  if (!connected.ok()) {
+    return connected;
+  }
+  auto response =
+    connection->Exchange(aRequest, deadline, detail::kMaxAnswerBytes);
+  aSent = connection->Stage() >= ExchangeStage::AwaitingHead;
+  if (response.ok()) {
+    ReturnConnection(std::move(connection));
+  } else {
+    // The idle ones may have gone silent for the same reason.
+    const std::lock_guard lock(mutex_);
+    idle_.clear();
+  }
+  return response;
+}
+
+absl::Status HttpObjectStore::EnsureConnected(HttpConnection& aConnection,
+                                              TimeMs aDeadlineMs) const
+{
+  if (aConnection.IsReusable()) {
+    return absl::OkStatus();
+  }
+  return aConnection.Connect(
+    std::min(aDeadlineMs, clock_.NowMs() + options_.connectTimeoutMs_));
+}
+
+HttpObjectStore::Connection HttpObjectStore::TakeConnection()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    while (!idle_.empty()) {
+      auto connection = std::move(idle_.back());
+      idle_.pop_back();
+      if (connection->IsReusable()) {
+        return connection;
+      }
+    }
+  }
+  return std::make_unique<HttpConnection>(clock_, options_.address_);
+}
+
+void HttpObjectStore::ReturnConnection(Connection aConnection)
+{
+  if (!aConnection->IsReusable()) {
+    return;
+  }
+  const std::lock_guard lock(mutex_);
+  if (idle_.size() < detail::kMaxIdleConnections) {
+    idle_.push_back(std::move(aConnection));
+  }
+}
+
+}
--- /dev/null
+++ b/store/HttpObjectStore.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "ObjectStore.hpp"
+#include "common/Clock.hpp"
+#include "common/HttpConnection.hpp"
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace cactuspitch {
+
+struct HttpObjectStoreOptions
+{
+  std::string address_; ///< IP:port
+  TimeMs connectTimeoutMs_ = 500;
+  /// Bounds a whole call; a watch may take its wait time in addition.
+  TimeMs callTimeoutMs_ = 1000;
+};
+
+/// ObjectStore over the platform's HTTP interface. Any thread may call it;
+/// concurrent calls use connections of their own.
+class HttpObjectStore final : public ObjectStore
+{
+public:
+  HttpObjectStore(const Clock& aClock, HttpObjectStoreOptions aOptions);
+
+  absl::StatusOr<StoredObject> Get(const std::string& aKind,
+                                   const std::string& aName) override;
+  absl::StatusOr<std::vector<StoredObject>> List(
+    const std::string& aKind) override;
+  absl::StatusOr<int64_t> Put(const std::string& aKind,
+                              const std::string& aName,
+                              int64_t aExpectedVersion,
+                              const std::string& aValue) override;
+  absl::Status Delete(const std::string& aKind,
+                      const std::string& aName,
+                      int64_t aExpectedVersion) override;
+  absl::StatusOr<std::vector<StoredObject>> Watch(const std::string& aKind,
+                                                  int64_t aSince,
+                                                  TimeMs aWaitMs,
+                                                  int64_t& aRevision) override;
+
+private:
+  using Connection = std::unique_ptr<HttpConnection>;
+
+  absl::StatusOr<HttpResponse> Read(const std::string& aTarget,
+                                    TimeMs aExtraMs);
+  absl::StatusOr<HttpResponse> Write(const HttpRequest& aRequest);
+  /// Runs one exchange; aSent tells whether the store may have run it.
+  absl::StatusOr<HttpResponse> Call(const HttpRequest& aRequest,
+                                    TimeMs aExtraMs,
+                                    bool& aSent);
+  absl::Status EnsureConnected(HttpConnection& aConnection,
+                               TimeMs aDeadlineMs) const;
+  Connection TakeConnection();
+  void ReturnConnection(Connection aConnection);
+
+  const Clock& clock_;
+  HttpObjectStoreOptions options_;
+  std::mutex mutex_;
+  std::vector<Connection> idle_;
+};
+
+}
--- a/store/ObjectStore.hpp
+++ b/store/ObjectStore.hpp
@@ -47,7 +47,8 @@
                               const std::string& aName,
                               int64_t aExpectedVersion) = 0;
   /// Objects of the kind changed after aSince, waiting up to aWaitMs for one.
-  /// aRevision receives the store revision to continue from.
+  /// aRevision receives the store revision to continue from. A deleted object
+  /// is reported with version kMustNotExist and an empty value.
   virtual absl::StatusOr<std::vector<StoredObject>> Watch(
     const std::string& aKind,
     int64_t aSince,
