--- /dev/null
+++ b/config/RuleField.cpp
@@ -0,0 +1,263 @@
+#include "RuleField.hpp"
+
+#include "common/Strings.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include <absl/strings/ascii.h>
+#include <nlohmann/json.hpp>
+
+namespace cactuspitch {
+
+namespace detail {
+
+constexpr uint8_t kService = ScopeBit(ScopeDimension::Service);
+constexpr uint8_t kServer = kService | ScopeBit(ScopeDimension::FailureDomain) |
+                            ScopeBit(ScopeDimension::Server);
+constexpr uint8_t kAny = kServer | ScopeBit(ScopeDimension::Key);
+constexpr double kDayMs = 86400000;
+constexpr size_t kMaxNameBytes = 32;
+
+const RuleField kFields[] = {
+  { "defaultDeadlineMs",
+    &ServiceRules::defaultDeadlineMs_,
+    1,
+    600000,
+    "ms",
+    "Deadline of a request that names none.",
+    kAny },
+  { "maxDeadlineMs",
+    &ServiceRules::maxDeadlineMs_,
+    1,
+    600000,
+    "ms",
+    "Largest deadline that a caller may ask for.",
+    kAny },
+  { "attemptTimeoutMs",
+    &ServiceRules::attemptTimeoutMs_,
+    1,
+    600000,
+    "ms",
+    "Time limit of one attempt at a backend server.",
+    kAny },
+  { "maxAttempts",
+    &ServiceRules::maxAttempts_,
+    1,
+    10,
+    "attempts",
+    "Attempts for one idempotent request.",
+    kAny },
+  { "retryBudgetPercent",
+    &ServiceRules::retryBudgetPercent_,
+    0,
+    100,
+    "%",
+    "Retries as a share of the requests.",
+    kService },
+  { "queueLimit",
+    &ServiceRules::queueLimit_,
+    0,
+    100000,
+    "requests",
+    "Requests waiting for one backend server in a router.",
+    kServer },
+  { "maxRequestBytes",
+    &ServiceRules::maxRequestBytes_,
+    0,
+    1 << 30,
+    "B",
+    "Largest request body.",
+    kAny },
+  { "quarantineMs",
+    &ServiceRules::quarantineMs_,
+    1000,
+    kDayMs,
+    "ms",
+    "How long a request that crashes backend servers is refused.",
+    kService },
+  { "admissionPolicy",
+    &ServiceRules::admissionPolicy_,
+    0,
+    0,
+    "name",
+    "Admission control strategy.",
+    kService },
+  { "balancingPolicy",
+    &ServiceRules::balancingPolicy_,
+    0,
+    0,
+    "name",
+    "Balancing strategy.",
+    kService },
+  { "churnPercentPerMinute",
+    &ServiceRules::churnPercentPerMinute_,
+    0,
+    100,
+    "%/min",
+    "Load that balancing may move in a minute.",
+    kService },
+  { "actAbovePercent",
+    &ServiceRules::actAbovePercent_,
+    101,
+    1000,
+    "%",
+    "Peak over mean load at which balancing starts.",
+    kService },
+  { "stopBelowPercent",
+    &ServiceRules::stopBelowPercent_,
+    100,
+    1000,
+    "%",
+    "Peak over mean load at which balancing stops.",
+    kService },
+  { "hotKeyPercent",
+    &ServiceRules::hotKeyPercent_,
+    1,
+    100,
+    "%",
+    "Share of a server's mean load above which a key is split out.",
+    kService },
+  { "warmupMs",
+    &ServiceRules::warmupMs_,
+    0,
+    3600000,
+    "ms",
+    "Time in which a joining backend server reaches full load.",
+    kServer },
+  { "availabilityPercent",
+    &ServiceRules::availabilityPercent_,
+    50,
+    99.999,
+    "%",
+    "Objective: requests answered completely.",
+    kService },
+  { "latencyMs",
+    &ServiceRules::latencyMs_,
+    1,
+    600000,
+    "ms",
+    "Objective: time in which an answer counts as fast.",
+    kService },
+  { "latencyPercent",
+    &ServiceRules::latencyPercent_,
+    50,
+    99.999,
+    "%",
+    "Objective: complete answers that are fast.",
+    kService },
+};
+
+const RuleRelation kRelations[] = {
+  { "attemptTimeoutMs", "maxDeadlineMs" },
+  { "defaultDeadlineMs", "maxDeadlineMs" },
+  { "latencyMs", "maxDeadlineMs" },
+  { "stopBelowPercent", "actAbovePercent", true },
+};
+
+bool IsStrategyName(const std::string& aText)
+{
+  return !aText.empty() && aText.size() <= kMaxNameBytes &&
+         std::ranges::all_of(aText, [](unsigned char aByte) {
+           return absl::ascii_islower(aByte) || absl::ascii_isdigit(aByte) ||
+                  aByte == '-';
+         });
+}
+
+std::optional<int64_t> AsInteger(const nlohmann::json& aValue)
+{
+  if (!aValue.is_number_integer() ||
+      (aValue.is_number_unsigned() && aValue.get<uint64_t>() > INT64_MAX)) {
+    return std::nullopt;
+  }
+  return aValue.get<int64_t>();
+}
+
+}
+
+std::span<const RuleField> RuleFields()
+{
+  return detail::kFields;
+}
+
+std::span<const RuleRelation> RuleRelations()
+{
+  return detail::kRelations;
+}
+
+const RuleField* FindRuleField(std::string_view aName)
+{
+  const auto fields = RuleFields();
+  const auto found = std::ranges::find(fields, aName, &RuleField::name_);
+  return found == fields.end() ? nullptr : &*found;
+}
+
+RuleValue RuleField::Get(const ServiceRules& aRules) const
+{
+  return std::visit([&](auto aMember) -> RuleValue { return aRules.*aMember; },
+                    member_);
+}
+
+void RuleField::Set(ServiceRules& aRules, const RuleValue& aValue) const
+{
+  std::visit(
+    [&](auto aMember) {
+      using Value = std::decay_t<decltype(aRules.*aMember)>;
+      aRules.*aMember = std::get<Value>(aValue);
+    },
+    member_);
+}
+
+std::string_view RuleField::TypeName() const
+{
+  constexpr std::string_view kNames[] = { "integer", "number", "name" };
+  return kNames[member_.index()];
+}
+
+std::optional<RuleValue> RuleField::Parse(const nlohmann::json& aValue,
+                                          const std::string& aObject,
+                                          Findings& aFindings) const
+{
+  const auto refuse = [&](std::string aRule) {
+    aFindings.Add(aObject,
+                  std::string(name_),
+                  aValue.dump(-1, ' ', true).substr(0, 64),
+                  std::move(aRule));
+    return std::nullopt;
+  };
+  if (std::holds_alternative<std::string ServiceRules::*>(member_)) {
+    if (!aValue.is_string() ||
+        !detail::IsStrategyName(aValue.get_ref<const std::string&>())) {
+      return refuse("expected a name of at most 32 of a-z, 0-9 and -");
+    }
+    return aValue.get<std::string>();
+  }
+  const auto inRange = [&](auto aNumber) {
+    return static_cast<double>(aNumber) >= min_ &&
+           static_cast<double>(aNumber) <= max_;
+  };
+  const auto rule =
+    Concat("expected ", TypeName(), " from ", min_, " to ", max_, " ", unit_);
+  if (std::holds_alternative<int64_t ServiceRules::*>(member_)) {
+    const auto number = detail::AsInteger(aValue);
+    return number && inRange(*number) ? std::optional<RuleValue>(*number)
+                                      : refuse(rule);
+  }
+  if (!aValue.is_number() || !inRange(aValue.get<double>())) {
+    return refuse(rule);
+  }
+  return aValue.get<double>();
+}
+
+std::string ToText(const RuleValue& aValue)
+{
+  return std::visit([](const auto& aHeld) { return Concat(aHeld); }, aValue);
+}
+
+nlohmann::json ToJson(const RuleValue& aValue)
+{
+  return std::visit([](const auto& aHeld) { return nlohmann::json(aHeld); },
+                    aValue);
+}
+
+}
