Implement admission, queue, sketch, merger, quarantine and load-per-key

Cause: the router and the assigner need the decision logic of docs/design.md sections 8 and 9.

Ruled out: an even share of the slots for each router (a lone router reaches only 1 of 5 slots), and a limit of at least one attempt for each router (8 routers would hold 8 attempts on 5 slots for ever). PacedLimit holds a limit below one on average by chains of attempts and rests. A quarantine that counts every suspect in flight was ruled out too: the suspects of 8 routers meet on the standby and all would be blamed, so routers start suspects in turns.

Before: headers only. A property test shows that each queued request leaves the queue once; the registration test refers to no plug-in class and finds both admission policies and the balancing policy.

--- /dev/null
+++ b/policy/AdaptiveAdmission.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "policy/AdmissionPolicy.hpp"
+#include "policy/PacedLimit.hpp"
+
+#include <random>
+
+namespace cactuspitch {
+
+/// Additive increase while attempts succeed and the limit is in use,
+/// multiplicative decrease on sheds, failures and growing latency. The limit
+/// may be below 1, since more routers than a server has slots share it.
+class AdaptiveAdmission final : public AdmissionPolicy
+{
+public:
+  explicit AdaptiveAdmission(const AdmissionOptions& aOptions);
+
+  bool TryAcquire(TimeMs aNowMs) override;
+  TimeMs NextTryMs(TimeMs aNowMs) const override;
+  void Release(TimeMs aNowMs, AttemptEnd aEnd, double aLatencyMs) override;
+  void OnLoadHint(TimeMs aNowMs, double aLoad) override;
+  void OnColdStart(TimeMs aNowMs) override;
+  double Limit(TimeMs aNowMs) const override;
+  int InFlight() const override { return paced_.InFlight(); }
+
+private:
+  static constexpr TimeMs kNever = INT64_MIN / 2;
+
+  void OnAnswered(TimeMs aNowMs, double aLatencyMs);
+  void OnShed(TimeMs aNowMs);
+  void Decrease(TimeMs aNowMs, double aFactor);
+  bool LatencyGrew(double aLatencyMs);
+  double ColdStartCap(TimeMs aNowMs) const;
+
+  AdmissionOptions options_;
+  double limit_;
+  PacedLimit paced_;
+  bool wasLimiting_ = false;
+  double latencyMs_ = 0;     ///< follows the last few answers
+  double baseLatencyMs_ = 0; ///< falls at once, rises slowly
+  TimeMs lastDecreaseMs_ = kNever;
+  TimeMs lastShedMs_ = kNever;
+  TimeMs hintMs_ = kNever;
+  TimeMs coldStartMs_ = kNever;
+  std::mt19937_64 random_;
+};
+
+}
--- a/policy/BuiltInPolicies.cpp
+++ b/policy/BuiltInPolicies.cpp
@@ -3,11 +3,14 @@
 namespace cactuspitch::detail {
 
 // Defined beside the registration of each plug-in.
+bool LinkAdaptiveAdmission();
+bool LinkLoadPerKeyPolicy();
 bool LinkStaticAdmission();
 
 bool LinkBuiltInPolicies()
 {
-  return LinkStaticAdmission();
+  return LinkAdaptiveAdmission() && LinkLoadPerKeyPolicy() &&
+         LinkStaticAdmission();
 }
 
 }
--- a/policy/CrashQuarantine.hpp
+++ b/policy/CrashQuarantine.hpp
@@ -11,7 +11,8 @@
 
 namespace cactuspitch {
 
-/// A suspect or quarantined request as routers exchange it.
+/// A suspect or quarantined request as routers exchange it. Without crashes
+/// it tells that the request was cleared or released.
 struct CrashSuspect
 {
   uint64_t fingerprint_ = 0;
@@ -74,10 +75,13 @@
                            std::string_view aServer,
                            TimeMs aNowMs);
   /// aEndedWell: the server answered, so the request is no longer a suspect.
-  void OnEnd(uint64_t aFingerprint, std::string_view aServer, bool aEndedWell);
+  void OnEnd(uint64_t aFingerprint,
+             std::string_view aServer,
+             bool aEndedWell,
+             TimeMs aNowMs);
 
   /// An operator releases the request.
-  void Release(uint64_t aFingerprint);
+  void Release(uint64_t aFingerprint, TimeMs aNowMs);
   /// Takes over what a peer shared.
   void Merge(const std::vector<CrashSuspect>& aEntries, TimeMs aNowMs);
   std::vector<CrashSuspect> Entries(TimeMs aNowMs);
@@ -87,15 +91,19 @@
 private:
   struct State
   {
-    int crashes_ = 0;
+    int crashes_ = 0; ///< 0: cleared, kept so that old shares are ignored
     bool quarantined_ = false;
     TimeMs expiresMs_ = 0;
-    TimeMs crashMs_ = 0;
+    TimeMs crashMs_ = 0; ///< or time of the clearance
     std::string reason_;
   };
+  static constexpr std::string_view kReleased = "released by an operator";
 
   void Expire(TimeMs aNowMs);
   void AddCrash(uint64_t aFingerprint, std::string_view aServer, TimeMs aNowMs);
+  void MarkCleared(State& aState, std::string_view aReason, TimeMs aNowMs);
+  void MergeOne(const CrashSuspect& aEntry, TimeMs aNowMs);
+  void MakeRoom();
   TimeMs WaitForTurnMs(const State& aState, TimeMs aNowMs) const;
 
   QuarantineOptions options_;
--- /dev/null
+++ b/policy/RequestQueue.cpp
@@ -0,0 +1,145 @@
+#include "policy/RequestQueue.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+
+namespace cactuspitch {
+
+RequestQueue::RequestQueue(QueueOptions aOptions, uint64_t aSeed)
+  : options_(aOptions)
+  , random_(aSeed)
+{
+  entries_.reserve(options_.limit_ + 1);
+}
+
+bool RequestQueue::RanksBefore(const Entry& aLeft, const Entry& aRight)
+{
+  return std::tie(aLeft.turn_, aLeft.request_.deadlineMs_, aLeft.request_.id_) <
+         std::tie(
+           aRight.turn_, aRight.request_.deadlineMs_, aRight.request_.id_);
+}
+
+void RequestQueue::Offer(const QueuedRequest& aRequest,
+                         const ServiceRate& aRate,
+                         TimeMs aNowMs,
+                         std::vector<RefusedRequest>& aRefused)
+{
+  const auto key = keys_.find(aRequest.key_);
+  const uint64_t turn = key == keys_.end()
+                          ? currentTurn_
+                          : std::max(currentTurn_, key->second.lastTurn_ + 1);
+  const Entry entry{ turn, aRequest };
+  const auto place = std::ranges::upper_bound(entries_, entry, RanksBefore);
+  const auto ahead = static_cast<double>(place - entries_.begin());
+  const double endMs = static_cast<double>(aNowMs) +
+                       (ahead + 1) * aRate.MsPerRequest() + aRate.serviceMs_;
+  const bool isLast = place == entries_.end();
+  if (endMs > static_cast<double>(aRequest.deadlineMs_) ||
+      (isLast && entries_.size() >= options_.limit_)) {
+    Refuse(aRequest, aRate, aNowMs, aRefused);
+    return;
+  }
+  entries_.insert(place, entry);
+  auto& state = keys_[aRequest.key_];
+  state.lastTurn_ = turn;
+  ++state.queued_;
+  if (entries_.size() > options_.limit_) {
+    const QueuedRequest lowest = entries_.back().request_;
+    entries_.pop_back();
+    Forget(lowest.key_);
+    Refuse(lowest, aRate, aNowMs, aRefused);
+  }
+}
+
+std::optional<QueuedRequest> RequestQueue::Take(
+  const ServiceRate& aRate,
+  TimeMs aNowMs,
+  std::vector<RefusedRequest>& aRefused)
+{
+  Expire(aRate, aNowMs, aRefused);
+  if (entries_.empty()) {
+    return std::nullopt;
+  }
+  const Entry first = entries_.front();
+  entries_.erase(entries_.begin());
+  currentTurn_ = std::max(currentTurn_, first.turn_);
+  Forget(first.request_.key_);
+  return first.request_;
+}
+
+void RequestQueue::Expire(const ServiceRate& aRate,
+                          TimeMs aNowMs,
+                          std::vector<RefusedRequest>& aRefused)
+{
+  const double endMs = static_cast<double>(aNowMs) + aRate.serviceMs_;
+  const auto isLate = [endMs](const Entry& aEntry) {
+    return endMs > static_cast<double>(aEntry.request_.deadlineMs_);
+  };
+  if (std::ranges::none_of(entries_, isLate)) {
+    return;
+  }
+  const auto late = std::stable_partition(
+    entries_.begin(), entries_.end(), std::not_fn(isLate));
+  const std::vector<Entry> refused(late, entries_.end());
+  entries_.erase(late, entries_.end());
+  for (const Entry& entry : refused) {
+    Forget(entry.request_.key_);
+    Refuse(entry.request_, aRate, aNowMs, aRefused);
+  }
+}
+
+bool RequestQueue::Remove(uint64_t aId)
+{
+  const auto found = std::ranges::find(
+    entries_, aId, [](const Entry& aEntry) { return aEntry.request_.id_; });
+  if (found == entries_.end()) {
+    return false;
+  }
+  const KeyHash key = found->request_.key_;
+  entries_.erase(found);
+  Forget(key);
+  return true;
+}
+
+TimeMs RequestQueue::RetryAfterMs(const ServiceRate& aRate, TimeMs aNowMs)
+{
+  const auto nowMs = static_cast<double>(aNowMs);
+  const auto minMs = static_cast<double>(options_.minRetryAfterMs_);
+  const auto maxMs = static_cast<double>(options_.maxRetryAfterMs_);
+  const double backlogMs =
+    static_cast<double>(entries_.size()) * aRate.MsPerRequest();
+  comeBackAtMs_ = std::max(comeBackAtMs_, nowMs + minMs + backlogMs) +
+                  aRate.MsPerRequest() / options_.comeBackShare_;
+  comeBackAtMs_ = std::min(comeBackAtMs_, nowMs + maxMs);
+  const double waitMs = comeBackAtMs_ - nowMs;
+  std::uniform_real_distribution<double> jitter(waitMs / 2, waitMs);
+  return static_cast<TimeMs>(std::max(minMs, jitter(random_)));
+}
+
+TimeMs RequestQueue::EarliestDeadlineMs() const
+{
+  TimeMs earliest = INT64_MAX;
+  for (const Entry& entry : entries_) {
+    earliest = std::min(earliest, entry.request_.deadlineMs_);
+  }
+  return earliest;
+}
+
+void RequestQueue::Refuse(const QueuedRequest& aRequest,
+                          const ServiceRate& aRate,
+                          TimeMs aNowMs,
+                          std::vector<RefusedRequest>& aRefused)
+{
+  aRefused.push_back({ aRequest.id_, RetryAfterMs(aRate, aNowMs) });
+}
+
+void RequestQueue::Forget(KeyHash aKey)
+{
+  const auto found = keys_.find(aKey);
+  if (--found->second.queued_ == 0) {
+    keys_.erase(found);
+  }
+}
+
+}
--- a/policy/RequestQueue.hpp
+++ b/policy/RequestQueue.hpp
@@ -27,7 +27,12 @@
 {
   size_t limit_ = 64;
   TimeMs minRetryAfterMs_ = 50;
-  TimeMs maxRetryAfterMs_ = 10000;
+  /// 3 times the capacity for 10 s leaves 20 s of refused work. Callers that
+  /// come back within a few seconds would prolong the overload.
+  TimeMs maxRetryAfterMs_ = 30000;
+  /// Share of the capacity that callers who come back are spread over; the
+  /// rest is left to new requests.
+  double comeBackShare_ = 0.25;
 };
 
 /// What the queue's predictions are made from.
@@ -57,6 +62,10 @@
   std::optional<QueuedRequest> Take(const ServiceRate& aRate,
                                     TimeMs aNowMs,
                                     std::vector<RefusedRequest>& aRefused);
+  /// Refuses the queued requests that can no longer be served in time.
+  void Expire(const ServiceRate& aRate,
+              TimeMs aNowMs,
+              std::vector<RefusedRequest>& aRefused);
   /// Removes a request whose caller has gone.
   bool Remove(uint64_t aId);
   /// Time after which a refused caller should come back. Each call reserves a
@@ -81,8 +90,10 @@
   };
 
   static bool RanksBefore(const Entry& aLeft, const Entry& aRight);
-  Entry MakeEntry(const QueuedRequest& aRequest) const;
-  void Insert(const Entry& aEntry);
+  void Refuse(const QueuedRequest& aRequest,
+              const ServiceRate& aRate,
+              TimeMs aNowMs,
+              std::vector<RefusedRequest>& aRefused);
   void Forget(KeyHash aKey);
 
   QueueOptions options_;
--- /dev/null
+++ b/policy/ServerLoads.cpp
@@ -0,0 +1,181 @@
+#include "policy/ServerLoads.hpp"
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <string_view>
+
+namespace cactuspitch {
+
+namespace {
+
+/// A key above this part of a server's fair load leaves no room for others.
+constexpr double kPinnedLevel = 0.95;
+
+}
+
+ServerLoads::ServerLoads(const BalanceInput& aInput,
+                         const std::vector<double>& aWarmth)
+  : table_(aInput.table_)
+  , sliceLoad_(aInput.sliceLoad_)
+  , load_(table_->servers_.size())
+  , weight_(table_->servers_.size())
+  , sliceCount_(table_->servers_.size())
+  , isExcluded_(table_->servers_.size())
+{
+  CorrectNewSplits(aInput);
+  total_ = std::accumulate(sliceLoad_.begin(), sliceLoad_.end(), 0.0);
+  size_t usable = 0;
+  for (size_t i = 0; i < weight_.size(); ++i) {
+    if (aInput.serverUsable_[i] && !table_->servers_[i].draining_) {
+      weight_[i] = table_->servers_[i].slots_ * aWarmth[i];
+      ++usable;
+    }
+  }
+  meanLoad_ = total_ / static_cast<double>(std::max<size_t>(1, usable));
+  for (size_t i = 0; i < table_->slices_.size(); ++i) {
+    const int32_t owner = table_->slices_[i].owner_;
+    owner_.push_back(owner);
+    if (owner != kNoServer) {
+      load_[Index(owner)] += sliceLoad_[i];
+      ++sliceCount_[Index(owner)];
+    }
+  }
+  ComputeReference();
+}
+
+bool ServerLoads::IsSingleHash(size_t aSlice) const
+{
+  return table_->SliceEnd(aSlice) == table_->slices_[aSlice].begin_;
+}
+
+double ServerLoads::FairLoad(int32_t aServer) const
+{
+  return loadPerWeight_ * weight_[Index(aServer)];
+}
+
+double ServerLoads::Level(int32_t aServer) const
+{
+  const double fair = FairLoad(aServer);
+  return fair > 0 ? Load(aServer) / fair : 0;
+}
+
+std::optional<int32_t> ServerLoads::Highest() const
+{
+  std::optional<int32_t> highest;
+  for (int32_t i = 0; Index(i) < weight_.size(); ++i) {
+    if (IsUsable(i) && !isExcluded_[Index(i)] &&
+        (!highest || Level(i) > Level(*highest))) {
+      highest = i;
+    }
+  }
+  return highest;
+}
+
+std::optional<int32_t> ServerLoads::Lowest(int32_t aExcept) const
+{
+  // Levels within this distance are equal as far as measurements tell.
+  constexpr double kNearlyEqual = 0.02;
+  std::optional<int32_t> lowest;
+  for (int32_t i = 0; Index(i) < weight_.size(); ++i) {
+    if (!IsUsable(i) || i == aExcept || isExcluded_[Index(i)]) {
+      continue;
+    }
+    if (!lowest || Level(i) < Level(*lowest) - kNearlyEqual ||
+        (Level(i) < Level(*lowest) + kNearlyEqual &&
+         DomainLevel(i) < DomainLevel(*lowest))) {
+      lowest = i;
+    }
+  }
+  return lowest;
+}
+
+bool ServerLoads::IsPinned(size_t aSlice) const
+{
+  const int32_t owner = owner_[aSlice];
+  return owner != kNoServer && IsUsable(owner) && IsSingleHash(aSlice) &&
+         sliceLoad_[aSlice] > kPinnedLevel * FairLoad(owner);
+}
+
+void ServerLoads::Move(size_t aSlice, int32_t aTarget)
+{
+  const int32_t source = owner_[aSlice];
+  if (source != kNoServer) {
+    load_[Index(source)] -= sliceLoad_[aSlice];
+    --sliceCount_[Index(source)];
+  }
+  owner_[aSlice] = aTarget;
+  load_[Index(aTarget)] += sliceLoad_[aSlice];
+  ++sliceCount_[Index(aTarget)];
+}
+
+void ServerLoads::CorrectNewSplits(const BalanceInput& aInput)
+{
+  std::map<KeyHash, double> keys;
+  for (const auto& key : aInput.hotKeys_) {
+    keys[key.hash_] = key.load_;
+  }
+  for (size_t i = 1; i < sliceLoad_.size(); ++i) {
+    const auto key = keys.find(table_->slices_[i].begin_);
+    if (!IsSingleHash(i) || key == keys.end()) {
+      continue;
+    }
+    // Routers measured with the table before the split, so the key's load
+    // still counts for the slice that it was split from.
+    const double missing =
+      std::clamp(key->second - sliceLoad_[i], 0.0, sliceLoad_[i - 1]);
+    sliceLoad_[i] += missing;
+    sliceLoad_[i - 1] -= missing;
+  }
+}
+
+void ServerLoads::ComputeReference()
+{
+  // Each round may find a key that exceeds the fair load of the rest.
+  for (;;) {
+    double load = 0;
+    double weight = 0;
+    for (size_t i = 0; i < weight_.size(); ++i) {
+      if (!isExcluded_[i]) {
+        load += load_[i];
+        weight += weight_[i];
+      }
+    }
+    loadPerWeight_ = weight > 0 ? load / weight : 0;
+    bool changed = false;
+    for (int32_t i = 0; Index(i) < weight_.size(); ++i) {
+      if (!isExcluded_[Index(i)] && HoldsOnlyPinnedKey(i)) {
+        isExcluded_[Index(i)] = true;
+        changed = true;
+      }
+    }
+    if (!changed) {
+      return;
+    }
+  }
+}
+
+bool ServerLoads::HoldsOnlyPinnedKey(int32_t aServer) const
+{
+  if (sliceCount_[Index(aServer)] != 1) {
+    return false;
+  }
+  const auto slice = std::ranges::find(owner_, aServer) - owner_.begin();
+  return IsPinned(static_cast<size_t>(slice));
+}
+
+double ServerLoads::DomainLevel(int32_t aServer) const
+{
+  const auto& domain = table_->servers_[Index(aServer)].failureDomain_;
+  double load = 0;
+  double weight = 0;
+  for (size_t i = 0; i < weight_.size(); ++i) {
+    if (table_->servers_[i].failureDomain_ == domain) {
+      load += load_[i];
+      weight += weight_[i];
+    }
+  }
+  return weight > 0 ? load / weight : 0;
+}
+
+}
