Follow tables by long polls of assigner, deputy and one bootstrap

Cause: routers, assigners and admin processes need the newest table and the newest configuration, and a view lease that is safe to rely on.

Ruled out: polling every bootstrap assigner, which at 8 instances costs 192 connections for nothing; a long poll of 500 ms, since a view lease of 1,000 ms counted from the send time would end just as the next answer arrives (now 300 ms); a copy of the table for each lease renewal, now extended in place.

Before: a header without an implementation.

Conclusion: a lease is taken only from the instance or address that the table names as assigner or deputy.

--- a/rpc/TableFollower.hpp
+++ b/rpc/TableFollower.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "FollowedTables.hpp"
 #include "common/Clock.hpp"
-#include "common/SliceTable.hpp"
 
 #include <memory>
 #include <string>
@@ -10,34 +10,24 @@
 
 namespace cactuspitch {
 
-/// A received table and how long it may be used for backend servers that do
-/// not check the fence.
-struct FollowedTable
-{
-  GroupTable table_;
-  TimeMs viewLeaseUntilMs_ = 0;
-};
-
-/// Newest configuration that this process has seen.
-struct FollowedConfig
-{
-  int64_t version_ = 0;
-  std::string json_;
-  /// Age of the last confirmation by the store, -1 when never confirmed.
-  TimeMs confirmedAgeMs_ = -1;
-};
-
 struct TableFollowerOptions
 {
   std::string instance_;
   std::string role_;                   ///< router, assigner or admin
   std::vector<std::string> assigners_; ///< bootstrap Thrift addresses
-  TimeMs longPollMs_ = 500;
+  /// Well below half of the view lease of 1,000 ms, because the lease counts
+  /// from the send time and the next answer comes one poll later.
+  TimeMs longPollMs_ = 300;
+  TimeMs connectTimeoutMs_ = 300;
+  /// Time beyond longPollMs_ after which an assigner counts as silent.
+  TimeMs answerSlackMs_ = 600;
 };
 
 /// Keeps the newest table of every group and the newest configuration, by long
-/// polls of the groups' assigners. Versions never go back. Table() and
-/// Config() may be called from any thread.
+/// polls of the assigner and the deputy that each table names and of one
+/// bootstrap assigner. Versions never go back. A poll that ends without a
+/// change renews a view lease by naming the table's version in an empty delta.
+/// Table() and Config() may be called from any thread.
 class TableFollower
 {
 public:
@@ -56,7 +46,7 @@
   std::shared_ptr<const FollowedConfig> Config() const;
   /// Thrift addresses of the live routers, sorted.
   std::vector<std::string> RouterPeers() const;
-  /// True once every group that the bootstrap assigner names is known.
+  /// True once every group that an assigner named is known.
   bool IsReady() const;
 
   /// Waits until a table newer than (aTerm, aSequence) is known for the group
@@ -66,7 +56,8 @@
                  Term aTerm,
                  int64_t aSequence,
                  TimeMs aDeadlineMs);
-  /// Asks for the newest table now, e.g. after a refused epoch.
+  /// Asks for the newest table now over a connection of its own, e.g. after a
+  /// refused epoch; does not wait for the answer.
   void RequestRefresh(std::string_view aService, KeyHash aHash);
 
 private:
--- /dev/null
+++ b/rpc/TablePoller.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "FollowedTables.hpp"
+#include "ThriftChannel.hpp"
+#include "common/Clock.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include <AssignerPeer.h>
+#include <absl/status/statusor.h>
+
+namespace cactuspitch {
+
+struct TableFollowerOptions;
+
+/// Answer to one GetTables call.
+struct TableAnswer
+{
+  TableSource source_;
+  wire::GetTablesResponse answer_;
+  TimeMs sentMs_ = 0;
+};
+
+/// Asks one assigner for tables, used by one thread at a time.
+class TableQuestioner
+{
+public:
+  TableQuestioner(const Clock& aClock,
+                  const TableFollowerOptions& aOptions,
+                  std::string aAddress);
+
+  absl::StatusOr<TableAnswer> Ask(wire::GetTablesRequest aQuestion,
+                                  TimeMs aWaitMs);
+
+private:
+  const Clock& clock_;
+  ThriftChannel<wire::AssignerPeerClient> channel_;
+  /// Empty until the process has named itself on this connection.
+  std::string instance_;
+};
+
+/// Long polls one assigner on a thread of its own.
+class TablePoller
+{
+public:
+  struct Hooks
+  {
+    std::function<wire::GetTablesRequest()> question_;
+    /// True when the answer brought something newer.
+    std::function<bool(const TableAnswer&)> accept_;
+  };
+
+  TablePoller(const Clock& aClock,
+              const TableFollowerOptions& aOptions,
+              std::string aAddress,
+              Hooks aHooks);
+  ~TablePoller();
+  TablePoller(const TablePoller&) = delete;
+  TablePoller& operator=(const TablePoller&) = delete;
+
+  void RequestStop();
+  /// True when the destructor will not wait.
+  bool HasEnded() const { return ended_; }
+  /// True when the last call got no answer.
+  bool IsSilent() const { return silent_; }
+
+private:
+  void Run();
+  bool WaitStopped(TimeMs aTimeoutMs);
+
+  const Clock& clock_;
+  TimeMs longPollMs_;
+  TableQuestioner questioner_;
+  Hooks hooks_;
+  std::mutex mutex_;
+  std::condition_variable stopChanged_;
+  bool stopping_ = false;
+  std::atomic<bool> ended_ = false;
+  std::atomic<bool> silent_ = false;
+  std::thread thread_;
+};
+
+}
