--- a/rpc/FollowedTables.cpp
+++ b/rpc/FollowedTables.cpp
@@ -102,7 +102,8 @@
       entry.needsFull_ = true;
       return false;
     }
-    entry.table_ = std::make_shared<FollowedTable>(std::move(table), 0);
+    entry.table_ =
+      std::make_shared<FollowedTable>(FollowedTable{ std::move(table), {} });
     entry.needsFull_ = false;
   } else if (version < std::pair(table.term_, table.sequence_)) {
     return false;
