--- a/router/BackendServer.cpp
+++ b/router/BackendServer.cpp
@@ -103,14 +103,40 @@
   pool_.CloseIdleOpenedBefore(clock_.NowMs());
 }
 
-bool BackendServer::IsNewCrashOf(uint64_t aFingerprint, uint64_t aIncarnation)
+void BackendServer::AddInFlight(uint64_t aFingerprint)
 {
   const std::lock_guard lock(crashMutex_);
-  if (crashedIncarnation_ != aIncarnation) {
-    crashedIncarnation_ = aIncarnation;
-    crashSuspects_.clear();
+  inFlightRequests_.push_back(aFingerprint);
+}
+
+void BackendServer::RemoveInFlight(uint64_t aFingerprint)
+{
+  const std::lock_guard lock(crashMutex_);
+  const auto found = std::ranges::find(inFlightRequests_, aFingerprint);
+  if (found != inFlightRequests_.end()) {
+    *found = inFlightRequests_.back();
+    inFlightRequests_.pop_back();
+  }
+}
+
+int BackendServer::InFlight() const
+{
+  const std::lock_guard lock(crashMutex_);
+  return static_cast<int>(inFlightRequests_.size());
+}
+
+std::vector<uint64_t> BackendServer::TakeCrash(uint64_t aIncarnation)
+{
+  const std::lock_guard lock(crashMutex_);
+  if (crashedIncarnation_ == aIncarnation) {
+    return {};
   }
-  return crashSuspects_.insert(aFingerprint).second;
+  crashedIncarnation_ = aIncarnation;
+  // Several callers of one request count as one crash.
+  auto requests = inFlightRequests_;
+  std::ranges::sort(requests);
+  requests.erase(std::unique(requests.begin(), requests.end()), requests.end());
+  return requests;
 }
 
 }
--- a/router/BackendServer.hpp
+++ b/router/BackendServer.hpp
@@ -12,9 +12,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
-
-#include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
+#include <vector>
 
 namespace cactuspitch {
 
@@ -50,14 +48,17 @@
 
   SilenceTracker& Silence() { return silence_; }
 
-  /// True for the first report of the request for one crashed incarnation, so
-  /// that several callers of one request count as one crash.
-  bool IsNewCrashOf(uint64_t aFingerprint, uint64_t aIncarnation);
+  int InFlight() const;
+  // Requests in flight by fingerprint, suspects when the process is lost.
+  void AddInFlight(uint64_t aFingerprint);
+  void RemoveInFlight(uint64_t aFingerprint);
+  /// Requests that were in flight when the incarnation was lost; empty when its
+  /// loss was reported before.
+  std::vector<uint64_t> TakeCrash(uint64_t aIncarnation);
 
   std::atomic<int64_t> requests_ = 0;
   std::atomic<int64_t> refusals_ = 0;
   std::atomic<int64_t> failures_ = 0;
-  std::atomic<int> inFlight_ = 0;
 
 private:
   static constexpr TimeMs kClockUnknown = INT64_MIN;
@@ -77,9 +78,9 @@
   int gateRouters_ = 0;
   int64_t gateQueueLimit_ = 0;
 
-  std::mutex crashMutex_;
-  uint64_t crashedIncarnation_ = 0;
-  absl::flat_hash_set<uint64_t> crashSuspects_;
+  mutable std::mutex crashMutex_;
+  std::optional<uint64_t> crashedIncarnation_;
+  std::vector<uint64_t> inFlightRequests_;
 };
 
 }
--- a/router/Measurements.cpp
+++ b/router/Measurements.cpp
@@ -10,9 +10,9 @@
 size_t ThreadShard(size_t aShards)
 {
   static std::atomic<size_t> next = 0;
-  static thread_local const size_t index =
+  static thread_local const size_t kIndex =
     next.fetch_add(1, std::memory_order_relaxed);
-  return index % aShards;
+  return kIndex % aShards;
 }
 
 Measurements::Measurements(const Clock& aClock)
--- /dev/null
+++ b/router/PeerService.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "LedgerHolder.hpp"
+#include "QuarantineKeeper.hpp"
+#include "SloCounters.hpp"
+
+#include <functional>
+
+#include <RouterPeer.h>
+
+namespace cactuspitch {
+
+/// RouterPeer server: ledger, quarantine, counters and status.
+class PeerService final : public wire::RouterPeerIf
+{
+public:
+  using StatusSource = std::function<wire::ProcessStatus()>;
+
+  PeerService(LedgerHolder& aLedger,
+              QuarantineKeeper& aQuarantine,
+              SloCounters& aSlo,
+              StatusSource aStatus);
+
+  void BeginRequest(wire::BeginRequestResponse& aResult,
+                    const std::string& aServiceName,
+                    const std::string& aRequestId) override;
+  void FinishRequest(const std::string& aServiceName,
+                     const std::string& aRequestId,
+                     wire::LedgerState::type aState) override;
+  void ShareQuarantine(
+    const std::vector<wire::QuarantineEntry>& aEntries) override;
+  void ReleaseQuarantine(int64_t aFingerprint) override;
+  void ListQuarantine(std::vector<wire::QuarantineEntry>& aResult) override;
+  void GetSloMinutes(std::vector<wire::SloMinute>& aResult,
+                     int64_t aSinceMinute) override;
+  void GetStatus(wire::ProcessStatus& aResult) override;
+
+private:
+  LedgerHolder& ledger_;
+  QuarantineKeeper& quarantine_;
+  SloCounters& slo_;
+  StatusSource status_;
+};
+
+wire::QuarantineEntry ToWire(const CrashSuspect& aSuspect);
+CrashSuspect FromWire(const wire::QuarantineEntry& aEntry);
+
+}
--- a/router/QuarantineKeeper.cpp
+++ b/router/QuarantineKeeper.cpp
@@ -28,21 +28,22 @@
                              bool aEndedWell)
 {
   const std::lock_guard lock(mutex_);
-  quarantine_.OnEnd(aFingerprint, aServer, aEndedWell);
+  quarantine_.OnEnd(aFingerprint, aServer, aEndedWell, clock_.NowMs());
   Publish();
 }
 
-void QuarantineKeeper::OnCrash(std::string_view aServer, uint64_t aFingerprint)
+void QuarantineKeeper::OnCrash(std::string_view aServer,
+                               const std::vector<uint64_t>& aInFlight)
 {
   const std::lock_guard lock(mutex_);
-  quarantine_.OnCrash(aServer, { aFingerprint }, clock_.NowMs());
+  quarantine_.OnCrash(aServer, aInFlight, clock_.NowMs());
   Publish();
 }
 
 void QuarantineKeeper::Release(uint64_t aFingerprint)
 {
   const std::lock_guard lock(mutex_);
-  quarantine_.Release(aFingerprint);
+  quarantine_.Release(aFingerprint, clock_.NowMs());
   Publish();
 }
 
--- a/router/QuarantineKeeper.hpp
+++ b/router/QuarantineKeeper.hpp
@@ -24,7 +24,8 @@
   }
   SuspectDecision TryBegin(uint64_t aFingerprint, std::string_view aServer);
   void OnEnd(uint64_t aFingerprint, std::string_view aServer, bool aEndedWell);
-  void OnCrash(std::string_view aServer, uint64_t aFingerprint);
+  void OnCrash(std::string_view aServer,
+               const std::vector<uint64_t>& aInFlight);
   void Release(uint64_t aFingerprint);
   void Merge(const std::vector<CrashSuspect>& aEntries);
   std::vector<CrashSuspect> Entries();
--- a/router/RequestRun.cpp
+++ b/router/RequestRun.cpp
@@ -100,7 +100,8 @@
     answer_.Refuse(refusal.status_, refusal.text_);
     return false;
   }
-  if (!context_.tables_.Table(request_.service_, request_.hash_)) {
+  const auto table = context_.tables_.Table(request_.service_, request_.hash_);
+  if (!table) {
     if (context_.tables_.IsReady()) {
       answer_.Refuse(detail::kNotFound, "unknown service");
     } else {
@@ -110,8 +111,9 @@
     }
     return false;
   }
+  ResolveRules(*table);
   service_ = context_.registry_.Service(request_.service_);
-  rules_ = service_->BeginRequest();
+  service_->OnRequest(rules_->retryBudgetPercent_);
   const auto length =
     std::min(request_.deadlineMs_.value_or(rules_->defaultDeadlineMs_),
              rules_->maxDeadlineMs_);
@@ -122,6 +124,21 @@
   return true;
 }
 
+void RequestRun::ResolveRules(const FollowedTable& aTable)
+{
+  const auto& table = aTable.table_;
+  const auto* owner = table.Server(table.FindSlice(request_.hash_).owner_);
+  static const std::string kNone;
+  const std::string& domain = owner ? owner->failureDomain_ : kNone;
+  const std::string& server = owner ? owner->id_ : kNone;
+  const auto& book = context_.rules_;
+  rules_ = book.ForKey(book.ForServer(request_.service_, domain, server),
+                       request_.service_,
+                       domain,
+                       server,
+                       request_.key_);
+}
+
 bool RequestRun::ReadBody()
 {
   if (caller_.ContentLength() > 0) {
@@ -217,10 +234,19 @@
 bool RequestRun::HasViewLease() const
 {
   return target_.record_->checksFence_ ||
-         target_.table_->viewLeaseUntilMs_ >
+         target_.table_->viewLeaseUntilMs_.Get() >
            context_.clock_.NowMs() + detail::kMinViewLeaseMs;
 }
 
+bool RequestRun::BeginParking()
+{
+  if (context_.parked_.fetch_add(1) < context_.maxParked_) {
+    return true;
+  }
+  context_.parked_.fetch_sub(1);
+  return false;
+}
+
 bool RequestRun::Park(NotRunReason aReason, std::string_view aText)
 {
   const TimeMs now = context_.clock_.NowMs();
@@ -228,8 +254,7 @@
     EndNotRun(aReason, detail::kTakeoverRetryMs, aText);
     return false;
   }
-  if (context_.parked_.fetch_add(1) >= context_.maxParked_) {
-    context_.parked_.fetch_sub(1);
+  if (!BeginParking()) {
     EndNotRun(aReason, detail::kTakeoverRetryMs, aText);
     return false;
   }
@@ -282,7 +307,10 @@
 
 bool RequestRun::EnterGate()
 {
-  gate_ = target_.server_->Gate(*rules_, *target_.record_, context_.routers_);
+  const auto gateRules = context_.rules_.ForServer(
+    request_.service_, target_.record_->failureDomain_, target_.record_->id_);
+  gate_ =
+    target_.server_->Gate(*gateRules, *target_.record_, context_.routers_);
   const auto result = gate_->Enter(request_.hash_, deadlineMs_);
   if (result.admitted_) {
     return true;
@@ -312,7 +340,7 @@
       : deadlineMs_;
   outbound.serverDeadlineMs_ =
     outbound.needsClock_
-      ? std::min(deadlineMs_, target_.table_->viewLeaseUntilMs_)
+      ? std::min(deadlineMs_, target_.table_->viewLeaseUntilMs_.Get())
       : deadlineMs_;
   outbound.streamEndMs_ = streamEndMs_;
   outbound.streamStallMs_ = rules_->attemptTimeoutMs_;
@@ -329,10 +357,8 @@
                  : request_.requestId_;
   auto outbound = MakeOutbound();
   auto& server = *target_.server_;
-  server.inFlight_.fetch_add(1, std::memory_order_relaxed);
-  auto result = ServerExchange(context_.clock_, server).Run(outbound, caller_);
-  server.inFlight_.fetch_sub(1, std::memory_order_relaxed);
-  return result;
+  server.AddInFlight(fingerprint_);
+  return ServerExchange(context_.clock_, server).Run(outbound, caller_);
 }
 
 void RequestRun::Settle(const ExchangeResult& aResult)
@@ -363,6 +389,7 @@
   if (aResult.mayBeCrash_) {
     CheckCrash(aResult);
   }
+  server.RemoveInFlight(fingerprint_);
   if (isSuspect_) {
     context_.quarantine_.OnEnd(
       fingerprint_, server.Id(), aResult.end_ == ExchangeEnd::Complete);
@@ -435,13 +462,12 @@
     return;
   }
   server.OnProcessGone();
-  if (server.IsNewCrashOf(fingerprint_, incarnation)) {
+  const auto suspects = server.TakeCrash(incarnation);
+  if (!suspects.empty()) {
     Log(LogLevel::Warning,
-        "backend server was lost with a request in flight",
-        { { "server", server.Id() },
-          { "service", request_.service_ },
-          { "fingerprint", fingerprint_ } });
-    context_.quarantine_.OnCrash(server.Id(), fingerprint_);
+        "backend server was lost with requests in flight",
+        { { "server", server.Id() }, { "requests", suspects.size() } });
+    context_.quarantine_.OnCrash(server.Id(), suspects);
   }
 }
 
@@ -449,14 +475,23 @@
 {
   constexpr size_t kMaxHealthBytes = 64 * 1024;
   const TimeMs bound = context_.clock_.NowMs() + detail::kCrashCheckMs;
+  constexpr auto kPause = std::chrono::milliseconds(5);
+  const HttpRequest request{ "GET", "/_cactuspitch/health", {}, {} };
   HttpConnection probe(context_.clock_, target_.record_->address_);
-  const auto health = probe.Exchange(
-    { "GET", "/_cactuspitch/health", {}, {} }, bound, kMaxHealthBytes);
-  if (!health.ok()) {
-    return absl::IsUnavailable(health.status());
+  while (context_.clock_.NowMs() < bound) {
+    const auto health = probe.Exchange(request, bound, kMaxHealthBytes);
+    if (health.ok()) {
+      const auto now = health->head_.Header(header::kIncarnation);
+      return !now.empty() && aIncarnation != 0 && HashKey(now) != aIncarnation;
+    }
+    if (absl::IsUnavailable(health.status())) {
+      return true;
+    }
+    // A process that is ending can still accept for a moment.
+    probe.Close();
+    std::this_thread::sleep_for(kPause);
   }
-  const auto now = health->head_.Header(header::kIncarnation);
-  return !now.empty() && aIncarnation != 0 && HashKey(now) != aIncarnation;
+  return false;
 }
 
 std::string_view RequestRun::CompleteCause(int aStatus) const
--- a/router/RequestRun.hpp
+++ b/router/RequestRun.hpp
@@ -30,6 +30,7 @@
 
   /// False when the request was refused and answered.
   bool Accept();
+  void ResolveRules(const FollowedTable& aTable);
   bool ReadBody();
   bool BeginLedger();
   /// Runs attempts until one of the final answers was given.
@@ -37,6 +38,8 @@
   /// Waits for an owner that may be used; false after a final answer.
   bool FindTarget();
   bool HasViewLease() const;
+  /// Takes a place among the waiting requests; false when all are taken.
+  bool BeginParking();
   /// Waits for a newer table; false after a final answer.
   bool Park(NotRunReason aReason, std::string_view aText);
   bool EnterQuarantine();
@@ -68,7 +71,7 @@
   AnswerWriter answer_;
   CallerRequest request_;
   std::shared_ptr<ServiceState> service_;
-  std::shared_ptr<const ServiceRules> rules_;
+  RuleBook::Rules rules_;
   HttpHeaders headers_;
   std::string body_;
   TimeMs startMs_;
--- /dev/null
+++ b/router/Router.cpp
@@ -0,0 +1,219 @@
+#include "Router.hpp"
+
+#include "PeerService.hpp"
+#include "RequestRun.hpp"
+#include "common/Log.hpp"
+
+#include <chrono>
+#include <thread>
+
+namespace cactuspitch {
+
+namespace detail {
+
+int64_t UnixMinute()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::minutes>(now).count();
+}
+
+HttpServerOptions ServerOptions(const RouterSettings& aSettings)
+{
+  return { .listen_ = aSettings.listen_,
+           .threads_ = aSettings.threads_,
+           .requestTimeoutMs_ = aSettings.writeTimeoutMs_,
+           .keepAliveTimeoutMs_ = aSettings.keepAliveMs_ };
+}
+
+void AddMetric(std::string& aText,
+               std::string_view aName,
+               std::string_view aLabels,
+               double aValue)
+{
+  AppendTo(aText, "cactuspitch_router_", aName);
+  if (!aLabels.empty()) {
+    AppendTo(aText, "{", aLabels, "}");
+  }
+  AppendTo(aText, " ", aValue, "\n");
+}
+
+}
+
+Router::Router(const Clock& aClock,
+               RouterSettings aSettings,
+               RoutingTables& aTables)
+  : clock_(aClock)
+  , settings_(std::move(aSettings))
+  , tables_(aTables)
+  , startMs_(aClock.NowMs())
+  , registry_(aClock)
+  , ledgerHolder_(aClock, settings_.ledgerEntries_)
+  , routerPool_(aClock, settings_.peerTimeoutMs_, settings_.peerTimeoutMs_)
+  , assignerPool_(aClock, settings_.peerTimeoutMs_, settings_.peerTimeoutMs_)
+  , ledgerPeers_(aClock, settings_.rpcListen_, ledgerHolder_, routerPool_)
+  , ledger_(ledgerPeers_)
+  , quarantine_(aClock)
+  , measurements_(aClock)
+  , slo_(&detail::UnixMinute)
+  , canceller_(aClock)
+  , context_{ .clock_ = aClock,
+              .tables_ = aTables,
+              .registry_ = registry_,
+              .rules_ = rules_,
+              .ledger_ = ledger_,
+              .quarantine_ = quarantine_,
+              .measurements_ = measurements_,
+              .slo_ = slo_,
+              .canceller_ = canceller_,
+              .instance_ = settings_.instance_,
+              .limits_ = { .maxPathBytes_ = settings_.maxPathBytes_ },
+              .maxParked_ = settings_.maxParked_ }
+  , duties_(context_, settings_.rpcListen_, routerPool_, assignerPool_)
+  , rpc_(settings_.rpcListen_,
+         std::make_shared<wire::RouterPeerProcessor>(
+           std::make_shared<PeerService>(ledgerHolder_,
+                                         quarantine_,
+                                         slo_,
+                                         [this] { return Status(); })))
+  , http_(detail::ServerOptions(settings_),
+          [this](HttpExchange& aExchange) { Handle(aExchange); })
+{
+}
+
+Router::~Router()
+{
+  duties_.Stop();
+  http_.Stop();
+  rpc_.Stop();
+}
+
+absl::Status Router::Start()
+{
+  duties_.Refresh();
+  auto status = rpc_.Start();
+  if (status.ok()) {
+    status = http_.Start();
+  }
+  if (!status.ok()) {
+    return status;
+  }
+  duties_.Start();
+  ready_ = true;
+  return absl::OkStatus();
+}
+
+bool Router::StopGracefully()
+{
+  const TimeMs end = clock_.NowMs() + settings_.stopTimeoutMs_;
+  ready_ = false;
+  Log(LogLevel::Info,
+      "stopping",
+      { { "readyFailMs", settings_.readyFailMs_ },
+        { "inFlight", http_.InFlight() } });
+  std::this_thread::sleep_for(
+    std::chrono::milliseconds(settings_.readyFailMs_));
+  http_.BeginDrain();
+  const bool idle = http_.WaitIdle(end - clock_.NowMs());
+  if (!idle) {
+    Log(LogLevel::Warning,
+        "requests were cut off at the stop time limit",
+        { { "inFlight", http_.InFlight() } });
+  }
+  http_.Stop();
+  duties_.Stop();
+  ledgerPeers_.Stop();
+  canceller_.Stop();
+  rpc_.Stop();
+  return idle;
+}
+
+void Router::Handle(HttpExchange& aExchange)
+{
+  if (aExchange.Path().starts_with("/_")) {
+    HandleOwn(aExchange);
+  } else {
+    RequestRun(context_, aExchange).Run();
+  }
+}
+
+void Router::HandleOwn(HttpExchange& aExchange)
+{
+  constexpr int kOk = 200;
+  constexpr int kUnavailable = 503;
+  const auto path = aExchange.Path();
+  if (path == "/_health") {
+    aExchange.Respond(kOk, {}, "ok\n");
+  } else if (path == "/_ready") {
+    const bool ready = ready_ && tables_.IsReady();
+    aExchange.Respond(
+      ready ? kOk : kUnavailable, {}, ready ? "ready\n" : "not ready\n");
+  } else if (path == "/_metrics") {
+    aExchange.Respond(
+      kOk, { { "Content-Type", "text/plain; version=0.0.4" } }, MetricsText());
+  } else {
+    constexpr int kNotFound = 404;
+    AnswerWriter(aExchange).Refuse(kNotFound, "no such endpoint");
+  }
+}
+
+std::string Router::MetricsText() const
+{
+  std::string text;
+  for (size_t i = 0; i < context_.outcomes_.size(); ++i) {
+    detail::AddMetric(
+      text,
+      "requests_total",
+      Concat("outcome=\"", EnumName(static_cast<Outcome>(i)), "\""),
+      static_cast<double>(context_.outcomes_[i]));
+  }
+  detail::AddMetric(text, "requests_in_flight", "", http_.InFlight());
+  detail::AddMetric(text, "requests_parked", "", context_.parked_);
+  detail::AddMetric(
+    text, "ledger_entries", "", static_cast<double>(ledgerHolder_.Size()));
+  detail::AddMetric(text,
+                    "cancellations_sent_total",
+                    "",
+                    static_cast<double>(canceller_.Sent()));
+  detail::AddMetric(text,
+                    "load_reports_sent_total",
+                    "",
+                    static_cast<double>(duties_.ReportsSent()));
+  for (const auto& server : duties_.LastMeasurements()) {
+    const auto label = Concat("server=\"", server.server, "\"");
+    detail::AddMetric(text, "server_in_flight", label, server.inFlight);
+    detail::AddMetric(
+      text, "server_requests", label, static_cast<double>(server.requests));
+    detail::AddMetric(
+      text, "server_refusals", label, static_cast<double>(server.refusals));
+    detail::AddMetric(
+      text, "server_failures", label, static_cast<double>(server.failures));
+    detail::AddMetric(text, "server_mean_ms", label, server.meanMs);
+    detail::AddMetric(text, "server_p99_ms", label, server.p99Ms);
+  }
+  return text;
+}
+
+wire::ProcessStatus Router::Status() const
+{
+  wire::ProcessStatus status;
+  status.instance = settings_.instance_;
+  status.program = "router";
+  status.failureDomain = settings_.failureDomain_;
+  status.uptimeMs = clock_.NowMs() - startMs_;
+  const auto config = tables_.Config();
+  status.configVersion = config ? config->version_ : 0;
+  status.configAgeMs = config ? config->confirmedAgeMs_ : -1;
+  const auto add = [&](const char* aName, double aValue) {
+    wire::NamedValue value;
+    value.name = aName;
+    value.value = aValue;
+    status.values.push_back(value);
+  };
+  add("requestsInFlight", http_.InFlight());
+  add("requestsParked", context_.parked_);
+  add("ledgerEntries", static_cast<double>(ledgerHolder_.Size()));
+  add("rulesVersion", static_cast<double>(rules_.Version()));
+  return status;
+}
+
+}
--- a/router/RouterContext.hpp
+++ b/router/RouterContext.hpp
@@ -5,9 +5,10 @@
 #include "LedgerClient.hpp"
 #include "Measurements.hpp"
 #include "QuarantineKeeper.hpp"
+#include "RoutingTables.hpp"
+#include "RuleBook.hpp"
 #include "SloCounters.hpp"
 #include "StateRegistry.hpp"
-#include "TableSource.hpp"
 
 #include <array>
 #include <atomic>
@@ -19,8 +20,9 @@
 struct RouterContext
 {
   const Clock& clock_;
-  TableSource& tables_;
+  RoutingTables& tables_;
   StateRegistry& registry_;
+  RuleBook& rules_;
   LedgerClient& ledger_;
   QuarantineKeeper& quarantine_;
   Measurements& measurements_;
--- /dev/null
+++ b/router/RouterDuties.cpp
@@ -0,0 +1,276 @@
+#include "RouterDuties.hpp"
+
+#include "PeerService.hpp"
+#include "common/Log.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <iterator>
+
+namespace cactuspitch {
+
+namespace detail {
+
+constexpr TimeMs kRefreshMs = 100;
+/// Changes reach all instances within 2 s, also when one message is lost.
+constexpr TimeMs kQuarantineCheckMs = 100;
+constexpr TimeMs kQuarantineRepeatMs = 1000;
+constexpr TimeMs kReportMs = 1000;
+constexpr size_t kHotKeys = 84;
+/// Servers close idle connections by themselves after some time.
+constexpr TimeMs kIdleConnectionMs = 30000;
+
+UnixMs UnixNowMs()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+}
+
+RouterDuties::RouterDuties(RouterContext& aContext,
+                           std::string aOwnAddress,
+                           RouterPeerPool& aRouters,
+                           AssignerPeerPool& aAssigners)
+  : context_(aContext)
+  , ownAddress_(std::move(aOwnAddress))
+  , routers_(aRouters)
+  , assigners_(aAssigners)
+{
+}
+
+RouterDuties::~RouterDuties()
+{
+  Stop();
+}
+
+void RouterDuties::Start()
+{
+  threads_.emplace_back([this] { RunRefresh(); });
+  threads_.emplace_back([this] { RunQuarantine(); });
+  threads_.emplace_back([this] { RunReports(); });
+}
+
+void RouterDuties::Stop()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  stopped_.notify_all();
+  for (auto& thread : threads_) {
+    thread.join();
+  }
+  threads_.clear();
+}
+
+bool RouterDuties::Pause(TimeMs aMs)
+{
+  std::unique_lock lock(mutex_);
+  return !stopped_.wait_for(
+    lock, std::chrono::milliseconds(aMs), [this] { return stopping_; });
+}
+
+void RouterDuties::RunRefresh()
+{
+  do {
+    Refresh();
+  } while (Pause(detail::kRefreshMs));
+}
+
+void RouterDuties::Refresh()
+{
+  const auto now = detail::UnixNowMs();
+  const auto config = context_.tables_.Config();
+  if (config && config->version_ > context_.rules_.Version() &&
+      config->version_ != rejectedVersion_) {
+    const auto updated =
+      context_.rules_.Update(config->json_, config->version_, now);
+    if (updated.ok()) {
+      Log(LogLevel::Info,
+          "configuration is in force",
+          { { "version", config->version_ } });
+    } else {
+      rejectedVersion_ = config->version_;
+      Log(LogLevel::Error,
+          "configuration is malformed, the last one stays in force",
+          { { "version", config->version_ },
+            { "findings", std::string(updated.message()) } });
+    }
+  }
+  context_.rules_.Expire(now);
+  const auto peers = context_.tables_.RouterPeers();
+  const auto own = std::ranges::find(peers, ownAddress_);
+  const auto count = std::max<int>(1, static_cast<int>(peers.size()));
+  context_.routers_ = count;
+  context_.quarantine_.SetRouterRank(
+    own == peers.end() ? 0 : static_cast<int>(own - peers.begin()), count);
+}
+
+void RouterDuties::RunQuarantine()
+{
+  FetchQuarantine();
+  TimeMs lastShareMs = context_.clock_.NowMs();
+  while (Pause(detail::kQuarantineCheckMs)) {
+    const TimeMs now = context_.clock_.NowMs();
+    const bool repeat = now - lastShareMs >= detail::kQuarantineRepeatMs &&
+                        context_.quarantine_.HasSuspects();
+    if (context_.quarantine_.TakeChanged() || repeat) {
+      ShareQuarantine();
+      lastShareMs = now;
+    }
+  }
+}
+
+void RouterDuties::FetchQuarantine()
+{
+  for (const auto& peer : context_.tables_.RouterPeers()) {
+    if (peer == ownAddress_) {
+      continue;
+    }
+    std::vector<wire::QuarantineEntry> entries;
+    const auto status = routers_.Run(peer, [&](auto& aClient) {
+      entries.clear();
+      aClient.ListQuarantine(entries);
+    });
+    if (status.ok()) {
+      std::vector<CrashSuspect> suspects;
+      std::ranges::transform(entries, std::back_inserter(suspects), FromWire);
+      context_.quarantine_.Merge(suspects);
+    }
+  }
+}
+
+void RouterDuties::ShareQuarantine()
+{
+  std::vector<wire::QuarantineEntry> entries;
+  std::ranges::transform(
+    context_.quarantine_.Entries(),
+    std::back_inserter(entries),
+    [](const CrashSuspect& aSuspect) { return ToWire(aSuspect); });
+  for (const auto& peer : context_.tables_.RouterPeers()) {
+    if (peer != ownAddress_) {
+      // A lost message is repeated by the next share.
+      (void)routers_.Run(
+        peer, [&](auto& aClient) { aClient.ShareQuarantine(entries); });
+    }
+  }
+}
+
+std::map<std::string, wire::ServerMeasurement> RouterDuties::MeasureServers()
+{
+  std::map<std::string, wire::ServerMeasurement> measurements;
+  for (const auto& server : context_.registry_.Servers().All()) {
+    const auto window = server->Latency().EndWindow();
+    wire::ServerMeasurement measurement;
+    measurement.server = server->Id();
+    measurement.requests = server->requests_.exchange(0);
+    measurement.refusals = server->refusals_.exchange(0);
+    measurement.failures = server->failures_.exchange(0);
+    measurement.meanMs = window.meanMs_;
+    measurement.p99Ms = window.p99Ms_;
+    measurement.inFlight = server->InFlight();
+    measurements[server->Id()] = measurement;
+  }
+  return measurements;
+}
+
+RouterDuties::Reports RouterDuties::MakeReports(TimeMs aWindowMs)
+{
+  Reports reports;
+  const auto measurements = MeasureServers();
+  for (const auto& table : context_.tables_.Tables()) {
+    auto& report =
+      reports[context_.tables_.AssignerAddress(table->table_.assigner_)];
+    report.instance = context_.instance_;
+    report.windowMs = static_cast<int32_t>(aWindowMs);
+    for (const auto& server : table->table_.servers_) {
+      const auto found = measurements.find(server.id_);
+      if (found != measurements.end()) {
+        report.servers.push_back(found->second);
+      }
+    }
+  }
+  AddLoad(reports);
+  std::vector<wire::ServerMeasurement> all;
+  std::ranges::transform(measurements,
+                         std::back_inserter(all),
+                         [](const auto& aEntry) { return aEntry.second; });
+  const std::lock_guard lock(mutex_);
+  lastMeasurements_ = std::move(all);
+  return reports;
+}
+
+void RouterDuties::AddLoad(Reports& aReports)
+{
+  const auto window = context_.measurements_.EndWindow(detail::kHotKeys);
+  const auto reportOf = [&](const std::string& aService,
+                            KeyHash aHash) -> wire::LoadReport* {
+    const auto table = context_.tables_.Table(aService, aHash);
+    if (!table) {
+      return nullptr;
+    }
+    const auto found =
+      aReports.find(context_.tables_.AssignerAddress(table->table_.assigner_));
+    return found == aReports.end() ? nullptr : &found->second;
+  };
+  for (const auto& slice : window.slices_) {
+    if (auto* report = reportOf(slice.service_, slice.begin_)) {
+      wire::SliceLoad load;
+      load.serviceName = slice.service_;
+      load.hashBegin = static_cast<int64_t>(slice.begin_);
+      load.requests = slice.requests_;
+      load.busyMs = slice.busyMs_;
+      report->slices.push_back(load);
+    }
+  }
+  constexpr double kMsPerSecond = 1000;
+  for (const auto& [service, keys] : window.hotKeys_) {
+    for (const auto& key : keys) {
+      if (auto* report = reportOf(service, key.hash_)) {
+        wire::KeyLoad load;
+        load.serviceName = service;
+        load.keyHash = static_cast<int64_t>(key.hash_);
+        load.requests =
+          std::lround(key.perSecond_ * report->windowMs / kMsPerSecond);
+        report->hotKeys.push_back(load);
+      }
+    }
+  }
+}
+
+void RouterDuties::RunReports()
+{
+  TimeMs lastMs = context_.clock_.NowMs();
+  while (Pause(detail::kReportMs)) {
+    const TimeMs now = context_.clock_.NowMs();
+    for (const auto& [assigner, report] : MakeReports(now - lastMs)) {
+      if (assigner.empty()) {
+        continue;
+      }
+      const auto& body = report;
+      const auto status = assigners_.Run(
+        assigner, [&](auto& aClient) { aClient.ReportLoad(body); });
+      reportsSent_ += status.ok() ? 1 : 0;
+    }
+    lastMs = now;
+    DropIdle();
+  }
+}
+
+void RouterDuties::DropIdle()
+{
+  const TimeMs limit = context_.clock_.NowMs() - detail::kIdleConnectionMs;
+  for (const auto& server : context_.registry_.Servers().All()) {
+    server->Pool().CloseIdleUnusedSince(limit);
+  }
+}
+
+std::vector<wire::ServerMeasurement> RouterDuties::LastMeasurements() const
+{
+  const std::lock_guard lock(mutex_);
+  return lastMeasurements_;
+}
+
+}
--- /dev/null
+++ b/router/RouterMain.cpp
@@ -0,0 +1,58 @@
+#include "Router.hpp"
+#include "common/Log.hpp"
+#include "common/TerminationSignal.hpp"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace {
+
+cactuspitch::RouterSettings ReadSettingsOrExit(int aArgc, char** aArgv)
+{
+  constexpr int kExitUsage = 2;
+  cactuspitch::Settings settings(cactuspitch::RouterSettingSpecs());
+  settings.ParseOrExit(aArgc,
+                       aArgv,
+                       "cactuspitch-router",
+                       "Forwards callers' requests to the backend servers that "
+                       "own their keys.");
+  cactuspitch::Findings findings;
+  auto router = cactuspitch::ReadRouterSettings(settings, findings);
+  if (!findings.IsEmpty()) {
+    std::cerr << "cactuspitch-router: invalid settings\n" << findings.ToText();
+    std::exit(kExitUsage);
+  }
+  return router;
+}
+
+}
+
+int main(int aArgc, char** aArgv)
+{
+  using namespace cactuspitch;
+  const auto settings = ReadSettingsOrExit(aArgc, aArgv);
+  const TerminationSignal termination;
+  InitLog("router", settings.logLevel_);
+  const SteadyClock clock;
+  TableFollower follower(clock,
+                         { .instance_ = settings.instance_,
+                           .role_ = "router",
+                           .assigners_ = settings.assigners_ });
+  FollowerRoutingTables tables(follower);
+  Router router(clock, settings, tables);
+  follower.Start();
+  const auto started = router.Start();
+  if (!started.ok()) {
+    std::cerr << "cactuspitch-router: " << started.message() << "\n";
+    return EXIT_FAILURE;
+  }
+  Log(LogLevel::Info,
+      "router is running",
+      { { "listen", settings.listen_ },
+        { "rpcListen", settings.rpcListen_ },
+        { "instance", settings.instance_ } });
+  termination.Wait();
+  const bool clean = router.StopGracefully();
+  follower.Stop();
+  return clean ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/router/RouterSettings.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "common/Findings.hpp"
+#include "common/Log.hpp"
+#include "common/Settings.hpp"
+#include "common/Types.hpp"
+
+#include <string>
+#include <vector>
+
+namespace cactuspitch {
+
+/// Checked settings of the router.
+struct RouterSettings
+{
+  std::string instance_;
+  std::string failureDomain_;
+  std::string listen_;
+  std::string rpcListen_;
+  std::vector<std::string> assigners_;
+  int threads_ = 0;
+  int maxParked_ = 0;
+  size_t maxPathBytes_ = 0;
+  size_t ledgerEntries_ = 0;
+  TimeMs keepAliveMs_ = 0;
+  TimeMs writeTimeoutMs_ = 0;
+  TimeMs readyFailMs_ = 0;
+  TimeMs stopTimeoutMs_ = 0;
+  int peerTimeoutMs_ = 0;
+  LogLevel logLevel_ = LogLevel::Info;
+};
+
+std::vector<SettingSpec> RouterSettingSpecs();
+
+/// Converts parsed settings; contradictions are added to aFindings.
+RouterSettings ReadRouterSettings(const Settings& aSettings,
+                                  Findings& aFindings);
+
+}
--- a/router/TableSource.hpp
+++ b/router/RoutingTables.hpp
@@ -10,15 +10,17 @@
 namespace cactuspitch {
 
 /// What the data path needs of the TableFollower; tests fake it.
-class TableSource
+class RoutingTables
 {
 public:
-  virtual ~TableSource() = default;
+  virtual ~RoutingTables() = default;
   virtual std::shared_ptr<const FollowedTable> Table(std::string_view aService,
                                                      KeyHash aHash) const = 0;
   virtual std::vector<std::shared_ptr<const FollowedTable>> Tables() const = 0;
   virtual std::vector<std::string> RouterPeers() const = 0;
   virtual std::shared_ptr<const FollowedConfig> Config() const = 0;
+  /// Thrift address of an assigner that a table names; empty when unknown.
+  virtual std::string AssignerAddress(const std::string& aName) const = 0;
   virtual bool IsReady() const = 0;
   virtual bool WaitNewer(std::string_view aService,
                          KeyHash aHash,
@@ -28,11 +30,11 @@
   virtual void RequestRefresh(std::string_view aService, KeyHash aHash) = 0;
 };
 
-/// TableSource of a running TableFollower.
-class FollowerTableSource final : public TableSource
+/// RoutingTables of a running TableFollower.
+class FollowerRoutingTables final : public RoutingTables
 {
 public:
-  explicit FollowerTableSource(TableFollower& aFollower)
+  explicit FollowerRoutingTables(TableFollower& aFollower)
     : follower_(aFollower)
   {
   }
@@ -54,6 +56,10 @@
   {
     return follower_.Config();
   }
+  std::string AssignerAddress(const std::string& aName) const override
+  {
+    return follower_.AssignerAddress(aName);
+  }
   bool IsReady() const override { return follower_.IsReady(); }
   bool WaitNewer(std::string_view aService,
                  KeyHash aHash,
--- /dev/null
+++ b/router/RuleBook.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "config/RuleResolver.hpp"
+#include "config/ServiceRules.hpp"
+
+#include <memory>
+#include <mutex>
+#include <shared_mutex>
+#include <string>
+#include <string_view>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/status.h>
+
+namespace cactuspitch {
+
+/// Rules in force, from the configuration document; defaults until there is
+/// one. Lookups of rules without exceptions for single keys are cached.
+class RuleBook
+{
+public:
+  using Rules = std::shared_ptr<const ServiceRules>;
+
+  RuleBook();
+
+  /// Takes a newer document over; an older one is ignored. A document that is
+  /// malformed is refused and the last one stays in force.
+  absl::Status Update(std::string_view aJson, int64_t aVersion, UnixMs aNowMs);
+  /// Drops exceptions that have expired.
+  void Expire(UnixMs aNowMs);
+  int64_t Version() const;
+
+  /// Rules of a backend server of the service, without exceptions for keys.
+  Rules ForServer(std::string_view aService,
+                  std::string_view aFailureDomain,
+                  std::string_view aServer) const;
+  /// aServerRules when no exception of the service names keys.
+  Rules ForKey(const Rules& aServerRules,
+               std::string_view aService,
+               std::string_view aFailureDomain,
+               std::string_view aServer,
+               std::string_view aKey) const;
+
+private:
+  struct Snapshot
+  {
+    FleetDocument document_;
+    std::unique_ptr<const RuleResolver> resolver_;
+    mutable std::shared_mutex mutex_;
+    /// By service and, where exceptions name servers or failure domains, by
+    /// server.
+    mutable absl::flat_hash_map<std::string, Rules> cache_;
+    mutable absl::flat_hash_map<std::string, uint8_t> dimensions_;
+
+    uint8_t Dimensions(std::string_view aService) const;
+  };
+
+  std::shared_ptr<const Snapshot> Current() const;
+  void Install(FleetDocument aDocument, UnixMs aNowMs);
+
+  mutable std::shared_mutex mutex_;
+  std::shared_ptr<const Snapshot> snapshot_;
+};
+
+}
--- a/router/ServiceState.hpp
+++ b/router/ServiceState.hpp
@@ -1,9 +1,7 @@
 #pragma once
 
-#include "config/ServiceRules.hpp"
 #include "policy/RetryBudget.hpp"
 
-#include <memory>
 #include <mutex>
 #include <string>
 
@@ -15,30 +13,20 @@
 public:
   explicit ServiceState(std::string aName)
     : name_(std::move(aName))
-    , rules_(std::make_shared<const ServiceRules>())
-    , budget_(static_cast<double>(rules_->retryBudgetPercent_))
   {
   }
 
   const std::string& Name() const { return name_; }
 
-  std::shared_ptr<const ServiceRules> Rules() const
-  {
-    const std::lock_guard lock(mutex_);
-    return rules_;
-  }
-  void SetRules(std::shared_ptr<const ServiceRules> aRules)
-  {
-    const std::lock_guard lock(mutex_);
-    rules_ = std::move(aRules);
-    budget_.SetPercent(static_cast<double>(rules_->retryBudgetPercent_));
-  }
-  /// Counts a request and returns the rules in force for it.
-  std::shared_ptr<const ServiceRules> BeginRequest()
+  /// Every request earns a share of a retry.
+  void OnRequest(int64_t aBudgetPercent)
   {
     const std::lock_guard lock(mutex_);
+    if (aBudgetPercent != percent_) {
+      percent_ = aBudgetPercent;
+      budget_.SetPercent(static_cast<double>(aBudgetPercent));
+    }
     budget_.OnRequest();
-    return rules_;
   }
   bool TryTakeRetry()
   {
@@ -48,9 +36,9 @@
 
 private:
   const std::string name_;
-  mutable std::mutex mutex_;
-  std::shared_ptr<const ServiceRules> rules_;
-  RetryBudget budget_;
+  std::mutex mutex_;
+  int64_t percent_ = 0;
+  RetryBudget budget_{ 0 };
 };
 
 }
--- a/rpc/TableFollower.cpp
+++ b/rpc/TableFollower.cpp
@@ -306,6 +306,19 @@
   return impl_->tables_.RouterPeers();
 }
 
+std::string TableFollower::AssignerAddress(const std::string& aName) const
+{
+  if (IsValidAddress(aName)) {
+    return aName;
+  }
+  const std::lock_guard lock(impl_->mutex_);
+  const auto found =
+    std::ranges::find_if(impl_->instances_, [&](const auto& aEntry) {
+      return !aName.empty() && aEntry.second == aName;
+    });
+  return found == impl_->instances_.end() ? std::string() : found->first;
+}
+
 bool TableFollower::IsReady() const
 {
   const std::lock_guard lock(impl_->mutex_);
--- a/rpc/TableFollower.hpp
+++ b/rpc/TableFollower.hpp
@@ -46,6 +46,9 @@
   std::shared_ptr<const FollowedConfig> Config() const;
   /// Thrift addresses of the live routers, sorted.
   std::vector<std::string> RouterPeers() const;
+  /// Thrift address of an assigner or deputy that a table names; empty when
+  /// that instance has not answered yet.
+  std::string AssignerAddress(const std::string& aName) const;
   /// True once every group that an assigner named is known.
   bool IsReady() const;
 
--- /dev/null
+++ b/tests/LedgerTest.cpp
@@ -0,0 +1,194 @@
+#include "router/LedgerClient.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cactuspitch {
+namespace {
+
+using Begin = RequestLedger::BeginResult;
+using Verdict = LedgerTicket::Verdict;
+
+// Guards against forgetting an id early, or keeping it for ever.
+TEST(RequestLedger, IdIsKnownForTenMinutes)
+{
+  RequestLedger ledger(10);
+  LedgerEntry state{};
+  EXPECT_EQ(ledger.Begin("svc", "a", 1, 0, state), Begin::Recorded);
+  ledger.Finish("svc", "a", 1, LedgerEntry::Completed, 5);
+  EXPECT_EQ(ledger.Begin("svc", "a", 2, 599999, state), Begin::Seen);
+  EXPECT_EQ(state, LedgerEntry::Completed);
+  EXPECT_EQ(ledger.Begin("other", "a", 3, 599999, state), Begin::Recorded);
+  EXPECT_EQ(ledger.Begin("svc", "a", 4, 600000, state), Begin::Recorded);
+}
+
+// Guards against dropping a young id when memory is full, which would let its
+// repeat run.
+TEST(RequestLedger, FullLedgerRefusesInsteadOfForgetting)
+{
+  RequestLedger ledger(2);
+  LedgerEntry state{};
+  EXPECT_EQ(ledger.Begin("svc", "a", 1, 0, state), Begin::Recorded);
+  EXPECT_EQ(ledger.Begin("svc", "b", 2, 0, state), Begin::Recorded);
+  EXPECT_EQ(ledger.Begin("svc", "c", 3, 0, state), Begin::Full);
+  EXPECT_EQ(ledger.Begin("svc", "a", 4, 0, state), Begin::Seen);
+  // Ids that were begun and forgotten must not occupy memory without bound.
+  ledger.Finish("svc", "a", 1, LedgerEntry::NotRun, 0);
+  EXPECT_EQ(ledger.Begin("svc", "c", 3, 600000, state), Begin::Recorded);
+}
+
+// Guards against a delayed "not run" of one attempt that erases the record of
+// the next one.
+TEST(RequestLedger, LateNotRunDoesNotForgetTheNextAttempt)
+{
+  RequestLedger ledger(10);
+  LedgerEntry state{};
+  ledger.Begin("svc", "a", 1, 0, state);
+  ledger.Finish("svc", "a", 1, LedgerEntry::NotRun, 1);
+  EXPECT_EQ(ledger.Begin("svc", "a", 2, 2, state), Begin::Recorded);
+  ledger.Finish("svc", "a", 1, LedgerEntry::NotRun, 3);
+  EXPECT_EQ(ledger.Begin("svc", "a", 3, 4, state), Begin::Seen);
+  EXPECT_EQ(state, LedgerEntry::InProgress);
+}
+
+/// Ledgers of several routers with faults.
+class FakeLedgers final : public LedgerPeers
+{
+public:
+  HolderAnswer Begin(const std::string& aPeer,
+                     const LedgerId& aId,
+                     LedgerEntry& aState) override
+  {
+    if (lost_.contains(aPeer)) {
+      return HolderAnswer::Unreachable;
+    }
+    const auto result = Ledger(aPeer).Begin(
+      aId.service_, aId.requestId_, aId.token_, nowMs_, aState);
+    if (loseAnswers_.contains(aPeer)) {
+      return HolderAnswer::Unreachable;
+    }
+    return result == Begin::Recorded ? HolderAnswer::Recorded
+                                     : HolderAnswer::Seen;
+  }
+  void Finish(const std::string& aPeer,
+              const LedgerId& aId,
+              LedgerEntry aState) override
+  {
+    if (!lost_.contains(aPeer)) {
+      Ledger(aPeer).Finish(
+        aId.service_, aId.requestId_, aId.token_, aState, nowMs_);
+    }
+  }
+  void FinishLater(const std::string& aPeer,
+                   const LedgerId& aId,
+                   LedgerEntry aState) override
+  {
+    later_.push_back([=, this] { Finish(aPeer, aId, aState); });
+  }
+  /// Delivers the delayed message at the index.
+  void Deliver(size_t aIndex)
+  {
+    later_[aIndex]();
+    later_.erase(later_.begin() + static_cast<ptrdiff_t>(aIndex));
+  }
+
+  std::set<std::string> lost_;
+  std::set<std::string> loseAnswers_;
+  std::vector<std::function<void()>> later_;
+  TimeMs nowMs_ = 0;
+
+private:
+  RequestLedger& Ledger(const std::string& aPeer)
+  {
+    return ledgers_.try_emplace(aPeer, 1000).first->second;
+  }
+  std::map<std::string, RequestLedger> ledgers_;
+};
+
+const std::vector<std::string> kRouters = { "r1", "r2", "r3", "r4" };
+
+// Guards against a repeat that runs again after one of the two holders is lost.
+TEST(LedgerClient, RepeatIsRecognisedAfterTheLossOfEitherHolder)
+{
+  for (const size_t lostIndex : { 0U, 1U }) {
+    FakeLedgers peers;
+    LedgerClient client(peers);
+    const auto first = client.Begin(kRouters, { "svc", "id", 1 });
+    ASSERT_EQ(first.verdict_, Verdict::Forward);
+    ASSERT_EQ(first.holders_.size(), 2u);
+    peers.lost_.insert(first.holders_[lostIndex]);
+    EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 2 }).verdict_,
+              Verdict::AlreadySeen);
+  }
+}
+
+// Guards against forwarding a request that no holder recorded.
+TEST(LedgerClient, RefusesWhenNoHolderCanBeAsked)
+{
+  FakeLedgers peers;
+  peers.lost_ = { kRouters.begin(), kRouters.end() };
+  LedgerClient client(peers);
+  EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 1 }).verdict_,
+            Verdict::Unavailable);
+  EXPECT_EQ(client.Begin({}, { "svc", "id", 1 }).verdict_,
+            Verdict::Unavailable);
+}
+
+// Guards against a repeat that is refused for ever after a request that was
+// reported as not run.
+TEST(LedgerClient, RepeatRunsAfterNotRun)
+{
+  FakeLedgers peers;
+  LedgerClient client(peers);
+  const auto first = client.Begin(kRouters, { "svc", "id", 1 });
+  client.Finish(first, LedgerEntry::NotRun);
+  EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 2 }).verdict_,
+            Verdict::Forward);
+}
+
+// Guards against a second run of one id under lost answers, delayed and
+// reordered messages, and one holder that comes and goes.
+RC_GTEST_PROP(LedgerClient, IdRunsAtMostOnce, ())
+{
+  FakeLedgers peers;
+  LedgerClient client(peers);
+  const auto holders = LedgerClient::Holders(kRouters, "id");
+  const auto flaky = holders[*rc::gen::inRange<size_t>(0, 2)];
+  int runs = 0;
+  uint64_t token = 0;
+  std::vector<LedgerTicket> open;
+  const auto steps =
+    *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
+  for (const int step : steps) {
+    if (step == 0) {
+      auto ticket = client.Begin(kRouters, { "svc", "id", ++token });
+      if (ticket.verdict_ == Verdict::Forward) {
+        open.push_back(ticket);
+        // Two attempts under way at once could both reach a server.
+        RC_ASSERT(open.size() <= 1u);
+        RC_ASSERT(runs == 0);
+      }
+    } else if (step == 1 && !open.empty()) {
+      client.Finish(open.back(), LedgerEntry::NotRun);
+      open.pop_back();
+    } else if (step == 2 && !open.empty()) {
+      ++runs;
+      client.Finish(open.back(), LedgerEntry::Completed);
+      open.pop_back();
+    } else if (step == 3) {
+      peers.lost_ = { flaky };
+    } else if (step == 4) {
+      peers.lost_.clear();
+      peers.loseAnswers_ = { flaky };
+    } else if (step == 5 && !peers.later_.empty()) {
+      peers.Deliver(*rc::gen::inRange<size_t>(0, peers.later_.size()));
+    }
+  }
+}
+
+}
+}
--- /dev/null
+++ b/tests/RouterRig.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "FakeBackend.hpp"
+#include "ReservedPort.hpp"
+#include "router/Router.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace cactuspitch {
+
+/// RoutingTables whose tables the test sets.
+class FakeTables final : public RoutingTables
+{
+public:
+  explicit FakeTables(const Clock& aClock)
+    : clock_(aClock)
+  {
+  }
+
+  void Set(GroupTable aTable, TimeMs aViewLeaseUntilMs = INT64_MAX);
+  /// Runs on the next RequestRefresh.
+  void OnRefresh(std::function<void()> aAction);
+  int Refreshes() const { return refreshes_; }
+
+  std::shared_ptr<const FollowedTable> Table(std::string_view aService,
+                                             KeyHash aHash) const override;
+  std::vector<std::shared_ptr<const FollowedTable>> Tables() const override;
+  std::vector<std::string> RouterPeers() const override { return peers_; }
+  std::shared_ptr<const FollowedConfig> Config() const override
+  {
+    return nullptr;
+  }
+  std::string AssignerAddress(const std::string& aName) const override
+  {
+    return aName;
+  }
+  bool IsReady() const override { return true; }
+  bool WaitNewer(std::string_view aService,
+                 KeyHash aHash,
+                 Term aTerm,
+                 int64_t aSequence,
+                 TimeMs aDeadlineMs) override;
+  void RequestRefresh(std::string_view aService, KeyHash aHash) override;
+
+  std::vector<std::string> peers_;
+
+private:
+  const Clock& clock_;
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  std::shared_ptr<const FollowedTable> table_;
+  std::function<void()> onRefresh_;
+  std::atomic<int> refreshes_ = 0;
+};
+
+/// A router in this process whose service "svc" has one slice.
+class RouterRig
+{
+public:
+  RouterRig();
+  /// Names the backend server as owner of all keys.
+  void Own(const FakeBackend& aBackend,
+           Epoch aEpoch = 1,
+           bool aChecksFence = true,
+           TimeMs aViewLeaseUntilMs = INT64_MAX);
+  void OwnNobody(Epoch aEpoch = 1);
+  absl::StatusOr<HttpResponse> Send(const std::string& aMethod,
+                                    const std::string& aPath,
+                                    HttpHeaders aHeaders = {},
+                                    const std::string& aBody = {}) const;
+  absl::StatusOr<HttpResponse> Get(HttpHeaders aHeaders = {}) const
+  {
+    return Send("GET", "/svc/key", std::move(aHeaders));
+  }
+  /// POST with the request id.
+  absl::StatusOr<HttpResponse> Post(const std::string& aId,
+                                    HttpHeaders aHeaders = {}) const;
+
+  SteadyClock clock_;
+  FakeTables tables_;
+  ReservedPort http_;
+  ReservedPort rpc_;
+  std::unique_ptr<Router> router_;
+
+private:
+  int64_t sequence_ = 0;
+};
+
+}
--- /dev/null
+++ b/tests/RouterTest.cpp
@@ -0,0 +1,404 @@
+#include "RouterRig.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+namespace cactuspitch {
+namespace {
+
+using Answer = FakeBackend::Answer;
+using Request = FakeBackend::Request;
+using Then = FakeBackend::Then;
+
+std::string OutcomeOf(const HttpResponse& aResponse)
+{
+  return std::string(aResponse.head_.Header(header::kOutcome));
+}
+
+/// Backend server whose n-th request gets the n-th answer, the last for ever.
+class Scripted
+{
+public:
+  explicit Scripted(std::vector<std::function<Answer(FakeBackend&)>> aAnswers)
+    : answers_(std::move(aAnswers))
+    , backend_([this](const Request&) {
+      const auto index = std::min(next_++, answers_.size() - 1);
+      return answers_[index](backend_);
+    })
+  {
+  }
+
+  std::vector<std::function<Answer(FakeBackend&)>> answers_;
+  std::atomic<size_t> next_ = 0;
+  FakeBackend backend_;
+};
+
+Answer Ok(FakeBackend& aBackend)
+{
+  return aBackend.Ok("value");
+}
+
+Answer Raw(std::string aBytes, Then aThen)
+{
+  return { std::move(aBytes), aThen };
+}
+
+// Guards against a request that reaches the server without what it checks, and
+// against internal headers that reach a caller.
+TEST(Router, ForwardsWithTheProtocolHeaders)
+{
+  Scripted server({ Ok });
+  RouterRig rig;
+  rig.Own(server.backend_, 7);
+  const auto response =
+    rig.Send("GET", "/svc/key/more?q=1", { { "X-Request-Id", "r1" } });
+  ASSERT_TRUE(response.ok()) << response.status();
+  EXPECT_EQ(response->body_, "value");
+  EXPECT_EQ(OutcomeOf(*response), "complete");
+  EXPECT_EQ(response->head_.Header(header::kIncarnation), "");
+  const auto sent = server.backend_.Requests().at(0);
+  EXPECT_EQ(sent.Path(), "/svc/key/more?q=1");
+  EXPECT_EQ(sent.Header("X-Slice-Epoch"), "7");
+  EXPECT_EQ(sent.Header("X-Request-Id"), "r1");
+  EXPECT_NE(sent.Header("X-Deadline-Clock-Ms"), "");
+}
+
+// Guards against a deadline in the server's clock that lies after the one of
+// the caller.
+TEST(Router, DeadlineIsInTheClockOfTheServer)
+{
+  Scripted server({ Ok });
+  server.backend_.SetClockMs(5000000);
+  RouterRig rig;
+  rig.Own(server.backend_);
+  ASSERT_TRUE(rig.Get({ { "X-Deadline-Ms", "800" } }).ok());
+  TimeMs deadline = 0;
+  ASSERT_TRUE(ParseNumber(
+    server.backend_.Requests().at(0).Header("X-Deadline-Clock-Ms"), deadline));
+  EXPECT_LE(deadline, 5000800);
+  EXPECT_GT(deadline, 5000600);
+}
+
+// Guards against a new connection for each request.
+TEST(Router, ConnectionsAreReused)
+{
+  Scripted server({ Ok });
+  RouterRig rig;
+  rig.Own(server.backend_);
+  for (int i = 0; i < 10; ++i) {
+    ASSERT_TRUE(rig.Get().ok());
+  }
+  EXPECT_EQ(server.backend_.Connections(), 1);
+}
+
+struct FailureCase
+{
+  const char* name_;
+  std::function<Answer(FakeBackend&)> failure_;
+  /// What a POST gets; a GET is retried and completes.
+  const char* postOutcome_;
+};
+
+const FailureCase kFailures[] = {
+  { "closed-without-answer",
+    [](FakeBackend&) { return Raw("", Then::Close); },
+    "unknown" },
+  { "reset", [](FakeBackend&) { return Raw("", Then::Reset); }, "unknown" },
+  { "partial-head",
+    [](FakeBackend&) { return Raw("HTTP/1.1 200 OK\r\nA: ", Then::Close); },
+    "unknown" },
+  { "partial-body",
+    [](FakeBackend&) {
+      return Raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+                 Then::Close);
+    },
+    "unknown" },
+  { "partial-chunk",
+    [](FakeBackend&) {
+      return Raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "4\r\nhalf\r\n",
+                 Then::Close);
+    },
+    "unknown" },
+  { "malformed-answer",
+    [](FakeBackend&) { return Raw("BOGUS\r\n\r\n", Then::Close); },
+    "unknown" },
+  { "busy",
+    [](FakeBackend& aServer) { return aServer.NotRun("busy"); },
+    "complete" },
+  { "stale-epoch",
+    [](FakeBackend& aServer) { return aServer.NotRun("stale-epoch"); },
+    "complete" },
+};
+
+// Guards against a GET that is given up although it could be retried, and
+// against a POST that is sent twice after it may have run.
+TEST(Router, FailureOfTheFirstAttempt)
+{
+  for (const bool isGet : { true, false }) {
+    RouterRig rig;
+    for (const auto& failure : kFailures) {
+      Scripted server({ failure.failure_, Ok });
+      rig.Own(server.backend_);
+      const auto response = isGet ? rig.Get() : rig.Post(failure.name_);
+      ASSERT_TRUE(response.ok()) << failure.name_ << response.status();
+      const std::string expected = isGet ? "complete" : failure.postOutcome_;
+      EXPECT_EQ(OutcomeOf(*response), expected) << failure.name_ << isGet;
+      EXPECT_EQ(server.backend_.Requests().size(),
+                expected == "complete" ? 2u : 1u)
+        << failure.name_ << isGet;
+    }
+  }
+}
+
+// Guards against an answer held back until the deadline after the router has
+// given up, and against callers that come back all at once.
+TEST(Router, GivesUpAtOnceWithARetryTime)
+{
+  Scripted server(
+    { [](FakeBackend& aServer) { return aServer.NotRun("busy"); } });
+  RouterRig rig;
+  rig.Own(server.backend_);
+  const TimeMs start = rig.clock_.NowMs();
+  const auto response = rig.Get({ { "X-Deadline-Ms", "5000" } });
+  ASSERT_TRUE(response.ok());
+  EXPECT_LT(rig.clock_.NowMs() - start, 1000);
+  EXPECT_EQ(response->head_.status_, 503);
+  EXPECT_EQ(OutcomeOf(*response), "not-run");
+  EXPECT_NE(response->head_.Header("Retry-After"), "");
+  EXPECT_NE(response->head_.Header(header::kRetryAfterMs), "");
+}
+
+// Guards against a caller without a final answer when the server is silent.
+TEST(Router, SilentServerEndsByTheDeadline)
+{
+  Scripted server({ [](FakeBackend&) { return Raw("", Then::Hang); } });
+  RouterRig rig;
+  rig.Own(server.backend_);
+  for (const bool isGet : { true, false }) {
+    const TimeMs start = rig.clock_.NowMs();
+    const HttpHeaders deadline = { { "X-Deadline-Ms", "400" } };
+    const auto response = isGet ? rig.Get(deadline) : rig.Post("id", deadline);
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(OutcomeOf(*response), "unknown");
+    EXPECT_LT(rig.clock_.NowMs() - start, 500);
+  }
+}
+
+// Guards against requests that fail while a slice moves to its standby.
+TEST(Router, ParksUntilTheKeyHasANewOwner)
+{
+  Scripted old(
+    { [](FakeBackend& aServer) { return aServer.NotRun("not-owner"); } });
+  Scripted next({ Ok });
+  RouterRig rig;
+  rig.Own(old.backend_, 1);
+  std::thread mover;
+  rig.tables_.OnRefresh([&] {
+    rig.OwnNobody(1);
+    mover = std::thread([&] {
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      rig.Own(next.backend_, 2);
+    });
+  });
+  const auto response = rig.Post("id");
+  mover.join();
+  ASSERT_TRUE(response.ok()) << response.status();
+  EXPECT_EQ(OutcomeOf(*response), "complete");
+  EXPECT_EQ(next.backend_.Requests().at(0).Header("X-Slice-Epoch"), "2");
+}
+
+// Guards against waiting for an owner beyond the deadline.
+TEST(Router, NoOwnerIsNotRunByTheDeadline)
+{
+  RouterRig rig;
+  const TimeMs start = rig.clock_.NowMs();
+  const auto response = rig.Post("id", { { "X-Deadline-Ms", "200" } });
+  ASSERT_TRUE(response.ok());
+  EXPECT_EQ(OutcomeOf(*response), "not-run");
+  EXPECT_EQ(response->head_.Header(header::kNotRun), "no-owner");
+  EXPECT_LT(rig.clock_.NowMs() - start, 300);
+}
+
+// Guards against forwarding to a server that does not check the fence under a
+// table that may be out of date, and against a deadline after the view lease.
+TEST(Router, ViewLeaseBoundsServersThatDoNotCheck)
+{
+  Scripted server({ Ok });
+  server.backend_.SetClockMs(1000000);
+  RouterRig rig;
+  rig.Own(server.backend_, 1, false, rig.clock_.NowMs() - 1);
+  const HttpHeaders deadline = { { "X-Deadline-Ms", "300" } };
+  const auto refused = rig.Get(deadline);
+  ASSERT_TRUE(refused.ok());
+  EXPECT_EQ(refused->head_.Header(header::kNotRun), "view-lease");
+  EXPECT_TRUE(server.backend_.Requests().empty());
+
+  rig.Own(server.backend_, 1, false, rig.clock_.NowMs() + 200);
+  const auto response = rig.Get(deadline);
+  ASSERT_TRUE(response.ok());
+  EXPECT_EQ(OutcomeOf(*response), "complete");
+  TimeMs sent = 0;
+  ASSERT_TRUE(ParseNumber(
+    server.backend_.Requests().at(0).Header("X-Deadline-Clock-Ms"), sent));
+  EXPECT_LE(sent, 1000200);
+}
+
+// Guards against a clock of the previous process that puts the deadline of a
+// restarted server, which does not check the fence, far into the future.
+TEST(Router, ClockIsLearnedAgainAfterARestart)
+{
+  Scripted server({ Ok });
+  server.backend_.SetClockMs(900000000);
+  RouterRig rig;
+  rig.Own(server.backend_, 1, false);
+  ASSERT_TRUE(rig.Get().ok());
+  server.backend_.SetClockMs(1000);
+  server.backend_.Restart("two");
+  const auto response = rig.Get();
+  ASSERT_TRUE(response.ok());
+  TimeMs sent = 0;
+  ASSERT_TRUE(ParseNumber(
+    server.backend_.Requests().at(1).Header("X-Deadline-Clock-Ms"), sent));
+  EXPECT_LE(sent, 1000 + 2000);
+}
+
+// Guards against a repeat of a non-idempotent request that runs again.
+TEST(Router, RepeatedIdIsNotForwarded)
+{
+  Scripted server({ Ok });
+  RouterRig rig;
+  rig.Own(server.backend_);
+  ASSERT_EQ(OutcomeOf(*rig.Post("same")), "complete");
+  const auto repeat = rig.Post("same");
+  ASSERT_TRUE(repeat.ok());
+  EXPECT_EQ(repeat->head_.status_, 409);
+  EXPECT_EQ(OutcomeOf(*repeat), "unknown");
+  EXPECT_NE(repeat->body_.find("completed"), std::string::npos);
+  EXPECT_EQ(server.backend_.Requests().size(), 1u);
+}
+
+// Guards against two runs of one id that arrives on many connections at once.
+TEST(Router, ConcurrentRepeatsRunOnce)
+{
+  Scripted server({ [](FakeBackend& aServer) {
+    auto answer = aServer.Ok("value");
+    answer.delayMs_ = 20;
+    return answer;
+  } });
+  RouterRig rig;
+  rig.Own(server.backend_);
+  std::atomic<int> complete = 0;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&] {
+      const auto response = rig.Post("same");
+      complete += response.ok() && OutcomeOf(*response) == "complete" ? 1 : 0;
+    });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  EXPECT_EQ(complete, 1);
+  EXPECT_EQ(server.backend_.Requests().size(), 1u);
+}
+
+// Guards against a POST that is forwarded although no holder recorded its id.
+TEST(Router, NoHolderMeansNotRun)
+{
+  Scripted server({ Ok });
+  RouterRig rig;
+  rig.Own(server.backend_);
+  const ReservedPort nobody;
+  rig.tables_.peers_ = { nobody.Address() };
+  const auto response = rig.Post("id");
+  ASSERT_TRUE(response.ok());
+  EXPECT_EQ(response->head_.Header(header::kNotRun), "ledger");
+  EXPECT_TRUE(server.backend_.Requests().empty());
+}
+
+// Guards against a truncated answer of a server that looks complete.
+TEST(Router, TruncatedLargeAnswerIsNeverComplete)
+{
+  const std::string part(200000, 'x');
+  for (const bool chunked : { false, true }) {
+    Scripted server({ [&](FakeBackend&) {
+      return Raw(chunked ? Concat("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                                  "chunked\r\n\r\n30d40\r\n",
+                                  part,
+                                  "\r\n")
+                         : Concat("HTTP/1.1 200 OK\r\nContent-Length: "
+                                  "400000\r\n\r\n",
+                                  part),
+                 Then::Close);
+    } });
+    RouterRig rig;
+    rig.Own(server.backend_);
+    const auto response = rig.Get();
+    EXPECT_FALSE(response.ok()) << chunked;
+    EXPECT_EQ(server.backend_.Requests().size(), 1u);
+  }
+}
+
+// Guards against large answers that are damaged on their way through the
+// bounded buffer.
+TEST(Router, LargeAnswersPassUnchanged)
+{
+  std::string body(3000000, '\0');
+  for (size_t i = 0; i < body.size(); ++i) {
+    body[i] = static_cast<char>('a' + i * i % 26);
+  }
+  Scripted server({ [&](FakeBackend& aServer) { return aServer.Ok(body); } });
+  RouterRig rig;
+  rig.Own(server.backend_);
+  const auto response = rig.Get();
+  ASSERT_TRUE(response.ok()) << response.status();
+  EXPECT_TRUE(response->body_ == body);
+  EXPECT_EQ(OutcomeOf(*response), "complete");
+}
+
+// Guards against a HEAD that waits for a body or loses the length.
+TEST(Router, HeadKeepsTheLength)
+{
+  Scripted server({ [](FakeBackend&) {
+    return Raw("HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r\n", Then::Keep);
+  } });
+  RouterRig rig;
+  rig.Own(server.backend_);
+  const auto response = rig.Send("HEAD", "/svc/key");
+  ASSERT_TRUE(response.ok()) << response.status();
+  EXPECT_EQ(response->head_.contentLength_, 1234u);
+  EXPECT_EQ(OutcomeOf(*response), "complete");
+}
+
+// Guards against unclear answers to input that cannot be forwarded.
+TEST(Router, BadInputIsRefusedWithAnOutcome)
+{
+  Scripted server({ Ok });
+  RouterRig rig;
+  rig.Own(server.backend_);
+  const std::string large((1 << 20) + 1, 'b');
+  const HttpHeaders id = { { "X-Request-Id", "i" } };
+  const auto status = [&](const char* aMethod,
+                          const std::string& aPath,
+                          const HttpHeaders& aHeaders,
+                          const std::string& aBody) {
+    const auto response = rig.Send(aMethod, aPath, aHeaders, aBody);
+    EXPECT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(OutcomeOf(*response), "not-run");
+    return response->head_.status_;
+  };
+  EXPECT_EQ(status("GET", "/svc", {}, ""), 400);
+  EXPECT_EQ(status("GET", "/nobody/key", {}, ""), 404);
+  EXPECT_EQ(status("GET", "/svc/" + std::string(300, 'k'), {}, ""), 414);
+  EXPECT_EQ(status("POST", "/svc/key", {}, "b"), 400);
+  EXPECT_EQ(status("POST", "/svc/key", id, large), 413);
+  EXPECT_EQ(status("GET", "/svc/key", { { "X-Deadline-Ms", "x" } }, ""), 400);
+  EXPECT_TRUE(server.backend_.Requests().empty());
+}
+
+}
+}
