Add the ownership logic of an assignment group

Cause: the assigner needs pure decision logic that tests can run under chosen interleavings. control/ holds the group object, server leases, the deputy's promises, recovery after a change of assigner, moves and the composition of the record, joined by GroupController.

Before: no code.

--- /dev/null
+++ b/control/DeputyRole.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "control/Messages.hpp"
+#include "control/Timing.hpp"
+
+#include <set>
+
+namespace cactuspitch {
+
+/// The deputy's side of the agreement with the assigner.
+class DeputyRole
+{
+public:
+  /// aWitnessed: this process saw the term begin, so it knows all that it has
+  /// promised in it. A restarted process does not.
+  void BeginTerm(TimeMs aNowMs, Term aTerm, bool aWitnessed);
+  PeerAnswer OnQuestion(const PeerQuestion& aQuestion,
+                        bool aStoreReachable,
+                        TimeMs aNowMs);
+  /// The assigner is silent, or asked to arm although the store is reachable.
+  bool ShouldTakeOver(TimeMs aNowMs) const;
+  /// From now on questions of this term are refused.
+  void Refuse() { refuses_ = true; }
+  /// The takeover was certainly not written.
+  void Resume() { refuses_ = takesOver_ = false; }
+  bool IsArmed() const { return armed_; }
+  Term GetTerm() const { return term_; }
+  /// When the right of the assigner ends; kNever when it may be armed.
+  TimeMs AssignerEndMs() const;
+  bool HasStopped(const std::string& aServer) const
+  {
+    return stopped_.contains(aServer);
+  }
+
+private:
+  Term term_ = 0;
+  TimeMs heardMs_ = 0;
+  TimeMs promisedMs_ = 0;
+  std::set<std::string> stopped_;
+  bool witnessed_ = false;
+  bool armed_ = false;
+  bool refuses_ = false;
+  bool takesOver_ = false;
+};
+
+}
--- /dev/null
+++ b/control/GroupController.cpp
@@ -0,0 +1,359 @@
+#include "GroupController.hpp"
+
+#include "common/KeyHash.hpp"
+#include "common/Strings.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cactuspitch {
+
+GroupController::GroupController(GroupOptions aOptions)
+  : options_(std::move(aOptions))
+  , writer_(options_.writer_)
+  , recovery_(state_)
+  , orders_(state_, recovery_)
+  , mover_(state_, orders_)
+  , planner_(state_)
+{
+}
+
+void GroupController::SetCandidates(std::vector<CandidateRecord> aCandidates)
+{
+  candidates_ = std::move(aCandidates);
+}
+
+void GroupController::SetServers(std::vector<BackendServerRecord> aServers)
+{
+  servers_ = aServers;
+  planner_.SetPlatformServers(std::move(aServers));
+}
+
+void GroupController::OnObject(TimeMs aNowMs,
+                               int64_t aVersion,
+                               const GroupObject& aObject,
+                               Actions& aActions)
+{
+  isMissing_ = false;
+  if (writer_.IsOwn(aObject)) {
+    Confirm(aNowMs, aVersion);
+    return;
+  }
+  writer_.OnOtherVersion(aNowMs, aVersion, aActions);
+  if (!writer_.IsPending()) {
+    state_.book_.Unblock();
+  }
+  if (aVersion > state_.version_) {
+    Adopt(aNowMs, aVersion, aObject);
+  }
+}
+
+void GroupController::OnObjectMissing(TimeMs aNowMs, Actions& aActions)
+{
+  knowsStore_ = true;
+  isMissing_ = state_.version_ == 0;
+  writer_.OnOtherVersion(aNowMs, kNoVersion, aActions);
+}
+
+void GroupController::OnWriteResult(TimeMs aNowMs,
+                                    int64_t aChange,
+                                    WriteResult aResult,
+                                    int64_t aVersion,
+                                    Actions& aActions)
+{
+  if (!writer_.IsPending() || writer_.Pending().object_.change_ != aChange) {
+    return;
+  }
+  if (aResult == WriteResult::Written) {
+    Confirm(aNowMs, aVersion);
+    return;
+  }
+  writer_.OnResult(aNowMs, aResult, aActions);
+  if (!writer_.IsPending()) {
+    state_.book_.Unblock();
+  }
+}
+
+void GroupController::Store(TimeMs aNowMs,
+                            int64_t aVersion,
+                            const GroupObject& aObject)
+{
+  auto old = std::exchange(state_.leases_, {});
+  for (const auto& server : aObject.table_.servers_) {
+    const auto known = std::ranges::find(
+      state_.Table().servers_, server.id_, &BackendServerRecord::id_);
+    if (known == state_.Table().servers_.end()) {
+      state_.leases_.emplace_back().BeginTerm(aNowMs, false);
+    } else {
+      state_.leases_.push_back(std::move(
+        old[static_cast<size_t>(known - state_.Table().servers_.begin())]));
+    }
+  }
+  state_.stored_ = aObject;
+  state_.version_ = aVersion;
+  knowsStore_ = true;
+}
+
+void GroupController::Adopt(TimeMs aNowMs,
+                            int64_t aVersion,
+                            const GroupObject& aObject)
+{
+  const bool witnessed = knowsStore_;
+  const auto term = aObject.table_.term_;
+  // Handed over by the assigner to this deputy, which has promised no more
+  // than it remembers.
+  const bool handedOver = role_ == GroupRole::Deputy &&
+                          aObject.table_.assigner_ == options_.instance_ &&
+                          deputy_.GetTerm() + 1 == term &&
+                          deputy_.AssignerEndMs() != timing::kNever;
+  Store(aNowMs, aVersion, aObject);
+  quietSinceMs_ = aNowMs;
+  if (handedOver) {
+    BeginAssigner(aNowMs, aNowMs, deputy_.AssignerEndMs());
+    return;
+  }
+  const bool isDeputy = aObject.table_.deputy_ == options_.instance_;
+  role_ = isDeputy ? GroupRole::Deputy : GroupRole::None;
+  if (isDeputy && deputy_.GetTerm() != term) {
+    deputy_.BeginTerm(aNowMs, term, witnessed);
+  }
+}
+
+void GroupController::Confirm(TimeMs aNowMs, int64_t aVersion)
+{
+  const auto object = writer_.Pending().object_;
+  const auto beganMs = writer_.BeganMs();
+  writer_.Finish();
+  writtenMs_ = aNowMs;
+  state_.book_.Unblock();
+  if (aVersion <= state_.version_) {
+    return;
+  }
+  if (object.table_.assigner_ != options_.instance_) {
+    Adopt(aNowMs, aVersion, object);
+    return;
+  }
+  const auto old = state_.stored_;
+  const bool isNew = state_.version_ == 0;
+  const bool continues = role_ == GroupRole::Assigner;
+  Store(aNowMs, aVersion, object);
+  if (continues) {
+    ContinueAssigner(aNowMs, old);
+    if (old.table_.term_ != object.table_.term_) {
+      state_.authority_.BeginTerm(
+        aNowMs, beganMs, !object.table_.deputy_.empty());
+    }
+    return;
+  }
+  BeginAssigner(aNowMs, beganMs, pendingPredecessorEndMs_);
+  if (isNew) {
+    state_.book_.Create(state_.Table());
+  }
+}
+
+void GroupController::BeginAssigner(TimeMs aNowMs,
+                                    TimeMs aFromMs,
+                                    TimeMs aPredecessorEndMs)
+{
+  role_ = GroupRole::Assigner;
+  state_.book_.Recover(state_.Table());
+  for (auto& lease : state_.leases_) {
+    lease.BeginTerm(aNowMs, false);
+    lease.NoteLoss(state_.orderSequence_);
+  }
+  const auto& earlier = state_.stored_.earlierRenewers_;
+  state_.earlier_ = { earlier.begin(), earlier.end() };
+  state_.predecessorEndMs_ =
+    earlier.empty() ? aPredecessorEndMs : timing::kNever;
+  state_.termBeganMs_ = aNowMs;
+  state_.authority_.BeginTerm(aNowMs, aFromMs, !state_.Table().deputy_.empty());
+}
+
+void GroupController::ContinueAssigner(TimeMs aNowMs, const GroupObject& aOld)
+{
+  state_.book_.Confirm(aOld.table_, state_.Table());
+  const bool newTerm = aOld.table_.term_ != state_.Table().term_;
+  if (!newTerm || !state_.authority_.MayDeputyRenew()) {
+    return;
+  }
+  // The deputy of the old term may renew until it learns of the new one.
+  state_.earlier_.insert(aOld.table_.deputy_);
+  state_.predecessorEndMs_ = timing::kNever;
+  for (auto& lease : state_.leases_) {
+    lease.BeginTerm(aNowMs, true);
+  }
+}
+
+void GroupController::StepDown(Term aTerm)
+{
+  supersededBy_ = std::max(supersededBy_, aTerm);
+  role_ = GroupRole::None;
+}
+
+void GroupController::OnReply(TimeMs aNowMs, const ServerReply& aReply)
+{
+  const auto& servers = state_.Table().servers_;
+  const auto found =
+    std::ranges::find(servers, aReply.server_, &BackendServerRecord::id_);
+  if (found == servers.end()) {
+    return;
+  }
+  if (aReply.term_ > state_.Table().term_ && found->checksFence_) {
+    StepDown(aReply.term_);
+    return;
+  }
+  state_.Lease(static_cast<int32_t>(found - servers.begin()))
+    .OnReply(aReply, state_.Table().term_, aNowMs);
+}
+
+void GroupController::OnRefused(TimeMs aNowMs,
+                                const std::string& aServer,
+                                int64_t aOrderId)
+{
+  const auto& servers = state_.Table().servers_;
+  const auto found =
+    std::ranges::find(servers, aServer, &BackendServerRecord::id_);
+  if (found != servers.end()) {
+    state_.Lease(static_cast<int32_t>(found - servers.begin()))
+      .OnRefused(aOrderId, aNowMs);
+  }
+}
+
+PeerAnswer GroupController::OnQuestion(TimeMs aNowMs,
+                                       const PeerQuestion& aQuestion)
+{
+  OnPeerSeen(aNowMs, aQuestion.from_, aQuestion.term_);
+  const bool isNewer =
+    aQuestion.term_ > std::max(state_.Table().term_, deputy_.GetTerm());
+  if (isNewer && aQuestion.to_ == options_.instance_) {
+    // The assigner asks only after its update was confirmed.
+    role_ = GroupRole::Deputy;
+    deputy_.BeginTerm(aNowMs, aQuestion.term_, knowsStore_);
+  }
+  if (role_ != GroupRole::Deputy) {
+    PeerAnswer answer;
+    answer.id_ = aQuestion.id_;
+    answer.term_ = std::max(state_.Table().term_, supersededBy_);
+    answer.storeReachable_ = storeReachable_;
+    return answer;
+  }
+  return deputy_.OnQuestion(aQuestion, storeReachable_, aNowMs);
+}
+
+void GroupController::OnAnswer(TimeMs aNowMs, const PeerAnswer& aAnswer)
+{
+  if (role_ != GroupRole::Assigner) {
+    return;
+  }
+  const auto term = state_.Table().term_;
+  OnPeerSeen(aNowMs, state_.Table().deputy_, aAnswer.term_);
+  if (aAnswer.term_ == term) {
+    state_.authority_.OnAnswer(aAnswer, aNowMs);
+  }
+}
+
+void GroupController::OnPeerSeen(TimeMs aNowMs,
+                                 const std::string& aInstance,
+                                 Term aTerm)
+{
+  seenMs_[aInstance] = aNowMs;
+  const auto term = state_.Table().term_;
+  if (aTerm > term && role_ == GroupRole::Assigner) {
+    StepDown(aTerm);
+  }
+  if (aTerm >= term && role_ == GroupRole::Assigner) {
+    state_.ResolveEarlier(aInstance, aNowMs);
+  }
+}
+
+void GroupController::OnPeerGone(TimeMs aNowMs, const std::string& aInstance)
+{
+  seenMs_.erase(aInstance);
+  if (role_ == GroupRole::Assigner) {
+    state_.ResolveEarlier(aInstance, aNowMs);
+  }
+}
+
+TimeMs GroupController::GrantView(TimeMs aNowMs, const std::string& aRouter)
+{
+  if (role_ != GroupRole::Assigner || !state_.authority_.IsValid(aNowMs) ||
+      IsHandingOver()) {
+    return 0;
+  }
+  state_.views_.Grant(aRouter, aNowMs);
+  return timing::kViewLeaseMs;
+}
+
+void GroupController::MoveSlice(KeyHash aHash,
+                                const std::string& aTarget,
+                                const std::string& aReason)
+{
+  const auto& servers = state_.Table().servers_;
+  const auto found =
+    std::ranges::find(servers, aTarget, &BackendServerRecord::id_);
+  auto* slice = state_.book_.Find(aHash);
+  if (role_ != GroupRole::Assigner || found == servers.end() ||
+      slice == nullptr) {
+    return;
+  }
+  slice->target_ = static_cast<int32_t>(found - servers.begin());
+  slice->reason_ = aReason;
+}
+
+bool GroupController::IsIdle() const
+{
+  return role_ != GroupRole::Assigner && !writer_.IsPending();
+}
+
+bool GroupController::IsHandingOver() const
+{
+  return writer_.IsPending() &&
+         writer_.Pending().object_.table_.assigner_ != options_.instance_;
+}
+
+bool GroupController::IsArmed() const
+{
+  return role_ == GroupRole::Assigner ? state_.authority_.IsArmed()
+                                      : deputy_.IsArmed();
+}
+
+void GroupController::Step(TimeMs aNowMs, Actions& aActions)
+{
+  if (quietSinceMs_ < 0) {
+    quietSinceMs_ = aNowMs;
+  }
+  writer_.Step(aNowMs, aActions);
+  state_.views_.Prune(aNowMs);
+  switch (role_) {
+    case GroupRole::Assigner:
+      StepAssigner(aNowMs, aActions);
+      break;
+    case GroupRole::Deputy:
+      StepDeputy(aNowMs, aActions);
+      break;
+    default:
+      StepCandidate(aNowMs, aActions);
+  }
+  Publish();
+}
+
+void GroupController::Publish()
+{
+  auto next =
+    role_ == GroupRole::Assigner ? state_.Published() : state_.Table();
+  next.sequence_ = table_.sequence_;
+  const bool changed =
+    next.term_ != table_.term_ || next.servers_ != table_.servers_ ||
+    next.slices_ != table_.slices_ || next.assigner_ != table_.assigner_ ||
+    next.deputy_ != table_.deputy_;
+  if (!changed) {
+    return;
+  }
+  // Tables of other instances are hints and must not hide those of the
+  // assigner, whose sequences begin at 1.
+  next.sequence_ = role_ == GroupRole::Assigner ? table_.sequence_ + 1 : 0;
+  table_ = std::move(next);
+}
+
+}
--- /dev/null
+++ b/control/GroupController.hpp
@@ -0,0 +1,169 @@
+#pragma once
+
+#include "control/DeputyRole.hpp"
+#include "control/GroupState.hpp"
+#include "control/GroupWriter.hpp"
+#include "control/Messages.hpp"
+#include "control/OrderScheduler.hpp"
+#include "control/RecordPlanner.hpp"
+#include "control/Recovery.hpp"
+#include "control/SliceMover.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cactuspitch {
+
+enum class GroupRole : uint8_t
+{
+  None,
+  Deputy,
+  Assigner,
+  Count
+};
+
+template<>
+struct EnumNames<GroupRole>
+{
+  static constexpr std::string_view kNames[] = { "none", "deputy", "assigner" };
+};
+
+/// Entry instance that may become assigner or deputy.
+struct CandidateRecord
+{
+  std::string id_;
+  std::string failureDomain_;
+};
+
+struct GroupOptions
+{
+  std::string instance_;
+  std::string failureDomain_;
+  /// Instance and start of the process; differs after a restart.
+  std::string writer_;
+  std::string service_;
+  int32_t group_ = 0;
+  size_t slices_ = 256;
+};
+
+/// Control of one assignment group at one instance, in whatever role the store
+/// object gives it. Pure: time and messages in, actions out. Step() is called
+/// after every batch of inputs and at least every 20 ms.
+class GroupController
+{
+public:
+  explicit GroupController(GroupOptions aOptions);
+  GroupController(const GroupController&) = delete;
+  GroupController& operator=(const GroupController&) = delete;
+
+  // Lists of the platform; both lag and are hints.
+  void SetCandidates(std::vector<CandidateRecord> aCandidates);
+  void SetServers(std::vector<BackendServerRecord> aServers);
+
+  // Store
+  void SetStoreReachable(bool aReachable) { storeReachable_ = aReachable; }
+  void OnObject(TimeMs aNowMs,
+                int64_t aVersion,
+                const GroupObject& aObject,
+                Actions& aActions);
+  void OnObjectMissing(TimeMs aNowMs, Actions& aActions);
+  /// aVersion is the new one when written.
+  void OnWriteResult(TimeMs aNowMs,
+                     int64_t aChange,
+                     WriteResult aResult,
+                     int64_t aVersion,
+                     Actions& aActions);
+
+  // Backend servers
+  void OnReply(TimeMs aNowMs, const ServerReply& aReply);
+  void OnRefused(TimeMs aNowMs, const std::string& aServer, int64_t aOrderId);
+
+  // Other instances
+  PeerAnswer OnQuestion(TimeMs aNowMs, const PeerQuestion& aQuestion);
+  void OnAnswer(TimeMs aNowMs, const PeerAnswer& aAnswer);
+  /// The instance answered something; aTerm is the newest term it knows of.
+  void OnPeerSeen(TimeMs aNowMs, const std::string& aInstance, Term aTerm);
+  /// Nothing listens at the instance: the process is gone. Also called when an
+  /// operator declares it gone.
+  void OnPeerGone(TimeMs aNowMs, const std::string& aInstance);
+
+  // Routers
+  /// View lease for the current table, 0 when this instance may give none.
+  TimeMs GrantView(TimeMs aNowMs, const std::string& aRouter);
+
+  // Balancing and operators; ignored unless this instance is the assigner.
+  void MoveSlice(KeyHash aHash,
+                 const std::string& aTarget,
+                 const std::string& aReason);
+  void SplitOut(KeyHash aHash) { planner_.RequestSplit(aHash); }
+  void MergeBack(KeyHash aBegin) { planner_.RequestMerge(aBegin); }
+  /// Hands the group to the deputy; IsIdle() turns true when it is done.
+  void BeginStop() { stopping_ = true; }
+  bool IsIdle() const;
+
+  void Step(TimeMs aNowMs, Actions& aActions);
+
+  GroupRole Role() const { return role_; }
+  /// Table for routers; only the assigner's is authoritative.
+  const GroupTable& Table() const { return table_; }
+  const GroupState& State() const { return state_; }
+  const DeputyRole& Deputy() const { return deputy_; }
+  const GroupOptions& Options() const { return options_; }
+  bool IsArmed() const;
+
+private:
+  void Adopt(TimeMs aNowMs, int64_t aVersion, const GroupObject& aObject);
+  void Store(TimeMs aNowMs, int64_t aVersion, const GroupObject& aObject);
+  void Confirm(TimeMs aNowMs, int64_t aVersion);
+  void BeginAssigner(TimeMs aNowMs, TimeMs aFromMs, TimeMs aPredecessorEndMs);
+  void ContinueAssigner(TimeMs aNowMs, const GroupObject& aOld);
+  void StepDown(Term aTerm);
+  void StepAssigner(TimeMs aNowMs, Actions& aActions);
+  void StepDeputy(TimeMs aNowMs, Actions& aActions);
+  void StepCandidate(TimeMs aNowMs, Actions& aActions);
+  void SendQuestion(TimeMs aNowMs, Actions& aActions);
+  void MoveFromDraining(TimeMs aNowMs);
+  bool IsHandingOver() const;
+  void PrepareArming(TimeMs aNowMs);
+  void WriteRecord(TimeMs aNowMs, Actions& aActions);
+  bool NeedsNewTerm(TimeMs aNowMs) const;
+  void WriteTakeover(TimeMs aNowMs,
+                     TimeMs aPredecessorEndMs,
+                     std::vector<std::string> aEarlier,
+                     Actions& aActions);
+  void WriteNewGroup(TimeMs aNowMs, Actions& aActions);
+  void WriteHandover(TimeMs aNowMs, Actions& aActions);
+  std::string ChooseDeputy(TimeMs aNowMs, const std::string& aAssigner) const;
+  /// Position of this instance among the candidates, 0 is the first.
+  int Rank(TimeMs aNowMs) const;
+  bool IsSeen(TimeMs aNowMs, const std::string& aInstance) const;
+  void Publish();
+
+  GroupOptions options_;
+  GroupState state_;
+  GroupWriter writer_;
+  DeputyRole deputy_;
+  Recovery recovery_;
+  OrderScheduler orders_;
+  SliceMover mover_;
+  RecordPlanner planner_;
+  GroupTable table_;
+  std::vector<CandidateRecord> candidates_;
+  std::vector<BackendServerRecord> servers_;
+  std::map<std::string, TimeMs> seenMs_;
+  GroupRole role_ = GroupRole::None;
+  /// The store was asked at least once, so a later term is seen to begin.
+  bool knowsStore_ = false;
+  bool isMissing_ = false;
+  bool storeReachable_ = false;
+  bool stopping_ = false;
+  Term supersededBy_ = 0;
+  TimeMs quietSinceMs_ = -1; ///< a candidate judges silence from here
+  TimeMs writtenMs_ = -timing::kNever;
+  TimeMs writeTriedMs_ = -timing::kNever;
+  TimeMs pendingPredecessorEndMs_ = 0;
+  int64_t questionId_ = 0;
+};
+
+}
--- /dev/null
+++ b/control/GroupControllerSteps.cpp
@@ -0,0 +1,319 @@
+#include "GroupController.hpp"
+#include "common/KeyHash.hpp"
+#include "common/Strings.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cactuspitch {
+
+namespace detail {
+/// Interval between attempts after a write that did not take effect.
+constexpr TimeMs kWriteRetryMs = 50;
+/// Interval between new terms, so that a refusing deputy costs few writes.
+constexpr TimeMs kTermIntervalMs = 300;
+
+void AddUnique(std::vector<std::string>& aList, const std::string& aItem)
+{
+  if (!aItem.empty() && std::ranges::find(aList, aItem) == aList.end()) {
+    aList.push_back(aItem);
+  }
+}
+}
+
+void GroupController::StepAssigner(TimeMs aNowMs, Actions& aActions)
+{
+  if (IsHandingOver()) {
+    return;
+  }
+  recovery_.Step(aNowMs);
+  MoveFromDraining(aNowMs);
+  mover_.Step(aNowMs, aActions);
+  orders_.Step(aNowMs, aActions);
+  if (state_.authority_.HasDeputy() &&
+      state_.authority_.IsQuestionDue(aNowMs)) {
+    SendQuestion(aNowMs, aActions);
+  }
+  if (storeReachable_ && !writer_.IsPending() &&
+      aNowMs - writeTriedMs_ >= detail::kWriteRetryMs) {
+    WriteRecord(aNowMs, aActions);
+  }
+}
+
+void GroupController::MoveFromDraining(TimeMs aNowMs)
+{
+  const auto& servers = state_.Table().servers_;
+  std::vector<int> count(servers.size(), 0);
+  for (const auto& slice : state_.book_.Slices()) {
+    const auto to = slice.target_ != kNoServer ? slice.target_ : slice.Holder();
+    if (to != kNoServer) {
+      ++count[static_cast<size_t>(to)];
+    }
+  }
+  for (auto& slice : state_.book_.Slices()) {
+    const auto holder = slice.Holder();
+    const bool drains =
+      holder != kNoServer &&
+      (state_.Lease(holder).IsDraining() || state_.Server(holder).draining_);
+    if (!drains || !slice.resolved_ || slice.target_ != kNoServer) {
+      continue;
+    }
+    int32_t best = kNoServer;
+    for (int32_t i = 0; i < static_cast<int32_t>(servers.size()); ++i) {
+      if (state_.IsUsable(i, aNowMs) &&
+          (best == kNoServer ||
+           count[static_cast<size_t>(i)] < count[static_cast<size_t>(best)])) {
+        best = i;
+      }
+    }
+    if (best != kNoServer) {
+      ++count[static_cast<size_t>(best)];
+      slice.target_ = best;
+      slice.reason_ = "owner draining";
+    }
+  }
+}
+
+void GroupController::SendQuestion(TimeMs aNowMs, Actions& aActions)
+{
+  PeerQuestion question;
+  question.id_ = ++questionId_;
+  question.from_ = options_.instance_;
+  question.to_ = state_.Table().deputy_;
+  question.term_ = state_.Table().term_;
+  question.storeReachable_ = storeReachable_;
+  question.arm_ = !storeReachable_;
+  if (question.arm_ && !state_.authority_.IsArmed()) {
+    PrepareArming(aNowMs);
+  }
+  const auto& stops = state_.authority_.Stops();
+  question.stopRenewing_.assign(stops.begin(), stops.end());
+  state_.authority_.NoteQuestion(question, aNowMs);
+  aActions.emplace_back(std::move(question));
+}
+
+void GroupController::PrepareArming(TimeMs aNowMs)
+{
+  // An armed deputy renews whatever a server holds. That must not be a set
+  // from which this assigner has already promoted a slice.
+  for (int32_t i = 0; i < static_cast<int32_t>(state_.leases_.size()); ++i) {
+    const auto& lease = state_.Lease(i);
+    if (lease.IsSilent(aNowMs) || !lease.IsFenced() || !lease.IsSetCurrent()) {
+      state_.authority_.RequestStop(state_.Server(i).id_);
+    }
+  }
+}
+
+bool GroupController::NeedsNewTerm(TimeMs aNowMs) const
+{
+  const auto& authority = state_.authority_;
+  if (!authority.HasDeputy()) {
+    return !ChooseDeputy(aNowMs, options_.instance_).empty();
+  }
+  return authority.IsDeputySilent(aNowMs) || authority.IsArmed() ||
+         (authority.IsRefused() &&
+          aNowMs - writtenMs_ > detail::kTermIntervalMs);
+}
+
+void GroupController::WriteRecord(TimeMs aNowMs, Actions& aActions)
+{
+  if (stopping_ && state_.authority_.HasDeputy()) {
+    WriteHandover(aNowMs, aActions);
+    return;
+  }
+  GroupObject object = state_.stored_;
+  object.table_ = planner_.Next(aNowMs);
+  object.earlierRenewers_ = { state_.earlier_.begin(), state_.earlier_.end() };
+  if (NeedsNewTerm(aNowMs)) {
+    ++object.table_.term_;
+    object.table_.deputy_ = ChooseDeputy(aNowMs, options_.instance_);
+    if (state_.authority_.MayDeputyRenew()) {
+      detail::AddUnique(object.earlierRenewers_, state_.Table().deputy_);
+    }
+  }
+  const auto& old = state_.Table();
+  const bool changed =
+    object.table_.term_ != old.term_ || object.table_.slices_ != old.slices_ ||
+    object.table_.servers_ != old.servers_ ||
+    object.earlierRenewers_ != state_.stored_.earlierRenewers_;
+  if (!changed) {
+    return;
+  }
+  state_.book_.Block(old, object.table_);
+  writeTriedMs_ = aNowMs;
+  writer_.Begin(aNowMs, state_.version_, std::move(object), aActions);
+}
+
+void GroupController::WriteHandover(TimeMs aNowMs, Actions& aActions)
+{
+  GroupObject object = state_.stored_;
+  object.earlierRenewers_ = { state_.earlier_.begin(), state_.earlier_.end() };
+  // An armed deputy is also a renewer, but it is the one that continues.
+  ++object.table_.term_;
+  object.table_.assigner_ = state_.Table().deputy_;
+  object.table_.deputy_ = ChooseDeputy(aNowMs, object.table_.assigner_);
+  writeTriedMs_ = aNowMs;
+  writer_.Begin(aNowMs, state_.version_, std::move(object), aActions);
+}
+
+void GroupController::StepDeputy(TimeMs aNowMs, Actions& aActions)
+{
+  if (deputy_.IsArmed() && !storeReachable_ && !writer_.IsPending()) {
+    orders_.StepAsDeputy(deputy_, aNowMs, aActions);
+  }
+  if (!storeReachable_ && !writer_.IsPending()) {
+    deputy_.Resume();
+  }
+  if (!storeReachable_ || writer_.IsPending() || stopping_ ||
+      !deputy_.ShouldTakeOver(aNowMs) ||
+      state_.Table().term_ != deputy_.GetTerm()) {
+    return;
+  }
+  deputy_.Refuse();
+  const auto endMs = deputy_.AssignerEndMs();
+  if (endMs != timing::kNever && aNowMs <= endMs) {
+    return;
+  }
+  auto earlier = state_.stored_.earlierRenewers_;
+  if (endMs == timing::kNever) {
+    detail::AddUnique(earlier, state_.Table().assigner_);
+  }
+  WriteTakeover(aNowMs, endMs, std::move(earlier), aActions);
+}
+
+void GroupController::StepCandidate(TimeMs aNowMs, Actions& aActions)
+{
+  if (!storeReachable_ || writer_.IsPending() || stopping_ ||
+      aNowMs - writeTriedMs_ < detail::kTermIntervalMs ||
+      supersededBy_ > state_.Table().term_) {
+    return;
+  }
+  const auto waitMs = timing::kCandidateStepMs * Rank(aNowMs);
+  if (isMissing_ && state_.version_ == 0) {
+    if (aNowMs - quietSinceMs_ >= waitMs) {
+      WriteNewGroup(aNowMs, aActions);
+    }
+    return;
+  }
+  if (state_.version_ == 0) {
+    return;
+  }
+  const auto& table = state_.Table();
+  auto earlier = state_.stored_.earlierRenewers_;
+  if (table.assigner_ == options_.instance_) {
+    // This instance was restarted. Its former process is gone, the deputy may
+    // have been armed.
+    detail::AddUnique(earlier, table.deputy_);
+    WriteTakeover(aNowMs, aNowMs, std::move(earlier), aActions);
+    return;
+  }
+  const auto heardMs = [&](const std::string& aInstance) {
+    const auto seen = seenMs_.find(aInstance);
+    return std::max(quietSinceMs_, seen == seenMs_.end() ? 0 : seen->second);
+  };
+  const auto silentMs =
+    aNowMs - std::max(heardMs(table.assigner_), heardMs(table.deputy_));
+  if (silentMs <= timing::kThirdInstanceMs + waitMs) {
+    return;
+  }
+  detail::AddUnique(earlier, table.assigner_);
+  detail::AddUnique(earlier, table.deputy_);
+  std::erase(earlier, options_.instance_);
+  WriteTakeover(aNowMs, timing::kNever, std::move(earlier), aActions);
+}
+
+void GroupController::WriteTakeover(TimeMs aNowMs,
+                                    TimeMs aPredecessorEndMs,
+                                    std::vector<std::string> aEarlier,
+                                    Actions& aActions)
+{
+  GroupObject object = state_.stored_;
+  ++object.table_.term_;
+  object.table_.assigner_ = options_.instance_;
+  object.table_.deputy_ = ChooseDeputy(aNowMs, options_.instance_);
+  object.earlierRenewers_ = std::move(aEarlier);
+  pendingPredecessorEndMs_ = aPredecessorEndMs;
+  writeTriedMs_ = aNowMs;
+  writer_.Begin(aNowMs, state_.version_, std::move(object), aActions);
+}
+
+void GroupController::WriteNewGroup(TimeMs aNowMs, Actions& aActions)
+{
+  std::vector<BackendServerRecord> live;
+  std::ranges::copy_if(servers_,
+                       std::back_inserter(live),
+                       [](const auto& aServer) { return !aServer.draining_; });
+  if (live.empty()) {
+    return;
+  }
+  GroupObject object;
+  object.table_ = NewGroupTable(
+    options_.service_, options_.group_, std::move(live), options_.slices_);
+  object.table_.assigner_ = options_.instance_;
+  object.table_.deputy_ = ChooseDeputy(aNowMs, options_.instance_);
+  pendingPredecessorEndMs_ = 0;
+  writeTriedMs_ = aNowMs;
+  writer_.Begin(aNowMs, kNoVersion, std::move(object), aActions);
+}
+
+bool GroupController::IsSeen(TimeMs aNowMs, const std::string& aInstance) const
+{
+  const auto seen = seenMs_.find(aInstance);
+  return seen != seenMs_.end() &&
+         aNowMs - seen->second <= timing::kThirdInstanceMs;
+}
+
+std::string GroupController::ChooseDeputy(TimeMs aNowMs,
+                                          const std::string& aAssigner) const
+{
+  const auto item = Concat(options_.service_, ".", options_.group_);
+  const auto own =
+    std::ranges::find(candidates_, aAssigner, &CandidateRecord::id_);
+  const auto domain = own == candidates_.end() ? "" : own->failureDomain_;
+  // The one that this term begins because of is the last choice.
+  const auto& table = state_.Table();
+  const bool deputyLost =
+    role_ == GroupRole::Assigner && state_.authority_.IsDeputySilent(aNowMs);
+  const auto isLost = [&](const std::string& aId) {
+    return (deputyLost && aId == table.deputy_) ||
+           (role_ != GroupRole::Assigner && aId == table.assigner_);
+  };
+  std::string best;
+  std::tuple<bool, bool, bool, uint64_t> bestRank;
+  for (const auto& candidate : candidates_) {
+    // An instance that is handing over does not come back as deputy.
+    if (candidate.id_ == aAssigner ||
+        (stopping_ && candidate.id_ == options_.instance_)) {
+      continue;
+    }
+    const std::tuple<bool, bool, bool, uint64_t> rank = {
+      !isLost(candidate.id_),
+      IsSeen(aNowMs, candidate.id_),
+      candidate.failureDomain_ != domain,
+      RendezvousScore(item, candidate.id_)
+    };
+    if (best.empty() || rank > bestRank) {
+      best = candidate.id_;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+int GroupController::Rank(TimeMs aNowMs) const
+{
+  const auto item = Concat(options_.service_, ".", options_.group_);
+  const auto own = RendezvousScore(item, options_.instance_);
+  const auto& table = state_.Table();
+  return static_cast<int>(
+    std::ranges::count_if(candidates_, [&](const auto& aCandidate) {
+      return aCandidate.id_ != options_.instance_ &&
+             aCandidate.id_ != table.assigner_ &&
+             aCandidate.id_ != table.deputy_ &&
+             RendezvousScore(item, aCandidate.id_) > own &&
+             (state_.version_ == 0 || IsSeen(aNowMs, aCandidate.id_));
+    }));
+}
+
+}
--- /dev/null
+++ b/control/Messages.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "common/EnumNames.hpp"
+#include "control/GroupObject.hpp"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cactuspitch {
+
+/// Hashes from begin_ to end_, both inclusive, held under one epoch.
+struct HeldRange
+{
+  KeyHash begin_ = 0;
+  KeyHash end_ = 0;
+  Epoch epoch_ = 0;
+
+  bool operator==(const HeldRange&) const = default;
+};
+
+/// Order to a backend server (docs/design.md, section 7.2).
+struct ServerOrder
+{
+  int64_t id_ = 0; ///< matches the reply; not sent
+  std::string server_;
+  std::string address_;
+  Term term_ = 0;
+  int64_t sequence_ = 0;
+  std::string incarnation_; ///< empty: report only
+  TimeMs validUntilMs_ = 0; ///< in the backend server's clock
+  std::vector<HeldRange> add_;
+  bool full_ = false;
+};
+
+/// Answer of a backend server to an order.
+struct ServerReply
+{
+  int64_t id_ = 0;
+  std::string server_;
+  bool accepted_ = false;
+  std::string incarnation_;
+  TimeMs clockMs_ = 0;
+  /// End of its lease in its own clock, 0 when it does not tell.
+  TimeMs validUntilMs_ = 0;
+  Term term_ = 0;
+  int64_t sequence_ = 0;
+  std::vector<HeldRange> held_;
+  bool draining_ = false;
+};
+
+/// Question of the assigner to its deputy.
+struct PeerQuestion
+{
+  int64_t id_ = 0; ///< matches the answer; not sent
+  std::string from_;
+  std::string to_;
+  Term term_ = 0;
+  bool storeReachable_ = true;
+  bool arm_ = false;
+  std::vector<std::string> stopRenewing_;
+};
+
+struct PeerAnswer
+{
+  int64_t id_ = 0;
+  bool granted_ = false;
+  Term term_ = 0;
+  bool armed_ = false;
+  bool storeReachable_ = true;
+  std::vector<std::string> stoppedRenewing_;
+};
+
+enum class WriteResult : uint8_t
+{
+  Written,
+  Conflict,
+  NotSent,
+  Unknown,
+  Count
+};
+
+template<>
+struct EnumNames<WriteResult>
+{
+  static constexpr std::string_view kNames[] = { "written",
+                                                 "conflict",
+                                                 "not-sent",
+                                                 "unknown" };
+};
+
+/// Conditional update of the group object.
+struct WriteGroup
+{
+  int64_t expectedVersion_ = 0;
+  GroupObject object_;
+};
+
+/// Read of the group object, to resolve an unknown or conflicting write.
+struct ReadGroup
+{};
+
+/// An ownership change, for logs and the status page.
+struct MoveRecord
+{
+  TimeMs atMs_ = 0;
+  KeyHash begin_ = 0;
+  Epoch epoch_ = 0;
+  std::string from_;
+  std::string to_;
+  std::string reason_;
+};
+
+using Action =
+  std::variant<ServerOrder, PeerQuestion, WriteGroup, ReadGroup, MoveRecord>;
+using Actions = std::vector<Action>;
+
+}
--- /dev/null
+++ b/control/RecordPlanner.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "control/GroupState.hpp"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cactuspitch {
+
+/// Composes the next record of the group: confirmed promotions, standbys,
+/// splits, merges and the list of backend servers.
+class RecordPlanner
+{
+public:
+  explicit RecordPlanner(GroupState& aState)
+    : state_(aState)
+  {
+  }
+
+  void RequestSplit(KeyHash aHash) { splits_.insert(aHash); }
+  void RequestMerge(KeyHash aBegin) { merges_.insert(aBegin); }
+  /// Servers of the platform's list. A server that is missing there stays
+  /// until it owns nothing; the list lags and is only a hint.
+  void SetPlatformServers(std::vector<BackendServerRecord> aServers);
+  /// The stored record with all changes that are due.
+  GroupTable Next(TimeMs aNowMs);
+
+private:
+  void UpdateServers(GroupTable& aTable) const;
+  void UpdateSlices(GroupTable& aTable, TimeMs aNowMs) const;
+  void UpdateSlice(const SliceState& aSlice,
+                   SliceRecord& aRecord,
+                   TimeMs aNowMs) const;
+  bool IsLost(int32_t aServer, TimeMs aNowMs) const;
+  int32_t ChooseStandby(const SliceState& aSlice,
+                        int32_t aOwner,
+                        TimeMs aNowMs) const;
+  void ApplySplits(GroupTable& aTable);
+  void ApplyMerges(GroupTable& aTable);
+  void DropUnused(GroupTable& aTable) const;
+  bool IsQuiet(KeyHash aBegin) const;
+
+  GroupState& state_;
+  std::vector<BackendServerRecord> platform_;
+  std::set<KeyHash> splits_;
+  std::set<KeyHash> merges_;
+  mutable std::vector<int> standbyCount_;
+};
+
+/// A record for a new group: equal slices, spread over the servers.
+GroupTable NewGroupTable(const std::string& aService,
+                         int32_t aGroup,
+                         std::vector<BackendServerRecord> aServers,
+                         size_t aSlices);
+
+}
--- /dev/null
+++ b/control/ServerLease.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "control/Messages.hpp"
+#include "control/Timing.hpp"
+
+#include <vector>
+
+namespace cactuspitch {
+
+/// What the assigner knows about one backend server: its clock, incarnation,
+/// reported slices, and until when it may act on a lease. All times without
+/// other mention are local.
+class ServerLease
+{
+public:
+  /// Forgets the fence, and the report unless it is kept.
+  void BeginTerm(TimeMs aNowMs, bool aKeepsReport);
+  /// Registers an order that extends the lease; returns its validUntilMs.
+  TimeMs Extend();
+  /// aSequence is 0 for a report order, which changes nothing.
+  void NoteSent(int64_t aOrderId, int64_t aSequence, TimeMs aNowMs);
+  /// False when the reply is older than what is already known.
+  /// A reply of aTerm shows that the server is fenced to it.
+  bool OnReply(const ServerReply& aReply, Term aTerm, TimeMs aNowMs);
+  /// Nothing listens: the process is gone.
+  void OnRefused(int64_t aOrderId, TimeMs aNowMs);
+
+  bool IsAwaiting(TimeMs aNowMs) const;
+  bool IsSilent(TimeMs aNowMs) const;
+  bool HasAnswered() const { return answeredMs_ > 0; }
+  /// Answered an order of the current term, so a checking server refuses
+  /// orders of earlier terms.
+  bool IsFenced() const { return fencedMs_ > 0; }
+  TimeMs FencedMs() const { return fencedMs_; }
+  bool IsGone() const { return gone_; }
+  TimeMs GoneMs() const { return goneMs_; }
+  /// No lease given by this process can still be valid.
+  bool OwnLeaseEnded(TimeMs aNowMs) const;
+  /// The report that is known was asked for at this time.
+  TimeMs ReportAskedMs() const { return reportAskedMs_; }
+  bool ReportsValidLease() const { return reportValid_; }
+  /// The report covers the range with epochs up to aMax, in full.
+  bool ReportsAll(KeyHash aBegin, KeyHash aEnd, Epoch aMax) const;
+  /// The report has a part of the range with at least this epoch.
+  bool ReportsAny(KeyHash aBegin, KeyHash aEnd, Epoch aMin) const;
+  const std::string& Incarnation() const { return incarnation_; }
+  /// Newest order, apart from reports, that the server has accepted.
+  int64_t AcceptedSequence() const { return acceptedSequence_; }
+  /// Sequence that the server last told.
+  int64_t ReportedSequence() const { return reportedSequence_; }
+  /// Orders after aSequence no longer have a slice that the server held.
+  void NoteLoss(int64_t aSequence) { lossSequence_ = aSequence + 1; }
+  /// Its set is the current one, so renewing whatever it holds is safe.
+  bool IsSetCurrent() const { return acceptedSequence_ >= lossSequence_; }
+  bool IsDraining() const { return draining_; }
+  TimeMs SentMs() const { return sentMs_; }
+  TimeMs AnsweredMs() const { return answeredMs_; }
+
+private:
+  std::string incarnation_;
+  std::vector<HeldRange> held_;
+  struct Outstanding
+  {
+    int64_t id_ = 0;
+    int64_t sequence_ = 0;
+    TimeMs sentMs_ = 0;
+  };
+  std::vector<Outstanding> outstanding_;
+  TimeMs stampMs_ = 0; ///< newest clock of the server
+  TimeMs stampReceivedMs_ = 0;
+  TimeMs leaseEndMs_ = 0; ///< bound of all leases given by this process
+  TimeMs answeredMs_ = 0;
+  TimeMs fencedMs_ = 0;
+  TimeMs reportAskedMs_ = 0;
+  TimeMs sentMs_ = -timing::kNever;
+  TimeMs sinceMs_ = 0;      ///< silence is judged from here
+  TimeMs unansweredMs_ = 0; ///< first order since the last answer
+  TimeMs goneMs_ = 0;
+  int64_t newestReply_ = 0;
+  int64_t acceptedSequence_ = 0;
+  int64_t reportedSequence_ = 0;
+  int64_t lossSequence_ = 1;
+  bool reportValid_ = false;
+  bool gone_ = false;
+  bool draining_ = false;
+};
+
+}
--- /dev/null
+++ b/control/SliceMover.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "control/GroupState.hpp"
+#include "control/Messages.hpp"
+#include "control/OrderScheduler.hpp"
+
+namespace cactuspitch {
+
+/// Promotes recorded standbys: after the loss of a holder and for planned
+/// moves. Every change of owner goes through Promote().
+class SliceMover
+{
+public:
+  SliceMover(GroupState& aState, OrderScheduler& aOrders)
+    : state_(aState)
+    , orders_(aOrders)
+  {
+  }
+
+  void Step(TimeMs aNowMs, Actions& aActions);
+
+private:
+  void StepSlice(SliceState& aSlice, TimeMs aNowMs, Actions& aActions);
+  bool IsPromotable(const SliceState& aSlice, TimeMs aNowMs) const;
+  void BeginRelease(SliceState& aSlice);
+  void CancelRelease(SliceState& aSlice);
+  void Promote(SliceState& aSlice, TimeMs aNowMs, Actions& aActions);
+
+  GroupState& state_;
+  OrderScheduler& orders_;
+};
+
+}
--- /dev/null
+++ b/control/Timing.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "common/Types.hpp"
+
+namespace cactuspitch {
+
+/// Durations of the ownership protocol (docs/design.md, section 4).
+namespace timing {
+/// Lease of a backend server, counted from the stamp of its answer.
+inline constexpr TimeMs kLeaseMs = 1200;
+inline constexpr TimeMs kRenewMs = 300;
+/// A peer or backend server is silent this long after its last answer.
+inline constexpr TimeMs kSilentMs = 600;
+/// Right to renew, counted from the send time of an answered question.
+inline constexpr TimeMs kAuthorityMs = 600;
+inline constexpr TimeMs kViewLeaseMs = 1000;
+inline constexpr TimeMs kHeartbeatMs = 150;
+/// A third instance acts when assigner and deputy were silent this long.
+inline constexpr TimeMs kThirdInstanceMs = 2000;
+/// Delay between candidates, so that the highest ranked one acts first.
+inline constexpr TimeMs kCandidateStepMs = 400;
+/// An answer that takes longer is not waited for; the order is sent again.
+inline constexpr TimeMs kOrderTimeoutMs = 250;
+/// Reports are repeated this often while a new assigner learns who owns what.
+inline constexpr TimeMs kReportMs = 50;
+/// Longest wait for reports before a server is renewed without the slices
+/// that are still unresolved; its old lease ends soon after.
+inline constexpr TimeMs kResolveGraceMs = 400;
+inline constexpr TimeMs kNever = INT64_MAX / 4;
+}
+
+/// Longest local duration while another clock counts aMs; the rates of two
+/// clocks differ by 1% at most. Rounded up.
+constexpr TimeMs Stretch(TimeMs aMs)
+{
+  constexpr TimeMs kRatePercent = 101;
+  constexpr TimeMs kPercent = 100;
+  return (aMs * kRatePercent + kPercent - 1) / kPercent + 1;
+}
+
+}
