Add the stand-in backend server

Cause: ownership, routing and load control can only be tested against a server that takes fenced grants, sheds, drains, cancels and crashes as the platform's servers do.

Ruled out: a clock that all servers share, since an assigner that mixes clocks would pass the tests; each server adds an offset to its own clock. A separate count of control connections, since HttpServer cannot tell them apart before their first request; 16 are allowed beyond the limit.

Before: nothing to route to.

Conclusion: an order whose lease has already ended changes nothing and is refused with 409; a revoke waits up to 200 ms for running requests, and a request that is still running then fails at commit as not run.

--- a/common/HttpServer.cpp
+++ b/common/HttpServer.cpp
@@ -284,6 +284,8 @@
   mg_callbacks callbacks{};
   // CivetWeb would otherwise write its own messages to standard error.
   callbacks.log_message = [](const mg_connection*, const char*) { return 1; };
+  callbacks.init_connection = &HttpServer::OnConnect;
+  callbacks.connection_closed = &HttpServer::OnClosed;
   mg_init_library(0);
   char text[256] = "";
   mg_error_data error{};
@@ -331,6 +333,25 @@
   return true;
 }
 
+int HttpServer::OnConnect(const mg_connection* aConnection, void** aData)
+{
+  *aData = nullptr;
+  auto* server =
+    static_cast<HttpServer*>(mg_get_user_data(mg_get_context(aConnection)));
+  server->connections_.fetch_add(1, std::memory_order_relaxed);
+  if (server->options_.onConnect_) {
+    server->options_.onConnect_();
+  }
+  return 0;
+}
+
+void HttpServer::OnClosed(const mg_connection* aConnection)
+{
+  auto* server =
+    static_cast<HttpServer*>(mg_get_user_data(mg_get_context(aConnection)));
+  server->connections_.fetch_sub(1, std::memory_order_relaxed);
+}
+
 int HttpServer::OnRequest(mg_connection* aConnection, void* aServer)
 {
   return static_cast<HttpServer*>(aServer)->Handle(aConnection);
--- a/common/HttpServer.hpp
+++ b/common/HttpServer.hpp
@@ -84,6 +84,8 @@
   int threads_ = 64;
   int64_t requestTimeoutMs_ = 30000;
   int64_t keepAliveTimeoutMs_ = 60000;
+  /// Runs on the connection's thread before its first request; may be empty.
+  std::function<void()> onConnect_ = {};
 };
 
 /// HTTP server on CivetWeb. Malformed framing is refused with 400, a chunked
@@ -106,15 +108,23 @@
   /// Waits until no request is in flight; false on timeout.
   bool WaitIdle(TimeMs aTimeoutMs) const;
   int InFlight() const { return inFlight_.load(std::memory_order_relaxed); }
+  /// Open connections that have a thread.
+  int Connections() const
+  {
+    return connections_.load(std::memory_order_relaxed);
+  }
 
 private:
   static int OnRequest(mg_connection* aConnection, void* aServer);
+  static int OnConnect(const mg_connection* aConnection, void** aData);
+  static void OnClosed(const mg_connection* aConnection);
   int Handle(mg_connection* aConnection);
 
   HttpServerOptions options_;
   Handler handler_;
   void* context_ = nullptr;
   std::atomic<int> inFlight_ = 0;
+  std::atomic<int> connections_ = 0;
   std::atomic<bool> draining_ = false;
 };
 
--- /dev/null
+++ b/standin/StandinBackend.cpp
@@ -0,0 +1,445 @@
+#include "StandinBackend.hpp"
+
+#include "common/KeyHash.hpp"
+#include "common/Strings.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+
+#include <absl/strings/str_split.h>
+#include <unistd.h>
+
+namespace cactuspitch {
+
+namespace detail {
+
+/// Connections of assigners and tests, beyond those of routers.
+constexpr int kControlConnections = 16;
+constexpr size_t kMaxBodyBytes = 4 << 20;
+/// Longest wait for a slot without a deadline.
+constexpr TimeMs kMaxQueueMs = 1000;
+constexpr TimeMs kRevokeWaitMs = 200;
+/// A leaving server gets no new work after this time (requirement I6).
+constexpr TimeMs kLeaveMs = 3000;
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kServiceUnavailable = 503;
+constexpr int kCrashStatus = 134;
+constexpr std::string_view kPoison = "poison-marker";
+
+std::string NewIncarnation(const std::string& aId)
+{
+  return Concat(aId, "-", getpid(), "-", BootTimeUs());
+}
+
+}
+
+struct StandinBackend::Work
+{
+  std::string service_;
+  std::string key_;
+  std::string id_;
+  std::string method_;
+  KeyHash hash_ = 0;
+  Epoch epoch_ = 0;
+  bool isDirect_ = false;
+  TimeMs deadlineMs_ = INT64_MAX;
+  int64_t startUs_ = 0;
+  int64_t commitUs_ = 0;
+  uint64_t blobBytes_ = 0;
+  bool isBlob_ = false;
+  bool isPoison_ = false;
+  std::string body_;
+
+  bool Parse(HttpExchange& aExchange);
+};
+
+bool StandinBackend::Work::Parse(HttpExchange& aExchange)
+{
+  const std::vector<std::string> path =
+    absl::StrSplit(ToAbsl(aExchange.Path()), '/', absl::SkipEmpty());
+  auto body = aExchange.ReadBody(detail::kMaxBodyBytes);
+  if (path.size() < 2 || !body.ok()) {
+    return false;
+  }
+  body_ = *std::move(body);
+  service_ = path[0];
+  key_ = path[1];
+  hash_ = HashKey(key_);
+  method_ = aExchange.Method();
+  id_ = aExchange.Header(header::kRequestId);
+  isDirect_ = !ParseNumber(aExchange.Header(header::kSliceEpoch), epoch_);
+  ParseNumber(aExchange.Header(header::kDeadlineClockMs), deadlineMs_);
+  isBlob_ = path.size() > 2 && path[2] == "blob";
+  ParseNumber(aExchange.QueryValue("bytes"), blobBytes_);
+  isPoison_ = body_.find(detail::kPoison) != std::string::npos ||
+              aExchange.Path().find(detail::kPoison) != std::string::npos;
+  return true;
+}
+
+StandinBackend::StandinBackend(const Clock& aClock,
+                               StandinBackendOptions aOptions)
+  : clock_(aClock)
+  , options_(std::move(aOptions))
+  , incarnation_(detail::NewIncarnation(options_.id_))
+  , startMs_(aClock.NowMs())
+  , grants_(incarnation_, options_.checksFence_)
+  , slots_(options_.slots_, options_.queue_)
+  , history_(options_.id_, incarnation_, options_.history_)
+  , serviceUs_(options_.serviceUs_)
+  , server_({ .listen_ = options_.listen_,
+              .threads_ = options_.connections_ + detail::kControlConnections,
+              .onConnect_ =
+                [this] {
+                  std::this_thread::sleep_for(
+                    std::chrono::milliseconds(options_.connectCostMs_));
+                } },
+            [this](HttpExchange& aExchange) { Handle(aExchange); })
+{
+}
+
+StandinBackend::~StandinBackend()
+{
+  Stop();
+}
+
+absl::Status StandinBackend::Start()
+{
+  auto started = server_.Start();
+  if (started.ok()) {
+    platform_ = std::thread([this] { RunPlatform(); });
+  }
+  return started;
+}
+
+void StandinBackend::Stop()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  changed_.notify_all();
+  if (platform_.joinable()) {
+    platform_.join();
+  }
+  server_.Stop();
+}
+
+void StandinBackend::Handle(HttpExchange& aExchange)
+{
+  if (!HandleControl(aExchange)) {
+    HandleRequest(aExchange);
+  }
+}
+
+bool StandinBackend::HandleControl(HttpExchange& aExchange)
+{
+  const auto path = aExchange.Path();
+  if (!path.starts_with("/_")) {
+    return false;
+  }
+  if (path == "/_cactuspitch/grant") {
+    HandleGrant(aExchange);
+  } else if (path == "/_cactuspitch/health") {
+    aExchange.Respond(detail::kOk, Stamp(), Describe().dump());
+  } else if (path == "/_cactuspitch/cancel") {
+    Cancel(aExchange.QueryValue("id"));
+    aExchange.Respond(detail::kOk, Stamp(), {});
+  } else if (path == "/_health" || path == "/_ready") {
+    aExchange.Respond(detail::kOk, {}, "ok\n");
+  } else if (path == "/_history") {
+    aExchange.Respond(detail::kOk, {}, history_.Lines());
+  } else if (path == "/_stats") {
+    aExchange.Respond(detail::kOk, {}, Stats());
+  } else if (path == "/_drain") {
+    drainedAtMs_ = clock_.NowMs();
+    changed_.notify_all();
+    aExchange.Respond(detail::kOk, {}, {});
+  } else if (path == "/_fault") {
+    const auto body = aExchange.ReadBody(detail::kMaxBodyBytes);
+    const auto document =
+      nlohmann::json::parse(body.ok() ? *body : "", nullptr, false);
+    if (document.is_object()) {
+      Configure(document);
+    }
+    aExchange.Respond(
+      document.is_object() ? detail::kOk : detail::kBadRequest, {}, {});
+  } else {
+    aExchange.Respond(detail::kNotFound, {}, "no such resource\n");
+  }
+  return true;
+}
+
+void StandinBackend::HandleGrant(HttpExchange& aExchange)
+{
+  const auto body = aExchange.ReadBody(detail::kMaxBodyBytes);
+  const auto order =
+    nlohmann::json::parse(body.ok() ? *body : "", nullptr, false);
+  bool applied = false;
+  try {
+    applied = grants_.Apply(order, NowMs(), detail::kRevokeWaitMs);
+  } catch (const nlohmann::json::exception& failure) {
+    aExchange.Respond(
+      detail::kBadRequest, Stamp(), Concat(failure.what(), "\n"));
+    return;
+  }
+  aExchange.Respond(
+    applied ? detail::kOk : detail::kConflict, Stamp(), Describe().dump());
+}
+
+void StandinBackend::HandleRequest(HttpExchange& aExchange)
+{
+  Work work;
+  if (!work.Parse(aExchange)) {
+    aExchange.Respond(detail::kBadRequest, Stamp(), "/{service}/{key}\n");
+    return;
+  }
+  if (server_.Connections() >
+      options_.connections_ + detail::kControlConnections - 1) {
+    aExchange.CloseAfter();
+    Refuse(aExchange, NotRunReason::Busy);
+    return;
+  }
+  auto refusal = Admit(work);
+  if (!refusal) {
+    refusal = RunInSlot(aExchange, work);
+    if (!work.isDirect_) {
+      grants_.End(work.hash_, work.epoch_);
+    }
+  }
+  if (refusal) {
+    Refuse(aExchange, *refusal);
+  }
+}
+
+std::optional<NotRunReason> StandinBackend::Admit(Work& aWork)
+{
+  aWork.startUs_ = BootTimeUs();
+  const TimeMs now = NowMs();
+  if (now >= aWork.deadlineMs_) {
+    return NotRunReason::Deadline;
+  }
+  const TimeMs drainedAt = drainedAtMs_;
+  if (drainedAt > 0 && (grants_.HoldsNothing() ||
+                        clock_.NowMs() - drainedAt > detail::kLeaveMs)) {
+    return NotRunReason::Draining;
+  }
+  if (aWork.isDirect_) {
+    return options_.acceptsDirect_ ? std::nullopt
+                                   : std::optional(NotRunReason::NotOwner);
+  }
+  return grants_.Begin(aWork.hash_, aWork.epoch_, now);
+}
+
+std::optional<NotRunReason> StandinBackend::RunInSlot(HttpExchange& aExchange,
+                                                      Work& aWork)
+{
+  const TimeMs wait =
+    std::min(aWork.deadlineMs_ - NowMs(), detail::kMaxQueueMs);
+  switch (slots_.Enter(wait)) {
+    case SlotQueue::Entry::Full:
+      return NotRunReason::Busy;
+    case SlotQueue::Entry::TimedOut:
+      return NotRunReason::Deadline;
+    case SlotQueue::Entry::Slot:
+      break;
+  }
+  if (aWork.isPoison_) {
+    std::_Exit(detail::kCrashStatus);
+  }
+  std::optional<NotRunReason> refusal;
+  if (!Serve(aWork)) {
+    refusal = NotRunReason::Deadline;
+  } else {
+    // The request takes effect at this clock reading or not at all.
+    aWork.commitUs_ = BootTimeUs();
+    constexpr int64_t kUsPerMs = 1000;
+    const TimeMs now = aWork.commitUs_ / kUsPerMs + options_.clockOffsetMs_;
+    if (now >= aWork.deadlineMs_) {
+      refusal = NotRunReason::Deadline;
+    } else if (!aWork.isDirect_) {
+      refusal = grants_.Commit(aWork.hash_, aWork.epoch_, now);
+    }
+  }
+  if (!refusal) {
+    Answer(aExchange, aWork);
+  }
+  slots_.Leave();
+  return refusal;
+}
+
+bool StandinBackend::Serve(const Work& aWork)
+{
+  int64_t serviceUs = serviceUs_;
+  const TimeMs age = clock_.NowMs() - startMs_;
+  if (age < options_.coldStartMs_) {
+    const double left = 1.0 - static_cast<double>(age) / options_.coldStartMs_;
+    serviceUs = static_cast<int64_t>(
+      serviceUs * (1.0 + left * (options_.coldFactor_ - 1.0)));
+  }
+  if (serviceUs == 0) {
+    return true;
+  }
+  std::unique_lock lock(mutex_);
+  const auto entry = served_.emplace(aWork.id_, false);
+  changed_.wait_for(lock, std::chrono::microseconds(serviceUs), [&] {
+    return entry->second || stopping_;
+  });
+  const bool cancelled = entry->second;
+  served_.erase(entry);
+  return !cancelled;
+}
+
+void StandinBackend::Answer(HttpExchange& aExchange, const Work& aWork)
+{
+  executed_.fetch_add(1, std::memory_order_relaxed);
+  const TimeMs drainedAt = drainedAtMs_;
+  constexpr int64_t kUsPerMs = 1000;
+  if (drainedAt > 0 &&
+      aWork.startUs_ / kUsPerMs - drainedAt > detail::kLeaveMs) {
+    startedLate_.fetch_add(1, std::memory_order_relaxed);
+  }
+  const auto text = Concat(R"({"id":")",
+                           aWork.id_,
+                           R"(","key":")",
+                           aWork.key_,
+                           R"(","server":")",
+                           options_.id_,
+                           R"("})");
+  if (options_.keepsHistory_) {
+    history_.Record({ aWork.id_,
+                      aWork.method_,
+                      aWork.service_,
+                      aWork.key_,
+                      aWork.epoch_,
+                      aWork.startUs_,
+                      aWork.commitUs_,
+                      text });
+  }
+  if (aWork.isBlob_) {
+    SendBlob(aExchange, aWork.blobBytes_);
+  } else {
+    aExchange.Respond(detail::kOk, Stamp(), text);
+  }
+}
+
+void StandinBackend::SendBlob(HttpExchange& aExchange, uint64_t aBytes)
+{
+  constexpr size_t kPartBytes = 64 * 1024;
+  const std::string part(kPartBytes, 'b');
+  if (!aExchange.BeginAnswer(detail::kOk, Stamp(), aBytes)) {
+    return;
+  }
+  while (aBytes > 0) {
+    const auto size = std::min<uint64_t>(aBytes, part.size());
+    if (!aExchange.Write(std::string_view(part).substr(0, size))) {
+      return;
+    }
+    aBytes -= size;
+  }
+}
+
+void StandinBackend::Refuse(HttpExchange& aExchange, NotRunReason aReason)
+{
+  refused_[static_cast<size_t>(aReason)].fetch_add(1,
+                                                   std::memory_order_relaxed);
+  auto headers = Stamp();
+  headers.emplace_back(header::kNotRun, EnumName(aReason));
+  aExchange.Respond(detail::kServiceUnavailable, headers, {});
+}
+
+void StandinBackend::Cancel(const std::string& aId)
+{
+  {
+    const std::lock_guard lock(mutex_);
+    const auto [first, last] = served_.equal_range(aId);
+    std::for_each(first, last, [](auto& aEntry) { aEntry.second = true; });
+  }
+  changed_.notify_all();
+}
+
+void StandinBackend::Configure(const nlohmann::json& aDocument)
+{
+  serviceUs_ = aDocument.value("serviceUs", serviceUs_.load());
+  if (aDocument.contains("health")) {
+    load_.Configure(aDocument["health"]);
+  }
+}
+
+nlohmann::json StandinBackend::Describe() const
+{
+  auto answer = nlohmann::json::object();
+  grants_.Describe(answer);
+  answer["clockMs"] = NowMs();
+  answer["draining"] = drainedAtMs_ > 0;
+  answer["slots"] = options_.slots_;
+  load_.Describe(answer, clock_.NowMs());
+  return answer;
+}
+
+std::string StandinBackend::Stats() const
+{
+  nlohmann::json document = { { "executed", executed_.load() },
+                              { "startedLate", startedLate_.load() },
+                              { "connections", server_.Connections() } };
+  for (size_t reason = 0; reason < refused_.size(); ++reason) {
+    const auto name = EnumName(static_cast<NotRunReason>(reason));
+    document["refused"][std::string(name)] = refused_[reason].load();
+  }
+  return document.dump();
+}
+
+std::string StandinBackend::Registration() const
+{
+  const nlohmann::json document = {
+    { "id", options_.id_ },
+    { "service", options_.service_ },
+    { "address", options_.listen_ },
+    { "failureDomain", options_.failureDomain_ },
+    { "state", drainedAtMs_ > 0 ? "leaving" : "live" },
+    { "slots", options_.slots_ },
+    { "connections", options_.connections_ },
+    { "checksFence", options_.checksFence_ },
+  };
+  return document.dump();
+}
+
+HttpHeaders StandinBackend::Stamp() const
+{
+  return { { header::kClockMs, std::to_string(NowMs()) },
+           { header::kIncarnation, incarnation_ } };
+}
+
+/// Keeps the platform's list up to date and samples the load.
+void StandinBackend::RunPlatform()
+{
+  constexpr auto kInterval = std::chrono::milliseconds(50);
+  constexpr TimeMs kCallMs = 500;
+  HttpConnection store(clock_, options_.store_);
+  std::string registered;
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    lock.unlock();
+    const int running = slots_.Running();
+    load_.Add({ clock_.NowMs(),
+                running,
+                static_cast<double>(running) / options_.slots_ });
+    const auto wanted = Registration();
+    if (!options_.store_.empty() && registered != wanted) {
+      const auto answer = store.Exchange(
+        { "PUT", Concat("/_platform/server/", options_.id_), {}, wanted },
+        clock_.NowMs() + kCallMs,
+        detail::kMaxBodyBytes);
+      if (answer.ok() && answer->head_.status_ == detail::kOk) {
+        registered = wanted;
+      }
+    }
+    lock.lock();
+    changed_.wait_for(lock, kInterval, [this] { return stopping_; });
+  }
+}
+
+}
