--- /dev/null
+++ b/tests/LinkCutTest.cpp
@@ -0,0 +1,78 @@
+#include "standin/LinkCut.hpp"
+
+#include "common/HttpServer.hpp"
+#include "tests/ReservedPort.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cactuspitch {
+namespace {
+
+class LinkCutTest : public testing::Test
+{
+protected:
+  LinkCutTest()
+    : server_({ .listen_ = target_.Address(), .threads_ = 4 },
+              [this](HttpExchange& aExchange) {
+                ++requests_;
+                aExchange.Respond(200, {}, "ok");
+              })
+    , link_(listen_.Address(), target_.Address())
+    , connection_(clock_, listen_.Address())
+  {
+    EXPECT_TRUE(server_.Start().ok());
+    EXPECT_TRUE(link_.Start().ok());
+  }
+
+  absl::Status Call(HttpConnection& aConnection, TimeMs aTimeoutMs = 3000)
+  {
+    return aConnection
+      .Exchange({ "GET", "/", {}, {} }, clock_.NowMs() + aTimeoutMs, 100)
+      .status();
+  }
+
+  SteadyClock clock_;
+  ReservedPort target_;
+  ReservedPort listen_;
+  std::atomic<int> requests_ = 0;
+  HttpServer server_;
+  LinkCut link_;
+  HttpConnection connection_;
+};
+
+// Guards against a cut that ends connections: a real one is silent.
+TEST_F(LinkCutTest, CutIsSilentAndEnds)
+{
+  ASSERT_TRUE(Call(connection_).ok());
+  link_.SetMode(LinkMode::DropUp);
+  EXPECT_TRUE(absl::IsDeadlineExceeded(Call(connection_, 200)));
+  EXPECT_EQ(requests_, 1);
+  link_.SetMode(LinkMode::DropDown);
+  EXPECT_TRUE(absl::IsDeadlineExceeded(Call(connection_, 200)));
+  EXPECT_GE(requests_, 2);
+  link_.SetMode(LinkMode::Pass);
+  EXPECT_TRUE(Call(connection_).ok());
+}
+
+// Guards against a fault that also hits connections opened after it.
+TEST_F(LinkCutTest, OpenConnectionsGoSilentWhileNewOnesWork)
+{
+  ASSERT_TRUE(Call(connection_).ok());
+  link_.SilenceOpen();
+  HttpConnection second(clock_, listen_.Address());
+  EXPECT_TRUE(absl::IsDeadlineExceeded(Call(connection_, 200)));
+  EXPECT_TRUE(Call(second).ok());
+}
+
+// Guards against a refusal that looks like silence.
+TEST_F(LinkCutTest, RefusedLinkRefusesAtOnce)
+{
+  ASSERT_TRUE(Call(connection_).ok());
+  link_.SetMode(LinkMode::Refuse);
+  while (connection_.IsReusable()) {
+  }
+  EXPECT_TRUE(absl::IsUnavailable(Call(connection_)));
+}
+
+}
+}
