Add configuration changes by conditional update

Operators race each other, and the store can lose the answer of a write that it performed or perform a write long after its answer was due.

Each change names its base version and an id that is recorded in the document. After a lost answer the editor reads back: a recorded id means accepted, another version without it means refused. While the version is unchanged it repeats the same conditional write, so that a delayed first write can no longer succeed as well. Reading back alone was ruled out, since a delayed write can follow it.

--- /dev/null
+++ b/config/ConfigEditor.cpp
@@ -0,0 +1,184 @@
+#include "ConfigEditor.hpp"
+
+#include "common/Strings.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <random>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+namespace cactuspitch {
+
+namespace detail {
+
+bool IsTransient(const absl::Status& aStatus)
+{
+  return absl::IsUnavailable(aStatus) || absl::IsUnknown(aStatus) ||
+         absl::IsDeadlineExceeded(aStatus);
+}
+
+}
+
+ConfigEditor::ConfigEditor(ObjectStore& aStore,
+                           const Clock& aClock,
+                           UnixClock aUnixClock,
+                           std::string aWriter)
+  : store_(aStore)
+  , clock_(aClock)
+  , unixClock_(std::move(aUnixClock))
+  , writer_(std::move(aWriter))
+{
+}
+
+absl::StatusOr<StoredDocument> ConfigEditor::Read()
+{
+  const auto object = store_.Get(kConfigKind, kConfigName);
+  StoredDocument stored;
+  if (object.ok()) {
+    Findings findings;
+    auto document = ParseFleetDocument(object->value_, findings);
+    if (!document) {
+      return absl::InvalidArgumentError(findings.ToText());
+    }
+    stored = { std::move(*document), object->version_ };
+  } else if (!absl::IsNotFound(object.status())) {
+    return object.status();
+  }
+  const int64_t version = stored.document_.version_;
+  if (const int64_t largest = largestVersion_.load(); version < largest) {
+    return absl::FailedPreconditionError(Concat("the store has configuration ",
+                                                version,
+                                                ", but ",
+                                                largest,
+                                                " has been in force"));
+  }
+  NoteVersion(version);
+  return stored;
+}
+
+void ConfigEditor::NoteVersion(int64_t aVersion)
+{
+  int64_t largest = largestVersion_.load();
+  while (largest < aVersion &&
+         !largestVersion_.compare_exchange_weak(largest, aVersion)) {
+  }
+}
+
+std::string ConfigEditor::NextChangeId(int64_t aNumber) const
+{
+  return Concat(writer_, "/", aNumber);
+}
+
+void ConfigEditor::Pause(TimeMs aDeadlineMs) const
+{
+  // Racing editors of one fault must not meet again at the same moment.
+  constexpr TimeMs kMinPauseMs = 5;
+  constexpr TimeMs kMaxPauseMs = 40;
+  thread_local std::minstd_rand random{ std::random_device{}() };
+  const auto pause =
+    std::uniform_int_distribution<TimeMs>(kMinPauseMs, kMaxPauseMs)(random);
+  const auto left = std::max<TimeMs>(aDeadlineMs - clock_.NowMs(), 0);
+  std::this_thread::sleep_for(std::chrono::milliseconds(std::min(pause, left)));
+}
+
+ChangeResult ConfigEditor::Conflict(const FleetDocument& aDocument,
+                                    const ConfigChange& aChange,
+                                    bool aMayBeWritten) const
+{
+  ChangeResult result;
+  result.id_ = aChange.id_;
+  result.version_ = aDocument.version_;
+  std::ranges::copy_if(aDocument.changes_,
+                       std::back_inserter(result.since_),
+                       [&](const ChangeRecord& aRecord) {
+                         return aRecord.version_ > aChange.baseVersion_;
+                       });
+  result.isTruncated_ = aDocument.version_ - aChange.baseVersion_ >
+                        static_cast<int64_t>(result.since_.size());
+  // A change that may have been written is ruled out only when the recorded
+  // ids reach back to its base version.
+  result.outcome_ = aMayBeWritten && result.isTruncated_
+                      ? ChangeOutcome::Unknown
+                      : ChangeOutcome::Conflict;
+  result.error_ = Concat("made against version ",
+                         aChange.baseVersion_,
+                         ", the newest is ",
+                         aDocument.version_);
+  return result;
+}
+
+ChangeResult ConfigEditor::Submit(ConfigChange aChange, TimeMs aDeadlineMs)
+{
+  const int64_t number = ++changes_;
+  if (aChange.id_.empty()) {
+    aChange.id_ = NextChangeId(number);
+  }
+  const UnixMs nowMs = unixClock_();
+  ChangeResult result;
+  result.id_ = aChange.id_;
+  bool mayBeWritten = false;
+  for (; clock_.NowMs() < aDeadlineMs; Pause(aDeadlineMs)) {
+    const auto stored = Read();
+    if (!stored.ok()) {
+      result.error_ = std::string(ToStd(stored.status().message()));
+      if (detail::IsTransient(stored.status())) {
+        continue;
+      }
+      result.findings_.Add("store", "config/fleet", "", result.error_);
+      result.outcome_ =
+        mayBeWritten ? ChangeOutcome::Unknown : ChangeOutcome::Invalid;
+      return result;
+    }
+    const auto& document = stored->document_;
+    result.version_ = document.version_;
+    if (const auto* record = document.FindChange(aChange.id_)) {
+      result.outcome_ = ChangeOutcome::Accepted;
+      result.version_ = record->version_;
+      return result;
+    }
+    if (document.version_ != aChange.baseVersion_) {
+      return Conflict(document, aChange, mayBeWritten);
+    }
+    auto next = ApplyChange(document, aChange, nowMs, result.findings_);
+    if (!next) {
+      result.outcome_ = ChangeOutcome::Invalid;
+      return result;
+    }
+    next->writer_ = writer_;
+    next->change_ = number;
+    const auto text = ToJson(*next).dump();
+    if (text.size() > kMaxDocumentBytes) {
+      result.findings_.Add("document",
+                           "size",
+                           Concat(text.size()),
+                           Concat("at most ", kMaxDocumentBytes, " B"));
+      result.outcome_ = ChangeOutcome::Invalid;
+      return result;
+    }
+    // The same version is expected on every attempt. A write that is still on
+    // its way after a lost answer therefore fails once another one succeeded.
+    const auto put =
+      store_.Put(kConfigKind, kConfigName, stored->storeVersion_, text);
+    if (put.ok()) {
+      NoteVersion(next->version_);
+      result.outcome_ = ChangeOutcome::Accepted;
+      result.version_ = next->version_;
+      return result;
+    }
+    result.error_ = std::string(ToStd(put.status().message()));
+    mayBeWritten = mayBeWritten || absl::IsUnknown(put.status()) ||
+                   absl::IsDeadlineExceeded(put.status());
+    if (!detail::IsTransient(put.status()) &&
+        !absl::IsFailedPrecondition(put.status())) {
+      break;
+    }
+  }
+  result.outcome_ =
+    mayBeWritten ? ChangeOutcome::Unknown : ChangeOutcome::Unavailable;
+  return result;
+}
+
+}
--- /dev/null
+++ b/config/ConfigEditor.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "ConfigChange.hpp"
+#include "common/Clock.hpp"
+#include "common/EnumNames.hpp"
+#include "store/ObjectStore.hpp"
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+namespace cactuspitch {
+
+inline constexpr const char kConfigKind[] = "config";
+inline constexpr const char kConfigName[] = "fleet";
+
+enum class ChangeOutcome : uint8_t
+{
+  Accepted,
+  Conflict,    ///< the base version is not the newest; nothing was changed
+  Invalid,     ///< refused with findings; nothing was changed
+  Unavailable, ///< the store did not get the change; nothing was changed
+  Unknown,     ///< the change may take effect; ask again with its id
+  Count
+};
+
+template<>
+struct EnumNames<ChangeOutcome>
+{
+  static constexpr std::string_view kNames[] = {
+    "accepted", "conflict", "invalid", "unavailable", "unknown",
+  };
+};
+
+struct ChangeResult
+{
+  ChangeOutcome outcome_ = ChangeOutcome::Unavailable;
+  std::string id_;
+  /// Version that holds the change when accepted, otherwise the newest known.
+  int64_t version_ = 0;
+  Findings findings_;
+  /// On a conflict, what was changed since the base version.
+  std::vector<ChangeRecord> since_;
+  /// True when since_ does not reach back to the base version.
+  bool isTruncated_ = false;
+  std::string error_;
+};
+
+/// Object `config/fleet` as read from the store.
+struct StoredDocument
+{
+  FleetDocument document_;
+  int64_t storeVersion_ = kMustNotExist;
+};
+
+/// Reads and changes the configuration. Every change is one conditional
+/// update; a lost answer is resolved by reading the recorded change ids back.
+/// May be used by several threads if the store may.
+class ConfigEditor
+{
+public:
+  using UnixClock = std::function<UnixMs()>;
+
+  /// aWriter must differ between all processes and runs.
+  ConfigEditor(ObjectStore& aStore,
+               const Clock& aClock,
+               UnixClock aUnixClock,
+               std::string aWriter);
+
+  /// Built-in defaults with version 0 when nothing was ever stored.
+  /// InvalidArgument: the stored text is malformed. FailedPrecondition: the
+  /// store returned an older version than one that was seen before.
+  absl::StatusOr<StoredDocument> Read();
+
+  ChangeResult Submit(ConfigChange aChange, TimeMs aDeadlineMs);
+
+  /// Takes notice of a version that other processes have in force, so that an
+  /// older or missing object is not taken for the newest.
+  void NoteVersion(int64_t aVersion);
+
+private:
+  std::string NextChangeId(int64_t aNumber) const;
+  ChangeResult Conflict(const FleetDocument& aDocument,
+                        const ConfigChange& aChange,
+                        bool aMayBeWritten) const;
+  void Pause(TimeMs aDeadlineMs) const;
+
+  ObjectStore& store_;
+  const Clock& clock_;
+  UnixClock unixClock_;
+  std::string writer_;
+  std::atomic<int64_t> changes_ = 0;
+  std::atomic<int64_t> largestVersion_ = 0;
+};
+
+}
