--- /dev/null
+++ b/admin/ApiServer.cpp
@@ -0,0 +1,173 @@
+#include "ApiServer.hpp"
+
+#include "common/Strings.hpp"
+#include "config/ConfigChange.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace cactuspitch {
+
+namespace detail {
+
+constexpr TimeMs kStopTimeoutMs = 5000;
+constexpr int kThreads = 32;
+/// Shorter than usual, since every open connection holds a thread.
+constexpr int64_t kKeepAliveMs = 5000;
+
+ApiResponse Refusal(int aStatus,
+                    std::string aField,
+                    std::string_view aValue,
+                    std::string aRule)
+{
+  Findings findings;
+  findings.Add(
+    "request", std::move(aField), std::string(aValue), std::move(aRule));
+  return FindingsAnswer(aStatus, findings);
+}
+
+}
+
+nlohmann::json ToJson(const Findings& aFindings)
+{
+  auto list = nlohmann::json::array();
+  for (const auto& finding : aFindings.All()) {
+    list.push_back({ { "object", finding.object_ },
+                     { "field", finding.field_ },
+                     { "value", finding.value_ },
+                     { "rule", finding.rule_ } });
+  }
+  return list;
+}
+
+ApiResponse JsonAnswer(int aStatus, const nlohmann::json& aBody)
+{
+  return {
+    aStatus,
+    aBody.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"
+  };
+}
+
+ApiResponse FindingsAnswer(int aStatus, const Findings& aFindings)
+{
+  return JsonAnswer(aStatus, { { "findings", ToJson(aFindings) } });
+}
+
+bool EqualsInConstantTime(std::string_view aExpected, std::string_view aGiven)
+{
+  // Every byte of aGiven is compared, so an attacker learns nothing about how
+  // many leading bytes are right.
+  unsigned difference = aExpected.size() == aGiven.size() ? 0U : 1U;
+  for (size_t i = 0; i < aGiven.size(); ++i) {
+    const auto expected =
+      aExpected.empty() ? '\0' : aExpected[i % aExpected.size()];
+    difference |= static_cast<unsigned char>(aGiven[i] ^ expected);
+  }
+  return difference == 0;
+}
+
+bool IsLoopback(std::string_view aAddress)
+{
+  return aAddress.starts_with("127.") || aAddress.starts_with("[::1]:");
+}
+
+ApiServer::ApiServer(ApiServerOptions aOptions,
+                     std::vector<ApiRoute> aRoutes,
+                     MetricsRegistry& aMetrics,
+                     std::function<bool()> aIsReady)
+  : options_(std::move(aOptions))
+  , routes_(std::move(aRoutes))
+  , metrics_(aMetrics)
+  , isReady_(std::move(aIsReady))
+  , server_({ .listen_ = options_.listen_,
+              .threads_ = detail::kThreads,
+              .keepAliveTimeoutMs_ = detail::kKeepAliveMs },
+            [this](HttpExchange& aExchange) { Handle(aExchange); })
+{
+}
+
+void ApiServer::Stop()
+{
+  server_.BeginDrain();
+  server_.WaitIdle(detail::kStopTimeoutMs);
+  server_.Stop();
+}
+
+void ApiServer::Handle(HttpExchange& aExchange)
+{
+  const auto answer = Answer(aExchange);
+  metrics_
+    .GetCounter("cactuspitch_admin_requests_total",
+                { { "status", std::to_string(answer.status_) } })
+    .Add();
+  HttpHeaders headers = { { "Content-Type", answer.contentType_ },
+                          { "Cache-Control", "no-store" } };
+  constexpr int kUnauthorized = 401;
+  if (answer.status_ == kUnauthorized) {
+    headers.emplace_back("WWW-Authenticate", "Bearer");
+  }
+  aExchange.Respond(answer.status_, headers, answer.body_);
+}
+
+ApiResponse ApiServer::AnswerProbe(std::string_view aPath) const
+{
+  if (aPath == "/_metrics") {
+    return { 200, metrics_.ToPrometheus(), "text/plain; version=0.0.4" };
+  }
+  const bool good = aPath == "/_health" || isReady_();
+  return { good ? 200 : 503, good ? "ok\n" : "not ready\n", "text/plain" };
+}
+
+bool ApiServer::IsAuthorized(const HttpExchange& aExchange) const
+{
+  if (options_.token_.empty()) {
+    return true;
+  }
+  constexpr std::string_view kScheme = "Bearer ";
+  const auto header = aExchange.Header("Authorization");
+  return header.size() > kScheme.size() &&
+         EqualsIgnoreCase(header.substr(0, kScheme.size()), kScheme) &&
+         EqualsInConstantTime(options_.token_, header.substr(kScheme.size()));
+}
+
+ApiResponse ApiServer::Answer(HttpExchange& aExchange)
+{
+  const auto path = aExchange.Path();
+  const auto method = aExchange.Method();
+  if (method == "GET" &&
+      (path == "/_health" || path == "/_ready" || path == "/_metrics")) {
+    return AnswerProbe(path);
+  }
+  if (!IsAuthorized(aExchange)) {
+    return detail::Refusal(
+      401, "Authorization", "", "expected the bearer token");
+  }
+  const auto hasPath = [&](const ApiRoute& aRoute) {
+    return aRoute.path_ == path;
+  };
+  if (std::ranges::none_of(routes_, hasPath)) {
+    return detail::Refusal(404, "path", path, "no such resource");
+  }
+  const auto route = std::ranges::find_if(routes_, [&](const ApiRoute& aRoute) {
+    return hasPath(aRoute) && aRoute.method_ == method;
+  });
+  if (route == routes_.end()) {
+    return detail::Refusal(
+      405, "method", method, "not a method of this resource");
+  }
+  const size_t limit = method == "GET" ? 0 : kMaxChangeBytes;
+  auto body = aExchange.ReadBody(limit);
+  if (!body.ok()) {
+    return detail::Refusal(absl::IsOutOfRange(body.status()) ? 413 : 400,
+                           "body",
+                           Concat(aExchange.ContentLength()),
+                           Concat("at most ", limit, " B, complete"));
+  }
+  ApiRequest request;
+  request.query_ = std::string(aExchange.Query());
+  request.body_ = std::move(*body);
+  return route->handler_(request);
+}
+
+}
