Add the counters and the arithmetic of the SLO burn report

Minute counters of routers must survive replaced routers and admin processes without being counted twice, and no lock service chooses the writer.

Counts of one router run only grow, so merging keeps the larger count of each cell: a write that is repeated, doubled or done by two processes gives the same result. Adding differences was ruled out, because a lost answer leaves open whether they were added. Rendezvous rank chooses the writer; lower ranks step in when no save is seen.

--- /dev/null
+++ b/admin/SloCollector.cpp
@@ -0,0 +1,126 @@
+#include "SloCollector.hpp"
+
+#include "common/Log.hpp"
+
+#include <algorithm>
+
+namespace cactuspitch {
+
+namespace detail {
+
+constexpr int64_t kMsPerUnixMinute = 60000;
+constexpr TimeMs kTakeOverMs = 40000;
+constexpr TimeMs kSaveTimeoutMs = 8000;
+/// Processes of a higher rank never write; the list of instances would have to
+/// name this many dead ones first.
+constexpr int kWriterRanks = 8;
+
+}
+
+SloCollector::SloCollector(InstanceDirectory& aDirectory,
+                           FleetClient& aFleet,
+                           SloArchive& aArchive,
+                           MetricsRegistry& aMetrics,
+                           const Clock& aClock,
+                           std::function<int64_t()> aUnixClock,
+                           SloCollectorOptions aOptions)
+  : directory_(aDirectory)
+  , fleet_(aFleet)
+  , archive_(aArchive)
+  , saves_(aMetrics.GetCounter("cactuspitch_slo_saves_total"))
+  , failures_(aMetrics.GetCounter("cactuspitch_slo_save_failures_total"))
+  , clock_(aClock)
+  , unixClock_(std::move(aUnixClock))
+  , options_(std::move(aOptions))
+{
+}
+
+SloCollector::~SloCollector()
+{
+  Stop();
+}
+
+void SloCollector::Start()
+{
+  thread_ = std::thread([this] {
+    std::unique_lock lock(mutex_);
+    const auto interval = std::chrono::milliseconds(options_.intervalMs_);
+    while (!wake_.wait_for(lock, interval, [this] { return stopping_; })) {
+      lock.unlock();
+      RunOnce();
+      lock.lock();
+    }
+  });
+}
+
+void SloCollector::Stop()
+{
+  if (!thread_.joinable()) {
+    return;
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_all();
+  thread_.join();
+  // A planned stop saves the running minute.
+  RunOnce();
+}
+
+void SloCollector::RunOnce()
+{
+  if (IsTurn()) {
+    Collect();
+  }
+}
+
+bool SloCollector::IsTurn()
+{
+  const int rank = directory_.Rank("slo", options_.instance_);
+  if (rank <= 0) {
+    // A process that the lagging list does not hold yet waits as well.
+    return rank == 0;
+  }
+  if (rank >= detail::kWriterRanks) {
+    return false;
+  }
+  const auto version = archive_.NewestVersion(unixClock_());
+  const auto nowMs = clock_.NowMs();
+  if (!version.ok() || *version != seenVersion_) {
+    seenVersion_ = version.value_or(seenVersion_);
+    seenMs_ = nowMs;
+    return false;
+  }
+  return nowMs - seenMs_ > rank * detail::kTakeOverMs;
+}
+
+void SloCollector::Collect()
+{
+  const auto nowMs = unixClock_();
+  const auto minute = nowMs / detail::kMsPerUnixMinute;
+  const auto since =
+    std::max(savedMinute_ - kOpenMinutes, minute - kMergeMinutes);
+  const auto deadlineMs = clock_.NowMs() + detail::kSaveTimeoutMs;
+  const auto saved = archive_.Save(fleet_.SloSamples(since), nowMs, deadlineMs);
+  if (!saved.ok()) {
+    failures_.Add();
+    Log(LogLevel::Warning,
+        "burn report counters not saved",
+        { { "reason", saved.message() } });
+    return;
+  }
+  saves_.Add();
+  savedMinute_ = minute;
+  const auto hour = minute / kMinutesPerHour;
+  if (hour == compactedHour_) {
+    return;
+  }
+  const auto compacted =
+    archive_.Compact(nowMs, clock_.NowMs() + detail::kSaveTimeoutMs);
+  if (compacted.ok()) {
+    compactedHour_ = hour;
+  }
+}
+
+}
--- /dev/null
+++ b/admin/SloReport.cpp
@@ -0,0 +1,278 @@
+#include "SloReport.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+namespace cactuspitch {
+
+namespace detail {
+
+constexpr int64_t kMsPerMinute = 60000;
+constexpr int64_t kSeriesMinutes = 360;
+constexpr int64_t kSeriesStep = 5;
+constexpr size_t kMaxContributions = 10;
+constexpr double kPercent = 100.0;
+
+struct WindowSpec
+{
+  const char* name_;
+  int64_t minutes_;
+  bool byMinute_; ///< from the minutes, otherwise from the hours
+};
+
+constexpr WindowSpec kWindows[] = {
+  { "5m", 5, true },       { "30m", 30, true },    { "1h", 60, true },
+  { "6h", 360, true },     { "24h", 1440, false }, { "3d", 4320, false },
+  { "30d", 43200, false },
+};
+
+/// One objective of one service over the cells.
+class Objective
+{
+public:
+  Objective(std::string aService, bool aIsLatency, double aTargetPercent)
+    : service_(std::move(aService))
+    , isLatency_(aIsLatency)
+    , allowed_((kPercent - aTargetPercent) / kPercent)
+  {
+  }
+
+  bool Counts(const SloKey& aKey) const
+  {
+    return aKey.service_ == service_ &&
+           (!isLatency_ || aKey.cause_.empty() || aKey.cause_ == kSlowCause);
+  }
+
+  bool IsBad(const SloKey& aKey) const
+  {
+    return isLatency_ ? aKey.cause_ == kSlowCause
+                      : !aKey.cause_.empty() && aKey.cause_ != kSlowCause;
+  }
+
+  void Add(const SloCells& aCells, SloRatio& aRatio) const
+  {
+    for (const auto& [key, requests] : aCells) {
+      if (Counts(key)) {
+        aRatio.total_ += requests;
+        aRatio.bad_ += IsBad(key) ? requests : 0;
+      }
+    }
+  }
+
+  /// Over the slots from aFrom to aEnd, without aEnd.
+  SloRatio Ratio(const std::map<int64_t, SloCells>& aSlots,
+                 int64_t aFrom,
+                 int64_t aEnd) const
+  {
+    SloRatio ratio;
+    const auto end = aSlots.lower_bound(aEnd);
+    for (auto it = aSlots.lower_bound(aFrom); it != end; ++it) {
+      Add(it->second, ratio);
+    }
+    return ratio;
+  }
+
+  double Burn(const SloRatio& aRatio) const
+  {
+    return aRatio.total_ == 0 ? 0
+                              : static_cast<double>(aRatio.bad_) /
+                                  static_cast<double>(aRatio.total_) / allowed_;
+  }
+
+private:
+  std::string service_;
+  bool isLatency_;
+  double allowed_;
+};
+
+const SloWindow& FindWindow(const SloObjective& aObjective,
+                            std::string_view aName)
+{
+  return *std::ranges::find(aObjective.windows_, aName, &SloWindow::name_);
+}
+
+bool IsAlert(const SloObjective& aObjective, const SloAlertRule& aRule)
+{
+  return FindWindow(aObjective, aRule.longWindow_).burn_ >= aRule.burn_ &&
+         FindWindow(aObjective, aRule.shortWindow_).burn_ >= aRule.burn_;
+}
+
+std::vector<SloContribution> FindContributions(const SloHistory& aHistory,
+                                               const Objective& aObjective,
+                                               int64_t aFromMinute)
+{
+  SloCells bad;
+  int64_t total = 0;
+  for (auto it = aHistory.hours_.lower_bound(aFromMinute);
+       it != aHistory.hours_.end();
+       ++it) {
+    for (const auto& [key, requests] : it->second) {
+      if (aObjective.Counts(key) && aObjective.IsBad(key)) {
+        bad[key] += requests;
+        total += requests;
+      }
+    }
+  }
+  std::vector<SloContribution> parts;
+  for (const auto& [key, requests] : bad) {
+    parts.push_back(
+      { key.cause_,
+        key.server_,
+        key.failureDomain_,
+        requests,
+        static_cast<double>(requests) / static_cast<double>(total) });
+  }
+  std::ranges::sort(parts, std::ranges::greater{}, &SloContribution::requests_);
+  parts.resize(std::min(parts.size(), kMaxContributions));
+  return parts;
+}
+
+/// Budget of a period is its allowed share of the period's requests, which is
+/// known only at the end; until then it is that of the requests so far.
+std::vector<SloPoint> BudgetSeries(const SloHistory& aHistory,
+                                   const Objective& aObjective,
+                                   int64_t aFromMinute)
+{
+  const auto whole = aObjective.Ratio(aHistory.hours_, aFromMinute, INT64_MAX);
+  std::vector<SloPoint> series;
+  SloRatio sum;
+  for (auto it = aHistory.hours_.lower_bound(aFromMinute);
+       it != aHistory.hours_.end();
+       ++it) {
+    aObjective.Add(it->second, sum);
+    const SloRatio spent{ whole.total_, sum.bad_ };
+    series.push_back(
+      { it->first + kMinutesPerHour, 1 - aObjective.Burn(spent) });
+  }
+  return series;
+}
+
+SloObjective MakeObjective(const SloHistory& aHistory,
+                           const std::string& aService,
+                           const ServiceRules& aRules,
+                           bool aIsLatency,
+                           int64_t aNowMinute)
+{
+  SloObjective result;
+  result.service_ = aService;
+  result.name_ = aIsLatency ? "latency" : "availability";
+  result.targetPercent_ =
+    aIsLatency ? aRules.latencyPercent_ : aRules.availabilityPercent_;
+  result.latencyMs_ = aIsLatency ? aRules.latencyMs_ : 0;
+  const Objective objective(aService, aIsLatency, result.targetPercent_);
+  for (const auto& spec : kWindows) {
+    // The current minute is incomplete but already part of every window.
+    const auto from = aNowMinute + 1 - spec.minutes_;
+    const auto ratio = objective.Ratio(
+      spec.byMinute_ ? aHistory.minutes_ : aHistory.hours_, from, INT64_MAX);
+    result.windows_.push_back(
+      { spec.name_, spec.minutes_, ratio, objective.Burn(ratio) });
+  }
+  result.budgetLeft_ = 1 - result.windows_.back().burn_;
+  result.fastBurn_ = IsAlert(result, kFastBurn);
+  result.slowBurn_ = IsAlert(result, kSlowBurn);
+  result.contributions_ =
+    FindContributions(aHistory, objective, aNowMinute + 1 - kMinutesPerDay);
+  for (auto minute = aNowMinute + 1 - kSeriesMinutes; minute <= aNowMinute;
+       minute += kSeriesStep) {
+    const auto ratio =
+      objective.Ratio(aHistory.minutes_, minute, minute + kSeriesStep);
+    result.burnSeries_.push_back({ minute, objective.Burn(ratio) });
+  }
+  result.budgetSeries_ = BudgetSeries(
+    aHistory, objective, aNowMinute + 1 - kSloPeriodDays * kMinutesPerDay);
+  return result;
+}
+
+nlohmann::json ToJson(const std::vector<SloPoint>& aSeries)
+{
+  auto list = nlohmann::json::array();
+  for (const auto& point : aSeries) {
+    list.push_back({ point.minute_, point.value_ });
+  }
+  return list;
+}
+
+nlohmann::json ToJson(const SloObjective& aObjective)
+{
+  auto windows = nlohmann::json::array();
+  for (const auto& window : aObjective.windows_) {
+    windows.push_back({ { "window", window.name_ },
+                        { "requests", window.ratio_.total_ },
+                        { "bad", window.ratio_.bad_ },
+                        { "burn", window.burn_ } });
+  }
+  auto parts = nlohmann::json::array();
+  for (const auto& part : aObjective.contributions_) {
+    parts.push_back({ { "cause", part.cause_ },
+                      { "server", part.server_ },
+                      { "failureDomain", part.failureDomain_ },
+                      { "requests", part.requests_ },
+                      { "shareOfBad", part.shareOfBad_ } });
+  }
+  return { { "service", aObjective.service_ },
+           { "objective", aObjective.name_ },
+           { "targetPercent", aObjective.targetPercent_ },
+           { "latencyMs", aObjective.latencyMs_ },
+           { "budgetLeft", aObjective.budgetLeft_ },
+           { "fastBurn", aObjective.fastBurn_ },
+           { "slowBurn", aObjective.slowBurn_ },
+           { "windows", std::move(windows) },
+           { "causes", std::move(parts) },
+           { "burnSeries", ToJson(aObjective.burnSeries_) },
+           { "budgetSeries", ToJson(aObjective.budgetSeries_) } };
+}
+
+}
+
+SloReport MakeSloReport(const SloHistory& aHistory,
+                        const std::map<std::string, ServiceRules>& aRules,
+                        const ServiceRules& aDefaults,
+                        int64_t aNowMs)
+{
+  std::set<std::string> services;
+  for (const auto& [service, rules] : aRules) {
+    services.insert(service);
+  }
+  for (const auto* slots : { &aHistory.hours_, &aHistory.minutes_ }) {
+    for (const auto& [slot, cells] : *slots) {
+      for (const auto& [key, requests] : cells) {
+        services.insert(key.service_);
+      }
+    }
+  }
+  SloReport report;
+  report.nowMs_ = aNowMs;
+  report.savedMs_ = aHistory.savedMs_;
+  for (const auto& service : services) {
+    const auto found = aRules.find(service);
+    const auto& rules = found == aRules.end() ? aDefaults : found->second;
+    for (const bool isLatency : { false, true }) {
+      report.objectives_.push_back(detail::MakeObjective(
+        aHistory, service, rules, isLatency, aNowMs / detail::kMsPerMinute));
+    }
+  }
+  return report;
+}
+
+nlohmann::json ToJson(const SloReport& aReport)
+{
+  auto objectives = nlohmann::json::array();
+  for (const auto& objective : aReport.objectives_) {
+    objectives.push_back(detail::ToJson(objective));
+  }
+  return {
+    { "now", aReport.nowMs_ },
+    { "saved", aReport.savedMs_ },
+    { "periodDays", kSloPeriodDays },
+    { "accuracy",
+      "A replaced router or admin process loses at most the last unsaved "
+      "minute. Nothing is counted twice; a router started twice within 30 s "
+      "is counted too low." },
+    { "objectives", std::move(objectives) },
+  };
+}
+
+}
--- /dev/null
+++ b/tests/SloTest.cpp
@@ -0,0 +1,191 @@
+#include "FaultyStore.hpp"
+#include "admin/SloPage.hpp"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cactuspitch {
+namespace {
+
+constexpr int64_t kMsPerMinute = 60000;
+/// Some minute at the begin of an hour and of a day.
+constexpr int64_t kFirst = kMinutesPerDay * 20000;
+constexpr TimeMs kLimitMs = 5000;
+
+SloKey Key(std::string aCause)
+{
+  return { "registry-query", std::move(aCause), "s1", "giza-a" };
+}
+
+SloSample Sample(std::string aInstance,
+                 int64_t aStartMs,
+                 const std::map<int64_t, int64_t>& aMinutes)
+{
+  SloSample sample{ std::move(aInstance), aStartMs, {} };
+  for (const auto& [minute, requests] : aMinutes) {
+    sample.minutes_[minute][Key("overload")] = requests;
+  }
+  return sample;
+}
+
+class SloArchiveTest : public testing::Test
+{
+protected:
+  absl::Status Save(SloArchive& aArchive,
+                    const std::vector<SloSample>& aSamples,
+                    int64_t aMinute)
+  {
+    return aArchive.Save(
+      aSamples, aMinute * kMsPerMinute, clock_.NowMs() + kLimitMs);
+  }
+
+  int64_t Count(int64_t aMinute)
+  {
+    SloArchive reader(store_, clock_);
+    const auto history = reader.Load((aMinute + 1) * kMsPerMinute);
+    return history.ok() ? history->minutes_.at(aMinute).at(Key("overload"))
+                        : -1;
+  }
+
+  SteadyClock clock_;
+  FaultyStore store_;
+};
+
+// Guards against counts that are lost or doubled when two admin processes save
+// different states of the same routers over a store that loses answers.
+RC_GTEST_FIXTURE_PROP(SloArchiveTest, ConcurrentWritersCountOnce, ())
+{
+  store_.SetFaults(
+    { .unavailable_ = 5, .lostAnswer_ = 20, .delayedWrite_ = 20 });
+  SloArchive left(store_, clock_);
+  SloArchive right(store_, clock_);
+  int64_t largest[2] = {};
+  const int rounds = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < rounds; ++i) {
+    auto& archive = *rc::gen::arbitrary<bool>() ? left : right;
+    const int router = *rc::gen::inRange(0, 2);
+    // An older answer may be saved after a newer one.
+    const auto requests = *rc::gen::inRange<int64_t>(1, 1000);
+    largest[router] = std::max(largest[router], requests);
+    RC_ASSERT(
+      Save(archive,
+           { Sample(router == 0 ? "a" : "b", 0, { { kFirst, requests } }) },
+           kFirst)
+        .ok());
+  }
+  store_.SetFaults({});
+  RC_ASSERT(Count(kFirst) == largest[0] + largest[1]);
+}
+
+// Guards against losing what a replaced router counted, and against counting a
+// run twice when admin processes work out start times that differ a little.
+TEST_F(SloArchiveTest, ReplacedRouterKeepsItsCounts)
+{
+  SloArchive archive(store_, clock_);
+  SloArchive other(store_, clock_);
+  ASSERT_TRUE(
+    Save(archive, { Sample("a", 0, { { kFirst, 10 } }) }, kFirst).ok());
+  ASSERT_TRUE(
+    Save(other, { Sample("a", 900, { { kFirst, 12 } }) }, kFirst).ok());
+  EXPECT_EQ(Count(kFirst), 12);
+  ASSERT_TRUE(
+    Save(archive, { Sample("a", 50000, { { kFirst, 3 } }) }, kFirst).ok());
+  EXPECT_EQ(Count(kFirst), 15);
+}
+
+// Guards against minutes that change after the report has used them, and
+// against losing those that no process saved in time.
+TEST_F(SloArchiveTest, ClosedMinutesStayAndUnsavedOnesAreRecovered)
+{
+  SloArchive archive(store_, clock_);
+  const auto late = kFirst + kOpenMinutes + 2;
+  ASSERT_TRUE(
+    Save(archive, { Sample("a", 0, { { kFirst, 10 } }) }, kFirst).ok());
+  ASSERT_TRUE(Save(archive, {}, late).ok());
+  SloArchive replacement(store_, clock_);
+  ASSERT_TRUE(Save(replacement,
+                   { Sample("a", 0, { { kFirst, 99 }, { kFirst + 1, 7 } }) },
+                   late)
+                .ok());
+  EXPECT_EQ(Count(kFirst + 1), 7);
+  SloArchive reader(store_, clock_);
+  const auto history = reader.Load(late * kMsPerMinute);
+  EXPECT_EQ(history->minutes_.at(kFirst).at(Key("overload")), 10);
+}
+
+// Guards against hours that are folded twice or not at all, and against
+// objects that are kept for ever.
+TEST_F(SloArchiveTest, HoursAreFoldedIntoDaysOnce)
+{
+  SloArchive archive(store_, clock_);
+  ASSERT_TRUE(
+    Save(archive, { Sample("a", 0, { { kFirst, 10 } }) }, kFirst).ok());
+  const auto compact = [&](SloArchive& aArchive, int64_t aMinute) {
+    return aArchive.Compact(aMinute * kMsPerMinute, clock_.NowMs() + kLimitMs);
+  };
+  const auto nextDay = kFirst + kMinutesPerDay;
+  ASSERT_TRUE(compact(archive, nextDay).ok());
+  SloArchive other(store_, clock_);
+  ASSERT_TRUE(compact(other, nextDay + 1).ok());
+  const auto history = archive.Load(nextDay * kMsPerMinute);
+  EXPECT_EQ(history->hours_.at(kFirst).at(Key("overload")), 10);
+  ASSERT_TRUE(compact(other, kFirst + 3 * kMinutesPerDay).ok());
+  ASSERT_EQ(store_.List(kSloKind)->size(), 1u);
+  ASSERT_TRUE(compact(other, kFirst + 40 * kMinutesPerDay).ok());
+  EXPECT_TRUE(store_.List(kSloKind)->empty());
+}
+
+// Guards against a burn rate, budget or alert that disagrees with the
+// definition: missed share over allowed share.
+TEST(SloReport, ArithmeticFollowsTheDefinition)
+{
+  SloHistory history;
+  const auto now = kFirst + 600;
+  for (auto minute = now - 29; minute <= now; ++minute) {
+    history.minutes_[minute] = { { Key(""), 950 },
+                                 { Key("slow"), 30 },
+                                 { Key("overload"), 20 } };
+    AddCells(history.hours_[minute / 60 * 60], history.minutes_[minute]);
+  }
+  const auto report = MakeSloReport(
+    history, { { "idle", {} } }, ServiceRules(), now * kMsPerMinute);
+  ASSERT_EQ(report.objectives_.size(), 4u);
+  EXPECT_EQ(report.objectives_[0].service_, "idle");
+  EXPECT_EQ(report.objectives_[0].budgetLeft_, 1);
+  const auto& availability = report.objectives_[2];
+  // 2% missed, 0.1% allowed.
+  EXPECT_NEAR(availability.windows_[0].burn_, 20, 1e-9);
+  EXPECT_EQ(availability.windows_[0].ratio_.total_, 5000);
+  EXPECT_EQ(availability.windows_[2].ratio_.total_, 30000);
+  EXPECT_NEAR(availability.budgetLeft_, -19, 1e-9);
+  EXPECT_TRUE(availability.fastBurn_);
+  EXPECT_TRUE(availability.slowBurn_);
+  ASSERT_EQ(availability.contributions_.size(), 1u);
+  EXPECT_EQ(availability.contributions_[0].cause_, "overload");
+  EXPECT_EQ(availability.contributions_[0].shareOfBad_, 1);
+  EXPECT_NEAR(availability.burnSeries_.back().value_, 20, 1e-9);
+  const auto& latency = report.objectives_[3];
+  // 30 of 980 complete answers were slow, 1% allowed.
+  EXPECT_NEAR(latency.windows_[0].burn_, 30.0 / 980 / 0.01, 1e-9);
+  EXPECT_FALSE(latency.fastBurn_);
+}
+
+// Guards against script in the page from a name that a caller chose, and
+// against references that need another resource.
+TEST(SloPage, NamesAreEscapedAndThePageIsSelfContained)
+{
+  SloHistory history;
+  history.minutes_[kFirst] = { { { "<script>", "x\"y", "", "" }, 1 } };
+  history.hours_ = history.minutes_;
+  const auto page = RenderSloPage(
+    MakeSloReport(history, {}, ServiceRules(), kFirst * kMsPerMinute));
+  EXPECT_EQ(page.find("<script"), std::string::npos);
+  EXPECT_NE(page.find("&lt;script&gt;"), std::string::npos);
+  EXPECT_NE(page.find("<svg"), std::string::npos);
+  EXPECT_EQ(page.find("http"), std::string::npos);
+}
+
+}
+}
