Add cactuspitch-admin

Operators need to see what the fleet does: versions in force and who lags, owners with epoch, slices, moves, measures, quarantined requests and the burn report.

Moves come from the tables that the process follows, so it knows nothing from before its start and says so (since is null). Strategy names are limited to the registered ones: an unknown name would only fail in the assigners and routers.

--- /dev/null
+++ b/admin/AdminProcess.cpp
@@ -0,0 +1,188 @@
+#include "AdminProcess.hpp"
+
+#include "common/Log.hpp"
+#include "common/Strings.hpp"
+
+#include <chrono>
+#include <random>
+
+#include <thrift/TOutput.h>
+
+namespace cactuspitch {
+
+namespace detail {
+
+constexpr auto kFollowInterval = std::chrono::milliseconds(100);
+
+/// Differs between all runs, so that change ids never repeat.
+std::string MakeWriterName(const std::string& aInstance)
+{
+  std::random_device random;
+  const auto high = static_cast<uint64_t>(random()) << 32U;
+  return Concat(aInstance, ".", absl::Hex(high | random()));
+}
+
+template<typename T>
+void Extend(std::vector<T>& aList, std::vector<T> aMore)
+{
+  std::move(aMore.begin(), aMore.end(), std::back_inserter(aList));
+}
+
+}
+
+std::vector<SettingSpec> AdminSettings()
+{
+  return {
+    { "instance", SettingType::Text, "", "Id of this entry instance.", true },
+    { "failure-domain",
+      SettingType::Text,
+      "",
+      "Failure domain of this instance.",
+      true },
+    { "listen",
+      SettingType::Address,
+      "",
+      "Address of the administration API (HTTP).",
+      true },
+    { "store", SettingType::Address, "", "Address of the object store.", true },
+    { "assigners",
+      SettingType::AddressList,
+      "",
+      "Thrift addresses of some assigners, to find the others.",
+      true },
+    { "auth-token",
+      SettingType::Text,
+      "",
+      "Bearer token that the API asks for; required beyond loopback." },
+    { "slo-interval-ms",
+      SettingType::Integer,
+      "15000",
+      "Interval at which the burn report's counters are saved.",
+      false,
+      1000,
+      60000 },
+    { "log-level",
+      SettingType::Text,
+      "info",
+      "debug, info, warning or error." },
+  };
+}
+
+void CheckAdminSettings(const Settings& aSettings, Findings& aFindings)
+{
+  const auto listen = aSettings.Text("listen");
+  const auto token = aSettings.Text("auth-token");
+  if (!IsLoopback(listen) && token.empty()) {
+    aFindings.Add("settings",
+                  "listen",
+                  listen,
+                  "an address beyond loopback needs auth-token");
+  }
+  constexpr size_t kMinTokenBytes = 16;
+  if (!token.empty() && token.size() < kMinTokenBytes) {
+    aFindings.Add("settings", "auth-token", "(hidden)", "at least 16 B");
+  }
+  if (!ParseEnum<LogLevel>(aSettings.Text("log-level"))) {
+    aFindings.Add("settings",
+                  "log-level",
+                  aSettings.Text("log-level"),
+                  "expected debug, info, warning or error");
+  }
+}
+
+AdminProcess::AdminProcess(const Clock& aClock, AdminOptions aOptions)
+  : clock_(aClock)
+  , options_(std::move(aOptions))
+  , store_(aClock, { .address_ = options_.store_ })
+  , follower_(aClock,
+              { .instance_ = options_.instance_,
+                .role_ = "admin",
+                .assigners_ = options_.assigners_ })
+  , directory_(store_, aClock)
+  , fleet_(directory_, &AdminProcess::UnixNowMs)
+  , editor_(store_,
+            aClock,
+            &AdminProcess::UnixNowMs,
+            detail::MakeWriterName(options_.instance_))
+  , archive_(store_, aClock)
+  , collector_(directory_,
+               fleet_,
+               archive_,
+               metrics_,
+               aClock,
+               &AdminProcess::UnixNowMs,
+               { options_.instance_, options_.sloIntervalMs_ })
+  , rulesApi_(editor_, aClock, &AdminProcess::UnixNowMs)
+  , fleetApi_(editor_,
+              fleet_,
+              follower_,
+              moves_,
+              aClock,
+              &AdminProcess::UnixNowMs,
+              options_.instance_)
+  , sloApi_(editor_, archive_, follower_, &AdminProcess::UnixNowMs)
+  , server_({ options_.listen_, options_.token_ },
+            AllRoutes(),
+            metrics_,
+            [this] { return !stopping_.load(); })
+{
+}
+
+AdminProcess::~AdminProcess()
+{
+  Stop();
+}
+
+int64_t AdminProcess::UnixNowMs()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+std::vector<ApiRoute> AdminProcess::AllRoutes()
+{
+  auto routes = rulesApi_.Routes();
+  detail::Extend(routes, fleetApi_.Routes());
+  detail::Extend(routes, sloApi_.Routes());
+  return routes;
+}
+
+absl::Status AdminProcess::Start()
+{
+  // Thrift otherwise prints every refused connection to standard error.
+  apache::thrift::GlobalOutput.setOutputFunction([](const char*) {});
+  auto started = server_.Start();
+  if (!started.ok()) {
+    return started;
+  }
+  follower_.Start();
+  collector_.Start();
+  followThread_ = std::thread([this] { Follow(); });
+  return absl::OkStatus();
+}
+
+void AdminProcess::Follow()
+{
+  while (!stopping_.load()) {
+    for (const auto& followed : follower_.Tables()) {
+      moves_.Observe(followed->table_, UnixNowMs());
+    }
+    if (const auto config = follower_.Config()) {
+      editor_.NoteVersion(config->version_);
+    }
+    std::this_thread::sleep_for(detail::kFollowInterval);
+  }
+}
+
+void AdminProcess::Stop()
+{
+  if (stopping_.exchange(true) || !followThread_.joinable()) {
+    return;
+  }
+  server_.Stop();
+  followThread_.join();
+  collector_.Stop();
+  follower_.Stop();
+}
+
+}
--- a/admin/ApiServer.cpp
+++ b/admin/ApiServer.cpp
@@ -1,9 +1,11 @@
 #include "ApiServer.hpp"
 
+#include "common/Log.hpp"
 #include "common/Strings.hpp"
 #include "config/ConfigChange.hpp"
 
 #include <algorithm>
+#include <exception>
 
 #include <nlohmann/json.hpp>
 
@@ -96,7 +98,14 @@
 
 void ApiServer::Handle(HttpExchange& aExchange)
 {
-  const auto answer = Answer(aExchange);
+  ApiResponse answer;
+  try {
+    answer = Answer(aExchange);
+  } catch (const std::exception& failure) {
+    // CivetWeb is C code, which an exception must not cross.
+    Log(LogLevel::Error, "request failed", { { "reason", failure.what() } });
+    answer = detail::Refusal(500, "path", aExchange.Path(), "internal error");
+  }
   metrics_
     .GetCounter("cactuspitch_admin_requests_total",
                 { { "status", std::to_string(answer.status_) } })
--- /dev/null
+++ b/admin/FleetApi.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "ApiServer.hpp"
+#include "FleetClient.hpp"
+#include "MoveLog.hpp"
+#include "config/ConfigEditor.hpp"
+#include "rpc/TableFollower.hpp"
+
+#include <vector>
+
+namespace cactuspitch {
+
+/// Routes for what the fleet does: versions in force, owners, slices, moves,
+/// measures and quarantined requests.
+class FleetApi
+{
+public:
+  FleetApi(ConfigEditor& aEditor,
+           FleetClient& aFleet,
+           const TableFollower& aFollower,
+           const MoveLog& aMoves,
+           const Clock& aClock,
+           ConfigEditor::UnixClock aUnixClock,
+           std::string aInstance);
+
+  std::vector<ApiRoute> Routes();
+
+private:
+  using Handler = ApiResponse (FleetApi::*)(ApiRequest&);
+
+  ApiResponse ShowVersions(ApiRequest& aRequest);
+  ApiResponse Wait(ApiRequest& aRequest);
+  ApiResponse ShowOwner(ApiRequest& aRequest);
+  ApiResponse ShowSlices(ApiRequest& aRequest);
+  ApiResponse ShowMoves(ApiRequest& aRequest);
+  ApiResponse ShowMeasures(ApiRequest& aRequest);
+  ApiResponse ListQuarantine(ApiRequest& aRequest);
+  ApiResponse ReleaseQuarantine(ApiRequest& aRequest);
+
+  /// Tables of the service, of all when empty.
+  std::vector<std::shared_ptr<const FollowedTable>> Tables(
+    const std::string& aService) const;
+  /// Newest version that the store or any process knows.
+  int64_t NewestVersion(const std::vector<PeerStatus>& aStatuses);
+
+  ConfigEditor& editor_;
+  FleetClient& fleet_;
+  const TableFollower& follower_;
+  const MoveLog& moves_;
+  const Clock& clock_;
+  ConfigEditor::UnixClock unixClock_;
+  std::string instance_;
+};
+
+}
--- a/admin/RulesApi.cpp
+++ b/admin/RulesApi.cpp
@@ -34,6 +34,8 @@
     if (!std::holds_alternative<std::string ServiceRules::*>(field.member_)) {
       entry["min"] = field.min_;
       entry["max"] = field.max_;
+    } else {
+      entry["choices"] = field.choices_;
     }
     list.push_back(std::move(entry));
   }
--- a/admin/SloArchive.cpp
+++ b/admin/SloArchive.cpp
@@ -174,7 +174,7 @@
   counts.sources_["hour"] = hour->Total();
   counts.Close();
   const auto first = aHour * kMinutesPerHour;
-  const auto changed =
+  auto changed =
     Change(detail::DayName(first / kMinutesPerDay),
            aNowMs,
            aDeadlineMs,
--- a/config/ConfigChange.cpp
+++ b/config/ConfigChange.cpp
@@ -21,7 +21,7 @@
     const auto* field = FindRuleField(name);
     if (!field) {
       aFindings.Add("defaults",
-                    ValueText(nlohmann::json(name)),
+                    name.substr(0, kMaxChangeIdBytes),
                     ValueText(member),
                     "unknown field");
       continue;
--- a/config/RuleField.cpp
+++ b/config/RuleField.cpp
@@ -3,9 +3,10 @@
 #include "common/Strings.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <string>
+#include <vector>
 
-#include <absl/strings/ascii.h>
+#include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 
 namespace cactuspitch {
@@ -17,7 +18,6 @@
                             ScopeBit(ScopeDimension::Server);
 constexpr uint8_t kAny = kServer | ScopeBit(ScopeDimension::Key);
 constexpr double kDayMs = 86400000;
-constexpr size_t kMaxNameBytes = 32;
 
 const RuleField kFields[] = {
   { "defaultDeadlineMs",
@@ -82,14 +82,16 @@
     0,
     "name",
     "Admission control strategy.",
-    kService },
+    kService,
+    "adaptive,static" },
   { "balancingPolicy",
     &ServiceRules::balancingPolicy_,
     0,
     0,
     "name",
     "Balancing strategy.",
-    kService },
+    kService,
+    "load-per-key" },
   { "churnPercentPerMinute",
     &ServiceRules::churnPercentPerMinute_,
     0,
@@ -155,13 +157,11 @@
   { "stopBelowPercent", "actAbovePercent", true },
 };
 
-bool IsStrategyName(const std::string& aText)
+bool IsChoice(std::string_view aChoices, const std::string& aText)
 {
-  return !aText.empty() && aText.size() <= kMaxNameBytes &&
-         std::ranges::all_of(aText, [](unsigned char aByte) {
-           return absl::ascii_islower(aByte) || absl::ascii_isdigit(aByte) ||
-                  aByte == '-';
-         });
+  const std::vector<std::string> choices =
+    absl::StrSplit(ToAbsl(aChoices), ',');
+  return std::ranges::find(choices, aText) != choices.end();
 }
 
 std::optional<int64_t> AsInteger(const nlohmann::json& aValue)
@@ -227,8 +227,8 @@
   };
   if (std::holds_alternative<std::string ServiceRules::*>(member_)) {
     if (!aValue.is_string() ||
-        !detail::IsStrategyName(aValue.get_ref<const std::string&>())) {
-      return refuse("expected a name of at most 32 of a-z, 0-9 and -");
+        !detail::IsChoice(choices_, aValue.get_ref<const std::string&>())) {
+      return refuse(Concat("expected one of ", choices_));
     }
     return aValue.get<std::string>();
   }
--- a/config/RuleField.hpp
+++ b/config/RuleField.hpp
@@ -31,6 +31,8 @@
   std::string_view help_;
   /// Dimensions that an exception for this field may name.
   uint8_t scopes_ = 0;
+  /// Names that a text field accepts, comma separated.
+  std::string_view choices_ = {};
 
   RuleValue Get(const ServiceRules& aRules) const;
   /// aValue must come from Parse() or Get() of the same field.
--- a/config/RuleScope.hpp
+++ b/config/RuleScope.hpp
@@ -36,10 +36,10 @@
 /// name means any in a scope, and unknown in a target.
 struct RuleScope
 {
-  std::string service_;
-  std::string failureDomain_;
-  std::string server_;
-  std::string key_;
+  std::string service_{};
+  std::string failureDomain_{};
+  std::string server_{};
+  std::string key_{};
 
   bool operator==(const RuleScope&) const = default;
 
