Add cactuspitch-ctl

Operators work from a shell and from scripts, so every subcommand prints text or the API's JSON, and the exit status tells refused, conflict, unknown outcome and unreachable apart.

A change carries an id made by the client and is sent again with it when the answer is lost: the admin process recognises it, so a repeat cannot apply it twice.

--- /dev/null
+++ b/ctl/ApiClient.cpp
@@ -0,0 +1,67 @@
+#include "ApiClient.hpp"
+
+#include "common/HttpConnection.hpp"
+#include "common/Strings.hpp"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_format.h>
+
+namespace cactuspitch {
+
+ApiClient::ApiClient(const Clock& aClock, ApiClientOptions aOptions)
+  : clock_(aClock)
+  , options_(std::move(aOptions))
+{
+}
+
+absl::StatusOr<ApiAnswer> ApiClient::Get(const std::string& aTarget) const
+{
+  return Call("GET", aTarget, {});
+}
+
+absl::StatusOr<ApiAnswer> ApiClient::Post(const std::string& aTarget,
+                                          const nlohmann::json& aBody) const
+{
+  return Call(
+    "POST",
+    aTarget,
+    aBody.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+absl::StatusOr<ApiAnswer> ApiClient::Call(const std::string& aMethod,
+                                          const std::string& aTarget,
+                                          const std::string& aBody) const
+{
+  constexpr size_t kMaxAnswerBytes = 64 * 1024 * 1024;
+  HttpHeaders headers = { { "Content-Type", "application/json" } };
+  if (!options_.token_.empty()) {
+    headers.emplace_back("Authorization", Concat("Bearer ", options_.token_));
+  }
+  HttpConnection connection(clock_, options_.address_);
+  const auto response =
+    connection.Exchange({ aMethod, aTarget, headers, aBody },
+                        clock_.NowMs() + options_.timeoutMs_,
+                        kMaxAnswerBytes);
+  if (!response.ok()) {
+    return response.status();
+  }
+  return ApiAnswer{ response->head_.status_,
+                    nlohmann::json::parse(response->body_, nullptr, false),
+                    response->body_ };
+}
+
+std::string EncodeQuery(std::string_view aText)
+{
+  std::string result;
+  for (const unsigned char byte : aText) {
+    if (absl::ascii_isalnum(byte) || byte == '-' || byte == '.' ||
+        byte == '_') {
+      result += static_cast<char>(byte);
+    } else {
+      absl::StrAppendFormat(&result, "%%%02X", static_cast<unsigned>(byte));
+    }
+  }
+  return result;
+}
+
+}
--- /dev/null
+++ b/ctl/Commands.cpp
@@ -0,0 +1,274 @@
+#include "Commands.hpp"
+
+#include "TextOutput.hpp"
+#include "common/Strings.hpp"
+
+#include <fstream>
+#include <ostream>
+#include <random>
+
+namespace cactuspitch {
+
+namespace detail {
+
+/// Query of the read-only subcommands: flag names and parameter names.
+constexpr std::pair<const char*, const char*> kParameters[] = {
+  { "service", "service" },      { "failure-domain", "failureDomain" },
+  { "server", "server" },        { "key", "key" },
+  { "since", "since" },          { "version", "version" },
+  { "offset", "offset" },        { "limit", "limit" },
+  { "timeout-ms", "timeoutMs" },
+};
+
+std::string Target(const std::string& aPath, const CtlArguments& aArguments)
+{
+  auto target = Concat("/v1/", aPath);
+  char separator = '?';
+  for (const auto& [flag, parameter] : kParameters) {
+    const auto value = aArguments.Value(flag);
+    if (!value.empty()) {
+      AppendTo(
+        target, std::string(1, separator), parameter, "=", EncodeQuery(value));
+      separator = '&';
+    }
+  }
+  return target;
+}
+
+std::string MakeChangeId()
+{
+  std::random_device random;
+  const auto high = static_cast<uint64_t>(random()) << 32U;
+  return Concat("ctl-", absl::Hex(high | random()));
+}
+
+/// Numbers stay numbers; everything else is text.
+nlohmann::json ParseValue(const std::string& aText)
+{
+  auto parsed = nlohmann::json::parse(aText, nullptr, false);
+  return parsed.is_number() ? parsed : nlohmann::json(aText);
+}
+
+bool IsChange(const CtlArguments& aArguments)
+{
+  const std::string name = aArguments.command_->name_;
+  return name == "preview" || !aArguments.Values("set").empty() ||
+         !aArguments.Values("add").empty() ||
+         !aArguments.Values("retire").empty();
+}
+
+CtlExit ExitOf(const ApiAnswer& aAnswer)
+{
+  constexpr int kConflict = 409;
+  constexpr int kUnavailable = 503;
+  constexpr int kGatewayTimeout = 504;
+  constexpr int kFirstError = 400;
+  constexpr int kFirstServerError = 500;
+  if (aAnswer.status_ == kConflict) {
+    return CtlExit::Conflict;
+  }
+  if (aAnswer.status_ == kGatewayTimeout) {
+    return CtlExit::Unknown;
+  }
+  if (aAnswer.status_ == kUnavailable) {
+    return CtlExit::Unreachable;
+  }
+  if (aAnswer.status_ >= kFirstServerError) {
+    return CtlExit::Failure;
+  }
+  if (aAnswer.status_ >= kFirstError) {
+    return CtlExit::Usage;
+  }
+  return aAnswer.body_.is_discarded() ? CtlExit::Failure : CtlExit::Success;
+}
+
+/// Exit status that the content of a good answer calls for.
+CtlExit ContentExit(const nlohmann::json& aBody)
+{
+  if (aBody.contains("inForce") && !aBody.at("inForce").get<bool>()) {
+    return CtlExit::NotInForce;
+  }
+  for (const auto& objective :
+       aBody.value("objectives", nlohmann::json::array())) {
+    if (objective.value("fastBurn", false) ||
+        objective.value("slowBurn", false)) {
+      return CtlExit::Alert;
+    }
+  }
+  const bool isPartial =
+    aBody.contains("released") && !aBody.at("unanswered").empty();
+  return isPartial ? CtlExit::Failure : CtlExit::Success;
+}
+
+}
+
+Commands::Commands(const ApiClient& aClient,
+                   std::ostream& aOut,
+                   std::ostream& aError)
+  : client_(aClient)
+  , out_(aOut)
+  , error_(aError)
+{
+}
+
+CtlExit Commands::Run(const CtlArguments& aArguments)
+{
+  if (detail::IsChange(aArguments)) {
+    return Change(aArguments);
+  }
+  if (!aArguments.Value("release").empty()) {
+    return Release(aArguments);
+  }
+  if (!aArguments.Value("html").empty()) {
+    return WritePage(aArguments);
+  }
+  return Show(aArguments);
+}
+
+CtlExit Commands::Refuse(const Findings& aFindings)
+{
+  error_ << aFindings.ToText();
+  return CtlExit::Usage;
+}
+
+CtlExit Commands::Show(const CtlArguments& aArguments)
+{
+  const auto target = detail::Target(aArguments.command_->name_, aArguments);
+  return Finish(aArguments, client_.Get(target), CtlExit::Unreachable);
+}
+
+nlohmann::json Commands::MakeChange(const CtlArguments& aArguments,
+                                    int64_t aBaseVersion,
+                                    Findings& aFindings) const
+{
+  nlohmann::json change = { { "baseVersion", aBaseVersion } };
+  const bool isPreview = std::string(aArguments.command_->name_) == "preview";
+  for (const char* name : { "author", "reason" }) {
+    const auto value = aArguments.Value(name);
+    if (!value.empty() || isPreview) {
+      change[name] = value.empty() ? "preview" : value;
+    }
+  }
+  for (const auto& text : aArguments.Values("set")) {
+    const auto equals = text.find('=');
+    if (equals == std::string::npos) {
+      aFindings.Add("command line", "--set", text, "expected FIELD=VALUE");
+      continue;
+    }
+    change["defaults"][text.substr(0, equals)] =
+      detail::ParseValue(text.substr(equals + 1));
+  }
+  for (const auto& text : aArguments.Values("add")) {
+    auto exception = nlohmann::json::parse(text, nullptr, false);
+    if (!exception.is_object()) {
+      aFindings.Add("command line", "--add", text, "expected a JSON object");
+      continue;
+    }
+    change["add"].push_back(std::move(exception));
+  }
+  for (const auto& id : aArguments.Values("retire")) {
+    change["retire"].push_back(id);
+  }
+  return change;
+}
+
+CtlExit Commands::Change(const CtlArguments& aArguments)
+{
+  Findings findings;
+  int64_t base = 0;
+  const auto baseText = aArguments.Value("base-version");
+  if (!baseText.empty() && !ParseNumber(baseText, base)) {
+    findings.Add(
+      "command line", "--base-version", baseText, "expected an integer");
+  }
+  if (!findings.IsEmpty()) {
+    return Refuse(findings);
+  }
+  if (baseText.empty()) {
+    const auto newest = client_.Get("/v1/history");
+    if (!newest.ok() || detail::ExitOf(*newest) != CtlExit::Success) {
+      return Finish(aArguments, newest, CtlExit::Unreachable);
+    }
+    base = newest->body_.value("version", int64_t{ 0 });
+  }
+  auto change = MakeChange(aArguments, base, findings);
+  if (!findings.IsEmpty()) {
+    return Refuse(findings);
+  }
+  if (std::string(aArguments.command_->name_) == "preview") {
+    return Finish(
+      aArguments, client_.Post("/v1/preview", change), CtlExit::Unreachable);
+  }
+  auto id = aArguments.Value("change-id");
+  if (id.empty()) {
+    id = detail::MakeChangeId();
+  }
+  change["id"] = id;
+  // Sending the change again with its id is safe: it is accepted only once.
+  auto answer = client_.Post("/v1/changes", change);
+  if (!answer.ok() && !absl::IsUnavailable(answer.status())) {
+    answer = client_.Post("/v1/changes", change);
+    if (absl::IsUnavailable(answer.status())) {
+      answer = absl::UnknownError(answer.status().message());
+    }
+  }
+  if (!answer.ok() && !absl::IsUnavailable(answer.status())) {
+    error_ << "outcome unknown; repeat with --change-id " << id
+           << " --base-version " << base << "\n";
+  }
+  return Finish(aArguments, answer, CtlExit::Unknown);
+}
+
+CtlExit Commands::Release(const CtlArguments& aArguments)
+{
+  nlohmann::json body = { { "fingerprint", aArguments.Value("release") } };
+  for (const char* name : { "author", "reason" }) {
+    if (!aArguments.Values(name).empty()) {
+      body[name] = aArguments.Value(name);
+    }
+  }
+  return Finish(
+    aArguments, client_.Post("/v1/quarantine/release", body), CtlExit::Unknown);
+}
+
+CtlExit Commands::WritePage(const CtlArguments& aArguments)
+{
+  const auto answer = client_.Get(detail::Target("slo.html", aArguments));
+  constexpr int kOk = 200;
+  if (!answer.ok() || answer->status_ != kOk) {
+    return Finish(aArguments, answer, CtlExit::Unreachable);
+  }
+  const auto path = aArguments.Value("html");
+  std::ofstream file(path);
+  file << answer->text_;
+  file.close();
+  if (!file) {
+    error_ << "cannot write " << path << "\n";
+    return CtlExit::Failure;
+  }
+  return CtlExit::Success;
+}
+
+CtlExit Commands::Finish(const CtlArguments& aArguments,
+                         const absl::StatusOr<ApiAnswer>& aAnswer,
+                         CtlExit aOnLostAnswer)
+{
+  if (!aAnswer.ok()) {
+    error_ << "no answer from " << aArguments.admin_ << ": "
+           << std::string(ToStd(aAnswer.status().message())) << "\n";
+    return absl::IsUnavailable(aAnswer.status()) ? CtlExit::Unreachable
+                                                 : aOnLostAnswer;
+  }
+  const auto exit = detail::ExitOf(*aAnswer);
+  const auto& body = aAnswer->body_;
+  if (aArguments.isJson_ || !body.is_object()) {
+    out_ << aAnswer->text_;
+  } else if (exit == CtlExit::Success) {
+    out_ << FormatAnswer(aArguments.command_->name_, body);
+  } else {
+    error_ << FormatFailure(body);
+  }
+  return exit == CtlExit::Success ? detail::ContentExit(body) : exit;
+}
+
+}
