Add the load generator

Cause: the measured targets need an open loop whose latency counts from the intended send time, and a caller that checks every answer.

Ruled out: asynchronous connections.

Before: no load.

--- /dev/null
+++ b/standin/LoadWorker.cpp
@@ -0,0 +1,235 @@
+#include "LoadWorker.hpp"
+
+#include "ExecutionHistory.hpp"
+#include "common/Strings.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+namespace cactuspitch {
+
+namespace detail {
+
+/// Requirement: a caller has its final answer by then.
+constexpr TimeMs kAnswerSlackMs = 100;
+constexpr TimeMs kConnectMs = 300;
+constexpr int64_t kWorkerUsPerMs = 1000;
+constexpr int kOk = 200;
+
+void SleepUntilUs(int64_t aTimeUs)
+{
+  const int64_t left = aTimeUs - BootTimeUs();
+  if (left > 0) {
+    std::this_thread::sleep_for(std::chrono::microseconds(left));
+  }
+}
+
+/// Value of a text member of a flat JSON object; empty when absent.
+std::string_view TextMember(std::string_view aJson, std::string_view aName)
+{
+  const auto marker = Concat("\"", aName, "\":\"");
+  const auto found = aJson.find(marker);
+  if (found == std::string_view::npos) {
+    return {};
+  }
+  const auto begin = found + marker.size();
+  return aJson.substr(begin, aJson.find('"', begin) - begin);
+}
+
+}
+
+LoadWorker::LoadWorker(const Clock& aClock,
+                       const LoadOptions& aOptions,
+                       LoadSchedule& aSchedule,
+                       size_t aIndex,
+                       int64_t aStartUs,
+                       Observer aObserver)
+  : clock_(aClock)
+  , options_(aOptions)
+  , schedule_(aSchedule)
+  , target_(aIndex)
+  , observer_(std::move(aObserver))
+  , report_(aOptions, aStartUs)
+{
+}
+
+void LoadWorker::Run()
+{
+  while (const auto job = schedule_.Next(BootTimeUs())) {
+    detail::SleepUntilUs(job->dueUs_);
+    auto result = Send(*job);
+    if (WantsRepeat(result)) {
+      result.isFinal_ = !schedule_.Repeat(
+        *job, result.doneUs_, result.retryAfterMs_ * detail::kWorkerUsPerMs);
+    }
+    report_.Add(result);
+    if (observer_) {
+      observer_(result, RequestId(*job));
+    }
+  }
+}
+
+/// A caller repeats what was not run, and an idempotent request whose outcome
+/// it does not know.
+bool LoadWorker::WantsRepeat(const LoadResult& aResult) const
+{
+  switch (aResult.outcome_) {
+    case LoadOutcome::NotRun:
+    case LoadOutcome::Unreachable:
+      return true;
+    case LoadOutcome::Unknown:
+    case LoadOutcome::Lost:
+    case LoadOutcome::Truncated:
+      return !aResult.job_.isPost_;
+    default:
+      return false;
+  }
+}
+
+LoadResult LoadWorker::Send(const LoadJob& aJob)
+{
+  LoadResult result;
+  result.job_ = aJob;
+  const auto request = MakeRequest(aJob);
+  const TimeMs deadline =
+    clock_.NowMs() + options_.deadlineMs_ + detail::kAnswerSlackMs;
+  result.sentUs_ = BootTimeUs();
+  if (Connect(deadline)) {
+    Exchange(request, deadline, result);
+  }
+  result.doneUs_ = BootTimeUs();
+  return result;
+}
+
+bool LoadWorker::Connect(TimeMs aDeadlineMs)
+{
+  if (connection_ && connection_->IsReusable()) {
+    return true;
+  }
+  for (size_t tried = 0; tried < options_.targets_.size(); ++tried) {
+    const auto& target = options_.targets_[target_ % options_.targets_.size()];
+    connection_ = std::make_unique<HttpConnection>(clock_, target);
+    const TimeMs limit =
+      std::min(aDeadlineMs, clock_.NowMs() + detail::kConnectMs);
+    if (connection_->Connect(limit).ok()) {
+      return true;
+    }
+    ++target_;
+  }
+  return false;
+}
+
+std::string LoadWorker::RequestId(const LoadJob& aJob) const
+{
+  return Concat(options_.idPrefix_, "-", options_.seed_, "-", aJob.number_);
+}
+
+HttpRequest LoadWorker::MakeRequest(const LoadJob& aJob) const
+{
+  static const std::string kBody = R"({"amount":1})";
+  HttpRequest request;
+  request.method_ = aJob.isPost_ ? "POST" : "GET";
+  request.target_ = Concat("/",
+                           options_.services_[aJob.service_],
+                           "/",
+                           KeyPopularity::Name(aJob.key_));
+  if (options_.blobBytes_ > 0) {
+    request.method_ = "GET";
+    AppendTo(request.target_, "/blob?bytes=", options_.blobBytes_);
+  }
+  request.headers_ = { { header::kRequestId, RequestId(aJob) },
+                       { header::kDeadlineMs,
+                         std::to_string(options_.deadlineMs_) } };
+  if (options_.epoch_ > 0) {
+    request.headers_.emplace_back(header::kSliceEpoch,
+                                  std::to_string(options_.epoch_));
+  }
+  request.body_ = aJob.isPost_ ? kBody : std::string_view();
+  return request;
+}
+
+void LoadWorker::Exchange(const HttpRequest& aRequest,
+                          TimeMs aDeadlineMs,
+                          LoadResult& aResult)
+{
+  const auto end = [&](LoadOutcome aOutcome) {
+    aResult.outcome_ = aOutcome;
+    connection_->Close();
+    // The balancer sends the caller's next connection elsewhere.
+    ++target_;
+  };
+  const auto written = connection_->Write(aRequest, aDeadlineMs);
+  if (!written.ok()) {
+    end(absl::IsDeadlineExceeded(written) ? LoadOutcome::Unanswered
+                                          : LoadOutcome::Lost);
+    return;
+  }
+  const auto head = connection_->ReadHead(aDeadlineMs);
+  if (!head.ok()) {
+    end(absl::IsDeadlineExceeded(head.status()) ? LoadOutcome::Unanswered
+                                                : LoadOutcome::Lost);
+    return;
+  }
+  Judge(*head, aResult);
+  const auto body = CheckBody(aResult.job_, aDeadlineMs, aResult.server_);
+  if (body == LoadOutcome::Truncated || body == LoadOutcome::Unanswered) {
+    end(body);
+  } else if (aResult.outcome_ == LoadOutcome::Complete) {
+    aResult.outcome_ = body;
+  }
+}
+
+void LoadWorker::Judge(const HttpResponseHead& aHead, LoadResult& aResult) const
+{
+  aResult.status_ = aHead.status_;
+  const auto outcome = ParseEnum<Outcome>(aHead.Header(header::kOutcome));
+  const auto reason = aHead.Header(header::kNotRun);
+  if (outcome == Outcome::NotRun || (!outcome && !reason.empty())) {
+    aResult.outcome_ = LoadOutcome::NotRun;
+    aResult.reason_ = reason.empty() ? "unnamed" : reason;
+  } else if (outcome == Outcome::Complete ||
+             (!outcome && aHead.status_ == detail::kOk)) {
+    aResult.outcome_ = LoadOutcome::Complete;
+  } else {
+    aResult.outcome_ = LoadOutcome::Unknown;
+  }
+  aResult.hasRetryAfter_ =
+    ParseNumber(aHead.Header(header::kRetryAfterMs), aResult.retryAfterMs_);
+}
+
+LoadOutcome LoadWorker::CheckBody(const LoadJob& aJob,
+                                  TimeMs aDeadlineMs,
+                                  std::string& aServer)
+{
+  constexpr size_t kPartBytes = 64 * 1024;
+  thread_local std::string part(kPartBytes, '\0');
+  std::string start;
+  uint64_t size = 0;
+  while (true) {
+    const auto got =
+      connection_->ReadBody(part.data(), part.size(), aDeadlineMs);
+    if (!got.ok()) {
+      return absl::IsDeadlineExceeded(got.status()) ? LoadOutcome::Unanswered
+                                                    : LoadOutcome::Truncated;
+    }
+    if (*got == 0) {
+      break;
+    }
+    if (start.empty()) {
+      start.assign(part, 0, std::min<size_t>(*got, 1024));
+    }
+    size += *got;
+  }
+  if (options_.blobBytes_ > 0) {
+    return size == options_.blobBytes_ ? LoadOutcome::Complete
+                                       : LoadOutcome::Mismatched;
+  }
+  aServer = detail::TextMember(start, "server");
+  const bool fits =
+    detail::TextMember(start, "id") == RequestId(aJob) &&
+    detail::TextMember(start, "key") == KeyPopularity::Name(aJob.key_);
+  return fits ? LoadOutcome::Complete : LoadOutcome::Mismatched;
+}
+
+}
