--- a/standin/StandinBackend.cpp
+++ b/standin/StandinBackend.cpp
@@ -397,7 +397,8 @@
   const nlohmann::json document = {
     { "id", options_.id_ },
     { "service", options_.service_ },
-    { "address", options_.listen_ },
+    { "address",
+      options_.advertise_.empty() ? options_.listen_ : options_.advertise_ },
     { "failureDomain", options_.failureDomain_ },
     { "state", drainedAtMs_ > 0 ? "leaving" : "live" },
     { "slots", options_.slots_ },
--- a/standin/StandinBackend.hpp
+++ b/standin/StandinBackend.hpp
@@ -23,6 +23,8 @@
   std::string service_;
   std::string failureDomain_;
   std::string listen_;
+  /// Address in the platform's list, where it differs from listen_.
+  std::string advertise_;
   std::string store_; ///< empty: not registered
   std::string history_;
   int slots_ = 5;
--- a/standin/StandinBackendMain.cpp
+++ b/standin/StandinBackendMain.cpp
@@ -13,6 +13,7 @@
   using enum SettingType;
   return {
     { "listen", Address, "", "Address to serve at.", true },
+    { "advertise", Address, "", "Address in the platform's list." },
     { "id", Text, "", "Name in the platform's list.", true },
     { "service", Text, "", "Service that it serves.", true },
     { "failure-domain", Text, "local", "Failure domain." },
@@ -42,6 +43,7 @@
   options.service_ = aSettings.Text("service");
   options.failureDomain_ = aSettings.Text("failure-domain");
   options.listen_ = aSettings.Text("listen");
+  options.advertise_ = aSettings.Text("advertise");
   options.store_ = aSettings.Text("store");
   options.history_ = aSettings.Text("history");
   options.keepsHistory_ = aSettings.Boolean("keep-history");
