Measure goodput under overload and tune the adaptive limit

Cause: the constants of the adaptive limit and of the queue were estimates.

Ruled out: a retry budget that also pays for shed attempts. A shed attempt was not run and lowers the limit, so it goes back to the queue without charge.

--- /dev/null
+++ b/bench/BenchReport.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string_view>
+
+namespace cactuspitch {
+
+/// Prints measured figures as `name: value unit (target value)` and remembers
+/// whether a target was missed.
+class BenchReport
+{
+public:
+  void AtLeast(std::string_view aName,
+               double aValue,
+               std::string_view aUnit,
+               double aTarget);
+  void AtMost(std::string_view aName,
+              double aValue,
+              std::string_view aUnit,
+              double aTarget);
+  /// A figure without a target.
+  void Note(std::string_view aName, double aValue, std::string_view aUnit);
+  /// 1 when a target was missed or no figure with a target was printed.
+  int ExitCode() const;
+
+private:
+  bool missed_ = false;
+  bool measured_ = false;
+};
+
+}
--- a/policy/AdaptiveAdmission.cpp
+++ b/policy/AdaptiveAdmission.cpp
@@ -16,11 +16,11 @@
 constexpr double kMinLimit = 0.1;
 /// Attempts beyond the slots that keep a slot busy while an answer travels.
 constexpr double kServerQueue = 2;
-constexpr double kSlowStep = 0.01;
+constexpr double kSlowStep = 0.03;
 constexpr double kFastStep = 0.2;
 /// Without sheds for this long, the step has grown from slow to fast.
 constexpr double kFastAfterMs = 2000;
-constexpr double kShedFactor = 0.9;
+constexpr double kShedFactor = 0.95;
 constexpr double kFailureFactor = 0.7;
 constexpr double kHintFactor = 0.5;
 constexpr TimeMs kHintMs = 3000;
@@ -102,11 +102,13 @@
 {
   lastShedMs_ = aNowMs;
   Decrease(aNowMs, kShedFactor);
-  // The slots are in use: asking again at once would be shed again. Half a
-  // service time on average lets one of several attempts in flight end.
-  constexpr double kMinPauseMs = 2;
+  // The slots are in use: asking again at once would be shed again. Shorter
+  // pauses shed more for the same goodput (docs/load.md).
+  constexpr double kPausePart = 0.2;
+  constexpr double kMinPauseMs = 1;
   constexpr double kMaxPauseMs = 50;
-  const double meanMs = std::clamp(latencyMs_ / 2, kMinPauseMs, kMaxPauseMs);
+  const double meanMs =
+    std::clamp(latencyMs_ * kPausePart, kMinPauseMs, kMaxPauseMs);
   std::uniform_real_distribution<double> pause(meanMs / 2, meanMs * 3 / 2);
   paced_.Defer(aNowMs + std::max<TimeMs>(1, std::lround(pause(random_))));
 }
--- a/policy/RequestQueue.cpp
+++ b/policy/RequestQueue.cpp
@@ -6,6 +6,13 @@
 
 namespace cactuspitch {
 
+namespace {
+
+/// Attempts that take up to this many mean service times still end in time.
+constexpr double kReserve = 2;
+
+}
+
 RequestQueue::RequestQueue(QueueOptions aOptions, uint64_t aSeed)
   : options_(aOptions)
   , random_(aSeed)
@@ -32,11 +39,13 @@
   const Entry entry{ turn, aRequest };
   const auto place = std::ranges::upper_bound(entries_, entry, RanksBefore);
   const auto ahead = static_cast<double>(place - entries_.begin());
-  const double endMs = static_cast<double>(aNowMs) +
-                       (ahead + 1) * aRate.MsPerRequest() + aRate.serviceMs_;
+  // Half of the time left is kept as a reserve: service times scatter, and the
+  // limit that the prediction rests on can fall.
+  const double leftMs = static_cast<double>(aRequest.deadlineMs_ - aNowMs);
+  const bool isHopeless = (ahead + 1) * aRate.MsPerRequest() > leftMs / 2 ||
+                          leftMs < kReserve * aRate.serviceMs_;
   const bool isLast = place == entries_.end();
-  if (endMs > static_cast<double>(aRequest.deadlineMs_) ||
-      (isLast && entries_.size() >= options_.limit_)) {
+  if (isHopeless || (isLast && entries_.size() >= options_.limit_)) {
     Refuse(aRequest, aRate, aNowMs, aRefused);
     return;
   }
@@ -72,7 +81,8 @@
                           TimeMs aNowMs,
                           std::vector<RefusedRequest>& aRefused)
 {
-  const double endMs = static_cast<double>(aNowMs) + aRate.serviceMs_;
+  const double endMs =
+    static_cast<double>(aNowMs) + kReserve * aRate.serviceMs_;
   const auto isLate = [endMs](const Entry& aEntry) {
     return endMs > static_cast<double>(aEntry.request_.deadlineMs_);
   };
@@ -113,7 +123,8 @@
                   aRate.MsPerRequest() / options_.comeBackShare_;
   comeBackAtMs_ = std::min(comeBackAtMs_, nowMs + maxMs);
   const double waitMs = comeBackAtMs_ - nowMs;
-  std::uniform_real_distribution<double> jitter(waitMs / 2, waitMs);
+  constexpr double kJitter = 0.8;
+  std::uniform_real_distribution<double> jitter(kJitter * waitMs, waitMs);
   return static_cast<TimeMs>(std::max(minMs, jitter(random_)));
 }
 
--- a/policy/RequestQueue.hpp
+++ b/policy/RequestQueue.hpp
@@ -27,12 +27,12 @@
 {
   size_t limit_ = 64;
   TimeMs minRetryAfterMs_ = 50;
-  /// 3 times the capacity for 10 s leaves 20 s of refused work. Callers that
-  /// come back within a few seconds would prolong the overload.
-  TimeMs maxRetryAfterMs_ = 30000;
+  /// 3 times the capacity for 10 s leaves 20 s of refused work, which a
+  /// service with 30% to spare needs more than a minute to make up for.
+  TimeMs maxRetryAfterMs_ = 120000;
   /// Share of the capacity that callers who come back are spread over; the
   /// rest is left to new requests.
-  double comeBackShare_ = 0.25;
+  double comeBackShare_ = 0.15;
 };
 
 /// What the queue's predictions are made from.
--- a/tests/RequestQueueTest.cpp
+++ b/tests/RequestQueueTest.cpp
@@ -59,9 +59,12 @@
   for (uint64_t id = 0; id < 20; ++id) {
     queue.Offer({ id, id, 150 }, kRate, 0, refused);
   }
-  EXPECT_EQ(queue.Size(), 14u);
-  EXPECT_EQ(refused.size(), 6u);
-  queue.Expire(kRate, 141, refused);
+  // Seven requests use up half of the 150 ms.
+  EXPECT_EQ(queue.Size(), 7u);
+  EXPECT_EQ(refused.size(), 13u);
+  queue.Expire(kRate, 130, refused);
+  EXPECT_EQ(queue.Size(), 7u);
+  queue.Expire(kRate, 131, refused);
   EXPECT_EQ(queue.Size(), 0u);
   EXPECT_EQ(refused.size(), 20u);
 }
@@ -76,11 +79,11 @@
   }
   std::ranges::sort(waits);
   EXPECT_GE(waits.front(), 50);
-  // 400 callers at a quarter of 100 requests/s need 16 s.
-  EXPECT_GT(waits.back(), 12000);
-  EXPECT_LE(waits.back(), 16100);
+  // 400 callers at 15% of 100 requests/s need 26.7 s.
+  EXPECT_GT(waits.back(), 24000);
+  EXPECT_LE(waits.back(), 26800);
   for (size_t i = 0; i + 40 < waits.size(); ++i) {
-    EXPECT_GT(waits[i + 40] - waits[i], 300) << i;
+    EXPECT_GT(waits[i + 40] - waits[i], 1000) << i;
   }
 }
 
