--- a/standin/StandinBackend.cpp
+++ b/standin/StandinBackend.cpp
@@ -60,7 +60,7 @@
 bool StandinBackend::Work::Parse(HttpExchange& aExchange)
 {
   const std::vector<std::string> path =
-    absl::StrSplit(ToAbsl(aExchange.Path()), '/', absl::SkipEmpty());
+    absl::StrSplit(ToAbsl(aExchange.DecodedPath()), '/', absl::SkipEmpty());
   auto body = aExchange.ReadBody(detail::kMaxBodyBytes);
   if (path.size() < 2 || !body.ok()) {
     return false;
@@ -397,7 +397,8 @@
   const nlohmann::json document = {
     { "id", options_.id_ },
     { "service", options_.service_ },
-    { "address", options_.listen_ },
+    { "address",
+      options_.advertise_.empty() ? options_.listen_ : options_.advertise_ },
     { "failureDomain", options_.failureDomain_ },
     { "state", drainedAtMs_ > 0 ? "leaving" : "live" },
     { "slots", options_.slots_ },
