Add the assigner process

Cause: the ownership logic needs a process that talks to the store, the backend servers, other assigners and routers. Each duty has a thread of its own; the control duty alone advances the logic, and the Thrift handlers enter it under the lock of the group, because a view lease must belong to exactly the table that it is given for.

Also: a heartbeat names the deputy it is meant for (wire/), so that another instance at the same address refuses. The stand-in backend server tells the end of its lease, by which a new assigner sees that the owner was not replaced.

Ruled out: joining all threads on SIGTERM, which waits up to 10 s for the long polls of the store; the groups are handed over and the process then ends.

Before: no process.

--- /dev/null
+++ b/assigner/AssignerMain.cpp
@@ -0,0 +1,74 @@
+#include "AssignerProcess.hpp"
+#include "common/Log.hpp"
+#include "common/Settings.hpp"
+
+#include <csignal>
+#include <cstdlib>
+
+namespace cactuspitch {
+namespace {
+
+std::vector<SettingSpec> Specs()
+{
+  using enum SettingType;
+  return {
+    { "instance", Text, "", "Name of this entry instance.", true },
+    { "failure-domain", Text, "", "Failure domain of the instance.", true },
+    { "listen", Address, "", "HTTP address for health and metrics.", true },
+    { "rpc-listen", Address, "", "Thrift address for peers.", true },
+    { "store", Address, "", "Platform's object store.", true },
+    { "assigners", AddressList, "", "Thrift addresses to learn tables from." },
+    { "slices", Integer, "256", "Slices of a new group.", false, 1, 4096 },
+    { "log-level", Text, "info", "debug, info, warning or error." },
+  };
+}
+
+int Run(int aArgc, char** aArgv)
+{
+  constexpr const char* kProgram = "cactuspitch-assigner";
+  constexpr TimeMs kHandoverMs = 3000;
+  Settings settings(Specs());
+  settings.ParseOrExit(
+    aArgc, aArgv, kProgram, "Decides which backend server owns which keys.");
+  InitLog(
+    kProgram,
+    ParseEnum<LogLevel>(settings.Text("log-level")).value_or(LogLevel::Info));
+  // Signals are taken by sigwait() below, so no thread may get them.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+
+  AssignerProcess process(
+    { .instance_ = settings.Text("instance"),
+      .failureDomain_ = settings.Text("failure-domain"),
+      .listen_ = settings.Text("listen"),
+      .rpcListen_ = settings.Text("rpc-listen"),
+      .store_ = settings.Text("store"),
+      .assigners_ = settings.List("assigners"),
+      .slices_ = static_cast<size_t>(settings.Integer("slices")) });
+  const auto started = process.Start();
+  if (!started.ok()) {
+    Log(LogLevel::Error, "start failed", { { "reason", started.message() } });
+    return 1;
+  }
+  Log(LogLevel::Info, "started", { { "rpc", settings.Text("rpc-listen") } });
+  int signal = 0;
+  sigwait(&signals, &signal);
+  Log(LogLevel::Info, "stopping", { { "signal", signal } });
+  process.HandOver(kHandoverMs);
+  Log(LogLevel::Info, "stopped");
+  // The duties keep nothing that must be saved, and joining them would wait
+  // for long polls of up to 10 s.
+  std::_Exit(0);
+}
+
+}
+}
+
+int main(int aArgc, char** aArgv)
+{
+  return cactuspitch::Run(aArgc, aArgv);
+}
--- /dev/null
+++ b/assigner/AssignerProcess.cpp
@@ -0,0 +1,232 @@
+#include "AssignerProcess.hpp"
+
+#include "AssignerStatus.hpp"
+#include "common/Log.hpp"
+#include "common/Strings.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+#include <variant>
+
+#include <unistd.h>
+
+namespace cactuspitch {
+
+namespace detail {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr TimeMs kProbeMs = 500;
+
+GroupOptions TemplateOf(const AssignerOptions& aOptions, TimeMs aStartedMs)
+{
+  GroupOptions options;
+  options.instance_ = aOptions.instance_;
+  options.failureDomain_ = aOptions.failureDomain_;
+  // Differs for each run of the process, also after a restart of the machine.
+  const auto unixMs = std::chrono::system_clock::now().time_since_epoch() /
+                      std::chrono::milliseconds(1);
+  options.writer_ =
+    Concat(aOptions.instance_, "#", unixMs, ".", aStartedMs, ".", getpid());
+  options.slices_ = aOptions.slices_;
+  return options;
+}
+
+}
+
+AssignerProcess::AssignerProcess(AssignerOptions aOptions)
+  : options_(std::move(aOptions))
+  , startedMs_(clock_.NowMs())
+  , store_(clock_, { .address_ = options_.store_ })
+  , control_(clock_, detail::TemplateOf(options_, startedMs_))
+  , leases_(clock_, control_)
+  , peers_(control_, directory_)
+  , storeDuty_(clock_, store_, control_, directory_, config_)
+  , balance_(clock_, control_, config_)
+  , follower_(clock_,
+              { .instance_ = options_.instance_,
+                .role_ = "assigner",
+                .assigners_ = options_.assigners_ })
+  , handler_(std::make_shared<PeerHandler>(clock_,
+                                           control_,
+                                           balance_,
+                                           directory_,
+                                           config_,
+                                           follower_,
+                                           [this] { return Status(); }))
+  , rpc_(options_.rpcListen_,
+         std::make_shared<wire::AssignerPeerProcessor>(handler_))
+  , http_({ .listen_ = options_.listen_, .threads_ = 4 },
+          [this](HttpExchange& aExchange) { HandleHttp(aExchange); })
+{
+}
+
+AssignerProcess::~AssignerProcess()
+{
+  storeDuty_.Stop();
+  balance_.Stop();
+  leases_.Stop();
+  peers_.Stop();
+  follower_.Stop();
+  control_.Stop();
+  rpc_.Stop();
+  http_.Stop();
+}
+
+absl::Status AssignerProcess::Start()
+{
+  auto started = http_.Start();
+  if (started.ok()) {
+    started = rpc_.Start();
+  }
+  if (!started.ok()) {
+    return started;
+  }
+  control_.Start([this](const auto& aHost,
+                        const Action& aAction) { Dispatch(aHost, aAction); },
+                 [this] { Every(); });
+  leases_.Start();
+  storeDuty_.Start();
+  balance_.Start();
+  follower_.Start();
+  return absl::OkStatus();
+}
+
+void AssignerProcess::HandOver(TimeMs aTimeoutMs)
+{
+  stopping_ = true;
+  control_.Post("", [](GroupController& aControl, TimeMs, Actions&) {
+    aControl.BeginStop();
+  });
+  const auto deadlineMs = clock_.NowMs() + aTimeoutMs;
+  const auto isIdle = [](const std::shared_ptr<GroupHost>& aHost) {
+    return aHost->With(
+      [](GroupController& aControl) { return aControl.IsIdle(); });
+  };
+  constexpr auto kCheck = std::chrono::milliseconds(20);
+  do {
+    std::this_thread::sleep_for(kCheck);
+  } while (clock_.NowMs() < deadlineMs &&
+           !std::ranges::all_of(control_.All(), isIdle));
+}
+
+void AssignerProcess::Dispatch(const std::shared_ptr<GroupHost>& aHost,
+                               const Action& aAction)
+{
+  if (const auto* order = std::get_if<ServerOrder>(&aAction)) {
+    leases_.Send(aHost->Service(), *order);
+  } else if (const auto* question = std::get_if<PeerQuestion>(&aAction)) {
+    peers_.Ask(*aHost, *question);
+  } else if (const auto* write = std::get_if<WriteGroup>(&aAction)) {
+    Log(LogLevel::Debug,
+        "write group",
+        { { "service", aHost->Service() },
+          { "term", write->object_.table_.term_ },
+          { "assigner", write->object_.table_.assigner_ },
+          { "deputy", write->object_.table_.deputy_ } });
+    storeDuty_.Write(aHost->Service(), *write);
+  } else if (std::holds_alternative<ReadGroup>(aAction)) {
+    storeDuty_.Read(aHost->Service());
+  } else if (const auto* move = std::get_if<MoveRecord>(&aAction)) {
+    aHost->NoteMove(*move);
+    metrics_
+      .GetCounter("cactuspitch_moves_total",
+                  { { "service", aHost->Service() } })
+      .Add();
+    Log(LogLevel::Debug,
+        "slice moved",
+        { { "service", aHost->Service() },
+          { "begin", move->begin_ },
+          { "epoch", move->epoch_ },
+          { "from", move->from_ },
+          { "to", move->to_ },
+          { "reason", move->reason_ } });
+  }
+}
+
+void AssignerProcess::Every()
+{
+  const auto now = clock_.NowMs();
+  for (const auto& followed : follower_.Tables()) {
+    const auto host = control_.Find(followed->table_.service_);
+    if (host) {
+      host->With([&](GroupController& aControl) {
+        aControl.OnNewerTerm(followed->table_.term_);
+      });
+    }
+  }
+  const auto config = follower_.Config();
+  const auto age = config->AgeMs(now);
+  if (config->version_ > 0 && config_.Offer(config->version_,
+                                            config->json_,
+                                            age < 0 ? -1 : now - age)) {
+    control_.NotifyChange();
+  }
+  if (now - probedMs_ >= detail::kProbeMs) {
+    probedMs_ = now;
+    peers_.Probe(options_.instance_);
+    const auto candidates = directory_.Candidates();
+    for (const auto& host : control_.All()) {
+      host->With(
+        [&](GroupController& aControl) { aControl.SetCandidates(candidates); });
+    }
+  }
+}
+
+void AssignerProcess::HandleHttp(HttpExchange& aExchange)
+{
+  const auto path = aExchange.Path();
+  if (path == "/_health") {
+    aExchange.Respond(detail::kOk, {}, "ok\n");
+  } else if (path == "/_ready") {
+    // Tables may come from the store or, when it is down, from peers.
+    const bool knows = !control_.All().empty() || follower_.IsReady();
+    aExchange.Respond(knows && !stopping_ ? detail::kOk : detail::kUnavailable,
+                      {},
+                      knows ? "ready\n" : "no tables yet\n");
+  } else if (path == "/_metrics") {
+    aExchange.Respond(
+      detail::kOk, { { "Content-Type", "text/plain" } }, MetricsText());
+  } else {
+    aExchange.Respond(detail::kNotFound, {}, "no such resource\n");
+  }
+}
+
+std::string AssignerProcess::MetricsText()
+{
+  const auto set = [this](const char* aName, double aValue) {
+    metrics_.GetGauge(aName).Set(aValue);
+  };
+  set("cactuspitch_store_calls", static_cast<double>(storeDuty_.Calls()));
+  set("cactuspitch_store_reachable", storeDuty_.IsReachable() ? 1 : 0);
+  set("cactuspitch_orders_sent", static_cast<double>(leases_.Sent()));
+  set("cactuspitch_orders_dropped", static_cast<double>(leases_.Dropped()));
+  const auto hosts = control_.All();
+  set("cactuspitch_groups_led",
+      static_cast<double>(std::ranges::count_if(hosts, [](const auto& aHost) {
+        return aHost->With([](GroupController& aControl) {
+          return aControl.Role() == GroupRole::Assigner;
+        });
+      })));
+  return metrics_.ToPrometheus();
+}
+
+wire::ProcessStatus AssignerProcess::Status() const
+{
+  const auto now = clock_.NowMs();
+  const auto config = config_.Get();
+  wire::ProcessStatus status;
+  status.instance = options_.instance_;
+  status.program = "cactuspitch-assigner";
+  status.failureDomain = options_.failureDomain_;
+  status.uptimeMs = now - startedMs_;
+  status.configVersion = config.version_;
+  status.configAgeMs = config.confirmedMs_ < 0 ? -1 : now - config.confirmedMs_;
+  status.json = AssignerStatusJson(
+    control_, now, storeDuty_.IsReachable(), storeDuty_.Calls());
+  return status;
+}
+
+}
--- /dev/null
+++ b/assigner/AssignerProcess.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "BalanceDuty.hpp"
+#include "ControlDuty.hpp"
+#include "FleetConfig.hpp"
+#include "FleetDirectory.hpp"
+#include "LeaseDuty.hpp"
+#include "PeerDuty.hpp"
+#include "PeerHandler.hpp"
+#include "StoreDuty.hpp"
+#include "common/Clock.hpp"
+#include "common/HttpServer.hpp"
+#include "common/Metrics.hpp"
+#include "rpc/TableFollower.hpp"
+#include "rpc/ThriftServer.hpp"
+#include "store/HttpObjectStore.hpp"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cactuspitch {
+
+struct AssignerOptions
+{
+  std::string instance_;
+  std::string failureDomain_;
+  std::string listen_;
+  std::string rpcListen_;
+  std::string store_;
+  std::vector<std::string> assigners_;
+  size_t slices_ = 256;
+};
+
+/// The duties of one assigner process, joined.
+class AssignerProcess
+{
+public:
+  explicit AssignerProcess(AssignerOptions aOptions);
+  ~AssignerProcess();
+  AssignerProcess(const AssignerProcess&) = delete;
+  AssignerProcess& operator=(const AssignerProcess&) = delete;
+
+  absl::Status Start();
+  /// Hands the groups that it leads over to their deputies.
+  void HandOver(TimeMs aTimeoutMs);
+
+private:
+  void Dispatch(const std::shared_ptr<GroupHost>& aHost, const Action& aAction);
+  void Every();
+  void HandleHttp(HttpExchange& aExchange);
+  wire::ProcessStatus Status() const;
+  std::string MetricsText();
+
+  const AssignerOptions options_;
+  SteadyClock clock_;
+  const TimeMs startedMs_;
+  HttpObjectStore store_;
+  FleetDirectory directory_;
+  FleetConfig config_;
+  ControlDuty control_;
+  LeaseDuty leases_;
+  PeerDuty peers_;
+  StoreDuty storeDuty_;
+  BalanceDuty balance_;
+  TableFollower follower_;
+  std::shared_ptr<PeerHandler> handler_;
+  ThriftServer rpc_;
+  HttpServer http_;
+  MetricsRegistry metrics_;
+  TimeMs probedMs_ = 0;
+  std::atomic<bool> stopping_ = false;
+};
+
+}
--- /dev/null
+++ b/assigner/BalanceDuty.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "ControlDuty.hpp"
+#include "FleetConfig.hpp"
+#include "common/BoundedRing.hpp"
+#include "config/ServiceRules.hpp"
+#include "policy/BalancingPolicy.hpp"
+#include "policy/LoadMerger.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <cactuspitch_types.h>
+
+namespace cactuspitch {
+
+/// Merges the load reports of the routers and has the balancing policy of each
+/// service plan for the groups that this instance leads.
+class BalanceDuty
+{
+public:
+  BalanceDuty(const Clock& aClock,
+              ControlDuty& aControl,
+              const FleetConfig& aConfig);
+  ~BalanceDuty();
+  BalanceDuty(const BalanceDuty&) = delete;
+  BalanceDuty& operator=(const BalanceDuty&) = delete;
+
+  void Start();
+  void Stop();
+  void Report(wire::LoadReport aReport);
+
+private:
+  struct ServiceState
+  {
+    LoadMerger merger_;
+    std::unique_ptr<BalancingPolicy> policy_;
+    std::string policyName_;
+    int64_t configVersion_ = -1;
+    Term term_ = 0;
+  };
+
+  void Run();
+  void Merge(const wire::LoadReport& aReport);
+  void PlanAll();
+  void Plan(GroupHost& aHost, ServiceState& aState);
+  /// Creates the policy anew when the rules or the term have changed.
+  void UpdatePolicy(const std::string& aService, ServiceState& aState);
+  void Apply(GroupHost& aHost,
+             const BalancePlan& aPlan,
+             const GroupTable& aTable);
+  ServiceRules RulesOf(const std::string& aService) const;
+
+  const Clock& clock_;
+  ControlDuty& control_;
+  const FleetConfig& config_;
+  BoundedRing<wire::LoadReport> ring_;
+  std::map<std::string, ServiceState> services_;
+  std::thread thread_;
+};
+
+}
--- /dev/null
+++ b/assigner/LeaseDuty.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "ControlDuty.hpp"
+#include "common/BoundedRing.hpp"
+#include "common/HttpConnection.hpp"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace cactuspitch {
+
+/// Sends orders to backend servers over HTTP, several at once, and posts the
+/// replies. A frozen server holds one worker for the time of one call.
+class LeaseDuty
+{
+public:
+  LeaseDuty(const Clock& aClock, ControlDuty& aControl);
+  ~LeaseDuty();
+  LeaseDuty(const LeaseDuty&) = delete;
+  LeaseDuty& operator=(const LeaseDuty&) = delete;
+
+  void Start();
+  void Stop();
+  void Send(std::string aService, ServerOrder aOrder);
+  int64_t Sent() const { return sent_; }
+  int64_t Dropped() const { return dropped_; }
+
+private:
+  struct Job
+  {
+    std::string service_;
+    ServerOrder order_;
+  };
+  using Connection = std::unique_ptr<HttpConnection>;
+
+  void Run();
+  void Execute(const Job& aJob);
+  absl::StatusOr<HttpResponse> Call(const Job& aJob);
+  Connection Take(const std::string& aAddress);
+  void Return(Connection aConnection);
+
+  const Clock& clock_;
+  ControlDuty& control_;
+  BoundedRing<Job> ring_;
+  std::mutex mutex_;
+  std::map<std::string, std::vector<Connection>> idle_;
+  std::atomic<int64_t> sent_ = 0;
+  std::atomic<int64_t> dropped_ = 0;
+  std::vector<std::thread> workers_;
+};
+
+}
--- /dev/null
+++ b/assigner/PeerHandler.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "BalanceDuty.hpp"
+#include "ControlDuty.hpp"
+#include "FleetConfig.hpp"
+#include "FleetDirectory.hpp"
+#include "rpc/TableFollower.hpp"
+
+#include <functional>
+#include <string>
+
+#include <AssignerPeer.h>
+
+namespace cactuspitch {
+
+/// Serves the Thrift interface AssignerPeer. Groups that this instance does
+/// not lead are answered with the newest table it knows and no view lease.
+class PeerHandler final : public wire::AssignerPeerIf
+{
+public:
+  PeerHandler(const Clock& aClock,
+              ControlDuty& aControl,
+              BalanceDuty& aBalance,
+              const FleetDirectory& aDirectory,
+              const FleetConfig& aConfig,
+              const TableFollower& aFollower,
+              std::function<wire::ProcessStatus()> aStatus);
+
+  void Heartbeat(wire::HeartbeatResponse& aResponse,
+                 const wire::HeartbeatRequest& aRequest) override;
+  void GetTables(wire::GetTablesResponse& aResponse,
+                 const wire::GetTablesRequest& aRequest) override;
+  void ReportLoad(const wire::LoadReport& aReport) override;
+  void RequestRefresh(const std::string& aService, int64_t aKeyHash) override;
+  void GetStatus(wire::ProcessStatus& aStatus) override;
+
+private:
+  /// True when aResponse has something newer than the questioner knows.
+  bool Fill(wire::GetTablesResponse& aResponse,
+            const wire::GetTablesRequest& aRequest);
+  bool FillGroup(wire::GetTablesResponse& aResponse,
+                 const wire::GetTablesRequest& aRequest,
+                 GroupHost& aHost);
+  bool FillFollowed(wire::GetTablesResponse& aResponse,
+                    const wire::GetTablesRequest& aRequest,
+                    const GroupTable& aTable) const;
+  bool FillConfig(wire::GetTablesResponse& aResponse,
+                  const wire::GetTablesRequest& aRequest) const;
+  /// Thrift address of the instance, its name when that is unknown.
+  std::string Named(const std::string& aInstance) const;
+
+  const Clock& clock_;
+  ControlDuty& control_;
+  BalanceDuty& balance_;
+  const FleetDirectory& directory_;
+  const FleetConfig& config_;
+  const TableFollower& follower_;
+  std::function<wire::ProcessStatus()> status_;
+};
+
+}
--- /dev/null
+++ b/assigner/StoreDuty.cpp
@@ -0,0 +1,314 @@
+#include "StoreDuty.hpp"
+
+#include "common/Log.hpp"
+#include "common/Strings.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+
+namespace cactuspitch {
+
+namespace detail {
+
+constexpr size_t kStoreJobs = 256;
+constexpr TimeMs kStoreRetryMs = 200;
+const char* const kGroupKind = "group";
+
+std::string GroupName(const std::string& aService)
+{
+  return Concat(aService, ".0");
+}
+
+/// "{service}.{n}"; empty when it is not a group's name.
+std::string ServiceOf(const std::string& aName)
+{
+  const auto dot = aName.rfind('.');
+  return dot == std::string::npos ? std::string() : aName.substr(0, dot);
+}
+
+WriteResult ToResult(const absl::Status& aStatus)
+{
+  switch (aStatus.code()) {
+    case absl::StatusCode::kOk:
+      return WriteResult::Written;
+    case absl::StatusCode::kFailedPrecondition:
+      return WriteResult::Conflict;
+    case absl::StatusCode::kUnavailable:
+      return WriteResult::NotSent;
+    default:
+      return WriteResult::Unknown;
+  }
+}
+
+/// The store answered, whatever it said.
+bool IsAnswered(const absl::Status& aStatus)
+{
+  return aStatus.ok() || absl::IsNotFound(aStatus) ||
+         absl::IsFailedPrecondition(aStatus);
+}
+
+}
+
+StoreDuty::StoreDuty(const Clock& aClock,
+                     ObjectStore& aStore,
+                     ControlDuty& aControl,
+                     FleetDirectory& aDirectory,
+                     FleetConfig& aConfig)
+  : clock_(aClock)
+  , store_(aStore)
+  , control_(aControl)
+  , directory_(aDirectory)
+  , config_(aConfig)
+  , ring_(detail::kStoreJobs)
+{
+}
+
+StoreDuty::~StoreDuty()
+{
+  Stop();
+}
+
+const std::vector<StoreDuty::WatchSpec>& StoreDuty::Watches()
+{
+  // The watch of the groups is also the probe of the store, so it ends more
+  // often. A lost store must be noticed before a second loss, to arm.
+  static const std::vector<WatchSpec> kWatches = {
+    { "group", 1500, &StoreDuty::AcceptGroups },
+    { "config", 3000, &StoreDuty::AcceptConfig },
+    { "instance", 10000, &StoreDuty::AcceptInstances },
+    { "server", 10000, &StoreDuty::AcceptServers },
+  };
+  return kWatches;
+}
+
+void StoreDuty::Start()
+{
+  threads_.emplace_back([this] { RunJobs(); });
+  for (const auto& watch : Watches()) {
+    threads_.emplace_back([this, &watch] { RunWatch(watch); });
+  }
+}
+
+void StoreDuty::Stop()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  stopChanged_.notify_all();
+  ring_.Close();
+  for (auto& thread : threads_) {
+    thread.join();
+  }
+  threads_.clear();
+}
+
+void StoreDuty::Write(const std::string& aService, const WriteGroup& aWrite)
+{
+  ring_.TryPush({ aService, true, aWrite });
+}
+
+void StoreDuty::Read(const std::string& aService)
+{
+  ring_.TryPush({ aService, false, {} });
+}
+
+void StoreDuty::RunJobs()
+{
+  constexpr auto kWait = std::chrono::milliseconds(1000);
+  while (!ring_.IsClosed()) {
+    const auto job = ring_.Pop(kWait);
+    if (job) {
+      Execute(*job);
+    }
+  }
+}
+
+void StoreDuty::Execute(const Job& aJob)
+{
+  ++calls_;
+  const auto name = detail::GroupName(aJob.service_);
+  if (!aJob.isWrite_) {
+    const auto object = store_.Get(detail::kGroupKind, name);
+    SetReachable(object.status());
+    if (object.ok()) {
+      PostObject(*object);
+    } else if (absl::IsNotFound(object.status())) {
+      control_.Post(
+        aJob.service_,
+        [](GroupController& aControl, TimeMs aNowMs, Actions& aActions) {
+          aControl.OnObjectMissing(aNowMs, aActions);
+        });
+    }
+    return;
+  }
+  const auto& write = aJob.write_;
+  const auto text = EncodeGroup(write.object_);
+  if (!text.ok()) {
+    Log(LogLevel::Error,
+        "group object not written",
+        { { "group", name }, { "reason", text.status().message() } });
+    return;
+  }
+  const auto version =
+    store_.Put(detail::kGroupKind, name, write.expectedVersion_, *text);
+  SetReachable(version.status());
+  control_.Post(aJob.service_,
+                [change = write.object_.change_,
+                 result = detail::ToResult(version.status()),
+                 written = version.ok() ? *version : 0](
+                  GroupController& aControl, TimeMs aNowMs, Actions& aActions) {
+                  aControl.OnWriteResult(
+                    aNowMs, change, result, written, aActions);
+                });
+}
+
+void StoreDuty::RunWatch(const WatchSpec& aSpec)
+{
+  int64_t since = 0;
+  bool first = true;
+  while (!WaitStopped(0)) {
+    ++calls_;
+    int64_t revision = since;
+    // The first answer brings the present state without waiting.
+    const auto objects =
+      store_.Watch(aSpec.kind_, since, first ? 0 : aSpec.waitMs_, revision);
+    SetReachable(objects.status());
+    if (!objects.ok()) {
+      WaitStopped(detail::kStoreRetryMs);
+      continue;
+    }
+    // A store that lost its state begins again with lower revisions.
+    since = revision;
+    (this->*aSpec.accept_)(*objects, first);
+    first = false;
+  }
+}
+
+void StoreDuty::PostObject(const StoredObject& aObject)
+{
+  const auto service = detail::ServiceOf(aObject.name_);
+  auto group = DecodeGroup(aObject.value_);
+  if (!group.ok() || service.empty()) {
+    Log(LogLevel::Error,
+        "malformed group object",
+        { { "group", aObject.name_ }, { "reason", group.status().message() } });
+    return;
+  }
+  control_.Ensure(service);
+  control_.Post(service,
+                [version = aObject.version_, group = std::move(*group)](
+                  GroupController& aControl, TimeMs aNowMs, Actions& aActions) {
+                  aControl.OnObject(aNowMs, version, group, aActions);
+                });
+}
+
+void StoreDuty::AcceptGroups(const Objects& aObjects, bool)
+{
+  std::ranges::for_each(
+    aObjects, [this](const StoredObject& aObject) { PostObject(aObject); });
+}
+
+void StoreDuty::AcceptConfig(const Objects& aObjects, bool)
+{
+  const auto now = clock_.NowMs();
+  config_.Confirm(now);
+  for (const auto& object : aObjects) {
+    if (object.name_ == "fleet" &&
+        config_.Offer(object.version_, object.value_, now)) {
+      control_.NotifyChange();
+    }
+  }
+}
+
+absl::StatusOr<StoreDuty::Objects> StoreDuty::ListAll(const char* aKind)
+{
+  ++calls_;
+  // A watch does not tell what was removed, so the list is read again.
+  auto objects = store_.List(aKind);
+  SetReachable(objects.status());
+  return objects;
+}
+
+void StoreDuty::AcceptInstances(const Objects& aObjects, bool aFirst)
+{
+  if (aObjects.empty() && !aFirst) {
+    return;
+  }
+  const auto objects = ListAll("instance");
+  if (!objects.ok()) {
+    return;
+  }
+  std::vector<InstanceEntry> instances;
+  for (const auto& object : *objects) {
+    auto entry = ParseInstance(object.value_);
+    if (entry.ok()) {
+      instances.push_back(std::move(*entry));
+    }
+  }
+  directory_.SetInstances(std::move(instances));
+  control_.Post("",
+                [candidates = directory_.Candidates()](
+                  GroupController& aControl, TimeMs, Actions&) {
+                  aControl.SetCandidates(candidates);
+                });
+}
+
+void StoreDuty::AcceptServers(const Objects& aObjects, bool aFirst)
+{
+  if (aObjects.empty() && !aFirst) {
+    return;
+  }
+  const auto objects = ListAll("server");
+  if (!objects.ok()) {
+    return;
+  }
+  std::map<std::string, std::vector<BackendServerRecord>> services;
+  for (const auto& object : *objects) {
+    auto entry = ParseServer(object.value_);
+    if (entry.ok()) {
+      services[entry->service_].push_back(std::move(entry->record_));
+    }
+  }
+  for (auto& [service, servers] : services) {
+    const bool isNew = control_.Ensure(service);
+    control_.Post(
+      service,
+      [servers = std::move(servers), candidates = directory_.Candidates()](
+        GroupController& aControl, TimeMs, Actions&) {
+        aControl.SetServers(servers);
+        aControl.SetCandidates(candidates);
+      });
+    if (isNew) {
+      control_.Post(service,
+                    [reachable = reachable_.load()](
+                      GroupController& aControl, TimeMs, Actions&) {
+                      aControl.SetStoreReachable(reachable);
+                    });
+      Read(service);
+    }
+  }
+}
+
+void StoreDuty::SetReachable(const absl::Status& aStatus)
+{
+  const bool reachable = detail::IsAnswered(aStatus);
+  if (reachable_.exchange(reachable) != reachable) {
+    Log(reachable ? LogLevel::Info : LogLevel::Warning,
+        reachable ? "store reachable" : "store unreachable",
+        { { "reason", aStatus.message() } });
+  }
+  control_.Post("", [reachable](GroupController& aControl, TimeMs, Actions&) {
+    aControl.SetStoreReachable(reachable);
+  });
+}
+
+bool StoreDuty::WaitStopped(TimeMs aTimeoutMs)
+{
+  std::unique_lock lock(mutex_);
+  return stopChanged_.wait_for(
+    lock, std::chrono::milliseconds(aTimeoutMs), [this] { return stopping_; });
+}
+
+}
--- /dev/null
+++ b/assigner/StoreDuty.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "ControlDuty.hpp"
+#include "FleetConfig.hpp"
+#include "FleetDirectory.hpp"
+#include "common/BoundedRing.hpp"
+#include "store/ObjectStore.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace cactuspitch {
+
+/// Reads and writes the platform's store. Watches wait in threads of their
+/// own, so that a slow store delays neither each other nor a write.
+class StoreDuty
+{
+public:
+  StoreDuty(const Clock& aClock,
+            ObjectStore& aStore,
+            ControlDuty& aControl,
+            FleetDirectory& aDirectory,
+            FleetConfig& aConfig);
+  ~StoreDuty();
+  StoreDuty(const StoreDuty&) = delete;
+  StoreDuty& operator=(const StoreDuty&) = delete;
+
+  void Start();
+  void Stop();
+  void Write(const std::string& aService, const WriteGroup& aWrite);
+  void Read(const std::string& aService);
+  bool IsReachable() const { return reachable_; }
+  int64_t Calls() const { return calls_; }
+
+private:
+  struct Job
+  {
+    std::string service_;
+    bool isWrite_ = false;
+    WriteGroup write_;
+  };
+  using Objects = std::vector<StoredObject>;
+  using Accept = void (StoreDuty::*)(const Objects&, bool);
+  struct WatchSpec
+  {
+    const char* kind_;
+    TimeMs waitMs_;
+    Accept accept_;
+  };
+  static const std::vector<WatchSpec>& Watches();
+
+  void RunJobs();
+  void RunWatch(const WatchSpec& aSpec);
+  void Execute(const Job& aJob);
+  void PostObject(const StoredObject& aObject);
+  void AcceptGroups(const Objects& aObjects, bool aFirst);
+  void AcceptConfig(const Objects& aObjects, bool aFirst);
+  void AcceptInstances(const Objects& aObjects, bool aFirst);
+  void AcceptServers(const Objects& aObjects, bool aFirst);
+  absl::StatusOr<Objects> ListAll(const char* aKind);
+  /// Tells all groups when the reachability changes.
+  void SetReachable(const absl::Status& aStatus);
+  bool WaitStopped(TimeMs aTimeoutMs);
+
+  const Clock& clock_;
+  ObjectStore& store_;
+  ControlDuty& control_;
+  FleetDirectory& directory_;
+  FleetConfig& config_;
+  BoundedRing<Job> ring_;
+  std::mutex mutex_;
+  std::condition_variable stopChanged_;
+  bool stopping_ = false;
+  std::atomic<bool> reachable_ = false;
+  std::atomic<int64_t> calls_ = 0;
+  std::vector<std::thread> threads_;
+};
+
+}
--- a/control/GroupController.cpp
+++ b/control/GroupController.cpp
@@ -164,8 +164,12 @@
   }
   const auto& earlier = state_.stored_.earlierRenewers_;
   state_.earlier_ = { earlier.begin(), earlier.end() };
-  state_.predecessorEndMs_ =
-    earlier.empty() ? aPredecessorEndMs : timing::kNever;
+  // A former process of this instance is gone, and what this process promised
+  // before is known.
+  const bool wasRenewer = state_.earlier_.erase(options_.instance_) > 0;
+  const auto endMs =
+    wasRenewer ? std::max(aPredecessorEndMs, aNowMs) : aPredecessorEndMs;
+  state_.predecessorEndMs_ = state_.earlier_.empty() ? endMs : timing::kNever;
   state_.termBeganMs_ = aNowMs;
   state_.authority_.BeginTerm(aNowMs, aFromMs, !state_.Table().deputy_.empty());
 }
@@ -223,10 +227,16 @@
 PeerAnswer GroupController::OnQuestion(TimeMs aNowMs,
                                        const PeerQuestion& aQuestion)
 {
+  if (aQuestion.to_ != options_.instance_) {
+    // Another instance had this address before.
+    PeerAnswer stranger;
+    stranger.id_ = aQuestion.id_;
+    return stranger;
+  }
   OnPeerSeen(aNowMs, aQuestion.from_, aQuestion.term_);
   const bool isNewer =
     aQuestion.term_ > std::max(state_.Table().term_, deputy_.GetTerm());
-  if (isNewer && aQuestion.to_ == options_.instance_) {
+  if (isNewer) {
     // The assigner asks only after its update was confirmed.
     role_ = GroupRole::Deputy;
     deputy_.BeginTerm(aNowMs, aQuestion.term_, knowsStore_);
@@ -275,6 +285,40 @@
   }
 }
 
+void GroupController::OnNewerTerm(Term aTerm)
+{
+  if (role_ == GroupRole::Assigner && aTerm > state_.Table().term_) {
+    StepDown(aTerm);
+  }
+}
+
+std::vector<std::string> GroupController::PeersToProbe() const
+{
+  constexpr int kProbing = 3;
+  const auto& table = state_.Table();
+  std::vector<std::string> peers;
+  if (role_ == GroupRole::Assigner) {
+    peers.assign(state_.earlier_.begin(), state_.earlier_.end());
+  } else if (state_.version_ > 0 && role_ == GroupRole::None &&
+             Position() < kProbing) {
+    peers = { table.assigner_, table.deputy_ };
+  }
+  std::erase_if(peers, [this](const std::string& aPeer) {
+    return aPeer.empty() || aPeer == options_.instance_;
+  });
+  return peers;
+}
+
+int GroupController::Position() const
+{
+  const auto item = Concat(options_.service_, ".", options_.group_);
+  const auto own = RendezvousScore(item, options_.instance_);
+  return static_cast<int>(
+    std::ranges::count_if(candidates_, [&](const auto& aCandidate) {
+      return RendezvousScore(item, aCandidate.id_) > own;
+    }));
+}
+
 TimeMs GroupController::GrantView(TimeMs aNowMs, const std::string& aRouter)
 {
   if (role_ != GroupRole::Assigner || !state_.authority_.IsValid(aNowMs) ||
--- a/control/GroupController.hpp
+++ b/control/GroupController.hpp
@@ -88,6 +88,12 @@
   /// operator declares it gone.
   void OnPeerGone(TimeMs aNowMs, const std::string& aInstance);
 
+  /// A table of a later term was seen somewhere.
+  void OnNewerTerm(Term aTerm);
+  /// Instances whose liveness matters to this one: OnPeerSeen() and
+  /// OnPeerGone() are expected for them about every 500 ms.
+  std::vector<std::string> PeersToProbe() const;
+
   // Routers
   /// View lease for the current table, 0 when this instance may give none.
   TimeMs GrantView(TimeMs aNowMs, const std::string& aRouter);
@@ -135,7 +141,9 @@
   void WriteNewGroup(TimeMs aNowMs, Actions& aActions);
   void WriteHandover(TimeMs aNowMs, Actions& aActions);
   std::string ChooseDeputy(TimeMs aNowMs, const std::string& aAssigner) const;
-  /// Position of this instance among the candidates, 0 is the first.
+  /// Position of this instance among all candidates, 0 is the first.
+  int Position() const;
+  /// Number of live candidates that act before this instance.
   int Rank(TimeMs aNowMs) const;
   bool IsSeen(TimeMs aNowMs, const std::string& aInstance) const;
   /// The stored record as other instances than the assigner show it.
--- a/control/GroupControllerSteps.cpp
+++ b/control/GroupControllerSteps.cpp
@@ -219,7 +219,6 @@
   }
   detail::AddUnique(earlier, table.assigner_);
   detail::AddUnique(earlier, table.deputy_);
-  std::erase(earlier, options_.instance_);
   WriteTakeover(aNowMs, timing::kNever, std::move(earlier), aActions);
 }
 
--- a/standin/BackendGrants.cpp
+++ b/standin/BackendGrants.cpp
@@ -93,6 +93,7 @@
   aAnswer["incarnation"] = incarnation_;
   aAnswer["term"] = term_;
   aAnswer["sequence"] = sequence_;
+  aAnswer["validUntilMs"] = leaseUntilMs_;
   auto& held = aAnswer["held"] = nlohmann::json::array();
   for (const auto& [begin, slice] : held_) {
     held.push_back(
--- a/wire/cactuspitch.thrift
+++ b/wire/cactuspitch.thrift
@@ -74,6 +74,7 @@
   6: bool arm
   7: bool disarm
   8: list<string> stopRenewing // backend server ids
+  9: string deputy // the instance asked; another one at its address refuses
 }
 
 struct HeartbeatResponse {
--- a/wire/gen-cpp/cactuspitch_types.cpp
+++ b/wire/gen-cpp/cactuspitch_types.cpp
@@ -1470,6 +1470,10 @@
 void HeartbeatRequest::__set_stopRenewing(const std::vector<std::string> & val) {
   this->stopRenewing = val;
 }
+
+void HeartbeatRequest::__set_deputy(const std::string& val) {
+  this->deputy = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatRequest& obj)
 {
   obj.printTo(out);
@@ -1574,6 +1578,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->deputy);
+          this->__isset.deputy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1631,6 +1643,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("deputy", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->deputy);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1646,6 +1662,7 @@
   swap(a.arm, b.arm);
   swap(a.disarm, b.disarm);
   swap(a.stopRenewing, b.stopRenewing);
+  swap(a.deputy, b.deputy);
   swap(a.__isset, b.__isset);
 }
 
@@ -1658,6 +1675,7 @@
   arm = other50.arm;
   disarm = other50.disarm;
   stopRenewing = other50.stopRenewing;
+  deputy = other50.deputy;
   __isset = other50.__isset;
 }
 HeartbeatRequest& HeartbeatRequest::operator=(const HeartbeatRequest& other51) {
@@ -1669,6 +1687,7 @@
   arm = other51.arm;
   disarm = other51.disarm;
   stopRenewing = other51.stopRenewing;
+  deputy = other51.deputy;
   __isset = other51.__isset;
   return *this;
 }
@@ -1683,6 +1702,7 @@
   out << ", " << "arm=" << to_string(arm);
   out << ", " << "disarm=" << to_string(disarm);
   out << ", " << "stopRenewing=" << to_string(stopRenewing);
+  out << ", " << "deputy=" << to_string(deputy);
   out << ")";
 }
 
--- a/wire/gen-cpp/cactuspitch_types.h
+++ b/wire/gen-cpp/cactuspitch_types.h
@@ -595,7 +595,7 @@
 std::ostream& operator<<(std::ostream& out, const GetTablesResponse& obj);
 
 typedef struct _HeartbeatRequest__isset {
-  _HeartbeatRequest__isset() : instance(false), serviceName(false), group(false), term(false), storeReachable(false), arm(false), disarm(false), stopRenewing(false) {}
+  _HeartbeatRequest__isset() : instance(false), serviceName(false), group(false), term(false), storeReachable(false), arm(false), disarm(false), stopRenewing(false), deputy(false) {}
   bool instance :1;
   bool serviceName :1;
   bool group :1;
@@ -604,6 +604,7 @@
   bool arm :1;
   bool disarm :1;
   bool stopRenewing :1;
+  bool deputy :1;
 } _HeartbeatRequest__isset;
 
 class HeartbeatRequest : public virtual ::apache::thrift::TBase {
@@ -618,7 +619,8 @@
                      term(0),
                      storeReachable(0),
                      arm(0),
-                     disarm(0) {
+                     disarm(0),
+                     deputy() {
   }
 
   virtual ~HeartbeatRequest() noexcept;
@@ -630,6 +632,7 @@
   bool arm;
   bool disarm;
   std::vector<std::string>  stopRenewing;
+  std::string deputy;
 
   _HeartbeatRequest__isset __isset;
 
@@ -649,6 +652,8 @@
 
   void __set_stopRenewing(const std::vector<std::string> & val);
 
+  void __set_deputy(const std::string& val);
+
   bool operator == (const HeartbeatRequest & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -667,6 +672,8 @@
       return false;
     if (!(stopRenewing == rhs.stopRenewing))
       return false;
+    if (!(deputy == rhs.deputy))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatRequest &rhs) const {
