--- a/policy/LoadMerger.cpp
+++ b/policy/LoadMerger.cpp
@@ -62,12 +62,7 @@
       aInput.sliceLoad_[i] += averages[i].busyMsPerSecond_;
     }
     for (const auto& [hash, perSecond] : state.hotKeys_) {
-      const Average& slice = averages[SliceIndex(aTable, hash)];
-      if (slice.requestsPerSecond_ > 0) {
-        // A key's share of its slice cannot exceed 1.
-        keys[hash] += slice.busyMsPerSecond_ *
-                      std::min(1.0, perSecond / slice.requestsPerSecond_);
-      }
+      keys[hash] += perSecond * BusyMsPerRequest(state, hash);
     }
   }
   aInput.hotKeys_.clear();
@@ -77,6 +72,20 @@
   std::ranges::sort(aInput.hotKeys_, std::greater<>(), &HotKeyLoad::load_);
 }
 
+double LoadMerger::BusyMsPerRequest(const RouterState& aState, KeyHash aHash)
+{
+  // The slice as the router reported it; a slice that was split out since then
+  // is not among them.
+  const auto next = aState.slices_.upper_bound(aHash);
+  if (next == aState.slices_.begin()) {
+    return 0;
+  }
+  const Average& slice = std::prev(next)->second;
+  return slice.requestsPerSecond_ > 0
+           ? slice.busyMsPerSecond_ / slice.requestsPerSecond_
+           : 0;
+}
+
 bool LoadMerger::IsPlausible(const RouterLoad& aLoad) const
 {
   if (aLoad.router_.empty() || aLoad.windowMs_ < kMinWindowMs ||
--- a/policy/LoadMerger.hpp
+++ b/policy/LoadMerger.hpp
@@ -37,7 +37,7 @@
   /// A router that is silent for longer no longer counts.
   TimeMs maxAgeMs_ = 5000;
   /// Averaging time of slice loads; shorter follows noise, longer lags.
-  TimeMs averagingMs_ = 5000;
+  TimeMs averagingMs_ = 10000;
   /// Largest plausible number of attempts that a router has in flight.
   double maxConcurrency_ = 4096;
 };
@@ -68,6 +68,7 @@
     std::map<KeyHash, double> hotKeys_; ///< requests per second
   };
 
+  static double BusyMsPerRequest(const RouterState& aState, KeyHash aHash);
   bool IsPlausible(const RouterLoad& aLoad) const;
   void AddSlices(const RouterLoad& aLoad, RouterState& aState) const;
   void DropSilent(TimeMs aNowMs);
--- a/policy/LoadPerKeyPolicy.cpp
+++ b/policy/LoadPerKeyPolicy.cpp
@@ -23,11 +23,19 @@
 constexpr size_t kMaxSplitsOfPlan = 8;
 constexpr size_t kMaxMovesOfPlan = 16;
 constexpr size_t kMaxSlices = 512;
+/// The measured peak of evenly loaded servers scatters by several percent, so
+/// a level has to last for some plans before it causes moves.
+constexpr int kSteadyAfterPlans = 10;
 /// Imbalance that requests feel; the steady budget would take minutes.
 constexpr double kUrgentAbove = 1.15;
-constexpr int kUrgentAfterPlans = 3;
-constexpr double kUrgentShare = 0.20;
+constexpr int kUrgentAfterPlans = 15;
+constexpr double kVeryUrgentAbove = 1.25;
+constexpr int kVeryUrgentAfterPlans = 3;
+constexpr double kUrgentShare = 0.30;
+/// The rate of a key that has just become hot is still underestimated.
+constexpr TimeMs kSplitRestMs = 5000;
 constexpr double kPercent = 100;
+constexpr const char kFillReason[] = "fills a joining server";
 
 bool Contains(const std::vector<PlannedMove>& aMoves, KeyHash aBegin)
 {
@@ -86,8 +94,9 @@
     const auto known = joinedMs_.find(server.id_);
     // The servers of the first call were there before this assigner.
     const TimeMs joined = known != joinedMs_.end() ? known->second
-                          : isFirstPlan_ ? aInput.nowMs_ - options_.warmupMs_
-                                         : aInput.nowMs_;
+                          : isFirstPlan_
+                            ? aInput.nowMs_ - options_.warmupMs_ - kRestMs
+                            : aInput.nowMs_;
     joinedMs[server.id_] = joined;
     const TimeMs step =
       options_.warmupMs_ <= 0
@@ -144,7 +153,7 @@
       if (!slice || aLoads.SliceLoad(*slice) <= 0) {
         break;
       }
-      AddMove(*slice, i, "fills a joining server", aLoads, aPlan);
+      AddMove(*slice, i, kFillReason, aLoads, aPlan);
     }
   }
 }
@@ -165,6 +174,9 @@
     if (!aLoads.IsSingleHash(slice) &&
         !Contains(aPlan.moves_, table.slices_[slice].begin_)) {
       aPlan.splits_.push_back(key.hash_);
+      for (const KeyHash begin : { table.slices_[slice].begin_, key.hash_ }) {
+        movedMs_[begin] = aInput.nowMs_ - kRestMs + kSplitRestMs;
+      }
     }
   }
 }
@@ -177,9 +189,15 @@
   if (!peak) {
     return;
   }
-  const double level = aLoads.Level(*peak);
-  urgentPlans_ = level > kUrgentAbove ? urgentPlans_ + 1 : 0;
-  isActive_ = level > (isActive_ ? options_.stopBelow_ : options_.actAbove_);
+  CountLevel(aLoads.Level(*peak));
+  // A joining server takes load from the others anyway.
+  const bool isJoining =
+    std::ranges::any_of(aPlan.moves_, [](const PlannedMove& aMove) {
+      return aMove.reason_ == kFillReason;
+    });
+  if (isJoining && !isUrgent_) {
+    return;
+  }
   while (isActive_ && aPlan.moves_.size() < kMaxMovesOfPlan) {
     if (!MoveOne(aNowMs, BudgetLoad(aNowMs, aLoads), aLoads, aPlan)) {
       return;
@@ -188,6 +206,18 @@
   }
 }
 
+void LoadPerKeyPolicy::CountLevel(double aLevel)
+{
+  steadyPlans_ = aLevel > options_.actAbove_ ? steadyPlans_ + 1 : 0;
+  urgentPlans_ = aLevel > kUrgentAbove ? urgentPlans_ + 1 : 0;
+  veryUrgentPlans_ = aLevel > kVeryUrgentAbove ? veryUrgentPlans_ + 1 : 0;
+  isUrgent_ = urgentPlans_ >= kUrgentAfterPlans ||
+              veryUrgentPlans_ >= kVeryUrgentAfterPlans ||
+              (isUrgent_ && aLevel > options_.stopBelow_);
+  isActive_ = isUrgent_ || steadyPlans_ >= kSteadyAfterPlans ||
+              (isActive_ && aLevel > options_.stopBelow_);
+}
+
 bool LoadPerKeyPolicy::MoveOne(TimeMs aNowMs,
                                double aMaxLoad,
                                ServerLoads& aLoads,
@@ -209,7 +239,9 @@
   constexpr double kOvershoot = 1.1;
   const auto slice = BestSlice(
     aNowMs, aLoads, *source, std::min({ aMaxLoad, room, kOvershoot * excess }));
-  if (!slice || aLoads.SliceLoad(*slice) <= 0) {
+  // Beside a pinned key, also slices that seem to be idle move away.
+  if (!slice ||
+      (aLoads.SliceLoad(*slice) <= 0 && !aLoads.HoldsPinnedKey(*source))) {
     return false;
   }
   churn_.Record(aNowMs, aLoads.SliceLoad(*slice) / aLoads.Total());
@@ -305,9 +337,8 @@
 
 double LoadPerKeyPolicy::BudgetLoad(TimeMs aNowMs, const ServerLoads& aLoads)
 {
-  const double share = urgentPlans_ >= kUrgentAfterPlans
-                         ? kUrgentShare
-                         : options_.churnPercentPerMinute_ / kPercent;
+  const double share =
+    isUrgent_ ? kUrgentShare : options_.churnPercentPerMinute_ / kPercent;
   return (share - churn_.UsedShare(aNowMs)) * aLoads.Total();
 }
 
--- a/policy/LoadPerKeyPolicy.hpp
+++ b/policy/LoadPerKeyPolicy.hpp
@@ -31,6 +31,8 @@
                     const ServerLoads& aLoads,
                     BalancePlan& aPlan);
   void Rebalance(TimeMs aNowMs, ServerLoads& aLoads, BalancePlan& aPlan);
+  /// Counts the plans in a row in which the highest level was above a limit.
+  void CountLevel(double aLevel);
   bool MoveOne(TimeMs aNowMs,
                double aMaxLoad,
                ServerLoads& aLoads,
@@ -57,7 +59,10 @@
   BalanceOptions options_;
   ChurnBudget churn_;
   bool isActive_ = false;
+  bool isUrgent_ = false;
+  int steadyPlans_ = 0;
   int urgentPlans_ = 0;
+  int veryUrgentPlans_ = 0;
   bool isFirstPlan_ = true;
   std::map<std::string, TimeMs> joinedMs_;
   std::unordered_map<KeyHash, TimeMs> movedMs_;
--- a/policy/ServerLoads.cpp
+++ b/policy/ServerLoads.cpp
@@ -120,12 +120,17 @@
     if (!IsSingleHash(i) || key == keys.end()) {
       continue;
     }
-    // Routers measured with the table before the split, so the key's load
-    // still counts for the slice that it was split from.
-    const double missing =
-      std::clamp(key->second - sliceLoad_[i], 0.0, sliceLoad_[i - 1]);
-    sliceLoad_[i] += missing;
-    sliceLoad_[i - 1] -= missing;
+    // The key's own rate follows faster than the average of its new slice.
+    const double measured = sliceLoad_[i];
+    sliceLoad_[i] = std::max(measured, key->second);
+    // Routers measured with the table before the split, so at first the key's
+    // load still counts for the slice that it was split from. Later the two
+    // measurements differ by noise only.
+    constexpr double kMeasuredPart = 0.7;
+    if (measured < kMeasuredPart * key->second) {
+      sliceLoad_[i - 1] =
+        std::max(0.0, sliceLoad_[i - 1] - (key->second - measured));
+    }
   }
 }
 
@@ -155,13 +160,19 @@
   }
 }
 
-bool ServerLoads::HoldsOnlyPinnedKey(int32_t aServer) const
+bool ServerLoads::HoldsPinnedKey(int32_t aServer) const
 {
-  if (sliceCount_[Index(aServer)] != 1) {
-    return false;
+  for (size_t i = 0; i < owner_.size(); ++i) {
+    if (owner_[i] == aServer && IsPinned(i)) {
+      return true;
+    }
   }
-  const auto slice = std::ranges::find(owner_, aServer) - owner_.begin();
-  return IsPinned(static_cast<size_t>(slice));
+  return false;
+}
+
+bool ServerLoads::HoldsOnlyPinnedKey(int32_t aServer) const
+{
+  return sliceCount_[Index(aServer)] == 1 && HoldsPinnedKey(aServer);
 }
 
 double ServerLoads::DomainLevel(int32_t aServer) const
--- a/policy/ServerLoads.hpp
+++ b/policy/ServerLoads.hpp
@@ -36,6 +36,7 @@
   /// A key that no server can hold beside its fair part stays where it is, and
   /// the other slices of its server move away.
   bool IsPinned(size_t aSlice) const;
+  bool HoldsPinnedKey(int32_t aServer) const;
   void Move(size_t aSlice, int32_t aTarget);
 
 private:
