--- a/bench/BenchReport.hpp
+++ b/bench/BenchReport.hpp
@@ -4,8 +4,8 @@
 
 namespace cactuspitch {
 
-/// Prints measured figures as `name: value unit (target value)` and remembers
-/// whether a target was missed.
+/// Several figures of one measurement; remembers whether a target was missed.
+/// The last figure that is printed is the one of the summary.
 class BenchReport
 {
 public:
@@ -23,6 +23,8 @@
   int ExitCode() const;
 
 private:
+  void Count(int aStatus);
+
   bool missed_ = false;
   bool measured_ = false;
 };
