--- a/bench/BenchReport.cpp
+++ b/bench/BenchReport.cpp
@@ -1,34 +1,19 @@
 #include "BenchReport.hpp"
 
+#include "Measurement.hpp"
 #include "common/Strings.hpp"
 
 #include <cstdio>
-#include <string>
+#include <cstdlib>
 
 namespace cactuspitch {
 
-namespace {
-
-void Print(std::string_view aName,
-           double aValue,
-           std::string_view aUnit,
-           const std::string& aTarget)
-{
-  std::puts(Concat(aName, ": ", aValue, " ", aUnit, aTarget).c_str());
-  std::fflush(stdout);
-}
-
-}
-
 void BenchReport::AtLeast(std::string_view aName,
                           double aValue,
                           std::string_view aUnit,
                           double aTarget)
 {
-  Print(aName, aValue, aUnit, Concat(" (target >= ", aTarget, ")"));
-  // Negated so that NaN misses the target.
-  missed_ = missed_ || !(aValue >= aTarget);
-  measured_ = true;
+  Count(ReportAtLeast(aName, aValue, aUnit, aTarget));
 }
 
 void BenchReport::AtMost(std::string_view aName,
@@ -36,21 +21,25 @@
                          std::string_view aUnit,
                          double aTarget)
 {
-  Print(aName, aValue, aUnit, Concat(" (target <= ", aTarget, ")"));
-  missed_ = missed_ || !(aValue <= aTarget);
-  measured_ = true;
+  Count(ReportAtMost(aName, aValue, aUnit, aTarget));
 }
 
 void BenchReport::Note(std::string_view aName,
                        double aValue,
                        std::string_view aUnit)
 {
-  Print(aName, aValue, aUnit, "");
+  std::puts(Concat(aName, ": ", aValue, " ", aUnit).c_str());
 }
 
 int BenchReport::ExitCode() const
 {
-  return missed_ || !measured_ ? 1 : 0;
+  return missed_ || !measured_ ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+void BenchReport::Count(int aStatus)
+{
+  missed_ = missed_ || aStatus != EXIT_SUCCESS;
+  measured_ = true;
 }
 
 }
