Keep one request id over all attempts and drain from the start of a stop

Ruled out: cancelling the attempt that a retry replaces. With one id the cancellation could hit its replacement, so only requests that have ended are cancelled.

--- a/router/RequestRun.cpp
+++ b/router/RequestRun.cpp
@@ -335,7 +335,7 @@
   const TimeMs now = context_.clock_.NowMs();
   OutboundRequest outbound;
   outbound.http_ = { request_.method_, request_.target_, headers_, body_ };
-  outbound.requestId_ = attemptId_;
+  outbound.requestId_ = request_.requestId_;
   outbound.fingerprint_ = fingerprint_;
   outbound.epoch_ = target_.slice_->epoch_;
   outbound.isIdempotent_ = request_.isIdempotent_;
@@ -356,11 +356,6 @@
 ExchangeResult RequestRun::RunExchange()
 {
   ++attempts_;
-  // Each attempt has an id of its own, so that a cancellation cannot hit the
-  // attempt that replaced it. A repeated non-idempotent request keeps its id.
-  attemptId_ = attempts_ > 1 && request_.isIdempotent_
-                 ? Concat(request_.requestId_, ".", attempts_)
-                 : request_.requestId_;
   auto outbound = MakeOutbound();
   return ServerExchange(context_.clock_, *target_.server_)
     .Run(outbound, caller_);
@@ -387,10 +382,6 @@
     default:
       server.failures_.fetch_add(1, std::memory_order_relaxed);
   }
-  if (aResult.end_ == ExchangeEnd::CallerGone ||
-      aResult.end_ == ExchangeEnd::Silent) {
-    context_.canceller_.Cancel(target_.record_->address_, attemptId_);
-  }
   if (aResult.mayBeCrash_) {
     CheckCrash(aResult);
     server.Pool().RemoveInFlight(fingerprint_);
@@ -422,12 +413,14 @@
       EndNotRun(aResult.reason_, detail::kDefaultRetryMs, aResult.text_);
       return false;
     case AttemptAction::AnswerUnknown:
+      Cancel();
       EndUnknown(aResult.end_ == ExchangeEnd::Silent, aResult.text_);
       return false;
     case AttemptAction::CloseCaller:
     case AttemptAction::Count:
       break;
   }
+  Cancel();
   EndTruncated(aResult);
   return false;
 }
@@ -452,6 +445,13 @@
   return false;
 }
 
+void RequestRun::Cancel()
+{
+  // Only when the request has ended here. All attempts have the id that the
+  // answer names, so a cancellation could hit the attempt that replaced one.
+  context_.canceller_.Cancel(target_.record_->address_, request_.requestId_);
+}
+
 bool RequestRun::CanRetry()
 {
   return attempts_ < rules_->maxAttempts_ &&
--- a/router/RequestRun.hpp
+++ b/router/RequestRun.hpp
@@ -50,6 +50,8 @@
   /// Acts on the end of an attempt; false when the request has ended.
   bool Continue(ExchangeResult& aResult);
   bool ContinueRefused(const ExchangeResult& aResult);
+  /// Tells the server that nobody waits for the answer any more.
+  void Cancel();
   bool CanRetry();
   /// Reports a crash when the server's process is gone.
   void CheckCrash(const ExchangeResult& aResult);
@@ -81,7 +83,6 @@
   LedgerTicket ticket_;
   Target target_;
   AdmissionGate* gate_ = nullptr;
-  std::string attemptId_;
   int attempts_ = 0;
   int parks_ = 0;
   bool isSuspect_ = false;
--- a/router/Router.cpp
+++ b/router/Router.cpp
@@ -110,9 +110,11 @@
       "stopping",
       { { "readyFailMs", settings_.readyFailMs_ },
         { "inFlight", http_.InFlight() } });
+  // Callers learn with each answer that their connection ends, so few of the
+  // connections are still open when the balancer has stopped to use them.
+  http_.BeginDrain();
   std::this_thread::sleep_for(
     std::chrono::milliseconds(settings_.readyFailMs_));
-  http_.BeginDrain();
   const bool idle = http_.WaitIdle(end - clock_.NowMs());
   if (!idle) {
     Log(LogLevel::Warning,
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -150,6 +150,10 @@
       EXPECT_EQ(server.backend_.Requests().size(),
                 expected == "complete" ? 2u : 1u)
         << failure.name_ << isGet;
+      // The answer names the id of its request, also after a retry.
+      const auto sent = server.backend_.Requests();
+      EXPECT_EQ(sent.front().Header("X-Request-Id"),
+                sent.back().Header("X-Request-Id"));
     }
   }
 }
