Require the shared secret between processes and check all settings together

Cause: any process that reached a Thrift port could call it, only the router and the admin process had a secret setting, and a start with a wrong flag and a contradiction reported only the flag.

Ruled out: a secret field in every message (each handler would have to check it). Each connection now opens with a preamble that the server checks in constant time before any call; it costs nothing per call.

ThriftServer::Start() returns once the port accepts connections, so a taken port is reported and the first call of a peer is not refused.

Conclusion: a fleet beyond loopback needs one secret for all its processes.

--- a/admin/AdminMain.cpp
+++ b/admin/AdminMain.cpp
@@ -1,26 +1,21 @@
 #include "AdminProcess.hpp"
 #include "common/Log.hpp"
+#include "common/ProcessSettings.hpp"
 #include "common/TerminationSignal.hpp"
 
 #include <cstdlib>
-#include <iostream>
 
 int main(int argc, char** argv)
 {
   using namespace cactuspitch;
-  constexpr int kExitUsage = 2;
   Settings settings(AdminSettings());
-  settings.ParseOrExit(
-    argc, argv, "cactuspitch-admin", "Administration API and SLO burn report.");
-  Findings findings;
-  CheckAdminSettings(settings, findings);
-  if (!findings.IsEmpty()) {
-    std::cerr << "cactuspitch-admin: invalid settings\n" << findings.ToText();
-    return kExitUsage;
-  }
+  settings.ParseOrExit(argc,
+                       argv,
+                       "cactuspitch-admin",
+                       "Administration API and SLO burn report.",
+                       &CheckProcessSettings);
   const TerminationSignal termination;
-  InitLog("cactuspitch-admin",
-          *ParseEnum<LogLevel>(settings.Text("log-level")));
+  InitLog("cactuspitch-admin", ProcessLogLevel(settings));
   const SteadyClock clock;
   AdminProcess process(clock,
                        { settings.Text("instance"),
--- a/admin/AdminProcess.cpp
+++ b/admin/AdminProcess.cpp
@@ -1,6 +1,7 @@
 #include "AdminProcess.hpp"
 
 #include "common/Log.hpp"
+#include "common/ProcessSettings.hpp"
 #include "common/Strings.hpp"
 
 #include <chrono>
@@ -32,28 +33,8 @@
 
 std::vector<SettingSpec> AdminSettings()
 {
-  return {
-    { "instance", SettingType::Text, "", "Id of this entry instance.", true },
-    { "failure-domain",
-      SettingType::Text,
-      "",
-      "Failure domain of this instance.",
-      true },
-    { "listen",
-      SettingType::Address,
-      "",
-      "Address of the administration API (HTTP).",
-      true },
+  return WithProcessSettings({
     { "store", SettingType::Address, "", "Address of the object store.", true },
-    { "assigners",
-      SettingType::AddressList,
-      "",
-      "Thrift addresses of some assigners, to find the others.",
-      true },
-    { "auth-token",
-      SettingType::Text,
-      "",
-      "Bearer token that the API asks for; required beyond loopback." },
     { "slo-interval-ms",
       SettingType::Integer,
       "15000",
@@ -61,33 +42,7 @@
       false,
       1000,
       60000 },
-    { "log-level",
-      SettingType::Text,
-      "info",
-      "debug, info, warning or error." },
-  };
-}
-
-void CheckAdminSettings(const Settings& aSettings, Findings& aFindings)
-{
-  const auto listen = aSettings.Text("listen");
-  const auto token = aSettings.Text("auth-token");
-  if (!IsLoopback(listen) && token.empty()) {
-    aFindings.Add("settings",
-                  "listen",
-                  listen,
-                  "an address beyond loopback needs auth-token");
-  }
-  constexpr size_t kMinTokenBytes = 16;
-  if (!token.empty() && token.size() < kMinTokenBytes) {
-    aFindings.Add("settings", "auth-token", "(hidden)", "at least 16 B");
-  }
-  if (!ParseEnum<LogLevel>(aSettings.Text("log-level"))) {
-    aFindings.Add("settings",
-                  "log-level",
-                  aSettings.Text("log-level"),
-                  "expected debug, info, warning or error");
-  }
+  });
 }
 
 AdminProcess::AdminProcess(const Clock& aClock, AdminOptions aOptions)
@@ -97,9 +52,10 @@
   , follower_(aClock,
               { .instance_ = options_.instance_,
                 .role_ = "admin",
-                .assigners_ = options_.assigners_ })
+                .assigners_ = options_.assigners_,
+                .secret_ = options_.token_ })
   , directory_(store_, aClock)
-  , fleet_(directory_, &AdminProcess::UnixNowMs)
+  , fleet_(directory_, &AdminProcess::UnixNowMs, { .secret_ = options_.token_ })
   , editor_(store_,
             aClock,
             &AdminProcess::UnixNowMs,
--- a/admin/AdminProcess.hpp
+++ b/admin/AdminProcess.hpp
@@ -27,9 +27,6 @@
 
 std::vector<SettingSpec> AdminSettings();
 
-/// Finding for a listen address beyond loopback without `auth-token`.
-void CheckAdminSettings(const Settings& aSettings, Findings& aFindings);
-
 /// All parts of the administration process.
 class AdminProcess
 {
--- a/admin/ApiServer.cpp
+++ b/admin/ApiServer.cpp
@@ -1,6 +1,7 @@
 #include "ApiServer.hpp"
 
 #include "common/Log.hpp"
+#include "common/ProcessSettings.hpp"
 #include "common/Strings.hpp"
 #include "config/ConfigChange.hpp"
 
@@ -56,24 +57,6 @@
   return JsonAnswer(aStatus, { { "findings", ToJson(aFindings) } });
 }
 
-bool EqualsInConstantTime(std::string_view aExpected, std::string_view aGiven)
-{
-  // Every byte of aGiven is compared, so an attacker learns nothing about how
-  // many leading bytes are right.
-  unsigned difference = aExpected.size() == aGiven.size() ? 0U : 1U;
-  for (size_t i = 0; i < aGiven.size(); ++i) {
-    const auto expected =
-      aExpected.empty() ? '\0' : aExpected[i % aExpected.size()];
-    difference |= static_cast<unsigned char>(aGiven[i] ^ expected);
-  }
-  return difference == 0;
-}
-
-bool IsLoopback(std::string_view aAddress)
-{
-  return aAddress.starts_with("127.") || aAddress.starts_with("[::1]:");
-}
-
 ApiServer::ApiServer(ApiServerOptions aOptions,
                      std::vector<ApiRoute> aRoutes,
                      MetricsRegistry& aMetrics,
@@ -137,7 +120,7 @@
   const auto header = aExchange.Header("Authorization");
   return header.size() > kScheme.size() &&
          EqualsIgnoreCase(header.substr(0, kScheme.size()), kScheme) &&
-         EqualsInConstantTime(options_.token_, header.substr(kScheme.size()));
+         IsSameSecret(options_.token_, header.substr(kScheme.size()));
 }
 
 ApiResponse ApiServer::Answer(HttpExchange& aExchange)
--- a/admin/ApiServer.hpp
+++ b/admin/ApiServer.hpp
@@ -48,12 +48,6 @@
   std::string token_;
 };
 
-/// True when both are equal; the time depends on aGiven only.
-bool EqualsInConstantTime(std::string_view aExpected, std::string_view aGiven);
-
-/// True for an address of 127.0.0.0/8 or ::1.
-bool IsLoopback(std::string_view aAddress);
-
 /// HTTP server of the administration API: authentication, size limits and
 /// routing. Also answers /_health, /_ready and /_metrics, without a token.
 class ApiServer
--- a/admin/FleetClient.cpp
+++ b/admin/FleetClient.cpp
@@ -46,8 +46,10 @@
 void FleetClient::Ask(PeerStatus& aStatus) const
 {
   const auto run = [&]<typename Client>(std::type_identity<Client>) {
-    ThriftChannel<Client> channel(
-      aStatus.address_, options_.connectTimeoutMs_, options_.callTimeoutMs_);
+    ThriftChannel<Client> channel(aStatus.address_,
+                                  options_.connectTimeoutMs_,
+                                  options_.callTimeoutMs_,
+                                  options_.secret_);
     return channel.Run(
       [&](Client& aClient) { aClient.GetStatus(aStatus.status_); });
   };
@@ -103,7 +105,8 @@
     answer.instance_ = routers[aIndex].instance_;
     ThriftChannel<wire::RouterPeerClient> channel(routers[aIndex].address_,
                                                   options_.connectTimeoutMs_,
-                                                  options_.callTimeoutMs_);
+                                                  options_.callTimeoutMs_,
+                                                  options_.secret_);
     answer.error_ =
       detail::ErrorText(channel.Run([&](wire::RouterPeerClient& aClient) {
         aClient.ListQuarantine(answer.entries_);
@@ -121,7 +124,8 @@
     answer.instance_ = routers[aIndex].instance_;
     ThriftChannel<wire::RouterPeerClient> channel(routers[aIndex].address_,
                                                   options_.connectTimeoutMs_,
-                                                  options_.callTimeoutMs_);
+                                                  options_.callTimeoutMs_,
+                                                  options_.secret_);
     answer.error_ =
       detail::ErrorText(channel.Run([&](wire::RouterPeerClient& aClient) {
         aClient.ReleaseQuarantine(aFingerprint);
@@ -137,7 +141,8 @@
   ForEach(routers.size(), [&](size_t aIndex) {
     ThriftChannel<wire::RouterPeerClient> channel(routers[aIndex].address_,
                                                   options_.connectTimeoutMs_,
-                                                  options_.callTimeoutMs_);
+                                                  options_.callTimeoutMs_,
+                                                  options_.secret_);
     SloSample sample;
     sample.instance_ = routers[aIndex].instance_;
     // Both calls go over one connection, so they reach the same run.
--- a/admin/FleetClient.hpp
+++ b/admin/FleetClient.hpp
@@ -15,6 +15,7 @@
 {
   int connectTimeoutMs_ = 200;
   int callTimeoutMs_ = 500;
+  std::string secret_ = {}; ///< shared by all processes
   /// Calls that run at the same time.
   size_t parallelCalls_ = 16;
 };
--- a/assigner/AssignerMain.cpp
+++ b/assigner/AssignerMain.cpp
@@ -1,6 +1,6 @@
 #include "AssignerProcess.hpp"
 #include "common/Log.hpp"
-#include "common/Settings.hpp"
+#include "common/ProcessSettings.hpp"
 
 #include <csignal>
 #include <cstdlib>
@@ -11,16 +11,11 @@
 std::vector<SettingSpec> Specs()
 {
   using enum SettingType;
-  return {
-    { "instance", Text, "", "Name of this entry instance.", true },
-    { "failure-domain", Text, "", "Failure domain of the instance.", true },
-    { "listen", Address, "", "HTTP address for health and metrics.", true },
+  return WithProcessSettings({
     { "rpc-listen", Address, "", "Thrift address for peers.", true },
     { "store", Address, "", "Platform's object store.", true },
-    { "assigners", AddressList, "", "Thrift addresses to learn tables from." },
     { "slices", Integer, "256", "Slices of a new group.", false, 1, 4096 },
-    { "log-level", Text, "info", "debug, info, warning or error." },
-  };
+  });
 }
 
 int Run(int aArgc, char** aArgv)
@@ -28,11 +23,12 @@
   constexpr const char* kProgram = "cactuspitch-assigner";
   constexpr TimeMs kHandoverMs = 3000;
   Settings settings(Specs());
-  settings.ParseOrExit(
-    aArgc, aArgv, kProgram, "Decides which backend server owns which keys.");
-  InitLog(
-    kProgram,
-    ParseEnum<LogLevel>(settings.Text("log-level")).value_or(LogLevel::Info));
+  settings.ParseOrExit(aArgc,
+                       aArgv,
+                       kProgram,
+                       "Decides which backend server owns which keys.",
+                       &CheckProcessSettings);
+  InitLog(kProgram, ProcessLogLevel(settings));
   // Signals are taken by sigwait() below, so no thread may get them.
   sigset_t signals;
   sigemptyset(&signals);
@@ -48,6 +44,7 @@
       .rpcListen_ = settings.Text("rpc-listen"),
       .store_ = settings.Text("store"),
       .assigners_ = settings.List("assigners"),
+      .secret_ = settings.Text("auth-token"),
       .slices_ = static_cast<size_t>(settings.Integer("slices")) });
   const auto started = process.Start();
   if (!started.ok()) {
--- a/assigner/AssignerProcess.cpp
+++ b/assigner/AssignerProcess.cpp
@@ -42,13 +42,14 @@
   , store_(clock_, { .address_ = options_.store_ })
   , control_(clock_, detail::TemplateOf(options_, startedMs_))
   , leases_(clock_, control_)
-  , peers_(control_, directory_)
+  , peers_(control_, directory_, options_.secret_)
   , storeDuty_(clock_, store_, control_, directory_, config_)
   , balance_(clock_, control_, config_)
   , follower_(clock_,
               { .instance_ = options_.instance_,
                 .role_ = "assigner",
-                .assigners_ = options_.assigners_ })
+                .assigners_ = options_.assigners_,
+                .secret_ = options_.secret_ })
   , handler_(std::make_shared<PeerHandler>(clock_,
                                            control_,
                                            balance_,
@@ -57,7 +58,8 @@
                                            follower_,
                                            [this] { return Status(); }))
   , rpc_(options_.rpcListen_,
-         std::make_shared<wire::AssignerPeerProcessor>(handler_))
+         std::make_shared<wire::AssignerPeerProcessor>(handler_),
+         options_.secret_)
   , http_({ .listen_ = options_.listen_, .threads_ = 4 },
           [this](HttpExchange& aExchange) { HandleHttp(aExchange); })
 {
--- a/assigner/AssignerProcess.hpp
+++ b/assigner/AssignerProcess.hpp
@@ -30,6 +30,7 @@
   std::string rpcListen_;
   std::string store_;
   std::vector<std::string> assigners_;
+  std::string secret_;
   size_t slices_ = 256;
 };
 
--- a/assigner/PeerDuty.cpp
+++ b/assigner/PeerDuty.cpp
@@ -68,9 +68,12 @@
 {
 }
 
-PeerDuty::PeerDuty(ControlDuty& aControl, const FleetDirectory& aDirectory)
+PeerDuty::PeerDuty(ControlDuty& aControl,
+                   const FleetDirectory& aDirectory,
+                   std::string aSecret)
   : control_(aControl)
   , directory_(aDirectory)
+  , secret_(std::move(aSecret))
 {
 }
 
@@ -132,7 +135,7 @@
 {
   constexpr auto kWait = std::chrono::milliseconds(1000);
   ThriftChannel<wire::AssignerPeerClient> channel(
-    aLink.address_, detail::kConnectMs, detail::kAnswerMs);
+    aLink.address_, detail::kConnectMs, detail::kAnswerMs, secret_);
   while (!aLink.ring_.IsClosed()) {
     auto job = aLink.ring_.Pop(kWait);
     if (!job) {
--- a/assigner/PeerDuty.hpp
+++ b/assigner/PeerDuty.hpp
@@ -26,7 +26,9 @@
 class PeerDuty
 {
 public:
-  PeerDuty(ControlDuty& aControl, const FleetDirectory& aDirectory);
+  PeerDuty(ControlDuty& aControl,
+           const FleetDirectory& aDirectory,
+           std::string aSecret);
   ~PeerDuty();
   PeerDuty(const PeerDuty&) = delete;
   PeerDuty& operator=(const PeerDuty&) = delete;
@@ -57,6 +59,7 @@
 
   ControlDuty& control_;
   const FleetDirectory& directory_;
+  const std::string secret_;
   std::mutex mutex_;
   std::map<std::string, std::unique_ptr<Link>> links_;
   bool stopped_ = false;
--- a/common/Settings.cpp
+++ b/common/Settings.cpp
@@ -268,9 +268,18 @@
                            char** aArgv,
                            std::string_view aProgram,
                            std::string_view aSummary,
-                           bool aAllowPositional)
+                           const Check& aCheck)
 {
-  switch (Parse(aArgc, aArgv, ProcessEnvironment(), aAllowPositional)) {
+  auto action = Parse(aArgc, aArgv, ProcessEnvironment());
+  const bool isRun =
+    action == SettingsAction::Run || action == SettingsAction::Invalid;
+  if (isRun && aCheck) {
+    aCheck(*this, findings_);
+  }
+  if (isRun && !findings_.IsEmpty()) {
+    action = SettingsAction::Invalid;
+  }
+  switch (action) {
     case SettingsAction::ShowHelp:
       std::cout << HelpText(aProgram, aSummary);
       std::exit(EXIT_SUCCESS);
--- a/common/Settings.hpp
+++ b/common/Settings.hpp
@@ -4,6 +4,7 @@
 #include "Findings.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -91,13 +92,17 @@
   std::string HelpText(std::string_view aProgram,
                        std::string_view aSummary) const;
 
-  /// Parses and handles --help, --version and findings: prints them and exits
-  /// with status 0 or 2. Returns only when the process should run.
+  /// Rules that concern more than one setting.
+  using Check = std::function<void(const Settings&, Findings&)>;
+
+  /// Parses and handles --help, --version and findings: prints all findings,
+  /// also those of aCheck, and exits with status 0 or 2. Returns only when the
+  /// process should run.
   void ParseOrExit(int aArgc,
                    char** aArgv,
                    std::string_view aProgram,
                    std::string_view aSummary,
-                   bool aAllowPositional = false);
+                   const Check& aCheck = {});
 
 private:
   void ParseFlags(int aArgc, char** aArgv, bool aAllowPositional);
--- a/router/PeerPool.hpp
+++ b/router/PeerPool.hpp
@@ -18,10 +18,14 @@
 class PeerPool
 {
 public:
-  PeerPool(const Clock& aClock, int aConnectTimeoutMs, int aCallTimeoutMs)
+  PeerPool(const Clock& aClock,
+           int aConnectTimeoutMs,
+           int aCallTimeoutMs,
+           std::string aSecret = {})
     : clock_(aClock)
     , connectTimeoutMs_(aConnectTimeoutMs)
     , callTimeoutMs_(aCallTimeoutMs)
+    , secret_(std::move(aSecret))
   {
   }
 
@@ -41,8 +45,8 @@
     }
     const bool wasQuick = clock_.NowMs() - start < callTimeoutMs_;
     if (!status.ok() && wasQuick) {
-      channel.reused_ =
-        std::make_unique<Channel>(aAddress, connectTimeoutMs_, callTimeoutMs_);
+      channel.reused_ = std::make_unique<Channel>(
+        aAddress, connectTimeoutMs_, callTimeoutMs_, secret_);
       status = channel.reused_->Run(aCall);
     }
     Return(aAddress, std::move(channel.reused_), status.ok());
@@ -98,6 +102,7 @@
   const Clock& clock_;
   const int connectTimeoutMs_;
   const int callTimeoutMs_;
+  const std::string secret_;
   std::mutex mutex_;
   absl::flat_hash_map<std::string, Peer> peers_;
 };
--- a/router/Router.cpp
+++ b/router/Router.cpp
@@ -48,8 +48,14 @@
   , startMs_(aClock.NowMs())
   , registry_(aClock)
   , ledgerHolder_(aClock, settings_.ledgerEntries_)
-  , routerPool_(aClock, settings_.peerTimeoutMs_, settings_.peerTimeoutMs_)
-  , assignerPool_(aClock, settings_.peerTimeoutMs_, settings_.peerTimeoutMs_)
+  , routerPool_(aClock,
+                settings_.peerTimeoutMs_,
+                settings_.peerTimeoutMs_,
+                settings_.secret_)
+  , assignerPool_(aClock,
+                  settings_.peerTimeoutMs_,
+                  settings_.peerTimeoutMs_,
+                  settings_.secret_)
   , ledgerPeers_(aClock, settings_.rpcListen_, ledgerHolder_, routerPool_)
   , ledger_(ledgerPeers_)
   , quarantine_(aClock)
@@ -74,7 +80,8 @@
            std::make_shared<PeerService>(ledgerHolder_,
                                          quarantine_,
                                          slo_,
-                                         [this] { return Status(); })))
+                                         [this] { return Status(); })),
+         settings_.secret_)
   , http_(detail::ServerOptions(settings_),
           [this](HttpExchange& aExchange) { Handle(aExchange); })
 {
--- a/router/RouterMain.cpp
+++ b/router/RouterMain.cpp
@@ -5,39 +5,25 @@
 #include <cstdlib>
 #include <iostream>
 
-namespace {
-
-cactuspitch::RouterSettings ReadSettingsOrExit(int aArgc, char** aArgv)
-{
-  constexpr int kExitUsage = 2;
-  cactuspitch::Settings settings(cactuspitch::RouterSettingSpecs());
-  settings.ParseOrExit(aArgc,
-                       aArgv,
-                       "cactuspitch-router",
-                       "Forwards callers' requests to the backend servers that "
-                       "own their keys.");
-  cactuspitch::Findings findings;
-  auto router = cactuspitch::ReadRouterSettings(settings, findings);
-  if (!findings.IsEmpty()) {
-    std::cerr << "cactuspitch-router: invalid settings\n" << findings.ToText();
-    std::exit(kExitUsage);
-  }
-  return router;
-}
-
-}
-
 int main(int aArgc, char** aArgv)
 {
   using namespace cactuspitch;
-  const auto settings = ReadSettingsOrExit(aArgc, aArgv);
+  Settings flags(RouterSettingSpecs());
+  flags.ParseOrExit(
+    aArgc,
+    aArgv,
+    "cactuspitch-router",
+    "Forwards callers' requests to the backend servers that own their keys.",
+    &CheckRouterSettings);
+  const auto settings = ReadRouterSettings(flags);
   const TerminationSignal termination;
   InitLog("router", settings.logLevel_);
   const SteadyClock clock;
   TableFollower follower(clock,
                          { .instance_ = settings.instance_,
                            .role_ = "router",
-                           .assigners_ = settings.assigners_ });
+                           .assigners_ = settings.assigners_,
+                           .secret_ = settings.secret_ });
   FollowerRoutingTables tables(follower);
   Router router(clock, settings, tables);
   follower.Start();
--- a/router/RouterSettings.cpp
+++ b/router/RouterSettings.cpp
@@ -1,33 +1,18 @@
 #include "RouterSettings.hpp"
 
+#include "common/ProcessSettings.hpp"
 #include "common/Strings.hpp"
 
-#include <algorithm>
-
 namespace cactuspitch {
 
 namespace detail {
 
-bool IsLoopback(std::string_view aAddress)
-{
-  return aAddress.starts_with("127.") || aAddress.starts_with("[::1]:");
-}
-
-void CheckAddresses(const Settings& aSettings,
-                    const RouterSettings& aRouter,
-                    Findings& aFindings)
+void CheckAddresses(const RouterSettings& aRouter, Findings& aFindings)
 {
   if (aRouter.listen_ == aRouter.rpcListen_) {
     aFindings.Add(
       "settings", "rpc-listen", aRouter.rpcListen_, "must differ from listen");
   }
-  const bool allLoopback = IsLoopback(aRouter.listen_) &&
-                           IsLoopback(aRouter.rpcListen_) &&
-                           std::ranges::all_of(aRouter.assigners_, IsLoopback);
-  if (!allLoopback && aSettings.Text("auth-token").empty()) {
-    aFindings.Add(
-      "settings", "auth-token", "", "required when an address is not loopback");
-  }
 }
 
 void CheckLimits(const RouterSettings& aRouter, Findings& aFindings)
@@ -53,18 +38,9 @@
 
 std::vector<SettingSpec> RouterSettingSpecs()
 {
-  constexpr auto kText = SettingType::Text;
   constexpr auto kInteger = SettingType::Integer;
-  return {
-    { "instance", kText, "", "Name of this entry instance.", true },
-    { "failure-domain", kText, "", "Failure domain of the instance.", true },
-    { "listen", SettingType::Address, "", "Address for callers.", true },
+  return WithProcessSettings({
     { "rpc-listen", SettingType::Address, "", "Thrift address.", true },
-    { "assigners",
-      SettingType::AddressList,
-      "",
-      "Thrift addresses of assigners to start from.",
-      true },
     { "threads",
       kInteger,
       "256",
@@ -129,13 +105,10 @@
       false,
       1,
       60000 },
-    { "auth-token", kText, "", "Shared secret.", false },
-    { "log-level", kText, "info", "debug, info, warning or error.", false },
-  };
+  });
 }
 
-RouterSettings ReadRouterSettings(const Settings& aSettings,
-                                  Findings& aFindings)
+RouterSettings ReadRouterSettings(const Settings& aSettings)
 {
   RouterSettings router;
   router.instance_ = aSettings.Text("instance");
@@ -143,6 +116,7 @@
   router.listen_ = aSettings.Text("listen");
   router.rpcListen_ = aSettings.Text("rpc-listen");
   router.assigners_ = aSettings.List("assigners");
+  router.secret_ = aSettings.Text("auth-token");
   router.threads_ = static_cast<int>(aSettings.Integer("threads"));
   router.maxParked_ = static_cast<int>(aSettings.Integer("max-parked"));
   router.maxPathBytes_ =
@@ -155,18 +129,16 @@
   router.stopTimeoutMs_ = aSettings.Integer("stop-timeout-ms");
   router.peerTimeoutMs_ =
     static_cast<int>(aSettings.Integer("peer-timeout-ms"));
-  const auto level = ParseEnum<LogLevel>(aSettings.Text("log-level"));
-  if (level) {
-    router.logLevel_ = *level;
-  } else {
-    aFindings.Add("settings",
-                  "log-level",
-                  aSettings.Text("log-level"),
-                  "expected debug, info, warning or error");
-  }
-  detail::CheckAddresses(aSettings, router, aFindings);
-  detail::CheckLimits(router, aFindings);
+  router.logLevel_ = ProcessLogLevel(aSettings);
   return router;
 }
 
+void CheckRouterSettings(const Settings& aSettings, Findings& aFindings)
+{
+  CheckProcessSettings(aSettings, aFindings);
+  const auto router = ReadRouterSettings(aSettings);
+  detail::CheckAddresses(router, aFindings);
+  detail::CheckLimits(router, aFindings);
+}
+
 }
--- a/router/RouterSettings.hpp
+++ b/router/RouterSettings.hpp
@@ -18,6 +18,7 @@
   std::string listen_;
   std::string rpcListen_;
   std::vector<std::string> assigners_;
+  std::string secret_;
   int threads_ = 0;
   int maxParked_ = 0;
   size_t maxPathBytes_ = 0;
@@ -32,8 +33,9 @@
 
 std::vector<SettingSpec> RouterSettingSpecs();
 
-/// Converts parsed settings; contradictions are added to aFindings.
-RouterSettings ReadRouterSettings(const Settings& aSettings,
-                                  Findings& aFindings);
+RouterSettings ReadRouterSettings(const Settings& aSettings);
+
+/// Adds contradictions between settings to aFindings.
+void CheckRouterSettings(const Settings& aSettings, Findings& aFindings);
 
 }
--- a/rpc/TableFollower.hpp
+++ b/rpc/TableFollower.hpp
@@ -15,6 +15,7 @@
   std::string instance_;
   std::string role_;                   ///< router, assigner or admin
   std::vector<std::string> assigners_; ///< bootstrap Thrift addresses
+  std::string secret_ = {};            ///< shared by all processes
   /// Well below half of the view lease of 1,000 ms, because the lease counts
   /// from the send time and the next answer comes one poll later.
   TimeMs longPollMs_ = 300;
--- a/rpc/TablePoller.cpp
+++ b/rpc/TablePoller.cpp
@@ -21,7 +21,8 @@
   : clock_(aClock)
   , channel_(std::move(aAddress),
              static_cast<int>(aOptions.connectTimeoutMs_),
-             static_cast<int>(aOptions.longPollMs_ + aOptions.answerSlackMs_))
+             static_cast<int>(aOptions.longPollMs_ + aOptions.answerSlackMs_),
+             aOptions.secret_)
 {
 }
 
--- a/rpc/ThriftChannel.hpp
+++ b/rpc/ThriftChannel.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "PeerSecret.hpp"
 #include "common/Strings.hpp"
 
 #include <memory>
@@ -24,10 +25,14 @@
 class ThriftChannel
 {
 public:
-  ThriftChannel(std::string aAddress, int aConnectTimeoutMs, int aCallTimeoutMs)
+  ThriftChannel(std::string aAddress,
+                int aConnectTimeoutMs,
+                int aCallTimeoutMs,
+                std::string aSecret = {})
     : address_(std::move(aAddress))
     , connectTimeoutMs_(aConnectTimeoutMs)
     , callTimeoutMs_(aCallTimeoutMs)
+    , secret_(std::move(aSecret))
   {
   }
 
@@ -73,6 +78,7 @@
     socket_->setNoDelay(true);
     try {
       socket_->open();
+      SendSecret(*socket_, secret_);
     } catch (const apache::thrift::TException& failure) {
       Reset();
       return absl::UnavailableError(Concat(address_, ": ", failure.what()));
@@ -86,6 +92,7 @@
   std::string address_;
   int connectTimeoutMs_;
   int callTimeoutMs_;
+  std::string secret_;
   std::shared_ptr<apache::thrift::transport::TSocket> socket_;
   std::unique_ptr<Client> client_;
 };
--- a/rpc/ThriftServer.cpp
+++ b/rpc/ThriftServer.cpp
@@ -1,8 +1,11 @@
 #include "ThriftServer.hpp"
 
+#include "PeerSecret.hpp"
 #include "ThriftChannel.hpp"
 #include "common/Strings.hpp"
 
+#include <future>
+
 #include <thrift/TOutput.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -13,9 +16,11 @@
 namespace thrift = apache::thrift;
 
 ThriftServer::ThriftServer(std::string aListen,
-                           std::shared_ptr<thrift::TProcessor> aProcessor)
+                           std::shared_ptr<thrift::TProcessor> aProcessor,
+                           std::string aSecret)
   : listen_(std::move(aListen))
   , processor_(std::move(aProcessor))
+  , secret_(std::move(aSecret))
 {
 }
 
@@ -29,29 +34,25 @@
   // Thrift otherwise prints connection errors to standard error.
   thrift::GlobalOutput.setOutputFunction([](const char*) {});
   const auto [host, port] = SplitAddress(listen_);
-  auto socket = std::make_shared<thrift::transport::TServerSocket>(host, port);
-  try {
-    socket->listen();
-  } catch (const thrift::TException& failure) {
-    return absl::UnavailableError(
-      Concat("cannot listen on ", listen_, ": ", failure.what()));
-  }
-  // serve() calls listen() itself; the trial above only reports a taken port.
-  socket->close();
+  std::promise<absl::Status> listening;
+  auto result = listening.get_future();
   server_ = std::make_unique<thrift::server::TThreadedServer>(
     processor_,
     std::make_shared<thrift::transport::TServerSocket>(host, port),
     std::make_shared<thrift::transport::TBufferedTransportFactory>(),
     std::make_shared<thrift::protocol::TCompactProtocolFactory>());
-  thread_ = std::thread([this] {
+  server_->setServerEventHandler(std::make_shared<SecretCheck>(
+    secret_, [&listening] { listening.set_value(absl::OkStatus()); }));
+  thread_ = std::thread([this, &listening] {
     try {
       server_->serve();
-    } catch (const thrift::TException&) {
-      // Start() has checked the port; a later failure ends the process's use
-      // of it, and peers see refused connections.
+    } catch (const thrift::TException& failure) {
+      // serve() only throws before it has begun to listen.
+      listening.set_value(absl::UnavailableError(
+        Concat("cannot listen on ", listen_, ": ", failure.what())));
     }
   });
-  return absl::OkStatus();
+  return result.get();
 }
 
 void ThriftServer::Stop()
--- a/rpc/ThriftServer.hpp
+++ b/rpc/ThriftServer.hpp
@@ -15,9 +15,10 @@
 class ThriftServer
 {
 public:
-  /// aListen is "IP:port".
+  /// aListen is "IP:port". Clients must know aSecret, which may be empty.
   ThriftServer(std::string aListen,
-               std::shared_ptr<apache::thrift::TProcessor> aProcessor);
+               std::shared_ptr<apache::thrift::TProcessor> aProcessor,
+               std::string aSecret = {});
   ~ThriftServer();
   ThriftServer(const ThriftServer&) = delete;
   ThriftServer& operator=(const ThriftServer&) = delete;
@@ -28,6 +29,7 @@
 private:
   std::string listen_;
   std::shared_ptr<apache::thrift::TProcessor> processor_;
+  std::string secret_;
   std::unique_ptr<apache::thrift::server::TThreadedServer> server_;
   std::thread thread_;
 };
