Give every refusal of input a readable answer and an outcome

Answers that CivetWeb gives by itself (long headers, malformed framing) had no X-Outcome, and each HEAD closed its connection.

Ruled out: answering 413 earlier; the reset that follows a close with unread input removes the answer from the caller's socket. Up to 16 MB of an oversized body are read and dropped instead.

Conclusion: HttpServer has headers for its own refusals and drops bodies on request; a stopping router waits up to 1 s for open connections to close.

--- a/common/HttpServer.cpp
+++ b/common/HttpServer.cpp
@@ -164,6 +164,21 @@
   return body;
 }
 
+void HttpExchange::DiscardBody(uint64_t aMaxBytes)
+{
+  constexpr size_t kPartBytes = 16 * 1024;
+  char part[kPartBytes];
+  const auto end = std::min(contentLength_, bodyBytesRead_ + aMaxBytes);
+  while (bodyBytesRead_ < end) {
+    const auto wanted = std::min<uint64_t>(kPartBytes, end - bodyBytesRead_);
+    const int got = mg_read(connection_, part, wanted);
+    if (got <= 0) {
+      return;
+    }
+    bodyBytesRead_ += static_cast<uint64_t>(got);
+  }
+}
+
 bool HttpExchange::SendHead(int aStatus,
                             const HttpHeaders& aHeaders,
                             std::string_view aFraming,
@@ -286,6 +301,7 @@
   callbacks.log_message = [](const mg_connection*, const char*) { return 1; };
   callbacks.init_connection = &HttpServer::OnConnect;
   callbacks.connection_closed = &HttpServer::OnClosed;
+  callbacks.http_error = &HttpServer::OnError;
   mg_init_library(0);
   char text[256] = "";
   mg_error_data error{};
@@ -352,6 +368,27 @@
   server->connections_.fetch_sub(1, std::memory_order_relaxed);
 }
 
+int HttpServer::OnError(mg_connection* aConnection,
+                        int aStatus,
+                        const char* aText)
+{
+  const auto* server = static_cast<const HttpServer*>(
+    mg_get_user_data(mg_get_context(aConnection)));
+  const auto body = Concat(aText ? aText : "", "\n");
+  auto answer = Concat("HTTP/1.1 ", aStatus, " ", HttpReason(aStatus), "\r\n");
+  for (const auto& [name, value] : server->options_.refusalHeaders_) {
+    AppendTo(answer, name, ": ", value, "\r\n");
+  }
+  AppendTo(answer,
+           "Connection: close\r\nContent-Length: ",
+           body.size(),
+           "\r\n\r\n",
+           body);
+  mg_disable_connection_keep_alive(aConnection);
+  mg_write(aConnection, answer.data(), answer.size());
+  return 0;
+}
+
 int HttpServer::OnRequest(mg_connection* aConnection, void* aServer)
 {
   return static_cast<HttpServer*>(aServer)->Handle(aConnection);
@@ -368,12 +405,14 @@
   const auto framing = detail::CheckFraming(info);
   if (framing.refusal_ != 0) {
     exchange.CloseAfter();
-    exchange.Respond(framing.refusal_, {}, Concat(framing.reason_, "\n"));
+    exchange.Respond(framing.refusal_,
+                     options_.refusalHeaders_,
+                     Concat(framing.reason_, "\n"));
   } else {
     exchange.contentLength_ = framing.contentLength_;
     handler_(exchange);
     const bool truncated =
-      !exchange.ended_ &&
+      !exchange.ended_ && exchange.Method() != "HEAD" &&
       (exchange.chunked_ || exchange.writtenBytes_ < exchange.declaredBytes_);
     if (!exchange.started_) {
       constexpr int kInternalError = 500;
--- a/common/HttpServer.hpp
+++ b/common/HttpServer.hpp
@@ -39,6 +39,9 @@
 
   /// OutOfRange when the body exceeds the limit, DataLoss when it ends early.
   absl::StatusOr<std::string> ReadBody(size_t aMaxBytes);
+  /// Reads and drops up to aMaxBytes of the body. A caller that is still
+  /// sending when its connection closes cannot read the refusal.
+  void DiscardBody(uint64_t aMaxBytes);
 
   /// Sends a whole answer. False when the caller is gone.
   bool Respond(int aStatus,
@@ -84,6 +87,9 @@
   int threads_ = 64;
   int64_t requestTimeoutMs_ = 30000;
   int64_t keepAliveTimeoutMs_ = 60000;
+  /// Headers of answers that the server gives without the handler, e.g. to
+  /// malformed requests.
+  HttpHeaders refusalHeaders_ = {};
   /// Runs on the connection's thread before its first request; may be empty.
   std::function<void()> onConnect_ = {};
 };
@@ -118,6 +124,9 @@
   static int OnRequest(mg_connection* aConnection, void* aServer);
   static int OnConnect(const mg_connection* aConnection, void** aData);
   static void OnClosed(const mg_connection* aConnection);
+  static int OnError(mg_connection* aConnection,
+                     int aStatus,
+                     const char* aText);
   int Handle(mg_connection* aConnection);
 
   HttpServerOptions options_;
--- a/router/AnswerWriter.cpp
+++ b/router/AnswerWriter.cpp
@@ -39,7 +39,12 @@
   return std::max<TimeMs>(1, spread(random));
 }
 
-HttpHeaders AnswerWriter::NotRunHeaders(TimeMs aRetryAfterMs) const
+HttpHeaders AnswerWriter::RefusalHeaders()
+{
+  return NotRunHeaders(detail::kInputRetryMs);
+}
+
+HttpHeaders AnswerWriter::NotRunHeaders(TimeMs aRetryAfterMs)
 {
   const auto retryMs = Jitter(aRetryAfterMs);
   const auto seconds =
--- a/router/AnswerWriter.hpp
+++ b/router/AnswerWriter.hpp
@@ -31,11 +31,13 @@
   /// Input that cannot be forwarded.
   void Refuse(int aStatus, std::string_view aText);
 
+  /// Headers of answers to input that never reaches a handler.
+  static HttpHeaders RefusalHeaders();
   /// Between half of and one and a half times aMs, at least 1.
   static TimeMs Jitter(TimeMs aMs);
 
 private:
-  HttpHeaders NotRunHeaders(TimeMs aRetryAfterMs) const;
+  static HttpHeaders NotRunHeaders(TimeMs aRetryAfterMs);
 
   HttpExchange& caller_;
 };
--- a/router/RequestRun.cpp
+++ b/router/RequestRun.cpp
@@ -16,6 +16,8 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kTooLarge = 413;
+/// Callers that send more are cut off without a readable answer.
+constexpr uint64_t kMaxDiscardBytes = 16 << 20;
 constexpr int kFirstServerError = 500;
 
 /// Waits for a newer table grow, since a router that asks each millisecond
@@ -97,6 +99,7 @@
                            caller_.Header(header::kDeadlineMs) };
   const auto refusal = ParseCallerRequest(input, context_.limits_, request_);
   if (refusal.status_ != 0) {
+    caller_.DiscardBody(detail::kMaxDiscardBytes);
     answer_.Refuse(refusal.status_, refusal.text_);
     return false;
   }
@@ -145,6 +148,7 @@
   if (caller_.ContentLength() > 0) {
     auto body = caller_.ReadBody(static_cast<size_t>(rules_->maxRequestBytes_));
     if (!body.ok()) {
+      caller_.DiscardBody(detail::kMaxDiscardBytes);
       answer_.Refuse(absl::IsOutOfRange(body.status()) ? detail::kTooLarge
                                                        : detail::kBadRequest,
                      body.status().message().data());
--- a/router/Router.cpp
+++ b/router/Router.cpp
@@ -4,6 +4,7 @@
 #include "RequestRun.hpp"
 #include "common/Log.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <thread>
 
@@ -11,6 +12,10 @@
 
 namespace detail {
 
+/// Time for callers to close their connections after the balancer has stopped.
+constexpr TimeMs kCloseMs = 1000;
+constexpr TimeMs kPollMs = 5;
+
 int64_t UnixMinute()
 {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -22,7 +27,8 @@
   return { .listen_ = aSettings.listen_,
            .threads_ = aSettings.threads_,
            .requestTimeoutMs_ = aSettings.writeTimeoutMs_,
-           .keepAliveTimeoutMs_ = aSettings.keepAliveMs_ };
+           .keepAliveTimeoutMs_ = aSettings.keepAliveMs_,
+           .refusalHeaders_ = AnswerWriter::RefusalHeaders() };
 }
 
 void AddMetric(std::string& aText,
@@ -122,6 +128,11 @@
   http_.BeginDrain();
   std::this_thread::sleep_for(
     std::chrono::milliseconds(settings_.readyFailMs_));
+  // A request can be under way on a connection that is still open.
+  const TimeMs closeEnd = std::min(end, clock_.NowMs() + detail::kCloseMs);
+  while (http_.Connections() > 0 && clock_.NowMs() < closeEnd) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(detail::kPollMs));
+  }
   const bool idle = http_.WaitIdle(end - clock_.NowMs());
   if (!idle) {
     Log(LogLevel::Warning,
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -375,6 +375,7 @@
   const auto response = rig.Send("HEAD", "/svc/key");
   ASSERT_TRUE(response.ok()) << response.status();
   EXPECT_EQ(response->head_.contentLength_, 1234u);
+  EXPECT_NE(response->head_.Header("Connection"), "close");
   EXPECT_EQ(OutcomeOf(*response), "complete");
 }
 
@@ -395,6 +396,8 @@
     EXPECT_EQ(OutcomeOf(*response), "not-run");
     return response->head_.status_;
   };
+  const HttpHeaders tooLong = { { "X-Long", std::string(40000, 'h') } };
+  EXPECT_GE(status("GET", "/svc/key", tooLong, ""), 400);
   EXPECT_EQ(status("GET", "/svc", {}, ""), 400);
   EXPECT_EQ(status("GET", "/nobody/key", {}, ""), 404);
   EXPECT_EQ(status("GET", "/svc/" + std::string(300, 'k'), {}, ""), 414);
