Move the options into FleetClient

Cause: clang-tidy reports a copied parameter since the options hold a string.

Ruled out: passing by reference, which would copy as well.

Conclusion: no change of behaviour.

--- a/admin/FleetClient.cpp
+++ b/admin/FleetClient.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <optional>
 #include <thread>
+#include <utility>
 
 #include <AssignerPeer.h>
 
@@ -25,7 +26,7 @@
                          FleetClientOptions aOptions)
   : directory_(aDirectory)
   , unixClock_(std::move(aUnixClock))
-  , options_(aOptions)
+  , options_(std::move(aOptions))
 {
 }
 
