Split the crash report from the request and test routers in pairs

Ruled out: changing the peers of the fake table without a lock, as the first tests did while the router's duties read them.

--- a/router/BackendServer.hpp
+++ b/router/BackendServer.hpp
@@ -22,6 +22,7 @@
   BackendServer(const Clock& aClock, const BackendServerRecord& aRecord);
 
   const std::string& Id() const { return id_; }
+  const std::string& Address() const { return pool_.Address(); }
   const std::string& FailureDomain() const { return failureDomain_; }
   ConnectionPool& Pool() { return pool_; }
   LatencyHistogram& Latency() { return latency_; }
--- /dev/null
+++ b/router/CrashReporter.cpp
@@ -0,0 +1,69 @@
+#include "CrashReporter.hpp"
+
+#include "common/Log.hpp"
+
+#include <chrono>
+#include <thread>
+
+#include <xxhash.h>
+
+namespace cactuspitch {
+
+namespace detail {
+
+constexpr TimeMs kCrashCheckMs = 100;
+
+}
+
+uint64_t Fingerprint(const CallerRequest& aRequest, std::string_view aBody)
+{
+  const auto method =
+    XXH3_64bits(aRequest.method_.data(), aRequest.method_.size());
+  const auto path = XXH3_64bits_withSeed(
+    aRequest.target_.data(), aRequest.target_.size(), method);
+  return aBody.empty() ? path
+                       : XXH3_64bits_withSeed(aBody.data(), aBody.size(), path);
+}
+
+void CrashReporter::Check(BackendServer& aServer, uint64_t aIncarnation)
+{
+  const auto incarnation =
+    aIncarnation != 0 ? aIncarnation : aServer.Incarnation();
+  if (!IsProcessGone(aServer, incarnation)) {
+    return;
+  }
+  aServer.OnProcessGone();
+  const auto suspects = aServer.Pool().TakeCrash(incarnation);
+  if (!suspects.empty()) {
+    Log(LogLevel::Warning,
+        "backend server was lost with requests in flight",
+        { { "server", aServer.Id() }, { "requests", suspects.size() } });
+    quarantine_.OnCrash(aServer.Id(), suspects);
+  }
+}
+
+bool CrashReporter::IsProcessGone(const BackendServer& aServer,
+                                  uint64_t aIncarnation)
+{
+  constexpr size_t kMaxHealthBytes = 64 * 1024;
+  constexpr auto kPause = std::chrono::milliseconds(5);
+  const TimeMs bound = clock_.NowMs() + detail::kCrashCheckMs;
+  const HttpRequest request{ "GET", "/_cactuspitch/health", {}, {} };
+  HttpConnection probe(clock_, aServer.Address());
+  while (clock_.NowMs() < bound) {
+    const auto health = probe.Exchange(request, bound, kMaxHealthBytes);
+    if (health.ok()) {
+      const auto now = health->head_.Header(header::kIncarnation);
+      return !now.empty() && aIncarnation != 0 && HashKey(now) != aIncarnation;
+    }
+    if (absl::IsUnavailable(health.status())) {
+      return true;
+    }
+    // A process that is ending can still accept for a moment.
+    probe.Close();
+    std::this_thread::sleep_for(kPause);
+  }
+  return false;
+}
+
+}
--- a/router/OutcomeClassifier.cpp
+++ b/router/OutcomeClassifier.cpp
@@ -82,6 +82,14 @@
   return aCanRetry ? rule.retryable_ : rule.final_;
 }
 
+bool OutcomeClassifier::IsOwnershipRefusal(NotRunReason aReason)
+{
+  return aReason == NotRunReason::StaleEpoch ||
+         aReason == NotRunReason::NotOwner ||
+         aReason == NotRunReason::LeaseExpired ||
+         aReason == NotRunReason::Draining;
+}
+
 bool OutcomeClassifier::IsCertainlyNotRun(ExchangeEnd aEnd)
 {
   return aEnd == ExchangeEnd::NoConnection || aEnd == ExchangeEnd::Refused ||
--- a/router/OutcomeClassifier.hpp
+++ b/router/OutcomeClassifier.hpp
@@ -68,6 +68,9 @@
                               bool aIdempotent,
                               bool aCanRetry);
 
+  /// True when another table or a moment later the request can run.
+  static bool IsOwnershipRefusal(NotRunReason aReason);
+
   /// True when the request cannot have run.
   static bool IsCertainlyNotRun(ExchangeEnd aEnd);
 };
--- a/router/RequestRun.cpp
+++ b/router/RequestRun.cpp
@@ -1,14 +1,12 @@
 #include "RequestRun.hpp"
 
+#include "CrashReporter.hpp"
 #include "HeaderRules.hpp"
-#include "common/Log.hpp"
 
 #include <algorithm>
 #include <random>
 #include <thread>
 
-#include <xxhash.h>
-
 namespace cactuspitch {
 
 namespace detail {
@@ -27,52 +25,17 @@
 constexpr TimeMs kViewLeasePollMs = 10;
 /// A view lease that ends sooner leaves the server no time to run.
 constexpr TimeMs kMinViewLeaseMs = 20;
-constexpr TimeMs kCrashCheckMs = 100;
 /// Time after which an owner is usually found again (docs/design.md, 4.5).
 constexpr TimeMs kTakeoverRetryMs = 1000;
 constexpr TimeMs kDefaultRetryMs = 500;
 constexpr TimeMs kQuarantineRetryMs = 60000;
 
-uint64_t Fingerprint(const CallerRequest& aRequest, std::string_view aBody)
-{
-  const auto method =
-    XXH3_64bits(aRequest.method_.data(), aRequest.method_.size());
-  const auto path = XXH3_64bits_withSeed(
-    aRequest.target_.data(), aRequest.target_.size(), method);
-  return aBody.empty() ? path
-                       : XXH3_64bits_withSeed(aBody.data(), aBody.size(), path);
-}
-
 uint64_t RandomToken()
 {
   static thread_local std::mt19937_64 random(std::random_device{}());
   return random();
 }
 
-AttemptEnd ToGateEnd(const ExchangeResult& aResult)
-{
-  switch (aResult.end_) {
-    case ExchangeEnd::Complete:
-    case ExchangeEnd::PartialAfterHead:
-      return AttemptEnd::Answered;
-    case ExchangeEnd::Refused:
-      return aResult.reason_ == NotRunReason::Busy ? AttemptEnd::Shed
-                                                   : AttemptEnd::Cancelled;
-    case ExchangeEnd::CallerGone:
-      return AttemptEnd::Cancelled;
-    default:
-      return AttemptEnd::Failed;
-  }
-}
-
-bool IsOwnershipRefusal(NotRunReason aReason)
-{
-  return aReason == NotRunReason::StaleEpoch ||
-         aReason == NotRunReason::NotOwner ||
-         aReason == NotRunReason::LeaseExpired ||
-         aReason == NotRunReason::Draining;
-}
-
 }
 
 RequestRun::RequestRun(RouterContext& aContext, HttpExchange& aCaller)
@@ -157,7 +120,7 @@
     body_ = *std::move(body);
   }
   headers_ = HeaderRules::ForServer(caller_.Headers());
-  fingerprint_ = detail::Fingerprint(request_, body_);
+  fingerprint_ = Fingerprint(request_, body_);
   if (request_.requestId_.empty()) {
     request_.requestId_ =
       Concat(context_.instance_,
@@ -369,7 +332,7 @@
 {
   auto& server = *target_.server_;
   server.requests_.fetch_add(1, std::memory_order_relaxed);
-  gate_->Leave(detail::ToGateEnd(aResult), aResult.headMs_);
+  gate_->Leave(aResult.GateEnd(), aResult.headMs_);
   switch (aResult.end_) {
     case ExchangeEnd::Complete:
     case ExchangeEnd::CallerGone:
@@ -387,7 +350,8 @@
       server.failures_.fetch_add(1, std::memory_order_relaxed);
   }
   if (aResult.mayBeCrash_) {
-    CheckCrash(aResult);
+    CrashReporter(context_.clock_, context_.quarantine_)
+      .Check(server, aResult.incarnation_);
     server.Pool().RemoveInFlight(fingerprint_);
   }
   if (isSuspect_) {
@@ -436,7 +400,7 @@
   if (aResult.isRefusedConnection_) {
     return Park(NotRunReason::Unreachable, aResult.text_);
   }
-  if (detail::IsOwnershipRefusal(aResult.reason_)) {
+  if (OutcomeClassifier::IsOwnershipRefusal(aResult.reason_)) {
     return Park(aResult.reason_, "refused by the backend server");
   }
   if (CanRetry()) {
@@ -463,47 +427,6 @@
          service_->TryTakeRetry(rules_->retryBudgetPercent_);
 }
 
-void RequestRun::CheckCrash(const ExchangeResult& aResult)
-{
-  auto& server = *target_.server_;
-  const auto incarnation =
-    aResult.incarnation_ != 0 ? aResult.incarnation_ : server.Incarnation();
-  if (!IsProcessGone(incarnation)) {
-    return;
-  }
-  server.OnProcessGone();
-  const auto suspects = server.Pool().TakeCrash(incarnation);
-  if (!suspects.empty()) {
-    Log(LogLevel::Warning,
-        "backend server was lost with requests in flight",
-        { { "server", server.Id() }, { "requests", suspects.size() } });
-    context_.quarantine_.OnCrash(server.Id(), suspects);
-  }
-}
-
-bool RequestRun::IsProcessGone(uint64_t aIncarnation)
-{
-  constexpr size_t kMaxHealthBytes = 64 * 1024;
-  const TimeMs bound = context_.clock_.NowMs() + detail::kCrashCheckMs;
-  constexpr auto kPause = std::chrono::milliseconds(5);
-  const HttpRequest request{ "GET", "/_cactuspitch/health", {}, {} };
-  HttpConnection probe(context_.clock_, target_.record_->address_);
-  while (context_.clock_.NowMs() < bound) {
-    const auto health = probe.Exchange(request, bound, kMaxHealthBytes);
-    if (health.ok()) {
-      const auto now = health->head_.Header(header::kIncarnation);
-      return !now.empty() && aIncarnation != 0 && HashKey(now) != aIncarnation;
-    }
-    if (absl::IsUnavailable(health.status())) {
-      return true;
-    }
-    // A process that is ending can still accept for a moment.
-    probe.Close();
-    std::this_thread::sleep_for(kPause);
-  }
-  return false;
-}
-
 std::string_view RequestRun::CompleteCause(int aStatus) const
 {
   if (aStatus >= detail::kFirstServerError) {
--- a/router/RequestRun.hpp
+++ b/router/RequestRun.hpp
@@ -53,9 +53,6 @@
   /// Tells the server that nobody waits for the answer any more.
   void Cancel();
   bool CanRetry();
-  /// Reports a crash when the server's process is gone.
-  void CheckCrash(const ExchangeResult& aResult);
-  bool IsProcessGone(uint64_t aIncarnation);
 
   void EndComplete(ExchangeResult& aResult);
   void EndNotRun(NotRunReason aReason,
--- a/router/ServerExchange.cpp
+++ b/router/ServerExchange.cpp
@@ -31,6 +31,22 @@
 
 }
 
+AttemptEnd ExchangeResult::GateEnd() const
+{
+  switch (end_) {
+    case ExchangeEnd::Complete:
+    case ExchangeEnd::PartialAfterHead:
+      return AttemptEnd::Answered;
+    case ExchangeEnd::Refused:
+      return reason_ == NotRunReason::Busy ? AttemptEnd::Shed
+                                           : AttemptEnd::Cancelled;
+    case ExchangeEnd::CallerGone:
+      return AttemptEnd::Cancelled;
+    default:
+      return AttemptEnd::Failed;
+  }
+}
+
 ServerExchange::ServerExchange(const Clock& aClock, BackendServer& aServer)
   : clock_(aClock)
   , server_(aServer)
--- a/router/ServerExchange.hpp
+++ b/router/ServerExchange.hpp
@@ -47,6 +47,9 @@
   /// Time to the answer, and to its end including a slow caller.
   double headMs_ = 0;
   double latencyMs_ = 0;
+
+  /// What the end says to the admission policy about the server.
+  AttemptEnd GateEnd() const;
 };
 
 /// Runs one attempt at a backend server and hands large answers through to the
--- a/tests/RouterFaultTest.cpp
+++ b/tests/RouterFaultTest.cpp
@@ -285,5 +285,64 @@
   EXPECT_EQ(late, 0);
 }
 
+/// Two routers that know each other.
+struct RouterPair
+{
+  RouterPair()
+  {
+    const std::vector<std::string> peers = { one_.rpc_.Address(),
+                                             two_.rpc_.Address() };
+    one_.tables_.SetPeers(peers);
+    two_.tables_.SetPeers(peers);
+  }
+  RouterRig one_;
+  RouterRig two_;
+};
+
+// Guards against a repeat that runs because it arrives at another router, also
+// after the router that forwarded the request has stopped.
+TEST(RouterFault, RepeatIsRecognisedByAnotherRouter)
+{
+  FakeBackend* self = nullptr;
+  FakeBackend backend([&](const Request&) { return self->Ok("value"); });
+  self = &backend;
+  RouterPair routers;
+  routers.one_.Own(backend);
+  routers.two_.Own(backend);
+  EXPECT_EQ(OutcomeOf(*routers.one_.Post("a")), "complete");
+  EXPECT_EQ(routers.two_.Post("a")->head_.status_, 409);
+  EXPECT_EQ(OutcomeOf(*routers.one_.Post("b")), "complete");
+  EXPECT_TRUE(routers.one_.router_->StopGracefully());
+  EXPECT_EQ(routers.two_.Post("b")->head_.status_, 409);
+  // New ids are served with the one holder that is left.
+  EXPECT_EQ(OutcomeOf(*routers.two_.Post("c")), "complete");
+  EXPECT_EQ(backend.Requests().size(), 3u);
+}
+
+// Guards against a quarantine that other instances learn of too late, and
+// against one that comes back after an operator has released it.
+TEST(RouterFault, QuarantineReachesTheOtherRouter)
+{
+  constexpr uint64_t kFingerprint = 77;
+  RouterPair routers;
+  auto& one = routers.one_.router_->Context().quarantine_;
+  auto& two = routers.two_.router_->Context().quarantine_;
+  one.OnCrash("server-1", { kFingerprint });
+  one.OnCrash("server-2", { kFingerprint });
+  const auto isRefused = [&] {
+    return two.TryBegin(kFingerprint, "server-3").verdict_ ==
+           SuspectVerdict::Refuse;
+  };
+  const TimeMs start = routers.one_.clock_.NowMs();
+  EXPECT_TRUE(Eventually(isRefused));
+  EXPECT_LT(routers.one_.clock_.NowMs() - start, 2000);
+  two.Release(kFingerprint);
+  EXPECT_TRUE(Eventually([&] {
+    return one.TryBegin(kFingerprint, "server-3").verdict_ !=
+           SuspectVerdict::Refuse;
+  }));
+  EXPECT_FALSE(isRefused());
+}
+
 }
 }
--- a/tests/RouterRig.cpp
+++ b/tests/RouterRig.cpp
@@ -14,6 +14,18 @@
   changed_.notify_all();
 }
 
+std::vector<std::string> FakeTables::RouterPeers() const
+{
+  const std::lock_guard lock(mutex_);
+  return peers_;
+}
+
+void FakeTables::SetPeers(std::vector<std::string> aPeers)
+{
+  const std::lock_guard lock(mutex_);
+  peers_ = std::move(aPeers);
+}
+
 void FakeTables::OnRefresh(std::function<void()> aAction)
 {
   const std::lock_guard lock(mutex_);
@@ -66,7 +78,7 @@
 RouterRig::RouterRig()
   : tables_(clock_)
 {
-  tables_.peers_ = { rpc_.Address() };
+  tables_.SetPeers({ rpc_.Address() });
   RouterSettings settings;
   settings.instance_ = "entry-1";
   settings.failureDomain_ = "cairo-a";
--- a/tests/RouterRig.hpp
+++ b/tests/RouterRig.hpp
@@ -30,7 +30,8 @@
   std::shared_ptr<const FollowedTable> Table(std::string_view aService,
                                              KeyHash aHash) const override;
   std::vector<std::shared_ptr<const FollowedTable>> Tables() const override;
-  std::vector<std::string> RouterPeers() const override { return peers_; }
+  std::vector<std::string> RouterPeers() const override;
+  void SetPeers(std::vector<std::string> aPeers);
   std::shared_ptr<const FollowedConfig> Config() const override
   {
     return nullptr;
@@ -47,12 +48,11 @@
                  TimeMs aDeadlineMs) override;
   void RequestRefresh(std::string_view aService, KeyHash aHash) override;
 
-  std::vector<std::string> peers_;
-
 private:
   const Clock& clock_;
   mutable std::mutex mutex_;
   std::condition_variable changed_;
+  std::vector<std::string> peers_;
   std::shared_ptr<const FollowedTable> table_;
   std::function<void()> onRefresh_;
   std::atomic<int> refreshes_ = 0;
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -317,7 +317,7 @@
   RouterRig rig;
   rig.Own(server.backend_);
   const ReservedPort nobody;
-  rig.tables_.peers_ = { nobody.Address() };
+  rig.tables_.SetPeers({ nobody.Address() });
   const auto response = rig.Post("id");
   ASSERT_TRUE(response.ok());
   EXPECT_EQ(response->head_.Header(header::kNotRun), "ledger");
