Don't lower a limit below the even share for growing latency

Cause: on a busy machine the measured latency grows without any overload of the backend server. Even shares fit into the slots together, so below its own a router cannot be the cause. Sheds and failures still lower the limit further.

Conclusion: a slow server is told from an overloaded one by its sheds.

--- a/policy/AdaptiveAdmission.cpp
+++ b/policy/AdaptiveAdmission.cpp
@@ -73,7 +73,7 @@
       OnShed(aNowMs);
       break;
     case AttemptEnd::Failed:
-      Decrease(aNowMs, kFailureFactor);
+      Decrease(aNowMs, kFailureFactor, kMinLimit);
       break;
     case AttemptEnd::Cancelled:
     case AttemptEnd::Count:
@@ -84,7 +84,9 @@
 void AdaptiveAdmission::OnAnswered(TimeMs aNowMs, double aLatencyMs)
 {
   if (LatencyGrew(aLatencyMs)) {
-    Decrease(aNowMs, kShedFactor);
+    // Even shares of all routers fit into the slots, so below its own a router
+    // cannot be the cause: the server itself is slow.
+    Decrease(aNowMs, kShedFactor, EvenShare());
     return;
   }
   // A limit that is not in use says nothing about the server.
@@ -101,7 +103,7 @@
 void AdaptiveAdmission::OnShed(TimeMs aNowMs)
 {
   lastShedMs_ = aNowMs;
-  Decrease(aNowMs, kShedFactor);
+  Decrease(aNowMs, kShedFactor, kMinLimit);
   // The slots are in use: asking again at once would be shed again. Shorter
   // pauses shed more for the same goodput (docs/load.md).
   constexpr double kPausePart = 0.2;
@@ -113,7 +115,7 @@
   paced_.Defer(aNowMs + std::max<TimeMs>(1, std::lround(pause(random_))));
 }
 
-void AdaptiveAdmission::Decrease(TimeMs aNowMs, double aFactor)
+void AdaptiveAdmission::Decrease(TimeMs aNowMs, double aFactor, double aFloor)
 {
   // Sheds of one moment have one cause and count once.
   constexpr double kMinIntervalMs = 10;
@@ -122,13 +124,18 @@
     return;
   }
   lastDecreaseMs_ = aNowMs;
-  limit_ = std::max(kMinLimit, limit_ * aFactor);
+  limit_ = std::max(std::min(limit_, aFloor), limit_ * aFactor);
+}
+
+double AdaptiveAdmission::EvenShare() const
+{
+  return std::max(kMinLimit, options_.slots_ / std::max(1, options_.routers_));
 }
 
 bool AdaptiveAdmission::LatencyGrew(double aLatencyMs)
 {
   constexpr double kWeight = 0.1;
-  constexpr double kBaseWeight = 0.001;
+  constexpr double kBaseWeight = 0.005;
   constexpr double kGrowth = 2;
   constexpr double kNoiseMs = 10;
   if (latencyMs_ == 0) {
--- a/policy/AdaptiveAdmission.hpp
+++ b/policy/AdaptiveAdmission.hpp
@@ -28,7 +28,9 @@
 
   void OnAnswered(TimeMs aNowMs, double aLatencyMs);
   void OnShed(TimeMs aNowMs);
-  void Decrease(TimeMs aNowMs, double aFactor);
+  /// aFloor: not lowered below this.
+  void Decrease(TimeMs aNowMs, double aFactor, double aFloor);
+  double EvenShare() const;
   bool LatencyGrew(double aLatencyMs);
   double ColdStartCap(TimeMs aNowMs) const;
 
