--- a/router/RequestRun.cpp
+++ b/router/RequestRun.cpp
@@ -34,6 +34,8 @@
 /// Two calls to holders of the request ledger that do not answer.
 constexpr TimeMs kLedgerWaitMs = 500;
 constexpr TimeMs kQuarantineRetryMs = 60000;
+/// A server that sheds a request more often is out of order rather than busy.
+constexpr int kMaxSheds = 12;
 
 uint64_t Fingerprint(const CallerRequest& aRequest, std::string_view aBody)
 {
@@ -441,7 +443,9 @@
   if (detail::IsOwnershipRefusal(aResult.reason_)) {
     return Park(aResult.reason_, "refused by the backend server");
   }
-  if (CanRetry()) {
+  const bool mayRetry =
+    aResult.reason_ == NotRunReason::Busy ? CanRetryShed() : CanRetry();
+  if (mayRetry) {
     return true;
   }
   EndNotRun(aResult.reason_,
@@ -460,11 +464,20 @@
 
 bool RequestRun::CanRetry()
 {
-  return attempts_ < rules_->maxAttempts_ &&
+  return attempts_ < rules_->maxAttempts_ + sheds_ &&
          context_.clock_.NowMs() < deadlineMs_ &&
          service_->TryTakeRetry(rules_->retryBudgetPercent_);
 }
 
+bool RequestRun::CanRetryShed()
+{
+  // A shed attempt was not run and lowers the limit of the gate, which paces
+  // the next one. Charging the retry budget as well would refuse a quarter of
+  // the requests that could be served (docs/load.md).
+  ++sheds_;
+  return sheds_ <= detail::kMaxSheds && context_.clock_.NowMs() < deadlineMs_;
+}
+
 void RequestRun::CheckCrash(const ExchangeResult& aResult)
 {
   auto& server = *target_.server_;
--- a/router/RequestRun.hpp
+++ b/router/RequestRun.hpp
@@ -53,6 +53,7 @@
   /// Tells the server that nobody waits for the answer any more.
   void Cancel();
   bool CanRetry();
+  bool CanRetryShed();
   /// Reports a crash when the server's process is gone.
   void CheckCrash(const ExchangeResult& aResult);
   bool IsProcessGone(uint64_t aIncarnation);
@@ -84,6 +85,7 @@
   Target target_;
   AdmissionGate* gate_ = nullptr;
   int attempts_ = 0;
+  int sheds_ = 0; ///< attempts that the server refused as busy
   int parks_ = 0;
   bool isSuspect_ = false;
 };
