--- a/admin/QueryReader.cpp
+++ b/admin/QueryReader.cpp
@@ -80,7 +80,7 @@
                                              : aPart.substr(equals + 1));
   if (!name || name->empty() || !value) {
     findings_.Add("query",
-                  name.value_or("name"),
+                  name && !name->empty() ? *name : "name",
                   std::string(aPart.substr(0, detail::kMaxValueBytes)),
                   "expected name=value in percent-encoded UTF-8 without "
                   "control characters");
--- a/config/ConfigEditor.cpp
+++ b/config/ConfigEditor.cpp
@@ -35,6 +35,8 @@
 
 absl::StatusOr<StoredDocument> ConfigEditor::Read()
 {
+  // Taken before the read: another thread may write a newer version meanwhile.
+  const int64_t largest = largestVersion_.load();
   const auto object = store_.Get(kConfigKind, kConfigName);
   StoredDocument stored;
   if (object.ok()) {
@@ -48,7 +50,7 @@
     return object.status();
   }
   const int64_t version = stored.document_.version_;
-  if (const int64_t largest = largestVersion_.load(); version < largest) {
+  if (version < largest) {
     return absl::FailedPreconditionError(Concat("the store has configuration ",
                                                 version,
                                                 ", but ",
--- a/tests/ConfigEditorTest.cpp
+++ b/tests/ConfigEditorTest.cpp
@@ -94,6 +94,30 @@
   EXPECT_EQ(store_.Get(kConfigKind, kConfigName)->value_, "{}");
 }
 
+// Guards against a read that is taken for a fallback because another thread of
+// the same editor wrote a newer version while it was under way.
+TEST_F(ConfigEditorTest, ThreadsOfOneEditorOnlyConflict)
+{
+  std::vector<std::thread> operators;
+  for (int i = 0; i < 4; ++i) {
+    operators.emplace_back([&, i] {
+      int64_t base = 0;
+      for (int change = 0; change < 50;) {
+        const auto result = Submit(AddException(base, Concat(i, "-", change)));
+        base = result.version_;
+        change += result.outcome_ == ChangeOutcome::Accepted ? 1 : 0;
+        ASSERT_TRUE(result.outcome_ == ChangeOutcome::Accepted ||
+                    result.outcome_ == ChangeOutcome::Conflict)
+          << result.findings_.ToText();
+      }
+    });
+  }
+  for (auto& thread : operators) {
+    thread.join();
+  }
+  EXPECT_EQ(editor_.Read()->document_.version_, 200);
+}
+
 // Guards against lost, doubled or reverted changes of racing editors over a
 // store that loses requests and answers and delays writes.
 TEST_F(ConfigEditorTest, RacingEditorsLoseAndDoubleNothing)
