--- a/assigner/AssignerProcess.cpp
+++ b/assigner/AssignerProcess.cpp
@@ -150,6 +150,7 @@
 {
   const auto now = clock_.NowMs();
   for (const auto& followed : follower_.Tables()) {
+    control_.Ensure(followed->table_.service_);
     const auto host = control_.Find(followed->table_.service_);
     if (host) {
       host->With([&](GroupController& aControl) {
--- a/assigner/StoreDuty.cpp
+++ b/assigner/StoreDuty.cpp
@@ -13,6 +13,9 @@
 
 constexpr size_t kStoreJobs = 256;
 constexpr TimeMs kStoreRetryMs = 200;
+constexpr TimeMs kCoreCheckMs = 200;
+/// Instances for each group that follow it in the store.
+constexpr int kCoreInstances = 4;
 const char* const kGroupKind = "group";
 
 std::string GroupName(const std::string& aService)
@@ -74,10 +77,10 @@
   // The watch of the groups is also the probe of the store, so it ends more
   // often. A lost store must be noticed before a second loss, to arm.
   static const std::vector<WatchSpec> kWatches = {
-    { "group", 1500, &StoreDuty::AcceptGroups },
-    { "config", 3000, &StoreDuty::AcceptConfig },
-    { "instance", 10000, &StoreDuty::AcceptInstances },
-    { "server", 10000, &StoreDuty::AcceptServers },
+    { "group", 1500, &StoreDuty::AcceptGroups, true },
+    { "config", 3000, &StoreDuty::AcceptConfig, true },
+    { "instance", 30000, &StoreDuty::AcceptInstances, false },
+    { "server", 10000, &StoreDuty::AcceptServers, true },
   };
   return kWatches;
 }
@@ -169,6 +172,10 @@
   int64_t since = 0;
   bool first = true;
   while (!WaitStopped(0)) {
+    if (aSpec.coreOnly_ && !first && !IsCore()) {
+      WaitStopped(detail::kCoreCheckMs);
+      continue;
+    }
     ++calls_;
     int64_t revision = since;
     // The first answer brings the present state without waiting.
@@ -304,6 +311,18 @@
   });
 }
 
+bool StoreDuty::IsCore() const
+{
+  const auto hosts = control_.All();
+  return hosts.empty() || directory_.Candidates().empty() ||
+         std::ranges::any_of(hosts, [](const auto& aHost) {
+           return aHost->With([](GroupController& aControl) {
+             return aControl.Role() != GroupRole::None ||
+                    aControl.Position() < detail::kCoreInstances;
+           });
+         });
+}
+
 bool StoreDuty::WaitStopped(TimeMs aTimeoutMs)
 {
   std::unique_lock lock(mutex_);
--- a/assigner/StoreDuty.hpp
+++ b/assigner/StoreDuty.hpp
@@ -50,6 +50,8 @@
     const char* kind_;
     TimeMs waitMs_;
     Accept accept_;
+    /// Only instances that may get a role for a group need it.
+    bool coreOnly_;
   };
   static const std::vector<WatchSpec>& Watches();
 
@@ -64,6 +66,10 @@
   absl::StatusOr<Objects> ListAll(const char* aKind);
   /// Tells all groups when the reachability changes.
   void SetReachable(const absl::Status& aStatus);
+  /// This instance has a role for some group or is among the first to get one.
+  /// The others learn tables and configuration from peers, so that the store's
+  /// calls grow with the groups and hardly with the fleet.
+  bool IsCore() const;
   bool WaitStopped(TimeMs aTimeoutMs);
 
   const Clock& clock_;
--- a/control/GroupController.cpp
+++ b/control/GroupController.cpp
@@ -26,6 +26,7 @@
 
 void GroupController::SetServers(std::vector<BackendServerRecord> aServers)
 {
+  serversChanged_ |= aServers != servers_;
   servers_ = aServers;
   planner_.SetPlatformServers(std::move(aServers));
 }
@@ -177,6 +178,14 @@
 void GroupController::ContinueAssigner(TimeMs aNowMs, const GroupObject& aOld)
 {
   state_.book_.Confirm(aOld.table_, state_.Table());
+  // Slices whose epoch grew are granted anew without waiting for a renewal.
+  for (const auto& slice : state_.book_.Slices()) {
+    const auto& old = aOld.table_.FindSlice(slice.record_.begin_);
+    if (!slice.promoted_ && slice.record_.epoch_ > old.epoch_ &&
+        slice.record_.owner_ != kNoServer) {
+      orders_.MarkChanged(slice.record_.owner_);
+    }
+  }
   const bool newTerm = aOld.table_.term_ != state_.Table().term_;
   if (!newTerm || !state_.authority_.MayDeputyRenew()) {
     return;
--- a/control/GroupController.hpp
+++ b/control/GroupController.hpp
@@ -93,6 +93,8 @@
   /// Instances whose liveness matters to this one: OnPeerSeen() and
   /// OnPeerGone() are expected for them about every 500 ms.
   std::vector<std::string> PeersToProbe() const;
+  /// Position of this instance among all candidates, 0 is the first.
+  int Position() const;
 
   // Routers
   /// View lease for the current table, 0 when this instance may give none.
@@ -141,8 +143,6 @@
   void WriteNewGroup(TimeMs aNowMs, Actions& aActions);
   void WriteHandover(TimeMs aNowMs, Actions& aActions);
   std::string ChooseDeputy(TimeMs aNowMs, const std::string& aAssigner) const;
-  /// Position of this instance among all candidates, 0 is the first.
-  int Position() const;
   /// Number of live candidates that act before this instance.
   int Rank(TimeMs aNowMs) const;
   bool IsSeen(TimeMs aNowMs, const std::string& aInstance) const;
@@ -166,6 +166,7 @@
   /// The store was asked at least once, so a later term is seen to begin.
   bool knowsStore_ = false;
   bool isMissing_ = false;
+  bool serversChanged_ = false;
   bool storeReachable_ = false;
   bool stopping_ = false;
   Term supersededBy_ = 0;
--- a/control/GroupControllerSteps.cpp
+++ b/control/GroupControllerSteps.cpp
@@ -191,7 +191,12 @@
   }
   const auto waitMs = timing::kCandidateStepMs * Rank(aNowMs);
   if (isMissing_ && state_.version_ == 0) {
-    if (aNowMs - quietSinceMs_ >= waitMs) {
+    // A list that still grows would give all slices to its first servers.
+    if (serversChanged_) {
+      serversChanged_ = false;
+      quietSinceMs_ = aNowMs;
+    }
+    if (aNowMs - quietSinceMs_ >= timing::kListSettleMs + waitMs) {
       WriteNewGroup(aNowMs, aActions);
     }
     return;
--- a/control/OrderScheduler.cpp
+++ b/control/OrderScheduler.cpp
@@ -13,7 +13,8 @@
     const bool extends = MayExtend(i, aNowMs);
     const bool isChanged =
       extends && std::ranges::find(changed, i) != changed.end();
-    const bool due = aNowMs - lease.SentMs() >= IntervalMs(i, extends);
+    const auto lastMs = extends ? lease.SetSentMs() : lease.SentMs();
+    const bool due = aNowMs - lastMs >= IntervalMs(i, extends);
     if (!isChanged && (!due || lease.IsAwaiting(aNowMs))) {
       continue;
     }
--- a/control/ServerLease.cpp
+++ b/control/ServerLease.cpp
@@ -8,7 +8,7 @@
 {
   fencedMs_ = 0;
   // The server is asked at once, and its silence counts from now.
-  sentMs_ = -timing::kNever;
+  sentMs_ = setSentMs_ = -timing::kNever;
   sinceMs_ = aNowMs;
   unansweredMs_ = 0;
   if (!aKeepsReport) {
@@ -28,6 +28,7 @@
 void ServerLease::NoteSent(int64_t aOrderId, int64_t aSequence, TimeMs aNowMs)
 {
   sentMs_ = aNowMs;
+  setSentMs_ = aSequence > 0 ? aNowMs : setSentMs_;
   if (unansweredMs_ == 0) {
     unansweredMs_ = aNowMs;
   }
--- a/control/ServerLease.hpp
+++ b/control/ServerLease.hpp
@@ -54,6 +54,8 @@
   bool IsSetCurrent() const { return acceptedSequence_ >= lossSequence_; }
   bool IsDraining() const { return draining_; }
   TimeMs SentMs() const { return sentMs_; }
+  /// When the last order other than a report was sent in this term.
+  TimeMs SetSentMs() const { return setSentMs_; }
   TimeMs AnsweredMs() const { return answeredMs_; }
 
 private:
@@ -73,6 +75,7 @@
   TimeMs fencedMs_ = 0;
   TimeMs reportAskedMs_ = 0;
   TimeMs sentMs_ = -timing::kNever;
+  TimeMs setSentMs_ = -timing::kNever;
   TimeMs sinceMs_ = 0;      ///< silence is judged from here
   TimeMs unansweredMs_ = 0; ///< first order since the last answer
   TimeMs goneMs_ = 0;
--- a/control/Timing.hpp
+++ b/control/Timing.hpp
@@ -8,7 +8,10 @@
 namespace timing {
 /// Lease of a backend server, counted from the stamp of its answer.
 inline constexpr TimeMs kLeaseMs = 1200;
-inline constexpr TimeMs kRenewMs = 300;
+/// A stamp is one interval old when it is used and the lease is renewed one
+/// interval later, so at the loss of an assigner L - 2 x 200 ms are left. The
+/// deputy needs 606 ms and a round trip; 300 ms left 600 and caused gaps.
+inline constexpr TimeMs kRenewMs = 200;
 /// A peer or backend server is silent this long after its last answer.
 inline constexpr TimeMs kSilentMs = 600;
 /// Right to renew, counted from the send time of an answered question.
@@ -26,6 +29,8 @@
 /// Longest wait for reports before a server is renewed without the slices
 /// that are still unresolved; its old lease ends soon after.
 inline constexpr TimeMs kResolveGraceMs = 400;
+/// A new group is created when the list of its servers was stable this long.
+inline constexpr TimeMs kListSettleMs = 700;
 inline constexpr TimeMs kNever = INT64_MAX / 4;
 }
 
