Publish the configuration's own version from the assigner

Cause: the assigner published the version of the store object as that of the configuration, while the admin process compares the version in the document. With a store whose versions do not count each object from 1, the second change was refused ("the store has configuration 4, but 16 has been in force").

Ruled out: making the stand-in count each object from 1, which would hide the fault from every test.

Conclusion: the version in the document is the only one that processes compare.

--- a/assigner/StoreDuty.cpp
+++ b/assigner/StoreDuty.cpp
@@ -7,6 +7,8 @@
 #include <chrono>
 #include <map>
 
+#include <nlohmann/json.hpp>
+
 namespace cactuspitch {
 
 namespace detail {
@@ -27,6 +29,18 @@
   return dot == std::string::npos ? std::string() : aName.substr(0, dot);
 }
 
+/// Version that the document states; 0 when it is malformed. The version of
+/// the store object is another number: not every store counts from 1.
+int64_t ConfigVersion(const std::string& aText)
+{
+  const auto document = nlohmann::json::parse(aText, nullptr, false);
+  const auto version =
+    document.is_object() ? document.find("version") : document.end();
+  return version != document.end() && version->is_number_integer()
+           ? version->get<int64_t>()
+           : 0;
+}
+
 WriteResult ToResult(const absl::Status& aStatus)
 {
   switch (aStatus.code()) {
@@ -216,7 +230,8 @@
   config_.Confirm(now);
   for (const auto& object : aObjects) {
     if (object.name_ == "fleet" &&
-        config_.Offer(object.version_, object.value_, now)) {
+        config_.Offer(
+          detail::ConfigVersion(object.value_), object.value_, now)) {
       control_.NotifyChange();
     }
   }
--- a/bench/ConfigSpreadBench.cpp
+++ b/bench/ConfigSpreadBench.cpp
@@ -1,4 +1,5 @@
 #include "bench/Measurement.hpp"
+#include "common/HttpConnection.hpp"
 #include "common/Strings.hpp"
 #include "rpc/ThriftChannel.hpp"
 #include "tests/Deployment.hpp"
@@ -75,20 +76,33 @@
   int reverts_ = 0;
 };
 
-/// Version of the accepted change; 0 when it was refused.
-int64_t Change(const std::string& aAdmin, int64_t aBase, int aNumber)
+/// Version of the accepted change; the answer as an error otherwise.
+absl::StatusOr<int64_t> Change(const std::string& aAdmin,
+                               int64_t aBase,
+                               int aNumber)
 {
+  constexpr int kOk = 200;
+  constexpr TimeMs kChangeMs = 10000;
+  constexpr size_t kMaxBytes = 1 << 20;
   const nlohmann::json change = {
     { "baseVersion", aBase },
     { "author", "bench" },
     { "reason", "measures how fast a change spreads" },
     { "defaults", { { "queueLimit", 32 + aNumber } } },
   };
-  const auto answer = HttpCall("POST", aAdmin, "/v1/changes", change.dump());
-  if (!answer) {
-    return 0;
+  const auto text = change.dump();
+  const SteadyClock clock;
+  HttpConnection connection(clock, aAdmin);
+  const auto answer = connection.Exchange(
+    { "POST", "/v1/changes", {}, text }, clock.NowMs() + kChangeMs, kMaxBytes);
+  if (!answer.ok()) {
+    return answer.status();
+  }
+  if (answer->head_.status_ != kOk) {
+    return absl::UnknownError(
+      Concat(answer->head_.status_, " ", answer->body_));
   }
-  return nlohmann::json::parse(*answer).value("version", int64_t{ 0 });
+  return nlohmann::json::parse(answer->body_).value("version", int64_t{ 0 });
 }
 
 int Measure()
@@ -115,12 +129,13 @@
   for (int number = 0; number < kChanges; ++number) {
     const auto admin = deployment.AdminAddress(number % kInstances);
     const TimeMs start = clock.NowMs();
-    const int64_t next = Change(admin, version, number);
-    if (next <= version) {
-      return ReportFailure("config-spread",
-                           Concat("change ", number, " was refused"));
+    const auto next = Change(admin, version, number);
+    if (!next.ok() || *next <= version) {
+      return ReportFailure(
+        "config-spread",
+        Concat("change ", number, ": ", next.status().ToString()));
     }
-    version = next;
+    version = *next;
     const bool everywhere = WaitFor(static_cast<TimeMs>(kMaxSpreadMs) * 2, [&] {
       return watch.Smallest() >= version;
     });
--- a/tests/Deployment.cpp
+++ b/tests/Deployment.cpp
@@ -70,6 +70,12 @@
         missing += Probe(router, service.name_);
       }
     }
+    for (int index = 0; options_.withAdmin_ && index < options_.instances_;
+         ++index) {
+      if (!HttpCall("GET", AdminAddress(index), "/_ready")) {
+        AppendTo(missing, "admin-", index, " is not ready\n");
+      }
+    }
     return missing.empty();
   };
   WaitFor(detail::kDeploymentStartMs, isServed);
