--- a/router/RequestRun.cpp
+++ b/router/RequestRun.cpp
@@ -16,6 +16,8 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kTooLarge = 413;
+/// Callers that send more are cut off without a readable answer.
+constexpr uint64_t kMaxDiscardBytes = 16 << 20;
 constexpr int kFirstServerError = 500;
 
 /// Waits for a newer table grow, since a router that asks each millisecond
@@ -32,6 +34,8 @@
 /// Two calls to holders of the request ledger that do not answer.
 constexpr TimeMs kLedgerWaitMs = 500;
 constexpr TimeMs kQuarantineRetryMs = 60000;
+/// A server that sheds a request more often is out of order rather than busy.
+constexpr int kMaxSheds = 12;
 
 uint64_t Fingerprint(const CallerRequest& aRequest, std::string_view aBody)
 {
@@ -99,6 +103,7 @@
                            caller_.Header(header::kDeadlineMs) };
   const auto refusal = ParseCallerRequest(input, context_.limits_, request_);
   if (refusal.status_ != 0) {
+    caller_.DiscardBody(detail::kMaxDiscardBytes);
     answer_.Refuse(refusal.status_, refusal.text_);
     return false;
   }
@@ -147,6 +152,7 @@
   if (caller_.ContentLength() > 0) {
     auto body = caller_.ReadBody(static_cast<size_t>(rules_->maxRequestBytes_));
     if (!body.ok()) {
+      caller_.DiscardBody(detail::kMaxDiscardBytes);
       answer_.Refuse(absl::IsOutOfRange(body.status()) ? detail::kTooLarge
                                                        : detail::kBadRequest,
                      body.status().message().data());
@@ -337,7 +343,7 @@
   const TimeMs now = context_.clock_.NowMs();
   OutboundRequest outbound;
   outbound.http_ = { request_.method_, request_.target_, headers_, body_ };
-  outbound.requestId_ = attemptId_;
+  outbound.requestId_ = request_.requestId_;
   outbound.fingerprint_ = fingerprint_;
   outbound.epoch_ = target_.slice_->epoch_;
   outbound.isIdempotent_ = request_.isIdempotent_;
@@ -358,11 +364,6 @@
 ExchangeResult RequestRun::RunExchange()
 {
   ++attempts_;
-  // Each attempt has an id of its own, so that a cancellation cannot hit the
-  // attempt that replaced it. A repeated non-idempotent request keeps its id.
-  attemptId_ = attempts_ > 1 && request_.isIdempotent_
-                 ? Concat(request_.requestId_, ".", attempts_)
-                 : request_.requestId_;
   auto outbound = MakeOutbound();
   return ServerExchange(context_.clock_, *target_.server_)
     .Run(outbound, caller_);
@@ -389,10 +390,6 @@
     default:
       server.failures_.fetch_add(1, std::memory_order_relaxed);
   }
-  if (aResult.end_ == ExchangeEnd::CallerGone ||
-      aResult.end_ == ExchangeEnd::Silent) {
-    context_.canceller_.Cancel(target_.record_->address_, attemptId_);
-  }
   if (aResult.mayBeCrash_) {
     CheckCrash(aResult);
     server.Pool().RemoveInFlight(fingerprint_);
@@ -424,12 +421,14 @@
       EndNotRun(aResult.reason_, detail::kDefaultRetryMs, aResult.text_);
       return false;
     case AttemptAction::AnswerUnknown:
+      Cancel();
       EndUnknown(aResult.end_ == ExchangeEnd::Silent, aResult.text_);
       return false;
     case AttemptAction::CloseCaller:
     case AttemptAction::Count:
       break;
   }
+  Cancel();
   EndTruncated(aResult);
   return false;
 }
@@ -444,7 +443,9 @@
   if (detail::IsOwnershipRefusal(aResult.reason_)) {
     return Park(aResult.reason_, "refused by the backend server");
   }
-  if (CanRetry()) {
+  const bool mayRetry =
+    aResult.reason_ == NotRunReason::Busy ? CanRetryShed() : CanRetry();
+  if (mayRetry) {
     return true;
   }
   EndNotRun(aResult.reason_,
@@ -454,13 +455,29 @@
   return false;
 }
 
+void RequestRun::Cancel()
+{
+  // Only when the request has ended here. All attempts have the id that the
+  // answer names, so a cancellation could hit the attempt that replaced one.
+  context_.canceller_.Cancel(target_.record_->address_, request_.requestId_);
+}
+
 bool RequestRun::CanRetry()
 {
-  return attempts_ < rules_->maxAttempts_ &&
+  return attempts_ < rules_->maxAttempts_ + sheds_ &&
          context_.clock_.NowMs() < deadlineMs_ &&
          service_->TryTakeRetry(rules_->retryBudgetPercent_);
 }
 
+bool RequestRun::CanRetryShed()
+{
+  // A shed attempt was not run and lowers the limit of the gate, which paces
+  // the next one. Charging the retry budget as well would refuse a quarter of
+  // the requests that could be served (docs/load.md).
+  ++sheds_;
+  return sheds_ <= detail::kMaxSheds && context_.clock_.NowMs() < deadlineMs_;
+}
+
 void RequestRun::CheckCrash(const ExchangeResult& aResult)
 {
   auto& server = *target_.server_;
--- a/router/RequestRun.hpp
+++ b/router/RequestRun.hpp
@@ -50,7 +50,10 @@
   /// Acts on the end of an attempt; false when the request has ended.
   bool Continue(ExchangeResult& aResult);
   bool ContinueRefused(const ExchangeResult& aResult);
+  /// Tells the server that nobody waits for the answer any more.
+  void Cancel();
   bool CanRetry();
+  bool CanRetryShed();
   /// Reports a crash when the server's process is gone.
   void CheckCrash(const ExchangeResult& aResult);
   bool IsProcessGone(uint64_t aIncarnation);
@@ -81,8 +84,8 @@
   LedgerTicket ticket_;
   Target target_;
   AdmissionGate* gate_ = nullptr;
-  std::string attemptId_;
   int attempts_ = 0;
+  int sheds_ = 0; ///< attempts that the server refused as busy
   int parks_ = 0;
   bool isSuspect_ = false;
 };
