--- a/router/RequestRun.cpp
+++ b/router/RequestRun.cpp
@@ -28,7 +28,11 @@
 /// Time after which an owner is usually found again (docs/design.md, 4.5).
 constexpr TimeMs kTakeoverRetryMs = 1000;
 constexpr TimeMs kDefaultRetryMs = 500;
+/// Two calls to holders of the request ledger that do not answer.
+constexpr TimeMs kLedgerWaitMs = 500;
 constexpr TimeMs kQuarantineRetryMs = 60000;
+/// A server that sheds a request more often is out of order rather than busy.
+constexpr int kMaxSheds = 12;
 
 uint64_t RandomToken()
 {
@@ -78,7 +82,8 @@
     }
     return false;
   }
-  ResolveRules(*table);
+  rules_ =
+    context_.rules_.ForRequest(table->table_, request_.hash_, request_.key_);
   service_ = &context_.registry_.Service(request_.service_);
   service_->OnRequest();
   const auto length =
@@ -91,21 +96,6 @@
   return true;
 }
 
-void RequestRun::ResolveRules(const FollowedTable& aTable)
-{
-  const auto& table = aTable.table_;
-  const auto* owner = table.Server(table.FindSlice(request_.hash_).owner_);
-  static const std::string kNone;
-  const std::string& domain = owner ? owner->failureDomain_ : kNone;
-  const std::string& server = owner ? owner->id_ : kNone;
-  const auto& book = context_.rules_;
-  rules_ = book.ForKey(book.ForServer(request_.service_, domain, server),
-                       request_.service_,
-                       domain,
-                       server,
-                       request_.key_);
-}
-
 bool RequestRun::ReadBody()
 {
   if (caller_.ContentLength() > 0) {
@@ -395,15 +385,19 @@
 
 bool RequestRun::ContinueRefused(const ExchangeResult& aResult)
 {
-  // Ownership is about to change; these retries cost the server nothing and
-  // do not use the retry budget.
+  // Ownership is about to change; these retries cost the server nothing, so
+  // they use neither attempts nor the retry budget.
   if (aResult.isRefusedConnection_) {
+    --attempts_;
     return Park(NotRunReason::Unreachable, aResult.text_);
   }
   if (OutcomeClassifier::IsOwnershipRefusal(aResult.reason_)) {
+    --attempts_;
     return Park(aResult.reason_, "refused by the backend server");
   }
-  if (CanRetry()) {
+  const bool mayRetry =
+    aResult.reason_ == NotRunReason::Busy ? CanRetryShed() : CanRetry();
+  if (mayRetry) {
     return true;
   }
   EndNotRun(aResult.reason_,
@@ -422,11 +416,20 @@
 
 bool RequestRun::CanRetry()
 {
-  return attempts_ < rules_->maxAttempts_ &&
+  return attempts_ < rules_->maxAttempts_ + sheds_ &&
          context_.clock_.NowMs() < deadlineMs_ &&
          service_->TryTakeRetry(rules_->retryBudgetPercent_);
 }
 
+bool RequestRun::CanRetryShed()
+{
+  // A shed attempt was not run and lowers the limit of the gate, which paces
+  // the next one. Charging the retry budget as well would refuse a quarter of
+  // the requests that could be served (docs/load.md).
+  ++sheds_;
+  return sheds_ <= detail::kMaxSheds && context_.clock_.NowMs() < deadlineMs_;
+}
+
 std::string_view RequestRun::CompleteCause(int aStatus) const
 {
   if (aStatus >= detail::kFirstServerError) {
@@ -472,9 +475,12 @@
 
 void RequestRun::FinishLedger(LedgerEntry aState)
 {
-  if (!request_.isIdempotent_) {
-    context_.ledger_.Finish(ticket_, aState);
+  if (request_.isIdempotent_) {
+    return;
   }
+  // A holder that is silent would delay the answer by its time limit.
+  const TimeMs left = deadlineMs_ - context_.clock_.NowMs();
+  context_.ledger_.Finish(ticket_, aState, left > detail::kLedgerWaitMs);
 }
 
 void RequestRun::Count(Outcome aOutcome, std::string_view aCause)
--- a/router/RequestRun.hpp
+++ b/router/RequestRun.hpp
@@ -30,7 +30,6 @@
 
   /// False when the request was refused and answered.
   bool Accept();
-  void ResolveRules(const FollowedTable& aTable);
   bool ReadBody();
   bool BeginLedger();
   /// Runs attempts until one of the final answers was given.
@@ -53,6 +52,7 @@
   /// Tells the server that nobody waits for the answer any more.
   void Cancel();
   bool CanRetry();
+  bool CanRetryShed();
 
   void EndComplete(ExchangeResult& aResult);
   void EndNotRun(NotRunReason aReason,
@@ -81,6 +81,7 @@
   Target target_;
   AdmissionGate* gate_ = nullptr;
   int attempts_ = 0;
+  int sheds_ = 0; ///< attempts that the server refused as busy
   int parks_ = 0;
   bool isSuspect_ = false;
 };
--- a/router/RuleBook.cpp
+++ b/router/RuleBook.cpp
@@ -128,4 +128,19 @@
                                           std::string(aKey) }));
 }
 
+RuleBook::Rules RuleBook::ForRequest(const GroupTable& aTable,
+                                     KeyHash aHash,
+                                     std::string_view aKey) const
+{
+  static const std::string kNone;
+  const auto* owner = aTable.Server(aTable.FindSlice(aHash).owner_);
+  const auto& domain = owner ? owner->failureDomain_ : kNone;
+  const auto& server = owner ? owner->id_ : kNone;
+  return ForKey(ForServer(aTable.service_, domain, server),
+                aTable.service_,
+                domain,
+                server,
+                aKey);
+}
+
 }
