--- a/assigner/AssignerProcess.cpp
+++ b/assigner/AssignerProcess.cpp
@@ -205,6 +205,7 @@
   set("cactuspitch_store_calls", static_cast<double>(storeDuty_.Calls()));
   set("cactuspitch_store_reachable", storeDuty_.IsReachable() ? 1 : 0);
   set("cactuspitch_orders_sent", static_cast<double>(leases_.Sent()));
+  set("cactuspitch_order_bytes", static_cast<double>(leases_.Bytes()));
   set("cactuspitch_orders_dropped", static_cast<double>(leases_.Dropped()));
   const auto hosts = control_.All();
   set("cactuspitch_groups_led",
--- a/assigner/LeaseDuty.cpp
+++ b/assigner/LeaseDuty.cpp
@@ -161,6 +161,8 @@
     response =
       connection->Exchange(request, deadlineMs, detail::kMaxReplyBytes);
   }
+  bytes_ += static_cast<int64_t>(body.size() +
+                                 (response.ok() ? response->body_.size() : 0));
   if (response.ok() && connection->IsReusable()) {
     Return(std::move(connection));
   }
--- a/assigner/LeaseDuty.hpp
+++ b/assigner/LeaseDuty.hpp
@@ -28,6 +28,8 @@
   void Stop();
   void Send(std::string aService, ServerOrder aOrder);
   int64_t Sent() const { return sent_; }
+  /// Bytes of all orders and replies, without headers.
+  int64_t Bytes() const { return bytes_; }
   int64_t Dropped() const { return dropped_; }
 
 private:
@@ -50,6 +52,7 @@
   std::mutex mutex_;
   std::map<std::string, std::vector<Connection>> idle_;
   std::atomic<int64_t> sent_ = 0;
+  std::atomic<int64_t> bytes_ = 0;
   std::atomic<int64_t> dropped_ = 0;
   std::vector<std::thread> workers_;
 };
--- a/assigner/StoreDuty.cpp
+++ b/assigner/StoreDuty.cpp
@@ -91,10 +91,10 @@
   // The watch of the groups is also the probe of the store, so it ends more
   // often. A lost store must be noticed before a second loss, to arm.
   static const std::vector<WatchSpec> kWatches = {
-    { "group", 1500, &StoreDuty::AcceptGroups, true },
-    { "config", 3000, &StoreDuty::AcceptConfig, true },
-    { "instance", 30000, &StoreDuty::AcceptInstances, false },
-    { "server", 10000, &StoreDuty::AcceptServers, true },
+    { "group", 3000, &StoreDuty::AcceptGroups, &StoreDuty::IsCore },
+    { "config", 5000, &StoreDuty::AcceptConfig, &StoreDuty::FollowsConfig },
+    { "instance", 30000, &StoreDuty::AcceptInstances, nullptr },
+    { "server", 10000, &StoreDuty::AcceptServers, &StoreDuty::IsCore },
   };
   return kWatches;
 }
@@ -186,7 +186,7 @@
   int64_t since = 0;
   bool first = true;
   while (!WaitStopped(0)) {
-    if (aSpec.coreOnly_ && !first && !IsCore()) {
+    if (!first && aSpec.isNeeded_ != nullptr && !(this->*aSpec.isNeeded_)()) {
       WaitStopped(detail::kCoreCheckMs);
       continue;
     }
@@ -338,6 +338,17 @@
          });
 }
 
+bool StoreDuty::FollowsConfig() const
+{
+  const auto hosts = control_.All();
+  return hosts.empty() || directory_.Candidates().empty() ||
+         std::ranges::any_of(hosts, [](const auto& aHost) {
+           return aHost->With([](GroupController& aControl) {
+             return aControl.Role() == GroupRole::Assigner;
+           });
+         });
+}
+
 bool StoreDuty::WaitStopped(TimeMs aTimeoutMs)
 {
   std::unique_lock lock(mutex_);
--- a/assigner/StoreDuty.hpp
+++ b/assigner/StoreDuty.hpp
@@ -50,8 +50,8 @@
     const char* kind_;
     TimeMs waitMs_;
     Accept accept_;
-    /// Only instances that may get a role for a group need it.
-    bool coreOnly_;
+    /// Whether this instance needs it; null: always.
+    bool (StoreDuty::*isNeeded_)() const;
   };
   static const std::vector<WatchSpec>& Watches();
 
@@ -70,6 +70,8 @@
   /// The others learn tables and configuration from peers, so that the store's
   /// calls grow with the groups and hardly with the fleet.
   bool IsCore() const;
+  /// The instances that bring the configuration to the others.
+  bool FollowsConfig() const;
   bool WaitStopped(TimeMs aTimeoutMs);
 
   const Clock& clock_;
--- a/control/GroupController.hpp
+++ b/control/GroupController.hpp
@@ -173,6 +173,7 @@
   TimeMs quietSinceMs_ = -1; ///< a candidate judges silence from here
   TimeMs writtenMs_ = -timing::kNever;
   TimeMs writeTriedMs_ = -timing::kNever;
+  TimeMs plannedMs_ = -timing::kNever;
   TimeMs pendingPredecessorEndMs_ = 0;
   int64_t questionId_ = 0;
 };
--- a/control/GroupControllerSteps.cpp
+++ b/control/GroupControllerSteps.cpp
@@ -11,6 +11,8 @@
 namespace detail {
 /// Interval between attempts after a write that did not take effect.
 constexpr TimeMs kWriteRetryMs = 50;
+/// Composing the record costs more than the rest of a step.
+constexpr TimeMs kPlanRecordMs = 20;
 /// Interval between new terms, so that a refusing deputy costs few writes.
 constexpr TimeMs kTermIntervalMs = 300;
 
@@ -36,7 +38,9 @@
     SendQuestion(aNowMs, aActions);
   }
   if (storeReachable_ && !writer_.IsPending() &&
-      aNowMs - writeTriedMs_ >= detail::kWriteRetryMs) {
+      aNowMs - writeTriedMs_ >= detail::kWriteRetryMs &&
+      aNowMs - plannedMs_ >= detail::kPlanRecordMs) {
+    plannedMs_ = aNowMs;
     WriteRecord(aNowMs, aActions);
   }
 }
--- a/control/RecordPlanner.cpp
+++ b/control/RecordPlanner.cpp
@@ -202,10 +202,12 @@
   const auto servers = static_cast<int32_t>(table.servers_.size());
   const KeyHash width = UINT64_MAX / aSlices + 1;
   for (size_t i = 0; i < aSlices; ++i) {
-    const auto owner = static_cast<int32_t>(i) % servers;
-    // The standbys of one server are spread over all others.
+    // Neighbours have the same owner, so that its set is one range and orders
+    // stay small. The standbys of one server are spread over all others.
+    const auto owner =
+      static_cast<int32_t>(i * table.servers_.size() / aSlices);
     const auto step =
-      servers > 1 ? 1 + static_cast<int32_t>(i) / servers % (servers - 1) : 0;
+      servers > 1 ? 1 + static_cast<int32_t>(i) % (servers - 1) : 0;
     table.slices_.push_back(
       { i * width,
         1,
