--- a/router/RequestRun.cpp
+++ b/router/RequestRun.cpp
@@ -1,14 +1,12 @@
 #include "RequestRun.hpp"
 
+#include "CrashReporter.hpp"
 #include "HeaderRules.hpp"
-#include "common/Log.hpp"
 
 #include <algorithm>
 #include <random>
 #include <thread>
 
-#include <xxhash.h>
-
 namespace cactuspitch {
 
 namespace detail {
@@ -27,7 +25,6 @@
 constexpr TimeMs kViewLeasePollMs = 10;
 /// A view lease that ends sooner leaves the server no time to run.
 constexpr TimeMs kMinViewLeaseMs = 20;
-constexpr TimeMs kCrashCheckMs = 100;
 /// Time after which an owner is usually found again (docs/design.md, 4.5).
 constexpr TimeMs kTakeoverRetryMs = 1000;
 constexpr TimeMs kDefaultRetryMs = 500;
@@ -37,46 +34,12 @@
 /// A server that sheds a request more often is out of order rather than busy.
 constexpr int kMaxSheds = 12;
 
-uint64_t Fingerprint(const CallerRequest& aRequest, std::string_view aBody)
-{
-  const auto method =
-    XXH3_64bits(aRequest.method_.data(), aRequest.method_.size());
-  const auto path = XXH3_64bits_withSeed(
-    aRequest.target_.data(), aRequest.target_.size(), method);
-  return aBody.empty() ? path
-                       : XXH3_64bits_withSeed(aBody.data(), aBody.size(), path);
-}
-
 uint64_t RandomToken()
 {
   static thread_local std::mt19937_64 random(std::random_device{}());
   return random();
 }
 
-AttemptEnd ToGateEnd(const ExchangeResult& aResult)
-{
-  switch (aResult.end_) {
-    case ExchangeEnd::Complete:
-    case ExchangeEnd::PartialAfterHead:
-      return AttemptEnd::Answered;
-    case ExchangeEnd::Refused:
-      return aResult.reason_ == NotRunReason::Busy ? AttemptEnd::Shed
-                                                   : AttemptEnd::Cancelled;
-    case ExchangeEnd::CallerGone:
-      return AttemptEnd::Cancelled;
-    default:
-      return AttemptEnd::Failed;
-  }
-}
-
-bool IsOwnershipRefusal(NotRunReason aReason)
-{
-  return aReason == NotRunReason::StaleEpoch ||
-         aReason == NotRunReason::NotOwner ||
-         aReason == NotRunReason::LeaseExpired ||
-         aReason == NotRunReason::Draining;
-}
-
 }
 
 RequestRun::RequestRun(RouterContext& aContext, HttpExchange& aCaller)
@@ -119,7 +82,8 @@
     }
     return false;
   }
-  ResolveRules(*table);
+  rules_ =
+    context_.rules_.ForRequest(table->table_, request_.hash_, request_.key_);
   service_ = &context_.registry_.Service(request_.service_);
   service_->OnRequest();
   const auto length =
@@ -132,21 +96,6 @@
   return true;
 }
 
-void RequestRun::ResolveRules(const FollowedTable& aTable)
-{
-  const auto& table = aTable.table_;
-  const auto* owner = table.Server(table.FindSlice(request_.hash_).owner_);
-  static const std::string kNone;
-  const std::string& domain = owner ? owner->failureDomain_ : kNone;
-  const std::string& server = owner ? owner->id_ : kNone;
-  const auto& book = context_.rules_;
-  rules_ = book.ForKey(book.ForServer(request_.service_, domain, server),
-                       request_.service_,
-                       domain,
-                       server,
-                       request_.key_);
-}
-
 bool RequestRun::ReadBody()
 {
   if (caller_.ContentLength() > 0) {
@@ -161,7 +110,7 @@
     body_ = *std::move(body);
   }
   headers_ = HeaderRules::ForServer(caller_.Headers());
-  fingerprint_ = detail::Fingerprint(request_, body_);
+  fingerprint_ = Fingerprint(request_, body_);
   if (request_.requestId_.empty()) {
     request_.requestId_ =
       Concat(context_.instance_,
@@ -373,7 +322,7 @@
 {
   auto& server = *target_.server_;
   server.requests_.fetch_add(1, std::memory_order_relaxed);
-  gate_->Leave(detail::ToGateEnd(aResult), aResult.headMs_);
+  gate_->Leave(aResult.GateEnd(), aResult.headMs_);
   switch (aResult.end_) {
     case ExchangeEnd::Complete:
     case ExchangeEnd::CallerGone:
@@ -391,7 +340,8 @@
       server.failures_.fetch_add(1, std::memory_order_relaxed);
   }
   if (aResult.mayBeCrash_) {
-    CheckCrash(aResult);
+    CrashReporter(context_.clock_, context_.quarantine_)
+      .Check(server, aResult.incarnation_);
     server.Pool().RemoveInFlight(fingerprint_);
   }
   if (isSuspect_) {
@@ -435,12 +385,14 @@
 
 bool RequestRun::ContinueRefused(const ExchangeResult& aResult)
 {
-  // Ownership is about to change; these retries cost the server nothing and
-  // do not use the retry budget.
+  // Ownership is about to change; these retries cost the server nothing, so
+  // they use neither attempts nor the retry budget.
   if (aResult.isRefusedConnection_) {
+    --attempts_;
     return Park(NotRunReason::Unreachable, aResult.text_);
   }
-  if (detail::IsOwnershipRefusal(aResult.reason_)) {
+  if (OutcomeClassifier::IsOwnershipRefusal(aResult.reason_)) {
+    --attempts_;
     return Park(aResult.reason_, "refused by the backend server");
   }
   const bool mayRetry =
@@ -478,47 +430,6 @@
   return sheds_ <= detail::kMaxSheds && context_.clock_.NowMs() < deadlineMs_;
 }
 
-void RequestRun::CheckCrash(const ExchangeResult& aResult)
-{
-  auto& server = *target_.server_;
-  const auto incarnation =
-    aResult.incarnation_ != 0 ? aResult.incarnation_ : server.Incarnation();
-  if (!IsProcessGone(incarnation)) {
-    return;
-  }
-  server.OnProcessGone();
-  const auto suspects = server.Pool().TakeCrash(incarnation);
-  if (!suspects.empty()) {
-    Log(LogLevel::Warning,
-        "backend server was lost with requests in flight",
-        { { "server", server.Id() }, { "requests", suspects.size() } });
-    context_.quarantine_.OnCrash(server.Id(), suspects);
-  }
-}
-
-bool RequestRun::IsProcessGone(uint64_t aIncarnation)
-{
-  constexpr size_t kMaxHealthBytes = 64 * 1024;
-  const TimeMs bound = context_.clock_.NowMs() + detail::kCrashCheckMs;
-  constexpr auto kPause = std::chrono::milliseconds(5);
-  const HttpRequest request{ "GET", "/_cactuspitch/health", {}, {} };
-  HttpConnection probe(context_.clock_, target_.record_->address_);
-  while (context_.clock_.NowMs() < bound) {
-    const auto health = probe.Exchange(request, bound, kMaxHealthBytes);
-    if (health.ok()) {
-      const auto now = health->head_.Header(header::kIncarnation);
-      return !now.empty() && aIncarnation != 0 && HashKey(now) != aIncarnation;
-    }
-    if (absl::IsUnavailable(health.status())) {
-      return true;
-    }
-    // A process that is ending can still accept for a moment.
-    probe.Close();
-    std::this_thread::sleep_for(kPause);
-  }
-  return false;
-}
-
 std::string_view RequestRun::CompleteCause(int aStatus) const
 {
   if (aStatus >= detail::kFirstServerError) {
--- a/router/RuleBook.hpp
+++ b/router/RuleBook.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/SliceTable.hpp"
 #include "config/RuleResolver.hpp"
 #include "config/ServiceRules.hpp"
 
@@ -34,6 +35,12 @@
   Rules ForServer(std::string_view aService,
                   std::string_view aFailureDomain,
                   std::string_view aServer) const;
+  /// Rules of a request to the owner of its key, exceptions for keys included.
+  Rules ForRequest(const GroupTable& aTable,
+                   KeyHash aHash,
+                   std::string_view aKey) const;
+
+private:
   /// aServerRules when no exception of the service names keys.
   Rules ForKey(const Rules& aServerRules,
                std::string_view aService,
@@ -41,7 +48,6 @@
                std::string_view aServer,
                std::string_view aKey) const;
 
-private:
   struct Snapshot
   {
     FleetDocument document_;
