Start the admission limit of a joining server cold

Cause: the limit of a server that joins rose in steps only after a restart that the router itself had seen, not when the table says that the server warms up.

Before: a router that meets a joining server starts with the full estimate.

Conclusion: the table's warm-up value now reaches the admission policy.

--- a/router/BackendServer.cpp
+++ b/router/BackendServer.cpp
@@ -78,6 +78,10 @@
         { { "policy", aRules.admissionPolicy_ } });
     policy = AdmissionRegistry::Global().Create("static", options);
   }
+  constexpr int32_t kWarm = 100;
+  if (aRecord.warmupPercent_ < kWarm) {
+    policy->OnColdStart(clock_.NowMs());
+  }
   return std::make_unique<AdmissionGate>(
     clock_,
     std::make_unique<ServerGate>(
