Record request ids at a majority of three routers

Cause: one of the two holders of an id was enough to forward a non-idempotent request. A router cut off from the first holder and a router cut off from the second could both forward the same id.

Ruled out: requiring both holders, which refuses a quarter of all recordings while one of eight instances is silent.

The number of calls stays two while all holders answer.

Conclusion: the promise in section 6 of the design holds under a partition between routers; a fleet of two routers needs both of them for recordings.

--- a/router/LedgerClient.cpp
+++ b/router/LedgerClient.cpp
@@ -31,31 +31,31 @@
                                  LedgerId aId)
 {
   LedgerTicket ticket;
-  ticket.holders_ = Holders(aRouters, aId.requestId_);
   ticket.id_ = std::move(aId);
-  for (const auto& holder : ticket.holders_) {
+  const auto holders = Holders(aRouters, ticket.id_.requestId_);
+  const size_t majority = holders.size() / 2 + 1;
+  size_t recorded = 0;
+  for (const auto& holder : holders) {
+    ticket.holders_.push_back(holder);
     LedgerEntry state = LedgerEntry::Unseen;
-    switch (peers_.Begin(holder, ticket.id_, state)) {
-      case HolderAnswer::Recorded:
-        ticket.verdict_ = LedgerTicket::Verdict::Forward;
-        break;
-      case HolderAnswer::Seen:
-        // A holder that recorded this attempt keeps the id as in progress, so
-        // the id stays refused when the other holder is lost.
-        ticket.verdict_ = LedgerTicket::Verdict::AlreadySeen;
-        ticket.state_ = state;
-        return ticket;
-      case HolderAnswer::Unreachable:
-      case HolderAnswer::Count:
-        break;
+    const auto answer = peers_.Begin(holder, ticket.id_, state);
+    if (answer == HolderAnswer::Seen) {
+      // A holder that recorded this attempt keeps the id as in progress, so
+      // the id stays refused when the other holders are lost.
+      ticket.verdict_ = LedgerTicket::Verdict::AlreadySeen;
+      ticket.state_ = state;
+      return ticket;
     }
-  }
-  if (ticket.verdict_ == LedgerTicket::Verdict::Unavailable) {
-    // A holder may have recorded the id although its answer was lost.
-    for (const auto& holder : ticket.holders_) {
-      peers_.FinishLater(holder, ticket.id_, LedgerEntry::NotRun);
+    recorded += answer == HolderAnswer::Recorded ? 1 : 0;
+    if (recorded == majority) {
+      ticket.verdict_ = LedgerTicket::Verdict::Forward;
+      return ticket;
     }
   }
+  // A holder may have recorded the id, also one whose answer was lost.
+  for (const auto& holder : ticket.holders_) {
+    peers_.FinishLater(holder, ticket.id_, LedgerEntry::NotRun);
+  }
   return ticket;
 }
 
--- a/router/LedgerClient.hpp
+++ b/router/LedgerClient.hpp
@@ -50,16 +50,19 @@
   {
     Forward,
     AlreadySeen, ///< answer unknown with state_
-    Unavailable  ///< no holder could be asked: refuse as not run
+    Unavailable  ///< no majority could be asked: refuse as not run
   };
   Verdict verdict_ = Verdict::Unavailable;
   LedgerEntry state_ = LedgerEntry::Unseen;
   LedgerId id_;
+  /// The holders that were asked.
   std::vector<std::string> holders_;
 };
 
-/// Rules of the request ledger (docs/design.md, section 6): the two holders of
-/// an id are asked in the order of their rank.
+/// Rules of the request ledger (docs/design.md, section 6): the three holders
+/// of an id are asked in the order of their rank until a majority recorded it.
+/// Two majorities share a holder, so routers that reach different holders
+/// cannot both forward an id.
 class LedgerClient
 {
 public:
@@ -77,7 +80,7 @@
   static std::vector<std::string> Holders(
     const std::vector<std::string>& aRouters,
     std::string_view aRequestId);
-  static constexpr size_t kHolders = 2;
+  static constexpr size_t kHolders = 3;
 
 private:
   LedgerPeers& peers_;
--- a/tests/LedgerTest.cpp
+++ b/tests/LedgerTest.cpp
@@ -111,27 +111,50 @@
 
 const std::vector<std::string> kRouters = { "r1", "r2", "r3", "r4" };
 
-// Guards against a repeat that runs again after one of the two holders is lost.
-TEST(LedgerClient, RepeatIsRecognisedAfterTheLossOfEitherHolder)
+// Guards against a repeat that runs again after one of the holders is lost.
+TEST(LedgerClient, RepeatIsRecognisedAfterTheLossOfAnyHolder)
 {
-  for (const size_t lostIndex : { 0U, 1U }) {
+  for (const size_t lostIndex : { 0U, 1U, 2U }) {
     FakeLedgers peers;
     LedgerClient client(peers);
     const auto first = client.Begin(kRouters, { "svc", "id", 1 });
     ASSERT_EQ(first.verdict_, Verdict::Forward);
-    ASSERT_EQ(first.holders_.size(), 2u);
-    peers.lost_.insert(first.holders_[lostIndex]);
+    const auto holders = LedgerClient::Holders(kRouters, "id");
+    ASSERT_EQ(holders.size(), 3u);
+    peers.lost_.insert(holders[lostIndex]);
     EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 2 }).verdict_,
               Verdict::AlreadySeen);
   }
 }
 
-// Guards against forwarding a request that no holder recorded.
-TEST(LedgerClient, RefusesWhenNoHolderCanBeAsked)
+// Guards against two routers that each reach other holders and both forward.
+TEST(LedgerClient, RoutersThatReachDifferentHoldersDoNotBothForward)
+{
+  const auto holders = LedgerClient::Holders(kRouters, "id");
+  for (const auto& reachedByFirst : holders) {
+    FakeLedgers peers;
+    LedgerClient client(peers);
+    const std::set<std::string> all = { holders.begin(), holders.end() };
+    peers.lost_ = all;
+    peers.lost_.erase(reachedByFirst);
+    const auto first = client.Begin(kRouters, { "svc", "id", 1 });
+    peers.lost_ = { reachedByFirst };
+    const auto second = client.Begin(kRouters, { "svc", "id", 2 });
+    EXPECT_EQ(first.verdict_, Verdict::Unavailable);
+    EXPECT_EQ(second.verdict_, Verdict::Forward);
+  }
+}
+
+// Guards against forwarding a request that no majority of holders recorded.
+TEST(LedgerClient, RefusesWithoutAMajority)
 {
   FakeLedgers peers;
-  peers.lost_ = { kRouters.begin(), kRouters.end() };
+  const auto holders = LedgerClient::Holders(kRouters, "id");
+  peers.lost_ = { holders[0], holders[2] };
   LedgerClient client(peers);
+  EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 3 }).verdict_,
+            Verdict::Unavailable);
+  peers.lost_ = { kRouters.begin(), kRouters.end() };
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 1 }).verdict_,
             Verdict::Unavailable);
   EXPECT_EQ(client.Begin({}, { "svc", "id", 1 }).verdict_,
@@ -157,7 +180,7 @@
   FakeLedgers peers;
   LedgerClient client(peers);
   const auto holders = LedgerClient::Holders(kRouters, "id");
-  const auto flaky = holders[*rc::gen::inRange<size_t>(0, 2)];
+  const auto flaky = holders[*rc::gen::inRange<size_t>(0, 3)];
   int runs = 0;
   uint64_t token = 0;
   std::vector<LedgerTicket> open;
