Let only probing candidates replace assigner and deputy

Cause: a candidate outside the first few does not probe assigner and deputy, so it took both for silent and tried to take the group over. The simulation probed every peer and hid this; it now probes what PeersToProbe() names. Ruled out: store limits; the calls came from all instances alike. Conclusion: the two of the record and two more may act.

--- a/assigner/StoreDuty.cpp
+++ b/assigner/StoreDuty.cpp
@@ -16,8 +16,6 @@
 constexpr size_t kStoreJobs = 256;
 constexpr TimeMs kStoreRetryMs = 200;
 constexpr TimeMs kCoreCheckMs = 200;
-/// Instances for each group that follow it in the store.
-constexpr int kCoreInstances = 4;
 const char* const kGroupKind = "group";
 
 std::string GroupName(const std::string& aService)
@@ -333,7 +331,7 @@
          std::ranges::any_of(hosts, [](const auto& aHost) {
            return aHost->With([](GroupController& aControl) {
              return aControl.Role() != GroupRole::None ||
-                    aControl.Position() < detail::kCoreInstances;
+                    aControl.Position() < kThirdInstances;
            });
          });
 }
--- a/control/GroupController.cpp
+++ b/control/GroupController.cpp
@@ -303,13 +303,12 @@
 
 std::vector<std::string> GroupController::PeersToProbe() const
 {
-  constexpr int kProbing = 3;
   const auto& table = state_.Table();
   std::vector<std::string> peers;
   if (role_ == GroupRole::Assigner) {
     peers.assign(state_.earlier_.begin(), state_.earlier_.end());
   } else if (state_.version_ > 0 && role_ == GroupRole::None &&
-             Position() < kProbing) {
+             Position() < kThirdInstances) {
     peers = { table.assigner_, table.deputy_ };
   }
   std::erase_if(peers, [this](const std::string& aPeer) {
--- a/control/GroupController.hpp
+++ b/control/GroupController.hpp
@@ -36,6 +36,10 @@
   std::string failureDomain_;
 };
 
+/// Candidates that watch over assigner and deputy and may replace both: room
+/// for the two themselves and two more.
+inline constexpr int kThirdInstances = 4;
+
 struct GroupOptions
 {
   std::string instance_;
--- a/control/GroupControllerSteps.cpp
+++ b/control/GroupControllerSteps.cpp
@@ -223,7 +223,9 @@
   };
   const auto silentMs =
     aNowMs - std::max(heardMs(table.assigner_), heardMs(table.deputy_));
-  if (silentMs <= timing::kThirdInstanceMs + waitMs) {
+  // Only a candidate that probes the two knows that they are silent.
+  if (silentMs <= timing::kThirdInstanceMs + waitMs ||
+      Position() >= kThirdInstances) {
     return;
   }
   detail::AddUnique(earlier, table.assigner_);
--- a/tests/OwnershipSimProcesses.cpp
+++ b/tests/OwnershipSimProcesses.cpp
@@ -170,11 +170,8 @@
 {
   const int from = aInstance.index_;
   const int life = aInstance.life_;
-  for (auto& entry : instances_) {
-    auto& peer = *entry;
-    if (&peer == &aInstance) {
-      continue;
-    }
+  for (const auto& name : aInstance.control_->PeersToProbe()) {
+    auto& peer = *instances_[static_cast<size_t>(detail::IndexOf(name))];
     Send(
       from,
       peer.index_,
