--- a/router/RequestRun.hpp
+++ b/router/RequestRun.hpp
@@ -30,7 +30,6 @@
 
   /// False when the request was refused and answered.
   bool Accept();
-  void ResolveRules(const FollowedTable& aTable);
   bool ReadBody();
   bool BeginLedger();
   /// Runs attempts until one of the final answers was given.
@@ -54,9 +53,6 @@
   void Cancel();
   bool CanRetry();
   bool CanRetryShed();
-  /// Reports a crash when the server's process is gone.
-  void CheckCrash(const ExchangeResult& aResult);
-  bool IsProcessGone(uint64_t aIncarnation);
 
   void EndComplete(ExchangeResult& aResult);
   void EndNotRun(NotRunReason aReason,
