Accept answers to a router's later attempt in loadgen

A router repeats an idempotent request under the caller's id with the attempt's number after a dot, and the stand-in server echoes the id that it received; loadgen compared it with the caller's id exactly. The check now accepts exactly this form, for idempotent requests only, and no other request has such an id; non-idempotent requests are compared as before.

Conclusion: the count of foreign answers is true again.

--- a/standin/LoadWorker.cpp
+++ b/standin/LoadWorker.cpp
@@ -25,6 +25,18 @@
   }
 }
 
+/// A router repeats an idempotent request under the id of the caller followed
+/// by "." and the number of the attempt, which the server's answer shows.
+bool IsAnswerTo(std::string_view aAnswered, std::string_view aId, bool aIsPost)
+{
+  if (aAnswered == aId) {
+    return true;
+  }
+  int attempt = 0;
+  return !aIsPost && aAnswered.starts_with(Concat(aId, ".")) &&
+         ParseNumber(aAnswered.substr(aId.size() + 1), attempt) && attempt > 1;
+}
+
 /// Value of a text member of a flat JSON object; empty when absent.
 std::string_view TextMember(std::string_view aJson, std::string_view aName)
 {
@@ -227,7 +239,8 @@
   }
   aServer = detail::TextMember(start, "server");
   const bool fits =
-    detail::TextMember(start, "id") == RequestId(aJob) &&
+    detail::IsAnswerTo(
+      detail::TextMember(start, "id"), RequestId(aJob), aJob.isPost_) &&
     detail::TextMember(start, "key") == KeyPopularity::Name(aJob.key_);
   return fits ? LoadOutcome::Complete : LoadOutcome::Mismatched;
 }
