--- a/bench/GoodputLiveBench.cpp
+++ b/bench/GoodputLiveBench.cpp
@@ -27,12 +27,13 @@
 constexpr double kCapacity = kBackends * kSlots * kUsPerSecond / kServiceUs;
 constexpr double kNormalLoad = 0.7;
 constexpr double kOverload = 3;
+constexpr TimeMs kSpreadMs = 16000;
 constexpr TimeMs kWarmupMs = 5000;
 constexpr TimeMs kOverloadMs = 10000;
 constexpr TimeMs kAfterMs = 10000;
 constexpr TimeMs kRecoveryMs = 5000;
-constexpr TimeMs kDeadlineMs = 1000;
-constexpr int kConnections = 400;
+constexpr TimeMs kDeadlineMs = 500;
+constexpr int kConnections = 900;
 constexpr int64_t kUsPerMs = 1000;
 constexpr TimeMs kMsPerSecond = 1000;
 
@@ -42,7 +43,8 @@
   int64_t sends_ = 0;
   int64_t inTime_ = 0;
   int64_t unanswered_ = 0;
-  std::map<std::string, int64_t> ends_; ///< outcome and reason
+  std::map<std::string, int64_t> ends_; ///< outcome or reason
+  std::map<std::string, int64_t> servers_;
 };
 
 class Trial
@@ -64,6 +66,9 @@
     if (!missing.empty()) {
       return ReportFailure(kName, missing);
     }
+    // The first backend server starts with all slices; they are spread while
+    // the group is idle.
+    Sleep(kSpreadMs);
     Launch("before", kNormalLoad, kWarmupMs);
     Sleep(kWarmupMs);
     const int64_t overloadUs = BootTimeUs();
@@ -135,6 +140,8 @@
         ++phase.sends_;
         const auto reason = aLine.at("reason").get<std::string>();
         ++phase.ends_[reason.empty() ? outcome : reason];
+        const auto server = aLine.at("server").get<std::string>();
+        phase.servers_[server] += server.empty() ? 0 : 1;
         phase.unanswered_ += outcome == "unanswered" ? 1 : 0;
         phase.inTime_ +=
           outcome == "complete" && takenUs <= kDeadlineMs * kUsPerMs ? 1 : 0;
@@ -154,6 +161,9 @@
     for (const auto& [end, count] : aOverload.ends_) {
       report.Note(Concat("overload-", end), number(count), "sends");
     }
+    for (const auto& [server, count] : aOverload.servers_) {
+      report.Note(Concat("overload-by-", server), number(count), "sends");
+    }
     for (const auto& [end, count] : aAfter.ends_) {
       report.Note(Concat("after-", end), number(count), "new requests");
     }
--- a/bench/HotKeyLiveBench.cpp
+++ b/bench/HotKeyLiveBench.cpp
@@ -64,7 +64,7 @@
   Flood(const Clock& aClock, const std::vector<std::string>& aRouters)
   {
     for (int i = 0; i < kFloodThreads; ++i) {
-      const auto router = aRouters[static_cast<size_t>(i) % aRouters.size()];
+      const auto& router = aRouters[static_cast<size_t>(i) % aRouters.size()];
       threads_.emplace_back([this, router, &aClock] {
         constexpr size_t kMaxBytes = 1 << 16;
         HttpConnection connection(aClock, router);
--- a/policy/LoadPerKeyPolicy.cpp
+++ b/policy/LoadPerKeyPolicy.cpp
@@ -73,7 +73,9 @@
   const auto warmth = Warmth(aInput);
   ServerLoads loads(aInput, warmth);
   Evacuate(loads, plan);
-  if (loads.Total() > 0) {
+  if (loads.IsIdle()) {
+    SpreadIdle(aInput.nowMs_, loads, plan);
+  } else {
     FillJoining(aInput, loads, plan);
     SplitHotKeys(aInput, loads, plan);
     Rebalance(aInput.nowMs_, loads, plan);
@@ -130,6 +132,31 @@
   }
 }
 
+void LoadPerKeyPolicy::SpreadIdle(TimeMs aNowMs,
+                                  ServerLoads& aLoads,
+                                  BalancePlan& aPlan)
+{
+  // Nothing is warm in an idle group, e.g. of a service that has just been
+  // started, so its servers share the slices at once and without warm-up.
+  constexpr size_t kMaxIdleMovesOfPlan = 64;
+  for (auto& [server, joined] : joinedMs_) {
+    joined = aNowMs - options_.warmupMs_ - kRestMs;
+  }
+  const auto& slices = aLoads.Table().slices_;
+  for (size_t i = 0;
+       i < slices.size() && aPlan.moves_.size() < kMaxIdleMovesOfPlan;
+       ++i) {
+    const int32_t owner = aLoads.Owner(i);
+    const auto target = aLoads.FewestSlices();
+    if (owner == kNoServer || !target || !aLoads.IsUsable(owner) ||
+        IsResting(slices[i].begin_, aNowMs) ||
+        aLoads.SliceCount(owner) <= aLoads.SliceCount(*target) + 1) {
+      continue;
+    }
+    AddMove(i, *target, "spreads an idle group", aLoads, aPlan);
+  }
+}
+
 void LoadPerKeyPolicy::FillJoining(const BalanceInput& aInput,
                                    ServerLoads& aLoads,
                                    BalancePlan& aPlan)
--- a/policy/LoadPerKeyPolicy.hpp
+++ b/policy/LoadPerKeyPolicy.hpp
@@ -24,6 +24,7 @@
 private:
   std::vector<double> Warmth(const BalanceInput& aInput);
   void Evacuate(ServerLoads& aLoads, BalancePlan& aPlan);
+  void SpreadIdle(TimeMs aNowMs, ServerLoads& aLoads, BalancePlan& aPlan);
   void FillJoining(const BalanceInput& aInput,
                    ServerLoads& aLoads,
                    BalancePlan& aPlan);
--- a/policy/ServerLoads.cpp
+++ b/policy/ServerLoads.cpp
@@ -44,6 +44,28 @@
   ComputeReference();
 }
 
+bool ServerLoads::IsIdle() const
+{
+  constexpr double kMsPerSecond = 1000;
+  constexpr double kIdlePart = 0.003;
+  double slots = 0;
+  for (const auto& server : table_->servers_) {
+    slots += server.slots_;
+  }
+  return total_ <= kIdlePart * kMsPerSecond * slots;
+}
+
+std::optional<int32_t> ServerLoads::FewestSlices() const
+{
+  std::optional<int32_t> fewest;
+  for (int32_t i = 0; Index(i) < weight_.size(); ++i) {
+    if (IsUsable(i) && (!fewest || SliceCount(i) < SliceCount(*fewest))) {
+      fewest = i;
+    }
+  }
+  return fewest;
+}
+
 bool ServerLoads::IsSingleHash(size_t aSlice) const
 {
   return table_->SliceEnd(aSlice) == table_->slices_[aSlice].begin_;
--- a/policy/ServerLoads.hpp
+++ b/policy/ServerLoads.hpp
@@ -18,6 +18,14 @@
 
   const GroupTable& Table() const { return *table_; }
   double Total() const { return total_; }
+  /// The load is too small to be measured, at most 0.3% of the slots.
+  bool IsIdle() const;
+  size_t SliceCount(int32_t aServer) const
+  {
+    return sliceCount_[Index(aServer)];
+  }
+  /// Usable server with the fewest slices.
+  std::optional<int32_t> FewestSlices() const;
   /// Mean load of a usable server, of any number of slots.
   double MeanLoad() const { return meanLoad_; }
   double SliceLoad(size_t aSlice) const { return sliceLoad_[aSlice]; }
--- a/router/BackendServer.cpp
+++ b/router/BackendServer.cpp
@@ -4,6 +4,7 @@
 #include "common/Log.hpp"
 
 #include <algorithm>
+#include <random>
 
 #include <xxhash.h>
 
@@ -64,10 +65,12 @@
   const BackendServerRecord& aRecord,
   int aRouters) const
 {
+  // Routers with the same seed would retry and call back at the same moments.
+  const uint64_t seed = std::random_device{}() ^ HashKey(id_);
   const AdmissionOptions options{ .slots_ = static_cast<double>(aRecord.slots_),
                                   .routers_ = aRouters,
                                   .warmupMs_ = aRules.warmupMs_,
-                                  .seed_ = HashKey(id_) };
+                                  .seed_ = seed };
   auto policy =
     AdmissionRegistry::Global().Create(aRules.admissionPolicy_, options);
   if (!policy) {
@@ -83,7 +86,7 @@
     std::make_unique<ServerGate>(
       std::move(policy),
       QueueOptions{ .limit_ = static_cast<size_t>(aRules.queueLimit_) },
-      HashKey(id_)));
+      seed));
 }
 
 void BackendServer::OnAnswer(PooledConnection& aConnection,
--- a/tests/LoadPerKeyPolicyTest.cpp
+++ b/tests/LoadPerKeyPolicyTest.cpp
@@ -22,17 +22,17 @@
   {
   }
 
-  /// Loads of equal slices, with keys_ on top of them.
+  /// Loads of equal slices, scaled by scale_, with keys_ on top of them.
   BalanceInput Input() const
   {
     BalanceInput input;
     input.nowMs_ = nowMs_;
     input.table_ = &table_;
     input.serverUsable_ = usable_;
-    constexpr double kPerHash = 0x1p-64 * kSlices;
+    const double perHash = 0x1p-64 * kSlices * scale_;
     for (size_t i = 0; i < table_.slices_.size(); ++i) {
       const KeyHash width = table_.SliceEnd(i) - table_.slices_[i].begin_;
-      input.sliceLoad_.push_back(kPerHash * static_cast<double>(width));
+      input.sliceLoad_.push_back(perHash * static_cast<double>(width));
     }
     for (const auto& [hash, load] : keys_) {
       const auto index = &table_.FindSlice(hash) - table_.slices_.data();
@@ -74,6 +74,7 @@
   GroupTable table_;
   std::vector<bool> usable_;
   std::map<KeyHash, double> keys_;
+  double scale_ = 1;
   TimeMs nowMs_ = 0;
 };
 
@@ -161,6 +162,22 @@
   EXPECT_LE(moved, 1.2 * fair);
 }
 
+// Guards against a new service whose first server keeps all slices until load
+// has come and the others have warmed up.
+TEST_F(LoadPerKeyPolicyTest, IdleGroupIsSpreadAtOnce)
+{
+  scale_ = 0;
+  for (auto& slice : table_.slices_) {
+    slice.owner_ = 0;
+  }
+  Run(5);
+  for (int32_t server = 0; server < kServers; ++server) {
+    EXPECT_EQ(std::ranges::count(table_.slices_, server, &SliceRecord::owner_),
+              16)
+      << server;
+  }
+}
+
 // Guards against putting all moved load into one failure domain.
 TEST_F(LoadPerKeyPolicyTest, MovesAreSpreadOverFailureDomains)
 {
