--- a/assigner/StoreDuty.hpp
+++ b/assigner/StoreDuty.hpp
@@ -50,6 +50,8 @@
     const char* kind_;
     TimeMs waitMs_;
     Accept accept_;
+    /// Whether this instance needs it; null: always.
+    bool (StoreDuty::*isNeeded_)() const;
   };
   static const std::vector<WatchSpec>& Watches();
 
@@ -64,6 +66,12 @@
   absl::StatusOr<Objects> ListAll(const char* aKind);
   /// Tells all groups when the reachability changes.
   void SetReachable(const absl::Status& aStatus);
+  /// This instance has a role for some group or is among the first to get one.
+  /// The others learn tables and configuration from peers, so that the store's
+  /// calls grow with the groups and hardly with the fleet.
+  bool IsCore() const;
+  /// The instances that bring the configuration to the others.
+  bool FollowsConfig() const;
   bool WaitStopped(TimeMs aTimeoutMs);
 
   const Clock& clock_;
--- a/control/GroupControllerSteps.cpp
+++ b/control/GroupControllerSteps.cpp
@@ -11,6 +11,8 @@
 namespace detail {
 /// Interval between attempts after a write that did not take effect.
 constexpr TimeMs kWriteRetryMs = 50;
+/// Composing the record costs more than the rest of a step.
+constexpr TimeMs kPlanRecordMs = 20;
 /// Interval between new terms, so that a refusing deputy costs few writes.
 constexpr TimeMs kTermIntervalMs = 300;
 
@@ -36,7 +38,9 @@
     SendQuestion(aNowMs, aActions);
   }
   if (storeReachable_ && !writer_.IsPending() &&
-      aNowMs - writeTriedMs_ >= detail::kWriteRetryMs) {
+      aNowMs - writeTriedMs_ >= detail::kWriteRetryMs &&
+      aNowMs - plannedMs_ >= detail::kPlanRecordMs) {
+    plannedMs_ = aNowMs;
     WriteRecord(aNowMs, aActions);
   }
 }
@@ -191,7 +195,12 @@
   }
   const auto waitMs = timing::kCandidateStepMs * Rank(aNowMs);
   if (isMissing_ && state_.version_ == 0) {
-    if (aNowMs - quietSinceMs_ >= waitMs) {
+    // A list that still grows would give all slices to its first servers.
+    if (serversChanged_) {
+      serversChanged_ = false;
+      quietSinceMs_ = aNowMs;
+    }
+    if (aNowMs - quietSinceMs_ >= timing::kListSettleMs + waitMs) {
       WriteNewGroup(aNowMs, aActions);
     }
     return;
--- a/router/RequestRun.cpp
+++ b/router/RequestRun.cpp
@@ -1,14 +1,12 @@
 #include "RequestRun.hpp"
 
+#include "CrashReporter.hpp"
 #include "HeaderRules.hpp"
-#include "common/Log.hpp"
 
 #include <algorithm>
 #include <random>
 #include <thread>
 
-#include <xxhash.h>
-
 namespace cactuspitch {
 
 namespace detail {
@@ -16,6 +14,8 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kTooLarge = 413;
+/// Callers that send more are cut off without a readable answer.
+constexpr uint64_t kMaxDiscardBytes = 16 << 20;
 constexpr int kFirstServerError = 500;
 
 /// Waits for a newer table grow, since a router that asks each millisecond
@@ -25,54 +25,21 @@
 constexpr TimeMs kViewLeasePollMs = 10;
 /// A view lease that ends sooner leaves the server no time to run.
 constexpr TimeMs kMinViewLeaseMs = 20;
-constexpr TimeMs kCrashCheckMs = 100;
 /// Time after which an owner is usually found again (docs/design.md, 4.5).
 constexpr TimeMs kTakeoverRetryMs = 1000;
 constexpr TimeMs kDefaultRetryMs = 500;
+/// Two calls to holders of the request ledger that do not answer.
+constexpr TimeMs kLedgerWaitMs = 500;
 constexpr TimeMs kQuarantineRetryMs = 60000;
 /// A server that sheds a request more often is out of order rather than busy.
 constexpr int kMaxSheds = 12;
 
-uint64_t Fingerprint(const CallerRequest& aRequest, std::string_view aBody)
-{
-  const auto method =
-    XXH3_64bits(aRequest.method_.data(), aRequest.method_.size());
-  const auto path = XXH3_64bits_withSeed(
-    aRequest.target_.data(), aRequest.target_.size(), method);
-  return aBody.empty() ? path
-                       : XXH3_64bits_withSeed(aBody.data(), aBody.size(), path);
-}
-
 uint64_t RandomToken()
 {
   static thread_local std::mt19937_64 random(std::random_device{}());
   return random();
 }
 
-AttemptEnd ToGateEnd(const ExchangeResult& aResult)
-{
-  switch (aResult.end_) {
-    case ExchangeEnd::Complete:
-    case ExchangeEnd::PartialAfterHead:
-      return AttemptEnd::Answered;
-    case ExchangeEnd::Refused:
-      return aResult.reason_ == NotRunReason::Busy ? AttemptEnd::Shed
-                                                   : AttemptEnd::Cancelled;
-    case ExchangeEnd::CallerGone:
-      return AttemptEnd::Cancelled;
-    default:
-      return AttemptEnd::Failed;
-  }
-}
-
-bool IsOwnershipRefusal(NotRunReason aReason)
-{
-  return aReason == NotRunReason::StaleEpoch ||
-         aReason == NotRunReason::NotOwner ||
-         aReason == NotRunReason::LeaseExpired ||
-         aReason == NotRunReason::Draining;
-}
-
 }
 
 RequestRun::RequestRun(RouterContext& aContext, HttpExchange& aCaller)
@@ -99,6 +66,7 @@
                            caller_.Header(header::kDeadlineMs) };
   const auto refusal = ParseCallerRequest(input, context_.limits_, request_);
   if (refusal.status_ != 0) {
+    caller_.DiscardBody(detail::kMaxDiscardBytes);
     answer_.Refuse(refusal.status_, refusal.text_);
     return false;
   }
@@ -114,7 +82,8 @@
     }
     return false;
   }
-  ResolveRules(*table);
+  rules_ =
+    context_.rules_.ForRequest(table->table_, request_.hash_, request_.key_);
   service_ = &context_.registry_.Service(request_.service_);
   service_->OnRequest();
   const auto length =
@@ -127,26 +96,12 @@
   return true;
 }
 
-void RequestRun::ResolveRules(const FollowedTable& aTable)
-{
-  const auto& table = aTable.table_;
-  const auto* owner = table.Server(table.FindSlice(request_.hash_).owner_);
-  static const std::string kNone;
-  const std::string& domain = owner ? owner->failureDomain_ : kNone;
-  const std::string& server = owner ? owner->id_ : kNone;
-  const auto& book = context_.rules_;
-  rules_ = book.ForKey(book.ForServer(request_.service_, domain, server),
-                       request_.service_,
-                       domain,
-                       server,
-                       request_.key_);
-}
-
 bool RequestRun::ReadBody()
 {
   if (caller_.ContentLength() > 0) {
     auto body = caller_.ReadBody(static_cast<size_t>(rules_->maxRequestBytes_));
     if (!body.ok()) {
+      caller_.DiscardBody(detail::kMaxDiscardBytes);
       answer_.Refuse(absl::IsOutOfRange(body.status()) ? detail::kTooLarge
                                                        : detail::kBadRequest,
                      body.status().message().data());
@@ -155,7 +110,7 @@
     body_ = *std::move(body);
   }
   headers_ = HeaderRules::ForServer(caller_.Headers());
-  fingerprint_ = detail::Fingerprint(request_, body_);
+  fingerprint_ = Fingerprint(request_, body_);
   if (request_.requestId_.empty()) {
     request_.requestId_ =
       Concat(context_.instance_,
@@ -337,7 +292,7 @@
   const TimeMs now = context_.clock_.NowMs();
   OutboundRequest outbound;
   outbound.http_ = { request_.method_, request_.target_, headers_, body_ };
-  outbound.requestId_ = attemptId_;
+  outbound.requestId_ = request_.requestId_;
   outbound.fingerprint_ = fingerprint_;
   outbound.epoch_ = target_.slice_->epoch_;
   outbound.isIdempotent_ = request_.isIdempotent_;
@@ -358,11 +313,6 @@
 ExchangeResult RequestRun::RunExchange()
 {
   ++attempts_;
-  // Each attempt has an id of its own, so that a cancellation cannot hit the
-  // attempt that replaced it. A repeated non-idempotent request keeps its id.
-  attemptId_ = attempts_ > 1 && request_.isIdempotent_
-                 ? Concat(request_.requestId_, ".", attempts_)
-                 : request_.requestId_;
   auto outbound = MakeOutbound();
   return ServerExchange(context_.clock_, *target_.server_)
     .Run(outbound, caller_);
@@ -372,7 +322,7 @@
 {
   auto& server = *target_.server_;
   server.requests_.fetch_add(1, std::memory_order_relaxed);
-  gate_->Leave(detail::ToGateEnd(aResult), aResult.headMs_);
+  gate_->Leave(aResult.GateEnd(), aResult.headMs_);
   switch (aResult.end_) {
     case ExchangeEnd::Complete:
     case ExchangeEnd::CallerGone:
@@ -389,12 +339,9 @@
     default:
       server.failures_.fetch_add(1, std::memory_order_relaxed);
   }
-  if (aResult.end_ == ExchangeEnd::CallerGone ||
-      aResult.end_ == ExchangeEnd::Silent) {
-    context_.canceller_.Cancel(target_.record_->address_, attemptId_);
-  }
   if (aResult.mayBeCrash_) {
-    CheckCrash(aResult);
+    CrashReporter(context_.clock_, context_.quarantine_)
+      .Check(server, aResult.incarnation_);
     server.Pool().RemoveInFlight(fingerprint_);
   }
   if (isSuspect_) {
@@ -424,24 +371,28 @@
       EndNotRun(aResult.reason_, detail::kDefaultRetryMs, aResult.text_);
       return false;
     case AttemptAction::AnswerUnknown:
+      Cancel();
       EndUnknown(aResult.end_ == ExchangeEnd::Silent, aResult.text_);
       return false;
     case AttemptAction::CloseCaller:
     case AttemptAction::Count:
       break;
   }
+  Cancel();
   EndTruncated(aResult);
   return false;
 }
 
 bool RequestRun::ContinueRefused(const ExchangeResult& aResult)
 {
-  // Ownership is about to change; these retries cost the server nothing and
-  // do not use the retry budget.
+  // Ownership is about to change; these retries cost the server nothing, so
+  // they use neither attempts nor the retry budget.
   if (aResult.isRefusedConnection_) {
+    --attempts_;
     return Park(NotRunReason::Unreachable, aResult.text_);
   }
-  if (detail::IsOwnershipRefusal(aResult.reason_)) {
+  if (OutcomeClassifier::IsOwnershipRefusal(aResult.reason_)) {
+    --attempts_;
     return Park(aResult.reason_, "refused by the backend server");
   }
   const bool mayRetry =
@@ -456,6 +407,13 @@
   return false;
 }
 
+void RequestRun::Cancel()
+{
+  // Only when the request has ended here. All attempts have the id that the
+  // answer names, so a cancellation could hit the attempt that replaced one.
+  context_.canceller_.Cancel(target_.record_->address_, request_.requestId_);
+}
+
 bool RequestRun::CanRetry()
 {
   return attempts_ < rules_->maxAttempts_ + sheds_ &&
@@ -472,47 +430,6 @@
   return sheds_ <= detail::kMaxSheds && context_.clock_.NowMs() < deadlineMs_;
 }
 
-void RequestRun::CheckCrash(const ExchangeResult& aResult)
-{
-  auto& server = *target_.server_;
-  const auto incarnation =
-    aResult.incarnation_ != 0 ? aResult.incarnation_ : server.Incarnation();
-  if (!IsProcessGone(incarnation)) {
-    return;
-  }
-  server.OnProcessGone();
-  const auto suspects = server.Pool().TakeCrash(incarnation);
-  if (!suspects.empty()) {
-    Log(LogLevel::Warning,
-        "backend server was lost with requests in flight",
-        { { "server", server.Id() }, { "requests", suspects.size() } });
-    context_.quarantine_.OnCrash(server.Id(), suspects);
-  }
-}
-
-bool RequestRun::IsProcessGone(uint64_t aIncarnation)
-{
-  constexpr size_t kMaxHealthBytes = 64 * 1024;
-  const TimeMs bound = context_.clock_.NowMs() + detail::kCrashCheckMs;
-  constexpr auto kPause = std::chrono::milliseconds(5);
-  const HttpRequest request{ "GET", "/_cactuspitch/health", {}, {} };
-  HttpConnection probe(context_.clock_, target_.record_->address_);
-  while (context_.clock_.NowMs() < bound) {
-    const auto health = probe.Exchange(request, bound, kMaxHealthBytes);
-    if (health.ok()) {
-      const auto now = health->head_.Header(header::kIncarnation);
-      return !now.empty() && aIncarnation != 0 && HashKey(now) != aIncarnation;
-    }
-    if (absl::IsUnavailable(health.status())) {
-      return true;
-    }
-    // A process that is ending can still accept for a moment.
-    probe.Close();
-    std::this_thread::sleep_for(kPause);
-  }
-  return false;
-}
-
 std::string_view RequestRun::CompleteCause(int aStatus) const
 {
   if (aStatus >= detail::kFirstServerError) {
@@ -558,9 +475,12 @@
 
 void RequestRun::FinishLedger(LedgerEntry aState)
 {
-  if (!request_.isIdempotent_) {
-    context_.ledger_.Finish(ticket_, aState);
+  if (request_.isIdempotent_) {
+    return;
   }
+  // A holder that is silent would delay the answer by its time limit.
+  const TimeMs left = deadlineMs_ - context_.clock_.NowMs();
+  context_.ledger_.Finish(ticket_, aState, left > detail::kLedgerWaitMs);
 }
 
 void RequestRun::Count(Outcome aOutcome, std::string_view aCause)
--- a/router/RequestRun.hpp
+++ b/router/RequestRun.hpp
@@ -30,7 +30,6 @@
 
   /// False when the request was refused and answered.
   bool Accept();
-  void ResolveRules(const FollowedTable& aTable);
   bool ReadBody();
   bool BeginLedger();
   /// Runs attempts until one of the final answers was given.
@@ -50,11 +49,10 @@
   /// Acts on the end of an attempt; false when the request has ended.
   bool Continue(ExchangeResult& aResult);
   bool ContinueRefused(const ExchangeResult& aResult);
+  /// Tells the server that nobody waits for the answer any more.
+  void Cancel();
   bool CanRetry();
   bool CanRetryShed();
-  /// Reports a crash when the server's process is gone.
-  void CheckCrash(const ExchangeResult& aResult);
-  bool IsProcessGone(uint64_t aIncarnation);
 
   void EndComplete(ExchangeResult& aResult);
   void EndNotRun(NotRunReason aReason,
@@ -82,7 +80,6 @@
   LedgerTicket ticket_;
   Target target_;
   AdmissionGate* gate_ = nullptr;
-  std::string attemptId_;
   int attempts_ = 0;
   int sheds_ = 0; ///< attempts that the server refused as busy
   int parks_ = 0;
--- a/standin/LoadWorker.cpp
+++ b/standin/LoadWorker.cpp
@@ -25,18 +25,6 @@
   }
 }
 
-/// A router repeats an idempotent request under the id of the caller followed
-/// by "." and the number of the attempt, which the server's answer shows.
-bool IsAnswerTo(std::string_view aAnswered, std::string_view aId, bool aIsPost)
-{
-  if (aAnswered == aId) {
-    return true;
-  }
-  int attempt = 0;
-  return !aIsPost && aAnswered.starts_with(Concat(aId, ".")) &&
-         ParseNumber(aAnswered.substr(aId.size() + 1), attempt) && attempt > 1;
-}
-
 /// Value of a text member of a flat JSON object; empty when absent.
 std::string_view TextMember(std::string_view aJson, std::string_view aName)
 {
@@ -49,17 +37,26 @@
   return aJson.substr(begin, aJson.find('"', begin) - begin);
 }
 
+/// A router numbers its attempts at an idempotent request: "id.2".
+bool IsIdOf(std::string_view aId, std::string_view aRequestId)
+{
+  return aId.starts_with(aRequestId) &&
+         (aId.size() == aRequestId.size() || aId[aRequestId.size()] == '.');
+}
+
 }
 
 LoadWorker::LoadWorker(const Clock& aClock,
                        const LoadOptions& aOptions,
                        LoadSchedule& aSchedule,
+                       const TargetWatch& aWatch,
                        size_t aIndex,
                        int64_t aStartUs,
                        Observer aObserver)
   : clock_(aClock)
   , options_(aOptions)
   , schedule_(aSchedule)
+  , watch_(aWatch)
   , target_(aIndex)
   , observer_(std::move(aObserver))
   , report_(aOptions, aStartUs)
@@ -116,15 +113,17 @@
 
 bool LoadWorker::Connect(TimeMs aDeadlineMs)
 {
-  if (connection_ && connection_->IsReusable()) {
+  const size_t count = options_.targets_.size();
+  if (connection_ && watch_.IsReady(target_ % count) &&
+      connection_->IsReusable()) {
     return true;
   }
-  for (size_t tried = 0; tried < options_.targets_.size(); ++tried) {
-    const auto& target = options_.targets_[target_ % options_.targets_.size()];
-    connection_ = std::make_unique<HttpConnection>(clock_, target);
+  for (size_t tried = 0; tried < count; ++tried) {
+    connection_ = std::make_unique<HttpConnection>(
+      clock_, options_.targets_[target_ % count]);
     const TimeMs limit =
       std::min(aDeadlineMs, clock_.NowMs() + detail::kConnectMs);
-    if (connection_->Connect(limit).ok()) {
+    if (watch_.IsReady(target_ % count) && connection_->Connect(limit).ok()) {
       return true;
     }
     ++target_;
@@ -239,8 +238,7 @@
   }
   aServer = detail::TextMember(start, "server");
   const bool fits =
-    detail::IsAnswerTo(
-      detail::TextMember(start, "id"), RequestId(aJob), aJob.isPost_) &&
+    detail::IsIdOf(detail::TextMember(start, "id"), RequestId(aJob)) &&
     detail::TextMember(start, "key") == KeyPopularity::Name(aJob.key_);
   return fits ? LoadOutcome::Complete : LoadOutcome::Mismatched;
 }
