Show the load of slices to operators

Cause: GET /v1/slices answered load null for every slice and churn was weighted by hash share, because the assigner's status gave only a count of slices.

Ruled out: asking every router; the assigner has merged the reports already.

Before: no slice with a load.

--- a/assigner/AssignerProcess.cpp
+++ b/assigner/AssignerProcess.cpp
@@ -229,7 +229,7 @@
   status.configVersion = config.version_;
   status.configAgeMs = config.confirmedMs_ < 0 ? -1 : now - config.confirmedMs_;
   status.json = AssignerStatusJson(
-    control_, now, storeDuty_.IsReachable(), storeDuty_.Calls());
+    control_, balance_, now, storeDuty_.IsReachable(), storeDuty_.Calls());
   return status;
 }
 
--- a/assigner/AssignerStatus.cpp
+++ b/assigner/AssignerStatus.cpp
@@ -52,7 +52,16 @@
   return moves;
 }
 
-Json GroupToJson(GroupHost& aHost, TimeMs aNowMs)
+Json SlicesToJson(const std::map<KeyHash, double>& aLoads)
+{
+  auto slices = Json::array();
+  for (const auto& [begin, load] : aLoads) {
+    slices.push_back({ { "begin", begin }, { "load", load } });
+  }
+  return slices;
+}
+
+Json GroupToJson(GroupHost& aHost, const BalanceDuty& aBalance, TimeMs aNowMs)
 {
   auto json = aHost.With([&](const GroupController& aControl) {
     const auto& table = aControl.Table();
@@ -68,24 +77,28 @@
                  { "deputy", table.deputy_ },
                  { "armed", aControl.IsArmed() },
                  { "earlierRenewers", aControl.State().earlier_ },
-                 { "slices", table.slices_.size() },
+                 { "sliceCount", table.slices_.size() },
                  { "slicesInTransit", open },
                  { "servers", LeasesToJson(aControl.State(), aNowMs) } };
   });
   json["moves"] = MovesToJson(aHost, aNowMs);
+  if (json["role"] == EnumName(GroupRole::Assigner)) {
+    json["slices"] = SlicesToJson(aBalance.SliceLoads(aHost.Service()));
+  }
   return json;
 }
 
 }
 
 std::string AssignerStatusJson(const ControlDuty& aControl,
+                               const BalanceDuty& aBalance,
                                TimeMs aNowMs,
                                bool aStoreReachable,
                                int64_t aStoreCalls)
 {
   auto groups = detail::Json::array();
   for (const auto& host : aControl.All()) {
-    groups.push_back(detail::GroupToJson(*host, aNowMs));
+    groups.push_back(detail::GroupToJson(*host, aBalance, aNowMs));
   }
   return detail::Json{
     { "groups", std::move(groups) },
--- a/assigner/BalanceDuty.cpp
+++ b/assigner/BalanceDuty.cpp
@@ -176,9 +176,32 @@
   BalanceInput input;
   aState.merger_.Fill(table, now, input);
   input.serverUsable_ = std::move(usable);
+  KeepLoads(aHost.Service(), input);
   Apply(aHost, aState.policy_->Plan(input), table);
 }
 
+void BalanceDuty::KeepLoads(const std::string& aService,
+                            const BalanceInput& aInput)
+{
+  std::map<KeyHash, double> loads;
+  for (size_t i = 0; i < aInput.sliceLoad_.size(); ++i) {
+    if (aInput.sliceLoad_[i] > 0) {
+      loads[aInput.table_->slices_[i].begin_] = aInput.sliceLoad_[i];
+    }
+  }
+  const std::lock_guard lock(loadsMutex_);
+  sliceLoads_[aService] = std::move(loads);
+}
+
+std::map<KeyHash, double> BalanceDuty::SliceLoads(
+  const std::string& aService) const
+{
+  const std::lock_guard lock(loadsMutex_);
+  const auto found = sliceLoads_.find(aService);
+  return found == sliceLoads_.end() ? std::map<KeyHash, double>()
+                                    : found->second;
+}
+
 void BalanceDuty::Apply(GroupHost& aHost,
                         const BalancePlan& aPlan,
                         const GroupTable& aTable)
--- a/assigner/BalanceDuty.hpp
+++ b/assigner/BalanceDuty.hpp
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -31,6 +32,8 @@
   void Start();
   void Stop();
   void Report(wire::LoadReport aReport);
+  /// Load of each slice with any, by begin, as of the last plan.
+  std::map<KeyHash, double> SliceLoads(const std::string& aService) const;
 
 private:
   struct ServiceState
@@ -51,6 +54,7 @@
   void Apply(GroupHost& aHost,
              const BalancePlan& aPlan,
              const GroupTable& aTable);
+  void KeepLoads(const std::string& aService, const BalanceInput& aInput);
   ServiceRules RulesOf(const std::string& aService) const;
 
   const Clock& clock_;
@@ -58,6 +62,8 @@
   const FleetConfig& config_;
   BoundedRing<wire::LoadReport> ring_;
   std::map<std::string, ServiceState> services_;
+  mutable std::mutex loadsMutex_;
+  std::map<std::string, std::map<KeyHash, double>> sliceLoads_;
   std::thread thread_;
 };
 
--- a/tests/AdminFleetTest.cpp
+++ b/tests/AdminFleetTest.cpp
@@ -129,6 +129,19 @@
             0);
 }
 
+// Guards against operators who see no load although the routers report it.
+TEST_F(AdminFleetTest, SlicesShowTheLoadOfTheRouters)
+{
+  ASSERT_GT(Load(), 0);
+  EXPECT_TRUE(WaitFor(kWaitMs, [&] {
+    const auto slices =
+      Get(Concat("/v1/slices?service=", kService)).at("slices");
+    return std::ranges::any_of(slices, [](const auto& aSlice) {
+      return aSlice.at("load").is_number() && aSlice.at("load") > 0;
+    });
+  }));
+}
+
 // Guards against counts of the burn report that are lost or doubled when the
 // process that saved them and the router that counted them are replaced.
 TEST_F(AdminFleetTest, BurnReportSurvivesReplacedProcesses)
