Allow for a slow clock in deadlines of servers without the fence check

Cause: the router converted the end of its view lease with the clock offset of the last answer. A server whose clock runs 1% slow reaches that deadline after the lease has ended, and the key may have moved.

Ruled out: shorter view leases, which make every move shorter but keep the gap.

Before: a lease of 10 s gave a deadline at 1,009,998 ms of the server's clock. After: at most 1,009,900 ms; a stamp older than 2 s is taken again first. The new test fails without the change.

Conclusion: view leases now allow for the same 1% as ownership leases.

--- a/router/BackendServer.cpp
+++ b/router/BackendServer.cpp
@@ -99,7 +99,8 @@
   TimeMs stamp = 0;
   if (ParseNumber(aHead.Header(header::kClockMs), stamp)) {
     // The stamp was taken before this millisecond of the local clock ended.
-    aConnection.clockOffsetMs_ = stamp - clock_.NowMs() - 1;
+    aConnection.clockReceivedMs_ = clock_.NowMs();
+    aConnection.clockOffsetMs_ = stamp - aConnection.clockReceivedMs_ - 1;
     aConnection.clockKnown_ = true;
     clockOffsetMs_.store(aConnection.clockOffsetMs_, std::memory_order_relaxed);
   }
--- a/router/ConnectionPool.hpp
+++ b/router/ConnectionPool.hpp
@@ -33,6 +33,7 @@
   uint64_t incarnation_ = 0;
   /// Lower bound of (server clock - local clock), valid when clockKnown_.
   TimeMs clockOffsetMs_ = 0;
+  TimeMs clockReceivedMs_ = 0;
   bool clockKnown_ = false;
   /// The detector knows of the answer.
   bool answerNoted_ = false;
--- a/router/ServerExchange.cpp
+++ b/router/ServerExchange.cpp
@@ -19,6 +19,11 @@
 constexpr TimeMs kMaxIdleMs = 10000;
 constexpr TimeMs kMaxIdleNonIdempotentMs = 1000;
 constexpr TimeMs kSilenceCheckMs = 50;
+/// Clock rates differ by 1% at most (docs/design.md, section 4.1).
+constexpr TimeMs kSlowestClockPercent = 99;
+/// An older stamp of a server that does not check the fence is taken again;
+/// the allowance for the clock rate grows with its age.
+constexpr TimeMs kMaxClockAgeMs = 2000;
 constexpr size_t kMaxHealthBytes = 64 * 1024;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kServiceUnavailable = 503;
@@ -99,12 +104,8 @@
   const auto plainHeaders = headers.size();
   headers.emplace_back(header::kSliceEpoch, std::to_string(aRequest.epoch_));
   headers.emplace_back(header::kRequestId, aRequest.requestId_);
-  const auto offset = connection_->clockKnown_
-                        ? std::optional(connection_->clockOffsetMs_)
-                        : server_.ClockOffsetMs();
-  if (offset) {
-    headers.emplace_back(header::kDeadlineClockMs,
-                         std::to_string(aRequest.serverDeadlineMs_ + *offset));
+  if (const auto deadline = ServerDeadlineMs(aRequest)) {
+    headers.emplace_back(header::kDeadlineClockMs, std::to_string(*deadline));
   }
   const auto written =
     connection_->http_.Write(aRequest.http_, aRequest.attemptEndMs_);
@@ -115,6 +116,33 @@
   return written.ok();
 }
 
+std::optional<TimeMs> ServerExchange::ServerDeadlineMs(
+  const OutboundRequest& aRequest) const
+{
+  if (!connection_->clockKnown_) {
+    const auto offset = server_.ClockOffsetMs();
+    return offset ? std::optional(aRequest.serverDeadlineMs_ + *offset)
+                  : std::nullopt;
+  }
+  // A slower clock of the server would reach the deadline after this router's
+  // view lease has ended.
+  const auto receivedMs = connection_->clockReceivedMs_;
+  const auto spanMs = aRequest.serverDeadlineMs_ - receivedMs;
+  const auto shorterMs =
+    aRequest.needsClock_ ? spanMs * detail::kSlowestClockPercent / 100 : spanMs;
+  return receivedMs + connection_->clockOffsetMs_ + shorterMs;
+}
+
+bool ServerExchange::IsClockNeeded(const OutboundRequest& aRequest) const
+{
+  if (!aRequest.needsClock_) {
+    return !server_.ClockOffsetMs();
+  }
+  return !connection_->clockKnown_ ||
+         clock_.NowMs() - connection_->clockReceivedMs_ >
+           detail::kMaxClockAgeMs;
+}
+
 bool ServerExchange::ConnectIfNew(const OutboundRequest& aRequest,
                                   ExchangeResult& aResult)
 {
@@ -133,9 +161,7 @@
   }
   // The clock of another process could be far behind, and a deadline in its
   // terms far in the future, so it is learned on the connection itself.
-  const bool learn =
-    aRequest.needsClock_ ? !connection_->clockKnown_ : !server_.ClockOffsetMs();
-  if (!learn) {
+  if (!IsClockNeeded(aRequest)) {
     return true;
   }
   const auto learned = LearnClock(aRequest.attemptEndMs_);
--- a/router/ServerExchange.hpp
+++ b/router/ServerExchange.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -65,6 +66,9 @@
   bool Prepare(OutboundRequest& aRequest, ExchangeResult& aResult);
   bool ConnectIfNew(const OutboundRequest& aRequest, ExchangeResult& aResult);
   /// Learns the clock of the process at the other end of this connection.
+  /// The request's deadline in the server's clock; empty when it is unknown.
+  std::optional<TimeMs> ServerDeadlineMs(const OutboundRequest& aRequest) const;
+  bool IsClockNeeded(const OutboundRequest& aRequest) const;
   absl::Status LearnClock(TimeMs aDeadlineMs);
   bool ReadHead(const OutboundRequest& aRequest, ExchangeResult& aResult);
   void ReadAnswer(const OutboundRequest& aRequest,
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -251,6 +251,22 @@
   EXPECT_LE(sent, 1000200);
 }
 
+// Guards against a server without the fence check whose clock is 1% slow and
+// reaches the deadline after the router's view lease has ended.
+TEST(Router, DeadlineAllowsForASlowClock)
+{
+  Scripted server({ Ok });
+  server.backend_.SetClockMs(1000000);
+  RouterRig rig;
+  rig.Own(server.backend_, 1, false, rig.clock_.NowMs() + 10000);
+  ASSERT_TRUE(rig.Get({ { "X-Deadline-Ms", "20000" } }).ok());
+  TimeMs sent = 0;
+  ASSERT_TRUE(ParseNumber(
+    server.backend_.Requests().at(0).Header("X-Deadline-Clock-Ms"), sent));
+  EXPECT_GT(sent, 1000000);
+  EXPECT_LE(sent, 1000000 + 10000 * 99 / 100);
+}
+
 // Guards against a clock of the previous process that puts the deadline of a
 // restarted server, which does not check the fence, far into the future.
 TEST(Router, ClockIsLearnedAgainAfterARestart)
