Keep the churn budget over configuration changes

Cause: every configuration version created the balancing policy anew, which forgot the used budget and the hysteresis.

Ruled out: carrying the state into the new policy; policies differ.

Also: the load generator accepted any id with the right beginning. The router keeps one id over all attempts, so the ids must be equal.

Before: a new policy for each version. After: only when its name or options change; LoadGeneratorTest and AdminFleetTest pass.

Conclusion: configuration changes no longer add moves.

--- a/assigner/BalanceDuty.cpp
+++ b/assigner/BalanceDuty.cpp
@@ -144,6 +144,13 @@
   aState.configVersion_ = version;
   const auto rules = RulesOf(aService);
   const auto options = detail::OptionsOf(rules);
+  // A new policy would forget the churn budget that is already used.
+  if (aState.policy_ && aState.options_ == options &&
+      aState.policyName_ == rules.balancingPolicy_) {
+    return;
+  }
+  aState.options_ = options;
+  aState.policyName_ = rules.balancingPolicy_;
   auto& registry = BalancingRegistry::Global();
   aState.policy_ = registry.Create(rules.balancingPolicy_, options);
   if (!aState.policy_) {
--- a/assigner/BalanceDuty.hpp
+++ b/assigner/BalanceDuty.hpp
@@ -41,6 +41,7 @@
     LoadMerger merger_;
     std::unique_ptr<BalancingPolicy> policy_;
     std::string policyName_;
+    BalanceOptions options_;
     int64_t configVersion_ = -1;
     Term term_ = 0;
   };
--- a/policy/BalancingPolicy.hpp
+++ b/policy/BalancingPolicy.hpp
@@ -53,6 +53,8 @@
   double stopBelow_ = 1.05;
   double hotKeyShareOfMean_ = 0.30;
   TimeMs warmupMs_ = 30000;
+
+  bool operator==(const BalanceOptions&) const = default;
 };
 
 /// Strategy that proposes splits, merges and moves; keeps its own budget and
--- a/standin/LoadWorker.cpp
+++ b/standin/LoadWorker.cpp
@@ -37,13 +37,6 @@
   return aJson.substr(begin, aJson.find('"', begin) - begin);
 }
 
-/// A router numbers its attempts at an idempotent request: "id.2".
-bool IsIdOf(std::string_view aId, std::string_view aRequestId)
-{
-  return aId.starts_with(aRequestId) &&
-         (aId.size() == aRequestId.size() || aId[aRequestId.size()] == '.');
-}
-
 }
 
 LoadWorker::LoadWorker(const Clock& aClock,
@@ -238,7 +231,7 @@
   }
   aServer = detail::TextMember(start, "server");
   const bool fits =
-    detail::IsIdOf(detail::TextMember(start, "id"), RequestId(aJob)) &&
+    detail::TextMember(start, "id") == RequestId(aJob) &&
     detail::TextMember(start, "key") == KeyPopularity::Name(aJob.key_);
   return fits ? LoadOutcome::Complete : LoadOutcome::Mismatched;
 }
