Leave ended processes out of the request ledger's majority

Ruled out: treating a silent holder the same way; it may have recorded the id. A refused connection proves that the process, and its ledger, is gone.

Conclusion: only silent holders count against the majority.

--- a/assigner/PeerDuty.cpp
+++ b/assigner/PeerDuty.cpp
@@ -14,13 +14,6 @@
 constexpr int kAnswerMs = 400;
 constexpr int kConnectMs = 200;
 
-/// Nothing listens there, as opposed to any other failure to connect.
-bool IsRefused(const absl::Status& aStatus)
-{
-  return absl::IsUnavailable(aStatus) &&
-         ToStd(aStatus.message()).find("refused") != std::string_view::npos;
-}
-
 }
 
 wire::HeartbeatRequest ToWire(const PeerQuestion& aQuestion,
@@ -147,7 +140,7 @@
                         ToWire(job->question_, job->service_, job->group_));
     });
     const auto& peer = job->question_.to_;
-    if (detail::IsRefused(status)) {
+    if (IsConnectionRefused(status)) {
       control_.Post(job->service_,
                     [peer](GroupController& aControl, TimeMs aNowMs, Actions&) {
                       aControl.OnPeerGone(aNowMs, peer);
--- a/router/LedgerClient.cpp
+++ b/router/LedgerClient.cpp
@@ -33,25 +33,36 @@
   LedgerTicket ticket;
   ticket.id_ = std::move(aId);
   const auto holders = Holders(aRouters, ticket.id_.requestId_);
-  const size_t majority = holders.size() / 2 + 1;
   size_t recorded = 0;
+  size_t alive = holders.size();
   for (const auto& holder : holders) {
     ticket.holders_.push_back(holder);
     LedgerEntry state = LedgerEntry::Unseen;
-    const auto answer = peers_.Begin(holder, ticket.id_, state);
-    if (answer == HolderAnswer::Seen) {
-      // A holder that recorded this attempt keeps the id as in progress, so
-      // the id stays refused when the other holders are lost.
-      ticket.verdict_ = LedgerTicket::Verdict::AlreadySeen;
-      ticket.state_ = state;
-      return ticket;
+    switch (peers_.Begin(holder, ticket.id_, state)) {
+      case HolderAnswer::Recorded:
+        ++recorded;
+        break;
+      case HolderAnswer::Seen:
+        // A holder that recorded this attempt keeps the id as in progress, so
+        // the id stays refused when the other holders are lost.
+        ticket.verdict_ = LedgerTicket::Verdict::AlreadySeen;
+        ticket.state_ = state;
+        return ticket;
+      case HolderAnswer::Gone:
+        --alive;
+        break;
+      case HolderAnswer::Unreachable:
+      case HolderAnswer::Count:
+        break;
     }
-    recorded += answer == HolderAnswer::Recorded ? 1 : 0;
-    if (recorded == majority) {
-      ticket.verdict_ = LedgerTicket::Verdict::Forward;
-      return ticket;
+    if (recorded > holders.size() / 2) {
+      break;
     }
   }
+  if (alive > 0 && recorded > alive / 2) {
+    ticket.verdict_ = LedgerTicket::Verdict::Forward;
+    return ticket;
+  }
   // A holder may have recorded the id, also one whose answer was lost.
   for (const auto& holder : ticket.holders_) {
     peers_.FinishLater(holder, ticket.id_, LedgerEntry::NotRun);
--- a/router/LedgerClient.hpp
+++ b/router/LedgerClient.hpp
@@ -21,7 +21,8 @@
 {
   Recorded,
   Seen,
-  Unreachable, ///< not asked, refused or no answer
+  Unreachable, ///< not asked or no answer; it may have recorded the id
+  Gone,        ///< its process has ended, and its ledger with it
   Count
 };
 
@@ -60,7 +61,8 @@
 };
 
 /// Rules of the request ledger (docs/design.md, section 6): the three holders
-/// of an id are asked in the order of their rank until a majority recorded it.
+/// of an id are asked in the order of their rank until a majority of those
+/// whose process has not ended recorded it.
 /// Two majorities share a holder, so routers that reach different holders
 /// cannot both forward an id.
 class LedgerClient
--- a/router/PeerPool.hpp
+++ b/router/PeerPool.hpp
@@ -35,8 +35,8 @@
   absl::Status Run(const std::string& aAddress, Call&& aCall)
   {
     auto channel = Take(aAddress);
-    if (!channel.ok_) {
-      return absl::UnavailableError(Concat(aAddress, " is left out"));
+    if (!channel.leftOut_.ok()) {
+      return channel.leftOut_;
     }
     const TimeMs start = clock_.NowMs();
     auto status = absl::UnknownError("");
@@ -49,7 +49,7 @@
         aAddress, connectTimeoutMs_, callTimeoutMs_, secret_);
       status = channel.reused_->Run(aCall);
     }
-    Return(aAddress, std::move(channel.reused_), status.ok());
+    Return(aAddress, std::move(channel.reused_), status);
     return status;
   }
 
@@ -62,10 +62,11 @@
   {
     std::vector<std::unique_ptr<Channel>> idle_;
     TimeMs leftOutUntilMs_ = 0;
+    absl::Status failure_;
   };
   struct Taken
   {
-    bool ok_ = true;
+    absl::Status leftOut_;
     std::unique_ptr<Channel> reused_;
   };
 
@@ -74,7 +75,7 @@
     const std::lock_guard lock(mutex_);
     auto& peer = peers_[aAddress];
     if (clock_.NowMs() < peer.leftOutUntilMs_) {
-      return { false, nullptr };
+      return { peer.failure_, nullptr };
     }
     Taken taken;
     if (!peer.idle_.empty()) {
@@ -86,13 +87,14 @@
 
   void Return(const std::string& aAddress,
               std::unique_ptr<Channel> aChannel,
-              bool aOk)
+              const absl::Status& aStatus)
   {
     std::vector<std::unique_ptr<Channel>> closed;
     const std::lock_guard lock(mutex_);
     auto& peer = peers_[aAddress];
-    if (!aOk) {
+    if (!aStatus.ok()) {
       closed.swap(peer.idle_);
+      peer.failure_ = aStatus;
       peer.leftOutUntilMs_ = clock_.NowMs() + kLeaveOutMs;
     } else if (peer.idle_.size() < kMaxIdle) {
       peer.idle_.push_back(std::move(aChannel));
--- a/router/ThriftLedgerPeers.cpp
+++ b/router/ThriftLedgerPeers.cpp
@@ -84,7 +84,8 @@
     aClient.BeginRequest(response, aId.service_, EncodeId(aId));
   });
   if (!status.ok()) {
-    return HolderAnswer::Unreachable;
+    return IsConnectionRefused(status) ? HolderAnswer::Gone
+                                       : HolderAnswer::Unreachable;
   }
   aState = static_cast<LedgerEntry>(response.state);
   return aState == LedgerEntry::Unseen ? HolderAnswer::Recorded
--- a/rpc/ThriftChannel.cpp
+++ b/rpc/ThriftChannel.cpp
@@ -17,4 +17,11 @@
   return { std::string(host), port };
 }
 
+bool IsConnectionRefused(const absl::Status& aStatus)
+{
+  // Thrift tells the reason only in the text.
+  return absl::IsUnavailable(aStatus) &&
+         ToStd(aStatus.message()).find("refused") != std::string_view::npos;
+}
+
 }
--- a/rpc/ThriftChannel.hpp
+++ b/rpc/ThriftChannel.hpp
@@ -19,6 +19,10 @@
 /// Splits "IP:port"; brackets of an IPv6 address are removed.
 std::pair<std::string, int> SplitAddress(std::string_view aAddress);
 
+/// True when nothing listens at the peer's address, so its process is gone, as
+/// opposed to any other failure to connect.
+bool IsConnectionRefused(const absl::Status& aStatus);
+
 /// Client of one Thrift service at one address, used by one thread at a time.
 /// It reconnects after a failure; every call is bounded by the timeouts.
 template<typename Client>
--- a/tests/LedgerTest.cpp
+++ b/tests/LedgerTest.cpp
@@ -63,6 +63,9 @@
                      const LedgerId& aId,
                      LedgerEntry& aState) override
   {
+    if (gone_.contains(aPeer)) {
+      return HolderAnswer::Gone;
+    }
     if (lost_.contains(aPeer)) {
       return HolderAnswer::Unreachable;
     }
@@ -97,6 +100,7 @@
   }
 
   std::set<std::string> lost_;
+  std::set<std::string> gone_;
   std::set<std::string> loseAnswers_;
   std::vector<std::function<void()>> later_;
   TimeMs nowMs_ = 0;
@@ -161,6 +165,23 @@
             Verdict::Unavailable);
 }
 
+// Guards against refusing all recordings while processes that have ended are
+// still listed.
+TEST(LedgerClient, EndedHoldersAreNotWaitedFor)
+{
+  FakeLedgers peers;
+  const auto holders = LedgerClient::Holders(kRouters, "id");
+  LedgerClient client(peers);
+  peers.gone_ = { holders[0], holders[1] };
+  EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 1 }).verdict_,
+            Verdict::Forward);
+  EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 2 }).verdict_,
+            Verdict::AlreadySeen);
+  peers.gone_.insert(holders[2]);
+  EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 3 }).verdict_,
+            Verdict::Unavailable);
+}
+
 // Guards against a repeat that is refused for ever after a request that was
 // reported as not run.
 TEST(LedgerClient, RepeatRunsAfterNotRun)
