Join the fake backend server's acceptors before its connections

Cause: RouterTest aborted now and then ("terminate called without an active exception") in FailureOfTheFirstAttempt: an acceptor added a thread while the destructor walked the list.

Ruled out: a fault of the router; the stack of the abort is in the fake.

--- a/tests/FakeBackend.cpp
+++ b/tests/FakeBackend.cpp
@@ -54,9 +54,10 @@
 FakeBackend::~FakeBackend()
 {
   Crash();
-  for (auto& thread : threads_) {
-    thread.join();
-  }
+  // An acceptor may still add a connection; only after its end are all known.
+  std::ranges::for_each(acceptors_, &std::thread::join);
+  Crash();
+  std::ranges::for_each(threads_, &std::thread::join);
 }
 
 void FakeBackend::Listen()
@@ -72,7 +73,7 @@
   listen(listener, 64);
   const std::lock_guard lock(mutex_);
   listener_ = listener;
-  threads_.emplace_back([this, listener] { Accept(listener); });
+  acceptors_.emplace_back([this, listener] { Accept(listener); });
 }
 
 void FakeBackend::Accept(int aListener)
--- a/tests/FakeBackend.hpp
+++ b/tests/FakeBackend.hpp
@@ -75,6 +75,7 @@
   std::vector<Request> requests_;
   std::vector<std::string> cancelled_;
   std::vector<int> sockets_;
+  std::vector<std::thread> acceptors_;
   std::vector<std::thread> threads_;
   int listener_ = -1;
   std::atomic<bool> stopping_ = false;
