Leave unchanged servers out of table deltas

Cause: every delta carried the group's server list, also the empty delta that renews a view lease at each poll (about 3 a second). With 64 servers that is 4,480 bytes a poll, 15 KB/s for one group alone, against 7 KB/s for a daemon.

Ruled out: indexing single servers in a delta; a server's record changes rarely.

--- a/rpc/TableCodec.cpp
+++ b/rpc/TableCodec.cpp
@@ -114,6 +114,11 @@
   }
   auto message = detail::HeadToWire(aNew);
   message.isFull = false;
+  // An unchanged poll renews a view lease, so most deltas carry no change.
+  message.sameServers = aOld.servers_ == aNew.servers_;
+  if (message.sameServers) {
+    message.servers.clear();
+  }
   message.baseSequence = aOld.sequence_;
   for (size_t i = 0; i < aNew.slices_.size(); ++i) {
     if (aNew.slices_[i] != aOld.slices_[i]) {
@@ -143,6 +148,9 @@
   if (!aMessage.isFull) {
     result.slices_ = aTable.slices_;
   }
+  if (!aMessage.isFull && aMessage.sameServers) {
+    result.servers_ = aTable.servers_;
+  }
   for (const auto& slice : aMessage.slices) {
     const auto record = detail::FromWire(slice);
     if (aMessage.isFull) {
--- a/tests/TableCodecTest.cpp
+++ b/tests/TableCodecTest.cpp
@@ -35,12 +35,26 @@
       ++slice.epoch_;
     }
   }
+  if (*rc::gen::arbitrary<bool>()) {
+    changed.servers_[1].draining_ = true;
+  }
   auto applied = old;
   RC_ASSERT(ApplyWire(ToWireDelta(old, changed), applied).ok());
   RC_ASSERT(applied.slices_ == changed.slices_);
+  RC_ASSERT(applied.servers_ == changed.servers_);
   RC_ASSERT(applied.sequence_ == 8);
 }
 
+// Guards against a server list in every poll, which would exceed the bandwidth
+// of a daemon.
+TEST(TableCodec, DeltaLeavesUnchangedServersOut)
+{
+  const auto old = MakeTable(4);
+  auto changed = old;
+  changed.sequence_ = 8;
+  EXPECT_TRUE(ToWireDelta(old, changed).servers.empty());
+}
+
 // Guards against a split that a delta cannot express.
 TEST(TableCodec, SplitSendsTheFullTable)
 {
--- a/wire/cactuspitch.thrift
+++ b/wire/cactuspitch.thrift
@@ -36,6 +36,8 @@
   9: bool isFull
   10: i32 viewLeaseMs // 0: no view lease granted
   11: i64 baseSequence // the sequence a delta applies to
+  // The servers are those of the base and are left out. Only in a delta.
+  12: bool sameServers
 }
 
 struct KnownTable {
--- a/wire/gen-cpp/cactuspitch_types.cpp
+++ b/wire/gen-cpp/cactuspitch_types.cpp
@@ -500,6 +500,10 @@
 void GroupTable::__set_baseSequence(const int64_t val) {
   this->baseSequence = val;
 }
+
+void GroupTable::__set_sameServers(const bool val) {
+  this->sameServers = val;
+}
 std::ostream& operator<<(std::ostream& out, const GroupTable& obj)
 {
   obj.printTo(out);
@@ -640,6 +644,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->sameServers);
+          this->__isset.sameServers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -717,6 +729,10 @@
   xfer += oprot->writeI64(this->baseSequence);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sameServers", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->sameServers);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -735,6 +751,7 @@
   swap(a.isFull, b.isFull);
   swap(a.viewLeaseMs, b.viewLeaseMs);
   swap(a.baseSequence, b.baseSequence);
+  swap(a.sameServers, b.sameServers);
   swap(a.__isset, b.__isset);
 }
 
@@ -750,6 +767,7 @@
   isFull = other16.isFull;
   viewLeaseMs = other16.viewLeaseMs;
   baseSequence = other16.baseSequence;
+  sameServers = other16.sameServers;
   __isset = other16.__isset;
 }
 GroupTable& GroupTable::operator=(const GroupTable& other17) {
@@ -764,6 +782,7 @@
   isFull = other17.isFull;
   viewLeaseMs = other17.viewLeaseMs;
   baseSequence = other17.baseSequence;
+  sameServers = other17.sameServers;
   __isset = other17.__isset;
   return *this;
 }
@@ -781,6 +800,7 @@
   out << ", " << "isFull=" << to_string(isFull);
   out << ", " << "viewLeaseMs=" << to_string(viewLeaseMs);
   out << ", " << "baseSequence=" << to_string(baseSequence);
+  out << ", " << "sameServers=" << to_string(sameServers);
   out << ")";
 }
 
--- a/wire/gen-cpp/cactuspitch_types.h
+++ b/wire/gen-cpp/cactuspitch_types.h
@@ -237,7 +237,7 @@
 std::ostream& operator<<(std::ostream& out, const BackendServer& obj);
 
 typedef struct _GroupTable__isset {
-  _GroupTable__isset() : serviceName(false), group(false), term(false), sequence(false), assigner(false), deputy(false), servers(false), slices(false), isFull(false), viewLeaseMs(false), baseSequence(false) {}
+  _GroupTable__isset() : serviceName(false), group(false), term(false), sequence(false), assigner(false), deputy(false), servers(false), slices(false), isFull(false), viewLeaseMs(false), baseSequence(false), sameServers(false) {}
   bool serviceName :1;
   bool group :1;
   bool term :1;
@@ -249,6 +249,7 @@
   bool isFull :1;
   bool viewLeaseMs :1;
   bool baseSequence :1;
+  bool sameServers :1;
 } _GroupTable__isset;
 
 class GroupTable : public virtual ::apache::thrift::TBase {
@@ -265,7 +266,8 @@
                deputy(),
                isFull(0),
                viewLeaseMs(0),
-               baseSequence(0) {
+               baseSequence(0),
+               sameServers(0) {
   }
 
   virtual ~GroupTable() noexcept;
@@ -280,6 +282,7 @@
   bool isFull;
   int32_t viewLeaseMs;
   int64_t baseSequence;
+  bool sameServers;
 
   _GroupTable__isset __isset;
 
@@ -305,6 +308,8 @@
 
   void __set_baseSequence(const int64_t val);
 
+  void __set_sameServers(const bool val);
+
   bool operator == (const GroupTable & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
@@ -329,6 +334,8 @@
       return false;
     if (!(baseSequence == rhs.baseSequence))
       return false;
+    if (!(sameServers == rhs.sameServers))
+      return false;
     return true;
   }
   bool operator != (const GroupTable &rhs) const {
