Ask routers about the quarantine in one place

Ruled out: one function for all calls of the class; the burn report needs two calls on one connection.

Before: two copies. Behaviour is unchanged.

--- a/admin/FleetClient.cpp
+++ b/admin/FleetClient.cpp
@@ -97,7 +97,7 @@
   return routers;
 }
 
-std::vector<PeerQuarantine> FleetClient::ListQuarantine()
+std::vector<PeerQuarantine> FleetClient::AskRouters(const QuarantineCall& aCall)
 {
   const auto routers = Routers();
   std::vector<PeerQuarantine> answers(routers.size());
@@ -110,29 +110,24 @@
                                                   options_.secret_);
     answer.error_ =
       detail::ErrorText(channel.Run([&](wire::RouterPeerClient& aClient) {
-        aClient.ListQuarantine(answer.entries_);
+        aCall(aClient, answer.entries_);
       }));
   });
   return answers;
 }
 
+std::vector<PeerQuarantine> FleetClient::ListQuarantine()
+{
+  return AskRouters([](wire::RouterPeerClient& aClient, auto& aEntries) {
+    aClient.ListQuarantine(aEntries);
+  });
+}
+
 std::vector<PeerQuarantine> FleetClient::ReleaseQuarantine(int64_t aFingerprint)
 {
-  const auto routers = Routers();
-  std::vector<PeerQuarantine> answers(routers.size());
-  ForEach(routers.size(), [&](size_t aIndex) {
-    auto& answer = answers[aIndex];
-    answer.instance_ = routers[aIndex].instance_;
-    ThriftChannel<wire::RouterPeerClient> channel(routers[aIndex].address_,
-                                                  options_.connectTimeoutMs_,
-                                                  options_.callTimeoutMs_,
-                                                  options_.secret_);
-    answer.error_ =
-      detail::ErrorText(channel.Run([&](wire::RouterPeerClient& aClient) {
-        aClient.ReleaseQuarantine(aFingerprint);
-      }));
+  return AskRouters([=](wire::RouterPeerClient& aClient, auto& /*aEntries*/) {
+    aClient.ReleaseQuarantine(aFingerprint);
   });
-  return answers;
 }
 
 std::vector<SloSample> FleetClient::SloSamples(int64_t aSinceMinute)
--- a/admin/FleetClient.hpp
+++ b/admin/FleetClient.hpp
@@ -64,7 +64,13 @@
     std::string address_;
   };
 
+  using QuarantineCall =
+    std::function<void(wire::RouterPeerClient&,
+                       std::vector<wire::QuarantineEntry>&)>;
+
   std::vector<RouterAddress> Routers();
+  /// Runs the call at every router.
+  std::vector<PeerQuarantine> AskRouters(const QuarantineCall& aCall);
   void ForEach(size_t aCount, const std::function<void(size_t)>& aCall) const;
   void Ask(PeerStatus& aStatus) const;
 
