End pipelined connections in a drain and call the store less

Change: a drain ends each connection after what it has sent, and stops accepting at half of the grace time; the key table has a kind of its own that nobody watches; a watch waits 200 ms after events.

--- a/gateway/CallerStream.cpp
+++ b/gateway/CallerStream.cpp
@@ -34,12 +34,18 @@
   StartTimer();
 }
 
-void CallerStream::CloseIfIdle()
+void CallerStream::Finish()
 {
-  if (pipeline_.empty() && !parser_.HasStarted() && stream_.Input().empty() &&
-      stream_.PendingOutput() == 0) {
-    Close();
+  if (finishing_ || left_) {
+    return;
   }
+  if (pipeline_.empty() && !parser_.HasStarted() && stream_.Input().empty()) {
+    if (stream_.PendingOutput() == 0) {
+      Close();
+    }
+    return;
+  }
+  closing_ = true;
 }
 
 void CallerStream::Close()
@@ -175,9 +181,10 @@
   request->Reject(status, "malformed-request", 0);
 }
 
-bool CallerStream::WantsClose() const
+bool CallerStream::WantsClose(const ForwardedRequest& aRequest) const
 {
-  return closing_ || (server_.IsDraining() && pipeline_.size() <= 1);
+  return (closing_ || server_.IsDraining()) &&
+         (pipeline_.empty() || pipeline_.back().get() == &aRequest);
 }
 
 void CallerStream::OnAnswerBytes()
@@ -313,11 +320,12 @@
   return listener_.Listen(aEndpoint);
 }
 
-void CallerServer::CloseIdle()
+void CallerServer::StartDraining()
 {
+  draining_ = true;
   auto streams = streams_;
   for (auto& [key, stream] : streams) {
-    stream->CloseIfIdle();
+    stream->Finish();
   }
 }
 
--- a/gateway/CallerStream.hpp
+++ b/gateway/CallerStream.hpp
@@ -23,8 +23,9 @@
   CallerStream(CallerServer& aServer, Forwarder& aForwarder);
 
   void Start(int aFd);
-  /// Closes the connection if no request is on it.
-  void CloseIfIdle();
+  /// Reads no further requests and closes after the answers to those that were
+  /// read.
+  void Finish();
   void Close();
 
 private:
@@ -35,7 +36,7 @@
   void OnStreamClosed(CloseReason aReason) override;
   void OnAnswerBytes() override;
   void OnAnswerBroken() override;
-  bool WantsClose() const override;
+  bool WantsClose(const ForwardedRequest& aRequest) const override;
 
   void ReadRequests();
   bool ReadOne();
@@ -70,9 +71,8 @@
   ~CallerServer();
 
   bool Listen(const Endpoint& aEndpoint);
-  /// From now on answers announce the end of their connection.
-  void StartDraining() { draining_ = true; }
-  void CloseIdle();
+  /// From now on each connection ends after the requests that it has sent.
+  void StartDraining();
   void StopListening() { listener_.Close(); }
   bool IsDraining() const { return draining_; }
   size_t Connections() const { return streams_.size(); }
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -461,7 +461,7 @@
              "\r\n");
   }
   // A request whose end is unknown leaves the connection unusable.
-  announcedClose_ = sink_->WantsClose() || !read_;
+  announcedClose_ = sink_->WantsClose(*this) || !read_;
   AppendTo(output_,
            announcedClose_ ? "Connection: close\r\n" : "",
            "Content-Type: text/plain\r\nContent-Length: ",
@@ -480,7 +480,7 @@
   for (const auto& [name, value] : EndToEndFields(answerHead_)) {
     AppendTo(output_, name, ": ", value, "\r\n");
   }
-  announcedClose_ = sink_->WantsClose();
+  announcedClose_ = sink_->WantsClose(*this);
   if (announcedClose_) {
     output_ += "Connection: close\r\n";
   }
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -12,6 +12,8 @@
 
 namespace cactuspitch {
 
+class ForwardedRequest;
+
 /// Takes the answer of a request, on the caller's side.
 class AnswerSink
 {
@@ -21,8 +23,9 @@
   virtual void OnAnswerBytes() = 0;
   /// The answer broke off after its head was sent: the connection must end.
   virtual void OnAnswerBroken() = 0;
-  /// True when the answer should announce the end of the connection.
-  virtual bool WantsClose() const = 0;
+  /// True when the answer of aRequest should announce the end of the
+  /// connection.
+  virtual bool WantsClose(const ForwardedRequest& aRequest) const = 0;
 };
 
 /// One request of a caller, from its head to its final answer. It is read,
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -15,7 +15,6 @@
 namespace detail {
 
 constexpr const char* kOwnKind = "cactuspitch";
-constexpr const char* kKeysName = "keys";
 constexpr std::string_view kInstancePrefix = "instance.";
 /// Three lost in a row make a leader silent (LeaderTiming::kSilenceMs).
 constexpr TimeMs kGossipMs = 250;
@@ -31,6 +30,8 @@
 /// The process is gone this long before it would be killed.
 constexpr TimeMs kGraceMarginMs = 250;
 constexpr uint64_t kLogReportRounds = 50;
+/// Without a leader's gossip, the owners are read from the store this often.
+constexpr TimeMs kKeysReadMs = 2000;
 
 int64_t NewBootId()
 {
@@ -281,27 +282,6 @@
 
 void Gateway::OnOwnObject(const StoreObject& aObject)
 {
-  if (aObject.name_ == detail::kKeysName) {
-    KeyTable table;
-    if (!DecodeKeyTable(aObject.spec_, table)) {
-      log_.Write(LogLevel::Error,
-                 "key-table-unreadable",
-                 { { "revision", aObject.revision_ } });
-      return;
-    }
-    for (const auto& [service, segments] : table.services_) {
-      for (const auto& segment : segments) {
-        // Gossip tells sooner that a new owner has its grant.
-        forwarder_.Keys().Apply(
-          service,
-          { segment.first_,
-            segment.last_,
-            { segment.owner_, segment.fence_, segment.previous_.empty() } });
-      }
-    }
-    forwarder_.OnPlacesChanged();
-    return;
-  }
   if (!aObject.name_.starts_with(detail::kInstancePrefix)) {
     return;
   }
@@ -316,6 +296,44 @@
   }
 }
 
+void Gateway::ReadKeys()
+{
+  if (election_.HearsLeader() || readingKeys_ ||
+      loop_.NowMs() - keysReadMs_ < detail::kKeysReadMs) {
+    return;
+  }
+  readingKeys_ = true;
+  keysReadMs_ = loop_.NowMs();
+  store_.Call(KeyDirector::ReadTable(store_.Protocol()),
+              [this](StoreAnswer aAnswer) {
+                readingKeys_ = false;
+                if (aAnswer.status_ == StoreStatus::Ok) {
+                  OnKeyTable(aAnswer.object_);
+                }
+              });
+}
+
+void Gateway::OnKeyTable(const StoreObject& aObject)
+{
+  KeyTable table;
+  if (!DecodeKeyTable(aObject.spec_, table)) {
+    log_.Write(LogLevel::Error,
+               "key-table-unreadable",
+               { { "revision", aObject.revision_ } });
+    return;
+  }
+  for (const auto& [service, segments] : table.services_) {
+    for (const auto& segment : segments) {
+      forwarder_.Keys().Apply(
+        service,
+        { segment.first_,
+          segment.last_,
+          { segment.owner_, segment.fence_, segment.previous_.empty() } });
+    }
+  }
+  forwarder_.OnPlacesChanged();
+}
+
 void Gateway::Register()
 {
   const auto name = Concat(detail::kInstancePrefix, settings_.instance_);
@@ -576,6 +594,7 @@
     OnBackendsChanged();
   }
   forwarder_.Pool().CloseIdle();
+  ReadKeys();
   forwarder_.SetGatewayCount(std::max<size_t>(mesh_.AliveCount(nowMs) + 1, 1));
   const bool ready = IsReady();
   if (ready != std::exchange(wasReady_, ready)) {
@@ -614,7 +633,10 @@
   const TimeMs sinceMs = loop_.NowMs() - drainMs_;
   if (sinceMs >= detail::kBalancerMs) {
     callers_.StartDraining();
-    callers_.CloseIdle();
+  }
+  if (sinceMs >= settings_.graceMs_ / 2) {
+    // Later requests could not be answered before the end of the process.
+    callers_.StopListening();
   }
   const bool idle =
     forwarder_.ActiveRequests() == 0 && callers_.Connections() == 0;
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -44,6 +44,9 @@
   std::optional<BackendEntry> DecodeBackend(const StoreObject& aObject);
   void OnBackendsChanged();
   void Register();
+  /// Reads the owners from the store while no leader tells them.
+  void ReadKeys();
+  void OnKeyTable(const StoreObject& aObject);
 
   void OnGossip(const wire::Gossip& aGossip, const Endpoint& aSender);
   void SendGossip();
@@ -93,6 +96,8 @@
   int64_t hintedVersion_ = 0; ///< highest that a peer has told of
   uint64_t gossipRounds_ = 0;
   bool wasReady_ = false;
+  bool readingKeys_ = false;
+  TimeMs keysReadMs_ = 0;
   TimeMs drainMs_ = 0; ///< when SIGTERM came
 };
 
--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -7,7 +7,9 @@
 
 namespace detail {
 
-constexpr const char* kTableKind = "cactuspitch";
+/// A kind of its own: nobody watches it, since gossip tells moves sooner and
+/// without calls.
+constexpr const char* kTableKind = "cactuspitch-keys";
 constexpr const char* kTableName = "keys";
 constexpr TimeMs kDirectorTickMs = 30;
 /// Changes are gathered for this long, so that a write carries several.
@@ -50,6 +52,11 @@
                     store_.Jitter(detail::kWriteRetryMs / 2));
 }
 
+CallRequest KeyDirector::ReadTable(const ObjectProtocol& aProtocol)
+{
+  return aProtocol.Get(detail::kTableKind, detail::kTableName);
+}
+
 void KeyDirector::Start(int64_t aTerm)
 {
   running_ = true;
@@ -88,7 +95,7 @@
 
 void KeyDirector::Read()
 {
-  store_.Call(store_.Protocol().Get(detail::kTableKind, detail::kTableName),
+  store_.Call(ReadTable(store_.Protocol()),
               [this, run = run_](StoreAnswer aAnswer) {
                 if (run == run_) {
                   OnRead(aAnswer);
@@ -329,8 +336,7 @@
 void KeyDirector::ResolveUnknown()
 {
   store_.Call(
-    store_.Protocol().Get(detail::kTableKind, detail::kTableName),
-    [this, run = run_](StoreAnswer aAnswer) {
+    ReadTable(store_.Protocol()), [this, run = run_](StoreAnswer aAnswer) {
       if (run != run_) {
         return;
       }
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -40,6 +40,9 @@
               const OrderProtocol& aProtocol,
               Handlers aHandlers);
 
+  /// The call that reads the key table.
+  static CallRequest ReadTable(const ObjectProtocol& aProtocol);
+
   void Start(int64_t aTerm);
   void Stop();
   void OnForeignEnded();
--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -79,6 +79,13 @@
          loop_.NowMs() - confirmedMs_ < LeaderTiming::kRightMs;
 }
 
+bool LeaderElection::HearsLeader() const
+{
+  return state_ == State::Leading ||
+         (everHeard_ &&
+          loop_.NowMs() - heardMs_ < 2 * LeaderTiming::kSilenceMs);
+}
+
 void LeaderElection::Tick()
 {
   timer_.Start(detail::kElectionTickMs);
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -71,6 +71,8 @@
   /// The latest term that this process led and has given up.
   int64_t EndedTerm() const { return endedTerm_; }
   const std::string& Leader() const { return leader_; }
+  /// True while a leader, or this process as one, tells the owners of keys.
+  bool HearsLeader() const;
 
 private:
   enum class State : uint8_t
--- a/gateway/StoreFollower.cpp
+++ b/gateway/StoreFollower.cpp
@@ -10,6 +10,9 @@
 /// Short enough to notice a dead connection in time, long enough to cost few
 /// calls: each answered watch is one.
 constexpr TimeMs kWatchWaitMs = 5000;
+/// Changes come in bursts; what follows the first is fetched in one call. Well
+/// below the 2 s in which changes must be in force.
+constexpr TimeMs kGatherMs = 200;
 constexpr TimeMs kMinBackoffMs = 100;
 constexpr TimeMs kMaxBackoffMs = 800;
 
@@ -121,7 +124,11 @@
   failures_ = 0;
   revision_ = std::max(revision_, aAnswer.list_.revision_);
   std::ranges::for_each(aAnswer.list_.events_, handlers_.onEvent_);
-  Watch();
+  if (aAnswer.list_.events_.empty()) {
+    Watch();
+  } else {
+    retryTimer_.Start(detail::kGatherMs);
+  }
 }
 
 TimeMs StoreFollower::BackoffMs()
