Ignore failures of store calls that were sent before the last answer

Change: a failed call counts as a disturbance only if the store has not answered since it was sent; connecting is bounded to 900 ms.

--- a/gateway/StoreLink.cpp
+++ b/gateway/StoreLink.cpp
@@ -30,30 +30,39 @@
   aRequest.freshConnection_ = failures_ > 0;
   client_.Call(store_,
                std::move(aRequest),
-               [this, done = std::move(aDone)](CallResult aResult) {
+               [this, sentMs = loop_.NowMs(), done = std::move(aDone)](
+                 CallResult aResult) {
                  auto answer = protocol_.ReadAnswer(aResult);
-                 Note(answer);
+                 Note(answer, aResult.cause_, sentMs);
                  done(std::move(answer));
                });
 }
 
-void StoreLink::Note(const StoreAnswer& aAnswer)
+void StoreLink::Note(const StoreAnswer& aAnswer,
+                     std::string_view aCause,
+                     TimeMs aSentMs)
 {
   const bool failed = aAnswer.status_ == StoreStatus::NotDone ||
                       aAnswer.status_ == StoreStatus::Unknown;
+  if (failed && aSentMs < answeredMs_) {
+    // The store has answered since: this tells of an outage that is over.
+    return;
+  }
   if (failed) {
     if (failures_++ == 0) {
       lostMs_ = loop_.NowMs();
       log_.Write(LogLevel::Warning,
                  "store-lost",
                  { { "status", EnumName(aAnswer.status_) },
-                   { "http", aAnswer.httpStatus_ } });
+                   { "http", aAnswer.httpStatus_ },
+                   { "cause", aCause } });
     }
     if (watcher_.onDisturbed_) {
       watcher_.onDisturbed_();
     }
     return;
   }
+  answeredMs_ = loop_.NowMs();
   if (std::exchange(failures_, 0) > 0) {
     client_.DropIdle(store_);
     log_.Write(LogLevel::Info,
--- a/gateway/StoreLink.hpp
+++ b/gateway/StoreLink.hpp
@@ -38,7 +38,9 @@
   TimeMs Jitter(TimeMs aMs);
 
 private:
-  void Note(const StoreAnswer& aAnswer);
+  void Note(const StoreAnswer& aAnswer,
+            std::string_view aCause,
+            TimeMs aSentMs);
 
   EventLoop& loop_;
   EventLog& log_;
@@ -48,6 +50,7 @@
   Watcher watcher_;
   int failures_ = 0;
   TimeMs lostMs_ = 0;
+  TimeMs answeredMs_ = 0; ///< last answer of the store
   int64_t calls_ = 0;
   std::minstd_rand random_;
 };
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -10,6 +10,9 @@
 namespace detail {
 
 constexpr size_t kMaxAnswerHeadBytes = 16384;
+/// A first packet that is lost is sent again after a second; a new call is
+/// sooner than that.
+constexpr TimeMs kConnectMs = 900;
 
 std::string Serialize(const Endpoint& aServer, const CallRequest& aRequest)
 {
@@ -40,7 +43,7 @@
     : client_(aClient)
     , server_(aServer)
     , stream_(aClient.loop_, *this)
-    , timer_(aClient.loop_, [this] { Finish(EndWithoutAnswer()); })
+    , timer_(aClient.loop_, [this] { Finish(EndWithoutAnswer(), "time-out"); })
     , parser_(HttpRole::Answer, detail::kMaxAnswerHeadBytes)
   {
   }
@@ -54,10 +57,16 @@
     parser_ = HttpParser(HttpRole::Answer, detail::kMaxAnswerHeadBytes);
     body_.clear();
     sentBefore_ = stream_.WrittenBytes();
-    timer_.Start(aRequest.timeoutMs_);
+    timeoutMs_ = aRequest.timeoutMs_;
+    if (stream_.IsOpen()) {
+      timer_.Start(timeoutMs_);
+    } else {
+      timer_.Start(std::min(timeoutMs_, detail::kConnectMs));
+    }
     if (!stream_.IsOpen() && !stream_.Connect(server_)) {
-      client_.loop_.Defer(
-        [self = shared_from_this()] { self->Finish(CallEnd::NotSent); });
+      client_.loop_.Defer([self = shared_from_this()] {
+        self->Finish(CallEnd::NotSent, "no socket");
+      });
       return;
     }
     stream_.Write(detail::Serialize(server_, aRequest));
@@ -70,6 +79,8 @@
                                                  : CallEnd::Unanswered;
   }
 
+  void OnConnected() override { timer_.Start(timeoutMs_); }
+
   void OnInput() override
   {
     if (!done_) {
@@ -82,7 +93,7 @@
     if (state == ParseState::Done) {
       Finish(CallEnd::Answered);
     } else if (state == ParseState::Failed) {
-      Finish(CallEnd::Unanswered);
+      Finish(CallEnd::Unanswered, "malformed answer");
     }
   }
 
@@ -94,10 +105,11 @@
     }
     const bool complete =
       aReason == CloseReason::EndOfStream && parser_.FinishAtEnd();
-    Finish(complete ? CallEnd::Answered : EndWithoutAnswer());
+    Finish(complete ? CallEnd::Answered : EndWithoutAnswer(),
+           EnumName(aReason));
   }
 
-  void Finish(CallEnd aEnd)
+  void Finish(CallEnd aEnd, std::string_view aCause = {})
   {
     if (!done_) {
       return;
@@ -106,6 +118,7 @@
     const auto self = shared_from_this();
     CallResult result;
     result.end_ = aEnd;
+    result.cause_ = aCause;
     if (aEnd == CallEnd::Answered) {
       result.head_ = std::move(parser_.Head());
       result.body_ = std::move(body_);
@@ -129,6 +142,7 @@
   HttpParser parser_;
   std::string body_;
   Done done_;
+  TimeMs timeoutMs_ = 0;
   uint64_t sentBefore_ = 0;
 };
 
--- a/net/HttpClient.hpp
+++ b/net/HttpClient.hpp
@@ -33,6 +33,7 @@
   CallEnd end_ = CallEnd::NotSent;
   HttpHead head_;
   std::string body_;
+  std::string_view cause_; ///< of an end without an answer
 };
 
 struct CallRequest
