--- a/gateway/BackendLoad.cpp
+++ b/gateway/BackendLoad.cpp
@@ -12,7 +12,9 @@
 constexpr double kFailureWeight = 0.15;
 constexpr double kOthersWeight = 0.4;
 /// Reports of other gateways' requests lose half of their weight in this time.
-constexpr double kOthersHalfLifeMs = 400;
+constexpr double kOthersHalfLifeMs = 600;
+/// Shared reports are about as old as this when they arrive.
+constexpr TimeMs kOwnReportMs = 300;
 constexpr double kFailureHalfLifeMs = 2000;
 /// A server that shed a request counts as full for this long.
 constexpr TimeMs kShedMs = 60;
@@ -47,7 +49,6 @@
                              double aLoadAtSend,
                              TimeMs aNowMs)
 {
-  lastAnswerMs_ = aNowMs;
   failures_ = FailureShare(aNowMs) * (1 - detail::kFailureWeight);
   failureMs_ = aNowMs;
   double sample = aLatencyMs / std::max(1.0, (aLoadAtSend + 1) / slots_);
@@ -82,6 +83,20 @@
   const double others =
     std::max(0, aReport.running_ + aReport.waiting_ - inFlight_);
   others_ += (others - others_) * detail::kOthersWeight;
+  reportedTotal_ = aReport.running_ + aReport.waiting_;
+  reportedMs_ = aNowMs;
+}
+
+void BackendLoad::OnSharedReport(double aLoad, double aWorkMs, TimeMs aNowMs)
+{
+  if (aWorkMs > 0) {
+    sharedWorkMs_ = aWorkMs;
+  }
+  // An own report that is as new is exact about the own share.
+  if (aNowMs - reportedMs_ < detail::kOwnReportMs) {
+    return;
+  }
+  others_ = std::max(0.0, aLoad - inFlight_);
   reportedMs_ = aNowMs;
 }
 
@@ -98,7 +113,8 @@
 
 double BackendLoad::WorkMs(TimeMs aNowMs) const
 {
-  const double workMs = IsMeasured() ? workMs_ : defaultWorkMs_;
+  const double sharedMs = sharedWorkMs_ > 0 ? sharedWorkMs_ : defaultWorkMs_;
+  const double workMs = IsMeasured() ? workMs_ : sharedMs;
   return aNowMs < coldUntilMs_ ? workMs * detail::kColdFactor : workMs;
 }
 
--- a/gateway/BackendLoad.hpp
+++ b/gateway/BackendLoad.hpp
@@ -26,6 +26,8 @@
   void OnFailed(TimeMs aNowMs);
   void OnEnded();
   void OnReport(const ReportedLoad& aReport, TimeMs aNowMs);
+  /// What another gateway saw; aWorkMs 0 when it is not known.
+  void OnSharedReport(double aLoad, double aWorkMs, TimeMs aNowMs);
 
   int InFlight() const { return inFlight_; }
   int Slots() const { return slots_; }
@@ -38,7 +40,10 @@
   /// Share of recent requests that failed or were shed, 0 to 1.
   double FailureShare(TimeMs aNowMs) const;
   bool IsMeasured() const { return samples_ >= kMinSamples; }
-  TimeMs LastAnswerMs() const { return lastAnswerMs_; }
+  /// Own mean of the work time, 0 until it is measured.
+  double MeasuredWorkMs() const { return IsMeasured() ? workMs_ : 0; }
+  /// Requests there by the last report, own or shared.
+  double ReportedTotal() const { return reportedTotal_; }
 
 private:
   static constexpr int kMinSamples = 5;
@@ -46,6 +51,8 @@
   int slots_;
   int inFlight_ = 0;
   double others_ = 0; ///< requests of other gateways
+  double reportedTotal_ = 0;
+  double sharedWorkMs_ = 0;
   TimeMs reportedMs_ = 0;
   TimeMs shedMs_ = 0;
   TimeMs coldUntilMs_ = 0;
@@ -54,7 +61,6 @@
   int samples_ = 0;
   double failures_ = 0;
   TimeMs failureMs_ = 0;
-  TimeMs lastAnswerMs_ = 0;
 };
 
 }
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace cactuspitch {
 
 namespace detail {
@@ -23,6 +25,11 @@
 
 }
 
+uint32_t BackendHash(std::string_view aId)
+{
+  return XXH32(aId.data(), aId.size(), 0);
+}
+
 BackendLink::BackendLink(BackendPool& aPool, std::shared_ptr<Backend> aBackend)
   : pool_(aPool)
   , backend_(std::move(aBackend))
@@ -187,6 +194,7 @@
   const TimeMs nowMs = pool_.loop_.NowMs();
   if (info.load_) {
     backend_->load_.OnReport(*info.load_, nowMs);
+    backend_->reported_ = true;
   }
   if (info.notRun_) {
     backend_->load_.OnShed(nowMs);
@@ -307,6 +315,7 @@
     if (backend == nullptr) {
       backend = std::make_shared<Backend>();
       Endpoint::Parse(entry.address_, backend->endpoint_);
+      backend->idHash_ = BackendHash(id);
       backend->load_.SetDefaultWorkMs(ServiceWorkMs(entry.service_));
       if (entry.coldRemainingMs_ > 0) {
         backend->load_.SetColdUntil(nowMs + entry.coldRemainingMs_);
@@ -316,7 +325,9 @@
     backend->load_.SetSlots(entry.slots_);
   }
   byService_.clear();
+  byHash_.clear();
   for (const auto& [id, backend] : backends_) {
+    byHash_[backend->idHash_] = backend;
     byService_[backend->entry_.service_].push_back(backend);
   }
 }
@@ -373,6 +384,28 @@
   }
 }
 
+std::vector<BoardEntry> BackendPool::TakeReports()
+{
+  std::vector<BoardEntry> reports;
+  for (const auto& [id, backend] : backends_) {
+    if (std::exchange(backend->reported_, false)) {
+      reports.push_back({ backend->idHash_,
+                          backend->load_.MeasuredWorkMs(),
+                          backend->load_.ReportedTotal() });
+    }
+  }
+  return reports;
+}
+
+void BackendPool::ApplyShared(const BoardEntry& aEntry)
+{
+  const auto found = byHash_.find(aEntry.server_);
+  if (found != byHash_.end()) {
+    found->second->load_.OnSharedReport(
+      aEntry.load_, aEntry.workMs_, loop_.NowMs());
+  }
+}
+
 double BackendPool::ServiceWorkMs(const std::string& aService) const
 {
   const auto found = workMs_.find(aService);
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -4,12 +4,14 @@
 #include "gateway/EventLog.hpp"
 #include "net/HttpParser.hpp"
 #include "net/TcpStream.hpp"
+#include "policy/LoadBoard.hpp"
 #include "routing/RoutingConfig.hpp"
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace cactuspitch {
@@ -109,6 +111,9 @@
   BackendLoad load_;
   std::vector<std::shared_ptr<BackendLink>> idle_;
   std::vector<std::shared_ptr<BackendLink>> busy_;
+  uint32_t idHash_ = 0;    ///< names the server among gateways
+  bool reported_ = false;  ///< told its load since the last TakeReports
+  bool home_ = false;      ///< preferred by this gateway
   bool registered_ = true; ///< false once the registration is gone
   /// Connecting fails: no requests until then, when one may try again.
   TimeMs downUntilMs_ = 0;
@@ -121,6 +126,9 @@
   size_t Connections() const { return idle_.size() + busy_.size(); }
 };
 
+/// Short name of a backend server among gateways.
+uint32_t BackendHash(std::string_view aId);
+
 /// Backend servers and the connections to them.
 class BackendPool
 {
@@ -138,12 +146,19 @@
   void Update(const std::map<std::string, BackendEntry>& aEntries);
   BackendPtr Find(const std::string& aId) const;
   const std::vector<BackendPtr>& OfService(const std::string& aService) const;
+  const std::map<std::string, std::vector<BackendPtr>>& Services() const
+  {
+    return byService_;
+  }
   /// Connection for one request, or null when the limit is reached.
   std::shared_ptr<BackendLink> Acquire(const BackendPtr& aBackend,
                                        size_t aMaxConnections,
                                        TimeMs aMaxIdleMs);
   /// Closes connections that were idle too long.
   void CloseIdle();
+  /// Loads that servers have reported since the last call.
+  std::vector<BoardEntry> TakeReports();
+  void ApplyShared(const BoardEntry& aEntry);
   double ServiceWorkMs(const std::string& aService) const;
   int64_t ConnectionsOpened() const { return opened_; }
 
@@ -160,6 +175,7 @@
   DownTask onDown_;
   std::map<std::string, BackendPtr> backends_;
   std::map<std::string, std::vector<BackendPtr>> byService_;
+  std::unordered_map<uint32_t, BackendPtr> byHash_;
   std::map<std::string, double> workMs_;
   int64_t opened_ = 0;
 };
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -55,9 +55,38 @@
   const std::map<std::string, BackendEntry>& aEntries)
 {
   pool_.Update(aEntries);
+  AssignHomes();
   SchedulePump();
 }
 
+void Forwarder::SetGateways(const std::string& aSelf,
+                            const std::vector<PlacedName>& aGateways)
+{
+  gateways_ = std::max<size_t>(aGateways.size(), 1);
+  if (self_ != aSelf || gatewayNames_ != aGateways) {
+    self_ = aSelf;
+    gatewayNames_ = aGateways;
+    AssignHomes();
+  }
+}
+
+void Forwarder::AssignHomes()
+{
+  for (const auto& [service, backends] : pool_.Services()) {
+    std::vector<PlacedName> servers;
+    for (const auto& backend : backends) {
+      if (backend->IsUsable()) {
+        servers.emplace_back(backend->entry_.id_,
+                             backend->entry_.failureDomain_);
+      }
+    }
+    const auto homes = HomeServers(self_, gatewayNames_, servers);
+    for (const auto& backend : backends) {
+      backend->home_ = homes.contains(backend->entry_.id_);
+    }
+  }
+}
+
 size_t Forwarder::ConnectionShare(const ServiceSpec& aService) const
 {
   // All gateways share the connections of a server; a tenth stays free for
@@ -79,6 +108,7 @@
   candidate.failureShare_ = aBackend.load_.FailureShare(nowMs);
   candidate.sameDomain_ =
     aBackend.entry_.failureDomain_ == bounds_.failureDomain_;
+  candidate.home_ = aBackend.home_;
   candidate.down_ = aBackend.downUntilMs_ > nowMs;
   candidate.full_ =
     aBackend.idle_.empty() && aBackend.Connections() >= aMaxConnections;
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -6,6 +6,7 @@
 #include "gateway/PlatformPort.hpp"
 #include "keyspace/KeyView.hpp"
 #include "policy/CrashQuarantine.hpp"
+#include "policy/HomeServers.hpp"
 #include "policy/Placement.hpp"
 #include "policy/RetryBudget.hpp"
 #include "routing/RouteTable.hpp"
@@ -53,7 +54,10 @@
 
   void SetConfig(RoutingConfig aConfig);
   void UpdateBackends(const std::map<std::string, BackendEntry>& aEntries);
-  void SetGatewayCount(size_t aCount) { gateways_ = aCount; }
+  /// Live gateways, this one included; it decides which servers this one
+  /// prefers and what share of limits it has.
+  void SetGateways(const std::string& aSelf,
+                   const std::vector<PlacedName>& aGateways);
   /// Looks again at waiting requests: owners or servers have changed.
   void OnPlacesChanged() { SchedulePump(); }
 
@@ -100,6 +104,7 @@
                               const ForwardedRequest& aRequest,
                               size_t aMaxConnections) const;
   size_t ConnectionShare(const ServiceSpec& aService) const;
+  void AssignHomes();
   void OnBackendDown(const Backend& aBackend);
   void SchedulePump();
   void PumpParked();
@@ -115,6 +120,8 @@
   BackendPool pool_;
   CrashQuarantine quarantine_;
   std::map<std::string, RetryBudget> budgets_;
+  std::string self_;
+  std::vector<PlacedName> gatewayNames_;
   size_t gateways_ = 8;
   size_t active_ = 0;
   std::list<std::shared_ptr<ForwardedRequest>> parked_;
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -1,7 +1,6 @@
 #include "gateway/Gateway.hpp"
 
 #include "common/Strings.hpp"
-#include "gossip_types.h"
 
 #include <algorithm>
 #include <csignal>
@@ -16,10 +15,6 @@
 
 constexpr const char* kOwnKind = "cactuspitch";
 constexpr std::string_view kInstancePrefix = "instance.";
-/// Three lost in a row make a leader silent (LeaderTiming::kSilenceMs).
-constexpr TimeMs kGossipMs = 250;
-/// Gateways that do not lead tell only the leader in between.
-constexpr uint64_t kFullRounds = 4;
 constexpr TimeMs kHousekeepMs = 100;
 constexpr TimeMs kRegisterRetryMs = 500;
 constexpr TimeMs kDrainTickMs = 50;
@@ -29,7 +24,9 @@
 constexpr TimeMs kMinDrainMs = 3000;
 /// The process is gone this long before it would be killed.
 constexpr TimeMs kGraceMarginMs = 250;
+/// Rounds of housekeeping, 5 s.
 constexpr uint64_t kLogReportRounds = 50;
+constexpr uint64_t kHomeRounds = 5;
 /// Without a leader's gossip, the owners are read from the store this often.
 constexpr TimeMs kKeysReadMs = 2000;
 
@@ -74,7 +71,7 @@
   , mesh_(aLoop,
           aLog,
           [this](const wire::Gossip& aGossip, const Endpoint& aSender) {
-            OnGossip(aGossip, aSender);
+            gossip_.OnReceived(aGossip, aSender);
           })
   , configFollower_(aLoop,
                     aLog,
@@ -119,19 +116,35 @@
               store_,
               mesh_,
               { settings_.instance_, bootId_ },
-              { [this](int64_t aTerm) { OnElected(aTerm); },
-                [this] { director_.Stop(); },
+              { [this](int64_t aTerm) {
+                 director_.Start(aTerm);
+                 gossip_.OnLeadershipChanged();
+               },
+                [this] {
+                  director_.Stop();
+                  gossip_.OnLeadershipChanged();
+                },
                 [this] { director_.OnForeignEnded(); } })
-  , director_(
-      aLoop,
-      aLog,
-      store_,
-      client_,
-      port_.orders_,
-      { [this] { return election_.MayOrder(); },
-        [this](const std::string& aService) { OnKeysChanged(aService); },
-        [this](std::string_view aCause) { election_.Resign(aCause); } })
-  , gossipTimer_(aLoop, [this] { SendGossip(); })
+  , director_(aLoop,
+              aLog,
+              store_,
+              client_,
+              port_.orders_,
+              board_,
+              { [this] { return election_.MayOrder(); },
+                [this](const std::string& aService) {
+                  gossip_.OnKeysChanged(aService);
+                },
+                [this](std::string_view aCause) { election_.Resign(aCause); } })
+  , gossip_(aLoop,
+            { settings_.instance_, settings_.failureDomain_, bootId_ },
+            mesh_,
+            election_,
+            director_,
+            board_,
+            forwarder_,
+            { [this] { return configVersion_; },
+              [this](int64_t aVersion) { OnConfigHint(aVersion); } })
   , housekeepTimer_(aLoop, [this] { Housekeep(); })
   , registerTimer_(aLoop, [this] { Register(); })
   , drainTimer_(aLoop, [this] { DrainTick(); })
@@ -174,7 +187,7 @@
   FollowStore();
   Register();
   election_.Start();
-  gossipTimer_.Start(detail::kGossipMs);
+  gossip_.Start();
   housekeepTimer_.Start(detail::kHousekeepMs);
   return true;
 }
@@ -285,7 +298,7 @@
   if (!aObject.name_.starts_with(detail::kInstancePrefix)) {
     return;
   }
-  const auto json = nlohmann::json::parse(aObject.spec_, nullptr, false);
+  const auto& json = aObject.spec_;
   Endpoint endpoint;
   if (json.is_object() &&
       Endpoint::Parse(json.value("peer", std::string()), endpoint)) {
@@ -337,9 +350,8 @@
 void Gateway::Register()
 {
   const auto name = Concat(detail::kInstancePrefix, settings_.instance_);
-  const auto spec = nlohmann::json{
-    { "peer", settings_.peerListen_.ToText() }, { "bootId", bootId_ }
-  }.dump();
+  const auto spec = nlohmann::json{ { "peer", settings_.peerListen_.ToText() },
+                                    { "bootId", bootId_ } };
   const auto finish = [this](const StoreAnswer& aAnswer) {
     if (aAnswer.status_ != StoreStatus::Ok) {
       registerTimer_.Start(detail::kRegisterRetryMs +
@@ -358,204 +370,10 @@
               });
 }
 
-wire::Gossip Gateway::BasicGossip() const
-{
-  wire::Gossip gossip;
-  gossip.__set_instance(settings_.instance_);
-  gossip.__set_bootId(bootId_);
-  gossip.__set_term(election_.HighestTerm());
-  gossip.__set_leading(election_.IsLeading());
-  gossip.__set_configVersion(configVersion_);
-  gossip.__set_deadTerm(election_.EndedTerm());
-  return gossip;
-}
-
-void Gateway::SendGossip()
-{
-  gossipTimer_.Start(detail::kGossipMs);
-  ++gossipRounds_;
-  auto gossip = BasicGossip();
-  for (const auto& suspect : forwarder_.Quarantine().Entries(loop_.NowMs())) {
-    wire::SuspectRequest entry;
-    entry.fingerprint = static_cast<int64_t>(suspect.fingerprint_);
-    entry.crashes = suspect.crashes_;
-    entry.quarantined = suspect.quarantined_;
-    entry.expiresInMs = static_cast<int32_t>(suspect.expiresInMs_);
-    entry.reason = suspect.reason_;
-    gossip.suspects.push_back(std::move(entry));
-  }
-  FillLoads(gossip);
-  if (election_.IsLeading()) {
-    for (const auto& load : gossip.loads) {
-      for (size_t index = 0; index + 1 < load.keyCounts.size(); index += 2) {
-        director_.AddLoad(load.serviceName,
-                          static_cast<uint32_t>(load.keyCounts[index]),
-                          load.keyCounts[index + 1]);
-      }
-      for (const auto& backend : load.backends) {
-        director_.AddWork(
-          load.serviceName, backend.id, backend.workUs / 1000.0);
-      }
-    }
-    gossip.loads.clear();
-    for (const auto& [service, ownership] : director_.Ownership()) {
-      FillKeys(service, gossip);
-    }
-    mesh_.SendToAll(gossip);
-    return;
-  }
-  if (gossipRounds_ % detail::kFullRounds == 0 || !election_.Leader().empty()) {
-    const auto leader = mesh_.Peers().find(election_.Leader());
-    if (leader != mesh_.Peers().end()) {
-      mesh_.SendTo(leader->second.endpoint_, gossip);
-    }
-  }
-  if (gossipRounds_ % detail::kFullRounds == 0) {
-    gossip.loads.clear();
-    mesh_.SendToAll(gossip);
-  }
-}
-
-void Gateway::FillLoads(wire::Gossip& aGossip)
-{
-  auto counts = forwarder_.TakeKeyCounts();
-  for (const auto& [service, keys] : counts) {
-    wire::ServiceLoad load;
-    load.serviceName = service;
-    for (const auto& [key, count] : keys) {
-      load.keyCounts.push_back(static_cast<int32_t>(key));
-      load.keyCounts.push_back(count);
-    }
-    for (const auto& backend : forwarder_.Pool().OfService(service)) {
-      if (backend->load_.IsMeasured()) {
-        wire::BackendMeasure measure;
-        measure.id = backend->entry_.id_;
-        constexpr double kUsPerMs = 1000;
-        measure.workUs =
-          static_cast<int32_t>(backend->load_.WorkMs(loop_.NowMs()) * kUsPerMs);
-        load.backends.push_back(std::move(measure));
-      }
-    }
-    aGossip.loads.push_back(std::move(load));
-  }
-}
-
-void Gateway::FillKeys(const std::string& aService, wire::Gossip& aGossip)
-{
-  const auto found = director_.Ownership().find(aService);
-  if (found == director_.Ownership().end()) {
-    return;
-  }
-  const auto& ownership = *found->second;
-  wire::OwnedKeys keys;
-  keys.serviceName = aService;
-  std::map<std::string, int32_t> index;
-  for (size_t at = 0; at < ownership.Segments().size(); ++at) {
-    const auto& segment = ownership.Segments()[at];
-    const auto [entry, isNew] = index.try_emplace(
-      segment.owner_, static_cast<int32_t>(keys.owners.size()));
-    if (isNew) {
-      keys.owners.push_back(segment.owner_);
-    }
-    wire::OwnedRange range;
-    range.first = static_cast<int32_t>(segment.first_);
-    range.last = static_cast<int32_t>(segment.last_);
-    range.owner = entry->second;
-    range.fence = segment.fence_;
-    range.active = ownership.IsActive(at);
-    keys.ranges.push_back(range);
-  }
-  aGossip.keys.push_back(std::move(keys));
-}
-
-void Gateway::ApplyOwnKeys(const std::string& aService)
-{
-  const auto found = director_.Ownership().find(aService);
-  if (found == director_.Ownership().end()) {
-    return;
-  }
-  const auto& ownership = *found->second;
-  for (size_t at = 0; at < ownership.Segments().size(); ++at) {
-    const auto& segment = ownership.Segments()[at];
-    forwarder_.Keys().Apply(
-      aService,
-      { segment.first_,
-        segment.last_,
-        { segment.owner_, segment.fence_, ownership.IsActive(at) } });
-  }
-  forwarder_.OnPlacesChanged();
-}
-
-void Gateway::OnElected(int64_t aTerm)
-{
-  director_.Start(aTerm);
-  mesh_.SendToAll(BasicGossip());
-}
-
-void Gateway::OnKeysChanged(const std::string& aService)
-{
-  ApplyOwnKeys(aService);
-  auto gossip = BasicGossip();
-  FillKeys(aService, gossip);
-  mesh_.SendToAll(gossip);
-}
-
-void Gateway::OnGossip(const wire::Gossip& aGossip, const Endpoint& aSender)
+void Gateway::OnConfigHint(int64_t aVersion)
 {
-  if (aGossip.instance == settings_.instance_) {
-    return;
-  }
-  mesh_.NoteHeard(aGossip, aSender);
-  election_.OnGossip(aGossip);
-  bool changed = false;
-  for (const auto& keys : aGossip.keys) {
-    for (const auto& range : keys.ranges) {
-      if (range.owner < 0 ||
-          range.owner >= static_cast<int32_t>(keys.owners.size()) ||
-          range.first < 0 || range.last < range.first ||
-          range.last >= static_cast<int32_t>(kKeyCount)) {
-        continue;
-      }
-      changed |= forwarder_.Keys().Apply(
-        keys.serviceName,
-        { static_cast<uint32_t>(range.first),
-          static_cast<uint32_t>(range.last),
-          { keys.owners[range.owner], range.fence, range.active } });
-    }
-  }
-  if (changed) {
-    forwarder_.OnPlacesChanged();
-  }
-  if (election_.IsLeading()) {
-    for (const auto& load : aGossip.loads) {
-      for (size_t index = 0; index + 1 < load.keyCounts.size(); index += 2) {
-        director_.AddLoad(load.serviceName,
-                          static_cast<uint32_t>(load.keyCounts[index]),
-                          load.keyCounts[index + 1]);
-      }
-      for (const auto& backend : load.backends) {
-        director_.AddWork(
-          load.serviceName, backend.id, backend.workUs / 1000.0);
-      }
-    }
-  }
-  if (!aGossip.suspects.empty()) {
-    std::vector<CrashSuspect> suspects;
-    std::ranges::transform(
-      aGossip.suspects,
-      std::back_inserter(suspects),
-      [](const wire::SuspectRequest& aEntry) {
-        return CrashSuspect{ static_cast<uint64_t>(aEntry.fingerprint),
-                             aEntry.crashes,
-                             aEntry.quarantined,
-                             aEntry.expiresInMs,
-                             aEntry.reason };
-      });
-    forwarder_.Quarantine().Merge(suspects, loop_.NowMs());
-  }
-  if (aGossip.configVersion > configVersion_ &&
-      aGossip.configVersion > hintedVersion_) {
-    hintedVersion_ = aGossip.configVersion;
+  if (aVersion > hintedVersion_) {
+    hintedVersion_ = aVersion;
     configFollower_.Refresh();
   }
 }
@@ -595,7 +413,11 @@
   }
   forwarder_.Pool().CloseIdle();
   ReadKeys();
-  forwarder_.SetGatewayCount(std::max<size_t>(mesh_.AliveCount(nowMs) + 1, 1));
+  if (rounds_ % detail::kHomeRounds == 0) {
+    auto gateways = mesh_.AliveGateways(nowMs);
+    gateways.emplace_back(settings_.instance_, settings_.failureDomain_);
+    forwarder_.SetGateways(settings_.instance_, gateways);
+  }
   const bool ready = IsReady();
   if (ready != std::exchange(wasReady_, ready)) {
     log_.Write(LogLevel::Info,
@@ -604,7 +426,7 @@
                  { "config_version", configVersion_ },
                  { "backends", directory_.Entries().size() } });
   }
-  if (gossipRounds_ % detail::kLogReportRounds == 0) {
+  if (++rounds_ % detail::kLogReportRounds == 0) {
     log_.ReportDropped();
   }
 }
@@ -622,7 +444,6 @@
   election_.Retire();
   if (election_.IsLeading() && store_.IsReachable()) {
     election_.Resign("process stops");
-    mesh_.SendToAll(BasicGossip());
   }
   drainTimer_.Start(detail::kDrainTickMs);
 }
@@ -650,7 +471,6 @@
 {
   if (election_.IsLeading()) {
     election_.Resign("process stops");
-    mesh_.SendToAll(BasicGossip());
   }
   log_.Write(LogLevel::Info,
              "gateway-stopped",
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -5,6 +5,7 @@
 #include "gateway/Forwarder.hpp"
 #include "gateway/GatewayMetrics.hpp"
 #include "gateway/GatewaySettings.hpp"
+#include "gateway/GossipDuty.hpp"
 #include "gateway/KeyDirector.hpp"
 #include "gateway/LeaderElection.hpp"
 #include "gateway/PeerMesh.hpp"
@@ -48,15 +49,7 @@
   void ReadKeys();
   void OnKeyTable(const StoreObject& aObject);
 
-  void OnGossip(const wire::Gossip& aGossip, const Endpoint& aSender);
-  void SendGossip();
-  void FillKeys(const std::string& aService, wire::Gossip& aGossip);
-  void FillLoads(wire::Gossip& aGossip);
-  void ApplyOwnKeys(const std::string& aService);
-  wire::Gossip BasicGossip() const;
-  void OnElected(int64_t aTerm);
-  void OnKeysChanged(const std::string& aService);
-
+  void OnConfigHint(int64_t aVersion);
   bool IsReady() const;
   std::string MetricsText();
   void Housekeep();
@@ -84,8 +77,9 @@
   StoreFollower backendFollower_;
   StoreFollower ownFollower_;
   LeaderElection election_;
+  LoadBoard board_;
   KeyDirector director_;
-  Timer gossipTimer_;
+  GossipDuty gossip_;
   Timer housekeepTimer_;
   Timer registerTimer_;
   Timer drainTimer_;
@@ -94,7 +88,7 @@
   SignalWatcher onHangup_;
   int64_t configVersion_ = 0;
   int64_t hintedVersion_ = 0; ///< highest that a peer has told of
-  uint64_t gossipRounds_ = 0;
+  uint64_t rounds_ = 0;       ///< of housekeeping
   bool wasReady_ = false;
   bool readingKeys_ = false;
   TimeMs keysReadMs_ = 0;
--- /dev/null
+++ b/gateway/GossipDuty.cpp
@@ -0,0 +1,274 @@
+#include "gateway/GossipDuty.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cactuspitch {
+
+namespace detail {
+
+/// Three lost in a row make a leader silent (LeaderTiming::kSilenceMs).
+constexpr TimeMs kGossipMs = 250;
+/// Gateways that do not lead tell only the leader in between.
+constexpr uint64_t kFullRounds = 4;
+/// The leader passes the loads on every second time: 3 KB for 350 servers.
+constexpr uint64_t kBoardRounds = 2;
+/// Changes of owners come in groups, a move changes two servers.
+constexpr TimeMs kChangeGatherMs = 10;
+constexpr size_t kLoadFields = 3;
+constexpr double kUsPerMs = 1000;
+
+}
+
+GossipDuty::GossipDuty(EventLoop& aLoop,
+                       Self aSelf,
+                       PeerMesh& aMesh,
+                       LeaderElection& aElection,
+                       KeyDirector& aDirector,
+                       LoadBoard& aBoard,
+                       Forwarder& aForwarder,
+                       Handlers aHandlers)
+  : loop_(aLoop)
+  , self_(std::move(aSelf))
+  , mesh_(aMesh)
+  , election_(aElection)
+  , director_(aDirector)
+  , board_(aBoard)
+  , forwarder_(aForwarder)
+  , handlers_(std::move(aHandlers))
+  , timer_(aLoop, [this] { Tick(); })
+  , changeTimer_(aLoop, [this] { SendChanges(); })
+{
+}
+
+void GossipDuty::Start()
+{
+  timer_.Start(detail::kGossipMs);
+  mesh_.SendToAll(Basic());
+}
+
+wire::Gossip GossipDuty::Basic() const
+{
+  wire::Gossip gossip;
+  gossip.instance = self_.instance_;
+  gossip.failureDomain = self_.failureDomain_;
+  gossip.bootId = self_.bootId_;
+  gossip.term = election_.HighestTerm();
+  gossip.leading = election_.IsLeading();
+  gossip.configVersion = handlers_.configVersion_();
+  gossip.deadTerm = election_.EndedTerm();
+  return gossip;
+}
+
+void GossipDuty::Tick()
+{
+  timer_.Start(detail::kGossipMs);
+  ++rounds_;
+  auto gossip = Basic();
+  FillSuspects(gossip);
+  if (election_.IsLeading()) {
+    TellAsLeader(std::move(gossip));
+  } else {
+    TellAsFollower(std::move(gossip));
+  }
+}
+
+void GossipDuty::TellAsLeader(wire::Gossip aGossip)
+{
+  const TimeMs nowMs = loop_.NowMs();
+  FillKeyCounts(aGossip);
+  TakeKeyCounts(aGossip);
+  aGossip.keyCounts.clear();
+  for (const auto& report : forwarder_.Pool().TakeReports()) {
+    board_.Add(report, nowMs);
+  }
+  for (const auto& [service, ownership] : director_.Ownership()) {
+    aGossip.keys.push_back(keyGossip_.NextSlice(service, *ownership));
+  }
+  if (rounds_ % detail::kBoardRounds == 0) {
+    const auto changed = board_.TakeChanged(nowMs);
+    std::ranges::for_each(changed, [&](const BoardEntry& aEntry) {
+      forwarder_.Pool().ApplyShared(aEntry);
+    });
+    FillLoads(changed, aGossip);
+  }
+  mesh_.SendToAll(aGossip);
+}
+
+void GossipDuty::TellAsFollower(wire::Gossip aGossip)
+{
+  const bool toAll = rounds_ % detail::kFullRounds == 0;
+  const auto leader = mesh_.Peers().find(election_.Leader());
+  if (toAll) {
+    mesh_.SendToAll(aGossip);
+  }
+  if (leader == mesh_.Peers().end()) {
+    return;
+  }
+  FillKeyCounts(aGossip);
+  FillLoads(forwarder_.Pool().TakeReports(), aGossip);
+  aGossip.wantsKeys = !KnowsAllKeys();
+  mesh_.SendTo(leader->second.endpoint_, aGossip);
+}
+
+bool GossipDuty::KnowsAllKeys() const
+{
+  const auto routes = forwarder_.Routes();
+  return routes != nullptr &&
+         std::ranges::all_of(
+           routes->Config().services_, [&](const auto& aEntry) {
+             return !aEntry.second.keyed_ ||
+                    !forwarder_.Keys().Ranges(aEntry.first).empty();
+           });
+}
+
+void GossipDuty::FillSuspects(wire::Gossip& aGossip)
+{
+  for (const auto& suspect : forwarder_.Quarantine().Entries(loop_.NowMs())) {
+    wire::SuspectRequest entry;
+    entry.fingerprint = static_cast<int64_t>(suspect.fingerprint_);
+    entry.crashes = suspect.crashes_;
+    entry.quarantined = suspect.quarantined_;
+    entry.expiresInMs = static_cast<int32_t>(suspect.expiresInMs_);
+    entry.reason = suspect.reason_;
+    aGossip.suspects.push_back(std::move(entry));
+  }
+}
+
+void GossipDuty::FillKeyCounts(wire::Gossip& aGossip)
+{
+  for (const auto& [service, keys] : forwarder_.TakeKeyCounts()) {
+    wire::KeyCounts counts;
+    counts.serviceName = service;
+    for (const auto& [key, count] : keys) {
+      counts.counts.push_back(static_cast<int32_t>(key));
+      counts.counts.push_back(count);
+    }
+    aGossip.keyCounts.push_back(std::move(counts));
+  }
+}
+
+void GossipDuty::FillLoads(const std::vector<BoardEntry>& aEntries,
+                           wire::Gossip& aGossip)
+{
+  for (const auto& entry : aEntries) {
+    aGossip.backendLoads.push_back(static_cast<int32_t>(entry.server_));
+    aGossip.backendLoads.push_back(
+      static_cast<int32_t>(std::lround(entry.workMs_ * detail::kUsPerMs)));
+    aGossip.backendLoads.push_back(
+      static_cast<int32_t>(std::lround(entry.load_)));
+  }
+}
+
+void GossipDuty::OnLeadershipChanged()
+{
+  keyGossip_.Reset();
+  mesh_.SendToAll(Basic());
+}
+
+void GossipDuty::OnKeysChanged(const std::string& aService)
+{
+  const auto found = director_.Ownership().find(aService);
+  if (found != director_.Ownership().end()) {
+    for (const auto& part : KeyGossip::All(aService, *found->second)) {
+      KeyGossip::Apply(part, forwarder_.Keys());
+    }
+    forwarder_.OnPlacesChanged();
+  }
+  if (!changeTimer_.IsActive()) {
+    changeTimer_.Start(detail::kChangeGatherMs);
+  }
+}
+
+void GossipDuty::SendChanges()
+{
+  for (const auto& [service, ownership] : director_.Ownership()) {
+    for (auto& part : keyGossip_.TakeChanges(service, *ownership)) {
+      auto gossip = Basic();
+      gossip.keys.push_back(std::move(part));
+      mesh_.SendToAll(gossip);
+    }
+  }
+}
+
+void GossipDuty::OnReceived(const wire::Gossip& aGossip,
+                            const Endpoint& aSender)
+{
+  if (aGossip.instance == self_.instance_) {
+    return;
+  }
+  mesh_.NoteHeard(aGossip, aSender);
+  election_.OnGossip(aGossip);
+  bool changed = false;
+  for (const auto& keys : aGossip.keys) {
+    changed |= KeyGossip::Apply(keys, forwarder_.Keys());
+  }
+  if (changed) {
+    forwarder_.OnPlacesChanged();
+  }
+  TakeLoads(aGossip);
+  TakeSuspects(aGossip);
+  if (election_.IsLeading()) {
+    TakeKeyCounts(aGossip);
+    if (aGossip.wantsKeys) {
+      for (const auto& [service, ownership] : director_.Ownership()) {
+        for (auto& part : KeyGossip::All(service, *ownership)) {
+          auto answer = Basic();
+          answer.keys.push_back(std::move(part));
+          mesh_.SendTo(aSender, answer);
+        }
+      }
+    }
+  }
+  if (aGossip.configVersion > handlers_.configVersion_()) {
+    handlers_.onConfigHint_(aGossip.configVersion);
+  }
+}
+
+void GossipDuty::TakeKeyCounts(const wire::Gossip& aGossip)
+{
+  for (const auto& keys : aGossip.keyCounts) {
+    for (size_t index = 0; index + 1 < keys.counts.size(); index += 2) {
+      director_.AddLoad(keys.serviceName,
+                        static_cast<uint32_t>(keys.counts[index]),
+                        keys.counts[index + 1]);
+    }
+  }
+}
+
+void GossipDuty::TakeLoads(const wire::Gossip& aGossip)
+{
+  const auto& loads = aGossip.backendLoads;
+  for (size_t index = 0; index + detail::kLoadFields <= loads.size();
+       index += detail::kLoadFields) {
+    const BoardEntry entry{ static_cast<uint32_t>(loads[index]),
+                            loads[index + 1] / detail::kUsPerMs,
+                            static_cast<double>(loads[index + 2]) };
+    if (election_.IsLeading()) {
+      board_.Add(entry, loop_.NowMs());
+    }
+    forwarder_.Pool().ApplyShared(entry);
+  }
+}
+
+void GossipDuty::TakeSuspects(const wire::Gossip& aGossip)
+{
+  if (aGossip.suspects.empty()) {
+    return;
+  }
+  std::vector<CrashSuspect> suspects;
+  std::ranges::transform(
+    aGossip.suspects,
+    std::back_inserter(suspects),
+    [](const wire::SuspectRequest& aEntry) {
+      return CrashSuspect{ static_cast<uint64_t>(aEntry.fingerprint),
+                           aEntry.crashes,
+                           aEntry.quarantined,
+                           aEntry.expiresInMs,
+                           aEntry.reason };
+    });
+  forwarder_.Quarantine().Merge(suspects, loop_.NowMs());
+}
+
+}
--- /dev/null
+++ b/gateway/GossipDuty.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "gateway/Forwarder.hpp"
+#include "gateway/KeyDirector.hpp"
+#include "gateway/KeyGossip.hpp"
+#include "gateway/LeaderElection.hpp"
+#include "gateway/PeerMesh.hpp"
+#include "policy/LoadBoard.hpp"
+
+#include <functional>
+#include <string>
+
+namespace cactuspitch {
+
+/// What this gateway tells the others, and what it does with what they tell:
+/// owners of keys, loads of backend servers and keys, suspect requests, and the
+/// version of the configuration.
+class GossipDuty
+{
+public:
+  struct Self
+  {
+    std::string instance_;
+    std::string failureDomain_;
+    int64_t bootId_ = 0;
+  };
+  struct Handlers
+  {
+    std::function<int64_t()> configVersion_;
+    /// A peer has a newer configuration.
+    std::function<void(int64_t)> onConfigHint_;
+  };
+
+  GossipDuty(EventLoop& aLoop,
+             Self aSelf,
+             PeerMesh& aMesh,
+             LeaderElection& aElection,
+             KeyDirector& aDirector,
+             LoadBoard& aBoard,
+             Forwarder& aForwarder,
+             Handlers aHandlers);
+
+  void Start();
+  void OnReceived(const wire::Gossip& aGossip, const Endpoint& aSender);
+  /// This process was elected or has stopped leading.
+  void OnLeadershipChanged();
+  /// The leader's owners of a service have changed.
+  void OnKeysChanged(const std::string& aService);
+
+private:
+  void Tick();
+  void TellAsLeader(wire::Gossip aGossip);
+  void TellAsFollower(wire::Gossip aGossip);
+  wire::Gossip Basic() const;
+  void FillSuspects(wire::Gossip& aGossip);
+  void FillKeyCounts(wire::Gossip& aGossip);
+  static void FillLoads(const std::vector<BoardEntry>& aEntries,
+                        wire::Gossip& aGossip);
+  void SendChanges();
+  void TakeKeyCounts(const wire::Gossip& aGossip);
+  void TakeLoads(const wire::Gossip& aGossip);
+  void TakeSuspects(const wire::Gossip& aGossip);
+  bool KnowsAllKeys() const;
+
+  EventLoop& loop_;
+  Self self_;
+  PeerMesh& mesh_;
+  LeaderElection& election_;
+  KeyDirector& director_;
+  LoadBoard& board_;
+  Forwarder& forwarder_;
+  Handlers handlers_;
+  KeyGossip keyGossip_;
+  Timer timer_;
+  Timer changeTimer_;
+  uint64_t rounds_ = 0;
+};
+
+}
--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -1,5 +1,7 @@
 #include "gateway/KeyDirector.hpp"
 
+#include "gateway/BackendPool.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -19,7 +21,6 @@
 /// A fence holds the term in its upper bits, so that fences of a later leader
 /// are higher than all earlier ones.
 constexpr int kFenceBits = 24;
-constexpr double kWorkWeight = 0.2;
 constexpr double kMinSpeed = 0.3;
 constexpr double kMaxSpeed = 3;
 constexpr double kColdCapacity = 0.6;
@@ -33,12 +34,14 @@
                          StoreLink& aStore,
                          HttpClient& aClient,
                          const OrderProtocol& aProtocol,
+                         const LoadBoard& aBoard,
                          Handlers aHandlers)
   : loop_(aLoop)
   , log_(aLog)
   , store_(aStore)
   , client_(aClient)
   , protocol_(aProtocol)
+  , board_(aBoard)
   , handlers_(std::move(aHandlers))
   , timer_(aLoop, [this] { Tick(); })
   , retryTimer_(aLoop, [this] { std::exchange(retry_, nullptr)(); })
@@ -165,6 +168,21 @@
   UpdateCandidates();
 }
 
+double KeyDirector::MeanWorkMs(const std::string& aService) const
+{
+  double sum = 0;
+  int count = 0;
+  for (const auto& [id, entry] : backends_) {
+    const double workMs =
+      entry.service_ == aService ? board_.WorkMs(BackendHash(id)) : 0;
+    if (workMs > 0) {
+      sum += workMs;
+      ++count;
+    }
+  }
+  return count == 0 ? detail::kDefaultWorkMs : sum / count;
+}
+
 void KeyDirector::UpdateCandidates()
 {
   if (!running_ || !loaded_) {
@@ -176,11 +194,7 @@
     if (ownership == nullptr) {
       ownership = std::make_unique<KeyOwnership>(name, timing_);
     }
-    const auto& work = workMs_[name];
-    double meanMs = 0;
-    for (const auto& [id, ms] : work) {
-      meanMs += ms / static_cast<double>(work.size());
-    }
+    const double meanMs = MeanWorkMs(name);
     std::map<std::string, OwnerCandidate> candidates;
     for (const auto& [id, entry] : backends_) {
       if (entry.service_ != name) {
@@ -190,9 +204,9 @@
       candidate.bornMs_ = entry.bornMs_;
       candidate.usable_ = entry.state_ == BackendState::Ready;
       double speed = 1;
-      if (const auto found = work.find(id); found != work.end()) {
-        speed = std::clamp(
-          meanMs / found->second, detail::kMinSpeed, detail::kMaxSpeed);
+      if (const double workMs = board_.WorkMs(BackendHash(id)); workMs > 0) {
+        speed =
+          std::clamp(meanMs / workMs, detail::kMinSpeed, detail::kMaxSpeed);
       }
       candidate.capacity_ = entry.slots_ * speed;
       if (nowMs < warmAtMs_[id]) {
@@ -213,17 +227,6 @@
   }
 }
 
-void KeyDirector::AddWork(const std::string& aService,
-                          const std::string& aBackend,
-                          double aWorkMs)
-{
-  auto& means = workMs_[aService];
-  const auto [entry, isNew] = means.try_emplace(aBackend, aWorkMs);
-  if (!isNew) {
-    entry->second += (aWorkMs - entry->second) * detail::kWorkWeight;
-  }
-}
-
 void KeyDirector::Tick()
 {
   timer_.Start(detail::kDirectorTickMs);
@@ -247,15 +250,10 @@
     return {};
   }
   lastBalanceMs_ = nowMs;
-  const auto& work = workMs_[aService];
-  double meanMs = work.empty() ? detail::kDefaultWorkMs : 0;
-  for (const auto& [id, ms] : work) {
-    meanMs += ms / static_cast<double>(work.size());
-  }
   constexpr double kMsPerSecond = 1000;
-  KeyBalancer balancer;
-  balancer.SetWorkSeconds(meanMs / kMsPerSecond);
-  auto moves = balancer.Plan(aOwnership, load->second, nowMs);
+  const auto rates = load->second.Rates(nowMs);
+  auto moves = KeyBalancer().Plan(
+    aOwnership, rates, MeanWorkMs(aService) / kMsPerSecond, nowMs);
   for (const auto& move : moves) {
     log_.Write(LogLevel::Info,
                "keys-balanced",
@@ -263,8 +261,8 @@
                  { "first", move.first_ },
                  { "last", move.last_ },
                  { "to", move.target_ },
-                 { "rate", load->second.Rate(move.first_, move.last_, nowMs) },
-                 { "total_rate", load->second.TotalRate(nowMs) } });
+                 { "rate", rates.Rate(move.first_, move.last_) },
+                 { "total_rate", rates.Total() } });
   }
   return moves;
 }
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -7,6 +7,7 @@
 #include "keyspace/KeyLoad.hpp"
 #include "keyspace/KeyOwnership.hpp"
 #include "net/HttpClient.hpp"
+#include "policy/LoadBoard.hpp"
 #include "routing/RoutingConfig.hpp"
 
 #include <functional>
@@ -38,6 +39,7 @@
               StoreLink& aStore,
               HttpClient& aClient,
               const OrderProtocol& aProtocol,
+              const LoadBoard& aBoard,
               Handlers aHandlers);
 
   /// The call that reads the key table.
@@ -51,9 +53,6 @@
   void SetServices(std::set<std::string> aKeyedServices);
   void SetBackends(const std::map<std::string, BackendEntry>& aEntries);
   void AddLoad(const std::string& aService, uint32_t aKey, int aRequests);
-  void AddWork(const std::string& aService,
-               const std::string& aBackend,
-               double aWorkMs);
 
   const std::map<std::string, std::unique_ptr<KeyOwnership>>& Ownership() const
   {
@@ -74,6 +73,8 @@
   void SendOrder(const KeyOrder& aOrder);
   void OnOrderDone(const KeyOrder& aOrder, const CallResult& aResult);
   void UpdateCandidates();
+  /// Of a request of the service, over its measured servers.
+  double MeanWorkMs(const std::string& aService) const;
   void ReportChanges();
   std::vector<KeyOwnership::Move> PlanMoves(const std::string& aService,
                                             const KeyOwnership& aOwnership);
@@ -84,6 +85,7 @@
   StoreLink& store_;
   HttpClient& client_;
   const OrderProtocol& protocol_;
+  const LoadBoard& board_;
   Handlers handlers_;
   Timer timer_;
   Timer retryTimer_;
@@ -109,7 +111,6 @@
   std::map<std::string, std::unique_ptr<KeyOwnership>> services_;
   std::map<std::string, uint64_t> reported_;
   std::map<std::string, KeyLoad> loads_;
-  std::map<std::string, std::map<std::string, double>> workMs_;
 };
 
 }
--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -145,27 +145,24 @@
   return !isolated || silenceMs >= LeaderTiming::kIsolatedSilenceMs;
 }
 
-std::string LeaderElection::Spec() const
+nlohmann::json LeaderElection::Spec() const
 {
   auto earlier = nlohmann::json::array();
   for (const auto& life : earlier_) {
     earlier.push_back(
       { { "instance", life.instance_ }, { "bootId", life.bootId_ } });
   }
-  return nlohmann::json{
-    { "term", term_ },
-    { "instance", self_.instance_ },
-    { "bootId", self_.bootId_ },
-    { "earlier", std::move(earlier) }
-  }.dump();
+  return nlohmann::json{ { "term", term_ },
+                         { "instance", self_.instance_ },
+                         { "bootId", self_.bootId_ },
+                         { "earlier", std::move(earlier) } };
 }
 
-bool LeaderElection::IsOwnSpec(const std::string& aSpec) const
+bool LeaderElection::IsOwnSpec(const nlohmann::json& aSpec) const
 {
-  const auto json = nlohmann::json::parse(aSpec, nullptr, false);
-  return json.is_object() && json.value("term", int64_t{ 0 }) == term_ &&
-         json.value("instance", std::string()) == self_.instance_ &&
-         json.value("bootId", int64_t{ 0 }) == self_.bootId_;
+  return aSpec.is_object() && aSpec.value("term", int64_t{ 0 }) == term_ &&
+         aSpec.value("instance", std::string()) == self_.instance_ &&
+         aSpec.value("bootId", int64_t{ 0 }) == self_.bootId_;
 }
 
 void LeaderElection::Acquire()
@@ -192,8 +189,7 @@
     revision_ = 0;
     term_ = std::max<int64_t>(highestTerm_, 0) + 1;
   } else if (aAnswer.status_ == StoreStatus::Ok) {
-    const auto json =
-      nlohmann::json::parse(aAnswer.object_.spec_, nullptr, false);
+    const auto& json = aAnswer.object_.spec_;
     revision_ = aAnswer.object_.revision_;
     const int64_t storedTerm =
       json.is_object() ? json.value("term", int64_t{ 0 }) : 0;
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -94,8 +94,8 @@
   void OnRenewed(const StoreAnswer& aAnswer, TimeMs aSentMs);
   void StepDown(std::string_view aCause);
   void PruneEarlier();
-  std::string Spec() const;
-  bool IsOwnSpec(const std::string& aSpec) const;
+  nlohmann::json Spec() const;
+  bool IsOwnSpec(const nlohmann::json& aSpec) const;
 
   EventLoop& loop_;
   EventLog& log_;
--- a/gateway/PeerMesh.cpp
+++ b/gateway/PeerMesh.cpp
@@ -119,15 +119,31 @@
   peer.bootId_ = aGossip.bootId;
   peer.term_ = aGossip.term;
   peer.leading_ = aGossip.leading;
+  peer.failureDomain_ = aGossip.failureDomain;
   peer.heardMs_ = loop_.NowMs();
 }
 
 size_t PeerMesh::AliveCount(TimeMs aNowMs) const
 {
-  return std::ranges::count_if(peers_, [&](const auto& aEntry) {
-    return aEntry.second.heardMs_ != 0 &&
-           aNowMs - aEntry.second.heardMs_ < kAliveMs;
-  });
+  return std::ranges::count_if(
+    peers_, [&](const auto& aEntry) { return IsAlive(aEntry.second, aNowMs); });
+}
+
+std::vector<std::pair<std::string, std::string>> PeerMesh::AliveGateways(
+  TimeMs aNowMs) const
+{
+  std::vector<std::pair<std::string, std::string>> alive;
+  for (const auto& [instance, peer] : peers_) {
+    if (IsAlive(peer, aNowMs)) {
+      alive.emplace_back(instance, peer.failureDomain_);
+    }
+  }
+  return alive;
+}
+
+bool PeerMesh::IsAlive(const Peer& aPeer, TimeMs aNowMs)
+{
+  return aPeer.heardMs_ != 0 && aNowMs - aPeer.heardMs_ < kAliveMs;
 }
 
 void PeerMesh::ReceiveAvailable()
--- a/gateway/PeerMesh.hpp
+++ b/gateway/PeerMesh.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cactuspitch {
 
@@ -22,6 +23,7 @@
   int64_t bootId_ = 0;
   int64_t term_ = 0;
   bool leading_ = false;
+  std::string failureDomain_;
   TimeMs heardMs_ = 0; ///< 0: never
 };
 
@@ -49,8 +51,12 @@
   void NoteHeard(const wire::Gossip& aGossip, const Endpoint& aSender);
   const std::map<std::string, Peer>& Peers() const { return peers_; }
   size_t AliveCount(TimeMs aNowMs) const;
+  /// Names and failure domains of the peers that are alive.
+  std::vector<std::pair<std::string, std::string>> AliveGateways(
+    TimeMs aNowMs) const;
 
 private:
+  static bool IsAlive(const Peer& aPeer, TimeMs aNowMs);
   void ReceiveAvailable();
   void SendBytes(const Endpoint& aPeer, std::string_view aBytes);
 
--- a/gateway/PlatformPort.hpp
+++ b/gateway/PlatformPort.hpp
@@ -13,6 +13,8 @@
 #include <utility>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 namespace cactuspitch {
 
 /// What a caller says about its request.
@@ -76,8 +78,8 @@
 {
   std::string name_;
   int64_t revision_ = 0;
-  std::string spec_; ///< JSON text
-  std::string text_; ///< the whole object as JSON text
+  nlohmann::json spec_;
+  nlohmann::json status_;
 };
 
 struct ObjectEvent
@@ -135,10 +137,10 @@
                           const std::string& aName) const = 0;
   virtual CallRequest Create(const std::string& aKind,
                              const std::string& aName,
-                             const std::string& aSpec) const = 0;
+                             const nlohmann::json& aSpec) const = 0;
   virtual CallRequest Replace(const std::string& aKind,
                               const std::string& aName,
-                              const std::string& aSpec,
+                              const nlohmann::json& aSpec,
                               int64_t aRevision) const = 0;
   virtual StoreAnswer ReadAnswer(const CallResult& aResult) const = 0;
 };
--- a/gateway/gateway.cmake
+++ b/gateway/gateway.cmake
@@ -2,7 +2,8 @@
 # shared folders and links libraries statically, which keeps its memory low.
 set(GATEWAY_SOURCES
   common/Clock.cpp common/Findings.cpp common/Metrics.cpp common/Settings.cpp
-  policy/CrashQuarantine.cpp policy/Placement.cpp policy/RetryBudget.cpp
+  policy/CrashQuarantine.cpp policy/HomeServers.cpp policy/LoadBoard.cpp
+  policy/Placement.cpp policy/RetryBudget.cpp
   wire/gen-cpp/gossip_types.cpp)
 file(GLOB GATEWAY_FOLDER_SOURCES CONFIGURE_DEPENDS
   gateway/*.cpp keyspace/*.cpp membership/*.cpp net/*.cpp platform/*.cpp
--- a/keyspace/KeyBalancer.cpp
+++ b/keyspace/KeyBalancer.cpp
@@ -1,65 +1,99 @@
 #include "keyspace/KeyBalancer.hpp"
 
 #include <algorithm>
-#include <map>
+#include <cmath>
 
 namespace cactuspitch {
 
-namespace detail {
-
-struct ServerUse
-{
-  double rate_ = 0;
-  double capacity_ = 1;
-  bool frozen_ = false; ///< takes part in a move already, or is leaving
-
-  double Utilization() const { return rate_ / capacity_; }
-};
-
-struct Piece
+KeyBalancer::KeyBalancer(BalanceOptions aOptions)
+  : options_(aOptions)
 {
-  uint32_t first_;
-  uint32_t last_;
-  std::string owner_;
-  double rate_;
-};
-
 }
 
-KeyBalancer::KeyBalancer(BalanceOptions aOptions)
-  : options_(aOptions)
+bool KeyBalancer::IsOverloaded(const ServerUse& aUse, double aMean) const
 {
+  const double use = aUse.Utilization();
+  const double samples = std::max(1.0, KeyLoad::Samples(aUse.rate_));
+  const double noise = options_.significance_ * use / std::sqrt(samples);
+  return !aUse.done_ && use > options_.idleUtilization_ &&
+         use - noise > aMean * options_.startRatio_;
 }
 
-void KeyBalancer::SetWorkSeconds(double aSeconds)
+bool KeyBalancer::Cut(std::vector<Piece>& aPieces,
+                      const std::string& aFrom,
+                      double aWanted,
+                      const KeyRates& aRates,
+                      Piece& aResult)
 {
-  options_.workSeconds_ = aSeconds;
+  // The piece whose load is nearest above the wanted part is cut; a smaller one
+  // goes as a whole where none is larger.
+  constexpr double kSmallerPenalty = 10;
+  constexpr double kTolerance = 1.1;
+  Piece* best = nullptr;
+  const auto distance = [&](const Piece& aPiece) {
+    return aPiece.rate_ >= aWanted ? aPiece.rate_ - aWanted
+                                   : kSmallerPenalty * (aWanted - aPiece.rate_);
+  };
+  for (auto& piece : aPieces) {
+    if (piece.owner_ == aFrom && piece.rate_ > 0 &&
+        (best == nullptr || distance(piece) < distance(*best))) {
+      best = &piece;
+    }
+  }
+  if (best == nullptr) {
+    return false;
+  }
+  aResult = *best;
+  if (best->rate_ <= aWanted * kTolerance) {
+    best->rate_ = 0;
+    return true;
+  }
+  // From the left edge, or from the right one where the first key is too hot.
+  const auto last = aRates.LastWithin(best->first_, best->last_, aWanted);
+  if (last >= best->first_ &&
+      aRates.Rate(best->first_, static_cast<uint32_t>(last)) > 0) {
+    aResult.last_ = static_cast<uint32_t>(last);
+    best->first_ = static_cast<uint32_t>(last) + 1;
+  } else {
+    const auto first = aRates.FirstWithin(best->first_, best->last_, aWanted);
+    if (first > best->last_ ||
+        aRates.Rate(static_cast<uint32_t>(first), best->last_) <= 0) {
+      // Its edges are single keys that are hotter than what should move.
+      best->rate_ = 0;
+      return Cut(aPieces, aFrom, aWanted, aRates, aResult);
+    }
+    aResult.first_ = static_cast<uint32_t>(first);
+    best->last_ = static_cast<uint32_t>(first) - 1;
+  }
+  aResult.rate_ = aRates.Rate(aResult.first_, aResult.last_);
+  best->rate_ = aRates.Rate(best->first_, best->last_);
+  return true;
 }
 
 std::vector<KeyOwnership::Move> KeyBalancer::Plan(
   const KeyOwnership& aOwnership,
-  const KeyLoad& aLoad,
+  const KeyRates& aRates,
+  double aWorkSeconds,
   TimeMs aNowMs) const
 {
-  std::map<std::string, detail::ServerUse> use;
+  constexpr double kMinCapacity = 0.1;
+  Uses uses;
   double capacity = 0;
   for (const auto& [id, candidate] : aOwnership.Candidates()) {
     if (candidate.usable_ && !aOwnership.IsLost(id, aNowMs)) {
-      // Capacity in requests per second.
-      use[id].capacity_ =
-        std::max(0.1, candidate.capacity_) / options_.workSeconds_;
-      capacity += use[id].capacity_;
+      auto& use = uses[id];
+      use.capacity_ =
+        std::max(kMinCapacity, candidate.capacity_) / aWorkSeconds;
+      capacity += use.capacity_;
     }
   }
-  std::vector<detail::Piece> pieces;
-  double total = 0;
+  std::vector<Piece> pieces;
   const auto& segments = aOwnership.Segments();
   for (size_t index = 0; index < segments.size(); ++index) {
     const auto& segment = segments[index];
-    const double rate = aLoad.Rate(segment.first_, segment.last_, aNowMs);
-    total += rate;
-    const auto found = use.find(segment.owner_);
-    if (found == use.end()) {
+    const double rate = aRates.Rate(segment.first_, segment.last_);
+    const auto found = uses.find(segment.owner_);
+    if (found == uses.end()) {
       continue;
     }
     found->second.rate_ += rate;
@@ -68,72 +102,35 @@
     }
   }
   std::vector<KeyOwnership::Move> moves;
-  if (use.size() < 2 || total <= 0) {
+  if (uses.size() < 2 || aRates.Total() <= 0) {
     return moves;
   }
-  const double mean = total / capacity;
-  const auto byUse = [](const auto& aEntry) {
-    return aEntry.second.frozen_ ? -1 : aEntry.second.Utilization();
-  };
-  const auto byRoom = [](const auto& aEntry) {
-    return aEntry.second.Utilization();
-  };
-  while (static_cast<int>(moves.size()) < options_.maxMoves_) {
-    const auto busiest = std::ranges::max_element(use, {}, byUse);
-    const auto idlest = std::ranges::min_element(use, {}, byRoom);
+  const double mean = aRates.Total() / capacity;
+  const auto limit = static_cast<size_t>(
+    std::ceil(options_.movesPerServer_ * static_cast<double>(uses.size())));
+  while (moves.size() < limit) {
+    const auto busiest =
+      std::ranges::max_element(uses, {}, [](const auto& aEntry) {
+        return aEntry.second.done_ ? -1 : aEntry.second.Utilization();
+      });
+    const auto idlest = std::ranges::min_element(
+      uses, {}, [](const auto& aEntry) { return aEntry.second.Utilization(); });
     auto& from = busiest->second;
     auto& to = idlest->second;
-    if (busiest == idlest || from.frozen_ ||
-        from.Utilization() < mean * options_.startRatio_ ||
-        from.Utilization() < options_.idleUtilization_) {
+    if (busiest == idlest || !IsOverloaded(from, mean)) {
       break;
     }
     const double wanted = std::min((from.Utilization() - mean) * from.capacity_,
                                    (mean - to.Utilization()) * to.capacity_);
-    if (wanted < mean * to.capacity_ * options_.smallestPart_) {
-      from.frozen_ = true;
-      continue;
-    }
-    // The piece whose load is nearest above the wanted part is cut; a whole
-    // piece goes where none is larger.
-    detail::Piece* best = nullptr;
-    for (auto& piece : pieces) {
-      if (piece.owner_ != busiest->first || piece.rate_ <= 0) {
-        continue;
-      }
-      const auto distance = [&](const detail::Piece& aPiece) {
-        return aPiece.rate_ >= wanted ? aPiece.rate_ - wanted
-                                      : 10 * (wanted - aPiece.rate_);
-      };
-      if (best == nullptr || distance(piece) < distance(*best)) {
-        best = &piece;
-      }
-    }
-    if (best == nullptr) {
-      from.frozen_ = true;
+    Piece piece{};
+    if (wanted < mean * to.capacity_ * options_.smallestPart_ ||
+        !Cut(pieces, busiest->first, wanted, aRates, piece)) {
+      from.done_ = true;
       continue;
     }
-    uint32_t end = best->last_;
-    if (best->rate_ > wanted * 1.1) {
-      end = aLoad.EndForRate(best->first_, best->last_, wanted, aNowMs);
-    }
-    const double moved = aLoad.Rate(best->first_, end, aNowMs);
-    // A single key that is too hot stays where it is, unless it is the only
-    // way to relieve the other keys of its server.
-    if (moved > wanted * 1.5 || (end == best->last_ && moved < wanted * 0.05)) {
-      best->rate_ = 0;
-      continue;
-    }
-    moves.push_back({ best->first_, end, idlest->first });
-    from.rate_ -= moved;
-    to.rate_ += moved;
-    if (end == best->last_) {
-      best->owner_ = idlest->first;
-      best->rate_ = 0;
-    } else {
-      best->first_ = end + 1;
-      best->rate_ -= moved;
-    }
+    moves.push_back({ piece.first_, piece.last_, idlest->first });
+    from.rate_ -= piece.rate_;
+    to.rate_ += piece.rate_;
   }
   return moves;
 }
--- a/keyspace/KeyBalancer.hpp
+++ b/keyspace/KeyBalancer.hpp
@@ -3,6 +3,8 @@
 #include "keyspace/KeyLoad.hpp"
 #include "keyspace/KeyOwnership.hpp"
 
+#include <map>
+#include <string>
 #include <vector>
 
 namespace cactuspitch {
@@ -11,14 +13,16 @@
 struct BalanceOptions
 {
   /// Acts above this ratio of a server's utilization to the mean.
-  double startRatio_ = 1.2;
+  double startRatio_ = 1.15;
+  /// And only if the excess is this many standard deviations of the count of
+  /// requests that the utilization was measured from.
+  double significance_ = 1.0;
   /// Utilization below which a server is never relieved: it has free slots.
-  double idleUtilization_ = 0.35;
+  double idleUtilization_ = 0.3;
   /// Shares of load below this part of the mean are not worth a move.
-  double smallestPart_ = 0.06;
-  int maxMoves_ = 8;
-  /// Seconds of mean work time assumed for a request until it is measured.
-  double workSeconds_ = 0.1;
+  double smallestPart_ = 0.08;
+  /// Moves of one plan, for each server.
+  double movesPerServer_ = 0.75;
 };
 
 /// Chooses moves that bring the utilization of the owners together: load from
@@ -30,12 +34,38 @@
 public:
   explicit KeyBalancer(BalanceOptions aOptions = {});
 
-  void SetWorkSeconds(double aSeconds);
+  /// aWorkSeconds: mean time of one request on a server of mean speed.
   std::vector<KeyOwnership::Move> Plan(const KeyOwnership& aOwnership,
-                                       const KeyLoad& aLoad,
+                                       const KeyRates& aRates,
+                                       double aWorkSeconds,
                                        TimeMs aNowMs) const;
 
 private:
+  struct ServerUse
+  {
+    double rate_ = 0;
+    double capacity_ = 1; ///< requests per second
+    bool done_ = false;   ///< cannot be relieved any further
+
+    double Utilization() const { return rate_ / capacity_; }
+  };
+  struct Piece
+  {
+    uint32_t first_;
+    uint32_t last_;
+    std::string owner_;
+    double rate_;
+  };
+  using Uses = std::map<std::string, ServerUse>;
+
+  bool IsOverloaded(const ServerUse& aUse, double aMean) const;
+  /// Cuts about aWanted from a piece of aFrom; false when none fits.
+  static bool Cut(std::vector<Piece>& aPieces,
+                  const std::string& aFrom,
+                  double aWanted,
+                  const KeyRates& aRates,
+                  Piece& aResult);
+
   BalanceOptions options_;
 };
 
--- a/keyspace/KeyLoad.cpp
+++ b/keyspace/KeyLoad.cpp
@@ -2,31 +2,62 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace cactuspitch {
 
 namespace detail {
 
 constexpr TimeMs kRescaleMs = 30 * KeyLoad::kHalfLifeMs;
-/// A steady rate r has the decayed weight r * kHalfLife / ln 2.
-constexpr double kWeightPerRate = KeyLoad::kHalfLifeMs / 1000.0 / 0.693147;
+/// Seconds of traffic that the decayed weight of a steady rate stands for.
+constexpr double kWindowSeconds = KeyLoad::kHalfLifeMs / 1000.0 / 0.693147;
+/// Rates of a shorter time say nothing.
+constexpr double kMinSeconds = 0.25;
 
 }
 
+int64_t KeyRates::LastWithin(uint32_t aFirst,
+                             uint32_t aLast,
+                             double aRate) const
+{
+  const auto begin = sums_.begin() + aFirst + 1;
+  const auto end = sums_.begin() + aLast + 2;
+  const auto after = std::upper_bound(begin, end, sums_[aFirst] + aRate);
+  return aFirst + (after - begin) - 1;
+}
+
+int64_t KeyRates::FirstWithin(uint32_t aFirst,
+                              uint32_t aLast,
+                              double aRate) const
+{
+  const auto begin = sums_.begin() + aFirst;
+  const auto end = sums_.begin() + aLast + 1;
+  return aFirst +
+         (std::lower_bound(begin, end, sums_[aLast + 1] - aRate) - begin);
+}
+
 KeyLoad::KeyLoad()
   : weights_(kKeyCount, 0)
 {
 }
 
-double KeyLoad::Scale(TimeMs aNowMs) const
+double KeyLoad::RatePerWeight(TimeMs aNowMs) const
 {
-  return std::exp2(static_cast<double>(aNowMs - originMs_) / kHalfLifeMs);
+  const double scale =
+    std::exp2(static_cast<double>(aNowMs - originMs_) / kHalfLifeMs);
+  // Soon after the first request the window is not full yet.
+  const double seconds = std::max(
+    detail::kMinSeconds, static_cast<double>(aNowMs - startMs_) / 1000.0);
+  const double window =
+    detail::kWindowSeconds * (1 - std::exp(-seconds / detail::kWindowSeconds));
+  return 1 / (scale * window);
 }
 
 void KeyLoad::Rescale(TimeMs aNowMs)
 {
-  const double factor = originMs_ == 0 ? 0 : 1 / Scale(aNowMs);
+  const double factor =
+    originMs_ == 0
+      ? 0
+      : std::exp2(-static_cast<double>(aNowMs - originMs_) / kHalfLifeMs);
   std::ranges::for_each(weights_, [&](float& aWeight) {
     aWeight = static_cast<float>(aWeight * factor);
   });
@@ -36,40 +67,41 @@
 
 void KeyLoad::Add(uint32_t aKey, double aRequests, TimeMs aNowMs)
 {
+  if (startMs_ == 0) {
+    startMs_ = aNowMs;
+  }
   if (originMs_ == 0 || aNowMs - originMs_ > detail::kRescaleMs) {
     Rescale(aNowMs);
   }
   if (aKey < kKeyCount) {
-    const double weight = aRequests * Scale(aNowMs);
+    const double weight =
+      aRequests *
+      std::exp2(static_cast<double>(aNowMs - originMs_) / kHalfLifeMs);
     weights_[aKey] += static_cast<float>(weight);
     total_ += weight;
   }
 }
 
-double KeyLoad::Rate(uint32_t aFirst, uint32_t aLast, TimeMs aNowMs) const
+KeyRates KeyLoad::Rates(TimeMs aNowMs) const
 {
-  const double sum = std::accumulate(
-    weights_.begin() + aFirst, weights_.begin() + aLast + 1, 0.0);
-  return sum / Scale(aNowMs) / detail::kWeightPerRate;
+  const double factor = RatePerWeight(aNowMs);
+  std::vector<double> sums(kKeyCount + 1, 0);
+  double sum = 0;
+  for (uint32_t key = 0; key < kKeyCount; ++key) {
+    sum += weights_[key] * factor;
+    sums[key + 1] = sum;
+  }
+  return KeyRates(std::move(sums));
 }
 
 double KeyLoad::TotalRate(TimeMs aNowMs) const
 {
-  return total_ / Scale(aNowMs) / detail::kWeightPerRate;
+  return startMs_ == 0 ? 0 : total_ * RatePerWeight(aNowMs);
 }
 
-uint32_t KeyLoad::EndForRate(uint32_t aFirst,
-                             uint32_t aLast,
-                             double aRate,
-                             TimeMs aNowMs) const
+double KeyLoad::Samples(double aRate)
 {
-  const double limit = aRate * detail::kWeightPerRate * Scale(aNowMs);
-  double sum = 0;
-  uint32_t key = aFirst;
-  while (key < aLast && sum + weights_[key] <= limit) {
-    sum += weights_[key++];
-  }
-  return key == aFirst ? aFirst : key - 1;
+  return aRate * detail::kWindowSeconds;
 }
 
 }
--- a/keyspace/KeyLoad.hpp
+++ b/keyspace/KeyLoad.hpp
@@ -7,7 +7,34 @@
 
 namespace cactuspitch {
 
-/// Requests per second of each key of a service, with exponential decay. Busy
+/// Requests per second of every key at one moment, summed up so that the rate
+/// of any range is one subtraction.
+class KeyRates
+{
+public:
+  explicit KeyRates(std::vector<double> aSums)
+    : sums_(std::move(aSums))
+  {
+  }
+
+  /// Requests per second of the keys aFirst to aLast.
+  double Rate(uint32_t aFirst, uint32_t aLast) const
+  {
+    return sums_[aLast + 1] - sums_[aFirst];
+  }
+  double Total() const { return sums_.back(); }
+  /// Last key of the longest range that starts at aFirst and has at most
+  /// aRate; aFirst - 1 when not even the first key fits.
+  int64_t LastWithin(uint32_t aFirst, uint32_t aLast, double aRate) const;
+  /// First key of the longest range that ends at aLast and has at most aRate;
+  /// aLast + 1 when not even the last key fits.
+  int64_t FirstWithin(uint32_t aFirst, uint32_t aLast, double aRate) const;
+
+private:
+  std::vector<double> sums_; ///< of the keys below the index
+};
+
+/// Counts the requests of each key of a service, with exponential decay. Busy
 /// keys lie close together, so the full table is kept instead of a sketch:
 /// 256 KB at the leader only.
 class KeyLoad
@@ -20,24 +47,22 @@
   KeyLoad();
 
   void Add(uint32_t aKey, double aRequests, TimeMs aNowMs);
-  /// Requests per second of the keys aFirst to aLast.
-  double Rate(uint32_t aFirst, uint32_t aLast, TimeMs aNowMs) const;
+  KeyRates Rates(TimeMs aNowMs) const;
   double TotalRate(TimeMs aNowMs) const;
-  /// Largest last key so that aFirst..last has at most aRate, at least aFirst.
-  uint32_t EndForRate(uint32_t aFirst,
-                      uint32_t aLast,
-                      double aRate,
-                      TimeMs aNowMs) const;
+  /// Requests that a rate stands for: the fewer, the less it says.
+  static double Samples(double aRate);
 
 private:
-  /// Weights grow with time instead of decaying all entries; rescaled before
-  /// they overflow.
-  double Scale(TimeMs aNowMs) const;
+  /// Requests per second for each unit of weight.
+  double RatePerWeight(TimeMs aNowMs) const;
   void Rescale(TimeMs aNowMs);
 
+  /// Weights grow with time instead of decaying all entries; rescaled before
+  /// they overflow.
   std::vector<float> weights_;
   double total_ = 0;
   TimeMs originMs_ = 0;
+  TimeMs startMs_ = 0;
 };
 
 }
--- a/keyspace/KeySegment.cpp
+++ b/keyspace/KeySegment.cpp
@@ -55,7 +55,7 @@
   return aKey <= found.last_ ? &found : nullptr;
 }
 
-std::string EncodeKeyTable(const KeyTable& aTable)
+nlohmann::json EncodeKeyTable(const KeyTable& aTable)
 {
   auto services = detail::Json::object();
   for (const auto& [name, segments] : aTable.services_) {
@@ -63,21 +63,18 @@
     std::ranges::transform(segments, std::back_inserter(list), detail::ToJson);
     services[name] = std::move(list);
   }
-  return detail::Json{
-    { "term", aTable.term_ },
-    { "writeId", aTable.writeId_ },
-    { "services", std::move(services) }
-  }.dump();
+  return detail::Json{ { "term", aTable.term_ },
+                       { "writeId", aTable.writeId_ },
+                       { "services", std::move(services) } };
 }
 
-bool DecodeKeyTable(std::string_view aText, KeyTable& aTable)
+bool DecodeKeyTable(const nlohmann::json& aJson, KeyTable& aTable)
 {
   try {
-    const auto json = detail::Json::parse(aText);
     KeyTable table;
-    table.term_ = json.at("term").get<int64_t>();
-    table.writeId_ = json.at("writeId").get<int64_t>();
-    for (const auto& [name, list] : json.at("services").items()) {
+    table.term_ = aJson.at("term").get<int64_t>();
+    table.writeId_ = aJson.at("writeId").get<int64_t>();
+    for (const auto& [name, list] : aJson.at("services").items()) {
       auto& segments = table.services_[name];
       std::ranges::transform(
         list, std::back_inserter(segments), detail::SegmentFromJson);
--- a/keyspace/KeySegment.hpp
+++ b/keyspace/KeySegment.hpp
@@ -5,9 +5,10 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <string_view>
 #include <vector>
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace cactuspitch {
 
 inline constexpr uint32_t kKeyCount = 65536;
@@ -42,8 +43,8 @@
   std::map<std::string, KeySegments> services_;
 };
 
-std::string EncodeKeyTable(const KeyTable& aTable);
-/// False when the text is not a table that covers the keys of each service.
-bool DecodeKeyTable(std::string_view aText, KeyTable& aTable);
+nlohmann::json EncodeKeyTable(const KeyTable& aTable);
+/// False when it is not a table that covers the keys of each service.
+bool DecodeKeyTable(const nlohmann::json& aJson, KeyTable& aTable);
 
 }
--- /dev/null
+++ b/policy/LoadBoard.cpp
@@ -0,0 +1,48 @@
+#include "policy/LoadBoard.hpp"
+
+namespace cactuspitch {
+
+namespace detail {
+
+/// Weight of a new report of the work time: gateways see few requests each.
+constexpr double kBoardWorkWeight = 0.2;
+
+}
+
+void LoadBoard::Add(const BoardEntry& aEntry, TimeMs aNowMs)
+{
+  auto& state = states_[aEntry.server_];
+  const double before = state.entry_.workMs_;
+  state.entry_ = aEntry;
+  if (aEntry.workMs_ <= 0) {
+    state.entry_.workMs_ = before;
+  } else if (before > 0) {
+    state.entry_.workMs_ =
+      before + (aEntry.workMs_ - before) * detail::kBoardWorkWeight;
+  }
+  state.atMs_ = aNowMs;
+  state.changed_ = true;
+}
+
+std::vector<BoardEntry> LoadBoard::TakeChanged(TimeMs aNowMs)
+{
+  std::erase_if(states_, [&](const auto& aItem) {
+    return aNowMs - aItem.second.atMs_ > kForgetMs;
+  });
+  std::vector<BoardEntry> changed;
+  for (auto& [server, state] : states_) {
+    if (state.changed_) {
+      changed.push_back(state.entry_);
+      state.changed_ = false;
+    }
+  }
+  return changed;
+}
+
+double LoadBoard::WorkMs(uint32_t aServer) const
+{
+  const auto found = states_.find(aServer);
+  return found == states_.end() ? 0 : found->second.entry_.workMs_;
+}
+
+}
--- a/policy/Placement.cpp
+++ b/policy/Placement.cpp
@@ -14,7 +14,8 @@
   const double crossMs = aRequest.largeAnswer_ ? aOptions.crossDomainLargeMs_
                                                : aOptions.crossDomainMs_;
   return aCandidate.expectedMs_ *
-           (1 + aOptions.failureFactor_ * aCandidate.failureShare_) +
+           (1 + aOptions.failureFactor_ * aCandidate.failureShare_ +
+            (aCandidate.home_ ? 0 : aOptions.foreignFactor_)) +
          (aCandidate.sameDomain_ ? 0 : crossMs);
 }
 
--- a/policy/Placement.hpp
+++ b/policy/Placement.hpp
@@ -15,6 +15,7 @@
   double workMs_ = 0;     ///< of a request that does not queue
   double failureShare_ = 0;
   bool sameDomain_ = true;
+  bool home_ = true;   ///< preferred by this gateway (HomeServers)
   bool down_ = false;  ///< takes no connections
   bool full_ = false;  ///< no connection left for this gateway
   bool tried_ = false; ///< has failed this request before
@@ -60,6 +61,8 @@
   /// Cost of an answer that crosses failure domains, in ms of latency.
   double crossDomainMs_ = 4;
   double crossDomainLargeMs_ = 150;
+  /// A server that other gateways prefer counts as this much slower.
+  double foreignFactor_ = 0.25;
   /// A server that fails all requests counts as this many times slower.
   double failureFactor_ = 6;
   /// Callers honour at most a third of their remaining time.
--- a/wire/gen-cpp/gossip_types.cpp
+++ b/wire/gen-cpp/gossip_types.cpp
@@ -358,141 +358,25 @@
 }
 
 
-BackendMeasure::~BackendMeasure() noexcept {
+KeyCounts::~KeyCounts() noexcept {
 }
 
 
-void BackendMeasure::__set_id(const std::string& val) {
-  this->id = val;
-}
-
-void BackendMeasure::__set_workUs(const int32_t val) {
-  this->workUs = val;
-}
-std::ostream& operator<<(std::ostream& out, const BackendMeasure& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t BackendMeasure::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->id);
-          this->__isset.id = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->workUs);
-          this->__isset.workUs = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t BackendMeasure::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("BackendMeasure");
-
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->id);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("workUs", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->workUs);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(BackendMeasure &a, BackendMeasure &b) {
-  using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.workUs, b.workUs);
-  swap(a.__isset, b.__isset);
-}
-
-BackendMeasure::BackendMeasure(const BackendMeasure& other16) {
-  id = other16.id;
-  workUs = other16.workUs;
-  __isset = other16.__isset;
-}
-BackendMeasure& BackendMeasure::operator=(const BackendMeasure& other17) {
-  id = other17.id;
-  workUs = other17.workUs;
-  __isset = other17.__isset;
-  return *this;
-}
-void BackendMeasure::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "BackendMeasure(";
-  out << "id=" << to_string(id);
-  out << ", " << "workUs=" << to_string(workUs);
-  out << ")";
-}
-
-
-ServiceLoad::~ServiceLoad() noexcept {
-}
-
-
-void ServiceLoad::__set_serviceName(const std::string& val) {
+void KeyCounts::__set_serviceName(const std::string& val) {
   this->serviceName = val;
 }
 
-void ServiceLoad::__set_keyCounts(const std::vector<int32_t> & val) {
-  this->keyCounts = val;
+void KeyCounts::__set_counts(const std::vector<int32_t> & val) {
+  this->counts = val;
 }
-
-void ServiceLoad::__set_backends(const std::vector<BackendMeasure> & val) {
-  this->backends = val;
-}
-std::ostream& operator<<(std::ostream& out, const ServiceLoad& obj)
+std::ostream& operator<<(std::ostream& out, const KeyCounts& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ServiceLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t KeyCounts::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -524,39 +408,19 @@
       case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->keyCounts.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->keyCounts.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            this->counts.clear();
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->counts.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += iprot->readI32(this->keyCounts[_i22]);
+              xfer += iprot->readI32(this->counts[_i20]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.keyCounts = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->backends.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->backends.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
-            {
-              xfer += this->backends[_i27].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.backends = true;
+          this->__isset.counts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -573,34 +437,22 @@
   return xfer;
 }
 
-uint32_t ServiceLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t KeyCounts::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ServiceLoad");
+  xfer += oprot->writeStructBegin("KeyCounts");
 
   xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->serviceName);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("keyCounts", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->keyCounts.size()));
-    std::vector<int32_t> ::const_iterator _iter28;
-    for (_iter28 = this->keyCounts.begin(); _iter28 != this->keyCounts.end(); ++_iter28)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->counts.size()));
+    std::vector<int32_t> ::const_iterator _iter21;
+    for (_iter21 = this->counts.begin(); _iter21 != this->counts.end(); ++_iter21)
     {
-      xfer += oprot->writeI32((*_iter28));
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("backends", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->backends.size()));
-    std::vector<BackendMeasure> ::const_iterator _iter29;
-    for (_iter29 = this->backends.begin(); _iter29 != this->backends.end(); ++_iter29)
-    {
-      xfer += (*_iter29).write(oprot);
+      xfer += oprot->writeI32((*_iter21));
     }
     xfer += oprot->writeListEnd();
   }
@@ -611,33 +463,29 @@
   return xfer;
 }
 
-void swap(ServiceLoad &a, ServiceLoad &b) {
+void swap(KeyCounts &a, KeyCounts &b) {
   using ::std::swap;
   swap(a.serviceName, b.serviceName);
-  swap(a.keyCounts, b.keyCounts);
-  swap(a.backends, b.backends);
+  swap(a.counts, b.counts);
   swap(a.__isset, b.__isset);
 }
 
-ServiceLoad::ServiceLoad(const ServiceLoad& other30) {
-  serviceName = other30.serviceName;
-  keyCounts = other30.keyCounts;
-  backends = other30.backends;
-  __isset = other30.__isset;
+KeyCounts::KeyCounts(const KeyCounts& other22) {
+  serviceName = other22.serviceName;
+  counts = other22.counts;
+  __isset = other22.__isset;
 }
-ServiceLoad& ServiceLoad::operator=(const ServiceLoad& other31) {
-  serviceName = other31.serviceName;
-  keyCounts = other31.keyCounts;
-  backends = other31.backends;
-  __isset = other31.__isset;
+KeyCounts& KeyCounts::operator=(const KeyCounts& other23) {
+  serviceName = other23.serviceName;
+  counts = other23.counts;
+  __isset = other23.__isset;
   return *this;
 }
-void ServiceLoad::printTo(std::ostream& out) const {
+void KeyCounts::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ServiceLoad(";
+  out << "KeyCounts(";
   out << "serviceName=" << to_string(serviceName);
-  out << ", " << "keyCounts=" << to_string(keyCounts);
-  out << ", " << "backends=" << to_string(backends);
+  out << ", " << "counts=" << to_string(counts);
   out << ")";
 }
 
@@ -785,21 +633,21 @@
   swap(a.__isset, b.__isset);
 }
 
-SuspectRequest::SuspectRequest(const SuspectRequest& other32) {
-  fingerprint = other32.fingerprint;
-  crashes = other32.crashes;
-  quarantined = other32.quarantined;
-  expiresInMs = other32.expiresInMs;
-  reason = other32.reason;
-  __isset = other32.__isset;
-}
-SuspectRequest& SuspectRequest::operator=(const SuspectRequest& other33) {
-  fingerprint = other33.fingerprint;
-  crashes = other33.crashes;
-  quarantined = other33.quarantined;
-  expiresInMs = other33.expiresInMs;
-  reason = other33.reason;
-  __isset = other33.__isset;
+SuspectRequest::SuspectRequest(const SuspectRequest& other24) {
+  fingerprint = other24.fingerprint;
+  crashes = other24.crashes;
+  quarantined = other24.quarantined;
+  expiresInMs = other24.expiresInMs;
+  reason = other24.reason;
+  __isset = other24.__isset;
+}
+SuspectRequest& SuspectRequest::operator=(const SuspectRequest& other25) {
+  fingerprint = other25.fingerprint;
+  crashes = other25.crashes;
+  quarantined = other25.quarantined;
+  expiresInMs = other25.expiresInMs;
+  reason = other25.reason;
+  __isset = other25.__isset;
   return *this;
 }
 void SuspectRequest::printTo(std::ostream& out) const {
@@ -842,8 +690,8 @@
   this->keys = val;
 }
 
-void Gossip::__set_loads(const std::vector<ServiceLoad> & val) {
-  this->loads = val;
+void Gossip::__set_keyCounts(const std::vector<KeyCounts> & val) {
+  this->keyCounts = val;
 }
 
 void Gossip::__set_suspects(const std::vector<SuspectRequest> & val) {
@@ -854,8 +702,16 @@
   this->deadTerm = val;
 }
 
-void Gossip::__set_port(const int32_t val) {
-  this->port = val;
+void Gossip::__set_backendLoads(const std::vector<int32_t> & val) {
+  this->backendLoads = val;
+}
+
+void Gossip::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void Gossip::__set_wantsKeys(const bool val) {
+  this->wantsKeys = val;
 }
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
@@ -929,14 +785,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->keys.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->keys.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->keys[_i38].read(iprot);
+              xfer += this->keys[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -948,19 +804,19 @@
       case 7:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->loads.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _etype42;
-            xfer += iprot->readListBegin(_etype42, _size39);
-            this->loads.resize(_size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
+            this->keyCounts.clear();
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->keyCounts.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += this->loads[_i43].read(iprot);
+              xfer += this->keyCounts[_i35].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.loads = true;
+          this->__isset.keyCounts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -969,14 +825,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->suspects.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->suspects.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->suspects[_i48].read(iprot);
+              xfer += this->suspects[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -994,9 +850,37 @@
         }
         break;
       case 10:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->port);
-          this->__isset.port = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->backendLoads.clear();
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->backendLoads.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
+            {
+              xfer += iprot->readI32(this->backendLoads[_i45]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.backendLoads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wantsKeys);
+          this->__isset.wantsKeys = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1041,22 +925,22 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<OwnedKeys> ::const_iterator _iter49;
-    for (_iter49 = this->keys.begin(); _iter49 != this->keys.end(); ++_iter49)
+    std::vector<OwnedKeys> ::const_iterator _iter46;
+    for (_iter46 = this->keys.begin(); _iter46 != this->keys.end(); ++_iter46)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 7);
+  xfer += oprot->writeFieldBegin("keyCounts", ::apache::thrift::protocol::T_LIST, 7);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<ServiceLoad> ::const_iterator _iter50;
-    for (_iter50 = this->loads.begin(); _iter50 != this->loads.end(); ++_iter50)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keyCounts.size()));
+    std::vector<KeyCounts> ::const_iterator _iter47;
+    for (_iter47 = this->keyCounts.begin(); _iter47 != this->keyCounts.end(); ++_iter47)
     {
-      xfer += (*_iter50).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1065,10 +949,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<SuspectRequest> ::const_iterator _iter51;
-    for (_iter51 = this->suspects.begin(); _iter51 != this->suspects.end(); ++_iter51)
+    std::vector<SuspectRequest> ::const_iterator _iter48;
+    for (_iter48 = this->suspects.begin(); _iter48 != this->suspects.end(); ++_iter48)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter48).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1078,8 +962,24 @@
   xfer += oprot->writeI64(this->deadTerm);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 10);
-  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldBegin("backendLoads", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backendLoads.size()));
+    std::vector<int32_t> ::const_iterator _iter49;
+    for (_iter49 = this->backendLoads.begin(); _iter49 != this->backendLoads.end(); ++_iter49)
+    {
+      xfer += oprot->writeI32((*_iter49));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wantsKeys", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->wantsKeys);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1095,38 +995,44 @@
   swap(a.leading, b.leading);
   swap(a.configVersion, b.configVersion);
   swap(a.keys, b.keys);
-  swap(a.loads, b.loads);
+  swap(a.keyCounts, b.keyCounts);
   swap(a.suspects, b.suspects);
   swap(a.deadTerm, b.deadTerm);
-  swap(a.port, b.port);
+  swap(a.backendLoads, b.backendLoads);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.wantsKeys, b.wantsKeys);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other52) {
-  instance = other52.instance;
-  bootId = other52.bootId;
-  term = other52.term;
-  leading = other52.leading;
-  configVersion = other52.configVersion;
-  keys = other52.keys;
-  loads = other52.loads;
-  suspects = other52.suspects;
-  deadTerm = other52.deadTerm;
-  port = other52.port;
-  __isset = other52.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other53) {
-  instance = other53.instance;
-  bootId = other53.bootId;
-  term = other53.term;
-  leading = other53.leading;
-  configVersion = other53.configVersion;
-  keys = other53.keys;
-  loads = other53.loads;
-  suspects = other53.suspects;
-  deadTerm = other53.deadTerm;
-  port = other53.port;
-  __isset = other53.__isset;
+Gossip::Gossip(const Gossip& other50) {
+  instance = other50.instance;
+  bootId = other50.bootId;
+  term = other50.term;
+  leading = other50.leading;
+  configVersion = other50.configVersion;
+  keys = other50.keys;
+  keyCounts = other50.keyCounts;
+  suspects = other50.suspects;
+  deadTerm = other50.deadTerm;
+  backendLoads = other50.backendLoads;
+  failureDomain = other50.failureDomain;
+  wantsKeys = other50.wantsKeys;
+  __isset = other50.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other51) {
+  instance = other51.instance;
+  bootId = other51.bootId;
+  term = other51.term;
+  leading = other51.leading;
+  configVersion = other51.configVersion;
+  keys = other51.keys;
+  keyCounts = other51.keyCounts;
+  suspects = other51.suspects;
+  deadTerm = other51.deadTerm;
+  backendLoads = other51.backendLoads;
+  failureDomain = other51.failureDomain;
+  wantsKeys = other51.wantsKeys;
+  __isset = other51.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -1138,10 +1044,12 @@
   out << ", " << "leading=" << to_string(leading);
   out << ", " << "configVersion=" << to_string(configVersion);
   out << ", " << "keys=" << to_string(keys);
-  out << ", " << "loads=" << to_string(loads);
+  out << ", " << "keyCounts=" << to_string(keyCounts);
   out << ", " << "suspects=" << to_string(suspects);
   out << ", " << "deadTerm=" << to_string(deadTerm);
-  out << ", " << "port=" << to_string(port);
+  out << ", " << "backendLoads=" << to_string(backendLoads);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "wantsKeys=" << to_string(wantsKeys);
   out << ")";
 }
 
--- a/wire/gen-cpp/gossip_types.h
+++ b/wire/gen-cpp/gossip_types.h
@@ -25,9 +25,7 @@
 
 class OwnedKeys;
 
-class BackendMeasure;
-
-class ServiceLoad;
+class KeyCounts;
 
 class SuspectRequest;
 
@@ -159,100 +157,44 @@
 
 std::ostream& operator<<(std::ostream& out, const OwnedKeys& obj);
 
-typedef struct _BackendMeasure__isset {
-  _BackendMeasure__isset() : id(false), workUs(false) {}
-  bool id :1;
-  bool workUs :1;
-} _BackendMeasure__isset;
-
-class BackendMeasure : public virtual ::apache::thrift::TBase {
- public:
-
-  BackendMeasure(const BackendMeasure&);
-  BackendMeasure& operator=(const BackendMeasure&);
-  BackendMeasure() noexcept
-                 : id(),
-                   workUs(0) {
-  }
-
-  virtual ~BackendMeasure() noexcept;
-  std::string id;
-  int32_t workUs;
-
-  _BackendMeasure__isset __isset;
-
-  void __set_id(const std::string& val);
-
-  void __set_workUs(const int32_t val);
-
-  bool operator == (const BackendMeasure & rhs) const
-  {
-    if (!(id == rhs.id))
-      return false;
-    if (!(workUs == rhs.workUs))
-      return false;
-    return true;
-  }
-  bool operator != (const BackendMeasure &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const BackendMeasure & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(BackendMeasure &a, BackendMeasure &b);
-
-std::ostream& operator<<(std::ostream& out, const BackendMeasure& obj);
-
-typedef struct _ServiceLoad__isset {
-  _ServiceLoad__isset() : serviceName(false), keyCounts(false), backends(false) {}
+typedef struct _KeyCounts__isset {
+  _KeyCounts__isset() : serviceName(false), counts(false) {}
   bool serviceName :1;
-  bool keyCounts :1;
-  bool backends :1;
-} _ServiceLoad__isset;
+  bool counts :1;
+} _KeyCounts__isset;
 
-class ServiceLoad : public virtual ::apache::thrift::TBase {
+class KeyCounts : public virtual ::apache::thrift::TBase {
  public:
 
-  ServiceLoad(const ServiceLoad&);
-  ServiceLoad& operator=(const ServiceLoad&);
-  ServiceLoad() noexcept
-              : serviceName() {
+  KeyCounts(const KeyCounts&);
+  KeyCounts& operator=(const KeyCounts&);
+  KeyCounts() noexcept
+            : serviceName() {
   }
 
-  virtual ~ServiceLoad() noexcept;
+  virtual ~KeyCounts() noexcept;
   std::string serviceName;
-  std::vector<int32_t>  keyCounts;
-  std::vector<BackendMeasure>  backends;
+  std::vector<int32_t>  counts;
 
-  _ServiceLoad__isset __isset;
+  _KeyCounts__isset __isset;
 
   void __set_serviceName(const std::string& val);
 
-  void __set_keyCounts(const std::vector<int32_t> & val);
+  void __set_counts(const std::vector<int32_t> & val);
 
-  void __set_backends(const std::vector<BackendMeasure> & val);
-
-  bool operator == (const ServiceLoad & rhs) const
+  bool operator == (const KeyCounts & rhs) const
   {
     if (!(serviceName == rhs.serviceName))
       return false;
-    if (!(keyCounts == rhs.keyCounts))
-      return false;
-    if (!(backends == rhs.backends))
+    if (!(counts == rhs.counts))
       return false;
     return true;
   }
-  bool operator != (const ServiceLoad &rhs) const {
+  bool operator != (const KeyCounts &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ServiceLoad & ) const;
+  bool operator < (const KeyCounts & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -260,9 +202,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ServiceLoad &a, ServiceLoad &b);
+void swap(KeyCounts &a, KeyCounts &b);
 
-std::ostream& operator<<(std::ostream& out, const ServiceLoad& obj);
+std::ostream& operator<<(std::ostream& out, const KeyCounts& obj);
 
 typedef struct _SuspectRequest__isset {
   _SuspectRequest__isset() : fingerprint(false), crashes(false), quarantined(false), expiresInMs(false), reason(false) {}
@@ -336,17 +278,19 @@
 std::ostream& operator<<(std::ostream& out, const SuspectRequest& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), loads(false), suspects(false), deadTerm(false), port(false) {}
+  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), wantsKeys(false) {}
   bool instance :1;
   bool bootId :1;
   bool term :1;
   bool leading :1;
   bool configVersion :1;
   bool keys :1;
-  bool loads :1;
+  bool keyCounts :1;
   bool suspects :1;
   bool deadTerm :1;
-  bool port :1;
+  bool backendLoads :1;
+  bool failureDomain :1;
+  bool wantsKeys :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -361,7 +305,8 @@
            leading(0),
            configVersion(0),
            deadTerm(0),
-           port(0) {
+           failureDomain(),
+           wantsKeys(0) {
   }
 
   virtual ~Gossip() noexcept;
@@ -371,10 +316,12 @@
   bool leading;
   int64_t configVersion;
   std::vector<OwnedKeys>  keys;
-  std::vector<ServiceLoad>  loads;
+  std::vector<KeyCounts>  keyCounts;
   std::vector<SuspectRequest>  suspects;
   int64_t deadTerm;
-  int32_t port;
+  std::vector<int32_t>  backendLoads;
+  std::string failureDomain;
+  bool wantsKeys;
 
   _Gossip__isset __isset;
 
@@ -390,13 +337,17 @@
 
   void __set_keys(const std::vector<OwnedKeys> & val);
 
-  void __set_loads(const std::vector<ServiceLoad> & val);
+  void __set_keyCounts(const std::vector<KeyCounts> & val);
 
   void __set_suspects(const std::vector<SuspectRequest> & val);
 
   void __set_deadTerm(const int64_t val);
 
-  void __set_port(const int32_t val);
+  void __set_backendLoads(const std::vector<int32_t> & val);
+
+  void __set_failureDomain(const std::string& val);
+
+  void __set_wantsKeys(const bool val);
 
   bool operator == (const Gossip & rhs) const
   {
@@ -412,13 +363,17 @@
       return false;
     if (!(keys == rhs.keys))
       return false;
-    if (!(loads == rhs.loads))
+    if (!(keyCounts == rhs.keyCounts))
       return false;
     if (!(suspects == rhs.suspects))
       return false;
     if (!(deadTerm == rhs.deadTerm))
       return false;
-    if (!(port == rhs.port))
+    if (!(backendLoads == rhs.backendLoads))
+      return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(wantsKeys == rhs.wantsKeys))
       return false;
     return true;
   }
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -17,16 +17,10 @@
   3: list<OwnedRange> ranges
 }
 
-struct BackendMeasure {
-  1: string id
-  2: i32 workUs // mean time of a request that did not queue
-}
-
-// What one gateway saw since its last report.
-struct ServiceLoad {
+// Requests of each key since the sender's last report.
+struct KeyCounts {
   1: string serviceName
-  2: list<i32> keyCounts // key, requests, key, requests, ...
-  3: list<BackendMeasure> backends
+  2: list<i32> counts // key, requests, key, requests, ...
 }
 
 // Request that may crash the backend servers that run it.
@@ -45,8 +39,12 @@
   4: bool leading
   5: i64 configVersion
   6: list<OwnedKeys> keys
-  7: list<ServiceLoad> loads
+  7: list<KeyCounts> keyCounts
   8: list<SuspectRequest> suspects
-  9: i64 deadTerm // the sender led this term in an earlier life, or has stopped
-  10: i32 port // where the sender receives datagrams
+  9: i64 deadTerm // the sender led this term and has stopped
+  // Backend servers that answered since the last report, three numbers each:
+  // XXH32 of the id; mean work time in us, 0 when not known; requests there.
+  10: list<i32> backendLoads
+  11: string failureDomain
+  12: bool wantsKeys // the sender has just started and knows no owners
 }
