Let new connections settle, sample foreign servers, let large instances lead

Change: a non-idempotent request waits 4 ms on a new connection; the best of a few drawn servers is taken; candidates are ranked by processor share; grants last 4 s with over 120 servers.

--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -16,6 +16,9 @@
 /// a second, which is too late for most requests.
 constexpr TimeMs kConnectTimeoutMs = 300;
 constexpr TimeMs kDownMs = 400;
+/// A reset of a new connection arrives within a round trip of at most 2 ms and
+/// the 1 ms that a server needs for the connection.
+constexpr TimeMs kSettleMs = 4;
 constexpr TimeMs kMaxDownMs = 1500;
 /// Idle connections are closed this long before the server would do it.
 constexpr TimeMs kIdleMarginMs = 1500;
@@ -34,7 +37,7 @@
   : pool_(aPool)
   , backend_(std::move(aBackend))
   , stream_(aPool.loop_, *this)
-  , connectTimer_(aPool.loop_, [this] { OnConnectTimeout(); })
+  , timer_(aPool.loop_, [this] { OnTimer(); })
   , parser_(HttpRole::Answer, detail::kMaxAnswerHeadBytes)
   , idleTimeoutMs_(detail::kDefaultIdleMs)
 {
@@ -44,7 +47,8 @@
                         std::string aHead,
                         std::string_view aBody,
                         std::string aRequestId,
-                        bool aExpectsBody)
+                        bool aExpectsBody,
+                        bool aSettle)
 {
   handler_ = &aHandler;
   busy_ = true;
@@ -69,10 +73,20 @@
       });
       return;
     }
-    connectTimer_.Start(detail::kConnectTimeoutMs);
+    timer_.Start(detail::kConnectTimeoutMs);
   }
   aHead.append(aBody);
-  stream_.Write(aHead);
+  if (aSettle && !stream_.IsConnected()) {
+    unsent_ = std::move(aHead);
+  } else {
+    stream_.Write(aHead);
+  }
+}
+
+void BackendLink::SendRequest()
+{
+  const auto request = std::exchange(unsent_, {});
+  stream_.Write(request);
 }
 
 void BackendLink::Cancel()
@@ -80,7 +94,7 @@
   handler_ = nullptr;
   if (busy_) {
     stream_.Abort();
-    connectTimer_.Stop();
+    timer_.Stop();
     Leave();
     pool_.Release(shared_from_this(), false);
   }
@@ -99,13 +113,20 @@
 
 void BackendLink::OnConnected()
 {
-  connectTimer_.Stop();
+  timer_.Stop();
   backend_->connectFailures_ = 0;
   backend_->downUntilMs_ = 0;
+  if (!unsent_.empty()) {
+    timer_.Start(detail::kSettleMs);
+  }
 }
 
-void BackendLink::OnConnectTimeout()
+void BackendLink::OnTimer()
 {
+  if (stream_.IsConnected()) {
+    SendRequest();
+    return;
+  }
   pool_.OnConnectFailed(*backend_, "time-out");
   Fail(AttemptEnd::NotSent, "connect time-out");
 }
@@ -230,7 +251,7 @@
 void BackendLink::OnStreamClosed(CloseReason aReason)
 {
   const auto self = shared_from_this();
-  connectTimer_.Stop();
+  timer_.Stop();
   if (!busy_) {
     pool_.Release(self, false);
     return;
@@ -256,7 +277,7 @@
     return;
   }
   const auto self = shared_from_this();
-  connectTimer_.Stop();
+  timer_.Stop();
   backend_->load_.OnFailed(pool_.loop_.NowMs());
   auto* handler = std::exchange(handler_, nullptr);
   Leave();
@@ -269,6 +290,7 @@
 
 void BackendLink::Leave()
 {
+  unsent_.clear();
   if (busy_) {
     busy_ = false;
     backend_->load_.OnEnded();
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -53,13 +53,17 @@
 public:
   BackendLink(BackendPool& aPool, std::shared_ptr<Backend> aBackend);
 
-  /// Starts an attempt. aHandler stays valid until it was told of an end, or
+  /// Starts an attempt. aSettle: a new connection is left alone for a moment
+  /// before it carries the request, because a server that has too many resets
+  /// it at once; a request that was sent by then may not be sent again.
+  /// aHandler stays valid until it was told of an end, or
   /// until Detach or Cancel.
   void Start(AttemptHandler& aHandler,
              std::string aHead,
              std::string_view aBody,
              std::string aRequestId,
-             bool aExpectsBody);
+             bool aExpectsBody,
+             bool aSettle);
   /// Closes the connection, so that the server drops the request.
   void Cancel();
   /// Lets the request run to its end without anybody listening.
@@ -74,7 +78,8 @@
   void OnConnected() override;
   void OnInput() override;
   void OnStreamClosed(CloseReason aReason) override;
-  void OnConnectTimeout();
+  void OnTimer();
+  void SendRequest();
   void ReadAnswers();
   bool TakeHead();
   void FinishAnswer(bool aReusable);
@@ -84,7 +89,7 @@
   BackendPool& pool_;
   std::shared_ptr<Backend> backend_;
   TcpStream stream_;
-  Timer connectTimer_;
+  Timer timer_;
   HttpParser parser_;
   std::string body_;
   AttemptHandler* handler_ = nullptr;
@@ -95,6 +100,7 @@
   bool answerKeepsAlive_ = false;
   bool expectsBody_ = true;
   std::string requestId_;
+  std::string unsent_; ///< request that waits for the connection to settle
   uint64_t sentBefore_ = 0;
   uint64_t requestBytes_ = 0;
   TimeMs sentMs_ = 0;
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -242,7 +242,8 @@
               RequestHead(*backend),
               body_,
               caller_.requestId_,
-              head_.method_ != "HEAD");
+              head_.method_ != "HEAD",
+              !IsIdempotent());
 }
 
 void ForwardedRequest::OnAnswerHead(HttpHead& aHead, const AnswerInfo& aInfo)
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -22,6 +22,10 @@
 constexpr TimeMs kMoveRetryMs = 60;
 /// A move of keys is over within this time, where both servers answer.
 constexpr double kMoveHoldShare = 0.4;
+/// Servers of other gateways that are compared for one request. All gateways
+/// share the same reports, so all of them would choose the same best server;
+/// the best of a few drawn ones spreads them.
+constexpr size_t kForeignSample = 6;
 
 }
 
@@ -41,6 +45,7 @@
           [this](const Backend& aBackend) { OnBackendDown(aBackend); })
   , quarantine_({ .expiryMs_ = detail::kQuarantineMs })
   , parkTimer_(aLoop, [this] { PumpParked(); })
+  , random_(std::random_device{}())
 {
 }
 
@@ -138,12 +143,14 @@
   std::vector<PlacementCandidate> candidates;
   std::vector<BackendPool::BackendPtr> usable;
   for (const auto& backend : backends) {
-    if (backend->IsUsable()) {
-      candidates.push_back(
-        Describe(*backend, aRequest, choice.maxConnections_));
+    if (backend->IsUsable() && backend->home_) {
       usable.push_back(backend);
     }
   }
+  AddSample(backends, usable);
+  for (const auto& backend : usable) {
+    candidates.push_back(Describe(*backend, aRequest, choice.maxConnections_));
+  }
   const auto& route = *aRequest.GetRoute();
   const auto decision = Place(options_,
                               { aRequest.RemainingMs(),
@@ -160,6 +167,31 @@
   return choice;
 }
 
+void Forwarder::AddSample(const std::vector<BackendPool::BackendPtr>& aAll,
+                          std::vector<BackendPool::BackendPtr>& aUsable)
+{
+  const auto wanted = aUsable.size() + detail::kForeignSample;
+  if (aAll.size() <= wanted + detail::kForeignSample) {
+    for (const auto& backend : aAll) {
+      if (backend->IsUsable() && !backend->home_) {
+        aUsable.push_back(backend);
+      }
+    }
+    return;
+  }
+  std::uniform_int_distribution<size_t> pick(0, aAll.size() - 1);
+  // Draws may hit a home or a leaving server; twice as many are enough.
+  for (size_t draw = 0;
+       draw < 2 * detail::kForeignSample && aUsable.size() < wanted;
+       ++draw) {
+    const auto& backend = aAll[pick(random_)];
+    if (backend->IsUsable() && !backend->home_ &&
+        std::ranges::find(aUsable, backend) == aUsable.end()) {
+      aUsable.push_back(backend);
+    }
+  }
+}
+
 Choice Forwarder::ChooseOwner(const ForwardedRequest& aRequest,
                               const ServiceSpec& aService)
 {
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -15,6 +15,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -100,6 +101,9 @@
                      const ServiceSpec& aService);
   Choice ChooseAny(const ForwardedRequest& aRequest,
                    const ServiceSpec& aService);
+  /// Adds servers that are not homes: all of a few, else some drawn at random.
+  void AddSample(const std::vector<BackendPool::BackendPtr>& aAll,
+                 std::vector<BackendPool::BackendPtr>& aUsable);
   PlacementCandidate Describe(const Backend& aBackend,
                               const ForwardedRequest& aRequest,
                               size_t aMaxConnections) const;
@@ -129,6 +133,7 @@
   Timer parkTimer_;
   KeyCounts keyCounts_;
   std::vector<Suspect> suspects_;
+  std::minstd_rand random_;
 };
 
 }
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -116,6 +116,7 @@
               store_,
               mesh_,
               { settings_.instance_, bootId_ },
+              settings_.cpuPercent_,
               { [this](int64_t aTerm) {
                  director_.Start(aTerm);
                  gossip_.OnLeadershipChanged();
@@ -137,7 +138,10 @@
                 },
                 [this](std::string_view aCause) { election_.Resign(aCause); } })
   , gossip_(aLoop,
-            { settings_.instance_, settings_.failureDomain_, bootId_ },
+            { settings_.instance_,
+              settings_.failureDomain_,
+              bootId_,
+              settings_.cpuPercent_ },
             mesh_,
             election_,
             director_,
--- a/gateway/GatewaySettings.cpp
+++ b/gateway/GatewaySettings.cpp
@@ -61,6 +61,11 @@
             "longest grant of keys that backend servers accept, ms",
             detail::kMinHoldMs,
             detail::kMaxDurationMs),
+    integer("cpu-percent",
+            "100",
+            "processor of this instance, percent of a core",
+            1,
+            100000),
     { "log-level", SettingType::Text, "info", "debug, info, warning or error" },
   };
 }
@@ -90,6 +95,7 @@
   settings.retryExtra_ = static_cast<double>(aSettings.Integer("retry-extra"));
   settings.graceMs_ = aSettings.Integer("grace-ms");
   settings.maxHoldMs_ = aSettings.Integer("max-hold-ms");
+  settings.cpuPercent_ = static_cast<int>(aSettings.Integer("cpu-percent"));
   settings.logLevel_ =
     ParseEnum<LogLevel>(aSettings.Text("log-level")).value_or(LogLevel::Info);
   return settings;
--- a/gateway/GatewaySettings.hpp
+++ b/gateway/GatewaySettings.hpp
@@ -23,6 +23,7 @@
   double retryExtra_ = 0; ///< and beyond that, all gateways together
   TimeMs graceMs_ = 0;    ///< from SIGTERM to the end of the process
   TimeMs maxHoldMs_ = 0;  ///< longest grant that backend servers accept
+  int cpuPercent_ = 100;  ///< of a core; larger instances lead first
   LogLevel logLevel_ = LogLevel::Info;
 };
 
--- a/gateway/GossipDuty.cpp
+++ b/gateway/GossipDuty.cpp
@@ -54,6 +54,7 @@
   gossip.instance = self_.instance_;
   gossip.failureDomain = self_.failureDomain_;
   gossip.bootId = self_.bootId_;
+  gossip.cpuPercent = self_.cpuPercent_;
   gossip.term = election_.HighestTerm();
   gossip.leading = election_.IsLeading();
   gossip.configVersion = handlers_.configVersion_();
--- a/gateway/GossipDuty.hpp
+++ b/gateway/GossipDuty.hpp
@@ -23,6 +23,7 @@
     std::string instance_;
     std::string failureDomain_;
     int64_t bootId_ = 0;
+    int cpuPercent_ = 100;
   };
   struct Handlers
   {
--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -26,6 +26,11 @@
 constexpr double kColdCapacity = 0.6;
 constexpr double kMinRate = 5;
 constexpr double kDefaultWorkMs = 100;
+/// With many owners the loss of one concerns few keys, and renewals cost the
+/// leader processor time: its grants last longer.
+constexpr size_t kLargeFleet = 120;
+constexpr TimeMs kLargeFleetHoldMs = 4000;
+constexpr TimeMs kLargeFleetRenewMs = 1300;
 
 }
 
@@ -127,7 +132,7 @@
     return;
   }
   for (auto& [name, segments] : table.services_) {
-    auto ownership = std::make_unique<KeyOwnership>(name, timing_);
+    auto ownership = std::make_unique<KeyOwnership>(name, Timing());
     ownership->Adopt(
       std::move(segments), [this] { return NextFence(); }, loop_.NowMs());
     services_[name] = std::move(ownership);
@@ -168,6 +173,16 @@
   UpdateCandidates();
 }
 
+GrantTiming KeyDirector::Timing() const
+{
+  GrantTiming timing;
+  if (backends_.size() > detail::kLargeFleet) {
+    timing.holdMs_ = detail::kLargeFleetHoldMs;
+    timing.renewMs_ = detail::kLargeFleetRenewMs;
+  }
+  return timing;
+}
+
 double KeyDirector::MeanWorkMs(const std::string& aService) const
 {
   double sum = 0;
@@ -192,7 +207,7 @@
   for (const auto& name : keyedServices_) {
     auto& ownership = services_[name];
     if (ownership == nullptr) {
-      ownership = std::make_unique<KeyOwnership>(name, timing_);
+      ownership = std::make_unique<KeyOwnership>(name, Timing());
     }
     const double meanMs = MeanWorkMs(name);
     std::map<std::string, OwnerCandidate> candidates;
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -78,6 +78,7 @@
   void ReportChanges();
   std::vector<KeyOwnership::Move> PlanMoves(const std::string& aService,
                                             const KeyOwnership& aOwnership);
+  GrantTiming Timing() const;
   int64_t NextFence();
 
   EventLoop& loop_;
@@ -90,7 +91,6 @@
   Timer timer_;
   Timer retryTimer_;
   std::function<void()> retry_;
-  GrantTiming timing_;
   bool running_ = false;
   bool loaded_ = false; ///< the table of the earlier leader was taken over
   uint64_t run_ = 0;    ///< answers of earlier runs are ignored
--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -24,12 +24,14 @@
                                StoreLink& aStore,
                                const PeerMesh& aPeers,
                                LeaderLife aSelf,
+                               int aCpuPercent,
                                Handlers aHandlers)
   : loop_(aLoop)
   , log_(aLog)
   , store_(aStore)
   , peers_(aPeers)
   , self_(std::move(aSelf))
+  , cpuPercent_(aCpuPercent)
   , handlers_(std::move(aHandlers))
   , timer_(aLoop, [this] { Tick(); })
 {
@@ -108,22 +110,34 @@
 
 TimeMs LeaderElection::RankDelayMs() const
 {
-  const auto weight = [&](const std::string& aInstance) {
-    return XXH3_64bits_withSeed(
-      aInstance.data(), aInstance.size(), static_cast<uint64_t>(highestTerm_));
+  // Larger instances first, then in an order that differs with each term.
+  const auto weight = [&](const std::string& aInstance, int aCpuPercent) {
+    return std::pair(-aCpuPercent,
+                     XXH3_64bits_withSeed(aInstance.data(),
+                                          aInstance.size(),
+                                          static_cast<uint64_t>(highestTerm_)));
   };
-  const auto own = weight(self_.instance_);
+  const auto own = weight(self_.instance_, cpuPercent_);
   const TimeMs nowMs = loop_.NowMs();
   const auto before =
     std::ranges::count_if(peers_.Peers(), [&](const auto& aEntry) {
       return aEntry.first != self_.instance_ && aEntry.second.heardMs_ != 0 &&
              nowMs - aEntry.second.heardMs_ < PeerMesh::kAliveMs &&
-             aEntry.first != leader_ && weight(aEntry.first) < own;
+             aEntry.first != leader_ &&
+             weight(aEntry.first, aEntry.second.cpuPercent_) < own;
     });
   constexpr TimeMs kMostDelayMs = 2000;
   return std::min<TimeMs>(before * LeaderTiming::kRankStepMs, kMostDelayMs);
 }
 
+TimeMs LeaderElection::FirstSilenceMs() const
+{
+  constexpr int kWholeCore = 100;
+  const int lacking = std::max(0, kWholeCore - cpuPercent_);
+  return LeaderTiming::kFirstSilenceMs +
+         LeaderTiming::kSmallInstanceMs * lacking / kWholeCore;
+}
+
 bool LeaderElection::ShouldTry() const
 {
   if (retired_ || !store_.IsReachable()) {
@@ -132,7 +146,7 @@
   const TimeMs nowMs = loop_.NowMs();
   const TimeMs silenceMs = nowMs - heardMs_;
   const TimeMs neededMs =
-    everHeard_ ? LeaderTiming::kSilenceMs : LeaderTiming::kFirstSilenceMs;
+    everHeard_ ? LeaderTiming::kSilenceMs : FirstSilenceMs();
   if (silenceMs < neededMs + RankDelayMs()) {
     return false;
   }
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -34,6 +34,9 @@
   /// A gateway that hears almost nobody is probably cut off itself.
   static constexpr TimeMs kIsolatedSilenceMs = 5000;
   static constexpr TimeMs kFirstSilenceMs = 400;
+  /// At the first start nobody knows the others: small instances wait longer,
+  /// in proportion to what they lack of a whole core.
+  static constexpr TimeMs kSmallInstanceMs = 1500;
 };
 
 /// Election of the one gateway that assigns keys, by conditional updates of one
@@ -54,6 +57,7 @@
                  StoreLink& aStore,
                  const PeerMesh& aPeers,
                  LeaderLife aSelf,
+                 int aCpuPercent,
                  Handlers aHandlers);
 
   void Start();
@@ -85,6 +89,7 @@
   void Tick();
   bool ShouldTry() const;
   TimeMs RankDelayMs() const;
+  TimeMs FirstSilenceMs() const;
   void Acquire();
   void OnRead(const StoreAnswer& aAnswer);
   void OnWritten(const StoreAnswer& aAnswer, TimeMs aSentMs);
@@ -102,6 +107,7 @@
   StoreLink& store_;
   const PeerMesh& peers_;
   LeaderLife self_;
+  int cpuPercent_;
   Handlers handlers_;
   Timer timer_;
   State state_ = State::Following;
--- a/gateway/PeerMesh.cpp
+++ b/gateway/PeerMesh.cpp
@@ -120,6 +120,7 @@
   peer.term_ = aGossip.term;
   peer.leading_ = aGossip.leading;
   peer.failureDomain_ = aGossip.failureDomain;
+  peer.cpuPercent_ = aGossip.cpuPercent;
   peer.heardMs_ = loop_.NowMs();
 }
 
--- a/gateway/PeerMesh.hpp
+++ b/gateway/PeerMesh.hpp
@@ -24,6 +24,7 @@
   int64_t term_ = 0;
   bool leading_ = false;
   std::string failureDomain_;
+  int cpuPercent_ = 0;
   TimeMs heardMs_ = 0; ///< 0: never
 };
 
--- a/wire/gen-cpp/gossip_types.cpp
+++ b/wire/gen-cpp/gossip_types.cpp
@@ -710,6 +710,10 @@
   this->failureDomain = val;
 }
 
+void Gossip::__set_cpuPercent(const int32_t val) {
+  this->cpuPercent = val;
+}
+
 void Gossip::__set_wantsKeys(const bool val) {
   this->wantsKeys = val;
 }
@@ -877,6 +881,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cpuPercent);
+          this->__isset.cpuPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->wantsKeys);
@@ -982,6 +994,10 @@
   xfer += oprot->writeBool(this->wantsKeys);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cpuPercent", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->cpuPercent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1000,6 +1016,7 @@
   swap(a.deadTerm, b.deadTerm);
   swap(a.backendLoads, b.backendLoads);
   swap(a.failureDomain, b.failureDomain);
+  swap(a.cpuPercent, b.cpuPercent);
   swap(a.wantsKeys, b.wantsKeys);
   swap(a.__isset, b.__isset);
 }
@@ -1016,6 +1033,7 @@
   deadTerm = other50.deadTerm;
   backendLoads = other50.backendLoads;
   failureDomain = other50.failureDomain;
+  cpuPercent = other50.cpuPercent;
   wantsKeys = other50.wantsKeys;
   __isset = other50.__isset;
 }
@@ -1031,6 +1049,7 @@
   deadTerm = other51.deadTerm;
   backendLoads = other51.backendLoads;
   failureDomain = other51.failureDomain;
+  cpuPercent = other51.cpuPercent;
   wantsKeys = other51.wantsKeys;
   __isset = other51.__isset;
   return *this;
@@ -1049,6 +1068,7 @@
   out << ", " << "deadTerm=" << to_string(deadTerm);
   out << ", " << "backendLoads=" << to_string(backendLoads);
   out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "cpuPercent=" << to_string(cpuPercent);
   out << ", " << "wantsKeys=" << to_string(wantsKeys);
   out << ")";
 }
--- a/wire/gen-cpp/gossip_types.h
+++ b/wire/gen-cpp/gossip_types.h
@@ -278,7 +278,7 @@
 std::ostream& operator<<(std::ostream& out, const SuspectRequest& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), wantsKeys(false) {}
+  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), wantsKeys(false) {}
   bool instance :1;
   bool bootId :1;
   bool term :1;
@@ -290,6 +290,7 @@
   bool deadTerm :1;
   bool backendLoads :1;
   bool failureDomain :1;
+  bool cpuPercent :1;
   bool wantsKeys :1;
 } _Gossip__isset;
 
@@ -306,6 +307,7 @@
            configVersion(0),
            deadTerm(0),
            failureDomain(),
+           cpuPercent(0),
            wantsKeys(0) {
   }
 
@@ -321,6 +323,7 @@
   int64_t deadTerm;
   std::vector<int32_t>  backendLoads;
   std::string failureDomain;
+  int32_t cpuPercent;
   bool wantsKeys;
 
   _Gossip__isset __isset;
@@ -347,6 +350,8 @@
 
   void __set_failureDomain(const std::string& val);
 
+  void __set_cpuPercent(const int32_t val);
+
   void __set_wantsKeys(const bool val);
 
   bool operator == (const Gossip & rhs) const
@@ -373,6 +378,8 @@
       return false;
     if (!(failureDomain == rhs.failureDomain))
       return false;
+    if (!(cpuPercent == rhs.cpuPercent))
+      return false;
     if (!(wantsKeys == rhs.wantsKeys))
       return false;
     return true;
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -46,5 +46,6 @@
   // XXH32 of the id; mean work time in us, 0 when not known; requests there.
   10: list<i32> backendLoads
   11: string failureDomain
+  13: i32 cpuPercent // of a core; larger instances lead first
   12: bool wantsKeys // the sender has just started and knows no owners
 }
