Send orders to a server over its open connections

Change: at most three orders to a server at a time, grants first; only an unanswered order makes open connections suspect.

--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -26,6 +26,9 @@
 constexpr double kColdCapacity = 0.6;
 constexpr double kMinRate = 5;
 constexpr double kDefaultWorkMs = 100;
+/// Orders to one server at a time: a release waits for running work, and must
+/// not keep a renewal back.
+constexpr int kOrdersPerServer = 3;
 /// With many owners the loss of one concerns few keys, and renewals cost the
 /// leader processor time: its grants last longer.
 constexpr size_t kLargeFleet = 120;
@@ -75,6 +78,7 @@
   fences_ = 0;
   services_.clear();
   reported_.clear();
+  lanes_.clear();
   Read();
   timer_.Start(detail::kDirectorTickMs);
 }
@@ -87,6 +91,7 @@
   retryTimer_.Stop();
   services_.clear();
   loads_.clear();
+  lanes_.clear();
 }
 
 void KeyDirector::OnForeignEnded()
@@ -388,7 +393,10 @@
       continue;
     }
     for (const auto& segment : segments) {
-      if (!segment.previous_.empty()) {
+      const auto* before =
+        FindSegment(found->second->Segments(), segment.first_);
+      if (before != nullptr && before->owner_ != segment.owner_ &&
+          !segment.previous_.empty()) {
         log_.Write(LogLevel::Info,
                    "keys-moved",
                    { { "service", name },
@@ -422,6 +430,31 @@
 }
 
 void KeyDirector::SendOrder(const KeyOrder& aOrder)
+{
+  // An overloaded server resets new connections, so its orders share the few
+  // that are open; grants go first, because holds run out.
+  auto& lane = lanes_[aOrder.backend_];
+  if (aOrder.kind_ == OrderKind::Grant) {
+    lane.waiting_.push_front(aOrder);
+  } else {
+    lane.waiting_.push_back(aOrder);
+  }
+  SendWaiting(aOrder.backend_);
+}
+
+void KeyDirector::SendWaiting(const std::string& aBackend)
+{
+  auto& lane = lanes_[aBackend];
+  while (lane.inFlight_ < detail::kOrdersPerServer && !lane.waiting_.empty()) {
+    auto order = lane.waiting_.front();
+    lane.waiting_.pop_front();
+    ++lane.inFlight_;
+    order.sentMs_ = loop_.NowMs();
+    SendNow(order);
+  }
+}
+
+void KeyDirector::SendNow(const KeyOrder& aOrder)
 {
   const auto address = addresses_.find(aOrder.backend_);
   if (address == addresses_.end()) {
@@ -447,11 +480,15 @@
 {
   std::string handover;
   const auto result = protocol_.ReadResult(aResult, handover);
-  const bool answered = result == OrderResult::Accepted;
-  if (answered) {
-    failing_.erase(aOrder.backend_);
-  } else {
+  --lanes_[aOrder.backend_].inFlight_;
+  // A silent connection says nothing good of its idle siblings. One that could
+  // not be opened does not speak against those that are.
+  if (result == OrderResult::Unanswered) {
     failing_.insert(aOrder.backend_);
+  } else {
+    failing_.erase(aOrder.backend_);
+  }
+  if (result != OrderResult::Accepted) {
     log_.Write(LogLevel::Warning,
                "order-failed",
                { { "order", EnumName(aOrder.kind_) },
@@ -472,6 +509,7 @@
     }
     ReportChanges();
   }
+  SendWaiting(aOrder.backend_);
 }
 
 void KeyDirector::ReportChanges()
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -10,6 +10,7 @@
 #include "policy/LoadBoard.hpp"
 #include "routing/RoutingConfig.hpp"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -60,6 +61,13 @@
   }
 
 private:
+  /// Orders to one server.
+  struct Lane
+  {
+    int inFlight_ = 0;
+    std::deque<KeyOrder> waiting_;
+  };
+
   void Tick();
   void RetryLater(std::function<void()> aTask);
   void Read();
@@ -71,6 +79,8 @@
   void OnCommitted(int64_t aRevision);
   void SendOrders();
   void SendOrder(const KeyOrder& aOrder);
+  void SendWaiting(const std::string& aBackend);
+  void SendNow(const KeyOrder& aOrder);
   void OnOrderDone(const KeyOrder& aOrder, const CallResult& aResult);
   void UpdateCandidates();
   /// Of a request of the service, over its measured servers.
@@ -107,7 +117,8 @@
   std::map<std::string, TimeMs> warmAtMs_;
   /// Addresses also of servers whose registration is gone: they may hold keys.
   std::map<std::string, Endpoint> addresses_;
-  std::set<std::string> failing_; ///< servers whose last order failed
+  std::set<std::string> failing_; ///< servers whose last order went unanswered
+  std::map<std::string, Lane> lanes_;
   std::map<std::string, std::unique_ptr<KeyOwnership>> services_;
   std::map<std::string, uint64_t> reported_;
   std::map<std::string, KeyLoad> loads_;
