--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Gateway.hpp"
 
 #include "common/Strings.hpp"
+#include "gossip_types.h"
 
 #include <algorithm>
 #include <csignal>
@@ -61,13 +62,12 @@
                  settings_.failureDomain_ })
   , callers_(aLoop, forwarder_)
   , readyServer_(aLoop,
-                 [this] {
+                 [this](const std::string&) {
                    return StatusServer::Page{ IsReady() ? 200 : 503, {} };
                  })
-  , metricsServer_(aLoop,
-                   [this] {
-                     return StatusServer::Page{ 200, MetricsText() };
-                   })
+  , metricsServer_(
+      aLoop,
+      [this](const std::string& aTarget) { return StatusPage(aTarget); })
   , mesh_(aLoop,
           aLog,
           [this](const wire::Gossip& aGossip, const Endpoint& aSender) {
@@ -78,25 +78,21 @@
                     store_,
                     port_.registry_.ConfigKind(),
                     { [this](const std::vector<StoreObject>& aObjects) {
-                       std::ranges::for_each(aObjects,
-                                             [this](const auto& aObject) {
-                                               OnConfigObject(aObject);
-                                             });
+                       OnConfigObjects(aObjects);
                      },
-                      [this](const ObjectEvent& aEvent) {
-                        if (!aEvent.removed_) {
-                          OnConfigObject(aEvent.object_);
-                        }
+                      [this](const std::vector<ObjectEvent>& aEvents) {
+                        OnConfigEvents(aEvents);
                       } })
-  , backendFollower_(
-      aLoop,
-      aLog,
-      store_,
-      port_.registry_.BackendKind(),
-      { [this](const std::vector<StoreObject>& aObjects) {
-         OnBackendList(aObjects);
-       },
-        [this](const ObjectEvent& aEvent) { OnBackendEvent(aEvent); } })
+  , backendFollower_(aLoop,
+                     aLog,
+                     store_,
+                     port_.registry_.BackendKind(),
+                     { [this](const std::vector<StoreObject>& aObjects) {
+                        OnBackendList(aObjects);
+                      },
+                       [this](const std::vector<ObjectEvent>& aEvents) {
+                         OnBackendEvents(aEvents);
+                       } })
   , ownFollower_(aLoop,
                  aLog,
                  store_,
@@ -106,9 +102,11 @@
                       aObjects,
                       [this](const auto& aObject) { OnOwnObject(aObject); });
                   },
-                   [this](const ObjectEvent& aEvent) {
-                     if (!aEvent.removed_) {
-                       OnOwnObject(aEvent.object_);
+                   [this](const std::vector<ObjectEvent>& aEvents) {
+                     for (const auto& event : aEvents) {
+                       if (!event.removed_) {
+                         OnOwnObject(event.object_);
+                       }
                      }
                    } })
   , election_(aLoop,
@@ -137,18 +135,55 @@
                   gossip_.OnKeysChanged(aService);
                 },
                 [this](std::string_view aCause) { election_.Resign(aCause); } })
+  , relay_(aLoop,
+           aLog,
+           client_,
+           store_,
+           mesh_,
+           election_,
+           directory_,
+           settings_.instance_,
+           settings_.cpuPercent_,
+           { [this](bool aActive) {
+              configFollower_.SetActive(aActive);
+              backendFollower_.SetActive(aActive);
+              ownFollower_.SetActive(aActive);
+            },
+             [this](const std::vector<BackendEntry>& aEntries) {
+               relayedDirectory_ = true;
+               directory_.Replace(aEntries, loop_.NowMs());
+               OnBackendsChanged();
+             },
+             [this](const BackendEntry& aEntry, bool aRemoved) {
+               if (aRemoved) {
+                 directory_.ApplyRemoved(aEntry.id_, loop_.NowMs());
+               } else {
+                 directory_.ApplyPut(aEntry, loop_.NowMs());
+               }
+               OnBackendsChanged();
+             },
+             [this](const nlohmann::json& aSpec) {
+               StoreObject object;
+               object.name_ = port_.registry_.ConfigName();
+               object.spec_ = aSpec;
+               OnConfigObject(object);
+             },
+             [this] { return configVersion_; },
+             [this] { return HasDirectory(); },
+             [this] { AskStoreForConfig(); } })
   , gossip_(aLoop,
             { settings_.instance_,
               settings_.failureDomain_,
               bootId_,
-              settings_.cpuPercent_ },
+              settings_.cpuPercent_,
+              settings_.metricsListen_.port_ },
             mesh_,
             election_,
             director_,
             board_,
+            relay_,
             forwarder_,
-            { [this] { return configVersion_; },
-              [this](int64_t aVersion) { OnConfigHint(aVersion); } })
+            { [this] { return configVersion_; } })
   , housekeepTimer_(aLoop, [this] { Housekeep(); })
   , registerTimer_(aLoop, [this] { Register(); })
   , drainTimer_(aLoop, [this] { DrainTick(); })
@@ -210,6 +245,25 @@
   ownFollower_.Start();
 }
 
+void Gateway::OnConfigObjects(const std::vector<StoreObject>& aObjects)
+{
+  std::ranges::for_each(
+    aObjects, [this](const auto& aObject) { OnConfigObject(aObject); });
+}
+
+void Gateway::OnConfigEvents(const std::vector<ObjectEvent>& aEvents)
+{
+  // Only the newest one counts; versions in between need no parsing.
+  const auto newest = std::ranges::find_if(
+    aEvents.rbegin(), aEvents.rend(), [this](const ObjectEvent& aEvent) {
+      return !aEvent.removed_ &&
+             aEvent.object_.name_ == port_.registry_.ConfigName();
+    });
+  if (newest != aEvents.rend()) {
+    OnConfigObject(newest->object_);
+  }
+}
+
 void Gateway::OnConfigObject(const StoreObject& aObject)
 {
   if (aObject.name_ != port_.registry_.ConfigName()) {
@@ -229,6 +283,7 @@
     return;
   }
   configVersion_ = config->version_;
+  configText_ = aObject.spec_.dump();
   log_.Write(LogLevel::Info,
              "config-applied",
              { { "version", configVersion_ },
@@ -269,22 +324,37 @@
   OnBackendsChanged();
 }
 
-void Gateway::OnBackendEvent(const ObjectEvent& aEvent)
+void Gateway::OnBackendEvents(const std::vector<ObjectEvent>& aEvents)
 {
-  if (aEvent.removed_) {
-    directory_.ApplyRemoved(aEvent.object_.name_, loop_.NowMs());
-  } else if (auto entry = DecodeBackend(aEvent.object_)) {
-    directory_.ApplyPut(*entry, loop_.NowMs());
-  } else {
-    // An entry that cannot be read names no server to use.
-    directory_.ApplyRemoved(aEvent.object_.name_, loop_.NowMs());
+  const TimeMs nowMs = loop_.NowMs();
+  const auto digest = directory_.Digest();
+  wire::Gossip changes;
+  for (const auto& event : aEvents) {
+    const auto entry =
+      event.removed_ ? std::nullopt : DecodeBackend(event.object_);
+    if (entry) {
+      directory_.ApplyPut(*entry, nowMs);
+      StoreRelay::AddChange(*entry, false, changes);
+    } else {
+      // An entry that cannot be read names no server to use.
+      directory_.ApplyRemoved(event.object_.name_, nowMs);
+      BackendEntry removed;
+      removed.id_ = event.object_.name_;
+      if (!directory_.Entries().contains(removed.id_)) {
+        StoreRelay::AddChange(removed, true, changes);
+      }
+    }
+    log_.Write(LogLevel::Info,
+               "backend-changed",
+               { { "backend", event.object_.name_ },
+                 { "state", entry ? EnumName(entry->state_) : "removed" },
+                 { "revision", event.object_.revision_ } });
   }
-  log_.Write(LogLevel::Info,
-             "backend-changed",
-             { { "backend", aEvent.object_.name_ },
-               { "removed", aEvent.removed_ ? 1 : 0 },
-               { "revision", aEvent.object_.revision_ } });
   OnBackendsChanged();
+  // Beats of cold servers change no state that others need.
+  if (directory_.Digest() != digest) {
+    gossip_.TellChanges(std::move(changes.changes));
+  }
 }
 
 void Gateway::OnBackendsChanged()
@@ -374,17 +444,40 @@
               });
 }
 
-void Gateway::OnConfigHint(int64_t aVersion)
+void Gateway::AskStoreForConfig()
+{
+  if (std::exchange(askingConfig_, true)) {
+    return;
+  }
+  store_.Call(store_.Protocol().Get(port_.registry_.ConfigKind(),
+                                    port_.registry_.ConfigName()),
+              [this](StoreAnswer aAnswer) {
+                askingConfig_ = false;
+                if (aAnswer.status_ == StoreStatus::Ok) {
+                  OnConfigObject(aAnswer.object_);
+                }
+              });
+}
+
+StatusServer::Page Gateway::StatusPage(const std::string& aTarget)
 {
-  if (aVersion > hintedVersion_) {
-    hintedVersion_ = aVersion;
-    configFollower_.Refresh();
+  if (aTarget == "/directory") {
+    return { HasDirectory() ? 200 : 503, relay_.DirectoryText() };
+  }
+  if (aTarget == "/config") {
+    return { configVersion_ > 0 ? 200 : 503, configText_ };
   }
+  return { 200, MetricsText() };
+}
+
+bool Gateway::HasDirectory() const
+{
+  return backendFollower_.IsSynced() || relayedDirectory_;
 }
 
 bool Gateway::IsReady() const
 {
-  return drainMs_ == 0 && configVersion_ > 0 && backendFollower_.IsSynced();
+  return drainMs_ == 0 && configVersion_ > 0 && HasDirectory();
 }
 
 std::string Gateway::MetricsText()
@@ -417,6 +510,7 @@
   }
   forwarder_.Pool().CloseIdle();
   ReadKeys();
+  relay_.Update();
   if (rounds_ % detail::kHomeRounds == 0) {
     auto gateways = mesh_.AliveGateways(nowMs);
     gateways.emplace_back(settings_.instance_, settings_.failureDomain_);
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -13,6 +13,7 @@
 #include "gateway/StatusServer.hpp"
 #include "gateway/StoreFollower.hpp"
 #include "gateway/StoreLink.hpp"
+#include "gateway/StoreRelay.hpp"
 #include "membership/BackendDirectory.hpp"
 #include "net/EventLoop.hpp"
 #include "net/HttpClient.hpp"
@@ -38,9 +39,12 @@
 
 private:
   void FollowStore();
+  void OnConfigObjects(const std::vector<StoreObject>& aObjects);
+  void OnConfigEvents(const std::vector<ObjectEvent>& aEvents);
   void OnConfigObject(const StoreObject& aObject);
+  void AskStoreForConfig();
   void OnBackendList(const std::vector<StoreObject>& aObjects);
-  void OnBackendEvent(const ObjectEvent& aEvent);
+  void OnBackendEvents(const std::vector<ObjectEvent>& aEvents);
   void OnOwnObject(const StoreObject& aObject);
   std::optional<BackendEntry> DecodeBackend(const StoreObject& aObject);
   void OnBackendsChanged();
@@ -49,7 +53,9 @@
   void ReadKeys();
   void OnKeyTable(const StoreObject& aObject);
 
-  void OnConfigHint(int64_t aVersion);
+  /// Metrics for scrapers; directory and configuration for other gateways.
+  StatusServer::Page StatusPage(const std::string& aTarget);
+  bool HasDirectory() const;
   bool IsReady() const;
   std::string MetricsText();
   void Housekeep();
@@ -79,6 +85,7 @@
   LeaderElection election_;
   LoadBoard board_;
   KeyDirector director_;
+  StoreRelay relay_;
   GossipDuty gossip_;
   Timer housekeepTimer_;
   Timer registerTimer_;
@@ -87,8 +94,10 @@
   SignalWatcher onInterrupt_;
   SignalWatcher onHangup_;
   int64_t configVersion_ = 0;
-  int64_t hintedVersion_ = 0; ///< highest that a peer has told of
-  uint64_t rounds_ = 0;       ///< of housekeeping
+  std::string configText_; ///< for gateways that ask
+  bool askingConfig_ = false;
+  bool relayedDirectory_ = false; ///< another gateway told all registrations
+  uint64_t rounds_ = 0;           ///< of housekeeping
   bool wasReady_ = false;
   bool readingKeys_ = false;
   TimeMs keysReadMs_ = 0;
--- a/gateway/GossipDuty.cpp
+++ b/gateway/GossipDuty.cpp
@@ -17,6 +17,8 @@
 /// Changes of owners come in groups, a move changes two servers.
 constexpr TimeMs kChangeGatherMs = 10;
 constexpr size_t kLoadFields = 3;
+/// Registrations of one datagram, about a kilobyte.
+constexpr size_t kMaxChanges = 12;
 constexpr double kUsPerMs = 1000;
 
 }
@@ -27,6 +29,7 @@
                        LeaderElection& aElection,
                        KeyDirector& aDirector,
                        LoadBoard& aBoard,
+                       StoreRelay& aRelay,
                        Forwarder& aForwarder,
                        Handlers aHandlers)
   : loop_(aLoop)
@@ -35,6 +38,7 @@
   , election_(aElection)
   , director_(aDirector)
   , board_(aBoard)
+  , relay_(aRelay)
   , forwarder_(aForwarder)
   , handlers_(std::move(aHandlers))
   , timer_(aLoop, [this] { Tick(); })
@@ -59,6 +63,8 @@
   gossip.leading = election_.IsLeading();
   gossip.configVersion = handlers_.configVersion_();
   gossip.deadTerm = election_.EndedTerm();
+  gossip.statusPort = self_.statusPort_;
+  relay_.Fill(gossip);
   return gossip;
 }
 
@@ -162,6 +168,18 @@
   }
 }
 
+void GossipDuty::TellChanges(std::vector<wire::BackendChange> aChanges)
+{
+  for (size_t first = 0; first < aChanges.size();
+       first += detail::kMaxChanges) {
+    auto gossip = Basic();
+    const auto last = std::min(first + detail::kMaxChanges, aChanges.size());
+    gossip.changes.assign(aChanges.begin() + static_cast<ptrdiff_t>(first),
+                          aChanges.begin() + static_cast<ptrdiff_t>(last));
+    mesh_.SendToAll(gossip);
+  }
+}
+
 void GossipDuty::OnLeadershipChanged()
 {
   keyGossip_.Reset();
@@ -222,9 +240,7 @@
       }
     }
   }
-  if (aGossip.configVersion > handlers_.configVersion_()) {
-    handlers_.onConfigHint_(aGossip.configVersion);
-  }
+  relay_.OnGossip(aGossip, aSender);
 }
 
 void GossipDuty::TakeKeyCounts(const wire::Gossip& aGossip)
--- a/gateway/GossipDuty.hpp
+++ b/gateway/GossipDuty.hpp
@@ -5,6 +5,7 @@
 #include "gateway/KeyGossip.hpp"
 #include "gateway/LeaderElection.hpp"
 #include "gateway/PeerMesh.hpp"
+#include "gateway/StoreRelay.hpp"
 #include "policy/LoadBoard.hpp"
 
 #include <functional>
@@ -24,12 +25,11 @@
     std::string failureDomain_;
     int64_t bootId_ = 0;
     int cpuPercent_ = 100;
+    uint16_t statusPort_ = 0;
   };
   struct Handlers
   {
     std::function<int64_t()> configVersion_;
-    /// A peer has a newer configuration.
-    std::function<void(int64_t)> onConfigHint_;
   };
 
   GossipDuty(EventLoop& aLoop,
@@ -38,6 +38,7 @@
              LeaderElection& aElection,
              KeyDirector& aDirector,
              LoadBoard& aBoard,
+             StoreRelay& aRelay,
              Forwarder& aForwarder,
              Handlers aHandlers);
 
@@ -45,6 +46,8 @@
   void OnReceived(const wire::Gossip& aGossip, const Endpoint& aSender);
   /// This process was elected or has stopped leading.
   void OnLeadershipChanged();
+  /// Registrations that this gateway has read from the store.
+  void TellChanges(std::vector<wire::BackendChange> aChanges);
   /// The leader's owners of a service have changed.
   void OnKeysChanged(const std::string& aService);
 
@@ -69,6 +72,7 @@
   LeaderElection& election_;
   KeyDirector& director_;
   LoadBoard& board_;
+  StoreRelay& relay_;
   Forwarder& forwarder_;
   Handlers handlers_;
   KeyGossip keyGossip_;
--- a/gateway/PeerMesh.hpp
+++ b/gateway/PeerMesh.hpp
@@ -51,13 +51,13 @@
                 int64_t aBootId);
   void NoteHeard(const wire::Gossip& aGossip, const Endpoint& aSender);
   const std::map<std::string, Peer>& Peers() const { return peers_; }
+  static bool IsAlive(const Peer& aPeer, TimeMs aNowMs);
   size_t AliveCount(TimeMs aNowMs) const;
   /// Names and failure domains of the peers that are alive.
   std::vector<std::pair<std::string, std::string>> AliveGateways(
     TimeMs aNowMs) const;
 
 private:
-  static bool IsAlive(const Peer& aPeer, TimeMs aNowMs);
   void ReceiveAvailable();
   void SendBytes(const Endpoint& aPeer, std::string_view aBytes);
 
--- a/gateway/StatusServer.cpp
+++ b/gateway/StatusServer.cpp
@@ -37,7 +37,7 @@
     auto state = parser_.Parse(stream_.Input(), body);
     while (state == ParseState::Done) {
       const bool keepsAlive = parser_.Head().KeepsAlive();
-      const auto page = server_.page_();
+      const auto page = server_.page_(parser_.Head().target_);
       stream_.Write(Concat("HTTP/1.1 ",
                            page.status_,
                            page.status_ == 200 ? " OK" : " Service Unavailable",
--- a/gateway/StatusServer.hpp
+++ b/gateway/StatusServer.hpp
@@ -11,7 +11,7 @@
 namespace cactuspitch {
 
 /// Answers every request on an address with what a function returns: readiness
-/// for the balancer, metrics for scrapers.
+/// for the balancer, metrics for scrapers, state for other gateways.
 class StatusServer
 {
 public:
@@ -20,7 +20,7 @@
     int status_ = 200;
     std::string body_;
   };
-  using PageTask = std::function<Page()>;
+  using PageTask = std::function<Page(const std::string& aTarget)>;
 
   StatusServer(EventLoop& aLoop, PageTask aPage);
   ~StatusServer();
--- a/gateway/StoreFollower.cpp
+++ b/gateway/StoreFollower.cpp
@@ -43,8 +43,25 @@
   List();
 }
 
+void StoreFollower::SetActive(bool aActive)
+{
+  if (active_ == aActive) {
+    return;
+  }
+  active_ = aActive;
+  if (!aActive && synced_) {
+    ++round_;
+    retryTimer_.Stop();
+  } else if (aActive) {
+    Refresh();
+  }
+}
+
 void StoreFollower::Refresh()
 {
+  if (!active_ && synced_) {
+    return;
+  }
   retryTimer_.Stop();
   if (synced_) {
     Watch();
@@ -98,6 +115,9 @@
 
 void StoreFollower::Watch()
 {
+  if (!active_) {
+    return;
+  }
   const auto round = ++round_;
   store_.Call(store_.Protocol().Watch(kind_, revision_, detail::kWatchWaitMs),
               [this, round](StoreAnswer aAnswer) {
@@ -123,10 +143,10 @@
   }
   failures_ = 0;
   revision_ = std::max(revision_, aAnswer.list_.revision_);
-  std::ranges::for_each(aAnswer.list_.events_, handlers_.onEvent_);
   if (aAnswer.list_.events_.empty()) {
     Watch();
   } else {
+    handlers_.onEvents_(aAnswer.list_.events_);
     retryTimer_.Start(detail::kGatherMs);
   }
 }
--- a/gateway/StoreFollower.hpp
+++ b/gateway/StoreFollower.hpp
@@ -17,7 +17,7 @@
   struct Handlers
   {
     std::function<void(const std::vector<StoreObject>&)> onList_;
-    std::function<void(const ObjectEvent&)> onEvent_;
+    std::function<void(const std::vector<ObjectEvent>&)> onEvents_;
   };
 
   StoreFollower(EventLoop& aLoop,
@@ -27,6 +27,9 @@
                 Handlers aHandlers);
 
   void Start();
+  /// Without activity nothing is watched; the list of the start stays.
+  void SetActive(bool aActive);
+  bool IsActive() const { return active_; }
   /// Asks at once again: the pending watch may hang on a dead connection.
   void Refresh();
   /// True once a complete list was read.
@@ -47,6 +50,7 @@
   Handlers handlers_;
   Timer retryTimer_;
   uint64_t round_ = 0; ///< answers of earlier rounds are ignored
+  bool active_ = true;
   bool synced_ = false;
   int failures_ = 0;
   int64_t revision_ = 0;
--- /dev/null
+++ b/gateway/StoreRelay.cpp
@@ -0,0 +1,247 @@
+#include "gateway/StoreRelay.hpp"
+
+#include "gossip_types.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactuspitch {
+
+namespace detail {
+
+using Json = nlohmann::json;
+
+/// Changes come with the digest; what is lost is asked for after this.
+constexpr TimeMs kBehindMs = 300;
+constexpr TimeMs kRelayTimeoutMs = 700;
+/// A starting gateway asks the store first.
+constexpr TimeMs kStoreFirstMs = 600;
+/// All gateways watch until the others are known.
+constexpr TimeMs kMeetMs = 1500;
+
+BackendEntry EntryFromChange(const wire::BackendChange& aChange)
+{
+  BackendEntry entry;
+  entry.id_ = aChange.id;
+  entry.service_ = aChange.serviceName;
+  entry.address_ = aChange.address;
+  entry.failureDomain_ = aChange.failureDomain;
+  entry.slots_ = aChange.slots;
+  entry.state_ =
+    aChange.draining ? BackendState::Draining : BackendState::Ready;
+  entry.coldRemainingMs_ = aChange.coldMs;
+  entry.bornMs_ = aChange.bornMs;
+  return entry;
+}
+
+Json EntryToJson(const BackendEntry& aEntry)
+{
+  return Json::array({ aEntry.id_,
+                       aEntry.service_,
+                       aEntry.address_,
+                       aEntry.failureDomain_,
+                       aEntry.slots_,
+                       EnumName(aEntry.state_),
+                       aEntry.bornMs_ });
+}
+
+BackendEntry EntryFromJson(const Json& aJson)
+{
+  BackendEntry entry;
+  entry.id_ = aJson.at(0).get<std::string>();
+  entry.service_ = aJson.at(1).get<std::string>();
+  entry.address_ = aJson.at(2).get<std::string>();
+  entry.failureDomain_ = aJson.at(3).get<std::string>();
+  entry.slots_ = aJson.at(4).get<int>();
+  entry.state_ = ParseEnum<BackendState>(aJson.at(5).get<std::string>())
+                   .value_or(BackendState::Draining);
+  entry.bornMs_ = aJson.at(6).get<int64_t>();
+  return entry;
+}
+
+}
+
+StoreRelay::StoreRelay(EventLoop& aLoop,
+                       EventLog& aLog,
+                       HttpClient& aClient,
+                       const StoreLink& aStore,
+                       const PeerMesh& aMesh,
+                       const LeaderElection& aElection,
+                       const BackendDirectory& aDirectory,
+                       std::string aSelf,
+                       int aCpuPercent,
+                       Handlers aHandlers)
+  : loop_(aLoop)
+  , log_(aLog)
+  , client_(aClient)
+  , store_(aStore)
+  , mesh_(aMesh)
+  , election_(aElection)
+  , directory_(aDirectory)
+  , self_(std::move(aSelf))
+  , cpuPercent_(aCpuPercent)
+  , handlers_(std::move(aHandlers))
+  , startedMs_(aLoop.NowMs())
+  , storeOkMs_(aLoop.NowMs())
+{
+}
+
+bool StoreRelay::IsStoreOk() const
+{
+  return watching_ && store_.IsReachable();
+}
+
+size_t StoreRelay::Rank() const
+{
+  const TimeMs nowMs = loop_.NowMs();
+  const auto own = std::pair(-cpuPercent_, self_);
+  return std::ranges::count_if(mesh_.Peers(), [&](const auto& aEntry) {
+    return mesh_.IsAlive(aEntry.second, nowMs) &&
+           aEntry.first != election_.Leader() &&
+           std::pair(-aEntry.second.cpuPercent_, aEntry.first) < own;
+  });
+}
+
+void StoreRelay::Update()
+{
+  const TimeMs nowMs = loop_.NowMs();
+  if (IsStoreOk()) {
+    storeOkMs_ = nowMs;
+  }
+  const auto groups =
+    1 + static_cast<size_t>(std::max<TimeMs>(nowMs - storeOkMs_, 0) / kWidenMs);
+  // The leader is one of the watchers, whatever its rank.
+  const bool watch = nowMs - startedMs_ < detail::kMeetMs ||
+                     election_.IsLeading() || !election_.HearsLeader() ||
+                     Rank() < kWatchers * groups - 1;
+  if (watch != watching_) {
+    watching_ = watch;
+    log_.Write(LogLevel::Info,
+               "store-watch-changed",
+               { { "watching", watch ? 1 : 0 },
+                 { "leader", election_.Leader() },
+                 { "store_ok_age_ms", nowMs - storeOkMs_ } });
+    handlers_.setWatching_(watch);
+  }
+}
+
+void StoreRelay::Fill(wire::Gossip& aGossip) const
+{
+  aGossip.storeOk = IsStoreOk();
+  aGossip.directoryDigest = IsStoreOk() ? directory_.Digest() : 0;
+}
+
+void StoreRelay::AddChange(const BackendEntry& aEntry,
+                           bool aRemoved,
+                           wire::Gossip& aGossip)
+{
+  wire::BackendChange change;
+  change.id = aEntry.id_;
+  change.removed = aRemoved;
+  change.serviceName = aEntry.service_;
+  change.address = aEntry.address_;
+  change.failureDomain = aEntry.failureDomain_;
+  change.slots = aEntry.slots_;
+  change.draining = aEntry.state_ == BackendState::Draining;
+  change.coldMs = static_cast<int32_t>(aEntry.coldRemainingMs_);
+  change.bornMs = aEntry.bornMs_;
+  aGossip.changes.push_back(std::move(change));
+}
+
+void StoreRelay::OnGossip(const wire::Gossip& aGossip, const Endpoint& aSender)
+{
+  const TimeMs nowMs = loop_.NowMs();
+  if (aGossip.storeOk) {
+    storeOkMs_ = nowMs;
+  }
+  const Endpoint status{ aSender.ip_,
+                         static_cast<uint16_t>(aGossip.statusPort) };
+  if (aGossip.configVersion > handlers_.configVersion_()) {
+    AskForConfig(status, aGossip.configVersion);
+  }
+  if (!handlers_.hasDirectory_() &&
+      nowMs - startedMs_ > detail::kStoreFirstMs) {
+    // Started while the store is away: what a peer knows is better than
+    // nothing.
+    AskForDirectory(status);
+    return;
+  }
+  if (watching_ || !aGossip.storeOk) {
+    return;
+  }
+  for (const auto& change : aGossip.changes) {
+    handlers_.onBackend_(detail::EntryFromChange(change), change.removed);
+  }
+  if (aGossip.directoryDigest == 0 || !aGossip.leading) {
+    return;
+  }
+  if (aGossip.directoryDigest == directory_.Digest()) {
+    behindMs_ = 0;
+  } else if (behindMs_ == 0) {
+    behindMs_ = nowMs;
+  } else if (nowMs - behindMs_ >= detail::kBehindMs) {
+    AskForDirectory(status);
+  }
+}
+
+void StoreRelay::AskForDirectory(const Endpoint& aPeer)
+{
+  if (std::exchange(asking_, true)) {
+    return;
+  }
+  CallRequest request;
+  request.method_ = "GET";
+  request.target_ = "/directory";
+  request.timeoutMs_ = detail::kRelayTimeoutMs;
+  client_.Call(aPeer, std::move(request), [this](CallResult aResult) {
+    asking_ = false;
+    behindMs_ = 0;
+    if ((watching_ && handlers_.hasDirectory_()) ||
+        aResult.end_ != CallEnd::Answered || aResult.head_.status_ != 200) {
+      return;
+    }
+    try {
+      const auto json = detail::Json::parse(aResult.body_);
+      std::vector<BackendEntry> entries;
+      std::ranges::transform(
+        json, std::back_inserter(entries), detail::EntryFromJson);
+      handlers_.onDirectory_(entries);
+    } catch (const detail::Json::exception& error) {
+      log_.Write(LogLevel::Error,
+                 "relayed-directory-unreadable",
+                 { { "error", error.what() } });
+    }
+  });
+}
+
+void StoreRelay::AskForConfig(const Endpoint& aPeer, int64_t aVersion)
+{
+  if (std::exchange(askingConfig_, true)) {
+    return;
+  }
+  CallRequest request;
+  request.method_ = "GET";
+  request.target_ = "/config";
+  request.timeoutMs_ = detail::kRelayTimeoutMs;
+  client_.Call(aPeer, std::move(request), [this, aVersion](CallResult aResult) {
+    askingConfig_ = false;
+    if (aResult.end_ == CallEnd::Answered && aResult.head_.status_ == 200) {
+      const auto json = detail::Json::parse(aResult.body_, nullptr, false);
+      handlers_.onConfig_(json);
+    }
+    if (handlers_.configVersion_() < aVersion) {
+      handlers_.askStoreForConfig_();
+    }
+  });
+}
+
+std::string StoreRelay::DirectoryText() const
+{
+  auto json = detail::Json::array();
+  for (const auto& [id, entry] : directory_.Entries()) {
+    json.push_back(detail::EntryToJson(entry));
+  }
+  return json.dump();
+}
+
+}
--- /dev/null
+++ b/gateway/StoreRelay.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "gateway/EventLog.hpp"
+#include "gateway/LeaderElection.hpp"
+#include "gateway/PeerMesh.hpp"
+#include "gateway/StoreLink.hpp"
+#include "membership/BackendDirectory.hpp"
+#include "net/HttpClient.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace cactuspitch {
+
+/// Keeps the store's calls independent of the number of gateways: the leader
+/// and a few others watch it and tell the rest. A gateway that notices by
+/// version or digest that it is behind asks the one that told it; the store is
+/// asked where that fails.
+class StoreRelay
+{
+public:
+  /// Gateways that watch, the leader among them.
+  static constexpr size_t kWatchers = 3;
+  /// As long as no watcher reaches the store, as many more join them after
+  /// each of these times.
+  static constexpr TimeMs kWidenMs = 1500;
+
+  struct Handlers
+  {
+    std::function<void(bool aActive)> setWatching_;
+    std::function<void(const std::vector<BackendEntry>&)> onDirectory_;
+    std::function<void(const BackendEntry&, bool aRemoved)> onBackend_;
+    std::function<void(const nlohmann::json& aSpec)> onConfig_;
+    std::function<int64_t()> configVersion_;
+    std::function<bool()> hasDirectory_;
+    /// Asks the store for the configuration.
+    std::function<void()> askStoreForConfig_;
+  };
+
+  StoreRelay(EventLoop& aLoop,
+             EventLog& aLog,
+             HttpClient& aClient,
+             const StoreLink& aStore,
+             const PeerMesh& aMesh,
+             const LeaderElection& aElection,
+             const BackendDirectory& aDirectory,
+             std::string aSelf,
+             int aCpuPercent,
+             Handlers aHandlers);
+
+  /// Decides whether this gateway watches. Called regularly.
+  void Update();
+  void OnGossip(const wire::Gossip& aGossip, const Endpoint& aSender);
+  bool IsWatching() const { return watching_; }
+  /// True while this gateway watches the store and reaches it.
+  bool IsStoreOk() const;
+  /// What is told with each datagram.
+  void Fill(wire::Gossip& aGossip) const;
+  static void AddChange(const BackendEntry& aEntry,
+                        bool aRemoved,
+                        wire::Gossip& aGossip);
+  /// The directory for gateways that ask.
+  std::string DirectoryText() const;
+
+private:
+  size_t Rank() const;
+  void AskForDirectory(const Endpoint& aPeer);
+  void AskForConfig(const Endpoint& aPeer, int64_t aVersion);
+
+  EventLoop& loop_;
+  EventLog& log_;
+  HttpClient& client_;
+  const StoreLink& store_;
+  const PeerMesh& mesh_;
+  const LeaderElection& election_;
+  const BackendDirectory& directory_;
+  std::string self_;
+  int cpuPercent_;
+  Handlers handlers_;
+  bool watching_ = true;
+  bool asking_ = false;
+  bool askingConfig_ = false;
+  TimeMs startedMs_;
+  TimeMs storeOkMs_;    ///< a watcher last reached the store
+  TimeMs behindMs_ = 0; ///< since when the digests differ
+};
+
+}
--- a/membership/BackendDirectory.cpp
+++ b/membership/BackendDirectory.cpp
@@ -1,8 +1,12 @@
 #include "membership/BackendDirectory.hpp"
 
+#include "common/Strings.hpp"
+
 #include <algorithm>
 #include <set>
 
+#include <xxhash.h>
+
 namespace cactuspitch {
 
 void BackendDirectory::ApplyList(const std::vector<BackendEntry>& aEntries,
@@ -60,6 +64,40 @@
   return changed;
 }
 
+int64_t BackendDirectory::Digest() const
+{
+  uint64_t digest = entries_.size();
+  for (const auto& [id, entry] : entries_) {
+    const auto text = Concat(id,
+                             " ",
+                             entry.service_,
+                             " ",
+                             entry.address_,
+                             " ",
+                             EnumName(entry.state_),
+                             " ",
+                             entry.bornMs_);
+    // A sum does not depend on the order.
+    digest += XXH3_64bits(text.data(), text.size());
+  }
+  return static_cast<int64_t>(digest);
+}
+
+void BackendDirectory::Replace(const std::vector<BackendEntry>& aEntries,
+                               TimeMs aNowMs)
+{
+  missingUntilMs_.clear();
+  std::set<std::string> listed;
+  for (const auto& entry : aEntries) {
+    listed.insert(entry.id_);
+    ApplyPut(entry, aNowMs);
+  }
+  std::erase_if(entries_, [&](const auto& aEntry) {
+    return !listed.contains(aEntry.first);
+  });
+  ++revision_;
+}
+
 void BackendDirectory::MarkMissing(const std::string& aId, TimeMs aNowMs)
 {
   if (missingUntilMs_.contains(aId)) {
--- a/membership/BackendDirectory.hpp
+++ b/membership/BackendDirectory.hpp
@@ -31,6 +31,10 @@
   {
     return entries_;
   }
+  /// Equal for directories with the same servers in the same states.
+  int64_t Digest() const;
+  /// Takes over the directory of a gateway that watches the store.
+  void Replace(const std::vector<BackendEntry>& aEntries, TimeMs aNowMs);
   /// Grows with every change of an entry.
   uint64_t Revision() const { return revision_; }
 
--- a/wire/gen-cpp/gossip_types.cpp
+++ b/wire/gen-cpp/gossip_types.cpp
@@ -662,6 +662,258 @@
 }
 
 
+BackendChange::~BackendChange() noexcept {
+}
+
+
+void BackendChange::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void BackendChange::__set_removed(const bool val) {
+  this->removed = val;
+}
+
+void BackendChange::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void BackendChange::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void BackendChange::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void BackendChange::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void BackendChange::__set_draining(const bool val) {
+  this->draining = val;
+}
+
+void BackendChange::__set_coldMs(const int32_t val) {
+  this->coldMs = val;
+}
+
+void BackendChange::__set_bornMs(const int64_t val) {
+  this->bornMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const BackendChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BackendChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          this->__isset.draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->coldMs);
+          this->__isset.coldMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bornMs);
+          this->__isset.bornMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BackendChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BackendChange");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->draining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coldMs", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->coldMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bornMs", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->bornMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BackendChange &a, BackendChange &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.removed, b.removed);
+  swap(a.serviceName, b.serviceName);
+  swap(a.address, b.address);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.slots, b.slots);
+  swap(a.draining, b.draining);
+  swap(a.coldMs, b.coldMs);
+  swap(a.bornMs, b.bornMs);
+  swap(a.__isset, b.__isset);
+}
+
+BackendChange::BackendChange(const BackendChange& other26) {
+  id = other26.id;
+  removed = other26.removed;
+  serviceName = other26.serviceName;
+  address = other26.address;
+  failureDomain = other26.failureDomain;
+  slots = other26.slots;
+  draining = other26.draining;
+  coldMs = other26.coldMs;
+  bornMs = other26.bornMs;
+  __isset = other26.__isset;
+}
+BackendChange& BackendChange::operator=(const BackendChange& other27) {
+  id = other27.id;
+  removed = other27.removed;
+  serviceName = other27.serviceName;
+  address = other27.address;
+  failureDomain = other27.failureDomain;
+  slots = other27.slots;
+  draining = other27.draining;
+  coldMs = other27.coldMs;
+  bornMs = other27.bornMs;
+  __isset = other27.__isset;
+  return *this;
+}
+void BackendChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BackendChange(";
+  out << "id=" << to_string(id);
+  out << ", " << "removed=" << to_string(removed);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "draining=" << to_string(draining);
+  out << ", " << "coldMs=" << to_string(coldMs);
+  out << ", " << "bornMs=" << to_string(bornMs);
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -714,6 +966,22 @@
   this->cpuPercent = val;
 }
 
+void Gossip::__set_changes(const std::vector<BackendChange> & val) {
+  this->changes = val;
+}
+
+void Gossip::__set_directoryDigest(const int64_t val) {
+  this->directoryDigest = val;
+}
+
+void Gossip::__set_storeOk(const bool val) {
+  this->storeOk = val;
+}
+
+void Gossip::__set_statusPort(const int32_t val) {
+  this->statusPort = val;
+}
+
 void Gossip::__set_wantsKeys(const bool val) {
   this->wantsKeys = val;
 }
@@ -789,14 +1057,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->keys.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->keys.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->keys[_i30].read(iprot);
+              xfer += this->keys[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -809,14 +1077,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keyCounts.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->keyCounts.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->keyCounts.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += this->keyCounts[_i35].read(iprot);
+              xfer += this->keyCounts[_i37].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -829,14 +1097,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->suspects.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->suspects.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->suspects[_i40].read(iprot);
+              xfer += this->suspects[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -857,14 +1125,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->backendLoads.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->backendLoads.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->backendLoads.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += iprot->readI32(this->backendLoads[_i45]);
+              xfer += iprot->readI32(this->backendLoads[_i47]);
             }
             xfer += iprot->readListEnd();
           }
@@ -889,6 +1157,50 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changes.clear();
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->changes.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
+            {
+              xfer += this->changes[_i52].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->directoryDigest);
+          this->__isset.directoryDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->storeOk);
+          this->__isset.storeOk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->statusPort);
+          this->__isset.statusPort = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->wantsKeys);
@@ -937,10 +1249,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<OwnedKeys> ::const_iterator _iter46;
-    for (_iter46 = this->keys.begin(); _iter46 != this->keys.end(); ++_iter46)
+    std::vector<OwnedKeys> ::const_iterator _iter53;
+    for (_iter53 = this->keys.begin(); _iter53 != this->keys.end(); ++_iter53)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -949,10 +1261,10 @@
   xfer += oprot->writeFieldBegin("keyCounts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keyCounts.size()));
-    std::vector<KeyCounts> ::const_iterator _iter47;
-    for (_iter47 = this->keyCounts.begin(); _iter47 != this->keyCounts.end(); ++_iter47)
+    std::vector<KeyCounts> ::const_iterator _iter54;
+    for (_iter54 = this->keyCounts.begin(); _iter54 != this->keyCounts.end(); ++_iter54)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter54).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -961,10 +1273,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<SuspectRequest> ::const_iterator _iter48;
-    for (_iter48 = this->suspects.begin(); _iter48 != this->suspects.end(); ++_iter48)
+    std::vector<SuspectRequest> ::const_iterator _iter55;
+    for (_iter55 = this->suspects.begin(); _iter55 != this->suspects.end(); ++_iter55)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter55).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -977,10 +1289,10 @@
   xfer += oprot->writeFieldBegin("backendLoads", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backendLoads.size()));
-    std::vector<int32_t> ::const_iterator _iter49;
-    for (_iter49 = this->backendLoads.begin(); _iter49 != this->backendLoads.end(); ++_iter49)
+    std::vector<int32_t> ::const_iterator _iter56;
+    for (_iter56 = this->backendLoads.begin(); _iter56 != this->backendLoads.end(); ++_iter56)
     {
-      xfer += oprot->writeI32((*_iter49));
+      xfer += oprot->writeI32((*_iter56));
     }
     xfer += oprot->writeListEnd();
   }
@@ -998,6 +1310,30 @@
   xfer += oprot->writeI32(this->cpuPercent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<BackendChange> ::const_iterator _iter57;
+    for (_iter57 = this->changes.begin(); _iter57 != this->changes.end(); ++_iter57)
+    {
+      xfer += (*_iter57).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("directoryDigest", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->directoryDigest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("storeOk", ::apache::thrift::protocol::T_BOOL, 16);
+  xfer += oprot->writeBool(this->storeOk);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("statusPort", ::apache::thrift::protocol::T_I32, 17);
+  xfer += oprot->writeI32(this->statusPort);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1017,41 +1353,53 @@
   swap(a.backendLoads, b.backendLoads);
   swap(a.failureDomain, b.failureDomain);
   swap(a.cpuPercent, b.cpuPercent);
+  swap(a.changes, b.changes);
+  swap(a.directoryDigest, b.directoryDigest);
+  swap(a.storeOk, b.storeOk);
+  swap(a.statusPort, b.statusPort);
   swap(a.wantsKeys, b.wantsKeys);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other50) {
-  instance = other50.instance;
-  bootId = other50.bootId;
-  term = other50.term;
-  leading = other50.leading;
-  configVersion = other50.configVersion;
-  keys = other50.keys;
-  keyCounts = other50.keyCounts;
-  suspects = other50.suspects;
-  deadTerm = other50.deadTerm;
-  backendLoads = other50.backendLoads;
-  failureDomain = other50.failureDomain;
-  cpuPercent = other50.cpuPercent;
-  wantsKeys = other50.wantsKeys;
-  __isset = other50.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other51) {
-  instance = other51.instance;
-  bootId = other51.bootId;
-  term = other51.term;
-  leading = other51.leading;
-  configVersion = other51.configVersion;
-  keys = other51.keys;
-  keyCounts = other51.keyCounts;
-  suspects = other51.suspects;
-  deadTerm = other51.deadTerm;
-  backendLoads = other51.backendLoads;
-  failureDomain = other51.failureDomain;
-  cpuPercent = other51.cpuPercent;
-  wantsKeys = other51.wantsKeys;
-  __isset = other51.__isset;
+Gossip::Gossip(const Gossip& other58) {
+  instance = other58.instance;
+  bootId = other58.bootId;
+  term = other58.term;
+  leading = other58.leading;
+  configVersion = other58.configVersion;
+  keys = other58.keys;
+  keyCounts = other58.keyCounts;
+  suspects = other58.suspects;
+  deadTerm = other58.deadTerm;
+  backendLoads = other58.backendLoads;
+  failureDomain = other58.failureDomain;
+  cpuPercent = other58.cpuPercent;
+  changes = other58.changes;
+  directoryDigest = other58.directoryDigest;
+  storeOk = other58.storeOk;
+  statusPort = other58.statusPort;
+  wantsKeys = other58.wantsKeys;
+  __isset = other58.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other59) {
+  instance = other59.instance;
+  bootId = other59.bootId;
+  term = other59.term;
+  leading = other59.leading;
+  configVersion = other59.configVersion;
+  keys = other59.keys;
+  keyCounts = other59.keyCounts;
+  suspects = other59.suspects;
+  deadTerm = other59.deadTerm;
+  backendLoads = other59.backendLoads;
+  failureDomain = other59.failureDomain;
+  cpuPercent = other59.cpuPercent;
+  changes = other59.changes;
+  directoryDigest = other59.directoryDigest;
+  storeOk = other59.storeOk;
+  statusPort = other59.statusPort;
+  wantsKeys = other59.wantsKeys;
+  __isset = other59.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -1069,6 +1417,10 @@
   out << ", " << "backendLoads=" << to_string(backendLoads);
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "cpuPercent=" << to_string(cpuPercent);
+  out << ", " << "changes=" << to_string(changes);
+  out << ", " << "directoryDigest=" << to_string(directoryDigest);
+  out << ", " << "storeOk=" << to_string(storeOk);
+  out << ", " << "statusPort=" << to_string(statusPort);
   out << ", " << "wantsKeys=" << to_string(wantsKeys);
   out << ")";
 }
--- a/wire/gen-cpp/gossip_types.h
+++ b/wire/gen-cpp/gossip_types.h
@@ -29,6 +29,8 @@
 
 class SuspectRequest;
 
+class BackendChange;
+
 class Gossip;
 
 typedef struct _OwnedRange__isset {
@@ -277,8 +279,107 @@
 
 std::ostream& operator<<(std::ostream& out, const SuspectRequest& obj);
 
+typedef struct _BackendChange__isset {
+  _BackendChange__isset() : id(false), removed(false), serviceName(false), address(false), failureDomain(false), slots(false), draining(false), coldMs(false), bornMs(false) {}
+  bool id :1;
+  bool removed :1;
+  bool serviceName :1;
+  bool address :1;
+  bool failureDomain :1;
+  bool slots :1;
+  bool draining :1;
+  bool coldMs :1;
+  bool bornMs :1;
+} _BackendChange__isset;
+
+class BackendChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  BackendChange(const BackendChange&);
+  BackendChange& operator=(const BackendChange&);
+  BackendChange() noexcept
+                : id(),
+                  removed(0),
+                  serviceName(),
+                  address(),
+                  failureDomain(),
+                  slots(0),
+                  draining(0),
+                  coldMs(0),
+                  bornMs(0) {
+  }
+
+  virtual ~BackendChange() noexcept;
+  std::string id;
+  bool removed;
+  std::string serviceName;
+  std::string address;
+  std::string failureDomain;
+  int32_t slots;
+  bool draining;
+  int32_t coldMs;
+  int64_t bornMs;
+
+  _BackendChange__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_removed(const bool val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_failureDomain(const std::string& val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_draining(const bool val);
+
+  void __set_coldMs(const int32_t val);
+
+  void __set_bornMs(const int64_t val);
+
+  bool operator == (const BackendChange & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(draining == rhs.draining))
+      return false;
+    if (!(coldMs == rhs.coldMs))
+      return false;
+    if (!(bornMs == rhs.bornMs))
+      return false;
+    return true;
+  }
+  bool operator != (const BackendChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BackendChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BackendChange &a, BackendChange &b);
+
+std::ostream& operator<<(std::ostream& out, const BackendChange& obj);
+
 typedef struct _Gossip__isset {
-  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), wantsKeys(false) {}
+  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), statusPort(false), wantsKeys(false) {}
   bool instance :1;
   bool bootId :1;
   bool term :1;
@@ -291,6 +392,10 @@
   bool backendLoads :1;
   bool failureDomain :1;
   bool cpuPercent :1;
+  bool changes :1;
+  bool directoryDigest :1;
+  bool storeOk :1;
+  bool statusPort :1;
   bool wantsKeys :1;
 } _Gossip__isset;
 
@@ -308,6 +413,9 @@
            deadTerm(0),
            failureDomain(),
            cpuPercent(0),
+           directoryDigest(0),
+           storeOk(0),
+           statusPort(0),
            wantsKeys(0) {
   }
 
@@ -324,6 +432,10 @@
   std::vector<int32_t>  backendLoads;
   std::string failureDomain;
   int32_t cpuPercent;
+  std::vector<BackendChange>  changes;
+  int64_t directoryDigest;
+  bool storeOk;
+  int32_t statusPort;
   bool wantsKeys;
 
   _Gossip__isset __isset;
@@ -352,6 +464,14 @@
 
   void __set_cpuPercent(const int32_t val);
 
+  void __set_changes(const std::vector<BackendChange> & val);
+
+  void __set_directoryDigest(const int64_t val);
+
+  void __set_storeOk(const bool val);
+
+  void __set_statusPort(const int32_t val);
+
   void __set_wantsKeys(const bool val);
 
   bool operator == (const Gossip & rhs) const
@@ -380,6 +500,14 @@
       return false;
     if (!(cpuPercent == rhs.cpuPercent))
       return false;
+    if (!(changes == rhs.changes))
+      return false;
+    if (!(directoryDigest == rhs.directoryDigest))
+      return false;
+    if (!(storeOk == rhs.storeOk))
+      return false;
+    if (!(statusPort == rhs.statusPort))
+      return false;
     if (!(wantsKeys == rhs.wantsKeys))
       return false;
     return true;
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -32,6 +32,19 @@
   5: string reason
 }
 
+// Registration of a backend server as the leader knows it.
+struct BackendChange {
+  1: string id
+  2: bool removed
+  3: string serviceName
+  4: string address
+  5: string failureDomain
+  6: i32 slots
+  7: bool draining
+  8: i32 coldMs // how much longer the server is slow after its start
+  9: i64 bornMs // tells its lives apart
+}
+
 struct Gossip {
   1: string instance
   2: i64 bootId // differs between the lives of an instance
@@ -47,5 +60,9 @@
   10: list<i32> backendLoads
   11: string failureDomain
   13: i32 cpuPercent // of a core; larger instances lead first
+  14: list<BackendChange> changes // of registrations, from a store watcher
+  15: i64 directoryDigest // over all registrations, 0 when not known
+  16: bool storeOk // the sender watches the store and reaches it
+  17: i32 statusPort // where /config and /directory are served
   12: bool wantsKeys // the sender has just started and knows no owners
 }
