--- /dev/null
+++ b/tests/HttpParserTest.cpp
@@ -0,0 +1,172 @@
+#include "net/HttpParser.hpp"
+
+#include <array>
+#include <cstdio>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cactuspitch {
+namespace {
+
+constexpr size_t kMaxHead = 1024;
+
+struct Parsed
+{
+  ParseState state_;
+  std::string body_;
+  std::string rest_;
+  HttpHead head_;
+};
+
+/// Feeds the text in pieces of the given sizes, then the remainder.
+Parsed ParseInPieces(HttpRole aRole,
+                     const std::string& aText,
+                     const std::vector<size_t>& aSizes)
+{
+  HttpParser parser(aRole, kMaxHead);
+  Parsed result;
+  std::string input;
+  size_t at = 0;
+  const auto feed = [&](size_t aCount) {
+    input += aText.substr(at, aCount);
+    at = std::min(at + aCount, aText.size());
+    result.state_ = parser.Parse(input, result.body_);
+    return result.state_ != ParseState::Done &&
+           result.state_ != ParseState::Failed;
+  };
+  bool goesOn = true;
+  for (size_t index = 0; goesOn && index < aSizes.size(); ++index) {
+    goesOn = feed(aSizes[index]);
+  }
+  if (goesOn) {
+    feed(aText.size());
+  }
+  result.rest_ = input + aText.substr(at);
+  result.head_ = parser.Head();
+  return result;
+}
+
+Parsed ParseRequest(const std::string& aText)
+{
+  return ParseInPieces(HttpRole::Request, aText, {});
+}
+
+// Guards against requests whose end two servers would see at different places:
+// forwarded, the rest of one would be taken for the next.
+TEST(HttpParser, RefusesAmbiguousFraming)
+{
+  const std::vector<std::string> heads = {
+    "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+    "Content-Length: 5\r\nContent-Length: 6\r\n",
+    "Content-Length: -1\r\n",
+    "Content-Length: 5x\r\n",
+    "Transfer-Encoding: gzip, chunked\r\n",
+    "Transfer-Encoding: xchunked\r\n",
+    "X-Folded: a\r\n b\r\n",
+    "X-Bare: a\nContent-Length: 5\r\n",
+    "Bad Name: a\r\n",
+  };
+  for (const auto& head : heads) {
+    EXPECT_EQ(
+      ParseRequest("POST / HTTP/1.1\r\nHost: h\r\n" + head + "\r\nhello").state_,
+      ParseState::Failed)
+      << head;
+  }
+}
+
+// Guards against a head that fills the memory.
+TEST(HttpParser, RefusesLargeHead)
+{
+  HttpParser parser(HttpRole::Request, kMaxHead);
+  std::string input = "GET / HTTP/1.1\r\nX: " + std::string(2 * kMaxHead, 'a');
+  std::string body;
+  EXPECT_EQ(parser.Parse(input, body), ParseState::Failed);
+  EXPECT_TRUE(parser.IsTooLarge());
+}
+
+// Guards against losing the pipelined request behind another one.
+TEST(HttpParser, LeavesTheNextMessage)
+{
+  const auto parsed = ParseRequest(
+    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhelloGET /b");
+  EXPECT_EQ(parsed.state_, ParseState::Done);
+  EXPECT_EQ(parsed.body_, "hello");
+  EXPECT_EQ(parsed.rest_, "GET /b");
+}
+
+// Guards against an answer without a length that counts as complete although
+// its connection broke, and against one that ends in order and counts as lost.
+TEST(HttpParser, UnframedAnswerEndsWithTheStream)
+{
+  HttpParser parser(HttpRole::Answer, kMaxHead);
+  std::string input = "HTTP/1.1 200 OK\r\n\r\npart";
+  std::string body;
+  EXPECT_NE(parser.Parse(input, body), ParseState::Done);
+  EXPECT_TRUE(parser.IsUnframed());
+  EXPECT_TRUE(parser.FinishAtEnd());
+  EXPECT_EQ(body, "part");
+}
+
+// Guards against a truncated answer that looks complete.
+TEST(HttpParser, TruncatedAnswerIsNotComplete)
+{
+  HttpParser parser(HttpRole::Answer, kMaxHead);
+  std::string input = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+  std::string body;
+  EXPECT_NE(parser.Parse(input, body), ParseState::Done);
+  EXPECT_FALSE(parser.IsUnframed());
+  EXPECT_FALSE(parser.FinishAtEnd());
+}
+
+// Guards against forwarding fields that concern one connection only.
+TEST(HttpParser, DropsHopByHopFields)
+{
+  auto parsed = ParseRequest("GET / HTTP/1.1\r\nHost: h\r\nConnection: close, "
+                             "X-Private\r\nX-Private: 1\r\nX-Kept: 2\r\n\r\n");
+  const auto fields = EndToEndFields(parsed.head_);
+  ASSERT_EQ(fields.size(), 2U);
+  EXPECT_EQ(fields[1].first, "X-Kept");
+  EXPECT_FALSE(parsed.head_.KeepsAlive());
+}
+
+// Guards against results that depend on how the network cut the bytes.
+RC_GTEST_PROP(HttpParserProperty, PiecesMakeNoDifference, ())
+{
+  const auto chunk =
+    *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
+  const bool chunked = *rc::gen::arbitrary<bool>();
+  std::string text = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  if (chunked && !chunk.empty()) {
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx", chunk.size());
+    text += std::string("Transfer-Encoding: chunked\r\n\r\n") + size.data() +
+            "\r\n" + chunk + "\r\n0\r\n\r\n";
+  } else {
+    text += "Content-Length: " + std::to_string(chunk.size()) + "\r\n\r\n" +
+            chunk;
+  }
+  text += "GET /next";
+  const auto sizes = *rc::gen::container<std::vector<size_t>>(
+    rc::gen::inRange<size_t>(1, 20));
+  const auto parsed = ParseInPieces(HttpRole::Request, text, sizes);
+  RC_ASSERT(parsed.state_ == ParseState::Done);
+  RC_ASSERT(parsed.body_ == chunk);
+  RC_ASSERT(parsed.rest_ == "GET /next");
+}
+
+// Guards against a crash or an endless loop on bytes that are no message.
+RC_GTEST_PROP(HttpParserProperty, SurvivesAnyBytes, (std::string aText))
+{
+  const auto role =
+    *rc::gen::element(HttpRole::Request, HttpRole::Answer);
+  const auto prefix = *rc::gen::element<std::string>(
+    "", "GET / HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const auto sizes = *rc::gen::container<std::vector<size_t>>(
+    rc::gen::inRange<size_t>(1, 9));
+  ParseInPieces(role, prefix + aText, sizes);
+}
+
+}
+}
--- /dev/null
+++ b/tests/PlatformCodecTest.cpp
@@ -0,0 +1,261 @@
+#include "platform/Objects.hpp"
+#include "platform/Requests.hpp"
+#include "platform/SettingsFile.hpp"
+
+#include <fstream>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cactuspitch::platform {
+namespace {
+
+using Json = nlohmann::json;
+
+StoreObject Object(const char* aName, const std::string& aSpec)
+{
+  StoreObject object;
+  object.name_ = aName;
+  object.spec_ = Json::parse(aSpec);
+  return object;
+}
+
+const char* const kConfig = R"({"version":"r7","services":[
+  {"name":"s1","health-path":"/health","max-connections":110,"protocol":"h1",
+   "tls":false,"sharded":true,"warm-s":2.0,"grants":"invocation"},
+  {"name":"s2","health-path":"/health","max-connections":90}],
+  "limits":{"max-header-bytes":16384,"max-body-bytes":67108864,
+   "header-timeout-s":3,"idle-timeout-s":15},
+  "virtual-hosts":[{"host":"a.example","paths":[
+   {"name":"r1","path-prefix":"/x/","kind":"safe","timeout-s":1,
+    "target-latency-s":0.3,"priority":2,"max-attempts":2,
+    "traffic-split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}]},
+   {"host":"b.example","paths":[
+   {"name":"r2","path-prefix":"/y/z/","kind":"unsafe","timeout-s":1.2,
+    "target-latency-s":0.4,"priority":1,"service":"s2","max-attempts":2}]}]})";
+
+// Guards against a field of the configuration that is read wrongly.
+TEST(Registry, ReadsConfig)
+{
+  Findings findings;
+  const auto config =
+    Registry().DecodeConfig(Object("main", kConfig), findings);
+  ASSERT_TRUE(config) << findings.ToText();
+  EXPECT_EQ(config->version_, 7);
+  EXPECT_TRUE(config->services_.at("s1").keyed_);
+  EXPECT_FALSE(config->services_.at("s2").keyed_);
+  EXPECT_EQ(config->services_.at("s1").maxConnections_, 110);
+  EXPECT_EQ(config->services_.at("s1").warmupMs_, 2000);
+  EXPECT_EQ(config->limits_.headerTimeoutMs_, 3000);
+  ASSERT_EQ(config->routes_.size(), 2U);
+  const auto& split = config->routes_[0];
+  EXPECT_EQ(split.kind_, RequestKind::Idempotent);
+  EXPECT_EQ(split.timeoutMs_, 1000);
+  EXPECT_EQ(split.objectiveMs_, 300);
+  ASSERT_EQ(split.targets_.size(), 2U);
+  EXPECT_EQ(split.targets_[1].weight_, 10);
+  EXPECT_EQ(config->routes_[1].kind_, RequestKind::NonIdempotent);
+  EXPECT_EQ(config->routes_[1].host_, "b.example");
+}
+
+// Guards against a configuration that is taken although a part of it is missing
+// or has another type; all findings must be told at once.
+TEST(Registry, RejectsBrokenConfigWithAllFindings)
+{
+  auto json = Json::parse(kConfig);
+  json["version"] = 7;
+  json["virtual-hosts"][0]["paths"][0]["kind"] = "other";
+  json["services"][1].erase("max-connections");
+  StoreObject object;
+  object.name_ = "main";
+  object.spec_ = json;
+  Findings findings;
+  EXPECT_FALSE(Registry().DecodeConfig(object, findings));
+  EXPECT_GE(findings.All().size(), 3U);
+}
+
+const char* const kServer = R"({"address":"10.128.0.9:8080","born":1785533497000,
+  "info":{"service":"s1","version":"v1","zone":"cairo-a","slots":6},
+  "status":{"state":"ready","seq":4,"cold-remaining-s":1.5}})";
+
+// Guards against a registration that is read wrongly.
+TEST(Registry, ReadsBackend)
+{
+  Findings findings;
+  const auto entry =
+    Registry().DecodeBackend(Object("i-1", kServer), findings);
+  ASSERT_TRUE(entry) << findings.ToText();
+  EXPECT_EQ(entry->id_, "i-1");
+  EXPECT_EQ(entry->address_, "10.128.0.9:8080");
+  EXPECT_EQ(entry->service_, "s1");
+  EXPECT_EQ(entry->failureDomain_, "cairo-a");
+  EXPECT_EQ(entry->slots_, 6);
+  EXPECT_EQ(entry->state_, BackendState::Ready);
+  EXPECT_EQ(entry->coldRemainingMs_, 1500);
+  EXPECT_EQ(entry->bornMs_, 1785533497000);
+}
+
+// Guards against forged entries that name a server to use.
+TEST(Registry, RejectsForgedBackends)
+{
+  const std::vector<std::pair<std::string, Json>> changes = {
+    { "/address", "somewhere" },     { "/address", 7 },
+    { "/info/service", nullptr },    { "/info/slots", "six" },
+    { "/info/slots", 0 },            { "/status/state", "sleeping" },
+    { "/status/state", 1 },          { "/born", "today" },
+    { "/info", Json::array() },      { "/status", "ready" },
+  };
+  for (const auto& [place, value] : changes) {
+    auto json = Json::parse(kServer);
+    json[Json::json_pointer(place)] = value;
+    StoreObject object;
+    object.name_ = "i-1";
+    object.spec_ = json;
+    Findings findings;
+    EXPECT_FALSE(Registry().DecodeBackend(object, findings))
+      << place << " " << value;
+    EXPECT_FALSE(findings.IsEmpty());
+  }
+}
+
+// Guards against a crash on objects of any shape.
+RC_GTEST_PROP(RegistryProperty, SurvivesAnyObject, ())
+{
+  auto json = Json::parse(*rc::gen::element<std::string>(kConfig, kServer));
+  const auto flat = json.flatten();
+  const auto index = *rc::gen::inRange<size_t>(0, flat.size());
+  const auto place = std::next(flat.begin(), static_cast<long>(index)).key();
+  json[Json::json_pointer(place)] =
+    *rc::gen::element<Json>(nullptr, "x", -1, Json::array(), Json::object());
+  StoreObject object;
+  object.name_ = "x";
+  object.spec_ = json;
+  Findings findings;
+  Registry().DecodeConfig(object, findings);
+  Registry().DecodeBackend(object, findings);
+}
+
+CallResult Answered(int aStatus, std::string aBody = {})
+{
+  CallResult result;
+  result.end_ = CallEnd::Answered;
+  result.head_.status_ = aStatus;
+  result.body_ = std::move(aBody);
+  return result;
+}
+
+// Guards against grants and releases that servers read differently.
+TEST(Orders, WritesGrantAndRelease)
+{
+  KeyOrder order{ OrderKind::Grant, "s1", "i-1", 4096, 8191, 12, 4000, "h1" };
+  auto call = Orders().MakeOrder(order);
+  EXPECT_EQ(call.target_, "/-/grant");
+  EXPECT_EQ(Json::parse(call.body_),
+            Json::parse(R"({"from":4096,"to":8191,"fence":12,"hold-s":4.0,
+                            "handover":"h1"})"));
+  order.kind_ = OrderKind::Release;
+  call = Orders().MakeOrder(order);
+  EXPECT_EQ(call.target_, "/-/release");
+  EXPECT_EQ(Json::parse(call.body_),
+            Json::parse(R"({"from":4096,"to":8191,"fence":12})"));
+}
+
+// Guards against a lost answer that counts as "not done": such an order may
+// still be carried out.
+TEST(Orders, ReadsResults)
+{
+  std::string handover;
+  EXPECT_EQ(Orders().ReadResult(Answered(200), handover),
+            OrderResult::Accepted);
+  EXPECT_EQ(Orders().ReadResult(Answered(409), handover),
+            OrderResult::OlderFence);
+  EXPECT_EQ(Orders().ReadResult(Answered(421), handover),
+            OrderResult::Misdirected);
+  EXPECT_EQ(Orders().ReadResult(Answered(503), handover),
+            OrderResult::Unanswered);
+  CallResult lost;
+  lost.end_ = CallEnd::Unanswered;
+  EXPECT_EQ(Orders().ReadResult(lost, handover), OrderResult::Unanswered);
+  lost.end_ = CallEnd::NotSent;
+  EXPECT_EQ(Orders().ReadResult(lost, handover), OrderResult::NotSent);
+}
+
+// Guards against confusing the answers of the store: refused, conflict, history
+// gone, lost.
+TEST(Objects, ReadsAnswers)
+{
+  const Objects objects;
+  EXPECT_EQ(objects.ReadAnswer(Answered(429)).status_, StoreStatus::NotDone);
+  EXPECT_EQ(objects.ReadAnswer(Answered(503)).status_, StoreStatus::NotDone);
+  EXPECT_EQ(objects.ReadAnswer(Answered(404)).status_, StoreStatus::Missing);
+  EXPECT_EQ(objects.ReadAnswer(Answered(410)).status_,
+            StoreStatus::HistoryGone);
+  EXPECT_EQ(objects.ReadAnswer(Answered(200, "{")).status_,
+            StoreStatus::Unknown);
+  const auto conflict = objects.ReadAnswer(Answered(
+    409, R"({"metadata":{"name":"n","revision":5},"spec":{"a":1}})"));
+  EXPECT_EQ(conflict.status_, StoreStatus::Conflict);
+  EXPECT_EQ(conflict.object_.revision_, 5);
+  const auto watched = objects.ReadAnswer(Answered(
+    200,
+    R"({"events":[{"removed":true,"object":
+        {"metadata":{"name":"n","revision":6},"spec":{}}}],"at":9})"));
+  EXPECT_EQ(watched.status_, StoreStatus::Ok);
+  ASSERT_EQ(watched.list_.events_.size(), 1U);
+  EXPECT_TRUE(watched.list_.events_[0].removed_);
+  EXPECT_EQ(watched.list_.revision_, 9);
+}
+
+// Guards against a conditional update that is sent without its condition.
+TEST(Objects, WritesConditions)
+{
+  const auto call = Objects().Replace("k", "n", Json{ { "a", 1 } }, 412);
+  EXPECT_EQ(call.method_, "PUT");
+  EXPECT_EQ(call.target_, "/-/objects/k/n");
+  EXPECT_EQ(Json::parse(call.body_),
+            Json::parse(
+              R"({"metadata":{"name":"n","revision":412},"spec":{"a":1}})"));
+  EXPECT_EQ(Objects().Watch("k", 530, 5000).target_,
+            "/-/objects/k?watch=530&wait-ms=5000");
+}
+
+// Guards against a refusal that is not recognised as "not run", which would
+// keep a non-idempotent request from being sent again.
+TEST(Requests, ReadsAnswerFields)
+{
+  HttpHead head;
+  head.status_ = 503;
+  head.fields_ = { { "cactuspitch-not-executed", "1" },
+                   { "Cactuspitch-Server-Load", "3,0,8" },
+                   { "Keep-Alive", "timeout=10" } };
+  const auto info = Requests().ReadAnswer(head);
+  EXPECT_TRUE(info.notRun_);
+  EXPECT_FALSE(info.sealed_);
+  ASSERT_TRUE(info.load_);
+  EXPECT_EQ(info.load_->slots_, 8);
+  EXPECT_EQ(info.idleTimeoutMs_, 10000);
+  head.fields_ = { { "Cactuspitch-Server-Load", "3,x,8" } };
+  head.status_ = 421;
+  EXPECT_TRUE(Requests().ReadAnswer(head).notRun_);
+  EXPECT_FALSE(Requests().ReadAnswer(head).load_);
+}
+
+// Guards against bounds of the platform that do not reach the settings.
+TEST(SettingsFile, TranslatesBounds)
+{
+  const std::string path = testing::TempDir() + "gateway-settings-test.env";
+  std::ofstream(path) << "# comment\nCACTUSPITCH_INSTANCE=n1\n"
+                         "CACTUSPITCH_BOUNDS=grace-s=6,retry-budget-ratio=0.2,"
+                         "drain-s=2,hold-max-s=x\nbroken\n";
+  Findings findings;
+  const auto settings = ReadSettingsFile(path, {}, findings);
+  EXPECT_EQ(settings.at("CACTUSPITCH_INSTANCE"), "n1");
+  EXPECT_EQ(settings.at("CACTUSPITCH_GRACE_MS"), "6000");
+  EXPECT_EQ(settings.at("CACTUSPITCH_RETRY_PERCENT"), "20");
+  EXPECT_FALSE(settings.contains("CACTUSPITCH_MAX_HOLD_MS"));
+  EXPECT_EQ(findings.All().size(), 2U);
+  std::remove(path.c_str());
+}
+
+}
+}
