--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -33,10 +33,10 @@
   static constexpr TimeMs kRankStepMs = 150;
   /// A gateway that hears almost nobody is probably cut off itself.
   static constexpr TimeMs kIsolatedSilenceMs = 5000;
-  static constexpr TimeMs kFirstSilenceMs = 400;
+  static constexpr TimeMs kFirstSilenceMs = 300;
   /// At the first start nobody knows the others: small instances wait longer,
   /// in proportion to what they lack of a whole core.
-  static constexpr TimeMs kSmallInstanceMs = 1500;
+  static constexpr TimeMs kSmallInstanceMs = 400;
 };
 
 /// Election of the one gateway that assigns keys, by conditional updates of one
