Keep the lead in a total outage; a taken address ends a hold

Change: a peer counts as reaching the store only by an answer later than the leader's loss, and probes when the leader tells of it; a misdirected order (400, 421) proves that the holder has ended; the right of a leader is 8 s, renewed each second. The test of the misdirected release fails without the change.

--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -170,6 +170,7 @@
              },
              [this] { return configVersion_; },
              [this] { return HasDirectory(); },
+             [this] { ProbeStore(); },
              [this] { AskStoreForConfig(); } })
   , gossip_(aLoop,
             { settings_.instance_,
@@ -444,6 +445,14 @@
               });
 }
 
+void Gateway::ProbeStore()
+{
+  store_.Call(
+    store_.Protocol().Get(detail::kOwnKind,
+                          Concat(detail::kInstancePrefix, settings_.instance_)),
+    [](const StoreAnswer&) {});
+}
+
 void Gateway::AskStoreForConfig()
 {
   if (std::exchange(askingConfig_, true)) {
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -42,6 +42,7 @@
   void OnConfigObjects(const std::vector<StoreObject>& aObjects);
   void OnConfigEvents(const std::vector<ObjectEvent>& aEvents);
   void OnConfigObject(const StoreObject& aObject);
+  void ProbeStore();
   void AskStoreForConfig();
   void OnBackendList(const std::vector<StoreObject>& aObjects);
   void OnBackendEvents(const std::vector<ObjectEvent>& aEvents);
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -25,8 +25,8 @@
 /// unless it knows that the old process has ended or stopped leading.
 struct LeaderTiming
 {
-  static constexpr TimeMs kRightMs = 10000;
-  static constexpr TimeMs kRenewMs = 2000;
+  static constexpr TimeMs kRightMs = 8000;
+  static constexpr TimeMs kRenewMs = 1000;
   /// A silent leader is replaced: three heartbeats were lost.
   static constexpr TimeMs kSilenceMs = 800;
   /// Candidates try one after the other.
--- a/gateway/StoreLink.hpp
+++ b/gateway/StoreLink.hpp
@@ -38,6 +38,8 @@
   {
     return IsReachable() ? 0 : loop_.NowMs() - lostMs_;
   }
+  /// Since the store's last answer.
+  TimeMs AnswerAgeMs() const { return loop_.NowMs() - answeredMs_; }
   int64_t Calls() const { return calls_; }
   /// A random part of aMs, so that the gateways do not call in step.
   TimeMs Jitter(TimeMs aMs);
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -18,6 +18,7 @@
 constexpr TimeMs kLeaderWordMs = 800;
 /// A leader without the store, while others reach it, can move no keys.
 constexpr TimeMs kLeaderWithoutStoreMs = 900;
+constexpr TimeMs kProbeMs = 2000;
 /// A starting gateway asks the store first.
 constexpr TimeMs kStoreFirstMs = 600;
 /// All gateways watch until the others are known.
@@ -132,15 +133,18 @@
 bool StoreRelay::ShouldResign() const
 {
   const TimeMs nowMs = loop_.NowMs();
-  return !store_.IsReachable() &&
-         store_.LostForMs() > detail::kLeaderWithoutStoreMs &&
-         peerStoreOkMs_ != 0 &&
-         nowMs - peerStoreOkMs_ < detail::kLeaderWordMs * 2;
+  const TimeMs lostForMs = store_.LostForMs();
+  // An open watch proves nothing: the peer must have had an answer since.
+  return lostForMs > detail::kLeaderWithoutStoreMs &&
+         peerAnsweredMs_ > nowMs - lostForMs + detail::kLeaderWordMs / 2;
 }
 
 void StoreRelay::Fill(wire::Gossip& aGossip) const
 {
   aGossip.storeOk = IsStoreOk();
+  constexpr TimeMs kLongestAgeMs = 1000000;
+  aGossip.storeAgeMs =
+    static_cast<int32_t>(std::min(store_.AnswerAgeMs(), kLongestAgeMs));
   aGossip.directoryDigest = IsStoreOk() ? directory_.Digest() : 0;
 }
 
@@ -166,11 +170,18 @@
   const TimeMs nowMs = loop_.NowMs();
   if (aGossip.storeOk) {
     storeOkMs_ = nowMs;
-    peerStoreOkMs_ = nowMs;
+    peerAnsweredMs_ = std::max(peerAnsweredMs_, nowMs - aGossip.storeAgeMs);
     if (aGossip.leading) {
       leaderStoreOkMs_ = nowMs;
     }
   }
+  if (aGossip.leading && !aGossip.storeOk && IsStoreOk() &&
+      store_.AnswerAgeMs() > detail::kLeaderWordMs &&
+      nowMs - probedMs_ > detail::kProbeMs) {
+    // Whether the store is away for all decides who should lead.
+    probedMs_ = nowMs;
+    handlers_.probeStore_();
+  }
   const Endpoint status{ aSender.ip_,
                          static_cast<uint16_t>(aGossip.statusPort) };
   if (aGossip.configVersion > handlers_.configVersion_()) {
--- a/gateway/StoreRelay.hpp
+++ b/gateway/StoreRelay.hpp
@@ -34,6 +34,8 @@
     std::function<void(const nlohmann::json& aSpec)> onConfig_;
     std::function<int64_t()> configVersion_;
     std::function<bool()> hasDirectory_;
+    /// Makes one small call to the store.
+    std::function<void()> probeStore_;
     /// Asks the store for the configuration.
     std::function<void()> askStoreForConfig_;
   };
@@ -84,8 +86,9 @@
   bool asking_ = false;
   bool askingConfig_ = false;
   TimeMs startedMs_;
-  TimeMs storeOkMs_;           ///< a watcher last reached the store
-  TimeMs peerStoreOkMs_ = 0;   ///< another watcher did
+  TimeMs storeOkMs_;          ///< a watcher last reached the store
+  TimeMs peerAnsweredMs_ = 0; ///< the store answered another gateway
+  TimeMs probedMs_ = 0;
   TimeMs leaderStoreOkMs_ = 0; ///< the leader did
   TimeMs behindMs_ = 0;        ///< since when the digests differ
 };
--- a/keyspace/KeyOwnership.cpp
+++ b/keyspace/KeyOwnership.cpp
@@ -409,6 +409,18 @@
     auto& runtime = runtime_[index];
     const bool isOwner = segment.owner_ == aOrder.backend_;
     const auto previous = runtime.previous_.find(aOrder.backend_);
+    if (aResult == OrderResult::Misdirected) {
+      // Another server has the address, so this one has ended.
+      if (previous != runtime.previous_.end()) {
+        previous->second = HoldWindow{};
+      } else if (isOwner) {
+        runtime.owner_ = HoldWindow{};
+      }
+      runtime.releaseInFlight_ = false;
+      runtime.lastGrantFailed_ = true;
+      ++revision_;
+      continue;
+    }
     if (aOrder.kind_ == OrderKind::Release) {
       runtime.releaseInFlight_ = false;
       if (aResult == OrderResult::Accepted &&
--- a/keyspace/KeyOwnership.hpp
+++ b/keyspace/KeyOwnership.hpp
@@ -23,7 +23,7 @@
   TimeMs lostMs_ = 1200;
   /// How long an earlier leader may go on sending renewals after it was
   /// replaced (LeaderLease), with the time limit of its last call.
-  TimeMs foreignRightMs_ = 11000;
+  TimeMs foreignRightMs_ = 8600;
 };
 
 /// Latest moment at which a grant sent at any time up to aArrivalMs can still
--- a/tests/KeyOwnershipTest.cpp
+++ b/tests/KeyOwnershipTest.cpp
@@ -226,6 +226,29 @@
   EXPECT_LT(movedMs, heldUntilMs + 500);
 }
 
+// Guards against waiting for a holder whose address another server has taken
+// over (eg-north trouble-3: 10 s without an owner).
+TEST_F(KeyOwnershipTest, MisdirectedReleaseEndsTheHold)
+{
+  Start();
+  KeyOwnership next("s", timing_);
+  int64_t fence = 1 << 24;
+  next.Adopt(
+    ownership_.Segments(), [&] { return ++fence; }, nowMs_);
+  std::map<std::string, OwnerCandidate> candidates;
+  candidates["b"] = { 0, true, 1 };
+  next.SetCandidates(candidates, nowMs_);
+  const auto change = next.Propose([&] { return ++fence; }, {}, nowMs_);
+  ASSERT_TRUE(change);
+  next.Commit(*change, nowMs_);
+  const auto orders = next.TakeOrders(nowMs_);
+  const auto* release = Release(orders);
+  ASSERT_NE(release, nullptr);
+  EXPECT_EQ(release->backend_, "a");
+  next.OnOrderDone(*release, OrderResult::Misdirected, "", nowMs_);
+  EXPECT_TRUE(Grants(next.TakeOrders(nowMs_), "b", 0));
+}
+
 // Guards against a new leader that moves keys while the old one may still renew
 // them, and against one that waits longer than it has to.
 TEST_F(KeyOwnershipTest, TakeoverFencesTheOldLeaderOut)
--- a/wire/gen-cpp/gossip_types.cpp
+++ b/wire/gen-cpp/gossip_types.cpp
@@ -978,6 +978,10 @@
   this->storeOk = val;
 }
 
+void Gossip::__set_storeAgeMs(const int32_t val) {
+  this->storeAgeMs = val;
+}
+
 void Gossip::__set_statusPort(const int32_t val) {
   this->statusPort = val;
 }
@@ -1193,6 +1197,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->storeAgeMs);
+          this->__isset.storeAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 17:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->statusPort);
@@ -1334,6 +1346,10 @@
   xfer += oprot->writeI32(this->statusPort);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("storeAgeMs", ::apache::thrift::protocol::T_I32, 18);
+  xfer += oprot->writeI32(this->storeAgeMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1356,6 +1372,7 @@
   swap(a.changes, b.changes);
   swap(a.directoryDigest, b.directoryDigest);
   swap(a.storeOk, b.storeOk);
+  swap(a.storeAgeMs, b.storeAgeMs);
   swap(a.statusPort, b.statusPort);
   swap(a.wantsKeys, b.wantsKeys);
   swap(a.__isset, b.__isset);
@@ -1377,6 +1394,7 @@
   changes = other58.changes;
   directoryDigest = other58.directoryDigest;
   storeOk = other58.storeOk;
+  storeAgeMs = other58.storeAgeMs;
   statusPort = other58.statusPort;
   wantsKeys = other58.wantsKeys;
   __isset = other58.__isset;
@@ -1397,6 +1415,7 @@
   changes = other59.changes;
   directoryDigest = other59.directoryDigest;
   storeOk = other59.storeOk;
+  storeAgeMs = other59.storeAgeMs;
   statusPort = other59.statusPort;
   wantsKeys = other59.wantsKeys;
   __isset = other59.__isset;
@@ -1420,6 +1439,7 @@
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "directoryDigest=" << to_string(directoryDigest);
   out << ", " << "storeOk=" << to_string(storeOk);
+  out << ", " << "storeAgeMs=" << to_string(storeAgeMs);
   out << ", " << "statusPort=" << to_string(statusPort);
   out << ", " << "wantsKeys=" << to_string(wantsKeys);
   out << ")";
--- a/wire/gen-cpp/gossip_types.h
+++ b/wire/gen-cpp/gossip_types.h
@@ -379,7 +379,7 @@
 std::ostream& operator<<(std::ostream& out, const BackendChange& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), statusPort(false), wantsKeys(false) {}
+  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), wantsKeys(false) {}
   bool instance :1;
   bool bootId :1;
   bool term :1;
@@ -395,6 +395,7 @@
   bool changes :1;
   bool directoryDigest :1;
   bool storeOk :1;
+  bool storeAgeMs :1;
   bool statusPort :1;
   bool wantsKeys :1;
 } _Gossip__isset;
@@ -415,6 +416,7 @@
            cpuPercent(0),
            directoryDigest(0),
            storeOk(0),
+           storeAgeMs(0),
            statusPort(0),
            wantsKeys(0) {
   }
@@ -435,6 +437,7 @@
   std::vector<BackendChange>  changes;
   int64_t directoryDigest;
   bool storeOk;
+  int32_t storeAgeMs;
   int32_t statusPort;
   bool wantsKeys;
 
@@ -470,6 +473,8 @@
 
   void __set_storeOk(const bool val);
 
+  void __set_storeAgeMs(const int32_t val);
+
   void __set_statusPort(const int32_t val);
 
   void __set_wantsKeys(const bool val);
@@ -506,6 +511,8 @@
       return false;
     if (!(storeOk == rhs.storeOk))
       return false;
+    if (!(storeAgeMs == rhs.storeAgeMs))
+      return false;
     if (!(statusPort == rhs.statusPort))
       return false;
     if (!(wantsKeys == rhs.wantsKeys))
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -63,6 +63,7 @@
   14: list<BackendChange> changes // of registrations, from a store watcher
   15: i64 directoryDigest // over all registrations, 0 when not known
   16: bool storeOk // the sender watches the store and reaches it
+  18: i32 storeAgeMs // of the store's last answer to the sender
   17: i32 statusPort // where /config and /directory are served
   12: bool wantsKeys // the sender has just started and knows no owners
 }
