--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,13 @@
 soak: build
 	@bench/soak $(BUILD) $(MINUTES)
 
-demo: build
+# Only the programs that the demo starts are built.
+DEMO_PROGRAMS = cactuspitch-router cactuspitch-assigner cactuspitch-admin \
+  standin-store standin-backend loadgen
+
+demo: packages
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) --target $(DEMO_PROGRAMS)
 	@scripts/demo $(BUILD)
 
 format:
