Prove each second that watchers reach the store

Change: the configuration's watch waits 1 s, so that an answer of the last 2.2 s is needed to count; after 1.3 s without one a third of the gateways (8 at least) join, then all, and stay for 5 s.

--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -17,6 +17,10 @@
 constexpr const char* kOwnKind = "cactuspitch";
 constexpr std::string_view kInstancePrefix = "instance.";
 constexpr TimeMs kHousekeepMs = 100;
+/// Waiting times of watches: each answered one is a call. The watch of the
+/// configuration also proves each second that the store is there.
+constexpr TimeMs kConfigWaitMs = 1000;
+constexpr TimeMs kWatchWaitMs = 5000;
 constexpr TimeMs kRegisterRetryMs = 500;
 constexpr TimeMs kDrainTickMs = 50;
 /// The balancer takes a process out after two questions a second apart.
@@ -77,6 +81,7 @@
                     aLog,
                     store_,
                     port_.registry_.ConfigKind(),
+                    detail::kConfigWaitMs,
                     { [this](const std::vector<StoreObject>& aObjects) {
                        OnConfigObjects(aObjects);
                      },
@@ -87,6 +92,7 @@
                      aLog,
                      store_,
                      port_.registry_.BackendKind(),
+                     detail::kWatchWaitMs,
                      { [this](const std::vector<StoreObject>& aObjects) {
                         OnBackendList(aObjects);
                       },
@@ -97,6 +103,7 @@
                  aLog,
                  store_,
                  detail::kOwnKind,
+                 detail::kWatchWaitMs,
                  { [this](const std::vector<StoreObject>& aObjects) {
                     std::ranges::for_each(
                       aObjects,
--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -297,7 +297,9 @@
   UpdateCandidates();
   std::map<std::string, KeySegments> proposed;
   bool changed = false;
-  for (const auto& [name, ownership] : services_) {
+  for (const auto& service : services_) {
+    const auto& name = service.first;
+    const auto& ownership = service.second;
     auto change =
       ownership->Propose([this] { return NextFence(); },
                          [this, &name](const KeyOwnership& aOwnership) {
@@ -469,7 +471,7 @@
   auto request = protocol_.MakeOrder(aOrder);
   request.freshConnection_ = failing_.contains(aOrder.backend_);
   client_.Call(address->second,
-               std::move(request),
+               request,
                [this, aOrder, run = run_](const CallResult& aResult) {
                  if (run == run_) {
                    OnOrderDone(aOrder, aResult);
--- a/gateway/StoreFollower.cpp
+++ b/gateway/StoreFollower.cpp
@@ -7,9 +7,6 @@
 
 namespace detail {
 
-/// Short enough to notice a dead connection in time, long enough to cost few
-/// calls: each answered watch is one.
-constexpr TimeMs kWatchWaitMs = 5000;
 /// Changes come in bursts; what follows the first is fetched in one call. Well
 /// below the 2 s in which changes must be in force.
 constexpr TimeMs kGatherMs = 200;
@@ -22,10 +19,12 @@
                              EventLog& aLog,
                              StoreLink& aStore,
                              std::string aKind,
+                             TimeMs aWaitMs,
                              Handlers aHandlers)
   : log_(aLog)
   , store_(aStore)
   , kind_(std::move(aKind))
+  , waitMs_(aWaitMs)
   , handlers_(std::move(aHandlers))
   , retryTimer_(aLoop, [this] {
     if (synced_) {
@@ -118,7 +117,7 @@
     return;
   }
   const auto round = ++round_;
-  store_.Call(store_.Protocol().Watch(kind_, revision_, detail::kWatchWaitMs),
+  store_.Call(store_.Protocol().Watch(kind_, revision_, waitMs_),
               [this, round](const StoreAnswer& aAnswer) {
                 if (round == round_) {
                   OnWatched(aAnswer);
--- a/gateway/StoreFollower.hpp
+++ b/gateway/StoreFollower.hpp
@@ -24,6 +24,7 @@
                 EventLog& aLog,
                 StoreLink& aStore,
                 std::string aKind,
+                TimeMs aWaitMs,
                 Handlers aHandlers);
 
   void Start();
@@ -46,6 +47,7 @@
   EventLog& log_;
   StoreLink& store_;
   std::string kind_;
+  TimeMs waitMs_;
   Handlers handlers_;
   Timer retryTimer_;
   uint64_t round_ = 0; ///< answers of earlier rounds are ignored
--- a/gateway/StoreLink.cpp
+++ b/gateway/StoreLink.cpp
@@ -29,7 +29,7 @@
   // After a failure the kept connections are not trusted.
   aRequest.freshConnection_ = failures_ > 0;
   client_.Call(store_,
-               std::move(aRequest),
+               aRequest,
                [this, sentMs = loop_.NowMs(), done = std::move(aDone)](
                  const CallResult& aResult) {
                  auto answer = protocol_.ReadAnswer(aResult);
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -11,6 +11,10 @@
 
 using Json = nlohmann::json;
 
+/// Watchers have an answer of the store each second; older ones prove nothing.
+constexpr TimeMs kProofMs = 2200;
+/// A gateway that joined the watchers stays for this long.
+constexpr TimeMs kWatchHoldMs = 5000;
 /// Changes come with the digest; what is lost is asked for after this.
 constexpr TimeMs kBehindMs = 300;
 constexpr TimeMs kRelayTimeoutMs = 700;
@@ -93,7 +97,8 @@
 
 bool StoreRelay::IsStoreOk() const
 {
-  return watching_ && store_.IsReachable();
+  return watching_ && store_.IsReachable() &&
+         store_.AnswerAgeMs() < detail::kProofMs;
 }
 
 size_t StoreRelay::Rank() const
@@ -107,18 +112,32 @@
   });
 }
 
+size_t StoreRelay::WantedWatchers(TimeMs aLostMs, size_t aGateways)
+{
+  if (aLostMs < kWidenMs) {
+    return std::min(kWatchers, aGateways);
+  }
+  if (aLostMs < 2 * kWidenMs) {
+    return std::min(std::max(kMinWidened, aGateways / kWatchers), aGateways);
+  }
+  return aGateways;
+}
+
 void StoreRelay::Update()
 {
   const TimeMs nowMs = loop_.NowMs();
   if (IsStoreOk()) {
-    storeOkMs_ = nowMs;
+    storeOkMs_ = std::max(storeOkMs_, nowMs - store_.AnswerAgeMs());
+  }
+  const TimeMs lostMs = nowMs - storeOkMs_;
+  const auto watchers = WantedWatchers(lostMs, mesh_.AliveCount(nowMs) + 1);
+  if (lostMs >= kWidenMs && Rank() < watchers) {
+    watchUntilMs_ = nowMs + detail::kWatchHoldMs;
   }
-  const auto groups =
-    1 + static_cast<size_t>(std::max<TimeMs>(nowMs - storeOkMs_, 0) / kWidenMs);
   // The leader is one of the watchers, whatever its rank.
   const bool watch = nowMs - startedMs_ < detail::kMeetMs ||
-                     election_.IsLeading() || !election_.HearsLeader() ||
-                     Rank() < kWatchers * groups - 1;
+                     nowMs < watchUntilMs_ || election_.IsLeading() ||
+                     !election_.HearsLeader() || Rank() + 1 < kWatchers;
   if (watch != watching_) {
     watching_ = watch;
     log_.Write(LogLevel::Info,
@@ -169,7 +188,7 @@
 {
   const TimeMs nowMs = loop_.NowMs();
   if (aGossip.storeOk) {
-    storeOkMs_ = nowMs;
+    storeOkMs_ = std::max(storeOkMs_, nowMs - aGossip.storeAgeMs);
     peerAnsweredMs_ = std::max(peerAnsweredMs_, nowMs - aGossip.storeAgeMs);
     if (aGossip.leading) {
       leaderStoreOkMs_ = nowMs;
@@ -224,7 +243,7 @@
   request.method_ = "GET";
   request.target_ = "/directory";
   request.timeoutMs_ = detail::kRelayTimeoutMs;
-  client_.Call(aPeer, std::move(request), [this](const CallResult& aResult) {
+  client_.Call(aPeer, request, [this](const CallResult& aResult) {
     asking_ = false;
     behindMs_ = 0;
     if ((watching_ && handlers_.hasDirectory_()) ||
@@ -254,17 +273,16 @@
   request.method_ = "GET";
   request.target_ = "/config";
   request.timeoutMs_ = detail::kRelayTimeoutMs;
-  client_.Call(
-    aPeer, std::move(request), [this, aVersion](const CallResult& aResult) {
-      askingConfig_ = false;
-      if (aResult.end_ == CallEnd::Answered && aResult.head_.status_ == 200) {
-        const auto json = detail::Json::parse(aResult.body_, nullptr, false);
-        handlers_.onConfig_(json);
-      }
-      if (handlers_.configVersion_() < aVersion) {
-        handlers_.askStoreForConfig_();
-      }
-    });
+  client_.Call(aPeer, request, [this, aVersion](const CallResult& aResult) {
+    askingConfig_ = false;
+    if (aResult.end_ == CallEnd::Answered && aResult.head_.status_ == 200) {
+      const auto json = detail::Json::parse(aResult.body_, nullptr, false);
+      handlers_.onConfig_(json);
+    }
+    if (handlers_.configVersion_() < aVersion) {
+      handlers_.askStoreForConfig_();
+    }
+  });
 }
 
 std::string StoreRelay::DirectoryText() const
--- a/gateway/StoreRelay.hpp
+++ b/gateway/StoreRelay.hpp
@@ -22,9 +22,11 @@
 public:
   /// Gateways that watch, the leader among them.
   static constexpr size_t kWatchers = 3;
-  /// As long as no watcher reaches the store, as many more join them after
-  /// each of these times.
-  static constexpr TimeMs kWidenMs = 1500;
+  /// Without an answer of the store to any watcher for this long, more join: a
+  /// configuration must be in force everywhere after 2 s, and all watchers may
+  /// be among the instances that the store turns away.
+  static constexpr TimeMs kWidenMs = 1300;
+  static constexpr size_t kMinWidened = 8;
 
   struct Handlers
   {
@@ -51,6 +53,9 @@
              int aCpuPercent,
              Handlers aHandlers);
 
+  /// How many of the gateways watch when no watcher has had an answer of the
+  /// store for aLostMs: three, then a third of all, then all.
+  static size_t WantedWatchers(TimeMs aLostMs, size_t aGateways);
   /// Decides whether this gateway watches. Called regularly.
   void Update();
   void OnGossip(const wire::Gossip& aGossip, const Endpoint& aSender);
@@ -89,6 +94,7 @@
   TimeMs storeOkMs_;          ///< a watcher last reached the store
   TimeMs peerAnsweredMs_ = 0; ///< the store answered another gateway
   TimeMs probedMs_ = 0;
+  TimeMs watchUntilMs_ = 0;
   TimeMs leaderStoreOkMs_ = 0; ///< the leader did
   TimeMs behindMs_ = 0;        ///< since when the digests differ
 };
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -51,7 +51,7 @@
   const Endpoint& Server() const { return server_; }
   bool IsOpen() const { return stream_.IsOpen(); }
 
-  void Start(CallRequest aRequest, Done aDone)
+  void Start(const CallRequest& aRequest, Done aDone)
   {
     done_ = std::move(aDone);
     parser_ = HttpParser(HttpRole::Answer, detail::kMaxAnswerHeadBytes);
@@ -158,7 +158,9 @@
   return (static_cast<uint64_t>(aServer.ip_) << 16) | aServer.port_;
 }
 
-void HttpClient::Call(const Endpoint& aServer, CallRequest aRequest, Done aDone)
+void HttpClient::Call(const Endpoint& aServer,
+                      const CallRequest& aRequest,
+                      Done aDone)
 {
   ConnectionPtr connection;
   auto& idle = idle_[KeyOf(aServer)];
@@ -169,7 +171,7 @@
     connection = std::make_shared<Connection>(*this, aServer);
   }
   busy_.push_back(connection);
-  connection->Start(std::move(aRequest), std::move(aDone));
+  connection->Start(aRequest, std::move(aDone));
 }
 
 void HttpClient::DropIdle(const Endpoint& aServer)
--- a/net/HttpClient.hpp
+++ b/net/HttpClient.hpp
@@ -57,7 +57,7 @@
   ~HttpClient();
 
   /// aDone runs once, never before Call returns.
-  void Call(const Endpoint& aServer, CallRequest aRequest, Done aDone);
+  void Call(const Endpoint& aServer, const CallRequest& aRequest, Done aDone);
   /// Ends idle connections, for example after one of them went silent.
   void DropIdle(const Endpoint& aServer);
 
--- a/tests/GatewayRig.cpp
+++ b/tests/GatewayRig.cpp
@@ -84,7 +84,7 @@
 
 ScriptedServer::~ScriptedServer() = default;
 
-GatewayRig::GatewayRig(ScriptedServer::Script aScript, int aServers)
+GatewayRig::GatewayRig(const ScriptedServer::Script& aScript, int aServers)
   : log_(loop_, LogLevel::Error, STDERR_FILENO)
 {
   storeServer_ = std::make_unique<ScriptedServer>(
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -52,7 +52,7 @@
 {
 public:
   /// aScript answers the requests of the service without keys.
-  explicit GatewayRig(ScriptedServer::Script aScript, int aServers = 2);
+  explicit GatewayRig(const ScriptedServer::Script& aScript, int aServers = 2);
   ~GatewayRig();
 
   /// Runs the loop until aDone holds; false after 5 s.
--- a/tests/HttpParserTest.cpp
+++ b/tests/HttpParserTest.cpp
@@ -158,8 +158,9 @@
 }
 
 // Guards against a crash or an endless loop on bytes that are no message.
-RC_GTEST_PROP(HttpParserProperty, SurvivesAnyBytes, (std::string aText))
+RC_GTEST_PROP(HttpParserProperty, SurvivesAnyBytes, ())
 {
+  const auto text = *rc::gen::arbitrary<std::string>();
   const auto role = *rc::gen::element(HttpRole::Request, HttpRole::Answer);
   const auto prefix = *rc::gen::element<std::string>(
     "",
@@ -167,7 +168,7 @@
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
   const auto sizes =
     *rc::gen::container<std::vector<size_t>>(rc::gen::inRange<size_t>(1, 9));
-  ParseInPieces(role, prefix + aText, sizes);
+  ParseInPieces(role, prefix + text, sizes);
 }
 
 }
--- a/tests/KeyOwnershipPropertyTest.cpp
+++ b/tests/KeyOwnershipPropertyTest.cpp
@@ -120,9 +120,7 @@
     auto& server = servers_[aOrder.backend_];
     const int fate = *rc::gen::inRange(0, 10);
     std::string handover;
-    if (!server.up_) {
-      leader_->OnOrderDone(aOrder, OrderResult::NotSent, "", nowMs_);
-    } else if (fate == 0) {
+    if (!server.up_ || fate == 0) {
       leader_->OnOrderDone(aOrder, OrderResult::NotSent, "", nowMs_);
     } else if (fate == 1) {
       late_.push_back(
