--- a/net/EventLoop.hpp
+++ b/net/EventLoop.hpp
@@ -22,7 +22,7 @@
   void Run();
   void Stop();
   /// CLOCK_BOOTTIME in ms, read once for each round of events. It counts the
-  /// time of a suspended machine, which leases must not miss.
+  /// time of a suspended instance, which leases must not miss.
   TimeMs NowMs() const override;
   /// Runs aTask after the handlers of this round; objects that end during
   /// their own handler are released this way.
--- a/net/TcpStream.cpp
+++ b/net/TcpStream.cpp
@@ -18,7 +18,7 @@
 constexpr size_t kReadBytes = 32768;
 constexpr int kAcceptBacklog = 1024;
 /// A connection whose peer acknowledges nothing for this long is broken; a
-/// silent middlebox or a machine without power shows in no other way.
+/// silent middlebox or an instance without power shows in no other way.
 constexpr int kUserTimeoutMs = 3000;
 constexpr int kKeepAliveIdleS = 2;
 constexpr int kKeepAliveIntervalS = 1;
