Remove unused accessors and cut key ranges in one place

Cause: the read-through found accessors that nobody calls, and the cut of a list of key ranges written twice, in KeyOwnership and KeyView. Change: CutBefore in KeySegment.hpp serves both; the unused names are gone. Behaviour stays.

--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -377,7 +377,6 @@
   if (!idle.empty() && nowMs - idle.back()->idleSinceMs_ <= aMaxIdleMs) {
     link = std::move(idle.back());
     idle.pop_back();
-    link->isReused_ = true;
   } else if (aBackend->Connections() < aMaxConnections) {
     link = std::make_shared<BackendLink>(*this, aBackend);
     ++opened_;
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -70,7 +70,6 @@
   void Detach();
   void PauseReading(bool aPaused);
   Backend& Server() { return *backend_; }
-  bool IsReused() const { return isReused_; }
 
 private:
   friend class BackendPool;
@@ -94,7 +93,6 @@
   std::string body_;
   AttemptHandler* handler_ = nullptr;
   bool busy_ = false;
-  bool isReused_ = false;
   bool headTaken_ = false;
   bool skipping_ = false; ///< reads an answer that belongs to no request
   bool answerKeepsAlive_ = false;
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -59,7 +59,6 @@
   bool IsAnswered() const { return answered_; }
   bool AnnouncedClose() const { return announcedClose_; }
   bool IsRepeatable() const { return IsIdempotent(); }
-  bool WasSent() const { return sent_; }
   bool IsParked() const { return parked_; }
 
   const Route* GetRoute() const { return route_; }
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -49,7 +49,6 @@
   void Start(int64_t aTerm);
   void Stop();
   void OnForeignEnded();
-  bool IsRunning() const { return running_; }
 
   void SetServices(std::set<std::string> aKeyedServices);
   void SetBackends(const std::map<std::string, BackendEntry>& aEntries);
--- a/gateway/StoreFollower.cpp
+++ b/gateway/StoreFollower.cpp
@@ -71,10 +71,9 @@
 void StoreFollower::List()
 {
   const auto round = ++round_;
-  after_.clear();
   listed_.clear();
   listRevision_ = 0;
-  store_.Call(store_.Protocol().List(kind_, after_),
+  store_.Call(store_.Protocol().List(kind_, {}),
               [this, round](const StoreAnswer& aAnswer) {
                 if (round == round_) {
                   OnListed(aAnswer);
--- a/gateway/StoreFollower.hpp
+++ b/gateway/StoreFollower.hpp
@@ -55,7 +55,6 @@
   bool synced_ = false;
   int failures_ = 0;
   int64_t revision_ = 0;
-  std::string after_;
   std::vector<StoreObject> listed_;
   int64_t listRevision_ = 0;
 };
--- a/gateway/StoreRelay.hpp
+++ b/gateway/StoreRelay.hpp
@@ -59,7 +59,6 @@
   /// Decides whether this gateway watches. Called regularly.
   void Update();
   void OnGossip(const wire::Gossip& aGossip, const Endpoint& aSender);
-  bool IsWatching() const { return watching_; }
   /// True while this gateway watches the store and reaches it.
   bool IsStoreOk() const;
   /// True for a leader that does not reach the store while others do.
--- a/keyspace/KeyOwnership.cpp
+++ b/keyspace/KeyOwnership.cpp
@@ -20,25 +20,6 @@
   return aSegment.first_ <= aOrder.last_ && aOrder.first_ <= aSegment.last_;
 }
 
-/// Cuts the segments so that aFirst starts one and aLast ends one.
-void SplitAt(KeySegments& aSegments, uint32_t aFirst, uint32_t aLast)
-{
-  const auto cut = [&](uint32_t aStart) {
-    const auto found = std::ranges::find_if(aSegments, [&](const auto& aPart) {
-      return aPart.first_ < aStart && aStart <= aPart.last_;
-    });
-    if (found == aSegments.end()) {
-      return;
-    }
-    auto upper = *found;
-    upper.first_ = aStart;
-    found->last_ = aStart - 1;
-    aSegments.insert(std::next(found), std::move(upper));
-  };
-  cut(aFirst);
-  cut(aLast + 1);
-}
-
 }
 
 TimeMs HoldEndMs(TimeMs aArrivalMs, TimeMs aHoldMs)
@@ -260,7 +241,8 @@
       if (!candidates_.contains(move.target_)) {
         continue;
       }
-      detail::SplitAt(proposed, move.first_, move.last_);
+      detail::CutBefore(proposed, move.first_);
+      detail::CutBefore(proposed, move.last_ + 1);
       for (auto& segment : proposed) {
         if (segment.first_ >= move.first_ && segment.last_ <= move.last_ &&
             segment.owner_ != move.target_) {
--- a/keyspace/KeySegment.hpp
+++ b/keyspace/KeySegment.hpp
@@ -2,9 +2,12 @@
 
 #include "common/Types.hpp"
 
+#include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <nlohmann/json_fwd.hpp>
@@ -32,6 +35,26 @@
 /// Sorted by first_; the segments of a service cover all keys without overlap.
 using KeySegments = std::vector<KeySegment>;
 
+namespace detail {
+
+/// Makes aStart the first key of a part; parts have first_ and last_.
+template<typename Part>
+void CutBefore(std::vector<Part>& aParts, uint32_t aStart)
+{
+  const auto found = std::ranges::find_if(aParts, [&](const Part& aPart) {
+    return aPart.first_ < aStart && aStart <= aPart.last_;
+  });
+  if (found == aParts.end()) {
+    return;
+  }
+  auto upper = *found;
+  upper.first_ = aStart;
+  found->last_ = aStart - 1;
+  aParts.insert(std::next(found), std::move(upper));
+}
+
+}
+
 /// Segment of a key; null when the table is empty.
 const KeySegment* FindSegment(const KeySegments& aSegments, uint32_t aKey);
 
--- a/keyspace/KeyView.cpp
+++ b/keyspace/KeyView.cpp
@@ -8,21 +8,6 @@
 
 using Range = KeyView::Range;
 
-/// Makes aStart the first key of a range.
-void CutBefore(std::vector<Range>& aRanges, uint32_t aStart)
-{
-  const auto found = std::ranges::find_if(aRanges, [&](const Range& aRange) {
-    return aRange.first_ < aStart && aStart <= aRange.last_;
-  });
-  if (found == aRanges.end()) {
-    return;
-  }
-  auto upper = *found;
-  upper.first_ = aStart;
-  found->last_ = aStart - 1;
-  aRanges.insert(std::next(found), std::move(upper));
-}
-
 bool SameOwner(const KeyOwner& aLeft, const KeyOwner& aRight)
 {
   return aLeft.fence_ == aRight.fence_ && aLeft.id_ == aRight.id_ &&
