Refuse ambiguous requests at the router

Cause: CivetWeb stops reading the header at a folded line and drops what follows, takes a request without Host, and decodes the path in place, which cuts it at an encoded NUL and forwards the decoded form. Lease orders named Host twice, and a refused order left no log line. Change: one Host, no folded line, at most 63 header lines; the path is forwarded as it came; refused orders are logged.

--- a/assigner/LeaseDuty.cpp
+++ b/assigner/LeaseDuty.cpp
@@ -121,6 +121,9 @@
   }
   const int status = response->head_.status_;
   if (status != detail::kOk && status != detail::kConflict) {
+    Log(LogLevel::Warning,
+        "backend server refused an order",
+        { { "server", order.server_ }, { "status", status } });
     return;
   }
   try {
@@ -146,8 +149,7 @@
   HttpRequest request;
   request.method_ = "POST";
   request.target_ = "/_cactuspitch/grant";
-  request.headers_ = { { "Host", aJob.order_.address_ },
-                       { "Content-Type", "application/json" } };
+  request.headers_ = { { "Content-Type", "application/json" } };
   request.body_ = body;
   const auto deadlineMs = clock_.NowMs() + detail::kCallMs;
   auto connection = Take(aJob.order_.address_);
--- a/common/HttpServer.cpp
+++ b/common/HttpServer.cpp
@@ -18,6 +18,7 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kLengthRequired = 411;
+constexpr int kHeaderTooLarge = 431;
 /// Beyond this a Content-Length cannot be meant seriously.
 constexpr size_t kMaxLengthDigits = 18;
 
@@ -39,6 +40,27 @@
          std::ranges::all_of(aText, absl::ascii_isdigit);
 }
 
+/// CivetWeb ends the header at a line that begins with white space and drops
+/// the rest, a Content-Length included. Its texts point into the received
+/// header, with NUL in place of each line end: the byte that follows the last
+/// value tells whether the empty line was reached.
+bool IsHeaderComplete(const mg_request_info& aInfo)
+{
+  const auto headers = HeaderSpan(aInfo);
+  if (headers.empty()) {
+    return true;
+  }
+  constexpr ptrdiff_t kLineEndBytes = 2;
+  const char* versionEnd = aInfo.http_version + std::strlen(aInfo.http_version);
+  const char* next = headers.back().value;
+  next += std::strlen(next) + 1;
+  if (*next == '\0') {
+    ++next;
+  }
+  return headers.front().name - versionEnd <= kLineEndBytes &&
+         (*next == '\r' || *next == '\n');
+}
+
 /// CivetWeb passes requests with conflicting or malformed framing to the
 /// handler. Forwarded on a reused connection they could shift answers to the
 /// wrong caller.
@@ -46,8 +68,16 @@
 {
   Framing framing;
   int lengths = 0;
+  int hosts = 0;
+  if (aInfo.num_headers >= MG_MAX_HEADERS) {
+    return { kHeaderTooLarge, "too many header lines", 0 };
+  }
+  if (!IsHeaderComplete(aInfo)) {
+    return { kBadRequest, "folded or malformed header line", 0 };
+  }
   for (const auto& header : HeaderSpan(aInfo)) {
     const std::string_view name = header.name;
+    hosts += EqualsIgnoreCase(name, "Host") ? 1 : 0;
     if (EqualsIgnoreCase(name, "Transfer-Encoding")) {
       return { kLengthRequired, "request body needs Content-Length", 0 };
     }
@@ -70,6 +100,10 @@
   if (spaceInName) {
     return { kBadRequest, "malformed header name", 0 };
   }
+  const bool needsHost = std::string_view(aInfo.http_version) != "1.0";
+  if (hosts > 1 || (needsHost && hosts == 0)) {
+    return { kBadRequest, "the request needs one Host header", 0 };
+  }
   return framing;
 }
 
@@ -99,9 +133,17 @@
   return info_.request_uri ? info_.request_uri : "";
 }
 
-std::string_view HttpExchange::DecodedPath() const
+std::string HttpExchange::DecodedPath() const
 {
-  return info_.local_uri ? info_.local_uri : "";
+  const std::string path(Path());
+  std::string decoded(path.size() + 1, '\0');
+  const int size = mg_url_decode(path.data(),
+                                 static_cast<int>(path.size()),
+                                 decoded.data(),
+                                 static_cast<int>(decoded.size()),
+                                 0);
+  decoded.resize(size > 0 ? static_cast<size_t>(size) : 0);
+  return decoded;
 }
 
 std::string_view HttpExchange::Query() const
@@ -293,8 +335,9 @@
                              "yes",
                              "tcp_nodelay",
                              "1",
+                             // It decodes in place and cuts the path at "%00".
                              "decode_url",
-                             "yes",
+                             "no",
                              nullptr };
   mg_callbacks callbacks{};
   // CivetWeb would otherwise write its own messages to standard error.
--- a/common/HttpServer.hpp
+++ b/common/HttpServer.hpp
@@ -27,7 +27,7 @@
   /// Raw path, not decoded.
   std::string_view Path() const;
   /// Decoded path.
-  std::string_view DecodedPath() const;
+  std::string DecodedPath() const;
   /// Without the question mark; empty when absent.
   std::string_view Query() const;
   /// Decoded value of a query parameter; empty when absent.
--- a/standin/StandinBackend.cpp
+++ b/standin/StandinBackend.cpp
@@ -60,7 +60,7 @@
 bool StandinBackend::Work::Parse(HttpExchange& aExchange)
 {
   const std::vector<std::string> path =
-    absl::StrSplit(ToAbsl(aExchange.DecodedPath()), '/', absl::SkipEmpty());
+    absl::StrSplit(aExchange.DecodedPath(), '/', absl::SkipEmpty());
   auto body = aExchange.ReadBody(detail::kMaxBodyBytes);
   if (path.size() < 2 || !body.ok()) {
     return false;
--- a/standin/StandinStore.cpp
+++ b/standin/StandinStore.cpp
@@ -99,7 +99,7 @@
 void StandinStore::Handle(HttpExchange& aExchange)
 {
   const std::vector<std::string> path =
-    absl::StrSplit(ToAbsl(aExchange.DecodedPath()), '/', absl::SkipEmpty());
+    absl::StrSplit(aExchange.DecodedPath(), '/', absl::SkipEmpty());
   const auto method = aExchange.Method();
   const auto is = [&](std::string_view aFirst, size_t aSize) {
     return path.size() == aSize && path[0] == aFirst;
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <thread>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
 namespace cactuspitch {
@@ -395,6 +396,54 @@
   EXPECT_EQ(OutcomeOf(*response), "complete");
 }
 
+/// The status that the router gives to these bytes, 0 without an answer.
+int StatusOfBytes(const RouterRig& aRig, const std::string& aBytes)
+{
+  boost::asio::ip::tcp::iostream stream;
+  stream.expires_after(std::chrono::seconds(3));
+  const auto address = aRig.http_.Address();
+  const auto colon = address.rfind(':');
+  stream.connect(address.substr(0, colon), address.substr(colon + 1));
+  stream << aBytes << std::flush;
+  std::string version;
+  int status = 0;
+  stream >> version >> status;
+  return status;
+}
+
+// Guards against requests that routers and backend servers read differently,
+// so that a part of one is taken for another caller's request.
+TEST(Router, AmbiguousBytesAreRefused)
+{
+  Scripted server({ Ok });
+  RouterRig rig;
+  rig.Own(server.backend_);
+  const auto status = [&rig](const std::string& aPath,
+                             const std::string& aHeader) {
+    return StatusOfBytes(
+      rig, Concat("GET ", aPath, " HTTP/1.1\r\n", aHeader, "\r\n"));
+  };
+  const std::string host = "Host: h\r\n";
+  EXPECT_EQ(status("/svc/key", ""), 400);
+  EXPECT_EQ(status("/svc/key", "Accept: a\r\n"), 400);
+  EXPECT_EQ(status("/svc/key", host + host), 400);
+  EXPECT_EQ(status("/svc/key", host + "A: b\r\n c\r\n"), 400);
+  EXPECT_EQ(status("/svc/key", host + "A: b\r\n\tc\r\nB: d\r\n"), 400);
+  EXPECT_EQ(status("/svc/key", " A: b\r\n" + host), 400);
+  EXPECT_EQ(status("/svc/key%00", host), 400);
+  EXPECT_EQ(status("/svc/a%00b", host), 400);
+  EXPECT_EQ(status("/svc/key/a%00b", host), 400);
+  std::string many = host;
+  for (int i = 0; i < 100; ++i) {
+    AppendTo(many, "A", i, ": b\r\n");
+  }
+  EXPECT_EQ(status("/svc/key", many), 431);
+  EXPECT_EQ(status("/svc/a%2Fb", host), 400);
+  EXPECT_TRUE(server.backend_.Requests().empty());
+  EXPECT_EQ(status("/svc/a%20b", host), 200);
+  EXPECT_EQ(server.backend_.Requests().at(0).Path(), "/svc/a%20b");
+}
+
 // Guards against unclear answers to input that cannot be forwarded.
 TEST(Router, BadInputIsRefusedWithAnOutcome)
 {
