Wait for the longest grant of earlier leaders

Cause: a successor computed the end of an earlier leader's grants from its own hold. With 120 backend servers or fewer at that moment it used 2.5 s where the earlier leader had granted 4 s, so keys of a silent server could get a second owner. The setting max-hold-ms was read and bounded nothing. Change: one timing a term, bounded by max-hold-ms; the key table names the longest hold, and it counts for the windows of earlier leaders. Result: KeyOwnershipTest.LongerGrantsOfAnEarlierLeaderRunOut and GrantTiming.KeepsTheLongestHoldOfTheServers.

--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -29,11 +29,6 @@
 /// Orders to one server at a time: a release waits for running work, and must
 /// not keep a renewal back.
 constexpr int kOrdersPerServer = 3;
-/// With many owners the loss of one concerns few keys, and renewals cost the
-/// leader processor time: its grants last longer.
-constexpr size_t kLargeFleet = 120;
-constexpr TimeMs kLargeFleetHoldMs = 4000;
-constexpr TimeMs kLargeFleetRenewMs = 1300;
 
 }
 
@@ -43,6 +38,7 @@
                          HttpClient& aClient,
                          const OrderProtocol& aProtocol,
                          const LoadBoard& aBoard,
+                         TimeMs aMaxHoldMs,
                          Handlers aHandlers)
   : loop_(aLoop)
   , log_(aLog)
@@ -50,6 +46,7 @@
   , client_(aClient)
   , protocol_(aProtocol)
   , board_(aBoard)
+  , maxHoldMs_(aMaxHoldMs)
   , handlers_(std::move(aHandlers))
   , timer_(aLoop, [this] { Tick(); })
   , retryTimer_(aLoop, [this] { std::exchange(retry_, nullptr)(); })
@@ -73,6 +70,7 @@
   running_ = true;
   loaded_ = false;
   writing_ = false;
+  timing_.reset();
   ++run_;
   term_ = aTerm;
   fences_ = 0;
@@ -136,8 +134,11 @@
     RetryLater([this] { Read(); });
     return;
   }
+  if (!table.services_.empty()) {
+    DecideTiming(table);
+  }
   for (auto& [name, segments] : table.services_) {
-    auto ownership = std::make_unique<KeyOwnership>(name, Timing());
+    auto ownership = std::make_unique<KeyOwnership>(name, *timing_);
     ownership->Adopt(
       std::move(segments), [this] { return NextFence(); }, loop_.NowMs());
     services_[name] = std::move(ownership);
@@ -178,14 +179,18 @@
   UpdateCandidates();
 }
 
-GrantTiming KeyDirector::Timing() const
+void KeyDirector::DecideTiming(const KeyTable& aEarlier)
 {
-  GrantTiming timing;
-  if (backends_.size() > detail::kLargeFleet) {
-    timing.holdMs_ = detail::kLargeFleetHoldMs;
-    timing.renewMs_ = detail::kLargeFleetRenewMs;
+  // One timing for a whole term: the table names its hold to the next leader.
+  std::set<std::string_view> owners;
+  for (const auto& [name, segments] : aEarlier.services_) {
+    for (const auto& segment : segments) {
+      owners.insert(segment.owner_);
+    }
   }
-  return timing;
+  timing_ =
+    GrantTiming::For(std::max(backends_.size(), owners.size()), maxHoldMs_);
+  timing_->foreignHoldMs_ = std::max(timing_->holdMs_, aEarlier.holdMs_);
 }
 
 double KeyDirector::MeanWorkMs(const std::string& aService) const
@@ -205,14 +210,17 @@
 
 void KeyDirector::UpdateCandidates()
 {
-  if (!running_ || !loaded_) {
+  if (!running_ || !loaded_ || backends_.empty()) {
     return;
   }
+  if (!timing_) {
+    DecideTiming({});
+  }
   const TimeMs nowMs = loop_.NowMs();
   for (const auto& name : keyedServices_) {
     auto& ownership = services_[name];
     if (ownership == nullptr) {
-      ownership = std::make_unique<KeyOwnership>(name, Timing());
+      ownership = std::make_unique<KeyOwnership>(name, *timing_);
     }
     const double meanMs = MeanWorkMs(name);
     std::map<std::string, OwnerCandidate> candidates;
@@ -319,7 +327,8 @@
   writing_ = true;
   lastWriteMs_ = loop_.NowMs();
   written_ = std::move(aProposed);
-  const auto spec = EncodeKeyTable(KeyTable{ term_, ++writeId_, written_ });
+  const auto spec = EncodeKeyTable(
+    KeyTable{ term_, ++writeId_, timing_->foreignHoldMs_, written_ });
   const auto& protocol = store_.Protocol();
   store_.Call(revision_ == 0
                 ? protocol.Create(detail::kTableKind, detail::kTableName, spec)
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -41,6 +42,7 @@
               HttpClient& aClient,
               const OrderProtocol& aProtocol,
               const LoadBoard& aBoard,
+              TimeMs aMaxHoldMs,
               Handlers aHandlers);
 
   /// The call that reads the key table.
@@ -49,6 +51,8 @@
   void Start(int64_t aTerm);
   void Stop();
   void OnForeignEnded();
+  /// Holds from the next term on.
+  void SetMaxHold(TimeMs aMaxHoldMs) { maxHoldMs_ = aMaxHoldMs; }
 
   void SetServices(std::set<std::string> aKeyedServices);
   void SetBackends(const std::map<std::string, BackendEntry>& aEntries);
@@ -87,7 +91,7 @@
   void ReportChanges();
   std::vector<KeyOwnership::Move> PlanMoves(const std::string& aService,
                                             const KeyOwnership& aOwnership);
-  GrantTiming Timing() const;
+  void DecideTiming(const KeyTable& aEarlier);
   int64_t NextFence();
 
   EventLoop& loop_;
@@ -96,6 +100,7 @@
   HttpClient& client_;
   const OrderProtocol& protocol_;
   const LoadBoard& board_;
+  TimeMs maxHoldMs_; ///< longest grant that backend servers accept
   Handlers handlers_;
   Timer timer_;
   Timer retryTimer_;
@@ -104,6 +109,7 @@
   bool loaded_ = false; ///< the table of the earlier leader was taken over
   uint64_t run_ = 0;    ///< answers of earlier runs are ignored
   int64_t term_ = 0;
+  std::optional<GrantTiming> timing_; ///< of this term
   int64_t fences_ = 0;
   int64_t writeId_ = 0;
   int64_t revision_ = 0;
--- a/keyspace/KeyOwnership.cpp
+++ b/keyspace/KeyOwnership.cpp
@@ -14,6 +14,11 @@
 /// A grant without an answer reached the server within this time, or its
 /// connection was cut and reset.
 constexpr TimeMs kMaxTransitMs = 250;
+/// With many owners the loss of one concerns few keys, and renewals cost the
+/// leader processor time: its grants last longer.
+constexpr size_t kLargeFleet = 120;
+constexpr TimeMs kLargeFleetHoldMs = 4000;
+constexpr TimeMs kLargeFleetRenewMs = 1300;
 
 bool Overlaps(const KeySegment& aSegment, const KeyOrder& aOrder)
 {
@@ -41,6 +46,21 @@
          foreignEndMs_ == 0;
 }
 
+GrantTiming GrantTiming::For(size_t aServers, TimeMs aMaxHoldMs)
+{
+  GrantTiming timing;
+  if (aServers > detail::kLargeFleet) {
+    timing.holdMs_ = detail::kLargeFleetHoldMs;
+    timing.renewMs_ = detail::kLargeFleetRenewMs;
+  }
+  if (aMaxHoldMs < timing.holdMs_) {
+    timing.renewMs_ = timing.renewMs_ * aMaxHoldMs / timing.holdMs_;
+    timing.holdMs_ = aMaxHoldMs;
+  }
+  timing.foreignHoldMs_ = timing.holdMs_;
+  return timing;
+}
+
 KeyOwnership::KeyOwnership(std::string aService, GrantTiming aTiming)
   : service_(std::move(aService))
   , timing_(aTiming)
@@ -52,7 +72,7 @@
                          TimeMs aNowMs)
 {
   const TimeMs foreignEndMs =
-    HoldEndMs(aNowMs + timing_.foreignRightMs_, timing_.holdMs_);
+    HoldEndMs(aNowMs + timing_.foreignRightMs_, timing_.foreignHoldMs_);
   segments_.clear();
   for (auto& segment : aSegments) {
     const bool joins = !segments_.empty() && segment.previous_.empty() &&
@@ -79,7 +99,7 @@
 void KeyOwnership::OnForeignLeadersEnded(TimeMs aNowMs)
 {
   // Their last grants may still be in force, or be carried out late.
-  const TimeMs endMs = HoldEndMs(aNowMs, timing_.holdMs_);
+  const TimeMs endMs = HoldEndMs(aNowMs, timing_.foreignHoldMs_);
   const auto shorten = [&](HoldWindow& aWindow) {
     aWindow.foreignEndMs_ = std::min(aWindow.foreignEndMs_, endMs);
   };
--- a/keyspace/KeyOwnership.hpp
+++ b/keyspace/KeyOwnership.hpp
@@ -24,6 +24,13 @@
   /// How long an earlier leader may go on sending renewals after it was
   /// replaced (LeaderLease), with the time limit of its last call.
   TimeMs foreignRightMs_ = 8600;
+  /// Longest grant of any earlier leader; it may have had other settings, or
+  /// more backend servers.
+  TimeMs foreignHoldMs_ = 2500;
+
+  /// For this many backend servers, none of which accepts a longer grant than
+  /// aMaxHoldMs.
+  static GrantTiming For(size_t aServers, TimeMs aMaxHoldMs);
 };
 
 /// Latest moment at which a grant sent at any time up to aArrivalMs can still
--- a/keyspace/KeySegment.cpp
+++ b/keyspace/KeySegment.cpp
@@ -65,6 +65,7 @@
   }
   return detail::Json{ { "term", aTable.term_ },
                        { "writeId", aTable.writeId_ },
+                       { "holdMs", aTable.holdMs_ },
                        { "services", std::move(services) } };
 }
 
@@ -74,6 +75,7 @@
     KeyTable table;
     table.term_ = aJson.at("term").get<int64_t>();
     table.writeId_ = aJson.at("writeId").get<int64_t>();
+    table.holdMs_ = aJson.at("holdMs").get<TimeMs>();
     for (const auto& [name, list] : aJson.at("services").items()) {
       auto& segments = table.services_[name];
       std::ranges::transform(
--- a/keyspace/KeySegment.hpp
+++ b/keyspace/KeySegment.hpp
@@ -63,6 +63,7 @@
 {
   int64_t term_ = 0;    ///< of the leader that wrote it
   int64_t writeId_ = 0; ///< tells the writes of one leader apart
+  TimeMs holdMs_ = 0;   ///< longest grant of this leader and all before it
   std::map<std::string, KeySegments> services_;
 };
 
--- a/tests/KeyOwnershipTest.cpp
+++ b/tests/KeyOwnershipTest.cpp
@@ -288,23 +288,68 @@
   EXPECT_TRUE(Grants(next.TakeOrders(nowMs_), "b", 50));
 }
 
+// Guards against a successor with fewer backend servers and shorter grants that
+// takes the keys of a silent server before the longer grant has run out.
+TEST_F(KeyOwnershipTest, LongerGrantsOfAnEarlierLeaderRunOut)
+{
+  Start();
+  auto timing = GrantTiming::For(100, 10000);
+  const auto earlier = GrantTiming::For(200, 10000);
+  ASSERT_GT(earlier.holdMs_, timing.holdMs_);
+  timing.foreignHoldMs_ = earlier.holdMs_;
+  KeyOwnership next("s", timing);
+  int64_t fence = 1 << 24;
+  next.Adopt(
+    ownership_.Segments(), [&] { return ++fence; }, nowMs_);
+  next.SetCandidates({ { "b", { 0, true, 1 } } }, nowMs_);
+  next.OnForeignLeadersEnded(nowMs_);
+  const TimeMs heldUntilMs = nowMs_ + earlier.holdMs_ * 102 / 100;
+  if (const auto change = next.Propose([&] { return ++fence; }, {}, nowMs_)) {
+    next.Commit(*change, nowMs_);
+  }
+  for (; nowMs_ <= heldUntilMs; nowMs_ += 50) {
+    for (const auto& order : next.TakeOrders(nowMs_)) {
+      ASSERT_FALSE(order.kind_ == OrderKind::Grant && order.first_ == 0);
+      next.OnOrderDone(order,
+                       order.backend_ == "b" ? OrderResult::Accepted
+                                             : OrderResult::Unanswered,
+                       "",
+                       nowMs_);
+    }
+  }
+  nowMs_ += 400;
+  EXPECT_TRUE(Grants(next.TakeOrders(nowMs_), "b", 50));
+}
+
+// Guards against grants that backend servers refuse as too long.
+TEST(GrantTiming, KeepsTheLongestHoldOfTheServers)
+{
+  for (const size_t servers : { size_t{ 8 }, size_t{ 500 } }) {
+    const auto timing = GrantTiming::For(servers, 1500);
+    EXPECT_EQ(timing.holdMs_, 1500);
+    EXPECT_LT(timing.renewMs_, 700);
+    EXPECT_GT(GrantTiming::For(servers, 10000).holdMs_, 2000);
+  }
+}
+
 // Guards against a table that the store gives back changed.
 TEST(KeyTable, SurvivesTheStore)
 {
-  KeyTable table{ 3, 9, {} };
+  KeyTable table{ 3, 9, 4000, {} };
   table.services_["s"] = { { 0, 99, "a", 5, 77, { "b", "c" } },
                            { 100, kKeyCount - 1, "b", 6, 78, {} } };
   KeyTable back;
   ASSERT_TRUE(DecodeKeyTable(EncodeKeyTable(table), back));
   EXPECT_EQ(back.term_, 3);
   EXPECT_EQ(back.writeId_, 9);
+  EXPECT_EQ(back.holdMs_, 4000);
   EXPECT_EQ(back.services_, table.services_);
 }
 
 // Guards against a table with holes, overlaps or other content.
 TEST(KeyTable, RefusesBrokenTables)
 {
-  KeyTable table{ 1, 1, {} };
+  KeyTable table{ 1, 1, 2500, {} };
   KeyTable back;
   table.services_["s"] = { { 0, 99, "a", 5, 77, {} } };
   EXPECT_FALSE(DecodeKeyTable(EncodeKeyTable(table), back));
