Reload settings on SIGHUP and share retries by the current fleet

Cause: a changed settings file was only checked; the retry budget of a service kept the fleet size of its first request, so gateways that started before they knew the others could together retry more than allowed. Result: Gateway.ReloadsItsSettings, RetryBudget.LowerLimitsHoldAtOnce.

--- a/gateway/EventLog.hpp
+++ b/gateway/EventLog.hpp
@@ -25,6 +25,7 @@
 
   EventLog(const Clock& aClock, LogLevel aMinimum, int aFd);
 
+  void SetMinimum(LogLevel aMinimum) { minimum_ = aMinimum; }
   void Write(LogLevel aLevel,
              std::string_view aEvent,
              std::initializer_list<LogField> aFields = {});
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -67,14 +67,40 @@
 void Forwarder::SetGateways(const std::string& aSelf,
                             const std::vector<PlacedName>& aGateways)
 {
-  gateways_ = std::max<size_t>(aGateways.size(), 1);
   if (self_ != aSelf || gatewayNames_ != aGateways) {
+    gateways_ = std::max<size_t>(aGateways.size(), 1);
+    UpdateBudgets();
     self_ = aSelf;
     gatewayNames_ = aGateways;
     AssignHomes();
   }
 }
 
+void Forwarder::SetRetryBounds(double aRatio, double aExtra)
+{
+  bounds_.retryRatio_ = aRatio;
+  bounds_.retryExtra_ = aExtra;
+  UpdateBudgets();
+}
+
+double Forwarder::RetryPercent() const
+{
+  return bounds_.retryRatio_ * detail::kBudgetSafety * detail::kPercent;
+}
+
+double Forwarder::RetryBurst() const
+{
+  return bounds_.retryExtra_ * detail::kBudgetSafety /
+         static_cast<double>(gateways_);
+}
+
+void Forwarder::UpdateBudgets()
+{
+  for (auto& [service, budget] : budgets_) {
+    budget.SetLimits(RetryPercent(), RetryBurst());
+  }
+}
+
 void Forwarder::AssignHomes()
 {
   for (const auto& [service, backends] : pool_.Services()) {
@@ -97,8 +123,8 @@
   // All gateways share the connections of a server; a tenth stays free for
   // the orders of the leader.
   constexpr double kUsableShare = 0.9;
-  const double share = aService.maxConnections_ * kUsableShare /
-                       static_cast<double>(std::max<size_t>(gateways_, 1));
+  const double share =
+    aService.maxConnections_ * kUsableShare / static_cast<double>(gateways_);
   return std::max<size_t>(2, static_cast<size_t>(share));
 }
 
@@ -273,18 +299,8 @@
 void Forwarder::OnFirstAttempt(const ForwardedRequest& aRequest)
 {
   const auto& service = aRequest.Service();
-  const double burst = bounds_.retryExtra_ * detail::kBudgetSafety /
-                       static_cast<double>(std::max<size_t>(gateways_, 1));
-  auto budget = budgets_.find(service);
-  if (budget == budgets_.end()) {
-    budget = budgets_
-               .emplace(service,
-                        RetryBudget(bounds_.retryRatio_ *
-                                      detail::kBudgetSafety * detail::kPercent,
-                                    burst))
-               .first;
-  }
-  budget->second.OnRequest();
+  budgets_.try_emplace(service, RetryPercent(), RetryBurst())
+    .first->second.OnRequest();
   if (aRequest.Caller().key_) {
     ++keyCounts_[service][*aRequest.Caller().key_];
   }
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -59,6 +59,8 @@
   /// prefers and what share of limits it has.
   void SetGateways(const std::string& aSelf,
                    const std::vector<PlacedName>& aGateways);
+  /// New bounds on repeats of requests.
+  void SetRetryBounds(double aRatio, double aExtra);
   /// Looks again at waiting requests: owners or servers have changed.
   void OnPlacesChanged() { SchedulePump(); }
 
@@ -108,6 +110,9 @@
                               const ForwardedRequest& aRequest,
                               size_t aMaxConnections) const;
   size_t ConnectionShare(const ServiceSpec& aService) const;
+  double RetryPercent() const;
+  double RetryBurst() const;
+  void UpdateBudgets();
   void AssignHomes();
   void OnBackendDown(const Backend& aBackend);
   void SchedulePump();
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -48,11 +48,12 @@
                  EventLog& aLog,
                  GatewaySettings aSettings,
                  PlatformPort aPort,
-                 std::function<void()> aReload)
+                 SettingsReader aReadSettings)
   : loop_(aLoop)
   , log_(aLog)
   , settings_(std::move(aSettings))
   , port_(aPort)
+  , readSettings_(std::move(aReadSettings))
   , bootId_(detail::NewBootId())
   , metrics_(registry_)
   , client_(aLoop)
@@ -137,6 +138,7 @@
               client_,
               port_.orders_,
               board_,
+              settings_.maxHoldMs_,
               { [this] { return election_.MayOrder(); },
                 [this](const std::string& aService) {
                   gossip_.OnKeysChanged(aService);
@@ -197,7 +199,7 @@
   , drainTimer_(aLoop, [this] { DrainTick(); })
   , onTerminate_(aLoop, SIGTERM, [this] { BeginDrain(); })
   , onInterrupt_(aLoop, SIGINT, [this] { BeginDrain(); })
-  , onHangup_(aLoop, SIGHUP, std::move(aReload))
+  , onHangup_(aLoop, SIGHUP, [this] { Reload(); })
 {
 }
 
@@ -548,6 +550,29 @@
   }
 }
 
+void Gateway::Reload()
+{
+  Findings findings;
+  const auto fresh = readSettings_(findings);
+  if (!fresh) {
+    log_.Write(LogLevel::Error,
+               "settings-rejected",
+               { { "findings", findings.ToText() } });
+    return;
+  }
+  // Names and addresses hold until the next start.
+  settings_.graceMs_ = fresh->graceMs_;
+  log_.SetMinimum(fresh->logLevel_);
+  forwarder_.SetRetryBounds(fresh->retryRatio_, fresh->retryExtra_);
+  director_.SetMaxHold(fresh->maxHoldMs_);
+  log_.Write(LogLevel::Info,
+             "settings-reloaded",
+             { { "grace_ms", fresh->graceMs_ },
+               { "retry_ratio", fresh->retryRatio_ },
+               { "retry_extra", fresh->retryExtra_ },
+               { "max_hold_ms", fresh->maxHoldMs_ } });
+}
+
 void Gateway::BeginDrain()
 {
   if (drainMs_ != 0) {
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/Findings.hpp"
 #include "gateway/CallerStream.hpp"
 #include "gateway/EventLog.hpp"
 #include "gateway/Forwarder.hpp"
@@ -19,6 +20,7 @@
 #include "net/HttpClient.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace cactuspitch {
@@ -28,11 +30,15 @@
 class Gateway
 {
 public:
+  /// Reads the settings again; nothing when there are findings.
+  using SettingsReader =
+    std::function<std::optional<GatewaySettings>(Findings&)>;
+
   Gateway(EventLoop& aLoop,
           EventLog& aLog,
           GatewaySettings aSettings,
           PlatformPort aPort,
-          std::function<void()> aReload);
+          SettingsReader aReadSettings);
 
   /// False when an address cannot be used.
   bool Start();
@@ -60,6 +66,7 @@
   bool IsReady() const;
   std::string MetricsText();
   void Housekeep();
+  void Reload();
   void BeginDrain();
   void DrainTick();
   void Exit();
@@ -68,6 +75,7 @@
   EventLog& log_;
   GatewaySettings settings_;
   PlatformPort port_;
+  SettingsReader readSettings_;
   int64_t bootId_;
   MetricsRegistry registry_;
   GatewayMetrics metrics_;
--- a/gateway/GatewayMain.cpp
+++ b/gateway/GatewayMain.cpp
@@ -6,6 +6,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <optional>
 
 #include <unistd.h>
 
@@ -30,13 +31,33 @@
   return platform::ReadSettingsFile(path, std::move(environment), aFindings);
 }
 
-/// Checks all settings; prints the findings and ends the process if any.
-GatewaySettings ReadSettings(int aArgc, char** aArgv)
+/// Reads and checks all settings; nothing when there are findings.
+std::optional<GatewaySettings> ReadSettings(Settings& aSettings,
+                                            SettingsAction& aAction,
+                                            int aArgc,
+                                            char** aArgv,
+                                            Findings& aFindings)
+{
+  const auto environment = Environment(aFindings);
+  aAction = aSettings.Parse(aArgc, aArgv, environment);
+  aFindings.Append(aSettings.GetFindings());
+  if (aFindings.IsEmpty()) {
+    CheckGatewaySettings(aSettings, aFindings);
+  }
+  if (!aFindings.IsEmpty()) {
+    return std::nullopt;
+  }
+  return ReadGatewaySettings(aSettings);
+}
+
+/// Prints what the command line asks for or the findings and ends the process,
+/// unless the gateway should run.
+GatewaySettings ReadSettingsOrExit(int aArgc, char** aArgv)
 {
   Findings findings;
-  const auto environment = Environment(findings);
   Settings settings(GatewaySettingSpecs());
-  const auto action = settings.Parse(aArgc, aArgv, environment);
+  auto action = SettingsAction::Run;
+  const auto result = ReadSettings(settings, action, aArgc, aArgv, findings);
   if (action == SettingsAction::ShowHelp) {
     std::cout << settings.HelpText(kProgram, kSummary);
     std::exit(0);
@@ -45,22 +66,22 @@
     std::cout << kProgram << " " << kVersion << "\n";
     std::exit(0);
   }
-  findings.Append(settings.GetFindings());
-  if (findings.IsEmpty()) {
-    CheckGatewaySettings(settings, findings);
-  }
-  if (!findings.IsEmpty()) {
+  if (!result) {
     std::cerr << findings.ToText();
     std::exit(kExitUsage);
   }
-  return ReadGatewaySettings(settings);
+  if (settings.Boolean("check")) {
+    std::cout << "settings are valid\n";
+    std::exit(0);
+  }
+  return *result;
 }
 
 }
 
 int main(int aArgc, char** aArgv)
 {
-  const auto settings = ReadSettings(aArgc, aArgv);
+  const auto settings = ReadSettingsOrExit(aArgc, aArgv);
   std::signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
   EventLog log(loop, settings.logLevel_, STDOUT_FILENO);
@@ -68,16 +89,15 @@
   const platform::Orders orders;
   const platform::Objects objects;
   const platform::Registry registry;
-  Gateway gateway(
-    loop, log, settings, { requests, orders, objects, registry }, [&] {
-      // The addresses stay as they are until the next start; what is wrong in
-      // the new file is told now.
-      Findings findings;
-      Environment(findings);
-      log.Write(LogLevel::Info,
-                "settings-reloaded",
-                { { "findings", findings.ToText() } });
-    });
+  Gateway gateway(loop,
+                  log,
+                  settings,
+                  { requests, orders, objects, registry },
+                  [aArgc, aArgv](Findings& aFindings) {
+                    Settings fresh(GatewaySettingSpecs());
+                    auto action = SettingsAction::Run;
+                    return ReadSettings(fresh, action, aArgc, aArgv, aFindings);
+                  });
   if (!gateway.Start()) {
     return kExitFailure;
   }
--- a/gateway/GatewaySettings.cpp
+++ b/gateway/GatewaySettings.cpp
@@ -66,6 +66,10 @@
             "processor of this instance, percent of a core",
             1,
             100000),
+    { "check",
+      SettingType::Boolean,
+      "false",
+      "checks the settings and ends: true or false" },
     { "log-level", SettingType::Text, "info", "debug, info, warning or error" },
   };
 }
--- a/policy/RetryBudget.cpp
+++ b/policy/RetryBudget.cpp
@@ -28,9 +28,11 @@
   return true;
 }
 
-void RetryBudget::SetPercent(double aPercent)
+void RetryBudget::SetLimits(double aPercent, double aBurst)
 {
   percent_ = aPercent;
+  burst_ = aBurst;
+  tokens_ = std::min(tokens_, aBurst);
 }
 
 }
--- a/policy/RetryBudget.hpp
+++ b/policy/RetryBudget.hpp
@@ -13,7 +13,10 @@
   void OnRequest();
   /// Pays for one retry; false when the budget is used up.
   bool TryTake();
-  void SetPercent(double aPercent);
+  void SetPercent(double aPercent) { percent_ = aPercent; }
+  /// New limits for the requests from now on; saved retries above the new burst
+  /// are given up.
+  void SetLimits(double aPercent, double aBurst);
 
 private:
   double percent_;
--- a/tests/GatewayRig.cpp
+++ b/tests/GatewayRig.cpp
@@ -4,6 +4,7 @@
 #include "tests/ReservedPort.hpp"
 
 #include <algorithm>
+#include <csignal>
 #include <stdexcept>
 #include <utility>
 
@@ -160,7 +161,7 @@
     log_,
     settings_,
     PlatformPort{ requests_, orders_, objects_, registry_ },
-    [] {});
+    [this](Findings&) { return freshSettings_; });
   if (!gateway_->Start()) {
     throw std::runtime_error("the gateway does not start");
   }
@@ -243,6 +244,13 @@
   reply(200, Item(kind, name));
 }
 
+void GatewayRig::Reload(std::optional<GatewaySettings> aSettings)
+{
+  freshSettings_ = std::move(aSettings);
+  std::raise(SIGHUP);
+  RunFor(20);
+}
+
 bool GatewayRig::RunUntil(const std::function<bool()>& aDone)
 {
   const TimeMs endMs = SteadyClock().NowMs() + kPatienceMs;
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,9 @@
   /// Takes the store away, or gives it back.
   void SetStoreDown(bool aDown) { storeDown_ = aDown; }
   std::vector<std::string>& Grants() { return grants_; }
+  /// Reloads with these settings, or finds them wrong.
+  void Reload(std::optional<GatewaySettings> aSettings);
+  const GatewaySettings& Settings() const { return settings_; }
 
   static std::string Request(const std::string& aMethod,
                              const std::string& aHost,
@@ -99,6 +103,7 @@
   std::unique_ptr<ScriptedServer> storeServer_;
   std::vector<std::unique_ptr<ScriptedServer>> backends_;
   GatewaySettings settings_;
+  std::optional<GatewaySettings> freshSettings_;
   std::unique_ptr<Gateway> gateway_;
 };
 
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -219,6 +219,30 @@
   EXPECT_LT(tookMs, 1400);
 }
 
+// Guards against settings that change only with the next start of the process,
+// and against wrong ones that replace those in force.
+TEST(Gateway, ReloadsItsSettings)
+{
+  bool fails = true;
+  GatewayRig rig([&fails](Exchange& aExchange) {
+    if (fails) {
+      aExchange.reset_();
+    } else {
+      Echo(aExchange);
+    }
+    fails = false;
+  });
+  EXPECT_EQ(StatusOf(rig.Ask(GatewayRig::Request("GET", "plain", "1"))), 200);
+  auto settings = rig.Settings();
+  settings.retryRatio_ = 0;
+  settings.retryExtra_ = 0;
+  rig.Reload(settings);
+  rig.Reload(std::nullopt);
+  fails = true;
+  EXPECT_NE(StatusOf(rig.Ask(GatewayRig::Request("GET", "plain", "2"))), 200);
+  EXPECT_EQ(rig.BackendRequests(), 3);
+}
+
 // Guards against losing keys or requests while the store is away.
 TEST(Gateway, ServesWhileTheStoreIsAway)
 {
--- a/tests/RetryBudgetTest.cpp
+++ b/tests/RetryBudgetTest.cpp
@@ -33,5 +33,16 @@
   EXPECT_EQ(retries, 10);
 }
 
+// Guards against gateways that keep the share of a smaller fleet after others
+// have joined, so that all together retry more than is allowed.
+TEST(RetryBudget, LowerLimitsHoldAtOnce)
+{
+  RetryBudget budget(10, 10);
+  budget.SetLimits(10, 2);
+  EXPECT_TRUE(budget.TryTake());
+  EXPECT_TRUE(budget.TryTake());
+  EXPECT_FALSE(budget.TryTake());
+}
+
 }
 }
