--- a/ctl/CommandLine.cpp
+++ b/ctl/CommandLine.cpp
@@ -79,7 +79,7 @@
       aFindings.Add("command line", name, "", "may not be empty");
     }
   }
-  if (!IsValidAddress(aArguments.admin_)) {
+  if (aArguments.command_->usesAdmin_ && !IsValidAddress(aArguments.admin_)) {
     aFindings.Add("command line",
                   "--admin",
                   aArguments.admin_,
@@ -174,6 +174,11 @@
     { "quarantine",
       "Lists quarantined requests; with --release lets one run again.",
       { { "release", "Fingerprint to release." }, kAuthor, kReason } },
+    { "explain",
+      "Explains a failed request from the logs of gateways.",
+      { { "id", "Id of the request.", true },
+        { "log", "Log file; its name is the process's.", true, true } },
+      false },
     { "slo",
       "Shows the burn report.",
       { kService, { "html", "Writes the report as a page to this file." } } },
--- a/ctl/CommandLine.hpp
+++ b/ctl/CommandLine.hpp
@@ -39,6 +39,7 @@
   const char* name_;
   const char* help_;
   std::vector<CtlOption> options_;
+  bool usesAdmin_ = true; ///< needs the address of an admin process
 };
 
 std::span<const CtlCommand> CtlCommands();
--- a/ctl/Commands.cpp
+++ b/ctl/Commands.cpp
@@ -1,8 +1,10 @@
 #include "Commands.hpp"
 
+#include "RequestExplanation.hpp"
 #include "TextOutput.hpp"
 #include "common/Strings.hpp"
 
+#include <filesystem>
 #include <fstream>
 #include <ostream>
 #include <random>
@@ -122,9 +124,37 @@
   if (!aArguments.Value("html").empty()) {
     return WritePage(aArguments);
   }
+  if (!aArguments.command_->usesAdmin_) {
+    return Explain(aArguments);
+  }
   return Show(aArguments);
 }
 
+CtlExit Commands::Explain(const CtlArguments& aArguments)
+{
+  Findings findings;
+  std::vector<LogLine> lines;
+  for (const auto& path : aArguments.Values("log")) {
+    std::ifstream file(path);
+    if (!file) {
+      findings.Add("command line", "--log", path, "cannot be read");
+      continue;
+    }
+    const auto source = std::filesystem::path(path).stem().string();
+    for (std::string text; std::getline(file, text);) {
+      if (auto line = ParseLogLine(text, source)) {
+        lines.push_back(std::move(*line));
+      }
+    }
+  }
+  if (!findings.IsEmpty()) {
+    return Refuse(findings);
+  }
+  const auto explanation = ExplainRequest(lines, aArguments.Value("id"));
+  out_ << ToText(explanation);
+  return explanation.found_ ? CtlExit::Success : CtlExit::Failure;
+}
+
 CtlExit Commands::Refuse(const Findings& aFindings)
 {
   error_ << aFindings.ToText();
--- a/ctl/Commands.hpp
+++ b/ctl/Commands.hpp
@@ -24,6 +24,7 @@
   CtlExit Change(const CtlArguments& aArguments);
   CtlExit Release(const CtlArguments& aArguments);
   CtlExit WritePage(const CtlArguments& aArguments);
+  CtlExit Explain(const CtlArguments& aArguments);
   CtlExit Show(const CtlArguments& aArguments);
   CtlExit Finish(const CtlArguments& aArguments,
                  const absl::StatusOr<ApiAnswer>& aAnswer,
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -308,7 +308,7 @@
   }
   forwarder_.Metrics().OnAttempt("answered");
   if (answerHead_.status_ >= 500 && IsIdempotent() && !headWritten_ &&
-      TryAgain(true)) {
+      TryAgain("server-error", true)) {
     return;
   }
   if (headWritten_) {
@@ -345,7 +345,7 @@
   if (aEnd == AttemptEnd::NotSent) {
     --attempts_;
     tried_.insert(lastBackend_);
-    if (!TryAgain(false)) {
+    if (!TryAgain(aCause, false)) {
       if (sent_) {
         Reject(502, aCause, 0);
       } else {
@@ -362,7 +362,9 @@
 void ForwardedRequest::OnNotRun()
 {
   tried_.insert(lastBackend_);
-  if (TryAgain(true)) {
+  const std::string_view cause =
+    answerHead_.status_ == 421 ? "misdirected" : "backend-shed";
+  if (TryAgain(cause, true)) {
     return;
   }
   if (sent_) {
@@ -370,27 +372,40 @@
     Reject(502, "attempts-exhausted", 0);
     return;
   }
-  Reject(503,
-         answerHead_.status_ == 421 ? "misdirected" : "backend-shed",
-         RetryAfterMs(forwarder_.Options(), RemainingMs(), 0));
+  Reject(503, cause, RetryAfterMs(forwarder_.Options(), RemainingMs(), 0));
 }
 
 void ForwardedRequest::OnUncertain(std::string_view aCause)
 {
   tried_.insert(lastBackend_);
-  if (IsIdempotent() && TryAgain(true)) {
+  if (IsIdempotent() && TryAgain(aCause, true)) {
     return;
   }
   Reject(502, aCause, 0);
 }
 
-bool ForwardedRequest::TryAgain(bool aCounts)
+bool ForwardedRequest::TryAgain(std::string_view aCause, bool aCounts)
 {
-  if (attempts_ >= route_->maxAttempts_ ||
-      RemainingMs() < detail::kMinAttemptMs) {
-    return false;
-  }
-  if (aCounts && !forwarder_.TryTakeRetry(service_)) {
+  std::string_view decision = "retried";
+  if (attempts_ >= route_->maxAttempts_) {
+    decision = "attempts used up";
+  } else if (RemainingMs() < detail::kMinAttemptMs) {
+    decision = "deadline too near";
+  } else if (aCounts && !forwarder_.TryTakeRetry(service_)) {
+    decision = "retry budget used up";
+  }
+  const bool retried = decision == "retried";
+  if (forwarder_.Log().Allows(LogLevel::Info, "attempt-failed")) {
+    forwarder_.Log().Write(LogLevel::Info,
+                           "attempt-failed",
+                           { { "id", caller_.requestId_ },
+                             { "cause", aCause },
+                             { "backend", lastBackend_ },
+                             { "attempt", attempts_ },
+                             { "decision", decision },
+                             { "remaining_ms", RemainingMs() } });
+  }
+  if (!retried) {
     return false;
   }
   if (aCounts) {
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -86,7 +86,7 @@
   /// An attempt may have run and gave no usable answer.
   void OnUncertain(std::string_view aCause);
   /// aCounts: the next attempt draws on the retry budget.
-  bool TryAgain(bool aCounts);
+  bool TryAgain(std::string_view aCause, bool aCounts);
   void OnFinalTimer();
   void StartAnswer(bool aComplete);
   void FinishAnswer();
--- /dev/null
+++ b/tests/RequestExplanationTest.cpp
@@ -0,0 +1,96 @@
+#include "ctl/RequestExplanation.hpp"
+
+#include "ctl/CommandLine.hpp"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+namespace cactuspitch {
+namespace {
+
+std::vector<LogLine> Read(std::initializer_list<const char*> aTexts)
+{
+  std::vector<LogLine> lines;
+  for (const char* text : aTexts) {
+    if (auto line = ParseLogLine(text, "file")) {
+      lines.push_back(std::move(*line));
+    }
+  }
+  return lines;
+}
+
+bool Names(const RequestExplanation& aExplanation, std::string_view aEvent)
+{
+  return std::ranges::any_of(aExplanation.lines_, [&](const LogLine& aLine) {
+    return aLine.event_ == aEvent;
+  });
+}
+
+// Guards against values with spaces and quotes that end a line's fields early,
+// and against text of collectors that hides the line.
+TEST(LogLine, ReadsQuotedFields)
+{
+  const auto line = ParseLogLine(
+    R"(front-a ts=120 level=info event=leader-ended cause="say \"no\" x" n="5")",
+    "file");
+  ASSERT_TRUE(line);
+  EXPECT_EQ(line->source_, "front-a");
+  EXPECT_EQ(line->timeMs_, 120);
+  EXPECT_EQ(line->event_, "leader-ended");
+  EXPECT_EQ(line->Field("cause"), "say \"no\" x");
+  EXPECT_EQ(line->Field("n"), "5");
+  EXPECT_EQ(line->Field("absent"), "");
+  EXPECT_FALSE(ParseLogLine("nothing to see", "file"));
+  EXPECT_FALSE(ParseLogLine("ts=x event=a", "file"));
+}
+
+// Guards against a walk from an id that misses the lines of other processes or
+// drowns them in those that have nothing to do with the request.
+TEST(RequestExplanation, GathersWhatConcernsTheRequest)
+{
+  const auto lines = Read({
+    R"(a ts=1000 level=info event=store-lost)",
+    R"(b ts=1000 level=info event=store-lost)",
+    R"(b ts=8000 level=info event=leader-elected term="3")",
+    R"(b ts=9000 level=info event=keys-moved service="s" first="10" last="20" to="s2")",
+    R"(b ts=9100 level=info event=keys-moved service="s" first="30" last="40" to="s2")",
+    R"(b ts=9100 level=info event=keys-moved service="t" first="10" last="20" to="t2")",
+    R"(b ts=9200 level=info event=backend-down backend="s1")",
+    R"(b ts=9200 level=info event=backend-down backend="s9")",
+    R"(a ts=9300 level=info event=store-regained)",
+    R"(a ts=9500 level=info event=attempt-failed id="r" cause="reset" backend="s1")",
+    R"(a ts=9600 level=info event=request-failed id="r" status="503" cause="key-moving" service="s" key="15" held_ms="300")",
+    R"(a ts=9600 level=info event=request-failed id="other" cause="reset")",
+    R"(b ts=20000 level=info event=leader-ended)",
+  });
+  const auto explanation = ExplainRequest(lines, "r");
+  ASSERT_TRUE(explanation.found_);
+  EXPECT_EQ(explanation.cause_, "key-moving");
+  EXPECT_NE(explanation.meaning_.find("owner"), std::string::npos);
+  EXPECT_EQ(explanation.lines_.size(), 6U) << ToText(explanation);
+  EXPECT_TRUE(Names(explanation, "leader-elected"));
+  EXPECT_TRUE(Names(explanation, "keys-moved"));
+  EXPECT_TRUE(Names(explanation, "backend-down"));
+  EXPECT_TRUE(Names(explanation, "store-regained"));
+  EXPECT_FALSE(Names(explanation, "store-lost"));
+  EXPECT_TRUE(
+    std::ranges::is_sorted(explanation.lines_, {}, &LogLine::timeMs_));
+  EXPECT_NE(ToText(explanation).find("-1500 ms b leader-elected"),
+            std::string::npos)
+    << ToText(explanation);
+}
+
+// Guards against an unknown id that looks explained, and against a command that
+// asks for the address of a process it does not call.
+TEST(RequestExplanation, UnknownIdAndCommandLine)
+{
+  EXPECT_FALSE(ExplainRequest(Read({ "a ts=1 event=x" }), "r").found_);
+  Findings findings;
+  const char* arguments[] = { "ctl", "explain", "--id", "r", "--log", "f" };
+  EXPECT_TRUE(ParseCommandLine(6, const_cast<char**>(arguments), {}, findings))
+    << findings.ToText();
+}
+
+}
+}
