Apply registration changes by entry

Cause: each beat of each backend server counted as a change of the directory and made every gateway rebuild its pool, copy all entries for the leader's role and deal the homes anew. Change: the directory tells the entries that changed, and beats are none; changes are gathered for 50 ms; the digest is kept up by entry. BackendDirectory.BeatsChangeNothing fails without the change.

--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -314,44 +314,55 @@
   }
 }
 
-void BackendPool::Update(const std::map<std::string, BackendEntry>& aEntries)
+void BackendPool::Update(const std::map<std::string, BackendEntry>& aEntries,
+                         const std::set<std::string>& aChanged)
 {
-  const TimeMs nowMs = loop_.NowMs();
-  std::erase_if(backends_, [&](const auto& aItem) {
-    const auto& [id, backend] = aItem;
-    const auto found = aEntries.find(id);
-    const bool sameLife = found != aEntries.end() &&
-                          found->second.bornMs_ == backend->entry_.bornMs_ &&
-                          found->second.address_ == backend->entry_.address_;
-    if (!sameLife) {
-      backend->registered_ = false;
-      auto idle = std::exchange(backend->idle_, {});
-      loop_.Defer([idle = std::move(idle)] {});
+  for (const auto& id : aChanged) {
+    const auto entry = aEntries.find(id);
+    const auto known = backends_.find(id);
+    const bool sameLife = entry != aEntries.end() && known != backends_.end() &&
+                          entry->second.IsSameLife(known->second->entry_);
+    if (sameLife) {
+      known->second->entry_ = entry->second;
+      known->second->load_.SetSlots(entry->second.slots_);
+      continue;
     }
-    return !sameLife;
-  });
-  for (const auto& [id, entry] : aEntries) {
-    auto& backend = backends_[id];
-    if (backend == nullptr) {
-      backend = std::make_shared<Backend>();
-      Endpoint::Parse(entry.address_, backend->endpoint_);
-      backend->idHash_ = BackendHash(id);
-      backend->load_.SetDefaultWorkMs(ServiceWorkMs(entry.service_));
-      if (entry.coldRemainingMs_ > 0) {
-        backend->load_.SetColdUntil(nowMs + entry.coldRemainingMs_);
-      }
+    if (known != backends_.end()) {
+      Remove(known->second);
+      backends_.erase(known);
+    }
+    if (entry != aEntries.end()) {
+      auto backend = NewBackend(entry->second);
+      byHash_[backend->idHash_] = backend;
+      byService_[entry->second.service_].push_back(backend);
+      backends_[id] = std::move(backend);
     }
-    backend->entry_ = entry;
-    backend->load_.SetSlots(entry.slots_);
-  }
-  byService_.clear();
-  byHash_.clear();
-  for (const auto& [id, backend] : backends_) {
-    byHash_[backend->idHash_] = backend;
-    byService_[backend->entry_.service_].push_back(backend);
   }
 }
 
+BackendPool::BackendPtr BackendPool::NewBackend(const BackendEntry& aEntry)
+{
+  auto backend = std::make_shared<Backend>();
+  backend->entry_ = aEntry;
+  Endpoint::Parse(aEntry.address_, backend->endpoint_);
+  backend->idHash_ = BackendHash(aEntry.id_);
+  backend->load_.SetDefaultWorkMs(ServiceWorkMs(aEntry.service_));
+  backend->load_.SetSlots(aEntry.slots_);
+  if (aEntry.coldRemainingMs_ > 0) {
+    backend->load_.SetColdUntil(loop_.NowMs() + aEntry.coldRemainingMs_);
+  }
+  return backend;
+}
+
+void BackendPool::Remove(const BackendPtr& aBackend)
+{
+  aBackend->registered_ = false;
+  auto idle = std::exchange(aBackend->idle_, {});
+  loop_.Defer([idle = std::move(idle)] {});
+  std::erase(byService_[aBackend->entry_.service_], aBackend);
+  byHash_.erase(aBackend->idHash_);
+}
+
 BackendPool::BackendPtr BackendPool::Find(const std::string& aId) const
 {
   const auto found = backends_.find(aId);
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -147,7 +148,9 @@
               DownTask aOnDown);
   ~BackendPool();
 
-  void Update(const std::map<std::string, BackendEntry>& aEntries);
+  /// Takes over the entries of the named servers; one without entry is gone.
+  void Update(const std::map<std::string, BackendEntry>& aEntries,
+              const std::set<std::string>& aChanged);
   BackendPtr Find(const std::string& aId) const;
   const std::vector<BackendPtr>& OfService(const std::string& aService) const;
   const std::map<std::string, std::vector<BackendPtr>>& Services() const
@@ -169,6 +172,8 @@
 private:
   friend class BackendLink;
 
+  BackendPtr NewBackend(const BackendEntry& aEntry);
+  void Remove(const BackendPtr& aBackend);
   void OnConnectFailed(Backend& aBackend, std::string_view aCause);
   void NoteWork(const Backend& aBackend, double aLatencyMs);
   void Release(const std::shared_ptr<BackendLink>& aLink, bool aReusable);
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -57,9 +57,10 @@
 }
 
 void Forwarder::UpdateBackends(
-  const std::map<std::string, BackendEntry>& aEntries)
+  const std::map<std::string, BackendEntry>& aEntries,
+  const std::set<std::string>& aChanged)
 {
-  pool_.Update(aEntries);
+  pool_.Update(aEntries, aChanged);
   AssignHomes();
   SchedulePump();
 }
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -54,7 +54,8 @@
   ~Forwarder();
 
   void SetConfig(RoutingConfig aConfig);
-  void UpdateBackends(const std::map<std::string, BackendEntry>& aEntries);
+  void UpdateBackends(const std::map<std::string, BackendEntry>& aEntries,
+                      const std::set<std::string>& aChanged);
   /// Live gateways, this one included; it decides which servers this one
   /// prefers and what share of limits it has.
   void SetGateways(const std::string& aSelf,
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -29,6 +29,9 @@
 constexpr TimeMs kMinDrainMs = 3000;
 /// The process is gone this long before it would be killed.
 constexpr TimeMs kGraceMarginMs = 250;
+/// Changes of registrations are gathered for this long: when a failure domain
+/// is replaced, hundreds come within seconds, and each recomputes the homes.
+constexpr TimeMs kChangesIntervalMs = 50;
 /// Rounds of housekeeping, 5 s.
 constexpr uint64_t kLogReportRounds = 50;
 constexpr uint64_t kHomeRounds = 5;
@@ -194,6 +197,7 @@
             relay_,
             forwarder_,
             { [this] { return configVersion_; } })
+  , changesTimer_(aLoop, [this] { ApplyBackendChanges(); })
   , housekeepTimer_(aLoop, [this] { Housekeep(); })
   , registerTimer_(aLoop, [this] { Register(); })
   , drainTimer_(aLoop, [this] { DrainTick(); })
@@ -369,12 +373,27 @@
 
 void Gateway::OnBackendsChanged()
 {
-  if (directoryRevision_ == directory_.Revision()) {
+  if (changesTimer_.IsActive()) {
     return;
   }
-  directoryRevision_ = directory_.Revision();
-  forwarder_.UpdateBackends(directory_.Entries());
-  director_.SetBackends(directory_.Entries());
+  const TimeMs waitMs =
+    changesAppliedMs_ + detail::kChangesIntervalMs - loop_.NowMs();
+  if (waitMs > 0) {
+    changesTimer_.Start(waitMs);
+  } else {
+    ApplyBackendChanges();
+  }
+}
+
+void Gateway::ApplyBackendChanges()
+{
+  const auto changes = directory_.TakeChanges();
+  if (changes.empty()) {
+    return;
+  }
+  changesAppliedMs_ = loop_.NowMs();
+  forwarder_.UpdateBackends(directory_.Entries(), changes);
+  director_.UpdateBackends(directory_.Entries(), changes);
 }
 
 void Gateway::OnOwnObject(const StoreObject& aObject)
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -55,6 +55,7 @@
   void OnOwnObject(const StoreObject& aObject);
   std::optional<BackendEntry> DecodeBackend(const StoreObject& aObject);
   void OnBackendsChanged();
+  void ApplyBackendChanges();
   void Register();
   /// Reads the owners from the store while no leader tells them.
   void ReadKeys();
@@ -87,7 +88,6 @@
   StatusServer metricsServer_;
   PeerMesh mesh_;
   BackendDirectory directory_;
-  uint64_t directoryRevision_ = 0;
   StoreFollower configFollower_;
   StoreFollower backendFollower_;
   StoreFollower ownFollower_;
@@ -96,6 +96,7 @@
   KeyDirector director_;
   StoreRelay relay_;
   GossipDuty gossip_;
+  Timer changesTimer_;
   Timer housekeepTimer_;
   Timer registerTimer_;
   Timer drainTimer_;
@@ -110,6 +111,7 @@
   bool wasReady_ = false;
   bool readingKeys_ = false;
   TimeMs keysReadMs_ = 0;
+  TimeMs changesAppliedMs_ = 0;
   TimeMs drainMs_ = 0; ///< when SIGTERM came
 };
 
--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -161,21 +161,28 @@
   UpdateCandidates();
 }
 
-void KeyDirector::SetBackends(
-  const std::map<std::string, BackendEntry>& aEntries)
+void KeyDirector::UpdateBackends(
+  const std::map<std::string, BackendEntry>& aEntries,
+  const std::set<std::string>& aChanged)
 {
   const TimeMs nowMs = loop_.NowMs();
-  for (const auto& [id, entry] : aEntries) {
+  for (const auto& id : aChanged) {
+    const auto entry = aEntries.find(id);
+    if (entry == aEntries.end()) {
+      backends_.erase(id);
+      continue;
+    }
     Endpoint endpoint;
-    if (Endpoint::Parse(entry.address_, endpoint)) {
+    if (Endpoint::Parse(entry->second.address_, endpoint)) {
       addresses_[id] = endpoint;
     }
     const auto known = backends_.find(id);
-    if (known == backends_.end() || known->second.bornMs_ != entry.bornMs_) {
-      warmAtMs_[id] = nowMs + entry.coldRemainingMs_;
+    if (known == backends_.end() ||
+        known->second.bornMs_ != entry->second.bornMs_) {
+      warmAtMs_[id] = nowMs + entry->second.coldRemainingMs_;
     }
+    backends_[id] = entry->second;
   }
-  backends_ = aEntries;
   UpdateCandidates();
 }
 
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -55,7 +55,9 @@
   void SetMaxHold(TimeMs aMaxHoldMs) { maxHoldMs_ = aMaxHoldMs; }
 
   void SetServices(std::set<std::string> aKeyedServices);
-  void SetBackends(const std::map<std::string, BackendEntry>& aEntries);
+  /// Takes over the entries of the named servers; one without entry is gone.
+  void UpdateBackends(const std::map<std::string, BackendEntry>& aEntries,
+                      const std::set<std::string>& aChanged);
   void AddLoad(const std::string& aService, uint32_t aKey, int aRequests);
 
   const std::map<std::string, std::unique_ptr<KeyOwnership>>& Ownership() const
--- a/membership/BackendDirectory.cpp
+++ b/membership/BackendDirectory.cpp
@@ -9,6 +9,25 @@
 
 namespace cactuspitch {
 
+namespace detail {
+
+uint64_t HashOf(const BackendEntry& aEntry)
+{
+  const auto text = Concat(aEntry.id_,
+                           " ",
+                           aEntry.service_,
+                           " ",
+                           aEntry.address_,
+                           " ",
+                           EnumName(aEntry.state_),
+                           " ",
+                           aEntry.bornMs_);
+  // The number of entries counts too.
+  return XXH3_64bits(text.data(), text.size()) + 1;
+}
+
+}
+
 void BackendDirectory::ApplyList(const std::vector<BackendEntry>& aEntries,
                                  TimeMs aNowMs)
 {
@@ -30,8 +49,26 @@
 void BackendDirectory::ApplyPut(const BackendEntry& aEntry, TimeMs)
 {
   missingUntilMs_.erase(aEntry.id_);
-  entries_[aEntry.id_] = aEntry;
-  ++revision_;
+  const auto [known, isNew] = entries_.try_emplace(aEntry.id_, aEntry);
+  if (!isNew) {
+    if (known->second.IsSameState(aEntry)) {
+      return;
+    }
+    digest_ -= detail::HashOf(known->second);
+    known->second = aEntry;
+  }
+  digest_ += detail::HashOf(aEntry);
+  changes_.insert(aEntry.id_);
+}
+
+void BackendDirectory::Drop(const std::string& aId)
+{
+  const auto known = entries_.find(aId);
+  if (known != entries_.end()) {
+    digest_ -= detail::HashOf(known->second);
+    entries_.erase(known);
+    changes_.insert(aId);
+  }
 }
 
 void BackendDirectory::ApplyRemoved(const std::string& aId, TimeMs aNowMs)
@@ -56,31 +93,10 @@
     if (aEntry.second > aNowMs) {
       return false;
     }
-    entries_.erase(aEntry.first);
+    Drop(aEntry.first);
     return true;
   });
-  const bool changed = entries_.size() != before;
-  revision_ += changed ? 1 : 0;
-  return changed;
-}
-
-int64_t BackendDirectory::Digest() const
-{
-  uint64_t digest = entries_.size();
-  for (const auto& [id, entry] : entries_) {
-    const auto text = Concat(id,
-                             " ",
-                             entry.service_,
-                             " ",
-                             entry.address_,
-                             " ",
-                             EnumName(entry.state_),
-                             " ",
-                             entry.bornMs_);
-    // A sum does not depend on the order.
-    digest += XXH3_64bits(text.data(), text.size());
-  }
-  return static_cast<int64_t>(digest);
+  return entries_.size() != before;
 }
 
 void BackendDirectory::Replace(const std::vector<BackendEntry>& aEntries,
@@ -92,10 +108,13 @@
     listed.insert(entry.id_);
     ApplyPut(entry, aNowMs);
   }
-  std::erase_if(entries_, [&](const auto& aEntry) {
-    return !listed.contains(aEntry.first);
-  });
-  ++revision_;
+  std::vector<std::string> gone;
+  for (const auto& [id, entry] : entries_) {
+    if (!listed.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  std::ranges::for_each(gone, [this](const auto& aId) { Drop(aId); });
 }
 
 void BackendDirectory::MarkMissing(const std::string& aId, TimeMs aNowMs)
@@ -110,8 +129,7 @@
       std::min(disturbedMs_ + kGraceMs, aNowMs + kLongestGraceMs);
     return;
   }
-  entries_.erase(aId);
-  ++revision_;
+  Drop(aId);
 }
 
 }
--- a/membership/BackendDirectory.hpp
+++ b/membership/BackendDirectory.hpp
@@ -3,7 +3,9 @@
 #include "routing/RoutingConfig.hpp"
 
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cactuspitch {
@@ -34,19 +36,23 @@
     return entries_;
   }
   /// Equal for directories with the same servers in the same states.
-  int64_t Digest() const;
+  int64_t Digest() const { return static_cast<int64_t>(digest_); }
   /// Takes over the directory of a gateway that watches the store.
   void Replace(const std::vector<BackendEntry>& aEntries, TimeMs aNowMs);
-  /// Grows with every change of an entry.
-  uint64_t Revision() const { return revision_; }
+  /// Servers that came, left or changed since the last call; beats of a server
+  /// change nothing.
+  std::set<std::string> TakeChanges() { return std::exchange(changes_, {}); }
 
 private:
+  void Drop(const std::string& aId);
   void MarkMissing(const std::string& aId, TimeMs aNowMs);
 
   std::map<std::string, BackendEntry> entries_;
   std::map<std::string, TimeMs> missingUntilMs_;
   TimeMs disturbedMs_ = 0;
-  uint64_t revision_ = 1;
+  std::set<std::string> changes_;
+  /// Sum of the entries' hashes, which does not depend on their order.
+  uint64_t digest_ = 0;
 };
 
 }
--- a/routing/RoutingConfig.hpp
+++ b/routing/RoutingConfig.hpp
@@ -103,6 +103,18 @@
   BackendState state_ = BackendState::Ready;
   TimeMs coldRemainingMs_ = 0;
   int64_t bornMs_ = 0; ///< wall clock time of its start; tells restarts apart
+
+  bool IsSameLife(const BackendEntry& aOther) const
+  {
+    return bornMs_ == aOther.bornMs_ && address_ == aOther.address_ &&
+           service_ == aOther.service_;
+  }
+  /// Equal but for the time that a cold server still needs.
+  bool IsSameState(const BackendEntry& aOther) const
+  {
+    return IsSameLife(aOther) && state_ == aOther.state_ &&
+           slots_ == aOther.slots_ && failureDomain_ == aOther.failureDomain_;
+  }
 };
 
 }
--- a/tests/KeyspaceTest.cpp
+++ b/tests/KeyspaceTest.cpp
@@ -236,6 +236,26 @@
   EXPECT_FALSE(directory.Entries().contains("a"));
 }
 
+// Guards against gateways that recompute all places with every beat of every
+// server: with 350 servers it took half of the processor time of small
+// gateways, which then served requests of callers that had left.
+TEST(BackendDirectory, BeatsChangeNothing)
+{
+  BackendDirectory directory;
+  directory.ApplyList({ Entry("a"), Entry("b") }, 1000);
+  EXPECT_EQ(directory.TakeChanges(), (std::set<std::string>{ "a", "b" }));
+  auto beat = Entry("a");
+  beat.coldRemainingMs_ = 700;
+  directory.ApplyPut(beat, 1100);
+  directory.ApplyList({ Entry("a"), Entry("b") }, 1200);
+  EXPECT_TRUE(directory.TakeChanges().empty());
+  directory.ApplyPut(Entry("a", BackendState::Draining), 1300);
+  directory.ApplyRemoved("b", 1300);
+  EXPECT_EQ(directory.TakeChanges(), (std::set<std::string>{ "a", "b" }));
+  directory.Replace({ Entry("a") }, 1400);
+  EXPECT_EQ(directory.TakeChanges(), (std::set<std::string>{ "a" }));
+}
+
 // Guards against a gateway that takes another directory for its own.
 TEST(BackendDirectory, DigestTellsDirectoriesApart)
 {
