Renewals only while a leader may have been replaced

Cause: a leader rides out an outage of the store for 8 s. Cut off from the store and the other gateways it could grant, under its old fence, to a backend server that had restarted at its address and knew no newer one, while a successor had given the keys away. Change: 1.5 s after its last confirmed renewal, and out of touch with most gateways, a leader only prolongs holds without interruption, over connections that were kept since: they end with the server's life. Left open: in the first 1.5 s the old leader does not know; a successor needs 0.8 s of silence before it is elected.

--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -145,6 +145,7 @@
               board_,
               settings_.maxHoldMs_,
               { [this] { return election_.MayOrder(); },
+                [this] { return election_.MayGrant(); },
                 [this](const std::string& aService) {
                   gossip_.OnKeysChanged(aService);
                 },
--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -438,11 +438,12 @@
 void KeyDirector::SendOrders()
 {
   const TimeMs nowMs = loop_.NowMs();
+  const auto scope = handlers_.grantScope_();
   for (const auto& [name, ownership] : services_) {
     if (!reported_.contains(name)) {
       continue; // its fences are not durable yet
     }
-    for (const auto& order : ownership->TakeOrders(nowMs)) {
+    for (const auto& order : ownership->TakeOrders(nowMs, scope)) {
       SendOrder(order);
     }
   }
@@ -485,7 +486,11 @@
     return;
   }
   auto request = protocol_.MakeOrder(aOrder);
-  request.freshConnection_ = failing_.contains(aOrder.backend_);
+  if (handlers_.grantScope_() == GrantScope::Renewals) {
+    request.connecting_ = Connecting::Kept;
+  } else if (failing_.contains(aOrder.backend_)) {
+    request.connecting_ = Connecting::Fresh;
+  }
   client_.Call(address->second,
                request,
                [this, aOrder, run = run_](const CallResult& aResult) {
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -30,6 +30,7 @@
   {
     /// True while orders may be sent.
     std::function<bool()> mayOrder_;
+    std::function<GrantScope()> grantScope_;
     /// The owners of a service have changed.
     std::function<void(const std::string& aService)> onChanged_;
     /// A newer leader wrote the table or fenced a server.
--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -81,6 +81,23 @@
          loop_.NowMs() - confirmedMs_ < LeaderTiming::kRightMs;
 }
 
+GrantScope LeaderElection::MayGrant() const
+{
+  const bool confirmed =
+    loop_.NowMs() - confirmedMs_ < LeaderTiming::kConfirmedMs;
+  return confirmed || !IsIsolated() ? GrantScope::All : GrantScope::Renewals;
+}
+
+bool LeaderElection::IsIsolated() const
+{
+  const auto known =
+    std::ranges::count_if(peers_.Peers(), [](const auto& aEntry) {
+      return aEntry.second.heardMs_ != 0;
+    });
+  return known > 1 &&
+         peers_.AliveCount(loop_.NowMs()) * 2 < static_cast<size_t>(known);
+}
+
 bool LeaderElection::HearsLeader() const
 {
   return state_ == State::Leading ||
@@ -150,13 +167,7 @@
   if (silenceMs < neededMs + RankDelayMs()) {
     return false;
   }
-  const auto known =
-    std::ranges::count_if(peers_.Peers(), [](const auto& aEntry) {
-      return aEntry.second.heardMs_ != 0;
-    });
-  const bool isolated =
-    known > 1 && peers_.AliveCount(nowMs) * 2 < static_cast<size_t>(known);
-  return !isolated || silenceMs >= LeaderTiming::kIsolatedSilenceMs;
+  return !IsIsolated() || silenceMs >= LeaderTiming::kIsolatedSilenceMs;
 }
 
 nlohmann::json LeaderElection::Spec() const
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -3,6 +3,7 @@
 #include "gateway/EventLog.hpp"
 #include "gateway/PeerMesh.hpp"
 #include "gateway/StoreLink.hpp"
+#include "keyspace/KeyOwnership.hpp"
 
 #include <functional>
 #include <string>
@@ -27,6 +28,9 @@
 {
   static constexpr TimeMs kRightMs = 8000;
   static constexpr TimeMs kRenewMs = 1000;
+  /// Without a confirmed renewal for this long, and out of touch with most
+  /// gateways, a leader may have been replaced.
+  static constexpr TimeMs kConfirmedMs = 1500;
   /// A silent leader is replaced: three heartbeats were lost.
   static constexpr TimeMs kSilenceMs = 800;
   /// Candidates try one after the other.
@@ -70,6 +74,8 @@
   bool IsLeading() const { return state_ == State::Leading; }
   /// True while orders to backend servers may be sent.
   bool MayOrder() const;
+  /// Renewals only, while another gateway may have been elected unheard.
+  GrantScope MayGrant() const;
   int64_t Term() const { return term_; }
   int64_t HighestTerm() const { return highestTerm_; }
   /// The latest term that this process led and has given up.
@@ -88,6 +94,8 @@
 
   void Tick();
   bool ShouldTry() const;
+  /// Out of touch with most of the gateways that it has heard.
+  bool IsIsolated() const;
   TimeMs RankDelayMs() const;
   TimeMs FirstSilenceMs() const;
   void Acquire();
--- a/gateway/StoreLink.cpp
+++ b/gateway/StoreLink.cpp
@@ -27,7 +27,7 @@
 {
   ++calls_;
   // After a failure the kept connections are not trusted.
-  aRequest.freshConnection_ = failures_ > 0;
+  aRequest.connecting_ = failures_ > 0 ? Connecting::Fresh : Connecting::Reuse;
   client_.Call(store_,
                aRequest,
                [this, sentMs = loop_.NowMs(), done = std::move(aDone)](
--- a/keyspace/KeyOwnership.cpp
+++ b/keyspace/KeyOwnership.cpp
@@ -357,7 +357,7 @@
   }
 }
 
-std::vector<KeyOrder> KeyOwnership::TakeOrders(TimeMs aNowMs)
+std::vector<KeyOrder> KeyOwnership::TakeOrders(TimeMs aNowMs, GrantScope aScope)
 {
   std::vector<KeyOrder> orders;
   for (size_t index = 0; index < segments_.size(); ++index) {
@@ -367,6 +367,11 @@
       AddReleases(index, orders, aNowMs);
       continue;
     }
+    const bool prolongs = runtime.granted_ && !runtime.lastGrantFailed_ &&
+                          aNowMs < runtime.owner_.answeredEndMs_;
+    if (aScope == GrantScope::Renewals && !prolongs) {
+      continue;
+    }
     const bool hurry = (!runtime.granted_ || runtime.lastGrantFailed_) &&
                        !IsLost(segment.owner_, aNowMs);
     const TimeMs intervalMs = hurry ? timing_.retryMs_ : timing_.renewMs_;
--- a/keyspace/KeyOwnership.hpp
+++ b/keyspace/KeyOwnership.hpp
@@ -37,6 +37,24 @@
 /// be in force. Holders' clocks may run 2% slow; 50 ms cover rounding.
 TimeMs HoldEndMs(TimeMs aArrivalMs, TimeMs aHoldMs);
 
+/// Which grants a leader may send.
+enum class GrantScope : uint8_t
+{
+  All,
+  /// Only those that prolong a hold without interruption. A leader that may
+  /// have been replaced does not know whether a server that failed to answer
+  /// was restarted since: a new life takes grants that the old one would refuse
+  /// for a newer leader's fence.
+  Renewals,
+  Count
+};
+
+template<>
+struct EnumNames<GrantScope>
+{
+  static constexpr std::string_view kNames[] = { "all", "renewals" };
+};
+
 enum class OrderKind : uint8_t
 {
   Grant,
@@ -133,7 +151,8 @@
   void Commit(const KeySegments& aSegments, TimeMs aNowMs);
 
   /// Orders that are due. The caller sends all of them at once.
-  std::vector<KeyOrder> TakeOrders(TimeMs aNowMs);
+  std::vector<KeyOrder> TakeOrders(TimeMs aNowMs,
+                                   GrantScope aScope = GrantScope::All);
   void OnOrderDone(const KeyOrder& aOrder,
                    OrderResult aResult,
                    const std::string& aHandover,
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -164,9 +164,16 @@
 {
   ConnectionPtr connection;
   auto& idle = idle_[KeyOf(aServer)];
-  if (!aRequest.freshConnection_ && !idle.empty()) {
+  if (aRequest.connecting_ != Connecting::Fresh && !idle.empty()) {
     connection = std::move(idle.back());
     idle.pop_back();
+  } else if (aRequest.connecting_ == Connecting::Kept) {
+    loop_.Defer([done = std::move(aDone)] {
+      CallResult result;
+      result.cause_ = "no kept connection";
+      done(std::move(result));
+    });
+    return;
   } else {
     connection = std::make_shared<Connection>(*this, aServer);
   }
--- a/net/HttpClient.hpp
+++ b/net/HttpClient.hpp
@@ -12,6 +12,20 @@
 
 namespace cactuspitch {
 
+enum class Connecting : uint8_t
+{
+  Reuse, ///< an idle connection, else a new one
+  Fresh, ///< a new connection even if an idle one is there
+  Kept,  ///< an idle connection only: the server still runs that accepted it
+  Count
+};
+
+template<>
+struct EnumNames<Connecting>
+{
+  static constexpr std::string_view kNames[] = { "reuse", "fresh", "kept" };
+};
+
 enum class CallEnd : uint8_t
 {
   Answered,
@@ -43,8 +57,7 @@
   std::vector<std::pair<std::string, std::string>> fields_;
   std::string body_;
   TimeMs timeoutMs_ = 1000;
-  /// Opens a new connection even if an idle one is there.
-  bool freshConnection_ = false;
+  Connecting connecting_ = Connecting::Reuse;
 };
 
 /// Calls with small answers, over connections that are kept for reuse.
--- a/tests/KeyOwnershipPropertyTest.cpp
+++ b/tests/KeyOwnershipPropertyTest.cpp
@@ -74,8 +74,9 @@
       }
     }
     for (const auto& order : leader_->TakeOrders(nowMs_)) {
-      Deliver(order);
+      Deliver(*leader_, order);
     }
+    RunEarlierLeaders();
     RandomFault();
     Check();
   }
@@ -102,33 +103,77 @@
     return { { segment.first_, middle, target } };
   }
 
+  /// The earlier leader ends with the election, or goes on for as long as its
+  /// right lasts: its last renewal was confirmed before.
   void Elect()
   {
-    leader_ = std::make_unique<KeyOwnership>("s", GrantTiming{});
+    if (leader_ != nullptr && *rc::gen::inRange(0, 2) == 0) {
+      earlier_.push_back({ std::move(leader_),
+                           nowMs_ + *rc::gen::inRange<TimeMs>(0, 8001),
+                           servers_ });
+    }
+    // The number of servers decides on the grants of a leader.
+    auto timing = GrantTiming::For(*rc::gen::inRange<size_t>(0, 2) * 200, 9000);
+    storedHoldMs_ = std::max(storedHoldMs_, timing.holdMs_);
+    timing.foreignHoldMs_ = storedHoldMs_;
+    leader_ = std::make_unique<KeyOwnership>("s", timing);
     fence_ = (++term_) << 24;
     if (!stored_.empty()) {
       leader_->Adopt(
         stored_, [this] { return ++fence_; }, nowMs_);
       stored_ = leader_->Segments();
-      // The old process is known to have ended.
+      TellEnded();
+    }
+  }
+
+  void TellEnded()
+  {
+    if (earlier_.empty()) {
       leader_->OnForeignLeadersEnded(nowMs_);
     }
   }
 
-  void Deliver(const KeyOrder& aOrder)
+  /// The store takes no writes of theirs; they go on with what they know.
+  void RunEarlierLeaders()
+  {
+    for (auto& earlier : earlier_) {
+      if (nowMs_ < earlier.rightUntilMs_) {
+        for (const auto& order :
+             earlier.ownership_->TakeOrders(nowMs_, GrantScope::Renewals)) {
+          // They use kept connections only, which end with a server's life.
+          const auto& before = earlier.servers_.at(order.backend_);
+          if (before.up_ && before.born_ == servers_.at(order.backend_).born_) {
+            Deliver(*earlier.ownership_, order);
+          } else {
+            earlier.ownership_->OnOrderDone(
+              order, OrderResult::NotSent, "", nowMs_);
+          }
+        }
+      }
+    }
+    const bool hadEarlier = !earlier_.empty();
+    std::erase_if(earlier_, [&](const EarlierLeader& aEarlier) {
+      return aEarlier.rightUntilMs_ <= nowMs_;
+    });
+    // Sometimes their end becomes known.
+    if (hadEarlier && *rc::gen::inRange(0, 2) == 0) {
+      TellEnded();
+    }
+  }
+
+  void Deliver(KeyOwnership& aLeader, const KeyOrder& aOrder)
   {
     auto& server = servers_[aOrder.backend_];
     const int fate = *rc::gen::inRange(0, 10);
     std::string handover;
     if (!server.up_ || fate == 0) {
-      leader_->OnOrderDone(aOrder, OrderResult::NotSent, "", nowMs_);
+      aLeader.OnOrderDone(aOrder, OrderResult::NotSent, "", nowMs_);
     } else if (fate == 1) {
       late_.push_back(
         { aOrder, nowMs_, nowMs_ + *rc::gen::inRange<TimeMs>(0, 6000) });
-      leader_->OnOrderDone(aOrder, OrderResult::Unanswered, "", nowMs_);
+      aLeader.OnOrderDone(aOrder, OrderResult::Unanswered, "", nowMs_);
     } else {
-      leader_->OnOrderDone(
-        aOrder, CarryOut(server, aOrder, nowMs_), "", nowMs_);
+      aLeader.OnOrderDone(aOrder, CarryOut(server, aOrder, nowMs_), "", nowMs_);
     }
   }
 
@@ -222,7 +267,16 @@
   std::map<std::string, ModelServer> servers_;
   std::set<std::string> unregistered_;
   std::vector<LateOrder> late_;
+  struct EarlierLeader
+  {
+    std::unique_ptr<KeyOwnership> ownership_;
+    TimeMs rightUntilMs_;
+    std::map<std::string, ModelServer> servers_; ///< when it was replaced
+  };
+
   std::unique_ptr<KeyOwnership> leader_;
+  std::vector<EarlierLeader> earlier_;
+  TimeMs storedHoldMs_ = 0;
   KeySegments stored_;
 };
 
--- a/tests/KeyOwnershipTest.cpp
+++ b/tests/KeyOwnershipTest.cpp
@@ -321,6 +321,26 @@
   EXPECT_TRUE(Grants(next.TakeOrders(nowMs_), "b", 50));
 }
 
+// Guards against a leader that may have been replaced and grants a server anew
+// that did not answer: it may be another life, which knows no newer fence.
+TEST_F(KeyOwnershipTest, PossiblyReplacedLeaderOnlyProlongs)
+{
+  Start();
+  nowMs_ += timing_.renewMs_;
+  auto renewals = ownership_.TakeOrders(nowMs_, GrantScope::Renewals);
+  ASSERT_EQ(renewals.size(), 2U);
+  for (const auto& order : renewals) {
+    Answer(order,
+           order.backend_ == "a" ? OrderResult::NotSent
+                                 : OrderResult::Accepted);
+  }
+  nowMs_ += timing_.renewMs_;
+  renewals = ownership_.TakeOrders(nowMs_, GrantScope::Renewals);
+  ASSERT_EQ(renewals.size(), 1U);
+  EXPECT_EQ(renewals.front().backend_, "b");
+  EXPECT_TRUE(Grants(ownership_.TakeOrders(nowMs_), "a", 50));
+}
+
 // Guards against grants that backend servers refuse as too long.
 TEST(GrantTiming, KeepsTheLongestHoldOfTheServers)
 {
