--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -1,9 +1,7 @@
 #pragma once
 
-#include "gateway/BackendLoad.hpp"
+#include "gateway/BackendLink.hpp"
 #include "gateway/EventLog.hpp"
-#include "net/HttpParser.hpp"
-#include "net/TcpStream.hpp"
 #include "policy/LoadBoard.hpp"
 #include "routing/RoutingConfig.hpp"
 
@@ -17,123 +15,6 @@
 
 namespace cactuspitch {
 
-enum class AttemptEnd : uint8_t
-{
-  NotSent,  ///< certainly nothing of the request arrived
-  MaybeRun, ///< sent, but no usable answer came
-  Count
-};
-
-template<>
-struct EnumNames<AttemptEnd>
-{
-  static constexpr std::string_view kNames[] = { "not-sent", "maybe-run" };
-};
-
-/// Receives the answer of one attempt.
-class AttemptHandler
-{
-public:
-  virtual ~AttemptHandler() = default;
-  virtual void OnAnswerHead(const HttpHead& aHead, const AnswerInfo& aInfo) = 0;
-  /// Takes the bytes out of aBody.
-  virtual void OnAnswerBody(std::string& aBody) = 0;
-  virtual void OnAnswerDone() = 0;
-  /// No complete answer comes any more.
-  virtual void OnAttemptFailed(AttemptEnd aEnd, std::string_view aCause) = 0;
-};
-
-class BackendPool;
-struct Backend;
-
-/// Connection to a backend server that carries one request at a time.
-class BackendLink final
-  : public StreamHandler
-  , public std::enable_shared_from_this<BackendLink>
-{
-public:
-  BackendLink(BackendPool& aPool, std::shared_ptr<Backend> aBackend);
-
-  /// Starts an attempt. aSettle: a new connection is left alone for a moment
-  /// before it carries the request, because a server that has too many resets
-  /// it at once; a request that was sent by then may not be sent again.
-  /// aHandler stays valid until it was told of an end, or
-  /// until Detach or Cancel.
-  void Start(AttemptHandler& aHandler,
-             std::string aHead,
-             std::string_view aBody,
-             std::string aRequestId,
-             bool aExpectsBody,
-             bool aSettle);
-  /// Closes the connection, so that the server drops the request.
-  void Cancel();
-  /// Lets the request run to its end without anybody listening.
-  void Detach();
-  void PauseReading(bool aPaused);
-  Backend& Server() { return *backend_; }
-
-private:
-  friend class BackendPool;
-
-  void OnConnected() override;
-  void OnInput() override;
-  void OnStreamClosed(CloseReason aReason) override;
-  void OnTimer();
-  void SendRequest();
-  void ReadAnswers();
-  bool TakeHead();
-  void FinishAnswer(bool aReusable);
-  void Fail(AttemptEnd aEnd, std::string_view aCause);
-  void Leave();
-
-  BackendPool& pool_;
-  std::shared_ptr<Backend> backend_;
-  TcpStream stream_;
-  Timer timer_;
-  HttpParser parser_;
-  std::string body_;
-  AttemptHandler* handler_ = nullptr;
-  bool busy_ = false;
-  bool headTaken_ = false;
-  bool skipping_ = false; ///< reads an answer that belongs to no request
-  bool answerKeepsAlive_ = false;
-  bool expectsBody_ = true;
-  std::string requestId_;
-  std::string unsent_; ///< request that waits for the connection to settle
-  uint64_t sentBefore_ = 0;
-  uint64_t requestBytes_ = 0;
-  TimeMs sentMs_ = 0;
-  TimeMs idleSinceMs_ = 0;
-  TimeMs idleTimeoutMs_ = 0;
-  double loadAtSend_ = 0;
-};
-
-/// One backend server as this gateway uses it.
-struct Backend
-{
-  BackendEntry entry_;
-  Endpoint endpoint_;
-  BackendLoad load_;
-  std::vector<std::shared_ptr<BackendLink>> idle_;
-  std::vector<std::shared_ptr<BackendLink>> busy_;
-  uint32_t idHash_ = 0;    ///< names the server among gateways
-  bool reported_ = false;  ///< told its load since the last TakeReports
-  bool home_ = false;      ///< preferred by this gateway
-  bool registered_ = true; ///< false once the registration is gone
-  /// Connecting fails: no requests until then, when one may try again.
-  TimeMs downUntilMs_ = 0;
-  int connectFailures_ = 0;
-
-  bool IsUsable() const
-  {
-    return registered_ && entry_.state_ == BackendState::Ready;
-  }
-  size_t Connections() const { return idle_.size() + busy_.size(); }
-};
-
-/// Short name of a backend server among gateways.
-uint32_t BackendHash(std::string_view aId);
-
 /// Backend servers and the connections to them.
 class BackendPool
 {
--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -26,9 +26,6 @@
 constexpr double kColdCapacity = 0.6;
 constexpr double kMinRate = 5;
 constexpr double kDefaultWorkMs = 100;
-/// Orders to one server at a time: a release waits for running work, and must
-/// not keep a renewal back.
-constexpr int kOrdersPerServer = 3;
 
 }
 
@@ -43,8 +40,16 @@
   : loop_(aLoop)
   , log_(aLog)
   , store_(aStore)
-  , client_(aClient)
-  , protocol_(aProtocol)
+  , sender_(aLoop,
+            aLog,
+            aClient,
+            aProtocol,
+            { [this] { return handlers_.grantScope_(); },
+              [this](const KeyOrder& aOrder,
+                     OrderResult aResult,
+                     const std::string& aHandover) {
+                OnOrderDone(aOrder, aResult, aHandover);
+              } })
   , board_(aBoard)
   , maxHoldMs_(aMaxHoldMs)
   , handlers_(std::move(aHandlers))
@@ -76,7 +81,7 @@
   fences_ = 0;
   services_.clear();
   reported_.clear();
-  lanes_.clear();
+  sender_.Reset();
   Read();
   timer_.Start(detail::kDirectorTickMs);
 }
@@ -89,7 +94,7 @@
   retryTimer_.Stop();
   services_.clear();
   loads_.clear();
-  lanes_.clear();
+  sender_.Reset();
 }
 
 void KeyDirector::OnForeignEnded()
@@ -174,7 +179,7 @@
     }
     Endpoint endpoint;
     if (Endpoint::Parse(entry->second.address_, endpoint)) {
-      addresses_[id] = endpoint;
+      sender_.SetAddress(id, endpoint);
     }
     const auto known = backends_.find(id);
     if (known == backends_.end() ||
@@ -444,96 +449,25 @@
       continue; // its fences are not durable yet
     }
     for (const auto& order : ownership->TakeOrders(nowMs, scope)) {
-      SendOrder(order);
+      sender_.Send(order);
     }
   }
 }
 
-void KeyDirector::SendOrder(const KeyOrder& aOrder)
+void KeyDirector::OnOrderDone(const KeyOrder& aOrder,
+                              OrderResult aResult,
+                              const std::string& aHandover)
 {
-  // An overloaded server resets new connections, so its orders share the few
-  // that are open; grants go first, because holds run out.
-  auto& lane = lanes_[aOrder.backend_];
-  if (aOrder.kind_ == OrderKind::Grant) {
-    lane.waiting_.push_front(aOrder);
-  } else {
-    lane.waiting_.push_back(aOrder);
-  }
-  SendWaiting(aOrder.backend_);
-}
-
-void KeyDirector::SendWaiting(const std::string& aBackend)
-{
-  auto& lane = lanes_[aBackend];
-  while (lane.inFlight_ < detail::kOrdersPerServer && !lane.waiting_.empty()) {
-    auto order = lane.waiting_.front();
-    lane.waiting_.pop_front();
-    ++lane.inFlight_;
-    order.sentMs_ = loop_.NowMs();
-    SendNow(order);
-  }
-}
-
-void KeyDirector::SendNow(const KeyOrder& aOrder)
-{
-  const auto address = addresses_.find(aOrder.backend_);
-  if (address == addresses_.end()) {
-    loop_.Defer([this, aOrder, run = run_] {
-      if (run == run_) {
-        OnOrderDone(aOrder, CallResult{});
-      }
-    });
+  const auto found = services_.find(aOrder.service_);
+  if (found == services_.end()) {
     return;
   }
-  auto request = protocol_.MakeOrder(aOrder);
-  if (handlers_.grantScope_() == GrantScope::Renewals) {
-    request.connecting_ = Connecting::Kept;
-  } else if (failing_.contains(aOrder.backend_)) {
-    request.connecting_ = Connecting::Fresh;
-  }
-  client_.Call(address->second,
-               request,
-               [this, aOrder, run = run_](const CallResult& aResult) {
-                 if (run == run_) {
-                   OnOrderDone(aOrder, aResult);
-                 }
-               });
-}
-
-void KeyDirector::OnOrderDone(const KeyOrder& aOrder, const CallResult& aResult)
-{
-  std::string handover;
-  const auto result = protocol_.ReadResult(aResult, handover);
-  --lanes_[aOrder.backend_].inFlight_;
-  // A silent connection says nothing good of its idle siblings. One that could
-  // not be opened does not speak against those that are.
-  if (result == OrderResult::Unanswered) {
-    failing_.insert(aOrder.backend_);
-  } else {
-    failing_.erase(aOrder.backend_);
+  found->second->OnOrderDone(aOrder, aResult, aHandover, loop_.NowMs());
+  // A release is followed by the grant at once.
+  if (handlers_.mayOrder_()) {
+    SendOrders();
   }
-  if (result != OrderResult::Accepted) {
-    log_.Write(LogLevel::Warning,
-               "order-failed",
-               { { "order", EnumName(aOrder.kind_) },
-                 { "result", EnumName(result) },
-                 { "http", aResult.head_.status_ },
-                 { "backend", aOrder.backend_ },
-                 { "first", aOrder.first_ },
-                 { "last", aOrder.last_ },
-                 { "fence", aOrder.fence_ },
-                 { "took_ms", loop_.NowMs() - aOrder.sentMs_ } });
-  }
-  const auto found = services_.find(aOrder.service_);
-  if (found != services_.end()) {
-    found->second->OnOrderDone(aOrder, result, handover, loop_.NowMs());
-    // A release is followed by the grant at once.
-    if (handlers_.mayOrder_()) {
-      SendOrders();
-    }
-    ReportChanges();
-  }
-  SendWaiting(aOrder.backend_);
+  ReportChanges();
 }
 
 void KeyDirector::ReportChanges()
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/EventLog.hpp"
+#include "gateway/OrderSender.hpp"
 #include "gateway/PlatformPort.hpp"
 #include "gateway/StoreLink.hpp"
 #include "keyspace/KeyBalancer.hpp"
@@ -10,7 +11,6 @@
 #include "policy/LoadBoard.hpp"
 #include "routing/RoutingConfig.hpp"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -67,13 +67,6 @@
   }
 
 private:
-  /// Orders to one server.
-  struct Lane
-  {
-    int inFlight_ = 0;
-    std::deque<KeyOrder> waiting_;
-  };
-
   void Tick();
   void RetryLater(std::function<void()> aTask);
   void Read();
@@ -84,10 +77,9 @@
   void ResolveUnknown();
   void OnCommitted(int64_t aRevision);
   void SendOrders();
-  void SendOrder(const KeyOrder& aOrder);
-  void SendWaiting(const std::string& aBackend);
-  void SendNow(const KeyOrder& aOrder);
-  void OnOrderDone(const KeyOrder& aOrder, const CallResult& aResult);
+  void OnOrderDone(const KeyOrder& aOrder,
+                   OrderResult aResult,
+                   const std::string& aHandover);
   void UpdateCandidates();
   /// Of a request of the service, over its measured servers.
   double MeanWorkMs(const std::string& aService) const;
@@ -100,8 +92,7 @@
   EventLoop& loop_;
   EventLog& log_;
   StoreLink& store_;
-  HttpClient& client_;
-  const OrderProtocol& protocol_;
+  OrderSender sender_;
   const LoadBoard& board_;
   TimeMs maxHoldMs_; ///< longest grant that backend servers accept
   Handlers handlers_;
@@ -123,10 +114,6 @@
   std::set<std::string> keyedServices_;
   std::map<std::string, BackendEntry> backends_;
   std::map<std::string, TimeMs> warmAtMs_;
-  /// Addresses also of servers whose registration is gone: they may hold keys.
-  std::map<std::string, Endpoint> addresses_;
-  std::set<std::string> failing_; ///< servers whose last order went unanswered
-  std::map<std::string, Lane> lanes_;
   std::map<std::string, std::unique_ptr<KeyOwnership>> services_;
   std::map<std::string, uint64_t> reported_;
   std::map<std::string, KeyLoad> loads_;
--- /dev/null
+++ b/gateway/OrderSender.cpp
@@ -0,0 +1,119 @@
+#include "gateway/OrderSender.hpp"
+
+#include <utility>
+
+namespace cactuspitch {
+
+namespace detail {
+
+/// Orders to one server at a time: a release waits for running work, and must
+/// not keep a renewal back.
+constexpr int kOrdersPerServer = 3;
+
+}
+
+OrderSender::OrderSender(EventLoop& aLoop,
+                         EventLog& aLog,
+                         HttpClient& aClient,
+                         const OrderProtocol& aProtocol,
+                         Handlers aHandlers)
+  : loop_(aLoop)
+  , log_(aLog)
+  , client_(aClient)
+  , protocol_(aProtocol)
+  , handlers_(std::move(aHandlers))
+{
+}
+
+void OrderSender::SetAddress(const std::string& aBackend,
+                             const Endpoint& aEndpoint)
+{
+  addresses_[aBackend] = aEndpoint;
+}
+
+void OrderSender::Reset()
+{
+  ++run_;
+  lanes_.clear();
+}
+
+void OrderSender::Send(const KeyOrder& aOrder)
+{
+  // An overloaded server resets new connections, so its orders share the few
+  // that are open; grants go first, because holds run out.
+  auto& lane = lanes_[aOrder.backend_];
+  if (aOrder.kind_ == OrderKind::Grant) {
+    lane.waiting_.push_front(aOrder);
+  } else {
+    lane.waiting_.push_back(aOrder);
+  }
+  SendWaiting(aOrder.backend_);
+}
+
+void OrderSender::SendWaiting(const std::string& aBackend)
+{
+  auto& lane = lanes_[aBackend];
+  while (lane.inFlight_ < detail::kOrdersPerServer && !lane.waiting_.empty()) {
+    auto order = lane.waiting_.front();
+    lane.waiting_.pop_front();
+    ++lane.inFlight_;
+    order.sentMs_ = loop_.NowMs();
+    SendNow(order);
+  }
+}
+
+void OrderSender::SendNow(const KeyOrder& aOrder)
+{
+  const auto address = addresses_.find(aOrder.backend_);
+  if (address == addresses_.end()) {
+    loop_.Defer([this, aOrder, run = run_] {
+      if (run == run_) {
+        OnDone(aOrder, CallResult{});
+      }
+    });
+    return;
+  }
+  auto request = protocol_.MakeOrder(aOrder);
+  if (handlers_.scope_() == GrantScope::Renewals) {
+    request.connecting_ = Connecting::Kept;
+  } else if (failing_.contains(aOrder.backend_)) {
+    request.connecting_ = Connecting::Fresh;
+  }
+  client_.Call(address->second,
+               request,
+               [this, aOrder, run = run_](const CallResult& aResult) {
+                 if (run == run_) {
+                   OnDone(aOrder, aResult);
+                 }
+               });
+}
+
+void OrderSender::OnDone(const KeyOrder& aOrder, const CallResult& aResult)
+{
+  std::string handover;
+  const auto result = protocol_.ReadResult(aResult, handover);
+  --lanes_[aOrder.backend_].inFlight_;
+  // A silent connection says nothing good of its idle siblings. One that could
+  // not be opened does not speak against those that are.
+  if (result == OrderResult::Unanswered) {
+    failing_.insert(aOrder.backend_);
+  } else {
+    failing_.erase(aOrder.backend_);
+  }
+  if (result != OrderResult::Accepted) {
+    log_.Write(LogLevel::Warning,
+               "order-failed",
+               { { "order", EnumName(aOrder.kind_) },
+                 { "result", EnumName(result) },
+                 { "http", aResult.head_.status_ },
+                 { "backend", aOrder.backend_ },
+                 { "first", aOrder.first_ },
+                 { "last", aOrder.last_ },
+                 { "fence", aOrder.fence_ },
+                 { "took_ms", loop_.NowMs() - aOrder.sentMs_ } });
+  }
+  handlers_.onDone_(aOrder, result, handover);
+  SendWaiting(aOrder.backend_);
+}
+
+}
--- a/keyspace/KeySegment.cpp
+++ b/keyspace/KeySegment.cpp
@@ -10,6 +10,8 @@
 
 using Json = nlohmann::json;
 
+constexpr TimeMs kLongestHoldMs = 4000;
+
 bool CoversAllKeys(const KeySegments& aSegments)
 {
   uint32_t next = 0;
@@ -75,7 +77,8 @@
     KeyTable table;
     table.term_ = aJson.at("term").get<int64_t>();
     table.writeId_ = aJson.at("writeId").get<int64_t>();
-    table.holdMs_ = aJson.at("holdMs").get<TimeMs>();
+    // Tables of versions that did not name it may hold the longest grants.
+    table.holdMs_ = aJson.value("holdMs", kLongestHoldMs);
     for (const auto& [name, list] : aJson.at("services").items()) {
       auto& segments = table.services_[name];
       std::ranges::transform(
