--- a/keyspace/KeySegment.cpp
+++ b/keyspace/KeySegment.cpp
@@ -78,7 +78,7 @@
     table.term_ = aJson.at("term").get<int64_t>();
     table.writeId_ = aJson.at("writeId").get<int64_t>();
     // Tables of versions that did not name it may hold the longest grants.
-    table.holdMs_ = aJson.value("holdMs", kLongestHoldMs);
+    table.holdMs_ = aJson.value("holdMs", detail::kLongestHoldMs);
     for (const auto& [name, list] : aJson.at("services").items()) {
       auto& segments = table.services_[name];
       std::ranges::transform(
--- a/tests/KeyOwnershipTest.cpp
+++ b/tests/KeyOwnershipTest.cpp
@@ -364,6 +364,11 @@
   EXPECT_EQ(back.writeId_, 9);
   EXPECT_EQ(back.holdMs_, 4000);
   EXPECT_EQ(back.services_, table.services_);
+  // Written by a version that did not name its grants.
+  auto older = EncodeKeyTable(table);
+  older.erase("holdMs");
+  ASSERT_TRUE(DecodeKeyTable(older, back));
+  EXPECT_GE(back.holdMs_, 4000);
 }
 
 // Guards against a table with holes, overlaps or other content.
