--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Gateway.hpp"
 
 #include "common/Strings.hpp"
+#include "gateway/Compression.hpp"
 #include "gossip_types.h"
 
 #include <algorithm>
@@ -177,11 +178,11 @@
                }
                OnBackendsChanged();
              },
-             [this](const nlohmann::json& aSpec) {
+             [this](const nlohmann::json& aSpec, std::string aPacked) {
                StoreObject object;
                object.name_ = port_.registry_.ConfigName();
                object.spec_ = aSpec;
-               OnConfigObject(object);
+               OnConfigObject(object, std::move(aPacked));
              },
              [this] { return configVersion_; },
              [this] { return HasDirectory(); },
@@ -281,7 +282,7 @@
   }
 }
 
-void Gateway::OnConfigObject(const StoreObject& aObject)
+void Gateway::OnConfigObject(const StoreObject& aObject, std::string aPacked)
 {
   if (aObject.name_ != port_.registry_.ConfigName()) {
     return;
@@ -300,7 +301,8 @@
     return;
   }
   configVersion_ = config->version_;
-  configText_ = aObject.spec_.dump();
+  configPacked_ =
+    aPacked.empty() ? Compress(aObject.spec_.dump()) : std::move(aPacked);
   log_.Write(LogLevel::Info,
              "config-applied",
              { { "version", configVersion_ },
@@ -505,7 +507,7 @@
     return { HasDirectory() ? 200 : 503, relay_.DirectoryText() };
   }
   if (aTarget == "/config") {
-    return { configVersion_ > 0 ? 200 : 503, configText_ };
+    return { configVersion_ > 0 ? 200 : 503, configPacked_ };
   }
   return { 200, MetricsText() };
 }
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -47,7 +47,8 @@
   void FollowStore();
   void OnConfigObjects(const std::vector<StoreObject>& aObjects);
   void OnConfigEvents(const std::vector<ObjectEvent>& aEvents);
-  void OnConfigObject(const StoreObject& aObject);
+  /// aPacked: the compressed text, where it came so.
+  void OnConfigObject(const StoreObject& aObject, std::string aPacked = {});
   void ProbeStore();
   void AskStoreForConfig();
   void OnBackendList(const std::vector<StoreObject>& aObjects);
@@ -104,7 +105,7 @@
   SignalWatcher onInterrupt_;
   SignalWatcher onHangup_;
   int64_t configVersion_ = 0;
-  std::string configText_; ///< for gateways that ask
+  std::string configPacked_; ///< compressed, for gateways that ask
   bool askingConfig_ = false;
   bool relayedDirectory_ = false; ///< another gateway told all registrations
   uint64_t rounds_ = 0;           ///< of housekeeping
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -1,5 +1,6 @@
 #include "gateway/StoreRelay.hpp"
 
+#include "gateway/Compression.hpp"
 #include "gossip_types.h"
 
 #include <algorithm>
@@ -17,6 +18,8 @@
 constexpr TimeMs kWatchHoldMs = 5000;
 /// Changes come with the digest; what is lost is asked for after this.
 constexpr TimeMs kBehindMs = 300;
+/// Several times the largest configuration of the design size.
+constexpr size_t kMaxConfigBytes = 64 << 20;
 constexpr TimeMs kRelayTimeoutMs = 700;
 /// Two lost heartbeats of the leader.
 constexpr TimeMs kLeaderWordMs = 800;
@@ -276,8 +279,9 @@
   client_.Call(aPeer, request, [this, aVersion](const CallResult& aResult) {
     askingConfig_ = false;
     if (aResult.end_ == CallEnd::Answered && aResult.head_.status_ == 200) {
-      const auto json = detail::Json::parse(aResult.body_, nullptr, false);
-      handlers_.onConfig_(json);
+      const auto text = Decompress(aResult.body_, detail::kMaxConfigBytes);
+      const auto json = detail::Json::parse(text.value_or(""), nullptr, false);
+      handlers_.onConfig_(json, aResult.body_);
     }
     if (handlers_.configVersion_() < aVersion) {
       handlers_.askStoreForConfig_();
--- a/gateway/StoreRelay.hpp
+++ b/gateway/StoreRelay.hpp
@@ -33,7 +33,8 @@
     std::function<void(bool aActive)> setWatching_;
     std::function<void(const std::vector<BackendEntry>&)> onDirectory_;
     std::function<void(const BackendEntry&, bool aRemoved)> onBackend_;
-    std::function<void(const nlohmann::json& aSpec)> onConfig_;
+    std::function<void(const nlohmann::json& aSpec, std::string aPacked)>
+      onConfig_;
     std::function<int64_t()> configVersion_;
     std::function<bool()> hasDirectory_;
     /// Makes one small call to the store.
--- a/gateway/gateway.cmake
+++ b/gateway/gateway.cmake
@@ -33,7 +33,7 @@
 endif()
 target_link_libraries(gateway_core PUBLIC
   nlohmann_json::nlohmann_json ${ABSEIL_LIBRARIES} libthrift.a libev.a
-  libxxhash.a Threads::Threads)
+  libxxhash.a libz.a Threads::Threads)
 
 add_executable(cactuspitch-gateway gateway/GatewayMain.cpp)
 target_compile_options(cactuspitch-gateway PRIVATE -Wall -Wextra -Werror)
--- /dev/null
+++ b/tests/CompressionTest.cpp
@@ -0,0 +1,53 @@
+#include "gateway/Compression.hpp"
+
+#include "common/Strings.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cactuspitch {
+namespace {
+
+constexpr size_t kMaxBytes = 1 << 20;
+
+// Guards against text that arrives changed.
+RC_GTEST_PROP(Compression, GivesTheTextBack, (const std::string& aText))
+{
+  RC_ASSERT(Decompress(Compress(aText), kMaxBytes) == aText);
+}
+
+// Guards against a crash or an endless loop on bytes of another kind.
+RC_GTEST_PROP(Compression, RefusesOtherBytes, (const std::string& aBytes))
+{
+  RC_ASSERT(!Decompress(aBytes, kMaxBytes));
+  const auto packed = Compress(aBytes);
+  RC_ASSERT(!Decompress(packed.substr(0, packed.size() - 1), kMaxBytes));
+}
+
+// Guards against a small message that fills the memory.
+TEST(Compression, BoundsTheText)
+{
+  const auto packed = Compress(std::string(kMaxBytes + 1, 'a'));
+  EXPECT_FALSE(Decompress(packed, kMaxBytes));
+  EXPECT_TRUE(Decompress(packed, kMaxBytes + 1));
+}
+
+// Guards against a configuration of many routes that takes most of a second
+// from one gateway to each of 67 others (grown tas-south hunt-d275-7, CONFIG).
+TEST(Compression, RoutesBecomeSmall)
+{
+  std::string routes;
+  for (int index = 0; index < 1800; ++index) {
+    AppendTo(routes,
+             R"({"name":"route-)",
+             index,
+             R"(","path-prefix":"/part)",
+             index * 7919 % 1000,
+             R"(/","kind":"safe","timeout-s":2.5,"priority":1,)",
+             R"("max-attempts":3,"service":"kiosk-catalogue"},)");
+  }
+  EXPECT_LT(Compress(routes).size(), routes.size() / 5);
+}
+
+}
+}
