--- a/tests/GatewayRig.cpp
+++ b/tests/GatewayRig.cpp
@@ -40,6 +40,7 @@
   {
   }
   void Start(int aFd) { stream_.Adopt(aFd); }
+  void Reset() { stream_.Abort(); }
 
 private:
   void OnInput() override
@@ -85,6 +86,12 @@
 
 ScriptedServer::~ScriptedServer() = default;
 
+void ScriptedServer::ResetConnections()
+{
+  std::ranges::for_each(connections_,
+                        [](const auto& aEntry) { aEntry->Reset(); });
+}
+
 GatewayRig::GatewayRig(const ScriptedServer::Script& aScript, int aServers)
   : log_(loop_, LogLevel::Error, STDERR_FILENO)
 {
@@ -244,6 +251,14 @@
   reply(200, Item(kind, name));
 }
 
+void GatewayRig::SetStoreDown(bool aDown)
+{
+  storeDown_ = aDown;
+  if (aDown) {
+    storeServer_->ResetConnections();
+  }
+}
+
 void GatewayRig::Reload(std::optional<GatewaySettings> aSettings)
 {
   freshSettings_ = std::move(aSettings);
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -34,6 +34,8 @@
   int Requests() const { return requests_; }
   /// Connections that their client has closed.
   int Departures() const { return departures_; }
+  /// Resets all open connections.
+  void ResetConnections();
 
 private:
   class Connection;
@@ -67,7 +69,8 @@
   EventLoop& Loop() { return loop_; }
   Endpoint GatewayAddress() const { return settings_.listen_; }
   /// Takes the store away, or gives it back.
-  void SetStoreDown(bool aDown) { storeDown_ = aDown; }
+  void SetStoreDown(bool aDown);
+  int StoreRequests() const { return storeServer_->Requests(); }
   std::vector<std::string>& Grants() { return grants_; }
   /// Reloads with these settings, or finds them wrong.
   void Reload(std::optional<GatewaySettings> aSettings);
