--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -89,7 +89,6 @@
                     store_,
                     port_.registry_.ConfigKind(),
                     detail::kConfigWaitMs,
-                    StoreRetry::Probe,
                     { [this](const std::vector<StoreObject>& aObjects) {
                        OnConfigObjects(aObjects);
                      },
@@ -101,7 +100,6 @@
                      store_,
                      port_.registry_.BackendKind(),
                      detail::kWatchWaitMs,
-                     StoreRetry::AfterOthers,
                      { [this](const std::vector<StoreObject>& aObjects) {
                         OnBackendList(aObjects);
                       },
@@ -113,7 +111,6 @@
                  store_,
                  detail::kOwnKind,
                  detail::kWatchWaitMs,
-                 StoreRetry::AfterOthers,
                  { [this](const std::vector<StoreObject>& aObjects) {
                     std::ranges::for_each(
                       aObjects,
--- a/gateway/StoreFollower.cpp
+++ b/gateway/StoreFollower.cpp
@@ -12,8 +12,6 @@
 constexpr TimeMs kGatherMs = 200;
 constexpr TimeMs kMinBackoffMs = 100;
 constexpr TimeMs kMaxBackoffMs = 800;
-/// Followers that wait for another's answer try themselves after this.
-constexpr TimeMs kWaitingMs = 3000;
 
 }
 
@@ -22,13 +20,11 @@
                              StoreLink& aStore,
                              std::string aKind,
                              TimeMs aWaitMs,
-                             StoreRetry aRetry,
                              Handlers aHandlers)
   : log_(aLog)
   , store_(aStore)
   , kind_(std::move(aKind))
   , waitMs_(aWaitMs)
-  , retry_(aRetry)
   , handlers_(std::move(aHandlers))
   , retryTimer_(aLoop, [this] {
     if (synced_) {
@@ -162,8 +158,7 @@
 void StoreFollower::RetryLater()
 {
   ++failures_;
-  const bool waits = retry_ == StoreRetry::AfterOthers && !store_.IsReachable();
-  retryTimer_.Start(waits ? detail::kWaitingMs + BackoffMs() : BackoffMs());
+  retryTimer_.Start(BackoffMs());
 }
 
 }
--- a/gateway/StoreFollower.hpp
+++ b/gateway/StoreFollower.hpp
@@ -9,20 +9,6 @@
 
 namespace cactuspitch {
 
-/// What a follower does while the store is out of reach.
-enum class StoreRetry : uint8_t
-{
-  Probe,       ///< tries until the store answers
-  AfterOthers, ///< waits for the probing follower's answer, which refreshes all
-  Count
-};
-
-template<>
-struct EnumNames<StoreRetry>
-{
-  static constexpr std::string_view kNames[] = { "probe", "after-others" };
-};
-
 /// Keeps up with all objects of one kind: a list, then watches. After a
 /// compacted history it lists again.
 class StoreFollower
@@ -39,7 +25,6 @@
                 StoreLink& aStore,
                 std::string aKind,
                 TimeMs aWaitMs,
-                StoreRetry aRetry,
                 Handlers aHandlers);
 
   void Start();
@@ -63,7 +48,6 @@
   StoreLink& store_;
   std::string kind_;
   TimeMs waitMs_;
-  StoreRetry retry_;
   Handlers handlers_;
   Timer retryTimer_;
   uint64_t round_ = 0; ///< answers of earlier rounds are ignored
