List registrations when a gateway starts to watch again

Change: registrations are listed anew then; of one answer only the last event of each server counts.

--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -89,6 +89,7 @@
                     store_,
                     port_.registry_.ConfigKind(),
                     detail::kConfigWaitMs,
+                    Resume::Watch,
                     { [this](const std::vector<StoreObject>& aObjects) {
                        OnConfigObjects(aObjects);
                      },
@@ -100,6 +101,7 @@
                      store_,
                      port_.registry_.BackendKind(),
                      detail::kWatchWaitMs,
+                     Resume::List,
                      { [this](const std::vector<StoreObject>& aObjects) {
                         OnBackendList(aObjects);
                       },
@@ -111,6 +113,7 @@
                  store_,
                  detail::kOwnKind,
                  detail::kWatchWaitMs,
+                 Resume::Watch,
                  { [this](const std::vector<StoreObject>& aObjects) {
                     std::ranges::for_each(
                       aObjects,
@@ -348,7 +351,7 @@
   const TimeMs nowMs = loop_.NowMs();
   const auto digest = directory_.Digest();
   wire::Gossip changes;
-  for (const auto& event : aEvents) {
+  for (const auto& event : LatestEvents(aEvents)) {
     const auto entry =
       event.removed_ ? std::nullopt : DecodeBackend(event.object_);
     if (entry) {
@@ -514,7 +517,7 @@
 
 bool Gateway::HasDirectory() const
 {
-  return backendFollower_.IsSynced() || relayedDirectory_;
+  return backendFollower_.HasListed() || relayedDirectory_;
 }
 
 bool Gateway::IsReady() const
--- a/gateway/StoreFollower.cpp
+++ b/gateway/StoreFollower.cpp
@@ -1,6 +1,9 @@
 #include "gateway/StoreFollower.hpp"
 
 #include <algorithm>
+#include <ranges>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace cactuspitch {
@@ -15,16 +18,31 @@
 
 }
 
+std::vector<ObjectEvent> LatestEvents(const std::vector<ObjectEvent>& aEvents)
+{
+  std::set<std::string_view> seen;
+  std::vector<ObjectEvent> latest;
+  for (const auto& event : std::views::reverse(aEvents)) {
+    if (seen.insert(event.object_.name_).second) {
+      latest.push_back(event);
+    }
+  }
+  std::ranges::reverse(latest);
+  return latest;
+}
+
 StoreFollower::StoreFollower(EventLoop& aLoop,
                              EventLog& aLog,
                              StoreLink& aStore,
                              std::string aKind,
                              TimeMs aWaitMs,
+                             Resume aResume,
                              Handlers aHandlers)
   : log_(aLog)
   , store_(aStore)
   , kind_(std::move(aKind))
   , waitMs_(aWaitMs)
+  , resume_(aResume)
   , handlers_(std::move(aHandlers))
   , retryTimer_(aLoop, [this] {
     if (synced_) {
@@ -51,6 +69,7 @@
     ++round_;
     retryTimer_.Stop();
   } else if (aActive) {
+    synced_ = synced_ && resume_ == Resume::Watch;
     Refresh();
   }
 }
@@ -104,6 +123,7 @@
   }
   failures_ = 0;
   synced_ = true;
+  everListed_ = true;
   revision_ = listRevision_;
   const auto listed = std::exchange(listed_, {});
   handlers_.onList_(listed);
--- a/gateway/StoreFollower.hpp
+++ b/gateway/StoreFollower.hpp
@@ -9,6 +9,24 @@
 
 namespace cactuspitch {
 
+/// The last event of each object, in the order of those: what lies between is
+/// outdated already.
+std::vector<ObjectEvent> LatestEvents(const std::vector<ObjectEvent>& aEvents);
+
+/// How a follower catches up when it becomes active again.
+enum class Resume : uint8_t
+{
+  Watch, ///< replays what it missed; for objects whose versions only grow
+  List,  ///< replayed states would be older than what others have told
+  Count
+};
+
+template<>
+struct EnumNames<Resume>
+{
+  static constexpr std::string_view kNames[] = { "watch", "list" };
+};
+
 /// Keeps up with all objects of one kind: a list, then watches. After a
 /// compacted history it lists again.
 class StoreFollower
@@ -25,6 +43,7 @@
                 StoreLink& aStore,
                 std::string aKind,
                 TimeMs aWaitMs,
+                Resume aResume,
                 Handlers aHandlers);
 
   void Start();
@@ -34,7 +53,7 @@
   /// Asks at once again: the pending watch may hang on a dead connection.
   void Refresh();
   /// True once a complete list was read.
-  bool IsSynced() const { return synced_; }
+  bool HasListed() const { return everListed_; }
 
 private:
   void List();
@@ -48,11 +67,13 @@
   StoreLink& store_;
   std::string kind_;
   TimeMs waitMs_;
+  Resume resume_;
   Handlers handlers_;
   Timer retryTimer_;
   uint64_t round_ = 0; ///< answers of earlier rounds are ignored
   bool active_ = true;
   bool synced_ = false;
+  bool everListed_ = false;
   int failures_ = 0;
   int64_t revision_ = 0;
   std::vector<StoreObject> listed_;
--- /dev/null
+++ b/tests/StoreFollowerTest.cpp
@@ -0,0 +1,101 @@
+#include "gateway/StoreFollower.hpp"
+
+#include "common/Strings.hpp"
+#include "platform/Objects.hpp"
+#include "tests/GatewayRig.hpp"
+
+#include <functional>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace cactuspitch {
+namespace {
+
+/// A follower of one kind whose store answers lists and holds watches.
+class StoreFollowerTest : public testing::Test
+{
+protected:
+  void Serve(ScriptedServer::Exchange& aExchange)
+  {
+    if (aExchange.head_.target_.find("watch=") != std::string::npos) {
+      ++watches_;
+      return;
+    }
+    ++lists_;
+    const auto body = nlohmann::json{ { "items", nlohmann::json::array() },
+                                      { "has-more", false },
+                                      { "at", 10 + lists_ } };
+    const auto text = body.dump();
+    aExchange.write_(Concat(
+      "HTTP/1.1 200 OK\r\nContent-Length: ", text.size(), "\r\n\r\n", text));
+  }
+  bool RunUntil(const std::function<bool()>& aDone)
+  {
+    int rounds = 0;
+    std::function<void()> poll;
+    Timer timer(loop_, [&] { poll(); });
+    poll = [&] {
+      if (aDone() || ++rounds > 1000) {
+        loop_.Stop();
+      } else {
+        timer.Start(2);
+      }
+    };
+    timer.Start(0);
+    loop_.Run();
+    return aDone();
+  }
+
+  EventLoop loop_;
+  EventLog log_{ loop_, LogLevel::Error, STDERR_FILENO };
+  HttpClient client_{ loop_ };
+  platform::Objects objects_;
+  int lists_ = 0;
+  int watches_ = 0;
+  ScriptedServer server_{ loop_,
+                          [this](auto& aExchange) { Serve(aExchange); } };
+  StoreLink store_{ loop_, log_, client_, objects_, server_.Address() };
+};
+
+// Guards against a gateway that starts to watch again and replays states which
+// are older than what it and the others know: a server that leaves looked ready
+// again (tas-south hunt-39c0-3, rule DRAIN).
+TEST_F(StoreFollowerTest, ListsWhenItBecomesActiveAgain)
+{
+  StoreFollower follower(loop_,
+                         log_,
+                         store_,
+                         "servers",
+                         5000,
+                         Resume::List,
+                         { [](const std::vector<StoreObject>&) {},
+                           [](const std::vector<ObjectEvent>&) {} });
+  follower.Start();
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 1; }));
+  follower.SetActive(false);
+  follower.SetActive(true);
+  EXPECT_TRUE(follower.HasListed()) << "the gateway would not be ready";
+  ASSERT_TRUE(RunUntil([&] { return watches_ == 2; }));
+  EXPECT_EQ(lists_, 2);
+}
+
+// Guards against outdated states within one answer that are told to others.
+TEST(LatestEvents, KeepsTheLastOfEachObject)
+{
+  const auto event = [](const char* aName, int64_t aRevision) {
+    ObjectEvent result;
+    result.object_.name_ = aName;
+    result.object_.revision_ = aRevision;
+    return result;
+  };
+  const auto latest = LatestEvents(
+    { event("a", 1), event("b", 2), event("a", 3), event("c", 4) });
+  ASSERT_EQ(latest.size(), 3U);
+  EXPECT_EQ(latest[0].object_.revision_, 2);
+  EXPECT_EQ(latest[1].object_.revision_, 3);
+  EXPECT_EQ(latest[2].object_.revision_, 4);
+}
+
+}
+}
