--- a/gateway/StoreFollower.cpp
+++ b/gateway/StoreFollower.cpp
@@ -1,7 +1,7 @@
 #include "gateway/StoreFollower.hpp"
 
 #include <algorithm>
-#include <ranges>
+#include <iterator>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -22,11 +22,12 @@
 {
   std::set<std::string_view> seen;
   std::vector<ObjectEvent> latest;
-  for (const auto& event : std::views::reverse(aEvents)) {
-    if (seen.insert(event.object_.name_).second) {
-      latest.push_back(event);
-    }
-  }
+  std::copy_if(aEvents.rbegin(),
+               aEvents.rend(),
+               std::back_inserter(latest),
+               [&](const ObjectEvent& aEvent) {
+                 return seen.insert(aEvent.object_.name_).second;
+               });
   std::ranges::reverse(latest);
   return latest;
 }
