A removal seen by a gateway in touch with the store counts for all

Cause: a watcher whose calls had failed lately keeps a registration that goes missing for up to 1.8 s. Change: watchers take removals told by others that reach the store, before or after they miss the registration themselves.

--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -181,6 +181,10 @@
                }
                OnBackendsChanged();
              },
+             [this](const std::string& aBackend) {
+               directory_.ConfirmRemoved(aBackend, loop_.NowMs());
+               OnBackendsChanged();
+             },
              [this](const nlohmann::json& aSpec, std::string aPacked) {
                StoreObject object;
                object.name_ = port_.registry_.ConfigName();
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -216,7 +216,15 @@
     AskForDirectory(status);
     return;
   }
-  if (watching_ || !aGossip.storeOk) {
+  if (!aGossip.storeOk) {
+    return;
+  }
+  if (watching_) {
+    for (const auto& change : aGossip.changes) {
+      if (change.removed) {
+        handlers_.onRemovalSeen_(change.id);
+      }
+    }
     return;
   }
   for (const auto& change : aGossip.changes) {
--- a/gateway/StoreRelay.hpp
+++ b/gateway/StoreRelay.hpp
@@ -33,6 +33,8 @@
     std::function<void(bool aActive)> setWatching_;
     std::function<void(const std::vector<BackendEntry>&)> onDirectory_;
     std::function<void(const BackendEntry&, bool aRemoved)> onBackend_;
+    /// Another watcher saw a registration go.
+    std::function<void(const std::string& aBackend)> onRemovalSeen_;
     std::function<void(const nlohmann::json& aSpec, std::string aPacked)>
       onConfig_;
     std::function<int64_t()> configVersion_;
--- a/membership/BackendDirectory.cpp
+++ b/membership/BackendDirectory.cpp
@@ -49,6 +49,7 @@
 void BackendDirectory::ApplyPut(const BackendEntry& aEntry, TimeMs)
 {
   missingUntilMs_.erase(aEntry.id_);
+  confirmedMs_.erase(aEntry.id_);
   const auto [known, isNew] = entries_.try_emplace(aEntry.id_, aEntry);
   if (!isNew) {
     if (known->second.IsSameState(aEntry)) {
@@ -78,6 +79,18 @@
   }
 }
 
+void BackendDirectory::ConfirmRemoved(const std::string& aId, TimeMs aNowMs)
+{
+  std::erase_if(confirmedMs_, [aNowMs](const auto& aEntry) {
+    return aNowMs - aEntry.second > kGraceMs;
+  });
+  if (missingUntilMs_.erase(aId) > 0) {
+    Drop(aId);
+  } else {
+    confirmedMs_[aId] = aNowMs;
+  }
+}
+
 void BackendDirectory::OnStoreDisturbed(TimeMs aNowMs)
 {
   disturbedMs_ = aNowMs;
@@ -122,7 +135,10 @@
   if (missingUntilMs_.contains(aId)) {
     return;
   }
-  const bool disturbed = disturbedMs_ != 0 && aNowMs - disturbedMs_ < kGraceMs;
+  const auto confirmed = confirmedMs_.find(aId);
+  const bool disturbed =
+    disturbedMs_ != 0 && aNowMs - disturbedMs_ < kGraceMs &&
+    (confirmed == confirmedMs_.end() || aNowMs - confirmed->second > kGraceMs);
   // A server that said that it drains is not waited for.
   if (disturbed && entries_.at(aId).state_ == BackendState::Ready) {
     missingUntilMs_[aId] =
--- a/membership/BackendDirectory.hpp
+++ b/membership/BackendDirectory.hpp
@@ -26,6 +26,9 @@
   void ApplyList(const std::vector<BackendEntry>& aEntries, TimeMs aNowMs);
   void ApplyPut(const BackendEntry& aEntry, TimeMs aNowMs);
   void ApplyRemoved(const std::string& aId, TimeMs aNowMs);
+  /// A gateway that was in touch with the store throughout saw the removal: no
+  /// grace time is needed.
+  void ConfirmRemoved(const std::string& aId, TimeMs aNowMs);
   /// A call to the store failed.
   void OnStoreDisturbed(TimeMs aNowMs);
   /// Drops entries whose grace time has ended; true when any did.
@@ -49,6 +52,7 @@
 
   std::map<std::string, BackendEntry> entries_;
   std::map<std::string, TimeMs> missingUntilMs_;
+  std::map<std::string, TimeMs> confirmedMs_; ///< removals seen by others
   TimeMs disturbedMs_ = 0;
   std::set<std::string> changes_;
   /// Sum of the entries' hashes, which does not depend on their order.
--- a/tests/KeyspaceTest.cpp
+++ b/tests/KeyspaceTest.cpp
@@ -236,6 +236,31 @@
   EXPECT_FALSE(directory.Entries().contains("a"));
 }
 
+// Guards against a leader that keeps a server which has left for its grace time
+// although a gateway beside it saw the removal, and restores it at all others
+// (tas-south leader-in-series, rule DRAIN).
+TEST(BackendDirectory, RemovalSeenByOthersNeedsNoGrace)
+{
+  for (const bool toldFirst : { false, true }) {
+    BackendDirectory directory;
+    directory.ApplyList({ Entry("a"), Entry("b") }, 1000);
+    directory.OnStoreDisturbed(1500);
+    if (toldFirst) {
+      directory.ConfirmRemoved("a", 1590);
+    }
+    directory.ApplyRemoved("a", 1600);
+    EXPECT_EQ(directory.Entries().contains("a"), !toldFirst);
+    directory.ConfirmRemoved("a", 1610);
+    EXPECT_FALSE(directory.Entries().contains("a"));
+    // It is back, and goes missing with a later disturbance.
+    directory.ApplyPut(Entry("a"), 2000);
+    directory.OnStoreDisturbed(2100);
+    directory.ApplyRemoved("a", 2200);
+    EXPECT_TRUE(directory.Entries().contains("a"));
+    EXPECT_TRUE(directory.Entries().contains("b"));
+  }
+}
+
 // Guards against gateways that recompute all places with every beat of every
 // server: with 350 servers it took half of the processor time of small
 // gateways, which then served requests of callers that had left.
