Use one piece for repeated steps of the gateway; remove dead members

Found by reading the whole change; behaviour is as before. - LeaderElection: one TryAgainIn for three copies, PeerMesh::IsAlive for a copy of its test. - CallerStream: LimitsOf for a second reading of the limits. - GossipDuty: a leader counts its own keys directly, not by way of the wire. - EventLog: one bucket look-up for a line that is written, not two. - Tests: one RunLoopUntil; the assertions are unchanged. - Unused: HttpClient::Connection::IsOpen, Collector::tooLarge_, ForwardedRequest::lastAttemptMs_, BackendLoad::Slots and a parameter.

--- a/gateway/BackendLink.cpp
+++ b/gateway/BackendLink.cpp
@@ -50,7 +50,7 @@
   sentBefore_ = stream_.WrittenBytes();
   sentMs_ = pool_.loop_.NowMs();
   loadAtSend_ = backend_->load_.Load(sentMs_);
-  backend_->load_.OnSent(sentMs_);
+  backend_->load_.OnSent();
   requestBytes_ = aHead.size() + aBody.size();
   if (!stream_.IsOpen()) {
     if (!stream_.Connect(backend_->endpoint_)) {
--- a/gateway/BackendLoad.cpp
+++ b/gateway/BackendLoad.cpp
@@ -35,7 +35,7 @@
   slots_ = std::max(1, aSlots);
 }
 
-void BackendLoad::OnSent(TimeMs)
+void BackendLoad::OnSent()
 {
   ++inFlight_;
 }
--- a/gateway/BackendLoad.hpp
+++ b/gateway/BackendLoad.hpp
@@ -19,7 +19,7 @@
   /// Mean work time of the service, used until the server is measured.
   void SetDefaultWorkMs(double aWorkMs) { defaultWorkMs_ = aWorkMs; }
 
-  void OnSent(TimeMs aNowMs);
+  void OnSent();
   /// The server gave a full answer after aLatencyMs.
   void OnAnswered(double aLatencyMs, double aLoadAtSend, TimeMs aNowMs);
   void OnShed(TimeMs aNowMs);
@@ -30,7 +30,6 @@
   void OnSharedReport(double aLoad, double aWorkMs, TimeMs aNowMs);
 
   int InFlight() const { return inFlight_; }
-  int Slots() const { return slots_; }
   /// Requests at the server, own and others'.
   double Load(TimeMs aNowMs) const;
   /// Time of one request that does not queue.
--- a/gateway/CallerStream.cpp
+++ b/gateway/CallerStream.cpp
@@ -137,11 +137,8 @@
     return false;
   }
   const auto request = std::exchange(reading_, nullptr);
-  const auto routes = forwarder_.Routes();
   parser_ =
-    HttpParser(HttpRole::Request,
-               routes == nullptr ? detail::kDefaultLimits.headerBytes_
-                                 : routes->Config().limits_.headerBytes_);
+    HttpParser(HttpRole::Request, detail::LimitsOf(forwarder_).headerBytes_);
   StartTimer();
   // A request that must not run twice waits until the answers before it are
   // written: one of them might close the connection, and then the caller sends
--- a/gateway/EventLog.cpp
+++ b/gateway/EventLog.cpp
@@ -53,27 +53,33 @@
   return bucket;
 }
 
-bool EventLog::Allows(LogLevel aLevel, std::string_view aEvent)
+EventLog::Bucket* EventLog::Admit(LogLevel aLevel, std::string_view aEvent)
 {
   if (aLevel < minimum_) {
-    return false;
+    return nullptr;
   }
   auto& bucket = Refill(aEvent);
   if (bucket.tokens_ >= 1) {
-    return true;
+    return &bucket;
   }
   ++bucket.dropped_;
-  return false;
+  return nullptr;
+}
+
+bool EventLog::Allows(LogLevel aLevel, std::string_view aEvent)
+{
+  return Admit(aLevel, aEvent) != nullptr;
 }
 
 void EventLog::Write(LogLevel aLevel,
                      std::string_view aEvent,
                      std::initializer_list<LogField> aFields)
 {
-  if (!Allows(aLevel, aEvent)) {
+  auto* bucket = Admit(aLevel, aEvent);
+  if (bucket == nullptr) {
     return;
   }
-  Refill(aEvent).tokens_ -= 1;
+  bucket->tokens_ -= 1;
   Emit(aLevel, aEvent, aFields);
 }
 
--- a/gateway/EventLog.hpp
+++ b/gateway/EventLog.hpp
@@ -43,6 +43,8 @@
     int64_t dropped_ = 0;
   };
 
+  /// The event's bucket if a line may be written; counts it as dropped if not.
+  Bucket* Admit(LogLevel aLevel, std::string_view aEvent);
   Bucket& Refill(std::string_view aEvent);
   void Emit(LogLevel aLevel,
             std::string_view aEvent,
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -234,7 +234,6 @@
   }
   ++attempts_;
   lastBackend_ = backend->entry_.id_;
-  lastAttemptMs_ = forwarder_.Loop().NowMs();
   discard_ = false;
   answerBody_.clear();
   link_ = link;
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -109,7 +109,6 @@
   std::set<std::string> tried_;
   std::string lastBackend_;
   int attempts_ = 0;
-  TimeMs lastAttemptMs_ = 0;
   bool begun_ = false;
   bool read_ = false;
   bool dispatched_ = false;
--- a/gateway/GossipDuty.cpp
+++ b/gateway/GossipDuty.cpp
@@ -88,9 +88,11 @@
 {
   const TimeMs nowMs = loop_.NowMs();
   FillSuspects(aGossip);
-  FillKeyCounts(aGossip);
-  TakeKeyCounts(aGossip);
-  aGossip.keyCounts.clear();
+  for (const auto& [service, keys] : forwarder_.TakeKeyCounts()) {
+    for (const auto& [key, count] : keys) {
+      director_.AddLoad(service, key, count);
+    }
+  }
   for (const auto& report : forwarder_.Pool().TakeReports()) {
     board_.Add(report, nowMs);
   }
--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -138,8 +138,8 @@
   const TimeMs nowMs = loop_.NowMs();
   const auto before =
     std::ranges::count_if(peers_.Peers(), [&](const auto& aEntry) {
-      return aEntry.first != self_.instance_ && aEntry.second.heardMs_ != 0 &&
-             nowMs - aEntry.second.heardMs_ < PeerMesh::kAliveMs &&
+      return aEntry.first != self_.instance_ &&
+             PeerMesh::IsAlive(aEntry.second, nowMs) &&
              aEntry.first != leader_ &&
              weight(aEntry.first, aEntry.second.cpuPercent_) < own;
     });
@@ -204,11 +204,6 @@
 
 void LeaderElection::OnRead(const StoreAnswer& aAnswer)
 {
-  const auto giveUp = [&] {
-    state_ = State::Following;
-    heardMs_ = loop_.NowMs() - LeaderTiming::kSilenceMs +
-               detail::kAcquireRetryMs + store_.Jitter(detail::kAcquireRetryMs);
-  };
   earlier_.clear();
   if (aAnswer.status_ == StoreStatus::Missing) {
     revision_ = 0;
@@ -221,7 +216,7 @@
     // Someone else was faster; its gossip is on the way.
     if (everHeard_ && storedTerm > highestTerm_) {
       highestTerm_ = storedTerm;
-      giveUp();
+      TryAgainIn(detail::kAcquireRetryMs);
       return;
     }
     term_ = std::max(highestTerm_, storedTerm) + 1;
@@ -243,7 +238,7 @@
                             addLife);
     }
   } else {
-    giveUp();
+    TryAgainIn(detail::kAcquireRetryMs);
     return;
   }
   const TimeMs sentMs = loop_.NowMs();
@@ -274,9 +269,14 @@
     CheckWritten(aSentMs);
     return;
   }
+  TryAgainIn(detail::kAcquireRetryMs);
+}
+
+void LeaderElection::TryAgainIn(TimeMs aMs)
+{
   state_ = State::Following;
-  heardMs_ = loop_.NowMs() - LeaderTiming::kSilenceMs +
-             detail::kAcquireRetryMs + store_.Jitter(detail::kAcquireRetryMs);
+  heardMs_ = loop_.NowMs() - LeaderTiming::kSilenceMs + aMs +
+             store_.Jitter(detail::kAcquireRetryMs);
 }
 
 void LeaderElection::CheckWritten(TimeMs aSentMs)
@@ -295,9 +295,7 @@
                 }
                 // A write that is carried out later meets another revision,
                 // because the next attempt changes it.
-                state_ = State::Following;
-                heardMs_ = loop_.NowMs() - LeaderTiming::kSilenceMs +
-                           store_.Jitter(detail::kAcquireRetryMs);
+                TryAgainIn(0);
               });
 }
 
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -101,6 +101,8 @@
   void Acquire();
   void OnRead(const StoreAnswer& aAnswer);
   void OnWritten(const StoreAnswer& aAnswer, TimeMs aSentMs);
+  /// Follows, and tries after this time and a random part of the retry time.
+  void TryAgainIn(TimeMs aMs);
   void CheckWritten(TimeMs aSentMs);
   void BecomeLeader(TimeMs aConfirmedMs);
   void Renew();
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -49,7 +49,6 @@
   }
 
   const Endpoint& Server() const { return server_; }
-  bool IsOpen() const { return stream_.IsOpen(); }
 
   void Start(const CallRequest& aRequest, Done aDone)
   {
--- a/net/HttpParser.cpp
+++ b/net/HttpParser.cpp
@@ -54,7 +54,6 @@
   HttpHead head_;
   std::string* body_ = nullptr;
   bool headDone_ = false;
-  bool tooLarge_ = false;
 
 private:
   void on_request_impl(http::verb,
--- a/tests/GatewayRig.cpp
+++ b/tests/GatewayRig.cpp
@@ -251,25 +251,30 @@
   RunFor(20);
 }
 
-bool GatewayRig::RunUntil(const std::function<bool()>& aDone)
+bool RunLoopUntil(EventLoop& aLoop, const std::function<bool()>& aDone)
 {
   const TimeMs endMs = SteadyClock().NowMs() + kPatienceMs;
   bool done = false;
   std::function<void()> poll;
-  Timer timer(loop_, [&] { poll(); });
+  Timer timer(aLoop, [&] { poll(); });
   poll = [&] {
     done = aDone();
     if (done || SteadyClock().NowMs() > endMs) {
-      loop_.Stop();
+      aLoop.Stop();
     } else {
       timer.Start(kPollMs);
     }
   };
   timer.Start(0);
-  loop_.Run();
+  aLoop.Run();
   return done;
 }
 
+bool GatewayRig::RunUntil(const std::function<bool()>& aDone)
+{
+  return RunLoopUntil(loop_, aDone);
+}
+
 void GatewayRig::RunFor(TimeMs aMs)
 {
   Timer timer(loop_, [this] { loop_.Stop(); });
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -47,6 +47,9 @@
   std::vector<std::shared_ptr<Connection>> connections_;
 };
 
+/// Runs the loop until aDone holds; false after 5 s.
+bool RunLoopUntil(EventLoop& aLoop, const std::function<bool()>& aDone);
+
 /// A gateway with a small store, one service of scripted backend servers that
 /// needs no keys (host `plain`), and one whose keys are granted (host `keyed`).
 class GatewayRig
--- a/tests/StoreFollowerTest.cpp
+++ b/tests/StoreFollowerTest.cpp
@@ -4,8 +4,6 @@
 #include "platform/Objects.hpp"
 #include "tests/GatewayRig.hpp"
 
-#include <functional>
-
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -30,23 +28,6 @@
     aExchange.write_(Concat(
       "HTTP/1.1 200 OK\r\nContent-Length: ", text.size(), "\r\n\r\n", text));
   }
-  bool RunUntil(const std::function<bool()>& aDone)
-  {
-    int rounds = 0;
-    std::function<void()> poll;
-    Timer timer(loop_, [&] { poll(); });
-    poll = [&] {
-      if (aDone() || ++rounds > 1000) {
-        loop_.Stop();
-      } else {
-        timer.Start(2);
-      }
-    };
-    timer.Start(0);
-    loop_.Run();
-    return aDone();
-  }
-
   EventLoop loop_;
   EventLog log_{ loop_, LogLevel::Error, STDERR_FILENO };
   HttpClient client_{ loop_ };
@@ -72,11 +53,11 @@
                          { [](const std::vector<StoreObject>&) {},
                            [](const std::vector<ObjectEvent>&) {} });
   follower.Start();
-  ASSERT_TRUE(RunUntil([&] { return watches_ == 1; }));
+  ASSERT_TRUE(RunLoopUntil(loop_, [&] { return watches_ == 1; }));
   follower.SetActive(false);
   follower.SetActive(true);
   EXPECT_TRUE(follower.HasListed()) << "the gateway would not be ready";
-  ASSERT_TRUE(RunUntil([&] { return watches_ == 2; }));
+  ASSERT_TRUE(RunLoopUntil(loop_, [&] { return watches_ == 2; }));
   EXPECT_EQ(lists_, 2);
 }
 
