Serve routes of kind upload, and of unknown kinds

Cause: the reader of the configuration rejected the whole object when one route had a kind that it did not know. Ruled out: registrations and grants were fine (0 grants only because no service was known).

Change: Upload is a kind of its own, not repeatable. A kind that is not known is served as non-idempotent and logged as config-findings; unreadable values still reject the object and keep the version in force.

--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -307,6 +307,12 @@
   if (config->version_ <= configVersion_) {
     return;
   }
+  if (!findings.IsEmpty()) {
+    log_.Write(LogLevel::Warning,
+               "config-findings",
+               { { "version", config->version_ },
+                 { "findings", findings.ToText() } });
+  }
   configVersion_ = config->version_;
   configPacked_ =
     aPacked.empty() ? Compress(aObject.spec_.dump()) : std::move(aPacked);
--- a/gateway/PlatformPort.hpp
+++ b/gateway/PlatformPort.hpp
@@ -153,6 +153,8 @@
   virtual std::string ConfigKind() const = 0;
   virtual std::string ConfigName() const = 0;
   virtual std::string BackendKind() const = 0;
+  /// Nothing when the object cannot be used. Findings beside a configuration
+  /// name words that are unknown here; their routes are served all the same.
   virtual std::optional<RoutingConfig> DecodeConfig(
     const StoreObject& aObject,
     Findings& aFindings) const = 0;
--- a/routing/RoutingConfig.hpp
+++ b/routing/RoutingConfig.hpp
@@ -17,6 +17,7 @@
   Idempotent,    ///< may run more than once
   NonIdempotent, ///< runs at most once
   Download,      ///< idempotent, with a large answer
+  Upload,        ///< non-idempotent, with a large body
   Count
 };
 
@@ -25,12 +26,13 @@
 {
   static constexpr std::string_view kNames[] = { "idempotent",
                                                  "non-idempotent",
-                                                 "download" };
+                                                 "download",
+                                                 "upload" };
 };
 
 inline bool IsRepeatable(RequestKind aKind)
 {
-  return aKind != RequestKind::NonIdempotent;
+  return aKind == RequestKind::Idempotent || aKind == RequestKind::Download;
 }
 
 /// Part of a route's requests that goes to one service.
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -74,6 +74,27 @@
   EXPECT_GE(findings.All().size(), 3U);
 }
 
+// Guards against one route of an unknown kind that takes all routes out of
+// service: it is handled by the strictest rules, and the others go on.
+TEST(Registry, ServesUnknownKindsByTheStrictestRules)
+{
+  auto json = Json::parse(kConfig);
+  json["virtual-hosts"][0]["paths"][0]["kind"] = "other";
+  json["virtual-hosts"][1]["paths"][0]["kind"] = "upload";
+  json["virtual-hosts"][1]["paths"][0]["new-field"] = Json::array();
+  StoreObject object;
+  object.name_ = "main";
+  object.spec_ = json;
+  Findings findings;
+  const auto config = Registry().DecodeConfig(object, findings);
+  ASSERT_TRUE(config) << findings.ToText();
+  EXPECT_EQ(config->routes_[0].kind_, RequestKind::NonIdempotent);
+  EXPECT_EQ(config->routes_[1].kind_, RequestKind::Upload);
+  EXPECT_FALSE(IsRepeatable(RequestKind::Upload));
+  ASSERT_EQ(findings.All().size(), 1U);
+  EXPECT_EQ(findings.All()[0].field_, "kind");
+}
+
 const char* const kServer =
   R"({"address":"10.128.0.9:8080","born":1785533497000,
   "info":{"service":"s1","version":"v1","zone":"cairo-a","slots":6},
