Weigh the bytes that cross failure domains in placement

Ruled out: keyed requests have one owner and cannot be placed.

Change: the crossing cost grows with the body and the mean size of the route's answers, up to half of the objective, and a near server that would answer late in its objective gets no preference, so that no request becomes late to save bytes.

--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -306,6 +306,8 @@
     return;
   }
   forwarder_.Metrics().OnAttempt("answered");
+  forwarder_.NoteAnswerBytes(
+    *route_, answerHead_.contentLength_.value_or(answerBody_.size()));
   if (answerHead_.status_ >= 500 && IsIdempotent() && !headWritten_ &&
       TryAgain("server-error", true)) {
     return;
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -67,6 +67,7 @@
   const std::set<std::string>& Tried() const { return tried_; }
   TimeMs RemainingMs() const;
   TimeMs HeldMs() const;
+  size_t BodyBytes() const { return body_.size(); }
   uint64_t Fingerprint() const { return fingerprint_; }
 
 private:
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -26,6 +26,10 @@
 /// share the same reports, so all of them would choose the same best server;
 /// the best of a few drawn ones spreads them.
 constexpr size_t kForeignSample = 6;
+/// Size of the answers of a route before the first one.
+constexpr size_t kFirstAnswerBytes = 2048;
+constexpr size_t kFirstDownloadBytes = 65536;
+constexpr double kAnswerBytesWeight = 0.05;
 
 }
 
@@ -54,6 +58,11 @@
 void Forwarder::SetConfig(RoutingConfig aConfig)
 {
   routes_ = std::make_shared<RouteTable>(std::move(aConfig));
+  std::erase_if(answerBytes_, [this](const auto& aEntry) {
+    return std::ranges::find(routes_->Config().routes_,
+                             aEntry.first,
+                             &Route::name_) == routes_->Config().routes_.end();
+  });
 }
 
 void Forwarder::UpdateBackends(
@@ -161,6 +170,26 @@
   return ChooseAny(aRequest, *service);
 }
 
+size_t Forwarder::AnswerBytes(const Route& aRoute) const
+{
+  const auto known = answerBytes_.find(aRoute.name_);
+  if (known != answerBytes_.end()) {
+    return static_cast<size_t>(known->second);
+  }
+  return aRoute.kind_ == RequestKind::Download ? detail::kFirstDownloadBytes
+                                               : detail::kFirstAnswerBytes;
+}
+
+void Forwarder::NoteAnswerBytes(const Route& aRoute, size_t aBytes)
+{
+  const auto [known, isNew] =
+    answerBytes_.try_emplace(aRoute.name_, static_cast<double>(aBytes));
+  if (!isNew) {
+    known->second += (static_cast<double>(aBytes) - known->second) *
+                     detail::kAnswerBytesWeight;
+  }
+}
+
 Choice Forwarder::ChooseAny(const ForwardedRequest& aRequest,
                             const ServiceSpec& aService)
 {
@@ -183,7 +212,7 @@
                               { aRequest.RemainingMs(),
                                 route.objectiveMs_,
                                 aRequest.HeldMs(),
-                                route.kind_ == RequestKind::Download },
+                                aRequest.BodyBytes() + AnswerBytes(route) },
                               candidates);
   choice.verdict_ = decision.verdict_;
   choice.retryAfterMs_ = decision.retryAfterMs_;
@@ -249,10 +278,10 @@
   auto candidate = Describe(*backend, aRequest, choice.maxConnections_);
   // Nobody else can run it, so a server that failed it is asked again.
   candidate.tried_ = false;
-  const auto decision = Place(
-    options_,
-    { aRequest.RemainingMs(), route.objectiveMs_, aRequest.HeldMs(), false },
-    { &candidate, 1 });
+  const auto decision =
+    Place(options_,
+          { aRequest.RemainingMs(), route.objectiveMs_, aRequest.HeldMs() },
+          { &candidate, 1 });
   choice.verdict_ = decision.verdict_;
   choice.retryAfterMs_ = decision.retryAfterMs_;
   choice.cause_ = "owner-overload";
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -76,6 +76,8 @@
   void OnFirstAttempt(const ForwardedRequest& aRequest);
   bool TryTakeRetry(const std::string& aService);
   void OnAttemptEnded() { SchedulePump(); }
+  /// A server gave an answer of this size to a request of the route.
+  void NoteAnswerBytes(const Route& aRoute, size_t aBytes);
   /// A request's connection to the server ended without an answer.
   void NoteSuspect(uint64_t aFingerprint, const std::string& aBackendId);
 
@@ -110,6 +112,8 @@
   PlacementCandidate Describe(const Backend& aBackend,
                               const ForwardedRequest& aRequest,
                               size_t aMaxConnections) const;
+  /// Mean size of the route's answers.
+  size_t AnswerBytes(const Route& aRoute) const;
   size_t ConnectionShare(const ServiceSpec& aService) const;
   double RetryPercent() const;
   double RetryBurst() const;
@@ -130,6 +134,7 @@
   BackendPool pool_;
   CrashQuarantine quarantine_;
   std::map<std::string, RetryBudget> budgets_;
+  std::map<std::string, double> answerBytes_; ///< mean, by route
   std::string self_;
   std::vector<PlacedName> gatewayNames_;
   size_t gateways_ = 8;
--- a/policy/Placement.cpp
+++ b/policy/Placement.cpp
@@ -7,16 +7,28 @@
 
 namespace detail {
 
+double CrossingMs(const PlacementOptions& aOptions,
+                  const PlacementRequest& aRequest)
+{
+  constexpr double kBytesPerKb = 1024;
+  const double mostMs =
+    static_cast<double>(aRequest.objectiveMs_) * aOptions.crossDomainMaxShare_;
+  const double ms = static_cast<double>(aRequest.bytes_) / kBytesPerKb *
+                    aOptions.crossDomainMsPerKb_;
+  return std::max(aOptions.crossDomainMs_, std::min(ms, mostMs));
+}
+
 double Score(const PlacementOptions& aOptions,
              const PlacementRequest& aRequest,
              const PlacementCandidate& aCandidate)
 {
-  const double crossMs = aRequest.largeAnswer_ ? aOptions.crossDomainLargeMs_
-                                               : aOptions.crossDomainMs_;
+  const double objectiveMs = static_cast<double>(aRequest.objectiveMs_);
+  const bool near = aCandidate.sameDomain_ &&
+                    aCandidate.expectedMs_ <= objectiveMs * aOptions.nearShare_;
   return aCandidate.expectedMs_ *
            (1 + aOptions.failureFactor_ * aCandidate.failureShare_ +
             (aCandidate.home_ ? 0 : aOptions.foreignFactor_)) +
-         (aCandidate.sameDomain_ ? 0 : crossMs);
+         (near ? 0 : CrossingMs(aOptions, aRequest));
 }
 
 }
--- a/policy/Placement.hpp
+++ b/policy/Placement.hpp
@@ -3,6 +3,7 @@
 #include "common/EnumNames.hpp"
 #include "common/Types.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 
@@ -26,7 +27,8 @@
   TimeMs remainingMs_ = 0; ///< until the final answer is due
   TimeMs objectiveMs_ = 0;
   TimeMs heldMs_ = 0; ///< since the request was read
-  bool largeAnswer_ = false;
+  /// Body and expected answer: what crosses to a server of another domain.
+  size_t bytes_ = 0;
 };
 
 enum class PlacementVerdict : uint8_t
@@ -58,9 +60,14 @@
   /// A request waits at the gateway for at most this part of its objective;
   /// longer waits are worse for the caller than coming back.
   double holdShare_ = 0.125;
-  /// Cost of an answer that crosses failure domains, in ms of latency.
+  /// Cost of bytes that cross failure domains, in ms of latency: at least
+  /// crossDomainMs_ for a request and at most a share of its objective.
   double crossDomainMs_ = 4;
-  double crossDomainLargeMs_ = 150;
+  double crossDomainMsPerKb_ = 5;
+  double crossDomainMaxShare_ = 0.5;
+  /// A near server is preferred for the bytes only while its answer is expected
+  /// within this part of the objective; work times vary.
+  double nearShare_ = 0.7;
   /// A server that other gateways prefer counts as this much slower.
   double foreignFactor_ = 0.25;
   /// A server that fails all requests counts as this many times slower.
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -14,7 +14,7 @@
 namespace cactuspitch {
 namespace {
 
-constexpr PlacementRequest kRequest{ 2000, 300, 0, false };
+constexpr PlacementRequest kRequest{ 2000, 300, 0, 0 };
 
 PlacementCandidate Server(double aExpectedMs, double aWorkMs)
 {
@@ -81,18 +81,35 @@
             1U);
 }
 
-// Guards against large answers that cross failure domains without need.
-TEST(Placement, KeepsLargeAnswersInTheirDomain)
+// Guards against large bodies and answers that cross failure domains without
+// need.
+TEST(Placement, KeepsLargeBodiesInTheirDomain)
 {
   auto far = Server(70, 70);
   far.sameDomain_ = false;
   auto request = kRequest;
   const std::vector servers = { far, Server(90, 90) };
   EXPECT_EQ(Place({}, request, servers).index_, 0U);
-  request.largeAnswer_ = true;
+  request.bytes_ = 1500;
+  EXPECT_EQ(Place({}, request, servers).index_, 0U);
+  request.bytes_ = 60000;
   EXPECT_EQ(Place({}, request, servers).index_, 1U);
 }
 
+// Guards against requests that become late to save bytes: a near server whose
+// answer is barely within the objective is no better than a far one.
+TEST(Placement, CrossesWhereTheNearServerQueues)
+{
+  auto far = Server(120, 100);
+  far.sameDomain_ = false;
+  auto request = kRequest;
+  request.bytes_ = 60000;
+  EXPECT_EQ(Place({}, request, std::vector{ far, Server(220, 100) }).index_,
+            0U);
+  EXPECT_EQ(Place({}, request, std::vector{ far, Server(200, 100) }).index_,
+            1U);
+}
+
 std::vector<PlacedName> Names(const char* aPrefix, int aCount, int aDomains)
 {
   std::vector<PlacedName> names;
