Deal out the keys of a new service once its servers have registered

Change: the first table waits until no new server has come for 0.6 s, at most 6 s, or 1 s when requests wait for an owner. Existing tables are not concerned.

--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -307,6 +307,12 @@
   return moves;
 }
 
+bool KeyDirector::HasDemand(const std::string& aService) const
+{
+  const auto load = loads_.find(aService);
+  return load != loads_.end() && load->second.TotalRate(loop_.NowMs()) > 0;
+}
+
 void KeyDirector::ProposeChanges()
 {
   const TimeMs nowMs = loop_.NowMs();
@@ -320,6 +326,10 @@
   for (const auto& service : services_) {
     const auto& name = service.first;
     const auto& ownership = service.second;
+    if (ownership->Segments().empty() &&
+        !ownership->IsReadyForFirstTable({}, HasDemand(name), nowMs)) {
+      continue;
+    }
     auto change =
       ownership->Propose([this] { return NextFence(); },
                          [this, &name](const KeyOwnership& aOwnership) {
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -71,6 +71,8 @@
   void RetryLater(std::function<void()> aTask);
   void Read();
   void OnRead(const StoreAnswer& aAnswer);
+  /// Requests for keys of the service were seen.
+  bool HasDemand(const std::string& aService) const;
   void ProposeChanges();
   void Write(std::map<std::string, KeySegments> aProposed);
   void OnWritten(const StoreAnswer& aAnswer);
--- a/keyspace/KeyOwnership.cpp
+++ b/keyspace/KeyOwnership.cpp
@@ -113,14 +113,34 @@
 
 void KeyOwnership::SetCandidates(
   std::map<std::string, OwnerCandidate> aCandidates,
-  TimeMs)
+  TimeMs aNowMs)
 {
+  const bool grew = std::ranges::any_of(aCandidates, [&](const auto& aEntry) {
+    return !candidates_.contains(aEntry.first);
+  });
+  if (grew) {
+    newestServerMs_ = aNowMs;
+    firstServerMs_ = firstServerMs_.value_or(aNowMs);
+  }
   candidates_ = std::move(aCandidates);
   std::erase_if(contacts_, [&](const auto& aEntry) {
     return !candidates_.contains(aEntry.first);
   });
 }
 
+bool KeyOwnership::IsReadyForFirstTable(const FirstTableTiming& aTiming,
+                                        bool aHasDemand,
+                                        TimeMs aNowMs) const
+{
+  if (!firstServerMs_) {
+    return false;
+  }
+  const TimeMs limitMs =
+    aHasDemand ? aTiming.demandLimitMs_ : aTiming.idleLimitMs_;
+  return aNowMs - newestServerMs_ >= aTiming.settleMs_ ||
+         aNowMs - *firstServerMs_ >= limitMs;
+}
+
 bool KeyOwnership::IsLost(const std::string& aBackend, TimeMs aNowMs) const
 {
   const auto found = contacts_.find(aBackend);
--- a/keyspace/KeyOwnership.hpp
+++ b/keyspace/KeyOwnership.hpp
@@ -33,6 +33,19 @@
   static GrantTiming For(size_t aServers, TimeMs aMaxHoldMs);
 };
 
+/// When the keys of a new service are dealt out for the first time: backend
+/// servers register one after the other, and the first one must not get all
+/// keys.
+struct FirstTableTiming
+{
+  /// No new server for this long.
+  TimeMs settleMs_ = 600;
+  /// At the latest this long after the first server, without and with requests
+  /// that wait for an owner.
+  TimeMs idleLimitMs_ = 6000;
+  TimeMs demandLimitMs_ = 1000;
+};
+
 /// Latest moment at which a grant sent at any time up to aArrivalMs can still
 /// be in force. Holders' clocks may run 2% slow; 50 ms cover rounding.
 TimeMs HoldEndMs(TimeMs aArrivalMs, TimeMs aHoldMs);
@@ -134,6 +147,11 @@
     return candidates_;
   }
 
+  /// True when enough servers are known for the first table.
+  bool IsReadyForFirstTable(const FirstTableTiming& aTiming,
+                            bool aHasDemand,
+                            TimeMs aNowMs) const;
+
   /// Changes that leaving, lost and restarted servers need, and the moves that
   /// aBalance asks for. Empty when the durable table needs no change.
   struct Move
@@ -217,6 +235,8 @@
   std::vector<Runtime> runtime_;
   std::map<std::string, OwnerCandidate> candidates_;
   std::map<std::string, Contact> contacts_;
+  std::optional<TimeMs> firstServerMs_;
+  TimeMs newestServerMs_ = 0;
   uint64_t revision_ = 1;
 };
 
--- a/tests/KeyOwnershipTest.cpp
+++ b/tests/KeyOwnershipTest.cpp
@@ -384,5 +384,42 @@
   EXPECT_FALSE(DecodeKeyTable(nlohmann::json("text"), back));
 }
 
+// Guards against all keys going to the server that registers first: the first
+// table waits until no new server has come for a while, but not for long when
+// requests wait for an owner.
+TEST(FirstTable, WaitsForTheServersThatAreRegistering)
+{
+  KeyOwnership ownership("s", {});
+  std::map<std::string, OwnerCandidate> servers;
+  EXPECT_FALSE(ownership.IsReadyForFirstTable({}, true, 10000));
+  // One server each 300 ms, from 10 s on.
+  for (int index = 0; index < 10; ++index) {
+    servers[std::string(1, static_cast<char>('a' + index))] = { 1, true, 1 };
+    ownership.SetCandidates(servers, 10000 + index * 300);
+  }
+  EXPECT_FALSE(ownership.IsReadyForFirstTable({}, false, 12700 + 599));
+  EXPECT_TRUE(ownership.IsReadyForFirstTable({}, false, 12700 + 600));
+  EXPECT_TRUE(ownership.IsReadyForFirstTable({}, true, 12700));
+  // Servers that are known already start no new wait.
+  ownership.SetCandidates(servers, 13200);
+  EXPECT_TRUE(ownership.IsReadyForFirstTable({}, false, 13300));
+  const auto table = ownership.Propose([] { return 1; }, {}, 13300);
+  ASSERT_TRUE(table);
+  EXPECT_EQ(table->size(), 10U);
+}
+
+// Guards against a first table that never comes while servers come and go.
+TEST(FirstTable, IsMadeAtTheLatestAfterTheLimit)
+{
+  KeyOwnership ownership("s", {});
+  for (int index = 0; index < 20; ++index) {
+    ownership.SetCandidates({ { std::to_string(index), { 1, true, 1 } } },
+                            1000 + index * 400);
+  }
+  EXPECT_FALSE(ownership.IsReadyForFirstTable({}, false, 6999));
+  EXPECT_TRUE(ownership.IsReadyForFirstTable({}, false, 8600));
+  EXPECT_TRUE(ownership.IsReadyForFirstTable({}, true, 2000));
+}
+
 }
 }
