Give a key that is too hot for its owner to a faster server

Cause: the edges of a segment are moved away from a server that one key alone overloads, but the key itself stays with whichever server had it; servers differ threefold in speed.

Change: a key that takes 60% of the capacity of the busiest server goes to the server with the most capacity left among those 1.25 times as fast and that much less busy; later plans clear that one of other load.

--- a/keyspace/KeyBalancer.cpp
+++ b/keyspace/KeyBalancer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 
 namespace cactuspitch {
 
@@ -70,6 +71,55 @@
   return true;
 }
 
+void KeyBalancer::MoveDominantKey(std::vector<Piece>& aPieces,
+                                  Uses& aUses,
+                                  const KeyRates& aRates,
+                                  std::vector<KeyOwnership::Move>& aMoves) const
+{
+  const auto busiest = std::ranges::max_element(
+    aUses, {}, [](const auto& aEntry) { return aEntry.second.Utilization(); });
+  auto& from = busiest->second;
+  if (from.Utilization() < options_.dominantShare_) {
+    return;
+  }
+  Piece* source = nullptr;
+  uint32_t hottest = 0;
+  double rate = 0;
+  for (auto& piece : aPieces) {
+    if (piece.owner_ != busiest->first || piece.rate_ <= rate) {
+      continue;
+    }
+    for (uint32_t key = piece.first_; key <= piece.last_; ++key) {
+      if (aRates.Rate(key, key) > rate) {
+        rate = aRates.Rate(key, key);
+        hottest = key;
+        source = &piece;
+      }
+    }
+  }
+  if (source == nullptr || rate < from.capacity_ * options_.dominantShare_) {
+    return;
+  }
+  // A server that is as busy may have a key like this of its own.
+  const auto isFaster = [&](const auto& aEntry) {
+    return aEntry.second.capacity_ >= from.capacity_ * options_.fasterRatio_ &&
+           aEntry.second.Utilization() <
+             from.Utilization() / options_.fasterRatio_;
+  };
+  auto faster = aUses | std::views::filter(isFaster);
+  const auto roomiest = std::ranges::max_element(
+    faster, {}, [](const auto& aEntry) { return aEntry.second.Left(); });
+  if (roomiest == faster.end()) {
+    return;
+  }
+  auto& to = roomiest->second;
+  aMoves.push_back({ hottest, hottest, roomiest->first });
+  from.rate_ -= rate;
+  to.rate_ += rate;
+  // The rest of the piece stays out of this plan.
+  source->rate_ = 0;
+}
+
 std::vector<KeyOwnership::Move> KeyBalancer::Plan(
   const KeyOwnership& aOwnership,
   const KeyRates& aRates,
@@ -105,6 +155,7 @@
   if (uses.size() < 2 || aRates.Total() <= 0) {
     return moves;
   }
+  MoveDominantKey(pieces, uses, aRates, moves);
   const double mean = aRates.Total() / capacity;
   const auto limit = static_cast<size_t>(
     std::ceil(options_.movesPerServer_ * static_cast<double>(uses.size())));
--- a/keyspace/KeyBalancer.hpp
+++ b/keyspace/KeyBalancer.hpp
@@ -21,14 +21,20 @@
   double idleUtilization_ = 0.3;
   /// Shares of load below this part of the mean are not worth a move.
   double smallestPart_ = 0.08;
+  /// A key that takes this part of its owner's capacity is better off with a
+  /// faster owner,
+  double dominantShare_ = 0.6;
+  /// if that one has this many times the capacity and is that much less busy.
+  double fasterRatio_ = 1.25;
   /// Moves of one plan, for each server.
   double movesPerServer_ = 0.75;
 };
 
 /// Chooses moves that bring the utilization of the owners together: load from
 /// the busiest server to the least busy one, in parts cut from the edge of a
-/// segment. Moves cost little where the old holder hands its keys over, so
-/// balance is weighed higher than the number of moves.
+/// segment. A single key that is too hot for its owner goes to the fastest one.
+/// Moves cost little where the old holder hands its keys over, so balance is
+/// weighed higher than the number of moves.
 class KeyBalancer
 {
 public:
@@ -48,6 +54,7 @@
     bool done_ = false;   ///< cannot be relieved any further
 
     double Utilization() const { return rate_ / capacity_; }
+    double Left() const { return capacity_ - rate_; }
   };
   struct Piece
   {
@@ -58,6 +65,12 @@
   };
   using Uses = std::map<std::string, ServerUse>;
 
+  /// Moves a key that alone fills the busiest server to a faster one; the
+  /// load beside it is moved away by later plans.
+  void MoveDominantKey(std::vector<Piece>& aPieces,
+                       Uses& aUses,
+                       const KeyRates& aRates,
+                       std::vector<KeyOwnership::Move>& aMoves) const;
   bool IsOverloaded(const ServerUse& aUse, double aMean) const;
   /// Cuts about aWanted from a piece of aFrom; false when none fits.
   static bool Cut(std::vector<Piece>& aPieces,
--- a/tests/KeyspaceTest.cpp
+++ b/tests/KeyspaceTest.cpp
@@ -109,6 +109,33 @@
   EXPECT_EQ(world.Balance(load, 5), 0);
 }
 
+// Guards against a hot key that stays with a slow owner: one owner is the limit
+// of what the key's callers get, so it is the fastest, with nothing beside it.
+TEST(KeyBalancer, GivesAKeyThatIsTooHotToTheFastestServer)
+{
+  BalanceWorld world(
+    { { "a", 6 }, { "b", 3 }, { "c", 9 }, { "d", 6 }, { "e", 6 } });
+  KeyLoad load;
+  for (uint32_t key = 0; key < kKeyCount; key += 64) {
+    load.Add(key, 0.02, 5000);
+  }
+  const uint32_t hot = 15000; // of server b
+  load.Add(hot, 30, 5000);
+  world.Balance(load, 8);
+  const auto* segment = FindSegment(world.ownership_.Segments(), hot);
+  EXPECT_EQ(segment->owner_, "c");
+  const auto rates = load.Rates(world.loadMs_);
+  double beside = 0;
+  for (const auto& part : world.ownership_.Segments()) {
+    if (part.owner_ == "c") {
+      beside += rates.Rate(part.first_, part.last_);
+    }
+  }
+  beside -= rates.Rate(hot, hot);
+  EXPECT_LT(beside, rates.Total() * 0.02);
+  EXPECT_LE(world.Balance(load, 4), 2) << "moves although nothing changes";
+}
+
 // Guards against other keys that stay with the owner of a key that is too hot
 // for any server.
 TEST(KeyBalancer, ClearsTheServerOfAKeyThatIsTooHot)
