Relays between failure domains, and few store calls at the start

Each gateway listed and watched three kinds of the store while it met the others.

Change: datagrams for all go to the own domain directly and to two relays of each other domain, which pass them on (policy/RelayTree); fleets of up to 16 gateways are as before. Followers of a large fleet tell the leader twice a second and eight others; the leader names those that it hears, so that all know who lives. A relay announces no configuration that it cannot serve. Gateways start with cheap lists that may be some seconds old; they watch only as leader, by rank, or when no watcher reaches the store, at most 72 of them.

--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -40,6 +40,9 @@
 constexpr uint64_t kCloseIdleRounds = 3;
 /// Without a leader's gossip, the owners are read from the store this often.
 constexpr TimeMs kKeysReadMs = 2000;
+/// Gateways of a large fleet read the list of all again this often while the
+/// leader names some that they do not know.
+constexpr TimeMs kMembersReadMs = 1000;
 
 int64_t NewBootId()
 {
@@ -79,11 +82,17 @@
   , metricsServer_(
       aLoop,
       [this](const std::string& aTarget) { return StatusPage(aTarget); })
-  , mesh_(aLoop,
-          aLog,
-          [this](const wire::Gossip& aGossip, const Endpoint& aSender) {
-            gossip_.OnReceived(aGossip, aSender);
-          })
+  , mesh_(
+      aLoop,
+      aLog,
+      settings_.instance_,
+      settings_.failureDomain_,
+      [this](const wire::Gossip& aGossip,
+             const Endpoint& aOrigin,
+             const Endpoint& aSender) {
+        gossip_.OnReceived(aGossip, aOrigin, aSender);
+      },
+      [this] { return configVersion_; })
   , directory_(settings_.backendDrainMs_)
   , configFollower_(aLoop,
                     aLog,
@@ -91,6 +100,7 @@
                     port_.registry_.ConfigKind(),
                     detail::kConfigWaitMs,
                     Resume::Watch,
+                    false,
                     { [this](const std::vector<StoreObject>& aObjects) {
                        OnConfigObjects(aObjects);
                      },
@@ -103,6 +113,7 @@
                      port_.registry_.BackendKind(),
                      detail::kWatchWaitMs,
                      Resume::List,
+                     false,
                      { [this](const std::vector<StoreObject>& aObjects) {
                         OnBackendList(aObjects);
                       },
@@ -115,10 +126,12 @@
                  detail::kOwnKind,
                  detail::kWatchWaitMs,
                  Resume::Watch,
+                 false,
                  { [this](const std::vector<StoreObject>& aObjects) {
                     std::ranges::for_each(
                       aObjects,
                       [this](const auto& aObject) { OnOwnObject(aObject); });
+                    gossip_.Announce();
                   },
                    [this](const std::vector<ObjectEvent>& aEvents) {
                      for (const auto& event : aEvents) {
@@ -164,10 +177,10 @@
            directory_,
            settings_.instance_,
            settings_.cpuPercent_,
-           { [this](bool aActive) {
-              configFollower_.SetActive(aActive);
-              backendFollower_.SetActive(aActive);
-              ownFollower_.SetActive(aActive);
+           { [this](bool aConfig, bool aAll) {
+              configFollower_.SetActive(aConfig);
+              backendFollower_.SetActive(aAll);
+              ownFollower_.SetActive(aAll);
             },
              [this](const std::vector<BackendEntry>& aEntries) {
                relayedDirectory_ = true;
@@ -432,19 +445,27 @@
       Endpoint::Parse(json.value("peer", std::string()), endpoint)) {
     const auto name = aObject.name_.substr(detail::kInstancePrefix.size());
     if (name != settings_.instance_) {
-      mesh_.AddKnown(name, endpoint, json.value("bootId", int64_t{ 0 }));
+      mesh_.AddKnown(name,
+                     endpoint,
+                     json.value("bootId", int64_t{ 0 }),
+                     json.value("domain", std::string()),
+                     json.value("cpuPercent", 0));
     }
   }
 }
 
 void Gateway::ReadKeys()
 {
+  // All gateways together read about as often as a small fleet would.
+  const auto share =
+    static_cast<TimeMs>(1 + mesh_.Peers().size() / kMaxDirectGateways);
   if (election_.HearsLeader() || readingKeys_ ||
-      loop_.NowMs() - keysReadMs_ < detail::kKeysReadMs) {
+      loop_.NowMs() - keysReadMs_ < detail::kKeysReadMs * share) {
     return;
   }
   readingKeys_ = true;
-  keysReadMs_ = loop_.NowMs();
+  keysReadMs_ =
+    loop_.NowMs() + store_.Jitter(detail::kKeysReadMs * (share - 1));
   store_.Call(KeyDirector::ReadTable(store_.Protocol()),
               [this](const StoreAnswer& aAnswer) {
                 readingKeys_ = false;
@@ -454,6 +475,16 @@
               });
 }
 
+void Gateway::ReadMembers()
+{
+  const TimeMs nowMs = loop_.NowMs();
+  if (mesh_.UnknownMembers() > 0 &&
+      nowMs - membersReadMs_ >= detail::kMembersReadMs) {
+    membersReadMs_ = nowMs + store_.Jitter(detail::kMembersReadMs);
+    ownFollower_.ReadAgain();
+  }
+}
+
 void Gateway::OnKeyTable(const StoreObject& aObject)
 {
   KeyTable table;
@@ -479,7 +510,9 @@
 {
   const auto name = Concat(detail::kInstancePrefix, settings_.instance_);
   const auto spec = nlohmann::json{ { "peer", settings_.peerListen_.ToText() },
-                                    { "bootId", bootId_ } };
+                                    { "bootId", bootId_ },
+                                    { "domain", settings_.failureDomain_ },
+                                    { "cpuPercent", settings_.cpuPercent_ } };
   const auto finish = [this](const StoreAnswer& aAnswer) {
     if (aAnswer.status_ != StoreStatus::Ok) {
       registerTimer_.Start(detail::kRegisterRetryMs +
@@ -574,6 +607,7 @@
     forwarder_.Pool().CloseIdle();
   }
   ReadKeys();
+  ReadMembers();
   relay_.Update();
   if (election_.IsLeading() && relay_.ShouldResign()) {
     election_.Resign("the store is reachable for others only");
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -60,6 +60,8 @@
   void Register();
   /// Reads the owners from the store while no leader tells them.
   void ReadKeys();
+  /// Learns of gateways that only the leader knows so far.
+  void ReadMembers();
   void OnKeyTable(const StoreObject& aObject);
 
   /// Metrics for scrapers; directory and configuration for other gateways.
@@ -113,6 +115,7 @@
   bool wasReady_ = false;
   bool readingKeys_ = false;
   TimeMs keysReadMs_ = 0;
+  TimeMs membersReadMs_ = 0;
   TimeMs changesAppliedMs_ = 0;
   TimeMs drainMs_ = 0; ///< when SIGTERM came
 };
--- a/gateway/GossipDuty.cpp
+++ b/gateway/GossipDuty.cpp
@@ -24,6 +24,11 @@
 /// Registrations of one datagram, about a kilobyte.
 constexpr size_t kMaxChanges = 12;
 constexpr double kUsPerMs = 1000;
+/// Gateways that a follower of a large fleet tells directly each second; enough
+/// to notice that it is cut off when no leader speaks.
+constexpr size_t kFanOut = 8;
+/// Followers of a large fleet report to the leader every second round.
+constexpr uint64_t kLargeReportRounds = 2;
 
 }
 
@@ -106,23 +111,35 @@
     });
     FillLoads(changed, aGossip);
   }
+  if (mesh_.IsLarge() && rounds_ % detail::kFullRounds == 0) {
+    aGossip.members = mesh_.MemberHashes(nowMs);
+  }
   mesh_.SendToAll(aGossip);
 }
 
 void GossipDuty::TellAsFollower(wire::Gossip& aGossip)
 {
-  const bool toAll = rounds_ % detail::kFullRounds == 0;
+  const bool full = rounds_ % detail::kFullRounds == 0;
   const auto leader = mesh_.Peers().find(election_.Leader());
-  if (toAll) {
+  if (full) {
     FillSuspects(aGossip);
-    mesh_.SendToAll(aGossip);
+    // Many gateways hear of each other from the leader; all hear of suspects,
+    // and of the store from those that watch it.
+    if (!mesh_.IsLarge() || !aGossip.suspects.empty() || aGossip.storeOk) {
+      mesh_.SendToAll(aGossip);
+    } else {
+      mesh_.SendToSome(aGossip, detail::kFanOut);
+    }
   }
-  if (leader == mesh_.Peers().end()) {
+  const bool quiet =
+    mesh_.IsLarge() && rounds_ % detail::kLargeReportRounds != 0;
+  if (leader == mesh_.Peers().end() || quiet) {
     return;
   }
   FillKeyCounts(aGossip);
   FillLoads(forwarder_.Pool().TakeReports(), aGossip);
-  aGossip.wantsKeys = !KnowsAllKeys();
+  // What is on the way arrives within a few rounds.
+  aGossip.wantsKeys = full && !KnowsAllKeys();
   mesh_.SendTo(leader->second.endpoint_, aGossip);
 }
 
@@ -232,13 +249,22 @@
   }
 }
 
+void GossipDuty::Announce()
+{
+  mesh_.SendToDomain(Basic());
+}
+
 void GossipDuty::OnReceived(const wire::Gossip& aGossip,
+                            const Endpoint& aOrigin,
                             const Endpoint& aSender)
 {
   if (aGossip.instance == self_.instance_) {
     return;
   }
-  mesh_.NoteHeard(aGossip, aSender);
+  mesh_.NoteHeard(aGossip, aOrigin);
+  if (aGossip.leading) {
+    mesh_.NoteMembers(aGossip.members);
+  }
   election_.OnGossip(aGossip);
   bool changed = false;
   for (const auto& keys : aGossip.keys) {
@@ -256,7 +282,7 @@
         for (auto& part : KeyGossip::All(service, *ownership)) {
           auto answer = Basic();
           answer.keys.push_back(std::move(part));
-          mesh_.SendTo(aSender, answer);
+          mesh_.SendTo(aOrigin, answer);
         }
       }
     }
--- a/gateway/GossipDuty.hpp
+++ b/gateway/GossipDuty.hpp
@@ -43,7 +43,11 @@
              Handlers aHandlers);
 
   void Start();
-  void OnReceived(const wire::Gossip& aGossip, const Endpoint& aSender);
+  /// Makes this gateway known to its failure domain.
+  void Announce();
+  void OnReceived(const wire::Gossip& aGossip,
+                  const Endpoint& aOrigin,
+                  const Endpoint& aSender);
   /// This process was elected or has stopped leading.
   void OnLeadershipChanged();
   /// Registrations that this gateway has read from the store.
--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -94,8 +94,11 @@
     std::ranges::count_if(peers_.Peers(), [](const auto& aEntry) {
       return aEntry.second.heardMs_ != 0;
     });
-  return known > 1 &&
-         peers_.AliveCount(loop_.NowMs()) * 2 < static_cast<size_t>(known);
+  // Followers of a large fleet hear few of the others.
+  const auto expected = state_ == State::Leading
+                          ? static_cast<size_t>(known)
+                          : std::min<size_t>(known, kMaxDirectGateways);
+  return known > 1 && peers_.AliveCount(loop_.NowMs()) * 2 < expected;
 }
 
 bool LeaderElection::HearsLeader() const
--- a/gateway/PeerMesh.cpp
+++ b/gateway/PeerMesh.cpp
@@ -10,6 +10,7 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 namespace cactuspitch {
 
@@ -20,6 +21,26 @@
 
 constexpr size_t kMaxDatagramBytes = 65507;
 
+constexpr int kPortBits = 16;
+
+int64_t PackEndpoint(const Endpoint& aEndpoint)
+{
+  return static_cast<int64_t>(
+    (static_cast<uint64_t>(aEndpoint.ip_) << kPortBits) | aEndpoint.port_);
+}
+
+Endpoint UnpackEndpoint(int64_t aPacked)
+{
+  const auto packed = static_cast<uint64_t>(aPacked);
+  return { static_cast<uint32_t>(packed >> kPortBits),
+           static_cast<uint16_t>(packed) };
+}
+
+int32_t HashOf(std::string_view aInstance)
+{
+  return static_cast<int32_t>(XXH32(aInstance.data(), aInstance.size(), 0));
+}
+
 std::string Encode(const wire::Gossip& aGossip)
 {
   const auto buffer = std::make_shared<TMemoryBuffer>();
@@ -46,11 +67,20 @@
 
 }
 
-PeerMesh::PeerMesh(EventLoop& aLoop, EventLog& aLog, Receiver aReceiver)
+PeerMesh::PeerMesh(EventLoop& aLoop,
+                   EventLog& aLog,
+                   std::string aSelf,
+                   std::string aDomain,
+                   Receiver aReceiver,
+                   VersionSource aConfigVersion)
   : loop_(aLoop)
   , log_(aLog)
+  , self_(std::move(aSelf))
+  , domain_(std::move(aDomain))
   , receiver_(std::move(aReceiver))
+  , configVersion_(std::move(aConfigVersion))
   , watcher_(aLoop, [this](bool, bool) { ReceiveAvailable(); })
+  , random_(std::random_device{}())
 {
 }
 
@@ -94,27 +124,131 @@
 }
 
 void PeerMesh::SendToAll(const wire::Gossip& aGossip)
+{
+  const TimeMs nowMs = loop_.NowMs();
+  std::vector<RelayMember> members;
+  std::vector<const Peer*> targets;
+  for (const auto& [instance, peer] : peers_) {
+    members.push_back({ instance,
+                        peer.failureDomain_,
+                        peer.cpuPercent_,
+                        IsAlive(peer, nowMs) });
+    targets.push_back(&peer);
+  }
+  const auto plan = PlanSpread(domain_, members);
+  const auto bytes = detail::Encode(aGossip);
+  for (const auto index : plan.direct_) {
+    SendBytes(targets[index]->endpoint_, bytes);
+  }
+  if (plan.relays_.empty()) {
+    return;
+  }
+  auto relayed = aGossip;
+  relayed.passOn = true;
+  const auto relayedBytes = detail::Encode(relayed);
+  for (const auto index : plan.relays_) {
+    SendBytes(targets[index]->endpoint_, relayedBytes);
+  }
+}
+
+void PeerMesh::SendToDomain(const wire::Gossip& aGossip)
 {
   const auto bytes = detail::Encode(aGossip);
   for (const auto& [instance, peer] : peers_) {
-    SendBytes(peer.endpoint_, bytes);
+    if (peer.failureDomain_ == domain_) {
+      SendBytes(peer.endpoint_, bytes);
+    }
+  }
+}
+
+void PeerMesh::SendToSome(const wire::Gossip& aGossip, size_t aCount)
+{
+  const TimeMs nowMs = loop_.NowMs();
+  std::vector<const Peer*> alive;
+  for (const auto& [instance, peer] : peers_) {
+    if (IsAlive(peer, nowMs)) {
+      alive.push_back(&peer);
+    }
+  }
+  std::vector<const Peer*> drawn;
+  std::ranges::sample(alive,
+                      std::back_inserter(drawn),
+                      static_cast<std::ptrdiff_t>(aCount),
+                      random_);
+  const auto bytes = detail::Encode(aGossip);
+  for (const auto* peer : drawn) {
+    SendBytes(peer->endpoint_, bytes);
+  }
+}
+
+void PeerMesh::PassOn(wire::Gossip aGossip, const Endpoint& aOrigin)
+{
+  aGossip.passOn = false;
+  aGossip.origin = detail::PackEndpoint(aOrigin);
+  // Members fetch a newer configuration from the gateway that told them.
+  aGossip.configVersion = std::min(aGossip.configVersion, configVersion_());
+  const auto bytes = detail::Encode(aGossip);
+  for (const auto& [instance, peer] : peers_) {
+    if (peer.failureDomain_ == domain_ && instance != aGossip.instance) {
+      SendBytes(peer.endpoint_, bytes);
+    }
   }
 }
 
 void PeerMesh::AddKnown(const std::string& aInstance,
                         const Endpoint& aEndpoint,
-                        int64_t aBootId)
+                        int64_t aBootId,
+                        const std::string& aDomain,
+                        int aCpuPercent)
 {
-  auto& peer = peers_[aInstance];
+  auto& peer = AddPeer(aInstance);
   if (peer.heardMs_ == 0) {
     peer.endpoint_ = aEndpoint;
     peer.bootId_ = aBootId;
+    peer.failureDomain_ = aDomain;
+    peer.cpuPercent_ = aCpuPercent;
+  }
+}
+
+Peer& PeerMesh::AddPeer(const std::string& aInstance)
+{
+  const auto [entry, isNew] = peers_.try_emplace(aInstance);
+  if (isNew) {
+    namesByHash_[detail::HashOf(aInstance)] = aInstance;
+  }
+  return entry->second;
+}
+
+void PeerMesh::NoteMembers(const std::vector<int32_t>& aMembers)
+{
+  if (aMembers.empty()) {
+    return;
+  }
+  unknownMembers_ = 0;
+  for (const auto hash : aMembers) {
+    const auto name = namesByHash_.find(hash);
+    if (name != namesByHash_.end()) {
+      peers_.at(name->second).vouchedMs_ = loop_.NowMs();
+    } else if (hash != detail::HashOf(self_)) {
+      ++unknownMembers_;
+    }
   }
 }
 
+std::vector<int32_t> PeerMesh::MemberHashes(TimeMs aNowMs) const
+{
+  std::vector<int32_t> hashes{ detail::HashOf(self_) };
+  for (const auto& [instance, peer] : peers_) {
+    if (IsAlive(peer, aNowMs)) {
+      hashes.push_back(detail::HashOf(instance));
+    }
+  }
+  return hashes;
+}
+
 void PeerMesh::NoteHeard(const wire::Gossip& aGossip, const Endpoint& aSender)
 {
-  auto& peer = peers_[aGossip.instance];
+  auto& peer = AddPeer(aGossip.instance);
   peer.endpoint_ = aSender;
   peer.bootId_ = aGossip.bootId;
   peer.term_ = aGossip.term;
@@ -144,7 +278,8 @@
 
 bool PeerMesh::IsAlive(const Peer& aPeer, TimeMs aNowMs)
 {
-  return aPeer.heardMs_ != 0 && aNowMs - aPeer.heardMs_ < kAliveMs;
+  const TimeMs seenMs = std::max(aPeer.heardMs_, aPeer.vouchedMs_);
+  return seenMs != 0 && aNowMs - seenMs < kAliveMs;
 }
 
 void PeerMesh::ReceiveAvailable()
@@ -172,7 +307,12 @@
       continue;
     }
     const Endpoint sender{ address.sin_addr.s_addr, ntohs(address.sin_port) };
-    receiver_(gossip, sender);
+    const auto origin =
+      gossip.origin == 0 ? sender : detail::UnpackEndpoint(gossip.origin);
+    receiver_(gossip, origin, sender);
+    if (gossip.passOn) {
+      PassOn(std::move(gossip), origin);
+    }
   }
 }
 
--- a/gateway/PlatformPort.hpp
+++ b/gateway/PlatformPort.hpp
@@ -123,13 +123,28 @@
   StoreObject object_; ///< of the others, where the store gives one
 };
 
+/// How new the answer to a read must be.
+enum class ReadMode : uint8_t
+{
+  Latest,
+  MayBeOld, ///< cheaper; may be some seconds old
+  Count
+};
+
+template<>
+struct EnumNames<ReadMode>
+{
+  static constexpr std::string_view kNames[] = { "latest", "may-be-old" };
+};
+
 /// Calls to the platform's object store.
 class ObjectProtocol
 {
 public:
   virtual ~ObjectProtocol() = default;
   virtual CallRequest List(const std::string& aKind,
-                           const std::string& aAfter) const = 0;
+                           const std::string& aAfter,
+                           ReadMode aMode) const = 0;
   virtual CallRequest Watch(const std::string& aKind,
                             int64_t aRevision,
                             TimeMs aWaitMs) const = 0;
--- a/gateway/StoreFollower.cpp
+++ b/gateway/StoreFollower.cpp
@@ -38,6 +38,7 @@
                              std::string aKind,
                              TimeMs aWaitMs,
                              Resume aResume,
+                             bool aActive,
                              Handlers aHandlers)
   : log_(aLog)
   , store_(aStore)
@@ -45,19 +46,28 @@
   , waitMs_(aWaitMs)
   , resume_(aResume)
   , handlers_(std::move(aHandlers))
-  , retryTimer_(aLoop, [this] {
-    if (synced_) {
-      Watch();
-    } else {
-      List();
-    }
-  })
+  , retryTimer_(aLoop,
+                [this] {
+                  if (synced_) {
+                    Watch();
+                  } else {
+                    List(mode_);
+                  }
+                })
+  , active_(aActive)
 {
 }
 
 void StoreFollower::Start()
 {
-  List();
+  List(ReadMode::MayBeOld);
+}
+
+void StoreFollower::ReadAgain()
+{
+  if (!active_ && synced_) {
+    List(ReadMode::MayBeOld);
+  }
 }
 
 void StoreFollower::SetActive(bool aActive)
@@ -84,16 +94,17 @@
   if (synced_) {
     Watch();
   } else {
-    List();
+    List(ReadMode::Latest);
   }
 }
 
-void StoreFollower::List()
+void StoreFollower::List(ReadMode aMode)
 {
   const auto round = ++round_;
+  mode_ = aMode;
   listed_.clear();
   listRevision_ = 0;
-  store_.Call(store_.Protocol().List(kind_, {}),
+  store_.Call(store_.Protocol().List(kind_, {}, aMode),
               [this, round](const StoreAnswer& aAnswer) {
                 if (round == round_) {
                   OnListed(aAnswer);
@@ -114,7 +125,7 @@
   std::ranges::copy(aAnswer.list_.items_, std::back_inserter(listed_));
   if (aAnswer.list_.hasMore_ && !listed_.empty()) {
     const auto round = round_;
-    store_.Call(store_.Protocol().List(kind_, listed_.back().name_),
+    store_.Call(store_.Protocol().List(kind_, listed_.back().name_, mode_),
                 [this, round](const StoreAnswer& aPage) {
                   if (round == round_) {
                     OnListed(aPage);
@@ -152,7 +163,7 @@
                "history-gone",
                { { "kind", kind_ }, { "revision", revision_ } });
     synced_ = false;
-    List();
+    List(ReadMode::Latest);
     return;
   }
   if (aAnswer.status_ != StoreStatus::Ok) {
--- a/gateway/StoreFollower.hpp
+++ b/gateway/StoreFollower.hpp
@@ -44,9 +44,14 @@
                 std::string aKind,
                 TimeMs aWaitMs,
                 Resume aResume,
+                bool aActive,
                 Handlers aHandlers);
 
+  /// The first list may be some seconds old: it costs less, and an active
+  /// follower watches from there.
   void Start();
+  /// Reads the objects again without watching them.
+  void ReadAgain();
   /// Without activity nothing is watched; the list of the start stays.
   void SetActive(bool aActive);
   bool IsActive() const { return active_; }
@@ -56,7 +61,7 @@
   bool HasListed() const { return everListed_; }
 
 private:
-  void List();
+  void List(ReadMode aMode);
   void OnListed(const StoreAnswer& aAnswer);
   void Watch();
   void OnWatched(const StoreAnswer& aAnswer);
@@ -71,12 +76,13 @@
   Handlers handlers_;
   Timer retryTimer_;
   uint64_t round_ = 0; ///< answers of earlier rounds are ignored
-  bool active_ = true;
+  bool active_;
   bool synced_ = false;
   bool everListed_ = false;
   int failures_ = 0;
   int64_t revision_ = 0;
   std::vector<StoreObject> listed_;
+  ReadMode mode_ = ReadMode::MayBeOld; ///< of the list that is read
   int64_t listRevision_ = 0;
 };
 
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace cactuspitch {
 
 namespace detail {
@@ -28,8 +30,10 @@
 constexpr TimeMs kProbeMs = 2000;
 /// A starting gateway asks the store first.
 constexpr TimeMs kStoreFirstMs = 600;
-/// All gateways watch until the others are known.
+/// Time for a starting gateway to hear of the others and of the leader.
 constexpr TimeMs kMeetMs = 1500;
+/// Without a leader, others are drawn to watch this often.
+constexpr TimeMs kDrawMs = 2000;
 
 BackendEntry EntryFromChange(const wire::BackendChange& aChange)
 {
@@ -115,15 +119,25 @@
   });
 }
 
+bool StoreRelay::IsDrawn(size_t aWanted) const
+{
+  const auto draw = XXH3_64bits_withSeed(
+    self_.data(),
+    self_.size(),
+    static_cast<uint64_t>(loop_.NowMs() / detail::kDrawMs));
+  return draw % (mesh_.Peers().size() + 1) < aWanted;
+}
+
 size_t StoreRelay::WantedWatchers(TimeMs aLostMs, size_t aGateways)
 {
   if (aLostMs < kWidenMs) {
     return std::min(kWatchers, aGateways);
   }
   if (aLostMs < 2 * kWidenMs) {
-    return std::min(std::max(kMinWidened, aGateways / kWatchers), aGateways);
+    const auto part = std::max(kMinWidened, aGateways / kWatchers);
+    return std::min({ part, kMaxWidened, aGateways });
   }
-  return aGateways;
+  return std::min(kMaxWatchers, aGateways);
 }
 
 void StoreRelay::Update()
@@ -134,21 +148,33 @@
   }
   const TimeMs lostMs = nowMs - storeOkMs_;
   const auto watchers = WantedWatchers(lostMs, mesh_.AliveCount(nowMs) + 1);
-  if (lostMs >= kWidenMs && Rank() < watchers) {
+  const bool hearsLeader = election_.HearsLeader();
+  const bool drawn = mesh_.IsLarge() && !hearsLeader
+                       ? IsDrawn(watchers)
+                       : Rank() < watchers || !hearsLeader;
+  if (lostMs >= kWidenMs && drawn) {
     watchUntilMs_ = nowMs + detail::kWatchHoldMs;
   }
-  // The leader is one of the watchers, whatever its rank.
-  const bool watch = nowMs - startedMs_ < detail::kMeetMs ||
-                     nowMs < watchUntilMs_ || election_.IsLeading() ||
-                     !election_.HearsLeader() || Rank() + 1 < kWatchers;
-  if (watch != watching_) {
+  // The leader is one of the watchers, whatever its rank. A starting gateway
+  // has read all kinds and waits to hear of a leader.
+  const bool regular = hearsLeader && Rank() + 1 < kWatchers;
+  const bool met = nowMs - startedMs_ >= detail::kMeetMs;
+  const bool watch =
+    election_.IsLeading() ||
+    (met && (regular || nowMs < watchUntilMs_ || (!hearsLeader && drawn)));
+  // The configuration alone shows whether the store is back.
+  const bool all = watch && (regular || election_.IsLeading() ||
+                             (store_.IsReachable() && IsStoreOk()));
+  if (watch != watching_ || all != watchingAll_) {
     watching_ = watch;
+    watchingAll_ = all;
     log_.Write(LogLevel::Info,
                "store-watch-changed",
                { { "watching", watch ? 1 : 0 },
+                 { "all_kinds", all ? 1 : 0 },
                  { "leader", election_.Leader() },
                  { "store_ok_age_ms", nowMs - storeOkMs_ } });
-    handlers_.setWatching_(watch);
+    handlers_.setWatching_(watch, all);
   }
 }
 
@@ -167,7 +193,8 @@
   constexpr TimeMs kLongestAgeMs = 1000000;
   aGossip.storeAgeMs =
     static_cast<int32_t>(std::min(store_.AnswerAgeMs(), kLongestAgeMs));
-  aGossip.directoryDigest = IsStoreOk() ? directory_.Digest() : 0;
+  aGossip.directoryDigest =
+    IsStoreOk() && watchingAll_ ? directory_.Digest() : 0;
 }
 
 void StoreRelay::AddChange(const BackendEntry& aEntry,
@@ -219,7 +246,7 @@
   if (!aGossip.storeOk) {
     return;
   }
-  if (watching_) {
+  if (watchingAll_) {
     for (const auto& change : aGossip.changes) {
       if (change.removed) {
         handlers_.onRemovalSeen_(change.id);
@@ -257,7 +284,7 @@
   client_.Call(aPeer, request, [this](const CallResult& aResult) {
     asking_ = false;
     behindMs_ = 0;
-    if ((watching_ && handlers_.hasDirectory_()) ||
+    if ((watchingAll_ && handlers_.hasDirectory_()) ||
         aResult.end_ != CallEnd::Answered || aResult.head_.status_ != 200) {
       return;
     }
--- a/gateway/StoreRelay.hpp
+++ b/gateway/StoreRelay.hpp
@@ -27,10 +27,14 @@
   /// be among the instances that the store turns away.
   static constexpr TimeMs kWidenMs = 1300;
   static constexpr size_t kMinWidened = 8;
+  /// Bounds of the two steps: calls do not grow with the fleet.
+  static constexpr size_t kMaxWidened = 24;
+  static constexpr size_t kMaxWatchers = 72;
 
   struct Handlers
   {
-    std::function<void(bool aActive)> setWatching_;
+    /// What is watched: the configuration alone, or all kinds.
+    std::function<void(bool aConfig, bool aAll)> setWatching_;
     std::function<void(const std::vector<BackendEntry>&)> onDirectory_;
     std::function<void(const BackendEntry&, bool aRemoved)> onBackend_;
     /// Another watcher saw a registration go.
@@ -57,7 +61,8 @@
              Handlers aHandlers);
 
   /// How many of the gateways watch when no watcher has had an answer of the
-  /// store for aLostMs: three, then a third of all, then all.
+  /// store for aLostMs: three, then a third of all, then all, within the
+  /// bounds.
   static size_t WantedWatchers(TimeMs aLostMs, size_t aGateways);
   /// Decides whether this gateway watches. Called regularly.
   void Update();
@@ -76,6 +81,9 @@
 
 private:
   size_t Rank() const;
+  /// True for about aWanted of all gateways, other ones each time: without a
+  /// leader a gateway of a large fleet does not know who is alive.
+  bool IsDrawn(size_t aWanted) const;
   void AskForDirectory(const Endpoint& aPeer);
   void AskForConfig(const Endpoint& aPeer, int64_t aVersion);
 
@@ -89,7 +97,8 @@
   std::string self_;
   int cpuPercent_;
   Handlers handlers_;
-  bool watching_ = true;
+  bool watching_ = false;
+  bool watchingAll_ = false;
   bool asking_ = false;
   bool askingConfig_ = false;
   TimeMs startedMs_;
--- /dev/null
+++ b/tests/RelayTreeTest.cpp
@@ -0,0 +1,199 @@
+#include "policy/RelayTree.hpp"
+
+#include "gateway/PeerMesh.hpp"
+#include "gossip_types.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace cactuspitch {
+namespace {
+
+std::vector<RelayMember> Fleet(int aDomains, int aPerDomain)
+{
+  std::vector<RelayMember> members;
+  for (int domain = 0; domain < aDomains; ++domain) {
+    for (int index = 0; index < aPerDomain; ++index) {
+      members.push_back({ "g" + std::to_string(domain * 1000 + index),
+                          "d" + std::to_string(domain),
+                          index < 3 ? 50 : 10,
+                          true });
+    }
+  }
+  return members;
+}
+
+// Guards against small fleets that depend on relays without need.
+TEST(RelayTree, TellsSmallFleetsDirectly)
+{
+  const auto plan = PlanSpread("d0", Fleet(4, 4));
+  EXPECT_EQ(plan.direct_.size(), 16U);
+  EXPECT_TRUE(plan.relays_.empty());
+}
+
+// Guards against traffic between failure domains that grows with the number of
+// gateways: 300 and 2,300 cost the same there.
+TEST(RelayTree, CrossesToTwoRelaysOfEachDomain)
+{
+  for (const int perDomain : { 50, 383 }) {
+    const auto members = Fleet(6, perDomain);
+    const auto plan = PlanSpread("d2", members);
+    EXPECT_EQ(plan.direct_.size(), static_cast<size_t>(perDomain));
+    EXPECT_EQ(plan.relays_.size(), 10U);
+    std::set<std::string> domains;
+    for (const auto index : plan.relays_) {
+      EXPECT_EQ(members[index].cpuPercent_, 50);
+      domains.insert(members[index].domain_);
+    }
+    EXPECT_EQ(domains.size(), 5U);
+    EXPECT_FALSE(domains.contains("d2"));
+  }
+}
+
+// Guards against a domain that hears nothing while its largest gateways are
+// gone, and against gateways of an unknown domain that are left out.
+TEST(RelayTree, PrefersLivingRelays)
+{
+  auto members = Fleet(2, 20);
+  for (int index = 20; index < 23; ++index) {
+    members[index].alive_ = false;
+  }
+  members[25].domain_.clear();
+  const auto plan = PlanSpread("d0", members);
+  EXPECT_EQ(plan.direct_.size(), 21U);
+  ASSERT_EQ(plan.relays_.size(), 2U);
+  for (const auto index : plan.relays_) {
+    EXPECT_TRUE(members[index].alive_);
+  }
+  // Without any that is known to live, the first ones are tried.
+  std::ranges::for_each(members, [](auto& aMember) { aMember.alive_ = false; });
+  EXPECT_EQ(PlanSpread("d0", members).relays_.size(), 2U);
+}
+
+/// A mesh on loopback that keeps what it receives.
+class MeshNode
+{
+public:
+  MeshNode(EventLoop& aLoop,
+           EventLog& aLog,
+           const std::string& aName,
+           const std::string& aDomain,
+           uint16_t aPort)
+    : name_(aName)
+    , domain_(aDomain)
+    , mesh_(
+        aLoop,
+        aLog,
+        aName,
+        aDomain,
+        [this](const wire::Gossip& aGossip,
+               const Endpoint& aOrigin,
+               const Endpoint& aSender) {
+          received_.push_back(aGossip);
+          origins_.push_back(aOrigin);
+          senders_.push_back(aSender);
+        },
+        [this] { return version_; })
+  {
+    Endpoint::Parse("127.0.0.1:" + std::to_string(aPort), endpoint_);
+    opened_ = mesh_.Open(endpoint_);
+  }
+  void Know(const MeshNode& aOther, int aCpuPercent)
+  {
+    mesh_.AddKnown(
+      aOther.name_, aOther.endpoint_, 1, aOther.domain_, aCpuPercent);
+  }
+
+  std::string name_;
+  std::string domain_;
+  Endpoint endpoint_;
+  bool opened_ = false;
+  int64_t version_ = 5;
+  std::vector<wire::Gossip> received_;
+  std::vector<Endpoint> origins_;
+  std::vector<Endpoint> senders_;
+  PeerMesh mesh_;
+};
+
+// Guards against relays that do not pass on, that pass on for ever, that hide
+// the first sender, or that announce a configuration which they cannot serve.
+TEST(PeerMesh, RelaysPassOnWithinTheirDomain)
+{
+  EventLoop loop;
+  EventLog log(loop, LogLevel::Error, STDERR_FILENO);
+  const auto base = static_cast<uint16_t>(20000 + ::getpid() % 20000);
+  MeshNode leader(loop, log, "a", "d1", base);
+  MeshNode relay1(loop, log, "b", "d2", base + 1);
+  MeshNode relay2(loop, log, "c", "d2", base + 2);
+  MeshNode member(loop, log, "d", "d2", base + 3);
+  ASSERT_TRUE(leader.opened_ && relay1.opened_ && relay2.opened_ &&
+              member.opened_);
+  leader.Know(relay1, 50);
+  leader.Know(relay2, 50);
+  leader.Know(member, 10);
+  for (int index = 0; index < 20; ++index) {
+    leader.mesh_.AddKnown(
+      "x" + std::to_string(index), leader.endpoint_, 1, "d1", 10);
+  }
+  for (auto* node : { &relay1, &relay2, &member }) {
+    for (auto* other : { &relay1, &relay2, &member }) {
+      if (node != other) {
+        node->Know(*other, 10);
+      }
+    }
+  }
+  relay1.version_ = 4;
+  wire::Gossip gossip;
+  gossip.instance = "a";
+  gossip.configVersion = 5;
+  leader.mesh_.SendToAll(gossip);
+  Timer stop(loop, [&] { loop.Stop(); });
+  stop.Start(200);
+  loop.Run();
+  ASSERT_EQ(member.received_.size(), 2U);
+  std::set<int64_t> versions;
+  for (size_t index = 0; index < 2; ++index) {
+    EXPECT_FALSE(member.received_[index].passOn);
+    EXPECT_EQ(member.origins_[index].port_, base);
+    EXPECT_NE(member.senders_[index].port_, base);
+    versions.insert(member.received_[index].configVersion);
+  }
+  EXPECT_EQ(versions, (std::set<int64_t>{ 4, 5 }));
+  EXPECT_EQ(relay1.received_.size(), 2U);
+  EXPECT_EQ(relay2.received_.size(), 2U);
+}
+
+// Guards against gateways of a large fleet that take each other for gone
+// because they hear few of the others themselves.
+TEST(PeerMesh, TheLeadersListKeepsPeersAlive)
+{
+  EventLoop loop;
+  EventLog log(loop, LogLevel::Error, STDERR_FILENO);
+  const auto base = static_cast<uint16_t>(40000 + ::getpid() % 20000);
+  MeshNode leader(loop, log, "a", "d1", base);
+  MeshNode other(loop, log, "b", "d1", base + 1);
+  MeshNode third(loop, log, "c", "d2", base + 2);
+  leader.Know(other, 10);
+  leader.Know(third, 10);
+  other.Know(third, 10);
+  EXPECT_EQ(other.mesh_.AliveCount(loop.NowMs()), 0U);
+  wire::Gossip heard;
+  heard.instance = "c";
+  heard.failureDomain = "d2";
+  leader.mesh_.NoteHeard(heard, third.endpoint_);
+  other.mesh_.NoteMembers(leader.mesh_.MemberHashes(loop.NowMs()));
+  EXPECT_EQ(other.mesh_.AliveCount(loop.NowMs()), 1U);
+  const auto alive = other.mesh_.AliveGateways(loop.NowMs());
+  ASSERT_EQ(alive.size(), 1U);
+  EXPECT_EQ(alive[0].second, "d2");
+  EXPECT_EQ(other.mesh_.AliveCount(loop.NowMs() + PeerMesh::kAliveMs), 0U);
+}
+
+}
+}
--- a/tests/StoreFollowerTest.cpp
+++ b/tests/StoreFollowerTest.cpp
@@ -50,6 +50,7 @@
                          "servers",
                          5000,
                          Resume::List,
+                         true,
                          { [](const std::vector<StoreObject>&) {},
                            [](const std::vector<ObjectEvent>&) {} });
   follower.Start();
--- a/wire/gen-cpp/gossip_types.cpp
+++ b/wire/gen-cpp/gossip_types.cpp
@@ -986,6 +986,18 @@
   this->statusPort = val;
 }
 
+void Gossip::__set_passOn(const bool val) {
+  this->passOn = val;
+}
+
+void Gossip::__set_origin(const int64_t val) {
+  this->origin = val;
+}
+
+void Gossip::__set_members(const std::vector<int32_t> & val) {
+  this->members = val;
+}
+
 void Gossip::__set_wantsKeys(const bool val) {
   this->wantsKeys = val;
 }
@@ -1213,6 +1225,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->passOn);
+          this->__isset.passOn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->origin);
+          this->__isset.origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->members.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
+            {
+              xfer += iprot->readI32(this->members[_i57]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->wantsKeys);
@@ -1261,10 +1309,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<OwnedKeys> ::const_iterator _iter53;
-    for (_iter53 = this->keys.begin(); _iter53 != this->keys.end(); ++_iter53)
+    std::vector<OwnedKeys> ::const_iterator _iter58;
+    for (_iter58 = this->keys.begin(); _iter58 != this->keys.end(); ++_iter58)
     {
-      xfer += (*_iter53).write(oprot);
+      xfer += (*_iter58).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1273,10 +1321,10 @@
   xfer += oprot->writeFieldBegin("keyCounts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keyCounts.size()));
-    std::vector<KeyCounts> ::const_iterator _iter54;
-    for (_iter54 = this->keyCounts.begin(); _iter54 != this->keyCounts.end(); ++_iter54)
+    std::vector<KeyCounts> ::const_iterator _iter59;
+    for (_iter59 = this->keyCounts.begin(); _iter59 != this->keyCounts.end(); ++_iter59)
     {
-      xfer += (*_iter54).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1285,10 +1333,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<SuspectRequest> ::const_iterator _iter55;
-    for (_iter55 = this->suspects.begin(); _iter55 != this->suspects.end(); ++_iter55)
+    std::vector<SuspectRequest> ::const_iterator _iter60;
+    for (_iter60 = this->suspects.begin(); _iter60 != this->suspects.end(); ++_iter60)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter60).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1301,10 +1349,10 @@
   xfer += oprot->writeFieldBegin("backendLoads", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backendLoads.size()));
-    std::vector<int32_t> ::const_iterator _iter56;
-    for (_iter56 = this->backendLoads.begin(); _iter56 != this->backendLoads.end(); ++_iter56)
+    std::vector<int32_t> ::const_iterator _iter61;
+    for (_iter61 = this->backendLoads.begin(); _iter61 != this->backendLoads.end(); ++_iter61)
     {
-      xfer += oprot->writeI32((*_iter56));
+      xfer += oprot->writeI32((*_iter61));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1325,10 +1373,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<BackendChange> ::const_iterator _iter57;
-    for (_iter57 = this->changes.begin(); _iter57 != this->changes.end(); ++_iter57)
+    std::vector<BackendChange> ::const_iterator _iter62;
+    for (_iter62 = this->changes.begin(); _iter62 != this->changes.end(); ++_iter62)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter62).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1350,6 +1398,26 @@
   xfer += oprot->writeI32(this->storeAgeMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("passOn", ::apache::thrift::protocol::T_BOOL, 19);
+  xfer += oprot->writeBool(this->passOn);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_I64, 20);
+  xfer += oprot->writeI64(this->origin);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 21);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
+    std::vector<int32_t> ::const_iterator _iter63;
+    for (_iter63 = this->members.begin(); _iter63 != this->members.end(); ++_iter63)
+    {
+      xfer += oprot->writeI32((*_iter63));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1374,51 +1442,60 @@
   swap(a.storeOk, b.storeOk);
   swap(a.storeAgeMs, b.storeAgeMs);
   swap(a.statusPort, b.statusPort);
+  swap(a.passOn, b.passOn);
+  swap(a.origin, b.origin);
+  swap(a.members, b.members);
   swap(a.wantsKeys, b.wantsKeys);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other58) {
-  instance = other58.instance;
-  bootId = other58.bootId;
-  term = other58.term;
-  leading = other58.leading;
-  configVersion = other58.configVersion;
-  keys = other58.keys;
-  keyCounts = other58.keyCounts;
-  suspects = other58.suspects;
-  deadTerm = other58.deadTerm;
-  backendLoads = other58.backendLoads;
-  failureDomain = other58.failureDomain;
-  cpuPercent = other58.cpuPercent;
-  changes = other58.changes;
-  directoryDigest = other58.directoryDigest;
-  storeOk = other58.storeOk;
-  storeAgeMs = other58.storeAgeMs;
-  statusPort = other58.statusPort;
-  wantsKeys = other58.wantsKeys;
-  __isset = other58.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other59) {
-  instance = other59.instance;
-  bootId = other59.bootId;
-  term = other59.term;
-  leading = other59.leading;
-  configVersion = other59.configVersion;
-  keys = other59.keys;
-  keyCounts = other59.keyCounts;
-  suspects = other59.suspects;
-  deadTerm = other59.deadTerm;
-  backendLoads = other59.backendLoads;
-  failureDomain = other59.failureDomain;
-  cpuPercent = other59.cpuPercent;
-  changes = other59.changes;
-  directoryDigest = other59.directoryDigest;
-  storeOk = other59.storeOk;
-  storeAgeMs = other59.storeAgeMs;
-  statusPort = other59.statusPort;
-  wantsKeys = other59.wantsKeys;
-  __isset = other59.__isset;
+Gossip::Gossip(const Gossip& other64) {
+  instance = other64.instance;
+  bootId = other64.bootId;
+  term = other64.term;
+  leading = other64.leading;
+  configVersion = other64.configVersion;
+  keys = other64.keys;
+  keyCounts = other64.keyCounts;
+  suspects = other64.suspects;
+  deadTerm = other64.deadTerm;
+  backendLoads = other64.backendLoads;
+  failureDomain = other64.failureDomain;
+  cpuPercent = other64.cpuPercent;
+  changes = other64.changes;
+  directoryDigest = other64.directoryDigest;
+  storeOk = other64.storeOk;
+  storeAgeMs = other64.storeAgeMs;
+  statusPort = other64.statusPort;
+  passOn = other64.passOn;
+  origin = other64.origin;
+  members = other64.members;
+  wantsKeys = other64.wantsKeys;
+  __isset = other64.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other65) {
+  instance = other65.instance;
+  bootId = other65.bootId;
+  term = other65.term;
+  leading = other65.leading;
+  configVersion = other65.configVersion;
+  keys = other65.keys;
+  keyCounts = other65.keyCounts;
+  suspects = other65.suspects;
+  deadTerm = other65.deadTerm;
+  backendLoads = other65.backendLoads;
+  failureDomain = other65.failureDomain;
+  cpuPercent = other65.cpuPercent;
+  changes = other65.changes;
+  directoryDigest = other65.directoryDigest;
+  storeOk = other65.storeOk;
+  storeAgeMs = other65.storeAgeMs;
+  statusPort = other65.statusPort;
+  passOn = other65.passOn;
+  origin = other65.origin;
+  members = other65.members;
+  wantsKeys = other65.wantsKeys;
+  __isset = other65.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -1441,6 +1518,9 @@
   out << ", " << "storeOk=" << to_string(storeOk);
   out << ", " << "storeAgeMs=" << to_string(storeAgeMs);
   out << ", " << "statusPort=" << to_string(statusPort);
+  out << ", " << "passOn=" << to_string(passOn);
+  out << ", " << "origin=" << to_string(origin);
+  out << ", " << "members=" << to_string(members);
   out << ", " << "wantsKeys=" << to_string(wantsKeys);
   out << ")";
 }
--- a/wire/gen-cpp/gossip_types.h
+++ b/wire/gen-cpp/gossip_types.h
@@ -379,7 +379,7 @@
 std::ostream& operator<<(std::ostream& out, const BackendChange& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), wantsKeys(false) {}
+  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), passOn(false), origin(false), members(false), wantsKeys(false) {}
   bool instance :1;
   bool bootId :1;
   bool term :1;
@@ -397,6 +397,9 @@
   bool storeOk :1;
   bool storeAgeMs :1;
   bool statusPort :1;
+  bool passOn :1;
+  bool origin :1;
+  bool members :1;
   bool wantsKeys :1;
 } _Gossip__isset;
 
@@ -418,6 +421,8 @@
            storeOk(0),
            storeAgeMs(0),
            statusPort(0),
+           passOn(0),
+           origin(0),
            wantsKeys(0) {
   }
 
@@ -439,6 +444,9 @@
   bool storeOk;
   int32_t storeAgeMs;
   int32_t statusPort;
+  bool passOn;
+  int64_t origin;
+  std::vector<int32_t>  members;
   bool wantsKeys;
 
   _Gossip__isset __isset;
@@ -477,6 +485,12 @@
 
   void __set_statusPort(const int32_t val);
 
+  void __set_passOn(const bool val);
+
+  void __set_origin(const int64_t val);
+
+  void __set_members(const std::vector<int32_t> & val);
+
   void __set_wantsKeys(const bool val);
 
   bool operator == (const Gossip & rhs) const
@@ -515,6 +529,12 @@
       return false;
     if (!(statusPort == rhs.statusPort))
       return false;
+    if (!(passOn == rhs.passOn))
+      return false;
+    if (!(origin == rhs.origin))
+      return false;
+    if (!(members == rhs.members))
+      return false;
     if (!(wantsKeys == rhs.wantsKeys))
       return false;
     return true;
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -65,5 +65,10 @@
   16: bool storeOk // the sender watches the store and reaches it
   18: i32 storeAgeMs // of the store's last answer to the sender
   17: i32 statusPort // where /config and /directory are served
+  19: bool passOn // the receiver sends it to all of its failure domain
+  20: i64 origin // IP and port of the first sender, 0 when it is the sender
+  // Gateways that the leader hears, XXH32 of their names: the others hear few
+  // of each other.
+  21: list<i32> members
   12: bool wantsKeys // the sender has just started and knows no owners
 }
