Refuse a request as not run when its new connection was reset unused

Cause: a server that has as many connections as it takes resets a new one at once.

A reset before that is not run: another server, at most three more connections, then 503 with a time to come back. The server counts as full for a moment. The new test fails before (502, and connections without end).

--- a/gateway/BackendLink.cpp
+++ b/gateway/BackendLink.cpp
@@ -33,8 +33,7 @@
                         std::string aHead,
                         std::string_view aBody,
                         std::string aRequestId,
-                        bool aExpectsBody,
-                        bool aSettle)
+                        bool aExpectsBody)
 {
   handler_ = &aHandler;
   busy_ = true;
@@ -62,7 +61,7 @@
     timer_.Start(detail::kConnectTimeoutMs);
   }
   aHead.append(aBody);
-  if (aSettle && !stream_.IsConnected()) {
+  if (!stream_.IsConnected()) {
     unsent_ = std::move(aHead);
   } else {
     stream_.Write(aHead);
@@ -250,9 +249,12 @@
     FinishAnswer(false);
     return;
   }
-  Fail(stream_.WrittenBytes() == sentBefore_ ? AttemptEnd::NotSent
-                                             : AttemptEnd::MaybeRun,
-       EnumName(aReason));
+  const bool unsent = stream_.WrittenBytes() == sentBefore_;
+  if (unsent) {
+    // The server has as many connections as it takes.
+    backend_->load_.OnShed(pool_.loop_.NowMs());
+  }
+  Fail(unsent ? AttemptEnd::NotSent : AttemptEnd::MaybeRun, EnumName(aReason));
 }
 
 void BackendLink::Fail(AttemptEnd aEnd, std::string_view aCause)
--- a/gateway/BackendLink.hpp
+++ b/gateway/BackendLink.hpp
@@ -49,17 +49,16 @@
 public:
   BackendLink(BackendPool& aPool, std::shared_ptr<Backend> aBackend);
 
-  /// Starts an attempt. aSettle: a new connection is left alone for a moment
-  /// before it carries the request, because a server that has too many resets
-  /// it at once; a request that was sent by then may not be sent again.
+  /// Starts an attempt. A new connection is left alone for a moment before it
+  /// carries the request, because a server that has too many resets it at once;
+  /// a request that was sent by then may have run.
   /// aHandler stays valid until it was told of an end, or
   /// until Detach or Cancel.
   void Start(AttemptHandler& aHandler,
              std::string aHead,
              std::string_view aBody,
              std::string aRequestId,
-             bool aExpectsBody,
-             bool aSettle);
+             bool aExpectsBody);
   /// Closes the connection, so that the server drops the request.
   void Cancel();
   /// Lets the request run to its end without anybody listening.
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -23,6 +23,9 @@
 constexpr TimeMs kFinalSlackMs = 25;
 /// Below this, a repeat has no chance to be answered.
 constexpr TimeMs kMinAttemptMs = 20;
+/// Connections that may fail for one request before it is refused; more of them
+/// only keep a full server busy.
+constexpr int kMaxUnsentAttempts = 3;
 /// A connection idle for longer may be gone; a request that must not run twice
 /// is not risked on it.
 constexpr TimeMs kMaxIdleNonIdempotentMs = 1500;
@@ -241,8 +244,7 @@
               RequestHead(*backend),
               body_,
               caller_.requestId_,
-              head_.method_ != "HEAD",
-              !IsIdempotent());
+              head_.method_ != "HEAD");
 }
 
 void ForwardedRequest::OnAnswerHead(const HttpHead& aHead,
@@ -345,8 +347,10 @@
   }
   if (aEnd == AttemptEnd::NotSent) {
     --attempts_;
+    ++unsentAttempts_;
     tried_.insert(lastBackend_);
-    if (!TryAgain(aCause, false)) {
+    if (unsentAttempts_ > detail::kMaxUnsentAttempts ||
+        !TryAgain(aCause, false)) {
       if (sent_) {
         Reject(502, aCause, 0);
       } else {
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -110,6 +110,7 @@
   std::set<std::string> tried_;
   std::string lastBackend_;
   int attempts_ = 0;
+  int unsentAttempts_ = 0; ///< connections that ended before the request
   bool begun_ = false;
   bool read_ = false;
   bool dispatched_ = false;
--- a/tests/GatewayRig.cpp
+++ b/tests/GatewayRig.cpp
@@ -40,6 +40,7 @@
   {
   }
   void Start(int aFd) { stream_.Adopt(aFd); }
+  void Reset() { stream_.Abort(); }
 
 private:
   void OnInput() override
@@ -75,6 +76,10 @@
               [this](int aFd) {
                 connections_.push_back(std::make_shared<Connection>(*this));
                 connections_.back()->Start(aFd);
+                ++accepted_;
+                if (full_) {
+                  connections_.back()->Reset();
+                }
               })
   , address_(FreeEndpoint())
 {
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -31,6 +31,9 @@
   ScriptedServer(EventLoop& aLoop, Script aScript);
   ~ScriptedServer();
   Endpoint Address() const { return address_; }
+  /// Resets each new connection, as a server does that has too many.
+  void SetFull(bool aFull) { full_ = aFull; }
+  int Accepted() const { return accepted_; }
   int Requests() const { return requests_; }
   /// Connections that their client has closed.
   int Departures() const { return departures_; }
@@ -44,6 +47,8 @@
   Endpoint address_;
   int requests_ = 0;
   int departures_ = 0;
+  int accepted_ = 0;
+  bool full_ = false;
   std::vector<std::shared_ptr<Connection>> connections_;
 };
 
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -189,6 +189,26 @@
   }
 }
 
+// Guards against "may have run" for a request that reached no server: its
+// caller could not come back. Also against endless connections to a server that
+// has too many.
+TEST(Gateway, RefusesWhatReachedNoServer)
+{
+  for (const char* method : { "GET", "POST" }) {
+    GatewayRig rig(Echo, 1);
+    rig.Backend(0).SetFull(true);
+    const auto answer = rig.Ask(GatewayRig::Request(method, "plain", "f1"));
+    EXPECT_EQ(StatusOf(answer), 503) << method << answer;
+    EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+    EXPECT_EQ(rig.BackendRequests(), 0);
+    EXPECT_LE(rig.Backend(0).Accepted(), 5);
+    rig.Backend(0).SetFull(false);
+    rig.RunFor(100);
+    EXPECT_EQ(StatusOf(rig.Ask(GatewayRig::Request(method, "plain", "f2"))),
+              200);
+  }
+}
+
 // Guards against a request that works on for a caller who has left.
 TEST(Gateway, CancelsForCallersThatLeave)
 {
