Share out the room of overloaded owners among the gateways

Each gateway lets its part through and refuses the rest at once, with a time to come back that spreads the callers.

--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -148,6 +148,10 @@
   }
   dispatched_ = true;
   forwarder_.OnFirstAttempt(*this);
+  if (!forwarder_.TryAdmit(*this)) {
+    Reject(503, "owner-share", forwarder_.SpreadRetryMs(RemainingMs()));
+    return;
+  }
   Dispatch();
 }
 
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -22,6 +22,9 @@
 constexpr TimeMs kMoveRetryMs = 60;
 /// A move of keys is over within this time, where both servers answer.
 constexpr double kMoveHoldShare = 0.4;
+/// Callers of an overloaded owner come back after this part of their remaining
+/// time at the earliest.
+constexpr double kMinSpreadShare = 0.1;
 /// Servers of other gateways that are compared for one request. All gateways
 /// share the same reports, so all of them would choose the same best server;
 /// the best of a few drawn ones spreads them.
@@ -48,6 +51,7 @@
           aProtocol,
           [this](const Backend& aBackend) { OnBackendDown(aBackend); })
   , quarantine_({ .expiryMs_ = detail::kQuarantineMs })
+  , admission_(std::random_device{}())
   , parkTimer_(aLoop, [this] { PumpParked(); })
   , random_(std::random_device{}())
 {
@@ -336,6 +340,25 @@
   }
 }
 
+bool Forwarder::TryAdmit(const ForwardedRequest& aRequest)
+{
+  const auto* service = routes_->Service(aRequest.Service());
+  if (service == nullptr || !service->keyed_ || !aRequest.Caller().key_) {
+    return true;
+  }
+  const auto* owner = keys_.Find(aRequest.Service(), *aRequest.Caller().key_);
+  return owner == nullptr ||
+         admission_.TryAdmit(BackendHash(owner->id_), loop_.NowMs());
+}
+
+TimeMs Forwarder::SpreadRetryMs(TimeMs aRemainingMs)
+{
+  std::uniform_real_distribution<double> share(detail::kMinSpreadShare,
+                                               options_.maxRetryAfterShare_);
+  return RetryAfterMs(
+    options_, aRemainingMs, static_cast<double>(aRemainingMs) * share(random_));
+}
+
 bool Forwarder::TryTakeRetry(const std::string& aService)
 {
   const auto budget = budgets_.find(aService);
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -7,6 +7,7 @@
 #include "keyspace/KeyView.hpp"
 #include "policy/CrashQuarantine.hpp"
 #include "policy/HomeServers.hpp"
+#include "policy/OwnerAdmission.hpp"
 #include "policy/Placement.hpp"
 #include "policy/RetryBudget.hpp"
 #include "routing/RouteTable.hpp"
@@ -75,6 +76,12 @@
   /// Counts a request for the retry budget and the load of its key.
   void OnFirstAttempt(const ForwardedRequest& aRequest);
   bool TryTakeRetry(const std::string& aService);
+  /// False when the owner of the request's key has more demand than it can run
+  /// and this request is not in this gateway's part.
+  bool TryAdmit(const ForwardedRequest& aRequest);
+  OwnerAdmission& Admission() { return admission_; }
+  /// Time to come back that spreads the callers of an overloaded owner.
+  TimeMs SpreadRetryMs(TimeMs aRemainingMs);
   void OnAttemptEnded() { SchedulePump(); }
   /// A server gave an answer of this size to a request of the route.
   void NoteAnswerBytes(const Route& aRoute, size_t aBytes);
@@ -133,6 +140,7 @@
   KeyView keys_;
   BackendPool pool_;
   CrashQuarantine quarantine_;
+  OwnerAdmission admission_;
   std::map<std::string, RetryBudget> budgets_;
   std::map<std::string, double> answerBytes_; ///< mean, by route
   std::string self_;
--- a/gateway/GossipDuty.cpp
+++ b/gateway/GossipDuty.cpp
@@ -24,6 +24,7 @@
 /// Registrations of one datagram, about a kilobyte.
 constexpr size_t kMaxChanges = 12;
 constexpr double kUsPerMs = 1000;
+constexpr double kAdmissionScale = 1000;
 /// Gateways that a follower of a large fleet tells directly each second; enough
 /// to notice that it is cut off when no leader speaks.
 constexpr size_t kFanOut = 8;
@@ -110,6 +111,7 @@
       forwarder_.Pool().ApplyShared(aEntry);
     });
     FillLoads(changed, aGossip);
+    FillAdmissions(aGossip);
   }
   if (mesh_.IsLarge() && rounds_ % detail::kFullRounds == 0) {
     aGossip.members = mesh_.MemberHashes(nowMs);
@@ -206,6 +208,30 @@
   }
 }
 
+void GossipDuty::FillAdmissions(wire::Gossip& aGossip)
+{
+  const auto shares = SharesOf(director_.Demands());
+  for (const auto& share : shares) {
+    aGossip.admissions.push_back(static_cast<int32_t>(share.server_));
+    aGossip.admissions.push_back(static_cast<int32_t>(
+      std::lround(share.share_ * detail::kAdmissionScale)));
+  }
+  forwarder_.Admission().Update(shares, loop_.NowMs());
+}
+
+void GossipDuty::TakeAdmissions(const wire::Gossip& aGossip)
+{
+  std::vector<AdmissionShare> shares;
+  const auto& numbers = aGossip.admissions;
+  for (size_t index = 0; index + 1 < numbers.size(); index += 2) {
+    shares.push_back({ static_cast<uint32_t>(numbers[index]),
+                       numbers[index + 1] / detail::kAdmissionScale });
+  }
+  if (!shares.empty()) {
+    forwarder_.Admission().Update(shares, loop_.NowMs());
+  }
+}
+
 void GossipDuty::TellChanges(std::vector<wire::BackendChange> aChanges)
 {
   for (size_t first = 0; first < aChanges.size();
@@ -274,6 +300,7 @@
     forwarder_.OnPlacesChanged();
   }
   TakeLoads(aGossip);
+  TakeAdmissions(aGossip);
   TakeSuspects(aGossip);
   if (election_.IsLeading()) {
     TakeKeyCounts(aGossip);
--- a/gateway/GossipDuty.hpp
+++ b/gateway/GossipDuty.hpp
@@ -64,6 +64,8 @@
   void FillKeyCounts(wire::Gossip& aGossip);
   static void FillLoads(const std::vector<BoardEntry>& aEntries,
                         wire::Gossip& aGossip);
+  void FillAdmissions(wire::Gossip& aGossip);
+  void TakeAdmissions(const wire::Gossip& aGossip);
   void SendChanges();
   void TakeKeyCounts(const wire::Gossip& aGossip);
   void TakeLoads(const wire::Gossip& aGossip);
--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -307,6 +307,34 @@
   return moves;
 }
 
+std::vector<OwnerDemand> KeyDirector::Demands() const
+{
+  constexpr double kMsPerSecond = 1000;
+  const TimeMs nowMs = loop_.NowMs();
+  std::vector<OwnerDemand> demands;
+  for (const auto& [name, ownership] : services_) {
+    const auto load = loads_.find(name);
+    if (load == loads_.end() ||
+        load->second.TotalRate(nowMs) < detail::kMinRate) {
+      continue;
+    }
+    const auto rates = load->second.Rates(nowMs);
+    std::map<std::string_view, double> byOwner;
+    for (const auto& segment : ownership->Segments()) {
+      byOwner[segment.owner_] += rates.Rate(segment.first_, segment.last_);
+    }
+    const double workSeconds = MeanWorkMs(name) / kMsPerSecond;
+    for (const auto& [id, candidate] : ownership->Candidates()) {
+      const auto rate = byOwner.find(id);
+      if (rate != byOwner.end()) {
+        demands.push_back(
+          { BackendHash(id), rate->second, candidate.capacity_ / workSeconds });
+      }
+    }
+  }
+  return demands;
+}
+
 bool KeyDirector::HasDemand(const std::string& aService) const
 {
   const auto load = loads_.find(aService);
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -9,6 +9,7 @@
 #include "keyspace/KeyOwnership.hpp"
 #include "net/HttpClient.hpp"
 #include "policy/LoadBoard.hpp"
+#include "policy/OwnerAdmission.hpp"
 #include "routing/RoutingConfig.hpp"
 
 #include <functional>
@@ -60,6 +61,8 @@
   void UpdateBackends(const std::map<std::string, BackendEntry>& aEntries,
                       const std::set<std::string>& aChanged);
   void AddLoad(const std::string& aService, uint32_t aKey, int aRequests);
+  /// Demand and capacity of the owners of keys.
+  std::vector<OwnerDemand> Demands() const;
 
   const std::map<std::string, std::unique_ptr<KeyOwnership>>& Ownership() const
   {
--- a/wire/gen-cpp/gossip_types.cpp
+++ b/wire/gen-cpp/gossip_types.cpp
@@ -998,6 +998,10 @@
   this->members = val;
 }
 
+void Gossip::__set_admissions(const std::vector<int32_t> & val) {
+  this->admissions = val;
+}
+
 void Gossip::__set_wantsKeys(const bool val) {
   this->wantsKeys = val;
 }
@@ -1261,6 +1265,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->admissions.clear();
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->admissions.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
+            {
+              xfer += iprot->readI32(this->admissions[_i62]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.admissions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->wantsKeys);
@@ -1309,10 +1333,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<OwnedKeys> ::const_iterator _iter58;
-    for (_iter58 = this->keys.begin(); _iter58 != this->keys.end(); ++_iter58)
+    std::vector<OwnedKeys> ::const_iterator _iter63;
+    for (_iter63 = this->keys.begin(); _iter63 != this->keys.end(); ++_iter63)
     {
-      xfer += (*_iter58).write(oprot);
+      xfer += (*_iter63).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1321,10 +1345,10 @@
   xfer += oprot->writeFieldBegin("keyCounts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keyCounts.size()));
-    std::vector<KeyCounts> ::const_iterator _iter59;
-    for (_iter59 = this->keyCounts.begin(); _iter59 != this->keyCounts.end(); ++_iter59)
+    std::vector<KeyCounts> ::const_iterator _iter64;
+    for (_iter64 = this->keyCounts.begin(); _iter64 != this->keyCounts.end(); ++_iter64)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter64).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1333,10 +1357,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<SuspectRequest> ::const_iterator _iter60;
-    for (_iter60 = this->suspects.begin(); _iter60 != this->suspects.end(); ++_iter60)
+    std::vector<SuspectRequest> ::const_iterator _iter65;
+    for (_iter65 = this->suspects.begin(); _iter65 != this->suspects.end(); ++_iter65)
     {
-      xfer += (*_iter60).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1349,10 +1373,10 @@
   xfer += oprot->writeFieldBegin("backendLoads", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backendLoads.size()));
-    std::vector<int32_t> ::const_iterator _iter61;
-    for (_iter61 = this->backendLoads.begin(); _iter61 != this->backendLoads.end(); ++_iter61)
+    std::vector<int32_t> ::const_iterator _iter66;
+    for (_iter66 = this->backendLoads.begin(); _iter66 != this->backendLoads.end(); ++_iter66)
     {
-      xfer += oprot->writeI32((*_iter61));
+      xfer += oprot->writeI32((*_iter66));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1373,10 +1397,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<BackendChange> ::const_iterator _iter62;
-    for (_iter62 = this->changes.begin(); _iter62 != this->changes.end(); ++_iter62)
+    std::vector<BackendChange> ::const_iterator _iter67;
+    for (_iter67 = this->changes.begin(); _iter67 != this->changes.end(); ++_iter67)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter67).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1409,10 +1433,22 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-    std::vector<int32_t> ::const_iterator _iter63;
-    for (_iter63 = this->members.begin(); _iter63 != this->members.end(); ++_iter63)
+    std::vector<int32_t> ::const_iterator _iter68;
+    for (_iter68 = this->members.begin(); _iter68 != this->members.end(); ++_iter68)
+    {
+      xfer += oprot->writeI32((*_iter68));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("admissions", ::apache::thrift::protocol::T_LIST, 22);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->admissions.size()));
+    std::vector<int32_t> ::const_iterator _iter69;
+    for (_iter69 = this->admissions.begin(); _iter69 != this->admissions.end(); ++_iter69)
     {
-      xfer += oprot->writeI32((*_iter63));
+      xfer += oprot->writeI32((*_iter69));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1445,57 +1481,60 @@
   swap(a.passOn, b.passOn);
   swap(a.origin, b.origin);
   swap(a.members, b.members);
+  swap(a.admissions, b.admissions);
   swap(a.wantsKeys, b.wantsKeys);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other64) {
-  instance = other64.instance;
-  bootId = other64.bootId;
-  term = other64.term;
-  leading = other64.leading;
-  configVersion = other64.configVersion;
-  keys = other64.keys;
-  keyCounts = other64.keyCounts;
-  suspects = other64.suspects;
-  deadTerm = other64.deadTerm;
-  backendLoads = other64.backendLoads;
-  failureDomain = other64.failureDomain;
-  cpuPercent = other64.cpuPercent;
-  changes = other64.changes;
-  directoryDigest = other64.directoryDigest;
-  storeOk = other64.storeOk;
-  storeAgeMs = other64.storeAgeMs;
-  statusPort = other64.statusPort;
-  passOn = other64.passOn;
-  origin = other64.origin;
-  members = other64.members;
-  wantsKeys = other64.wantsKeys;
-  __isset = other64.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other65) {
-  instance = other65.instance;
-  bootId = other65.bootId;
-  term = other65.term;
-  leading = other65.leading;
-  configVersion = other65.configVersion;
-  keys = other65.keys;
-  keyCounts = other65.keyCounts;
-  suspects = other65.suspects;
-  deadTerm = other65.deadTerm;
-  backendLoads = other65.backendLoads;
-  failureDomain = other65.failureDomain;
-  cpuPercent = other65.cpuPercent;
-  changes = other65.changes;
-  directoryDigest = other65.directoryDigest;
-  storeOk = other65.storeOk;
-  storeAgeMs = other65.storeAgeMs;
-  statusPort = other65.statusPort;
-  passOn = other65.passOn;
-  origin = other65.origin;
-  members = other65.members;
-  wantsKeys = other65.wantsKeys;
-  __isset = other65.__isset;
+Gossip::Gossip(const Gossip& other70) {
+  instance = other70.instance;
+  bootId = other70.bootId;
+  term = other70.term;
+  leading = other70.leading;
+  configVersion = other70.configVersion;
+  keys = other70.keys;
+  keyCounts = other70.keyCounts;
+  suspects = other70.suspects;
+  deadTerm = other70.deadTerm;
+  backendLoads = other70.backendLoads;
+  failureDomain = other70.failureDomain;
+  cpuPercent = other70.cpuPercent;
+  changes = other70.changes;
+  directoryDigest = other70.directoryDigest;
+  storeOk = other70.storeOk;
+  storeAgeMs = other70.storeAgeMs;
+  statusPort = other70.statusPort;
+  passOn = other70.passOn;
+  origin = other70.origin;
+  members = other70.members;
+  admissions = other70.admissions;
+  wantsKeys = other70.wantsKeys;
+  __isset = other70.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other71) {
+  instance = other71.instance;
+  bootId = other71.bootId;
+  term = other71.term;
+  leading = other71.leading;
+  configVersion = other71.configVersion;
+  keys = other71.keys;
+  keyCounts = other71.keyCounts;
+  suspects = other71.suspects;
+  deadTerm = other71.deadTerm;
+  backendLoads = other71.backendLoads;
+  failureDomain = other71.failureDomain;
+  cpuPercent = other71.cpuPercent;
+  changes = other71.changes;
+  directoryDigest = other71.directoryDigest;
+  storeOk = other71.storeOk;
+  storeAgeMs = other71.storeAgeMs;
+  statusPort = other71.statusPort;
+  passOn = other71.passOn;
+  origin = other71.origin;
+  members = other71.members;
+  admissions = other71.admissions;
+  wantsKeys = other71.wantsKeys;
+  __isset = other71.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -1521,6 +1560,7 @@
   out << ", " << "passOn=" << to_string(passOn);
   out << ", " << "origin=" << to_string(origin);
   out << ", " << "members=" << to_string(members);
+  out << ", " << "admissions=" << to_string(admissions);
   out << ", " << "wantsKeys=" << to_string(wantsKeys);
   out << ")";
 }
--- a/wire/gen-cpp/gossip_types.h
+++ b/wire/gen-cpp/gossip_types.h
@@ -379,7 +379,7 @@
 std::ostream& operator<<(std::ostream& out, const BackendChange& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), passOn(false), origin(false), members(false), wantsKeys(false) {}
+  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), passOn(false), origin(false), members(false), admissions(false), wantsKeys(false) {}
   bool instance :1;
   bool bootId :1;
   bool term :1;
@@ -400,6 +400,7 @@
   bool passOn :1;
   bool origin :1;
   bool members :1;
+  bool admissions :1;
   bool wantsKeys :1;
 } _Gossip__isset;
 
@@ -447,6 +448,7 @@
   bool passOn;
   int64_t origin;
   std::vector<int32_t>  members;
+  std::vector<int32_t>  admissions;
   bool wantsKeys;
 
   _Gossip__isset __isset;
@@ -491,6 +493,8 @@
 
   void __set_members(const std::vector<int32_t> & val);
 
+  void __set_admissions(const std::vector<int32_t> & val);
+
   void __set_wantsKeys(const bool val);
 
   bool operator == (const Gossip & rhs) const
@@ -535,6 +539,8 @@
       return false;
     if (!(members == rhs.members))
       return false;
+    if (!(admissions == rhs.admissions))
+      return false;
     if (!(wantsKeys == rhs.wantsKeys))
       return false;
     return true;
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -70,5 +70,8 @@
   // Gateways that the leader hears, XXH32 of their names: the others hear few
   // of each other.
   21: list<i32> members
+  // Owners of keys with more demand than they can run, two numbers each: XXH32
+  // of the id, and the part of the requests that may be sent, in 1/1000.
+  22: list<i32> admissions
   12: bool wantsKeys // the sender has just started and knows no owners
 }
