Let the newer registrations win, also over the leader's word

Change: a directory carries the revision of the store that it shows. Changes and digests of a sender with an older revision are ignored, a directory that is fetched replaces only an older one; among equals the leader's word counts as before.

--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -168,47 +168,50 @@
                   gossip_.OnKeysChanged(aService);
                 },
                 [this](std::string_view aCause) { election_.Resign(aCause); } })
-  , relay_(aLoop,
-           aLog,
-           client_,
-           store_,
-           mesh_,
-           election_,
-           directory_,
-           settings_.instance_,
-           settings_.cpuPercent_,
-           { [this](bool aConfig, bool aAll) {
-              configFollower_.SetActive(aConfig);
-              backendFollower_.SetActive(aAll);
-              ownFollower_.SetActive(aAll);
-            },
-             [this](const std::vector<BackendEntry>& aEntries) {
-               relayedDirectory_ = true;
-               directory_.Replace(aEntries, loop_.NowMs());
-               OnBackendsChanged();
-             },
-             [this](const BackendEntry& aEntry, bool aRemoved) {
-               if (aRemoved) {
-                 directory_.ApplyRemoved(aEntry.id_, loop_.NowMs());
-               } else {
-                 directory_.ApplyPut(aEntry, loop_.NowMs());
-               }
-               OnBackendsChanged();
-             },
-             [this](const std::string& aBackend) {
-               directory_.ConfirmRemoved(aBackend, loop_.NowMs());
-               OnBackendsChanged();
-             },
-             [this](const nlohmann::json& aSpec, std::string aPacked) {
-               StoreObject object;
-               object.name_ = port_.registry_.ConfigName();
-               object.spec_ = aSpec;
-               OnConfigObject(object, std::move(aPacked));
-             },
-             [this] { return configVersion_; },
-             [this] { return HasDirectory(); },
-             [this] { ProbeStore(); },
-             [this] { AskStoreForConfig(); } })
+  , relay_(
+      aLoop,
+      aLog,
+      client_,
+      store_,
+      mesh_,
+      election_,
+      directory_,
+      settings_.instance_,
+      settings_.cpuPercent_,
+      { [this](bool aConfig, bool aAll) {
+         configFollower_.SetActive(aConfig);
+         backendFollower_.SetActive(aAll);
+         ownFollower_.SetActive(aAll);
+       },
+        [this](const std::vector<BackendEntry>& aEntries, int64_t aRevision) {
+          relayedDirectory_ = true;
+          directory_.Replace(aEntries, loop_.NowMs());
+          directory_.AdvanceTo(aRevision);
+          OnBackendsChanged();
+        },
+        [this](const BackendEntry& aEntry, bool aRemoved) {
+          if (aRemoved) {
+            directory_.ApplyRemoved(aEntry.id_, loop_.NowMs());
+          } else {
+            directory_.ApplyPut(aEntry, loop_.NowMs());
+          }
+          OnBackendsChanged();
+        },
+        [this](int64_t aRevision) { directory_.AdvanceTo(aRevision); },
+        [this](const std::string& aBackend) {
+          directory_.ConfirmRemoved(aBackend, loop_.NowMs());
+          OnBackendsChanged();
+        },
+        [this](const nlohmann::json& aSpec, std::string aPacked) {
+          StoreObject object;
+          object.name_ = port_.registry_.ConfigName();
+          object.spec_ = aSpec;
+          OnConfigObject(object, std::move(aPacked));
+        },
+        [this] { return configVersion_; },
+        [this] { return HasDirectory(); },
+        [this] { ProbeStore(); },
+        [this] { AskStoreForConfig(); } })
   , gossip_(aLoop,
             { settings_.instance_,
               settings_.failureDomain_,
@@ -373,6 +376,7 @@
     }
   }
   directory_.ApplyList(entries, loop_.NowMs());
+  directory_.AdvanceTo(backendFollower_.Revision());
   OnBackendsChanged();
 }
 
@@ -402,6 +406,7 @@
                  { "state", entry ? EnumName(entry->state_) : "removed" },
                  { "revision", event.object_.revision_ } });
   }
+  directory_.AdvanceTo(backendFollower_.Revision());
   OnBackendsChanged();
   // Beats of cold servers change no state that others need.
   if (directory_.Digest() != digest) {
@@ -600,6 +605,9 @@
 {
   housekeepTimer_.Start(detail::kHousekeepMs);
   const TimeMs nowMs = loop_.NowMs();
+  if (backendFollower_.IsActive()) {
+    directory_.AdvanceTo(backendFollower_.Revision());
+  }
   if (directory_.Expire(nowMs)) {
     OnBackendsChanged();
   }
--- a/gateway/StoreFollower.hpp
+++ b/gateway/StoreFollower.hpp
@@ -57,6 +57,8 @@
   bool IsActive() const { return active_; }
   /// Asks at once again: the pending watch may hang on a dead connection.
   void Refresh();
+  /// Revision of the store up to which all changes were told.
+  int64_t Revision() const { return synced_ ? revision_ : 0; }
   /// True once a complete list was read.
   bool HasListed() const { return everListed_; }
 
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -195,6 +195,7 @@
     static_cast<int32_t>(std::min(store_.AnswerAgeMs(), kLongestAgeMs));
   aGossip.directoryDigest =
     IsStoreOk() && watchingAll_ ? directory_.Digest() : 0;
+  aGossip.directoryRevision = directory_.Revision();
 }
 
 void StoreRelay::AddChange(const BackendEntry& aEntry,
@@ -222,6 +223,7 @@
     peerAnsweredMs_ = std::max(peerAnsweredMs_, nowMs - aGossip.storeAgeMs);
     if (aGossip.leading) {
       leaderStoreOkMs_ = nowMs;
+      leaderRevision_ = aGossip.directoryRevision;
     }
   }
   if (aGossip.leading && !aGossip.storeOk && IsStoreOk() &&
@@ -254,13 +256,21 @@
     }
     return;
   }
+  // A sender that is cut off from the store tells states that are over.
+  if (aGossip.directoryRevision < directory_.Revision()) {
+    return;
+  }
   for (const auto& change : aGossip.changes) {
     handlers_.onBackend_(detail::EntryFromChange(change), change.removed);
   }
-  // Watchers may differ for a moment; the leader's word counts where it has
-  // one.
+  if (!aGossip.changes.empty()) {
+    handlers_.onRevision_(aGossip.directoryRevision);
+  }
+  // Watchers of one revision may differ in what they keep in its grace time;
+  // the leader's word counts where it has one.
   if (aGossip.directoryDigest == 0 ||
-      (!aGossip.leading && nowMs - leaderStoreOkMs_ < detail::kLeaderWordMs)) {
+      (!aGossip.leading && nowMs - leaderStoreOkMs_ < detail::kLeaderWordMs &&
+       aGossip.directoryRevision <= leaderRevision_)) {
     return;
   }
   if (aGossip.directoryDigest == directory_.Digest()) {
@@ -292,8 +302,11 @@
       const auto json = detail::Json::parse(aResult.body_);
       std::vector<BackendEntry> entries;
       std::ranges::transform(
-        json, std::back_inserter(entries), detail::EntryFromJson);
-      handlers_.onDirectory_(entries);
+        json.at("servers"), std::back_inserter(entries), detail::EntryFromJson);
+      const auto revision = json.at("revision").get<int64_t>();
+      if (revision >= directory_.Revision()) {
+        handlers_.onDirectory_(entries, revision);
+      }
     } catch (const detail::Json::exception& error) {
       log_.Write(LogLevel::Error,
                  "relayed-directory-unreadable",
@@ -330,7 +343,9 @@
   for (const auto& [id, entry] : directory_.Entries()) {
     json.push_back(detail::EntryToJson(entry));
   }
-  return json.dump();
+  return detail::Json{
+    { "revision", directory_.Revision() }, { "servers", std::move(json) }
+  }.dump();
 }
 
 }
--- a/gateway/StoreRelay.hpp
+++ b/gateway/StoreRelay.hpp
@@ -35,8 +35,11 @@
   {
     /// What is watched: the configuration alone, or all kinds.
     std::function<void(bool aConfig, bool aAll)> setWatching_;
-    std::function<void(const std::vector<BackendEntry>&)> onDirectory_;
+    std::function<void(const std::vector<BackendEntry>&, int64_t aRevision)>
+      onDirectory_;
     std::function<void(const BackendEntry&, bool aRemoved)> onBackend_;
+    /// The changes up to this revision of the store were told.
+    std::function<void(int64_t aRevision)> onRevision_;
     /// Another watcher saw a registration go.
     std::function<void(const std::string& aBackend)> onRemovalSeen_;
     std::function<void(const nlohmann::json& aSpec, std::string aPacked)>
@@ -107,6 +110,7 @@
   TimeMs probedMs_ = 0;
   TimeMs watchUntilMs_ = 0;
   TimeMs leaderStoreOkMs_ = 0; ///< the leader did
+  int64_t leaderRevision_ = 0; ///< that the leader's directory shows
   TimeMs behindMs_ = 0;        ///< since when the digests differ
 };
 
--- a/membership/BackendDirectory.hpp
+++ b/membership/BackendDirectory.hpp
@@ -2,6 +2,7 @@
 
 #include "routing/RoutingConfig.hpp"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -45,6 +46,13 @@
   }
   /// Equal for directories with the same servers in the same states.
   int64_t Digest() const { return static_cast<int64_t>(digest_); }
+  /// Revision of the store that the directory shows; the newer one of two
+  /// directories counts.
+  int64_t Revision() const { return revision_; }
+  void AdvanceTo(int64_t aRevision)
+  {
+    revision_ = std::max(revision_, aRevision);
+  }
   /// Takes over the directory of a gateway that watches the store.
   void Replace(const std::vector<BackendEntry>& aEntries, TimeMs aNowMs);
   /// Servers that came, left or changed since the last call; beats of a server
@@ -70,6 +78,7 @@
   std::set<std::string> changes_;
   /// Sum of the entries' hashes, which does not depend on their order.
   uint64_t digest_ = 0;
+  int64_t revision_ = 0;
 };
 
 }
--- a/tests/StoreRelayTest.cpp
+++ b/tests/StoreRelayTest.cpp
@@ -1,6 +1,10 @@
 #include "gateway/StoreRelay.hpp"
 
+#include "gossip_types.h"
+#include "platform/Objects.hpp"
+
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 namespace cactuspitch {
 namespace {
@@ -31,5 +35,76 @@
   EXPECT_EQ(StoreRelay::WantedWatchers(5000, 68), 68U);
 }
 
+/// A gateway that does not watch the store, with what others tell it.
+class RelayedDirectoryTest : public testing::Test
+{
+protected:
+  void Tell(const std::string& aFrom,
+            bool aLeading,
+            int64_t aRevision,
+            bool aRemoved)
+  {
+    wire::Gossip gossip;
+    gossip.instance = aFrom;
+    gossip.leading = aLeading;
+    gossip.storeOk = true;
+    gossip.directoryRevision = aRevision;
+    BackendEntry entry;
+    entry.id_ = "i-1";
+    StoreRelay::AddChange(entry, aRemoved, gossip);
+    relay_.OnGossip(gossip, {});
+  }
+
+  EventLoop loop_;
+  EventLog log_{ loop_, LogLevel::Error, STDERR_FILENO };
+  HttpClient client_{ loop_ };
+  platform::Objects objects_;
+  StoreLink store_{ loop_, log_, client_, objects_, {} };
+  PeerMesh mesh_{ loop_, log_, "self", "d1", {}, [] { return 0; } };
+  LeaderElection election_{ loop_, log_, store_, mesh_, { "self", 1 }, 20, {} };
+  BackendDirectory directory_{ 2000 };
+  StoreRelay relay_{ loop_,
+                     log_,
+                     client_,
+                     store_,
+                     mesh_,
+                     election_,
+                     directory_,
+                     "self",
+                     20,
+                     { [](bool, bool) {},
+                       [](const std::vector<BackendEntry>&, int64_t) {},
+                       [this](const BackendEntry& aEntry, bool aRemoved) {
+                         if (aRemoved) {
+                           directory_.ApplyRemoved(aEntry.id_, loop_.NowMs());
+                         } else {
+                           directory_.ApplyPut(aEntry, loop_.NowMs());
+                         }
+                       },
+                       [this](int64_t aRevision) {
+                         directory_.AdvanceTo(aRevision);
+                       },
+                       [](const std::string&) {},
+                       [](const nlohmann::json&, std::string) {},
+                       [] { return int64_t{ 0 }; },
+                       [] { return true; },
+                       [] {},
+                       [] {} } };
+};
+
+// Guards against a leader that is cut off from the store and brings servers
+// back that have left (eg-north mix 251950937711, rule DRAIN).
+TEST_F(RelayedDirectoryTest, TheNewerRevisionWinsOverTheLeader)
+{
+  Tell("leader", true, 100, false);
+  EXPECT_TRUE(directory_.Entries().contains("i-1"));
+  Tell("watcher", false, 130, true);
+  EXPECT_FALSE(directory_.Entries().contains("i-1"));
+  Tell("leader", true, 100, false);
+  EXPECT_FALSE(directory_.Entries().contains("i-1"));
+  Tell("leader", true, 140, false);
+  EXPECT_TRUE(directory_.Entries().contains("i-1"));
+}
+
 }
 }
--- a/wire/gen-cpp/gossip_types.cpp
+++ b/wire/gen-cpp/gossip_types.cpp
@@ -1002,6 +1002,10 @@
   this->admissions = val;
 }
 
+void Gossip::__set_directoryRevision(const int64_t val) {
+  this->directoryRevision = val;
+}
+
 void Gossip::__set_wantsKeys(const bool val) {
   this->wantsKeys = val;
 }
@@ -1285,6 +1289,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->directoryRevision);
+          this->__isset.directoryRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->wantsKeys);
@@ -1454,6 +1466,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("directoryRevision", ::apache::thrift::protocol::T_I64, 23);
+  xfer += oprot->writeI64(this->directoryRevision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1482,6 +1498,7 @@
   swap(a.origin, b.origin);
   swap(a.members, b.members);
   swap(a.admissions, b.admissions);
+  swap(a.directoryRevision, b.directoryRevision);
   swap(a.wantsKeys, b.wantsKeys);
   swap(a.__isset, b.__isset);
 }
@@ -1508,6 +1525,7 @@
   origin = other70.origin;
   members = other70.members;
   admissions = other70.admissions;
+  directoryRevision = other70.directoryRevision;
   wantsKeys = other70.wantsKeys;
   __isset = other70.__isset;
 }
@@ -1533,6 +1551,7 @@
   origin = other71.origin;
   members = other71.members;
   admissions = other71.admissions;
+  directoryRevision = other71.directoryRevision;
   wantsKeys = other71.wantsKeys;
   __isset = other71.__isset;
   return *this;
@@ -1561,6 +1580,7 @@
   out << ", " << "origin=" << to_string(origin);
   out << ", " << "members=" << to_string(members);
   out << ", " << "admissions=" << to_string(admissions);
+  out << ", " << "directoryRevision=" << to_string(directoryRevision);
   out << ", " << "wantsKeys=" << to_string(wantsKeys);
   out << ")";
 }
--- a/wire/gen-cpp/gossip_types.h
+++ b/wire/gen-cpp/gossip_types.h
@@ -379,7 +379,7 @@
 std::ostream& operator<<(std::ostream& out, const BackendChange& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), passOn(false), origin(false), members(false), admissions(false), wantsKeys(false) {}
+  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), passOn(false), origin(false), members(false), admissions(false), directoryRevision(false), wantsKeys(false) {}
   bool instance :1;
   bool bootId :1;
   bool term :1;
@@ -401,6 +401,7 @@
   bool origin :1;
   bool members :1;
   bool admissions :1;
+  bool directoryRevision :1;
   bool wantsKeys :1;
 } _Gossip__isset;
 
@@ -424,6 +425,7 @@
            statusPort(0),
            passOn(0),
            origin(0),
+           directoryRevision(0),
            wantsKeys(0) {
   }
 
@@ -449,6 +451,7 @@
   int64_t origin;
   std::vector<int32_t>  members;
   std::vector<int32_t>  admissions;
+  int64_t directoryRevision;
   bool wantsKeys;
 
   _Gossip__isset __isset;
@@ -495,6 +498,8 @@
 
   void __set_admissions(const std::vector<int32_t> & val);
 
+  void __set_directoryRevision(const int64_t val);
+
   void __set_wantsKeys(const bool val);
 
   bool operator == (const Gossip & rhs) const
@@ -541,6 +546,8 @@
       return false;
     if (!(admissions == rhs.admissions))
       return false;
+    if (!(directoryRevision == rhs.directoryRevision))
+      return false;
     if (!(wantsKeys == rhs.wantsKeys))
       return false;
     return true;
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -73,5 +73,6 @@
   // Owners of keys with more demand than they can run, two numbers each: XXH32
   // of the id, and the part of the requests that may be sent, in 1/1000.
   22: list<i32> admissions
+  23: i64 directoryRevision // of the store, that directoryDigest and changes show
   12: bool wantsKeys // the sender has just started and knows no owners
 }
