Bound what a server may send that is no answer

Cause: four rows that were added to the test EndsOfAnAttempt fail: interim heads, answers of other requests, a chunk extension and a trailer without end were read until the caller's deadline (504 after all its time, memory growing with the bytes). Heads and header lines without end were bounded before.

Change: input after the head that is neither body nor complete fails beyond the limit of a head, in requests too; after eight interim or foreign answers the attempt fails. Idempotent requests go to another server at once, the others get 502.

Measured: GatewayTest, one MiB of each; idempotent 200 from the second server, non-idempotent 502, no byte of it reaches the caller.

--- a/gateway/BackendLink.cpp
+++ b/gateway/BackendLink.cpp
@@ -16,6 +16,9 @@
 /// the 1 ms that a server needs for the connection.
 constexpr TimeMs kSettleMs = 4;
 constexpr TimeMs kDefaultIdleMs = 4000;
+/// Interim answers and late answers of other requests that are passed over
+/// before the own one; a server in trouble may send them without end.
+constexpr int kMaxSkippedAnswers = 8;
 
 }
 
@@ -39,6 +42,7 @@
   busy_ = true;
   headTaken_ = false;
   skipping_ = false;
+  skipped_ = 0;
   expectsBody_ = aExpectsBody;
   requestId_ = std::move(aRequestId);
   body_.clear();
@@ -156,6 +160,10 @@
     }
     // The answer of another request is over; the own one is still to come.
     skipping_ = false;
+    if (++skipped_ > detail::kMaxSkippedAnswers) {
+      Fail(AttemptEnd::MaybeRun, "too many answers of others");
+      return;
+    }
     parser_ = HttpParser(HttpRole::Answer, detail::kMaxAnswerHeadBytes);
     if (!expectsBody_) {
       parser_.ExpectNoBody();
--- a/gateway/BackendLink.hpp
+++ b/gateway/BackendLink.hpp
@@ -90,6 +90,7 @@
   bool busy_ = false;
   bool headTaken_ = false;
   bool skipping_ = false; ///< reads an answer that belongs to no request
+  int skipped_ = 0;       ///< such answers for the present request
   bool answerKeepsAlive_ = false;
   bool expectsBody_ = true;
   std::string requestId_;
--- a/net/HttpParser.cpp
+++ b/net/HttpParser.cpp
@@ -276,6 +276,12 @@
     if (parser_.is_done()) {
       return ParseState::Done;
     }
+    // What is left is the line of a chunk or a trailer; neither may grow
+    // without end.
+    if (aInput.size() > this->maxHeadBytes_) {
+      this->tooLarge_ = true;
+      return ParseState::Failed;
+    }
     return aBody.size() > bodyBefore ? ParseState::Body : ParseState::NeedInput;
   }
   bool Finish() override
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -102,6 +102,26 @@
   EXPECT_EQ(rig.BackendRequests(), 0);
 }
 
+/// Stands for bytes without end: many times what any limit allows.
+constexpr size_t kEndless = 1 << 20;
+
+std::string Repeated(std::string_view aText)
+{
+  std::string text;
+  while (text.size() < kEndless) {
+    text += aText;
+  }
+  return text;
+}
+
+std::string ChunkedHead(const Exchange& aExchange)
+{
+  return "HTTP/1.1 200 OK\r\nCactuspitch-Request-Id: " +
+         std::string(aExchange.head_.Field("Cactuspitch-Request-Id")) +
+         "\r\nCactuspitch-Response-Seal: s\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
 struct EndCase
 {
   const char* name_;
@@ -162,6 +182,52 @@
       200,
       500,
       1 },
+    { "head without end",
+      [](Exchange& aExchange) {
+        aExchange.write_("HTTP/1.1 200 OK\r\nX: " + std::string(kEndless, 'a'));
+      },
+      200,
+      502,
+      1 },
+    { "header lines without end",
+      [](Exchange& aExchange) {
+        aExchange.write_("HTTP/1.1 200 OK\r\n" + Repeated("X: a\r\n"));
+      },
+      200,
+      502,
+      1 },
+    { "interim answers without end",
+      [](Exchange& aExchange) {
+        aExchange.write_(Repeated("HTTP/1.1 100 Continue\r\n\r\n"));
+      },
+      200,
+      502,
+      1 },
+    { "chunk extension without end",
+      [](Exchange& aExchange) {
+        aExchange.write_(ChunkedHead(aExchange) +
+                         "5;x=" + std::string(kEndless, 'a'));
+      },
+      200,
+      502,
+      1 },
+    { "trailer without end",
+      [](Exchange& aExchange) {
+        aExchange.write_(ChunkedHead(aExchange) + "5\r\nwrong\r\n0\r\n" +
+                         Repeated("X: a\r\n"));
+      },
+      200,
+      502,
+      1 },
+    { "answers of other requests without end",
+      [](Exchange& aExchange) {
+        aExchange.write_(
+          Repeated("HTTP/1.1 200 OK\r\nCactuspitch-Request-Id: other\r\n"
+                   "Content-Length: 5\r\n\r\nwrong"));
+      },
+      200,
+      502,
+      1 },
     { "answer of another request first",
       [](Exchange& aExchange) {
         aExchange.write_("HTTP/1.1 200 OK\r\nCactuspitch-Request-Id: other\r\n"
