Count the load of keys over a longer time in large fleets

Change: a half-life of 4 s with over 120 backend servers, where the lease timing changes too. A hot key is hundreds of times an owner's capacity there and counts as soon as before.

--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -263,7 +263,10 @@
                           int aRequests)
 {
   if (running_) {
-    loads_[aService].Add(aKey, aRequests, loop_.NowMs());
+    const bool large = backends_.size() > GrantTiming::kLargeFleet;
+    const auto [load, isNew] = loads_.try_emplace(
+      aService, large ? KeyLoad::kLargeFleetHalfLifeMs : KeyLoad::kHalfLifeMs);
+    load->second.Add(aKey, aRequests, loop_.NowMs());
   }
 }
 
--- a/gateway/PeerMesh.cpp
+++ b/gateway/PeerMesh.cpp
@@ -311,7 +311,7 @@
       gossip.origin == 0 ? sender : detail::UnpackEndpoint(gossip.origin);
     receiver_(gossip, origin, sender);
     if (gossip.passOn) {
-      PassOn(std::move(gossip), origin);
+      PassOn(gossip, origin);
     }
   }
 }
--- a/keyspace/KeyBalancer.cpp
+++ b/keyspace/KeyBalancer.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
+#include <limits>
 
 namespace cactuspitch {
 
@@ -11,10 +11,12 @@
 {
 }
 
-bool KeyBalancer::IsOverloaded(const ServerUse& aUse, double aMean) const
+bool KeyBalancer::IsOverloaded(const ServerUse& aUse,
+                               double aMean,
+                               const KeyRates& aRates) const
 {
   const double use = aUse.Utilization();
-  const double samples = std::max(1.0, KeyLoad::Samples(aUse.rate_));
+  const double samples = std::max(1.0, aRates.Samples(aUse.rate_));
   const double noise = options_.significance_ * use / std::sqrt(samples);
   return !aUse.done_ && use > options_.idleUtilization_ &&
          use - noise > aMean * options_.startRatio_;
@@ -101,15 +103,15 @@
     return;
   }
   // A server that is as busy may have a key like this of its own.
-  const auto isFaster = [&](const auto& aEntry) {
-    return aEntry.second.capacity_ >= from.capacity_ * options_.fasterRatio_ &&
-           aEntry.second.Utilization() <
-             from.Utilization() / options_.fasterRatio_;
+  const auto room = [&](const auto& aEntry) {
+    const auto& use = aEntry.second;
+    const bool faster =
+      use.capacity_ >= from.capacity_ * options_.fasterRatio_ &&
+      use.Utilization() < from.Utilization() / options_.fasterRatio_;
+    return faster ? use.Left() : std::numeric_limits<double>::lowest();
   };
-  auto faster = aUses | std::views::filter(isFaster);
-  const auto roomiest = std::ranges::max_element(
-    faster, {}, [](const auto& aEntry) { return aEntry.second.Left(); });
-  if (roomiest == faster.end()) {
+  const auto roomiest = std::ranges::max_element(aUses, {}, room);
+  if (room(*roomiest) == std::numeric_limits<double>::lowest()) {
     return;
   }
   auto& to = roomiest->second;
@@ -168,7 +170,7 @@
       uses, {}, [](const auto& aEntry) { return aEntry.second.Utilization(); });
     auto& from = busiest->second;
     auto& to = idlest->second;
-    if (busiest == idlest || !IsOverloaded(from, mean)) {
+    if (busiest == idlest || !IsOverloaded(from, mean, aRates)) {
       break;
     }
     const double wanted = std::min((from.Utilization() - mean) * from.capacity_,
--- a/keyspace/KeyBalancer.hpp
+++ b/keyspace/KeyBalancer.hpp
@@ -71,7 +71,9 @@
                        Uses& aUses,
                        const KeyRates& aRates,
                        std::vector<KeyOwnership::Move>& aMoves) const;
-  bool IsOverloaded(const ServerUse& aUse, double aMean) const;
+  bool IsOverloaded(const ServerUse& aUse,
+                    double aMean,
+                    const KeyRates& aRates) const;
   /// Cuts about aWanted from a piece of aFrom; false when none fits.
   static bool Cut(std::vector<Piece>& aPieces,
                   const std::string& aFrom,
--- a/keyspace/KeyLoad.cpp
+++ b/keyspace/KeyLoad.cpp
@@ -2,14 +2,14 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace cactuspitch {
 
 namespace detail {
 
-constexpr TimeMs kRescaleMs = 30 * KeyLoad::kHalfLifeMs;
-/// Seconds of traffic that the decayed weight of a steady rate stands for.
-constexpr double kWindowSeconds = KeyLoad::kHalfLifeMs / 1000.0 / 0.693147;
+/// Weights grow by 2 to this power before they are rescaled.
+constexpr TimeMs kRescaleHalfLives = 30;
 /// Rates of a shorter time say nothing.
 constexpr double kMinSeconds = 0.25;
 
@@ -35,20 +35,27 @@
          (std::lower_bound(begin, end, sums_[aLast + 1] - aRate) - begin);
 }
 
-KeyLoad::KeyLoad()
+KeyLoad::KeyLoad(TimeMs aHalfLifeMs)
   : weights_(kKeyCount, 0)
+  , halfLifeMs_(aHalfLifeMs)
 {
 }
 
+double KeyLoad::WindowSeconds() const
+{
+  constexpr double kMsPerSecond = 1000;
+  return static_cast<double>(halfLifeMs_) / kMsPerSecond / std::numbers::ln2;
+}
+
 double KeyLoad::RatePerWeight(TimeMs aNowMs) const
 {
   const double scale =
-    std::exp2(static_cast<double>(aNowMs - originMs_) / kHalfLifeMs);
+    std::exp2(static_cast<double>(aNowMs - originMs_) / halfLifeMs_);
   // Soon after the first request the window is not full yet.
   const double seconds = std::max(
     detail::kMinSeconds, static_cast<double>(aNowMs - startMs_) / 1000.0);
   const double window =
-    detail::kWindowSeconds * (1 - std::exp(-seconds / detail::kWindowSeconds));
+    WindowSeconds() * (1 - std::exp(-seconds / WindowSeconds()));
   return 1 / (scale * window);
 }
 
@@ -57,7 +64,7 @@
   const double factor =
     originMs_ == 0
       ? 0
-      : std::exp2(-static_cast<double>(aNowMs - originMs_) / kHalfLifeMs);
+      : std::exp2(-static_cast<double>(aNowMs - originMs_) / halfLifeMs_);
   std::ranges::for_each(weights_, [&](float& aWeight) {
     aWeight = static_cast<float>(aWeight * factor);
   });
@@ -70,13 +77,14 @@
   if (startMs_ == 0) {
     startMs_ = aNowMs;
   }
-  if (originMs_ == 0 || aNowMs - originMs_ > detail::kRescaleMs) {
+  if (originMs_ == 0 ||
+      aNowMs - originMs_ > detail::kRescaleHalfLives * halfLifeMs_) {
     Rescale(aNowMs);
   }
   if (aKey < kKeyCount) {
     const double weight =
       aRequests *
-      std::exp2(static_cast<double>(aNowMs - originMs_) / kHalfLifeMs);
+      std::exp2(static_cast<double>(aNowMs - originMs_) / halfLifeMs_);
     weights_[aKey] += static_cast<float>(weight);
     total_ += weight;
   }
@@ -91,7 +99,7 @@
     sum += weights_[key] * factor;
     sums[key + 1] = sum;
   }
-  return KeyRates(std::move(sums));
+  return KeyRates(std::move(sums), WindowSeconds());
 }
 
 double KeyLoad::TotalRate(TimeMs aNowMs) const
@@ -99,9 +107,4 @@
   return startMs_ == 0 ? 0 : total_ * RatePerWeight(aNowMs);
 }
 
-double KeyLoad::Samples(double aRate)
-{
-  return aRate * detail::kWindowSeconds;
-}
-
 }
--- a/keyspace/KeyLoad.hpp
+++ b/keyspace/KeyLoad.hpp
@@ -12,8 +12,9 @@
 class KeyRates
 {
 public:
-  explicit KeyRates(std::vector<double> aSums)
+  KeyRates(std::vector<double> aSums, double aWindowSeconds)
     : sums_(std::move(aSums))
+    , windowSeconds_(aWindowSeconds)
   {
   }
 
@@ -23,6 +24,8 @@
     return sums_[aLast + 1] - sums_[aFirst];
   }
   double Total() const { return sums_.back(); }
+  /// Requests that a rate stands for: the fewer, the less it says.
+  double Samples(double aRate) const { return aRate * windowSeconds_; }
   /// Last key of the longest range that starts at aFirst and has at most
   /// aRate; aFirst - 1 when not even the first key fits.
   int64_t LastWithin(uint32_t aFirst, uint32_t aLast, double aRate) const;
@@ -32,6 +35,7 @@
 
 private:
   std::vector<double> sums_; ///< of the keys below the index
+  double windowSeconds_;
 };
 
 /// Counts the requests of each key of a service, with exponential decay. Busy
@@ -43,23 +47,27 @@
   /// Half of the weight comes from the last 1.5 s: a new hot key counts within
   /// a second, and the noise of single requests is smoothed.
   static constexpr TimeMs kHalfLifeMs = 1500;
+  /// With many owners each sees few requests, and the noise of 1.5 s hides who
+  /// is overloaded.
+  static constexpr TimeMs kLargeFleetHalfLifeMs = 4000;
 
-  KeyLoad();
+  explicit KeyLoad(TimeMs aHalfLifeMs = kHalfLifeMs);
 
   void Add(uint32_t aKey, double aRequests, TimeMs aNowMs);
   KeyRates Rates(TimeMs aNowMs) const;
   double TotalRate(TimeMs aNowMs) const;
-  /// Requests that a rate stands for: the fewer, the less it says.
-  static double Samples(double aRate);
 
 private:
   /// Requests per second for each unit of weight.
   double RatePerWeight(TimeMs aNowMs) const;
+  /// Seconds of traffic that the decayed weight of a steady rate stands for.
+  double WindowSeconds() const;
   void Rescale(TimeMs aNowMs);
 
   /// Weights grow with time instead of decaying all entries; rescaled before
   /// they overflow.
   std::vector<float> weights_;
+  TimeMs halfLifeMs_;
   double total_ = 0;
   TimeMs originMs_ = 0;
   TimeMs startMs_ = 0;
--- a/keyspace/KeyOwnership.cpp
+++ b/keyspace/KeyOwnership.cpp
@@ -16,7 +16,6 @@
 constexpr TimeMs kMaxTransitMs = 250;
 /// With many owners the loss of one concerns few keys, and renewals cost the
 /// leader processor time: its grants last longer.
-constexpr size_t kLargeFleet = 120;
 constexpr TimeMs kLargeFleetHoldMs = 4000;
 constexpr TimeMs kLargeFleetRenewMs = 1300;
 
@@ -49,7 +48,7 @@
 GrantTiming GrantTiming::For(size_t aServers, TimeMs aMaxHoldMs)
 {
   GrantTiming timing;
-  if (aServers > detail::kLargeFleet) {
+  if (aServers > kLargeFleet) {
     timing.holdMs_ = detail::kLargeFleetHoldMs;
     timing.renewMs_ = detail::kLargeFleetRenewMs;
   }
--- a/keyspace/KeyOwnership.hpp
+++ b/keyspace/KeyOwnership.hpp
@@ -14,6 +14,9 @@
 /// Timing of grants. A holder's clock may run slow by kClockDrift.
 struct GrantTiming
 {
+  /// Backend servers above which a fleet counts as large.
+  static constexpr size_t kLargeFleet = 120;
+
   /// A crashed owner's keys are served again after at most renewMs_ + holdMs_;
   /// the loss of a leader (about 1 s) must fit into holdMs_ - renewMs_.
   TimeMs holdMs_ = 2500;
--- a/tests/KeyspaceTest.cpp
+++ b/tests/KeyspaceTest.cpp
@@ -3,6 +3,7 @@
 #include "membership/BackendDirectory.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 #include <gtest/gtest.h>
@@ -109,6 +110,25 @@
   EXPECT_EQ(world.Balance(load, 5), 0);
 }
 
+// Guards against overloaded owners that a large fleet cannot tell from noise:
+// each of them sees 9 requests/s.
+TEST(KeyLoad, LongerWindowsShowWhoIsOverloaded)
+{
+  KeyLoad shorter;
+  KeyLoad longer(KeyLoad::kLargeFleetHalfLifeMs);
+  for (TimeMs nowMs = 1000; nowMs < 21000; nowMs += 100) {
+    shorter.Add(1, 0.9, nowMs);
+    longer.Add(1, 0.9, nowMs);
+  }
+  const auto noise = [](const KeyLoad& aLoad) {
+    const auto rates = aLoad.Rates(21000);
+    EXPECT_NEAR(rates.Rate(1, 1), 9, 0.5);
+    return 1 / std::sqrt(rates.Samples(rates.Rate(1, 1)));
+  };
+  EXPECT_GT(noise(shorter), 0.2);
+  EXPECT_LT(noise(longer), 0.15);
+}
+
 // Guards against a hot key that stays with a slow owner: one owner is the limit
 // of what the key's callers get, so it is the fastest, with nothing beside it.
 TEST(KeyBalancer, GivesAKeyThatIsTooHotToTheFastestServer)
--- a/tests/StoreRelayTest.cpp
+++ b/tests/StoreRelayTest.cpp
@@ -85,7 +85,7 @@
                          directory_.AdvanceTo(aRevision);
                        },
                        [](const std::string&) {},
-                       [](const nlohmann::json&, std::string) {},
+                       [](const nlohmann::json&, const std::string&) {},
                        [] { return int64_t{ 0 }; },
                        [] { return true; },
                        [] {},
