Reserve the ports of the relay test

Ports derived from the process id may be taken by another test that runs beside it; ReservedPort holds the numbers while the test lives. RelayTreeTest passes.

--- a/tests/RelayTreeTest.cpp
+++ b/tests/RelayTreeTest.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/PeerMesh.hpp"
 #include "gossip_types.h"
+#include "tests/ReservedPort.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -83,8 +84,7 @@
   MeshNode(EventLoop& aLoop,
            EventLog& aLog,
            const std::string& aName,
-           const std::string& aDomain,
-           uint16_t aPort)
+           const std::string& aDomain)
     : name_(aName)
     , domain_(aDomain)
     , mesh_(
@@ -101,7 +101,7 @@
         },
         [this] { return version_; })
   {
-    Endpoint::Parse("127.0.0.1:" + std::to_string(aPort), endpoint_);
+    Endpoint::Parse(port_.Address(), endpoint_);
     opened_ = mesh_.Open(endpoint_);
   }
   void Know(const MeshNode& aOther, int aCpuPercent)
@@ -110,6 +110,8 @@
       aOther.name_, aOther.endpoint_, 1, aOther.domain_, aCpuPercent);
   }
 
+  /// Keeps the number from other tests, which take it for TCP.
+  ReservedPort port_;
   std::string name_;
   std::string domain_;
   Endpoint endpoint_;
@@ -127,11 +129,10 @@
 {
   EventLoop loop;
   EventLog log(loop, LogLevel::Error, STDERR_FILENO);
-  const auto base = static_cast<uint16_t>(20000 + ::getpid() % 20000);
-  MeshNode leader(loop, log, "a", "d1", base);
-  MeshNode relay1(loop, log, "b", "d2", base + 1);
-  MeshNode relay2(loop, log, "c", "d2", base + 2);
-  MeshNode member(loop, log, "d", "d2", base + 3);
+  MeshNode leader(loop, log, "a", "d1");
+  MeshNode relay1(loop, log, "b", "d2");
+  MeshNode relay2(loop, log, "c", "d2");
+  MeshNode member(loop, log, "d", "d2");
   ASSERT_TRUE(leader.opened_ && relay1.opened_ && relay2.opened_ &&
               member.opened_);
   leader.Know(relay1, 50);
@@ -160,8 +161,8 @@
   std::set<int64_t> versions;
   for (size_t index = 0; index < 2; ++index) {
     EXPECT_FALSE(member.received_[index].passOn);
-    EXPECT_EQ(member.origins_[index].port_, base);
-    EXPECT_NE(member.senders_[index].port_, base);
+    EXPECT_EQ(member.origins_[index].port_, leader.endpoint_.port_);
+    EXPECT_NE(member.senders_[index].port_, leader.endpoint_.port_);
     versions.insert(member.received_[index].configVersion);
   }
   EXPECT_EQ(versions, (std::set<int64_t>{ 4, 5 }));
@@ -175,10 +176,9 @@
 {
   EventLoop loop;
   EventLog log(loop, LogLevel::Error, STDERR_FILENO);
-  const auto base = static_cast<uint16_t>(40000 + ::getpid() % 20000);
-  MeshNode leader(loop, log, "a", "d1", base);
-  MeshNode other(loop, log, "b", "d1", base + 1);
-  MeshNode third(loop, log, "c", "d2", base + 2);
+  MeshNode leader(loop, log, "a", "d1");
+  MeshNode other(loop, log, "b", "d1");
+  MeshNode third(loop, log, "c", "d2");
   leader.Know(other, 10);
   leader.Know(third, 10);
   other.Know(third, 10);
