Deputy asks the store before it refuses to arm

A silent store is noticed when an open watch should have ended, so the assigner may know of it up to 3 s before the deputy. Its request to arm was then refused by a deputy that still took the store for reachable; the deputy began a takeover that it could not write, the assigner's right ended, and no key of the group was served until the store returned.

Ruled out: load.

Change: the deputy goes on granting unarmed, reads the store once, and takes over only if the store answers. The ownership model now lets instances notice a silent store at different times.

--- a/control/DeputyRole.cpp
+++ b/control/DeputyRole.cpp
@@ -26,9 +26,11 @@
     return answer;
   }
   heardMs_ = aNowMs;
-  if (!refuses_ && aQuestion.arm_ && aStoreReachable) {
-    takesOver_ = true;
-    refuses_ = true;
+  const bool doubtsStore = !refuses_ && aQuestion.arm_ && aStoreReachable;
+  if (!doubtsStore) {
+    probe_ = StoreProbe::None;
+  } else if (probe_ == StoreProbe::None) {
+    probe_ = StoreProbe::Due;
   }
   // A restarted deputy may have armed the assigner before. It asks for a new
   // term by not granting; without the store it cannot take over anyway.
@@ -38,13 +40,29 @@
   promisedMs_ = aNowMs;
   stopped_.insert(aQuestion.stopRenewing_.begin(),
                   aQuestion.stopRenewing_.end());
-  armed_ |= aQuestion.arm_ && witnessed_;
+  armed_ |= aQuestion.arm_ && !aStoreReachable && witnessed_;
   answer.granted_ = true;
   answer.armed_ = armed_;
   answer.stoppedRenewing_.assign(stopped_.begin(), stopped_.end());
   return answer;
 }
 
+void DeputyRole::OnStoreAnswer()
+{
+  if (probe_ == StoreProbe::Sent) {
+    probe_ = StoreProbe::None;
+    takesOver_ = true;
+    refuses_ = true;
+  }
+}
+
+bool DeputyRole::TakeStoreProbe()
+{
+  const bool isDue = probe_ == StoreProbe::Due;
+  probe_ = isDue ? StoreProbe::Sent : probe_;
+  return isDue;
+}
+
 bool DeputyRole::ShouldTakeOver(TimeMs aNowMs) const
 {
   return takesOver_ || aNowMs - heardMs_ > Stretch(timing::kSilentMs);
--- a/control/GroupController.cpp
+++ b/control/GroupController.cpp
@@ -31,6 +31,14 @@
   planner_.SetPlatformServers(std::move(aServers));
 }
 
+void GroupController::SetStoreReachable(bool aReachable)
+{
+  storeReachable_ = aReachable;
+  if (aReachable) {
+    deputy_.OnStoreAnswer();
+  }
+}
+
 void GroupController::OnObject(TimeMs aNowMs,
                                int64_t aVersion,
                                const GroupObject& aObject,
--- a/control/GroupController.hpp
+++ b/control/GroupController.hpp
@@ -66,7 +66,7 @@
   void SetServers(std::vector<BackendServerRecord> aServers);
 
   // Store
-  void SetStoreReachable(bool aReachable) { storeReachable_ = aReachable; }
+  void SetStoreReachable(bool aReachable);
   void OnObject(TimeMs aNowMs,
                 int64_t aVersion,
                 const GroupObject& aObject,
--- a/control/GroupControllerSteps.cpp
+++ b/control/GroupControllerSteps.cpp
@@ -169,6 +169,9 @@
   if (!storeReachable_ && !writer_.IsPending()) {
     deputy_.Resume();
   }
+  if (storeReachable_ && deputy_.TakeStoreProbe()) {
+    aActions.emplace_back(ReadGroup());
+  }
   if (!storeReachable_ || writer_.IsPending() || stopping_ ||
       !deputy_.ShouldTakeOver(aNowMs) ||
       state_.Table().term_ != deputy_.GetTerm()) {
--- a/tests/OwnershipPropertyTest.cpp
+++ b/tests/OwnershipPropertyTest.cpp
@@ -13,6 +13,13 @@
 constexpr TimeMs kLastFaultMs = 4700;
 constexpr TimeMs kLongestFaultMs = 4000;
 
+/// A silent store, noticed late by some instances.
+constexpr SimFault kSilentStore{ .kind_ = SimFaultKind::StoreDown,
+                                 .target_ = 0,
+                                 .atMs_ = kWarmUpMs,
+                                 .durationMs_ = 8000 };
+constexpr uint64_t kOutageSeeds = 60;
+
 // A fixed seed keeps a run repeatable; bench/soak sets others.
 const int kConfigured = setenv("RC_PARAMS", "seed=20261204 max_success=250", 0);
 
@@ -79,6 +86,38 @@
   RC_ASSERT(unserved.empty());
 }
 
+// Guards against an assigner that loses its right because it noticed a silent
+// store before its deputy did.
+TEST(Ownership, SilentStoreLeavesEveryKeyServed)
+{
+  // Owners are known as of the last event, and instances step every 10 ms.
+  constexpr TimeMs kEventMs = 10;
+  for (uint64_t seed = 1; seed <= kOutageSeeds; ++seed) {
+    OwnershipSim sim({ .seed_ = seed, .unchecked_ = 0 });
+    sim.Inject(kSilentStore);
+    sim.RunUntil(kSilentStore.atMs_ + kSilentStore.durationMs_ - 100);
+    EXPECT_LE(sim.LongestGapMs(kWarmUpMs), kEventMs) << "seed " << seed;
+    EXPECT_EQ(ToText(HistoryChecker(sim.Finish()).Check()), "");
+  }
+}
+
+// Guards against a takeover that needs the store, whoever noticed first that
+// it is silent.
+TEST(Ownership, KilledOwnerIsReplacedWhileTheStoreIsSilent)
+{
+  for (uint64_t seed = 1; seed <= kOutageSeeds; ++seed) {
+    OwnershipSim sim({ .seed_ = seed, .unchecked_ = 0 });
+    sim.Inject(kSilentStore);
+    sim.Inject({ .kind_ = SimFaultKind::KillServer,
+                 .target_ = static_cast<int>(seed),
+                 .atMs_ = kSilentStore.atMs_ + 2000,
+                 .durationMs_ = kSilentStore.durationMs_ });
+    sim.RunUntil(kSilentStore.atMs_ + kSilentStore.durationMs_ - 100);
+    EXPECT_LE(sim.LongestGapMs(kWarmUpMs), 3000) << "seed " << seed;
+    EXPECT_EQ(ToText(HistoryChecker(sim.Finish()).Check()), "");
+  }
+}
+
 // Guards against a single fault that keeps a key without an owner for longer
 // than 3 s.
 RC_GTEST_PROP(Ownership, SingleFaultCostsAtMostThreeSeconds, ())
--- a/tests/OwnershipSim.hpp
+++ b/tests/OwnershipSim.hpp
@@ -79,6 +79,9 @@
   int unchecked_ = 1; ///< of them do not check the fence
   int routers_ = 2;
   size_t slices_ = 6;
+  /// An instance notices a silent store this late at most, when its open watch
+  /// should have ended.
+  TimeMs storeWatchMs_ = 3000;
 };
 
 /// Runs the control logic of several instances against simulated backend
@@ -164,6 +167,7 @@
   std::vector<Process*> processes_;            ///< instances, servers, routers
   std::map<std::pair<int, int>, TimeMs> cuts_; ///< until
   TimeMs storeDownUntilMs_ = 0;
+  TimeMs storeDownSinceMs_ = 0;
   TimeMs storeLossUntilMs_ = 0;
   TimeMs badNetworkUntilMs_ = 0;
   bool storeDrops_ = false;
--- a/tests/OwnershipSimFaults.cpp
+++ b/tests/OwnershipSimFaults.cpp
@@ -64,6 +64,11 @@
       case SimFaultKind::StoreDown:
         storeDrops_ = aFault.target_ % 2 == 0;
         storeDownUntilMs_ = until;
+        storeDownSinceMs_ = nowMs_;
+        for (auto& watcher : instances_) {
+          watcher->watchLeftMs_ =
+            storeDrops_ ? Random(options_.storeWatchMs_ + 1) : 0;
+        }
         break;
       case SimFaultKind::StoreLosesAnswers:
         storeLossUntilMs_ = until;
--- a/tests/OwnershipSimProcesses.cpp
+++ b/tests/OwnershipSimProcesses.cpp
@@ -51,7 +51,9 @@
       aLastMs = due ? nowMs_ : aLastMs;
       return due;
     };
-    if (isDue(aInstance.polledMs_, kStorePollMs)) {
+    const bool watchHangs = storeDownUntilMs_ > nowMs_ &&
+                            nowMs_ - storeDownSinceMs_ < aInstance.watchLeftMs_;
+    if (!watchHangs && isDue(aInstance.polledMs_, kStorePollMs)) {
       PollStore(aInstance);
     }
     if (isDue(aInstance.pingedMs_, kPingMs)) {
--- a/tests/OwnershipSimProcesses.hpp
+++ b/tests/OwnershipSimProcesses.hpp
@@ -35,6 +35,8 @@
   TimeMs polledMs_ = -1000;
   TimeMs pingedMs_ = -1000;
   TimeMs shownMs_ = -10000;
+  /// How long its watch stays open when the store falls silent.
+  TimeMs watchLeftMs_ = 0;
 };
 
 struct OwnershipSim::Router : Process
