Watchers take over a newer directory of another watcher

Cause: the answer to a watch may be lost, and the connection then returns nothing. The watch hangs until its time-out of 5 s and more, while the watch of the configuration shows the store as reachable. A gateway that watches all kinds ignored what others told, so it kept sending requests to servers that had left.

Change: a watcher that hears a newer revision with another digest for 500 ms asks that gateway for its directory. Lists and events that are older than the directory are ignored.

Result: RelayedDirectoryTest.AWatcherTakesOverTheNewerStateOfAnother fails before and passes after.

--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -369,6 +369,11 @@
 
 void Gateway::OnBackendList(const std::vector<StoreObject>& aObjects)
 {
+  // Start lists may be old; another gateway may have told a newer state.
+  if (relayedDirectory_ &&
+      backendFollower_.Revision() < directory_.Revision()) {
+    return;
+  }
   std::vector<BackendEntry> entries;
   for (const auto& object : aObjects) {
     if (auto entry = DecodeBackend(object)) {
@@ -382,6 +387,10 @@
 
 void Gateway::OnBackendEvents(const std::vector<ObjectEvent>& aEvents)
 {
+  // A newer state was taken over from another watcher meanwhile.
+  if (backendFollower_.Revision() <= directory_.Revision()) {
+    return;
+  }
   const TimeMs nowMs = loop_.NowMs();
   const auto digest = directory_.Digest();
   wire::Gossip changes;
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -20,6 +20,8 @@
 constexpr TimeMs kWatchHoldMs = 5000;
 /// Changes come with the digest; what is lost is asked for after this.
 constexpr TimeMs kBehindMs = 300;
+/// Watchers gather changes for 200 ms, and a slow store answers after 300 ms.
+constexpr TimeMs kWatcherBehindMs = 500;
 /// Several times the largest configuration of the design size.
 constexpr size_t kMaxConfigBytes = 64 << 20;
 constexpr TimeMs kRelayTimeoutMs = 700;
@@ -254,6 +256,7 @@
         handlers_.onRemovalSeen_(change.id);
       }
     }
+    FollowNewerWatcher(aGossip, status);
     return;
   }
   // A sender that is cut off from the store tells states that are over.
@@ -282,6 +285,29 @@
   }
 }
 
+void StoreRelay::FollowNewerWatcher(const wire::Gossip& aGossip,
+                                    const Endpoint& aStatus)
+{
+  if (directory_.Revision() >= behindRevision_) {
+    behindMs_ = 0;
+  }
+  if (aGossip.directoryRevision <= directory_.Revision() ||
+      aGossip.directoryDigest == 0 ||
+      aGossip.directoryDigest == directory_.Digest()) {
+    return;
+  }
+  if (behindMs_ == 0) {
+    behindMs_ = loop_.NowMs();
+    behindRevision_ = aGossip.directoryRevision;
+  } else if (loop_.NowMs() - behindMs_ >= detail::kWatcherBehindMs) {
+    log_.Write(LogLevel::Info,
+               "store-watch-behind",
+               { { "revision", directory_.Revision() },
+                 { "peer_revision", aGossip.directoryRevision } });
+    AskForDirectory(aStatus);
+  }
+}
+
 void StoreRelay::AskForDirectory(const Endpoint& aPeer)
 {
   if (std::exchange(asking_, true)) {
@@ -294,8 +320,7 @@
   client_.Call(aPeer, request, [this](const CallResult& aResult) {
     asking_ = false;
     behindMs_ = 0;
-    if ((watchingAll_ && handlers_.hasDirectory_()) ||
-        aResult.end_ != CallEnd::Answered || aResult.head_.status_ != 200) {
+    if (aResult.end_ != CallEnd::Answered || aResult.head_.status_ != 200) {
       return;
     }
     try {
@@ -304,7 +329,9 @@
       std::ranges::transform(
         json.at("servers"), std::back_inserter(entries), detail::EntryFromJson);
       const auto revision = json.at("revision").get<int64_t>();
-      if (revision >= directory_.Revision()) {
+      const bool isNewer = revision > directory_.Revision();
+      const bool isComplete = watchingAll_ && handlers_.hasDirectory_();
+      if (isNewer || (!isComplete && revision == directory_.Revision())) {
         handlers_.onDirectory_(entries, revision);
       }
     } catch (const detail::Json::exception& error) {
--- a/gateway/StoreRelay.hpp
+++ b/gateway/StoreRelay.hpp
@@ -87,6 +87,9 @@
   /// True for about aWanted of all gateways, other ones each time: without a
   /// leader a gateway of a large fleet does not know who is alive.
   bool IsDrawn(size_t aWanted) const;
+  /// The answer to an own watch may be lost. The watch then hangs until its
+  /// time-out, while the store answers other calls.
+  void FollowNewerWatcher(const wire::Gossip& aGossip, const Endpoint& aStatus);
   void AskForDirectory(const Endpoint& aPeer);
   void AskForConfig(const Endpoint& aPeer, int64_t aVersion);
 
@@ -112,6 +115,7 @@
   TimeMs leaderStoreOkMs_ = 0; ///< the leader did
   int64_t leaderRevision_ = 0; ///< that the leader's directory shows
   TimeMs behindMs_ = 0;        ///< since when the digests differ
+  int64_t behindRevision_ = 0; ///< of the watcher that was found to be newer
 };
 
 }
--- a/tests/StoreRelayTest.cpp
+++ b/tests/StoreRelayTest.cpp
@@ -1,7 +1,9 @@
 #include "gateway/StoreRelay.hpp"
 
+#include "common/Strings.hpp"
 #include "gossip_types.h"
 #include "platform/Objects.hpp"
+#include "tests/GatewayRig.hpp"
 
 #include <gtest/gtest.h>
 #include <unistd.h>
@@ -35,7 +37,14 @@
   EXPECT_EQ(StoreRelay::WantedWatchers(5000, 68), 68U);
 }
 
-/// A gateway that does not watch the store, with what others tell it.
+std::string JsonAnswer(std::string_view aBody)
+{
+  return Concat(
+    "HTTP/1.1 200 OK\r\nContent-Length: ", aBody.size(), "\r\n\r\n", aBody);
+}
+
+/// A gateway with what others tell it. It watches the store after
+/// StartToWatch().
 class RelayedDirectoryTest : public testing::Test
 {
 protected:
@@ -55,41 +64,65 @@
     relay_.OnGossip(gossip, {});
   }
 
+  /// Without a leader each gateway watches, after the time to hear of one.
+  bool StartToWatch()
+  {
+    bool answered = false;
+    store_.Call(store_.Protocol().List("servers", {}, ReadMode::Latest),
+                [&](const StoreAnswer&) { answered = true; });
+    return RunLoopUntil(loop_, [&] { return answered; }) &&
+           RunLoopUntil(loop_, [&] {
+             relay_.Update();
+             return watchesAll_;
+           });
+  }
+
   EventLoop loop_;
   EventLog log_{ loop_, LogLevel::Error, STDERR_FILENO };
   HttpClient client_{ loop_ };
   platform::Objects objects_;
-  StoreLink store_{ loop_, log_, client_, objects_, {} };
+  ScriptedServer storeServer_{
+    loop_,
+    [](auto& aExchange) {
+      aExchange.write_(
+        JsonAnswer(R"({"items": [], "has-more": false, "at": 100})"));
+    }
+  };
+  StoreLink store_{ loop_, log_, client_, objects_, storeServer_.Address() };
+  bool watchesAll_ = false;
   PeerMesh mesh_{ loop_, log_, "self", "d1", {}, [] { return 0; } };
   LeaderElection election_{ loop_, log_, store_, mesh_, { "self", 1 }, 20, {} };
   BackendDirectory directory_{ 2000 };
-  StoreRelay relay_{ loop_,
-                     log_,
-                     client_,
-                     store_,
-                     mesh_,
-                     election_,
-                     directory_,
-                     "self",
-                     20,
-                     { [](bool, bool) {},
-                       [](const std::vector<BackendEntry>&, int64_t) {},
-                       [this](const BackendEntry& aEntry, bool aRemoved) {
-                         if (aRemoved) {
-                           directory_.ApplyRemoved(aEntry.id_, loop_.NowMs());
-                         } else {
-                           directory_.ApplyPut(aEntry, loop_.NowMs());
-                         }
-                       },
-                       [this](int64_t aRevision) {
-                         directory_.AdvanceTo(aRevision);
-                       },
-                       [](const std::string&) {},
-                       [](const nlohmann::json&, const std::string&) {},
-                       [] { return int64_t{ 0 }; },
-                       [] { return true; },
-                       [] {},
-                       [] {} } };
+  StoreRelay relay_{
+    loop_,
+    log_,
+    client_,
+    store_,
+    mesh_,
+    election_,
+    directory_,
+    "self",
+    20,
+    { [this](bool, bool aAll) { watchesAll_ = aAll; },
+      [this](const std::vector<BackendEntry>& aEntries, int64_t aRevision) {
+        directory_.Replace(aEntries, loop_.NowMs());
+        directory_.AdvanceTo(aRevision);
+      },
+      [this](const BackendEntry& aEntry, bool aRemoved) {
+        if (aRemoved) {
+          directory_.ApplyRemoved(aEntry.id_, loop_.NowMs());
+        } else {
+          directory_.ApplyPut(aEntry, loop_.NowMs());
+        }
+      },
+      [this](int64_t aRevision) { directory_.AdvanceTo(aRevision); },
+      [](const std::string&) {},
+      [](const nlohmann::json&, const std::string&) {},
+      [] { return int64_t{ 0 }; },
+      [] { return true; },
+      [] {},
+      [] {} }
+  };
 };
 
 // Guards against a leader that is cut off from the store and brings servers
@@ -106,5 +139,32 @@
   EXPECT_TRUE(directory_.Entries().contains("i-1"));
 }
 
+// Guards against a watcher whose watch hangs on a lost answer and which goes on
+// sending requests to servers that have left (grown eg-north hunt-c4da-3, rule
+// DRAIN).
+TEST_F(RelayedDirectoryTest, AWatcherTakesOverTheNewerStateOfAnother)
+{
+  ScriptedServer peer(loop_, [](auto& aExchange) {
+    aExchange.write_(JsonAnswer(R"({"revision": 130, "servers": []})"));
+  });
+  ASSERT_TRUE(StartToWatch());
+  BackendEntry entry;
+  entry.id_ = "i-1";
+  directory_.ApplyPut(entry, loop_.NowMs());
+  directory_.AdvanceTo(100);
+  wire::Gossip gossip;
+  gossip.storeOk = true;
+  gossip.directoryRevision = 130;
+  gossip.directoryDigest = 1;
+  gossip.statusPort = peer.Address().port_;
+  const TimeMs toldMs = loop_.NowMs();
+  EXPECT_TRUE(RunLoopUntil(loop_, [&] {
+    relay_.OnGossip(gossip, { peer.Address().ip_, 0 });
+    return directory_.Revision() == 130;
+  }));
+  EXPECT_FALSE(directory_.Entries().contains("i-1"));
+  EXPECT_LT(loop_.NowMs() - toldMs, kConfigBoundMs);
+}
+
 }
 }
