Notice callers that leave before their requests are sent on

Cause: a gateway that runs late reads requests whose callers have given up. While 16 requests of a connection waited, reading was paused and a departure was not noticed at all.

Change: callers' streams look for the end of the stream before requests are read, and up to 64 KB are read ahead while requests wait.

Result: Gateway.DoesNotSendOnForCallersThatHaveLeft and Gateway.NoticesDeparturesBehindManyRequests fail before and pass after.

--- a/gateway/CallerStream.cpp
+++ b/gateway/CallerStream.cpp
@@ -10,6 +10,9 @@
 
 /// Requests of one connection that are read ahead.
 constexpr size_t kMaxPipeline = 16;
+/// Bytes of further requests that are read although they have to wait, so that
+/// the end of the stream behind them is noticed.
+constexpr size_t kMaxReadAheadBytes = 65536;
 /// Answers that wait for the caller to read pause the reading of requests.
 constexpr size_t kMaxPendingOutput = 524288;
 /// Time for the caller to read the last answer and close.
@@ -84,6 +87,12 @@
 void CallerStream::OnInput()
 {
   const auto self = shared_from_this();
+  // A gateway that ran late finds requests whose caller has given up: the end
+  // of the stream follows them, and nothing is sent on for nobody.
+  if (stream_.HasPeerLeft()) {
+    Close();
+    return;
+  }
   ReadRequests();
 }
 
@@ -97,7 +106,13 @@
   if (closing_ && reading_ == nullptr) {
     stream_.Input().clear();
   }
-  stream_.PauseReading(!closing_ && !IsReading());
+  UpdateReading();
+}
+
+void CallerStream::UpdateReading()
+{
+  stream_.PauseReading(!closing_ && !IsReading() &&
+                       stream_.Input().size() >= detail::kMaxReadAheadBytes);
 }
 
 bool CallerStream::IsReading() const
@@ -238,7 +253,7 @@
   if (!stream_.Input().empty() && IsReading()) {
     forwarder_.Loop().Defer([self] { self->ReadRequests(); });
   }
-  stream_.PauseReading(!closing_ && !IsReading());
+  UpdateReading();
   StartTimer();
 }
 
--- a/gateway/CallerStream.hpp
+++ b/gateway/CallerStream.hpp
@@ -43,6 +43,7 @@
   void BeginRequest();
   void RefuseMalformed();
   bool IsReading() const;
+  void UpdateReading();
   void PumpAnswers();
   void FinishOutput();
   void AllowFront();
--- a/net/TcpStream.cpp
+++ b/net/TcpStream.cpp
@@ -142,6 +142,13 @@
   }
 }
 
+bool TcpStream::HasPeerLeft() const
+{
+  char next = 0;
+  const auto count = ::recv(fd_, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && !detail::WouldBlock(errno));
+}
+
 void TcpStream::PauseReading(bool aPaused)
 {
   if (paused_ != aPaused) {
--- a/net/TcpStream.hpp
+++ b/net/TcpStream.hpp
@@ -78,6 +78,8 @@
   /// Bytes that the kernel has taken since the connection was made.
   uint64_t WrittenBytes() const { return writtenBytes_; }
   void PauseReading(bool aPaused);
+  /// The peer has closed the connection, and all that it sent was read.
+  bool HasPeerLeft() const;
 
   /// Sends the end of the stream; reading goes on.
   void ShutdownOutput();
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -1,8 +1,11 @@
+#include "common/Strings.hpp"
 #include "tests/GatewayRig.hpp"
 
 #include <memory>
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace cactuspitch {
 namespace {
@@ -293,6 +296,54 @@
   EXPECT_TRUE(rig.RunUntil([&] { return rig.Backend(0).Departures() == 1; }));
 }
 
+// Guards against a gateway that ran late and sends on what it reads only then,
+// although the caller has given up meanwhile (large eg-north, rule GONE).
+TEST(Gateway, DoesNotSendOnForCallersThatHaveLeft)
+{
+  GatewayRig rig(Echo, 1);
+  // An open connection to the backend server takes a request at once.
+  ASSERT_EQ(StatusOf(rig.Ask(GatewayRig::Request("GET", "plain", "first"))),
+            200);
+  const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+  const auto address = rig.GatewayAddress().ToSockaddr();
+  ASSERT_EQ(::connect(caller,
+                      reinterpret_cast<const sockaddr*>(&address),
+                      sizeof address),
+            0);
+  const auto request = GatewayRig::Request("GET", "plain", "given-up");
+  EXPECT_EQ(::send(caller, request.data(), request.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(request.size()));
+  // The rig's loop does not run until here.
+  ::close(caller);
+  rig.RunFor(200);
+  EXPECT_EQ(rig.BackendRequests(), 1);
+}
+
+// Guards against a departure that is not noticed because reading is paused
+// while many requests of the connection wait.
+TEST(Gateway, NoticesDeparturesBehindManyRequests)
+{
+  GatewayRig rig([](Exchange&) {}, 1);
+  {
+    struct Silent final : public StreamHandler
+    {
+      void OnInput() override {}
+      void OnStreamClosed(CloseReason) override {}
+    } handler;
+    TcpStream caller(rig.Loop(), handler);
+    caller.Connect(rig.GatewayAddress());
+    constexpr int kRequests = 40;
+    for (int i = 0; i < kRequests; ++i) {
+      caller.Write(GatewayRig::Request("GET", "plain", Concat("p", i)));
+    }
+    ASSERT_TRUE(rig.RunUntil([&] { return rig.BackendRequests() > 0; }));
+    rig.RunFor(100);
+  }
+  rig.RunFor(200);
+  // The deadline of the requests is later.
+  EXPECT_GT(rig.Backend(0).Departures(), 0);
+}
+
 // Guards against an answer after the deadline, and against calling a request
 // "not run" that a silent server may have run.
 TEST(Gateway, SilentServerEndsAtTheDeadline)
