A slower candidate waits for the new leader's gossip

The slower one read the newer term, tried again after 150 to 300 ms and took over before the winner's first gossip, which a leader with half a core sends after reading the key table.

Change: a newer term that was renewed within 1.8 s is waited for like a heard leader; an older one is replaced at once.

Result: LeaderElectionTest.ASlowerCandidateWaitsForTheNewLeader fails before (elected after 0.3 s) and passes after.

--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -220,15 +220,9 @@
     revision_ = aAnswer.object_.revision_;
     const int64_t storedTerm =
       json.is_object() ? json.value("term", int64_t{ 0 }) : 0;
-    // At the first start nobody has heard of the winner yet.
-    if (!everHeard_ && storedTerm > highestTerm_ && IsRenewedRecently(json)) {
-      WaitForWinner(storedTerm);
-      return;
-    }
     // Someone else was faster; its gossip is on the way.
-    if (everHeard_ && storedTerm > highestTerm_) {
-      highestTerm_ = storedTerm;
-      TryAgainIn(detail::kAcquireRetryMs);
+    if (storedTerm > highestTerm_ && IsRenewedRecently(json)) {
+      WaitForWinner(storedTerm);
       return;
     }
     term_ = std::max(highestTerm_, storedTerm) + 1;
--- a/tests/LeaderElectionTest.cpp
+++ b/tests/LeaderElectionTest.cpp
@@ -1,6 +1,7 @@
 #include "gateway/LeaderElection.hpp"
 
 #include "common/Strings.hpp"
+#include "gossip_types.h"
 #include "platform/Objects.hpp"
 #include "tests/GatewayRig.hpp"
 
@@ -91,6 +92,22 @@
   EXPECT_EQ(writes_, 0);
 }
 
+// Guards against a second election by a candidate that was slower and takes
+// over before the new leader's first gossip arrives.
+TEST_F(LeaderElectionTest, ASlowerCandidateWaitsForTheNewLeader)
+{
+  wire::Gossip old;
+  old.instance = "old";
+  old.leading = true;
+  winnerMs_ = kNowMs - 50;
+  election_.Start();
+  election_.OnGossip(old);
+  ASSERT_TRUE(RunLoopUntil(loop_, [&] { return reads_ == 1; }));
+  RunFor(LeaderTiming::kSilenceMs / 2);
+  EXPECT_EQ(elected_, 0);
+  EXPECT_EQ(writes_, 0);
+}
+
 // Guards against a wait for a leader that ended with all other processes.
 TEST_F(LeaderElectionTest, AStartingGatewayReplacesALeaderOfThePast)
 {
