--- a/tests/OwnershipPropertyTest.cpp
+++ b/tests/OwnershipPropertyTest.cpp
@@ -88,7 +88,7 @@
 
 // Guards against an assigner that loses its right because it noticed a silent
 // store before its deputy did.
-TEST(Ownership, SilentStoreLeavesEveryKeyServed)
+TEST(OwnershipOutage, SilentStoreLeavesEveryKeyServed)
 {
   // Owners are known as of the last event, and instances step every 10 ms.
   constexpr TimeMs kEventMs = 10;
@@ -104,7 +104,7 @@
 // Guards against a takeover that needs the store, whoever noticed first that
 // it is silent, and against records of planned moves that are written to a
 // store which has fallen silent: their slices could not be promoted.
-TEST(Ownership, KilledOwnerIsReplacedWhileTheStoreIsSilent)
+TEST(OwnershipOutage, KilledOwnerIsReplacedWhileTheStoreIsSilent)
 {
   const auto slices = static_cast<int>(SimOptions().slices_);
   for (uint64_t seed = 1; seed <= kOutageSeeds; ++seed) {
