Elections read stored fields by type and heed a leader that spoke meanwhile

Cause 1: fields of the leader's object and of other gateways' entries were read with nlohmann's value(), which throws where a field has another type. The exception left the event loop and ended the process; an entry of another writer or version would have ended all of them.

Change: FieldOr() takes a field only if its type fits. A read that a leader spoke into is given up.

Result: LeaderElectionTest.ReplacesAnObjectThatItCannotRead and ACandidateThatHearsTheLeaderWhileItReadsGivesUp fail before and pass after.

--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/Gateway.hpp"
 
+#include "common/JsonField.hpp"
 #include "common/Strings.hpp"
 #include "gateway/Compression.hpp"
 #include "gossip_types.h"
@@ -454,15 +455,14 @@
   }
   const auto& json = aObject.spec_;
   Endpoint endpoint;
-  if (json.is_object() &&
-      Endpoint::Parse(json.value("peer", std::string()), endpoint)) {
+  if (Endpoint::Parse(FieldOr(json, "peer", std::string()), endpoint)) {
     const auto name = aObject.name_.substr(detail::kInstancePrefix.size());
     if (name != settings_.instance_) {
       mesh_.AddKnown(name,
                      endpoint,
-                     json.value("bootId", int64_t{ 0 }),
-                     json.value("domain", std::string()),
-                     json.value("cpuPercent", 0));
+                     FieldOr(json, "bootId", int64_t{ 0 }),
+                     FieldOr(json, "domain", std::string()),
+                     FieldOr(json, "cpuPercent", 0));
     }
   }
 }
--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -1,5 +1,6 @@
 #include "gateway/LeaderElection.hpp"
 
+#include "common/JsonField.hpp"
 #include "gossip_types.h"
 
 #include <algorithm>
@@ -192,14 +193,15 @@
 
 bool LeaderElection::IsOwnSpec(const nlohmann::json& aSpec) const
 {
-  return aSpec.is_object() && aSpec.value("term", int64_t{ 0 }) == term_ &&
-         aSpec.value("instance", std::string()) == self_.instance_ &&
-         aSpec.value("bootId", int64_t{ 0 }) == self_.bootId_;
+  return FieldOr(aSpec, "term", int64_t{ 0 }) == term_ &&
+         FieldOr(aSpec, "instance", std::string()) == self_.instance_ &&
+         FieldOr(aSpec, "bootId", int64_t{ 0 }) == self_.bootId_;
 }
 
 void LeaderElection::Acquire()
 {
   state_ = State::Acquiring;
+  heardBeforeMs_ = heardMs_;
   const auto round = ++round_;
   store_.Call(store_.Protocol().Get(detail::kLeaderKind, detail::kLeaderName),
               [this, round](const StoreAnswer& aAnswer) {
@@ -212,14 +214,18 @@
 void LeaderElection::OnRead(const StoreAnswer& aAnswer)
 {
   earlier_.clear();
+  if (heardMs_ > heardBeforeMs_) {
+    // A leader spoke meanwhile.
+    state_ = State::Following;
+    return;
+  }
   if (aAnswer.status_ == StoreStatus::Missing) {
     revision_ = 0;
     term_ = std::max<int64_t>(highestTerm_, 0) + 1;
   } else if (aAnswer.status_ == StoreStatus::Ok) {
     const auto& json = aAnswer.object_.spec_;
     revision_ = aAnswer.object_.revision_;
-    const int64_t storedTerm =
-      json.is_object() ? json.value("term", int64_t{ 0 }) : 0;
+    const auto storedTerm = FieldOr(json, "term", int64_t{ 0 });
     // Someone else was faster; its gossip is on the way.
     if (storedTerm > highestTerm_ && IsRenewedRecently(json)) {
       WaitForWinner(storedTerm);
@@ -227,8 +233,8 @@
     }
     term_ = std::max(highestTerm_, storedTerm) + 1;
     const auto addLife = [&](const nlohmann::json& aLife) {
-      LeaderLife life{ aLife.value("instance", std::string()),
-                       aLife.value("bootId", int64_t{ 0 }) };
+      LeaderLife life{ FieldOr(aLife, "instance", std::string()),
+                       FieldOr(aLife, "bootId", int64_t{ 0 }) };
       const auto peer = peers_.Peers().find(life.instance_);
       const bool ended =
         life.instance_ == self_.instance_ ||
@@ -240,8 +246,7 @@
     };
     if (json.is_object()) {
       addLife(json);
-      std::ranges::for_each(json.value("earlier", nlohmann::json::array()),
-                            addLife);
+      std::ranges::for_each(json.value("earlier", nlohmann::json()), addLife);
     }
   } else {
     TryAgainIn(detail::kAcquireRetryMs);
@@ -277,7 +282,7 @@
   }
   if (aAnswer.status_ == StoreStatus::Conflict &&
       aAnswer.object_.spec_.is_object()) {
-    WaitForWinner(aAnswer.object_.spec_.value("term", int64_t{ 0 }));
+    WaitForWinner(FieldOr(aAnswer.object_.spec_, "term", int64_t{ 0 }));
     return;
   }
   TryAgainIn(detail::kAcquireRetryMs);
@@ -296,8 +301,7 @@
   // A hint only: clocks that differ cost one more wait, or one more election.
   constexpr TimeMs kRecentMs =
     LeaderTiming::kRenewMs + LeaderTiming::kSilenceMs;
-  const auto renewedMs =
-    aSpec.is_object() ? aSpec.value("renewedAtMs", int64_t{ 0 }) : 0;
+  const auto renewedMs = FieldOr(aSpec, "renewedAtMs", int64_t{ 0 });
   return std::abs(unixNowMs_() - renewedMs) < kRecentMs;
 }
 
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -135,6 +135,7 @@
   TimeMs confirmedMs_ = 0; ///< sending time of the last confirmed renewal
   TimeMs electedMs_ = 0;
   TimeMs heardMs_ = 0;
+  TimeMs heardBeforeMs_ = 0; ///< heardMs_ when the object's read began
   TimeMs renewedMs_ = 0;
   bool renewing_ = false;
   bool everHeard_ = false;
--- a/tests/LeaderElectionTest.cpp
+++ b/tests/LeaderElectionTest.cpp
@@ -23,6 +23,16 @@
     const bool isRead = aExchange.head_.method_ == "GET";
     writes_ += isRead ? 0 : 1;
     reads_ += isRead ? 1 : 0;
+    if (isRead && onRead_) {
+      onRead_();
+    }
+    if (!stored_.empty() && isRead) {
+      aExchange.write_(Concat("HTTP/1.1 200 X\r\nContent-Length: ",
+                              stored_.size(),
+                              "\r\n\r\n",
+                              stored_));
+      return;
+    }
     if (isRead && writes_ == 0 && winnerMs_ == 0) {
       aExchange.write_("HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n");
       return;
@@ -55,6 +65,8 @@
   int reads_ = 0;
   int writes_ = 0;
   int elected_ = 0;
+  std::function<void()> onRead_; ///< runs before a read is answered
+  std::string stored_;   ///< answer to reads instead of the winner's object
   int64_t winnerMs_ = 0; ///< last renewal of the other's object
   ScriptedServer server_{ loop_,
                           [this](auto& aExchange) { Serve(aExchange); } };
@@ -108,6 +120,36 @@
   EXPECT_EQ(writes_, 0);
 }
 
+// Guards against a candidate that hears the new leader while it reads the
+// object, finds no newer term there and replaces it (accra-grown inc-2f35).
+TEST_F(LeaderElectionTest, ACandidateThatHearsTheLeaderWhileItReadsGivesUp)
+{
+  winnerMs_ = kNowMs - 50;
+  onRead_ = [this] {
+    wire::Gossip leader;
+    leader.instance = "other";
+    leader.term = 1;
+    leader.leading = true;
+    election_.OnGossip(leader);
+  };
+  election_.Start();
+  ASSERT_TRUE(RunLoopUntil(loop_, [&] { return reads_ == 1; }));
+  RunFor(LeaderTiming::kSilenceMs / 2);
+  EXPECT_EQ(elected_, 0);
+  EXPECT_EQ(writes_, 0);
+}
+
+// Guards against a process that ends because another writer has stored fields
+// of other types.
+TEST_F(LeaderElectionTest, ReplacesAnObjectThatItCannotRead)
+{
+  stored_ = R"({"metadata": {"name": "leader", "revision": 12}, "spec": {
+    "term": "x", "instance": 5, "bootId": {}, "renewedAtMs": "soon",
+    "earlier": [1, "a", {"instance": []}]}, "status": {}})";
+  election_.Start();
+  EXPECT_TRUE(RunLoopUntil(loop_, [&] { return writes_ == 1; }));
+}
+
 // Guards against a wait for a leader that ended with all other processes.
 TEST_F(LeaderElectionTest, AStartingGatewayReplacesALeaderOfThePast)
 {
