--- a/assigner/AssignerProcess.cpp
+++ b/assigner/AssignerProcess.cpp
@@ -26,10 +26,8 @@
   options.instance_ = aOptions.instance_;
   options.failureDomain_ = aOptions.failureDomain_;
   // Differs for each run of the process, also after a restart of the machine.
-  const auto unixMs = std::chrono::system_clock::now().time_since_epoch() /
-                      std::chrono::milliseconds(1);
-  options.writer_ =
-    Concat(aOptions.instance_, "#", unixMs, ".", aStartedMs, ".", getpid());
+  options.writer_ = Concat(
+    aOptions.instance_, "#", UnixNowMs(), ".", aStartedMs, ".", getpid());
   options.slices_ = aOptions.slices_;
   return options;
 }
--- a/assigner/StoreDuty.cpp
+++ b/assigner/StoreDuty.cpp
@@ -1,5 +1,6 @@
 #include "StoreDuty.hpp"
 
+#include "common/JsonField.hpp"
 #include "common/Log.hpp"
 #include "common/Strings.hpp"
 
@@ -34,12 +35,8 @@
 /// the store object is another number: not every store counts from 1.
 int64_t ConfigVersion(const std::string& aText)
 {
-  const auto document = nlohmann::json::parse(aText, nullptr, false);
-  const auto version =
-    document.is_object() ? document.find("version") : document.end();
-  return version != document.end() && version->is_number_integer()
-           ? version->get<int64_t>()
-           : 0;
+  return FieldOr(
+    nlohmann::json::parse(aText, nullptr, false), "version", int64_t{ 0 });
 }
 
 WriteResult ToResult(const absl::Status& aStatus)
--- /dev/null
+++ b/common/ShortHash.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include <xxhash.h>
+
+namespace cactuspitch {
+
+/// Short name of a gateway or backend server in datagrams.
+inline uint32_t ShortHash(std::string_view aName)
+{
+  return XXH32(aName.data(), aName.size(), 0);
+}
+
+}
--- a/control/GroupControllerSteps.cpp
+++ b/control/GroupControllerSteps.cpp
@@ -147,15 +147,14 @@
     object.table_.term_ != old.term_ || object.table_.slices_ != old.slices_ ||
     object.table_.servers_ != old.servers_ ||
     object.earlierRenewers_ != state_.stored_.earlierRenewers_;
-  if (!changed) {
-    planner_.DropRequests();
-    return;
-  }
-  if (!needsTerm && !IsStoreFresh(aNowMs)) {
+  if (changed && !needsTerm && !IsStoreFresh(aNowMs)) {
     ProbeStore(aNowMs, aActions);
     return;
   }
   planner_.DropRequests();
+  if (!changed) {
+    return;
+  }
   state_.book_.Block(old, object.table_);
   writeTriedMs_ = aNowMs;
   writer_.Begin(aNowMs, state_.version_, std::move(object), aActions);
--- a/gateway/BackendLink.hpp
+++ b/gateway/BackendLink.hpp
@@ -126,7 +126,4 @@
   size_t Connections() const { return idle_.size() + busy_.size(); }
 };
 
-/// Short name of a backend server among gateways.
-uint32_t BackendHash(std::string_view aId);
-
 }
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -1,12 +1,11 @@
 #include "gateway/BackendPool.hpp"
 
+#include "common/ShortHash.hpp"
 #include "common/Strings.hpp"
 
 #include <algorithm>
 #include <utility>
 
-#include <xxhash.h>
-
 namespace cactuspitch {
 
 namespace detail {
@@ -20,11 +19,6 @@
 
 }
 
-uint32_t BackendHash(std::string_view aId)
-{
-  return XXH32(aId.data(), aId.size(), 0);
-}
-
 BackendPool::BackendPool(EventLoop& aLoop,
                          EventLog& aLog,
                          const RequestProtocol& aProtocol,
@@ -33,6 +27,7 @@
   , log_(aLog)
   , protocol_(aProtocol)
   , onDown_(std::move(aOnDown))
+  , workMs_(detail::kServiceWorkWeight)
 {
 }
 
@@ -75,7 +70,7 @@
   auto backend = std::make_shared<Backend>();
   backend->entry_ = aEntry;
   Endpoint::Parse(aEntry.address_, backend->endpoint_);
-  backend->idHash_ = BackendHash(aEntry.id_);
+  backend->idHash_ = ShortHash(aEntry.id_);
   backend->load_.SetDefaultWorkMs(ServiceWorkMs(aEntry.service_));
   backend->load_.SetSlots(aEntry.slots_);
   if (aEntry.coldRemainingMs_ > 0) {
@@ -168,8 +163,7 @@
 
 double BackendPool::ServiceWorkMs(const std::string& aService) const
 {
-  const auto found = workMs_.find(aService);
-  return found == workMs_.end() ? detail::kInitialWorkMs : found->second;
+  return workMs_.Get(aService, detail::kInitialWorkMs);
 }
 
 void BackendPool::OnConnectFailed(Backend& aBackend, std::string_view aCause)
@@ -190,11 +184,7 @@
 
 void BackendPool::NoteWork(const Backend& aBackend, double aLatencyMs)
 {
-  const auto [entry, isNew] =
-    workMs_.try_emplace(aBackend.entry_.service_, aLatencyMs);
-  if (!isNew) {
-    entry->second += (aLatencyMs - entry->second) * detail::kServiceWorkWeight;
-  }
+  workMs_.Add(aBackend.entry_.service_, aLatencyMs);
 }
 
 void BackendPool::Release(const std::shared_ptr<BackendLink>& aLink,
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -3,6 +3,7 @@
 #include "gateway/BackendLink.hpp"
 #include "gateway/EventLog.hpp"
 #include "policy/LoadBoard.hpp"
+#include "policy/RunningMeans.hpp"
 #include "routing/RoutingConfig.hpp"
 
 #include <functional>
@@ -66,7 +67,7 @@
   std::map<std::string, BackendPtr> backends_;
   std::map<std::string, std::vector<BackendPtr>> byService_;
   std::unordered_map<uint32_t, BackendPtr> byHash_;
-  std::map<std::string, double> workMs_;
+  RunningMeans workMs_;
   int64_t opened_ = 0;
 };
 
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -1,8 +1,11 @@
 #include "gateway/Forwarder.hpp"
 
+#include "common/ShortHash.hpp"
 #include "gateway/ForwardedRequest.hpp"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace cactuspitch {
@@ -30,8 +33,8 @@
 /// the best of a few drawn ones spreads them.
 constexpr size_t kForeignSample = 6;
 /// Size of the answers of a route before the first one.
-constexpr size_t kFirstAnswerBytes = 2048;
-constexpr size_t kFirstDownloadBytes = 65536;
+constexpr double kFirstAnswerBytes = 2048;
+constexpr double kFirstDownloadBytes = 65536;
 constexpr double kAnswerBytesWeight = 0.05;
 
 }
@@ -52,6 +55,7 @@
           [this](const Backend& aBackend) { OnBackendDown(aBackend); })
   , quarantine_({ .expiryMs_ = detail::kQuarantineMs })
   , admission_(std::random_device{}())
+  , answerBytes_(detail::kAnswerBytesWeight)
   , parkTimer_(aLoop, [this] { PumpParked(); })
   , random_(std::random_device{}())
 {
@@ -62,11 +66,12 @@
 void Forwarder::SetConfig(RoutingConfig aConfig)
 {
   routes_ = std::make_shared<RouteTable>(std::move(aConfig));
-  std::erase_if(answerBytes_, [this](const auto& aEntry) {
-    return std::ranges::find(routes_->Config().routes_,
-                             aEntry.first,
-                             &Route::name_) == routes_->Config().routes_.end();
-  });
+  std::set<std::string_view> names;
+  for (const auto& route : routes_->Config().routes_) {
+    names.insert(route.name_);
+  }
+  answerBytes_.Keep(
+    [&](const std::string& aName) { return names.contains(aName); });
 }
 
 void Forwarder::UpdateBackends(
@@ -176,22 +181,15 @@
 
 size_t Forwarder::AnswerBytes(const Route& aRoute) const
 {
-  const auto known = answerBytes_.find(aRoute.name_);
-  if (known != answerBytes_.end()) {
-    return static_cast<size_t>(known->second);
-  }
-  return aRoute.kind_ == RequestKind::Download ? detail::kFirstDownloadBytes
-                                               : detail::kFirstAnswerBytes;
+  const double first = aRoute.kind_ == RequestKind::Download
+                         ? detail::kFirstDownloadBytes
+                         : detail::kFirstAnswerBytes;
+  return static_cast<size_t>(answerBytes_.Get(aRoute.name_, first));
 }
 
 void Forwarder::NoteAnswerBytes(const Route& aRoute, size_t aBytes)
 {
-  const auto [known, isNew] =
-    answerBytes_.try_emplace(aRoute.name_, static_cast<double>(aBytes));
-  if (!isNew) {
-    known->second += (static_cast<double>(aBytes) - known->second) *
-                     detail::kAnswerBytesWeight;
-  }
+  answerBytes_.Add(aRoute.name_, static_cast<double>(aBytes));
 }
 
 Choice Forwarder::ChooseAny(const ForwardedRequest& aRequest,
@@ -348,7 +346,7 @@
   }
   const auto* owner = keys_.Find(aRequest.Service(), *aRequest.Caller().key_);
   return owner == nullptr ||
-         admission_.TryAdmit(BackendHash(owner->id_), loop_.NowMs());
+         admission_.TryAdmit(ShortHash(owner->id_), loop_.NowMs());
 }
 
 TimeMs Forwarder::SpreadRetryMs(TimeMs aRemainingMs)
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -10,6 +10,7 @@
 #include "policy/OwnerAdmission.hpp"
 #include "policy/Placement.hpp"
 #include "policy/RetryBudget.hpp"
+#include "policy/RunningMeans.hpp"
 #include "routing/RouteTable.hpp"
 
 #include <functional>
@@ -142,7 +143,7 @@
   CrashQuarantine quarantine_;
   OwnerAdmission admission_;
   std::map<std::string, RetryBudget> budgets_;
-  std::map<std::string, double> answerBytes_; ///< mean, by route
+  RunningMeans answerBytes_; ///< by route
   std::string self_;
   std::vector<PlacedName> gatewayNames_;
   size_t gateways_ = 8;
--- a/gateway/GossipDuty.hpp
+++ b/gateway/GossipDuty.hpp
@@ -52,8 +52,8 @@
   void OnLeadershipChanged();
   /// Registrations that this gateway has read from the store.
   void TellChanges(std::vector<wire::BackendChange> aChanges);
-  /// The leader's owners of a service have changed.
-  /// Gathers changes of owners and tells them to all, this gateway included.
+  /// The leader's owners have changed; changes are gathered and told to all,
+  /// this gateway included.
   void OnKeysChanged();
 
 private:
--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -1,6 +1,6 @@
 #include "gateway/KeyDirector.hpp"
 
-#include "gateway/BackendPool.hpp"
+#include "common/ShortHash.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -211,7 +211,7 @@
   int count = 0;
   for (const auto& [id, entry] : backends_) {
     const double workMs =
-      entry.service_ == aService ? board_.WorkMs(BackendHash(id)) : 0;
+      entry.service_ == aService ? board_.WorkMs(ShortHash(id)) : 0;
     if (workMs > 0) {
       sum += workMs;
       ++count;
@@ -220,6 +220,12 @@
   return count == 0 ? detail::kDefaultWorkMs : sum / count;
 }
 
+double KeyDirector::MeanWorkSeconds(const std::string& aService) const
+{
+  constexpr double kMsPerSecond = 1000;
+  return MeanWorkMs(aService) / kMsPerSecond;
+}
+
 void KeyDirector::UpdateCandidates()
 {
   if (!running_ || !loaded_ || backends_.empty()) {
@@ -244,7 +250,7 @@
       candidate.bornMs_ = entry.bornMs_;
       candidate.usable_ = entry.state_ == BackendState::Ready;
       double speed = 1;
-      if (const double workMs = board_.WorkMs(BackendHash(id)); workMs > 0) {
+      if (const double workMs = board_.WorkMs(ShortHash(id)); workMs > 0) {
         speed =
           std::clamp(meanMs / workMs, detail::kMinSpeed, detail::kMaxSpeed);
       }
@@ -293,10 +299,9 @@
     return {};
   }
   lastBalanceMs_ = nowMs;
-  constexpr double kMsPerSecond = 1000;
   const auto rates = load->second.Rates(nowMs);
-  auto moves = KeyBalancer().Plan(
-    aOwnership, rates, MeanWorkMs(aService) / kMsPerSecond, nowMs);
+  auto moves =
+    KeyBalancer().Plan(aOwnership, rates, MeanWorkSeconds(aService), nowMs);
   for (const auto& move : moves) {
     log_.Write(LogLevel::Info,
                "keys-balanced",
@@ -312,7 +317,6 @@
 
 std::vector<OwnerDemand> KeyDirector::Demands() const
 {
-  constexpr double kMsPerSecond = 1000;
   const TimeMs nowMs = loop_.NowMs();
   std::vector<OwnerDemand> demands;
   for (const auto& [name, ownership] : services_) {
@@ -326,12 +330,12 @@
     for (const auto& segment : ownership->Segments()) {
       byOwner[segment.owner_] += rates.Rate(segment.first_, segment.last_);
     }
-    const double workSeconds = MeanWorkMs(name) / kMsPerSecond;
+    const double workSeconds = MeanWorkSeconds(name);
     for (const auto& [id, candidate] : ownership->Candidates()) {
       const auto rate = byOwner.find(id);
       if (rate != byOwner.end()) {
         demands.push_back(
-          { BackendHash(id), rate->second, candidate.capacity_ / workSeconds });
+          { ShortHash(id), rate->second, candidate.capacity_ / workSeconds });
       }
     }
   }
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -32,7 +32,7 @@
     /// True while orders may be sent.
     std::function<bool()> mayOrder_;
     std::function<GrantScope()> grantScope_;
-    /// The owners of a service have changed.
+    /// Owners have changed.
     std::function<void()> onChanged_;
     /// A newer leader wrote the table or fenced a server.
     std::function<void(std::string_view aCause)> onSuperseded_;
@@ -88,6 +88,7 @@
   void UpdateCandidates();
   /// Of a request of the service, over its measured servers.
   double MeanWorkMs(const std::string& aService) const;
+  double MeanWorkSeconds(const std::string& aService) const;
   void ReportChanges();
   std::vector<KeyOwnership::Move> PlanMoves(const std::string& aService,
                                             const KeyOwnership& aOwnership);
--- a/gateway/PeerMesh.cpp
+++ b/gateway/PeerMesh.cpp
@@ -1,5 +1,6 @@
 #include "gateway/PeerMesh.hpp"
 
+#include "common/ShortHash.hpp"
 #include "gossip_types.h"
 
 #include <algorithm>
@@ -10,7 +11,6 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <unistd.h>
-#include <xxhash.h>
 
 namespace cactuspitch {
 
@@ -38,7 +38,7 @@
 
 int32_t HashOf(std::string_view aInstance)
 {
-  return static_cast<int32_t>(XXH32(aInstance.data(), aInstance.size(), 0));
+  return static_cast<int32_t>(ShortHash(aInstance));
 }
 
 std::string Encode(const wire::Gossip& aGossip)
@@ -155,7 +155,7 @@
 {
   const auto bytes = detail::Encode(aGossip);
   for (const auto& [instance, peer] : peers_) {
-    if (peer.failureDomain_ == domain_) {
+    if (peer.failureDomain_ == domain_ && instance != aGossip.instance) {
       SendBytes(peer.endpoint_, bytes);
     }
   }
@@ -187,12 +187,7 @@
   aGossip.origin = detail::PackEndpoint(aOrigin);
   // Members fetch a newer configuration from the gateway that told them.
   aGossip.configVersion = std::min(aGossip.configVersion, configVersion_());
-  const auto bytes = detail::Encode(aGossip);
-  for (const auto& [instance, peer] : peers_) {
-    if (peer.failureDomain_ == domain_ && instance != aGossip.instance) {
-      SendBytes(peer.endpoint_, bytes);
-    }
-  }
+  SendToDomain(aGossip);
 }
 
 void PeerMesh::AddKnown(const std::string& aInstance,
--- a/gateway/PeerMesh.hpp
+++ b/gateway/PeerMesh.hpp
@@ -58,7 +58,8 @@
   bool Open(const Endpoint& aEndpoint);
   void SendTo(const Endpoint& aPeer, const wire::Gossip& aGossip);
   void SendToAll(const wire::Gossip& aGossip);
-  /// To the gateways of the own failure domain.
+  /// To the gateways of the own failure domain, but not to the one that it is
+  /// from.
   void SendToDomain(const wire::Gossip& aGossip);
   /// To some living gateways, drawn at random.
   void SendToSome(const wire::Gossip& aGossip, size_t aCount);
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -151,22 +151,22 @@
   const TimeMs lostMs = nowMs - storeOkMs_;
   const auto watchers = WantedWatchers(lostMs, mesh_.AliveCount(nowMs) + 1);
   const bool hearsLeader = election_.HearsLeader();
+  const auto rank = Rank();
   const bool drawn = mesh_.IsLarge() && !hearsLeader
                        ? IsDrawn(watchers)
-                       : Rank() < watchers || !hearsLeader;
+                       : rank < watchers || !hearsLeader;
   if (lostMs >= kWidenMs && drawn) {
     watchUntilMs_ = nowMs + detail::kWatchHoldMs;
   }
   // The leader is one of the watchers, whatever its rank. A starting gateway
   // has read all kinds and waits to hear of a leader.
-  const bool regular = hearsLeader && Rank() + 1 < kWatchers;
+  const bool regular = hearsLeader && rank + 1 < kWatchers;
   const bool met = nowMs - startedMs_ >= detail::kMeetMs;
   const bool watch =
     election_.IsLeading() ||
     (met && (regular || nowMs < watchUntilMs_ || (!hearsLeader && drawn)));
   // The configuration alone shows whether the store is back.
-  const bool all = watch && (regular || election_.IsLeading() ||
-                             (store_.IsReachable() && IsStoreOk()));
+  const bool all = watch && (regular || election_.IsLeading() || IsStoreOk());
   if (watch != watching_ || all != watchingAll_) {
     watching_ = watch;
     watchingAll_ = all;
--- a/router/Router.cpp
+++ b/router/Router.cpp
@@ -18,8 +18,8 @@
 
 int64_t UnixMinute()
 {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::minutes>(now).count();
+  constexpr int64_t kMsPerMinute = 60000;
+  return UnixNowMs() / kMsPerMinute;
 }
 
 HttpServerOptions ServerOptions(const RouterSettings& aSettings)
--- a/tests/GatewayRig.cpp
+++ b/tests/GatewayRig.cpp
@@ -120,7 +120,7 @@
   addServer("keyed", "k0", [this](ScriptedServer::Exchange& aExchange) {
     if (aExchange.head_.target_.starts_with("/-/")) {
       grants_.push_back(aExchange.body_);
-      aExchange.write_("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      aExchange.write_(TextAnswer(200, ""));
     } else {
       aExchange.write_(Answer(aExchange.head_, "keyed"));
     }
@@ -211,13 +211,7 @@
     return;
   }
   const auto reply = [&](int aStatus, const nlohmann::json& aBody) {
-    const auto body = aBody.dump();
-    aExchange.write_(Concat("HTTP/1.1 ",
-                            aStatus,
-                            " X\r\nContent-Length: ",
-                            body.size(),
-                            "\r\n\r\n",
-                            body));
+    aExchange.write_(TextAnswer(aStatus, aBody.dump()));
   };
   const auto& target = aExchange.head_.target_;
   const auto path = target.substr(std::string("/-/objects/").size());
@@ -265,6 +259,23 @@
   RunFor(20);
 }
 
+std::string TextAnswer(int aStatus, std::string_view aBody)
+{
+  return Concat("HTTP/1.1 ",
+                aStatus,
+                " X\r\nContent-Length: ",
+                aBody.size(),
+                "\r\n\r\n",
+                aBody);
+}
+
+void RunLoopFor(EventLoop& aLoop, TimeMs aMs)
+{
+  Timer timer(aLoop, [&] { aLoop.Stop(); });
+  timer.Start(aMs);
+  aLoop.Run();
+}
+
 bool RunLoopUntil(EventLoop& aLoop, const std::function<bool()>& aDone)
 {
   const TimeMs endMs = SteadyClock().NowMs() + kPatienceMs;
@@ -291,9 +302,7 @@
 
 void GatewayRig::RunFor(TimeMs aMs)
 {
-  Timer timer(loop_, [this] { loop_.Stop(); });
-  timer.Start(aMs);
-  loop_.Run();
+  RunLoopFor(loop_, aMs);
 }
 
 namespace {
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -52,6 +52,10 @@
   std::vector<std::shared_ptr<Connection>> connections_;
 };
 
+/// An answer in HTTP with this body.
+std::string TextAnswer(int aStatus, std::string_view aBody);
+
+void RunLoopFor(EventLoop& aLoop, TimeMs aMs);
 /// Runs the loop until aDone holds; false after 5 s.
 bool RunLoopUntil(EventLoop& aLoop, const std::function<bool()>& aDone);
 
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -21,6 +21,13 @@
       aExchange.body_));
 }
 
+/// Takes no notice of what comes back.
+struct SilentCaller final : public StreamHandler
+{
+  void OnInput() override {}
+  void OnStreamClosed(CloseReason) override {}
+};
+
 int StatusOf(const std::string& aAnswer)
 {
   return aAnswer.size() < 12 ? 0 : std::stoi(aAnswer.substr(9, 3));
@@ -284,11 +291,7 @@
 {
   GatewayRig rig([](Exchange&) {}, 1);
   {
-    struct Silent final : public StreamHandler
-    {
-      void OnInput() override {}
-      void OnStreamClosed(CloseReason) override {}
-    } handler;
+    SilentCaller handler;
     TcpStream caller(rig.Loop(), handler);
     caller.Connect(rig.GatewayAddress());
     caller.Write(GatewayRig::Request("GET", "plain", "gone"));
@@ -326,11 +329,7 @@
 {
   GatewayRig rig([](Exchange&) {}, 1);
   {
-    struct Silent final : public StreamHandler
-    {
-      void OnInput() override {}
-      void OnStreamClosed(CloseReason) override {}
-    } handler;
+    SilentCaller handler;
     TcpStream caller(rig.Loop(), handler);
     caller.Connect(rig.GatewayAddress());
     constexpr int kRequests = 40;
--- a/tests/LeaderElectionTest.cpp
+++ b/tests/LeaderElectionTest.cpp
@@ -27,14 +27,11 @@
       onRead_();
     }
     if (!stored_.empty() && isRead) {
-      aExchange.write_(Concat("HTTP/1.1 200 X\r\nContent-Length: ",
-                              stored_.size(),
-                              "\r\n\r\n",
-                              stored_));
+      aExchange.write_(TextAnswer(200, stored_));
       return;
     }
     if (isRead && writes_ == 0 && winnerMs_ == 0) {
-      aExchange.write_("HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n");
+      aExchange.write_(TextAnswer(404, ""));
       return;
     }
     const auto winner =
@@ -44,18 +41,15 @@
              winnerMs_,
              R"(}, "status": {}})");
     const bool loses = writes_ == 1 && !isRead && winnerMs_ == 0;
-    aExchange.write_(Concat("HTTP/1.1 ",
-                            loses ? "409 X" : "200 X",
-                            "\r\nContent-Length: ",
-                            winner.size(),
-                            "\r\n\r\n",
-                            winner));
+    aExchange.write_(TextAnswer(loses ? 409 : 200, winner));
   }
-  void RunFor(TimeMs aMs)
+  /// It reads the object and leaves it to the other gateway.
+  void ExpectToWaitAfterTheRead()
   {
-    Timer end(loop_, [this] { loop_.Stop(); });
-    end.Start(aMs);
-    loop_.Run();
+    ASSERT_TRUE(RunLoopUntil(loop_, [&] { return reads_ == 1; }));
+    RunLoopFor(loop_, LeaderTiming::kSilenceMs / 2);
+    EXPECT_EQ(elected_, 0);
+    EXPECT_EQ(writes_, 0);
   }
 
   EventLoop loop_;
@@ -88,7 +82,7 @@
 {
   election_.Start();
   ASSERT_TRUE(RunLoopUntil(loop_, [&] { return writes_ == 1; }));
-  RunFor(LeaderTiming::kSilenceMs / 2);
+  RunLoopFor(loop_, LeaderTiming::kSilenceMs / 2);
   EXPECT_EQ(elected_, 0);
   EXPECT_EQ(writes_, 1);
 }
@@ -98,10 +92,7 @@
 {
   winnerMs_ = kNowMs - 300;
   election_.Start();
-  ASSERT_TRUE(RunLoopUntil(loop_, [&] { return reads_ == 1; }));
-  RunFor(LeaderTiming::kSilenceMs / 2);
-  EXPECT_EQ(elected_, 0);
-  EXPECT_EQ(writes_, 0);
+  ExpectToWaitAfterTheRead();
 }
 
 // Guards against a second election by a candidate that was slower and takes
@@ -114,10 +105,7 @@
   winnerMs_ = kNowMs - 50;
   election_.Start();
   election_.OnGossip(old);
-  ASSERT_TRUE(RunLoopUntil(loop_, [&] { return reads_ == 1; }));
-  RunFor(LeaderTiming::kSilenceMs / 2);
-  EXPECT_EQ(elected_, 0);
-  EXPECT_EQ(writes_, 0);
+  ExpectToWaitAfterTheRead();
 }
 
 // Guards against a candidate that hears the new leader while it reads the
@@ -133,10 +121,7 @@
     election_.OnGossip(leader);
   };
   election_.Start();
-  ASSERT_TRUE(RunLoopUntil(loop_, [&] { return reads_ == 1; }));
-  RunFor(LeaderTiming::kSilenceMs / 2);
-  EXPECT_EQ(elected_, 0);
-  EXPECT_EQ(writes_, 0);
+  ExpectToWaitAfterTheRead();
 }
 
 // Guards against a process that ends because another writer has stored fields
@@ -156,7 +141,7 @@
   winnerMs_ = kNowMs - 5000;
   election_.Start();
   ASSERT_TRUE(RunLoopUntil(loop_, [&] { return reads_ == 1; }));
-  RunFor(LeaderTiming::kSilenceMs / 2);
+  RunLoopFor(loop_, LeaderTiming::kSilenceMs / 2);
   EXPECT_EQ(writes_, 1);
 }
 
--- a/tests/RelayTreeTest.cpp
+++ b/tests/RelayTreeTest.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/PeerMesh.hpp"
 #include "gossip_types.h"
+#include "tests/GatewayRig.hpp"
 #include "tests/ReservedPort.hpp"
 
 #include <algorithm>
@@ -154,9 +155,7 @@
   gossip.instance = "a";
   gossip.configVersion = 5;
   leader.mesh_.SendToAll(gossip);
-  Timer stop(loop, [&] { loop.Stop(); });
-  stop.Start(200);
-  loop.Run();
+  RunLoopFor(loop, 200);
   ASSERT_EQ(member.received_.size(), 2U);
   std::set<int64_t> versions;
   for (size_t index = 0; index < 2; ++index) {
--- a/tests/StoreFollowerTest.cpp
+++ b/tests/StoreFollowerTest.cpp
@@ -1,6 +1,5 @@
 #include "gateway/StoreFollower.hpp"
 
-#include "common/Strings.hpp"
 #include "platform/Objects.hpp"
 #include "tests/GatewayRig.hpp"
 
@@ -24,9 +23,7 @@
     const auto body = nlohmann::json{ { "items", nlohmann::json::array() },
                                       { "has-more", false },
                                       { "at", 10 + lists_ } };
-    const auto text = body.dump();
-    aExchange.write_(Concat(
-      "HTTP/1.1 200 OK\r\nContent-Length: ", text.size(), "\r\n\r\n", text));
+    aExchange.write_(TextAnswer(200, body.dump()));
   }
   EventLoop loop_;
   EventLog log_{ loop_, LogLevel::Error, STDERR_FILENO };
--- a/tests/StoreRelayTest.cpp
+++ b/tests/StoreRelayTest.cpp
@@ -1,6 +1,5 @@
 #include "gateway/StoreRelay.hpp"
 
-#include "common/Strings.hpp"
 #include "gossip_types.h"
 #include "platform/Objects.hpp"
 #include "tests/GatewayRig.hpp"
@@ -37,12 +36,6 @@
   EXPECT_EQ(StoreRelay::WantedWatchers(5000, 68), 68U);
 }
 
-std::string JsonAnswer(std::string_view aBody)
-{
-  return Concat(
-    "HTTP/1.1 200 OK\r\nContent-Length: ", aBody.size(), "\r\n\r\n", aBody);
-}
-
 /// A gateway with what others tell it. It watches the store after
 /// StartToWatch().
 class RelayedDirectoryTest : public testing::Test
@@ -85,7 +78,7 @@
     loop_,
     [](auto& aExchange) {
       aExchange.write_(
-        JsonAnswer(R"({"items": [], "has-more": false, "at": 100})"));
+        TextAnswer(200, R"({"items": [], "has-more": false, "at": 100})"));
     }
   };
   StoreLink store_{ loop_, log_, client_, objects_, storeServer_.Address() };
@@ -146,7 +139,7 @@
 TEST_F(RelayedDirectoryTest, AWatcherTakesOverTheNewerStateOfAnother)
 {
   ScriptedServer peer(loop_, [](auto& aExchange) {
-    aExchange.write_(JsonAnswer(R"({"revision": 130, "servers": []})"));
+    aExchange.write_(TextAnswer(200, R"({"revision": 130, "servers": []})"));
   });
   ASSERT_TRUE(StartToWatch());
   BackendEntry entry;
