--- /dev/null
+++ b/tests/CrashingCallsTest.cpp
@@ -0,0 +1,152 @@
+#include "policy/CrashQuarantine.hpp"
+#include "tests/GatewayRig.hpp"
+
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace cactuspitch {
+namespace {
+
+using Exchange = ScriptedServer::Exchange;
+
+constexpr uint64_t kBad = 1;
+/// The rule starts to count once so many servers have ended.
+constexpr int kToleratedCrashes = 3;
+
+SuspectVerdict Begin(CrashQuarantine& aQuarantine, TimeMs aNowMs)
+{
+  return aQuarantine.TryBegin(kBad, "server", aNowMs).verdict_;
+}
+
+// Guards against crashes that do not add up because each router saw one.
+TEST(CrashingCalls, CrashesSeenByDifferentRoutersAddUp)
+{
+  constexpr int kRouters = 5;
+  std::vector<CrashQuarantine> routers(kRouters);
+  for (int i = 0; i < kRouters; ++i) {
+    routers[i].OnCrash("server-" + std::to_string(i), { kBad }, i);
+  }
+  for (auto& from : routers) {
+    for (auto& to : routers) {
+      to.Merge(from.Entries(10), 11);
+    }
+  }
+  int starts = 0;
+  for (auto& router : routers) {
+    starts += Begin(router, 100) == SuspectVerdict::Run ? 1 : 0;
+  }
+  EXPECT_LE(starts, 1);
+}
+
+// Guards against a message that was delayed and revokes a release.
+TEST(CrashingCalls, LateMessageDoesNotRevokeARelease)
+{
+  CrashQuarantine here;
+  CrashQuarantine peer;
+  peer.OnCrash("a", { kBad }, 0);
+  peer.OnCrash("b", { kBad }, 1000);
+  const auto told = peer.Entries(1000);
+  here.Merge(told, 1010);
+  here.Release(kBad, 1020);
+  here.Merge(told, 1060);
+  EXPECT_EQ(Begin(here, 1070), SuspectVerdict::Run);
+  peer.Merge(here.Entries(1080), 1090);
+  EXPECT_EQ(Begin(peer, 1100), SuspectVerdict::Run);
+}
+
+std::string CrashingCall(int aId)
+{
+  return GatewayRig::Request(
+    "POST", "plain", "crash" + std::to_string(aId), "", "crash");
+}
+
+// Guards against a refusal that counts as proof that the request is harmless.
+TEST(CrashingCalls, RefusalDoesNotClearACrash)
+{
+  constexpr int kServers = 8;
+  int crashes = 0;
+  int calls = 0;
+  GatewayRig rig(
+    [&](Exchange& aExchange) {
+      if (++calls % 2 == 0) {
+        aExchange.write_("HTTP/1.1 503 Busy\r\nCactuspitch-Not-Executed: 1\r\n"
+                         "Content-Length: 0\r\n\r\n");
+        return;
+      }
+      ++crashes;
+      aExchange.server_->Crash();
+    },
+    kServers);
+  for (int id = 0; id < 2 * kServers; ++id) {
+    rig.Ask(CrashingCall(id));
+    rig.RunFor(30);
+  }
+  EXPECT_LE(crashes, kToleratedCrashes);
+}
+
+// Guards against crashes that are not noticed because the server listens again
+// before the next connection attempt.
+TEST(CrashingCalls, ServerThatRestartsAtOnceHasCrashed)
+{
+  constexpr int kServers = 8;
+  std::vector<ScriptedServer*> ended;
+  int crashes = 0;
+  GatewayRig rig(
+    [&](Exchange& aExchange) {
+      ++crashes;
+      aExchange.server_->Crash();
+      aExchange.server_->Restart();
+      ended.push_back(aExchange.server_);
+    },
+    kServers);
+  for (int id = 0; id < 2 * kServers; ++id) {
+    rig.Ask(CrashingCall(id));
+    rig.RunFor(50);
+    for (size_t index = 0; index < kServers; ++index) {
+      if (std::erase(ended, &rig.Backend(index)) > 0) {
+        rig.Reregister(index, 2 + id);
+      }
+    }
+    rig.RunFor(150);
+  }
+  EXPECT_LE(crashes, kToleratedCrashes);
+}
+
+// Guards against a crash that is not noticed because the caller has left.
+TEST(CrashingCalls, CrashCountsAfterItsCallerHasLeft)
+{
+  constexpr int kServers = 8;
+  int crashes = 0;
+  std::vector<std::unique_ptr<Timer>> timers;
+  EventLoop* loop = nullptr;
+  GatewayRig rig(
+    [&](Exchange& aExchange) {
+      auto* server = aExchange.server_;
+      timers.push_back(std::make_unique<Timer>(*loop, [&crashes, server] {
+        ++crashes;
+        server->Crash();
+      }));
+      timers.back()->Start(60);
+    },
+    kServers);
+  loop = &rig.Loop();
+  struct Caller final : public StreamHandler
+  {
+    void OnInput() override {}
+    void OnStreamClosed(CloseReason) override {}
+  };
+  for (int id = 0; id < kServers; ++id) {
+    Caller caller;
+    TcpStream stream(rig.Loop(), caller);
+    stream.Connect(rig.GatewayAddress());
+    stream.Write(CrashingCall(id));
+    rig.RunFor(30);
+    stream.Close();
+    rig.RunFor(120);
+  }
+  EXPECT_LE(crashes, kToleratedCrashes);
+}
+
+}
+}
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -20,6 +20,7 @@
 public:
   struct Exchange
   {
+    ScriptedServer* server_ = nullptr;
     HttpHead head_;
     std::string body_;
     std::function<void(std::string_view)> write_;
@@ -33,6 +34,10 @@
   Endpoint Address() const { return address_; }
   /// Resets each new connection, as a server does that has too many.
   void SetFull(bool aFull) { full_ = aFull; }
+  /// Resets all connections and refuses new ones, as a process does that ends.
+  void Crash();
+  /// Listens again at the same address.
+  void Restart();
   int Accepted() const { return accepted_; }
   int Requests() const { return requests_; }
   /// Connections that their client has closed.
@@ -84,6 +89,9 @@
   /// Takes the store away, or gives it back.
   void SetStoreDown(bool aDown) { storeDown_ = aDown; }
   std::vector<std::string>& Grants() { return grants_; }
+  /// Writes the registration of a backend server without keys again, as another
+  /// life of it, and tells those that watch.
+  void Reregister(size_t aIndex, int64_t aBornMs);
   /// Reloads with these settings, or finds them wrong.
   void Reload(std::optional<GatewaySettings> aSettings);
   const GatewaySettings& Settings() const { return settings_; }
@@ -98,6 +106,9 @@
 
 private:
   void ServeStore(ScriptedServer::Exchange& aExchange);
+  nlohmann::json Registration(const std::string& aService,
+                              const ScriptedServer& aServer,
+                              int64_t aBornMs) const;
   void Put(const std::string& aKind,
            const std::string& aName,
            const nlohmann::json& aSpec);
@@ -115,6 +126,8 @@
   int64_t revision_ = 10;
   bool storeDown_ = false;
   std::vector<std::string> grants_;
+  /// Watches of registrations that wait for a change.
+  std::vector<ScriptedServer::Exchange> watches_;
   std::unique_ptr<ScriptedServer> storeServer_;
   std::vector<std::unique_ptr<ScriptedServer>> backends_;
   GatewaySettings settings_;
