--- a/gateway/BackendLink.cpp
+++ b/gateway/BackendLink.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/BackendPool.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cactuspitch {
@@ -32,13 +33,24 @@
 {
 }
 
+bool Backend::HasOpenConnection() const
+{
+  const auto isOpen = [](const auto& aLink) { return aLink->IsConnected(); };
+  return std::ranges::any_of(idle_, isOpen) ||
+         std::ranges::any_of(busy_, isOpen);
+}
+
 void BackendLink::Start(AttemptHandler& aHandler,
+                        AttemptTag aTag,
                         std::string aHead,
                         std::string_view aBody,
                         std::string aRequestId,
                         bool aExpectsBody)
 {
   handler_ = &aHandler;
+  tag_ = aTag;
+  ranWell_ = false;
+  refused_ = false;
   busy_ = true;
   headTaken_ = false;
   skipping_ = false;
@@ -82,9 +94,10 @@
 {
   handler_ = nullptr;
   if (busy_) {
+    const bool sent = stream_.WrittenBytes() > sentBefore_;
     stream_.Abort();
     timer_.Stop();
-    Leave();
+    Leave(sent ? AttemptOutcome::Abandoned : AttemptOutcome::NotRun);
     pool_.Release(shared_from_this(), false);
   }
 }
@@ -203,6 +216,9 @@
     return true;
   }
   headTaken_ = true;
+  constexpr int kFirstServerError = 500;
+  ranWell_ = info.sealed_ && !info.notRun_ && head.status_ < kFirstServerError;
+  refused_ = info.notRun_;
   const TimeMs nowMs = pool_.loop_.NowMs();
   if (info.load_) {
     backend_->load_.OnReport(*info.load_, nowMs);
@@ -229,7 +245,9 @@
     backend_->load_.OnFailed(nowMs);
   }
   auto* handler = std::exchange(handler_, nullptr);
-  Leave();
+  Leave(ranWell_   ? AttemptOutcome::RanWell
+        : refused_ ? AttemptOutcome::NotRun
+                   : AttemptOutcome::Other);
   if (!aReusable) {
     stream_.Abort();
   }
@@ -262,10 +280,14 @@
     // The server has as many connections as it takes.
     backend_->load_.OnShed(pool_.loop_.NowMs());
   }
-  Fail(unsent ? AttemptEnd::NotSent : AttemptEnd::MaybeRun, EnumName(aReason));
+  Fail(unsent ? AttemptEnd::NotSent : AttemptEnd::MaybeRun,
+       EnumName(aReason),
+       AttemptOutcome::Broken);
 }
 
-void BackendLink::Fail(AttemptEnd aEnd, std::string_view aCause)
+void BackendLink::Fail(AttemptEnd aEnd,
+                       std::string_view aCause,
+                       AttemptOutcome aOutcome)
 {
   if (!busy_) {
     return;
@@ -274,7 +296,7 @@
   timer_.Stop();
   backend_->load_.OnFailed(pool_.loop_.NowMs());
   auto* handler = std::exchange(handler_, nullptr);
-  Leave();
+  Leave(aEnd == AttemptEnd::NotSent ? AttemptOutcome::NotRun : aOutcome);
   stream_.Abort();
   pool_.Release(self, false);
   if (handler != nullptr) {
@@ -282,12 +304,13 @@
   }
 }
 
-void BackendLink::Leave()
+void BackendLink::Leave(AttemptOutcome aOutcome)
 {
   unsent_.clear();
   if (busy_) {
     busy_ = false;
     backend_->load_.OnEnded();
+    pool_.observer_.OnAttemptOver(backend_, tag_, aOutcome);
   }
 }
 
--- a/gateway/BackendLink.hpp
+++ b/gateway/BackendLink.hpp
@@ -25,6 +25,34 @@
   static constexpr std::string_view kNames[] = { "not-sent", "maybe-run" };
 };
 
+/// How the server dealt with an attempt, as far as its connection tells.
+enum class AttemptOutcome : uint8_t
+{
+  RanWell,   ///< ran to a good end
+  NotRun,    ///< refused, or certainly nothing of it arrived
+  Broken,    ///< the server ended the connection under it
+  Abandoned, ///< this gateway ended the connection under it
+  Other,     ///< a failure of the server, or bytes that are no answer
+  Count
+};
+
+template<>
+struct EnumNames<AttemptOutcome>
+{
+  static constexpr std::string_view kNames[] = { "ran-well",
+                                                 "not-run",
+                                                 "broken",
+                                                 "abandoned",
+                                                 "other" };
+};
+
+/// What an attempt carries for policy/CrashQuarantine.
+struct AttemptTag
+{
+  uint64_t fingerprint_ = 0;
+  int knownCrashes_ = 0; ///< of the request, when the attempt began
+};
+
 /// Receives the answer of one attempt.
 class AttemptHandler
 {
@@ -55,6 +83,7 @@
   /// aHandler stays valid until it was told of an end, or
   /// until Detach or Cancel.
   void Start(AttemptHandler& aHandler,
+             AttemptTag aTag,
              std::string aHead,
              std::string_view aBody,
              std::string aRequestId,
@@ -64,6 +93,7 @@
   /// Lets the request run to its end without anybody listening.
   void Detach();
   void PauseReading(bool aPaused);
+  bool IsConnected() const { return stream_.IsConnected(); }
   Backend& Server() { return *backend_; }
 
 private:
@@ -77,8 +107,11 @@
   void ReadAnswers();
   bool TakeHead();
   void FinishAnswer(bool aReusable);
-  void Fail(AttemptEnd aEnd, std::string_view aCause);
-  void Leave();
+  /// aOutcome is Other unless the end is known to be another one.
+  void Fail(AttemptEnd aEnd,
+            std::string_view aCause,
+            AttemptOutcome aOutcome = AttemptOutcome::Other);
+  void Leave(AttemptOutcome aOutcome);
 
   BackendPool& pool_;
   std::shared_ptr<Backend> backend_;
@@ -87,6 +120,9 @@
   HttpParser parser_;
   std::string body_;
   AttemptHandler* handler_ = nullptr;
+  AttemptTag tag_;
+  bool ranWell_ = false; ///< the answer's head tells so
+  bool refused_ = false; ///< as not run
   bool busy_ = false;
   bool headTaken_ = false;
   bool skipping_ = false; ///< reads an answer that belongs to no request
@@ -123,6 +159,8 @@
   {
     return registered_ && entry_.state_ == BackendState::Ready;
   }
+  /// A connection is open, so the server has not ended.
+  bool HasOpenConnection() const;
   size_t Connections() const { return idle_.size() + busy_.size(); }
 };
 
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -22,11 +22,11 @@
 BackendPool::BackendPool(EventLoop& aLoop,
                          EventLog& aLog,
                          const RequestProtocol& aProtocol,
-                         DownTask aOnDown)
+                         BackendObserver& aObserver)
   : loop_(aLoop)
   , log_(aLog)
   , protocol_(aProtocol)
-  , onDown_(std::move(aOnDown))
+  , observer_(aObserver)
   , workMs_(detail::kServiceWorkWeight)
 {
 }
@@ -82,6 +82,7 @@
 void BackendPool::Remove(const BackendPtr& aBackend)
 {
   aBackend->registered_ = false;
+  observer_.OnBackendGone(*aBackend);
   auto idle = std::exchange(aBackend->idle_, {});
   loop_.Defer([idle = std::move(idle)] {});
   std::erase(byService_[aBackend->entry_.service_], aBackend);
@@ -179,7 +180,7 @@
                "backend-down",
                { { "backend", aBackend.entry_.id_ }, { "cause", aCause } });
   }
-  onDown_(aBackend);
+  observer_.OnBackendDown(aBackend);
 }
 
 void BackendPool::NoteWork(const Backend& aBackend, double aLatencyMs)
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -16,18 +16,30 @@
 
 namespace cactuspitch {
 
+/// Told of what becomes of attempts and backend servers.
+class BackendObserver
+{
+public:
+  virtual ~BackendObserver() = default;
+  virtual void OnAttemptOver(const std::shared_ptr<Backend>& aBackend,
+                             const AttemptTag& aTag,
+                             AttemptOutcome aOutcome) = 0;
+  /// The server does not take connections any more.
+  virtual void OnBackendDown(const Backend& aBackend) = 0;
+  /// The registration of this life of the server is gone.
+  virtual void OnBackendGone(const Backend& aBackend) = 0;
+};
+
 /// Backend servers and the connections to them.
 class BackendPool
 {
 public:
   using BackendPtr = std::shared_ptr<Backend>;
-  /// Told when a server does not take connections any more.
-  using DownTask = std::function<void(const Backend& aBackend)>;
 
   BackendPool(EventLoop& aLoop,
               EventLog& aLog,
               const RequestProtocol& aProtocol,
-              DownTask aOnDown);
+              BackendObserver& aObserver);
   ~BackendPool();
 
   /// Takes over the entries of the named servers; one without entry is gone.
@@ -63,7 +75,7 @@
   EventLoop& loop_;
   EventLog& log_;
   const RequestProtocol& protocol_;
-  DownTask onDown_;
+  BackendObserver& observer_;
   std::map<std::string, BackendPtr> backends_;
   std::map<std::string, std::vector<BackendPtr>> byService_;
   std::unordered_map<uint32_t, BackendPtr> byHash_;
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -197,36 +197,26 @@
   return text;
 }
 
-bool ForwardedRequest::MayRunOn(const std::string& aBackendId)
+bool ForwardedRequest::MayRunOn(const SuspectDecision& aDecision)
 {
-  auto& quarantine = forwarder_.Quarantine();
-  if (!quarantine.HasSuspects()) {
-    return true;
-  }
-  const auto decision =
-    quarantine.TryBegin(fingerprint_, aBackendId, forwarder_.Loop().NowMs());
-  if (decision.verdict_ == SuspectVerdict::Refuse) {
-    Reject(503, "quarantined", RemainingMs());
-  } else if (decision.verdict_ == SuspectVerdict::Wait) {
+  if (aDecision.verdict_ == SuspectVerdict::Refuse) {
+    // What an earlier attempt may have run is no refusal.
+    Reject(sent_ ? 502 : 503,
+           "quarantined",
+           aDecision.waitMs_ > 0 ? aDecision.waitMs_ : RemainingMs());
+  } else if (aDecision.verdict_ == SuspectVerdict::Wait) {
     parked_ = true;
     forwarder_.Park(shared_from_this());
   }
-  return decision.verdict_ == SuspectVerdict::Run;
-}
-
-void ForwardedRequest::LeaveQuarantine(bool aEndedWell)
-{
-  auto& quarantine = forwarder_.Quarantine();
-  if (quarantine.HasSuspects()) {
-    quarantine.OnEnd(
-      fingerprint_, lastBackend_, aEndedWell, forwarder_.Loop().NowMs());
-  }
+  return aDecision.verdict_ == SuspectVerdict::Run;
 }
 
 void ForwardedRequest::SendTo(const Choice& aChoice)
 {
   const auto& backend = aChoice.backend_;
-  if (!MayRunOn(backend->entry_.id_)) {
+  auto& crashes = forwarder_.Crashes();
+  const auto decision = crashes.TryBegin(fingerprint_, *backend);
+  if (!MayRunOn(decision)) {
     return;
   }
   auto link = forwarder_.Pool().Acquire(
@@ -234,7 +224,7 @@
     aChoice.maxConnections_,
     IsIdempotent() ? detail::kMaxIdleMs : detail::kMaxIdleNonIdempotentMs);
   if (link == nullptr) {
-    LeaveQuarantine(false);
+    crashes.GiveBack(fingerprint_, *backend);
     parked_ = true;
     forwarder_.Park(shared_from_this());
     return;
@@ -245,6 +235,7 @@
   answerBody_.clear();
   link_ = link;
   link->Start(*this,
+              { fingerprint_, decision.knownCrashes_ },
               RequestHead(*backend),
               body_,
               caller_.requestId_,
@@ -296,7 +287,6 @@
 {
   link_ = nullptr;
   const auto self = shared_from_this();
-  LeaveQuarantine(true);
   forwarder_.OnAttemptEnded();
   if (sink_ == nullptr || answered_) {
     return;
@@ -333,11 +323,9 @@
   const auto link = std::exchange(link_, nullptr);
   const auto self = shared_from_this();
   forwarder_.Metrics().OnAttempt(EnumName(aEnd));
-  LeaveQuarantine(false);
   forwarder_.OnAttemptEnded();
   if (aEnd == AttemptEnd::MaybeRun) {
     sent_ = true;
-    forwarder_.NoteSuspect(fingerprint_, lastBackend_);
   }
   if (sink_ == nullptr || answered_) {
     return;
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -80,8 +80,7 @@
   void Dispatch();
   void SendTo(const Choice& aChoice);
   /// False when a request that crashes servers must wait or was refused.
-  bool MayRunOn(const std::string& aBackendId);
-  void LeaveQuarantine(bool aEndedWell);
+  bool MayRunOn(const SuspectDecision& aDecision);
   std::string RequestHead(const Backend& aBackend) const;
   void OnNotRun();
   /// An attempt may have run and gave no usable answer.
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -18,9 +18,6 @@
 /// differ from ours.
 constexpr double kBudgetSafety = 0.8;
 constexpr double kPercent = 100;
-constexpr TimeMs kSuspectWindowMs = 1000;
-/// Callers give up on a request long before; a fixed server may run it again.
-constexpr TimeMs kQuarantineMs = 60000;
 /// The owner of a key is being changed: callers come back after this.
 constexpr TimeMs kMoveRetryMs = 60;
 /// A move of keys is over within this time, where both servers answer.
@@ -43,17 +40,15 @@
                      EventLog& aLog,
                      GatewayMetrics& aMetrics,
                      const RequestProtocol& aProtocol,
-                     ForwardingBounds aBounds)
+                     ForwardingBounds aBounds,
+                     CrashWatch::ChangeTask aOnSuspects)
   : loop_(aLoop)
   , log_(aLog)
   , metrics_(aMetrics)
   , protocol_(aProtocol)
   , bounds_(std::move(aBounds))
-  , pool_(aLoop,
-          aLog,
-          aProtocol,
-          [this](const Backend& aBackend) { OnBackendDown(aBackend); })
-  , quarantine_({ .expiryMs_ = detail::kQuarantineMs })
+  , crashes_(aLoop, aLog, std::move(aOnSuspects))
+  , pool_(aLoop, aLog, aProtocol, crashes_)
   , admission_(std::random_device{}())
   , answerBytes_(detail::kAnswerBytesWeight)
   , parkTimer_(aLoop, [this] { PumpParked(); })
@@ -91,6 +86,10 @@
     UpdateBudgets();
     self_ = aSelf;
     gatewayNames_ = aGateways;
+    std::vector<std::string> names;
+    std::ranges::transform(
+      aGateways, std::back_inserter(names), &PlacedName::first);
+    crashes_.SetGateways(aSelf, std::move(names));
     AssignHomes();
   }
 }
@@ -368,46 +367,4 @@
   return std::exchange(keyCounts_, {});
 }
 
-void Forwarder::NoteSuspect(uint64_t aFingerprint,
-                            const std::string& aBackendId)
-{
-  const TimeMs nowMs = loop_.NowMs();
-  std::erase_if(suspects_, [&](const Suspect& aSuspect) {
-    return nowMs - aSuspect.atMs_ > detail::kSuspectWindowMs;
-  });
-  suspects_.push_back({ aFingerprint, aBackendId, nowMs });
-  if (log_.Allows(LogLevel::Info, "attempt-broken")) {
-    log_.Write(LogLevel::Info,
-               "attempt-broken",
-               { { "fingerprint", absl::Hex(aFingerprint) },
-                 { "backend", aBackendId } });
-  }
-}
-
-void Forwarder::OnBackendDown(const Backend& aBackend)
-{
-  const auto& id = aBackend.entry_.id_;
-  std::vector<uint64_t> inFlight;
-  std::erase_if(suspects_, [&](const Suspect& aSuspect) {
-    const bool here = aSuspect.backendId_ == id;
-    if (here) {
-      inFlight.push_back(aSuspect.fingerprint_);
-    }
-    return here;
-  });
-  if (inFlight.empty()) {
-    return;
-  }
-  quarantine_.OnCrash(id, inFlight, loop_.NowMs());
-  for (const auto fingerprint : inFlight) {
-    if (log_.Allows(LogLevel::Info, "suspect-counted")) {
-      log_.Write(LogLevel::Info,
-                 "suspect-counted",
-                 { { "fingerprint", absl::Hex(fingerprint) },
-                   { "backend", id },
-                   { "beside", inFlight.size() - 1 } });
-    }
-  }
-}
-
 }
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "gateway/BackendPool.hpp"
+#include "gateway/CrashWatch.hpp"
 #include "gateway/EventLog.hpp"
 #include "gateway/GatewayMetrics.hpp"
 #include "gateway/PlatformPort.hpp"
 #include "keyspace/KeyView.hpp"
-#include "policy/CrashQuarantine.hpp"
 #include "policy/HomeServers.hpp"
 #include "policy/OwnerAdmission.hpp"
 #include "policy/Placement.hpp"
@@ -52,7 +52,8 @@
             EventLog& aLog,
             GatewayMetrics& aMetrics,
             const RequestProtocol& aProtocol,
-            ForwardingBounds aBounds);
+            ForwardingBounds aBounds,
+            CrashWatch::ChangeTask aOnSuspects);
   ~Forwarder();
 
   void SetConfig(RoutingConfig aConfig);
@@ -70,7 +71,7 @@
   std::shared_ptr<RouteTable> Routes() { return routes_; }
   KeyView& Keys() { return keys_; }
   BackendPool& Pool() { return pool_; }
-  CrashQuarantine& Quarantine() { return quarantine_; }
+  CrashWatch& Crashes() { return crashes_; }
 
   Choice Choose(const ForwardedRequest& aRequest);
   void Park(const std::shared_ptr<ForwardedRequest>& aRequest);
@@ -86,8 +87,6 @@
   void OnAttemptEnded() { SchedulePump(); }
   /// A server gave an answer of this size to a request of the route.
   void NoteAnswerBytes(const Route& aRoute, size_t aBytes);
-  /// A request's connection to the server ended without an answer.
-  void NoteSuspect(uint64_t aFingerprint, const std::string& aBackendId);
 
   /// Requests of each key since the last call, by service.
   using KeyCounts = std::map<std::string, std::map<uint32_t, int>>;
@@ -103,13 +102,6 @@
   void RemoveActive() { --active_; }
 
 private:
-  struct Suspect
-  {
-    uint64_t fingerprint_;
-    std::string backendId_;
-    TimeMs atMs_;
-  };
-
   Choice ChooseOwner(const ForwardedRequest& aRequest,
                      const ServiceSpec& aService);
   Choice ChooseAny(const ForwardedRequest& aRequest,
@@ -127,7 +119,6 @@
   double RetryBurst() const;
   void UpdateBudgets();
   void AssignHomes();
-  void OnBackendDown(const Backend& aBackend);
   void SchedulePump();
   void PumpParked();
 
@@ -139,8 +130,8 @@
   PlacementOptions options_;
   std::shared_ptr<RouteTable> routes_;
   KeyView keys_;
+  CrashWatch crashes_;
   BackendPool pool_;
-  CrashQuarantine quarantine_;
   OwnerAdmission admission_;
   std::map<std::string, RetryBudget> budgets_;
   RunningMeans answerBytes_; ///< by route
@@ -152,7 +143,6 @@
   bool pumpScheduled_ = false;
   Timer parkTimer_;
   KeyCounts keyCounts_;
-  std::vector<Suspect> suspects_;
   std::minstd_rand random_;
 };
 
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -74,7 +74,8 @@
                port_.requests_,
                { settings_.retryRatio_,
                  settings_.retryExtra_,
-                 settings_.failureDomain_ })
+                 settings_.failureDomain_ },
+               [this] { gossip_.OnSuspectsChanged(); })
   , callers_(aLoop, forwarder_)
   , readyServer_(aLoop,
                  [this](const std::string&) {
--- a/gateway/GossipDuty.cpp
+++ b/gateway/GossipDuty.cpp
@@ -20,10 +20,6 @@
 /// while some ask for them.
 constexpr TimeMs kAllKeysIntervalMs = 500;
 constexpr size_t kLoadFields = 3;
-/// Suspect requests are told when they change, and once more against loss. A
-/// server that goes down makes suspects of all that it ran.
-constexpr int kSuspectRounds = 2;
-constexpr size_t kMaxSuspects = 16;
 /// Registrations of one datagram, about a kilobyte.
 constexpr size_t kMaxChanges = 12;
 constexpr double kUsPerMs = 1000;
@@ -56,6 +52,8 @@
   , handlers_(std::move(aHandlers))
   , timer_(aLoop, [this] { Tick(); })
   , changeTimer_(aLoop, [this] { SendChanges(); })
+  , suspects_(aForwarder.Crashes().Quarantine())
+  , suspectTimer_(aLoop, [this] { TellSuspects(); })
 {
 }
 
@@ -77,6 +75,8 @@
   gossip.configVersion = handlers_.configVersion_();
   gossip.deadTerm = election_.EndedTerm();
   gossip.statusPort = self_.statusPort_;
+  gossip.suspectDigest = static_cast<int64_t>(
+    forwarder_.Crashes().Quarantine().Digest(loop_.NowMs()));
   relay_.Fill(gossip);
   return gossip;
 }
@@ -96,7 +96,6 @@
 void GossipDuty::TellAsLeader(wire::Gossip& aGossip)
 {
   const TimeMs nowMs = loop_.NowMs();
-  FillSuspects(aGossip);
   for (const auto& [service, keys] : forwarder_.TakeKeyCounts()) {
     for (const auto& [key, count] : keys) {
       director_.AddLoad(service, key, count);
@@ -127,10 +126,9 @@
   const bool full = rounds_ % detail::kFullRounds == 0;
   const auto leader = mesh_.Peers().find(election_.Leader());
   if (full) {
-    FillSuspects(aGossip);
-    // Many gateways hear of each other from the leader; all hear of suspects,
-    // and of the store from those that watch it.
-    if (!mesh_.IsLarge() || !aGossip.suspects.empty() || aGossip.storeOk) {
+    // Many gateways hear of each other from the leader; all hear of the store
+    // from those that watch it.
+    if (!mesh_.IsLarge() || aGossip.storeOk) {
       mesh_.SendToAll(aGossip);
     } else {
       mesh_.SendToSome(aGossip, detail::kFanOut);
@@ -159,30 +157,64 @@
            });
 }
 
-void GossipDuty::FillSuspects(wire::Gossip& aGossip)
+void GossipDuty::FillSuspects(const std::vector<CrashSuspect>& aSuspects,
+                              wire::Gossip& aGossip)
 {
-  if (forwarder_.Quarantine().TakeChanged()) {
-    suspectRounds_ = detail::kSuspectRounds;
+  std::ranges::transform(
+    aSuspects,
+    std::back_inserter(aGossip.suspects),
+    [](const CrashSuspect& aSuspect) {
+      wire::SuspectRequest entry;
+      entry.fingerprint = static_cast<int64_t>(aSuspect.fingerprint_);
+      entry.expiresInMs = static_cast<int32_t>(aSuspect.expiresInMs_);
+      std::ranges::transform(
+        aSuspect.marks_, std::back_inserter(entry.marks), PackMark);
+      return entry;
+    });
+}
+
+void GossipDuty::OnSuspectsChanged()
+{
+  suspects_.OnChanged(loop_.NowMs());
+  ScheduleSuspects();
+}
+
+void GossipDuty::ScheduleSuspects()
+{
+  if (suspects_.DueMs() != INT64_MAX) {
+    suspectTimer_.Start(std::max<TimeMs>(suspects_.DueMs() - loop_.NowMs(), 1));
   }
-  if (suspectRounds_ == 0) {
-    return;
+}
+
+void GossipDuty::TellSuspects()
+{
+  const auto leader = mesh_.Peers().find(election_.Leader());
+  const bool knowsLeader = leader != mesh_.Peers().end();
+  const auto message =
+    suspects_.TakeDue(loop_.NowMs(), election_.IsLeading(), knowsLeader);
+  if (message) {
+    auto gossip = Basic();
+    FillSuspects(message->suspects_, gossip);
+    if (message->audience_ == SuspectExchange::Audience::All) {
+      mesh_.SendToAll(gossip);
+    } else {
+      mesh_.SendTo(leader->second.endpoint_, gossip);
+    }
   }
-  --suspectRounds_;
-  auto entries = forwarder_.Quarantine().Entries(loop_.NowMs());
-  // Quarantined ones first, then those that came last.
-  std::ranges::sort(entries, [](const auto& aLeft, const auto& aRight) {
-    return std::pair(aLeft.quarantined_, aLeft.expiresInMs_) >
-           std::pair(aRight.quarantined_, aRight.expiresInMs_);
-  });
-  entries.resize(std::min(entries.size(), detail::kMaxSuspects));
-  for (const auto& suspect : entries) {
-    wire::SuspectRequest entry;
-    entry.fingerprint = static_cast<int64_t>(suspect.fingerprint_);
-    entry.crashes = suspect.crashes_;
-    entry.quarantined = suspect.quarantined_;
-    entry.expiresInMs = static_cast<int32_t>(suspect.expiresInMs_);
-    entry.reason = suspect.reason_;
-    aGossip.suspects.push_back(std::move(entry));
+  ScheduleSuspects();
+}
+
+void GossipDuty::CompareSuspects(const wire::Gossip& aGossip,
+                                 const Endpoint& aOrigin)
+{
+  const auto missing =
+    suspects_.Compare(aGossip.instance,
+                      static_cast<uint64_t>(aGossip.suspectDigest),
+                      loop_.NowMs());
+  if (missing) {
+    auto gossip = Basic();
+    FillSuspects(*missing, gossip);
+    mesh_.SendTo(aOrigin, gossip);
   }
 }
 
@@ -324,6 +356,7 @@
   TakeLoads(aGossip);
   TakeAdmissions(aGossip);
   TakeSuspects(aGossip);
+  CompareSuspects(aGossip, aOrigin);
   if (election_.IsLeading()) {
     TakeKeyCounts(aGossip);
     if (aGossip.wantsKeys) {
@@ -369,23 +402,29 @@
     aGossip.suspects,
     std::back_inserter(suspects),
     [](const wire::SuspectRequest& aEntry) {
-      return CrashSuspect{ static_cast<uint64_t>(aEntry.fingerprint),
-                           aEntry.crashes,
-                           aEntry.quarantined,
-                           aEntry.expiresInMs,
-                           aEntry.reason };
+      CrashSuspect suspect;
+      suspect.fingerprint_ = static_cast<uint64_t>(aEntry.fingerprint);
+      suspect.expiresInMs_ = aEntry.expiresInMs;
+      std::ranges::transform(
+        aEntry.marks, std::back_inserter(suspect.marks_), UnpackMark);
+      return suspect;
     });
-  forwarder_.Quarantine().Merge(suspects, loop_.NowMs());
-  if (forwarder_.Log().Allows(LogLevel::Info, "suspects-told")) {
-    forwarder_.Log().Write(
-      LogLevel::Info,
-      "suspects-told",
-      { { "by", aGossip.instance },
-        { "entries", suspects.size() },
-        { "first", absl::Hex(suspects.front().fingerprint_) },
-        { "crashes", suspects.front().crashes_ },
-        { "expires_ms", suspects.front().expiresInMs_ } });
+  const bool isNew =
+    suspects_.OnTold(suspects, loop_.NowMs(), election_.IsLeading());
+  ScheduleSuspects();
+  if (!isNew || !forwarder_.Log().Allows(LogLevel::Info, "suspects-told")) {
+    return;
   }
+  const auto first = forwarder_.Crashes().Quarantine().Find(
+    suspects.front().fingerprint_, loop_.NowMs());
+  forwarder_.Log().Write(
+    LogLevel::Info,
+    "suspects-told",
+    { { "by", aGossip.instance },
+      { "entries", suspects.size() },
+      { "first", absl::Hex(first.fingerprint_) },
+      { "crashes", first.crashes_ },
+      { "quarantined", first.quarantined_ ? "yes" : "no" } });
 }
 
 }
--- a/gateway/GossipDuty.hpp
+++ b/gateway/GossipDuty.hpp
@@ -7,9 +7,11 @@
 #include "gateway/PeerMesh.hpp"
 #include "gateway/StoreRelay.hpp"
 #include "policy/LoadBoard.hpp"
+#include "policy/SuspectExchange.hpp"
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace cactuspitch {
 
@@ -55,13 +57,21 @@
   /// The leader's owners have changed; changes are gathered and told to all,
   /// this gateway included.
   void OnKeysChanged();
+  /// This gateway counted or cleared crashes of requests.
+  void OnSuspectsChanged();
 
 private:
   void Tick();
   void TellAsLeader(wire::Gossip& aGossip);
   void TellAsFollower(wire::Gossip& aGossip);
   wire::Gossip Basic() const;
-  void FillSuspects(wire::Gossip& aGossip);
+  static void FillSuspects(const std::vector<CrashSuspect>& aSuspects,
+                           wire::Gossip& aGossip);
+  void ScheduleSuspects();
+  /// Tells what this gateway has counted or cleared and not told yet.
+  void TellSuspects();
+  /// Tells a gateway that knows other suspects what this one knows.
+  void CompareSuspects(const wire::Gossip& aGossip, const Endpoint& aOrigin);
   void FillKeyCounts(wire::Gossip& aGossip);
   static void FillLoads(const std::vector<BoardEntry>& aEntries,
                         wire::Gossip& aGossip);
@@ -88,7 +98,8 @@
   Timer changeTimer_;
   TimeMs allKeysToldMs_ = 0;
   uint64_t rounds_ = 0;
-  int suspectRounds_ = 0; ///< rounds that tell of suspect requests
+  SuspectExchange suspects_;
+  Timer suspectTimer_;
 };
 
 }
--- /dev/null
+++ b/gateway/LifeProbe.cpp
@@ -0,0 +1,63 @@
+#include "gateway/LifeProbe.hpp"
+
+#include <utility>
+
+namespace cactuspitch {
+
+namespace detail {
+
+/// A process that ends resets its connections one after the other and may
+/// still accept for a moment.
+constexpr TimeMs kProbePauseMs = 20;
+/// Servers are at most a few ms away.
+constexpr TimeMs kProbeTimeoutMs = 300;
+
+}
+
+LifeProbe::LifeProbe(EventLoop& aLoop,
+                     const Endpoint& aEndpoint,
+                     std::function<bool()> aIsKnownAlive,
+                     Task aTask)
+  : loop_(aLoop)
+  , endpoint_(aEndpoint)
+  , isKnownAlive_(std::move(aIsKnownAlive))
+  , task_(std::move(aTask))
+  , stream_(aLoop, *this)
+  , timer_(aLoop, [this] { OnTimer(); })
+{
+  timer_.Start(detail::kProbePauseMs);
+}
+
+void LifeProbe::OnTimer()
+{
+  if (connecting_) {
+    Finish(false);
+    return;
+  }
+  connecting_ = true;
+  timer_.Start(detail::kProbeTimeoutMs);
+  // Without a socket nothing is known, which must not count against anybody.
+  if (isKnownAlive_() || !stream_.Connect(endpoint_)) {
+    Finish(true);
+  }
+}
+
+void LifeProbe::OnStreamClosed(CloseReason aReason)
+{
+  Finish(aReason != CloseReason::Refused &&
+         aReason != CloseReason::Unreachable);
+}
+
+void LifeProbe::Finish(bool aAlive)
+{
+  timer_.Stop();
+  stream_.Close();
+  // The stream and the timer that call this belong to the probe.
+  loop_.Defer([task = std::exchange(task_, {}), aAlive] {
+    if (task) {
+      task(aAlive);
+    }
+  });
+}
+
+}
--- a/gateway/gateway.cmake
+++ b/gateway/gateway.cmake
@@ -4,6 +4,7 @@
   common/Clock.cpp common/Findings.cpp common/Metrics.cpp common/Settings.cpp
   policy/CrashQuarantine.cpp policy/HomeServers.cpp policy/LoadBoard.cpp
   policy/OwnerAdmission.cpp policy/Placement.cpp policy/RelayTree.cpp policy/RetryBudget.cpp
+  policy/SuspectExchange.cpp
   wire/gen-cpp/gossip_types.cpp)
 file(GLOB GATEWAY_FOLDER_SOURCES CONFIGURE_DEPENDS
   gateway/*.cpp keyspace/*.cpp membership/*.cpp net/*.cpp platform/*.cpp
--- a/policy/CrashQuarantine.cpp
+++ b/policy/CrashQuarantine.cpp
@@ -3,16 +3,66 @@
 #include "common/Strings.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace cactuspitch {
 
-namespace {
+namespace detail {
 
 constexpr int kCrashesToQuarantine = 2;
-/// Shares sent before a clearance can still arrive for this long.
-constexpr TimeMs kClearedMs = 10000;
+/// Also the number of unproven crashes from which one router alone tries the
+/// request.
+constexpr int kCrashesInMassCrash = 3;
+/// So many other servers that end within this time are a mass crash.
+constexpr int kMassCrashServers = 5;
+constexpr TimeMs kMassCrashMs = 5000;
+/// Marks of one request; more tell nothing new.
+constexpr size_t kMaxMarks = 16;
+constexpr TimeMs kRetryMs = 5;
+/// The trial of another router is over and known everywhere by then.
+constexpr TimeMs kTrialMs = 1000;
+/// Entries that end sooner are not told, so that routers do not pass one back
+/// and forth for ever.
+constexpr TimeMs kLeastToldMs = 2000;
+/// A change is told once, and once more against loss.
+constexpr int kTellings = 2;
+constexpr uint64_t kQuarantinedLevel = 255;
+
+constexpr int64_t kClearedBit = 1;
+constexpr int64_t kConclusiveBit = 2;
+constexpr int kFlagBits = 2;
+
+}
 
+int64_t PackMark(const CrashMark& aMark)
+{
+  return (static_cast<int64_t>(aMark.life_) << detail::kFlagBits) +
+         (aMark.conclusive_ ? detail::kConclusiveBit : 0) +
+         (aMark.cleared_ ? detail::kClearedBit : 0);
+}
+
+CrashMark UnpackMark(int64_t aPacked)
+{
+  return { static_cast<uint32_t>(aPacked >> detail::kFlagBits),
+           (aPacked & detail::kConclusiveBit) != 0,
+           (aPacked & detail::kClearedBit) != 0 };
+}
+
+int CrashQuarantine::State::Crashes() const
+{
+  return static_cast<int>(std::ranges::count_if(
+    marks_, [](const CrashMark& aMark) { return !aMark.cleared_; }));
+}
+
+bool CrashQuarantine::State::IsQuarantined() const
+{
+  return std::ranges::any_of(marks_, [](const CrashMark& aMark) {
+    return aMark.conclusive_ && !aMark.cleared_;
+  });
 }
 
 CrashQuarantine::CrashQuarantine(QuarantineOptions aOptions)
@@ -20,30 +70,43 @@
 {
 }
 
-void CrashQuarantine::SetRouterRank(int aRank, int aRouters)
+void CrashQuarantine::SetMembers(const std::string& aSelf,
+                                 std::vector<std::string> aMembers)
 {
-  rank_ = aRank;
-  routers_ = std::max(1, aRouters);
+  self_ = aSelf;
+  members_ = std::move(aMembers);
+  std::ranges::sort(members_);
+  rank_ = static_cast<int>(std::ranges::lower_bound(members_, aSelf) -
+                           members_.begin());
 }
 
 void CrashQuarantine::OnCrash(std::string_view aServer,
-                              const std::vector<uint64_t>& aInFlight,
-                              TimeMs aNowMs)
+                              const std::vector<InFlightRequest>& aInFlight,
+                              TimeMs aNowMs,
+                              uint64_t aLife)
 {
   Expire(aNowMs);
-  const auto running = running_.find(aServer);
-  if (running != running_.end()) {
-    const uint64_t suspect = running->second;
-    running_.erase(running);
-    if (std::ranges::find(aInFlight, suspect) != aInFlight.end()) {
-      // Only one suspect runs on a server, so the others in flight beside it
-      // have an explanation and stay as they are.
-      AddCrash(suspect, aServer, aNowMs);
-      return;
+  const auto life = XXH32(
+    aServer.data(), aServer.size(), static_cast<uint32_t>(aLife ^ aLife >> 32));
+  NoteEnded(life, aNowMs);
+  std::vector<InFlightRequest> blamed;
+  std::ranges::copy_if(aInFlight,
+                       std::back_inserter(blamed),
+                       [](const auto& aOne) { return aOne.knownCrashes_ > 0; });
+  if (const auto running = running_.find(aServer); running != running_.end()) {
+    const auto suspect =
+      std::ranges::find(aInFlight, running->second, [](const auto& aOne) {
+        return aOne.fingerprint_;
+      });
+    if (suspect != aInFlight.end()) {
+      blamed = { *suspect };
     }
+    running_.erase(running);
   }
-  for (const uint64_t fingerprint : aInFlight) {
-    AddCrash(fingerprint, aServer, aNowMs);
+  // Only one suspect runs on a server, so the others in flight beside it have
+  // an explanation and stay as they are.
+  for (const auto& request : blamed.empty() ? aInFlight : blamed) {
+    AddCrash(request, aServer, life, aNowMs);
   }
 }
 
@@ -53,23 +116,36 @@
 {
   Expire(aNowMs);
   const auto found = suspects_.find(aFingerprint);
-  if (found == suspects_.end() || found->second.crashes_ == 0) {
+  const int crashes = found == suspects_.end() ? 0 : found->second.Crashes();
+  if (crashes == 0) {
     return {};
   }
-  const State& state = found->second;
-  if (state.quarantined_) {
-    return { SuspectVerdict::Refuse, 0, state.reason_ };
+  State& state = found->second;
+  if (state.IsQuarantined()) {
+    if (options_.renewedByArrivals_) {
+      SetExpiry(state, aNowMs + options_.expiryMs_);
+    }
+    return { SuspectVerdict::Refuse, 0, state.reason_, crashes };
   }
-  const TimeMs turnWaitMs = WaitForTurnMs(state, aNowMs);
-  if (turnWaitMs > 0) {
-    return { SuspectVerdict::Wait, turnWaitMs, {} };
+  if (crashes >= detail::kCrashesInMassCrash && !IsTester(aFingerprint)) {
+    return { SuspectVerdict::Refuse, detail::kTrialMs, state.reason_, crashes };
   }
-  if (running_.contains(aServer)) {
-    constexpr TimeMs kRetryMs = 5;
-    return { SuspectVerdict::Wait, kRetryMs, {} };
+  if (state.unresolvedUntilMs_ > aNowMs) {
+    return { SuspectVerdict::Refuse,
+             state.unresolvedUntilMs_ - aNowMs,
+             state.reason_,
+             crashes };
+  }
+  if (const TimeMs waitMs = WaitForTurnMs(state, aNowMs); waitMs > 0) {
+    return { SuspectVerdict::Wait, waitMs, {}, crashes };
+  }
+  const bool runsHere = std::ranges::any_of(
+    running_, [&](const auto& aRun) { return aRun.second == aFingerprint; });
+  if (runsHere || running_.contains(aServer)) {
+    return { SuspectVerdict::Wait, detail::kRetryMs, {}, crashes };
   }
   running_.emplace(aServer, aFingerprint);
-  return {};
+  return { SuspectVerdict::Run, 0, {}, crashes };
 }
 
 void CrashQuarantine::OnEnd(uint64_t aFingerprint,
@@ -77,89 +153,228 @@
                             bool aEndedWell,
                             TimeMs aNowMs)
 {
+  Expire(aNowMs);
   const auto running = running_.find(aServer);
   if (running != running_.end() && running->second == aFingerprint) {
     running_.erase(running);
   }
   const auto found = suspects_.find(aFingerprint);
-  if (aEndedWell && found != suspects_.end() && !found->second.quarantined_ &&
-      found->second.crashes_ > 0) {
-    MarkCleared(found->second, "ended well", aNowMs);
+  if (aEndedWell && found != suspects_.end()) {
+    Clear(found->second, "ended well");
   }
 }
 
-void CrashQuarantine::Release(uint64_t aFingerprint, TimeMs aNowMs)
+void CrashQuarantine::OnBroken(uint64_t aFingerprint,
+                               std::string_view aServer,
+                               TimeMs aUntilMs,
+                               TimeMs aNowMs)
 {
-  MarkCleared(suspects_[aFingerprint], kReleased, aNowMs);
+  OnEnd(aFingerprint, aServer, false, aNowMs);
+  const auto found = suspects_.find(aFingerprint);
+  if (found != suspects_.end()) {
+    found->second.unresolvedUntilMs_ = aUntilMs;
+  }
 }
 
-void CrashQuarantine::Merge(const std::vector<CrashSuspect>& aEntries,
-                            TimeMs aNowMs)
+void CrashQuarantine::Release(uint64_t aFingerprint, TimeMs aNowMs)
 {
   Expire(aNowMs);
-  for (const CrashSuspect& entry : aEntries) {
-    MergeOne(entry, aNowMs);
+  const auto found = suspects_.find(aFingerprint);
+  if (found != suspects_.end()) {
+    Clear(found->second, "released by an operator");
   }
 }
 
-void CrashQuarantine::MergeOne(const CrashSuspect& aEntry, TimeMs aNowMs)
+void CrashQuarantine::Clear(State& aState, std::string_view aReason)
 {
-  // A peer may have been configured with another expiry.
-  const TimeMs expiresInMs = std::min(aEntry.expiresInMs_, options_.expiryMs_);
-  if (expiresInMs <= 0) {
+  if (aState.Crashes() == 0) {
     return;
   }
-  const auto found = suspects_.find(aEntry.fingerprint_);
-  if (aEntry.crashes_ <= 0) {
-    const bool isClearable =
-      found != suspects_.end() && found->second.crashes_ > 0 &&
-      (!found->second.quarantined_ || aEntry.reason_ == kReleased);
-    // A crash after the clearance was sent makes it outdated.
-    const TimeMs clearedMs = aNowMs - (kClearedMs - expiresInMs);
-    if (isClearable && found->second.crashMs_ <= clearedMs) {
-      MarkCleared(found->second, aEntry.reason_, aNowMs);
-    }
-    return;
+  for (auto& mark : aState.marks_) {
+    mark.cleared_ = true;
+  }
+  aState.reason_ = aReason;
+  aState.unresolvedUntilMs_ = 0;
+  aState.tellings_ = detail::kTellings;
+  changed_ = true;
+}
+
+bool CrashQuarantine::Merge(const std::vector<CrashSuspect>& aEntries,
+                            TimeMs aNowMs,
+                            bool aPassOn)
+{
+  Expire(aNowMs);
+  const auto news =
+    std::ranges::count_if(aEntries, [&](const CrashSuspect& aEntry) {
+      return MergeOne(aEntry, aNowMs, aPassOn);
+    });
+  return news > 0;
+}
+
+bool CrashQuarantine::MergeOne(const CrashSuspect& aEntry,
+                               TimeMs aNowMs,
+                               bool aPassOn)
+{
+  // A peer may have been configured with another expiry.
+  const TimeMs expiresInMs = std::min(aEntry.expiresInMs_, options_.expiryMs_);
+  if (expiresInMs <= 0 || aEntry.marks_.empty()) {
+    return false;
   }
-  const TimeMs crashMs = aNowMs - (options_.expiryMs_ - expiresInMs);
-  if (found != suspects_.end() && found->second.crashes_ == 0 &&
-      crashMs <= found->second.crashMs_) {
-    return; // sent before the clearance
+  if (!suspects_.contains(aEntry.fingerprint_)) {
+    MakeRoom();
   }
-  MakeRoom();
   State& state = suspects_[aEntry.fingerprint_];
-  const bool isQuarantined = state.quarantined_ || aEntry.quarantined_;
-  if (aEntry.crashes_ > state.crashes_ || isQuarantined != state.quarantined_) {
-    changed_ = true;
-    state.crashes_ = std::max(state.crashes_, aEntry.crashes_);
-    state.quarantined_ = isQuarantined;
-    state.reason_ = aEntry.reason_;
-    state.crashMs_ = std::max(state.crashMs_, crashMs);
-    SetExpiry(state, std::max(state.expiresMs_, aNowMs + expiresInMs));
+  const int crashes = state.Crashes();
+  const auto news =
+    std::ranges::count_if(aEntry.marks_, [&](const CrashMark& aMark) {
+      return MergeMark(state, aMark);
+    });
+  if (news == 0) {
+    return false;
+  }
+  changed_ = true;
+  if (aPassOn) {
+    state.tellings_ = detail::kTellings;
+  }
+  state.reason_ = aEntry.reason_;
+  if (state.Crashes() > crashes) {
+    state.crashMs_ = aNowMs;
+  }
+  SetExpiry(state, std::max(state.expiresMs_, aNowMs + expiresInMs));
+  return true;
+}
+
+bool CrashQuarantine::MergeMark(State& aState, const CrashMark& aMark)
+{
+  const auto found =
+    std::ranges::find(aState.marks_, aMark.life_, &CrashMark::life_);
+  if (found == aState.marks_.end()) {
+    if (aState.marks_.size() >= detail::kMaxMarks) {
+      // What was cleared matters least, what is conclusive most.
+      const auto least =
+        std::ranges::min_element(aState.marks_, {}, [](const CrashMark& aOld) {
+          return std::pair(!aOld.cleared_, aOld.conclusive_);
+        });
+      const bool matters =
+        least->cleared_ ? !aMark.cleared_ : aMark.conclusive_;
+      if (!matters || (!least->cleared_ && least->conclusive_)) {
+        return false;
+      }
+      aState.marks_.erase(least);
+    }
+    aState.marks_.push_back(aMark);
+    return true;
   }
+  const bool news = (aMark.conclusive_ && !found->conclusive_) ||
+                    (aMark.cleared_ && !found->cleared_);
+  found->conclusive_ = found->conclusive_ || aMark.conclusive_;
+  found->cleared_ = found->cleared_ || aMark.cleared_;
+  return news;
+}
+
+CrashSuspect CrashQuarantine::Describe(const Entry& aEntry, TimeMs aNowMs)
+{
+  const auto& [fingerprint, state] = aEntry;
+  return { fingerprint,           state.Crashes(),
+           state.IsQuarantined(), state.expiresMs_ - aNowMs,
+           state.reason_,         state.marks_ };
 }
 
 std::vector<CrashSuspect> CrashQuarantine::Entries(TimeMs aNowMs)
 {
   Expire(aNowMs);
   std::vector<CrashSuspect> entries;
-  for (const auto& [fingerprint, state] : suspects_) {
-    entries.push_back({ fingerprint,
-                        state.crashes_,
-                        state.quarantined_,
-                        state.expiresMs_ - aNowMs,
-                        state.reason_ });
-  }
+  std::ranges::transform(
+    suspects_, std::back_inserter(entries), [&](const Entry& aEntry) {
+      return Describe(aEntry, aNowMs);
+    });
   return entries;
 }
 
+CrashSuspect CrashQuarantine::Find(uint64_t aFingerprint, TimeMs aNowMs) const
+{
+  const auto found = suspects_.find(aFingerprint);
+  return found == suspects_.end() ? CrashSuspect{} : Describe(*found, aNowMs);
+}
+
 bool CrashQuarantine::TakeChanged()
 {
   return std::exchange(changed_, false);
 }
 
+std::vector<const CrashQuarantine::Entry*> CrashQuarantine::Ranked(
+  bool (*aWanted)(const State& aState)) const
+{
+  std::vector<const Entry*> entries;
+  for (const auto& entry : suspects_) {
+    if (aWanted(entry.second)) {
+      entries.push_back(&entry);
+    }
+  }
+  const auto rank = [](const Entry* aEntry) {
+    const auto& state = aEntry->second;
+    return std::tuple(state.IsQuarantined(), state.Crashes(), state.crashMs_);
+  };
+  std::ranges::sort(entries, std::ranges::greater(), rank);
+  return entries;
+}
+
+std::vector<CrashSuspect> CrashQuarantine::TakeUntold(size_t aMost,
+                                                      TimeMs aNowMs)
+{
+  Expire(aNowMs);
+  std::vector<CrashSuspect> untold;
+  for (const auto* entry :
+       Ranked([](const State& aState) { return aState.tellings_ > 0; })) {
+    if (untold.size() == aMost) {
+      break;
+    }
+    --suspects_.at(entry->first).tellings_;
+    untold.push_back(Describe(*entry, aNowMs));
+  }
+  return untold;
+}
+
+uint64_t CrashQuarantine::Digest(TimeMs aNowMs)
+{
+  Expire(aNowMs);
+  uint64_t digest = 0;
+  for (const auto& [fingerprint, state] : suspects_) {
+    const int crashes = state.Crashes();
+    if (crashes < 2 || state.expiresMs_ - aNowMs < detail::kLeastToldMs) {
+      continue;
+    }
+    const uint64_t level =
+      state.IsQuarantined()
+        ? detail::kQuarantinedLevel
+        : static_cast<uint64_t>(std::min(crashes, detail::kCrashesInMassCrash));
+    // A sum, so that the order of the entries does not matter.
+    digest += XXH3_64bits_withSeed(&fingerprint, sizeof fingerprint, level);
+  }
+  return digest;
+}
+
+std::vector<CrashSuspect> CrashQuarantine::Agreed(size_t aMost, TimeMs aNowMs)
+{
+  Expire(aNowMs);
+  std::vector<CrashSuspect> entries;
+  // Cleared ones too: the other router may not know that they were cleared.
+  for (const auto* entry :
+       Ranked([](const State& aState) { return aState.marks_.size() > 1; })) {
+    if (entries.size() < aMost &&
+        entry->second.expiresMs_ - aNowMs >= detail::kLeastToldMs) {
+      entries.push_back(Describe(*entry, aNowMs));
+    }
+  }
+  return entries;
+}
+
 void CrashQuarantine::Expire(TimeMs aNowMs)
 {
+  while (!ended_.empty() &&
+         aNowMs - ended_.front().first > detail::kMassCrashMs) {
+    ended_.pop_front();
+  }
   if (aNowMs < firstExpiryMs_) {
     return;
   }
@@ -179,54 +394,86 @@
   firstExpiryMs_ = std::min(firstExpiryMs_, aExpiresMs);
 }
 
-void CrashQuarantine::AddCrash(uint64_t aFingerprint,
+void CrashQuarantine::NoteEnded(uint32_t aLife, TimeMs aNowMs)
+{
+  const auto isSame = [&](const auto& aEnded) {
+    return aEnded.second == aLife;
+  };
+  if (std::ranges::none_of(ended_, isSame)) {
+    ended_.emplace_back(aNowMs, aLife);
+  }
+}
+
+bool CrashQuarantine::IsMassCrash(const State& aState, uint32_t aLife) const
+{
+  const auto others = std::ranges::count_if(ended_, [&](const auto& aEnded) {
+    const auto life = aEnded.second;
+    return life != aLife &&
+           std::ranges::find(aState.marks_, life, &CrashMark::life_) ==
+             aState.marks_.end();
+  });
+  return others >= detail::kMassCrashServers;
+}
+
+void CrashQuarantine::AddCrash(const InFlightRequest& aRequest,
                                std::string_view aServer,
+                               uint32_t aLife,
                                TimeMs aNowMs)
 {
-  MakeRoom();
-  State& state = suspects_[aFingerprint];
-  state.reason_ = state.crashes_ == 0
+  if (!suspects_.contains(aRequest.fingerprint_)) {
+    MakeRoom();
+  }
+  State& state = suspects_[aRequest.fingerprint_];
+  const int known = aRequest.knownCrashes_ == InFlightRequest::kAllKnown
+                      ? state.Crashes()
+                      : aRequest.knownCrashes_;
+  const int needed = IsMassCrash(state, aLife) ? detail::kCrashesInMassCrash
+                                               : detail::kCrashesToQuarantine;
+  if (!MergeMark(state, { aLife, known + 1 >= needed })) {
+    return;
+  }
+  state.reason_ = state.Crashes() == 1
                     ? Concat("was in flight when ", aServer, " crashed")
                     : Concat(state.reason_, ", then ", aServer);
-  ++state.crashes_;
-  state.quarantined_ =
-    state.quarantined_ || state.crashes_ >= kCrashesToQuarantine;
   state.crashMs_ = aNowMs;
+  state.unresolvedUntilMs_ = 0;
+  state.tellings_ = detail::kTellings;
   SetExpiry(state, aNowMs + options_.expiryMs_);
   changed_ = true;
 }
 
-void CrashQuarantine::MarkCleared(State& aState,
-                                  std::string_view aReason,
-                                  TimeMs aNowMs)
-{
-  aState.crashes_ = 0;
-  aState.quarantined_ = false;
-  aState.reason_ = aReason;
-  aState.crashMs_ = aNowMs;
-  SetExpiry(aState, aNowMs + kClearedMs);
-  changed_ = true;
-}
-
 void CrashQuarantine::MakeRoom()
 {
   if (suspects_.size() < options_.maxEntries_) {
     return;
   }
   const auto rank = [](const auto& aSuspect) {
-    return std::pair(aSuspect.second.quarantined_, aSuspect.second.expiresMs_);
+    const auto& state = aSuspect.second;
+    return std::tuple(state.IsQuarantined(), state.Crashes(), state.expiresMs_);
   };
   suspects_.erase(std::ranges::min_element(suspects_, {}, rank));
 }
 
+bool CrashQuarantine::IsTester(uint64_t aFingerprint) const
+{
+  const auto weight = [&](const std::string& aName) {
+    return XXH3_64bits_withSeed(aName.data(), aName.size(), aFingerprint);
+  };
+  const auto tester = std::ranges::max_element(members_, {}, weight);
+  // A router that does not know the others yet leaves the trial to them.
+  return tester != members_.end() && *tester == self_;
+}
+
 TimeMs CrashQuarantine::WaitForTurnMs(const State& aState, TimeMs aNowMs) const
 {
-  if (routers_ == 1) {
+  const int turns =
+    std::min(static_cast<int>(members_.size()), options_.maxTurns_);
+  if (turns <= 1) {
     return 0;
   }
-  const TimeMs periodMs = options_.turnMs_ * routers_;
+  const TimeMs periodMs = options_.turnMs_ * turns;
   const TimeMs positionMs = (aNowMs - aState.crashMs_) % periodMs;
-  const TimeMs turnBeginMs = options_.turnMs_ * rank_;
+  const TimeMs turnBeginMs = options_.turnMs_ * (rank_ % turns);
   // Starts in the first half only, so that a short request also ends within
   // the turn and small differences between the routers do no harm.
   if (positionMs >= turnBeginMs &&
--- /dev/null
+++ b/policy/SuspectExchange.cpp
@@ -0,0 +1,87 @@
+#include "policy/SuspectExchange.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactuspitch {
+
+namespace detail {
+
+/// Suspect requests of one datagram, about a kilobyte.
+constexpr size_t kMaxSuspects = 48;
+/// Crashes of one moment are told together.
+constexpr TimeMs kGatherMs = 10;
+constexpr TimeMs kRepeatMs = 250;
+/// Gateways agree within this time after a change; one that still differs
+/// missed it.
+constexpr TimeMs kSettleMs = 300;
+constexpr TimeMs kCompareMs = 1000;
+
+}
+
+SuspectExchange::SuspectExchange(CrashQuarantine& aQuarantine)
+  : quarantine_(aQuarantine)
+{
+}
+
+void SuspectExchange::OnChanged(TimeMs aNowMs)
+{
+  dueMs_ = std::min(dueMs_, aNowMs + detail::kGatherMs);
+}
+
+std::optional<SuspectExchange::Message>
+SuspectExchange::TakeDue(TimeMs aNowMs, bool aIsLeading, bool aKnowsLeader)
+{
+  if (aNowMs < dueMs_) {
+    return std::nullopt;
+  }
+  dueMs_ = INT64_MAX;
+  Message message;
+  message.suspects_ = quarantine_.TakeUntold(detail::kMaxSuspects, aNowMs);
+  if (message.suspects_.empty()) {
+    return std::nullopt;
+  }
+  dueMs_ = aNowMs + detail::kRepeatMs;
+  const bool isUrgent =
+    std::ranges::any_of(message.suspects_, [](const CrashSuspect& aSuspect) {
+      return aSuspect.marks_.size() > 1;
+    });
+  // When many servers end at once, each gateway has a few requests that one of
+  // them may explain; the leader tells them together.
+  message.audience_ =
+    isUrgent || aIsLeading || !aKnowsLeader ? Audience::All : Audience::Leader;
+  return message;
+}
+
+bool SuspectExchange::OnTold(const std::vector<CrashSuspect>& aSuspects,
+                             TimeMs aNowMs,
+                             bool aIsLeading)
+{
+  const bool isNew = quarantine_.Merge(aSuspects, aNowMs, aIsLeading);
+  if (isNew && aIsLeading) {
+    OnChanged(aNowMs);
+  }
+  return isNew;
+}
+
+std::optional<std::vector<CrashSuspect>> SuspectExchange::Compare(
+  const std::string& aPeer,
+  uint64_t aDigest,
+  TimeMs aNowMs)
+{
+  const auto digest = Digest(aNowMs);
+  if (std::exchange(digest_, digest) != digest) {
+    digestChangedMs_ = aNowMs;
+  }
+  if (aDigest == digest || aNowMs - digestChangedMs_ < detail::kSettleMs) {
+    return std::nullopt;
+  }
+  auto& comparedMs = comparedMs_[aPeer];
+  if (comparedMs != 0 && aNowMs - comparedMs < detail::kCompareMs) {
+    return std::nullopt;
+  }
+  comparedMs = aNowMs;
+  return quarantine_.Agreed(detail::kMaxSuspects, aNowMs);
+}
+
+}
--- /dev/null
+++ b/policy/SuspectExchange.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "policy/CrashQuarantine.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cactuspitch {
+
+/// What a gateway tells the others of the requests in its quarantine, when and
+/// to whom. Changes are told at once and once more against loss; digests in
+/// all messages show who missed them, started later or was cut off. Pure.
+class SuspectExchange
+{
+public:
+  enum class Audience : uint8_t
+  {
+    Leader, ///< who tells all
+    All
+  };
+  struct Message
+  {
+    Audience audience_ = Audience::All;
+    std::vector<CrashSuspect> suspects_;
+  };
+
+  explicit SuspectExchange(CrashQuarantine& aQuarantine);
+
+  /// This gateway counted or cleared crashes.
+  void OnChanged(TimeMs aNowMs);
+  /// Time of the next TakeDue, INT64_MAX while there is nothing to tell.
+  TimeMs DueMs() const { return dueMs_; }
+  std::optional<Message> TakeDue(TimeMs aNowMs,
+                                 bool aIsLeading,
+                                 bool aKnowsLeader);
+  /// Takes over what another gateway told; true when any of it was new.
+  bool OnTold(const std::vector<CrashSuspect>& aSuspects,
+              TimeMs aNowMs,
+              bool aIsLeading);
+  uint64_t Digest(TimeMs aNowMs) { return quarantine_.Digest(aNowMs); }
+  /// What to tell a gateway whose digest differs, if it is time for that.
+  std::optional<std::vector<CrashSuspect>> Compare(const std::string& aPeer,
+                                                   uint64_t aDigest,
+                                                   TimeMs aNowMs);
+
+private:
+  CrashQuarantine& quarantine_;
+  TimeMs dueMs_ = INT64_MAX;
+  uint64_t digest_ = 0;
+  TimeMs digestChangedMs_ = 0;
+  /// When each other gateway was last answered by Compare.
+  std::map<std::string, TimeMs> comparedMs_;
+};
+
+}
--- a/router/CrashReporter.cpp
+++ b/router/CrashReporter.cpp
@@ -38,7 +38,7 @@
     Log(LogLevel::Warning,
         "backend server was lost with requests in flight",
         { { "server", aServer.Id() }, { "requests", suspects.size() } });
-    quarantine_.OnCrash(aServer.Id(), suspects);
+    quarantine_.OnCrash(aServer.Id(), suspects, incarnation);
   }
 }
 
--- a/router/PeerService.cpp
+++ b/router/PeerService.cpp
@@ -28,16 +28,22 @@
   entry.expiresInMs = static_cast<int32_t>(aSuspect.expiresInMs_);
   entry.quarantined = aSuspect.quarantined_;
   entry.reason = aSuspect.reason_;
+  std::ranges::transform(
+    aSuspect.marks_, std::back_inserter(entry.marks), PackMark);
   return entry;
 }
 
 CrashSuspect FromWire(const wire::QuarantineEntry& aEntry)
 {
-  return { static_cast<uint64_t>(aEntry.fingerprint),
-           aEntry.crashes,
-           aEntry.quarantined,
-           aEntry.expiresInMs,
-           aEntry.reason };
+  CrashSuspect suspect{ static_cast<uint64_t>(aEntry.fingerprint),
+                        aEntry.crashes,
+                        aEntry.quarantined,
+                        aEntry.expiresInMs,
+                        aEntry.reason,
+                        {} };
+  std::ranges::transform(
+    aEntry.marks, std::back_inserter(suspect.marks_), UnpackMark);
+  return suspect;
 }
 
 PeerService::PeerService(LedgerHolder& aLedger,
--- a/router/QuarantineKeeper.cpp
+++ b/router/QuarantineKeeper.cpp
@@ -1,5 +1,7 @@
 #include "QuarantineKeeper.hpp"
 
+#include <utility>
+
 namespace cactuspitch {
 
 QuarantineKeeper::QuarantineKeeper(const Clock& aClock,
@@ -33,10 +35,12 @@
 }
 
 void QuarantineKeeper::OnCrash(std::string_view aServer,
-                               const std::vector<uint64_t>& aInFlight)
+                               const std::vector<uint64_t>& aInFlight,
+                               uint64_t aLife)
 {
   const std::lock_guard lock(mutex_);
-  quarantine_.OnCrash(aServer, aInFlight, clock_.NowMs());
+  quarantine_.OnCrash(
+    aServer, { aInFlight.begin(), aInFlight.end() }, clock_.NowMs(), aLife);
   Publish();
 }
 
@@ -68,10 +72,11 @@
   return quarantine_.TakeChanged();
 }
 
-void QuarantineKeeper::SetRouterRank(int aRank, int aRouters)
+void QuarantineKeeper::SetMembers(const std::string& aSelf,
+                                  std::vector<std::string> aMembers)
 {
   const std::lock_guard lock(mutex_);
-  quarantine_.SetRouterRank(aRank, aRouters);
+  quarantine_.SetMembers(aSelf, std::move(aMembers));
 }
 
 }
--- a/router/QuarantineKeeper.hpp
+++ b/router/QuarantineKeeper.hpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -25,12 +26,13 @@
   SuspectDecision TryBegin(uint64_t aFingerprint, std::string_view aServer);
   void OnEnd(uint64_t aFingerprint, std::string_view aServer, bool aEndedWell);
   void OnCrash(std::string_view aServer,
-               const std::vector<uint64_t>& aInFlight);
+               const std::vector<uint64_t>& aInFlight,
+               uint64_t aLife = 0);
   void Release(uint64_t aFingerprint);
   void Merge(const std::vector<CrashSuspect>& aEntries);
   std::vector<CrashSuspect> Entries();
   bool TakeChanged();
-  void SetRouterRank(int aRank, int aRouters);
+  void SetMembers(const std::string& aSelf, std::vector<std::string> aMembers);
 
 private:
   void Publish();
--- a/router/RouterDuties.cpp
+++ b/router/RouterDuties.cpp
@@ -95,11 +95,9 @@
   }
   context_.rules_.Expire(now);
   const auto peers = context_.tables_.RouterPeers();
-  const auto own = std::ranges::find(peers, ownAddress_);
   const auto count = std::max<int>(1, static_cast<int>(peers.size()));
   context_.routers_ = count;
-  context_.quarantine_.SetRouterRank(
-    own == peers.end() ? 0 : static_cast<int>(own - peers.begin()), count);
+  context_.quarantine_.SetMembers(ownAddress_, peers);
 }
 
 void RouterDuties::RunQuarantine()
--- a/tests/CrashQuarantineTest.cpp
+++ b/tests/CrashQuarantineTest.cpp
@@ -39,8 +39,12 @@
 {
   constexpr int kRouters = 8;
   std::vector<CrashQuarantine> routers(kRouters);
+  std::vector<std::string> names(kRouters);
   for (int i = 0; i < kRouters; ++i) {
-    routers[i].SetRouterRank(i, kRouters);
+    names[i] = "router-" + std::to_string(i);
+  }
+  for (int i = 0; i < kRouters; ++i) {
+    routers[i].SetMembers(names[i], names);
     routers[i].OnCrash("a", { 100 + static_cast<uint64_t>(i) }, i % 3);
   }
   std::vector<int> started(kRouters);
@@ -107,6 +111,37 @@
   EXPECT_FALSE(here.HasSuspects());
 }
 
+// Guards against a full set of marks that has no room for the one that counts.
+TEST(CrashQuarantine, ManyCrashesAtOnceDoNotHideTheConclusiveOne)
+{
+  CrashQuarantine quarantine;
+  quarantine.SetMembers("r", { "r" });
+  for (int i = 0; i < 40; ++i) {
+    quarantine.OnCrash("s" + std::to_string(i), { { kBad, 0 } }, i);
+  }
+  const auto trial = quarantine.TryBegin(kBad, "t", 100);
+  EXPECT_EQ(trial.verdict_, SuspectVerdict::Run);
+  quarantine.OnCrash("t", { { kBad, trial.knownCrashes_ } }, 110);
+  EXPECT_EQ(Begin(quarantine, kBad, 120), SuspectVerdict::Refuse);
+  EXPECT_TRUE(quarantine.Find(kBad, 120).quarantined_);
+}
+
+// Guards against an innocent request that is refused because two of many
+// servers that ended had it in flight, and against a mass crash that hides a
+// crasher.
+TEST(CrashQuarantine, MassCrashNeedsOneMoreCrash)
+{
+  CrashQuarantine quarantine;
+  quarantine.OnCrash("a", { { kGood, 0 } }, 0);
+  for (int i = 0; i < 10; ++i) {
+    quarantine.OnCrash("m" + std::to_string(i), { { 100u + i, 0 } }, i);
+  }
+  quarantine.OnCrash("b", { { kGood, 1 } }, 50);
+  EXPECT_EQ(Begin(quarantine, kGood, 60), SuspectVerdict::Run);
+  quarantine.OnCrash("c", { { kGood, 2 } }, 70);
+  EXPECT_EQ(Begin(quarantine, kGood, 80), SuspectVerdict::Refuse);
+}
+
 // Guards against unbounded memory; quarantined requests are kept longest.
 TEST(CrashQuarantine, EntriesAreBounded)
 {
--- /dev/null
+++ b/tests/CrashingCallsModelTest.cpp
@@ -0,0 +1,467 @@
+#include "policy/SuspectExchange.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+#include <gtest/gtest.h>
+
+namespace cactuspitch {
+namespace {
+
+constexpr TimeMs kStepMs = 5;
+constexpr TimeMs kStableWindowMs = 3000;
+/// The end of a server is found out within this time, or never.
+constexpr TimeMs kCaseWindowMs = 6000;
+/// Sends that are allowed after the third server has ended and the window.
+constexpr int kAllowedSends = 3;
+
+/// Gateways, a network that delays and loses, and servers that end under some
+/// requests.
+class CrashModel
+{
+public:
+  struct Options
+  {
+    int gateways_ = 8;
+    double loss_ = 0.02;
+    /// From the crash to its detection by the gateway whose connection broke.
+    TimeMs detectMs_ = 30;
+    /// Gateways that are killed, frozen or cut each second.
+    double faultsPerSecond_ = 0;
+  };
+  struct Call
+  {
+    uint64_t fingerprint_ = 0;
+    bool crashes_ = false;
+    std::vector<TimeMs> ends_;       ///< of servers
+    std::vector<TimeMs> soundSends_; ///< by gateways in touch
+    bool served_ = false;
+  };
+
+  CrashModel(Options aOptions, uint32_t aSeed)
+    : options_(aOptions)
+    , random_(aSeed)
+    , gateways_(aOptions.gateways_)
+  {
+    for (int i = 0; i < options_.gateways_; ++i) {
+      names_.push_back("g" + std::to_string(i));
+    }
+    for (int i = 0; i < options_.gateways_; ++i) {
+      Start(i);
+    }
+  }
+
+  TimeMs NowMs() const { return nowMs_; }
+
+  void RunUntil(TimeMs aEndMs)
+  {
+    for (; nowMs_ < aEndMs; nowMs_ += kStepMs) {
+      InjectFaults();
+      while (!events_.empty() && events_.begin()->first <= nowMs_) {
+        const auto task = std::move(events_.begin()->second);
+        events_.erase(events_.begin());
+        task();
+      }
+      for (int i = 0; i < options_.gateways_; ++i) {
+        Tick(i);
+      }
+    }
+  }
+
+  /// The call arrives at some living gateway; tells whether it was sent on.
+  bool Send(Call& aCall) { return SendBy(Draw(options_.gateways_), aCall); }
+
+  bool SendBy(int aGateway, Call& aCall)
+  {
+    auto& gateway = gateways_[aGateway];
+    if (!IsUp(gateway)) {
+      return false;
+    }
+    const auto server = "s" + std::to_string(serial_++);
+    const auto decision =
+      gateway.quarantine_->TryBegin(aCall.fingerprint_, server, nowMs_);
+    if (decision.verdict_ == SuspectVerdict::Wait) {
+      After(decision.waitMs_,
+            [this, aGateway, &aCall] { SendBy(aGateway, aCall); });
+      return false;
+    }
+    if (decision.verdict_ == SuspectVerdict::Refuse) {
+      return false;
+    }
+    if (nowMs_ - gateway.disturbedMs_ >= kStableWindowMs) {
+      aCall.soundSends_.push_back(nowMs_);
+    }
+    const InFlightRequest request(aCall.fingerprint_, decision.knownCrashes_);
+    if (aCall.crashes_) {
+      After(kStepMs, [this, aGateway, server, request, &aCall] {
+        aCall.ends_.push_back(nowMs_);
+        EndServer(aGateway, server, { request });
+      });
+    } else {
+      After(100, [this, aGateway, server, &aCall] {
+        aCall.served_ = true;
+        End(aGateway, server, aCall.fingerprint_, true);
+      });
+    }
+    return true;
+  }
+
+  /// A server ends with requests of one gateway in flight.
+  void EndServer(int aGateway,
+                 const std::string& aServer,
+                 std::vector<InFlightRequest> aInFlight)
+  {
+    const auto life = gateways_[aGateway].life_;
+    for (const auto& request : aInFlight) {
+      gateways_[aGateway].quarantine_->OnBroken(
+        request.fingerprint_, aServer, nowMs_ + kCaseWindowMs, nowMs_);
+    }
+    After(options_.detectMs_,
+          [this, aGateway, aServer, life, inFlight = std::move(aInFlight)] {
+            Detect(aGateway, aServer, life, inFlight);
+          });
+  }
+
+  void RestartAll()
+  {
+    for (int i = 0; i < options_.gateways_; ++i) {
+      Start(i);
+    }
+  }
+  void Restart(int aGateway) { Start(aGateway); }
+  int Draw(int aBound)
+  {
+    return std::uniform_int_distribution<int>(0, aBound - 1)(random_);
+  }
+  bool Knows(int aGateway, uint64_t aFingerprint)
+  {
+    return gateways_[aGateway]
+      .quarantine_->Find(aFingerprint, nowMs_)
+      .quarantined_;
+  }
+  int64_t Datagrams() const { return datagrams_; }
+
+private:
+  struct Gateway
+  {
+    std::unique_ptr<CrashQuarantine> quarantine_;
+    std::unique_ptr<SuspectExchange> exchange_;
+    TimeMs downUntilMs_ = 0; ///< frozen or cut off
+    TimeMs disturbedMs_ = 0;
+    int life_ = 0;
+  };
+
+  /// A gateway that stands still finds it out afterwards; one that was killed
+  /// never does.
+  void Detect(int aGateway,
+              const std::string& aServer,
+              int aLife,
+              const std::vector<InFlightRequest>& aInFlight)
+  {
+    auto& gateway = gateways_[aGateway];
+    if (gateway.life_ != aLife) {
+      return;
+    }
+    if (!IsUp(gateway)) {
+      After(gateway.downUntilMs_ - nowMs_,
+            [=, this] { Detect(aGateway, aServer, aLife, aInFlight); });
+      return;
+    }
+    gateway.quarantine_->OnCrash(aServer, aInFlight, nowMs_);
+    gateway.exchange_->OnChanged(nowMs_);
+  }
+
+  bool IsUp(const Gateway& aGateway) const
+  {
+    return nowMs_ >= aGateway.downUntilMs_;
+  }
+
+  void Start(int aIndex)
+  {
+    auto& gateway = gateways_[aIndex];
+    gateway.exchange_.reset();
+    gateway.quarantine_ = std::make_unique<CrashQuarantine>(
+      QuarantineOptions{ .turnMs_ = 40, .maxTurns_ = 8 });
+    gateway.quarantine_->SetMembers(names_[aIndex], names_);
+    gateway.exchange_ = std::make_unique<SuspectExchange>(*gateway.quarantine_);
+    gateway.disturbedMs_ = nowMs_;
+    ++gateway.life_;
+  }
+
+  void InjectFaults()
+  {
+    const double chance = options_.faultsPerSecond_ * kStepMs / 1000.0;
+    if (std::uniform_real_distribution<double>(0, 1)(random_) >= chance) {
+      return;
+    }
+    const int index = Draw(options_.gateways_);
+    auto& gateway = gateways_[index];
+    if (Draw(2) == 0) {
+      Start(index);
+    } else {
+      gateway.downUntilMs_ = nowMs_ + 500 + Draw(4000);
+      gateway.disturbedMs_ = gateway.downUntilMs_;
+    }
+  }
+
+  /// The first living gateway leads.
+  int Leader() const
+  {
+    const auto found = std::ranges::find_if(
+      gateways_, [&](const Gateway& aOne) { return IsUp(aOne); });
+    return static_cast<int>(found - gateways_.begin());
+  }
+
+  void Tick(int aIndex)
+  {
+    auto& gateway = gateways_[aIndex];
+    if (!IsUp(gateway)) {
+      return;
+    }
+    const int leader = Leader();
+    if (nowMs_ >= gateway.exchange_->DueMs()) {
+      const auto message =
+        gateway.exchange_->TakeDue(nowMs_, aIndex == leader, true);
+      if (message && message->audience_ == SuspectExchange::Audience::All) {
+        Broadcast(aIndex, message->suspects_);
+      } else if (message) {
+        Deliver(aIndex, leader, message->suspects_);
+      }
+    }
+    // The leader speaks to all each 250 ms, the others to it each 500 ms.
+    const TimeMs phaseMs = nowMs_ + aIndex % 50 * kStepMs;
+    if (aIndex == leader && phaseMs % 250 == 0) {
+      Broadcast(aIndex, {});
+    } else if (aIndex != leader && phaseMs % 500 == 0) {
+      Deliver(aIndex, leader, {});
+    }
+  }
+
+  void Broadcast(int aFrom, const std::vector<CrashSuspect>& aSuspects)
+  {
+    for (int to = 0; to < options_.gateways_; ++to) {
+      Deliver(aFrom, to, aSuspects);
+    }
+  }
+
+  void Deliver(int aFrom, int aTo, std::vector<CrashSuspect> aSuspects)
+  {
+    ++datagrams_;
+    const bool lost =
+      std::uniform_real_distribution<double>(0, 1)(random_) < options_.loss_;
+    if (aFrom == aTo || lost) {
+      return;
+    }
+    const auto digest = gateways_[aFrom].exchange_->Digest(nowMs_);
+    After(1 + Draw(30),
+          [this, aFrom, aTo, digest, suspects = std::move(aSuspects)] {
+            auto& gateway = gateways_[aTo];
+            if (!IsUp(gateway)) {
+              return;
+            }
+            gateway.exchange_->OnTold(suspects, nowMs_, aTo == Leader());
+            if (const auto missing =
+                  gateway.exchange_->Compare(names_[aFrom], digest, nowMs_)) {
+              Deliver(aTo, aFrom, *missing);
+            }
+          });
+  }
+
+  void End(int aGateway,
+           const std::string& aServer,
+           uint64_t aFingerprint,
+           bool aWell)
+  {
+    auto& gateway = gateways_[aGateway];
+    gateway.quarantine_->OnEnd(aFingerprint, aServer, aWell, nowMs_);
+    if (aWell && gateway.quarantine_->TakeChanged()) {
+      gateway.exchange_->OnChanged(nowMs_);
+    }
+  }
+
+  void After(TimeMs aMs, std::function<void()> aTask)
+  {
+    events_.emplace(nowMs_ + aMs, std::move(aTask));
+  }
+
+  Options options_;
+  std::mt19937 random_;
+  TimeMs nowMs_ = 0;
+  std::vector<std::string> names_;
+  std::vector<Gateway> gateways_;
+  std::multimap<TimeMs, std::function<void()>> events_;
+  int serial_ = 0;
+  int64_t datagrams_ = 0;
+};
+
+/// Sends by gateways in touch later than the window after the third end.
+int LateSends(const CrashModel::Call& aCall)
+{
+  if (aCall.ends_.size() < 3) {
+    return 0;
+  }
+  const TimeMs sinceMs = aCall.ends_[2] + kStableWindowMs;
+  return static_cast<int>(std::ranges::count_if(
+    aCall.soundSends_, [&](TimeMs aSentMs) { return aSentMs > sinceMs; }));
+}
+
+/// Sends the calls again and again, each about every aPeriodMs.
+void Repeat(CrashModel& aModel,
+            std::vector<CrashModel::Call>& aCalls,
+            TimeMs aPeriodMs,
+            TimeMs aEndMs)
+{
+  while (aModel.NowMs() < aEndMs) {
+    for (auto& call : aCalls) {
+      aModel.Send(call);
+    }
+    aModel.RunUntil(aModel.NowMs() + aPeriodMs / 2 +
+                    aModel.Draw(static_cast<int>(aPeriodMs)));
+  }
+}
+
+std::vector<CrashModel::Call> CrashingCalls(int aCount)
+{
+  std::vector<CrashModel::Call> calls(aCount);
+  for (int i = 0; i < aCount; ++i) {
+    calls[i].fingerprint_ = 1000 + static_cast<uint64_t>(i);
+    calls[i].crashes_ = true;
+  }
+  return calls;
+}
+
+struct Size
+{
+  int gateways_;
+  int seeds_;
+};
+class CrashingCallsModel : public testing::TestWithParam<Size>
+{};
+
+// Guards against crashing requests that go on to be sent while gateways are
+// killed, frozen and cut off and messages are lost.
+TEST_P(CrashingCallsModel, RepeatsEndWhileGatewaysFail)
+{
+  for (int seed = 0; seed < GetParam().seeds_; ++seed) {
+    const CrashModel::Options options{ .gateways_ = GetParam().gateways_,
+                                       .loss_ = 0.05,
+                                       .detectMs_ = seed % 2 == 0 ? 30 : 2500,
+                                       .faultsPerSecond_ =
+                                         GetParam().gateways_ / 60.0 };
+    CrashModel model(options, static_cast<uint32_t>(seed));
+    model.RunUntil(kStableWindowMs);
+    auto calls = CrashingCalls(3);
+    Repeat(model, calls, 200, 40000);
+    for (const auto& call : calls) {
+      EXPECT_LE(LateSends(call), kAllowedSends) << "seed " << seed;
+    }
+  }
+}
+
+// Guards against crashes that are forgotten by gateways that start one after
+// the other.
+TEST_P(CrashingCallsModel, RestartedGatewaysLearnAgain)
+{
+  const int gateways = GetParam().gateways_;
+  CrashModel model({ .gateways_ = gateways }, 7);
+  model.RunUntil(kStableWindowMs);
+  auto calls = CrashingCalls(2);
+  Repeat(model, calls, 300, 10000);
+  for (int i = 0; i < gateways; ++i) {
+    model.Restart(i);
+    model.RunUntil(model.NowMs() + 40);
+  }
+  model.RunUntil(model.NowMs() + kStableWindowMs);
+  for (int i = 0; i < gateways; ++i) {
+    EXPECT_TRUE(model.Knows(i, calls[0].fingerprint_)) << i;
+  }
+  for (const auto& call : calls) {
+    EXPECT_LE(LateSends(call), kAllowedSends);
+  }
+}
+
+// Guards against all gateways that start the same request at one moment after
+// many servers ended under it.
+TEST_P(CrashingCallsModel, OneGatewayTriesWhatEndedManyServersAtOnce)
+{
+  const int gateways = GetParam().gateways_;
+  CrashModel model({ .gateways_ = gateways }, 11);
+  model.RunUntil(kStableWindowMs);
+  auto calls = CrashingCalls(1);
+  for (int i = 0; i < 5; ++i) {
+    model.SendBy(i, calls[0]);
+  }
+  model.RunUntil(model.NowMs() + kStableWindowMs + 500);
+  for (int round = 0; round < 10; ++round) {
+    for (int i = 0; i < gateways; ++i) {
+      model.SendBy(i, calls[0]);
+    }
+    model.RunUntil(model.NowMs() + 500);
+  }
+  EXPECT_LE(LateSends(calls[0]), kAllowedSends);
+}
+
+// Guards against a start of all gateways that sets off a second round of
+// crashes beyond the allowed ones.
+TEST_P(CrashingCallsModel, AllGatewaysRestart)
+{
+  CrashModel model({ .gateways_ = GetParam().gateways_ }, 13);
+  model.RunUntil(kStableWindowMs);
+  auto calls = CrashingCalls(1);
+  Repeat(model, calls, 300, 10000);
+  model.RestartAll();
+  model.RunUntil(model.NowMs() + kStableWindowMs);
+  Repeat(model, calls, 300, 25000);
+  EXPECT_LE(LateSends(calls[0]), kAllowedSends);
+}
+
+// Guards against innocent requests that are refused because they were in
+// flight when many servers ended, while crashing ones are found all the same.
+TEST_P(CrashingCallsModel, MassCrashKeepsInnocentRequestsServed)
+{
+  const int gateways = GetParam().gateways_;
+  CrashModel model({ .gateways_ = gateways }, 17);
+  model.RunUntil(kStableWindowMs);
+  constexpr int kServers = 60;
+  constexpr int kRequestsOfServer = 8;
+  std::vector<CrashModel::Call> innocents(kServers * kRequestsOfServer);
+  for (size_t i = 0; i < innocents.size(); ++i) {
+    innocents[i].fingerprint_ = 100000 + i;
+  }
+  auto calls = CrashingCalls(2);
+  for (auto& call : calls) {
+    model.Send(call);
+  }
+  for (int server = 0; server < kServers; ++server) {
+    for (int i = 0; i < kRequestsOfServer; ++i) {
+      const auto& call = innocents[server * kRequestsOfServer + i];
+      model.EndServer(model.Draw(gateways),
+                      "m" + std::to_string(server),
+                      { { call.fingerprint_, 0 } });
+    }
+    model.RunUntil(model.NowMs() + 20);
+  }
+  for (auto& call : innocents) {
+    model.Send(call);
+  }
+  Repeat(model, calls, 200, model.NowMs() + 1500);
+  EXPECT_TRUE(std::ranges::all_of(innocents, &CrashModel::Call::served_));
+  Repeat(model, calls, 200, 30000);
+  for (const auto& call : calls) {
+    EXPECT_LE(LateSends(call), kAllowedSends);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Sizes,
+  CrashingCallsModel,
+  testing::Values(Size{ 8, 20 }, Size{ 65, 6 }, Size{ 300, 2 }),
+  [](const auto& aInfo) {
+    return "Gateways" + std::to_string(aInfo.param.gateways_);
+  });
+
+}
+}
--- a/tests/CrashingCallsTest.cpp
+++ b/tests/CrashingCallsTest.cpp
@@ -113,6 +113,34 @@
   EXPECT_LE(crashes, kToleratedCrashes);
 }
 
+// Guards against repeats that go on because each arrives at another gateway,
+// one of which started after the crashes.
+TEST(CrashingCalls, AllGatewaysRefuseWhatOneHasQuarantined)
+{
+  constexpr int kServers = 8;
+  int crashes = 0;
+  GatewayRig rig(
+    [&](Exchange& aExchange) {
+      ++crashes;
+      aExchange.server_->Crash();
+    },
+    kServers);
+  const auto second = rig.AddGateway("g2");
+  rig.RunFor(1500);
+  for (int id = 0; id < 3; ++id) {
+    rig.Ask(CrashingCall(id));
+    rig.RunFor(100);
+  }
+  EXPECT_LE(crashes, kToleratedCrashes);
+  const int before = crashes;
+  rig.AskAt(second, CrashingCall(3));
+  const auto third = rig.AddGateway("g3");
+  rig.RunFor(2500);
+  const auto answer = rig.AskAt(third, CrashingCall(4));
+  EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+  EXPECT_EQ(crashes, before);
+}
+
 // Guards against a crash that is not noticed because the caller has left.
 TEST(CrashingCalls, CrashCountsAfterItsCallerHasLeft)
 {
--- a/tests/GatewayRig.cpp
+++ b/tests/GatewayRig.cpp
@@ -169,26 +169,8 @@
       { { "host", "keyed" }, { "paths", nlohmann::json::array({ keyed }) } } });
   Put("config", "main", config);
 
-  settings_.instance_ = "g1";
-  settings_.failureDomain_ = "z";
-  settings_.listen_ = FreeEndpoint();
-  settings_.readyListen_ = FreeEndpoint();
-  settings_.peerListen_ = FreeEndpoint();
-  settings_.metricsListen_ = FreeEndpoint();
-  settings_.store_ = storeServer_->Address();
-  settings_.retryRatio_ = 1;
-  settings_.retryExtra_ = 50;
-  settings_.graceMs_ = 6000;
-  settings_.maxHoldMs_ = 10000;
-  gateway_ = std::make_unique<Gateway>(
-    loop_,
-    log_,
-    settings_,
-    PlatformPort{ requests_, orders_, objects_, registry_ },
-    [this](Findings&) { return freshSettings_; });
-  if (!gateway_->Start()) {
-    throw std::runtime_error("the gateway does not start");
-  }
+  settings_ = MakeSettings("g1");
+  gateway_ = StartGateway(settings_);
   // Granted keys show that configuration and registrations are known.
   if (!RunUntil([this] { return !grants_.empty(); })) {
     throw std::runtime_error("the gateway grants no keys");
@@ -198,6 +180,45 @@
 
 GatewayRig::~GatewayRig() = default;
 
+GatewaySettings GatewayRig::MakeSettings(const std::string& aInstance) const
+{
+  GatewaySettings settings;
+  settings.instance_ = aInstance;
+  settings.failureDomain_ = "z";
+  settings.listen_ = FreeEndpoint();
+  settings.readyListen_ = FreeEndpoint();
+  settings.peerListen_ = FreeEndpoint();
+  settings.metricsListen_ = FreeEndpoint();
+  settings.store_ = storeServer_->Address();
+  settings.retryRatio_ = 1;
+  settings.retryExtra_ = 50;
+  settings.graceMs_ = 6000;
+  settings.maxHoldMs_ = 10000;
+  return settings;
+}
+
+std::unique_ptr<Gateway> GatewayRig::StartGateway(
+  const GatewaySettings& aSettings)
+{
+  auto gateway = std::make_unique<Gateway>(
+    loop_,
+    log_,
+    aSettings,
+    PlatformPort{ requests_, orders_, objects_, registry_ },
+    [this](Findings&) { return freshSettings_; });
+  if (!gateway->Start()) {
+    throw std::runtime_error("the gateway does not start");
+  }
+  return gateway;
+}
+
+Endpoint GatewayRig::AddGateway(const std::string& aInstance)
+{
+  const auto settings = MakeSettings(aInstance);
+  others_.push_back(StartGateway(settings));
+  return settings.listen_;
+}
+
 nlohmann::json GatewayRig::Registration(const std::string& aService,
                                         const ScriptedServer& aServer,
                                         int64_t aBornMs) const
@@ -376,9 +397,16 @@
 }
 
 std::string GatewayRig::Ask(const std::string& aBytes, int aAnswers)
+{
+  return AskAt(GatewayAddress(), aBytes, aAnswers);
+}
+
+std::string GatewayRig::AskAt(const Endpoint& aGateway,
+                              const std::string& aBytes,
+                              int aAnswers)
 {
   Client client(loop_);
-  client.stream_.Connect(GatewayAddress());
+  client.stream_.Connect(aGateway);
   client.stream_.Write(aBytes);
   RunUntil([&] {
     return client.closed_ || CountAnswers(client.received_) >= aAnswers;
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -82,6 +82,12 @@
   /// Sends bytes on a new connection and returns what came back once aDone
   /// holds for it, or until the connection ends.
   std::string Ask(const std::string& aBytes, int aAnswers = 1);
+  /// The same at another gateway.
+  std::string AskAt(const Endpoint& aGateway,
+                    const std::string& aBytes,
+                    int aAnswers = 1);
+  /// Starts one more gateway on the same store and returns its address.
+  Endpoint AddGateway(const std::string& aInstance);
   ScriptedServer& Backend(size_t aIndex) { return *backends_[aIndex]; }
   int BackendRequests() const;
   EventLoop& Loop() { return loop_; }
@@ -105,6 +111,9 @@
   static std::string Answer(const HttpHead& aHead, const std::string& aBody);
 
 private:
+  /// Addresses of a new gateway.
+  GatewaySettings MakeSettings(const std::string& aInstance) const;
+  std::unique_ptr<Gateway> StartGateway(const GatewaySettings& aSettings);
   void ServeStore(ScriptedServer::Exchange& aExchange);
   nlohmann::json Registration(const std::string& aService,
                               const ScriptedServer& aServer,
@@ -133,6 +142,7 @@
   GatewaySettings settings_;
   std::optional<GatewaySettings> freshSettings_;
   std::unique_ptr<Gateway> gateway_;
+  std::vector<std::unique_ptr<Gateway>> others_;
 };
 
 }
--- a/wire/cactuspitch.thrift
+++ b/wire/cactuspitch.thrift
@@ -162,6 +162,9 @@
   3: i32 expiresInMs
   4: bool quarantined
   5: string reason
+  // Servers that ended under the request: XXH32 of the life * 4, + 2 when that
+  // is conclusive, + 1 when it was cleared since.
+  6: list<i64> marks
 }
 
 // Minute counters for the SLO burn report.
--- a/wire/gen-cpp/RouterPeer.cpp
+++ b/wire/gen-cpp/RouterPeer.cpp
@@ -255,9 +255,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast103;
-          xfer += iprot->readI32(ecast103);
-          this->state = static_cast<LedgerState::type>(ecast103);
+          int32_t ecast109;
+          xfer += iprot->readI32(ecast109);
+          this->state = static_cast<LedgerState::type>(ecast109);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -431,14 +431,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->entries.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->entries.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->entries[_i108].read(iprot);
+              xfer += this->entries[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -467,10 +467,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<QuarantineEntry> ::const_iterator _iter109;
-    for (_iter109 = this->entries.begin(); _iter109 != this->entries.end(); ++_iter109)
+    std::vector<QuarantineEntry> ::const_iterator _iter115;
+    for (_iter115 = this->entries.begin(); _iter115 != this->entries.end(); ++_iter115)
     {
-      xfer += (*_iter109).write(oprot);
+      xfer += (*_iter115).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -494,10 +494,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->entries)).size()));
-    std::vector<QuarantineEntry> ::const_iterator _iter110;
-    for (_iter110 = (*(this->entries)).begin(); _iter110 != (*(this->entries)).end(); ++_iter110)
+    std::vector<QuarantineEntry> ::const_iterator _iter116;
+    for (_iter116 = (*(this->entries)).begin(); _iter116 != (*(this->entries)).end(); ++_iter116)
     {
-      xfer += (*_iter110).write(oprot);
+      xfer += (*_iter116).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -829,14 +829,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->success.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->success.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += this->success[_i115].read(iprot);
+              xfer += this->success[_i121].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -867,10 +867,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<QuarantineEntry> ::const_iterator _iter116;
-      for (_iter116 = this->success.begin(); _iter116 != this->success.end(); ++_iter116)
+      std::vector<QuarantineEntry> ::const_iterator _iter122;
+      for (_iter122 = this->success.begin(); _iter122 != this->success.end(); ++_iter122)
       {
-        xfer += (*_iter116).write(oprot);
+        xfer += (*_iter122).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -911,14 +911,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size117;
-            ::apache::thrift::protocol::TType _etype120;
-            xfer += iprot->readListBegin(_etype120, _size117);
-            (*(this->success)).resize(_size117);
-            uint32_t _i121;
-            for (_i121 = 0; _i121 < _size117; ++_i121)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            (*(this->success)).resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += (*(this->success))[_i121].read(iprot);
+              xfer += (*(this->success))[_i127].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1048,14 +1048,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size122;
-            ::apache::thrift::protocol::TType _etype125;
-            xfer += iprot->readListBegin(_etype125, _size122);
-            this->success.resize(_size122);
-            uint32_t _i126;
-            for (_i126 = 0; _i126 < _size122; ++_i126)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->success.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->success[_i126].read(iprot);
+              xfer += this->success[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1086,10 +1086,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<SloMinute> ::const_iterator _iter127;
-      for (_iter127 = this->success.begin(); _iter127 != this->success.end(); ++_iter127)
+      std::vector<SloMinute> ::const_iterator _iter133;
+      for (_iter133 = this->success.begin(); _iter133 != this->success.end(); ++_iter133)
       {
-        xfer += (*_iter127).write(oprot);
+        xfer += (*_iter133).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1130,14 +1130,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            (*(this->success)).resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            (*(this->success)).resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += (*(this->success))[_i132].read(iprot);
+              xfer += (*(this->success))[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
--- a/wire/gen-cpp/cactuspitch_types.cpp
+++ b/wire/gen-cpp/cactuspitch_types.cpp
@@ -3148,6 +3148,10 @@
 void QuarantineEntry::__set_reason(const std::string& val) {
   this->reason = val;
 }
+
+void QuarantineEntry::__set_marks(const std::vector<int64_t> & val) {
+  this->marks = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuarantineEntry& obj)
 {
   obj.printTo(out);
@@ -3216,6 +3220,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->marks.clear();
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->marks.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
+            {
+              xfer += iprot->readI64(this->marks[_i103]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.marks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3253,6 +3277,18 @@
   xfer += oprot->writeString(this->reason);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("marks", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->marks.size()));
+    std::vector<int64_t> ::const_iterator _iter104;
+    for (_iter104 = this->marks.begin(); _iter104 != this->marks.end(); ++_iter104)
+    {
+      xfer += oprot->writeI64((*_iter104));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3265,24 +3301,27 @@
   swap(a.expiresInMs, b.expiresInMs);
   swap(a.quarantined, b.quarantined);
   swap(a.reason, b.reason);
+  swap(a.marks, b.marks);
   swap(a.__isset, b.__isset);
 }
 
-QuarantineEntry::QuarantineEntry(const QuarantineEntry& other99) {
-  fingerprint = other99.fingerprint;
-  crashes = other99.crashes;
-  expiresInMs = other99.expiresInMs;
-  quarantined = other99.quarantined;
-  reason = other99.reason;
-  __isset = other99.__isset;
-}
-QuarantineEntry& QuarantineEntry::operator=(const QuarantineEntry& other100) {
-  fingerprint = other100.fingerprint;
-  crashes = other100.crashes;
-  expiresInMs = other100.expiresInMs;
-  quarantined = other100.quarantined;
-  reason = other100.reason;
-  __isset = other100.__isset;
+QuarantineEntry::QuarantineEntry(const QuarantineEntry& other105) {
+  fingerprint = other105.fingerprint;
+  crashes = other105.crashes;
+  expiresInMs = other105.expiresInMs;
+  quarantined = other105.quarantined;
+  reason = other105.reason;
+  marks = other105.marks;
+  __isset = other105.__isset;
+}
+QuarantineEntry& QuarantineEntry::operator=(const QuarantineEntry& other106) {
+  fingerprint = other106.fingerprint;
+  crashes = other106.crashes;
+  expiresInMs = other106.expiresInMs;
+  quarantined = other106.quarantined;
+  reason = other106.reason;
+  marks = other106.marks;
+  __isset = other106.__isset;
   return *this;
 }
 void QuarantineEntry::printTo(std::ostream& out) const {
@@ -3293,6 +3332,7 @@
   out << ", " << "expiresInMs=" << to_string(expiresInMs);
   out << ", " << "quarantined=" << to_string(quarantined);
   out << ", " << "reason=" << to_string(reason);
+  out << ", " << "marks=" << to_string(marks);
   out << ")";
 }
 
@@ -3457,23 +3497,23 @@
   swap(a.__isset, b.__isset);
 }
 
-SloMinute::SloMinute(const SloMinute& other101) {
-  epochMinute = other101.epochMinute;
-  serviceName = other101.serviceName;
-  cause = other101.cause;
-  server = other101.server;
-  failureDomain = other101.failureDomain;
-  requests = other101.requests;
-  __isset = other101.__isset;
-}
-SloMinute& SloMinute::operator=(const SloMinute& other102) {
-  epochMinute = other102.epochMinute;
-  serviceName = other102.serviceName;
-  cause = other102.cause;
-  server = other102.server;
-  failureDomain = other102.failureDomain;
-  requests = other102.requests;
-  __isset = other102.__isset;
+SloMinute::SloMinute(const SloMinute& other107) {
+  epochMinute = other107.epochMinute;
+  serviceName = other107.serviceName;
+  cause = other107.cause;
+  server = other107.server;
+  failureDomain = other107.failureDomain;
+  requests = other107.requests;
+  __isset = other107.__isset;
+}
+SloMinute& SloMinute::operator=(const SloMinute& other108) {
+  epochMinute = other108.epochMinute;
+  serviceName = other108.serviceName;
+  cause = other108.cause;
+  server = other108.server;
+  failureDomain = other108.failureDomain;
+  requests = other108.requests;
+  __isset = other108.__isset;
   return *this;
 }
 void SloMinute::printTo(std::ostream& out) const {
--- a/wire/gen-cpp/cactuspitch_types.h
+++ b/wire/gen-cpp/cactuspitch_types.h
@@ -1239,12 +1239,13 @@
 std::ostream& operator<<(std::ostream& out, const BeginRequestResponse& obj);
 
 typedef struct _QuarantineEntry__isset {
-  _QuarantineEntry__isset() : fingerprint(false), crashes(false), expiresInMs(false), quarantined(false), reason(false) {}
+  _QuarantineEntry__isset() : fingerprint(false), crashes(false), expiresInMs(false), quarantined(false), reason(false), marks(false) {}
   bool fingerprint :1;
   bool crashes :1;
   bool expiresInMs :1;
   bool quarantined :1;
   bool reason :1;
+  bool marks :1;
 } _QuarantineEntry__isset;
 
 class QuarantineEntry : public virtual ::apache::thrift::TBase {
@@ -1266,6 +1267,7 @@
   int32_t expiresInMs;
   bool quarantined;
   std::string reason;
+  std::vector<int64_t>  marks;
 
   _QuarantineEntry__isset __isset;
 
@@ -1279,6 +1281,8 @@
 
   void __set_reason(const std::string& val);
 
+  void __set_marks(const std::vector<int64_t> & val);
+
   bool operator == (const QuarantineEntry & rhs) const
   {
     if (!(fingerprint == rhs.fingerprint))
@@ -1291,6 +1295,8 @@
       return false;
     if (!(reason == rhs.reason))
       return false;
+    if (!(marks == rhs.marks))
+      return false;
     return true;
   }
   bool operator != (const QuarantineEntry &rhs) const {
--- a/wire/gen-cpp/gossip_types.cpp
+++ b/wire/gen-cpp/gossip_types.cpp
@@ -498,20 +498,12 @@
   this->fingerprint = val;
 }
 
-void SuspectRequest::__set_crashes(const int32_t val) {
-  this->crashes = val;
-}
-
-void SuspectRequest::__set_quarantined(const bool val) {
-  this->quarantined = val;
-}
-
 void SuspectRequest::__set_expiresInMs(const int32_t val) {
   this->expiresInMs = val;
 }
 
-void SuspectRequest::__set_reason(const std::string& val) {
-  this->reason = val;
+void SuspectRequest::__set_marks(const std::vector<int64_t> & val) {
+  this->marks = val;
 }
 std::ostream& operator<<(std::ostream& out, const SuspectRequest& obj)
 {
@@ -549,22 +541,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->crashes);
-          this->__isset.crashes = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->quarantined);
-          this->__isset.quarantined = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->expiresInMs);
@@ -573,10 +549,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->reason);
-          this->__isset.reason = true;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->marks.clear();
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->marks.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
+            {
+              xfer += iprot->readI64(this->marks[_i28]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.marks = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -602,20 +590,20 @@
   xfer += oprot->writeI64(this->fingerprint);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->crashes);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("quarantined", ::apache::thrift::protocol::T_BOOL, 3);
-  xfer += oprot->writeBool(this->quarantined);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("expiresInMs", ::apache::thrift::protocol::T_I32, 4);
   xfer += oprot->writeI32(this->expiresInMs);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldBegin("marks", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->marks.size()));
+    std::vector<int64_t> ::const_iterator _iter29;
+    for (_iter29 = this->marks.begin(); _iter29 != this->marks.end(); ++_iter29)
+    {
+      xfer += oprot->writeI64((*_iter29));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -626,38 +614,30 @@
 void swap(SuspectRequest &a, SuspectRequest &b) {
   using ::std::swap;
   swap(a.fingerprint, b.fingerprint);
-  swap(a.crashes, b.crashes);
-  swap(a.quarantined, b.quarantined);
   swap(a.expiresInMs, b.expiresInMs);
-  swap(a.reason, b.reason);
+  swap(a.marks, b.marks);
   swap(a.__isset, b.__isset);
 }
 
-SuspectRequest::SuspectRequest(const SuspectRequest& other24) {
-  fingerprint = other24.fingerprint;
-  crashes = other24.crashes;
-  quarantined = other24.quarantined;
-  expiresInMs = other24.expiresInMs;
-  reason = other24.reason;
-  __isset = other24.__isset;
-}
-SuspectRequest& SuspectRequest::operator=(const SuspectRequest& other25) {
-  fingerprint = other25.fingerprint;
-  crashes = other25.crashes;
-  quarantined = other25.quarantined;
-  expiresInMs = other25.expiresInMs;
-  reason = other25.reason;
-  __isset = other25.__isset;
+SuspectRequest::SuspectRequest(const SuspectRequest& other30) {
+  fingerprint = other30.fingerprint;
+  expiresInMs = other30.expiresInMs;
+  marks = other30.marks;
+  __isset = other30.__isset;
+}
+SuspectRequest& SuspectRequest::operator=(const SuspectRequest& other31) {
+  fingerprint = other31.fingerprint;
+  expiresInMs = other31.expiresInMs;
+  marks = other31.marks;
+  __isset = other31.__isset;
   return *this;
 }
 void SuspectRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "SuspectRequest(";
   out << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "crashes=" << to_string(crashes);
-  out << ", " << "quarantined=" << to_string(quarantined);
   out << ", " << "expiresInMs=" << to_string(expiresInMs);
-  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "marks=" << to_string(marks);
   out << ")";
 }
 
@@ -873,29 +853,29 @@
   swap(a.__isset, b.__isset);
 }
 
-BackendChange::BackendChange(const BackendChange& other26) {
-  id = other26.id;
-  removed = other26.removed;
-  serviceName = other26.serviceName;
-  address = other26.address;
-  failureDomain = other26.failureDomain;
-  slots = other26.slots;
-  draining = other26.draining;
-  coldMs = other26.coldMs;
-  bornMs = other26.bornMs;
-  __isset = other26.__isset;
-}
-BackendChange& BackendChange::operator=(const BackendChange& other27) {
-  id = other27.id;
-  removed = other27.removed;
-  serviceName = other27.serviceName;
-  address = other27.address;
-  failureDomain = other27.failureDomain;
-  slots = other27.slots;
-  draining = other27.draining;
-  coldMs = other27.coldMs;
-  bornMs = other27.bornMs;
-  __isset = other27.__isset;
+BackendChange::BackendChange(const BackendChange& other32) {
+  id = other32.id;
+  removed = other32.removed;
+  serviceName = other32.serviceName;
+  address = other32.address;
+  failureDomain = other32.failureDomain;
+  slots = other32.slots;
+  draining = other32.draining;
+  coldMs = other32.coldMs;
+  bornMs = other32.bornMs;
+  __isset = other32.__isset;
+}
+BackendChange& BackendChange::operator=(const BackendChange& other33) {
+  id = other33.id;
+  removed = other33.removed;
+  serviceName = other33.serviceName;
+  address = other33.address;
+  failureDomain = other33.failureDomain;
+  slots = other33.slots;
+  draining = other33.draining;
+  coldMs = other33.coldMs;
+  bornMs = other33.bornMs;
+  __isset = other33.__isset;
   return *this;
 }
 void BackendChange::printTo(std::ostream& out) const {
@@ -1006,6 +986,10 @@
   this->directoryRevision = val;
 }
 
+void Gossip::__set_suspectDigest(const int64_t val) {
+  this->suspectDigest = val;
+}
+
 void Gossip::__set_wantsKeys(const bool val) {
   this->wantsKeys = val;
 }
@@ -1081,14 +1065,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->keys.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->keys.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->keys[_i32].read(iprot);
+              xfer += this->keys[_i38].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1101,14 +1085,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keyCounts.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->keyCounts.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->keyCounts.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
             {
-              xfer += this->keyCounts[_i37].read(iprot);
+              xfer += this->keyCounts[_i43].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1121,14 +1105,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->suspects.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->suspects.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->suspects[_i42].read(iprot);
+              xfer += this->suspects[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1149,14 +1133,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->backendLoads.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->backendLoads.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->backendLoads.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
             {
-              xfer += iprot->readI32(this->backendLoads[_i47]);
+              xfer += iprot->readI32(this->backendLoads[_i53]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1185,14 +1169,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->changes.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->changes.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->changes[_i52].read(iprot);
+              xfer += this->changes[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1253,14 +1237,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->members.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->members.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += iprot->readI32(this->members[_i57]);
+              xfer += iprot->readI32(this->members[_i63]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1273,14 +1257,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->admissions.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->admissions.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->admissions.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += iprot->readI32(this->admissions[_i62]);
+              xfer += iprot->readI32(this->admissions[_i68]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1297,6 +1281,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->suspectDigest);
+          this->__isset.suspectDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->wantsKeys);
@@ -1345,10 +1337,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<OwnedKeys> ::const_iterator _iter63;
-    for (_iter63 = this->keys.begin(); _iter63 != this->keys.end(); ++_iter63)
+    std::vector<OwnedKeys> ::const_iterator _iter69;
+    for (_iter69 = this->keys.begin(); _iter69 != this->keys.end(); ++_iter69)
     {
-      xfer += (*_iter63).write(oprot);
+      xfer += (*_iter69).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1357,10 +1349,10 @@
   xfer += oprot->writeFieldBegin("keyCounts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keyCounts.size()));
-    std::vector<KeyCounts> ::const_iterator _iter64;
-    for (_iter64 = this->keyCounts.begin(); _iter64 != this->keyCounts.end(); ++_iter64)
+    std::vector<KeyCounts> ::const_iterator _iter70;
+    for (_iter70 = this->keyCounts.begin(); _iter70 != this->keyCounts.end(); ++_iter70)
     {
-      xfer += (*_iter64).write(oprot);
+      xfer += (*_iter70).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1369,10 +1361,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<SuspectRequest> ::const_iterator _iter65;
-    for (_iter65 = this->suspects.begin(); _iter65 != this->suspects.end(); ++_iter65)
+    std::vector<SuspectRequest> ::const_iterator _iter71;
+    for (_iter71 = this->suspects.begin(); _iter71 != this->suspects.end(); ++_iter71)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter71).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1385,10 +1377,10 @@
   xfer += oprot->writeFieldBegin("backendLoads", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backendLoads.size()));
-    std::vector<int32_t> ::const_iterator _iter66;
-    for (_iter66 = this->backendLoads.begin(); _iter66 != this->backendLoads.end(); ++_iter66)
+    std::vector<int32_t> ::const_iterator _iter72;
+    for (_iter72 = this->backendLoads.begin(); _iter72 != this->backendLoads.end(); ++_iter72)
     {
-      xfer += oprot->writeI32((*_iter66));
+      xfer += oprot->writeI32((*_iter72));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1409,10 +1401,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<BackendChange> ::const_iterator _iter67;
-    for (_iter67 = this->changes.begin(); _iter67 != this->changes.end(); ++_iter67)
+    std::vector<BackendChange> ::const_iterator _iter73;
+    for (_iter73 = this->changes.begin(); _iter73 != this->changes.end(); ++_iter73)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1445,10 +1437,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-    std::vector<int32_t> ::const_iterator _iter68;
-    for (_iter68 = this->members.begin(); _iter68 != this->members.end(); ++_iter68)
+    std::vector<int32_t> ::const_iterator _iter74;
+    for (_iter74 = this->members.begin(); _iter74 != this->members.end(); ++_iter74)
     {
-      xfer += oprot->writeI32((*_iter68));
+      xfer += oprot->writeI32((*_iter74));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1457,10 +1449,10 @@
   xfer += oprot->writeFieldBegin("admissions", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->admissions.size()));
-    std::vector<int32_t> ::const_iterator _iter69;
-    for (_iter69 = this->admissions.begin(); _iter69 != this->admissions.end(); ++_iter69)
+    std::vector<int32_t> ::const_iterator _iter75;
+    for (_iter75 = this->admissions.begin(); _iter75 != this->admissions.end(); ++_iter75)
     {
-      xfer += oprot->writeI32((*_iter69));
+      xfer += oprot->writeI32((*_iter75));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1470,6 +1462,10 @@
   xfer += oprot->writeI64(this->directoryRevision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspectDigest", ::apache::thrift::protocol::T_I64, 24);
+  xfer += oprot->writeI64(this->suspectDigest);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1499,61 +1495,64 @@
   swap(a.members, b.members);
   swap(a.admissions, b.admissions);
   swap(a.directoryRevision, b.directoryRevision);
+  swap(a.suspectDigest, b.suspectDigest);
   swap(a.wantsKeys, b.wantsKeys);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other70) {
-  instance = other70.instance;
-  bootId = other70.bootId;
-  term = other70.term;
-  leading = other70.leading;
-  configVersion = other70.configVersion;
-  keys = other70.keys;
-  keyCounts = other70.keyCounts;
-  suspects = other70.suspects;
-  deadTerm = other70.deadTerm;
-  backendLoads = other70.backendLoads;
-  failureDomain = other70.failureDomain;
-  cpuPercent = other70.cpuPercent;
-  changes = other70.changes;
-  directoryDigest = other70.directoryDigest;
-  storeOk = other70.storeOk;
-  storeAgeMs = other70.storeAgeMs;
-  statusPort = other70.statusPort;
-  passOn = other70.passOn;
-  origin = other70.origin;
-  members = other70.members;
-  admissions = other70.admissions;
-  directoryRevision = other70.directoryRevision;
-  wantsKeys = other70.wantsKeys;
-  __isset = other70.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other71) {
-  instance = other71.instance;
-  bootId = other71.bootId;
-  term = other71.term;
-  leading = other71.leading;
-  configVersion = other71.configVersion;
-  keys = other71.keys;
-  keyCounts = other71.keyCounts;
-  suspects = other71.suspects;
-  deadTerm = other71.deadTerm;
-  backendLoads = other71.backendLoads;
-  failureDomain = other71.failureDomain;
-  cpuPercent = other71.cpuPercent;
-  changes = other71.changes;
-  directoryDigest = other71.directoryDigest;
-  storeOk = other71.storeOk;
-  storeAgeMs = other71.storeAgeMs;
-  statusPort = other71.statusPort;
-  passOn = other71.passOn;
-  origin = other71.origin;
-  members = other71.members;
-  admissions = other71.admissions;
-  directoryRevision = other71.directoryRevision;
-  wantsKeys = other71.wantsKeys;
-  __isset = other71.__isset;
+Gossip::Gossip(const Gossip& other76) {
+  instance = other76.instance;
+  bootId = other76.bootId;
+  term = other76.term;
+  leading = other76.leading;
+  configVersion = other76.configVersion;
+  keys = other76.keys;
+  keyCounts = other76.keyCounts;
+  suspects = other76.suspects;
+  deadTerm = other76.deadTerm;
+  backendLoads = other76.backendLoads;
+  failureDomain = other76.failureDomain;
+  cpuPercent = other76.cpuPercent;
+  changes = other76.changes;
+  directoryDigest = other76.directoryDigest;
+  storeOk = other76.storeOk;
+  storeAgeMs = other76.storeAgeMs;
+  statusPort = other76.statusPort;
+  passOn = other76.passOn;
+  origin = other76.origin;
+  members = other76.members;
+  admissions = other76.admissions;
+  directoryRevision = other76.directoryRevision;
+  suspectDigest = other76.suspectDigest;
+  wantsKeys = other76.wantsKeys;
+  __isset = other76.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other77) {
+  instance = other77.instance;
+  bootId = other77.bootId;
+  term = other77.term;
+  leading = other77.leading;
+  configVersion = other77.configVersion;
+  keys = other77.keys;
+  keyCounts = other77.keyCounts;
+  suspects = other77.suspects;
+  deadTerm = other77.deadTerm;
+  backendLoads = other77.backendLoads;
+  failureDomain = other77.failureDomain;
+  cpuPercent = other77.cpuPercent;
+  changes = other77.changes;
+  directoryDigest = other77.directoryDigest;
+  storeOk = other77.storeOk;
+  storeAgeMs = other77.storeAgeMs;
+  statusPort = other77.statusPort;
+  passOn = other77.passOn;
+  origin = other77.origin;
+  members = other77.members;
+  admissions = other77.admissions;
+  directoryRevision = other77.directoryRevision;
+  suspectDigest = other77.suspectDigest;
+  wantsKeys = other77.wantsKeys;
+  __isset = other77.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -1581,6 +1580,7 @@
   out << ", " << "members=" << to_string(members);
   out << ", " << "admissions=" << to_string(admissions);
   out << ", " << "directoryRevision=" << to_string(directoryRevision);
+  out << ", " << "suspectDigest=" << to_string(suspectDigest);
   out << ", " << "wantsKeys=" << to_string(wantsKeys);
   out << ")";
 }
--- a/wire/gen-cpp/gossip_types.h
+++ b/wire/gen-cpp/gossip_types.h
@@ -209,12 +209,10 @@
 std::ostream& operator<<(std::ostream& out, const KeyCounts& obj);
 
 typedef struct _SuspectRequest__isset {
-  _SuspectRequest__isset() : fingerprint(false), crashes(false), quarantined(false), expiresInMs(false), reason(false) {}
+  _SuspectRequest__isset() : fingerprint(false), expiresInMs(false), marks(false) {}
   bool fingerprint :1;
-  bool crashes :1;
-  bool quarantined :1;
   bool expiresInMs :1;
-  bool reason :1;
+  bool marks :1;
 } _SuspectRequest__isset;
 
 class SuspectRequest : public virtual ::apache::thrift::TBase {
@@ -224,42 +222,29 @@
   SuspectRequest& operator=(const SuspectRequest&);
   SuspectRequest() noexcept
                  : fingerprint(0),
-                   crashes(0),
-                   quarantined(0),
-                   expiresInMs(0),
-                   reason() {
+                   expiresInMs(0) {
   }
 
   virtual ~SuspectRequest() noexcept;
   int64_t fingerprint;
-  int32_t crashes;
-  bool quarantined;
   int32_t expiresInMs;
-  std::string reason;
+  std::vector<int64_t>  marks;
 
   _SuspectRequest__isset __isset;
 
   void __set_fingerprint(const int64_t val);
 
-  void __set_crashes(const int32_t val);
-
-  void __set_quarantined(const bool val);
-
   void __set_expiresInMs(const int32_t val);
 
-  void __set_reason(const std::string& val);
+  void __set_marks(const std::vector<int64_t> & val);
 
   bool operator == (const SuspectRequest & rhs) const
   {
     if (!(fingerprint == rhs.fingerprint))
       return false;
-    if (!(crashes == rhs.crashes))
-      return false;
-    if (!(quarantined == rhs.quarantined))
-      return false;
     if (!(expiresInMs == rhs.expiresInMs))
       return false;
-    if (!(reason == rhs.reason))
+    if (!(marks == rhs.marks))
       return false;
     return true;
   }
@@ -379,7 +364,7 @@
 std::ostream& operator<<(std::ostream& out, const BackendChange& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), passOn(false), origin(false), members(false), admissions(false), directoryRevision(false), wantsKeys(false) {}
+  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), passOn(false), origin(false), members(false), admissions(false), directoryRevision(false), suspectDigest(false), wantsKeys(false) {}
   bool instance :1;
   bool bootId :1;
   bool term :1;
@@ -402,6 +387,7 @@
   bool members :1;
   bool admissions :1;
   bool directoryRevision :1;
+  bool suspectDigest :1;
   bool wantsKeys :1;
 } _Gossip__isset;
 
@@ -426,6 +412,7 @@
            passOn(0),
            origin(0),
            directoryRevision(0),
+           suspectDigest(0),
            wantsKeys(0) {
   }
 
@@ -452,6 +439,7 @@
   std::vector<int32_t>  members;
   std::vector<int32_t>  admissions;
   int64_t directoryRevision;
+  int64_t suspectDigest;
   bool wantsKeys;
 
   _Gossip__isset __isset;
@@ -500,6 +488,8 @@
 
   void __set_directoryRevision(const int64_t val);
 
+  void __set_suspectDigest(const int64_t val);
+
   void __set_wantsKeys(const bool val);
 
   bool operator == (const Gossip & rhs) const
@@ -548,6 +538,8 @@
       return false;
     if (!(directoryRevision == rhs.directoryRevision))
       return false;
+    if (!(suspectDigest == rhs.suspectDigest))
+      return false;
     if (!(wantsKeys == rhs.wantsKeys))
       return false;
     return true;
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -26,10 +26,10 @@
 // Request that may crash the backend servers that run it.
 struct SuspectRequest {
   1: i64 fingerprint // of method, target and body
-  2: i32 crashes
-  3: bool quarantined
   4: i32 expiresInMs
-  5: string reason
+  // Servers that ended under the request: XXH32 of the life * 4, + 2 when that
+  // is conclusive, + 1 when it was cleared since.
+  6: list<i64> marks
 }
 
 // Registration of a backend server as the leader knows it.
@@ -74,5 +74,6 @@
   // of the id, and the part of the requests that may be sent, in 1/1000.
   22: list<i32> admissions
   23: i64 directoryRevision // of the store, that directoryDigest and changes show
+  24: i64 suspectDigest // over requests that crashed two servers and more
   12: bool wantsKeys // the sender has just started and knows no owners
 }
