--- a/gateway/BackendLink.cpp
+++ b/gateway/BackendLink.cpp
@@ -219,6 +219,7 @@
   constexpr int kFirstServerError = 500;
   ranWell_ = info.sealed_ && !info.notRun_ && head.status_ < kFirstServerError;
   refused_ = info.notRun_;
+  TakeNotices(info);
   const TimeMs nowMs = pool_.loop_.NowMs();
   if (info.load_) {
     backend_->load_.OnReport(*info.load_, nowMs);
@@ -233,6 +234,19 @@
   return busy_ && stream_.IsOpen();
 }
 
+void BackendLink::TakeNotices(const AnswerInfo& aInfo)
+{
+  if (aInfo.leaving_) {
+    pool_.OnLeaving(*backend_);
+  }
+  if (aInfo.pauseMs_) {
+    pool_.OnPaused(*backend_, *aInfo.pauseMs_);
+  }
+  if (aInfo.malformedPause_) {
+    pool_.OnMalformedPause(*backend_);
+  }
+}
+
 void BackendLink::FinishAnswer(bool aReusable)
 {
   const TimeMs nowMs = pool_.loop_.NowMs();
@@ -241,6 +255,7 @@
     const double latencyMs = static_cast<double>(nowMs - sentMs_);
     backend_->load_.OnAnswered(latencyMs, loadAtSend_, nowMs);
     pool_.NoteWork(*backend_, latencyMs);
+    pool_.OnResumed(*backend_);
   } else if (status >= 500) {
     backend_->load_.OnFailed(nowMs);
   }
--- a/gateway/BackendLink.hpp
+++ b/gateway/BackendLink.hpp
@@ -112,6 +112,8 @@
             std::string_view aCause,
             AttemptOutcome aOutcome = AttemptOutcome::Other);
   void Leave(AttemptOutcome aOutcome);
+  /// What the server says about itself besides the answer.
+  void TakeNotices(const AnswerInfo& aInfo);
 
   BackendPool& pool_;
   std::shared_ptr<Backend> backend_;
@@ -155,9 +157,22 @@
   TimeMs downUntilMs_ = 0;
   int connectFailures_ = 0;
 
-  bool IsUsable() const
+  /// It refused and wants no requests until then.
+  TimeMs pausedUntilMs_ = 0;
+  /// Requests at a time since the end of the pause, 0 for no limit: they come
+  /// back as the server answers them.
+  size_t resumeLimit_ = 0;
+  bool malformedPauseLogged_ = false;
+
+  bool IsUsable() const { return registered_ && entry_.TakesNewWork(); }
+  bool IsPaused(TimeMs aNowMs) const { return pausedUntilMs_ > aNowMs; }
+  bool TakesRequests(TimeMs aNowMs) const
+  {
+    return IsUsable() && !IsPaused(aNowMs);
+  }
+  bool IsResuming() const
   {
-    return registered_ && entry_.state_ == BackendState::Ready;
+    return resumeLimit_ != 0 && busy_.size() >= resumeLimit_;
   }
   /// A connection is open, so the server has not ended.
   bool HasOpenConnection() const;
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -14,6 +14,8 @@
 constexpr TimeMs kMaxDownMs = 1500;
 /// Idle connections are closed this long before the server would do it.
 constexpr TimeMs kIdleMarginMs = 1500;
+/// Part of a pause by which gateways come back later.
+constexpr double kPauseSpread = 0.2;
 constexpr double kServiceWorkWeight = 0.02;
 constexpr double kInitialWorkMs = 100;
 
@@ -21,13 +23,16 @@
 
 BackendPool::BackendPool(EventLoop& aLoop,
                          EventLog& aLog,
+                         GatewayMetrics& aMetrics,
                          const RequestProtocol& aProtocol,
                          BackendObserver& aObserver)
   : loop_(aLoop)
   , log_(aLog)
+  , metrics_(aMetrics)
   , protocol_(aProtocol)
   , observer_(aObserver)
   , workMs_(detail::kServiceWorkWeight)
+  , random_(std::random_device{}())
 {
 }
 
@@ -50,6 +55,9 @@
     if (sameLife) {
       known->second->entry_ = entry->second;
       known->second->load_.SetSlots(entry->second.slots_);
+      if (entry->second.leaving_) {
+        CloseIdleOf(*known->second);
+      }
       continue;
     }
     if (known != backends_.end()) {
@@ -83,8 +91,7 @@
 {
   aBackend->registered_ = false;
   observer_.OnBackendGone(*aBackend);
-  auto idle = std::exchange(aBackend->idle_, {});
-  loop_.Defer([idle = std::move(idle)] {});
+  CloseIdleOf(*aBackend);
   std::erase(byService_[aBackend->entry_.service_], aBackend);
   byHash_.erase(aBackend->idHash_);
 }
@@ -173,8 +180,7 @@
   aBackend.downUntilMs_ =
     loop_.NowMs() +
     std::min(detail::kMaxDownMs, detail::kDownMs * aBackend.connectFailures_);
-  auto idle = std::exchange(aBackend.idle_, {});
-  loop_.Defer([idle = std::move(idle)] {});
+  CloseIdleOf(aBackend);
   if (aBackend.connectFailures_ == 1) {
     log_.Write(LogLevel::Warning,
                "backend-down",
@@ -183,6 +189,71 @@
   observer_.OnBackendDown(aBackend);
 }
 
+void BackendPool::CloseIdleOf(Backend& aBackend)
+{
+  // One of them may be the caller.
+  loop_.Defer([idle = std::exchange(aBackend.idle_, {})] {});
+}
+
+void BackendPool::OnLeaving(Backend& aBackend)
+{
+  if (std::exchange(aBackend.entry_.leaving_, true)) {
+    return;
+  }
+  CloseIdleOf(aBackend);
+  metrics_.OnServerNotice("leaving", aBackend.entry_.id_);
+  log_.Write(LogLevel::Info,
+             "backend-leaving",
+             { { "backend", aBackend.entry_.id_ },
+               { "in_flight", aBackend.busy_.size() } });
+  observer_.OnBackendLeaving(aBackend);
+}
+
+void BackendPool::OnPaused(Backend& aBackend, TimeMs aPauseMs)
+{
+  const TimeMs nowMs = loop_.NowMs();
+  if (aPauseMs <= 0) {
+    return;
+  }
+  // Gateways that paused at the same time do not come back at the same time.
+  std::uniform_real_distribution<double> spread(0, detail::kPauseSpread);
+  const auto untilMs =
+    nowMs + aPauseMs +
+    static_cast<TimeMs>(static_cast<double>(aPauseMs) * spread(random_));
+  const bool isNew = !aBackend.IsPaused(nowMs);
+  aBackend.pausedUntilMs_ = std::max(aBackend.pausedUntilMs_, untilMs);
+  aBackend.resumeLimit_ = 1;
+  if (isNew) {
+    metrics_.OnServerNotice("paused", aBackend.entry_.id_);
+    log_.Write(LogLevel::Info,
+               "backend-paused",
+               { { "backend", aBackend.entry_.id_ },
+                 { "for_ms", aPauseMs },
+                 { "in_flight", aBackend.busy_.size() } });
+  }
+}
+
+void BackendPool::OnMalformedPause(Backend& aBackend)
+{
+  metrics_.OnServerNotice("malformed-pause", aBackend.entry_.id_);
+  if (!std::exchange(aBackend.malformedPauseLogged_, true)) {
+    log_.Write(LogLevel::Warning,
+               "backend-pause-malformed",
+               { { "backend", aBackend.entry_.id_ } });
+  }
+}
+
+void BackendPool::OnResumed(Backend& aBackend)
+{
+  if (aBackend.resumeLimit_ == 0) {
+    return;
+  }
+  aBackend.resumeLimit_ *= 2;
+  if (aBackend.resumeLimit_ > static_cast<size_t>(aBackend.entry_.slots_)) {
+    aBackend.resumeLimit_ = 0;
+  }
+}
+
 void BackendPool::NoteWork(const Backend& aBackend, double aLatencyMs)
 {
   workMs_.Add(aBackend.entry_.service_, aLatencyMs);
@@ -194,7 +265,8 @@
   auto& backend = aLink->Server();
   std::erase(backend.busy_, aLink);
   std::erase(backend.idle_, aLink);
-  if (aReusable && backend.registered_ && aLink->stream_.IsOpen()) {
+  if (aReusable && backend.registered_ && !backend.entry_.leaving_ &&
+      aLink->stream_.IsOpen()) {
     aLink->idleSinceMs_ = loop_.NowMs();
     aLink->stream_.PauseReading(false);
     backend.idle_.push_back(aLink);
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -2,6 +2,7 @@
 
 #include "gateway/BackendLink.hpp"
 #include "gateway/EventLog.hpp"
+#include "gateway/GatewayMetrics.hpp"
 #include "policy/LoadBoard.hpp"
 #include "policy/RunningMeans.hpp"
 #include "routing/RoutingConfig.hpp"
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -28,6 +30,8 @@
   virtual void OnBackendDown(const Backend& aBackend) = 0;
   /// The registration of this life of the server is gone.
   virtual void OnBackendGone(const Backend& aBackend) = 0;
+  /// The server said that it leaves; told once.
+  virtual void OnBackendLeaving(const Backend& aBackend) = 0;
 };
 
 /// Backend servers and the connections to them.
@@ -38,6 +42,7 @@
 
   BackendPool(EventLoop& aLoop,
               EventLog& aLog,
+              GatewayMetrics& aMetrics,
               const RequestProtocol& aProtocol,
               BackendObserver& aObserver);
   ~BackendPool();
@@ -69,11 +74,18 @@
   BackendPtr NewBackend(const BackendEntry& aEntry);
   void Remove(const BackendPtr& aBackend);
   void OnConnectFailed(Backend& aBackend, std::string_view aCause);
+  void OnLeaving(Backend& aBackend);
+  void OnPaused(Backend& aBackend, TimeMs aPauseMs);
+  void OnMalformedPause(Backend& aBackend);
+  /// The server answered well: after a pause it may get more at a time.
+  static void OnResumed(Backend& aBackend);
+  void CloseIdleOf(Backend& aBackend);
   void NoteWork(const Backend& aBackend, double aLatencyMs);
   void Release(const std::shared_ptr<BackendLink>& aLink, bool aReusable);
 
   EventLoop& loop_;
   EventLog& log_;
+  GatewayMetrics& metrics_;
   const RequestProtocol& protocol_;
   BackendObserver& observer_;
   std::map<std::string, BackendPtr> backends_;
@@ -81,6 +93,7 @@
   std::unordered_map<uint32_t, BackendPtr> byHash_;
   RunningMeans workMs_;
   int64_t opened_ = 0;
+  std::minstd_rand random_;
 };
 
 }
--- a/gateway/CrashWatch.cpp
+++ b/gateway/CrashWatch.cpp
@@ -25,10 +25,14 @@
 
 }
 
-CrashWatch::CrashWatch(EventLoop& aLoop, EventLog& aLog, ChangeTask aOnChange)
+CrashWatch::CrashWatch(EventLoop& aLoop,
+                       EventLog& aLog,
+                       ChangeTask aOnChange,
+                       LeavingTask aOnLeaving)
   : loop_(aLoop)
   , log_(aLog)
   , onChange_(std::move(aOnChange))
+  , onLeaving_(std::move(aOnLeaving))
   , quarantine_({ .expiryMs_ = detail::kQuarantineMs,
                   .turnMs_ = detail::kTurnMs,
                   .maxTurns_ = detail::kMaxTurns,
@@ -147,11 +151,16 @@
 void CrashWatch::OnBackendGone(const Backend& aBackend)
 {
   // A server that drains ends as planned, with what it still runs.
-  if (aBackend.entry_.state_ == BackendState::Ready) {
+  if (aBackend.entry_.TakesNewWork()) {
     Confirm(aBackend, EndEvidence::Registration);
   }
 }
 
+void CrashWatch::OnBackendLeaving(const Backend& aBackend)
+{
+  onLeaving_(aBackend.entry_);
+}
+
 void CrashWatch::Confirm(const Backend& aBackend, EndEvidence aEvidence)
 {
   const TimeMs nowMs = loop_.NowMs();
--- a/gateway/CrashWatch.hpp
+++ b/gateway/CrashWatch.hpp
@@ -38,7 +38,13 @@
   /// Told after a change of the quarantine that other gateways need at once.
   using ChangeTask = std::function<void()>;
 
-  CrashWatch(EventLoop& aLoop, EventLog& aLog, ChangeTask aOnChange);
+  /// Told once of each server that said that it leaves.
+  using LeavingTask = std::function<void(const BackendEntry& aEntry)>;
+
+  CrashWatch(EventLoop& aLoop,
+             EventLog& aLog,
+             ChangeTask aOnChange,
+             LeavingTask aOnLeaving);
 
   CrashQuarantine& Quarantine() { return quarantine_; }
   void SetGateways(const std::string& aSelf,
@@ -53,6 +59,7 @@
                      AttemptOutcome aOutcome) override;
   void OnBackendDown(const Backend& aBackend) override;
   void OnBackendGone(const Backend& aBackend) override;
+  void OnBackendLeaving(const Backend& aBackend) override;
 
 private:
   /// An attempt without an answer, until it is known whether its server ended.
@@ -81,6 +88,7 @@
   EventLoop& loop_;
   EventLog& log_;
   ChangeTask onChange_;
+  LeavingTask onLeaving_;
   CrashQuarantine quarantine_;
   std::deque<OpenCase> cases_; ///< in the order in which they came
   std::map<std::string, std::unique_ptr<LifeProbe>> probes_; ///< by server
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -491,7 +491,9 @@
   output_ =
     Concat("HTTP/1.1 ", answerHead_.status_, " ", answerHead_.reason_, "\r\n");
   for (const auto& [name, value] : EndToEndFields(answerHead_)) {
-    AppendTo(output_, name, ": ", value, "\r\n");
+    if (!forwarder_.Protocol().IsInternalAnswerField(name)) {
+      AppendTo(output_, name, ": ", value, "\r\n");
+    }
   }
   announcedClose_ = sink_->WantsClose(*this);
   if (announcedClose_) {
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -41,14 +41,15 @@
                      GatewayMetrics& aMetrics,
                      const RequestProtocol& aProtocol,
                      ForwardingBounds aBounds,
-                     CrashWatch::ChangeTask aOnSuspects)
+                     CrashWatch::ChangeTask aOnSuspects,
+                     CrashWatch::LeavingTask aOnLeaving)
   : loop_(aLoop)
   , log_(aLog)
   , metrics_(aMetrics)
   , protocol_(aProtocol)
   , bounds_(std::move(aBounds))
-  , crashes_(aLoop, aLog, std::move(aOnSuspects))
-  , pool_(aLoop, aLog, aProtocol, crashes_)
+  , crashes_(aLoop, aLog, std::move(aOnSuspects), std::move(aOnLeaving))
+  , pool_(aLoop, aLog, aMetrics, aProtocol, crashes_)
   , admission_(std::random_device{}())
   , answerBytes_(detail::kAnswerBytesWeight)
   , parkTimer_(aLoop, [this] { PumpParked(); })
@@ -160,7 +161,8 @@
   candidate.home_ = aBackend.home_;
   candidate.down_ = aBackend.downUntilMs_ > nowMs;
   candidate.full_ =
-    aBackend.idle_.empty() && aBackend.Connections() >= aMaxConnections;
+    aBackend.IsResuming() ||
+    (aBackend.idle_.empty() && aBackend.Connections() >= aMaxConnections);
   candidate.tried_ = aRequest.Tried().contains(aBackend.entry_.id_);
   return candidate;
 }
@@ -199,8 +201,9 @@
   const auto& backends = pool_.OfService(aRequest.Service());
   std::vector<PlacementCandidate> candidates;
   std::vector<BackendPool::BackendPtr> usable;
+  const TimeMs nowMs = loop_.NowMs();
   for (const auto& backend : backends) {
-    if (backend->IsUsable() && backend->home_) {
+    if (backend->TakesRequests(nowMs) && backend->home_) {
       usable.push_back(backend);
     }
   }
@@ -218,19 +221,39 @@
   choice.verdict_ = decision.verdict_;
   choice.retryAfterMs_ = decision.retryAfterMs_;
   choice.cause_ = usable.empty() ? "no-backend" : "overload";
+  if (usable.empty()) {
+    SetPauseOf(backends, choice);
+  }
   if (decision.verdict_ == PlacementVerdict::Send) {
     choice.backend_ = usable[decision.index_];
   }
   return choice;
 }
 
+void Forwarder::SetPauseOf(const std::vector<BackendPool::BackendPtr>& aAll,
+                           Choice& aChoice) const
+{
+  const TimeMs nowMs = loop_.NowMs();
+  TimeMs endMs = INT64_MAX;
+  for (const auto& backend : aAll) {
+    if (backend->IsUsable() && backend->IsPaused(nowMs)) {
+      endMs = std::min(endMs, backend->pausedUntilMs_);
+    }
+  }
+  if (endMs != INT64_MAX) {
+    aChoice.retryAfterMs_ = endMs - nowMs;
+    aChoice.cause_ = "all-paused";
+  }
+}
+
 void Forwarder::AddSample(const std::vector<BackendPool::BackendPtr>& aAll,
                           std::vector<BackendPool::BackendPtr>& aUsable)
 {
+  const TimeMs nowMs = loop_.NowMs();
   const auto wanted = aUsable.size() + detail::kForeignSample;
   if (aAll.size() <= wanted + detail::kForeignSample) {
     for (const auto& backend : aAll) {
-      if (backend->IsUsable() && !backend->home_) {
+      if (backend->TakesRequests(nowMs) && !backend->home_) {
         aUsable.push_back(backend);
       }
     }
@@ -242,7 +265,7 @@
        draw < 2 * detail::kForeignSample && aUsable.size() < wanted;
        ++draw) {
     const auto& backend = aAll[pick(random_)];
-    if (backend->IsUsable() && !backend->home_ &&
+    if (backend->TakesRequests(nowMs) && !backend->home_ &&
         std::ranges::find(aUsable, backend) == aUsable.end()) {
       aUsable.push_back(backend);
     }
@@ -257,14 +280,21 @@
   const auto& route = *aRequest.GetRoute();
   const auto* owner = keys_.Find(aRequest.Service(), *aRequest.Caller().key_);
   const auto backend = owner == nullptr ? nullptr : pool_.Find(owner->id_);
+  const TimeMs nowMs = loop_.NowMs();
+  if (backend != nullptr && backend->IsPaused(nowMs)) {
+    choice.retryAfterMs_ = backend->pausedUntilMs_ - nowMs;
+    choice.cause_ = "owner-paused";
+    return choice;
+  }
   const bool ready = backend != nullptr && owner->active_ &&
-                     backend->IsUsable() &&
-                     backend->downUntilMs_ <= loop_.NowMs();
+                     backend->IsUsable() && backend->downUntilMs_ <= nowMs;
   if (!ready) {
     const bool mayWait =
       static_cast<double>(aRequest.HeldMs()) <
       static_cast<double>(route.objectiveMs_) * detail::kMoveHoldShare;
-    const bool moving = owner != nullptr && !owner->active_;
+    // The keys of a server that leaves are about to move.
+    const bool leaves = backend != nullptr && !backend->entry_.TakesNewWork();
+    const bool moving = owner != nullptr && (!owner->active_ || leaves);
     choice.verdict_ =
       moving && mayWait ? PlacementVerdict::Wait : PlacementVerdict::Refuse;
     choice.cause_ = owner == nullptr ? "no-owner"
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -53,7 +53,8 @@
             GatewayMetrics& aMetrics,
             const RequestProtocol& aProtocol,
             ForwardingBounds aBounds,
-            CrashWatch::ChangeTask aOnSuspects);
+            CrashWatch::ChangeTask aOnSuspects,
+            CrashWatch::LeavingTask aOnLeaving);
   ~Forwarder();
 
   void SetConfig(RoutingConfig aConfig);
@@ -106,6 +107,9 @@
                      const ServiceSpec& aService);
   Choice ChooseAny(const ForwardedRequest& aRequest,
                    const ServiceSpec& aService);
+  /// Refuses until the first of the paused servers wants requests again.
+  void SetPauseOf(const std::vector<BackendPool::BackendPtr>& aAll,
+                  Choice& aChoice) const;
   /// Adds servers that are not homes: all of a few, else some drawn at random.
   void AddSample(const std::vector<BackendPool::BackendPtr>& aAll,
                  std::vector<BackendPool::BackendPtr>& aUsable);
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -68,14 +68,16 @@
   , metrics_(registry_)
   , client_(aLoop)
   , store_(aLoop, aLog, client_, port_.objects_, settings_.store_)
-  , forwarder_(aLoop,
-               aLog,
-               metrics_,
-               port_.requests_,
-               { settings_.retryRatio_,
-                 settings_.retryExtra_,
-                 settings_.failureDomain_ },
-               [this] { gossip_.OnSuspectsChanged(); })
+  , forwarder_(
+      aLoop,
+      aLog,
+      metrics_,
+      port_.requests_,
+      { settings_.retryRatio_,
+        settings_.retryExtra_,
+        settings_.failureDomain_ },
+      [this] { gossip_.OnSuspectsChanged(); },
+      [this](const BackendEntry& aEntry) { OnLeaving(aEntry); })
   , callers_(aLoop, forwarder_)
   , readyServer_(aLoop,
                  [this](const std::string&) {
@@ -225,7 +227,13 @@
             board_,
             relay_,
             forwarder_,
-            { [this] { return configVersion_; } })
+            { [this] { return configVersion_; },
+              [this](size_t aMost) { return directory_.LeavingLives(aMost); },
+              [this](const std::vector<int32_t>& aLives) {
+                if (directory_.MarkLeaving(aLives)) {
+                  OnBackendsChanged();
+                }
+              } })
   , changesTimer_(aLoop, [this] { ApplyBackendChanges(); })
   , housekeepTimer_(aLoop, [this] { Housekeep(); })
   , registerTimer_(aLoop, [this] { Register(); })
@@ -424,6 +432,14 @@
   }
 }
 
+void Gateway::OnLeaving(const BackendEntry& aEntry)
+{
+  if (directory_.MarkLeaving(aEntry.id_, aEntry.bornMs_)) {
+    OnBackendsChanged();
+    gossip_.TellLeaving();
+  }
+}
+
 void Gateway::OnBackendsChanged()
 {
   if (changesTimer_.IsActive()) {
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -55,6 +55,8 @@
   void OnBackendEvents(const std::vector<ObjectEvent>& aEvents);
   void OnOwnObject(const StoreObject& aObject);
   std::optional<BackendEntry> DecodeBackend(const StoreObject& aObject);
+  /// A server said that it leaves.
+  void OnLeaving(const BackendEntry& aEntry);
   void OnBackendsChanged();
   void ApplyBackendChanges();
   void Register();
--- a/gateway/GatewayMetrics.cpp
+++ b/gateway/GatewayMetrics.cpp
@@ -31,6 +31,15 @@
   latency_.Record(aLatencyMs);
 }
 
+void GatewayMetrics::OnServerNotice(std::string_view aReason,
+                                    const std::string& aBackend)
+{
+  registry_
+    .GetCounter("cactuspitch_server_notices_total",
+                { { "reason", std::string(aReason) }, { "server", aBackend } })
+    .Add();
+}
+
 void GatewayMetrics::OnAttempt(std::string_view aEnd)
 {
   auto found = attempts_.find(aEnd);
--- a/gateway/GatewayMetrics.hpp
+++ b/gateway/GatewayMetrics.hpp
@@ -16,6 +16,8 @@
   void OnRequest(const std::string& aRoute);
   void OnAnswer(int aStatus, std::string_view aCause, double aLatencyMs);
   void OnAttempt(std::string_view aEnd);
+  /// A server said something about itself: that it leaves, or wants a pause.
+  void OnServerNotice(std::string_view aReason, const std::string& aBackend);
   void OnRetry() { retries_.Add(); }
   void OnConnection() { connections_.Add(); }
   Gauge& Parked() { return parked_; }
--- a/gateway/GossipDuty.cpp
+++ b/gateway/GossipDuty.cpp
@@ -20,6 +20,8 @@
 /// while some ask for them.
 constexpr TimeMs kAllKeysIntervalMs = 500;
 constexpr size_t kLoadFields = 3;
+/// Leaving servers in each datagram: half a kilobyte.
+constexpr size_t kMaxLeaving = 100;
 /// Registrations of one datagram, about a kilobyte.
 constexpr size_t kMaxChanges = 12;
 constexpr double kUsPerMs = 1000;
@@ -77,6 +79,7 @@
   gossip.statusPort = self_.statusPort_;
   gossip.suspectDigest = static_cast<int64_t>(
     forwarder_.Crashes().Quarantine().Digest(loop_.NowMs()));
+  gossip.leavingServers = handlers_.leavingServers_(detail::kMaxLeaving);
   relay_.Fill(gossip);
   return gossip;
 }
@@ -173,6 +176,16 @@
     });
 }
 
+void GossipDuty::TellLeaving()
+{
+  const auto leader = mesh_.Peers().find(election_.Leader());
+  if (election_.IsLeading() || leader == mesh_.Peers().end()) {
+    mesh_.SendToAll(Basic());
+  } else {
+    mesh_.SendTo(leader->second.endpoint_, Basic());
+  }
+}
+
 void GossipDuty::OnSuspectsChanged()
 {
   suspects_.OnChanged(loop_.NowMs());
@@ -355,6 +368,9 @@
   }
   TakeLoads(aGossip);
   TakeAdmissions(aGossip);
+  if (!aGossip.leavingServers.empty()) {
+    handlers_.onLeaving_(aGossip.leavingServers);
+  }
   TakeSuspects(aGossip);
   CompareSuspects(aGossip, aOrigin);
   if (election_.IsLeading()) {
--- a/gateway/GossipDuty.hpp
+++ b/gateway/GossipDuty.hpp
@@ -32,6 +32,9 @@
   struct Handlers
   {
     std::function<int64_t()> configVersion_;
+    /// Servers that said that they leave, by hash, at most so many.
+    std::function<std::vector<int32_t>(size_t aMost)> leavingServers_;
+    std::function<void(const std::vector<int32_t>& aServers)> onLeaving_;
   };
 
   GossipDuty(EventLoop& aLoop,
@@ -57,6 +60,8 @@
   /// The leader's owners have changed; changes are gathered and told to all,
   /// this gateway included.
   void OnKeysChanged();
+  /// A server said to this gateway that it leaves.
+  void TellLeaving();
   /// This gateway counted or cleared crashes of requests.
   void OnSuspectsChanged();
 
--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -248,7 +248,7 @@
       }
       OwnerCandidate candidate;
       candidate.bornMs_ = entry.bornMs_;
-      candidate.usable_ = entry.state_ == BackendState::Ready;
+      candidate.usable_ = entry.TakesNewWork();
       double speed = 1;
       if (const double workMs = board_.WorkMs(ShortHash(id)); workMs > 0) {
         speed =
--- a/gateway/PlatformPort.hpp
+++ b/gateway/PlatformPort.hpp
@@ -42,6 +42,10 @@
   bool notRun_ = false; ///< the request certainly was not run
   std::optional<ReportedLoad> load_;
   std::optional<TimeMs> idleTimeoutMs_; ///< of the connection
+  bool leaving_ = false;                ///< the server is about to leave
+  /// A server that refuses wants no requests for so long.
+  std::optional<TimeMs> pauseMs_;
+  bool malformedPause_ = false; ///< its pause cannot be read and is ignored
 };
 
 using HttpFields = std::vector<std::pair<std::string, std::string>>;
@@ -58,6 +62,8 @@
                                 TimeMs aRemainingMs,
                                 std::string_view aBackendId) const = 0;
   virtual AnswerInfo ReadAnswer(const HttpHead& aHead) const = 0;
+  /// Fields of a server's answer that are meant for the gateway only.
+  virtual bool IsInternalAnswerField(std::string_view aName) const = 0;
   /// Fields of an answer that the gateway gives itself.
   virtual void AddOwnAnswerFields(std::string& aHead,
                                   std::string_view aRequestId) const = 0;
--- a/membership/BackendDirectory.cpp
+++ b/membership/BackendDirectory.cpp
@@ -1,5 +1,6 @@
 #include "membership/BackendDirectory.hpp"
 
+#include "common/ShortHash.hpp"
 #include "common/Strings.hpp"
 
 #include <algorithm>
@@ -26,6 +27,12 @@
   return XXH3_64bits(text.data(), text.size()) + 1;
 }
 
+int32_t LifeHash(const BackendEntry& aEntry)
+{
+  return static_cast<int32_t>(
+    ShortHash(Concat(aEntry.id_, "#", aEntry.bornMs_)));
+}
+
 }
 
 BackendDirectory::BackendDirectory(TimeMs aDrainMs)
@@ -55,16 +62,70 @@
 {
   missing_.erase(aEntry.id_);
   confirmedMs_.erase(aEntry.id_);
-  const auto [known, isNew] = entries_.try_emplace(aEntry.id_, aEntry);
+  auto entry = aEntry;
+  entry.leaving_ = IsLeaving(entry);
+  const auto [known, isNew] = entries_.try_emplace(entry.id_, entry);
   if (!isNew) {
-    if (known->second.IsSameState(aEntry)) {
+    if (known->second.IsSameState(entry)) {
       return;
     }
     digest_ -= detail::HashOf(known->second);
-    known->second = aEntry;
+    known->second = entry;
+  }
+  digest_ += detail::HashOf(entry);
+  changes_.insert(entry.id_);
+}
+
+bool BackendDirectory::IsLeaving(const BackendEntry& aEntry) const
+{
+  const auto found = leavingBornMs_.find(aEntry.id_);
+  return found != leavingBornMs_.end() && found->second == aEntry.bornMs_;
+}
+
+bool BackendDirectory::MarkLeaving(const std::string& aId, int64_t aBornMs)
+{
+  const auto [marked, isNew] = leavingBornMs_.try_emplace(aId, aBornMs);
+  if (!isNew && marked->second >= aBornMs) {
+    return false;
+  }
+  marked->second = aBornMs;
+  const auto entry = entries_.find(aId);
+  if (entry != entries_.end() && entry->second.bornMs_ == aBornMs) {
+    entry->second.leaving_ = true;
+    changes_.insert(aId);
+  }
+  return true;
+}
+
+bool BackendDirectory::MarkLeaving(const std::vector<int32_t>& aLives)
+{
+  if (aLives.empty()) {
+    return false;
+  }
+  const std::set<int32_t> lives(aLives.begin(), aLives.end());
+  std::vector<const BackendEntry*> leaving;
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.leaving_ && lives.contains(detail::LifeHash(entry))) {
+      leaving.push_back(&entry);
+    }
+  }
+  for (const auto* entry : leaving) {
+    MarkLeaving(entry->id_, entry->bornMs_);
+  }
+  return !leaving.empty();
+}
+
+std::vector<int32_t> BackendDirectory::LeavingLives(size_t aMost) const
+{
+  std::vector<int32_t> lives;
+  for (const auto& [id, bornMs] : leavingBornMs_) {
+    const auto entry = entries_.find(id);
+    if (lives.size() < aMost && entry != entries_.end() &&
+        entry->second.leaving_ && entry->second.state_ == BackendState::Ready) {
+      lives.push_back(detail::LifeHash(entry->second));
+    }
   }
-  digest_ += detail::HashOf(aEntry);
-  changes_.insert(aEntry.id_);
+  return lives;
 }
 
 void BackendDirectory::Drop(const std::string& aId)
@@ -145,7 +206,7 @@
     disturbedMs_ != 0 && aNowMs - disturbedMs_ < kGraceMs &&
     (confirmed == confirmedMs_.end() || aNowMs - confirmed->second > kGraceMs);
   // A server that said that it drains is not waited for.
-  if (disturbed && entries_.at(aId).state_ == BackendState::Ready) {
+  if (disturbed && entries_.at(aId).TakesNewWork()) {
     const TimeMs latestMs = aNowMs + LongestGraceMs();
     missing_[aId] = { std::min(disturbedMs_ + kGraceMs, latestMs), latestMs };
     return;
--- a/membership/BackendDirectory.hpp
+++ b/membership/BackendDirectory.hpp
@@ -35,6 +35,14 @@
   /// A gateway that was in touch with the store throughout saw the removal: no
   /// grace time is needed.
   void ConfirmRemoved(const std::string& aId, TimeMs aNowMs);
+  /// This life of the server said that it leaves: it takes no new work, even if
+  /// an older registration is read again. False when that was known.
+  bool MarkLeaving(const std::string& aId, int64_t aBornMs);
+  /// The same for the lives with these hashes, as far as they are registered.
+  bool MarkLeaving(const std::vector<int32_t>& aLives);
+  /// Hashes of the leaving lives whose registrations do not tell it yet, at
+  /// most so many.
+  std::vector<int32_t> LeavingLives(size_t aMost) const;
   /// A call to the store failed.
   void OnStoreDisturbed(TimeMs aNowMs);
   /// Drops entries whose grace time has ended; true when any did.
@@ -62,6 +70,7 @@
 private:
   /// Longest grace time of a registration that went missing.
   TimeMs LongestGraceMs() const { return drainMs_ - kDrainMarginMs; }
+  bool IsLeaving(const BackendEntry& aEntry) const;
   void Drop(const std::string& aId);
   void MarkMissing(const std::string& aId, TimeMs aNowMs);
 
@@ -76,6 +85,8 @@
   std::map<std::string, TimeMs> confirmedMs_; ///< removals seen by others
   TimeMs disturbedMs_ = 0;
   std::set<std::string> changes_;
+  /// Start of the last life of each server that said that it leaves.
+  std::map<std::string, int64_t> leavingBornMs_;
   /// Sum of the entries' hashes, which does not depend on their order.
   uint64_t digest_ = 0;
   int64_t revision_ = 0;
--- a/routing/RoutingConfig.hpp
+++ b/routing/RoutingConfig.hpp
@@ -105,6 +105,13 @@
   BackendState state_ = BackendState::Ready;
   TimeMs coldRemainingMs_ = 0;
   int64_t bornMs_ = 0; ///< wall clock time of its start; tells restarts apart
+  /// It said that it leaves, whatever its registration tells.
+  bool leaving_ = false;
+
+  bool TakesNewWork() const
+  {
+    return state_ == BackendState::Ready && !leaving_;
+  }
 
   bool IsSameLife(const BackendEntry& aOther) const
   {
@@ -115,7 +122,8 @@
   bool IsSameState(const BackendEntry& aOther) const
   {
     return IsSameLife(aOther) && state_ == aOther.state_ &&
-           slots_ == aOther.slots_ && failureDomain_ == aOther.failureDomain_;
+           leaving_ == aOther.leaving_ && slots_ == aOther.slots_ &&
+           failureDomain_ == aOther.failureDomain_;
   }
 };
 
--- a/tests/GatewayRig.cpp
+++ b/tests/GatewayRig.cpp
@@ -131,6 +131,8 @@
     if (aExchange.head_.target_.starts_with("/-/")) {
       grants_.push_back(aExchange.body_);
       aExchange.write_(TextAnswer(200, ""));
+    } else if (keyedScript_) {
+      keyedScript_(aExchange);
     } else {
       aExchange.write_(Answer(aExchange.head_, "keyed"));
     }
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -95,6 +95,11 @@
   /// Takes the store away, or gives it back.
   void SetStoreDown(bool aDown) { storeDown_ = aDown; }
   std::vector<std::string>& Grants() { return grants_; }
+  /// Answers the requests of the service with keys, orders excepted.
+  void SetKeyedScript(ScriptedServer::Script aScript)
+  {
+    keyedScript_ = std::move(aScript);
+  }
   /// Writes the registration of a backend server without keys again, as another
   /// life of it, and tells those that watch.
   void Reregister(size_t aIndex, int64_t aBornMs);
@@ -135,6 +140,7 @@
   int64_t revision_ = 10;
   bool storeDown_ = false;
   std::vector<std::string> grants_;
+  ScriptedServer::Script keyedScript_;
   /// Watches of registrations that wait for a change.
   std::vector<ScriptedServer::Exchange> watches_;
   std::unique_ptr<ScriptedServer> storeServer_;
--- /dev/null
+++ b/tests/ServerNoticesTest.cpp
@@ -0,0 +1,244 @@
+#include "common/Strings.hpp"
+#include "tests/GatewayRig.hpp"
+
+#include <map>
+
+#include <gtest/gtest.h>
+
+namespace cactuspitch {
+namespace {
+
+using Exchange = ScriptedServer::Exchange;
+
+std::string Answer(const Exchange& aExchange, std::string_view aFields)
+{
+  const auto plain = GatewayRig::Answer(aExchange.head_, "body");
+  const auto line = plain.find("\r\n") + 2;
+  return Concat(plain.substr(0, line), aFields, plain.substr(line));
+}
+
+/// Changes are gathered for 200 ms before they are watched for again.
+constexpr TimeMs kWatchMs = 500;
+constexpr std::string_view kLeaving = "Server-Leaving: 1\r\n";
+
+std::string Refusal(std::string_view aFields)
+{
+  return Concat("HTTP/1.1 503 Busy\r\nCactuspitch-Not-Executed: 1\r\n",
+                aFields,
+                "Content-Length: 0\r\n\r\n");
+}
+
+bool IsServed(const std::string& aAnswer)
+{
+  return aAnswer.find("\r\n\r\nbody") != std::string::npos;
+}
+
+/// Requests that each server got.
+struct Counts
+{
+  std::map<ScriptedServer*, int> requests_;
+  ScriptedServer* marked_ = nullptr; ///< the server that sends the notice
+};
+
+// Guards against requests that go to a server after it said that it leaves, in
+// any kind of answer, and against the notice reaching callers.
+TEST(ServerNotices, LeavingServerGetsNoNewRequests)
+{
+  using Script = std::function<void(Exchange&)>;
+  const std::map<std::string, Script> answers = {
+    { "success",
+      [](Exchange& aExchange) {
+        aExchange.write_(Answer(aExchange, kLeaving));
+      } },
+    { "refusal",
+      [](Exchange& aExchange) { aExchange.write_(Refusal(kLeaving)); } },
+    { "failure",
+      [](Exchange& aExchange) {
+        auto text = Answer(aExchange, kLeaving);
+        text.replace(text.find("200 OK"), 6, "500 No");
+        aExchange.write_(text);
+      } },
+    { "broken body",
+      [](Exchange& aExchange) {
+        auto text = Answer(aExchange, kLeaving);
+        text.pop_back();
+        aExchange.write_(text);
+        aExchange.close_();
+      } },
+  };
+  for (const auto& [name, answer] : answers) {
+    Counts counts;
+    GatewayRig rig(
+      [&](Exchange& aExchange) {
+        ++counts.requests_[aExchange.server_];
+        if (counts.marked_ == nullptr) {
+          counts.marked_ = aExchange.server_;
+          answer(aExchange);
+        } else {
+          aExchange.write_(Answer(aExchange, ""));
+        }
+      },
+      2);
+    const auto first = rig.Ask(GatewayRig::Request("GET", "plain", "first"));
+    ASSERT_NE(counts.marked_, nullptr) << name;
+    EXPECT_EQ(first.find("Server-Leaving"), std::string::npos) << name;
+    for (int id = 0; id < 20; ++id) {
+      EXPECT_TRUE(
+        IsServed(rig.Ask(GatewayRig::Request("GET", "plain", Concat(id)))))
+        << name;
+    }
+    EXPECT_EQ(counts.requests_[counts.marked_], 1) << name;
+  }
+}
+
+// Guards against a leaving server that is used again because a watch replays
+// its registration, and against a new life at its address that is not used.
+TEST(ServerNotices, LeavingOutlivesReplaysAndEndsWithTheLife)
+{
+  Counts counts;
+  GatewayRig rig(
+    [&](Exchange& aExchange) {
+      ++counts.requests_[aExchange.server_];
+      counts.marked_ = aExchange.server_;
+      aExchange.write_(
+        Answer(aExchange,
+               counts.requests_.at(aExchange.server_) == 1 ? kLeaving : ""));
+    },
+    1);
+  EXPECT_TRUE(IsServed(rig.Ask(GatewayRig::Request("GET", "plain", "1"))));
+  rig.Reregister(0, 1);
+  rig.RunFor(kWatchMs);
+  EXPECT_FALSE(IsServed(rig.Ask(GatewayRig::Request("GET", "plain", "2"))));
+  EXPECT_EQ(counts.requests_.at(&rig.Backend(0)), 1);
+  rig.Reregister(0, 2);
+  rig.RunFor(kWatchMs);
+  EXPECT_TRUE(IsServed(rig.Ask(GatewayRig::Request("GET", "plain", "3"))));
+}
+
+// Guards against another gateway that goes on sending to a leaving server until
+// it finds out by itself.
+TEST(ServerNotices, OtherGatewaysLearnOfLeavingServers)
+{
+  int requests = 0;
+  GatewayRig rig(
+    [&](Exchange& aExchange) {
+      aExchange.write_(Answer(aExchange, ++requests == 1 ? kLeaving : ""));
+    },
+    1);
+  const auto second = rig.AddGateway("g2");
+  rig.RunFor(1500);
+  EXPECT_TRUE(IsServed(rig.Ask(GatewayRig::Request("GET", "plain", "1"))));
+  rig.RunFor(1000);
+  EXPECT_FALSE(
+    IsServed(rig.AskAt(second, GatewayRig::Request("GET", "plain", "2"))));
+  EXPECT_EQ(requests, 1);
+}
+
+// Guards against requests to a server that asked for a pause, and against a
+// server that is never used again after it.
+TEST(ServerNotices, PausedServerGetsNothingUntilThePauseEnds)
+{
+  int requests = 0;
+  GatewayRig rig(
+    [&](Exchange& aExchange) {
+      aExchange.write_(++requests == 1 ? Refusal("Retry-After: 2\r\n")
+                                       : Answer(aExchange, ""));
+    },
+    1);
+  rig.Ask(GatewayRig::Request("GET", "plain", "first"));
+  for (int id = 0; id < 18; ++id) {
+    EXPECT_FALSE(
+      IsServed(rig.Ask(GatewayRig::Request("GET", "plain", Concat(id)))));
+    rig.RunFor(100);
+  }
+  EXPECT_EQ(requests, 1);
+  rig.RunFor(1200);
+  for (int id = 100; id < 110; ++id) {
+    EXPECT_TRUE(
+      IsServed(rig.Ask(GatewayRig::Request("GET", "plain", Concat(id)))));
+  }
+}
+
+// Guards against callers that wait although the only server has paused, and
+// against a time to come back that is not the rest of the pause.
+TEST(ServerNotices, RefusesAtOnceWhileAllServersPause)
+{
+  int requests = 0;
+  GatewayRig rig(
+    [&](Exchange& aExchange) {
+      ++requests;
+      aExchange.write_(Refusal("Retry-After: 3\r\n"));
+    },
+    1);
+  rig.Ask(GatewayRig::Request("GET", "plain", "1"));
+  rig.RunFor(600);
+  const auto begin = SteadyClock().NowMs();
+  const auto answer = rig.Ask(GatewayRig::Request("GET", "plain", "2"));
+  EXPECT_LT(SteadyClock().NowMs() - begin, 100);
+  EXPECT_NE(answer.find(" 503 "), std::string::npos);
+  const auto field = answer.find("Retry-After: ");
+  ASSERT_NE(field, std::string::npos);
+  EXPECT_GT(std::stod(answer.substr(field + 13)), 1.5);
+  EXPECT_LT(std::stod(answer.substr(field + 13)), 4);
+  EXPECT_EQ(requests, 1);
+}
+
+// Guards against malformed times that bar a server or end the process.
+TEST(ServerNotices, MalformedPausesAreIgnored)
+{
+  for (const char* value : { "",
+                             "-1",
+                             "1.5",
+                             "Fri, 04 Dec 2026 12:00:00 GMT",
+                             "1000000000000",
+                             "99999999999999999999999999",
+                             "5, 6",
+                             "5\r\nRetry-After: 6",
+                             "0x10" }) {
+    int requests = 0;
+    GatewayRig rig(
+      [&](Exchange& aExchange) {
+        aExchange.write_(++requests == 1
+                           ? Refusal(Concat("Retry-After: ", value, "\r\n"))
+                           : Answer(aExchange, ""));
+      },
+      1);
+    rig.Ask(GatewayRig::Request("GET", "plain", "1"));
+    EXPECT_TRUE(IsServed(rig.Ask(GatewayRig::Request("GET", "plain", "2"))))
+      << value;
+  }
+}
+
+// Guards against keys that stay with a server that leaves although its
+// registration does not say so yet.
+TEST(ServerNotices, KeysOfALeavingServerMove)
+{
+  GatewayRig rig([](Exchange&) {}, 1, 2);
+  std::string first;
+  rig.SetKeyedScript([&](Exchange& aExchange) {
+    const std::string target(
+      aExchange.head_.Field("Cactuspitch-Target-Instance"));
+    if (first.empty()) {
+      first = target;
+    }
+    aExchange.write_(Answer(aExchange, target == first ? kLeaving : ""));
+  });
+  const auto ask = [&](int aId) {
+    return rig.Ask(GatewayRig::Request(
+      "GET", "keyed", Concat(aId), "Cactuspitch-Shard-Key: 77\r\n"));
+  };
+  EXPECT_TRUE(IsServed(ask(0)));
+  int late = 0;
+  rig.SetKeyedScript([&](Exchange& aExchange) {
+    late += aExchange.head_.Field("Cactuspitch-Target-Instance") == first;
+    aExchange.write_(Answer(aExchange, ""));
+  });
+  rig.RunFor(1000);
+  for (int id = 1; id < 10; ++id) {
+    EXPECT_TRUE(IsServed(ask(id)));
+  }
+  EXPECT_EQ(late, 0);
+}
+
+}
+}
--- a/wire/gen-cpp/gossip_types.cpp
+++ b/wire/gen-cpp/gossip_types.cpp
@@ -990,6 +990,10 @@
   this->suspectDigest = val;
 }
 
+void Gossip::__set_leavingServers(const std::vector<int32_t> & val) {
+  this->leavingServers = val;
+}
+
 void Gossip::__set_wantsKeys(const bool val) {
   this->wantsKeys = val;
 }
@@ -1289,6 +1293,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leavingServers.clear();
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->leavingServers.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
+            {
+              xfer += iprot->readI32(this->leavingServers[_i73]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leavingServers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->wantsKeys);
@@ -1337,10 +1361,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<OwnedKeys> ::const_iterator _iter69;
-    for (_iter69 = this->keys.begin(); _iter69 != this->keys.end(); ++_iter69)
+    std::vector<OwnedKeys> ::const_iterator _iter74;
+    for (_iter74 = this->keys.begin(); _iter74 != this->keys.end(); ++_iter74)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter74).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1349,10 +1373,10 @@
   xfer += oprot->writeFieldBegin("keyCounts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keyCounts.size()));
-    std::vector<KeyCounts> ::const_iterator _iter70;
-    for (_iter70 = this->keyCounts.begin(); _iter70 != this->keyCounts.end(); ++_iter70)
+    std::vector<KeyCounts> ::const_iterator _iter75;
+    for (_iter75 = this->keyCounts.begin(); _iter75 != this->keyCounts.end(); ++_iter75)
     {
-      xfer += (*_iter70).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1361,10 +1385,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<SuspectRequest> ::const_iterator _iter71;
-    for (_iter71 = this->suspects.begin(); _iter71 != this->suspects.end(); ++_iter71)
+    std::vector<SuspectRequest> ::const_iterator _iter76;
+    for (_iter76 = this->suspects.begin(); _iter76 != this->suspects.end(); ++_iter76)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1377,10 +1401,10 @@
   xfer += oprot->writeFieldBegin("backendLoads", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backendLoads.size()));
-    std::vector<int32_t> ::const_iterator _iter72;
-    for (_iter72 = this->backendLoads.begin(); _iter72 != this->backendLoads.end(); ++_iter72)
+    std::vector<int32_t> ::const_iterator _iter77;
+    for (_iter77 = this->backendLoads.begin(); _iter77 != this->backendLoads.end(); ++_iter77)
     {
-      xfer += oprot->writeI32((*_iter72));
+      xfer += oprot->writeI32((*_iter77));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1401,10 +1425,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<BackendChange> ::const_iterator _iter73;
-    for (_iter73 = this->changes.begin(); _iter73 != this->changes.end(); ++_iter73)
+    std::vector<BackendChange> ::const_iterator _iter78;
+    for (_iter78 = this->changes.begin(); _iter78 != this->changes.end(); ++_iter78)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter78).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1437,10 +1461,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-    std::vector<int32_t> ::const_iterator _iter74;
-    for (_iter74 = this->members.begin(); _iter74 != this->members.end(); ++_iter74)
+    std::vector<int32_t> ::const_iterator _iter79;
+    for (_iter79 = this->members.begin(); _iter79 != this->members.end(); ++_iter79)
     {
-      xfer += oprot->writeI32((*_iter74));
+      xfer += oprot->writeI32((*_iter79));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1449,10 +1473,10 @@
   xfer += oprot->writeFieldBegin("admissions", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->admissions.size()));
-    std::vector<int32_t> ::const_iterator _iter75;
-    for (_iter75 = this->admissions.begin(); _iter75 != this->admissions.end(); ++_iter75)
+    std::vector<int32_t> ::const_iterator _iter80;
+    for (_iter80 = this->admissions.begin(); _iter80 != this->admissions.end(); ++_iter80)
     {
-      xfer += oprot->writeI32((*_iter75));
+      xfer += oprot->writeI32((*_iter80));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1466,6 +1490,18 @@
   xfer += oprot->writeI64(this->suspectDigest);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leavingServers", ::apache::thrift::protocol::T_LIST, 25);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->leavingServers.size()));
+    std::vector<int32_t> ::const_iterator _iter81;
+    for (_iter81 = this->leavingServers.begin(); _iter81 != this->leavingServers.end(); ++_iter81)
+    {
+      xfer += oprot->writeI32((*_iter81));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1496,63 +1532,66 @@
   swap(a.admissions, b.admissions);
   swap(a.directoryRevision, b.directoryRevision);
   swap(a.suspectDigest, b.suspectDigest);
+  swap(a.leavingServers, b.leavingServers);
   swap(a.wantsKeys, b.wantsKeys);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other76) {
-  instance = other76.instance;
-  bootId = other76.bootId;
-  term = other76.term;
-  leading = other76.leading;
-  configVersion = other76.configVersion;
-  keys = other76.keys;
-  keyCounts = other76.keyCounts;
-  suspects = other76.suspects;
-  deadTerm = other76.deadTerm;
-  backendLoads = other76.backendLoads;
-  failureDomain = other76.failureDomain;
-  cpuPercent = other76.cpuPercent;
-  changes = other76.changes;
-  directoryDigest = other76.directoryDigest;
-  storeOk = other76.storeOk;
-  storeAgeMs = other76.storeAgeMs;
-  statusPort = other76.statusPort;
-  passOn = other76.passOn;
-  origin = other76.origin;
-  members = other76.members;
-  admissions = other76.admissions;
-  directoryRevision = other76.directoryRevision;
-  suspectDigest = other76.suspectDigest;
-  wantsKeys = other76.wantsKeys;
-  __isset = other76.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other77) {
-  instance = other77.instance;
-  bootId = other77.bootId;
-  term = other77.term;
-  leading = other77.leading;
-  configVersion = other77.configVersion;
-  keys = other77.keys;
-  keyCounts = other77.keyCounts;
-  suspects = other77.suspects;
-  deadTerm = other77.deadTerm;
-  backendLoads = other77.backendLoads;
-  failureDomain = other77.failureDomain;
-  cpuPercent = other77.cpuPercent;
-  changes = other77.changes;
-  directoryDigest = other77.directoryDigest;
-  storeOk = other77.storeOk;
-  storeAgeMs = other77.storeAgeMs;
-  statusPort = other77.statusPort;
-  passOn = other77.passOn;
-  origin = other77.origin;
-  members = other77.members;
-  admissions = other77.admissions;
-  directoryRevision = other77.directoryRevision;
-  suspectDigest = other77.suspectDigest;
-  wantsKeys = other77.wantsKeys;
-  __isset = other77.__isset;
+Gossip::Gossip(const Gossip& other82) {
+  instance = other82.instance;
+  bootId = other82.bootId;
+  term = other82.term;
+  leading = other82.leading;
+  configVersion = other82.configVersion;
+  keys = other82.keys;
+  keyCounts = other82.keyCounts;
+  suspects = other82.suspects;
+  deadTerm = other82.deadTerm;
+  backendLoads = other82.backendLoads;
+  failureDomain = other82.failureDomain;
+  cpuPercent = other82.cpuPercent;
+  changes = other82.changes;
+  directoryDigest = other82.directoryDigest;
+  storeOk = other82.storeOk;
+  storeAgeMs = other82.storeAgeMs;
+  statusPort = other82.statusPort;
+  passOn = other82.passOn;
+  origin = other82.origin;
+  members = other82.members;
+  admissions = other82.admissions;
+  directoryRevision = other82.directoryRevision;
+  suspectDigest = other82.suspectDigest;
+  leavingServers = other82.leavingServers;
+  wantsKeys = other82.wantsKeys;
+  __isset = other82.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other83) {
+  instance = other83.instance;
+  bootId = other83.bootId;
+  term = other83.term;
+  leading = other83.leading;
+  configVersion = other83.configVersion;
+  keys = other83.keys;
+  keyCounts = other83.keyCounts;
+  suspects = other83.suspects;
+  deadTerm = other83.deadTerm;
+  backendLoads = other83.backendLoads;
+  failureDomain = other83.failureDomain;
+  cpuPercent = other83.cpuPercent;
+  changes = other83.changes;
+  directoryDigest = other83.directoryDigest;
+  storeOk = other83.storeOk;
+  storeAgeMs = other83.storeAgeMs;
+  statusPort = other83.statusPort;
+  passOn = other83.passOn;
+  origin = other83.origin;
+  members = other83.members;
+  admissions = other83.admissions;
+  directoryRevision = other83.directoryRevision;
+  suspectDigest = other83.suspectDigest;
+  leavingServers = other83.leavingServers;
+  wantsKeys = other83.wantsKeys;
+  __isset = other83.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -1581,6 +1620,7 @@
   out << ", " << "admissions=" << to_string(admissions);
   out << ", " << "directoryRevision=" << to_string(directoryRevision);
   out << ", " << "suspectDigest=" << to_string(suspectDigest);
+  out << ", " << "leavingServers=" << to_string(leavingServers);
   out << ", " << "wantsKeys=" << to_string(wantsKeys);
   out << ")";
 }
--- a/wire/gen-cpp/gossip_types.h
+++ b/wire/gen-cpp/gossip_types.h
@@ -364,7 +364,7 @@
 std::ostream& operator<<(std::ostream& out, const BackendChange& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), passOn(false), origin(false), members(false), admissions(false), directoryRevision(false), suspectDigest(false), wantsKeys(false) {}
+  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), passOn(false), origin(false), members(false), admissions(false), directoryRevision(false), suspectDigest(false), leavingServers(false), wantsKeys(false) {}
   bool instance :1;
   bool bootId :1;
   bool term :1;
@@ -388,6 +388,7 @@
   bool admissions :1;
   bool directoryRevision :1;
   bool suspectDigest :1;
+  bool leavingServers :1;
   bool wantsKeys :1;
 } _Gossip__isset;
 
@@ -440,6 +441,7 @@
   std::vector<int32_t>  admissions;
   int64_t directoryRevision;
   int64_t suspectDigest;
+  std::vector<int32_t>  leavingServers;
   bool wantsKeys;
 
   _Gossip__isset __isset;
@@ -490,6 +492,8 @@
 
   void __set_suspectDigest(const int64_t val);
 
+  void __set_leavingServers(const std::vector<int32_t> & val);
+
   void __set_wantsKeys(const bool val);
 
   bool operator == (const Gossip & rhs) const
@@ -540,6 +544,8 @@
       return false;
     if (!(suspectDigest == rhs.suspectDigest))
       return false;
+    if (!(leavingServers == rhs.leavingServers))
+      return false;
     if (!(wantsKeys == rhs.wantsKeys))
       return false;
     return true;
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -75,5 +75,8 @@
   22: list<i32> admissions
   23: i64 directoryRevision // of the store, that directoryDigest and changes show
   24: i64 suspectDigest // over requests that crashed two servers and more
+  // Servers that said that they leave, while their registrations do not, XXH32
+  // of "ID#BORN".
+  25: list<i32> leavingServers
   12: bool wantsKeys // the sender has just started and knows no owners
 }
