Let stale idle connections make room for requests that may not use them

Cause: requests that must not run twice avoid connections idle for over 1.5 s. If such connections took all that a gateway may have at a server, placement chose the idle server again and again and no connection could be had. Change: the oldest idle connection is closed for a new one. Ruled out for the held request: the placement's own wait, which ends after an eighth of the objective. Measured: Gateway.StaleIdleConnectionsHoldNothingBack was refused after 810 ms before, is served within 200 ms now.

--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -121,7 +121,12 @@
   if (!idle.empty() && nowMs - idle.back()->idleSinceMs_ <= aMaxIdleMs) {
     link = std::move(idle.back());
     idle.pop_back();
-  } else if (aBackend->Connections() < aMaxConnections) {
+  } else if (aBackend->busy_.size() < aMaxConnections) {
+    if (aBackend->Connections() >= aMaxConnections) {
+      // All idle ones are too old for this request; the oldest makes room.
+      loop_.Defer([oldest = std::move(idle.front())] {});
+      idle.erase(idle.begin());
+    }
     link = std::make_shared<BackendLink>(*this, aBackend);
     ++opened_;
   } else {
--- a/tests/GatewayRig.cpp
+++ b/tests/GatewayRig.cpp
@@ -108,7 +108,8 @@
 
 GatewayRig::GatewayRig(const ScriptedServer::Script& aScript,
                        int aServers,
-                       int aKeyedServers)
+                       int aKeyedServers,
+                       int aMaxConnections)
   : log_(loop_, LogLevel::Error, STDERR_FILENO)
 {
   storeServer_ = std::make_unique<ScriptedServer>(
@@ -156,11 +157,11 @@
   keyed["service"] = "keyed";
   nlohmann::json config;
   config["version"] = "r1";
-  config["services"] =
-    nlohmann::json::array({ { { "name", "plain" }, { "max-connections", 50 } },
-                            { { "name", "keyed" },
-                              { "max-connections", 50 },
-                              { "sharded", true } } });
+  config["services"] = nlohmann::json::array(
+    { { { "name", "plain" }, { "max-connections", aMaxConnections } },
+      { { "name", "keyed" },
+        { "max-connections", 50 },
+        { "sharded", true } } });
   config["limits"] = { { "max-header-bytes", 4096 },
                        { "max-body-bytes", 100000 },
                        { "header-timeout-s", 1 },
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -73,7 +73,8 @@
   /// keys has aKeyedServers registrations at one address.
   explicit GatewayRig(const ScriptedServer::Script& aScript,
                       int aServers = 2,
-                      int aKeyedServers = 1);
+                      int aKeyedServers = 1,
+                      int aMaxConnections = 50);
   ~GatewayRig();
 
   /// Runs the loop until aDone holds; false after 5 s.
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -286,6 +286,45 @@
   }
 }
 
+// Guards against a request that waits until its deadline because all
+// connections to the server are idle and too old for it.
+TEST(Gateway, StaleIdleConnectionsHoldNothingBack)
+{
+  constexpr int kConnections = 10;
+  std::vector<Exchange> held;
+  GatewayRig rig(
+    [&](Exchange& aExchange) {
+      if (aExchange.head_.method_ == "GET") {
+        held.push_back(aExchange);
+      } else {
+        Echo(aExchange);
+      }
+    },
+    1,
+    1,
+    kConnections);
+  SilentCaller handler;
+  std::vector<std::unique_ptr<TcpStream>> callers;
+  for (int id = 0; id < 2 * kConnections; ++id) {
+    callers.push_back(std::make_unique<TcpStream>(rig.Loop(), handler));
+    callers.back()->Connect(rig.GatewayAddress());
+    callers.back()->Write(
+      GatewayRig::Request("GET", "plain", std::to_string(id)));
+    rig.RunFor(2);
+  }
+  rig.RunFor(100);
+  // A tenth is left to the leader.
+  EXPECT_EQ(held.size(), kConnections - 1u);
+  std::ranges::for_each(held, Echo);
+  // Non-idempotent requests do not use connections that were idle for 1.5 s.
+  rig.RunFor(1700);
+  const auto begin = SteadyClock().NowMs();
+  EXPECT_EQ(
+    StatusOf(rig.Ask(GatewayRig::Request("POST", "plain", "p", "", "body"))),
+    200);
+  EXPECT_LT(SteadyClock().NowMs() - begin, 200);
+}
+
 // Guards against a request that works on for a caller who has left.
 TEST(Gateway, CancelsForCallersThatLeave)
 {
