Refuse what still waits before the end of the grace time

Cause: the end of the grace time dropped waiting requests. Change: from 750 ms before the end, waiting requests are refused with 503 and no time to wait, so that callers go to another gateway. Measured: GatewayTrouble.PlannedStopRefusesWhatIsNotPassedOn got no answer before, 503 now.

--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -163,6 +163,13 @@
   }
 }
 
+void ForwardedRequest::RefuseParked(std::string_view aCause)
+{
+  if (parked_ && sink_ != nullptr) {
+    Reject(sent_ ? 502 : 503, aCause, 0);
+  }
+}
+
 void ForwardedRequest::Dispatch()
 {
   const auto choice = forwarder_.Choose(*this);
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -57,6 +57,8 @@
 
   std::string& Output() { return output_; }
   bool IsAnswered() const { return answered_; }
+  /// Ends a request that waits, if it still does.
+  void RefuseParked(std::string_view aCause);
   bool AnnouncedClose() const { return announcedClose_; }
   bool IsRepeatable() const { return IsIdempotent(); }
   bool IsParked() const { return parked_; }
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -357,6 +357,13 @@
   }
 }
 
+void Forwarder::RefuseParked(std::string_view aCause)
+{
+  const auto waiting = std::exchange(parked_, {});
+  std::ranges::for_each(
+    waiting, [&](const auto& aRequest) { aRequest->RefuseParked(aCause); });
+}
+
 void Forwarder::OnFirstAttempt(const ForwardedRequest& aRequest)
 {
   const auto& service = aRequest.Service();
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -76,6 +76,8 @@
 
   Choice Choose(const ForwardedRequest& aRequest);
   void Park(const std::shared_ptr<ForwardedRequest>& aRequest);
+  /// Refuses all waiting requests.
+  void RefuseParked(std::string_view aCause);
   /// Counts a request for the retry budget and the load of its key.
   void OnFirstAttempt(const ForwardedRequest& aRequest);
   bool TryTakeRetry(const std::string& aService);
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -31,6 +31,9 @@
 constexpr TimeMs kMinDrainMs = 3000;
 /// The process is gone this long before it would be killed.
 constexpr TimeMs kGraceMarginMs = 250;
+/// What still waits so long before the end of the grace time is refused, so
+/// that its caller has the answer and time to go elsewhere.
+constexpr TimeMs kLastDispatchMs = 750;
 /// Changes of registrations are gathered for this long: when a failure domain
 /// is replaced, hundreds come within seconds, and each recomputes the homes.
 constexpr TimeMs kChangesIntervalMs = 50;
@@ -722,6 +725,9 @@
     // Later requests could not be answered before the end of the process.
     callers_.StopListening();
   }
+  if (sinceMs >= settings_.graceMs_ - detail::kLastDispatchMs) {
+    forwarder_.RefuseParked("stopping");
+  }
   const bool idle =
     forwarder_.ActiveRequests() == 0 && callers_.Connections() == 0;
   if ((sinceMs >= detail::kMinDrainMs && idle) ||
--- a/tests/GatewayTroubleTest.cpp
+++ b/tests/GatewayTroubleTest.cpp
@@ -90,6 +90,43 @@
     std::string::npos);
 }
 
+// Guards against a planned stop that ends without an answer for what waits and
+// was never passed on.
+TEST(GatewayTrouble, PlannedStopRefusesWhatIsNotPassedOn)
+{
+  int calls = 0;
+  GatewayRig rig(
+    [&](Exchange& aExchange) {
+      if (++calls == 1) {
+        aExchange.server_->Crash();
+      }
+    },
+    3);
+  auto settings = rig.Settings();
+  settings.graceMs_ = 1400;
+  rig.Reload(settings);
+  const auto call = [](const char* aId) {
+    return GatewayRig::Request("POST", "plain", aId, "", "crash");
+  };
+  rig.Ask(call("1"));
+  rig.RunFor(100);
+  // A suspect runs on one server at a time, so the next one waits for this one.
+  struct Caller final : public StreamHandler
+  {
+    void OnInput() override {}
+    void OnStreamClosed(CloseReason) override {}
+  } handler;
+  std::raise(SIGTERM);
+  rig.RunFor(500);
+  TcpStream running(rig.Loop(), handler);
+  running.Connect(rig.GatewayAddress());
+  running.Write(call("2"));
+  ASSERT_TRUE(rig.RunUntil([&] { return calls == 2; }));
+  const auto answer = rig.Ask(call("3"));
+  EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+  EXPECT_EQ(calls, 2);
+}
+
 // Guards against a process that ends because of one malformed message of a
 // peer or a caller.
 TEST(GatewayTrouble, SurvivesMalformedMessages)
