Look leaving servers up only when a datagram names new ones

Cause: each datagram repeats the leaving servers, and each made a gateway hash all registrations; the marks had no bound. Change: hashes that are known are skipped, marks of servers that are gone are forgotten beyond 4,096. A server that leaves and pauses counts as leaving, so its keys are waited for.

--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -281,7 +281,7 @@
   const auto* owner = keys_.Find(aRequest.Service(), *aRequest.Caller().key_);
   const auto backend = owner == nullptr ? nullptr : pool_.Find(owner->id_);
   const TimeMs nowMs = loop_.NowMs();
-  if (backend != nullptr && backend->IsPaused(nowMs)) {
+  if (backend != nullptr && backend->IsUsable() && backend->IsPaused(nowMs)) {
     choice.retryAfterMs_ = backend->pausedUntilMs_ - nowMs;
     choice.cause_ = "owner-paused";
     return choice;
--- a/membership/BackendDirectory.cpp
+++ b/membership/BackendDirectory.cpp
@@ -27,12 +27,14 @@
   return XXH3_64bits(text.data(), text.size()) + 1;
 }
 
-int32_t LifeHash(const BackendEntry& aEntry)
+int32_t LifeHash(const std::string& aId, int64_t aBornMs)
 {
-  return static_cast<int32_t>(
-    ShortHash(Concat(aEntry.id_, "#", aEntry.bornMs_)));
+  return static_cast<int32_t>(ShortHash(Concat(aId, "#", aBornMs)));
 }
 
+/// Servers that have left are forgotten beyond this number.
+constexpr size_t kMaxLeaving = 4096;
+
 }
 
 BackendDirectory::BackendDirectory(TimeMs aDrainMs)
@@ -84,11 +86,21 @@
 
 bool BackendDirectory::MarkLeaving(const std::string& aId, int64_t aBornMs)
 {
+  if (leavingBornMs_.size() >= detail::kMaxLeaving) {
+    std::erase_if(leavingBornMs_, [&](const auto& aLeaving) {
+      return !entries_.contains(aLeaving.first);
+    });
+    leavingHashes_.clear();
+    for (const auto& [id, bornMs] : leavingBornMs_) {
+      leavingHashes_.insert(detail::LifeHash(id, bornMs));
+    }
+  }
   const auto [marked, isNew] = leavingBornMs_.try_emplace(aId, aBornMs);
   if (!isNew && marked->second >= aBornMs) {
     return false;
   }
   marked->second = aBornMs;
+  leavingHashes_.insert(detail::LifeHash(aId, aBornMs));
   const auto entry = entries_.find(aId);
   if (entry != entries_.end() && entry->second.bornMs_ == aBornMs) {
     entry->second.leaving_ = true;
@@ -99,13 +111,17 @@
 
 bool BackendDirectory::MarkLeaving(const std::vector<int32_t>& aLives)
 {
-  if (aLives.empty()) {
+  std::set<int32_t> lives(aLives.begin(), aLives.end());
+  // Each datagram names them again.
+  std::erase_if(lives,
+                [&](int32_t aLife) { return leavingHashes_.contains(aLife); });
+  if (lives.empty()) {
     return false;
   }
-  const std::set<int32_t> lives(aLives.begin(), aLives.end());
   std::vector<const BackendEntry*> leaving;
   for (const auto& [id, entry] : entries_) {
-    if (!entry.leaving_ && lives.contains(detail::LifeHash(entry))) {
+    if (!entry.leaving_ &&
+        lives.contains(detail::LifeHash(id, entry.bornMs_))) {
       leaving.push_back(&entry);
     }
   }
@@ -122,7 +138,7 @@
     const auto entry = entries_.find(id);
     if (lives.size() < aMost && entry != entries_.end() &&
         entry->second.leaving_ && entry->second.state_ == BackendState::Ready) {
-      lives.push_back(detail::LifeHash(entry->second));
+      lives.push_back(detail::LifeHash(id, bornMs));
     }
   }
   return lives;
--- a/membership/BackendDirectory.hpp
+++ b/membership/BackendDirectory.hpp
@@ -87,6 +87,7 @@
   std::set<std::string> changes_;
   /// Start of the last life of each server that said that it leaves.
   std::map<std::string, int64_t> leavingBornMs_;
+  std::set<int32_t> leavingHashes_; ///< of these lives
   /// Sum of the entries' hashes, which does not depend on their order.
   uint64_t digest_ = 0;
   int64_t revision_ = 0;
