--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -25,12 +25,14 @@
                          EventLog& aLog,
                          GatewayMetrics& aMetrics,
                          const RequestProtocol& aProtocol,
-                         BackendObserver& aObserver)
+                         BackendObserver& aObserver,
+                         LeavingTask aOnLeaving)
   : loop_(aLoop)
   , log_(aLog)
   , metrics_(aMetrics)
   , protocol_(aProtocol)
   , observer_(aObserver)
+  , onLeaving_(std::move(aOnLeaving))
   , workMs_(detail::kServiceWorkWeight)
   , random_(std::random_device{}())
 {
@@ -211,7 +213,7 @@
              "backend-leaving",
              { { "backend", aBackend.entry_.id_ },
                { "in_flight", aBackend.busy_.size() } });
-  observer_.OnBackendLeaving(aBackend);
+  onLeaving_(aBackend.entry_);
 }
 
 void BackendPool::OnPaused(Backend& aBackend, TimeMs aPauseMs)
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -30,8 +30,6 @@
   virtual void OnBackendDown(const Backend& aBackend) = 0;
   /// The registration of this life of the server is gone.
   virtual void OnBackendGone(const Backend& aBackend) = 0;
-  /// The server said that it leaves; told once.
-  virtual void OnBackendLeaving(const Backend& aBackend) = 0;
 };
 
 /// Backend servers and the connections to them.
@@ -39,12 +37,15 @@
 {
 public:
   using BackendPtr = std::shared_ptr<Backend>;
+  /// Told once of each server that said that it leaves.
+  using LeavingTask = std::function<void(const BackendEntry& aEntry)>;
 
   BackendPool(EventLoop& aLoop,
               EventLog& aLog,
               GatewayMetrics& aMetrics,
               const RequestProtocol& aProtocol,
-              BackendObserver& aObserver);
+              BackendObserver& aObserver,
+              LeavingTask aOnLeaving);
   ~BackendPool();
 
   /// Takes over the entries of the named servers; one without entry is gone.
@@ -88,6 +89,7 @@
   GatewayMetrics& metrics_;
   const RequestProtocol& protocol_;
   BackendObserver& observer_;
+  LeavingTask onLeaving_;
   std::map<std::string, BackendPtr> backends_;
   std::map<std::string, std::vector<BackendPtr>> byService_;
   std::unordered_map<uint32_t, BackendPtr> byHash_;
--- a/gateway/CrashWatch.cpp
+++ b/gateway/CrashWatch.cpp
@@ -25,14 +25,10 @@
 
 }
 
-CrashWatch::CrashWatch(EventLoop& aLoop,
-                       EventLog& aLog,
-                       ChangeTask aOnChange,
-                       LeavingTask aOnLeaving)
+CrashWatch::CrashWatch(EventLoop& aLoop, EventLog& aLog, ChangeTask aOnChange)
   : loop_(aLoop)
   , log_(aLog)
   , onChange_(std::move(aOnChange))
-  , onLeaving_(std::move(aOnLeaving))
   , quarantine_({ .expiryMs_ = detail::kQuarantineMs,
                   .turnMs_ = detail::kTurnMs,
                   .maxTurns_ = detail::kMaxTurns,
@@ -156,11 +152,6 @@
   }
 }
 
-void CrashWatch::OnBackendLeaving(const Backend& aBackend)
-{
-  onLeaving_(aBackend.entry_);
-}
-
 void CrashWatch::Confirm(const Backend& aBackend, EndEvidence aEvidence)
 {
   const TimeMs nowMs = loop_.NowMs();
--- a/gateway/CrashWatch.hpp
+++ b/gateway/CrashWatch.hpp
@@ -38,13 +38,7 @@
   /// Told after a change of the quarantine that other gateways need at once.
   using ChangeTask = std::function<void()>;
 
-  /// Told once of each server that said that it leaves.
-  using LeavingTask = std::function<void(const BackendEntry& aEntry)>;
-
-  CrashWatch(EventLoop& aLoop,
-             EventLog& aLog,
-             ChangeTask aOnChange,
-             LeavingTask aOnLeaving);
+  CrashWatch(EventLoop& aLoop, EventLog& aLog, ChangeTask aOnChange);
 
   CrashQuarantine& Quarantine() { return quarantine_; }
   void SetGateways(const std::string& aSelf,
@@ -59,7 +53,6 @@
                      AttemptOutcome aOutcome) override;
   void OnBackendDown(const Backend& aBackend) override;
   void OnBackendGone(const Backend& aBackend) override;
-  void OnBackendLeaving(const Backend& aBackend) override;
 
 private:
   /// An attempt without an answer, until it is known whether its server ended.
@@ -88,7 +81,6 @@
   EventLoop& loop_;
   EventLog& log_;
   ChangeTask onChange_;
-  LeavingTask onLeaving_;
   CrashQuarantine quarantine_;
   std::deque<OpenCase> cases_; ///< in the order in which they came
   std::map<std::string, std::unique_ptr<LifeProbe>> probes_; ///< by server
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -42,14 +42,14 @@
                      const RequestProtocol& aProtocol,
                      ForwardingBounds aBounds,
                      CrashWatch::ChangeTask aOnSuspects,
-                     CrashWatch::LeavingTask aOnLeaving)
+                     BackendPool::LeavingTask aOnLeaving)
   : loop_(aLoop)
   , log_(aLog)
   , metrics_(aMetrics)
   , protocol_(aProtocol)
   , bounds_(std::move(aBounds))
-  , crashes_(aLoop, aLog, std::move(aOnSuspects), std::move(aOnLeaving))
-  , pool_(aLoop, aLog, aMetrics, aProtocol, crashes_)
+  , crashes_(aLoop, aLog, std::move(aOnSuspects))
+  , pool_(aLoop, aLog, aMetrics, aProtocol, crashes_, std::move(aOnLeaving))
   , admission_(std::random_device{}())
   , answerBytes_(detail::kAnswerBytesWeight)
   , parkTimer_(aLoop, [this] { PumpParked(); })
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -54,7 +54,7 @@
             const RequestProtocol& aProtocol,
             ForwardingBounds aBounds,
             CrashWatch::ChangeTask aOnSuspects,
-            CrashWatch::LeavingTask aOnLeaving);
+            BackendPool::LeavingTask aOnLeaving);
   ~Forwarder();
 
   void SetConfig(RoutingConfig aConfig);
--- a/gateway/GossipDuty.cpp
+++ b/gateway/GossipDuty.cpp
@@ -65,7 +65,7 @@
   mesh_.SendToAll(Basic());
 }
 
-wire::Gossip GossipDuty::Basic() const
+wire::Gossip GossipDuty::Basic()
 {
   wire::Gossip gossip;
   gossip.instance = self_.instance_;
@@ -77,8 +77,7 @@
   gossip.configVersion = handlers_.configVersion_();
   gossip.deadTerm = election_.EndedTerm();
   gossip.statusPort = self_.statusPort_;
-  gossip.suspectDigest = static_cast<int64_t>(
-    forwarder_.Crashes().Quarantine().Digest(loop_.NowMs()));
+  gossip.suspectDigest = static_cast<int64_t>(suspects_.Digest(loop_.NowMs()));
   gossip.leavingServers = handlers_.leavingServers_(detail::kMaxLeaving);
   relay_.Fill(gossip);
   return gossip;
--- a/gateway/GossipDuty.hpp
+++ b/gateway/GossipDuty.hpp
@@ -69,7 +69,7 @@
   void Tick();
   void TellAsLeader(wire::Gossip& aGossip);
   void TellAsFollower(wire::Gossip& aGossip);
-  wire::Gossip Basic() const;
+  wire::Gossip Basic();
   static void FillSuspects(const std::vector<CrashSuspect>& aSuspects,
                            wire::Gossip& aGossip);
   void ScheduleSuspects();
--- a/policy/SuspectExchange.cpp
+++ b/policy/SuspectExchange.cpp
@@ -16,6 +16,7 @@
 /// missed it.
 constexpr TimeMs kSettleMs = 300;
 constexpr TimeMs kCompareMs = 1000;
+constexpr TimeMs kDigestMs = 20;
 
 }
 
@@ -53,6 +54,19 @@
   return message;
 }
 
+uint64_t SuspectExchange::Digest(TimeMs aNowMs)
+{
+  // The leader of a large fleet compares hundreds a second.
+  if (digestMs_ == INT64_MIN || aNowMs - digestMs_ >= detail::kDigestMs) {
+    digestMs_ = aNowMs;
+    const auto digest = quarantine_.Digest(aNowMs);
+    if (std::exchange(digest_, digest) != digest) {
+      digestChangedMs_ = aNowMs;
+    }
+  }
+  return digest_;
+}
+
 bool SuspectExchange::OnTold(const std::vector<CrashSuspect>& aSuspects,
                              TimeMs aNowMs,
                              bool aIsLeading)
@@ -69,11 +83,8 @@
   uint64_t aDigest,
   TimeMs aNowMs)
 {
-  const auto digest = Digest(aNowMs);
-  if (std::exchange(digest_, digest) != digest) {
-    digestChangedMs_ = aNowMs;
-  }
-  if (aDigest == digest || aNowMs - digestChangedMs_ < detail::kSettleMs) {
+  if (aDigest == Digest(aNowMs) ||
+      aNowMs - digestChangedMs_ < detail::kSettleMs) {
     return std::nullopt;
   }
   auto& comparedMs = comparedMs_[aPeer];
--- a/policy/SuspectExchange.hpp
+++ b/policy/SuspectExchange.hpp
@@ -39,7 +39,8 @@
   bool OnTold(const std::vector<CrashSuspect>& aSuspects,
               TimeMs aNowMs,
               bool aIsLeading);
-  uint64_t Digest(TimeMs aNowMs) { return quarantine_.Digest(aNowMs); }
+  /// Of the quarantine, at most 20 ms old.
+  uint64_t Digest(TimeMs aNowMs);
   /// What to tell a gateway whose digest differs, if it is time for that.
   std::optional<std::vector<CrashSuspect>> Compare(const std::string& aPeer,
                                                    uint64_t aDigest,
@@ -49,6 +50,7 @@
   CrashQuarantine& quarantine_;
   TimeMs dueMs_ = INT64_MAX;
   uint64_t digest_ = 0;
+  TimeMs digestMs_ = INT64_MIN; ///< when it was worked out
   TimeMs digestChangedMs_ = 0;
   /// When each other gateway was last answered by Compare.
   std::map<std::string, TimeMs> comparedMs_;
--- a/tests/KeyspaceTest.cpp
+++ b/tests/KeyspaceTest.cpp
@@ -258,6 +258,46 @@
   EXPECT_FALSE(directory.Entries().contains("a"));
 }
 
+// Guards against a leaving server that is used again after its registration was
+// read again, and against its next life that is not used.
+TEST(BackendDirectory, LeavingBelongsToALife)
+{
+  BackendDirectory here(kDrainMs);
+  BackendDirectory peer(kDrainMs);
+  auto entry = Entry("a");
+  entry.bornMs_ = 5;
+  here.ApplyPut(entry, 0);
+  peer.ApplyPut(entry, 0);
+  here.TakeChanges();
+  EXPECT_TRUE(here.MarkLeaving("a", 5));
+  EXPECT_FALSE(here.MarkLeaving("a", 5));
+  EXPECT_TRUE(here.TakeChanges().contains("a"));
+  EXPECT_FALSE(here.Entries().at("a").TakesNewWork());
+  // The mark is no registration, so directories stay equal.
+  EXPECT_EQ(here.Digest(), peer.Digest());
+  EXPECT_TRUE(peer.MarkLeaving(here.LeavingLives(10)));
+  EXPECT_FALSE(peer.MarkLeaving(here.LeavingLives(10)));
+  EXPECT_FALSE(peer.Entries().at("a").TakesNewWork());
+  // A relisting, and a watch that replays the removal and the registration.
+  here.ApplyList({ entry }, 1);
+  here.ApplyRemoved("a", 2);
+  EXPECT_FALSE(here.Entries().contains("a"));
+  here.ApplyPut(entry, 3);
+  EXPECT_FALSE(here.Entries().at("a").TakesNewWork());
+  EXPECT_EQ(here.LeavingLives(10).size(), 1U);
+  EXPECT_TRUE(here.LeavingLives(0).empty());
+  // Once the registration says it, the others need not be told.
+  entry.state_ = BackendState::Draining;
+  here.ApplyPut(entry, 4);
+  EXPECT_TRUE(here.LeavingLives(10).empty());
+  // The next life takes work again, and an old notice does not concern it.
+  entry.state_ = BackendState::Ready;
+  entry.bornMs_ = 6;
+  here.ApplyPut(entry, 5);
+  EXPECT_FALSE(here.MarkLeaving("a", 5));
+  EXPECT_TRUE(here.Entries().at("a").TakesNewWork());
+}
+
 // Guards against dropping living servers whose registrations lapsed while the
 // store was away, and (tas-south, hunt-d1ba-15) against keeping one that left
 // for longer than 2 s.
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -261,6 +261,61 @@
   EXPECT_FALSE(Requests().ReadAnswer(head).load_);
 }
 
+// Guards against a pause that is read from a date or a fraction, that never
+// ends, or that an answer other than a refusal brings.
+TEST(Requests, ReadsPauses)
+{
+  const auto read = [](int aStatus, const std::vector<std::string>& aValues) {
+    HttpHead head;
+    head.status_ = aStatus;
+    for (const auto& value : aValues) {
+      head.fields_.emplace_back("retry-after", value);
+    }
+    return Requests().ReadAnswer(head);
+  };
+  EXPECT_EQ(read(503, { "7" }).pauseMs_, 7000);
+  EXPECT_EQ(read(503, { "0" }).pauseMs_, 0);
+  EXPECT_EQ(read(503, { "3600" }).pauseMs_, 3600000);
+  EXPECT_FALSE(read(503, {}).malformedPause_);
+  EXPECT_FALSE(read(200, { "7" }).pauseMs_);
+  EXPECT_FALSE(read(429, { "x" }).malformedPause_);
+  const std::vector<std::vector<std::string>> malformed = {
+    { "" },
+    { "-1" },
+    { "+1" },
+    { "1.5" },
+    { "3601" },
+    { "1, 2" },
+    { "1", "1" },
+    { "1000000000000" },
+    { "7 " },
+    { "1e3" },
+    { "Fri, 04 Dec 2026 12:00:00 GMT" }
+  };
+  for (const auto& values : malformed) {
+    const auto info = read(503, values);
+    EXPECT_FALSE(info.pauseMs_) << values.front();
+    EXPECT_TRUE(info.malformedPause_) << values.front();
+  }
+}
+
+// Guards against a notice that another server at the address gives.
+TEST(Requests, ReadsLeaving)
+{
+  HttpHead head;
+  head.fields_ = { { "server-leaving", "1" } };
+  for (const int status : { 200, 404, 500, 503 }) {
+    head.status_ = status;
+    EXPECT_TRUE(Requests().ReadAnswer(head).leaving_) << status;
+  }
+  head.status_ = 421;
+  EXPECT_FALSE(Requests().ReadAnswer(head).leaving_);
+  head.status_ = 200;
+  head.fields_ = { { "Server-Leaving", "0" } };
+  EXPECT_FALSE(Requests().ReadAnswer(head).leaving_);
+  EXPECT_TRUE(Requests().IsInternalAnswerField("SERVER-LEAVING"));
+}
+
 std::string WriteSettings(const std::string& aText)
 {
   auto path = testing::TempDir() + "gateway-settings-test.env";
