--- a/tests/ServerNoticesTest.cpp
+++ b/tests/ServerNoticesTest.cpp
@@ -66,7 +66,9 @@
         aExchange.close_();
       } },
   };
-  for (const auto& [name, answer] : answers) {
+  for (const auto& entry : answers) {
+    const auto& name = entry.first;
+    const auto& answer = entry.second;
     Counts counts;
     GatewayRig rig(
       [&](Exchange& aExchange) {
