Tests: one stand-in of the platform's store and one caller for the gateway's rigs

Cause: three tests had each a caller that ignores what comes back, and the store of GatewayRig could only be up or reset everything. Change: RigCaller and ScriptedServer serve all of them; PlatformStore has revisions, conditional writes, watches with waiting times and history that can be forgotten, and troubles. No assertion changed.

--- a/tests/CrashingCallsTest.cpp
+++ b/tests/CrashingCallsTest.cpp
@@ -159,18 +159,10 @@
     },
     kServers);
   loop = &rig.Loop();
-  struct Caller final : public StreamHandler
-  {
-    void OnInput() override {}
-    void OnStreamClosed(CloseReason) override {}
-  };
   for (int id = 0; id < kServers; ++id) {
-    Caller caller;
-    TcpStream stream(rig.Loop(), caller);
-    stream.Connect(rig.GatewayAddress());
-    stream.Write(CrashingCall(id));
+    auto caller = rig.Call(CrashingCall(id));
     rig.RunFor(30);
-    stream.Close();
+    caller.reset();
     rig.RunFor(120);
   }
   EXPECT_LE(crashes, kToleratedCrashes);
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -3,9 +3,9 @@
 #include "gateway/Gateway.hpp"
 #include "platform/Objects.hpp"
 #include "platform/Requests.hpp"
+#include "tests/PlatformStore.hpp"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,53 +13,29 @@
 
 namespace cactuspitch {
 
-/// HTTP server on the loop of the test. The script of a test decides what is
-/// written for each request, and whether the connection ends.
-class ScriptedServer
+/// A caller that sends bytes on a connection of its own and gathers what it
+/// gets. Its connection closes with it.
+class RigCaller final : public StreamHandler
 {
 public:
-  struct Exchange
-  {
-    ScriptedServer* server_ = nullptr;
-    HttpHead head_;
-    std::string body_;
-    std::function<void(std::string_view)> write_;
-    std::function<void()> close_;
-    std::function<void()> reset_;
-  };
-  using Script = std::function<void(Exchange&)>;
-
-  ScriptedServer(EventLoop& aLoop, Script aScript);
-  ~ScriptedServer();
-  Endpoint Address() const { return address_; }
-  /// Resets each new connection, as a server does that has too many.
-  void SetFull(bool aFull) { full_ = aFull; }
-  /// Resets all connections and refuses new ones, as a process does that ends.
-  void Crash();
-  /// Listens again at the same address.
-  void Restart();
-  int Accepted() const { return accepted_; }
-  int Requests() const { return requests_; }
-  /// Connections that their client has closed.
-  int Departures() const { return departures_; }
+  RigCaller(EventLoop& aLoop,
+            const Endpoint& aGateway,
+            std::string_view aBytes = {});
+  void Write(std::string_view aBytes) { stream_.Write(aBytes); }
+  const std::string& Received() const { return received_; }
+  /// Whole answers so far.
+  int Answers() const;
+  bool IsClosed() const { return closed_; }
 
 private:
-  class Connection;
+  void OnInput() override;
+  void OnStreamClosed(CloseReason aReason) override;
 
-  EventLoop& loop_;
-  Script script_;
-  TcpListener listener_;
-  Endpoint address_;
-  int requests_ = 0;
-  int departures_ = 0;
-  int accepted_ = 0;
-  bool full_ = false;
-  std::vector<std::shared_ptr<Connection>> connections_;
+  TcpStream stream_;
+  std::string received_;
+  bool closed_ = false;
 };
 
-/// An answer in HTTP with this body.
-std::string TextAnswer(int aStatus, std::string_view aBody);
-
 void RunLoopFor(EventLoop& aLoop, TimeMs aMs);
 /// Runs the loop until aDone holds; false after 5 s.
 bool RunLoopUntil(EventLoop& aLoop, const std::function<bool()>& aDone);
@@ -87,6 +63,8 @@
   std::string AskAt(const Endpoint& aGateway,
                     const std::string& aBytes,
                     int aAnswers = 1);
+  /// Sends bytes on a new connection and waits for nothing.
+  std::unique_ptr<RigCaller> Call(const std::string& aBytes);
   /// Starts one more gateway on the same store and returns its address.
   Endpoint AddGateway(const std::string& aInstance);
   ScriptedServer& Backend(size_t aIndex) { return *backends_[aIndex]; }
@@ -94,13 +72,21 @@
   EventLoop& Loop() { return loop_; }
   Endpoint GatewayAddress() const { return settings_.listen_; }
   /// Takes the store away, or gives it back.
-  void SetStoreDown(bool aDown) { storeDown_ = aDown; }
+  void SetStoreDown(bool aDown)
+  {
+    store_.SetTrouble(aDown ? StoreTrouble::Resets : StoreTrouble::None);
+  }
   std::vector<std::string>& Grants() { return grants_; }
   /// Answers the requests of the service with keys, orders excepted.
   void SetKeyedScript(ScriptedServer::Script aScript)
   {
     keyedScript_ = std::move(aScript);
   }
+  /// Answers the orders about keys; without it all are accepted.
+  void SetOrderScript(ScriptedServer::Script aScript)
+  {
+    orderScript_ = std::move(aScript);
+  }
   /// Writes the registration of a backend server without keys again, as another
   /// life of it, and tells those that watch.
   void Reregister(size_t aIndex, int64_t aBornMs);
@@ -120,14 +106,9 @@
   /// Addresses of a new gateway.
   GatewaySettings MakeSettings(const std::string& aInstance) const;
   std::unique_ptr<Gateway> StartGateway(const GatewaySettings& aSettings);
-  void ServeStore(ScriptedServer::Exchange& aExchange);
   nlohmann::json Registration(const std::string& aService,
                               const ScriptedServer& aServer,
                               int64_t aBornMs) const;
-  void Put(const std::string& aKind,
-           const std::string& aName,
-           const nlohmann::json& aSpec);
-  nlohmann::json Item(const std::string& aKind, const std::string& aName);
 
   EventLoop loop_;
   EventLog log_;
@@ -135,16 +116,10 @@
   platform::Orders orders_;
   platform::Objects objects_;
   platform::Registry registry_;
-  std::map<std::string,
-           std::map<std::string, std::pair<int64_t, nlohmann::json>>>
-    store_;
-  int64_t revision_ = 10;
-  bool storeDown_ = false;
+  PlatformStore store_;
   std::vector<std::string> grants_;
   ScriptedServer::Script keyedScript_;
-  /// Watches of registrations that wait for a change.
-  std::vector<ScriptedServer::Exchange> watches_;
-  std::unique_ptr<ScriptedServer> storeServer_;
+  ScriptedServer::Script orderScript_;
   std::vector<std::unique_ptr<ScriptedServer>> backends_;
   GatewaySettings settings_;
   std::optional<GatewaySettings> freshSettings_;
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -21,13 +21,6 @@
       aExchange.body_));
 }
 
-/// Takes no notice of what comes back.
-struct SilentCaller final : public StreamHandler
-{
-  void OnInput() override {}
-  void OnStreamClosed(CloseReason) override {}
-};
-
 int StatusOf(const std::string& aAnswer)
 {
   return aAnswer.size() < 12 ? 0 : std::stoi(aAnswer.substr(9, 3));
@@ -303,13 +296,10 @@
     1,
     1,
     kConnections);
-  SilentCaller handler;
-  std::vector<std::unique_ptr<TcpStream>> callers;
+  std::vector<std::unique_ptr<RigCaller>> callers;
   for (int id = 0; id < 2 * kConnections; ++id) {
-    callers.push_back(std::make_unique<TcpStream>(rig.Loop(), handler));
-    callers.back()->Connect(rig.GatewayAddress());
-    callers.back()->Write(
-      GatewayRig::Request("GET", "plain", std::to_string(id)));
+    callers.push_back(
+      rig.Call(GatewayRig::Request("GET", "plain", std::to_string(id))));
     rig.RunFor(2);
   }
   rig.RunFor(100);
@@ -330,10 +320,7 @@
 {
   GatewayRig rig([](Exchange&) {}, 1);
   {
-    SilentCaller handler;
-    TcpStream caller(rig.Loop(), handler);
-    caller.Connect(rig.GatewayAddress());
-    caller.Write(GatewayRig::Request("GET", "plain", "gone"));
+    const auto caller = rig.Call(GatewayRig::Request("GET", "plain", "gone"));
     ASSERT_TRUE(rig.RunUntil([&] { return rig.BackendRequests() == 1; }));
   }
   EXPECT_TRUE(rig.RunUntil([&] { return rig.Backend(0).Departures() == 1; }));
@@ -368,12 +355,10 @@
 {
   GatewayRig rig([](Exchange&) {}, 1);
   {
-    SilentCaller handler;
-    TcpStream caller(rig.Loop(), handler);
-    caller.Connect(rig.GatewayAddress());
+    const auto caller = rig.Call({});
     constexpr int kRequests = 40;
     for (int i = 0; i < kRequests; ++i) {
-      caller.Write(GatewayRig::Request("GET", "plain", Concat("p", i)));
+      caller->Write(GatewayRig::Request("GET", "plain", Concat("p", i)));
     }
     ASSERT_TRUE(rig.RunUntil([&] { return rig.BackendRequests() > 0; }));
     rig.RunFor(100);
--- a/tests/GatewayTroubleTest.cpp
+++ b/tests/GatewayTroubleTest.cpp
@@ -111,16 +111,9 @@
   rig.Ask(call("1"));
   rig.RunFor(100);
   // A suspect runs on one server at a time, so the next one waits for this one.
-  struct Caller final : public StreamHandler
-  {
-    void OnInput() override {}
-    void OnStreamClosed(CloseReason) override {}
-  } handler;
   std::raise(SIGTERM);
   rig.RunFor(500);
-  TcpStream running(rig.Loop(), handler);
-  running.Connect(rig.GatewayAddress());
-  running.Write(call("2"));
+  const auto running = rig.Call(call("2"));
   ASSERT_TRUE(rig.RunUntil([&] { return calls == 2; }));
   const auto answer = rig.Ask(call("3"));
   EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
--- /dev/null
+++ b/tests/PlatformStore.cpp
@@ -0,0 +1,233 @@
+#include "tests/PlatformStore.hpp"
+
+#include "common/Strings.hpp"
+
+#include <algorithm>
+
+namespace cactuspitch {
+
+namespace {
+
+constexpr std::string_view kPathPrefix = "/-/objects/";
+/// Beyond the time that gateways wait for an answer.
+constexpr TimeMs kSlowMs = 700;
+constexpr TimeMs kWatchTickMs = 20;
+constexpr size_t kMaxHistory = 10000;
+
+/// Number of a field of the query, or -1.
+int64_t QueryNumber(std::string_view aQuery, std::string_view aName)
+{
+  const auto field = Concat(aName, "=");
+  const auto start = aQuery.find(field);
+  if (start == std::string_view::npos) {
+    return -1;
+  }
+  auto value = aQuery.substr(start + field.size());
+  value = value.substr(0, value.find('&'));
+  int64_t number = -1;
+  return ParseNumber(value, number) ? number : -1;
+}
+
+}
+
+PlatformStore::PlatformStore(EventLoop& aLoop)
+  : loop_(aLoop)
+  , watchTimer_(aLoop, [this] { Tell(); })
+  , server_(aLoop, [this](auto& aExchange) { Serve(aExchange); })
+{
+}
+
+PlatformStore::Json PlatformStore::Item(const std::string& aKind,
+                                        const std::string& aName) const
+{
+  const auto& object = objects_.at(aKind).at(aName);
+  return { { "metadata",
+             { { "name", aName }, { "revision", object.revision_ } } },
+           { "spec", object.spec_ },
+           { "status", object.status_ } };
+}
+
+void PlatformStore::AddEvent(const std::string& aKind,
+                             const Json& aItem,
+                             bool aRemoved)
+{
+  history_.push_back(
+    { revision_, aKind, { { "object", aItem }, { "removed", aRemoved } } });
+  if (history_.size() > kMaxHistory) {
+    oldestRevision_ = history_.front().revision_;
+    history_.pop_front();
+  }
+  Tell();
+}
+
+void PlatformStore::Put(const std::string& aKind,
+                        const std::string& aName,
+                        const Json& aSpec,
+                        const Json& aStatus)
+{
+  objects_[aKind][aName] = { ++revision_, aSpec, aStatus };
+  AddEvent(aKind, Item(aKind, aName), false);
+}
+
+void PlatformStore::Remove(const std::string& aKind, const std::string& aName)
+{
+  if (!objects_[aKind].contains(aName)) {
+    return;
+  }
+  ++revision_;
+  auto item = Item(aKind, aName);
+  item["metadata"]["revision"] = revision_;
+  objects_[aKind].erase(aName);
+  AddEvent(aKind, item, true);
+}
+
+void PlatformStore::ForgetHistory()
+{
+  history_.clear();
+  oldestRevision_ = revision_;
+}
+
+void PlatformStore::Serve(ScriptedServer::Exchange& aExchange)
+{
+  if (trouble_ == StoreTrouble::Silent) {
+    return;
+  }
+  if (trouble_ == StoreTrouble::Resets) {
+    aExchange.reset_();
+    return;
+  }
+  if (trouble_ == StoreTrouble::Unavailable) {
+    aExchange.write_(TextAnswer(503, "{}"));
+    return;
+  }
+  const std::string_view target = aExchange.head_.target_;
+  const auto question = target.find('?');
+  const auto path = target.substr(0, question).substr(kPathPrefix.size());
+  const auto query = question == std::string_view::npos
+                       ? std::string_view{}
+                       : target.substr(question);
+  const auto slash = path.find('/');
+  const std::string kind(path.substr(0, slash));
+  const std::string name(
+    slash == std::string_view::npos ? "" : path.substr(slash + 1));
+  if (QueryNumber(query, "watch") >= 0) {
+    BeginWatch(aExchange, kind, query);
+  } else if (aExchange.head_.method_ == "GET") {
+    Send(aExchange, Read(kind, name));
+  } else {
+    Send(
+      aExchange,
+      Write(aExchange.head_.method_, kind, name, Json::parse(aExchange.body_)));
+  }
+}
+
+void PlatformStore::Send(const ScriptedServer::Exchange& aExchange,
+                         const Reply& aReply)
+{
+  if (trouble_ == StoreTrouble::LosesAnswers) {
+    return;
+  }
+  const auto text = TextAnswer(aReply.status_, aReply.body_.dump());
+  if (trouble_ != StoreTrouble::Slow) {
+    aExchange.write_(text);
+    return;
+  }
+  std::erase_if(delayed_,
+                [](const auto& aTimer) { return !aTimer->IsActive(); });
+  delayed_.push_back(std::make_unique<Timer>(
+    loop_, [write = aExchange.write_, text] { write(text); }));
+  delayed_.back()->Start(kSlowMs);
+}
+
+PlatformStore::Reply PlatformStore::Read(const std::string& aKind,
+                                         const std::string& aName) const
+{
+  const auto kind = objects_.find(aKind);
+  if (!aName.empty()) {
+    const bool exists = kind != objects_.end() && kind->second.contains(aName);
+    return exists ? Reply{ 200, Item(aKind, aName) }
+                  : Reply{ 404, Json::object() };
+  }
+  auto items = Json::array();
+  if (kind != objects_.end()) {
+    for (const auto& [name, object] : kind->second) {
+      items.push_back(Item(aKind, name));
+    }
+  }
+  return { 200,
+           { { "items", items }, { "has-more", false }, { "at", revision_ } } };
+}
+
+PlatformStore::Reply PlatformStore::Write(const std::string& aMethod,
+                                          const std::string& aKind,
+                                          const std::string& aName,
+                                          const Json& aBody)
+{
+  const auto& meta = aBody.at("metadata");
+  const bool isCreate = aMethod == "POST";
+  const auto name = isCreate ? meta.at("name").get<std::string>() : aName;
+  const bool exists = objects_[aKind].contains(name);
+  const auto wanted = meta.value("revision", int64_t{ 0 });
+  if (exists && (isCreate ||
+                 (wanted != 0 && wanted != objects_[aKind][name].revision_))) {
+    return { 409, Item(aKind, name) };
+  }
+  if (!exists && !isCreate) {
+    return { 404, Json::object() };
+  }
+  if (!exists || objects_[aKind][name].spec_ != aBody.at("spec")) {
+    Put(aKind, name, aBody.at("spec"));
+  }
+  return { 200, Item(aKind, name) };
+}
+
+void PlatformStore::BeginWatch(const ScriptedServer::Exchange& aExchange,
+                               const std::string& aKind,
+                               std::string_view aQuery)
+{
+  const auto revision = QueryNumber(aQuery, "watch");
+  if (revision < oldestRevision_) {
+    Send(aExchange, { 410, Json::object() });
+    return;
+  }
+  const auto waitMs = std::max<TimeMs>(0, QueryNumber(aQuery, "wait-ms"));
+  watches_.push_back({ aExchange, aKind, revision, loop_.NowMs() + waitMs });
+  Tell();
+}
+
+void PlatformStore::Tell()
+{
+  std::erase_if(watches_, [&](const Watch& aWatch) {
+    const bool isNews = std::ranges::any_of(history_, [&](const Event& aEvent) {
+      return aEvent.kind_ == aWatch.kind_ &&
+             aEvent.revision_ > aWatch.revision_;
+    });
+    const bool ends = isNews || loop_.NowMs() >= aWatch.endMs_;
+    if (ends) {
+      AnswerWatch(aWatch);
+    }
+    return ends;
+  });
+  if (!watches_.empty() && !watchTimer_.IsActive()) {
+    watchTimer_.Start(kWatchTickMs);
+  }
+}
+
+void PlatformStore::AnswerWatch(const Watch& aWatch) const
+{
+  const bool mayAnswer =
+    trouble_ == StoreTrouble::None || trouble_ == StoreTrouble::Slow;
+  if (!mayAnswer) {
+    return;
+  }
+  auto events = Json::array();
+  for (const auto& event : history_) {
+    if (event.kind_ == aWatch.kind_ && event.revision_ > aWatch.revision_) {
+      events.push_back(event.event_);
+    }
+  }
+  aWatch.exchange_.write_(
+    TextAnswer(200, Json{ { "events", events }, { "at", revision_ } }.dump()));
+}
+
+}
--- /dev/null
+++ b/tests/PlatformStore.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "tests/ScriptedServer.hpp"
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace cactuspitch {
+
+/// What is wrong with the calls to the store.
+enum class StoreTrouble : uint8_t
+{
+  None,
+  Unavailable, ///< 503, nothing is done
+  Resets,
+  Silent, ///< calls are neither answered nor carried out
+  Slow,
+  LosesAnswers, ///< calls are carried out, their connections go silent
+  Count
+};
+
+template<>
+struct EnumNames<StoreTrouble>
+{
+  static constexpr std::string_view kNames[] = {
+    "none", "unavailable", "resets", "silent", "slow", "loses-answers",
+  };
+};
+
+/// Stands in for the platform's object store: revisions, conditional writes,
+/// lists and watches. It runs on the loop of the test.
+class PlatformStore
+{
+public:
+  using Json = nlohmann::json;
+
+  explicit PlatformStore(EventLoop& aLoop);
+
+  Endpoint Address() const { return server_.Address(); }
+  void SetTrouble(StoreTrouble aTrouble) { trouble_ = aTrouble; }
+  StoreTrouble Trouble() const { return trouble_; }
+  /// Watches from before now find their history gone.
+  void ForgetHistory();
+  /// What the platform, the operator and backend servers write; no trouble
+  /// meets them.
+  void Put(const std::string& aKind,
+           const std::string& aName,
+           const Json& aSpec,
+           const Json& aStatus = nullptr);
+  void Remove(const std::string& aKind, const std::string& aName);
+
+private:
+  struct Object
+  {
+    int64_t revision_ = 0;
+    Json spec_;
+    Json status_;
+  };
+  struct Event
+  {
+    int64_t revision_ = 0;
+    std::string kind_;
+    Json event_;
+  };
+  struct Watch
+  {
+    ScriptedServer::Exchange exchange_;
+    std::string kind_;
+    int64_t revision_ = 0;
+    TimeMs endMs_ = 0;
+  };
+  struct Reply
+  {
+    int status_ = 200;
+    Json body_;
+  };
+
+  void Serve(ScriptedServer::Exchange& aExchange);
+  Reply Read(const std::string& aKind, const std::string& aName) const;
+  Reply Write(const std::string& aMethod,
+              const std::string& aKind,
+              const std::string& aName,
+              const Json& aBody);
+  void BeginWatch(const ScriptedServer::Exchange& aExchange,
+                  const std::string& aKind,
+                  std::string_view aQuery);
+  /// Answers the watches that have news, or whose waiting time is over.
+  void Tell();
+  void AnswerWatch(const Watch& aWatch) const;
+  void Send(const ScriptedServer::Exchange& aExchange, const Reply& aReply);
+  Json Item(const std::string& aKind, const std::string& aName) const;
+  void AddEvent(const std::string& aKind, const Json& aItem, bool aRemoved);
+
+  EventLoop& loop_;
+  std::map<std::string, std::map<std::string, Object>> objects_;
+  std::deque<Event> history_;
+  std::vector<Watch> watches_;
+  Timer watchTimer_;
+  std::list<std::unique_ptr<Timer>> delayed_;
+  int64_t revision_ = 10;
+  int64_t oldestRevision_ = 0; ///< of the history that is kept
+  StoreTrouble trouble_ = StoreTrouble::None;
+  ScriptedServer server_;
+};
+
+}
--- /dev/null
+++ b/tests/ScriptedServer.cpp
@@ -0,0 +1,113 @@
+#include "tests/ScriptedServer.hpp"
+
+#include "common/Strings.hpp"
+#include "tests/ReservedPort.hpp"
+
+#include <stdexcept>
+#include <utility>
+
+namespace cactuspitch {
+
+namespace {
+
+constexpr size_t kMaxHeadBytes = 65536;
+
+}
+
+Endpoint FreeEndpoint()
+{
+  // Reserved for the life of the test program.
+  static std::vector<ReservedPort> ports;
+  ports.emplace_back();
+  Endpoint endpoint;
+  Endpoint::Parse(ports.back().Address(), endpoint);
+  return endpoint;
+}
+
+class ScriptedServer::Connection final : public StreamHandler
+{
+public:
+  explicit Connection(ScriptedServer& aServer)
+    : server_(aServer)
+    , stream_(aServer.loop_, *this)
+    , parser_(HttpRole::Request, kMaxHeadBytes)
+  {
+  }
+  void Start(int aFd) { stream_.Adopt(aFd); }
+  void Reset() { stream_.Abort(); }
+
+private:
+  void OnInput() override
+  {
+    while (stream_.IsOpen() &&
+           parser_.Parse(stream_.Input(), body_) == ParseState::Done) {
+      Exchange exchange;
+      exchange.server_ = &server_;
+      exchange.head_ = parser_.Head();
+      exchange.body_ = std::move(body_);
+      body_.clear();
+      parser_ = HttpParser(HttpRole::Request, kMaxHeadBytes);
+      exchange.write_ = [this](std::string_view aBytes) {
+        stream_.Write(aBytes);
+      };
+      exchange.close_ = [this] { stream_.Close(); };
+      exchange.reset_ = [this] { stream_.Abort(); };
+      ++server_.requests_;
+      server_.script_(exchange);
+    }
+  }
+  void OnStreamClosed(CloseReason) override { ++server_.departures_; }
+
+  ScriptedServer& server_;
+  TcpStream stream_;
+  HttpParser parser_;
+  std::string body_;
+};
+
+ScriptedServer::ScriptedServer(EventLoop& aLoop, Script aScript)
+  : loop_(aLoop)
+  , script_(std::move(aScript))
+  , listener_(aLoop,
+              [this](int aFd) {
+                connections_.push_back(std::make_shared<Connection>(*this));
+                connections_.back()->Start(aFd);
+                ++accepted_;
+                if (full_) {
+                  connections_.back()->Reset();
+                }
+              })
+  , address_(FreeEndpoint())
+{
+  if (!listener_.Listen(address_)) {
+    throw std::runtime_error("cannot listen");
+  }
+}
+
+ScriptedServer::~ScriptedServer() = default;
+
+void ScriptedServer::Crash()
+{
+  listener_.Close();
+  for (const auto& connection : connections_) {
+    connection->Reset();
+  }
+}
+
+void ScriptedServer::Restart()
+{
+  if (!listener_.Listen(address_)) {
+    throw std::runtime_error("cannot listen again");
+  }
+}
+
+std::string TextAnswer(int aStatus, std::string_view aBody)
+{
+  return Concat("HTTP/1.1 ",
+                aStatus,
+                " X\r\nContent-Length: ",
+                aBody.size(),
+                "\r\n\r\n",
+                aBody);
+}
+
+}
--- /dev/null
+++ b/tests/ScriptedServer.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "net/HttpParser.hpp"
+#include "net/TcpStream.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactuspitch {
+
+/// HTTP server on the loop of the test. The script of a test decides what is
+/// written for each request, and whether the connection ends.
+class ScriptedServer
+{
+public:
+  struct Exchange
+  {
+    ScriptedServer* server_ = nullptr;
+    HttpHead head_;
+    std::string body_;
+    std::function<void(std::string_view)> write_;
+    std::function<void()> close_;
+    std::function<void()> reset_;
+  };
+  using Script = std::function<void(Exchange&)>;
+
+  ScriptedServer(EventLoop& aLoop, Script aScript);
+  ~ScriptedServer();
+  Endpoint Address() const { return address_; }
+  /// Resets each new connection, as a server does that has too many.
+  void SetFull(bool aFull) { full_ = aFull; }
+  /// Resets all connections and refuses new ones, as a process does that ends.
+  void Crash();
+  /// Listens again at the same address.
+  void Restart();
+  int Accepted() const { return accepted_; }
+  int Requests() const { return requests_; }
+  /// Connections that their client has closed.
+  int Departures() const { return departures_; }
+
+private:
+  class Connection;
+
+  EventLoop& loop_;
+  Script script_;
+  TcpListener listener_;
+  Endpoint address_;
+  int requests_ = 0;
+  int departures_ = 0;
+  int accepted_ = 0;
+  bool full_ = false;
+  std::vector<std::shared_ptr<Connection>> connections_;
+};
+
+/// An answer in HTTP with this body.
+std::string TextAnswer(int aStatus, std::string_view aBody);
+
+/// Loopback address that stays reserved for the life of the test program.
+Endpoint FreeEndpoint();
+
+}
