--- a/gateway/BackendLink.cpp
+++ b/gateway/BackendLink.cpp
@@ -255,10 +255,12 @@
     const double latencyMs = static_cast<double>(nowMs - sentMs_);
     backend_->load_.OnAnswered(latencyMs, loadAtSend_, nowMs);
     pool_.NoteWork(*backend_, latencyMs);
-    pool_.OnResumed(*backend_);
   } else if (status >= 500) {
     backend_->load_.OnFailed(nowMs);
   }
+  if (ranWell_) {
+    backend_->pause_.OnRanWell(sentMs_, backend_->entry_.slots_);
+  }
   auto* handler = std::exchange(handler_, nullptr);
   Leave(ranWell_   ? AttemptOutcome::RanWell
         : refused_ ? AttemptOutcome::NotRun
--- a/gateway/BackendLink.hpp
+++ b/gateway/BackendLink.hpp
@@ -3,6 +3,7 @@
 #include "gateway/BackendLoad.hpp"
 #include "net/HttpParser.hpp"
 #include "net/TcpStream.hpp"
+#include "policy/ServerPause.hpp"
 #include "routing/RoutingConfig.hpp"
 
 #include <functional>
@@ -157,22 +158,13 @@
   TimeMs downUntilMs_ = 0;
   int connectFailures_ = 0;
 
-  /// It refused and wants no requests until then.
-  TimeMs pausedUntilMs_ = 0;
-  /// Requests at a time since the end of the pause, 0 for no limit: they come
-  /// back as the server answers them.
-  size_t resumeLimit_ = 0;
+  ServerPause pause_;
   bool malformedPauseLogged_ = false;
 
   bool IsUsable() const { return registered_ && entry_.TakesNewWork(); }
-  bool IsPaused(TimeMs aNowMs) const { return pausedUntilMs_ > aNowMs; }
   bool TakesRequests(TimeMs aNowMs) const
   {
-    return IsUsable() && !IsPaused(aNowMs);
-  }
-  bool IsResuming() const
-  {
-    return resumeLimit_ != 0 && busy_.size() >= resumeLimit_;
+    return IsUsable() && !pause_.IsActive(aNowMs);
   }
   /// A connection is open, so the server has not ended.
   bool HasOpenConnection() const;
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -14,8 +14,6 @@
 constexpr TimeMs kMaxDownMs = 1500;
 /// Idle connections are closed this long before the server would do it.
 constexpr TimeMs kIdleMarginMs = 1500;
-/// Part of a pause by which gateways come back later.
-constexpr double kPauseSpread = 0.2;
 constexpr double kServiceWorkWeight = 0.02;
 constexpr double kInitialWorkMs = 100;
 
@@ -222,19 +220,14 @@
   if (aPauseMs <= 0) {
     return;
   }
-  // Gateways that paused at the same time do not come back at the same time.
-  std::uniform_real_distribution<double> spread(0, detail::kPauseSpread);
-  const auto untilMs =
-    nowMs + aPauseMs +
-    static_cast<TimeMs>(static_cast<double>(aPauseMs) * spread(random_));
-  const bool isNew = !aBackend.IsPaused(nowMs);
-  aBackend.pausedUntilMs_ = std::max(aBackend.pausedUntilMs_, untilMs);
-  aBackend.resumeLimit_ = 1;
+  std::uniform_real_distribution<double> draw(0, 1);
+  const bool isNew = aBackend.pause_.Begin(aPauseMs, draw(random_), nowMs);
   if (isNew) {
     metrics_.OnServerNotice("paused", aBackend.entry_.id_);
     log_.Write(LogLevel::Info,
                "backend-paused",
                { { "backend", aBackend.entry_.id_ },
+                 { "service", aBackend.entry_.service_ },
                  { "for_ms", aPauseMs },
                  { "in_flight", aBackend.busy_.size() } });
   }
@@ -250,17 +243,6 @@
   }
 }
 
-void BackendPool::OnResumed(Backend& aBackend)
-{
-  if (aBackend.resumeLimit_ == 0) {
-    return;
-  }
-  aBackend.resumeLimit_ *= 2;
-  if (aBackend.resumeLimit_ > static_cast<size_t>(aBackend.entry_.slots_)) {
-    aBackend.resumeLimit_ = 0;
-  }
-}
-
 void BackendPool::NoteWork(const Backend& aBackend, double aLatencyMs)
 {
   workMs_.Add(aBackend.entry_.service_, aLatencyMs);
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -78,8 +78,6 @@
   void OnLeaving(Backend& aBackend);
   void OnPaused(Backend& aBackend, TimeMs aPauseMs);
   void OnMalformedPause(Backend& aBackend);
-  /// The server answered well: after a pause it may get more at a time.
-  static void OnResumed(Backend& aBackend);
   void CloseIdleOf(Backend& aBackend);
   void NoteWork(const Backend& aBackend, double aLatencyMs);
   void Release(const std::shared_ptr<BackendLink>& aLink, bool aReusable);
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -161,7 +161,7 @@
   candidate.home_ = aBackend.home_;
   candidate.down_ = aBackend.downUntilMs_ > nowMs;
   candidate.full_ =
-    aBackend.IsResuming() ||
+    aBackend.pause_.IsFull(aBackend.busy_.size()) ||
     (aBackend.idle_.empty() && aBackend.Connections() >= aMaxConnections);
   candidate.tried_ = aRequest.Tried().contains(aBackend.entry_.id_);
   return candidate;
@@ -236,8 +236,8 @@
   const TimeMs nowMs = loop_.NowMs();
   TimeMs endMs = INT64_MAX;
   for (const auto& backend : aAll) {
-    if (backend->IsUsable() && backend->IsPaused(nowMs)) {
-      endMs = std::min(endMs, backend->pausedUntilMs_);
+    if (backend->IsUsable() && backend->pause_.IsActive(nowMs)) {
+      endMs = std::min(endMs, backend->pause_.EndMs());
     }
   }
   if (endMs != INT64_MAX) {
@@ -281,8 +281,9 @@
   const auto* owner = keys_.Find(aRequest.Service(), *aRequest.Caller().key_);
   const auto backend = owner == nullptr ? nullptr : pool_.Find(owner->id_);
   const TimeMs nowMs = loop_.NowMs();
-  if (backend != nullptr && backend->IsUsable() && backend->IsPaused(nowMs)) {
-    choice.retryAfterMs_ = backend->pausedUntilMs_ - nowMs;
+  if (backend != nullptr && backend->IsUsable() &&
+      backend->pause_.IsActive(nowMs)) {
+    choice.retryAfterMs_ = backend->pause_.EndMs() - nowMs;
     choice.cause_ = "owner-paused";
     return choice;
   }
