Move the keys of servers that say in answers to orders that they leave

Cause: only answers to requests were read for the notice. Change: the answer to an order carries it to the directory, by the life that the order was sent to, so that a late answer does not bar the next life.

--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -206,11 +206,6 @@
     return;
   }
   CloseIdleOf(aBackend);
-  metrics_.OnServerNotice("leaving", aBackend.entry_.id_);
-  log_.Write(LogLevel::Info,
-             "backend-leaving",
-             { { "backend", aBackend.entry_.id_ },
-               { "in_flight", aBackend.busy_.size() } });
   onLeaving_(aBackend.entry_);
 }
 
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -80,7 +80,9 @@
         settings_.retryExtra_,
         settings_.failureDomain_ },
       [this] { gossip_.OnSuspectsChanged(); },
-      [this](const BackendEntry& aEntry) { OnLeaving(aEntry); })
+      [this](const BackendEntry& aEntry) {
+        OnLeaving(aEntry.id_, aEntry.bornMs_);
+      })
   , callers_(aLoop, forwarder_)
   , readyServer_(aLoop,
                  [this](const std::string&) {
@@ -173,7 +175,10 @@
               { [this] { return election_.MayOrder(); },
                 [this] { return election_.MayGrant(); },
                 [this] { gossip_.OnKeysChanged(); },
-                [this](std::string_view aCause) { election_.Resign(aCause); } })
+                [this](std::string_view aCause) { election_.Resign(aCause); },
+                [this](const std::string& aBackend, int64_t aBornMs) {
+                  OnLeaving(aBackend, aBornMs);
+                } })
   , relay_(
       aLoop,
       aLog,
@@ -435,12 +440,21 @@
   }
 }
 
-void Gateway::OnLeaving(const BackendEntry& aEntry)
+void Gateway::OnLeaving(const std::string& aBackend, int64_t aBornMs)
 {
-  if (directory_.MarkLeaving(aEntry.id_, aEntry.bornMs_)) {
-    OnBackendsChanged();
-    gossip_.TellLeaving();
+  if (!directory_.MarkLeaving(aBackend, aBornMs)) {
+    return;
   }
+  const auto backend = forwarder_.Pool().Find(aBackend);
+  metrics_.OnServerNotice("leaving", aBackend);
+  log_.Write(
+    LogLevel::Info,
+    "backend-leaving",
+    { { "backend", aBackend },
+      { "service", backend == nullptr ? "" : backend->entry_.service_ },
+      { "in_flight", backend == nullptr ? 0 : backend->busy_.size() } });
+  OnBackendsChanged();
+  gossip_.TellLeaving();
 }
 
 void Gateway::OnBackendsChanged()
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -56,7 +56,7 @@
   void OnOwnObject(const StoreObject& aObject);
   std::optional<BackendEntry> DecodeBackend(const StoreObject& aObject);
   /// A server said that it leaves.
-  void OnLeaving(const BackendEntry& aEntry);
+  void OnLeaving(const std::string& aBackend, int64_t aBornMs);
   void OnBackendsChanged();
   void ApplyBackendChanges();
   void Register();
--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -45,10 +45,11 @@
             aClient,
             aProtocol,
             { [this] { return handlers_.grantScope_(); },
-              [this](const KeyOrder& aOrder,
-                     OrderResult aResult,
-                     const std::string& aHandover) {
-                OnOrderDone(aOrder, aResult, aHandover);
+              [this](const KeyOrder& aOrder, const OrderAnswer& aAnswer) {
+                OnOrderDone(aOrder, aAnswer);
+              },
+              [this](const std::string& aBackend, int64_t aBornMs) {
+                handlers_.onLeaving_(aBackend, aBornMs);
               } })
   , board_(aBoard)
   , maxHoldMs_(aMaxHoldMs)
@@ -179,7 +180,7 @@
     }
     Endpoint endpoint;
     if (Endpoint::Parse(entry->second.address_, endpoint)) {
-      sender_.SetAddress(id, endpoint);
+      sender_.SetServer(id, endpoint, entry->second.bornMs_);
     }
     const auto known = backends_.find(id);
     if (known == backends_.end() ||
@@ -500,14 +501,14 @@
 }
 
 void KeyDirector::OnOrderDone(const KeyOrder& aOrder,
-                              OrderResult aResult,
-                              const std::string& aHandover)
+                              const OrderAnswer& aAnswer)
 {
   const auto found = services_.find(aOrder.service_);
   if (found == services_.end()) {
     return;
   }
-  found->second->OnOrderDone(aOrder, aResult, aHandover, loop_.NowMs());
+  found->second->OnOrderDone(
+    aOrder, aAnswer.result_, aAnswer.handover_, loop_.NowMs());
   // A release is followed by the grant at once. A new leader has a thousand
   // grants answered within a second, and nothing new is due after each.
   if (aOrder.kind_ == OrderKind::Release && handlers_.mayOrder_()) {
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -36,6 +36,7 @@
     std::function<void()> onChanged_;
     /// A newer leader wrote the table or fenced a server.
     std::function<void(std::string_view aCause)> onSuperseded_;
+    OrderSender::LeavingTask onLeaving_;
   };
 
   KeyDirector(EventLoop& aLoop,
@@ -82,9 +83,7 @@
   void ResolveUnknown();
   void OnCommitted(int64_t aRevision);
   void SendOrders();
-  void OnOrderDone(const KeyOrder& aOrder,
-                   OrderResult aResult,
-                   const std::string& aHandover);
+  void OnOrderDone(const KeyOrder& aOrder, const OrderAnswer& aAnswer);
   void UpdateCandidates();
   /// Of a request of the service, over its measured servers.
   double MeanWorkMs(const std::string& aService) const;
--- a/gateway/OrderSender.cpp
+++ b/gateway/OrderSender.cpp
@@ -25,10 +25,11 @@
 {
 }
 
-void OrderSender::SetAddress(const std::string& aBackend,
-                             const Endpoint& aEndpoint)
+void OrderSender::SetServer(const std::string& aBackend,
+                            const Endpoint& aEndpoint,
+                            int64_t aBornMs)
 {
-  addresses_[aBackend] = aEndpoint;
+  servers_[aBackend] = { aEndpoint, aBornMs };
 }
 
 void OrderSender::Reset()
@@ -64,11 +65,11 @@
 
 void OrderSender::SendNow(const KeyOrder& aOrder)
 {
-  const auto address = addresses_.find(aOrder.backend_);
-  if (address == addresses_.end()) {
+  const auto server = servers_.find(aOrder.backend_);
+  if (server == servers_.end()) {
     loop_.Defer([this, aOrder, run = run_] {
       if (run == run_) {
-        OnDone(aOrder, CallResult{});
+        OnDone(aOrder, 0, CallResult{});
       }
     });
     return;
@@ -79,32 +80,34 @@
   } else if (failing_.contains(aOrder.backend_)) {
     request.connecting_ = Connecting::Fresh;
   }
-  client_.Call(address->second,
+  client_.Call(server->second.endpoint_,
                request,
-               [this, aOrder, run = run_](const CallResult& aResult) {
+               [this, aOrder, bornMs = server->second.bornMs_, run = run_](
+                 const CallResult& aResult) {
                  if (run == run_) {
-                   OnDone(aOrder, aResult);
+                   OnDone(aOrder, bornMs, aResult);
                  }
                });
 }
 
-void OrderSender::OnDone(const KeyOrder& aOrder, const CallResult& aResult)
+void OrderSender::OnDone(const KeyOrder& aOrder,
+                         int64_t aBornMs,
+                         const CallResult& aResult)
 {
-  std::string handover;
-  const auto result = protocol_.ReadResult(aResult, handover);
+  const auto answer = protocol_.ReadAnswer(aResult);
   --lanes_[aOrder.backend_].inFlight_;
   // A silent connection says nothing good of its idle siblings. One that could
   // not be opened does not speak against those that are.
-  if (result == OrderResult::Unanswered) {
+  if (answer.result_ == OrderResult::Unanswered) {
     failing_.insert(aOrder.backend_);
   } else {
     failing_.erase(aOrder.backend_);
   }
-  if (result != OrderResult::Accepted) {
+  if (answer.result_ != OrderResult::Accepted) {
     log_.Write(LogLevel::Warning,
                "order-failed",
                { { "order", EnumName(aOrder.kind_) },
-                 { "result", EnumName(result) },
+                 { "result", EnumName(answer.result_) },
                  { "http", aResult.head_.status_ },
                  { "backend", aOrder.backend_ },
                  { "first", aOrder.first_ },
@@ -112,7 +115,10 @@
                  { "fence", aOrder.fence_ },
                  { "took_ms", loop_.NowMs() - aOrder.sentMs_ } });
   }
-  handlers_.onDone_(aOrder, result, handover);
+  if (answer.leaving_) {
+    handlers_.onLeaving_(aOrder.backend_, aBornMs);
+  }
+  handlers_.onDone_(aOrder, answer);
   SendWaiting(aOrder.backend_);
 }
 
--- a/gateway/OrderSender.hpp
+++ b/gateway/OrderSender.hpp
@@ -17,13 +17,17 @@
 class OrderSender
 {
 public:
+  /// Told of the life of a server that answered an order.
+  using LeavingTask =
+    std::function<void(const std::string& aBackend, int64_t aBornMs)>;
+
   struct Handlers
   {
     /// Whether holds may be granted anew now, or only prolonged.
     std::function<GrantScope()> scope_;
-    std::function<
-      void(const KeyOrder&, OrderResult, const std::string& aHandover)>
-      onDone_;
+    std::function<void(const KeyOrder&, const OrderAnswer&)> onDone_;
+    /// The server said in its answer that it leaves.
+    LeavingTask onLeaving_;
   };
 
   OrderSender(EventLoop& aLoop,
@@ -34,12 +38,19 @@
 
   /// Addresses stay known when the registration is gone: the server may hold
   /// keys.
-  void SetAddress(const std::string& aBackend, const Endpoint& aEndpoint);
+  void SetServer(const std::string& aBackend,
+                 const Endpoint& aEndpoint,
+                 int64_t aBornMs);
   void Send(const KeyOrder& aOrder);
   /// Drops waiting orders; answers to those under way are ignored.
   void Reset();
 
 private:
+  struct Server
+  {
+    Endpoint endpoint_;
+    int64_t bornMs_ = 0;
+  };
   struct Lane
   {
     int inFlight_ = 0;
@@ -48,7 +59,10 @@
 
   void SendWaiting(const std::string& aBackend);
   void SendNow(const KeyOrder& aOrder);
-  void OnDone(const KeyOrder& aOrder, const CallResult& aResult);
+  /// aBornMs names the life that the order was sent to.
+  void OnDone(const KeyOrder& aOrder,
+              int64_t aBornMs,
+              const CallResult& aResult);
 
   EventLoop& loop_;
   EventLog& log_;
@@ -56,7 +70,7 @@
   const OrderProtocol& protocol_;
   Handlers handlers_;
   uint64_t run_ = 0; ///< grows with Reset
-  std::map<std::string, Endpoint> addresses_;
+  std::map<std::string, Server> servers_;
   std::set<std::string> failing_; ///< servers whose last order went unanswered
   std::map<std::string, Lane> lanes_;
 };
--- a/gateway/PlatformPort.hpp
+++ b/gateway/PlatformPort.hpp
@@ -69,14 +69,21 @@
                                   std::string_view aRequestId) const = 0;
 };
 
+/// What became of an order, and what the server says besides.
+struct OrderAnswer
+{
+  OrderResult result_ = OrderResult::Unanswered;
+  std::string handover_; ///< token of a release that was carried out
+  bool leaving_ = false; ///< the server is about to leave
+};
+
 /// Orders about keys, from the leader to backend servers.
 class OrderProtocol
 {
 public:
   virtual ~OrderProtocol() = default;
   virtual CallRequest MakeOrder(const KeyOrder& aOrder) const = 0;
-  virtual OrderResult ReadResult(const CallResult& aResult,
-                                 std::string& aHandover) const = 0;
+  virtual OrderAnswer ReadAnswer(const CallResult& aResult) const = 0;
 };
 
 /// Object of the platform's store.
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -185,20 +185,34 @@
 // still be carried out.
 TEST(Orders, ReadsResults)
 {
-  std::string handover;
-  EXPECT_EQ(Orders().ReadResult(Answered(200), handover),
-            OrderResult::Accepted);
-  EXPECT_EQ(Orders().ReadResult(Answered(409), handover),
-            OrderResult::OlderFence);
-  EXPECT_EQ(Orders().ReadResult(Answered(421), handover),
-            OrderResult::Misdirected);
-  EXPECT_EQ(Orders().ReadResult(Answered(503), handover),
-            OrderResult::Unanswered);
+  const auto read = [](const CallResult& aResult) {
+    return Orders().ReadAnswer(aResult).result_;
+  };
+  EXPECT_EQ(read(Answered(200)), OrderResult::Accepted);
+  EXPECT_EQ(read(Answered(409)), OrderResult::OlderFence);
+  EXPECT_EQ(read(Answered(421)), OrderResult::Misdirected);
+  EXPECT_EQ(read(Answered(503)), OrderResult::Unanswered);
   CallResult lost;
   lost.end_ = CallEnd::Unanswered;
-  EXPECT_EQ(Orders().ReadResult(lost, handover), OrderResult::Unanswered);
+  EXPECT_EQ(read(lost), OrderResult::Unanswered);
   lost.end_ = CallEnd::NotSent;
-  EXPECT_EQ(Orders().ReadResult(lost, handover), OrderResult::NotSent);
+  EXPECT_EQ(read(lost), OrderResult::NotSent);
+}
+
+// Guards against a notice in the answer to an order that is missed, or that
+// another server at the address gave.
+TEST(Orders, ReadsLeaving)
+{
+  const auto read = [](int aStatus) {
+    auto result = Answered(aStatus);
+    result.head_.fields_.emplace_back("Server-Leaving", "1");
+    return Orders().ReadAnswer(result).leaving_;
+  };
+  EXPECT_TRUE(read(200));
+  EXPECT_TRUE(read(409));
+  EXPECT_FALSE(read(421));
+  EXPECT_FALSE(read(400));
+  EXPECT_FALSE(Orders().ReadAnswer(Answered(200)).leaving_);
 }
 
 // Guards against confusing the answers of the store: refused, conflict, history
--- a/tests/ServerNoticesTest.cpp
+++ b/tests/ServerNoticesTest.cpp
@@ -303,5 +303,33 @@
   EXPECT_EQ(late, 0);
 }
 
+// Guards against keys that stay with a leaving server that has no requests: it
+// says so only in its answers to orders.
+TEST(ServerNotices, KeysOfAnIdleLeavingServerMove)
+{
+  GatewayRig rig([](Exchange&) {}, 1, 2);
+  const auto ownerOf = [&](const std::string& aId) {
+    std::string owner;
+    rig.SetKeyedScript([&](Exchange& aExchange) {
+      owner = aExchange.head_.Field("Cactuspitch-Target-Instance");
+      aExchange.write_(Answer(aExchange, ""));
+    });
+    EXPECT_TRUE(IsServed(rig.Ask(GatewayRig::Request(
+      "GET", "keyed", aId, "Cactuspitch-Shard-Key: 77\r\n"))));
+    return owner;
+  };
+  const auto first = ownerOf("1");
+  rig.SetOrderScript([&](Exchange& aExchange) {
+    const bool leaves =
+      aExchange.head_.Field("Cactuspitch-Target-Instance") == first;
+    aExchange.write_(Concat("HTTP/1.1 200 OK\r\n",
+                            leaves ? kLeaving : "",
+                            "Content-Length: 0\r\n\r\n"));
+  });
+  // Holds are prolonged within this time.
+  rig.RunFor(5000);
+  EXPECT_NE(ownerOf("2"), first);
+}
+
 }
 }
