Explain refusals because of pauses, shares and stops

Cause: causes without an entry were taken for ends of connections; notices of servers were not gathered by service. Change: entries for these causes; backend-leaving of any gateway and backend-paused of the own one are shown for the request's service. Measured: RequestExplanation.NamesNoticesOfServers failed before, and passes.

--- a/ctl/RequestExplanation.cpp
+++ b/ctl/RequestExplanation.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <span>
 
 namespace cactuspitch {
 
@@ -27,6 +28,10 @@
   CauseMeaning{ "missing-field", "the request lacks Host or its id" },
   CauseMeaning{ "body-too-large", "the body exceeds the configured limit" },
   CauseMeaning{ "request-incomplete", "the caller did not send all of it" },
+  CauseMeaning{ "malformed-request", "its head or body cannot be read" },
+  CauseMeaning{ "stopping",
+                "the gateway was stopping and had not sent it on; it did not "
+                "run" },
   CauseMeaning{ "no-backend", "no server of the service is registered" },
   CauseMeaning{ "overload",
                 "no server would have answered in time; it did not run" },
@@ -37,6 +42,15 @@
   CauseMeaning{ "owner-overload",
                 "the owner of the key would have answered too late; look for "
                 "keys-balanced" },
+  CauseMeaning{ "owner-share",
+                "this gateway's part of what the owner of the key can run was "
+                "used up; it did not run" },
+  CauseMeaning{ "owner-paused",
+                "the owner of the key had refused and asked for a pause; it "
+                "did not run" },
+  CauseMeaning{ "all-paused",
+                "all servers of the service had refused and asked for a pause; "
+                "it did not run" },
   CauseMeaning{ "quarantined",
                 "requests like it crashed backend servers; it did not run" },
   CauseMeaning{ "backend-shed", "the servers refused it; it did not run" },
@@ -60,6 +74,9 @@
 constexpr const char* kConnectionMeaning =
   "the connection to the server ended without an answer; it may have run";
 
+/// Lines about a server that tell why requests of its service are refused.
+constexpr std::string_view kServerNotices[] = { "backend-paused",
+                                                "backend-pause-malformed" };
 constexpr std::string_view kAllProcesses[] = { "leader-elected",
                                                "leader-ended",
                                                "earlier-leaders-ended" };
@@ -77,6 +94,12 @@
   return ParseNumber(aText, number) ? number : aDefault;
 }
 
+bool Contains(std::span<const std::string_view> aEvents,
+              std::string_view aEvent)
+{
+  return std::ranges::find(aEvents, aEvent) != aEvents.end();
+}
+
 /// What is looked for around a request.
 struct Subject
 {
@@ -109,17 +132,22 @@
         aLine.timeMs_ > lastMs_ + kAfterMs || !aLine.Field("id").empty()) {
       return false;
     }
-    if (std::ranges::find(kAllProcesses, aLine.event_) !=
-        std::end(kAllProcesses)) {
+    if (Contains(kAllProcesses, aLine.event_)) {
       return true;
     }
-    if (std::ranges::find(kOwnProcess, aLine.event_) != std::end(kOwnProcess)) {
+    if (Contains(kOwnProcess, aLine.event_)) {
       return sources_.contains(aLine.source_);
     }
     const auto first = Number(aLine.Field("first"), -1);
     const bool holdsKey = key_ >= 0 && first >= 0 && first <= key_ &&
                           key_ <= Number(aLine.Field("last"), -1);
     const auto service = aLine.Field("service");
+    const bool isNotice = aLine.event_ == "backend-leaving" ||
+                          (Contains(kServerNotices, aLine.event_) &&
+                           sources_.contains(aLine.source_));
+    if (isNotice && !service.empty() && service == service_) {
+      return true;
+    }
     return (holdsKey && (service.empty() || service == service_)) ||
            backends_.contains(aLine.Field("backend"));
   }
--- a/tests/RequestExplanationTest.cpp
+++ b/tests/RequestExplanationTest.cpp
@@ -81,6 +81,34 @@
     << ToText(explanation);
 }
 
+// Guards against a refusal because of a server's notice that is explained as a
+// broken connection, and against the notices missing beside it.
+TEST(RequestExplanation, NamesNoticesOfServers)
+{
+  const auto lines = Read({
+    R"(a ts=9000 level=info event=backend-paused backend="s1" service="s" for_ms="3000")",
+    R"(a ts=9010 level=info event=backend-paused backend="t1" service="t" for_ms="3000")",
+    R"(b ts=9020 level=info event=backend-paused backend="s2" service="s" for_ms="3000")",
+    R"(b ts=9030 level=info event=backend-leaving backend="s3" service="s")",
+    R"(a ts=9500 level=info event=request-failed id="r" status="503" cause="all-paused" service="s")",
+    R"(a ts=9600 level=info event=request-failed id="k" status="503" cause="owner-paused" service="s" key="7")",
+    R"(a ts=9700 level=info event=request-failed id="d" status="503" cause="owner-share" service="s" key="7")",
+    R"(a ts=9800 level=info event=request-failed id="e" status="503" cause="stopping" service="s")",
+    R"(a ts=9900 level=info event=request-failed id="m" status="400" cause="malformed-request")",
+  });
+  const auto explanation = ExplainRequest(lines, "r");
+  EXPECT_NE(explanation.meaning_.find("pause"), std::string::npos)
+    << explanation.meaning_;
+  // A pause belongs to the gateway that was asked for it.
+  EXPECT_EQ(explanation.lines_.size(), 3U) << ToText(explanation);
+  EXPECT_TRUE(Names(explanation, "backend-paused"));
+  EXPECT_TRUE(Names(explanation, "backend-leaving"));
+  for (const char* id : { "k", "d", "e", "m" }) {
+    const auto meaning = ExplainRequest(lines, id).meaning_;
+    EXPECT_EQ(meaning.find("may have run"), std::string::npos) << meaning;
+  }
+}
+
 // Guards against an unknown id that looks explained, and against a command that
 // asks for the address of a process it does not call.
 TEST(RequestExplanation, UnknownIdAndCommandLine)
