Model of leaving and pausing servers under load, compared with notices ignored

Change: ServerNoticesModel places requests by the policies of the product (Placement, HomeServers, BackendLoad, RetryBudget, ServerPause) among simulated servers at 90% of their slots, in a rolling release and with pauses.

--- /dev/null
+++ b/tests/ServerNoticesModel.cpp
@@ -0,0 +1,439 @@
+#include "tests/ServerNoticesModel.hpp"
+
+#include "common/Strings.hpp"
+#include "policy/HomeServers.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactuspitch {
+
+namespace {
+
+constexpr TimeMs kSecondMs = 1000;
+constexpr int64_t kUsPerMs = 1000;
+/// A server's registration says that it drains so long after its answers do.
+constexpr TimeMs kRecordLagMs = 3000;
+/// It serves on so long after the drain time, then ends.
+constexpr TimeMs kEndSlackMs = 1000;
+constexpr TimeMs kReplacedAfterMs = 1000;
+/// Pauses and replacements begin once loads are known.
+constexpr TimeMs kWarmupMs = 2000;
+constexpr TimeMs kPeerDelayMs = 100;
+constexpr TimeMs kRecordDelayMs = 400;
+constexpr TimeMs kShareEveryMs = 500;
+constexpr TimeMs kParkTickMs = 10;
+constexpr TimeMs kNoticeAllowanceMs = 500;
+constexpr int kAllowedInPause = 2;
+constexpr int kMaxAttempts = 3;
+constexpr int kMaxReturns = 2;
+constexpr int kDomains = 4;
+constexpr size_t kSample = 6;
+constexpr int kPausingShare = 10; ///< one of so many servers
+/// Servers of a release that are being replaced at the same time.
+constexpr double kReleaseShare = 0.04;
+constexpr double kShortestPauseMs = 1000;
+constexpr double kLongestPauseMs = 10000;
+constexpr size_t kBytes = 2048;
+
+std::vector<PlacedName> Names(char aKind, size_t aCount)
+{
+  std::vector<PlacedName> names;
+  for (size_t index = 0; index < aCount; ++index) {
+    names.emplace_back(Concat(std::string(1, aKind), index),
+                       Concat("z", index % kDomains));
+  }
+  return names;
+}
+
+}
+
+ServerNoticesModel::Result& ServerNoticesModel::Result::operator+=(
+  const Result& aOther)
+{
+  requests_ += aOther.requests_;
+  served_ += aOther.served_;
+  late_ += aOther.late_;
+  refused_ += aOther.refused_;
+  lost_ += aOther.lost_;
+  afterLeaving_ += aOther.afterLeaving_;
+  inPause_ += aOther.inPause_;
+  returnShed_ += aOther.returnShed_;
+  return *this;
+}
+
+ServerNoticesModel::ServerNoticesModel(Options aOptions, uint32_t aSeed)
+  : options_(aOptions)
+  , random_(aSeed)
+  , workload_(aSeed + 1)
+  , servers_(static_cast<size_t>(aOptions.servers_))
+  , gateways_(static_cast<size_t>(aOptions.gateways_))
+{
+  const auto gatewayNames = Names('g', gateways_.size());
+  const auto serverNames = Names('s', servers_.size());
+  for (size_t index = 0; index < gateways_.size(); ++index) {
+    auto& gateway = gateways_[index];
+    gateway.views_.assign(servers_.size(), NewView());
+    const auto homes =
+      HomeServers(gatewayNames[index].first, gatewayNames, serverNames);
+    for (size_t server = 0; server < servers_.size(); ++server) {
+      if (homes.contains(serverNames[server].first)) {
+        gateway.homes_.push_back(server);
+      }
+    }
+  }
+}
+
+ServerNoticesModel::View ServerNoticesModel::NewView() const
+{
+  View view;
+  view.load_.SetSlots(options_.slots_);
+  view.load_.SetDefaultWorkMs(options_.workMs_);
+  return view;
+}
+
+ServerNoticesModel::Result ServerNoticesModel::Run()
+{
+  const TimeMs endMs = options_.seconds_ * kSecondMs;
+  const auto atOnce =
+    std::max(1.0, kReleaseShare * static_cast<double>(servers_.size()));
+  const auto leaveEveryMs =
+    static_cast<TimeMs>(static_cast<double>(kRecordLagMs + options_.drainMs_ +
+                                            kEndSlackMs + kReplacedAfterMs) /
+                        atOnce);
+  for (size_t server = 0; server < servers_.size(); ++server) {
+    After(kWarmupMs + static_cast<TimeMs>(server) * leaveEveryMs,
+          [this, server] { StartReplacement(server); });
+    if (server % kPausingShare == 0) {
+      After(kWarmupMs + static_cast<TimeMs>(DrawBetween(
+                          workload_, 0, static_cast<double>(endMs) / 2)),
+            [this, server] { StartPause(server); });
+    }
+  }
+  ShareLoads();
+  Arrive();
+  events_.RunUntil((endMs + options_.deadlineMs_) * kUsPerMs);
+  return result_;
+}
+
+void ServerNoticesModel::StartReplacement(size_t aServer)
+{
+  servers_[aServer].leaves_ = true;
+  After(kRecordLagMs, [this, aServer] {
+    servers_[aServer].drains_ = true;
+    for (auto& gateway : gateways_) {
+      After(static_cast<TimeMs>(DrawBetween(0, kRecordDelayMs)),
+            [&view = gateway.views_[aServer]] { view.takesNewWork_ = false; });
+    }
+  });
+  After(kRecordLagMs + options_.drainMs_ + kEndSlackMs, [this, aServer] {
+    auto& server = servers_[aServer];
+    result_.lost_ += server.running_ + std::ssize(server.waiting_);
+    const int nextLife = server.life_ + 1;
+    server = {};
+    server.life_ = nextLife;
+    server.up_ = false;
+  });
+  After(kRecordLagMs + options_.drainMs_ + kEndSlackMs + kReplacedAfterMs,
+        [this, aServer] {
+          servers_[aServer].up_ = true;
+          for (auto& gateway : gateways_) {
+            gateway.views_[aServer] = NewView();
+          }
+        });
+}
+
+void ServerNoticesModel::StartPause(size_t aServer)
+{
+  auto& server = servers_[aServer];
+  const auto pauseMs = static_cast<TimeMs>(
+    DrawBetween(workload_, kShortestPauseMs, kLongestPauseMs));
+  server.pauseEndMs_ = events_.NowMs() + pauseMs;
+}
+
+void ServerNoticesModel::ShareLoads()
+{
+  for (size_t server = 0; server < servers_.size(); ++server) {
+    const auto load = static_cast<double>(
+      servers_[server].running_ + std::ssize(servers_[server].waiting_));
+    for (auto& gateway : gateways_) {
+      gateway.views_[server].load_.OnSharedReport(load, 0, events_.NowMs());
+    }
+  }
+  if (events_.NowMs() < options_.seconds_ * kSecondMs) {
+    After(kShareEveryMs, [this] { ShareLoads(); });
+  }
+}
+
+void ServerNoticesModel::Arrive()
+{
+  if (events_.NowMs() >= options_.seconds_ * kSecondMs) {
+    return;
+  }
+  auto call = std::make_shared<Call>();
+  call->sentMs_ = call->readMs_ = events_.NowMs();
+  ++result_.requests_;
+  Dispatch(Draw(gateways_.size()), call);
+  const double perMs =
+    options_.load_ * options_.servers_ * options_.slots_ / options_.workMs_;
+  std::exponential_distribution<double> gapMs(perMs);
+  events_.After(gapMs(workload_) * kUsPerMs, [this] { Arrive(); });
+}
+
+std::vector<size_t> ServerNoticesModel::Candidates(const GatewayState& aGateway)
+{
+  std::vector<size_t> candidates;
+  const auto add = [&](size_t aServer) {
+    const auto& view = aGateway.views_[aServer];
+    const bool leaves = options_.heedsLeaving_ && view.noticedMs_ != 0;
+    const bool pauses =
+      options_.heedsPauses_ && view.pause_.IsActive(events_.NowMs());
+    if (view.takesNewWork_ && !leaves && !pauses &&
+        std::ranges::find(candidates, aServer) == candidates.end()) {
+      candidates.push_back(aServer);
+    }
+  };
+  std::ranges::for_each(aGateway.homes_, add);
+  for (size_t draw = 0; draw < kSample; ++draw) {
+    add(Draw(servers_.size()));
+  }
+  return candidates;
+}
+
+void ServerNoticesModel::Dispatch(size_t aGateway, const CallPtr& aCall)
+{
+  auto& gateway = gateways_[aGateway];
+  const TimeMs nowMs = events_.NowMs();
+  const auto servers = Candidates(gateway);
+  std::vector<PlacementCandidate> candidates;
+  for (const auto server : servers) {
+    const auto& view = gateway.views_[server];
+    PlacementCandidate candidate;
+    candidate.expectedMs_ = view.load_.ExpectedMs(nowMs);
+    candidate.workMs_ = view.load_.WorkMs(nowMs);
+    candidate.failureShare_ = view.load_.FailureShare(nowMs);
+    candidate.sameDomain_ = aGateway % kDomains == server % kDomains;
+    candidate.home_ =
+      std::ranges::find(gateway.homes_, server) != gateway.homes_.end();
+    candidate.full_ = options_.heedsPauses_ &&
+                      view.pause_.IsFull(static_cast<size_t>(view.inFlight_));
+    candidate.tried_ = aCall->tried_.contains(server);
+    candidates.push_back(candidate);
+  }
+  const TimeMs remainingMs = aCall->sentMs_ + options_.deadlineMs_ - nowMs;
+  const auto decision = Place(
+    placement_,
+    { remainingMs, options_.objectiveMs_, nowMs - aCall->readMs_, kBytes },
+    candidates);
+  switch (decision.verdict_) {
+    case PlacementVerdict::Send:
+      Send(aGateway, servers[decision.index_], aCall);
+      break;
+    case PlacementVerdict::Wait:
+      After(kParkTickMs,
+            [this, aGateway, aCall] { Dispatch(aGateway, aCall); });
+      break;
+    default:
+      Refuse(aCall, decision.retryAfterMs_);
+  }
+}
+
+void ServerNoticesModel::Refuse(const CallPtr& aCall, TimeMs aRetryAfterMs)
+{
+  const TimeMs nowMs = events_.NowMs();
+  const TimeMs backMs = nowMs + aRetryAfterMs;
+  if (aCall->returns_ >= kMaxReturns ||
+      backMs >= aCall->sentMs_ + options_.deadlineMs_) {
+    ++result_.refused_;
+    return;
+  }
+  ++aCall->returns_;
+  After(aRetryAfterMs, [this, aCall] {
+    aCall->readMs_ = events_.NowMs();
+    aCall->attempts_ = 0;
+    aCall->tried_.clear();
+    Dispatch(Draw(gateways_.size()), aCall);
+  });
+}
+
+void ServerNoticesModel::Send(size_t aGateway,
+                              size_t aServer,
+                              const CallPtr& aCall)
+{
+  auto& gateway = gateways_[aGateway];
+  auto& view = gateway.views_[aServer];
+  if (aCall->attempts_++ == 0) {
+    gateway.budget_.OnRequest();
+  }
+  view.load_.OnSent();
+  ++view.inFlight_;
+  After(1, [this, aGateway, aServer, aCall] {
+    OnArrival(aGateway, aServer, aCall);
+  });
+}
+
+void ServerNoticesModel::CountArrival(View& aView)
+{
+  const TimeMs nowMs = events_.NowMs();
+  if (aView.noticedMs_ != 0 && nowMs > aView.noticedMs_ + options_.drainMs_) {
+    ++result_.afterLeaving_;
+  }
+  if (nowMs > aView.askedMs_ + kNoticeAllowanceMs &&
+      nowMs < aView.askedUntilMs_ && ++aView.inPause_ > kAllowedInPause) {
+    ++result_.inPause_;
+  }
+}
+
+void ServerNoticesModel::OnArrival(size_t aGateway,
+                                   size_t aServer,
+                                   const CallPtr& aCall)
+{
+  auto& server = servers_[aServer];
+  const TimeMs nowMs = events_.NowMs();
+  if (!server.up_) {
+    OnNotRun(aGateway, aServer, aCall, 0);
+    return;
+  }
+  CountArrival(gateways_[aGateway].views_[aServer]);
+  if (nowMs < server.pauseEndMs_) {
+    // Whole seconds, not less than the rest.
+    const TimeMs restMs = server.pauseEndMs_ - nowMs;
+    OnNotRun(aGateway,
+             aServer,
+             aCall,
+             (restMs + kSecondMs - 1) / kSecondMs * kSecondMs);
+  } else if (server.running_ < options_.slots_) {
+    StartWork(aGateway, aServer, aCall);
+  } else if (std::ssize(server.waiting_) < options_.slots_) {
+    server.waiting_.emplace_back(aCall, aGateway);
+  } else {
+    if (server.pauseEndMs_ != 0 && nowMs < server.pauseEndMs_ + kSecondMs) {
+      ++result_.returnShed_;
+    }
+    OnNotRun(aGateway, aServer, aCall, 0);
+  }
+}
+
+void ServerNoticesModel::StartWork(size_t aGateway,
+                                   size_t aServer,
+                                   const CallPtr& aCall)
+{
+  auto& server = servers_[aServer];
+  ++server.running_;
+  const auto workMs = static_cast<TimeMs>(
+    DrawBetween(options_.workMs_ / 2, options_.workMs_ * 3 / 2));
+  After(workMs, [this, aGateway, aServer, life = server.life_, aCall] {
+    OnWorkDone(aGateway, aServer, life, aCall);
+  });
+}
+
+void ServerNoticesModel::OnWorkDone(size_t aGateway,
+                                    size_t aServer,
+                                    int aLife,
+                                    const CallPtr& aCall)
+{
+  auto& server = servers_[aServer];
+  if (server.life_ != aLife) {
+    return; // lost with its server
+  }
+  --server.running_;
+  auto& view = gateways_[aGateway].views_[aServer];
+  const TimeMs nowMs = events_.NowMs();
+  const TimeMs tookMs = nowMs - aCall->readMs_;
+  --view.inFlight_;
+  view.load_.OnEnded();
+  view.load_.OnAnswered(
+    static_cast<double>(tookMs), view.load_.Load(nowMs), nowMs);
+  view.load_.OnReport({ server.running_,
+                        static_cast<int>(server.waiting_.size()),
+                        options_.slots_ },
+                      nowMs);
+  view.pause_.OnRanWell(aCall->readMs_, options_.slots_);
+  if (server.leaves_) {
+    NoteLeaving(aGateway, aServer);
+  }
+  ++result_.served_;
+  if (nowMs - aCall->sentMs_ > options_.objectiveMs_) {
+    ++result_.late_;
+  }
+  if (!server.waiting_.empty()) {
+    const auto [call, gateway] = server.waiting_.front();
+    server.waiting_.erase(server.waiting_.begin());
+    StartWork(gateway, aServer, call);
+  }
+}
+
+void ServerNoticesModel::OnNotRun(size_t aGateway,
+                                  size_t aServer,
+                                  const CallPtr& aCall,
+                                  TimeMs aPauseMs)
+{
+  auto& gateway = gateways_[aGateway];
+  auto& view = gateway.views_[aServer];
+  const TimeMs nowMs = events_.NowMs();
+  view.inFlight_ = std::max(0, view.inFlight_ - 1);
+  view.load_.OnEnded();
+  view.load_.OnShed(nowMs);
+  if (servers_[aServer].leaves_) {
+    NoteLeaving(aGateway, aServer);
+  }
+  if (aPauseMs > 0) {
+    view.pause_.Begin(aPauseMs, DrawBetween(0, 1), nowMs);
+    if (nowMs >= view.askedUntilMs_) {
+      view.askedMs_ = nowMs;
+      view.inPause_ = 0;
+    }
+    view.askedUntilMs_ = std::max(view.askedUntilMs_, nowMs + aPauseMs);
+  }
+  aCall->tried_.insert(aServer);
+  if (aCall->attempts_ < kMaxAttempts && gateway.budget_.TryTake()) {
+    Dispatch(aGateway, aCall);
+  } else {
+    Refuse(aCall, placement_.minRetryAfterMs_);
+  }
+}
+
+void ServerNoticesModel::NoteLeaving(size_t aGateway, size_t aServer)
+{
+  auto& own = gateways_[aGateway].views_[aServer];
+  if (own.noticedMs_ != 0) {
+    return;
+  }
+  own.noticedMs_ = events_.NowMs();
+  if (!options_.heedsLeaving_) {
+    return;
+  }
+  const auto life = servers_[aServer].life_;
+  for (auto& gateway : gateways_) {
+    After(static_cast<TimeMs>(DrawBetween(0, kPeerDelayMs)),
+          [this, &view = gateway.views_[aServer], aServer, life] {
+            if (servers_[aServer].life_ == life && view.noticedMs_ == 0) {
+              view.noticedMs_ = events_.NowMs();
+            }
+          });
+  }
+}
+
+size_t ServerNoticesModel::Draw(size_t aCount)
+{
+  return std::uniform_int_distribution<size_t>(0, aCount - 1)(random_);
+}
+
+double ServerNoticesModel::DrawBetween(double aLow, double aHigh)
+{
+  return DrawBetween(random_, aLow, aHigh);
+}
+
+double ServerNoticesModel::DrawBetween(std::mt19937& aRandom,
+                                       double aLow,
+                                       double aHigh)
+{
+  return std::uniform_real_distribution<double>(aLow, aHigh)(aRandom);
+}
+
+void ServerNoticesModel::After(TimeMs aDelayMs, EventQueue::Action aAction)
+{
+  events_.After(static_cast<double>(aDelayMs) * kUsPerMs, std::move(aAction));
+}
+
+}
--- /dev/null
+++ b/tests/ServerNoticesModel.hpp
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "bench/EventQueue.hpp"
+#include "gateway/BackendLoad.hpp"
+#include "policy/Placement.hpp"
+#include "policy/RetryBudget.hpp"
+#include "policy/ServerPause.hpp"
+
+#include <memory>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace cactuspitch {
+
+/// A service without keys at high load while its servers are replaced one
+/// after the other and some ask for pauses. Gateways place requests by the
+/// policies of the product; network, servers and callers are simulated.
+class ServerNoticesModel
+{
+public:
+  struct Options
+  {
+    int gateways_ = 65;
+    int servers_ = 90;
+    int slots_ = 4;
+    double workMs_ = 350;
+    TimeMs objectiveMs_ = 1200;
+    TimeMs deadlineMs_ = 6000;
+    double load_ = 0.9; ///< of all slots
+    TimeMs drainMs_ = 2500;
+    int seconds_ = 30;
+    bool heedsLeaving_ = true;
+    bool heedsPauses_ = true;
+  };
+  struct Result
+  {
+    int64_t requests_ = 0;
+    int64_t served_ = 0;
+    int64_t late_ = 0; ///< of the served ones
+    int64_t refused_ = 0;
+    int64_t lost_ = 0; ///< under way at a server that ended
+    /// Sent to a server by a gateway that had had its notice for longer than
+    /// the drain time.
+    int64_t afterLeaving_ = 0;
+    /// Beyond two from one gateway, from half a second after it was asked for
+    /// a pause to the end of that.
+    int64_t inPause_ = 0;
+    /// Turned away by full servers in the second after their pauses.
+    int64_t returnShed_ = 0;
+
+    Result& operator+=(const Result& aOther);
+  };
+
+  ServerNoticesModel(Options aOptions, uint32_t aSeed);
+  Result Run();
+
+private:
+  struct Call
+  {
+    TimeMs sentMs_ = 0; ///< by the caller, first attempt
+    TimeMs readMs_ = 0; ///< by the present gateway
+    int returns_ = 0;   ///< of the caller, after refusals
+    int attempts_ = 0;
+    std::set<size_t> tried_;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  struct Server
+  {
+    int life_ = 0;
+    bool up_ = true;
+    bool leaves_ = false;
+    bool drains_ = false; ///< its registration says so
+    int running_ = 0;
+    std::vector<std::pair<CallPtr, size_t>> waiting_; ///< with their gateways
+    TimeMs pauseEndMs_ = 0;
+  };
+
+  /// A server as one gateway sees it.
+  struct View
+  {
+    BackendLoad load_;
+    ServerPause pause_;
+    int inFlight_ = 0;
+    bool takesNewWork_ = true;
+    TimeMs noticedMs_ = 0; ///< 0: not told that it leaves
+    TimeMs askedMs_ = 0;   ///< for a pause
+    TimeMs askedUntilMs_ = 0;
+    int inPause_ = 0;
+  };
+
+  struct GatewayState
+  {
+    std::vector<View> views_;
+    std::vector<size_t> homes_;
+    RetryBudget budget_{ 16, 10 };
+  };
+
+  View NewView() const;
+  void StartReplacement(size_t aServer);
+  void StartPause(size_t aServer);
+  void ShareLoads();
+  void Arrive();
+  void Dispatch(size_t aGateway, const CallPtr& aCall);
+  void Refuse(const CallPtr& aCall, TimeMs aRetryAfterMs);
+  void Send(size_t aGateway, size_t aServer, const CallPtr& aCall);
+  void OnArrival(size_t aGateway, size_t aServer, const CallPtr& aCall);
+  void StartWork(size_t aGateway, size_t aServer, const CallPtr& aCall);
+  void OnWorkDone(size_t aGateway,
+                  size_t aServer,
+                  int aLife,
+                  const CallPtr& aCall);
+  void OnNotRun(size_t aGateway,
+                size_t aServer,
+                const CallPtr& aCall,
+                TimeMs aPauseMs);
+  void NoteLeaving(size_t aGateway, size_t aServer);
+  void CountArrival(View& aView);
+  /// Servers that a gateway compares for one request.
+  std::vector<size_t> Candidates(const GatewayState& aGateway);
+  size_t Draw(size_t aCount);
+  double DrawBetween(double aLow, double aHigh);
+  static double DrawBetween(std::mt19937& aRandom, double aLow, double aHigh);
+  void After(TimeMs aDelayMs, EventQueue::Action aAction);
+
+  Options options_;
+  std::mt19937 random_;
+  /// Of callers and servers, so that both ways see the same load.
+  std::mt19937 workload_;
+  EventQueue events_;
+  PlacementOptions placement_;
+  std::vector<Server> servers_;
+  std::vector<GatewayState> gateways_;
+  Result result_;
+};
+
+}
