A reload signal while the process starts no longer ends it

What operators saw: a gateway whose settings changed in the first moments after its start ended without a word. Change: SIGHUP stays pending from the first line of main until it is handled, so that settings which change while they are read are read again.

--- a/gateway/GatewayMain.cpp
+++ b/gateway/GatewayMain.cpp
@@ -85,6 +85,12 @@
 
 int main(int aArgc, char** aArgv)
 {
+  // Settings may change again while they are read: the signal stays pending
+  // until the gateway handles it.
+  sigset_t reload;
+  sigemptyset(&reload);
+  sigaddset(&reload, SIGHUP);
+  sigprocmask(SIG_BLOCK, &reload, nullptr);
   const auto settings = ReadSettingsOrExit(aArgc, aArgv);
   std::signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
@@ -102,6 +108,7 @@
                     auto action = SettingsAction::Run;
                     return ReadSettings(fresh, action, aArgc, aArgv, aFindings);
                   });
+  sigprocmask(SIG_UNBLOCK, &reload, nullptr);
   if (!gateway.Start()) {
     return kExitFailure;
   }
