Cut off answers without end to calls of the gateway's own

What operators would see: a process killed for its memory (160 MB on small instances) when a backend server answers an order about keys, or the store a call, with a body that does not end: it was gathered until the time limit of the call, 0.5 to 31 s. Cause: HttpClient bounded the head of an answer, not its body.

--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -57,6 +57,7 @@
     body_.clear();
     sentBefore_ = stream_.WrittenBytes();
     timeoutMs_ = aRequest.timeoutMs_;
+    maxAnswerBytes_ = aRequest.maxAnswerBytes_;
     if (stream_.IsOpen()) {
       timer_.Start(timeoutMs_);
     } else {
@@ -89,7 +90,9 @@
       return;
     }
     const auto state = parser_.Parse(stream_.Input(), body_);
-    if (state == ParseState::Done) {
+    if (body_.size() > maxAnswerBytes_) {
+      Finish(CallEnd::Unanswered, "answer too large");
+    } else if (state == ParseState::Done) {
       Finish(CallEnd::Answered);
     } else if (state == ParseState::Failed) {
       Finish(CallEnd::Unanswered, "malformed answer");
@@ -142,6 +145,7 @@
   std::string body_;
   Done done_;
   TimeMs timeoutMs_ = 0;
+  size_t maxAnswerBytes_ = 0;
   uint64_t sentBefore_ = 0;
 };
 
--- a/net/HttpClient.hpp
+++ b/net/HttpClient.hpp
@@ -58,6 +58,8 @@
   std::string body_;
   TimeMs timeoutMs_ = 1000;
   Connecting connecting_ = Connecting::Reuse;
+  /// The call fails when the body is larger; lists of the store are a few MB.
+  size_t maxAnswerBytes_ = size_t{ 16 } << 20;
 };
 
 /// Calls with small answers, over connections that are kept for reuse.
--- /dev/null
+++ b/tests/HttpClientTest.cpp
@@ -0,0 +1,63 @@
+#include "net/HttpClient.hpp"
+
+#include "tests/GatewayRig.hpp"
+
+#include <functional>
+
+#include <gtest/gtest.h>
+
+namespace cactuspitch {
+namespace {
+
+// Guards against an answer without end that fills the memory until its time
+// limit: bodies of one length, of chunks, and up to the end of the connection.
+TEST(HttpClient, AnswersWithoutEndAreCutOff)
+{
+  constexpr size_t kLimit = 100000;
+  constexpr size_t kBurst = 1 << 20;
+  constexpr TimeMs kTimeoutMs = 2000;
+  const std::string zeros(kBurst, '0');
+  struct Case
+  {
+    const char* fields_;
+    std::string burst_;
+  };
+  const Case cases[] = {
+    { "Content-Length: 1000000000000\r\n", zeros },
+    { "Transfer-Encoding: chunked\r\n", "100000\r\n" + zeros + "\r\n" },
+    { "Connection: close\r\n", zeros },
+  };
+  for (const auto& entry : cases) {
+    EventLoop loop;
+    std::function<void()> writeMore;
+    Timer timer(loop, [&] { writeMore(); });
+    ScriptedServer server(loop, [&](ScriptedServer::Exchange& aExchange) {
+      aExchange.write_(std::string("HTTP/1.1 200 OK\r\n") + entry.fields_ +
+                       "\r\n");
+      writeMore = [&, write = aExchange.write_] {
+        write(entry.burst_);
+        timer.Start(1);
+      };
+      timer.Start(0);
+    });
+    HttpClient client(loop);
+    CallRequest request;
+    request.method_ = "GET";
+    request.target_ = "/";
+    request.timeoutMs_ = kTimeoutMs;
+    request.maxAnswerBytes_ = kLimit;
+    std::optional<CallResult> result;
+    const auto beginMs = SteadyClock().NowMs();
+    client.Call(server.Address(), request, [&](CallResult aResult) {
+      result = std::move(aResult);
+    });
+    ASSERT_TRUE(RunLoopUntil(loop, [&] { return result.has_value(); }));
+    EXPECT_LT(SteadyClock().NowMs() - beginMs, kTimeoutMs / 2) << entry.fields_;
+    EXPECT_EQ(result->end_, CallEnd::Unanswered);
+    EXPECT_EQ(result->cause_, "answer too large");
+    EXPECT_TRUE(RunLoopUntil(loop, [&] { return server.Departures() == 1; }));
+  }
+}
+
+}
+}
