Fault soak of real gateways with faults from outside

Change: GatewaySoak runs gateways as processes among a store, backend servers and callers of its own; 17 kinds of faults come at random moments of a seed and overlap; SoakJournal checks what callers and servers see.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,14 @@
-# Entry points: make demo, make test, make bench [NAME=x], make soak [MINUTES=n]
+# Entry points: make demo, make test, make bench [NAME=x], make soak [MINUTES=n],
+# make gateway-soak [FIRST=n] [LAST=n] [GATEWAYS=n]
 BUILD ?= build
 JOBS ?= $(shell nproc)
 MINUTES ?= 5
+FIRST ?= 1
+LAST ?= 50
+GATEWAYS ?= 4
 NAME ?=
 
-.PHONY: packages build test bench soak demo format lint clean
+.PHONY: packages build test bench soak gateway-soak demo format lint clean
 
 packages:
 	@scripts/install-packages
@@ -29,6 +33,10 @@
 DEMO_PROGRAMS = cactuspitch-router cactuspitch-assigner cactuspitch-admin \
   standin-store standin-backend loadgen
 
+# Fault soak of real gateways with the seeds from FIRST to LAST.
+gateway-soak: build
+	@bench/gateway-soak $(BUILD) $(FIRST) $(LAST) $(GATEWAYS)
+
 demo: packages
 	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 	@cmake --build $(BUILD) -j $(JOBS) --target $(DEMO_PROGRAMS)
--- /dev/null
+++ b/tests/GatewaySoak.cpp
@@ -0,0 +1,503 @@
+#include "tests/GatewaySoak.hpp"
+
+#include "common/Strings.hpp"
+#include "tests/GatewayRig.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+
+namespace cactuspitch {
+
+namespace {
+
+constexpr TimeMs kGraceMs = 3000;
+constexpr TimeMs kDrainMs = 2000;
+/// From the start of all gateways until callers come.
+constexpr TimeMs kStartMs = 2500;
+constexpr TimeMs kWatchMs = 50;
+/// From the start of a process to the first line of its main function.
+constexpr TimeMs kExecMs = 20;
+constexpr int kFaultEveryMinMs = 250;
+constexpr int kFaultEveryMaxMs = 900;
+/// Longest fault; then all is healed by itself.
+constexpr int kLongestFaultMs = 4000;
+/// Callers are served again within this time after all has healed.
+constexpr TimeMs kRecoveryMs = 15000;
+constexpr TimeMs kServedWindowMs = 1000;
+constexpr double kServedShare = 0.9;
+/// Keys may have two holders on their way for so long.
+constexpr TimeMs kSharedMs = 500;
+constexpr int kCallersPerGateway = 3;
+constexpr int kDomains = 3;
+constexpr int kPlainServers = 5;
+constexpr int kKeyedServers = 4;
+
+}
+
+const std::vector<GatewaySoak::FaultKind>& GatewaySoak::Faults()
+{
+  static const std::vector<FaultKind> kFaults = {
+    { "kill-gateway", &GatewaySoak::KillGateway },
+    { "kill-many-gateways", &GatewaySoak::KillManyGateways },
+    { "freeze-gateway", &GatewaySoak::FreezeGateway },
+    { "stop-gateway", &GatewaySoak::StopGateway },
+    { "hang-up-gateway", &GatewaySoak::HangUpGateway },
+    { "cut-gateway", &GatewaySoak::CutGateway },
+    { "trouble-store", &GatewaySoak::TroubleStore },
+    { "forget-history", &GatewaySoak::ForgetHistory },
+    { "crash-backend", &GatewaySoak::CrashBackend },
+    { "freeze-backend", &GatewaySoak::FreezeBackend },
+    { "leave-backend", &GatewaySoak::LeaveBackend },
+    { "pause-backend", &GatewaySoak::PauseBackend },
+    { "trouble-answers", &GatewaySoak::TroubleAnswers },
+    { "delay-orders", &GatewaySoak::DelayOrders },
+    { "cut-backend", &GatewaySoak::CutBackend },
+    { "silence-connections", &GatewaySoak::SilenceConnections },
+    { "change-config", &GatewaySoak::ChangeConfig },
+  };
+  return kFaults;
+}
+
+GatewaySoak::GatewaySoak(Options aOptions)
+  : options_(std::move(aOptions))
+  , random_(options_.seed_)
+  , callRandom_(options_.seed_)
+  , journal_(loop_, options_.gateways_)
+  , store_(loop_)
+  , fleet_(options_.binaryDir_)
+  , watchTimer_(loop_, [this] { Watch(); })
+{
+  PutConfig();
+  AddBackends();
+  AddGateways();
+}
+
+GatewaySoak::~GatewaySoak()
+{
+  for (auto& gateway : gateways_) {
+    gateway.storeLink_->Stop();
+  }
+}
+
+int GatewaySoak::Draw(int aLow, int aHigh)
+{
+  return std::uniform_int_distribution<int>(aLow, aHigh)(random_);
+}
+
+void GatewaySoak::After(TimeMs aDelayMs, std::function<void()> aTask)
+{
+  std::erase_if(timers_,
+                [](const auto& aTimer) { return !aTimer->IsActive(); });
+  timers_.push_back(std::make_unique<Timer>(
+    loop_, [this, task = std::move(aTask)] { loop_.Defer(task); }));
+  timers_.back()->Start(aDelayMs);
+}
+
+void GatewaySoak::PutConfig()
+{
+  using Json = nlohmann::json;
+  ++version_;
+  const auto route = [](const std::string& aName,
+                        const std::string& aPrefix,
+                        const char* aKind,
+                        const char* aService) {
+    return Json{ { "name", aName },    { "path-prefix", aPrefix },
+                 { "kind", aKind },    { "service", aService },
+                 { "timeout-s", 2.0 }, { "target-latency-s", 0.3 },
+                 { "priority", 1 },    { "max-attempts", 3 } };
+  };
+  auto routes = Json::array({ route("safe", "/safe/", "safe", "plain"),
+                              route("unsafe", "/unsafe/", "unsafe", "plain"),
+                              route("keyed", "/keyed/", "safe", "keyed") });
+  for (int64_t version = 1; version <= version_; ++version) {
+    routes.push_back(route(
+      Concat("v", version), Concat("/v/", version, "/"), "safe", "plain"));
+  }
+  store_.Put(
+    "config",
+    "main",
+    { { "version", Concat("r", version_) },
+      { "services",
+        Json::array({ { { "name", "plain" }, { "max-connections", 100 } },
+                      { { "name", "keyed" },
+                        { "max-connections", 100 },
+                        { "sharded", true },
+                        { "warm-s", 0.5 } } }) },
+      { "limits",
+        { { "max-header-bytes", 8192 },
+          { "max-body-bytes", 100000 },
+          { "header-timeout-s", 2 },
+          { "idle-timeout-s", 5 } } },
+      { "virtual-hosts",
+        Json::array({ { { "host", "soak" }, { "paths", routes } } }) } });
+  journal_.OnConfigAccepted(version_);
+}
+
+void GatewaySoak::AddBackends()
+{
+  for (int index = 0; index < kPlainServers + kKeyedServers; ++index) {
+    const bool keyed = index >= kPlainServers;
+    SoakBackend::Options options;
+    options.name_ = Concat(keyed ? "k" : "p", index);
+    options.service_ = keyed ? "keyed" : "plain";
+    options.failureDomain_ = Concat("z", index % kDomains);
+    options.keyed_ = keyed;
+    options.linked_ = index % 2 == 1;
+    backends_.push_back(std::make_unique<SoakBackend>(
+      loop_, store_, journal_, options, random_()));
+  }
+}
+
+void GatewaySoak::AddGateways()
+{
+  for (int index = 0; index < options_.gateways_; ++index) {
+    GatewayProcess gateway;
+    gateway.name_ = Concat("g", index);
+    gateway.failureDomain_ = Concat("z", index % kDomains);
+    gateway.listen_ = FreeEndpoint();
+    gateway.ready_ = FreeEndpoint();
+    gateway.peer_ = FreeEndpoint();
+    gateway.metrics_ = FreeEndpoint();
+    gateway.store_ = FreeEndpoint().ToText();
+    gateway.storeLink_ =
+      std::make_unique<LinkCut>(gateway.store_, store_.Address().ToText());
+    if (!gateway.storeLink_->Start().ok()) {
+      throw std::runtime_error("a link to the store does not listen");
+    }
+    gateways_.push_back(std::move(gateway));
+  }
+}
+
+void GatewaySoak::AddCallers()
+{
+  for (int index = 0; index < options_.gateways_; ++index) {
+    for (int caller = 0; caller < kCallersPerGateway; ++caller) {
+      callers_.push_back(std::make_unique<SoakCaller>(
+        loop_,
+        journal_,
+        index,
+        gateways_[index].listen_,
+        Concat("c", index, caller),
+        random_(),
+        [this](SoakRequest& aRequest) { Choose(aRequest); }));
+    }
+  }
+}
+
+void GatewaySoak::Choose(SoakRequest& aRequest)
+{
+  constexpr int kOutOf = 200;
+  const auto pick = [&](int aLow, int aHigh) {
+    return std::uniform_int_distribution<int>(aLow, aHigh)(callRandom_);
+  };
+  const int draw = pick(1, kOutOf);
+  if (draw <= 60) {
+    aRequest.kind_ = SoakKind::Unsafe;
+  } else if (draw <= 120) {
+    aRequest.kind_ = SoakKind::Keyed;
+    const auto& keys = SoakBackend::Keys();
+    // A third of them wants one key.
+    constexpr int kHotShare = 3;
+    const bool hot = pick(1, kHotShare) == 1;
+    aRequest.key_ = keys[hot ? 0 : pick(0, static_cast<int>(keys.size()) - 1)];
+  } else if (draw <= 140) {
+    aRequest.kind_ = SoakKind::Probe;
+    aRequest.version_ = pick(1, static_cast<int>(version_));
+  } else if (draw == 141 && crashingCalls_) {
+    aRequest.kind_ = SoakKind::Crash;
+  }
+}
+
+void GatewaySoak::StartGateway(int aGateway)
+{
+  auto& gateway = gateways_[aGateway];
+  if (gateway.state_ != GatewayState::Down) {
+    return;
+  }
+  ++gateway.run_;
+  gateway.startedMs_ = loop_.NowMs();
+  gateway.state_ = GatewayState::Up;
+  fleet_.Launch(
+    gateway.name_,
+    "cactuspitch-gateway",
+    {},
+    { { "CACTUSPITCH_INSTANCE", gateway.name_ },
+      { "CACTUSPITCH_FAILURE_DOMAIN", gateway.failureDomain_ },
+      { "CACTUSPITCH_LISTEN", gateway.listen_.ToText() },
+      { "CACTUSPITCH_READY_LISTEN", gateway.ready_.ToText() },
+      { "CACTUSPITCH_PEER_LISTEN", gateway.peer_.ToText() },
+      { "CACTUSPITCH_METRICS_LISTEN", gateway.metrics_.ToText() },
+      { "CACTUSPITCH_STORE", gateway.store_ },
+      { "CACTUSPITCH_GRACE_MS", std::to_string(kGraceMs) },
+      { "CACTUSPITCH_BACKEND_DRAIN_MS", std::to_string(kDrainMs) } });
+  journal_.OnGatewayStarted(aGateway);
+}
+
+std::vector<std::string> GatewaySoak::Run()
+{
+  for (int index = 0; index < options_.gateways_; ++index) {
+    StartGateway(index);
+  }
+  Watch();
+  RunLoopFor(loop_, kStartMs);
+  AddCallers();
+  RunLoopFor(loop_, kServedWindowMs);
+  BeginFault();
+  After(options_.faultsForMs_ / 2, [this] { crashingCalls_ = true; });
+  RunLoopFor(loop_, options_.faultsForMs_);
+  Heal();
+  const bool served = IsServedAgain();
+  for (const auto& caller : callers_) {
+    caller->Stop();
+  }
+  RunLoopFor(loop_, kServedWindowMs);
+  auto violations = journal_.Violations();
+  if (!served) {
+    violations.push_back("RECOVER: callers are not served again");
+  }
+  return violations;
+}
+
+void GatewaySoak::BeginFault()
+{
+  if (healed_) {
+    return;
+  }
+  const auto& faults = Faults();
+  const auto& fault = faults[Draw(0, static_cast<int>(faults.size()) - 1)];
+  std::printf("%ld %s\n", loop_.NowMs(), fault.name_);
+  (this->*fault.begin_)();
+  After(Draw(kFaultEveryMinMs, kFaultEveryMaxMs), [this] { BeginFault(); });
+}
+
+void GatewaySoak::Heal()
+{
+  healed_ = true;
+  crashingCalls_ = false;
+  // Faults end by themselves, stopped gateways start again.
+  RunLoopFor(loop_, kLongestFaultMs);
+}
+
+bool GatewaySoak::IsServedAgain()
+{
+  const TimeMs endMs = loop_.NowMs() + kRecoveryMs;
+  journal_.TakeServed();
+  while (loop_.NowMs() < endMs) {
+    RunLoopFor(loop_, kServedWindowMs);
+    const auto [served, over] = journal_.TakeServed();
+    if (over > 0 && served >= kServedShare * over) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void GatewaySoak::Watch()
+{
+  for (int index = 0; index < options_.gateways_; ++index) {
+    auto& gateway = gateways_[index];
+    const bool runs =
+      gateway.state_ != GatewayState::Down && fleet_.IsRunning(gateway.name_);
+    if (gateway.state_ == GatewayState::Down || runs) {
+      continue;
+    }
+    if (gateway.state_ != GatewayState::Stopping) {
+      throw std::runtime_error(
+        Concat(gateway.name_, " ended: ", fleet_.LogTail(gateway.name_)));
+    }
+    gateway.state_ = GatewayState::Down;
+    journal_.OnGatewayEnded(index);
+    StartGateway(index);
+  }
+  CheckOwners();
+  watchTimer_.Start(kWatchMs);
+}
+
+void GatewaySoak::CheckOwners()
+{
+  for (const auto key : SoakBackend::Keys()) {
+    std::string lives;
+    int holders = 0;
+    for (const auto& backend : backends_) {
+      if (backend->IsKeyed() && backend->IsOwner(key)) {
+        ++holders;
+        AppendTo(lives, lives.empty() ? "" : " and ", backend->Life());
+      }
+    }
+    if (holders < 2) {
+      sharedSinceMs_.erase(key);
+      continue;
+    }
+    const auto [since, isNew] = sharedSinceMs_.try_emplace(key, loop_.NowMs());
+    if (loop_.NowMs() - since->second > kSharedMs) {
+      journal_.OnKeysShared(key, lives);
+      since->second = loop_.NowMs();
+    }
+  }
+}
+
+int GatewaySoak::DrawGateway()
+{
+  return Draw(0, options_.gateways_ - 1);
+}
+
+SoakBackend& GatewaySoak::DrawBackend()
+{
+  return *backends_[Draw(0, static_cast<int>(backends_.size()) - 1)];
+}
+
+void GatewaySoak::KillGateway()
+{
+  const int index = DrawGateway();
+  auto& gateway = gateways_[index];
+  if (gateway.state_ == GatewayState::Down) {
+    return;
+  }
+  fleet_.Kill(gateway.name_);
+  gateway.state_ = GatewayState::Down;
+  journal_.OnGatewayEnded(index);
+  After(Draw(100, kLongestFaultMs / 2), [this, index] { StartGateway(index); });
+}
+
+void GatewaySoak::KillManyGateways()
+{
+  for (int count = 0; count < options_.gateways_; ++count) {
+    KillGateway();
+  }
+}
+
+void GatewaySoak::FreezeGateway()
+{
+  const int index = DrawGateway();
+  auto& gateway = gateways_[index];
+  if (gateway.state_ != GatewayState::Up) {
+    return;
+  }
+  fleet_.Pause(gateway.name_);
+  gateway.state_ = GatewayState::Frozen;
+  journal_.OnGatewayFrozen(index);
+  After(Draw(100, kLongestFaultMs), [this, index, run = gateway.run_] {
+    auto& frozen = gateways_[index];
+    if (frozen.state_ == GatewayState::Frozen && frozen.run_ == run) {
+      fleet_.Resume(frozen.name_);
+      frozen.state_ = GatewayState::Up;
+      journal_.OnGatewayThawed(index);
+    }
+  });
+}
+
+void GatewaySoak::StopGateway()
+{
+  const int index = DrawGateway();
+  auto& gateway = gateways_[index];
+  if (gateway.state_ != GatewayState::Up) {
+    return;
+  }
+  gateway.state_ = GatewayState::Stopping;
+  journal_.OnGatewayStopping(index);
+  kill(fleet_.Pid(gateway.name_), SIGTERM);
+  After(kGraceMs, [this, index, run = gateway.run_] {
+    auto& stopping = gateways_[index];
+    if (stopping.state_ == GatewayState::Stopping && stopping.run_ == run) {
+      fleet_.Kill(stopping.name_);
+    }
+  });
+}
+
+void GatewaySoak::HangUpGateway()
+{
+  const auto& gateway = gateways_[DrawGateway()];
+  // No program can handle a signal before its own code runs.
+  if (gateway.state_ == GatewayState::Up &&
+      loop_.NowMs() - gateway.startedMs_ > kExecMs) {
+    kill(fleet_.Pid(gateway.name_), SIGHUP);
+  }
+}
+
+void GatewaySoak::CutGateway()
+{
+  static constexpr LinkMode kModes[] = {
+    LinkMode::DropUp, LinkMode::DropDown, LinkMode::DropBoth, LinkMode::Refuse
+  };
+  const int index = DrawGateway();
+  gateways_[index].storeLink_->SetMode(kModes[Draw(0, 3)]);
+  journal_.OnGatewayCut(index, true);
+  After(Draw(100, kLongestFaultMs), [this, index] {
+    gateways_[index].storeLink_->SetMode(LinkMode::Pass);
+    journal_.OnGatewayCut(index, false);
+  });
+}
+
+void GatewaySoak::TroubleStore()
+{
+  constexpr int kKinds = static_cast<int>(StoreTrouble::Count);
+  store_.SetTrouble(static_cast<StoreTrouble>(Draw(1, kKinds - 1)));
+  journal_.OnStoreDisturbed(true);
+  After(Draw(200, kLongestFaultMs), [this] {
+    store_.SetTrouble(StoreTrouble::None);
+    journal_.OnStoreDisturbed(false);
+  });
+}
+
+void GatewaySoak::ForgetHistory()
+{
+  store_.ForgetHistory();
+}
+
+void GatewaySoak::CrashBackend()
+{
+  DrawBackend().Crash(Draw(50, kLongestFaultMs));
+}
+
+void GatewaySoak::FreezeBackend()
+{
+  DrawBackend().Freeze(Draw(100, kLongestFaultMs));
+}
+
+void GatewaySoak::LeaveBackend()
+{
+  DrawBackend().Leave();
+}
+
+void GatewaySoak::PauseBackend()
+{
+  DrawBackend().Pause(Draw(600, kLongestFaultMs));
+}
+
+void GatewaySoak::TroubleAnswers()
+{
+  constexpr int kKinds = static_cast<int>(AnswerTrouble::Count);
+  const auto trouble = static_cast<AnswerTrouble>(Draw(1, kKinds - 1));
+  DrawBackend().SetTrouble(trouble, Draw(100, kLongestFaultMs / 2));
+}
+
+void GatewaySoak::DelayOrders()
+{
+  DrawBackend().DelayOrders(Draw(200, kLongestFaultMs));
+}
+
+void GatewaySoak::CutBackend()
+{
+  static constexpr LinkMode kModes[] = { LinkMode::DropUp,
+                                         LinkMode::DropDown,
+                                         LinkMode::DropBoth };
+  auto& backend = DrawBackend();
+  // Grants that a link holds up do not count, so keyed servers keep theirs.
+  if (!backend.IsKeyed()) {
+    backend.CutLink(kModes[Draw(0, 2)], Draw(100, kLongestFaultMs));
+  }
+}
+
+void GatewaySoak::SilenceConnections()
+{
+  DrawBackend().SilenceConnections();
+}
+
+void GatewaySoak::ChangeConfig()
+{
+  PutConfig();
+}
+
+}
--- /dev/null
+++ b/tests/GatewaySoak.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "tests/ProcessFleet.hpp"
+#include "tests/SoakBackend.hpp"
+#include "tests/SoakCaller.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cactuspitch {
+
+/// Real gateways as processes, with a store, backend servers and callers of
+/// this process, and random faults: signals, cut links, troubles of the store
+/// and of servers, in series and overlapping. Afterwards all heals, and callers
+/// have to be served again.
+class GatewaySoak
+{
+public:
+  struct Options
+  {
+    uint32_t seed_ = 1;
+    int gateways_ = 4;
+    TimeMs faultsForMs_ = 15000;
+    std::string binaryDir_;
+  };
+
+  explicit GatewaySoak(Options aOptions);
+  ~GatewaySoak();
+  /// Broken promises, each with its time.
+  std::vector<std::string> Run();
+  std::string Summary() const { return journal_.Summary(); }
+  std::string LogDirectory() const { return fleet_.LogDirectory(); }
+
+private:
+  enum class GatewayState : uint8_t
+  {
+    Down,
+    Up,
+    Frozen,
+    Stopping
+  };
+  struct GatewayProcess
+  {
+    std::string name_;
+    std::string failureDomain_;
+    Endpoint listen_;
+    Endpoint ready_;
+    Endpoint peer_;
+    Endpoint metrics_;
+    std::unique_ptr<LinkCut> storeLink_;
+    std::string store_;
+    GatewayState state_ = GatewayState::Down;
+    int run_ = 0; ///< counts its starts
+    TimeMs startedMs_ = 0;
+  };
+  struct FaultKind
+  {
+    const char* name_;
+    void (GatewaySoak::*begin_)();
+  };
+  static const std::vector<FaultKind>& Faults();
+
+  void AddGateways();
+  void AddBackends();
+  void AddCallers();
+  void PutConfig();
+  void StartGateway(int aGateway);
+  void BeginFault();
+  void Heal();
+  bool IsServedAgain();
+  /// Looks for ended processes and for keys with two holders.
+  void Watch();
+  void CheckOwners();
+  void After(TimeMs aDelayMs, std::function<void()> aTask);
+  int Draw(int aLow, int aHigh);
+  int DrawGateway();
+  SoakBackend& DrawBackend();
+  void Choose(SoakRequest& aRequest);
+
+  // Faults.
+  void KillGateway();
+  void KillManyGateways();
+  void FreezeGateway();
+  void StopGateway();
+  void HangUpGateway();
+  void CutGateway();
+  void TroubleStore();
+  void ForgetHistory();
+  void CrashBackend();
+  void FreezeBackend();
+  void LeaveBackend();
+  void PauseBackend();
+  void TroubleAnswers();
+  void DelayOrders();
+  void CutBackend();
+  void SilenceConnections();
+  void ChangeConfig();
+
+  Options options_;
+  EventLoop loop_;
+  std::mt19937 random_;
+  std::mt19937 callRandom_; ///< of callers, so that a seed keeps its faults
+  SoakJournal journal_;
+  PlatformStore store_;
+  ProcessFleet fleet_;
+  std::vector<GatewayProcess> gateways_;
+  std::vector<std::unique_ptr<SoakBackend>> backends_;
+  std::vector<std::unique_ptr<SoakCaller>> callers_;
+  std::list<std::unique_ptr<Timer>> timers_;
+  Timer watchTimer_;
+  int64_t version_ = 0;
+  bool crashingCalls_ = false;
+  bool healed_ = false;
+  std::map<uint32_t, TimeMs> sharedSinceMs_;
+};
+
+}
--- /dev/null
+++ b/tests/GatewaySoakTest.cpp
@@ -0,0 +1,61 @@
+#include "tests/GatewaySoak.hpp"
+
+#include "common/Strings.hpp"
+
+#include <cstdlib>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+namespace cactuspitch {
+namespace {
+
+/// Seeds of CI; SOAK_SEEDS names others.
+std::vector<uint32_t> Seeds()
+{
+  const char* text = std::getenv("SOAK_SEEDS");
+  std::istringstream input(text == nullptr ? "1 2 3" : text);
+  std::vector<uint32_t> seeds;
+  for (uint32_t seed = 0; input >> seed;) {
+    seeds.push_back(seed);
+  }
+  return seeds;
+}
+
+/// SOAK_GATEWAYS names another number for runs by hand.
+int Gateways()
+{
+  constexpr int kGateways = 4;
+  const char* text = std::getenv("SOAK_GATEWAYS");
+  int gateways = kGateways;
+  return text == nullptr || !ParseNumber(text, gateways) ? kGateways : gateways;
+}
+
+class GatewaySoakTest : public testing::TestWithParam<uint32_t>
+{};
+
+// Guards the promises of the platform's pages with real processes and faults
+// from outside.
+TEST_P(GatewaySoakTest, KeepsItsPromises)
+{
+  GatewaySoak soak(
+    { .seed_ = GetParam(), .gateways_ = Gateways(), .binaryDir_ = BINARY_DIR });
+  const auto violations = soak.Run();
+  std::printf("seed %u: %s\n", GetParam(), soak.Summary().c_str());
+  for (const auto& violation : violations) {
+    ADD_FAILURE() << violation;
+  }
+  if (!violations.empty()) {
+    std::printf("logs: %s\n", soak.LogDirectory().c_str());
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         GatewaySoakTest,
+                         testing::ValuesIn(Seeds()),
+                         [](const auto& aInfo) {
+                           return Concat("Seed", aInfo.param);
+                         });
+
+}
+}
--- /dev/null
+++ b/tests/SoakBackend.hpp
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "common/EnumNames.hpp"
+#include "standin/LinkCut.hpp"
+#include "tests/PlatformStore.hpp"
+#include "tests/SoakJournal.hpp"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace cactuspitch {
+
+/// What is wrong with the answers of a backend server.
+enum class AnswerTrouble : uint8_t
+{
+  None,
+  Lost,      ///< it runs the request and says nothing
+  Truncated, ///< the answer ends within its body
+  Garbage,   ///< bytes that are no answer
+  LateCopy,  ///< the answer comes once more, later
+  Endless,   ///< header bytes without end
+  Failing,   ///< 500
+  Count
+};
+
+template<>
+struct EnumNames<AnswerTrouble>
+{
+  static constexpr std::string_view kNames[] = {
+    "none", "lost", "truncated", "garbage", "late-copy", "endless", "failing",
+  };
+};
+
+/// Stands in for a backend server of the platform: registration, slots and
+/// queue, grants of keys with fences, notices, and troubles. It tells the
+/// journal what happens to it.
+class SoakBackend
+{
+public:
+  struct Options
+  {
+    std::string name_;
+    std::string service_;
+    std::string failureDomain_;
+    bool keyed_ = false;
+    bool linked_ = false; ///< reached through a link that can be cut
+    int slots_ = 4;
+    int workMs_ = 20;
+  };
+
+  /// Keys that callers use; the server tracks these only.
+  static const std::vector<uint32_t>& Keys();
+
+  SoakBackend(EventLoop& aLoop,
+              PlatformStore& aStore,
+              SoakJournal& aJournal,
+              Options aOptions,
+              uint32_t aSeed);
+  ~SoakBackend();
+
+  /// Ends without a word and is back as another life.
+  void Crash(TimeMs aBackAfterMs);
+  void Freeze(TimeMs aForMs);
+  /// Says in its answers that it leaves, drains, ends and is replaced.
+  void Leave();
+  void Pause(TimeMs aForMs);
+  void SetTrouble(AnswerTrouble aTrouble, TimeMs aForMs);
+  /// Grants and releases are carried out late and not answered.
+  void DelayOrders(TimeMs aForMs);
+  void CutLink(LinkMode aMode, TimeMs aForMs);
+  void SilenceConnections();
+  bool IsUp() const { return up_; }
+  bool IsKeyed() const { return options_.keyed_; }
+  bool IsLinked() const { return link_ != nullptr; }
+  const std::string& Life() const { return id_; }
+  /// It holds the key by a grant that counts.
+  bool IsOwner(uint32_t aKey) const;
+
+private:
+  using Exchange = ScriptedServer::Exchange;
+  struct Hold
+  {
+    int64_t fence_ = 0;
+    TimeMs untilMs_ = 0;
+    /// Granted in a moment that does not count.
+    bool excused_ = false;
+  };
+  struct Work
+  {
+    Exchange exchange_;
+    std::string id_;
+    int64_t key_ = -1;
+  };
+
+  void Start();
+  void End();
+  void Register(std::string_view aState);
+  void Beat();
+  void OnExchange(Exchange& aExchange);
+  void Handle(const Exchange& aExchange);
+  void HandleOrder(const Exchange& aExchange);
+  void ApplyOrder(const Exchange& aExchange, TimeMs aArrivedMs, bool aAnswers);
+  int Grant(const nlohmann::json& aOrder, TimeMs aArrivedMs);
+  void Release(const Exchange& aExchange, const nlohmann::json& aOrder);
+  void AnswerReleases();
+  void Begin(const Work& aWork);
+  void Finish(const Work& aWork);
+  void StartWaiting();
+  void Refuse(const Exchange& aExchange,
+              int aStatus,
+              std::string_view aFields = {}) const;
+  void WriteAnswer(const Work& aWork, int aStatus);
+  std::string Notice() const;
+  bool Holds(int64_t aKey) const;
+  /// Runs aTask after a while, in this life only.
+  void After(TimeMs aDelayMs, std::function<void()> aTask);
+  void AfterInAnyLife(TimeMs aDelayMs, std::function<void()> aTask);
+
+  EventLoop& loop_;
+  PlatformStore& store_;
+  SoakJournal& journal_;
+  Options options_;
+  std::minstd_rand random_;
+  ScriptedServer server_;
+  std::unique_ptr<LinkCut> link_;
+  std::string address_; ///< that it registers
+  std::list<std::unique_ptr<Timer>> timers_;
+  Timer beatTimer_;
+  int life_ = 0;
+  std::string id_;
+  int64_t bornMs_ = 0;
+  int64_t seq_ = 0;
+  bool up_ = false;
+  bool frozen_ = false;
+  bool leaving_ = false;
+  bool draining_ = false;
+  TimeMs pausedUntilMs_ = 0;
+  TimeMs ordersDelayedUntilMs_ = 0;
+  AnswerTrouble trouble_ = AnswerTrouble::None;
+  std::vector<Exchange> frozenInput_;
+  std::vector<Work> running_;
+  std::vector<Work> waiting_;
+  std::map<uint32_t, Hold> holds_;
+  struct PendingRelease
+  {
+    Exchange exchange_;
+    uint32_t first_ = 0;
+    uint32_t last_ = 0;
+  };
+  std::vector<PendingRelease> releases_;
+};
+
+}
--- /dev/null
+++ b/tests/SoakCaller.cpp
@@ -0,0 +1,221 @@
+#include "tests/SoakCaller.hpp"
+
+#include "common/Strings.hpp"
+
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+namespace cactuspitch {
+
+namespace {
+
+constexpr size_t kMaxHeadBytes = 16384;
+constexpr TimeMs kCallerTimeMs = 900; ///< that a caller waits
+constexpr TimeMs kOverdueMs = 1900;
+constexpr int kMinRestMs = 4;
+constexpr int kMaxRestMs = 40;
+constexpr TimeMs kReconnectMs = 100;
+/// One of so many does not wait for its answer.
+constexpr int kLeaveShare = 50;
+constexpr TimeMs kLeaveMs = 15;
+constexpr size_t kMaxBody = 50000;
+/// Of safe requests sent one behind the other.
+constexpr int kMaxPipelined = 3;
+
+std::string_view PathOf(SoakKind aKind)
+{
+  static constexpr std::string_view kPaths[] = {
+    "/safe/x", "/unsafe/x", "/keyed/x", "/v/", "/safe/crash",
+  };
+  return kPaths[static_cast<size_t>(aKind)];
+}
+
+}
+
+SoakCaller::SoakCaller(EventLoop& aLoop,
+                       SoakJournal& aJournal,
+                       int aGateway,
+                       const Endpoint& aAddress,
+                       std::string aName,
+                       uint32_t aSeed,
+                       Chooser aChooser)
+  : loop_(aLoop)
+  , journal_(aJournal)
+  , gateway_(aGateway)
+  , address_(aAddress)
+  , name_(std::move(aName))
+  , chooser_(std::move(aChooser))
+  , random_(aSeed)
+  , timer_(aLoop, [this] { OnTimer(); })
+  , leaveTimer_(aLoop, [this] { OnLeaveTimer(); })
+  , parser_(HttpRole::Answer, kMaxHeadBytes)
+{
+  Rest();
+}
+
+void SoakCaller::Rest()
+{
+  std::uniform_int_distribution<int> rest(kMinRestMs, kMaxRestMs);
+  timer_.Start(rest(random_));
+}
+
+void SoakCaller::OnTimer()
+{
+  if (!waiting_.empty()) {
+    // Overdue: what follows on this connection cannot come either.
+    for (const auto& request : waiting_) {
+      journal_.OnOverdue(request.id_);
+    }
+    EndConnection();
+    timer_.Start(kReconnectMs);
+    return;
+  }
+  if (!stopped_) {
+    SendSome();
+  }
+}
+
+void SoakCaller::SendSome()
+{
+  if (stream_ == nullptr || !stream_->IsOpen()) {
+    stream_ = std::make_unique<TcpStream>(loop_, *this);
+    parser_ = HttpParser(HttpRole::Answer, kMaxHeadBytes);
+    body_.clear();
+    if (!stream_->Connect(address_)) {
+      timer_.Start(kReconnectMs);
+      return;
+    }
+  }
+  SoakRequest request;
+  chooser_(request);
+  const bool mayPipeline = request.kind_ == SoakKind::Safe;
+  const int count =
+    mayPipeline ? std::uniform_int_distribution<int>(1, kMaxPipelined)(random_)
+                : 1;
+  std::string bytes;
+  for (int index = 0; index < count; ++index) {
+    request.id_ = Concat(name_, "-", ++sent_);
+    request.gateway_ = gateway_;
+    request.sentMs_ = loop_.NowMs();
+    request.deadlineMs_ = request.sentMs_ + kCallerTimeMs;
+    SetTargetAndBody(request);
+    waiting_.push_back(request);
+    journal_.OnSent(request);
+    bytes += ToText(request);
+  }
+  if (std::uniform_int_distribution<int>(1, kLeaveShare)(random_) == 1) {
+    leaveTimer_.Start(kLeaveMs);
+  }
+  timer_.Start(kOverdueMs);
+  stream_->Write(bytes);
+}
+
+void SoakCaller::SetTargetAndBody(SoakRequest& aRequest) const
+{
+  aRequest.target_ = PathOf(aRequest.kind_);
+  if (aRequest.kind_ == SoakKind::Probe) {
+    AppendTo(aRequest.target_, aRequest.version_, "/x");
+  } else if (aRequest.kind_ != SoakKind::Crash) {
+    // Gateways tell callers' retries from other requests by the target.
+    AppendTo(aRequest.target_, "/", aRequest.id_);
+  }
+  if (aRequest.kind_ == SoakKind::Unsafe) {
+    aRequest.body_ = SoakJournal::BodyOf(aRequest.id_).substr(0, kMaxBody);
+  }
+}
+
+std::string SoakCaller::ToText(const SoakRequest& aRequest)
+{
+  const bool hasBody = aRequest.kind_ == SoakKind::Unsafe;
+  auto text = Concat(hasBody ? "POST " : "GET ",
+                     aRequest.target_,
+                     " HTTP/1.1\r\nHost: soak\r\nCactuspitch-Request-Id: ",
+                     aRequest.id_,
+                     "\r\nCactuspitch-Deadline-Remaining: ",
+                     kCallerTimeMs,
+                     "\r\n");
+  if (aRequest.kind_ == SoakKind::Keyed) {
+    AppendTo(text, "Cactuspitch-Shard-Key: ", aRequest.key_, "\r\n");
+  }
+  const auto& body = aRequest.body_;
+  if (!hasBody) {
+    text += "\r\n";
+  } else if (body.size() % 2 == 0) {
+    AppendTo(text, "Content-Length: ", body.size(), "\r\n\r\n", body);
+  } else {
+    AppendTo(text,
+             "Transfer-Encoding: chunked\r\n\r\n",
+             absl::Hex(body.size()),
+             "\r\n",
+             body,
+             "\r\n0\r\n\r\n");
+  }
+  return text;
+}
+
+void SoakCaller::OnLeaveTimer()
+{
+  if (waiting_.empty()) {
+    return;
+  }
+  for (const auto& request : waiting_) {
+    journal_.OnLeft(request.id_);
+  }
+  EndConnection();
+  timer_.Start(kReconnectMs);
+}
+
+void SoakCaller::OnInput()
+{
+  while (stream_->IsOpen() && !stream_->Input().empty()) {
+    if (waiting_.empty()) {
+      journal_.OnUnaskedAnswer(gateway_);
+      EndConnection();
+      Rest();
+      return;
+    }
+    const auto state = parser_.Parse(stream_->Input(), body_);
+    if (state == ParseState::Failed) {
+      journal_.OnUnaskedAnswer(gateway_);
+      EndConnection();
+      timer_.Start(kReconnectMs);
+      return;
+    }
+    if (state != ParseState::Done) {
+      return;
+    }
+    const auto request = std::move(waiting_.front());
+    waiting_.pop_front();
+    journal_.OnAnswer(request.id_, parser_.Head(), body_);
+    const bool keepsAlive = parser_.Head().KeepsAlive();
+    body_.clear();
+    parser_ = HttpParser(HttpRole::Answer, kMaxHeadBytes);
+    if (!keepsAlive) {
+      EndConnection();
+    }
+    if (waiting_.empty() || !keepsAlive) {
+      Rest();
+    }
+  }
+}
+
+void SoakCaller::EndConnection()
+{
+  // The answers to requests behind a close are not owed.
+  waiting_.clear();
+  leaveTimer_.Stop();
+  if (stream_ != nullptr) {
+    stream_->Close();
+  }
+}
+
+void SoakCaller::OnStreamClosed(CloseReason)
+{
+  for (const auto& request : std::exchange(waiting_, {})) {
+    journal_.OnClosed(request.id_);
+  }
+  timer_.Start(kReconnectMs);
+}
+
+}
--- /dev/null
+++ b/tests/SoakJournal.hpp
@@ -0,0 +1,187 @@
+#pragma once
+
+#include "common/Clock.hpp"
+#include "net/HttpParser.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cactuspitch {
+
+enum class SoakKind : uint8_t
+{
+  Safe,
+  Unsafe, ///< must not run twice
+  Keyed,
+  Probe, ///< on a route that a version of the configuration added
+  Crash, ///< ends each backend server that begins it
+  Count
+};
+
+template<>
+struct EnumNames<SoakKind>
+{
+  static constexpr std::string_view kNames[] = { "safe",
+                                                 "unsafe",
+                                                 "keyed",
+                                                 "probe",
+                                                 "crash" };
+};
+
+/// One request of a caller of a soak.
+struct SoakRequest
+{
+  std::string id_;
+  SoakKind kind_ = SoakKind::Safe;
+  int gateway_ = 0;
+  uint32_t key_ = 0;
+  int64_t version_ = 0; ///< of the configuration, for a probe
+  std::string target_;
+  std::string body_;
+  TimeMs sentMs_ = 0;
+  TimeMs deadlineMs_ = 0;
+};
+
+/// Bounds that the promises of a soak refer to, in ms.
+struct SoakBounds
+{
+  TimeMs stableWindowMs_ = 3000;
+  TimeMs drainMs_ = 2000;
+  TimeMs applyMs_ = 2000;
+  /// Grants that arrive so soon after a thaw or a healed link do not count.
+  TimeMs thawSlackMs_ = 300;
+  TimeMs pauseSlackMs_ = 500;
+  /// A final answer may come so long after the deadline.
+  TimeMs answerSlackMs_ = 1000;
+  /// Requests may reach servers so long after their callers have left.
+  TimeMs goneMs_ = 500;
+};
+
+/// What callers and backend servers of a soak see, checked as it comes in.
+class SoakJournal
+{
+public:
+  SoakJournal(const Clock& aClock, int aGateways);
+
+  // The operator and the faults.
+  void OnGatewayStarted(int aGateway);
+  void OnGatewayEnded(int aGateway);
+  void OnGatewayFrozen(int aGateway);
+  void OnGatewayThawed(int aGateway);
+  void OnGatewayStopping(int aGateway);
+  /// Its link to the store was cut, or has healed.
+  void OnGatewayCut(int aGateway, bool aCut);
+  void OnStoreDisturbed(bool aDisturbed);
+  void OnConfigAccepted(int64_t aVersion);
+  /// Troubles of a server break off its requests.
+  void OnServerTrouble(const std::string& aLife);
+  bool IsInTouch(int aGateway) const;
+  /// A gateway was thawed, or a link healed, moments ago.
+  bool IsThawing() const;
+
+  // Callers.
+  void OnSent(const SoakRequest& aRequest);
+  void OnAnswer(const std::string& aId,
+                const HttpHead& aHead,
+                const std::string& aBody);
+  /// An answer without a request that waits for it.
+  void OnUnaskedAnswer(int aGateway);
+  void OnClosed(const std::string& aId);
+  /// The caller closed its connection before it had an answer.
+  void OnLeft(const std::string& aId);
+  /// No final answer came, long after the deadline.
+  void OnOverdue(const std::string& aId);
+
+  // Backend servers; aLife names one life of a server.
+  void OnArrived(const std::string& aId,
+                 const std::string& aLife,
+                 const HttpHead& aHead,
+                 const std::string& aBody);
+  void OnBegun(const std::string& aId, const std::string& aLife);
+  void OnRunToEnd(const std::string& aId);
+  void OnLeavingTold(const std::string& aId, const std::string& aLife);
+  void OnPauseTold(const std::string& aId,
+                   const std::string& aLife,
+                   TimeMs aPauseMs);
+  void OnCrashed(const std::string& aId, const std::string& aLife);
+  void OnDrainingAccepted(const std::string& aLife);
+  void OnKeyTaken(uint32_t aKey, int64_t aFence, const std::string& aLife);
+  void OnKeysShared(uint32_t aKey, const std::string& aLives);
+
+  const std::vector<std::string>& Violations() const { return violations_; }
+  int64_t Count(const std::string& aWhat) const;
+  std::string Summary() const;
+  /// Requests answered well since the last call, and all that ended.
+  std::pair<int, int> TakeServed();
+  /// Body of the server's answer to that request.
+  static std::string BodyOf(const std::string& aId);
+
+private:
+  struct Gateway
+  {
+    bool up_ = false;
+    bool frozen_ = false;
+    bool stopping_ = false;
+    bool cut_ = false;
+    TimeMs disturbedMs_ = 0;
+    TimeMs killedMs_ = 0; ///< or frozen: its connections may end
+    int64_t served_ = 0;  ///< newest version whose effect was seen
+    TimeMs servedMs_ = 0;
+    struct Pause
+    {
+      TimeMs fromMs_ = 0;
+      TimeMs untilMs_ = 0;
+      int requests_ = 0;
+    };
+    std::map<std::string, TimeMs> leaving_; ///< told so, by life
+    std::map<std::string, Pause> paused_;
+  };
+  struct Entry
+  {
+    SoakRequest request_;
+    int begun_ = 0;
+    bool ranToEnd_ = false;
+    bool refused_ = false;
+    bool ended_ = false; ///< has its final answer, or none will come
+    TimeMs leftMs_ = 0;
+    std::set<std::string> lives_;
+    std::string leavingLife_; ///< said in its answer that it leaves
+  };
+
+  Entry* Find(const std::string& aId);
+  void Forget(Gateway& aGateway) const;
+  void CheckSuccess(Entry& aEntry,
+                    const HttpHead& aHead,
+                    const std::string& aBody);
+  void CheckProbe(Entry& aEntry, int aStatus);
+  void CheckNotices(const SoakRequest& aRequest, const std::string& aLife);
+  void CheckCrashes(const SoakRequest& aRequest);
+  bool IsTroubled(const Entry& aEntry) const;
+  bool IsTroubledSince(const std::string& aLife, TimeMs aMs) const;
+  void Report(std::string_view aRule, const std::string& aDetail);
+
+  const Clock& clock_;
+  SoakBounds bounds_;
+  std::vector<Gateway> gateways_;
+  std::map<std::string, Entry> requests_;
+  std::map<std::string, TimeMs> troubled_; ///< last trouble of a life
+  std::map<std::string, TimeMs> draining_;
+  std::map<int64_t, TimeMs> versions_; ///< accepted by the store
+  std::map<uint32_t, std::pair<int64_t, std::string>> fences_;
+  bool storeDisturbed_ = false;
+  TimeMs storeDisturbedMs_ = 0;
+  TimeMs thawedMs_ = 0;
+  std::vector<TimeMs> crashes_;
+  int sendsAfterCrashes_ = 0;
+  int closedUnanswered_ = 0;
+  int sentForGone_ = 0;
+  int served_ = 0;
+  int over_ = 0;
+  std::map<std::string, int64_t> counts_;
+  std::vector<std::string> violations_;
+};
+
+}
