Soak: troubles of answers and notices come more often

Change: kinds of faults have weights; copies come at any time up to 30 ms later; with many gateways callers are bounded to 60.

--- a/tests/GatewaySoak.cpp
+++ b/tests/GatewaySoak.cpp
@@ -30,6 +30,7 @@
 /// Keys may have two holders on their way for so long.
 constexpr TimeMs kSharedMs = 500;
 constexpr int kCallersPerGateway = 3;
+constexpr int kMaxCallers = 60;
 constexpr int kDomains = 3;
 constexpr int kPlainServers = 5;
 constexpr int kKeyedServers = 4;
@@ -39,23 +40,23 @@
 const std::vector<GatewaySoak::FaultKind>& GatewaySoak::Faults()
 {
   static const std::vector<FaultKind> kFaults = {
-    { "kill-gateway", &GatewaySoak::KillGateway },
-    { "kill-many-gateways", &GatewaySoak::KillManyGateways },
-    { "freeze-gateway", &GatewaySoak::FreezeGateway },
-    { "stop-gateway", &GatewaySoak::StopGateway },
-    { "hang-up-gateway", &GatewaySoak::HangUpGateway },
-    { "cut-gateway", &GatewaySoak::CutGateway },
-    { "trouble-store", &GatewaySoak::TroubleStore },
-    { "forget-history", &GatewaySoak::ForgetHistory },
-    { "crash-backend", &GatewaySoak::CrashBackend },
-    { "freeze-backend", &GatewaySoak::FreezeBackend },
-    { "leave-backend", &GatewaySoak::LeaveBackend },
-    { "pause-backend", &GatewaySoak::PauseBackend },
-    { "trouble-answers", &GatewaySoak::TroubleAnswers },
-    { "delay-orders", &GatewaySoak::DelayOrders },
-    { "cut-backend", &GatewaySoak::CutBackend },
-    { "silence-connections", &GatewaySoak::SilenceConnections },
-    { "change-config", &GatewaySoak::ChangeConfig },
+    { "kill-gateway", 1, &GatewaySoak::KillGateway },
+    { "kill-many-gateways", 1, &GatewaySoak::KillManyGateways },
+    { "freeze-gateway", 1, &GatewaySoak::FreezeGateway },
+    { "stop-gateway", 1, &GatewaySoak::StopGateway },
+    { "hang-up-gateway", 1, &GatewaySoak::HangUpGateway },
+    { "cut-gateway", 1, &GatewaySoak::CutGateway },
+    { "trouble-store", 1, &GatewaySoak::TroubleStore },
+    { "forget-history", 1, &GatewaySoak::ForgetHistory },
+    { "crash-backend", 2, &GatewaySoak::CrashBackend },
+    { "freeze-backend", 1, &GatewaySoak::FreezeBackend },
+    { "leave-backend", 2, &GatewaySoak::LeaveBackend },
+    { "pause-backend", 2, &GatewaySoak::PauseBackend },
+    { "trouble-answers", 4, &GatewaySoak::TroubleAnswers },
+    { "delay-orders", 1, &GatewaySoak::DelayOrders },
+    { "cut-backend", 1, &GatewaySoak::CutBackend },
+    { "silence-connections", 1, &GatewaySoak::SilenceConnections },
+    { "change-config", 1, &GatewaySoak::ChangeConfig },
   };
   return kFaults;
 }
@@ -173,7 +174,9 @@
 void GatewaySoak::AddCallers()
 {
   for (int index = 0; index < options_.gateways_; ++index) {
-    for (int caller = 0; caller < kCallersPerGateway; ++caller) {
+    const int callers =
+      std::clamp(kMaxCallers / options_.gateways_, 1, kCallersPerGateway);
+    for (int caller = 0; caller < callers; ++caller) {
       callers_.push_back(std::make_unique<SoakCaller>(
         loop_,
         journal_,
@@ -265,8 +268,14 @@
   if (healed_) {
     return;
   }
-  const auto& faults = Faults();
-  const auto& fault = faults[Draw(0, static_cast<int>(faults.size()) - 1)];
+  static const std::vector<const FaultKind*> kDrawn = [] {
+    std::vector<const FaultKind*> drawn;
+    for (const auto& kind : Faults()) {
+      drawn.insert(drawn.end(), kind.weight_, &kind);
+    }
+    return drawn;
+  }();
+  const auto& fault = *kDrawn[Draw(0, static_cast<int>(kDrawn.size()) - 1)];
   std::printf("%ld %s\n", loop_.NowMs(), fault.name_);
   (this->*fault.begin_)();
   After(Draw(kFaultEveryMinMs, kFaultEveryMaxMs), [this] { BeginFault(); });
--- a/tests/GatewaySoak.hpp
+++ b/tests/GatewaySoak.hpp
@@ -57,6 +57,7 @@
   struct FaultKind
   {
     const char* name_;
+    int weight_; ///< how often it comes, among the others
     void (GatewaySoak::*begin_)();
   };
   static const std::vector<FaultKind>& Faults();
--- a/tests/SoakBackend.cpp
+++ b/tests/SoakBackend.cpp
@@ -18,7 +18,7 @@
 constexpr TimeMs kDrainMs = 2000;
 constexpr TimeMs kEndSlackMs = 700;
 constexpr TimeMs kReplacedAfterMs = 1200;
-constexpr TimeMs kLateCopyMs = 30;
+constexpr TimeMs kMaxLateCopyMs = 30;
 constexpr double kMsPerSecond = 1000;
 /// Clocks of servers may run so much slow.
 constexpr double kSlowClock = 1.02;
@@ -424,7 +424,8 @@
         Concat("HTTP/1.1 200 OK\r\nX: ", std::string(100000, 'x')));
       return;
     case AnswerTrouble::LateCopy:
-      After(kLateCopyMs, [exchange, text] { exchange.write_(text); });
+      After(std::uniform_int_distribution<TimeMs>(1, kMaxLateCopyMs)(random_),
+            [exchange, text] { exchange.write_(text); });
       break;
     default:
       break;
