--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 GATEWAYS ?= 4
 NAME ?=
 
-.PHONY: packages build test bench soak gateway-soak demo format lint clean
+.PHONY: packages build test bench soak gateway-soak demo demo-gateway format lint clean
 
 packages:
 	@scripts/install-packages
@@ -33,6 +33,13 @@
 DEMO_PROGRAMS = cactuspitch-router cactuspitch-assigner cactuspitch-admin \
   standin-store standin-backend loadgen
 
+# Gateways among a store, backend servers and callers on loopback.
+demo-gateway: packages
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) --target gateway-demo standin-platform \
+	  cactuspitch-gateway
+	@$(BUILD)/gateway-demo
+
 # Fault soak of real gateways with the seeds from FIRST to LAST.
 gateway-soak: build
 	@bench/gateway-soak $(BUILD) $(FIRST) $(LAST) $(GATEWAYS)
--- /dev/null
+++ b/demo/GatewayDemoMain.cpp
@@ -0,0 +1,71 @@
+// Starts gateways on loopback among a store, backend servers and callers, ends
+// some of them on the way, and reports what callers got.
+
+#include "common/Strings.hpp"
+#include "tests/GatewaySoak.hpp"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace cactuspitch {
+namespace {
+
+constexpr TimeMs kDemoMs = 10000;
+constexpr double kPercent = 100;
+
+TimeMs Quantile(std::vector<TimeMs> aValues, double aShare)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  std::ranges::sort(aValues);
+  const auto last = static_cast<double>(aValues.size() - 1);
+  return aValues[static_cast<size_t>(last * aShare)];
+}
+
+int64_t Sent(const SoakJournal& aJournal)
+{
+  int64_t sent = 0;
+  for (const auto name : EnumNames<SoakKind>::kNames) {
+    sent += aJournal.Count(Concat("sent-", name));
+  }
+  return sent;
+}
+
+int Run()
+{
+  GatewaySoak soak({ .faultsForMs_ = kDemoMs,
+                     .faults_ = { "kill-gateway",
+                                  "stop-gateway",
+                                  "leave-backend",
+                                  "crash-backend",
+                                  "change-config" },
+                     .binaryDir_ = BINARY_DIR });
+  std::printf("4 gateways, 9 backend servers; moments and faults:\n");
+  const auto violations = soak.Run();
+  const auto& journal = soak.Journal();
+  const auto& latencies = journal.LatenciesMs();
+  const auto sent = Sent(journal);
+  const double servedPercent = kPercent *
+                               static_cast<double>(latencies.size()) /
+                               static_cast<double>(std::max<int64_t>(sent, 1));
+  std::printf("requests %ld, served %.1f%%, p50 %ld ms, p99 %ld ms\n",
+              sent,
+              servedPercent,
+              Quantile(latencies, 0.5),
+              Quantile(latencies, 0.99));
+  std::printf("%s\n", journal.Summary().c_str());
+  for (const auto& violation : violations) {
+    std::printf("broken promise: %s\n", violation.c_str());
+  }
+  std::printf("broken promises: %zu\n", violations.size());
+  return violations.empty() ? 0 : 1;
+}
+
+}
+}
+
+int main()
+{
+  return cactuspitch::Run();
+}
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -36,10 +36,6 @@
   bool closed_ = false;
 };
 
-void RunLoopFor(EventLoop& aLoop, TimeMs aMs);
-/// Runs the loop until aDone holds; false after 5 s.
-bool RunLoopUntil(EventLoop& aLoop, const std::function<bool()>& aDone);
-
 /// A gateway with a small store, one service of scripted backend servers that
 /// needs no keys (host `plain`), and one whose keys are granted (host `keyed`).
 class GatewayRig
--- a/tests/GatewaySoak.cpp
+++ b/tests/GatewaySoak.cpp
@@ -1,7 +1,6 @@
 #include "tests/GatewaySoak.hpp"
 
 #include "common/Strings.hpp"
-#include "tests/GatewayRig.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -61,8 +60,22 @@
   return kFaults;
 }
 
+std::vector<const GatewaySoak::FaultKind*> GatewaySoak::DrawnFaults() const
+{
+  std::vector<const FaultKind*> drawn;
+  for (const auto& kind : Faults()) {
+    if (options_.faults_.empty() ||
+        std::ranges::find(options_.faults_, kind.name_) !=
+          options_.faults_.end()) {
+      drawn.insert(drawn.end(), kind.weight_, &kind);
+    }
+  }
+  return drawn;
+}
+
 GatewaySoak::GatewaySoak(Options aOptions)
   : options_(std::move(aOptions))
+  , drawnFaults_(DrawnFaults())
   , random_(options_.seed_)
   , callRandom_(options_.seed_)
   , journal_(loop_, options_.gateways_)
@@ -268,14 +281,8 @@
   if (healed_) {
     return;
   }
-  static const std::vector<const FaultKind*> kDrawn = [] {
-    std::vector<const FaultKind*> drawn;
-    for (const auto& kind : Faults()) {
-      drawn.insert(drawn.end(), kind.weight_, &kind);
-    }
-    return drawn;
-  }();
-  const auto& fault = *kDrawn[Draw(0, static_cast<int>(kDrawn.size()) - 1)];
+  const auto& fault =
+    *drawnFaults_[Draw(0, static_cast<int>(drawnFaults_.size()) - 1)];
   std::printf("%ld %s\n", loop_.NowMs(), fault.name_);
   (this->*fault.begin_)();
   After(Draw(kFaultEveryMinMs, kFaultEveryMaxMs), [this] { BeginFault(); });
--- a/tests/GatewaySoak.hpp
+++ b/tests/GatewaySoak.hpp
@@ -22,6 +22,8 @@
     uint32_t seed_ = 1;
     int gateways_ = 4;
     TimeMs faultsForMs_ = 15000;
+    /// Of these kinds; all when it names none.
+    std::vector<std::string> faults_;
     std::string binaryDir_;
   };
 
@@ -29,7 +31,7 @@
   ~GatewaySoak();
   /// Broken promises, each with its time.
   std::vector<std::string> Run();
-  std::string Summary() const { return journal_.Summary(); }
+  const SoakJournal& Journal() const { return journal_; }
   std::string LogDirectory() const { return fleet_.LogDirectory(); }
 
 private:
@@ -61,6 +63,8 @@
     void (GatewaySoak::*begin_)();
   };
   static const std::vector<FaultKind>& Faults();
+  /// Kinds to draw from, each as often as its weight says.
+  std::vector<const FaultKind*> DrawnFaults() const;
 
   void AddGateways();
   void AddBackends();
@@ -99,6 +103,7 @@
   void ChangeConfig();
 
   Options options_;
+  const std::vector<const FaultKind*> drawnFaults_;
   EventLoop loop_;
   std::mt19937 random_;
   std::mt19937 callRandom_; ///< of callers, so that a seed keeps its faults
--- a/tests/GatewaySoakTest.cpp
+++ b/tests/GatewaySoakTest.cpp
@@ -41,7 +41,7 @@
   GatewaySoak soak(
     { .seed_ = GetParam(), .gateways_ = Gateways(), .binaryDir_ = BINARY_DIR });
   const auto violations = soak.Run();
-  std::printf("seed %u: %s\n", GetParam(), soak.Summary().c_str());
+  std::printf("seed %u: %s\n", GetParam(), soak.Journal().Summary().c_str());
   for (const auto& violation : violations) {
     ADD_FAILURE() << violation;
   }
--- a/tests/ScriptedServer.cpp
+++ b/tests/ScriptedServer.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr size_t kMaxHeadBytes = 65536;
+constexpr TimeMs kPollMs = 2;
+constexpr TimeMs kPatienceMs = 5000;
 
 }
 
@@ -110,4 +112,30 @@
                 aBody);
 }
 
+void RunLoopFor(EventLoop& aLoop, TimeMs aMs)
+{
+  Timer timer(aLoop, [&] { aLoop.Stop(); });
+  timer.Start(aMs);
+  aLoop.Run();
+}
+
+bool RunLoopUntil(EventLoop& aLoop, const std::function<bool()>& aDone)
+{
+  const TimeMs endMs = SteadyClock().NowMs() + kPatienceMs;
+  bool done = false;
+  std::function<void()> poll;
+  Timer timer(aLoop, [&] { poll(); });
+  poll = [&] {
+    done = aDone();
+    if (done || SteadyClock().NowMs() > endMs) {
+      aLoop.Stop();
+    } else {
+      timer.Start(kPollMs);
+    }
+  };
+  timer.Start(0);
+  aLoop.Run();
+  return done;
+}
+
 }
--- a/tests/ScriptedServer.hpp
+++ b/tests/ScriptedServer.hpp
@@ -58,6 +58,10 @@
 /// An answer in HTTP with this body.
 std::string TextAnswer(int aStatus, std::string_view aBody);
 
+void RunLoopFor(EventLoop& aLoop, TimeMs aMs);
+/// Runs the loop until aDone holds; false after 5 s.
+bool RunLoopUntil(EventLoop& aLoop, const std::function<bool()>& aDone);
+
 /// Loopback address that stays reserved for the life of the test program.
 Endpoint FreeEndpoint();
 
--- a/tests/SoakJournal.cpp
+++ b/tests/SoakJournal.cpp
@@ -175,6 +175,7 @@
 {
   const auto& id = aEntry.request_.id_;
   ++served_;
+  latenciesMs_.push_back(clock_.NowMs() - aEntry.request_.sentMs_);
   if (aBody != BodyOf(id)) {
     Report("MIXED",
            Concat(id, " got ", aBody.size(), " bytes that are not its answer"));
--- a/tests/SoakJournal.hpp
+++ b/tests/SoakJournal.hpp
@@ -114,6 +114,8 @@
   const std::vector<std::string>& Violations() const { return violations_; }
   int64_t Count(const std::string& aWhat) const;
   std::string Summary() const;
+  /// Of the requests that were answered well.
+  const std::vector<TimeMs>& LatenciesMs() const { return latenciesMs_; }
   /// Requests answered well since the last call, and all that ended.
   std::pair<int, int> TakeServed();
   /// Body of the server's answer to that request.
@@ -180,6 +182,7 @@
   int sentForGone_ = 0;
   int served_ = 0;
   int over_ = 0;
+  std::vector<TimeMs> latenciesMs_;
   std::map<std::string, int64_t> counts_;
   std::vector<std::string> violations_;
 };
