--- a/tests/GatewaySoak.cpp
+++ b/tests/GatewaySoak.cpp
@@ -81,6 +81,7 @@
   , journal_(loop_, options_.gateways_)
   , store_(loop_)
   , fleet_(options_.binaryDir_)
+  , tasks_(loop_)
   , watchTimer_(loop_, [this] { Watch(); })
 {
   PutConfig();
@@ -100,15 +101,6 @@
   return std::uniform_int_distribution<int>(aLow, aHigh)(random_);
 }
 
-void GatewaySoak::After(TimeMs aDelayMs, std::function<void()> aTask)
-{
-  std::erase_if(timers_,
-                [](const auto& aTimer) { return !aTimer->IsActive(); });
-  timers_.push_back(std::make_unique<Timer>(
-    loop_, [this, task = std::move(aTask)] { loop_.Defer(task); }));
-  timers_.back()->Start(aDelayMs);
-}
-
 void GatewaySoak::PutConfig()
 {
   using Json = nlohmann::json;
@@ -261,7 +253,7 @@
   AddCallers();
   RunLoopFor(loop_, kServedWindowMs);
   BeginFault();
-  After(options_.faultsForMs_ / 2, [this] { crashingCalls_ = true; });
+  tasks_.After(options_.faultsForMs_ / 2, [this] { crashingCalls_ = true; });
   RunLoopFor(loop_, options_.faultsForMs_);
   Heal();
   const bool served = IsServedAgain();
@@ -285,7 +277,8 @@
     *drawnFaults_[Draw(0, static_cast<int>(drawnFaults_.size()) - 1)];
   std::printf("%ld %s\n", loop_.NowMs(), fault.name_);
   (this->*fault.begin_)();
-  After(Draw(kFaultEveryMinMs, kFaultEveryMaxMs), [this] { BeginFault(); });
+  tasks_.After(Draw(kFaultEveryMinMs, kFaultEveryMaxMs),
+               [this] { BeginFault(); });
 }
 
 void GatewaySoak::Heal()
@@ -374,7 +367,8 @@
   fleet_.Kill(gateway.name_);
   gateway.state_ = GatewayState::Down;
   journal_.OnGatewayEnded(index);
-  After(Draw(100, kLongestFaultMs / 2), [this, index] { StartGateway(index); });
+  tasks_.After(Draw(100, kLongestFaultMs / 2),
+               [this, index] { StartGateway(index); });
 }
 
 void GatewaySoak::KillManyGateways()
@@ -394,7 +388,7 @@
   fleet_.Pause(gateway.name_);
   gateway.state_ = GatewayState::Frozen;
   journal_.OnGatewayFrozen(index);
-  After(Draw(100, kLongestFaultMs), [this, index, run = gateway.run_] {
+  tasks_.After(Draw(100, kLongestFaultMs), [this, index, run = gateway.run_] {
     auto& frozen = gateways_[index];
     if (frozen.state_ == GatewayState::Frozen && frozen.run_ == run) {
       fleet_.Resume(frozen.name_);
@@ -414,7 +408,7 @@
   gateway.state_ = GatewayState::Stopping;
   journal_.OnGatewayStopping(index);
   kill(fleet_.Pid(gateway.name_), SIGTERM);
-  After(kGraceMs, [this, index, run = gateway.run_] {
+  tasks_.After(kGraceMs, [this, index, run = gateway.run_] {
     auto& stopping = gateways_[index];
     if (stopping.state_ == GatewayState::Stopping && stopping.run_ == run) {
       fleet_.Kill(stopping.name_);
@@ -440,7 +434,7 @@
   const int index = DrawGateway();
   gateways_[index].storeLink_->SetMode(kModes[Draw(0, 3)]);
   journal_.OnGatewayCut(index, true);
-  After(Draw(100, kLongestFaultMs), [this, index] {
+  tasks_.After(Draw(100, kLongestFaultMs), [this, index] {
     gateways_[index].storeLink_->SetMode(LinkMode::Pass);
     journal_.OnGatewayCut(index, false);
   });
@@ -451,7 +445,7 @@
   constexpr int kKinds = static_cast<int>(StoreTrouble::Count);
   store_.SetTrouble(static_cast<StoreTrouble>(Draw(1, kKinds - 1)));
   journal_.OnStoreDisturbed(true);
-  After(Draw(200, kLongestFaultMs), [this] {
+  tasks_.After(Draw(200, kLongestFaultMs), [this] {
     store_.SetTrouble(StoreTrouble::None);
     journal_.OnStoreDisturbed(false);
   });
--- a/tests/GatewaySoak.hpp
+++ b/tests/GatewaySoak.hpp
@@ -77,7 +77,6 @@
   /// Looks for ended processes and for keys with two holders.
   void Watch();
   void CheckOwners();
-  void After(TimeMs aDelayMs, std::function<void()> aTask);
   int Draw(int aLow, int aHigh);
   int DrawGateway();
   SoakBackend& DrawBackend();
@@ -113,7 +112,7 @@
   std::vector<GatewayProcess> gateways_;
   std::vector<std::unique_ptr<SoakBackend>> backends_;
   std::vector<std::unique_ptr<SoakCaller>> callers_;
-  std::list<std::unique_ptr<Timer>> timers_;
+  DelayedTasks tasks_;
   Timer watchTimer_;
   int64_t version_ = 0;
   bool crashingCalls_ = false;
--- a/tests/PlatformStore.cpp
+++ b/tests/PlatformStore.cpp
@@ -32,6 +32,7 @@
 
 PlatformStore::PlatformStore(EventLoop& aLoop)
   : loop_(aLoop)
+  , delayed_(aLoop)
   , watchTimer_(aLoop, [this] { Tell(); })
   , server_(aLoop, [this](auto& aExchange) { Serve(aExchange); })
 {
@@ -132,11 +133,7 @@
     aExchange.write_(text);
     return;
   }
-  std::erase_if(delayed_,
-                [](const auto& aTimer) { return !aTimer->IsActive(); });
-  delayed_.push_back(std::make_unique<Timer>(
-    loop_, [write = aExchange.write_, text] { write(text); }));
-  delayed_.back()->Start(kSlowMs);
+  delayed_.After(kSlowMs, [write = aExchange.write_, text] { write(text); });
 }
 
 PlatformStore::Reply PlatformStore::Read(const std::string& aKind,
--- a/tests/PlatformStore.hpp
+++ b/tests/PlatformStore.hpp
@@ -1,11 +1,10 @@
 #pragma once
 
+#include "tests/DelayedTasks.hpp"
 #include "tests/ScriptedServer.hpp"
 
 #include <deque>
-#include <list>
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -101,8 +100,8 @@
   std::map<std::string, std::map<std::string, Object>> objects_;
   std::deque<Event> history_;
   std::vector<Watch> watches_;
+  DelayedTasks delayed_; ///< answers of a slow store
   Timer watchTimer_;
-  std::list<std::unique_ptr<Timer>> delayed_;
   int64_t revision_ = 10;
   int64_t oldestRevision_ = 0; ///< of the history that is kept
   StoreTrouble trouble_ = StoreTrouble::None;
--- a/tests/SoakBackend.cpp
+++ b/tests/SoakBackend.cpp
@@ -68,6 +68,7 @@
   , random_(aSeed)
   , server_(aLoop, [this](Exchange& aExchange) { OnExchange(aExchange); })
   , address_(server_.Address().ToText())
+  , tasks_(aLoop)
   , beatTimer_(aLoop, [this] { Beat(); })
 {
   if (options_.linked_) {
@@ -90,23 +91,13 @@
 
 void SoakBackend::After(TimeMs aDelayMs, std::function<void()> aTask)
 {
-  AfterInAnyLife(aDelayMs, [this, life = life_, task = std::move(aTask)] {
+  tasks_.After(aDelayMs, [this, life = life_, task = std::move(aTask)] {
     if (life == life_ && up_) {
       task();
     }
   });
 }
 
-void SoakBackend::AfterInAnyLife(TimeMs aDelayMs, std::function<void()> aTask)
-{
-  std::erase_if(timers_,
-                [](const auto& aTimer) { return !aTimer->IsActive(); });
-  // The timer that runs a task is swept by a later call only.
-  timers_.push_back(std::make_unique<Timer>(
-    loop_, [this, task = std::move(aTask)] { loop_.Defer(task); }));
-  timers_.back()->Start(aDelayMs);
-}
-
 void SoakBackend::Start()
 {
   ++life_;
@@ -161,8 +152,8 @@
   }
   const auto id = id_;
   End();
-  AfterInAnyLife(kLapseMs, [this, id] { store_.Remove("servers", id); });
-  AfterInAnyLife(aBackAfterMs, [this] {
+  tasks_.After(kLapseMs, [this, id] { store_.Remove("servers", id); });
+  tasks_.After(aBackAfterMs, [this] {
     server_.Restart();
     Start();
   });
@@ -207,7 +198,7 @@
     const auto id = id_;
     End();
     store_.Remove("servers", id);
-    AfterInAnyLife(kReplacedAfterMs, [this] {
+    tasks_.After(kReplacedAfterMs, [this] {
       server_.Restart();
       Start();
     });
@@ -244,7 +235,7 @@
   }
   journal_.OnServerTrouble(id_);
   link_->SetMode(aMode);
-  AfterInAnyLife(aForMs, [this] {
+  tasks_.After(aForMs, [this] {
     journal_.OnServerTrouble(id_);
     link_->SetMode(LinkMode::Pass);
   });
@@ -345,7 +336,7 @@
 {
   journal_.OnBegun(aWork.id_, id_);
   if (aWork.exchange_.head_.target_ == "/safe/crash") {
-    journal_.OnCrashed(aWork.id_, id_);
+    journal_.OnCrashed(id_);
     constexpr TimeMs kBackMs = 1500;
     // Not from within the handler of a connection that ends with it.
     After(1, [this] { Crash(kBackMs); });
--- a/tests/SoakBackend.hpp
+++ b/tests/SoakBackend.hpp
@@ -6,11 +6,9 @@
 #include "tests/SoakJournal.hpp"
 
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 #include <vector>
 
 namespace cactuspitch {
@@ -119,7 +117,6 @@
   bool Holds(int64_t aKey) const;
   /// Runs aTask after a while, in this life only.
   void After(TimeMs aDelayMs, std::function<void()> aTask);
-  void AfterInAnyLife(TimeMs aDelayMs, std::function<void()> aTask);
 
   EventLoop& loop_;
   PlatformStore& store_;
@@ -129,7 +126,7 @@
   ScriptedServer server_;
   std::unique_ptr<LinkCut> link_;
   std::string address_; ///< that it registers
-  std::list<std::unique_ptr<Timer>> timers_;
+  DelayedTasks tasks_;
   Timer beatTimer_;
   int life_ = 0;
   std::string id_;
--- a/tests/SoakJournal.cpp
+++ b/tests/SoakJournal.cpp
@@ -436,12 +436,11 @@
   }
 }
 
-void SoakJournal::OnCrashed(const std::string& aId, const std::string& aLife)
+void SoakJournal::OnCrashed(const std::string& aLife)
 {
   crashes_.push_back(clock_.NowMs());
   ++counts_["crashes-by-request"];
   OnServerTrouble(aLife);
-  (void)aId;
 }
 
 void SoakJournal::OnDrainingAccepted(const std::string& aLife)
--- a/tests/SoakJournal.hpp
+++ b/tests/SoakJournal.hpp
@@ -106,7 +106,8 @@
   void OnPauseTold(const std::string& aId,
                    const std::string& aLife,
                    TimeMs aPauseMs);
-  void OnCrashed(const std::string& aId, const std::string& aLife);
+  /// A crashing request ended this life.
+  void OnCrashed(const std::string& aLife);
   void OnDrainingAccepted(const std::string& aLife);
   void OnKeyTaken(uint32_t aKey, int64_t aFence, const std::string& aLife);
   void OnKeysShared(uint32_t aKey, const std::string& aLives);
