A later life at an address supersedes the earlier one

What callers and servers saw: requests for a server that had ended reached the next life at its address until the old registration lapsed, 2.6 s and more; each was turned away and cost an attempt. Cause: registrations outlive their servers, and the pool took each for itself. Change: the pool keeps the last life at each address, by its start; an earlier one gets no requests, its idle connections close, and it counts as ended, which also finds a server sooner that a request crashed and that restarts at once.

--- a/gateway/BackendLink.hpp
+++ b/gateway/BackendLink.hpp
@@ -154,6 +154,8 @@
   bool reported_ = false;  ///< told its load since the last TakeReports
   bool home_ = false;      ///< preferred by this gateway
   bool registered_ = true; ///< false once the registration is gone
+  /// A later life of a server has its address.
+  bool superseded_ = false;
   /// Connecting fails: no requests until then, when one may try again.
   TimeMs downUntilMs_ = 0;
   int connectFailures_ = 0;
@@ -161,7 +163,10 @@
   ServerPause pause_;
   bool malformedPauseLogged_ = false;
 
-  bool IsUsable() const { return registered_ && entry_.TakesNewWork(); }
+  bool IsUsable() const
+  {
+    return registered_ && !superseded_ && entry_.TakesNewWork();
+  }
   bool TakesRequests(TimeMs aNowMs) const
   {
     return IsUsable() && !pause_.IsActive(aNowMs);
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -65,10 +65,7 @@
       backends_.erase(known);
     }
     if (entry != aEntries.end()) {
-      auto backend = NewBackend(entry->second);
-      byHash_[backend->idHash_] = backend;
-      byService_[entry->second.service_].push_back(backend);
-      backends_[id] = std::move(backend);
+      Add(NewBackend(entry->second));
     }
   }
 }
@@ -87,6 +84,36 @@
   return backend;
 }
 
+void BackendPool::Add(const BackendPtr& aBackend)
+{
+  const auto& entry = aBackend->entry_;
+  byHash_[aBackend->idHash_] = aBackend;
+  byService_[entry.service_].push_back(aBackend);
+  backends_[entry.id_] = aBackend;
+  auto& last = byAddress_[entry.address_];
+  if (last == nullptr) {
+    last = aBackend;
+  } else if (last->entry_.bornMs_ > entry.bornMs_) {
+    Supersede(aBackend);
+  } else {
+    const auto earlier = std::exchange(last, aBackend);
+    if (earlier->entry_.bornMs_ < entry.bornMs_) {
+      Supersede(earlier);
+    }
+  }
+}
+
+void BackendPool::Supersede(const BackendPtr& aBackend)
+{
+  aBackend->superseded_ = true;
+  log_.Write(LogLevel::Info,
+             "backend-superseded",
+             { { "backend", aBackend->entry_.id_ },
+               { "address", aBackend->entry_.address_ } });
+  observer_.OnBackendGone(*aBackend);
+  CloseIdleOf(*aBackend);
+}
+
 void BackendPool::Remove(const BackendPtr& aBackend)
 {
   aBackend->registered_ = false;
@@ -94,6 +121,10 @@
   CloseIdleOf(*aBackend);
   std::erase(byService_[aBackend->entry_.service_], aBackend);
   byHash_.erase(aBackend->idHash_);
+  const auto last = byAddress_.find(aBackend->entry_.address_);
+  if (last != byAddress_.end() && last->second == aBackend) {
+    byAddress_.erase(last);
+  }
 }
 
 BackendPool::BackendPtr BackendPool::Find(const std::string& aId) const
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -73,7 +73,10 @@
   friend class BackendLink;
 
   BackendPtr NewBackend(const BackendEntry& aEntry);
+  void Add(const BackendPtr& aBackend);
   void Remove(const BackendPtr& aBackend);
+  /// The server has ended: registrations outlive their servers by some seconds.
+  void Supersede(const BackendPtr& aBackend);
   void OnConnectFailed(Backend& aBackend, std::string_view aCause);
   void OnLeaving(Backend& aBackend);
   void OnPaused(Backend& aBackend, TimeMs aPauseMs);
@@ -91,6 +94,8 @@
   std::map<std::string, BackendPtr> backends_;
   std::map<std::string, std::vector<BackendPtr>> byService_;
   std::unordered_map<uint32_t, BackendPtr> byHash_;
+  /// The last life at each address.
+  std::unordered_map<std::string, BackendPtr> byAddress_;
   RunningMeans workMs_;
   int64_t opened_ = 0;
   std::minstd_rand random_;
--- a/policy/ServerPause.hpp
+++ b/policy/ServerPause.hpp
@@ -9,9 +9,9 @@
 
 /// Requests that one gateway may send to a backend server that refused a
 /// request and asked for a pause: none until its end, then one at a time, and
-/// twice as many after each that the server ran well. It answers for servers
-/// near their capacity whose gateways would otherwise all return with what has
-/// gathered meanwhile. Pure.
+/// twice as many after each that the server ran well. Meant for servers near
+/// capacity, which would otherwise get all that has gathered meanwhile at once
+/// (ServerNoticesModel). Pure.
 class ServerPause
 {
 public:
--- a/tests/GatewayRig.cpp
+++ b/tests/GatewayRig.cpp
@@ -149,9 +149,15 @@
 
 void GatewayRig::Reregister(size_t aIndex, int64_t aBornMs)
 {
-  store_.Put("servers",
-             Concat("p", aIndex),
-             Registration("plain", *backends_[aIndex], aBornMs));
+  Register(Concat("p", aIndex), aIndex, aBornMs);
+}
+
+void GatewayRig::Register(const std::string& aId,
+                          size_t aIndex,
+                          int64_t aBornMs)
+{
+  store_.Put(
+    "servers", aId, Registration("plain", *backends_[aIndex], aBornMs));
 }
 
 void GatewayRig::Reload(std::optional<GatewaySettings> aSettings)
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -86,6 +86,8 @@
   /// Writes the registration of a backend server without keys again, as another
   /// life of it, and tells those that watch.
   void Reregister(size_t aIndex, int64_t aBornMs);
+  /// Writes a further registration at the address of that server.
+  void Register(const std::string& aId, size_t aIndex, int64_t aBornMs);
   /// Reloads with these settings, or finds them wrong.
   void Reload(std::optional<GatewaySettings> aSettings);
   const GatewaySettings& Settings() const { return settings_; }
--- a/tests/GatewaySoak.cpp
+++ b/tests/GatewaySoak.cpp
@@ -261,11 +261,10 @@
     caller->Stop();
   }
   RunLoopFor(loop_, kServedWindowMs);
-  auto violations = journal_.Violations();
   if (!served) {
-    violations.push_back("RECOVER: callers are not served again");
+    journal_.Report(SoakFinding::NotServedAgain, "after all faults have ended");
   }
-  return violations;
+  return journal_.Violations();
 }
 
 void GatewaySoak::BeginFault()
--- a/tests/GatewayTroubleTest.cpp
+++ b/tests/GatewayTroubleTest.cpp
@@ -154,5 +154,29 @@
   EXPECT_TRUE(IsServed(rig));
 }
 
+// Guards against requests to a server that has ended, whose registration has
+// not lapsed yet: the next life at its address turns them away.
+TEST(GatewayTrouble, EarlierLifeAtAnAddressGetsNoRequests)
+{
+  int misdirected = 0;
+  GatewayRig rig(
+    [&](Exchange& aExchange) {
+      if (aExchange.head_.Field("Cactuspitch-Target-Instance") == "next") {
+        Echo(aExchange);
+      } else {
+        ++misdirected;
+        aExchange.write_("HTTP/1.1 421 No\r\nCactuspitch-Not-Executed: 1\r\n"
+                         "Content-Length: 0\r\n\r\n");
+      }
+    },
+    1);
+  rig.Register("next", 0, 2);
+  rig.RunFor(500);
+  for (int id = 0; id < 10; ++id) {
+    EXPECT_TRUE(IsServed(rig));
+  }
+  EXPECT_EQ(misdirected, 0);
+}
+
 }
 }
--- a/tests/SoakJournal.cpp
+++ b/tests/SoakJournal.cpp
@@ -159,13 +159,14 @@
   if (std::ranges::find(kRefusals, status) != kRefusals.end()) {
     entry->refused_ = true;
     if (entry->request_.kind_ == SoakKind::Unsafe && entry->begun_ > 0) {
-      Report("REFUSED", Concat(aId, " got ", status, " and had run"));
+      Report(SoakFinding::FalseRefusal,
+             Concat(aId, " got ", status, " and had run"));
     }
   }
   if (entry->request_.kind_ == SoakKind::Probe) {
     CheckProbe(*entry, status);
   } else if (status == kNotFound) {
-    Report("DENIED", Concat(aId, " got 404"));
+    Report(SoakFinding::ProperRequestDenied, Concat(aId, " got 404"));
   }
 }
 
@@ -177,14 +178,16 @@
   ++served_;
   latenciesMs_.push_back(clock_.NowMs() - aEntry.request_.sentMs_);
   if (aBody != BodyOf(id)) {
-    Report("MIXED",
+    Report(SoakFinding::WrongAnswer,
            Concat(id, " got ", aBody.size(), " bytes that are not its answer"));
   }
   if (!aHead.HasField("Cactuspitch-Response-Seal") || !aEntry.ranToEnd_) {
-    Report("MIXED", Concat(id, " got a success that no server gave"));
+    Report(SoakFinding::WrongAnswer,
+           Concat(id, " got a success that no server gave"));
   }
   if (aHead.HasField("Server-Leaving")) {
-    Report("MIXED", Concat(id, " got a notice that is not for callers"));
+    Report(SoakFinding::WrongAnswer,
+           Concat(id, " got a notice that is not for callers"));
   }
 }
 
@@ -201,7 +204,7 @@
     return;
   }
   if (version <= gateway.served_ && request.sentMs_ > gateway.servedMs_) {
-    Report("CONFIG",
+    Report(SoakFinding::OldConfig,
            Concat("gateway ",
                   request.gateway_,
                   " went back to before version ",
@@ -210,7 +213,7 @@
   const auto acceptedMs = versions_.at(version);
   if (request.sentMs_ > acceptedMs + bounds_.applyMs_ &&
       IsInTouch(request.gateway_)) {
-    Report("CONFIG",
+    Report(SoakFinding::OldConfig,
            Concat("gateway ",
                   request.gateway_,
                   " does not know version ",
@@ -223,7 +226,8 @@
 
 void SoakJournal::OnUnaskedAnswer(int aGateway)
 {
-  Report("MIXED", Concat("gateway ", aGateway, " sent an answer unasked"));
+  Report(SoakFinding::WrongAnswer,
+         Concat("gateway ", aGateway, " sent an answer unasked"));
 }
 
 bool SoakJournal::IsTroubledSince(const std::string& aLife, TimeMs aMs) const
@@ -254,7 +258,8 @@
   const bool inTime = clock_.NowMs() < request.deadlineMs_;
   if (entry->begun_ > 0 && !killed && inTime && !IsTroubled(*entry) &&
       ++closedUnanswered_ > kAllowedClosed) {
-    Report("LOST", Concat(aId, " was passed on, its connection closed"));
+    Report(SoakFinding::CutOff,
+           Concat(aId, " was passed on, its connection closed"));
   }
 }
 
@@ -271,7 +276,7 @@
   const bool disturbed =
     !gateway.up_ || gateway.frozen_ || gateway.killedMs_ >= request.sentMs_;
   if (!disturbed) {
-    Report("NO ANSWER",
+    Report(SoakFinding::NoFinalAnswer,
            Concat(aId,
                   " ",
                   EnumName(request.kind_),
@@ -298,19 +303,20 @@
 {
   auto* entry = Find(aId);
   if (entry == nullptr) {
-    Report("UNASKED", Concat("id ", aId, " at ", aLife));
+    Report(SoakFinding::ChangedRequest, Concat("id ", aId, " at ", aLife));
     return;
   }
   entry->lives_.insert(aLife);
   const auto& request = entry->request_;
   if (aHead.target_ != request.target_ || aBody != request.body_) {
-    Report("UNASKED", Concat(aId, " arrives changed at ", aLife));
+    Report(SoakFinding::ChangedRequest,
+           Concat(aId, " arrives changed at ", aLife));
   }
   const bool late = entry->leftMs_ != 0 &&
                     clock_.NowMs() > entry->leftMs_ + bounds_.goneMs_ &&
                     !IsTroubledSince(aLife, clock_.NowMs());
   if (late && IsInTouch(request.gateway_) && ++sentForGone_ > kAllowedForGone) {
-    Report("GONE",
+    Report(SoakFinding::SentForGoneCaller,
            Concat(aId,
                   " reached ",
                   aLife,
@@ -332,7 +338,7 @@
   const auto leaving = gateway.leaving_.find(aLife);
   if (leaving != gateway.leaving_.end() &&
       aRequest.sentMs_ > leaving->second + bounds_.drainMs_) {
-    Report("DRAIN",
+    Report(SoakFinding::SentToLeaving,
            Concat(aRequest.id_,
                   " reached ",
                   aLife,
@@ -345,7 +351,7 @@
   const auto draining = draining_.find(aLife);
   if (draining != draining_.end() && IsInTouch(aRequest.gateway_) &&
       aRequest.sentMs_ > draining->second + bounds_.drainMs_) {
-    Report("DRAIN",
+    Report(SoakFinding::SentToLeaving,
            Concat(aRequest.id_,
                   " reached ",
                   aLife,
@@ -358,7 +364,7 @@
       nowMs > pause->second.fromMs_ + bounds_.pauseSlackMs_ &&
       nowMs < pause->second.untilMs_ && !IsTroubledSince(aLife, nowMs) &&
       ++pause->second.requests_ > kAllowedInPause) {
-    Report("BUDGET",
+    Report(SoakFinding::SentInPause,
            Concat(aRequest.id_,
                   " reached ",
                   aLife,
@@ -376,7 +382,7 @@
   if (clock_.NowMs() > thirdMs + bounds_.stableWindowMs_ &&
       IsInTouch(aRequest.gateway_) &&
       ++sendsAfterCrashes_ > kAllowedCrashSends) {
-    Report("BUDGET",
+    Report(SoakFinding::RepeatedCrash,
            Concat("a crashing request was sent ",
                   sendsAfterCrashes_,
                   " times after ",
@@ -397,10 +403,11 @@
     return;
   }
   if (entry->begun_ > 1) {
-    Report("TWICE", Concat(aId, " ran again at ", aLife));
+    Report(SoakFinding::RunTwice, Concat(aId, " ran again at ", aLife));
   }
   if (entry->refused_) {
-    Report("REFUSED", Concat(aId, " runs at ", aLife, " after its refusal"));
+    Report(SoakFinding::FalseRefusal,
+           Concat(aId, " runs at ", aLife, " after its refusal"));
   }
 }
 
@@ -454,7 +461,7 @@
 {
   auto& [fence, life] = fences_[aKey];
   if (aFence < fence || (aFence == fence && life != aLife)) {
-    Report("OWNER",
+    Report(SoakFinding::TwoOwners,
            Concat(aLife,
                   " takes key ",
                   aKey,
@@ -473,7 +480,7 @@
 
 void SoakJournal::OnKeysShared(uint32_t aKey, const std::string& aLives)
 {
-  Report("OWNER", Concat("key ", aKey, " is held by ", aLives));
+  Report(SoakFinding::TwoOwners, Concat("key ", aKey, " is held by ", aLives));
 }
 
 int64_t SoakJournal::Count(const std::string& aWhat) const
@@ -496,9 +503,10 @@
   return { std::exchange(served_, 0), std::exchange(over_, 0) };
 }
 
-void SoakJournal::Report(std::string_view aRule, const std::string& aDetail)
+void SoakJournal::Report(SoakFinding aFinding, const std::string& aDetail)
 {
-  violations_.push_back(Concat(clock_.NowMs(), " ", aRule, ": ", aDetail));
+  violations_.push_back(
+    Concat(clock_.NowMs(), " ", EnumName(aFinding), ": ", aDetail));
 }
 
 }
--- a/tests/SoakJournal.hpp
+++ b/tests/SoakJournal.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/Clock.hpp"
+#include "common/EnumNames.hpp"
 #include "net/HttpParser.hpp"
 
 #include <cstdint>
@@ -31,6 +32,37 @@
                                                  "crash" };
 };
 
+/// Promise that a soak found broken.
+enum class SoakFinding : uint8_t
+{
+  TwoOwners,
+  RunTwice,
+  FalseRefusal,
+  WrongAnswer,
+  ChangedRequest,
+  SentToLeaving,
+  SentInPause,
+  SentForGoneCaller,
+  RepeatedCrash,
+  OldConfig,
+  ProperRequestDenied,
+  CutOff,
+  NoFinalAnswer,
+  NotServedAgain,
+  Count
+};
+
+template<>
+struct EnumNames<SoakFinding>
+{
+  static constexpr std::string_view kNames[] = {
+    "two-owners",      "run-twice",       "false-refusal", "wrong-answer",
+    "changed-request", "sent-to-leaving", "sent-in-pause", "sent-for-gone",
+    "repeated-crash",  "old-config",      "denied",        "cut-off",
+    "no-final-answer", "not-served-again"
+  };
+};
+
 /// One request of a caller of a soak.
 struct SoakRequest
 {
@@ -112,6 +144,8 @@
   void OnKeyTaken(uint32_t aKey, int64_t aFence, const std::string& aLife);
   void OnKeysShared(uint32_t aKey, const std::string& aLives);
 
+  void Report(SoakFinding aFinding, const std::string& aDetail);
+  /// A line for each broken promise.
   const std::vector<std::string>& Violations() const { return violations_; }
   int64_t Count(const std::string& aWhat) const;
   std::string Summary() const;
@@ -164,7 +198,6 @@
   void CheckCrashes(const SoakRequest& aRequest);
   bool IsTroubled(const Entry& aEntry) const;
   bool IsTroubledSince(const std::string& aLife, TimeMs aMs) const;
-  void Report(std::string_view aRule, const std::string& aDetail);
 
   const Clock& clock_;
   SoakBounds bounds_;
