--- a/assigner/BalanceDuty.cpp
+++ b/assigner/BalanceDuty.cpp
@@ -84,7 +84,7 @@
 
 void BalanceDuty::Merge(const wire::LoadReport& aReport)
 {
-  std::map<std::string, RouterLoad> loads;
+  std::map<std::string, RouterLoadReport> loads;
   for (const auto& slice : aReport.slices) {
     loads[slice.serviceName].slices_.push_back(
       { static_cast<KeyHash>(slice.hashBegin), slice.requests, slice.busyMs });
--- a/bench/BalanceModel.cpp
+++ b/bench/BalanceModel.cpp
@@ -148,7 +148,7 @@
 void BalanceModel::Report()
 {
   for (size_t router = 0; router < sketches_.size(); ++router) {
-    RouterLoad load{ Concat("router", router), kStepMs, {}, {} };
+    RouterLoadReport load{ Concat("router", router), kStepMs, {}, {} };
     for (const auto& [begin, slice] : measured_[router]) {
       load.slices_.push_back(slice);
     }
--- a/bench/OverloadModel.cpp
+++ b/bench/OverloadModel.cpp
@@ -177,7 +177,7 @@
   }
   GateActions actions;
   gates_[request.gate_].gate_->Finish(
-    AttemptEnd::Answered,
+    AttemptResult::Answered,
     static_cast<double>(events_.NowUs() - request.sentUs_) / kUsPerMs,
     events_.NowMs(),
     actions);
@@ -192,7 +192,7 @@
   Gate& gate = gates_[request.gate_];
   // The request that came back first, so that it keeps its place.
   GateActions actions;
-  gate.gate_->Finish(AttemptEnd::Shed, 0, events_.NowMs(), actions);
+  gate.gate_->Finish(AttemptResult::Shed, 0, events_.NowMs(), actions);
   if (sheds <= options_.maxSheds_ &&
       (!options_.chargeSheds_ || budgets_[gate.router_].TryTake())) {
     gate.gate_->Arrive(
--- a/bench/ServerNoticesBench.cpp
+++ b/bench/ServerNoticesBench.cpp
@@ -59,7 +59,7 @@
                              { .gateways_ = 300,
                                .servers_ = 380,
                                .slots_ = 6,
-                               .workMs_ = 890,
+                               .serviceTimeMs_ = 890,
                                .objectiveMs_ = 3000,
                                .deadlineMs_ = 15000,
                                .drainMs_ = 3000 } } };
--- a/gateway/BackendLink.cpp
+++ b/gateway/BackendLink.cpp
@@ -259,7 +259,7 @@
     backend_->load_.OnFailed(nowMs);
   }
   if (ranWell_) {
-    backend_->pause_.OnRanWell(sentMs_, backend_->entry_.slots_);
+    backend_->pause_.OnRequestSucceeded(sentMs_, backend_->entry_.slots_);
   }
   auto* handler = std::exchange(handler_, nullptr);
   Leave(ranWell_   ? AttemptOutcome::RanWell
--- a/gateway/BackendLink.hpp
+++ b/gateway/BackendLink.hpp
@@ -152,7 +152,7 @@
   std::vector<std::shared_ptr<BackendLink>> busy_;
   uint32_t idHash_ = 0;    ///< names the server among gateways
   bool reported_ = false;  ///< told its load since the last TakeReports
-  bool home_ = false;      ///< preferred by this gateway
+  bool preferred_ = false; ///< preferred by this gateway
   bool registered_ = true; ///< false once the registration is gone
   /// A later life of a server has its address.
   bool superseded_ = false;
--- a/gateway/BackendLoad.cpp
+++ b/gateway/BackendLoad.cpp
@@ -56,10 +56,10 @@
     sample /= detail::kColdFactor;
   }
   if (samples_ >= kMinSamples) {
-    sample = std::min(sample, workMs_ * detail::kMaxSampleFactor);
-    workMs_ += (sample - workMs_) * detail::kWorkWeight;
+    sample = std::min(sample, serviceTimeMs_ * detail::kMaxSampleFactor);
+    serviceTimeMs_ += (sample - serviceTimeMs_) * detail::kWorkWeight;
   } else {
-    workMs_ = (workMs_ * samples_ + sample) / (samples_ + 1);
+    serviceTimeMs_ = (serviceTimeMs_ * samples_ + sample) / (samples_ + 1);
   }
   ++samples_;
 }
@@ -111,16 +111,16 @@
   return load;
 }
 
-double BackendLoad::WorkMs(TimeMs aNowMs) const
+double BackendLoad::ServiceTimeMs(TimeMs aNowMs) const
 {
   const double sharedMs = sharedWorkMs_ > 0 ? sharedWorkMs_ : defaultWorkMs_;
-  const double workMs = IsMeasured() ? workMs_ : sharedMs;
+  const double workMs = IsMeasured() ? serviceTimeMs_ : sharedMs;
   return aNowMs < coldUntilMs_ ? workMs * detail::kColdFactor : workMs;
 }
 
 double BackendLoad::ExpectedMs(TimeMs aNowMs) const
 {
-  return WorkMs(aNowMs) * std::max(1.0, (Load(aNowMs) + 1) / slots_);
+  return ServiceTimeMs(aNowMs) * std::max(1.0, (Load(aNowMs) + 1) / slots_);
 }
 
 double BackendLoad::FailureShare(TimeMs aNowMs) const
--- a/gateway/BackendLoad.hpp
+++ b/gateway/BackendLoad.hpp
@@ -33,14 +33,14 @@
   /// Requests at the server, own and others'.
   double Load(TimeMs aNowMs) const;
   /// Time of one request that does not queue.
-  double WorkMs(TimeMs aNowMs) const;
+  double ServiceTimeMs(TimeMs aNowMs) const;
   /// Expected time until the answer of one more request.
   double ExpectedMs(TimeMs aNowMs) const;
   /// Share of recent requests that failed or were shed, 0 to 1.
   double FailureShare(TimeMs aNowMs) const;
   bool IsMeasured() const { return samples_ >= kMinSamples; }
   /// Own mean of the work time, 0 until it is measured.
-  double MeasuredWorkMs() const { return IsMeasured() ? workMs_ : 0; }
+  double MeasuredWorkMs() const { return IsMeasured() ? serviceTimeMs_ : 0; }
   /// Requests there by the last report, own or shared.
   double ReportedTotal() const { return reportedTotal_; }
 
@@ -56,7 +56,7 @@
   TimeMs shedMs_ = 0;
   TimeMs coldUntilMs_ = 0;
   double defaultWorkMs_ = 100;
-  double workMs_ = 0;
+  double serviceTimeMs_ = 0;
   int samples_ = 0;
   double failures_ = 0;
   TimeMs failureMs_ = 0;
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -31,7 +31,7 @@
   , protocol_(aProtocol)
   , observer_(aObserver)
   , onLeaving_(std::move(aOnLeaving))
-  , workMs_(detail::kServiceWorkWeight)
+  , serviceTimeMs_(detail::kServiceWorkWeight)
   , random_(std::random_device{}())
 {
 }
@@ -50,8 +50,9 @@
   for (const auto& id : aChanged) {
     const auto entry = aEntries.find(id);
     const auto known = backends_.find(id);
-    const bool sameLife = entry != aEntries.end() && known != backends_.end() &&
-                          entry->second.IsSameLife(known->second->entry_);
+    const bool sameLife =
+      entry != aEntries.end() && known != backends_.end() &&
+      entry->second.IsSameIncarnation(known->second->entry_);
     if (sameLife) {
       known->second->entry_ = entry->second;
       known->second->load_.SetSlots(entry->second.slots_);
@@ -93,11 +94,11 @@
   auto& last = byAddress_[entry.address_];
   if (last == nullptr) {
     last = aBackend;
-  } else if (last->entry_.bornMs_ > entry.bornMs_) {
+  } else if (last->entry_.startTimeMs_ > entry.startTimeMs_) {
     Supersede(aBackend);
   } else {
     const auto earlier = std::exchange(last, aBackend);
-    if (earlier->entry_.bornMs_ < entry.bornMs_) {
+    if (earlier->entry_.startTimeMs_ < entry.startTimeMs_) {
       Supersede(earlier);
     }
   }
@@ -183,9 +184,9 @@
   }
 }
 
-std::vector<BoardEntry> BackendPool::TakeReports()
+std::vector<FleetLoadEntry> BackendPool::TakeReports()
 {
-  std::vector<BoardEntry> reports;
+  std::vector<FleetLoadEntry> reports;
   for (const auto& [id, backend] : backends_) {
     if (std::exchange(backend->reported_, false)) {
       reports.push_back({ backend->idHash_,
@@ -196,18 +197,18 @@
   return reports;
 }
 
-void BackendPool::ApplyShared(const BoardEntry& aEntry)
+void BackendPool::ApplyShared(const FleetLoadEntry& aEntry)
 {
   const auto found = byHash_.find(aEntry.server_);
   if (found != byHash_.end()) {
     found->second->load_.OnSharedReport(
-      aEntry.load_, aEntry.workMs_, loop_.NowMs());
+      aEntry.load_, aEntry.serviceTimeMs_, loop_.NowMs());
   }
 }
 
 double BackendPool::ServiceWorkMs(const std::string& aService) const
 {
-  return workMs_.Get(aService, detail::kInitialWorkMs);
+  return serviceTimeMs_.Get(aService, detail::kInitialWorkMs);
 }
 
 void BackendPool::OnConnectFailed(Backend& aBackend, std::string_view aCause)
@@ -271,7 +272,7 @@
 
 void BackendPool::NoteWork(const Backend& aBackend, double aLatencyMs)
 {
-  workMs_.Add(aBackend.entry_.service_, aLatencyMs);
+  serviceTimeMs_.Add(aBackend.entry_.service_, aLatencyMs);
 }
 
 void BackendPool::Release(const std::shared_ptr<BackendLink>& aLink,
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -3,8 +3,8 @@
 #include "gateway/BackendLink.hpp"
 #include "gateway/EventLog.hpp"
 #include "gateway/GatewayMetrics.hpp"
-#include "policy/LoadBoard.hpp"
-#include "policy/RunningMeans.hpp"
+#include "policy/FleetLoadTable.hpp"
+#include "policy/MovingAverages.hpp"
 #include "routing/RoutingConfig.hpp"
 
 #include <functional>
@@ -64,8 +64,8 @@
   /// Closes connections that were idle too long.
   void CloseIdle();
   /// Loads that servers have reported since the last call.
-  std::vector<BoardEntry> TakeReports();
-  void ApplyShared(const BoardEntry& aEntry);
+  std::vector<FleetLoadEntry> TakeReports();
+  void ApplyShared(const FleetLoadEntry& aEntry);
   double ServiceWorkMs(const std::string& aService) const;
   int64_t ConnectionsOpened() const { return opened_; }
 
@@ -96,7 +96,7 @@
   std::unordered_map<uint32_t, BackendPtr> byHash_;
   /// The last life at each address.
   std::unordered_map<std::string, BackendPtr> byAddress_;
-  RunningMeans workMs_;
+  MovingAverages serviceTimeMs_;
   int64_t opened_ = 0;
   std::minstd_rand random_;
 };
--- a/gateway/CrashWatch.cpp
+++ b/gateway/CrashWatch.cpp
@@ -32,7 +32,7 @@
   , quarantine_({ .expiryMs_ = detail::kQuarantineMs,
                   .turnMs_ = detail::kTurnMs,
                   .maxTurns_ = detail::kMaxTurns,
-                  .renewedByArrivals_ = true })
+                  .extendedByRequests_ = true })
 {
 }
 
@@ -82,7 +82,7 @@
 bool CrashWatch::OpenCase::IsOf(const Backend& aBackend) const
 {
   return backendId_ == aBackend.entry_.id_ &&
-         bornMs_ == aBackend.entry_.bornMs_;
+         startTimeMs_ == aBackend.entry_.startTimeMs_;
 }
 
 void CrashWatch::Open(const std::shared_ptr<Backend>& aBackend,
@@ -99,15 +99,16 @@
   const TimeMs windowMs =
     broken ? detail::kBrokenWindowMs : detail::kAbandonedWindowMs;
   const auto& entry = aBackend->entry_;
-  cases_.push_back({ aTag, entry.id_, entry.bornMs_, nowMs + windowMs });
-  quarantine_.OnBroken(aTag.fingerprint_, entry.id_, nowMs + windowMs, nowMs);
+  cases_.push_back({ aTag, entry.id_, entry.startTimeMs_, nowMs + windowMs });
+  quarantine_.OnUnanswered(
+    aTag.fingerprint_, entry.id_, nowMs + windowMs, nowMs);
   if (broken) {
     if (log_.Allows(LogLevel::Info, "attempt-broken")) {
       log_.Write(LogLevel::Info,
                  "attempt-broken",
                  { { "fingerprint", absl::Hex(aTag.fingerprint_) },
                    { "backend", entry.id_ },
-                   { "born_ms", entry.bornMs_ },
+                   { "born_ms", entry.startTimeMs_ },
                    { "known_crashes", aTag.knownCrashes_ } });
     }
     Probe(aBackend);
@@ -175,12 +176,12 @@
     });
   const auto& entry = aBackend.entry_;
   quarantine_.OnCrash(
-    entry.id_, inFlight, nowMs, static_cast<uint64_t>(entry.bornMs_));
+    entry.id_, inFlight, nowMs, static_cast<uint64_t>(entry.startTimeMs_));
   if (log_.Allows(LogLevel::Warning, "backend-ended")) {
     log_.Write(LogLevel::Warning,
                "backend-ended",
                { { "backend", entry.id_ },
-                 { "born_ms", entry.bornMs_ },
+                 { "born_ms", entry.startTimeMs_ },
                  { "evidence", EnumName(aEvidence) },
                  { "in_flight", counted.size() } });
   }
--- a/gateway/CrashWatch.hpp
+++ b/gateway/CrashWatch.hpp
@@ -60,7 +60,7 @@
   {
     AttemptTag tag_;
     std::string backendId_;
-    int64_t bornMs_ = 0;
+    int64_t startTimeMs_ = 0;
     TimeMs untilMs_ = 0;
     /// Another connection or a probe found the address alive: only another
     /// registration can still tell that this life of the server has ended.
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -80,7 +80,7 @@
 }
 
 void Forwarder::SetGateways(const std::string& aSelf,
-                            const std::vector<PlacedName>& aGateways)
+                            const std::vector<NodeLocation>& aGateways)
 {
   if (self_ != aSelf || gatewayNames_ != aGateways) {
     gateways_ = std::max<size_t>(aGateways.size(), 1);
@@ -89,7 +89,7 @@
     gatewayNames_ = aGateways;
     std::vector<std::string> names;
     std::ranges::transform(
-      aGateways, std::back_inserter(names), &PlacedName::first);
+      aGateways, std::back_inserter(names), &NodeLocation::first);
     crashes_.SetGateways(aSelf, std::move(names));
     AssignHomes();
   }
@@ -123,16 +123,16 @@
 void Forwarder::AssignHomes()
 {
   for (const auto& [service, backends] : pool_.Services()) {
-    std::vector<PlacedName> servers;
+    std::vector<NodeLocation> servers;
     for (const auto& backend : backends) {
       if (backend->IsUsable()) {
         servers.emplace_back(backend->entry_.id_,
                              backend->entry_.failureDomain_);
       }
     }
-    const auto homes = HomeServers(self_, gatewayNames_, servers);
+    const auto homes = PreferredServers(self_, gatewayNames_, servers);
     for (const auto& backend : backends) {
-      backend->home_ = homes.contains(backend->entry_.id_);
+      backend->preferred_ = homes.contains(backend->entry_.id_);
     }
   }
 }
@@ -153,12 +153,12 @@
 {
   const TimeMs nowMs = loop_.NowMs();
   PlacementCandidate candidate;
-  candidate.workMs_ = aBackend.load_.WorkMs(nowMs);
+  candidate.serviceTimeMs_ = aBackend.load_.ServiceTimeMs(nowMs);
   candidate.expectedMs_ = aBackend.load_.ExpectedMs(nowMs);
   candidate.failureShare_ = aBackend.load_.FailureShare(nowMs);
   candidate.sameDomain_ =
     aBackend.entry_.failureDomain_ == bounds_.failureDomain_;
-  candidate.home_ = aBackend.home_;
+  candidate.preferred_ = aBackend.preferred_;
   candidate.down_ = aBackend.downUntilMs_ > nowMs;
   candidate.full_ =
     aBackend.pause_.IsFull(aBackend.busy_.size()) ||
@@ -203,7 +203,7 @@
   std::vector<BackendPool::BackendPtr> usable;
   const TimeMs nowMs = loop_.NowMs();
   for (const auto& backend : backends) {
-    if (backend->TakesRequests(nowMs) && backend->home_) {
+    if (backend->TakesRequests(nowMs) && backend->preferred_) {
       usable.push_back(backend);
     }
   }
@@ -253,7 +253,7 @@
   const auto wanted = aUsable.size() + detail::kForeignSample;
   if (aAll.size() <= wanted + detail::kForeignSample) {
     for (const auto& backend : aAll) {
-      if (backend->TakesRequests(nowMs) && !backend->home_) {
+      if (backend->TakesRequests(nowMs) && !backend->preferred_) {
         aUsable.push_back(backend);
       }
     }
@@ -265,7 +265,7 @@
        draw < 2 * detail::kForeignSample && aUsable.size() < wanted;
        ++draw) {
     const auto& backend = aAll[pick(random_)];
-    if (backend->TakesRequests(nowMs) && !backend->home_ &&
+    if (backend->TakesRequests(nowMs) && !backend->preferred_ &&
         std::ranges::find(aUsable, backend) == aUsable.end()) {
       aUsable.push_back(backend);
     }
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -5,12 +5,12 @@
 #include "gateway/EventLog.hpp"
 #include "gateway/GatewayMetrics.hpp"
 #include "gateway/PlatformPort.hpp"
-#include "keyspace/KeyView.hpp"
-#include "policy/HomeServers.hpp"
+#include "keyspace/KeyOwnerMap.hpp"
+#include "policy/MovingAverages.hpp"
 #include "policy/OwnerAdmission.hpp"
 #include "policy/Placement.hpp"
+#include "policy/PreferredServers.hpp"
 #include "policy/RetryBudget.hpp"
-#include "policy/RunningMeans.hpp"
 #include "routing/RouteTable.hpp"
 
 #include <functional>
@@ -63,14 +63,14 @@
   /// Live gateways, this one included; it decides which servers this one
   /// prefers and what share of limits it has.
   void SetGateways(const std::string& aSelf,
-                   const std::vector<PlacedName>& aGateways);
+                   const std::vector<NodeLocation>& aGateways);
   /// New bounds on repeats of requests.
   void SetRetryBounds(double aRatio, double aExtra);
   /// Looks again at waiting requests: owners or servers have changed.
   void OnPlacesChanged() { SchedulePump(); }
 
   std::shared_ptr<RouteTable> Routes() { return routes_; }
-  KeyView& Keys() { return keys_; }
+  KeyOwnerMap& Keys() { return keys_; }
   BackendPool& Pool() { return pool_; }
   CrashWatch& Crashes() { return crashes_; }
 
@@ -135,14 +135,14 @@
   ForwardingBounds bounds_;
   PlacementOptions options_;
   std::shared_ptr<RouteTable> routes_;
-  KeyView keys_;
+  KeyOwnerMap keys_;
   CrashWatch crashes_;
   BackendPool pool_;
   OwnerAdmission admission_;
   std::map<std::string, RetryBudget> budgets_;
-  RunningMeans answerBytes_; ///< by route
+  MovingAverages answerBytes_; ///< by route
   std::string self_;
-  std::vector<PlacedName> gatewayNames_;
+  std::vector<NodeLocation> gatewayNames_;
   size_t gateways_ = 8;
   size_t active_ = 0;
   std::list<std::shared_ptr<ForwardedRequest>> parked_;
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -81,7 +81,7 @@
         settings_.failureDomain_ },
       [this] { gossip_.OnSuspectsChanged(); },
       [this](const BackendEntry& aEntry) {
-        OnLeaving(aEntry.id_, aEntry.bornMs_);
+        OnLeaving(aEntry.id_, aEntry.startTimeMs_);
       })
   , callers_(aLoop, forwarder_)
   , readyServer_(aLoop,
@@ -170,14 +170,14 @@
               store_,
               client_,
               port_.orders_,
-              board_,
+              fleetLoads_,
               settings_.maxHoldMs_,
               { [this] { return election_.MayOrder(); },
                 [this] { return election_.MayGrant(); },
                 [this] { gossip_.OnKeysChanged(); },
                 [this](std::string_view aCause) { election_.Resign(aCause); },
-                [this](const std::string& aBackend, int64_t aBornMs) {
-                  OnLeaving(aBackend, aBornMs);
+                [this](const std::string& aBackend, int64_t aStartTimeMs) {
+                  OnLeaving(aBackend, aStartTimeMs);
                 } })
   , relay_(
       aLoop,
@@ -223,25 +223,26 @@
         [this] { return HasDirectory(); },
         [this] { ProbeStore(); },
         [this] { AskStoreForConfig(); } })
-  , gossip_(aLoop,
-            { settings_.instance_,
-              settings_.failureDomain_,
-              bootId_,
-              settings_.cpuPercent_,
-              settings_.metricsListen_.port_ },
-            mesh_,
-            election_,
-            director_,
-            board_,
-            relay_,
-            forwarder_,
-            { [this] { return configVersion_; },
-              [this](size_t aMost) { return directory_.LeavingLives(aMost); },
-              [this](const std::vector<int32_t>& aLives) {
-                if (directory_.MarkLeaving(aLives)) {
-                  OnBackendsChanged();
-                }
-              } })
+  , gossip_(
+      aLoop,
+      { settings_.instance_,
+        settings_.failureDomain_,
+        bootId_,
+        settings_.cpuPercent_,
+        settings_.metricsListen_.port_ },
+      mesh_,
+      election_,
+      director_,
+      fleetLoads_,
+      relay_,
+      forwarder_,
+      { [this] { return configVersion_; },
+        [this](size_t aMost) { return directory_.LeavingIncarnations(aMost); },
+        [this](const std::vector<int32_t>& aLives) {
+          if (directory_.MarkLeaving(aLives)) {
+            OnBackendsChanged();
+          }
+        } })
   , changesTimer_(aLoop, [this] { ApplyBackendChanges(); })
   , housekeepTimer_(aLoop, [this] { Housekeep(); })
   , registerTimer_(aLoop, [this] { Register(); })
@@ -298,7 +299,7 @@
 
 void Gateway::FollowStore()
 {
-  store_.SetWatcher({ [this] { directory_.OnStoreDisturbed(loop_.NowMs()); },
+  store_.SetWatcher({ [this] { directory_.OnStoreCallFailed(loop_.NowMs()); },
                       [this] {
                         // Pending watches may hang on dead connections.
                         configFollower_.Refresh();
@@ -440,9 +441,9 @@
   }
 }
 
-void Gateway::OnLeaving(const std::string& aBackend, int64_t aBornMs)
+void Gateway::OnLeaving(const std::string& aBackend, int64_t aStartTimeMs)
 {
-  if (!directory_.MarkLeaving(aBackend, aBornMs)) {
+  if (!directory_.MarkLeaving(aBackend, aStartTimeMs)) {
     return;
   }
   const auto backend = forwarder_.Pool().Find(aBackend);
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -56,7 +56,7 @@
   void OnOwnObject(const StoreObject& aObject);
   std::optional<BackendEntry> DecodeBackend(const StoreObject& aObject);
   /// A server said that it leaves.
-  void OnLeaving(const std::string& aBackend, int64_t aBornMs);
+  void OnLeaving(const std::string& aBackend, int64_t aStartTimeMs);
   void OnBackendsChanged();
   void ApplyBackendChanges();
   void Register();
@@ -98,7 +98,7 @@
   StoreFollower backendFollower_;
   StoreFollower ownFollower_;
   LeaderElection election_;
-  LoadBoard board_;
+  FleetLoadTable fleetLoads_;
   KeyDirector director_;
   StoreRelay relay_;
   GossipDuty gossip_;
--- a/gateway/GossipDuty.cpp
+++ b/gateway/GossipDuty.cpp
@@ -39,7 +39,7 @@
                        PeerMesh& aMesh,
                        LeaderElection& aElection,
                        KeyDirector& aDirector,
-                       LoadBoard& aBoard,
+                       FleetLoadTable& aFleetLoads,
                        StoreRelay& aRelay,
                        Forwarder& aForwarder,
                        Handlers aHandlers)
@@ -48,7 +48,7 @@
   , mesh_(aMesh)
   , election_(aElection)
   , director_(aDirector)
-  , board_(aBoard)
+  , fleetLoads_(aFleetLoads)
   , relay_(aRelay)
   , forwarder_(aForwarder)
   , handlers_(std::move(aHandlers))
@@ -104,14 +104,14 @@
     }
   }
   for (const auto& report : forwarder_.Pool().TakeReports()) {
-    board_.Add(report, nowMs);
+    fleetLoads_.Add(report, nowMs);
   }
   for (const auto& [service, ownership] : director_.Ownership()) {
     aGossip.keys.push_back(keyGossip_.NextSlice(service, *ownership));
   }
   if (rounds_ % detail::kBoardRounds == 0) {
-    const auto changed = board_.TakeChanged(nowMs);
-    std::ranges::for_each(changed, [&](const BoardEntry& aEntry) {
+    const auto changed = fleetLoads_.TakeChanged(nowMs);
+    std::ranges::for_each(changed, [&](const FleetLoadEntry& aEntry) {
       forwarder_.Pool().ApplyShared(aEntry);
     });
     FillLoads(changed, aGossip);
@@ -169,8 +169,9 @@
       wire::SuspectRequest entry;
       entry.fingerprint = static_cast<int64_t>(aSuspect.fingerprint_);
       entry.expiresInMs = static_cast<int32_t>(aSuspect.expiresInMs_);
-      std::ranges::transform(
-        aSuspect.marks_, std::back_inserter(entry.marks), PackMark);
+      std::ranges::transform(aSuspect.crashRecords_,
+                             std::back_inserter(entry.marks),
+                             PackCrashRecord);
       return entry;
     });
 }
@@ -203,11 +204,11 @@
   const auto leader = mesh_.Peers().find(election_.Leader());
   const bool knowsLeader = leader != mesh_.Peers().end();
   const auto message =
-    suspects_.TakeDue(loop_.NowMs(), election_.IsLeading(), knowsLeader);
+    suspects_.TakeDueMessage(loop_.NowMs(), election_.IsLeading(), knowsLeader);
   if (message) {
     auto gossip = Basic();
     FillSuspects(message->suspects_, gossip);
-    if (message->audience_ == SuspectExchange::Audience::All) {
+    if (message->recipients_ == SuspectExchange::Recipients::All) {
       mesh_.SendToAll(gossip);
     } else {
       mesh_.SendTo(leader->second.endpoint_, gossip);
@@ -220,9 +221,9 @@
                                  const Endpoint& aOrigin)
 {
   const auto missing =
-    suspects_.Compare(aGossip.instance,
-                      static_cast<uint64_t>(aGossip.suspectDigest),
-                      loop_.NowMs());
+    suspects_.EntriesForPeer(aGossip.instance,
+                             static_cast<uint64_t>(aGossip.suspectDigest),
+                             loop_.NowMs());
   if (missing) {
     auto gossip = Basic();
     FillSuspects(*missing, gossip);
@@ -243,13 +244,13 @@
   }
 }
 
-void GossipDuty::FillLoads(const std::vector<BoardEntry>& aEntries,
+void GossipDuty::FillLoads(const std::vector<FleetLoadEntry>& aEntries,
                            wire::Gossip& aGossip)
 {
   for (const auto& entry : aEntries) {
     aGossip.backendLoads.push_back(static_cast<int32_t>(entry.server_));
-    aGossip.backendLoads.push_back(
-      static_cast<int32_t>(std::lround(entry.workMs_ * detail::kUsPerMs)));
+    aGossip.backendLoads.push_back(static_cast<int32_t>(
+      std::lround(entry.serviceTimeMs_ * detail::kUsPerMs)));
     aGossip.backendLoads.push_back(
       static_cast<int32_t>(std::lround(entry.load_)));
   }
@@ -257,7 +258,7 @@
 
 void GossipDuty::FillAdmissions(wire::Gossip& aGossip)
 {
-  const auto shares = SharesOf(director_.Demands());
+  const auto shares = ComputeAdmissionShares(director_.Demands());
   for (const auto& share : shares) {
     aGossip.admissions.push_back(static_cast<int32_t>(share.server_));
     aGossip.admissions.push_back(static_cast<int32_t>(
@@ -397,11 +398,11 @@
   const auto& loads = aGossip.backendLoads;
   for (size_t index = 0; index + detail::kLoadFields <= loads.size();
        index += detail::kLoadFields) {
-    const BoardEntry entry{ static_cast<uint32_t>(loads[index]),
-                            loads[index + 1] / detail::kUsPerMs,
-                            static_cast<double>(loads[index + 2]) };
+    const FleetLoadEntry entry{ static_cast<uint32_t>(loads[index]),
+                                loads[index + 1] / detail::kUsPerMs,
+                                static_cast<double>(loads[index + 2]) };
     if (election_.IsLeading()) {
-      board_.Add(entry, loop_.NowMs());
+      fleetLoads_.Add(entry, loop_.NowMs());
     }
     forwarder_.Pool().ApplyShared(entry);
   }
@@ -420,12 +421,13 @@
       CrashSuspect suspect;
       suspect.fingerprint_ = static_cast<uint64_t>(aEntry.fingerprint);
       suspect.expiresInMs_ = aEntry.expiresInMs;
-      std::ranges::transform(
-        aEntry.marks, std::back_inserter(suspect.marks_), UnpackMark);
+      std::ranges::transform(aEntry.marks,
+                             std::back_inserter(suspect.crashRecords_),
+                             UnpackCrashRecord);
       return suspect;
     });
   const bool isNew =
-    suspects_.OnTold(suspects, loop_.NowMs(), election_.IsLeading());
+    suspects_.OnReceived(suspects, loop_.NowMs(), election_.IsLeading());
   ScheduleSuspects();
   if (!isNew || !forwarder_.Log().Allows(LogLevel::Info, "suspects-told")) {
     return;
--- a/gateway/GossipDuty.hpp
+++ b/gateway/GossipDuty.hpp
@@ -6,7 +6,7 @@
 #include "gateway/LeaderElection.hpp"
 #include "gateway/PeerMesh.hpp"
 #include "gateway/StoreRelay.hpp"
-#include "policy/LoadBoard.hpp"
+#include "policy/FleetLoadTable.hpp"
 #include "policy/SuspectExchange.hpp"
 
 #include <functional>
@@ -42,7 +42,7 @@
              PeerMesh& aMesh,
              LeaderElection& aElection,
              KeyDirector& aDirector,
-             LoadBoard& aBoard,
+             FleetLoadTable& aFleetLoads,
              StoreRelay& aRelay,
              Forwarder& aForwarder,
              Handlers aHandlers);
@@ -78,7 +78,7 @@
   /// Tells a gateway that knows other suspects what this one knows.
   void CompareSuspects(const wire::Gossip& aGossip, const Endpoint& aOrigin);
   void FillKeyCounts(wire::Gossip& aGossip);
-  static void FillLoads(const std::vector<BoardEntry>& aEntries,
+  static void FillLoads(const std::vector<FleetLoadEntry>& aEntries,
                         wire::Gossip& aGossip);
   void FillAdmissions(wire::Gossip& aGossip);
   void TakeAdmissions(const wire::Gossip& aGossip);
@@ -94,7 +94,7 @@
   PeerMesh& mesh_;
   LeaderElection& election_;
   KeyDirector& director_;
-  LoadBoard& board_;
+  FleetLoadTable& fleetLoads_;
   StoreRelay& relay_;
   Forwarder& forwarder_;
   Handlers handlers_;
--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyDirector.cpp
@@ -34,7 +34,7 @@
                          StoreLink& aStore,
                          HttpClient& aClient,
                          const OrderProtocol& aProtocol,
-                         const LoadBoard& aBoard,
+                         const FleetLoadTable& aFleetLoads,
                          TimeMs aMaxHoldMs,
                          Handlers aHandlers)
   : loop_(aLoop)
@@ -45,13 +45,13 @@
             aClient,
             aProtocol,
             { [this] { return handlers_.grantScope_(); },
-              [this](const KeyOrder& aOrder, const OrderAnswer& aAnswer) {
-                OnOrderDone(aOrder, aAnswer);
+              [this](const KeyCommand& aOrder, const OrderAnswer& aAnswer) {
+                OnCommandDone(aOrder, aAnswer);
               },
-              [this](const std::string& aBackend, int64_t aBornMs) {
-                handlers_.onLeaving_(aBackend, aBornMs);
+              [this](const std::string& aBackend, int64_t aStartTimeMs) {
+                handlers_.onLeaving_(aBackend, aStartTimeMs);
               } })
-  , board_(aBoard)
+  , fleetLoads_(aFleetLoads)
   , maxHoldMs_(aMaxHoldMs)
   , handlers_(std::move(aHandlers))
   , timer_(aLoop, [this] { Tick(); })
@@ -101,7 +101,7 @@
 void KeyDirector::OnForeignEnded()
 {
   for (auto& [name, ownership] : services_) {
-    ownership->OnForeignLeadersEnded(loop_.NowMs());
+    ownership->OnEarlierLeadersEnded(loop_.NowMs());
   }
 }
 
@@ -180,11 +180,11 @@
     }
     Endpoint endpoint;
     if (Endpoint::Parse(entry->second.address_, endpoint)) {
-      sender_.SetServer(id, endpoint, entry->second.bornMs_);
+      sender_.SetServer(id, endpoint, entry->second.startTimeMs_);
     }
     const auto known = backends_.find(id);
     if (known == backends_.end() ||
-        known->second.bornMs_ != entry->second.bornMs_) {
+        known->second.startTimeMs_ != entry->second.startTimeMs_) {
       warmAtMs_[id] = nowMs + entry->second.coldRemainingMs_;
     }
     backends_[id] = entry->second;
@@ -202,8 +202,8 @@
     }
   }
   timing_ =
-    GrantTiming::For(std::max(backends_.size(), owners.size()), maxHoldMs_);
-  timing_->foreignHoldMs_ = std::max(timing_->holdMs_, aEarlier.holdMs_);
+    LeaseTiming::For(std::max(backends_.size(), owners.size()), maxHoldMs_);
+  timing_->maxEarlierLeaseMs_ = std::max(timing_->leaseMs_, aEarlier.leaseMs_);
 }
 
 double KeyDirector::MeanWorkMs(const std::string& aService) const
@@ -212,7 +212,7 @@
   int count = 0;
   for (const auto& [id, entry] : backends_) {
     const double workMs =
-      entry.service_ == aService ? board_.WorkMs(ShortHash(id)) : 0;
+      entry.service_ == aService ? fleetLoads_.ServiceTimeMs(ShortHash(id)) : 0;
     if (workMs > 0) {
       sum += workMs;
       ++count;
@@ -248,10 +248,11 @@
         continue;
       }
       OwnerCandidate candidate;
-      candidate.bornMs_ = entry.bornMs_;
+      candidate.startTimeMs_ = entry.startTimeMs_;
       candidate.usable_ = entry.TakesNewWork();
       double speed = 1;
-      if (const double workMs = board_.WorkMs(ShortHash(id)); workMs > 0) {
+      if (const double workMs = fleetLoads_.ServiceTimeMs(ShortHash(id));
+          workMs > 0) {
         speed =
           std::clamp(meanMs / workMs, detail::kMinSpeed, detail::kMaxSpeed);
       }
@@ -270,7 +271,7 @@
                           int aRequests)
 {
   if (running_) {
-    const bool large = backends_.size() > GrantTiming::kLargeFleet;
+    const bool large = backends_.size() > LeaseTiming::kLargeFleetServers;
     const auto [load, isNew] = loads_.try_emplace(
       aService, large ? KeyLoad::kLargeFleetHalfLifeMs : KeyLoad::kHalfLifeMs);
     load->second.Add(aKey, aRequests, loop_.NowMs());
@@ -386,7 +387,7 @@
   lastWriteMs_ = loop_.NowMs();
   written_ = std::move(aProposed);
   const auto spec = EncodeKeyTable(
-    KeyTable{ term_, ++writeId_, timing_->foreignHoldMs_, written_ });
+    KeyTable{ term_, ++writeId_, timing_->maxEarlierLeaseMs_, written_ });
   const auto& protocol = store_.Protocol();
   store_.Call(revision_ == 0
                 ? protocol.Create(detail::kTableKind, detail::kTableName, spec)
@@ -494,24 +495,24 @@
     if (!reported_.contains(name)) {
       continue; // its fences are not durable yet
     }
-    for (const auto& order : ownership->TakeOrders(nowMs, scope)) {
+    for (const auto& order : ownership->TakeCommands(nowMs, scope)) {
       sender_.Send(order);
     }
   }
 }
 
-void KeyDirector::OnOrderDone(const KeyOrder& aOrder,
-                              const OrderAnswer& aAnswer)
+void KeyDirector::OnCommandDone(const KeyCommand& aOrder,
+                                const OrderAnswer& aAnswer)
 {
   const auto found = services_.find(aOrder.service_);
   if (found == services_.end()) {
     return;
   }
-  found->second->OnOrderDone(
+  found->second->OnCommandDone(
     aOrder, aAnswer.result_, aAnswer.handover_, loop_.NowMs());
   // A release is followed by the grant at once. A new leader has a thousand
   // grants answered within a second, and nothing new is due after each.
-  if (aOrder.kind_ == OrderKind::Release && handlers_.mayOrder_()) {
+  if (aOrder.kind_ == KeyCommandKind::Release && handlers_.mayOrder_()) {
     SendOrders();
   }
   ReportChanges();
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -8,7 +8,7 @@
 #include "keyspace/KeyLoad.hpp"
 #include "keyspace/KeyOwnership.hpp"
 #include "net/HttpClient.hpp"
-#include "policy/LoadBoard.hpp"
+#include "policy/FleetLoadTable.hpp"
 #include "policy/OwnerAdmission.hpp"
 #include "routing/RoutingConfig.hpp"
 
@@ -44,7 +44,7 @@
               StoreLink& aStore,
               HttpClient& aClient,
               const OrderProtocol& aProtocol,
-              const LoadBoard& aBoard,
+              const FleetLoadTable& aFleetLoads,
               TimeMs aMaxHoldMs,
               Handlers aHandlers);
 
@@ -83,7 +83,7 @@
   void ResolveUnknown();
   void OnCommitted(int64_t aRevision);
   void SendOrders();
-  void OnOrderDone(const KeyOrder& aOrder, const OrderAnswer& aAnswer);
+  void OnCommandDone(const KeyCommand& aOrder, const OrderAnswer& aAnswer);
   void UpdateCandidates();
   /// Of a request of the service, over its measured servers.
   double MeanWorkMs(const std::string& aService) const;
@@ -98,7 +98,7 @@
   EventLog& log_;
   StoreLink& store_;
   OrderSender sender_;
-  const LoadBoard& board_;
+  const FleetLoadTable& fleetLoads_;
   TimeMs maxHoldMs_; ///< longest grant that backend servers accept
   Handlers handlers_;
   Timer timer_;
@@ -108,7 +108,7 @@
   bool loaded_ = false; ///< the table of the earlier leader was taken over
   uint64_t run_ = 0;    ///< answers of earlier runs are ignored
   int64_t term_ = 0;
-  std::optional<GrantTiming> timing_; ///< of this term
+  std::optional<LeaseTiming> timing_; ///< of this term
   int64_t fences_ = 0;
   int64_t writeId_ = 0;
   int64_t revision_ = 0;
--- a/gateway/KeyGossip.cpp
+++ b/gateway/KeyGossip.cpp
@@ -101,7 +101,7 @@
   return writer.Take();
 }
 
-bool KeyGossip::Apply(const wire::OwnedKeys& aKeys, KeyView& aView)
+bool KeyGossip::Apply(const wire::OwnedKeys& aKeys, KeyOwnerMap& aView)
 {
   const auto owners = static_cast<int32_t>(aKeys.owners.size());
   bool changed = false;
--- a/gateway/KeyGossip.hpp
+++ b/gateway/KeyGossip.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "gossip_types.h"
+#include "keyspace/KeyOwnerMap.hpp"
 #include "keyspace/KeyOwnership.hpp"
-#include "keyspace/KeyView.hpp"
 
 #include <map>
 #include <string>
@@ -28,7 +28,7 @@
   static std::vector<wire::OwnedKeys> All(const std::string& aService,
                                           const KeyOwnership& aOwnership);
   /// Merges a received part; true when the view changed.
-  static bool Apply(const wire::OwnedKeys& aKeys, KeyView& aView);
+  static bool Apply(const wire::OwnedKeys& aKeys, KeyOwnerMap& aView);
 
 private:
   using Sent = std::tuple<uint32_t, int64_t, bool>; ///< last key, fence, active
--- a/gateway/OrderSender.cpp
+++ b/gateway/OrderSender.cpp
@@ -27,9 +27,9 @@
 
 void OrderSender::SetServer(const std::string& aBackend,
                             const Endpoint& aEndpoint,
-                            int64_t aBornMs)
+                            int64_t aStartTimeMs)
 {
-  servers_[aBackend] = { aEndpoint, aBornMs };
+  servers_[aBackend] = { aEndpoint, aStartTimeMs };
 }
 
 void OrderSender::Reset()
@@ -38,12 +38,12 @@
   lanes_.clear();
 }
 
-void OrderSender::Send(const KeyOrder& aOrder)
+void OrderSender::Send(const KeyCommand& aOrder)
 {
   // An overloaded server resets new connections, so its orders share the few
   // that are open; grants go first, because holds run out.
   auto& lane = lanes_[aOrder.backend_];
-  if (aOrder.kind_ == OrderKind::Grant) {
+  if (aOrder.kind_ == KeyCommandKind::Grant) {
     lane.waiting_.push_front(aOrder);
   } else {
     lane.waiting_.push_back(aOrder);
@@ -63,7 +63,7 @@
   }
 }
 
-void OrderSender::SendNow(const KeyOrder& aOrder)
+void OrderSender::SendNow(const KeyCommand& aOrder)
 {
   const auto server = servers_.find(aOrder.backend_);
   if (server == servers_.end()) {
@@ -82,7 +82,7 @@
   }
   client_.Call(server->second.endpoint_,
                request,
-               [this, aOrder, bornMs = server->second.bornMs_, run = run_](
+               [this, aOrder, bornMs = server->second.startTimeMs_, run = run_](
                  const CallResult& aResult) {
                  if (run == run_) {
                    OnDone(aOrder, bornMs, aResult);
@@ -90,20 +90,20 @@
                });
 }
 
-void OrderSender::OnDone(const KeyOrder& aOrder,
-                         int64_t aBornMs,
+void OrderSender::OnDone(const KeyCommand& aOrder,
+                         int64_t aStartTimeMs,
                          const CallResult& aResult)
 {
   const auto answer = protocol_.ReadAnswer(aResult);
   --lanes_[aOrder.backend_].inFlight_;
   // A silent connection says nothing good of its idle siblings. One that could
   // not be opened does not speak against those that are.
-  if (answer.result_ == OrderResult::Unanswered) {
+  if (answer.result_ == KeyCommandResult::Unanswered) {
     failing_.insert(aOrder.backend_);
   } else {
     failing_.erase(aOrder.backend_);
   }
-  if (answer.result_ != OrderResult::Accepted) {
+  if (answer.result_ != KeyCommandResult::Accepted) {
     log_.Write(LogLevel::Warning,
                "order-failed",
                { { "order", EnumName(aOrder.kind_) },
@@ -116,7 +116,7 @@
                  { "took_ms", loop_.NowMs() - aOrder.sentMs_ } });
   }
   if (answer.leaving_) {
-    handlers_.onLeaving_(aOrder.backend_, aBornMs);
+    handlers_.onLeaving_(aOrder.backend_, aStartTimeMs);
   }
   handlers_.onDone_(aOrder, answer);
   SendWaiting(aOrder.backend_);
--- a/gateway/OrderSender.hpp
+++ b/gateway/OrderSender.hpp
@@ -19,13 +19,13 @@
 public:
   /// Told of the life of a server that answered an order.
   using LeavingTask =
-    std::function<void(const std::string& aBackend, int64_t aBornMs)>;
+    std::function<void(const std::string& aBackend, int64_t aStartTimeMs)>;
 
   struct Handlers
   {
     /// Whether holds may be granted anew now, or only prolonged.
     std::function<GrantScope()> scope_;
-    std::function<void(const KeyOrder&, const OrderAnswer&)> onDone_;
+    std::function<void(const KeyCommand&, const OrderAnswer&)> onDone_;
     /// The server said in its answer that it leaves.
     LeavingTask onLeaving_;
   };
@@ -40,8 +40,8 @@
   /// keys.
   void SetServer(const std::string& aBackend,
                  const Endpoint& aEndpoint,
-                 int64_t aBornMs);
-  void Send(const KeyOrder& aOrder);
+                 int64_t aStartTimeMs);
+  void Send(const KeyCommand& aOrder);
   /// Drops waiting orders; answers to those under way are ignored.
   void Reset();
 
@@ -49,19 +49,19 @@
   struct Server
   {
     Endpoint endpoint_;
-    int64_t bornMs_ = 0;
+    int64_t startTimeMs_ = 0;
   };
   struct Lane
   {
     int inFlight_ = 0;
-    std::deque<KeyOrder> waiting_;
+    std::deque<KeyCommand> waiting_;
   };
 
   void SendWaiting(const std::string& aBackend);
-  void SendNow(const KeyOrder& aOrder);
-  /// aBornMs names the life that the order was sent to.
-  void OnDone(const KeyOrder& aOrder,
-              int64_t aBornMs,
+  void SendNow(const KeyCommand& aOrder);
+  /// aStartTimeMs names the life that the order was sent to.
+  void OnDone(const KeyCommand& aOrder,
+              int64_t aStartTimeMs,
               const CallResult& aResult);
 
   EventLoop& loop_;
--- a/gateway/PeerMesh.cpp
+++ b/gateway/PeerMesh.cpp
@@ -126,7 +126,7 @@
 void PeerMesh::SendToAll(const wire::Gossip& aGossip)
 {
   const TimeMs nowMs = loop_.NowMs();
-  std::vector<RelayMember> members;
+  std::vector<BroadcastTarget> members;
   std::vector<const Peer*> targets;
   for (const auto& [instance, peer] : peers_) {
     members.push_back({ instance,
@@ -135,7 +135,7 @@
                         IsAlive(peer, nowMs) });
     targets.push_back(&peer);
   }
-  const auto plan = PlanSpread(domain_, members);
+  const auto plan = PlanBroadcast(domain_, members);
   const auto bytes = detail::Encode(aGossip);
   for (const auto index : plan.direct_) {
     SendBytes(targets[index]->endpoint_, bytes);
--- a/gateway/PeerMesh.hpp
+++ b/gateway/PeerMesh.hpp
@@ -3,7 +3,7 @@
 #include "gateway/EventLog.hpp"
 #include "net/EventLoop.hpp"
 #include "net/TcpStream.hpp"
-#include "policy/RelayTree.hpp"
+#include "policy/BroadcastPlan.hpp"
 
 #include <functional>
 #include <map>
--- a/gateway/PlatformPort.hpp
+++ b/gateway/PlatformPort.hpp
@@ -72,7 +72,7 @@
 /// What became of an order, and what the server says besides.
 struct OrderAnswer
 {
-  OrderResult result_ = OrderResult::Unanswered;
+  KeyCommandResult result_ = KeyCommandResult::Unanswered;
   std::string handover_; ///< token of a release that was carried out
   bool leaving_ = false; ///< the server is about to leave
 };
@@ -82,7 +82,7 @@
 {
 public:
   virtual ~OrderProtocol() = default;
-  virtual CallRequest MakeOrder(const KeyOrder& aOrder) const = 0;
+  virtual CallRequest MakeOrder(const KeyCommand& aOrder) const = 0;
   virtual OrderAnswer ReadAnswer(const CallResult& aResult) const = 0;
 };
 
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -48,7 +48,7 @@
   entry.state_ =
     aChange.draining ? BackendState::Draining : BackendState::Ready;
   entry.coldRemainingMs_ = aChange.coldMs;
-  entry.bornMs_ = aChange.bornMs;
+  entry.startTimeMs_ = aChange.bornMs;
   return entry;
 }
 
@@ -60,7 +60,7 @@
                        aEntry.failureDomain_,
                        aEntry.slots_,
                        EnumName(aEntry.state_),
-                       aEntry.bornMs_ });
+                       aEntry.startTimeMs_ });
 }
 
 BackendEntry EntryFromJson(const Json& aJson)
@@ -73,7 +73,7 @@
   entry.slots_ = aJson.at(4).get<int>();
   entry.state_ = ParseEnum<BackendState>(aJson.at(5).get<std::string>())
                    .value_or(BackendState::Draining);
-  entry.bornMs_ = aJson.at(6).get<int64_t>();
+  entry.startTimeMs_ = aJson.at(6).get<int64_t>();
   return entry;
 }
 
@@ -213,7 +213,7 @@
   change.slots = aEntry.slots_;
   change.draining = aEntry.state_ == BackendState::Draining;
   change.coldMs = static_cast<int32_t>(aEntry.coldRemainingMs_);
-  change.bornMs = aEntry.bornMs_;
+  change.bornMs = aEntry.startTimeMs_;
   aGossip.changes.push_back(std::move(change));
 }
 
--- a/gateway/gateway.cmake
+++ b/gateway/gateway.cmake
@@ -2,8 +2,8 @@
 # shared folders and links libraries statically, which keeps its memory low.
 set(GATEWAY_SOURCES
   common/Clock.cpp common/Findings.cpp common/Metrics.cpp common/Settings.cpp
-  policy/CrashQuarantine.cpp policy/HomeServers.cpp policy/LoadBoard.cpp
-  policy/OwnerAdmission.cpp policy/Placement.cpp policy/RelayTree.cpp policy/RetryBudget.cpp
+  policy/CrashQuarantine.cpp policy/PreferredServers.cpp policy/FleetLoadTable.cpp
+  policy/OwnerAdmission.cpp policy/Placement.cpp policy/BroadcastPlan.cpp policy/RetryBudget.cpp
   policy/SuspectExchange.cpp
   wire/gen-cpp/gossip_types.cpp)
 file(GLOB GATEWAY_FOLDER_SOURCES CONFIGURE_DEPENDS
--- a/keyspace/KeyBalancer.cpp
+++ b/keyspace/KeyBalancer.cpp
@@ -6,7 +6,7 @@
 
 namespace cactuspitch {
 
-KeyBalancer::KeyBalancer(BalanceOptions aOptions)
+KeyBalancer::KeyBalancer(KeyBalanceOptions aOptions)
   : options_(aOptions)
 {
 }
@@ -19,7 +19,7 @@
   const double samples = std::max(1.0, aRates.Samples(aUse.rate_));
   const double noise = options_.significance_ * use / std::sqrt(samples);
   return !aUse.done_ && use > options_.idleUtilization_ &&
-         use - noise > aMean * options_.startRatio_;
+         use - noise > aMean * options_.imbalanceThreshold_;
 }
 
 bool KeyBalancer::Cut(std::vector<Piece>& aPieces,
@@ -125,7 +125,7 @@
 std::vector<KeyOwnership::Move> KeyBalancer::Plan(
   const KeyOwnership& aOwnership,
   const KeyRates& aRates,
-  double aWorkSeconds,
+  double aServiceSeconds,
   TimeMs aNowMs) const
 {
   constexpr double kMinCapacity = 0.1;
@@ -135,7 +135,7 @@
     if (candidate.usable_ && !aOwnership.IsLost(id, aNowMs)) {
       auto& use = uses[id];
       use.capacity_ =
-        std::max(kMinCapacity, candidate.capacity_) / aWorkSeconds;
+        std::max(kMinCapacity, candidate.capacity_) / aServiceSeconds;
       capacity += use.capacity_;
     }
   }
@@ -176,7 +176,7 @@
     const double wanted = std::min((from.Utilization() - mean) * from.capacity_,
                                    (mean - to.Utilization()) * to.capacity_);
     Piece piece{};
-    if (wanted < mean * to.capacity_ * options_.smallestPart_ ||
+    if (wanted < mean * to.capacity_ * options_.minMoveShare_ ||
         !Cut(pieces, busiest->first, wanted, aRates, piece)) {
       from.done_ = true;
       continue;
--- a/keyspace/KeyBalancer.hpp
+++ b/keyspace/KeyBalancer.hpp
@@ -10,17 +10,17 @@
 namespace cactuspitch {
 
 /// When and how much the balancer moves.
-struct BalanceOptions
+struct KeyBalanceOptions
 {
   /// Acts above this ratio of a server's utilization to the mean.
-  double startRatio_ = 1.15;
+  double imbalanceThreshold_ = 1.15;
   /// And only if the excess is this many standard deviations of the count of
   /// requests that the utilization was measured from.
   double significance_ = 1.0;
   /// Utilization below which a server is never relieved: it has free slots.
   double idleUtilization_ = 0.3;
   /// Shares of load below this part of the mean are not worth a move.
-  double smallestPart_ = 0.08;
+  double minMoveShare_ = 0.08;
   /// A key that takes this part of its owner's capacity is better off with a
   /// faster owner,
   double dominantShare_ = 0.6;
@@ -38,12 +38,12 @@
 class KeyBalancer
 {
 public:
-  explicit KeyBalancer(BalanceOptions aOptions = {});
+  explicit KeyBalancer(KeyBalanceOptions aOptions = {});
 
-  /// aWorkSeconds: mean time of one request on a server of mean speed.
+  /// aServiceSeconds: mean time of one request on a server of mean speed.
   std::vector<KeyOwnership::Move> Plan(const KeyOwnership& aOwnership,
                                        const KeyRates& aRates,
-                                       double aWorkSeconds,
+                                       double aServiceSeconds,
                                        TimeMs aNowMs) const;
 
 private:
@@ -81,7 +81,7 @@
                   const KeyRates& aRates,
                   Piece& aResult);
 
-  BalanceOptions options_;
+  KeyBalanceOptions options_;
 };
 
 }
--- a/keyspace/KeyView.cpp
+++ b/keyspace/KeyOwnerMap.cpp
@@ -1,4 +1,4 @@
-#include "keyspace/KeyView.hpp"
+#include "keyspace/KeyOwnerMap.hpp"
 
 #include <algorithm>
 
@@ -6,7 +6,7 @@
 
 namespace detail {
 
-using Range = KeyView::Range;
+using Range = KeyOwnerMap::Range;
 
 bool SameOwner(const KeyOwner& aLeft, const KeyOwner& aRight)
 {
@@ -29,7 +29,7 @@
 
 }
 
-bool KeyView::Apply(const std::string& aService, const Range& aRange)
+bool KeyOwnerMap::Apply(const std::string& aService, const Range& aRange)
 {
   auto& ranges = services_[aService];
   if (ranges.empty()) {
@@ -44,8 +44,8 @@
   if (std::ranges::none_of(ranges, outdated)) {
     return false;
   }
-  detail::CutBefore(ranges, aRange.first_);
-  detail::CutBefore(ranges, aRange.last_ + 1);
+  detail::SplitBefore(ranges, aRange.first_);
+  detail::SplitBefore(ranges, aRange.last_ + 1);
   for (auto& range : ranges) {
     if (outdated(range)) {
       range.owner_ = aRange.owner_;
@@ -55,7 +55,8 @@
   return true;
 }
 
-const KeyOwner* KeyView::Find(const std::string& aService, uint32_t aKey) const
+const KeyOwner* KeyOwnerMap::Find(const std::string& aService,
+                                  uint32_t aKey) const
 {
   const auto& ranges = Ranges(aService);
   const auto after = std::ranges::upper_bound(
@@ -67,7 +68,7 @@
   return owner.id_.empty() ? nullptr : &owner;
 }
 
-const std::vector<KeyView::Range>& KeyView::Ranges(
+const std::vector<KeyOwnerMap::Range>& KeyOwnerMap::Ranges(
   const std::string& aService) const
 {
   static const std::vector<Range> kNone;
--- a/keyspace/KeyView.hpp
+++ b/keyspace/KeyOwnerMap.hpp
@@ -19,7 +19,7 @@
 /// Owners of all keys, merged from the store's table and from what gateways
 /// tell each other. The highest fence wins for each key, so messages may be
 /// lost, repeated or come out of order.
-class KeyView
+class KeyOwnerMap
 {
 public:
   struct Range
--- a/keyspace/KeyOwnership.cpp
+++ b/keyspace/KeyOwnership.cpp
@@ -19,48 +19,49 @@
 constexpr TimeMs kLargeFleetHoldMs = 4000;
 constexpr TimeMs kLargeFleetRenewMs = 1300;
 
-bool Overlaps(const KeySegment& aSegment, const KeyOrder& aOrder)
+bool Overlaps(const KeySegment& aSegment, const KeyCommand& aOrder)
 {
   return aSegment.first_ <= aOrder.last_ && aOrder.first_ <= aSegment.last_;
 }
 
 }
 
-TimeMs HoldEndMs(TimeMs aArrivalMs, TimeMs aHoldMs)
+TimeMs LeaseEndMs(TimeMs aArrivalMs, TimeMs aHoldMs)
 {
   return aArrivalMs + aHoldMs + aHoldMs * detail::kClockDriftPercent / 100 +
          detail::kRoundingMs;
 }
 
-bool KeyOwnership::HoldWindow::IsOver(TimeMs aNowMs) const
+bool KeyOwnership::LeaseState::HasEnded(TimeMs aNowMs) const
 {
   return inFlight_ == 0 && unansweredEndMs_ <= aNowMs &&
          (released_ || answeredEndMs_ <= aNowMs) &&
-         (fenced_ || foreignEndMs_ <= aNowMs);
+         (fenced_ || earlierLeaderEndMs_ <= aNowMs);
 }
 
-bool KeyOwnership::HoldWindow::IsUntouched() const
+bool KeyOwnership::LeaseState::WasNeverGranted() const
 {
   return inFlight_ == 0 && unansweredEndMs_ == 0 && answeredEndMs_ == 0 &&
-         foreignEndMs_ == 0;
+         earlierLeaderEndMs_ == 0;
 }
 
-GrantTiming GrantTiming::For(size_t aServers, TimeMs aMaxHoldMs)
+LeaseTiming LeaseTiming::For(size_t aServers, TimeMs aMaxHoldMs)
 {
-  GrantTiming timing;
-  if (aServers > kLargeFleet) {
-    timing.holdMs_ = detail::kLargeFleetHoldMs;
-    timing.renewMs_ = detail::kLargeFleetRenewMs;
+  LeaseTiming timing;
+  if (aServers > kLargeFleetServers) {
+    timing.leaseMs_ = detail::kLargeFleetHoldMs;
+    timing.renewIntervalMs_ = detail::kLargeFleetRenewMs;
   }
-  if (aMaxHoldMs < timing.holdMs_) {
-    timing.renewMs_ = timing.renewMs_ * aMaxHoldMs / timing.holdMs_;
-    timing.holdMs_ = aMaxHoldMs;
+  if (aMaxHoldMs < timing.leaseMs_) {
+    timing.renewIntervalMs_ =
+      timing.renewIntervalMs_ * aMaxHoldMs / timing.leaseMs_;
+    timing.leaseMs_ = aMaxHoldMs;
   }
-  timing.foreignHoldMs_ = timing.holdMs_;
+  timing.maxEarlierLeaseMs_ = timing.leaseMs_;
   return timing;
 }
 
-KeyOwnership::KeyOwnership(std::string aService, GrantTiming aTiming)
+KeyOwnership::KeyOwnership(std::string aService, LeaseTiming aTiming)
   : service_(std::move(aService))
   , timing_(aTiming)
 {
@@ -70,14 +71,15 @@
                          const std::function<int64_t()>& aNextFence,
                          TimeMs aNowMs)
 {
-  const TimeMs foreignEndMs =
-    HoldEndMs(aNowMs + timing_.foreignRightMs_, timing_.foreignHoldMs_);
+  const TimeMs foreignEndMs = LeaseEndMs(aNowMs + timing_.earlierLeaderRenewMs_,
+                                         timing_.maxEarlierLeaseMs_);
   segments_.clear();
   for (auto& segment : aSegments) {
-    const bool joins = !segments_.empty() && segment.previous_.empty() &&
-                       segments_.back().previous_.empty() &&
-                       segments_.back().owner_ == segment.owner_ &&
-                       segments_.back().ownerBornMs_ == segment.ownerBornMs_;
+    const bool joins =
+      !segments_.empty() && segment.previous_.empty() &&
+      segments_.back().previous_.empty() &&
+      segments_.back().owner_ == segment.owner_ &&
+      segments_.back().ownerStartTimeMs_ == segment.ownerStartTimeMs_;
     if (joins) {
       segments_.back().last_ = segment.last_;
       continue;
@@ -85,24 +87,24 @@
     segment.fence_ = aNextFence();
     segments_.push_back(std::move(segment));
   }
-  runtime_.assign(segments_.size(), {});
+  segmentStates_.assign(segments_.size(), {});
   for (size_t index = 0; index < segments_.size(); ++index) {
-    runtime_[index].owner_.foreignEndMs_ = foreignEndMs;
+    segmentStates_[index].owner_.earlierLeaderEndMs_ = foreignEndMs;
     for (const auto& id : segments_[index].previous_) {
-      runtime_[index].previous_[id].foreignEndMs_ = foreignEndMs;
+      segmentStates_[index].previous_[id].earlierLeaderEndMs_ = foreignEndMs;
     }
   }
   ++revision_;
 }
 
-void KeyOwnership::OnForeignLeadersEnded(TimeMs aNowMs)
+void KeyOwnership::OnEarlierLeadersEnded(TimeMs aNowMs)
 {
   // Their last grants may still be in force, or be carried out late.
-  const TimeMs endMs = HoldEndMs(aNowMs, timing_.foreignHoldMs_);
-  const auto shorten = [&](HoldWindow& aWindow) {
-    aWindow.foreignEndMs_ = std::min(aWindow.foreignEndMs_, endMs);
+  const TimeMs endMs = LeaseEndMs(aNowMs, timing_.maxEarlierLeaseMs_);
+  const auto shorten = [&](LeaseState& aWindow) {
+    aWindow.earlierLeaderEndMs_ = std::min(aWindow.earlierLeaderEndMs_, endMs);
   };
-  for (auto& runtime : runtime_) {
+  for (auto& runtime : segmentStates_) {
     shorten(runtime.owner_);
     for (auto& [id, window] : runtime.previous_) {
       shorten(window);
@@ -145,26 +147,27 @@
   const auto found = contacts_.find(aBackend);
   return found != contacts_.end() &&
          found->second.failures_ >= detail::kLostFailures &&
-         aNowMs - found->second.firstFailureMs_ >= timing_.lostMs_;
+         aNowMs - found->second.firstFailureMs_ >= timing_.lostAfterMs_;
 }
 
 bool KeyOwnership::IsStable(size_t aIndex) const
 {
-  return segments_[aIndex].previous_.empty() && runtime_[aIndex].granted_;
+  return segments_[aIndex].previous_.empty() && segmentStates_[aIndex].granted_;
 }
 
 bool KeyOwnership::CanGrant(size_t aIndex, TimeMs aNowMs) const
 {
   return std::ranges::all_of(
-    runtime_[aIndex].previous_,
-    [&](const auto& aEntry) { return aEntry.second.IsOver(aNowMs); });
+    segmentStates_[aIndex].previous_,
+    [&](const auto& aEntry) { return aEntry.second.HasEnded(aNowMs); });
 }
 
-bool KeyOwnership::MustLeave(const KeySegment& aSegment, TimeMs aNowMs) const
+bool KeyOwnership::NeedsNewOwner(const KeySegment& aSegment,
+                                 TimeMs aNowMs) const
 {
   const auto found = candidates_.find(aSegment.owner_);
   return found == candidates_.end() || !found->second.usable_ ||
-         found->second.bornMs_ != aSegment.ownerBornMs_ ||
+         found->second.startTimeMs_ != aSegment.ownerStartTimeMs_ ||
          IsLost(aSegment.owner_, aNowMs);
 }
 
@@ -176,9 +179,9 @@
   return best == aLoad.end() ? std::string() : best->first;
 }
 
-KeySegment KeyOwnership::Moved(const KeySegment& aSegment,
-                               const std::string& aTarget,
-                               int64_t aFence) const
+KeySegment KeyOwnership::WithOwner(const KeySegment& aSegment,
+                                   const std::string& aTarget,
+                                   int64_t aFence) const
 {
   auto result = aSegment;
   const bool sameServer = aSegment.owner_ == aTarget;
@@ -189,14 +192,14 @@
   }
   std::erase(result.previous_, aTarget);
   result.owner_ = aTarget;
-  result.ownerBornMs_ = candidates_.at(aTarget).bornMs_;
+  result.ownerStartTimeMs_ = candidates_.at(aTarget).startTimeMs_;
   result.fence_ = aFence;
   return result;
 }
 
-void KeyOwnership::EvacuateLeaving(KeySegments& aSegments,
-                                   const std::function<int64_t()>& aNextFence,
-                                   TimeMs aNowMs) const
+void KeyOwnership::ReassignSegments(KeySegments& aSegments,
+                                    const std::function<int64_t()>& aNextFence,
+                                    TimeMs aNowMs) const
 {
   // Share of the keys that each usable server has, by its capacity: the
   // balance by load follows later.
@@ -218,15 +221,16 @@
   };
   std::ranges::for_each(aSegments, weigh);
   for (auto& segment : aSegments) {
-    if (!MustLeave(segment, aNowMs)) {
+    if (!NeedsNewOwner(segment, aNowMs)) {
       continue;
     }
     const auto own = candidates_.find(segment.owner_);
-    const bool restarted = own != candidates_.end() && own->second.usable_ &&
-                           own->second.bornMs_ != segment.ownerBornMs_ &&
-                           !IsLost(segment.owner_, aNowMs);
+    const bool restarted =
+      own != candidates_.end() && own->second.usable_ &&
+      own->second.startTimeMs_ != segment.ownerStartTimeMs_ &&
+      !IsLost(segment.owner_, aNowMs);
     const auto target = restarted ? segment.owner_ : PickTarget(share);
-    segment = Moved(segment, target, aNextFence());
+    segment = WithOwner(segment, target, aNextFence());
     weigh(segment);
   }
 }
@@ -260,7 +264,7 @@
                  static_cast<uint32_t>(std::lround(kKeyCount * (sum / total))));
       if (end > next) {
         proposed.push_back(
-          { next, end - 1, id, candidate.bornMs_, aNextFence(), {} });
+          { next, end - 1, id, candidate.startTimeMs_, aNextFence(), {} });
         next = end;
       }
     }
@@ -269,23 +273,23 @@
   }
   // A previous holder whose hold is over leaves the durable table.
   for (size_t index = 0; index < proposed.size(); ++index) {
-    if (runtime_[index].granted_) {
+    if (segmentStates_[index].granted_) {
       proposed[index].previous_.clear();
     }
   }
   const auto cleared = proposed;
-  EvacuateLeaving(proposed, aNextFence, aNowMs);
+  ReassignSegments(proposed, aNextFence, aNowMs);
   if (proposed == cleared && aBalance) {
     for (const auto& move : aBalance(*this)) {
       if (!candidates_.contains(move.target_)) {
         continue;
       }
-      detail::CutBefore(proposed, move.first_);
-      detail::CutBefore(proposed, move.last_ + 1);
+      detail::SplitBefore(proposed, move.first_);
+      detail::SplitBefore(proposed, move.last_ + 1);
       for (auto& segment : proposed) {
         if (segment.first_ >= move.first_ && segment.last_ <= move.last_ &&
             segment.owner_ != move.target_) {
-          segment = Moved(segment, move.target_, aNextFence());
+          segment = WithOwner(segment, move.target_, aNextFence());
         }
       }
     }
@@ -298,7 +302,7 @@
 
 void KeyOwnership::Commit(const KeySegments& aSegments, TimeMs aNowMs)
 {
-  std::vector<Runtime> runtime(aSegments.size());
+  std::vector<SegmentState> runtime(aSegments.size());
   for (size_t index = 0; index < aSegments.size(); ++index) {
     const auto& segment = aSegments[index];
     const auto before = std::ranges::find_if(segments_, [&](const auto& aPart) {
@@ -307,7 +311,7 @@
     if (before == segments_.end()) {
       continue;
     }
-    const auto& old = runtime_[before - segments_.begin()];
+    const auto& old = segmentStates_[before - segments_.begin()];
     if (before->owner_ == segment.owner_ && before->fence_ == segment.fence_) {
       runtime[index] = old;
       std::erase_if(runtime[index].previous_, [&](const auto& aEntry) {
@@ -336,34 +340,34 @@
     fresh.owner_.fenced_ = false;
   }
   segments_ = aSegments;
-  runtime_ = std::move(runtime);
+  segmentStates_ = std::move(runtime);
   ++revision_;
   // A holder that never got a grant needs no release.
-  for (auto& entry : runtime_) {
+  for (auto& entry : segmentStates_) {
     std::erase_if(entry.previous_, [&](const auto& aEntry) {
-      return aEntry.second.IsUntouched() || aEntry.second.IsOver(aNowMs);
+      return aEntry.second.WasNeverGranted() || aEntry.second.HasEnded(aNowMs);
     });
   }
 }
 
 void KeyOwnership::AddReleases(size_t aIndex,
-                               std::vector<KeyOrder>& aOrders,
+                               std::vector<KeyCommand>& aOrders,
                                TimeMs aNowMs)
 {
-  auto& runtime = runtime_[aIndex];
+  auto& runtime = segmentStates_[aIndex];
   if (runtime.releaseInFlight_ ||
       (runtime.lastReleaseMs_ != 0 &&
-       aNowMs - runtime.lastReleaseMs_ < timing_.retryMs_)) {
+       aNowMs - runtime.lastReleaseMs_ < timing_.retryIntervalMs_)) {
     return;
   }
   const auto& segment = segments_[aIndex];
   for (auto& [id, window] : runtime.previous_) {
-    if (window.released_ || window.IsOver(aNowMs)) {
+    if (window.released_ || window.HasEnded(aNowMs)) {
       continue;
     }
     runtime.lastReleaseMs_ = aNowMs;
     runtime.releaseInFlight_ = true;
-    aOrders.push_back({ OrderKind::Release,
+    aOrders.push_back({ KeyCommandKind::Release,
                         service_,
                         id,
                         segment.first_,
@@ -376,11 +380,12 @@
   }
 }
 
-std::vector<KeyOrder> KeyOwnership::TakeOrders(TimeMs aNowMs, GrantScope aScope)
+std::vector<KeyCommand> KeyOwnership::TakeCommands(TimeMs aNowMs,
+                                                   GrantScope aScope)
 {
-  std::vector<KeyOrder> orders;
+  std::vector<KeyCommand> orders;
   for (size_t index = 0; index < segments_.size(); ++index) {
-    auto& runtime = runtime_[index];
+    auto& runtime = segmentStates_[index];
     const auto& segment = segments_[index];
     if (!CanGrant(index, aNowMs)) {
       AddReleases(index, orders, aNowMs);
@@ -393,7 +398,8 @@
     }
     const bool hurry = (!runtime.granted_ || runtime.lastGrantFailed_) &&
                        !IsLost(segment.owner_, aNowMs);
-    const TimeMs intervalMs = hurry ? timing_.retryMs_ : timing_.renewMs_;
+    const TimeMs intervalMs =
+      hurry ? timing_.retryIntervalMs_ : timing_.renewIntervalMs_;
     if (segment.owner_.empty() || runtime.owner_.inFlight_ > 0 ||
         (runtime.lastGrantMs_ != 0 &&
          aNowMs - runtime.lastGrantMs_ < intervalMs)) {
@@ -401,25 +407,26 @@
     }
     runtime.lastGrantMs_ = aNowMs;
     runtime.owner_.inFlight_ += 1;
-    orders.push_back({ OrderKind::Grant,
+    orders.push_back({ KeyCommandKind::Grant,
                        service_,
                        segment.owner_,
                        segment.first_,
                        segment.last_,
                        segment.fence_,
-                       timing_.holdMs_,
+                       timing_.leaseMs_,
                        runtime.handover_,
                        aNowMs });
   }
   return orders;
 }
 
-void KeyOwnership::OnOrderDone(const KeyOrder& aOrder,
-                               OrderResult aResult,
-                               const std::string& aHandover,
-                               TimeMs aNowMs)
+void KeyOwnership::OnCommandDone(const KeyCommand& aOrder,
+                                 KeyCommandResult aResult,
+                                 const std::string& aHandover,
+                                 TimeMs aNowMs)
 {
-  if (aResult == OrderResult::Accepted || aResult == OrderResult::OlderFence) {
+  if (aResult == KeyCommandResult::Accepted ||
+      aResult == KeyCommandResult::OlderFence) {
     contacts_.erase(aOrder.backend_);
   } else {
     auto& contact = contacts_[aOrder.backend_];
@@ -432,24 +439,24 @@
     if (!detail::Overlaps(segment, aOrder)) {
       continue;
     }
-    auto& runtime = runtime_[index];
+    auto& runtime = segmentStates_[index];
     const bool isOwner = segment.owner_ == aOrder.backend_;
     const auto previous = runtime.previous_.find(aOrder.backend_);
-    if (aResult == OrderResult::Misdirected) {
+    if (aResult == KeyCommandResult::Misdirected) {
       // Another server has the address, so this one has ended.
       if (previous != runtime.previous_.end()) {
-        previous->second = HoldWindow{};
+        previous->second = LeaseState{};
       } else if (isOwner) {
-        runtime.owner_ = HoldWindow{};
+        runtime.owner_ = LeaseState{};
       }
       runtime.releaseInFlight_ = false;
       runtime.lastGrantFailed_ = true;
       ++revision_;
       continue;
     }
-    if (aOrder.kind_ == OrderKind::Release) {
+    if (aOrder.kind_ == KeyCommandKind::Release) {
       runtime.releaseInFlight_ = false;
-      if (aResult == OrderResult::Accepted &&
+      if (aResult == KeyCommandResult::Accepted &&
           previous != runtime.previous_.end()) {
         previous->second.released_ = true;
         if (!aHandover.empty()) {
@@ -459,7 +466,7 @@
       }
       continue;
     }
-    HoldWindow* window = nullptr;
+    LeaseState* window = nullptr;
     if (isOwner) {
       window = &runtime.owner_;
     } else if (previous != runtime.previous_.end()) {
@@ -470,11 +477,11 @@
     }
     window->inFlight_ = std::max(0, window->inFlight_ - 1);
     if (isOwner) {
-      runtime.lastGrantFailed_ = aResult != OrderResult::Accepted;
+      runtime.lastGrantFailed_ = aResult != KeyCommandResult::Accepted;
     }
-    if (aResult == OrderResult::Accepted) {
+    if (aResult == KeyCommandResult::Accepted) {
       window->answeredEndMs_ =
-        std::max(window->answeredEndMs_, HoldEndMs(aNowMs, aOrder.holdMs_));
+        std::max(window->answeredEndMs_, LeaseEndMs(aNowMs, aOrder.leaseMs_));
       window->released_ = false;
       if (isOwner && aOrder.fence_ == segment.fence_) {
         window->fenced_ = true;
@@ -484,11 +491,11 @@
           ++revision_;
         }
       }
-    } else if (aResult == OrderResult::Unanswered) {
+    } else if (aResult == KeyCommandResult::Unanswered) {
       const TimeMs arrivalMs =
         std::min(aNowMs, aOrder.sentMs_ + detail::kMaxTransitMs);
-      window->unansweredEndMs_ = std::max(window->unansweredEndMs_,
-                                          HoldEndMs(arrivalMs, aOrder.holdMs_));
+      window->unansweredEndMs_ = std::max(
+        window->unansweredEndMs_, LeaseEndMs(arrivalMs, aOrder.leaseMs_));
     }
   }
 }
--- a/keyspace/KeyOwnership.hpp
+++ b/keyspace/KeyOwnership.hpp
@@ -12,28 +12,29 @@
 namespace cactuspitch {
 
 /// Timing of grants. A holder's clock may run slow by kClockDrift.
-struct GrantTiming
+struct LeaseTiming
 {
   /// Backend servers above which a fleet counts as large.
-  static constexpr size_t kLargeFleet = 120;
-
-  /// A crashed owner's keys are served again after at most renewMs_ + holdMs_;
-  /// the loss of a leader (about 1 s) must fit into holdMs_ - renewMs_.
-  TimeMs holdMs_ = 2500;
-  TimeMs renewMs_ = 700;
-  TimeMs retryMs_ = 150;
+  static constexpr size_t kLargeFleetServers = 120;
+
+  /// A crashed owner's keys are served again after at most renewIntervalMs_ +
+  /// leaseMs_; the loss of a leader (about 1 s) must fit into leaseMs_ -
+  /// renewIntervalMs_.
+  TimeMs leaseMs_ = 2500;
+  TimeMs renewIntervalMs_ = 700;
+  TimeMs retryIntervalMs_ = 150;
   /// No answer for this long, over two calls or more: the server is lost.
-  TimeMs lostMs_ = 1200;
+  TimeMs lostAfterMs_ = 1200;
   /// How long an earlier leader may go on sending renewals after it was
   /// replaced (LeaderLease), with the time limit of its last call.
-  TimeMs foreignRightMs_ = 8600;
+  TimeMs earlierLeaderRenewMs_ = 8600;
   /// Longest grant of any earlier leader; it may have had other settings, or
   /// more backend servers.
-  TimeMs foreignHoldMs_ = 2500;
+  TimeMs maxEarlierLeaseMs_ = 2500;
 
   /// For this many backend servers, none of which accepts a longer grant than
   /// aMaxHoldMs.
-  static GrantTiming For(size_t aServers, TimeMs aMaxHoldMs);
+  static LeaseTiming For(size_t aServers, TimeMs aMaxHoldMs);
 };
 
 /// When the keys of a new service are dealt out for the first time: backend
@@ -51,7 +52,7 @@
 
 /// Latest moment at which a grant sent at any time up to aArrivalMs can still
 /// be in force. Holders' clocks may run 2% slow; 50 ms cover rounding.
-TimeMs HoldEndMs(TimeMs aArrivalMs, TimeMs aHoldMs);
+TimeMs LeaseEndMs(TimeMs aArrivalMs, TimeMs aHoldMs);
 
 /// Which grants a leader may send.
 enum class GrantScope : uint8_t
@@ -71,7 +72,7 @@
   static constexpr std::string_view kNames[] = { "all", "renewals" };
 };
 
-enum class OrderKind : uint8_t
+enum class KeyCommandKind : uint8_t
 {
   Grant,
   Release,
@@ -79,26 +80,26 @@
 };
 
 template<>
-struct EnumNames<OrderKind>
+struct EnumNames<KeyCommandKind>
 {
   static constexpr std::string_view kNames[] = { "grant", "release" };
 };
 
 /// Order to a backend server about its keys.
-struct KeyOrder
+struct KeyCommand
 {
-  OrderKind kind_ = OrderKind::Grant;
+  KeyCommandKind kind_ = KeyCommandKind::Grant;
   std::string service_;
   std::string backend_;
   uint32_t first_ = 0;
   uint32_t last_ = 0;
   int64_t fence_ = 0;
-  TimeMs holdMs_ = 0;
+  TimeMs leaseMs_ = 0;
   std::string handover_; ///< token of the last holder, may be empty
   TimeMs sentMs_ = 0;
 };
 
-enum class OrderResult : uint8_t
+enum class KeyCommandResult : uint8_t
 {
   Accepted,
   OlderFence,  ///< the server has seen a higher fence
@@ -109,7 +110,7 @@
 };
 
 template<>
-struct EnumNames<OrderResult>
+struct EnumNames<KeyCommandResult>
 {
   static constexpr std::string_view kNames[] = { "accepted",
                                                  "older-fence",
@@ -121,7 +122,7 @@
 /// What the leader knows of a backend server that may own keys.
 struct OwnerCandidate
 {
-  int64_t bornMs_ = 0;
+  int64_t startTimeMs_ = 0;
   bool usable_ = false; ///< registered and not draining
   double capacity_ = 1; ///< requests that it runs at once, weighted by speed
 };
@@ -133,7 +134,7 @@
 class KeyOwnership
 {
 public:
-  KeyOwnership(std::string aService, GrantTiming aTiming);
+  KeyOwnership(std::string aService, LeaseTiming aTiming);
 
   /// Starts from a table of an earlier leader. aNowMs is when this leader's
   /// term began; every fence is replaced by one of the new term.
@@ -141,7 +142,7 @@
              const std::function<int64_t()>& aNextFence,
              TimeMs aNowMs);
   /// The earlier leaders' processes are known to have ended or stopped.
-  void OnForeignLeadersEnded(TimeMs aNowMs);
+  void OnEarlierLeadersEnded(TimeMs aNowMs);
 
   void SetCandidates(std::map<std::string, OwnerCandidate> aCandidates,
                      TimeMs aNowMs);
@@ -172,16 +173,16 @@
   void Commit(const KeySegments& aSegments, TimeMs aNowMs);
 
   /// Orders that are due. The caller sends all of them at once.
-  std::vector<KeyOrder> TakeOrders(TimeMs aNowMs,
-                                   GrantScope aScope = GrantScope::All);
-  void OnOrderDone(const KeyOrder& aOrder,
-                   OrderResult aResult,
-                   const std::string& aHandover,
-                   TimeMs aNowMs);
+  std::vector<KeyCommand> TakeCommands(TimeMs aNowMs,
+                                       GrantScope aScope = GrantScope::All);
+  void OnCommandDone(const KeyCommand& aOrder,
+                     KeyCommandResult aResult,
+                     const std::string& aHandover,
+                     TimeMs aNowMs);
 
   const KeySegments& Segments() const { return segments_; }
   /// True when the owner has answered a grant and nobody else can hold it.
-  bool IsActive(size_t aIndex) const { return runtime_[aIndex].granted_; }
+  bool IsActive(size_t aIndex) const { return segmentStates_[aIndex].granted_; }
   bool IsLost(const std::string& aBackend, TimeMs aNowMs) const;
   /// A stable segment has no previous holder and a granted owner.
   bool IsStable(size_t aIndex) const;
@@ -190,22 +191,22 @@
 
 private:
   /// How long one backend server may hold the keys of a segment.
-  struct HoldWindow
+  struct LeaseState
   {
     TimeMs answeredEndMs_ = 0;
     TimeMs unansweredEndMs_ = 0;
-    TimeMs foreignEndMs_ = 0; ///< through renewals of earlier leaders
-    bool fenced_ = false;     ///< took a fence of this term: refuses older ones
+    TimeMs earlierLeaderEndMs_ = 0; ///< through renewals of earlier leaders
+    bool fenced_ = false; ///< took a fence of this term: refuses older ones
     bool released_ = false;
     int inFlight_ = 0; ///< grants without an answer yet
 
-    bool IsOver(TimeMs aNowMs) const;
-    bool IsUntouched() const;
+    bool HasEnded(TimeMs aNowMs) const;
+    bool WasNeverGranted() const;
   };
-  struct Runtime
+  struct SegmentState
   {
-    HoldWindow owner_;
-    std::map<std::string, HoldWindow> previous_;
+    LeaseState owner_;
+    std::map<std::string, LeaseState> previous_;
     TimeMs lastGrantMs_ = 0;
     TimeMs lastReleaseMs_ = 0;
     bool releaseInFlight_ = false;
@@ -220,22 +221,22 @@
   };
 
   bool CanGrant(size_t aIndex, TimeMs aNowMs) const;
-  bool MustLeave(const KeySegment& aSegment, TimeMs aNowMs) const;
+  bool NeedsNewOwner(const KeySegment& aSegment, TimeMs aNowMs) const;
   std::string PickTarget(const std::map<std::string, double>& aLoad) const;
-  void EvacuateLeaving(KeySegments& aSegments,
-                       const std::function<int64_t()>& aNextFence,
-                       TimeMs aNowMs) const;
-  KeySegment Moved(const KeySegment& aSegment,
-                   const std::string& aTarget,
-                   int64_t aFence) const;
+  void ReassignSegments(KeySegments& aSegments,
+                        const std::function<int64_t()>& aNextFence,
+                        TimeMs aNowMs) const;
+  KeySegment WithOwner(const KeySegment& aSegment,
+                       const std::string& aTarget,
+                       int64_t aFence) const;
   void AddReleases(size_t aIndex,
-                   std::vector<KeyOrder>& aOrders,
+                   std::vector<KeyCommand>& aOrders,
                    TimeMs aNowMs);
 
   std::string service_;
-  GrantTiming timing_;
+  LeaseTiming timing_;
   KeySegments segments_;
-  std::vector<Runtime> runtime_;
+  std::vector<SegmentState> segmentStates_;
   std::map<std::string, OwnerCandidate> candidates_;
   std::map<std::string, Contact> contacts_;
   std::optional<TimeMs> firstServerMs_;
--- a/keyspace/KeySegment.cpp
+++ b/keyspace/KeySegment.cpp
@@ -30,7 +30,7 @@
   return Json::array({ aSegment.first_,
                        aSegment.last_,
                        aSegment.owner_,
-                       aSegment.ownerBornMs_,
+                       aSegment.ownerStartTimeMs_,
                        aSegment.fence_,
                        aSegment.previous_ });
 }
@@ -67,7 +67,7 @@
   }
   return detail::Json{ { "term", aTable.term_ },
                        { "writeId", aTable.writeId_ },
-                       { "holdMs", aTable.holdMs_ },
+                       { "holdMs", aTable.leaseMs_ },
                        { "services", std::move(services) } };
 }
 
@@ -78,7 +78,7 @@
     table.term_ = aJson.at("term").get<int64_t>();
     table.writeId_ = aJson.at("writeId").get<int64_t>();
     // Tables of versions that did not name it may hold the longest grants.
-    table.holdMs_ = aJson.value("holdMs", detail::kLongestHoldMs);
+    table.leaseMs_ = aJson.value("holdMs", detail::kLongestHoldMs);
     for (const auto& [name, list] : aJson.at("services").items()) {
       auto& segments = table.services_[name];
       std::ranges::transform(
--- a/keyspace/KeySegment.hpp
+++ b/keyspace/KeySegment.hpp
@@ -23,7 +23,7 @@
   uint32_t first_ = 0;
   uint32_t last_ = 0;
   std::string owner_;
-  int64_t ownerBornMs_ = 0;
+  int64_t ownerStartTimeMs_ = 0;
   int64_t fence_ = 0;
   /// Backend servers that may still hold these keys under an older fence. The
   /// owner gets no grant before all of them have released or lapsed.
@@ -39,7 +39,7 @@
 
 /// Makes aStart the first key of a part; parts have first_ and last_.
 template<typename Part>
-void CutBefore(std::vector<Part>& aParts, uint32_t aStart)
+void SplitBefore(std::vector<Part>& aParts, uint32_t aStart)
 {
   const auto found = std::ranges::find_if(aParts, [&](const Part& aPart) {
     return aPart.first_ < aStart && aStart <= aPart.last_;
@@ -63,7 +63,7 @@
 {
   int64_t term_ = 0;    ///< of the leader that wrote it
   int64_t writeId_ = 0; ///< tells the writes of one leader apart
-  TimeMs holdMs_ = 0;   ///< longest grant of this leader and all before it
+  TimeMs leaseMs_ = 0;  ///< longest grant of this leader and all before it
   std::map<std::string, KeySegments> services_;
 };
 
--- a/membership/BackendDirectory.cpp
+++ b/membership/BackendDirectory.cpp
@@ -22,14 +22,14 @@
                            " ",
                            EnumName(aEntry.state_),
                            " ",
-                           aEntry.bornMs_);
+                           aEntry.startTimeMs_);
   // The number of entries counts too.
   return XXH3_64bits(text.data(), text.size()) + 1;
 }
 
-int32_t LifeHash(const std::string& aId, int64_t aBornMs)
+int32_t IncarnationHash(const std::string& aId, int64_t aStartTimeMs)
 {
-  return static_cast<int32_t>(ShortHash(Concat(aId, "#", aBornMs)));
+  return static_cast<int32_t>(ShortHash(Concat(aId, "#", aStartTimeMs)));
 }
 
 /// Servers that have left are forgotten beyond this number.
@@ -80,29 +80,31 @@
 
 bool BackendDirectory::IsLeaving(const BackendEntry& aEntry) const
 {
-  const auto found = leavingBornMs_.find(aEntry.id_);
-  return found != leavingBornMs_.end() && found->second == aEntry.bornMs_;
+  const auto found = leavingStartTimeMs_.find(aEntry.id_);
+  return found != leavingStartTimeMs_.end() &&
+         found->second == aEntry.startTimeMs_;
 }
 
-bool BackendDirectory::MarkLeaving(const std::string& aId, int64_t aBornMs)
+bool BackendDirectory::MarkLeaving(const std::string& aId, int64_t aStartTimeMs)
 {
-  if (leavingBornMs_.size() >= detail::kMaxLeaving) {
-    std::erase_if(leavingBornMs_, [&](const auto& aLeaving) {
+  if (leavingStartTimeMs_.size() >= detail::kMaxLeaving) {
+    std::erase_if(leavingStartTimeMs_, [&](const auto& aLeaving) {
       return !entries_.contains(aLeaving.first);
     });
     leavingHashes_.clear();
-    for (const auto& [id, bornMs] : leavingBornMs_) {
-      leavingHashes_.insert(detail::LifeHash(id, bornMs));
+    for (const auto& [id, bornMs] : leavingStartTimeMs_) {
+      leavingHashes_.insert(detail::IncarnationHash(id, bornMs));
     }
   }
-  const auto [marked, isNew] = leavingBornMs_.try_emplace(aId, aBornMs);
-  if (!isNew && marked->second >= aBornMs) {
+  const auto [marked, isNew] =
+    leavingStartTimeMs_.try_emplace(aId, aStartTimeMs);
+  if (!isNew && marked->second >= aStartTimeMs) {
     return false;
   }
-  marked->second = aBornMs;
-  leavingHashes_.insert(detail::LifeHash(aId, aBornMs));
+  marked->second = aStartTimeMs;
+  leavingHashes_.insert(detail::IncarnationHash(aId, aStartTimeMs));
   const auto entry = entries_.find(aId);
-  if (entry != entries_.end() && entry->second.bornMs_ == aBornMs) {
+  if (entry != entries_.end() && entry->second.startTimeMs_ == aStartTimeMs) {
     entry->second.leaving_ = true;
     changes_.insert(aId);
   }
@@ -121,24 +123,24 @@
   std::vector<const BackendEntry*> leaving;
   for (const auto& [id, entry] : entries_) {
     if (!entry.leaving_ &&
-        lives.contains(detail::LifeHash(id, entry.bornMs_))) {
+        lives.contains(detail::IncarnationHash(id, entry.startTimeMs_))) {
       leaving.push_back(&entry);
     }
   }
   for (const auto* entry : leaving) {
-    MarkLeaving(entry->id_, entry->bornMs_);
+    MarkLeaving(entry->id_, entry->startTimeMs_);
   }
   return !leaving.empty();
 }
 
-std::vector<int32_t> BackendDirectory::LeavingLives(size_t aMost) const
+std::vector<int32_t> BackendDirectory::LeavingIncarnations(size_t aMost) const
 {
   std::vector<int32_t> lives;
-  for (const auto& [id, bornMs] : leavingBornMs_) {
+  for (const auto& [id, bornMs] : leavingStartTimeMs_) {
     const auto entry = entries_.find(id);
     if (lives.size() < aMost && entry != entries_.end() &&
         entry->second.leaving_ && entry->second.state_ == BackendState::Ready) {
-      lives.push_back(detail::LifeHash(id, bornMs));
+      lives.push_back(detail::IncarnationHash(id, bornMs));
     }
   }
   return lives;
@@ -173,9 +175,9 @@
   }
 }
 
-void BackendDirectory::OnStoreDisturbed(TimeMs aNowMs)
+void BackendDirectory::OnStoreCallFailed(TimeMs aNowMs)
 {
-  disturbedMs_ = aNowMs;
+  storeCallFailedMs_ = aNowMs;
   for (auto& [id, grace] : missing_) {
     grace.untilMs_ = std::min(aNowMs + kGraceMs, grace.latestMs_);
   }
@@ -219,12 +221,13 @@
   }
   const auto confirmed = confirmedMs_.find(aId);
   const bool disturbed =
-    disturbedMs_ != 0 && aNowMs - disturbedMs_ < kGraceMs &&
+    storeCallFailedMs_ != 0 && aNowMs - storeCallFailedMs_ < kGraceMs &&
     (confirmed == confirmedMs_.end() || aNowMs - confirmed->second > kGraceMs);
   // A server that said that it drains is not waited for.
   if (disturbed && entries_.at(aId).TakesNewWork()) {
     const TimeMs latestMs = aNowMs + LongestGraceMs();
-    missing_[aId] = { std::min(disturbedMs_ + kGraceMs, latestMs), latestMs };
+    missing_[aId] = { std::min(storeCallFailedMs_ + kGraceMs, latestMs),
+                      latestMs };
     return;
   }
   Drop(aId);
--- a/membership/BackendDirectory.hpp
+++ b/membership/BackendDirectory.hpp
@@ -37,14 +37,14 @@
   void ConfirmRemoved(const std::string& aId, TimeMs aNowMs);
   /// This life of the server said that it leaves: it takes no new work, even if
   /// an older registration is read again. False when that was known.
-  bool MarkLeaving(const std::string& aId, int64_t aBornMs);
+  bool MarkLeaving(const std::string& aId, int64_t aStartTimeMs);
   /// The same for the lives with these hashes, as far as they are registered.
   bool MarkLeaving(const std::vector<int32_t>& aLives);
   /// Hashes of the leaving lives whose registrations do not tell it yet, at
   /// most so many.
-  std::vector<int32_t> LeavingLives(size_t aMost) const;
+  std::vector<int32_t> LeavingIncarnations(size_t aMost) const;
   /// A call to the store failed.
-  void OnStoreDisturbed(TimeMs aNowMs);
+  void OnStoreCallFailed(TimeMs aNowMs);
   /// Drops entries whose grace time has ended; true when any did.
   bool Expire(TimeMs aNowMs);
 
@@ -83,10 +83,10 @@
   };
   std::map<std::string, GraceTime> missing_;
   std::map<std::string, TimeMs> confirmedMs_; ///< removals seen by others
-  TimeMs disturbedMs_ = 0;
+  TimeMs storeCallFailedMs_ = 0;
   std::set<std::string> changes_;
   /// Start of the last life of each server that said that it leaves.
-  std::map<std::string, int64_t> leavingBornMs_;
+  std::map<std::string, int64_t> leavingStartTimeMs_;
   std::set<int32_t> leavingHashes_; ///< of these lives
   /// Sum of the entries' hashes, which does not depend on their order.
   uint64_t digest_ = 0;
--- a/policy/AdaptiveAdmission.cpp
+++ b/policy/AdaptiveAdmission.cpp
@@ -61,22 +61,22 @@
 }
 
 void AdaptiveAdmission::Release(TimeMs aNowMs,
-                                AttemptEnd aEnd,
+                                AttemptResult aEnd,
                                 double aLatencyMs)
 {
   paced_.Release(aNowMs, Limit(aNowMs));
   switch (aEnd) {
-    case AttemptEnd::Answered:
+    case AttemptResult::Answered:
       OnAnswered(aNowMs, aLatencyMs);
       break;
-    case AttemptEnd::Shed:
+    case AttemptResult::Shed:
       OnShed(aNowMs);
       break;
-    case AttemptEnd::Failed:
+    case AttemptResult::Failed:
       Decrease(aNowMs, kFailureFactor, kMinLimit);
       break;
-    case AttemptEnd::Cancelled:
-    case AttemptEnd::Count:
+    case AttemptResult::Cancelled:
+    case AttemptResult::Count:
       break;
   }
 }
--- a/policy/AdmissionPolicy.hpp
+++ b/policy/AdmissionPolicy.hpp
@@ -10,7 +10,7 @@
 namespace cactuspitch {
 
 /// How an attempt at a backend server ended.
-enum class AttemptEnd : uint8_t
+enum class AttemptResult : uint8_t
 {
   Answered,
   Shed,      ///< refused as not run because the server is busy
@@ -20,7 +20,7 @@
 };
 
 template<>
-struct EnumNames<AttemptEnd>
+struct EnumNames<AttemptResult>
 {
   static constexpr std::string_view kNames[] = { "answered",
                                                  "shed",
@@ -50,7 +50,9 @@
   /// Earliest time at which TryAcquire can succeed without a Release.
   virtual TimeMs NextTryMs(TimeMs aNowMs) const = 0;
   /// Gives back the place of an attempt that ended.
-  virtual void Release(TimeMs aNowMs, AttemptEnd aEnd, double aLatencyMs) = 0;
+  virtual void Release(TimeMs aNowMs,
+                       AttemptResult aEnd,
+                       double aLatencyMs) = 0;
   /// Load that the backend server reports, 1 is full. Only a hint: it lowers
   /// the limit for at most 3 s and never raises it.
   virtual void OnLoadHint(TimeMs aNowMs, double aLoad) = 0;
--- a/policy/RelayTree.cpp
+++ b/policy/BroadcastPlan.cpp
@@ -1,4 +1,4 @@
-#include "policy/RelayTree.hpp"
+#include "policy/BroadcastPlan.hpp"
 
 #include <algorithm>
 #include <map>
@@ -6,10 +6,10 @@
 
 namespace cactuspitch {
 
-SpreadPlan PlanSpread(const std::string& aOwnDomain,
-                      const std::vector<RelayMember>& aMembers)
+BroadcastPlan PlanBroadcast(const std::string& aOwnDomain,
+                            const std::vector<BroadcastTarget>& aMembers)
 {
-  SpreadPlan plan;
+  BroadcastPlan plan;
   std::map<std::string, std::vector<size_t>> foreign;
   for (size_t index = 0; index < aMembers.size(); ++index) {
     const auto& domain = aMembers[index].domain_;
--- a/policy/RelayTree.hpp
+++ b/policy/BroadcastPlan.hpp
@@ -7,7 +7,7 @@
 namespace cactuspitch {
 
 /// A gateway as a target of datagrams.
-struct RelayMember
+struct BroadcastTarget
 {
   std::string name_;
   std::string domain_; ///< empty while it is not known
@@ -16,7 +16,7 @@
 };
 
 /// Where a datagram for all gateways goes.
-struct SpreadPlan
+struct BroadcastPlan
 {
   std::vector<size_t> direct_; ///< indices of members
   std::vector<size_t> relays_; ///< pass it on within their failure domain
@@ -30,7 +30,7 @@
 /// A datagram for all members goes to each one of the own failure domain, and
 /// to the largest living ones of each other domain, which pass it on: what
 /// crosses between domains does not grow with the size of a domain. Pure.
-SpreadPlan PlanSpread(const std::string& aOwnDomain,
-                      const std::vector<RelayMember>& aMembers);
+BroadcastPlan PlanBroadcast(const std::string& aOwnDomain,
+                            const std::vector<BroadcastTarget>& aMembers);
 
 }
--- a/policy/CrashQuarantine.cpp
+++ b/policy/CrashQuarantine.cpp
@@ -38,14 +38,14 @@
 
 }
 
-int64_t PackMark(const CrashMark& aMark)
+int64_t PackCrashRecord(const CrashRecord& aMark)
 {
-  return (static_cast<int64_t>(aMark.life_) << detail::kFlagBits) +
+  return (static_cast<int64_t>(aMark.incarnation_) << detail::kFlagBits) +
          (aMark.conclusive_ ? detail::kConclusiveBit : 0) +
          (aMark.cleared_ ? detail::kClearedBit : 0);
 }
 
-CrashMark UnpackMark(int64_t aPacked)
+CrashRecord UnpackCrashRecord(int64_t aPacked)
 {
   return { static_cast<uint32_t>(aPacked >> detail::kFlagBits),
            (aPacked & detail::kConclusiveBit) != 0,
@@ -55,12 +55,12 @@
 int CrashQuarantine::State::Crashes() const
 {
   return static_cast<int>(std::ranges::count_if(
-    marks_, [](const CrashMark& aMark) { return !aMark.cleared_; }));
+    crashRecords_, [](const CrashRecord& aMark) { return !aMark.cleared_; }));
 }
 
 bool CrashQuarantine::State::IsQuarantined() const
 {
-  return std::ranges::any_of(marks_, [](const CrashMark& aMark) {
+  return std::ranges::any_of(crashRecords_, [](const CrashRecord& aMark) {
     return aMark.conclusive_ && !aMark.cleared_;
   });
 }
@@ -83,12 +83,14 @@
 void CrashQuarantine::OnCrash(std::string_view aServer,
                               const std::vector<InFlightRequest>& aInFlight,
                               TimeMs aNowMs,
-                              uint64_t aLife)
+                              uint64_t aIncarnation)
 {
   Expire(aNowMs);
-  const auto life = XXH32(
-    aServer.data(), aServer.size(), static_cast<uint32_t>(aLife ^ aLife >> 32));
-  NoteEnded(life, aNowMs);
+  const auto life =
+    XXH32(aServer.data(),
+          aServer.size(),
+          static_cast<uint32_t>(aIncarnation ^ aIncarnation >> 32));
+  RecordEnded(life, aNowMs);
   std::vector<InFlightRequest> blamed;
   std::ranges::copy_if(aInFlight,
                        std::back_inserter(blamed),
@@ -122,12 +124,12 @@
   }
   State& state = found->second;
   if (state.IsQuarantined()) {
-    if (options_.renewedByArrivals_) {
+    if (options_.extendedByRequests_) {
       SetExpiry(state, aNowMs + options_.expiryMs_);
     }
     return { SuspectVerdict::Refuse, 0, state.reason_, crashes };
   }
-  if (crashes >= detail::kCrashesInMassCrash && !IsTester(aFingerprint)) {
+  if (crashes >= detail::kCrashesInMassCrash && !IsTrialRouter(aFingerprint)) {
     return { SuspectVerdict::Refuse, detail::kTrialMs, state.reason_, crashes };
   }
   if (state.unresolvedUntilMs_ > aNowMs) {
@@ -150,7 +152,7 @@
 
 void CrashQuarantine::OnEnd(uint64_t aFingerprint,
                             std::string_view aServer,
-                            bool aEndedWell,
+                            bool aSucceeded,
                             TimeMs aNowMs)
 {
   Expire(aNowMs);
@@ -159,15 +161,15 @@
     running_.erase(running);
   }
   const auto found = suspects_.find(aFingerprint);
-  if (aEndedWell && found != suspects_.end()) {
+  if (aSucceeded && found != suspects_.end()) {
     Clear(found->second, "ended well");
   }
 }
 
-void CrashQuarantine::OnBroken(uint64_t aFingerprint,
-                               std::string_view aServer,
-                               TimeMs aUntilMs,
-                               TimeMs aNowMs)
+void CrashQuarantine::OnUnanswered(uint64_t aFingerprint,
+                                   std::string_view aServer,
+                                   TimeMs aUntilMs,
+                                   TimeMs aNowMs)
 {
   OnEnd(aFingerprint, aServer, false, aNowMs);
   const auto found = suspects_.find(aFingerprint);
@@ -190,12 +192,12 @@
   if (aState.Crashes() == 0) {
     return;
   }
-  for (auto& mark : aState.marks_) {
+  for (auto& mark : aState.crashRecords_) {
     mark.cleared_ = true;
   }
   aState.reason_ = aReason;
   aState.unresolvedUntilMs_ = 0;
-  aState.tellings_ = detail::kTellings;
+  aState.remainingSends_ = detail::kTellings;
   changed_ = true;
 }
 
@@ -217,16 +219,16 @@
 {
   // A peer may have been configured with another expiry.
   const TimeMs expiresInMs = std::min(aEntry.expiresInMs_, options_.expiryMs_);
-  if (expiresInMs <= 0 || aEntry.marks_.empty()) {
+  if (expiresInMs <= 0 || aEntry.crashRecords_.empty()) {
     return false;
   }
   if (!suspects_.contains(aEntry.fingerprint_)) {
-    MakeRoom();
+    EvictIfFull();
   }
   State& state = suspects_[aEntry.fingerprint_];
   const int crashes = state.Crashes();
   const auto news =
-    std::ranges::count_if(aEntry.marks_, [&](const CrashMark& aMark) {
+    std::ranges::count_if(aEntry.crashRecords_, [&](const CrashRecord& aMark) {
       return MergeMark(state, aMark);
     });
   if (news == 0) {
@@ -234,7 +236,7 @@
   }
   changed_ = true;
   if (aPassOn) {
-    state.tellings_ = detail::kTellings;
+    state.remainingSends_ = detail::kTellings;
   }
   state.reason_ = aEntry.reason_;
   if (state.Crashes() > crashes) {
@@ -244,15 +246,15 @@
   return true;
 }
 
-bool CrashQuarantine::MergeMark(State& aState, const CrashMark& aMark)
+bool CrashQuarantine::MergeMark(State& aState, const CrashRecord& aMark)
 {
-  const auto found =
-    std::ranges::find(aState.marks_, aMark.life_, &CrashMark::life_);
-  if (found == aState.marks_.end()) {
-    if (aState.marks_.size() >= detail::kMaxMarks) {
+  const auto found = std::ranges::find(
+    aState.crashRecords_, aMark.incarnation_, &CrashRecord::incarnation_);
+  if (found == aState.crashRecords_.end()) {
+    if (aState.crashRecords_.size() >= detail::kMaxMarks) {
       // What was cleared matters least, what is conclusive most.
-      const auto least =
-        std::ranges::min_element(aState.marks_, {}, [](const CrashMark& aOld) {
+      const auto least = std::ranges::min_element(
+        aState.crashRecords_, {}, [](const CrashRecord& aOld) {
           return std::pair(!aOld.cleared_, aOld.conclusive_);
         });
       const bool matters =
@@ -260,9 +262,9 @@
       if (!matters || (!least->cleared_ && least->conclusive_)) {
         return false;
       }
-      aState.marks_.erase(least);
+      aState.crashRecords_.erase(least);
     }
-    aState.marks_.push_back(aMark);
+    aState.crashRecords_.push_back(aMark);
     return true;
   }
   const bool news = (aMark.conclusive_ && !found->conclusive_) ||
@@ -277,7 +279,7 @@
   const auto& [fingerprint, state] = aEntry;
   return { fingerprint,           state.Crashes(),
            state.IsQuarantined(), state.expiresMs_ - aNowMs,
-           state.reason_,         state.marks_ };
+           state.reason_,         state.crashRecords_ };
 }
 
 std::vector<CrashSuspect> CrashQuarantine::Entries(TimeMs aNowMs)
@@ -319,17 +321,17 @@
   return entries;
 }
 
-std::vector<CrashSuspect> CrashQuarantine::TakeUntold(size_t aMost,
+std::vector<CrashSuspect> CrashQuarantine::TakeUnsent(size_t aMost,
                                                       TimeMs aNowMs)
 {
   Expire(aNowMs);
   std::vector<CrashSuspect> untold;
   for (const auto* entry :
-       Ranked([](const State& aState) { return aState.tellings_ > 0; })) {
+       Ranked([](const State& aState) { return aState.remainingSends_ > 0; })) {
     if (untold.size() == aMost) {
       break;
     }
-    --suspects_.at(entry->first).tellings_;
+    --suspects_.at(entry->first).remainingSends_;
     untold.push_back(Describe(*entry, aNowMs));
   }
   return untold;
@@ -354,13 +356,14 @@
   return digest;
 }
 
-std::vector<CrashSuspect> CrashQuarantine::Agreed(size_t aMost, TimeMs aNowMs)
+std::vector<CrashSuspect> CrashQuarantine::EntriesForSync(size_t aMost,
+                                                          TimeMs aNowMs)
 {
   Expire(aNowMs);
   std::vector<CrashSuspect> entries;
   // Cleared ones too: the other router may not know that they were cleared.
-  for (const auto* entry :
-       Ranked([](const State& aState) { return aState.marks_.size() > 1; })) {
+  for (const auto* entry : Ranked(
+         [](const State& aState) { return aState.crashRecords_.size() > 1; })) {
     if (entries.size() < aMost &&
         entry->second.expiresMs_ - aNowMs >= detail::kLeastToldMs) {
       entries.push_back(Describe(*entry, aNowMs));
@@ -394,42 +397,45 @@
   firstExpiryMs_ = std::min(firstExpiryMs_, aExpiresMs);
 }
 
-void CrashQuarantine::NoteEnded(uint32_t aLife, TimeMs aNowMs)
+void CrashQuarantine::RecordEnded(uint32_t aIncarnation, TimeMs aNowMs)
 {
   const auto isSame = [&](const auto& aEnded) {
-    return aEnded.second == aLife;
+    return aEnded.second == aIncarnation;
   };
   if (std::ranges::none_of(ended_, isSame)) {
-    ended_.emplace_back(aNowMs, aLife);
+    ended_.emplace_back(aNowMs, aIncarnation);
   }
 }
 
-bool CrashQuarantine::IsMassCrash(const State& aState, uint32_t aLife) const
+bool CrashQuarantine::IsMassCrash(const State& aState,
+                                  uint32_t aIncarnation) const
 {
   const auto others = std::ranges::count_if(ended_, [&](const auto& aEnded) {
     const auto life = aEnded.second;
-    return life != aLife &&
-           std::ranges::find(aState.marks_, life, &CrashMark::life_) ==
-             aState.marks_.end();
+    return life != aIncarnation &&
+           std::ranges::find(
+             aState.crashRecords_, life, &CrashRecord::incarnation_) ==
+             aState.crashRecords_.end();
   });
   return others >= detail::kMassCrashServers;
 }
 
 void CrashQuarantine::AddCrash(const InFlightRequest& aRequest,
                                std::string_view aServer,
-                               uint32_t aLife,
+                               uint32_t aIncarnation,
                                TimeMs aNowMs)
 {
   if (!suspects_.contains(aRequest.fingerprint_)) {
-    MakeRoom();
+    EvictIfFull();
   }
   State& state = suspects_[aRequest.fingerprint_];
   const int known = aRequest.knownCrashes_ == InFlightRequest::kAllKnown
                       ? state.Crashes()
                       : aRequest.knownCrashes_;
-  const int needed = IsMassCrash(state, aLife) ? detail::kCrashesInMassCrash
-                                               : detail::kCrashesToQuarantine;
-  if (!MergeMark(state, { aLife, known + 1 >= needed })) {
+  const int needed = IsMassCrash(state, aIncarnation)
+                       ? detail::kCrashesInMassCrash
+                       : detail::kCrashesToQuarantine;
+  if (!MergeMark(state, { aIncarnation, known + 1 >= needed })) {
     return;
   }
   state.reason_ = state.Crashes() == 1
@@ -437,12 +443,12 @@
                     : Concat(state.reason_, ", then ", aServer);
   state.crashMs_ = aNowMs;
   state.unresolvedUntilMs_ = 0;
-  state.tellings_ = detail::kTellings;
+  state.remainingSends_ = detail::kTellings;
   SetExpiry(state, aNowMs + options_.expiryMs_);
   changed_ = true;
 }
 
-void CrashQuarantine::MakeRoom()
+void CrashQuarantine::EvictIfFull()
 {
   if (suspects_.size() < options_.maxEntries_) {
     return;
@@ -454,7 +460,7 @@
   suspects_.erase(std::ranges::min_element(suspects_, {}, rank));
 }
 
-bool CrashQuarantine::IsTester(uint64_t aFingerprint) const
+bool CrashQuarantine::IsTrialRouter(uint64_t aFingerprint) const
 {
   const auto weight = [&](const std::string& aName) {
     return XXH3_64bits_withSeed(aName.data(), aName.size(), aFingerprint);
--- a/policy/CrashQuarantine.hpp
+++ b/policy/CrashQuarantine.hpp
@@ -16,16 +16,16 @@
 /// One life of a backend server that ended while the request was in flight
 /// there. A life ends once, so the marks of several routers add up as a set, in
 /// any order and however often they are told; flags are never unset.
-struct CrashMark
+struct CrashRecord
 {
-  uint32_t life_ = 0;       ///< hash of the server and its life
-  bool conclusive_ = false; ///< the request ran there as a known suspect
-  bool cleared_ = false;    ///< cleared or released since
+  uint32_t incarnation_ = 0; ///< hash of the server and its life
+  bool conclusive_ = false;  ///< the request ran there as a known suspect
+  bool cleared_ = false;     ///< cleared or released since
 };
 
 /// A mark as one number of a message.
-int64_t PackMark(const CrashMark& aMark);
-CrashMark UnpackMark(int64_t aPacked);
+int64_t PackCrashRecord(const CrashRecord& aMark);
+CrashRecord UnpackCrashRecord(int64_t aPacked);
 
 /// A suspect or quarantined request as routers exchange it.
 struct CrashSuspect
@@ -35,7 +35,7 @@
   bool quarantined_ = false; ///< follows from the marks; for display
   TimeMs expiresInMs_ = 0;
   std::string reason_;
-  std::vector<CrashMark> marks_;
+  std::vector<CrashRecord> crashRecords_;
 };
 
 /// A request that was in flight at a server when it ended.
@@ -87,7 +87,7 @@
   /// With more routers than this, several share a turn.
   int maxTurns_ = 1000;
   /// A quarantine ends only after no such request came for expiryMs_.
-  bool renewedByArrivals_ = false;
+  bool extendedByRequests_ = false;
 };
 
 /// Finds requests that crash backend servers (docs/design.md, section 9). Not
@@ -101,12 +101,12 @@
   void SetMembers(const std::string& aSelf, std::vector<std::string> aMembers);
 
   /// The server is gone (refuses connections or has a new incarnation) and
-  /// these requests of this router were in flight there. aLife tells the lives
-  /// of one server apart.
+  /// these requests of this router were in flight there. aIncarnation tells the
+  /// lives of one server apart.
   void OnCrash(std::string_view aServer,
                const std::vector<InFlightRequest>& aInFlight,
                TimeMs aNowMs,
-               uint64_t aLife = 0);
+               uint64_t aIncarnation = 0);
 
   bool HasSuspects() const { return !suspects_.empty(); }
   /// Asks before an attempt. A suspect that gets Run must be given back with
@@ -114,19 +114,19 @@
   SuspectDecision TryBegin(uint64_t aFingerprint,
                            std::string_view aServer,
                            TimeMs aNowMs);
-  /// aEndedWell: the server ran the request to a good end, so it is no longer a
+  /// aSucceeded: the server ran the request to a good end, so it is no longer a
   /// suspect.
   void OnEnd(uint64_t aFingerprint,
              std::string_view aServer,
-             bool aEndedWell,
+             bool aSucceeded,
              TimeMs aNowMs);
 
   /// The attempt ended without an answer, and until aUntilMs OnCrash may tell
   /// that its server has ended. A suspect does not run again before.
-  void OnBroken(uint64_t aFingerprint,
-                std::string_view aServer,
-                TimeMs aUntilMs,
-                TimeMs aNowMs);
+  void OnUnanswered(uint64_t aFingerprint,
+                    std::string_view aServer,
+                    TimeMs aUntilMs,
+                    TimeMs aNowMs);
 
   /// An operator releases the request.
   void Release(uint64_t aFingerprint, TimeMs aNowMs);
@@ -143,21 +143,21 @@
 
   /// Changes that this router made itself or passes on and has told less than
   /// twice, the most important ones first.
-  std::vector<CrashSuspect> TakeUntold(size_t aMost, TimeMs aNowMs);
+  std::vector<CrashSuspect> TakeUnsent(size_t aMost, TimeMs aNowMs);
   /// Equal for routers that agree on all requests with two crashes and more.
   uint64_t Digest(TimeMs aNowMs);
   /// What a router with another digest needs, at most so many.
-  std::vector<CrashSuspect> Agreed(size_t aMost, TimeMs aNowMs);
+  std::vector<CrashSuspect> EntriesForSync(size_t aMost, TimeMs aNowMs);
 
 private:
   struct State
   {
-    std::vector<CrashMark> marks_;
+    std::vector<CrashRecord> crashRecords_;
     TimeMs expiresMs_ = 0;
     TimeMs crashMs_ = 0; ///< last time a crash was seen or heard of
     std::string reason_;
-    int tellings_ = 0;
-    TimeMs unresolvedUntilMs_ = 0; ///< an attempt broke, see OnBroken
+    int remainingSends_ = 0;
+    TimeMs unresolvedUntilMs_ = 0; ///< an attempt broke, see OnUnanswered
 
     /// Marks that are not cleared.
     int Crashes() const;
@@ -169,18 +169,18 @@
   void SetExpiry(State& aState, TimeMs aExpiresMs);
   void AddCrash(const InFlightRequest& aRequest,
                 std::string_view aServer,
-                uint32_t aLife,
+                uint32_t aIncarnation,
                 TimeMs aNowMs);
   /// Many servers end that do not run this request: one more crash is needed.
-  bool IsMassCrash(const State& aState, uint32_t aLife) const;
-  void NoteEnded(uint32_t aLife, TimeMs aNowMs);
+  bool IsMassCrash(const State& aState, uint32_t aIncarnation) const;
+  void RecordEnded(uint32_t aIncarnation, TimeMs aNowMs);
   void Clear(State& aState, std::string_view aReason);
   bool MergeOne(const CrashSuspect& aEntry, TimeMs aNowMs, bool aPassOn);
-  static bool MergeMark(State& aState, const CrashMark& aMark);
-  void MakeRoom();
+  static bool MergeMark(State& aState, const CrashRecord& aMark);
+  void EvictIfFull();
   TimeMs WaitForTurnMs(const State& aState, TimeMs aNowMs) const;
   /// One router tries what may have crashed many servers at once.
-  bool IsTester(uint64_t aFingerprint) const;
+  bool IsTrialRouter(uint64_t aFingerprint) const;
   static CrashSuspect Describe(const Entry& aEntry, TimeMs aNowMs);
   std::vector<const Entry*> Ranked(bool (*aWanted)(const State& aState)) const;
 
--- a/policy/LoadBoard.cpp
+++ b/policy/FleetLoadTable.cpp
@@ -1,4 +1,4 @@
-#include "policy/LoadBoard.hpp"
+#include "policy/FleetLoadTable.hpp"
 
 namespace cactuspitch {
 
@@ -9,27 +9,27 @@
 
 }
 
-void LoadBoard::Add(const BoardEntry& aEntry, TimeMs aNowMs)
+void FleetLoadTable::Add(const FleetLoadEntry& aEntry, TimeMs aNowMs)
 {
   auto& state = states_[aEntry.server_];
-  const double before = state.entry_.workMs_;
+  const double before = state.entry_.serviceTimeMs_;
   state.entry_ = aEntry;
-  if (aEntry.workMs_ <= 0) {
-    state.entry_.workMs_ = before;
+  if (aEntry.serviceTimeMs_ <= 0) {
+    state.entry_.serviceTimeMs_ = before;
   } else if (before > 0) {
-    state.entry_.workMs_ =
-      before + (aEntry.workMs_ - before) * detail::kBoardWorkWeight;
+    state.entry_.serviceTimeMs_ =
+      before + (aEntry.serviceTimeMs_ - before) * detail::kBoardWorkWeight;
   }
   state.atMs_ = aNowMs;
   state.changed_ = true;
 }
 
-std::vector<BoardEntry> LoadBoard::TakeChanged(TimeMs aNowMs)
+std::vector<FleetLoadEntry> FleetLoadTable::TakeChanged(TimeMs aNowMs)
 {
   std::erase_if(states_, [&](const auto& aItem) {
     return aNowMs - aItem.second.atMs_ > kForgetMs;
   });
-  std::vector<BoardEntry> changed;
+  std::vector<FleetLoadEntry> changed;
   for (auto& [server, state] : states_) {
     if (state.changed_) {
       changed.push_back(state.entry_);
@@ -39,10 +39,10 @@
   return changed;
 }
 
-double LoadBoard::WorkMs(uint32_t aServer) const
+double FleetLoadTable::ServiceTimeMs(uint32_t aServer) const
 {
   const auto found = states_.find(aServer);
-  return found == states_.end() ? 0 : found->second.entry_.workMs_;
+  return found == states_.end() ? 0 : found->second.entry_.serviceTimeMs_;
 }
 
 }
--- a/policy/LoadBoard.hpp
+++ b/policy/FleetLoadTable.hpp
@@ -9,31 +9,31 @@
 namespace cactuspitch {
 
 /// Load of one backend server as some gateway saw it last.
-struct BoardEntry
+struct FleetLoadEntry
 {
-  uint32_t server_ = 0; ///< hash of its id
-  double workMs_ = 0;   ///< 0: not known
-  double load_ = 0;     ///< running and waiting requests
+  uint32_t server_ = 0;      ///< hash of its id
+  double serviceTimeMs_ = 0; ///< 0: not known
+  double load_ = 0;          ///< running and waiting requests
 };
 
 /// Gathers what all gateways see of the backend servers: each of many gateways
 /// hears of a single server too rarely to know its load. Pure.
-class LoadBoard
+class FleetLoadTable
 {
 public:
   /// Entries without a report for this long are dropped.
   static constexpr TimeMs kForgetMs = 5000;
 
-  void Add(const BoardEntry& aEntry, TimeMs aNowMs);
+  void Add(const FleetLoadEntry& aEntry, TimeMs aNowMs);
   /// Entries that got a report since the last call.
-  std::vector<BoardEntry> TakeChanged(TimeMs aNowMs);
+  std::vector<FleetLoadEntry> TakeChanged(TimeMs aNowMs);
   /// Mean work time of a server, 0 when it is not known.
-  double WorkMs(uint32_t aServer) const;
+  double ServiceTimeMs(uint32_t aServer) const;
 
 private:
   struct State
   {
-    BoardEntry entry_;
+    FleetLoadEntry entry_;
     TimeMs atMs_ = 0;
     bool changed_ = false;
   };
--- a/policy/LoadMerger.cpp
+++ b/policy/LoadMerger.cpp
@@ -25,7 +25,7 @@
 {
 }
 
-bool LoadMerger::Add(const RouterLoad& aLoad, TimeMs aNowMs)
+bool LoadMerger::Add(const RouterLoadReport& aLoad, TimeMs aNowMs)
 {
   if (!IsPlausible(aLoad)) {
     ++rejected_;
@@ -86,7 +86,7 @@
            : 0;
 }
 
-bool LoadMerger::IsPlausible(const RouterLoad& aLoad) const
+bool LoadMerger::IsPlausible(const RouterLoadReport& aLoad) const
 {
   if (aLoad.router_.empty() || aLoad.windowMs_ < kMinWindowMs ||
       aLoad.windowMs_ > kMaxWindowMs) {
@@ -108,7 +108,8 @@
          std::ranges::none_of(aLoad.hotKeys_, isNegative);
 }
 
-void LoadMerger::AddSlices(const RouterLoad& aLoad, RouterState& aState) const
+void LoadMerger::AddSlices(const RouterLoadReport& aLoad,
+                           RouterState& aState) const
 {
   const auto windowMs = static_cast<double>(aLoad.windowMs_);
   const bool isFirst = aState.slices_.empty();
--- a/policy/LoadMerger.hpp
+++ b/policy/LoadMerger.hpp
@@ -24,7 +24,7 @@
 };
 
 /// What one router measured for one assignment group in a window.
-struct RouterLoad
+struct RouterLoadReport
 {
   std::string router_;
   TimeMs windowMs_ = 0;
@@ -49,7 +49,7 @@
   explicit LoadMerger(LoadMergerOptions aOptions = {});
 
   /// False when the report is not plausible; it is then ignored.
-  bool Add(const RouterLoad& aLoad, TimeMs aNowMs);
+  bool Add(const RouterLoadReport& aLoad, TimeMs aNowMs);
   /// Sets sliceLoad_, hotKeys_, table_ and nowMs_ of aInput.
   void Fill(const GroupTable& aTable, TimeMs aNowMs, BalanceInput& aInput);
   size_t Routers() const { return routers_.size(); }
@@ -69,8 +69,8 @@
   };
 
   static double BusyMsPerRequest(const RouterState& aState, KeyHash aHash);
-  bool IsPlausible(const RouterLoad& aLoad) const;
-  void AddSlices(const RouterLoad& aLoad, RouterState& aState) const;
+  bool IsPlausible(const RouterLoadReport& aLoad) const;
+  void AddSlices(const RouterLoadReport& aLoad, RouterState& aState) const;
   void DropSilent(TimeMs aNowMs);
 
   LoadMergerOptions options_;
--- a/policy/LoadPerKeyPolicy.cpp
+++ b/policy/LoadPerKeyPolicy.cpp
@@ -70,7 +70,7 @@
   std::erase_if(movedMs_, [&](const auto& aMove) {
     return aMove.second + kRestMs <= aInput.nowMs_;
   });
-  const auto warmth = Warmth(aInput);
+  const auto warmth = WarmupShares(aInput);
   ServerLoads loads(aInput, warmth);
   Evacuate(loads, plan);
   if (loads.IsIdle()) {
@@ -87,7 +87,7 @@
   return plan;
 }
 
-std::vector<double> LoadPerKeyPolicy::Warmth(const BalanceInput& aInput)
+std::vector<double> LoadPerKeyPolicy::WarmupShares(const BalanceInput& aInput)
 {
   constexpr TimeMs kSteps = 5;
   std::vector<double> warmth;
@@ -126,7 +126,7 @@
     return aLoads.SliceLoad(aSlice);
   });
   for (const size_t slice : slices) {
-    if (const auto target = aLoads.Lowest(aLoads.Owner(slice))) {
+    if (const auto target = aLoads.LeastLoaded(aLoads.Owner(slice))) {
       AddMove(slice, *target, "owner is draining", aLoads, aPlan);
     }
   }
@@ -171,7 +171,7 @@
       continue;
     }
     while (aPlan.moves_.size() < kMaxMovesOfPlan) {
-      const auto source = aLoads.Highest();
+      const auto source = aLoads.MostLoaded();
       const double room = aLoads.FairLoad(i) - aLoads.Load(i);
       if (!source || *source == i || room <= 0) {
         break;
@@ -212,11 +212,11 @@
                                  ServerLoads& aLoads,
                                  BalancePlan& aPlan)
 {
-  const auto peak = aLoads.Highest();
+  const auto peak = aLoads.MostLoaded();
   if (!peak) {
     return;
   }
-  CountLevel(aLoads.Level(*peak));
+  CountLevel(aLoads.RelativeLoad(*peak));
   // A joining server takes load from the others anyway.
   const bool isJoining =
     std::ranges::any_of(aPlan.moves_, [](const PlannedMove& aMove) {
@@ -229,7 +229,7 @@
     if (!MoveOne(aNowMs, BudgetLoad(aNowMs, aLoads), aLoads, aPlan)) {
       return;
     }
-    isActive_ = aLoads.Level(*aLoads.Highest()) > options_.stopBelow_;
+    isActive_ = aLoads.RelativeLoad(*aLoads.MostLoaded()) > options_.stopBelow_;
   }
 }
 
@@ -250,8 +250,8 @@
                                ServerLoads& aLoads,
                                BalancePlan& aPlan)
 {
-  const auto source = aLoads.Highest();
-  const auto target = source ? aLoads.Lowest(*source) : std::nullopt;
+  const auto source = aLoads.MostLoaded();
+  const auto target = source ? aLoads.LeastLoaded(*source) : std::nullopt;
   if (!target) {
     return false;
   }
--- a/policy/LoadPerKeyPolicy.hpp
+++ b/policy/LoadPerKeyPolicy.hpp
@@ -22,7 +22,7 @@
   BalancePlan Plan(const BalanceInput& aInput) override;
 
 private:
-  std::vector<double> Warmth(const BalanceInput& aInput);
+  std::vector<double> WarmupShares(const BalanceInput& aInput);
   void Evacuate(ServerLoads& aLoads, BalancePlan& aPlan);
   void SpreadIdle(TimeMs aNowMs, ServerLoads& aLoads, BalancePlan& aPlan);
   void FillJoining(const BalanceInput& aInput,
--- a/policy/RunningMeans.hpp
+++ b/policy/MovingAverages.hpp
@@ -6,10 +6,10 @@
 namespace cactuspitch {
 
 /// Mean of recent values by name; a new value counts with a fixed weight.
-class RunningMeans
+class MovingAverages
 {
 public:
-  explicit RunningMeans(double aWeight)
+  explicit MovingAverages(double aWeight)
     : weight_(aWeight)
   {
   }
--- a/policy/OwnerAdmission.cpp
+++ b/policy/OwnerAdmission.cpp
@@ -12,7 +12,8 @@
 
 }
 
-std::vector<AdmissionShare> SharesOf(const std::vector<OwnerDemand>& aOwners)
+std::vector<AdmissionShare> ComputeAdmissionShares(
+  const std::vector<OwnerDemand>& aOwners)
 {
   std::vector<AdmissionShare> shares;
   for (const auto& owner : aOwners) {
--- a/policy/OwnerAdmission.hpp
+++ b/policy/OwnerAdmission.hpp
@@ -25,7 +25,8 @@
 };
 
 /// Shares of the owners whose demand is above their capacity.
-std::vector<AdmissionShare> SharesOf(const std::vector<OwnerDemand>& aOwners);
+std::vector<AdmissionShare> ComputeAdmissionShares(
+  const std::vector<OwnerDemand>& aOwners);
 
 /// Lets through each gateway's part of what an overloaded owner can run. Many
 /// gateways see a part of the demand each and cannot tell from old reports how
--- a/policy/Placement.cpp
+++ b/policy/Placement.cpp
@@ -23,11 +23,12 @@
              const PlacementCandidate& aCandidate)
 {
   const double objectiveMs = static_cast<double>(aRequest.objectiveMs_);
-  const bool near = aCandidate.sameDomain_ &&
-                    aCandidate.expectedMs_ <= objectiveMs * aOptions.nearShare_;
+  const bool near =
+    aCandidate.sameDomain_ &&
+    aCandidate.expectedMs_ <= objectiveMs * aOptions.sameDomainShare_;
   return aCandidate.expectedMs_ *
-           (1 + aOptions.failureFactor_ * aCandidate.failureShare_ +
-            (aCandidate.home_ ? 0 : aOptions.foreignFactor_)) +
+           (1 + aOptions.failurePenalty_ * aCandidate.failureShare_ +
+            (aCandidate.preferred_ ? 0 : aOptions.nonPreferredPenalty_)) +
          (near ? 0 : CrossingMs(aOptions, aRequest));
 }
 
@@ -64,9 +65,9 @@
     }
     soonestMs = std::min(soonestMs, candidate.expectedMs_);
     // A server that is slow by itself is used while it does not queue.
-    const bool queues = candidate.expectedMs_ > candidate.workMs_ * 1.01;
+    const bool queues = candidate.expectedMs_ > candidate.serviceTimeMs_ * 1.01;
     if (candidate.full_ || (queues && candidate.expectedMs_ > limitMs) ||
-        candidate.workMs_ > remainingMs) {
+        candidate.serviceTimeMs_ > remainingMs) {
       continue;
     }
     const double score = detail::Score(aOptions, aRequest, candidate);
@@ -79,8 +80,8 @@
   if (decision.verdict_ == PlacementVerdict::Send) {
     return decision;
   }
-  const double holdMs = objectiveMs * aOptions.holdShare_;
-  if (static_cast<double>(aRequest.heldMs_) < holdMs &&
+  const double holdMs = objectiveMs * aOptions.maxWaitShare_;
+  if (static_cast<double>(aRequest.waitedMs_) < holdMs &&
       soonestMs < remainingMs) {
     decision.verdict_ = PlacementVerdict::Wait;
     return decision;
--- a/policy/Placement.hpp
+++ b/policy/Placement.hpp
@@ -12,21 +12,21 @@
 /// A backend server that could take a request, as this gateway sees it.
 struct PlacementCandidate
 {
-  double expectedMs_ = 0; ///< until the answer of one more request
-  double workMs_ = 0;     ///< of a request that does not queue
+  double expectedMs_ = 0;    ///< until the answer of one more request
+  double serviceTimeMs_ = 0; ///< of a request that does not queue
   double failureShare_ = 0;
   bool sameDomain_ = true;
-  bool home_ = true;   ///< preferred by this gateway (HomeServers)
-  bool down_ = false;  ///< takes no connections
-  bool full_ = false;  ///< no connection left for this gateway
-  bool tried_ = false; ///< has failed this request before
+  bool preferred_ = true; ///< preferred by this gateway (PreferredServers)
+  bool down_ = false;     ///< takes no connections
+  bool full_ = false;     ///< no connection left for this gateway
+  bool tried_ = false;    ///< has failed this request before
 };
 
 struct PlacementRequest
 {
   TimeMs remainingMs_ = 0; ///< until the final answer is due
   TimeMs objectiveMs_ = 0;
-  TimeMs heldMs_ = 0; ///< since the request was read
+  TimeMs waitedMs_ = 0; ///< since the request was read
   /// Body and expected answer: what crosses to a server of another domain.
   size_t bytes_ = 0;
 };
@@ -59,7 +59,7 @@
   double objectiveShare_ = 1.0;
   /// A request waits at the gateway for at most this part of its objective;
   /// longer waits are worse for the caller than coming back.
-  double holdShare_ = 0.125;
+  double maxWaitShare_ = 0.125;
   /// Cost of bytes that cross failure domains, in ms of latency: at least
   /// crossDomainMs_ for a request and at most a share of its objective.
   double crossDomainMs_ = 4;
@@ -67,11 +67,11 @@
   double crossDomainMaxShare_ = 0.5;
   /// A near server is preferred for the bytes only while its answer is expected
   /// within this part of the objective; work times vary.
-  double nearShare_ = 0.7;
+  double sameDomainShare_ = 0.7;
   /// A server that other gateways prefer counts as this much slower.
-  double foreignFactor_ = 0.25;
+  double nonPreferredPenalty_ = 0.25;
   /// A server that fails all requests counts as this many times slower.
-  double failureFactor_ = 6;
+  double failurePenalty_ = 6;
   /// Callers honour at most a third of their remaining time.
   double maxRetryAfterShare_ = 0.3;
   TimeMs minRetryAfterMs_ = 30;
--- a/policy/HomeServers.cpp
+++ b/policy/PreferredServers.cpp
@@ -1,4 +1,4 @@
-#include "policy/HomeServers.hpp"
+#include "policy/PreferredServers.hpp"
 
 #include <algorithm>
 #include <map>
@@ -31,9 +31,9 @@
 
 }
 
-std::set<std::string> HomeServers(const std::string& aSelf,
-                                  std::vector<PlacedName> aGateways,
-                                  std::vector<PlacedName> aServers)
+std::set<std::string> PreferredServers(const std::string& aSelf,
+                                       std::vector<NodeLocation> aGateways,
+                                       std::vector<NodeLocation> aServers)
 {
   std::ranges::sort(aGateways);
   std::ranges::sort(aServers);
--- a/policy/RequestQueue.cpp
+++ b/policy/RequestQueue.cpp
@@ -22,9 +22,10 @@
 
 bool RequestQueue::RanksBefore(const Entry& aLeft, const Entry& aRight)
 {
-  return std::tie(aLeft.turn_, aLeft.request_.deadlineMs_, aLeft.request_.id_) <
+  return std::tie(
+           aLeft.startTag_, aLeft.request_.deadlineMs_, aLeft.request_.id_) <
          std::tie(
-           aRight.turn_, aRight.request_.deadlineMs_, aRight.request_.id_);
+           aRight.startTag_, aRight.request_.deadlineMs_, aRight.request_.id_);
 }
 
 void RequestQueue::Offer(const QueuedRequest& aRequest,
@@ -33,9 +34,9 @@
                          std::vector<RefusedRequest>& aRefused)
 {
   const auto key = keys_.find(aRequest.key_);
-  const uint64_t turn = key == keys_.end()
-                          ? currentTurn_
-                          : std::max(currentTurn_, key->second.lastTurn_ + 1);
+  const uint64_t turn =
+    key == keys_.end() ? virtualTime_
+                       : std::max(virtualTime_, key->second.lastStartTag_ + 1);
   const Entry entry{ turn, aRequest };
   const auto place = std::ranges::upper_bound(entries_, entry, RanksBefore);
   const auto ahead = static_cast<double>(place - entries_.begin());
@@ -51,7 +52,7 @@
   }
   entries_.insert(place, entry);
   auto& state = keys_[aRequest.key_];
-  state.lastTurn_ = turn;
+  state.lastStartTag_ = turn;
   ++state.queued_;
   if (entries_.size() > options_.limit_) {
     const QueuedRequest lowest = entries_.back().request_;
@@ -72,7 +73,7 @@
   }
   const Entry first = entries_.front();
   entries_.erase(entries_.begin());
-  currentTurn_ = std::max(currentTurn_, first.turn_);
+  virtualTime_ = std::max(virtualTime_, first.startTag_);
   Forget(first.request_.key_);
   return first.request_;
 }
@@ -119,10 +120,10 @@
   const auto maxMs = static_cast<double>(options_.maxRetryAfterMs_);
   const double backlogMs =
     static_cast<double>(entries_.size()) * aRate.MsPerRequest();
-  comeBackAtMs_ = std::max(comeBackAtMs_, nowMs + minMs + backlogMs) +
-                  aRate.MsPerRequest() / options_.comeBackShare_;
-  comeBackAtMs_ = std::min(comeBackAtMs_, nowMs + maxMs);
-  const double waitMs = comeBackAtMs_ - nowMs;
+  nextRetryAtMs_ = std::max(nextRetryAtMs_, nowMs + minMs + backlogMs) +
+                   aRate.MsPerRequest() / options_.retryCapacityShare_;
+  nextRetryAtMs_ = std::min(nextRetryAtMs_, nowMs + maxMs);
+  const double waitMs = nextRetryAtMs_ - nowMs;
   constexpr double kJitter = 0.8;
   std::uniform_real_distribution<double> jitter(kJitter * waitMs, waitMs);
   return static_cast<TimeMs>(std::max(minMs, jitter(random_)));
--- a/policy/RequestQueue.hpp
+++ b/policy/RequestQueue.hpp
@@ -32,7 +32,7 @@
   TimeMs maxRetryAfterMs_ = 120000;
   /// Share of the capacity that callers who come back are spread over; the
   /// rest is left to new requests.
-  double comeBackShare_ = 0.15;
+  double retryCapacityShare_ = 0.15;
 };
 
 /// What the queue's predictions are made from.
@@ -80,12 +80,12 @@
 private:
   struct Entry
   {
-    uint64_t turn_ = 0;
+    uint64_t startTag_ = 0;
     QueuedRequest request_;
   };
   struct KeyState
   {
-    uint64_t lastTurn_ = 0;
+    uint64_t lastStartTag_ = 0;
     size_t queued_ = 0;
   };
 
@@ -99,8 +99,8 @@
   QueueOptions options_;
   std::vector<Entry> entries_; ///< ordered by RanksBefore
   std::unordered_map<KeyHash, KeyState> keys_;
-  uint64_t currentTurn_ = 0;
-  double comeBackAtMs_ = 0;
+  uint64_t virtualTime_ = 0;
+  double nextRetryAtMs_ = 0;
   std::mt19937_64 random_;
 };
 
--- a/policy/ServerGate.cpp
+++ b/policy/ServerGate.cpp
@@ -26,13 +26,13 @@
   Poll(aNowMs, aActions);
 }
 
-void ServerGate::Finish(AttemptEnd aEnd,
+void ServerGate::Finish(AttemptResult aEnd,
                         double aLatencyMs,
                         TimeMs aNowMs,
                         GateActions& aActions)
 {
   constexpr double kWeight = 0.05;
-  if (aEnd == AttemptEnd::Answered) {
+  if (aEnd == AttemptResult::Answered) {
     serviceMs_ =
       measured_ ? serviceMs_ + kWeight * (aLatencyMs - serviceMs_) : aLatencyMs;
     measured_ = true;
--- a/policy/ServerGate.hpp
+++ b/policy/ServerGate.hpp
@@ -33,7 +33,7 @@
               TimeMs aNowMs,
               GateActions& aActions);
   /// An attempt that was run has ended.
-  void Finish(AttemptEnd aEnd,
+  void Finish(AttemptResult aEnd,
               double aLatencyMs,
               TimeMs aNowMs,
               GateActions& aActions);
--- a/policy/ServerLoads.cpp
+++ b/policy/ServerLoads.cpp
@@ -15,7 +15,7 @@
 }
 
 ServerLoads::ServerLoads(const BalanceInput& aInput,
-                         const std::vector<double>& aWarmth)
+                         const std::vector<double>& aWarmupShares)
   : table_(aInput.table_)
   , sliceLoad_(aInput.sliceLoad_)
   , load_(table_->servers_.size())
@@ -28,7 +28,7 @@
   size_t usable = 0;
   for (size_t i = 0; i < weight_.size(); ++i) {
     if (aInput.serverUsable_[i] && !table_->servers_[i].draining_) {
-      weight_[i] = table_->servers_[i].slots_ * aWarmth[i];
+      weight_[i] = table_->servers_[i].slots_ * aWarmupShares[i];
       ++usable;
     }
   }
@@ -76,25 +76,25 @@
   return loadPerWeight_ * weight_[Index(aServer)];
 }
 
-double ServerLoads::Level(int32_t aServer) const
+double ServerLoads::RelativeLoad(int32_t aServer) const
 {
   const double fair = FairLoad(aServer);
   return fair > 0 ? Load(aServer) / fair : 0;
 }
 
-std::optional<int32_t> ServerLoads::Highest() const
+std::optional<int32_t> ServerLoads::MostLoaded() const
 {
   std::optional<int32_t> highest;
   for (int32_t i = 0; Index(i) < weight_.size(); ++i) {
     if (IsUsable(i) && !isExcluded_[Index(i)] &&
-        (!highest || Level(i) > Level(*highest))) {
+        (!highest || RelativeLoad(i) > RelativeLoad(*highest))) {
       highest = i;
     }
   }
   return highest;
 }
 
-std::optional<int32_t> ServerLoads::Lowest(int32_t aExcept) const
+std::optional<int32_t> ServerLoads::LeastLoaded(int32_t aExcept) const
 {
   // Levels within this distance are equal as far as measurements tell.
   constexpr double kNearlyEqual = 0.02;
@@ -103,9 +103,9 @@
     if (!IsUsable(i) || i == aExcept || isExcluded_[Index(i)]) {
       continue;
     }
-    if (!lowest || Level(i) < Level(*lowest) - kNearlyEqual ||
-        (Level(i) < Level(*lowest) + kNearlyEqual &&
-         DomainLevel(i) < DomainLevel(*lowest))) {
+    if (!lowest || RelativeLoad(i) < RelativeLoad(*lowest) - kNearlyEqual ||
+        (RelativeLoad(i) < RelativeLoad(*lowest) + kNearlyEqual &&
+         DomainRelativeLoad(i) < DomainRelativeLoad(*lowest))) {
       lowest = i;
     }
   }
@@ -197,7 +197,7 @@
   return sliceCount_[Index(aServer)] == 1 && HoldsPinnedKey(aServer);
 }
 
-double ServerLoads::DomainLevel(int32_t aServer) const
+double ServerLoads::DomainRelativeLoad(int32_t aServer) const
 {
   const auto& domain = table_->servers_[Index(aServer)].failureDomain_;
   double load = 0;
--- a/policy/ServerLoads.hpp
+++ b/policy/ServerLoads.hpp
@@ -13,8 +13,9 @@
 class ServerLoads
 {
 public:
-  /// aWarmth: share of its normal load that each server may get, 0 to 1.
-  ServerLoads(const BalanceInput& aInput, const std::vector<double>& aWarmth);
+  /// aWarmupShares: share of its normal load that each server may get, 0 to 1.
+  ServerLoads(const BalanceInput& aInput,
+              const std::vector<double>& aWarmupShares);
 
   const GroupTable& Table() const { return *table_; }
   double Total() const { return total_; }
@@ -33,14 +34,14 @@
   bool IsSingleHash(size_t aSlice) const;
   double Load(int32_t aServer) const { return load_[Index(aServer)]; }
   double FairLoad(int32_t aServer) const;
-  double Level(int32_t aServer) const;
+  double RelativeLoad(int32_t aServer) const;
   bool IsUsable(int32_t aServer) const { return weight_[Index(aServer)] > 0; }
 
   /// Most loaded usable server that could give a slice away.
-  std::optional<int32_t> Highest() const;
+  std::optional<int32_t> MostLoaded() const;
   /// Least loaded usable server; among nearly equal ones the one whose failure
   /// domain has the least load.
-  std::optional<int32_t> Lowest(int32_t aExcept) const;
+  std::optional<int32_t> LeastLoaded(int32_t aExcept) const;
   /// A key that no server can hold beside its fair part stays where it is, and
   /// the other slices of its server move away.
   bool IsPinned(size_t aSlice) const;
@@ -52,7 +53,7 @@
   void CorrectNewSplits(const BalanceInput& aInput);
   void ComputeReference();
   bool HoldsOnlyPinnedKey(int32_t aServer) const;
-  double DomainLevel(int32_t aServer) const;
+  double DomainRelativeLoad(int32_t aServer) const;
 
   const GroupTable* table_;
   std::vector<double> sliceLoad_;
--- a/policy/ServerPause.hpp
+++ b/policy/ServerPause.hpp
@@ -33,7 +33,7 @@
 
   /// The server ran a request well that was sent at aSentMs. Those from before
   /// the end of the pause say nothing about its room afterwards.
-  void OnRanWell(TimeMs aSentMs, int aSlots)
+  void OnRequestSucceeded(TimeMs aSentMs, int aSlots)
   {
     if (limit_ == 0 || aSentMs < endMs_) {
       return;
--- a/policy/SilentConnectionDetector.cpp
+++ b/policy/SilentConnectionDetector.cpp
@@ -26,7 +26,8 @@
   }
 }
 
-void SilentConnectionDetector::OnAnswer(ConnectionId aConnection, TimeMs aNowMs)
+void SilentConnectionDetector::OnResponse(ConnectionId aConnection,
+                                          TimeMs aNowMs)
 {
   const auto found = connections_.find(aConnection);
   if (found == connections_.end() || !found->second.waiting_) {
@@ -60,7 +61,7 @@
 }
 
 std::vector<SilentConnectionDetector::ConnectionId>
-SilentConnectionDetector::IdleSiblings(ConnectionId aSilent) const
+SilentConnectionDetector::OlderIdleConnections(ConnectionId aSilent) const
 {
   std::vector<ConnectionId> siblings;
   const auto silent = connections_.find(aSilent);
--- a/policy/SilentConnectionDetector.hpp
+++ b/policy/SilentConnectionDetector.hpp
@@ -20,14 +20,14 @@
   void Close(ConnectionId aConnection);
   void OnSend(ConnectionId aConnection, TimeMs aNowMs);
   /// First bytes of an answer arrived.
-  void OnAnswer(ConnectionId aConnection, TimeMs aNowMs);
+  void OnResponse(ConnectionId aConnection, TimeMs aNowMs);
 
   /// True when the connection should be closed: it has waited for longer than
   /// SilenceLimitMs() while another connection answered.
   bool IsSilent(ConnectionId aConnection, TimeMs aNowMs) const;
   /// Idle connections to close together with a silent one: those opened
   /// before it.
-  std::vector<ConnectionId> IdleSiblings(ConnectionId aSilent) const;
+  std::vector<ConnectionId> OlderIdleConnections(ConnectionId aSilent) const;
   /// max(4 x p99, 250 ms).
   TimeMs SilenceLimitMs() const;
   size_t Connections() const { return connections_.size(); }
--- a/policy/StaticAdmission.cpp
+++ b/policy/StaticAdmission.cpp
@@ -46,7 +46,7 @@
 }
 
 void StaticAdmission::Release(TimeMs /*aNowMs*/,
-                              AttemptEnd /*aEnd*/,
+                              AttemptResult /*aEnd*/,
                               double /*aLatencyMs*/)
 {
   --inFlight_;
--- a/policy/StaticAdmission.hpp
+++ b/policy/StaticAdmission.hpp
@@ -13,7 +13,7 @@
 
   bool TryAcquire(TimeMs aNowMs) override;
   TimeMs NextTryMs(TimeMs aNowMs) const override;
-  void Release(TimeMs aNowMs, AttemptEnd aEnd, double aLatencyMs) override;
+  void Release(TimeMs aNowMs, AttemptResult aEnd, double aLatencyMs) override;
   void OnLoadHint(TimeMs /*aNowMs*/, double /*aLoad*/) override {}
   void OnColdStart(TimeMs /*aNowMs*/) override {}
   double Limit(TimeMs /*aNowMs*/) const override { return limit_; }
--- a/policy/SuspectExchange.cpp
+++ b/policy/SuspectExchange.cpp
@@ -30,27 +30,30 @@
   dueMs_ = std::min(dueMs_, aNowMs + detail::kGatherMs);
 }
 
-std::optional<SuspectExchange::Message>
-SuspectExchange::TakeDue(TimeMs aNowMs, bool aIsLeading, bool aKnowsLeader)
+std::optional<SuspectExchange::Message> SuspectExchange::TakeDueMessage(
+  TimeMs aNowMs,
+  bool aIsLeading,
+  bool aKnowsLeader)
 {
   if (aNowMs < dueMs_) {
     return std::nullopt;
   }
   dueMs_ = INT64_MAX;
   Message message;
-  message.suspects_ = quarantine_.TakeUntold(detail::kMaxSuspects, aNowMs);
+  message.suspects_ = quarantine_.TakeUnsent(detail::kMaxSuspects, aNowMs);
   if (message.suspects_.empty()) {
     return std::nullopt;
   }
   dueMs_ = aNowMs + detail::kRepeatMs;
   const bool isUrgent =
     std::ranges::any_of(message.suspects_, [](const CrashSuspect& aSuspect) {
-      return aSuspect.marks_.size() > 1;
+      return aSuspect.crashRecords_.size() > 1;
     });
   // When many servers end at once, each gateway has a few requests that one of
   // them may explain; the leader tells them together.
-  message.audience_ =
-    isUrgent || aIsLeading || !aKnowsLeader ? Audience::All : Audience::Leader;
+  message.recipients_ = isUrgent || aIsLeading || !aKnowsLeader
+                          ? Recipients::All
+                          : Recipients::Leader;
   return message;
 }
 
@@ -67,9 +70,9 @@
   return digest_;
 }
 
-bool SuspectExchange::OnTold(const std::vector<CrashSuspect>& aSuspects,
-                             TimeMs aNowMs,
-                             bool aIsLeading)
+bool SuspectExchange::OnReceived(const std::vector<CrashSuspect>& aSuspects,
+                                 TimeMs aNowMs,
+                                 bool aIsLeading)
 {
   const bool isNew = quarantine_.Merge(aSuspects, aNowMs, aIsLeading);
   if (isNew && aIsLeading) {
@@ -78,7 +81,7 @@
   return isNew;
 }
 
-std::optional<std::vector<CrashSuspect>> SuspectExchange::Compare(
+std::optional<std::vector<CrashSuspect>> SuspectExchange::EntriesForPeer(
   const std::string& aPeer,
   uint64_t aDigest,
   TimeMs aNowMs)
@@ -92,7 +95,7 @@
     return std::nullopt;
   }
   comparedMs = aNowMs;
-  return quarantine_.Agreed(detail::kMaxSuspects, aNowMs);
+  return quarantine_.EntriesForSync(detail::kMaxSuspects, aNowMs);
 }
 
 }
--- a/policy/SuspectExchange.hpp
+++ b/policy/SuspectExchange.hpp
@@ -15,14 +15,14 @@
 class SuspectExchange
 {
 public:
-  enum class Audience : uint8_t
+  enum class Recipients : uint8_t
   {
     Leader, ///< who tells all
     All
   };
   struct Message
   {
-    Audience audience_ = Audience::All;
+    Recipients recipients_ = Recipients::All;
     std::vector<CrashSuspect> suspects_;
   };
 
@@ -30,21 +30,20 @@
 
   /// This gateway counted or cleared crashes.
   void OnChanged(TimeMs aNowMs);
-  /// Time of the next TakeDue, INT64_MAX while there is nothing to tell.
+  /// Time of the next TakeDueMessage, INT64_MAX while there is nothing to tell.
   TimeMs DueMs() const { return dueMs_; }
-  std::optional<Message> TakeDue(TimeMs aNowMs,
-                                 bool aIsLeading,
-                                 bool aKnowsLeader);
+  std::optional<Message> TakeDueMessage(TimeMs aNowMs,
+                                        bool aIsLeading,
+                                        bool aKnowsLeader);
   /// Takes over what another gateway told; true when any of it was new.
-  bool OnTold(const std::vector<CrashSuspect>& aSuspects,
-              TimeMs aNowMs,
-              bool aIsLeading);
+  bool OnReceived(const std::vector<CrashSuspect>& aSuspects,
+                  TimeMs aNowMs,
+                  bool aIsLeading);
   /// Of the quarantine, at most 20 ms old.
   uint64_t Digest(TimeMs aNowMs);
   /// What to tell a gateway whose digest differs, if it is time for that.
-  std::optional<std::vector<CrashSuspect>> Compare(const std::string& aPeer,
-                                                   uint64_t aDigest,
-                                                   TimeMs aNowMs);
+  std::optional<std::vector<CrashSuspect>>
+  EntriesForPeer(const std::string& aPeer, uint64_t aDigest, TimeMs aNowMs);
 
 private:
   CrashQuarantine& quarantine_;
--- a/router/AdmissionGate.cpp
+++ b/router/AdmissionGate.cpp
@@ -97,7 +97,7 @@
   }
 }
 
-void AdmissionGate::Leave(AttemptEnd aEnd, double aLatencyMs)
+void AdmissionGate::Leave(AttemptResult aEnd, double aLatencyMs)
 {
   auto& actions = detail::ClearedActions();
   const std::lock_guard lock(mutex_);
--- a/router/AdmissionGate.hpp
+++ b/router/AdmissionGate.hpp
@@ -26,7 +26,7 @@
 
   /// An admitted request must be given back with Leave().
   GateResult Enter(KeyHash aKey, TimeMs aDeadlineMs);
-  void Leave(AttemptEnd aEnd, double aLatencyMs);
+  void Leave(AttemptResult aEnd, double aLatencyMs);
   void OnColdStart();
   void OnLoadHint(double aLoad);
   TimeMs RetryAfterMs();
--- a/router/ConnectionPool.cpp
+++ b/router/ConnectionPool.cpp
@@ -106,7 +106,7 @@
     return;
   }
   aConnection.answerNoted_ = true;
-  detector_.OnAnswer(aConnection.id_, clock_.NowMs());
+  detector_.OnResponse(aConnection.id_, clock_.NowMs());
   silenceLimitMs_.store(detector_.SilenceLimitMs(), std::memory_order_relaxed);
 }
 
--- a/router/PeerService.cpp
+++ b/router/PeerService.cpp
@@ -29,7 +29,7 @@
   entry.quarantined = aSuspect.quarantined_;
   entry.reason = aSuspect.reason_;
   std::ranges::transform(
-    aSuspect.marks_, std::back_inserter(entry.marks), PackMark);
+    aSuspect.crashRecords_, std::back_inserter(entry.marks), PackCrashRecord);
   return entry;
 }
 
@@ -42,7 +42,7 @@
                         aEntry.reason,
                         {} };
   std::ranges::transform(
-    aEntry.marks, std::back_inserter(suspect.marks_), UnpackMark);
+    aEntry.marks, std::back_inserter(suspect.crashRecords_), UnpackCrashRecord);
   return suspect;
 }
 
--- a/router/QuarantineKeeper.cpp
+++ b/router/QuarantineKeeper.cpp
@@ -36,11 +36,13 @@
 
 void QuarantineKeeper::OnCrash(std::string_view aServer,
                                const std::vector<uint64_t>& aInFlight,
-                               uint64_t aLife)
+                               uint64_t aIncarnation)
 {
   const std::lock_guard lock(mutex_);
-  quarantine_.OnCrash(
-    aServer, { aInFlight.begin(), aInFlight.end() }, clock_.NowMs(), aLife);
+  quarantine_.OnCrash(aServer,
+                      { aInFlight.begin(), aInFlight.end() },
+                      clock_.NowMs(),
+                      aIncarnation);
   Publish();
 }
 
--- a/router/QuarantineKeeper.hpp
+++ b/router/QuarantineKeeper.hpp
@@ -27,7 +27,7 @@
   void OnEnd(uint64_t aFingerprint, std::string_view aServer, bool aEndedWell);
   void OnCrash(std::string_view aServer,
                const std::vector<uint64_t>& aInFlight,
-               uint64_t aLife = 0);
+               uint64_t aIncarnation = 0);
   void Release(uint64_t aFingerprint);
   void Merge(const std::vector<CrashSuspect>& aEntries);
   std::vector<CrashSuspect> Entries();
--- a/router/ServerExchange.cpp
+++ b/router/ServerExchange.cpp
@@ -36,19 +36,19 @@
 
 }
 
-AttemptEnd ExchangeResult::GateEnd() const
+AttemptResult ExchangeResult::GateEnd() const
 {
   switch (end_) {
     case ExchangeEnd::Complete:
     case ExchangeEnd::PartialAfterHead:
-      return AttemptEnd::Answered;
+      return AttemptResult::Answered;
     case ExchangeEnd::Refused:
-      return reason_ == NotRunReason::Busy ? AttemptEnd::Shed
-                                           : AttemptEnd::Cancelled;
+      return reason_ == NotRunReason::Busy ? AttemptResult::Shed
+                                           : AttemptResult::Cancelled;
     case ExchangeEnd::CallerGone:
-      return AttemptEnd::Cancelled;
+      return AttemptResult::Cancelled;
     default:
-      return AttemptEnd::Failed;
+      return AttemptResult::Failed;
   }
 }
 
--- a/router/ServerExchange.hpp
+++ b/router/ServerExchange.hpp
@@ -50,7 +50,7 @@
   double latencyMs_ = 0;
 
   /// What the end says to the admission policy about the server.
-  AttemptEnd GateEnd() const;
+  AttemptResult GateEnd() const;
 };
 
 /// Runs one attempt at a backend server and hands large answers through to the
--- a/routing/RouteTable.cpp
+++ b/routing/RouteTable.cpp
@@ -26,8 +26,8 @@
 {
   for (size_t index = 0; index < config_.routes_.size(); ++index) {
     const auto& route = config_.routes_[index];
-    routeByPlace_.emplace(detail::HostKey(route.host_) + route.pathPrefix_,
-                          index);
+    routeByHostAndPrefix_.emplace(
+      detail::HostKey(route.host_) + route.pathPrefix_, index);
   }
 }
 
@@ -41,8 +41,8 @@
        slash = slash == 0 ? std::string_view::npos
                           : path.rfind('/', slash - 1)) {
     place.assign(host).append(path.substr(0, slash + 1));
-    const auto found = routeByPlace_.find(place);
-    if (found != routeByPlace_.end()) {
+    const auto found = routeByHostAndPrefix_.find(place);
+    if (found != routeByHostAndPrefix_.end()) {
       return &config_.routes_[found->second];
     }
   }
--- a/routing/RouteTable.hpp
+++ b/routing/RouteTable.hpp
@@ -29,7 +29,7 @@
 private:
   RoutingConfig config_;
   /// Key is the host in lower case followed by the prefix.
-  std::unordered_map<std::string, size_t> routeByPlace_;
+  std::unordered_map<std::string, size_t> routeByHostAndPrefix_;
   std::unordered_map<const Route*, std::vector<double>> credit_;
 };
 
--- a/routing/RoutingConfig.hpp
+++ b/routing/RoutingConfig.hpp
@@ -104,7 +104,8 @@
   int slots_ = 1;
   BackendState state_ = BackendState::Ready;
   TimeMs coldRemainingMs_ = 0;
-  int64_t bornMs_ = 0; ///< wall clock time of its start; tells restarts apart
+  int64_t startTimeMs_ =
+    0; ///< wall clock time of its start; tells restarts apart
   /// It said that it leaves, whatever its registration tells.
   bool leaving_ = false;
 
@@ -113,15 +114,15 @@
     return state_ == BackendState::Ready && !leaving_;
   }
 
-  bool IsSameLife(const BackendEntry& aOther) const
+  bool IsSameIncarnation(const BackendEntry& aOther) const
   {
-    return bornMs_ == aOther.bornMs_ && address_ == aOther.address_ &&
+    return startTimeMs_ == aOther.startTimeMs_ && address_ == aOther.address_ &&
            service_ == aOther.service_;
   }
   /// Equal but for the time that a cold server still needs.
   bool IsSameState(const BackendEntry& aOther) const
   {
-    return IsSameLife(aOther) && state_ == aOther.state_ &&
+    return IsSameIncarnation(aOther) && state_ == aOther.state_ &&
            leaving_ == aOther.leaving_ && slots_ == aOther.slots_ &&
            failureDomain_ == aOther.failureDomain_;
   }
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -33,12 +33,12 @@
       if (aEnd > now) {
         return false;
       }
-      aPolicy.Release(now, AttemptEnd::Answered, kServiceMs);
+      aPolicy.Release(now, AttemptResult::Answered, kServiceMs);
       return true;
     });
     while (aPolicy.TryAcquire(now)) {
       if (aIsShedding) {
-        aPolicy.Release(now, AttemptEnd::Shed, 0);
+        aPolicy.Release(now, AttemptResult::Shed, 0);
       } else {
         ends.push_back(now + kServiceMs);
       }
@@ -46,7 +46,7 @@
     sum += static_cast<double>(ends.size());
   }
   for (size_t i = 0; i < ends.size(); ++i) {
-    aPolicy.Release(aEndMs, AttemptEnd::Cancelled, 0);
+    aPolicy.Release(aEndMs, AttemptResult::Cancelled, 0);
   }
   return sum / static_cast<double>(aEndMs - aBeginMs);
 }
@@ -169,8 +169,10 @@
       running.erase(running.begin());
       GateActions actions;
       const bool isShed = now % 5 == 0;
-      gate.Finish(
-        isShed ? AttemptEnd::Shed : AttemptEnd::Answered, 20, now, actions);
+      gate.Finish(isShed ? AttemptResult::Shed : AttemptResult::Answered,
+                  20,
+                  now,
+                  actions);
       apply(actions, now);
     }
     if (nextPoll <= now) {
--- a/tests/CrashingCallsModelTest.cpp
+++ b/tests/CrashingCallsModelTest.cpp
@@ -116,7 +116,7 @@
   {
     const auto life = gateways_[aGateway].life_;
     for (const auto& request : aInFlight) {
-      gateways_[aGateway].quarantine_->OnBroken(
+      gateways_[aGateway].quarantine_->OnUnanswered(
         request.fingerprint_, aServer, nowMs_ + kCaseWindowMs, nowMs_);
     }
     After(options_.detectMs_,
@@ -224,8 +224,8 @@
     const int leader = Leader();
     if (nowMs_ >= gateway.exchange_->DueMs()) {
       const auto message =
-        gateway.exchange_->TakeDue(nowMs_, aIndex == leader, true);
-      if (message && message->audience_ == SuspectExchange::Audience::All) {
+        gateway.exchange_->TakeDueMessage(nowMs_, aIndex == leader, true);
+      if (message && message->recipients_ == SuspectExchange::Recipients::All) {
         Broadcast(aIndex, message->suspects_);
       } else if (message) {
         Deliver(aIndex, leader, message->suspects_);
@@ -262,9 +262,9 @@
             if (!IsUp(gateway)) {
               return;
             }
-            gateway.exchange_->OnTold(suspects, nowMs_, aTo == Leader());
-            if (const auto missing =
-                  gateway.exchange_->Compare(names_[aFrom], digest, nowMs_)) {
+            gateway.exchange_->OnReceived(suspects, nowMs_, aTo == Leader());
+            if (const auto missing = gateway.exchange_->EntriesForPeer(
+                  names_[aFrom], digest, nowMs_)) {
               Deliver(aTo, aFrom, *missing);
             }
           });
--- a/tests/GatewayRig.cpp
+++ b/tests/GatewayRig.cpp
@@ -138,26 +138,26 @@
 
 nlohmann::json GatewayRig::Registration(const std::string& aService,
                                         const ScriptedServer& aServer,
-                                        int64_t aBornMs) const
+                                        int64_t aStartTimeMs) const
 {
   return { { "address", aServer.Address().ToText() },
-           { "born", aBornMs },
+           { "born", aStartTimeMs },
            { "info",
              { { "service", aService }, { "zone", "z" }, { "slots", 4 } } },
            { "status", { { "state", "ready" }, { "seq", 1 } } } };
 }
 
-void GatewayRig::Reregister(size_t aIndex, int64_t aBornMs)
+void GatewayRig::Reregister(size_t aIndex, int64_t aStartTimeMs)
 {
-  Register(Concat("p", aIndex), aIndex, aBornMs);
+  Register(Concat("p", aIndex), aIndex, aStartTimeMs);
 }
 
 void GatewayRig::Register(const std::string& aId,
                           size_t aIndex,
-                          int64_t aBornMs)
+                          int64_t aStartTimeMs)
 {
   store_.Put(
-    "servers", aId, Registration("plain", *backends_[aIndex], aBornMs));
+    "servers", aId, Registration("plain", *backends_[aIndex], aStartTimeMs));
 }
 
 void GatewayRig::Reload(std::optional<GatewaySettings> aSettings)
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -85,9 +85,9 @@
   }
   /// Writes the registration of a backend server without keys again, as another
   /// life of it, and tells those that watch.
-  void Reregister(size_t aIndex, int64_t aBornMs);
+  void Reregister(size_t aIndex, int64_t aStartTimeMs);
   /// Writes a further registration at the address of that server.
-  void Register(const std::string& aId, size_t aIndex, int64_t aBornMs);
+  void Register(const std::string& aId, size_t aIndex, int64_t aStartTimeMs);
   /// Reloads with these settings, or finds them wrong.
   void Reload(std::optional<GatewaySettings> aSettings);
   const GatewaySettings& Settings() const { return settings_; }
@@ -106,7 +106,7 @@
   std::unique_ptr<Gateway> StartGateway(const GatewaySettings& aSettings);
   nlohmann::json Registration(const std::string& aService,
                               const ScriptedServer& aServer,
-                              int64_t aBornMs) const;
+                              int64_t aStartTimeMs) const;
 
   EventLoop loop_;
   EventLog log_;
--- a/tests/KeyOwnershipPropertyTest.cpp
+++ b/tests/KeyOwnershipPropertyTest.cpp
@@ -32,7 +32,7 @@
 /// Order that a server carries out later than it arrived.
 struct LateOrder
 {
-  KeyOrder order_;
+  KeyCommand order_;
   TimeMs arrivedMs_;
   TimeMs carriedOutMs_;
 };
@@ -73,7 +73,7 @@
         stored_ = *change;
       }
     }
-    for (const auto& order : leader_->TakeOrders(nowMs_)) {
+    for (const auto& order : leader_->TakeCommands(nowMs_)) {
       Deliver(*leader_, order);
     }
     RunEarlierLeaders();
@@ -113,9 +113,9 @@
                            servers_ });
     }
     // The number of servers decides on the grants of a leader.
-    auto timing = GrantTiming::For(*rc::gen::inRange<size_t>(0, 2) * 200, 9000);
-    storedHoldMs_ = std::max(storedHoldMs_, timing.holdMs_);
-    timing.foreignHoldMs_ = storedHoldMs_;
+    auto timing = LeaseTiming::For(*rc::gen::inRange<size_t>(0, 2) * 200, 9000);
+    storedHoldMs_ = std::max(storedHoldMs_, timing.leaseMs_);
+    timing.maxEarlierLeaseMs_ = storedHoldMs_;
     leader_ = std::make_unique<KeyOwnership>("s", timing);
     fence_ = (++term_) << 24;
     if (!stored_.empty()) {
@@ -129,7 +129,7 @@
   void TellEnded()
   {
     if (earlier_.empty()) {
-      leader_->OnForeignLeadersEnded(nowMs_);
+      leader_->OnEarlierLeadersEnded(nowMs_);
     }
   }
 
@@ -139,14 +139,14 @@
     for (auto& earlier : earlier_) {
       if (nowMs_ < earlier.rightUntilMs_) {
         for (const auto& order :
-             earlier.ownership_->TakeOrders(nowMs_, GrantScope::Renewals)) {
+             earlier.ownership_->TakeCommands(nowMs_, GrantScope::Renewals)) {
           // They use kept connections only, which end with a server's life.
           const auto& before = earlier.servers_.at(order.backend_);
           if (before.up_ && before.born_ == servers_.at(order.backend_).born_) {
             Deliver(*earlier.ownership_, order);
           } else {
-            earlier.ownership_->OnOrderDone(
-              order, OrderResult::NotSent, "", nowMs_);
+            earlier.ownership_->OnCommandDone(
+              order, KeyCommandResult::NotSent, "", nowMs_);
           }
         }
       }
@@ -161,25 +161,26 @@
     }
   }
 
-  void Deliver(KeyOwnership& aLeader, const KeyOrder& aOrder)
+  void Deliver(KeyOwnership& aLeader, const KeyCommand& aOrder)
   {
     auto& server = servers_[aOrder.backend_];
     const int fate = *rc::gen::inRange(0, 10);
     std::string handover;
     if (!server.up_ || fate == 0) {
-      aLeader.OnOrderDone(aOrder, OrderResult::NotSent, "", nowMs_);
+      aLeader.OnCommandDone(aOrder, KeyCommandResult::NotSent, "", nowMs_);
     } else if (fate == 1) {
       late_.push_back(
         { aOrder, nowMs_, nowMs_ + *rc::gen::inRange<TimeMs>(0, 6000) });
-      aLeader.OnOrderDone(aOrder, OrderResult::Unanswered, "", nowMs_);
+      aLeader.OnCommandDone(aOrder, KeyCommandResult::Unanswered, "", nowMs_);
     } else {
-      aLeader.OnOrderDone(aOrder, CarryOut(server, aOrder, nowMs_), "", nowMs_);
+      aLeader.OnCommandDone(
+        aOrder, CarryOut(server, aOrder, nowMs_), "", nowMs_);
     }
   }
 
-  static OrderResult CarryOut(ModelServer& aServer,
-                              const KeyOrder& aOrder,
-                              TimeMs aArrivedMs)
+  static KeyCommandResult CarryOut(ModelServer& aServer,
+                                   const KeyCommand& aOrder,
+                                   TimeMs aArrivedMs)
   {
     std::vector<uint32_t> keys;
     for (uint32_t index = 0; index < kWatchedKeys; ++index) {
@@ -188,24 +189,24 @@
         keys.push_back(key);
       }
     }
-    if (aOrder.kind_ == OrderKind::Release) {
+    if (aOrder.kind_ == KeyCommandKind::Release) {
       std::ranges::for_each(keys,
                             [&](uint32_t aKey) { aServer.held_.erase(aKey); });
-      return OrderResult::Accepted;
+      return KeyCommandResult::Accepted;
     }
     if (std::ranges::any_of(keys, [&](uint32_t aKey) {
           return aServer.seen_[aKey] > aOrder.fence_;
         })) {
-      return OrderResult::OlderFence;
+      return KeyCommandResult::OlderFence;
     }
     for (const auto key : keys) {
       aServer.seen_[key] = aOrder.fence_;
       auto& held = aServer.held_[key];
       held = { aOrder.fence_,
                std::max(held.first == aOrder.fence_ ? held.second : 0,
-                        aArrivedMs + aOrder.holdMs_ * 102 / 100) };
+                        aArrivedMs + aOrder.leaseMs_ * 102 / 100) };
     }
-    return OrderResult::Accepted;
+    return KeyCommandResult::Accepted;
   }
 
   void CarryOutLate()
--- a/tests/KeyOwnershipTest.cpp
+++ b/tests/KeyOwnershipTest.cpp
@@ -23,22 +23,22 @@
     ownership_.SetCandidates(candidates, nowMs_);
   }
   /// Proposes, commits, and returns the orders that follow.
-  std::vector<KeyOrder> Step(const KeyOwnership::Balance& aBalance = {})
+  std::vector<KeyCommand> Step(const KeyOwnership::Balance& aBalance = {})
   {
     if (const auto change =
           ownership_.Propose([this] { return ++fence_; }, aBalance, nowMs_)) {
       ownership_.Commit(*change, nowMs_);
     }
-    return ownership_.TakeOrders(nowMs_);
+    return ownership_.TakeCommands(nowMs_);
   }
-  void Answer(const KeyOrder& aOrder, OrderResult aResult)
+  void Answer(const KeyCommand& aOrder, KeyCommandResult aResult)
   {
-    ownership_.OnOrderDone(aOrder, aResult, "", nowMs_);
+    ownership_.OnCommandDone(aOrder, aResult, "", nowMs_);
   }
-  void AcceptAll(const std::vector<KeyOrder>& aOrders)
+  void AcceptAll(const std::vector<KeyCommand>& aOrders)
   {
     std::ranges::for_each(aOrders, [&](const auto& aOrder) {
-      Answer(aOrder, OrderResult::Accepted);
+      Answer(aOrder, KeyCommandResult::Accepted);
     });
   }
   /// Both servers hold their halves.
@@ -47,21 +47,22 @@
     AcceptAll(Step());
     Step();
   }
-  static bool Grants(const std::vector<KeyOrder>& aOrders,
+  static bool Grants(const std::vector<KeyCommand>& aOrders,
                      const std::string& aBackend,
                      uint32_t aKey)
   {
     return std::ranges::any_of(aOrders, [&](const auto& aOrder) {
-      return aOrder.kind_ == OrderKind::Grant && aOrder.backend_ == aBackend &&
-             aOrder.first_ <= aKey && aKey <= aOrder.last_;
+      return aOrder.kind_ == KeyCommandKind::Grant &&
+             aOrder.backend_ == aBackend && aOrder.first_ <= aKey &&
+             aKey <= aOrder.last_;
     });
   }
-  static const KeyOrder* Release(const std::vector<KeyOrder>& aOrders)
+  static const KeyCommand* Release(const std::vector<KeyCommand>& aOrders)
   {
     const auto found =
-      std::ranges::find(aOrders, OrderKind::Release, [](const auto& aOrder) {
-        return aOrder.kind_;
-      });
+      std::ranges::find(aOrders,
+                        KeyCommandKind::Release,
+                        [](const auto& aOrder) { return aOrder.kind_; });
     return found == aOrders.end() ? nullptr : &*found;
   }
   KeyOwnership::Balance MoveTo(uint32_t aFirst, uint32_t aLast, const char* aTo)
@@ -72,7 +73,7 @@
   }
 
   std::map<std::string, int64_t> born_;
-  GrantTiming timing_;
+  LeaseTiming timing_;
   TimeMs nowMs_ = 1000;
   int64_t fence_ = 100;
   KeyOwnership ownership_{ "s", timing_ };
@@ -100,8 +101,8 @@
   ASSERT_NE(release, nullptr);
   EXPECT_EQ(release->backend_, "a");
   EXPECT_FALSE(Grants(orders, "b", 50));
-  Answer(*release, OrderResult::Accepted);
-  orders = ownership_.TakeOrders(nowMs_);
+  Answer(*release, KeyCommandResult::Accepted);
+  orders = ownership_.TakeCommands(nowMs_);
   EXPECT_TRUE(Grants(orders, "b", 50));
   EXPECT_FALSE(Grants(orders, "a", 50));
 }
@@ -114,18 +115,18 @@
   const TimeMs grantedMs = nowMs_;
   nowMs_ += 10;
   auto orders = Step(MoveTo(0, 99, "b"));
-  Answer(*Release(orders), OrderResult::Unanswered);
+  Answer(*Release(orders), KeyCommandResult::Unanswered);
   const TimeMs slowEndMs =
-    grantedMs + timing_.holdMs_ + timing_.holdMs_ * 2 / 100;
+    grantedMs + timing_.leaseMs_ + timing_.leaseMs_ * 2 / 100;
   for (; nowMs_ <= slowEndMs; nowMs_ += 50) {
-    orders = ownership_.TakeOrders(nowMs_);
+    orders = ownership_.TakeCommands(nowMs_);
     ASSERT_FALSE(Grants(orders, "b", 50)) << nowMs_;
     if (const auto* release = Release(orders)) {
-      Answer(*release, OrderResult::NotSent);
+      Answer(*release, KeyCommandResult::NotSent);
     }
   }
   nowMs_ += 100;
-  EXPECT_TRUE(Grants(ownership_.TakeOrders(nowMs_), "b", 50));
+  EXPECT_TRUE(Grants(ownership_.TakeCommands(nowMs_), "b", 50));
 }
 
 // Guards against a renewal without an answer that is carried out after the
@@ -133,34 +134,34 @@
 TEST_F(KeyOwnershipTest, LateRenewalKeepsTheMoveWaiting)
 {
   Start();
-  nowMs_ += timing_.renewMs_;
-  const auto renewals = ownership_.TakeOrders(nowMs_);
+  nowMs_ += timing_.renewIntervalMs_;
+  const auto renewals = ownership_.TakeCommands(nowMs_);
   const auto renewal = std::ranges::find(
     renewals, "a", [](const auto& aOrder) { return aOrder.backend_; });
   ASSERT_NE(renewal, renewals.end());
-  Answer(*renewal, OrderResult::Unanswered);
+  Answer(*renewal, KeyCommandResult::Unanswered);
   auto orders = Step(MoveTo(0, 99, "b"));
   const auto* release = Release(orders);
   ASSERT_NE(release, nullptr);
-  Answer(*release, OrderResult::Accepted);
-  EXPECT_FALSE(Grants(ownership_.TakeOrders(nowMs_), "b", 50));
-  nowMs_ += timing_.holdMs_ * 102 / 100 + 400;
-  EXPECT_TRUE(Grants(ownership_.TakeOrders(nowMs_), "b", 50));
+  Answer(*release, KeyCommandResult::Accepted);
+  EXPECT_FALSE(Grants(ownership_.TakeCommands(nowMs_), "b", 50));
+  nowMs_ += timing_.leaseMs_ * 102 / 100 + 400;
+  EXPECT_TRUE(Grants(ownership_.TakeCommands(nowMs_), "b", 50));
 }
 
 // Guards against a grant under way that arrives after the release.
 TEST_F(KeyOwnershipTest, RenewalInFlightKeepsTheMoveWaiting)
 {
   Start();
-  nowMs_ += timing_.renewMs_;
-  const auto renewals = ownership_.TakeOrders(nowMs_);
+  nowMs_ += timing_.renewIntervalMs_;
+  const auto renewals = ownership_.TakeCommands(nowMs_);
   auto orders = Step(MoveTo(0, 99, "b"));
-  Answer(*Release(orders), OrderResult::Accepted);
-  EXPECT_FALSE(Grants(ownership_.TakeOrders(nowMs_), "b", 50));
+  Answer(*Release(orders), KeyCommandResult::Accepted);
+  EXPECT_FALSE(Grants(ownership_.TakeCommands(nowMs_), "b", 50));
   AcceptAll(renewals);
   // It took effect after the release, so the keys are released once more.
-  nowMs_ += timing_.retryMs_;
-  orders = ownership_.TakeOrders(nowMs_);
+  nowMs_ += timing_.retryIntervalMs_;
+  orders = ownership_.TakeCommands(nowMs_);
   ASSERT_NE(Release(orders), nullptr);
   EXPECT_FALSE(Grants(orders, "b", 50));
 }
@@ -200,7 +201,7 @@
   const auto orders = Step();
   EXPECT_TRUE(Grants(orders, "a", 0));
   EXPECT_GT(ownership_.Segments()[0].fence_, before.fence_);
-  EXPECT_EQ(ownership_.Segments()[0].ownerBornMs_, 77);
+  EXPECT_EQ(ownership_.Segments()[0].ownerStartTimeMs_, 77);
 }
 
 // Guards against a silent server that keeps its keys for good, and against
@@ -208,18 +209,18 @@
 TEST_F(KeyOwnershipTest, SilentServerIsReplacedAfterItsHold)
 {
   Start();
-  const TimeMs heldUntilMs = nowMs_ + timing_.holdMs_ * 102 / 100;
+  const TimeMs heldUntilMs = nowMs_ + timing_.leaseMs_ * 102 / 100;
   TimeMs movedMs = 0;
   for (; nowMs_ < 20000 && movedMs == 0; nowMs_ += 30) {
     for (const auto& order : Step()) {
       if (order.backend_ == "a") {
-        Answer(order, OrderResult::NotSent);
+        Answer(order, KeyCommandResult::NotSent);
         continue;
       }
-      if (order.kind_ == OrderKind::Grant && order.first_ == 0) {
+      if (order.kind_ == KeyCommandKind::Grant && order.first_ == 0) {
         movedMs = nowMs_;
       }
-      Answer(order, OrderResult::Accepted);
+      Answer(order, KeyCommandResult::Accepted);
     }
   }
   EXPECT_GE(movedMs, heldUntilMs);
@@ -241,12 +242,12 @@
   const auto change = next.Propose([&] { return ++fence; }, {}, nowMs_);
   ASSERT_TRUE(change);
   next.Commit(*change, nowMs_);
-  const auto orders = next.TakeOrders(nowMs_);
+  const auto orders = next.TakeCommands(nowMs_);
   const auto* release = Release(orders);
   ASSERT_NE(release, nullptr);
   EXPECT_EQ(release->backend_, "a");
-  next.OnOrderDone(*release, OrderResult::Misdirected, "", nowMs_);
-  EXPECT_TRUE(Grants(next.TakeOrders(nowMs_), "b", 0));
+  next.OnCommandDone(*release, KeyCommandResult::Misdirected, "", nowMs_);
+  EXPECT_TRUE(Grants(next.TakeCommands(nowMs_), "b", 0));
 }
 
 // Guards against a new leader that moves keys while the old one may still renew
@@ -262,30 +263,30 @@
   candidates["a"] = { 0, true, 1 };
   candidates["b"] = { 0, true, 1 };
   next.SetCandidates(candidates, nowMs_);
-  auto grants = next.TakeOrders(nowMs_);
+  auto grants = next.TakeCommands(nowMs_);
   ASSERT_EQ(grants.size(), 2U);
   // Server b takes the new fence; server a does not answer.
   for (const auto& order : grants) {
-    next.OnOrderDone(order,
-                     order.backend_ == "b" ? OrderResult::Accepted
-                                           : OrderResult::NotSent,
-                     "",
-                     nowMs_);
+    next.OnCommandDone(order,
+                       order.backend_ == "b" ? KeyCommandResult::Accepted
+                                             : KeyCommandResult::NotSent,
+                       "",
+                       nowMs_);
   }
   const auto change =
     next.Propose([&] { return ++fence; }, MoveTo(0, 99, "b"), nowMs_);
   ASSERT_TRUE(change);
   next.Commit(*change, nowMs_);
-  for (const auto& order : next.TakeOrders(nowMs_)) {
-    EXPECT_FALSE(order.kind_ == OrderKind::Grant && order.first_ == 0);
-    next.OnOrderDone(order, OrderResult::Accepted, "", nowMs_);
+  for (const auto& order : next.TakeCommands(nowMs_)) {
+    EXPECT_FALSE(order.kind_ == KeyCommandKind::Grant && order.first_ == 0);
+    next.OnCommandDone(order, KeyCommandResult::Accepted, "", nowMs_);
   }
   // The release alone does not help: the old leader may grant again.
-  nowMs_ += timing_.holdMs_ * 2;
-  EXPECT_FALSE(Grants(next.TakeOrders(nowMs_), "b", 50));
-  next.OnForeignLeadersEnded(nowMs_);
-  nowMs_ += timing_.holdMs_ * 102 / 100 + 60;
-  EXPECT_TRUE(Grants(next.TakeOrders(nowMs_), "b", 50));
+  nowMs_ += timing_.leaseMs_ * 2;
+  EXPECT_FALSE(Grants(next.TakeCommands(nowMs_), "b", 50));
+  next.OnEarlierLeadersEnded(nowMs_);
+  nowMs_ += timing_.leaseMs_ * 102 / 100 + 60;
+  EXPECT_TRUE(Grants(next.TakeCommands(nowMs_), "b", 50));
 }
 
 // Guards against a successor with fewer backend servers and shorter grants that
@@ -293,32 +294,32 @@
 TEST_F(KeyOwnershipTest, LongerGrantsOfAnEarlierLeaderRunOut)
 {
   Start();
-  auto timing = GrantTiming::For(100, 10000);
-  const auto earlier = GrantTiming::For(200, 10000);
-  ASSERT_GT(earlier.holdMs_, timing.holdMs_);
-  timing.foreignHoldMs_ = earlier.holdMs_;
+  auto timing = LeaseTiming::For(100, 10000);
+  const auto earlier = LeaseTiming::For(200, 10000);
+  ASSERT_GT(earlier.leaseMs_, timing.leaseMs_);
+  timing.maxEarlierLeaseMs_ = earlier.leaseMs_;
   KeyOwnership next("s", timing);
   int64_t fence = 1 << 24;
   next.Adopt(
     ownership_.Segments(), [&] { return ++fence; }, nowMs_);
   next.SetCandidates({ { "b", { 0, true, 1 } } }, nowMs_);
-  next.OnForeignLeadersEnded(nowMs_);
-  const TimeMs heldUntilMs = nowMs_ + earlier.holdMs_ * 102 / 100;
+  next.OnEarlierLeadersEnded(nowMs_);
+  const TimeMs heldUntilMs = nowMs_ + earlier.leaseMs_ * 102 / 100;
   if (const auto change = next.Propose([&] { return ++fence; }, {}, nowMs_)) {
     next.Commit(*change, nowMs_);
   }
   for (; nowMs_ <= heldUntilMs; nowMs_ += 50) {
-    for (const auto& order : next.TakeOrders(nowMs_)) {
-      ASSERT_FALSE(order.kind_ == OrderKind::Grant && order.first_ == 0);
-      next.OnOrderDone(order,
-                       order.backend_ == "b" ? OrderResult::Accepted
-                                             : OrderResult::Unanswered,
-                       "",
-                       nowMs_);
+    for (const auto& order : next.TakeCommands(nowMs_)) {
+      ASSERT_FALSE(order.kind_ == KeyCommandKind::Grant && order.first_ == 0);
+      next.OnCommandDone(order,
+                         order.backend_ == "b" ? KeyCommandResult::Accepted
+                                               : KeyCommandResult::Unanswered,
+                         "",
+                         nowMs_);
     }
   }
   nowMs_ += 400;
-  EXPECT_TRUE(Grants(next.TakeOrders(nowMs_), "b", 50));
+  EXPECT_TRUE(Grants(next.TakeCommands(nowMs_), "b", 50));
 }
 
 // Guards against a leader that may have been replaced and grants a server anew
@@ -326,29 +327,29 @@
 TEST_F(KeyOwnershipTest, PossiblyReplacedLeaderOnlyProlongs)
 {
   Start();
-  nowMs_ += timing_.renewMs_;
-  auto renewals = ownership_.TakeOrders(nowMs_, GrantScope::Renewals);
+  nowMs_ += timing_.renewIntervalMs_;
+  auto renewals = ownership_.TakeCommands(nowMs_, GrantScope::Renewals);
   ASSERT_EQ(renewals.size(), 2U);
   for (const auto& order : renewals) {
     Answer(order,
-           order.backend_ == "a" ? OrderResult::NotSent
-                                 : OrderResult::Accepted);
+           order.backend_ == "a" ? KeyCommandResult::NotSent
+                                 : KeyCommandResult::Accepted);
   }
-  nowMs_ += timing_.renewMs_;
-  renewals = ownership_.TakeOrders(nowMs_, GrantScope::Renewals);
+  nowMs_ += timing_.renewIntervalMs_;
+  renewals = ownership_.TakeCommands(nowMs_, GrantScope::Renewals);
   ASSERT_EQ(renewals.size(), 1U);
   EXPECT_EQ(renewals.front().backend_, "b");
-  EXPECT_TRUE(Grants(ownership_.TakeOrders(nowMs_), "a", 50));
+  EXPECT_TRUE(Grants(ownership_.TakeCommands(nowMs_), "a", 50));
 }
 
 // Guards against grants that backend servers refuse as too long.
-TEST(GrantTiming, KeepsTheLongestHoldOfTheServers)
+TEST(LeaseTiming, KeepsTheLongestHoldOfTheServers)
 {
   for (const size_t servers : { size_t{ 8 }, size_t{ 500 } }) {
-    const auto timing = GrantTiming::For(servers, 1500);
-    EXPECT_EQ(timing.holdMs_, 1500);
-    EXPECT_LT(timing.renewMs_, 700);
-    EXPECT_GT(GrantTiming::For(servers, 10000).holdMs_, 2000);
+    const auto timing = LeaseTiming::For(servers, 1500);
+    EXPECT_EQ(timing.leaseMs_, 1500);
+    EXPECT_LT(timing.renewIntervalMs_, 700);
+    EXPECT_GT(LeaseTiming::For(servers, 10000).leaseMs_, 2000);
   }
 }
 
@@ -362,13 +363,13 @@
   ASSERT_TRUE(DecodeKeyTable(EncodeKeyTable(table), back));
   EXPECT_EQ(back.term_, 3);
   EXPECT_EQ(back.writeId_, 9);
-  EXPECT_EQ(back.holdMs_, 4000);
+  EXPECT_EQ(back.leaseMs_, 4000);
   EXPECT_EQ(back.services_, table.services_);
   // Written by a version that did not name its grants.
   auto older = EncodeKeyTable(table);
   older.erase("holdMs");
   ASSERT_TRUE(DecodeKeyTable(older, back));
-  EXPECT_GE(back.holdMs_, 4000);
+  EXPECT_GE(back.leaseMs_, 4000);
 }
 
 // Guards against a table with holes, overlaps or other content.
--- a/tests/KeyspaceTest.cpp
+++ b/tests/KeyspaceTest.cpp
@@ -1,5 +1,5 @@
 #include "keyspace/KeyBalancer.hpp"
-#include "keyspace/KeyView.hpp"
+#include "keyspace/KeyOwnerMap.hpp"
 #include "membership/BackendDirectory.hpp"
 
 #include <algorithm>
@@ -31,8 +31,8 @@
       ownership_.Commit(*change, nowMs_);
     }
     for (int pass = 0; pass < 4; ++pass) {
-      for (const auto& order : ownership_.TakeOrders(nowMs_)) {
-        ownership_.OnOrderDone(order, OrderResult::Accepted, "", nowMs_);
+      for (const auto& order : ownership_.TakeCommands(nowMs_)) {
+        ownership_.OnCommandDone(order, KeyCommandResult::Accepted, "", nowMs_);
       }
     }
     nowMs_ += 400;
@@ -204,9 +204,9 @@
 
 // Guards against owners that depend on the order in which gossip and the store
 // tell of them.
-RC_GTEST_PROP(KeyView, OrderMakesNoDifference, ())
+RC_GTEST_PROP(KeyOwnerMap, OrderMakesNoDifference, ())
 {
-  std::vector<KeyView::Range> ranges;
+  std::vector<KeyOwnerMap::Range> ranges;
   const int count = *rc::gen::inRange(1, 20);
   for (int64_t fence = 1; fence <= count; ++fence) {
     const auto first = static_cast<uint32_t>(*rc::gen::inRange(0, 100));
@@ -222,8 +222,8 @@
     std::swap(shuffled[index - 1],
               shuffled[*rc::gen::inRange<size_t>(0, index)]);
   }
-  KeyView left;
-  KeyView right;
+  KeyOwnerMap left;
+  KeyOwnerMap right;
   std::ranges::for_each(ranges,
                         [&](const auto& aRange) { left.Apply("s", aRange); });
   std::ranges::for_each(shuffled,
@@ -265,7 +265,7 @@
   BackendDirectory here(kDrainMs);
   BackendDirectory peer(kDrainMs);
   auto entry = Entry("a");
-  entry.bornMs_ = 5;
+  entry.startTimeMs_ = 5;
   here.ApplyPut(entry, 0);
   peer.ApplyPut(entry, 0);
   here.TakeChanges();
@@ -275,8 +275,8 @@
   EXPECT_FALSE(here.Entries().at("a").TakesNewWork());
   // The mark is no registration, so directories stay equal.
   EXPECT_EQ(here.Digest(), peer.Digest());
-  EXPECT_TRUE(peer.MarkLeaving(here.LeavingLives(10)));
-  EXPECT_FALSE(peer.MarkLeaving(here.LeavingLives(10)));
+  EXPECT_TRUE(peer.MarkLeaving(here.LeavingIncarnations(10)));
+  EXPECT_FALSE(peer.MarkLeaving(here.LeavingIncarnations(10)));
   EXPECT_FALSE(peer.Entries().at("a").TakesNewWork());
   // A relisting, and a watch that replays the removal and the registration.
   here.ApplyList({ entry }, 1);
@@ -284,15 +284,15 @@
   EXPECT_FALSE(here.Entries().contains("a"));
   here.ApplyPut(entry, 3);
   EXPECT_FALSE(here.Entries().at("a").TakesNewWork());
-  EXPECT_EQ(here.LeavingLives(10).size(), 1U);
-  EXPECT_TRUE(here.LeavingLives(0).empty());
+  EXPECT_EQ(here.LeavingIncarnations(10).size(), 1U);
+  EXPECT_TRUE(here.LeavingIncarnations(0).empty());
   // Once the registration says it, the others need not be told.
   entry.state_ = BackendState::Draining;
   here.ApplyPut(entry, 4);
-  EXPECT_TRUE(here.LeavingLives(10).empty());
+  EXPECT_TRUE(here.LeavingIncarnations(10).empty());
   // The next life takes work again, and an old notice does not concern it.
   entry.state_ = BackendState::Ready;
-  entry.bornMs_ = 6;
+  entry.startTimeMs_ = 6;
   here.ApplyPut(entry, 5);
   EXPECT_FALSE(here.MarkLeaving("a", 5));
   EXPECT_TRUE(here.Entries().at("a").TakesNewWork());
@@ -305,7 +305,7 @@
 {
   BackendDirectory directory(kDrainMs);
   directory.ApplyList({ Entry("a"), Entry("b") }, 1000);
-  directory.OnStoreDisturbed(5000);
+  directory.OnStoreCallFailed(5000);
   directory.ApplyList({ Entry("b") }, 5100);
   EXPECT_TRUE(directory.Entries().contains("a"));
   directory.Expire(5100 + 1599);
@@ -324,7 +324,7 @@
   for (const TimeMs drainMs : { 700, 1000, 2000, 2500, 3000, 60000 }) {
     BackendDirectory directory(drainMs);
     directory.ApplyList({ Entry("a"), Entry("b") }, 1000);
-    directory.OnStoreDisturbed(5000);
+    directory.OnStoreCallFailed(5000);
     directory.ApplyRemoved("a", 5000);
     const TimeMs endMs = 5000 + std::min<TimeMs>(drainMs - 400, 2200);
     EXPECT_FALSE(directory.Expire(endMs - 1)) << drainMs;
@@ -338,10 +338,10 @@
 {
   BackendDirectory directory(3000);
   directory.ApplyList({ Entry("a"), Entry("b") }, 1000);
-  directory.OnStoreDisturbed(5000);
+  directory.OnStoreCallFailed(5000);
   directory.ApplyRemoved("a", 5000);
   for (TimeMs nowMs = 5100; nowMs < 7600; nowMs += 100) {
-    directory.OnStoreDisturbed(nowMs);
+    directory.OnStoreCallFailed(nowMs);
     EXPECT_FALSE(directory.Expire(nowMs)) << nowMs;
   }
   EXPECT_TRUE(directory.Expire(5000 + 3000 - 400));
@@ -352,7 +352,7 @@
 {
   BackendDirectory directory(kDrainMs);
   directory.ApplyList({ Entry("a", BackendState::Draining) }, 1000);
-  directory.OnStoreDisturbed(1500);
+  directory.OnStoreCallFailed(1500);
   directory.ApplyRemoved("a", 1600);
   EXPECT_FALSE(directory.Entries().contains("a"));
 }
@@ -365,7 +365,7 @@
   for (const bool toldFirst : { false, true }) {
     BackendDirectory directory(kDrainMs);
     directory.ApplyList({ Entry("a"), Entry("b") }, 1000);
-    directory.OnStoreDisturbed(1500);
+    directory.OnStoreCallFailed(1500);
     if (toldFirst) {
       directory.ConfirmRemoved("a", 1590);
     }
@@ -375,7 +375,7 @@
     EXPECT_FALSE(directory.Entries().contains("a"));
     // It is back, and goes missing with a later disturbance.
     directory.ApplyPut(Entry("a"), 2000);
-    directory.OnStoreDisturbed(2100);
+    directory.OnStoreCallFailed(2100);
     directory.ApplyRemoved("a", 2200);
     EXPECT_TRUE(directory.Entries().contains("a"));
     EXPECT_TRUE(directory.Entries().contains("b"));
--- a/tests/LoadMeasurementTest.cpp
+++ b/tests/LoadMeasurementTest.cpp
@@ -72,7 +72,7 @@
   return table;
 }
 
-RouterLoad Load(const char* aRouter, double aBusyMs)
+RouterLoadReport Load(const char* aRouter, double aBusyMs)
 {
   return {
     aRouter, 1000, { { 0, 100, aBusyMs }, { 1000, 50, aBusyMs } }, { { 5, 25 } }
--- a/tests/OwnerAdmissionTest.cpp
+++ b/tests/OwnerAdmissionTest.cpp
@@ -37,7 +37,8 @@
   for (TimeMs nowMs = 0; nowMs < kEndMs; ++nowMs) {
     waiting = std::max(0.0, waiting - kCapacity / 1000);
     if (aShares && nowMs % 500 == 0 && nowMs >= 500) {
-      const auto shares = SharesOf({ { kOwner, kDemand, kCapacity } });
+      const auto shares =
+        ComputeAdmissionShares({ { kOwner, kDemand, kCapacity } });
       for (auto& gateway : gateways) {
         gateway.Update(shares, nowMs);
       }
@@ -72,8 +73,9 @@
 // Guards against owners that are refused requests although they have room.
 TEST(OwnerAdmission, LeavesOwnersWithRoomAlone)
 {
-  EXPECT_TRUE(SharesOf({ { kOwner, 10, 12 }, { 8, 0, 12 } }).empty());
-  const auto shares = SharesOf({ { kOwner, 120, 12 } });
+  EXPECT_TRUE(
+    ComputeAdmissionShares({ { kOwner, 10, 12 }, { 8, 0, 12 } }).empty());
+  const auto shares = ComputeAdmissionShares({ { kOwner, 120, 12 } });
   ASSERT_EQ(shares.size(), 1U);
   EXPECT_NEAR(shares[0].share_, 0.115, 0.001);
   OwnerAdmission admission(1);
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -1,7 +1,7 @@
 #include "policy/Placement.hpp"
 
-#include "policy/HomeServers.hpp"
-#include "policy/LoadBoard.hpp"
+#include "policy/FleetLoadTable.hpp"
+#include "policy/PreferredServers.hpp"
 
 #include <algorithm>
 #include <map>
@@ -20,7 +20,7 @@
 {
   PlacementCandidate candidate;
   candidate.expectedMs_ = aExpectedMs;
-  candidate.workMs_ = aWorkMs;
+  candidate.serviceTimeMs_ = aWorkMs;
   return candidate;
 }
 
@@ -41,7 +41,7 @@
   const std::vector servers = { Server(900, 100) };
   auto request = kRequest;
   EXPECT_EQ(Place({}, request, servers).verdict_, PlacementVerdict::Wait);
-  request.heldMs_ = 40;
+  request.waitedMs_ = 40;
   const auto decision = Place({}, request, servers);
   EXPECT_EQ(decision.verdict_, PlacementVerdict::Refuse);
   EXPECT_GE(decision.retryAfterMs_, 30);
@@ -110,9 +110,9 @@
             1U);
 }
 
-std::vector<PlacedName> Names(const char* aPrefix, int aCount, int aDomains)
+std::vector<NodeLocation> Names(const char* aPrefix, int aCount, int aDomains)
 {
-  std::vector<PlacedName> names;
+  std::vector<NodeLocation> names;
   for (int index = 0; index < aCount; ++index) {
     names.emplace_back(aPrefix + std::to_string(index),
                        "d" + std::to_string(index % aDomains));
@@ -122,7 +122,7 @@
 
 // Guards against servers that nobody prefers, or that many prefer while others
 // have none: each server of a domain with enough servers has one home gateway.
-RC_GTEST_PROP(HomeServers, EveryServerHasAHome, ())
+RC_GTEST_PROP(PreferredServers, EveryServerHasAHome, ())
 {
   const auto gateways =
     Names("g", *rc::gen::inRange(1, 70), *rc::gen::inRange(1, 5));
@@ -131,7 +131,7 @@
   std::map<std::string, int> homes;
   size_t most = 0;
   for (const auto& [gateway, domain] : gateways) {
-    const auto own = HomeServers(gateway, gateways, servers);
+    const auto own = PreferredServers(gateway, gateways, servers);
     most = std::max(most, own.size());
     for (const auto& server : own) {
       ++homes[server];
@@ -148,9 +148,9 @@
 }
 
 // Guards against loads that are told again and again although nothing changed.
-TEST(LoadBoard, TellsChangesOnce)
+TEST(FleetLoadTable, TellsChangesOnce)
 {
-  LoadBoard board;
+  FleetLoadTable board;
   board.Add({ 7, 100, 3 }, 1000);
   EXPECT_EQ(board.TakeChanged(1000).size(), 1U);
   EXPECT_TRUE(board.TakeChanged(1100).empty());
@@ -158,9 +158,10 @@
   const auto changed = board.TakeChanged(1200);
   ASSERT_EQ(changed.size(), 1U);
   EXPECT_EQ(changed[0].load_, 5);
-  EXPECT_EQ(changed[0].workMs_, 100) << "an unknown time keeps the known one";
-  EXPECT_TRUE(board.TakeChanged(1200 + LoadBoard::kForgetMs + 1).empty());
-  EXPECT_EQ(board.WorkMs(7), 0);
+  EXPECT_EQ(changed[0].serviceTimeMs_, 100)
+    << "an unknown time keeps the known one";
+  EXPECT_TRUE(board.TakeChanged(1200 + FleetLoadTable::kForgetMs + 1).empty());
+  EXPECT_EQ(board.ServiceTimeMs(7), 0);
 }
 
 }
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -113,7 +113,7 @@
   EXPECT_EQ(entry->slots_, 6);
   EXPECT_EQ(entry->state_, BackendState::Ready);
   EXPECT_EQ(entry->coldRemainingMs_, 1500);
-  EXPECT_EQ(entry->bornMs_, 1785533497000);
+  EXPECT_EQ(entry->startTimeMs_, 1785533497000);
 }
 
 // Guards against forged entries that name a server to use.
@@ -168,13 +168,15 @@
 // Guards against grants and releases that servers read differently.
 TEST(Orders, WritesGrantAndRelease)
 {
-  KeyOrder order{ OrderKind::Grant, "s1", "i-1", 4096, 8191, 12, 4000, "h1" };
+  KeyCommand order{
+    KeyCommandKind::Grant, "s1", "i-1", 4096, 8191, 12, 4000, "h1"
+  };
   auto call = Orders().MakeOrder(order);
   EXPECT_EQ(call.target_, "/-/grant");
   EXPECT_EQ(Json::parse(call.body_),
             Json::parse(R"({"from":4096,"to":8191,"fence":12,"hold-s":4.0,
                             "handover":"h1"})"));
-  order.kind_ = OrderKind::Release;
+  order.kind_ = KeyCommandKind::Release;
   call = Orders().MakeOrder(order);
   EXPECT_EQ(call.target_, "/-/release");
   EXPECT_EQ(Json::parse(call.body_),
@@ -188,15 +190,15 @@
   const auto read = [](const CallResult& aResult) {
     return Orders().ReadAnswer(aResult).result_;
   };
-  EXPECT_EQ(read(Answered(200)), OrderResult::Accepted);
-  EXPECT_EQ(read(Answered(409)), OrderResult::OlderFence);
-  EXPECT_EQ(read(Answered(421)), OrderResult::Misdirected);
-  EXPECT_EQ(read(Answered(503)), OrderResult::Unanswered);
+  EXPECT_EQ(read(Answered(200)), KeyCommandResult::Accepted);
+  EXPECT_EQ(read(Answered(409)), KeyCommandResult::OlderFence);
+  EXPECT_EQ(read(Answered(421)), KeyCommandResult::Misdirected);
+  EXPECT_EQ(read(Answered(503)), KeyCommandResult::Unanswered);
   CallResult lost;
   lost.end_ = CallEnd::Unanswered;
-  EXPECT_EQ(read(lost), OrderResult::Unanswered);
+  EXPECT_EQ(read(lost), KeyCommandResult::Unanswered);
   lost.end_ = CallEnd::NotSent;
-  EXPECT_EQ(read(lost), OrderResult::NotSent);
+  EXPECT_EQ(read(lost), KeyCommandResult::NotSent);
 }
 
 // Guards against a notice in the answer to an order that is missed, or that
--- a/tests/RelayTreeTest.cpp
+++ b/tests/RelayTreeTest.cpp
@@ -1,7 +1,6 @@
-#include "policy/RelayTree.hpp"
-
 #include "gateway/PeerMesh.hpp"
 #include "gossip_types.h"
+#include "policy/BroadcastPlan.hpp"
 #include "tests/GatewayRig.hpp"
 #include "tests/ReservedPort.hpp"
 
@@ -17,9 +16,9 @@
 namespace cactuspitch {
 namespace {
 
-std::vector<RelayMember> Fleet(int aDomains, int aPerDomain)
+std::vector<BroadcastTarget> Fleet(int aDomains, int aPerDomain)
 {
-  std::vector<RelayMember> members;
+  std::vector<BroadcastTarget> members;
   for (int domain = 0; domain < aDomains; ++domain) {
     for (int index = 0; index < aPerDomain; ++index) {
       members.push_back({ "g" + std::to_string(domain * 1000 + index),
@@ -34,7 +33,7 @@
 // Guards against small fleets that depend on relays without need.
 TEST(RelayTree, TellsSmallFleetsDirectly)
 {
-  const auto plan = PlanSpread("d0", Fleet(4, 4));
+  const auto plan = PlanBroadcast("d0", Fleet(4, 4));
   EXPECT_EQ(plan.direct_.size(), 16U);
   EXPECT_TRUE(plan.relays_.empty());
 }
@@ -45,7 +44,7 @@
 {
   for (const int perDomain : { 50, 383 }) {
     const auto members = Fleet(6, perDomain);
-    const auto plan = PlanSpread("d2", members);
+    const auto plan = PlanBroadcast("d2", members);
     EXPECT_EQ(plan.direct_.size(), static_cast<size_t>(perDomain));
     EXPECT_EQ(plan.relays_.size(), 10U);
     std::set<std::string> domains;
@@ -67,7 +66,7 @@
     members[index].alive_ = false;
   }
   members[25].domain_.clear();
-  const auto plan = PlanSpread("d0", members);
+  const auto plan = PlanBroadcast("d0", members);
   EXPECT_EQ(plan.direct_.size(), 21U);
   ASSERT_EQ(plan.relays_.size(), 2U);
   for (const auto index : plan.relays_) {
@@ -75,7 +74,7 @@
   }
   // Without any that is known to live, the first ones are tried.
   std::ranges::for_each(members, [](auto& aMember) { aMember.alive_ = false; });
-  EXPECT_EQ(PlanSpread("d0", members).relays_.size(), 2U);
+  EXPECT_EQ(PlanBroadcast("d0", members).relays_.size(), 2U);
 }
 
 /// A mesh on loopback that keeps what it receives.
--- a/tests/ServerNoticesModel.cpp
+++ b/tests/ServerNoticesModel.cpp
@@ -1,7 +1,7 @@
 #include "tests/ServerNoticesModel.hpp"
 
 #include "common/Strings.hpp"
-#include "policy/HomeServers.hpp"
+#include "policy/PreferredServers.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -36,9 +36,9 @@
 constexpr double kLongestPauseMs = 10000;
 constexpr size_t kBytes = 2048;
 
-std::vector<PlacedName> Names(char aKind, size_t aCount)
+std::vector<NodeLocation> Names(char aKind, size_t aCount)
 {
-  std::vector<PlacedName> names;
+  std::vector<NodeLocation> names;
   for (size_t index = 0; index < aCount; ++index) {
     names.emplace_back(Concat(std::string(1, aKind), index),
                        Concat("z", index % kDomains));
@@ -75,7 +75,7 @@
     auto& gateway = gateways_[index];
     gateway.views_.assign(servers_.size(), NewView());
     const auto homes =
-      HomeServers(gatewayNames[index].first, gatewayNames, serverNames);
+      PreferredServers(gatewayNames[index].first, gatewayNames, serverNames);
     for (size_t server = 0; server < servers_.size(); ++server) {
       if (homes.contains(serverNames[server].first)) {
         gateway.homes_.push_back(server);
@@ -88,7 +88,7 @@
 {
   View view;
   view.load_.SetSlots(options_.slots_);
-  view.load_.SetDefaultWorkMs(options_.workMs_);
+  view.load_.SetDefaultWorkMs(options_.serviceTimeMs_);
   return view;
 }
 
@@ -174,8 +174,8 @@
   call->sentMs_ = call->readMs_ = events_.NowMs();
   ++result_.requests_;
   Dispatch(Draw(gateways_.size()), call);
-  const double perMs =
-    options_.load_ * options_.servers_ * options_.slots_ / options_.workMs_;
+  const double perMs = options_.load_ * options_.servers_ * options_.slots_ /
+                       options_.serviceTimeMs_;
   std::exponential_distribution<double> gapMs(perMs);
   events_.After(gapMs(workload_) * kUsPerMs, [this] { Arrive(); });
 }
@@ -210,10 +210,10 @@
     const auto& view = gateway.views_[server];
     PlacementCandidate candidate;
     candidate.expectedMs_ = view.load_.ExpectedMs(nowMs);
-    candidate.workMs_ = view.load_.WorkMs(nowMs);
+    candidate.serviceTimeMs_ = view.load_.ServiceTimeMs(nowMs);
     candidate.failureShare_ = view.load_.FailureShare(nowMs);
     candidate.sameDomain_ = aGateway % kDomains == server % kDomains;
-    candidate.home_ =
+    candidate.preferred_ =
       std::ranges::find(gateway.homes_, server) != gateway.homes_.end();
     candidate.full_ = options_.heedsPauses_ &&
                       view.pause_.IsFull(static_cast<size_t>(view.inFlight_));
@@ -321,7 +321,7 @@
   auto& server = servers_[aServer];
   ++server.running_;
   const auto workMs = static_cast<TimeMs>(
-    DrawBetween(options_.workMs_ / 2, options_.workMs_ * 3 / 2));
+    DrawBetween(options_.serviceTimeMs_ / 2, options_.serviceTimeMs_ * 3 / 2));
   After(workMs, [this, aGateway, aServer, life = server.life_, aCall] {
     OnWorkDone(aGateway, aServer, life, aCall);
   });
@@ -348,7 +348,7 @@
                         static_cast<int>(server.waiting_.size()),
                         options_.slots_ },
                       nowMs);
-  view.pause_.OnRanWell(aCall->readMs_, options_.slots_);
+  view.pause_.OnRequestSucceeded(aCall->readMs_, options_.slots_);
   if (server.leaves_) {
     NoteLeaving(aGateway, aServer);
   }
--- a/tests/ServerNoticesModel.hpp
+++ b/tests/ServerNoticesModel.hpp
@@ -24,7 +24,7 @@
     int gateways_ = 65;
     int servers_ = 90;
     int slots_ = 4;
-    double workMs_ = 350;
+    double serviceTimeMs_ = 350;
     TimeMs objectiveMs_ = 1200;
     TimeMs deadlineMs_ = 6000;
     double load_ = 0.9; ///< of all slots
--- a/tests/SilentConnectionTest.cpp
+++ b/tests/SilentConnectionTest.cpp
@@ -11,7 +11,7 @@
   void Exchange(uint64_t aConnection, TimeMs aSentMs, TimeMs aAnswerMs)
   {
     detector_.OnSend(aConnection, aSentMs);
-    detector_.OnAnswer(aConnection, aAnswerMs);
+    detector_.OnResponse(aConnection, aAnswerMs);
   }
 
   SilentConnectionDetector detector_;
@@ -28,7 +28,7 @@
   Exchange(alive, 1200, 1210);
   EXPECT_FALSE(detector_.IsSilent(silent, 1249));
   EXPECT_TRUE(detector_.IsSilent(silent, 1250));
-  EXPECT_EQ(detector_.IdleSiblings(silent), std::vector{ idle });
+  EXPECT_EQ(detector_.OlderIdleConnections(silent), std::vector{ idle });
 }
 
 // Guards against blaming the connections of a server that froze or is slow on
--- a/tests/SoakBackend.cpp
+++ b/tests/SoakBackend.cpp
@@ -102,7 +102,7 @@
 {
   ++life_;
   id_ = Concat(options_.name_, ".", life_);
-  bornMs_ = UnixNowMs();
+  startTimeMs_ = UnixNowMs();
   seq_ = 0;
   up_ = true;
   frozen_ = leaving_ = draining_ = false;
@@ -129,7 +129,7 @@
   store_.Put("servers",
              id_,
              { { "address", address_ },
-               { "born", bornMs_ },
+               { "born", startTimeMs_ },
                { "info",
                  { { "service", options_.service_ },
                    { "zone", options_.failureDomain_ },
@@ -343,8 +343,8 @@
     return;
   }
   running_.push_back(aWork);
-  std::uniform_int_distribution<TimeMs> workMs(options_.workMs_ / 2,
-                                               options_.workMs_ * 2);
+  std::uniform_int_distribution<TimeMs> workMs(options_.serviceTimeMs_ / 2,
+                                               options_.serviceTimeMs_ * 2);
   After(workMs(random_), [this, work = aWork] { Finish(work); });
 }
 
--- a/tests/SoakBackend.hpp
+++ b/tests/SoakBackend.hpp
@@ -48,7 +48,7 @@
     bool keyed_ = false;
     bool linked_ = false; ///< reached through a link that can be cut
     int slots_ = 4;
-    int workMs_ = 20;
+    int serviceTimeMs_ = 20;
   };
 
   /// Keys that callers use; the server tracks these only.
@@ -130,7 +130,7 @@
   Timer beatTimer_;
   int life_ = 0;
   std::string id_;
-  int64_t bornMs_ = 0;
+  int64_t startTimeMs_ = 0;
   int64_t seq_ = 0;
   bool up_ = false;
   bool frozen_ = false;
