Reword the comments of keyspace/

Comments spoke of orders, holds, lives and who hears of what, often without a subject.

They now say in terms of leases, commands, incarnations and load what a caller needs: units, defaults and results on failure. Private names follow. Every reason and number is kept.

--- a/keyspace/KeyBalancer.hpp
+++ b/keyspace/KeyBalancer.hpp
@@ -9,77 +9,82 @@
 
 namespace cactuspitch {
 
-/// When and how much the balancer moves.
+/// Thresholds and limits of KeyBalancer.
 struct KeyBalanceOptions
 {
-  /// Acts above this ratio of a server's utilization to the mean.
+  /// A server is overloaded when its utilization exceeds the mean by more than
+  /// this factor,
   double imbalanceThreshold_ = 1.15;
-  /// And only if the excess is this many standard deviations of the count of
-  /// requests that the utilization was measured from.
+  /// by at least this many standard deviations of the request count from which
+  /// the utilization was measured.
   double significance_ = 1.0;
-  /// Utilization below which a server is never relieved: it has free slots.
+  /// Servers below this utilization are never overloaded: they have free slots.
   double idleUtilization_ = 0.3;
-  /// Shares of load below this part of the mean are not worth a move.
+  /// Smallest load worth moving, as a fraction of the mean utilization times
+  /// the capacity of the target.
   double minMoveShare_ = 0.08;
-  /// A key that takes this part of its owner's capacity is better off with a
-  /// faster owner,
+  /// A key that servers at least this fraction of its owner's capacity moves to
+  /// a faster server,
   double dominantShare_ = 0.6;
-  /// if that one has this many times the capacity and is that much less busy.
+  /// if one has at least this many times the capacity and its utilization is
+  /// lower by the same factor.
   double fasterRatio_ = 1.25;
-  /// Moves of one plan, for each server.
+  /// Maximum number of moves in one plan, per server.
   double movesPerServer_ = 0.75;
 };
 
-/// Chooses moves that bring the utilization of the owners together: load from
-/// the busiest server to the least busy one, in parts cut from the edge of a
-/// segment. A single key that is too hot for its owner goes to the fastest one.
-/// Moves cost little where the old holder hands its keys over, so balance is
-/// weighed higher than the number of moves.
+/// Plans moves of key ranges that equalize the utilization of the owners. Load
+/// moves from the busiest to the least busy server, in ranges split off the
+/// edge of a segment. A single key that is too hot for its owner moves to the
+/// fastest server. Moves are cheap when the previous owner hands its keys over,
+/// so an even load takes priority over a small number of moves.
 class KeyBalancer
 {
 public:
   explicit KeyBalancer(KeyBalanceOptions aOptions = {});
 
-  /// aServiceSeconds: mean time of one request on a server of mean speed.
+  /// aServiceSeconds is the mean service time of a request on a server of mean
+  /// speed. Returns no moves when the load is balanced.
   std::vector<KeyOwnership::Move> Plan(const KeyOwnership& aOwnership,
                                        const KeyRates& aRates,
                                        double aServiceSeconds,
                                        TimeMs aNowMs) const;
 
 private:
-  struct ServerUse
+  struct ServerUtilization
   {
     double rate_ = 0;
-    double capacity_ = 1; ///< requests per second
-    bool done_ = false;   ///< cannot be relieved any further
+    double capacity_ = 1;    ///< requests per second
+    bool exhausted_ = false; ///< no further range can be moved away
 
     double Utilization() const { return rate_ / capacity_; }
-    double Left() const { return capacity_ - rate_; }
+    double Headroom() const { return capacity_ - rate_; }
   };
-  struct Piece
+  struct RateRange
   {
     uint32_t first_;
     uint32_t last_;
     std::string owner_;
     double rate_;
   };
-  using Uses = std::map<std::string, ServerUse>;
+  using Utilizations = std::map<std::string, ServerUtilization>;
 
-  /// Moves a key that alone fills the busiest server to a faster one; the
-  /// load beside it is moved away by later plans.
-  void MoveDominantKey(std::vector<Piece>& aPieces,
-                       Uses& aUses,
+  /// Moves a key that alone saturates the busiest server to a faster server.
+  /// Later plans move the other load away from that server.
+  void MoveDominantKey(std::vector<RateRange>& aRanges,
+                       Utilizations& aServers,
                        const KeyRates& aRates,
                        std::vector<KeyOwnership::Move>& aMoves) const;
-  bool IsOverloaded(const ServerUse& aUse,
+  bool IsOverloaded(const ServerUtilization& aServer,
                     double aMean,
                     const KeyRates& aRates) const;
-  /// Cuts about aWanted from a piece of aFrom; false when none fits.
-  static bool Cut(std::vector<Piece>& aPieces,
-                  const std::string& aFrom,
-                  double aWanted,
-                  const KeyRates& aRates,
-                  Piece& aResult);
+  /// Takes a range with a rate of about aWanted from the ranges of aFrom.
+  /// Returns false when no range fits.
+  static bool SplitOff(std::vector<RateRange>& aRanges,
+                       const std::string& aFrom,
+                       double aWanted,
+                       const KeyRates& aRates,
+                       RateRange& aResult);
 
   KeyBalanceOptions options_;
 };
--- a/keyspace/KeyLoad.cpp
+++ b/keyspace/KeyLoad.cpp
@@ -8,9 +8,10 @@
 
 namespace detail {
 
-/// Weights grow by 2 to this power before they are rescaled.
+/// Half-lives after which the weights, which double in each of them, are
+/// rescaled.
 constexpr TimeMs kRescaleHalfLives = 30;
-/// Rates of a shorter time say nothing.
+/// Rates measured over a shorter time are meaningless.
 constexpr double kMinSeconds = 0.25;
 
 }
@@ -51,7 +52,7 @@
 {
   const double scale =
     std::exp2(static_cast<double>(aNowMs - originMs_) / halfLifeMs_);
-  // Soon after the first request the window is not full yet.
+  // Shortly after the first request the averaging window is only partly filled.
   const double seconds = std::max(
     detail::kMinSeconds, static_cast<double>(aNowMs - startMs_) / 1000.0);
   const double window =
--- a/keyspace/KeyLoad.hpp
+++ b/keyspace/KeyLoad.hpp
@@ -7,8 +7,8 @@
 
 namespace cactuspitch {
 
-/// Requests per second of every key at one moment, summed up so that the rate
-/// of any range is one subtraction.
+/// Snapshot of the request rate of every key, stored as prefix sums so that the
+/// rate of any key range is a single subtraction.
 class KeyRates
 {
 public:
@@ -18,37 +18,38 @@
   {
   }
 
-  /// Requests per second of the keys aFirst to aLast.
+  /// Requests per second of the keys aFirst to aLast, both inclusive.
   double Rate(uint32_t aFirst, uint32_t aLast) const
   {
     return sums_[aLast + 1] - sums_[aFirst];
   }
   double Total() const { return sums_.back(); }
-  /// Requests that a rate stands for: the fewer, the less it says.
+  /// Number of requests from which aRate was measured, in the averaging window.
+  /// Rates with few samples are noisy.
   double Samples(double aRate) const { return aRate * windowSeconds_; }
-  /// Last key of the longest range that starts at aFirst and has at most
-  /// aRate; aFirst - 1 when not even the first key fits.
+  /// Last key of the longest range from aFirst whose rate is at most aRate.
+  /// Returns aFirst - 1 if the first key alone exceeds aRate.
   int64_t LastWithin(uint32_t aFirst, uint32_t aLast, double aRate) const;
-  /// First key of the longest range that ends at aLast and has at most aRate;
-  /// aLast + 1 when not even the last key fits.
+  /// First key of the longest range up to aLast whose rate is at most aRate.
+  /// Returns aLast + 1 if the last key alone exceeds aRate.
   int64_t FirstWithin(uint32_t aFirst, uint32_t aLast, double aRate) const;
 
 private:
-  std::vector<double> sums_; ///< of the keys below the index
+  std::vector<double> sums_; ///< total rate of the keys below the index
   double windowSeconds_;
 };
 
-/// Counts the requests of each key of a service, with exponential decay. Busy
-/// keys lie close together, so the full table is kept instead of a sketch:
-/// 256 KB at the leader only.
+/// Counts the requests for each key of a service with exponential decay. Busy
+/// keys are adjacent, so the leader keeps the full table, 256 KB, instead of a
+/// sketch.
 class KeyLoad
 {
 public:
-  /// Half of the weight comes from the last 1.5 s: a new hot key counts within
-  /// a second, and the noise of single requests is smoothed.
+  /// Short enough that a new hot key shows within a second, long enough to
+  /// smooth the noise of single requests.
   static constexpr TimeMs kHalfLifeMs = 1500;
-  /// With many owners each sees few requests, and the noise of 1.5 s hides who
-  /// is overloaded.
+  /// With many owners each receives few requests, and with a half-life of 1.5 s
+  /// noise hides which owners are overloaded.
   static constexpr TimeMs kLargeFleetHalfLifeMs = 4000;
 
   explicit KeyLoad(TimeMs aHalfLifeMs = kHalfLifeMs);
@@ -58,14 +59,15 @@
   double TotalRate(TimeMs aNowMs) const;
 
 private:
-  /// Requests per second for each unit of weight.
+  /// Converts a weight into requests per second.
   double RatePerWeight(TimeMs aNowMs) const;
-  /// Seconds of traffic that the decayed weight of a steady rate stands for.
+  /// Length of the averaging window: the decayed weight of a steady rate,
+  /// divided by the rate.
   double WindowSeconds() const;
   void Rescale(TimeMs aNowMs);
 
-  /// Weights grow with time instead of decaying all entries; rescaled before
-  /// they overflow.
+  /// New requests get growing weights, which replaces the decay of all entries.
+  /// Rescaled before the weights overflow.
   std::vector<float> weights_;
   TimeMs halfLifeMs_;
   double total_ = 0;
--- a/keyspace/KeyOwnerMap.hpp
+++ b/keyspace/KeyOwnerMap.hpp
@@ -8,17 +8,17 @@
 
 namespace cactuspitch {
 
-/// Owner of a key as a gateway believes it.
+/// Owner of a key, as far as a gateway knows.
 struct KeyOwner
 {
   std::string id_;
   int64_t fence_ = 0;
-  bool active_ = false; ///< the owner has taken its grant
+  bool active_ = false; ///< the owner has accepted its lease
 };
 
-/// Owners of all keys, merged from the store's table and from what gateways
-/// tell each other. The highest fence wins for each key, so messages may be
-/// lost, repeated or come out of order.
+/// Owners of all keys of all services, merged from the table in the store and
+/// from gossip between gateways. The highest fence wins for each key, so
+/// messages may be lost, duplicated or reordered.
 class KeyOwnerMap
 {
 public:
@@ -29,10 +29,11 @@
     KeyOwner owner_;
   };
 
-  /// True when the view changed.
+  /// Merges the owner of a key range. Returns true if any owner changed.
   bool Apply(const std::string& aService, const Range& aRange);
-  /// Null when no owner is known.
+  /// Owner of aKey; null if none is known.
   const KeyOwner* Find(const std::string& aService, uint32_t aKey) const;
+  /// Ranges of a service by key; empty if nothing is known of the service.
   const std::vector<Range>& Ranges(const std::string& aService) const;
 
 private:
--- a/keyspace/KeyOwnership.cpp
+++ b/keyspace/KeyOwnership.cpp
@@ -11,37 +11,37 @@
 constexpr TimeMs kClockDriftPercent = 2;
 constexpr TimeMs kRoundingMs = 50;
 constexpr int kLostFailures = 2;
-/// A grant without an answer reached the server within this time, or its
-/// connection was cut and reset.
+/// A grant without a response reached the server within this time or not at
+/// all, because its connection was interrupted and reset.
 constexpr TimeMs kMaxTransitMs = 250;
-/// With many owners the loss of one concerns few keys, and renewals cost the
-/// leader processor time: its grants last longer.
-constexpr TimeMs kLargeFleetHoldMs = 4000;
+/// In a large fleet the loss of one owner affects few keys, and renewals cost
+/// the leader CPU time, so leases are longer.
+constexpr TimeMs kLargeFleetLeaseMs = 4000;
 constexpr TimeMs kLargeFleetRenewMs = 1300;
 
-bool Overlaps(const KeySegment& aSegment, const KeyCommand& aOrder)
+bool Overlaps(const KeySegment& aSegment, const KeyCommand& aCommand)
 {
-  return aSegment.first_ <= aOrder.last_ && aOrder.first_ <= aSegment.last_;
+  return aSegment.first_ <= aCommand.last_ && aCommand.first_ <= aSegment.last_;
 }
 
 }
 
-TimeMs LeaseEndMs(TimeMs aArrivalMs, TimeMs aHoldMs)
+TimeMs LeaseEndMs(TimeMs aArrivalMs, TimeMs aLeaseMs)
 {
-  return aArrivalMs + aHoldMs + aHoldMs * detail::kClockDriftPercent / 100 +
+  return aArrivalMs + aLeaseMs + aLeaseMs * detail::kClockDriftPercent / 100 +
          detail::kRoundingMs;
 }
 
 bool KeyOwnership::LeaseState::HasEnded(TimeMs aNowMs) const
 {
   return inFlight_ == 0 && unansweredEndMs_ <= aNowMs &&
-         (released_ || answeredEndMs_ <= aNowMs) &&
+         (released_ || acceptedEndMs_ <= aNowMs) &&
          (fenced_ || earlierLeaderEndMs_ <= aNowMs);
 }
 
 bool KeyOwnership::LeaseState::WasNeverGranted() const
 {
-  return inFlight_ == 0 && unansweredEndMs_ == 0 && answeredEndMs_ == 0 &&
+  return inFlight_ == 0 && unansweredEndMs_ == 0 && acceptedEndMs_ == 0 &&
          earlierLeaderEndMs_ == 0;
 }
 
@@ -49,7 +49,7 @@
 {
   LeaseTiming timing;
   if (aServers > kLargeFleetServers) {
-    timing.leaseMs_ = detail::kLargeFleetHoldMs;
+    timing.leaseMs_ = detail::kLargeFleetLeaseMs;
     timing.renewIntervalMs_ = detail::kLargeFleetRenewMs;
   }
   if (aMaxHoldMs < timing.leaseMs_) {
@@ -75,12 +75,12 @@
                                          timing_.maxEarlierLeaseMs_);
   segments_.clear();
   for (auto& segment : aSegments) {
-    const bool joins =
+    const bool mergesWithLast =
       !segments_.empty() && segment.previous_.empty() &&
       segments_.back().previous_.empty() &&
       segments_.back().owner_ == segment.owner_ &&
       segments_.back().ownerStartTimeMs_ == segment.ownerStartTimeMs_;
-    if (joins) {
+    if (mergesWithLast) {
       segments_.back().last_ = segment.last_;
       continue;
     }
@@ -99,15 +99,16 @@
 
 void KeyOwnership::OnEarlierLeadersEnded(TimeMs aNowMs)
 {
-  // Their last grants may still be in force, or be carried out late.
+  // Their last leases may still be valid, and their last commands may still be
+  // executed.
   const TimeMs endMs = LeaseEndMs(aNowMs, timing_.maxEarlierLeaseMs_);
-  const auto shorten = [&](LeaseState& aWindow) {
-    aWindow.earlierLeaderEndMs_ = std::min(aWindow.earlierLeaderEndMs_, endMs);
+  const auto shorten = [&](LeaseState& aLease) {
+    aLease.earlierLeaderEndMs_ = std::min(aLease.earlierLeaderEndMs_, endMs);
   };
-  for (auto& runtime : segmentStates_) {
-    shorten(runtime.owner_);
-    for (auto& [id, window] : runtime.previous_) {
-      shorten(window);
+  for (auto& state : segmentStates_) {
+    shorten(state.owner_);
+    for (auto& [id, lease] : state.previous_) {
+      shorten(lease);
     }
   }
 }
@@ -116,15 +117,16 @@
   std::map<std::string, OwnerCandidate> aCandidates,
   TimeMs aNowMs)
 {
-  const bool grew = std::ranges::any_of(aCandidates, [&](const auto& aEntry) {
-    return !candidates_.contains(aEntry.first);
-  });
-  if (grew) {
+  const bool hasNewServer =
+    std::ranges::any_of(aCandidates, [&](const auto& aEntry) {
+      return !candidates_.contains(aEntry.first);
+    });
+  if (hasNewServer) {
     newestServerMs_ = aNowMs;
     firstServerMs_ = firstServerMs_.value_or(aNowMs);
   }
   candidates_ = std::move(aCandidates);
-  std::erase_if(contacts_, [&](const auto& aEntry) {
+  std::erase_if(failureStreaks_, [&](const auto& aEntry) {
     return !candidates_.contains(aEntry.first);
   });
 }
@@ -144,8 +146,8 @@
 
 bool KeyOwnership::IsLost(const std::string& aBackend, TimeMs aNowMs) const
 {
-  const auto found = contacts_.find(aBackend);
-  return found != contacts_.end() &&
+  const auto found = failureStreaks_.find(aBackend);
+  return found != failureStreaks_.end() &&
          found->second.failures_ >= detail::kLostFailures &&
          aNowMs - found->second.firstFailureMs_ >= timing_.lostAfterMs_;
 }
@@ -201,25 +203,25 @@
                                     const std::function<int64_t()>& aNextFence,
                                     TimeMs aNowMs) const
 {
-  // Share of the keys that each usable server has, by its capacity: the
-  // balance by load follows later.
-  std::map<std::string, double> share;
+  // Number of keys of each usable server divided by its capacity. The load is
+  // not considered here; KeyBalancer evens it out later.
+  std::map<std::string, double> keysPerCapacity;
   for (const auto& [id, candidate] : candidates_) {
     if (candidate.usable_ && !IsLost(id, aNowMs)) {
-      share[id] = 0;
+      keysPerCapacity[id] = 0;
     }
   }
-  if (share.empty()) {
+  if (keysPerCapacity.empty()) {
     return;
   }
-  const auto weigh = [&](const KeySegment& aSegment) {
-    const auto found = share.find(aSegment.owner_);
-    if (found != share.end()) {
+  const auto addKeys = [&](const KeySegment& aSegment) {
+    const auto found = keysPerCapacity.find(aSegment.owner_);
+    if (found != keysPerCapacity.end()) {
       found->second += (aSegment.last_ - aSegment.first_ + 1) /
                        candidates_.at(aSegment.owner_).capacity_;
     }
   };
-  std::ranges::for_each(aSegments, weigh);
+  std::ranges::for_each(aSegments, addKeys);
   for (auto& segment : aSegments) {
     if (!NeedsNewOwner(segment, aNowMs)) {
       continue;
@@ -229,9 +231,10 @@
       own != candidates_.end() && own->second.usable_ &&
       own->second.startTimeMs_ != segment.ownerStartTimeMs_ &&
       !IsLost(segment.owner_, aNowMs);
-    const auto target = restarted ? segment.owner_ : PickTarget(share);
+    const auto target =
+      restarted ? segment.owner_ : PickTarget(keysPerCapacity);
     segment = WithOwner(segment, target, aNextFence());
-    weigh(segment);
+    addKeys(segment);
   }
 }
 
@@ -247,7 +250,7 @@
     if (!anyUsable) {
       return std::nullopt;
     }
-    // First table of the service: equal parts by capacity.
+    // First table of the service: keys are shared in proportion to capacity.
     double total = 0;
     for (const auto& [id, candidate] : candidates_) {
       total += candidate.usable_ ? candidate.capacity_ : 0;
@@ -271,7 +274,7 @@
     proposed.back().last_ = kKeyCount - 1;
     return proposed;
   }
-  // A previous holder whose hold is over leaves the durable table.
+  // Previous owners whose leases have ended are removed from the stored table.
   for (size_t index = 0; index < proposed.size(); ++index) {
     if (segmentStates_[index].granted_) {
       proposed[index].previous_.clear();
@@ -302,7 +305,7 @@
 
 void KeyOwnership::Commit(const KeySegments& aSegments, TimeMs aNowMs)
 {
-  std::vector<SegmentState> runtime(aSegments.size());
+  std::vector<SegmentState> newStates(aSegments.size());
   for (size_t index = 0; index < aSegments.size(); ++index) {
     const auto& segment = aSegments[index];
     const auto before = std::ranges::find_if(segments_, [&](const auto& aPart) {
@@ -311,38 +314,38 @@
     if (before == segments_.end()) {
       continue;
     }
-    const auto& old = segmentStates_[before - segments_.begin()];
+    const auto& oldState = segmentStates_[before - segments_.begin()];
     if (before->owner_ == segment.owner_ && before->fence_ == segment.fence_) {
-      runtime[index] = old;
-      std::erase_if(runtime[index].previous_, [&](const auto& aEntry) {
+      newStates[index] = oldState;
+      std::erase_if(newStates[index].previous_, [&](const auto& aEntry) {
         return std::ranges::find(segment.previous_, aEntry.first) ==
                segment.previous_.end();
       });
       continue;
     }
-    auto& fresh = runtime[index];
+    auto& newState = newStates[index];
     for (const auto& id : segment.previous_) {
       if (id == before->owner_) {
-        fresh.previous_[id] = old.owner_;
-      } else if (const auto found = old.previous_.find(id);
-                 found != old.previous_.end()) {
-        fresh.previous_[id] = found->second;
+        newState.previous_[id] = oldState.owner_;
+      } else if (const auto found = oldState.previous_.find(id);
+                 found != oldState.previous_.end()) {
+        newState.previous_[id] = found->second;
       }
     }
     if (before->owner_ == segment.owner_) {
-      // A new life of the same server, or a new fence for it.
-      fresh.owner_ = old.owner_;
-    } else if (const auto found = old.previous_.find(segment.owner_);
-               found != old.previous_.end()) {
-      fresh.owner_ = found->second;
+      // A new incarnation of the same server, or a new fence for it.
+      newState.owner_ = oldState.owner_;
+    } else if (const auto found = oldState.previous_.find(segment.owner_);
+               found != oldState.previous_.end()) {
+      newState.owner_ = found->second;
     }
-    fresh.owner_.released_ = false;
-    fresh.owner_.fenced_ = false;
+    newState.owner_.released_ = false;
+    newState.owner_.fenced_ = false;
   }
   segments_ = aSegments;
-  segmentStates_ = std::move(runtime);
+  segmentStates_ = std::move(newStates);
   ++revision_;
-  // A holder that never got a grant needs no release.
+  // A previous owner that was never granted a lease needs no release.
   for (auto& entry : segmentStates_) {
     std::erase_if(entry.previous_, [&](const auto& aEntry) {
       return aEntry.second.WasNeverGranted() || aEntry.second.HasEnded(aNowMs);
@@ -351,31 +354,31 @@
 }
 
 void KeyOwnership::AddReleases(size_t aIndex,
-                               std::vector<KeyCommand>& aOrders,
+                               std::vector<KeyCommand>& aCommands,
                                TimeMs aNowMs)
 {
-  auto& runtime = segmentStates_[aIndex];
-  if (runtime.releaseInFlight_ ||
-      (runtime.lastReleaseMs_ != 0 &&
-       aNowMs - runtime.lastReleaseMs_ < timing_.retryIntervalMs_)) {
+  auto& state = segmentStates_[aIndex];
+  if (state.releaseInFlight_ ||
+      (state.lastReleaseMs_ != 0 &&
+       aNowMs - state.lastReleaseMs_ < timing_.retryIntervalMs_)) {
     return;
   }
   const auto& segment = segments_[aIndex];
-  for (auto& [id, window] : runtime.previous_) {
-    if (window.released_ || window.HasEnded(aNowMs)) {
+  for (auto& [id, lease] : state.previous_) {
+    if (lease.released_ || lease.HasEnded(aNowMs)) {
       continue;
     }
-    runtime.lastReleaseMs_ = aNowMs;
-    runtime.releaseInFlight_ = true;
-    aOrders.push_back({ KeyCommandKind::Release,
-                        service_,
-                        id,
-                        segment.first_,
-                        segment.last_,
-                        segment.fence_,
-                        0,
-                        {},
-                        aNowMs });
+    state.lastReleaseMs_ = aNowMs;
+    state.releaseInFlight_ = true;
+    aCommands.push_back({ KeyCommandKind::Release,
+                          service_,
+                          id,
+                          segment.first_,
+                          segment.last_,
+                          segment.fence_,
+                          0,
+                          {},
+                          aNowMs });
     return;
   }
 }
@@ -383,119 +386,118 @@
 std::vector<KeyCommand> KeyOwnership::TakeCommands(TimeMs aNowMs,
                                                    GrantScope aScope)
 {
-  std::vector<KeyCommand> orders;
+  std::vector<KeyCommand> commands;
   for (size_t index = 0; index < segments_.size(); ++index) {
-    auto& runtime = segmentStates_[index];
+    auto& state = segmentStates_[index];
     const auto& segment = segments_[index];
     if (!CanGrant(index, aNowMs)) {
-      AddReleases(index, orders, aNowMs);
+      AddReleases(index, commands, aNowMs);
       continue;
     }
-    const bool prolongs = runtime.granted_ && !runtime.lastGrantFailed_ &&
-                          aNowMs < runtime.owner_.answeredEndMs_;
-    if (aScope == GrantScope::Renewals && !prolongs) {
+    const bool renews = state.granted_ && !state.lastGrantFailed_ &&
+                        aNowMs < state.owner_.acceptedEndMs_;
+    if (aScope == GrantScope::Renewals && !renews) {
       continue;
     }
-    const bool hurry = (!runtime.granted_ || runtime.lastGrantFailed_) &&
-                       !IsLost(segment.owner_, aNowMs);
+    const bool retries = (!state.granted_ || state.lastGrantFailed_) &&
+                         !IsLost(segment.owner_, aNowMs);
     const TimeMs intervalMs =
-      hurry ? timing_.retryIntervalMs_ : timing_.renewIntervalMs_;
-    if (segment.owner_.empty() || runtime.owner_.inFlight_ > 0 ||
-        (runtime.lastGrantMs_ != 0 &&
-         aNowMs - runtime.lastGrantMs_ < intervalMs)) {
+      retries ? timing_.retryIntervalMs_ : timing_.renewIntervalMs_;
+    if (segment.owner_.empty() || state.owner_.inFlight_ > 0 ||
+        (state.lastGrantMs_ != 0 && aNowMs - state.lastGrantMs_ < intervalMs)) {
       continue;
     }
-    runtime.lastGrantMs_ = aNowMs;
-    runtime.owner_.inFlight_ += 1;
-    orders.push_back({ KeyCommandKind::Grant,
-                       service_,
-                       segment.owner_,
-                       segment.first_,
-                       segment.last_,
-                       segment.fence_,
-                       timing_.leaseMs_,
-                       runtime.handover_,
-                       aNowMs });
+    state.lastGrantMs_ = aNowMs;
+    state.owner_.inFlight_ += 1;
+    commands.push_back({ KeyCommandKind::Grant,
+                         service_,
+                         segment.owner_,
+                         segment.first_,
+                         segment.last_,
+                         segment.fence_,
+                         timing_.leaseMs_,
+                         state.handover_,
+                         aNowMs });
   }
-  return orders;
+  return commands;
 }
 
-void KeyOwnership::OnCommandDone(const KeyCommand& aOrder,
+void KeyOwnership::OnCommandDone(const KeyCommand& aCommand,
                                  KeyCommandResult aResult,
                                  const std::string& aHandover,
                                  TimeMs aNowMs)
 {
   if (aResult == KeyCommandResult::Accepted ||
       aResult == KeyCommandResult::OlderFence) {
-    contacts_.erase(aOrder.backend_);
+    failureStreaks_.erase(aCommand.backend_);
   } else {
-    auto& contact = contacts_[aOrder.backend_];
-    if (contact.failures_++ == 0) {
-      contact.firstFailureMs_ = aNowMs;
+    auto& streak = failureStreaks_[aCommand.backend_];
+    if (streak.failures_++ == 0) {
+      streak.firstFailureMs_ = aNowMs;
     }
   }
   for (size_t index = 0; index < segments_.size(); ++index) {
     const auto& segment = segments_[index];
-    if (!detail::Overlaps(segment, aOrder)) {
+    if (!detail::Overlaps(segment, aCommand)) {
       continue;
     }
-    auto& runtime = segmentStates_[index];
-    const bool isOwner = segment.owner_ == aOrder.backend_;
-    const auto previous = runtime.previous_.find(aOrder.backend_);
+    auto& state = segmentStates_[index];
+    const bool isOwner = segment.owner_ == aCommand.backend_;
+    const auto previous = state.previous_.find(aCommand.backend_);
     if (aResult == KeyCommandResult::Misdirected) {
-      // Another server has the address, so this one has ended.
-      if (previous != runtime.previous_.end()) {
+      // Another server is listening on the address, so this one has exited.
+      if (previous != state.previous_.end()) {
         previous->second = LeaseState{};
       } else if (isOwner) {
-        runtime.owner_ = LeaseState{};
+        state.owner_ = LeaseState{};
       }
-      runtime.releaseInFlight_ = false;
-      runtime.lastGrantFailed_ = true;
+      state.releaseInFlight_ = false;
+      state.lastGrantFailed_ = true;
       ++revision_;
       continue;
     }
-    if (aOrder.kind_ == KeyCommandKind::Release) {
-      runtime.releaseInFlight_ = false;
+    if (aCommand.kind_ == KeyCommandKind::Release) {
+      state.releaseInFlight_ = false;
       if (aResult == KeyCommandResult::Accepted &&
-          previous != runtime.previous_.end()) {
+          previous != state.previous_.end()) {
         previous->second.released_ = true;
         if (!aHandover.empty()) {
-          runtime.handover_ = aHandover;
+          state.handover_ = aHandover;
         }
         ++revision_;
       }
       continue;
     }
-    LeaseState* window = nullptr;
+    LeaseState* lease = nullptr;
     if (isOwner) {
-      window = &runtime.owner_;
-    } else if (previous != runtime.previous_.end()) {
-      window = &previous->second;
+      lease = &state.owner_;
+    } else if (previous != state.previous_.end()) {
+      lease = &previous->second;
     }
-    if (window == nullptr) {
+    if (lease == nullptr) {
       continue;
     }
-    window->inFlight_ = std::max(0, window->inFlight_ - 1);
+    lease->inFlight_ = std::max(0, lease->inFlight_ - 1);
     if (isOwner) {
-      runtime.lastGrantFailed_ = aResult != KeyCommandResult::Accepted;
+      state.lastGrantFailed_ = aResult != KeyCommandResult::Accepted;
     }
     if (aResult == KeyCommandResult::Accepted) {
-      window->answeredEndMs_ =
-        std::max(window->answeredEndMs_, LeaseEndMs(aNowMs, aOrder.leaseMs_));
-      window->released_ = false;
-      if (isOwner && aOrder.fence_ == segment.fence_) {
-        window->fenced_ = true;
-        runtime.handover_.clear();
-        if (!runtime.granted_) {
-          runtime.granted_ = true;
+      lease->acceptedEndMs_ =
+        std::max(lease->acceptedEndMs_, LeaseEndMs(aNowMs, aCommand.leaseMs_));
+      lease->released_ = false;
+      if (isOwner && aCommand.fence_ == segment.fence_) {
+        lease->fenced_ = true;
+        state.handover_.clear();
+        if (!state.granted_) {
+          state.granted_ = true;
           ++revision_;
         }
       }
     } else if (aResult == KeyCommandResult::Unanswered) {
       const TimeMs arrivalMs =
-        std::min(aNowMs, aOrder.sentMs_ + detail::kMaxTransitMs);
-      window->unansweredEndMs_ = std::max(
-        window->unansweredEndMs_, LeaseEndMs(arrivalMs, aOrder.leaseMs_));
+        std::min(aNowMs, aCommand.sentMs_ + detail::kMaxTransitMs);
+      lease->unansweredEndMs_ = std::max(
+        lease->unansweredEndMs_, LeaseEndMs(arrivalMs, aCommand.leaseMs_));
     }
   }
 }
--- a/keyspace/KeyOwnership.hpp
+++ b/keyspace/KeyOwnership.hpp
@@ -11,57 +11,62 @@
 
 namespace cactuspitch {
 
-/// Timing of grants. A holder's clock may run slow by kClockDrift.
+/// Timing of the leases that the leader grants to the owners of keys. The
+/// clock of a lease holder may run up to 2% slow.
 struct LeaseTiming
 {
-  /// Backend servers above which a fleet counts as large.
+  /// With more backend servers than this, leases are longer (see For()).
   static constexpr size_t kLargeFleetServers = 120;
 
-  /// A crashed owner's keys are served again after at most renewIntervalMs_ +
-  /// leaseMs_; the loss of a leader (about 1 s) must fit into leaseMs_ -
-  /// renewIntervalMs_.
+  /// Duration of a lease. The keys of a crashed owner are served again after at
+  /// most renewIntervalMs_ + leaseMs_. Leases must outlast a change of leader
+  /// (about 1 s), which has to fit into leaseMs_ - renewIntervalMs_.
   TimeMs leaseMs_ = 2500;
   TimeMs renewIntervalMs_ = 700;
+  /// Delay before a command that failed is sent again.
   TimeMs retryIntervalMs_ = 150;
-  /// No answer for this long, over two calls or more: the server is lost.
+  /// A server that has not responded for this long, to at least two commands,
+  /// is considered lost.
   TimeMs lostAfterMs_ = 1200;
-  /// How long an earlier leader may go on sending renewals after it was
-  /// replaced (LeaderLease), with the time limit of its last call.
+  /// How long an earlier leader may continue to send renewals after it was
+  /// replaced, until its leader lease expires; includes the timeout of its last
+  /// call.
   TimeMs earlierLeaderRenewMs_ = 8600;
-  /// Longest grant of any earlier leader; it may have had other settings, or
+  /// Longest lease of any earlier leader, which may have had other settings or
   /// more backend servers.
   TimeMs maxEarlierLeaseMs_ = 2500;
 
-  /// For this many backend servers, none of which accepts a longer grant than
-  /// aMaxHoldMs.
+  /// Timing for a fleet of aServers backend servers, which reject leases longer
+  /// than aMaxHoldMs.
   static LeaseTiming For(size_t aServers, TimeMs aMaxHoldMs);
 };
 
-/// When the keys of a new service are dealt out for the first time: backend
-/// servers register one after the other, and the first one must not get all
-/// keys.
+/// Delays before the keys of a new service are assigned for the first time.
+/// Backend servers register one after the other, and the first one must not get
+/// all keys.
 struct FirstTableTiming
 {
-  /// No new server for this long.
+  /// Keys are assigned when no new server has registered for this long.
   TimeMs settleMs_ = 600;
-  /// At the latest this long after the first server, without and with requests
-  /// that wait for an owner.
+  /// Longest time from the registration of the first server to the assignment
+  /// when no request (idle) or some request (demand) is waiting for an owner.
   TimeMs idleLimitMs_ = 6000;
   TimeMs demandLimitMs_ = 1000;
 };
 
-/// Latest moment at which a grant sent at any time up to aArrivalMs can still
-/// be in force. Holders' clocks may run 2% slow; 50 ms cover rounding.
-TimeMs LeaseEndMs(TimeMs aArrivalMs, TimeMs aHoldMs);
+/// Latest time at which a lease of aLeaseMs that reached its holder at or
+/// before aArrivalMs can still be valid. Allows for a holder's clock that runs
+/// 2% slow and for 50 ms of rounding.
+TimeMs LeaseEndMs(TimeMs aArrivalMs, TimeMs aLeaseMs);
 
-/// Which grants a leader may send.
+/// Which leases a leader may grant.
 enum class GrantScope : uint8_t
 {
   All,
-  /// Only those that prolong a hold without interruption. A leader that may
-  /// have been replaced does not know whether a server that failed to answer
-  /// was restarted since: a new life takes grants that the old one would refuse
-  /// for a newer leader's fence.
+  /// Only renewals of leases that have not been interrupted. A leader that may
+  /// have been replaced cannot tell whether a server that failed to respond has
+  /// restarted since. The new incarnation would accept a grant that the
+  /// previous one had rejected because it knew the fence of a newer leader.
   Renewals,
   Count
 };
@@ -85,7 +90,7 @@
   static constexpr std::string_view kNames[] = { "grant", "release" };
 };
 
-/// Order to a backend server about its keys.
+/// Command to a backend server to take or give up a lease for a key range.
 struct KeyCommand
 {
   KeyCommandKind kind_ = KeyCommandKind::Grant;
@@ -95,17 +100,17 @@
   uint32_t last_ = 0;
   int64_t fence_ = 0;
   TimeMs leaseMs_ = 0;
-  std::string handover_; ///< token of the last holder, may be empty
+  std::string handover_; ///< token from the previous owner; may be empty
   TimeMs sentMs_ = 0;
 };
 
 enum class KeyCommandResult : uint8_t
 {
   Accepted,
-  OlderFence,  ///< the server has seen a higher fence
-  NotSent,     ///< certainly not received
-  Unanswered,  ///< may be carried out late
-  Misdirected, ///< another server has the address
+  OlderFence,  ///< rejected: the server has seen a higher fence
+  NotSent,     ///< the server certainly did not receive the command
+  Unanswered,  ///< no response: the server may still execute the command
+  Misdirected, ///< another server is listening on the address
   Count
 };
 
@@ -119,29 +124,31 @@
                                                  "misdirected" };
 };
 
-/// What the leader knows of a backend server that may own keys.
+/// Backend server that may own keys, as known to the leader.
 struct OwnerCandidate
 {
-  int64_t startTimeMs_ = 0;
-  bool usable_ = false; ///< registered and not draining
-  double capacity_ = 1; ///< requests that it runs at once, weighted by speed
+  int64_t startTimeMs_ = 0; ///< wall clock; identifies the incarnation
+  bool usable_ = false;     ///< registered and not draining
+  double capacity_ = 1;     ///< concurrent requests, weighted by server speed
 };
 
-/// Ownership of the keys of one service at the leader. Pure: time and results
-/// are inputs, orders are outputs. A change of owner becomes effective in three
-/// steps: Propose() a table, Commit() after the store has it, then release the
-/// previous holders and grant the new owner.
+/// State machine of the leader that assigns the keys of one service to owners.
+/// It does no I/O: the time and the results of commands are inputs, commands
+/// are outputs. A change of owner takes three steps: Propose() a table,
+/// Commit() it once it is stored, then release the leases of the previous
+/// owners and grant one to the new owner.
 class KeyOwnership
 {
 public:
   KeyOwnership(std::string aService, LeaseTiming aTiming);
 
-  /// Starts from a table of an earlier leader. aNowMs is when this leader's
-  /// term began; every fence is replaced by one of the new term.
+  /// Takes over the table of an earlier leader and replaces every fence by one
+  /// of the new term. aNowMs is the time at which this leader's term began.
   void Adopt(KeySegments aSegments,
              const std::function<int64_t()>& aNextFence,
              TimeMs aNowMs);
-  /// The earlier leaders' processes are known to have ended or stopped.
+  /// The processes of all earlier leaders are known to have exited or to have
+  /// stopped sending commands.
   void OnEarlierLeadersEnded(TimeMs aNowMs);
 
   void SetCandidates(std::map<std::string, OwnerCandidate> aCandidates,
@@ -151,13 +158,13 @@
     return candidates_;
   }
 
-  /// True when enough servers are known for the first table.
+  /// Whether the keys of a new service can be assigned, or more servers should
+  /// be awaited. aHasDemand: requests are waiting for an owner.
   bool IsReadyForFirstTable(const FirstTableTiming& aTiming,
                             bool aHasDemand,
                             TimeMs aNowMs) const;
 
-  /// Changes that leaving, lost and restarted servers need, and the moves that
-  /// aBalance asks for. Empty when the durable table needs no change.
+  /// Key range to be moved to another owner.
   struct Move
   {
     uint32_t first_;
@@ -166,39 +173,48 @@
   };
   using Balance =
     std::function<std::vector<Move>(const KeyOwnership& aOwnership)>;
+  /// Returns the table with the changes required by leaving, lost and restarted
+  /// servers; if there are none, with the moves that aBalance plans. Returns
+  /// nullopt if the stored table needs no change.
   std::optional<KeySegments> Propose(const std::function<int64_t()>& aNextFence,
                                      const Balance& aBalance,
                                      TimeMs aNowMs);
-  /// The store holds aSegments now.
+  /// Puts aSegments into effect, which the store has accepted.
   void Commit(const KeySegments& aSegments, TimeMs aNowMs);
 
-  /// Orders that are due. The caller sends all of them at once.
+  /// Commands that are due. The caller has to send all of them immediately and
+  /// to report each result to OnCommandDone().
   std::vector<KeyCommand> TakeCommands(TimeMs aNowMs,
                                        GrantScope aScope = GrantScope::All);
-  void OnCommandDone(const KeyCommand& aOrder,
+  /// aHandover is the token that the previous owner returned for a release; may
+  /// be empty.
+  void OnCommandDone(const KeyCommand& aCommand,
                      KeyCommandResult aResult,
                      const std::string& aHandover,
                      TimeMs aNowMs);
 
   const KeySegments& Segments() const { return segments_; }
-  /// True when the owner has answered a grant and nobody else can hold it.
+  /// True if the owner has accepted its lease and no other server can hold one.
   bool IsActive(size_t aIndex) const { return segmentStates_[aIndex].granted_; }
+  /// True if the server has not responded to commands for lostAfterMs_.
   bool IsLost(const std::string& aBackend, TimeMs aNowMs) const;
-  /// A stable segment has no previous holder and a granted owner.
+  /// True if the owner has accepted its lease and no previous owner is left in
+  /// the table.
   bool IsStable(size_t aIndex) const;
-  /// Counts state changes, so that followers hear of each.
+  /// Incremented with every change that other gateways have to be sent.
   uint64_t Revision() const { return revision_; }
 
 private:
-  /// How long one backend server may hold the keys of a segment.
+  /// Lease of one backend server for the keys of a segment: latest times at
+  /// which it may still be valid, by the commands that granted it.
   struct LeaseState
   {
-    TimeMs answeredEndMs_ = 0;
+    TimeMs acceptedEndMs_ = 0;
     TimeMs unansweredEndMs_ = 0;
-    TimeMs earlierLeaderEndMs_ = 0; ///< through renewals of earlier leaders
-    bool fenced_ = false; ///< took a fence of this term: refuses older ones
+    TimeMs earlierLeaderEndMs_ = 0; ///< granted or renewed by earlier leaders
+    bool fenced_ = false; ///< accepted a fence of this term: rejects older ones
     bool released_ = false;
-    int inFlight_ = 0; ///< grants without an answer yet
+    int inFlight_ = 0; ///< grant commands without a result yet
 
     bool HasEnded(TimeMs aNowMs) const;
     bool WasNeverGranted() const;
@@ -214,9 +230,10 @@
     bool lastGrantFailed_ = false;
     std::string handover_;
   };
-  struct Contact
+  /// Consecutive failed commands to a server, since its last response.
+  struct FailureStreak
   {
-    TimeMs firstFailureMs_ = 0; ///< since the last answer
+    TimeMs firstFailureMs_ = 0;
     int failures_ = 0;
   };
 
@@ -230,7 +247,7 @@
                        const std::string& aTarget,
                        int64_t aFence) const;
   void AddReleases(size_t aIndex,
-                   std::vector<KeyCommand>& aOrders,
+                   std::vector<KeyCommand>& aCommands,
                    TimeMs aNowMs);
 
   std::string service_;
@@ -238,7 +255,7 @@
   KeySegments segments_;
   std::vector<SegmentState> segmentStates_;
   std::map<std::string, OwnerCandidate> candidates_;
-  std::map<std::string, Contact> contacts_;
+  std::map<std::string, FailureStreak> failureStreaks_;
   std::optional<TimeMs> firstServerMs_;
   TimeMs newestServerMs_ = 0;
   uint64_t revision_ = 1;
--- a/keyspace/KeySegment.cpp
+++ b/keyspace/KeySegment.cpp
@@ -10,7 +10,7 @@
 
 using Json = nlohmann::json;
 
-constexpr TimeMs kLongestHoldMs = 4000;
+constexpr TimeMs kLongestLeaseMs = 4000;
 
 bool CoversAllKeys(const KeySegments& aSegments)
 {
@@ -24,7 +24,8 @@
   return inOrder && (aSegments.empty() || next == kKeyCount);
 }
 
-/// Segments as arrays: the object is rewritten with every move.
+/// Encodes a segment as a JSON array, without field names, to keep the object
+/// small: it is rewritten with every move.
 Json ToJson(const KeySegment& aSegment)
 {
   return Json::array({ aSegment.first_,
@@ -77,8 +78,9 @@
     KeyTable table;
     table.term_ = aJson.at("term").get<int64_t>();
     table.writeId_ = aJson.at("writeId").get<int64_t>();
-    // Tables of versions that did not name it may hold the longest grants.
-    table.leaseMs_ = aJson.value("holdMs", detail::kLongestHoldMs);
+    // Versions that didn't write this field may have granted the longest
+    // leases.
+    table.leaseMs_ = aJson.value("holdMs", detail::kLongestLeaseMs);
     for (const auto& [name, list] : aJson.at("services").items()) {
       auto& segments = table.services_[name];
       std::ranges::transform(
--- a/keyspace/KeySegment.hpp
+++ b/keyspace/KeySegment.hpp
@@ -16,8 +16,8 @@
 
 inline constexpr uint32_t kKeyCount = 65536;
 
-/// Keys first_ to last_ (both inclusive) of a service and their owner. The
-/// fence grows with every change of owner.
+/// Range of keys first_ to last_ (both inclusive) of a service and their owner.
+/// The fencing token fence_ increases with every change of owner.
 struct KeySegment
 {
   uint32_t first_ = 0;
@@ -25,19 +25,21 @@
   std::string owner_;
   int64_t ownerStartTimeMs_ = 0;
   int64_t fence_ = 0;
-  /// Backend servers that may still hold these keys under an older fence. The
-  /// owner gets no grant before all of them have released or lapsed.
+  /// Backend servers that may still hold a lease for these keys with an older
+  /// fence. The owner is granted no lease until all of them have released
+  /// theirs or let it expire.
   std::vector<std::string> previous_;
 
   bool operator==(const KeySegment&) const = default;
 };
 
-/// Sorted by first_; the segments of a service cover all keys without overlap.
+/// Segments sorted by first_ that cover all keys of a service without overlap.
 using KeySegments = std::vector<KeySegment>;
 
 namespace detail {
 
-/// Makes aStart the first key of a part; parts have first_ and last_.
+/// Splits the range that contains aStart so that aStart begins a range. Does
+/// nothing if it already does. Part has the members first_ and last_.
 template<typename Part>
 void SplitBefore(std::vector<Part>& aParts, uint32_t aStart)
 {
@@ -55,20 +57,22 @@
 
 }
 
-/// Segment of a key; null when the table is empty.
+/// Segment that contains aKey; null if no segment does (empty table).
 const KeySegment* FindSegment(const KeySegments& aSegments, uint32_t aKey);
 
-/// All assignments of a deployment, kept in one object of the platform's store.
+/// Ownership of the keys of all services of a deployment, stored as one object
+/// in the platform's store.
 struct KeyTable
 {
-  int64_t term_ = 0;    ///< of the leader that wrote it
-  int64_t writeId_ = 0; ///< tells the writes of one leader apart
-  TimeMs leaseMs_ = 0;  ///< longest grant of this leader and all before it
+  int64_t term_ = 0;    ///< term of the leader that wrote the table
+  int64_t writeId_ = 0; ///< distinguishes the writes of one leader
+  TimeMs leaseMs_ = 0;  ///< longest lease of this and all earlier leaders
   std::map<std::string, KeySegments> services_;
 };
 
 nlohmann::json EncodeKeyTable(const KeyTable& aTable);
-/// False when it is not a table that covers the keys of each service.
+/// Returns false, and leaves aTable unchanged, if aJson is malformed or the
+/// segments of a service don't cover all keys exactly once.
 bool DecodeKeyTable(const nlohmann::json& aJson, KeyTable& aTable);
 
 }
