--- a/policy/AdaptiveAdmission.cpp
+++ b/policy/AdaptiveAdmission.cpp
@@ -14,18 +14,20 @@
   });
 
 constexpr double kMinLimit = 0.1;
-/// Attempts beyond the slots that keep a slot busy while an answer travels.
+/// Attempts beyond the number of slots, which keep the slots busy while
+/// responses are in transit.
 constexpr double kServerQueue = 2;
 constexpr double kSlowStep = 0.03;
 constexpr double kFastStep = 0.2;
-/// Without sheds for this long, the step has grown from slow to fast.
+/// Time without shed requests in which the step grows from slow to fast.
 constexpr double kFastAfterMs = 2000;
 constexpr double kShedFactor = 0.95;
 constexpr double kFailureFactor = 0.7;
 constexpr double kHintFactor = 0.5;
 constexpr TimeMs kHintMs = 3000;
-/// A hint that the router's own sheds don't confirm is ignored for this long.
-constexpr TimeMs kHintPauseMs = 30000;
+/// Hints are ignored for this long after a hint that was not confirmed by
+/// requests of this router being shed.
+constexpr TimeMs kHintCooldownMs = 30000;
 constexpr double kFullLoad = 1.0;
 
 }
@@ -61,11 +63,11 @@
 }
 
 void AdaptiveAdmission::Release(TimeMs aNowMs,
-                                AttemptResult aEnd,
+                                AttemptResult aResult,
                                 double aLatencyMs)
 {
   paced_.Release(aNowMs, Limit(aNowMs));
-  switch (aEnd) {
+  switch (aResult) {
     case AttemptResult::Answered:
       OnAnswered(aNowMs, aLatencyMs);
       break;
@@ -84,40 +86,41 @@
 void AdaptiveAdmission::OnAnswered(TimeMs aNowMs, double aLatencyMs)
 {
   if (LatencyGrew(aLatencyMs)) {
-    // Even shares of all routers fit into the slots, so below its own a router
-    // cannot be the cause: the server itself is slow.
+    // The even shares of all routers fit into the slots. A router whose limit
+    // is below its share can't be the cause: the server itself is slow.
     Decrease(aNowMs, kShedFactor, EvenShare());
     return;
   }
-  // A limit that is not in use says nothing about the server.
+  // A success below the limit is no evidence that the server can take more.
   if (!wasLimiting_) {
     return;
   }
   wasLimiting_ = false;
-  const double calm =
+  const double recovery =
     std::min(1.0, static_cast<double>(aNowMs - lastShedMs_) / kFastAfterMs);
-  limit_ = std::min(limit_ + std::max(kSlowStep, kFastStep * calm * calm),
-                    options_.slots_ + kServerQueue);
+  limit_ =
+    std::min(limit_ + std::max(kSlowStep, kFastStep * recovery * recovery),
+             options_.slots_ + kServerQueue);
 }
 
 void AdaptiveAdmission::OnShed(TimeMs aNowMs)
 {
   lastShedMs_ = aNowMs;
   Decrease(aNowMs, kShedFactor, kMinLimit);
-  // The slots are in use: asking again at once would be shed again. Shorter
-  // pauses shed more for the same goodput (docs/load.md).
-  constexpr double kPausePart = 0.2;
+  // All slots are in use, so an immediate attempt would be shed again. Shorter
+  // pauses cause more shed requests at the same goodput (docs/load.md).
+  constexpr double kPauseFraction = 0.2;
   constexpr double kMinPauseMs = 1;
   constexpr double kMaxPauseMs = 50;
   const double meanMs =
-    std::clamp(latencyMs_ * kPausePart, kMinPauseMs, kMaxPauseMs);
+    std::clamp(latencyMs_ * kPauseFraction, kMinPauseMs, kMaxPauseMs);
   std::uniform_real_distribution<double> pause(meanMs / 2, meanMs * 3 / 2);
   paced_.Defer(aNowMs + std::max<TimeMs>(1, std::lround(pause(random_))));
 }
 
 void AdaptiveAdmission::Decrease(TimeMs aNowMs, double aFactor, double aFloor)
 {
-  // Sheds of one moment have one cause and count once.
+  // Requests shed at about the same time have the same cause and count once.
   constexpr double kMinIntervalMs = 10;
   if (static_cast<double>(aNowMs - lastDecreaseMs_) <
       std::max(latencyMs_, kMinIntervalMs)) {
@@ -157,7 +160,7 @@
     return;
   }
   const bool isConfirmed = lastShedMs_ >= hintMs_ + kHintMs;
-  if (hintMs_ == kNever || isConfirmed || aNowMs >= hintMs_ + kHintPauseMs) {
+  if (hintMs_ == kNever || isConfirmed || aNowMs >= hintMs_ + kHintCooldownMs) {
     hintMs_ = aNowMs;
   }
 }
@@ -182,9 +185,9 @@
     return options_.slots_ + kServerQueue;
   }
   const auto step = 1 + elapsedMs * kSteps / options_.warmupMs_;
-  // Callers are spread unevenly, so a router may use twice its even share.
-  constexpr double kUneven = 2;
-  return kUneven * options_.slots_ * static_cast<double>(step) /
+  // Callers are distributed unevenly, so a router may use twice its even share.
+  constexpr double kMaxImbalance = 2;
+  return kMaxImbalance * options_.slots_ * static_cast<double>(step) /
          (kSteps * std::max(1, options_.routers_));
 }
 
--- a/policy/AdaptiveAdmission.hpp
+++ b/policy/AdaptiveAdmission.hpp
@@ -7,9 +7,10 @@
 
 namespace cactuspitch {
 
-/// Additive increase while attempts succeed and the limit is in use,
-/// multiplicative decrease on sheds, failures and growing latency. The limit
-/// may be below 1, since more routers than a server has slots share it.
+/// AIMD concurrency limit: additive increase while attempts succeed and the
+/// limit is in use, multiplicative decrease on shed requests, failures and
+/// growing latency. The limit may drop below 1, because a server may be shared
+/// by more routers than it has slots.
 class AdaptiveAdmission final : public AdmissionPolicy
 {
 public:
@@ -17,7 +18,9 @@
 
   bool TryAcquire(TimeMs aNowMs) override;
   TimeMs NextTryMs(TimeMs aNowMs) const override;
-  void Release(TimeMs aNowMs, AttemptResult aEnd, double aLatencyMs) override;
+  void Release(TimeMs aNowMs,
+               AttemptResult aResult,
+               double aLatencyMs) override;
   void OnLoadHint(TimeMs aNowMs, double aLoad) override;
   void OnColdStart(TimeMs aNowMs) override;
   double Limit(TimeMs aNowMs) const override;
@@ -28,7 +31,7 @@
 
   void OnAnswered(TimeMs aNowMs, double aLatencyMs);
   void OnShed(TimeMs aNowMs);
-  /// aFloor: not lowered below this.
+  /// Multiplies the limit by aFactor, but doesn't lower it below aFloor.
   void Decrease(TimeMs aNowMs, double aFactor, double aFloor);
   double EvenShare() const;
   bool LatencyGrew(double aLatencyMs);
@@ -38,8 +41,8 @@
   double limit_;
   PacedLimit paced_;
   bool wasLimiting_ = false;
-  double latencyMs_ = 0;     ///< follows the last few answers
-  double baseLatencyMs_ = 0; ///< falls at once, rises slowly
+  double latencyMs_ = 0;     ///< average of the latest responses
+  double baseLatencyMs_ = 0; ///< follows decreases at once, increases slowly
   TimeMs lastDecreaseMs_ = kNever;
   TimeMs lastShedMs_ = kNever;
   TimeMs hintMs_ = kNever;
--- a/policy/AdmissionPolicy.hpp
+++ b/policy/AdmissionPolicy.hpp
@@ -9,13 +9,13 @@
 
 namespace cactuspitch {
 
-/// How an attempt at a backend server ended.
+/// Result of an attempt at a backend server.
 enum class AttemptResult : uint8_t
 {
   Answered,
-  Shed,      ///< refused as not run because the server is busy
-  Failed,    ///< no answer: connection lost or time limit
-  Cancelled, ///< says nothing about the server: caller gone, stale epoch
+  Shed,      ///< rejected without execution because the server is busy
+  Failed,    ///< no response: connection lost or timeout
+  Cancelled, ///< unrelated to the server's load: caller gone, stale epoch
   Count
 };
 
@@ -30,35 +30,37 @@
 
 struct AdmissionOptions
 {
-  double slots_ = 1;
-  /// Live routers that share the backend server; only for the first estimate.
+  double slots_ = 1; ///< requests that the server runs concurrently
+  /// Live routers that share the backend server, for the initial limit, the
+  /// even share and the cap after a cold start.
   int routers_ = 1;
-  /// Time in which the limit of a joining server rises to its full range.
+  /// Time in which the limit of a server that joins rises to its full range.
   TimeMs warmupMs_ = 30000;
   uint64_t seed_ = 1;
 };
 
-/// Concurrency limit of one router for one backend server. Not thread-safe;
-/// time never goes back.
+/// Concurrency limit of one router for one backend server. Not thread-safe. The
+/// times passed must not decrease.
 class AdmissionPolicy
 {
 public:
   virtual ~AdmissionPolicy() = default;
 
-  /// Takes a place for one attempt; false when the limit forbids it now.
+  /// Acquires a permit for one attempt. Returns false if the limit is reached.
   virtual bool TryAcquire(TimeMs aNowMs) = 0;
-  /// Earliest time at which TryAcquire can succeed without a Release.
+  /// Earliest time at which TryAcquire() can succeed without a Release().
   virtual TimeMs NextTryMs(TimeMs aNowMs) const = 0;
-  /// Gives back the place of an attempt that ended.
+  /// Releases the permit of a finished attempt. aLatencyMs is used only if the
+  /// attempt was answered.
   virtual void Release(TimeMs aNowMs,
-                       AttemptResult aEnd,
+                       AttemptResult aResult,
                        double aLatencyMs) = 0;
-  /// Load that the backend server reports, 1 is full. Only a hint: it lowers
-  /// the limit for at most 3 s and never raises it.
+  /// Load reported by the backend server, where 1 is full. Only a hint: it
+  /// lowers the limit for at most 3 s and never raises it.
   virtual void OnLoadHint(TimeMs aNowMs, double aLoad) = 0;
-  /// The server joined or restarted, so its caches are cold.
+  /// The server has joined or restarted and its caches are cold.
   virtual void OnColdStart(TimeMs aNowMs) = 0;
-  /// Attempts in flight that are allowed on average; may be below 1.
+  /// Average number of attempts allowed in flight; may be below 1.
   virtual double Limit(TimeMs aNowMs) const = 0;
   virtual int InFlight() const = 0;
 };
--- a/policy/BalancingPolicy.hpp
+++ b/policy/BalancingPolicy.hpp
@@ -10,22 +10,23 @@
 
 namespace cactuspitch {
 
-/// Measured load of one key, merged over all routers.
+/// Measured load of one key, summed over all routers.
 struct HotKeyLoad
 {
   KeyHash hash_ = 0;
   double load_ = 0;
 };
 
-/// What a balancing decision is made from. Loads are busy milliseconds per
-/// second, measured by the routers; the vectors are parallel to the table's.
+/// Input of BalancingPolicy::Plan. Loads are busy milliseconds per second as
+/// measured by the routers. sliceLoad_ and serverUsable_ have the indices of
+/// the slices and servers in the table.
 struct BalanceInput
 {
   TimeMs nowMs_ = 0;
   const GroupTable* table_ = nullptr;
   std::vector<double> sliceLoad_;
   std::vector<HotKeyLoad> hotKeys_;
-  /// Servers that cannot take slices (silent, draining) are false.
+  /// False for servers that can't take slices (unresponsive or draining).
   std::vector<bool> serverUsable_;
 };
 
@@ -39,9 +40,9 @@
 
 struct BalancePlan
 {
-  /// Hashes to split out into slices of their own.
+  /// Key hashes to split out into slices of their own.
   std::vector<KeyHash> splits_;
-  /// Begins of slices to merge into the slice before them.
+  /// First hashes of the slices to merge into their preceding slice.
   std::vector<KeyHash> merges_;
   std::vector<PlannedMove> moves_;
 };
@@ -57,8 +58,8 @@
   bool operator==(const BalanceOptions&) const = default;
 };
 
-/// Strategy that proposes splits, merges and moves; keeps its own budget and
-/// hysteresis state between calls.
+/// Strategy that plans splits, merges and moves of slices. It keeps its churn
+/// budget and hysteresis state between calls.
 class BalancingPolicy
 {
 public:
--- a/policy/BroadcastPlan.hpp
+++ b/policy/BroadcastPlan.hpp
@@ -6,30 +6,31 @@
 
 namespace cactuspitch {
 
-/// A gateway as a target of datagrams.
+/// Gateway as a target of datagrams.
 struct BroadcastTarget
 {
   std::string name_;
-  std::string domain_; ///< empty while it is not known
+  std::string domain_; ///< failure domain; empty if unknown
   int cpuPercent_ = 0;
   bool alive_ = false;
 };
 
-/// Where a datagram for all gateways goes.
+/// Targets of a datagram that is meant for all gateways, by their index.
 struct BroadcastPlan
 {
-  std::vector<size_t> direct_; ///< indices of members
-  std::vector<size_t> relays_; ///< pass it on within their failure domain
+  std::vector<size_t> direct_; ///< receive it without forwarding it
+  std::vector<size_t> relays_; ///< forward it within their failure domain
 };
 
-/// Up to this many gateways tell each other everything directly.
+/// Up to this many gateways send each other all datagrams directly.
 constexpr size_t kMaxDirectGateways = 16;
-/// Relays of each foreign failure domain: the loss of one is not noticed.
+/// Relays in each other failure domain, so that the loss of one has no effect.
 constexpr size_t kRelaysPerDomain = 2;
 
-/// A datagram for all members goes to each one of the own failure domain, and
-/// to the largest living ones of each other domain, which pass it on: what
-/// crosses between domains does not grow with the size of a domain. Pure.
+/// Plans the distribution of a datagram to all gateways. It is sent to each
+/// gateway of the own failure domain and, in every other domain, to the largest
+/// live gateways, which forward it. The traffic between domains therefore
+/// doesn't grow with the size of a domain. Does no I/O.
 BroadcastPlan PlanBroadcast(const std::string& aOwnDomain,
                             const std::vector<BroadcastTarget>& aMembers);
 
--- a/policy/BuiltInPolicies.cpp
+++ b/policy/BuiltInPolicies.cpp
@@ -2,7 +2,7 @@
 
 namespace cactuspitch::detail {
 
-// Defined beside the registration of each plug-in.
+// Each is defined in the source that registers the plug-in.
 bool LinkAdaptiveAdmission();
 bool LinkLoadPerKeyPolicy();
 bool LinkStaticAdmission();
--- a/policy/BuiltInPolicies.hpp
+++ b/policy/BuiltInPolicies.hpp
@@ -2,11 +2,11 @@
 
 namespace cactuspitch::detail {
 
-/// Refers to every policy plug-in of this folder. A static library drops
-/// objects that nothing refers to, and their registrations with them.
+/// References every policy plug-in of this folder. The linker drops objects of
+/// a static library that nothing references, and with them their registrations.
 bool LinkBuiltInPolicies();
 
-/// Every source that includes a policy interface pulls in the plug-ins.
+/// Makes every source that includes a policy interface link the plug-ins.
 inline const bool kBuiltInPoliciesLinked = LinkBuiltInPolicies();
 
 }
--- a/policy/ChurnBudget.hpp
+++ b/policy/ChurnBudget.hpp
@@ -6,7 +6,7 @@
 
 namespace cactuspitch {
 
-/// Load moved within the last minute, as a share of the total load.
+/// Sums the load moved within the last minute, as a share of the total load.
 class ChurnBudget
 {
 public:
--- a/policy/CrashQuarantine.cpp
+++ b/policy/CrashQuarantine.cpp
@@ -14,22 +14,23 @@
 namespace detail {
 
 constexpr int kCrashesToQuarantine = 2;
-/// Also the number of unproven crashes from which one router alone tries the
-/// request.
+/// Crashes needed to quarantine a request during a mass crash. A suspect with
+/// this many crashes is run by one router only.
 constexpr int kCrashesInMassCrash = 3;
-/// So many other servers that end within this time are a mass crash.
+/// A mass crash: this many other servers crash within this time.
 constexpr int kMassCrashServers = 5;
 constexpr TimeMs kMassCrashMs = 5000;
-/// Marks of one request; more tell nothing new.
-constexpr size_t kMaxMarks = 16;
+/// Records kept for one request; more add no information.
+constexpr size_t kMaxRecords = 16;
 constexpr TimeMs kRetryMs = 5;
-/// The trial of another router is over and known everywhere by then.
+/// Time within which the trial at another router ends and all routers learn its
+/// result.
 constexpr TimeMs kTrialMs = 1000;
-/// Entries that end sooner are not told, so that routers do not pass one back
-/// and forth for ever.
-constexpr TimeMs kLeastToldMs = 2000;
-/// A change is told once, and once more against loss.
-constexpr int kTellings = 2;
+/// Entries that expire sooner are not sent, so that routers don't send an entry
+/// back and forth forever.
+constexpr TimeMs kMinSentExpiryMs = 2000;
+/// Changes are sent twice, because messages may be lost.
+constexpr int kSendsPerChange = 2;
 constexpr uint64_t kQuarantinedLevel = 255;
 
 constexpr int64_t kClearedBit = 1;
@@ -38,11 +39,11 @@
 
 }
 
-int64_t PackCrashRecord(const CrashRecord& aMark)
+int64_t PackCrashRecord(const CrashRecord& aRecord)
 {
-  return (static_cast<int64_t>(aMark.incarnation_) << detail::kFlagBits) +
-         (aMark.conclusive_ ? detail::kConclusiveBit : 0) +
-         (aMark.cleared_ ? detail::kClearedBit : 0);
+  return (static_cast<int64_t>(aRecord.incarnation_) << detail::kFlagBits) +
+         (aRecord.conclusive_ ? detail::kConclusiveBit : 0) +
+         (aRecord.cleared_ ? detail::kClearedBit : 0);
 }
 
 CrashRecord UnpackCrashRecord(int64_t aPacked)
@@ -54,14 +55,16 @@
 
 int CrashQuarantine::State::Crashes() const
 {
-  return static_cast<int>(std::ranges::count_if(
-    crashRecords_, [](const CrashRecord& aMark) { return !aMark.cleared_; }));
+  return static_cast<int>(
+    std::ranges::count_if(crashRecords_, [](const CrashRecord& aRecord) {
+      return !aRecord.cleared_;
+    }));
 }
 
 bool CrashQuarantine::State::IsQuarantined() const
 {
-  return std::ranges::any_of(crashRecords_, [](const CrashRecord& aMark) {
-    return aMark.conclusive_ && !aMark.cleared_;
+  return std::ranges::any_of(crashRecords_, [](const CrashRecord& aRecord) {
+    return aRecord.conclusive_ && !aRecord.cleared_;
   });
 }
 
@@ -86,29 +89,30 @@
                               uint64_t aIncarnation)
 {
   Expire(aNowMs);
-  const auto life =
+  const auto incarnationHash =
     XXH32(aServer.data(),
           aServer.size(),
           static_cast<uint32_t>(aIncarnation ^ aIncarnation >> 32));
-  RecordEnded(life, aNowMs);
-  std::vector<InFlightRequest> blamed;
-  std::ranges::copy_if(aInFlight,
-                       std::back_inserter(blamed),
-                       [](const auto& aOne) { return aOne.knownCrashes_ > 0; });
+  RecordCrashed(incarnationHash, aNowMs);
+  std::vector<InFlightRequest> suspected;
+  std::ranges::copy_if(
+    aInFlight, std::back_inserter(suspected), [](const auto& aRequest) {
+      return aRequest.knownCrashes_ > 0;
+    });
   if (const auto running = running_.find(aServer); running != running_.end()) {
     const auto suspect =
-      std::ranges::find(aInFlight, running->second, [](const auto& aOne) {
-        return aOne.fingerprint_;
+      std::ranges::find(aInFlight, running->second, [](const auto& aRequest) {
+        return aRequest.fingerprint_;
       });
     if (suspect != aInFlight.end()) {
-      blamed = { *suspect };
+      suspected = { *suspect };
     }
     running_.erase(running);
   }
-  // Only one suspect runs on a server, so the others in flight beside it have
-  // an explanation and stay as they are.
-  for (const auto& request : blamed.empty() ? aInFlight : blamed) {
-    AddCrash(request, aServer, life, aNowMs);
+  // Only one suspect runs on a server. It explains the crash, so the other
+  // requests in flight there don't become suspects.
+  for (const auto& request : suspected.empty() ? aInFlight : suspected) {
+    AddCrash(request, aServer, incarnationHash, aNowMs);
   }
 }
 
@@ -192,30 +196,30 @@
   if (aState.Crashes() == 0) {
     return;
   }
-  for (auto& mark : aState.crashRecords_) {
-    mark.cleared_ = true;
+  for (auto& record : aState.crashRecords_) {
+    record.cleared_ = true;
   }
   aState.reason_ = aReason;
   aState.unresolvedUntilMs_ = 0;
-  aState.remainingSends_ = detail::kTellings;
+  aState.remainingSends_ = detail::kSendsPerChange;
   changed_ = true;
 }
 
 bool CrashQuarantine::Merge(const std::vector<CrashSuspect>& aEntries,
                             TimeMs aNowMs,
-                            bool aPassOn)
+                            bool aForward)
 {
   Expire(aNowMs);
-  const auto news =
+  const auto newCount =
     std::ranges::count_if(aEntries, [&](const CrashSuspect& aEntry) {
-      return MergeOne(aEntry, aNowMs, aPassOn);
+      return MergeOne(aEntry, aNowMs, aForward);
     });
-  return news > 0;
+  return newCount > 0;
 }
 
 bool CrashQuarantine::MergeOne(const CrashSuspect& aEntry,
                                TimeMs aNowMs,
-                               bool aPassOn)
+                               bool aForward)
 {
   // A peer may have been configured with another expiry.
   const TimeMs expiresInMs = std::min(aEntry.expiresInMs_, options_.expiryMs_);
@@ -227,16 +231,15 @@
   }
   State& state = suspects_[aEntry.fingerprint_];
   const int crashes = state.Crashes();
-  const auto news =
-    std::ranges::count_if(aEntry.crashRecords_, [&](const CrashRecord& aMark) {
-      return MergeMark(state, aMark);
-    });
-  if (news == 0) {
+  const auto newCount = std::ranges::count_if(
+    aEntry.crashRecords_,
+    [&](const CrashRecord& aRecord) { return MergeRecord(state, aRecord); });
+  if (newCount == 0) {
     return false;
   }
   changed_ = true;
-  if (aPassOn) {
-    state.remainingSends_ = detail::kTellings;
+  if (aForward) {
+    state.remainingSends_ = detail::kSendsPerChange;
   }
   state.reason_ = aEntry.reason_;
   if (state.Crashes() > crashes) {
@@ -246,32 +249,32 @@
   return true;
 }
 
-bool CrashQuarantine::MergeMark(State& aState, const CrashRecord& aMark)
+bool CrashQuarantine::MergeRecord(State& aState, const CrashRecord& aRecord)
 {
   const auto found = std::ranges::find(
-    aState.crashRecords_, aMark.incarnation_, &CrashRecord::incarnation_);
+    aState.crashRecords_, aRecord.incarnation_, &CrashRecord::incarnation_);
   if (found == aState.crashRecords_.end()) {
-    if (aState.crashRecords_.size() >= detail::kMaxMarks) {
-      // What was cleared matters least, what is conclusive most.
+    if (aState.crashRecords_.size() >= detail::kMaxRecords) {
+      // Cleared records are dropped first, conclusive ones last.
       const auto least = std::ranges::min_element(
         aState.crashRecords_, {}, [](const CrashRecord& aOld) {
           return std::pair(!aOld.cleared_, aOld.conclusive_);
         });
       const bool matters =
-        least->cleared_ ? !aMark.cleared_ : aMark.conclusive_;
+        least->cleared_ ? !aRecord.cleared_ : aRecord.conclusive_;
       if (!matters || (!least->cleared_ && least->conclusive_)) {
         return false;
       }
       aState.crashRecords_.erase(least);
     }
-    aState.crashRecords_.push_back(aMark);
+    aState.crashRecords_.push_back(aRecord);
     return true;
   }
-  const bool news = (aMark.conclusive_ && !found->conclusive_) ||
-                    (aMark.cleared_ && !found->cleared_);
-  found->conclusive_ = found->conclusive_ || aMark.conclusive_;
-  found->cleared_ = found->cleared_ || aMark.cleared_;
-  return news;
+  const bool isNew = (aRecord.conclusive_ && !found->conclusive_) ||
+                     (aRecord.cleared_ && !found->cleared_);
+  found->conclusive_ = found->conclusive_ || aRecord.conclusive_;
+  found->cleared_ = found->cleared_ || aRecord.cleared_;
+  return isNew;
 }
 
 CrashSuspect CrashQuarantine::Describe(const Entry& aEntry, TimeMs aNowMs)
@@ -304,7 +307,7 @@
   return std::exchange(changed_, false);
 }
 
-std::vector<const CrashQuarantine::Entry*> CrashQuarantine::Ranked(
+std::vector<const CrashQuarantine::Entry*> CrashQuarantine::RankedEntries(
   bool (*aWanted)(const State& aState)) const
 {
   std::vector<const Entry*> entries;
@@ -321,20 +324,20 @@
   return entries;
 }
 
-std::vector<CrashSuspect> CrashQuarantine::TakeUnsent(size_t aMost,
+std::vector<CrashSuspect> CrashQuarantine::TakeUnsent(size_t aMaxCount,
                                                       TimeMs aNowMs)
 {
   Expire(aNowMs);
-  std::vector<CrashSuspect> untold;
-  for (const auto* entry :
-       Ranked([](const State& aState) { return aState.remainingSends_ > 0; })) {
-    if (untold.size() == aMost) {
+  std::vector<CrashSuspect> unsent;
+  for (const auto* entry : RankedEntries(
+         [](const State& aState) { return aState.remainingSends_ > 0; })) {
+    if (unsent.size() == aMaxCount) {
       break;
     }
     --suspects_.at(entry->first).remainingSends_;
-    untold.push_back(Describe(*entry, aNowMs));
+    unsent.push_back(Describe(*entry, aNowMs));
   }
-  return untold;
+  return unsent;
 }
 
 uint64_t CrashQuarantine::Digest(TimeMs aNowMs)
@@ -343,29 +346,29 @@
   uint64_t digest = 0;
   for (const auto& [fingerprint, state] : suspects_) {
     const int crashes = state.Crashes();
-    if (crashes < 2 || state.expiresMs_ - aNowMs < detail::kLeastToldMs) {
+    if (crashes < 2 || state.expiresMs_ - aNowMs < detail::kMinSentExpiryMs) {
       continue;
     }
     const uint64_t level =
       state.IsQuarantined()
         ? detail::kQuarantinedLevel
         : static_cast<uint64_t>(std::min(crashes, detail::kCrashesInMassCrash));
-    // A sum, so that the order of the entries does not matter.
+    // A sum doesn't depend on the order of the entries.
     digest += XXH3_64bits_withSeed(&fingerprint, sizeof fingerprint, level);
   }
   return digest;
 }
 
-std::vector<CrashSuspect> CrashQuarantine::EntriesForSync(size_t aMost,
+std::vector<CrashSuspect> CrashQuarantine::EntriesForSync(size_t aMaxCount,
                                                           TimeMs aNowMs)
 {
   Expire(aNowMs);
   std::vector<CrashSuspect> entries;
-  // Cleared ones too: the other router may not know that they were cleared.
-  for (const auto* entry : Ranked(
+  // Includes cleared entries: the peer may not know that they were cleared.
+  for (const auto* entry : RankedEntries(
          [](const State& aState) { return aState.crashRecords_.size() > 1; })) {
-    if (entries.size() < aMost &&
-        entry->second.expiresMs_ - aNowMs >= detail::kLeastToldMs) {
+    if (entries.size() < aMaxCount &&
+        entry->second.expiresMs_ - aNowMs >= detail::kMinSentExpiryMs) {
       entries.push_back(Describe(*entry, aNowMs));
     }
   }
@@ -374,9 +377,9 @@
 
 void CrashQuarantine::Expire(TimeMs aNowMs)
 {
-  while (!ended_.empty() &&
-         aNowMs - ended_.front().first > detail::kMassCrashMs) {
-    ended_.pop_front();
+  while (!crashed_.empty() &&
+         aNowMs - crashed_.front().first > detail::kMassCrashMs) {
+    crashed_.pop_front();
   }
   if (aNowMs < firstExpiryMs_) {
     return;
@@ -397,26 +400,27 @@
   firstExpiryMs_ = std::min(firstExpiryMs_, aExpiresMs);
 }
 
-void CrashQuarantine::RecordEnded(uint32_t aIncarnation, TimeMs aNowMs)
+void CrashQuarantine::RecordCrashed(uint32_t aIncarnation, TimeMs aNowMs)
 {
-  const auto isSame = [&](const auto& aEnded) {
-    return aEnded.second == aIncarnation;
+  const auto isSame = [&](const auto& aCrashed) {
+    return aCrashed.second == aIncarnation;
   };
-  if (std::ranges::none_of(ended_, isSame)) {
-    ended_.emplace_back(aNowMs, aIncarnation);
+  if (std::ranges::none_of(crashed_, isSame)) {
+    crashed_.emplace_back(aNowMs, aIncarnation);
   }
 }
 
 bool CrashQuarantine::IsMassCrash(const State& aState,
                                   uint32_t aIncarnation) const
 {
-  const auto others = std::ranges::count_if(ended_, [&](const auto& aEnded) {
-    const auto life = aEnded.second;
-    return life != aIncarnation &&
-           std::ranges::find(
-             aState.crashRecords_, life, &CrashRecord::incarnation_) ==
-             aState.crashRecords_.end();
-  });
+  const auto others =
+    std::ranges::count_if(crashed_, [&](const auto& aCrashed) {
+      const auto incarnation = aCrashed.second;
+      return incarnation != aIncarnation &&
+             std::ranges::find(
+               aState.crashRecords_, incarnation, &CrashRecord::incarnation_) ==
+               aState.crashRecords_.end();
+    });
   return others >= detail::kMassCrashServers;
 }
 
@@ -435,7 +439,7 @@
   const int needed = IsMassCrash(state, aIncarnation)
                        ? detail::kCrashesInMassCrash
                        : detail::kCrashesToQuarantine;
-  if (!MergeMark(state, { aIncarnation, known + 1 >= needed })) {
+  if (!MergeRecord(state, { aIncarnation, known + 1 >= needed })) {
     return;
   }
   state.reason_ = state.Crashes() == 1
@@ -443,7 +447,7 @@
                     : Concat(state.reason_, ", then ", aServer);
   state.crashMs_ = aNowMs;
   state.unresolvedUntilMs_ = 0;
-  state.remainingSends_ = detail::kTellings;
+  state.remainingSends_ = detail::kSendsPerChange;
   SetExpiry(state, aNowMs + options_.expiryMs_);
   changed_ = true;
 }
@@ -465,9 +469,9 @@
   const auto weight = [&](const std::string& aName) {
     return XXH3_64bits_withSeed(aName.data(), aName.size(), aFingerprint);
   };
-  const auto tester = std::ranges::max_element(members_, {}, weight);
-  // A router that does not know the others yet leaves the trial to them.
-  return tester != members_.end() && *tester == self_;
+  const auto trialRouter = std::ranges::max_element(members_, {}, weight);
+  // A router that does not know its peers yet leaves the trial to them.
+  return trialRouter != members_.end() && *trialRouter == self_;
 }
 
 TimeMs CrashQuarantine::WaitForTurnMs(const State& aState, TimeMs aNowMs) const
@@ -480,8 +484,9 @@
   const TimeMs periodMs = options_.turnMs_ * turns;
   const TimeMs positionMs = (aNowMs - aState.crashMs_) % periodMs;
   const TimeMs turnBeginMs = options_.turnMs_ * (rank_ % turns);
-  // Starts in the first half only, so that a short request also ends within
-  // the turn and small differences between the routers do no harm.
+  // Suspects start in the first half of a turn only, so that short requests
+  // also end within the turn and small timing differences between routers do no
+  // harm.
   if (positionMs >= turnBeginMs &&
       positionMs < turnBeginMs + options_.turnMs_ / 2) {
     return 0;
--- a/policy/CrashQuarantine.hpp
+++ b/policy/CrashQuarantine.hpp
@@ -13,53 +13,55 @@
 
 namespace cactuspitch {
 
-/// One life of a backend server that ended while the request was in flight
-/// there. A life ends once, so the marks of several routers add up as a set, in
-/// any order and however often they are told; flags are never unset.
+/// Incarnation of a backend server that crashed while a request was in flight
+/// there. An incarnation crashes at most once, so the records of several
+/// routers merge as a set, in any order and with duplicates. Flags are never
+/// unset.
 struct CrashRecord
 {
-  uint32_t incarnation_ = 0; ///< hash of the server and its life
-  bool conclusive_ = false;  ///< the request ran there as a known suspect
-  bool cleared_ = false;     ///< cleared or released since
+  uint32_t incarnation_ = 0; ///< hash of the server and its incarnation
+  bool conclusive_ = false;  ///< the request was running as a known suspect
+  bool cleared_ = false; ///< the request has succeeded or been released since
 };
 
-/// A mark as one number of a message.
-int64_t PackCrashRecord(const CrashRecord& aMark);
+/// Encodes a record as one integer for messages; UnpackCrashRecord() decodes
+/// it.
+int64_t PackCrashRecord(const CrashRecord& aRecord);
 CrashRecord UnpackCrashRecord(int64_t aPacked);
 
-/// A suspect or quarantined request as routers exchange it.
+/// Suspect or quarantined request, as exchanged between routers.
 struct CrashSuspect
 {
   uint64_t fingerprint_ = 0;
-  int crashes_ = 0;          ///< marks that are not cleared; for display
-  bool quarantined_ = false; ///< follows from the marks; for display
+  int crashes_ = 0;          ///< number of uncleared records; for display
+  bool quarantined_ = false; ///< derived from the records; for display
   TimeMs expiresInMs_ = 0;
   std::string reason_;
   std::vector<CrashRecord> crashRecords_;
 };
 
-/// A request that was in flight at a server when it ended.
+/// Request that was in flight at a server when the server crashed.
 struct InFlightRequest
 {
-  // NOLINTNEXTLINE(google-explicit-constructor): a fingerprint alone will do.
+  // NOLINTNEXTLINE(google-explicit-constructor): allows lists of fingerprints.
   InFlightRequest(uint64_t aFingerprint, int aKnownCrashes = kAllKnown)
     : fingerprint_(aFingerprint)
     , knownCrashes_(aKnownCrashes)
   {
   }
 
-  /// It began after all crashes that are known by now.
+  /// The request started after all crashes that are known now.
   static constexpr int kAllKnown = -1;
 
   uint64_t fingerprint_;
-  int knownCrashes_; ///< of SuspectDecision, when it began
+  int knownCrashes_; ///< from the SuspectDecision when the request started
 };
 
 enum class SuspectVerdict : uint8_t
 {
-  Run,    ///< not a suspect, or the one suspect that the server runs now
-  Wait,   ///< a suspect; try again after waitMs_
-  Refuse, ///< quarantined, or another router tries it: refuse as not run
+  Run,    ///< not a suspect, or the only suspect to run on the server now
+  Wait,   ///< suspect; try again after waitMs_
+  Refuse, ///< quarantined or on trial at another router: reject as not run
   Count
 };
 
@@ -72,94 +74,104 @@
 struct SuspectDecision
 {
   SuspectVerdict verdict_ = SuspectVerdict::Run;
-  TimeMs waitMs_ = 0; ///< of Refuse: time to come back, 0 when there is none
+  /// Delay until the next try. With Refuse it is the Retry-After of the caller,
+  /// or 0 for none.
+  TimeMs waitMs_ = 0;
   std::string reason_;
-  int knownCrashes_ = 0; ///< for InFlightRequest
+  int knownCrashes_ = 0; ///< to be passed on in InFlightRequest
 };
 
 struct QuarantineOptions
 {
   TimeMs expiryMs_ = 600000;
   size_t maxEntries_ = 4096;
-  /// Routers start suspects in turns of this length after a crash, so that
-  /// suspects of different routers do not meet on one server.
+  /// After a crash the routers take turns of this length to start suspects, so
+  /// that suspects of different routers don't run on the same server.
   TimeMs turnMs_ = 100;
-  /// With more routers than this, several share a turn.
+  /// If there are more routers than this, some of them share a turn.
   int maxTurns_ = 1000;
-  /// A quarantine ends only after no such request came for expiryMs_.
+  /// Each arrival of a quarantined request restarts its expiry time.
   bool extendedByRequests_ = false;
 };
 
-/// Finds requests that crash backend servers (docs/design.md, section 9). Not
-/// thread-safe. HasSuspects() lets the hot path skip the other calls.
+/// Detects and quarantines requests that crash backend servers
+/// (docs/design.md, section 9). Requests that were in flight during a crash
+/// become suspects. Only one suspect at a time runs on a server, so that a
+/// second crash identifies the cause. Not thread-safe. The hot path can skip
+/// the other calls while HasSuspects() is false.
 class CrashQuarantine
 {
 public:
   explicit CrashQuarantine(QuarantineOptions aOptions = {});
 
-  /// Names of the live routers, this one included.
+  /// Sets the names of the live routers, including this one.
   void SetMembers(const std::string& aSelf, std::vector<std::string> aMembers);
 
-  /// The server is gone (refuses connections or has a new incarnation) and
-  /// these requests of this router were in flight there. aIncarnation tells the
-  /// lives of one server apart.
+  /// The server has crashed (refuses connections or has a new incarnation)
+  /// while aInFlight, requests of this router, were in flight there.
+  /// aIncarnation identifies the incarnation that crashed.
   void OnCrash(std::string_view aServer,
                const std::vector<InFlightRequest>& aInFlight,
                TimeMs aNowMs,
                uint64_t aIncarnation = 0);
 
   bool HasSuspects() const { return !suspects_.empty(); }
-  /// Asks before an attempt. A suspect that gets Run must be given back with
-  /// OnEnd, or with OnCrash of the server.
+  /// To be called before an attempt. After Run for a suspect, OnEnd(),
+  /// OnUnanswered() or OnCrash() of the server must follow.
   SuspectDecision TryBegin(uint64_t aFingerprint,
                            std::string_view aServer,
                            TimeMs aNowMs);
-  /// aSucceeded: the server ran the request to a good end, so it is no longer a
-  /// suspect.
+  /// The attempt has ended. aSucceeded: the server executed the request without
+  /// a crash, so it is no longer a suspect.
   void OnEnd(uint64_t aFingerprint,
              std::string_view aServer,
              bool aSucceeded,
              TimeMs aNowMs);
 
-  /// The attempt ended without an answer, and until aUntilMs OnCrash may tell
-  /// that its server has ended. A suspect does not run again before.
+  /// The attempt ended without a response, and OnCrash() may report a crash of
+  /// the server until aUntilMs. A suspect doesn't run again before that time.
   void OnUnanswered(uint64_t aFingerprint,
                     std::string_view aServer,
                     TimeMs aUntilMs,
                     TimeMs aNowMs);
 
-  /// An operator releases the request.
+  /// Releases the request on behalf of an operator.
   void Release(uint64_t aFingerprint, TimeMs aNowMs);
-  /// Takes over what a peer shared; true when any of it was new. aPassOn: news
-  /// counts as untold, because this router tells it to the others.
+  /// Merges the entries received from a peer. Returns true if any was new.
+  /// aForward: marks new entries as unsent, because this router forwards them
+  /// to the other routers.
   bool Merge(const std::vector<CrashSuspect>& aEntries,
              TimeMs aNowMs,
-             bool aPassOn = false);
+             bool aForward = false);
   std::vector<CrashSuspect> Entries(TimeMs aNowMs);
-  /// An empty entry for a request that is no suspect.
+  /// Entry of a request; empty if the request is not a suspect.
   CrashSuspect Find(uint64_t aFingerprint, TimeMs aNowMs) const;
-  /// True once after a change that peers need to know.
+  /// Returns whether a change that peers need to know has occurred since the
+  /// last call.
   bool TakeChanged();
 
-  /// Changes that this router made itself or passes on and has told less than
-  /// twice, the most important ones first.
-  std::vector<CrashSuspect> TakeUnsent(size_t aMost, TimeMs aNowMs);
-  /// Equal for routers that agree on all requests with two crashes and more.
+  /// Returns up to aMaxCount changes that this router made or forwards and has
+  /// sent less than twice, the most important ones first, and counts them as
+  /// sent once more.
+  std::vector<CrashSuspect> TakeUnsent(size_t aMaxCount, TimeMs aNowMs);
+  /// Hash of all requests with at least two crashes; equal for routers that
+  /// agree on them.
   uint64_t Digest(TimeMs aNowMs);
-  /// What a router with another digest needs, at most so many.
-  std::vector<CrashSuspect> EntriesForSync(size_t aMost, TimeMs aNowMs);
+  /// Up to aMaxCount entries for a router whose digest differs, the most
+  /// important ones first.
+  std::vector<CrashSuspect> EntriesForSync(size_t aMaxCount, TimeMs aNowMs);
 
 private:
   struct State
   {
     std::vector<CrashRecord> crashRecords_;
     TimeMs expiresMs_ = 0;
-    TimeMs crashMs_ = 0; ///< last time a crash was seen or heard of
+    TimeMs crashMs_ = 0; ///< when the latest crash was detected or received
     std::string reason_;
     int remainingSends_ = 0;
-    TimeMs unresolvedUntilMs_ = 0; ///< an attempt broke, see OnUnanswered
+    TimeMs unresolvedUntilMs_ = 0; ///< see OnUnanswered()
 
-    /// Marks that are not cleared.
+    /// Number of records that are not cleared.
     int Crashes() const;
     bool IsQuarantined() const;
   };
@@ -171,32 +183,35 @@
                 std::string_view aServer,
                 uint32_t aIncarnation,
                 TimeMs aNowMs);
-  /// Many servers end that do not run this request: one more crash is needed.
+  /// True while many servers crash at which the request was not in flight, so
+  /// that a crash is weaker evidence and one more is required.
   bool IsMassCrash(const State& aState, uint32_t aIncarnation) const;
-  void RecordEnded(uint32_t aIncarnation, TimeMs aNowMs);
+  void RecordCrashed(uint32_t aIncarnation, TimeMs aNowMs);
   void Clear(State& aState, std::string_view aReason);
-  bool MergeOne(const CrashSuspect& aEntry, TimeMs aNowMs, bool aPassOn);
-  static bool MergeMark(State& aState, const CrashRecord& aMark);
+  bool MergeOne(const CrashSuspect& aEntry, TimeMs aNowMs, bool aForward);
+  static bool MergeRecord(State& aState, const CrashRecord& aRecord);
   void EvictIfFull();
   TimeMs WaitForTurnMs(const State& aState, TimeMs aNowMs) const;
-  /// One router tries what may have crashed many servers at once.
+  /// Whether this is the one router that runs a request which may have crashed
+  /// many servers at once.
   bool IsTrialRouter(uint64_t aFingerprint) const;
   static CrashSuspect Describe(const Entry& aEntry, TimeMs aNowMs);
-  std::vector<const Entry*> Ranked(bool (*aWanted)(const State& aState)) const;
+  std::vector<const Entry*> RankedEntries(
+    bool (*aWanted)(const State& aState)) const;
 
   QuarantineOptions options_;
   std::string self_;
   std::vector<std::string> members_; ///< sorted
   int rank_ = 0;
   bool changed_ = false;
-  /// Nothing expires before; a scan for each request cost small instances
-  /// several percent of their processor time.
+  /// Earliest expiry of any entry. Without it, the scan for each request took
+  /// several percent of the CPU time of small instances.
   TimeMs firstExpiryMs_ = 0;
   std::unordered_map<uint64_t, State> suspects_;
-  /// Suspect that each server runs now.
+  /// Suspect that is running on each server.
   std::map<std::string, uint64_t, std::less<>> running_;
-  /// Lives that ended lately.
-  std::deque<std::pair<TimeMs, uint32_t>> ended_;
+  /// Incarnations that crashed recently, with the time of the crash.
+  std::deque<std::pair<TimeMs, uint32_t>> crashed_;
 };
 
 }
--- a/policy/FleetLoadTable.cpp
+++ b/policy/FleetLoadTable.cpp
@@ -4,21 +4,23 @@
 
 namespace detail {
 
-/// Weight of a new report of the work time: gateways see few requests each.
-constexpr double kBoardWorkWeight = 0.2;
+/// Weight of a new measurement in the moving average of the service time: each
+/// gateway measures few requests.
+constexpr double kServiceTimeWeight = 0.2;
 
 }
 
 void FleetLoadTable::Add(const FleetLoadEntry& aEntry, TimeMs aNowMs)
 {
   auto& state = states_[aEntry.server_];
-  const double before = state.entry_.serviceTimeMs_;
+  const double previousMs = state.entry_.serviceTimeMs_;
   state.entry_ = aEntry;
   if (aEntry.serviceTimeMs_ <= 0) {
-    state.entry_.serviceTimeMs_ = before;
-  } else if (before > 0) {
+    state.entry_.serviceTimeMs_ = previousMs;
+  } else if (previousMs > 0) {
     state.entry_.serviceTimeMs_ =
-      before + (aEntry.serviceTimeMs_ - before) * detail::kBoardWorkWeight;
+      previousMs +
+      (aEntry.serviceTimeMs_ - previousMs) * detail::kServiceTimeWeight;
   }
   state.atMs_ = aNowMs;
   state.changed_ = true;
--- a/policy/FleetLoadTable.hpp
+++ b/policy/FleetLoadTable.hpp
@@ -8,26 +8,27 @@
 
 namespace cactuspitch {
 
-/// Load of one backend server as some gateway saw it last.
+/// Load of one backend server, as measured by a gateway.
 struct FleetLoadEntry
 {
-  uint32_t server_ = 0;      ///< hash of its id
-  double serviceTimeMs_ = 0; ///< 0: not known
-  double load_ = 0;          ///< running and waiting requests
+  uint32_t server_ = 0;      ///< hash of the server's id
+  double serviceTimeMs_ = 0; ///< mean service time; 0 if unknown
+  double load_ = 0;          ///< running and queued requests
 };
 
-/// Gathers what all gateways see of the backend servers: each of many gateways
-/// hears of a single server too rarely to know its load. Pure.
+/// Latest loads of the backend servers, collected from all gateways. In a large
+/// fleet each gateway alone gets too few responses from a server to know its
+/// load. Does no I/O.
 class FleetLoadTable
 {
 public:
-  /// Entries without a report for this long are dropped.
+  /// Entries that have not been updated for this long are dropped.
   static constexpr TimeMs kForgetMs = 5000;
 
   void Add(const FleetLoadEntry& aEntry, TimeMs aNowMs);
-  /// Entries that got a report since the last call.
+  /// Entries that were updated since the last call.
   std::vector<FleetLoadEntry> TakeChanged(TimeMs aNowMs);
-  /// Mean work time of a server, 0 when it is not known.
+  /// Mean service time of a server, 0 if unknown.
   double ServiceTimeMs(uint32_t aServer) const;
 
 private:
--- a/policy/HotKeySketch.cpp
+++ b/policy/HotKeySketch.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Rescaled before weights lose precision.
+/// Weights are rescaled at this growth, before they lose precision.
 constexpr double kMaxGrowth = 1LL << 40;
 
 }
@@ -94,7 +94,7 @@
     SiftUp(size_++);
     return;
   }
-  // The new key takes over the lightest entry and its weight as error.
+  // The new key replaces the lightest entry and inherits its weight as error.
   const Entry lightest = heap_[0];
   EraseBucket(FindBucket(lightest.hash_));
   heap_[0] = { aHash, lightest.weight_ + aWeight, lightest.weight_ + aError };
@@ -114,7 +114,7 @@
 
 void HotKeySketch::EraseBucket(size_t aBucket)
 {
-  // Backward shift keeps every probe sequence without gaps.
+  // Backward-shift deletion leaves no gap in any probe sequence.
   size_t hole = aBucket;
   size_t next = aBucket;
   for (;;) {
--- a/policy/LoadMerger.cpp
+++ b/policy/LoadMerger.cpp
@@ -46,7 +46,7 @@
                       TimeMs aNowMs,
                       BalanceInput& aInput)
 {
-  DropSilent(aNowMs);
+  DropStaleRouters(aNowMs);
   aInput.nowMs_ = aNowMs;
   aInput.table_ = &aTable;
   aInput.sliceLoad_.assign(aTable.slices_.size(), 0);
@@ -74,8 +74,8 @@
 
 double LoadMerger::BusyMsPerRequest(const RouterState& aState, KeyHash aHash)
 {
-  // The slice as the router reported it; a slice that was split out since then
-  // is not among them.
+  // Uses the slice as reported by the router; slices that were split out since
+  // then are not in the report.
   const auto next = aState.slices_.upper_bound(aHash);
   if (next == aState.slices_.begin()) {
     return 0;
@@ -94,7 +94,7 @@
   }
   double busyMs = 0;
   for (const auto& slice : aLoad.slices_) {
-    // Negated so that NaN is refused.
+    // Negated so that NaN is rejected.
     if (slice.requests_ < 0 || !(slice.busyMs_ >= 0)) {
       return false;
     }
@@ -127,14 +127,14 @@
     average.requestsPerSecond_ += scale * static_cast<double>(slice.requests_);
     average.busyMsPerSecond_ += scale * slice.busyMs_;
   }
-  // Slices that were merged or are idle fade out and are forgotten.
+  // The averages of merged and idle slices decay until they are dropped.
   std::erase_if(aState.slices_, [](const auto& aSlice) {
     return aSlice.second.requestsPerSecond_ < kNegligiblePerSecond &&
            aSlice.second.busyMsPerSecond_ < kNegligiblePerSecond;
   });
 }
 
-void LoadMerger::DropSilent(TimeMs aNowMs)
+void LoadMerger::DropStaleRouters(TimeMs aNowMs)
 {
   std::erase_if(routers_, [&](const auto& aRouter) {
     return aNowMs - aRouter.second.lastMs_ > options_.maxAgeMs_;
--- a/policy/LoadMerger.hpp
+++ b/policy/LoadMerger.hpp
@@ -23,7 +23,7 @@
   int64_t requests_ = 0;
 };
 
-/// What one router measured for one assignment group in a window.
+/// Load that one router measured for an assignment group within a time window.
 struct RouterLoadReport
 {
   std::string router_;
@@ -34,9 +34,10 @@
 
 struct LoadMergerOptions
 {
-  /// A router that is silent for longer no longer counts.
+  /// The loads of a router that has not reported for longer are dropped.
   TimeMs maxAgeMs_ = 5000;
-  /// Averaging time of slice loads; shorter follows noise, longer lags.
+  /// Time constant of the moving average of slice loads. A shorter one follows
+  /// noise, a longer one lags.
   TimeMs averagingMs_ = 10000;
   /// Largest plausible number of attempts that a router has in flight.
   double maxConcurrency_ = 4096;
@@ -48,7 +49,7 @@
 public:
   explicit LoadMerger(LoadMergerOptions aOptions = {});
 
-  /// False when the report is not plausible; it is then ignored.
+  /// Returns false, and ignores the report, if it is implausible.
   bool Add(const RouterLoadReport& aLoad, TimeMs aNowMs);
   /// Sets sliceLoad_, hotKeys_, table_ and nowMs_ of aInput.
   void Fill(const GroupTable& aTable, TimeMs aNowMs, BalanceInput& aInput);
@@ -71,7 +72,7 @@
   static double BusyMsPerRequest(const RouterState& aState, KeyHash aHash);
   bool IsPlausible(const RouterLoadReport& aLoad) const;
   void AddSlices(const RouterLoadReport& aLoad, RouterState& aState) const;
-  void DropSilent(TimeMs aNowMs);
+  void DropStaleRouters(TimeMs aNowMs);
 
   LoadMergerOptions options_;
   std::map<std::string, RouterState, std::less<>> routers_;
--- a/policy/LoadPerKeyPolicy.cpp
+++ b/policy/LoadPerKeyPolicy.cpp
@@ -14,26 +14,29 @@
     return std::make_unique<LoadPerKeyPolicy>(aOptions);
   });
 
-/// A slice is left alone for this long after a move, so that loads measured
+/// Slices don't move again for this long after a move, so that loads measured
 /// before the move don't cause another one.
-constexpr TimeMs kRestMs = 15000;
+constexpr TimeMs kCooldownMs = 15000;
 constexpr TimeMs kColdMs = 60000;
-/// A split key is cold below this part of the load that splits it.
-constexpr double kColdPart = 0.5;
-constexpr size_t kMaxSplitsOfPlan = 8;
-constexpr size_t kMaxMovesOfPlan = 16;
+/// A key that was split out is cold below this fraction of the load at which
+/// keys are split out.
+constexpr double kColdFraction = 0.5;
+constexpr size_t kMaxSplitsPerPlan = 8;
+constexpr size_t kMaxMovesPerPlan = 16;
 constexpr size_t kMaxSlices = 512;
-/// The measured peak of evenly loaded servers scatters by several percent, so
-/// a level has to last for some plans before it causes moves.
+/// The measured peak load of evenly loaded servers varies by several percent,
+/// so an imbalance must last for several plans before it causes moves.
 constexpr int kSteadyAfterPlans = 10;
-/// Imbalance that requests feel; the steady budget would take minutes.
+/// Imbalance that affects request latency and would take minutes to correct
+/// within the steady budget.
 constexpr double kUrgentAbove = 1.15;
 constexpr int kUrgentAfterPlans = 15;
 constexpr double kVeryUrgentAbove = 1.25;
 constexpr int kVeryUrgentAfterPlans = 3;
 constexpr double kUrgentShare = 0.30;
-/// The rate of a key that has just become hot is still underestimated.
-constexpr TimeMs kSplitRestMs = 5000;
+/// Shorter cooldown after a split: the rate of a key that has just become hot
+/// is still underestimated.
+constexpr TimeMs kSplitCooldownMs = 5000;
 constexpr double kPercent = 100;
 constexpr const char kFillReason[] = "fills a joining server";
 
@@ -68,13 +71,13 @@
     return plan;
   }
   std::erase_if(movedMs_, [&](const auto& aMove) {
-    return aMove.second + kRestMs <= aInput.nowMs_;
+    return aMove.second + kCooldownMs <= aInput.nowMs_;
   });
-  const auto warmth = WarmupShares(aInput);
-  ServerLoads loads(aInput, warmth);
+  const auto warmupShares = WarmupShares(aInput);
+  ServerLoads loads(aInput, warmupShares);
   Evacuate(loads, plan);
   if (loads.IsIdle()) {
-    SpreadIdle(aInput.nowMs_, loads, plan);
+    BalanceIdleGroup(aInput.nowMs_, loads, plan);
   } else {
     FillJoining(aInput, loads, plan);
     SplitHotKeys(aInput, loads, plan);
@@ -90,14 +93,14 @@
 std::vector<double> LoadPerKeyPolicy::WarmupShares(const BalanceInput& aInput)
 {
   constexpr TimeMs kSteps = 5;
-  std::vector<double> warmth;
+  std::vector<double> warmupShares;
   std::map<std::string, TimeMs> joinedMs;
   for (const auto& server : aInput.table_->servers_) {
     const auto known = joinedMs_.find(server.id_);
-    // The servers of the first call were there before this assigner.
+    // Servers known at the first plan joined before this assigner started.
     const TimeMs joined = known != joinedMs_.end() ? known->second
                           : isFirstPlan_
-                            ? aInput.nowMs_ - options_.warmupMs_ - kRestMs
+                            ? aInput.nowMs_ - options_.warmupMs_ - kCooldownMs
                             : aInput.nowMs_;
     joinedMs[server.id_] = joined;
     const TimeMs step =
@@ -105,11 +108,11 @@
         ? kSteps
         : 1 + (aInput.nowMs_ - joined) * kSteps / options_.warmupMs_;
     const double byTime = static_cast<double>(std::min(step, kSteps)) / kSteps;
-    warmth.push_back(std::min(byTime, server.warmupPercent_ / kPercent));
+    warmupShares.push_back(std::min(byTime, server.warmupPercent_ / kPercent));
   }
   joinedMs_ = std::move(joinedMs);
   isFirstPlan_ = false;
-  return warmth;
+  return warmupShares;
 }
 
 void LoadPerKeyPolicy::Evacuate(ServerLoads& aLoads, BalancePlan& aPlan)
@@ -121,7 +124,7 @@
       slices.push_back(i);
     }
   }
-  // The largest first fills the servers most evenly.
+  // Largest first fills the servers most evenly.
   std::ranges::sort(slices, std::greater<>(), [&](size_t aSlice) {
     return aLoads.SliceLoad(aSlice);
   });
@@ -132,24 +135,24 @@
   }
 }
 
-void LoadPerKeyPolicy::SpreadIdle(TimeMs aNowMs,
-                                  ServerLoads& aLoads,
-                                  BalancePlan& aPlan)
+void LoadPerKeyPolicy::BalanceIdleGroup(TimeMs aNowMs,
+                                        ServerLoads& aLoads,
+                                        BalancePlan& aPlan)
 {
-  // Nothing is warm in an idle group, e.g. of a service that has just been
-  // started, so its servers share the slices at once and without warm-up.
-  constexpr size_t kMaxIdleMovesOfPlan = 64;
+  // The caches of an idle group, e.g. of a service that has just been started,
+  // are cold anyway. Its servers share the slices at once, without warm-up.
+  constexpr size_t kMaxIdleMovesPerPlan = 64;
   for (auto& [server, joined] : joinedMs_) {
-    joined = aNowMs - options_.warmupMs_ - kRestMs;
+    joined = aNowMs - options_.warmupMs_ - kCooldownMs;
   }
   const auto& slices = aLoads.Table().slices_;
   for (size_t i = 0;
-       i < slices.size() && aPlan.moves_.size() < kMaxIdleMovesOfPlan;
+       i < slices.size() && aPlan.moves_.size() < kMaxIdleMovesPerPlan;
        ++i) {
     const int32_t owner = aLoads.Owner(i);
     const auto target = aLoads.FewestSlices();
     if (owner == kNoServer || !target || !aLoads.IsUsable(owner) ||
-        IsResting(slices[i].begin_, aNowMs) ||
+        IsInCooldown(slices[i].begin_, aNowMs) ||
         aLoads.SliceCount(owner) <= aLoads.SliceCount(*target) + 1) {
       continue;
     }
@@ -164,13 +167,14 @@
   const auto& servers = aInput.table_->servers_;
   for (int32_t i = 0; static_cast<size_t>(i) < servers.size(); ++i) {
     const TimeMs joined = joinedMs_[servers[static_cast<size_t>(i)].id_];
-    // Some time after the last step to be filled up to it.
+    // Includes some time after the last warm-up step, in which the server
+    // receives the last part of its share.
     const bool isJoining =
-      aInput.nowMs_ - joined < options_.warmupMs_ + kRestMs;
+      aInput.nowMs_ - joined < options_.warmupMs_ + kCooldownMs;
     if (!isJoining || !aLoads.IsUsable(i)) {
       continue;
     }
-    while (aPlan.moves_.size() < kMaxMovesOfPlan) {
+    while (aPlan.moves_.size() < kMaxMovesPerPlan) {
       const auto source = aLoads.MostLoaded();
       const double room = aLoads.FairLoad(i) - aLoads.Load(i);
       if (!source || *source == i || room <= 0) {
@@ -192,7 +196,7 @@
   const double threshold = options_.hotKeyShareOfMean_ * aLoads.MeanLoad();
   const GroupTable& table = aLoads.Table();
   for (const auto& key : aInput.hotKeys_) {
-    if (key.load_ < threshold || aPlan.splits_.size() >= kMaxSplitsOfPlan ||
+    if (key.load_ < threshold || aPlan.splits_.size() >= kMaxSplitsPerPlan ||
         table.slices_.size() + 2 * aPlan.splits_.size() >= kMaxSlices) {
       continue;
     }
@@ -202,7 +206,7 @@
         !Contains(aPlan.moves_, table.slices_[slice].begin_)) {
       aPlan.splits_.push_back(key.hash_);
       for (const KeyHash begin : { table.slices_[slice].begin_, key.hash_ }) {
-        movedMs_[begin] = aInput.nowMs_ - kRestMs + kSplitRestMs;
+        movedMs_[begin] = aInput.nowMs_ - kCooldownMs + kSplitCooldownMs;
       }
     }
   }
@@ -216,8 +220,8 @@
   if (!peak) {
     return;
   }
-  CountLevel(aLoads.RelativeLoad(*peak));
-  // A joining server takes load from the others anyway.
+  UpdateUrgency(aLoads.RelativeLoad(*peak));
+  // A joining server takes load off the other servers anyway.
   const bool isJoining =
     std::ranges::any_of(aPlan.moves_, [](const PlannedMove& aMove) {
       return aMove.reason_ == kFillReason;
@@ -225,7 +229,7 @@
   if (isJoining && !isUrgent_) {
     return;
   }
-  while (isActive_ && aPlan.moves_.size() < kMaxMovesOfPlan) {
+  while (isActive_ && aPlan.moves_.size() < kMaxMovesPerPlan) {
     if (!MoveOne(aNowMs, BudgetLoad(aNowMs, aLoads), aLoads, aPlan)) {
       return;
     }
@@ -233,16 +237,17 @@
   }
 }
 
-void LoadPerKeyPolicy::CountLevel(double aLevel)
+void LoadPerKeyPolicy::UpdateUrgency(double aRelativeLoad)
 {
-  steadyPlans_ = aLevel > options_.actAbove_ ? steadyPlans_ + 1 : 0;
-  urgentPlans_ = aLevel > kUrgentAbove ? urgentPlans_ + 1 : 0;
-  veryUrgentPlans_ = aLevel > kVeryUrgentAbove ? veryUrgentPlans_ + 1 : 0;
+  steadyPlans_ = aRelativeLoad > options_.actAbove_ ? steadyPlans_ + 1 : 0;
+  urgentPlans_ = aRelativeLoad > kUrgentAbove ? urgentPlans_ + 1 : 0;
+  veryUrgentPlans_ =
+    aRelativeLoad > kVeryUrgentAbove ? veryUrgentPlans_ + 1 : 0;
   isUrgent_ = urgentPlans_ >= kUrgentAfterPlans ||
               veryUrgentPlans_ >= kVeryUrgentAfterPlans ||
-              (isUrgent_ && aLevel > options_.stopBelow_);
+              (isUrgent_ && aRelativeLoad > options_.stopBelow_);
   isActive_ = isUrgent_ || steadyPlans_ >= kSteadyAfterPlans ||
-              (isActive_ && aLevel > options_.stopBelow_);
+              (isActive_ && aRelativeLoad > options_.stopBelow_);
 }
 
 bool LoadPerKeyPolicy::MoveOne(TimeMs aNowMs,
@@ -256,17 +261,17 @@
     return false;
   }
   const double excess = aLoads.Load(*source) - aLoads.FairLoad(*source);
-  // Slices are coarse: a target may also pass the lower threshold while the
-  // peak of the two falls clearly.
-  constexpr double kGain = 0.75;
+  // Slices are coarse, so the target may exceed the lower threshold as long as
+  // the higher load of the two servers clearly decreases.
+  constexpr double kMinGain = 0.75;
   const double room = std::max(
     options_.stopBelow_ * aLoads.FairLoad(*target) - aLoads.Load(*target),
-    kGain * (aLoads.Load(*source) - aLoads.Load(*target)));
-  // Beyond the excess, moved load only becomes a lack at the source.
+    kMinGain * (aLoads.Load(*source) - aLoads.Load(*target)));
+  // Moving more than the excess would leave the source underloaded.
   constexpr double kOvershoot = 1.1;
   const auto slice = BestSlice(
     aNowMs, aLoads, *source, std::min({ aMaxLoad, room, kOvershoot * excess }));
-  // Beside a pinned key, also slices that seem to be idle move away.
+  // Slices without measured load move only away from a pinned key.
   if (!slice ||
       (aLoads.SliceLoad(*slice) <= 0 && !aLoads.HoldsPinnedKey(*source))) {
     return false;
@@ -281,7 +286,7 @@
                                      BalancePlan& aPlan)
 {
   const double coldLoad =
-    kColdPart * options_.hotKeyShareOfMean_ * aLoads.MeanLoad();
+    kColdFraction * options_.hotKeyShareOfMean_ * aLoads.MeanLoad();
   const auto& slices = aLoads.Table().slices_;
   std::unordered_map<KeyHash, TimeMs> coldSinceMs;
   for (size_t i = 1; i < slices.size(); ++i) {
@@ -303,7 +308,7 @@
                                    ServerLoads& aLoads,
                                    BalancePlan& aPlan)
 {
-  // A split leaves the part before the key, the key and the part after it.
+  // A split results in the part before the key, the key and the part after it.
   const auto& slices = aLoads.Table().slices_;
   const int32_t owner = aLoads.Owner(aSlice - 1);
   bool isTogether = owner != kNoServer && aLoads.IsUsable(owner);
@@ -317,7 +322,7 @@
     isTogether = false;
     const double load = aLoads.SliceLoad(i);
     if (!isActive_ && load <= BudgetLoad(aNowMs, aLoads) &&
-        !IsResting(slices[i].begin_, aNowMs) &&
+        !IsInCooldown(slices[i].begin_, aNowMs) &&
         !Contains(aPlan.moves_, slices[i].begin_)) {
       churn_.Record(aNowMs, load / aLoads.Total());
       AddMove(i, owner, "joins the rest of a split slice", aLoads, aPlan);
@@ -343,10 +348,10 @@
     const double load = aLoads.SliceLoad(i);
     const KeyHash begin = table.slices_[i].begin_;
     if (aLoads.Owner(i) != aSource || load > aMaxLoad || aLoads.IsPinned(i) ||
-        IsResting(begin, aNowMs)) {
+        IsInCooldown(begin, aNowMs)) {
       continue;
     }
-    // Keys are spread evenly over the hashes.
+    // Keys are distributed evenly over the hash space.
     const double keys = static_cast<double>(table.SliceEnd(i) - begin) + 1;
     if (!best || load / keys > bestScore) {
       best = i;
@@ -356,10 +361,10 @@
   return best;
 }
 
-bool LoadPerKeyPolicy::IsResting(KeyHash aBegin, TimeMs aNowMs) const
+bool LoadPerKeyPolicy::IsInCooldown(KeyHash aBegin, TimeMs aNowMs) const
 {
   const auto moved = movedMs_.find(aBegin);
-  return moved != movedMs_.end() && aNowMs - moved->second < kRestMs;
+  return moved != movedMs_.end() && aNowMs - moved->second < kCooldownMs;
 }
 
 double LoadPerKeyPolicy::BudgetLoad(TimeMs aNowMs, const ServerLoads& aLoads)
--- a/policy/LoadPerKeyPolicy.hpp
+++ b/policy/LoadPerKeyPolicy.hpp
@@ -11,9 +11,10 @@
 
 namespace cactuspitch {
 
-/// Moves slices chosen by the load gained for each key moved, within a churn
-/// budget and with hysteresis. Hot keys are split out and merged back when
-/// they are cold. Expects a call about every second.
+/// Balances load by moving the slices with the most load per key, within a
+/// churn budget and with hysteresis. Hot keys are split out into slices of
+/// their own and merged back when they are cold. Expects a call about every
+/// second.
 class LoadPerKeyPolicy final : public BalancingPolicy
 {
 public:
@@ -24,7 +25,7 @@
 private:
   std::vector<double> WarmupShares(const BalanceInput& aInput);
   void Evacuate(ServerLoads& aLoads, BalancePlan& aPlan);
-  void SpreadIdle(TimeMs aNowMs, ServerLoads& aLoads, BalancePlan& aPlan);
+  void BalanceIdleGroup(TimeMs aNowMs, ServerLoads& aLoads, BalancePlan& aPlan);
   void FillJoining(const BalanceInput& aInput,
                    ServerLoads& aLoads,
                    BalancePlan& aPlan);
@@ -32,8 +33,9 @@
                     const ServerLoads& aLoads,
                     BalancePlan& aPlan);
   void Rebalance(TimeMs aNowMs, ServerLoads& aLoads, BalancePlan& aPlan);
-  /// Counts the plans in a row in which the highest level was above a limit.
-  void CountLevel(double aLevel);
+  /// Counts the consecutive plans in which the highest relative load exceeded
+  /// each threshold, and updates isActive_ and isUrgent_.
+  void UpdateUrgency(double aRelativeLoad);
   bool MoveOne(TimeMs aNowMs,
                double aMaxLoad,
                ServerLoads& aLoads,
@@ -43,13 +45,13 @@
                    TimeMs aNowMs,
                    ServerLoads& aLoads,
                    BalancePlan& aPlan);
-  /// Slice of aSource with the most load for each key that is at most
-  /// aMaxLoad.
+  /// Slice of aSource with the most load per key among those with a load of at
+  /// most aMaxLoad.
   std::optional<size_t> BestSlice(TimeMs aNowMs,
                                   const ServerLoads& aLoads,
                                   int32_t aSource,
                                   double aMaxLoad) const;
-  bool IsResting(KeyHash aBegin, TimeMs aNowMs) const;
+  bool IsInCooldown(KeyHash aBegin, TimeMs aNowMs) const;
   double BudgetLoad(TimeMs aNowMs, const ServerLoads& aLoads);
   void AddMove(size_t aSlice,
                int32_t aTarget,
--- a/policy/MovingAverages.hpp
+++ b/policy/MovingAverages.hpp
@@ -5,7 +5,7 @@
 
 namespace cactuspitch {
 
-/// Mean of recent values by name; a new value counts with a fixed weight.
+/// Exponential moving averages by name; every new value has the same weight.
 class MovingAverages
 {
 public:
@@ -21,13 +21,13 @@
       entry->second += (aValue - entry->second) * weight_;
     }
   }
-  /// aDefault before the first value.
+  /// Average of a name; aDefault before its first value.
   double Get(const std::string& aName, double aDefault) const
   {
     const auto found = means_.find(aName);
     return found == means_.end() ? aDefault : found->second;
   }
-  /// Forgets all names for which aIsKept(name) is false.
+  /// Removes all names for which aIsKept(name) is false.
   template<typename Predicate>
   void Keep(const Predicate& aIsKept)
   {
--- a/policy/OwnerAdmission.cpp
+++ b/policy/OwnerAdmission.cpp
@@ -6,9 +6,9 @@
 
 namespace detail {
 
-/// Demand above this many times the capacity is shared out. A little more than
-/// the capacity keeps the owner busy while work times vary.
-constexpr double kAdmittedLoad = 1.15;
+/// Admitted load as a multiple of the owner's capacity. Slightly more than the
+/// capacity keeps the owner busy although service times vary.
+constexpr double kAdmittedLoadFactor = 1.15;
 
 }
 
@@ -17,9 +17,9 @@
 {
   std::vector<AdmissionShare> shares;
   for (const auto& owner : aOwners) {
-    const double most = owner.capacity_ * detail::kAdmittedLoad;
-    if (owner.demand_ > most && most > 0) {
-      shares.push_back({ owner.server_, most / owner.demand_ });
+    const double admitted = owner.capacity_ * detail::kAdmittedLoadFactor;
+    if (owner.demand_ > admitted && admitted > 0) {
+      shares.push_back({ owner.server_, admitted / owner.demand_ });
     }
   }
   return shares;
--- a/policy/OwnerAdmission.hpp
+++ b/policy/OwnerAdmission.hpp
@@ -9,14 +9,15 @@
 
 namespace cactuspitch {
 
-/// Part of the requests for an overloaded owner of keys that it can run.
+/// Fraction of the requests for an overloaded owner of keys that it can run.
 struct AdmissionShare
 {
-  uint32_t server_ = 0; ///< hash of its id
+  uint32_t server_ = 0; ///< hash of the server's id
   double share_ = 1;
 };
 
-/// Demand for an owner's keys and what it can run, both per second.
+/// Request rate for the keys of an owner and the rate that it can run, both in
+/// requests per second.
 struct OwnerDemand
 {
   uint32_t server_ = 0;
@@ -24,25 +25,27 @@
   double capacity_ = 0;
 };
 
-/// Shares of the owners whose demand is above their capacity.
+/// Admission shares of the owners whose demand exceeds their capacity.
 std::vector<AdmissionShare> ComputeAdmissionShares(
   const std::vector<OwnerDemand>& aOwners);
 
-/// Lets through each gateway's part of what an overloaded owner can run. Many
-/// gateways see a part of the demand each and cannot tell from old reports how
-/// much the others send; the leader knows the sum. Pure.
+/// Limits the requests of a gateway to its share of what an overloaded owner
+/// can run. In a large fleet each gateway sees only part of the demand, and
+/// can't infer from old reports how much the other gateways send. The leader
+/// knows the sum and distributes the shares. Does no I/O.
 class OwnerAdmission
 {
 public:
-  /// Shares that are not repeated for this long end.
+  /// A share expires when it is not renewed for this long.
   static constexpr TimeMs kExpiryMs = 2000;
 
-  /// aSeed differs between gateways: those that begin with the same credit
-  /// would all let their first request through at the same time, and late.
+  /// aSeed must differ between gateways. With the same initial credit, all
+  /// gateways would admit their first request late and at the same time.
   explicit OwnerAdmission(uint32_t aSeed);
 
   void Update(const std::vector<AdmissionShare>& aShares, TimeMs aNowMs);
-  /// Whether the next request for this owner is sent to it.
+  /// Whether to send the next request for this owner. Always true for an owner
+  /// without a share.
   bool TryAdmit(uint32_t aServer, TimeMs aNowMs);
 
 private:
--- a/policy/PacedLimit.cpp
+++ b/policy/PacedLimit.cpp
@@ -27,7 +27,7 @@
     return std::max(aNowMs, deferredUntilMs_);
   }
   const double perMs = aLimit - inFlight_;
-  if (!resting_ || perMs <= 0) {
+  if (!pausing_ || perMs <= 0) {
     return INT64_MAX;
   }
   const double waitMs = std::ceil((kBurstMs - creditMs_) / perMs);
@@ -44,15 +44,15 @@
   creditMs_ = std::clamp(
     creditMs_ + (aLimit - inFlight_) * elapsedMs, -kMaxDebtMs, kBurstMs);
   if (creditMs_ < 0) {
-    resting_ = true;
+    pausing_ = true;
   } else if (creditMs_ >= kBurstMs) {
-    resting_ = false;
+    pausing_ = false;
   }
 }
 
 int PacedLimit::Allowed(double aLimit) const
 {
-  return static_cast<int>(resting_ ? std::floor(aLimit) : std::ceil(aLimit));
+  return static_cast<int>(pausing_ ? std::floor(aLimit) : std::ceil(aLimit));
 }
 
 }
--- a/policy/PacedLimit.hpp
+++ b/policy/PacedLimit.hpp
@@ -4,25 +4,27 @@
 
 namespace cactuspitch {
 
-/// Holds attempts in flight to a fractional limit on average. A limit of 0.6
-/// runs chains of attempts back to back and then rests: a router that has just
-/// ended an attempt finds its slot free, whereas a new chain may meet a busy
-/// server. Few long chains therefore cause fewer sheds than spaced attempts.
+/// Enforces a fractional concurrency limit on average. With a limit of 0.6,
+/// bursts of back-to-back attempts alternate with pauses. An attempt directly
+/// after another one finds its slot free, while the first one of a burst may
+/// find the server busy. A few long bursts therefore cause fewer shed requests
+/// than evenly spaced attempts.
 class PacedLimit
 {
 public:
   bool TryAcquire(TimeMs aNowMs, double aLimit);
   void Release(TimeMs aNowMs, double aLimit);
-  /// INT64_MAX when only a Release can help.
+  /// Earliest time at which TryAcquire() can succeed without a Release();
+  /// INT64_MAX if it can't.
   TimeMs NextTryMs(TimeMs aNowMs, double aLimit) const;
-  /// No attempt before that time.
+  /// Allows no attempt before aUntilMs.
   void Defer(TimeMs aUntilMs) { deferredUntilMs_ = aUntilMs; }
   int InFlight() const { return inFlight_; }
 
 private:
-  /// Credit in ms of attempts in flight that a rested router has saved.
+  /// Largest credit, in ms of one attempt in flight, that accrues in a pause.
   static constexpr double kBurstMs = 50;
-  /// A long attempt (a download) is not repaid with an endless rest.
+  /// Bounds the pause that follows a long attempt, such as a download.
   static constexpr double kMaxDebtMs = 2000;
 
   void Advance(TimeMs aNowMs, double aLimit);
@@ -33,7 +35,7 @@
   TimeMs deferredUntilMs_ = 0;
   int inFlight_ = 0;
   bool started_ = false;
-  bool resting_ = false;
+  bool pausing_ = false;
 };
 
 }
--- a/policy/Placement.cpp
+++ b/policy/Placement.cpp
@@ -7,15 +7,15 @@
 
 namespace detail {
 
-double CrossingMs(const PlacementOptions& aOptions,
-                  const PlacementRequest& aRequest)
+double CrossDomainCostMs(const PlacementOptions& aOptions,
+                         const PlacementRequest& aRequest)
 {
   constexpr double kBytesPerKb = 1024;
-  const double mostMs =
+  const double maxMs =
     static_cast<double>(aRequest.objectiveMs_) * aOptions.crossDomainMaxShare_;
   const double ms = static_cast<double>(aRequest.bytes_) / kBytesPerKb *
                     aOptions.crossDomainMsPerKb_;
-  return std::max(aOptions.crossDomainMs_, std::min(ms, mostMs));
+  return std::max(aOptions.crossDomainMs_, std::min(ms, maxMs));
 }
 
 double Score(const PlacementOptions& aOptions,
@@ -23,13 +23,13 @@
              const PlacementCandidate& aCandidate)
 {
   const double objectiveMs = static_cast<double>(aRequest.objectiveMs_);
-  const bool near =
+  const bool isNear =
     aCandidate.sameDomain_ &&
     aCandidate.expectedMs_ <= objectiveMs * aOptions.sameDomainShare_;
   return aCandidate.expectedMs_ *
            (1 + aOptions.failurePenalty_ * aCandidate.failureShare_ +
             (aCandidate.preferred_ ? 0 : aOptions.nonPreferredPenalty_)) +
-         (near ? 0 : CrossingMs(aOptions, aRequest));
+         (isNear ? 0 : CrossDomainCostMs(aOptions, aRequest));
 }
 
 }
@@ -38,12 +38,12 @@
                     TimeMs aRemainingMs,
                     double aWantedMs)
 {
-  const double mostMs =
+  const double maxMs =
     static_cast<double>(aRemainingMs) * aOptions.maxRetryAfterShare_;
   return static_cast<TimeMs>(std::max(
     0.0,
     std::min(
-      mostMs,
+      maxMs,
       std::max(aWantedMs, static_cast<double>(aOptions.minRetryAfterMs_)))));
 }
 
@@ -56,15 +56,16 @@
   const double limitMs =
     std::min(remainingMs, objectiveMs * aOptions.objectiveShare_);
   double bestScore = std::numeric_limits<double>::max();
-  double soonestMs = std::numeric_limits<double>::max();
+  double minExpectedMs = std::numeric_limits<double>::max();
   PlacementDecision decision;
   for (size_t index = 0; index < aCandidates.size(); ++index) {
     const auto& candidate = aCandidates[index];
     if (candidate.down_ || candidate.tried_) {
       continue;
     }
-    soonestMs = std::min(soonestMs, candidate.expectedMs_);
-    // A server that is slow by itself is used while it does not queue.
+    minExpectedMs = std::min(minExpectedMs, candidate.expectedMs_);
+    // A server whose service time alone exceeds the objective is still used as
+    // long as it doesn't queue.
     const bool queues = candidate.expectedMs_ > candidate.serviceTimeMs_ * 1.01;
     if (candidate.full_ || (queues && candidate.expectedMs_ > limitMs) ||
         candidate.serviceTimeMs_ > remainingMs) {
@@ -80,16 +81,16 @@
   if (decision.verdict_ == PlacementVerdict::Send) {
     return decision;
   }
-  const double holdMs = objectiveMs * aOptions.maxWaitShare_;
-  if (static_cast<double>(aRequest.waitedMs_) < holdMs &&
-      soonestMs < remainingMs) {
+  const double maxWaitMs = objectiveMs * aOptions.maxWaitShare_;
+  if (static_cast<double>(aRequest.waitedMs_) < maxWaitMs &&
+      minExpectedMs < remainingMs) {
     decision.verdict_ = PlacementVerdict::Wait;
     return decision;
   }
   decision.verdict_ = PlacementVerdict::Refuse;
-  const double wantedMs = soonestMs == std::numeric_limits<double>::max()
+  const double wantedMs = minExpectedMs == std::numeric_limits<double>::max()
                             ? remainingMs
-                            : soonestMs - limitMs;
+                            : minExpectedMs - limitMs;
   decision.retryAfterMs_ =
     RetryAfterMs(aOptions, aRequest.remainingMs_, wantedMs);
   return decision;
--- a/policy/PreferredServers.cpp
+++ b/policy/PreferredServers.cpp
@@ -9,10 +9,10 @@
 
 using Names = std::vector<std::string>;
 
-void Deal(const std::string& aSelf,
-          const Names& aGateways,
-          const Names& aServers,
-          std::set<std::string>& aResult)
+void Distribute(const std::string& aSelf,
+                const Names& aGateways,
+                const Names& aServers,
+                std::set<std::string>& aResult)
 {
   const auto self = std::ranges::find(aGateways, aSelf);
   if (self == aGateways.end() || aServers.empty()) {
@@ -49,7 +49,7 @@
   }
   std::set<std::string> result;
   for (const auto& [domain, names] : servers) {
-    detail::Deal(
+    detail::Distribute(
       aSelf, domain.empty() ? allGateways : gateways[domain], names, result);
   }
   return result;
--- a/policy/PreferredServers.hpp
+++ b/policy/PreferredServers.hpp
@@ -7,14 +7,15 @@
 
 namespace cactuspitch {
 
-/// Name and failure domain of a gateway or a backend server.
+/// Name and failure domain of a gateway or backend server.
 using NodeLocation = std::pair<std::string, std::string>;
 
-/// Backend servers of a service that a gateway prefers. Gateways see little of
-/// each other's requests; a server that one gateway mostly uses alone has a
-/// load that this gateway knows exactly. Gateways and servers of a failure
-/// domain are dealt to each other; servers in domains without a gateway go to
-/// all gateways in turn. Every gateway computes the same result.
+/// Deterministic subset of the backend servers of a service that the gateway
+/// aSelf prefers. A gateway knows the load of a server exactly if it is nearly
+/// the only one to use it, while it learns little of the requests of other
+/// gateways. The servers of a failure domain are distributed evenly over the
+/// gateways of that domain; servers of domains without a gateway are
+/// distributed over all gateways. Every gateway computes the same distribution.
 std::set<std::string> PreferredServers(const std::string& aSelf,
                                        std::vector<NodeLocation> aGateways,
                                        std::vector<NodeLocation> aServers);
--- a/policy/RequestQueue.cpp
+++ b/policy/RequestQueue.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Attempts that take up to this many mean service times still end in time.
-constexpr double kReserve = 2;
+/// Time reserved for an attempt, in mean service times.
+constexpr double kReservedServiceTimes = 2;
 
 }
 
@@ -34,30 +34,31 @@
                          std::vector<RefusedRequest>& aRefused)
 {
   const auto key = keys_.find(aRequest.key_);
-  const uint64_t turn =
+  const uint64_t startTag =
     key == keys_.end() ? virtualTime_
                        : std::max(virtualTime_, key->second.lastStartTag_ + 1);
-  const Entry entry{ turn, aRequest };
-  const auto place = std::ranges::upper_bound(entries_, entry, RanksBefore);
-  const auto ahead = static_cast<double>(place - entries_.begin());
-  // Half of the time left is kept as a reserve: service times scatter, and the
-  // limit that the prediction rests on can fall.
-  const double leftMs = static_cast<double>(aRequest.deadlineMs_ - aNowMs);
-  const bool isHopeless = (ahead + 1) * aRate.MsPerRequest() > leftMs / 2 ||
-                          leftMs < kReserve * aRate.serviceMs_;
-  const bool isLast = place == entries_.end();
-  if (isHopeless || (isLast && entries_.size() >= options_.limit_)) {
+  const Entry entry{ startTag, aRequest };
+  const auto position = std::ranges::upper_bound(entries_, entry, RanksBefore);
+  const auto ahead = static_cast<double>(position - entries_.begin());
+  // Half of the remaining time is kept in reserve, because service times vary
+  // and the concurrency used for the prediction can decrease.
+  const double remainingMs = static_cast<double>(aRequest.deadlineMs_ - aNowMs);
+  const bool cannotMeetDeadline =
+    (ahead + 1) * aRate.MsPerRequest() > remainingMs / 2 ||
+    remainingMs < kReservedServiceTimes * aRate.serviceMs_;
+  const bool isLast = position == entries_.end();
+  if (cannotMeetDeadline || (isLast && entries_.size() >= options_.limit_)) {
     Refuse(aRequest, aRate, aNowMs, aRefused);
     return;
   }
-  entries_.insert(place, entry);
+  entries_.insert(position, entry);
   auto& state = keys_[aRequest.key_];
-  state.lastStartTag_ = turn;
+  state.lastStartTag_ = startTag;
   ++state.queued_;
   if (entries_.size() > options_.limit_) {
     const QueuedRequest lowest = entries_.back().request_;
     entries_.pop_back();
-    Forget(lowest.key_);
+    OnRemoved(lowest.key_);
     Refuse(lowest, aRate, aNowMs, aRefused);
   }
 }
@@ -74,7 +75,7 @@
   const Entry first = entries_.front();
   entries_.erase(entries_.begin());
   virtualTime_ = std::max(virtualTime_, first.startTag_);
-  Forget(first.request_.key_);
+  OnRemoved(first.request_.key_);
   return first.request_;
 }
 
@@ -83,7 +84,7 @@
                           std::vector<RefusedRequest>& aRefused)
 {
   const double endMs =
-    static_cast<double>(aNowMs) + kReserve * aRate.serviceMs_;
+    static_cast<double>(aNowMs) + kReservedServiceTimes * aRate.serviceMs_;
   const auto isLate = [endMs](const Entry& aEntry) {
     return endMs > static_cast<double>(aEntry.request_.deadlineMs_);
   };
@@ -95,7 +96,7 @@
   const std::vector<Entry> refused(late, entries_.end());
   entries_.erase(late, entries_.end());
   for (const Entry& entry : refused) {
-    Forget(entry.request_.key_);
+    OnRemoved(entry.request_.key_);
     Refuse(entry.request_, aRate, aNowMs, aRefused);
   }
 }
@@ -109,7 +110,7 @@
   }
   const KeyHash key = found->request_.key_;
   entries_.erase(found);
-  Forget(key);
+  OnRemoved(key);
   return true;
 }
 
@@ -146,7 +147,7 @@
   aRefused.push_back({ aRequest.id_, RetryAfterMs(aRate, aNowMs) });
 }
 
-void RequestQueue::Forget(KeyHash aKey)
+void RequestQueue::OnRemoved(KeyHash aKey)
 {
   const auto found = keys_.find(aKey);
   if (--found->second.queued_ == 0) {
--- a/policy/RequestQueue.hpp
+++ b/policy/RequestQueue.hpp
@@ -27,54 +27,57 @@
 {
   size_t limit_ = 64;
   TimeMs minRetryAfterMs_ = 50;
-  /// 3 times the capacity for 10 s leaves 20 s of refused work, which a
-  /// service with 30% to spare needs more than a minute to make up for.
+  /// 10 s at 3 times the capacity leave 20 s of rejected work. A service with
+  /// 30% spare capacity needs more than a minute to catch up.
   TimeMs maxRetryAfterMs_ = 120000;
-  /// Share of the capacity that callers who come back are spread over; the
-  /// rest is left to new requests.
+  /// Fraction of the capacity over which the retries of rejected callers are
+  /// spread; the rest is left to new requests.
   double retryCapacityShare_ = 0.15;
 };
 
-/// What the queue's predictions are made from.
+/// Processing rate of a server, from which the queue predicts waiting times.
 struct ServiceRate
 {
-  double serviceMs_ = 1;   ///< mean time of one attempt
-  double concurrency_ = 1; ///< attempts in flight on average
+  double serviceMs_ = 1;   ///< mean service time of an attempt
+  double concurrency_ = 1; ///< mean number of attempts in flight
   double MsPerRequest() const { return serviceMs_ / concurrency_; }
 };
 
-/// Bounded queue of one backend server. Keys take turns (start-time fair
-/// queueing); requests of one turn are ordered by deadline. Requests that
-/// cannot be served in time are refused at once. Not thread-safe.
+/// Bounded queue of one backend server. Start-time fair queueing shares the
+/// server between keys; requests with equal start tags are ordered by deadline.
+/// Requests that can't be served in time are rejected immediately. Not
+/// thread-safe.
 class RequestQueue
 {
 public:
   RequestQueue(QueueOptions aOptions, uint64_t aSeed);
 
-  /// Queues the request or refuses it. Appends to aRefused the request itself
-  /// or a lower ranked one that had to make room.
+  /// Queues the request or rejects it. Appends to aRefused the request itself,
+  /// or the last queued request if that was displaced.
   void Offer(const QueuedRequest& aRequest,
              const ServiceRate& aRate,
              TimeMs aNowMs,
              std::vector<RefusedRequest>& aRefused);
-  /// Next request to run. Requests that can no longer be served in time are
-  /// appended to aRefused.
+  /// Removes and returns the next request to run; nullopt if there is none.
+  /// Requests that can no longer be served in time are removed and appended to
+  /// aRefused.
   std::optional<QueuedRequest> Take(const ServiceRate& aRate,
                                     TimeMs aNowMs,
                                     std::vector<RefusedRequest>& aRefused);
-  /// Refuses the queued requests that can no longer be served in time.
+  /// Rejects the queued requests that can no longer be served in time.
   void Expire(const ServiceRate& aRate,
               TimeMs aNowMs,
               std::vector<RefusedRequest>& aRefused);
-  /// Removes a request whose caller has gone.
+  /// Removes a request whose caller has disconnected. Returns false if it is
+  /// not queued.
   bool Remove(uint64_t aId);
-  /// Time after which a refused caller should come back. Each call reserves a
-  /// place in the time that the backlog needs to clear, so that callers are
-  /// spread over it.
+  /// Delay after which a rejected caller should retry. Each call reserves a
+  /// later time, so that the retries are spread over the time in which the
+  /// backlog clears.
   TimeMs RetryAfterMs(const ServiceRate& aRate, TimeMs aNowMs);
 
   size_t Size() const { return entries_.size(); }
-  /// Deadline of the most urgent request, INT64_MAX when empty.
+  /// Deadline of the most urgent request; INT64_MAX if the queue is empty.
   TimeMs EarliestDeadlineMs() const;
 
 private:
@@ -94,7 +97,8 @@
               const ServiceRate& aRate,
               TimeMs aNowMs,
               std::vector<RefusedRequest>& aRefused);
-  void Forget(KeyHash aKey);
+  /// Updates the state of a key after one of its requests was removed.
+  void OnRemoved(KeyHash aKey);
 
   QueueOptions options_;
   std::vector<Entry> entries_; ///< ordered by RanksBefore
--- a/policy/RetryBudget.cpp
+++ b/policy/RetryBudget.cpp
@@ -19,7 +19,7 @@
 
 bool RetryBudget::TryTake()
 {
-  // Sums of 0.1 stay a rounding error below 1 after ten requests.
+  // The sum of ten times 0.1 is slightly below 1.
   constexpr double kRounding = 1e-9;
   if (tokens_ < 1 - kRounding) {
     return false;
--- a/policy/RetryBudget.hpp
+++ b/policy/RetryBudget.hpp
@@ -2,20 +2,20 @@
 
 namespace cactuspitch {
 
-/// Token bucket of one service: every request earns a share of a retry. Not
-/// thread-safe.
+/// Token bucket that limits the retries of a service to a percentage of its
+/// requests. Not thread-safe.
 class RetryBudget
 {
 public:
-  /// aPercent of the requests may be retried; aBurst bounds saved retries.
+  /// aPercent of the requests may be retried. aBurst is the size of the bucket.
   explicit RetryBudget(double aPercent, double aBurst = 10);
 
+  /// Adds the tokens that a request earns.
   void OnRequest();
-  /// Pays for one retry; false when the budget is used up.
+  /// Takes a token for one retry. Returns false if the budget is exhausted.
   bool TryTake();
   void SetPercent(double aPercent) { percent_ = aPercent; }
-  /// New limits for the requests from now on; saved retries above the new burst
-  /// are given up.
+  /// Sets both limits. Tokens beyond the new burst are discarded.
   void SetLimits(double aPercent, double aBurst);
 
 private:
--- a/policy/ServerGate.cpp
+++ b/policy/ServerGate.cpp
@@ -26,18 +26,18 @@
   Poll(aNowMs, aActions);
 }
 
-void ServerGate::Finish(AttemptResult aEnd,
+void ServerGate::Finish(AttemptResult aResult,
                         double aLatencyMs,
                         TimeMs aNowMs,
                         GateActions& aActions)
 {
   constexpr double kWeight = 0.05;
-  if (aEnd == AttemptResult::Answered) {
+  if (aResult == AttemptResult::Answered) {
     serviceMs_ =
       measured_ ? serviceMs_ + kWeight * (aLatencyMs - serviceMs_) : aLatencyMs;
     measured_ = true;
   }
-  policy_->Release(aNowMs, aEnd, aLatencyMs);
+  policy_->Release(aNowMs, aResult, aLatencyMs);
   Poll(aNowMs, aActions);
 }
 
@@ -46,7 +46,8 @@
   const ServiceRate rate = Rate(aNowMs);
   queue_.Expire(rate, aNowMs, aActions.refuse_);
   while (queue_.Size() > 0 && policy_->TryAcquire(aNowMs)) {
-    // Not empty after Expire with the same arguments.
+    // Take() returns a request: Expire() has just been called with the same
+    // arguments.
     aActions.run_.push_back(queue_.Take(rate, aNowMs, aActions.refuse_)->id_);
   }
   if (queue_.Size() == 0) {
--- a/policy/ServerGate.hpp
+++ b/policy/ServerGate.hpp
@@ -8,18 +8,18 @@
 
 namespace cactuspitch {
 
-/// What the caller of ServerGate does after a call.
+/// Actions required of the caller after a call of ServerGate.
 struct GateActions
 {
-  std::vector<uint64_t> run_; ///< ids whose attempt starts now
+  std::vector<uint64_t> run_; ///< ids of requests whose attempts start now
   std::vector<RefusedRequest> refuse_;
-  /// Time of the next call of Poll, INT64_MAX when none is needed.
+  /// Time of the next call of Poll(); INT64_MAX if none is needed.
   TimeMs nextPollMs_ = INT64_MAX;
 };
 
-/// Way of the requests of one router to one backend server: admission policy
-/// and request queue together. Not thread-safe: the router holds a lock for
-/// each call and wakes the threads named in the actions.
+/// Admission control for the requests of one router to one backend server:
+/// combines an admission policy with a request queue. Not thread-safe: the
+/// router locks each call and wakes the threads of the requests in the actions.
 class ServerGate
 {
 public:
@@ -27,18 +27,19 @@
              QueueOptions aOptions,
              uint64_t aSeed);
 
-  /// A request arrives, also one that comes back after it was shed. When it is
-  /// named in neither list of aActions, it waits in the queue.
+  /// Submits a new request, or one whose attempt was shed. It is queued if
+  /// aActions lists it neither in run_ nor in refuse_.
   void Arrive(const QueuedRequest& aRequest,
               TimeMs aNowMs,
               GateActions& aActions);
-  /// An attempt that was run has ended.
-  void Finish(AttemptResult aEnd,
+  /// Reports the result of an attempt that was listed in run_.
+  void Finish(AttemptResult aResult,
               double aLatencyMs,
               TimeMs aNowMs,
               GateActions& aActions);
   void Poll(TimeMs aNowMs, GateActions& aActions);
-  /// The caller of a waiting request has gone; false when it is not waiting.
+  /// Removes a queued request whose caller has disconnected. Returns false if
+  /// it is not queued.
   bool Remove(uint64_t aId) { return queue_.Remove(aId); }
 
   AdmissionPolicy& Policy() { return *policy_; }
--- a/policy/ServerLoads.cpp
+++ b/policy/ServerLoads.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// A key above this part of a server's fair load leaves no room for others.
-constexpr double kPinnedLevel = 0.95;
+/// A key with more than this fraction of a server's fair load leaves no room
+/// for other keys.
+constexpr double kPinnedFraction = 0.95;
 
 }
 
@@ -47,12 +48,12 @@
 bool ServerLoads::IsIdle() const
 {
   constexpr double kMsPerSecond = 1000;
-  constexpr double kIdlePart = 0.003;
+  constexpr double kIdleFraction = 0.003;
   double slots = 0;
   for (const auto& server : table_->servers_) {
     slots += server.slots_;
   }
-  return total_ <= kIdlePart * kMsPerSecond * slots;
+  return total_ <= kIdleFraction * kMsPerSecond * slots;
 }
 
 std::optional<int32_t> ServerLoads::FewestSlices() const
@@ -84,39 +85,40 @@
 
 std::optional<int32_t> ServerLoads::MostLoaded() const
 {
-  std::optional<int32_t> highest;
+  std::optional<int32_t> mostLoaded;
   for (int32_t i = 0; Index(i) < weight_.size(); ++i) {
     if (IsUsable(i) && !isExcluded_[Index(i)] &&
-        (!highest || RelativeLoad(i) > RelativeLoad(*highest))) {
-      highest = i;
+        (!mostLoaded || RelativeLoad(i) > RelativeLoad(*mostLoaded))) {
+      mostLoaded = i;
     }
   }
-  return highest;
+  return mostLoaded;
 }
 
 std::optional<int32_t> ServerLoads::LeastLoaded(int32_t aExcept) const
 {
-  // Levels within this distance are equal as far as measurements tell.
+  // Smaller differences of relative load are within the measurement error.
   constexpr double kNearlyEqual = 0.02;
-  std::optional<int32_t> lowest;
+  std::optional<int32_t> leastLoaded;
   for (int32_t i = 0; Index(i) < weight_.size(); ++i) {
     if (!IsUsable(i) || i == aExcept || isExcluded_[Index(i)]) {
       continue;
     }
-    if (!lowest || RelativeLoad(i) < RelativeLoad(*lowest) - kNearlyEqual ||
-        (RelativeLoad(i) < RelativeLoad(*lowest) + kNearlyEqual &&
-         DomainRelativeLoad(i) < DomainRelativeLoad(*lowest))) {
-      lowest = i;
+    if (!leastLoaded ||
+        RelativeLoad(i) < RelativeLoad(*leastLoaded) - kNearlyEqual ||
+        (RelativeLoad(i) < RelativeLoad(*leastLoaded) + kNearlyEqual &&
+         DomainRelativeLoad(i) < DomainRelativeLoad(*leastLoaded))) {
+      leastLoaded = i;
     }
   }
-  return lowest;
+  return leastLoaded;
 }
 
 bool ServerLoads::IsPinned(size_t aSlice) const
 {
   const int32_t owner = owner_[aSlice];
   return owner != kNoServer && IsUsable(owner) && IsSingleHash(aSlice) &&
-         sliceLoad_[aSlice] > kPinnedLevel * FairLoad(owner);
+         sliceLoad_[aSlice] > kPinnedFraction * FairLoad(owner);
 }
 
 void ServerLoads::Move(size_t aSlice, int32_t aTarget)
@@ -142,14 +144,14 @@
     if (!IsSingleHash(i) || key == keys.end()) {
       continue;
     }
-    // The key's own rate follows faster than the average of its new slice.
+    // The rate of the key adapts faster than the average of its new slice.
     const double measured = sliceLoad_[i];
     sliceLoad_[i] = std::max(measured, key->second);
-    // Routers measured with the table before the split, so at first the key's
-    // load still counts for the slice that it was split from. Later the two
-    // measurements differ by noise only.
-    constexpr double kMeasuredPart = 0.7;
-    if (measured < kMeasuredPart * key->second) {
+    // Right after a split, the routers' measurements are based on the previous
+    // table and attribute the key's load to the slice that it was split from.
+    // Later the two measurements differ only by noise.
+    constexpr double kMeasuredFraction = 0.7;
+    if (measured < kMeasuredFraction * key->second) {
       sliceLoad_[i - 1] =
         std::max(0.0, sliceLoad_[i - 1] - (key->second - measured));
     }
@@ -158,7 +160,8 @@
 
 void ServerLoads::ComputeReference()
 {
-  // Each round may find a key that exceeds the fair load of the rest.
+  // Excluding a server changes the fair load of the others, by which further
+  // servers may have to be excluded.
   for (;;) {
     double load = 0;
     double weight = 0;
--- a/policy/ServerPause.hpp
+++ b/policy/ServerPause.hpp
@@ -7,32 +7,34 @@
 
 namespace cactuspitch {
 
-/// Requests that one gateway may send to a backend server that refused a
-/// request and asked for a pause: none until its end, then one at a time, and
-/// twice as many after each that the server ran well. Meant for servers near
-/// capacity, which would otherwise get all that has gathered meanwhile at once
-/// (ServerNoticesModel). Pure.
+/// Limits the requests of one gateway to a backend server that has rejected a
+/// request and asked for a pause: none during the pause, then one at a time,
+/// doubled after each success. Without the slow start, a server near its
+/// capacity would get all requests queued during the pause at once
+/// (ServerNoticesModel). Does no I/O.
 class ServerPause
 {
 public:
-  /// Part of a pause by which a gateway may return later, so that gateways that
-  /// were asked at the same time do not return at the same time.
-  static constexpr double kSpread = 0.2;
-
-  /// aDraw, from 0 to 1, places the return within the spread. True when the
-  /// server was not pausing.
-  bool Begin(TimeMs aPauseMs, double aDraw, TimeMs aNowMs)
+  /// Jitter: a gateway extends a pause by up to this fraction, so that gateways
+  /// whose requests were rejected at the same time don't resume at the same
+  /// time.
+  static constexpr double kJitter = 0.2;
+
+  /// Starts or extends a pause. aRandom, from 0 to 1, determines the jitter.
+  /// Returns true if the server was not paused.
+  bool Begin(TimeMs aPauseMs, double aRandom, TimeMs aNowMs)
   {
     const bool isNew = !IsActive(aNowMs);
-    const auto spreadMs =
-      static_cast<TimeMs>(static_cast<double>(aPauseMs) * kSpread * aDraw);
-    endMs_ = std::max(endMs_, aNowMs + aPauseMs + spreadMs);
+    const auto jitterMs =
+      static_cast<TimeMs>(static_cast<double>(aPauseMs) * kJitter * aRandom);
+    endMs_ = std::max(endMs_, aNowMs + aPauseMs + jitterMs);
     limit_ = 1;
     return isNew;
   }
 
-  /// The server ran a request well that was sent at aSentMs. Those from before
-  /// the end of the pause say nothing about its room afterwards.
+  /// The server has successfully executed a request sent at aSentMs. Requests
+  /// sent before the end of the pause are no evidence of free capacity after
+  /// it.
   void OnRequestSucceeded(TimeMs aSentMs, int aSlots)
   {
     if (limit_ == 0 || aSentMs < endMs_) {
@@ -46,7 +48,7 @@
 
   bool IsActive(TimeMs aNowMs) const { return endMs_ > aNowMs; }
   TimeMs EndMs() const { return endMs_; }
-  /// With so many requests in flight the server gets no further one now.
+  /// Whether aInFlight requests are as many as the server may get now.
   bool IsFull(size_t aInFlight) const
   {
     return limit_ != 0 && aInFlight >= limit_;
@@ -54,7 +56,7 @@
 
 private:
   TimeMs endMs_ = 0;
-  size_t limit_ = 0; ///< requests at a time, 0 for any number
+  size_t limit_ = 0; ///< requests in flight, 0 for unlimited
 };
 
 }
--- a/policy/SilentConnectionDetector.cpp
+++ b/policy/SilentConnectionDetector.cpp
@@ -55,8 +55,9 @@
   }
   const Answer& other =
     answers_[0].connection_ == aConnection ? answers_[1] : answers_[0];
-  // An answer just after the send is no proof: the server may have frozen
-  // since then, and a frozen server is silent on all connections.
+  // A response right after the send is no evidence that the connection is at
+  // fault: the server may have frozen since then, and a frozen server responds
+  // on no connection.
   return other.atMs_ >= sentMs + limitMs / 2;
 }
 
@@ -69,7 +70,7 @@
     return siblings;
   }
   for (const auto& [id, state] : connections_) {
-    // Ids grow in the order of opening, also within one millisecond.
+    // Ids are in the order of opening, also within the same millisecond.
     if (!state.waiting_ && id < aSilent) {
       siblings.push_back(id);
     }
@@ -91,15 +92,15 @@
   latencies_[samples_ % kSamples] = aLatencyMs;
   ++samples_;
   if (samples_ % kRecomputeEvery != 0) {
-    // A slow answer counts at once, so that a server that slows down is not
-    // taken for a set of silent connections.
+    // A slow response raises the estimate immediately, so that a server that
+    // slows down is not mistaken for a set of silent connections.
     p99Ms_ = samples_ < kSamples ? std::max(p99Ms_, aLatencyMs) : p99Ms_;
     return;
   }
   const size_t count = std::min(samples_, kSamples);
   std::vector<TimeMs> sorted(
     latencies_.begin(), latencies_.begin() + static_cast<ptrdiff_t>(count));
-  // Nearest rank: of up to 100 samples this is the largest.
+  // Nearest-rank percentile; with up to 100 samples it is the largest.
   const size_t index = (count * kPercentile + kPercentile) / 100 - 1;
   const auto rank = sorted.begin() + static_cast<ptrdiff_t>(index);
   std::ranges::nth_element(sorted, rank);
--- a/policy/SilentConnectionDetector.hpp
+++ b/policy/SilentConnectionDetector.hpp
@@ -9,8 +9,9 @@
 
 namespace cactuspitch {
 
-/// Tells connections of one backend server that went silent from a server that
-/// is slow (docs/design.md, section 9). Not thread-safe.
+/// Distinguishes connections to one backend server that no longer deliver
+/// responses from a server that is slow (docs/design.md, section 9). Not
+/// thread-safe.
 class SilentConnectionDetector
 {
 public:
@@ -19,16 +20,16 @@
   ConnectionId Open(TimeMs aNowMs);
   void Close(ConnectionId aConnection);
   void OnSend(ConnectionId aConnection, TimeMs aNowMs);
-  /// First bytes of an answer arrived.
+  /// The first bytes of a response have arrived.
   void OnResponse(ConnectionId aConnection, TimeMs aNowMs);
 
-  /// True when the connection should be closed: it has waited for longer than
-  /// SilenceLimitMs() while another connection answered.
+  /// Whether the connection should be closed: it has waited for a response for
+  /// at least SilenceLimitMs(), while another connection has received one.
   bool IsSilent(ConnectionId aConnection, TimeMs aNowMs) const;
-  /// Idle connections to close together with a silent one: those opened
-  /// before it.
+  /// Idle connections opened before a silent one, to be closed with it.
   std::vector<ConnectionId> OlderIdleConnections(ConnectionId aSilent) const;
-  /// max(4 x p99, 250 ms).
+  /// Longest time to wait for a response: 4 times the 99th percentile of the
+  /// latency, at least 250 ms.
   TimeMs SilenceLimitMs() const;
   size_t Connections() const { return connections_.size(); }
 
@@ -50,7 +51,7 @@
 
   std::unordered_map<ConnectionId, State> connections_;
   ConnectionId nextId_ = 1;
-  /// Last answers of the two connections that answered most recently.
+  /// Latest responses on the two connections with the most recent ones.
   std::array<Answer, 2> answers_;
   std::array<TimeMs, kSamples> latencies_{};
   size_t samples_ = 0;
--- a/policy/StaticAdmission.cpp
+++ b/policy/StaticAdmission.cpp
@@ -46,7 +46,7 @@
 }
 
 void StaticAdmission::Release(TimeMs /*aNowMs*/,
-                              AttemptResult /*aEnd*/,
+                              AttemptResult /*aResult*/,
                               double /*aLatencyMs*/)
 {
   --inFlight_;
--- a/policy/StaticAdmission.hpp
+++ b/policy/StaticAdmission.hpp
@@ -4,8 +4,9 @@
 
 namespace cactuspitch {
 
-/// Fixed even share of the slots for each router, at least one attempt.
-/// Baseline: it neither reacts to sheds nor to an uneven spread of callers.
+/// Fixed limit: an even share of the slots for each router, at least one
+/// attempt. Serves as a baseline, since it reacts neither to shed requests nor
+/// to an uneven distribution of callers.
 class StaticAdmission final : public AdmissionPolicy
 {
 public:
@@ -13,7 +14,9 @@
 
   bool TryAcquire(TimeMs aNowMs) override;
   TimeMs NextTryMs(TimeMs aNowMs) const override;
-  void Release(TimeMs aNowMs, AttemptResult aEnd, double aLatencyMs) override;
+  void Release(TimeMs aNowMs,
+               AttemptResult aResult,
+               double aLatencyMs) override;
   void OnLoadHint(TimeMs /*aNowMs*/, double /*aLoad*/) override {}
   void OnColdStart(TimeMs /*aNowMs*/) override {}
   double Limit(TimeMs /*aNowMs*/) const override { return limit_; }
--- a/policy/SuspectExchange.cpp
+++ b/policy/SuspectExchange.cpp
@@ -7,16 +7,16 @@
 
 namespace detail {
 
-/// Suspect requests of one datagram, about a kilobyte.
+/// Suspects per datagram, which make about a kilobyte.
 constexpr size_t kMaxSuspects = 48;
-/// Crashes of one moment are told together.
-constexpr TimeMs kGatherMs = 10;
+/// Changes within this time are sent in one message.
+constexpr TimeMs kBatchDelayMs = 10;
 constexpr TimeMs kRepeatMs = 250;
-/// Gateways agree within this time after a change; one that still differs
-/// missed it.
-constexpr TimeMs kSettleMs = 300;
-constexpr TimeMs kCompareMs = 1000;
-constexpr TimeMs kDigestMs = 20;
+/// Gateways agree within this time after a change; a gateway whose digest still
+/// differs has missed it.
+constexpr TimeMs kPropagationMs = 300;
+constexpr TimeMs kMinSyncIntervalMs = 1000;
+constexpr TimeMs kDigestMaxAgeMs = 20;
 
 }
 
@@ -27,7 +27,7 @@
 
 void SuspectExchange::OnChanged(TimeMs aNowMs)
 {
-  dueMs_ = std::min(dueMs_, aNowMs + detail::kGatherMs);
+  dueMs_ = std::min(dueMs_, aNowMs + detail::kBatchDelayMs);
 }
 
 std::optional<SuspectExchange::Message> SuspectExchange::TakeDueMessage(
@@ -49,8 +49,8 @@
     std::ranges::any_of(message.suspects_, [](const CrashSuspect& aSuspect) {
       return aSuspect.crashRecords_.size() > 1;
     });
-  // When many servers end at once, each gateway has a few requests that one of
-  // them may explain; the leader tells them together.
+  // When many servers crash at once, each gateway has a few suspects with a
+  // single crash. The leader collects these and sends them together.
   message.recipients_ = isUrgent || aIsLeading || !aKnowsLeader
                           ? Recipients::All
                           : Recipients::Leader;
@@ -59,8 +59,8 @@
 
 uint64_t SuspectExchange::Digest(TimeMs aNowMs)
 {
-  // The leader of a large fleet compares hundreds a second.
-  if (digestMs_ == INT64_MIN || aNowMs - digestMs_ >= detail::kDigestMs) {
+  // The leader of a large fleet compares hundreds of digests per second.
+  if (digestMs_ == INT64_MIN || aNowMs - digestMs_ >= detail::kDigestMaxAgeMs) {
     digestMs_ = aNowMs;
     const auto digest = quarantine_.Digest(aNowMs);
     if (std::exchange(digest_, digest) != digest) {
@@ -87,14 +87,14 @@
   TimeMs aNowMs)
 {
   if (aDigest == Digest(aNowMs) ||
-      aNowMs - digestChangedMs_ < detail::kSettleMs) {
+      aNowMs - digestChangedMs_ < detail::kPropagationMs) {
     return std::nullopt;
   }
-  auto& comparedMs = comparedMs_[aPeer];
-  if (comparedMs != 0 && aNowMs - comparedMs < detail::kCompareMs) {
+  auto& syncedMs = syncedMs_[aPeer];
+  if (syncedMs != 0 && aNowMs - syncedMs < detail::kMinSyncIntervalMs) {
     return std::nullopt;
   }
-  comparedMs = aNowMs;
+  syncedMs = aNowMs;
   return quarantine_.EntriesForSync(detail::kMaxSuspects, aNowMs);
 }
 
