--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -18,8 +18,8 @@
   return AdmissionRegistry::Global().Create("adaptive", FiveSlots());
 }
 
-/// Starts attempts of aServiceMs as fast as the policy allows, which the
-/// server sheds while aIsShedding. The mean number in flight.
+/// Starts attempts of kServiceMs as fast as the policy allows; the server sheds
+/// them if aIsShedding. Returns the mean number of attempts in flight.
 double MeanInFlight(AdmissionPolicy& aPolicy,
                     TimeMs aBeginMs,
                     TimeMs aEndMs,
@@ -51,8 +51,8 @@
   return sum / static_cast<double>(aEndMs - aBeginMs);
 }
 
-// Guards against a linker that drops the registrations of the plug-ins: this
-// program refers to no class of a plug-in.
+// Guards against the linker dropping the registrations of the plug-ins. This
+// program references no class of a plug-in.
 TEST(Admission, PlugInsAreRegistered)
 {
   const auto admission = AdmissionRegistry::Global().Names();
@@ -60,9 +60,9 @@
   EXPECT_NE(BalancingRegistry::Global().Create("load-per-key", {}), nullptr);
 }
 
-// Guards against an even share: a router that all callers use must be able to
-// fill the server.
-TEST(Admission, LoneRouterGetsAllSlots)
+// Guards against a limit fixed at the even share: a router that gets all
+// requests must be able to use all slots of the server.
+TEST(Admission, OnlyActiveRouterUsesAllSlots)
 {
   const auto policy = Adaptive();
   MeanInFlight(*policy, 0, 5000, false);
@@ -70,9 +70,9 @@
   EXPECT_LE(policy->Limit(5000), 7);
 }
 
-// Guards against a limit that cannot go below one attempt: eight routers
-// would then hold more than the slots for ever.
-TEST(Admission, ShedsLowerTheLimitBelowOne)
+// Guards against a limit that can't drop below one attempt: eight routers would
+// then permanently exceed the five slots.
+TEST(Admission, ShedRequestsLowerTheLimitBelowOne)
 {
   const auto policy = Adaptive();
   MeanInFlight(*policy, 0, 3000, true);
@@ -81,8 +81,9 @@
   EXPECT_GT(limit, 0);
 }
 
-// Guards against a limit that is below one only on paper.
-TEST(Admission, FractionalLimitIsKeptOnAverage)
+// Guards against a fractional limit that is not enforced: the mean number of
+// attempts in flight must equal the limit.
+TEST(Admission, FractionalLimitIsEnforcedOnAverage)
 {
   for (const double limit : { 0.3, 0.625, 1.0, 1.5, 2.25 }) {
     PacedLimit paced;
@@ -104,9 +105,9 @@
   }
 }
 
-// Guards against a backend server that reports full load forever: the report
-// lowers the limit for 3 s and cannot starve the server.
-TEST(Admission, LyingHintLowersTheLimitForThreeSeconds)
+// Guards against starving a backend server that keeps reporting full load: an
+// unconfirmed hint lowers the limit for 3 s only.
+TEST(Admission, UnconfirmedHintLowersTheLimitForThreeSeconds)
 {
   const auto policy = Adaptive();
   MeanInFlight(*policy, 0, 5000, false);
@@ -123,8 +124,8 @@
   EXPECT_EQ(policy->Limit(20000), before);
 }
 
-// Guards against a cold server that gets its full load at once.
-TEST(Admission, ColdStartRisesInSteps)
+// Guards against sending a cold server its full load at once.
+TEST(Admission, LimitRisesInStepsAfterColdStart)
 {
   const auto policy = Adaptive();
   MeanInFlight(*policy, 0, 5000, false);
@@ -138,8 +139,8 @@
   EXPECT_GT(policy->Limit(35000), previous);
 }
 
-// Guards against a gate that forgets requests: each one is run, refused or
-// removed exactly once, and no more run at once than the policy allows.
+// Guards against requests that are lost or decided twice: each one must be run
+// or rejected exactly once.
 TEST(ServerGate, EveryRequestIsDecidedOnce)
 {
   ServerGate gate(Adaptive(), { .limit_ = 8 }, 1);
--- a/tests/RelayTreeTest.cpp
+++ b/tests/BroadcastPlanTest.cpp
@@ -1,6 +1,7 @@
+#include "policy/BroadcastPlan.hpp"
+
 #include "gateway/PeerMesh.hpp"
 #include "gossip_types.h"
-#include "policy/BroadcastPlan.hpp"
 #include "tests/GatewayRig.hpp"
 #include "tests/ReservedPort.hpp"
 
@@ -30,8 +31,8 @@
   return members;
 }
 
-// Guards against small fleets that depend on relays without need.
-TEST(RelayTree, TellsSmallFleetsDirectly)
+// Guards against unnecessary dependence on relays in small fleets.
+TEST(BroadcastPlan, SendsDirectlyInSmallFleets)
 {
   const auto plan = PlanBroadcast("d0", Fleet(4, 4));
   EXPECT_EQ(plan.direct_.size(), 16U);
@@ -39,8 +40,8 @@
 }
 
 // Guards against traffic between failure domains that grows with the number of
-// gateways: 300 and 2,300 cost the same there.
-TEST(RelayTree, CrossesToTwoRelaysOfEachDomain)
+// gateways: it is the same with 300 and 2,300 gateways.
+TEST(BroadcastPlan, SendsToTwoRelaysOfEachOtherDomain)
 {
   for (const int perDomain : { 50, 383 }) {
     const auto members = Fleet(6, perDomain);
@@ -57,9 +58,9 @@
   }
 }
 
-// Guards against a domain that hears nothing while its largest gateways are
-// gone, and against gateways of an unknown domain that are left out.
-TEST(RelayTree, PrefersLivingRelays)
+// Guards against a domain that receives nothing while its largest gateways are
+// down, and against skipping gateways whose domain is unknown.
+TEST(BroadcastPlan, PrefersLiveRelays)
 {
   auto members = Fleet(2, 20);
   for (int index = 20; index < 23; ++index) {
@@ -72,12 +73,12 @@
   for (const auto index : plan.relays_) {
     EXPECT_TRUE(members[index].alive_);
   }
-  // Without any that is known to live, the first ones are tried.
+  // If no gateway of a domain is known to be alive, the first ones are tried.
   std::ranges::for_each(members, [](auto& aMember) { aMember.alive_ = false; });
   EXPECT_EQ(PlanBroadcast("d0", members).relays_.size(), 2U);
 }
 
-/// A mesh on loopback that keeps what it receives.
+/// PeerMesh on the loopback interface that stores received messages.
 class MeshNode
 {
 public:
@@ -104,13 +105,13 @@
     Endpoint::Parse(port_.Address(), endpoint_);
     opened_ = mesh_.Open(endpoint_);
   }
-  void Know(const MeshNode& aOther, int aCpuPercent)
+  void AddPeer(const MeshNode& aOther, int aCpuPercent)
   {
     mesh_.AddKnown(
       aOther.name_, aOther.endpoint_, 1, aOther.domain_, aCpuPercent);
   }
 
-  /// Keeps the number from other tests, which take it for TCP.
+  /// Reserves the port number, which other tests might use for TCP.
   ReservedPort port_;
   std::string name_;
   std::string domain_;
@@ -123,9 +124,10 @@
   PeerMesh mesh_;
 };
 
-// Guards against relays that do not pass on, that pass on for ever, that hide
-// the first sender, or that announce a configuration which they cannot serve.
-TEST(PeerMesh, RelaysPassOnWithinTheirDomain)
+// Guards against relays that don't forward, that forward in a loop, that hide
+// the original sender, or that announce a configuration version which they
+// don't have.
+TEST(PeerMesh, RelaysForwardWithinTheirDomain)
 {
   EventLoop loop;
   EventLog log(loop, LogLevel::Error, STDERR_FILENO);
@@ -135,9 +137,9 @@
   MeshNode member(loop, log, "d", "d2");
   ASSERT_TRUE(leader.opened_ && relay1.opened_ && relay2.opened_ &&
               member.opened_);
-  leader.Know(relay1, 50);
-  leader.Know(relay2, 50);
-  leader.Know(member, 10);
+  leader.AddPeer(relay1, 50);
+  leader.AddPeer(relay2, 50);
+  leader.AddPeer(member, 10);
   for (int index = 0; index < 20; ++index) {
     leader.mesh_.AddKnown(
       "x" + std::to_string(index), leader.endpoint_, 1, "d1", 10);
@@ -145,7 +147,7 @@
   for (auto* node : { &relay1, &relay2, &member }) {
     for (auto* other : { &relay1, &relay2, &member }) {
       if (node != other) {
-        node->Know(*other, 10);
+        node->AddPeer(*other, 10);
       }
     }
   }
@@ -168,18 +170,18 @@
   EXPECT_EQ(relay2.received_.size(), 2U);
 }
 
-// Guards against gateways of a large fleet that take each other for gone
-// because they hear few of the others themselves.
-TEST(PeerMesh, TheLeadersListKeepsPeersAlive)
+// Guards against gateways of a large fleet that consider each other dead
+// because they receive messages from few other gateways.
+TEST(PeerMesh, MemberListOfTheLeaderKeepsPeersAlive)
 {
   EventLoop loop;
   EventLog log(loop, LogLevel::Error, STDERR_FILENO);
   MeshNode leader(loop, log, "a", "d1");
   MeshNode other(loop, log, "b", "d1");
   MeshNode third(loop, log, "c", "d2");
-  leader.Know(other, 10);
-  leader.Know(third, 10);
-  other.Know(third, 10);
+  leader.AddPeer(other, 10);
+  leader.AddPeer(third, 10);
+  other.AddPeer(third, 10);
   EXPECT_EQ(other.mesh_.AliveCount(loop.NowMs()), 0U);
   wire::Gossip heard;
   heard.instance = "c";
--- a/tests/CrashQuarantineTest.cpp
+++ b/tests/CrashQuarantineTest.cpp
@@ -16,9 +16,9 @@
   return aQuarantine.TryBegin(aFingerprint, aServer, aNowMs).verdict_;
 }
 
-// Guards against a crashing request that costs a third server, and against
-// blaming the innocent request that was in flight beside it.
-TEST(CrashQuarantine, SecondCrashQuarantinesOnlyTheCulprit)
+// Guards against a request that crashes a third server, and against
+// quarantining another request that was in flight with it.
+TEST(CrashQuarantine, SecondCrashQuarantinesOnlyTheCrashingRequest)
 {
   CrashQuarantine quarantine;
   quarantine.OnCrash("a", { kBad, kGood }, 0);
@@ -33,8 +33,8 @@
   EXPECT_EQ(Begin(quarantine, kGood, 50, "c"), SuspectVerdict::Run);
 }
 
-// Guards against suspects of different routers that meet on one server, where
-// both would be blamed for its crash.
+// Guards against suspects of different routers running on the same server,
+// where a crash would be attributed to both.
 TEST(CrashQuarantine, RoutersTakeTurns)
 {
   constexpr int kRouters = 8;
@@ -65,8 +65,8 @@
   }
 }
 
-// Guards against a quarantine that other routers do not learn, and against a
-// late share that brings back what an operator released.
+// Guards against a quarantine that doesn't reach the other routers, and against
+// a delayed message that quarantines a released request again.
 TEST(CrashQuarantine, MergeAndRelease)
 {
   CrashQuarantine here;
@@ -89,8 +89,8 @@
   EXPECT_EQ(Begin(peer, kBad, 530), SuspectVerdict::Refuse);
 }
 
-// Guards against a share of a peer that does not know yet that the request
-// ended well, and against an entry that never expires.
+// Guards against a message of a peer that doesn't know yet that the request has
+// succeeded, and against an entry that never expires.
 TEST(CrashQuarantine, ClearanceAndExpiry)
 {
   CrashQuarantine here;
@@ -111,8 +111,9 @@
   EXPECT_FALSE(here.HasSuspects());
 }
 
-// Guards against a full set of marks that has no room for the one that counts.
-TEST(CrashQuarantine, ManyCrashesAtOnceDoNotHideTheConclusiveOne)
+// Guards against losing the conclusive crash record of a request because the
+// maximum number of records was reached.
+TEST(CrashQuarantine, ManyCrashesDoNotHideTheConclusiveOne)
 {
   CrashQuarantine quarantine;
   quarantine.SetMembers("r", { "r" });
@@ -126,9 +127,9 @@
   EXPECT_TRUE(quarantine.Find(kBad, 120).quarantined_);
 }
 
-// Guards against an innocent request that is refused because two of many
-// servers that ended had it in flight, and against a mass crash that hides a
-// crasher.
+// Guards against quarantining a harmless request that was in flight at two of
+// many crashed servers, and against a mass crash that hides a request which
+// does crash servers.
 TEST(CrashQuarantine, MassCrashNeedsOneMoreCrash)
 {
   CrashQuarantine quarantine;
@@ -142,7 +143,7 @@
   EXPECT_EQ(Begin(quarantine, kGood, 80), SuspectVerdict::Refuse);
 }
 
-// Guards against unbounded memory; quarantined requests are kept longest.
+// Guards against unbounded memory use; quarantined requests are kept longest.
 TEST(CrashQuarantine, EntriesAreBounded)
 {
   CrashQuarantine quarantine({ .maxEntries_ = 10 });
--- a/tests/KeyOwnershipPropertyTest.cpp
+++ b/tests/KeyOwnershipPropertyTest.cpp
@@ -12,36 +12,37 @@
 namespace {
 
 constexpr TimeMs kStepMs = 50;
-constexpr uint32_t kWatchedKeys = 16; ///< keys 0, 4096, 8192, ...
+constexpr uint32_t kCheckedKeys = 16; ///< keys 0, 4096, 8192, ...
 
-/// Backend server that obeys the grant protocol with a clock 2% slow.
+/// Backend server that follows the lease protocol with a clock that is 2% slow.
 struct ModelServer
 {
   bool up_ = true;
-  int64_t born_ = 1;
-  std::map<uint32_t, std::pair<int64_t, TimeMs>> held_; ///< fence, end
-  std::map<uint32_t, int64_t> seen_;
+  int64_t startTimeMs_ = 1;
+  std::map<uint32_t, std::pair<int64_t, TimeMs>> leases_; ///< fence, end
+  std::map<uint32_t, int64_t> seenFences_;
 
   bool Holds(uint32_t aKey, TimeMs aNowMs) const
   {
-    const auto found = held_.find(aKey);
-    return up_ && found != held_.end() && found->second.second > aNowMs;
+    const auto found = leases_.find(aKey);
+    return up_ && found != leases_.end() && found->second.second > aNowMs;
   }
 };
 
-/// Order that a server carries out later than it arrived.
-struct LateOrder
+/// Command that a server executes some time after it has arrived.
+struct LateCommand
 {
-  KeyCommand order_;
-  TimeMs arrivedMs_;
-  TimeMs carriedOutMs_;
+  KeyCommand command_;
+  TimeMs arrivalMs_;
+  TimeMs executionMs_;
 };
 
-/// A leader, servers and late orders on virtual time, with random faults.
-class OwnershipWorld
+/// Simulation of a leader, servers and late commands on virtual time, with
+/// random faults.
+class KeyOwnershipSimulation
 {
 public:
-  explicit OwnershipWorld(int aServers)
+  explicit KeyOwnershipSimulation(int aServers)
   {
     for (int index = 0; index < aServers; ++index) {
       servers_["s" + std::to_string(index)];
@@ -55,11 +56,11 @@
     std::map<std::string, OwnerCandidate> candidates;
     for (const auto& [id, server] : servers_) {
       if (!unregistered_.contains(id)) {
-        candidates[id] = { server.born_, true, 1 };
+        candidates[id] = { server.startTimeMs_, true, 1 };
       }
     }
     leader_->SetCandidates(candidates, nowMs_);
-    CarryOutLate();
+    ExecuteLate();
     const bool storeUp =
       !*rc::gen::weightedElement<bool>({ { 1, true }, { 9, false } });
     if (storeUp) {
@@ -70,11 +71,11 @@
                              },
                              nowMs_)) {
         leader_->Commit(*change, nowMs_);
-        stored_ = *change;
+        storedTable_ = *change;
       }
     }
-    for (const auto& order : leader_->TakeCommands(nowMs_)) {
-      Deliver(*leader_, order);
+    for (const auto& command : leader_->TakeCommands(nowMs_)) {
+      Deliver(*leader_, command);
     }
     RunEarlierLeaders();
     RandomFault();
@@ -103,121 +104,125 @@
     return { { segment.first_, middle, target } };
   }
 
-  /// The earlier leader ends with the election, or goes on for as long as its
-  /// right lasts: its last renewal was confirmed before.
+  /// The current leader either stops at the election or continues until its
+  /// leader lease, which was last confirmed before, expires.
   void Elect()
   {
     if (leader_ != nullptr && *rc::gen::inRange(0, 2) == 0) {
-      earlier_.push_back({ std::move(leader_),
-                           nowMs_ + *rc::gen::inRange<TimeMs>(0, 8001),
-                           servers_ });
+      earlierLeaders_.push_back({ std::move(leader_),
+                                  nowMs_ + *rc::gen::inRange<TimeMs>(0, 8001),
+                                  servers_ });
     }
-    // The number of servers decides on the grants of a leader.
+    // The lease duration depends on the number of servers that the leader
+    // knows.
     auto timing = LeaseTiming::For(*rc::gen::inRange<size_t>(0, 2) * 200, 9000);
-    storedHoldMs_ = std::max(storedHoldMs_, timing.leaseMs_);
-    timing.maxEarlierLeaseMs_ = storedHoldMs_;
+    maxLeaseMs_ = std::max(maxLeaseMs_, timing.leaseMs_);
+    timing.maxEarlierLeaseMs_ = maxLeaseMs_;
     leader_ = std::make_unique<KeyOwnership>("s", timing);
     fence_ = (++term_) << 24;
-    if (!stored_.empty()) {
+    if (!storedTable_.empty()) {
       leader_->Adopt(
-        stored_, [this] { return ++fence_; }, nowMs_);
-      stored_ = leader_->Segments();
-      TellEnded();
+        storedTable_, [this] { return ++fence_; }, nowMs_);
+      storedTable_ = leader_->Segments();
+      ReportEarlierLeadersEnded();
     }
   }
 
-  void TellEnded()
+  void ReportEarlierLeadersEnded()
   {
-    if (earlier_.empty()) {
+    if (earlierLeaders_.empty()) {
       leader_->OnEarlierLeadersEnded(nowMs_);
     }
   }
 
-  /// The store takes no writes of theirs; they go on with what they know.
+  /// The store rejects writes of earlier leaders; they continue with the table
+  /// that they have.
   void RunEarlierLeaders()
   {
-    for (auto& earlier : earlier_) {
-      if (nowMs_ < earlier.rightUntilMs_) {
-        for (const auto& order :
+    for (auto& earlier : earlierLeaders_) {
+      if (nowMs_ < earlier.leaseUntilMs_) {
+        for (const auto& command :
              earlier.ownership_->TakeCommands(nowMs_, GrantScope::Renewals)) {
-          // They use kept connections only, which end with a server's life.
-          const auto& before = earlier.servers_.at(order.backend_);
-          if (before.up_ && before.born_ == servers_.at(order.backend_).born_) {
-            Deliver(*earlier.ownership_, order);
+          // Earlier leaders use only existing connections, which break when the
+          // server exits.
+          const auto& before = earlier.servers_.at(command.backend_);
+          if (before.up_ && before.startTimeMs_ ==
+                              servers_.at(command.backend_).startTimeMs_) {
+            Deliver(*earlier.ownership_, command);
           } else {
             earlier.ownership_->OnCommandDone(
-              order, KeyCommandResult::NotSent, "", nowMs_);
+              command, KeyCommandResult::NotSent, "", nowMs_);
           }
         }
       }
     }
-    const bool hadEarlier = !earlier_.empty();
-    std::erase_if(earlier_, [&](const EarlierLeader& aEarlier) {
-      return aEarlier.rightUntilMs_ <= nowMs_;
+    const bool hadEarlierLeaders = !earlierLeaders_.empty();
+    std::erase_if(earlierLeaders_, [&](const EarlierLeader& aEarlier) {
+      return aEarlier.leaseUntilMs_ <= nowMs_;
     });
-    // Sometimes their end becomes known.
-    if (hadEarlier && *rc::gen::inRange(0, 2) == 0) {
-      TellEnded();
+    // The leader learns of the end of the earlier leaders in some runs only.
+    if (hadEarlierLeaders && *rc::gen::inRange(0, 2) == 0) {
+      ReportEarlierLeadersEnded();
     }
   }
 
-  void Deliver(KeyOwnership& aLeader, const KeyCommand& aOrder)
+  void Deliver(KeyOwnership& aLeader, const KeyCommand& aCommand)
   {
-    auto& server = servers_[aOrder.backend_];
-    const int fate = *rc::gen::inRange(0, 10);
+    auto& server = servers_[aCommand.backend_];
+    const int outcome = *rc::gen::inRange(0, 10);
     std::string handover;
-    if (!server.up_ || fate == 0) {
-      aLeader.OnCommandDone(aOrder, KeyCommandResult::NotSent, "", nowMs_);
-    } else if (fate == 1) {
+    if (!server.up_ || outcome == 0) {
+      aLeader.OnCommandDone(aCommand, KeyCommandResult::NotSent, "", nowMs_);
+    } else if (outcome == 1) {
       late_.push_back(
-        { aOrder, nowMs_, nowMs_ + *rc::gen::inRange<TimeMs>(0, 6000) });
-      aLeader.OnCommandDone(aOrder, KeyCommandResult::Unanswered, "", nowMs_);
+        { aCommand, nowMs_, nowMs_ + *rc::gen::inRange<TimeMs>(0, 6000) });
+      aLeader.OnCommandDone(aCommand, KeyCommandResult::Unanswered, "", nowMs_);
     } else {
       aLeader.OnCommandDone(
-        aOrder, CarryOut(server, aOrder, nowMs_), "", nowMs_);
+        aCommand, Execute(server, aCommand, nowMs_), "", nowMs_);
     }
   }
 
-  static KeyCommandResult CarryOut(ModelServer& aServer,
-                                   const KeyCommand& aOrder,
-                                   TimeMs aArrivedMs)
+  static KeyCommandResult Execute(ModelServer& aServer,
+                                  const KeyCommand& aCommand,
+                                  TimeMs aArrivalMs)
   {
     std::vector<uint32_t> keys;
-    for (uint32_t index = 0; index < kWatchedKeys; ++index) {
-      const auto key = index * (kKeyCount / kWatchedKeys);
-      if (aOrder.first_ <= key && key <= aOrder.last_) {
+    for (uint32_t index = 0; index < kCheckedKeys; ++index) {
+      const auto key = index * (kKeyCount / kCheckedKeys);
+      if (aCommand.first_ <= key && key <= aCommand.last_) {
         keys.push_back(key);
       }
     }
-    if (aOrder.kind_ == KeyCommandKind::Release) {
-      std::ranges::for_each(keys,
-                            [&](uint32_t aKey) { aServer.held_.erase(aKey); });
+    if (aCommand.kind_ == KeyCommandKind::Release) {
+      std::ranges::for_each(
+        keys, [&](uint32_t aKey) { aServer.leases_.erase(aKey); });
       return KeyCommandResult::Accepted;
     }
     if (std::ranges::any_of(keys, [&](uint32_t aKey) {
-          return aServer.seen_[aKey] > aOrder.fence_;
+          return aServer.seenFences_[aKey] > aCommand.fence_;
         })) {
       return KeyCommandResult::OlderFence;
     }
     for (const auto key : keys) {
-      aServer.seen_[key] = aOrder.fence_;
-      auto& held = aServer.held_[key];
-      held = { aOrder.fence_,
-               std::max(held.first == aOrder.fence_ ? held.second : 0,
-                        aArrivedMs + aOrder.leaseMs_ * 102 / 100) };
+      aServer.seenFences_[key] = aCommand.fence_;
+      auto& lease = aServer.leases_[key];
+      lease = { aCommand.fence_,
+                std::max(lease.first == aCommand.fence_ ? lease.second : 0,
+                         aArrivalMs + aCommand.leaseMs_ * 102 / 100) };
     }
     return KeyCommandResult::Accepted;
   }
 
-  void CarryOutLate()
+  void ExecuteLate()
   {
-    std::erase_if(late_, [&](const LateOrder& aLate) {
-      if (aLate.carriedOutMs_ > nowMs_) {
+    std::erase_if(late_, [&](const LateCommand& aLate) {
+      if (aLate.executionMs_ > nowMs_) {
         return false;
       }
-      auto& server = servers_[aLate.order_.backend_];
+      auto& server = servers_[aLate.command_.backend_];
       if (server.up_) {
-        CarryOut(server, aLate.order_, aLate.arrivedMs_);
+        Execute(server, aLate.command_, aLate.arrivalMs_);
       }
       return true;
     });
@@ -234,14 +239,14 @@
       Elect();
     } else if (fault == 1) {
       server.up_ = false;
-      server.held_.clear();
-      server.seen_.clear();
-      std::erase_if(late_, [&](const LateOrder& aLate) {
-        return aLate.order_.backend_ == chosen->first;
+      server.leases_.clear();
+      server.seenFences_.clear();
+      std::erase_if(late_, [&](const LateCommand& aLate) {
+        return aLate.command_.backend_ == chosen->first;
       });
     } else if (fault < 5 && !server.up_) {
       server.up_ = true;
-      ++server.born_;
+      ++server.startTimeMs_;
       unregistered_.erase(chosen->first);
     } else if (fault == 5 && unregistered_.size() + 1 < servers_.size()) {
       unregistered_.insert(chosen->first);
@@ -252,8 +257,8 @@
 
   void Check() const
   {
-    for (uint32_t index = 0; index < kWatchedKeys; ++index) {
-      const auto key = index * (kKeyCount / kWatchedKeys);
+    for (uint32_t index = 0; index < kCheckedKeys; ++index) {
+      const auto key = index * (kKeyCount / kCheckedKeys);
       const auto holders =
         std::ranges::count_if(servers_, [&](const auto& aEntry) {
           return aEntry.second.Holds(key, nowMs_);
@@ -267,29 +272,29 @@
   int64_t fence_ = 0;
   std::map<std::string, ModelServer> servers_;
   std::set<std::string> unregistered_;
-  std::vector<LateOrder> late_;
+  std::vector<LateCommand> late_;
   struct EarlierLeader
   {
     std::unique_ptr<KeyOwnership> ownership_;
-    TimeMs rightUntilMs_;
+    TimeMs leaseUntilMs_; ///< when it stops sending commands
     std::map<std::string, ModelServer> servers_; ///< when it was replaced
   };
 
   std::unique_ptr<KeyOwnership> leader_;
-  std::vector<EarlierLeader> earlier_;
-  TimeMs storedHoldMs_ = 0;
-  KeySegments stored_;
+  std::vector<EarlierLeader> earlierLeaders_;
+  TimeMs maxLeaseMs_ = 0;
+  KeySegments storedTable_;
 };
 
-// Guards against two servers that hold the same key at one moment, whatever
-// orders are lost or carried out late, and whoever crashes, restarts under its
-// old id, leaves, or takes the lead.
+// Guards against two servers that hold leases for the same key at the same time
+// when commands are lost or executed late, servers crash, restart under the
+// same id or leave, and leaders are replaced.
 RC_GTEST_PROP(KeyOwnershipProperty, OneHolderForEachKey, ())
 {
-  OwnershipWorld world(*rc::gen::inRange(2, 5));
+  KeyOwnershipSimulation simulation(*rc::gen::inRange(2, 5));
   const int steps = *rc::gen::inRange(20, 300);
   for (int step = 0; step < steps; ++step) {
-    world.Step();
+    simulation.Step();
   }
 }
 
--- a/tests/KeyOwnershipTest.cpp
+++ b/tests/KeyOwnershipTest.cpp
@@ -8,7 +8,7 @@
 namespace cactuspitch {
 namespace {
 
-/// A key ownership with two servers, driven by hand.
+/// KeyOwnership of two servers with manually controlled time and responses.
 class KeyOwnershipTest : public testing::Test
 {
 protected:
@@ -18,11 +18,11 @@
   {
     std::map<std::string, OwnerCandidate> candidates;
     for (const auto& id : aUsable) {
-      candidates[id] = { born_[id], true, 1 };
+      candidates[id] = { startTimesMs_[id], true, 1 };
     }
     ownership_.SetCandidates(candidates, nowMs_);
   }
-  /// Proposes, commits, and returns the orders that follow.
+  /// Proposes and commits a table, and returns the commands that follow.
   std::vector<KeyCommand> Step(const KeyOwnership::Balance& aBalance = {})
   {
     if (const auto change =
@@ -31,39 +31,39 @@
     }
     return ownership_.TakeCommands(nowMs_);
   }
-  void Answer(const KeyCommand& aOrder, KeyCommandResult aResult)
+  void Complete(const KeyCommand& aCommand, KeyCommandResult aResult)
   {
-    ownership_.OnCommandDone(aOrder, aResult, "", nowMs_);
+    ownership_.OnCommandDone(aCommand, aResult, "", nowMs_);
   }
-  void AcceptAll(const std::vector<KeyCommand>& aOrders)
+  void AcceptAll(const std::vector<KeyCommand>& aCommands)
   {
-    std::ranges::for_each(aOrders, [&](const auto& aOrder) {
-      Answer(aOrder, KeyCommandResult::Accepted);
+    std::ranges::for_each(aCommands, [&](const auto& aCommand) {
+      Complete(aCommand, KeyCommandResult::Accepted);
     });
   }
-  /// Both servers hold their halves.
+  /// Makes both servers hold the leases for their halves of the keys.
   void Start()
   {
     AcceptAll(Step());
     Step();
   }
-  static bool Grants(const std::vector<KeyCommand>& aOrders,
+  static bool Grants(const std::vector<KeyCommand>& aCommands,
                      const std::string& aBackend,
                      uint32_t aKey)
   {
-    return std::ranges::any_of(aOrders, [&](const auto& aOrder) {
-      return aOrder.kind_ == KeyCommandKind::Grant &&
-             aOrder.backend_ == aBackend && aOrder.first_ <= aKey &&
-             aKey <= aOrder.last_;
+    return std::ranges::any_of(aCommands, [&](const auto& aCommand) {
+      return aCommand.kind_ == KeyCommandKind::Grant &&
+             aCommand.backend_ == aBackend && aCommand.first_ <= aKey &&
+             aKey <= aCommand.last_;
     });
   }
-  static const KeyCommand* Release(const std::vector<KeyCommand>& aOrders)
+  static const KeyCommand* Release(const std::vector<KeyCommand>& aCommands)
   {
     const auto found =
-      std::ranges::find(aOrders,
+      std::ranges::find(aCommands,
                         KeyCommandKind::Release,
-                        [](const auto& aOrder) { return aOrder.kind_; });
-    return found == aOrders.end() ? nullptr : &*found;
+                        [](const auto& aCommand) { return aCommand.kind_; });
+    return found == aCommands.end() ? nullptr : &*found;
   }
   KeyOwnership::Balance MoveTo(uint32_t aFirst, uint32_t aLast, const char* aTo)
   {
@@ -72,14 +72,14 @@
     };
   }
 
-  std::map<std::string, int64_t> born_;
+  std::map<std::string, int64_t> startTimesMs_;
   LeaseTiming timing_;
   TimeMs nowMs_ = 1000;
   int64_t fence_ = 100;
   KeyOwnership ownership_{ "s", timing_ };
 };
 
-// Guards against keys without an owner, or with two, in the first table.
+// Guards against keys without an owner or with two owners in the first table.
 TEST_F(KeyOwnershipTest, FirstTableCoversAllKeys)
 {
   Start();
@@ -91,82 +91,84 @@
   EXPECT_TRUE(ownership_.IsActive(0));
 }
 
-// Guards against a new owner that gets keys before the old one let them go.
+// Guards against granting a lease to the new owner before the previous owner
+// has released its own.
 TEST_F(KeyOwnershipTest, MoveWaitsForTheRelease)
 {
   Start();
   nowMs_ += 10;
-  auto orders = Step(MoveTo(0, 99, "b"));
-  const auto* release = Release(orders);
+  auto commands = Step(MoveTo(0, 99, "b"));
+  const auto* release = Release(commands);
   ASSERT_NE(release, nullptr);
   EXPECT_EQ(release->backend_, "a");
-  EXPECT_FALSE(Grants(orders, "b", 50));
-  Answer(*release, KeyCommandResult::Accepted);
-  orders = ownership_.TakeCommands(nowMs_);
-  EXPECT_TRUE(Grants(orders, "b", 50));
-  EXPECT_FALSE(Grants(orders, "a", 50));
+  EXPECT_FALSE(Grants(commands, "b", 50));
+  Complete(*release, KeyCommandResult::Accepted);
+  commands = ownership_.TakeCommands(nowMs_);
+  EXPECT_TRUE(Grants(commands, "b", 50));
+  EXPECT_FALSE(Grants(commands, "a", 50));
 }
 
-// Guards against taking a lost release for done: the old holder keeps its keys
-// until its last grant has run out on a clock that is 2% slow.
-TEST_F(KeyOwnershipTest, UnansweredReleaseWaitsForTheLapse)
+// Guards against treating an unanswered release as executed: the previous owner
+// may use its keys until its last lease has expired on a clock that is 2% slow.
+TEST_F(KeyOwnershipTest, UnansweredReleaseWaitsForLeaseExpiry)
 {
   Start();
   const TimeMs grantedMs = nowMs_;
   nowMs_ += 10;
-  auto orders = Step(MoveTo(0, 99, "b"));
-  Answer(*Release(orders), KeyCommandResult::Unanswered);
+  auto commands = Step(MoveTo(0, 99, "b"));
+  Complete(*Release(commands), KeyCommandResult::Unanswered);
   const TimeMs slowEndMs =
     grantedMs + timing_.leaseMs_ + timing_.leaseMs_ * 2 / 100;
   for (; nowMs_ <= slowEndMs; nowMs_ += 50) {
-    orders = ownership_.TakeCommands(nowMs_);
-    ASSERT_FALSE(Grants(orders, "b", 50)) << nowMs_;
-    if (const auto* release = Release(orders)) {
-      Answer(*release, KeyCommandResult::NotSent);
+    commands = ownership_.TakeCommands(nowMs_);
+    ASSERT_FALSE(Grants(commands, "b", 50)) << nowMs_;
+    if (const auto* release = Release(commands)) {
+      Complete(*release, KeyCommandResult::NotSent);
     }
   }
   nowMs_ += 100;
   EXPECT_TRUE(Grants(ownership_.TakeCommands(nowMs_), "b", 50));
 }
 
-// Guards against a renewal without an answer that is carried out after the
-// release of the same keys was answered.
-TEST_F(KeyOwnershipTest, LateRenewalKeepsTheMoveWaiting)
+// Guards against an unanswered renewal that is executed after the release of
+// the same keys was accepted.
+TEST_F(KeyOwnershipTest, UnansweredRenewalDelaysTheMove)
 {
   Start();
   nowMs_ += timing_.renewIntervalMs_;
   const auto renewals = ownership_.TakeCommands(nowMs_);
   const auto renewal = std::ranges::find(
-    renewals, "a", [](const auto& aOrder) { return aOrder.backend_; });
+    renewals, "a", [](const auto& aCommand) { return aCommand.backend_; });
   ASSERT_NE(renewal, renewals.end());
-  Answer(*renewal, KeyCommandResult::Unanswered);
-  auto orders = Step(MoveTo(0, 99, "b"));
-  const auto* release = Release(orders);
+  Complete(*renewal, KeyCommandResult::Unanswered);
+  auto commands = Step(MoveTo(0, 99, "b"));
+  const auto* release = Release(commands);
   ASSERT_NE(release, nullptr);
-  Answer(*release, KeyCommandResult::Accepted);
+  Complete(*release, KeyCommandResult::Accepted);
   EXPECT_FALSE(Grants(ownership_.TakeCommands(nowMs_), "b", 50));
   nowMs_ += timing_.leaseMs_ * 102 / 100 + 400;
   EXPECT_TRUE(Grants(ownership_.TakeCommands(nowMs_), "b", 50));
 }
 
-// Guards against a grant under way that arrives after the release.
-TEST_F(KeyOwnershipTest, RenewalInFlightKeepsTheMoveWaiting)
+// Guards against a renewal in flight that arrives after the release.
+TEST_F(KeyOwnershipTest, RenewalInFlightDelaysTheMove)
 {
   Start();
   nowMs_ += timing_.renewIntervalMs_;
   const auto renewals = ownership_.TakeCommands(nowMs_);
-  auto orders = Step(MoveTo(0, 99, "b"));
-  Answer(*Release(orders), KeyCommandResult::Accepted);
+  auto commands = Step(MoveTo(0, 99, "b"));
+  Complete(*Release(commands), KeyCommandResult::Accepted);
   EXPECT_FALSE(Grants(ownership_.TakeCommands(nowMs_), "b", 50));
   AcceptAll(renewals);
-  // It took effect after the release, so the keys are released once more.
+  // The renewal took effect after the release, so the keys are released again.
   nowMs_ += timing_.retryIntervalMs_;
-  orders = ownership_.TakeCommands(nowMs_);
-  ASSERT_NE(Release(orders), nullptr);
-  EXPECT_FALSE(Grants(orders, "b", 50));
+  commands = ownership_.TakeCommands(nowMs_);
+  ASSERT_NE(Release(commands), nullptr);
+  EXPECT_FALSE(Grants(commands, "b", 50));
 }
 
-// Guards against a fence that a server or an earlier leader could outbid.
+// Guards against a new fence that is not higher than those known to servers or
+// earlier leaders.
 TEST_F(KeyOwnershipTest, FencesGrowWithEveryMove)
 {
   Start();
@@ -176,60 +178,61 @@
   EXPECT_GT(ownership_.Segments()[0].fence_, before);
 }
 
-// Guards against keys that stay with a server that crashed or drains.
+// Guards against keys that stay with a server that has crashed or is draining.
 TEST_F(KeyOwnershipTest, LeavingServerLosesItsKeys)
 {
   Start();
   nowMs_ += 10;
   SetServers({ "b" });
-  const auto orders = Step();
-  ASSERT_NE(Release(orders), nullptr);
+  const auto commands = Step();
+  ASSERT_NE(Release(commands), nullptr);
   EXPECT_TRUE(std::ranges::all_of(ownership_.Segments(), [](const auto& aPart) {
     return aPart.owner_ == "b";
   }));
 }
 
-// Guards against a server that started again under its id and is believed to
-// hold what its earlier life held.
-TEST_F(KeyOwnershipTest, NewLifeGetsANewFence)
+// Guards against assuming that a server that restarted under the same id still
+// holds the leases of its previous incarnation.
+TEST_F(KeyOwnershipTest, NewIncarnationGetsANewFence)
 {
   Start();
   const auto before = ownership_.Segments()[0];
   nowMs_ += 10;
-  born_["a"] = 77;
+  startTimesMs_["a"] = 77;
   SetServers({ "a", "b" });
-  const auto orders = Step();
-  EXPECT_TRUE(Grants(orders, "a", 0));
+  const auto commands = Step();
+  EXPECT_TRUE(Grants(commands, "a", 0));
   EXPECT_GT(ownership_.Segments()[0].fence_, before.fence_);
   EXPECT_EQ(ownership_.Segments()[0].ownerStartTimeMs_, 77);
 }
 
-// Guards against a silent server that keeps its keys for good, and against
-// grants to the next one before the silent one's hold is over.
-TEST_F(KeyOwnershipTest, SilentServerIsReplacedAfterItsHold)
+// Guards against an unresponsive server that keeps its keys indefinitely, and
+// against a grant to the next owner before that server's lease has expired.
+TEST_F(KeyOwnershipTest, UnresponsiveServerIsReplacedAfterItsLease)
 {
   Start();
-  const TimeMs heldUntilMs = nowMs_ + timing_.leaseMs_ * 102 / 100;
+  const TimeMs leaseEndMs = nowMs_ + timing_.leaseMs_ * 102 / 100;
   TimeMs movedMs = 0;
   for (; nowMs_ < 20000 && movedMs == 0; nowMs_ += 30) {
-    for (const auto& order : Step()) {
-      if (order.backend_ == "a") {
-        Answer(order, KeyCommandResult::NotSent);
+    for (const auto& command : Step()) {
+      if (command.backend_ == "a") {
+        Complete(command, KeyCommandResult::NotSent);
         continue;
       }
-      if (order.kind_ == KeyCommandKind::Grant && order.first_ == 0) {
+      if (command.kind_ == KeyCommandKind::Grant && command.first_ == 0) {
         movedMs = nowMs_;
       }
-      Answer(order, KeyCommandResult::Accepted);
+      Complete(command, KeyCommandResult::Accepted);
     }
   }
-  EXPECT_GE(movedMs, heldUntilMs);
-  EXPECT_LT(movedMs, heldUntilMs + 500);
+  EXPECT_GE(movedMs, leaseEndMs);
+  EXPECT_LT(movedMs, leaseEndMs + 500);
 }
 
-// Guards against waiting for a holder whose address another server has taken
-// over (eg-north trouble-3: 10 s without an owner).
-TEST_F(KeyOwnershipTest, MisdirectedReleaseEndsTheHold)
+// Guards against waiting for the lease of a server whose address is now used by
+// another server, which left keys without an owner for 10 s (run eg-north
+// trouble-3).
+TEST_F(KeyOwnershipTest, MisdirectedReleaseEndsTheLease)
 {
   Start();
   KeyOwnership next("s", timing_);
@@ -242,17 +245,18 @@
   const auto change = next.Propose([&] { return ++fence; }, {}, nowMs_);
   ASSERT_TRUE(change);
   next.Commit(*change, nowMs_);
-  const auto orders = next.TakeCommands(nowMs_);
-  const auto* release = Release(orders);
+  const auto commands = next.TakeCommands(nowMs_);
+  const auto* release = Release(commands);
   ASSERT_NE(release, nullptr);
   EXPECT_EQ(release->backend_, "a");
   next.OnCommandDone(*release, KeyCommandResult::Misdirected, "", nowMs_);
   EXPECT_TRUE(Grants(next.TakeCommands(nowMs_), "b", 0));
 }
 
-// Guards against a new leader that moves keys while the old one may still renew
-// them, and against one that waits longer than it has to.
-TEST_F(KeyOwnershipTest, TakeoverFencesTheOldLeaderOut)
+// Guards against a new leader that moves keys while an earlier leader may still
+// renew their leases, and against a new leader that waits longer than
+// necessary.
+TEST_F(KeyOwnershipTest, TakeoverFencesTheEarlierLeader)
 {
   Start();
   KeyOwnership next("s", timing_);
@@ -265,11 +269,11 @@
   next.SetCandidates(candidates, nowMs_);
   auto grants = next.TakeCommands(nowMs_);
   ASSERT_EQ(grants.size(), 2U);
-  // Server b takes the new fence; server a does not answer.
-  for (const auto& order : grants) {
-    next.OnCommandDone(order,
-                       order.backend_ == "b" ? KeyCommandResult::Accepted
-                                             : KeyCommandResult::NotSent,
+  // Server b accepts the new fence; server a doesn't respond.
+  for (const auto& command : grants) {
+    next.OnCommandDone(command,
+                       command.backend_ == "b" ? KeyCommandResult::Accepted
+                                               : KeyCommandResult::NotSent,
                        "",
                        nowMs_);
   }
@@ -277,11 +281,11 @@
     next.Propose([&] { return ++fence; }, MoveTo(0, 99, "b"), nowMs_);
   ASSERT_TRUE(change);
   next.Commit(*change, nowMs_);
-  for (const auto& order : next.TakeCommands(nowMs_)) {
-    EXPECT_FALSE(order.kind_ == KeyCommandKind::Grant && order.first_ == 0);
-    next.OnCommandDone(order, KeyCommandResult::Accepted, "", nowMs_);
+  for (const auto& command : next.TakeCommands(nowMs_)) {
+    EXPECT_FALSE(command.kind_ == KeyCommandKind::Grant && command.first_ == 0);
+    next.OnCommandDone(command, KeyCommandResult::Accepted, "", nowMs_);
   }
-  // The release alone does not help: the old leader may grant again.
+  // A release is not sufficient, since the earlier leader may renew the lease.
   nowMs_ += timing_.leaseMs_ * 2;
   EXPECT_FALSE(Grants(next.TakeCommands(nowMs_), "b", 50));
   next.OnEarlierLeadersEnded(nowMs_);
@@ -289,9 +293,10 @@
   EXPECT_TRUE(Grants(next.TakeCommands(nowMs_), "b", 50));
 }
 
-// Guards against a successor with fewer backend servers and shorter grants that
-// takes the keys of a silent server before the longer grant has run out.
-TEST_F(KeyOwnershipTest, LongerGrantsOfAnEarlierLeaderRunOut)
+// Guards against a new leader with fewer backend servers and shorter leases
+// that moves the keys of an unresponsive server before the longer lease of an
+// earlier leader has expired.
+TEST_F(KeyOwnershipTest, WaitsForLongerLeasesOfAnEarlierLeader)
 {
   Start();
   auto timing = LeaseTiming::For(100, 10000);
@@ -304,16 +309,17 @@
     ownership_.Segments(), [&] { return ++fence; }, nowMs_);
   next.SetCandidates({ { "b", { 0, true, 1 } } }, nowMs_);
   next.OnEarlierLeadersEnded(nowMs_);
-  const TimeMs heldUntilMs = nowMs_ + earlier.leaseMs_ * 102 / 100;
+  const TimeMs leaseEndMs = nowMs_ + earlier.leaseMs_ * 102 / 100;
   if (const auto change = next.Propose([&] { return ++fence; }, {}, nowMs_)) {
     next.Commit(*change, nowMs_);
   }
-  for (; nowMs_ <= heldUntilMs; nowMs_ += 50) {
-    for (const auto& order : next.TakeCommands(nowMs_)) {
-      ASSERT_FALSE(order.kind_ == KeyCommandKind::Grant && order.first_ == 0);
-      next.OnCommandDone(order,
-                         order.backend_ == "b" ? KeyCommandResult::Accepted
-                                               : KeyCommandResult::Unanswered,
+  for (; nowMs_ <= leaseEndMs; nowMs_ += 50) {
+    for (const auto& command : next.TakeCommands(nowMs_)) {
+      ASSERT_FALSE(command.kind_ == KeyCommandKind::Grant &&
+                   command.first_ == 0);
+      next.OnCommandDone(command,
+                         command.backend_ == "b" ? KeyCommandResult::Accepted
+                                                 : KeyCommandResult::Unanswered,
                          "",
                          nowMs_);
     }
@@ -322,18 +328,19 @@
   EXPECT_TRUE(Grants(next.TakeCommands(nowMs_), "b", 50));
 }
 
-// Guards against a leader that may have been replaced and grants a server anew
-// that did not answer: it may be another life, which knows no newer fence.
-TEST_F(KeyOwnershipTest, PossiblyReplacedLeaderOnlyProlongs)
+// Guards against a leader that may have been replaced and grants a new lease to
+// a server that failed to respond. The server may be a new incarnation, which
+// does not know the fence of a newer leader.
+TEST_F(KeyOwnershipTest, PossiblyReplacedLeaderOnlyRenews)
 {
   Start();
   nowMs_ += timing_.renewIntervalMs_;
   auto renewals = ownership_.TakeCommands(nowMs_, GrantScope::Renewals);
   ASSERT_EQ(renewals.size(), 2U);
-  for (const auto& order : renewals) {
-    Answer(order,
-           order.backend_ == "a" ? KeyCommandResult::NotSent
-                                 : KeyCommandResult::Accepted);
+  for (const auto& command : renewals) {
+    Complete(command,
+             command.backend_ == "a" ? KeyCommandResult::NotSent
+                                     : KeyCommandResult::Accepted);
   }
   nowMs_ += timing_.renewIntervalMs_;
   renewals = ownership_.TakeCommands(nowMs_, GrantScope::Renewals);
@@ -342,8 +349,8 @@
   EXPECT_TRUE(Grants(ownership_.TakeCommands(nowMs_), "a", 50));
 }
 
-// Guards against grants that backend servers refuse as too long.
-TEST(LeaseTiming, KeepsTheLongestHoldOfTheServers)
+// Guards against leases that backend servers reject as too long.
+TEST(LeaseTiming, RespectsTheLongestLeaseOfTheServers)
 {
   for (const size_t servers : { size_t{ 8 }, size_t{ 500 } }) {
     const auto timing = LeaseTiming::For(servers, 1500);
@@ -353,47 +360,47 @@
   }
 }
 
-// Guards against a table that the store gives back changed.
-TEST(KeyTable, SurvivesTheStore)
+// Guards against a table that is changed by encoding and decoding it.
+TEST(KeyTable, RoundTrips)
 {
   KeyTable table{ 3, 9, 4000, {} };
   table.services_["s"] = { { 0, 99, "a", 5, 77, { "b", "c" } },
                            { 100, kKeyCount - 1, "b", 6, 78, {} } };
-  KeyTable back;
-  ASSERT_TRUE(DecodeKeyTable(EncodeKeyTable(table), back));
-  EXPECT_EQ(back.term_, 3);
-  EXPECT_EQ(back.writeId_, 9);
-  EXPECT_EQ(back.leaseMs_, 4000);
-  EXPECT_EQ(back.services_, table.services_);
-  // Written by a version that did not name its grants.
+  KeyTable decoded;
+  ASSERT_TRUE(DecodeKeyTable(EncodeKeyTable(table), decoded));
+  EXPECT_EQ(decoded.term_, 3);
+  EXPECT_EQ(decoded.writeId_, 9);
+  EXPECT_EQ(decoded.leaseMs_, 4000);
+  EXPECT_EQ(decoded.services_, table.services_);
+  // Written by a version that didn't store the longest lease.
   auto older = EncodeKeyTable(table);
   older.erase("holdMs");
-  ASSERT_TRUE(DecodeKeyTable(older, back));
-  EXPECT_GE(back.leaseMs_, 4000);
+  ASSERT_TRUE(DecodeKeyTable(older, decoded));
+  EXPECT_GE(decoded.leaseMs_, 4000);
 }
 
-// Guards against a table with holes, overlaps or other content.
-TEST(KeyTable, RefusesBrokenTables)
+// Guards against accepting tables with gaps, overlaps or malformed content.
+TEST(KeyTable, RejectsMalformedTables)
 {
   KeyTable table{ 1, 1, 2500, {} };
-  KeyTable back;
+  KeyTable decoded;
   table.services_["s"] = { { 0, 99, "a", 5, 77, {} } };
-  EXPECT_FALSE(DecodeKeyTable(EncodeKeyTable(table), back));
+  EXPECT_FALSE(DecodeKeyTable(EncodeKeyTable(table), decoded));
   table.services_["s"] = { { 0, 99, "a", 5, 77, {} },
                            { 99, kKeyCount - 1, "a", 5, 77, {} } };
-  EXPECT_FALSE(DecodeKeyTable(EncodeKeyTable(table), back));
-  EXPECT_FALSE(DecodeKeyTable(nlohmann::json("text"), back));
+  EXPECT_FALSE(DecodeKeyTable(EncodeKeyTable(table), decoded));
+  EXPECT_FALSE(DecodeKeyTable(nlohmann::json("text"), decoded));
 }
 
-// Guards against all keys going to the server that registers first: the first
-// table waits until no new server has come for a while, but not for long when
-// requests wait for an owner.
+// Guards against assigning all keys to the server that registers first: the
+// first table waits until no new server has registered for a while, but only
+// briefly if requests are waiting for an owner.
 TEST(FirstTable, WaitsForTheServersThatAreRegistering)
 {
   KeyOwnership ownership("s", {});
   std::map<std::string, OwnerCandidate> servers;
   EXPECT_FALSE(ownership.IsReadyForFirstTable({}, true, 10000));
-  // One server each 300 ms, from 10 s on.
+  // One server registers every 300 ms, starting at 10 s.
   for (int index = 0; index < 10; ++index) {
     servers[std::string(1, static_cast<char>('a' + index))] = { 1, true, 1 };
     ownership.SetCandidates(servers, 10000 + index * 300);
@@ -401,7 +408,7 @@
   EXPECT_FALSE(ownership.IsReadyForFirstTable({}, false, 12700 + 599));
   EXPECT_TRUE(ownership.IsReadyForFirstTable({}, false, 12700 + 600));
   EXPECT_TRUE(ownership.IsReadyForFirstTable({}, true, 12700));
-  // Servers that are known already start no new wait.
+  // Servers that are already known don't extend the wait.
   ownership.SetCandidates(servers, 13200);
   EXPECT_TRUE(ownership.IsReadyForFirstTable({}, false, 13300));
   const auto table = ownership.Propose([] { return 1; }, {}, 13300);
@@ -409,8 +416,9 @@
   EXPECT_EQ(table->size(), 10U);
 }
 
-// Guards against a first table that never comes while servers come and go.
-TEST(FirstTable, IsMadeAtTheLatestAfterTheLimit)
+// Guards against a first table that is delayed indefinitely while servers keep
+// registering.
+TEST(FirstTable, IsCreatedAtTheLatestAfterTheLimit)
 {
   KeyOwnership ownership("s", {});
   for (int index = 0; index < 20; ++index) {
--- a/tests/KeyspaceTest.cpp
+++ b/tests/KeyspaceTest.cpp
@@ -12,27 +12,29 @@
 namespace cactuspitch {
 namespace {
 
-/// Key ownership with granted servers and a load, balanced until it is stable.
-class BalanceWorld
+/// Applies the plans of KeyBalancer for a given load to a KeyOwnership whose
+/// servers accept all commands.
+class BalanceSimulation
 {
 public:
-  explicit BalanceWorld(const std::map<std::string, double>& aCapacities)
+  explicit BalanceSimulation(const std::map<std::string, double>& aCapacities)
   {
     for (const auto& [id, capacity] : aCapacities) {
       candidates_[id] = { 1, true, capacity };
     }
     ownership_.SetCandidates(candidates_, nowMs_);
-    Round({});
+    RunRound({});
   }
-  void Round(const KeyOwnership::Balance& aBalance)
+  void RunRound(const KeyOwnership::Balance& aBalance)
   {
     if (const auto change =
           ownership_.Propose([this] { return ++fence_; }, aBalance, nowMs_)) {
       ownership_.Commit(*change, nowMs_);
     }
     for (int pass = 0; pass < 4; ++pass) {
-      for (const auto& order : ownership_.TakeCommands(nowMs_)) {
-        ownership_.OnCommandDone(order, KeyCommandResult::Accepted, "", nowMs_);
+      for (const auto& command : ownership_.TakeCommands(nowMs_)) {
+        ownership_.OnCommandDone(
+          command, KeyCommandResult::Accepted, "", nowMs_);
       }
     }
     nowMs_ += 400;
@@ -42,7 +44,7 @@
     int moves = 0;
     const auto rates = aLoad.Rates(loadMs_);
     for (int round = 0; round < aRounds; ++round) {
-      Round([&](const KeyOwnership& aOwnership) {
+      RunRound([&](const KeyOwnership& aOwnership) {
         auto plan = KeyBalancer().Plan(aOwnership, rates, 0.1, nowMs_);
         moves += static_cast<int>(plan.size());
         return plan;
@@ -50,21 +52,22 @@
     }
     return moves;
   }
-  std::map<std::string, double> Use(const KeyLoad& aLoad) const
+  std::map<std::string, double> Utilizations(const KeyLoad& aLoad) const
   {
-    std::map<std::string, double> use;
+    std::map<std::string, double> utilizations;
     const auto rates = aLoad.Rates(loadMs_);
     for (const auto& segment : ownership_.Segments()) {
-      use[segment.owner_] += rates.Rate(segment.first_, segment.last_) * 0.1 /
-                             candidates_.at(segment.owner_).capacity_;
+      utilizations[segment.owner_] +=
+        rates.Rate(segment.first_, segment.last_) * 0.1 /
+        candidates_.at(segment.owner_).capacity_;
     }
-    return use;
+    return utilizations;
   }
-  double Peak(const KeyLoad& aLoad) const
+  double PeakUtilization(const KeyLoad& aLoad) const
   {
-    const auto use = Use(aLoad);
+    const auto utilizations = Utilizations(aLoad);
     return std::ranges::max_element(
-             use, {}, [](const auto& aEntry) { return aEntry.second; })
+             utilizations, {}, [](const auto& aEntry) { return aEntry.second; })
       ->second;
   }
 
@@ -75,11 +78,11 @@
   KeyOwnership ownership_{ "s", {} };
 };
 
-// Guards against a flood of neighbouring keys that stays with one server, with
-// servers of different speed.
-TEST(KeyBalancer, SpreadsAFloodOfNeighbouringKeys)
+// Guards against a burst of load on adjacent keys that stays on one server,
+// with servers of different speeds.
+TEST(KeyBalancer, SpreadsLoadOfAdjacentKeys)
 {
-  BalanceWorld world(
+  BalanceSimulation simulation(
     { { "a", 6 }, { "b", 3.6 }, { "c", 8.4 }, { "d", 6 }, { "e", 6 } });
   KeyLoad load;
   for (uint32_t key = 0; key < kKeyCount; key += 64) {
@@ -88,31 +91,32 @@
   for (uint32_t key = 20000; key < 20200; ++key) {
     load.Add(key, 1, 5000);
   }
-  const double before = world.Peak(load);
-  world.Balance(load, 6);
-  const auto use = world.Use(load);
+  const double before = simulation.PeakUtilization(load);
+  simulation.Balance(load, 6);
+  const auto utilizations = simulation.Utilizations(load);
   double mean = 0;
-  for (const auto& [id, value] : use) {
-    mean += value / static_cast<double>(use.size());
+  for (const auto& [id, value] : utilizations) {
+    mean += value / static_cast<double>(utilizations.size());
   }
   EXPECT_GT(before, 2 * mean);
-  EXPECT_LT(world.Peak(load), 1.3 * mean);
+  EXPECT_LT(simulation.PeakUtilization(load), 1.3 * mean);
 }
 
-// Guards against moves that answer noise: a balanced service must stay still.
-TEST(KeyBalancer, StaysStillWhenBalanced)
+// Guards against moves caused by measurement noise.
+TEST(KeyBalancer, MovesNothingWhenBalanced)
 {
-  BalanceWorld world({ { "a", 6 }, { "b", 6 }, { "c", 6 }, { "d", 6 } });
+  BalanceSimulation simulation(
+    { { "a", 6 }, { "b", 6 }, { "c", 6 }, { "d", 6 } });
   KeyLoad load;
   for (uint32_t key = 0; key < kKeyCount; key += 8) {
     load.Add(key, 0.05, 5000);
   }
-  EXPECT_EQ(world.Balance(load, 5), 0);
+  EXPECT_EQ(simulation.Balance(load, 5), 0);
 }
 
-// Guards against overloaded owners that a large fleet cannot tell from noise:
-// each of them sees 9 requests/s.
-TEST(KeyLoad, LongerWindowsShowWhoIsOverloaded)
+// Guards against overload that can't be distinguished from noise in a large
+// fleet, where each owner receives 9 requests/s.
+TEST(KeyLoad, LongerHalfLifeReducesNoise)
 {
   KeyLoad shorter;
   KeyLoad longer(KeyLoad::kLargeFleetHalfLifeMs);
@@ -129,11 +133,12 @@
   EXPECT_LT(noise(longer), 0.15);
 }
 
-// Guards against a hot key that stays with a slow owner: one owner is the limit
-// of what the key's callers get, so it is the fastest, with nothing beside it.
-TEST(KeyBalancer, GivesAKeyThatIsTooHotToTheFastestServer)
+// Guards against a hot key that stays on a slow server. A key can't be split,
+// so its throughput is limited by its owner: the key belongs on the fastest
+// server, without other load.
+TEST(KeyBalancer, MovesADominantKeyToTheFastestServer)
 {
-  BalanceWorld world(
+  BalanceSimulation simulation(
     { { "a", 6 }, { "b", 3 }, { "c", 9 }, { "d", 6 }, { "e", 6 } });
   KeyLoad load;
   for (uint32_t key = 0; key < kKeyCount; key += 64) {
@@ -141,36 +146,37 @@
   }
   const uint32_t hot = 15000; // of server b
   load.Add(hot, 30, 5000);
-  world.Balance(load, 8);
-  const auto* segment = FindSegment(world.ownership_.Segments(), hot);
+  simulation.Balance(load, 8);
+  const auto* segment = FindSegment(simulation.ownership_.Segments(), hot);
   EXPECT_EQ(segment->owner_, "c");
-  const auto rates = load.Rates(world.loadMs_);
+  const auto rates = load.Rates(simulation.loadMs_);
   double beside = 0;
-  for (const auto& part : world.ownership_.Segments()) {
+  for (const auto& part : simulation.ownership_.Segments()) {
     if (part.owner_ == "c") {
       beside += rates.Rate(part.first_, part.last_);
     }
   }
   beside -= rates.Rate(hot, hot);
   EXPECT_LT(beside, rates.Total() * 0.02);
-  EXPECT_LE(world.Balance(load, 4), 2) << "moves although nothing changes";
+  EXPECT_LE(simulation.Balance(load, 4), 2) << "moves although nothing changes";
 }
 
-// Guards against other keys that stay with the owner of a key that is too hot
-// for any server.
-TEST(KeyBalancer, ClearsTheServerOfAKeyThatIsTooHot)
+// Guards against other keys that stay with the owner of a key that exceeds the
+// capacity of any server.
+TEST(KeyBalancer, MovesOtherKeysAwayFromADominantKey)
 {
-  BalanceWorld world({ { "a", 3 }, { "b", 3 }, { "c", 3 }, { "d", 3 } });
+  BalanceSimulation simulation(
+    { { "a", 3 }, { "b", 3 }, { "c", 3 }, { "d", 3 } });
   KeyLoad load;
   for (uint32_t key = 0; key < kKeyCount; key += 64) {
     load.Add(key, 0.1, 5000);
   }
   load.Add(3000, 300, 5000);
-  world.Balance(load, 8);
-  const auto* hot = FindSegment(world.ownership_.Segments(), 3000);
-  const auto rates = load.Rates(world.loadMs_);
+  simulation.Balance(load, 8);
+  const auto* hot = FindSegment(simulation.ownership_.Segments(), 3000);
+  const auto rates = load.Rates(simulation.loadMs_);
   double beside = 0;
-  for (const auto& segment : world.ownership_.Segments()) {
+  for (const auto& segment : simulation.ownership_.Segments()) {
     if (segment.owner_ == hot->owner_) {
       beside += rates.Rate(segment.first_, segment.last_);
     }
@@ -179,8 +185,8 @@
   EXPECT_LT(beside, rates.Total() * 0.02);
 }
 
-// Guards against rates that differ from what was counted.
-RC_GTEST_PROP(KeyRates, CutsAtTheWantedRate, ())
+// Guards against ranges whose rate exceeds the limit, or that could be longer.
+RC_GTEST_PROP(KeyRates, FindsTheLongestRangeWithinARate, ())
 {
   KeyLoad load;
   for (int index = 0; index < 200; ++index) {
@@ -202,8 +208,8 @@
   }
 }
 
-// Guards against owners that depend on the order in which gossip and the store
-// tell of them.
+// Guards against a result that depends on the order in which updates arrive
+// from gossip and the store.
 RC_GTEST_PROP(KeyOwnerMap, OrderMakesNoDifference, ())
 {
   std::vector<KeyOwnerMap::Range> ranges;
@@ -249,8 +255,8 @@
   return entry;
 }
 
-// Guards against requests to a server whose registration is gone.
-TEST(BackendDirectory, RemovesAtOnceInCalmTimes)
+// Guards against sending requests to a server whose registration was removed.
+TEST(BackendDirectory, RemovesAtOnceWithoutStoreFailures)
 {
   BackendDirectory directory(kDrainMs);
   directory.ApplyList({ Entry("a"), Entry("b") }, 1000);
@@ -258,9 +264,9 @@
   EXPECT_FALSE(directory.Entries().contains("a"));
 }
 
-// Guards against a leaving server that is used again after its registration was
-// read again, and against its next life that is not used.
-TEST(BackendDirectory, LeavingBelongsToALife)
+// Guards against using a leaving server again after its registration has been
+// read again, and against not using its next incarnation.
+TEST(BackendDirectory, LeavingAppliesToOneIncarnation)
 {
   BackendDirectory here(kDrainMs);
   BackendDirectory peer(kDrainMs);
@@ -273,12 +279,13 @@
   EXPECT_FALSE(here.MarkLeaving("a", 5));
   EXPECT_TRUE(here.TakeChanges().contains("a"));
   EXPECT_FALSE(here.Entries().at("a").TakesNewWork());
-  // The mark is no registration, so directories stay equal.
+  // A leaving mark doesn't change the digest, which covers registrations only.
   EXPECT_EQ(here.Digest(), peer.Digest());
   EXPECT_TRUE(peer.MarkLeaving(here.LeavingIncarnations(10)));
   EXPECT_FALSE(peer.MarkLeaving(here.LeavingIncarnations(10)));
   EXPECT_FALSE(peer.Entries().at("a").TakesNewWork());
-  // A relisting, and a watch that replays the removal and the registration.
+  // The list is read again, then a watch replays the removal and the
+  // registration.
   here.ApplyList({ entry }, 1);
   here.ApplyRemoved("a", 2);
   EXPECT_FALSE(here.Entries().contains("a"));
@@ -286,11 +293,11 @@
   EXPECT_FALSE(here.Entries().at("a").TakesNewWork());
   EXPECT_EQ(here.LeavingIncarnations(10).size(), 1U);
   EXPECT_TRUE(here.LeavingIncarnations(0).empty());
-  // Once the registration says it, the others need not be told.
+  // Once the registration shows it, the mark is no longer sent to others.
   entry.state_ = BackendState::Draining;
   here.ApplyPut(entry, 4);
   EXPECT_TRUE(here.LeavingIncarnations(10).empty());
-  // The next life takes work again, and an old notice does not concern it.
+  // The next incarnation takes work again and isn't affected by old notices.
   entry.state_ = BackendState::Ready;
   entry.startTimeMs_ = 6;
   here.ApplyPut(entry, 5);
@@ -298,10 +305,10 @@
   EXPECT_TRUE(here.Entries().at("a").TakesNewWork());
 }
 
-// Guards against dropping living servers whose registrations lapsed while the
-// store was away, and (tas-south, hunt-d1ba-15) against keeping one that left
-// for longer than 2 s.
-TEST(BackendDirectory, KeepsLapsedEntriesForAWhile)
+// Guards against removing live servers whose registrations expired while the
+// store was unavailable, and against keeping a server that has left for longer
+// than 2 s (run tas-south, hunt-d1ba-15).
+TEST(BackendDirectory, KeepsExpiredEntriesForAGracePeriod)
 {
   BackendDirectory directory(kDrainMs);
   directory.ApplyList({ Entry("a"), Entry("b") }, 1000);
@@ -315,12 +322,12 @@
   EXPECT_TRUE(directory.Entries().contains("b"));
 }
 
-// Guards against a grace time that does not follow the deployment's bound for
-// servers that leave.
-TEST(BackendDirectory, GraceEndsBeforeTheDrainBound)
+// Guards against a grace period that exceeds the time limit which a deployment
+// sets for servers that leave.
+TEST(BackendDirectory, GracePeriodEndsBeforeTheDrainLimit)
 {
-  // Bounds of the users' deployments and odd ones; the grace time itself is at
-  // most 2.2 s.
+  // Limits of the users' deployments and unusual ones. The grace period itself
+  // is at most 2.2 s.
   for (const TimeMs drainMs : { 700, 1000, 2000, 2500, 3000, 60000 }) {
     BackendDirectory directory(drainMs);
     directory.ApplyList({ Entry("a"), Entry("b") }, 1000);
@@ -332,9 +339,9 @@
   }
 }
 
-// Guards against failing calls that prolong the grace time again and again: the
-// server left meanwhile (large eg-north trouble-1, rule DRAIN).
-TEST(BackendDirectory, DisturbancesDoNotProlongTheGraceBeyondTheBound)
+// Guards against repeatedly failing store calls that extend the grace period of
+// a server which has left (run large eg-north trouble-1, rule DRAIN).
+TEST(BackendDirectory, FailedCallsDoNotExtendTheGracePeriodBeyondTheLimit)
 {
   BackendDirectory directory(3000);
   directory.ApplyList({ Entry("a"), Entry("b") }, 1000);
@@ -347,8 +354,8 @@
   EXPECT_TRUE(directory.Expire(5000 + 3000 - 400));
 }
 
-// Guards against waiting for a server that said that it leaves.
-TEST(BackendDirectory, DoesNotWaitForDrainingServers)
+// Guards against a grace period for a server that announced that it is leaving.
+TEST(BackendDirectory, DrainingServersGetNoGracePeriod)
 {
   BackendDirectory directory(kDrainMs);
   directory.ApplyList({ Entry("a", BackendState::Draining) }, 1000);
@@ -357,23 +364,23 @@
   EXPECT_FALSE(directory.Entries().contains("a"));
 }
 
-// Guards against a leader that keeps a server which has left for its grace time
-// although a gateway beside it saw the removal, and restores it at all others
-// (tas-south leader-in-series, rule DRAIN).
-TEST(BackendDirectory, RemovalSeenByOthersNeedsNoGrace)
+// Guards against a leader that keeps a server that has left for a grace period
+// although another gateway saw its removal, and restores it at all other
+// gateways (run tas-south leader-in-series, rule DRAIN).
+TEST(BackendDirectory, RemovalSeenByOthersNeedsNoGracePeriod)
 {
-  for (const bool toldFirst : { false, true }) {
+  for (const bool confirmedFirst : { false, true }) {
     BackendDirectory directory(kDrainMs);
     directory.ApplyList({ Entry("a"), Entry("b") }, 1000);
     directory.OnStoreCallFailed(1500);
-    if (toldFirst) {
+    if (confirmedFirst) {
       directory.ConfirmRemoved("a", 1590);
     }
     directory.ApplyRemoved("a", 1600);
-    EXPECT_EQ(directory.Entries().contains("a"), !toldFirst);
+    EXPECT_EQ(directory.Entries().contains("a"), !confirmedFirst);
     directory.ConfirmRemoved("a", 1610);
     EXPECT_FALSE(directory.Entries().contains("a"));
-    // It is back, and goes missing with a later disturbance.
+    // The server registers again and is missing after a later failed call.
     directory.ApplyPut(Entry("a"), 2000);
     directory.OnStoreCallFailed(2100);
     directory.ApplyRemoved("a", 2200);
@@ -382,17 +389,17 @@
   }
 }
 
-// Guards against gateways that recompute all places with every beat of every
-// server: with 350 servers it took half of the processor time of small
-// gateways, which then served requests of callers that had left.
-TEST(BackendDirectory, BeatsChangeNothing)
+// Guards against gateways that recompute all assignments with every heartbeat
+// of every server. With 350 servers this took half of the CPU time of small
+// gateways, which then served requests of callers that had disconnected.
+TEST(BackendDirectory, HeartbeatsAreNotChanges)
 {
   BackendDirectory directory(kDrainMs);
   directory.ApplyList({ Entry("a"), Entry("b") }, 1000);
   EXPECT_EQ(directory.TakeChanges(), (std::set<std::string>{ "a", "b" }));
-  auto beat = Entry("a");
-  beat.coldRemainingMs_ = 700;
-  directory.ApplyPut(beat, 1100);
+  auto heartbeat = Entry("a");
+  heartbeat.coldRemainingMs_ = 700;
+  directory.ApplyPut(heartbeat, 1100);
   directory.ApplyList({ Entry("a"), Entry("b") }, 1200);
   EXPECT_TRUE(directory.TakeChanges().empty());
   directory.ApplyPut(Entry("a", BackendState::Draining), 1300);
@@ -402,8 +409,9 @@
   EXPECT_EQ(directory.TakeChanges(), (std::set<std::string>{ "a" }));
 }
 
-// Guards against a gateway that takes another directory for its own.
-TEST(BackendDirectory, DigestTellsDirectoriesApart)
+// Guards against a gateway that doesn't notice that its directory differs from
+// that of another gateway.
+TEST(BackendDirectory, DigestDistinguishesDirectories)
 {
   BackendDirectory one(kDrainMs);
   BackendDirectory other(kDrainMs);
--- a/tests/LoadMeasurementTest.cpp
+++ b/tests/LoadMeasurementTest.cpp
@@ -15,7 +15,7 @@
   return HashKey("key" + std::to_string(aIndex));
 }
 
-/// 1,000 requests/s for aSeconds: the hot key gets a fifth of them.
+/// Adds 1,000 requests/s for aSeconds, a fifth of them for the hot key.
 void Feed(HotKeySketch& aSketch, KeyHash aHot, TimeMs aBeginMs, int aSeconds)
 {
   std::mt19937_64 random(static_cast<uint64_t>(aBeginMs) + 1);
@@ -25,8 +25,8 @@
   }
 }
 
-// Guards against a hot key that is hidden by many cold ones, and against a
-// lower bound above the true rate.
+// Guards against missing a hot key among many cold ones, and against a lower
+// bound above the true rate.
 TEST(HotKeySketch, FindsTheHotKeyAmongMany)
 {
   HotKeySketch sketch;
@@ -37,7 +37,7 @@
   EXPECT_LE(top.perSecond_ - top.errorPerSecond_, 220);
 }
 
-// Guards against an old hot key that hides one that became hot seconds ago.
+// Guards against a former hot key that hides one that became hot seconds ago.
 TEST(HotKeySketch, NewHotKeyShowsWithinSeconds)
 {
   HotKeySketch sketch;
@@ -48,8 +48,8 @@
   EXPECT_GT(top[0].perSecond_, 100);
 }
 
-// Guards against wrong sums when sketches of several threads are merged, also
-// after hours, when weights have been rescaled often.
+// Guards against wrong sums when the sketches of several threads are merged,
+// also after hours in which the weights were rescaled many times.
 TEST(HotKeySketch, MergeAddsRates)
 {
   constexpr TimeMs kHours = 36000000;
@@ -79,7 +79,7 @@
   };
 }
 
-// Guards against routers that replace each other's loads.
+// Guards against the load of one router replacing that of another.
 TEST(LoadMerger, SumsRoutersAndWeighsHotKeys)
 {
   LoadMerger merger;
@@ -94,8 +94,9 @@
   EXPECT_DOUBLE_EQ(input.hotKeys_[0].load_, 150);
 }
 
-// Guards against a router that was lost and whose last load counts for ever.
-TEST(LoadMerger, SilentRouterAgesOut)
+// Guards against counting the last load of a router forever after it has
+// exited.
+TEST(LoadMerger, RouterWithoutReportsIsDropped)
 {
   LoadMerger merger;
   merger.Add(Load("r1", 400), 0);
@@ -107,26 +108,27 @@
   EXPECT_DOUBLE_EQ(input.sliceLoad_[0], 200);
 }
 
-// Guards against reports that would turn every decision into nonsense.
+// Guards against malformed reports that would invalidate all balancing
+// decisions.
 TEST(LoadMerger, ImplausibleReportsAreIgnored)
 {
   LoadMerger merger;
   auto negative = Load("r1", 1);
   negative.slices_[0].requests_ = -1;
-  auto endless = Load("r1", 1);
-  endless.windowMs_ = 0;
+  auto emptyWindow = Load("r1", 1);
+  emptyWindow.windowMs_ = 0;
   EXPECT_FALSE(merger.Add(Load("r1", std::nan("")), 0));
   EXPECT_FALSE(merger.Add(Load("r1", -1), 0));
   EXPECT_FALSE(merger.Add(Load("r1", INFINITY), 0));
   EXPECT_FALSE(merger.Add(Load("r1", 1e9), 0));
   EXPECT_FALSE(merger.Add(Load("", 1), 0));
   EXPECT_FALSE(merger.Add(negative, 0));
-  EXPECT_FALSE(merger.Add(endless, 0));
+  EXPECT_FALSE(merger.Add(emptyWindow, 0));
   EXPECT_EQ(merger.Routers(), 0u);
   EXPECT_EQ(merger.Rejected(), 7);
 }
 
-// Guards against losing load measured with a table older than the last merge.
+// Guards against losing load that was measured with the table before a merge.
 TEST(LoadMerger, LoadOfMergedSlicesIsKept)
 {
   LoadMerger merger;
--- a/tests/LoadPerKeyPolicyTest.cpp
+++ b/tests/LoadPerKeyPolicyTest.cpp
@@ -22,7 +22,7 @@
   {
   }
 
-  /// Loads of equal slices, scaled by scale_, with keys_ on top of them.
+  /// Equal loads of all slices, scaled by scale_, plus the loads of keys_.
   BalanceInput Input() const
   {
     BalanceInput input;
@@ -42,7 +42,8 @@
     return input;
   }
 
-  /// Plans and applies for aSeconds; the load moved.
+  /// Plans once per second for aSeconds and applies the plans. Returns the load
+  /// that was moved.
   double Run(int aSeconds)
   {
     double moved = 0;
@@ -78,20 +79,20 @@
   TimeMs nowMs_ = 0;
 };
 
-// Guards against moves that gain nothing.
+// Guards against moves without a benefit.
 TEST_F(LoadPerKeyPolicyTest, EvenLoadMovesNothing)
 {
   EXPECT_EQ(Run(120), 0);
-  keys_[kHot] = 1; // level 1.06: below the upper threshold
+  keys_[kHot] = 1; // relative load 1.06: below the upper threshold
   EXPECT_EQ(Run(120), 0);
 }
 
-// Guards against a balancer that uses up the owners' caches: slight imbalance
-// is worked off within 1% of the load a minute.
+// Guards against moves that make the owners' caches useless: a slight imbalance
+// is corrected by moving at most 1% of the load per minute.
 TEST_F(LoadPerKeyPolicyTest, SteadyChurnStaysInTheBudget)
 {
   for (KeyHash i = 0; i < 16; ++i) {
-    keys_[(i << 60) + 1] = 0.13; // all of server 0: level 1.12
+    keys_[(i << 60) + 1] = 0.13; // all on server 0: relative load 1.12
   }
   const double total = kSlices + 16 * 0.13;
   const double before = Peak();
@@ -101,8 +102,8 @@
   EXPECT_LT(Peak(), before);
 }
 
-// Guards against a hot key that stays together with other keys although it
-// takes a whole server by itself.
+// Guards against a hot key that shares a server with other keys although it
+// saturates the server by itself.
 TEST_F(LoadPerKeyPolicyTest, KeyAboveCapacityGetsItsOwnServer)
 {
   keys_[kHot] = 30;
@@ -110,13 +111,13 @@
   const int32_t owner = table_.FindSlice(kHot).owner_;
   EXPECT_EQ(std::ranges::count(table_.slices_, owner, &SliceRecord::owner_), 1);
   EXPECT_EQ(Peak(), 30);
-  EXPECT_LT(moved, 17); // only the other slices of its first owner
+  EXPECT_LT(moved, 17); // only the other slices of the key's first owner
   auto loads = Loads();
   std::ranges::sort(loads);
   EXPECT_LT(loads[kServers - 2], 1.1 * kSlices / (kServers - 1));
 }
 
-// Guards against a table that grows with every key that was hot once.
+// Guards against a table that grows with every key that was ever hot.
 TEST_F(LoadPerKeyPolicyTest, ColdKeyIsMergedBack)
 {
   keys_[kHot] = 12;
@@ -129,13 +130,13 @@
   EXPECT_EQ(table_.slices_.size(), static_cast<size_t>(kSlices));
 }
 
-// Guards against new work for a draining server, and against a leave that
-// moves more than its load or unbalances the others.
+// Guards against new slices for a draining server, and against moving more than
+// its load or unbalancing the other servers when it leaves.
 TEST_F(LoadPerKeyPolicyTest, DrainingServerIsEmptiedAtOnce)
 {
   table_.servers_[3].draining_ = true;
   usable_[3] = false;
-  usable_[5] = false; // silent: gets nothing
+  usable_[5] = false; // unresponsive: gets no slices
   const double moved = Run(1);
   EXPECT_DOUBLE_EQ(moved, 16);
   const auto loads = Loads();
@@ -144,7 +145,7 @@
   EXPECT_LT(Peak(), 1.1 * 240 / 14);
 }
 
-// Guards against a joining server that gets its full share while it is cold.
+// Guards against giving a joining server its full share while it is cold.
 TEST_F(LoadPerKeyPolicyTest, JoiningServerIsFilledInSteps)
 {
   Run(1);
@@ -162,9 +163,9 @@
   EXPECT_LE(moved, 1.2 * fair);
 }
 
-// Guards against a new service whose first server keeps all slices until load
-// has come and the others have warmed up.
-TEST_F(LoadPerKeyPolicyTest, IdleGroupIsSpreadAtOnce)
+// Guards against a new service whose first server keeps all slices until it
+// gets load and the other servers have warmed up.
+TEST_F(LoadPerKeyPolicyTest, IdleGroupIsBalancedAtOnce)
 {
   scale_ = 0;
   for (auto& slice : table_.slices_) {
@@ -178,7 +179,7 @@
   }
 }
 
-// Guards against putting all moved load into one failure domain.
+// Guards against moving all load into one failure domain.
 TEST_F(LoadPerKeyPolicyTest, MovesAreSpreadOverFailureDomains)
 {
   table_.servers_[0].draining_ = true;
@@ -190,11 +191,11 @@
   }
   EXPECT_EQ(domains.size(), 4u);
   for (const auto& [domain, moves] : domains) {
-    EXPECT_LE(moves, 7) << domain; // domain0 has three servers left of four
+    EXPECT_LE(moves, 7) << domain; // domain0 has 3 of its 4 servers left
   }
 }
 
-// Guards against a crash on a call with inconsistent input.
+// Guards against out-of-bounds access when the input is inconsistent.
 TEST_F(LoadPerKeyPolicyTest, InconsistentInputIsIgnored)
 {
   auto input = Input();
--- a/tests/OwnerAdmissionTest.cpp
+++ b/tests/OwnerAdmissionTest.cpp
@@ -11,15 +11,15 @@
 
 constexpr uint32_t kOwner = 7;
 
-/// What the callers of one hot key get in 5 s when 295 gateways send requests
-/// to its owner, which rejects what does not fit into its queue.
-struct HotKeyPlay
+/// Result of 5 s in which 295 gateways send requests for one hot key to its
+/// owner, which rejects requests that don't fit into its queue.
+struct HotKeyResult
 {
   int served_ = 0;
-  int rejected_ = 0; ///< by the owner: arrivals in vain
+  int rejected_ = 0; ///< by the owner
 };
 
-HotKeyPlay PlayHotKey(bool aShares)
+HotKeyResult SimulateHotKey(bool aShares)
 {
   constexpr int kGateways = 295;
   constexpr double kDemand = 800; // requests/s, all gateways
@@ -32,10 +32,10 @@
     gateways.emplace_back(random());
   }
   std::uniform_int_distribution<size_t> anyGateway(0, kGateways - 1);
-  HotKeyPlay play;
-  double waiting = 0;
+  HotKeyResult result;
+  double queued = 0;
   for (TimeMs nowMs = 0; nowMs < kEndMs; ++nowMs) {
-    waiting = std::max(0.0, waiting - kCapacity / 1000);
+    queued = std::max(0.0, queued - kCapacity / 1000);
     if (aShares && nowMs % 500 == 0 && nowMs >= 500) {
       const auto shares =
         ComputeAdmissionShares({ { kOwner, kDemand, kCapacity } });
@@ -48,30 +48,31 @@
       if (!gateways[anyGateway(random)].TryAdmit(kOwner, nowMs)) {
         continue;
       }
-      if (waiting + 1 > kQueue) {
-        ++play.rejected_;
+      if (queued + 1 > kQueue) {
+        ++result.rejected_;
       } else {
-        waiting += 1;
-        ++play.served_;
+        queued += 1;
+        ++result.served_;
       }
     }
   }
-  return play;
+  return result;
 }
 
-// Guards against hundreds of gateways that each send a hot key's owner what it
-// could run alone: the owner spends its time on rejecting them.
-TEST(OwnerAdmission, AddsUpToWhatTheOwnerCanRun)
+// Guards against hundreds of gateways that each send the owner of a hot key as
+// many requests as it can run in total, so that it spends its time on rejecting
+// them.
+TEST(OwnerAdmission, SharesAddUpToTheOwnersCapacity)
 {
-  const auto without = PlayHotKey(false);
-  const auto with = PlayHotKey(true);
+  const auto without = SimulateHotKey(false);
+  const auto with = SimulateHotKey(true);
   EXPECT_GE(with.served_, without.served_ * 95 / 100);
-  // The first half second is without shares: about 380 of 4,000 arrivals.
+  // There are no shares in the first half second: about 380 of 4,000 requests.
   EXPECT_LT(with.rejected_, without.rejected_ / 5);
 }
 
-// Guards against owners that are refused requests although they have room.
-TEST(OwnerAdmission, LeavesOwnersWithRoomAlone)
+// Guards against limiting requests to owners with free capacity.
+TEST(OwnerAdmission, LimitsOnlyOverloadedOwners)
 {
   EXPECT_TRUE(
     ComputeAdmissionShares({ { kOwner, 10, 12 }, { 8, 0, 12 } }).empty());
@@ -88,8 +89,9 @@
   EXPECT_NEAR(admitted, 115, 2);
 }
 
-// Guards against a share that outlives the overload or the leader.
-TEST(OwnerAdmission, SharesEnd)
+// Guards against a share that remains in effect after the overload has ended or
+// the leader has exited.
+TEST(OwnerAdmission, SharesExpire)
 {
   OwnerAdmission admission(1);
   admission.Update({ { kOwner, 0.01 } }, 1000);
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -24,8 +24,8 @@
   return candidate;
 }
 
-// Guards against a request that queues at a full server beside a free one.
-TEST(Placement, TakesTheSoonestAnswer)
+// Guards against a request that queues at a busy server while another is free.
+TEST(Placement, ChoosesTheLowestExpectedLatency)
 {
   const std::vector servers = { Server(250, 100), Server(120, 120) };
   const auto decision = Place({}, kRequest, servers);
@@ -33,10 +33,10 @@
   EXPECT_EQ(decision.index_, 1U);
 }
 
-// Guards against queues that make all answers late: what cannot be answered
-// within the objective waits an eighth of it and is then refused, with a time
-// to come back that the caller honours.
-TEST(Placement, RefusesWhatWouldBeLate)
+// Guards against queues that make all responses late. A request that can't be
+// served within its objective waits for an eighth of it and is then rejected,
+// with a Retry-After that the caller honours.
+TEST(Placement, RejectsRequestsThatWouldBeLate)
 {
   const std::vector servers = { Server(900, 100) };
   auto request = kRequest;
@@ -48,17 +48,17 @@
   EXPECT_LE(decision.retryAfterMs_, request.remainingMs_ / 3);
 }
 
-// Guards against refusing for slowness alone: a slow server without a queue
-// still answers.
+// Guards against rejecting requests for a slow server that has no queue.
 TEST(Placement, UsesASlowServerThatDoesNotQueue)
 {
   EXPECT_EQ(Place({}, kRequest, std::vector{ Server(700, 700) }).verdict_,
             PlacementVerdict::Send);
 }
 
-// Guards against sending to servers that are down, tried or without a
-// connection, and against waiting for a server that does not exist.
-TEST(Placement, LeavesOutUnusableServers)
+// Guards against sending a request to servers that are down, have already
+// failed it or are full, and against waiting when no server can become
+// available.
+TEST(Placement, SkipsUnusableServers)
 {
   auto down = Server(100, 100);
   down.down_ = true;
@@ -72,16 +72,17 @@
             PlacementVerdict::Wait);
 }
 
-// Guards against grey servers that attract requests because they fail fast.
+// Guards against partially failing servers that attract requests because they
+// fail fast.
 TEST(Placement, AvoidsFailingServers)
 {
-  auto grey = Server(80, 80);
-  grey.failureShare_ = 0.4;
-  EXPECT_EQ(Place({}, kRequest, std::vector{ grey, Server(150, 150) }).index_,
-            1U);
+  auto failing = Server(80, 80);
+  failing.failureShare_ = 0.4;
+  EXPECT_EQ(
+    Place({}, kRequest, std::vector{ failing, Server(150, 150) }).index_, 1U);
 }
 
-// Guards against large bodies and answers that cross failure domains without
+// Guards against large bodies and responses that cross failure domains without
 // need.
 TEST(Placement, KeepsLargeBodiesInTheirDomain)
 {
@@ -96,9 +97,10 @@
   EXPECT_EQ(Place({}, request, servers).index_, 1U);
 }
 
-// Guards against requests that become late to save bytes: a near server whose
-// answer is barely within the objective is no better than a far one.
-TEST(Placement, CrossesWhereTheNearServerQueues)
+// Guards against requests that become late to save cross-domain traffic: a
+// server of the same domain whose response is only just within the objective
+// has no advantage.
+TEST(Placement, CrossesDomainsWhenTheOwnDomainQueues)
 {
   auto far = Server(120, 100);
   far.sameDomain_ = false;
@@ -120,48 +122,47 @@
   return names;
 }
 
-// Guards against servers that nobody prefers, or that many prefer while others
-// have none: each server of a domain with enough servers has one home gateway.
-RC_GTEST_PROP(PreferredServers, EveryServerHasAHome, ())
+// Guards against servers that no gateway prefers: if there are enough servers,
+// each of them is preferred by a gateway.
+RC_GTEST_PROP(PreferredServers, EveryServerIsPreferredByAGateway, ())
 {
   const auto gateways =
     Names("g", *rc::gen::inRange(1, 70), *rc::gen::inRange(1, 5));
   const auto servers =
     Names("s", *rc::gen::inRange(1, 150), *rc::gen::inRange(1, 6));
-  std::map<std::string, int> homes;
+  std::map<std::string, int> preferringGateways;
   size_t most = 0;
   for (const auto& [gateway, domain] : gateways) {
     const auto own = PreferredServers(gateway, gateways, servers);
     most = std::max(most, own.size());
     for (const auto& server : own) {
-      ++homes[server];
+      ++preferringGateways[server];
     }
   }
   if (servers.size() >= gateways.size() * 6) {
-    RC_ASSERT(homes.size() == servers.size());
+    RC_ASSERT(preferringGateways.size() == servers.size());
   }
-  // With more gateways than servers a server is shared, but by as few as can
-  // be.
-  for (const auto& [server, count] : homes) {
+  // With more gateways than servers, gateways share a server.
+  for (const auto& [server, count] : preferringGateways) {
     RC_ASSERT(count <= static_cast<int>(gateways.size()));
   }
 }
 
-// Guards against loads that are told again and again although nothing changed.
-TEST(FleetLoadTable, TellsChangesOnce)
+// Guards against loads that are sent repeatedly although nothing has changed.
+TEST(FleetLoadTable, ReturnsEachChangeOnce)
 {
-  FleetLoadTable board;
-  board.Add({ 7, 100, 3 }, 1000);
-  EXPECT_EQ(board.TakeChanged(1000).size(), 1U);
-  EXPECT_TRUE(board.TakeChanged(1100).empty());
-  board.Add({ 7, 0, 5 }, 1200);
-  const auto changed = board.TakeChanged(1200);
+  FleetLoadTable table;
+  table.Add({ 7, 100, 3 }, 1000);
+  EXPECT_EQ(table.TakeChanged(1000).size(), 1U);
+  EXPECT_TRUE(table.TakeChanged(1100).empty());
+  table.Add({ 7, 0, 5 }, 1200);
+  const auto changed = table.TakeChanged(1200);
   ASSERT_EQ(changed.size(), 1U);
   EXPECT_EQ(changed[0].load_, 5);
   EXPECT_EQ(changed[0].serviceTimeMs_, 100)
     << "an unknown time keeps the known one";
-  EXPECT_TRUE(board.TakeChanged(1200 + FleetLoadTable::kForgetMs + 1).empty());
-  EXPECT_EQ(board.ServiceTimeMs(7), 0);
+  EXPECT_TRUE(table.TakeChanged(1200 + FleetLoadTable::kForgetMs + 1).empty());
+  EXPECT_EQ(table.ServiceTimeMs(7), 0);
 }
 
 }
--- a/tests/RequestQueueTest.cpp
+++ b/tests/RequestQueueTest.cpp
@@ -10,14 +10,14 @@
 namespace {
 
 constexpr ServiceRate kRate{ .serviceMs_ = 10, .concurrency_ = 1 };
-constexpr TimeMs kFar = 100000;
+constexpr TimeMs kFarDeadline = 100000;
 
-// Guards against serving a request with a far deadline before a near one.
-TEST(RequestQueue, NearestDeadlineFirst)
+// Guards against serving a request before one with an earlier deadline.
+TEST(RequestQueue, EarliestDeadlineFirst)
 {
   RequestQueue queue({}, 1);
   std::vector<RefusedRequest> refused;
-  queue.Offer({ 1, 11, kFar }, kRate, 0, refused);
+  queue.Offer({ 1, 11, kFarDeadline }, kRate, 0, refused);
   queue.Offer({ 2, 12, 500 }, kRate, 0, refused);
   queue.Offer({ 3, 13, 900 }, kRate, 0, refused);
   EXPECT_EQ(queue.Take(kRate, 0, refused)->id_, 2u);
@@ -26,9 +26,9 @@
   EXPECT_TRUE(refused.empty());
 }
 
-// Guards against a flood on one key that fills the queue and starves the
-// other keys, even when its deadlines are nearer.
-TEST(RequestQueue, FloodedKeyKeepsOnlyItsShare)
+// Guards against a burst of requests for one key that fills the queue and
+// starves the other keys, even if its deadlines are earlier.
+TEST(RequestQueue, BurstForOneKeyGetsOnlyItsShare)
 {
   RequestQueue queue({ .limit_ = 16 }, 1);
   std::vector<RefusedRequest> refused;
@@ -36,7 +36,7 @@
     queue.Offer({ id, 1, 1000 }, kRate, 0, refused);
   }
   for (uint64_t id = 100; id < 104; ++id) {
-    queue.Offer({ id, id, kFar }, kRate, 0, refused);
+    queue.Offer({ id, id, kFarDeadline }, kRate, 0, refused);
   }
   EXPECT_EQ(queue.Size(), 16u);
   EXPECT_EQ(refused.size(), 4u);
@@ -45,14 +45,14 @@
     firstFive.insert(queue.Take(kRate, 0, refused)->id_);
   }
   EXPECT_EQ(firstFive, (std::set<uint64_t>{ 0, 100, 101, 102, 103 }));
-  for (const auto& one : refused) {
-    EXPECT_LT(one.id_, 100u);
+  for (const auto& request : refused) {
+    EXPECT_LT(request.id_, 100u);
   }
 }
 
-// Guards against holding a request that cannot be served in time until its
-// deadline instead of refusing it at once.
-TEST(RequestQueue, HopelessRequestIsRefusedAtOnce)
+// Guards against queueing a request that can't be served in time until its
+// deadline instead of rejecting it immediately.
+TEST(RequestQueue, RequestThatCannotMeetItsDeadlineIsRejected)
 {
   RequestQueue queue({}, 1);
   std::vector<RefusedRequest> refused;
@@ -69,8 +69,8 @@
   EXPECT_EQ(refused.size(), 20u);
 }
 
-// Guards against refused callers that all come back at the same moment.
-TEST(RequestQueue, RefusedCallersComeBackSpread)
+// Guards against rejected callers that all retry at the same time.
+TEST(RequestQueue, RetriesOfRejectedCallersAreSpread)
 {
   RequestQueue queue({}, 1);
   std::vector<TimeMs> waits;
@@ -87,7 +87,7 @@
   }
 }
 
-// Guards against lost or doubled requests in any order of calls.
+// Guards against lost or duplicated requests in any sequence of calls.
 RC_GTEST_PROP(RequestQueue, EveryRequestLeavesOnce, ())
 {
   RequestQueue queue({ .limit_ = 8 }, 1);
@@ -115,8 +115,8 @@
   while (const auto taken = queue.Take(kRate, now, refused)) {
     left.insert(taken->id_);
   }
-  for (const auto& one : refused) {
-    left.insert(one.id_);
+  for (const auto& request : refused) {
+    left.insert(request.id_);
   }
   RC_ASSERT(left.size() == offered);
   RC_ASSERT(std::set<uint64_t>(left.begin(), left.end()).size() == offered);
--- a/tests/RetryBudgetTest.cpp
+++ b/tests/RetryBudgetTest.cpp
@@ -5,9 +5,9 @@
 namespace cactuspitch {
 namespace {
 
-// Guards against retries that multiply the load of an outage: beyond the saved
-// burst, ten requests pay for one retry.
-TEST(RetryBudget, TenPercentOfRequests)
+// Guards against retries that multiply the load during an outage: beyond the
+// initial burst, one retry is allowed per ten requests.
+TEST(RetryBudget, AllowsTenPercentOfRequests)
 {
   RetryBudget budget(10, 10);
   int retries = 0;
@@ -19,7 +19,7 @@
   EXPECT_GE(retries, 109);
 }
 
-// Guards against a quiet hour that saves up an unbounded number of retries.
+// Guards against an unbounded number of retries saved up without failures.
 TEST(RetryBudget, SavedRetriesAreBounded)
 {
   RetryBudget budget(10, 10);
@@ -33,9 +33,9 @@
   EXPECT_EQ(retries, 10);
 }
 
-// Guards against gateways that keep the share of a smaller fleet after others
-// have joined, so that all together retry more than is allowed.
-TEST(RetryBudget, LowerLimitsHoldAtOnce)
+// Guards against gateways that keep the limits of a smaller fleet after other
+// gateways have joined, so that the fleet as a whole exceeds the retry budget.
+TEST(RetryBudget, LowerLimitsApplyAtOnce)
 {
   RetryBudget budget(10, 10);
   budget.SetLimits(10, 2);
--- a/tests/SilentConnectionTest.cpp
+++ b/tests/SilentConnectionTest.cpp
@@ -17,9 +17,9 @@
   SilentConnectionDetector detector_;
 };
 
-// Guards against waiting for an attempt's time limit on a connection that is
-// silent while the server answers on another one.
-TEST_F(SilentConnection, SilentWhileAnotherAnswers)
+// Guards against waiting for the timeout of an attempt on a connection that
+// delivers no response while the server responds on another one.
+TEST_F(SilentConnection, SilentWhileAnotherConnectionResponds)
 {
   const auto idle = detector_.Open(0);
   const auto silent = detector_.Open(1);
@@ -31,7 +31,7 @@
   EXPECT_EQ(detector_.OlderIdleConnections(silent), std::vector{ idle });
 }
 
-// Guards against blaming the connections of a server that froze or is slow on
+// Guards against closing the connections to a server that is frozen or slow on
 // all of them.
 TEST_F(SilentConnection, FrozenServerIsNotSilent)
 {
@@ -44,7 +44,7 @@
   EXPECT_FALSE(detector_.IsSilent(second, 5000));
 }
 
-// Guards against closing connections of a server whose answers take long.
+// Guards against closing connections to a server with slow responses.
 TEST_F(SilentConnection, LimitFollowsTheLatency)
 {
   const auto slow = detector_.Open(0);
@@ -61,8 +61,9 @@
   EXPECT_TRUE(detector_.IsSilent(slow, 2800));
 }
 
-// Guards against a connection that answers being its own proof.
-TEST_F(SilentConnection, OwnAnswersAreNoProof)
+// Guards against treating responses on the same connection as evidence that it
+// is silent.
+TEST_F(SilentConnection, OwnResponsesAreNoEvidence)
 {
   const auto only = detector_.Open(0);
   Exchange(only, 0, 5);
