--- a/membership/BackendDirectory.cpp
+++ b/membership/BackendDirectory.cpp
@@ -22,17 +22,18 @@
                            " ",
                            EnumName(aEntry.state_),
                            " ",
-                           aEntry.bornMs_);
-  // The number of entries counts too.
+                           aEntry.startTimeMs_);
+  // Plus 1, so that the sum also depends on the number of entries.
   return XXH3_64bits(text.data(), text.size()) + 1;
 }
 
-int32_t LifeHash(const std::string& aId, int64_t aBornMs)
+int32_t IncarnationHash(const std::string& aId, int64_t aStartTimeMs)
 {
-  return static_cast<int32_t>(ShortHash(Concat(aId, "#", aBornMs)));
+  return static_cast<int32_t>(ShortHash(Concat(aId, "#", aStartTimeMs)));
 }
 
-/// Servers that have left are forgotten beyond this number.
+/// Number of leaving servers from which those without a registration are
+/// dropped.
 constexpr size_t kMaxLeaving = 4096;
 
 }
@@ -80,71 +81,75 @@
 
 bool BackendDirectory::IsLeaving(const BackendEntry& aEntry) const
 {
-  const auto found = leavingBornMs_.find(aEntry.id_);
-  return found != leavingBornMs_.end() && found->second == aEntry.bornMs_;
+  const auto found = leavingStartTimeMs_.find(aEntry.id_);
+  return found != leavingStartTimeMs_.end() &&
+         found->second == aEntry.startTimeMs_;
 }
 
-bool BackendDirectory::MarkLeaving(const std::string& aId, int64_t aBornMs)
+bool BackendDirectory::MarkLeaving(const std::string& aId, int64_t aStartTimeMs)
 {
-  if (leavingBornMs_.size() >= detail::kMaxLeaving) {
-    std::erase_if(leavingBornMs_, [&](const auto& aLeaving) {
+  if (leavingStartTimeMs_.size() >= detail::kMaxLeaving) {
+    std::erase_if(leavingStartTimeMs_, [&](const auto& aLeaving) {
       return !entries_.contains(aLeaving.first);
     });
     leavingHashes_.clear();
-    for (const auto& [id, bornMs] : leavingBornMs_) {
-      leavingHashes_.insert(detail::LifeHash(id, bornMs));
+    for (const auto& [id, startTimeMs] : leavingStartTimeMs_) {
+      leavingHashes_.insert(detail::IncarnationHash(id, startTimeMs));
     }
   }
-  const auto [marked, isNew] = leavingBornMs_.try_emplace(aId, aBornMs);
-  if (!isNew && marked->second >= aBornMs) {
+  const auto [marked, isNew] =
+    leavingStartTimeMs_.try_emplace(aId, aStartTimeMs);
+  if (!isNew && marked->second >= aStartTimeMs) {
     return false;
   }
-  marked->second = aBornMs;
-  leavingHashes_.insert(detail::LifeHash(aId, aBornMs));
+  marked->second = aStartTimeMs;
+  leavingHashes_.insert(detail::IncarnationHash(aId, aStartTimeMs));
   const auto entry = entries_.find(aId);
-  if (entry != entries_.end() && entry->second.bornMs_ == aBornMs) {
+  if (entry != entries_.end() && entry->second.startTimeMs_ == aStartTimeMs) {
     entry->second.leaving_ = true;
     changes_.insert(aId);
   }
   return true;
 }
 
-bool BackendDirectory::MarkLeaving(const std::vector<int32_t>& aLives)
+bool BackendDirectory::MarkLeaving(const std::vector<int32_t>& aIncarnations)
 {
-  std::set<int32_t> lives(aLives.begin(), aLives.end());
-  // Each datagram names them again.
-  std::erase_if(lives,
-                [&](int32_t aLife) { return leavingHashes_.contains(aLife); });
-  if (lives.empty()) {
+  std::set<int32_t> incarnations(aIncarnations.begin(), aIncarnations.end());
+  // Datagrams repeat them.
+  std::erase_if(incarnations, [&](int32_t aIncarnation) {
+    return leavingHashes_.contains(aIncarnation);
+  });
+  if (incarnations.empty()) {
     return false;
   }
   std::vector<const BackendEntry*> leaving;
   for (const auto& [id, entry] : entries_) {
-    if (!entry.leaving_ &&
-        lives.contains(detail::LifeHash(id, entry.bornMs_))) {
+    if (!entry.leaving_ && incarnations.contains(
+                             detail::IncarnationHash(id, entry.startTimeMs_))) {
       leaving.push_back(&entry);
     }
   }
   for (const auto* entry : leaving) {
-    MarkLeaving(entry->id_, entry->bornMs_);
+    MarkLeaving(entry->id_, entry->startTimeMs_);
   }
   return !leaving.empty();
 }
 
-std::vector<int32_t> BackendDirectory::LeavingLives(size_t aMost) const
+std::vector<int32_t> BackendDirectory::LeavingIncarnations(
+  size_t aMaxCount) const
 {
-  std::vector<int32_t> lives;
-  for (const auto& [id, bornMs] : leavingBornMs_) {
+  std::vector<int32_t> incarnations;
+  for (const auto& [id, startTimeMs] : leavingStartTimeMs_) {
     const auto entry = entries_.find(id);
-    if (lives.size() < aMost && entry != entries_.end() &&
+    if (incarnations.size() < aMaxCount && entry != entries_.end() &&
         entry->second.leaving_ && entry->second.state_ == BackendState::Ready) {
-      lives.push_back(detail::LifeHash(id, bornMs));
+      incarnations.push_back(detail::IncarnationHash(id, startTimeMs));
     }
   }
-  return lives;
+  return incarnations;
 }
 
-void BackendDirectory::Drop(const std::string& aId)
+void BackendDirectory::Remove(const std::string& aId)
 {
   const auto known = entries_.find(aId);
   if (known != entries_.end()) {
@@ -167,15 +172,15 @@
     return aNowMs - aEntry.second > kGraceMs;
   });
   if (missing_.erase(aId) > 0) {
-    Drop(aId);
+    Remove(aId);
   } else {
     confirmedMs_[aId] = aNowMs;
   }
 }
 
-void BackendDirectory::OnStoreDisturbed(TimeMs aNowMs)
+void BackendDirectory::OnStoreCallFailed(TimeMs aNowMs)
 {
-  disturbedMs_ = aNowMs;
+  storeCallFailedMs_ = aNowMs;
   for (auto& [id, grace] : missing_) {
     grace.untilMs_ = std::min(aNowMs + kGraceMs, grace.latestMs_);
   }
@@ -188,7 +193,7 @@
     if (aEntry.second.untilMs_ > aNowMs) {
       return false;
     }
-    Drop(aEntry.first);
+    Remove(aEntry.first);
     return true;
   });
   return entries_.size() != before;
@@ -203,13 +208,13 @@
     listed.insert(entry.id_);
     ApplyPut(entry, aNowMs);
   }
-  std::vector<std::string> gone;
+  std::vector<std::string> unlisted;
   for (const auto& [id, entry] : entries_) {
     if (!listed.contains(id)) {
-      gone.push_back(id);
+      unlisted.push_back(id);
     }
   }
-  std::ranges::for_each(gone, [this](const auto& aId) { Drop(aId); });
+  std::ranges::for_each(unlisted, [this](const auto& aId) { Remove(aId); });
 }
 
 void BackendDirectory::MarkMissing(const std::string& aId, TimeMs aNowMs)
@@ -218,16 +223,17 @@
     return;
   }
   const auto confirmed = confirmedMs_.find(aId);
-  const bool disturbed =
-    disturbedMs_ != 0 && aNowMs - disturbedMs_ < kGraceMs &&
+  const bool storeCallFailed =
+    storeCallFailedMs_ != 0 && aNowMs - storeCallFailedMs_ < kGraceMs &&
     (confirmed == confirmedMs_.end() || aNowMs - confirmed->second > kGraceMs);
-  // A server that said that it drains is not waited for.
-  if (disturbed && entries_.at(aId).TakesNewWork()) {
-    const TimeMs latestMs = aNowMs + LongestGraceMs();
-    missing_[aId] = { std::min(disturbedMs_ + kGraceMs, latestMs), latestMs };
+  // A server that announced that it is draining gets no grace period.
+  if (storeCallFailed && entries_.at(aId).TakesNewWork()) {
+    const TimeMs latestMs = aNowMs + MaxGraceMs();
+    missing_[aId] = { std::min(storeCallFailedMs_ + kGraceMs, latestMs),
+                      latestMs };
     return;
   }
-  Drop(aId);
+  Remove(aId);
 }
 
 }
--- a/policy/RequestQueue.cpp
+++ b/policy/RequestQueue.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Attempts that take up to this many mean service times still end in time.
-constexpr double kReserve = 2;
+/// Time reserved for an attempt, in mean service times.
+constexpr double kReservedServiceTimes = 2;
 
 }
 
@@ -22,9 +22,10 @@
 
 bool RequestQueue::RanksBefore(const Entry& aLeft, const Entry& aRight)
 {
-  return std::tie(aLeft.turn_, aLeft.request_.deadlineMs_, aLeft.request_.id_) <
+  return std::tie(
+           aLeft.startTag_, aLeft.request_.deadlineMs_, aLeft.request_.id_) <
          std::tie(
-           aRight.turn_, aRight.request_.deadlineMs_, aRight.request_.id_);
+           aRight.startTag_, aRight.request_.deadlineMs_, aRight.request_.id_);
 }
 
 void RequestQueue::Offer(const QueuedRequest& aRequest,
@@ -33,30 +34,31 @@
                          std::vector<RefusedRequest>& aRefused)
 {
   const auto key = keys_.find(aRequest.key_);
-  const uint64_t turn = key == keys_.end()
-                          ? currentTurn_
-                          : std::max(currentTurn_, key->second.lastTurn_ + 1);
-  const Entry entry{ turn, aRequest };
-  const auto place = std::ranges::upper_bound(entries_, entry, RanksBefore);
-  const auto ahead = static_cast<double>(place - entries_.begin());
-  // Half of the time left is kept as a reserve: service times scatter, and the
-  // limit that the prediction rests on can fall.
-  const double leftMs = static_cast<double>(aRequest.deadlineMs_ - aNowMs);
-  const bool isHopeless = (ahead + 1) * aRate.MsPerRequest() > leftMs / 2 ||
-                          leftMs < kReserve * aRate.serviceMs_;
-  const bool isLast = place == entries_.end();
-  if (isHopeless || (isLast && entries_.size() >= options_.limit_)) {
+  const uint64_t startTag =
+    key == keys_.end() ? virtualTime_
+                       : std::max(virtualTime_, key->second.lastStartTag_ + 1);
+  const Entry entry{ startTag, aRequest };
+  const auto position = std::ranges::upper_bound(entries_, entry, RanksBefore);
+  const auto ahead = static_cast<double>(position - entries_.begin());
+  // Half of the remaining time is kept in reserve, because service times vary
+  // and the concurrency used for the prediction can decrease.
+  const double remainingMs = static_cast<double>(aRequest.deadlineMs_ - aNowMs);
+  const bool cannotMeetDeadline =
+    (ahead + 1) * aRate.MsPerRequest() > remainingMs / 2 ||
+    remainingMs < kReservedServiceTimes * aRate.serviceMs_;
+  const bool isLast = position == entries_.end();
+  if (cannotMeetDeadline || (isLast && entries_.size() >= options_.limit_)) {
     Refuse(aRequest, aRate, aNowMs, aRefused);
     return;
   }
-  entries_.insert(place, entry);
+  entries_.insert(position, entry);
   auto& state = keys_[aRequest.key_];
-  state.lastTurn_ = turn;
+  state.lastStartTag_ = startTag;
   ++state.queued_;
   if (entries_.size() > options_.limit_) {
     const QueuedRequest lowest = entries_.back().request_;
     entries_.pop_back();
-    Forget(lowest.key_);
+    OnRemoved(lowest.key_);
     Refuse(lowest, aRate, aNowMs, aRefused);
   }
 }
@@ -72,8 +74,8 @@
   }
   const Entry first = entries_.front();
   entries_.erase(entries_.begin());
-  currentTurn_ = std::max(currentTurn_, first.turn_);
-  Forget(first.request_.key_);
+  virtualTime_ = std::max(virtualTime_, first.startTag_);
+  OnRemoved(first.request_.key_);
   return first.request_;
 }
 
@@ -82,7 +84,7 @@
                           std::vector<RefusedRequest>& aRefused)
 {
   const double endMs =
-    static_cast<double>(aNowMs) + kReserve * aRate.serviceMs_;
+    static_cast<double>(aNowMs) + kReservedServiceTimes * aRate.serviceMs_;
   const auto isLate = [endMs](const Entry& aEntry) {
     return endMs > static_cast<double>(aEntry.request_.deadlineMs_);
   };
@@ -94,7 +96,7 @@
   const std::vector<Entry> refused(late, entries_.end());
   entries_.erase(late, entries_.end());
   for (const Entry& entry : refused) {
-    Forget(entry.request_.key_);
+    OnRemoved(entry.request_.key_);
     Refuse(entry.request_, aRate, aNowMs, aRefused);
   }
 }
@@ -108,7 +110,7 @@
   }
   const KeyHash key = found->request_.key_;
   entries_.erase(found);
-  Forget(key);
+  OnRemoved(key);
   return true;
 }
 
@@ -119,10 +121,10 @@
   const auto maxMs = static_cast<double>(options_.maxRetryAfterMs_);
   const double backlogMs =
     static_cast<double>(entries_.size()) * aRate.MsPerRequest();
-  comeBackAtMs_ = std::max(comeBackAtMs_, nowMs + minMs + backlogMs) +
-                  aRate.MsPerRequest() / options_.comeBackShare_;
-  comeBackAtMs_ = std::min(comeBackAtMs_, nowMs + maxMs);
-  const double waitMs = comeBackAtMs_ - nowMs;
+  nextRetryAtMs_ = std::max(nextRetryAtMs_, nowMs + minMs + backlogMs) +
+                   aRate.MsPerRequest() / options_.retryCapacityShare_;
+  nextRetryAtMs_ = std::min(nextRetryAtMs_, nowMs + maxMs);
+  const double waitMs = nextRetryAtMs_ - nowMs;
   constexpr double kJitter = 0.8;
   std::uniform_real_distribution<double> jitter(kJitter * waitMs, waitMs);
   return static_cast<TimeMs>(std::max(minMs, jitter(random_)));
@@ -145,7 +147,7 @@
   aRefused.push_back({ aRequest.id_, RetryAfterMs(aRate, aNowMs) });
 }
 
-void RequestQueue::Forget(KeyHash aKey)
+void RequestQueue::OnRemoved(KeyHash aKey)
 {
   const auto found = keys_.find(aKey);
   if (--found->second.queued_ == 0) {
--- a/policy/SuspectExchange.cpp
+++ b/policy/SuspectExchange.cpp
@@ -7,16 +7,16 @@
 
 namespace detail {
 
-/// Suspect requests of one datagram, about a kilobyte.
+/// Suspects per datagram, which make about a kilobyte.
 constexpr size_t kMaxSuspects = 48;
-/// Crashes of one moment are told together.
-constexpr TimeMs kGatherMs = 10;
+/// Changes within this time are sent in one message.
+constexpr TimeMs kBatchDelayMs = 10;
 constexpr TimeMs kRepeatMs = 250;
-/// Gateways agree within this time after a change; one that still differs
-/// missed it.
-constexpr TimeMs kSettleMs = 300;
-constexpr TimeMs kCompareMs = 1000;
-constexpr TimeMs kDigestMs = 20;
+/// Gateways agree within this time after a change; a gateway whose digest still
+/// differs has missed it.
+constexpr TimeMs kPropagationMs = 300;
+constexpr TimeMs kMinSyncIntervalMs = 1000;
+constexpr TimeMs kDigestMaxAgeMs = 20;
 
 }
 
@@ -27,37 +27,40 @@
 
 void SuspectExchange::OnChanged(TimeMs aNowMs)
 {
-  dueMs_ = std::min(dueMs_, aNowMs + detail::kGatherMs);
+  dueMs_ = std::min(dueMs_, aNowMs + detail::kBatchDelayMs);
 }
 
-std::optional<SuspectExchange::Message>
-SuspectExchange::TakeDue(TimeMs aNowMs, bool aIsLeading, bool aKnowsLeader)
+std::optional<SuspectExchange::Message> SuspectExchange::TakeDueMessage(
+  TimeMs aNowMs,
+  bool aIsLeading,
+  bool aKnowsLeader)
 {
   if (aNowMs < dueMs_) {
     return std::nullopt;
   }
   dueMs_ = INT64_MAX;
   Message message;
-  message.suspects_ = quarantine_.TakeUntold(detail::kMaxSuspects, aNowMs);
+  message.suspects_ = quarantine_.TakeUnsent(detail::kMaxSuspects, aNowMs);
   if (message.suspects_.empty()) {
     return std::nullopt;
   }
   dueMs_ = aNowMs + detail::kRepeatMs;
   const bool isUrgent =
     std::ranges::any_of(message.suspects_, [](const CrashSuspect& aSuspect) {
-      return aSuspect.marks_.size() > 1;
+      return aSuspect.crashRecords_.size() > 1;
     });
-  // When many servers end at once, each gateway has a few requests that one of
-  // them may explain; the leader tells them together.
-  message.audience_ =
-    isUrgent || aIsLeading || !aKnowsLeader ? Audience::All : Audience::Leader;
+  // When many servers crash at once, each gateway has a few suspects with a
+  // single crash. The leader collects these and sends them together.
+  message.recipients_ = isUrgent || aIsLeading || !aKnowsLeader
+                          ? Recipients::All
+                          : Recipients::Leader;
   return message;
 }
 
 uint64_t SuspectExchange::Digest(TimeMs aNowMs)
 {
-  // The leader of a large fleet compares hundreds a second.
-  if (digestMs_ == INT64_MIN || aNowMs - digestMs_ >= detail::kDigestMs) {
+  // The leader of a large fleet compares hundreds of digests per second.
+  if (digestMs_ == INT64_MIN || aNowMs - digestMs_ >= detail::kDigestMaxAgeMs) {
     digestMs_ = aNowMs;
     const auto digest = quarantine_.Digest(aNowMs);
     if (std::exchange(digest_, digest) != digest) {
@@ -67,9 +70,9 @@
   return digest_;
 }
 
-bool SuspectExchange::OnTold(const std::vector<CrashSuspect>& aSuspects,
-                             TimeMs aNowMs,
-                             bool aIsLeading)
+bool SuspectExchange::OnReceived(const std::vector<CrashSuspect>& aSuspects,
+                                 TimeMs aNowMs,
+                                 bool aIsLeading)
 {
   const bool isNew = quarantine_.Merge(aSuspects, aNowMs, aIsLeading);
   if (isNew && aIsLeading) {
@@ -78,21 +81,21 @@
   return isNew;
 }
 
-std::optional<std::vector<CrashSuspect>> SuspectExchange::Compare(
+std::optional<std::vector<CrashSuspect>> SuspectExchange::EntriesForPeer(
   const std::string& aPeer,
   uint64_t aDigest,
   TimeMs aNowMs)
 {
   if (aDigest == Digest(aNowMs) ||
-      aNowMs - digestChangedMs_ < detail::kSettleMs) {
+      aNowMs - digestChangedMs_ < detail::kPropagationMs) {
     return std::nullopt;
   }
-  auto& comparedMs = comparedMs_[aPeer];
-  if (comparedMs != 0 && aNowMs - comparedMs < detail::kCompareMs) {
+  auto& syncedMs = syncedMs_[aPeer];
+  if (syncedMs != 0 && aNowMs - syncedMs < detail::kMinSyncIntervalMs) {
     return std::nullopt;
   }
-  comparedMs = aNowMs;
-  return quarantine_.Agreed(detail::kMaxSuspects, aNowMs);
+  syncedMs = aNowMs;
+  return quarantine_.EntriesForSync(detail::kMaxSuspects, aNowMs);
 }
 
 }
