--- a/gateway/BackendLink.cpp
+++ b/gateway/BackendLink.cpp
@@ -200,7 +200,7 @@
     answerKeepsAlive_ = true;
     return true;
   }
-  auto info = pool_.protocol_.ReadAnswer(head);
+  auto info = pool_.protocol_.ParseResponse(head);
   answerKeepsAlive_ = head.KeepsAlive() && !parser_.IsUnframed();
   if (info.idleTimeoutMs_) {
     idleTimeoutMs_ = *info.idleTimeoutMs_;
@@ -234,15 +234,15 @@
   return busy_ && stream_.IsOpen();
 }
 
-void BackendLink::TakeNotices(const AnswerInfo& aInfo)
+void BackendLink::TakeNotices(const ResponseMetadata& aInfo)
 {
   if (aInfo.leaving_) {
     pool_.OnLeaving(*backend_);
   }
-  if (aInfo.pauseMs_) {
-    pool_.OnPaused(*backend_, *aInfo.pauseMs_);
+  if (aInfo.retryAfterMs_) {
+    pool_.OnPaused(*backend_, *aInfo.retryAfterMs_);
   }
-  if (aInfo.malformedPause_) {
+  if (aInfo.malformedRetryAfter_) {
     pool_.OnMalformedPause(*backend_);
   }
 }
--- a/gateway/BackendLink.hpp
+++ b/gateway/BackendLink.hpp
@@ -59,7 +59,8 @@
 {
 public:
   virtual ~AttemptHandler() = default;
-  virtual void OnAnswerHead(const HttpHead& aHead, const AnswerInfo& aInfo) = 0;
+  virtual void OnAnswerHead(const HttpHead& aHead,
+                            const ResponseMetadata& aInfo) = 0;
   /// Takes the bytes out of aBody.
   virtual void OnAnswerBody(std::string& aBody) = 0;
   virtual void OnAnswerDone() = 0;
@@ -114,7 +115,7 @@
             AttemptOutcome aOutcome = AttemptOutcome::Other);
   void Leave(AttemptOutcome aOutcome);
   /// What the server says about itself besides the answer.
-  void TakeNotices(const AnswerInfo& aInfo);
+  void TakeNotices(const ResponseMetadata& aInfo);
 
   BackendPool& pool_;
   std::shared_ptr<Backend> backend_;
--- a/gateway/BackendLoad.hpp
+++ b/gateway/BackendLoad.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/Types.hpp"
-#include "gateway/PlatformPort.hpp"
+#include "gateway/PlatformInterface.hpp"
 
 namespace cactuspitch {
 
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -24,7 +24,7 @@
                          GatewayMetrics& aMetrics,
                          const RequestProtocol& aProtocol,
                          BackendObserver& aObserver,
-                         LeavingTask aOnLeaving)
+                         LeavingCallback aOnLeaving)
   : loop_(aLoop)
   , log_(aLog)
   , metrics_(aMetrics)
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -38,14 +38,14 @@
 public:
   using BackendPtr = std::shared_ptr<Backend>;
   /// Told once of each server that said that it leaves.
-  using LeavingTask = std::function<void(const BackendEntry& aEntry)>;
+  using LeavingCallback = std::function<void(const BackendEntry& aEntry)>;
 
   BackendPool(EventLoop& aLoop,
               EventLog& aLog,
               GatewayMetrics& aMetrics,
               const RequestProtocol& aProtocol,
               BackendObserver& aObserver,
-              LeavingTask aOnLeaving);
+              LeavingCallback aOnLeaving);
   ~BackendPool();
 
   /// Takes over the entries of the named servers; one without entry is gone.
@@ -90,7 +90,7 @@
   GatewayMetrics& metrics_;
   const RequestProtocol& protocol_;
   BackendObserver& observer_;
-  LeavingTask onLeaving_;
+  LeavingCallback onLeaving_;
   std::map<std::string, BackendPtr> backends_;
   std::map<std::string, std::vector<BackendPtr>> byService_;
   std::unordered_map<uint32_t, BackendPtr> byHash_;
--- /dev/null
+++ b/gateway/CommandSender.cpp
@@ -0,0 +1,127 @@
+#include "gateway/CommandSender.hpp"
+
+#include <utility>
+
+namespace cactuspitch {
+
+namespace detail {
+
+/// Orders to one server at a time: a release waits for running work, and must
+/// not keep a renewal back.
+constexpr int kCommandsPerServer = 3;
+
+}
+
+CommandSender::CommandSender(EventLoop& aLoop,
+                             EventLog& aLog,
+                             HttpClient& aClient,
+                             const CommandProtocol& aProtocol,
+                             Handlers aHandlers)
+  : loop_(aLoop)
+  , log_(aLog)
+  , client_(aClient)
+  , protocol_(aProtocol)
+  , handlers_(std::move(aHandlers))
+{
+}
+
+void CommandSender::SetServer(const std::string& aBackend,
+                              const Endpoint& aEndpoint,
+                              int64_t aBornMs)
+{
+  servers_[aBackend] = { aEndpoint, aBornMs };
+}
+
+void CommandSender::Reset()
+{
+  ++generation_;
+  queues_.clear();
+}
+
+void CommandSender::Send(const KeyOrder& aCommand)
+{
+  // An overloaded server resets new connections, so its orders share the few
+  // that are open; grants go first, because holds run out.
+  auto& queue = queues_[aCommand.backend_];
+  if (aCommand.kind_ == OrderKind::Grant) {
+    queue.waiting_.push_front(aCommand);
+  } else {
+    queue.waiting_.push_back(aCommand);
+  }
+  SendWaiting(aCommand.backend_);
+}
+
+void CommandSender::SendWaiting(const std::string& aBackend)
+{
+  auto& queue = queues_[aBackend];
+  while (queue.inFlight_ < detail::kCommandsPerServer &&
+         !queue.waiting_.empty()) {
+    auto command = queue.waiting_.front();
+    queue.waiting_.pop_front();
+    ++queue.inFlight_;
+    command.sentMs_ = loop_.NowMs();
+    SendNow(command);
+  }
+}
+
+void CommandSender::SendNow(const KeyOrder& aCommand)
+{
+  const auto server = servers_.find(aCommand.backend_);
+  if (server == servers_.end()) {
+    loop_.Defer([this, aCommand, generation = generation_] {
+      if (generation == generation_) {
+        OnDone(aCommand, 0, CallResult{});
+      }
+    });
+    return;
+  }
+  auto request = protocol_.MakeCommand(aCommand);
+  if (handlers_.grantScope_() == GrantScope::Renewals) {
+    request.connecting_ = Connecting::Kept;
+  } else if (unresponsive_.contains(aCommand.backend_)) {
+    request.connecting_ = Connecting::Fresh;
+  }
+  client_.Call(
+    server->second.endpoint_,
+    request,
+    [this, aCommand, bornMs = server->second.bornMs_, generation = generation_](
+      const CallResult& aResult) {
+      if (generation == generation_) {
+        OnDone(aCommand, bornMs, aResult);
+      }
+    });
+}
+
+void CommandSender::OnDone(const KeyOrder& aCommand,
+                           int64_t aBornMs,
+                           const CallResult& aResult)
+{
+  const auto response = protocol_.ParseResponse(aResult);
+  --queues_[aCommand.backend_].inFlight_;
+  // A silent connection says nothing good of its idle siblings. One that could
+  // not be opened does not speak against those that are.
+  if (response.result_ == OrderResult::Unanswered) {
+    unresponsive_.insert(aCommand.backend_);
+  } else {
+    unresponsive_.erase(aCommand.backend_);
+  }
+  if (response.result_ != OrderResult::Accepted) {
+    log_.Write(LogLevel::Warning,
+               "order-failed",
+               { { "order", EnumName(aCommand.kind_) },
+                 { "result", EnumName(response.result_) },
+                 { "http", aResult.head_.status_ },
+                 { "backend", aCommand.backend_ },
+                 { "first", aCommand.first_ },
+                 { "last", aCommand.last_ },
+                 { "fence", aCommand.fence_ },
+                 { "took_ms", loop_.NowMs() - aCommand.sentMs_ } });
+  }
+  if (response.leaving_) {
+    handlers_.onLeaving_(aCommand.backend_, aBornMs);
+  }
+  handlers_.onDone_(aCommand, response);
+  SendWaiting(aCommand.backend_);
+}
+
+}
--- a/gateway/OrderSender.hpp
+++ b/gateway/CommandSender.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/EventLog.hpp"
-#include "gateway/PlatformPort.hpp"
+#include "gateway/PlatformInterface.hpp"
 #include "keyspace/KeyOwnership.hpp"
 #include "net/HttpClient.hpp"
 
@@ -14,34 +14,34 @@
 namespace cactuspitch {
 
 /// Sends the leader's orders to backend servers, a few at a time to each.
-class OrderSender
+class CommandSender
 {
 public:
   /// Told of the life of a server that answered an order.
-  using LeavingTask =
+  using LeavingCallback =
     std::function<void(const std::string& aBackend, int64_t aBornMs)>;
 
   struct Handlers
   {
     /// Whether holds may be granted anew now, or only prolonged.
-    std::function<GrantScope()> scope_;
-    std::function<void(const KeyOrder&, const OrderAnswer&)> onDone_;
+    std::function<GrantScope()> grantScope_;
+    std::function<void(const KeyOrder&, const CommandResponse&)> onDone_;
     /// The server said in its answer that it leaves.
-    LeavingTask onLeaving_;
+    LeavingCallback onLeaving_;
   };
 
-  OrderSender(EventLoop& aLoop,
-              EventLog& aLog,
-              HttpClient& aClient,
-              const OrderProtocol& aProtocol,
-              Handlers aHandlers);
+  CommandSender(EventLoop& aLoop,
+                EventLog& aLog,
+                HttpClient& aClient,
+                const CommandProtocol& aProtocol,
+                Handlers aHandlers);
 
   /// Addresses stay known when the registration is gone: the server may hold
   /// keys.
   void SetServer(const std::string& aBackend,
                  const Endpoint& aEndpoint,
                  int64_t aBornMs);
-  void Send(const KeyOrder& aOrder);
+  void Send(const KeyOrder& aCommand);
   /// Drops waiting orders; answers to those under way are ignored.
   void Reset();
 
@@ -51,28 +51,29 @@
     Endpoint endpoint_;
     int64_t bornMs_ = 0;
   };
-  struct Lane
+  struct ServerQueue
   {
     int inFlight_ = 0;
     std::deque<KeyOrder> waiting_;
   };
 
   void SendWaiting(const std::string& aBackend);
-  void SendNow(const KeyOrder& aOrder);
+  void SendNow(const KeyOrder& aCommand);
   /// aBornMs names the life that the order was sent to.
-  void OnDone(const KeyOrder& aOrder,
+  void OnDone(const KeyOrder& aCommand,
               int64_t aBornMs,
               const CallResult& aResult);
 
   EventLoop& loop_;
   EventLog& log_;
   HttpClient& client_;
-  const OrderProtocol& protocol_;
+  const CommandProtocol& protocol_;
   Handlers handlers_;
-  uint64_t run_ = 0; ///< grows with Reset
+  uint64_t generation_ = 0; ///< grows with Reset
   std::map<std::string, Server> servers_;
-  std::set<std::string> failing_; ///< servers whose last order went unanswered
-  std::map<std::string, Lane> lanes_;
+  std::set<std::string>
+    unresponsive_; ///< servers whose last order went unanswered
+  std::map<std::string, ServerQueue> queues_;
 };
 
 }
--- a/gateway/CrashWatch.cpp
+++ b/gateway/CrashDetector.cpp
@@ -1,4 +1,4 @@
-#include "gateway/CrashWatch.hpp"
+#include "gateway/CrashDetector.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -14,7 +14,7 @@
 /// The end of a server explains an attempt that this gateway gave up only if it
 /// follows soon.
 constexpr TimeMs kAbandonedWindowMs = 1000;
-constexpr size_t kMaxCases = 2048;
+constexpr size_t kMaxUnresolvedAttempts = 2048;
 constexpr size_t kMaxProbes = 64;
 /// Without arrivals for so long, no caller repeats the request any more.
 constexpr TimeMs kQuarantineMs = 600000;
@@ -25,7 +25,9 @@
 
 }
 
-CrashWatch::CrashWatch(EventLoop& aLoop, EventLog& aLog, ChangeTask aOnChange)
+CrashDetector::CrashDetector(EventLoop& aLoop,
+                             EventLog& aLog,
+                             ChangeCallback aOnChange)
   : loop_(aLoop)
   , log_(aLog)
   , onChange_(std::move(aOnChange))
@@ -36,14 +38,14 @@
 {
 }
 
-void CrashWatch::SetGateways(const std::string& aSelf,
-                             std::vector<std::string> aGateways)
+void CrashDetector::SetGateways(const std::string& aSelf,
+                                std::vector<std::string> aGateways)
 {
   quarantine_.SetMembers(aSelf, std::move(aGateways));
 }
 
-SuspectDecision CrashWatch::TryBegin(uint64_t aFingerprint,
-                                     const Backend& aBackend)
+SuspectDecision CrashDetector::TryBegin(uint64_t aFingerprint,
+                                        const Backend& aBackend)
 {
   if (!quarantine_.HasSuspects()) {
     return {};
@@ -51,20 +53,20 @@
   return quarantine_.TryBegin(aFingerprint, aBackend.entry_.id_, loop_.NowMs());
 }
 
-void CrashWatch::GiveBack(uint64_t aFingerprint, const Backend& aBackend)
+void CrashDetector::CancelBegin(uint64_t aFingerprint, const Backend& aBackend)
 {
   if (quarantine_.HasSuspects()) {
     quarantine_.OnEnd(aFingerprint, aBackend.entry_.id_, false, loop_.NowMs());
   }
 }
 
-void CrashWatch::OnAttemptOver(const std::shared_ptr<Backend>& aBackend,
-                               const AttemptTag& aTag,
-                               AttemptOutcome aOutcome)
+void CrashDetector::OnAttemptOver(const std::shared_ptr<Backend>& aBackend,
+                                  const AttemptTag& aTag,
+                                  AttemptOutcome aOutcome)
 {
   if (aOutcome == AttemptOutcome::Broken ||
       aOutcome == AttemptOutcome::Abandoned) {
-    Open(aBackend, aTag, aOutcome);
+    AddUnresolved(aBackend, aTag, aOutcome);
     return;
   }
   if (!quarantine_.HasSuspects()) {
@@ -79,27 +81,28 @@
   }
 }
 
-bool CrashWatch::OpenCase::IsOf(const Backend& aBackend) const
+bool CrashDetector::UnresolvedAttempt::IsOf(const Backend& aBackend) const
 {
   return backendId_ == aBackend.entry_.id_ &&
          bornMs_ == aBackend.entry_.bornMs_;
 }
 
-void CrashWatch::Open(const std::shared_ptr<Backend>& aBackend,
-                      const AttemptTag& aTag,
-                      AttemptOutcome aOutcome)
+void CrashDetector::AddUnresolved(const std::shared_ptr<Backend>& aBackend,
+                                  const AttemptTag& aTag,
+                                  AttemptOutcome aOutcome)
 {
   const TimeMs nowMs = loop_.NowMs();
-  std::erase_if(cases_,
-                [&](const OpenCase& aCase) { return aCase.untilMs_ < nowMs; });
-  if (cases_.size() >= detail::kMaxCases) {
-    cases_.pop_front();
+  std::erase_if(unresolved_, [&](const UnresolvedAttempt& aAttempt) {
+    return aAttempt.expiresMs_ < nowMs;
+  });
+  if (unresolved_.size() >= detail::kMaxUnresolvedAttempts) {
+    unresolved_.pop_front();
   }
   const bool broken = aOutcome == AttemptOutcome::Broken;
   const TimeMs windowMs =
     broken ? detail::kBrokenWindowMs : detail::kAbandonedWindowMs;
   const auto& entry = aBackend->entry_;
-  cases_.push_back({ aTag, entry.id_, entry.bornMs_, nowMs + windowMs });
+  unresolved_.push_back({ aTag, entry.id_, entry.bornMs_, nowMs + windowMs });
   quarantine_.OnBroken(aTag.fingerprint_, entry.id_, nowMs + windowMs, nowMs);
   if (broken) {
     if (log_.Allows(LogLevel::Info, "attempt-broken")) {
@@ -110,58 +113,60 @@
                    { "born_ms", entry.bornMs_ },
                    { "known_crashes", aTag.knownCrashes_ } });
     }
-    Probe(aBackend);
+    StartProbe(aBackend);
   }
 }
 
-void CrashWatch::Probe(const std::shared_ptr<Backend>& aBackend)
+void CrashDetector::StartProbe(const std::shared_ptr<Backend>& aBackend)
 {
   const auto& id = aBackend->entry_.id_;
   if (probes_.contains(id) || probes_.size() >= detail::kMaxProbes) {
     return;
   }
-  probes_[id] = std::make_unique<LifeProbe>(
+  probes_[id] = std::make_unique<LivenessProbe>(
     loop_,
     aBackend->endpoint_,
     [aBackend] { return aBackend->HasOpenConnection(); },
     [this, aBackend](bool aAlive) { OnProbed(aBackend, aAlive); });
 }
 
-void CrashWatch::OnProbed(const std::shared_ptr<Backend>& aBackend, bool aAlive)
+void CrashDetector::OnProbed(const std::shared_ptr<Backend>& aBackend,
+                             bool aAlive)
 {
   probes_.erase(aBackend->entry_.id_);
   if (!aAlive) {
-    Confirm(*aBackend, EndEvidence::Probe);
+    ConfirmCrash(*aBackend, CrashEvidence::Probe);
     return;
   }
-  for (auto& openCase : cases_) {
-    openCase.reachable_ = openCase.reachable_ || openCase.IsOf(*aBackend);
+  for (auto& attempt : unresolved_) {
+    attempt.reachable_ = attempt.reachable_ || attempt.IsOf(*aBackend);
   }
 }
 
-void CrashWatch::OnBackendDown(const Backend& aBackend)
+void CrashDetector::OnBackendDown(const Backend& aBackend)
 {
-  Confirm(aBackend, EndEvidence::ConnectFailed);
+  ConfirmCrash(aBackend, CrashEvidence::ConnectFailed);
 }
 
-void CrashWatch::OnBackendGone(const Backend& aBackend)
+void CrashDetector::OnBackendGone(const Backend& aBackend)
 {
   // A server that drains ends as planned, with what it still runs.
   if (aBackend.entry_.TakesNewWork()) {
-    Confirm(aBackend, EndEvidence::Registration);
+    ConfirmCrash(aBackend, CrashEvidence::Registration);
   }
 }
 
-void CrashWatch::Confirm(const Backend& aBackend, EndEvidence aEvidence)
+void CrashDetector::ConfirmCrash(const Backend& aBackend,
+                                 CrashEvidence aEvidence)
 {
   const TimeMs nowMs = loop_.NowMs();
-  std::vector<OpenCase> counted;
-  std::erase_if(cases_, [&](const OpenCase& aCase) {
+  std::vector<UnresolvedAttempt> counted;
+  std::erase_if(unresolved_, [&](const UnresolvedAttempt& aAttempt) {
     const bool counts =
-      aCase.IsOf(aBackend) && aCase.untilMs_ >= nowMs &&
-      (!aCase.reachable_ || aEvidence == EndEvidence::Registration);
+      aAttempt.IsOf(aBackend) && aAttempt.expiresMs_ >= nowMs &&
+      (!aAttempt.reachable_ || aEvidence == CrashEvidence::Registration);
     if (counts) {
-      counted.push_back(aCase);
+      counted.push_back(aAttempt);
     }
     return counts;
   });
@@ -169,10 +174,12 @@
     return;
   }
   std::vector<InFlightRequest> inFlight;
-  std::ranges::transform(
-    counted, std::back_inserter(inFlight), [](const OpenCase& aCase) {
-      return InFlightRequest(aCase.tag_.fingerprint_, aCase.tag_.knownCrashes_);
-    });
+  std::ranges::transform(counted,
+                         std::back_inserter(inFlight),
+                         [](const UnresolvedAttempt& aAttempt) {
+                           return InFlightRequest(aAttempt.tag_.fingerprint_,
+                                                  aAttempt.tag_.knownCrashes_);
+                         });
   const auto& entry = aBackend.entry_;
   quarantine_.OnCrash(
     entry.id_, inFlight, nowMs, static_cast<uint64_t>(entry.bornMs_));
@@ -184,23 +191,25 @@
                  { "evidence", EnumName(aEvidence) },
                  { "in_flight", counted.size() } });
   }
-  for (const auto& openCase : counted) {
-    LogCounted(aBackend, openCase);
+  for (const auto& attempt : counted) {
+    LogCountedCrash(aBackend, attempt);
   }
   onChange_();
 }
 
-void CrashWatch::LogCounted(const Backend& aBackend, const OpenCase& aCase)
+void CrashDetector::LogCountedCrash(const Backend& aBackend,
+                                    const UnresolvedAttempt& aAttempt)
 {
   if (!log_.Allows(LogLevel::Info, "suspect-counted")) {
     return;
   }
-  const auto state = quarantine_.Find(aCase.tag_.fingerprint_, loop_.NowMs());
+  const auto state =
+    quarantine_.Find(aAttempt.tag_.fingerprint_, loop_.NowMs());
   log_.Write(LogLevel::Info,
              "suspect-counted",
-             { { "fingerprint", absl::Hex(aCase.tag_.fingerprint_) },
+             { { "fingerprint", absl::Hex(aAttempt.tag_.fingerprint_) },
                { "backend", aBackend.entry_.id_ },
-               { "known_crashes", aCase.tag_.knownCrashes_ },
+               { "known_crashes", aAttempt.tag_.knownCrashes_ },
                { "crashes", state.crashes_ },
                { "quarantined", state.quarantined_ ? "yes" : "no" } });
 }
--- a/gateway/CrashWatch.hpp
+++ b/gateway/CrashDetector.hpp
@@ -2,7 +2,7 @@
 
 #include "gateway/BackendPool.hpp"
 #include "gateway/EventLog.hpp"
-#include "gateway/LifeProbe.hpp"
+#include "gateway/LivenessProbe.hpp"
 #include "policy/CrashQuarantine.hpp"
 
 #include <deque>
@@ -14,7 +14,7 @@
 namespace cactuspitch {
 
 /// How it was found that a server has ended.
-enum class EndEvidence : uint8_t
+enum class CrashEvidence : uint8_t
 {
   Probe,         ///< it refused a connection after others broke
   ConnectFailed, ///< a request could not connect
@@ -23,7 +23,7 @@
 };
 
 template<>
-struct EnumNames<EndEvidence>
+struct EnumNames<CrashEvidence>
 {
   static constexpr std::string_view kNames[] = { "probe",
                                                  "connect-failed",
@@ -32,21 +32,21 @@
 
 /// Finds out which of the attempts that got no answer were in flight at a
 /// server that ended, and keeps the quarantine of the requests that crash them.
-class CrashWatch final : public BackendObserver
+class CrashDetector final : public BackendObserver
 {
 public:
   /// Told after a change of the quarantine that other gateways need at once.
-  using ChangeTask = std::function<void()>;
+  using ChangeCallback = std::function<void()>;
 
-  CrashWatch(EventLoop& aLoop, EventLog& aLog, ChangeTask aOnChange);
+  CrashDetector(EventLoop& aLoop, EventLog& aLog, ChangeCallback aOnChange);
 
   CrashQuarantine& Quarantine() { return quarantine_; }
   void SetGateways(const std::string& aSelf,
                    std::vector<std::string> aGateways);
   /// Asks before an attempt; what gets Run is given back by the end of the
-  /// attempt, or by GiveBack if none was begun.
+  /// attempt, or by CancelBegin if none was begun.
   SuspectDecision TryBegin(uint64_t aFingerprint, const Backend& aBackend);
-  void GiveBack(uint64_t aFingerprint, const Backend& aBackend);
+  void CancelBegin(uint64_t aFingerprint, const Backend& aBackend);
 
   void OnAttemptOver(const std::shared_ptr<Backend>& aBackend,
                      const AttemptTag& aTag,
@@ -56,12 +56,12 @@
 
 private:
   /// An attempt without an answer, until it is known whether its server ended.
-  struct OpenCase
+  struct UnresolvedAttempt
   {
     AttemptTag tag_;
     std::string backendId_;
     int64_t bornMs_ = 0;
-    TimeMs untilMs_ = 0;
+    TimeMs expiresMs_ = 0;
     /// Another connection or a probe found the address alive: only another
     /// registration can still tell that this life of the server has ended.
     bool reachable_ = false;
@@ -69,21 +69,23 @@
     bool IsOf(const Backend& aBackend) const;
   };
 
-  void Open(const std::shared_ptr<Backend>& aBackend,
-            const AttemptTag& aTag,
-            AttemptOutcome aOutcome);
-  void Probe(const std::shared_ptr<Backend>& aBackend);
+  void AddUnresolved(const std::shared_ptr<Backend>& aBackend,
+                     const AttemptTag& aTag,
+                     AttemptOutcome aOutcome);
+  void StartProbe(const std::shared_ptr<Backend>& aBackend);
   void OnProbed(const std::shared_ptr<Backend>& aBackend, bool aAlive);
   /// The server has ended: closes its cases as crashes.
-  void Confirm(const Backend& aBackend, EndEvidence aEvidence);
-  void LogCounted(const Backend& aBackend, const OpenCase& aCase);
+  void ConfirmCrash(const Backend& aBackend, CrashEvidence aEvidence);
+  void LogCountedCrash(const Backend& aBackend,
+                       const UnresolvedAttempt& aAttempt);
 
   EventLoop& loop_;
   EventLog& log_;
-  ChangeTask onChange_;
+  ChangeCallback onChange_;
   CrashQuarantine quarantine_;
-  std::deque<OpenCase> cases_; ///< in the order in which they came
-  std::map<std::string, std::unique_ptr<LifeProbe>> probes_; ///< by server
+  std::deque<UnresolvedAttempt>
+    unresolved_; ///< in the order in which they came
+  std::map<std::string, std::unique_ptr<LivenessProbe>> probes_; ///< by server
 };
 
 }
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -96,7 +96,7 @@
 {
   begun_ = true;
   routes_ = forwarder_.Routes();
-  caller_ = forwarder_.Protocol().ReadRequest(head_);
+  caller_ = forwarder_.Protocol().ParseRequest(head_);
   if (routes_ == nullptr) {
     Reject(503, "no-config", detail::kNoConfigRetryMs);
     return;
@@ -117,7 +117,7 @@
   }
   service_ = routes_->NextTarget(*route_).service_;
   const TimeMs deadlineMs =
-    caller_.deadlineMs_.value_or(detail::kDefaultDeadlineMs);
+    caller_.remainingMs_.value_or(detail::kDefaultDeadlineMs);
   finalMs_ = readMs_ + std::min(deadlineMs, route_->timeoutMs_);
   finalTimer_.Start(finalMs_ - readMs_ + detail::kFinalSlackMs);
   forwarder_.Metrics().OnRequest(route_->name_);
@@ -190,7 +190,7 @@
 {
   auto text = Concat(head_.method_, " ", head_.target_, " HTTP/1.1\r\n");
   for (const auto& [name, value] : EndToEndFields(head_)) {
-    if (!forwarder_.Protocol().IsReplacedField(name) &&
+    if (!forwarder_.Protocol().IsReplacedRequestField(name) &&
         !EqualsIgnoreCase(name, "Expect")) {
       AppendTo(text, name, ": ", value, "\r\n");
     }
@@ -231,7 +231,7 @@
     aChoice.maxConnections_,
     IsIdempotent() ? detail::kMaxIdleMs : detail::kMaxIdleNonIdempotentMs);
   if (link == nullptr) {
-    crashes.GiveBack(fingerprint_, *backend);
+    crashes.CancelBegin(fingerprint_, *backend);
     parked_ = true;
     forwarder_.Park(shared_from_this());
     return;
@@ -250,7 +250,7 @@
 }
 
 void ForwardedRequest::OnAnswerHead(const HttpHead& aHead,
-                                    const AnswerInfo& aInfo)
+                                    const ResponseMetadata& aInfo)
 {
   answerHead_ = aHead;
   answerInfo_ = aInfo;
@@ -472,7 +472,7 @@
   const auto status = Concat(aStatus, " ", detail::ReasonOf(aStatus));
   const auto body = Concat(aCause, "\n");
   output_ = Concat("HTTP/1.1 ", status, "\r\n");
-  forwarder_.Protocol().AddOwnAnswerFields(output_, caller_.requestId_);
+  forwarder_.Protocol().AddGatewayResponseFields(output_, caller_.requestId_);
   if (aStatus == 503) {
     constexpr double kMsPerSecond = 1000;
     AppendTo(output_,
@@ -498,7 +498,7 @@
   output_ =
     Concat("HTTP/1.1 ", answerHead_.status_, " ", answerHead_.reason_, "\r\n");
   for (const auto& [name, value] : EndToEndFields(answerHead_)) {
-    if (!forwarder_.Protocol().IsInternalAnswerField(name)) {
+    if (!forwarder_.Protocol().IsInternalResponseField(name)) {
       AppendTo(output_, name, ": ", value, "\r\n");
     }
   }
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -2,7 +2,7 @@
 
 #include "gateway/BackendPool.hpp"
 #include "gateway/Forwarder.hpp"
-#include "gateway/PlatformPort.hpp"
+#include "gateway/PlatformInterface.hpp"
 #include "net/HttpParser.hpp"
 #include "routing/RouteTable.hpp"
 
@@ -65,7 +65,7 @@
 
   const Route* GetRoute() const { return route_; }
   const std::string& Service() const { return service_; }
-  const CallerInfo& Caller() const { return caller_; }
+  const RequestMetadata& Caller() const { return caller_; }
   const std::set<std::string>& Tried() const { return tried_; }
   TimeMs RemainingMs() const;
   TimeMs HeldMs() const;
@@ -73,7 +73,8 @@
   uint64_t Fingerprint() const { return fingerprint_; }
 
 private:
-  void OnAnswerHead(const HttpHead& aHead, const AnswerInfo& aInfo) override;
+  void OnAnswerHead(const HttpHead& aHead,
+                    const ResponseMetadata& aInfo) override;
   void OnAnswerBody(std::string& aBody) override;
   void OnAnswerDone() override;
   void OnAttemptFailed(AttemptEnd aEnd, std::string_view aCause) override;
@@ -102,7 +103,7 @@
   std::shared_ptr<RouteTable> routes_; ///< keeps route_ alive
   const Route* route_ = nullptr;
   std::string service_;
-  CallerInfo caller_;
+  RequestMetadata caller_;
   uint64_t fingerprint_ = 0;
   TimeMs readMs_;
   TimeMs finalMs_ = 0;
@@ -120,7 +121,7 @@
   bool answered_ = false;
   bool announcedClose_ = false;
   HttpHead answerHead_;
-  AnswerInfo answerInfo_;
+  ResponseMetadata answerInfo_;
   std::string answerBody_;
   bool headWritten_ = false;
   bool discard_ = false; ///< the attempt's answer is not for the caller
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -41,8 +41,8 @@
                      GatewayMetrics& aMetrics,
                      const RequestProtocol& aProtocol,
                      ForwardingBounds aBounds,
-                     CrashWatch::ChangeTask aOnSuspects,
-                     BackendPool::LeavingTask aOnLeaving)
+                     CrashDetector::ChangeCallback aOnSuspects,
+                     BackendPool::LeavingCallback aOnLeaving)
   : loop_(aLoop)
   , log_(aLog)
   , metrics_(aMetrics)
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "gateway/BackendPool.hpp"
-#include "gateway/CrashWatch.hpp"
+#include "gateway/CrashDetector.hpp"
 #include "gateway/EventLog.hpp"
 #include "gateway/GatewayMetrics.hpp"
-#include "gateway/PlatformPort.hpp"
+#include "gateway/PlatformInterface.hpp"
 #include "keyspace/KeyView.hpp"
 #include "policy/HomeServers.hpp"
 #include "policy/OwnerAdmission.hpp"
@@ -53,8 +53,8 @@
             GatewayMetrics& aMetrics,
             const RequestProtocol& aProtocol,
             ForwardingBounds aBounds,
-            CrashWatch::ChangeTask aOnSuspects,
-            BackendPool::LeavingTask aOnLeaving);
+            CrashDetector::ChangeCallback aOnSuspects,
+            BackendPool::LeavingCallback aOnLeaving);
   ~Forwarder();
 
   void SetConfig(RoutingConfig aConfig);
@@ -72,7 +72,7 @@
   std::shared_ptr<RouteTable> Routes() { return routes_; }
   KeyView& Keys() { return keys_; }
   BackendPool& Pool() { return pool_; }
-  CrashWatch& Crashes() { return crashes_; }
+  CrashDetector& Crashes() { return crashes_; }
 
   Choice Choose(const ForwardedRequest& aRequest);
   void Park(const std::shared_ptr<ForwardedRequest>& aRequest);
@@ -136,7 +136,7 @@
   PlacementOptions options_;
   std::shared_ptr<RouteTable> routes_;
   KeyView keys_;
-  CrashWatch crashes_;
+  CrashDetector crashes_;
   BackendPool pool_;
   OwnerAdmission admission_;
   std::map<std::string, RetryBudget> budgets_;
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -60,22 +60,22 @@
 Gateway::Gateway(EventLoop& aLoop,
                  EventLog& aLog,
                  GatewaySettings aSettings,
-                 PlatformPort aPort,
+                 PlatformInterface aPlatform,
                  SettingsReader aReadSettings)
   : loop_(aLoop)
   , log_(aLog)
   , settings_(std::move(aSettings))
-  , port_(aPort)
+  , platform_(aPlatform)
   , readSettings_(std::move(aReadSettings))
   , bootId_(detail::NewBootId())
   , metrics_(registry_)
   , client_(aLoop)
-  , store_(aLoop, aLog, client_, port_.objects_, settings_.store_)
+  , store_(aLoop, aLog, client_, platform_.objects_, settings_.store_)
   , forwarder_(
       aLoop,
       aLog,
       metrics_,
-      port_.requests_,
+      platform_.requests_,
       { settings_.retryRatio_,
         settings_.retryExtra_,
         settings_.failureDomain_ },
@@ -103,38 +103,38 @@
       },
       [this] { return configVersion_; })
   , directory_(settings_.backendDrainMs_)
-  , configFollower_(aLoop,
+  , configWatcher_(aLoop,
+                   aLog,
+                   store_,
+                   platform_.registry_.ConfigKind(),
+                   detail::kConfigWaitMs,
+                   ResumeMode::Watch,
+                   false,
+                   { [this](const std::vector<StoreObject>& aObjects) {
+                      OnConfigObjects(aObjects);
+                    },
+                     [this](const std::vector<ObjectEvent>& aEvents) {
+                       OnConfigEvents(aEvents);
+                     } })
+  , backendWatcher_(aLoop,
                     aLog,
                     store_,
-                    port_.registry_.ConfigKind(),
-                    detail::kConfigWaitMs,
-                    Resume::Watch,
+                    platform_.registry_.BackendKind(),
+                    detail::kWatchWaitMs,
+                    ResumeMode::List,
                     false,
                     { [this](const std::vector<StoreObject>& aObjects) {
-                       OnConfigObjects(aObjects);
+                       OnBackendList(aObjects);
                      },
                       [this](const std::vector<ObjectEvent>& aEvents) {
-                        OnConfigEvents(aEvents);
+                        OnBackendEvents(aEvents);
                       } })
-  , backendFollower_(aLoop,
-                     aLog,
-                     store_,
-                     port_.registry_.BackendKind(),
-                     detail::kWatchWaitMs,
-                     Resume::List,
-                     false,
-                     { [this](const std::vector<StoreObject>& aObjects) {
-                        OnBackendList(aObjects);
-                      },
-                       [this](const std::vector<ObjectEvent>& aEvents) {
-                         OnBackendEvents(aEvents);
-                       } })
   , ownFollower_(aLoop,
                  aLog,
                  store_,
                  detail::kOwnKind,
                  detail::kWatchWaitMs,
-                 Resume::Watch,
+                 ResumeMode::Watch,
                  false,
                  { [this](const std::vector<StoreObject>& aObjects) {
                     std::ranges::for_each(
@@ -157,28 +157,29 @@
               settings_.cpuPercent_,
               &UnixNowMs,
               { [this](int64_t aTerm) {
-                 director_.Start(aTerm);
+                 coordinator_.Start(aTerm);
                  gossip_.OnLeadershipChanged();
                },
                 [this] {
-                  director_.Stop();
+                  coordinator_.Stop();
                   gossip_.OnLeadershipChanged();
                 },
-                [this] { director_.OnForeignEnded(); } })
-  , director_(aLoop,
-              aLog,
-              store_,
-              client_,
-              port_.orders_,
-              board_,
-              settings_.maxHoldMs_,
-              { [this] { return election_.MayOrder(); },
-                [this] { return election_.MayGrant(); },
-                [this] { gossip_.OnKeysChanged(); },
-                [this](std::string_view aCause) { election_.Resign(aCause); },
-                [this](const std::string& aBackend, int64_t aBornMs) {
-                  OnLeaving(aBackend, aBornMs);
-                } })
+                [this] { coordinator_.OnEarlierLeadersEnded(); } })
+  , coordinator_(
+      aLoop,
+      aLog,
+      store_,
+      client_,
+      platform_.commands_,
+      board_,
+      settings_.maxHoldMs_,
+      { [this] { return election_.MaySendCommands(); },
+        [this] { return election_.AllowedGrantScope(); },
+        [this] { gossip_.OnKeysChanged(); },
+        [this](std::string_view aCause) { election_.Resign(aCause); },
+        [this](const std::string& aBackend, int64_t aBornMs) {
+          OnLeaving(aBackend, aBornMs);
+        } })
   , relay_(
       aLoop,
       aLog,
@@ -190,8 +191,8 @@
       settings_.instance_,
       settings_.cpuPercent_,
       { [this](bool aConfig, bool aAll) {
-         configFollower_.SetActive(aConfig);
-         backendFollower_.SetActive(aAll);
+         configWatcher_.SetActive(aConfig);
+         backendWatcher_.SetActive(aAll);
          ownFollower_.SetActive(aAll);
        },
         [this](const std::vector<BackendEntry>& aEntries, int64_t aRevision) {
@@ -215,7 +216,7 @@
         },
         [this](const nlohmann::json& aSpec, std::string aPacked) {
           StoreObject object;
-          object.name_ = port_.registry_.ConfigName();
+          object.name_ = platform_.registry_.ConfigName();
           object.spec_ = aSpec;
           OnConfigObject(object, std::move(aPacked));
         },
@@ -231,7 +232,7 @@
               settings_.metricsListen_.port_ },
             mesh_,
             election_,
-            director_,
+            coordinator_,
             board_,
             relay_,
             forwarder_,
@@ -298,15 +299,15 @@
 
 void Gateway::FollowStore()
 {
-  store_.SetWatcher({ [this] { directory_.OnStoreDisturbed(loop_.NowMs()); },
-                      [this] {
-                        // Pending watches may hang on dead connections.
-                        configFollower_.Refresh();
-                        backendFollower_.Refresh();
-                        ownFollower_.Refresh();
-                      } });
-  configFollower_.Start();
-  backendFollower_.Start();
+  store_.SetObserver({ [this] { directory_.OnStoreDisturbed(loop_.NowMs()); },
+                       [this] {
+                         // Pending watches may hang on dead connections.
+                         configWatcher_.Refresh();
+                         backendWatcher_.Refresh();
+                         ownFollower_.Refresh();
+                       } });
+  configWatcher_.Start();
+  backendWatcher_.Start();
   ownFollower_.Start();
 }
 
@@ -322,7 +323,7 @@
   const auto newest = std::ranges::find_if(
     aEvents.rbegin(), aEvents.rend(), [this](const ObjectEvent& aEvent) {
       return !aEvent.removed_ &&
-             aEvent.object_.name_ == port_.registry_.ConfigName();
+             aEvent.object_.name_ == platform_.registry_.ConfigName();
     });
   if (newest != aEvents.rend()) {
     OnConfigObject(newest->object_);
@@ -331,11 +332,11 @@
 
 void Gateway::OnConfigObject(const StoreObject& aObject, std::string aPacked)
 {
-  if (aObject.name_ != port_.registry_.ConfigName()) {
+  if (aObject.name_ != platform_.registry_.ConfigName()) {
     return;
   }
   Findings findings;
-  auto config = port_.registry_.DecodeConfig(aObject, findings);
+  auto config = platform_.registry_.DecodeConfig(aObject, findings);
   if (!config) {
     log_.Write(LogLevel::Error,
                "config-rejected",
@@ -368,13 +369,13 @@
     }
   }
   forwarder_.SetConfig(std::move(*config));
-  director_.SetServices(std::move(keyed));
+  coordinator_.SetKeyedServices(std::move(keyed));
 }
 
 std::optional<BackendEntry> Gateway::DecodeBackend(const StoreObject& aObject)
 {
   Findings findings;
-  auto entry = port_.registry_.DecodeBackend(aObject, findings);
+  auto entry = platform_.registry_.DecodeBackend(aObject, findings);
   if (!entry) {
     log_.Write(
       LogLevel::Warning,
@@ -387,8 +388,7 @@
 void Gateway::OnBackendList(const std::vector<StoreObject>& aObjects)
 {
   // Start lists may be old; another gateway may have told a newer state.
-  if (relayedDirectory_ &&
-      backendFollower_.Revision() < directory_.Revision()) {
+  if (relayedDirectory_ && backendWatcher_.Revision() < directory_.Revision()) {
     return;
   }
   std::vector<BackendEntry> entries;
@@ -398,20 +398,20 @@
     }
   }
   directory_.ApplyList(entries, loop_.NowMs());
-  directory_.AdvanceTo(backendFollower_.Revision());
+  directory_.AdvanceTo(backendWatcher_.Revision());
   OnBackendsChanged();
 }
 
 void Gateway::OnBackendEvents(const std::vector<ObjectEvent>& aEvents)
 {
   // A newer state was taken over from another watcher meanwhile.
-  if (backendFollower_.Revision() <= directory_.Revision()) {
+  if (backendWatcher_.Revision() <= directory_.Revision()) {
     return;
   }
   const TimeMs nowMs = loop_.NowMs();
   const auto digest = directory_.Digest();
   wire::Gossip changes;
-  for (const auto& event : LatestEvents(aEvents)) {
+  for (const auto& event : LatestEventPerObject(aEvents)) {
     const auto entry =
       event.removed_ ? std::nullopt : DecodeBackend(event.object_);
     if (entry) {
@@ -432,11 +432,11 @@
                  { "state", entry ? EnumName(entry->state_) : "removed" },
                  { "revision", event.object_.revision_ } });
   }
-  directory_.AdvanceTo(backendFollower_.Revision());
+  directory_.AdvanceTo(backendWatcher_.Revision());
   OnBackendsChanged();
   // Beats of cold servers change no state that others need.
   if (directory_.Digest() != digest) {
-    gossip_.TellChanges(std::move(changes.changes));
+    gossip_.BroadcastRegistrations(std::move(changes.changes));
   }
 }
 
@@ -454,7 +454,7 @@
       { "service", backend == nullptr ? "" : backend->entry_.service_ },
       { "in_flight", backend == nullptr ? 0 : backend->busy_.size() } });
   OnBackendsChanged();
-  gossip_.TellLeaving();
+  gossip_.SendLeavingNotice();
 }
 
 void Gateway::OnBackendsChanged()
@@ -479,7 +479,7 @@
   }
   changesAppliedMs_ = loop_.NowMs();
   forwarder_.UpdateBackends(directory_.Entries(), changes);
-  director_.UpdateBackends(directory_.Entries(), changes);
+  coordinator_.UpdateBackends(directory_.Entries(), changes);
 }
 
 void Gateway::OnOwnObject(const StoreObject& aObject)
@@ -492,11 +492,11 @@
   if (Endpoint::Parse(FieldOr(json, "peer", std::string()), endpoint)) {
     const auto name = aObject.name_.substr(detail::kInstancePrefix.size());
     if (name != settings_.instance_) {
-      mesh_.AddKnown(name,
-                     endpoint,
-                     FieldOr(json, "bootId", int64_t{ 0 }),
-                     FieldOr(json, "domain", std::string()),
-                     FieldOr(json, "cpuPercent", 0));
+      mesh_.AddRegistered(name,
+                          endpoint,
+                          FieldOr(json, "bootId", int64_t{ 0 }),
+                          FieldOr(json, "domain", std::string()),
+                          FieldOr(json, "cpuPercent", 0));
     }
   }
 }
@@ -513,8 +513,8 @@
   readingKeys_ = true;
   keysReadMs_ =
     loop_.NowMs() + store_.Jitter(detail::kKeysReadMs * (share - 1));
-  store_.Call(KeyDirector::ReadTable(store_.Protocol()),
-              [this](const StoreAnswer& aAnswer) {
+  store_.Call(KeyCoordinator::TableReadRequest(store_.Protocol()),
+              [this](const StoreResponse& aAnswer) {
                 readingKeys_ = false;
                 if (aAnswer.status_ == StoreStatus::Ok) {
                   OnKeyTable(aAnswer.object_);
@@ -528,7 +528,7 @@
   if (mesh_.UnknownMembers() > 0 &&
       nowMs - membersReadMs_ >= detail::kMembersReadMs) {
     membersReadMs_ = nowMs + store_.Jitter(detail::kMembersReadMs);
-    ownFollower_.ReadAgain();
+    ownFollower_.Relist();
   }
 }
 
@@ -560,14 +560,14 @@
                                     { "bootId", bootId_ },
                                     { "domain", settings_.failureDomain_ },
                                     { "cpuPercent", settings_.cpuPercent_ } };
-  const auto finish = [this](const StoreAnswer& aAnswer) {
+  const auto finish = [this](const StoreResponse& aAnswer) {
     if (aAnswer.status_ != StoreStatus::Ok) {
       registerTimer_.Start(detail::kRegisterRetryMs +
                            store_.Jitter(detail::kRegisterRetryMs));
     }
   };
   store_.Call(store_.Protocol().Create(detail::kOwnKind, name, spec),
-              [this, name, spec, finish](const StoreAnswer& aAnswer) {
+              [this, name, spec, finish](const StoreResponse& aAnswer) {
                 if (aAnswer.status_ != StoreStatus::Conflict) {
                   finish(aAnswer);
                   return;
@@ -583,7 +583,7 @@
   store_.Call(
     store_.Protocol().Get(detail::kOwnKind,
                           Concat(detail::kInstancePrefix, settings_.instance_)),
-    [](const StoreAnswer&) {});
+    [](const StoreResponse&) {});
 }
 
 void Gateway::AskStoreForConfig()
@@ -591,9 +591,9 @@
   if (std::exchange(askingConfig_, true)) {
     return;
   }
-  store_.Call(store_.Protocol().Get(port_.registry_.ConfigKind(),
-                                    port_.registry_.ConfigName()),
-              [this](const StoreAnswer& aAnswer) {
+  store_.Call(store_.Protocol().Get(platform_.registry_.ConfigKind(),
+                                    platform_.registry_.ConfigName()),
+              [this](const StoreResponse& aAnswer) {
                 askingConfig_ = false;
                 if (aAnswer.status_ == StoreStatus::Ok) {
                   OnConfigObject(aAnswer.object_);
@@ -604,7 +604,7 @@
 StatusServer::Page Gateway::StatusPage(const std::string& aTarget)
 {
   if (aTarget == "/directory") {
-    return { HasDirectory() ? 200 : 503, relay_.DirectoryText() };
+    return { HasDirectory() ? 200 : 503, relay_.DirectoryJson() };
   }
   if (aTarget == "/config") {
     return { configVersion_ > 0 ? 200 : 503, configPacked_ };
@@ -614,7 +614,7 @@
 
 bool Gateway::HasDirectory() const
 {
-  return backendFollower_.HasListed() || relayedDirectory_;
+  return backendWatcher_.HasListed() || relayedDirectory_;
 }
 
 bool Gateway::IsReady() const
@@ -647,8 +647,8 @@
 {
   housekeepTimer_.Start(detail::kHousekeepMs);
   const TimeMs nowMs = loop_.NowMs();
-  if (backendFollower_.IsActive()) {
-    directory_.AdvanceTo(backendFollower_.Revision());
+  if (backendWatcher_.IsActive()) {
+    directory_.AdvanceTo(backendWatcher_.Revision());
   }
   if (directory_.Expire(nowMs)) {
     OnBackendsChanged();
@@ -694,7 +694,7 @@
   settings_.graceMs_ = fresh->graceMs_;
   log_.SetMinimum(fresh->logLevel_);
   forwarder_.SetRetryBounds(fresh->retryRatio_, fresh->retryExtra_);
-  director_.SetMaxHold(fresh->maxHoldMs_);
+  coordinator_.SetMaxHold(fresh->maxHoldMs_);
   LogSettings("settings-reloaded", *fresh);
 }
 
@@ -721,7 +721,7 @@
              "drain-started",
              { { "active", forwarder_.ActiveRequests() },
                { "connections", callers_.Connections() } });
-  election_.Retire();
+  election_.WithdrawCandidacy();
   if (election_.IsLeading() && store_.IsReachable()) {
     election_.Resign("process stops");
   }
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -6,15 +6,15 @@
 #include "gateway/Forwarder.hpp"
 #include "gateway/GatewayMetrics.hpp"
 #include "gateway/GatewaySettings.hpp"
-#include "gateway/GossipDuty.hpp"
-#include "gateway/KeyDirector.hpp"
+#include "gateway/GossipAgent.hpp"
+#include "gateway/KeyCoordinator.hpp"
 #include "gateway/LeaderElection.hpp"
 #include "gateway/PeerMesh.hpp"
-#include "gateway/PlatformPort.hpp"
+#include "gateway/PlatformInterface.hpp"
 #include "gateway/StatusServer.hpp"
-#include "gateway/StoreFollower.hpp"
-#include "gateway/StoreLink.hpp"
+#include "gateway/StoreClient.hpp"
 #include "gateway/StoreRelay.hpp"
+#include "gateway/StoreWatcher.hpp"
 #include "membership/BackendDirectory.hpp"
 #include "net/EventLoop.hpp"
 #include "net/HttpClient.hpp"
@@ -37,7 +37,7 @@
   Gateway(EventLoop& aLoop,
           EventLog& aLog,
           GatewaySettings aSettings,
-          PlatformPort aPort,
+          PlatformInterface aPlatform,
           SettingsReader aReadSettings);
 
   /// False when an address cannot be used.
@@ -81,27 +81,27 @@
   EventLoop& loop_;
   EventLog& log_;
   GatewaySettings settings_;
-  PlatformPort port_;
+  PlatformInterface platform_;
   SettingsReader readSettings_;
   int64_t bootId_;
   MetricsRegistry registry_;
   GatewayMetrics metrics_;
   HttpClient client_;
-  StoreLink store_;
+  StoreClient store_;
   Forwarder forwarder_;
   CallerServer callers_;
   StatusServer readyServer_;
   StatusServer metricsServer_;
   PeerMesh mesh_;
   BackendDirectory directory_;
-  StoreFollower configFollower_;
-  StoreFollower backendFollower_;
-  StoreFollower ownFollower_;
+  StoreWatcher configWatcher_;
+  StoreWatcher backendWatcher_;
+  StoreWatcher ownFollower_;
   LeaderElection election_;
   LoadBoard board_;
-  KeyDirector director_;
+  KeyCoordinator coordinator_;
   StoreRelay relay_;
-  GossipDuty gossip_;
+  GossipAgent gossip_;
   Timer changesTimer_;
   Timer housekeepTimer_;
   Timer registerTimer_;
--- a/gateway/GatewayMain.cpp
+++ b/gateway/GatewayMain.cpp
@@ -1,7 +1,7 @@
 #include "common/Version.hpp"
 #include "gateway/Gateway.hpp"
-#include "platform/Objects.hpp"
-#include "platform/Requests.hpp"
+#include "platform/ObjectCodec.hpp"
+#include "platform/RequestCodec.hpp"
 #include "platform/SettingsFile.hpp"
 
 #include <csignal>
@@ -95,10 +95,10 @@
   std::signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
   EventLog log(loop, settings.logLevel_, STDOUT_FILENO);
-  const platform::Requests requests;
-  const platform::Orders orders;
-  const platform::Objects objects;
-  const platform::Registry registry;
+  const platform::RequestCodec requests;
+  const platform::CommandCodec orders;
+  const platform::ObjectCodec objects;
+  const platform::RegistryCodec registry;
   Gateway gateway(loop,
                   log,
                   settings,
--- a/gateway/GossipDuty.cpp
+++ b/gateway/GossipAgent.cpp
@@ -1,4 +1,4 @@
-#include "gateway/GossipDuty.hpp"
+#include "gateway/GossipAgent.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -8,64 +8,64 @@
 
 namespace detail {
 
-/// Three lost in a row make a leader silent (LeaderTiming::kSilenceMs).
-constexpr TimeMs kGossipMs = 250;
+/// Three lost in a row make a leader silent (LeaderTiming::kElectionTimeoutMs).
+constexpr TimeMs kGossipIntervalMs = 250;
 /// Gateways that do not lead tell only the leader in between.
-constexpr uint64_t kFullRounds = 4;
+constexpr uint64_t kFullGossipRounds = 4;
 /// The leader passes the loads on every second time: 3 KB for 350 servers.
-constexpr uint64_t kBoardRounds = 2;
+constexpr uint64_t kLoadRounds = 2;
 /// Changes of owners come in groups, a move changes two servers.
-constexpr TimeMs kChangeGatherMs = 10;
+constexpr TimeMs kKeyChangeDelayMs = 10;
 /// The leader of a large fleet tells all owners to all this often at most,
 /// while some ask for them.
 constexpr TimeMs kAllKeysIntervalMs = 500;
 constexpr size_t kLoadFields = 3;
 /// Leaving servers in each datagram: half a kilobyte.
-constexpr size_t kMaxLeaving = 100;
+constexpr size_t kMaxLeavingServers = 100;
 /// Registrations of one datagram, about a kilobyte.
-constexpr size_t kMaxChanges = 12;
+constexpr size_t kMaxRegistrations = 12;
 constexpr double kUsPerMs = 1000;
 constexpr double kAdmissionScale = 1000;
 /// Gateways that a follower of a large fleet tells directly each second; enough
 /// to notice that it is cut off when no leader speaks.
-constexpr size_t kFanOut = 8;
+constexpr size_t kGossipFanOut = 8;
 /// Followers of a large fleet report to the leader every second round.
 constexpr uint64_t kLargeReportRounds = 2;
 
 }
 
-GossipDuty::GossipDuty(EventLoop& aLoop,
-                       Self aSelf,
-                       PeerMesh& aMesh,
-                       LeaderElection& aElection,
-                       KeyDirector& aDirector,
-                       LoadBoard& aBoard,
-                       StoreRelay& aRelay,
-                       Forwarder& aForwarder,
-                       Handlers aHandlers)
+GossipAgent::GossipAgent(EventLoop& aLoop,
+                         Self aSelf,
+                         PeerMesh& aMesh,
+                         LeaderElection& aElection,
+                         KeyCoordinator& aCoordinator,
+                         LoadBoard& aBoard,
+                         StoreRelay& aRelay,
+                         Forwarder& aForwarder,
+                         Handlers aHandlers)
   : loop_(aLoop)
   , self_(std::move(aSelf))
   , mesh_(aMesh)
   , election_(aElection)
-  , director_(aDirector)
+  , coordinator_(aCoordinator)
   , board_(aBoard)
   , relay_(aRelay)
   , forwarder_(aForwarder)
   , handlers_(std::move(aHandlers))
   , timer_(aLoop, [this] { Tick(); })
-  , changeTimer_(aLoop, [this] { SendChanges(); })
+  , keyChangeTimer_(aLoop, [this] { SendKeyChanges(); })
   , suspects_(aForwarder.Crashes().Quarantine())
-  , suspectTimer_(aLoop, [this] { TellSuspects(); })
+  , suspectTimer_(aLoop, [this] { SendSuspects(); })
 {
 }
 
-void GossipDuty::Start()
+void GossipAgent::Start()
 {
-  timer_.Start(detail::kGossipMs);
-  mesh_.SendToAll(Basic());
+  timer_.Start(detail::kGossipIntervalMs);
+  mesh_.SendToAll(MakeGossip());
 }
 
-wire::Gossip GossipDuty::Basic()
+wire::Gossip GossipAgent::MakeGossip()
 {
   wire::Gossip gossip;
   gossip.instance = self_.instance_;
@@ -78,38 +78,38 @@
   gossip.deadTerm = election_.EndedTerm();
   gossip.statusPort = self_.statusPort_;
   gossip.suspectDigest = static_cast<int64_t>(suspects_.Digest(loop_.NowMs()));
-  gossip.leavingServers = handlers_.leavingServers_(detail::kMaxLeaving);
-  relay_.Fill(gossip);
+  gossip.leavingServers = handlers_.leavingServers_(detail::kMaxLeavingServers);
+  relay_.AddStoreState(gossip);
   return gossip;
 }
 
-void GossipDuty::Tick()
+void GossipAgent::Tick()
 {
-  timer_.Start(detail::kGossipMs);
+  timer_.Start(detail::kGossipIntervalMs);
   ++rounds_;
-  auto gossip = Basic();
+  auto gossip = MakeGossip();
   if (election_.IsLeading()) {
-    TellAsLeader(gossip);
+    SendAsLeader(gossip);
   } else {
-    TellAsFollower(gossip);
+    SendAsFollower(gossip);
   }
 }
 
-void GossipDuty::TellAsLeader(wire::Gossip& aGossip)
+void GossipAgent::SendAsLeader(wire::Gossip& aGossip)
 {
   const TimeMs nowMs = loop_.NowMs();
   for (const auto& [service, keys] : forwarder_.TakeKeyCounts()) {
     for (const auto& [key, count] : keys) {
-      director_.AddLoad(service, key, count);
+      coordinator_.AddLoad(service, key, count);
     }
   }
   for (const auto& report : forwarder_.Pool().TakeReports()) {
     board_.Add(report, nowMs);
   }
-  for (const auto& [service, ownership] : director_.Ownership()) {
+  for (const auto& [service, ownership] : coordinator_.Ownership()) {
     aGossip.keys.push_back(keyGossip_.NextSlice(service, *ownership));
   }
-  if (rounds_ % detail::kBoardRounds == 0) {
+  if (rounds_ % detail::kLoadRounds == 0) {
     const auto changed = board_.TakeChanged(nowMs);
     std::ranges::for_each(changed, [&](const BoardEntry& aEntry) {
       forwarder_.Pool().ApplyShared(aEntry);
@@ -117,15 +117,15 @@
     FillLoads(changed, aGossip);
     FillAdmissions(aGossip);
   }
-  if (mesh_.IsLarge() && rounds_ % detail::kFullRounds == 0) {
+  if (mesh_.IsLarge() && rounds_ % detail::kFullGossipRounds == 0) {
     aGossip.members = mesh_.MemberHashes(nowMs);
   }
   mesh_.SendToAll(aGossip);
 }
 
-void GossipDuty::TellAsFollower(wire::Gossip& aGossip)
+void GossipAgent::SendAsFollower(wire::Gossip& aGossip)
 {
-  const bool full = rounds_ % detail::kFullRounds == 0;
+  const bool full = rounds_ % detail::kFullGossipRounds == 0;
   const auto leader = mesh_.Peers().find(election_.Leader());
   if (full) {
     // Many gateways hear of each other from the leader; all hear of the store
@@ -133,12 +133,12 @@
     if (!mesh_.IsLarge() || aGossip.storeOk) {
       mesh_.SendToAll(aGossip);
     } else {
-      mesh_.SendToSome(aGossip, detail::kFanOut);
+      mesh_.SendToRandom(aGossip, detail::kGossipFanOut);
     }
   }
-  const bool quiet =
+  const bool skipsReport =
     mesh_.IsLarge() && rounds_ % detail::kLargeReportRounds != 0;
-  if (leader == mesh_.Peers().end() || quiet) {
+  if (leader == mesh_.Peers().end() || skipsReport) {
     return;
   }
   FillKeyCounts(aGossip);
@@ -148,7 +148,7 @@
   mesh_.SendTo(leader->second.endpoint_, aGossip);
 }
 
-bool GossipDuty::KnowsAllKeys() const
+bool GossipAgent::KnowsAllKeys() const
 {
   const auto routes = forwarder_.Routes();
   return routes != nullptr &&
@@ -159,8 +159,8 @@
            });
 }
 
-void GossipDuty::FillSuspects(const std::vector<CrashSuspect>& aSuspects,
-                              wire::Gossip& aGossip)
+void GossipAgent::FillSuspects(const std::vector<CrashSuspect>& aSuspects,
+                               wire::Gossip& aGossip)
 {
   std::ranges::transform(
     aSuspects,
@@ -175,37 +175,37 @@
     });
 }
 
-void GossipDuty::TellLeaving()
+void GossipAgent::SendLeavingNotice()
 {
   const auto leader = mesh_.Peers().find(election_.Leader());
   if (election_.IsLeading() || leader == mesh_.Peers().end()) {
-    mesh_.SendToAll(Basic());
+    mesh_.SendToAll(MakeGossip());
   } else {
-    mesh_.SendTo(leader->second.endpoint_, Basic());
+    mesh_.SendTo(leader->second.endpoint_, MakeGossip());
   }
 }
 
-void GossipDuty::OnSuspectsChanged()
+void GossipAgent::OnSuspectsChanged()
 {
   suspects_.OnChanged(loop_.NowMs());
-  ScheduleSuspects();
+  ScheduleSendSuspects();
 }
 
-void GossipDuty::ScheduleSuspects()
+void GossipAgent::ScheduleSendSuspects()
 {
   if (suspects_.DueMs() != INT64_MAX) {
     suspectTimer_.Start(std::max<TimeMs>(suspects_.DueMs() - loop_.NowMs(), 1));
   }
 }
 
-void GossipDuty::TellSuspects()
+void GossipAgent::SendSuspects()
 {
   const auto leader = mesh_.Peers().find(election_.Leader());
   const bool knowsLeader = leader != mesh_.Peers().end();
   const auto message =
     suspects_.TakeDue(loop_.NowMs(), election_.IsLeading(), knowsLeader);
   if (message) {
-    auto gossip = Basic();
+    auto gossip = MakeGossip();
     FillSuspects(message->suspects_, gossip);
     if (message->audience_ == SuspectExchange::Audience::All) {
       mesh_.SendToAll(gossip);
@@ -213,24 +213,24 @@
       mesh_.SendTo(leader->second.endpoint_, gossip);
     }
   }
-  ScheduleSuspects();
+  ScheduleSendSuspects();
 }
 
-void GossipDuty::CompareSuspects(const wire::Gossip& aGossip,
-                                 const Endpoint& aOrigin)
+void GossipAgent::SyncSuspects(const wire::Gossip& aGossip,
+                               const Endpoint& aOrigin)
 {
   const auto missing =
     suspects_.Compare(aGossip.instance,
                       static_cast<uint64_t>(aGossip.suspectDigest),
                       loop_.NowMs());
   if (missing) {
-    auto gossip = Basic();
+    auto gossip = MakeGossip();
     FillSuspects(*missing, gossip);
     mesh_.SendTo(aOrigin, gossip);
   }
 }
 
-void GossipDuty::FillKeyCounts(wire::Gossip& aGossip)
+void GossipAgent::FillKeyCounts(wire::Gossip& aGossip)
 {
   for (const auto& [service, keys] : forwarder_.TakeKeyCounts()) {
     wire::KeyCounts counts;
@@ -243,8 +243,8 @@
   }
 }
 
-void GossipDuty::FillLoads(const std::vector<BoardEntry>& aEntries,
-                           wire::Gossip& aGossip)
+void GossipAgent::FillLoads(const std::vector<BoardEntry>& aEntries,
+                            wire::Gossip& aGossip)
 {
   for (const auto& entry : aEntries) {
     aGossip.backendLoads.push_back(static_cast<int32_t>(entry.server_));
@@ -255,9 +255,9 @@
   }
 }
 
-void GossipDuty::FillAdmissions(wire::Gossip& aGossip)
+void GossipAgent::FillAdmissions(wire::Gossip& aGossip)
 {
-  const auto shares = SharesOf(director_.Demands());
+  const auto shares = SharesOf(coordinator_.Demands());
   for (const auto& share : shares) {
     aGossip.admissions.push_back(static_cast<int32_t>(share.server_));
     aGossip.admissions.push_back(static_cast<int32_t>(
@@ -266,7 +266,7 @@
   forwarder_.Admission().Update(shares, loop_.NowMs());
 }
 
-void GossipDuty::TakeAdmissions(const wire::Gossip& aGossip)
+void GossipAgent::ApplyAdmissions(const wire::Gossip& aGossip)
 {
   std::vector<AdmissionShare> shares;
   const auto& numbers = aGossip.admissions;
@@ -279,38 +279,40 @@
   }
 }
 
-void GossipDuty::TellChanges(std::vector<wire::BackendChange> aChanges)
+void GossipAgent::BroadcastRegistrations(
+  std::vector<wire::BackendChange> aChanges)
 {
   for (size_t first = 0; first < aChanges.size();
-       first += detail::kMaxChanges) {
-    auto gossip = Basic();
-    const auto last = std::min(first + detail::kMaxChanges, aChanges.size());
+       first += detail::kMaxRegistrations) {
+    auto gossip = MakeGossip();
+    const auto last =
+      std::min(first + detail::kMaxRegistrations, aChanges.size());
     gossip.changes.assign(aChanges.begin() + static_cast<ptrdiff_t>(first),
                           aChanges.begin() + static_cast<ptrdiff_t>(last));
     mesh_.SendToAll(gossip);
   }
 }
 
-void GossipDuty::OnLeadershipChanged()
+void GossipAgent::OnLeadershipChanged()
 {
   keyGossip_.Reset();
-  mesh_.SendToAll(Basic());
+  mesh_.SendToAll(MakeGossip());
 }
 
-void GossipDuty::OnKeysChanged()
+void GossipAgent::OnKeysChanged()
 {
-  if (!changeTimer_.IsActive()) {
-    changeTimer_.Start(detail::kChangeGatherMs);
+  if (!keyChangeTimer_.IsActive()) {
+    keyChangeTimer_.Start(detail::kKeyChangeDelayMs);
   }
 }
 
-void GossipDuty::SendChanges()
+void GossipAgent::SendKeyChanges()
 {
   bool changed = false;
-  for (const auto& [service, ownership] : director_.Ownership()) {
+  for (const auto& [service, ownership] : coordinator_.Ownership()) {
     for (auto& part : keyGossip_.TakeChanges(service, *ownership)) {
       changed |= KeyGossip::Apply(part, forwarder_.Keys());
-      auto gossip = Basic();
+      auto gossip = MakeGossip();
       gossip.keys.push_back(std::move(part));
       mesh_.SendToAll(gossip);
     }
@@ -320,42 +322,42 @@
   }
 }
 
-void GossipDuty::AnswerWantedKeys(const Endpoint& aAsker)
+void GossipAgent::SendAllKeys(const Endpoint& aReceiver)
 {
   if (mesh_.IsLarge()) {
     // After a power loss hundreds ask at once; they are told together.
     const TimeMs nowMs = loop_.NowMs();
-    if (nowMs - allKeysToldMs_ >= detail::kAllKeysIntervalMs) {
-      allKeysToldMs_ = nowMs;
+    if (nowMs - allKeysSentMs_ >= detail::kAllKeysIntervalMs) {
+      allKeysSentMs_ = nowMs;
       keyGossip_.Reset();
       OnKeysChanged();
     }
     return;
   }
-  for (const auto& [service, ownership] : director_.Ownership()) {
+  for (const auto& [service, ownership] : coordinator_.Ownership()) {
     for (auto& part : KeyGossip::All(service, *ownership)) {
-      auto answer = Basic();
+      auto answer = MakeGossip();
       answer.keys.push_back(std::move(part));
-      mesh_.SendTo(aAsker, answer);
+      mesh_.SendTo(aReceiver, answer);
     }
   }
 }
 
-void GossipDuty::Announce()
+void GossipAgent::Announce()
 {
-  mesh_.SendToDomain(Basic());
+  mesh_.SendToDomain(MakeGossip());
 }
 
-void GossipDuty::OnReceived(const wire::Gossip& aGossip,
-                            const Endpoint& aOrigin,
-                            const Endpoint& aSender)
+void GossipAgent::OnReceived(const wire::Gossip& aGossip,
+                             const Endpoint& aOrigin,
+                             const Endpoint& aSender)
 {
   if (aGossip.instance == self_.instance_) {
     return;
   }
-  mesh_.NoteHeard(aGossip, aOrigin);
+  mesh_.RecordHeard(aGossip, aOrigin);
   if (aGossip.leading) {
-    mesh_.NoteMembers(aGossip.members);
+    mesh_.RecordMembers(aGossip.members);
   }
   election_.OnGossip(aGossip);
   bool changed = false;
@@ -365,34 +367,34 @@
   if (changed) {
     forwarder_.OnPlacesChanged();
   }
-  TakeLoads(aGossip);
-  TakeAdmissions(aGossip);
+  ApplyLoads(aGossip);
+  ApplyAdmissions(aGossip);
   if (!aGossip.leavingServers.empty()) {
     handlers_.onLeaving_(aGossip.leavingServers);
   }
-  TakeSuspects(aGossip);
-  CompareSuspects(aGossip, aOrigin);
+  ApplySuspects(aGossip);
+  SyncSuspects(aGossip, aOrigin);
   if (election_.IsLeading()) {
-    TakeKeyCounts(aGossip);
+    ApplyKeyCounts(aGossip);
     if (aGossip.wantsKeys) {
-      AnswerWantedKeys(aOrigin);
+      SendAllKeys(aOrigin);
     }
   }
   relay_.OnGossip(aGossip, aSender);
 }
 
-void GossipDuty::TakeKeyCounts(const wire::Gossip& aGossip)
+void GossipAgent::ApplyKeyCounts(const wire::Gossip& aGossip)
 {
   for (const auto& keys : aGossip.keyCounts) {
     for (size_t index = 0; index + 1 < keys.counts.size(); index += 2) {
-      director_.AddLoad(keys.serviceName,
-                        static_cast<uint32_t>(keys.counts[index]),
-                        keys.counts[index + 1]);
+      coordinator_.AddLoad(keys.serviceName,
+                           static_cast<uint32_t>(keys.counts[index]),
+                           keys.counts[index + 1]);
     }
   }
 }
 
-void GossipDuty::TakeLoads(const wire::Gossip& aGossip)
+void GossipAgent::ApplyLoads(const wire::Gossip& aGossip)
 {
   const auto& loads = aGossip.backendLoads;
   for (size_t index = 0; index + detail::kLoadFields <= loads.size();
@@ -407,7 +409,7 @@
   }
 }
 
-void GossipDuty::TakeSuspects(const wire::Gossip& aGossip)
+void GossipAgent::ApplySuspects(const wire::Gossip& aGossip)
 {
   if (aGossip.suspects.empty()) {
     return;
@@ -426,7 +428,7 @@
     });
   const bool isNew =
     suspects_.OnTold(suspects, loop_.NowMs(), election_.IsLeading());
-  ScheduleSuspects();
+  ScheduleSendSuspects();
   if (!isNew || !forwarder_.Log().Allows(LogLevel::Info, "suspects-told")) {
     return;
   }
--- a/gateway/KeyDirector.cpp
+++ b/gateway/KeyCoordinator.cpp
@@ -1,4 +1,4 @@
-#include "gateway/KeyDirector.hpp"
+#include "gateway/KeyCoordinator.hpp"
 
 #include "common/ShortHash.hpp"
 
@@ -13,7 +13,7 @@
 /// without calls.
 constexpr const char* kTableKind = "cactuspitch-keys";
 constexpr const char* kTableName = "keys";
-constexpr TimeMs kDirectorTickMs = 30;
+constexpr TimeMs kCoordinatorTickMs = 30;
 /// Changes are gathered for this long, so that a write carries several.
 constexpr TimeMs kWriteIntervalMs = 100;
 constexpr TimeMs kWriteRetryMs = 200;
@@ -29,68 +29,69 @@
 
 }
 
-KeyDirector::KeyDirector(EventLoop& aLoop,
-                         EventLog& aLog,
-                         StoreLink& aStore,
-                         HttpClient& aClient,
-                         const OrderProtocol& aProtocol,
-                         const LoadBoard& aBoard,
-                         TimeMs aMaxHoldMs,
-                         Handlers aHandlers)
+KeyCoordinator::KeyCoordinator(EventLoop& aLoop,
+                               EventLog& aLog,
+                               StoreClient& aStore,
+                               HttpClient& aClient,
+                               const CommandProtocol& aProtocol,
+                               const LoadBoard& aBoard,
+                               TimeMs aMaxHoldMs,
+                               Handlers aHandlers)
   : loop_(aLoop)
   , log_(aLog)
   , store_(aStore)
-  , sender_(aLoop,
-            aLog,
-            aClient,
-            aProtocol,
-            { [this] { return handlers_.grantScope_(); },
-              [this](const KeyOrder& aOrder, const OrderAnswer& aAnswer) {
-                OnOrderDone(aOrder, aAnswer);
-              },
-              [this](const std::string& aBackend, int64_t aBornMs) {
-                handlers_.onLeaving_(aBackend, aBornMs);
-              } })
+  , sender_(
+      aLoop,
+      aLog,
+      aClient,
+      aProtocol,
+      { [this] { return handlers_.grantScope_(); },
+        [this](const KeyOrder& aCommand, const CommandResponse& aResponse) {
+          OnCommandDone(aCommand, aResponse);
+        },
+        [this](const std::string& aBackend, int64_t aBornMs) {
+          handlers_.onLeaving_(aBackend, aBornMs);
+        } })
   , board_(aBoard)
   , maxHoldMs_(aMaxHoldMs)
   , handlers_(std::move(aHandlers))
   , timer_(aLoop, [this] { Tick(); })
-  , retryTimer_(aLoop, [this] { std::exchange(retry_, nullptr)(); })
+  , retryTimer_(aLoop, [this] { std::exchange(retryTask_, nullptr)(); })
 {
 }
 
-void KeyDirector::RetryLater(std::function<void()> aTask)
+void KeyCoordinator::RetryLater(std::function<void()> aTask)
 {
-  retry_ = std::move(aTask);
+  retryTask_ = std::move(aTask);
   retryTimer_.Start(detail::kWriteRetryMs / 2 +
                     store_.Jitter(detail::kWriteRetryMs / 2));
 }
 
-CallRequest KeyDirector::ReadTable(const ObjectProtocol& aProtocol)
+CallRequest KeyCoordinator::TableReadRequest(const ObjectProtocol& aProtocol)
 {
   return aProtocol.Get(detail::kTableKind, detail::kTableName);
 }
 
-void KeyDirector::Start(int64_t aTerm)
+void KeyCoordinator::Start(int64_t aTerm)
 {
   running_ = true;
   loaded_ = false;
   writing_ = false;
   timing_.reset();
-  ++run_;
+  ++generation_;
   term_ = aTerm;
-  fences_ = 0;
+  fenceCounter_ = 0;
   services_.clear();
-  reported_.clear();
+  reportedRevisions_.clear();
   sender_.Reset();
-  Read();
-  timer_.Start(detail::kDirectorTickMs);
+  LoadTable();
+  timer_.Start(detail::kCoordinatorTickMs);
 }
 
-void KeyDirector::Stop()
+void KeyCoordinator::Stop()
 {
   running_ = false;
-  ++run_;
+  ++generation_;
   timer_.Stop();
   retryTimer_.Stop();
   services_.clear();
@@ -98,36 +99,36 @@
   sender_.Reset();
 }
 
-void KeyDirector::OnForeignEnded()
+void KeyCoordinator::OnEarlierLeadersEnded()
 {
   for (auto& [name, ownership] : services_) {
     ownership->OnForeignLeadersEnded(loop_.NowMs());
   }
 }
 
-int64_t KeyDirector::NextFence()
+int64_t KeyCoordinator::NextFence()
 {
-  return (term_ << detail::kFenceBits) | ++fences_;
+  return (term_ << detail::kFenceBits) | ++fenceCounter_;
 }
 
-void KeyDirector::Read()
+void KeyCoordinator::LoadTable()
 {
-  store_.Call(ReadTable(store_.Protocol()),
-              [this, run = run_](const StoreAnswer& aAnswer) {
-                if (run == run_) {
-                  OnRead(aAnswer);
+  store_.Call(TableReadRequest(store_.Protocol()),
+              [this, generation = generation_](const StoreResponse& aResponse) {
+                if (generation == generation_) {
+                  OnTableLoaded(aResponse);
                 }
               });
 }
 
-void KeyDirector::OnRead(const StoreAnswer& aAnswer)
+void KeyCoordinator::OnTableLoaded(const StoreResponse& aResponse)
 {
   KeyTable table;
-  if (aAnswer.status_ == StoreStatus::Missing) {
+  if (aResponse.status_ == StoreStatus::NotFound) {
     revision_ = 0;
-  } else if (aAnswer.status_ == StoreStatus::Ok) {
-    revision_ = aAnswer.object_.revision_;
-    if (!DecodeKeyTable(aAnswer.object_.spec_, table)) {
+  } else if (aResponse.status_ == StoreStatus::Ok) {
+    revision_ = aResponse.object_.revision_;
+    if (!DecodeKeyTable(aResponse.object_.spec_, table)) {
       log_.Write(
         LogLevel::Error, "key-table-unreadable", { { "revision", revision_ } });
     }
@@ -137,7 +138,7 @@
     }
   } else {
     // The earlier leader's table is needed before any order.
-    RetryLater([this] { Read(); });
+    RetryLater([this] { LoadTable(); });
     return;
   }
   if (!table.services_.empty()) {
@@ -157,17 +158,17 @@
   }
   if (!adopted.empty()) {
     // The new fences are durable before they are used.
-    Write(std::move(adopted));
+    WriteTable(std::move(adopted));
   }
 }
 
-void KeyDirector::SetServices(std::set<std::string> aKeyedServices)
+void KeyCoordinator::SetKeyedServices(std::set<std::string> aKeyedServices)
 {
   keyedServices_ = std::move(aKeyedServices);
   UpdateCandidates();
 }
 
-void KeyDirector::UpdateBackends(
+void KeyCoordinator::UpdateBackends(
   const std::map<std::string, BackendEntry>& aEntries,
   const std::set<std::string>& aChanged)
 {
@@ -192,7 +193,7 @@
   UpdateCandidates();
 }
 
-void KeyDirector::DecideTiming(const KeyTable& aEarlier)
+void KeyCoordinator::DecideTiming(const KeyTable& aEarlier)
 {
   // One timing for a whole term: the table names its hold to the next leader.
   std::set<std::string_view> owners;
@@ -206,7 +207,7 @@
   timing_->foreignHoldMs_ = std::max(timing_->holdMs_, aEarlier.holdMs_);
 }
 
-double KeyDirector::MeanWorkMs(const std::string& aService) const
+double KeyCoordinator::MeanWorkMs(const std::string& aService) const
 {
   double sum = 0;
   int count = 0;
@@ -221,13 +222,13 @@
   return count == 0 ? detail::kDefaultWorkMs : sum / count;
 }
 
-double KeyDirector::MeanWorkSeconds(const std::string& aService) const
+double KeyCoordinator::MeanWorkSeconds(const std::string& aService) const
 {
   constexpr double kMsPerSecond = 1000;
   return MeanWorkMs(aService) / kMsPerSecond;
 }
 
-void KeyDirector::UpdateCandidates()
+void KeyCoordinator::UpdateCandidates()
 {
   if (!running_ || !loaded_ || backends_.empty()) {
     return;
@@ -265,9 +266,9 @@
   }
 }
 
-void KeyDirector::AddLoad(const std::string& aService,
-                          uint32_t aKey,
-                          int aRequests)
+void KeyCoordinator::AddLoad(const std::string& aService,
+                             uint32_t aKey,
+                             int aRequests)
 {
   if (running_) {
     const bool large = backends_.size() > GrantTiming::kLargeFleet;
@@ -277,18 +278,18 @@
   }
 }
 
-void KeyDirector::Tick()
+void KeyCoordinator::Tick()
 {
-  timer_.Start(detail::kDirectorTickMs);
-  if (!loaded_ || !handlers_.mayOrder_()) {
+  timer_.Start(detail::kCoordinatorTickMs);
+  if (!loaded_ || !handlers_.maySendCommands_()) {
     return;
   }
   ProposeChanges();
-  SendOrders();
+  SendCommands();
   ReportChanges();
 }
 
-std::vector<KeyOwnership::Move> KeyDirector::PlanMoves(
+std::vector<KeyOwnership::Move> KeyCoordinator::PlanMoves(
   const std::string& aService,
   const KeyOwnership& aOwnership)
 {
@@ -316,7 +317,7 @@
   return moves;
 }
 
-std::vector<OwnerDemand> KeyDirector::Demands() const
+std::vector<OwnerDemand> KeyCoordinator::Demands() const
 {
   const TimeMs nowMs = loop_.NowMs();
   std::vector<OwnerDemand> demands;
@@ -343,13 +344,13 @@
   return demands;
 }
 
-bool KeyDirector::HasDemand(const std::string& aService) const
+bool KeyCoordinator::HasDemand(const std::string& aService) const
 {
   const auto load = loads_.find(aService);
   return load != loads_.end() && load->second.TotalRate(loop_.NowMs()) > 0;
 }
 
-void KeyDirector::ProposeChanges()
+void KeyCoordinator::ProposeChanges()
 {
   const TimeMs nowMs = loop_.NowMs();
   if (writing_ || nowMs - lastWriteMs_ < detail::kWriteIntervalMs ||
@@ -376,11 +377,11 @@
     proposed[name] = change ? *change : ownership->Segments();
   }
   if (changed) {
-    Write(std::move(proposed));
+    WriteTable(std::move(proposed));
   }
 }
 
-void KeyDirector::Write(std::map<std::string, KeySegments> aProposed)
+void KeyCoordinator::WriteTable(std::map<std::string, KeySegments> aProposed)
 {
   writing_ = true;
   lastWriteMs_ = loop_.NowMs();
@@ -392,67 +393,67 @@
                 ? protocol.Create(detail::kTableKind, detail::kTableName, spec)
                 : protocol.Replace(
                     detail::kTableKind, detail::kTableName, spec, revision_),
-              [this, run = run_](const StoreAnswer& aAnswer) {
-                if (run == run_) {
-                  OnWritten(aAnswer);
+              [this, generation = generation_](const StoreResponse& aResponse) {
+                if (generation == generation_) {
+                  OnTableWritten(aResponse);
                 }
               });
 }
 
-void KeyDirector::OnWritten(const StoreAnswer& aAnswer)
+void KeyCoordinator::OnTableWritten(const StoreResponse& aResponse)
 {
-  switch (aAnswer.status_) {
+  switch (aResponse.status_) {
     case StoreStatus::Ok:
-      OnCommitted(aAnswer.object_.revision_);
+      OnCommitted(aResponse.object_.revision_);
       break;
-    case StoreStatus::NotDone:
+    case StoreStatus::NotApplied:
       // Nothing was done; the proposal is made anew from what is known then.
       // The first write of a term carries the new fences and must come first.
       lastWriteMs_ = loop_.NowMs() + detail::kWriteRetryMs;
-      if (reported_.empty() && !services_.empty()) {
-        RetryLater([this] { ResolveUnknown(); });
+      if (reportedRevisions_.empty() && !services_.empty()) {
+        RetryLater([this] { ResolveUnknownWrite(); });
       } else {
         writing_ = false;
       }
       break;
     default:
-      ResolveUnknown();
+      ResolveUnknownWrite();
   }
 }
 
-void KeyDirector::ResolveUnknown()
+void KeyCoordinator::ResolveUnknownWrite()
 {
   store_.Call(
-    ReadTable(store_.Protocol()),
-    [this, run = run_](const StoreAnswer& aAnswer) {
-      if (run != run_) {
+    TableReadRequest(store_.Protocol()),
+    [this, generation = generation_](const StoreResponse& aResponse) {
+      if (generation != generation_) {
         return;
       }
-      if (aAnswer.status_ == StoreStatus::NotDone ||
-          aAnswer.status_ == StoreStatus::Unknown) {
-        RetryLater([this] { ResolveUnknown(); });
+      if (aResponse.status_ == StoreStatus::NotApplied ||
+          aResponse.status_ == StoreStatus::Unknown) {
+        RetryLater([this] { ResolveUnknownWrite(); });
         return;
       }
       KeyTable table;
-      const bool readable = aAnswer.status_ == StoreStatus::Ok &&
-                            DecodeKeyTable(aAnswer.object_.spec_, table);
+      const bool readable = aResponse.status_ == StoreStatus::Ok &&
+                            DecodeKeyTable(aResponse.object_.spec_, table);
       if (readable && table.term_ > term_) {
         handlers_.onSuperseded_("newer key table");
         return;
       }
       if (readable && table.term_ == term_ && table.writeId_ == writeId_) {
-        OnCommitted(aAnswer.object_.revision_);
+        OnCommitted(aResponse.object_.revision_);
         return;
       }
       // The write was not done; it may still be, under the revision that it
       // named. Writing the same content again ends that.
       revision_ =
-        aAnswer.status_ == StoreStatus::Ok ? aAnswer.object_.revision_ : 0;
-      Write(std::exchange(written_, {}));
+        aResponse.status_ == StoreStatus::Ok ? aResponse.object_.revision_ : 0;
+      WriteTable(std::exchange(written_, {}));
     });
 }
 
-void KeyDirector::OnCommitted(int64_t aRevision)
+void KeyCoordinator::OnCommitted(int64_t aRevision)
 {
   revision_ = aRevision;
   writing_ = false;
@@ -480,47 +481,47 @@
     if (found->second->Segments() != segments) {
       found->second->Commit(segments, nowMs);
     }
-    reported_.try_emplace(name, 0);
+    reportedRevisions_.try_emplace(name, 0);
   }
-  SendOrders();
+  SendCommands();
   ReportChanges();
 }
 
-void KeyDirector::SendOrders()
+void KeyCoordinator::SendCommands()
 {
   const TimeMs nowMs = loop_.NowMs();
   const auto scope = handlers_.grantScope_();
   for (const auto& [name, ownership] : services_) {
-    if (!reported_.contains(name)) {
+    if (!reportedRevisions_.contains(name)) {
       continue; // its fences are not durable yet
     }
-    for (const auto& order : ownership->TakeOrders(nowMs, scope)) {
-      sender_.Send(order);
+    for (const auto& command : ownership->TakeOrders(nowMs, scope)) {
+      sender_.Send(command);
     }
   }
 }
 
-void KeyDirector::OnOrderDone(const KeyOrder& aOrder,
-                              const OrderAnswer& aAnswer)
+void KeyCoordinator::OnCommandDone(const KeyOrder& aCommand,
+                                   const CommandResponse& aResponse)
 {
-  const auto found = services_.find(aOrder.service_);
+  const auto found = services_.find(aCommand.service_);
   if (found == services_.end()) {
     return;
   }
   found->second->OnOrderDone(
-    aOrder, aAnswer.result_, aAnswer.handover_, loop_.NowMs());
+    aCommand, aResponse.result_, aResponse.handover_, loop_.NowMs());
   // A release is followed by the grant at once. A new leader has a thousand
   // grants answered within a second, and nothing new is due after each.
-  if (aOrder.kind_ == OrderKind::Release && handlers_.mayOrder_()) {
-    SendOrders();
+  if (aCommand.kind_ == OrderKind::Release && handlers_.maySendCommands_()) {
+    SendCommands();
   }
   ReportChanges();
 }
 
-void KeyDirector::ReportChanges()
+void KeyCoordinator::ReportChanges()
 {
   bool changed = false;
-  for (auto& [name, revision] : reported_) {
+  for (auto& [name, revision] : reportedRevisions_) {
     const auto found = services_.find(name);
     if (found != services_.end()) {
       const auto known = std::exchange(revision, found->second->Revision());
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyCoordinator.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "gateway/CommandSender.hpp"
 #include "gateway/EventLog.hpp"
-#include "gateway/OrderSender.hpp"
-#include "gateway/PlatformPort.hpp"
-#include "gateway/StoreLink.hpp"
+#include "gateway/PlatformInterface.hpp"
+#include "gateway/StoreClient.hpp"
 #include "keyspace/KeyBalancer.hpp"
 #include "keyspace/KeyLoad.hpp"
 #include "keyspace/KeyOwnership.hpp"
@@ -24,40 +24,40 @@
 /// The leader's work: it keeps the key table in the store, orders backend
 /// servers to take and release keys, and moves keys by load. Decisions are in
 /// keyspace/.
-class KeyDirector
+class KeyCoordinator
 {
 public:
   struct Handlers
   {
     /// True while orders may be sent.
-    std::function<bool()> mayOrder_;
+    std::function<bool()> maySendCommands_;
     std::function<GrantScope()> grantScope_;
     /// Owners have changed.
     std::function<void()> onChanged_;
     /// A newer leader wrote the table or fenced a server.
     std::function<void(std::string_view aCause)> onSuperseded_;
-    OrderSender::LeavingTask onLeaving_;
+    CommandSender::LeavingCallback onLeaving_;
   };
 
-  KeyDirector(EventLoop& aLoop,
-              EventLog& aLog,
-              StoreLink& aStore,
-              HttpClient& aClient,
-              const OrderProtocol& aProtocol,
-              const LoadBoard& aBoard,
-              TimeMs aMaxHoldMs,
-              Handlers aHandlers);
+  KeyCoordinator(EventLoop& aLoop,
+                 EventLog& aLog,
+                 StoreClient& aStore,
+                 HttpClient& aClient,
+                 const CommandProtocol& aProtocol,
+                 const LoadBoard& aBoard,
+                 TimeMs aMaxHoldMs,
+                 Handlers aHandlers);
 
   /// The call that reads the key table.
-  static CallRequest ReadTable(const ObjectProtocol& aProtocol);
+  static CallRequest TableReadRequest(const ObjectProtocol& aProtocol);
 
   void Start(int64_t aTerm);
   void Stop();
-  void OnForeignEnded();
+  void OnEarlierLeadersEnded();
   /// Holds from the next term on.
   void SetMaxHold(TimeMs aMaxHoldMs) { maxHoldMs_ = aMaxHoldMs; }
 
-  void SetServices(std::set<std::string> aKeyedServices);
+  void SetKeyedServices(std::set<std::string> aKeyedServices);
   /// Takes over the entries of the named servers; one without entry is gone.
   void UpdateBackends(const std::map<std::string, BackendEntry>& aEntries,
                       const std::set<std::string>& aChanged);
@@ -73,17 +73,18 @@
 private:
   void Tick();
   void RetryLater(std::function<void()> aTask);
-  void Read();
-  void OnRead(const StoreAnswer& aAnswer);
+  void LoadTable();
+  void OnTableLoaded(const StoreResponse& aResponse);
   /// Requests for keys of the service were seen.
   bool HasDemand(const std::string& aService) const;
   void ProposeChanges();
-  void Write(std::map<std::string, KeySegments> aProposed);
-  void OnWritten(const StoreAnswer& aAnswer);
-  void ResolveUnknown();
+  void WriteTable(std::map<std::string, KeySegments> aProposed);
+  void OnTableWritten(const StoreResponse& aResponse);
+  void ResolveUnknownWrite();
   void OnCommitted(int64_t aRevision);
-  void SendOrders();
-  void OnOrderDone(const KeyOrder& aOrder, const OrderAnswer& aAnswer);
+  void SendCommands();
+  void OnCommandDone(const KeyOrder& aCommand,
+                     const CommandResponse& aResponse);
   void UpdateCandidates();
   /// Of a request of the service, over its measured servers.
   double MeanWorkMs(const std::string& aService) const;
@@ -96,20 +97,20 @@
 
   EventLoop& loop_;
   EventLog& log_;
-  StoreLink& store_;
-  OrderSender sender_;
+  StoreClient& store_;
+  CommandSender sender_;
   const LoadBoard& board_;
   TimeMs maxHoldMs_; ///< longest grant that backend servers accept
   Handlers handlers_;
   Timer timer_;
   Timer retryTimer_;
-  std::function<void()> retry_;
+  std::function<void()> retryTask_;
   bool running_ = false;
-  bool loaded_ = false; ///< the table of the earlier leader was taken over
-  uint64_t run_ = 0;    ///< answers of earlier runs are ignored
+  bool loaded_ = false;     ///< the table of the earlier leader was taken over
+  uint64_t generation_ = 0; ///< answers of earlier runs are ignored
   int64_t term_ = 0;
   std::optional<GrantTiming> timing_; ///< of this term
-  int64_t fences_ = 0;
+  int64_t fenceCounter_ = 0;
   int64_t writeId_ = 0;
   int64_t revision_ = 0;
   bool writing_ = false;
@@ -120,7 +121,7 @@
   std::map<std::string, BackendEntry> backends_;
   std::map<std::string, TimeMs> warmAtMs_;
   std::map<std::string, std::unique_ptr<KeyOwnership>> services_;
-  std::map<std::string, uint64_t> reported_;
+  std::map<std::string, uint64_t> reportedRevisions_;
   std::map<std::string, KeyLoad> loads_;
 };
 
--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -23,9 +23,9 @@
 
 LeaderElection::LeaderElection(EventLoop& aLoop,
                                EventLog& aLog,
-                               StoreLink& aStore,
+                               StoreClient& aStore,
                                const PeerMesh& aPeers,
-                               LeaderLife aSelf,
+                               LeaderIncarnation aSelf,
                                int aCpuPercent,
                                std::function<int64_t()> aUnixNowMs,
                                Handlers aHandlers)
@@ -43,7 +43,7 @@
 
 void LeaderElection::Start()
 {
-  heardMs_ = loop_.NowMs();
+  leaderHeardMs_ = loop_.NowMs();
   timer_.Start(detail::kElectionTickMs);
 }
 
@@ -51,8 +51,8 @@
 {
   highestTerm_ = std::max(highestTerm_, aGossip.term);
   if (aGossip.leading && aGossip.term >= highestTerm_) {
-    heardMs_ = loop_.NowMs();
-    everHeard_ = true;
+    leaderHeardMs_ = loop_.NowMs();
+    everHeardLeader_ = true;
     leader_ = aGossip.instance;
     if (state_ == State::Leading && aGossip.term > term_) {
       StepDown("newer leader heard");
@@ -61,34 +61,35 @@
   if (aGossip.deadTerm == highestTerm_ && leader_ == aGossip.instance &&
       !aGossip.leading) {
     // The leader has stopped on purpose: nobody needs to wait for silence.
-    heardMs_ = std::min(heardMs_, loop_.NowMs() - LeaderTiming::kSilenceMs);
+    leaderHeardMs_ = std::min(leaderHeardMs_,
+                              loop_.NowMs() - LeaderTiming::kElectionTimeoutMs);
     leader_.clear();
   }
-  if (state_ == State::Leading && !earlier_.empty()) {
-    const auto before = earlier_.size();
-    std::erase_if(earlier_, [&](const LeaderLife& aLife) {
-      return aLife.instance_ == aGossip.instance &&
-             (aLife.bootId_ != aGossip.bootId ||
+  if (state_ == State::Leading && !earlierLeaders_.empty()) {
+    const auto before = earlierLeaders_.size();
+    std::erase_if(earlierLeaders_, [&](const LeaderIncarnation& aLeader) {
+      return aLeader.instance_ == aGossip.instance &&
+             (aLeader.bootId_ != aGossip.bootId ||
               (aGossip.deadTerm != 0 && !aGossip.leading));
     });
-    if (earlier_.size() != before && earlier_.empty()) {
+    if (earlierLeaders_.size() != before && earlierLeaders_.empty()) {
       log_.Write(
         LogLevel::Info, "earlier-leaders-ended", { { "term", term_ } });
-      handlers_.onForeignEnded_();
+      handlers_.onEarlierLeadersEnded_();
     }
   }
 }
 
-bool LeaderElection::MayOrder() const
+bool LeaderElection::MaySendCommands() const
 {
   return state_ == State::Leading &&
-         loop_.NowMs() - confirmedMs_ < LeaderTiming::kRightMs;
+         loop_.NowMs() - confirmedMs_ < LeaderTiming::kLeaseMs;
 }
 
-GrantScope LeaderElection::MayGrant() const
+GrantScope LeaderElection::AllowedGrantScope() const
 {
   const bool confirmed =
-    loop_.NowMs() - confirmedMs_ < LeaderTiming::kConfirmedMs;
+    loop_.NowMs() - confirmedMs_ < LeaderTiming::kMaxUnconfirmedMs;
   return confirmed || !IsIsolated() ? GrantScope::All : GrantScope::Renewals;
 }
 
@@ -96,7 +97,7 @@
 {
   const auto known =
     std::ranges::count_if(peers_.Peers(), [](const auto& aEntry) {
-      return aEntry.second.heardMs_ != 0;
+      return aEntry.second.lastHeardMs_ != 0;
     });
   // Followers of a large fleet hear few of the others.
   const auto expected = state_ == State::Leading
@@ -108,25 +109,26 @@
 bool LeaderElection::HearsLeader() const
 {
   return state_ == State::Leading ||
-         (everHeard_ &&
-          loop_.NowMs() - heardMs_ < 2 * LeaderTiming::kSilenceMs);
+         (everHeardLeader_ && loop_.NowMs() - leaderHeardMs_ <
+                                2 * LeaderTiming::kElectionTimeoutMs);
 }
 
 void LeaderElection::Tick()
 {
   timer_.Start(detail::kElectionTickMs);
   if (state_ == State::Following) {
-    if (ShouldTry()) {
+    if (ShouldAcquire()) {
       Acquire();
     }
     return;
   }
   if (state_ == State::Leading) {
-    PruneEarlier();
-    if (!renewing_ && loop_.NowMs() - renewedMs_ >= LeaderTiming::kRenewMs) {
+    PruneEarlierLeaders();
+    if (!renewing_ &&
+        loop_.NowMs() - lastRenewalMs_ >= LeaderTiming::kRenewIntervalMs) {
       Renew();
     }
-    if (!MayOrder()) {
+    if (!MaySendCommands()) {
       StepDown("right ended without a renewal");
     }
   }
@@ -150,39 +152,39 @@
              aEntry.first != leader_ &&
              weight(aEntry.first, aEntry.second.cpuPercent_) < own;
     });
-  constexpr TimeMs kMostDelayMs = 2000;
-  return std::min<TimeMs>(before * LeaderTiming::kRankStepMs, kMostDelayMs);
+  constexpr TimeMs kMaxDelayMs = 2000;
+  return std::min<TimeMs>(before * LeaderTiming::kDelayPerRankMs, kMaxDelayMs);
 }
 
-TimeMs LeaderElection::FirstSilenceMs() const
+TimeMs LeaderElection::InitialElectionTimeoutMs() const
 {
   constexpr int kWholeCore = 100;
   const int lacking = std::max(0, kWholeCore - cpuPercent_);
-  return LeaderTiming::kFirstSilenceMs +
-         LeaderTiming::kSmallInstanceMs * lacking / kWholeCore;
+  return LeaderTiming::kInitialElectionTimeoutMs +
+         LeaderTiming::kSmallInstanceDelayMs * lacking / kWholeCore;
 }
 
-bool LeaderElection::ShouldTry() const
+bool LeaderElection::ShouldAcquire() const
 {
-  if (retired_ || !store_.IsReachable()) {
+  if (withdrawn_ || !store_.IsReachable()) {
     return false;
   }
   const TimeMs nowMs = loop_.NowMs();
-  const TimeMs silenceMs = nowMs - heardMs_;
-  const TimeMs neededMs =
-    everHeard_ ? LeaderTiming::kSilenceMs : FirstSilenceMs();
+  const TimeMs silenceMs = nowMs - leaderHeardMs_;
+  const TimeMs neededMs = everHeardLeader_ ? LeaderTiming::kElectionTimeoutMs
+                                           : InitialElectionTimeoutMs();
   if (silenceMs < neededMs + RankDelayMs()) {
     return false;
   }
-  return !IsIsolated() || silenceMs >= LeaderTiming::kIsolatedSilenceMs;
+  return !IsIsolated() || silenceMs >= LeaderTiming::kIsolatedElectionTimeoutMs;
 }
 
-nlohmann::json LeaderElection::Spec() const
+nlohmann::json LeaderElection::LeaseSpec() const
 {
   auto earlier = nlohmann::json::array();
-  for (const auto& life : earlier_) {
+  for (const auto& leader : earlierLeaders_) {
     earlier.push_back(
-      { { "instance", life.instance_ }, { "bootId", life.bootId_ } });
+      { { "instance", leader.instance_ }, { "bootId", leader.bootId_ } });
   }
   return nlohmann::json{ { "term", term_ },
                          { "instance", self_.instance_ },
@@ -201,30 +203,30 @@
 void LeaderElection::Acquire()
 {
   state_ = State::Acquiring;
-  heardBeforeMs_ = heardMs_;
-  const auto round = ++round_;
+  leaderHeardBeforeReadMs_ = leaderHeardMs_;
+  const auto generation = ++generation_;
   store_.Call(store_.Protocol().Get(detail::kLeaderKind, detail::kLeaderName),
-              [this, round](const StoreAnswer& aAnswer) {
-                if (round == round_) {
-                  OnRead(aAnswer);
+              [this, generation](const StoreResponse& aResponse) {
+                if (generation == generation_) {
+                  OnLeaseRead(aResponse);
                 }
               });
 }
 
-void LeaderElection::OnRead(const StoreAnswer& aAnswer)
+void LeaderElection::OnLeaseRead(const StoreResponse& aResponse)
 {
-  earlier_.clear();
-  if (heardMs_ > heardBeforeMs_) {
+  earlierLeaders_.clear();
+  if (leaderHeardMs_ > leaderHeardBeforeReadMs_) {
     // A leader spoke meanwhile.
     state_ = State::Following;
     return;
   }
-  if (aAnswer.status_ == StoreStatus::Missing) {
+  if (aResponse.status_ == StoreStatus::NotFound) {
     revision_ = 0;
     term_ = std::max<int64_t>(highestTerm_, 0) + 1;
-  } else if (aAnswer.status_ == StoreStatus::Ok) {
-    const auto& json = aAnswer.object_.spec_;
-    revision_ = aAnswer.object_.revision_;
+  } else if (aResponse.status_ == StoreStatus::Ok) {
+    const auto& json = aResponse.object_.spec_;
+    revision_ = aResponse.object_.revision_;
     const auto storedTerm = FieldOr(json, "term", int64_t{ 0 });
     // Someone else was faster; its gossip is on the way.
     if (storedTerm > highestTerm_ && IsRenewedRecently(json)) {
@@ -232,67 +234,70 @@
       return;
     }
     term_ = std::max(highestTerm_, storedTerm) + 1;
-    const auto addLife = [&](const nlohmann::json& aLife) {
-      LeaderLife life{ FieldOr(aLife, "instance", std::string()),
-                       FieldOr(aLife, "bootId", int64_t{ 0 }) };
-      const auto peer = peers_.Peers().find(life.instance_);
+    const auto addEarlierLeader = [&](const nlohmann::json& aLeader) {
+      LeaderIncarnation leader{ FieldOr(aLeader, "instance", std::string()),
+                                FieldOr(aLeader, "bootId", int64_t{ 0 }) };
+      const auto peer = peers_.Peers().find(leader.instance_);
       const bool ended =
-        life.instance_ == self_.instance_ ||
-        (peer != peers_.Peers().end() && peer->second.heardMs_ != 0 &&
-         peer->second.bootId_ != life.bootId_);
-      if (!ended && std::ranges::find(earlier_, life) == earlier_.end()) {
-        earlier_.push_back(std::move(life));
+        leader.instance_ == self_.instance_ ||
+        (peer != peers_.Peers().end() && peer->second.lastHeardMs_ != 0 &&
+         peer->second.bootId_ != leader.bootId_);
+      if (!ended &&
+          std::ranges::find(earlierLeaders_, leader) == earlierLeaders_.end()) {
+        earlierLeaders_.push_back(std::move(leader));
       }
     };
     if (json.is_object()) {
-      addLife(json);
-      std::ranges::for_each(json.value("earlier", nlohmann::json()), addLife);
+      addEarlierLeader(json);
+      std::ranges::for_each(json.value("earlier", nlohmann::json()),
+                            addEarlierLeader);
     }
   } else {
-    TryAgainIn(detail::kAcquireRetryMs);
+    RetryIn(detail::kAcquireRetryMs);
     return;
   }
   const TimeMs sentMs = loop_.NowMs();
-  const auto round = ++round_;
+  const auto generation = ++generation_;
   const auto& protocol = store_.Protocol();
   store_.Call(
     revision_ == 0
-      ? protocol.Create(detail::kLeaderKind, detail::kLeaderName, Spec())
+      ? protocol.Create(detail::kLeaderKind, detail::kLeaderName, LeaseSpec())
       : protocol.Replace(
-          detail::kLeaderKind, detail::kLeaderName, Spec(), revision_),
-    [this, round, sentMs](const StoreAnswer& aWritten) {
-      if (round == round_) {
-        OnWritten(aWritten, sentMs);
+          detail::kLeaderKind, detail::kLeaderName, LeaseSpec(), revision_),
+    [this, generation, sentMs](const StoreResponse& aWritten) {
+      if (generation == generation_) {
+        OnLeaseWritten(aWritten, sentMs);
       }
     });
 }
 
-void LeaderElection::OnWritten(const StoreAnswer& aAnswer, TimeMs aSentMs)
+void LeaderElection::OnLeaseWritten(const StoreResponse& aResponse,
+                                    TimeMs aSentMs)
 {
-  if (aAnswer.status_ == StoreStatus::Ok) {
-    revision_ = aAnswer.object_.revision_;
+  if (aResponse.status_ == StoreStatus::Ok) {
+    revision_ = aResponse.object_.revision_;
     BecomeLeader(aSentMs);
     return;
   }
-  if (aAnswer.status_ == StoreStatus::Unknown ||
-      (aAnswer.status_ == StoreStatus::Conflict &&
-       IsOwnSpec(aAnswer.object_.spec_))) {
-    CheckWritten(aSentMs);
+  if (aResponse.status_ == StoreStatus::Unknown ||
+      (aResponse.status_ == StoreStatus::Conflict &&
+       IsOwnSpec(aResponse.object_.spec_))) {
+    VerifyWrite(aSentMs);
     return;
   }
-  if (aAnswer.status_ == StoreStatus::Conflict &&
-      aAnswer.object_.spec_.is_object()) {
-    WaitForWinner(FieldOr(aAnswer.object_.spec_, "term", int64_t{ 0 }));
+  if (aResponse.status_ == StoreStatus::Conflict &&
+      aResponse.object_.spec_.is_object()) {
+    WaitForWinner(FieldOr(aResponse.object_.spec_, "term", int64_t{ 0 }));
     return;
   }
-  TryAgainIn(detail::kAcquireRetryMs);
+  RetryIn(detail::kAcquireRetryMs);
 }
 
 void LeaderElection::WaitForWinner(int64_t aTerm)
 {
   highestTerm_ = std::max(highestTerm_, aTerm);
-  everHeard_ = true;
-  heardMs_ = loop_.NowMs();
+  everHeardLeader_ = true;
+  leaderHeardMs_ = loop_.NowMs();
   state_ = State::Following;
 }
 
@@ -300,35 +305,35 @@
 {
   // A hint only: clocks that differ cost one more wait, or one more election.
   constexpr TimeMs kRecentMs =
-    LeaderTiming::kRenewMs + LeaderTiming::kSilenceMs;
+    LeaderTiming::kRenewIntervalMs + LeaderTiming::kElectionTimeoutMs;
   const auto renewedMs = FieldOr(aSpec, "renewedAtMs", int64_t{ 0 });
   return std::abs(unixNowMs_() - renewedMs) < kRecentMs;
 }
 
-void LeaderElection::TryAgainIn(TimeMs aMs)
+void LeaderElection::RetryIn(TimeMs aMs)
 {
   state_ = State::Following;
-  heardMs_ = loop_.NowMs() - LeaderTiming::kSilenceMs + aMs +
-             store_.Jitter(detail::kAcquireRetryMs);
+  leaderHeardMs_ = loop_.NowMs() - LeaderTiming::kElectionTimeoutMs + aMs +
+                   store_.Jitter(detail::kAcquireRetryMs);
 }
 
-void LeaderElection::CheckWritten(TimeMs aSentMs)
+void LeaderElection::VerifyWrite(TimeMs aSentMs)
 {
-  const auto round = ++round_;
+  const auto generation = ++generation_;
   store_.Call(store_.Protocol().Get(detail::kLeaderKind, detail::kLeaderName),
-              [this, round, aSentMs](const StoreAnswer& aAnswer) {
-                if (round != round_) {
+              [this, generation, aSentMs](const StoreResponse& aResponse) {
+                if (generation != generation_) {
                   return;
                 }
-                if (aAnswer.status_ == StoreStatus::Ok &&
-                    IsOwnSpec(aAnswer.object_.spec_)) {
-                  revision_ = aAnswer.object_.revision_;
+                if (aResponse.status_ == StoreStatus::Ok &&
+                    IsOwnSpec(aResponse.object_.spec_)) {
+                  revision_ = aResponse.object_.revision_;
                   BecomeLeader(aSentMs);
                   return;
                 }
                 // A write that is carried out later meets another revision,
                 // because the next attempt changes it.
-                TryAgainIn(0);
+                RetryIn(0);
               });
 }
 
@@ -336,7 +341,7 @@
 {
   state_ = State::Leading;
   confirmedMs_ = aConfirmedMs;
-  renewedMs_ = loop_.NowMs();
+  lastRenewalMs_ = loop_.NowMs();
   electedMs_ = loop_.NowMs();
   renewing_ = false;
   highestTerm_ = std::max(highestTerm_, term_);
@@ -344,62 +349,63 @@
   log_.Write(LogLevel::Info,
              "leader-elected",
              { { "term", term_ },
-               { "silence_ms", loop_.NowMs() - heardMs_ },
-               { "earlier", earlier_.size() } });
+               { "silence_ms", loop_.NowMs() - leaderHeardMs_ },
+               { "earlier", earlierLeaders_.size() } });
   handlers_.onElected_(term_);
-  if (earlier_.empty()) {
-    handlers_.onForeignEnded_();
+  if (earlierLeaders_.empty()) {
+    handlers_.onEarlierLeadersEnded_();
   }
 }
 
-void LeaderElection::PruneEarlier()
+void LeaderElection::PruneEarlierLeaders()
 {
-  if (!earlier_.empty() &&
-      loop_.NowMs() - electedMs_ > LeaderTiming::kRightMs) {
-    earlier_.clear();
+  if (!earlierLeaders_.empty() &&
+      loop_.NowMs() - electedMs_ > LeaderTiming::kLeaseMs) {
+    earlierLeaders_.clear();
   }
 }
 
 void LeaderElection::Renew()
 {
   renewing_ = true;
-  renewedMs_ = loop_.NowMs();
-  const auto round = ++round_;
-  const TimeMs sentMs = renewedMs_;
-  store_.Call(store_.Protocol().Replace(
-                detail::kLeaderKind, detail::kLeaderName, Spec(), revision_),
-              [this, round, sentMs](const StoreAnswer& aAnswer) {
-                if (round == round_ && state_ == State::Leading) {
-                  OnRenewed(aAnswer, sentMs);
-                }
-              });
+  lastRenewalMs_ = loop_.NowMs();
+  const auto generation = ++generation_;
+  const TimeMs sentMs = lastRenewalMs_;
+  store_.Call(
+    store_.Protocol().Replace(
+      detail::kLeaderKind, detail::kLeaderName, LeaseSpec(), revision_),
+    [this, generation, sentMs](const StoreResponse& aResponse) {
+      if (generation == generation_ && state_ == State::Leading) {
+        OnRenewed(aResponse, sentMs);
+      }
+    });
 }
 
-void LeaderElection::OnRenewed(const StoreAnswer& aAnswer, TimeMs aSentMs)
+void LeaderElection::OnRenewed(const StoreResponse& aResponse, TimeMs aSentMs)
 {
   renewing_ = false;
-  switch (aAnswer.status_) {
+  switch (aResponse.status_) {
     case StoreStatus::Ok:
-      revision_ = aAnswer.object_.revision_;
+      revision_ = aResponse.object_.revision_;
       confirmedMs_ = aSentMs;
       break;
     case StoreStatus::Conflict:
-      if (IsOwnSpec(aAnswer.object_.spec_)) {
+      if (IsOwnSpec(aResponse.object_.spec_)) {
         // An earlier renewal of this process was carried out late.
-        revision_ = aAnswer.object_.revision_;
+        revision_ = aResponse.object_.revision_;
         confirmedMs_ = aSentMs;
       } else {
         StepDown("replaced in the store");
       }
       break;
-    case StoreStatus::Missing:
+    case StoreStatus::NotFound:
       StepDown("lease object is gone");
       break;
     default:
       // Sooner than the usual interval: the right runs on.
-      renewedMs_ = loop_.NowMs() - LeaderTiming::kRenewMs +
-                   detail::kAcquireRetryMs * 2 +
-                   store_.Jitter(detail::kAcquireRetryMs * 2);
+      lastRenewalMs_ = loop_.NowMs() - LeaderTiming::kRenewIntervalMs +
+                       detail::kAcquireRetryMs * 2 +
+                       store_.Jitter(detail::kAcquireRetryMs * 2);
   }
 }
 
@@ -408,13 +414,13 @@
   if (state_ != State::Leading) {
     return;
   }
-  ++round_;
+  ++generation_;
   state_ = State::Following;
   endedTerm_ = term_;
-  heardMs_ = loop_.NowMs();
+  leaderHeardMs_ = loop_.NowMs();
   log_.Write(
     LogLevel::Info, "leader-ended", { { "term", term_ }, { "cause", aCause } });
-  handlers_.onLost_();
+  handlers_.onLeadershipLost_();
 }
 
 void LeaderElection::Resign(std::string_view aCause)
@@ -422,9 +428,9 @@
   StepDown(aCause);
 }
 
-void LeaderElection::Retire()
+void LeaderElection::WithdrawCandidacy()
 {
-  retired_ = true;
+  withdrawn_ = true;
 }
 
 }
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -2,7 +2,7 @@
 
 #include "gateway/EventLog.hpp"
 #include "gateway/PeerMesh.hpp"
-#include "gateway/StoreLink.hpp"
+#include "gateway/StoreClient.hpp"
 #include "keyspace/KeyOwnership.hpp"
 
 #include <functional>
@@ -12,35 +12,35 @@
 namespace cactuspitch {
 
 /// Life of an instance that led.
-struct LeaderLife
+struct LeaderIncarnation
 {
   std::string instance_;
   int64_t bootId_ = 0;
 
-  bool operator==(const LeaderLife&) const = default;
+  bool operator==(const LeaderIncarnation&) const = default;
 };
 
-/// Times of the leader's right. A leader may send orders for kRightMs after the
+/// Times of the leader's right. A leader may send orders for kLeaseMs after the
 /// sending of its last confirmed renewal: long enough to ride out an outage of
 /// the store. A successor counts with orders of the old leader until then,
 /// unless it knows that the old process has ended or stopped leading.
 struct LeaderTiming
 {
-  static constexpr TimeMs kRightMs = 8000;
-  static constexpr TimeMs kRenewMs = 1000;
+  static constexpr TimeMs kLeaseMs = 8000;
+  static constexpr TimeMs kRenewIntervalMs = 1000;
   /// Without a confirmed renewal for this long, and out of touch with most
   /// gateways, a leader may have been replaced.
-  static constexpr TimeMs kConfirmedMs = 1500;
+  static constexpr TimeMs kMaxUnconfirmedMs = 1500;
   /// A silent leader is replaced: three heartbeats were lost.
-  static constexpr TimeMs kSilenceMs = 800;
+  static constexpr TimeMs kElectionTimeoutMs = 800;
   /// Candidates try one after the other.
-  static constexpr TimeMs kRankStepMs = 150;
+  static constexpr TimeMs kDelayPerRankMs = 150;
   /// A gateway that hears almost nobody is probably cut off itself.
-  static constexpr TimeMs kIsolatedSilenceMs = 5000;
-  static constexpr TimeMs kFirstSilenceMs = 300;
+  static constexpr TimeMs kIsolatedElectionTimeoutMs = 5000;
+  static constexpr TimeMs kInitialElectionTimeoutMs = 300;
   /// At the first start nobody knows the others: small instances wait longer,
   /// in proportion to what they lack of a whole core.
-  static constexpr TimeMs kSmallInstanceMs = 400;
+  static constexpr TimeMs kSmallInstanceDelayMs = 400;
 };
 
 /// Election of the one gateway that assigns keys, by conditional updates of one
@@ -52,15 +52,15 @@
   struct Handlers
   {
     std::function<void(int64_t aTerm)> onElected_;
-    std::function<void()> onLost_;
-    std::function<void()> onForeignEnded_;
+    std::function<void()> onLeadershipLost_;
+    std::function<void()> onEarlierLeadersEnded_;
   };
 
   LeaderElection(EventLoop& aLoop,
                  EventLog& aLog,
-                 StoreLink& aStore,
+                 StoreClient& aStore,
                  const PeerMesh& aPeers,
-                 LeaderLife aSelf,
+                 LeaderIncarnation aSelf,
                  int aCpuPercent,
                  std::function<int64_t()> aUnixNowMs,
                  Handlers aHandlers);
@@ -70,13 +70,13 @@
   /// Gives the leadership up; the others take it at once.
   void Resign(std::string_view aCause);
   /// Takes no part in elections any more.
-  void Retire();
+  void WithdrawCandidacy();
 
   bool IsLeading() const { return state_ == State::Leading; }
   /// True while orders to backend servers may be sent.
-  bool MayOrder() const;
+  bool MaySendCommands() const;
   /// Renewals only, while another gateway may have been elected unheard.
-  GrantScope MayGrant() const;
+  GrantScope AllowedGrantScope() const;
   int64_t Term() const { return term_; }
   int64_t HighestTerm() const { return highestTerm_; }
   /// The latest term that this process led and has given up.
@@ -94,54 +94,56 @@
   };
 
   void Tick();
-  bool ShouldTry() const;
+  bool ShouldAcquire() const;
   /// Out of touch with most of the gateways that it has heard.
   bool IsIsolated() const;
   TimeMs RankDelayMs() const;
-  TimeMs FirstSilenceMs() const;
+  TimeMs InitialElectionTimeoutMs() const;
   void Acquire();
-  void OnRead(const StoreAnswer& aAnswer);
-  void OnWritten(const StoreAnswer& aAnswer, TimeMs aSentMs);
+  void OnLeaseRead(const StoreResponse& aResponse);
+  void OnLeaseWritten(const StoreResponse& aResponse, TimeMs aSentMs);
   /// Waits for the gossip of the gateway that was faster.
   void WaitForWinner(int64_t aTerm);
   /// The object's leader renewed it so recently that it is probably alive.
   bool IsRenewedRecently(const nlohmann::json& aSpec) const;
   /// Follows, and tries after this time and a random part of the retry time.
-  void TryAgainIn(TimeMs aMs);
-  void CheckWritten(TimeMs aSentMs);
+  void RetryIn(TimeMs aMs);
+  void VerifyWrite(TimeMs aSentMs);
   void BecomeLeader(TimeMs aConfirmedMs);
   void Renew();
-  void OnRenewed(const StoreAnswer& aAnswer, TimeMs aSentMs);
+  void OnRenewed(const StoreResponse& aResponse, TimeMs aSentMs);
   void StepDown(std::string_view aCause);
-  void PruneEarlier();
-  nlohmann::json Spec() const;
+  void PruneEarlierLeaders();
+  nlohmann::json LeaseSpec() const;
   bool IsOwnSpec(const nlohmann::json& aSpec) const;
 
   EventLoop& loop_;
   EventLog& log_;
-  StoreLink& store_;
+  StoreClient& store_;
   const PeerMesh& peers_;
-  LeaderLife self_;
+  LeaderIncarnation self_;
   int cpuPercent_;
   std::function<int64_t()> unixNowMs_;
   Handlers handlers_;
   Timer timer_;
   State state_ = State::Following;
-  bool retired_ = false;
+  bool withdrawn_ = false;
   int64_t term_ = 0;
   int64_t highestTerm_ = 0;
   int64_t endedTerm_ = 0;
   int64_t revision_ = 0;
   TimeMs confirmedMs_ = 0; ///< sending time of the last confirmed renewal
   TimeMs electedMs_ = 0;
-  TimeMs heardMs_ = 0;
-  TimeMs heardBeforeMs_ = 0; ///< heardMs_ when the object's read began
-  TimeMs renewedMs_ = 0;
+  TimeMs leaderHeardMs_ = 0;
+  TimeMs leaderHeardBeforeReadMs_ =
+    0; ///< leaderHeardMs_ when the object's read began
+  TimeMs lastRenewalMs_ = 0;
   bool renewing_ = false;
-  bool everHeard_ = false;
-  uint64_t round_ = 0;
+  bool everHeardLeader_ = false;
+  uint64_t generation_ = 0;
   std::string leader_;
-  std::vector<LeaderLife> earlier_; ///< leaders that may still send orders
+  std::vector<LeaderIncarnation>
+    earlierLeaders_; ///< leaders that may still send orders
 };
 
 }
--- a/gateway/LifeProbe.cpp
+++ b/gateway/LivenessProbe.cpp
@@ -1,4 +1,4 @@
-#include "gateway/LifeProbe.hpp"
+#include "gateway/LivenessProbe.hpp"
 
 #include <utility>
 
@@ -8,27 +8,27 @@
 
 /// A process that ends resets its connections one after the other and may
 /// still accept for a moment.
-constexpr TimeMs kProbePauseMs = 20;
+constexpr TimeMs kProbeDelayMs = 20;
 /// Servers are at most a few ms away.
 constexpr TimeMs kProbeTimeoutMs = 300;
 
 }
 
-LifeProbe::LifeProbe(EventLoop& aLoop,
-                     const Endpoint& aEndpoint,
-                     std::function<bool()> aIsKnownAlive,
-                     Task aTask)
+LivenessProbe::LivenessProbe(EventLoop& aLoop,
+                             const Endpoint& aEndpoint,
+                             std::function<bool()> aIsKnownAlive,
+                             Callback aCallback)
   : loop_(aLoop)
   , endpoint_(aEndpoint)
   , isKnownAlive_(std::move(aIsKnownAlive))
-  , task_(std::move(aTask))
+  , callback_(std::move(aCallback))
   , stream_(aLoop, *this)
   , timer_(aLoop, [this] { OnTimer(); })
 {
-  timer_.Start(detail::kProbePauseMs);
+  timer_.Start(detail::kProbeDelayMs);
 }
 
-void LifeProbe::OnTimer()
+void LivenessProbe::OnTimer()
 {
   if (connecting_) {
     Finish(false);
@@ -42,20 +42,20 @@
   }
 }
 
-void LifeProbe::OnStreamClosed(CloseReason aReason)
+void LivenessProbe::OnStreamClosed(CloseReason aReason)
 {
   Finish(aReason != CloseReason::Refused &&
          aReason != CloseReason::Unreachable);
 }
 
-void LifeProbe::Finish(bool aAlive)
+void LivenessProbe::Finish(bool aAlive)
 {
   timer_.Stop();
   stream_.Close();
   // The stream and the timer that call this belong to the probe.
-  loop_.Defer([task = std::exchange(task_, {}), aAlive] {
-    if (task) {
-      task(aAlive);
+  loop_.Defer([callback = std::exchange(callback_, {}), aAlive] {
+    if (callback) {
+      callback(aAlive);
     }
   });
 }
--- a/gateway/LifeProbe.hpp
+++ b/gateway/LivenessProbe.hpp
@@ -7,17 +7,17 @@
 namespace cactuspitch {
 
 /// Asks after a pause whether a server still takes connections.
-class LifeProbe final : public StreamHandler
+class LivenessProbe final : public StreamHandler
 {
 public:
   /// Called once, from the event loop. The probe may be destroyed then.
-  using Task = std::function<void(bool aAlive)>;
+  using Callback = std::function<void(bool aAlive)>;
 
   /// aIsKnownAlive spares the connection when it holds after the pause.
-  LifeProbe(EventLoop& aLoop,
-            const Endpoint& aEndpoint,
-            std::function<bool()> aIsKnownAlive,
-            Task aTask);
+  LivenessProbe(EventLoop& aLoop,
+                const Endpoint& aEndpoint,
+                std::function<bool()> aIsKnownAlive,
+                Callback aCallback);
 
 private:
   void OnConnected() override { Finish(true); }
@@ -29,7 +29,7 @@
   EventLoop& loop_;
   Endpoint endpoint_;
   std::function<bool()> isKnownAlive_;
-  Task task_;
+  Callback callback_;
   TcpStream stream_;
   Timer timer_;
   bool connecting_ = false;
--- a/gateway/PeerMesh.cpp
+++ b/gateway/PeerMesh.cpp
@@ -79,7 +79,7 @@
   , domain_(std::move(aDomain))
   , receiver_(std::move(aReceiver))
   , configVersion_(std::move(aConfigVersion))
-  , watcher_(aLoop, [this](bool, bool) { ReceiveAvailable(); })
+  , watcher_(aLoop, [this](bool, bool) { ReceiveDatagrams(); })
   , random_(std::random_device{}())
 {
 }
@@ -161,7 +161,7 @@
   }
 }
 
-void PeerMesh::SendToSome(const wire::Gossip& aGossip, size_t aCount)
+void PeerMesh::SendToRandom(const wire::Gossip& aGossip, size_t aCount)
 {
   const TimeMs nowMs = loop_.NowMs();
   std::vector<const Peer*> alive;
@@ -170,18 +170,18 @@
       alive.push_back(&peer);
     }
   }
-  std::vector<const Peer*> drawn;
+  std::vector<const Peer*> sampled;
   std::ranges::sample(alive,
-                      std::back_inserter(drawn),
+                      std::back_inserter(sampled),
                       static_cast<std::ptrdiff_t>(aCount),
                       random_);
   const auto bytes = detail::Encode(aGossip);
-  for (const auto* peer : drawn) {
+  for (const auto* peer : sampled) {
     SendBytes(peer->endpoint_, bytes);
   }
 }
 
-void PeerMesh::PassOn(wire::Gossip aGossip, const Endpoint& aOrigin)
+void PeerMesh::RelayToDomain(wire::Gossip aGossip, const Endpoint& aOrigin)
 {
   aGossip.passOn = false;
   aGossip.origin = detail::PackEndpoint(aOrigin);
@@ -190,14 +190,14 @@
   SendToDomain(aGossip);
 }
 
-void PeerMesh::AddKnown(const std::string& aInstance,
-                        const Endpoint& aEndpoint,
-                        int64_t aBootId,
-                        const std::string& aDomain,
-                        int aCpuPercent)
+void PeerMesh::AddRegistered(const std::string& aInstance,
+                             const Endpoint& aEndpoint,
+                             int64_t aBootId,
+                             const std::string& aDomain,
+                             int aCpuPercent)
 {
   auto& peer = AddPeer(aInstance);
-  if (peer.heardMs_ == 0) {
+  if (peer.lastHeardMs_ == 0) {
     peer.endpoint_ = aEndpoint;
     peer.bootId_ = aBootId;
     peer.failureDomain_ = aDomain;
@@ -214,7 +214,7 @@
   return entry->second;
 }
 
-void PeerMesh::NoteMembers(const std::vector<int32_t>& aMembers)
+void PeerMesh::RecordMembers(const std::vector<int32_t>& aMembers)
 {
   if (aMembers.empty()) {
     return;
@@ -223,7 +223,7 @@
   for (const auto hash : aMembers) {
     const auto name = namesByHash_.find(hash);
     if (name != namesByHash_.end()) {
-      peers_.at(name->second).vouchedMs_ = loop_.NowMs();
+      peers_.at(name->second).listedByLeaderMs_ = loop_.NowMs();
     } else if (hash != detail::HashOf(self_)) {
       ++unknownMembers_;
     }
@@ -241,7 +241,7 @@
   return hashes;
 }
 
-void PeerMesh::NoteHeard(const wire::Gossip& aGossip, const Endpoint& aSender)
+void PeerMesh::RecordHeard(const wire::Gossip& aGossip, const Endpoint& aSender)
 {
   auto& peer = AddPeer(aGossip.instance);
   peer.endpoint_ = aSender;
@@ -250,7 +250,7 @@
   peer.leading_ = aGossip.leading;
   peer.failureDomain_ = aGossip.failureDomain;
   peer.cpuPercent_ = aGossip.cpuPercent;
-  peer.heardMs_ = loop_.NowMs();
+  peer.lastHeardMs_ = loop_.NowMs();
 }
 
 size_t PeerMesh::AliveCount(TimeMs aNowMs) const
@@ -273,11 +273,11 @@
 
 bool PeerMesh::IsAlive(const Peer& aPeer, TimeMs aNowMs)
 {
-  const TimeMs seenMs = std::max(aPeer.heardMs_, aPeer.vouchedMs_);
+  const TimeMs seenMs = std::max(aPeer.lastHeardMs_, aPeer.listedByLeaderMs_);
   return seenMs != 0 && aNowMs - seenMs < kAliveMs;
 }
 
-void PeerMesh::ReceiveAvailable()
+void PeerMesh::ReceiveDatagrams()
 {
   constexpr int kMaxDatagramsPerRound = 64;
   static std::array<char, detail::kMaxDatagramBytes> buffer;
@@ -306,7 +306,7 @@
       gossip.origin == 0 ? sender : detail::UnpackEndpoint(gossip.origin);
     receiver_(gossip, origin, sender);
     if (gossip.passOn) {
-      PassOn(gossip, origin);
+      RelayToDomain(gossip, origin);
     }
   }
 }
--- a/gateway/PeerMesh.hpp
+++ b/gateway/PeerMesh.hpp
@@ -28,8 +28,8 @@
   bool leading_ = false;
   std::string failureDomain_;
   int cpuPercent_ = 0;
-  TimeMs heardMs_ = 0;   ///< 0: never
-  TimeMs vouchedMs_ = 0; ///< a leader named it among those that it hears
+  TimeMs lastHeardMs_ = 0;      ///< 0: never
+  TimeMs listedByLeaderMs_ = 0; ///< a leader named it among those that it hears
 };
 
 /// Datagrams between the gateways (wire/gossip.thrift). Each is self-contained,
@@ -62,20 +62,20 @@
   /// from.
   void SendToDomain(const wire::Gossip& aGossip);
   /// To some living gateways, drawn at random.
-  void SendToSome(const wire::Gossip& aGossip, size_t aCount);
+  void SendToRandom(const wire::Gossip& aGossip, size_t aCount);
 
   /// From a registration in the store.
-  void AddKnown(const std::string& aInstance,
-                const Endpoint& aEndpoint,
-                int64_t aBootId,
-                const std::string& aDomain,
-                int aCpuPercent);
-  void NoteHeard(const wire::Gossip& aGossip, const Endpoint& aSender);
+  void AddRegistered(const std::string& aInstance,
+                     const Endpoint& aEndpoint,
+                     int64_t aBootId,
+                     const std::string& aDomain,
+                     int aCpuPercent);
+  void RecordHeard(const wire::Gossip& aGossip, const Endpoint& aSender);
   /// The leader's list of gateways that it hears.
-  void NoteMembers(const std::vector<int32_t>& aMembers);
+  void RecordMembers(const std::vector<int32_t>& aMembers);
   /// Gateways that the leader named last and that are not known here.
   size_t UnknownMembers() const { return unknownMembers_; }
-  /// Names of the living gateways, this one included, for NoteMembers.
+  /// Names of the living gateways, this one included, for RecordMembers.
   std::vector<int32_t> MemberHashes(TimeMs aNowMs) const;
   /// True when not everybody hears everybody.
   bool IsLarge() const { return peers_.size() > kMaxDirectGateways; }
@@ -88,8 +88,8 @@
 
 private:
   Peer& AddPeer(const std::string& aInstance);
-  void ReceiveAvailable();
-  void PassOn(wire::Gossip aGossip, const Endpoint& aOrigin);
+  void ReceiveDatagrams();
+  void RelayToDomain(wire::Gossip aGossip, const Endpoint& aOrigin);
   void SendBytes(const Endpoint& aPeer, std::string_view aBytes);
 
   EventLoop& loop_;
--- a/gateway/PlatformPort.hpp
+++ b/gateway/PlatformInterface.hpp
@@ -18,10 +18,10 @@
 namespace cactuspitch {
 
 /// What a caller says about its request.
-struct CallerInfo
+struct RequestMetadata
 {
   std::string requestId_;
-  std::optional<TimeMs> deadlineMs_; ///< time that the caller will wait
+  std::optional<TimeMs> remainingMs_; ///< time that the caller will wait
   std::optional<uint32_t> key_;
 };
 
@@ -34,7 +34,7 @@
 };
 
 /// What a backend server says about its answer.
-struct AnswerInfo
+struct ResponseMetadata
 {
   std::string requestId_;
   std::string backendId_;
@@ -44,8 +44,9 @@
   std::optional<TimeMs> idleTimeoutMs_; ///< of the connection
   bool leaving_ = false;                ///< the server is about to leave
   /// A server that refuses wants no requests for so long.
-  std::optional<TimeMs> pauseMs_;
-  bool malformedPause_ = false; ///< its pause cannot be read and is ignored
+  std::optional<TimeMs> retryAfterMs_;
+  bool malformedRetryAfter_ =
+    false; ///< its pause cannot be read and is ignored
 };
 
 using HttpFields = std::vector<std::pair<std::string, std::string>>;
@@ -55,22 +56,22 @@
 {
 public:
   virtual ~RequestProtocol() = default;
-  virtual CallerInfo ReadRequest(const HttpHead& aHead) const = 0;
+  virtual RequestMetadata ParseRequest(const HttpHead& aHead) const = 0;
   /// Fields of the caller's request that the gateway replaces.
-  virtual bool IsReplacedField(std::string_view aName) const = 0;
+  virtual bool IsReplacedRequestField(std::string_view aName) const = 0;
   virtual void AddRequestFields(std::string& aHead,
                                 TimeMs aRemainingMs,
                                 std::string_view aBackendId) const = 0;
-  virtual AnswerInfo ReadAnswer(const HttpHead& aHead) const = 0;
+  virtual ResponseMetadata ParseResponse(const HttpHead& aHead) const = 0;
   /// Fields of a server's answer that are meant for the gateway only.
-  virtual bool IsInternalAnswerField(std::string_view aName) const = 0;
+  virtual bool IsInternalResponseField(std::string_view aName) const = 0;
   /// Fields of an answer that the gateway gives itself.
-  virtual void AddOwnAnswerFields(std::string& aHead,
-                                  std::string_view aRequestId) const = 0;
+  virtual void AddGatewayResponseFields(std::string& aHead,
+                                        std::string_view aRequestId) const = 0;
 };
 
 /// What became of an order, and what the server says besides.
-struct OrderAnswer
+struct CommandResponse
 {
   OrderResult result_ = OrderResult::Unanswered;
   std::string handover_; ///< token of a release that was carried out
@@ -78,12 +79,12 @@
 };
 
 /// Orders about keys, from the leader to backend servers.
-class OrderProtocol
+class CommandProtocol
 {
 public:
-  virtual ~OrderProtocol() = default;
-  virtual CallRequest MakeOrder(const KeyOrder& aOrder) const = 0;
-  virtual OrderAnswer ReadAnswer(const CallResult& aResult) const = 0;
+  virtual ~CommandProtocol() = default;
+  virtual CallRequest MakeCommand(const KeyOrder& aCommand) const = 0;
+  virtual CommandResponse ParseResponse(const CallResult& aResult) const = 0;
 };
 
 /// Object of the platform's store.
@@ -104,11 +105,11 @@
 enum class StoreStatus : uint8_t
 {
   Ok,
-  Missing,     ///< no such object
-  Conflict,    ///< exists already, or has another revision
-  HistoryGone, ///< a watch must start again from a list
-  NotDone,     ///< certainly not carried out
-  Unknown,     ///< may have been carried out, or be carried out later
+  NotFound,         ///< no such object
+  Conflict,         ///< exists already, or has another revision
+  HistoryCompacted, ///< a watch must start again from a list
+  NotApplied,       ///< certainly not carried out
+  Unknown,          ///< may have been carried out, or be carried out later
   Count
 };
 
@@ -128,7 +129,7 @@
   bool hasMore_ = false;
 };
 
-struct StoreAnswer
+struct StoreResponse
 {
   StoreStatus status_ = StoreStatus::Unknown;
   int httpStatus_ = 0;
@@ -140,7 +141,7 @@
 enum class ReadMode : uint8_t
 {
   Latest,
-  MayBeOld, ///< cheaper; may be some seconds old
+  AllowStale, ///< cheaper; may be some seconds old
   Count
 };
 
@@ -170,7 +171,7 @@
                               const std::string& aName,
                               const nlohmann::json& aSpec,
                               int64_t aRevision) const = 0;
-  virtual StoreAnswer ReadAnswer(const CallResult& aResult) const = 0;
+  virtual StoreResponse ParseResponse(const CallResult& aResult) const = 0;
 };
 
 /// Objects that others write to the store.
@@ -192,10 +193,10 @@
 };
 
 /// All that the gateway speaks with the outside.
-struct PlatformPort
+struct PlatformInterface
 {
   const RequestProtocol& requests_;
-  const OrderProtocol& orders_;
+  const CommandProtocol& commands_;
   const ObjectProtocol& objects_;
   const RegistryFormat& registry_;
 };
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -15,27 +15,27 @@
 using Json = nlohmann::json;
 
 /// Watchers have an answer of the store each second; older ones prove nothing.
-constexpr TimeMs kProofMs = 2200;
+constexpr TimeMs kMaxResponseAgeMs = 2200;
 /// A gateway that joined the watchers stays for this long.
-constexpr TimeMs kWatchHoldMs = 5000;
+constexpr TimeMs kMinWatchMs = 5000;
 /// Changes come with the digest; what is lost is asked for after this.
-constexpr TimeMs kBehindMs = 300;
+constexpr TimeMs kResyncDelayMs = 300;
 /// Watchers gather changes for 200 ms, and a slow store answers after 300 ms.
-constexpr TimeMs kWatcherBehindMs = 500;
+constexpr TimeMs kWatcherResyncDelayMs = 500;
 /// Several times the largest configuration of the design size.
 constexpr size_t kMaxConfigBytes = 64 << 20;
 constexpr TimeMs kRelayTimeoutMs = 700;
 /// Two lost heartbeats of the leader.
-constexpr TimeMs kLeaderWordMs = 800;
+constexpr TimeMs kLeaderStateMaxAgeMs = 800;
 /// A leader without the store, while others reach it, can move no keys.
 constexpr TimeMs kLeaderWithoutStoreMs = 900;
-constexpr TimeMs kProbeMs = 2000;
+constexpr TimeMs kProbeIntervalMs = 2000;
 /// A starting gateway asks the store first.
-constexpr TimeMs kStoreFirstMs = 600;
+constexpr TimeMs kStoreReadGraceMs = 600;
 /// Time for a starting gateway to hear of the others and of the leader.
-constexpr TimeMs kMeetMs = 1500;
+constexpr TimeMs kDiscoveryMs = 1500;
 /// Without a leader, others are drawn to watch this often.
-constexpr TimeMs kDrawMs = 2000;
+constexpr TimeMs kSampleIntervalMs = 2000;
 
 BackendEntry EntryFromChange(const wire::BackendChange& aChange)
 {
@@ -82,7 +82,7 @@
 StoreRelay::StoreRelay(EventLoop& aLoop,
                        EventLog& aLog,
                        HttpClient& aClient,
-                       const StoreLink& aStore,
+                       const StoreClient& aStore,
                        const PeerMesh& aMesh,
                        const LeaderElection& aElection,
                        const BackendDirectory& aDirectory,
@@ -107,7 +107,7 @@
 bool StoreRelay::IsStoreOk() const
 {
   return watching_ && store_.IsReachable() &&
-         store_.AnswerAgeMs() < detail::kProofMs;
+         store_.ResponseAgeMs() < detail::kMaxResponseAgeMs;
 }
 
 size_t StoreRelay::Rank() const
@@ -121,23 +121,23 @@
   });
 }
 
-bool StoreRelay::IsDrawn(size_t aWanted) const
+bool StoreRelay::IsSampled(size_t aWanted) const
 {
-  const auto draw = XXH3_64bits_withSeed(
+  const auto sample = XXH3_64bits_withSeed(
     self_.data(),
     self_.size(),
-    static_cast<uint64_t>(loop_.NowMs() / detail::kDrawMs));
-  return draw % (mesh_.Peers().size() + 1) < aWanted;
+    static_cast<uint64_t>(loop_.NowMs() / detail::kSampleIntervalMs));
+  return sample % (mesh_.Peers().size() + 1) < aWanted;
 }
 
-size_t StoreRelay::WantedWatchers(TimeMs aLostMs, size_t aGateways)
+size_t StoreRelay::WantedWatchers(TimeMs aUnreachableMs, size_t aGateways)
 {
-  if (aLostMs < kWidenMs) {
+  if (aUnreachableMs < kWidenAfterMs) {
     return std::min(kWatchers, aGateways);
   }
-  if (aLostMs < 2 * kWidenMs) {
-    const auto part = std::max(kMinWidened, aGateways / kWatchers);
-    return std::min({ part, kMaxWidened, aGateways });
+  if (aUnreachableMs < 2 * kWidenAfterMs) {
+    const auto part = std::max(kMinWidenedWatchers, aGateways / kWatchers);
+    return std::min({ part, kMaxWidenedWatchers, aGateways });
   }
   return std::min(kMaxWatchers, aGateways);
 }
@@ -146,25 +146,26 @@
 {
   const TimeMs nowMs = loop_.NowMs();
   if (IsStoreOk()) {
-    storeOkMs_ = std::max(storeOkMs_, nowMs - store_.AnswerAgeMs());
+    storeOkMs_ = std::max(storeOkMs_, nowMs - store_.ResponseAgeMs());
   }
-  const TimeMs lostMs = nowMs - storeOkMs_;
-  const auto watchers = WantedWatchers(lostMs, mesh_.AliveCount(nowMs) + 1);
+  const TimeMs unreachableMs = nowMs - storeOkMs_;
+  const auto watchers =
+    WantedWatchers(unreachableMs, mesh_.AliveCount(nowMs) + 1);
   const bool hearsLeader = election_.HearsLeader();
   const auto rank = Rank();
-  const bool drawn = mesh_.IsLarge() && !hearsLeader
-                       ? IsDrawn(watchers)
-                       : rank < watchers || !hearsLeader;
-  if (lostMs >= kWidenMs && drawn) {
-    watchUntilMs_ = nowMs + detail::kWatchHoldMs;
+  const bool selected = mesh_.IsLarge() && !hearsLeader
+                          ? IsSampled(watchers)
+                          : rank < watchers || !hearsLeader;
+  if (unreachableMs >= kWidenAfterMs && selected) {
+    watchUntilMs_ = nowMs + detail::kMinWatchMs;
   }
   // The leader is one of the watchers, whatever its rank. A starting gateway
   // has read all kinds and waits to hear of a leader.
   const bool regular = hearsLeader && rank + 1 < kWatchers;
-  const bool met = nowMs - startedMs_ >= detail::kMeetMs;
-  const bool watch =
-    election_.IsLeading() ||
-    (met && (regular || nowMs < watchUntilMs_ || (!hearsLeader && drawn)));
+  const bool discoveryDone = nowMs - startedMs_ >= detail::kDiscoveryMs;
+  const bool watch = election_.IsLeading() ||
+                     (discoveryDone && (regular || nowMs < watchUntilMs_ ||
+                                        (!hearsLeader && selected)));
   // The configuration alone shows whether the store is back.
   const bool all = watch && (regular || election_.IsLeading() || IsStoreOk());
   if (watch != watching_ || all != watchingAll_) {
@@ -183,18 +184,19 @@
 bool StoreRelay::ShouldResign() const
 {
   const TimeMs nowMs = loop_.NowMs();
-  const TimeMs lostForMs = store_.LostForMs();
+  const TimeMs unreachableForMs = store_.UnreachableForMs();
   // An open watch proves nothing: the peer must have had an answer since.
-  return lostForMs > detail::kLeaderWithoutStoreMs &&
-         peerAnsweredMs_ > nowMs - lostForMs + detail::kLeaderWordMs / 2;
+  return unreachableForMs > detail::kLeaderWithoutStoreMs &&
+         peerResponseMs_ >
+           nowMs - unreachableForMs + detail::kLeaderStateMaxAgeMs / 2;
 }
 
-void StoreRelay::Fill(wire::Gossip& aGossip) const
+void StoreRelay::AddStoreState(wire::Gossip& aGossip) const
 {
   aGossip.storeOk = IsStoreOk();
   constexpr TimeMs kLongestAgeMs = 1000000;
   aGossip.storeAgeMs =
-    static_cast<int32_t>(std::min(store_.AnswerAgeMs(), kLongestAgeMs));
+    static_cast<int32_t>(std::min(store_.ResponseAgeMs(), kLongestAgeMs));
   aGossip.directoryDigest =
     IsStoreOk() && watchingAll_ ? directory_.Digest() : 0;
   aGossip.directoryRevision = directory_.Revision();
@@ -222,15 +224,15 @@
   const TimeMs nowMs = loop_.NowMs();
   if (aGossip.storeOk) {
     storeOkMs_ = std::max(storeOkMs_, nowMs - aGossip.storeAgeMs);
-    peerAnsweredMs_ = std::max(peerAnsweredMs_, nowMs - aGossip.storeAgeMs);
+    peerResponseMs_ = std::max(peerResponseMs_, nowMs - aGossip.storeAgeMs);
     if (aGossip.leading) {
       leaderStoreOkMs_ = nowMs;
       leaderRevision_ = aGossip.directoryRevision;
     }
   }
   if (aGossip.leading && !aGossip.storeOk && IsStoreOk() &&
-      store_.AnswerAgeMs() > detail::kLeaderWordMs &&
-      nowMs - probedMs_ > detail::kProbeMs) {
+      store_.ResponseAgeMs() > detail::kLeaderStateMaxAgeMs &&
+      nowMs - probedMs_ > detail::kProbeIntervalMs) {
     // Whether the store is away for all decides who should lead.
     probedMs_ = nowMs;
     handlers_.probeStore_();
@@ -238,13 +240,13 @@
   const Endpoint status{ aSender.ip_,
                          static_cast<uint16_t>(aGossip.statusPort) };
   if (aGossip.configVersion > handlers_.configVersion_()) {
-    AskForConfig(status, aGossip.configVersion);
+    FetchConfig(status, aGossip.configVersion);
   }
   if (!handlers_.hasDirectory_() &&
-      nowMs - startedMs_ > detail::kStoreFirstMs) {
+      nowMs - startedMs_ > detail::kStoreReadGraceMs) {
     // Started while the store is away: what a peer knows is better than
     // nothing.
-    AskForDirectory(status);
+    FetchDirectory(status);
     return;
   }
   if (!aGossip.storeOk) {
@@ -256,7 +258,7 @@
         handlers_.onRemovalSeen_(change.id);
       }
     }
-    FollowNewerWatcher(aGossip, status);
+    SyncWithNewerWatcher(aGossip, status);
     return;
   }
   // A sender that is cut off from the store tells states that are over.
@@ -272,45 +274,46 @@
   // Watchers of one revision may differ in what they keep in its grace time;
   // the leader's word counts where it has one.
   if (aGossip.directoryDigest == 0 ||
-      (!aGossip.leading && nowMs - leaderStoreOkMs_ < detail::kLeaderWordMs &&
+      (!aGossip.leading &&
+       nowMs - leaderStoreOkMs_ < detail::kLeaderStateMaxAgeMs &&
        aGossip.directoryRevision <= leaderRevision_)) {
     return;
   }
   if (aGossip.directoryDigest == directory_.Digest()) {
-    behindMs_ = 0;
-  } else if (behindMs_ == 0) {
-    behindMs_ = nowMs;
-  } else if (nowMs - behindMs_ >= detail::kBehindMs) {
-    AskForDirectory(status);
+    behindSinceMs_ = 0;
+  } else if (behindSinceMs_ == 0) {
+    behindSinceMs_ = nowMs;
+  } else if (nowMs - behindSinceMs_ >= detail::kResyncDelayMs) {
+    FetchDirectory(status);
   }
 }
 
-void StoreRelay::FollowNewerWatcher(const wire::Gossip& aGossip,
-                                    const Endpoint& aStatus)
+void StoreRelay::SyncWithNewerWatcher(const wire::Gossip& aGossip,
+                                      const Endpoint& aStatus)
 {
   if (directory_.Revision() >= behindRevision_) {
-    behindMs_ = 0;
+    behindSinceMs_ = 0;
   }
   if (aGossip.directoryRevision <= directory_.Revision() ||
       aGossip.directoryDigest == 0 ||
       aGossip.directoryDigest == directory_.Digest()) {
     return;
   }
-  if (behindMs_ == 0) {
-    behindMs_ = loop_.NowMs();
+  if (behindSinceMs_ == 0) {
+    behindSinceMs_ = loop_.NowMs();
     behindRevision_ = aGossip.directoryRevision;
-  } else if (loop_.NowMs() - behindMs_ >= detail::kWatcherBehindMs) {
+  } else if (loop_.NowMs() - behindSinceMs_ >= detail::kWatcherResyncDelayMs) {
     log_.Write(LogLevel::Info,
                "store-watch-behind",
                { { "revision", directory_.Revision() },
                  { "peer_revision", aGossip.directoryRevision } });
-    AskForDirectory(aStatus);
+    FetchDirectory(aStatus);
   }
 }
 
-void StoreRelay::AskForDirectory(const Endpoint& aPeer)
+void StoreRelay::FetchDirectory(const Endpoint& aPeer)
 {
-  if (std::exchange(asking_, true)) {
+  if (std::exchange(fetchingDirectory_, true)) {
     return;
   }
   CallRequest request;
@@ -318,8 +321,8 @@
   request.target_ = "/directory";
   request.timeoutMs_ = detail::kRelayTimeoutMs;
   client_.Call(aPeer, request, [this](const CallResult& aResult) {
-    asking_ = false;
-    behindMs_ = 0;
+    fetchingDirectory_ = false;
+    behindSinceMs_ = 0;
     if (aResult.end_ != CallEnd::Answered || aResult.head_.status_ != 200) {
       return;
     }
@@ -342,9 +345,9 @@
   });
 }
 
-void StoreRelay::AskForConfig(const Endpoint& aPeer, int64_t aVersion)
+void StoreRelay::FetchConfig(const Endpoint& aPeer, int64_t aVersion)
 {
-  if (std::exchange(askingConfig_, true)) {
+  if (std::exchange(fetchingConfig_, true)) {
     return;
   }
   CallRequest request;
@@ -352,19 +355,19 @@
   request.target_ = "/config";
   request.timeoutMs_ = detail::kRelayTimeoutMs;
   client_.Call(aPeer, request, [this, aVersion](const CallResult& aResult) {
-    askingConfig_ = false;
+    fetchingConfig_ = false;
     if (aResult.end_ == CallEnd::Answered && aResult.head_.status_ == 200) {
       const auto text = Decompress(aResult.body_, detail::kMaxConfigBytes);
       const auto json = detail::Json::parse(text.value_or(""), nullptr, false);
       handlers_.onConfig_(json, aResult.body_);
     }
     if (handlers_.configVersion_() < aVersion) {
-      handlers_.askStoreForConfig_();
+      handlers_.fetchConfigFromStore_();
     }
   });
 }
 
-std::string StoreRelay::DirectoryText() const
+std::string StoreRelay::DirectoryJson() const
 {
   auto json = detail::Json::array();
   for (const auto& [id, entry] : directory_.Entries()) {
--- a/gateway/StoreRelay.hpp
+++ b/gateway/StoreRelay.hpp
@@ -3,7 +3,7 @@
 #include "gateway/EventLog.hpp"
 #include "gateway/LeaderElection.hpp"
 #include "gateway/PeerMesh.hpp"
-#include "gateway/StoreLink.hpp"
+#include "gateway/StoreClient.hpp"
 #include "membership/BackendDirectory.hpp"
 #include "net/HttpClient.hpp"
 
@@ -25,10 +25,10 @@
   /// Without an answer of the store to any watcher for this long, more join: a
   /// configuration must be in force everywhere after 2 s, and all watchers may
   /// be among the instances that the store turns away.
-  static constexpr TimeMs kWidenMs = 1300;
-  static constexpr size_t kMinWidened = 8;
+  static constexpr TimeMs kWidenAfterMs = 1300;
+  static constexpr size_t kMinWidenedWatchers = 8;
   /// Bounds of the two steps: calls do not grow with the fleet.
-  static constexpr size_t kMaxWidened = 24;
+  static constexpr size_t kMaxWidenedWatchers = 24;
   static constexpr size_t kMaxWatchers = 72;
 
   struct Handlers
@@ -49,13 +49,13 @@
     /// Makes one small call to the store.
     std::function<void()> probeStore_;
     /// Asks the store for the configuration.
-    std::function<void()> askStoreForConfig_;
+    std::function<void()> fetchConfigFromStore_;
   };
 
   StoreRelay(EventLoop& aLoop,
              EventLog& aLog,
              HttpClient& aClient,
-             const StoreLink& aStore,
+             const StoreClient& aStore,
              const PeerMesh& aMesh,
              const LeaderElection& aElection,
              const BackendDirectory& aDirectory,
@@ -64,9 +64,9 @@
              Handlers aHandlers);
 
   /// How many of the gateways watch when no watcher has had an answer of the
-  /// store for aLostMs: three, then a third of all, then all, within the
+  /// store for aUnreachableMs: three, then a third of all, then all, within the
   /// bounds.
-  static size_t WantedWatchers(TimeMs aLostMs, size_t aGateways);
+  static size_t WantedWatchers(TimeMs aUnreachableMs, size_t aGateways);
   /// Decides whether this gateway watches. Called regularly.
   void Update();
   void OnGossip(const wire::Gossip& aGossip, const Endpoint& aSender);
@@ -75,28 +75,29 @@
   /// True for a leader that does not reach the store while others do.
   bool ShouldResign() const;
   /// What is told with each datagram.
-  void Fill(wire::Gossip& aGossip) const;
+  void AddStoreState(wire::Gossip& aGossip) const;
   static void AddChange(const BackendEntry& aEntry,
                         bool aRemoved,
                         wire::Gossip& aGossip);
   /// The directory for gateways that ask.
-  std::string DirectoryText() const;
+  std::string DirectoryJson() const;
 
 private:
   size_t Rank() const;
   /// True for about aWanted of all gateways, other ones each time: without a
   /// leader a gateway of a large fleet does not know who is alive.
-  bool IsDrawn(size_t aWanted) const;
+  bool IsSampled(size_t aWanted) const;
   /// The answer to an own watch may be lost. The watch then hangs until its
   /// time-out, while the store answers other calls.
-  void FollowNewerWatcher(const wire::Gossip& aGossip, const Endpoint& aStatus);
-  void AskForDirectory(const Endpoint& aPeer);
-  void AskForConfig(const Endpoint& aPeer, int64_t aVersion);
+  void SyncWithNewerWatcher(const wire::Gossip& aGossip,
+                            const Endpoint& aStatus);
+  void FetchDirectory(const Endpoint& aPeer);
+  void FetchConfig(const Endpoint& aPeer, int64_t aVersion);
 
   EventLoop& loop_;
   EventLog& log_;
   HttpClient& client_;
-  const StoreLink& store_;
+  const StoreClient& store_;
   const PeerMesh& mesh_;
   const LeaderElection& election_;
   const BackendDirectory& directory_;
@@ -105,16 +106,16 @@
   Handlers handlers_;
   bool watching_ = false;
   bool watchingAll_ = false;
-  bool asking_ = false;
-  bool askingConfig_ = false;
+  bool fetchingDirectory_ = false;
+  bool fetchingConfig_ = false;
   TimeMs startedMs_;
   TimeMs storeOkMs_;          ///< a watcher last reached the store
-  TimeMs peerAnsweredMs_ = 0; ///< the store answered another gateway
+  TimeMs peerResponseMs_ = 0; ///< the store answered another gateway
   TimeMs probedMs_ = 0;
   TimeMs watchUntilMs_ = 0;
   TimeMs leaderStoreOkMs_ = 0; ///< the leader did
   int64_t leaderRevision_ = 0; ///< that the leader's directory shows
-  TimeMs behindMs_ = 0;        ///< since when the digests differ
+  TimeMs behindSinceMs_ = 0;   ///< since when the digests differ
   int64_t behindRevision_ = 0; ///< of the watcher that was found to be newer
 };
 
--- a/gateway/StoreFollower.cpp
+++ b/gateway/StoreWatcher.cpp
@@ -1,4 +1,4 @@
-#include "gateway/StoreFollower.hpp"
+#include "gateway/StoreWatcher.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -12,13 +12,14 @@
 
 /// Changes come in bursts; what follows the first is fetched in one call. Well
 /// below the 2 s in which changes must be in force.
-constexpr TimeMs kGatherMs = 200;
+constexpr TimeMs kBatchDelayMs = 200;
 constexpr TimeMs kMinBackoffMs = 100;
 constexpr TimeMs kMaxBackoffMs = 800;
 
 }
 
-std::vector<ObjectEvent> LatestEvents(const std::vector<ObjectEvent>& aEvents)
+std::vector<ObjectEvent> LatestEventPerObject(
+  const std::vector<ObjectEvent>& aEvents)
 {
   std::set<std::string_view> seen;
   std::vector<ObjectEvent> latest;
@@ -32,19 +33,19 @@
   return latest;
 }
 
-StoreFollower::StoreFollower(EventLoop& aLoop,
-                             EventLog& aLog,
-                             StoreLink& aStore,
-                             std::string aKind,
-                             TimeMs aWaitMs,
-                             Resume aResume,
-                             bool aActive,
-                             Handlers aHandlers)
+StoreWatcher::StoreWatcher(EventLoop& aLoop,
+                           EventLog& aLog,
+                           StoreClient& aStore,
+                           std::string aKind,
+                           TimeMs aWaitMs,
+                           ResumeMode aResumeMode,
+                           bool aActive,
+                           Handlers aHandlers)
   : log_(aLog)
   , store_(aStore)
   , kind_(std::move(aKind))
   , waitMs_(aWaitMs)
-  , resume_(aResume)
+  , resumeMode_(aResumeMode)
   , handlers_(std::move(aHandlers))
   , retryTimer_(aLoop,
                 [this] {
@@ -58,34 +59,34 @@
 {
 }
 
-void StoreFollower::Start()
+void StoreWatcher::Start()
 {
-  List(ReadMode::MayBeOld);
+  List(ReadMode::AllowStale);
 }
 
-void StoreFollower::ReadAgain()
+void StoreWatcher::Relist()
 {
   if (!active_ && synced_) {
-    List(ReadMode::MayBeOld);
+    List(ReadMode::AllowStale);
   }
 }
 
-void StoreFollower::SetActive(bool aActive)
+void StoreWatcher::SetActive(bool aActive)
 {
   if (active_ == aActive) {
     return;
   }
   active_ = aActive;
   if (!aActive && synced_) {
-    ++round_;
+    ++generation_;
     retryTimer_.Stop();
   } else if (aActive) {
-    synced_ = synced_ && resume_ == Resume::Watch;
+    synced_ = synced_ && resumeMode_ == ResumeMode::Watch;
     Refresh();
   }
 }
 
-void StoreFollower::Refresh()
+void StoreWatcher::Refresh()
 {
   if (!active_ && synced_) {
     return;
@@ -98,36 +99,36 @@
   }
 }
 
-void StoreFollower::List(ReadMode aMode)
+void StoreWatcher::List(ReadMode aMode)
 {
-  const auto round = ++round_;
+  const auto generation = ++generation_;
   mode_ = aMode;
   listed_.clear();
   listRevision_ = 0;
   store_.Call(store_.Protocol().List(kind_, {}, aMode),
-              [this, round](const StoreAnswer& aAnswer) {
-                if (round == round_) {
-                  OnListed(aAnswer);
+              [this, generation](const StoreResponse& aResponse) {
+                if (generation == generation_) {
+                  OnListed(aResponse);
                 }
               });
 }
 
-void StoreFollower::OnListed(const StoreAnswer& aAnswer)
+void StoreWatcher::OnListed(const StoreResponse& aResponse)
 {
-  if (aAnswer.status_ != StoreStatus::Ok) {
+  if (aResponse.status_ != StoreStatus::Ok) {
     RetryLater();
     return;
   }
   // Changes during a list of several pages follow in the watch.
   if (listRevision_ == 0) {
-    listRevision_ = aAnswer.list_.revision_;
+    listRevision_ = aResponse.list_.revision_;
   }
-  std::ranges::copy(aAnswer.list_.items_, std::back_inserter(listed_));
-  if (aAnswer.list_.hasMore_ && !listed_.empty()) {
-    const auto round = round_;
+  std::ranges::copy(aResponse.list_.items_, std::back_inserter(listed_));
+  if (aResponse.list_.hasMore_ && !listed_.empty()) {
+    const auto generation = generation_;
     store_.Call(store_.Protocol().List(kind_, listed_.back().name_, mode_),
-                [this, round](const StoreAnswer& aPage) {
-                  if (round == round_) {
+                [this, generation](const StoreResponse& aPage) {
+                  if (generation == generation_) {
                     OnListed(aPage);
                   }
                 });
@@ -142,23 +143,23 @@
   Watch();
 }
 
-void StoreFollower::Watch()
+void StoreWatcher::Watch()
 {
   if (!active_) {
     return;
   }
-  const auto round = ++round_;
+  const auto generation = ++generation_;
   store_.Call(store_.Protocol().Watch(kind_, revision_, waitMs_),
-              [this, round](const StoreAnswer& aAnswer) {
-                if (round == round_) {
-                  OnWatched(aAnswer);
+              [this, generation](const StoreResponse& aResponse) {
+                if (generation == generation_) {
+                  OnWatched(aResponse);
                 }
               });
 }
 
-void StoreFollower::OnWatched(const StoreAnswer& aAnswer)
+void StoreWatcher::OnWatched(const StoreResponse& aResponse)
 {
-  if (aAnswer.status_ == StoreStatus::HistoryGone) {
+  if (aResponse.status_ == StoreStatus::HistoryCompacted) {
     log_.Write(LogLevel::Info,
                "history-gone",
                { { "kind", kind_ }, { "revision", revision_ } });
@@ -166,28 +167,28 @@
     List(ReadMode::Latest);
     return;
   }
-  if (aAnswer.status_ != StoreStatus::Ok) {
+  if (aResponse.status_ != StoreStatus::Ok) {
     RetryLater();
     return;
   }
   failures_ = 0;
-  revision_ = std::max(revision_, aAnswer.list_.revision_);
-  if (aAnswer.list_.events_.empty()) {
+  revision_ = std::max(revision_, aResponse.list_.revision_);
+  if (aResponse.list_.events_.empty()) {
     Watch();
   } else {
-    handlers_.onEvents_(aAnswer.list_.events_);
-    retryTimer_.Start(detail::kGatherMs);
+    handlers_.onEvents_(aResponse.list_.events_);
+    retryTimer_.Start(detail::kBatchDelayMs);
   }
 }
 
-TimeMs StoreFollower::BackoffMs()
+TimeMs StoreWatcher::BackoffMs()
 {
   const TimeMs limitMs = std::min(
     detail::kMaxBackoffMs, detail::kMinBackoffMs << std::min(failures_, 4));
   return limitMs / 2 + store_.Jitter(limitMs / 2);
 }
 
-void StoreFollower::RetryLater()
+void StoreWatcher::RetryLater()
 {
   ++failures_;
   retryTimer_.Start(BackoffMs());
--- a/gateway/StoreFollower.hpp
+++ b/gateway/StoreWatcher.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/EventLog.hpp"
-#include "gateway/StoreLink.hpp"
+#include "gateway/StoreClient.hpp"
 
 #include <functional>
 #include <string>
@@ -11,10 +11,11 @@
 
 /// The last event of each object, in the order of those: what lies between is
 /// outdated already.
-std::vector<ObjectEvent> LatestEvents(const std::vector<ObjectEvent>& aEvents);
+std::vector<ObjectEvent> LatestEventPerObject(
+  const std::vector<ObjectEvent>& aEvents);
 
 /// How a follower catches up when it becomes active again.
-enum class Resume : uint8_t
+enum class ResumeMode : uint8_t
 {
   Watch, ///< replays what it missed; for objects whose versions only grow
   List,  ///< replayed states would be older than what others have told
@@ -22,14 +23,14 @@
 };
 
 template<>
-struct EnumNames<Resume>
+struct EnumNames<ResumeMode>
 {
   static constexpr std::string_view kNames[] = { "watch", "list" };
 };
 
 /// Keeps up with all objects of one kind: a list, then watches. After a
 /// compacted history it lists again.
-class StoreFollower
+class StoreWatcher
 {
 public:
   struct Handlers
@@ -38,20 +39,20 @@
     std::function<void(const std::vector<ObjectEvent>&)> onEvents_;
   };
 
-  StoreFollower(EventLoop& aLoop,
-                EventLog& aLog,
-                StoreLink& aStore,
-                std::string aKind,
-                TimeMs aWaitMs,
-                Resume aResume,
-                bool aActive,
-                Handlers aHandlers);
+  StoreWatcher(EventLoop& aLoop,
+               EventLog& aLog,
+               StoreClient& aStore,
+               std::string aKind,
+               TimeMs aWaitMs,
+               ResumeMode aResumeMode,
+               bool aActive,
+               Handlers aHandlers);
 
   /// The first list may be some seconds old: it costs less, and an active
   /// follower watches from there.
   void Start();
   /// Reads the objects again without watching them.
-  void ReadAgain();
+  void Relist();
   /// Without activity nothing is watched; the list of the start stays.
   void SetActive(bool aActive);
   bool IsActive() const { return active_; }
@@ -64,27 +65,27 @@
 
 private:
   void List(ReadMode aMode);
-  void OnListed(const StoreAnswer& aAnswer);
+  void OnListed(const StoreResponse& aResponse);
   void Watch();
-  void OnWatched(const StoreAnswer& aAnswer);
+  void OnWatched(const StoreResponse& aResponse);
   void RetryLater();
   TimeMs BackoffMs();
 
   EventLog& log_;
-  StoreLink& store_;
+  StoreClient& store_;
   std::string kind_;
   TimeMs waitMs_;
-  Resume resume_;
+  ResumeMode resumeMode_;
   Handlers handlers_;
   Timer retryTimer_;
-  uint64_t round_ = 0; ///< answers of earlier rounds are ignored
+  uint64_t generation_ = 0; ///< answers of earlier rounds are ignored
   bool active_;
   bool synced_ = false;
   bool everListed_ = false;
   int failures_ = 0;
   int64_t revision_ = 0;
   std::vector<StoreObject> listed_;
-  ReadMode mode_ = ReadMode::MayBeOld; ///< of the list that is read
+  ReadMode mode_ = ReadMode::AllowStale; ///< of the list that is read
   int64_t listRevision_ = 0;
 };
 
--- a/tests/CrashingCallsModelTest.cpp
+++ b/tests/CrashingCallsModelTest.cpp
@@ -14,13 +14,13 @@
 constexpr TimeMs kStepMs = 5;
 constexpr TimeMs kStableWindowMs = 3000;
 /// The end of a server is found out within this time, or never.
-constexpr TimeMs kCaseWindowMs = 6000;
+constexpr TimeMs kDetectionWindowMs = 6000;
 /// Sends that are allowed after the third server has ended and the window.
 constexpr int kAllowedSends = 3;
 
 /// Gateways, a network that delays and loses, and servers that end under some
 /// requests.
-class CrashModel
+class GatewayFleetModel
 {
 public:
   struct Options
@@ -36,12 +36,12 @@
   {
     uint64_t fingerprint_ = 0;
     bool crashes_ = false;
-    std::vector<TimeMs> ends_;       ///< of servers
-    std::vector<TimeMs> soundSends_; ///< by gateways in touch
+    std::vector<TimeMs> crashTimesMs_;     ///< of servers
+    std::vector<TimeMs> connectedSendsMs_; ///< by gateways in touch
     bool served_ = false;
   };
 
-  CrashModel(Options aOptions, uint32_t aSeed)
+  GatewayFleetModel(Options aOptions, uint32_t aSeed)
     : options_(aOptions)
     , random_(aSeed)
     , gateways_(aOptions.gateways_)
@@ -72,7 +72,10 @@
   }
 
   /// The call arrives at some living gateway; tells whether it was sent on.
-  bool Send(Call& aCall) { return SendBy(Draw(options_.gateways_), aCall); }
+  bool Send(Call& aCall)
+  {
+    return SendBy(RandomBelow(options_.gateways_), aCall);
+  }
 
   bool SendBy(int aGateway, Call& aCall)
   {
@@ -80,7 +83,7 @@
     if (!IsUp(gateway)) {
       return false;
     }
-    const auto server = "s" + std::to_string(serial_++);
+    const auto server = "s" + std::to_string(nextServer_++);
     const auto decision =
       gateway.quarantine_->TryBegin(aCall.fingerprint_, server, nowMs_);
     if (decision.verdict_ == SuspectVerdict::Wait) {
@@ -92,13 +95,13 @@
       return false;
     }
     if (nowMs_ - gateway.disturbedMs_ >= kStableWindowMs) {
-      aCall.soundSends_.push_back(nowMs_);
+      aCall.connectedSendsMs_.push_back(nowMs_);
     }
     const InFlightRequest request(aCall.fingerprint_, decision.knownCrashes_);
     if (aCall.crashes_) {
       After(kStepMs, [this, aGateway, server, request, &aCall] {
-        aCall.ends_.push_back(nowMs_);
-        EndServer(aGateway, server, { request });
+        aCall.crashTimesMs_.push_back(nowMs_);
+        CrashServer(aGateway, server, { request });
       });
     } else {
       After(100, [this, aGateway, server, &aCall] {
@@ -110,19 +113,20 @@
   }
 
   /// A server ends with requests of one gateway in flight.
-  void EndServer(int aGateway,
-                 const std::string& aServer,
-                 std::vector<InFlightRequest> aInFlight)
+  void CrashServer(int aGateway,
+                   const std::string& aServer,
+                   std::vector<InFlightRequest> aInFlight)
   {
-    const auto life = gateways_[aGateway].life_;
+    const auto incarnation = gateways_[aGateway].incarnation_;
     for (const auto& request : aInFlight) {
       gateways_[aGateway].quarantine_->OnBroken(
-        request.fingerprint_, aServer, nowMs_ + kCaseWindowMs, nowMs_);
+        request.fingerprint_, aServer, nowMs_ + kDetectionWindowMs, nowMs_);
     }
-    After(options_.detectMs_,
-          [this, aGateway, aServer, life, inFlight = std::move(aInFlight)] {
-            Detect(aGateway, aServer, life, inFlight);
-          });
+    After(
+      options_.detectMs_,
+      [this, aGateway, aServer, incarnation, inFlight = std::move(aInFlight)] {
+        Detect(aGateway, aServer, incarnation, inFlight);
+      });
   }
 
   void RestartAll()
@@ -132,7 +136,7 @@
     }
   }
   void Restart(int aGateway) { Start(aGateway); }
-  int Draw(int aBound)
+  int RandomBelow(int aBound)
   {
     return std::uniform_int_distribution<int>(0, aBound - 1)(random_);
   }
@@ -151,23 +155,23 @@
     std::unique_ptr<SuspectExchange> exchange_;
     TimeMs downUntilMs_ = 0; ///< frozen or cut off
     TimeMs disturbedMs_ = 0;
-    int life_ = 0;
+    int incarnation_ = 0;
   };
 
   /// A gateway that stands still finds it out afterwards; one that was killed
   /// never does.
   void Detect(int aGateway,
               const std::string& aServer,
-              int aLife,
+              int aIncarnation,
               const std::vector<InFlightRequest>& aInFlight)
   {
     auto& gateway = gateways_[aGateway];
-    if (gateway.life_ != aLife) {
+    if (gateway.incarnation_ != aIncarnation) {
       return;
     }
     if (!IsUp(gateway)) {
       After(gateway.downUntilMs_ - nowMs_,
-            [=, this] { Detect(aGateway, aServer, aLife, aInFlight); });
+            [=, this] { Detect(aGateway, aServer, aIncarnation, aInFlight); });
       return;
     }
     gateway.quarantine_->OnCrash(aServer, aInFlight, nowMs_);
@@ -188,7 +192,7 @@
     gateway.quarantine_->SetMembers(names_[aIndex], names_);
     gateway.exchange_ = std::make_unique<SuspectExchange>(*gateway.quarantine_);
     gateway.disturbedMs_ = nowMs_;
-    ++gateway.life_;
+    ++gateway.incarnation_;
   }
 
   void InjectFaults()
@@ -197,12 +201,12 @@
     if (std::uniform_real_distribution<double>(0, 1)(random_) >= chance) {
       return;
     }
-    const int index = Draw(options_.gateways_);
+    const int index = RandomBelow(options_.gateways_);
     auto& gateway = gateways_[index];
-    if (Draw(2) == 0) {
+    if (RandomBelow(2) == 0) {
       Start(index);
     } else {
-      gateway.downUntilMs_ = nowMs_ + 500 + Draw(4000);
+      gateway.downUntilMs_ = nowMs_ + 500 + RandomBelow(4000);
       gateway.disturbedMs_ = gateway.downUntilMs_;
     }
   }
@@ -211,7 +215,7 @@
   int Leader() const
   {
     const auto found = std::ranges::find_if(
-      gateways_, [&](const Gateway& aOne) { return IsUp(aOne); });
+      gateways_, [&](const Gateway& aGateway) { return IsUp(aGateway); });
     return static_cast<int>(found - gateways_.begin());
   }
 
@@ -256,7 +260,7 @@
       return;
     }
     const auto digest = gateways_[aFrom].exchange_->Digest(nowMs_);
-    After(1 + Draw(30),
+    After(1 + RandomBelow(30),
           [this, aFrom, aTo, digest, suspects = std::move(aSuspects)] {
             auto& gateway = gateways_[aTo];
             if (!IsUp(gateway)) {
@@ -293,39 +297,40 @@
   std::vector<std::string> names_;
   std::vector<Gateway> gateways_;
   std::multimap<TimeMs, std::function<void()>> events_;
-  int serial_ = 0;
+  int nextServer_ = 0;
   int64_t datagrams_ = 0;
 };
 
 /// Sends by gateways in touch later than the window after the third end.
-int LateSends(const CrashModel::Call& aCall)
+int LateSends(const GatewayFleetModel::Call& aCall)
 {
-  if (aCall.ends_.size() < 3) {
+  if (aCall.crashTimesMs_.size() < 3) {
     return 0;
   }
-  const TimeMs sinceMs = aCall.ends_[2] + kStableWindowMs;
-  return static_cast<int>(std::ranges::count_if(
-    aCall.soundSends_, [&](TimeMs aSentMs) { return aSentMs > sinceMs; }));
+  const TimeMs sinceMs = aCall.crashTimesMs_[2] + kStableWindowMs;
+  return static_cast<int>(
+    std::ranges::count_if(aCall.connectedSendsMs_,
+                          [&](TimeMs aSentMs) { return aSentMs > sinceMs; }));
 }
 
 /// Sends the calls again and again, each about every aPeriodMs.
-void Repeat(CrashModel& aModel,
-            std::vector<CrashModel::Call>& aCalls,
-            TimeMs aPeriodMs,
-            TimeMs aEndMs)
+void SendRepeatedly(GatewayFleetModel& aModel,
+                    std::vector<GatewayFleetModel::Call>& aCalls,
+                    TimeMs aPeriodMs,
+                    TimeMs aEndMs)
 {
   while (aModel.NowMs() < aEndMs) {
     for (auto& call : aCalls) {
       aModel.Send(call);
     }
     aModel.RunUntil(aModel.NowMs() + aPeriodMs / 2 +
-                    aModel.Draw(static_cast<int>(aPeriodMs)));
+                    aModel.RandomBelow(static_cast<int>(aPeriodMs)));
   }
 }
 
-std::vector<CrashModel::Call> CrashingCalls(int aCount)
+std::vector<GatewayFleetModel::Call> CrashingCalls(int aCount)
 {
-  std::vector<CrashModel::Call> calls(aCount);
+  std::vector<GatewayFleetModel::Call> calls(aCount);
   for (int i = 0; i < aCount; ++i) {
     calls[i].fingerprint_ = 1000 + static_cast<uint64_t>(i);
     calls[i].crashes_ = true;
@@ -346,15 +351,16 @@
 TEST_P(CrashingCallsModel, RepeatsEndWhileGatewaysFail)
 {
   for (int seed = 0; seed < GetParam().seeds_; ++seed) {
-    const CrashModel::Options options{ .gateways_ = GetParam().gateways_,
-                                       .loss_ = 0.05,
-                                       .detectMs_ = seed % 2 == 0 ? 30 : 2500,
-                                       .faultsPerSecond_ =
-                                         GetParam().gateways_ / 60.0 };
-    CrashModel model(options, static_cast<uint32_t>(seed));
+    const GatewayFleetModel::Options options{ .gateways_ = GetParam().gateways_,
+                                              .loss_ = 0.05,
+                                              .detectMs_ =
+                                                seed % 2 == 0 ? 30 : 2500,
+                                              .faultsPerSecond_ =
+                                                GetParam().gateways_ / 60.0 };
+    GatewayFleetModel model(options, static_cast<uint32_t>(seed));
     model.RunUntil(kStableWindowMs);
     auto calls = CrashingCalls(3);
-    Repeat(model, calls, 200, 40000);
+    SendRepeatedly(model, calls, 200, 40000);
     for (const auto& call : calls) {
       EXPECT_LE(LateSends(call), kAllowedSends) << "seed " << seed;
     }
@@ -366,10 +372,10 @@
 TEST_P(CrashingCallsModel, RestartedGatewaysLearnAgain)
 {
   const int gateways = GetParam().gateways_;
-  CrashModel model({ .gateways_ = gateways }, 7);
+  GatewayFleetModel model({ .gateways_ = gateways }, 7);
   model.RunUntil(kStableWindowMs);
   auto calls = CrashingCalls(2);
-  Repeat(model, calls, 300, 10000);
+  SendRepeatedly(model, calls, 300, 10000);
   for (int i = 0; i < gateways; ++i) {
     model.Restart(i);
     model.RunUntil(model.NowMs() + 40);
@@ -388,7 +394,7 @@
 TEST_P(CrashingCallsModel, OneGatewayTriesWhatEndedManyServersAtOnce)
 {
   const int gateways = GetParam().gateways_;
-  CrashModel model({ .gateways_ = gateways }, 11);
+  GatewayFleetModel model({ .gateways_ = gateways }, 11);
   model.RunUntil(kStableWindowMs);
   auto calls = CrashingCalls(1);
   for (int i = 0; i < 5; ++i) {
@@ -408,13 +414,13 @@
 // crashes beyond the allowed ones.
 TEST_P(CrashingCallsModel, AllGatewaysRestart)
 {
-  CrashModel model({ .gateways_ = GetParam().gateways_ }, 13);
+  GatewayFleetModel model({ .gateways_ = GetParam().gateways_ }, 13);
   model.RunUntil(kStableWindowMs);
   auto calls = CrashingCalls(1);
-  Repeat(model, calls, 300, 10000);
+  SendRepeatedly(model, calls, 300, 10000);
   model.RestartAll();
   model.RunUntil(model.NowMs() + kStableWindowMs);
-  Repeat(model, calls, 300, 25000);
+  SendRepeatedly(model, calls, 300, 25000);
   EXPECT_LE(LateSends(calls[0]), kAllowedSends);
 }
 
@@ -423,11 +429,11 @@
 TEST_P(CrashingCallsModel, MassCrashKeepsInnocentRequestsServed)
 {
   const int gateways = GetParam().gateways_;
-  CrashModel model({ .gateways_ = gateways }, 17);
+  GatewayFleetModel model({ .gateways_ = gateways }, 17);
   model.RunUntil(kStableWindowMs);
   constexpr int kServers = 60;
   constexpr int kRequestsOfServer = 8;
-  std::vector<CrashModel::Call> innocents(kServers * kRequestsOfServer);
+  std::vector<GatewayFleetModel::Call> innocents(kServers * kRequestsOfServer);
   for (size_t i = 0; i < innocents.size(); ++i) {
     innocents[i].fingerprint_ = 100000 + i;
   }
@@ -438,18 +444,19 @@
   for (int server = 0; server < kServers; ++server) {
     for (int i = 0; i < kRequestsOfServer; ++i) {
       const auto& call = innocents[server * kRequestsOfServer + i];
-      model.EndServer(model.Draw(gateways),
-                      "m" + std::to_string(server),
-                      { { call.fingerprint_, 0 } });
+      model.CrashServer(model.RandomBelow(gateways),
+                        "m" + std::to_string(server),
+                        { { call.fingerprint_, 0 } });
     }
     model.RunUntil(model.NowMs() + 20);
   }
   for (auto& call : innocents) {
     model.Send(call);
   }
-  Repeat(model, calls, 200, model.NowMs() + 1500);
-  EXPECT_TRUE(std::ranges::all_of(innocents, &CrashModel::Call::served_));
-  Repeat(model, calls, 200, 30000);
+  SendRepeatedly(model, calls, 200, model.NowMs() + 1500);
+  EXPECT_TRUE(
+    std::ranges::all_of(innocents, &GatewayFleetModel::Call::served_));
+  SendRepeatedly(model, calls, 200, 30000);
   for (const auto& call : calls) {
     EXPECT_LE(LateSends(call), kAllowedSends);
   }
--- a/tests/CrashingCallsTest.cpp
+++ b/tests/CrashingCallsTest.cpp
@@ -10,13 +10,13 @@
 
 using Exchange = ScriptedServer::Exchange;
 
-constexpr uint64_t kBad = 1;
+constexpr uint64_t kCrashingRequest = 1;
 /// The rule starts to count once so many servers have ended.
 constexpr int kToleratedCrashes = 3;
 
 SuspectVerdict Begin(CrashQuarantine& aQuarantine, TimeMs aNowMs)
 {
-  return aQuarantine.TryBegin(kBad, "server", aNowMs).verdict_;
+  return aQuarantine.TryBegin(kCrashingRequest, "server", aNowMs).verdict_;
 }
 
 // Guards against crashes that do not add up because each router saw one.
@@ -25,7 +25,7 @@
   constexpr int kRouters = 5;
   std::vector<CrashQuarantine> routers(kRouters);
   for (int i = 0; i < kRouters; ++i) {
-    routers[i].OnCrash("server-" + std::to_string(i), { kBad }, i);
+    routers[i].OnCrash("server-" + std::to_string(i), { kCrashingRequest }, i);
   }
   for (auto& from : routers) {
     for (auto& to : routers) {
@@ -44,11 +44,11 @@
 {
   CrashQuarantine here;
   CrashQuarantine peer;
-  peer.OnCrash("a", { kBad }, 0);
-  peer.OnCrash("b", { kBad }, 1000);
+  peer.OnCrash("a", { kCrashingRequest }, 0);
+  peer.OnCrash("b", { kCrashingRequest }, 1000);
   const auto told = peer.Entries(1000);
   here.Merge(told, 1010);
-  here.Release(kBad, 1020);
+  here.Release(kCrashingRequest, 1020);
   here.Merge(told, 1060);
   EXPECT_EQ(Begin(here, 1070), SuspectVerdict::Run);
   peer.Merge(here.Entries(1080), 1090);
--- a/tests/GatewayRig.cpp
+++ b/tests/GatewayRig.cpp
@@ -121,7 +121,7 @@
     loop_,
     log_,
     aSettings,
-    PlatformPort{ requests_, orders_, objects_, registry_ },
+    PlatformInterface{ requests_, orders_, objects_, registry_ },
     [this](Findings&) { return freshSettings_; });
   if (!gateway->Start()) {
     throw std::runtime_error("the gateway does not start");
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayRig.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "gateway/Gateway.hpp"
-#include "platform/Objects.hpp"
-#include "platform/Requests.hpp"
+#include "platform/ObjectCodec.hpp"
+#include "platform/RequestCodec.hpp"
 #include "tests/PlatformStore.hpp"
 
 #include <functional>
@@ -70,7 +70,7 @@
   /// Takes the store away, or gives it back.
   void SetStoreDown(bool aDown)
   {
-    store_.SetTrouble(aDown ? StoreTrouble::Resets : StoreTrouble::None);
+    store_.SetFaultMode(aDown ? StoreFaultMode::Resets : StoreFaultMode::None);
   }
   std::vector<std::string>& Grants() { return grants_; }
   /// Answers the requests of the service with keys, orders excepted.
@@ -110,10 +110,10 @@
 
   EventLoop loop_;
   EventLog log_;
-  platform::Requests requests_;
-  platform::Orders orders_;
-  platform::Objects objects_;
-  platform::Registry registry_;
+  platform::RequestCodec requests_;
+  platform::CommandCodec orders_;
+  platform::ObjectCodec objects_;
+  platform::RegistryCodec registry_;
   PlatformStore store_;
   std::vector<std::string> grants_;
   ScriptedServer::Script keyedScript_;
--- a/tests/GatewaySoak.cpp
+++ b/tests/GatewaySoak.cpp
@@ -46,7 +46,7 @@
     { "hang-up-gateway", 1, &GatewaySoak::HangUpGateway },
     { "cut-gateway", 1, &GatewaySoak::CutGateway },
     { "trouble-store", 1, &GatewaySoak::TroubleStore },
-    { "forget-history", 1, &GatewaySoak::ForgetHistory },
+    { "forget-history", 1, &GatewaySoak::CompactHistory },
     { "crash-backend", 2, &GatewaySoak::CrashBackend },
     { "freeze-backend", 1, &GatewaySoak::FreezeBackend },
     { "leave-backend", 2, &GatewaySoak::LeaveBackend },
@@ -441,18 +441,18 @@
 
 void GatewaySoak::TroubleStore()
 {
-  constexpr int kKinds = static_cast<int>(StoreTrouble::Count);
-  store_.SetTrouble(static_cast<StoreTrouble>(Draw(1, kKinds - 1)));
+  constexpr int kKinds = static_cast<int>(StoreFaultMode::Count);
+  store_.SetFaultMode(static_cast<StoreFaultMode>(Draw(1, kKinds - 1)));
   journal_.OnStoreDisturbed(true);
   tasks_.After(Draw(200, kLongestFaultMs), [this] {
-    store_.SetTrouble(StoreTrouble::None);
+    store_.SetFaultMode(StoreFaultMode::None);
     journal_.OnStoreDisturbed(false);
   });
 }
 
-void GatewaySoak::ForgetHistory()
+void GatewaySoak::CompactHistory()
 {
-  store_.ForgetHistory();
+  store_.CompactHistory();
 }
 
 void GatewaySoak::CrashBackend()
@@ -479,7 +479,7 @@
 {
   constexpr int kKinds = static_cast<int>(AnswerTrouble::Count);
   const auto trouble = static_cast<AnswerTrouble>(Draw(1, kKinds - 1));
-  DrawBackend().SetTrouble(trouble, Draw(100, kLongestFaultMs / 2));
+  DrawBackend().SetFaultMode(trouble, Draw(100, kLongestFaultMs / 2));
 }
 
 void GatewaySoak::DelayOrders()
--- a/tests/GatewaySoak.hpp
+++ b/tests/GatewaySoak.hpp
@@ -90,7 +90,7 @@
   void HangUpGateway();
   void CutGateway();
   void TroubleStore();
-  void ForgetHistory();
+  void CompactHistory();
   void CrashBackend();
   void FreezeBackend();
   void LeaveBackend();
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -427,7 +427,7 @@
   constexpr int kServers = 776;
   // Half a core until the others take the leader as silent. The rig's store and
   // servers are in this time as well.
-  constexpr double kSeconds = LeaderTiming::kSilenceMs / 2000.0;
+  constexpr double kSeconds = LeaderTiming::kElectionTimeoutMs / 2000.0;
   const auto started = std::clock();
   GatewayRig rig(Echo, 1, kServers);
   ASSERT_TRUE(
--- a/tests/LeaderElectionTest.cpp
+++ b/tests/LeaderElectionTest.cpp
@@ -2,7 +2,7 @@
 
 #include "common/Strings.hpp"
 #include "gossip_types.h"
-#include "platform/Objects.hpp"
+#include "platform/ObjectCodec.hpp"
 #include "tests/GatewayRig.hpp"
 
 #include <gtest/gtest.h>
@@ -18,7 +18,7 @@
 class LeaderElectionTest : public testing::Test
 {
 protected:
-  void Serve(ScriptedServer::Exchange& aExchange)
+  void HandleRequest(ScriptedServer::Exchange& aExchange)
   {
     const bool isRead = aExchange.head_.method_ == "GET";
     writes_ += isRead ? 0 : 1;
@@ -44,10 +44,10 @@
     aExchange.write_(TextAnswer(loses ? 409 : 200, winner));
   }
   /// It reads the object and leaves it to the other gateway.
-  void ExpectToWaitAfterTheRead()
+  void ExpectWaitAfterRead()
   {
     ASSERT_TRUE(RunLoopUntil(loop_, [&] { return reads_ == 1; }));
-    RunLoopFor(loop_, LeaderTiming::kSilenceMs / 2);
+    RunLoopFor(loop_, LeaderTiming::kElectionTimeoutMs / 2);
     EXPECT_EQ(elected_, 0);
     EXPECT_EQ(writes_, 0);
   }
@@ -55,16 +55,17 @@
   EventLoop loop_;
   EventLog log_{ loop_, LogLevel::Error, STDERR_FILENO };
   HttpClient client_{ loop_ };
-  platform::Objects objects_;
+  platform::ObjectCodec objects_;
   int reads_ = 0;
   int writes_ = 0;
   int elected_ = 0;
   std::function<void()> onRead_; ///< runs before a read is answered
   std::string stored_;   ///< answer to reads instead of the winner's object
   int64_t winnerMs_ = 0; ///< last renewal of the other's object
-  ScriptedServer server_{ loop_,
-                          [this](auto& aExchange) { Serve(aExchange); } };
-  StoreLink store_{ loop_, log_, client_, objects_, server_.Address() };
+  ScriptedServer server_{ loop_, [this](auto& aExchange) {
+                           HandleRequest(aExchange);
+                         } };
+  StoreClient store_{ loop_, log_, client_, objects_, server_.Address() };
   PeerMesh mesh_{ loop_, log_, "self", "d1", {}, [] { return 0; } };
   LeaderElection election_{ loop_,
                             log_,
@@ -82,7 +83,7 @@
 {
   election_.Start();
   ASSERT_TRUE(RunLoopUntil(loop_, [&] { return writes_ == 1; }));
-  RunLoopFor(loop_, LeaderTiming::kSilenceMs / 2);
+  RunLoopFor(loop_, LeaderTiming::kElectionTimeoutMs / 2);
   EXPECT_EQ(elected_, 0);
   EXPECT_EQ(writes_, 1);
 }
@@ -92,7 +93,7 @@
 {
   winnerMs_ = kNowMs - 300;
   election_.Start();
-  ExpectToWaitAfterTheRead();
+  ExpectWaitAfterRead();
 }
 
 // Guards against a second election by a candidate that was slower and takes
@@ -105,7 +106,7 @@
   winnerMs_ = kNowMs - 50;
   election_.Start();
   election_.OnGossip(old);
-  ExpectToWaitAfterTheRead();
+  ExpectWaitAfterRead();
 }
 
 // Guards against a candidate that hears the new leader while it reads the
@@ -121,7 +122,7 @@
     election_.OnGossip(leader);
   };
   election_.Start();
-  ExpectToWaitAfterTheRead();
+  ExpectWaitAfterRead();
 }
 
 // Guards against a process that ends because another writer has stored fields
@@ -141,7 +142,7 @@
   winnerMs_ = kNowMs - 5000;
   election_.Start();
   ASSERT_TRUE(RunLoopUntil(loop_, [&] { return reads_ == 1; }));
-  RunLoopFor(loop_, LeaderTiming::kSilenceMs / 2);
+  RunLoopFor(loop_, LeaderTiming::kElectionTimeoutMs / 2);
   EXPECT_EQ(writes_, 1);
 }
 
--- a/tests/MutatedInputTest.cpp
+++ b/tests/MutatedInputTest.cpp
@@ -1,6 +1,6 @@
 #include "keyspace/KeySegment.hpp"
-#include "platform/Objects.hpp"
-#include "platform/Requests.hpp"
+#include "platform/ObjectCodec.hpp"
+#include "platform/RequestCodec.hpp"
 #include "platform/SettingsFile.hpp"
 
 #include <cstdio>
@@ -61,12 +61,12 @@
 }
 
 /// All values of a document.
-void Gather(Json& aJson, std::vector<Json*>& aNodes)
+void CollectNodes(Json& aJson, std::vector<Json*>& aNodes)
 {
   aNodes.push_back(&aJson);
   if (aJson.is_structured()) {
     for (auto& child : aJson) {
-      Gather(child, aNodes);
+      CollectNodes(child, aNodes);
     }
   }
 }
@@ -78,7 +78,7 @@
   const int changes = *rc::gen::inRange(1, 4);
   for (int change = 0; change < changes; ++change) {
     std::vector<Json*> nodes;
-    Gather(result, nodes);
+    CollectNodes(result, nodes);
     auto& node = *nodes[*rc::gen::inRange<size_t>(0, nodes.size())];
     if (node.is_object() && !node.empty() && *rc::gen::inRange(0, 2) == 0) {
       auto gone = node.begin();
@@ -107,7 +107,7 @@
   StoreObject object;
   object.spec_ = Mutated(Json::parse(kConfig));
   Findings findings;
-  const auto config = Registry().DecodeConfig(object, findings);
+  const auto config = RegistryCodec().DecodeConfig(object, findings);
   RC_ASSERT(config || !findings.IsEmpty());
 }
 
@@ -118,7 +118,7 @@
   object.spec_ = Mutated(Json::parse(kRegistration));
   object.status_ = Mutated(Json::parse(kRegistration)["status"]);
   Findings findings;
-  const auto entry = Registry().DecodeBackend(object, findings);
+  const auto entry = RegistryCodec().DecodeBackend(object, findings);
   RC_ASSERT(entry || !findings.IsEmpty());
 }
 
@@ -128,7 +128,8 @@
   if (*rc::gen::arbitrary<bool>()) {
     text.resize(*rc::gen::inRange<size_t>(0, text.size()));
   }
-  Objects().ReadAnswer(Answered(*rc::gen::element(200, 409, 404, 410), text));
+  ObjectCodec().ParseResponse(
+    Answered(*rc::gen::element(200, 409, 404, 410), text));
 }
 
 RC_GTEST_PROP(MutatedInput, KeyTable, ())
@@ -182,12 +183,12 @@
                               known ? *rc::gen::elementOf(kValues)
                                     : *rc::gen::arbitrary<std::string>());
   }
-  const auto answer = Requests().ReadAnswer(head);
+  const auto answer = RequestCodec().ParseResponse(head);
   constexpr TimeMs kHourMs = 3600000;
-  RC_ASSERT(!answer.pauseMs_ ||
-            (*answer.pauseMs_ >= 0 && *answer.pauseMs_ <= kHourMs));
-  const auto caller = Requests().ReadRequest(head);
-  RC_ASSERT(!caller.deadlineMs_ || *caller.deadlineMs_ >= 0);
+  RC_ASSERT(!answer.retryAfterMs_ ||
+            (*answer.retryAfterMs_ >= 0 && *answer.retryAfterMs_ <= kHourMs));
+  const auto caller = RequestCodec().ParseRequest(head);
+  RC_ASSERT(!caller.remainingMs_ || *caller.remainingMs_ >= 0);
 }
 
 // Guards against a settings file that ends the process instead of being found
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -1,5 +1,5 @@
-#include "platform/Objects.hpp"
-#include "platform/Requests.hpp"
+#include "platform/ObjectCodec.hpp"
+#include "platform/RequestCodec.hpp"
 #include "platform/SettingsFile.hpp"
 
 #include <fstream>
@@ -35,11 +35,11 @@
     "target-latency-s":0.4,"priority":1,"service":"s2","max-attempts":2}]}]})";
 
 // Guards against a field of the configuration that is read wrongly.
-TEST(Registry, ReadsConfig)
+TEST(RegistryCodec, ReadsConfig)
 {
   Findings findings;
   const auto config =
-    Registry().DecodeConfig(Object("main", kConfig), findings);
+    RegistryCodec().DecodeConfig(Object("main", kConfig), findings);
   ASSERT_TRUE(config) << findings.ToText();
   EXPECT_EQ(config->version_, 7);
   EXPECT_TRUE(config->services_.at("s1").keyed_);
@@ -60,7 +60,7 @@
 
 // Guards against a configuration that is taken although a part of it is missing
 // or has another type; all findings must be told at once.
-TEST(Registry, RejectsBrokenConfigWithAllFindings)
+TEST(RegistryCodec, RejectsBrokenConfigWithAllFindings)
 {
   auto json = Json::parse(kConfig);
   json["version"] = 7;
@@ -70,13 +70,13 @@
   object.name_ = "main";
   object.spec_ = json;
   Findings findings;
-  EXPECT_FALSE(Registry().DecodeConfig(object, findings));
+  EXPECT_FALSE(RegistryCodec().DecodeConfig(object, findings));
   EXPECT_GE(findings.All().size(), 3U);
 }
 
 // Guards against one route of an unknown kind that takes all routes out of
 // service: it is handled by the strictest rules, and the others go on.
-TEST(Registry, ServesUnknownKindsByTheStrictestRules)
+TEST(RegistryCodec, ServesUnknownKindsByTheStrictestRules)
 {
   auto json = Json::parse(kConfig);
   json["virtual-hosts"][0]["paths"][0]["kind"] = "other";
@@ -86,7 +86,7 @@
   object.name_ = "main";
   object.spec_ = json;
   Findings findings;
-  const auto config = Registry().DecodeConfig(object, findings);
+  const auto config = RegistryCodec().DecodeConfig(object, findings);
   ASSERT_TRUE(config) << findings.ToText();
   EXPECT_EQ(config->routes_[0].kind_, RequestKind::NonIdempotent);
   EXPECT_EQ(config->routes_[1].kind_, RequestKind::Upload);
@@ -101,10 +101,11 @@
   "status":{"state":"ready","seq":4,"cold-remaining-s":1.5}})";
 
 // Guards against a registration that is read wrongly.
-TEST(Registry, ReadsBackend)
+TEST(RegistryCodec, ReadsBackend)
 {
   Findings findings;
-  const auto entry = Registry().DecodeBackend(Object("i-1", kServer), findings);
+  const auto entry =
+    RegistryCodec().DecodeBackend(Object("i-1", kServer), findings);
   ASSERT_TRUE(entry) << findings.ToText();
   EXPECT_EQ(entry->id_, "i-1");
   EXPECT_EQ(entry->address_, "10.128.0.9:8080");
@@ -117,7 +118,7 @@
 }
 
 // Guards against forged entries that name a server to use.
-TEST(Registry, RejectsForgedBackends)
+TEST(RegistryCodec, RejectsForgedBackends)
 {
   const std::vector<std::pair<std::string, Json>> changes = {
     { "/address", "somewhere" },  { "/address", 7 },
@@ -133,7 +134,7 @@
     object.name_ = "i-1";
     object.spec_ = json;
     Findings findings;
-    EXPECT_FALSE(Registry().DecodeBackend(object, findings))
+    EXPECT_FALSE(RegistryCodec().DecodeBackend(object, findings))
       << place << " " << value;
     EXPECT_FALSE(findings.IsEmpty());
   }
@@ -152,8 +153,8 @@
   object.name_ = "x";
   object.spec_ = json;
   Findings findings;
-  Registry().DecodeConfig(object, findings);
-  Registry().DecodeBackend(object, findings);
+  RegistryCodec().DecodeConfig(object, findings);
+  RegistryCodec().DecodeBackend(object, findings);
 }
 
 CallResult Answered(int aStatus, std::string aBody = {})
@@ -166,16 +167,16 @@
 }
 
 // Guards against grants and releases that servers read differently.
-TEST(Orders, WritesGrantAndRelease)
+TEST(CommandCodec, WritesGrantAndRelease)
 {
   KeyOrder order{ OrderKind::Grant, "s1", "i-1", 4096, 8191, 12, 4000, "h1" };
-  auto call = Orders().MakeOrder(order);
+  auto call = CommandCodec().MakeCommand(order);
   EXPECT_EQ(call.target_, "/-/grant");
   EXPECT_EQ(Json::parse(call.body_),
             Json::parse(R"({"from":4096,"to":8191,"fence":12,"hold-s":4.0,
                             "handover":"h1"})"));
   order.kind_ = OrderKind::Release;
-  call = Orders().MakeOrder(order);
+  call = CommandCodec().MakeCommand(order);
   EXPECT_EQ(call.target_, "/-/release");
   EXPECT_EQ(Json::parse(call.body_),
             Json::parse(R"({"from":4096,"to":8191,"fence":12})"));
@@ -183,10 +184,10 @@
 
 // Guards against a lost answer that counts as "not done": such an order may
 // still be carried out.
-TEST(Orders, ReadsResults)
+TEST(CommandCodec, ReadsResults)
 {
   const auto read = [](const CallResult& aResult) {
-    return Orders().ReadAnswer(aResult).result_;
+    return CommandCodec().ParseResponse(aResult).result_;
   };
   EXPECT_EQ(read(Answered(200)), OrderResult::Accepted);
   EXPECT_EQ(read(Answered(409)), OrderResult::OlderFence);
@@ -201,39 +202,42 @@
 
 // Guards against a notice in the answer to an order that is missed, or that
 // another server at the address gave.
-TEST(Orders, ReadsLeaving)
+TEST(CommandCodec, ReadsLeaving)
 {
   const auto read = [](int aStatus) {
     auto result = Answered(aStatus);
     result.head_.fields_.emplace_back("Server-Leaving", "1");
-    return Orders().ReadAnswer(result).leaving_;
+    return CommandCodec().ParseResponse(result).leaving_;
   };
   EXPECT_TRUE(read(200));
   EXPECT_TRUE(read(409));
   EXPECT_FALSE(read(421));
   EXPECT_FALSE(read(400));
-  EXPECT_FALSE(Orders().ReadAnswer(Answered(200)).leaving_);
+  EXPECT_FALSE(CommandCodec().ParseResponse(Answered(200)).leaving_);
 }
 
 // Guards against confusing the answers of the store: refused, conflict, history
 // gone, lost.
-TEST(Objects, ReadsAnswers)
+TEST(ObjectCodec, ReadsAnswers)
 {
-  const Objects objects;
-  EXPECT_EQ(objects.ReadAnswer(Answered(429)).status_, StoreStatus::NotDone);
-  EXPECT_EQ(objects.ReadAnswer(Answered(503)).status_, StoreStatus::NotDone);
-  EXPECT_EQ(objects.ReadAnswer(Answered(404)).status_, StoreStatus::Missing);
-  EXPECT_EQ(objects.ReadAnswer(Answered(410)).status_,
-            StoreStatus::HistoryGone);
-  EXPECT_EQ(objects.ReadAnswer(Answered(200, "{")).status_,
+  const ObjectCodec objects;
+  EXPECT_EQ(objects.ParseResponse(Answered(429)).status_,
+            StoreStatus::NotApplied);
+  EXPECT_EQ(objects.ParseResponse(Answered(503)).status_,
+            StoreStatus::NotApplied);
+  EXPECT_EQ(objects.ParseResponse(Answered(404)).status_,
+            StoreStatus::NotFound);
+  EXPECT_EQ(objects.ParseResponse(Answered(410)).status_,
+            StoreStatus::HistoryCompacted);
+  EXPECT_EQ(objects.ParseResponse(Answered(200, "{")).status_,
             StoreStatus::Unknown);
-  const auto conflict = objects.ReadAnswer(
+  const auto conflict = objects.ParseResponse(
     Answered(409, R"({"metadata":{"name":"n","revision":5},"spec":{"a":1}})"));
   EXPECT_EQ(conflict.status_, StoreStatus::Conflict);
   EXPECT_EQ(conflict.object_.revision_, 5);
   const auto watched =
-    objects.ReadAnswer(Answered(200,
-                                R"({"events":[{"removed":true,"object":
+    objects.ParseResponse(Answered(200,
+                                   R"({"events":[{"removed":true,"object":
         {"metadata":{"name":"n","revision":6},"spec":{}}}],"at":9})"));
   EXPECT_EQ(watched.status_, StoreStatus::Ok);
   ASSERT_EQ(watched.list_.events_.size(), 1U);
@@ -242,28 +246,28 @@
 }
 
 // Guards against a conditional update that is sent without its condition.
-TEST(Objects, WritesConditions)
+TEST(ObjectCodec, WritesConditions)
 {
-  const auto call = Objects().Replace("k", "n", Json{ { "a", 1 } }, 412);
+  const auto call = ObjectCodec().Replace("k", "n", Json{ { "a", 1 } }, 412);
   EXPECT_EQ(call.method_, "PUT");
   EXPECT_EQ(call.target_, "/-/objects/k/n");
   EXPECT_EQ(
     Json::parse(call.body_),
     Json::parse(R"({"metadata":{"name":"n","revision":412},"spec":{"a":1}})"));
-  EXPECT_EQ(Objects().Watch("k", 530, 5000).target_,
+  EXPECT_EQ(ObjectCodec().Watch("k", 530, 5000).target_,
             "/-/objects/k?watch=530&wait-ms=5000");
 }
 
 // Guards against a refusal that is not recognised as "not run", which would
 // keep a non-idempotent request from being sent again.
-TEST(Requests, ReadsAnswerFields)
+TEST(RequestCodec, ReadsAnswerFields)
 {
   HttpHead head;
   head.status_ = 503;
   head.fields_ = { { "cactuspitch-not-executed", "1" },
                    { "Cactuspitch-Server-Load", "3,0,8" },
                    { "Keep-Alive", "timeout=10" } };
-  const auto info = Requests().ReadAnswer(head);
+  const auto info = RequestCodec().ParseResponse(head);
   EXPECT_TRUE(info.notRun_);
   EXPECT_FALSE(info.sealed_);
   ASSERT_TRUE(info.load_);
@@ -271,13 +275,13 @@
   EXPECT_EQ(info.idleTimeoutMs_, 10000);
   head.fields_ = { { "Cactuspitch-Server-Load", "3,x,8" } };
   head.status_ = 421;
-  EXPECT_TRUE(Requests().ReadAnswer(head).notRun_);
-  EXPECT_FALSE(Requests().ReadAnswer(head).load_);
+  EXPECT_TRUE(RequestCodec().ParseResponse(head).notRun_);
+  EXPECT_FALSE(RequestCodec().ParseResponse(head).load_);
 }
 
 // Guards against a pause that is read from a date or a fraction, that never
 // ends, or that an answer other than a refusal brings.
-TEST(Requests, ReadsPauses)
+TEST(RequestCodec, ReadsPauses)
 {
   const auto read = [](int aStatus, const std::vector<std::string>& aValues) {
     HttpHead head;
@@ -285,16 +289,16 @@
     for (const auto& value : aValues) {
       head.fields_.emplace_back("retry-after", value);
     }
-    return Requests().ReadAnswer(head);
+    return RequestCodec().ParseResponse(head);
   };
-  EXPECT_EQ(read(503, { "7" }).pauseMs_, 7000);
-  EXPECT_EQ(read(503, { "0" }).pauseMs_, 0);
-  EXPECT_EQ(read(503, { "3600" }).pauseMs_, 3600000);
-  EXPECT_EQ(read(503, { "1.5" }).pauseMs_, 1500);
-  EXPECT_EQ(read(503, { "0.0001" }).pauseMs_, 1);
-  EXPECT_FALSE(read(503, {}).malformedPause_);
-  EXPECT_FALSE(read(200, { "7" }).pauseMs_);
-  EXPECT_FALSE(read(429, { "x" }).malformedPause_);
+  EXPECT_EQ(read(503, { "7" }).retryAfterMs_, 7000);
+  EXPECT_EQ(read(503, { "0" }).retryAfterMs_, 0);
+  EXPECT_EQ(read(503, { "3600" }).retryAfterMs_, 3600000);
+  EXPECT_EQ(read(503, { "1.5" }).retryAfterMs_, 1500);
+  EXPECT_EQ(read(503, { "0.0001" }).retryAfterMs_, 1);
+  EXPECT_FALSE(read(503, {}).malformedRetryAfter_);
+  EXPECT_FALSE(read(200, { "7" }).retryAfterMs_);
+  EXPECT_FALSE(read(429, { "x" }).malformedRetryAfter_);
   const std::vector<std::vector<std::string>> malformed = {
     { "" },
     { "-1" },
@@ -315,26 +319,26 @@
   };
   for (const auto& values : malformed) {
     const auto info = read(503, values);
-    EXPECT_FALSE(info.pauseMs_) << values.front();
-    EXPECT_TRUE(info.malformedPause_) << values.front();
+    EXPECT_FALSE(info.retryAfterMs_) << values.front();
+    EXPECT_TRUE(info.malformedRetryAfter_) << values.front();
   }
 }
 
 // Guards against a notice that another server at the address gives.
-TEST(Requests, ReadsLeaving)
+TEST(RequestCodec, ReadsLeaving)
 {
   HttpHead head;
   head.fields_ = { { "server-leaving", "1" } };
   for (const int status : { 200, 404, 500, 503 }) {
     head.status_ = status;
-    EXPECT_TRUE(Requests().ReadAnswer(head).leaving_) << status;
+    EXPECT_TRUE(RequestCodec().ParseResponse(head).leaving_) << status;
   }
   head.status_ = 421;
-  EXPECT_FALSE(Requests().ReadAnswer(head).leaving_);
+  EXPECT_FALSE(RequestCodec().ParseResponse(head).leaving_);
   head.status_ = 200;
   head.fields_ = { { "Server-Leaving", "0" } };
-  EXPECT_FALSE(Requests().ReadAnswer(head).leaving_);
-  EXPECT_TRUE(Requests().IsInternalAnswerField("SERVER-LEAVING"));
+  EXPECT_FALSE(RequestCodec().ParseResponse(head).leaving_);
+  EXPECT_TRUE(RequestCodec().IsInternalResponseField("SERVER-LEAVING"));
 }
 
 std::string WriteSettings(const std::string& aText)
--- a/tests/PlatformStore.cpp
+++ b/tests/PlatformStore.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::string_view kPathPrefix = "/-/objects/";
 /// Beyond the time that gateways wait for an answer.
-constexpr TimeMs kSlowMs = 700;
+constexpr TimeMs kSlowResponseMs = 700;
 constexpr TimeMs kWatchTickMs = 20;
 constexpr size_t kMaxHistory = 10000;
 
@@ -33,7 +33,7 @@
 PlatformStore::PlatformStore(EventLoop& aLoop)
   : loop_(aLoop)
   , delayed_(aLoop)
-  , watchTimer_(aLoop, [this] { Tell(); })
+  , watchTimer_(aLoop, [this] { AnswerWatches(); })
   , server_(aLoop, [this](auto& aExchange) { Serve(aExchange); })
 {
 }
@@ -58,7 +58,7 @@
     oldestRevision_ = history_.front().revision_;
     history_.pop_front();
   }
-  Tell();
+  AnswerWatches();
 }
 
 void PlatformStore::Put(const std::string& aKind,
@@ -82,7 +82,7 @@
   AddEvent(aKind, item, true);
 }
 
-void PlatformStore::ForgetHistory()
+void PlatformStore::CompactHistory()
 {
   history_.clear();
   oldestRevision_ = revision_;
@@ -90,14 +90,14 @@
 
 void PlatformStore::Serve(ScriptedServer::Exchange& aExchange)
 {
-  if (trouble_ == StoreTrouble::Silent) {
+  if (faultMode_ == StoreFaultMode::Silent) {
     return;
   }
-  if (trouble_ == StoreTrouble::Resets) {
+  if (faultMode_ == StoreFaultMode::Resets) {
     aExchange.reset_();
     return;
   }
-  if (trouble_ == StoreTrouble::Unavailable) {
+  if (faultMode_ == StoreFaultMode::Unavailable) {
     aExchange.write_(TextAnswer(503, "{}"));
     return;
   }
@@ -112,7 +112,7 @@
   const std::string name(
     slash == std::string_view::npos ? "" : path.substr(slash + 1));
   if (QueryNumber(query, "watch") >= 0) {
-    BeginWatch(aExchange, kind, query);
+    StartWatch(aExchange, kind, query);
   } else if (aExchange.head_.method_ == "GET") {
     Send(aExchange, Read(kind, name));
   } else {
@@ -125,15 +125,16 @@
 void PlatformStore::Send(const ScriptedServer::Exchange& aExchange,
                          const Reply& aReply)
 {
-  if (trouble_ == StoreTrouble::LosesAnswers) {
+  if (faultMode_ == StoreFaultMode::LosesAnswers) {
     return;
   }
   const auto text = TextAnswer(aReply.status_, aReply.body_.dump());
-  if (trouble_ != StoreTrouble::Slow) {
+  if (faultMode_ != StoreFaultMode::Slow) {
     aExchange.write_(text);
     return;
   }
-  delayed_.After(kSlowMs, [write = aExchange.write_, text] { write(text); });
+  delayed_.After(kSlowResponseMs,
+                 [write = aExchange.write_, text] { write(text); });
 }
 
 PlatformStore::Reply PlatformStore::Read(const std::string& aKind,
@@ -178,7 +179,7 @@
   return { 200, Item(aKind, name) };
 }
 
-void PlatformStore::BeginWatch(const ScriptedServer::Exchange& aExchange,
+void PlatformStore::StartWatch(const ScriptedServer::Exchange& aExchange,
                                const std::string& aKind,
                                std::string_view aQuery)
 {
@@ -189,17 +190,18 @@
   }
   const auto waitMs = std::max<TimeMs>(0, QueryNumber(aQuery, "wait-ms"));
   watches_.push_back({ aExchange, aKind, revision, loop_.NowMs() + waitMs });
-  Tell();
+  AnswerWatches();
 }
 
-void PlatformStore::Tell()
+void PlatformStore::AnswerWatches()
 {
   std::erase_if(watches_, [&](const Watch& aWatch) {
-    const bool isNews = std::ranges::any_of(history_, [&](const Event& aEvent) {
-      return aEvent.kind_ == aWatch.kind_ &&
-             aEvent.revision_ > aWatch.revision_;
-    });
-    const bool ends = isNews || loop_.NowMs() >= aWatch.endMs_;
+    const bool hasEvent =
+      std::ranges::any_of(history_, [&](const Event& aEvent) {
+        return aEvent.kind_ == aWatch.kind_ &&
+               aEvent.revision_ > aWatch.revision_;
+      });
+    const bool ends = hasEvent || loop_.NowMs() >= aWatch.endMs_;
     if (ends) {
       AnswerWatch(aWatch);
     }
@@ -213,7 +215,7 @@
 void PlatformStore::AnswerWatch(const Watch& aWatch) const
 {
   const bool mayAnswer =
-    trouble_ == StoreTrouble::None || trouble_ == StoreTrouble::Slow;
+    faultMode_ == StoreFaultMode::None || faultMode_ == StoreFaultMode::Slow;
   if (!mayAnswer) {
     return;
   }
--- a/tests/PlatformStore.hpp
+++ b/tests/PlatformStore.hpp
@@ -13,7 +13,7 @@
 namespace cactuspitch {
 
 /// What is wrong with the calls to the store.
-enum class StoreTrouble : uint8_t
+enum class StoreFaultMode : uint8_t
 {
   None,
   Unavailable, ///< 503, nothing is done
@@ -25,7 +25,7 @@
 };
 
 template<>
-struct EnumNames<StoreTrouble>
+struct EnumNames<StoreFaultMode>
 {
   static constexpr std::string_view kNames[] = {
     "none", "unavailable", "resets", "silent", "slow", "loses-answers",
@@ -42,10 +42,10 @@
   explicit PlatformStore(EventLoop& aLoop);
 
   Endpoint Address() const { return server_.Address(); }
-  void SetTrouble(StoreTrouble aTrouble) { trouble_ = aTrouble; }
-  StoreTrouble Trouble() const { return trouble_; }
+  void SetFaultMode(StoreFaultMode aFaultMode) { faultMode_ = aFaultMode; }
+  StoreFaultMode FaultMode() const { return faultMode_; }
   /// Watches from before now find their history gone.
-  void ForgetHistory();
+  void CompactHistory();
   /// What the platform, the operator and backend servers write; no trouble
   /// meets them.
   void Put(const std::string& aKind,
@@ -86,11 +86,11 @@
               const std::string& aKind,
               const std::string& aName,
               const Json& aBody);
-  void BeginWatch(const ScriptedServer::Exchange& aExchange,
+  void StartWatch(const ScriptedServer::Exchange& aExchange,
                   const std::string& aKind,
                   std::string_view aQuery);
   /// Answers the watches that have news, or whose waiting time is over.
-  void Tell();
+  void AnswerWatches();
   void AnswerWatch(const Watch& aWatch) const;
   void Send(const ScriptedServer::Exchange& aExchange, const Reply& aReply);
   Json Item(const std::string& aKind, const std::string& aName) const;
@@ -104,7 +104,7 @@
   Timer watchTimer_;
   int64_t revision_ = 10;
   int64_t oldestRevision_ = 0; ///< of the history that is kept
-  StoreTrouble trouble_ = StoreTrouble::None;
+  StoreFaultMode faultMode_ = StoreFaultMode::None;
   ScriptedServer server_;
 };
 
--- a/tests/RelayTreeTest.cpp
+++ b/tests/RelayTreeTest.cpp
@@ -107,7 +107,7 @@
   }
   void Know(const MeshNode& aOther, int aCpuPercent)
   {
-    mesh_.AddKnown(
+    mesh_.AddRegistered(
       aOther.name_, aOther.endpoint_, 1, aOther.domain_, aCpuPercent);
   }
 
@@ -140,7 +140,7 @@
   leader.Know(relay2, 50);
   leader.Know(member, 10);
   for (int index = 0; index < 20; ++index) {
-    leader.mesh_.AddKnown(
+    leader.mesh_.AddRegistered(
       "x" + std::to_string(index), leader.endpoint_, 1, "d1", 10);
   }
   for (auto* node : { &relay1, &relay2, &member }) {
@@ -185,8 +185,8 @@
   wire::Gossip heard;
   heard.instance = "c";
   heard.failureDomain = "d2";
-  leader.mesh_.NoteHeard(heard, third.endpoint_);
-  other.mesh_.NoteMembers(leader.mesh_.MemberHashes(loop.NowMs()));
+  leader.mesh_.RecordHeard(heard, third.endpoint_);
+  other.mesh_.RecordMembers(leader.mesh_.MemberHashes(loop.NowMs()));
   EXPECT_EQ(other.mesh_.AliveCount(loop.NowMs()), 1U);
   const auto alive = other.mesh_.AliveGateways(loop.NowMs());
   ASSERT_EQ(alive.size(), 1U);
--- a/tests/SoakBackend.cpp
+++ b/tests/SoakBackend.cpp
@@ -190,7 +190,7 @@
   After(lagMs, [this] {
     draining_ = true;
     Register("draining");
-    if (store_.Trouble() == StoreTrouble::None) {
+    if (store_.FaultMode() == StoreFaultMode::None) {
       journal_.OnDrainingAccepted(id_);
     }
   });
@@ -210,7 +210,7 @@
   pausedUntilMs_ = loop_.NowMs() + aForMs;
 }
 
-void SoakBackend::SetTrouble(AnswerTrouble aTrouble, TimeMs aForMs)
+void SoakBackend::SetFaultMode(AnswerTrouble aTrouble, TimeMs aForMs)
 {
   if (!up_) {
     return;
--- a/tests/SoakBackend.hpp
+++ b/tests/SoakBackend.hpp
@@ -67,7 +67,7 @@
   /// Says in its answers that it leaves, drains, ends and is replaced.
   void Leave();
   void Pause(TimeMs aForMs);
-  void SetTrouble(AnswerTrouble aTrouble, TimeMs aForMs);
+  void SetFaultMode(AnswerTrouble aTrouble, TimeMs aForMs);
   /// Grants and releases are carried out late and not answered.
   void DelayOrders(TimeMs aForMs);
   void CutLink(LinkMode aMode, TimeMs aForMs);
--- a/tests/StoreRelayTest.cpp
+++ b/tests/StoreRelayTest.cpp
@@ -1,7 +1,7 @@
 #include "gateway/StoreRelay.hpp"
 
 #include "gossip_types.h"
-#include "platform/Objects.hpp"
+#include "platform/ObjectCodec.hpp"
 #include "tests/GatewayRig.hpp"
 
 #include <gtest/gtest.h>
@@ -37,14 +37,14 @@
 }
 
 /// A gateway with what others tell it. It watches the store after
-/// StartToWatch().
+/// StartWatching().
 class RelayedDirectoryTest : public testing::Test
 {
 protected:
-  void Tell(const std::string& aFrom,
-            bool aLeading,
-            int64_t aRevision,
-            bool aRemoved)
+  void Receive(const std::string& aFrom,
+               bool aLeading,
+               int64_t aRevision,
+               bool aRemoved)
   {
     wire::Gossip gossip;
     gossip.instance = aFrom;
@@ -58,11 +58,11 @@
   }
 
   /// Without a leader each gateway watches, after the time to hear of one.
-  bool StartToWatch()
+  bool StartWatching()
   {
     bool answered = false;
     store_.Call(store_.Protocol().List("servers", {}, ReadMode::Latest),
-                [&](const StoreAnswer&) { answered = true; });
+                [&](const StoreResponse&) { answered = true; });
     return RunLoopUntil(loop_, [&] { return answered; }) &&
            RunLoopUntil(loop_, [&] {
              relay_.Update();
@@ -73,7 +73,7 @@
   EventLoop loop_;
   EventLog log_{ loop_, LogLevel::Error, STDERR_FILENO };
   HttpClient client_{ loop_ };
-  platform::Objects objects_;
+  platform::ObjectCodec objects_;
   ScriptedServer storeServer_{
     loop_,
     [](auto& aExchange) {
@@ -81,7 +81,7 @@
         TextAnswer(200, R"({"items": [], "has-more": false, "at": 100})"));
     }
   };
-  StoreLink store_{ loop_, log_, client_, objects_, storeServer_.Address() };
+  StoreClient store_{ loop_, log_, client_, objects_, storeServer_.Address() };
   bool watchesAll_ = false;
   PeerMesh mesh_{ loop_, log_, "self", "d1", {}, [] { return 0; } };
   LeaderElection election_{ loop_,         log_, store_,     mesh_,
@@ -123,13 +123,13 @@
 // back that have left (eg-north mix 251950937711, rule DRAIN).
 TEST_F(RelayedDirectoryTest, TheNewerRevisionWinsOverTheLeader)
 {
-  Tell("leader", true, 100, false);
+  Receive("leader", true, 100, false);
   EXPECT_TRUE(directory_.Entries().contains("i-1"));
-  Tell("watcher", false, 130, true);
+  Receive("watcher", false, 130, true);
   EXPECT_FALSE(directory_.Entries().contains("i-1"));
-  Tell("leader", true, 100, false);
+  Receive("leader", true, 100, false);
   EXPECT_FALSE(directory_.Entries().contains("i-1"));
-  Tell("leader", true, 140, false);
+  Receive("leader", true, 140, false);
   EXPECT_TRUE(directory_.Entries().contains("i-1"));
 }
 
@@ -141,7 +141,7 @@
   ScriptedServer peer(loop_, [](auto& aExchange) {
     aExchange.write_(TextAnswer(200, R"({"revision": 130, "servers": []})"));
   });
-  ASSERT_TRUE(StartToWatch());
+  ASSERT_TRUE(StartWatching());
   BackendEntry entry;
   entry.id_ = "i-1";
   directory_.ApplyPut(entry, loop_.NowMs());
--- a/tests/StoreFollowerTest.cpp
+++ b/tests/StoreWatcherTest.cpp
@@ -1,6 +1,6 @@
-#include "gateway/StoreFollower.hpp"
+#include "gateway/StoreWatcher.hpp"
 
-#include "platform/Objects.hpp"
+#include "platform/ObjectCodec.hpp"
 #include "tests/GatewayRig.hpp"
 
 #include <gtest/gtest.h>
@@ -10,10 +10,10 @@
 namespace {
 
 /// A follower of one kind whose store answers lists and holds watches.
-class StoreFollowerTest : public testing::Test
+class StoreWatcherTest : public testing::Test
 {
 protected:
-  void Serve(ScriptedServer::Exchange& aExchange)
+  void HandleRequest(ScriptedServer::Exchange& aExchange)
   {
     if (aExchange.head_.target_.find("watch=") != std::string::npos) {
       ++watches_;
@@ -28,28 +28,29 @@
   EventLoop loop_;
   EventLog log_{ loop_, LogLevel::Error, STDERR_FILENO };
   HttpClient client_{ loop_ };
-  platform::Objects objects_;
+  platform::ObjectCodec objects_;
   int lists_ = 0;
   int watches_ = 0;
-  ScriptedServer server_{ loop_,
-                          [this](auto& aExchange) { Serve(aExchange); } };
-  StoreLink store_{ loop_, log_, client_, objects_, server_.Address() };
+  ScriptedServer server_{ loop_, [this](auto& aExchange) {
+                           HandleRequest(aExchange);
+                         } };
+  StoreClient store_{ loop_, log_, client_, objects_, server_.Address() };
 };
 
 // Guards against a gateway that starts to watch again and replays states which
 // are older than what it and the others know: a server that leaves looked ready
 // again (tas-south hunt-39c0-3, rule DRAIN).
-TEST_F(StoreFollowerTest, ListsWhenItBecomesActiveAgain)
+TEST_F(StoreWatcherTest, ListsWhenItBecomesActiveAgain)
 {
-  StoreFollower follower(loop_,
-                         log_,
-                         store_,
-                         "servers",
-                         5000,
-                         Resume::List,
-                         true,
-                         { [](const std::vector<StoreObject>&) {},
-                           [](const std::vector<ObjectEvent>&) {} });
+  StoreWatcher follower(loop_,
+                        log_,
+                        store_,
+                        "servers",
+                        5000,
+                        ResumeMode::List,
+                        true,
+                        { [](const std::vector<StoreObject>&) {},
+                          [](const std::vector<ObjectEvent>&) {} });
   follower.Start();
   ASSERT_TRUE(RunLoopUntil(loop_, [&] { return watches_ == 1; }));
   follower.SetActive(false);
@@ -60,7 +61,7 @@
 }
 
 // Guards against outdated states within one answer that are told to others.
-TEST(LatestEvents, KeepsTheLastOfEachObject)
+TEST(LatestEventPerObject, KeepsTheLastOfEachObject)
 {
   const auto event = [](const char* aName, int64_t aRevision) {
     ObjectEvent result;
@@ -68,7 +69,7 @@
     result.object_.revision_ = aRevision;
     return result;
   };
-  const auto latest = LatestEvents(
+  const auto latest = LatestEventPerObject(
     { event("a", 1), event("b", 2), event("a", 3), event("c", 4) });
   ASSERT_EQ(latest.size(), 3U);
   EXPECT_EQ(latest[0].object_.revision_, 2);
