--- a/gateway/CommandSender.cpp
+++ b/gateway/CommandSender.cpp
@@ -6,8 +6,8 @@
 
 namespace detail {
 
-/// Orders to one server at a time: a release waits for running work, and must
-/// not keep a renewal back.
+/// Concurrent commands per server. A release waits until running requests are
+/// finished and must not delay a renewal.
 constexpr int kCommandsPerServer = 3;
 
 }
@@ -40,8 +40,8 @@
 
 void CommandSender::Send(const KeyOrder& aCommand)
 {
-  // An overloaded server resets new connections, so its orders share the few
-  // that are open; grants go first, because holds run out.
+  // An overloaded server resets new connections, so its commands share the few
+  // open ones. Grants go first, because leases expire.
   auto& queue = queues_[aCommand.backend_];
   if (aCommand.kind_ == OrderKind::Grant) {
     queue.waiting_.push_front(aCommand);
@@ -98,8 +98,8 @@
 {
   const auto response = protocol_.ParseResponse(aResult);
   --queues_[aCommand.backend_].inFlight_;
-  // A silent connection says nothing good of its idle siblings. One that could
-  // not be opened does not speak against those that are.
+  // After a missing response the idle connections are probably dead as well. A
+  // connection that could not be opened says nothing about the open ones.
   if (response.result_ == OrderResult::Unanswered) {
     unresponsive_.insert(aCommand.backend_);
   } else {
--- a/gateway/CommandSender.hpp
+++ b/gateway/CommandSender.hpp
@@ -13,20 +13,21 @@
 
 namespace cactuspitch {
 
-/// Sends the leader's orders to backend servers, a few at a time to each.
+/// Sends the leader's commands to backend servers, a few at a time per server.
 class CommandSender
 {
 public:
-  /// Told of the life of a server that answered an order.
+  /// Called with the incarnation of a server that announced its shutdown in a
+  /// response.
   using LeavingCallback =
     std::function<void(const std::string& aBackend, int64_t aBornMs)>;
 
   struct Handlers
   {
-    /// Whether holds may be granted anew now, or only prolonged.
+    /// Whether new grants may be sent or only renewals.
     std::function<GrantScope()> grantScope_;
     std::function<void(const KeyOrder&, const CommandResponse&)> onDone_;
-    /// The server said in its answer that it leaves.
+    /// A response announced that the server shuts down.
     LeavingCallback onLeaving_;
   };
 
@@ -36,13 +37,13 @@
                 const CommandProtocol& aProtocol,
                 Handlers aHandlers);
 
-  /// Addresses stay known when the registration is gone: the server may hold
-  /// keys.
+  /// Sets the address of a server. There is no removal, because a server
+  /// without a registration may still hold keys.
   void SetServer(const std::string& aBackend,
                  const Endpoint& aEndpoint,
                  int64_t aBornMs);
   void Send(const KeyOrder& aCommand);
-  /// Drops waiting orders; answers to those under way are ignored.
+  /// Drops queued commands; responses to commands in flight are ignored.
   void Reset();
 
 private:
@@ -59,7 +60,8 @@
 
   void SendWaiting(const std::string& aBackend);
   void SendNow(const KeyOrder& aCommand);
-  /// aBornMs names the life that the order was sent to.
+  /// aBornMs identifies the incarnation that the command was sent to, 0 if it
+  /// was not sent.
   void OnDone(const KeyOrder& aCommand,
               int64_t aBornMs,
               const CallResult& aResult);
@@ -69,10 +71,10 @@
   HttpClient& client_;
   const CommandProtocol& protocol_;
   Handlers handlers_;
-  uint64_t generation_ = 0; ///< grows with Reset
+  uint64_t generation_ = 0; ///< incremented by Reset
   std::map<std::string, Server> servers_;
-  std::set<std::string>
-    unresponsive_; ///< servers whose last order went unanswered
+  /// Servers that did not respond to the last command.
+  std::set<std::string> unresponsive_;
   std::map<std::string, ServerQueue> queues_;
 };
 
--- a/gateway/CrashDetector.cpp
+++ b/gateway/CrashDetector.cpp
@@ -8,18 +8,19 @@
 
 namespace detail {
 
-/// Registrations lapse after three heartbeats, of 1.5 s at most, and changes
-/// reach all gateways within a second.
+/// Time in which a crash after a lost connection is detected: registrations
+/// expire after three heartbeats of at most 1.5 s each, and changes reach all
+/// gateways within a second.
 constexpr TimeMs kBrokenWindowMs = 6000;
-/// The end of a server explains an attempt that this gateway gave up only if it
-/// follows soon.
+/// A crash is attributed to an attempt that this gateway cancelled only if it
+/// follows within this time.
 constexpr TimeMs kAbandonedWindowMs = 1000;
 constexpr size_t kMaxUnresolvedAttempts = 2048;
 constexpr size_t kMaxProbes = 64;
-/// Without arrivals for so long, no caller repeats the request any more.
+/// After this time without the request, no caller is retrying it any more.
 constexpr TimeMs kQuarantineMs = 600000;
-/// A crash is known to all gateways after about 50 ms; the requests that were
-/// in flight beside it wait for 320 ms at most.
+/// A crash is known to all gateways after about 50 ms. The other requests that
+/// were in flight at the server wait at most 8 turns of 40 ms, 320 ms.
 constexpr TimeMs kTurnMs = 40;
 constexpr int kMaxTurns = 8;
 
@@ -150,7 +151,7 @@
 
 void CrashDetector::OnBackendGone(const Backend& aBackend)
 {
-  // A server that drains ends as planned, with what it still runs.
+  // A draining server exits as planned, even with requests in flight.
   if (aBackend.entry_.TakesNewWork()) {
     ConfirmCrash(aBackend, CrashEvidence::Registration);
   }
--- a/gateway/CrashDetector.hpp
+++ b/gateway/CrashDetector.hpp
@@ -13,12 +13,12 @@
 
 namespace cactuspitch {
 
-/// How it was found that a server has ended.
+/// How the end of a server's incarnation was detected.
 enum class CrashEvidence : uint8_t
 {
-  Probe,         ///< it refused a connection after others broke
+  Probe,         ///< it refused a connection after others were lost
   ConnectFailed, ///< a request could not connect
-  Registration,  ///< its registration went away or names another life
+  Registration,  ///< registration removed or of another incarnation
   Count
 };
 
@@ -30,12 +30,13 @@
                                                  "registration" };
 };
 
-/// Finds out which of the attempts that got no answer were in flight at a
-/// server that ended, and keeps the quarantine of the requests that crash them.
+/// Determines which attempts without a response were in flight at a server that
+/// crashed, and owns the quarantine of requests that crash servers.
 class CrashDetector final : public BackendObserver
 {
 public:
-  /// Told after a change of the quarantine that other gateways need at once.
+  /// Called after a change of the quarantine that must be sent to the other
+  /// gateways without delay.
   using ChangeCallback = std::function<void()>;
 
   CrashDetector(EventLoop& aLoop, EventLog& aLog, ChangeCallback aOnChange);
@@ -43,8 +44,8 @@
   CrashQuarantine& Quarantine() { return quarantine_; }
   void SetGateways(const std::string& aSelf,
                    std::vector<std::string> aGateways);
-  /// Asks before an attempt; what gets Run is given back by the end of the
-  /// attempt, or by CancelBegin if none was begun.
+  /// Must be called before an attempt. After the verdict Run either the attempt
+  /// ends with OnAttemptOver, or CancelBegin must be called if it is not made.
   SuspectDecision TryBegin(uint64_t aFingerprint, const Backend& aBackend);
   void CancelBegin(uint64_t aFingerprint, const Backend& aBackend);
 
@@ -55,15 +56,17 @@
   void OnBackendGone(const Backend& aBackend) override;
 
 private:
-  /// An attempt without an answer, until it is known whether its server ended.
+  /// An attempt without a response, as long as it is unknown whether its server
+  /// has crashed.
   struct UnresolvedAttempt
   {
     AttemptTag tag_;
     std::string backendId_;
     int64_t bornMs_ = 0;
     TimeMs expiresMs_ = 0;
-    /// Another connection or a probe found the address alive: only another
-    /// registration can still tell that this life of the server has ended.
+    /// A connection or a probe has shown that the address is alive. From then
+    /// on only another registration can prove that this incarnation of the
+    /// server has ended.
     bool reachable_ = false;
 
     bool IsOf(const Backend& aBackend) const;
@@ -74,7 +77,7 @@
                      AttemptOutcome aOutcome);
   void StartProbe(const std::shared_ptr<Backend>& aBackend);
   void OnProbed(const std::shared_ptr<Backend>& aBackend, bool aAlive);
-  /// The server has ended: closes its cases as crashes.
+  /// Counts the unresolved attempts at this server as crashes.
   void ConfirmCrash(const Backend& aBackend, CrashEvidence aEvidence);
   void LogCountedCrash(const Backend& aBackend,
                        const UnresolvedAttempt& aAttempt);
@@ -83,9 +86,9 @@
   EventLog& log_;
   ChangeCallback onChange_;
   CrashQuarantine quarantine_;
-  std::deque<UnresolvedAttempt>
-    unresolved_; ///< in the order in which they came
-  std::map<std::string, std::unique_ptr<LivenessProbe>> probes_; ///< by server
+  std::deque<UnresolvedAttempt> unresolved_; ///< oldest first
+  /// By server id.
+  std::map<std::string, std::unique_ptr<LivenessProbe>> probes_;
 };
 
 }
--- a/gateway/GossipAgent.cpp
+++ b/gateway/GossipAgent.cpp
@@ -8,28 +8,30 @@
 
 namespace detail {
 
-/// Three lost in a row make a leader silent (LeaderTiming::kElectionTimeoutMs).
+/// A leader is replaced after three lost datagrams
+/// (LeaderTiming::kElectionTimeoutMs).
 constexpr TimeMs kGossipIntervalMs = 250;
-/// Gateways that do not lead tell only the leader in between.
+/// Followers send to all gateways every this many rounds, and only to the
+/// leader in between.
 constexpr uint64_t kFullGossipRounds = 4;
-/// The leader passes the loads on every second time: 3 KB for 350 servers.
+/// The leader sends the loads every this many rounds: 3 KB for 350 servers.
 constexpr uint64_t kLoadRounds = 2;
-/// Changes of owners come in groups, a move changes two servers.
+/// Changes of owners come in groups, because a move affects two servers.
 constexpr TimeMs kKeyChangeDelayMs = 10;
-/// The leader of a large fleet tells all owners to all this often at most,
-/// while some ask for them.
+/// Minimum interval at which the leader of a large fleet sends all owners to
+/// all gateways while some request them.
 constexpr TimeMs kAllKeysIntervalMs = 500;
 constexpr size_t kLoadFields = 3;
-/// Leaving servers in each datagram: half a kilobyte.
+/// Servers in each datagram that announced their shutdown: half a kilobyte.
 constexpr size_t kMaxLeavingServers = 100;
-/// Registrations of one datagram, about a kilobyte.
+/// Registrations in one datagram: about one kilobyte.
 constexpr size_t kMaxRegistrations = 12;
 constexpr double kUsPerMs = 1000;
 constexpr double kAdmissionScale = 1000;
-/// Gateways that a follower of a large fleet tells directly each second; enough
-/// to notice that it is cut off when no leader speaks.
+/// Gateways to which a follower in a large fleet sends each second. They are
+/// enough to notice isolation while there is no leader.
 constexpr size_t kGossipFanOut = 8;
-/// Followers of a large fleet report to the leader every second round.
+/// Followers in a large fleet report to the leader every this many rounds.
 constexpr uint64_t kLargeReportRounds = 2;
 
 }
@@ -128,8 +130,8 @@
   const bool full = rounds_ % detail::kFullGossipRounds == 0;
   const auto leader = mesh_.Peers().find(election_.Leader());
   if (full) {
-    // Many gateways hear of each other from the leader; all hear of the store
-    // from those that watch it.
+    // In a large fleet the leader lists the living gateways, so only watchers
+    // of the store send to all.
     if (!mesh_.IsLarge() || aGossip.storeOk) {
       mesh_.SendToAll(aGossip);
     } else {
@@ -143,7 +145,7 @@
   }
   FillKeyCounts(aGossip);
   FillLoads(forwarder_.Pool().TakeReports(), aGossip);
-  // What is on the way arrives within a few rounds.
+  // Only every few rounds, because the keys may already be on the way.
   aGossip.wantsKeys = full && !KnowsAllKeys();
   mesh_.SendTo(leader->second.endpoint_, aGossip);
 }
@@ -325,7 +327,8 @@
 void GossipAgent::SendAllKeys(const Endpoint& aReceiver)
 {
   if (mesh_.IsLarge()) {
-    // After a power loss hundreds ask at once; they are told together.
+    // After a power loss hundreds of gateways request the keys at once. They
+    // are sent to all together.
     const TimeMs nowMs = loop_.NowMs();
     if (nowMs - allKeysSentMs_ >= detail::kAllKeysIntervalMs) {
       allKeysSentMs_ = nowMs;
--- a/gateway/GossipAgent.hpp
+++ b/gateway/GossipAgent.hpp
@@ -15,8 +15,8 @@
 
 namespace cactuspitch {
 
-/// What this gateway tells the others, and what it does with what they tell:
-/// owners of keys, loads of backend servers and keys, suspect requests, and the
+/// Composes this gateway's gossip and applies the gossip of the others: owners
+/// of keys, loads of backend servers and keys, suspect requests, and the
 /// version of the configuration.
 class GossipAgent
 {
@@ -32,7 +32,7 @@
   struct Handlers
   {
     std::function<int64_t()> configVersion_;
-    /// Servers that said that they leave, by hash, at most so many.
+    /// Hashes of servers that announced their shutdown, at most aMaxCount.
     std::function<std::vector<int32_t>(size_t aMaxCount)> leavingServers_;
     std::function<void(const std::vector<int32_t>& aServers)> onLeaving_;
   };
@@ -48,34 +48,38 @@
               Handlers aHandlers);
 
   void Start();
-  /// Makes this gateway known to its failure domain.
+  /// Introduces this gateway to its failure domain.
   void Announce();
   void OnReceived(const wire::Gossip& aGossip,
                   const Endpoint& aOrigin,
                   const Endpoint& aSender);
-  /// This process was elected or has stopped leading.
+  /// Must be called when this process becomes or stops being the leader.
   void OnLeadershipChanged();
-  /// Registrations that this gateway has read from the store.
+  /// Sends changed registrations that this gateway has read from the store.
   void BroadcastRegistrations(std::vector<wire::BackendChange> aChanges);
-  /// The leader's owners have changed; changes are gathered and told to all,
-  /// this gateway included.
+  /// Must be called on the leader when owners of keys change. Changes are
+  /// batched, applied to this gateway and sent to all others.
   void OnKeysChanged();
-  /// A server said to this gateway that it leaves.
+  /// Must be called when a server announces its shutdown to this gateway.
   void SendLeavingNotice();
-  /// This gateway counted or cleared crashes of requests.
+  /// Must be called when this gateway has counted or cleared crashes of
+  /// requests.
   void OnSuspectsChanged();
 
 private:
   void Tick();
   void SendAsLeader(wire::Gossip& aGossip);
   void SendAsFollower(wire::Gossip& aGossip);
+  /// A datagram with the state that every datagram carries.
   wire::Gossip MakeGossip();
   static void FillSuspects(const std::vector<CrashSuspect>& aSuspects,
                            wire::Gossip& aGossip);
   void ScheduleSendSuspects();
-  /// Tells what this gateway has counted or cleared and not told yet.
+  /// Sends the crashes that this gateway has counted or cleared since the last
+  /// call.
   void SendSuspects();
-  /// Tells a gateway that knows other suspects what this one knows.
+  /// Sends this gateway's suspects to the sender of aGossip if its digest of
+  /// them differs.
   void SyncSuspects(const wire::Gossip& aGossip, const Endpoint& aOrigin);
   void FillKeyCounts(wire::Gossip& aGossip);
   static void FillLoads(const std::vector<BoardEntry>& aEntries,
--- a/gateway/KeyCoordinator.cpp
+++ b/gateway/KeyCoordinator.cpp
@@ -9,17 +9,17 @@
 
 namespace detail {
 
-/// A kind of its own: nobody watches it, since gossip tells moves sooner and
-/// without calls.
+/// A separate kind that is not watched, because gossip reports moves sooner and
+/// without calls to the store.
 constexpr const char* kTableKind = "cactuspitch-keys";
 constexpr const char* kTableName = "keys";
 constexpr TimeMs kCoordinatorTickMs = 30;
-/// Changes are gathered for this long, so that a write carries several.
+/// Minimum interval between writes, so that one write carries several changes.
 constexpr TimeMs kWriteIntervalMs = 100;
 constexpr TimeMs kWriteRetryMs = 200;
 constexpr TimeMs kBalanceIntervalMs = 400;
-/// A fence holds the term in its upper bits, so that fences of a later leader
-/// are higher than all earlier ones.
+/// A fence holds the term in its upper bits and a counter in this many lower
+/// bits, so that fences of a later leader are higher than all earlier ones.
 constexpr int kFenceBits = 24;
 constexpr double kMinSpeed = 0.3;
 constexpr double kMaxSpeed = 3;
@@ -137,7 +137,7 @@
       return;
     }
   } else {
-    // The earlier leader's table is needed before any order.
+    // No command may be sent before the earlier leader's table is known.
     RetryLater([this] { LoadTable(); });
     return;
   }
@@ -157,7 +157,7 @@
     adopted[name] = ownership->Segments();
   }
   if (!adopted.empty()) {
-    // The new fences are durable before they are used.
+    // New fences must be durable before they are used.
     WriteTable(std::move(adopted));
   }
 }
@@ -195,7 +195,8 @@
 
 void KeyCoordinator::DecideTiming(const KeyTable& aEarlier)
 {
-  // One timing for a whole term: the table names its hold to the next leader.
+  // The timing is fixed for a whole term, because the table tells the next
+  // leader how long its leases are.
   std::set<std::string_view> owners;
   for (const auto& [name, segments] : aEarlier.services_) {
     for (const auto& segment : segments) {
@@ -407,8 +408,9 @@
       OnCommitted(aResponse.object_.revision_);
       break;
     case StoreStatus::NotApplied:
-      // Nothing was done; the proposal is made anew from what is known then.
-      // The first write of a term carries the new fences and must come first.
+      // The write was not applied; a later tick makes a new proposal. Only the
+      // first write of a term is retried as it is, because it carries the new
+      // fences and must precede all others.
       lastWriteMs_ = loop_.NowMs() + detail::kWriteRetryMs;
       if (reportedRevisions_.empty() && !services_.empty()) {
         RetryLater([this] { ResolveUnknownWrite(); });
@@ -445,8 +447,9 @@
         OnCommitted(aResponse.object_.revision_);
         return;
       }
-      // The write was not done; it may still be, under the revision that it
-      // named. Writing the same content again ends that.
+      // The write was not applied, but may still be as long as its expected
+      // revision is current. Writing the same content again changes the
+      // revision.
       revision_ =
         aResponse.status_ == StoreStatus::Ok ? aResponse.object_.revision_ : 0;
       WriteTable(std::exchange(written_, {}));
@@ -493,7 +496,7 @@
   const auto scope = handlers_.grantScope_();
   for (const auto& [name, ownership] : services_) {
     if (!reportedRevisions_.contains(name)) {
-      continue; // its fences are not durable yet
+      continue; // fences are not durable yet
     }
     for (const auto& command : ownership->TakeOrders(nowMs, scope)) {
       sender_.Send(command);
@@ -510,8 +513,9 @@
   }
   found->second->OnOrderDone(
     aCommand, aResponse.result_, aResponse.handover_, loop_.NowMs());
-  // A release is followed by the grant at once. A new leader has a thousand
-  // grants answered within a second, and nothing new is due after each.
+  // Send the grant that follows a release without delay. Responses to grants
+  // do not trigger this: a new leader receives about a thousand of them within
+  // a second, and no new command is due after each.
   if (aCommand.kind_ == OrderKind::Release && handlers_.maySendCommands_()) {
     SendCommands();
   }
--- a/gateway/KeyCoordinator.hpp
+++ b/gateway/KeyCoordinator.hpp
@@ -21,20 +21,20 @@
 
 namespace cactuspitch {
 
-/// The leader's work: it keeps the key table in the store, orders backend
-/// servers to take and release keys, and moves keys by load. Decisions are in
-/// keyspace/.
+/// Assigns keys to backend servers while this gateway is the leader: stores the
+/// key table, sends grants and releases, and moves keys according to load. The
+/// decisions are made in keyspace/.
 class KeyCoordinator
 {
 public:
   struct Handlers
   {
-    /// True while orders may be sent.
+    /// True while commands may be sent.
     std::function<bool()> maySendCommands_;
     std::function<GrantScope()> grantScope_;
-    /// Owners have changed.
+    /// Owners of keys have changed.
     std::function<void()> onChanged_;
-    /// A newer leader wrote the table or fenced a server.
+    /// A newer leader has written the key table.
     std::function<void(std::string_view aCause)> onSuperseded_;
     CommandSender::LeavingCallback onLeaving_;
   };
@@ -48,21 +48,22 @@
                  TimeMs aMaxHoldMs,
                  Handlers aHandlers);
 
-  /// The call that reads the key table.
+  /// Request that reads the key table.
   static CallRequest TableReadRequest(const ObjectProtocol& aProtocol);
 
   void Start(int64_t aTerm);
   void Stop();
   void OnEarlierLeadersEnded();
-  /// Holds from the next term on.
+  /// Applies from the next term on.
   void SetMaxHold(TimeMs aMaxHoldMs) { maxHoldMs_ = aMaxHoldMs; }
 
   void SetKeyedServices(std::set<std::string> aKeyedServices);
-  /// Takes over the entries of the named servers; one without entry is gone.
+  /// Updates the servers in aChanged from aEntries. A server without an entry
+  /// is removed.
   void UpdateBackends(const std::map<std::string, BackendEntry>& aEntries,
                       const std::set<std::string>& aChanged);
   void AddLoad(const std::string& aService, uint32_t aKey, int aRequests);
-  /// Demand and capacity of the owners of keys.
+  /// Demand and capacity of all owners of keys, in requests per second.
   std::vector<OwnerDemand> Demands() const;
 
   const std::map<std::string, std::unique_ptr<KeyOwnership>>& Ownership() const
@@ -75,7 +76,7 @@
   void RetryLater(std::function<void()> aTask);
   void LoadTable();
   void OnTableLoaded(const StoreResponse& aResponse);
-  /// Requests for keys of the service were seen.
+  /// True if there were recent requests for keys of the service.
   bool HasDemand(const std::string& aService) const;
   void ProposeChanges();
   void WriteTable(std::map<std::string, KeySegments> aProposed);
@@ -86,7 +87,7 @@
   void OnCommandDone(const KeyOrder& aCommand,
                      const CommandResponse& aResponse);
   void UpdateCandidates();
-  /// Of a request of the service, over its measured servers.
+  /// Mean service time of a request, over the servers with measurements.
   double MeanWorkMs(const std::string& aService) const;
   double MeanWorkSeconds(const std::string& aService) const;
   void ReportChanges();
@@ -100,23 +101,23 @@
   StoreClient& store_;
   CommandSender sender_;
   const LoadBoard& board_;
-  TimeMs maxHoldMs_; ///< longest grant that backend servers accept
+  TimeMs maxHoldMs_; ///< longest lease that backend servers accept
   Handlers handlers_;
   Timer timer_;
   Timer retryTimer_;
   std::function<void()> retryTask_;
   bool running_ = false;
-  bool loaded_ = false;     ///< the table of the earlier leader was taken over
-  uint64_t generation_ = 0; ///< answers of earlier runs are ignored
+  bool loaded_ = false;     ///< the earlier leader's table has been loaded
+  uint64_t generation_ = 0; ///< responses of other generations are dropped
   int64_t term_ = 0;
-  std::optional<GrantTiming> timing_; ///< of this term
+  std::optional<GrantTiming> timing_; ///< fixed for the current term
   int64_t fenceCounter_ = 0;
   int64_t writeId_ = 0;
   int64_t revision_ = 0;
   bool writing_ = false;
   TimeMs lastWriteMs_ = 0;
   TimeMs lastBalanceMs_ = 0;
-  std::map<std::string, KeySegments> written_; ///< content of the last write
+  std::map<std::string, KeySegments> written_; ///< segments in the last write
   std::set<std::string> keyedServices_;
   std::map<std::string, BackendEntry> backends_;
   std::map<std::string, TimeMs> warmAtMs_;
--- a/gateway/KeyGossip.cpp
+++ b/gateway/KeyGossip.cpp
@@ -6,7 +6,7 @@
 
 namespace detail {
 
-/// Collects ranges into datagram-sized parts.
+/// Splits ranges into parts that fit into one datagram.
 class PartWriter
 {
 public:
--- a/gateway/KeyGossip.hpp
+++ b/gateway/KeyGossip.hpp
@@ -11,23 +11,26 @@
 
 namespace cactuspitch {
 
-/// The leader's key table as datagrams: changes at once, and in between a slice
-/// after the other, which repairs what was lost.
+/// Splits the leader's key table into datagrams: changes are sent at once, and
+/// one slice of the table after the other makes up for lost datagrams.
 class KeyGossip
 {
 public:
-  /// Ranges of one datagram: about a kilobyte, below the usual packet size.
+  /// Ranges in one datagram: about one kilobyte, below the usual packet size.
   static constexpr size_t kMaxRanges = 40;
 
+  /// Treats all ranges as changed, and starts again with the first slice.
   void Reset();
-  /// Ranges that have changed since the last call.
+  /// Returns the ranges that have changed since the last call.
   std::vector<wire::OwnedKeys> TakeChanges(const std::string& aService,
                                            const KeyOwnership& aOwnership);
+  /// Returns the next slice of the table; the first one follows the last one.
   wire::OwnedKeys NextSlice(const std::string& aService,
                             const KeyOwnership& aOwnership);
+  /// Returns the whole table.
   static std::vector<wire::OwnedKeys> All(const std::string& aService,
                                           const KeyOwnership& aOwnership);
-  /// Merges a received part; true when the view changed.
+  /// Merges a received part into aView. Returns true if this changed the view.
   static bool Apply(const wire::OwnedKeys& aKeys, KeyView& aView);
 
 private:
--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -55,12 +55,12 @@
     everHeardLeader_ = true;
     leader_ = aGossip.instance;
     if (state_ == State::Leading && aGossip.term > term_) {
-      StepDown("newer leader heard");
+      StepDown("received gossip of a newer leader");
     }
   }
   if (aGossip.deadTerm == highestTerm_ && leader_ == aGossip.instance &&
       !aGossip.leading) {
-    // The leader has stopped on purpose: nobody needs to wait for silence.
+    // The leader has stepped down, so waiting for the timeout is not necessary.
     leaderHeardMs_ = std::min(leaderHeardMs_,
                               loop_.NowMs() - LeaderTiming::kElectionTimeoutMs);
     leader_.clear();
@@ -99,7 +99,7 @@
     std::ranges::count_if(peers_.Peers(), [](const auto& aEntry) {
       return aEntry.second.lastHeardMs_ != 0;
     });
-  // Followers of a large fleet hear few of the others.
+  // Followers in a large fleet receive gossip from few of the others.
   const auto expected = state_ == State::Leading
                           ? static_cast<size_t>(known)
                           : std::min<size_t>(known, kMaxDirectGateways);
@@ -129,28 +129,28 @@
       Renew();
     }
     if (!MaySendCommands()) {
-      StepDown("right ended without a renewal");
+      StepDown("leader lease expired without a renewal");
     }
   }
 }
 
 TimeMs LeaderElection::RankDelayMs() const
 {
-  // Larger instances first, then in an order that differs with each term.
-  const auto weight = [&](const std::string& aInstance, int aCpuPercent) {
+  // Larger instances first, then in an order that changes with each term.
+  const auto rankKey = [&](const std::string& aInstance, int aCpuPercent) {
     return std::pair(-aCpuPercent,
                      XXH3_64bits_withSeed(aInstance.data(),
                                           aInstance.size(),
                                           static_cast<uint64_t>(highestTerm_)));
   };
-  const auto own = weight(self_.instance_, cpuPercent_);
+  const auto own = rankKey(self_.instance_, cpuPercent_);
   const TimeMs nowMs = loop_.NowMs();
   const auto before =
     std::ranges::count_if(peers_.Peers(), [&](const auto& aEntry) {
       return aEntry.first != self_.instance_ &&
              PeerMesh::IsAlive(aEntry.second, nowMs) &&
              aEntry.first != leader_ &&
-             weight(aEntry.first, aEntry.second.cpuPercent_) < own;
+             rankKey(aEntry.first, aEntry.second.cpuPercent_) < own;
     });
   constexpr TimeMs kMaxDelayMs = 2000;
   return std::min<TimeMs>(before * LeaderTiming::kDelayPerRankMs, kMaxDelayMs);
@@ -217,7 +217,7 @@
 {
   earlierLeaders_.clear();
   if (leaderHeardMs_ > leaderHeardBeforeReadMs_) {
-    // A leader spoke meanwhile.
+    // Gossip of a leader arrived during the read.
     state_ = State::Following;
     return;
   }
@@ -228,7 +228,7 @@
     const auto& json = aResponse.object_.spec_;
     revision_ = aResponse.object_.revision_;
     const auto storedTerm = FieldOr(json, "term", int64_t{ 0 });
-    // Someone else was faster; its gossip is on the way.
+    // Another candidate was faster; its gossip has not arrived yet.
     if (storedTerm > highestTerm_ && IsRenewedRecently(json)) {
       WaitForWinner(storedTerm);
       return;
@@ -303,7 +303,8 @@
 
 bool LeaderElection::IsRenewedRecently(const nlohmann::json& aSpec) const
 {
-  // A hint only: clocks that differ cost one more wait, or one more election.
+  // Only a hint: clock differences cost an additional wait or an additional
+  // election.
   constexpr TimeMs kRecentMs =
     LeaderTiming::kRenewIntervalMs + LeaderTiming::kElectionTimeoutMs;
   const auto renewedMs = FieldOr(aSpec, "renewedAtMs", int64_t{ 0 });
@@ -331,8 +332,8 @@
                   BecomeLeader(aSentMs);
                   return;
                 }
-                // A write that is carried out later meets another revision,
-                // because the next attempt changes it.
+                // If the write is applied later, it conflicts with the revision
+                // of the next attempt.
                 RetryIn(0);
               });
 }
@@ -391,18 +392,19 @@
       break;
     case StoreStatus::Conflict:
       if (IsOwnSpec(aResponse.object_.spec_)) {
-        // An earlier renewal of this process was carried out late.
+        // An earlier renewal of this process was applied late.
         revision_ = aResponse.object_.revision_;
         confirmedMs_ = aSentMs;
       } else {
-        StepDown("replaced in the store");
+        StepDown("another leader is stored");
       }
       break;
     case StoreStatus::NotFound:
-      StepDown("lease object is gone");
+      StepDown("lease object does not exist");
       break;
     default:
-      // Sooner than the usual interval: the right runs on.
+      // Retry sooner than the renewal interval, because the lease
+      // continues to run.
       lastRenewalMs_ = loop_.NowMs() - LeaderTiming::kRenewIntervalMs +
                        detail::kAcquireRetryMs * 2 +
                        store_.Jitter(detail::kAcquireRetryMs * 2);
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -11,7 +11,7 @@
 
 namespace cactuspitch {
 
-/// Life of an instance that led.
+/// Incarnation of an instance that was the leader.
 struct LeaderIncarnation
 {
   std::string instance_;
@@ -20,32 +20,35 @@
   bool operator==(const LeaderIncarnation&) const = default;
 };
 
-/// Times of the leader's right. A leader may send orders for kLeaseMs after the
-/// sending of its last confirmed renewal: long enough to ride out an outage of
-/// the store. A successor counts with orders of the old leader until then,
-/// unless it knows that the old process has ended or stopped leading.
+/// Timing of the leader lease. A leader may send commands until kLeaseMs after
+/// it sent its last confirmed renewal, which is long enough to bridge a store
+/// outage. A successor has to expect commands from the old leader until then,
+/// unless it knows that the old process has exited or has stopped leading.
 struct LeaderTiming
 {
   static constexpr TimeMs kLeaseMs = 8000;
   static constexpr TimeMs kRenewIntervalMs = 1000;
-  /// Without a confirmed renewal for this long, and out of touch with most
-  /// gateways, a leader may have been replaced.
+  /// A leader that is isolated from most gateways and has had no confirmed
+  /// renewal for this long may have been replaced.
   static constexpr TimeMs kMaxUnconfirmedMs = 1500;
-  /// A silent leader is replaced: three heartbeats were lost.
+  /// A leader is replaced after three lost heartbeats.
   static constexpr TimeMs kElectionTimeoutMs = 800;
-  /// Candidates try one after the other.
+  /// Delay between candidates of consecutive ranks, so that they do not
+  /// compete.
   static constexpr TimeMs kDelayPerRankMs = 150;
-  /// A gateway that hears almost nobody is probably cut off itself.
+  /// A gateway that receives gossip from few others is probably isolated itself
+  /// and waits longer.
   static constexpr TimeMs kIsolatedElectionTimeoutMs = 5000;
   static constexpr TimeMs kInitialElectionTimeoutMs = 300;
-  /// At the first start nobody knows the others: small instances wait longer,
-  /// in proportion to what they lack of a whole core.
+  /// At the first start gateways do not know each other and have no ranks.
+  /// Instances with less than one core wait up to this much longer, in
+  /// proportion to the missing share of a core.
   static constexpr TimeMs kSmallInstanceDelayMs = 400;
 };
 
-/// Election of the one gateway that assigns keys, by conditional updates of one
-/// object of the store. Other gateways hear of the leader by gossip, so the
-/// store is called for renewals only.
+/// Elects the gateway that assigns keys by conditional updates of one object in
+/// the store. The other gateways learn of the leader by gossip, so in the
+/// steady state only renewals call the store.
 class LeaderElection
 {
 public:
@@ -67,22 +70,25 @@
 
   void Start();
   void OnGossip(const wire::Gossip& aGossip);
-  /// Gives the leadership up; the others take it at once.
+  /// Steps down. Other gateways start an election without waiting for the
+  /// timeout.
   void Resign(std::string_view aCause);
-  /// Takes no part in elections any more.
+  /// This gateway no longer takes part in elections.
   void WithdrawCandidacy();
 
   bool IsLeading() const { return state_ == State::Leading; }
-  /// True while orders to backend servers may be sent.
+  /// True while commands may be sent to backend servers.
   bool MaySendCommands() const;
-  /// Renewals only, while another gateway may have been elected unheard.
+  /// Renewals only while another gateway may have been elected without this one
+  /// having received its gossip.
   GrantScope AllowedGrantScope() const;
   int64_t Term() const { return term_; }
   int64_t HighestTerm() const { return highestTerm_; }
-  /// The latest term that this process led and has given up.
+  /// Last term in which this process was the leader and which has ended.
   int64_t EndedTerm() const { return endedTerm_; }
   const std::string& Leader() const { return leader_; }
-  /// True while a leader, or this process as one, tells the owners of keys.
+  /// True while this process leads or receives the leader's gossip, which
+  /// carries the owners of keys.
   bool HearsLeader() const;
 
 private:
@@ -95,18 +101,20 @@
 
   void Tick();
   bool ShouldAcquire() const;
-  /// Out of touch with most of the gateways that it has heard.
+  /// True if most of the known gateways are not heard any more.
   bool IsIsolated() const;
   TimeMs RankDelayMs() const;
   TimeMs InitialElectionTimeoutMs() const;
   void Acquire();
   void OnLeaseRead(const StoreResponse& aResponse);
   void OnLeaseWritten(const StoreResponse& aResponse, TimeMs aSentMs);
-  /// Waits for the gossip of the gateway that was faster.
+  /// Follows and waits for gossip of the gateway that won the election.
   void WaitForWinner(int64_t aTerm);
-  /// The object's leader renewed it so recently that it is probably alive.
+  /// True if the lease was renewed so recently that its holder is probably
+  /// alive.
   bool IsRenewedRecently(const nlohmann::json& aSpec) const;
-  /// Follows, and tries after this time and a random part of the retry time.
+  /// Follows and tries again after aMs plus a random part of the retry
+  /// interval.
   void RetryIn(TimeMs aMs);
   void VerifyWrite(TimeMs aSentMs);
   void BecomeLeader(TimeMs aConfirmedMs);
@@ -132,18 +140,18 @@
   int64_t highestTerm_ = 0;
   int64_t endedTerm_ = 0;
   int64_t revision_ = 0;
-  TimeMs confirmedMs_ = 0; ///< sending time of the last confirmed renewal
+  TimeMs confirmedMs_ = 0; ///< when the last confirmed renewal was sent
   TimeMs electedMs_ = 0;
   TimeMs leaderHeardMs_ = 0;
-  TimeMs leaderHeardBeforeReadMs_ =
-    0; ///< leaderHeardMs_ when the object's read began
+  /// leaderHeardMs_ at the start of the read.
+  TimeMs leaderHeardBeforeReadMs_ = 0;
   TimeMs lastRenewalMs_ = 0;
   bool renewing_ = false;
   bool everHeardLeader_ = false;
   uint64_t generation_ = 0;
   std::string leader_;
-  std::vector<LeaderIncarnation>
-    earlierLeaders_; ///< leaders that may still send orders
+  /// Leaders that may still send commands.
+  std::vector<LeaderIncarnation> earlierLeaders_;
 };
 
 }
--- a/gateway/LivenessProbe.cpp
+++ b/gateway/LivenessProbe.cpp
@@ -6,10 +6,10 @@
 
 namespace detail {
 
-/// A process that ends resets its connections one after the other and may
-/// still accept for a moment.
+/// An exiting process resets its connections one after the other and may still
+/// accept new ones for a moment.
 constexpr TimeMs kProbeDelayMs = 20;
-/// Servers are at most a few ms away.
+/// The network round trip to a server takes at most a few ms.
 constexpr TimeMs kProbeTimeoutMs = 300;
 
 }
@@ -36,7 +36,8 @@
   }
   connecting_ = true;
   timer_.Start(detail::kProbeTimeoutMs);
-  // Without a socket nothing is known, which must not count against anybody.
+  // If no socket can be opened here, the server's state is unknown and must not
+  // count as a crash.
   if (isKnownAlive_() || !stream_.Connect(endpoint_)) {
     Finish(true);
   }
@@ -52,7 +53,8 @@
 {
   timer_.Stop();
   stream_.Close();
-  // The stream and the timer that call this belong to the probe.
+  // Deferred, because the callback may destroy the probe, whose stream or timer
+  // is the caller of this function.
   loop_.Defer([callback = std::exchange(callback_, {}), aAlive] {
     if (callback) {
       callback(aAlive);
--- a/gateway/LivenessProbe.hpp
+++ b/gateway/LivenessProbe.hpp
@@ -6,14 +6,15 @@
 
 namespace cactuspitch {
 
-/// Asks after a pause whether a server still takes connections.
+/// Checks after a short delay if a server still accepts connections.
 class LivenessProbe final : public StreamHandler
 {
 public:
-  /// Called once, from the event loop. The probe may be destroyed then.
+  /// Called once from the event loop. May destroy the probe.
   using Callback = std::function<void(bool aAlive)>;
 
-  /// aIsKnownAlive spares the connection when it holds after the pause.
+  /// If aIsKnownAlive returns true after the delay, the probe succeeds without
+  /// a connection.
   LivenessProbe(EventLoop& aLoop,
                 const Endpoint& aEndpoint,
                 std::function<bool()> aIsKnownAlive,
--- a/gateway/PeerMesh.cpp
+++ b/gateway/PeerMesh.cpp
@@ -108,7 +108,7 @@
 void PeerMesh::SendBytes(const Endpoint& aPeer, std::string_view aBytes)
 {
   const auto address = aPeer.ToSockaddr();
-  // Lost datagrams are made up for by the next ones.
+  // The next datagram makes up for one that is lost.
   [[maybe_unused]] const auto sent =
     ::sendto(fd_,
              aBytes.data(),
@@ -185,7 +185,8 @@
 {
   aGossip.passOn = false;
   aGossip.origin = detail::PackEndpoint(aOrigin);
-  // Members fetch a newer configuration from the gateway that told them.
+  // The receivers fetch a newer configuration from the relay, which must not
+  // announce a version that it does not have.
   aGossip.configVersion = std::min(aGossip.configVersion, configVersion_());
   SendToDomain(aGossip);
 }
--- a/gateway/PeerMesh.hpp
+++ b/gateway/PeerMesh.hpp
@@ -19,7 +19,7 @@
 class Gossip;
 }
 
-/// What a gateway knows of another one.
+/// Last known state of another gateway.
 struct Peer
 {
   Endpoint endpoint_;
@@ -28,23 +28,27 @@
   bool leading_ = false;
   std::string failureDomain_;
   int cpuPercent_ = 0;
-  TimeMs lastHeardMs_ = 0;      ///< 0: never
-  TimeMs listedByLeaderMs_ = 0; ///< a leader named it among those that it hears
+  TimeMs lastHeardMs_ = 0;      ///< 0: never heard
+  TimeMs listedByLeaderMs_ = 0; ///< last listed by the leader as alive
 };
 
-/// Datagrams between the gateways (wire/gossip.thrift). Each is self-contained,
-/// so loss and reordering need no repair beyond the next one. What goes to all
-/// is passed on by relays in large fleets (policy/RelayTree).
+/// Sends and receives the datagrams between gateways (wire/gossip.thrift). Each
+/// datagram is self-contained, so the next one makes up for loss and
+/// reordering. In large fleets relays forward the datagrams that are sent to
+/// all (policy/RelayTree).
 class PeerMesh
 {
 public:
-  /// aOrigin sent it first, aSender passed it on.
+  /// aOrigin is the first sender. aSender is the relay that forwarded the
+  /// datagram, or the same as aOrigin.
   using Receiver = std::function<void(const wire::Gossip& aGossip,
                                       const Endpoint& aOrigin,
                                       const Endpoint& aSender)>;
-  /// Highest configuration that this gateway can serve to its domain.
+  /// Returns the highest version of the configuration that this gateway can
+  /// serve to its failure domain.
   using VersionSource = std::function<int64_t()>;
-  /// A peer counts as alive if it was heard within this time.
+  /// A peer counts as alive for this long after it was last heard or listed by
+  /// the leader.
   static constexpr TimeMs kAliveMs = 2500;
 
   PeerMesh(EventLoop& aLoop,
@@ -55,29 +59,33 @@
            VersionSource aConfigVersion);
   ~PeerMesh();
 
+  /// Binds the socket. Returns false on failure.
   bool Open(const Endpoint& aEndpoint);
   void SendTo(const Endpoint& aPeer, const wire::Gossip& aGossip);
   void SendToAll(const wire::Gossip& aGossip);
-  /// To the gateways of the own failure domain, but not to the one that it is
-  /// from.
+  /// Sends to all gateways of this failure domain except the author of the
+  /// datagram.
   void SendToDomain(const wire::Gossip& aGossip);
-  /// To some living gateways, drawn at random.
+  /// Sends to aCount living gateways, chosen at random.
   void SendToRandom(const wire::Gossip& aGossip, size_t aCount);
 
-  /// From a registration in the store.
+  /// Adds a gateway from its registration in the store. Does not overwrite what
+  /// the gateway's own datagrams reported.
   void AddRegistered(const std::string& aInstance,
                      const Endpoint& aEndpoint,
                      int64_t aBootId,
                      const std::string& aDomain,
                      int aCpuPercent);
+  /// Updates the peer that sent aGossip.
   void RecordHeard(const wire::Gossip& aGossip, const Endpoint& aSender);
-  /// The leader's list of gateways that it hears.
+  /// Updates the peers that the leader lists as alive, see MemberHashes.
   void RecordMembers(const std::vector<int32_t>& aMembers);
-  /// Gateways that the leader named last and that are not known here.
+  /// Number of gateways in the leader's last list that are not known here.
   size_t UnknownMembers() const { return unknownMembers_; }
-  /// Names of the living gateways, this one included, for RecordMembers.
+  /// Hashes of the names of the living gateways, including this one, for
+  /// RecordMembers.
   std::vector<int32_t> MemberHashes(TimeMs aNowMs) const;
-  /// True when not everybody hears everybody.
+  /// True if the fleet is too large for all gateways to send to all others.
   bool IsLarge() const { return peers_.size() > kMaxDirectGateways; }
   const std::map<std::string, Peer>& Peers() const { return peers_; }
   static bool IsAlive(const Peer& aPeer, TimeMs aNowMs);
--- a/gateway/StoreClient.cpp
+++ b/gateway/StoreClient.cpp
@@ -26,7 +26,7 @@
 void StoreClient::Call(CallRequest aRequest, Done aDone)
 {
   ++calls_;
-  // After a failure the kept connections are not trusted.
+  // After a failure idle connections may be dead.
   aRequest.connecting_ = failures_ > 0 ? Connecting::Fresh : Connecting::Reuse;
   client_.Call(store_,
                aRequest,
@@ -45,7 +45,8 @@
   const bool failed = aResponse.status_ == StoreStatus::NotApplied ||
                       aResponse.status_ == StoreStatus::Unknown;
   if (failed && aSentMs < lastResponseMs_) {
-    // The store has answered since: this tells of an outage that is over.
+    // A later call has succeeded, so this failure belongs to an outage that is
+    // over.
     return;
   }
   if (failed) {
--- a/gateway/StoreClient.hpp
+++ b/gateway/StoreClient.hpp
@@ -10,13 +10,14 @@
 
 namespace cactuspitch {
 
-/// The one client of the platform's store. Notes when the store is lost and
-/// when it is back.
+/// Client of the platform's store, shared by the whole process. Tracks whether
+/// the store is reachable.
 class StoreClient
 {
 public:
   using Done = std::function<void(StoreResponse aResponse)>;
-  /// Told of every failed call, and of the first good one after failures.
+  /// Called after every failed call and after the first successful call that
+  /// follows a failure.
   struct Observer
   {
     std::function<void()> onCallFailed_;
@@ -30,18 +31,20 @@
               Endpoint aStore);
 
   void SetObserver(Observer aObserver) { observer_ = std::move(aObserver); }
+  /// Sends the request and calls aDone once with the response.
   void Call(CallRequest aRequest, Done aDone);
   const ObjectProtocol& Protocol() const { return protocol_; }
   bool IsReachable() const { return failures_ == 0; }
-  /// Since the first failed call, 0 while the store is reachable.
+  /// Time since the first failed call, 0 while the store is reachable.
   TimeMs UnreachableForMs() const
   {
     return IsReachable() ? 0 : loop_.NowMs() - unreachableSinceMs_;
   }
-  /// Since the store's last answer.
+  /// Time since the store's last response.
   TimeMs ResponseAgeMs() const { return loop_.NowMs() - lastResponseMs_; }
+  /// Number of calls since the start of the process.
   int64_t Calls() const { return calls_; }
-  /// A random part of aMs, so that the gateways do not call in step.
+  /// Random time from 0 to aMs, so that the gateways do not call in step.
   TimeMs Jitter(TimeMs aMs);
 
 private:
@@ -57,7 +60,7 @@
   Observer observer_;
   int failures_ = 0;
   TimeMs unreachableSinceMs_ = 0;
-  TimeMs lastResponseMs_ = 0; ///< last answer of the store
+  TimeMs lastResponseMs_ = 0; ///< last response of the store
   int64_t calls_ = 0;
   std::minstd_rand random_;
 };
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -14,27 +14,32 @@
 
 using Json = nlohmann::json;
 
-/// Watchers have an answer of the store each second; older ones prove nothing.
+/// Watchers receive a response of the store each second. An older one does not
+/// show that the store is still reachable.
 constexpr TimeMs kMaxResponseAgeMs = 2200;
-/// A gateway that joined the watchers stays for this long.
+/// A gateway that became a watcher remains one for at least this long.
 constexpr TimeMs kMinWatchMs = 5000;
-/// Changes come with the digest; what is lost is asked for after this.
+/// The datagram with the digest also carries the changes. If the digests still
+/// differ after this time, a datagram was lost and the directory is fetched.
 constexpr TimeMs kResyncDelayMs = 300;
-/// Watchers gather changes for 200 ms, and a slow store answers after 300 ms.
+/// The same for a watcher, which batches changes for 200 ms and may wait 300 ms
+/// for a slow store.
 constexpr TimeMs kWatcherResyncDelayMs = 500;
-/// Several times the largest configuration of the design size.
+/// Several times the size of the largest configuration in the requirements.
 constexpr size_t kMaxConfigBytes = 64 << 20;
 constexpr TimeMs kRelayTimeoutMs = 700;
-/// Two lost heartbeats of the leader.
+/// The leader's reports remain valid across two lost heartbeats.
 constexpr TimeMs kLeaderStateMaxAgeMs = 800;
-/// A leader without the store, while others reach it, can move no keys.
+/// A leader that has been without the store for this long while others reach it
+/// resigns, since it cannot move keys.
 constexpr TimeMs kLeaderWithoutStoreMs = 900;
 constexpr TimeMs kProbeIntervalMs = 2000;
-/// A starting gateway asks the store first.
+/// A starting gateway waits this long for the store's directory before it
+/// fetches the directory of a peer.
 constexpr TimeMs kStoreReadGraceMs = 600;
-/// Time for a starting gateway to hear of the others and of the leader.
+/// Time for a starting gateway to receive gossip of the leader and the others.
 constexpr TimeMs kDiscoveryMs = 1500;
-/// Without a leader, others are drawn to watch this often.
+/// Without a leader, other watchers are selected at this interval.
 constexpr TimeMs kSampleIntervalMs = 2000;
 
 BackendEntry EntryFromChange(const wire::BackendChange& aChange)
@@ -136,8 +141,8 @@
     return std::min(kWatchers, aGateways);
   }
   if (aUnreachableMs < 2 * kWidenAfterMs) {
-    const auto part = std::max(kMinWidenedWatchers, aGateways / kWatchers);
-    return std::min({ part, kMaxWidenedWatchers, aGateways });
+    const auto third = std::max(kMinWidenedWatchers, aGateways / kWatchers);
+    return std::min({ third, kMaxWidenedWatchers, aGateways });
   }
   return std::min(kMaxWatchers, aGateways);
 }
@@ -159,14 +164,15 @@
   if (unreachableMs >= kWidenAfterMs && selected) {
     watchUntilMs_ = nowMs + detail::kMinWatchMs;
   }
-  // The leader is one of the watchers, whatever its rank. A starting gateway
-  // has read all kinds and waits to hear of a leader.
+  // The leader is always a watcher. A starting gateway has read all kinds once
+  // and first waits for gossip of a leader.
   const bool regular = hearsLeader && rank + 1 < kWatchers;
   const bool discoveryDone = nowMs - startedMs_ >= detail::kDiscoveryMs;
   const bool watch = election_.IsLeading() ||
                      (discoveryDone && (regular || nowMs < watchUntilMs_ ||
                                         (!hearsLeader && selected)));
-  // The configuration alone shows whether the store is back.
+  // While the store is unreachable, watching the configuration is enough to see
+  // its return.
   const bool all = watch && (regular || election_.IsLeading() || IsStoreOk());
   if (watch != watching_ || all != watchingAll_) {
     watching_ = watch;
@@ -185,7 +191,8 @@
 {
   const TimeMs nowMs = loop_.NowMs();
   const TimeMs unreachableForMs = store_.UnreachableForMs();
-  // An open watch proves nothing: the peer must have had an answer since.
+  // An open watch of the peer is not sufficient: the peer must have received a
+  // response since this gateway lost the store.
   return unreachableForMs > detail::kLeaderWithoutStoreMs &&
          peerResponseMs_ >
            nowMs - unreachableForMs + detail::kLeaderStateMaxAgeMs / 2;
@@ -233,7 +240,8 @@
   if (aGossip.leading && !aGossip.storeOk && IsStoreOk() &&
       store_.ResponseAgeMs() > detail::kLeaderStateMaxAgeMs &&
       nowMs - probedMs_ > detail::kProbeIntervalMs) {
-    // Whether the store is away for all decides who should lead.
+    // The leader has lost the store. Find out if it is unreachable from here as
+    // well, or if another gateway should lead.
     probedMs_ = nowMs;
     handlers_.probeStore_();
   }
@@ -244,8 +252,8 @@
   }
   if (!handlers_.hasDirectory_() &&
       nowMs - startedMs_ > detail::kStoreReadGraceMs) {
-    // Started while the store is away: what a peer knows is better than
-    // nothing.
+    // The store has been unreachable since the start, so the possibly outdated
+    // directory of a peer is used.
     FetchDirectory(status);
     return;
   }
@@ -261,7 +269,7 @@
     SyncWithNewerWatcher(aGossip, status);
     return;
   }
-  // A sender that is cut off from the store tells states that are over.
+  // A sender that is cut off from the store sends outdated states.
   if (aGossip.directoryRevision < directory_.Revision()) {
     return;
   }
@@ -271,8 +279,9 @@
   if (!aGossip.changes.empty()) {
     handlers_.onRevision_(aGossip.directoryRevision);
   }
-  // Watchers of one revision may differ in what they keep in its grace time;
-  // the leader's word counts where it has one.
+  // Watchers at the same revision may differ in the removed servers that they
+  // keep for a grace period. The leader's digest takes precedence while the
+  // leader is a watcher.
   if (aGossip.directoryDigest == 0 ||
       (!aGossip.leading &&
        nowMs - leaderStoreOkMs_ < detail::kLeaderStateMaxAgeMs &&
--- a/gateway/StoreRelay.hpp
+++ b/gateway/StoreRelay.hpp
@@ -13,42 +13,43 @@
 
 namespace cactuspitch {
 
-/// Keeps the store's calls independent of the number of gateways: the leader
-/// and a few others watch it and tell the rest. A gateway that notices by
-/// version or digest that it is behind asks the one that told it; the store is
-/// asked where that fails.
+/// Keeps the number of calls to the store independent of the number of
+/// gateways: the leader and a few other gateways (watchers) watch the store and
+/// send the changes to all others. A gateway that is behind, as a version or
+/// digest in gossip shows, fetches the state from the sender of that gossip. If
+/// it cannot fetch the configuration there, it reads it from the store.
 class StoreRelay
 {
 public:
-  /// Gateways that watch, the leader among them.
+  /// Number of watchers, including the leader, while the store is reachable.
   static constexpr size_t kWatchers = 3;
-  /// Without an answer of the store to any watcher for this long, more join: a
-  /// configuration must be in force everywhere after 2 s, and all watchers may
-  /// be among the instances that the store turns away.
+  /// More gateways become watchers if no watcher has received a response of the
+  /// store for this long. A configuration must be in force everywhere after 2
+  /// s, and the store may be rejecting exactly the instances that watch.
   static constexpr TimeMs kWidenAfterMs = 1300;
   static constexpr size_t kMinWidenedWatchers = 8;
-  /// Bounds of the two steps: calls do not grow with the fleet.
+  /// Limits of the two steps, so that calls do not grow with the fleet.
   static constexpr size_t kMaxWidenedWatchers = 24;
   static constexpr size_t kMaxWatchers = 72;
 
   struct Handlers
   {
-    /// What is watched: the configuration alone, or all kinds.
+    /// Starts and stops the watches of the configuration and of all kinds.
     std::function<void(bool aConfig, bool aAll)> setWatching_;
     std::function<void(const std::vector<BackendEntry>&, int64_t aRevision)>
       onDirectory_;
     std::function<void(const BackendEntry&, bool aRemoved)> onBackend_;
-    /// The changes up to this revision of the store were told.
+    /// All changes up to this revision of the store have been passed on.
     std::function<void(int64_t aRevision)> onRevision_;
-    /// Another watcher saw a registration go.
+    /// Another watcher has seen the removal of a registration.
     std::function<void(const std::string& aBackend)> onRemovalSeen_;
     std::function<void(const nlohmann::json& aSpec, std::string aPacked)>
       onConfig_;
     std::function<int64_t()> configVersion_;
     std::function<bool()> hasDirectory_;
-    /// Makes one small call to the store.
+    /// Makes one small call to find out if the store is reachable.
     std::function<void()> probeStore_;
-    /// Asks the store for the configuration.
+    /// Reads the configuration from the store.
     std::function<void()> fetchConfigFromStore_;
   };
 
@@ -63,32 +64,37 @@
              int aCpuPercent,
              Handlers aHandlers);
 
-  /// How many of the gateways watch when no watcher has had an answer of the
-  /// store for aUnreachableMs: three, then a third of all, then all, within the
-  /// bounds.
+  /// Number of watchers when no watcher has received a response of the store
+  /// for aUnreachableMs: kWatchers, then a third of all gateways, then all
+  /// gateways, within the limits.
   static size_t WantedWatchers(TimeMs aUnreachableMs, size_t aGateways);
-  /// Decides whether this gateway watches. Called regularly.
+  /// Decides if this gateway is a watcher. Must be called periodically.
   void Update();
   void OnGossip(const wire::Gossip& aGossip, const Endpoint& aSender);
-  /// True while this gateway watches the store and reaches it.
+  /// True while this gateway watches the store and receives its responses.
   bool IsStoreOk() const;
-  /// True for a leader that does not reach the store while others do.
+  /// True if this gateway cannot reach the store while another one can. A
+  /// leader must resign then.
   bool ShouldResign() const;
-  /// What is told with each datagram.
+  /// Adds the state that is part of every datagram.
   void AddStoreState(wire::Gossip& aGossip) const;
   static void AddChange(const BackendEntry& aEntry,
                         bool aRemoved,
                         wire::Gossip& aGossip);
-  /// The directory for gateways that ask.
+  /// The directory as JSON, for gateways that fetch it.
   std::string DirectoryJson() const;
 
 private:
+  /// Number of living gateways, without the leader, that come before this one
+  /// in the choice of watchers.
   size_t Rank() const;
-  /// True for about aWanted of all gateways, other ones each time: without a
-  /// leader a gateway of a large fleet does not know who is alive.
+  /// True on about aWanted of all gateways, with another sample in each
+  /// interval. Replaces the rank in a large fleet without a leader, where a
+  /// gateway does not know which others are alive.
   bool IsSampled(size_t aWanted) const;
-  /// The answer to an own watch may be lost. The watch then hangs until its
-  /// time-out, while the store answers other calls.
+  /// Fetches the directory of a watcher that has had a newer revision for a
+  /// while. The response to this gateway's own watch may be lost, and the watch
+  /// then hangs until its timeout although the store responds to other calls.
   void SyncWithNewerWatcher(const wire::Gossip& aGossip,
                             const Endpoint& aStatus);
   void FetchDirectory(const Endpoint& aPeer);
@@ -109,14 +115,14 @@
   bool fetchingDirectory_ = false;
   bool fetchingConfig_ = false;
   TimeMs startedMs_;
-  TimeMs storeOkMs_;          ///< a watcher last reached the store
-  TimeMs peerResponseMs_ = 0; ///< the store answered another gateway
+  TimeMs storeOkMs_;          ///< last response of the store to any watcher
+  TimeMs peerResponseMs_ = 0; ///< last response to another gateway
   TimeMs probedMs_ = 0;
   TimeMs watchUntilMs_ = 0;
-  TimeMs leaderStoreOkMs_ = 0; ///< the leader did
-  int64_t leaderRevision_ = 0; ///< that the leader's directory shows
-  TimeMs behindSinceMs_ = 0;   ///< since when the digests differ
-  int64_t behindRevision_ = 0; ///< of the watcher that was found to be newer
+  TimeMs leaderStoreOkMs_ = 0; ///< the leader last reported a reachable store
+  int64_t leaderRevision_ = 0; ///< revision of the leader's directory
+  TimeMs behindSinceMs_ = 0;   ///< when the digests began to differ, 0 if equal
+  int64_t behindRevision_ = 0; ///< newer revision seen at another watcher
 };
 
 }
--- a/gateway/StoreWatcher.cpp
+++ b/gateway/StoreWatcher.cpp
@@ -10,8 +10,9 @@
 
 namespace detail {
 
-/// Changes come in bursts; what follows the first is fetched in one call. Well
-/// below the 2 s in which changes must be in force.
+/// Delay between the first change of a burst and the next watch, which then
+/// returns the rest of the burst in one call. Well below the 2 s within which
+/// changes must be in force.
 constexpr TimeMs kBatchDelayMs = 200;
 constexpr TimeMs kMinBackoffMs = 100;
 constexpr TimeMs kMaxBackoffMs = 800;
@@ -119,7 +120,7 @@
     RetryLater();
     return;
   }
-  // Changes during a list of several pages follow in the watch.
+  // Changes made while several pages are listed arrive with the watch.
   if (listRevision_ == 0) {
     listRevision_ = aResponse.list_.revision_;
   }
--- a/gateway/StoreWatcher.hpp
+++ b/gateway/StoreWatcher.hpp
@@ -9,16 +9,16 @@
 
 namespace cactuspitch {
 
-/// The last event of each object, in the order of those: what lies between is
-/// outdated already.
+/// Keeps only the last event of each object, since earlier states are outdated.
+/// The result is in the order of these events.
 std::vector<ObjectEvent> LatestEventPerObject(
   const std::vector<ObjectEvent>& aEvents);
 
-/// How a follower catches up when it becomes active again.
+/// How a watcher catches up when it becomes active again.
 enum class ResumeMode : uint8_t
 {
-  Watch, ///< replays what it missed; for objects whose versions only grow
-  List,  ///< replayed states would be older than what others have told
+  Watch, ///< replay the missed events; for objects with increasing versions
+  List,  ///< list, because replayed states may be older than received gossip
   Count
 };
 
@@ -28,13 +28,15 @@
   static constexpr std::string_view kNames[] = { "watch", "list" };
 };
 
-/// Keeps up with all objects of one kind: a list, then watches. After a
-/// compacted history it lists again.
+/// Follows all objects of one kind: lists them once and then watches for
+/// changes. Lists again if the store has compacted the history since the last
+/// watch.
 class StoreWatcher
 {
 public:
   struct Handlers
   {
+    /// Called with a complete list.
     std::function<void(const std::vector<StoreObject>&)> onList_;
     std::function<void(const std::vector<ObjectEvent>&)> onEvents_;
   };
@@ -48,19 +50,21 @@
                bool aActive,
                Handlers aHandlers);
 
-  /// The first list may be some seconds old: it costs less, and an active
-  /// follower watches from there.
+  /// Starts with a list that may be some seconds old, which is cheaper. An
+  /// active watcher receives the later changes from its watch.
   void Start();
-  /// Reads the objects again without watching them.
+  /// Lists the objects again. Does nothing while active, since the watch
+  /// already delivers all changes.
   void Relist();
-  /// Without activity nothing is watched; the list of the start stays.
+  /// An inactive watcher makes no calls after its first list.
   void SetActive(bool aActive);
   bool IsActive() const { return active_; }
-  /// Asks at once again: the pending watch may hang on a dead connection.
+  /// Replaces the pending watch or list, which may hang on a dead connection.
   void Refresh();
-  /// Revision of the store up to which all changes were told.
+  /// Revision of the store up to which all changes were passed on, 0 before the
+  /// first list and while a new list is needed.
   int64_t Revision() const { return synced_ ? revision_ : 0; }
-  /// True once a complete list was read.
+  /// True once a complete list has been read.
   bool HasListed() const { return everListed_; }
 
 private:
@@ -78,14 +82,14 @@
   ResumeMode resumeMode_;
   Handlers handlers_;
   Timer retryTimer_;
-  uint64_t generation_ = 0; ///< answers of earlier rounds are ignored
+  uint64_t generation_ = 0; ///< responses of other generations are dropped
   bool active_;
   bool synced_ = false;
   bool everListed_ = false;
   int failures_ = 0;
   int64_t revision_ = 0;
   std::vector<StoreObject> listed_;
-  ReadMode mode_ = ReadMode::AllowStale; ///< of the list that is read
+  ReadMode mode_ = ReadMode::AllowStale; ///< of the current list
   int64_t listRevision_ = 0;
 };
 
