Reword heads and names of tests of gateway/ and platform/

Cause: test heads told stories and test names were sentences. Change: heads say which failure the test guards against; tests renamed where the name was figurative. Checks and literals are the same.

--- a/tests/CrashingCallsModelTest.cpp
+++ b/tests/CrashingCallsModelTest.cpp
@@ -13,13 +13,13 @@
 
 constexpr TimeMs kStepMs = 5;
 constexpr TimeMs kStableWindowMs = 3000;
-/// The end of a server is found out within this time, or never.
+/// A crash is detected within this time or not at all.
 constexpr TimeMs kDetectionWindowMs = 6000;
-/// Sends that are allowed after the third server has ended and the window.
+/// Sends that are allowed later than kStableWindowMs after the third crash.
 constexpr int kAllowedSends = 3;
 
-/// Gateways, a network that delays and loses, and servers that end under some
-/// requests.
+/// Simulates gateways, a network that delays and loses messages, and servers
+/// that crash when they execute some of the requests.
 class GatewayFleetModel
 {
 public:
@@ -29,15 +29,15 @@
     double loss_ = 0.02;
     /// From the crash to its detection by the gateway whose connection broke.
     TimeMs detectMs_ = 30;
-    /// Gateways that are killed, frozen or cut each second.
+    /// Gateways that are killed, frozen or cut off each second.
     double faultsPerSecond_ = 0;
   };
   struct Call
   {
     uint64_t fingerprint_ = 0;
     bool crashes_ = false;
-    std::vector<TimeMs> crashTimesMs_;     ///< of servers
-    std::vector<TimeMs> connectedSendsMs_; ///< by gateways in touch
+    std::vector<TimeMs> crashTimesMs_;     ///< one per crashed server
+    std::vector<TimeMs> connectedSendsMs_; ///< by connected gateways
     bool served_ = false;
   };
 
@@ -71,7 +71,8 @@
     }
   }
 
-  /// The call arrives at some living gateway; tells whether it was sent on.
+  /// Sends the call to a random gateway. Returns whether that gateway forwarded
+  /// it without waiting.
   bool Send(Call& aCall)
   {
     return SendBy(RandomBelow(options_.gateways_), aCall);
@@ -112,7 +113,7 @@
     return true;
   }
 
-  /// A server ends with requests of one gateway in flight.
+  /// Crashes a server that has requests of one gateway in flight.
   void CrashServer(int aGateway,
                    const std::string& aServer,
                    std::vector<InFlightRequest> aInFlight)
@@ -136,10 +137,12 @@
     }
   }
   void Restart(int aGateway) { Start(aGateway); }
+  /// Random number from 0 to aBound - 1.
   int RandomBelow(int aBound)
   {
     return std::uniform_int_distribution<int>(0, aBound - 1)(random_);
   }
+  /// True if the gateway has quarantined the request.
   bool Knows(int aGateway, uint64_t aFingerprint)
   {
     return gateways_[aGateway]
@@ -153,13 +156,13 @@
   {
     std::unique_ptr<CrashQuarantine> quarantine_;
     std::unique_ptr<SuspectExchange> exchange_;
-    TimeMs downUntilMs_ = 0; ///< frozen or cut off
+    TimeMs downUntilMs_ = 0; ///< end of a freeze or cut
     TimeMs disturbedMs_ = 0;
     int incarnation_ = 0;
   };
 
-  /// A gateway that stands still finds it out afterwards; one that was killed
-  /// never does.
+  /// A frozen or isolated gateway detects the crash afterwards; a gateway that
+  /// was killed since then never does.
   void Detect(int aGateway,
               const std::string& aServer,
               int aIncarnation,
@@ -211,7 +214,7 @@
     }
   }
 
-  /// The first living gateway leads.
+  /// The first living gateway is the leader.
   int Leader() const
   {
     const auto found = std::ranges::find_if(
@@ -235,7 +238,8 @@
         Deliver(aIndex, leader, message->suspects_);
       }
     }
-    // The leader speaks to all each 250 ms, the others to it each 500 ms.
+    // The leader sends to all every 250 ms, the others to the leader every
+    // 500 ms.
     const TimeMs phaseMs = nowMs_ + aIndex % 50 * kStepMs;
     if (aIndex == leader && phaseMs % 250 == 0) {
       Broadcast(aIndex, {});
@@ -301,7 +305,8 @@
   int64_t datagrams_ = 0;
 };
 
-/// Sends by gateways in touch later than the window after the third end.
+/// Number of sends by connected gateways later than kStableWindowMs after the
+/// third crash.
 int LateSends(const GatewayFleetModel::Call& aCall)
 {
   if (aCall.crashTimesMs_.size() < 3) {
@@ -313,7 +318,7 @@
                           [&](TimeMs aSentMs) { return aSentMs > sinceMs; }));
 }
 
-/// Sends the calls again and again, each about every aPeriodMs.
+/// Sends each call about every aPeriodMs until aEndMs.
 void SendRepeatedly(GatewayFleetModel& aModel,
                     std::vector<GatewayFleetModel::Call>& aCalls,
                     TimeMs aPeriodMs,
@@ -346,9 +351,9 @@
 class CrashingCallsModel : public testing::TestWithParam<Size>
 {};
 
-// Guards against crashing requests that go on to be sent while gateways are
+// Guards against crashing requests that continue to be sent while gateways are
 // killed, frozen and cut off and messages are lost.
-TEST_P(CrashingCallsModel, RepeatsEndWhileGatewaysFail)
+TEST_P(CrashingCallsModel, RetriesStopWhileGatewaysFail)
 {
   for (int seed = 0; seed < GetParam().seeds_; ++seed) {
     const GatewayFleetModel::Options options{ .gateways_ = GetParam().gateways_,
@@ -367,9 +372,9 @@
   }
 }
 
-// Guards against crashes that are forgotten by gateways that start one after
-// the other.
-TEST_P(CrashingCallsModel, RestartedGatewaysLearnAgain)
+// Guards against crashes that are forgotten when gateways restart one after the
+// other.
+TEST_P(CrashingCallsModel, RestartedGatewaysReceiveCrashes)
 {
   const int gateways = GetParam().gateways_;
   GatewayFleetModel model({ .gateways_ = gateways }, 7);
@@ -389,9 +394,9 @@
   }
 }
 
-// Guards against all gateways that start the same request at one moment after
-// many servers ended under it.
-TEST_P(CrashingCallsModel, OneGatewayTriesWhatEndedManyServersAtOnce)
+// Guards against all gateways trying the same request at the same time after it
+// crashed many servers.
+TEST_P(CrashingCallsModel, OneGatewayTriesRequestThatCrashedManyServers)
 {
   const int gateways = GetParam().gateways_;
   GatewayFleetModel model({ .gateways_ = gateways }, 11);
@@ -410,7 +415,7 @@
   EXPECT_LE(LateSends(calls[0]), kAllowedSends);
 }
 
-// Guards against a start of all gateways that sets off a second round of
+// Guards against a restart of all gateways that causes a second round of
 // crashes beyond the allowed ones.
 TEST_P(CrashingCallsModel, AllGatewaysRestart)
 {
@@ -424,8 +429,9 @@
   EXPECT_LE(LateSends(calls[0]), kAllowedSends);
 }
 
-// Guards against innocent requests that are refused because they were in
-// flight when many servers ended, while crashing ones are found all the same.
+// Guards against harmless requests that are rejected because they were in
+// flight when many servers crashed. The crashing requests must still be
+// identified.
 TEST_P(CrashingCallsModel, MassCrashKeepsInnocentRequestsServed)
 {
   const int gateways = GetParam().gateways_;
--- a/tests/CrashingCallsTest.cpp
+++ b/tests/CrashingCallsTest.cpp
@@ -11,7 +11,7 @@
 using Exchange = ScriptedServer::Exchange;
 
 constexpr uint64_t kCrashingRequest = 1;
-/// The rule starts to count once so many servers have ended.
+/// Crashes that are allowed before the quarantine must take effect.
 constexpr int kToleratedCrashes = 3;
 
 SuspectVerdict Begin(CrashQuarantine& aQuarantine, TimeMs aNowMs)
@@ -19,7 +19,8 @@
   return aQuarantine.TryBegin(kCrashingRequest, "server", aNowMs).verdict_;
 }
 
-// Guards against crashes that do not add up because each router saw one.
+// Guards against crashes that are not summed up because each router detected
+// only one.
 TEST(CrashingCalls, CrashesSeenByDifferentRoutersAddUp)
 {
   constexpr int kRouters = 5;
@@ -39,19 +40,19 @@
   EXPECT_LE(starts, 1);
 }
 
-// Guards against a message that was delayed and revokes a release.
+// Guards against a delayed message that revokes a release.
 TEST(CrashingCalls, LateMessageDoesNotRevokeARelease)
 {
-  CrashQuarantine here;
+  CrashQuarantine local;
   CrashQuarantine peer;
   peer.OnCrash("a", { kCrashingRequest }, 0);
   peer.OnCrash("b", { kCrashingRequest }, 1000);
-  const auto told = peer.Entries(1000);
-  here.Merge(told, 1010);
-  here.Release(kCrashingRequest, 1020);
-  here.Merge(told, 1060);
-  EXPECT_EQ(Begin(here, 1070), SuspectVerdict::Run);
-  peer.Merge(here.Entries(1080), 1090);
+  const auto entries = peer.Entries(1000);
+  local.Merge(entries, 1010);
+  local.Release(kCrashingRequest, 1020);
+  local.Merge(entries, 1060);
+  EXPECT_EQ(Begin(local, 1070), SuspectVerdict::Run);
+  peer.Merge(local.Entries(1080), 1090);
   EXPECT_EQ(Begin(peer, 1100), SuspectVerdict::Run);
 }
 
@@ -61,7 +62,7 @@
     "POST", "plain", "crash" + std::to_string(aId), "", "crash");
 }
 
-// Guards against a refusal that counts as proof that the request is harmless.
+// Guards against a rejection that counts as proof that the request is harmless.
 TEST(CrashingCalls, RefusalDoesNotClearACrash)
 {
   constexpr int kServers = 8;
@@ -85,7 +86,7 @@
   EXPECT_LE(crashes, kToleratedCrashes);
 }
 
-// Guards against crashes that are not noticed because the server listens again
+// Guards against crashes that are not detected because the server listens again
 // before the next connection attempt.
 TEST(CrashingCalls, ServerThatRestartsAtOnceHasCrashed)
 {
@@ -113,8 +114,8 @@
   EXPECT_LE(crashes, kToleratedCrashes);
 }
 
-// Guards against repeats that go on because each arrives at another gateway,
-// one of which started after the crashes.
+// Guards against retries that continue because each arrives at another gateway,
+// one of which was started after the crashes.
 TEST(CrashingCalls, AllGatewaysRefuseWhatOneHasQuarantined)
 {
   constexpr int kServers = 8;
@@ -141,7 +142,8 @@
   EXPECT_EQ(crashes, before);
 }
 
-// Guards against a crash that is not noticed because the caller has left.
+// Guards against a crash that is not detected because the caller has
+// disconnected.
 TEST(CrashingCalls, CrashCountsAfterItsCallerHasLeft)
 {
   constexpr int kServers = 8;
--- a/tests/LeaderElectionTest.cpp
+++ b/tests/LeaderElectionTest.cpp
@@ -13,8 +13,8 @@
 
 constexpr int64_t kNowMs = 1700000000000;
 
-/// An election whose store holds the object of another gateway, from the start
-/// or as soon as this one tries to create it.
+/// An election in which the store contains the lease of another gateway, either
+/// from the start or from this gateway's attempt to create it.
 class LeaderElectionTest : public testing::Test
 {
 protected:
@@ -43,7 +43,7 @@
     const bool loses = writes_ == 1 && !isRead && winnerMs_ == 0;
     aExchange.write_(TextAnswer(loses ? 409 : 200, winner));
   }
-  /// It reads the object and leaves it to the other gateway.
+  /// Expects that the gateway reads the lease and does not write it.
   void ExpectWaitAfterRead()
   {
     ASSERT_TRUE(RunLoopUntil(loop_, [&] { return reads_ == 1; }));
@@ -60,8 +60,8 @@
   int writes_ = 0;
   int elected_ = 0;
   std::function<void()> onRead_; ///< runs before a read is answered
-  std::string stored_;   ///< answer to reads instead of the winner's object
-  int64_t winnerMs_ = 0; ///< last renewal of the other's object
+  std::string stored_;   ///< response to reads instead of the winner's lease
+  int64_t winnerMs_ = 0; ///< last renewal of the other gateway's lease
   ScriptedServer server_{ loop_, [this](auto& aExchange) {
                            HandleRequest(aExchange);
                          } };
@@ -77,9 +77,9 @@
                             { [this](int64_t) { ++elected_; }, [] {}, [] {} } };
 };
 
-// Guards against several elections at the first start: who loses the race to
-// create the object replaced the winner before hearing of it.
-TEST_F(LeaderElectionTest, TheLoserOfARaceWaitsForTheWinner)
+// Guards against repeated elections at the first start: the loser of the race
+// to create the lease replaced the winner before it received its gossip.
+TEST_F(LeaderElectionTest, LoserOfCreateRaceWaitsForWinner)
 {
   election_.Start();
   ASSERT_TRUE(RunLoopUntil(loop_, [&] { return writes_ == 1; }));
@@ -88,17 +88,18 @@
   EXPECT_EQ(writes_, 1);
 }
 
-// Guards against the same by a gateway that reads the object after the race.
-TEST_F(LeaderElectionTest, AStartingGatewayWaitsForALeaderThatRenewed)
+// Guards against repeated elections by a gateway that reads the lease after the
+// race.
+TEST_F(LeaderElectionTest, StartingGatewayWaitsForRecentlyRenewedLeader)
 {
   winnerMs_ = kNowMs - 300;
   election_.Start();
   ExpectWaitAfterRead();
 }
 
-// Guards against a second election by a candidate that was slower and takes
-// over before the new leader's first gossip arrives.
-TEST_F(LeaderElectionTest, ASlowerCandidateWaitsForTheNewLeader)
+// Guards against a second election by a slower candidate that takes over before
+// the first gossip of the new leader arrives.
+TEST_F(LeaderElectionTest, SlowerCandidateWaitsForNewLeader)
 {
   wire::Gossip old;
   old.instance = "old";
@@ -109,9 +110,10 @@
   ExpectWaitAfterRead();
 }
 
-// Guards against a candidate that hears the new leader while it reads the
-// object, finds no newer term there and replaces it (accra-grown inc-2f35).
-TEST_F(LeaderElectionTest, ACandidateThatHearsTheLeaderWhileItReadsGivesUp)
+// Guards against a candidate that replaces the new leader although gossip of it
+// arrives while the candidate reads the lease: the lease then has no newer term
+// than the gossip (accra-grown inc-2f35).
+TEST_F(LeaderElectionTest, CandidateGivesUpIfLeaderGossipArrivesDuringRead)
 {
   winnerMs_ = kNowMs - 50;
   onRead_ = [this] {
@@ -125,9 +127,9 @@
   ExpectWaitAfterRead();
 }
 
-// Guards against a process that ends because another writer has stored fields
-// of other types.
-TEST_F(LeaderElectionTest, ReplacesAnObjectThatItCannotRead)
+// Guards against a crash on a lease whose fields another writer stored with
+// other types.
+TEST_F(LeaderElectionTest, ReplacesUnreadableLease)
 {
   stored_ = R"({"metadata": {"name": "leader", "revision": 12}, "spec": {
     "term": "x", "instance": 5, "bootId": {}, "renewedAtMs": "soon",
@@ -136,8 +138,9 @@
   EXPECT_TRUE(RunLoopUntil(loop_, [&] { return writes_ == 1; }));
 }
 
-// Guards against a wait for a leader that ended with all other processes.
-TEST_F(LeaderElectionTest, AStartingGatewayReplacesALeaderOfThePast)
+// Guards against waiting for a leader that exited together with all other
+// processes.
+TEST_F(LeaderElectionTest, StartingGatewayReplacesExpiredLeader)
 {
   winnerMs_ = kNowMs - 5000;
   election_.Start();
--- a/tests/MutatedInputTest.cpp
+++ b/tests/MutatedInputTest.cpp
@@ -35,7 +35,7 @@
   "events":[{"removed":true,"object":{"metadata":{"name":"b","revision":4},
    "spec":null,"status":{}}}]})";
 
-/// Values that a field of any type may be replaced by.
+/// Values that replace fields of any type.
 const std::vector<Json>& Replacements()
 {
   static const std::vector<Json> kValues = {
@@ -60,7 +60,7 @@
   return kValues;
 }
 
-/// All values of a document.
+/// Appends aJson and all values nested in it to aNodes.
 void CollectNodes(Json& aJson, std::vector<Json*>& aNodes)
 {
   aNodes.push_back(&aJson);
@@ -71,7 +71,7 @@
   }
 }
 
-/// The document with some values replaced or removed.
+/// Returns a copy of the document with some values replaced or removed.
 Json Mutated(const Json& aJson)
 {
   auto result = aJson;
@@ -100,8 +100,8 @@
   return result;
 }
 
-// Guard against a document of the store with a field that is missing or of
-// another type and ends the process.
+// Guard against a process that crashes on a document of the store in which a
+// field is missing or has another type. This applies to the next four tests.
 RC_GTEST_PROP(MutatedInput, Configuration, ())
 {
   StoreObject object;
@@ -122,7 +122,7 @@
   RC_ASSERT(entry || !findings.IsEmpty());
 }
 
-RC_GTEST_PROP(MutatedInput, AnswerOfTheStore, ())
+RC_GTEST_PROP(MutatedInput, StoreResponse, ())
 {
   auto text = Mutated(Json::parse(kList)).dump();
   if (*rc::gen::arbitrary<bool>()) {
@@ -141,9 +141,9 @@
   DecodeKeyTable(Mutated(EncodeKeyTable(table)), decoded);
 }
 
-// Guards against a field of a server's answer or a caller's request that ends
-// the process.
-RC_GTEST_PROP(MutatedInput, FieldsOfMessages, ())
+// Guards against a process that crashes on a header field of a server's
+// response or a caller's request.
+RC_GTEST_PROP(MutatedInput, HeaderFields, ())
 {
   static const std::vector<std::string> kNames = {
     "Cactuspitch-Request-Id",
@@ -191,8 +191,8 @@
   RC_ASSERT(!caller.remainingMs_ || *caller.remainingMs_ >= 0);
 }
 
-// Guards against a settings file that ends the process instead of being found
-// wrong.
+// Guards against a process that crashes on an invalid settings file instead of
+// reporting it.
 RC_GTEST_PROP(MutatedInput, SettingsFile, ())
 {
   const auto bounds =
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -34,7 +34,7 @@
    {"name":"r2","path-prefix":"/y/z/","kind":"unsafe","timeout-s":1.2,
     "target-latency-s":0.4,"priority":1,"service":"s2","max-attempts":2}]}]})";
 
-// Guards against a field of the configuration that is read wrongly.
+// Guards against configuration fields that are decoded incorrectly.
 TEST(RegistryCodec, ReadsConfig)
 {
   Findings findings;
@@ -58,9 +58,9 @@
   EXPECT_EQ(config->routes_[1].host_, "b.example");
 }
 
-// Guards against a configuration that is taken although a part of it is missing
-// or has another type; all findings must be told at once.
-TEST(RegistryCodec, RejectsBrokenConfigWithAllFindings)
+// Guards against accepting a configuration with missing fields or fields of
+// another type. All findings must be reported at once.
+TEST(RegistryCodec, RejectsInvalidConfigWithAllFindings)
 {
   auto json = Json::parse(kConfig);
   json["version"] = 7;
@@ -74,8 +74,9 @@
   EXPECT_GE(findings.All().size(), 3U);
 }
 
-// Guards against one route of an unknown kind that takes all routes out of
-// service: it is handled by the strictest rules, and the others go on.
+// Guards against a route of an unknown kind that invalidates the whole
+// configuration. The route is served by the strictest rules, the others as
+// usual.
 TEST(RegistryCodec, ServesUnknownKindsByTheStrictestRules)
 {
   auto json = Json::parse(kConfig);
@@ -100,7 +101,7 @@
   "info":{"service":"s1","version":"v1","zone":"cairo-a","slots":6},
   "status":{"state":"ready","seq":4,"cold-remaining-s":1.5}})";
 
-// Guards against a registration that is read wrongly.
+// Guards against registration fields that are decoded incorrectly.
 TEST(RegistryCodec, ReadsBackend)
 {
   Findings findings;
@@ -117,8 +118,8 @@
   EXPECT_EQ(entry->bornMs_, 1785533497000);
 }
 
-// Guards against forged entries that name a server to use.
-TEST(RegistryCodec, RejectsForgedBackends)
+// Guards against invalid registrations that add a server.
+TEST(RegistryCodec, RejectsInvalidBackends)
 {
   const std::vector<std::pair<std::string, Json>> changes = {
     { "/address", "somewhere" },  { "/address", 7 },
@@ -140,7 +141,7 @@
   }
 }
 
-// Guards against a crash on objects of any shape.
+// Guards against a crash on objects of arbitrary structure.
 RC_GTEST_PROP(RegistryProperty, SurvivesAnyObject, ())
 {
   auto json = Json::parse(*rc::gen::element<std::string>(kConfig, kServer));
@@ -166,7 +167,7 @@
   return result;
 }
 
-// Guards against grants and releases that servers read differently.
+// Guards against grants and releases in another format than servers expect.
 TEST(CommandCodec, WritesGrantAndRelease)
 {
   KeyOrder order{ OrderKind::Grant, "s1", "i-1", 4096, 8191, 12, 4000, "h1" };
@@ -182,8 +183,8 @@
             Json::parse(R"({"from":4096,"to":8191,"fence":12})"));
 }
 
-// Guards against a lost answer that counts as "not done": such an order may
-// still be carried out.
+// Guards against a lost response that counts as "not sent": the server may
+// still execute the command.
 TEST(CommandCodec, ReadsResults)
 {
   const auto read = [](const CallResult& aResult) {
@@ -200,8 +201,8 @@
   EXPECT_EQ(read(lost), OrderResult::NotSent);
 }
 
-// Guards against a notice in the answer to an order that is missed, or that
-// another server at the address gave.
+// Guards against missing the shutdown notice in a response to a command, and
+// against accepting the notice of another server at the same address.
 TEST(CommandCodec, ReadsLeaving)
 {
   const auto read = [](int aStatus) {
@@ -216,9 +217,9 @@
   EXPECT_FALSE(CommandCodec().ParseResponse(Answered(200)).leaving_);
 }
 
-// Guards against confusing the answers of the store: refused, conflict, history
-// gone, lost.
-TEST(ObjectCodec, ReadsAnswers)
+// Guards against confusing the store's responses: rejected, conflict, history
+// compacted, unreadable.
+TEST(ObjectCodec, ReadsResponses)
 {
   const ObjectCodec objects;
   EXPECT_EQ(objects.ParseResponse(Answered(429)).status_,
@@ -258,9 +259,9 @@
             "/-/objects/k?watch=530&wait-ms=5000");
 }
 
-// Guards against a refusal that is not recognised as "not run", which would
-// keep a non-idempotent request from being sent again.
-TEST(RequestCodec, ReadsAnswerFields)
+// Guards against a rejection that is not recognized as "not executed", which
+// would prevent the retry of a non-idempotent request.
+TEST(RequestCodec, ReadsResponseFields)
 {
   HttpHead head;
   head.status_ = 503;
@@ -279,9 +280,9 @@
   EXPECT_FALSE(RequestCodec().ParseResponse(head).load_);
 }
 
-// Guards against a pause that is read from a date or a fraction, that never
-// ends, or that an answer other than a refusal brings.
-TEST(RequestCodec, ReadsPauses)
+// Guards against invalid Retry-After values: dates, malformed fractions and
+// times without an end, and against values from other responses than 503.
+TEST(RequestCodec, ReadsRetryAfter)
 {
   const auto read = [](int aStatus, const std::vector<std::string>& aValues) {
     HttpHead head;
@@ -324,7 +325,8 @@
   }
 }
 
-// Guards against a notice that another server at the address gives.
+// Guards against accepting the shutdown notice of another server at the same
+// address.
 TEST(RequestCodec, ReadsLeaving)
 {
   HttpHead head;
@@ -348,8 +350,8 @@
   return path;
 }
 
-// Guards against bounds of the platform that do not reach the settings. The
-// text is the template as the platform fills it in.
+// Guards against bounds of the platform that are not translated to settings.
+// The text is a template filled in by the platform.
 TEST(SettingsFile, TranslatesTheFilledTemplate)
 {
   const auto path = WriteSettings(
@@ -381,8 +383,8 @@
   std::remove(path.c_str());
 }
 
-// Guards against bounds that are skipped without a word.
-TEST(SettingsFile, TellsUnreadableAndMissingBounds)
+// Guards against bounds that are skipped without an error or a note.
+TEST(SettingsFile, ReportsUnreadableAndMissingBounds)
 {
   const auto path =
     WriteSettings("CACTUSPITCH_BOUNDS={\"grace-s\":6,\"hold-max-s\":\"x\","
--- a/tests/PlatformStore.cpp
+++ b/tests/PlatformStore.cpp
@@ -9,12 +9,12 @@
 namespace {
 
 constexpr std::string_view kPathPrefix = "/-/objects/";
-/// Beyond the time that gateways wait for an answer.
+/// Delay of responses in the mode Slow.
 constexpr TimeMs kSlowResponseMs = 700;
 constexpr TimeMs kWatchTickMs = 20;
 constexpr size_t kMaxHistory = 10000;
 
-/// Number of a field of the query, or -1.
+/// Value of a numeric query parameter, -1 if it is missing or invalid.
 int64_t QueryNumber(std::string_view aQuery, std::string_view aName)
 {
   const auto field = Concat(aName, "=");
@@ -102,11 +102,11 @@
     return;
   }
   const std::string_view target = aExchange.head_.target_;
-  const auto question = target.find('?');
-  const auto path = target.substr(0, question).substr(kPathPrefix.size());
-  const auto query = question == std::string_view::npos
+  const auto queryStart = target.find('?');
+  const auto path = target.substr(0, queryStart).substr(kPathPrefix.size());
+  const auto query = queryStart == std::string_view::npos
                        ? std::string_view{}
-                       : target.substr(question);
+                       : target.substr(queryStart);
   const auto slash = path.find('/');
   const std::string kind(path.substr(0, slash));
   const std::string name(
--- a/tests/PlatformStore.hpp
+++ b/tests/PlatformStore.hpp
@@ -12,15 +12,15 @@
 
 namespace cactuspitch {
 
-/// What is wrong with the calls to the store.
+/// Simulated fault of calls to the store.
 enum class StoreFaultMode : uint8_t
 {
   None,
-  Unavailable, ///< 503, nothing is done
+  Unavailable, ///< responds with 503 and applies nothing
   Resets,
-  Silent, ///< calls are neither answered nor carried out
+  Silent, ///< neither responds nor applies
   Slow,
-  LosesAnswers, ///< calls are carried out, their connections go silent
+  LosesAnswers, ///< applies, but never responds
   Count
 };
 
@@ -32,8 +32,8 @@
   };
 };
 
-/// Stands in for the platform's object store: revisions, conditional writes,
-/// lists and watches. It runs on the loop of the test.
+/// Fake of the platform's object store with revisions, conditional writes,
+/// lists and watches. Runs on the event loop of the test.
 class PlatformStore
 {
 public:
@@ -44,14 +44,15 @@
   Endpoint Address() const { return server_.Address(); }
   void SetFaultMode(StoreFaultMode aFaultMode) { faultMode_ = aFaultMode; }
   StoreFaultMode FaultMode() const { return faultMode_; }
-  /// Watches from before now find their history gone.
+  /// Drops the history. Watches from an earlier revision get 410.
   void CompactHistory();
-  /// What the platform, the operator and backend servers write; no trouble
-  /// meets them.
+  /// Writes an object on behalf of the platform, the operator or a backend
+  /// server. Not affected by the fault mode.
   void Put(const std::string& aKind,
            const std::string& aName,
            const Json& aSpec,
            const Json& aStatus = nullptr);
+  /// Removes an object in the same way.
   void Remove(const std::string& aKind, const std::string& aName);
 
 private:
@@ -89,7 +90,7 @@
   void StartWatch(const ScriptedServer::Exchange& aExchange,
                   const std::string& aKind,
                   std::string_view aQuery);
-  /// Answers the watches that have news, or whose waiting time is over.
+  /// Responds to the watches that have events or whose wait time has ended.
   void AnswerWatches();
   void AnswerWatch(const Watch& aWatch) const;
   void Send(const ScriptedServer::Exchange& aExchange, const Reply& aReply);
@@ -100,10 +101,10 @@
   std::map<std::string, std::map<std::string, Object>> objects_;
   std::deque<Event> history_;
   std::vector<Watch> watches_;
-  DelayedTasks delayed_; ///< answers of a slow store
+  DelayedTasks delayed_; ///< responses in the mode Slow
   Timer watchTimer_;
   int64_t revision_ = 10;
-  int64_t oldestRevision_ = 0; ///< of the history that is kept
+  int64_t oldestRevision_ = 0; ///< oldest revision in history_
   StoreFaultMode faultMode_ = StoreFaultMode::None;
   ScriptedServer server_;
 };
--- a/tests/StoreRelayTest.cpp
+++ b/tests/StoreRelayTest.cpp
@@ -10,33 +10,35 @@
 namespace cactuspitch {
 namespace {
 
-/// Time from a change to its being in force everywhere.
+/// Maximum time until a changed configuration is in force everywhere.
 constexpr TimeMs kConfigBoundMs = 2000;
 
-// Guards against calls that grow with the fleet while the store is there.
-TEST(StoreRelay, FewWatchInCalmTimes)
+// Guards against store calls that grow with the fleet while the store is
+// reachable.
+TEST(StoreRelay, FewGatewaysWatchReachableStore)
 {
   EXPECT_EQ(StoreRelay::WantedWatchers(0, 2300), StoreRelay::kWatchers);
   EXPECT_EQ(StoreRelay::WantedWatchers(1200, 68), StoreRelay::kWatchers);
   EXPECT_EQ(StoreRelay::WantedWatchers(0, 2), 2U);
 }
 
-// Guards against a change that nobody hears of in time because the store turns
-// away just the instances that watch (tas-south trouble-1, rule CONFIG).
-TEST(StoreRelay, OthersWatchBeforeTheBound)
+// Guards against a change that arrives too late because the store rejects
+// exactly the instances that watch (tas-south trouble-1, rule CONFIG).
+TEST(StoreRelay, MoreGatewaysWatchBeforeConfigBound)
 {
   EXPECT_EQ(StoreRelay::WantedWatchers(kConfigBoundMs - 500, 8), 8U);
   EXPECT_GT(StoreRelay::WantedWatchers(kConfigBoundMs - 500, 68),
             5 * StoreRelay::kWatchers);
 }
 
-// Guards against gateways that never watch although no other reaches the store.
-TEST(StoreRelay, AllWatchInTheEnd)
+// Guards against gateways that never watch although no watcher reaches the
+// store.
+TEST(StoreRelay, AllGatewaysWatchUnreachableStore)
 {
   EXPECT_EQ(StoreRelay::WantedWatchers(5000, 68), 68U);
 }
 
-/// A gateway with what others tell it. It watches the store after
+/// A gateway that receives gossip from others. It watches the store after
 /// StartWatching().
 class RelayedDirectoryTest : public testing::Test
 {
@@ -57,7 +59,8 @@
     relay_.OnGossip(gossip, {});
   }
 
-  /// Without a leader each gateway watches, after the time to hear of one.
+  /// Waits until the gateway watches all kinds, which every gateway does if
+  /// there is no leader after the discovery time.
   bool StartWatching()
   {
     bool answered = false;
@@ -119,9 +122,9 @@
   };
 };
 
-// Guards against a leader that is cut off from the store and brings servers
-// back that have left (eg-north mix 251950937711, rule DRAIN).
-TEST_F(RelayedDirectoryTest, TheNewerRevisionWinsOverTheLeader)
+// Guards against a leader that is cut off from the store and restores servers
+// that have already shut down (eg-north mix 251950937711, rule DRAIN).
+TEST_F(RelayedDirectoryTest, NewerRevisionOverridesLeader)
 {
   Receive("leader", true, 100, false);
   EXPECT_TRUE(directory_.Entries().contains("i-1"));
@@ -133,10 +136,10 @@
   EXPECT_TRUE(directory_.Entries().contains("i-1"));
 }
 
-// Guards against a watcher whose watch hangs on a lost answer and which goes on
-// sending requests to servers that have left (grown eg-north hunt-c4da-3, rule
-// DRAIN).
-TEST_F(RelayedDirectoryTest, AWatcherTakesOverTheNewerStateOfAnother)
+// Guards against a watcher whose watch hangs on a lost response, so that it
+// continues to send requests to servers that have shut down (grown eg-north
+// hunt-c4da-3, rule DRAIN).
+TEST_F(RelayedDirectoryTest, WatcherAdoptsNewerStateOfAnother)
 {
   ScriptedServer peer(loop_, [](auto& aExchange) {
     aExchange.write_(TextAnswer(200, R"({"revision": 130, "servers": []})"));
@@ -151,13 +154,13 @@
   gossip.directoryRevision = 130;
   gossip.directoryDigest = 1;
   gossip.statusPort = peer.Address().port_;
-  const TimeMs toldMs = loop_.NowMs();
+  const TimeMs gossipMs = loop_.NowMs();
   EXPECT_TRUE(RunLoopUntil(loop_, [&] {
     relay_.OnGossip(gossip, { peer.Address().ip_, 0 });
     return directory_.Revision() == 130;
   }));
   EXPECT_FALSE(directory_.Entries().contains("i-1"));
-  EXPECT_LT(loop_.NowMs() - toldMs, kConfigBoundMs);
+  EXPECT_LT(loop_.NowMs() - gossipMs, kConfigBoundMs);
 }
 
 }
--- a/tests/StoreWatcherTest.cpp
+++ b/tests/StoreWatcherTest.cpp
@@ -9,7 +9,8 @@
 namespace cactuspitch {
 namespace {
 
-/// A follower of one kind whose store answers lists and holds watches.
+/// A watcher of one kind and a store that responds to lists and leaves watches
+/// open.
 class StoreWatcherTest : public testing::Test
 {
 protected:
@@ -37,31 +38,31 @@
   StoreClient store_{ loop_, log_, client_, objects_, server_.Address() };
 };
 
-// Guards against a gateway that starts to watch again and replays states which
-// are older than what it and the others know: a server that leaves looked ready
-// again (tas-south hunt-39c0-3, rule DRAIN).
+// Guards against a gateway that resumes its watch and replays states that are
+// older than what it and the others have received by gossip: a server that was
+// shutting down appeared ready again (tas-south hunt-39c0-3, rule DRAIN).
 TEST_F(StoreWatcherTest, ListsWhenItBecomesActiveAgain)
 {
-  StoreWatcher follower(loop_,
-                        log_,
-                        store_,
-                        "servers",
-                        5000,
-                        ResumeMode::List,
-                        true,
-                        { [](const std::vector<StoreObject>&) {},
-                          [](const std::vector<ObjectEvent>&) {} });
-  follower.Start();
+  StoreWatcher watcher(loop_,
+                       log_,
+                       store_,
+                       "servers",
+                       5000,
+                       ResumeMode::List,
+                       true,
+                       { [](const std::vector<StoreObject>&) {},
+                         [](const std::vector<ObjectEvent>&) {} });
+  watcher.Start();
   ASSERT_TRUE(RunLoopUntil(loop_, [&] { return watches_ == 1; }));
-  follower.SetActive(false);
-  follower.SetActive(true);
-  EXPECT_TRUE(follower.HasListed()) << "the gateway would not be ready";
+  watcher.SetActive(false);
+  watcher.SetActive(true);
+  EXPECT_TRUE(watcher.HasListed()) << "the gateway would not be ready";
   ASSERT_TRUE(RunLoopUntil(loop_, [&] { return watches_ == 2; }));
   EXPECT_EQ(lists_, 2);
 }
 
-// Guards against outdated states within one answer that are told to others.
-TEST(LatestEventPerObject, KeepsTheLastOfEachObject)
+// Guards against sending outdated states of one response to other gateways.
+TEST(LatestEventPerObject, KeepsLastEventOfEachObject)
 {
   const auto event = [](const char* aName, int64_t aRevision) {
     ObjectEvent result;
