--- /dev/null
+++ b/gateway/CommandSender.cpp
@@ -0,0 +1,128 @@
+#include "gateway/CommandSender.hpp"
+
+#include <utility>
+
+namespace cactuspitch {
+
+namespace detail {
+
+/// Concurrent commands per server. A release waits until running requests are
+/// finished and must not delay a renewal.
+constexpr int kCommandsPerServer = 3;
+
+}
+
+CommandSender::CommandSender(EventLoop& aLoop,
+                             EventLog& aLog,
+                             HttpClient& aClient,
+                             const CommandProtocol& aProtocol,
+                             Handlers aHandlers)
+  : loop_(aLoop)
+  , log_(aLog)
+  , client_(aClient)
+  , protocol_(aProtocol)
+  , handlers_(std::move(aHandlers))
+{
+}
+
+void CommandSender::SetServer(const std::string& aBackend,
+                              const Endpoint& aEndpoint,
+                              int64_t aStartTimeMs)
+{
+  servers_[aBackend] = { aEndpoint, aStartTimeMs };
+}
+
+void CommandSender::Reset()
+{
+  ++generation_;
+  queues_.clear();
+}
+
+void CommandSender::Send(const KeyCommand& aCommand)
+{
+  // An overloaded server resets new connections, so its commands share the few
+  // open ones. Grants go first, because leases expire.
+  auto& queue = queues_[aCommand.backend_];
+  if (aCommand.kind_ == KeyCommandKind::Grant) {
+    queue.waiting_.push_front(aCommand);
+  } else {
+    queue.waiting_.push_back(aCommand);
+  }
+  SendWaiting(aCommand.backend_);
+}
+
+void CommandSender::SendWaiting(const std::string& aBackend)
+{
+  auto& queue = queues_[aBackend];
+  while (queue.inFlight_ < detail::kCommandsPerServer &&
+         !queue.waiting_.empty()) {
+    auto command = queue.waiting_.front();
+    queue.waiting_.pop_front();
+    ++queue.inFlight_;
+    command.sentMs_ = loop_.NowMs();
+    SendNow(command);
+  }
+}
+
+void CommandSender::SendNow(const KeyCommand& aCommand)
+{
+  const auto server = servers_.find(aCommand.backend_);
+  if (server == servers_.end()) {
+    loop_.Defer([this, aCommand, generation = generation_] {
+      if (generation == generation_) {
+        OnDone(aCommand, 0, CallResult{});
+      }
+    });
+    return;
+  }
+  auto request = protocol_.MakeCommand(aCommand);
+  if (handlers_.grantScope_() == GrantScope::Renewals) {
+    request.connecting_ = Connecting::Kept;
+  } else if (unresponsive_.contains(aCommand.backend_)) {
+    request.connecting_ = Connecting::Fresh;
+  }
+  client_.Call(server->second.endpoint_,
+               request,
+               [this,
+                aCommand,
+                bornMs = server->second.startTimeMs_,
+                generation = generation_](const CallResult& aResult) {
+                 if (generation == generation_) {
+                   OnDone(aCommand, bornMs, aResult);
+                 }
+               });
+}
+
+void CommandSender::OnDone(const KeyCommand& aCommand,
+                           int64_t aStartTimeMs,
+                           const CallResult& aResult)
+{
+  const auto response = protocol_.ParseResponse(aResult);
+  --queues_[aCommand.backend_].inFlight_;
+  // After a missing response the idle connections are probably dead as well. A
+  // connection that could not be opened says nothing about the open ones.
+  if (response.result_ == KeyCommandResult::Unanswered) {
+    unresponsive_.insert(aCommand.backend_);
+  } else {
+    unresponsive_.erase(aCommand.backend_);
+  }
+  if (response.result_ != KeyCommandResult::Accepted) {
+    log_.Write(LogLevel::Warning,
+               "order-failed",
+               { { "order", EnumName(aCommand.kind_) },
+                 { "result", EnumName(response.result_) },
+                 { "http", aResult.head_.status_ },
+                 { "backend", aCommand.backend_ },
+                 { "first", aCommand.first_ },
+                 { "last", aCommand.last_ },
+                 { "fence", aCommand.fence_ },
+                 { "took_ms", loop_.NowMs() - aCommand.sentMs_ } });
+  }
+  if (response.leaving_) {
+    handlers_.onLeaving_(aCommand.backend_, aStartTimeMs);
+  }
+  handlers_.onDone_(aCommand, response);
+  SendWaiting(aCommand.backend_);
+}
+
+}
--- /dev/null
+++ b/gateway/CommandSender.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "gateway/EventLog.hpp"
+#include "gateway/PlatformInterface.hpp"
+#include "keyspace/KeyOwnership.hpp"
+#include "net/HttpClient.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace cactuspitch {
+
+/// Sends the leader's commands to backend servers, a few at a time per server.
+class CommandSender
+{
+public:
+  /// Called with the incarnation of a server that announced its shutdown in a
+  /// response.
+  using LeavingCallback =
+    std::function<void(const std::string& aBackend, int64_t aStartTimeMs)>;
+
+  struct Handlers
+  {
+    /// Whether new grants may be sent or only renewals.
+    std::function<GrantScope()> grantScope_;
+    std::function<void(const KeyCommand&, const CommandResponse&)> onDone_;
+    /// A response announced that the server shuts down.
+    LeavingCallback onLeaving_;
+  };
+
+  CommandSender(EventLoop& aLoop,
+                EventLog& aLog,
+                HttpClient& aClient,
+                const CommandProtocol& aProtocol,
+                Handlers aHandlers);
+
+  /// Sets the address of a server. There is no removal, because a server
+  /// without a registration may still hold keys.
+  void SetServer(const std::string& aBackend,
+                 const Endpoint& aEndpoint,
+                 int64_t aStartTimeMs);
+  void Send(const KeyCommand& aCommand);
+  /// Drops queued commands; responses to commands in flight are ignored.
+  void Reset();
+
+private:
+  struct Server
+  {
+    Endpoint endpoint_;
+    int64_t startTimeMs_ = 0;
+  };
+  struct ServerQueue
+  {
+    int inFlight_ = 0;
+    std::deque<KeyCommand> waiting_;
+  };
+
+  void SendWaiting(const std::string& aBackend);
+  void SendNow(const KeyCommand& aCommand);
+  /// aStartTimeMs identifies the incarnation that the command was sent to, 0 if
+  /// it was not sent.
+  void OnDone(const KeyCommand& aCommand,
+              int64_t aStartTimeMs,
+              const CallResult& aResult);
+
+  EventLoop& loop_;
+  EventLog& log_;
+  HttpClient& client_;
+  const CommandProtocol& protocol_;
+  Handlers handlers_;
+  uint64_t generation_ = 0; ///< incremented by Reset
+  std::map<std::string, Server> servers_;
+  /// Servers that did not respond to the last command.
+  std::set<std::string> unresponsive_;
+  std::map<std::string, ServerQueue> queues_;
+};
+
+}
--- /dev/null
+++ b/gateway/KeyCoordinator.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "gateway/CommandSender.hpp"
+#include "gateway/EventLog.hpp"
+#include "gateway/PlatformInterface.hpp"
+#include "gateway/StoreClient.hpp"
+#include "keyspace/KeyBalancer.hpp"
+#include "keyspace/KeyLoad.hpp"
+#include "keyspace/KeyOwnership.hpp"
+#include "net/HttpClient.hpp"
+#include "policy/FleetLoadTable.hpp"
+#include "policy/OwnerAdmission.hpp"
+#include "routing/RoutingConfig.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace cactuspitch {
+
+/// Assigns keys to backend servers while this gateway is the leader: stores the
+/// key table, sends grants and releases, and moves keys according to load. The
+/// decisions are made in keyspace/.
+class KeyCoordinator
+{
+public:
+  struct Handlers
+  {
+    /// True while commands may be sent.
+    std::function<bool()> maySendCommands_;
+    std::function<GrantScope()> grantScope_;
+    /// Owners of keys have changed.
+    std::function<void()> onChanged_;
+    /// A newer leader has written the key table.
+    std::function<void(std::string_view aCause)> onSuperseded_;
+    CommandSender::LeavingCallback onLeaving_;
+  };
+
+  KeyCoordinator(EventLoop& aLoop,
+                 EventLog& aLog,
+                 StoreClient& aStore,
+                 HttpClient& aClient,
+                 const CommandProtocol& aProtocol,
+                 const FleetLoadTable& aFleetLoads,
+                 TimeMs aMaxHoldMs,
+                 Handlers aHandlers);
+
+  /// Request that reads the key table.
+  static CallRequest TableReadRequest(const ObjectProtocol& aProtocol);
+
+  void Start(int64_t aTerm);
+  void Stop();
+  void OnEarlierLeadersEnded();
+  /// Applies from the next term on.
+  void SetMaxHold(TimeMs aMaxHoldMs) { maxHoldMs_ = aMaxHoldMs; }
+
+  void SetKeyedServices(std::set<std::string> aKeyedServices);
+  /// Updates the servers in aChanged from aEntries. A server without an entry
+  /// is removed.
+  void UpdateBackends(const std::map<std::string, BackendEntry>& aEntries,
+                      const std::set<std::string>& aChanged);
+  void AddLoad(const std::string& aService, uint32_t aKey, int aRequests);
+  /// Demand and capacity of all owners of keys, in requests per second.
+  std::vector<OwnerDemand> Demands() const;
+
+  const std::map<std::string, std::unique_ptr<KeyOwnership>>& Ownership() const
+  {
+    return services_;
+  }
+
+private:
+  void Tick();
+  void RetryLater(std::function<void()> aTask);
+  void LoadTable();
+  void OnTableLoaded(const StoreResponse& aResponse);
+  /// True if there were recent requests for keys of the service.
+  bool HasDemand(const std::string& aService) const;
+  void ProposeChanges();
+  void WriteTable(std::map<std::string, KeySegments> aProposed);
+  void OnTableWritten(const StoreResponse& aResponse);
+  void ResolveUnknownWrite();
+  void OnCommitted(int64_t aRevision);
+  void SendCommands();
+  void OnCommandDone(const KeyCommand& aCommand,
+                     const CommandResponse& aResponse);
+  void UpdateCandidates();
+  /// Mean service time of a request, over the servers with measurements.
+  double MeanWorkMs(const std::string& aService) const;
+  double MeanWorkSeconds(const std::string& aService) const;
+  void ReportChanges();
+  std::vector<KeyOwnership::Move> PlanMoves(const std::string& aService,
+                                            const KeyOwnership& aOwnership);
+  void DecideTiming(const KeyTable& aEarlier);
+  int64_t NextFence();
+
+  EventLoop& loop_;
+  EventLog& log_;
+  StoreClient& store_;
+  CommandSender sender_;
+  const FleetLoadTable& fleetLoads_;
+  TimeMs maxHoldMs_; ///< longest lease that backend servers accept
+  Handlers handlers_;
+  Timer timer_;
+  Timer retryTimer_;
+  std::function<void()> retryTask_;
+  bool running_ = false;
+  bool loaded_ = false;     ///< the earlier leader's table has been loaded
+  uint64_t generation_ = 0; ///< responses of other generations are dropped
+  int64_t term_ = 0;
+  std::optional<LeaseTiming> timing_; ///< fixed for the current term
+  int64_t fenceCounter_ = 0;
+  int64_t writeId_ = 0;
+  int64_t revision_ = 0;
+  bool writing_ = false;
+  TimeMs lastWriteMs_ = 0;
+  TimeMs lastBalanceMs_ = 0;
+  std::map<std::string, KeySegments> written_; ///< segments in the last write
+  std::set<std::string> keyedServices_;
+  std::map<std::string, BackendEntry> backends_;
+  std::map<std::string, TimeMs> warmAtMs_;
+  std::map<std::string, std::unique_ptr<KeyOwnership>> services_;
+  std::map<std::string, uint64_t> reportedRevisions_;
+  std::map<std::string, KeyLoad> loads_;
+};
+
+}
--- /dev/null
+++ b/gateway/StoreWatcher.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "gateway/EventLog.hpp"
+#include "gateway/StoreClient.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace cactuspitch {
+
+/// Keeps only the last event of each object, since earlier states are outdated.
+/// The result is in the order of these events.
+std::vector<ObjectEvent> LatestEventPerObject(
+  const std::vector<ObjectEvent>& aEvents);
+
+/// How a watcher catches up when it becomes active again.
+enum class ResumeMode : uint8_t
+{
+  Watch, ///< replay the missed events; for objects with increasing versions
+  List,  ///< list, because replayed states may be older than received gossip
+  Count
+};
+
+template<>
+struct EnumNames<ResumeMode>
+{
+  static constexpr std::string_view kNames[] = { "watch", "list" };
+};
+
+/// Follows all objects of one kind: lists them once and then watches for
+/// changes. Lists again if the store has compacted the history since the last
+/// watch.
+class StoreWatcher
+{
+public:
+  struct Handlers
+  {
+    /// Called with a complete list.
+    std::function<void(const std::vector<StoreObject>&)> onList_;
+    std::function<void(const std::vector<ObjectEvent>&)> onEvents_;
+  };
+
+  StoreWatcher(EventLoop& aLoop,
+               EventLog& aLog,
+               StoreClient& aStore,
+               std::string aKind,
+               TimeMs aWaitMs,
+               ResumeMode aResumeMode,
+               bool aActive,
+               Handlers aHandlers);
+
+  /// Starts with a list that may be some seconds old, which is cheaper. An
+  /// active watcher receives the later changes from its watch.
+  void Start();
+  /// Lists the objects again. Does nothing while active, since the watch
+  /// already delivers all changes.
+  void Relist();
+  /// An inactive watcher makes no calls after its first list.
+  void SetActive(bool aActive);
+  bool IsActive() const { return active_; }
+  /// Replaces the pending watch or list, which may hang on a dead connection.
+  void Refresh();
+  /// Revision of the store up to which all changes were passed on, 0 before the
+  /// first list and while a new list is needed.
+  int64_t Revision() const { return synced_ ? revision_ : 0; }
+  /// True once a complete list has been read.
+  bool HasListed() const { return everListed_; }
+
+private:
+  void List(ReadMode aMode);
+  void OnListed(const StoreResponse& aResponse);
+  void Watch();
+  void OnWatched(const StoreResponse& aResponse);
+  void RetryLater();
+  TimeMs BackoffMs();
+
+  EventLog& log_;
+  StoreClient& store_;
+  std::string kind_;
+  TimeMs waitMs_;
+  ResumeMode resumeMode_;
+  Handlers handlers_;
+  Timer retryTimer_;
+  uint64_t generation_ = 0; ///< responses of other generations are dropped
+  bool active_;
+  bool synced_ = false;
+  bool everListed_ = false;
+  int failures_ = 0;
+  int64_t revision_ = 0;
+  std::vector<StoreObject> listed_;
+  ReadMode mode_ = ReadMode::AllowStale; ///< of the current list
+  int64_t listRevision_ = 0;
+};
+
+}
--- a/tests/LeaderElectionTest.cpp
+++ b/tests/LeaderElectionTest.cpp
@@ -2,7 +2,7 @@
 
 #include "common/Strings.hpp"
 #include "gossip_types.h"
-#include "platform/Objects.hpp"
+#include "platform/ObjectCodec.hpp"
 #include "tests/GatewayRig.hpp"
 
 #include <gtest/gtest.h>
@@ -13,12 +13,12 @@
 
 constexpr int64_t kNowMs = 1700000000000;
 
-/// An election whose store holds the object of another gateway, from the start
-/// or as soon as this one tries to create it.
+/// An election in which the store contains the lease of another gateway, either
+/// from the start or from this gateway's attempt to create it.
 class LeaderElectionTest : public testing::Test
 {
 protected:
-  void Serve(ScriptedServer::Exchange& aExchange)
+  void HandleRequest(ScriptedServer::Exchange& aExchange)
   {
     const bool isRead = aExchange.head_.method_ == "GET";
     writes_ += isRead ? 0 : 1;
@@ -43,11 +43,11 @@
     const bool loses = writes_ == 1 && !isRead && winnerMs_ == 0;
     aExchange.write_(TextAnswer(loses ? 409 : 200, winner));
   }
-  /// It reads the object and leaves it to the other gateway.
-  void ExpectToWaitAfterTheRead()
+  /// Expects that the gateway reads the lease and does not write it.
+  void ExpectWaitAfterRead()
   {
     ASSERT_TRUE(RunLoopUntil(loop_, [&] { return reads_ == 1; }));
-    RunLoopFor(loop_, LeaderTiming::kSilenceMs / 2);
+    RunLoopFor(loop_, LeaderTiming::kElectionTimeoutMs / 2);
     EXPECT_EQ(elected_, 0);
     EXPECT_EQ(writes_, 0);
   }
@@ -55,16 +55,17 @@
   EventLoop loop_;
   EventLog log_{ loop_, LogLevel::Error, STDERR_FILENO };
   HttpClient client_{ loop_ };
-  platform::Objects objects_;
+  platform::ObjectCodec objects_;
   int reads_ = 0;
   int writes_ = 0;
   int elected_ = 0;
   std::function<void()> onRead_; ///< runs before a read is answered
-  std::string stored_;   ///< answer to reads instead of the winner's object
-  int64_t winnerMs_ = 0; ///< last renewal of the other's object
-  ScriptedServer server_{ loop_,
-                          [this](auto& aExchange) { Serve(aExchange); } };
-  StoreLink store_{ loop_, log_, client_, objects_, server_.Address() };
+  std::string stored_;   ///< response to reads instead of the winner's lease
+  int64_t winnerMs_ = 0; ///< last renewal of the other gateway's lease
+  ScriptedServer server_{ loop_, [this](auto& aExchange) {
+                           HandleRequest(aExchange);
+                         } };
+  StoreClient store_{ loop_, log_, client_, objects_, server_.Address() };
   PeerMesh mesh_{ loop_, log_, "self", "d1", {}, [] { return 0; } };
   LeaderElection election_{ loop_,
                             log_,
@@ -76,28 +77,29 @@
                             { [this](int64_t) { ++elected_; }, [] {}, [] {} } };
 };
 
-// Guards against several elections at the first start: who loses the race to
-// create the object replaced the winner before hearing of it.
-TEST_F(LeaderElectionTest, TheLoserOfARaceWaitsForTheWinner)
+// Guards against repeated elections at the first start: the loser of the race
+// to create the lease replaced the winner before it received its gossip.
+TEST_F(LeaderElectionTest, LoserOfCreateRaceWaitsForWinner)
 {
   election_.Start();
   ASSERT_TRUE(RunLoopUntil(loop_, [&] { return writes_ == 1; }));
-  RunLoopFor(loop_, LeaderTiming::kSilenceMs / 2);
+  RunLoopFor(loop_, LeaderTiming::kElectionTimeoutMs / 2);
   EXPECT_EQ(elected_, 0);
   EXPECT_EQ(writes_, 1);
 }
 
-// Guards against the same by a gateway that reads the object after the race.
-TEST_F(LeaderElectionTest, AStartingGatewayWaitsForALeaderThatRenewed)
+// Guards against repeated elections by a gateway that reads the lease after the
+// race.
+TEST_F(LeaderElectionTest, StartingGatewayWaitsForRecentlyRenewedLeader)
 {
   winnerMs_ = kNowMs - 300;
   election_.Start();
-  ExpectToWaitAfterTheRead();
+  ExpectWaitAfterRead();
 }
 
-// Guards against a second election by a candidate that was slower and takes
-// over before the new leader's first gossip arrives.
-TEST_F(LeaderElectionTest, ASlowerCandidateWaitsForTheNewLeader)
+// Guards against a second election by a slower candidate that takes over before
+// the first gossip of the new leader arrives.
+TEST_F(LeaderElectionTest, SlowerCandidateWaitsForNewLeader)
 {
   wire::Gossip old;
   old.instance = "old";
@@ -105,12 +107,13 @@
   winnerMs_ = kNowMs - 50;
   election_.Start();
   election_.OnGossip(old);
-  ExpectToWaitAfterTheRead();
+  ExpectWaitAfterRead();
 }
 
-// Guards against a candidate that hears the new leader while it reads the
-// object, finds no newer term there and replaces it (accra-grown inc-2f35).
-TEST_F(LeaderElectionTest, ACandidateThatHearsTheLeaderWhileItReadsGivesUp)
+// Guards against a candidate that replaces the new leader although gossip of it
+// arrives while the candidate reads the lease: the lease then has no newer term
+// than the gossip (accra-grown inc-2f35).
+TEST_F(LeaderElectionTest, CandidateGivesUpIfLeaderGossipArrivesDuringRead)
 {
   winnerMs_ = kNowMs - 50;
   onRead_ = [this] {
@@ -121,12 +124,12 @@
     election_.OnGossip(leader);
   };
   election_.Start();
-  ExpectToWaitAfterTheRead();
+  ExpectWaitAfterRead();
 }
 
-// Guards against a process that ends because another writer has stored fields
-// of other types.
-TEST_F(LeaderElectionTest, ReplacesAnObjectThatItCannotRead)
+// Guards against a crash on a lease whose fields another writer stored with
+// other types.
+TEST_F(LeaderElectionTest, ReplacesUnreadableLease)
 {
   stored_ = R"({"metadata": {"name": "leader", "revision": 12}, "spec": {
     "term": "x", "instance": 5, "bootId": {}, "renewedAtMs": "soon",
@@ -135,13 +138,14 @@
   EXPECT_TRUE(RunLoopUntil(loop_, [&] { return writes_ == 1; }));
 }
 
-// Guards against a wait for a leader that ended with all other processes.
-TEST_F(LeaderElectionTest, AStartingGatewayReplacesALeaderOfThePast)
+// Guards against waiting for a leader that exited together with all other
+// processes.
+TEST_F(LeaderElectionTest, StartingGatewayReplacesExpiredLeader)
 {
   winnerMs_ = kNowMs - 5000;
   election_.Start();
   ASSERT_TRUE(RunLoopUntil(loop_, [&] { return reads_ == 1; }));
-  RunLoopFor(loop_, LeaderTiming::kSilenceMs / 2);
+  RunLoopFor(loop_, LeaderTiming::kElectionTimeoutMs / 2);
   EXPECT_EQ(writes_, 1);
 }
 
--- a/tests/MutatedInputTest.cpp
+++ b/tests/MutatedInputTest.cpp
@@ -1,6 +1,6 @@
 #include "keyspace/KeySegment.hpp"
-#include "platform/Objects.hpp"
-#include "platform/Requests.hpp"
+#include "platform/ObjectCodec.hpp"
+#include "platform/RequestCodec.hpp"
 #include "platform/SettingsFile.hpp"
 
 #include <cstdio>
@@ -35,7 +35,7 @@
   "events":[{"removed":true,"object":{"metadata":{"name":"b","revision":4},
    "spec":null,"status":{}}}]})";
 
-/// Values that a field of any type may be replaced by.
+/// Values that replace fields of any type.
 const std::vector<Json>& Replacements()
 {
   static const std::vector<Json> kValues = {
@@ -60,25 +60,25 @@
   return kValues;
 }
 
-/// All values of a document.
-void Gather(Json& aJson, std::vector<Json*>& aNodes)
+/// Appends aJson and all values nested in it to aNodes.
+void CollectNodes(Json& aJson, std::vector<Json*>& aNodes)
 {
   aNodes.push_back(&aJson);
   if (aJson.is_structured()) {
     for (auto& child : aJson) {
-      Gather(child, aNodes);
+      CollectNodes(child, aNodes);
     }
   }
 }
 
-/// The document with some values replaced or removed.
+/// Returns a copy of the document with some values replaced or removed.
 Json Mutated(const Json& aJson)
 {
   auto result = aJson;
   const int changes = *rc::gen::inRange(1, 4);
   for (int change = 0; change < changes; ++change) {
     std::vector<Json*> nodes;
-    Gather(result, nodes);
+    CollectNodes(result, nodes);
     auto& node = *nodes[*rc::gen::inRange<size_t>(0, nodes.size())];
     if (node.is_object() && !node.empty() && *rc::gen::inRange(0, 2) == 0) {
       auto gone = node.begin();
@@ -100,14 +100,14 @@
   return result;
 }
 
-// Guard against a document of the store with a field that is missing or of
-// another type and ends the process.
+// Guard against a process that crashes on a document of the store in which a
+// field is missing or has another type. This applies to the next four tests.
 RC_GTEST_PROP(MutatedInput, Configuration, ())
 {
   StoreObject object;
   object.spec_ = Mutated(Json::parse(kConfig));
   Findings findings;
-  const auto config = Registry().DecodeConfig(object, findings);
+  const auto config = RegistryCodec().DecodeConfig(object, findings);
   RC_ASSERT(config || !findings.IsEmpty());
 }
 
@@ -118,17 +118,18 @@
   object.spec_ = Mutated(Json::parse(kRegistration));
   object.status_ = Mutated(Json::parse(kRegistration)["status"]);
   Findings findings;
-  const auto entry = Registry().DecodeBackend(object, findings);
+  const auto entry = RegistryCodec().DecodeBackend(object, findings);
   RC_ASSERT(entry || !findings.IsEmpty());
 }
 
-RC_GTEST_PROP(MutatedInput, AnswerOfTheStore, ())
+RC_GTEST_PROP(MutatedInput, StoreResponse, ())
 {
   auto text = Mutated(Json::parse(kList)).dump();
   if (*rc::gen::arbitrary<bool>()) {
     text.resize(*rc::gen::inRange<size_t>(0, text.size()));
   }
-  Objects().ReadAnswer(Answered(*rc::gen::element(200, 409, 404, 410), text));
+  ObjectCodec().ParseResponse(
+    Answered(*rc::gen::element(200, 409, 404, 410), text));
 }
 
 RC_GTEST_PROP(MutatedInput, KeyTable, ())
@@ -140,9 +141,9 @@
   DecodeKeyTable(Mutated(EncodeKeyTable(table)), decoded);
 }
 
-// Guards against a field of a server's answer or a caller's request that ends
-// the process.
-RC_GTEST_PROP(MutatedInput, FieldsOfMessages, ())
+// Guards against a process that crashes on a header field of a server's
+// response or a caller's request.
+RC_GTEST_PROP(MutatedInput, HeaderFields, ())
 {
   static const std::vector<std::string> kNames = {
     "Cactuspitch-Request-Id",
@@ -182,16 +183,16 @@
                               known ? *rc::gen::elementOf(kValues)
                                     : *rc::gen::arbitrary<std::string>());
   }
-  const auto answer = Requests().ReadAnswer(head);
+  const auto answer = RequestCodec().ParseResponse(head);
   constexpr TimeMs kHourMs = 3600000;
-  RC_ASSERT(!answer.pauseMs_ ||
-            (*answer.pauseMs_ >= 0 && *answer.pauseMs_ <= kHourMs));
-  const auto caller = Requests().ReadRequest(head);
-  RC_ASSERT(!caller.deadlineMs_ || *caller.deadlineMs_ >= 0);
+  RC_ASSERT(!answer.retryAfterMs_ ||
+            (*answer.retryAfterMs_ >= 0 && *answer.retryAfterMs_ <= kHourMs));
+  const auto caller = RequestCodec().ParseRequest(head);
+  RC_ASSERT(!caller.remainingMs_ || *caller.remainingMs_ >= 0);
 }
 
-// Guards against a settings file that ends the process instead of being found
-// wrong.
+// Guards against a process that crashes on an invalid settings file instead of
+// reporting it.
 RC_GTEST_PROP(MutatedInput, SettingsFile, ())
 {
   const auto bounds =
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -1,5 +1,5 @@
-#include "platform/Objects.hpp"
-#include "platform/Requests.hpp"
+#include "platform/ObjectCodec.hpp"
+#include "platform/RequestCodec.hpp"
 #include "platform/SettingsFile.hpp"
 
 #include <fstream>
@@ -34,12 +34,12 @@
    {"name":"r2","path-prefix":"/y/z/","kind":"unsafe","timeout-s":1.2,
     "target-latency-s":0.4,"priority":1,"service":"s2","max-attempts":2}]}]})";
 
-// Guards against a field of the configuration that is read wrongly.
-TEST(Registry, ReadsConfig)
+// Guards against configuration fields that are decoded incorrectly.
+TEST(RegistryCodec, ReadsConfig)
 {
   Findings findings;
   const auto config =
-    Registry().DecodeConfig(Object("main", kConfig), findings);
+    RegistryCodec().DecodeConfig(Object("main", kConfig), findings);
   ASSERT_TRUE(config) << findings.ToText();
   EXPECT_EQ(config->version_, 7);
   EXPECT_TRUE(config->services_.at("s1").keyed_);
@@ -58,9 +58,9 @@
   EXPECT_EQ(config->routes_[1].host_, "b.example");
 }
 
-// Guards against a configuration that is taken although a part of it is missing
-// or has another type; all findings must be told at once.
-TEST(Registry, RejectsBrokenConfigWithAllFindings)
+// Guards against accepting a configuration with missing fields or fields of
+// another type. All findings must be reported at once.
+TEST(RegistryCodec, RejectsInvalidConfigWithAllFindings)
 {
   auto json = Json::parse(kConfig);
   json["version"] = 7;
@@ -70,13 +70,14 @@
   object.name_ = "main";
   object.spec_ = json;
   Findings findings;
-  EXPECT_FALSE(Registry().DecodeConfig(object, findings));
+  EXPECT_FALSE(RegistryCodec().DecodeConfig(object, findings));
   EXPECT_GE(findings.All().size(), 3U);
 }
 
-// Guards against one route of an unknown kind that takes all routes out of
-// service: it is handled by the strictest rules, and the others go on.
-TEST(Registry, ServesUnknownKindsByTheStrictestRules)
+// Guards against a route of an unknown kind that invalidates the whole
+// configuration. The route is served by the strictest rules, the others as
+// usual.
+TEST(RegistryCodec, ServesUnknownKindsByTheStrictestRules)
 {
   auto json = Json::parse(kConfig);
   json["virtual-hosts"][0]["paths"][0]["kind"] = "other";
@@ -86,7 +87,7 @@
   object.name_ = "main";
   object.spec_ = json;
   Findings findings;
-  const auto config = Registry().DecodeConfig(object, findings);
+  const auto config = RegistryCodec().DecodeConfig(object, findings);
   ASSERT_TRUE(config) << findings.ToText();
   EXPECT_EQ(config->routes_[0].kind_, RequestKind::NonIdempotent);
   EXPECT_EQ(config->routes_[1].kind_, RequestKind::Upload);
@@ -100,11 +101,12 @@
   "info":{"service":"s1","version":"v1","zone":"cairo-a","slots":6},
   "status":{"state":"ready","seq":4,"cold-remaining-s":1.5}})";
 
-// Guards against a registration that is read wrongly.
-TEST(Registry, ReadsBackend)
+// Guards against registration fields that are decoded incorrectly.
+TEST(RegistryCodec, ReadsBackend)
 {
   Findings findings;
-  const auto entry = Registry().DecodeBackend(Object("i-1", kServer), findings);
+  const auto entry =
+    RegistryCodec().DecodeBackend(Object("i-1", kServer), findings);
   ASSERT_TRUE(entry) << findings.ToText();
   EXPECT_EQ(entry->id_, "i-1");
   EXPECT_EQ(entry->address_, "10.128.0.9:8080");
@@ -116,8 +118,8 @@
   EXPECT_EQ(entry->startTimeMs_, 1785533497000);
 }
 
-// Guards against forged entries that name a server to use.
-TEST(Registry, RejectsForgedBackends)
+// Guards against invalid registrations that add a server.
+TEST(RegistryCodec, RejectsInvalidBackends)
 {
   const std::vector<std::pair<std::string, Json>> changes = {
     { "/address", "somewhere" },  { "/address", 7 },
@@ -133,13 +135,13 @@
     object.name_ = "i-1";
     object.spec_ = json;
     Findings findings;
-    EXPECT_FALSE(Registry().DecodeBackend(object, findings))
+    EXPECT_FALSE(RegistryCodec().DecodeBackend(object, findings))
       << place << " " << value;
     EXPECT_FALSE(findings.IsEmpty());
   }
 }
 
-// Guards against a crash on objects of any shape.
+// Guards against a crash on objects of arbitrary structure.
 RC_GTEST_PROP(RegistryProperty, SurvivesAnyObject, ())
 {
   auto json = Json::parse(*rc::gen::element<std::string>(kConfig, kServer));
@@ -152,8 +154,8 @@
   object.name_ = "x";
   object.spec_ = json;
   Findings findings;
-  Registry().DecodeConfig(object, findings);
-  Registry().DecodeBackend(object, findings);
+  RegistryCodec().DecodeConfig(object, findings);
+  RegistryCodec().DecodeBackend(object, findings);
 }
 
 CallResult Answered(int aStatus, std::string aBody = {})
@@ -165,30 +167,30 @@
   return result;
 }
 
-// Guards against grants and releases that servers read differently.
-TEST(Orders, WritesGrantAndRelease)
+// Guards against grants and releases in another format than servers expect.
+TEST(CommandCodec, WritesGrantAndRelease)
 {
   KeyCommand order{
     KeyCommandKind::Grant, "s1", "i-1", 4096, 8191, 12, 4000, "h1"
   };
-  auto call = Orders().MakeOrder(order);
+  auto call = CommandCodec().MakeCommand(order);
   EXPECT_EQ(call.target_, "/-/grant");
   EXPECT_EQ(Json::parse(call.body_),
             Json::parse(R"({"from":4096,"to":8191,"fence":12,"hold-s":4.0,
                             "handover":"h1"})"));
   order.kind_ = KeyCommandKind::Release;
-  call = Orders().MakeOrder(order);
+  call = CommandCodec().MakeCommand(order);
   EXPECT_EQ(call.target_, "/-/release");
   EXPECT_EQ(Json::parse(call.body_),
             Json::parse(R"({"from":4096,"to":8191,"fence":12})"));
 }
 
-// Guards against a lost answer that counts as "not done": such an order may
-// still be carried out.
-TEST(Orders, ReadsResults)
+// Guards against a lost response that counts as "not sent": the server may
+// still execute the command.
+TEST(CommandCodec, ReadsResults)
 {
   const auto read = [](const CallResult& aResult) {
-    return Orders().ReadAnswer(aResult).result_;
+    return CommandCodec().ParseResponse(aResult).result_;
   };
   EXPECT_EQ(read(Answered(200)), KeyCommandResult::Accepted);
   EXPECT_EQ(read(Answered(409)), KeyCommandResult::OlderFence);
@@ -201,41 +203,44 @@
   EXPECT_EQ(read(lost), KeyCommandResult::NotSent);
 }
 
-// Guards against a notice in the answer to an order that is missed, or that
-// another server at the address gave.
-TEST(Orders, ReadsLeaving)
+// Guards against missing the shutdown notice in a response to a command, and
+// against accepting the notice of another server at the same address.
+TEST(CommandCodec, ReadsLeaving)
 {
   const auto read = [](int aStatus) {
     auto result = Answered(aStatus);
     result.head_.fields_.emplace_back("Server-Leaving", "1");
-    return Orders().ReadAnswer(result).leaving_;
+    return CommandCodec().ParseResponse(result).leaving_;
   };
   EXPECT_TRUE(read(200));
   EXPECT_TRUE(read(409));
   EXPECT_FALSE(read(421));
   EXPECT_FALSE(read(400));
-  EXPECT_FALSE(Orders().ReadAnswer(Answered(200)).leaving_);
+  EXPECT_FALSE(CommandCodec().ParseResponse(Answered(200)).leaving_);
 }
 
-// Guards against confusing the answers of the store: refused, conflict, history
-// gone, lost.
-TEST(Objects, ReadsAnswers)
+// Guards against confusing the store's responses: rejected, conflict, history
+// compacted, unreadable.
+TEST(ObjectCodec, ReadsResponses)
 {
-  const Objects objects;
-  EXPECT_EQ(objects.ReadAnswer(Answered(429)).status_, StoreStatus::NotDone);
-  EXPECT_EQ(objects.ReadAnswer(Answered(503)).status_, StoreStatus::NotDone);
-  EXPECT_EQ(objects.ReadAnswer(Answered(404)).status_, StoreStatus::Missing);
-  EXPECT_EQ(objects.ReadAnswer(Answered(410)).status_,
-            StoreStatus::HistoryGone);
-  EXPECT_EQ(objects.ReadAnswer(Answered(200, "{")).status_,
+  const ObjectCodec objects;
+  EXPECT_EQ(objects.ParseResponse(Answered(429)).status_,
+            StoreStatus::NotApplied);
+  EXPECT_EQ(objects.ParseResponse(Answered(503)).status_,
+            StoreStatus::NotApplied);
+  EXPECT_EQ(objects.ParseResponse(Answered(404)).status_,
+            StoreStatus::NotFound);
+  EXPECT_EQ(objects.ParseResponse(Answered(410)).status_,
+            StoreStatus::HistoryCompacted);
+  EXPECT_EQ(objects.ParseResponse(Answered(200, "{")).status_,
             StoreStatus::Unknown);
-  const auto conflict = objects.ReadAnswer(
+  const auto conflict = objects.ParseResponse(
     Answered(409, R"({"metadata":{"name":"n","revision":5},"spec":{"a":1}})"));
   EXPECT_EQ(conflict.status_, StoreStatus::Conflict);
   EXPECT_EQ(conflict.object_.revision_, 5);
   const auto watched =
-    objects.ReadAnswer(Answered(200,
-                                R"({"events":[{"removed":true,"object":
+    objects.ParseResponse(Answered(200,
+                                   R"({"events":[{"removed":true,"object":
         {"metadata":{"name":"n","revision":6},"spec":{}}}],"at":9})"));
   EXPECT_EQ(watched.status_, StoreStatus::Ok);
   ASSERT_EQ(watched.list_.events_.size(), 1U);
@@ -244,28 +249,28 @@
 }
 
 // Guards against a conditional update that is sent without its condition.
-TEST(Objects, WritesConditions)
+TEST(ObjectCodec, WritesConditions)
 {
-  const auto call = Objects().Replace("k", "n", Json{ { "a", 1 } }, 412);
+  const auto call = ObjectCodec().Replace("k", "n", Json{ { "a", 1 } }, 412);
   EXPECT_EQ(call.method_, "PUT");
   EXPECT_EQ(call.target_, "/-/objects/k/n");
   EXPECT_EQ(
     Json::parse(call.body_),
     Json::parse(R"({"metadata":{"name":"n","revision":412},"spec":{"a":1}})"));
-  EXPECT_EQ(Objects().Watch("k", 530, 5000).target_,
+  EXPECT_EQ(ObjectCodec().Watch("k", 530, 5000).target_,
             "/-/objects/k?watch=530&wait-ms=5000");
 }
 
-// Guards against a refusal that is not recognised as "not run", which would
-// keep a non-idempotent request from being sent again.
-TEST(Requests, ReadsAnswerFields)
+// Guards against a rejection that is not recognized as "not executed", which
+// would prevent the retry of a non-idempotent request.
+TEST(RequestCodec, ReadsResponseFields)
 {
   HttpHead head;
   head.status_ = 503;
   head.fields_ = { { "cactuspitch-not-executed", "1" },
                    { "Cactuspitch-Server-Load", "3,0,8" },
                    { "Keep-Alive", "timeout=10" } };
-  const auto info = Requests().ReadAnswer(head);
+  const auto info = RequestCodec().ParseResponse(head);
   EXPECT_TRUE(info.notRun_);
   EXPECT_FALSE(info.sealed_);
   ASSERT_TRUE(info.load_);
@@ -273,13 +278,13 @@
   EXPECT_EQ(info.idleTimeoutMs_, 10000);
   head.fields_ = { { "Cactuspitch-Server-Load", "3,x,8" } };
   head.status_ = 421;
-  EXPECT_TRUE(Requests().ReadAnswer(head).notRun_);
-  EXPECT_FALSE(Requests().ReadAnswer(head).load_);
+  EXPECT_TRUE(RequestCodec().ParseResponse(head).notRun_);
+  EXPECT_FALSE(RequestCodec().ParseResponse(head).load_);
 }
 
-// Guards against a pause that is read from a date or a fraction, that never
-// ends, or that an answer other than a refusal brings.
-TEST(Requests, ReadsPauses)
+// Guards against invalid Retry-After values: dates, malformed fractions and
+// times without an end, and against values from other responses than 503.
+TEST(RequestCodec, ReadsRetryAfter)
 {
   const auto read = [](int aStatus, const std::vector<std::string>& aValues) {
     HttpHead head;
@@ -287,16 +292,16 @@
     for (const auto& value : aValues) {
       head.fields_.emplace_back("retry-after", value);
     }
-    return Requests().ReadAnswer(head);
+    return RequestCodec().ParseResponse(head);
   };
-  EXPECT_EQ(read(503, { "7" }).pauseMs_, 7000);
-  EXPECT_EQ(read(503, { "0" }).pauseMs_, 0);
-  EXPECT_EQ(read(503, { "3600" }).pauseMs_, 3600000);
-  EXPECT_EQ(read(503, { "1.5" }).pauseMs_, 1500);
-  EXPECT_EQ(read(503, { "0.0001" }).pauseMs_, 1);
-  EXPECT_FALSE(read(503, {}).malformedPause_);
-  EXPECT_FALSE(read(200, { "7" }).pauseMs_);
-  EXPECT_FALSE(read(429, { "x" }).malformedPause_);
+  EXPECT_EQ(read(503, { "7" }).retryAfterMs_, 7000);
+  EXPECT_EQ(read(503, { "0" }).retryAfterMs_, 0);
+  EXPECT_EQ(read(503, { "3600" }).retryAfterMs_, 3600000);
+  EXPECT_EQ(read(503, { "1.5" }).retryAfterMs_, 1500);
+  EXPECT_EQ(read(503, { "0.0001" }).retryAfterMs_, 1);
+  EXPECT_FALSE(read(503, {}).malformedRetryAfter_);
+  EXPECT_FALSE(read(200, { "7" }).retryAfterMs_);
+  EXPECT_FALSE(read(429, { "x" }).malformedRetryAfter_);
   const std::vector<std::vector<std::string>> malformed = {
     { "" },
     { "-1" },
@@ -317,26 +322,27 @@
   };
   for (const auto& values : malformed) {
     const auto info = read(503, values);
-    EXPECT_FALSE(info.pauseMs_) << values.front();
-    EXPECT_TRUE(info.malformedPause_) << values.front();
+    EXPECT_FALSE(info.retryAfterMs_) << values.front();
+    EXPECT_TRUE(info.malformedRetryAfter_) << values.front();
   }
 }
 
-// Guards against a notice that another server at the address gives.
-TEST(Requests, ReadsLeaving)
+// Guards against accepting the shutdown notice of another server at the same
+// address.
+TEST(RequestCodec, ReadsLeaving)
 {
   HttpHead head;
   head.fields_ = { { "server-leaving", "1" } };
   for (const int status : { 200, 404, 500, 503 }) {
     head.status_ = status;
-    EXPECT_TRUE(Requests().ReadAnswer(head).leaving_) << status;
+    EXPECT_TRUE(RequestCodec().ParseResponse(head).leaving_) << status;
   }
   head.status_ = 421;
-  EXPECT_FALSE(Requests().ReadAnswer(head).leaving_);
+  EXPECT_FALSE(RequestCodec().ParseResponse(head).leaving_);
   head.status_ = 200;
   head.fields_ = { { "Server-Leaving", "0" } };
-  EXPECT_FALSE(Requests().ReadAnswer(head).leaving_);
-  EXPECT_TRUE(Requests().IsInternalAnswerField("SERVER-LEAVING"));
+  EXPECT_FALSE(RequestCodec().ParseResponse(head).leaving_);
+  EXPECT_TRUE(RequestCodec().IsInternalResponseField("SERVER-LEAVING"));
 }
 
 std::string WriteSettings(const std::string& aText)
@@ -346,8 +352,8 @@
   return path;
 }
 
-// Guards against bounds of the platform that do not reach the settings. The
-// text is the template as the platform fills it in.
+// Guards against bounds of the platform that are not translated to settings.
+// The text is a template filled in by the platform.
 TEST(SettingsFile, TranslatesTheFilledTemplate)
 {
   const auto path = WriteSettings(
@@ -379,8 +385,8 @@
   std::remove(path.c_str());
 }
 
-// Guards against bounds that are skipped without a word.
-TEST(SettingsFile, TellsUnreadableAndMissingBounds)
+// Guards against bounds that are skipped without an error or a note.
+TEST(SettingsFile, ReportsUnreadableAndMissingBounds)
 {
   const auto path =
     WriteSettings("CACTUSPITCH_BOUNDS={\"grace-s\":6,\"hold-max-s\":\"x\","
