--- a/gateway/BackendLink.cpp
+++ b/gateway/BackendConnection.cpp
@@ -1,4 +1,4 @@
-#include "gateway/BackendLink.hpp"
+#include "gateway/BackendConnection.hpp"
 
 #include "gateway/BackendPool.hpp"
 
@@ -9,27 +9,28 @@
 
 namespace detail {
 
-constexpr size_t kMaxAnswerHeadBytes = 32768;
+constexpr size_t kMaxResponseHeadBytes = 32768;
 /// Servers are at most a few ms away; a lost first packet is sent again after
 /// a second, which is too late for most requests.
 constexpr TimeMs kConnectTimeoutMs = 300;
 /// A reset of a new connection arrives within a round trip of at most 2 ms and
 /// the 1 ms that a server needs for the connection.
-constexpr TimeMs kSettleMs = 4;
-constexpr TimeMs kDefaultIdleMs = 4000;
+constexpr TimeMs kNewConnectionDelayMs = 4;
+constexpr TimeMs kDefaultIdleTimeoutMs = 4000;
 /// Interim answers and late answers of other requests that are passed over
 /// before the own one; a server in trouble may send them without end.
-constexpr int kMaxSkippedAnswers = 8;
+constexpr int kMaxSkippedResponses = 8;
 
 }
 
-BackendLink::BackendLink(BackendPool& aPool, std::shared_ptr<Backend> aBackend)
+BackendConnection::BackendConnection(BackendPool& aPool,
+                                     std::shared_ptr<Backend> aBackend)
   : pool_(aPool)
   , backend_(std::move(aBackend))
   , stream_(aPool.loop_, *this)
   , timer_(aPool.loop_, [this] { OnTimer(); })
-  , parser_(HttpRole::Answer, detail::kMaxAnswerHeadBytes)
-  , idleTimeoutMs_(detail::kDefaultIdleMs)
+  , parser_(HttpMessageType::Response, detail::kMaxResponseHeadBytes)
+  , idleTimeoutMs_(detail::kDefaultIdleTimeoutMs)
 {
 }
 
@@ -40,29 +41,30 @@
          std::ranges::any_of(busy_, isOpen);
 }
 
-void BackendLink::Start(AttemptHandler& aHandler,
-                        AttemptTag aTag,
-                        std::string aHead,
-                        std::string_view aBody,
-                        std::string aRequestId,
-                        bool aExpectsBody)
+void BackendConnection::Start(AttemptHandler& aHandler,
+                              AttemptCrashInfo aTag,
+                              std::string aHead,
+                              std::string_view aBody,
+                              std::string aRequestId,
+                              bool aExpectsBody)
 {
   handler_ = &aHandler;
-  tag_ = aTag;
-  ranWell_ = false;
+  crashInfo_ = aTag;
+  succeeded_ = false;
   refused_ = false;
   busy_ = true;
-  headTaken_ = false;
-  skipping_ = false;
-  skipped_ = 0;
+  headReceived_ = false;
+  skippingResponse_ = false;
+  skippedResponses_ = 0;
   expectsBody_ = aExpectsBody;
   requestId_ = std::move(aRequestId);
   body_.clear();
-  parser_ = HttpParser(HttpRole::Answer, detail::kMaxAnswerHeadBytes);
+  parser_ =
+    HttpParser(HttpMessageType::Response, detail::kMaxResponseHeadBytes);
   if (!expectsBody_) {
     parser_.ExpectNoBody();
   }
-  sentBefore_ = stream_.WrittenBytes();
+  writtenBytesAtStart_ = stream_.WrittenBytes();
   sentMs_ = pool_.loop_.NowMs();
   loadAtSend_ = backend_->load_.Load(sentMs_);
   backend_->load_.OnSent();
@@ -70,7 +72,7 @@
   if (!stream_.IsOpen()) {
     if (!stream_.Connect(backend_->endpoint_)) {
       pool_.loop_.Defer([self = shared_from_this()] {
-        self->Fail(AttemptEnd::NotSent, "no socket");
+        self->Fail(AttemptFailure::NotSent, "no socket");
       });
       return;
     }
@@ -78,62 +80,62 @@
   }
   aHead.append(aBody);
   if (!stream_.IsConnected()) {
-    unsent_ = std::move(aHead);
+    unsentRequest_ = std::move(aHead);
   } else {
     stream_.Write(aHead);
   }
 }
 
-void BackendLink::SendRequest()
+void BackendConnection::SendRequest()
 {
-  const auto request = std::exchange(unsent_, {});
+  const auto request = std::exchange(unsentRequest_, {});
   stream_.Write(request);
 }
 
-void BackendLink::Cancel()
+void BackendConnection::Cancel()
 {
   handler_ = nullptr;
   if (busy_) {
-    const bool sent = stream_.WrittenBytes() > sentBefore_;
+    const bool sent = stream_.WrittenBytes() > writtenBytesAtStart_;
     stream_.Abort();
     timer_.Stop();
-    Leave(sent ? AttemptOutcome::Abandoned : AttemptOutcome::NotRun);
+    EndAttempt(sent ? AttemptOutcome::Cancelled : AttemptOutcome::NotExecuted);
     pool_.Release(shared_from_this(), false);
   }
 }
 
-void BackendLink::Detach()
+void BackendConnection::Detach()
 {
   handler_ = nullptr;
   stream_.PauseReading(false);
 }
 
-void BackendLink::PauseReading(bool aPaused)
+void BackendConnection::PauseReading(bool aPaused)
 {
   stream_.PauseReading(aPaused);
 }
 
-void BackendLink::OnConnected()
+void BackendConnection::OnConnected()
 {
   timer_.Stop();
   backend_->connectFailures_ = 0;
   backend_->downUntilMs_ = 0;
-  if (!unsent_.empty()) {
-    timer_.Start(detail::kSettleMs);
+  if (!unsentRequest_.empty()) {
+    timer_.Start(detail::kNewConnectionDelayMs);
   }
 }
 
-void BackendLink::OnTimer()
+void BackendConnection::OnTimer()
 {
   if (stream_.IsConnected()) {
     SendRequest();
     return;
   }
   pool_.OnConnectFailed(*backend_, "time-out");
-  Fail(AttemptEnd::NotSent, "connect time-out");
+  Fail(AttemptFailure::NotSent, "connect time-out");
 }
 
-void BackendLink::OnInput()
+void BackendConnection::OnInput()
 {
   if (!busy_) {
     // Bytes without a request belong to nobody.
@@ -142,47 +144,49 @@
     return;
   }
   const auto self = shared_from_this();
-  ReadAnswers();
+  ReadResponses();
 }
 
-void BackendLink::ReadAnswers()
+void BackendConnection::ReadResponses()
 {
   while (busy_ && stream_.IsOpen()) {
     const auto state = parser_.Parse(stream_.Input(), body_);
-    if (parser_.HasHead() && !headTaken_ && !skipping_ && !TakeHead()) {
+    if (parser_.HasHead() && !headReceived_ && !skippingResponse_ &&
+        !HandleHead()) {
       return;
     }
     if (state == ParseState::Failed) {
-      Fail(AttemptEnd::MaybeRun, "malformed answer");
+      Fail(AttemptFailure::MaybeExecuted, "malformed answer");
       return;
     }
-    if (skipping_ || handler_ == nullptr) {
+    if (skippingResponse_ || handler_ == nullptr) {
       body_.clear();
     } else if (!body_.empty()) {
-      handler_->OnAnswerBody(body_);
+      handler_->OnResponseBody(body_);
     }
     if (state != ParseState::Done) {
       return;
     }
-    if (!skipping_) {
+    if (!skippingResponse_) {
       const bool wholeRequest =
-        stream_.WrittenBytes() - sentBefore_ == requestBytes_;
-      FinishAnswer(answerKeepsAlive_ && wholeRequest &&
-                   stream_.Input().empty());
+        stream_.WrittenBytes() - writtenBytesAtStart_ == requestBytes_;
+      FinishResponse(responseKeepsAlive_ && wholeRequest &&
+                     stream_.Input().empty());
       return;
     }
     // The answer of another request is over; the own one is still to come.
-    skipping_ = false;
-    if (++skipped_ > detail::kMaxSkippedAnswers) {
-      Fail(AttemptEnd::MaybeRun, "too many answers of others");
+    skippingResponse_ = false;
+    if (++skippedResponses_ > detail::kMaxSkippedResponses) {
+      Fail(AttemptFailure::MaybeExecuted, "too many answers of others");
       return;
     }
-    parser_ = HttpParser(HttpRole::Answer, detail::kMaxAnswerHeadBytes);
+    parser_ =
+      HttpParser(HttpMessageType::Response, detail::kMaxResponseHeadBytes);
     if (!expectsBody_) {
       parser_.ExpectNoBody();
     }
-    if (!answerKeepsAlive_) {
-      Fail(AttemptEnd::MaybeRun, "answer of another request");
+    if (!responseKeepsAlive_) {
+      Fail(AttemptFailure::MaybeExecuted, "answer of another request");
       return;
     }
     if (stream_.Input().empty()) {
@@ -191,50 +195,51 @@
   }
 }
 
-bool BackendLink::TakeHead()
+bool BackendConnection::HandleHead()
 {
   auto& head = parser_.Head();
   if (head.status_ >= 100 && head.status_ < 200) {
     // An interim answer has no body and is followed by the real one.
-    skipping_ = true;
-    answerKeepsAlive_ = true;
+    skippingResponse_ = true;
+    responseKeepsAlive_ = true;
     return true;
   }
   auto info = pool_.protocol_.ReadAnswer(head);
-  answerKeepsAlive_ = head.KeepsAlive() && !parser_.IsUnframed();
+  responseKeepsAlive_ = head.KeepsAlive() && !parser_.IsCloseDelimited();
   if (info.idleTimeoutMs_) {
     idleTimeoutMs_ = *info.idleTimeoutMs_;
   }
   const bool ownAnswer =
     info.requestId_ == requestId_ || (info.requestId_.empty() && info.notRun_);
   if (!ownAnswer) {
-    if (parser_.IsUnframed() || info.requestId_.empty()) {
-      Fail(AttemptEnd::MaybeRun, "answer of another request");
+    if (parser_.IsCloseDelimited() || info.requestId_.empty()) {
+      Fail(AttemptFailure::MaybeExecuted, "answer of another request");
       return false;
     }
-    skipping_ = true;
+    skippingResponse_ = true;
     return true;
   }
-  headTaken_ = true;
+  headReceived_ = true;
   constexpr int kFirstServerError = 500;
-  ranWell_ = info.sealed_ && !info.notRun_ && head.status_ < kFirstServerError;
+  succeeded_ =
+    info.sealed_ && !info.notRun_ && head.status_ < kFirstServerError;
   refused_ = info.notRun_;
-  TakeNotices(info);
+  HandleNotices(info);
   const TimeMs nowMs = pool_.loop_.NowMs();
   if (info.load_) {
     backend_->load_.OnReport(*info.load_, nowMs);
-    backend_->reported_ = true;
+    backend_->hasNewReport_ = true;
   }
   if (info.notRun_) {
     backend_->load_.OnShed(nowMs);
   }
   if (handler_ != nullptr) {
-    handler_->OnAnswerHead(head, info);
+    handler_->OnResponseHead(head, info);
   }
   return busy_ && stream_.IsOpen();
 }
 
-void BackendLink::TakeNotices(const AnswerInfo& aInfo)
+void BackendConnection::HandleNotices(const AnswerInfo& aInfo)
 {
   if (aInfo.leaving_) {
     pool_.OnLeaving(*backend_);
@@ -247,34 +252,34 @@
   }
 }
 
-void BackendLink::FinishAnswer(bool aReusable)
+void BackendConnection::FinishResponse(bool aReusable)
 {
   const TimeMs nowMs = pool_.loop_.NowMs();
   const int status = parser_.Head().status_;
   if (status < 400) {
     const double latencyMs = static_cast<double>(nowMs - sentMs_);
-    backend_->load_.OnAnswered(latencyMs, loadAtSend_, nowMs);
-    pool_.NoteWork(*backend_, latencyMs);
+    backend_->load_.OnResponse(latencyMs, loadAtSend_, nowMs);
+    pool_.RecordServiceTime(*backend_, latencyMs);
   } else if (status >= 500) {
     backend_->load_.OnFailed(nowMs);
   }
-  if (ranWell_) {
+  if (succeeded_) {
     backend_->pause_.OnRanWell(sentMs_, backend_->entry_.slots_);
   }
   auto* handler = std::exchange(handler_, nullptr);
-  Leave(ranWell_   ? AttemptOutcome::RanWell
-        : refused_ ? AttemptOutcome::NotRun
-                   : AttemptOutcome::Other);
+  EndAttempt(succeeded_ ? AttemptOutcome::Succeeded
+             : refused_ ? AttemptOutcome::NotExecuted
+                        : AttemptOutcome::Other);
   if (!aReusable) {
     stream_.Abort();
   }
   pool_.Release(shared_from_this(), aReusable);
   if (handler != nullptr) {
-    handler->OnAnswerDone();
+    handler->OnResponseDone();
   }
 }
 
-void BackendLink::OnStreamClosed(CloseReason aReason)
+void BackendConnection::OnStreamClosed(CloseReason aReason)
 {
   const auto self = shared_from_this();
   timer_.Stop();
@@ -284,27 +289,27 @@
   }
   if (aReason == CloseReason::Refused || aReason == CloseReason::Unreachable) {
     pool_.OnConnectFailed(*backend_, EnumName(aReason));
-    Fail(AttemptEnd::NotSent, EnumName(aReason));
+    Fail(AttemptFailure::NotSent, EnumName(aReason));
     return;
   }
-  if (aReason == CloseReason::EndOfStream && headTaken_ &&
-      parser_.IsUnframed() && parser_.FinishAtEnd()) {
-    FinishAnswer(false);
+  if (aReason == CloseReason::EndOfStream && headReceived_ &&
+      parser_.IsCloseDelimited() && parser_.FinishAtEof()) {
+    FinishResponse(false);
     return;
   }
-  const bool unsent = stream_.WrittenBytes() == sentBefore_;
+  const bool unsent = stream_.WrittenBytes() == writtenBytesAtStart_;
   if (unsent) {
     // The server has as many connections as it takes.
     backend_->load_.OnShed(pool_.loop_.NowMs());
   }
-  Fail(unsent ? AttemptEnd::NotSent : AttemptEnd::MaybeRun,
+  Fail(unsent ? AttemptFailure::NotSent : AttemptFailure::MaybeExecuted,
        EnumName(aReason),
-       AttemptOutcome::Broken);
+       AttemptOutcome::ConnectionLost);
 }
 
-void BackendLink::Fail(AttemptEnd aEnd,
-                       std::string_view aCause,
-                       AttemptOutcome aOutcome)
+void BackendConnection::Fail(AttemptFailure aEnd,
+                             std::string_view aCause,
+                             AttemptOutcome aOutcome)
 {
   if (!busy_) {
     return;
@@ -313,7 +318,8 @@
   timer_.Stop();
   backend_->load_.OnFailed(pool_.loop_.NowMs());
   auto* handler = std::exchange(handler_, nullptr);
-  Leave(aEnd == AttemptEnd::NotSent ? AttemptOutcome::NotRun : aOutcome);
+  EndAttempt(aEnd == AttemptFailure::NotSent ? AttemptOutcome::NotExecuted
+                                             : aOutcome);
   stream_.Abort();
   pool_.Release(self, false);
   if (handler != nullptr) {
@@ -321,13 +327,13 @@
   }
 }
 
-void BackendLink::Leave(AttemptOutcome aOutcome)
+void BackendConnection::EndAttempt(AttemptOutcome aOutcome)
 {
-  unsent_.clear();
+  unsentRequest_.clear();
   if (busy_) {
     busy_ = false;
     backend_->load_.OnEnded();
-    pool_.observer_.OnAttemptOver(backend_, tag_, aOutcome);
+    pool_.observer_.OnAttemptFinished(backend_, crashInfo_, aOutcome);
   }
 }
 
--- a/gateway/BackendLink.hpp
+++ b/gateway/BackendConnection.hpp
@@ -13,15 +13,15 @@
 
 namespace cactuspitch {
 
-enum class AttemptEnd : uint8_t
+enum class AttemptFailure : uint8_t
 {
-  NotSent,  ///< certainly nothing of the request arrived
-  MaybeRun, ///< sent, but no usable answer came
+  NotSent,       ///< certainly nothing of the request arrived
+  MaybeExecuted, ///< sent, but no usable answer came
   Count
 };
 
 template<>
-struct EnumNames<AttemptEnd>
+struct EnumNames<AttemptFailure>
 {
   static constexpr std::string_view kNames[] = { "not-sent", "maybe-run" };
 };
@@ -29,11 +29,11 @@
 /// How the server dealt with an attempt, as far as its connection tells.
 enum class AttemptOutcome : uint8_t
 {
-  RanWell,   ///< ran to a good end
-  NotRun,    ///< refused, or certainly nothing of it arrived
-  Broken,    ///< the server ended the connection under it
-  Abandoned, ///< this gateway ended the connection under it
-  Other,     ///< a failure of the server, or bytes that are no answer
+  Succeeded,      ///< ran to a good end
+  NotExecuted,    ///< refused, or certainly nothing of it arrived
+  ConnectionLost, ///< the server ended the connection under it
+  Cancelled,      ///< this gateway ended the connection under it
+  Other,          ///< a failure of the server, or bytes that are no answer
   Count
 };
 
@@ -48,7 +48,7 @@
 };
 
 /// What an attempt carries for policy/CrashQuarantine.
-struct AttemptTag
+struct AttemptCrashInfo
 {
   uint64_t fingerprint_ = 0;
   int knownCrashes_ = 0; ///< of the request, when the attempt began
@@ -59,24 +59,26 @@
 {
 public:
   virtual ~AttemptHandler() = default;
-  virtual void OnAnswerHead(const HttpHead& aHead, const AnswerInfo& aInfo) = 0;
+  virtual void OnResponseHead(const HttpHead& aHead,
+                              const AnswerInfo& aInfo) = 0;
   /// Takes the bytes out of aBody.
-  virtual void OnAnswerBody(std::string& aBody) = 0;
-  virtual void OnAnswerDone() = 0;
+  virtual void OnResponseBody(std::string& aBody) = 0;
+  virtual void OnResponseDone() = 0;
   /// No complete answer comes any more.
-  virtual void OnAttemptFailed(AttemptEnd aEnd, std::string_view aCause) = 0;
+  virtual void OnAttemptFailed(AttemptFailure aEnd,
+                               std::string_view aCause) = 0;
 };
 
 class BackendPool;
 struct Backend;
 
 /// Connection to a backend server that carries one request at a time.
-class BackendLink final
+class BackendConnection final
   : public StreamHandler
-  , public std::enable_shared_from_this<BackendLink>
+  , public std::enable_shared_from_this<BackendConnection>
 {
 public:
-  BackendLink(BackendPool& aPool, std::shared_ptr<Backend> aBackend);
+  BackendConnection(BackendPool& aPool, std::shared_ptr<Backend> aBackend);
 
   /// Starts an attempt. A new connection is left alone for a moment before it
   /// carries the request, because a server that has too many resets it at once;
@@ -84,7 +86,7 @@
   /// aHandler stays valid until it was told of an end, or
   /// until Detach or Cancel.
   void Start(AttemptHandler& aHandler,
-             AttemptTag aTag,
+             AttemptCrashInfo aTag,
              std::string aHead,
              std::string_view aBody,
              std::string aRequestId,
@@ -95,7 +97,7 @@
   void Detach();
   void PauseReading(bool aPaused);
   bool IsConnected() const { return stream_.IsConnected(); }
-  Backend& Server() { return *backend_; }
+  Backend& GetBackend() { return *backend_; }
 
 private:
   friend class BackendPool;
@@ -105,16 +107,16 @@
   void OnStreamClosed(CloseReason aReason) override;
   void OnTimer();
   void SendRequest();
-  void ReadAnswers();
-  bool TakeHead();
-  void FinishAnswer(bool aReusable);
+  void ReadResponses();
+  bool HandleHead();
+  void FinishResponse(bool aReusable);
   /// aOutcome is Other unless the end is known to be another one.
-  void Fail(AttemptEnd aEnd,
+  void Fail(AttemptFailure aEnd,
             std::string_view aCause,
             AttemptOutcome aOutcome = AttemptOutcome::Other);
-  void Leave(AttemptOutcome aOutcome);
+  void EndAttempt(AttemptOutcome aOutcome);
   /// What the server says about itself besides the answer.
-  void TakeNotices(const AnswerInfo& aInfo);
+  void HandleNotices(const AnswerInfo& aInfo);
 
   BackendPool& pool_;
   std::shared_ptr<Backend> backend_;
@@ -123,18 +125,20 @@
   HttpParser parser_;
   std::string body_;
   AttemptHandler* handler_ = nullptr;
-  AttemptTag tag_;
-  bool ranWell_ = false; ///< the answer's head tells so
-  bool refused_ = false; ///< as not run
+  AttemptCrashInfo crashInfo_;
+  bool succeeded_ = false; ///< the answer's head tells so
+  bool refused_ = false;   ///< as not run
   bool busy_ = false;
-  bool headTaken_ = false;
-  bool skipping_ = false; ///< reads an answer that belongs to no request
-  int skipped_ = 0;       ///< such answers for the present request
-  bool answerKeepsAlive_ = false;
+  bool headReceived_ = false;
+  bool skippingResponse_ =
+    false;                   ///< reads an answer that belongs to no request
+  int skippedResponses_ = 0; ///< such answers for the present request
+  bool responseKeepsAlive_ = false;
   bool expectsBody_ = true;
   std::string requestId_;
-  std::string unsent_; ///< request that waits for the connection to settle
-  uint64_t sentBefore_ = 0;
+  std::string
+    unsentRequest_; ///< request that waits for the connection to settle
+  uint64_t writtenBytesAtStart_ = 0;
   uint64_t requestBytes_ = 0;
   TimeMs sentMs_ = 0;
   TimeMs idleSinceMs_ = 0;
@@ -148,12 +152,12 @@
   BackendEntry entry_;
   Endpoint endpoint_;
   BackendLoad load_;
-  std::vector<std::shared_ptr<BackendLink>> idle_;
-  std::vector<std::shared_ptr<BackendLink>> busy_;
-  uint32_t idHash_ = 0;    ///< names the server among gateways
-  bool reported_ = false;  ///< told its load since the last TakeReports
-  bool home_ = false;      ///< preferred by this gateway
-  bool registered_ = true; ///< false once the registration is gone
+  std::vector<std::shared_ptr<BackendConnection>> idle_;
+  std::vector<std::shared_ptr<BackendConnection>> busy_;
+  uint32_t idHash_ = 0;       ///< names the server among gateways
+  bool hasNewReport_ = false; ///< told its load since the last TakeLoadReports
+  bool home_ = false;         ///< preferred by this gateway
+  bool registered_ = true;    ///< false once the registration is gone
   /// A later life of a server has its address.
   bool superseded_ = false;
   /// Connecting fails: no requests until then, when one may try again.
--- a/gateway/BackendLoad.cpp
+++ b/gateway/BackendLoad.cpp
@@ -8,16 +8,16 @@
 namespace detail {
 
 /// Weight of a new sample in the means.
-constexpr double kWorkWeight = 0.08;
+constexpr double kServiceTimeWeight = 0.08;
 constexpr double kFailureWeight = 0.15;
-constexpr double kOthersWeight = 0.4;
+constexpr double kOtherGatewaysWeight = 0.4;
 /// Reports of other gateways' requests lose half of their weight in this time.
-constexpr double kOthersHalfLifeMs = 600;
+constexpr double kOtherGatewaysHalfLifeMs = 600;
 /// Shared reports are about as old as this when they arrive.
-constexpr TimeMs kOwnReportMs = 300;
+constexpr TimeMs kOwnReportValidMs = 300;
 constexpr double kFailureHalfLifeMs = 2000;
 /// A server that shed a request counts as full for this long.
-constexpr TimeMs kShedMs = 60;
+constexpr TimeMs kShedBackoffMs = 60;
 /// A server that has just started works about half as fast.
 constexpr double kColdFactor = 2;
 /// Samples far from the mean are cut, one slow request says little.
@@ -45,36 +45,36 @@
   inFlight_ = std::max(0, inFlight_ - 1);
 }
 
-void BackendLoad::OnAnswered(double aLatencyMs,
+void BackendLoad::OnResponse(double aLatencyMs,
                              double aLoadAtSend,
                              TimeMs aNowMs)
 {
-  failures_ = FailureShare(aNowMs) * (1 - detail::kFailureWeight);
-  failureMs_ = aNowMs;
+  failureShare_ = FailureShare(aNowMs) * (1 - detail::kFailureWeight);
+  failureShareMs_ = aNowMs;
   double sample = aLatencyMs / std::max(1.0, (aLoadAtSend + 1) / slots_);
   if (aNowMs < coldUntilMs_) {
     sample /= detail::kColdFactor;
   }
-  if (samples_ >= kMinSamples) {
+  if (sampleCount_ >= kMinSamples) {
     sample = std::min(sample, workMs_ * detail::kMaxSampleFactor);
-    workMs_ += (sample - workMs_) * detail::kWorkWeight;
+    workMs_ += (sample - workMs_) * detail::kServiceTimeWeight;
   } else {
-    workMs_ = (workMs_ * samples_ + sample) / (samples_ + 1);
+    workMs_ = (workMs_ * sampleCount_ + sample) / (sampleCount_ + 1);
   }
-  ++samples_;
+  ++sampleCount_;
 }
 
 void BackendLoad::OnShed(TimeMs aNowMs)
 {
-  shedMs_ = aNowMs;
+  lastShedMs_ = aNowMs;
   OnFailed(aNowMs);
 }
 
 void BackendLoad::OnFailed(TimeMs aNowMs)
 {
   const double share = FailureShare(aNowMs);
-  failures_ = share + (1 - share) * detail::kFailureWeight;
-  failureMs_ = aNowMs;
+  failureShare_ = share + (1 - share) * detail::kFailureWeight;
+  failureShareMs_ = aNowMs;
 }
 
 void BackendLoad::OnReport(const ReportedLoad& aReport, TimeMs aNowMs)
@@ -82,30 +82,34 @@
   slots_ = std::max(1, aReport.slots_);
   const double others =
     std::max(0, aReport.running_ + aReport.waiting_ - inFlight_);
-  others_ += (others - others_) * detail::kOthersWeight;
+  otherGatewaysLoad_ +=
+    (others - otherGatewaysLoad_) * detail::kOtherGatewaysWeight;
   reportedTotal_ = aReport.running_ + aReport.waiting_;
   reportedMs_ = aNowMs;
 }
 
-void BackendLoad::OnSharedReport(double aLoad, double aWorkMs, TimeMs aNowMs)
+void BackendLoad::OnSharedReport(double aLoad,
+                                 double aServiceTimeMs,
+                                 TimeMs aNowMs)
 {
-  if (aWorkMs > 0) {
-    sharedWorkMs_ = aWorkMs;
+  if (aServiceTimeMs > 0) {
+    sharedServiceTimeMs_ = aServiceTimeMs;
   }
   // An own report that is as new is exact about the own share.
-  if (aNowMs - reportedMs_ < detail::kOwnReportMs) {
+  if (aNowMs - reportedMs_ < detail::kOwnReportValidMs) {
     return;
   }
-  others_ = std::max(0.0, aLoad - inFlight_);
+  otherGatewaysLoad_ = std::max(0.0, aLoad - inFlight_);
   reportedMs_ = aNowMs;
 }
 
 double BackendLoad::Load(TimeMs aNowMs) const
 {
   const double ageMs = static_cast<double>(aNowMs - reportedMs_);
-  const double others = others_ * std::exp2(-ageMs / detail::kOthersHalfLifeMs);
+  const double others =
+    otherGatewaysLoad_ * std::exp2(-ageMs / detail::kOtherGatewaysHalfLifeMs);
   const double load = inFlight_ + others;
-  if (shedMs_ != 0 && aNowMs - shedMs_ < detail::kShedMs) {
+  if (lastShedMs_ != 0 && aNowMs - lastShedMs_ < detail::kShedBackoffMs) {
     return std::max(load, static_cast<double>(slots_) * 2);
   }
   return load;
@@ -113,7 +117,8 @@
 
 double BackendLoad::WorkMs(TimeMs aNowMs) const
 {
-  const double sharedMs = sharedWorkMs_ > 0 ? sharedWorkMs_ : defaultWorkMs_;
+  const double sharedMs =
+    sharedServiceTimeMs_ > 0 ? sharedServiceTimeMs_ : defaultServiceTimeMs_;
   const double workMs = IsMeasured() ? workMs_ : sharedMs;
   return aNowMs < coldUntilMs_ ? workMs * detail::kColdFactor : workMs;
 }
@@ -125,8 +130,8 @@
 
 double BackendLoad::FailureShare(TimeMs aNowMs) const
 {
-  const double ageMs = static_cast<double>(aNowMs - failureMs_);
-  return failures_ * std::exp2(-ageMs / detail::kFailureHalfLifeMs);
+  const double ageMs = static_cast<double>(aNowMs - failureShareMs_);
+  return failureShare_ * std::exp2(-ageMs / detail::kFailureHalfLifeMs);
 }
 
 }
--- a/gateway/BackendLoad.hpp
+++ b/gateway/BackendLoad.hpp
@@ -17,17 +17,20 @@
   /// Until aUntilMs the server works at a part of its speed.
   void SetColdUntil(TimeMs aUntilMs) { coldUntilMs_ = aUntilMs; }
   /// Mean work time of the service, used until the server is measured.
-  void SetDefaultWorkMs(double aWorkMs) { defaultWorkMs_ = aWorkMs; }
+  void SetDefaultServiceTimeMs(double aServiceTimeMs)
+  {
+    defaultServiceTimeMs_ = aServiceTimeMs;
+  }
 
   void OnSent();
   /// The server gave a full answer after aLatencyMs.
-  void OnAnswered(double aLatencyMs, double aLoadAtSend, TimeMs aNowMs);
+  void OnResponse(double aLatencyMs, double aLoadAtSend, TimeMs aNowMs);
   void OnShed(TimeMs aNowMs);
   void OnFailed(TimeMs aNowMs);
   void OnEnded();
   void OnReport(const ReportedLoad& aReport, TimeMs aNowMs);
-  /// What another gateway saw; aWorkMs 0 when it is not known.
-  void OnSharedReport(double aLoad, double aWorkMs, TimeMs aNowMs);
+  /// What another gateway saw; aServiceTimeMs 0 when it is not known.
+  void OnSharedReport(double aLoad, double aServiceTimeMs, TimeMs aNowMs);
 
   int InFlight() const { return inFlight_; }
   /// Requests at the server, own and others'.
@@ -38,9 +41,9 @@
   double ExpectedMs(TimeMs aNowMs) const;
   /// Share of recent requests that failed or were shed, 0 to 1.
   double FailureShare(TimeMs aNowMs) const;
-  bool IsMeasured() const { return samples_ >= kMinSamples; }
+  bool IsMeasured() const { return sampleCount_ >= kMinSamples; }
   /// Own mean of the work time, 0 until it is measured.
-  double MeasuredWorkMs() const { return IsMeasured() ? workMs_ : 0; }
+  double MeasuredServiceTimeMs() const { return IsMeasured() ? workMs_ : 0; }
   /// Requests there by the last report, own or shared.
   double ReportedTotal() const { return reportedTotal_; }
 
@@ -49,17 +52,17 @@
 
   int slots_;
   int inFlight_ = 0;
-  double others_ = 0; ///< requests of other gateways
+  double otherGatewaysLoad_ = 0; ///< requests of other gateways
   double reportedTotal_ = 0;
-  double sharedWorkMs_ = 0;
+  double sharedServiceTimeMs_ = 0;
   TimeMs reportedMs_ = 0;
-  TimeMs shedMs_ = 0;
+  TimeMs lastShedMs_ = 0;
   TimeMs coldUntilMs_ = 0;
-  double defaultWorkMs_ = 100;
+  double defaultServiceTimeMs_ = 100;
   double workMs_ = 0;
-  int samples_ = 0;
-  double failures_ = 0;
-  TimeMs failureMs_ = 0;
+  int sampleCount_ = 0;
+  double failureShare_ = 0;
+  TimeMs failureShareMs_ = 0;
 };
 
 }
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -10,12 +10,12 @@
 
 namespace detail {
 
-constexpr TimeMs kDownMs = 400;
-constexpr TimeMs kMaxDownMs = 1500;
+constexpr TimeMs kReconnectDelayMs = 400;
+constexpr TimeMs kMaxReconnectDelayMs = 1500;
 /// Idle connections are closed this long before the server would do it.
 constexpr TimeMs kIdleMarginMs = 1500;
-constexpr double kServiceWorkWeight = 0.02;
-constexpr double kInitialWorkMs = 100;
+constexpr double kMeanServiceTimeWeight = 0.02;
+constexpr double kInitialServiceTimeMs = 100;
 
 }
 
@@ -24,14 +24,14 @@
                          GatewayMetrics& aMetrics,
                          const RequestProtocol& aProtocol,
                          BackendObserver& aObserver,
-                         LeavingTask aOnLeaving)
+                         LeavingCallback aOnLeaving)
   : loop_(aLoop)
   , log_(aLog)
   , metrics_(aMetrics)
   , protocol_(aProtocol)
   , observer_(aObserver)
   , onLeaving_(std::move(aOnLeaving))
-  , workMs_(detail::kServiceWorkWeight)
+  , workMs_(detail::kMeanServiceTimeWeight)
   , random_(std::random_device{}())
 {
 }
@@ -76,7 +76,7 @@
   backend->entry_ = aEntry;
   Endpoint::Parse(aEntry.address_, backend->endpoint_);
   backend->idHash_ = ShortHash(aEntry.id_);
-  backend->load_.SetDefaultWorkMs(ServiceWorkMs(aEntry.service_));
+  backend->load_.SetDefaultServiceTimeMs(MeanServiceTimeMs(aEntry.service_));
   backend->load_.SetSlots(aEntry.slots_);
   if (aEntry.coldRemainingMs_ > 0) {
     backend->load_.SetColdUntil(loop_.NowMs() + aEntry.coldRemainingMs_);
@@ -110,14 +110,14 @@
              "backend-superseded",
              { { "backend", aBackend->entry_.id_ },
                { "address", aBackend->entry_.address_ } });
-  observer_.OnBackendGone(*aBackend);
+  observer_.OnBackendRemoved(*aBackend);
   CloseIdleOf(*aBackend);
 }
 
 void BackendPool::Remove(const BackendPtr& aBackend)
 {
   aBackend->registered_ = false;
-  observer_.OnBackendGone(*aBackend);
+  observer_.OnBackendRemoved(*aBackend);
   CloseIdleOf(*aBackend);
   std::erase(byService_[aBackend->entry_.service_], aBackend);
   byHash_.erase(aBackend->idHash_);
@@ -141,13 +141,14 @@
   return found == byService_.end() ? kNone : found->second;
 }
 
-std::shared_ptr<BackendLink> BackendPool::Acquire(const BackendPtr& aBackend,
-                                                  size_t aMaxConnections,
-                                                  TimeMs aMaxIdleMs)
+std::shared_ptr<BackendConnection> BackendPool::Acquire(
+  const BackendPtr& aBackend,
+  size_t aMaxConnections,
+  TimeMs aMaxIdleMs)
 {
   const TimeMs nowMs = loop_.NowMs();
   auto& idle = aBackend->idle_;
-  std::shared_ptr<BackendLink> link;
+  std::shared_ptr<BackendConnection> link;
   // The last one returned is the one most surely alive.
   if (!idle.empty() && nowMs - idle.back()->idleSinceMs_ <= aMaxIdleMs) {
     link = std::move(idle.back());
@@ -158,7 +159,7 @@
       loop_.Defer([oldest = std::move(idle.front())] {});
       idle.erase(idle.begin());
     }
-    link = std::make_shared<BackendLink>(*this, aBackend);
+    link = std::make_shared<BackendConnection>(*this, aBackend);
     ++opened_;
   } else {
     return nullptr;
@@ -170,7 +171,7 @@
 void BackendPool::CloseIdle()
 {
   const TimeMs nowMs = loop_.NowMs();
-  std::vector<std::shared_ptr<BackendLink>> closed;
+  std::vector<std::shared_ptr<BackendConnection>> closed;
   for (auto& [id, backend] : backends_) {
     std::erase_if(backend->idle_, [&](const auto& aLink) {
       const bool old = nowMs - aLink->idleSinceMs_ >
@@ -183,20 +184,20 @@
   }
 }
 
-std::vector<BoardEntry> BackendPool::TakeReports()
+std::vector<BoardEntry> BackendPool::TakeLoadReports()
 {
   std::vector<BoardEntry> reports;
   for (const auto& [id, backend] : backends_) {
-    if (std::exchange(backend->reported_, false)) {
+    if (std::exchange(backend->hasNewReport_, false)) {
       reports.push_back({ backend->idHash_,
-                          backend->load_.MeasuredWorkMs(),
+                          backend->load_.MeasuredServiceTimeMs(),
                           backend->load_.ReportedTotal() });
     }
   }
   return reports;
 }
 
-void BackendPool::ApplyShared(const BoardEntry& aEntry)
+void BackendPool::ApplySharedLoad(const BoardEntry& aEntry)
 {
   const auto found = byHash_.find(aEntry.server_);
   if (found != byHash_.end()) {
@@ -205,17 +206,17 @@
   }
 }
 
-double BackendPool::ServiceWorkMs(const std::string& aService) const
+double BackendPool::MeanServiceTimeMs(const std::string& aService) const
 {
-  return workMs_.Get(aService, detail::kInitialWorkMs);
+  return workMs_.Get(aService, detail::kInitialServiceTimeMs);
 }
 
 void BackendPool::OnConnectFailed(Backend& aBackend, std::string_view aCause)
 {
   ++aBackend.connectFailures_;
-  aBackend.downUntilMs_ =
-    loop_.NowMs() +
-    std::min(detail::kMaxDownMs, detail::kDownMs * aBackend.connectFailures_);
+  aBackend.downUntilMs_ = loop_.NowMs() + std::min(detail::kMaxReconnectDelayMs,
+                                                   detail::kReconnectDelayMs *
+                                                     aBackend.connectFailures_);
   CloseIdleOf(aBackend);
   if (aBackend.connectFailures_ == 1) {
     log_.Write(LogLevel::Warning,
@@ -269,15 +270,15 @@
   }
 }
 
-void BackendPool::NoteWork(const Backend& aBackend, double aLatencyMs)
+void BackendPool::RecordServiceTime(const Backend& aBackend, double aLatencyMs)
 {
   workMs_.Add(aBackend.entry_.service_, aLatencyMs);
 }
 
-void BackendPool::Release(const std::shared_ptr<BackendLink>& aLink,
+void BackendPool::Release(const std::shared_ptr<BackendConnection>& aLink,
                           bool aReusable)
 {
-  auto& backend = aLink->Server();
+  auto& backend = aLink->GetBackend();
   std::erase(backend.busy_, aLink);
   std::erase(backend.idle_, aLink);
   if (aReusable && backend.registered_ && !backend.entry_.leaving_ &&
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/BackendLink.hpp"
+#include "gateway/BackendConnection.hpp"
 #include "gateway/EventLog.hpp"
 #include "gateway/GatewayMetrics.hpp"
 #include "policy/LoadBoard.hpp"
@@ -23,13 +23,13 @@
 {
 public:
   virtual ~BackendObserver() = default;
-  virtual void OnAttemptOver(const std::shared_ptr<Backend>& aBackend,
-                             const AttemptTag& aTag,
-                             AttemptOutcome aOutcome) = 0;
+  virtual void OnAttemptFinished(const std::shared_ptr<Backend>& aBackend,
+                                 const AttemptCrashInfo& aTag,
+                                 AttemptOutcome aOutcome) = 0;
   /// The server does not take connections any more.
   virtual void OnBackendDown(const Backend& aBackend) = 0;
   /// The registration of this life of the server is gone.
-  virtual void OnBackendGone(const Backend& aBackend) = 0;
+  virtual void OnBackendRemoved(const Backend& aBackend) = 0;
 };
 
 /// Backend servers and the connections to them.
@@ -38,14 +38,14 @@
 public:
   using BackendPtr = std::shared_ptr<Backend>;
   /// Told once of each server that said that it leaves.
-  using LeavingTask = std::function<void(const BackendEntry& aEntry)>;
+  using LeavingCallback = std::function<void(const BackendEntry& aEntry)>;
 
   BackendPool(EventLoop& aLoop,
               EventLog& aLog,
               GatewayMetrics& aMetrics,
               const RequestProtocol& aProtocol,
               BackendObserver& aObserver,
-              LeavingTask aOnLeaving);
+              LeavingCallback aOnLeaving);
   ~BackendPool();
 
   /// Takes over the entries of the named servers; one without entry is gone.
@@ -58,19 +58,19 @@
     return byService_;
   }
   /// Connection for one request, or null when the limit is reached.
-  std::shared_ptr<BackendLink> Acquire(const BackendPtr& aBackend,
-                                       size_t aMaxConnections,
-                                       TimeMs aMaxIdleMs);
+  std::shared_ptr<BackendConnection> Acquire(const BackendPtr& aBackend,
+                                             size_t aMaxConnections,
+                                             TimeMs aMaxIdleMs);
   /// Closes connections that were idle too long.
   void CloseIdle();
   /// Loads that servers have reported since the last call.
-  std::vector<BoardEntry> TakeReports();
-  void ApplyShared(const BoardEntry& aEntry);
-  double ServiceWorkMs(const std::string& aService) const;
+  std::vector<BoardEntry> TakeLoadReports();
+  void ApplySharedLoad(const BoardEntry& aEntry);
+  double MeanServiceTimeMs(const std::string& aService) const;
   int64_t ConnectionsOpened() const { return opened_; }
 
 private:
-  friend class BackendLink;
+  friend class BackendConnection;
 
   BackendPtr NewBackend(const BackendEntry& aEntry);
   void Add(const BackendPtr& aBackend);
@@ -82,15 +82,15 @@
   void OnPaused(Backend& aBackend, TimeMs aPauseMs);
   void OnMalformedPause(Backend& aBackend);
   void CloseIdleOf(Backend& aBackend);
-  void NoteWork(const Backend& aBackend, double aLatencyMs);
-  void Release(const std::shared_ptr<BackendLink>& aLink, bool aReusable);
+  void RecordServiceTime(const Backend& aBackend, double aLatencyMs);
+  void Release(const std::shared_ptr<BackendConnection>& aLink, bool aReusable);
 
   EventLoop& loop_;
   EventLog& log_;
   GatewayMetrics& metrics_;
   const RequestProtocol& protocol_;
   BackendObserver& observer_;
-  LeavingTask onLeaving_;
+  LeavingCallback onLeaving_;
   std::map<std::string, BackendPtr> backends_;
   std::map<std::string, std::vector<BackendPtr>> byService_;
   std::unordered_map<uint32_t, BackendPtr> byHash_;
--- a/gateway/CallerStream.cpp
+++ b/gateway/CallerConnection.cpp
@@ -1,4 +1,4 @@
-#include "gateway/CallerStream.hpp"
+#include "gateway/CallerConnection.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -9,7 +9,7 @@
 namespace detail {
 
 /// Requests of one connection that are read ahead.
-constexpr size_t kMaxPipeline = 16;
+constexpr size_t kMaxPipelinedRequests = 16;
 /// Bytes of further requests that are read although they have to wait, so that
 /// the end of the stream behind them is noticed.
 constexpr size_t kMaxReadAheadBytes = 65536;
@@ -28,24 +28,25 @@
 
 }
 
-CallerStream::CallerStream(CallerServer& aServer, Forwarder& aForwarder)
+CallerConnection::CallerConnection(CallerListener& aServer,
+                                   Forwarder& aForwarder)
   : server_(aServer)
   , forwarder_(aForwarder)
   , stream_(aForwarder.Loop(), *this)
   , timer_(aForwarder.Loop(), [this] { OnTimer(); })
-  , parser_(HttpRole::Request, detail::LimitsOf(aForwarder).headerBytes_)
+  , parser_(HttpMessageType::Request, detail::LimitsOf(aForwarder).headerBytes_)
 {
 }
 
-void CallerStream::Start(int aFd)
+void CallerConnection::Start(int aFd)
 {
   stream_.Adopt(aFd);
   StartTimer();
 }
 
-void CallerStream::Finish()
+void CallerConnection::Drain()
 {
-  if (finishing_ || left_) {
+  if (lingering_ || disconnected_) {
     return;
   }
   if (pipeline_.empty() && !parser_.HasStarted() && stream_.Input().empty()) {
@@ -57,22 +58,22 @@
   closing_ = true;
 }
 
-void CallerStream::Close()
+void CallerConnection::Close()
 {
   stream_.Close();
-  Leave();
+  OnDisconnected();
 }
 
-void CallerStream::StartTimer()
+void CallerConnection::StartTimer()
 {
   const auto& limits = detail::LimitsOf(forwarder_);
   const bool inHead = parser_.HasStarted() && reading_ == nullptr;
   timer_.Start(inHead ? limits.headerTimeoutMs_ : limits.idleTimeoutMs_);
 }
 
-void CallerStream::OnTimer()
+void CallerConnection::OnTimer()
 {
-  if (finishing_) {
+  if (lingering_) {
     Close();
     return;
   }
@@ -84,23 +85,23 @@
   Close();
 }
 
-void CallerStream::OnInput()
+void CallerConnection::OnInput()
 {
   const auto self = shared_from_this();
   // A gateway that ran late finds requests whose caller has given up: the end
   // of the stream follows them, and nothing is sent on for nobody.
-  if (stream_.HasPeerLeft()) {
+  if (stream_.HasPeerClosed()) {
     Close();
     return;
   }
   ReadRequests();
 }
 
-void CallerStream::ReadRequests()
+void CallerConnection::ReadRequests()
 {
-  while (!left_ && IsReading() && ReadOne()) {
+  while (!disconnected_ && IsReading() && ReadNextRequest()) {
   }
-  if (left_) {
+  if (disconnected_) {
     return;
   }
   if (closing_ && reading_ == nullptr) {
@@ -109,61 +110,61 @@
   UpdateReading();
 }
 
-void CallerStream::UpdateReading()
+void CallerConnection::UpdateReading()
 {
   stream_.PauseReading(!closing_ && !IsReading() &&
                        stream_.Input().size() >= detail::kMaxReadAheadBytes);
 }
 
-bool CallerStream::IsReading() const
+bool CallerConnection::IsReading() const
 {
   return reading_ != nullptr ||
-         (!closing_ && pipeline_.size() < detail::kMaxPipeline);
+         (!closing_ && pipeline_.size() < detail::kMaxPipelinedRequests);
 }
 
-bool CallerStream::ReadOne()
+bool CallerConnection::ReadNextRequest()
 {
   const bool startedBefore = parser_.HasStarted();
   std::string none;
   auto& body = reading_ != nullptr ? reading_->Body() : none;
   const auto state = parser_.Parse(stream_.Input(), body);
   if (state == ParseState::Failed) {
-    RefuseMalformed();
+    RejectMalformed();
     return false;
   }
   if (parser_.HasHead() && reading_ == nullptr) {
     BeginRequest();
-    if (left_) {
+    if (disconnected_) {
       return false;
     }
     reading_->Body().append(none);
   } else if (!startedBefore && parser_.HasStarted()) {
     StartTimer();
   }
-  if (reading_ != nullptr && reading_->IsAnswered() &&
+  if (reading_ != nullptr && reading_->IsCompleted() &&
       state != ParseState::Done) {
     // Refused before its end: the rest of it is not read.
     closing_ = true;
     reading_ = nullptr;
-    PumpAnswers();
+    WriteResponses();
     return false;
   }
   if (state != ParseState::Done) {
     return false;
   }
   const auto request = std::exchange(reading_, nullptr);
-  parser_ =
-    HttpParser(HttpRole::Request, detail::LimitsOf(forwarder_).headerBytes_);
+  parser_ = HttpParser(HttpMessageType::Request,
+                       detail::LimitsOf(forwarder_).headerBytes_);
   StartTimer();
   // A request that must not run twice waits until the answers before it are
   // written: one of them might close the connection, and then the caller sends
   // it again.
   const bool isFront = pipeline_.front() == request;
-  request->OnRead(isFront || request->IsRepeatable());
+  request->OnRequestRead(isFront || request->IsRepeatable());
   return true;
 }
 
-void CallerStream::BeginRequest()
+void CallerConnection::BeginRequest()
 {
   auto head = std::move(parser_.Head());
   const bool expectsContinue = head.HasToken("Expect", "100-continue");
@@ -173,18 +174,18 @@
   pipeline_.push_back(reading_);
   const auto request = reading_;
   request->Begin();
-  if (left_) {
+  if (disconnected_) {
     return;
   }
   if (!keepsAlive) {
     closing_ = true;
   }
-  if (expectsContinue && !request->IsAnswered() && pipeline_.size() == 1) {
+  if (expectsContinue && !request->IsCompleted() && pipeline_.size() == 1) {
     stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
 }
 
-void CallerStream::RefuseMalformed()
+void CallerConnection::RejectMalformed()
 {
   closing_ = true;
   const int status = parser_.IsTooLarge() ? 431 : 400;
@@ -197,23 +198,23 @@
   request->Reject(status, "malformed-request", 0);
 }
 
-bool CallerStream::WantsClose(const ForwardedRequest& aRequest) const
+bool CallerConnection::WantsClose(const ForwardedRequest& aRequest) const
 {
   return (closing_ || server_.IsDraining()) &&
          (pipeline_.empty() || pipeline_.back().get() == &aRequest);
 }
 
-void CallerStream::OnAnswerBytes()
+void CallerConnection::OnResponseBytes()
 {
-  PumpAnswers();
+  WriteResponses();
 }
 
-void CallerStream::PumpAnswers()
+void CallerConnection::WriteResponses()
 {
-  if (pumping_ || left_) {
+  if (writingResponses_ || disconnected_) {
     return;
   }
-  pumping_ = true;
+  writingResponses_ = true;
   const auto self = shared_from_this();
   bool ended = false;
   while (!pipeline_.empty() && !ended) {
@@ -222,9 +223,9 @@
         stream_.PendingOutput() < detail::kMaxPendingOutput) {
       auto bytes = std::exchange(request->Output(), {});
       stream_.Write(bytes);
-      request->OnOutputTaken();
+      request->OnOutputWritten();
     }
-    if (!request->IsAnswered() || !request->Output().empty()) {
+    if (!request->IsCompleted() || !request->Output().empty()) {
       break;
     }
     pipeline_.pop_front();
@@ -233,20 +234,20 @@
       ended = true;
       break;
     }
-    AllowFront();
+    AllowFirstDispatch();
   }
-  pumping_ = false;
-  if (left_) {
+  writingResponses_ = false;
+  if (disconnected_) {
     return;
   }
   if (ended) {
     closing_ = true;
     // Later requests were not answered; the caller sends them again.
     for (auto& request : std::exchange(pipeline_, {})) {
-      request->OnCallerGone();
+      request->OnCallerDisconnected();
     }
     if (stream_.PendingOutput() == 0) {
-      FinishOutput();
+      StartLingering();
     }
     return;
   }
@@ -257,90 +258,90 @@
   StartTimer();
 }
 
-void CallerStream::FinishOutput()
+void CallerConnection::StartLingering()
 {
   // Closing with unread bytes would reset the connection, and the caller could
   // lose the answer: it gets the end of the stream first.
-  finishing_ = true;
+  lingering_ = true;
   stream_.ShutdownOutput();
   timer_.Start(detail::kLingerMs);
 }
 
-void CallerStream::AllowFront()
+void CallerConnection::AllowFirstDispatch()
 {
   if (!pipeline_.empty()) {
     pipeline_.front()->AllowDispatch();
   }
 }
 
-void CallerStream::OnAnswerBroken()
+void CallerConnection::OnResponseAborted()
 {
   // The caller must not take what it has for the whole answer.
   const auto self = shared_from_this();
   stream_.Abort();
-  Leave();
+  OnDisconnected();
 }
 
-void CallerStream::OnOutputDrained()
+void CallerConnection::OnOutputDrained()
 {
   const auto self = shared_from_this();
   if (closing_ && pipeline_.empty()) {
-    FinishOutput();
+    StartLingering();
     return;
   }
-  PumpAnswers();
+  WriteResponses();
 }
 
-void CallerStream::OnStreamClosed(CloseReason)
+void CallerConnection::OnStreamClosed(CloseReason)
 {
-  Leave();
+  OnDisconnected();
 }
 
-void CallerStream::Leave()
+void CallerConnection::OnDisconnected()
 {
-  if (std::exchange(left_, true)) {
+  if (std::exchange(disconnected_, true)) {
     return;
   }
   timer_.Stop();
   const auto self = shared_from_this();
   reading_ = nullptr;
   for (auto& request : std::exchange(pipeline_, {})) {
-    request->OnCallerGone();
+    request->OnCallerDisconnected();
   }
-  server_.streams_.erase(this);
+  server_.connections_.erase(this);
   forwarder_.Loop().Defer([self] {});
 }
 
-CallerServer::CallerServer(EventLoop& aLoop, Forwarder& aForwarder)
+CallerListener::CallerListener(EventLoop& aLoop, Forwarder& aForwarder)
   : forwarder_(aForwarder)
   , listener_(aLoop, [this](int aFd) {
-    auto stream = std::make_shared<CallerStream>(*this, forwarder_);
-    streams_[stream.get()] = stream;
+    auto stream = std::make_shared<CallerConnection>(*this, forwarder_);
+    connections_[stream.get()] = stream;
     forwarder_.Metrics().OnConnection();
     stream->Start(aFd);
   })
 {
 }
 
-CallerServer::~CallerServer()
+CallerListener::~CallerListener()
 {
-  auto streams = std::exchange(streams_, {});
+  auto streams = std::exchange(connections_, {});
   for (auto& [key, stream] : streams) {
     stream->Close();
   }
 }
 
-bool CallerServer::Listen(const Endpoint& aEndpoint)
+bool CallerListener::Listen(const Endpoint& aEndpoint)
 {
   return listener_.Listen(aEndpoint);
 }
 
-void CallerServer::StartDraining()
+void CallerListener::StartDraining()
 {
   draining_ = true;
-  auto streams = streams_;
+  auto streams = connections_;
   for (auto& [key, stream] : streams) {
-    stream->Finish();
+    stream->Drain();
   }
 }
 
--- a/gateway/CallerStream.hpp
+++ b/gateway/CallerConnection.hpp
@@ -10,22 +10,22 @@
 
 namespace cactuspitch {
 
-class CallerServer;
+class CallerListener;
 
 /// Connection of a caller. Requests may be pipelined; answers leave in the
 /// order of the requests.
-class CallerStream final
+class CallerConnection final
   : public StreamHandler
-  , public AnswerSink
-  , public std::enable_shared_from_this<CallerStream>
+  , public ResponseSink
+  , public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  CallerStream(CallerServer& aServer, Forwarder& aForwarder);
+  CallerConnection(CallerListener& aServer, Forwarder& aForwarder);
 
   void Start(int aFd);
   /// Reads no further requests and closes after the answers to those that were
   /// read.
-  void Finish();
+  void Drain();
   void Close();
 
 private:
@@ -34,24 +34,24 @@
   void OnInput() override;
   void OnOutputDrained() override;
   void OnStreamClosed(CloseReason aReason) override;
-  void OnAnswerBytes() override;
-  void OnAnswerBroken() override;
+  void OnResponseBytes() override;
+  void OnResponseAborted() override;
   bool WantsClose(const ForwardedRequest& aRequest) const override;
 
   void ReadRequests();
-  bool ReadOne();
+  bool ReadNextRequest();
   void BeginRequest();
-  void RefuseMalformed();
+  void RejectMalformed();
   bool IsReading() const;
   void UpdateReading();
-  void PumpAnswers();
-  void FinishOutput();
-  void AllowFront();
+  void WriteResponses();
+  void StartLingering();
+  void AllowFirstDispatch();
   void OnTimer();
   void StartTimer();
-  void Leave();
+  void OnDisconnected();
 
-  CallerServer& server_;
+  CallerListener& server_;
   Forwarder& forwarder_;
   TcpStream stream_;
   Timer timer_;
@@ -59,32 +59,32 @@
   RequestPtr reading_; ///< its body is still to come
   std::deque<RequestPtr> pipeline_;
   bool closing_ = false;   ///< reads no further requests
-  bool finishing_ = false; ///< all output is written, waits for the caller
-  bool pumping_ = false;
-  bool left_ = false;
+  bool lingering_ = false; ///< all output is written, waits for the caller
+  bool writingResponses_ = false;
+  bool disconnected_ = false;
 };
 
 /// Accepts the connections of callers.
-class CallerServer
+class CallerListener
 {
 public:
-  CallerServer(EventLoop& aLoop, Forwarder& aForwarder);
-  ~CallerServer();
+  CallerListener(EventLoop& aLoop, Forwarder& aForwarder);
+  ~CallerListener();
 
   bool Listen(const Endpoint& aEndpoint);
   /// From now on each connection ends after the requests that it has sent.
   void StartDraining();
   void StopListening() { listener_.Close(); }
   bool IsDraining() const { return draining_; }
-  size_t Connections() const { return streams_.size(); }
+  size_t Connections() const { return connections_.size(); }
 
 private:
-  friend class CallerStream;
+  friend class CallerConnection;
 
   Forwarder& forwarder_;
   TcpListener listener_;
   bool draining_ = false;
-  std::map<CallerStream*, std::shared_ptr<CallerStream>> streams_;
+  std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
 };
 
 }
--- a/gateway/Compression.cpp
+++ b/gateway/Compression.cpp
@@ -32,7 +32,7 @@
 
 std::optional<std::string> Decompress(std::string_view aBytes, size_t aMaxBytes)
 {
-  constexpr size_t kPartBytes = 65536;
+  constexpr size_t kChunkBytes = 65536;
   z_stream stream{};
   if (inflateInit(&stream) != Z_OK) {
     return std::nullopt;
@@ -43,9 +43,9 @@
   int status = Z_OK;
   while (status == Z_OK && text.size() <= aMaxBytes) {
     const auto before = text.size();
-    text.resize(before + kPartBytes);
+    text.resize(before + kChunkBytes);
     stream.next_out = reinterpret_cast<Bytef*>(text.data() + before);
-    stream.avail_out = kPartBytes;
+    stream.avail_out = kChunkBytes;
     status = inflate(&stream, Z_NO_FLUSH);
     text.resize(text.size() - stream.avail_out);
   }
--- a/gateway/CrashWatch.cpp
+++ b/gateway/CrashWatch.cpp
@@ -58,12 +58,12 @@
   }
 }
 
-void CrashWatch::OnAttemptOver(const std::shared_ptr<Backend>& aBackend,
-                               const AttemptTag& aTag,
-                               AttemptOutcome aOutcome)
+void CrashWatch::OnAttemptFinished(const std::shared_ptr<Backend>& aBackend,
+                                   const AttemptCrashInfo& aTag,
+                                   AttemptOutcome aOutcome)
 {
-  if (aOutcome == AttemptOutcome::Broken ||
-      aOutcome == AttemptOutcome::Abandoned) {
+  if (aOutcome == AttemptOutcome::ConnectionLost ||
+      aOutcome == AttemptOutcome::Cancelled) {
     Open(aBackend, aTag, aOutcome);
     return;
   }
@@ -72,7 +72,7 @@
   }
   quarantine_.OnEnd(aTag.fingerprint_,
                     aBackend->entry_.id_,
-                    aOutcome == AttemptOutcome::RanWell,
+                    aOutcome == AttemptOutcome::Succeeded,
                     loop_.NowMs());
   if (quarantine_.TakeChanged()) {
     onChange_();
@@ -86,7 +86,7 @@
 }
 
 void CrashWatch::Open(const std::shared_ptr<Backend>& aBackend,
-                      const AttemptTag& aTag,
+                      const AttemptCrashInfo& aTag,
                       AttemptOutcome aOutcome)
 {
   const TimeMs nowMs = loop_.NowMs();
@@ -95,7 +95,7 @@
   if (cases_.size() >= detail::kMaxCases) {
     cases_.pop_front();
   }
-  const bool broken = aOutcome == AttemptOutcome::Broken;
+  const bool broken = aOutcome == AttemptOutcome::ConnectionLost;
   const TimeMs windowMs =
     broken ? detail::kBrokenWindowMs : detail::kAbandonedWindowMs;
   const auto& entry = aBackend->entry_;
@@ -144,7 +144,7 @@
   Confirm(aBackend, EndEvidence::ConnectFailed);
 }
 
-void CrashWatch::OnBackendGone(const Backend& aBackend)
+void CrashWatch::OnBackendRemoved(const Backend& aBackend)
 {
   // A server that drains ends as planned, with what it still runs.
   if (aBackend.entry_.TakesNewWork()) {
@@ -171,7 +171,8 @@
   std::vector<InFlightRequest> inFlight;
   std::ranges::transform(
     counted, std::back_inserter(inFlight), [](const OpenCase& aCase) {
-      return InFlightRequest(aCase.tag_.fingerprint_, aCase.tag_.knownCrashes_);
+      return InFlightRequest(aCase.crashInfo_.fingerprint_,
+                             aCase.crashInfo_.knownCrashes_);
     });
   const auto& entry = aBackend.entry_;
   quarantine_.OnCrash(
@@ -195,12 +196,13 @@
   if (!log_.Allows(LogLevel::Info, "suspect-counted")) {
     return;
   }
-  const auto state = quarantine_.Find(aCase.tag_.fingerprint_, loop_.NowMs());
+  const auto state =
+    quarantine_.Find(aCase.crashInfo_.fingerprint_, loop_.NowMs());
   log_.Write(LogLevel::Info,
              "suspect-counted",
-             { { "fingerprint", absl::Hex(aCase.tag_.fingerprint_) },
+             { { "fingerprint", absl::Hex(aCase.crashInfo_.fingerprint_) },
                { "backend", aBackend.entry_.id_ },
-               { "known_crashes", aCase.tag_.knownCrashes_ },
+               { "known_crashes", aCase.crashInfo_.knownCrashes_ },
                { "crashes", state.crashes_ },
                { "quarantined", state.quarantined_ ? "yes" : "no" } });
 }
--- a/gateway/CrashWatch.hpp
+++ b/gateway/CrashWatch.hpp
@@ -48,17 +48,17 @@
   SuspectDecision TryBegin(uint64_t aFingerprint, const Backend& aBackend);
   void GiveBack(uint64_t aFingerprint, const Backend& aBackend);
 
-  void OnAttemptOver(const std::shared_ptr<Backend>& aBackend,
-                     const AttemptTag& aTag,
-                     AttemptOutcome aOutcome) override;
+  void OnAttemptFinished(const std::shared_ptr<Backend>& aBackend,
+                         const AttemptCrashInfo& aTag,
+                         AttemptOutcome aOutcome) override;
   void OnBackendDown(const Backend& aBackend) override;
-  void OnBackendGone(const Backend& aBackend) override;
+  void OnBackendRemoved(const Backend& aBackend) override;
 
 private:
   /// An attempt without an answer, until it is known whether its server ended.
   struct OpenCase
   {
-    AttemptTag tag_;
+    AttemptCrashInfo crashInfo_;
     std::string backendId_;
     int64_t bornMs_ = 0;
     TimeMs untilMs_ = 0;
@@ -70,7 +70,7 @@
   };
 
   void Open(const std::shared_ptr<Backend>& aBackend,
-            const AttemptTag& aTag,
+            const AttemptCrashInfo& aTag,
             AttemptOutcome aOutcome);
   void Probe(const std::shared_ptr<Backend>& aBackend);
   void OnProbed(const std::shared_ptr<Backend>& aBackend, bool aAlive);
--- a/gateway/EventLog.cpp
+++ b/gateway/EventLog.cpp
@@ -99,7 +99,7 @@
   line += '\n';
   if (::write(fd_, line.data(), line.size()) !=
       static_cast<ssize_t>(line.size())) {
-    ++unwritten_;
+    ++failedWrites_;
   }
 }
 
@@ -113,8 +113,8 @@
       bucket.dropped_ = 0;
     }
   }
-  if (unwritten_ > 0) {
-    const auto count = std::exchange(unwritten_, 0);
+  if (failedWrites_ > 0) {
+    const auto count = std::exchange(failedWrites_, 0);
     Emit(LogLevel::Warning, "log-unwritten", { { "lines", count } });
   }
 }
--- a/gateway/EventLog.hpp
+++ b/gateway/EventLog.hpp
@@ -54,7 +54,7 @@
   LogLevel minimum_;
   int fd_;
   std::map<std::string, Bucket, std::less<>> buckets_;
-  int64_t unwritten_ = 0;
+  int64_t failedWrites_ = 0;
 };
 
 }
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -13,16 +13,16 @@
 
 /// Answers up to this size are sent once they are complete, so that one that
 /// breaks off can be asked for again; larger ones are passed on as they come.
-constexpr size_t kBufferedAnswerBytes = 262144;
+constexpr size_t kBufferedResponseBytes = 262144;
 /// Output of a streamed answer that the caller has not taken yet.
 constexpr size_t kMaxOutputBytes = 262144;
 constexpr TimeMs kNoConfigRetryMs = 250;
 constexpr TimeMs kDefaultDeadlineMs = 30000;
 /// The server ends the work itself at the deadline it was given; its own
 /// answer is on the way for this long.
-constexpr TimeMs kFinalSlackMs = 25;
+constexpr TimeMs kDeadlineSlackMs = 25;
 /// Below this, a repeat has no chance to be answered.
-constexpr TimeMs kMinAttemptMs = 20;
+constexpr TimeMs kMinRetryTimeMs = 20;
 /// Connections that may fail for one request before it is refused; more of them
 /// only keep a full server busy.
 constexpr int kMaxUnsentAttempts = 3;
@@ -31,7 +31,7 @@
 constexpr TimeMs kMaxIdleNonIdempotentMs = 1500;
 constexpr TimeMs kMaxIdleMs = 8000;
 
-std::string_view ReasonOf(int aStatus)
+std::string_view ReasonPhrase(int aStatus)
 {
   switch (aStatus) {
     case 400:
@@ -58,13 +58,13 @@
 }
 
 ForwardedRequest::ForwardedRequest(Forwarder& aForwarder,
-                                   AnswerSink& aSink,
+                                   ResponseSink& aSink,
                                    HttpHead aHead)
   : forwarder_(aForwarder)
   , sink_(&aSink)
   , head_(std::move(aHead))
-  , readMs_(aForwarder.Loop().NowMs())
-  , finalTimer_(aForwarder.Loop(), [this] { OnFinalTimer(); })
+  , receivedMs_(aForwarder.Loop().NowMs())
+  , deadlineTimer_(aForwarder.Loop(), [this] { OnDeadline(); })
 {
   forwarder_.AddActive();
 }
@@ -72,8 +72,8 @@
 ForwardedRequest::~ForwardedRequest()
 {
   forwarder_.RemoveActive();
-  if (link_ != nullptr) {
-    link_->Detach();
+  if (connection_ != nullptr) {
+    connection_->Detach();
   }
 }
 
@@ -84,12 +84,12 @@
 
 TimeMs ForwardedRequest::RemainingMs() const
 {
-  return finalMs_ - forwarder_.Loop().NowMs();
+  return deadlineMs_ - forwarder_.Loop().NowMs();
 }
 
-TimeMs ForwardedRequest::HeldMs() const
+TimeMs ForwardedRequest::ElapsedMs() const
 {
-  return forwarder_.Loop().NowMs() - readMs_;
+  return forwarder_.Loop().NowMs() - receivedMs_;
 }
 
 void ForwardedRequest::Begin()
@@ -118,15 +118,15 @@
   service_ = routes_->NextTarget(*route_).service_;
   const TimeMs deadlineMs =
     caller_.deadlineMs_.value_or(detail::kDefaultDeadlineMs);
-  finalMs_ = readMs_ + std::min(deadlineMs, route_->timeoutMs_);
-  finalTimer_.Start(finalMs_ - readMs_ + detail::kFinalSlackMs);
+  deadlineMs_ = receivedMs_ + std::min(deadlineMs, route_->timeoutMs_);
+  deadlineTimer_.Start(deadlineMs_ - receivedMs_ + detail::kDeadlineSlackMs);
   forwarder_.Metrics().OnRequest(route_->name_);
 }
 
-void ForwardedRequest::OnRead(bool aMayDispatch)
+void ForwardedRequest::OnRequestRead(bool aMayDispatch)
 {
-  read_ = true;
-  if (answered_) {
+  requestRead_ = true;
+  if (completed_) {
     return;
   }
   if (body_.size() > routes_->Config().limits_.bodyBytes_) {
@@ -143,13 +143,13 @@
 
 void ForwardedRequest::AllowDispatch()
 {
-  if (answered_ || dispatched_ || !read_) {
+  if (completed_ || dispatched_ || !requestRead_) {
     return;
   }
   dispatched_ = true;
   forwarder_.OnFirstAttempt(*this);
   if (!forwarder_.TryAdmit(*this)) {
-    Reject(503, "owner-share", forwarder_.SpreadRetryMs(RemainingMs()));
+    Reject(503, "owner-share", forwarder_.RandomRetryAfterMs(RemainingMs()));
     return;
   }
   Dispatch();
@@ -157,36 +157,36 @@
 
 void ForwardedRequest::Redispatch()
 {
-  parked_ = false;
-  if (!answered_ && sink_ != nullptr) {
+  queued_ = false;
+  if (!completed_ && sink_ != nullptr) {
     Dispatch();
   }
 }
 
-void ForwardedRequest::RefuseParked(std::string_view aCause)
+void ForwardedRequest::RejectQueued(std::string_view aCause)
 {
-  if (parked_ && sink_ != nullptr) {
-    Reject(sent_ ? 502 : 503, aCause, 0);
+  if (queued_ && sink_ != nullptr) {
+    Reject(mayHaveExecuted_ ? 502 : 503, aCause, 0);
   }
 }
 
 void ForwardedRequest::Dispatch()
 {
-  const auto choice = forwarder_.Choose(*this);
+  const auto choice = forwarder_.ChooseBackend(*this);
   switch (choice.verdict_) {
     case PlacementVerdict::Send:
       SendTo(choice);
       break;
     case PlacementVerdict::Wait:
-      parked_ = true;
-      forwarder_.Park(shared_from_this());
+      queued_ = true;
+      forwarder_.Enqueue(shared_from_this());
       break;
     default:
       Reject(503, choice.cause_, choice.retryAfterMs_);
   }
 }
 
-std::string ForwardedRequest::RequestHead(const Backend& aBackend) const
+std::string ForwardedRequest::MakeRequestHead(const Backend& aBackend) const
 {
   auto text = Concat(head_.method_, " ", head_.target_, " HTTP/1.1\r\n");
   for (const auto& [name, value] : EndToEndFields(head_)) {
@@ -208,17 +208,17 @@
 {
   if (aDecision.verdict_ == SuspectVerdict::Refuse) {
     // What an earlier attempt may have run is no refusal.
-    Reject(sent_ ? 502 : 503,
+    Reject(mayHaveExecuted_ ? 502 : 503,
            "quarantined",
            aDecision.waitMs_ > 0 ? aDecision.waitMs_ : RemainingMs());
   } else if (aDecision.verdict_ == SuspectVerdict::Wait) {
-    parked_ = true;
-    forwarder_.Park(shared_from_this());
+    queued_ = true;
+    forwarder_.Enqueue(shared_from_this());
   }
   return aDecision.verdict_ == SuspectVerdict::Run;
 }
 
-void ForwardedRequest::SendTo(const Choice& aChoice)
+void ForwardedRequest::SendTo(const BackendChoice& aChoice)
 {
   const auto& backend = aChoice.backend_;
   auto& crashes = forwarder_.Crashes();
@@ -232,125 +232,126 @@
     IsIdempotent() ? detail::kMaxIdleMs : detail::kMaxIdleNonIdempotentMs);
   if (link == nullptr) {
     crashes.GiveBack(fingerprint_, *backend);
-    parked_ = true;
-    forwarder_.Park(shared_from_this());
+    queued_ = true;
+    forwarder_.Enqueue(shared_from_this());
     return;
   }
   ++attempts_;
   lastBackend_ = backend->entry_.id_;
-  discard_ = false;
-  answerBody_.clear();
-  link_ = link;
+  discardResponse_ = false;
+  responseBody_.clear();
+  connection_ = link;
   link->Start(*this,
               { fingerprint_, decision.knownCrashes_ },
-              RequestHead(*backend),
+              MakeRequestHead(*backend),
               body_,
               caller_.requestId_,
               head_.method_ != "HEAD");
 }
 
-void ForwardedRequest::OnAnswerHead(const HttpHead& aHead,
-                                    const AnswerInfo& aInfo)
+void ForwardedRequest::OnResponseHead(const HttpHead& aHead,
+                                      const AnswerInfo& aInfo)
 {
-  answerHead_ = aHead;
-  answerInfo_ = aInfo;
+  responseHead_ = aHead;
+  responseInfo_ = aInfo;
   if (!aInfo.notRun_) {
-    sent_ = true;
+    mayHaveExecuted_ = true;
   }
-  const bool success = answerHead_.status_ < 300;
+  const bool success = responseHead_.status_ < 300;
   if (aInfo.notRun_ || (success && !aInfo.sealed_) ||
-      answerHead_.HasField("Content-Encoding")) {
-    discard_ = true;
+      responseHead_.HasField("Content-Encoding")) {
+    discardResponse_ = true;
   }
 }
 
-void ForwardedRequest::OnAnswerBody(std::string& aBody)
+void ForwardedRequest::OnResponseBody(std::string& aBody)
 {
-  if (discard_) {
+  if (discardResponse_) {
     aBody.clear();
     return;
   }
   if (headWritten_) {
-    if (answerHead_.contentLength_) {
+    if (responseHead_.contentLength_) {
       output_.append(aBody);
     } else {
       AppendTo(output_, absl::Hex(aBody.size()), "\r\n", aBody, "\r\n");
     }
     aBody.clear();
     if (output_.size() > detail::kMaxOutputBytes) {
-      link_->PauseReading(true);
+      connection_->PauseReading(true);
     }
-    sink_->OnAnswerBytes();
+    sink_->OnResponseBytes();
     return;
   }
-  answerBody_.append(aBody);
+  responseBody_.append(aBody);
   aBody.clear();
-  if (answerBody_.size() > detail::kBufferedAnswerBytes) {
-    StartAnswer(false);
+  if (responseBody_.size() > detail::kBufferedResponseBytes) {
+    StartResponse(false);
   }
 }
 
-void ForwardedRequest::OnAnswerDone()
+void ForwardedRequest::OnResponseDone()
 {
-  link_ = nullptr;
+  connection_ = nullptr;
   const auto self = shared_from_this();
   forwarder_.OnAttemptEnded();
-  if (sink_ == nullptr || answered_) {
+  if (sink_ == nullptr || completed_) {
     return;
   }
-  if (answerInfo_.notRun_) {
+  if (responseInfo_.notRun_) {
     forwarder_.Metrics().OnAttempt("not-run");
-    OnNotRun();
+    OnNotExecuted();
     return;
   }
-  if (discard_) {
+  if (discardResponse_) {
     forwarder_.Metrics().OnAttempt("unsealed");
-    OnUncertain("unsealed-answer");
+    OnOutcomeUnknown("unsealed-answer");
     return;
   }
   forwarder_.Metrics().OnAttempt("answered");
-  forwarder_.NoteAnswerBytes(
-    *route_, answerHead_.contentLength_.value_or(answerBody_.size()));
-  if (answerHead_.status_ >= 500 && IsIdempotent() && !headWritten_ &&
-      TryAgain("server-error", true)) {
+  forwarder_.RecordResponseBytes(
+    *route_, responseHead_.contentLength_.value_or(responseBody_.size()));
+  if (responseHead_.status_ >= 500 && IsIdempotent() && !headWritten_ &&
+      TryRetry("server-error", true)) {
     return;
   }
   if (headWritten_) {
-    if (!answerHead_.contentLength_) {
+    if (!responseHead_.contentLength_) {
       output_ += "0\r\n\r\n";
     }
   } else {
-    StartAnswer(true);
+    StartResponse(true);
   }
-  FinishAnswer();
+  FinishResponse();
 }
 
-void ForwardedRequest::OnAttemptFailed(AttemptEnd aEnd, std::string_view aCause)
+void ForwardedRequest::OnAttemptFailed(AttemptFailure aEnd,
+                                       std::string_view aCause)
 {
-  const auto link = std::exchange(link_, nullptr);
+  const auto link = std::exchange(connection_, nullptr);
   const auto self = shared_from_this();
   forwarder_.Metrics().OnAttempt(EnumName(aEnd));
   forwarder_.OnAttemptEnded();
-  if (aEnd == AttemptEnd::MaybeRun) {
-    sent_ = true;
+  if (aEnd == AttemptFailure::MaybeExecuted) {
+    mayHaveExecuted_ = true;
   }
-  if (sink_ == nullptr || answered_) {
+  if (sink_ == nullptr || completed_) {
     return;
   }
   if (headWritten_) {
-    answered_ = true;
-    finalTimer_.Stop();
-    LogEnd(answerHead_.status_, "broken-answer", lastBackend_);
-    sink_->OnAnswerBroken();
+    completed_ = true;
+    deadlineTimer_.Stop();
+    LogCompletion(responseHead_.status_, "broken-answer", lastBackend_);
+    sink_->OnResponseAborted();
     return;
   }
-  if (aEnd == AttemptEnd::NotSent) {
+  if (aEnd == AttemptFailure::NotSent) {
     --attempts_;
     ++unsentAttempts_;
-    tried_.insert(lastBackend_);
+    triedBackends_.insert(lastBackend_);
     if (unsentAttempts_ > detail::kMaxUnsentAttempts ||
-        !TryAgain(aCause, false)) {
-      if (sent_) {
+        !TryRetry(aCause, false)) {
+      if (mayHaveExecuted_) {
         Reject(502, aCause, 0);
       } else {
         Reject(503,
@@ -360,18 +361,18 @@
     }
     return;
   }
-  OnUncertain(aCause);
+  OnOutcomeUnknown(aCause);
 }
 
-void ForwardedRequest::OnNotRun()
+void ForwardedRequest::OnNotExecuted()
 {
-  tried_.insert(lastBackend_);
+  triedBackends_.insert(lastBackend_);
   const std::string_view cause =
-    answerHead_.status_ == 421 ? "misdirected" : "backend-shed";
-  if (TryAgain(cause, true)) {
+    responseHead_.status_ == 421 ? "misdirected" : "backend-shed";
+  if (TryRetry(cause, true)) {
     return;
   }
-  if (sent_) {
+  if (mayHaveExecuted_) {
     // An earlier attempt may have run, so this is no refusal.
     Reject(502, "attempts-exhausted", 0);
     return;
@@ -379,21 +380,21 @@
   Reject(503, cause, RetryAfterMs(forwarder_.Options(), RemainingMs(), 0));
 }
 
-void ForwardedRequest::OnUncertain(std::string_view aCause)
+void ForwardedRequest::OnOutcomeUnknown(std::string_view aCause)
 {
-  tried_.insert(lastBackend_);
-  if (IsIdempotent() && TryAgain(aCause, true)) {
+  triedBackends_.insert(lastBackend_);
+  if (IsIdempotent() && TryRetry(aCause, true)) {
     return;
   }
   Reject(502, aCause, 0);
 }
 
-bool ForwardedRequest::TryAgain(std::string_view aCause, bool aCounts)
+bool ForwardedRequest::TryRetry(std::string_view aCause, bool aCounts)
 {
   std::string_view decision = "retried";
   if (attempts_ >= route_->maxAttempts_) {
     decision = "attempts used up";
-  } else if (RemainingMs() < detail::kMinAttemptMs) {
+  } else if (RemainingMs() < detail::kMinRetryTimeMs) {
     decision = "deadline too near";
   } else if (aCounts && !forwarder_.TryTakeRetry(service_)) {
     decision = "retry budget used up";
@@ -417,45 +418,45 @@
     forwarder_.Metrics().OnRetry();
   }
   // Not from within the handler of the connection that has just ended.
-  parked_ = true;
+  queued_ = true;
   forwarder_.Loop().Defer([self = shared_from_this()] {
-    if (self->parked_) {
+    if (self->queued_) {
       self->Redispatch();
     }
   });
   return true;
 }
 
-void ForwardedRequest::OnFinalTimer()
+void ForwardedRequest::OnDeadline()
 {
-  if (answered_) {
+  if (completed_) {
     return;
   }
   const auto self = shared_from_this();
   // The timer that runs this belongs to the request.
   forwarder_.Loop().Defer([self] {});
-  const bool underWay = link_ != nullptr;
+  const bool underWay = connection_ != nullptr;
   if (headWritten_) {
-    answered_ = true;
-    LogEnd(answerHead_.status_, "deadline-in-answer", lastBackend_);
-    if (auto link = std::exchange(link_, nullptr)) {
+    completed_ = true;
+    LogCompletion(responseHead_.status_, "deadline-in-answer", lastBackend_);
+    if (auto link = std::exchange(connection_, nullptr)) {
       link->Cancel();
     }
     if (sink_ != nullptr) {
-      sink_->OnAnswerBroken();
+      sink_->OnResponseAborted();
     }
     return;
   }
-  if (auto link = std::exchange(link_, nullptr)) {
+  if (auto link = std::exchange(connection_, nullptr)) {
     link->Cancel();
   }
   if (sink_ == nullptr) {
-    answered_ = true;
+    completed_ = true;
     return;
   }
-  if (!read_) {
+  if (!requestRead_) {
     Reject(408, "request-incomplete", 0);
-  } else if (underWay || sent_) {
+  } else if (underWay || mayHaveExecuted_) {
     Reject(504, "deadline", 0);
   } else {
     Reject(503, "deadline-unsent", 0);
@@ -466,10 +467,10 @@
                               std::string_view aCause,
                               TimeMs aRetryAfterMs)
 {
-  if (answered_) {
+  if (completed_) {
     return;
   }
-  const auto status = Concat(aStatus, " ", detail::ReasonOf(aStatus));
+  const auto status = Concat(aStatus, " ", detail::ReasonPhrase(aStatus));
   const auto body = Concat(aCause, "\n");
   output_ = Concat("HTTP/1.1 ", status, "\r\n");
   forwarder_.Protocol().AddOwnAnswerFields(output_, caller_.requestId_);
@@ -481,23 +482,23 @@
              "\r\n");
   }
   // A request whose end is unknown leaves the connection unusable.
-  announcedClose_ = sink_->WantsClose(*this) || !read_;
+  announcedClose_ = sink_->WantsClose(*this) || !requestRead_;
   AppendTo(output_,
            announcedClose_ ? "Connection: close\r\n" : "",
            "Content-Type: text/plain\r\nContent-Length: ",
            body.size(),
            "\r\n\r\n",
            head_.method_ == "HEAD" ? "" : body);
-  LogEnd(aStatus, aCause, lastBackend_);
-  FinishAnswer();
+  LogCompletion(aStatus, aCause, lastBackend_);
+  FinishResponse();
 }
 
-void ForwardedRequest::StartAnswer(bool aComplete)
+void ForwardedRequest::StartResponse(bool aComplete)
 {
   headWritten_ = true;
-  output_ =
-    Concat("HTTP/1.1 ", answerHead_.status_, " ", answerHead_.reason_, "\r\n");
-  for (const auto& [name, value] : EndToEndFields(answerHead_)) {
+  output_ = Concat(
+    "HTTP/1.1 ", responseHead_.status_, " ", responseHead_.reason_, "\r\n");
+  for (const auto& [name, value] : EndToEndFields(responseHead_)) {
     if (!forwarder_.Protocol().IsInternalAnswerField(name)) {
       AppendTo(output_, name, ": ", value, "\r\n");
     }
@@ -506,97 +507,97 @@
   if (announcedClose_) {
     output_ += "Connection: close\r\n";
   }
-  const int status = answerHead_.status_;
+  const int status = responseHead_.status_;
   const bool bodiless =
     head_.method_ == "HEAD" || status == 204 || status == 304;
   if (bodiless) {
-    if (answerHead_.contentLength_ && status != 204) {
+    if (responseHead_.contentLength_ && status != 204) {
       AppendTo(
-        output_, "Content-Length: ", *answerHead_.contentLength_, "\r\n");
+        output_, "Content-Length: ", *responseHead_.contentLength_, "\r\n");
     }
     output_ += "\r\n";
-    answerHead_.contentLength_ = 0;
+    responseHead_.contentLength_ = 0;
     return;
   }
   if (aComplete) {
-    answerHead_.contentLength_ = answerBody_.size();
+    responseHead_.contentLength_ = responseBody_.size();
   }
-  if (answerHead_.contentLength_) {
+  if (responseHead_.contentLength_) {
     AppendTo(output_,
              "Content-Length: ",
-             *answerHead_.contentLength_,
+             *responseHead_.contentLength_,
              "\r\n\r\n",
-             answerBody_);
+             responseBody_);
   } else {
     AppendTo(output_,
              "Transfer-Encoding: chunked\r\n\r\n",
-             absl::Hex(answerBody_.size()),
+             absl::Hex(responseBody_.size()),
              "\r\n",
-             answerBody_,
+             responseBody_,
              "\r\n");
   }
-  answerBody_ = {};
+  responseBody_ = {};
   if (!aComplete) {
-    sink_->OnAnswerBytes();
+    sink_->OnResponseBytes();
   }
 }
 
-void ForwardedRequest::FinishAnswer()
+void ForwardedRequest::FinishResponse()
 {
-  answered_ = true;
-  parked_ = false;
-  finalTimer_.Stop();
+  completed_ = true;
+  queued_ = false;
+  deadlineTimer_.Stop();
   if (headWritten_) {
-    LogEnd(answerHead_.status_, "answered", lastBackend_);
+    LogCompletion(responseHead_.status_, "answered", lastBackend_);
   }
   if (sink_ != nullptr) {
-    sink_->OnAnswerBytes();
+    sink_->OnResponseBytes();
   }
 }
 
-void ForwardedRequest::OnOutputTaken()
+void ForwardedRequest::OnOutputWritten()
 {
-  if (link_ != nullptr && headWritten_ &&
+  if (connection_ != nullptr && headWritten_ &&
       output_.size() <= detail::kMaxOutputBytes) {
-    link_->PauseReading(false);
+    connection_->PauseReading(false);
   }
 }
 
-void ForwardedRequest::OnCallerGone()
+void ForwardedRequest::OnCallerDisconnected()
 {
   const auto self = shared_from_this();
   sink_ = nullptr;
-  parked_ = false;
-  if (answered_) {
+  queued_ = false;
+  if (completed_) {
     return;
   }
-  if (link_ != nullptr && !IsIdempotent()) {
+  if (connection_ != nullptr && !IsIdempotent()) {
     // What is being recorded is recorded in full; nobody hears of it. The
     // request stays alive until its server has answered.
-    finalTimer_.Stop();
-    link_->Detach();
-    link_ = nullptr;
-    answered_ = true;
-    LogEnd(0, "caller-left", lastBackend_);
+    deadlineTimer_.Stop();
+    connection_->Detach();
+    connection_ = nullptr;
+    completed_ = true;
+    LogCompletion(0, "caller-left", lastBackend_);
     return;
   }
-  if (auto link = std::exchange(link_, nullptr)) {
+  if (auto link = std::exchange(connection_, nullptr)) {
     link->Cancel();
   }
-  answered_ = true;
-  finalTimer_.Stop();
+  completed_ = true;
+  deadlineTimer_.Stop();
   if (begun_ && route_ != nullptr) {
-    LogEnd(0, "caller-left", lastBackend_);
+    LogCompletion(0, "caller-left", lastBackend_);
   }
 }
 
-void ForwardedRequest::LogEnd(int aStatus,
-                              std::string_view aCause,
-                              std::string_view aBackend)
+void ForwardedRequest::LogCompletion(int aStatus,
+                                     std::string_view aCause,
+                                     std::string_view aBackend)
 {
   const TimeMs nowMs = forwarder_.Loop().NowMs();
-  const TimeMs latencyMs = nowMs - readMs_;
-  forwarder_.Metrics().OnAnswer(
+  const TimeMs latencyMs = nowMs - receivedMs_;
+  forwarder_.Metrics().OnResponse(
     aStatus, aCause, static_cast<double>(latencyMs));
   const bool good = aStatus >= 200 && aStatus < 300;
   const auto event = good ? "request-served" : "request-failed";
@@ -617,7 +618,7 @@
       { "attempts", attempts_ },
       { "fingerprint", absl::Hex(fingerprint_) },
       { "held_ms", latencyMs },
-      { "remaining_ms", finalMs_ == 0 ? 0 : finalMs_ - nowMs } });
+      { "remaining_ms", deadlineMs_ == 0 ? 0 : deadlineMs_ - nowMs } });
 }
 
 }
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -15,14 +15,14 @@
 class ForwardedRequest;
 
 /// Takes the answer of a request, on the caller's side.
-class AnswerSink
+class ResponseSink
 {
 public:
-  virtual ~AnswerSink() = default;
+  virtual ~ResponseSink() = default;
   /// Bytes were added to the request's output.
-  virtual void OnAnswerBytes() = 0;
+  virtual void OnResponseBytes() = 0;
   /// The answer broke off after its head was sent: the connection must end.
-  virtual void OnAnswerBroken() = 0;
+  virtual void OnResponseAborted() = 0;
   /// True when the answer of aRequest should announce the end of the
   /// connection.
   virtual bool WantsClose(const ForwardedRequest& aRequest) const = 0;
@@ -36,66 +36,68 @@
   , public std::enable_shared_from_this<ForwardedRequest>
 {
 public:
-  ForwardedRequest(Forwarder& aForwarder, AnswerSink& aSink, HttpHead aHead);
+  ForwardedRequest(Forwarder& aForwarder, ResponseSink& aSink, HttpHead aHead);
   ~ForwardedRequest() override;
 
   /// Checks the head; answers at once where no backend server is needed.
   void Begin();
   std::string& Body() { return body_; }
   /// The whole request was read. Dispatches unless it is held back.
-  void OnRead(bool aMayDispatch);
+  void OnRequestRead(bool aMayDispatch);
   /// A held back request may run now.
   void AllowDispatch();
   /// The caller has left.
-  void OnCallerGone();
+  void OnCallerDisconnected();
   /// Looks again for a backend server.
   void Redispatch();
   /// The caller took some of the output.
-  void OnOutputTaken();
+  void OnOutputWritten();
   /// Answers with an error of the gateway's own.
   void Reject(int aStatus, std::string_view aCause, TimeMs aRetryAfterMs);
 
   std::string& Output() { return output_; }
-  bool IsAnswered() const { return answered_; }
+  bool IsCompleted() const { return completed_; }
   /// Ends a request that waits, if it still does.
-  void RefuseParked(std::string_view aCause);
+  void RejectQueued(std::string_view aCause);
   bool AnnouncedClose() const { return announcedClose_; }
   bool IsRepeatable() const { return IsIdempotent(); }
-  bool IsParked() const { return parked_; }
+  bool IsQueued() const { return queued_; }
 
   const Route* GetRoute() const { return route_; }
   const std::string& Service() const { return service_; }
   const CallerInfo& Caller() const { return caller_; }
-  const std::set<std::string>& Tried() const { return tried_; }
+  const std::set<std::string>& TriedBackends() const { return triedBackends_; }
   TimeMs RemainingMs() const;
-  TimeMs HeldMs() const;
+  TimeMs ElapsedMs() const;
   size_t BodyBytes() const { return body_.size(); }
   uint64_t Fingerprint() const { return fingerprint_; }
 
 private:
-  void OnAnswerHead(const HttpHead& aHead, const AnswerInfo& aInfo) override;
-  void OnAnswerBody(std::string& aBody) override;
-  void OnAnswerDone() override;
-  void OnAttemptFailed(AttemptEnd aEnd, std::string_view aCause) override;
+  void OnResponseHead(const HttpHead& aHead, const AnswerInfo& aInfo) override;
+  void OnResponseBody(std::string& aBody) override;
+  void OnResponseDone() override;
+  void OnAttemptFailed(AttemptFailure aEnd, std::string_view aCause) override;
 
   bool IsIdempotent() const;
   void Dispatch();
-  void SendTo(const Choice& aChoice);
+  void SendTo(const BackendChoice& aChoice);
   /// False when a request that crashes servers must wait or was refused.
   bool MayRunOn(const SuspectDecision& aDecision);
-  std::string RequestHead(const Backend& aBackend) const;
-  void OnNotRun();
+  std::string MakeRequestHead(const Backend& aBackend) const;
+  void OnNotExecuted();
   /// An attempt may have run and gave no usable answer.
-  void OnUncertain(std::string_view aCause);
+  void OnOutcomeUnknown(std::string_view aCause);
   /// aCounts: the next attempt draws on the retry budget.
-  bool TryAgain(std::string_view aCause, bool aCounts);
-  void OnFinalTimer();
-  void StartAnswer(bool aComplete);
-  void FinishAnswer();
-  void LogEnd(int aStatus, std::string_view aCause, std::string_view aBackend);
+  bool TryRetry(std::string_view aCause, bool aCounts);
+  void OnDeadline();
+  void StartResponse(bool aComplete);
+  void FinishResponse();
+  void LogCompletion(int aStatus,
+                     std::string_view aCause,
+                     std::string_view aBackend);
 
   Forwarder& forwarder_;
-  AnswerSink* sink_;
+  ResponseSink* sink_;
   HttpHead head_;
   std::string body_;
   std::string output_;
@@ -104,26 +106,26 @@
   std::string service_;
   CallerInfo caller_;
   uint64_t fingerprint_ = 0;
-  TimeMs readMs_;
-  TimeMs finalMs_ = 0;
-  Timer finalTimer_;
-  std::shared_ptr<BackendLink> link_;
-  std::set<std::string> tried_;
+  TimeMs receivedMs_;
+  TimeMs deadlineMs_ = 0;
+  Timer deadlineTimer_;
+  std::shared_ptr<BackendConnection> connection_;
+  std::set<std::string> triedBackends_;
   std::string lastBackend_;
   int attempts_ = 0;
   int unsentAttempts_ = 0; ///< connections that ended before the request
   bool begun_ = false;
-  bool read_ = false;
+  bool requestRead_ = false;
   bool dispatched_ = false;
-  bool sent_ = false; ///< an attempt may have run
-  bool parked_ = false;
-  bool answered_ = false;
+  bool mayHaveExecuted_ = false; ///< an attempt may have run
+  bool queued_ = false;
+  bool completed_ = false;
   bool announcedClose_ = false;
-  HttpHead answerHead_;
-  AnswerInfo answerInfo_;
-  std::string answerBody_;
+  HttpHead responseHead_;
+  AnswerInfo responseInfo_;
+  std::string responseBody_;
   bool headWritten_ = false;
-  bool discard_ = false; ///< the attempt's answer is not for the caller
+  bool discardResponse_ = false; ///< the attempt's answer is not for the caller
 };
 
 }
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -13,26 +13,26 @@
 namespace detail {
 
 /// Waiting requests are looked at this often even if nothing ends.
-constexpr TimeMs kParkTickMs = 10;
+constexpr TimeMs kQueueIntervalMs = 10;
 /// Part of the retry budget that is used: the others' clocks and windows
 /// differ from ours.
-constexpr double kBudgetSafety = 0.8;
+constexpr double kRetryBudgetSafetyFactor = 0.8;
 constexpr double kPercent = 100;
 /// The owner of a key is being changed: callers come back after this.
 constexpr TimeMs kMoveRetryMs = 60;
 /// A move of keys is over within this time, where both servers answer.
-constexpr double kMoveHoldShare = 0.4;
+constexpr double kMoveWaitShare = 0.4;
 /// Callers of an overloaded owner come back after this part of their remaining
 /// time at the earliest.
-constexpr double kMinSpreadShare = 0.1;
+constexpr double kMinRetryAfterShare = 0.1;
 /// Servers of other gateways that are compared for one request. All gateways
 /// share the same reports, so all of them would choose the same best server;
 /// the best of a few drawn ones spreads them.
-constexpr size_t kForeignSample = 6;
+constexpr size_t kSampledBackends = 6;
 /// Size of the answers of a route before the first one.
-constexpr double kFirstAnswerBytes = 2048;
-constexpr double kFirstDownloadBytes = 65536;
-constexpr double kAnswerBytesWeight = 0.05;
+constexpr double kInitialResponseBytes = 2048;
+constexpr double kInitialDownloadBytes = 65536;
+constexpr double kResponseBytesWeight = 0.05;
 
 }
 
@@ -40,9 +40,9 @@
                      EventLog& aLog,
                      GatewayMetrics& aMetrics,
                      const RequestProtocol& aProtocol,
-                     ForwardingBounds aBounds,
+                     ForwardingLimits aBounds,
                      CrashWatch::ChangeTask aOnSuspects,
-                     BackendPool::LeavingTask aOnLeaving)
+                     BackendPool::LeavingCallback aOnLeaving)
   : loop_(aLoop)
   , log_(aLog)
   , metrics_(aMetrics)
@@ -51,8 +51,8 @@
   , crashes_(aLoop, aLog, std::move(aOnSuspects))
   , pool_(aLoop, aLog, aMetrics, aProtocol, crashes_, std::move(aOnLeaving))
   , admission_(std::random_device{}())
-  , answerBytes_(detail::kAnswerBytesWeight)
-  , parkTimer_(aLoop, [this] { PumpParked(); })
+  , responseBytes_(detail::kResponseBytesWeight)
+  , queueTimer_(aLoop, [this] { DispatchQueued(); })
   , random_(std::random_device{}())
 {
 }
@@ -66,7 +66,7 @@
   for (const auto& route : routes_->Config().routes_) {
     names.insert(route.name_);
   }
-  answerBytes_.Keep(
+  responseBytes_.Keep(
     [&](const std::string& aName) { return names.contains(aName); });
 }
 
@@ -75,23 +75,23 @@
   const std::set<std::string>& aChanged)
 {
   pool_.Update(aEntries, aChanged);
-  AssignHomes();
-  SchedulePump();
+  AssignPreferredBackends();
+  ScheduleDispatch();
 }
 
 void Forwarder::SetGateways(const std::string& aSelf,
                             const std::vector<PlacedName>& aGateways)
 {
   if (self_ != aSelf || gatewayNames_ != aGateways) {
-    gateways_ = std::max<size_t>(aGateways.size(), 1);
-    UpdateBudgets();
+    gatewayCount_ = std::max<size_t>(aGateways.size(), 1);
+    UpdateRetryBudgets();
     self_ = aSelf;
     gatewayNames_ = aGateways;
     std::vector<std::string> names;
     std::ranges::transform(
       aGateways, std::back_inserter(names), &PlacedName::first);
     crashes_.SetGateways(aSelf, std::move(names));
-    AssignHomes();
+    AssignPreferredBackends();
   }
 }
 
@@ -99,28 +99,29 @@
 {
   bounds_.retryRatio_ = aRatio;
   bounds_.retryExtra_ = aExtra;
-  UpdateBudgets();
+  UpdateRetryBudgets();
 }
 
 double Forwarder::RetryPercent() const
 {
-  return bounds_.retryRatio_ * detail::kBudgetSafety * detail::kPercent;
+  return bounds_.retryRatio_ * detail::kRetryBudgetSafetyFactor *
+         detail::kPercent;
 }
 
 double Forwarder::RetryBurst() const
 {
-  return bounds_.retryExtra_ * detail::kBudgetSafety /
-         static_cast<double>(gateways_);
+  return bounds_.retryExtra_ * detail::kRetryBudgetSafetyFactor /
+         static_cast<double>(gatewayCount_);
 }
 
-void Forwarder::UpdateBudgets()
+void Forwarder::UpdateRetryBudgets()
 {
-  for (auto& [service, budget] : budgets_) {
+  for (auto& [service, budget] : retryBudgets_) {
     budget.SetLimits(RetryPercent(), RetryBurst());
   }
 }
 
-void Forwarder::AssignHomes()
+void Forwarder::AssignPreferredBackends()
 {
   for (const auto& [service, backends] : pool_.Services()) {
     std::vector<PlacedName> servers;
@@ -142,14 +143,14 @@
   // All gateways share the connections of a server; a tenth stays free for
   // the orders of the leader.
   constexpr double kUsableShare = 0.9;
-  const double share =
-    aService.maxConnections_ * kUsableShare / static_cast<double>(gateways_);
+  const double share = aService.maxConnections_ * kUsableShare /
+                       static_cast<double>(gatewayCount_);
   return std::max<size_t>(2, static_cast<size_t>(share));
 }
 
-PlacementCandidate Forwarder::Describe(const Backend& aBackend,
-                                       const ForwardedRequest& aRequest,
-                                       size_t aMaxConnections) const
+PlacementCandidate Forwarder::MakeCandidate(const Backend& aBackend,
+                                            const ForwardedRequest& aRequest,
+                                            size_t aMaxConnections) const
 {
   const TimeMs nowMs = loop_.NowMs();
   PlacementCandidate candidate;
@@ -163,11 +164,11 @@
   candidate.full_ =
     aBackend.pause_.IsFull(aBackend.busy_.size()) ||
     (aBackend.idle_.empty() && aBackend.Connections() >= aMaxConnections);
-  candidate.tried_ = aRequest.Tried().contains(aBackend.entry_.id_);
+  candidate.tried_ = aRequest.TriedBackends().contains(aBackend.entry_.id_);
   return candidate;
 }
 
-Choice Forwarder::Choose(const ForwardedRequest& aRequest)
+BackendChoice Forwarder::ChooseBackend(const ForwardedRequest& aRequest)
 {
   const auto* service = routes_->Service(aRequest.Service());
   static const ServiceSpec kUnknown;
@@ -180,23 +181,23 @@
   return ChooseAny(aRequest, *service);
 }
 
-size_t Forwarder::AnswerBytes(const Route& aRoute) const
+size_t Forwarder::MeanResponseBytes(const Route& aRoute) const
 {
   const double first = aRoute.kind_ == RequestKind::Download
-                         ? detail::kFirstDownloadBytes
-                         : detail::kFirstAnswerBytes;
-  return static_cast<size_t>(answerBytes_.Get(aRoute.name_, first));
+                         ? detail::kInitialDownloadBytes
+                         : detail::kInitialResponseBytes;
+  return static_cast<size_t>(responseBytes_.Get(aRoute.name_, first));
 }
 
-void Forwarder::NoteAnswerBytes(const Route& aRoute, size_t aBytes)
+void Forwarder::RecordResponseBytes(const Route& aRoute, size_t aBytes)
 {
-  answerBytes_.Add(aRoute.name_, static_cast<double>(aBytes));
+  responseBytes_.Add(aRoute.name_, static_cast<double>(aBytes));
 }
 
-Choice Forwarder::ChooseAny(const ForwardedRequest& aRequest,
-                            const ServiceSpec& aService)
+BackendChoice Forwarder::ChooseAny(const ForwardedRequest& aRequest,
+                                   const ServiceSpec& aService)
 {
-  Choice choice;
+  BackendChoice choice;
   choice.maxConnections_ = ConnectionShare(aService);
   const auto& backends = pool_.OfService(aRequest.Service());
   std::vector<PlacementCandidate> candidates;
@@ -207,22 +208,24 @@
       usable.push_back(backend);
     }
   }
-  AddSample(backends, usable);
+  AddSampledBackends(backends, usable);
   for (const auto& backend : usable) {
-    candidates.push_back(Describe(*backend, aRequest, choice.maxConnections_));
+    candidates.push_back(
+      MakeCandidate(*backend, aRequest, choice.maxConnections_));
   }
   const auto& route = *aRequest.GetRoute();
-  const auto decision = Place(options_,
-                              { aRequest.RemainingMs(),
-                                route.objectiveMs_,
-                                aRequest.HeldMs(),
-                                aRequest.BodyBytes() + AnswerBytes(route) },
-                              candidates);
+  const auto decision =
+    Place(options_,
+          { aRequest.RemainingMs(),
+            route.objectiveMs_,
+            aRequest.ElapsedMs(),
+            aRequest.BodyBytes() + MeanResponseBytes(route) },
+          candidates);
   choice.verdict_ = decision.verdict_;
   choice.retryAfterMs_ = decision.retryAfterMs_;
   choice.cause_ = usable.empty() ? "no-backend" : "overload";
   if (usable.empty()) {
-    SetPauseOf(backends, choice);
+    ApplyPause(backends, choice);
   }
   if (decision.verdict_ == PlacementVerdict::Send) {
     choice.backend_ = usable[decision.index_];
@@ -230,8 +233,8 @@
   return choice;
 }
 
-void Forwarder::SetPauseOf(const std::vector<BackendPool::BackendPtr>& aAll,
-                           Choice& aChoice) const
+void Forwarder::ApplyPause(const std::vector<BackendPool::BackendPtr>& aAll,
+                           BackendChoice& aChoice) const
 {
   const TimeMs nowMs = loop_.NowMs();
   TimeMs endMs = INT64_MAX;
@@ -246,12 +249,13 @@
   }
 }
 
-void Forwarder::AddSample(const std::vector<BackendPool::BackendPtr>& aAll,
-                          std::vector<BackendPool::BackendPtr>& aUsable)
+void Forwarder::AddSampledBackends(
+  const std::vector<BackendPool::BackendPtr>& aAll,
+  std::vector<BackendPool::BackendPtr>& aUsable)
 {
   const TimeMs nowMs = loop_.NowMs();
-  const auto wanted = aUsable.size() + detail::kForeignSample;
-  if (aAll.size() <= wanted + detail::kForeignSample) {
+  const auto wanted = aUsable.size() + detail::kSampledBackends;
+  if (aAll.size() <= wanted + detail::kSampledBackends) {
     for (const auto& backend : aAll) {
       if (backend->TakesRequests(nowMs) && !backend->home_) {
         aUsable.push_back(backend);
@@ -262,7 +266,7 @@
   std::uniform_int_distribution<size_t> pick(0, aAll.size() - 1);
   // Draws may hit a home or a leaving server; twice as many are enough.
   for (size_t draw = 0;
-       draw < 2 * detail::kForeignSample && aUsable.size() < wanted;
+       draw < 2 * detail::kSampledBackends && aUsable.size() < wanted;
        ++draw) {
     const auto& backend = aAll[pick(random_)];
     if (backend->TakesRequests(nowMs) && !backend->home_ &&
@@ -272,10 +276,10 @@
   }
 }
 
-Choice Forwarder::ChooseOwner(const ForwardedRequest& aRequest,
-                              const ServiceSpec& aService)
+BackendChoice Forwarder::ChooseOwner(const ForwardedRequest& aRequest,
+                                     const ServiceSpec& aService)
 {
-  Choice choice;
+  BackendChoice choice;
   choice.maxConnections_ = ConnectionShare(aService);
   const auto& route = *aRequest.GetRoute();
   const auto* owner = keys_.Find(aRequest.Service(), *aRequest.Caller().key_);
@@ -291,8 +295,8 @@
                      backend->IsUsable() && backend->downUntilMs_ <= nowMs;
   if (!ready) {
     const bool mayWait =
-      static_cast<double>(aRequest.HeldMs()) <
-      static_cast<double>(route.objectiveMs_) * detail::kMoveHoldShare;
+      static_cast<double>(aRequest.ElapsedMs()) <
+      static_cast<double>(route.objectiveMs_) * detail::kMoveWaitShare;
     // The keys of a server that leaves are about to move.
     const bool leaves = backend != nullptr && !backend->entry_.TakesNewWork();
     const bool moving = owner != nullptr && (!owner->active_ || leaves);
@@ -307,12 +311,12 @@
       static_cast<double>(moving ? detail::kMoveRetryMs : route.objectiveMs_));
     return choice;
   }
-  auto candidate = Describe(*backend, aRequest, choice.maxConnections_);
+  auto candidate = MakeCandidate(*backend, aRequest, choice.maxConnections_);
   // Nobody else can run it, so a server that failed it is asked again.
   candidate.tried_ = false;
   const auto decision =
     Place(options_,
-          { aRequest.RemainingMs(), route.objectiveMs_, aRequest.HeldMs() },
+          { aRequest.RemainingMs(), route.objectiveMs_, aRequest.ElapsedMs() },
           { &candidate, 1 });
   choice.verdict_ = decision.verdict_;
   choice.retryAfterMs_ = decision.retryAfterMs_;
@@ -321,54 +325,54 @@
   return choice;
 }
 
-void Forwarder::Park(const std::shared_ptr<ForwardedRequest>& aRequest)
+void Forwarder::Enqueue(const std::shared_ptr<ForwardedRequest>& aRequest)
 {
-  parked_.push_back(aRequest);
-  metrics_.Parked().Set(static_cast<double>(parked_.size()));
-  if (!parkTimer_.IsActive()) {
-    parkTimer_.Start(detail::kParkTickMs);
+  queue_.push_back(aRequest);
+  metrics_.QueuedRequests().Set(static_cast<double>(queue_.size()));
+  if (!queueTimer_.IsActive()) {
+    queueTimer_.Start(detail::kQueueIntervalMs);
   }
 }
 
-void Forwarder::SchedulePump()
+void Forwarder::ScheduleDispatch()
 {
-  if (pumpScheduled_ || parked_.empty()) {
+  if (dispatchScheduled_ || queue_.empty()) {
     return;
   }
-  pumpScheduled_ = true;
+  dispatchScheduled_ = true;
   loop_.Defer([this] {
-    pumpScheduled_ = false;
-    PumpParked();
+    dispatchScheduled_ = false;
+    DispatchQueued();
   });
 }
 
-void Forwarder::PumpParked()
+void Forwarder::DispatchQueued()
 {
   // More urgent routes first, then in the order of arrival.
-  auto waiting = std::exchange(parked_, {});
-  waiting.remove_if([](const auto& aRequest) { return !aRequest->IsParked(); });
+  auto waiting = std::exchange(queue_, {});
+  waiting.remove_if([](const auto& aRequest) { return !aRequest->IsQueued(); });
   waiting.sort([](const auto& aLeft, const auto& aRight) {
     return aLeft->GetRoute()->priority_ < aRight->GetRoute()->priority_;
   });
   std::ranges::for_each(waiting,
                         [](const auto& aRequest) { aRequest->Redispatch(); });
-  metrics_.Parked().Set(static_cast<double>(parked_.size()));
-  if (!parked_.empty()) {
-    parkTimer_.Start(detail::kParkTickMs);
+  metrics_.QueuedRequests().Set(static_cast<double>(queue_.size()));
+  if (!queue_.empty()) {
+    queueTimer_.Start(detail::kQueueIntervalMs);
   }
 }
 
-void Forwarder::RefuseParked(std::string_view aCause)
+void Forwarder::RejectQueued(std::string_view aCause)
 {
-  const auto waiting = std::exchange(parked_, {});
+  const auto waiting = std::exchange(queue_, {});
   std::ranges::for_each(
-    waiting, [&](const auto& aRequest) { aRequest->RefuseParked(aCause); });
+    waiting, [&](const auto& aRequest) { aRequest->RejectQueued(aCause); });
 }
 
 void Forwarder::OnFirstAttempt(const ForwardedRequest& aRequest)
 {
   const auto& service = aRequest.Service();
-  budgets_.try_emplace(service, RetryPercent(), RetryBurst())
+  retryBudgets_.try_emplace(service, RetryPercent(), RetryBurst())
     .first->second.OnRequest();
   if (aRequest.Caller().key_) {
     ++keyCounts_[service][*aRequest.Caller().key_];
@@ -386,9 +390,9 @@
          admission_.TryAdmit(ShortHash(owner->id_), loop_.NowMs());
 }
 
-TimeMs Forwarder::SpreadRetryMs(TimeMs aRemainingMs)
+TimeMs Forwarder::RandomRetryAfterMs(TimeMs aRemainingMs)
 {
-  std::uniform_real_distribution<double> share(detail::kMinSpreadShare,
+  std::uniform_real_distribution<double> share(detail::kMinRetryAfterShare,
                                                options_.maxRetryAfterShare_);
   return RetryAfterMs(
     options_, aRemainingMs, static_cast<double>(aRemainingMs) * share(random_));
@@ -396,8 +400,8 @@
 
 bool Forwarder::TryTakeRetry(const std::string& aService)
 {
-  const auto budget = budgets_.find(aService);
-  return budget != budgets_.end() && budget->second.TryTake();
+  const auto budget = retryBudgets_.find(aService);
+  return budget != retryBudgets_.end() && budget->second.TryTake();
 }
 
 Forwarder::KeyCounts Forwarder::TakeKeyCounts()
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -26,7 +26,7 @@
 class ForwardedRequest;
 
 /// Bounds of the deployment that forwarding keeps.
-struct ForwardingBounds
+struct ForwardingLimits
 {
   double retryRatio_ = 0.2; ///< repeats allowed for each request
   double retryExtra_ = 56;  ///< and beyond that, all gateways together
@@ -34,7 +34,7 @@
 };
 
 /// Where a request should go now.
-struct Choice
+struct BackendChoice
 {
   PlacementVerdict verdict_ = PlacementVerdict::Refuse;
   BackendPool::BackendPtr backend_;
@@ -52,9 +52,9 @@
             EventLog& aLog,
             GatewayMetrics& aMetrics,
             const RequestProtocol& aProtocol,
-            ForwardingBounds aBounds,
+            ForwardingLimits aBounds,
             CrashWatch::ChangeTask aOnSuspects,
-            BackendPool::LeavingTask aOnLeaving);
+            BackendPool::LeavingCallback aOnLeaving);
   ~Forwarder();
 
   void SetConfig(RoutingConfig aConfig);
@@ -67,17 +67,17 @@
   /// New bounds on repeats of requests.
   void SetRetryBounds(double aRatio, double aExtra);
   /// Looks again at waiting requests: owners or servers have changed.
-  void OnPlacesChanged() { SchedulePump(); }
+  void OnRoutingStateChanged() { ScheduleDispatch(); }
 
   std::shared_ptr<RouteTable> Routes() { return routes_; }
   KeyView& Keys() { return keys_; }
   BackendPool& Pool() { return pool_; }
   CrashWatch& Crashes() { return crashes_; }
 
-  Choice Choose(const ForwardedRequest& aRequest);
-  void Park(const std::shared_ptr<ForwardedRequest>& aRequest);
+  BackendChoice ChooseBackend(const ForwardedRequest& aRequest);
+  void Enqueue(const std::shared_ptr<ForwardedRequest>& aRequest);
   /// Refuses all waiting requests.
-  void RefuseParked(std::string_view aCause);
+  void RejectQueued(std::string_view aCause);
   /// Counts a request for the retry budget and the load of its key.
   void OnFirstAttempt(const ForwardedRequest& aRequest);
   bool TryTakeRetry(const std::string& aService);
@@ -86,10 +86,10 @@
   bool TryAdmit(const ForwardedRequest& aRequest);
   OwnerAdmission& Admission() { return admission_; }
   /// Time to come back that spreads the callers of an overloaded owner.
-  TimeMs SpreadRetryMs(TimeMs aRemainingMs);
-  void OnAttemptEnded() { SchedulePump(); }
+  TimeMs RandomRetryAfterMs(TimeMs aRemainingMs);
+  void OnAttemptEnded() { ScheduleDispatch(); }
   /// A server gave an answer of this size to a request of the route.
-  void NoteAnswerBytes(const Route& aRoute, size_t aBytes);
+  void RecordResponseBytes(const Route& aRoute, size_t aBytes);
 
   /// Requests of each key since the last call, by service.
   using KeyCounts = std::map<std::string, std::map<uint32_t, int>>;
@@ -100,54 +100,54 @@
   GatewayMetrics& Metrics() { return metrics_; }
   const RequestProtocol& Protocol() const { return protocol_; }
   const PlacementOptions& Options() const { return options_; }
-  size_t ActiveRequests() const { return active_; }
-  void AddActive() { ++active_; }
-  void RemoveActive() { --active_; }
+  size_t ActiveRequests() const { return activeRequests_; }
+  void AddActive() { ++activeRequests_; }
+  void RemoveActive() { --activeRequests_; }
 
 private:
-  Choice ChooseOwner(const ForwardedRequest& aRequest,
-                     const ServiceSpec& aService);
-  Choice ChooseAny(const ForwardedRequest& aRequest,
-                   const ServiceSpec& aService);
+  BackendChoice ChooseOwner(const ForwardedRequest& aRequest,
+                            const ServiceSpec& aService);
+  BackendChoice ChooseAny(const ForwardedRequest& aRequest,
+                          const ServiceSpec& aService);
   /// Refuses until the first of the paused servers wants requests again.
-  void SetPauseOf(const std::vector<BackendPool::BackendPtr>& aAll,
-                  Choice& aChoice) const;
+  void ApplyPause(const std::vector<BackendPool::BackendPtr>& aAll,
+                  BackendChoice& aChoice) const;
   /// Adds servers that are not homes: all of a few, else some drawn at random.
-  void AddSample(const std::vector<BackendPool::BackendPtr>& aAll,
-                 std::vector<BackendPool::BackendPtr>& aUsable);
-  PlacementCandidate Describe(const Backend& aBackend,
-                              const ForwardedRequest& aRequest,
-                              size_t aMaxConnections) const;
+  void AddSampledBackends(const std::vector<BackendPool::BackendPtr>& aAll,
+                          std::vector<BackendPool::BackendPtr>& aUsable);
+  PlacementCandidate MakeCandidate(const Backend& aBackend,
+                                   const ForwardedRequest& aRequest,
+                                   size_t aMaxConnections) const;
   /// Mean size of the route's answers.
-  size_t AnswerBytes(const Route& aRoute) const;
+  size_t MeanResponseBytes(const Route& aRoute) const;
   size_t ConnectionShare(const ServiceSpec& aService) const;
   double RetryPercent() const;
   double RetryBurst() const;
-  void UpdateBudgets();
-  void AssignHomes();
-  void SchedulePump();
-  void PumpParked();
+  void UpdateRetryBudgets();
+  void AssignPreferredBackends();
+  void ScheduleDispatch();
+  void DispatchQueued();
 
   EventLoop& loop_;
   EventLog& log_;
   GatewayMetrics& metrics_;
   const RequestProtocol& protocol_;
-  ForwardingBounds bounds_;
+  ForwardingLimits bounds_;
   PlacementOptions options_;
   std::shared_ptr<RouteTable> routes_;
   KeyView keys_;
   CrashWatch crashes_;
   BackendPool pool_;
   OwnerAdmission admission_;
-  std::map<std::string, RetryBudget> budgets_;
-  RunningMeans answerBytes_; ///< by route
+  std::map<std::string, RetryBudget> retryBudgets_;
+  RunningMeans responseBytes_; ///< by route
   std::string self_;
   std::vector<PlacedName> gatewayNames_;
-  size_t gateways_ = 8;
-  size_t active_ = 0;
-  std::list<std::shared_ptr<ForwardedRequest>> parked_;
-  bool pumpScheduled_ = false;
-  Timer parkTimer_;
+  size_t gatewayCount_ = 8;
+  size_t activeRequests_ = 0;
+  std::list<std::shared_ptr<ForwardedRequest>> queue_;
+  bool dispatchScheduled_ = false;
+  Timer queueTimer_;
   KeyCounts keyCounts_;
   std::minstd_rand random_;
 };
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -16,37 +16,37 @@
 
 namespace detail {
 
-constexpr const char* kOwnKind = "cactuspitch";
+constexpr const char* kGatewayKind = "cactuspitch";
 constexpr std::string_view kInstancePrefix = "instance.";
-constexpr TimeMs kHousekeepMs = 100;
+constexpr TimeMs kHousekeepingIntervalMs = 100;
 /// Waiting times of watches: each answered one is a call. The watch of the
 /// configuration also proves each second that the store is there.
-constexpr TimeMs kConfigWaitMs = 1000;
-constexpr TimeMs kWatchWaitMs = 5000;
-constexpr TimeMs kRegisterRetryMs = 500;
-constexpr TimeMs kDrainTickMs = 50;
+constexpr TimeMs kConfigWatchTimeoutMs = 1000;
+constexpr TimeMs kWatchTimeoutMs = 5000;
+constexpr TimeMs kRegisterRetryIntervalMs = 500;
+constexpr TimeMs kDrainIntervalMs = 50;
 /// The balancer takes a process out after two questions a second apart.
-constexpr TimeMs kBalancerMs = 2300;
+constexpr TimeMs kBalancerRemovalMs = 2300;
 /// Idle connections of callers are closed and the process ends after this.
 constexpr TimeMs kMinDrainMs = 3000;
 /// The process is gone this long before it would be killed.
 constexpr TimeMs kGraceMarginMs = 250;
 /// What still waits so long before the end of the grace time is refused, so
 /// that its caller has the answer and time to go elsewhere.
-constexpr TimeMs kLastDispatchMs = 750;
+constexpr TimeMs kRejectQueuedMarginMs = 750;
 /// Changes of registrations are gathered for this long: when a failure domain
 /// is replaced, hundreds come within seconds, and each recomputes the homes.
 constexpr TimeMs kChangesIntervalMs = 50;
 /// Rounds of housekeeping, 5 s.
 constexpr uint64_t kLogReportRounds = 50;
-constexpr uint64_t kHomeRounds = 5;
+constexpr uint64_t kGatewayListRounds = 5;
 /// 300 ms; idle connections are closed 1.5 s before their servers do it.
 constexpr uint64_t kCloseIdleRounds = 3;
 /// Without a leader's gossip, the owners are read from the store this often.
-constexpr TimeMs kKeysReadMs = 2000;
+constexpr TimeMs kKeyTableReadIntervalMs = 2000;
 /// Gateways of a large fleet read the list of all again this often while the
 /// leader names some that they do not know.
-constexpr TimeMs kMembersReadMs = 1000;
+constexpr TimeMs kMembersReadIntervalMs = 1000;
 
 int64_t NewBootId()
 {
@@ -107,7 +107,7 @@
                     aLog,
                     store_,
                     port_.registry_.ConfigKind(),
-                    detail::kConfigWaitMs,
+                    detail::kConfigWatchTimeoutMs,
                     Resume::Watch,
                     false,
                     { [this](const std::vector<StoreObject>& aObjects) {
@@ -120,7 +120,7 @@
                      aLog,
                      store_,
                      port_.registry_.BackendKind(),
-                     detail::kWatchWaitMs,
+                     detail::kWatchTimeoutMs,
                      Resume::List,
                      false,
                      { [this](const std::vector<StoreObject>& aObjects) {
@@ -129,26 +129,27 @@
                        [this](const std::vector<ObjectEvent>& aEvents) {
                          OnBackendEvents(aEvents);
                        } })
-  , ownFollower_(aLoop,
-                 aLog,
-                 store_,
-                 detail::kOwnKind,
-                 detail::kWatchWaitMs,
-                 Resume::Watch,
-                 false,
-                 { [this](const std::vector<StoreObject>& aObjects) {
-                    std::ranges::for_each(
-                      aObjects,
-                      [this](const auto& aObject) { OnOwnObject(aObject); });
-                    gossip_.Announce();
-                  },
-                   [this](const std::vector<ObjectEvent>& aEvents) {
-                     for (const auto& event : aEvents) {
-                       if (!event.removed_) {
-                         OnOwnObject(event.object_);
-                       }
-                     }
-                   } })
+  , gatewayWatcher_(aLoop,
+                    aLog,
+                    store_,
+                    detail::kGatewayKind,
+                    detail::kWatchTimeoutMs,
+                    Resume::Watch,
+                    false,
+                    { [this](const std::vector<StoreObject>& aObjects) {
+                       std::ranges::for_each(aObjects,
+                                             [this](const auto& aObject) {
+                                               OnGatewayObject(aObject);
+                                             });
+                       gossip_.Announce();
+                     },
+                      [this](const std::vector<ObjectEvent>& aEvents) {
+                        for (const auto& event : aEvents) {
+                          if (!event.removed_) {
+                            OnGatewayObject(event.object_);
+                          }
+                        }
+                      } })
   , election_(aLoop,
               aLog,
               store_,
@@ -192,7 +193,7 @@
       { [this](bool aConfig, bool aAll) {
          configFollower_.SetActive(aConfig);
          backendFollower_.SetActive(aAll);
-         ownFollower_.SetActive(aAll);
+         gatewayWatcher_.SetActive(aAll);
        },
         [this](const std::vector<BackendEntry>& aEntries, int64_t aRevision) {
           relayedDirectory_ = true;
@@ -213,16 +214,16 @@
           directory_.ConfirmRemoved(aBackend, loop_.NowMs());
           OnBackendsChanged();
         },
-        [this](const nlohmann::json& aSpec, std::string aPacked) {
+        [this](const nlohmann::json& aSpec, std::string aCompressed) {
           StoreObject object;
           object.name_ = port_.registry_.ConfigName();
           object.spec_ = aSpec;
-          OnConfigObject(object, std::move(aPacked));
+          OnConfigObject(object, std::move(aCompressed));
         },
         [this] { return configVersion_; },
         [this] { return HasDirectory(); },
         [this] { ProbeStore(); },
-        [this] { AskStoreForConfig(); } })
+        [this] { FetchConfig(); } })
   , gossip_(aLoop,
             { settings_.instance_,
               settings_.failureDomain_,
@@ -245,10 +246,10 @@
   , changesTimer_(aLoop, [this] { ApplyBackendChanges(); })
   , housekeepTimer_(aLoop, [this] { Housekeep(); })
   , registerTimer_(aLoop, [this] { Register(); })
-  , drainTimer_(aLoop, [this] { DrainTick(); })
-  , onTerminate_(aLoop, SIGTERM, [this] { BeginDrain(); })
-  , onInterrupt_(aLoop, SIGINT, [this] { BeginDrain(); })
-  , onHangup_(aLoop, SIGHUP, [this] { Reload(); })
+  , drainTimer_(aLoop, [this] { OnDrainTimer(); })
+  , sigtermWatcher_(aLoop, SIGTERM, [this] { BeginDrain(); })
+  , sigintWatcher_(aLoop, SIGINT, [this] { BeginDrain(); })
+  , sighupWatcher_(aLoop, SIGHUP, [this] { Reload(); })
 {
 }
 
@@ -288,26 +289,26 @@
                "settings-missing",
                { { "findings", settings_.notes_.ToText() } });
   }
-  FollowStore();
+  StartWatchers();
   Register();
   election_.Start();
   gossip_.Start();
-  housekeepTimer_.Start(detail::kHousekeepMs);
+  housekeepTimer_.Start(detail::kHousekeepingIntervalMs);
   return true;
 }
 
-void Gateway::FollowStore()
+void Gateway::StartWatchers()
 {
   store_.SetWatcher({ [this] { directory_.OnStoreDisturbed(loop_.NowMs()); },
                       [this] {
                         // Pending watches may hang on dead connections.
                         configFollower_.Refresh();
                         backendFollower_.Refresh();
-                        ownFollower_.Refresh();
+                        gatewayWatcher_.Refresh();
                       } });
   configFollower_.Start();
   backendFollower_.Start();
-  ownFollower_.Start();
+  gatewayWatcher_.Start();
 }
 
 void Gateway::OnConfigObjects(const std::vector<StoreObject>& aObjects)
@@ -329,7 +330,8 @@
   }
 }
 
-void Gateway::OnConfigObject(const StoreObject& aObject, std::string aPacked)
+void Gateway::OnConfigObject(const StoreObject& aObject,
+                             std::string aCompressed)
 {
   if (aObject.name_ != port_.registry_.ConfigName()) {
     return;
@@ -354,8 +356,8 @@
       { { "version", config->version_ }, { "findings", findings.ToText() } });
   }
   configVersion_ = config->version_;
-  configPacked_ =
-    aPacked.empty() ? Compress(aObject.spec_.dump()) : std::move(aPacked);
+  compressedConfig_ = aCompressed.empty() ? Compress(aObject.spec_.dump())
+                                          : std::move(aCompressed);
   log_.Write(LogLevel::Info,
              "config-applied",
              { { "version", configVersion_ },
@@ -482,7 +484,7 @@
   director_.UpdateBackends(directory_.Entries(), changes);
 }
 
-void Gateway::OnOwnObject(const StoreObject& aObject)
+void Gateway::OnGatewayObject(const StoreObject& aObject)
 {
   if (!aObject.name_.starts_with(detail::kInstancePrefix)) {
     return;
@@ -501,21 +503,23 @@
   }
 }
 
-void Gateway::ReadKeys()
+void Gateway::ReadKeyTable()
 {
   // All gateways together read about as often as a small fleet would.
   const auto share =
     static_cast<TimeMs>(1 + mesh_.Peers().size() / kMaxDirectGateways);
-  if (election_.HearsLeader() || readingKeys_ ||
-      loop_.NowMs() - keysReadMs_ < detail::kKeysReadMs * share) {
+  if (election_.HearsLeader() || readingKeyTable_ ||
+      loop_.NowMs() - keyTableReadMs_ <
+        detail::kKeyTableReadIntervalMs * share) {
     return;
   }
-  readingKeys_ = true;
-  keysReadMs_ =
-    loop_.NowMs() + store_.Jitter(detail::kKeysReadMs * (share - 1));
+  readingKeyTable_ = true;
+  keyTableReadMs_ =
+    loop_.NowMs() +
+    store_.Jitter(detail::kKeyTableReadIntervalMs * (share - 1));
   store_.Call(KeyDirector::ReadTable(store_.Protocol()),
               [this](const StoreAnswer& aAnswer) {
-                readingKeys_ = false;
+                readingKeyTable_ = false;
                 if (aAnswer.status_ == StoreStatus::Ok) {
                   OnKeyTable(aAnswer.object_);
                 }
@@ -526,9 +530,9 @@
 {
   const TimeMs nowMs = loop_.NowMs();
   if (mesh_.UnknownMembers() > 0 &&
-      nowMs - membersReadMs_ >= detail::kMembersReadMs) {
-    membersReadMs_ = nowMs + store_.Jitter(detail::kMembersReadMs);
-    ownFollower_.ReadAgain();
+      nowMs - membersReadMs_ >= detail::kMembersReadIntervalMs) {
+    membersReadMs_ = nowMs + store_.Jitter(detail::kMembersReadIntervalMs);
+    gatewayWatcher_.ReadAgain();
   }
 }
 
@@ -550,7 +554,7 @@
           { segment.owner_, segment.fence_, segment.previous_.empty() } });
     }
   }
-  forwarder_.OnPlacesChanged();
+  forwarder_.OnRoutingStateChanged();
 }
 
 void Gateway::Register()
@@ -562,39 +566,39 @@
                                     { "cpuPercent", settings_.cpuPercent_ } };
   const auto finish = [this](const StoreAnswer& aAnswer) {
     if (aAnswer.status_ != StoreStatus::Ok) {
-      registerTimer_.Start(detail::kRegisterRetryMs +
-                           store_.Jitter(detail::kRegisterRetryMs));
+      registerTimer_.Start(detail::kRegisterRetryIntervalMs +
+                           store_.Jitter(detail::kRegisterRetryIntervalMs));
     }
   };
-  store_.Call(store_.Protocol().Create(detail::kOwnKind, name, spec),
-              [this, name, spec, finish](const StoreAnswer& aAnswer) {
-                if (aAnswer.status_ != StoreStatus::Conflict) {
-                  finish(aAnswer);
-                  return;
-                }
-                store_.Call(
-                  store_.Protocol().Replace(detail::kOwnKind, name, spec, 0),
-                  finish);
-              });
+  store_.Call(
+    store_.Protocol().Create(detail::kGatewayKind, name, spec),
+    [this, name, spec, finish](const StoreAnswer& aAnswer) {
+      if (aAnswer.status_ != StoreStatus::Conflict) {
+        finish(aAnswer);
+        return;
+      }
+      store_.Call(
+        store_.Protocol().Replace(detail::kGatewayKind, name, spec, 0), finish);
+    });
 }
 
 void Gateway::ProbeStore()
 {
   store_.Call(
-    store_.Protocol().Get(detail::kOwnKind,
+    store_.Protocol().Get(detail::kGatewayKind,
                           Concat(detail::kInstancePrefix, settings_.instance_)),
     [](const StoreAnswer&) {});
 }
 
-void Gateway::AskStoreForConfig()
+void Gateway::FetchConfig()
 {
-  if (std::exchange(askingConfig_, true)) {
+  if (std::exchange(fetchingConfig_, true)) {
     return;
   }
   store_.Call(store_.Protocol().Get(port_.registry_.ConfigKind(),
                                     port_.registry_.ConfigName()),
               [this](const StoreAnswer& aAnswer) {
-                askingConfig_ = false;
+                fetchingConfig_ = false;
                 if (aAnswer.status_ == StoreStatus::Ok) {
                   OnConfigObject(aAnswer.object_);
                 }
@@ -607,7 +611,7 @@
     return { HasDirectory() ? 200 : 503, relay_.DirectoryText() };
   }
   if (aTarget == "/config") {
-    return { configVersion_ > 0 ? 200 : 503, configPacked_ };
+    return { configVersion_ > 0 ? 200 : 503, compressedConfig_ };
   }
   return { 200, MetricsText() };
 }
@@ -619,7 +623,7 @@
 
 bool Gateway::IsReady() const
 {
-  return drainMs_ == 0 && configVersion_ > 0 && HasDirectory();
+  return drainStartMs_ == 0 && configVersion_ > 0 && HasDirectory();
 }
 
 std::string Gateway::MetricsText()
@@ -645,7 +649,7 @@
 
 void Gateway::Housekeep()
 {
-  housekeepTimer_.Start(detail::kHousekeepMs);
+  housekeepTimer_.Start(detail::kHousekeepingIntervalMs);
   const TimeMs nowMs = loop_.NowMs();
   if (backendFollower_.IsActive()) {
     directory_.AdvanceTo(backendFollower_.Revision());
@@ -653,16 +657,16 @@
   if (directory_.Expire(nowMs)) {
     OnBackendsChanged();
   }
-  if (rounds_ % detail::kCloseIdleRounds == 0) {
+  if (housekeepingRounds_ % detail::kCloseIdleRounds == 0) {
     forwarder_.Pool().CloseIdle();
   }
-  ReadKeys();
+  ReadKeyTable();
   ReadMembers();
   relay_.Update();
   if (election_.IsLeading() && relay_.ShouldResign()) {
     election_.Resign("the store is reachable for others only");
   }
-  if (rounds_ % detail::kHomeRounds == 0) {
+  if (housekeepingRounds_ % detail::kGatewayListRounds == 0) {
     auto gateways = mesh_.AliveGateways(nowMs);
     gateways.emplace_back(settings_.instance_, settings_.failureDomain_);
     forwarder_.SetGateways(settings_.instance_, gateways);
@@ -675,7 +679,7 @@
                  { "config_version", configVersion_ },
                  { "backends", directory_.Entries().size() } });
   }
-  if (++rounds_ % detail::kLogReportRounds == 0) {
+  if (++housekeepingRounds_ % detail::kLogReportRounds == 0) {
     log_.ReportDropped();
   }
 }
@@ -713,10 +717,10 @@
 
 void Gateway::BeginDrain()
 {
-  if (drainMs_ != 0) {
+  if (drainStartMs_ != 0) {
     return;
   }
-  drainMs_ = loop_.NowMs();
+  drainStartMs_ = loop_.NowMs();
   log_.Write(LogLevel::Info,
              "drain-started",
              { { "active", forwarder_.ActiveRequests() },
@@ -725,22 +729,22 @@
   if (election_.IsLeading() && store_.IsReachable()) {
     election_.Resign("process stops");
   }
-  drainTimer_.Start(detail::kDrainTickMs);
+  drainTimer_.Start(detail::kDrainIntervalMs);
 }
 
-void Gateway::DrainTick()
+void Gateway::OnDrainTimer()
 {
-  drainTimer_.Start(detail::kDrainTickMs);
-  const TimeMs sinceMs = loop_.NowMs() - drainMs_;
-  if (sinceMs >= detail::kBalancerMs) {
+  drainTimer_.Start(detail::kDrainIntervalMs);
+  const TimeMs sinceMs = loop_.NowMs() - drainStartMs_;
+  if (sinceMs >= detail::kBalancerRemovalMs) {
     callers_.StartDraining();
   }
   if (sinceMs >= settings_.graceMs_ / 2) {
     // Later requests could not be answered before the end of the process.
     callers_.StopListening();
   }
-  if (sinceMs >= settings_.graceMs_ - detail::kLastDispatchMs) {
-    forwarder_.RefuseParked("stopping");
+  if (sinceMs >= settings_.graceMs_ - detail::kRejectQueuedMarginMs) {
+    forwarder_.RejectQueued("stopping");
   }
   const bool idle =
     forwarder_.ActiveRequests() == 0 && callers_.Connections() == 0;
@@ -758,7 +762,7 @@
   log_.Write(LogLevel::Info,
              "gateway-stopped",
              { { "active", forwarder_.ActiveRequests() },
-               { "drained_ms", loop_.NowMs() - drainMs_ } });
+               { "drained_ms", loop_.NowMs() - drainStartMs_ } });
   loop_.Stop();
 }
 
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/Findings.hpp"
-#include "gateway/CallerStream.hpp"
+#include "gateway/CallerConnection.hpp"
 #include "gateway/EventLog.hpp"
 #include "gateway/Forwarder.hpp"
 #include "gateway/GatewayMetrics.hpp"
@@ -44,16 +44,16 @@
   bool Start();
 
 private:
-  void FollowStore();
+  void StartWatchers();
   void OnConfigObjects(const std::vector<StoreObject>& aObjects);
   void OnConfigEvents(const std::vector<ObjectEvent>& aEvents);
-  /// aPacked: the compressed text, where it came so.
-  void OnConfigObject(const StoreObject& aObject, std::string aPacked = {});
+  /// aCompressed: the compressed text, where it came so.
+  void OnConfigObject(const StoreObject& aObject, std::string aCompressed = {});
   void ProbeStore();
-  void AskStoreForConfig();
+  void FetchConfig();
   void OnBackendList(const std::vector<StoreObject>& aObjects);
   void OnBackendEvents(const std::vector<ObjectEvent>& aEvents);
-  void OnOwnObject(const StoreObject& aObject);
+  void OnGatewayObject(const StoreObject& aObject);
   std::optional<BackendEntry> DecodeBackend(const StoreObject& aObject);
   /// A server said that it leaves.
   void OnLeaving(const std::string& aBackend, int64_t aBornMs);
@@ -61,7 +61,7 @@
   void ApplyBackendChanges();
   void Register();
   /// Reads the owners from the store while no leader tells them.
-  void ReadKeys();
+  void ReadKeyTable();
   /// Learns of gateways that only the leader knows so far.
   void ReadMembers();
   void OnKeyTable(const StoreObject& aObject);
@@ -75,7 +75,7 @@
   void Reload();
   void LogSettings(std::string_view aEvent, const GatewaySettings& aSettings);
   void BeginDrain();
-  void DrainTick();
+  void OnDrainTimer();
   void Exit();
 
   EventLoop& loop_;
@@ -89,14 +89,14 @@
   HttpClient client_;
   StoreLink store_;
   Forwarder forwarder_;
-  CallerServer callers_;
+  CallerListener callers_;
   StatusServer readyServer_;
   StatusServer metricsServer_;
   PeerMesh mesh_;
   BackendDirectory directory_;
   StoreFollower configFollower_;
   StoreFollower backendFollower_;
-  StoreFollower ownFollower_;
+  StoreFollower gatewayWatcher_;
   LeaderElection election_;
   LoadBoard board_;
   KeyDirector director_;
@@ -106,20 +106,20 @@
   Timer housekeepTimer_;
   Timer registerTimer_;
   Timer drainTimer_;
-  SignalWatcher onTerminate_;
-  SignalWatcher onInterrupt_;
-  SignalWatcher onHangup_;
+  SignalWatcher sigtermWatcher_;
+  SignalWatcher sigintWatcher_;
+  SignalWatcher sighupWatcher_;
   int64_t configVersion_ = 0;
-  std::string configPacked_; ///< compressed, for gateways that ask
-  bool askingConfig_ = false;
-  bool relayedDirectory_ = false; ///< another gateway told all registrations
-  uint64_t rounds_ = 0;           ///< of housekeeping
+  std::string compressedConfig_; ///< compressed, for gateways that ask
+  bool fetchingConfig_ = false;
+  bool relayedDirectory_ = false;   ///< another gateway told all registrations
+  uint64_t housekeepingRounds_ = 0; ///< of housekeeping
   bool wasReady_ = false;
-  bool readingKeys_ = false;
-  TimeMs keysReadMs_ = 0;
+  bool readingKeyTable_ = false;
+  TimeMs keyTableReadMs_ = 0;
   TimeMs membersReadMs_ = 0;
   TimeMs changesAppliedMs_ = 0;
-  TimeMs drainMs_ = 0; ///< when SIGTERM came
+  TimeMs drainStartMs_ = 0; ///< when SIGTERM came
 };
 
 }
--- a/gateway/GatewayMetrics.cpp
+++ b/gateway/GatewayMetrics.cpp
@@ -8,7 +8,7 @@
   : registry_(aRegistry)
   , retries_(aRegistry.GetCounter("cactuspitch_retries_total"))
   , connections_(aRegistry.GetCounter("cactuspitch_caller_connections_total"))
-  , parked_(aRegistry.GetGauge("cactuspitch_parked_requests"))
+  , queuedRequests_(aRegistry.GetGauge("cactuspitch_parked_requests"))
   , latency_(aRegistry.GetSummary("cactuspitch_request_ms"))
 {
 }
@@ -19,9 +19,9 @@
     .Add();
 }
 
-void GatewayMetrics::OnAnswer(int aStatus,
-                              std::string_view aCause,
-                              double aLatencyMs)
+void GatewayMetrics::OnResponse(int aStatus,
+                                std::string_view aCause,
+                                double aLatencyMs)
 {
   registry_
     .GetCounter(
--- a/gateway/GatewayMetrics.hpp
+++ b/gateway/GatewayMetrics.hpp
@@ -14,20 +14,20 @@
   explicit GatewayMetrics(MetricsRegistry& aRegistry);
 
   void OnRequest(const std::string& aRoute);
-  void OnAnswer(int aStatus, std::string_view aCause, double aLatencyMs);
+  void OnResponse(int aStatus, std::string_view aCause, double aLatencyMs);
   void OnAttempt(std::string_view aEnd);
   /// A server said something about itself: that it leaves, or wants a pause.
   void OnServerNotice(std::string_view aReason, const std::string& aBackend);
   void OnRetry() { retries_.Add(); }
   void OnConnection() { connections_.Add(); }
-  Gauge& Parked() { return parked_; }
+  Gauge& QueuedRequests() { return queuedRequests_; }
   MetricsRegistry& Registry() { return registry_; }
 
 private:
   MetricsRegistry& registry_;
   Counter& retries_;
   Counter& connections_;
-  Gauge& parked_;
+  Gauge& queuedRequests_;
   DurationSummary& latency_;
   std::map<std::string, Counter*, std::less<>> attempts_;
 };
--- a/gateway/GossipDuty.cpp
+++ b/gateway/GossipDuty.cpp
@@ -103,7 +103,7 @@
       director_.AddLoad(service, key, count);
     }
   }
-  for (const auto& report : forwarder_.Pool().TakeReports()) {
+  for (const auto& report : forwarder_.Pool().TakeLoadReports()) {
     board_.Add(report, nowMs);
   }
   for (const auto& [service, ownership] : director_.Ownership()) {
@@ -112,7 +112,7 @@
   if (rounds_ % detail::kBoardRounds == 0) {
     const auto changed = board_.TakeChanged(nowMs);
     std::ranges::for_each(changed, [&](const BoardEntry& aEntry) {
-      forwarder_.Pool().ApplyShared(aEntry);
+      forwarder_.Pool().ApplySharedLoad(aEntry);
     });
     FillLoads(changed, aGossip);
     FillAdmissions(aGossip);
@@ -142,7 +142,7 @@
     return;
   }
   FillKeyCounts(aGossip);
-  FillLoads(forwarder_.Pool().TakeReports(), aGossip);
+  FillLoads(forwarder_.Pool().TakeLoadReports(), aGossip);
   // What is on the way arrives within a few rounds.
   aGossip.wantsKeys = full && !KnowsAllKeys();
   mesh_.SendTo(leader->second.endpoint_, aGossip);
@@ -316,7 +316,7 @@
     }
   }
   if (changed) {
-    forwarder_.OnPlacesChanged();
+    forwarder_.OnRoutingStateChanged();
   }
 }
 
@@ -363,7 +363,7 @@
     changed |= KeyGossip::Apply(keys, forwarder_.Keys());
   }
   if (changed) {
-    forwarder_.OnPlacesChanged();
+    forwarder_.OnRoutingStateChanged();
   }
   TakeLoads(aGossip);
   TakeAdmissions(aGossip);
@@ -403,7 +403,7 @@
     if (election_.IsLeading()) {
       board_.Add(entry, loop_.NowMs());
     }
-    forwarder_.Pool().ApplyShared(entry);
+    forwarder_.Pool().ApplySharedLoad(entry);
   }
 }
 
--- a/gateway/KeyDirector.hpp
+++ b/gateway/KeyDirector.hpp
@@ -36,7 +36,7 @@
     std::function<void()> onChanged_;
     /// A newer leader wrote the table or fenced a server.
     std::function<void(std::string_view aCause)> onSuperseded_;
-    OrderSender::LeavingTask onLeaving_;
+    OrderSender::LeavingCallback onLeaving_;
   };
 
   KeyDirector(EventLoop& aLoop,
--- a/gateway/OrderSender.cpp
+++ b/gateway/OrderSender.cpp
@@ -76,9 +76,9 @@
   }
   auto request = protocol_.MakeOrder(aOrder);
   if (handlers_.scope_() == GrantScope::Renewals) {
-    request.connecting_ = Connecting::Kept;
+    request.connectionPolicy_ = ConnectionPolicy::ReuseOnly;
   } else if (failing_.contains(aOrder.backend_)) {
-    request.connecting_ = Connecting::Fresh;
+    request.connectionPolicy_ = ConnectionPolicy::NewOnly;
   }
   client_.Call(server->second.endpoint_,
                request,
--- a/gateway/OrderSender.hpp
+++ b/gateway/OrderSender.hpp
@@ -18,7 +18,7 @@
 {
 public:
   /// Told of the life of a server that answered an order.
-  using LeavingTask =
+  using LeavingCallback =
     std::function<void(const std::string& aBackend, int64_t aBornMs)>;
 
   struct Handlers
@@ -27,7 +27,7 @@
     std::function<GrantScope()> scope_;
     std::function<void(const KeyOrder&, const OrderAnswer&)> onDone_;
     /// The server said in its answer that it leaves.
-    LeavingTask onLeaving_;
+    LeavingCallback onLeaving_;
   };
 
   OrderSender(EventLoop& aLoop,
--- a/gateway/StatusServer.cpp
+++ b/gateway/StatusServer.cpp
@@ -20,8 +20,8 @@
   explicit Connection(StatusServer& aServer)
     : server_(aServer)
     , stream_(aServer.loop_, *this)
-    , timer_(aServer.loop_, [this] { Leave(); })
-    , parser_(HttpRole::Request, detail::kMaxStatusHeadBytes)
+    , timer_(aServer.loop_, [this] { CloseAndRemove(); })
+    , parser_(HttpMessageType::Request, detail::kMaxStatusHeadBytes)
   {
   }
   void Start(int aFd)
@@ -51,15 +51,16 @@
         stream_.ShutdownOutput();
         return;
       }
-      parser_ = HttpParser(HttpRole::Request, detail::kMaxStatusHeadBytes);
+      parser_ =
+        HttpParser(HttpMessageType::Request, detail::kMaxStatusHeadBytes);
       state = parser_.Parse(stream_.Input(), body);
     }
     if (state == ParseState::Failed) {
-      Leave();
+      CloseAndRemove();
     }
   }
-  void OnStreamClosed(CloseReason) override { Leave(); }
-  void Leave()
+  void OnStreamClosed(CloseReason) override { CloseAndRemove(); }
+  void CloseAndRemove()
   {
     stream_.Close();
     const auto found = server_.connections_.find(this);
@@ -75,7 +76,7 @@
   HttpParser parser_;
 };
 
-StatusServer::StatusServer(EventLoop& aLoop, PageTask aPage)
+StatusServer::StatusServer(EventLoop& aLoop, PageHandler aPage)
   : loop_(aLoop)
   , page_(std::move(aPage))
   , listener_(aLoop, [this](int aFd) {
--- a/gateway/StatusServer.hpp
+++ b/gateway/StatusServer.hpp
@@ -20,9 +20,9 @@
     int status_ = 200;
     std::string body_;
   };
-  using PageTask = std::function<Page(const std::string& aTarget)>;
+  using PageHandler = std::function<Page(const std::string& aTarget)>;
 
-  StatusServer(EventLoop& aLoop, PageTask aPage);
+  StatusServer(EventLoop& aLoop, PageHandler aPage);
   ~StatusServer();
 
   bool Listen(const Endpoint& aEndpoint);
@@ -32,7 +32,7 @@
   class Connection;
 
   EventLoop& loop_;
-  PageTask page_;
+  PageHandler page_;
   TcpListener listener_;
   std::map<Connection*, std::shared_ptr<Connection>> connections_;
 };
--- a/gateway/StoreLink.cpp
+++ b/gateway/StoreLink.cpp
@@ -27,7 +27,8 @@
 {
   ++calls_;
   // After a failure the kept connections are not trusted.
-  aRequest.connecting_ = failures_ > 0 ? Connecting::Fresh : Connecting::Reuse;
+  aRequest.connectionPolicy_ =
+    failures_ > 0 ? ConnectionPolicy::NewOnly : ConnectionPolicy::ReuseOrNew;
   client_.Call(store_,
                aRequest,
                [this, sentMs = loop_.NowMs(), done = std::move(aDone)](
@@ -64,7 +65,7 @@
   }
   answeredMs_ = loop_.NowMs();
   if (std::exchange(failures_, 0) > 0) {
-    client_.DropIdle(store_);
+    client_.CloseIdle(store_);
     log_.Write(LogLevel::Info,
                "store-regained",
                { { "after_ms", loop_.NowMs() - lostMs_ } });
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -320,7 +320,8 @@
   client_.Call(aPeer, request, [this](const CallResult& aResult) {
     asking_ = false;
     behindMs_ = 0;
-    if (aResult.end_ != CallEnd::Answered || aResult.head_.status_ != 200) {
+    if (aResult.outcome_ != CallOutcome::Completed ||
+        aResult.head_.status_ != 200) {
       return;
     }
     try {
@@ -353,7 +354,8 @@
   request.timeoutMs_ = detail::kRelayTimeoutMs;
   client_.Call(aPeer, request, [this, aVersion](const CallResult& aResult) {
     askingConfig_ = false;
-    if (aResult.end_ == CallEnd::Answered && aResult.head_.status_ == 200) {
+    if (aResult.outcome_ == CallOutcome::Completed &&
+        aResult.head_.status_ == 200) {
       const auto text = Decompress(aResult.body_, detail::kMaxConfigBytes);
       const auto json = detail::Json::parse(text.value_or(""), nullptr, false);
       handlers_.onConfig_(json, aResult.body_);
--- a/net/EventLoop.cpp
+++ b/net/EventLoop.cpp
@@ -110,7 +110,7 @@
   static_cast<Timer*>(aWatcher->data)->task_();
 }
 
-IoWatcher::IoWatcher(EventLoop& aLoop, Task aTask)
+IoWatcher::IoWatcher(EventLoop& aLoop, IoCallback aTask)
   : loop_(aLoop)
   , task_(std::move(aTask))
 {
--- a/net/EventLoop.hpp
+++ b/net/EventLoop.hpp
@@ -67,9 +67,9 @@
 class IoWatcher
 {
 public:
-  using Task = std::function<void(bool aReadable, bool aWritable)>;
+  using IoCallback = std::function<void(bool aReadable, bool aWritable)>;
 
-  IoWatcher(EventLoop& aLoop, Task aTask);
+  IoWatcher(EventLoop& aLoop, IoCallback aTask);
   ~IoWatcher();
   IoWatcher(const IoWatcher&) = delete;
   IoWatcher& operator=(const IoWatcher&) = delete;
@@ -81,7 +81,7 @@
   static void OnIo(struct ev_loop*, ev_io* aWatcher, int aEvents);
 
   EventLoop& loop_;
-  Task task_;
+  IoCallback task_;
   ev_io watcher_;
   int events_ = 0;
 };
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -9,10 +9,10 @@
 
 namespace detail {
 
-constexpr size_t kMaxAnswerHeadBytes = 16384;
+constexpr size_t kMaxResponseHeadBytes = 16384;
 /// A first packet that is lost is sent again after a second; a new call is
 /// sooner than that.
-constexpr TimeMs kConnectMs = 900;
+constexpr TimeMs kConnectTimeoutMs = 900;
 
 std::string Serialize(const Endpoint& aServer, const CallRequest& aRequest)
 {
@@ -43,29 +43,31 @@
     : client_(aClient)
     , server_(aServer)
     , stream_(aClient.loop_, *this)
-    , timer_(aClient.loop_, [this] { Finish(EndWithoutAnswer(), "time-out"); })
-    , parser_(HttpRole::Answer, detail::kMaxAnswerHeadBytes)
+    , timer_(aClient.loop_,
+             [this] { Finish(OutcomeWithoutResponse(), "time-out"); })
+    , parser_(HttpMessageType::Response, detail::kMaxResponseHeadBytes)
   {
   }
 
   const Endpoint& Server() const { return server_; }
 
-  void Start(const CallRequest& aRequest, Done aDone)
+  void Start(const CallRequest& aRequest, Callback aDone)
   {
-    done_ = std::move(aDone);
-    parser_ = HttpParser(HttpRole::Answer, detail::kMaxAnswerHeadBytes);
+    callback_ = std::move(aDone);
+    parser_ =
+      HttpParser(HttpMessageType::Response, detail::kMaxResponseHeadBytes);
     body_.clear();
-    sentBefore_ = stream_.WrittenBytes();
+    writtenBytesAtStart_ = stream_.WrittenBytes();
     timeoutMs_ = aRequest.timeoutMs_;
-    maxAnswerBytes_ = aRequest.maxAnswerBytes_;
+    maxResponseBytes_ = aRequest.maxResponseBytes_;
     if (stream_.IsOpen()) {
       timer_.Start(timeoutMs_);
     } else {
-      timer_.Start(std::min(timeoutMs_, detail::kConnectMs));
+      timer_.Start(std::min(timeoutMs_, detail::kConnectTimeoutMs));
     }
     if (!stream_.IsOpen() && !stream_.Connect(server_)) {
       client_.loop_.Defer([self = shared_from_this()] {
-        self->Finish(CallEnd::NotSent, "no socket");
+        self->Finish(CallOutcome::NotSent, "no socket");
       });
       return;
     }
@@ -73,66 +75,67 @@
   }
 
 private:
-  CallEnd EndWithoutAnswer() const
+  CallOutcome OutcomeWithoutResponse() const
   {
-    return stream_.WrittenBytes() == sentBefore_ ? CallEnd::NotSent
-                                                 : CallEnd::Unanswered;
+    return stream_.WrittenBytes() == writtenBytesAtStart_
+             ? CallOutcome::NotSent
+             : CallOutcome::NoResponse;
   }
 
   void OnConnected() override { timer_.Start(timeoutMs_); }
 
   void OnInput() override
   {
-    if (!done_) {
+    if (!callback_) {
       // Bytes without a call belong to nothing.
       stream_.Close();
-      client_.Forget(this);
+      client_.Remove(this);
       return;
     }
     const auto state = parser_.Parse(stream_.Input(), body_);
-    if (body_.size() > maxAnswerBytes_) {
-      Finish(CallEnd::Unanswered, "answer too large");
+    if (body_.size() > maxResponseBytes_) {
+      Finish(CallOutcome::NoResponse, "answer too large");
     } else if (state == ParseState::Done) {
-      Finish(CallEnd::Answered);
+      Finish(CallOutcome::Completed);
     } else if (state == ParseState::Failed) {
-      Finish(CallEnd::Unanswered, "malformed answer");
+      Finish(CallOutcome::NoResponse, "malformed answer");
     }
   }
 
   void OnStreamClosed(CloseReason aReason) override
   {
-    if (!done_) {
-      client_.Forget(this);
+    if (!callback_) {
+      client_.Remove(this);
       return;
     }
     const bool complete =
-      aReason == CloseReason::EndOfStream && parser_.FinishAtEnd();
-    Finish(complete ? CallEnd::Answered : EndWithoutAnswer(),
+      aReason == CloseReason::EndOfStream && parser_.FinishAtEof();
+    Finish(complete ? CallOutcome::Completed : OutcomeWithoutResponse(),
            EnumName(aReason));
   }
 
-  void Finish(CallEnd aEnd, std::string_view aCause = {})
+  void Finish(CallOutcome aEnd, std::string_view aCause = {})
   {
-    if (!done_) {
+    if (!callback_) {
       return;
     }
     timer_.Stop();
     const auto self = shared_from_this();
     CallResult result;
-    result.end_ = aEnd;
+    result.outcome_ = aEnd;
     result.cause_ = aCause;
-    if (aEnd == CallEnd::Answered) {
+    if (aEnd == CallOutcome::Completed) {
       result.head_ = std::move(parser_.Head());
       result.body_ = std::move(body_);
     }
-    const auto done = std::exchange(done_, nullptr);
-    if (aEnd == CallEnd::Answered && stream_.IsOpen() &&
+    const auto done = std::exchange(callback_, nullptr);
+    if (aEnd == CallOutcome::Completed && stream_.IsOpen() &&
         result.head_.KeepsAlive() && stream_.Input().empty()) {
-      client_.Return(self);
+      client_.Release(self);
     } else {
       // A reset keeps bytes that are still under way from being carried out.
       stream_.Abort();
-      client_.Forget(this);
+      client_.Remove(this);
     }
     done(std::move(result));
   }
@@ -143,10 +146,10 @@
   Timer timer_;
   HttpParser parser_;
   std::string body_;
-  Done done_;
+  Callback callback_;
   TimeMs timeoutMs_ = 0;
-  size_t maxAnswerBytes_ = 0;
-  uint64_t sentBefore_ = 0;
+  size_t maxResponseBytes_ = 0;
+  uint64_t writtenBytesAtStart_ = 0;
 };
 
 HttpClient::HttpClient(EventLoop& aLoop)
@@ -163,14 +166,15 @@
 
 void HttpClient::Call(const Endpoint& aServer,
                       const CallRequest& aRequest,
-                      Done aDone)
+                      Callback aDone)
 {
   ConnectionPtr connection;
   auto& idle = idle_[KeyOf(aServer)];
-  if (aRequest.connecting_ != Connecting::Fresh && !idle.empty()) {
+  if (aRequest.connectionPolicy_ != ConnectionPolicy::NewOnly &&
+      !idle.empty()) {
     connection = std::move(idle.back());
     idle.pop_back();
-  } else if (aRequest.connecting_ == Connecting::Kept) {
+  } else if (aRequest.connectionPolicy_ == ConnectionPolicy::ReuseOnly) {
     loop_.Defer([done = std::move(aDone)] {
       CallResult result;
       result.cause_ = "no kept connection";
@@ -184,24 +188,24 @@
   connection->Start(aRequest, std::move(aDone));
 }
 
-void HttpClient::DropIdle(const Endpoint& aServer)
+void HttpClient::CloseIdle(const Endpoint& aServer)
 {
   auto dropped = std::exchange(idle_[KeyOf(aServer)], {});
   loop_.Defer([dropped = std::move(dropped)] {});
 }
 
-void HttpClient::Return(ConnectionPtr aConnection)
+void HttpClient::Release(ConnectionPtr aConnection)
 {
   std::erase(busy_, aConnection);
   auto& idle = idle_[KeyOf(aConnection->Server())];
-  if (idle.size() < kMaxIdle) {
+  if (idle.size() < kMaxIdleConnections) {
     idle.push_back(std::move(aConnection));
   } else {
     loop_.Defer([aConnection = std::move(aConnection)] {});
   }
 }
 
-void HttpClient::Forget(const Connection* aConnection)
+void HttpClient::Remove(const Connection* aConnection)
 {
   const auto isIt = [&](const ConnectionPtr& aOther) {
     return aOther.get() == aConnection;
--- a/net/HttpParser.cpp
+++ b/net/HttpParser.cpp
@@ -191,7 +191,7 @@
   virtual bool Finish() = 0;
   virtual HttpHead& Head() = 0;
   virtual bool HasHead() const = 0;
-  virtual bool Unframed() const = 0;
+  virtual bool NeedsEof() const = 0;
   virtual void SkipBody() = 0;
 
   size_t maxHeadBytes_;
@@ -292,7 +292,7 @@
   }
   HttpHead& Head() override { return parser_.head_; }
   bool HasHead() const override { return parser_.headDone_; }
-  bool Unframed() const override
+  bool NeedsEof() const override
   {
     return parser_.headDone_ && parser_.need_eof();
   }
@@ -303,9 +303,9 @@
 
 }
 
-HttpParser::HttpParser(HttpRole aRole, size_t aMaxHeadBytes)
+HttpParser::HttpParser(HttpMessageType aRole, size_t aMaxHeadBytes)
 {
-  if (aRole == HttpRole::Request) {
+  if (aRole == HttpMessageType::Request) {
     impl_ = std::make_unique<detail::BeastParser<true, Impl>>(aMaxHeadBytes);
   } else {
     impl_ = std::make_unique<detail::BeastParser<false, Impl>>(aMaxHeadBytes);
@@ -326,7 +326,7 @@
   return impl_->Parse(aInput, aBody);
 }
 
-bool HttpParser::FinishAtEnd()
+bool HttpParser::FinishAtEof()
 {
   return impl_->HasHead() && impl_->Finish();
 }
@@ -346,9 +346,9 @@
   return impl_->Head();
 }
 
-bool HttpParser::IsUnframed() const
+bool HttpParser::IsCloseDelimited() const
 {
-  return impl_->Unframed();
+  return impl_->NeedsEof();
 }
 
 bool HttpParser::IsTooLarge() const
--- a/net/HttpParser.hpp
+++ b/net/HttpParser.hpp
@@ -38,10 +38,10 @@
 std::vector<std::pair<std::string, std::string>> EndToEndFields(
   const HttpHead& aHead);
 
-enum class HttpRole : uint8_t
+enum class HttpMessageType : uint8_t
 {
   Request,
-  Answer
+  Response
 };
 
 enum class ParseState : uint8_t
@@ -57,7 +57,7 @@
 class HttpParser
 {
 public:
-  explicit HttpParser(HttpRole aRole, size_t aMaxHeadBytes);
+  explicit HttpParser(HttpMessageType aRole, size_t aMaxHeadBytes);
   ~HttpParser();
   HttpParser(HttpParser&&) noexcept;
   HttpParser& operator=(HttpParser&&) noexcept;
@@ -67,14 +67,14 @@
   /// Consumes bytes from the front of aInput and appends body bytes to aBody.
   ParseState Parse(std::string& aInput, std::string& aBody);
   /// Answers only: the stream ended in order; true when that completes it.
-  bool FinishAtEnd();
+  bool FinishAtEof();
 
   bool HasHead() const;
   /// True once bytes of the message were seen.
   bool HasStarted() const;
   HttpHead& Head();
   /// True when only the end of the connection ends the body.
-  bool IsUnframed() const;
+  bool IsCloseDelimited() const;
   bool IsTooLarge() const;
 
 private:
--- a/net/TcpStream.cpp
+++ b/net/TcpStream.cpp
@@ -142,7 +142,7 @@
   }
 }
 
-bool TcpStream::HasPeerLeft() const
+bool TcpStream::HasPeerClosed() const
 {
   char next = 0;
   const auto count = ::recv(fd_, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
@@ -273,7 +273,7 @@
   handler_.OnStreamClosed(aReason);
 }
 
-TcpListener::TcpListener(EventLoop& aLoop, AcceptTask aTask)
+TcpListener::TcpListener(EventLoop& aLoop, AcceptCallback aTask)
   : task_(std::move(aTask))
   , watcher_(aLoop, [this](bool, bool) { AcceptAvailable(); })
 {
--- a/net/TcpStream.hpp
+++ b/net/TcpStream.hpp
@@ -79,7 +79,7 @@
   uint64_t WrittenBytes() const { return writtenBytes_; }
   void PauseReading(bool aPaused);
   /// The peer has closed the connection, and all that it sent was read.
-  bool HasPeerLeft() const;
+  bool HasPeerClosed() const;
 
   /// Sends the end of the stream; reading goes on.
   void ShutdownOutput();
@@ -113,9 +113,9 @@
 class TcpListener
 {
 public:
-  using AcceptTask = std::function<void(int aFd)>;
+  using AcceptCallback = std::function<void(int aFd)>;
 
-  TcpListener(EventLoop& aLoop, AcceptTask aTask);
+  TcpListener(EventLoop& aLoop, AcceptCallback aTask);
   ~TcpListener();
 
   bool Listen(const Endpoint& aEndpoint);
@@ -124,7 +124,7 @@
 private:
   void AcceptAvailable();
 
-  AcceptTask task_;
+  AcceptCallback task_;
   IoWatcher watcher_;
   int fd_ = -1;
 };
--- a/tests/CrashingCallsTest.cpp
+++ b/tests/CrashingCallsTest.cpp
@@ -1,5 +1,5 @@
 #include "policy/CrashQuarantine.hpp"
-#include "tests/GatewayRig.hpp"
+#include "tests/GatewayFixture.hpp"
 
 #include <vector>
 
@@ -57,7 +57,7 @@
 
 std::string CrashingCall(int aId)
 {
-  return GatewayRig::Request(
+  return GatewayFixture::MakeRequest(
     "POST", "plain", "crash" + std::to_string(aId), "", "crash");
 }
 
@@ -67,7 +67,7 @@
   constexpr int kServers = 8;
   int crashes = 0;
   int calls = 0;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
       if (++calls % 2 == 0) {
         aExchange.write_("HTTP/1.1 503 Busy\r\nCactuspitch-Not-Executed: 1\r\n"
@@ -79,8 +79,8 @@
     },
     kServers);
   for (int id = 0; id < 2 * kServers; ++id) {
-    rig.Ask(CrashingCall(id));
-    rig.RunFor(30);
+    fixture.SendAndWait(CrashingCall(id));
+    fixture.RunFor(30);
   }
   EXPECT_LE(crashes, kToleratedCrashes);
 }
@@ -92,7 +92,7 @@
   constexpr int kServers = 8;
   std::vector<ScriptedServer*> ended;
   int crashes = 0;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
       ++crashes;
       aExchange.server_->Crash();
@@ -101,14 +101,14 @@
     },
     kServers);
   for (int id = 0; id < 2 * kServers; ++id) {
-    rig.Ask(CrashingCall(id));
-    rig.RunFor(50);
+    fixture.SendAndWait(CrashingCall(id));
+    fixture.RunFor(50);
     for (size_t index = 0; index < kServers; ++index) {
-      if (std::erase(ended, &rig.Backend(index)) > 0) {
-        rig.Reregister(index, 2 + id);
+      if (std::erase(ended, &fixture.Backend(index)) > 0) {
+        fixture.Reregister(index, 2 + id);
       }
     }
-    rig.RunFor(150);
+    fixture.RunFor(150);
   }
   EXPECT_LE(crashes, kToleratedCrashes);
 }
@@ -119,24 +119,24 @@
 {
   constexpr int kServers = 8;
   int crashes = 0;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
       ++crashes;
       aExchange.server_->Crash();
     },
     kServers);
-  const auto second = rig.AddGateway("g2");
-  rig.RunFor(1500);
+  const auto second = fixture.AddGateway("g2");
+  fixture.RunFor(1500);
   for (int id = 0; id < 3; ++id) {
-    rig.Ask(CrashingCall(id));
-    rig.RunFor(100);
+    fixture.SendAndWait(CrashingCall(id));
+    fixture.RunFor(100);
   }
   EXPECT_LE(crashes, kToleratedCrashes);
   const int before = crashes;
-  rig.AskAt(second, CrashingCall(3));
-  const auto third = rig.AddGateway("g3");
-  rig.RunFor(2500);
-  const auto answer = rig.AskAt(third, CrashingCall(4));
+  fixture.SendToAndWait(second, CrashingCall(3));
+  const auto third = fixture.AddGateway("g3");
+  fixture.RunFor(2500);
+  const auto answer = fixture.SendToAndWait(third, CrashingCall(4));
   EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
   EXPECT_EQ(crashes, before);
 }
@@ -148,7 +148,7 @@
   int crashes = 0;
   std::vector<std::unique_ptr<Timer>> timers;
   EventLoop* loop = nullptr;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
       auto* server = aExchange.server_;
       timers.push_back(std::make_unique<Timer>(*loop, [&crashes, server] {
@@ -158,12 +158,12 @@
       timers.back()->Start(60);
     },
     kServers);
-  loop = &rig.Loop();
+  loop = &fixture.Loop();
   for (int id = 0; id < kServers; ++id) {
-    auto caller = rig.Call(CrashingCall(id));
-    rig.RunFor(30);
+    auto caller = fixture.Send(CrashingCall(id));
+    fixture.RunFor(30);
     caller.reset();
-    rig.RunFor(120);
+    fixture.RunFor(120);
   }
   EXPECT_LE(crashes, kToleratedCrashes);
 }
--- a/tests/GatewayTroubleTest.cpp
+++ b/tests/GatewayFaultTest.cpp
@@ -1,5 +1,5 @@
 #include "common/Strings.hpp"
-#include "tests/GatewayRig.hpp"
+#include "tests/GatewayFixture.hpp"
 
 #include <csignal>
 #include <random>
@@ -19,20 +19,21 @@
 
 void Echo(Exchange& aExchange)
 {
-  aExchange.write_(GatewayRig::Answer(
+  aExchange.write_(GatewayFixture::MakeResponse(
     aExchange.head_,
     std::string(aExchange.head_.Field("Cactuspitch-Request-Id"))));
 }
 
-bool IsServed(GatewayRig& aRig)
+bool IsServed(GatewayFixture& aFixture)
 {
-  return aRig.Ask(GatewayRig::Request("GET", "plain", "after"))
+  return aFixture
+           .SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "after"))
            .find("\r\n\r\nafter") != std::string::npos;
 }
 
 // Guards against an answer that breaks off after its head was passed on and
 // reaches the caller as a complete success.
-TEST(GatewayTrouble, BrokenStreamedAnswerIsNeverComplete)
+TEST(GatewayFault, BrokenStreamedAnswerIsNeverComplete)
 {
   const auto broken = [](Exchange& aExchange, std::string aAnswer) {
     aAnswer.resize(aAnswer.size() - 1000);
@@ -41,9 +42,9 @@
   };
   const std::vector<ScriptedServer::Script> scripts = {
     [&](Exchange& aExchange) {
-      broken(
-        aExchange,
-        GatewayRig::Answer(aExchange.head_, std::string(kStreamedBytes, 'a')));
+      broken(aExchange,
+             GatewayFixture::MakeResponse(aExchange.head_,
+                                          std::string(kStreamedBytes, 'a')));
     },
     [&](Exchange& aExchange) {
       broken(aExchange,
@@ -58,8 +59,9 @@
     },
   };
   for (const auto& script : scripts) {
-    GatewayRig rig(script, 1);
-    const auto answer = rig.Ask(GatewayRig::Request("POST", "plain", "s"));
+    GatewayFixture fixture(script, 1);
+    const auto answer =
+      fixture.SendAndWait(GatewayFixture::MakeRequest("POST", "plain", "s"));
     EXPECT_LT(answer.size(), kStreamedBytes);
     EXPECT_FALSE(answer.ends_with("\r\n0\r\n\r\n"));
   }
@@ -67,66 +69,68 @@
 
 // Guards against a planned stop that cuts off requests which were accepted
 // before it, or just after it while callers do not know of it yet.
-TEST(GatewayTrouble, PlannedStopAnswersWhatWasAccepted)
+TEST(GatewayFault, PlannedStopAnswersWhatWasAccepted)
 {
   EventLoop* loop = nullptr;
   std::vector<std::unique_ptr<Timer>> timers;
   constexpr TimeMs kWorkMs = 400;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
       timers.push_back(std::make_unique<Timer>(
         *loop, [exchange = aExchange]() mutable { Echo(exchange); }));
       timers.back()->Start(kWorkMs);
     },
     1);
-  loop = &rig.Loop();
-  Timer stop(rig.Loop(), [] { std::raise(SIGTERM); });
+  loop = &fixture.Loop();
+  Timer stop(fixture.Loop(), [] { std::raise(SIGTERM); });
   stop.Start(kWorkMs / 2);
   EXPECT_NE(
-    rig.Ask(GatewayRig::Request("POST", "plain", "before")).find("before"),
+    fixture.SendAndWait(GatewayFixture::MakeRequest("POST", "plain", "before"))
+      .find("before"),
     std::string::npos);
   EXPECT_NE(
-    rig.Ask(GatewayRig::Request("POST", "plain", "behind")).find("behind"),
+    fixture.SendAndWait(GatewayFixture::MakeRequest("POST", "plain", "behind"))
+      .find("behind"),
     std::string::npos);
 }
 
 // Guards against a planned stop that ends without an answer for what waits and
 // was never passed on.
-TEST(GatewayTrouble, PlannedStopRefusesWhatIsNotPassedOn)
+TEST(GatewayFault, PlannedStopRefusesWhatIsNotPassedOn)
 {
   int calls = 0;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
       if (++calls == 1) {
         aExchange.server_->Crash();
       }
     },
     3);
-  auto settings = rig.Settings();
+  auto settings = fixture.Settings();
   settings.graceMs_ = 1400;
-  rig.Reload(settings);
+  fixture.Reload(settings);
   const auto call = [](const char* aId) {
-    return GatewayRig::Request("POST", "plain", aId, "", "crash");
+    return GatewayFixture::MakeRequest("POST", "plain", aId, "", "crash");
   };
-  rig.Ask(call("1"));
-  rig.RunFor(100);
+  fixture.SendAndWait(call("1"));
+  fixture.RunFor(100);
   // A suspect runs on one server at a time, so the next one waits for this one.
   std::raise(SIGTERM);
-  rig.RunFor(500);
-  const auto running = rig.Call(call("2"));
-  ASSERT_TRUE(rig.RunUntil([&] { return calls == 2; }));
-  const auto answer = rig.Ask(call("3"));
+  fixture.RunFor(500);
+  const auto running = fixture.Send(call("2"));
+  ASSERT_TRUE(fixture.RunUntil([&] { return calls == 2; }));
+  const auto answer = fixture.SendAndWait(call("3"));
   EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
   EXPECT_EQ(calls, 2);
 }
 
 // Guards against a process that ends because of one malformed message of a
 // peer or a caller.
-TEST(GatewayTrouble, SurvivesMalformedMessages)
+TEST(GatewayFault, SurvivesMalformedMessages)
 {
-  GatewayRig rig(Echo, 1);
+  GatewayFixture fixture(Echo, 1);
   const int peer = ::socket(AF_INET, SOCK_DGRAM, 0);
-  const auto address = rig.Settings().peerListen_.ToSockaddr();
+  const auto address = fixture.Settings().peerListen_.ToSockaddr();
   std::mt19937 random(20261204);
   constexpr int kDatagrams = 2000;
   constexpr size_t kMaxBytes = 300;
@@ -140,7 +144,7 @@
              reinterpret_cast<const sockaddr*>(&address),
              sizeof address);
     if (i % 50 == 0) {
-      rig.RunFor(1);
+      fixture.RunFor(1);
     }
   }
   ::close(peer);
@@ -149,17 +153,17 @@
                             "GET / HTTP/9.9\r\n\r\n",
                             "GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
                             "\x16\x03\x01\x02\x00\x01\x00" }) {
-    rig.Ask(text);
+    fixture.SendAndWait(text);
   }
-  EXPECT_TRUE(IsServed(rig));
+  EXPECT_TRUE(IsServed(fixture));
 }
 
 // Guards against requests to a server that has ended, whose registration has
 // not lapsed yet: the next life at its address turns them away.
-TEST(GatewayTrouble, EarlierLifeAtAnAddressGetsNoRequests)
+TEST(GatewayFault, EarlierLifeAtAnAddressGetsNoRequests)
 {
   int misdirected = 0;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
       if (aExchange.head_.Field("Cactuspitch-Target-Instance") == "next") {
         Echo(aExchange);
@@ -170,10 +174,10 @@
       }
     },
     1);
-  rig.Register("next", 0, 2);
-  rig.RunFor(500);
+  fixture.Register("next", 0, 2);
+  fixture.RunFor(500);
   for (int id = 0; id < 10; ++id) {
-    EXPECT_TRUE(IsServed(rig));
+    EXPECT_TRUE(IsServed(fixture));
   }
   EXPECT_EQ(misdirected, 0);
 }
--- a/tests/GatewayRig.cpp
+++ b/tests/GatewayFixture.cpp
@@ -1,4 +1,4 @@
-#include "tests/GatewayRig.hpp"
+#include "tests/GatewayFixture.hpp"
 
 #include "common/Strings.hpp"
 
@@ -17,10 +17,10 @@
 
 }
 
-GatewayRig::GatewayRig(const ScriptedServer::Script& aScript,
-                       int aServers,
-                       int aKeyedServers,
-                       int aMaxConnections)
+GatewayFixture::GatewayFixture(const ScriptedServer::Script& aScript,
+                               int aServers,
+                               int aKeyedServers,
+                               int aMaxConnections)
   : log_(loop_, LogLevel::Error, STDERR_FILENO)
   , store_(loop_)
 {
@@ -40,16 +40,16 @@
   }
   addServer("keyed", "k0", [this](ScriptedServer::Exchange& aExchange) {
     if (aExchange.head_.target_.starts_with("/-/")) {
-      grants_.push_back(aExchange.body_);
+      orderBodies_.push_back(aExchange.body_);
       if (orderScript_) {
         orderScript_(aExchange);
       } else {
-        aExchange.write_(TextAnswer(200, ""));
+        aExchange.write_(TextResponse(200, ""));
       }
     } else if (keyedScript_) {
       keyedScript_(aExchange);
     } else {
-      aExchange.write_(Answer(aExchange.head_, "keyed"));
+      aExchange.write_(MakeResponse(aExchange.head_, "keyed"));
     }
   });
   for (int index = 1; index < aKeyedServers; ++index) {
@@ -89,15 +89,15 @@
   settings_ = MakeSettings("g1");
   gateway_ = StartGateway(settings_);
   // Granted keys show that configuration and registrations are known.
-  if (!RunUntil([this] { return !grants_.empty(); })) {
+  if (!RunUntil([this] { return !orderBodies_.empty(); })) {
     throw std::runtime_error("the gateway grants no keys");
   }
   RunFor(100);
 }
 
-GatewayRig::~GatewayRig() = default;
+GatewayFixture::~GatewayFixture() = default;
 
-GatewaySettings GatewayRig::MakeSettings(const std::string& aInstance) const
+GatewaySettings GatewayFixture::MakeSettings(const std::string& aInstance) const
 {
   GatewaySettings settings;
   settings.instance_ = aInstance;
@@ -114,7 +114,7 @@
   return settings;
 }
 
-std::unique_ptr<Gateway> GatewayRig::StartGateway(
+std::unique_ptr<Gateway> GatewayFixture::StartGateway(
   const GatewaySettings& aSettings)
 {
   auto gateway = std::make_unique<Gateway>(
@@ -122,23 +122,23 @@
     log_,
     aSettings,
     PlatformPort{ requests_, orders_, objects_, registry_ },
-    [this](Findings&) { return freshSettings_; });
+    [this](Findings&) { return reloadedSettings_; });
   if (!gateway->Start()) {
     throw std::runtime_error("the gateway does not start");
   }
   return gateway;
 }
 
-Endpoint GatewayRig::AddGateway(const std::string& aInstance)
+Endpoint GatewayFixture::AddGateway(const std::string& aInstance)
 {
   const auto settings = MakeSettings(aInstance);
-  others_.push_back(StartGateway(settings));
+  otherGateways_.push_back(StartGateway(settings));
   return settings.listen_;
 }
 
-nlohmann::json GatewayRig::Registration(const std::string& aService,
-                                        const ScriptedServer& aServer,
-                                        int64_t aBornMs) const
+nlohmann::json GatewayFixture::Registration(const std::string& aService,
+                                            const ScriptedServer& aServer,
+                                            int64_t aBornMs) const
 {
   return { { "address", aServer.Address().ToText() },
            { "born", aBornMs },
@@ -147,88 +147,89 @@
            { "status", { { "state", "ready" }, { "seq", 1 } } } };
 }
 
-void GatewayRig::Reregister(size_t aIndex, int64_t aBornMs)
+void GatewayFixture::Reregister(size_t aIndex, int64_t aBornMs)
 {
   Register(Concat("p", aIndex), aIndex, aBornMs);
 }
 
-void GatewayRig::Register(const std::string& aId,
-                          size_t aIndex,
-                          int64_t aBornMs)
+void GatewayFixture::Register(const std::string& aId,
+                              size_t aIndex,
+                              int64_t aBornMs)
 {
   store_.Put(
     "servers", aId, Registration("plain", *backends_[aIndex], aBornMs));
 }
 
-void GatewayRig::Reload(std::optional<GatewaySettings> aSettings)
+void GatewayFixture::Reload(std::optional<GatewaySettings> aSettings)
 {
-  freshSettings_ = std::move(aSettings);
+  reloadedSettings_ = std::move(aSettings);
   std::raise(SIGHUP);
   RunFor(20);
 }
 
-bool GatewayRig::RunUntil(const std::function<bool()>& aDone)
+bool GatewayFixture::RunUntil(const std::function<bool()>& aDone)
 {
   return RunLoopUntil(loop_, aDone);
 }
 
-void GatewayRig::RunFor(TimeMs aMs)
+void GatewayFixture::RunFor(TimeMs aMs)
 {
   RunLoopFor(loop_, aMs);
 }
 
-RigCaller::RigCaller(EventLoop& aLoop,
-                     const Endpoint& aGateway,
-                     std::string_view aBytes)
+TestCaller::TestCaller(EventLoop& aLoop,
+                       const Endpoint& aGateway,
+                       std::string_view aBytes)
   : stream_(aLoop, *this)
 {
   stream_.Connect(aGateway);
   stream_.Write(aBytes);
 }
 
-int RigCaller::Answers() const
+int TestCaller::ResponseCount() const
 {
   int answers = 0;
   auto text = received_;
-  HttpParser parser(HttpRole::Answer, kMaxHeadBytes);
+  HttpParser parser(HttpMessageType::Response, kMaxHeadBytes);
   std::string body;
   while (!text.empty() && parser.Parse(text, body) == ParseState::Done) {
     ++answers;
-    parser = HttpParser(HttpRole::Answer, kMaxHeadBytes);
+    parser = HttpParser(HttpMessageType::Response, kMaxHeadBytes);
   }
   return answers;
 }
 
-void RigCaller::OnInput()
+void TestCaller::OnInput()
 {
   received_ += std::exchange(stream_.Input(), {});
 }
 
-void RigCaller::OnStreamClosed(CloseReason)
+void TestCaller::OnStreamClosed(CloseReason)
 {
   closed_ = true;
 }
 
-std::unique_ptr<RigCaller> GatewayRig::Call(const std::string& aBytes)
+std::unique_ptr<TestCaller> GatewayFixture::Send(const std::string& aBytes)
 {
-  return std::make_unique<RigCaller>(loop_, GatewayAddress(), aBytes);
+  return std::make_unique<TestCaller>(loop_, GatewayAddress(), aBytes);
 }
 
-std::string GatewayRig::Ask(const std::string& aBytes, int aAnswers)
+std::string GatewayFixture::SendAndWait(const std::string& aBytes, int aAnswers)
 {
-  return AskAt(GatewayAddress(), aBytes, aAnswers);
+  return SendToAndWait(GatewayAddress(), aBytes, aAnswers);
 }
 
-std::string GatewayRig::AskAt(const Endpoint& aGateway,
-                              const std::string& aBytes,
-                              int aAnswers)
+std::string GatewayFixture::SendToAndWait(const Endpoint& aGateway,
+                                          const std::string& aBytes,
+                                          int aAnswers)
 {
-  const RigCaller caller(loop_, aGateway, aBytes);
-  RunUntil([&] { return caller.IsClosed() || caller.Answers() >= aAnswers; });
+  const TestCaller caller(loop_, aGateway, aBytes);
+  RunUntil(
+    [&] { return caller.IsClosed() || caller.ResponseCount() >= aAnswers; });
   return caller.Received();
 }
 
-int GatewayRig::BackendRequests() const
+int GatewayFixture::BackendRequests() const
 {
   int count = 0;
   for (size_t index = 0; index + 1 < backends_.size(); ++index) {
@@ -237,11 +238,11 @@
   return count;
 }
 
-std::string GatewayRig::Request(const std::string& aMethod,
-                                const std::string& aHost,
-                                const std::string& aId,
-                                const std::string& aExtra,
-                                const std::string& aBody)
+std::string GatewayFixture::MakeRequest(const std::string& aMethod,
+                                        const std::string& aHost,
+                                        const std::string& aId,
+                                        const std::string& aExtra,
+                                        const std::string& aBody)
 {
   return Concat(aMethod,
                 aMethod == "POST" ? " /unsafe/x" : " /safe/x",
@@ -258,7 +259,8 @@
                 aBody);
 }
 
-std::string GatewayRig::Answer(const HttpHead& aHead, const std::string& aBody)
+std::string GatewayFixture::MakeResponse(const HttpHead& aHead,
+                                         const std::string& aBody)
 {
   return Concat("HTTP/1.1 200 OK\r\nCactuspitch-Request-Id: ",
                 aHead.Field("Cactuspitch-Request-Id"),
--- a/tests/GatewayRig.hpp
+++ b/tests/GatewayFixture.hpp
@@ -15,16 +15,16 @@
 
 /// A caller that sends bytes on a connection of its own and gathers what it
 /// gets. Its connection closes with it.
-class RigCaller final : public StreamHandler
+class TestCaller final : public StreamHandler
 {
 public:
-  RigCaller(EventLoop& aLoop,
-            const Endpoint& aGateway,
-            std::string_view aBytes = {});
+  TestCaller(EventLoop& aLoop,
+             const Endpoint& aGateway,
+             std::string_view aBytes = {});
   void Write(std::string_view aBytes) { stream_.Write(aBytes); }
   const std::string& Received() const { return received_; }
   /// Whole answers so far.
-  int Answers() const;
+  int ResponseCount() const;
   bool IsClosed() const { return closed_; }
 
 private:
@@ -38,29 +38,29 @@
 
 /// A gateway with a small store, one service of scripted backend servers that
 /// needs no keys (host `plain`), and one whose keys are granted (host `keyed`).
-class GatewayRig
+class GatewayFixture
 {
 public:
   /// aScript answers the requests of the service without keys. The service with
   /// keys has aKeyedServers registrations at one address.
-  explicit GatewayRig(const ScriptedServer::Script& aScript,
-                      int aServers = 2,
-                      int aKeyedServers = 1,
-                      int aMaxConnections = 50);
-  ~GatewayRig();
+  explicit GatewayFixture(const ScriptedServer::Script& aScript,
+                          int aServers = 2,
+                          int aKeyedServers = 1,
+                          int aMaxConnections = 50);
+  ~GatewayFixture();
 
   /// Runs the loop until aDone holds; false after 5 s.
   bool RunUntil(const std::function<bool()>& aDone);
   void RunFor(TimeMs aMs);
   /// Sends bytes on a new connection and returns what came back once aDone
   /// holds for it, or until the connection ends.
-  std::string Ask(const std::string& aBytes, int aAnswers = 1);
+  std::string SendAndWait(const std::string& aBytes, int aAnswers = 1);
   /// The same at another gateway.
-  std::string AskAt(const Endpoint& aGateway,
-                    const std::string& aBytes,
-                    int aAnswers = 1);
+  std::string SendToAndWait(const Endpoint& aGateway,
+                            const std::string& aBytes,
+                            int aAnswers = 1);
   /// Sends bytes on a new connection and waits for nothing.
-  std::unique_ptr<RigCaller> Call(const std::string& aBytes);
+  std::unique_ptr<TestCaller> Send(const std::string& aBytes);
   /// Starts one more gateway on the same store and returns its address.
   Endpoint AddGateway(const std::string& aInstance);
   ScriptedServer& Backend(size_t aIndex) { return *backends_[aIndex]; }
@@ -72,7 +72,7 @@
   {
     store_.SetTrouble(aDown ? StoreTrouble::Resets : StoreTrouble::None);
   }
-  std::vector<std::string>& Grants() { return grants_; }
+  std::vector<std::string>& OrderBodies() { return orderBodies_; }
   /// Answers the requests of the service with keys, orders excepted.
   void SetKeyedScript(ScriptedServer::Script aScript)
   {
@@ -92,13 +92,14 @@
   void Reload(std::optional<GatewaySettings> aSettings);
   const GatewaySettings& Settings() const { return settings_; }
 
-  static std::string Request(const std::string& aMethod,
-                             const std::string& aHost,
-                             const std::string& aId,
-                             const std::string& aExtra = {},
-                             const std::string& aBody = {});
+  static std::string MakeRequest(const std::string& aMethod,
+                                 const std::string& aHost,
+                                 const std::string& aId,
+                                 const std::string& aExtra = {},
+                                 const std::string& aBody = {});
   /// Answer of a backend server to the request of that head.
-  static std::string Answer(const HttpHead& aHead, const std::string& aBody);
+  static std::string MakeResponse(const HttpHead& aHead,
+                                  const std::string& aBody);
 
 private:
   /// Addresses of a new gateway.
@@ -115,14 +116,14 @@
   platform::Objects objects_;
   platform::Registry registry_;
   PlatformStore store_;
-  std::vector<std::string> grants_;
+  std::vector<std::string> orderBodies_;
   ScriptedServer::Script keyedScript_;
   ScriptedServer::Script orderScript_;
   std::vector<std::unique_ptr<ScriptedServer>> backends_;
   GatewaySettings settings_;
-  std::optional<GatewaySettings> freshSettings_;
+  std::optional<GatewaySettings> reloadedSettings_;
   std::unique_ptr<Gateway> gateway_;
-  std::vector<std::unique_ptr<Gateway>> others_;
+  std::vector<std::unique_ptr<Gateway>> otherGateways_;
 };
 
 }
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -1,5 +1,5 @@
 #include "common/Strings.hpp"
-#include "tests/GatewayRig.hpp"
+#include "tests/GatewayFixture.hpp"
 
 #include <ctime>
 #include <memory>
@@ -15,7 +15,7 @@
 
 void Echo(Exchange& aExchange)
 {
-  aExchange.write_(GatewayRig::Answer(
+  aExchange.write_(GatewayFixture::MakeResponse(
     aExchange.head_,
     std::string(aExchange.head_.Field("Cactuspitch-Request-Id")) +
       aExchange.body_));
@@ -42,22 +42,24 @@
 // Guards against a broken path from caller to backend server.
 TEST(Gateway, ServesRequests)
 {
-  GatewayRig rig(Echo);
-  const auto answer =
-    rig.Ask(GatewayRig::Request("POST", "plain", "1", "", "body"));
+  GatewayFixture fixture(Echo);
+  const auto answer = fixture.SendAndWait(
+    GatewayFixture::MakeRequest("POST", "plain", "1", "", "body"));
   EXPECT_EQ(StatusOf(answer), 200);
   EXPECT_NE(answer.find("1body"), std::string::npos);
-  EXPECT_EQ(StatusOf(rig.Ask(GatewayRig::Request(
+  EXPECT_EQ(StatusOf(fixture.SendAndWait(GatewayFixture::MakeRequest(
               "GET", "keyed", "2", "Cactuspitch-Shard-Key: 77\r\n"))),
             200);
-  EXPECT_EQ(StatusOf(rig.Ask(GatewayRig::Request("GET", "nobody", "3"))), 404);
+  EXPECT_EQ(StatusOf(fixture.SendAndWait(
+              GatewayFixture::MakeRequest("GET", "nobody", "3"))),
+            404);
 }
 
 // Guards against answers that reach the wrong request of a pipeline.
 TEST(Gateway, AnswersPipelinedRequestsInOrder)
 {
   auto held = std::make_shared<std::vector<Exchange>>();
-  GatewayRig rig([held](Exchange& aExchange) {
+  GatewayFixture fixture([held](Exchange& aExchange) {
     // The first answer comes last.
     held->push_back(aExchange);
     if (held->size() == 3) {
@@ -66,10 +68,11 @@
       }
     }
   });
-  const auto answers = rig.Ask(GatewayRig::Request("GET", "plain", "one") +
-                                 GatewayRig::Request("GET", "plain", "two") +
-                                 GatewayRig::Request("GET", "plain", "three"),
-                               3);
+  const auto answers =
+    fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "one") +
+                          GatewayFixture::MakeRequest("GET", "plain", "two") +
+                          GatewayFixture::MakeRequest("GET", "plain", "three"),
+                        3);
   const auto first = answers.find("\r\n\r\none");
   const auto second = answers.find("\r\n\r\ntwo");
   const auto third = answers.find("\r\n\r\nthree");
@@ -81,8 +84,8 @@
 // Guards against chunked bodies that arrive changed.
 TEST(Gateway, ForwardsChunkedBodies)
 {
-  GatewayRig rig(Echo);
-  const auto answer = rig.Ask(
+  GatewayFixture fixture(Echo);
+  const auto answer = fixture.SendAndWait(
     "POST /unsafe/x HTTP/1.1\r\nHost: plain\r\nCactuspitch-Request-Id: c\r\n"
     "Cactuspitch-Deadline-Remaining: 900\r\nTransfer-Encoding: chunked\r\n\r\n"
     "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
@@ -92,18 +95,19 @@
 // Guards against smuggled requests and against limits that are not kept.
 TEST(Gateway, RefusesMalformedAndTooLargeRequests)
 {
-  GatewayRig rig(Echo);
-  EXPECT_EQ(StatusOf(rig.Ask(GatewayRig::Request(
+  GatewayFixture fixture(Echo);
+  EXPECT_EQ(StatusOf(fixture.SendAndWait(GatewayFixture::MakeRequest(
               "POST", "plain", "1", "Transfer-Encoding: chunked\r\n", "x"))),
             400);
-  EXPECT_EQ(StatusOf(rig.Ask(GatewayRig::Request(
+  EXPECT_EQ(StatusOf(fixture.SendAndWait(GatewayFixture::MakeRequest(
               "GET", "plain", "1", "X: " + std::string(5000, 'a') + "\r\n"))),
             431);
-  EXPECT_EQ(StatusOf(rig.Ask("POST /unsafe/x HTTP/1.1\r\nHost: plain\r\n"
-                             "Cactuspitch-Request-Id: 1\r\n"
-                             "Content-Length: 200000\r\n\r\n")),
-            413);
-  EXPECT_EQ(rig.BackendRequests(), 0);
+  EXPECT_EQ(
+    StatusOf(fixture.SendAndWait("POST /unsafe/x HTTP/1.1\r\nHost: plain\r\n"
+                                 "Cactuspitch-Request-Id: 1\r\n"
+                                 "Content-Length: 200000\r\n\r\n")),
+    413);
+  EXPECT_EQ(fixture.BackendRequests(), 0);
 }
 
 /// Stands for bytes without end: many times what any limit allows.
@@ -126,7 +130,7 @@
          "Transfer-Encoding: chunked\r\n\r\n";
 }
 
-struct EndCase
+struct AttemptCase
 {
   const char* name_;
   ScriptedServer::Script first_;
@@ -142,7 +146,7 @@
   const auto write = [](const char* aText) {
     return [aText](Exchange& aExchange) { aExchange.write_(aText); };
   };
-  const std::vector<EndCase> cases = {
+  const std::vector<AttemptCase> cases = {
     { "reset", [](Exchange& aExchange) { aExchange.reset_(); }, 200, 502, 1 },
     { "closed", [](Exchange& aExchange) { aExchange.close_(); }, 200, 502, 1 },
     { "no answer in HTTP", write("garbage\r\n\r\n"), 200, 502, 1 },
@@ -159,7 +163,8 @@
       2 },
     { "truncated",
       [](Exchange& aExchange) {
-        auto answer = GatewayRig::Answer(aExchange.head_, "0123456789");
+        auto answer =
+          GatewayFixture::MakeResponse(aExchange.head_, "0123456789");
         answer.resize(answer.size() - 4);
         aExchange.write_(answer);
         aExchange.close_();
@@ -179,7 +184,7 @@
       1 },
     { "server error",
       [](Exchange& aExchange) {
-        auto answer = GatewayRig::Answer(aExchange.head_, "sorry");
+        auto answer = GatewayFixture::MakeResponse(aExchange.head_, "sorry");
         answer.replace(9, 3, "500");
         aExchange.write_(answer);
       },
@@ -245,17 +250,18 @@
   };
   for (const auto& row : cases) {
     {
-      GatewayRig rig(FirstThenEcho(row.first_));
-      const auto answer = rig.Ask(GatewayRig::Request("GET", "plain", "s1"));
+      GatewayFixture fixture(FirstThenEcho(row.first_));
+      const auto answer =
+        fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "s1"));
       EXPECT_EQ(StatusOf(answer), row.safeStatus_) << row.name_;
       EXPECT_EQ(answer.find("wrong"), std::string::npos) << row.name_;
       EXPECT_NE(answer.find("\r\n\r\ns1"), std::string::npos) << row.name_;
     }
-    GatewayRig rig(FirstThenEcho(row.first_));
-    const auto answer =
-      rig.Ask(GatewayRig::Request("POST", "plain", "u1", "", "b"));
+    GatewayFixture fixture(FirstThenEcho(row.first_));
+    const auto answer = fixture.SendAndWait(
+      GatewayFixture::MakeRequest("POST", "plain", "u1", "", "b"));
     EXPECT_EQ(StatusOf(answer), row.unsafeStatus_) << row.name_;
-    EXPECT_EQ(rig.BackendRequests(), row.unsafeRuns_) << row.name_;
+    EXPECT_EQ(fixture.BackendRequests(), row.unsafeRuns_) << row.name_;
   }
 }
 
@@ -265,16 +271,18 @@
 TEST(Gateway, RefusesWhatReachedNoServer)
 {
   for (const char* method : { "GET", "POST" }) {
-    GatewayRig rig(Echo, 1);
-    rig.Backend(0).SetFull(true);
-    const auto answer = rig.Ask(GatewayRig::Request(method, "plain", "f1"));
+    GatewayFixture fixture(Echo, 1);
+    fixture.Backend(0).SetFull(true);
+    const auto answer =
+      fixture.SendAndWait(GatewayFixture::MakeRequest(method, "plain", "f1"));
     EXPECT_EQ(StatusOf(answer), 503) << method << answer;
     EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
-    EXPECT_EQ(rig.BackendRequests(), 0);
-    EXPECT_LE(rig.Backend(0).Accepted(), 5);
-    rig.Backend(0).SetFull(false);
-    rig.RunFor(100);
-    EXPECT_EQ(StatusOf(rig.Ask(GatewayRig::Request(method, "plain", "f2"))),
+    EXPECT_EQ(fixture.BackendRequests(), 0);
+    EXPECT_LE(fixture.Backend(0).Accepted(), 5);
+    fixture.Backend(0).SetFull(false);
+    fixture.RunFor(100);
+    EXPECT_EQ(StatusOf(fixture.SendAndWait(
+                GatewayFixture::MakeRequest(method, "plain", "f2"))),
               200);
   }
 }
@@ -285,7 +293,7 @@
 {
   constexpr int kConnections = 10;
   std::vector<Exchange> held;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
       if (aExchange.head_.method_ == "GET") {
         held.push_back(aExchange);
@@ -296,85 +304,93 @@
     1,
     1,
     kConnections);
-  std::vector<std::unique_ptr<RigCaller>> callers;
+  std::vector<std::unique_ptr<TestCaller>> callers;
   for (int id = 0; id < 2 * kConnections; ++id) {
-    callers.push_back(
-      rig.Call(GatewayRig::Request("GET", "plain", std::to_string(id))));
-    rig.RunFor(2);
+    callers.push_back(fixture.Send(
+      GatewayFixture::MakeRequest("GET", "plain", std::to_string(id))));
+    fixture.RunFor(2);
   }
-  rig.RunFor(100);
+  fixture.RunFor(100);
   // A tenth is left to the leader.
   EXPECT_EQ(held.size(), kConnections - 1u);
   std::ranges::for_each(held, Echo);
   // Non-idempotent requests do not use connections that were idle for 1.5 s.
-  rig.RunFor(1700);
+  fixture.RunFor(1700);
   const auto begin = SteadyClock().NowMs();
-  EXPECT_EQ(
-    StatusOf(rig.Ask(GatewayRig::Request("POST", "plain", "p", "", "body"))),
-    200);
+  EXPECT_EQ(StatusOf(fixture.SendAndWait(
+              GatewayFixture::MakeRequest("POST", "plain", "p", "", "body"))),
+            200);
   EXPECT_LT(SteadyClock().NowMs() - begin, 200);
 }
 
 // Guards against a request that works on for a caller who has left.
 TEST(Gateway, CancelsForCallersThatLeave)
 {
-  GatewayRig rig([](Exchange&) {}, 1);
+  GatewayFixture fixture([](Exchange&) {}, 1);
   {
-    const auto caller = rig.Call(GatewayRig::Request("GET", "plain", "gone"));
-    ASSERT_TRUE(rig.RunUntil([&] { return rig.BackendRequests() == 1; }));
+    const auto caller =
+      fixture.Send(GatewayFixture::MakeRequest("GET", "plain", "gone"));
+    ASSERT_TRUE(
+      fixture.RunUntil([&] { return fixture.BackendRequests() == 1; }));
   }
-  EXPECT_TRUE(rig.RunUntil([&] { return rig.Backend(0).Departures() == 1; }));
+  EXPECT_TRUE(
+    fixture.RunUntil([&] { return fixture.Backend(0).ClosedByClient() == 1; }));
 }
 
 // Guards against a gateway that ran late and sends on what it reads only then,
 // although the caller has given up meanwhile (large eg-north, rule GONE).
 TEST(Gateway, DoesNotSendOnForCallersThatHaveLeft)
 {
-  GatewayRig rig(Echo, 1);
+  GatewayFixture fixture(Echo, 1);
   // An open connection to the backend server takes a request at once.
-  ASSERT_EQ(StatusOf(rig.Ask(GatewayRig::Request("GET", "plain", "first"))),
+  ASSERT_EQ(StatusOf(fixture.SendAndWait(
+              GatewayFixture::MakeRequest("GET", "plain", "first"))),
             200);
   const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
-  const auto address = rig.GatewayAddress().ToSockaddr();
+  const auto address = fixture.GatewayAddress().ToSockaddr();
   ASSERT_EQ(::connect(caller,
                       reinterpret_cast<const sockaddr*>(&address),
                       sizeof address),
             0);
-  const auto request = GatewayRig::Request("GET", "plain", "given-up");
+  const auto request = GatewayFixture::MakeRequest("GET", "plain", "given-up");
   EXPECT_EQ(::send(caller, request.data(), request.size(), MSG_NOSIGNAL),
             static_cast<ssize_t>(request.size()));
   // The rig's loop does not run until here.
   ::close(caller);
-  rig.RunFor(200);
-  EXPECT_EQ(rig.BackendRequests(), 1);
+  fixture.RunFor(200);
+  EXPECT_EQ(fixture.BackendRequests(), 1);
 }
 
 // Guards against a departure that is not noticed because reading is paused
 // while many requests of the connection wait.
 TEST(Gateway, NoticesDeparturesBehindManyRequests)
 {
-  GatewayRig rig([](Exchange&) {}, 1);
+  GatewayFixture fixture([](Exchange&) {}, 1);
   {
-    const auto caller = rig.Call({});
+    const auto caller = fixture.Send({});
     constexpr int kRequests = 40;
     for (int i = 0; i < kRequests; ++i) {
-      caller->Write(GatewayRig::Request("GET", "plain", Concat("p", i)));
+      caller->Write(
+        GatewayFixture::MakeRequest("GET", "plain", Concat("p", i)));
     }
-    ASSERT_TRUE(rig.RunUntil([&] { return rig.BackendRequests() > 0; }));
-    rig.RunFor(100);
+    ASSERT_TRUE(
+      fixture.RunUntil([&] { return fixture.BackendRequests() > 0; }));
+    fixture.RunFor(100);
   }
-  rig.RunFor(200);
+  fixture.RunFor(200);
   // The deadline of the requests is later.
-  EXPECT_GT(rig.Backend(0).Departures(), 0);
+  EXPECT_GT(fixture.Backend(0).ClosedByClient(), 0);
 }
 
 // Guards against an answer after the deadline, and against calling a request
 // "not run" that a silent server may have run.
 TEST(Gateway, SilentServerEndsAtTheDeadline)
 {
-  GatewayRig rig([](Exchange&) {});
+  GatewayFixture fixture([](Exchange&) {});
   const TimeMs startMs = SteadyClock().NowMs();
-  EXPECT_EQ(StatusOf(rig.Ask(GatewayRig::Request("POST", "plain", "1"))), 504);
+  EXPECT_EQ(StatusOf(fixture.SendAndWait(
+              GatewayFixture::MakeRequest("POST", "plain", "1"))),
+            504);
   const TimeMs tookMs = SteadyClock().NowMs() - startMs;
   EXPECT_GE(tookMs, 850);
   EXPECT_LT(tookMs, 1400);
@@ -385,7 +401,7 @@
 TEST(Gateway, ReloadsItsSettings)
 {
   bool fails = true;
-  GatewayRig rig([&fails](Exchange& aExchange) {
+  GatewayFixture fixture([&fails](Exchange& aExchange) {
     if (fails) {
       aExchange.reset_();
     } else {
@@ -393,27 +409,33 @@
     }
     fails = false;
   });
-  EXPECT_EQ(StatusOf(rig.Ask(GatewayRig::Request("GET", "plain", "1"))), 200);
-  auto settings = rig.Settings();
+  EXPECT_EQ(StatusOf(fixture.SendAndWait(
+              GatewayFixture::MakeRequest("GET", "plain", "1"))),
+            200);
+  auto settings = fixture.Settings();
   settings.retryRatio_ = 0;
   settings.retryExtra_ = 0;
-  rig.Reload(settings);
-  rig.Reload(std::nullopt);
+  fixture.Reload(settings);
+  fixture.Reload(std::nullopt);
   fails = true;
-  EXPECT_NE(StatusOf(rig.Ask(GatewayRig::Request("GET", "plain", "2"))), 200);
-  EXPECT_EQ(rig.BackendRequests(), 3);
+  EXPECT_NE(StatusOf(fixture.SendAndWait(
+              GatewayFixture::MakeRequest("GET", "plain", "2"))),
+            200);
+  EXPECT_EQ(fixture.BackendRequests(), 3);
 }
 
 // Guards against losing keys or requests while the store is away.
 TEST(Gateway, ServesWhileTheStoreIsAway)
 {
-  GatewayRig rig(Echo);
-  rig.SetStoreDown(true);
-  const auto before = rig.Grants().size();
-  rig.RunFor(2500);
-  EXPECT_GE(rig.Grants().size(), before + 2) << "renewals stopped";
-  EXPECT_EQ(StatusOf(rig.Ask(GatewayRig::Request("GET", "plain", "1"))), 200);
-  EXPECT_EQ(StatusOf(rig.Ask(GatewayRig::Request(
+  GatewayFixture fixture(Echo);
+  fixture.SetStoreDown(true);
+  const auto before = fixture.OrderBodies().size();
+  fixture.RunFor(2500);
+  EXPECT_GE(fixture.OrderBodies().size(), before + 2) << "renewals stopped";
+  EXPECT_EQ(StatusOf(fixture.SendAndWait(
+              GatewayFixture::MakeRequest("GET", "plain", "1"))),
+            200);
+  EXPECT_EQ(StatusOf(fixture.SendAndWait(GatewayFixture::MakeRequest(
               "GET", "keyed", "2", "Cactuspitch-Shard-Key: 7\r\n"))),
             200);
 }
@@ -429,10 +451,10 @@
   // servers are in this time as well.
   constexpr double kSeconds = LeaderTiming::kSilenceMs / 2000.0;
   const auto started = std::clock();
-  GatewayRig rig(Echo, 1, kServers);
-  ASSERT_TRUE(
-    rig.RunUntil([&] { return rig.Grants().size() >= size_t{ kServers }; }));
-  rig.RunFor(50);
+  GatewayFixture fixture(Echo, 1, kServers);
+  ASSERT_TRUE(fixture.RunUntil(
+    [&] { return fixture.OrderBodies().size() >= size_t{ kServers }; }));
+  fixture.RunFor(50);
   const auto ticks = static_cast<double>(std::clock() - started);
   EXPECT_LT(ticks / CLOCKS_PER_SEC, kSeconds);
 }
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -1,6 +1,6 @@
 #include "net/HttpClient.hpp"
 
-#include "tests/GatewayRig.hpp"
+#include "tests/GatewayFixture.hpp"
 
 #include <functional>
 
@@ -45,7 +45,7 @@
     request.method_ = "GET";
     request.target_ = "/";
     request.timeoutMs_ = kTimeoutMs;
-    request.maxAnswerBytes_ = kLimit;
+    request.maxResponseBytes_ = kLimit;
     std::optional<CallResult> result;
     const auto beginMs = SteadyClock().NowMs();
     client.Call(server.Address(), request, [&](CallResult aResult) {
@@ -53,9 +53,10 @@
     });
     ASSERT_TRUE(RunLoopUntil(loop, [&] { return result.has_value(); }));
     EXPECT_LT(SteadyClock().NowMs() - beginMs, kTimeoutMs / 2) << entry.fields_;
-    EXPECT_EQ(result->end_, CallEnd::Unanswered);
+    EXPECT_EQ(result->outcome_, CallOutcome::NoResponse);
     EXPECT_EQ(result->cause_, "answer too large");
-    EXPECT_TRUE(RunLoopUntil(loop, [&] { return server.Departures() == 1; }));
+    EXPECT_TRUE(
+      RunLoopUntil(loop, [&] { return server.ClosedByClient() == 1; }));
   }
 }
 
--- a/tests/HttpParserTest.cpp
+++ b/tests/HttpParserTest.cpp
@@ -20,7 +20,7 @@
 };
 
 /// Feeds the text in pieces of the given sizes, then the remainder.
-Parsed ParseInPieces(HttpRole aRole,
+Parsed ParseInPieces(HttpMessageType aRole,
                      const std::string& aText,
                      const std::vector<size_t>& aSizes)
 {
@@ -49,7 +49,7 @@
 
 Parsed ParseRequest(const std::string& aText)
 {
-  return ParseInPieces(HttpRole::Request, aText, {});
+  return ParseInPieces(HttpMessageType::Request, aText, {});
 }
 
 // Guards against requests whose end two servers would see at different places:
@@ -80,7 +80,7 @@
 // Guards against a head that fills the memory.
 TEST(HttpParser, RefusesLargeHead)
 {
-  HttpParser parser(HttpRole::Request, kMaxHead);
+  HttpParser parser(HttpMessageType::Request, kMaxHead);
   std::string input = "GET / HTTP/1.1\r\nX: " + std::string(2 * kMaxHead, 'a');
   std::string body;
   EXPECT_EQ(parser.Parse(input, body), ParseState::Failed);
@@ -101,24 +101,24 @@
 // its connection broke, and against one that ends in order and counts as lost.
 TEST(HttpParser, UnframedAnswerEndsWithTheStream)
 {
-  HttpParser parser(HttpRole::Answer, kMaxHead);
+  HttpParser parser(HttpMessageType::Response, kMaxHead);
   std::string input = "HTTP/1.1 200 OK\r\n\r\npart";
   std::string body;
   EXPECT_NE(parser.Parse(input, body), ParseState::Done);
-  EXPECT_TRUE(parser.IsUnframed());
-  EXPECT_TRUE(parser.FinishAtEnd());
+  EXPECT_TRUE(parser.IsCloseDelimited());
+  EXPECT_TRUE(parser.FinishAtEof());
   EXPECT_EQ(body, "part");
 }
 
 // Guards against a truncated answer that looks complete.
 TEST(HttpParser, TruncatedAnswerIsNotComplete)
 {
-  HttpParser parser(HttpRole::Answer, kMaxHead);
+  HttpParser parser(HttpMessageType::Response, kMaxHead);
   std::string input = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
   std::string body;
   EXPECT_NE(parser.Parse(input, body), ParseState::Done);
-  EXPECT_FALSE(parser.IsUnframed());
-  EXPECT_FALSE(parser.FinishAtEnd());
+  EXPECT_FALSE(parser.IsCloseDelimited());
+  EXPECT_FALSE(parser.FinishAtEof());
 }
 
 // Guards against forwarding fields that concern one connection only.
@@ -151,7 +151,7 @@
   text += "GET /next";
   const auto sizes =
     *rc::gen::container<std::vector<size_t>>(rc::gen::inRange<size_t>(1, 20));
-  const auto parsed = ParseInPieces(HttpRole::Request, text, sizes);
+  const auto parsed = ParseInPieces(HttpMessageType::Request, text, sizes);
   RC_ASSERT(parsed.state_ == ParseState::Done);
   RC_ASSERT(parsed.body_ == chunk);
   RC_ASSERT(parsed.rest_ == "GET /next");
@@ -161,7 +161,8 @@
 RC_GTEST_PROP(HttpParserProperty, SurvivesAnyBytes, ())
 {
   const auto text = *rc::gen::arbitrary<std::string>();
-  const auto role = *rc::gen::element(HttpRole::Request, HttpRole::Answer);
+  const auto role =
+    *rc::gen::element(HttpMessageType::Request, HttpMessageType::Response);
   const auto prefix = *rc::gen::element<std::string>(
     "",
     "GET / HTTP/1.1\r\n",
--- a/tests/LeaderElectionTest.cpp
+++ b/tests/LeaderElectionTest.cpp
@@ -3,7 +3,7 @@
 #include "common/Strings.hpp"
 #include "gossip_types.h"
 #include "platform/Objects.hpp"
-#include "tests/GatewayRig.hpp"
+#include "tests/GatewayFixture.hpp"
 
 #include <gtest/gtest.h>
 #include <unistd.h>
@@ -27,11 +27,11 @@
       onRead_();
     }
     if (!stored_.empty() && isRead) {
-      aExchange.write_(TextAnswer(200, stored_));
+      aExchange.write_(TextResponse(200, stored_));
       return;
     }
     if (isRead && writes_ == 0 && winnerMs_ == 0) {
-      aExchange.write_(TextAnswer(404, ""));
+      aExchange.write_(TextResponse(404, ""));
       return;
     }
     const auto winner =
@@ -41,7 +41,7 @@
              winnerMs_,
              R"(}, "status": {}})");
     const bool loses = writes_ == 1 && !isRead && winnerMs_ == 0;
-    aExchange.write_(TextAnswer(loses ? 409 : 200, winner));
+    aExchange.write_(TextResponse(loses ? 409 : 200, winner));
   }
   /// It reads the object and leaves it to the other gateway.
   void ExpectToWaitAfterTheRead()
--- a/tests/MutatedInputTest.cpp
+++ b/tests/MutatedInputTest.cpp
@@ -94,7 +94,7 @@
 CallResult Answered(int aStatus, std::string aBody)
 {
   CallResult result;
-  result.end_ = CallEnd::Answered;
+  result.outcome_ = CallOutcome::Completed;
   result.head_.status_ = aStatus;
   result.body_ = std::move(aBody);
   return result;
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -159,7 +159,7 @@
 CallResult Answered(int aStatus, std::string aBody = {})
 {
   CallResult result;
-  result.end_ = CallEnd::Answered;
+  result.outcome_ = CallOutcome::Completed;
   result.head_.status_ = aStatus;
   result.body_ = std::move(aBody);
   return result;
@@ -193,9 +193,9 @@
   EXPECT_EQ(read(Answered(421)), OrderResult::Misdirected);
   EXPECT_EQ(read(Answered(503)), OrderResult::Unanswered);
   CallResult lost;
-  lost.end_ = CallEnd::Unanswered;
+  lost.outcome_ = CallOutcome::NoResponse;
   EXPECT_EQ(read(lost), OrderResult::Unanswered);
-  lost.end_ = CallEnd::NotSent;
+  lost.outcome_ = CallOutcome::NotSent;
   EXPECT_EQ(read(lost), OrderResult::NotSent);
 }
 
--- a/tests/PlatformStore.cpp
+++ b/tests/PlatformStore.cpp
@@ -98,7 +98,7 @@
     return;
   }
   if (trouble_ == StoreTrouble::Unavailable) {
-    aExchange.write_(TextAnswer(503, "{}"));
+    aExchange.write_(TextResponse(503, "{}"));
     return;
   }
   const std::string_view target = aExchange.head_.target_;
@@ -128,7 +128,7 @@
   if (trouble_ == StoreTrouble::LosesAnswers) {
     return;
   }
-  const auto text = TextAnswer(aReply.status_, aReply.body_.dump());
+  const auto text = TextResponse(aReply.status_, aReply.body_.dump());
   if (trouble_ != StoreTrouble::Slow) {
     aExchange.write_(text);
     return;
@@ -223,8 +223,8 @@
       events.push_back(event.event_);
     }
   }
-  aWatch.exchange_.write_(
-    TextAnswer(200, Json{ { "events", events }, { "at", revision_ } }.dump()));
+  aWatch.exchange_.write_(TextResponse(
+    200, Json{ { "events", events }, { "at", revision_ } }.dump()));
 }
 
 }
--- a/tests/RelayTreeTest.cpp
+++ b/tests/RelayTreeTest.cpp
@@ -2,7 +2,7 @@
 
 #include "gateway/PeerMesh.hpp"
 #include "gossip_types.h"
-#include "tests/GatewayRig.hpp"
+#include "tests/GatewayFixture.hpp"
 #include "tests/ReservedPort.hpp"
 
 #include <algorithm>
--- a/tests/ScriptedServer.cpp
+++ b/tests/ScriptedServer.cpp
@@ -12,7 +12,7 @@
 
 constexpr size_t kMaxHeadBytes = 65536;
 constexpr TimeMs kPollMs = 2;
-constexpr TimeMs kPatienceMs = 5000;
+constexpr TimeMs kWaitTimeoutMs = 5000;
 
 }
 
@@ -32,7 +32,7 @@
   explicit Connection(ScriptedServer& aServer)
     : server_(aServer)
     , stream_(aServer.loop_, *this)
-    , parser_(HttpRole::Request, kMaxHeadBytes)
+    , parser_(HttpMessageType::Request, kMaxHeadBytes)
   {
   }
   void Start(int aFd) { stream_.Adopt(aFd); }
@@ -48,7 +48,7 @@
       exchange.head_ = parser_.Head();
       exchange.body_ = std::move(body_);
       body_.clear();
-      parser_ = HttpParser(HttpRole::Request, kMaxHeadBytes);
+      parser_ = HttpParser(HttpMessageType::Request, kMaxHeadBytes);
       exchange.write_ = [this](std::string_view aBytes) {
         stream_.Write(aBytes);
       };
@@ -58,7 +58,7 @@
       server_.script_(exchange);
     }
   }
-  void OnStreamClosed(CloseReason) override { ++server_.departures_; }
+  void OnStreamClosed(CloseReason) override { ++server_.closedByClient_; }
 
   ScriptedServer& server_;
   TcpStream stream_;
@@ -102,7 +102,7 @@
   }
 }
 
-std::string TextAnswer(int aStatus, std::string_view aBody)
+std::string TextResponse(int aStatus, std::string_view aBody)
 {
   return Concat("HTTP/1.1 ",
                 aStatus,
@@ -121,7 +121,7 @@
 
 bool RunLoopUntil(EventLoop& aLoop, const std::function<bool()>& aDone)
 {
-  const TimeMs endMs = SteadyClock().NowMs() + kPatienceMs;
+  const TimeMs endMs = SteadyClock().NowMs() + kWaitTimeoutMs;
   bool done = false;
   std::function<void()> poll;
   Timer timer(aLoop, [&] { poll(); });
--- a/tests/ScriptedServer.hpp
+++ b/tests/ScriptedServer.hpp
@@ -39,7 +39,7 @@
   int Accepted() const { return accepted_; }
   int Requests() const { return requests_; }
   /// Connections that their client has closed.
-  int Departures() const { return departures_; }
+  int ClosedByClient() const { return closedByClient_; }
 
 private:
   class Connection;
@@ -49,14 +49,14 @@
   TcpListener listener_;
   Endpoint address_;
   int requests_ = 0;
-  int departures_ = 0;
+  int closedByClient_ = 0;
   int accepted_ = 0;
   bool full_ = false;
   std::vector<std::shared_ptr<Connection>> connections_;
 };
 
 /// An answer in HTTP with this body.
-std::string TextAnswer(int aStatus, std::string_view aBody);
+std::string TextResponse(int aStatus, std::string_view aBody);
 
 void RunLoopFor(EventLoop& aLoop, TimeMs aMs);
 /// Runs the loop until aDone holds; false after 5 s.
--- a/tests/ServerNoticesModel.cpp
+++ b/tests/ServerNoticesModel.cpp
@@ -22,7 +22,7 @@
 constexpr TimeMs kPeerDelayMs = 100;
 constexpr TimeMs kRecordDelayMs = 400;
 constexpr TimeMs kShareEveryMs = 500;
-constexpr TimeMs kParkTickMs = 10;
+constexpr TimeMs kQueueIntervalMs = 10;
 constexpr TimeMs kNoticeAllowanceMs = 500;
 constexpr int kAllowedInPause = 2;
 constexpr int kMaxAttempts = 3;
@@ -88,7 +88,7 @@
 {
   View view;
   view.load_.SetSlots(options_.slots_);
-  view.load_.SetDefaultWorkMs(options_.workMs_);
+  view.load_.SetDefaultServiceTimeMs(options_.workMs_);
   return view;
 }
 
@@ -230,7 +230,7 @@
       Send(aGateway, servers[decision.index_], aCall);
       break;
     case PlacementVerdict::Wait:
-      After(kParkTickMs,
+      After(kQueueIntervalMs,
             [this, aGateway, aCall] { Dispatch(aGateway, aCall); });
       break;
     default:
@@ -342,7 +342,7 @@
   const TimeMs tookMs = nowMs - aCall->readMs_;
   --view.inFlight_;
   view.load_.OnEnded();
-  view.load_.OnAnswered(
+  view.load_.OnResponse(
     static_cast<double>(tookMs), view.load_.Load(nowMs), nowMs);
   view.load_.OnReport({ server.running_,
                         static_cast<int>(server.waiting_.size()),
