--- a/tests/ServerNoticesTest.cpp
+++ b/tests/ServerNoticesTest.cpp
@@ -1,5 +1,5 @@
 #include "common/Strings.hpp"
-#include "tests/GatewayRig.hpp"
+#include "tests/GatewayFixture.hpp"
 
 #include <map>
 #include <memory>
@@ -13,9 +13,9 @@
 
 using Exchange = ScriptedServer::Exchange;
 
-std::string Answer(const Exchange& aExchange, std::string_view aFields)
+std::string MakeResponse(const Exchange& aExchange, std::string_view aFields)
 {
-  const auto plain = GatewayRig::Answer(aExchange.head_, "body");
+  const auto plain = GatewayFixture::MakeResponse(aExchange.head_, "body");
   const auto line = plain.find("\r\n") + 2;
   return Concat(plain.substr(0, line), aFields, plain.substr(line));
 }
@@ -51,19 +51,19 @@
   const std::map<std::string, Script> answers = {
     { "success",
       [](Exchange& aExchange) {
-        aExchange.write_(Answer(aExchange, kLeaving));
+        aExchange.write_(MakeResponse(aExchange, kLeaving));
       } },
     { "refusal",
       [](Exchange& aExchange) { aExchange.write_(Refusal(kLeaving)); } },
     { "failure",
       [](Exchange& aExchange) {
-        auto text = Answer(aExchange, kLeaving);
+        auto text = MakeResponse(aExchange, kLeaving);
         text.replace(text.find("200 OK"), 6, "500 No");
         aExchange.write_(text);
       } },
     { "broken body",
       [](Exchange& aExchange) {
-        auto text = Answer(aExchange, kLeaving);
+        auto text = MakeResponse(aExchange, kLeaving);
         text.pop_back();
         aExchange.write_(text);
         aExchange.close_();
@@ -73,23 +73,24 @@
     const auto& name = entry.first;
     const auto& answer = entry.second;
     Counts counts;
-    GatewayRig rig(
+    GatewayFixture fixture(
       [&](Exchange& aExchange) {
         ++counts.requests_[aExchange.server_];
         if (counts.marked_ == nullptr) {
           counts.marked_ = aExchange.server_;
           answer(aExchange);
         } else {
-          aExchange.write_(Answer(aExchange, ""));
+          aExchange.write_(MakeResponse(aExchange, ""));
         }
       },
       2);
-    const auto first = rig.Ask(GatewayRig::Request("GET", "plain", "first"));
+    const auto first =
+      fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "first"));
     ASSERT_NE(counts.marked_, nullptr) << name;
     EXPECT_EQ(first.find("Server-Leaving"), std::string::npos) << name;
     for (int id = 0; id < 20; ++id) {
-      EXPECT_TRUE(
-        IsServed(rig.Ask(GatewayRig::Request("GET", "plain", Concat(id)))))
+      EXPECT_TRUE(IsServed(fixture.SendAndWait(
+        GatewayFixture::MakeRequest("GET", "plain", Concat(id)))))
         << name;
     }
     EXPECT_EQ(counts.requests_[counts.marked_], 1) << name;
@@ -101,23 +102,26 @@
 TEST(ServerNotices, LeavingOutlivesReplaysAndEndsWithTheLife)
 {
   Counts counts;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
       ++counts.requests_[aExchange.server_];
       counts.marked_ = aExchange.server_;
-      aExchange.write_(
-        Answer(aExchange,
-               counts.requests_.at(aExchange.server_) == 1 ? kLeaving : ""));
+      aExchange.write_(MakeResponse(
+        aExchange,
+        counts.requests_.at(aExchange.server_) == 1 ? kLeaving : ""));
     },
     1);
-  EXPECT_TRUE(IsServed(rig.Ask(GatewayRig::Request("GET", "plain", "1"))));
-  rig.Reregister(0, 1);
-  rig.RunFor(kWatchMs);
-  EXPECT_FALSE(IsServed(rig.Ask(GatewayRig::Request("GET", "plain", "2"))));
-  EXPECT_EQ(counts.requests_.at(&rig.Backend(0)), 1);
-  rig.Reregister(0, 2);
-  rig.RunFor(kWatchMs);
-  EXPECT_TRUE(IsServed(rig.Ask(GatewayRig::Request("GET", "plain", "3"))));
+  EXPECT_TRUE(IsServed(
+    fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "1"))));
+  fixture.Reregister(0, 1);
+  fixture.RunFor(kWatchMs);
+  EXPECT_FALSE(IsServed(
+    fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "2"))));
+  EXPECT_EQ(counts.requests_.at(&fixture.Backend(0)), 1);
+  fixture.Reregister(0, 2);
+  fixture.RunFor(kWatchMs);
+  EXPECT_TRUE(IsServed(
+    fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "3"))));
 }
 
 // Guards against another gateway that goes on sending to a leaving server until
@@ -125,17 +129,19 @@
 TEST(ServerNotices, OtherGatewaysLearnOfLeavingServers)
 {
   int requests = 0;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
-      aExchange.write_(Answer(aExchange, ++requests == 1 ? kLeaving : ""));
+      aExchange.write_(
+        MakeResponse(aExchange, ++requests == 1 ? kLeaving : ""));
     },
     1);
-  const auto second = rig.AddGateway("g2");
-  rig.RunFor(1500);
-  EXPECT_TRUE(IsServed(rig.Ask(GatewayRig::Request("GET", "plain", "1"))));
-  rig.RunFor(1000);
-  EXPECT_FALSE(
-    IsServed(rig.AskAt(second, GatewayRig::Request("GET", "plain", "2"))));
+  const auto second = fixture.AddGateway("g2");
+  fixture.RunFor(1500);
+  EXPECT_TRUE(IsServed(
+    fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "1"))));
+  fixture.RunFor(1000);
+  EXPECT_FALSE(IsServed(fixture.SendToAndWait(
+    second, GatewayFixture::MakeRequest("GET", "plain", "2"))));
   EXPECT_EQ(requests, 1);
 }
 
@@ -144,23 +150,23 @@
 TEST(ServerNotices, PausedServerGetsNothingUntilThePauseEnds)
 {
   int requests = 0;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
       aExchange.write_(++requests == 1 ? Refusal("Retry-After: 2\r\n")
-                                       : Answer(aExchange, ""));
+                                       : MakeResponse(aExchange, ""));
     },
     1);
-  rig.Ask(GatewayRig::Request("GET", "plain", "first"));
+  fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "first"));
   for (int id = 0; id < 18; ++id) {
-    EXPECT_FALSE(
-      IsServed(rig.Ask(GatewayRig::Request("GET", "plain", Concat(id)))));
-    rig.RunFor(100);
+    EXPECT_FALSE(IsServed(fixture.SendAndWait(
+      GatewayFixture::MakeRequest("GET", "plain", Concat(id)))));
+    fixture.RunFor(100);
   }
   EXPECT_EQ(requests, 1);
-  rig.RunFor(1200);
+  fixture.RunFor(1200);
   for (int id = 100; id < 110; ++id) {
-    EXPECT_TRUE(
-      IsServed(rig.Ask(GatewayRig::Request("GET", "plain", Concat(id)))));
+    EXPECT_TRUE(IsServed(fixture.SendAndWait(
+      GatewayFixture::MakeRequest("GET", "plain", Concat(id)))));
   }
 }
 
@@ -169,16 +175,17 @@
 TEST(ServerNotices, RefusesAtOnceWhileAllServersPause)
 {
   int requests = 0;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
       ++requests;
       aExchange.write_(Refusal("Retry-After: 3\r\n"));
     },
     1);
-  rig.Ask(GatewayRig::Request("GET", "plain", "1"));
-  rig.RunFor(600);
+  fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "1"));
+  fixture.RunFor(600);
   const auto begin = SteadyClock().NowMs();
-  const auto answer = rig.Ask(GatewayRig::Request("GET", "plain", "2"));
+  const auto answer =
+    fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "2"));
   EXPECT_LT(SteadyClock().NowMs() - begin, 100);
   EXPECT_NE(answer.find(" 503 "), std::string::npos);
   const auto field = answer.find("Retry-After: ");
@@ -193,7 +200,7 @@
 TEST(ServerNotices, RequestsReturnOneAtATimeAfterAPause)
 {
   std::vector<Exchange> held;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
       if (aExchange.head_.Field("Cactuspitch-Request-Id") == "refused") {
         aExchange.write_(Refusal("Retry-After: 1\r\n"));
@@ -204,25 +211,26 @@
     1);
   const auto answerAll = [&] {
     for (const auto& exchange : std::exchange(held, {})) {
-      exchange.write_(Answer(exchange, ""));
+      exchange.write_(MakeResponse(exchange, ""));
     }
   };
-  std::vector<std::unique_ptr<RigCaller>> callers;
+  std::vector<std::unique_ptr<TestCaller>> callers;
   for (const char* id : { "a", "b", "c" }) {
-    callers.push_back(rig.Call(GatewayRig::Request("GET", "plain", id)));
+    callers.push_back(
+      fixture.Send(GatewayFixture::MakeRequest("GET", "plain", id)));
   }
-  ASSERT_TRUE(rig.RunUntil([&] { return held.size() == 3; }));
-  rig.Ask(GatewayRig::Request("GET", "plain", "refused"));
+  ASSERT_TRUE(fixture.RunUntil([&] { return held.size() == 3; }));
+  fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "refused"));
   answerAll();
-  rig.RunFor(1300);
+  fixture.RunFor(1300);
   for (int id = 0; id < 4; ++id) {
     callers.push_back(
-      rig.Call(GatewayRig::Request("GET", "plain", Concat(id))));
+      fixture.Send(GatewayFixture::MakeRequest("GET", "plain", Concat(id))));
   }
-  rig.RunFor(40);
+  fixture.RunFor(40);
   EXPECT_EQ(held.size(), 1U);
   answerAll();
-  rig.RunFor(40);
+  fixture.RunFor(40);
   EXPECT_EQ(held.size(), 2U);
 }
 
@@ -230,18 +238,20 @@
 TEST(ServerNotices, FractionalPauseIsKept)
 {
   int requests = 0;
-  GatewayRig rig(
+  GatewayFixture fixture(
     [&](Exchange& aExchange) {
       aExchange.write_(++requests == 1 ? Refusal("Retry-After: 1.5\r\n")
-                                       : Answer(aExchange, ""));
+                                       : MakeResponse(aExchange, ""));
     },
     1);
-  rig.Ask(GatewayRig::Request("GET", "plain", "first"));
-  rig.RunFor(1200);
-  EXPECT_FALSE(IsServed(rig.Ask(GatewayRig::Request("GET", "plain", "2"))));
+  fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "first"));
+  fixture.RunFor(1200);
+  EXPECT_FALSE(IsServed(
+    fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "2"))));
   EXPECT_EQ(requests, 1);
-  rig.RunFor(700);
-  EXPECT_TRUE(IsServed(rig.Ask(GatewayRig::Request("GET", "plain", "3"))));
+  fixture.RunFor(700);
+  EXPECT_TRUE(IsServed(
+    fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "3"))));
 }
 
 // Guards against malformed times that bar a server or end the process.
@@ -259,15 +269,16 @@
                              "5\r\nRetry-After: 6",
                              "0x10" }) {
     int requests = 0;
-    GatewayRig rig(
+    GatewayFixture fixture(
       [&](Exchange& aExchange) {
         aExchange.write_(++requests == 1
                            ? Refusal(Concat("Retry-After: ", value, "\r\n"))
-                           : Answer(aExchange, ""));
+                           : MakeResponse(aExchange, ""));
       },
       1);
-    rig.Ask(GatewayRig::Request("GET", "plain", "1"));
-    EXPECT_TRUE(IsServed(rig.Ask(GatewayRig::Request("GET", "plain", "2"))))
+    fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "1"));
+    EXPECT_TRUE(IsServed(
+      fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "2"))))
       << value;
   }
 }
@@ -276,27 +287,27 @@
 // registration does not say so yet.
 TEST(ServerNotices, KeysOfALeavingServerMove)
 {
-  GatewayRig rig([](Exchange&) {}, 1, 2);
+  GatewayFixture fixture([](Exchange&) {}, 1, 2);
   std::string first;
-  rig.SetKeyedScript([&](Exchange& aExchange) {
+  fixture.SetKeyedScript([&](Exchange& aExchange) {
     const std::string target(
       aExchange.head_.Field("Cactuspitch-Target-Instance"));
     if (first.empty()) {
       first = target;
     }
-    aExchange.write_(Answer(aExchange, target == first ? kLeaving : ""));
+    aExchange.write_(MakeResponse(aExchange, target == first ? kLeaving : ""));
   });
   const auto ask = [&](int aId) {
-    return rig.Ask(GatewayRig::Request(
+    return fixture.SendAndWait(GatewayFixture::MakeRequest(
       "GET", "keyed", Concat(aId), "Cactuspitch-Shard-Key: 77\r\n"));
   };
   EXPECT_TRUE(IsServed(ask(0)));
   int late = 0;
-  rig.SetKeyedScript([&](Exchange& aExchange) {
+  fixture.SetKeyedScript([&](Exchange& aExchange) {
     late += aExchange.head_.Field("Cactuspitch-Target-Instance") == first;
-    aExchange.write_(Answer(aExchange, ""));
+    aExchange.write_(MakeResponse(aExchange, ""));
   });
-  rig.RunFor(1000);
+  fixture.RunFor(1000);
   for (int id = 1; id < 10; ++id) {
     EXPECT_TRUE(IsServed(ask(id)));
   }
@@ -307,19 +318,19 @@
 // says so only in its answers to orders.
 TEST(ServerNotices, KeysOfAnIdleLeavingServerMove)
 {
-  GatewayRig rig([](Exchange&) {}, 1, 2);
+  GatewayFixture fixture([](Exchange&) {}, 1, 2);
   const auto ownerOf = [&](const std::string& aId) {
     std::string owner;
-    rig.SetKeyedScript([&](Exchange& aExchange) {
+    fixture.SetKeyedScript([&](Exchange& aExchange) {
       owner = aExchange.head_.Field("Cactuspitch-Target-Instance");
-      aExchange.write_(Answer(aExchange, ""));
+      aExchange.write_(MakeResponse(aExchange, ""));
     });
-    EXPECT_TRUE(IsServed(rig.Ask(GatewayRig::Request(
+    EXPECT_TRUE(IsServed(fixture.SendAndWait(GatewayFixture::MakeRequest(
       "GET", "keyed", aId, "Cactuspitch-Shard-Key: 77\r\n"))));
     return owner;
   };
   const auto first = ownerOf("1");
-  rig.SetOrderScript([&](Exchange& aExchange) {
+  fixture.SetOrderScript([&](Exchange& aExchange) {
     const bool leaves =
       aExchange.head_.Field("Cactuspitch-Target-Instance") == first;
     aExchange.write_(Concat("HTTP/1.1 200 OK\r\n",
@@ -327,7 +338,7 @@
                             "Content-Length: 0\r\n\r\n"));
   });
   // Holds are prolonged within this time.
-  rig.RunFor(5000);
+  fixture.RunFor(5000);
   EXPECT_NE(ownerOf("2"), first);
 }
 
--- a/tests/SoakCaller.cpp
+++ b/tests/SoakCaller.cpp
@@ -49,7 +49,7 @@
   , random_(aSeed)
   , timer_(aLoop, [this] { OnTimer(); })
   , leaveTimer_(aLoop, [this] { OnLeaveTimer(); })
-  , parser_(HttpRole::Answer, kMaxHeadBytes)
+  , parser_(HttpMessageType::Response, kMaxHeadBytes)
 {
   Rest();
 }
@@ -80,7 +80,7 @@
 {
   if (stream_ == nullptr || !stream_->IsOpen()) {
     stream_ = std::make_unique<TcpStream>(loop_, *this);
-    parser_ = HttpParser(HttpRole::Answer, kMaxHeadBytes);
+    parser_ = HttpParser(HttpMessageType::Response, kMaxHeadBytes);
     body_.clear();
     if (!stream_->Connect(address_)) {
       timer_.Start(kReconnectMs);
@@ -190,7 +190,7 @@
     journal_.OnAnswer(request.id_, parser_.Head(), body_);
     const bool keepsAlive = parser_.Head().KeepsAlive();
     body_.clear();
-    parser_ = HttpParser(HttpRole::Answer, kMaxHeadBytes);
+    parser_ = HttpParser(HttpMessageType::Response, kMaxHeadBytes);
     if (!keepsAlive) {
       EndConnection();
     }
--- a/tests/StoreFollowerTest.cpp
+++ b/tests/StoreFollowerTest.cpp
@@ -1,7 +1,7 @@
 #include "gateway/StoreFollower.hpp"
 
 #include "platform/Objects.hpp"
-#include "tests/GatewayRig.hpp"
+#include "tests/GatewayFixture.hpp"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -23,7 +23,7 @@
     const auto body = nlohmann::json{ { "items", nlohmann::json::array() },
                                       { "has-more", false },
                                       { "at", 10 + lists_ } };
-    aExchange.write_(TextAnswer(200, body.dump()));
+    aExchange.write_(TextResponse(200, body.dump()));
   }
   EventLoop loop_;
   EventLog log_{ loop_, LogLevel::Error, STDERR_FILENO };
--- a/tests/StoreRelayTest.cpp
+++ b/tests/StoreRelayTest.cpp
@@ -2,7 +2,7 @@
 
 #include "gossip_types.h"
 #include "platform/Objects.hpp"
-#include "tests/GatewayRig.hpp"
+#include "tests/GatewayFixture.hpp"
 
 #include <gtest/gtest.h>
 #include <unistd.h>
@@ -78,7 +78,7 @@
     loop_,
     [](auto& aExchange) {
       aExchange.write_(
-        TextAnswer(200, R"({"items": [], "has-more": false, "at": 100})"));
+        TextResponse(200, R"({"items": [], "has-more": false, "at": 100})"));
     }
   };
   StoreLink store_{ loop_, log_, client_, objects_, storeServer_.Address() };
@@ -139,7 +139,7 @@
 TEST_F(RelayedDirectoryTest, AWatcherTakesOverTheNewerStateOfAnother)
 {
   ScriptedServer peer(loop_, [](auto& aExchange) {
-    aExchange.write_(TextAnswer(200, R"({"revision": 130, "servers": []})"));
+    aExchange.write_(TextResponse(200, R"({"revision": 130, "servers": []})"));
   });
   ASSERT_TRUE(StartToWatch());
   BackendEntry entry;
