--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/BackendLink.hpp"
+#include "gateway/BackendConnection.hpp"
 #include "gateway/EventLog.hpp"
 #include "gateway/GatewayMetrics.hpp"
 #include "policy/FleetLoadTable.hpp"
@@ -23,13 +23,13 @@
 {
 public:
   virtual ~BackendObserver() = default;
-  virtual void OnAttemptOver(const std::shared_ptr<Backend>& aBackend,
-                             const AttemptTag& aTag,
-                             AttemptOutcome aOutcome) = 0;
+  virtual void OnAttemptFinished(const std::shared_ptr<Backend>& aBackend,
+                                 const AttemptCrashInfo& aTag,
+                                 AttemptOutcome aOutcome) = 0;
   /// The server does not take connections any more.
   virtual void OnBackendDown(const Backend& aBackend) = 0;
   /// The registration of this life of the server is gone.
-  virtual void OnBackendGone(const Backend& aBackend) = 0;
+  virtual void OnBackendRemoved(const Backend& aBackend) = 0;
 };
 
 /// Backend servers and the connections to them.
@@ -58,19 +58,19 @@
     return byService_;
   }
   /// Connection for one request, or null when the limit is reached.
-  std::shared_ptr<BackendLink> Acquire(const BackendPtr& aBackend,
-                                       size_t aMaxConnections,
-                                       TimeMs aMaxIdleMs);
+  std::shared_ptr<BackendConnection> Acquire(const BackendPtr& aBackend,
+                                             size_t aMaxConnections,
+                                             TimeMs aMaxIdleMs);
   /// Closes connections that were idle too long.
   void CloseIdle();
   /// Loads that servers have reported since the last call.
-  std::vector<FleetLoadEntry> TakeReports();
-  void ApplyShared(const FleetLoadEntry& aEntry);
-  double ServiceWorkMs(const std::string& aService) const;
+  std::vector<FleetLoadEntry> TakeLoadReports();
+  void ApplySharedLoad(const FleetLoadEntry& aEntry);
+  double MeanServiceTimeMs(const std::string& aService) const;
   int64_t ConnectionsOpened() const { return opened_; }
 
 private:
-  friend class BackendLink;
+  friend class BackendConnection;
 
   BackendPtr NewBackend(const BackendEntry& aEntry);
   void Add(const BackendPtr& aBackend);
@@ -82,8 +82,8 @@
   void OnPaused(Backend& aBackend, TimeMs aPauseMs);
   void OnMalformedPause(Backend& aBackend);
   void CloseIdleOf(Backend& aBackend);
-  void NoteWork(const Backend& aBackend, double aLatencyMs);
-  void Release(const std::shared_ptr<BackendLink>& aLink, bool aReusable);
+  void RecordServiceTime(const Backend& aBackend, double aLatencyMs);
+  void Release(const std::shared_ptr<BackendConnection>& aLink, bool aReusable);
 
   EventLoop& loop_;
   EventLog& log_;
--- a/gateway/CommandSender.cpp
+++ b/gateway/CommandSender.cpp
@@ -77,9 +77,9 @@
   }
   auto request = protocol_.MakeCommand(aCommand);
   if (handlers_.grantScope_() == GrantScope::Renewals) {
-    request.connecting_ = Connecting::Kept;
+    request.connectionPolicy_ = ConnectionPolicy::ReuseOnly;
   } else if (unresponsive_.contains(aCommand.backend_)) {
-    request.connecting_ = Connecting::Fresh;
+    request.connectionPolicy_ = ConnectionPolicy::NewOnly;
   }
   client_.Call(server->second.endpoint_,
                request,
--- a/gateway/CrashDetector.cpp
+++ b/gateway/CrashDetector.cpp
@@ -61,12 +61,12 @@
   }
 }
 
-void CrashDetector::OnAttemptOver(const std::shared_ptr<Backend>& aBackend,
-                                  const AttemptTag& aTag,
-                                  AttemptOutcome aOutcome)
+void CrashDetector::OnAttemptFinished(const std::shared_ptr<Backend>& aBackend,
+                                      const AttemptCrashInfo& aTag,
+                                      AttemptOutcome aOutcome)
 {
-  if (aOutcome == AttemptOutcome::Broken ||
-      aOutcome == AttemptOutcome::Abandoned) {
+  if (aOutcome == AttemptOutcome::ConnectionLost ||
+      aOutcome == AttemptOutcome::Cancelled) {
     AddUnresolved(aBackend, aTag, aOutcome);
     return;
   }
@@ -75,7 +75,7 @@
   }
   quarantine_.OnEnd(aTag.fingerprint_,
                     aBackend->entry_.id_,
-                    aOutcome == AttemptOutcome::RanWell,
+                    aOutcome == AttemptOutcome::Succeeded,
                     loop_.NowMs());
   if (quarantine_.TakeChanged()) {
     onChange_();
@@ -89,7 +89,7 @@
 }
 
 void CrashDetector::AddUnresolved(const std::shared_ptr<Backend>& aBackend,
-                                  const AttemptTag& aTag,
+                                  const AttemptCrashInfo& aTag,
                                   AttemptOutcome aOutcome)
 {
   const TimeMs nowMs = loop_.NowMs();
@@ -99,7 +99,7 @@
   if (unresolved_.size() >= detail::kMaxUnresolvedAttempts) {
     unresolved_.pop_front();
   }
-  const bool broken = aOutcome == AttemptOutcome::Broken;
+  const bool broken = aOutcome == AttemptOutcome::ConnectionLost;
   const TimeMs windowMs =
     broken ? detail::kBrokenWindowMs : detail::kAbandonedWindowMs;
   const auto& entry = aBackend->entry_;
@@ -151,7 +151,7 @@
   ConfirmCrash(aBackend, CrashEvidence::ConnectFailed);
 }
 
-void CrashDetector::OnBackendGone(const Backend& aBackend)
+void CrashDetector::OnBackendRemoved(const Backend& aBackend)
 {
   // A draining server exits as planned, even with requests in flight.
   if (aBackend.entry_.TakesNewWork()) {
@@ -180,8 +180,9 @@
   std::ranges::transform(counted,
                          std::back_inserter(inFlight),
                          [](const UnresolvedAttempt& aAttempt) {
-                           return InFlightRequest(aAttempt.tag_.fingerprint_,
-                                                  aAttempt.tag_.knownCrashes_);
+                           return InFlightRequest(
+                             aAttempt.crashInfo_.fingerprint_,
+                             aAttempt.crashInfo_.knownCrashes_);
                          });
   const auto& entry = aBackend.entry_;
   quarantine_.OnCrash(
@@ -207,12 +208,12 @@
     return;
   }
   const auto state =
-    quarantine_.Find(aAttempt.tag_.fingerprint_, loop_.NowMs());
+    quarantine_.Find(aAttempt.crashInfo_.fingerprint_, loop_.NowMs());
   log_.Write(LogLevel::Info,
              "suspect-counted",
-             { { "fingerprint", absl::Hex(aAttempt.tag_.fingerprint_) },
+             { { "fingerprint", absl::Hex(aAttempt.crashInfo_.fingerprint_) },
                { "backend", aBackend.entry_.id_ },
-               { "known_crashes", aAttempt.tag_.knownCrashes_ },
+               { "known_crashes", aAttempt.crashInfo_.knownCrashes_ },
                { "crashes", state.crashes_ },
                { "quarantined", state.quarantined_ ? "yes" : "no" } });
 }
--- a/gateway/CrashDetector.hpp
+++ b/gateway/CrashDetector.hpp
@@ -45,22 +45,23 @@
   void SetGateways(const std::string& aSelf,
                    std::vector<std::string> aGateways);
   /// Must be called before an attempt. After the verdict Run either the attempt
-  /// ends with OnAttemptOver, or CancelBegin must be called if it is not made.
+  /// ends with OnAttemptFinished, or CancelBegin must be called if it is not
+  /// made.
   SuspectDecision TryBegin(uint64_t aFingerprint, const Backend& aBackend);
   void CancelBegin(uint64_t aFingerprint, const Backend& aBackend);
 
-  void OnAttemptOver(const std::shared_ptr<Backend>& aBackend,
-                     const AttemptTag& aTag,
-                     AttemptOutcome aOutcome) override;
+  void OnAttemptFinished(const std::shared_ptr<Backend>& aBackend,
+                         const AttemptCrashInfo& aTag,
+                         AttemptOutcome aOutcome) override;
   void OnBackendDown(const Backend& aBackend) override;
-  void OnBackendGone(const Backend& aBackend) override;
+  void OnBackendRemoved(const Backend& aBackend) override;
 
 private:
   /// An attempt without a response, as long as it is unknown whether its server
   /// has crashed.
   struct UnresolvedAttempt
   {
-    AttemptTag tag_;
+    AttemptCrashInfo crashInfo_;
     std::string backendId_;
     int64_t startTimeMs_ = 0;
     TimeMs expiresMs_ = 0;
@@ -73,7 +74,7 @@
   };
 
   void AddUnresolved(const std::shared_ptr<Backend>& aBackend,
-                     const AttemptTag& aTag,
+                     const AttemptCrashInfo& aTag,
                      AttemptOutcome aOutcome);
   void StartProbe(const std::shared_ptr<Backend>& aBackend);
   void OnProbed(const std::shared_ptr<Backend>& aBackend, bool aAlive);
--- a/gateway/GossipAgent.cpp
+++ b/gateway/GossipAgent.cpp
@@ -105,7 +105,7 @@
       coordinator_.AddLoad(service, key, count);
     }
   }
-  for (const auto& report : forwarder_.Pool().TakeReports()) {
+  for (const auto& report : forwarder_.Pool().TakeLoadReports()) {
     fleetLoads_.Add(report, nowMs);
   }
   for (const auto& [service, ownership] : coordinator_.Ownership()) {
@@ -114,7 +114,7 @@
   if (rounds_ % detail::kLoadRounds == 0) {
     const auto changed = fleetLoads_.TakeChanged(nowMs);
     std::ranges::for_each(changed, [&](const FleetLoadEntry& aEntry) {
-      forwarder_.Pool().ApplyShared(aEntry);
+      forwarder_.Pool().ApplySharedLoad(aEntry);
     });
     FillLoads(changed, aGossip);
     FillAdmissions(aGossip);
@@ -144,7 +144,7 @@
     return;
   }
   FillKeyCounts(aGossip);
-  FillLoads(forwarder_.Pool().TakeReports(), aGossip);
+  FillLoads(forwarder_.Pool().TakeLoadReports(), aGossip);
   // Only every few rounds, because the keys may already be on the way.
   aGossip.wantsKeys = full && !KnowsAllKeys();
   mesh_.SendTo(leader->second.endpoint_, aGossip);
@@ -321,7 +321,7 @@
     }
   }
   if (changed) {
-    forwarder_.OnPlacesChanged();
+    forwarder_.OnRoutingStateChanged();
   }
 }
 
@@ -369,7 +369,7 @@
     changed |= KeyGossip::Apply(keys, forwarder_.Keys());
   }
   if (changed) {
-    forwarder_.OnPlacesChanged();
+    forwarder_.OnRoutingStateChanged();
   }
   ApplyLoads(aGossip);
   ApplyAdmissions(aGossip);
@@ -409,7 +409,7 @@
     if (election_.IsLeading()) {
       fleetLoads_.Add(entry, loop_.NowMs());
     }
-    forwarder_.Pool().ApplyShared(entry);
+    forwarder_.Pool().ApplySharedLoad(entry);
   }
 }
 
--- a/gateway/StoreClient.cpp
+++ b/gateway/StoreClient.cpp
@@ -27,7 +27,8 @@
 {
   ++calls_;
   // After a failure idle connections may be dead.
-  aRequest.connecting_ = failures_ > 0 ? Connecting::Fresh : Connecting::Reuse;
+  aRequest.connectionPolicy_ =
+    failures_ > 0 ? ConnectionPolicy::NewOnly : ConnectionPolicy::ReuseOrNew;
   client_.Call(store_,
                aRequest,
                [this, sentMs = loop_.NowMs(), done = std::move(aDone)](
@@ -65,7 +66,7 @@
   }
   lastResponseMs_ = loop_.NowMs();
   if (std::exchange(failures_, 0) > 0) {
-    client_.DropIdle(store_);
+    client_.CloseIdle(store_);
     log_.Write(LogLevel::Info,
                "store-regained",
                { { "after_ms", loop_.NowMs() - unreachableSinceMs_ } });
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -161,7 +161,7 @@
 CallResult Answered(int aStatus, std::string aBody = {})
 {
   CallResult result;
-  result.end_ = CallEnd::Answered;
+  result.outcome_ = CallOutcome::Completed;
   result.head_.status_ = aStatus;
   result.body_ = std::move(aBody);
   return result;
@@ -197,9 +197,9 @@
   EXPECT_EQ(read(Answered(421)), KeyCommandResult::Misdirected);
   EXPECT_EQ(read(Answered(503)), KeyCommandResult::Unanswered);
   CallResult lost;
-  lost.end_ = CallEnd::Unanswered;
+  lost.outcome_ = CallOutcome::NoResponse;
   EXPECT_EQ(read(lost), KeyCommandResult::Unanswered);
-  lost.end_ = CallEnd::NotSent;
+  lost.outcome_ = CallOutcome::NotSent;
   EXPECT_EQ(read(lost), KeyCommandResult::NotSent);
 }
 
