--- a/assigner/AssignerProcess.cpp
+++ b/assigner/AssignerProcess.cpp
@@ -18,9 +18,10 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
-constexpr TimeMs kProbeMs = 500;
+constexpr TimeMs kProbeIntervalMs = 500;
 
-GroupOptions TemplateOf(const AssignerOptions& aOptions, TimeMs aStartedMs)
+GroupOptions GroupOptionsTemplate(const AssignerOptions& aOptions,
+                                  TimeMs aStartedMs)
 {
   GroupOptions options;
   options.instance_ = aOptions.instance_;
@@ -38,11 +39,11 @@
   : options_(std::move(aOptions))
   , startedMs_(clock_.NowMs())
   , store_(clock_, { .address_ = options_.store_ })
-  , control_(clock_, detail::TemplateOf(options_, startedMs_))
-  , leases_(clock_, control_)
-  , peers_(control_, directory_, options_.secret_)
-  , storeDuty_(clock_, store_, control_, directory_, config_)
-  , balance_(clock_, control_, config_)
+  , control_(clock_, detail::GroupOptionsTemplate(options_, startedMs_))
+  , grantSender_(clock_, control_)
+  , peerClient_(control_, directory_, options_.secret_)
+  , storeSync_(clock_, store_, control_, directory_, config_)
+  , balancer_(clock_, control_, config_)
   , follower_(clock_,
               { .instance_ = options_.instance_,
                 .role_ = "assigner",
@@ -50,7 +51,7 @@
                 .secret_ = options_.secret_ })
   , handler_(std::make_shared<PeerHandler>(clock_,
                                            control_,
-                                           balance_,
+                                           balancer_,
                                            directory_,
                                            config_,
                                            follower_,
@@ -65,10 +66,10 @@
 
 AssignerProcess::~AssignerProcess()
 {
-  storeDuty_.Stop();
-  balance_.Stop();
-  leases_.Stop();
-  peers_.Stop();
+  storeSync_.Stop();
+  balancer_.Stop();
+  grantSender_.Stop();
+  peerClient_.Stop();
   follower_.Stop();
   control_.Stop();
   rpc_.Stop();
@@ -84,12 +85,12 @@
   if (!started.ok()) {
     return started;
   }
-  control_.Start([this](const auto& aHost,
-                        const Action& aAction) { Dispatch(aHost, aAction); },
-                 [this] { Every(); });
-  leases_.Start();
-  storeDuty_.Start();
-  balance_.Start();
+  control_.Start([this](const auto& aGroup,
+                        const Action& aAction) { Dispatch(aGroup, aAction); },
+                 [this] { RunPeriodic(); });
+  grantSender_.Start();
+  storeSync_.Start();
+  balancer_.Start();
   follower_.Start();
   return absl::OkStatus();
 }
@@ -98,11 +99,11 @@
 {
   stopping_ = true;
   control_.Post("", [](GroupController& aControl, TimeMs, Actions&) {
-    aControl.BeginStop();
+    aControl.BeginHandover();
   });
   const auto deadlineMs = clock_.NowMs() + aTimeoutMs;
-  const auto isIdle = [](const std::shared_ptr<GroupHost>& aHost) {
-    return aHost->With(
+  const auto isIdle = [](const std::shared_ptr<ManagedGroup>& aGroup) {
+    return aGroup->WithLock(
       [](GroupController& aControl) { return aControl.IsIdle(); });
   };
   constexpr auto kCheck = std::chrono::milliseconds(20);
@@ -112,32 +113,32 @@
            !std::ranges::all_of(control_.All(), isIdle));
 }
 
-void AssignerProcess::Dispatch(const std::shared_ptr<GroupHost>& aHost,
+void AssignerProcess::Dispatch(const std::shared_ptr<ManagedGroup>& aGroup,
                                const Action& aAction)
 {
-  if (const auto* order = std::get_if<ServerOrder>(&aAction)) {
-    leases_.Send(aHost->Service(), *order);
-  } else if (const auto* question = std::get_if<PeerQuestion>(&aAction)) {
-    peers_.Ask(*aHost, *question);
+  if (const auto* command = std::get_if<GrantCommand>(&aAction)) {
+    grantSender_.Send(aGroup->Service(), *command);
+  } else if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&aAction)) {
+    peerClient_.SendHeartbeat(*aGroup, *heartbeat);
   } else if (const auto* write = std::get_if<WriteGroup>(&aAction)) {
     Log(LogLevel::Debug,
         "write group",
-        { { "service", aHost->Service() },
+        { { "service", aGroup->Service() },
           { "term", write->object_.table_.term_ },
           { "assigner", write->object_.table_.assigner_ },
           { "deputy", write->object_.table_.deputy_ } });
-    storeDuty_.Write(aHost->Service(), *write);
+    storeSync_.Write(aGroup->Service(), *write);
   } else if (std::holds_alternative<ReadGroup>(aAction)) {
-    storeDuty_.Read(aHost->Service());
+    storeSync_.Read(aGroup->Service());
   } else if (const auto* move = std::get_if<MoveRecord>(&aAction)) {
-    aHost->NoteMove(*move);
+    aGroup->RecordMove(*move);
     metrics_
       .GetCounter("cactuspitch_moves_total",
-                  { { "service", aHost->Service() } })
+                  { { "service", aGroup->Service() } })
       .Add();
     Log(LogLevel::Debug,
         "slice moved",
-        { { "service", aHost->Service() },
+        { { "service", aGroup->Service() },
           { "begin", move->begin_ },
           { "epoch", move->epoch_ },
           { "from", move->from_ },
@@ -146,31 +147,31 @@
   }
 }
 
-void AssignerProcess::Every()
+void AssignerProcess::RunPeriodic()
 {
   const auto now = clock_.NowMs();
   for (const auto& followed : follower_.Tables()) {
-    control_.Ensure(followed->table_.service_);
-    const auto host = control_.Find(followed->table_.service_);
-    if (host) {
-      host->With([&](GroupController& aControl) {
+    control_.EnsureGroup(followed->table_.service_);
+    const auto group = control_.Find(followed->table_.service_);
+    if (group) {
+      group->WithLock([&](GroupController& aControl) {
         aControl.OnNewerTerm(followed->table_.term_);
       });
     }
   }
   const auto config = follower_.Config();
   const auto age = config->AgeMs(now);
-  if (config->version_ > 0 && config_.Offer(config->version_,
-                                            config->json_,
-                                            age < 0 ? -1 : now - age)) {
+  if (config->version_ > 0 && config_.UpdateIfNewer(config->version_,
+                                                    config->json_,
+                                                    age < 0 ? -1 : now - age)) {
     control_.NotifyChange();
   }
-  if (now - probedMs_ >= detail::kProbeMs) {
-    probedMs_ = now;
-    peers_.Probe(options_.instance_);
+  if (now - lastProbeMs_ >= detail::kProbeIntervalMs) {
+    lastProbeMs_ = now;
+    peerClient_.ProbePeers(options_.instance_);
     const auto candidates = directory_.Candidates();
-    for (const auto& host : control_.All()) {
-      host->With(
+    for (const auto& group : control_.All()) {
+      group->WithLock(
         [&](GroupController& aControl) { aControl.SetCandidates(candidates); });
     }
   }
@@ -200,15 +201,16 @@
   const auto set = [this](const char* aName, double aValue) {
     metrics_.GetGauge(aName).Set(aValue);
   };
-  set("cactuspitch_store_calls", static_cast<double>(storeDuty_.Calls()));
-  set("cactuspitch_store_reachable", storeDuty_.IsReachable() ? 1 : 0);
-  set("cactuspitch_orders_sent", static_cast<double>(leases_.Sent()));
-  set("cactuspitch_order_bytes", static_cast<double>(leases_.Bytes()));
-  set("cactuspitch_orders_dropped", static_cast<double>(leases_.Dropped()));
-  const auto hosts = control_.All();
+  set("cactuspitch_store_calls", static_cast<double>(storeSync_.Calls()));
+  set("cactuspitch_store_reachable", storeSync_.IsReachable() ? 1 : 0);
+  set("cactuspitch_orders_sent", static_cast<double>(grantSender_.Sent()));
+  set("cactuspitch_order_bytes", static_cast<double>(grantSender_.Bytes()));
+  set("cactuspitch_orders_dropped",
+      static_cast<double>(grantSender_.Dropped()));
+  const auto groups = control_.All();
   set("cactuspitch_groups_led",
-      static_cast<double>(std::ranges::count_if(hosts, [](const auto& aHost) {
-        return aHost->With([](GroupController& aControl) {
+      static_cast<double>(std::ranges::count_if(groups, [](const auto& aGroup) {
+        return aGroup->WithLock([](GroupController& aControl) {
           return aControl.Role() == GroupRole::Assigner;
         });
       })));
@@ -227,7 +229,7 @@
   status.configVersion = config.version_;
   status.configAgeMs = config.confirmedMs_ < 0 ? -1 : now - config.confirmedMs_;
   status.json = AssignerStatusJson(
-    control_, balance_, now, storeDuty_.IsReachable(), storeDuty_.Calls());
+    control_, balancer_, now, storeSync_.IsReachable(), storeSync_.Calls());
   return status;
 }
 
--- a/assigner/AssignerProcess.hpp
+++ b/assigner/AssignerProcess.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "BalanceDuty.hpp"
-#include "ControlDuty.hpp"
+#include "ControlLoop.hpp"
 #include "FleetConfig.hpp"
 #include "FleetDirectory.hpp"
-#include "LeaseDuty.hpp"
-#include "PeerDuty.hpp"
+#include "GrantSender.hpp"
+#include "PeerClient.hpp"
 #include "PeerHandler.hpp"
-#include "StoreDuty.hpp"
+#include "SliceBalancer.hpp"
+#include "StoreSync.hpp"
 #include "common/Clock.hpp"
 #include "common/HttpServer.hpp"
 #include "common/Metrics.hpp"
@@ -48,8 +48,9 @@
   void HandOver(TimeMs aTimeoutMs);
 
 private:
-  void Dispatch(const std::shared_ptr<GroupHost>& aHost, const Action& aAction);
-  void Every();
+  void Dispatch(const std::shared_ptr<ManagedGroup>& aGroup,
+                const Action& aAction);
+  void RunPeriodic();
   void HandleHttp(HttpExchange& aExchange);
   wire::ProcessStatus Status() const;
   std::string MetricsText();
@@ -60,17 +61,17 @@
   HttpObjectStore store_;
   FleetDirectory directory_;
   FleetConfig config_;
-  ControlDuty control_;
-  LeaseDuty leases_;
-  PeerDuty peers_;
-  StoreDuty storeDuty_;
-  BalanceDuty balance_;
+  ControlLoop control_;
+  GrantSender grantSender_;
+  PeerClient peerClient_;
+  StoreSync storeSync_;
+  SliceBalancer balancer_;
   TableFollower follower_;
   std::shared_ptr<PeerHandler> handler_;
   ThriftServer rpc_;
   HttpServer http_;
   MetricsRegistry metrics_;
-  TimeMs probedMs_ = 0;
+  TimeMs lastProbeMs_ = 0;
   std::atomic<bool> stopping_ = false;
 };
 
--- a/assigner/AssignerStatus.cpp
+++ b/assigner/AssignerStatus.cpp
@@ -38,10 +38,10 @@
   return leases;
 }
 
-Json MovesToJson(const GroupHost& aHost, TimeMs aNowMs)
+Json MovesToJson(const ManagedGroup& aGroup, TimeMs aNowMs)
 {
   auto moves = Json::array();
-  for (const auto& move : aHost.Moves()) {
+  for (const auto& move : aGroup.Moves()) {
     moves.push_back({ { "ageMs", aNowMs - move.atMs_ },
                       { "begin", move.begin_ },
                       { "epoch", move.epoch_ },
@@ -61,44 +61,46 @@
   return slices;
 }
 
-Json GroupToJson(GroupHost& aHost, const BalanceDuty& aBalance, TimeMs aNowMs)
+Json GroupToJson(ManagedGroup& aGroup,
+                 const SliceBalancer& aBalancer,
+                 TimeMs aNowMs)
 {
-  auto json = aHost.With([&](const GroupController& aControl) {
+  auto json = aGroup.WithLock([&](const GroupController& aControl) {
     const auto& table = aControl.Table();
-    const auto& slices = aControl.State().book_.Slices();
+    const auto& slices = aControl.State().sliceStates_.Slices();
     const auto open = std::ranges::count_if(
       slices, [](const SliceState& aSlice) { return !aSlice.IsHeld(); });
-    return Json{ { "service", aHost.Service() },
-                 { "group", aHost.Group() },
+    return Json{ { "service", aGroup.Service() },
+                 { "group", aGroup.Group() },
                  { "role", std::string(EnumName(aControl.Role())) },
                  { "term", table.term_ },
                  { "sequence", table.sequence_ },
                  { "assigner", table.assigner_ },
                  { "deputy", table.deputy_ },
                  { "armed", aControl.IsArmed() },
-                 { "earlierRenewers", aControl.State().earlier_ },
+                 { "earlierRenewers", aControl.State().earlierRenewers_ },
                  { "sliceCount", table.slices_.size() },
                  { "slicesInTransit", open },
                  { "servers", LeasesToJson(aControl.State(), aNowMs) } };
   });
-  json["moves"] = MovesToJson(aHost, aNowMs);
+  json["moves"] = MovesToJson(aGroup, aNowMs);
   if (json["role"] == EnumName(GroupRole::Assigner)) {
-    json["slices"] = SlicesToJson(aBalance.SliceLoads(aHost.Service()));
+    json["slices"] = SlicesToJson(aBalancer.SliceLoads(aGroup.Service()));
   }
   return json;
 }
 
 }
 
-std::string AssignerStatusJson(const ControlDuty& aControl,
-                               const BalanceDuty& aBalance,
+std::string AssignerStatusJson(const ControlLoop& aControl,
+                               const SliceBalancer& aBalancer,
                                TimeMs aNowMs,
                                bool aStoreReachable,
                                int64_t aStoreCalls)
 {
   auto groups = detail::Json::array();
-  for (const auto& host : aControl.All()) {
-    groups.push_back(detail::GroupToJson(*host, aBalance, aNowMs));
+  for (const auto& group : aControl.All()) {
+    groups.push_back(detail::GroupToJson(*group, aBalancer, aNowMs));
   }
   return detail::Json{
     { "groups", std::move(groups) },
--- a/assigner/AssignerStatus.hpp
+++ b/assigner/AssignerStatus.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "BalanceDuty.hpp"
-#include "ControlDuty.hpp"
+#include "ControlLoop.hpp"
+#include "SliceBalancer.hpp"
 
 #include <string>
 
@@ -9,8 +9,8 @@
 
 /// JSON of GetStatus: the groups with role, term, lease states, the load of
 /// the slices (busy ms/s) and the moves of the last hour with their reasons.
-std::string AssignerStatusJson(const ControlDuty& aControl,
-                               const BalanceDuty& aBalance,
+std::string AssignerStatusJson(const ControlLoop& aControl,
+                               const SliceBalancer& aBalancer,
                                TimeMs aNowMs,
                                bool aStoreReachable,
                                int64_t aStoreCalls);
--- a/assigner/ControlDuty.cpp
+++ b/assigner/ControlLoop.cpp
@@ -1,35 +1,35 @@
-#include "ControlDuty.hpp"
+#include "ControlLoop.hpp"
 
 #include <chrono>
 
 namespace cactuspitch {
 
 namespace detail {
-constexpr size_t kInputs = 8192;
+constexpr size_t kQueueCapacity = 8192;
 constexpr TimeMs kStepMs = 20;
 constexpr TimeMs kEveryMs = 100;
 }
 
-ControlDuty::ControlDuty(const Clock& aClock, GroupOptions aTemplate)
+ControlLoop::ControlLoop(const Clock& aClock, GroupOptions aTemplate)
   : clock_(aClock)
   , template_(std::move(aTemplate))
-  , ring_(detail::kInputs)
+  , ring_(detail::kQueueCapacity)
 {
 }
 
-ControlDuty::~ControlDuty()
+ControlLoop::~ControlLoop()
 {
   Stop();
 }
 
-void ControlDuty::Start(Dispatch aDispatch, std::function<void()> aEvery)
+void ControlLoop::Start(Dispatch aDispatch, std::function<void()> aPeriodic)
 {
   dispatch_ = std::move(aDispatch);
-  every_ = std::move(aEvery);
+  periodic_ = std::move(aPeriodic);
   thread_ = std::thread([this] { Run(); });
 }
 
-void ControlDuty::Stop()
+void ControlLoop::Stop()
 {
   ring_.Close();
   if (thread_.joinable()) {
@@ -38,42 +38,43 @@
   changed_.notify_all();
 }
 
-void ControlDuty::Post(std::string aService, Work aWork)
+void ControlLoop::Post(std::string aService, Work aWork)
 {
   ring_.TryPush({ std::move(aService), std::move(aWork) });
 }
 
-bool ControlDuty::Ensure(const std::string& aService)
+bool ControlLoop::EnsureGroup(const std::string& aService)
 {
   const std::lock_guard lock(mutex_);
-  auto& host = hosts_[aService];
-  if (host) {
+  auto& group = groups_[aService];
+  if (group) {
     return false;
   }
   auto options = template_;
   options.service_ = aService;
-  host = std::make_shared<GroupHost>(std::move(options));
+  group = std::make_shared<ManagedGroup>(std::move(options));
   return true;
 }
 
-std::shared_ptr<GroupHost> ControlDuty::Find(const std::string& aService) const
+std::shared_ptr<ManagedGroup> ControlLoop::Find(
+  const std::string& aService) const
 {
   const std::lock_guard lock(mutex_);
-  const auto found = hosts_.find(aService);
-  return found == hosts_.end() ? nullptr : found->second;
+  const auto found = groups_.find(aService);
+  return found == groups_.end() ? nullptr : found->second;
 }
 
-std::vector<std::shared_ptr<GroupHost>> ControlDuty::All() const
+std::vector<std::shared_ptr<ManagedGroup>> ControlLoop::All() const
 {
   const std::lock_guard lock(mutex_);
-  std::vector<std::shared_ptr<GroupHost>> hosts;
-  for (const auto& [service, host] : hosts_) {
-    hosts.push_back(host);
+  std::vector<std::shared_ptr<ManagedGroup>> groups;
+  for (const auto& [service, group] : groups_) {
+    groups.push_back(group);
   }
-  return hosts;
+  return groups;
 }
 
-void ControlDuty::Run()
+void ControlLoop::Run()
 {
   TimeMs steppedMs = 0;
   TimeMs everyMs = 0;
@@ -87,7 +88,7 @@
     }
     if (clock_.NowMs() - everyMs >= detail::kEveryMs) {
       everyMs = clock_.NowMs();
-      every_();
+      periodic_();
     }
     if (clock_.NowMs() - steppedMs >= detail::kStepMs) {
       steppedMs = clock_.NowMs();
@@ -96,64 +97,64 @@
   }
 }
 
-void ControlDuty::Apply(const Item& aItem)
+void ControlLoop::Apply(const Item& aItem)
 {
-  const auto hosts =
+  const auto groups =
     aItem.service_.empty() ? All() : std::vector{ Find(aItem.service_) };
-  for (const auto& host : hosts) {
-    if (!host) {
+  for (const auto& group : groups) {
+    if (!group) {
       continue;
     }
     Actions actions;
     const auto now = clock_.NowMs();
-    host->With(
+    group->WithLock(
       [&](GroupController& aControl) { aItem.work_(aControl, now, actions); });
-    if (host->Step(now, actions)) {
+    if (group->Step(now, actions)) {
       NotifyChange();
     }
-    Deliver(host, actions);
+    Deliver(group, actions);
   }
 }
 
-void ControlDuty::StepAll()
+void ControlLoop::StepAll()
 {
-  for (const auto& host : All()) {
+  for (const auto& group : All()) {
     Actions actions;
-    if (host->Step(clock_.NowMs(), actions)) {
+    if (group->Step(clock_.NowMs(), actions)) {
       NotifyChange();
     }
-    Deliver(host, actions);
+    Deliver(group, actions);
   }
 }
 
-void ControlDuty::Deliver(const std::shared_ptr<GroupHost>& aHost,
+void ControlLoop::Deliver(const std::shared_ptr<ManagedGroup>& aGroup,
                           const Actions& aActions)
 {
   for (const auto& action : aActions) {
-    dispatch_(aHost, action);
+    dispatch_(aGroup, action);
   }
 }
 
-int64_t ControlDuty::WaitChange(int64_t aSeen, TimeMs aTimeoutMs) const
+int64_t ControlLoop::WaitForChange(int64_t aSeen, TimeMs aTimeoutMs) const
 {
   std::unique_lock lock(mutex_);
   changed_.wait_for(lock, std::chrono::milliseconds(aTimeoutMs), [&] {
-    return changes_ != aSeen || ring_.IsClosed();
+    return changeCount_ != aSeen || ring_.IsClosed();
   });
-  return changes_;
+  return changeCount_;
 }
 
-int64_t ControlDuty::Changes() const
+int64_t ControlLoop::ChangeCount() const
 {
   const std::lock_guard lock(mutex_);
-  return changes_;
+  return changeCount_;
 }
 
-void ControlDuty::NotifyChange()
+void ControlLoop::NotifyChange()
 {
   {
     const std::lock_guard lock(mutex_);
-    ++changes_;
+    ++changeCount_;
   }
   changed_.notify_all();
 }
--- a/assigner/ControlDuty.hpp
+++ b/assigner/ControlLoop.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "GroupHost.hpp"
+#include "ManagedGroup.hpp"
 #include "common/BoundedRing.hpp"
 #include "common/Clock.hpp"
 
@@ -17,34 +17,34 @@
 
 /// Advances the control logic of all groups on one thread. The other duties
 /// post what they learned and receive the actions.
-class ControlDuty
+class ControlLoop
 {
 public:
   using Work = std::function<void(GroupController&, TimeMs, Actions&)>;
   using Dispatch =
-    std::function<void(const std::shared_ptr<GroupHost>&, const Action&)>;
+    std::function<void(const std::shared_ptr<ManagedGroup>&, const Action&)>;
 
-  ControlDuty(const Clock& aClock, GroupOptions aTemplate);
-  ~ControlDuty();
-  ControlDuty(const ControlDuty&) = delete;
-  ControlDuty& operator=(const ControlDuty&) = delete;
+  ControlLoop(const Clock& aClock, GroupOptions aTemplate);
+  ~ControlLoop();
+  ControlLoop(const ControlLoop&) = delete;
+  ControlLoop& operator=(const ControlLoop&) = delete;
 
-  /// aEvery runs on the control thread about every 100 ms.
-  void Start(Dispatch aDispatch, std::function<void()> aEvery);
+  /// aPeriodic runs on the control thread about every 100 ms.
+  void Start(Dispatch aDispatch, std::function<void()> aPeriodic);
   void Stop();
 
   /// Queues work for the group, or for all when aService is empty. A full
   /// queue drops it; the protocol tolerates lost messages.
   void Post(std::string aService, Work aWork);
   /// Adds the group of a service; true when it is new.
-  bool Ensure(const std::string& aService);
-  std::shared_ptr<GroupHost> Find(const std::string& aService) const;
-  std::vector<std::shared_ptr<GroupHost>> All() const;
+  bool EnsureGroup(const std::string& aService);
+  std::shared_ptr<ManagedGroup> Find(const std::string& aService) const;
+  std::vector<std::shared_ptr<ManagedGroup>> All() const;
 
   /// Waits until a table changed after aSeen or until the time is over; the
   /// number of changes so far.
-  int64_t WaitChange(int64_t aSeen, TimeMs aTimeoutMs) const;
-  int64_t Changes() const;
+  int64_t WaitForChange(int64_t aSeen, TimeMs aTimeoutMs) const;
+  int64_t ChangeCount() const;
   void NotifyChange();
 
 private:
@@ -57,18 +57,18 @@
   void Run();
   void Apply(const Item& aItem);
   void StepAll();
-  void Deliver(const std::shared_ptr<GroupHost>& aHost,
+  void Deliver(const std::shared_ptr<ManagedGroup>& aGroup,
                const Actions& aActions);
 
   const Clock& clock_;
   const GroupOptions template_;
   BoundedRing<Item> ring_;
   Dispatch dispatch_;
-  std::function<void()> every_;
+  std::function<void()> periodic_;
   mutable std::mutex mutex_;
   mutable std::condition_variable changed_;
-  std::map<std::string, std::shared_ptr<GroupHost>> hosts_;
-  int64_t changes_ = 0;
+  std::map<std::string, std::shared_ptr<ManagedGroup>> groups_;
+  int64_t changeCount_ = 0;
   std::thread thread_;
 };
 
--- a/assigner/FleetConfig.cpp
+++ b/assigner/FleetConfig.cpp
@@ -4,9 +4,9 @@
 
 namespace cactuspitch {
 
-bool FleetConfig::Offer(int64_t aVersion,
-                        const std::string& aJson,
-                        TimeMs aConfirmedMs)
+bool FleetConfig::UpdateIfNewer(int64_t aVersion,
+                                const std::string& aJson,
+                                TimeMs aConfirmedMs)
 {
   const std::lock_guard lock(mutex_);
   if (aVersion < document_.version_) {
--- a/assigner/FleetConfig.hpp
+++ b/assigner/FleetConfig.hpp
@@ -20,7 +20,9 @@
   };
 
   /// From the store or from another assigner; true when it is newer.
-  bool Offer(int64_t aVersion, const std::string& aJson, TimeMs aConfirmedMs);
+  bool UpdateIfNewer(int64_t aVersion,
+                     const std::string& aJson,
+                     TimeMs aConfirmedMs);
   /// The store answered that nothing is newer than what it gave before.
   void Confirm(TimeMs aNowMs);
   Document Get() const;
--- a/assigner/LeaseDuty.cpp
+++ b/assigner/GrantSender.cpp
@@ -1,4 +1,4 @@
-#include "LeaseDuty.hpp"
+#include "GrantSender.hpp"
 
 #include "common/Log.hpp"
 #include "common/Strings.hpp"
@@ -9,39 +9,39 @@
 
 namespace detail {
 
-constexpr size_t kOrders = 4096;
-constexpr int kLeaseWorkers = 16;
+constexpr size_t kQueueCapacity = 4096;
+constexpr int kWorkers = 16;
 /// Longer than a backend server waits for requests of a revoked slice.
-constexpr TimeMs kCallMs = 500;
+constexpr TimeMs kCallTimeoutMs = 500;
 constexpr size_t kMaxReplyBytes = 1 << 20;
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
 
-std::string OrderToJson(const ServerOrder& aOrder)
+std::string CommandToJson(const GrantCommand& aCommand)
 {
   auto add = nlohmann::json::array();
-  for (const auto& range : aOrder.add_) {
+  for (const auto& range : aCommand.add_) {
     add.push_back({ { "begin", range.begin_ },
                     { "end", range.end_ },
                     { "epoch", range.epoch_ } });
   }
   const nlohmann::json json = {
-    { "term", aOrder.term_ },
-    { "sequence", aOrder.sequence_ },
-    { "incarnation", aOrder.incarnation_ },
-    { "validUntilMs", aOrder.validUntilMs_ },
+    { "term", aCommand.term_ },
+    { "sequence", aCommand.sequence_ },
+    { "incarnation", aCommand.incarnation_ },
+    { "validUntilMs", aCommand.validUntilMs_ },
     { "add", std::move(add) },
     { "remove", nlohmann::json::array() },
-    { "full", aOrder.full_ },
+    { "full", aCommand.full_ },
   };
   return json.dump();
 }
 
 /// Throws on malformed JSON.
-ServerReply ReplyFromJson(const std::string& aText)
+GrantReply ReplyFromJson(const std::string& aText)
 {
   const auto json = nlohmann::json::parse(aText);
-  ServerReply reply;
+  GrantReply reply;
   json.at("incarnation").get_to(reply.incarnation_);
   json.at("clockMs").get_to(reply.clockMs_);
   json.at("term").get_to(reply.term_);
@@ -58,26 +58,26 @@
 
 }
 
-LeaseDuty::LeaseDuty(const Clock& aClock, ControlDuty& aControl)
+GrantSender::GrantSender(const Clock& aClock, ControlLoop& aControl)
   : clock_(aClock)
   , control_(aControl)
-  , ring_(detail::kOrders)
+  , ring_(detail::kQueueCapacity)
 {
 }
 
-LeaseDuty::~LeaseDuty()
+GrantSender::~GrantSender()
 {
   Stop();
 }
 
-void LeaseDuty::Start()
+void GrantSender::Start()
 {
-  for (int i = 0; i < detail::kLeaseWorkers; ++i) {
+  for (int i = 0; i < detail::kWorkers; ++i) {
     workers_.emplace_back([this] { Run(); });
   }
 }
 
-void LeaseDuty::Stop()
+void GrantSender::Stop()
 {
   ring_.Close();
   for (auto& worker : workers_) {
@@ -86,14 +86,14 @@
   workers_.clear();
 }
 
-void LeaseDuty::Send(std::string aService, ServerOrder aOrder)
+void GrantSender::Send(std::string aService, GrantCommand aCommand)
 {
-  if (!ring_.TryPush({ std::move(aService), std::move(aOrder) })) {
+  if (!ring_.TryPush({ std::move(aService), std::move(aCommand) })) {
     ++dropped_;
   }
 }
 
-void LeaseDuty::Run()
+void GrantSender::Run()
 {
   constexpr auto kWait = std::chrono::milliseconds(1000);
   while (!ring_.IsClosed()) {
@@ -104,17 +104,17 @@
   }
 }
 
-void LeaseDuty::Execute(const Job& aJob)
+void GrantSender::Execute(const Job& aJob)
 {
   ++sent_;
-  const auto& order = aJob.order_;
+  const auto& command = aJob.command_;
   const auto response = Call(aJob);
   if (!response.ok()) {
     if (absl::IsUnavailable(response.status())) {
       control_.Post(aJob.service_,
-                    [server = order.server_, id = order.id_](
+                    [server = command.server_, id = command.id_](
                       GroupController& aControl, TimeMs aNowMs, Actions&) {
-                      aControl.OnRefused(aNowMs, server, id);
+                      aControl.OnConnectionRefused(aNowMs, server, id);
                     });
     }
     return;
@@ -123,13 +123,13 @@
   if (status != detail::kOk && status != detail::kConflict) {
     Log(LogLevel::Warning,
         "backend server refused an order",
-        { { "server", order.server_ }, { "status", status } });
+        { { "server", command.server_ }, { "status", status } });
     return;
   }
   try {
     auto reply = detail::ReplyFromJson(response->body_);
-    reply.id_ = order.id_;
-    reply.server_ = order.server_;
+    reply.id_ = command.id_;
+    reply.server_ = command.server_;
     reply.accepted_ = status == detail::kOk;
     control_.Post(aJob.service_,
                   [reply = std::move(reply)](
@@ -139,39 +139,41 @@
   } catch (const nlohmann::json::exception& failure) {
     Log(LogLevel::Warning,
         "malformed answer of a backend server",
-        { { "server", order.server_ }, { "reason", failure.what() } });
+        { { "server", command.server_ }, { "reason", failure.what() } });
   }
 }
 
-absl::StatusOr<HttpResponse> LeaseDuty::Call(const Job& aJob)
+absl::StatusOr<HttpResponse> GrantSender::Call(const Job& aJob)
 {
-  const auto body = detail::OrderToJson(aJob.order_);
+  const auto body = detail::CommandToJson(aJob.command_);
   HttpRequest request;
   request.method_ = "POST";
   request.target_ = "/_cactuspitch/grant";
   request.headers_ = { { "Content-Type", "application/json" } };
   request.body_ = body;
-  const auto deadlineMs = clock_.NowMs() + detail::kCallMs;
-  auto connection = Take(aJob.order_.address_);
+  const auto deadlineMs = clock_.NowMs() + detail::kCallTimeoutMs;
+  auto connection = AcquireConnection(aJob.command_.address_);
   const bool wasOpen = connection->IsOpen();
   auto response =
     connection->Exchange(request, deadlineMs, detail::kMaxReplyBytes);
   // A kept connection may have been closed by a restart; only a new one tells
   // whether the server is gone. Orders may be repeated.
   if (!response.ok() && wasOpen && clock_.NowMs() < deadlineMs) {
-    connection = std::make_unique<HttpConnection>(clock_, aJob.order_.address_);
+    connection =
+      std::make_unique<HttpConnection>(clock_, aJob.command_.address_);
     response =
       connection->Exchange(request, deadlineMs, detail::kMaxReplyBytes);
   }
   bytes_ += static_cast<int64_t>(body.size() +
                                  (response.ok() ? response->body_.size() : 0));
   if (response.ok() && connection->IsReusable()) {
-    Return(std::move(connection));
+    ReleaseConnection(std::move(connection));
   }
   return response;
 }
 
-LeaseDuty::Connection LeaseDuty::Take(const std::string& aAddress)
+GrantSender::Connection GrantSender::AcquireConnection(
+  const std::string& aAddress)
 {
   const std::lock_guard lock(mutex_);
   auto& idle = idle_[aAddress];
@@ -183,7 +185,7 @@
   return connection;
 }
 
-void LeaseDuty::Return(Connection aConnection)
+void GrantSender::ReleaseConnection(Connection aConnection)
 {
   const std::lock_guard lock(mutex_);
   idle_[aConnection->Address()].push_back(std::move(aConnection));
--- a/assigner/LeaseDuty.hpp
+++ b/assigner/GrantSender.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ControlDuty.hpp"
+#include "ControlLoop.hpp"
 #include "common/BoundedRing.hpp"
 #include "common/HttpConnection.hpp"
 
@@ -16,17 +16,17 @@
 
 /// Sends orders to backend servers over HTTP, several at once, and posts the
 /// replies. A frozen server holds one worker for the time of one call.
-class LeaseDuty
+class GrantSender
 {
 public:
-  LeaseDuty(const Clock& aClock, ControlDuty& aControl);
-  ~LeaseDuty();
-  LeaseDuty(const LeaseDuty&) = delete;
-  LeaseDuty& operator=(const LeaseDuty&) = delete;
+  GrantSender(const Clock& aClock, ControlLoop& aControl);
+  ~GrantSender();
+  GrantSender(const GrantSender&) = delete;
+  GrantSender& operator=(const GrantSender&) = delete;
 
   void Start();
   void Stop();
-  void Send(std::string aService, ServerOrder aOrder);
+  void Send(std::string aService, GrantCommand aCommand);
   int64_t Sent() const { return sent_; }
   /// Bytes of all orders and replies, without headers.
   int64_t Bytes() const { return bytes_; }
@@ -36,18 +36,18 @@
   struct Job
   {
     std::string service_;
-    ServerOrder order_;
+    GrantCommand command_;
   };
   using Connection = std::unique_ptr<HttpConnection>;
 
   void Run();
   void Execute(const Job& aJob);
   absl::StatusOr<HttpResponse> Call(const Job& aJob);
-  Connection Take(const std::string& aAddress);
-  void Return(Connection aConnection);
+  Connection AcquireConnection(const std::string& aAddress);
+  void ReleaseConnection(Connection aConnection);
 
   const Clock& clock_;
-  ControlDuty& control_;
+  ControlLoop& control_;
   BoundedRing<Job> ring_;
   std::mutex mutex_;
   std::map<std::string, std::vector<Connection>> idle_;
--- a/assigner/GroupHost.cpp
+++ b/assigner/ManagedGroup.cpp
@@ -1,4 +1,4 @@
-#include "GroupHost.hpp"
+#include "ManagedGroup.hpp"
 
 #include <algorithm>
 
@@ -6,19 +6,19 @@
 
 namespace detail {
 /// Versions kept to answer with deltas.
-constexpr size_t kRememberedTables = 32;
-constexpr size_t kRememberedMoves = 4096;
+constexpr size_t kTableHistory = 32;
+constexpr size_t kMoveHistory = 4096;
 constexpr TimeMs kMoveHistoryMs = 3600 * 1000;
 }
 
-GroupHost::GroupHost(GroupOptions aOptions)
+ManagedGroup::ManagedGroup(GroupOptions aOptions)
   : service_(aOptions.service_)
   , group_(aOptions.group_)
   , controller_(std::move(aOptions))
 {
 }
 
-bool GroupHost::Step(TimeMs aNowMs, Actions& aActions)
+bool ManagedGroup::Step(TimeMs aNowMs, Actions& aActions)
 {
   const std::lock_guard lock(mutex_);
   controller_.Step(aNowMs, aActions);
@@ -29,16 +29,16 @@
     return false;
   }
   tables_.push_back(std::make_shared<GroupTable>(table));
-  if (tables_.size() > detail::kRememberedTables) {
+  if (tables_.size() > detail::kTableHistory) {
     tables_.pop_front();
   }
   return true;
 }
 
-GroupHost::View GroupHost::Show(TimeMs aNowMs,
-                                const std::string& aRouter,
-                                Term aKnownTerm,
-                                int64_t aKnownSequence)
+ManagedGroup::View ManagedGroup::GetView(TimeMs aNowMs,
+                                         const std::string& aRouter,
+                                         Term aKnownTerm,
+                                         int64_t aKnownSequence)
 {
   const std::lock_guard lock(mutex_);
   View view;
@@ -54,22 +54,22 @@
     view.base_ = *base;
   }
   if (!aRouter.empty()) {
-    view.leaseMs_ = controller_.GrantView(aNowMs, aRouter);
+    view.leaseMs_ = controller_.GrantViewLease(aNowMs, aRouter);
   }
   return view;
 }
 
-std::deque<MoveRecord> GroupHost::Moves() const
+std::deque<MoveRecord> ManagedGroup::Moves() const
 {
   const std::lock_guard lock(mutex_);
   return moves_;
 }
 
-void GroupHost::NoteMove(const MoveRecord& aMove)
+void ManagedGroup::RecordMove(const MoveRecord& aMove)
 {
   const std::lock_guard lock(mutex_);
   moves_.push_back(aMove);
-  while (moves_.size() > detail::kRememberedMoves ||
+  while (moves_.size() > detail::kMoveHistory ||
          aMove.atMs_ - moves_.front().atMs_ > detail::kMoveHistoryMs) {
     moves_.pop_front();
   }
--- a/assigner/GroupHost.hpp
+++ b/assigner/ManagedGroup.hpp
@@ -11,14 +11,14 @@
 
 /// One group's control logic with the lock that its duties share, and its
 /// recent tables.
-class GroupHost
+class ManagedGroup
 {
 public:
-  explicit GroupHost(GroupOptions aOptions);
+  explicit ManagedGroup(GroupOptions aOptions);
 
   /// Runs aWork(controller) under the lock.
   template<typename Work>
-  auto With(Work&& aWork)
+  auto WithLock(Work&& aWork)
   {
     const std::lock_guard lock(mutex_);
     return aWork(controller_);
@@ -36,16 +36,16 @@
     bool isAssigner_ = false;
   };
   /// The current table and, for a router, a view lease for exactly that table.
-  View Show(TimeMs aNowMs,
-            const std::string& aRouter,
-            Term aKnownTerm,
-            int64_t aKnownSequence);
+  View GetView(TimeMs aNowMs,
+               const std::string& aRouter,
+               Term aKnownTerm,
+               int64_t aKnownSequence);
 
   const std::string& Service() const { return service_; }
   int32_t Group() const { return group_; }
   /// Moves of the last hour, oldest first.
   std::deque<MoveRecord> Moves() const;
-  void NoteMove(const MoveRecord& aMove);
+  void RecordMove(const MoveRecord& aMove);
 
 private:
   const std::string service_;
--- a/assigner/PeerDuty.hpp
+++ b/assigner/PeerClient.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ControlDuty.hpp"
+#include "ControlLoop.hpp"
 #include "FleetDirectory.hpp"
 #include "common/BoundedRing.hpp"
 
@@ -14,29 +14,29 @@
 
 namespace cactuspitch {
 
-wire::HeartbeatRequest ToWire(const PeerQuestion& aQuestion,
+wire::HeartbeatRequest ToWire(const PeerHeartbeat& aHeartbeat,
                               const std::string& aService,
                               int32_t aGroup);
-PeerQuestion FromWire(const wire::HeartbeatRequest& aRequest);
-wire::HeartbeatResponse ToWire(const PeerAnswer& aAnswer);
+PeerHeartbeat FromWire(const wire::HeartbeatRequest& aRequest);
+wire::HeartbeatResponse ToWire(const PeerHeartbeatReply& aReply);
 
 /// Asks other assigners over Thrift: heartbeats to deputies, and probes whether
 /// an instance lives. One thread for each peer, so that a silent one delays no
 /// other.
-class PeerDuty
+class PeerClient
 {
 public:
-  PeerDuty(ControlDuty& aControl,
-           const FleetDirectory& aDirectory,
-           std::string aSecret);
-  ~PeerDuty();
-  PeerDuty(const PeerDuty&) = delete;
-  PeerDuty& operator=(const PeerDuty&) = delete;
+  PeerClient(ControlLoop& aControl,
+             const FleetDirectory& aDirectory,
+             std::string aSecret);
+  ~PeerClient();
+  PeerClient(const PeerClient&) = delete;
+  PeerClient& operator=(const PeerClient&) = delete;
 
   void Stop();
-  void Ask(const GroupHost& aHost, PeerQuestion aQuestion);
+  void SendHeartbeat(const ManagedGroup& aGroup, PeerHeartbeat aHeartbeat);
   /// Probes the peers that each group wants to know about, as aInstance.
-  void Probe(const std::string& aInstance);
+  void ProbePeers(const std::string& aInstance);
 
 private:
   struct Job
@@ -44,7 +44,7 @@
     std::string service_;
     int32_t group_ = 0;
     bool isProbe_ = false;
-    PeerQuestion question_;
+    PeerHeartbeat heartbeat_;
   };
   struct Link
   {
@@ -57,7 +57,7 @@
   void Push(Job aJob);
   void Run(Link& aLink);
 
-  ControlDuty& control_;
+  ControlLoop& control_;
   const FleetDirectory& directory_;
   const std::string secret_;
   std::mutex mutex_;
--- a/assigner/PeerHandler.cpp
+++ b/assigner/PeerHandler.cpp
@@ -1,6 +1,6 @@
 #include "PeerHandler.hpp"
 
-#include "PeerDuty.hpp"
+#include "PeerClient.hpp"
 #include "rpc/TableCodec.hpp"
 
 #include <algorithm>
@@ -12,7 +12,7 @@
 constexpr int32_t kMaxWaitMs = 5000;
 /// Tables that are followed from other assigners wake no waiting question, so
 /// they are looked at this often.
-constexpr TimeMs kFollowedCheckMs = 50;
+constexpr TimeMs kFollowedCheckIntervalMs = 50;
 
 const wire::KnownTable* FindKnown(const wire::GetTablesRequest& aRequest,
                                   const std::string& aService,
@@ -28,15 +28,15 @@
 }
 
 PeerHandler::PeerHandler(const Clock& aClock,
-                         ControlDuty& aControl,
-                         BalanceDuty& aBalance,
+                         ControlLoop& aControl,
+                         SliceBalancer& aBalancer,
                          const FleetDirectory& aDirectory,
                          const FleetConfig& aConfig,
                          const TableFollower& aFollower,
                          std::function<wire::ProcessStatus()> aStatus)
   : clock_(aClock)
   , control_(aControl)
-  , balance_(aBalance)
+  , balancer_(aBalancer)
   , directory_(aDirectory)
   , config_(aConfig)
   , follower_(aFollower)
@@ -47,14 +47,14 @@
 void PeerHandler::Heartbeat(wire::HeartbeatResponse& aResponse,
                             const wire::HeartbeatRequest& aRequest)
 {
-  const auto host = control_.Find(aRequest.serviceName);
-  if (!host) {
+  const auto group = control_.Find(aRequest.serviceName);
+  if (!group) {
     aResponse.granted = false;
     aResponse.term = 0;
     return;
   }
-  aResponse = ToWire(host->With([&](GroupController& aControl) {
-    return aControl.OnQuestion(clock_.NowMs(), FromWire(aRequest));
+  aResponse = ToWire(group->WithLock([&](GroupController& aControl) {
+    return aControl.OnHeartbeat(clock_.NowMs(), FromWire(aRequest));
   }));
 }
 
@@ -63,10 +63,11 @@
 {
   const auto deadlineMs =
     clock_.NowMs() + std::clamp(aRequest.waitMs, 0, detail::kMaxWaitMs);
-  auto seen = control_.Changes();
-  while (!Fill(aResponse, aRequest) && clock_.NowMs() < deadlineMs) {
-    seen = control_.WaitChange(
-      seen, std::min(deadlineMs - clock_.NowMs(), detail::kFollowedCheckMs));
+  auto seen = control_.ChangeCount();
+  while (!FillResponse(aResponse, aRequest) && clock_.NowMs() < deadlineMs) {
+    seen = control_.WaitForChange(
+      seen,
+      std::min(deadlineMs - clock_.NowMs(), detail::kFollowedCheckIntervalMs));
   }
   aResponse.routerPeers = directory_.RouterAddresses();
   if (aResponse.routerPeers.empty()) {
@@ -74,13 +75,13 @@
   }
 }
 
-bool PeerHandler::Fill(wire::GetTablesResponse& aResponse,
-                       const wire::GetTablesRequest& aRequest)
+bool PeerHandler::FillResponse(wire::GetTablesResponse& aResponse,
+                               const wire::GetTablesRequest& aRequest)
 {
   aResponse = {};
   bool newer = false;
-  for (const auto& host : control_.All()) {
-    newer |= FillGroup(aResponse, aRequest, *host);
+  for (const auto& group : control_.All()) {
+    newer |= FillGroup(aResponse, aRequest, *group);
   }
   for (const auto& followed : follower_.Tables()) {
     if (control_.Find(followed->table_.service_) == nullptr) {
@@ -92,17 +93,17 @@
 
 bool PeerHandler::FillGroup(wire::GetTablesResponse& aResponse,
                             const wire::GetTablesRequest& aRequest,
-                            GroupHost& aHost)
+                            ManagedGroup& aGroup)
 {
   const auto* known =
-    detail::FindKnown(aRequest, aHost.Service(), aHost.Group());
+    detail::FindKnown(aRequest, aGroup.Service(), aGroup.Group());
   const bool isRouter = aRequest.role == "router";
-  const auto view = aHost.Show(clock_.NowMs(),
-                               isRouter ? aRequest.instance : std::string(),
-                               known == nullptr ? 0 : known->term,
-                               known == nullptr ? 0 : known->sequence);
+  const auto view = aGroup.GetView(clock_.NowMs(),
+                                   isRouter ? aRequest.instance : std::string(),
+                                   known == nullptr ? 0 : known->term,
+                                   known == nullptr ? 0 : known->sequence);
   if (!view.isAssigner_) {
-    const auto followed = follower_.Table(aHost.Service(), 0);
+    const auto followed = follower_.Table(aGroup.Service(), 0);
     const bool followedIsNewer =
       followed && (!view.table_ || followed->table_.IsNewerThan(*view.table_));
     if (followedIsNewer) {
@@ -120,8 +121,8 @@
   }
   auto message =
     view.base_ ? ToWireDelta(*view.base_, *view.table_) : ToWire(*view.table_);
-  message.assigner = Named(message.assigner);
-  message.deputy = Named(message.deputy);
+  message.assigner = AddressOrName(message.assigner);
+  message.deputy = AddressOrName(message.deputy);
   message.viewLeaseMs = static_cast<int32_t>(view.leaseMs_);
   aResponse.tables.push_back(std::move(message));
   return isNewer;
@@ -156,7 +157,7 @@
   return isNewer;
 }
 
-std::string PeerHandler::Named(const std::string& aInstance) const
+std::string PeerHandler::AddressOrName(const std::string& aInstance) const
 {
   const auto address = directory_.AssignerAddress(aInstance);
   return address.empty() ? aInstance : address;
@@ -164,7 +165,7 @@
 
 void PeerHandler::ReportLoad(const wire::LoadReport& aReport)
 {
-  balance_.Report(aReport);
+  balancer_.AddReport(aReport);
 }
 
 void PeerHandler::RequestRefresh(const std::string& aService, int64_t aKeyHash)
--- a/assigner/PeerHandler.hpp
+++ b/assigner/PeerHandler.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "BalanceDuty.hpp"
-#include "ControlDuty.hpp"
+#include "ControlLoop.hpp"
 #include "FleetConfig.hpp"
 #include "FleetDirectory.hpp"
+#include "SliceBalancer.hpp"
 #include "rpc/TableFollower.hpp"
 
 #include <functional>
@@ -19,8 +19,8 @@
 {
 public:
   PeerHandler(const Clock& aClock,
-              ControlDuty& aControl,
-              BalanceDuty& aBalance,
+              ControlLoop& aControl,
+              SliceBalancer& aBalancer,
               const FleetDirectory& aDirectory,
               const FleetConfig& aConfig,
               const TableFollower& aFollower,
@@ -36,22 +36,22 @@
 
 private:
   /// True when aResponse has something newer than the questioner knows.
-  bool Fill(wire::GetTablesResponse& aResponse,
-            const wire::GetTablesRequest& aRequest);
+  bool FillResponse(wire::GetTablesResponse& aResponse,
+                    const wire::GetTablesRequest& aRequest);
   bool FillGroup(wire::GetTablesResponse& aResponse,
                  const wire::GetTablesRequest& aRequest,
-                 GroupHost& aHost);
+                 ManagedGroup& aGroup);
   bool FillFollowed(wire::GetTablesResponse& aResponse,
                     const wire::GetTablesRequest& aRequest,
                     const GroupTable& aTable) const;
   bool FillConfig(wire::GetTablesResponse& aResponse,
                   const wire::GetTablesRequest& aRequest) const;
   /// Thrift address of the instance, its name when that is unknown.
-  std::string Named(const std::string& aInstance) const;
+  std::string AddressOrName(const std::string& aInstance) const;
 
   const Clock& clock_;
-  ControlDuty& control_;
-  BalanceDuty& balance_;
+  ControlLoop& control_;
+  SliceBalancer& balancer_;
   const FleetDirectory& directory_;
   const FleetConfig& config_;
   const TableFollower& follower_;
--- a/assigner/BalanceDuty.cpp
+++ b/assigner/SliceBalancer.cpp
@@ -1,4 +1,4 @@
-#include "BalanceDuty.hpp"
+#include "SliceBalancer.hpp"
 
 #include "common/Log.hpp"
 #include "config/FleetDocument.hpp"
@@ -11,8 +11,8 @@
 
 namespace detail {
 
-constexpr size_t kReports = 1024;
-constexpr TimeMs kPlanMs = 1000;
+constexpr size_t kQueueCapacity = 1024;
+constexpr TimeMs kPlanIntervalMs = 1000;
 const char* const kDefaultPolicy = "load-per-key";
 
 BalanceOptions OptionsOf(const ServiceRules& aRules)
@@ -31,27 +31,27 @@
 
 }
 
-BalanceDuty::BalanceDuty(const Clock& aClock,
-                         ControlDuty& aControl,
-                         const FleetConfig& aConfig)
+SliceBalancer::SliceBalancer(const Clock& aClock,
+                             ControlLoop& aControl,
+                             const FleetConfig& aConfig)
   : clock_(aClock)
   , control_(aControl)
   , config_(aConfig)
-  , ring_(detail::kReports)
+  , ring_(detail::kQueueCapacity)
 {
 }
 
-BalanceDuty::~BalanceDuty()
+SliceBalancer::~SliceBalancer()
 {
   Stop();
 }
 
-void BalanceDuty::Start()
+void SliceBalancer::Start()
 {
   thread_ = std::thread([this] { Run(); });
 }
 
-void BalanceDuty::Stop()
+void SliceBalancer::Stop()
 {
   ring_.Close();
   if (thread_.joinable()) {
@@ -59,30 +59,30 @@
   }
 }
 
-void BalanceDuty::Report(wire::LoadReport aReport)
+void SliceBalancer::AddReport(wire::LoadReport aReport)
 {
   // A lost report is replaced by the router's next one.
   ring_.TryPush(std::move(aReport));
 }
 
-void BalanceDuty::Run()
+void SliceBalancer::Run()
 {
-  TimeMs plannedMs = clock_.NowMs();
+  TimeMs lastPlanMs = clock_.NowMs();
   while (!ring_.IsClosed()) {
-    const auto waitMs =
-      std::max<TimeMs>(0, plannedMs + detail::kPlanMs - clock_.NowMs());
+    const auto waitMs = std::max<TimeMs>(
+      0, lastPlanMs + detail::kPlanIntervalMs - clock_.NowMs());
     const auto report = ring_.Pop(std::chrono::milliseconds(waitMs));
     if (report) {
       Merge(*report);
     }
-    if (clock_.NowMs() - plannedMs >= detail::kPlanMs) {
-      plannedMs = clock_.NowMs();
+    if (clock_.NowMs() - lastPlanMs >= detail::kPlanIntervalMs) {
+      lastPlanMs = clock_.NowMs();
       PlanAll();
     }
   }
 }
 
-void BalanceDuty::Merge(const wire::LoadReport& aReport)
+void SliceBalancer::Merge(const wire::LoadReport& aReport)
 {
   std::map<std::string, RouterLoad> loads;
   for (const auto& slice : aReport.slices) {
@@ -103,19 +103,19 @@
   }
 }
 
-void BalanceDuty::PlanAll()
+void SliceBalancer::PlanAll()
 {
-  for (const auto& host : control_.All()) {
-    const bool leads = host->With([](GroupController& aControl) {
+  for (const auto& group : control_.All()) {
+    const bool leads = group->WithLock([](GroupController& aControl) {
       return aControl.Role() == GroupRole::Assigner;
     });
     if (leads) {
-      Plan(*host, services_[host->Service()]);
+      Plan(*group, services_[group->Service()]);
     }
   }
 }
 
-ServiceRules BalanceDuty::RulesOf(const std::string& aService) const
+ServiceRules SliceBalancer::RulesOf(const std::string& aService) const
 {
   Findings findings;
   const auto document = ParseFleetDocument(config_.Get().json_, findings);
@@ -127,8 +127,8 @@
   return RuleResolver(*document, UnixNowMs()).Resolve(scope);
 }
 
-void BalanceDuty::UpdatePolicy(const std::string& aService,
-                               ServiceState& aState)
+void SliceBalancer::UpdatePolicy(const std::string& aService,
+                                 ServiceState& aState)
 {
   const auto version = config_.Version();
   if (aState.policy_ && aState.configVersion_ == version) {
@@ -154,16 +154,16 @@
   }
 }
 
-void BalanceDuty::Plan(GroupHost& aHost, ServiceState& aState)
+void SliceBalancer::Plan(ManagedGroup& aGroup, ServiceState& aState)
 {
-  UpdatePolicy(aHost.Service(), aState);
+  UpdatePolicy(aGroup.Service(), aState);
   if (!aState.policy_) {
     return;
   }
   const auto now = clock_.NowMs();
   GroupTable table;
   std::vector<bool> usable;
-  aHost.With([&](GroupController& aControl) {
+  aGroup.WithLock([&](GroupController& aControl) {
     table = aControl.Table();
     const auto& state = aControl.State();
     for (size_t i = 0; i < state.leases_.size(); ++i) {
@@ -176,12 +176,12 @@
   BalanceInput input;
   aState.merger_.Fill(table, now, input);
   input.serverUsable_ = std::move(usable);
-  KeepLoads(aHost.Service(), input);
-  Apply(aHost, aState.policy_->Plan(input), table);
+  SaveSliceLoads(aGroup.Service(), input);
+  Apply(aGroup, aState.policy_->Plan(input), table);
 }
 
-void BalanceDuty::KeepLoads(const std::string& aService,
-                            const BalanceInput& aInput)
+void SliceBalancer::SaveSliceLoads(const std::string& aService,
+                                   const BalanceInput& aInput)
 {
   std::map<KeyHash, double> loads;
   for (size_t i = 0; i < aInput.sliceLoad_.size(); ++i) {
@@ -193,7 +193,7 @@
   sliceLoads_[aService] = std::move(loads);
 }
 
-std::map<KeyHash, double> BalanceDuty::SliceLoads(
+std::map<KeyHash, double> SliceBalancer::SliceLoads(
   const std::string& aService) const
 {
   const std::lock_guard lock(loadsMutex_);
@@ -202,16 +202,16 @@
                                     : found->second;
 }
 
-void BalanceDuty::Apply(GroupHost& aHost,
-                        const BalancePlan& aPlan,
-                        const GroupTable& aTable)
+void SliceBalancer::Apply(ManagedGroup& aGroup,
+                          const BalancePlan& aPlan,
+                          const GroupTable& aTable)
 {
-  aHost.With([&](GroupController& aControl) {
+  aGroup.WithLock([&](GroupController& aControl) {
     for (const auto hash : aPlan.splits_) {
-      aControl.SplitOut(hash);
+      aControl.RequestSplit(hash);
     }
     for (const auto begin : aPlan.merges_) {
-      aControl.MergeBack(begin);
+      aControl.RequestMerge(begin);
     }
     for (const auto& move : aPlan.moves_) {
       const auto* target = aTable.Server(move.target_);
--- a/assigner/BalanceDuty.hpp
+++ b/assigner/SliceBalancer.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ControlDuty.hpp"
+#include "ControlLoop.hpp"
 #include "FleetConfig.hpp"
 #include "common/BoundedRing.hpp"
 #include "config/ServiceRules.hpp"
@@ -19,19 +19,19 @@
 
 /// Merges the load reports of the routers and has the balancing policy of each
 /// service plan for the groups that this instance leads.
-class BalanceDuty
+class SliceBalancer
 {
 public:
-  BalanceDuty(const Clock& aClock,
-              ControlDuty& aControl,
-              const FleetConfig& aConfig);
-  ~BalanceDuty();
-  BalanceDuty(const BalanceDuty&) = delete;
-  BalanceDuty& operator=(const BalanceDuty&) = delete;
+  SliceBalancer(const Clock& aClock,
+                ControlLoop& aControl,
+                const FleetConfig& aConfig);
+  ~SliceBalancer();
+  SliceBalancer(const SliceBalancer&) = delete;
+  SliceBalancer& operator=(const SliceBalancer&) = delete;
 
   void Start();
   void Stop();
-  void Report(wire::LoadReport aReport);
+  void AddReport(wire::LoadReport aReport);
   /// Load of each slice with any, by begin, as of the last plan.
   std::map<KeyHash, double> SliceLoads(const std::string& aService) const;
 
@@ -49,17 +49,17 @@
   void Run();
   void Merge(const wire::LoadReport& aReport);
   void PlanAll();
-  void Plan(GroupHost& aHost, ServiceState& aState);
+  void Plan(ManagedGroup& aGroup, ServiceState& aState);
   /// Creates the policy anew when the rules or the term have changed.
   void UpdatePolicy(const std::string& aService, ServiceState& aState);
-  void Apply(GroupHost& aHost,
+  void Apply(ManagedGroup& aGroup,
              const BalancePlan& aPlan,
              const GroupTable& aTable);
-  void KeepLoads(const std::string& aService, const BalanceInput& aInput);
+  void SaveSliceLoads(const std::string& aService, const BalanceInput& aInput);
   ServiceRules RulesOf(const std::string& aService) const;
 
   const Clock& clock_;
-  ControlDuty& control_;
+  ControlLoop& control_;
   const FleetConfig& config_;
   BoundedRing<wire::LoadReport> ring_;
   std::map<std::string, ServiceState> services_;
--- a/assigner/StoreDuty.cpp
+++ b/assigner/StoreSync.cpp
@@ -1,4 +1,4 @@
-#include "StoreDuty.hpp"
+#include "StoreSync.hpp"
 
 #include "common/JsonField.hpp"
 #include "common/Log.hpp"
@@ -14,9 +14,9 @@
 
 namespace detail {
 
-constexpr size_t kStoreJobs = 256;
-constexpr TimeMs kStoreRetryMs = 200;
-constexpr TimeMs kCoreCheckMs = 200;
+constexpr size_t kQueueCapacity = 256;
+constexpr TimeMs kRetryIntervalMs = 200;
+constexpr TimeMs kRoleCheckIntervalMs = 200;
 const char* const kGroupKind = "group";
 
 std::string GroupName(const std::string& aService)
@@ -62,9 +62,9 @@
 
 }
 
-StoreDuty::StoreDuty(const Clock& aClock,
+StoreSync::StoreSync(const Clock& aClock,
                      ObjectStore& aStore,
-                     ControlDuty& aControl,
+                     ControlLoop& aControl,
                      FleetDirectory& aDirectory,
                      FleetConfig& aConfig)
   : clock_(aClock)
@@ -72,37 +72,37 @@
   , control_(aControl)
   , directory_(aDirectory)
   , config_(aConfig)
-  , ring_(detail::kStoreJobs)
+  , ring_(detail::kQueueCapacity)
 {
 }
 
-StoreDuty::~StoreDuty()
+StoreSync::~StoreSync()
 {
   Stop();
 }
 
-const std::vector<StoreDuty::WatchSpec>& StoreDuty::Watches()
+const std::vector<StoreSync::WatchSpec>& StoreSync::WatchSpecs()
 {
   // The watch of the groups is also the probe of the store, so it ends more
   // often. A lost store must be noticed before a second loss, to arm.
   static const std::vector<WatchSpec> kWatches = {
-    { "group", 3000, &StoreDuty::AcceptGroups, &StoreDuty::IsCore },
-    { "config", 5000, &StoreDuty::AcceptConfig, &StoreDuty::FollowsConfig },
-    { "instance", 30000, &StoreDuty::AcceptInstances, nullptr },
-    { "server", 10000, &StoreDuty::AcceptServers, &StoreDuty::IsCore },
+    { "group", 3000, &StoreSync::AcceptGroups, &StoreSync::NeedsStoreState },
+    { "config", 5000, &StoreSync::AcceptConfig, &StoreSync::NeedsConfig },
+    { "instance", 30000, &StoreSync::AcceptInstances, nullptr },
+    { "server", 10000, &StoreSync::AcceptServers, &StoreSync::NeedsStoreState },
   };
   return kWatches;
 }
 
-void StoreDuty::Start()
+void StoreSync::Start()
 {
   threads_.emplace_back([this] { RunJobs(); });
-  for (const auto& watch : Watches()) {
+  for (const auto& watch : WatchSpecs()) {
     threads_.emplace_back([this, &watch] { RunWatch(watch); });
   }
 }
 
-void StoreDuty::Stop()
+void StoreSync::Stop()
 {
   {
     const std::lock_guard lock(mutex_);
@@ -116,17 +116,17 @@
   threads_.clear();
 }
 
-void StoreDuty::Write(const std::string& aService, const WriteGroup& aWrite)
+void StoreSync::Write(const std::string& aService, const WriteGroup& aWrite)
 {
   ring_.TryPush({ aService, true, aWrite });
 }
 
-void StoreDuty::Read(const std::string& aService)
+void StoreSync::Read(const std::string& aService)
 {
   ring_.TryPush({ aService, false, {} });
 }
 
-void StoreDuty::RunJobs()
+void StoreSync::RunJobs()
 {
   constexpr auto kWait = std::chrono::milliseconds(1000);
   while (!ring_.IsClosed()) {
@@ -137,7 +137,7 @@
   }
 }
 
-void StoreDuty::Execute(const Job& aJob)
+void StoreSync::Execute(const Job& aJob)
 {
   ++calls_;
   const auto name = detail::GroupName(aJob.service_);
@@ -176,13 +176,13 @@
                 });
 }
 
-void StoreDuty::RunWatch(const WatchSpec& aSpec)
+void StoreSync::RunWatch(const WatchSpec& aSpec)
 {
   int64_t since = 0;
   bool first = true;
-  while (!WaitStopped(0)) {
+  while (!WaitForStop(0)) {
     if (!first && aSpec.isNeeded_ != nullptr && !(this->*aSpec.isNeeded_)()) {
-      WaitStopped(detail::kCoreCheckMs);
+      WaitForStop(detail::kRoleCheckIntervalMs);
       continue;
     }
     ++calls_;
@@ -192,7 +192,7 @@
       store_.Watch(aSpec.kind_, since, first ? 0 : aSpec.waitMs_, revision);
     SetReachable(objects.status());
     if (!objects.ok()) {
-      WaitStopped(detail::kStoreRetryMs);
+      WaitForStop(detail::kRetryIntervalMs);
       continue;
     }
     // A store that lost its state begins again with lower revisions.
@@ -202,7 +202,7 @@
   }
 }
 
-void StoreDuty::PostObject(const StoredObject& aObject)
+void StoreSync::PostObject(const StoredObject& aObject)
 {
   const auto service = detail::ServiceOf(aObject.name_);
   auto group = DecodeGroup(aObject.value_);
@@ -212,7 +212,7 @@
         { { "group", aObject.name_ }, { "reason", group.status().message() } });
     return;
   }
-  control_.Ensure(service);
+  control_.EnsureGroup(service);
   control_.Post(service,
                 [version = aObject.version_, group = std::move(*group)](
                   GroupController& aControl, TimeMs aNowMs, Actions& aActions) {
@@ -220,26 +220,26 @@
                 });
 }
 
-void StoreDuty::AcceptGroups(const Objects& aObjects, bool)
+void StoreSync::AcceptGroups(const Objects& aObjects, bool)
 {
   std::ranges::for_each(
     aObjects, [this](const StoredObject& aObject) { PostObject(aObject); });
 }
 
-void StoreDuty::AcceptConfig(const Objects& aObjects, bool)
+void StoreSync::AcceptConfig(const Objects& aObjects, bool)
 {
   const auto now = clock_.NowMs();
   config_.Confirm(now);
   for (const auto& object : aObjects) {
     if (object.name_ == "fleet" &&
-        config_.Offer(
+        config_.UpdateIfNewer(
           detail::ConfigVersion(object.value_), object.value_, now)) {
       control_.NotifyChange();
     }
   }
 }
 
-absl::StatusOr<StoreDuty::Objects> StoreDuty::ListAll(const char* aKind)
+absl::StatusOr<StoreSync::Objects> StoreSync::ListAll(const char* aKind)
 {
   ++calls_;
   // A watch does not tell what was removed, so the list is read again.
@@ -248,7 +248,7 @@
   return objects;
 }
 
-void StoreDuty::AcceptInstances(const Objects& aObjects, bool aFirst)
+void StoreSync::AcceptInstances(const Objects& aObjects, bool aFirst)
 {
   if (aObjects.empty() && !aFirst) {
     return;
@@ -272,7 +272,7 @@
                 });
 }
 
-void StoreDuty::AcceptServers(const Objects& aObjects, bool aFirst)
+void StoreSync::AcceptServers(const Objects& aObjects, bool aFirst)
 {
   if (aObjects.empty() && !aFirst) {
     return;
@@ -289,7 +289,7 @@
     }
   }
   for (auto& [service, servers] : services) {
-    const bool isNew = control_.Ensure(service);
+    const bool isNew = control_.EnsureGroup(service);
     control_.Post(
       service,
       [servers = std::move(servers), candidates = directory_.Candidates()](
@@ -308,7 +308,7 @@
   }
 }
 
-void StoreDuty::SetReachable(const absl::Status& aStatus)
+void StoreSync::SetReachable(const absl::Status& aStatus)
 {
   const bool reachable = detail::IsAnswered(aStatus);
   if (reachable_.exchange(reachable) != reachable) {
@@ -322,30 +322,30 @@
     });
 }
 
-bool StoreDuty::IsCore() const
+bool StoreSync::NeedsStoreState() const
 {
-  const auto hosts = control_.All();
-  return hosts.empty() || directory_.Candidates().empty() ||
-         std::ranges::any_of(hosts, [](const auto& aHost) {
-           return aHost->With([](GroupController& aControl) {
+  const auto groups = control_.All();
+  return groups.empty() || directory_.Candidates().empty() ||
+         std::ranges::any_of(groups, [](const auto& aGroup) {
+           return aGroup->WithLock([](GroupController& aControl) {
              return aControl.Role() != GroupRole::None ||
-                    aControl.Position() < kThirdInstances;
+                    aControl.CandidateRank() < kMonitoringCandidates;
            });
          });
 }
 
-bool StoreDuty::FollowsConfig() const
+bool StoreSync::NeedsConfig() const
 {
-  const auto hosts = control_.All();
-  return hosts.empty() || directory_.Candidates().empty() ||
-         std::ranges::any_of(hosts, [](const auto& aHost) {
-           return aHost->With([](GroupController& aControl) {
+  const auto groups = control_.All();
+  return groups.empty() || directory_.Candidates().empty() ||
+         std::ranges::any_of(groups, [](const auto& aGroup) {
+           return aGroup->WithLock([](GroupController& aControl) {
              return aControl.Role() == GroupRole::Assigner;
            });
          });
 }
 
-bool StoreDuty::WaitStopped(TimeMs aTimeoutMs)
+bool StoreSync::WaitForStop(TimeMs aTimeoutMs)
 {
   std::unique_lock lock(mutex_);
   return stopChanged_.wait_for(
--- a/assigner/StoreDuty.hpp
+++ b/assigner/StoreSync.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ControlDuty.hpp"
+#include "ControlLoop.hpp"
 #include "FleetConfig.hpp"
 #include "FleetDirectory.hpp"
 #include "common/BoundedRing.hpp"
@@ -17,17 +17,17 @@
 
 /// Reads and writes the platform's store. Watches wait in threads of their
 /// own, so that a slow store delays neither each other nor a write.
-class StoreDuty
+class StoreSync
 {
 public:
-  StoreDuty(const Clock& aClock,
+  StoreSync(const Clock& aClock,
             ObjectStore& aStore,
-            ControlDuty& aControl,
+            ControlLoop& aControl,
             FleetDirectory& aDirectory,
             FleetConfig& aConfig);
-  ~StoreDuty();
-  StoreDuty(const StoreDuty&) = delete;
-  StoreDuty& operator=(const StoreDuty&) = delete;
+  ~StoreSync();
+  StoreSync(const StoreSync&) = delete;
+  StoreSync& operator=(const StoreSync&) = delete;
 
   void Start();
   void Stop();
@@ -44,16 +44,16 @@
     WriteGroup write_;
   };
   using Objects = std::vector<StoredObject>;
-  using Accept = void (StoreDuty::*)(const Objects&, bool);
+  using Accept = void (StoreSync::*)(const Objects&, bool);
   struct WatchSpec
   {
     const char* kind_;
     TimeMs waitMs_;
     Accept accept_;
     /// Whether this instance needs it; null: always.
-    bool (StoreDuty::*isNeeded_)() const;
+    bool (StoreSync::*isNeeded_)() const;
   };
-  static const std::vector<WatchSpec>& Watches();
+  static const std::vector<WatchSpec>& WatchSpecs();
 
   void RunJobs();
   void RunWatch(const WatchSpec& aSpec);
@@ -69,14 +69,14 @@
   /// This instance has a role for some group or is among the first to get one.
   /// The others learn tables and configuration from peers, so that the store's
   /// calls grow with the groups and hardly with the fleet.
-  bool IsCore() const;
+  bool NeedsStoreState() const;
   /// The instances that bring the configuration to the others.
-  bool FollowsConfig() const;
-  bool WaitStopped(TimeMs aTimeoutMs);
+  bool NeedsConfig() const;
+  bool WaitForStop(TimeMs aTimeoutMs);
 
   const Clock& clock_;
   ObjectStore& store_;
-  ControlDuty& control_;
+  ControlLoop& control_;
   FleetDirectory& directory_;
   FleetConfig& config_;
   BoundedRing<Job> ring_;
--- a/control/AssignerAuthority.cpp
+++ b/control/AssignerAuthority.cpp
@@ -5,70 +5,73 @@
 namespace cactuspitch {
 
 void AssignerAuthority::BeginTerm(TimeMs aNowMs,
-                                  TimeMs aFromMs,
+                                  TimeMs aWriteStartedMs,
                                   bool aHasDeputy)
 {
   *this = AssignerAuthority();
-  beganMs_ = aNowMs;
+  termStartMs_ = aNowMs;
   hasDeputy_ = aHasDeputy;
-  untilMs_ = aFromMs + timing::kAuthorityMs;
+  validUntilMs_ = aWriteStartedMs + timing::kAuthorityMs;
 }
 
 bool AssignerAuthority::IsValid(TimeMs aNowMs) const
 {
-  return armed_ || !hasDeputy_ || aNowMs < untilMs_;
+  return armed_ || !hasDeputy_ || aNowMs < validUntilMs_;
 }
 
 bool AssignerAuthority::IsDeputySilent(TimeMs aNowMs) const
 {
-  return aNowMs - std::max(deputyAnsweredMs_, beganMs_) > timing::kSilentMs;
+  return aNowMs - std::max(lastReplyMs_, termStartMs_) >
+         timing::kSilenceTimeoutMs;
 }
 
-bool AssignerAuthority::IsQuestionDue(TimeMs aNowMs) const
+bool AssignerAuthority::IsHeartbeatDue(TimeMs aNowMs) const
 {
-  return aNowMs - sentMs_ >= timing::kHeartbeatMs;
+  return aNowMs - lastHeartbeatSentMs_ >= timing::kHeartbeatIntervalMs;
 }
 
-void AssignerAuthority::NoteQuestion(const PeerQuestion& aQuestion,
-                                     TimeMs aNowMs)
+void AssignerAuthority::RecordHeartbeat(const PeerHeartbeat& aHeartbeat,
+                                        TimeMs aNowMs)
 {
   constexpr size_t kMaxOutstanding = 16;
-  sentMs_ = aNowMs;
-  questions_[aQuestion.id_] = aNowMs;
-  if (questions_.size() > kMaxOutstanding) {
-    questions_.erase(questions_.begin());
+  lastHeartbeatSentMs_ = aNowMs;
+  outstanding_[aHeartbeat.id_] = aNowMs;
+  if (outstanding_.size() > kMaxOutstanding) {
+    outstanding_.erase(outstanding_.begin());
   }
-  askedToArm_ |= aQuestion.arm_;
+  armRequested_ |= aHeartbeat.arm_;
 }
 
-void AssignerAuthority::OnAnswer(const PeerAnswer& aAnswer, TimeMs aNowMs)
+void AssignerAuthority::OnHeartbeatReply(const PeerHeartbeatReply& aReply,
+                                         TimeMs aNowMs)
 {
-  const auto asked = questions_.find(aAnswer.id_);
-  if (asked == questions_.end()) {
+  const auto asked = outstanding_.find(aReply.id_);
+  if (asked == outstanding_.end()) {
     return;
   }
-  deputyAnsweredMs_ = aNowMs;
-  if (aAnswer.granted_) {
-    untilMs_ = std::max(untilMs_, asked->second + timing::kAuthorityMs);
-    armed_ |= askedToArm_ && aAnswer.armed_;
+  lastReplyMs_ = aNowMs;
+  if (aReply.granted_) {
+    validUntilMs_ =
+      std::max(validUntilMs_, asked->second + timing::kAuthorityMs);
+    armed_ |= armRequested_ && aReply.armed_;
   } else {
     refused_ = true;
   }
-  for (const auto& server : aAnswer.stoppedRenewing_) {
-    stoppedMs_.emplace(server, aNowMs);
+  for (const auto& server : aReply.stoppedRenewing_) {
+    stopAcknowledgedMs_.emplace(server, aNowMs);
   }
-  questions_.erase(asked);
+  outstanding_.erase(asked);
 }
 
 TimeMs AssignerAuthority::DeputyLeaseEndMs(const std::string& aServer) const
 {
-  if (!askedToArm_) {
+  if (!armRequested_) {
     return 0;
   }
-  const auto stopped = stoppedMs_.find(aServer);
-  return stopped == stoppedMs_.end()
+  const auto stopped = stopAcknowledgedMs_.find(aServer);
+  return stopped == stopAcknowledgedMs_.end()
            ? timing::kNever
-           : stopped->second + Stretch(timing::kLeaseMs);
+           : stopped->second + AddClockDrift(timing::kLeaseMs);
 }
 
 }
--- a/control/DeputyRole.cpp
+++ b/control/DeputyRole.cpp
@@ -4,55 +4,57 @@
 
 namespace cactuspitch {
 
-void DeputyRole::BeginTerm(TimeMs aNowMs, Term aTerm, bool aWitnessed)
+void DeputyRole::BeginTerm(TimeMs aNowMs, Term aTerm, bool aSawTermBegin)
 {
   *this = DeputyRole();
   term_ = aTerm;
-  heardMs_ = aNowMs;
+  lastHeartbeatMs_ = aNowMs;
   // The update that set the term gives the assigner its right as well.
-  promisedMs_ = aNowMs;
-  witnessed_ = aWitnessed;
+  lastGrantMs_ = aNowMs;
+  sawTermBegin_ = aSawTermBegin;
 }
 
-PeerAnswer DeputyRole::OnQuestion(const PeerQuestion& aQuestion,
-                                  bool aStoreReachable,
-                                  TimeMs aNowMs)
+PeerHeartbeatReply DeputyRole::OnHeartbeat(const PeerHeartbeat& aHeartbeat,
+                                           bool aStoreReachable,
+                                           TimeMs aNowMs)
 {
-  PeerAnswer answer;
-  answer.id_ = aQuestion.id_;
-  answer.term_ = term_;
-  answer.storeReachable_ = aStoreReachable;
-  if (aQuestion.term_ != term_) {
-    return answer;
+  PeerHeartbeatReply reply;
+  reply.id_ = aHeartbeat.id_;
+  reply.term_ = term_;
+  reply.storeReachable_ = aStoreReachable;
+  if (aHeartbeat.term_ != term_) {
+    return reply;
   }
-  heardMs_ = aNowMs;
-  const bool doubtsStore = !refuses_ && aQuestion.arm_ && aStoreReachable;
-  if (!doubtsStore) {
+  lastHeartbeatMs_ = aNowMs;
+  const bool disagreesOnStore =
+    !grantingStopped_ && aHeartbeat.arm_ && aStoreReachable;
+  if (!disagreesOnStore) {
     probe_ = StoreProbe::None;
   } else if (probe_ == StoreProbe::None) {
     probe_ = StoreProbe::Due;
   }
   // A restarted deputy may have armed the assigner before. It asks for a new
   // term by not granting; without the store it cannot take over anyway.
-  if (refuses_ || (!witnessed_ && aStoreReachable)) {
-    return answer;
+  if (grantingStopped_ || (!sawTermBegin_ && aStoreReachable)) {
+    return reply;
   }
-  promisedMs_ = aNowMs;
-  stopped_.insert(aQuestion.stopRenewing_.begin(),
-                  aQuestion.stopRenewing_.end());
-  armed_ |= aQuestion.arm_ && !aStoreReachable && witnessed_;
-  answer.granted_ = true;
-  answer.armed_ = armed_;
-  answer.stoppedRenewing_.assign(stopped_.begin(), stopped_.end());
-  return answer;
+  lastGrantMs_ = aNowMs;
+  stoppedRenewing_.insert(aHeartbeat.stopRenewing_.begin(),
+                          aHeartbeat.stopRenewing_.end());
+  armed_ |= aHeartbeat.arm_ && !aStoreReachable && sawTermBegin_;
+  reply.granted_ = true;
+  reply.armed_ = armed_;
+  reply.stoppedRenewing_.assign(stoppedRenewing_.begin(),
+                                stoppedRenewing_.end());
+  return reply;
 }
 
-void DeputyRole::OnStoreAnswer()
+void DeputyRole::OnStoreResponse()
 {
   if (probe_ == StoreProbe::Sent) {
     probe_ = StoreProbe::None;
-    takesOver_ = true;
-    refuses_ = true;
+    takeoverDue_ = true;
+    grantingStopped_ = true;
   }
 }
 
@@ -65,13 +67,15 @@
 
 bool DeputyRole::ShouldTakeOver(TimeMs aNowMs) const
 {
-  return takesOver_ || aNowMs - heardMs_ > Stretch(timing::kSilentMs);
+  return takeoverDue_ ||
+         aNowMs - lastHeartbeatMs_ > AddClockDrift(timing::kSilenceTimeoutMs);
 }
 
-TimeMs DeputyRole::AssignerEndMs() const
+TimeMs DeputyRole::AssignerAuthorityEndMs() const
 {
-  return armed_ || !witnessed_ ? timing::kNever
-                               : promisedMs_ + Stretch(timing::kAuthorityMs);
+  return armed_ || !sawTermBegin_
+           ? timing::kNever
+           : lastGrantMs_ + AddClockDrift(timing::kAuthorityMs);
 }
 
 }
--- a/control/OrderScheduler.hpp
+++ b/control/GrantScheduler.hpp
@@ -3,7 +3,7 @@
 #include "control/DeputyRole.hpp"
 #include "control/GroupState.hpp"
 #include "control/Messages.hpp"
-#include "control/Recovery.hpp"
+#include "control/OwnershipRecovery.hpp"
 
 #include <vector>
 
@@ -11,33 +11,33 @@
 
 /// Sends grant and renewal orders to the backend servers of a group. Every
 /// order names the complete set of the server, so a lost one needs no repair.
-class OrderScheduler
+class GrantScheduler
 {
 public:
-  OrderScheduler(GroupState& aState, const Recovery& aRecovery)
+  GrantScheduler(GroupState& aState, const OwnershipRecovery& aRecovery)
     : state_(aState)
     , recovery_(aRecovery)
   {
   }
 
   /// The set of the server changed: send without waiting for the interval.
-  void MarkChanged(int32_t aServer) { changed_.push_back(aServer); }
+  void MarkChanged(int32_t aServer) { changedServers_.push_back(aServer); }
   void Step(TimeMs aNowMs, Actions& aActions);
   /// Orders of the deputy that renew whatever the server holds.
   void StepAsDeputy(const DeputyRole& aRole, TimeMs aNowMs, Actions& aActions);
 
 private:
-  bool MayExtend(int32_t aServer, TimeMs aNowMs) const;
-  TimeMs IntervalMs(int32_t aServer, bool aExtends) const;
-  ServerOrder Address(int32_t aServer);
-  std::vector<HeldRange> SetOf(int32_t aServer) const;
-  void SendReport(int32_t aServer, TimeMs aNowMs, Actions& aActions);
-  void SendSet(int32_t aServer, TimeMs aNowMs, Actions& aActions);
+  bool MayRenew(int32_t aServer, TimeMs aNowMs) const;
+  TimeMs IntervalMs(int32_t aServer, bool aRenews) const;
+  GrantCommand NewCommand(int32_t aServer);
+  std::vector<HeldRange> GrantedRanges(int32_t aServer) const;
+  void RequestReport(int32_t aServer, TimeMs aNowMs, Actions& aActions);
+  void SendGrant(int32_t aServer, TimeMs aNowMs, Actions& aActions);
 
   GroupState& state_;
-  const Recovery& recovery_;
-  std::vector<int32_t> changed_;
-  int64_t orderId_ = 0;
+  const OwnershipRecovery& recovery_;
+  std::vector<int32_t> changedServers_;
+  int64_t lastCommandId_ = 0;
 };
 
 }
--- a/control/GroupController.cpp
+++ b/control/GroupController.cpp
@@ -13,8 +13,8 @@
   : options_(std::move(aOptions))
   , writer_(options_.writer_)
   , recovery_(state_)
-  , orders_(state_, recovery_)
-  , mover_(state_, orders_)
+  , grantScheduler_(state_, recovery_)
+  , mover_(state_, grantScheduler_)
   , planner_(state_)
 {
 }
@@ -35,8 +35,8 @@
 {
   storeReachable_ = aReachable;
   if (aReachable) {
-    storeAnsweredMs_ = aNowMs;
-    deputy_.OnStoreAnswer();
+    lastStoreResponseMs_ = aNowMs;
+    deputy_.OnStoreResponse();
   }
 }
 
@@ -45,14 +45,14 @@
                                const GroupObject& aObject,
                                Actions& aActions)
 {
-  isMissing_ = false;
+  isObjectMissing_ = false;
   if (writer_.IsOwn(aObject)) {
-    Confirm(aNowMs, aVersion);
+    OnWriteConfirmed(aNowMs, aVersion);
     return;
   }
   writer_.OnOtherVersion(aNowMs, aVersion, aActions);
   if (!writer_.IsPending()) {
-    state_.book_.Unblock();
+    state_.sliceStates_.Unblock();
   }
   if (aVersion > state_.version_) {
     Adopt(aNowMs, aVersion, aObject);
@@ -61,8 +61,8 @@
 
 void GroupController::OnObjectMissing(TimeMs aNowMs, Actions& aActions)
 {
-  knowsStore_ = true;
-  isMissing_ = state_.version_ == 0;
+  hasReadStore_ = true;
+  isObjectMissing_ = state_.version_ == 0;
   writer_.OnOtherVersion(aNowMs, kNoVersion, aActions);
 }
 
@@ -76,18 +76,18 @@
     return;
   }
   if (aResult == WriteResult::Written) {
-    Confirm(aNowMs, aVersion);
+    OnWriteConfirmed(aNowMs, aVersion);
     return;
   }
   writer_.OnResult(aNowMs, aResult, aActions);
   if (!writer_.IsPending()) {
-    state_.book_.Unblock();
+    state_.sliceStates_.Unblock();
   }
 }
 
-void GroupController::Store(TimeMs aNowMs,
-                            int64_t aVersion,
-                            const GroupObject& aObject)
+void GroupController::SetStored(TimeMs aNowMs,
+                                int64_t aVersion,
+                                const GroupObject& aObject)
 {
   auto old = std::exchange(state_.leases_, {});
   for (const auto& server : aObject.table_.servers_) {
@@ -102,41 +102,41 @@
   }
   state_.stored_ = aObject;
   state_.version_ = aVersion;
-  knowsStore_ = true;
+  hasReadStore_ = true;
 }
 
 void GroupController::Adopt(TimeMs aNowMs,
                             int64_t aVersion,
                             const GroupObject& aObject)
 {
-  const bool witnessed = knowsStore_;
+  const bool sawTermBegin = hasReadStore_;
   const auto term = aObject.table_.term_;
   // Handed over by the assigner to this deputy, which has promised no more
   // than it remembers.
   const bool handedOver = role_ == GroupRole::Deputy &&
                           aObject.table_.assigner_ == options_.instance_ &&
                           deputy_.GetTerm() + 1 == term &&
-                          deputy_.AssignerEndMs() != timing::kNever;
-  Store(aNowMs, aVersion, aObject);
-  quietSinceMs_ = aNowMs;
+                          deputy_.AssignerAuthorityEndMs() != timing::kNever;
+  SetStored(aNowMs, aVersion, aObject);
+  silenceStartMs_ = aNowMs;
   if (handedOver) {
-    BeginAssigner(aNowMs, aNowMs, deputy_.AssignerEndMs());
+    BecomeAssigner(aNowMs, aNowMs, deputy_.AssignerAuthorityEndMs());
     return;
   }
   const bool isDeputy = aObject.table_.deputy_ == options_.instance_;
   role_ = isDeputy ? GroupRole::Deputy : GroupRole::None;
   if (isDeputy && deputy_.GetTerm() != term) {
-    deputy_.BeginTerm(aNowMs, term, witnessed);
+    deputy_.BeginTerm(aNowMs, term, sawTermBegin);
   }
 }
 
-void GroupController::Confirm(TimeMs aNowMs, int64_t aVersion)
+void GroupController::OnWriteConfirmed(TimeMs aNowMs, int64_t aVersion)
 {
   const auto object = writer_.Pending().object_;
-  const auto beganMs = writer_.BeganMs();
+  const auto writeStartedMs = writer_.StartedMs();
   writer_.Finish();
-  writtenMs_ = aNowMs;
-  state_.book_.Unblock();
+  lastWrittenMs_ = aNowMs;
+  state_.sliceStates_.Unblock();
   if (aVersion <= state_.version_) {
     return;
   }
@@ -147,52 +147,54 @@
   const auto old = state_.stored_;
   const bool isNew = state_.version_ == 0;
   const bool continues = role_ == GroupRole::Assigner;
-  Store(aNowMs, aVersion, object);
+  SetStored(aNowMs, aVersion, object);
   if (continues) {
-    ContinueAssigner(aNowMs, old);
+    ContinueAsAssigner(aNowMs, old);
     if (old.table_.term_ != object.table_.term_) {
       state_.authority_.BeginTerm(
-        aNowMs, beganMs, !object.table_.deputy_.empty());
+        aNowMs, writeStartedMs, !object.table_.deputy_.empty());
     }
     return;
   }
-  BeginAssigner(aNowMs, beganMs, pendingPredecessorEndMs_);
+  BecomeAssigner(aNowMs, writeStartedMs, pendingPredecessorEndMs_);
   if (isNew) {
-    state_.book_.Create(state_.Table());
+    state_.sliceStates_.Create(state_.Table());
   }
 }
 
-void GroupController::BeginAssigner(TimeMs aNowMs,
-                                    TimeMs aFromMs,
-                                    TimeMs aPredecessorEndMs)
+void GroupController::BecomeAssigner(TimeMs aNowMs,
+                                     TimeMs aWriteStartedMs,
+                                     TimeMs aPredecessorEndMs)
 {
   role_ = GroupRole::Assigner;
-  state_.book_.Recover(state_.Table());
+  state_.sliceStates_.Recover(state_.Table());
   for (auto& lease : state_.leases_) {
     lease.BeginTerm(aNowMs, false);
-    lease.NoteLoss(state_.orderSequence_);
+    lease.RecordSliceRemoval(state_.lastGrantSequence_);
   }
-  const auto& earlier = state_.stored_.earlierRenewers_;
-  state_.earlier_ = { earlier.begin(), earlier.end() };
+  const auto& earlierRenewers = state_.stored_.earlierRenewers_;
+  state_.earlierRenewers_ = { earlierRenewers.begin(), earlierRenewers.end() };
   // A former process of this instance is gone, and what this process promised
   // before is known.
-  const bool wasRenewer = state_.earlier_.erase(options_.instance_) > 0;
+  const bool wasRenewer = state_.earlierRenewers_.erase(options_.instance_) > 0;
   const auto endMs =
     wasRenewer ? std::max(aPredecessorEndMs, aNowMs) : aPredecessorEndMs;
-  state_.predecessorEndMs_ = state_.earlier_.empty() ? endMs : timing::kNever;
-  state_.termBeganMs_ = aNowMs;
-  state_.authority_.BeginTerm(aNowMs, aFromMs, !state_.Table().deputy_.empty());
+  state_.predecessorEndMs_ =
+    state_.earlierRenewers_.empty() ? endMs : timing::kNever;
+  state_.termStartMs_ = aNowMs;
+  state_.authority_.BeginTerm(
+    aNowMs, aWriteStartedMs, !state_.Table().deputy_.empty());
 }
 
-void GroupController::ContinueAssigner(TimeMs aNowMs, const GroupObject& aOld)
+void GroupController::ContinueAsAssigner(TimeMs aNowMs, const GroupObject& aOld)
 {
-  state_.book_.Confirm(aOld.table_, state_.Table());
+  state_.sliceStates_.Confirm(aOld.table_, state_.Table());
   // Slices whose epoch grew are granted anew without waiting for a renewal.
-  for (const auto& slice : state_.book_.Slices()) {
+  for (const auto& slice : state_.sliceStates_.Slices()) {
     const auto& old = aOld.table_.FindSlice(slice.record_.begin_);
     if (!slice.promoted_ && slice.record_.epoch_ > old.epoch_ &&
         slice.record_.owner_ != kNoServer) {
-      orders_.MarkChanged(slice.record_.owner_);
+      grantScheduler_.MarkChanged(slice.record_.owner_);
     }
   }
   const bool newTerm = aOld.table_.term_ != state_.Table().term_;
@@ -200,7 +202,7 @@
     return;
   }
   // The deputy of the old term may renew until it learns of the new one.
-  state_.earlier_.insert(aOld.table_.deputy_);
+  state_.earlierRenewers_.insert(aOld.table_.deputy_);
   state_.predecessorEndMs_ = timing::kNever;
   for (auto& lease : state_.leases_) {
     lease.BeginTerm(aNowMs, true);
@@ -209,11 +211,11 @@
 
 void GroupController::StepDown(Term aTerm)
 {
-  supersededBy_ = std::max(supersededBy_, aTerm);
+  supersedingTerm_ = std::max(supersedingTerm_, aTerm);
   role_ = GroupRole::None;
 }
 
-void GroupController::OnReply(TimeMs aNowMs, const ServerReply& aReply)
+void GroupController::OnReply(TimeMs aNowMs, const GrantReply& aReply)
 {
   const auto& servers = state_.Table().servers_;
   const auto found =
@@ -229,77 +231,78 @@
     .OnReply(aReply, state_.Table().term_, aNowMs);
 }
 
-void GroupController::OnRefused(TimeMs aNowMs,
-                                const std::string& aServer,
-                                int64_t aOrderId)
+void GroupController::OnConnectionRefused(TimeMs aNowMs,
+                                          const std::string& aServer,
+                                          int64_t aCommandId)
 {
   const auto& servers = state_.Table().servers_;
   const auto found =
     std::ranges::find(servers, aServer, &BackendServerRecord::id_);
   if (found != servers.end()) {
     state_.Lease(static_cast<int32_t>(found - servers.begin()))
-      .OnRefused(aOrderId, aNowMs);
+      .OnConnectionRefused(aCommandId, aNowMs);
   }
 }
 
-PeerAnswer GroupController::OnQuestion(TimeMs aNowMs,
-                                       const PeerQuestion& aQuestion)
+PeerHeartbeatReply GroupController::OnHeartbeat(TimeMs aNowMs,
+                                                const PeerHeartbeat& aHeartbeat)
 {
-  if (aQuestion.to_ != options_.instance_) {
+  if (aHeartbeat.to_ != options_.instance_) {
     // Another instance had this address before.
-    PeerAnswer stranger;
-    stranger.id_ = aQuestion.id_;
-    return stranger;
+    PeerHeartbeatReply refusal;
+    refusal.id_ = aHeartbeat.id_;
+    return refusal;
   }
-  OnPeerSeen(aNowMs, aQuestion.from_, aQuestion.term_);
+  OnPeerResponded(aNowMs, aHeartbeat.from_, aHeartbeat.term_);
   const bool isNewer =
-    aQuestion.term_ > std::max(state_.Table().term_, deputy_.GetTerm());
+    aHeartbeat.term_ > std::max(state_.Table().term_, deputy_.GetTerm());
   if (isNewer) {
     // The assigner asks only after its update was confirmed.
     role_ = GroupRole::Deputy;
-    deputy_.BeginTerm(aNowMs, aQuestion.term_, knowsStore_);
+    deputy_.BeginTerm(aNowMs, aHeartbeat.term_, hasReadStore_);
   }
   if (role_ != GroupRole::Deputy) {
-    PeerAnswer answer;
-    answer.id_ = aQuestion.id_;
-    answer.term_ = std::max(state_.Table().term_, supersededBy_);
-    answer.storeReachable_ = storeReachable_;
-    return answer;
+    PeerHeartbeatReply reply;
+    reply.id_ = aHeartbeat.id_;
+    reply.term_ = std::max(state_.Table().term_, supersedingTerm_);
+    reply.storeReachable_ = storeReachable_;
+    return reply;
   }
-  return deputy_.OnQuestion(aQuestion, storeReachable_, aNowMs);
+  return deputy_.OnHeartbeat(aHeartbeat, storeReachable_, aNowMs);
 }
 
-void GroupController::OnAnswer(TimeMs aNowMs, const PeerAnswer& aAnswer)
+void GroupController::OnHeartbeatReply(TimeMs aNowMs,
+                                       const PeerHeartbeatReply& aReply)
 {
   if (role_ != GroupRole::Assigner) {
     return;
   }
   const auto term = state_.Table().term_;
-  OnPeerSeen(aNowMs, state_.Table().deputy_, aAnswer.term_);
-  if (aAnswer.term_ == term) {
-    state_.authority_.OnAnswer(aAnswer, aNowMs);
+  OnPeerResponded(aNowMs, state_.Table().deputy_, aReply.term_);
+  if (aReply.term_ == term) {
+    state_.authority_.OnHeartbeatReply(aReply, aNowMs);
   }
 }
 
-void GroupController::OnPeerSeen(TimeMs aNowMs,
-                                 const std::string& aInstance,
-                                 Term aTerm)
+void GroupController::OnPeerResponded(TimeMs aNowMs,
+                                      const std::string& aInstance,
+                                      Term aTerm)
 {
-  seenMs_[aInstance] = aNowMs;
+  lastSeenMs_[aInstance] = aNowMs;
   const auto term = state_.Table().term_;
   if (aTerm > term && role_ == GroupRole::Assigner) {
     StepDown(aTerm);
   }
   if (aTerm >= term && role_ == GroupRole::Assigner) {
-    state_.ResolveEarlier(aInstance, aNowMs);
+    state_.MarkEarlierRenewerStopped(aInstance, aNowMs);
   }
 }
 
-void GroupController::OnPeerGone(TimeMs aNowMs, const std::string& aInstance)
+void GroupController::OnPeerExited(TimeMs aNowMs, const std::string& aInstance)
 {
-  seenMs_.erase(aInstance);
+  lastSeenMs_.erase(aInstance);
   if (role_ == GroupRole::Assigner) {
-    state_.ResolveEarlier(aInstance, aNowMs);
+    state_.MarkEarlierRenewerStopped(aInstance, aNowMs);
   }
 }
 
@@ -315,9 +318,10 @@
   const auto& table = state_.Table();
   std::vector<std::string> peers;
   if (role_ == GroupRole::Assigner) {
-    peers.assign(state_.earlier_.begin(), state_.earlier_.end());
+    peers.assign(state_.earlierRenewers_.begin(),
+                 state_.earlierRenewers_.end());
   } else if (state_.version_ > 0 && role_ == GroupRole::None &&
-             Position() < kThirdInstances) {
+             CandidateRank() < kMonitoringCandidates) {
     peers = { table.assigner_, table.deputy_ };
   }
   std::erase_if(peers, [this](const std::string& aPeer) {
@@ -326,7 +330,7 @@
   return peers;
 }
 
-int GroupController::Position() const
+int GroupController::CandidateRank() const
 {
   const auto item = Concat(options_.service_, ".", options_.group_);
   const auto own = RendezvousScore(item, options_.instance_);
@@ -336,13 +340,14 @@
     }));
 }
 
-TimeMs GroupController::GrantView(TimeMs aNowMs, const std::string& aRouter)
+TimeMs GroupController::GrantViewLease(TimeMs aNowMs,
+                                       const std::string& aRouter)
 {
   if (role_ != GroupRole::Assigner || !state_.authority_.IsValid(aNowMs) ||
       IsHandingOver()) {
     return 0;
   }
-  state_.views_.Grant(aRouter, aNowMs);
+  state_.viewLeases_.Grant(aRouter, aNowMs);
   return timing::kViewLeaseMs;
 }
 
@@ -353,7 +358,7 @@
   const auto& servers = state_.Table().servers_;
   const auto found =
     std::ranges::find(servers, aTarget, &BackendServerRecord::id_);
-  auto* slice = state_.book_.Find(aHash);
+  auto* slice = state_.sliceStates_.Find(aHash);
   if (role_ != GroupRole::Assigner || found == servers.end() ||
       slice == nullptr) {
     return;
@@ -381,11 +386,11 @@
 
 void GroupController::Step(TimeMs aNowMs, Actions& aActions)
 {
-  if (quietSinceMs_ < 0) {
-    quietSinceMs_ = aNowMs;
+  if (silenceStartMs_ < 0) {
+    silenceStartMs_ = aNowMs;
   }
   writer_.Step(aNowMs, aActions);
-  state_.views_.Prune(aNowMs);
+  state_.viewLeases_.Prune(aNowMs);
   switch (role_) {
     case GroupRole::Assigner:
       StepAssigner(aNowMs, aActions);
@@ -399,23 +404,24 @@
   Publish();
 }
 
-GroupTable GroupController::Hint() const
+GroupTable GroupController::UnconfirmedTable() const
 {
   // A router may still hold a view lease for an older table. Under it, it must
   // not forward to a server that only this record names.
-  auto hint = state_.Table();
-  for (auto& slice : hint.slices_) {
-    const auto* owner = hint.Server(slice.owner_);
+  auto table = state_.Table();
+  for (auto& slice : table.slices_) {
+    const auto* owner = table.Server(slice.owner_);
     if (owner != nullptr && !owner->checksFence_) {
       slice.owner_ = kNoServer;
     }
   }
-  return hint;
+  return table;
 }
 
 void GroupController::Publish()
 {
-  auto next = role_ == GroupRole::Assigner ? state_.Published() : Hint();
+  auto next =
+    role_ == GroupRole::Assigner ? state_.Published() : UnconfirmedTable();
   next.sequence_ = table_.sequence_;
   const bool changed =
     next.term_ != table_.term_ || next.servers_ != table_.servers_ ||
--- a/control/GroupController.hpp
+++ b/control/GroupController.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "control/DeputyRole.hpp"
+#include "control/GrantScheduler.hpp"
 #include "control/GroupState.hpp"
 #include "control/GroupWriter.hpp"
 #include "control/Messages.hpp"
-#include "control/OrderScheduler.hpp"
+#include "control/OwnershipRecovery.hpp"
 #include "control/RecordPlanner.hpp"
-#include "control/Recovery.hpp"
 #include "control/SliceMover.hpp"
 
 #include <map>
@@ -38,7 +38,7 @@
 
 /// Candidates that watch over assigner and deputy and may replace both: room
 /// for the two themselves and two more.
-inline constexpr int kThirdInstances = 4;
+inline constexpr int kMonitoringCandidates = 4;
 
 struct GroupOptions
 {
@@ -80,38 +80,41 @@
                      Actions& aActions);
 
   // Backend servers
-  void OnReply(TimeMs aNowMs, const ServerReply& aReply);
-  void OnRefused(TimeMs aNowMs, const std::string& aServer, int64_t aOrderId);
+  void OnReply(TimeMs aNowMs, const GrantReply& aReply);
+  void OnConnectionRefused(TimeMs aNowMs,
+                           const std::string& aServer,
+                           int64_t aCommandId);
 
   // Other instances
-  PeerAnswer OnQuestion(TimeMs aNowMs, const PeerQuestion& aQuestion);
-  void OnAnswer(TimeMs aNowMs, const PeerAnswer& aAnswer);
+  PeerHeartbeatReply OnHeartbeat(TimeMs aNowMs,
+                                 const PeerHeartbeat& aHeartbeat);
+  void OnHeartbeatReply(TimeMs aNowMs, const PeerHeartbeatReply& aReply);
   /// The instance answered something; aTerm is the newest term it knows of.
-  void OnPeerSeen(TimeMs aNowMs, const std::string& aInstance, Term aTerm);
+  void OnPeerResponded(TimeMs aNowMs, const std::string& aInstance, Term aTerm);
   /// Nothing listens at the instance: the process is gone. Also called when an
   /// operator declares it gone.
-  void OnPeerGone(TimeMs aNowMs, const std::string& aInstance);
+  void OnPeerExited(TimeMs aNowMs, const std::string& aInstance);
 
   /// A table of a later term was seen somewhere.
   void OnNewerTerm(Term aTerm);
-  /// Instances whose liveness matters to this one: OnPeerSeen() and
-  /// OnPeerGone() are expected for them about every 500 ms.
+  /// Instances whose liveness matters to this one: OnPeerResponded() and
+  /// OnPeerExited() are expected for them about every 500 ms.
   std::vector<std::string> PeersToProbe() const;
   /// Position of this instance among all candidates, 0 is the first.
-  int Position() const;
+  int CandidateRank() const;
 
   // Routers
   /// View lease for the current table, 0 when this instance may give none.
-  TimeMs GrantView(TimeMs aNowMs, const std::string& aRouter);
+  TimeMs GrantViewLease(TimeMs aNowMs, const std::string& aRouter);
 
   // Balancing and operators; ignored unless this instance is the assigner.
   void MoveSlice(KeyHash aHash,
                  const std::string& aTarget,
                  const std::string& aReason);
-  void SplitOut(KeyHash aHash) { planner_.RequestSplit(aHash); }
-  void MergeBack(KeyHash aBegin) { planner_.RequestMerge(aBegin); }
+  void RequestSplit(KeyHash aHash) { planner_.RequestSplit(aHash); }
+  void RequestMerge(KeyHash aBegin) { planner_.RequestMerge(aBegin); }
   /// Hands the group to the deputy; IsIdle() turns true when it is done.
-  void BeginStop() { stopping_ = true; }
+  void BeginHandover() { stopping_ = true; }
   bool IsIdle() const;
 
   void Step(TimeMs aNowMs, Actions& aActions);
@@ -126,10 +129,12 @@
 
 private:
   void Adopt(TimeMs aNowMs, int64_t aVersion, const GroupObject& aObject);
-  void Store(TimeMs aNowMs, int64_t aVersion, const GroupObject& aObject);
-  void Confirm(TimeMs aNowMs, int64_t aVersion);
-  void BeginAssigner(TimeMs aNowMs, TimeMs aFromMs, TimeMs aPredecessorEndMs);
-  void ContinueAssigner(TimeMs aNowMs, const GroupObject& aOld);
+  void SetStored(TimeMs aNowMs, int64_t aVersion, const GroupObject& aObject);
+  void OnWriteConfirmed(TimeMs aNowMs, int64_t aVersion);
+  void BecomeAssigner(TimeMs aNowMs,
+                      TimeMs aWriteStartedMs,
+                      TimeMs aPredecessorEndMs);
+  void ContinueAsAssigner(TimeMs aNowMs, const GroupObject& aOld);
   void StepDown(Term aTerm);
   void StepAssigner(TimeMs aNowMs, Actions& aActions);
   void StepDeputy(TimeMs aNowMs, Actions& aActions);
@@ -137,54 +142,54 @@
   bool IsStoreFresh(TimeMs aNowMs) const;
   void ProbeStore(TimeMs aNowMs, Actions& aActions);
   void StepCandidate(TimeMs aNowMs, Actions& aActions);
-  void SendQuestion(TimeMs aNowMs, Actions& aActions);
-  void MoveFromDraining(TimeMs aNowMs);
+  void SendHeartbeat(TimeMs aNowMs, Actions& aActions);
+  void MoveSlicesOffDrainingServers(TimeMs aNowMs);
   bool IsHandingOver() const;
   void PrepareArming(TimeMs aNowMs);
   void WriteRecord(TimeMs aNowMs, Actions& aActions);
   bool NeedsNewTerm(TimeMs aNowMs) const;
   void WriteTakeover(TimeMs aNowMs,
                      TimeMs aPredecessorEndMs,
-                     std::vector<std::string> aEarlier,
+                     std::vector<std::string> aEarlierRenewers,
                      Actions& aActions);
   void WriteNewGroup(TimeMs aNowMs, Actions& aActions);
   void WriteHandover(TimeMs aNowMs, Actions& aActions);
   std::string ChooseDeputy(TimeMs aNowMs, const std::string& aAssigner) const;
   /// Number of live candidates that act before this instance.
-  int Rank(TimeMs aNowMs) const;
-  bool IsSeen(TimeMs aNowMs, const std::string& aInstance) const;
+  int LiveCandidateRank(TimeMs aNowMs) const;
+  bool IsRecentlySeen(TimeMs aNowMs, const std::string& aInstance) const;
   /// The stored record as other instances than the assigner show it.
-  GroupTable Hint() const;
+  GroupTable UnconfirmedTable() const;
   void Publish();
 
   GroupOptions options_;
   GroupState state_;
   GroupWriter writer_;
   DeputyRole deputy_;
-  Recovery recovery_;
-  OrderScheduler orders_;
+  OwnershipRecovery recovery_;
+  GrantScheduler grantScheduler_;
   SliceMover mover_;
   RecordPlanner planner_;
   GroupTable table_;
   std::vector<CandidateRecord> candidates_;
   std::vector<BackendServerRecord> servers_;
-  std::map<std::string, TimeMs> seenMs_;
+  std::map<std::string, TimeMs> lastSeenMs_;
   GroupRole role_ = GroupRole::None;
   /// The store was asked at least once, so a later term is seen to begin.
-  bool knowsStore_ = false;
-  bool isMissing_ = false;
+  bool hasReadStore_ = false;
+  bool isObjectMissing_ = false;
   bool serversChanged_ = false;
   bool storeReachable_ = false;
   bool stopping_ = false;
-  Term supersededBy_ = 0;
-  TimeMs quietSinceMs_ = -1; ///< a candidate judges silence from here
-  TimeMs writtenMs_ = -timing::kNever;
-  TimeMs writeTriedMs_ = -timing::kNever;
-  TimeMs plannedMs_ = -timing::kNever;
-  TimeMs storeAnsweredMs_ = -timing::kNever;
-  TimeMs probedMs_ = -timing::kNever;
+  Term supersedingTerm_ = 0;
+  TimeMs silenceStartMs_ = -1; ///< a candidate judges silence from here
+  TimeMs lastWrittenMs_ = -timing::kNever;
+  TimeMs lastWriteAttemptMs_ = -timing::kNever;
+  TimeMs lastPlannedMs_ = -timing::kNever;
+  TimeMs lastStoreResponseMs_ = -timing::kNever;
+  TimeMs lastStoreProbeMs_ = -timing::kNever;
   TimeMs pendingPredecessorEndMs_ = 0;
-  int64_t questionId_ = 0;
+  int64_t lastHeartbeatId_ = 0;
 };
 
 }
--- a/control/GroupControllerSteps.cpp
+++ b/control/GroupControllerSteps.cpp
@@ -10,14 +10,14 @@
 
 namespace detail {
 /// Interval between attempts after a write that did not take effect.
-constexpr TimeMs kWriteRetryMs = 50;
+constexpr TimeMs kWriteRetryIntervalMs = 50;
 /// Composing the record costs more than the rest of a step.
-constexpr TimeMs kPlanRecordMs = 20;
+constexpr TimeMs kPlanIntervalMs = 20;
 /// A slice whose record may or may not have been written cannot be promoted, so
 /// nothing is written to a store that may have fallen silent unnoticed.
 constexpr TimeMs kStoreFreshMs = 100;
 /// An answer to a read is not waited for any longer.
-constexpr TimeMs kProbeIntervalMs = 500;
+constexpr TimeMs kStoreProbeIntervalMs = 500;
 /// Interval between new terms, so that a refusing deputy costs few writes.
 constexpr TimeMs kTermIntervalMs = 300;
 
@@ -35,32 +35,32 @@
     return;
   }
   recovery_.Step(aNowMs);
-  MoveFromDraining(aNowMs);
+  MoveSlicesOffDrainingServers(aNowMs);
   mover_.Step(aNowMs, aActions);
-  orders_.Step(aNowMs, aActions);
+  grantScheduler_.Step(aNowMs, aActions);
   if (state_.authority_.HasDeputy() &&
-      state_.authority_.IsQuestionDue(aNowMs)) {
-    SendQuestion(aNowMs, aActions);
+      state_.authority_.IsHeartbeatDue(aNowMs)) {
+    SendHeartbeat(aNowMs, aActions);
   }
   if (storeReachable_ && !writer_.IsPending() &&
-      aNowMs - writeTriedMs_ >= detail::kWriteRetryMs &&
-      aNowMs - plannedMs_ >= detail::kPlanRecordMs) {
-    plannedMs_ = aNowMs;
+      aNowMs - lastWriteAttemptMs_ >= detail::kWriteRetryIntervalMs &&
+      aNowMs - lastPlannedMs_ >= detail::kPlanIntervalMs) {
+    lastPlannedMs_ = aNowMs;
     WriteRecord(aNowMs, aActions);
   }
 }
 
-void GroupController::MoveFromDraining(TimeMs aNowMs)
+void GroupController::MoveSlicesOffDrainingServers(TimeMs aNowMs)
 {
   const auto& servers = state_.Table().servers_;
   std::vector<int> count(servers.size(), 0);
-  for (const auto& slice : state_.book_.Slices()) {
+  for (const auto& slice : state_.sliceStates_.Slices()) {
     const auto to = slice.target_ != kNoServer ? slice.target_ : slice.Holder();
     if (to != kNoServer) {
       ++count[static_cast<size_t>(to)];
     }
   }
-  for (auto& slice : state_.book_.Slices()) {
+  for (auto& slice : state_.sliceStates_.Slices()) {
     const auto holder = slice.Holder();
     const bool drains =
       holder != kNoServer &&
@@ -84,22 +84,22 @@
   }
 }
 
-void GroupController::SendQuestion(TimeMs aNowMs, Actions& aActions)
+void GroupController::SendHeartbeat(TimeMs aNowMs, Actions& aActions)
 {
-  PeerQuestion question;
-  question.id_ = ++questionId_;
-  question.from_ = options_.instance_;
-  question.to_ = state_.Table().deputy_;
-  question.term_ = state_.Table().term_;
-  question.storeReachable_ = storeReachable_;
-  question.arm_ = !storeReachable_;
-  if (question.arm_ && !state_.authority_.IsArmed()) {
+  PeerHeartbeat heartbeat;
+  heartbeat.id_ = ++lastHeartbeatId_;
+  heartbeat.from_ = options_.instance_;
+  heartbeat.to_ = state_.Table().deputy_;
+  heartbeat.term_ = state_.Table().term_;
+  heartbeat.storeReachable_ = storeReachable_;
+  heartbeat.arm_ = !storeReachable_;
+  if (heartbeat.arm_ && !state_.authority_.IsArmed()) {
     PrepareArming(aNowMs);
   }
-  const auto& stops = state_.authority_.Stops();
-  question.stopRenewing_.assign(stops.begin(), stops.end());
-  state_.authority_.NoteQuestion(question, aNowMs);
-  aActions.emplace_back(std::move(question));
+  const auto& stopRequests = state_.authority_.StopRenewingRequests();
+  heartbeat.stopRenewing_.assign(stopRequests.begin(), stopRequests.end());
+  state_.authority_.RecordHeartbeat(heartbeat, aNowMs);
+  aActions.emplace_back(std::move(heartbeat));
 }
 
 void GroupController::PrepareArming(TimeMs aNowMs)
@@ -108,8 +108,9 @@
   // from which this assigner has already promoted a slice.
   for (int32_t i = 0; i < static_cast<int32_t>(state_.leases_.size()); ++i) {
     const auto& lease = state_.Lease(i);
-    if (lease.IsSilent(aNowMs) || !lease.IsFenced() || !lease.IsSetCurrent()) {
-      state_.authority_.RequestStop(state_.Server(i).id_);
+    if (lease.IsSilent(aNowMs) || !lease.IsFenced() ||
+        !lease.HasCurrentGrant()) {
+      state_.authority_.RequestStopRenewing(state_.Server(i).id_);
     }
   }
 }
@@ -122,7 +123,7 @@
   }
   return authority.IsDeputySilent(aNowMs) || authority.IsArmed() ||
          (authority.IsRefused() &&
-          aNowMs - writtenMs_ > detail::kTermIntervalMs);
+          aNowMs - lastWrittenMs_ > detail::kTermIntervalMs);
 }
 
 void GroupController::WriteRecord(TimeMs aNowMs, Actions& aActions)
@@ -132,8 +133,9 @@
     return;
   }
   GroupObject object = state_.stored_;
-  object.table_ = planner_.Next(aNowMs);
-  object.earlierRenewers_ = { state_.earlier_.begin(), state_.earlier_.end() };
+  object.table_ = planner_.NextTable(aNowMs);
+  object.earlierRenewers_ = { state_.earlierRenewers_.begin(),
+                              state_.earlierRenewers_.end() };
   const bool needsTerm = NeedsNewTerm(aNowMs);
   if (needsTerm) {
     ++object.table_.term_;
@@ -151,24 +153,24 @@
     ProbeStore(aNowMs, aActions);
     return;
   }
-  planner_.DropRequests();
+  planner_.ClearRequests();
   if (!changed) {
     return;
   }
-  state_.book_.Block(old, object.table_);
-  writeTriedMs_ = aNowMs;
+  state_.sliceStates_.Block(old, object.table_);
+  lastWriteAttemptMs_ = aNowMs;
   writer_.Begin(aNowMs, state_.version_, std::move(object), aActions);
 }
 
 bool GroupController::IsStoreFresh(TimeMs aNowMs) const
 {
-  return aNowMs - storeAnsweredMs_ <= detail::kStoreFreshMs;
+  return aNowMs - lastStoreResponseMs_ <= detail::kStoreFreshMs;
 }
 
 void GroupController::ProbeStore(TimeMs aNowMs, Actions& aActions)
 {
-  if (aNowMs - probedMs_ >= detail::kProbeIntervalMs) {
-    probedMs_ = aNowMs;
+  if (aNowMs - lastStoreProbeMs_ >= detail::kStoreProbeIntervalMs) {
+    lastStoreProbeMs_ = aNowMs;
     aActions.emplace_back(ReadGroup());
   }
 }
@@ -176,22 +178,23 @@
 void GroupController::WriteHandover(TimeMs aNowMs, Actions& aActions)
 {
   GroupObject object = state_.stored_;
-  object.earlierRenewers_ = { state_.earlier_.begin(), state_.earlier_.end() };
+  object.earlierRenewers_ = { state_.earlierRenewers_.begin(),
+                              state_.earlierRenewers_.end() };
   // An armed deputy is also a renewer, but it is the one that continues.
   ++object.table_.term_;
   object.table_.assigner_ = state_.Table().deputy_;
   object.table_.deputy_ = ChooseDeputy(aNowMs, object.table_.assigner_);
-  writeTriedMs_ = aNowMs;
+  lastWriteAttemptMs_ = aNowMs;
   writer_.Begin(aNowMs, state_.version_, std::move(object), aActions);
 }
 
 void GroupController::StepDeputy(TimeMs aNowMs, Actions& aActions)
 {
   if (deputy_.IsArmed() && !storeReachable_ && !writer_.IsPending()) {
-    orders_.StepAsDeputy(deputy_, aNowMs, aActions);
+    grantScheduler_.StepAsDeputy(deputy_, aNowMs, aActions);
   }
   if (!storeReachable_ && !writer_.IsPending()) {
-    deputy_.Resume();
+    deputy_.ResumeGranting();
   }
   if (storeReachable_ && deputy_.TakeStoreProbe()) {
     aActions.emplace_back(ReadGroup());
@@ -201,33 +204,33 @@
       state_.Table().term_ != deputy_.GetTerm()) {
     return;
   }
-  deputy_.Refuse();
-  const auto endMs = deputy_.AssignerEndMs();
+  deputy_.StopGranting();
+  const auto endMs = deputy_.AssignerAuthorityEndMs();
   if (endMs != timing::kNever && aNowMs <= endMs) {
     return;
   }
-  auto earlier = state_.stored_.earlierRenewers_;
+  auto earlierRenewers = state_.stored_.earlierRenewers_;
   if (endMs == timing::kNever) {
-    detail::AddUnique(earlier, state_.Table().assigner_);
+    detail::AddUnique(earlierRenewers, state_.Table().assigner_);
   }
-  WriteTakeover(aNowMs, endMs, std::move(earlier), aActions);
+  WriteTakeover(aNowMs, endMs, std::move(earlierRenewers), aActions);
 }
 
 void GroupController::StepCandidate(TimeMs aNowMs, Actions& aActions)
 {
   if (!storeReachable_ || writer_.IsPending() || stopping_ ||
-      aNowMs - writeTriedMs_ < detail::kTermIntervalMs ||
-      supersededBy_ > state_.Table().term_) {
+      aNowMs - lastWriteAttemptMs_ < detail::kTermIntervalMs ||
+      supersedingTerm_ > state_.Table().term_) {
     return;
   }
-  const auto waitMs = timing::kCandidateStepMs * Rank(aNowMs);
-  if (isMissing_ && state_.version_ == 0) {
+  const auto waitMs = timing::kCandidateDelayMs * LiveCandidateRank(aNowMs);
+  if (isObjectMissing_ && state_.version_ == 0) {
     // A list that still grows would give all slices to its first servers.
     if (serversChanged_) {
       serversChanged_ = false;
-      quietSinceMs_ = aNowMs;
+      silenceStartMs_ = aNowMs;
     }
-    if (aNowMs - quietSinceMs_ >= timing::kListSettleMs + waitMs) {
+    if (aNowMs - silenceStartMs_ >= timing::kServerListSettleMs + waitMs) {
       WriteNewGroup(aNowMs, aActions);
     }
     return;
@@ -236,42 +239,43 @@
     return;
   }
   const auto& table = state_.Table();
-  auto earlier = state_.stored_.earlierRenewers_;
+  auto earlierRenewers = state_.stored_.earlierRenewers_;
   if (table.assigner_ == options_.instance_) {
     // This instance was restarted. Its former process is gone, the deputy may
     // have been armed.
-    detail::AddUnique(earlier, table.deputy_);
-    WriteTakeover(aNowMs, aNowMs, std::move(earlier), aActions);
+    detail::AddUnique(earlierRenewers, table.deputy_);
+    WriteTakeover(aNowMs, aNowMs, std::move(earlierRenewers), aActions);
     return;
   }
-  const auto heardMs = [&](const std::string& aInstance) {
-    const auto seen = seenMs_.find(aInstance);
-    return std::max(quietSinceMs_, seen == seenMs_.end() ? 0 : seen->second);
+  const auto lastHeardMs = [&](const std::string& aInstance) {
+    const auto seen = lastSeenMs_.find(aInstance);
+    return std::max(silenceStartMs_,
+                    seen == lastSeenMs_.end() ? 0 : seen->second);
   };
   const auto silentMs =
-    aNowMs - std::max(heardMs(table.assigner_), heardMs(table.deputy_));
+    aNowMs - std::max(lastHeardMs(table.assigner_), lastHeardMs(table.deputy_));
   // Only a candidate that probes the two knows that they are silent.
-  if (silentMs <= timing::kThirdInstanceMs + waitMs ||
-      Position() >= kThirdInstances) {
+  if (silentMs <= timing::kCandidateTakeoverMs + waitMs ||
+      CandidateRank() >= kMonitoringCandidates) {
     return;
   }
-  detail::AddUnique(earlier, table.assigner_);
-  detail::AddUnique(earlier, table.deputy_);
-  WriteTakeover(aNowMs, timing::kNever, std::move(earlier), aActions);
+  detail::AddUnique(earlierRenewers, table.assigner_);
+  detail::AddUnique(earlierRenewers, table.deputy_);
+  WriteTakeover(aNowMs, timing::kNever, std::move(earlierRenewers), aActions);
 }
 
 void GroupController::WriteTakeover(TimeMs aNowMs,
                                     TimeMs aPredecessorEndMs,
-                                    std::vector<std::string> aEarlier,
+                                    std::vector<std::string> aEarlierRenewers,
                                     Actions& aActions)
 {
   GroupObject object = state_.stored_;
   ++object.table_.term_;
   object.table_.assigner_ = options_.instance_;
   object.table_.deputy_ = ChooseDeputy(aNowMs, options_.instance_);
-  object.earlierRenewers_ = std::move(aEarlier);
+  object.earlierRenewers_ = std::move(aEarlierRenewers);
   pendingPredecessorEndMs_ = aPredecessorEndMs;
-  writeTriedMs_ = aNowMs;
+  lastWriteAttemptMs_ = aNowMs;
   writer_.Begin(aNowMs, state_.version_, std::move(object), aActions);
 }
 
@@ -290,15 +294,16 @@
   object.table_.assigner_ = options_.instance_;
   object.table_.deputy_ = ChooseDeputy(aNowMs, options_.instance_);
   pendingPredecessorEndMs_ = 0;
-  writeTriedMs_ = aNowMs;
+  lastWriteAttemptMs_ = aNowMs;
   writer_.Begin(aNowMs, kNoVersion, std::move(object), aActions);
 }
 
-bool GroupController::IsSeen(TimeMs aNowMs, const std::string& aInstance) const
+bool GroupController::IsRecentlySeen(TimeMs aNowMs,
+                                     const std::string& aInstance) const
 {
-  const auto seen = seenMs_.find(aInstance);
-  return seen != seenMs_.end() &&
-         aNowMs - seen->second <= timing::kThirdInstanceMs;
+  const auto seen = lastSeenMs_.find(aInstance);
+  return seen != lastSeenMs_.end() &&
+         aNowMs - seen->second <= timing::kCandidateTakeoverMs;
 }
 
 std::string GroupController::ChooseDeputy(TimeMs aNowMs,
@@ -326,7 +331,7 @@
     }
     const std::tuple<bool, bool, bool, uint64_t> rank = {
       !isLost(candidate.id_),
-      IsSeen(aNowMs, candidate.id_),
+      IsRecentlySeen(aNowMs, candidate.id_),
       candidate.failureDomain_ != domain,
       RendezvousScore(item, candidate.id_)
     };
@@ -338,7 +343,7 @@
   return best;
 }
 
-int GroupController::Rank(TimeMs aNowMs) const
+int GroupController::LiveCandidateRank(TimeMs aNowMs) const
 {
   const auto item = Concat(options_.service_, ".", options_.group_);
   const auto own = RendezvousScore(item, options_.instance_);
@@ -349,7 +354,7 @@
              aCandidate.id_ != table.assigner_ &&
              aCandidate.id_ != table.deputy_ &&
              RendezvousScore(item, aCandidate.id_) > own &&
-             (state_.version_ == 0 || IsSeen(aNowMs, aCandidate.id_));
+             (state_.version_ == 0 || IsRecentlySeen(aNowMs, aCandidate.id_));
     }));
 }
 
--- a/control/GroupState.cpp
+++ b/control/GroupState.cpp
@@ -14,7 +14,7 @@
          !Server(aIndex).draining_;
 }
 
-bool GroupState::HasLeaseEnded(int32_t aIndex, TimeMs aNowMs) const
+bool GroupState::HasLeaseExpired(int32_t aIndex, TimeMs aNowMs) const
 {
   if (aIndex == kNoServer) {
     return true;
@@ -25,13 +25,14 @@
   }
   const bool fenced = lease.IsFenced() && Server(aIndex).checksFence_;
   const TimeMs renewersEndMs =
-    fenced ? std::min(lease.FencedMs(), predecessorEndMs_) : predecessorEndMs_;
-  return lease.OwnLeaseEnded(aNowMs) &&
-         aNowMs > renewersEndMs + Stretch(timing::kLeaseMs) &&
+    fenced ? std::min(lease.FencedSinceMs(), predecessorEndMs_)
+           : predecessorEndMs_;
+  return lease.HasOwnLeaseExpired(aNowMs) &&
+         aNowMs > renewersEndMs + AddClockDrift(timing::kLeaseMs) &&
          aNowMs > authority_.DeputyLeaseEndMs(Server(aIndex).id_);
 }
 
-TimeMs GroupState::ShieldedSinceMs(int32_t aIndex) const
+TimeMs GroupState::NoEarlierGrantsSinceMs(int32_t aIndex) const
 {
   if (aIndex == kNoServer) {
     return 0;
@@ -39,18 +40,18 @@
   const auto& lease = Lease(aIndex);
   TimeMs since = predecessorEndMs_;
   if (Server(aIndex).checksFence_ && lease.IsFenced()) {
-    since = std::min(since, lease.FencedMs());
+    since = std::min(since, lease.FencedSinceMs());
   }
   // Orders name the incarnation that is gone.
   return lease.IsGone() && Server(aIndex).checksFence_
-           ? std::min(since, lease.GoneMs())
+           ? std::min(since, lease.GoneSinceMs())
            : since;
 }
 
-TimeMs GroupState::ViewsEndMs() const
+TimeMs GroupState::ViewLeasesExpiredMs() const
 {
-  return std::max(views_.AllEndedMs(),
-                  predecessorEndMs_ + Stretch(timing::kViewLeaseMs));
+  return std::max(viewLeases_.AllExpiredMs(),
+                  predecessorEndMs_ + AddClockDrift(timing::kViewLeaseMs));
 }
 
 bool GroupState::IsReleased(const SliceState& aSlice, TimeMs aNowMs) const
@@ -62,15 +63,15 @@
   // A restarted server that does not check would run requests of routers that
   // still hold a view lease, so its process being gone proves nothing.
   if (!Server(holder).checksFence_) {
-    return aSlice.releasing_ && aNowMs > aSlice.viewsEndMs_ &&
-           aNowMs > predecessorEndMs_ + Stretch(timing::kViewLeaseMs);
+    return aSlice.releasing_ && aNowMs > aSlice.viewLeasesExpiredMs_ &&
+           aNowMs > predecessorEndMs_ + AddClockDrift(timing::kViewLeaseMs);
   }
   const auto& lease = Lease(holder);
   const bool revoked = aSlice.revokeSequence_ > 0 &&
                        lease.AcceptedSequence() >= aSlice.revokeSequence_;
   const bool restarted =
     !aSlice.incarnation_.empty() && aSlice.incarnation_ != lease.Incarnation();
-  return revoked || restarted || HasLeaseEnded(holder, aNowMs);
+  return revoked || restarted || HasLeaseExpired(holder, aNowMs);
 }
 
 bool GroupState::IsHolderLost(const SliceState& aSlice, TimeMs aNowMs) const
@@ -84,10 +85,11 @@
                                     aSlice.incarnation_ != lease.Incarnation());
 }
 
-void GroupState::ResolveEarlier(const std::string& aInstance, TimeMs aNowMs)
+void GroupState::MarkEarlierRenewerStopped(const std::string& aInstance,
+                                           TimeMs aNowMs)
 {
-  if (earlier_.erase(aInstance) > 0 && earlier_.empty()) {
-    predecessorEndMs_ = aNowMs + Stretch(timing::kAuthorityMs);
+  if (earlierRenewers_.erase(aInstance) > 0 && earlierRenewers_.empty()) {
+    predecessorEndMs_ = aNowMs + AddClockDrift(timing::kAuthorityMs);
   }
 }
 
@@ -99,7 +101,9 @@
     table.servers_[i].draining_ |= leases_[i].IsDraining();
   }
   std::ranges::transform(
-    book_.Slices(), table.slices_.begin(), [&](const SliceState& aSlice) {
+    sliceStates_.Slices(),
+    table.slices_.begin(),
+    [&](const SliceState& aSlice) {
       SliceRecord record = aSlice.record_;
       const auto holder = aSlice.Holder();
       const bool checks = holder != kNoServer && Server(holder).checksFence_;
--- a/control/GroupWriter.cpp
+++ b/control/GroupWriter.cpp
@@ -4,7 +4,7 @@
 
 namespace detail {
 /// Interval between reads that resolve a write without a result.
-constexpr TimeMs kResolveMs = 100;
+constexpr TimeMs kResolveIntervalMs = 100;
 /// A write without any result for this long is treated as uncertain.
 constexpr TimeMs kWriteTimeoutMs = 2000;
 }
@@ -17,7 +17,7 @@
   aObject.writer_ = writer_;
   aObject.change_ = ++change_;
   pending_ = { aExpectedVersion, std::move(aObject) };
-  beganMs_ = attemptMs_ = aNowMs;
+  startedMs_ = lastAttemptMs_ = aNowMs;
   uncertain_ = notSent_ = false;
   aActions.emplace_back(*pending_);
 }
@@ -36,7 +36,7 @@
   }
   // A conflict may be the effect of an earlier attempt of the same write.
   uncertain_ = true;
-  attemptMs_ = aNowMs;
+  lastAttemptMs_ = aNowMs;
   aActions.emplace_back(ReadGroup());
 }
 
@@ -61,7 +61,7 @@
   // cannot take effect twice.
   if (uncertain_ && aVersion == pending_->expectedVersion_) {
     uncertain_ = true;
-    attemptMs_ = aNowMs;
+    lastAttemptMs_ = aNowMs;
     aActions.emplace_back(*pending_);
   }
 }
@@ -71,12 +71,13 @@
   if (!pending_) {
     return;
   }
-  const auto waited = aNowMs - attemptMs_;
-  if (waited < (uncertain_ ? detail::kResolveMs : detail::kWriteTimeoutMs)) {
+  const auto waited = aNowMs - lastAttemptMs_;
+  if (waited <
+      (uncertain_ ? detail::kResolveIntervalMs : detail::kWriteTimeoutMs)) {
     return;
   }
   uncertain_ = true;
-  attemptMs_ = aNowMs;
+  lastAttemptMs_ = aNowMs;
   aActions.emplace_back(ReadGroup());
 }
 
--- a/control/GroupWriter.hpp
+++ b/control/GroupWriter.hpp
@@ -34,7 +34,7 @@
 
   bool IsPending() const { return pending_.has_value(); }
   const WriteGroup& Pending() const { return *pending_; }
-  TimeMs BeganMs() const { return beganMs_; }
+  TimeMs StartedMs() const { return startedMs_; }
   const std::string& Writer() const { return writer_; }
   /// The last write was certainly not applied by the store.
   bool WasNotSent() const { return notSent_; }
@@ -42,8 +42,8 @@
 private:
   std::string writer_;
   std::optional<WriteGroup> pending_;
-  TimeMs beganMs_ = 0;
-  TimeMs attemptMs_ = 0;
+  TimeMs startedMs_ = 0;
+  TimeMs lastAttemptMs_ = 0;
   int64_t change_ = 0;
   bool uncertain_ = false;
   bool notSent_ = false;
--- a/control/Messages.hpp
+++ b/control/Messages.hpp
@@ -21,7 +21,7 @@
 };
 
 /// Order to a backend server (docs/design.md, section 7.2).
-struct ServerOrder
+struct GrantCommand
 {
   int64_t id_ = 0; ///< matches the reply; not sent
   std::string server_;
@@ -35,7 +35,7 @@
 };
 
 /// Answer of a backend server to an order.
-struct ServerReply
+struct GrantReply
 {
   int64_t id_ = 0;
   std::string server_;
@@ -51,7 +51,7 @@
 };
 
 /// Question of the assigner to its deputy.
-struct PeerQuestion
+struct PeerHeartbeat
 {
   int64_t id_ = 0; ///< matches the answer; not sent
   std::string from_;
@@ -62,7 +62,7 @@
   std::vector<std::string> stopRenewing_;
 };
 
-struct PeerAnswer
+struct PeerHeartbeatReply
 {
   int64_t id_ = 0;
   bool granted_ = false;
@@ -113,7 +113,7 @@
 };
 
 using Action =
-  std::variant<ServerOrder, PeerQuestion, WriteGroup, ReadGroup, MoveRecord>;
+  std::variant<GrantCommand, PeerHeartbeat, WriteGroup, ReadGroup, MoveRecord>;
 using Actions = std::vector<Action>;
 
 }
--- a/control/Recovery.hpp
+++ b/control/OwnershipRecovery.hpp
@@ -6,10 +6,10 @@
 
 /// Finds out after a change of assigner who holds each slice: the recorded
 /// owner at the recorded epoch, or the recorded standby at the next one.
-class Recovery
+class OwnershipRecovery
 {
 public:
-  explicit Recovery(GroupState& aState)
+  explicit OwnershipRecovery(GroupState& aState)
     : state_(aState)
   {
   }
@@ -17,17 +17,17 @@
   void Step(TimeMs aNowMs);
   /// The server may hold slices that are not resolved yet, so its report is
   /// needed before it gets an order that replaces its set.
-  bool IsNeeded(int32_t aServer) const;
+  bool NeedsReport(int32_t aServer) const;
 
 private:
   void Resolve(SliceState& aSlice, TimeMs aNowMs);
-  bool IsStandbyOwner(const SliceState& aSlice) const;
-  bool IsOwnerKept(const SliceState& aSlice) const;
+  bool IsStandbyConfirmed(const SliceState& aSlice) const;
+  bool IsOwnerConfirmed(const SliceState& aSlice) const;
   /// The server does not act on the slice and cannot be made to.
-  bool IsSettled(const SliceState& aSlice,
-                 int32_t aServer,
-                 Epoch aEpoch,
-                 TimeMs aNowMs) const;
+  bool CannotHold(const SliceState& aSlice,
+                  int32_t aServer,
+                  Epoch aEpoch,
+                  TimeMs aNowMs) const;
 
   GroupState& state_;
 };
--- a/control/RecordPlanner.cpp
+++ b/control/RecordPlanner.cpp
@@ -9,23 +9,23 @@
   std::vector<BackendServerRecord> aServers)
 {
   std::ranges::sort(aServers, {}, &BackendServerRecord::id_);
-  platform_ = std::move(aServers);
+  platformServers_ = std::move(aServers);
 }
 
-GroupTable RecordPlanner::Next(TimeMs aNowMs) const
+GroupTable RecordPlanner::NextTable(TimeMs aNowMs) const
 {
   GroupTable table = state_.Table();
   UpdateSlices(table, aNowMs);
   ApplySplits(table);
   ApplyMerges(table);
   UpdateServers(table);
-  DropUnused(table);
+  RemoveUnusedServers(table);
   return table;
 }
 
 void RecordPlanner::UpdateServers(GroupTable& aTable) const
 {
-  for (const auto& server : platform_) {
+  for (const auto& server : platformServers_) {
     const auto known =
       std::ranges::find(aTable.servers_, server.id_, &BackendServerRecord::id_);
     if (known != aTable.servers_.end()) {
@@ -44,7 +44,7 @@
       ++standbyCount_[static_cast<size_t>(slice.standby_)];
     }
   }
-  const auto& slices = state_.book_.Slices();
+  const auto& slices = state_.sliceStates_.Slices();
   for (size_t i = 0; i < slices.size(); ++i) {
     UpdateSlice(slices[i], aTable.slices_[i], aNowMs);
   }
@@ -61,7 +61,7 @@
   bool replace = false;
   if (aSlice.ambiguous_) {
     aRecord.epoch_ += 2;
-    replace = IsLost(aRecord.standby_, aNowMs);
+    replace = NeedsReplacement(aRecord.standby_, aNowMs);
   } else if (aSlice.promoted_) {
     owner = aRecord.standby_;
     ++aRecord.epoch_;
@@ -70,7 +70,7 @@
     const bool wanted =
       aSlice.target_ != kNoServer && aSlice.target_ != aRecord.standby_ &&
       aSlice.target_ != owner && state_.IsUsable(aSlice.target_, aNowMs);
-    replace = wanted || IsLost(aRecord.standby_, aNowMs);
+    replace = wanted || NeedsReplacement(aRecord.standby_, aNowMs);
   }
   aRecord.owner_ = owner;
   if (!replace) {
@@ -84,7 +84,7 @@
   }
 }
 
-bool RecordPlanner::IsLost(int32_t aServer, TimeMs aNowMs) const
+bool RecordPlanner::NeedsReplacement(int32_t aServer, TimeMs aNowMs) const
 {
   return aServer == kNoServer || state_.Lease(aServer).IsSilent(aNowMs) ||
          state_.Lease(aServer).IsDraining() || state_.Server(aServer).draining_;
@@ -119,9 +119,9 @@
   return best;
 }
 
-bool RecordPlanner::IsQuiet(KeyHash aBegin) const
+bool RecordPlanner::HasNoPendingMove(KeyHash aBegin) const
 {
-  const auto* slice = state_.book_.Find(aBegin);
+  const auto* slice = state_.sliceStates_.Find(aBegin);
   return slice != nullptr && slice->IsHeld() && !slice->promoted_ &&
          slice->target_ == kNoServer;
 }
@@ -139,7 +139,7 @@
     }
   };
   for (const auto hash : splits_) {
-    if (!IsQuiet(hash)) {
+    if (!HasNoPendingMove(hash)) {
       continue;
     }
     insert(hash);
@@ -159,7 +159,7 @@
     }
     auto& before = *std::prev(found);
     if (before.owner_ != found->owner_ || before.standby_ != found->standby_ ||
-        !IsQuiet(before.begin_) || !IsQuiet(begin)) {
+        !HasNoPendingMove(before.begin_) || !HasNoPendingMove(begin)) {
       continue;
     }
     before.epoch_ = std::max(before.epoch_, found->epoch_);
@@ -167,18 +167,18 @@
   }
 }
 
-void RecordPlanner::DropUnused(GroupTable& aTable) const
+void RecordPlanner::RemoveUnusedServers(GroupTable& aTable) const
 {
   for (auto i = static_cast<int32_t>(aTable.servers_.size()) - 1; i >= 0; --i) {
     const auto& server = aTable.servers_[static_cast<size_t>(i)];
     const bool listed = std::ranges::binary_search(
-      platform_, server.id_, {}, &BackendServerRecord::id_);
+      platformServers_, server.id_, {}, &BackendServerRecord::id_);
     const bool used =
       std::ranges::any_of(aTable.slices_, [=](const SliceRecord& aSlice) {
         return aSlice.owner_ == i || aSlice.standby_ == i;
       });
     // An empty list is more likely a failed read than a lost service.
-    if (used || platform_.empty() || (listed && !server.draining_)) {
+    if (used || platformServers_.empty() || (listed && !server.draining_)) {
       continue;
     }
     aTable.servers_.erase(aTable.servers_.begin() + i);
--- a/control/RecordPlanner.hpp
+++ b/control/RecordPlanner.hpp
@@ -24,10 +24,10 @@
   /// until it owns nothing; the list lags and is only a hint.
   void SetPlatformServers(std::vector<BackendServerRecord> aServers);
   /// The stored record with all changes that are due.
-  GroupTable Next(TimeMs aNowMs) const;
+  GroupTable NextTable(TimeMs aNowMs) const;
   /// Splits and merges that were requested are in a record that is written, or
   /// cannot be done.
-  void DropRequests()
+  void ClearRequests()
   {
     splits_.clear();
     merges_.clear();
@@ -39,17 +39,17 @@
   void UpdateSlice(const SliceState& aSlice,
                    SliceRecord& aRecord,
                    TimeMs aNowMs) const;
-  bool IsLost(int32_t aServer, TimeMs aNowMs) const;
+  bool NeedsReplacement(int32_t aServer, TimeMs aNowMs) const;
   int32_t ChooseStandby(const SliceState& aSlice,
                         int32_t aOwner,
                         TimeMs aNowMs) const;
   void ApplySplits(GroupTable& aTable) const;
   void ApplyMerges(GroupTable& aTable) const;
-  void DropUnused(GroupTable& aTable) const;
-  bool IsQuiet(KeyHash aBegin) const;
+  void RemoveUnusedServers(GroupTable& aTable) const;
+  bool HasNoPendingMove(KeyHash aBegin) const;
 
   GroupState& state_;
-  std::vector<BackendServerRecord> platform_;
+  std::vector<BackendServerRecord> platformServers_;
   std::set<KeyHash> splits_;
   std::set<KeyHash> merges_;
   mutable std::vector<int> standbyCount_;
--- a/control/ServerLease.hpp
+++ b/control/ServerLease.hpp
@@ -14,49 +14,52 @@
 {
 public:
   /// Forgets the fence, and the report unless it is kept.
-  void BeginTerm(TimeMs aNowMs, bool aKeepsReport);
+  void BeginTerm(TimeMs aNowMs, bool aKeepReport);
   /// Registers an order that extends the lease; returns its validUntilMs.
-  TimeMs Extend();
+  TimeMs ExtendLease();
   /// aSequence is 0 for a report order, which changes nothing.
-  void NoteSent(int64_t aOrderId, int64_t aSequence, TimeMs aNowMs);
+  void RecordSent(int64_t aCommandId, int64_t aSequence, TimeMs aNowMs);
   /// False when the reply is older than what is already known.
   /// A reply of aTerm shows that the server is fenced to it.
-  bool OnReply(const ServerReply& aReply, Term aTerm, TimeMs aNowMs);
+  bool OnReply(const GrantReply& aReply, Term aTerm, TimeMs aNowMs);
   /// Nothing listens: the process is gone.
-  void OnRefused(int64_t aOrderId, TimeMs aNowMs);
+  void OnConnectionRefused(int64_t aCommandId, TimeMs aNowMs);
 
-  bool IsAwaiting(TimeMs aNowMs) const;
+  bool IsAwaitingReply(TimeMs aNowMs) const;
   bool IsSilent(TimeMs aNowMs) const;
-  bool HasAnswered() const { return answeredMs_ > 0; }
+  bool HasAnswered() const { return lastReplyMs_ > 0; }
   /// Answered an order of the current term, so a checking server refuses
   /// orders of earlier terms.
-  bool IsFenced() const { return fencedMs_ > 0; }
-  TimeMs FencedMs() const { return fencedMs_; }
+  bool IsFenced() const { return fencedSinceMs_ > 0; }
+  TimeMs FencedSinceMs() const { return fencedSinceMs_; }
   bool IsGone() const { return gone_; }
-  TimeMs GoneMs() const { return goneMs_; }
+  TimeMs GoneSinceMs() const { return goneSinceMs_; }
   /// No lease given by this process can still be valid.
-  bool OwnLeaseEnded(TimeMs aNowMs) const;
+  bool HasOwnLeaseExpired(TimeMs aNowMs) const;
   /// The report that is known was asked for at this time.
-  TimeMs ReportAskedMs() const { return reportAskedMs_; }
+  TimeMs ReportRequestedMs() const { return reportRequestedMs_; }
   bool ReportsValidLease() const { return reportValid_; }
   /// The report covers the range with epochs up to aMax, in full.
-  bool ReportsAll(KeyHash aBegin, KeyHash aEnd, Epoch aMax) const;
+  bool ReportCovers(KeyHash aBegin, KeyHash aEnd, Epoch aMax) const;
   /// The report has a part of the range with at least this epoch.
-  bool ReportsAny(KeyHash aBegin, KeyHash aEnd, Epoch aMin) const;
+  bool ReportOverlaps(KeyHash aBegin, KeyHash aEnd, Epoch aMin) const;
   const std::string& Incarnation() const { return incarnation_; }
   /// Newest order, apart from reports, that the server has accepted.
   int64_t AcceptedSequence() const { return acceptedSequence_; }
   /// Sequence that the server last told.
   int64_t ReportedSequence() const { return reportedSequence_; }
   /// Orders after aSequence no longer have a slice that the server held.
-  void NoteLoss(int64_t aSequence) { lossSequence_ = aSequence + 1; }
+  void RecordSliceRemoval(int64_t aSequence)
+  {
+    removalSequence_ = aSequence + 1;
+  }
   /// Its set is the current one, so renewing whatever it holds is safe.
-  bool IsSetCurrent() const { return acceptedSequence_ >= lossSequence_; }
+  bool HasCurrentGrant() const { return acceptedSequence_ >= removalSequence_; }
   bool IsDraining() const { return draining_; }
-  TimeMs SentMs() const { return sentMs_; }
+  TimeMs LastSentMs() const { return sentMs_; }
   /// When the last order other than a report was sent in this term.
-  TimeMs SetSentMs() const { return setSentMs_; }
-  TimeMs AnsweredMs() const { return answeredMs_; }
+  TimeMs LastGrantSentMs() const { return lastGrantSentMs_; }
+  TimeMs LastReplyMs() const { return lastReplyMs_; }
 
 private:
   std::string incarnation_;
@@ -68,21 +71,21 @@
     TimeMs sentMs_ = 0;
   };
   std::vector<Outstanding> outstanding_;
-  TimeMs stampMs_ = 0; ///< newest clock of the server
-  TimeMs stampReceivedMs_ = 0;
+  TimeMs serverClockMs_ = 0; ///< newest clock of the server
+  TimeMs serverClockReceivedMs_ = 0;
   TimeMs leaseEndMs_ = 0; ///< bound of all leases given by this process
-  TimeMs answeredMs_ = 0;
-  TimeMs fencedMs_ = 0;
-  TimeMs reportAskedMs_ = 0;
+  TimeMs lastReplyMs_ = 0;
+  TimeMs fencedSinceMs_ = 0;
+  TimeMs reportRequestedMs_ = 0;
   TimeMs sentMs_ = -timing::kNever;
-  TimeMs setSentMs_ = -timing::kNever;
-  TimeMs sinceMs_ = 0;      ///< silence is judged from here
-  TimeMs unansweredMs_ = 0; ///< first order since the last answer
-  TimeMs goneMs_ = 0;
-  int64_t newestReply_ = 0;
+  TimeMs lastGrantSentMs_ = -timing::kNever;
+  TimeMs monitoredSinceMs_ = 0;  ///< silence is judged from here
+  TimeMs firstUnansweredMs_ = 0; ///< first order since the last answer
+  TimeMs goneSinceMs_ = 0;
+  int64_t newestReplyId_ = 0;
   int64_t acceptedSequence_ = 0;
   int64_t reportedSequence_ = 0;
-  int64_t lossSequence_ = 1;
+  int64_t removalSequence_ = 1;
   bool reportValid_ = false;
   bool gone_ = false;
   bool draining_ = false;
--- a/control/SliceMover.cpp
+++ b/control/SliceMover.cpp
@@ -7,7 +7,7 @@
   if (!state_.authority_.IsValid(aNowMs)) {
     return;
   }
-  for (auto& slice : state_.book_.Slices()) {
+  for (auto& slice : state_.sliceStates_.Slices()) {
     if (slice.resolved_ && !slice.ambiguous_) {
       StepSlice(slice, aNowMs, aActions);
     }
@@ -24,7 +24,7 @@
   const bool planned =
     aSlice.target_ != kNoServer && aSlice.record_.standby_ == aSlice.target_;
   if (lost && holder != kNoServer && state_.authority_.MayDeputyRenew()) {
-    state_.authority_.RequestStop(state_.Server(holder).id_);
+    state_.authority_.RequestStopRenewing(state_.Server(holder).id_);
   }
   if ((!lost && !planned) || !IsPromotable(aSlice, aNowMs)) {
     CancelRelease(aSlice);
@@ -53,8 +53,8 @@
   aSlice.releasing_ = true;
   aSlice.revokeSequence_ = 0;
   // View leases given from now on are for tables without this owner.
-  aSlice.viewsEndMs_ = state_.views_.AllEndedMs();
-  orders_.MarkChanged(aSlice.Holder());
+  aSlice.viewLeasesExpiredMs_ = state_.viewLeases_.AllExpiredMs();
+  grantScheduler_.MarkChanged(aSlice.Holder());
 }
 
 void SliceMover::CancelRelease(SliceState& aSlice)
@@ -65,14 +65,14 @@
   aSlice.releasing_ = false;
   aSlice.revokeSequence_ = 0;
   aSlice.grantSequence_ = 0;
-  orders_.MarkChanged(aSlice.Holder());
+  grantScheduler_.MarkChanged(aSlice.Holder());
 }
 
 void SliceMover::Promote(SliceState& aSlice, TimeMs aNowMs, Actions& aActions)
 {
   const auto from = aSlice.Holder();
   if (from != kNoServer) {
-    state_.Lease(from).NoteLoss(state_.orderSequence_);
+    state_.Lease(from).RecordSliceRemoval(state_.lastGrantSequence_);
   }
   aSlice.promoted_ = true;
   aSlice.releasing_ = false;
@@ -80,7 +80,7 @@
   aSlice.grantSequence_ = 0;
   const auto to = aSlice.Holder();
   aSlice.incarnation_ = state_.Lease(to).Incarnation();
-  orders_.MarkChanged(to);
+  grantScheduler_.MarkChanged(to);
   aActions.emplace_back(
     MoveRecord{ aNowMs,
                 aSlice.record_.begin_,
--- a/control/SliceMover.hpp
+++ b/control/SliceMover.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "control/GrantScheduler.hpp"
 #include "control/GroupState.hpp"
 #include "control/Messages.hpp"
-#include "control/OrderScheduler.hpp"
 
 namespace cactuspitch {
 
@@ -11,9 +11,9 @@
 class SliceMover
 {
 public:
-  SliceMover(GroupState& aState, OrderScheduler& aOrders)
+  SliceMover(GroupState& aState, GrantScheduler& aGrantScheduler)
     : state_(aState)
-    , orders_(aOrders)
+    , grantScheduler_(aGrantScheduler)
   {
   }
 
@@ -27,7 +27,7 @@
   void Promote(SliceState& aSlice, TimeMs aNowMs, Actions& aActions);
 
   GroupState& state_;
-  OrderScheduler& orders_;
+  GrantScheduler& grantScheduler_;
 };
 
 }
--- a/control/SliceBook.cpp
+++ b/control/SliceStates.cpp
@@ -1,4 +1,4 @@
-#include "SliceBook.hpp"
+#include "SliceStates.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -48,7 +48,7 @@
   aNew.releasing_ = aOld.releasing_;
   aNew.revokeSequence_ = aOld.revokeSequence_;
   aNew.grantSequence_ = aOld.grantSequence_;
-  aNew.viewsEndMs_ = aOld.viewsEndMs_;
+  aNew.viewLeasesExpiredMs_ = aOld.viewLeasesExpiredMs_;
   aNew.incarnation_ = aOld.incarnation_;
   aNew.reason_ = aOld.reason_;
   aNew.target_ = aTarget;
@@ -57,12 +57,12 @@
 
 }
 
-void SliceBook::Recover(const GroupTable& aTable)
+void SliceStates::Recover(const GroupTable& aTable)
 {
   slices_ = detail::StatesOf(aTable);
 }
 
-void SliceBook::Create(const GroupTable& aTable)
+void SliceStates::Create(const GroupTable& aTable)
 {
   slices_ = detail::StatesOf(aTable);
   for (auto& slice : slices_) {
@@ -70,7 +70,7 @@
   }
 }
 
-void SliceBook::Confirm(const GroupTable& aOld, const GroupTable& aNew)
+void SliceStates::Confirm(const GroupTable& aOld, const GroupTable& aNew)
 {
   const auto old = std::exchange(slices_, detail::StatesOf(aNew));
   for (auto& slice : slices_) {
@@ -82,7 +82,7 @@
   }
 }
 
-void SliceBook::Block(const GroupTable& aOld, const GroupTable& aNext)
+void SliceStates::Block(const GroupTable& aOld, const GroupTable& aNext)
 {
   for (auto& slice : slices_) {
     const auto& next = aNext.FindSlice(slice.record_.begin_);
@@ -105,14 +105,14 @@
   }
 }
 
-void SliceBook::Unblock()
+void SliceStates::Unblock()
 {
   for (auto& slice : slices_) {
     slice.blocked_ = false;
   }
 }
 
-SliceState* SliceBook::Find(KeyHash aHash)
+SliceState* SliceStates::Find(KeyHash aHash)
 {
   const auto next =
     std::ranges::upper_bound(slices_, aHash, {}, &detail::BeginOf);
--- a/control/SliceBook.hpp
+++ b/control/SliceStates.hpp
@@ -31,7 +31,7 @@
   /// Order that first grants it to the holder.
   int64_t grantSequence_ = 0;
   /// When view leases of tables that name the owner have ended.
-  TimeMs viewsEndMs_ = timing::kNever;
+  TimeMs viewLeasesExpiredMs_ = timing::kNever;
   /// Incarnation of the holder that was granted the slice.
   std::string incarnation_;
   /// Wanted owner of a planned move.
@@ -51,7 +51,7 @@
 };
 
 /// All slices of a group.
-class SliceBook
+class SliceStates
 {
 public:
   /// Takes over the record of another assigner: nothing is resolved.
--- a/control/RouterViews.cpp
+++ b/control/ViewLeases.cpp
@@ -1,15 +1,15 @@
-#include "RouterViews.hpp"
+#include "ViewLeases.hpp"
 
 #include <algorithm>
 
 namespace cactuspitch {
 
-void RouterViews::Grant(const std::string& aRouter, TimeMs aNowMs)
+void ViewLeases::Grant(const std::string& aRouter, TimeMs aNowMs)
 {
-  leases_[aRouter] = aNowMs + Stretch(timing::kViewLeaseMs);
+  leases_[aRouter] = aNowMs + AddClockDrift(timing::kViewLeaseMs);
 }
 
-TimeMs RouterViews::AllEndedMs() const
+TimeMs ViewLeases::AllExpiredMs() const
 {
   TimeMs end = predecessorEndMs_;
   for (const auto& [router, endMs] : leases_) {
@@ -18,7 +18,7 @@
   return end;
 }
 
-void RouterViews::Prune(TimeMs aNowMs)
+void ViewLeases::Prune(TimeMs aNowMs)
 {
   std::erase_if(leases_,
                 [=](const auto& aLease) { return aLease.second < aNowMs; });
--- a/control/RouterViews.hpp
+++ b/control/ViewLeases.hpp
@@ -9,7 +9,7 @@
 
 /// View leases that routers may hold. A router forwards to a backend server
 /// that does not check the fence only under such a lease.
-class RouterViews
+class ViewLeases
 {
 public:
   /// Earlier assigners gave leases up to this time, kNever when unknown.
@@ -18,7 +18,7 @@
   /// When all leases given so far have ended. An acknowledgement of a newer
   /// table does not end a lease earlier: requests that were forwarded under it
   /// may still run up to its end.
-  TimeMs AllEndedMs() const;
+  TimeMs AllExpiredMs() const;
   const std::map<std::string, TimeMs>& Leases() const { return leases_; }
   void Prune(TimeMs aNowMs);
 
--- a/rpc/FollowedTables.cpp
+++ b/rpc/FollowedTables.cpp
@@ -7,7 +7,7 @@
 
 namespace cactuspitch {
 
-void LeaseEnd::Extend(TimeMs aEndMs)
+void LeaseExpiry::Extend(TimeMs aEndMs)
 {
   TimeMs current = endMs_.load(std::memory_order_relaxed);
   while (current < aEndMs && !endMs_.compare_exchange_weak(
@@ -35,10 +35,10 @@
 {
 }
 
-wire::GetTablesRequest FollowedTables::Question() const
+wire::GetTablesRequest FollowedTables::MakeRequest() const
 {
-  wire::GetTablesRequest question;
-  question.configVersion = config_->version_;
+  wire::GetTablesRequest request;
+  request.configVersion = config_->version_;
   for (const auto& [id, entry] : tables_) {
     // A group that is left out is answered with its full table.
     if (entry.needsFull_) {
@@ -49,30 +49,30 @@
     known.group = id.second;
     known.term = entry.table_->table_.term_;
     known.sequence = entry.table_->table_.sequence_;
-    question.known.push_back(known);
+    request.known.push_back(known);
   }
-  return question;
+  return request;
 }
 
-bool FollowedTables::Apply(const wire::GetTablesResponse& aAnswer,
+bool FollowedTables::Apply(const wire::GetTablesResponse& aResponse,
                            const TableSource& aSource,
                            TimeMs aSentMs,
                            TimeMs aReceivedMs)
 {
   bool tablesChanged = false;
-  for (const auto& message : aAnswer.tables) {
+  for (const auto& message : aResponse.tables) {
     tablesChanged |= ApplyTable(message, aSource, aSentMs);
   }
   if (tablesChanged) {
     Publish();
   }
   // An assigner that has just started may not know the routers yet.
-  if (!aAnswer.routerPeers.empty()) {
-    routerPeers_ = aAnswer.routerPeers;
+  if (!aResponse.routerPeers.empty()) {
+    routerPeers_ = aResponse.routerPeers;
     std::ranges::sort(routerPeers_);
   }
   const bool configChanged =
-    aAnswer.__isset.config && ApplyConfig(aAnswer.config, aReceivedMs);
+    aResponse.__isset.config && ApplyConfig(aResponse.config, aReceivedMs);
   return tablesChanged || configChanged;
 }
 
--- a/rpc/FollowedTables.hpp
+++ b/rpc/FollowedTables.hpp
@@ -18,18 +18,18 @@
 
 /// End of a lease that is extended in place, so that a renewal does not copy
 /// the table it belongs to.
-class LeaseEnd
+class LeaseExpiry
 {
 public:
-  LeaseEnd(TimeMs aEndMs = 0)
+  LeaseExpiry(TimeMs aEndMs = 0)
     : endMs_(aEndMs)
   {
   }
-  LeaseEnd(const LeaseEnd& aOther)
+  LeaseExpiry(const LeaseExpiry& aOther)
     : endMs_(aOther.Get())
   {
   }
-  LeaseEnd& operator=(const LeaseEnd&) = delete;
+  LeaseExpiry& operator=(const LeaseExpiry&) = delete;
 
   operator TimeMs() const { return Get(); }
   TimeMs Get() const { return endMs_.load(std::memory_order_acquire); }
@@ -45,7 +45,7 @@
 struct FollowedTable
 {
   GroupTable table_;
-  LeaseEnd viewLeaseUntilMs_;
+  LeaseExpiry viewLeaseUntilMs_;
 };
 
 /// Newest configuration that this process has seen.
@@ -100,11 +100,11 @@
   FollowedTables();
 
   /// The question that asks for everything newer than what is known.
-  wire::GetTablesRequest Question() const;
+  wire::GetTablesRequest MakeRequest() const;
 
   /// aSentMs is when the question was sent: the lease counts from there.
   /// True when a table or the configuration became newer.
-  bool Apply(const wire::GetTablesResponse& aAnswer,
+  bool Apply(const wire::GetTablesResponse& aResponse,
              const TableSource& aSource,
              TimeMs aSentMs,
              TimeMs aReceivedMs);
--- a/rpc/TableCodec.cpp
+++ b/rpc/TableCodec.cpp
@@ -70,7 +70,7 @@
   return message;
 }
 
-bool HaveSameBegins(const GroupTable& aLeft, const GroupTable& aRight)
+bool HaveSameBoundaries(const GroupTable& aLeft, const GroupTable& aRight)
 {
   return std::ranges::equal(aLeft.slices_,
                             aRight.slices_,
@@ -109,7 +109,7 @@
 
 wire::GroupTable ToWireDelta(const GroupTable& aOld, const GroupTable& aNew)
 {
-  if (aOld.term_ != aNew.term_ || !detail::HaveSameBegins(aOld, aNew)) {
+  if (aOld.term_ != aNew.term_ || !detail::HaveSameBoundaries(aOld, aNew)) {
     return ToWire(aNew);
   }
   auto message = detail::HeadToWire(aNew);
--- a/rpc/TableFollower.cpp
+++ b/rpc/TableFollower.cpp
@@ -42,16 +42,16 @@
   }
 
   const TableSnapshot& Snapshot() const;
-  wire::GetTablesRequest Question();
+  wire::GetTablesRequest MakeRequest();
   /// True when something became newer.
-  bool Accept(const TableAnswer& aAnswer);
+  bool OnResponse(const TableResponse& aResponse);
   std::set<std::string> WantedAddresses();
   std::string NextBootstrap(const std::set<std::string>& aNamed);
-  void Reconcile();
+  void ReconcilePollers();
   void RunManager();
   void RunRefresh();
   std::vector<std::string> RefreshTargets();
-  TablePoller::Hooks Hooks();
+  TablePoller::Callbacks Callbacks();
 
   const Clock& clock_;
   const TableFollowerOptions options_;
@@ -86,22 +86,24 @@
   return *cache.snapshot_;
 }
 
-wire::GetTablesRequest TableFollower::Impl::Question()
+wire::GetTablesRequest TableFollower::Impl::MakeRequest()
 {
   const std::lock_guard lock(mutex_);
-  auto question = tables_.Question();
-  question.instance = options_.instance_;
-  question.role = options_.role_;
-  return question;
+  auto request = tables_.MakeRequest();
+  request.instance = options_.instance_;
+  request.role = options_.role_;
+  return request;
 }
 
-bool TableFollower::Impl::Accept(const TableAnswer& aAnswer)
+bool TableFollower::Impl::OnResponse(const TableResponse& aResponse)
 {
   {
     const std::lock_guard lock(mutex_);
-    instances_[aAnswer.source_.address_] = aAnswer.source_.instance_;
-    if (!tables_.Apply(
-          aAnswer.answer_, aAnswer.source_, aAnswer.sentMs_, clock_.NowMs())) {
+    instances_[aResponse.source_.address_] = aResponse.source_.instance_;
+    if (!tables_.Apply(aResponse.response_,
+                       aResponse.source_,
+                       aResponse.sentMs_,
+                       clock_.NowMs())) {
       return false;
     }
     version_.fetch_add(1, std::memory_order_release);
@@ -142,9 +144,9 @@
 {
   const auto& all = options_.assigners_;
   const auto current = pollers_.find(bootstrap_);
-  const bool answers =
+  const bool isResponsive =
     current != pollers_.end() && !current->second->IsSilent();
-  if (answers && !aNamed.contains(bootstrap_)) {
+  if (isResponsive && !aNamed.contains(bootstrap_)) {
     return bootstrap_;
   }
   for (size_t tried = 0; tried < all.size(); ++tried) {
@@ -156,7 +158,7 @@
   return all.empty() ? std::string() : all[nextBootstrap_ % all.size()];
 }
 
-void TableFollower::Impl::Reconcile()
+void TableFollower::Impl::ReconcilePollers()
 {
   auto wanted = WantedAddresses();
   bootstrap_ = NextBootstrap(wanted);
@@ -167,7 +169,7 @@
     auto& poller = pollers_[address];
     if (!poller || poller->HasEnded()) {
       poller =
-        std::make_unique<TablePoller>(clock_, options_, address, Hooks());
+        std::make_unique<TablePoller>(clock_, options_, address, Callbacks());
     }
   }
   for (const auto& [address, poller] : pollers_) {
@@ -184,7 +186,7 @@
 {
   constexpr auto kInterval = std::chrono::milliseconds(100);
   while (true) {
-    Reconcile();
+    ReconcilePollers();
     std::unique_lock lock(mutex_);
     changed_.wait_for(lock, kInterval, [this] { return !running_; });
     if (!running_) {
@@ -211,7 +213,7 @@
 {
   // Bounds the questions that a burst of refusals causes.
   constexpr auto kMinInterval = std::chrono::milliseconds(20);
-  std::map<std::string, std::unique_ptr<TableQuestioner>> questioners;
+  std::map<std::string, std::unique_ptr<TableClient>> clients;
   std::unique_lock lock(mutex_);
   while (running_) {
     changed_.wait(lock, [this] { return refreshWanted_ || !running_; });
@@ -221,14 +223,13 @@
     refreshWanted_ = false;
     lock.unlock();
     for (const auto& address : RefreshTargets()) {
-      auto& questioner = questioners[address];
-      if (!questioner) {
-        questioner =
-          std::make_unique<TableQuestioner>(clock_, options_, address);
+      auto& client = clients[address];
+      if (!client) {
+        client = std::make_unique<TableClient>(clock_, options_, address);
       }
-      const auto answer = questioner->Ask(Question(), 0);
-      if (answer.ok()) {
-        Accept(*answer);
+      const auto response = client->Fetch(MakeRequest(), 0);
+      if (response.ok()) {
+        OnResponse(*response);
       }
     }
     std::this_thread::sleep_for(kMinInterval);
@@ -236,10 +237,12 @@
   }
 }
 
-TablePoller::Hooks TableFollower::Impl::Hooks()
+TablePoller::Callbacks TableFollower::Impl::Callbacks()
 {
-  return { [this] { return Question(); },
-           [this](const TableAnswer& aAnswer) { return Accept(aAnswer); } };
+  return { [this] { return MakeRequest(); },
+           [this](const TableResponse& aResponse) {
+             return OnResponse(aResponse);
+           } };
 }
 
 TableFollower::TableFollower(const Clock& aClock, TableFollowerOptions aOptions)
--- a/rpc/TableFollower.hpp
+++ b/rpc/TableFollower.hpp
@@ -21,7 +21,7 @@
   TimeMs longPollMs_ = 300;
   TimeMs connectTimeoutMs_ = 300;
   /// Time beyond longPollMs_ after which an assigner counts as silent.
-  TimeMs answerSlackMs_ = 600;
+  TimeMs responseTimeoutMs_ = 600;
 };
 
 /// Keeps the newest table of every group and the newest configuration, by long
--- a/rpc/TablePoller.cpp
+++ b/rpc/TablePoller.cpp
@@ -8,30 +8,31 @@
 
 namespace detail {
 
-constexpr TimeMs kRetryMs = 100;
+constexpr TimeMs kRetryIntervalMs = 100;
 /// Shortest time between two polls that brought nothing new, should an
 /// assigner answer without waiting.
-constexpr TimeMs kMinPollMs = 20;
+constexpr TimeMs kMinPollIntervalMs = 20;
 
 }
 
-TableQuestioner::TableQuestioner(const Clock& aClock,
-                                 const TableFollowerOptions& aOptions,
-                                 std::string aAddress)
+TableClient::TableClient(const Clock& aClock,
+                         const TableFollowerOptions& aOptions,
+                         std::string aAddress)
   : clock_(aClock)
-  , channel_(std::move(aAddress),
-             static_cast<int>(aOptions.connectTimeoutMs_),
-             static_cast<int>(aOptions.longPollMs_ + aOptions.answerSlackMs_),
-             aOptions.secret_)
+  , channel_(
+      std::move(aAddress),
+      static_cast<int>(aOptions.connectTimeoutMs_),
+      static_cast<int>(aOptions.longPollMs_ + aOptions.responseTimeoutMs_),
+      aOptions.secret_)
 {
 }
 
-absl::StatusOr<TableAnswer> TableQuestioner::Ask(
-  wire::GetTablesRequest aQuestion,
+absl::StatusOr<TableResponse> TableClient::Fetch(
+  wire::GetTablesRequest aRequest,
   TimeMs aWaitMs)
 {
-  TableAnswer result;
-  aQuestion.waitMs = static_cast<int32_t>(aWaitMs);
+  TableResponse result;
+  aRequest.waitMs = static_cast<int32_t>(aWaitMs);
   const auto status = channel_.Run([&](wire::AssignerPeerClient& aClient) {
     if (instance_.empty()) {
       wire::ProcessStatus process;
@@ -39,7 +40,7 @@
       instance_ = process.instance;
     }
     result.sentMs_ = clock_.NowMs();
-    aClient.GetTables(result.answer_, aQuestion);
+    aClient.GetTables(result.response_, aRequest);
   });
   if (!status.ok()) {
     // Another instance may answer at this address next time.
@@ -53,11 +54,11 @@
 TablePoller::TablePoller(const Clock& aClock,
                          const TableFollowerOptions& aOptions,
                          std::string aAddress,
-                         Hooks aHooks)
+                         Callbacks aCallbacks)
   : clock_(aClock)
   , longPollMs_(aOptions.longPollMs_)
-  , questioner_(aClock, aOptions, std::move(aAddress))
-  , hooks_(std::move(aHooks))
+  , client_(aClock, aOptions, std::move(aAddress))
+  , callbacks_(std::move(aCallbacks))
   , thread_([this] { Run(); })
 {
 }
@@ -79,23 +80,23 @@
 
 void TablePoller::Run()
 {
-  while (!WaitStopped(0)) {
+  while (!WaitForStop(0)) {
     const TimeMs start = clock_.NowMs();
-    const auto answer = questioner_.Ask(hooks_.question_(), longPollMs_);
-    silent_ = !answer.ok();
-    if (!answer.ok()) {
-      WaitStopped(detail::kRetryMs);
+    const auto response = client_.Fetch(callbacks_.makeRequest_(), longPollMs_);
+    silent_ = !response.ok();
+    if (!response.ok()) {
+      WaitForStop(detail::kRetryIntervalMs);
       continue;
     }
-    const bool isNewer = hooks_.accept_(*answer);
-    if (!isNewer && clock_.NowMs() - start < detail::kMinPollMs) {
-      WaitStopped(detail::kMinPollMs);
+    const bool isNewer = callbacks_.onResponse_(*response);
+    if (!isNewer && clock_.NowMs() - start < detail::kMinPollIntervalMs) {
+      WaitForStop(detail::kMinPollIntervalMs);
     }
   }
   ended_ = true;
 }
 
-bool TablePoller::WaitStopped(TimeMs aTimeoutMs)
+bool TablePoller::WaitForStop(TimeMs aTimeoutMs)
 {
   std::unique_lock lock(mutex_);
   return stopChanged_.wait_for(
--- a/rpc/TablePoller.hpp
+++ b/rpc/TablePoller.hpp
@@ -19,23 +19,23 @@
 struct TableFollowerOptions;
 
 /// Answer to one GetTables call.
-struct TableAnswer
+struct TableResponse
 {
   TableSource source_;
-  wire::GetTablesResponse answer_;
+  wire::GetTablesResponse response_;
   TimeMs sentMs_ = 0;
 };
 
 /// Asks one assigner for tables, used by one thread at a time.
-class TableQuestioner
+class TableClient
 {
 public:
-  TableQuestioner(const Clock& aClock,
-                  const TableFollowerOptions& aOptions,
-                  std::string aAddress);
+  TableClient(const Clock& aClock,
+              const TableFollowerOptions& aOptions,
+              std::string aAddress);
 
-  absl::StatusOr<TableAnswer> Ask(wire::GetTablesRequest aQuestion,
-                                  TimeMs aWaitMs);
+  absl::StatusOr<TableResponse> Fetch(wire::GetTablesRequest aRequest,
+                                      TimeMs aWaitMs);
 
 private:
   const Clock& clock_;
@@ -48,17 +48,17 @@
 class TablePoller
 {
 public:
-  struct Hooks
+  struct Callbacks
   {
-    std::function<wire::GetTablesRequest()> question_;
+    std::function<wire::GetTablesRequest()> makeRequest_;
     /// True when the answer brought something newer.
-    std::function<bool(const TableAnswer&)> accept_;
+    std::function<bool(const TableResponse&)> onResponse_;
   };
 
   TablePoller(const Clock& aClock,
               const TableFollowerOptions& aOptions,
               std::string aAddress,
-              Hooks aHooks);
+              Callbacks aCallbacks);
   ~TablePoller();
   TablePoller(const TablePoller&) = delete;
   TablePoller& operator=(const TablePoller&) = delete;
@@ -71,12 +71,12 @@
 
 private:
   void Run();
-  bool WaitStopped(TimeMs aTimeoutMs);
+  bool WaitForStop(TimeMs aTimeoutMs);
 
   const Clock& clock_;
   TimeMs longPollMs_;
-  TableQuestioner questioner_;
-  Hooks hooks_;
+  TableClient client_;
+  Callbacks callbacks_;
   std::mutex mutex_;
   std::condition_variable stopChanged_;
   bool stopping_ = false;
--- a/tests/OwnershipSim.cpp
+++ b/tests/OwnershipSim.cpp
@@ -294,7 +294,7 @@
     if (control.Role() != GroupRole::Assigner) {
       continue;
     }
-    for (const auto& slice : control.State().book_.Slices()) {
+    for (const auto& slice : control.State().sliceStates_.Slices()) {
       AppendTo(text,
                "  ",
                slice.record_.begin_,
--- a/tests/OwnershipSim.hpp
+++ b/tests/OwnershipSim.hpp
@@ -139,15 +139,15 @@
   void TickInstance(Instance& aInstance, int aLife);
   void Advance(Instance& aInstance);
   void Perform(Instance& aInstance, const Actions& aActions);
-  void SendOrder(Instance& aInstance, const ServerOrder& aOrder);
-  void SendQuestion(Instance& aInstance, const PeerQuestion& aQuestion);
+  void SendOrder(Instance& aInstance, const GrantCommand& aOrder);
+  void SendQuestion(Instance& aInstance, const PeerHeartbeat& aQuestion);
   void PollStore(Instance& aInstance);
   void WriteStore(Instance& aInstance, const WriteGroup& aWrite);
   void ApplyWrite(const WriteGroup& aWrite, WriteResult& aResult);
   void PingPeers(Instance& aInstance);
   /// The platform's lists as this instance sees them.
   void ShowPlatform(Instance& aInstance);
-  ServerReply Execute(Server& aServer, const ServerOrder& aOrder);
+  GrantReply Execute(Server& aServer, const GrantCommand& aOrder);
   void TickRouter(Router& aRouter);
   void PollTable(Router& aRouter);
 
--- a/tests/OwnershipSimFaults.cpp
+++ b/tests/OwnershipSimFaults.cpp
@@ -43,7 +43,7 @@
         break;
       case SimFaultKind::StopInstance:
         if (instance.control_) {
-          instance.control_->BeginStop();
+          instance.control_->BeginHandover();
           At(nowMs_ + std::min<TimeMs>(durationMs, 500),
              [restart, &instance] { restart(instance); });
         }
@@ -94,12 +94,12 @@
         const auto key =
           keys_[static_cast<size_t>(aFault.other_) % keys_.size()];
         if (assigner != nullptr) {
-          assigner->control_->SplitOut(key);
+          assigner->control_->RequestSplit(key);
         }
         At(until, [this, key] {
           if (auto* later = Assigner(); later != nullptr) {
-            later->control_->MergeBack(key);
-            later->control_->MergeBack(key + 1);
+            later->control_->RequestMerge(key);
+            later->control_->RequestMerge(key + 1);
           }
         });
         break;
--- a/tests/OwnershipSimProcesses.cpp
+++ b/tests/OwnershipSimProcesses.cpp
@@ -78,9 +78,9 @@
 void OwnershipSim::Perform(Instance& aInstance, const Actions& aActions)
 {
   for (const auto& action : aActions) {
-    if (const auto* order = std::get_if<ServerOrder>(&action)) {
+    if (const auto* order = std::get_if<GrantCommand>(&action)) {
       SendOrder(aInstance, *order);
-    } else if (const auto* question = std::get_if<PeerQuestion>(&action)) {
+    } else if (const auto* question = std::get_if<PeerHeartbeat>(&action)) {
       SendQuestion(aInstance, *question);
     } else if (const auto* write = std::get_if<WriteGroup>(&action)) {
       WriteStore(aInstance, *write);
@@ -90,13 +90,13 @@
   }
 }
 
-void OwnershipSim::SendOrder(Instance& aInstance, const ServerOrder& aOrder)
+void OwnershipSim::SendOrder(Instance& aInstance, const GrantCommand& aOrder)
 {
   const auto server = static_cast<size_t>(detail::IndexOf(aOrder.server_));
   const int life = aInstance.life_;
   const int from = aInstance.index_;
   const int to = options_.instances_ + static_cast<int>(server);
-  const auto respond = [=, this, &aInstance](const ServerReply& aReply) {
+  const auto respond = [=, this, &aInstance](const GrantReply& aReply) {
     Send(to, from, [=, this, &aInstance] {
       if (aInstance.life_ == life) {
         aInstance.control_->OnReply(LocalMs(aInstance), aReply);
@@ -110,20 +110,20 @@
     [=, this] { respond(Execute(*servers_[server], aOrder)); },
     [=, this, &aInstance] {
       if (aInstance.life_ == life) {
-        aInstance.control_->OnRefused(
+        aInstance.control_->OnConnectionRefused(
           LocalMs(aInstance), aOrder.server_, aOrder.id_);
         Advance(aInstance);
       }
     });
 }
 
-ServerReply OwnershipSim::Execute(Server& aServer, const ServerOrder& aOrder)
+GrantReply OwnershipSim::Execute(Server& aServer, const GrantCommand& aOrder)
 {
   const auto incarnation = Concat(aServer.id_, "#", aServer.life_);
   const bool isOld = std::tie(aOrder.term_, aOrder.sequence_) <
                      std::tie(aServer.term_, aServer.sequence_);
   const bool isReport = aOrder.incarnation_.empty();
-  ServerReply reply;
+  GrantReply reply;
   reply.accepted_ = !(aServer.checks_ && isOld) &&
                     (isReport || aOrder.incarnation_ == incarnation);
   if (reply.accepted_) {
@@ -150,18 +150,18 @@
 }
 
 void OwnershipSim::SendQuestion(Instance& aInstance,
-                                const PeerQuestion& aQuestion)
+                                const PeerHeartbeat& aQuestion)
 {
   const int to = detail::IndexOf(aQuestion.to_);
   const int from = aInstance.index_;
   const int life = aInstance.life_;
   Send(from, to, [=, this, &aInstance] {
     auto& peer = *instances_[static_cast<size_t>(to)];
-    const auto answer = peer.control_->OnQuestion(LocalMs(peer), aQuestion);
+    const auto answer = peer.control_->OnHeartbeat(LocalMs(peer), aQuestion);
     Advance(peer);
     Send(to, from, [=, this, &aInstance] {
       if (aInstance.life_ == life) {
-        aInstance.control_->OnAnswer(LocalMs(aInstance), answer);
+        aInstance.control_->OnHeartbeatReply(LocalMs(aInstance), answer);
         Advance(aInstance);
       }
     });
@@ -181,13 +181,14 @@
         const auto term = peer.control_->State().Table().term_;
         Send(peer.index_, from, [=, this, &aInstance, &peer] {
           if (aInstance.life_ == life) {
-            aInstance.control_->OnPeerSeen(LocalMs(aInstance), peer.id_, term);
+            aInstance.control_->OnPeerResponded(
+              LocalMs(aInstance), peer.id_, term);
           }
         });
       },
       [=, this, &aInstance, &peer] {
         if (aInstance.life_ == life) {
-          aInstance.control_->OnPeerGone(LocalMs(aInstance), peer.id_);
+          aInstance.control_->OnPeerExited(LocalMs(aInstance), peer.id_);
         }
       });
   }
@@ -354,7 +355,7 @@
   Send(from, to, [=, this, &aRouter] {
     auto& instance = *instances_[static_cast<size_t>(to)];
     const auto leaseMs =
-      instance.control_->GrantView(LocalMs(instance), aRouter.id_);
+      instance.control_->GrantViewLease(LocalMs(instance), aRouter.id_);
     const auto table = instance.control_->Table();
     Send(to, from, [=, &aRouter] {
       if (aRouter.table_.IsNewerThan(table) || table.slices_.empty()) {
--- a/tests/TableFollowerTest.cpp
+++ b/tests/TableFollowerTest.cpp
@@ -50,30 +50,30 @@
     aStatus.instance = instance_;
   }
 
-  void GetTables(wire::GetTablesResponse& aAnswer,
-                 const wire::GetTablesRequest& aQuestion) override
+  void GetTables(wire::GetTablesResponse& aResponse,
+                 const wire::GetTablesRequest& aRequest) override
   {
     std::unique_lock lock(mutex_);
     const auto isNew = [&] {
-      return table_.term_ > 0 && Known(aQuestion) != table_.sequence_;
+      return table_.term_ > 0 && Known(aRequest) != table_.sequence_;
     };
-    changed_.wait_for(lock, std::chrono::milliseconds(aQuestion.waitMs), isNew);
+    changed_.wait_for(lock, std::chrono::milliseconds(aRequest.waitMs), isNew);
     if (table_.term_ == 0) {
       return;
     }
     const bool canDelta =
-      Known(aQuestion) == table_.sequence_ ||
-      (Known(aQuestion) == old_.sequence_ && old_.term_ == table_.term_);
-    const auto& base = Known(aQuestion) == table_.sequence_ ? table_ : old_;
+      Known(aRequest) == table_.sequence_ ||
+      (Known(aRequest) == old_.sequence_ && old_.term_ == table_.term_);
+    const auto& base = Known(aRequest) == table_.sequence_ ? table_ : old_;
     auto message = canDelta ? ToWireDelta(base, table_) : ToWire(table_);
     message.viewLeaseMs = kLeaseMs;
-    aAnswer.tables.push_back(message);
+    aResponse.tables.push_back(message);
   }
 
 private:
-  static int64_t Known(const wire::GetTablesRequest& aQuestion)
+  static int64_t Known(const wire::GetTablesRequest& aRequest)
   {
-    return aQuestion.known.empty() ? -1 : aQuestion.known[0].sequence;
+    return aRequest.known.empty() ? -1 : aRequest.known[0].sequence;
   }
 
   std::string instance_;
@@ -109,7 +109,7 @@
           .assigners_ = { first_.port_.Address(), second_.port_.Address() },
           .longPollMs_ = 100,
           .connectTimeoutMs_ = 300,
-          .answerSlackMs_ = 600 })
+          .responseTimeoutMs_ = 600 })
   {
   }
   ~TableFollowerTest() override { follower_.Stop(); }
@@ -175,13 +175,13 @@
 TEST(FollowedTables, LeaseCountsFromTheQuestionOfTheNamedAssigner)
 {
   FollowedTables tables;
-  wire::GetTablesResponse answer;
-  answer.tables.push_back(ToWire(MakeTable(1, 1, "i1")));
-  answer.tables[0].viewLeaseMs = kLeaseMs;
-  EXPECT_TRUE(tables.Apply(answer, { "127.0.0.1:1", "i2" }, 100, 400));
+  wire::GetTablesResponse response;
+  response.tables.push_back(ToWire(MakeTable(1, 1, "i1")));
+  response.tables[0].viewLeaseMs = kLeaseMs;
+  EXPECT_TRUE(tables.Apply(response, { "127.0.0.1:1", "i2" }, 100, 400));
   const auto table = tables.Snapshot()->Find("ledger", 0);
   EXPECT_EQ(table->viewLeaseUntilMs_, 0);
-  EXPECT_FALSE(tables.Apply(answer, { "127.0.0.1:2", "i1" }, 100, 400));
+  EXPECT_FALSE(tables.Apply(response, { "127.0.0.1:2", "i1" }, 100, 400));
   EXPECT_EQ(table->viewLeaseUntilMs_, 100 + kLeaseMs);
 }
 
@@ -190,16 +190,17 @@
 TEST(FollowedTables, UnfittingDeltaIsAskedForInFull)
 {
   FollowedTables tables;
-  wire::GetTablesResponse answer;
-  answer.tables.push_back(ToWire(MakeTable(1, 1, "i1")));
-  tables.Apply(answer, {}, 0, 0);
-  EXPECT_EQ(tables.Question().known.size(), 1u);
-  answer.tables[0] = ToWireDelta(MakeTable(1, 2, "i1"), MakeTable(1, 3, "i1"));
-  EXPECT_FALSE(tables.Apply(answer, {}, 0, 0));
+  wire::GetTablesResponse response;
+  response.tables.push_back(ToWire(MakeTable(1, 1, "i1")));
+  tables.Apply(response, {}, 0, 0);
+  EXPECT_EQ(tables.MakeRequest().known.size(), 1u);
+  response.tables[0] =
+    ToWireDelta(MakeTable(1, 2, "i1"), MakeTable(1, 3, "i1"));
+  EXPECT_FALSE(tables.Apply(response, {}, 0, 0));
   EXPECT_FALSE(tables.IsComplete());
-  EXPECT_TRUE(tables.Question().known.empty());
-  answer.tables[0] = ToWire(MakeTable(1, 3, "i1"));
-  EXPECT_TRUE(tables.Apply(answer, {}, 0, 0));
+  EXPECT_TRUE(tables.MakeRequest().known.empty());
+  response.tables[0] = ToWire(MakeTable(1, 3, "i1"));
+  EXPECT_TRUE(tables.Apply(response, {}, 0, 0));
   EXPECT_TRUE(tables.IsComplete());
 }
 
@@ -208,14 +209,14 @@
 TEST(FollowedTables, ConfigNeverReverts)
 {
   FollowedTables tables;
-  wire::GetTablesResponse answer;
+  wire::GetTablesResponse response;
   wire::ConfigDocument config;
   const auto apply = [&](int64_t aVersion, std::string aJson, TimeMs aAgeMs) {
     config.version = aVersion;
     config.json = std::move(aJson);
     config.confirmedAgeMs = aAgeMs;
-    answer.__set_config(config);
-    return tables.Apply(answer, {}, 0, 1000);
+    response.__set_config(config);
+    return tables.Apply(response, {}, 0, 1000);
   };
   EXPECT_TRUE(apply(2, "two", 50));
   EXPECT_FALSE(apply(1, "one", 0));
