Reword the comments of control in plain technical English

Cause: comments spoke of processes as persons and left subjects open ("it", "one", "the set"), and assigner, deputy and arming were explained nowhere. Change: comments name their subject and say what a caller needs: units, clocks, defaults and what is returned. All reasons and numbers are kept. GroupRole and PeerHeartbeat now explain the roles and arming. Two errors of the group object codec are clearer; nothing matches their text. A few local variables are renamed.

--- a/control/AssignerAuthority.cpp
+++ b/control/AssignerAuthority.cpp
@@ -45,14 +45,14 @@
 void AssignerAuthority::OnHeartbeatReply(const PeerHeartbeatReply& aReply,
                                          TimeMs aNowMs)
 {
-  const auto asked = outstanding_.find(aReply.id_);
-  if (asked == outstanding_.end()) {
+  const auto sent = outstanding_.find(aReply.id_);
+  if (sent == outstanding_.end()) {
     return;
   }
   lastReplyMs_ = aNowMs;
   if (aReply.granted_) {
     validUntilMs_ =
-      std::max(validUntilMs_, asked->second + timing::kAuthorityMs);
+      std::max(validUntilMs_, sent->second + timing::kAuthorityMs);
     armed_ |= armRequested_ && aReply.armed_;
   } else {
     refused_ = true;
@@ -60,7 +60,7 @@
   for (const auto& server : aReply.stoppedRenewing_) {
     stopAcknowledgedMs_.emplace(server, aNowMs);
   }
-  outstanding_.erase(asked);
+  outstanding_.erase(sent);
 }
 
 TimeMs AssignerAuthority::DeputyLeaseEndMs(const std::string& aServer) const
--- a/control/AssignerAuthority.hpp
+++ b/control/AssignerAuthority.hpp
@@ -8,29 +8,33 @@
 
 namespace cactuspitch {
 
-/// The assigner's right to renew leases, as given by its deputy.
+/// The assigner's authority to renew server leases. The deputy extends it with
+/// each heartbeat reply.
 class AssignerAuthority
 {
 public:
-  /// aWriteStartedMs: when the update that set the term was sent; it gives the
-  /// right for kAuthorityMs, because no deputy of the term takes over earlier.
-  /// Without a deputy nobody takes over after a time, so nothing ends it.
+  /// Starts a new term. aWriteStartedMs is when the store update that set the
+  /// term was sent. The authority lasts kAuthorityMs from then, because no
+  /// deputy of the term takes over earlier. Without a deputy nobody takes over
+  /// on a timeout, so the authority does not expire.
   void BeginTerm(TimeMs aNowMs, TimeMs aWriteStartedMs, bool aHasDeputy);
   bool IsValid(TimeMs aNowMs) const;
   bool IsArmed() const { return armed_; }
   bool HasDeputy() const { return hasDeputy_; }
-  /// From the first question that asked the deputy to arm, the deputy may
-  /// renew leases on its own.
+  /// True from the first heartbeat that asked the deputy to arm: from then on
+  /// the deputy may renew leases on its own.
   bool MayDeputyRenew() const { return armRequested_; }
   bool IsDeputySilent(TimeMs aNowMs) const;
-  /// The deputy takes over, or has refused for another reason.
+  /// True after the deputy has refused a heartbeat of this term, for example
+  /// because it is taking over.
   bool IsRefused() const { return refused_; }
 
   bool IsHeartbeatDue(TimeMs aNowMs) const;
   void RecordHeartbeat(const PeerHeartbeat& aHeartbeat, TimeMs aNowMs);
   void OnHeartbeatReply(const PeerHeartbeatReply& aReply, TimeMs aNowMs);
 
-  /// The deputy must stop renewing the server before its lease can lapse.
+  /// Asks the deputy to stop renewing the server's lease, so that the lease can
+  /// expire.
   void RequestStopRenewing(const std::string& aServer)
   {
     stopRenewing_.insert(aServer);
@@ -39,8 +43,9 @@
   {
     return stopRenewing_;
   }
-  /// When leases that the deputy gave to the server have ended; kNever until
-  /// the deputy has acknowledged to stop.
+  /// When all leases that the deputy gave to the server have expired: 0 when
+  /// the deputy was never asked to arm, kNever until it has acknowledged the
+  /// request to stop.
   TimeMs DeputyLeaseEndMs(const std::string& aServer) const;
 
 private:
--- a/control/DeputyRole.cpp
+++ b/control/DeputyRole.cpp
@@ -9,7 +9,7 @@
   *this = DeputyRole();
   term_ = aTerm;
   lastHeartbeatMs_ = aNowMs;
-  // The update that set the term gives the assigner its right as well.
+  // The store update that set the term also gives the assigner its authority.
   lastGrantMs_ = aNowMs;
   sawTermBegin_ = aSawTermBegin;
 }
@@ -33,8 +33,9 @@
   } else if (probe_ == StoreProbe::None) {
     probe_ = StoreProbe::Due;
   }
-  // A restarted deputy may have armed the assigner before. It asks for a new
-  // term by not granting; without the store it cannot take over anyway.
+  // Before it restarted, this deputy may have armed and told the assigner so.
+  // By refusing, it makes the assigner begin a new term. While the store is
+  // unreachable it grants, because it cannot take over then.
   if (grantingStopped_ || (!sawTermBegin_ && aStoreReachable)) {
     return reply;
   }
--- a/control/DeputyRole.hpp
+++ b/control/DeputyRole.hpp
@@ -7,27 +7,30 @@
 
 namespace cactuspitch {
 
-/// The deputy's side of the agreement with the assigner.
+/// The deputy's side of the heartbeat protocol with the assigner.
 class DeputyRole
 {
 public:
-  /// aSawTermBegin: this process saw the term begin, so it knows all that it
-  /// has promised in it. A restarted process does not.
+  /// aSawTermBegin: this process saw the term begin, so it remembers every
+  /// grant that it made in it. False after a restart.
   void BeginTerm(TimeMs aNowMs, Term aTerm, bool aSawTermBegin);
   PeerHeartbeatReply OnHeartbeat(const PeerHeartbeat& aHeartbeat,
                                  bool aStoreReachable,
                                  TimeMs aNowMs);
-  /// The store answered this process.
+  /// Call when this process received a response from the store.
   void OnStoreResponse();
-  /// The assigner asked to arm, but this process knows the store as reachable.
-  /// An outage is noticed by one of the two first, so the store is asked; true
-  /// once for each such question.
+  /// Returns true when the store must be probed, once for each disagreement:
+  /// the assigner asked to arm, but this process considers the store reachable.
+  /// One of the two notices an outage first, so only a new read of the store
+  /// can tell.
   bool TakeStoreProbe();
-  /// The assigner is silent, or asked to arm although the store answers.
+  /// True when the assigner has sent no heartbeat for too long, or asked to arm
+  /// although the store responds.
   bool ShouldTakeOver(TimeMs aNowMs) const;
-  /// From now on questions of this term are refused.
+  /// Refuses all further heartbeats of this term.
   void StopGranting() { grantingStopped_ = true; }
-  /// The takeover was certainly not written.
+  /// Grants heartbeats again. Call when the takeover has certainly not been
+  /// written.
   void ResumeGranting()
   {
     grantingStopped_ = takeoverDue_ = false;
@@ -35,7 +38,8 @@
   }
   bool IsArmed() const { return armed_; }
   Term GetTerm() const { return term_; }
-  /// When the right of the assigner ends; kNever when it may be armed.
+  /// When the assigner's authority expires; kNever when the assigner may be
+  /// armed.
   TimeMs AssignerAuthorityEndMs() const;
   bool HasStoppedRenewing(const std::string& aServer) const
   {
--- a/control/GrantScheduler.cpp
+++ b/control/GrantScheduler.cpp
@@ -41,8 +41,8 @@
       continue;
     }
     auto command = NewCommand(i);
-    // The sequence that the server holds, so that a later order of the
-    // assigner is never refused because of this one.
+    // Repeats the sequence that the server holds, so that the server does not
+    // refuse a later command of the assigner because of this one.
     command.sequence_ = lease.ReportedSequence();
     command.incarnation_ = lease.Incarnation();
     command.validUntilMs_ = lease.ExtendLease();
@@ -83,21 +83,22 @@
 
 std::vector<HeldRange> GrantScheduler::GrantedRanges(int32_t aServer) const
 {
-  std::vector<HeldRange> set;
+  std::vector<HeldRange> ranges;
   for (const auto& slice : state_.sliceStates_.Slices()) {
     if (slice.Holder() != aServer || !slice.IsHeld()) {
       continue;
     }
-    const bool extendsLast = !set.empty() &&
-                             set.back().end_ + 1 == slice.record_.begin_ &&
-                             set.back().epoch_ == slice.HolderEpoch();
+    const bool extendsLast = !ranges.empty() &&
+                             ranges.back().end_ + 1 == slice.record_.begin_ &&
+                             ranges.back().epoch_ == slice.HolderEpoch();
     if (extendsLast) {
-      set.back().end_ = slice.end_;
+      ranges.back().end_ = slice.end_;
     } else {
-      set.push_back({ slice.record_.begin_, slice.end_, slice.HolderEpoch() });
+      ranges.push_back(
+        { slice.record_.begin_, slice.end_, slice.HolderEpoch() });
     }
   }
-  return set;
+  return ranges;
 }
 
 void GrantScheduler::RequestReport(int32_t aServer,
--- a/control/GrantScheduler.hpp
+++ b/control/GrantScheduler.hpp
@@ -9,8 +9,9 @@
 
 namespace cactuspitch {
 
-/// Sends grant and renewal orders to the backend servers of a group. Every
-/// order names the complete set of the server, so a lost one needs no repair.
+/// Sends commands that grant and renew slices to the backend servers of a
+/// group. Every command lists all ranges of the server, so a lost command needs
+/// no repair.
 class GrantScheduler
 {
 public:
@@ -20,10 +21,11 @@
   {
   }
 
-  /// The set of the server changed: send without waiting for the interval.
+  /// The ranges of the server changed: sends its next command without waiting
+  /// for the interval.
   void MarkChanged(int32_t aServer) { changedServers_.push_back(aServer); }
   void Step(TimeMs aNowMs, Actions& aActions);
-  /// Orders of the deputy that renew whatever the server holds.
+  /// Sends the deputy's commands, which renew whatever ranges a server holds.
   void StepAsDeputy(const DeputyRole& aRole, TimeMs aNowMs, Actions& aActions);
 
 private:
--- a/control/GroupController.cpp
+++ b/control/GroupController.cpp
@@ -111,8 +111,8 @@
 {
   const bool sawTermBegin = hasReadStore_;
   const auto term = aObject.table_.term_;
-  // Handed over by the assigner to this deputy, which has promised no more
-  // than it remembers.
+  // The assigner handed the group over to this deputy, which knows all grants
+  // that it made in the term.
   const bool handedOver = role_ == GroupRole::Deputy &&
                           aObject.table_.assigner_ == options_.instance_ &&
                           deputy_.GetTerm() + 1 == term &&
@@ -146,9 +146,9 @@
   }
   const auto old = state_.stored_;
   const bool isNew = state_.version_ == 0;
-  const bool continues = role_ == GroupRole::Assigner;
+  const bool wasAssigner = role_ == GroupRole::Assigner;
   SetStored(aNowMs, aVersion, object);
-  if (continues) {
+  if (wasAssigner) {
     ContinueAsAssigner(aNowMs, old);
     if (old.table_.term_ != object.table_.term_) {
       state_.authority_.BeginTerm(
@@ -174,8 +174,8 @@
   }
   const auto& earlierRenewers = state_.stored_.earlierRenewers_;
   state_.earlierRenewers_ = { earlierRenewers.begin(), earlierRenewers.end() };
-  // A former process of this instance is gone, and what this process promised
-  // before is known.
+  // The earlier process of this instance has exited, and this process knows the
+  // grants that it made itself.
   const bool wasRenewer = state_.earlierRenewers_.erase(options_.instance_) > 0;
   const auto endMs =
     wasRenewer ? std::max(aPredecessorEndMs, aNowMs) : aPredecessorEndMs;
@@ -189,7 +189,8 @@
 void GroupController::ContinueAsAssigner(TimeMs aNowMs, const GroupObject& aOld)
 {
   state_.sliceStates_.Confirm(aOld.table_, state_.Table());
-  // Slices whose epoch grew are granted anew without waiting for a renewal.
+  // Slices whose epoch grew are granted again at once, without waiting for the
+  // next renewal.
   for (const auto& slice : state_.sliceStates_.Slices()) {
     const auto& old = aOld.table_.FindSlice(slice.record_.begin_);
     if (!slice.promoted_ && slice.record_.epoch_ > old.epoch_ &&
@@ -201,7 +202,7 @@
   if (!newTerm || !state_.authority_.MayDeputyRenew()) {
     return;
   }
-  // The deputy of the old term may renew until it learns of the new one.
+  // The deputy of the old term may renew until it learns of the new term.
   state_.earlierRenewers_.insert(aOld.table_.deputy_);
   state_.predecessorEndMs_ = timing::kNever;
   for (auto& lease : state_.leases_) {
@@ -248,7 +249,8 @@
                                                 const PeerHeartbeat& aHeartbeat)
 {
   if (aHeartbeat.to_ != options_.instance_) {
-    // Another instance had this address before.
+    // The heartbeat was meant for another instance that had this address
+    // before.
     PeerHeartbeatReply refusal;
     refusal.id_ = aHeartbeat.id_;
     return refusal;
@@ -257,7 +259,7 @@
   const bool isNewer =
     aHeartbeat.term_ > std::max(state_.Table().term_, deputy_.GetTerm());
   if (isNewer) {
-    // The assigner asks only after its update was confirmed.
+    // An assigner sends heartbeats only after the store confirmed its update.
     role_ = GroupRole::Deputy;
     deputy_.BeginTerm(aNowMs, aHeartbeat.term_, hasReadStore_);
   }
@@ -406,8 +408,8 @@
 
 GroupTable GroupController::UnconfirmedTable() const
 {
-  // A router may still hold a view lease for an older table. Under it, it must
-  // not forward to a server that only this record names.
+  // A router may still hold a view lease for an older table. Under that lease
+  // it must not forward to a server that only the stored record names.
   auto table = state_.Table();
   for (auto& slice : table.slices_) {
     const auto* owner = table.Server(slice.owner_);
@@ -430,8 +432,8 @@
   if (!changed) {
     return;
   }
-  // Tables of other instances are hints and must not hide those of the
-  // assigner, whose sequences begin at 1.
+  // Tables of instances other than the assigner are hints. Sequence 0 keeps
+  // them from hiding the assigner's tables, whose sequences begin at 1.
   next.sequence_ = role_ == GroupRole::Assigner ? table_.sequence_ + 1 : 0;
   table_ = std::move(next);
 }
--- a/control/GroupController.hpp
+++ b/control/GroupController.hpp
@@ -15,6 +15,8 @@
 
 namespace cactuspitch {
 
+/// Role of an instance in a group. The assigner decides which server owns which
+/// slice; the deputy is its standby and takes over when the assigner is lost.
 enum class GroupRole : uint8_t
 {
   None,
@@ -29,31 +31,32 @@
   static constexpr std::string_view kNames[] = { "none", "deputy", "assigner" };
 };
 
-/// Entry instance that may become assigner or deputy.
+/// Instance that may become assigner or deputy.
 struct CandidateRecord
 {
   std::string id_;
   std::string failureDomain_;
 };
 
-/// Candidates that watch over assigner and deputy and may replace both: room
-/// for the two themselves and two more.
+/// Number of top-ranked candidates that monitor the assigner and the deputy and
+/// may replace both: the two themselves and two more.
 inline constexpr int kMonitoringCandidates = 4;
 
 struct GroupOptions
 {
   std::string instance_;
   std::string failureDomain_;
-  /// Instance and start of the process; differs after a restart.
+  /// Instance and start time of the process; differs after a restart.
   std::string writer_;
   std::string service_;
   int32_t group_ = 0;
   size_t slices_ = 256;
 };
 
-/// Control of one assignment group at one instance, in whatever role the store
-/// object gives it. Pure: time and messages in, actions out. Step() is called
-/// after every batch of inputs and at least every 20 ms.
+/// Controls one assignment group at one instance, in the role that the group
+/// object in the store gives it. Does no I/O: it takes times and messages and
+/// returns actions. Call Step() after every batch of inputs and at least every
+/// 20 ms.
 class GroupController
 {
 public:
@@ -61,7 +64,8 @@
   GroupController(const GroupController&) = delete;
   GroupController& operator=(const GroupController&) = delete;
 
-  // Lists of the platform; both lag and are hints.
+  // Lists of the platform. Both lag behind the actual state and serve only as
+  // hints.
   void SetCandidates(std::vector<CandidateRecord> aCandidates);
   void SetServers(std::vector<BackendServerRecord> aServers);
 
@@ -72,7 +76,7 @@
                 const GroupObject& aObject,
                 Actions& aActions);
   void OnObjectMissing(TimeMs aNowMs, Actions& aActions);
-  /// aVersion is the new one when written.
+  /// aVersion is the new version when aResult is Written.
   void OnWriteResult(TimeMs aNowMs,
                      int64_t aChange,
                      WriteResult aResult,
@@ -89,38 +93,41 @@
   PeerHeartbeatReply OnHeartbeat(TimeMs aNowMs,
                                  const PeerHeartbeat& aHeartbeat);
   void OnHeartbeatReply(TimeMs aNowMs, const PeerHeartbeatReply& aReply);
-  /// The instance answered something; aTerm is the newest term it knows of.
+  /// The instance responded to some call. aTerm is the newest term that it
+  /// knows.
   void OnPeerResponded(TimeMs aNowMs, const std::string& aInstance, Term aTerm);
-  /// Nothing listens at the instance: the process is gone. Also called when an
-  /// operator declares it gone.
+  /// Nothing listens at the instance's address, so its process has exited. Also
+  /// called when an operator declares the instance dead.
   void OnPeerExited(TimeMs aNowMs, const std::string& aInstance);
 
-  /// A table of a later term was seen somewhere.
+  /// A table of a later term was seen at another instance.
   void OnNewerTerm(Term aTerm);
-  /// Instances whose liveness matters to this one: OnPeerResponded() and
-  /// OnPeerExited() are expected for them about every 500 ms.
+  /// Instances to probe for liveness. The caller reports the results through
+  /// OnPeerResponded() and OnPeerExited(), about every 500 ms.
   std::vector<std::string> PeersToProbe() const;
-  /// Position of this instance among all candidates, 0 is the first.
+  /// Rank of this instance among all candidates, live or not; 0 is the highest.
   int CandidateRank() const;
 
   // Routers
-  /// View lease for the current table, 0 when this instance may give none.
+  /// Grants a view lease for the current table. Returns its duration, 0 when
+  /// this instance may not grant one.
   TimeMs GrantViewLease(TimeMs aNowMs, const std::string& aRouter);
 
-  // Balancing and operators; ignored unless this instance is the assigner.
+  // Balancing and operator commands; ignored unless this instance is the
+  // assigner.
   void MoveSlice(KeyHash aHash,
                  const std::string& aTarget,
                  const std::string& aReason);
   void RequestSplit(KeyHash aHash) { planner_.RequestSplit(aHash); }
   void RequestMerge(KeyHash aBegin) { planner_.RequestMerge(aBegin); }
-  /// Hands the group to the deputy; IsIdle() turns true when it is done.
+  /// Hands the group over to the deputy. IsIdle() turns true when that is done.
   void BeginHandover() { stopping_ = true; }
   bool IsIdle() const;
 
   void Step(TimeMs aNowMs, Actions& aActions);
 
   GroupRole Role() const { return role_; }
-  /// Table for routers; only the assigner's is authoritative.
+  /// Table for routers. Only the assigner's table is authoritative.
   const GroupTable& Table() const { return table_; }
   const GroupState& State() const { return state_; }
   const DeputyRole& Deputy() const { return deputy_; }
@@ -138,7 +145,8 @@
   void StepDown(Term aTerm);
   void StepAssigner(TimeMs aNowMs, Actions& aActions);
   void StepDeputy(TimeMs aNowMs, Actions& aActions);
-  /// The store answered so recently that a write will not hang.
+  /// True when the store responded so recently that a write is unlikely to
+  /// hang.
   bool IsStoreFresh(TimeMs aNowMs) const;
   void ProbeStore(TimeMs aNowMs, Actions& aActions);
   void StepCandidate(TimeMs aNowMs, Actions& aActions);
@@ -155,10 +163,10 @@
   void WriteNewGroup(TimeMs aNowMs, Actions& aActions);
   void WriteHandover(TimeMs aNowMs, Actions& aActions);
   std::string ChooseDeputy(TimeMs aNowMs, const std::string& aAssigner) const;
-  /// Number of live candidates that act before this instance.
+  /// Number of live candidates that rank higher than this instance.
   int LiveCandidateRank(TimeMs aNowMs) const;
   bool IsRecentlySeen(TimeMs aNowMs, const std::string& aInstance) const;
-  /// The stored record as other instances than the assigner show it.
+  /// The stored record, as instances other than the assigner publish it.
   GroupTable UnconfirmedTable() const;
   void Publish();
 
@@ -175,14 +183,16 @@
   std::vector<BackendServerRecord> servers_;
   std::map<std::string, TimeMs> lastSeenMs_;
   GroupRole role_ = GroupRole::None;
-  /// The store was asked at least once, so a later term is seen to begin.
+  /// The store was read at least once, so the start of a later term is
+  /// observed.
   bool hasReadStore_ = false;
   bool isObjectMissing_ = false;
   bool serversChanged_ = false;
   bool storeReachable_ = false;
   bool stopping_ = false;
   Term supersedingTerm_ = 0;
-  TimeMs silenceStartMs_ = -1; ///< a candidate judges silence from here
+  /// A candidate measures the silence of others from this time on.
+  TimeMs silenceStartMs_ = -1;
   TimeMs lastWrittenMs_ = -timing::kNever;
   TimeMs lastWriteAttemptMs_ = -timing::kNever;
   TimeMs lastPlannedMs_ = -timing::kNever;
--- a/control/GroupControllerSteps.cpp
+++ b/control/GroupControllerSteps.cpp
@@ -11,14 +11,17 @@
 namespace detail {
 /// Interval between attempts after a write that did not take effect.
 constexpr TimeMs kWriteRetryIntervalMs = 50;
-/// Composing the record costs more than the rest of a step.
+/// Planning the record costs more than the rest of a step.
 constexpr TimeMs kPlanIntervalMs = 20;
-/// A slice whose record may or may not have been written cannot be promoted, so
-/// nothing is written to a store that may have fallen silent unnoticed.
+/// A slice cannot be promoted while it is unknown whether its record was
+/// written. Nothing is therefore written to a store whose last response is
+/// older than this, since the store may have become unreachable without notice.
 constexpr TimeMs kStoreFreshMs = 100;
-/// An answer to a read is not waited for any longer.
+/// Interval between reads that probe the store, whether or not the last one was
+/// answered.
 constexpr TimeMs kStoreProbeIntervalMs = 500;
-/// Interval between new terms, so that a refusing deputy costs few writes.
+/// Interval between new terms, so that a deputy that keeps refusing causes few
+/// writes.
 constexpr TimeMs kTermIntervalMs = 300;
 
 void AddUnique(std::vector<std::string>& aList, const std::string& aItem)
@@ -104,8 +107,8 @@
 
 void GroupController::PrepareArming(TimeMs aNowMs)
 {
-  // An armed deputy renews whatever a server holds. That must not be a set
-  // from which this assigner has already promoted a slice.
+  // An armed deputy renews whatever ranges a server holds. These must not
+  // include a slice that this assigner has already promoted elsewhere.
   for (int32_t i = 0; i < static_cast<int32_t>(state_.leases_.size()); ++i) {
     const auto& lease = state_.Lease(i);
     if (lease.IsSilent(aNowMs) || !lease.IsFenced() ||
@@ -180,7 +183,8 @@
   GroupObject object = state_.stored_;
   object.earlierRenewers_ = { state_.earlierRenewers_.begin(),
                               state_.earlierRenewers_.end() };
-  // An armed deputy is also a renewer, but it is the one that continues.
+  // An armed deputy could also renew leases, but it is not listed: it becomes
+  // the assigner.
   ++object.table_.term_;
   object.table_.assigner_ = state_.Table().deputy_;
   object.table_.deputy_ = ChooseDeputy(aNowMs, object.table_.assigner_);
@@ -225,7 +229,8 @@
   }
   const auto waitMs = timing::kCandidateDelayMs * LiveCandidateRank(aNowMs);
   if (isObjectMissing_ && state_.version_ == 0) {
-    // A list that still grows would give all slices to its first servers.
+    // A list that is still growing would give all slices to the servers listed
+    // first.
     if (serversChanged_) {
       serversChanged_ = false;
       silenceStartMs_ = aNowMs;
@@ -241,8 +246,8 @@
   const auto& table = state_.Table();
   auto earlierRenewers = state_.stored_.earlierRenewers_;
   if (table.assigner_ == options_.instance_) {
-    // This instance was restarted. Its former process is gone, the deputy may
-    // have been armed.
+    // This instance was restarted. Its earlier process has exited, but the
+    // deputy may have been armed.
     detail::AddUnique(earlierRenewers, table.deputy_);
     WriteTakeover(aNowMs, aNowMs, std::move(earlierRenewers), aActions);
     return;
@@ -254,7 +259,8 @@
   };
   const auto silentMs =
     aNowMs - std::max(lastHeardMs(table.assigner_), lastHeardMs(table.deputy_));
-  // Only a candidate that probes the two knows that they are silent.
+  // Only a candidate that probes the assigner and the deputy can tell that both
+  // are unresponsive.
   if (silentMs <= timing::kCandidateTakeoverMs + waitMs ||
       CandidateRank() >= kMonitoringCandidates) {
     return;
@@ -313,7 +319,7 @@
   const auto own =
     std::ranges::find(candidates_, aAssigner, &CandidateRecord::id_);
   const auto domain = own == candidates_.end() ? "" : own->failureDomain_;
-  // The one that this term begins because of is the last choice.
+  // The instance whose loss causes this term is the last choice.
   const auto& table = state_.Table();
   const bool deputyLost =
     role_ == GroupRole::Assigner && state_.authority_.IsDeputySilent(aNowMs);
@@ -324,7 +330,7 @@
   std::string best;
   std::tuple<bool, bool, bool, uint64_t> bestRank;
   for (const auto& candidate : candidates_) {
-    // An instance that is handing over does not come back as deputy.
+    // An instance that hands over does not become deputy.
     if (candidate.id_ == aAssigner ||
         (stopping_ && candidate.id_ == options_.instance_)) {
       continue;
--- a/control/GroupObject.cpp
+++ b/control/GroupObject.cpp
@@ -84,7 +84,7 @@
   auto text = json.dump();
   if (text.size() > kMaxObjectBytes) {
     return absl::ResourceExhaustedError(
-      Concat("group object of ", text.size(), " bytes"));
+      Concat("group object is too large: ", text.size(), " bytes"));
   }
   return text;
 }
@@ -116,7 +116,8 @@
     return absl::InvalidArgumentError(Concat("group object: ", failure.what()));
   }
   if (!detail::IsCover(object.table_)) {
-    return absl::InvalidArgumentError("group object: slices are not a cover");
+    return absl::InvalidArgumentError(
+      "group object: slices do not cover the hash space");
   }
   return object;
 }
--- a/control/GroupState.cpp
+++ b/control/GroupState.cpp
@@ -42,7 +42,7 @@
   if (Server(aIndex).checksFence_ && lease.IsFenced()) {
     since = std::min(since, lease.FencedSinceMs());
   }
-  // Orders name the incarnation that is gone.
+  // Commands of earlier terms name the incarnation that has exited.
   return lease.IsGone() && Server(aIndex).checksFence_
            ? std::min(since, lease.GoneSinceMs())
            : since;
@@ -60,8 +60,9 @@
   if (holder == kNoServer) {
     return true;
   }
-  // A restarted server that does not check would run requests of routers that
-  // still hold a view lease, so its process being gone proves nothing.
+  // After a restart, a server that does not check the fence would run requests
+  // of routers that still hold a view lease. The exit of its process therefore
+  // proves nothing.
   if (!Server(holder).checksFence_) {
     return aSlice.releasing_ && aNowMs > aSlice.viewLeasesExpiredMs_ &&
            aNowMs > predecessorEndMs_ + AddClockDrift(timing::kViewLeaseMs);
@@ -117,8 +118,8 @@
       }
       const bool ownerChecks =
         record.owner_ != kNoServer && Server(record.owner_).checksFence_;
-      // Routers enforce the ownership of a server that does not check, so it
-      // is named only while it holds the slice for certain.
+      // Routers enforce the ownership of a server that does not check the
+      // fence, so the table names it only while it certainly holds the slice.
       const bool certain =
         checks ? !aSlice.promoted_ || granted || ownerChecks
                : aSlice.IsHeld() && (!aSlice.promoted_ || granted);
--- a/control/GroupState.hpp
+++ b/control/GroupState.hpp
@@ -12,18 +12,18 @@
 
 namespace cactuspitch {
 
-/// What the assigner of a group knows. The parts of the assigner's role work
-/// on it; it contains the conditions that more than one of them needs.
+/// State that the assigner keeps about its group. The classes that implement
+/// the assigner share it; it provides the conditions that several of them need.
 struct GroupState
 {
-  GroupObject stored_; ///< as confirmed by the store
+  GroupObject stored_; ///< as last confirmed by the store
   int64_t version_ = 0;
   SliceStates sliceStates_;
   std::vector<ServerLease> leases_; ///< parallel to the servers of stored_
   AssignerAuthority authority_;
   ViewLeases viewLeases_;
-  /// When the right of the renewers of earlier terms ended, kNever while
-  /// earlierRenewers_ names some that may still renew.
+  /// When the authority of all renewers of earlier terms expired; kNever while
+  /// earlierRenewers_ names any that may still renew.
   TimeMs predecessorEndMs_ = 0;
   std::set<std::string> earlierRenewers_;
   TimeMs termStartMs_ = 0;
@@ -43,21 +43,22 @@
     return leases_[static_cast<size_t>(aIndex)];
   }
 
-  /// The server answers and may be granted slices.
+  /// The server responds and may be granted slices.
   bool IsUsable(int32_t aIndex, TimeMs aNowMs) const;
-  /// No lease of the server, from whomever, can still be valid.
+  /// No lease of the server can still be valid, whichever instance granted it.
   bool HasLeaseExpired(int32_t aIndex, TimeMs aNowMs) const;
-  /// Earliest time from which no earlier renewer can make the server an owner.
+  /// Earliest time from which no earlier renewer can grant the server a lease.
   TimeMs NoEarlierGrantsSinceMs(int32_t aIndex) const;
-  /// The holder of the slice provably does not act on it any more.
+  /// The holder of the slice provably no longer acts on it.
   bool IsReleased(const SliceState& aSlice, TimeMs aNowMs) const;
-  /// The process that was granted the slice is gone or silent.
+  /// The process that was granted the slice has exited or is unresponsive.
   bool IsHolderLost(const SliceState& aSlice, TimeMs aNowMs) const;
-  /// View leases that routers hold have all ended when this time is over.
+  /// When the view leases of all routers, including those granted by earlier
+  /// assigners, have expired.
   TimeMs ViewLeasesExpiredMs() const;
-  /// An earlier renewer is known to have stopped at this time.
+  /// Call when an earlier renewer is known to have stopped renewing.
   void MarkEarlierRenewerStopped(const std::string& aInstance, TimeMs aNowMs);
-  /// Table as routers see it; term and sequence as given by the caller.
+  /// Table as published to routers. The caller sets term and sequence.
   GroupTable Published() const;
 };
 
--- a/control/GroupWriter.cpp
+++ b/control/GroupWriter.cpp
@@ -3,9 +3,9 @@
 namespace cactuspitch {
 
 namespace detail {
-/// Interval between reads that resolve a write without a result.
+/// Interval between reads that resolve a write with an unknown result.
 constexpr TimeMs kResolveIntervalMs = 100;
-/// A write without any result for this long is treated as uncertain.
+/// A write without a result for this long is treated as uncertain.
 constexpr TimeMs kWriteTimeoutMs = 2000;
 }
 
@@ -34,7 +34,7 @@
     notSent_ = true;
     return;
   }
-  // A conflict may be the effect of an earlier attempt of the same write.
+  // A conflict may be caused by an earlier attempt of the same write.
   uncertain_ = true;
   lastAttemptMs_ = aNowMs;
   aActions.emplace_back(ReadGroup());
@@ -57,8 +57,8 @@
     pending_.reset();
     return;
   }
-  // The first attempt may still be on its way. The same conditional update
-  // cannot take effect twice.
+  // The first attempt may still arrive. Sending it again is safe, because the
+  // same conditional update cannot take effect twice.
   if (uncertain_ && aVersion == pending_->expectedVersion_) {
     uncertain_ = true;
     lastAttemptMs_ = aNowMs;
--- a/control/GroupWriter.hpp
+++ b/control/GroupWriter.hpp
@@ -7,8 +7,8 @@
 
 namespace cactuspitch {
 
-/// One conditional update of the group object at a time, followed until it is
-/// known whether it took effect.
+/// Runs one conditional update of the group object at a time, and follows it
+/// until it is known whether the update took effect.
 class GroupWriter
 {
 public:
@@ -17,18 +17,20 @@
   {
   }
 
-  /// aObject receives the writer and a new change number.
+  /// Sets the writer and a new change number in aObject.
   void Begin(TimeMs aNowMs,
              int64_t aExpectedVersion,
              GroupObject aObject,
              Actions& aActions);
   void OnResult(TimeMs aNowMs, WriteResult aResult, Actions& aActions);
-  /// The object as read from the store. True: this write took effect.
+  /// True when aObject, as read from the store, is the result of the pending
+  /// write.
   bool IsOwn(const GroupObject& aObject) const;
-  /// aVersion was read while the write was uncertain and is not this write: a
-  /// newer one refutes it, the same one leads to another attempt.
+  /// Call when the store holds aVersion and that version is not the pending
+  /// write. A newer version shows that the write failed; the expected version
+  /// leads to another attempt.
   void OnOtherVersion(TimeMs aNowMs, int64_t aVersion, Actions& aActions);
-  /// Reads or sends again after a time when no result came.
+  /// Reads the object again when a result is overdue.
   void Step(TimeMs aNowMs, Actions& aActions);
   void Finish() { pending_.reset(); }
 
@@ -36,7 +38,7 @@
   const WriteGroup& Pending() const { return *pending_; }
   TimeMs StartedMs() const { return startedMs_; }
   const std::string& Writer() const { return writer_; }
-  /// The last write was certainly not applied by the store.
+  /// True when the store has certainly not applied the last write.
   bool WasNotSent() const { return notSent_; }
 
 private:
--- a/control/Messages.hpp
+++ b/control/Messages.hpp
@@ -10,7 +10,7 @@
 
 namespace cactuspitch {
 
-/// Hashes from begin_ to end_, both inclusive, held under one epoch.
+/// Hashes from begin_ to end_, both inclusive, held at one epoch.
 struct HeldRange
 {
   KeyHash begin_ = 0;
@@ -20,21 +20,22 @@
   bool operator==(const HeldRange&) const = default;
 };
 
-/// Order to a backend server (docs/design.md, section 7.2).
+/// Command to a backend server: grants and renews ranges, or only requests a
+/// report (docs/design.md, section 7.2).
 struct GrantCommand
 {
-  int64_t id_ = 0; ///< matches the reply; not sent
+  int64_t id_ = 0; ///< matches the reply to the command; not sent
   std::string server_;
   std::string address_;
   Term term_ = 0;
   int64_t sequence_ = 0;
-  std::string incarnation_; ///< empty: report only
+  std::string incarnation_; ///< empty: only requests a report
   TimeMs validUntilMs_ = 0; ///< in the backend server's clock
   std::vector<HeldRange> add_;
   bool full_ = false;
 };
 
-/// Answer of a backend server to an order.
+/// Reply of a backend server to a command.
 struct GrantReply
 {
   int64_t id_ = 0;
@@ -42,7 +43,7 @@
   bool accepted_ = false;
   std::string incarnation_;
   TimeMs clockMs_ = 0;
-  /// End of its lease in its own clock, 0 when it does not tell.
+  /// When its lease expires in its own clock, 0 when it does not report that.
   TimeMs validUntilMs_ = 0;
   Term term_ = 0;
   int64_t sequence_ = 0;
@@ -50,14 +51,17 @@
   bool draining_ = false;
 };
 
-/// Question of the assigner to its deputy.
+/// Heartbeat of the assigner to its deputy. With term 0 it only probes whether
+/// the receiver is alive.
 struct PeerHeartbeat
 {
-  int64_t id_ = 0; ///< matches the answer; not sent
+  int64_t id_ = 0; ///< matches the reply to the heartbeat; not sent
   std::string from_;
   std::string to_;
   Term term_ = 0;
   bool storeReachable_ = true;
+  /// Asks the deputy to arm. Assigner and deputy may then renew leases
+  /// independently of each other while the store is unreachable.
   bool arm_ = false;
   std::vector<std::string> stopRenewing_;
 };
--- a/control/OwnershipRecovery.cpp
+++ b/control/OwnershipRecovery.cpp
@@ -35,8 +35,8 @@
     aSlice.incarnation_ = state_.Lease(record.owner_).Incarnation();
     return;
   }
-  // Routers follow the record for an owner that does not check, so it stays
-  // the owner; IsReleased() covers a later move away from it.
+  // Routers follow the record for an owner that does not check the fence, so it
+  // stays the owner. IsReleased() covers a later move away from it.
   const bool ownerIsRouted =
     record.owner_ != kNoServer && !state_.Server(record.owner_).checksFence_;
   if (CannotHold(aSlice, record.standby_, record.epoch_ + 1, aNowMs) &&
@@ -65,8 +65,8 @@
       !state_.Server(record.owner_).checksFence_) {
     return false;
   }
-  // While the owner holds a valid lease the standby has not been granted the
-  // next epoch, and from NoEarlierGrantsSinceMs() on it cannot be.
+  // While the owner holds a valid lease, the standby has not been granted the
+  // next epoch. From NoEarlierGrantsSinceMs() on it cannot be.
   const auto& lease = state_.Lease(record.owner_);
   return lease.IsFenced() && lease.ReportsValidLease() &&
          lease.ReportRequestedMs() >=
--- a/control/RecordPlanner.cpp
+++ b/control/RecordPlanner.cpp
@@ -67,18 +67,18 @@
     ++aRecord.epoch_;
     replace = true;
   } else {
-    const bool wanted =
+    const bool isMovePlanned =
       aSlice.target_ != kNoServer && aSlice.target_ != aRecord.standby_ &&
       aSlice.target_ != owner && state_.IsUsable(aSlice.target_, aNowMs);
-    replace = wanted || NeedsReplacement(aRecord.standby_, aNowMs);
+    replace = isMovePlanned || NeedsReplacement(aRecord.standby_, aNowMs);
   }
   aRecord.owner_ = owner;
   if (!replace) {
     return;
   }
   const auto standby = ChooseStandby(aSlice, owner, aNowMs);
-  // A lost standby stays recorded until there is a better one, since removing
-  // it would cost a write and gain nothing.
+  // A lost standby stays recorded until a better one is found: removing it
+  // would cost a write and gain nothing.
   if (standby != kNoServer || aRecord.standby_ == owner) {
     aRecord.standby_ = standby;
   }
@@ -177,7 +177,8 @@
       std::ranges::any_of(aTable.slices_, [=](const SliceRecord& aSlice) {
         return aSlice.owner_ == i || aSlice.standby_ == i;
       });
-    // An empty list is more likely a failed read than a lost service.
+    // An empty list is more likely a failed read than a service that lost all
+    // servers.
     if (used || platformServers_.empty() || (listed && !server.draining_)) {
       continue;
     }
@@ -202,8 +203,9 @@
   const auto servers = static_cast<int32_t>(table.servers_.size());
   const KeyHash width = UINT64_MAX / aSlices + 1;
   for (size_t i = 0; i < aSlices; ++i) {
-    // Neighbours have the same owner, so that its set is one range and orders
-    // stay small. The standbys of one server are spread over all others.
+    // Neighbouring slices have the same owner, so that its ranges merge into
+    // one and commands stay small. The standbys of one server are spread over
+    // all others.
     const auto owner =
       static_cast<int32_t>(i * table.servers_.size() / aSlices);
     const auto step =
--- a/control/RecordPlanner.hpp
+++ b/control/RecordPlanner.hpp
@@ -8,7 +8,7 @@
 
 namespace cactuspitch {
 
-/// Composes the next record of the group: confirmed promotions, standbys,
+/// Plans the next stored record of the group: confirmed promotions, standbys,
 /// splits, merges and the list of backend servers.
 class RecordPlanner
 {
@@ -20,13 +20,13 @@
 
   void RequestSplit(KeyHash aHash) { splits_.insert(aHash); }
   void RequestMerge(KeyHash aBegin) { merges_.insert(aBegin); }
-  /// Servers of the platform's list. A server that is missing there stays
-  /// until it owns nothing; the list lags and is only a hint.
+  /// Sets the servers of the platform's list. The list lags behind and is only
+  /// a hint, so a server that is missing in it stays until it owns nothing.
   void SetPlatformServers(std::vector<BackendServerRecord> aServers);
-  /// The stored record with all changes that are due.
+  /// The stored record with all pending changes applied.
   GroupTable NextTable(TimeMs aNowMs) const;
-  /// Splits and merges that were requested are in a record that is written, or
-  /// cannot be done.
+  /// Clears the requested splits and merges. Call once they are part of a
+  /// record that is being written, or are not possible.
   void ClearRequests()
   {
     splits_.clear();
@@ -55,7 +55,7 @@
   mutable std::vector<int> standbyCount_;
 };
 
-/// A record for a new group: equal slices, spread over the servers.
+/// Record of a new group: equal slices, spread over the servers.
 GroupTable NewGroupTable(const std::string& aService,
                          int32_t aGroup,
                          std::vector<BackendServerRecord> aServers,
--- a/control/ServerLease.cpp
+++ b/control/ServerLease.cpp
@@ -7,7 +7,7 @@
 void ServerLease::BeginTerm(TimeMs aNowMs, bool aKeepReport)
 {
   fencedSinceMs_ = 0;
-  // The server is asked at once, and its silence counts from now.
+  // The server gets a command at once, and its silence counts from now on.
   sentMs_ = lastGrantSentMs_ = -timing::kNever;
   monitoredSinceMs_ = aNowMs;
   firstUnansweredMs_ = 0;
@@ -53,7 +53,7 @@
   const auto sequence = aReply.accepted_ ? command->sequence_ : 0;
   outstanding_.erase(outstanding_.begin(), std::next(command));
   if (!incarnation_.empty() && incarnation_ != aReply.incarnation_) {
-    // The grants of the earlier incarnation ended with its process.
+    // The grants of the earlier incarnation ended when its process exited.
     leaseEndMs_ = 0;
   }
   gone_ = false;
@@ -99,7 +99,8 @@
 
 bool ServerLease::IsSilent(TimeMs aNowMs) const
 {
-  // An assigner that was paused itself asks again before it judges.
+  // An assigner that was paused itself must send a new command before it may
+  // treat the server as unresponsive.
   return gone_ || (firstUnansweredMs_ > 0 &&
                    aNowMs - firstUnansweredMs_ >
                      timing::kSilenceTimeoutMs - timing::kRenewIntervalMs &&
--- a/control/SliceMover.cpp
+++ b/control/SliceMover.cpp
@@ -52,7 +52,7 @@
   }
   aSlice.releasing_ = true;
   aSlice.revokeSequence_ = 0;
-  // View leases given from now on are for tables without this owner.
+  // View leases granted from now on are for tables that do not name this owner.
   aSlice.viewLeasesExpiredMs_ = state_.viewLeases_.AllExpiredMs();
   grantScheduler_.MarkChanged(aSlice.Holder());
 }
--- a/control/SliceMover.hpp
+++ b/control/SliceMover.hpp
@@ -6,8 +6,8 @@
 
 namespace cactuspitch {
 
-/// Promotes recorded standbys: after the loss of a holder and for planned
-/// moves. Every change of owner goes through Promote().
+/// Promotes recorded standbys to owners: after the loss of a holder and for
+/// planned moves. Every change of owner goes through Promote().
 class SliceMover
 {
 public:
--- a/control/SliceStates.cpp
+++ b/control/SliceStates.cpp
@@ -37,14 +37,14 @@
            : static_cast<int32_t>(found - aNew.servers_.begin());
 }
 
-/// Carries what is known about a slice over to its new record.
+/// Copies the state of a slice to its new record.
 SliceState CarryOver(const SliceState& aOld, SliceState aNew, int32_t aTarget)
 {
-  const auto growth = aNew.record_.epoch_ - aOld.record_.epoch_;
-  const bool confirmsPromotion = aOld.promoted_ && growth > 0;
+  const auto epochGrowth = aNew.record_.epoch_ - aOld.record_.epoch_;
+  const bool confirmsPromotion = aOld.promoted_ && epochGrowth > 0;
   aNew.promoted_ = aOld.promoted_ && !confirmsPromotion;
   aNew.resolved_ = aOld.resolved_ || aOld.ambiguous_;
-  aNew.ambiguous_ = aOld.ambiguous_ && growth == 0;
+  aNew.ambiguous_ = aOld.ambiguous_ && epochGrowth == 0;
   aNew.releasing_ = aOld.releasing_;
   aNew.revokeSequence_ = aOld.revokeSequence_;
   aNew.grantSequence_ = aOld.grantSequence_;
@@ -93,15 +93,16 @@
       return (left == nullptr) == (right == nullptr) &&
              (left == nullptr || left->id_ == right->id_);
     };
-    const auto follows = [&](const GroupTable& aTable, KeyHash aBegin) {
+    const auto nextBegin = [&](const GroupTable& aTable, KeyHash aBegin) {
       const auto found = std::ranges::upper_bound(
         aTable.slices_, aBegin, {}, &SliceRecord::begin_);
       return found == aTable.slices_.end() ? 0 : found->begin_;
     };
-    slice.blocked_ = next.begin_ != old.begin_ || next.epoch_ != old.epoch_ ||
-                     !sameServer(old.owner_, next.owner_) ||
-                     !sameServer(old.standby_, next.standby_) ||
-                     follows(aOld, old.begin_) != follows(aNext, old.begin_);
+    slice.blocked_ =
+      next.begin_ != old.begin_ || next.epoch_ != old.epoch_ ||
+      !sameServer(old.owner_, next.owner_) ||
+      !sameServer(old.standby_, next.standby_) ||
+      nextBegin(aOld, old.begin_) != nextBegin(aNext, old.begin_);
   }
 }
 
--- a/control/SliceStates.hpp
+++ b/control/SliceStates.hpp
@@ -8,33 +8,37 @@
 
 namespace cactuspitch {
 
-/// Ownership of one slice as its assigner knows it. The record is what the
-/// store holds; the slice is held by the recorded owner at the recorded epoch
-/// or by the recorded standby at the next one, and by nobody else.
+/// Ownership of one slice as the assigner knows it. The record is what the
+/// store holds. Only the recorded owner can hold the slice, at the recorded
+/// epoch, or the recorded standby at the next epoch.
 struct SliceState
 {
   SliceRecord record_;
   KeyHash end_ = 0;
   /// The standby was granted the next epoch.
   bool promoted_ = false;
-  /// It is known who of the two holds it. False after a change of assigner.
+  /// It is known which of the two holds the slice. False after a change of
+  /// assigner.
   bool resolved_ = false;
-  /// Nobody holds it and the standby may have held it, so the record must get
-  /// epoch + 2 before it is granted again.
+  /// No server holds the slice, but the standby may have held it. The record
+  /// must then reach epoch + 2 before the slice is granted again.
   bool ambiguous_ = false;
-  /// A pending write changes the record; no promotion until it is resolved.
+  /// A pending write changes the record, so the slice is not promoted until the
+  /// result of the write is known.
   bool blocked_ = false;
-  /// The owner was told to give it up, or its table entry was withdrawn.
+  /// The owner is being told to release the slice, or is no longer named in the
+  /// published table.
   bool releasing_ = false;
-  /// Order that revokes it, 0 when none was sent.
+  /// Sequence of the command that revokes the slice, 0 when none was sent.
   int64_t revokeSequence_ = 0;
-  /// Order that first grants it to the holder.
+  /// Sequence of the command that first grants the slice to the holder, 0 when
+  /// none was sent.
   int64_t grantSequence_ = 0;
-  /// When view leases of tables that name the owner have ended.
+  /// When the view leases of tables that name the owner have expired.
   TimeMs viewLeasesExpiredMs_ = timing::kNever;
   /// Incarnation of the holder that was granted the slice.
   std::string incarnation_;
-  /// Wanted owner of a planned move.
+  /// Intended owner of a planned move.
   int32_t target_ = kNoServer;
   std::string reason_;
 
@@ -46,20 +50,21 @@
   {
     return promoted_ ? record_.epoch_ + 1 : record_.epoch_;
   }
-  /// The holder may be granted or renewed the slice.
+  /// The holder may be granted the slice or have it renewed.
   bool IsHeld() const { return resolved_ && !ambiguous_ && !releasing_; }
 };
 
-/// All slices of a group.
+/// The state of all slices of a group.
 class SliceStates
 {
 public:
-  /// Takes over the record of another assigner: nothing is resolved.
+  /// Initializes the states from the record of another assigner; no slice is
+  /// resolved.
   void Recover(const GroupTable& aTable);
-  /// A new group: no server holds anything yet.
+  /// Initializes the states of a new group, whose slices no server holds yet.
   void Create(const GroupTable& aTable);
-  /// Applies a confirmed record of this assigner. Server indices of targets
-  /// are translated from aOld.
+  /// Applies a record of this assigner that the store confirmed. Server indices
+  /// of targets are translated from aOld.
   void Confirm(const GroupTable& aOld, const GroupTable& aNew);
   /// Marks the slices that a pending write changes.
   void Block(const GroupTable& aOld, const GroupTable& aNext);
@@ -67,7 +72,7 @@
 
   std::vector<SliceState>& Slices() { return slices_; }
   const std::vector<SliceState>& Slices() const { return slices_; }
-  /// Slice that holds the hash; null when there are none.
+  /// Slice that contains the hash; null when there are no slices.
   SliceState* Find(KeyHash aHash);
 
 private:
--- a/control/ViewLeases.hpp
+++ b/control/ViewLeases.hpp
@@ -7,17 +7,17 @@
 
 namespace cactuspitch {
 
-/// View leases that routers may hold. A router forwards to a backend server
-/// that does not check the fence only under such a lease.
+/// View leases of the routers. Only under such a lease does a router forward to
+/// a backend server that does not check the fence.
 class ViewLeases
 {
 public:
-  /// Earlier assigners gave leases up to this time, kNever when unknown.
+  /// When the view leases of earlier assigners expire, kNever when unknown.
   void SetPredecessorEnd(TimeMs aEndMs) { predecessorEndMs_ = aEndMs; }
   void Grant(const std::string& aRouter, TimeMs aNowMs);
-  /// When all leases given so far have ended. An acknowledgement of a newer
-  /// table does not end a lease earlier: requests that were forwarded under it
-  /// may still run up to its end.
+  /// When all view leases granted so far have expired. An acknowledgement of a
+  /// newer table does not end a lease earlier, because requests that were
+  /// forwarded under it may still run until it expires.
   TimeMs AllExpiredMs() const;
   const std::map<std::string, TimeMs>& Leases() const { return leases_; }
   void Prune(TimeMs aNowMs);
