Reword the comments and messages of assigner and rpc

Cause: comments and log lines used private terms (duties, questions, orders, "tells", "goes back") and left open what functions return on failure. No test, script or tool matches the old texts.

--- a/assigner/AssignerMain.cpp
+++ b/assigner/AssignerMain.cpp
@@ -12,9 +12,15 @@
 {
   using enum SettingType;
   return WithProcessSettings({
-    { "rpc-listen", Address, "", "Thrift address for peers.", true },
-    { "store", Address, "", "Platform's object store.", true },
-    { "slices", Integer, "256", "Slices of a new group.", false, 1, 4096 },
+    { "rpc-listen", Address, "", "Thrift listen address for peers.", true },
+    { "store", Address, "", "Address of the platform's object store.", true },
+    { "slices",
+      Integer,
+      "256",
+      "Number of slices in a new group.",
+      false,
+      1,
+      4096 },
   });
 }
 
@@ -29,7 +35,7 @@
                        "Decides which backend server owns which keys.",
                        &CheckProcessSettings);
   InitLog(kProgram, ProcessLogLevel(settings));
-  // Signals are taken by sigwait() below, so no thread may get them.
+  // sigwait() below receives the signals, so they are blocked in all threads.
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
@@ -57,7 +63,7 @@
   Log(LogLevel::Info, "stopping", { { "signal", signal } });
   process.HandOver(kHandoverMs);
   Log(LogLevel::Info, "stopped");
-  // The duties keep nothing that must be saved, and joining them would wait
+  // The threads hold nothing that must be saved, and joining them would wait
   // for long polls of up to 10 s.
   std::_Exit(0);
 }
--- a/assigner/AssignerProcess.cpp
+++ b/assigner/AssignerProcess.cpp
@@ -26,7 +26,7 @@
   GroupOptions options;
   options.instance_ = aOptions.instance_;
   options.failureDomain_ = aOptions.failureDomain_;
-  // Differs for each run of the process, also after a restart of the machine.
+  // Differs for each run of the process, also after a reboot of the machine.
   options.writer_ = Concat(
     aOptions.instance_, "#", UnixNowMs(), ".", aStartedMs, ".", getpid());
   options.slices_ = aOptions.slices_;
@@ -122,7 +122,7 @@
     peerClient_.SendHeartbeat(*aGroup, *heartbeat);
   } else if (const auto* write = std::get_if<WriteGroup>(&aAction)) {
     Log(LogLevel::Debug,
-        "write group",
+        "writing group object",
         { { "service", aGroup->Service() },
           { "term", write->object_.table_.term_ },
           { "assigner", write->object_.table_.assigner_ },
@@ -183,11 +183,12 @@
   if (path == "/_health") {
     aExchange.Respond(detail::kOk, {}, "ok\n");
   } else if (path == "/_ready") {
-    // Tables may come from the store or, when it is down, from peers.
-    const bool knows = !control_.All().empty() || follower_.IsReady();
-    aExchange.Respond(knows && !stopping_ ? detail::kOk : detail::kUnavailable,
+    // Tables come from the store or, when the store is down, from peers.
+    const bool hasTables = !control_.All().empty() || follower_.IsReady();
+    aExchange.Respond(hasTables && !stopping_ ? detail::kOk
+                                              : detail::kUnavailable,
                       {},
-                      knows ? "ready\n" : "no tables yet\n");
+                      hasTables ? "ready\n" : "no tables yet\n");
   } else if (path == "/_metrics") {
     aExchange.Respond(
       detail::kOk, { { "Content-Type", "text/plain" } }, MetricsText());
--- a/assigner/AssignerProcess.hpp
+++ b/assigner/AssignerProcess.hpp
@@ -34,7 +34,7 @@
   size_t slices_ = 256;
 };
 
-/// The duties of one assigner process, joined.
+/// Owns and connects the components of one assigner process.
 class AssignerProcess
 {
 public:
@@ -44,7 +44,8 @@
   AssignerProcess& operator=(const AssignerProcess&) = delete;
 
   absl::Status Start();
-  /// Hands the groups that it leads over to their deputies.
+  /// Hands the groups for which this process is the assigner over to their
+  /// deputies. Returns when that is done or after aTimeoutMs.
   void HandOver(TimeMs aTimeoutMs);
 
 private:
--- a/assigner/AssignerStatus.hpp
+++ b/assigner/AssignerStatus.hpp
@@ -7,8 +7,8 @@
 
 namespace cactuspitch {
 
-/// JSON of GetStatus: the groups with role, term, lease states, the load of
-/// the slices (busy ms/s) and the moves of the last hour with their reasons.
+/// JSON of GetStatus: the groups with role, term, lease states, load per slice
+/// (busy ms/s) and the moves of the last hour with their reasons.
 std::string AssignerStatusJson(const ControlLoop& aControl,
                                const SliceBalancer& aBalancer,
                                TimeMs aNowMs,
--- a/assigner/ControlLoop.hpp
+++ b/assigner/ControlLoop.hpp
@@ -15,8 +15,8 @@
 
 namespace cactuspitch {
 
-/// Advances the control logic of all groups on one thread. The other duties
-/// post what they learned and receive the actions.
+/// Runs the controllers of all groups on one thread. Other components post
+/// their inputs to it and receive the actions through a callback.
 class ControlLoop
 {
 public:
@@ -33,16 +33,16 @@
   void Start(Dispatch aDispatch, std::function<void()> aPeriodic);
   void Stop();
 
-  /// Queues work for the group, or for all when aService is empty. A full
-  /// queue drops it; the protocol tolerates lost messages.
+  /// Queues work for the group of a service, or for all groups when aService is
+  /// empty. A full queue drops the work; the protocol tolerates lost messages.
   void Post(std::string aService, Work aWork);
-  /// Adds the group of a service; true when it is new.
+  /// Adds the group of a service. Returns true when it is new.
   bool EnsureGroup(const std::string& aService);
   std::shared_ptr<ManagedGroup> Find(const std::string& aService) const;
   std::vector<std::shared_ptr<ManagedGroup>> All() const;
 
-  /// Waits until a table changed after aSeen or until the time is over; the
-  /// number of changes so far.
+  /// Waits until the number of changes differs from aSeen or the timeout
+  /// expires. Returns the number of changes so far.
   int64_t WaitForChange(int64_t aSeen, TimeMs aTimeoutMs) const;
   int64_t ChangeCount() const;
   void NotifyChange();
--- a/assigner/FleetConfig.hpp
+++ b/assigner/FleetConfig.hpp
@@ -7,7 +7,8 @@
 
 namespace cactuspitch {
 
-/// Newest configuration document that this process has seen. Never goes back.
+/// Newest configuration document that this process has seen. Its version never
+/// decreases.
 class FleetConfig
 {
 public:
@@ -15,15 +16,18 @@
   {
     int64_t version_ = 0;
     std::string json_;
-    /// When the store confirmed it as the newest, -1 when it never did.
+    /// When the store last confirmed that this is the newest document, -1 when
+    /// it never did.
     TimeMs confirmedMs_ = -1;
   };
 
-  /// From the store or from another assigner; true when it is newer.
+  /// Takes a document from the store or from another assigner. Returns true
+  /// when it is newer than the current one.
   bool UpdateIfNewer(int64_t aVersion,
                      const std::string& aJson,
                      TimeMs aConfirmedMs);
-  /// The store answered that nothing is newer than what it gave before.
+  /// The store reported that there is no document newer than those it has sent
+  /// before.
   void Confirm(TimeMs aNowMs);
   Document Get() const;
   int64_t Version() const;
--- a/assigner/FleetDirectory.cpp
+++ b/assigner/FleetDirectory.cpp
@@ -37,7 +37,7 @@
     record.draining_ = json.value("state", "live") != "live";
     record.slots_ = json.value("slots", 1);
     record.connections_ = json.value("connections", 1);
-    // A server that does not say so is not trusted to check.
+    // A server that does not declare the fence check is assumed not to check.
     record.checksFence_ = json.value("checksFence", false);
   } catch (const nlohmann::json::exception& failure) {
     return absl::InvalidArgumentError(Concat("server: ", failure.what()));
--- a/assigner/FleetDirectory.hpp
+++ b/assigner/FleetDirectory.hpp
@@ -11,7 +11,7 @@
 
 namespace cactuspitch {
 
-/// Entry instance of the platform's list.
+/// Instance in the platform's list.
 struct InstanceEntry
 {
   std::string id_;
@@ -23,7 +23,7 @@
 
 absl::StatusOr<InstanceEntry> ParseInstance(const std::string& aJson);
 
-/// Backend server of the platform's list with the service it belongs to.
+/// Backend server in the platform's list, with the service it belongs to.
 struct ServerEntry
 {
   std::string service_;
@@ -32,8 +32,8 @@
 
 absl::StatusOr<ServerEntry> ParseServer(const std::string& aJson);
 
-/// Addresses of the entry instances, from the platform's lagging list. Safe to
-/// use from any thread.
+/// Addresses of the instances, from the platform's list, which lags behind.
+/// Safe to use from any thread.
 class FleetDirectory
 {
 public:
--- a/assigner/GrantSender.cpp
+++ b/assigner/GrantSender.cpp
@@ -122,7 +122,7 @@
   const int status = response->head_.status_;
   if (status != detail::kOk && status != detail::kConflict) {
     Log(LogLevel::Warning,
-        "backend server refused an order",
+        "backend server rejected a command",
         { { "server", command.server_ }, { "status", status } });
     return;
   }
@@ -138,7 +138,7 @@
                   });
   } catch (const nlohmann::json::exception& failure) {
     Log(LogLevel::Warning,
-        "malformed answer of a backend server",
+        "malformed reply from backend server",
         { { "server", command.server_ }, { "reason", failure.what() } });
   }
 }
@@ -156,8 +156,9 @@
   const bool wasOpen = connection->IsOpen();
   auto response =
     connection->Exchange(request, deadlineMs, detail::kMaxReplyBytes);
-  // A kept connection may have been closed by a restart; only a new one tells
-  // whether the server is gone. Orders may be repeated.
+  // A kept-alive connection may have been closed by a restart of the server.
+  // Only a new connection shows whether the server has exited. Repeating a
+  // command is safe.
   if (!response.ok() && wasOpen && clock_.NowMs() < deadlineMs) {
     connection =
       std::make_unique<HttpConnection>(clock_, aJob.command_.address_);
--- a/assigner/GrantSender.hpp
+++ b/assigner/GrantSender.hpp
@@ -14,8 +14,9 @@
 
 namespace cactuspitch {
 
-/// Sends orders to backend servers over HTTP, several at once, and posts the
-/// replies. A frozen server holds one worker for the time of one call.
+/// Sends commands to backend servers over HTTP, several at once, and posts the
+/// replies to the control loop. An unresponsive server blocks one worker until
+/// the call times out.
 class GrantSender
 {
 public:
@@ -28,7 +29,7 @@
   void Stop();
   void Send(std::string aService, GrantCommand aCommand);
   int64_t Sent() const { return sent_; }
-  /// Bytes of all orders and replies, without headers.
+  /// Bytes of all commands and replies, without headers.
   int64_t Bytes() const { return bytes_; }
   int64_t Dropped() const { return dropped_; }
 
--- a/assigner/ManagedGroup.cpp
+++ b/assigner/ManagedGroup.cpp
@@ -5,7 +5,7 @@
 namespace cactuspitch {
 
 namespace detail {
-/// Versions kept to answer with deltas.
+/// Number of table versions kept as bases for deltas.
 constexpr size_t kTableHistory = 32;
 constexpr size_t kMoveHistory = 4096;
 constexpr TimeMs kMoveHistoryMs = 3600 * 1000;
--- a/assigner/ManagedGroup.hpp
+++ b/assigner/ManagedGroup.hpp
@@ -9,14 +9,14 @@
 
 namespace cactuspitch {
 
-/// One group's control logic with the lock that its duties share, and its
-/// recent tables.
+/// The controller of one group, with its mutex and its recent tables. Safe to
+/// use from any thread.
 class ManagedGroup
 {
 public:
   explicit ManagedGroup(GroupOptions aOptions);
 
-  /// Runs aWork(controller) under the lock.
+  /// Calls aWork(controller) while holding the mutex.
   template<typename Work>
   auto WithLock(Work&& aWork)
   {
@@ -24,18 +24,19 @@
     return aWork(controller_);
   }
 
-  /// Advances the group; true when its table changed.
+  /// Advances the group. Returns true when its table changed.
   bool Step(TimeMs aNowMs, Actions& aActions);
 
   struct View
   {
     std::shared_ptr<const GroupTable> table_;
-    /// The version that the questioner knows, when it is still remembered.
+    /// The version that the caller knows; null when it is no longer kept.
     std::shared_ptr<const GroupTable> base_;
     TimeMs leaseMs_ = 0;
     bool isAssigner_ = false;
   };
-  /// The current table and, for a router, a view lease for exactly that table.
+  /// Returns the current table and, for a router, a view lease for exactly that
+  /// table. aRouter is empty when the caller is not a router.
   View GetView(TimeMs aNowMs,
                const std::string& aRouter,
                Term aKnownTerm,
--- a/assigner/PeerClient.cpp
+++ b/assigner/PeerClient.cpp
@@ -10,7 +10,8 @@
 namespace detail {
 
 constexpr size_t kQueueCapacity = 16;
-/// A later answer would give no right any more: it counts from the send time.
+/// A later reply would extend no authority, because authority counts from the
+/// send time.
 constexpr int kCallTimeoutMs = 400;
 constexpr int kConnectTimeoutMs = 200;
 
@@ -120,8 +121,8 @@
     link = std::make_unique<Link>(address);
     link->thread_ = std::thread([this, &link = *link] { Run(link); });
   }
-  // A silent peer's queue fills; the newest questions are then dropped, and
-  // answers to old ones give no right.
+  // The queue to an unresponsive peer fills up, and the newest messages are
+  // then dropped. Replies to the older ones extend no authority.
   link->ring_.TryPush(std::move(aJob));
 }
 
--- a/assigner/PeerClient.hpp
+++ b/assigner/PeerClient.hpp
@@ -20,9 +20,9 @@
 PeerHeartbeat FromWire(const wire::HeartbeatRequest& aRequest);
 wire::HeartbeatResponse ToWire(const PeerHeartbeatReply& aReply);
 
-/// Asks other assigners over Thrift: heartbeats to deputies, and probes whether
-/// an instance lives. One thread for each peer, so that a silent one delays no
-/// other.
+/// Calls other assigners over Thrift: sends heartbeats to deputies and probes
+/// the liveness of instances. Each peer has a thread of its own, so that an
+/// unresponsive peer does not delay the others.
 class PeerClient
 {
 public:
@@ -35,7 +35,8 @@
 
   void Stop();
   void SendHeartbeat(const ManagedGroup& aGroup, PeerHeartbeat aHeartbeat);
-  /// Probes the peers that each group wants to know about, as aInstance.
+  /// Probes the peers whose liveness the groups need to know. aInstance names
+  /// the sender.
   void ProbePeers(const std::string& aInstance);
 
 private:
--- a/assigner/PeerHandler.cpp
+++ b/assigner/PeerHandler.cpp
@@ -10,8 +10,8 @@
 namespace detail {
 
 constexpr int32_t kMaxWaitMs = 5000;
-/// Tables that are followed from other assigners wake no waiting question, so
-/// they are looked at this often.
+/// Tables received from other assigners do not wake a waiting GetTables call,
+/// so waiting calls check for them at this interval.
 constexpr TimeMs kFollowedCheckIntervalMs = 50;
 
 const wire::KnownTable* FindKnown(const wire::GetTablesRequest& aRequest,
--- a/assigner/PeerHandler.hpp
+++ b/assigner/PeerHandler.hpp
@@ -13,8 +13,9 @@
 
 namespace cactuspitch {
 
-/// Serves the Thrift interface AssignerPeer. Groups that this instance does
-/// not lead are answered with the newest table it knows and no view lease.
+/// Serves the Thrift interface AssignerPeer. For groups of which this instance
+/// is not the assigner, GetTables returns the newest known table without a view
+/// lease.
 class PeerHandler final : public wire::AssignerPeerIf
 {
 public:
@@ -35,7 +36,7 @@
   void GetStatus(wire::ProcessStatus& aStatus) override;
 
 private:
-  /// True when aResponse has something newer than the questioner knows.
+  /// Returns true when aResponse has something newer than the caller knows.
   bool FillResponse(wire::GetTablesResponse& aResponse,
                     const wire::GetTablesRequest& aRequest);
   bool FillGroup(wire::GetTablesResponse& aResponse,
@@ -46,7 +47,7 @@
                     const GroupTable& aTable) const;
   bool FillConfig(wire::GetTablesResponse& aResponse,
                   const wire::GetTablesRequest& aRequest) const;
-  /// Thrift address of the instance, its name when that is unknown.
+  /// Thrift address of the instance; its name when the address is unknown.
   std::string AddressOrName(const std::string& aInstance) const;
 
   const Clock& clock_;
--- a/assigner/SliceBalancer.cpp
+++ b/assigner/SliceBalancer.cpp
@@ -61,7 +61,7 @@
 
 void SliceBalancer::AddReport(wire::LoadReport aReport)
 {
-  // A lost report is replaced by the router's next one.
+  // A dropped report is superseded by the router's next one.
   ring_.TryPush(std::move(aReport));
 }
 
@@ -106,10 +106,10 @@
 void SliceBalancer::PlanAll()
 {
   for (const auto& group : control_.All()) {
-    const bool leads = group->WithLock([](GroupController& aControl) {
+    const bool isAssigner = group->WithLock([](GroupController& aControl) {
       return aControl.Role() == GroupRole::Assigner;
     });
-    if (leads) {
+    if (isAssigner) {
       Plan(*group, services_[group->Service()]);
     }
   }
@@ -137,7 +137,7 @@
   aState.configVersion_ = version;
   const auto rules = RulesOf(aService);
   const auto options = detail::OptionsOf(rules);
-  // A new policy would forget the churn budget that is already used.
+  // A new policy object would forget how much of the churn budget is used.
   if (aState.policy_ && aState.options_ == options &&
       aState.policyName_ == rules.balancingPolicy_) {
     return;
--- a/assigner/SliceBalancer.hpp
+++ b/assigner/SliceBalancer.hpp
@@ -17,8 +17,8 @@
 
 namespace cactuspitch {
 
-/// Merges the load reports of the routers and has the balancing policy of each
-/// service plan for the groups that this instance leads.
+/// Merges the load reports of the routers and runs the balancing policy of each
+/// service for the groups of which this instance is the assigner.
 class SliceBalancer
 {
 public:
@@ -32,7 +32,8 @@
   void Start();
   void Stop();
   void AddReport(wire::LoadReport aReport);
-  /// Load of each slice with any, by begin, as of the last plan.
+  /// Load of each slice that has any, by the slice's first hash, as of the last
+  /// plan.
   std::map<KeyHash, double> SliceLoads(const std::string& aService) const;
 
 private:
@@ -50,7 +51,7 @@
   void Merge(const wire::LoadReport& aReport);
   void PlanAll();
   void Plan(ManagedGroup& aGroup, ServiceState& aState);
-  /// Creates the policy anew when the rules or the term have changed.
+  /// Creates a new policy when the rules have changed.
   void UpdatePolicy(const std::string& aService, ServiceState& aState);
   void Apply(ManagedGroup& aGroup,
              const BalancePlan& aPlan,
--- a/assigner/StoreSync.cpp
+++ b/assigner/StoreSync.cpp
@@ -24,15 +24,17 @@
   return Concat(aService, ".0");
 }
 
-/// "{service}.{n}"; empty when it is not a group's name.
+/// Service of a group object's name "{service}.{n}"; empty when the name has
+/// another form.
 std::string ServiceOf(const std::string& aName)
 {
   const auto dot = aName.rfind('.');
   return dot == std::string::npos ? std::string() : aName.substr(0, dot);
 }
 
-/// Version that the document states; 0 when it is malformed. The version of
-/// the store object is another number: not every store counts from 1.
+/// Version stated in the document; 0 when the document is malformed. The
+/// version of the store object is a different number, since not every store
+/// counts from 1.
 int64_t ConfigVersion(const std::string& aText)
 {
   return FieldOr(
@@ -53,7 +55,7 @@
   }
 }
 
-/// The store answered, whatever it said.
+/// True when the store responded, whatever the result was.
 bool IsAnswered(const absl::Status& aStatus)
 {
   return aStatus.ok() || absl::IsNotFound(aStatus) ||
@@ -83,8 +85,9 @@
 
 const std::vector<StoreSync::WatchSpec>& StoreSync::WatchSpecs()
 {
-  // The watch of the groups is also the probe of the store, so it ends more
-  // often. A lost store must be noticed before a second loss, to arm.
+  // The watch of the groups also serves as a probe of the store, so its calls
+  // are shorter than those of the other watches. The loss of the store must be
+  // noticed, and the deputy armed, before a second process is lost.
   static const std::vector<WatchSpec> kWatches = {
     { "group", 3000, &StoreSync::AcceptGroups, &StoreSync::NeedsStoreState },
     { "config", 5000, &StoreSync::AcceptConfig, &StoreSync::NeedsConfig },
@@ -187,7 +190,7 @@
     }
     ++calls_;
     int64_t revision = since;
-    // The first answer brings the present state without waiting.
+    // The first call returns the current state without waiting.
     const auto objects =
       store_.Watch(aSpec.kind_, since, first ? 0 : aSpec.waitMs_, revision);
     SetReachable(objects.status());
@@ -195,7 +198,8 @@
       WaitForStop(detail::kRetryIntervalMs);
       continue;
     }
-    // A store that lost its state begins again with lower revisions.
+    // The revision is also taken when it is lower: a store that lost its state
+    // starts again with lower revisions.
     since = revision;
     (this->*aSpec.accept_)(*objects, first);
     first = false;
@@ -242,7 +246,7 @@
 absl::StatusOr<StoreSync::Objects> StoreSync::ListAll(const char* aKind)
 {
   ++calls_;
-  // A watch does not tell what was removed, so the list is read again.
+  // A watch does not report removed objects, so the whole list is read again.
   auto objects = store_.List(aKind);
   SetReachable(objects.status());
   return objects;
--- a/assigner/StoreSync.hpp
+++ b/assigner/StoreSync.hpp
@@ -15,8 +15,9 @@
 
 namespace cactuspitch {
 
-/// Reads and writes the platform's store. Watches wait in threads of their
-/// own, so that a slow store delays neither each other nor a write.
+/// Reads, writes and watches objects in the platform's store. Every watch has a
+/// thread of its own, so that a slow call delays neither the other watches nor
+/// a write.
 class StoreSync
 {
 public:
@@ -50,7 +51,7 @@
     const char* kind_;
     TimeMs waitMs_;
     Accept accept_;
-    /// Whether this instance needs it; null: always.
+    /// Whether this instance needs the watch; null: always.
     bool (StoreSync::*isNeeded_)() const;
   };
   static const std::vector<WatchSpec>& WatchSpecs();
@@ -64,13 +65,16 @@
   void AcceptInstances(const Objects& aObjects, bool aFirst);
   void AcceptServers(const Objects& aObjects, bool aFirst);
   absl::StatusOr<Objects> ListAll(const char* aKind);
-  /// Tells all groups when the reachability changes.
+  /// Reports the reachability of the store to all groups, and logs when it
+  /// changes.
   void SetReachable(const absl::Status& aStatus);
-  /// This instance has a role for some group or is among the first to get one.
-  /// The others learn tables and configuration from peers, so that the store's
-  /// calls grow with the groups and hardly with the fleet.
+  /// True when this instance has a role in some group or is among the first
+  /// candidates for one. All other instances get tables and configuration from
+  /// peers, so that the number of store calls grows with the number of groups
+  /// and hardly with the size of the fleet.
   bool NeedsStoreState() const;
-  /// The instances that bring the configuration to the others.
+  /// True when this instance watches the configuration, which the other
+  /// instances then get from it.
   bool NeedsConfig() const;
   bool WaitForStop(TimeMs aTimeoutMs);
 
--- a/rpc/FollowedTables.cpp
+++ b/rpc/FollowedTables.cpp
@@ -40,7 +40,7 @@
   wire::GetTablesRequest request;
   request.configVersion = config_->version_;
   for (const auto& [id, entry] : tables_) {
-    // A group that is left out is answered with its full table.
+    // The response contains the full table of a group that is left out here.
     if (entry.needsFull_) {
       continue;
     }
--- a/rpc/FollowedTables.hpp
+++ b/rpc/FollowedTables.hpp
@@ -16,8 +16,8 @@
 
 namespace cactuspitch {
 
-/// End of a lease that is extended in place, so that a renewal does not copy
-/// the table it belongs to.
+/// Expiry time of a lease. It is extended in place, so that a renewal does not
+/// copy the table it belongs to. Safe to use from any thread.
 class LeaseExpiry
 {
 public:
@@ -33,45 +33,46 @@
 
   operator TimeMs() const { return Get(); }
   TimeMs Get() const { return endMs_.load(std::memory_order_acquire); }
-  /// Never shortens.
+  /// Never moves the expiry to an earlier time.
   void Extend(TimeMs aEndMs);
 
 private:
   std::atomic<TimeMs> endMs_;
 };
 
-/// A received table and how long it may be used for backend servers that do
-/// not check the fence.
+/// A received table, with the time until which it may be used for backend
+/// servers that do not check the fence.
 struct FollowedTable
 {
   GroupTable table_;
   LeaseExpiry viewLeaseUntilMs_;
 };
 
-/// Newest configuration that this process has seen.
+/// Newest configuration that this process has received.
 struct FollowedConfig
 {
   int64_t version_ = 0;
   std::string json_;
-  /// Age of the last confirmation by the store at receivedMs_, -1 when never
+  /// Age of the store's last confirmation at receivedMs_; -1 when never
   /// confirmed.
   TimeMs confirmedAgeMs_ = -1;
   TimeMs receivedMs_ = 0;
 
-  /// -1 when never confirmed.
+  /// Age of the store's last confirmation; -1 when never confirmed.
   TimeMs AgeMs(TimeMs aNowMs) const
   {
     return confirmedAgeMs_ < 0 ? -1 : confirmedAgeMs_ + aNowMs - receivedMs_;
   }
 };
 
-/// The process that answered a question for tables.
+/// The process that sent a GetTables response.
 struct TableSource
 {
   std::string address_;  ///< Thrift address
-  std::string instance_; ///< empty when not known
+  std::string instance_; ///< empty when unknown
 
-  /// Tables name an instance or its address.
+  /// True when aName, as found in a table, means this process. Tables name a
+  /// process by its instance or its address.
   bool IsNamed(std::string_view aName) const
   {
     return !aName.empty() && (aName == address_ || aName == instance_);
@@ -80,7 +81,7 @@
 
 using TablePtr = std::shared_ptr<const FollowedTable>;
 
-/// All known tables at one moment; the groups of a service divide its hash
+/// All known tables at one moment. The groups of a service divide its hash
 /// space evenly.
 struct TableSnapshot
 {
@@ -91,19 +92,19 @@
   const TablePtr& Find(std::string_view aService, KeyHash aHash) const;
 };
 
-/// Merges the answers of assigners: versions only grow, and a view lease is
-/// taken only from the assigner or deputy that the table names. Used by one
-/// thread at a time; published snapshots are immutable but for lease ends.
+/// Merges GetTables responses of assigners. Versions only increase, and a view
+/// lease is accepted only from the assigner or deputy that the table names. Not
+/// thread-safe; published snapshots are immutable except for lease expiries.
 class FollowedTables
 {
 public:
   FollowedTables();
 
-  /// The question that asks for everything newer than what is known.
+  /// The request for everything newer than what is known.
   wire::GetTablesRequest MakeRequest() const;
 
-  /// aSentMs is when the question was sent: the lease counts from there.
-  /// True when a table or the configuration became newer.
+  /// aSentMs is when the request was sent; view leases count from there.
+  /// Returns true when a table or the configuration became newer.
   bool Apply(const wire::GetTablesResponse& aResponse,
              const TableSource& aSource,
              TimeMs aSentMs,
@@ -118,7 +119,7 @@
     return config_;
   }
   const std::vector<std::string>& RouterPeers() const { return routerPeers_; }
-  /// True when some table is known and none waits for its full state.
+  /// True when at least one table is known and none awaits its full state.
   bool IsComplete() const;
 
 private:
--- a/rpc/PeerSecret.cpp
+++ b/rpc/PeerSecret.cpp
@@ -44,7 +44,8 @@
       aOutput->getTransport()->close();
     }
   } catch (const apache::thrift::TException&) {
-    // The peer left before it sent a preamble; the server's next read ends.
+    // The peer disconnected before it sent a preamble. The server's next read
+    // fails and ends the connection.
   }
   return nullptr;
 }
@@ -52,9 +53,9 @@
 bool SecretCheck::IsAccepted(
   apache::thrift::transport::TTransport& aTransport) const
 {
-  std::array<uint8_t, 2> head{};
-  aTransport.readAll(head.data(), head.size());
-  const auto [version, size] = head;
+  std::array<uint8_t, 2> header{};
+  aTransport.readAll(header.data(), header.size());
+  const auto [version, size] = header;
   std::string secret(size, '\0');
   aTransport.readAll(reinterpret_cast<uint8_t*>(secret.data()), size);
   return version == detail::kPreambleVersion && IsSameSecret(secret_, secret);
--- a/rpc/PeerSecret.hpp
+++ b/rpc/PeerSecret.hpp
@@ -9,13 +9,13 @@
 
 namespace cactuspitch {
 
-/// Sends the preamble that opens every Thrift connection between processes: a
+/// Sends the preamble that starts every Thrift connection between processes: a
 /// version byte, the length of the shared secret, and the secret.
 void SendSecret(apache::thrift::transport::TTransport& aTransport,
                 const std::string& aSecret);
 
 /// Reads the preamble of each new connection, before any call, and closes the
-/// connection when the secret differs.
+/// connection when the secret does not match.
 class SecretCheck final : public apache::thrift::server::TServerEventHandler
 {
 public:
--- a/rpc/TableCodec.cpp
+++ b/rpc/TableCodec.cpp
@@ -114,7 +114,8 @@
   }
   auto message = detail::HeadToWire(aNew);
   message.isFull = false;
-  // An unchanged poll renews a view lease, so most deltas carry no change.
+  // A poll that ends without a change renews the view lease with an empty
+  // delta, so most deltas contain no change.
   message.sameServers = aOld.servers_ == aNew.servers_;
   if (message.sameServers) {
     message.servers.clear();
@@ -132,7 +133,8 @@
 {
   if (!aMessage.isFull && (aTable.term_ != aMessage.term ||
                            aTable.sequence_ != aMessage.baseSequence)) {
-    return absl::FailedPreconditionError("delta of another table version");
+    return absl::FailedPreconditionError(
+      "delta applies to another table version");
   }
   GroupTable result;
   result.service_ = aMessage.serviceName;
@@ -160,12 +162,13 @@
     const auto found = std::ranges::lower_bound(
       result.slices_, record.begin_, {}, &SliceRecord::begin_);
     if (found == result.slices_.end() || found->begin_ != record.begin_) {
-      return absl::InvalidArgumentError("delta names an unknown slice");
+      return absl::InvalidArgumentError("delta contains an unknown slice");
     }
     *found = record;
   }
   if (!detail::AreSlicesValid(result)) {
-    return absl::InvalidArgumentError("slices are not a sorted cover");
+    return absl::InvalidArgumentError(
+      "slices are unsorted, incomplete or name an unknown server");
   }
   aTable = std::move(result);
   return absl::OkStatus();
--- a/rpc/TableCodec.hpp
+++ b/rpc/TableCodec.hpp
@@ -9,12 +9,14 @@
 
 wire::GroupTable ToWire(const GroupTable& aTable);
 
-/// The changes that turn aOld into aNew; the full table when slices were
-/// split or merged, since a delta only replaces slices by their begin.
+/// Encodes the changes from aOld to aNew. Returns the full table when the term
+/// changed or slices were split or merged, since a delta only replaces existing
+/// slices.
 wire::GroupTable ToWireDelta(const GroupTable& aOld, const GroupTable& aNew);
 
-/// Applies a full table or a delta. FailedPrecondition when a delta does not
-/// start from the version of aTable; InvalidArgument when it is malformed.
+/// Applies a full table or a delta to aTable. Returns FailedPrecondition when a
+/// delta does not start from the version of aTable, and InvalidArgument when
+/// the message is malformed; aTable is then unchanged.
 absl::Status ApplyWire(const wire::GroupTable& aMessage, GroupTable& aTable);
 
 }
--- a/rpc/TableFollower.cpp
+++ b/rpc/TableFollower.cpp
@@ -15,8 +15,8 @@
 
 namespace detail {
 
-/// The table snapshot that this thread used last. A process has one follower,
-/// tests have several, so the entry names its follower.
+/// The table snapshot that this thread used last. A process has one follower
+/// but tests have several, so the entry records which follower it belongs to.
 struct SnapshotCache
 {
   uint64_t follower_ = 0;
@@ -43,7 +43,7 @@
 
   const TableSnapshot& Snapshot() const;
   wire::GetTablesRequest MakeRequest();
-  /// True when something became newer.
+  /// Returns true when a table or the configuration became newer.
   bool OnResponse(const TableResponse& aResponse);
   std::set<std::string> WantedAddresses();
   std::string NextBootstrap(const std::set<std::string>& aNamed);
@@ -60,13 +60,13 @@
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   FollowedTables tables_;
-  /// Instance names by Thrift address, learned from the processes themselves.
+  /// Instance names by Thrift address, as reported by the processes themselves.
   std::map<std::string, std::string> instances_;
   std::atomic<uint64_t> version_ = 1;
   bool running_ = false;
   bool refreshWanted_ = false;
 
-  /// Used by the manager thread only.
+  /// The following members are used by the manager thread only.
   std::map<std::string, std::unique_ptr<TablePoller>> pollers_;
   std::string bootstrap_;
   size_t nextBootstrap_ = 0;
@@ -138,7 +138,8 @@
   return addresses;
 }
 
-/// The bootstrap assigner to ask: stays while it answers and is of use.
+/// Selects the bootstrap assigner to poll. The current one is kept while it
+/// responds and is not polled already as an assigner or deputy.
 std::string TableFollower::Impl::NextBootstrap(
   const std::set<std::string>& aNamed)
 {
@@ -211,7 +212,7 @@
 
 void TableFollower::Impl::RunRefresh()
 {
-  // Bounds the questions that a burst of refusals causes.
+  // Limits the requests that a burst of refusals causes.
   constexpr auto kMinInterval = std::chrono::milliseconds(20);
   std::map<std::string, std::unique_ptr<TableClient>> clients;
   std::unique_lock lock(mutex_);
--- a/rpc/TableFollower.hpp
+++ b/rpc/TableFollower.hpp
@@ -17,17 +17,18 @@
   std::vector<std::string> assigners_; ///< bootstrap Thrift addresses
   std::string secret_ = {};            ///< shared by all processes
   /// Well below half of the view lease of 1,000 ms, because the lease counts
-  /// from the send time and the next answer comes one poll later.
+  /// from the send time and is renewed only by the next poll.
   TimeMs longPollMs_ = 300;
   TimeMs connectTimeoutMs_ = 300;
-  /// Time beyond longPollMs_ after which an assigner counts as silent.
+  /// Time to wait beyond longPollMs_ before the call fails and the assigner
+  /// counts as unresponsive.
   TimeMs responseTimeoutMs_ = 600;
 };
 
-/// Keeps the newest table of every group and the newest configuration, by long
-/// polls of the assigner and the deputy that each table names and of one
-/// bootstrap assigner. Versions never go back. A poll that ends without a
-/// change renews a view lease by naming the table's version in an empty delta.
+/// Keeps the newest table of every group and the newest configuration. It
+/// long-polls the assigner and the deputy that each table names, and one
+/// bootstrap assigner. Versions never decrease. A poll that ends without a
+/// change renews the view lease with an empty delta for the known version.
 /// Table() and Config() may be called from any thread.
 class TableFollower
 {
@@ -48,20 +49,21 @@
   /// Thrift addresses of the live routers, sorted.
   std::vector<std::string> RouterPeers() const;
   /// Thrift address of an assigner or deputy that a table names; empty when
-  /// that instance has not answered yet.
+  /// that instance has not responded yet.
   std::string AssignerAddress(const std::string& aName) const;
-  /// True once every group that an assigner named is known.
+  /// True once the full table of every group that an assigner named is known.
   bool IsReady() const;
 
   /// Waits until a table newer than (aTerm, aSequence) is known for the group
-  /// of the hash, or until the deadline. False on timeout.
+  /// of the hash. Returns false when aDeadlineMs passes first.
   bool WaitNewer(std::string_view aService,
                  KeyHash aHash,
                  Term aTerm,
                  int64_t aSequence,
                  TimeMs aDeadlineMs);
-  /// Asks for the newest table now over a connection of its own, e.g. after a
-  /// refused epoch; does not wait for the answer.
+  /// Requests the newest tables now, over separate connections, for example
+  /// after a request was refused because of its epoch. Does not wait for the
+  /// response.
   void RequestRefresh(std::string_view aService, KeyHash aHash);
 
 private:
--- a/rpc/TablePoller.cpp
+++ b/rpc/TablePoller.cpp
@@ -9,8 +9,8 @@
 namespace detail {
 
 constexpr TimeMs kRetryIntervalMs = 100;
-/// Shortest time between two polls that brought nothing new, should an
-/// assigner answer without waiting.
+/// Minimum time between two polls that returned nothing new, in case an
+/// assigner responds without waiting.
 constexpr TimeMs kMinPollIntervalMs = 20;
 
 }
@@ -43,7 +43,7 @@
     aClient.GetTables(result.response_, aRequest);
   });
   if (!status.ok()) {
-    // Another instance may answer at this address next time.
+    // Another instance may respond at this address next time.
     instance_.clear();
     return status;
   }
--- a/rpc/TablePoller.hpp
+++ b/rpc/TablePoller.hpp
@@ -18,7 +18,7 @@
 
 struct TableFollowerOptions;
 
-/// Answer to one GetTables call.
+/// Response to one GetTables call, with its sender and send time.
 struct TableResponse
 {
   TableSource source_;
@@ -26,7 +26,7 @@
   TimeMs sentMs_ = 0;
 };
 
-/// Asks one assigner for tables, used by one thread at a time.
+/// Fetches tables from one assigner. Used by one thread at a time.
 class TableClient
 {
 public:
@@ -40,18 +40,18 @@
 private:
   const Clock& clock_;
   ThriftChannel<wire::AssignerPeerClient> channel_;
-  /// Empty until the process has named itself on this connection.
+  /// Empty until the process has reported its name on this connection.
   std::string instance_;
 };
 
-/// Long polls one assigner on a thread of its own.
+/// Long-polls one assigner on a thread of its own.
 class TablePoller
 {
 public:
   struct Callbacks
   {
     std::function<wire::GetTablesRequest()> makeRequest_;
-    /// True when the answer brought something newer.
+    /// Returns true when the response contained something newer.
     std::function<bool(const TableResponse&)> onResponse_;
   };
 
@@ -64,9 +64,9 @@
   TablePoller& operator=(const TablePoller&) = delete;
 
   void RequestStop();
-  /// True when the destructor will not wait.
+  /// True when the thread has finished, so that the destructor does not wait.
   bool HasEnded() const { return ended_; }
-  /// True when the last call got no answer.
+  /// True when the last call failed.
   bool IsSilent() const { return silent_; }
 
 private:
--- a/rpc/ThriftChannel.cpp
+++ b/rpc/ThriftChannel.cpp
@@ -19,7 +19,7 @@
 
 bool IsConnectionRefused(const absl::Status& aStatus)
 {
-  // Thrift tells the reason only in the text.
+  // Thrift reports the cause only in the message text.
   return absl::IsUnavailable(aStatus) &&
          ToStd(aStatus.message()).find("refused") != std::string_view::npos;
 }
--- a/rpc/ThriftChannel.hpp
+++ b/rpc/ThriftChannel.hpp
@@ -16,15 +16,16 @@
 
 namespace cactuspitch {
 
-/// Splits "IP:port"; brackets of an IPv6 address are removed.
+/// Splits "IP:port". The brackets of an IPv6 address are removed; the port is 0
+/// when it is missing.
 std::pair<std::string, int> SplitAddress(std::string_view aAddress);
 
-/// True when nothing listens at the peer's address, so its process is gone, as
-/// opposed to any other failure to connect.
+/// True when the peer refused the connection: nothing listens at its address,
+/// so its process has exited. False for all other failures to connect.
 bool IsConnectionRefused(const absl::Status& aStatus);
 
 /// Client of one Thrift service at one address, used by one thread at a time.
-/// It reconnects after a failure; every call is bounded by the timeouts.
+/// It reconnects after a failure. The timeouts limit every call.
 template<typename Client>
 class ThriftChannel
 {
@@ -42,8 +43,9 @@
 
   const std::string& Address() const { return address_; }
 
-  /// Runs aCall(client). Unavailable: no connection, so nothing was run;
-  /// Unknown: the call may have been run.
+  /// Runs aCall(client). Returns Unavailable when there was no connection, so
+  /// that nothing was executed, and Unknown when the call may have been
+  /// executed.
   template<typename Call>
   absl::Status Run(Call&& aCall)
   {
--- a/rpc/ThriftServer.cpp
+++ b/rpc/ThriftServer.cpp
@@ -31,7 +31,7 @@
 
 absl::Status ThriftServer::Start()
 {
-  // Thrift otherwise prints connection errors to standard error.
+  // By default Thrift prints connection errors to standard error.
   thrift::GlobalOutput.setOutputFunction([](const char*) {});
   const auto [host, port] = SplitAddress(listen_);
   std::promise<absl::Status> listening;
@@ -47,7 +47,7 @@
     try {
       server_->serve();
     } catch (const thrift::TException& failure) {
-      // serve() only throws before it has begun to listen.
+      // serve() throws only before it has begun to listen.
       listening.set_value(absl::UnavailableError(
         Concat("cannot listen on ", listen_, ": ", failure.what())));
     }
--- a/rpc/ThriftServer.hpp
+++ b/rpc/ThriftServer.hpp
@@ -10,12 +10,12 @@
 
 namespace cactuspitch {
 
-/// Thrift server (compact protocol, buffered transport) on its own thread.
-/// Each client connection holds a thread, so that long polls can wait.
+/// Thrift server (compact protocol, buffered transport). Every client
+/// connection has a thread of its own, so that long polls can wait.
 class ThriftServer
 {
 public:
-  /// aListen is "IP:port". Clients must know aSecret, which may be empty.
+  /// aListen is "IP:port". Clients must send aSecret, which may be empty.
   ThriftServer(std::string aListen,
                std::shared_ptr<apache::thrift::TProcessor> aProcessor,
                std::string aSecret = {});
