Reword the comments of the Thrift files

Cause: fields were described in private terms (lives, hears, passes on). Change: comments only; both files are the same without their comments. Result: compared with comments stripped, no difference.

--- a/wire/cactuspitch.thrift
+++ b/wire/cactuspitch.thrift
@@ -1,11 +1,11 @@
-// Messages between cactuspitch processes. Times are milliseconds; durations
-// are relative because clocks of different processes are not comparable.
+// Messages between cactuspitch processes. Times are in milliseconds, and they
+// are durations: the clocks of different processes are not comparable.
 namespace cpp cactuspitch.wire
 
 struct SliceRecord {
-  1: i64 hashBegin // inclusive, an unsigned 64-bit hash carried as i64
-  2: i32 owner // index into GroupTable.servers, -1 when there is none
-  3: i32 standby // index into GroupTable.servers, -1 when there is none
+  1: i64 hashBegin // inclusive; an unsigned 64-bit hash stored in an i64
+  2: i32 owner // index into GroupTable.servers, -1: none
+  3: i32 standby // index into GroupTable.servers, -1: none
   4: i64 epoch
 }
 
@@ -18,7 +18,7 @@
   6: bool draining
   7: i32 slots
   8: i32 connections
-  9: i32 warmupPercent // 100 when the server is warm
+  9: i32 warmupPercent // 100 when the server has warmed up
 }
 
 // The table of one assignment group, ordered by (term, sequence).
@@ -30,13 +30,14 @@
   5: string assigner
   6: string deputy
   7: list<BackendServer> servers
-  // All slices when isFull, otherwise only the slices changed since the
-  // sequence that the caller named.
+  // All slices when isFull is set, otherwise those that changed since
+  // baseSequence.
   8: list<SliceRecord> slices
   9: bool isFull
-  10: i32 viewLeaseMs // 0: no view lease granted
-  11: i64 baseSequence // the sequence a delta applies to
-  // The servers are those of the base and are left out. Only in a delta.
+  10: i32 viewLeaseMs // 0: no view lease is granted
+  11: i64 baseSequence // the sequence that a delta applies to
+  // The servers are those of the base table, and the list is left empty. Set
+  // only in a delta.
   12: bool sameServers
 }
 
@@ -76,11 +77,12 @@
   6: bool arm
   7: bool disarm
   8: list<string> stopRenewing // backend server ids
-  9: string deputy // the instance asked; another one at its address refuses
+  9: string deputy // the intended receiver; any other instance refuses
 }
 
 struct HeartbeatResponse {
-  1: bool granted // not taking over; the assigner may renew
+  // The deputy does not take over, so the assigner may renew leases.
+  1: bool granted
   2: i64 term
   3: bool armed
   4: bool storeReachable
@@ -131,14 +133,15 @@
   5: i64 configVersion
   6: i64 configAgeMs
   7: list<NamedValue> values
-  8: string json // program specific details
+  8: string json // program-specific details
 }
 
 service AssignerPeer {
   HeartbeatResponse Heartbeat(1: HeartbeatRequest request)
   GetTablesResponse GetTables(1: GetTablesRequest request)
   void ReportLoad(1: LoadReport report)
-  // Asks the assigner of the group to move the slice that holds keyHash.
+  // Asks the assigner of the group to move the slice that contains keyHash to
+  // its standby.
   void RequestRefresh(1: string serviceName, 2: i64 keyHash)
   ProcessStatus GetStatus()
 }
@@ -152,7 +155,8 @@
 }
 
 struct BeginRequestResponse {
-  1: LedgerState state // Unseen: recorded now, the request may be forwarded
+  // Unseen: the request is now recorded and may be forwarded.
+  1: LedgerState state
   2: i64 uptimeMs
 }
 
@@ -162,16 +166,17 @@
   3: i32 expiresInMs
   4: bool quarantined
   5: string reason
-  // Servers that ended under the request: XXH32 of the life * 4, + 2 when that
-  // is conclusive, + 1 when it was cleared since.
+  // Servers that ended while they ran the request: XXH32 of the server's
+  // incarnation * 4, + 2 when that is conclusive evidence against the request,
+  // + 1 when the request has been cleared of it since.
   6: list<i64> marks
 }
 
-// Minute counters for the SLO burn report.
+// Request counters of one minute, for the SLO burn report.
 struct SloMinute {
   1: i64 epochMinute
   2: string serviceName
-  3: string cause // empty: served within the objective
+  3: string cause // empty: the requests met the objective
   4: string server
   5: string failureDomain
   6: i64 requests
