Reword the heads of the tests of tables, peer secret and assigner

Cause: heads named the failure in few and figurative words. Change: each head says which failure the test guards against and how it comes about. Two tests of FollowedTables get plainer names. No check changes.

--- a/tests/AssignerFailureTest.cpp
+++ b/tests/AssignerFailureTest.cpp
@@ -28,7 +28,8 @@
   std::string assigner_;
 };
 
-// Guards against a group that nobody decides on after its assigner is gone.
+// Guards against a group that stays without an assigner after its assigner was
+// killed.
 TEST_F(AssignerFailureTest, DeputyTakesOverFromAKilledAssigner)
 {
   run_.Fleet().Kill(assigner_);
@@ -37,7 +38,8 @@
   EXPECT_TRUE(run_.IsServed());
 }
 
-// Guards against an assigner that resumes and gives orders of its old term.
+// Guards against an assigner that resumes after a pause and sends commands of
+// its old term.
 TEST_F(AssignerFailureTest, ResumedAssignerStepsDown)
 {
   run_.Fleet().Pause(assigner_);
@@ -49,7 +51,8 @@
   EXPECT_TRUE(run_.IsServed());
 }
 
-// Guards against two deciders after assigner and owner are lost together.
+// Guards against two active assigners after assigner and owner are lost
+// together.
 TEST_F(AssignerFailureTest, OwnerAndAssignerAreLostTogether)
 {
   const auto owner = run_.OwnerOf("key-0");
--- a/tests/AssignerTest.cpp
+++ b/tests/AssignerTest.cpp
@@ -26,7 +26,7 @@
   AssignerTest()
     : deployment_(BINARY_DIR, Options())
   {
-    // Thrift otherwise prints every refused connection.
+    // By default Thrift prints every refused connection.
     apache::thrift::GlobalOutput.setOutputFunction([](const char*) {});
     EXPECT_EQ(deployment_.Start(), "");
   }
@@ -42,7 +42,7 @@
                        : nlohmann::json::object();
   }
 
-  /// Index of the instance that has the role, -1 when none says so.
+  /// Index of the instance that reports the role, -1 when none does.
   int Find(const std::string& aRole) const
   {
     for (int i = 0; i < 3; ++i) {
@@ -67,8 +67,8 @@
   Deployment deployment_;
 };
 
-// Guards against a stop that leaves the groups without an assigner until a
-// deputy notices the silence.
+// Guards against a planned stop that leaves the groups without an assigner
+// until the deputy's timeout expires.
 TEST_F(AssignerTest, StoppingAssignerHandsOver)
 {
   const int first = Find("assigner");
@@ -82,8 +82,8 @@
   EXPECT_EQ(Status(second)["term"].get<Term>(), term + 1);
 }
 
-// Guards against a killed assigner whose group nobody leads, and against a
-// restarted one that takes the group back by mistake.
+// Guards against a group without an assigner after its assigner was killed, and
+// against a restarted assigner that wrongly takes the group back.
 TEST_F(AssignerTest, DeputyTakesOverFromAKilledAssigner)
 {
   const int first = Find("assigner");
@@ -95,8 +95,8 @@
   EXPECT_NE(Status(first).value("role", ""), "assigner");
 }
 
-// Guards against a process that needs the store to start: the table then comes
-// from other assigners.
+// Guards against an assigner that cannot start without the store. While the
+// store is down, the tables come from other assigners.
 TEST_F(AssignerTest, StartsWhileTheStoreIsDown)
 {
   const int idle = Find("none");
@@ -113,7 +113,7 @@
     << deployment_.Fleet().LogTail(name);
 }
 
-// Guards against a restarted backend server that is never given slices again.
+// Guards against a backend server that is not granted slices after a restart.
 TEST_F(AssignerTest, RestartedBackendServerIsLeasedAgain)
 {
   deployment_.Fleet().Kill("b-ledger-0");
--- a/tests/PeerSecretTest.cpp
+++ b/tests/PeerSecretTest.cpp
@@ -38,8 +38,8 @@
   ThriftServer server_;
 };
 
-// Guards against a process of another fleet, or anybody on the network, that
-// calls the processes of this fleet.
+// Guards against calls from processes of another fleet, or from anybody else on
+// the network.
 TEST_F(PeerSecretTest, OnlyTheSharedSecretIsAccepted)
 {
   EXPECT_TRUE(Call(kSecret).ok());
@@ -50,7 +50,8 @@
   EXPECT_TRUE(Call(kSecret).ok());
 }
 
-// Guards against a comparison that accepts a prefix, a repetition or nothing.
+// Guards against a comparison that accepts a prefix, a repetition or an empty
+// secret.
 TEST(IsSameSecret, AcceptsOnlyEqualTexts)
 {
   EXPECT_TRUE(IsSameSecret("", ""));
--- a/tests/TableCodecTest.cpp
+++ b/tests/TableCodecTest.cpp
@@ -22,7 +22,7 @@
   return table;
 }
 
-// Guards against deltas that leave a router with a table other than the
+// Guards against deltas after which a router's table differs from the
 // assigner's.
 RC_GTEST_PROP(TableCodec, DeltaReproducesTable, ())
 {
@@ -45,8 +45,8 @@
   RC_ASSERT(applied.sequence_ == 8);
 }
 
-// Guards against a server list in every poll, which would exceed the bandwidth
-// of a daemon.
+// Guards against sending the server list with every poll, which would exceed
+// the bandwidth limit of a process.
 TEST(TableCodec, DeltaLeavesUnchangedServersOut)
 {
   const auto old = MakeTable(4);
@@ -55,7 +55,7 @@
   EXPECT_TRUE(ToWireDelta(old, changed).servers.empty());
 }
 
-// Guards against a split that a delta cannot express.
+// Guards against encoding a split as a delta, which cannot express it.
 TEST(TableCodec, SplitSendsTheFullTable)
 {
   const auto old = MakeTable(4);
@@ -65,7 +65,7 @@
   EXPECT_TRUE(ToWireDelta(old, split).isFull);
 }
 
-// Guards against applying a delta to a version it was not made for.
+// Guards against applying a delta to a version other than its base.
 TEST(TableCodec, DeltaOfAnotherVersionIsRefused)
 {
   auto table = MakeTable(4);
@@ -77,7 +77,7 @@
             absl::StatusCode::kFailedPrecondition);
 }
 
-// Guards against a message whose indices point outside the server list.
+// Guards against accepting a message whose indices are outside the server list.
 TEST(TableCodec, InvalidOwnerIndexIsRefused)
 {
   auto message = ToWire(MakeTable(4));
--- a/tests/TableFollowerTest.cpp
+++ b/tests/TableFollowerTest.cpp
@@ -28,7 +28,7 @@
   return table;
 }
 
-/// Assigner that serves one table and renews the view lease.
+/// Serves one table through GetTables, with a view lease in every response.
 class FakeAssigner final : public wire::AssignerPeerNull
 {
 public:
@@ -137,8 +137,8 @@
   TableFollower follower_;
 };
 
-// Guards against a router that stays on an old table, and against a view lease
-// that is not renewed while nothing changes.
+// Guards against a router that keeps an old table after a change, and against a
+// view lease that is not renewed while the table does not change.
 TEST_F(TableFollowerTest, FollowsChangesAndRenewsTheLease)
 {
   first_.handler_->Publish(MakeTable(1, 1, "i1"));
@@ -153,8 +153,9 @@
   EXPECT_EQ(follower_.Table("ledger", 0)->table_.FindSlice(0).epoch_, 2);
 }
 
-// Guards against a table that goes back when a superseded assigner answers,
-// and against a view lease from one that the table no longer names.
+// Guards against a table that reverts to an earlier term when a superseded
+// assigner responds, and against a view lease from an assigner that the table
+// no longer names.
 TEST_F(TableFollowerTest, SupersededAssignerIsIgnored)
 {
   second_.handler_->Publish(MakeTable(2, 1, "i2"));
@@ -170,9 +171,9 @@
 
 }
 
-// Guards against a view lease that counts from the arrival of the answer or
-// comes from an instance that is neither assigner nor deputy.
-TEST(FollowedTables, LeaseCountsFromTheQuestionOfTheNamedAssigner)
+// Guards against a view lease that counts from the arrival of the response, and
+// against one from an instance that is neither assigner nor deputy.
+TEST(FollowedTables, LeaseCountsFromTheRequestToTheNamedAssigner)
 {
   FollowedTables tables;
   wire::GetTablesResponse response;
@@ -185,9 +186,9 @@
   EXPECT_EQ(table->viewLeaseUntilMs_, 100 + kLeaseMs);
 }
 
-// Guards against a delta that is applied to another version, and against a
-// group that is then never asked for in full.
-TEST(FollowedTables, UnfittingDeltaIsAskedForInFull)
+// Guards against a delta that is applied to another version than its base, and
+// against a group whose full table is never requested after such a delta.
+TEST(FollowedTables, MismatchedDeltaCausesFullRequest)
 {
   FollowedTables tables;
   wire::GetTablesResponse response;
@@ -204,8 +205,8 @@
   EXPECT_TRUE(tables.IsComplete());
 }
 
-// Guards against a configuration that reverts, and against an age that starts
-// again without a confirmation.
+// Guards against a configuration that reverts to an older version, and against
+// a confirmation age that is reset although the store confirmed nothing.
 TEST(FollowedTables, ConfigNeverReverts)
 {
   FollowedTables tables;
