--- a/assigner/AssignerProcess.hpp
+++ b/assigner/AssignerProcess.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "BalanceDuty.hpp"
-#include "ControlDuty.hpp"
+#include "ControlLoop.hpp"
 #include "FleetConfig.hpp"
 #include "FleetDirectory.hpp"
-#include "LeaseDuty.hpp"
-#include "PeerDuty.hpp"
+#include "GrantSender.hpp"
+#include "PeerClient.hpp"
 #include "PeerHandler.hpp"
-#include "StoreDuty.hpp"
+#include "SliceBalancer.hpp"
+#include "StoreSync.hpp"
 #include "common/Clock.hpp"
 #include "common/HttpServer.hpp"
 #include "common/Metrics.hpp"
@@ -34,7 +34,7 @@
   size_t slices_ = 256;
 };
 
-/// The duties of one assigner process, joined.
+/// Owns and connects the components of one assigner process.
 class AssignerProcess
 {
 public:
@@ -44,12 +44,14 @@
   AssignerProcess& operator=(const AssignerProcess&) = delete;
 
   absl::Status Start();
-  /// Hands the groups that it leads over to their deputies.
+  /// Hands the groups for which this process is the assigner over to their
+  /// deputies. Returns when that is done or after aTimeoutMs.
   void HandOver(TimeMs aTimeoutMs);
 
 private:
-  void Dispatch(const std::shared_ptr<GroupHost>& aHost, const Action& aAction);
-  void Every();
+  void Dispatch(const std::shared_ptr<ManagedGroup>& aGroup,
+                const Action& aAction);
+  void RunPeriodic();
   void HandleHttp(HttpExchange& aExchange);
   wire::ProcessStatus Status() const;
   std::string MetricsText();
@@ -60,17 +62,17 @@
   HttpObjectStore store_;
   FleetDirectory directory_;
   FleetConfig config_;
-  ControlDuty control_;
-  LeaseDuty leases_;
-  PeerDuty peers_;
-  StoreDuty storeDuty_;
-  BalanceDuty balance_;
+  ControlLoop control_;
+  GrantSender grantSender_;
+  PeerClient peerClient_;
+  StoreSync storeSync_;
+  SliceBalancer balancer_;
   TableFollower follower_;
   std::shared_ptr<PeerHandler> handler_;
   ThriftServer rpc_;
   HttpServer http_;
   MetricsRegistry metrics_;
-  TimeMs probedMs_ = 0;
+  TimeMs lastProbeMs_ = 0;
   std::atomic<bool> stopping_ = false;
 };
 
--- a/assigner/PeerHandler.hpp
+++ b/assigner/PeerHandler.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "BalanceDuty.hpp"
-#include "ControlDuty.hpp"
+#include "ControlLoop.hpp"
 #include "FleetConfig.hpp"
 #include "FleetDirectory.hpp"
+#include "SliceBalancer.hpp"
 #include "rpc/TableFollower.hpp"
 
 #include <functional>
@@ -13,14 +13,15 @@
 
 namespace cactuspitch {
 
-/// Serves the Thrift interface AssignerPeer. Groups that this instance does
-/// not lead are answered with the newest table it knows and no view lease.
+/// Serves the Thrift interface AssignerPeer. For groups of which this instance
+/// is not the assigner, GetTables returns the newest known table without a view
+/// lease.
 class PeerHandler final : public wire::AssignerPeerIf
 {
 public:
   PeerHandler(const Clock& aClock,
-              ControlDuty& aControl,
-              BalanceDuty& aBalance,
+              ControlLoop& aControl,
+              SliceBalancer& aBalancer,
               const FleetDirectory& aDirectory,
               const FleetConfig& aConfig,
               const TableFollower& aFollower,
@@ -35,23 +36,23 @@
   void GetStatus(wire::ProcessStatus& aStatus) override;
 
 private:
-  /// True when aResponse has something newer than the questioner knows.
-  bool Fill(wire::GetTablesResponse& aResponse,
-            const wire::GetTablesRequest& aRequest);
+  /// Returns true when aResponse has something newer than the caller knows.
+  bool FillResponse(wire::GetTablesResponse& aResponse,
+                    const wire::GetTablesRequest& aRequest);
   bool FillGroup(wire::GetTablesResponse& aResponse,
                  const wire::GetTablesRequest& aRequest,
-                 GroupHost& aHost);
+                 ManagedGroup& aGroup);
   bool FillFollowed(wire::GetTablesResponse& aResponse,
                     const wire::GetTablesRequest& aRequest,
                     const GroupTable& aTable) const;
   bool FillConfig(wire::GetTablesResponse& aResponse,
                   const wire::GetTablesRequest& aRequest) const;
-  /// Thrift address of the instance, its name when that is unknown.
-  std::string Named(const std::string& aInstance) const;
+  /// Thrift address of the instance; its name when the address is unknown.
+  std::string AddressOrName(const std::string& aInstance) const;
 
   const Clock& clock_;
-  ControlDuty& control_;
-  BalanceDuty& balance_;
+  ControlLoop& control_;
+  SliceBalancer& balancer_;
   const FleetDirectory& directory_;
   const FleetConfig& config_;
   const TableFollower& follower_;
--- a/control/GroupWriter.cpp
+++ b/control/GroupWriter.cpp
@@ -3,9 +3,9 @@
 namespace cactuspitch {
 
 namespace detail {
-/// Interval between reads that resolve a write without a result.
-constexpr TimeMs kResolveMs = 100;
-/// A write without any result for this long is treated as uncertain.
+/// Interval between reads that resolve a write with an unknown result.
+constexpr TimeMs kResolveIntervalMs = 100;
+/// A write without a result for this long is treated as uncertain.
 constexpr TimeMs kWriteTimeoutMs = 2000;
 }
 
@@ -17,7 +17,7 @@
   aObject.writer_ = writer_;
   aObject.change_ = ++change_;
   pending_ = { aExpectedVersion, std::move(aObject) };
-  beganMs_ = attemptMs_ = aNowMs;
+  startedMs_ = lastAttemptMs_ = aNowMs;
   uncertain_ = notSent_ = false;
   aActions.emplace_back(*pending_);
 }
@@ -34,9 +34,9 @@
     notSent_ = true;
     return;
   }
-  // A conflict may be the effect of an earlier attempt of the same write.
+  // A conflict may be caused by an earlier attempt of the same write.
   uncertain_ = true;
-  attemptMs_ = aNowMs;
+  lastAttemptMs_ = aNowMs;
   aActions.emplace_back(ReadGroup());
 }
 
@@ -57,11 +57,11 @@
     pending_.reset();
     return;
   }
-  // The first attempt may still be on its way. The same conditional update
-  // cannot take effect twice.
+  // The first attempt may still arrive. Sending it again is safe, because the
+  // same conditional update cannot take effect twice.
   if (uncertain_ && aVersion == pending_->expectedVersion_) {
     uncertain_ = true;
-    attemptMs_ = aNowMs;
+    lastAttemptMs_ = aNowMs;
     aActions.emplace_back(*pending_);
   }
 }
@@ -71,12 +71,13 @@
   if (!pending_) {
     return;
   }
-  const auto waited = aNowMs - attemptMs_;
-  if (waited < (uncertain_ ? detail::kResolveMs : detail::kWriteTimeoutMs)) {
+  const auto waited = aNowMs - lastAttemptMs_;
+  if (waited <
+      (uncertain_ ? detail::kResolveIntervalMs : detail::kWriteTimeoutMs)) {
     return;
   }
   uncertain_ = true;
-  attemptMs_ = aNowMs;
+  lastAttemptMs_ = aNowMs;
   aActions.emplace_back(ReadGroup());
 }
 
--- a/control/SliceMover.hpp
+++ b/control/SliceMover.hpp
@@ -1,19 +1,19 @@
 #pragma once
 
+#include "control/GrantScheduler.hpp"
 #include "control/GroupState.hpp"
 #include "control/Messages.hpp"
-#include "control/OrderScheduler.hpp"
 
 namespace cactuspitch {
 
-/// Promotes recorded standbys: after the loss of a holder and for planned
-/// moves. Every change of owner goes through Promote().
+/// Promotes recorded standbys to owners: after the loss of a holder and for
+/// planned moves. Every change of owner goes through Promote().
 class SliceMover
 {
 public:
-  SliceMover(GroupState& aState, OrderScheduler& aOrders)
+  SliceMover(GroupState& aState, GrantScheduler& aGrantScheduler)
     : state_(aState)
-    , orders_(aOrders)
+    , grantScheduler_(aGrantScheduler)
   {
   }
 
@@ -27,7 +27,7 @@
   void Promote(SliceState& aSlice, TimeMs aNowMs, Actions& aActions);
 
   GroupState& state_;
-  OrderScheduler& orders_;
+  GrantScheduler& grantScheduler_;
 };
 
 }
--- a/control/SliceBook.cpp
+++ b/control/SliceStates.cpp
@@ -1,4 +1,4 @@
-#include "SliceBook.hpp"
+#include "SliceStates.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -37,18 +37,18 @@
            : static_cast<int32_t>(found - aNew.servers_.begin());
 }
 
-/// Carries what is known about a slice over to its new record.
+/// Copies the state of a slice to its new record.
 SliceState CarryOver(const SliceState& aOld, SliceState aNew, int32_t aTarget)
 {
-  const auto growth = aNew.record_.epoch_ - aOld.record_.epoch_;
-  const bool confirmsPromotion = aOld.promoted_ && growth > 0;
+  const auto epochGrowth = aNew.record_.epoch_ - aOld.record_.epoch_;
+  const bool confirmsPromotion = aOld.promoted_ && epochGrowth > 0;
   aNew.promoted_ = aOld.promoted_ && !confirmsPromotion;
   aNew.resolved_ = aOld.resolved_ || aOld.ambiguous_;
-  aNew.ambiguous_ = aOld.ambiguous_ && growth == 0;
+  aNew.ambiguous_ = aOld.ambiguous_ && epochGrowth == 0;
   aNew.releasing_ = aOld.releasing_;
   aNew.revokeSequence_ = aOld.revokeSequence_;
   aNew.grantSequence_ = aOld.grantSequence_;
-  aNew.viewsEndMs_ = aOld.viewsEndMs_;
+  aNew.viewLeasesExpiredMs_ = aOld.viewLeasesExpiredMs_;
   aNew.incarnation_ = aOld.incarnation_;
   aNew.reason_ = aOld.reason_;
   aNew.target_ = aTarget;
@@ -57,12 +57,12 @@
 
 }
 
-void SliceBook::Recover(const GroupTable& aTable)
+void SliceStates::Recover(const GroupTable& aTable)
 {
   slices_ = detail::StatesOf(aTable);
 }
 
-void SliceBook::Create(const GroupTable& aTable)
+void SliceStates::Create(const GroupTable& aTable)
 {
   slices_ = detail::StatesOf(aTable);
   for (auto& slice : slices_) {
@@ -70,7 +70,7 @@
   }
 }
 
-void SliceBook::Confirm(const GroupTable& aOld, const GroupTable& aNew)
+void SliceStates::Confirm(const GroupTable& aOld, const GroupTable& aNew)
 {
   const auto old = std::exchange(slices_, detail::StatesOf(aNew));
   for (auto& slice : slices_) {
@@ -82,7 +82,7 @@
   }
 }
 
-void SliceBook::Block(const GroupTable& aOld, const GroupTable& aNext)
+void SliceStates::Block(const GroupTable& aOld, const GroupTable& aNext)
 {
   for (auto& slice : slices_) {
     const auto& next = aNext.FindSlice(slice.record_.begin_);
@@ -93,26 +93,27 @@
       return (left == nullptr) == (right == nullptr) &&
              (left == nullptr || left->id_ == right->id_);
     };
-    const auto follows = [&](const GroupTable& aTable, KeyHash aBegin) {
+    const auto nextBegin = [&](const GroupTable& aTable, KeyHash aBegin) {
       const auto found = std::ranges::upper_bound(
         aTable.slices_, aBegin, {}, &SliceRecord::begin_);
       return found == aTable.slices_.end() ? 0 : found->begin_;
     };
-    slice.blocked_ = next.begin_ != old.begin_ || next.epoch_ != old.epoch_ ||
-                     !sameServer(old.owner_, next.owner_) ||
-                     !sameServer(old.standby_, next.standby_) ||
-                     follows(aOld, old.begin_) != follows(aNext, old.begin_);
+    slice.blocked_ =
+      next.begin_ != old.begin_ || next.epoch_ != old.epoch_ ||
+      !sameServer(old.owner_, next.owner_) ||
+      !sameServer(old.standby_, next.standby_) ||
+      nextBegin(aOld, old.begin_) != nextBegin(aNext, old.begin_);
   }
 }
 
-void SliceBook::Unblock()
+void SliceStates::Unblock()
 {
   for (auto& slice : slices_) {
     slice.blocked_ = false;
   }
 }
 
-SliceState* SliceBook::Find(KeyHash aHash)
+SliceState* SliceStates::Find(KeyHash aHash)
 {
   const auto next =
     std::ranges::upper_bound(slices_, aHash, {}, &detail::BeginOf);
--- a/gateway/BackendConnection.cpp
+++ b/gateway/BackendConnection.cpp
@@ -36,7 +36,9 @@
 
 bool Backend::HasOpenConnection() const
 {
-  const auto isOpen = [](const auto& aLink) { return aLink->IsConnected(); };
+  const auto isOpen = [](const auto& aConnection) {
+    return aConnection->IsConnected();
+  };
   return std::ranges::any_of(idle_, isOpen) ||
          std::ranges::any_of(busy_, isOpen);
 }
@@ -168,9 +170,9 @@
       return;
     }
     if (!skippingResponse_) {
-      const bool wholeRequest =
+      const bool wroteWholeRequest =
         stream_.WrittenBytes() - writtenBytesAtStart_ == requestBytes_;
-      FinishResponse(responseKeepsAlive_ && wholeRequest &&
+      FinishResponse(responseKeepsAlive_ && wroteWholeRequest &&
                      stream_.Input().empty());
       return;
     }
@@ -209,9 +211,9 @@
   if (info.idleTimeoutMs_) {
     idleTimeoutMs_ = *info.idleTimeoutMs_;
   }
-  const bool ownAnswer =
+  const bool isOwnResponse =
     info.requestId_ == requestId_ || (info.requestId_.empty() && info.notRun_);
-  if (!ownAnswer) {
+  if (!isOwnResponse) {
     if (parser_.IsCloseDelimited() || info.requestId_.empty()) {
       Fail(AttemptFailure::MaybeExecuted, "answer of another request");
       return false;
--- a/gateway/BackendLoad.cpp
+++ b/gateway/BackendLoad.cpp
@@ -81,10 +81,10 @@
 void BackendLoad::OnReport(const ReportedLoad& aReport, TimeMs aNowMs)
 {
   slots_ = std::max(1, aReport.slots_);
-  const double others =
+  const double otherGateways =
     std::max(0, aReport.running_ + aReport.waiting_ - inFlight_);
   otherGatewaysLoad_ +=
-    (others - otherGatewaysLoad_) * detail::kOtherGatewaysWeight;
+    (otherGateways - otherGatewaysLoad_) * detail::kOtherGatewaysWeight;
   reportedTotal_ = aReport.running_ + aReport.waiting_;
   reportedMs_ = aNowMs;
 }
@@ -107,9 +107,9 @@
 double BackendLoad::Load(TimeMs aNowMs) const
 {
   const double ageMs = static_cast<double>(aNowMs - reportedMs_);
-  const double others =
+  const double otherGateways =
     otherGatewaysLoad_ * std::exp2(-ageMs / detail::kOtherGatewaysHalfLifeMs);
-  const double load = inFlight_ + others;
+  const double load = inFlight_ + otherGateways;
   if (lastShedMs_ != 0 && aNowMs - lastShedMs_ < detail::kShedBackoffMs) {
     return std::max(load, static_cast<double>(slots_) * 2);
   }
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -149,10 +149,10 @@
 {
   const TimeMs nowMs = loop_.NowMs();
   auto& idle = aBackend->idle_;
-  std::shared_ptr<BackendConnection> link;
+  std::shared_ptr<BackendConnection> connection;
   // The last one returned is the one most surely alive.
   if (!idle.empty() && nowMs - idle.back()->idleSinceMs_ <= aMaxIdleMs) {
-    link = std::move(idle.back());
+    connection = std::move(idle.back());
     idle.pop_back();
   } else if (aBackend->busy_.size() < aMaxConnections) {
     if (aBackend->Connections() >= aMaxConnections) {
@@ -160,13 +160,13 @@
       loop_.Defer([oldest = std::move(idle.front())] {});
       idle.erase(idle.begin());
     }
-    link = std::make_shared<BackendConnection>(*this, aBackend);
+    connection = std::make_shared<BackendConnection>(*this, aBackend);
     ++opened_;
   } else {
     return nullptr;
   }
-  aBackend->busy_.push_back(link);
-  return link;
+  aBackend->busy_.push_back(connection);
+  return connection;
 }
 
 void BackendPool::CloseIdle()
@@ -174,11 +174,11 @@
   const TimeMs nowMs = loop_.NowMs();
   std::vector<std::shared_ptr<BackendConnection>> closed;
   for (auto& [id, backend] : backends_) {
-    std::erase_if(backend->idle_, [&](const auto& aLink) {
-      const bool old = nowMs - aLink->idleSinceMs_ >
-                       aLink->idleTimeoutMs_ - detail::kIdleMarginMs;
+    std::erase_if(backend->idle_, [&](const auto& aConnection) {
+      const bool old = nowMs - aConnection->idleSinceMs_ >
+                       aConnection->idleTimeoutMs_ - detail::kIdleMarginMs;
       if (old) {
-        closed.push_back(aLink);
+        closed.push_back(aConnection);
       }
       return old;
     });
@@ -276,20 +276,20 @@
   serviceTimeMs_.Add(aBackend.entry_.service_, aLatencyMs);
 }
 
-void BackendPool::Release(const std::shared_ptr<BackendConnection>& aLink,
+void BackendPool::Release(const std::shared_ptr<BackendConnection>& aConnection,
                           bool aReusable)
 {
-  auto& backend = aLink->GetBackend();
-  std::erase(backend.busy_, aLink);
-  std::erase(backend.idle_, aLink);
+  auto& backend = aConnection->GetBackend();
+  std::erase(backend.busy_, aConnection);
+  std::erase(backend.idle_, aConnection);
   if (aReusable && backend.registered_ && !backend.entry_.leaving_ &&
-      aLink->stream_.IsOpen()) {
-    aLink->idleSinceMs_ = loop_.NowMs();
-    aLink->stream_.PauseReading(false);
-    backend.idle_.push_back(aLink);
+      aConnection->stream_.IsOpen()) {
+    aConnection->idleSinceMs_ = loop_.NowMs();
+    aConnection->stream_.PauseReading(false);
+    backend.idle_.push_back(aConnection);
   } else {
     // Kept alive until its handlers have returned.
-    loop_.Defer([aLink] {});
+    loop_.Defer([aConnection] {});
   }
 }
 
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -83,7 +83,8 @@
   void OnMalformedPause(Backend& aBackend);
   void CloseIdleOf(Backend& aBackend);
   void RecordServiceTime(const Backend& aBackend, double aLatencyMs);
-  void Release(const std::shared_ptr<BackendConnection>& aLink, bool aReusable);
+  void Release(const std::shared_ptr<BackendConnection>& aConnection,
+               bool aReusable);
 
   EventLoop& loop_;
   EventLog& log_;
--- a/gateway/CallerConnection.cpp
+++ b/gateway/CallerConnection.cpp
@@ -315,19 +315,19 @@
 CallerListener::CallerListener(EventLoop& aLoop, Forwarder& aForwarder)
   : forwarder_(aForwarder)
   , listener_(aLoop, [this](int aFd) {
-    auto stream = std::make_shared<CallerConnection>(*this, forwarder_);
-    connections_[stream.get()] = stream;
+    auto connection = std::make_shared<CallerConnection>(*this, forwarder_);
+    connections_[connection.get()] = connection;
     forwarder_.Metrics().OnConnection();
-    stream->Start(aFd);
+    connection->Start(aFd);
   })
 {
 }
 
 CallerListener::~CallerListener()
 {
-  auto streams = std::exchange(connections_, {});
-  for (auto& [key, stream] : streams) {
-    stream->Close();
+  auto connections = std::exchange(connections_, {});
+  for (auto& [key, connection] : connections) {
+    connection->Close();
   }
 }
 
@@ -339,9 +339,9 @@
 void CallerListener::StartDraining()
 {
   draining_ = true;
-  auto streams = connections_;
-  for (auto& [key, stream] : streams) {
-    stream->Drain();
+  auto connections = connections_;
+  for (auto& [key, connection] : connections) {
+    connection->Drain();
   }
 }
 
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -204,7 +204,7 @@
   return text;
 }
 
-bool ForwardedRequest::MayRunOn(const SuspectDecision& aDecision)
+bool ForwardedRequest::PassesQuarantine(const SuspectDecision& aDecision)
 {
   if (aDecision.verdict_ == SuspectVerdict::Refuse) {
     // What an earlier attempt may have run is no refusal.
@@ -223,14 +223,14 @@
   const auto& backend = aChoice.backend_;
   auto& crashes = forwarder_.Crashes();
   const auto decision = crashes.TryBegin(fingerprint_, *backend);
-  if (!MayRunOn(decision)) {
+  if (!PassesQuarantine(decision)) {
     return;
   }
-  auto link = forwarder_.Pool().Acquire(
+  auto connection = forwarder_.Pool().Acquire(
     backend,
     aChoice.maxConnections_,
     IsIdempotent() ? detail::kMaxIdleMs : detail::kMaxIdleNonIdempotentMs);
-  if (link == nullptr) {
+  if (connection == nullptr) {
     crashes.CancelBegin(fingerprint_, *backend);
     queued_ = true;
     forwarder_.Enqueue(shared_from_this());
@@ -240,13 +240,13 @@
   lastBackend_ = backend->entry_.id_;
   discardResponse_ = false;
   responseBody_.clear();
-  connection_ = link;
-  link->Start(*this,
-              { fingerprint_, decision.knownCrashes_ },
-              MakeRequestHead(*backend),
-              body_,
-              caller_.requestId_,
-              head_.method_ != "HEAD");
+  connection_ = connection;
+  connection->Start(*this,
+                    { fingerprint_, decision.knownCrashes_ },
+                    MakeRequestHead(*backend),
+                    body_,
+                    caller_.requestId_,
+                    head_.method_ != "HEAD");
 }
 
 void ForwardedRequest::OnResponseHead(const HttpHead& aHead,
@@ -328,7 +328,7 @@
 void ForwardedRequest::OnAttemptFailed(AttemptFailure aEnd,
                                        std::string_view aCause)
 {
-  const auto link = std::exchange(connection_, nullptr);
+  const auto connection = std::exchange(connection_, nullptr);
   const auto self = shared_from_this();
   forwarder_.Metrics().OnAttempt(EnumName(aEnd));
   forwarder_.OnAttemptEnded();
@@ -389,14 +389,14 @@
   Reject(502, aCause, 0);
 }
 
-bool ForwardedRequest::TryRetry(std::string_view aCause, bool aCounts)
+bool ForwardedRequest::TryRetry(std::string_view aCause, bool aUsesBudget)
 {
   std::string_view decision = "retried";
   if (attempts_ >= route_->maxAttempts_) {
     decision = "attempts used up";
   } else if (RemainingMs() < detail::kMinRetryTimeMs) {
     decision = "deadline too near";
-  } else if (aCounts && !forwarder_.TryTakeRetry(service_)) {
+  } else if (aUsesBudget && !forwarder_.TryTakeRetry(service_)) {
     decision = "retry budget used up";
   }
   const bool retried = decision == "retried";
@@ -414,7 +414,7 @@
   if (!retried) {
     return false;
   }
-  if (aCounts) {
+  if (aUsesBudget) {
     forwarder_.Metrics().OnRetry();
   }
   // Not from within the handler of the connection that has just ended.
@@ -435,20 +435,20 @@
   const auto self = shared_from_this();
   // The timer that runs this belongs to the request.
   forwarder_.Loop().Defer([self] {});
-  const bool underWay = connection_ != nullptr;
+  const bool inProgress = connection_ != nullptr;
   if (headWritten_) {
     completed_ = true;
     LogCompletion(responseHead_.status_, "deadline-in-answer", lastBackend_);
-    if (auto link = std::exchange(connection_, nullptr)) {
-      link->Cancel();
+    if (auto connection = std::exchange(connection_, nullptr)) {
+      connection->Cancel();
     }
     if (sink_ != nullptr) {
       sink_->OnResponseAborted();
     }
     return;
   }
-  if (auto link = std::exchange(connection_, nullptr)) {
-    link->Cancel();
+  if (auto connection = std::exchange(connection_, nullptr)) {
+    connection->Cancel();
   }
   if (sink_ == nullptr) {
     completed_ = true;
@@ -456,7 +456,7 @@
   }
   if (!requestRead_) {
     Reject(408, "request-incomplete", 0);
-  } else if (underWay || mayHaveExecuted_) {
+  } else if (inProgress || mayHaveExecuted_) {
     Reject(504, "deadline", 0);
   } else {
     Reject(503, "deadline-unsent", 0);
@@ -581,8 +581,8 @@
     LogCompletion(0, "caller-left", lastBackend_);
     return;
   }
-  if (auto link = std::exchange(connection_, nullptr)) {
-    link->Cancel();
+  if (auto connection = std::exchange(connection_, nullptr)) {
+    connection->Cancel();
   }
   completed_ = true;
   deadlineTimer_.Stop();
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -83,13 +83,13 @@
   void Dispatch();
   void SendTo(const BackendChoice& aChoice);
   /// False when a request that crashes servers must wait or was refused.
-  bool MayRunOn(const SuspectDecision& aDecision);
+  bool PassesQuarantine(const SuspectDecision& aDecision);
   std::string MakeRequestHead(const Backend& aBackend) const;
   void OnNotExecuted();
   /// An attempt may have run and gave no usable answer.
   void OnOutcomeUnknown(std::string_view aCause);
-  /// aCounts: the next attempt draws on the retry budget.
-  bool TryRetry(std::string_view aCause, bool aCounts);
+  /// aUsesBudget: the next attempt draws on the retry budget.
+  bool TryRetry(std::string_view aCause, bool aUsesBudget);
   void OnDeadline();
   void StartResponse(bool aComplete);
   void FinishResponse();
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -40,15 +40,15 @@
                      EventLog& aLog,
                      GatewayMetrics& aMetrics,
                      const RequestProtocol& aProtocol,
-                     ForwardingLimits aBounds,
-                     CrashDetector::ChangeCallback aOnSuspects,
+                     ForwardingLimits aLimits,
+                     CrashDetector::ChangeCallback aOnSuspectsChanged,
                      BackendPool::LeavingCallback aOnLeaving)
   : loop_(aLoop)
   , log_(aLog)
   , metrics_(aMetrics)
   , protocol_(aProtocol)
-  , bounds_(std::move(aBounds))
-  , crashes_(aLoop, aLog, std::move(aOnSuspects))
+  , limits_(std::move(aLimits))
+  , crashes_(aLoop, aLog, std::move(aOnSuspectsChanged))
   , pool_(aLoop, aLog, aMetrics, aProtocol, crashes_, std::move(aOnLeaving))
   , admission_(std::random_device{}())
   , responseBytes_(detail::kResponseBytesWeight)
@@ -95,22 +95,22 @@
   }
 }
 
-void Forwarder::SetRetryBounds(double aRatio, double aExtra)
+void Forwarder::SetRetryLimits(double aRatio, double aExtra)
 {
-  bounds_.retryRatio_ = aRatio;
-  bounds_.retryExtra_ = aExtra;
+  limits_.retryRatio_ = aRatio;
+  limits_.retryExtra_ = aExtra;
   UpdateRetryBudgets();
 }
 
 double Forwarder::RetryPercent() const
 {
-  return bounds_.retryRatio_ * detail::kRetryBudgetSafetyFactor *
+  return limits_.retryRatio_ * detail::kRetryBudgetSafetyFactor *
          detail::kPercent;
 }
 
 double Forwarder::RetryBurst() const
 {
-  return bounds_.retryExtra_ * detail::kRetryBudgetSafetyFactor /
+  return limits_.retryExtra_ * detail::kRetryBudgetSafetyFactor /
          static_cast<double>(gatewayCount_);
 }
 
@@ -158,7 +158,7 @@
   candidate.expectedMs_ = aBackend.load_.ExpectedMs(nowMs);
   candidate.failureShare_ = aBackend.load_.FailureShare(nowMs);
   candidate.sameDomain_ =
-    aBackend.entry_.failureDomain_ == bounds_.failureDomain_;
+    aBackend.entry_.failureDomain_ == limits_.failureDomain_;
   candidate.preferred_ = aBackend.preferred_;
   candidate.down_ = aBackend.downUntilMs_ > nowMs;
   candidate.full_ =
@@ -349,12 +349,12 @@
 void Forwarder::DispatchQueued()
 {
   // More urgent routes first, then in the order of arrival.
-  auto waiting = std::exchange(queue_, {});
-  waiting.remove_if([](const auto& aRequest) { return !aRequest->IsQueued(); });
-  waiting.sort([](const auto& aLeft, const auto& aRight) {
+  auto queued = std::exchange(queue_, {});
+  queued.remove_if([](const auto& aRequest) { return !aRequest->IsQueued(); });
+  queued.sort([](const auto& aLeft, const auto& aRight) {
     return aLeft->GetRoute()->priority_ < aRight->GetRoute()->priority_;
   });
-  std::ranges::for_each(waiting,
+  std::ranges::for_each(queued,
                         [](const auto& aRequest) { aRequest->Redispatch(); });
   metrics_.QueuedRequests().Set(static_cast<double>(queue_.size()));
   if (!queue_.empty()) {
@@ -364,9 +364,9 @@
 
 void Forwarder::RejectQueued(std::string_view aCause)
 {
-  const auto waiting = std::exchange(queue_, {});
+  const auto queued = std::exchange(queue_, {});
   std::ranges::for_each(
-    waiting, [&](const auto& aRequest) { aRequest->RejectQueued(aCause); });
+    queued, [&](const auto& aRequest) { aRequest->RejectQueued(aCause); });
 }
 
 void Forwarder::OnFirstAttempt(const ForwardedRequest& aRequest)
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -52,8 +52,8 @@
             EventLog& aLog,
             GatewayMetrics& aMetrics,
             const RequestProtocol& aProtocol,
-            ForwardingLimits aBounds,
-            CrashDetector::ChangeCallback aOnSuspects,
+            ForwardingLimits aLimits,
+            CrashDetector::ChangeCallback aOnSuspectsChanged,
             BackendPool::LeavingCallback aOnLeaving);
   ~Forwarder();
 
@@ -65,7 +65,7 @@
   void SetGateways(const std::string& aSelf,
                    const std::vector<NodeLocation>& aGateways);
   /// New bounds on repeats of requests.
-  void SetRetryBounds(double aRatio, double aExtra);
+  void SetRetryLimits(double aRatio, double aExtra);
   /// Looks again at waiting requests: owners or servers have changed.
   void OnRoutingStateChanged() { ScheduleDispatch(); }
 
@@ -132,7 +132,7 @@
   EventLog& log_;
   GatewayMetrics& metrics_;
   const RequestProtocol& protocol_;
-  ForwardingLimits bounds_;
+  ForwardingLimits limits_;
   PlacementOptions options_;
   std::shared_ptr<RouteTable> routes_;
   KeyOwnerMap keys_;
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -688,19 +688,19 @@
 void Gateway::Reload()
 {
   Findings findings;
-  const auto fresh = readSettings_(findings);
-  if (!fresh) {
+  const auto reloaded = readSettings_(findings);
+  if (!reloaded) {
     log_.Write(LogLevel::Error,
                "settings-rejected",
                { { "findings", findings.ToText() } });
     return;
   }
   // Names and addresses hold until the next start.
-  settings_.graceMs_ = fresh->graceMs_;
-  log_.SetMinimum(fresh->logLevel_);
-  forwarder_.SetRetryBounds(fresh->retryRatio_, fresh->retryExtra_);
-  coordinator_.SetMaxHold(fresh->maxHoldMs_);
-  LogSettings("settings-reloaded", *fresh);
+  settings_.graceMs_ = reloaded->graceMs_;
+  log_.SetMinimum(reloaded->logLevel_);
+  forwarder_.SetRetryLimits(reloaded->retryRatio_, reloaded->retryExtra_);
+  coordinator_.SetMaxHold(reloaded->maxHoldMs_);
+  LogSettings("settings-reloaded", *reloaded);
 }
 
 void Gateway::LogSettings(std::string_view aEvent,
--- a/gateway/GatewayMain.cpp
+++ b/gateway/GatewayMain.cpp
@@ -104,9 +104,10 @@
                   settings,
                   { requests, orders, objects, registry },
                   [aArgc, aArgv](Findings& aFindings) {
-                    Settings fresh(GatewaySettingSpecs());
+                    Settings reloaded(GatewaySettingSpecs());
                     auto action = SettingsAction::Run;
-                    return ReadSettings(fresh, action, aArgc, aArgv, aFindings);
+                    return ReadSettings(
+                      reloaded, action, aArgc, aArgv, aFindings);
                   });
   sigprocmask(SIG_UNBLOCK, &reload, nullptr);
   if (!gateway.Start()) {
--- a/net/HttpClient.hpp
+++ b/net/HttpClient.hpp
@@ -72,10 +72,10 @@
   explicit HttpClient(EventLoop& aLoop);
   ~HttpClient();
 
-  /// aDone runs once, never before Call returns.
+  /// aCallback runs once, never before Call returns.
   void Call(const Endpoint& aServer,
             const CallRequest& aRequest,
-            Callback aDone);
+            Callback aCallback);
   /// Ends idle connections, for example after one of them went silent.
   void CloseIdle(const Endpoint& aServer);
 
--- a/net/HttpParser.cpp
+++ b/net/HttpParser.cpp
@@ -303,9 +303,9 @@
 
 }
 
-HttpParser::HttpParser(HttpMessageType aRole, size_t aMaxHeadBytes)
+HttpParser::HttpParser(HttpMessageType aType, size_t aMaxHeadBytes)
 {
-  if (aRole == HttpMessageType::Request) {
+  if (aType == HttpMessageType::Request) {
     impl_ = std::make_unique<detail::BeastParser<true, Impl>>(aMaxHeadBytes);
   } else {
     impl_ = std::make_unique<detail::BeastParser<false, Impl>>(aMaxHeadBytes);
--- a/net/HttpParser.hpp
+++ b/net/HttpParser.hpp
@@ -57,7 +57,7 @@
 class HttpParser
 {
 public:
-  explicit HttpParser(HttpMessageType aRole, size_t aMaxHeadBytes);
+  explicit HttpParser(HttpMessageType aType, size_t aMaxHeadBytes);
   ~HttpParser();
   HttpParser(HttpParser&&) noexcept;
   HttpParser& operator=(HttpParser&&) noexcept;
--- a/net/TcpStream.cpp
+++ b/net/TcpStream.cpp
@@ -177,8 +177,9 @@
 void TcpStream::Abort()
 {
   if (fd_ >= 0) {
-    const linger hard{ 1, 0 };
-    ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    const linger resetOnClose{ 1, 0 };
+    ::setsockopt(
+      fd_, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
   }
   Close();
 }
--- a/rpc/TableFollower.cpp
+++ b/rpc/TableFollower.cpp
@@ -15,8 +15,8 @@
 
 namespace detail {
 
-/// The table snapshot that this thread used last. A process has one follower,
-/// tests have several, so the entry names its follower.
+/// The table snapshot that this thread used last. A process has one follower
+/// but tests have several, so the entry records which follower it belongs to.
 struct SnapshotCache
 {
   uint64_t follower_ = 0;
@@ -42,16 +42,16 @@
   }
 
   const TableSnapshot& Snapshot() const;
-  wire::GetTablesRequest Question();
-  /// True when something became newer.
-  bool Accept(const TableAnswer& aAnswer);
+  wire::GetTablesRequest MakeRequest();
+  /// Returns true when a table or the configuration became newer.
+  bool OnResponse(const TableResponse& aResponse);
   std::set<std::string> WantedAddresses();
   std::string NextBootstrap(const std::set<std::string>& aNamed);
-  void Reconcile();
+  void ReconcilePollers();
   void RunManager();
   void RunRefresh();
   std::vector<std::string> RefreshTargets();
-  TablePoller::Hooks Hooks();
+  TablePoller::Callbacks Callbacks();
 
   const Clock& clock_;
   const TableFollowerOptions options_;
@@ -60,13 +60,13 @@
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   FollowedTables tables_;
-  /// Instance names by Thrift address, learned from the processes themselves.
+  /// Instance names by Thrift address, as reported by the processes themselves.
   std::map<std::string, std::string> instances_;
   std::atomic<uint64_t> version_ = 1;
   bool running_ = false;
   bool refreshWanted_ = false;
 
-  /// Used by the manager thread only.
+  /// The following members are used by the manager thread only.
   std::map<std::string, std::unique_ptr<TablePoller>> pollers_;
   std::string bootstrap_;
   size_t nextBootstrap_ = 0;
@@ -86,22 +86,24 @@
   return *cache.snapshot_;
 }
 
-wire::GetTablesRequest TableFollower::Impl::Question()
+wire::GetTablesRequest TableFollower::Impl::MakeRequest()
 {
   const std::lock_guard lock(mutex_);
-  auto question = tables_.Question();
-  question.instance = options_.instance_;
-  question.role = options_.role_;
-  return question;
+  auto request = tables_.MakeRequest();
+  request.instance = options_.instance_;
+  request.role = options_.role_;
+  return request;
 }
 
-bool TableFollower::Impl::Accept(const TableAnswer& aAnswer)
+bool TableFollower::Impl::OnResponse(const TableResponse& aResponse)
 {
   {
     const std::lock_guard lock(mutex_);
-    instances_[aAnswer.source_.address_] = aAnswer.source_.instance_;
-    if (!tables_.Apply(
-          aAnswer.answer_, aAnswer.source_, aAnswer.sentMs_, clock_.NowMs())) {
+    instances_[aResponse.source_.address_] = aResponse.source_.instance_;
+    if (!tables_.Apply(aResponse.response_,
+                       aResponse.source_,
+                       aResponse.sentMs_,
+                       clock_.NowMs())) {
       return false;
     }
     version_.fetch_add(1, std::memory_order_release);
@@ -136,15 +138,16 @@
   return addresses;
 }
 
-/// The bootstrap assigner to ask: stays while it answers and is of use.
+/// Selects the bootstrap assigner to poll. The current one is kept while it
+/// responds and is not polled already as an assigner or deputy.
 std::string TableFollower::Impl::NextBootstrap(
   const std::set<std::string>& aNamed)
 {
   const auto& all = options_.assigners_;
   const auto current = pollers_.find(bootstrap_);
-  const bool answers =
+  const bool isResponsive =
     current != pollers_.end() && !current->second->IsSilent();
-  if (answers && !aNamed.contains(bootstrap_)) {
+  if (isResponsive && !aNamed.contains(bootstrap_)) {
     return bootstrap_;
   }
   for (size_t tried = 0; tried < all.size(); ++tried) {
@@ -156,7 +159,7 @@
   return all.empty() ? std::string() : all[nextBootstrap_ % all.size()];
 }
 
-void TableFollower::Impl::Reconcile()
+void TableFollower::Impl::ReconcilePollers()
 {
   auto wanted = WantedAddresses();
   bootstrap_ = NextBootstrap(wanted);
@@ -167,7 +170,7 @@
     auto& poller = pollers_[address];
     if (!poller || poller->HasEnded()) {
       poller =
-        std::make_unique<TablePoller>(clock_, options_, address, Hooks());
+        std::make_unique<TablePoller>(clock_, options_, address, Callbacks());
     }
   }
   for (const auto& [address, poller] : pollers_) {
@@ -184,7 +187,7 @@
 {
   constexpr auto kInterval = std::chrono::milliseconds(100);
   while (true) {
-    Reconcile();
+    ReconcilePollers();
     std::unique_lock lock(mutex_);
     changed_.wait_for(lock, kInterval, [this] { return !running_; });
     if (!running_) {
@@ -209,9 +212,9 @@
 
 void TableFollower::Impl::RunRefresh()
 {
-  // Bounds the questions that a burst of refusals causes.
+  // Limits the requests that a burst of refusals causes.
   constexpr auto kMinInterval = std::chrono::milliseconds(20);
-  std::map<std::string, std::unique_ptr<TableQuestioner>> questioners;
+  std::map<std::string, std::unique_ptr<TableClient>> clients;
   std::unique_lock lock(mutex_);
   while (running_) {
     changed_.wait(lock, [this] { return refreshWanted_ || !running_; });
@@ -221,14 +224,13 @@
     refreshWanted_ = false;
     lock.unlock();
     for (const auto& address : RefreshTargets()) {
-      auto& questioner = questioners[address];
-      if (!questioner) {
-        questioner =
-          std::make_unique<TableQuestioner>(clock_, options_, address);
+      auto& client = clients[address];
+      if (!client) {
+        client = std::make_unique<TableClient>(clock_, options_, address);
       }
-      const auto answer = questioner->Ask(Question(), 0);
-      if (answer.ok()) {
-        Accept(*answer);
+      const auto response = client->Fetch(MakeRequest(), 0);
+      if (response.ok()) {
+        OnResponse(*response);
       }
     }
     std::this_thread::sleep_for(kMinInterval);
@@ -236,10 +238,12 @@
   }
 }
 
-TablePoller::Hooks TableFollower::Impl::Hooks()
+TablePoller::Callbacks TableFollower::Impl::Callbacks()
 {
-  return { [this] { return Question(); },
-           [this](const TableAnswer& aAnswer) { return Accept(aAnswer); } };
+  return { [this] { return MakeRequest(); },
+           [this](const TableResponse& aResponse) {
+             return OnResponse(aResponse);
+           } };
 }
 
 TableFollower::TableFollower(const Clock& aClock, TableFollowerOptions aOptions)
--- a/rpc/TablePoller.hpp
+++ b/rpc/TablePoller.hpp
@@ -18,65 +18,65 @@
 
 struct TableFollowerOptions;
 
-/// Answer to one GetTables call.
-struct TableAnswer
+/// Response to one GetTables call, with its sender and send time.
+struct TableResponse
 {
   TableSource source_;
-  wire::GetTablesResponse answer_;
+  wire::GetTablesResponse response_;
   TimeMs sentMs_ = 0;
 };
 
-/// Asks one assigner for tables, used by one thread at a time.
-class TableQuestioner
+/// Fetches tables from one assigner. Used by one thread at a time.
+class TableClient
 {
 public:
-  TableQuestioner(const Clock& aClock,
-                  const TableFollowerOptions& aOptions,
-                  std::string aAddress);
+  TableClient(const Clock& aClock,
+              const TableFollowerOptions& aOptions,
+              std::string aAddress);
 
-  absl::StatusOr<TableAnswer> Ask(wire::GetTablesRequest aQuestion,
-                                  TimeMs aWaitMs);
+  absl::StatusOr<TableResponse> Fetch(wire::GetTablesRequest aRequest,
+                                      TimeMs aWaitMs);
 
 private:
   const Clock& clock_;
   ThriftChannel<wire::AssignerPeerClient> channel_;
-  /// Empty until the process has named itself on this connection.
+  /// Empty until the process has reported its name on this connection.
   std::string instance_;
 };
 
-/// Long polls one assigner on a thread of its own.
+/// Long-polls one assigner on a thread of its own.
 class TablePoller
 {
 public:
-  struct Hooks
+  struct Callbacks
   {
-    std::function<wire::GetTablesRequest()> question_;
-    /// True when the answer brought something newer.
-    std::function<bool(const TableAnswer&)> accept_;
+    std::function<wire::GetTablesRequest()> makeRequest_;
+    /// Returns true when the response contained something newer.
+    std::function<bool(const TableResponse&)> onResponse_;
   };
 
   TablePoller(const Clock& aClock,
               const TableFollowerOptions& aOptions,
               std::string aAddress,
-              Hooks aHooks);
+              Callbacks aCallbacks);
   ~TablePoller();
   TablePoller(const TablePoller&) = delete;
   TablePoller& operator=(const TablePoller&) = delete;
 
   void RequestStop();
-  /// True when the destructor will not wait.
+  /// True when the thread has finished, so that the destructor does not wait.
   bool HasEnded() const { return ended_; }
-  /// True when the last call got no answer.
+  /// True when the last call failed.
   bool IsSilent() const { return silent_; }
 
 private:
   void Run();
-  bool WaitStopped(TimeMs aTimeoutMs);
+  bool WaitForStop(TimeMs aTimeoutMs);
 
   const Clock& clock_;
   TimeMs longPollMs_;
-  TableQuestioner questioner_;
-  Hooks hooks_;
+  TableClient client_;
+  Callbacks callbacks_;
   std::mutex mutex_;
   std::condition_variable stopChanged_;
   bool stopping_ = false;
--- a/tests/GatewayFixture.cpp
+++ b/tests/GatewayFixture.cpp
@@ -30,9 +30,9 @@
   };
   const auto addServer = [&](const std::string& aService,
                              const std::string& aId,
-                             ScriptedServer::Script aAnswer) {
+                             ScriptedServer::Script aServerScript) {
     backends_.push_back(
-      std::make_unique<ScriptedServer>(loop_, std::move(aAnswer)));
+      std::make_unique<ScriptedServer>(loop_, std::move(aServerScript)));
     addEntry(aService, aId);
   };
   for (int index = 0; index < aServers; ++index) {
@@ -188,15 +188,15 @@
 
 int TestCaller::ResponseCount() const
 {
-  int answers = 0;
+  int responses = 0;
   auto text = received_;
   HttpParser parser(HttpMessageType::Response, kMaxHeadBytes);
   std::string body;
   while (!text.empty() && parser.Parse(text, body) == ParseState::Done) {
-    ++answers;
+    ++responses;
     parser = HttpParser(HttpMessageType::Response, kMaxHeadBytes);
   }
-  return answers;
+  return responses;
 }
 
 void TestCaller::OnInput()
@@ -214,18 +214,19 @@
   return std::make_unique<TestCaller>(loop_, GatewayAddress(), aBytes);
 }
 
-std::string GatewayFixture::SendAndWait(const std::string& aBytes, int aAnswers)
+std::string GatewayFixture::SendAndWait(const std::string& aBytes,
+                                        int aResponses)
 {
-  return SendToAndWait(GatewayAddress(), aBytes, aAnswers);
+  return SendToAndWait(GatewayAddress(), aBytes, aResponses);
 }
 
 std::string GatewayFixture::SendToAndWait(const Endpoint& aGateway,
                                           const std::string& aBytes,
-                                          int aAnswers)
+                                          int aResponses)
 {
   const TestCaller caller(loop_, aGateway, aBytes);
   RunUntil(
-    [&] { return caller.IsClosed() || caller.ResponseCount() >= aAnswers; });
+    [&] { return caller.IsClosed() || caller.ResponseCount() >= aResponses; });
   return caller.Received();
 }
 
--- a/tests/GatewayFixture.hpp
+++ b/tests/GatewayFixture.hpp
@@ -54,11 +54,11 @@
   void RunFor(TimeMs aMs);
   /// Sends bytes on a new connection and returns what came back once aDone
   /// holds for it, or until the connection ends.
-  std::string SendAndWait(const std::string& aBytes, int aAnswers = 1);
+  std::string SendAndWait(const std::string& aBytes, int aResponses = 1);
   /// The same at another gateway.
   std::string SendToAndWait(const Endpoint& aGateway,
                             const std::string& aBytes,
-                            int aAnswers = 1);
+                            int aResponses = 1);
   /// Sends bytes on a new connection and waits for nothing.
   std::unique_ptr<TestCaller> Send(const std::string& aBytes);
   /// Starts one more gateway on the same store and returns its address.
--- a/tests/GatewayProcessTest.cpp
+++ b/tests/GatewayProcessTest.cpp
@@ -51,8 +51,8 @@
                  { "CACTUSPITCH_STORE", FreeEndpoint().ToText() } });
   ASSERT_TRUE(openForReader());
   kill(fleet.Pid("gateway"), SIGHUP);
-  constexpr auto kSignalTime = std::chrono::milliseconds(50);
-  std::this_thread::sleep_for(kSignalTime);
+  constexpr auto kSignalDelay = std::chrono::milliseconds(50);
+  std::this_thread::sleep_for(kSignalDelay);
   ASSERT_TRUE(fleet.IsRunning("gateway"));
   write();
   ASSERT_TRUE(hasLogged("settings-in-force"));
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -21,9 +21,9 @@
       aExchange.body_));
 }
 
-int StatusOf(const std::string& aAnswer)
+int StatusOf(const std::string& aResponse)
 {
-  return aAnswer.size() < 12 ? 0 : std::stoi(aAnswer.substr(9, 3));
+  return aResponse.size() < 12 ? 0 : std::stoi(aResponse.substr(9, 3));
 }
 
 /// Answers the first request by aFirst, later ones well.
@@ -43,10 +43,10 @@
 TEST(Gateway, ServesRequests)
 {
   GatewayFixture fixture(Echo);
-  const auto answer = fixture.SendAndWait(
+  const auto response = fixture.SendAndWait(
     GatewayFixture::MakeRequest("POST", "plain", "1", "", "body"));
-  EXPECT_EQ(StatusOf(answer), 200);
-  EXPECT_NE(answer.find("1body"), std::string::npos);
+  EXPECT_EQ(StatusOf(response), 200);
+  EXPECT_NE(response.find("1body"), std::string::npos);
   EXPECT_EQ(StatusOf(fixture.SendAndWait(GatewayFixture::MakeRequest(
               "GET", "keyed", "2", "Cactuspitch-Shard-Key: 77\r\n"))),
             200);
@@ -56,7 +56,7 @@
 }
 
 // Guards against answers that reach the wrong request of a pipeline.
-TEST(Gateway, AnswersPipelinedRequestsInOrder)
+TEST(Gateway, RespondsToPipelinedRequestsInOrder)
 {
   auto held = std::make_shared<std::vector<Exchange>>();
   GatewayFixture fixture([held](Exchange& aExchange) {
@@ -68,15 +68,15 @@
       }
     }
   });
-  const auto answers =
+  const auto responses =
     fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "one") +
                           GatewayFixture::MakeRequest("GET", "plain", "two") +
                           GatewayFixture::MakeRequest("GET", "plain", "three"),
                         3);
-  const auto first = answers.find("\r\n\r\none");
-  const auto second = answers.find("\r\n\r\ntwo");
-  const auto third = answers.find("\r\n\r\nthree");
-  ASSERT_NE(third, std::string::npos) << answers;
+  const auto first = responses.find("\r\n\r\none");
+  const auto second = responses.find("\r\n\r\ntwo");
+  const auto third = responses.find("\r\n\r\nthree");
+  ASSERT_NE(third, std::string::npos) << responses;
   EXPECT_LT(first, second);
   EXPECT_LT(second, third);
 }
@@ -85,15 +85,15 @@
 TEST(Gateway, ForwardsChunkedBodies)
 {
   GatewayFixture fixture(Echo);
-  const auto answer = fixture.SendAndWait(
+  const auto response = fixture.SendAndWait(
     "POST /unsafe/x HTTP/1.1\r\nHost: plain\r\nCactuspitch-Request-Id: c\r\n"
     "Cactuspitch-Deadline-Remaining: 900\r\nTransfer-Encoding: chunked\r\n\r\n"
     "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
-  EXPECT_NE(answer.find("cabcdefg"), std::string::npos) << answer;
+  EXPECT_NE(response.find("cabcdefg"), std::string::npos) << response;
 }
 
 // Guards against smuggled requests and against limits that are not kept.
-TEST(Gateway, RefusesMalformedAndTooLargeRequests)
+TEST(Gateway, RejectsMalformedAndTooLargeRequests)
 {
   GatewayFixture fixture(Echo);
   EXPECT_EQ(StatusOf(fixture.SendAndWait(GatewayFixture::MakeRequest(
@@ -111,12 +111,12 @@
 }
 
 /// Stands for bytes without end: many times what any limit allows.
-constexpr size_t kEndless = 1 << 20;
+constexpr size_t kUnboundedBytes = 1 << 20;
 
 std::string Repeated(std::string_view aText)
 {
   std::string text;
-  while (text.size() < kEndless) {
+  while (text.size() < kUnboundedBytes) {
     text += aText;
   }
   return text;
@@ -134,14 +134,15 @@
 {
   const char* name_;
   ScriptedServer::Script first_;
-  int safeStatus_;   ///< what the caller of an idempotent request gets
-  int unsafeStatus_; ///< what the caller of a non-idempotent request gets
-  int unsafeRuns_;   ///< sends of the non-idempotent request
+  int idempotentStatus_; ///< what the caller of an idempotent request gets
+  int
+    nonIdempotentStatus_;  ///< what the caller of a non-idempotent request gets
+  int nonIdempotentSends_; ///< sends of the non-idempotent request
 };
 
 // Guards, row by row, against a second run of a non-idempotent request, against
 // a false "not run", and against giving up an idempotent one too early.
-TEST(Gateway, EndsOfAnAttempt)
+TEST(Gateway, OutcomesOfAFailedAttempt)
 {
   const auto write = [](const char* aText) {
     return [aText](Exchange& aExchange) { aExchange.write_(aText); };
@@ -163,10 +164,10 @@
       2 },
     { "truncated",
       [](Exchange& aExchange) {
-        auto answer =
+        auto response =
           GatewayFixture::MakeResponse(aExchange.head_, "0123456789");
-        answer.resize(answer.size() - 4);
-        aExchange.write_(answer);
+        response.resize(response.size() - 4);
+        aExchange.write_(response);
         aExchange.close_();
       },
       200,
@@ -184,16 +185,17 @@
       1 },
     { "server error",
       [](Exchange& aExchange) {
-        auto answer = GatewayFixture::MakeResponse(aExchange.head_, "sorry");
-        answer.replace(9, 3, "500");
-        aExchange.write_(answer);
+        auto response = GatewayFixture::MakeResponse(aExchange.head_, "sorry");
+        response.replace(9, 3, "500");
+        aExchange.write_(response);
       },
       200,
       500,
       1 },
     { "head without end",
       [](Exchange& aExchange) {
-        aExchange.write_("HTTP/1.1 200 OK\r\nX: " + std::string(kEndless, 'a'));
+        aExchange.write_("HTTP/1.1 200 OK\r\nX: " +
+                         std::string(kUnboundedBytes, 'a'));
       },
       200,
       502,
@@ -215,7 +217,7 @@
     { "chunk extension without end",
       [](Exchange& aExchange) {
         aExchange.write_(ChunkedHead(aExchange) +
-                         "5;x=" + std::string(kEndless, 'a'));
+                         "5;x=" + std::string(kUnboundedBytes, 'a'));
       },
       200,
       502,
@@ -251,32 +253,32 @@
   for (const auto& row : cases) {
     {
       GatewayFixture fixture(FirstThenEcho(row.first_));
-      const auto answer =
+      const auto response =
         fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "s1"));
-      EXPECT_EQ(StatusOf(answer), row.safeStatus_) << row.name_;
-      EXPECT_EQ(answer.find("wrong"), std::string::npos) << row.name_;
-      EXPECT_NE(answer.find("\r\n\r\ns1"), std::string::npos) << row.name_;
+      EXPECT_EQ(StatusOf(response), row.idempotentStatus_) << row.name_;
+      EXPECT_EQ(response.find("wrong"), std::string::npos) << row.name_;
+      EXPECT_NE(response.find("\r\n\r\ns1"), std::string::npos) << row.name_;
     }
     GatewayFixture fixture(FirstThenEcho(row.first_));
-    const auto answer = fixture.SendAndWait(
+    const auto response = fixture.SendAndWait(
       GatewayFixture::MakeRequest("POST", "plain", "u1", "", "b"));
-    EXPECT_EQ(StatusOf(answer), row.unsafeStatus_) << row.name_;
-    EXPECT_EQ(fixture.BackendRequests(), row.unsafeRuns_) << row.name_;
+    EXPECT_EQ(StatusOf(response), row.nonIdempotentStatus_) << row.name_;
+    EXPECT_EQ(fixture.BackendRequests(), row.nonIdempotentSends_) << row.name_;
   }
 }
 
 // Guards against "may have run" for a request that reached no server: its
 // caller could not come back. Also against endless connections to a server that
 // has too many.
-TEST(Gateway, RefusesWhatReachedNoServer)
+TEST(Gateway, RespondsWith503WhenNoServerIsReached)
 {
   for (const char* method : { "GET", "POST" }) {
     GatewayFixture fixture(Echo, 1);
     fixture.Backend(0).SetFull(true);
-    const auto answer =
+    const auto response =
       fixture.SendAndWait(GatewayFixture::MakeRequest(method, "plain", "f1"));
-    EXPECT_EQ(StatusOf(answer), 503) << method << answer;
-    EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+    EXPECT_EQ(StatusOf(response), 503) << method << response;
+    EXPECT_NE(response.find("Retry-After: "), std::string::npos) << response;
     EXPECT_EQ(fixture.BackendRequests(), 0);
     EXPECT_LE(fixture.Backend(0).Accepted(), 5);
     fixture.Backend(0).SetFull(false);
@@ -289,7 +291,7 @@
 
 // Guards against a request that waits until its deadline because all
 // connections to the server are idle and too old for it.
-TEST(Gateway, StaleIdleConnectionsHoldNothingBack)
+TEST(Gateway, StaleIdleConnectionsDelayNoRequest)
 {
   constexpr int kConnections = 10;
   std::vector<Exchange> held;
@@ -324,7 +326,7 @@
 }
 
 // Guards against a request that works on for a caller who has left.
-TEST(Gateway, CancelsForCallersThatLeave)
+TEST(Gateway, CancelsWhenTheCallerDisconnects)
 {
   GatewayFixture fixture([](Exchange&) {}, 1);
   {
@@ -339,7 +341,7 @@
 
 // Guards against a gateway that ran late and sends on what it reads only then,
 // although the caller has given up meanwhile (large eg-north, rule GONE).
-TEST(Gateway, DoesNotSendOnForCallersThatHaveLeft)
+TEST(Gateway, DoesNotForwardForDisconnectedCallers)
 {
   GatewayFixture fixture(Echo, 1);
   // An open connection to the backend server takes a request at once.
@@ -363,7 +365,7 @@
 
 // Guards against a departure that is not noticed because reading is paused
 // while many requests of the connection wait.
-TEST(Gateway, NoticesDeparturesBehindManyRequests)
+TEST(Gateway, NoticesDisconnectBehindPipelinedRequests)
 {
   GatewayFixture fixture([](Exchange&) {}, 1);
   {
@@ -384,16 +386,16 @@
 
 // Guards against an answer after the deadline, and against calling a request
 // "not run" that a silent server may have run.
-TEST(Gateway, SilentServerEndsAtTheDeadline)
+TEST(Gateway, UnresponsiveServerTimesOutAtTheDeadline)
 {
   GatewayFixture fixture([](Exchange&) {});
   const TimeMs startMs = SteadyClock().NowMs();
   EXPECT_EQ(StatusOf(fixture.SendAndWait(
               GatewayFixture::MakeRequest("POST", "plain", "1"))),
             504);
-  const TimeMs tookMs = SteadyClock().NowMs() - startMs;
-  EXPECT_GE(tookMs, 850);
-  EXPECT_LT(tookMs, 1400);
+  const TimeMs elapsedMs = SteadyClock().NowMs() - startMs;
+  EXPECT_GE(elapsedMs, 850);
+  EXPECT_LT(elapsedMs, 1400);
 }
 
 // Guards against settings that change only with the next start of the process,
@@ -425,7 +427,7 @@
 }
 
 // Guards against losing keys or requests while the store is away.
-TEST(Gateway, ServesWhileTheStoreIsAway)
+TEST(Gateway, ServesWhileTheStoreIsUnreachable)
 {
   GatewayFixture fixture(Echo);
   fixture.SetStoreDown(true);
@@ -444,7 +446,7 @@
 // answered: each answer rebuilt all owners, so a leader with half a core was
 // replaced after 0.8 s, and the next one as well (large eg-north, after a power
 // loss of all).
-TEST(Gateway, ANewLeaderGrantsToManyServersInTime)
+TEST(Gateway, NewLeaderGrantsToManyServersInTime)
 {
   constexpr int kServers = 776;
   // Half a core until the others take the leader as silent. The rig's store and
--- a/tests/ServerNoticesTest.cpp
+++ b/tests/ServerNoticesTest.cpp
@@ -21,7 +21,7 @@
 }
 
 /// Changes are gathered for 200 ms before they are watched for again.
-constexpr TimeMs kWatchMs = 500;
+constexpr TimeMs kWatchDelayMs = 500;
 constexpr std::string_view kLeaving = "Server-Leaving: 1\r\n";
 
 std::string Refusal(std::string_view aFields)
@@ -31,16 +31,16 @@
                 "Content-Length: 0\r\n\r\n");
 }
 
-bool IsServed(const std::string& aAnswer)
+bool IsServed(const std::string& aResponse)
 {
-  return aAnswer.find("\r\n\r\nbody") != std::string::npos;
+  return aResponse.find("\r\n\r\nbody") != std::string::npos;
 }
 
 /// Requests that each server got.
 struct Counts
 {
   std::map<ScriptedServer*, int> requests_;
-  ScriptedServer* marked_ = nullptr; ///< the server that sends the notice
+  ScriptedServer* notifier_ = nullptr; ///< the server that sends the notice
 };
 
 // Guards against requests that go to a server after it said that it leaves, in
@@ -48,7 +48,7 @@
 TEST(ServerNotices, LeavingServerGetsNoNewRequests)
 {
   using Script = std::function<void(Exchange&)>;
-  const std::map<std::string, Script> answers = {
+  const std::map<std::string, Script> responses = {
     { "success",
       [](Exchange& aExchange) {
         aExchange.write_(MakeResponse(aExchange, kLeaving));
@@ -69,16 +69,16 @@
         aExchange.close_();
       } },
   };
-  for (const auto& entry : answers) {
+  for (const auto& entry : responses) {
     const auto& name = entry.first;
-    const auto& answer = entry.second;
+    const auto& response = entry.second;
     Counts counts;
     GatewayFixture fixture(
       [&](Exchange& aExchange) {
         ++counts.requests_[aExchange.server_];
-        if (counts.marked_ == nullptr) {
-          counts.marked_ = aExchange.server_;
-          answer(aExchange);
+        if (counts.notifier_ == nullptr) {
+          counts.notifier_ = aExchange.server_;
+          response(aExchange);
         } else {
           aExchange.write_(MakeResponse(aExchange, ""));
         }
@@ -86,26 +86,26 @@
       2);
     const auto first =
       fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "first"));
-    ASSERT_NE(counts.marked_, nullptr) << name;
+    ASSERT_NE(counts.notifier_, nullptr) << name;
     EXPECT_EQ(first.find("Server-Leaving"), std::string::npos) << name;
     for (int id = 0; id < 20; ++id) {
       EXPECT_TRUE(IsServed(fixture.SendAndWait(
         GatewayFixture::MakeRequest("GET", "plain", Concat(id)))))
         << name;
     }
-    EXPECT_EQ(counts.requests_[counts.marked_], 1) << name;
+    EXPECT_EQ(counts.requests_[counts.notifier_], 1) << name;
   }
 }
 
 // Guards against a leaving server that is used again because a watch replays
 // its registration, and against a new life at its address that is not used.
-TEST(ServerNotices, LeavingOutlivesReplaysAndEndsWithTheLife)
+TEST(ServerNotices, LeavingOutlivesReplaysAndEndsWithTheIncarnation)
 {
   Counts counts;
   GatewayFixture fixture(
     [&](Exchange& aExchange) {
       ++counts.requests_[aExchange.server_];
-      counts.marked_ = aExchange.server_;
+      counts.notifier_ = aExchange.server_;
       aExchange.write_(MakeResponse(
         aExchange,
         counts.requests_.at(aExchange.server_) == 1 ? kLeaving : ""));
@@ -114,12 +114,12 @@
   EXPECT_TRUE(IsServed(
     fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "1"))));
   fixture.Reregister(0, 1);
-  fixture.RunFor(kWatchMs);
+  fixture.RunFor(kWatchDelayMs);
   EXPECT_FALSE(IsServed(
     fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "2"))));
   EXPECT_EQ(counts.requests_.at(&fixture.Backend(0)), 1);
   fixture.Reregister(0, 2);
-  fixture.RunFor(kWatchMs);
+  fixture.RunFor(kWatchDelayMs);
   EXPECT_TRUE(IsServed(
     fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "3"))));
 }
@@ -147,7 +147,7 @@
 
 // Guards against requests to a server that asked for a pause, and against a
 // server that is never used again after it.
-TEST(ServerNotices, PausedServerGetsNothingUntilThePauseEnds)
+TEST(ServerNotices, PausedServerGetsNoRequestsUntilThePauseEnds)
 {
   int requests = 0;
   GatewayFixture fixture(
@@ -172,7 +172,7 @@
 
 // Guards against callers that wait although the only server has paused, and
 // against a time to come back that is not the rest of the pause.
-TEST(ServerNotices, RefusesAtOnceWhileAllServersPause)
+TEST(ServerNotices, RejectsAtOnceWhileAllServersArePaused)
 {
   int requests = 0;
   GatewayFixture fixture(
@@ -184,14 +184,14 @@
   fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "1"));
   fixture.RunFor(600);
   const auto begin = SteadyClock().NowMs();
-  const auto answer =
+  const auto response =
     fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "2"));
   EXPECT_LT(SteadyClock().NowMs() - begin, 100);
-  EXPECT_NE(answer.find(" 503 "), std::string::npos);
-  const auto field = answer.find("Retry-After: ");
+  EXPECT_NE(response.find(" 503 "), std::string::npos);
+  const auto field = response.find("Retry-After: ");
   ASSERT_NE(field, std::string::npos);
-  EXPECT_GT(std::stod(answer.substr(field + 13)), 1.5);
-  EXPECT_LT(std::stod(answer.substr(field + 13)), 4);
+  EXPECT_GT(std::stod(response.substr(field + 13)), 1.5);
+  EXPECT_LT(std::stod(response.substr(field + 13)), 4);
   EXPECT_EQ(requests, 1);
 }
 
@@ -209,7 +209,7 @@
       }
     },
     1);
-  const auto answerAll = [&] {
+  const auto respondToAll = [&] {
     for (const auto& exchange : std::exchange(held, {})) {
       exchange.write_(MakeResponse(exchange, ""));
     }
@@ -221,7 +221,7 @@
   }
   ASSERT_TRUE(fixture.RunUntil([&] { return held.size() == 3; }));
   fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "refused"));
-  answerAll();
+  respondToAll();
   fixture.RunFor(1300);
   for (int id = 0; id < 4; ++id) {
     callers.push_back(
@@ -229,7 +229,7 @@
   }
   fixture.RunFor(40);
   EXPECT_EQ(held.size(), 1U);
-  answerAll();
+  respondToAll();
   fixture.RunFor(40);
   EXPECT_EQ(held.size(), 2U);
 }
@@ -302,16 +302,17 @@
       "GET", "keyed", Concat(aId), "Cactuspitch-Shard-Key: 77\r\n"));
   };
   EXPECT_TRUE(IsServed(ask(0)));
-  int late = 0;
+  int misroutedRequests = 0;
   fixture.SetKeyedScript([&](Exchange& aExchange) {
-    late += aExchange.head_.Field("Cactuspitch-Target-Instance") == first;
+    misroutedRequests +=
+      aExchange.head_.Field("Cactuspitch-Target-Instance") == first;
     aExchange.write_(MakeResponse(aExchange, ""));
   });
   fixture.RunFor(1000);
   for (int id = 1; id < 10; ++id) {
     EXPECT_TRUE(IsServed(ask(id)));
   }
-  EXPECT_EQ(late, 0);
+  EXPECT_EQ(misroutedRequests, 0);
 }
 
 // Guards against keys that stay with a leaving server that has no requests: it
--- a/tests/TableFollowerTest.cpp
+++ b/tests/TableFollowerTest.cpp
@@ -28,7 +28,7 @@
   return table;
 }
 
-/// Assigner that serves one table and renews the view lease.
+/// Serves one table through GetTables, with a view lease in every response.
 class FakeAssigner final : public wire::AssignerPeerNull
 {
 public:
@@ -50,30 +50,30 @@
     aStatus.instance = instance_;
   }
 
-  void GetTables(wire::GetTablesResponse& aAnswer,
-                 const wire::GetTablesRequest& aQuestion) override
+  void GetTables(wire::GetTablesResponse& aResponse,
+                 const wire::GetTablesRequest& aRequest) override
   {
     std::unique_lock lock(mutex_);
     const auto isNew = [&] {
-      return table_.term_ > 0 && Known(aQuestion) != table_.sequence_;
+      return table_.term_ > 0 && Known(aRequest) != table_.sequence_;
     };
-    changed_.wait_for(lock, std::chrono::milliseconds(aQuestion.waitMs), isNew);
+    changed_.wait_for(lock, std::chrono::milliseconds(aRequest.waitMs), isNew);
     if (table_.term_ == 0) {
       return;
     }
     const bool canDelta =
-      Known(aQuestion) == table_.sequence_ ||
-      (Known(aQuestion) == old_.sequence_ && old_.term_ == table_.term_);
-    const auto& base = Known(aQuestion) == table_.sequence_ ? table_ : old_;
+      Known(aRequest) == table_.sequence_ ||
+      (Known(aRequest) == old_.sequence_ && old_.term_ == table_.term_);
+    const auto& base = Known(aRequest) == table_.sequence_ ? table_ : old_;
     auto message = canDelta ? ToWireDelta(base, table_) : ToWire(table_);
     message.viewLeaseMs = kLeaseMs;
-    aAnswer.tables.push_back(message);
+    aResponse.tables.push_back(message);
   }
 
 private:
-  static int64_t Known(const wire::GetTablesRequest& aQuestion)
+  static int64_t Known(const wire::GetTablesRequest& aRequest)
   {
-    return aQuestion.known.empty() ? -1 : aQuestion.known[0].sequence;
+    return aRequest.known.empty() ? -1 : aRequest.known[0].sequence;
   }
 
   std::string instance_;
@@ -109,7 +109,7 @@
           .assigners_ = { first_.port_.Address(), second_.port_.Address() },
           .longPollMs_ = 100,
           .connectTimeoutMs_ = 300,
-          .answerSlackMs_ = 600 })
+          .responseTimeoutMs_ = 600 })
   {
   }
   ~TableFollowerTest() override { follower_.Stop(); }
@@ -137,8 +137,8 @@
   TableFollower follower_;
 };
 
-// Guards against a router that stays on an old table, and against a view lease
-// that is not renewed while nothing changes.
+// Guards against a router that keeps an old table after a change, and against a
+// view lease that is not renewed while the table does not change.
 TEST_F(TableFollowerTest, FollowsChangesAndRenewsTheLease)
 {
   first_.handler_->Publish(MakeTable(1, 1, "i1"));
@@ -153,8 +153,9 @@
   EXPECT_EQ(follower_.Table("ledger", 0)->table_.FindSlice(0).epoch_, 2);
 }
 
-// Guards against a table that goes back when a superseded assigner answers,
-// and against a view lease from one that the table no longer names.
+// Guards against a table that reverts to an earlier term when a superseded
+// assigner responds, and against a view lease from an assigner that the table
+// no longer names.
 TEST_F(TableFollowerTest, SupersededAssignerIsIgnored)
 {
   second_.handler_->Publish(MakeTable(2, 1, "i2"));
@@ -170,52 +171,53 @@
 
 }
 
-// Guards against a view lease that counts from the arrival of the answer or
-// comes from an instance that is neither assigner nor deputy.
-TEST(FollowedTables, LeaseCountsFromTheQuestionOfTheNamedAssigner)
+// Guards against a view lease that counts from the arrival of the response, and
+// against one from an instance that is neither assigner nor deputy.
+TEST(FollowedTables, LeaseCountsFromTheRequestToTheNamedAssigner)
 {
   FollowedTables tables;
-  wire::GetTablesResponse answer;
-  answer.tables.push_back(ToWire(MakeTable(1, 1, "i1")));
-  answer.tables[0].viewLeaseMs = kLeaseMs;
-  EXPECT_TRUE(tables.Apply(answer, { "127.0.0.1:1", "i2" }, 100, 400));
+  wire::GetTablesResponse response;
+  response.tables.push_back(ToWire(MakeTable(1, 1, "i1")));
+  response.tables[0].viewLeaseMs = kLeaseMs;
+  EXPECT_TRUE(tables.Apply(response, { "127.0.0.1:1", "i2" }, 100, 400));
   const auto table = tables.Snapshot()->Find("ledger", 0);
   EXPECT_EQ(table->viewLeaseUntilMs_, 0);
-  EXPECT_FALSE(tables.Apply(answer, { "127.0.0.1:2", "i1" }, 100, 400));
+  EXPECT_FALSE(tables.Apply(response, { "127.0.0.1:2", "i1" }, 100, 400));
   EXPECT_EQ(table->viewLeaseUntilMs_, 100 + kLeaseMs);
 }
 
-// Guards against a delta that is applied to another version, and against a
-// group that is then never asked for in full.
-TEST(FollowedTables, UnfittingDeltaIsAskedForInFull)
+// Guards against a delta that is applied to another version than its base, and
+// against a group whose full table is never requested after such a delta.
+TEST(FollowedTables, MismatchedDeltaCausesFullRequest)
 {
   FollowedTables tables;
-  wire::GetTablesResponse answer;
-  answer.tables.push_back(ToWire(MakeTable(1, 1, "i1")));
-  tables.Apply(answer, {}, 0, 0);
-  EXPECT_EQ(tables.Question().known.size(), 1u);
-  answer.tables[0] = ToWireDelta(MakeTable(1, 2, "i1"), MakeTable(1, 3, "i1"));
-  EXPECT_FALSE(tables.Apply(answer, {}, 0, 0));
+  wire::GetTablesResponse response;
+  response.tables.push_back(ToWire(MakeTable(1, 1, "i1")));
+  tables.Apply(response, {}, 0, 0);
+  EXPECT_EQ(tables.MakeRequest().known.size(), 1u);
+  response.tables[0] =
+    ToWireDelta(MakeTable(1, 2, "i1"), MakeTable(1, 3, "i1"));
+  EXPECT_FALSE(tables.Apply(response, {}, 0, 0));
   EXPECT_FALSE(tables.IsComplete());
-  EXPECT_TRUE(tables.Question().known.empty());
-  answer.tables[0] = ToWire(MakeTable(1, 3, "i1"));
-  EXPECT_TRUE(tables.Apply(answer, {}, 0, 0));
+  EXPECT_TRUE(tables.MakeRequest().known.empty());
+  response.tables[0] = ToWire(MakeTable(1, 3, "i1"));
+  EXPECT_TRUE(tables.Apply(response, {}, 0, 0));
   EXPECT_TRUE(tables.IsComplete());
 }
 
-// Guards against a configuration that reverts, and against an age that starts
-// again without a confirmation.
+// Guards against a configuration that reverts to an older version, and against
+// a confirmation age that is reset although the store confirmed nothing.
 TEST(FollowedTables, ConfigNeverReverts)
 {
   FollowedTables tables;
-  wire::GetTablesResponse answer;
+  wire::GetTablesResponse response;
   wire::ConfigDocument config;
   const auto apply = [&](int64_t aVersion, std::string aJson, TimeMs aAgeMs) {
     config.version = aVersion;
     config.json = std::move(aJson);
     config.confirmedAgeMs = aAgeMs;
-    answer.__set_config(config);
-    return tables.Apply(answer, {}, 0, 1000);
+    response.__set_config(config);
+    return tables.Apply(response, {}, 0, 1000);
   };
   EXPECT_TRUE(apply(2, "two", 50));
   EXPECT_FALSE(apply(1, "one", 0));
