--- a/bench/OwnershipRig.hpp
+++ b/bench/OwnershipRig.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "common/SliceTable.hpp"
+#include "common/GroupTable.hpp"
 #include "tests/Deployment.hpp"
 
 #include <atomic>
--- a/common/BoundedSocket.cpp
+++ b/common/DeadlineSocket.cpp
@@ -1,4 +1,4 @@
-#include "BoundedSocket.hpp"
+#include "DeadlineSocket.hpp"
 
 #include "Strings.hpp"
 
@@ -65,23 +65,24 @@
 
 }
 
-BoundedSocket::BoundedSocket(const Clock& aClock)
+DeadlineSocket::DeadlineSocket(const Clock& aClock)
   : clock_(aClock)
 {
 }
 
-BoundedSocket::~BoundedSocket()
+DeadlineSocket::~DeadlineSocket()
 {
   Close();
 }
 
-void BoundedSocket::SetBounds(TimeMs aDeadlineMs, const CancelSignal* aCancel)
+void DeadlineSocket::SetDeadline(TimeMs aDeadlineMs,
+                                 const CancelSignal* aCancel)
 {
   deadlineMs_ = aDeadlineMs;
   cancel_ = aCancel;
 }
 
-absl::Status BoundedSocket::Connect(const std::string& aAddress)
+absl::Status DeadlineSocket::Connect(const std::string& aAddress)
 {
   Close();
   detail::SocketAddress address;
@@ -120,7 +121,7 @@
   return absl::OkStatus();
 }
 
-void BoundedSocket::Close()
+void DeadlineSocket::Close()
 {
   if (fd_ >= 0) {
     close(fd_);
@@ -128,22 +129,22 @@
   }
 }
 
-bool BoundedSocket::IsIdleBroken() const
+bool DeadlineSocket::IsClosedOrReadable() const
 {
   char byte = 0;
   const auto got = recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-size_t BoundedSocket::Receive(void* aData,
-                              size_t aSize,
-                              boost::beast::error_code& aError)
+size_t DeadlineSocket::Receive(void* aData,
+                               size_t aSize,
+                               boost::beast::error_code& aError)
 {
   aError = {};
   if (aSize == 0) {
     return 0;
   }
-  if (std::exchange(expectWait_, false) && !Wait(POLLIN, aError)) {
+  if (std::exchange(pollBeforeNextRead_, false) && !Wait(POLLIN, aError)) {
     return 0;
   }
   while (true) {
@@ -168,9 +169,9 @@
   }
 }
 
-size_t BoundedSocket::Send(const iovec* aParts,
-                           size_t aCount,
-                           boost::beast::error_code& aError)
+size_t DeadlineSocket::Send(const iovec* aParts,
+                            size_t aCount,
+                            boost::beast::error_code& aError)
 {
   aError = {};
   msghdr message{};
@@ -195,7 +196,7 @@
   }
 }
 
-bool BoundedSocket::Wait(short aEvents, boost::beast::error_code& aError) const
+bool DeadlineSocket::Wait(short aEvents, boost::beast::error_code& aError) const
 {
   while (true) {
     const TimeMs left = deadlineMs_ - clock_.NowMs();
--- a/common/BoundedSocket.hpp
+++ b/common/DeadlineSocket.hpp
@@ -15,16 +15,16 @@
 
 /// TCP socket whose every call ends by a deadline or a cancellation. Meets the
 /// SyncStream requirements of Boost.Beast.
-class BoundedSocket
+class DeadlineSocket
 {
 public:
-  explicit BoundedSocket(const Clock& aClock);
-  ~BoundedSocket();
-  BoundedSocket(const BoundedSocket&) = delete;
-  BoundedSocket& operator=(const BoundedSocket&) = delete;
+  explicit DeadlineSocket(const Clock& aClock);
+  ~DeadlineSocket();
+  DeadlineSocket(const DeadlineSocket&) = delete;
+  DeadlineSocket& operator=(const DeadlineSocket&) = delete;
 
   /// Applies to all following calls. aCancel may be null.
-  void SetBounds(TimeMs aDeadlineMs, const CancelSignal* aCancel);
+  void SetDeadline(TimeMs aDeadlineMs, const CancelSignal* aCancel);
 
   /// aAddress is "IP:port". Unavailable: the connection was refused.
   /// DeadlineExceeded, Cancelled or Unknown otherwise.
@@ -32,9 +32,9 @@
   void Close();
   bool IsOpen() const { return fd_ >= 0; }
   /// True when the peer closed or sent bytes that nobody asked for.
-  bool IsIdleBroken() const;
+  bool IsClosedOrReadable() const;
   /// The next read waits first, which saves the attempt that finds nothing.
-  void ExpectWait() { expectWait_ = true; }
+  void PollBeforeNextRead() { pollBeforeNextRead_ = true; }
   size_t BytesWritten() const { return bytesWritten_; }
   void ResetBytesWritten() { bytesWritten_ = 0; }
 
@@ -99,7 +99,7 @@
   TimeMs deadlineMs_ = 0;
   const CancelSignal* cancel_ = nullptr;
   size_t bytesWritten_ = 0;
-  bool expectWait_ = false;
+  bool pollBeforeNextRead_ = false;
 };
 
 }
--- a/common/SliceTable.cpp
+++ b/common/GroupTable.cpp
@@ -1,4 +1,4 @@
-#include "SliceTable.hpp"
+#include "GroupTable.hpp"
 
 #include <algorithm>
 #include <tuple>
--- a/common/HttpConnection.cpp
+++ b/common/HttpConnection.cpp
@@ -1,6 +1,6 @@
 #include "HttpConnection.hpp"
 
-#include "BoundedSocket.hpp"
+#include "DeadlineSocket.hpp"
 #include "Strings.hpp"
 
 #include <algorithm>
@@ -53,7 +53,7 @@
   {
   }
 
-  BoundedSocket socket_;
+  DeadlineSocket socket_;
   std::string address_;
   boost::beast::flat_buffer buffer_;
   std::optional<ResponseParser> parser_;
@@ -124,7 +124,7 @@
 {
   Close();
   impl_->stage_ = ExchangeStage::Connecting;
-  impl_->socket_.SetBounds(aDeadlineMs, aCancel);
+  impl_->socket_.SetDeadline(aDeadlineMs, aCancel);
   return impl_->socket_.Connect(impl_->address_);
 }
 
@@ -135,7 +135,7 @@
   impl_->BuildHead(aRequest);
   impl_->isHeadRequest_ = aRequest.method_ == "HEAD";
   impl_->stage_ = ExchangeStage::Writing;
-  impl_->socket_.SetBounds(aDeadlineMs, aCancel);
+  impl_->socket_.SetDeadline(aDeadlineMs, aCancel);
   impl_->socket_.ResetBytesWritten();
   const auto error = impl_->SendAll(aRequest.body_);
   if (error) {
@@ -149,9 +149,9 @@
   TimeMs aDeadlineMs,
   const CancelSignal* aCancel)
 {
-  impl_->socket_.SetBounds(aDeadlineMs, aCancel);
+  impl_->socket_.SetDeadline(aDeadlineMs, aCancel);
   if (impl_->buffer_.size() == 0) {
-    impl_->socket_.ExpectWait();
+    impl_->socket_.PollBeforeNextRead();
   }
   auto& parser = impl_->parser_.emplace();
   parser.header_limit(detail::kMaxHeadBytes);
@@ -184,7 +184,7 @@
                                                 const CancelSignal* aCancel)
 {
   auto& parser = *impl_->parser_;
-  impl_->socket_.SetBounds(aDeadlineMs, aCancel);
+  impl_->socket_.SetDeadline(aDeadlineMs, aCancel);
   while (!parser.is_done()) {
     auto& body = parser.get().body();
     body.data = aData;
@@ -248,7 +248,7 @@
 
 bool HttpConnection::IsReusable() const
 {
-  return IsComplete() && !impl_->socket_.IsIdleBroken();
+  return IsComplete() && !impl_->socket_.IsClosedOrReadable();
 }
 
 bool HttpConnection::IsComplete() const
--- a/common/HttpServer.cpp
+++ b/common/HttpServer.cpp
@@ -24,7 +24,7 @@
 
 struct Framing
 {
-  int refusal_ = 0; ///< status, 0 when the framing is sound
+  int errorStatus_ = 0; ///< status, 0 when the framing is sound
   const char* reason_ = "";
   uint64_t contentLength_ = 0;
 };
@@ -189,7 +189,7 @@
 absl::StatusOr<std::string> HttpExchange::ReadBody(size_t aMaxBytes)
 {
   if (contentLength_ > aMaxBytes) {
-    CloseAfter();
+    CloseAfterResponse();
     return absl::OutOfRangeError("request body is too large");
   }
   std::string body(contentLength_, '\0');
@@ -198,7 +198,7 @@
                             body.data() + bodyBytesRead_,
                             contentLength_ - bodyBytesRead_);
     if (got <= 0) {
-      CloseAfter();
+      CloseAfterResponse();
       return absl::DataLossError("request body ended early");
     }
     bodyBytesRead_ += static_cast<uint64_t>(got);
@@ -227,7 +227,7 @@
                             std::string_view aBody)
 {
   if (bodyBytesRead_ < contentLength_) {
-    CloseAfter();
+    CloseAfterResponse();
   }
   started_ = true;
   status_ = aStatus;
@@ -236,8 +236,10 @@
   for (const auto& [name, value] : aHeaders) {
     AppendTo(text, name, ": ", value, "\r\n");
   }
-  AppendTo(
-    text, aFraming, close_ ? "Connection: close\r\n\r\n" : "\r\n", aBody);
+  AppendTo(text,
+           aFraming,
+           closeAfterResponse_ ? "Connection: close\r\n\r\n" : "\r\n",
+           aBody);
   return mg_write(connection_, text.data(), text.size()) ==
          static_cast<int>(text.size());
 }
@@ -255,9 +257,9 @@
                   isHead ? std::string_view() : aBody);
 }
 
-bool HttpExchange::BeginAnswer(int aStatus,
-                               const HttpHeaders& aHeaders,
-                               uint64_t aLength)
+bool HttpExchange::BeginResponse(int aStatus,
+                                 const HttpHeaders& aHeaders,
+                                 uint64_t aLength)
 {
   declaredBytes_ = aLength;
   return SendHead(
@@ -291,9 +293,9 @@
   return mg_send_chunk(connection_, "", 0) > 0;
 }
 
-void HttpExchange::CloseAfter()
+void HttpExchange::CloseAfterResponse()
 {
-  close_ = true;
+  closeAfterResponse_ = true;
   mg_disable_connection_keep_alive(connection_);
 }
 
@@ -304,7 +306,7 @@
   status_ = kNoAnswer;
   started_ = true;
   ended_ = true;
-  CloseAfter();
+  CloseAfterResponse();
 }
 
 HttpServer::HttpServer(HttpServerOptions aOptions, Handler aHandler)
@@ -423,7 +425,7 @@
     mg_get_user_data(mg_get_context(aConnection)));
   const auto body = Concat(aText ? aText : "", "\n");
   auto answer = Concat("HTTP/1.1 ", aStatus, " ", HttpReason(aStatus), "\r\n");
-  for (const auto& [name, value] : server->options_.refusalHeaders_) {
+  for (const auto& [name, value] : server->options_.errorResponseHeaders_) {
     AppendTo(answer, name, ": ", value, "\r\n");
   }
   AppendTo(answer,
@@ -447,13 +449,13 @@
   const auto& info = *mg_get_request_info(aConnection);
   HttpExchange exchange(aConnection, info);
   if (draining_.load(std::memory_order_relaxed)) {
-    exchange.CloseAfter();
+    exchange.CloseAfterResponse();
   }
   const auto framing = detail::CheckFraming(info);
-  if (framing.refusal_ != 0) {
-    exchange.CloseAfter();
-    exchange.Respond(framing.refusal_,
-                     options_.refusalHeaders_,
+  if (framing.errorStatus_ != 0) {
+    exchange.CloseAfterResponse();
+    exchange.Respond(framing.errorStatus_,
+                     options_.errorResponseHeaders_,
                      Concat(framing.reason_, "\n"));
   } else {
     exchange.contentLength_ = framing.contentLength_;
@@ -465,7 +467,7 @@
       constexpr int kInternalError = 500;
       exchange.Respond(kInternalError, {}, "no answer\n");
     } else if (truncated || exchange.bodyBytesRead_ < framing.contentLength_) {
-      exchange.CloseAfter();
+      exchange.CloseAfterResponse();
     }
   }
   inFlight_.fetch_sub(1, std::memory_order_relaxed);
--- a/common/HttpServer.hpp
+++ b/common/HttpServer.hpp
@@ -48,14 +48,16 @@
                const HttpHeaders& aHeaders,
                std::string_view aBody);
   /// Starts an answer of known length; Write() sends the parts.
-  bool BeginAnswer(int aStatus, const HttpHeaders& aHeaders, uint64_t aLength);
+  bool BeginResponse(int aStatus,
+                     const HttpHeaders& aHeaders,
+                     uint64_t aLength);
   /// Starts an answer of unknown length in chunked encoding.
   bool BeginChunked(int aStatus, const HttpHeaders& aHeaders);
   bool Write(std::string_view aPart);
   /// Ends a chunked answer. Without this call the answer is seen as truncated.
   bool EndChunked();
   /// Closes the connection after this exchange, also in mid answer.
-  void CloseAfter();
+  void CloseAfterResponse();
   /// Closes the connection without an answer.
   void Abort();
   bool HasStarted() const { return started_; }
@@ -77,7 +79,7 @@
   bool started_ = false;
   bool chunked_ = false;
   bool ended_ = false;
-  bool close_ = false;
+  bool closeAfterResponse_ = false;
 };
 
 struct HttpServerOptions
@@ -89,7 +91,7 @@
   int64_t keepAliveTimeoutMs_ = 60000;
   /// Headers of answers that the server gives without the handler, e.g. to
   /// malformed requests.
-  HttpHeaders refusalHeaders_ = {};
+  HttpHeaders errorResponseHeaders_ = {};
   /// Runs on the connection's thread before its first request; may be empty.
   std::function<void()> onConnect_ = {};
 };
--- a/control/SliceBook.hpp
+++ b/control/SliceBook.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "common/SliceTable.hpp"
+#include "common/GroupTable.hpp"
 #include "control/Timing.hpp"
 
 #include <string>
--- a/policy/BalancingPolicy.hpp
+++ b/policy/BalancingPolicy.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "common/SliceTable.hpp"
+#include "common/GroupTable.hpp"
 #include "kernel/StrategyRegistry.hpp"
 #include "policy/BuiltInPolicies.hpp"
 
--- a/router/AdmissionGate.cpp
+++ b/router/AdmissionController.cpp
@@ -1,4 +1,4 @@
-#include "AdmissionGate.hpp"
+#include "AdmissionController.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -19,20 +19,20 @@
 
 }
 
-AdmissionGate::AdmissionGate(const Clock& aClock,
-                             std::unique_ptr<ServerGate> aGate)
+AdmissionController::AdmissionController(const Clock& aClock,
+                                         std::unique_ptr<ServerGate> aGate)
   : clock_(aClock)
   , gate_(std::move(aGate))
 {
 }
 
-GateResult AdmissionGate::Enter(KeyHash aKey, TimeMs aDeadlineMs)
+AdmissionResult AdmissionController::Acquire(KeyHash aKey, TimeMs aDeadlineMs)
 {
   auto& actions = detail::ClearedActions();
   std::unique_lock lock(mutex_);
   const auto id = nextId_++;
   gate_->Arrive({ id, aKey, aDeadlineMs }, clock_.NowMs(), actions);
-  GateResult result;
+  AdmissionResult result;
   bool decided = false;
   std::erase_if(actions.run_, [&](uint64_t aId) {
     result.admitted_ |= aId == id;
@@ -50,9 +50,9 @@
   return decided ? result : Wait(lock, id, aDeadlineMs);
 }
 
-GateResult AdmissionGate::Wait(std::unique_lock<std::mutex>& aLock,
-                               uint64_t aId,
-                               TimeMs aDeadlineMs)
+AdmissionResult AdmissionController::Wait(std::unique_lock<std::mutex>& aLock,
+                                          uint64_t aId,
+                                          TimeMs aDeadlineMs)
 {
   Waiter waiter;
   waiters_.emplace(aId, &waiter);
@@ -75,7 +75,7 @@
   return { waiter.state_ == State::Admitted, waiter.retryAfterMs_ };
 }
 
-void AdmissionGate::Apply(const GateActions& aActions)
+void AdmissionController::Apply(const GateActions& aActions)
 {
   nextPollMs_ = aActions.nextPollMs_;
   const auto decide = [this](uint64_t aId, State aState, TimeMs aRetryAfterMs) {
@@ -97,7 +97,7 @@
   }
 }
 
-void AdmissionGate::Leave(AttemptEnd aEnd, double aLatencyMs)
+void AdmissionController::Release(AttemptEnd aEnd, double aLatencyMs)
 {
   auto& actions = detail::ClearedActions();
   const std::lock_guard lock(mutex_);
@@ -105,37 +105,37 @@
   Apply(actions);
 }
 
-void AdmissionGate::OnColdStart()
+void AdmissionController::OnColdStart()
 {
   const std::lock_guard lock(mutex_);
   gate_->Policy().OnColdStart(clock_.NowMs());
 }
 
-void AdmissionGate::OnLoadHint(double aLoad)
+void AdmissionController::OnLoadHint(double aLoad)
 {
   const std::lock_guard lock(mutex_);
   gate_->Policy().OnLoadHint(clock_.NowMs(), aLoad);
 }
 
-TimeMs AdmissionGate::RetryAfterMs()
+TimeMs AdmissionController::RetryAfterMs()
 {
   const std::lock_guard lock(mutex_);
   return gate_->RetryAfterMs(clock_.NowMs());
 }
 
-double AdmissionGate::Limit() const
+double AdmissionController::Limit() const
 {
   const std::lock_guard lock(mutex_);
   return gate_->Policy().Limit(clock_.NowMs());
 }
 
-int AdmissionGate::InFlight() const
+int AdmissionController::InFlight() const
 {
   const std::lock_guard lock(mutex_);
   return gate_->Policy().InFlight();
 }
 
-size_t AdmissionGate::Waiting() const
+size_t AdmissionController::Waiting() const
 {
   const std::lock_guard lock(mutex_);
   return gate_->Waiting();
--- a/router/AdmissionGate.hpp
+++ b/router/AdmissionController.hpp
@@ -10,7 +10,7 @@
 
 namespace cactuspitch {
 
-struct GateResult
+struct AdmissionResult
 {
   bool admitted_ = false;
   /// Time after which a refused caller should come back.
@@ -19,14 +19,14 @@
 
 /// ServerGate for the threads of the router: a request waits in its own thread
 /// until it is admitted or refused.
-class AdmissionGate
+class AdmissionController
 {
 public:
-  AdmissionGate(const Clock& aClock, std::unique_ptr<ServerGate> aGate);
+  AdmissionController(const Clock& aClock, std::unique_ptr<ServerGate> aGate);
 
   /// An admitted request must be given back with Leave().
-  GateResult Enter(KeyHash aKey, TimeMs aDeadlineMs);
-  void Leave(AttemptEnd aEnd, double aLatencyMs);
+  AdmissionResult Acquire(KeyHash aKey, TimeMs aDeadlineMs);
+  void Release(AttemptEnd aEnd, double aLatencyMs);
   void OnColdStart();
   void OnLoadHint(double aLoad);
   TimeMs RetryAfterMs();
@@ -48,9 +48,9 @@
     TimeMs retryAfterMs_ = 0;
   };
 
-  GateResult Wait(std::unique_lock<std::mutex>& aLock,
-                  uint64_t aId,
-                  TimeMs aDeadlineMs);
+  AdmissionResult Wait(std::unique_lock<std::mutex>& aLock,
+                       uint64_t aId,
+                       TimeMs aDeadlineMs);
   /// Wakes the threads that aActions names.
   void Apply(const GateActions& aActions);
 
--- a/router/CrashReporter.cpp
+++ b/router/BackendCrashDetector.cpp
@@ -1,4 +1,4 @@
-#include "CrashReporter.hpp"
+#include "BackendCrashDetector.hpp"
 
 #include "common/Log.hpp"
 
@@ -15,7 +15,8 @@
 
 }
 
-uint64_t Fingerprint(const CallerRequest& aRequest, std::string_view aBody)
+uint64_t RequestFingerprint(const CallerRequest& aRequest,
+                            std::string_view aBody)
 {
   const auto method =
     XXH3_64bits(aRequest.method_.data(), aRequest.method_.size());
@@ -25,15 +26,15 @@
                        : XXH3_64bits_withSeed(aBody.data(), aBody.size(), path);
 }
 
-void CrashReporter::Check(BackendServer& aServer, uint64_t aIncarnation)
+void BackendCrashDetector::Check(BackendServer& aServer, uint64_t aIncarnation)
 {
   const auto incarnation =
     aIncarnation != 0 ? aIncarnation : aServer.Incarnation();
-  if (!IsProcessGone(aServer, incarnation)) {
+  if (!HasProcessExited(aServer, incarnation)) {
     return;
   }
-  aServer.OnProcessGone();
-  const auto suspects = aServer.Pool().TakeCrash(incarnation);
+  aServer.OnProcessExit();
+  const auto suspects = aServer.Pool().TakeCrashSuspects(incarnation);
   if (!suspects.empty()) {
     Log(LogLevel::Warning,
         "backend server was lost with requests in flight",
@@ -42,8 +43,8 @@
   }
 }
 
-bool CrashReporter::IsProcessGone(const BackendServer& aServer,
-                                  uint64_t aIncarnation)
+bool BackendCrashDetector::HasProcessExited(const BackendServer& aServer,
+                                            uint64_t aIncarnation)
 {
   constexpr size_t kMaxHealthBytes = 64 * 1024;
   constexpr auto kPause = std::chrono::milliseconds(5);
--- a/router/CrashReporter.hpp
+++ b/router/BackendCrashDetector.hpp
@@ -2,7 +2,7 @@
 
 #include "BackendServer.hpp"
 #include "CallerRequest.hpp"
-#include "QuarantineKeeper.hpp"
+#include "SynchronizedQuarantine.hpp"
 
 #include <string_view>
 
@@ -11,10 +11,10 @@
 /// Finds out whether a connection that ended without an answer means that the
 /// process of the backend server is gone, and reports the requests that were
 /// in flight there as suspects.
-class CrashReporter
+class BackendCrashDetector
 {
 public:
-  CrashReporter(const Clock& aClock, QuarantineKeeper& aQuarantine)
+  BackendCrashDetector(const Clock& aClock, SynchronizedQuarantine& aQuarantine)
     : clock_(aClock)
     , quarantine_(aQuarantine)
   {
@@ -25,13 +25,14 @@
   void Check(BackendServer& aServer, uint64_t aIncarnation);
 
 private:
-  bool IsProcessGone(const BackendServer& aServer, uint64_t aIncarnation);
+  bool HasProcessExited(const BackendServer& aServer, uint64_t aIncarnation);
 
   const Clock& clock_;
-  QuarantineKeeper& quarantine_;
+  SynchronizedQuarantine& quarantine_;
 };
 
 /// Hash of method, path and body, the same at all routers.
-uint64_t Fingerprint(const CallerRequest& aRequest, std::string_view aBody);
+uint64_t RequestFingerprint(const CallerRequest& aRequest,
+                            std::string_view aBody);
 
 }
--- a/router/BackendServer.cpp
+++ b/router/BackendServer.cpp
@@ -13,9 +13,9 @@
 namespace detail {
 
 /// Differs when any input of an admission gate differs.
-uint64_t GateKey(const ServiceRules& aRules,
-                 const BackendServerRecord& aRecord,
-                 int aRouters)
+uint64_t AdmissionKey(const ServiceRules& aRules,
+                      const BackendServerRecord& aRecord,
+                      int aRouters)
 {
   uint64_t key = 1;
   for (const int64_t part : { static_cast<int64_t>(aRecord.slots_),
@@ -40,27 +40,28 @@
 {
 }
 
-AdmissionGate& BackendServer::Gate(const ServiceRules& aRules,
-                                   const BackendServerRecord& aRecord,
-                                   int aRouters)
+AdmissionController& BackendServer::Admission(
+  const ServiceRules& aRules,
+  const BackendServerRecord& aRecord,
+  int aRouters)
 {
-  const auto key = detail::GateKey(aRules, aRecord, aRouters);
-  auto* current = gate_.load(std::memory_order_acquire);
-  if (current && gateKey_.load(std::memory_order_relaxed) == key) {
+  const auto key = detail::AdmissionKey(aRules, aRecord, aRouters);
+  auto* current = admission_.load(std::memory_order_acquire);
+  if (current && admissionKey_.load(std::memory_order_relaxed) == key) {
     return *current;
   }
-  const std::lock_guard lock(gateMutex_);
-  auto& gate = gates_[key];
-  if (!gate) {
-    gate = MakeGate(aRules, aRecord, aRouters);
+  const std::lock_guard lock(admissionMutex_);
+  auto& admission = admissionByKey_[key];
+  if (!admission) {
+    admission = MakeAdmission(aRules, aRecord, aRouters);
   }
   pool_.SetLimit(aRecord.connections_ / std::max(1, aRouters));
-  gateKey_.store(key, std::memory_order_relaxed);
-  gate_.store(gate.get(), std::memory_order_release);
-  return *gate;
+  admissionKey_.store(key, std::memory_order_relaxed);
+  admission_.store(admission.get(), std::memory_order_release);
+  return *admission;
 }
 
-std::unique_ptr<AdmissionGate> BackendServer::MakeGate(
+std::unique_ptr<AdmissionController> BackendServer::MakeAdmission(
   const ServiceRules& aRules,
   const BackendServerRecord& aRecord,
   int aRouters) const
@@ -85,7 +86,7 @@
   if (aRecord.warmupPercent_ < kWarm) {
     policy->OnColdStart(clock_.NowMs());
   }
-  return std::make_unique<AdmissionGate>(
+  return std::make_unique<AdmissionController>(
     clock_,
     std::make_unique<ServerGate>(
       std::move(policy),
@@ -93,8 +94,8 @@
       seed));
 }
 
-void BackendServer::OnAnswer(PooledConnection& aConnection,
-                             const HttpResponseHead& aHead)
+void BackendServer::OnResponse(PooledConnection& aConnection,
+                               const HttpResponseHead& aHead)
 {
   TimeMs stamp = 0;
   if (ParseNumber(aHead.Header(header::kClockMs), stamp)) {
@@ -115,8 +116,8 @@
     Log(LogLevel::Info,
         "backend server has a new incarnation",
         { { "server", id_ }, { "incarnation", incarnation } });
-    if (auto* gate = CurrentGate()) {
-      gate->OnColdStart();
+    if (auto* admission = CurrentAdmission()) {
+      admission->OnColdStart();
     }
   }
 }
@@ -127,7 +128,7 @@
   return offset == kClockUnknown ? std::nullopt : std::optional(offset);
 }
 
-void BackendServer::OnProcessGone()
+void BackendServer::OnProcessExit()
 {
   clockOffsetMs_.store(kClockUnknown, std::memory_order_relaxed);
   pool_.CloseIdleOpenedBefore(clock_.NowMs());
--- a/router/BackendServer.hpp
+++ b/router/BackendServer.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "AdmissionGate.hpp"
+#include "AdmissionController.hpp"
 #include "ConnectionPool.hpp"
 #include "LatencyHistogram.hpp"
-#include "common/SliceTable.hpp"
+#include "common/GroupTable.hpp"
 #include "config/ServiceRules.hpp"
 
 #include <atomic>
@@ -29,21 +29,21 @@
 
   /// Gate of the policy that the rules name; another one when the rules, the
   /// slots or the number of routers change. Valid as long as this object.
-  AdmissionGate& Gate(const ServiceRules& aRules,
-                      const BackendServerRecord& aRecord,
-                      int aRouters);
+  AdmissionController& Admission(const ServiceRules& aRules,
+                                 const BackendServerRecord& aRecord,
+                                 int aRouters);
   /// Gate in use; null before the first request.
-  AdmissionGate* CurrentGate() const
+  AdmissionController* CurrentAdmission() const
   {
-    return gate_.load(std::memory_order_acquire);
+    return admission_.load(std::memory_order_acquire);
   }
 
   /// Reads the clock and incarnation headers of an answer received now.
-  void OnAnswer(PooledConnection& aConnection, const HttpResponseHead& aHead);
+  void OnResponse(PooledConnection& aConnection, const HttpResponseHead& aHead);
   /// Lower bound of (server clock - local clock); empty when unknown.
   std::optional<TimeMs> ClockOffsetMs() const;
   /// The process that was known is gone; its clock is no longer valid.
-  void OnProcessGone();
+  void OnProcessExit();
   uint64_t Incarnation() const
   {
     return incarnation_.load(std::memory_order_relaxed);
@@ -54,9 +54,10 @@
   std::atomic<int64_t> failures_ = 0;
 
 private:
-  std::unique_ptr<AdmissionGate> MakeGate(const ServiceRules& aRules,
-                                          const BackendServerRecord& aRecord,
-                                          int aRouters) const;
+  std::unique_ptr<AdmissionController> MakeAdmission(
+    const ServiceRules& aRules,
+    const BackendServerRecord& aRecord,
+    int aRouters) const;
 
   static constexpr TimeMs kClockUnknown = INT64_MIN;
 
@@ -68,11 +69,11 @@
   std::atomic<uint64_t> incarnation_ = 0;
   std::atomic<TimeMs> clockOffsetMs_ = kClockUnknown;
 
-  std::atomic<AdmissionGate*> gate_ = nullptr;
-  std::atomic<uint64_t> gateKey_ = 0;
-  std::mutex gateMutex_;
+  std::atomic<AdmissionController*> admission_ = nullptr;
+  std::atomic<uint64_t> admissionKey_ = 0;
+  std::mutex admissionMutex_;
   /// By key. Requests of an earlier configuration may still use theirs.
-  std::map<uint64_t, std::unique_ptr<AdmissionGate>> gates_;
+  std::map<uint64_t, std::unique_ptr<AdmissionController>> admissionByKey_;
 };
 
 }
--- a/router/Canceller.cpp
+++ b/router/CancellationSender.cpp
@@ -1,4 +1,4 @@
-#include "Canceller.hpp"
+#include "CancellationSender.hpp"
 
 #include "common/Strings.hpp"
 
@@ -12,7 +12,7 @@
 
 constexpr size_t kCancelMessages = 1024;
 constexpr TimeMs kCancelTimeoutMs = 200;
-constexpr size_t kMaxAnswerBytes = 4096;
+constexpr size_t kMaxResponseBytes = 4096;
 
 std::string PercentEncode(const std::string& aText)
 {
@@ -36,19 +36,19 @@
 
 }
 
-Canceller::Canceller(const Clock& aClock)
+CancellationSender::CancellationSender(const Clock& aClock)
   : clock_(aClock)
   , messages_(detail::kCancelMessages)
   , thread_([this] { Run(); })
 {
 }
 
-Canceller::~Canceller()
+CancellationSender::~CancellationSender()
 {
   Stop();
 }
 
-void Canceller::Stop()
+void CancellationSender::Stop()
 {
   messages_.Close();
   if (thread_.joinable()) {
@@ -56,13 +56,13 @@
   }
 }
 
-void Canceller::Cancel(const std::string& aAddress,
-                       const std::string& aRequestId)
+void CancellationSender::Cancel(const std::string& aAddress,
+                                const std::string& aRequestId)
 {
   messages_.TryPush({ aAddress, aRequestId });
 }
 
-void Canceller::Run()
+void CancellationSender::Run()
 {
   constexpr auto kPopTimeout = std::chrono::seconds(1);
   while (true) {
@@ -83,7 +83,7 @@
     const auto response =
       connection.Exchange(request,
                           clock_.NowMs() + detail::kCancelTimeoutMs,
-                          detail::kMaxAnswerBytes);
+                          detail::kMaxResponseBytes);
     if (response.ok()) {
       sent_.fetch_add(1, std::memory_order_relaxed);
     }
--- a/router/Canceller.hpp
+++ b/router/CancellationSender.hpp
@@ -12,13 +12,13 @@
 
 /// Tells backend servers on a thread of its own that nobody waits for the
 /// answer of a request any more. Best effort: a full ring drops the message.
-class Canceller
+class CancellationSender
 {
 public:
-  explicit Canceller(const Clock& aClock);
-  ~Canceller();
-  Canceller(const Canceller&) = delete;
-  Canceller& operator=(const Canceller&) = delete;
+  explicit CancellationSender(const Clock& aClock);
+  ~CancellationSender();
+  CancellationSender(const CancellationSender&) = delete;
+  CancellationSender& operator=(const CancellationSender&) = delete;
 
   void Cancel(const std::string& aAddress, const std::string& aRequestId);
   void Stop();
--- a/router/ConnectionPool.cpp
+++ b/router/ConnectionPool.cpp
@@ -23,7 +23,7 @@
     if (aNowMs - connection->lastUsedMs_ <= aMaxIdleMs) {
       return connection;
     }
-    Forget(*connection);
+    Discard(*connection);
   }
   return nullptr;
 }
@@ -44,7 +44,7 @@
     }
     if (connection) {
       connection->fingerprint_ = aFingerprint;
-      connection->answerNoted_ = false;
+      connection->responseRecorded_ = false;
       inFlight_.push_back(aFingerprint);
       detector_.OnSend(connection->id_, now);
       lock.unlock();
@@ -53,7 +53,7 @@
       }
       lock.lock();
       EraseInFlight(aFingerprint);
-      Forget(*connection);
+      Discard(*connection);
       continue;
     }
     if (now >= aDeadlineMs) {
@@ -65,7 +65,7 @@
   }
 }
 
-void ConnectionPool::Release(Pointer aConnection, const ReleaseNote& aNote)
+void ConnectionPool::Release(Pointer aConnection, const ReleaseInfo& aInfo)
 {
   // Acquire() looks at the socket, so here the exchange decides.
   const bool complete = aConnection->http_.IsComplete();
@@ -75,17 +75,17 @@
   bool wake = false;
   {
     const std::lock_guard lock(mutex_);
-    if (aNote.answered_) {
-      AnswerArrived(*aConnection);
+    if (aInfo.answered_) {
+      RecordResponseLocked(*aConnection);
     }
-    if (!aNote.keepInFlight_) {
+    if (!aInfo.keepInFlight_) {
       EraseInFlight(aConnection->fingerprint_);
     }
     if (complete && open_ <= limit_) {
       aConnection->lastUsedMs_ = clock_.NowMs();
       idle_.push_back(std::move(aConnection));
     } else {
-      Forget(*aConnection);
+      Discard(*aConnection);
     }
     wake = waiting_ > 0;
   }
@@ -94,32 +94,32 @@
   }
 }
 
-void ConnectionPool::Forget(const PooledConnection& aConnection)
+void ConnectionPool::Discard(const PooledConnection& aConnection)
 {
   detector_.Close(aConnection.id_);
   --open_;
 }
 
-void ConnectionPool::AnswerArrived(PooledConnection& aConnection)
+void ConnectionPool::RecordResponseLocked(PooledConnection& aConnection)
 {
-  if (aConnection.answerNoted_) {
+  if (aConnection.responseRecorded_) {
     return;
   }
-  aConnection.answerNoted_ = true;
+  aConnection.responseRecorded_ = true;
   detector_.OnAnswer(aConnection.id_, clock_.NowMs());
   silenceLimitMs_.store(detector_.SilenceLimitMs(), std::memory_order_relaxed);
 }
 
-void ConnectionPool::NoteSend(const PooledConnection& aConnection)
+void ConnectionPool::RecordSend(const PooledConnection& aConnection)
 {
   const std::lock_guard lock(mutex_);
   detector_.OnSend(aConnection.id_, clock_.NowMs());
 }
 
-void ConnectionPool::NoteAnswer(PooledConnection& aConnection)
+void ConnectionPool::RecordResponse(PooledConnection& aConnection)
 {
   const std::lock_guard lock(mutex_);
-  AnswerArrived(aConnection);
+  RecordResponseLocked(aConnection);
 }
 
 bool ConnectionPool::IsSilent(const PooledConnection& aConnection) const
@@ -149,13 +149,13 @@
   return static_cast<int>(inFlight_.size());
 }
 
-std::vector<uint64_t> ConnectionPool::TakeCrash(uint64_t aIncarnation)
+std::vector<uint64_t> ConnectionPool::TakeCrashSuspects(uint64_t aIncarnation)
 {
   const std::lock_guard lock(mutex_);
-  if (crashedIncarnation_ == aIncarnation) {
+  if (reportedIncarnation_ == aIncarnation) {
     return {};
   }
-  crashedIncarnation_ = aIncarnation;
+  reportedIncarnation_ = aIncarnation;
   // Several callers of one request count as one crash.
   auto requests = inFlight_;
   std::ranges::sort(requests);
@@ -176,7 +176,7 @@
     std::move(kept, idle_.end(), std::back_inserter(closed));
     idle_.erase(kept, idle_.end());
     std::ranges::for_each(
-      closed, [this](const Pointer& aConnection) { Forget(*aConnection); });
+      closed, [this](const Pointer& aConnection) { Discard(*aConnection); });
   }
   released_.notify_all();
 }
--- a/router/ConnectionPool.hpp
+++ b/router/ConnectionPool.hpp
@@ -36,11 +36,11 @@
   TimeMs clockReceivedMs_ = 0;
   bool clockKnown_ = false;
   /// The detector knows of the answer.
-  bool answerNoted_ = false;
+  bool responseRecorded_ = false;
 };
 
 /// How an exchange left its connection.
-struct ReleaseNote
+struct ReleaseInfo
 {
   bool answered_ = false;
   /// The process may have crashed: its requests stay listed until
@@ -64,11 +64,11 @@
                                             TimeMs aMaxIdleMs);
   /// Takes the connection back; it is closed unless it can be reused.
   void Release(std::unique_ptr<PooledConnection> aConnection,
-               const ReleaseNote& aNote);
+               const ReleaseInfo& aInfo);
 
   // Silent connections, see SilentConnectionDetector.
-  void NoteSend(const PooledConnection& aConnection);
-  void NoteAnswer(PooledConnection& aConnection);
+  void RecordSend(const PooledConnection& aConnection);
+  void RecordResponse(PooledConnection& aConnection);
   bool IsSilent(const PooledConnection& aConnection) const;
   TimeMs SilenceLimitMs() const
   {
@@ -80,7 +80,7 @@
   int InFlight() const;
   /// Requests that were in flight when the incarnation was lost, each once;
   /// empty when its loss was reported before.
-  std::vector<uint64_t> TakeCrash(uint64_t aIncarnation);
+  std::vector<uint64_t> TakeCrashSuspects(uint64_t aIncarnation);
 
   /// Closes idle connections opened at or before aOpenedMs.
   void CloseIdleOpenedBefore(TimeMs aOpenedMs);
@@ -95,8 +95,8 @@
   template<typename Predicate>
   void CloseIdle(Predicate&& aPredicate);
   Pointer TakeIdle(TimeMs aNowMs, TimeMs aMaxIdleMs);
-  void AnswerArrived(PooledConnection& aConnection);
-  void Forget(const PooledConnection& aConnection);
+  void RecordResponseLocked(PooledConnection& aConnection);
+  void Discard(const PooledConnection& aConnection);
   void EraseInFlight(uint64_t aFingerprint);
 
   const Clock& clock_;
@@ -108,7 +108,7 @@
   /// Read without the lock.
   std::atomic<TimeMs> silenceLimitMs_;
   std::vector<uint64_t> inFlight_;
-  std::optional<uint64_t> crashedIncarnation_;
+  std::optional<uint64_t> reportedIncarnation_;
   int open_ = 0; ///< idle and in use
   int limit_ = 1;
   int waiting_ = 0;
--- a/router/HeaderRules.cpp
+++ b/router/HeaderFilter.cpp
@@ -1,4 +1,4 @@
-#include "HeaderRules.hpp"
+#include "HeaderFilter.hpp"
 
 #include "common/Strings.hpp"
 #include "common/Types.hpp"
@@ -85,13 +85,13 @@
 
 }
 
-HttpHeaders HeaderRules::ForServer(HttpHeaders aHeaders)
+HttpHeaders HeaderFilter::ForServer(HttpHeaders aHeaders)
 {
   detail::Remove(aHeaders, detail::kNotForServer);
   return aHeaders;
 }
 
-HttpHeaders HeaderRules::ForCaller(HttpHeaders aHeaders)
+HttpHeaders HeaderFilter::ForCaller(HttpHeaders aHeaders)
 {
   detail::Remove(aHeaders, detail::kNotForCaller);
   return aHeaders;
--- a/router/HeaderRules.hpp
+++ b/router/HeaderFilter.hpp
@@ -8,7 +8,7 @@
 
 /// Which headers pass the router. Hop-by-hop headers, those named by a
 /// Connection header and those of the internal protocol are removed.
-class HeaderRules
+class HeaderFilter
 {
 public:
   /// Headers of a caller's request that go to a backend server.
--- a/router/LedgerClient.cpp
+++ b/router/LedgerClient.cpp
@@ -6,17 +6,17 @@
 
 namespace cactuspitch {
 
-LedgerClient::LedgerClient(LedgerPeers& aPeers)
-  : peers_(aPeers)
+LedgerClient::LedgerClient(LedgerTransport& aTransport)
+  : transport_(aTransport)
 {
 }
 
-std::vector<std::string> LedgerClient::Holders(
+std::vector<std::string> LedgerClient::Replicas(
   const std::vector<std::string>& aRouters,
   std::string_view aRequestId)
 {
   auto ranked = aRouters;
-  const auto count = std::min(kHolders, ranked.size());
+  const auto count = std::min(kReplicas, ranked.size());
   std::ranges::partial_sort(ranked,
                             ranked.begin() + static_cast<ptrdiff_t>(count),
                             std::ranges::greater{},
@@ -32,30 +32,30 @@
 {
   LedgerTicket ticket;
   ticket.id_ = std::move(aId);
-  const auto holders = Holders(aRouters, ticket.id_.requestId_);
+  const auto replicas = Replicas(aRouters, ticket.id_.requestId_);
   size_t recorded = 0;
-  size_t alive = holders.size();
-  for (const auto& holder : holders) {
-    ticket.holders_.push_back(holder);
-    LedgerEntry state = LedgerEntry::Unseen;
-    switch (peers_.Begin(holder, ticket.id_, state)) {
-      case HolderAnswer::Recorded:
+  size_t alive = replicas.size();
+  for (const auto& replica : replicas) {
+    ticket.replicas_.push_back(replica);
+    LedgerEntryState state = LedgerEntryState::Unseen;
+    switch (transport_.Begin(replica, ticket.id_, state)) {
+      case ReplicaResponse::Recorded:
         ++recorded;
         break;
-      case HolderAnswer::Seen:
+      case ReplicaResponse::Seen:
         // A holder that recorded this attempt keeps the id as in progress, so
         // the id stays refused when the other holders are lost.
         ticket.verdict_ = LedgerTicket::Verdict::AlreadySeen;
         ticket.state_ = state;
         return ticket;
-      case HolderAnswer::Gone:
+      case ReplicaResponse::Exited:
         --alive;
         break;
-      case HolderAnswer::Unreachable:
-      case HolderAnswer::Count:
+      case ReplicaResponse::Unreachable:
+      case ReplicaResponse::Count:
         break;
     }
-    if (recorded > holders.size() / 2) {
+    if (recorded > replicas.size() / 2) {
       break;
     }
   }
@@ -64,21 +64,21 @@
     return ticket;
   }
   // A holder may have recorded the id, also one whose answer was lost.
-  for (const auto& holder : ticket.holders_) {
-    peers_.FinishLater(holder, ticket.id_, LedgerEntry::NotRun);
+  for (const auto& replica : ticket.replicas_) {
+    transport_.FinishAsync(replica, ticket.id_, LedgerEntryState::NotRun);
   }
   return ticket;
 }
 
 void LedgerClient::Finish(const LedgerTicket& aTicket,
-                          LedgerEntry aState,
+                          LedgerEntryState aState,
                           bool aMayWait)
 {
-  for (const auto& holder : aTicket.holders_) {
-    if (aState == LedgerEntry::NotRun && aMayWait) {
-      peers_.Finish(holder, aTicket.id_, aState);
+  for (const auto& replica : aTicket.replicas_) {
+    if (aState == LedgerEntryState::NotRun && aMayWait) {
+      transport_.Finish(replica, aTicket.id_, aState);
     } else {
-      peers_.FinishLater(holder, aTicket.id_, aState);
+      transport_.FinishAsync(replica, aTicket.id_, aState);
     }
   }
 }
--- a/router/LedgerClient.hpp
+++ b/router/LedgerClient.hpp
@@ -17,31 +17,31 @@
 };
 
 /// Answer of one holder.
-enum class HolderAnswer : uint8_t
+enum class ReplicaResponse : uint8_t
 {
   Recorded,
   Seen,
   Unreachable, ///< not asked or no answer; it may have recorded the id
-  Gone,        ///< its process has ended, and its ledger with it
+  Exited,      ///< its process has ended, and its ledger with it
   Count
 };
 
 /// Calls to the ledger of one router instance; tests fake it.
-class LedgerPeers
+class LedgerTransport
 {
 public:
-  virtual ~LedgerPeers() = default;
-  virtual HolderAnswer Begin(const std::string& aPeer,
-                             const LedgerId& aId,
-                             LedgerEntry& aState) = 0;
+  virtual ~LedgerTransport() = default;
+  virtual ReplicaResponse Begin(const std::string& aPeer,
+                                const LedgerId& aId,
+                                LedgerEntryState& aState) = 0;
   /// Reports the end now; without effect when the peer cannot be asked.
   virtual void Finish(const std::string& aPeer,
                       const LedgerId& aId,
-                      LedgerEntry aState) = 0;
+                      LedgerEntryState aState) = 0;
   /// Reports the end later, repeating for some time until the peer confirms.
-  virtual void FinishLater(const std::string& aPeer,
+  virtual void FinishAsync(const std::string& aPeer,
                            const LedgerId& aId,
-                           LedgerEntry aState) = 0;
+                           LedgerEntryState aState) = 0;
 };
 
 /// Permission to forward a non-idempotent request.
@@ -54,10 +54,10 @@
     Unavailable  ///< no majority could be asked: refuse as not run
   };
   Verdict verdict_ = Verdict::Unavailable;
-  LedgerEntry state_ = LedgerEntry::Unseen;
+  LedgerEntryState state_ = LedgerEntryState::Unseen;
   LedgerId id_;
   /// The holders that were asked.
-  std::vector<std::string> holders_;
+  std::vector<std::string> replicas_;
 };
 
 /// Rules of the request ledger (docs/design.md, section 6): the three holders
@@ -68,24 +68,24 @@
 class LedgerClient
 {
 public:
-  explicit LedgerClient(LedgerPeers& aPeers);
+  explicit LedgerClient(LedgerTransport& aTransport);
 
   LedgerTicket Begin(const std::vector<std::string>& aRouters, LedgerId aId);
   /// Reports the end of a request that Begin allowed. NotRun waits for the
   /// holders, so that the caller's repeat is not taken for a duplicate, unless
   /// aMayWait is false.
   void Finish(const LedgerTicket& aTicket,
-              LedgerEntry aState,
+              LedgerEntryState aState,
               bool aMayWait = true);
 
   /// The holders of an id, highest rank first.
-  static std::vector<std::string> Holders(
+  static std::vector<std::string> Replicas(
     const std::vector<std::string>& aRouters,
     std::string_view aRequestId);
-  static constexpr size_t kHolders = 3;
+  static constexpr size_t kReplicas = 3;
 
 private:
-  LedgerPeers& peers_;
+  LedgerTransport& transport_;
 };
 
 }
--- a/router/Measurements.cpp
+++ b/router/LoadRecorder.cpp
@@ -1,4 +1,4 @@
-#include "Measurements.hpp"
+#include "LoadRecorder.hpp"
 
 #include "common/Strings.hpp"
 
@@ -7,7 +7,7 @@
 
 namespace cactuspitch {
 
-size_t ThreadShard(size_t aShards)
+size_t ThreadShardIndex(size_t aShards)
 {
   static std::atomic<size_t> next = 0;
   static thread_local const size_t kIndex =
@@ -15,17 +15,17 @@
   return kIndex % aShards;
 }
 
-Measurements::Measurements(const Clock& aClock)
+LoadRecorder::LoadRecorder(const Clock& aClock)
   : clock_(aClock)
 {
 }
 
-void Measurements::Record(std::string_view aService,
+void LoadRecorder::Record(std::string_view aService,
                           KeyHash aSliceBegin,
                           KeyHash aKey,
                           double aBusyMs)
 {
-  auto& shard = shards_[ThreadShard(kShards)];
+  auto& shard = shards_[ThreadShardIndex(kShards)];
   const std::lock_guard lock(shard.mutex_);
   auto found = shard.services_.find(ToAbsl(aService));
   if (found == shard.services_.end()) {
@@ -43,7 +43,7 @@
   }
 }
 
-LoadWindow Measurements::EndWindow(size_t aHotKeys)
+LoadWindow LoadRecorder::EndWindow(size_t aHotKeys)
 {
   std::map<std::string, std::map<KeyHash, Load>> slices;
   std::map<std::string, HotKeySketch> sketches;
--- a/router/Measurements.hpp
+++ b/router/LoadRecorder.hpp
@@ -32,10 +32,10 @@
 
 /// Load by slice and key. Threads write to shards of their own, so a lock is
 /// rarely contended.
-class Measurements
+class LoadRecorder
 {
 public:
-  explicit Measurements(const Clock& aClock);
+  explicit LoadRecorder(const Clock& aClock);
 
   /// Counts an attempt that a backend server ran.
   void Record(std::string_view aService,
@@ -70,6 +70,6 @@
 };
 
 /// Index of the calling thread among aShards.
-size_t ThreadShard(size_t aShards);
+size_t ThreadShardIndex(size_t aShards);
 
 }
--- a/router/OutcomeClassifier.cpp
+++ b/router/OutcomeClassifier.cpp
@@ -19,65 +19,65 @@
   Rule nonIdempotent_;
 };
 
-constexpr Rule kAnswer{ AttemptAction::Answer, AttemptAction::Answer };
-constexpr Rule kNotRun{ AttemptAction::AnswerNotRun,
-                        AttemptAction::AnswerNotRun };
-constexpr Rule kUnknown{ AttemptAction::AnswerUnknown,
-                         AttemptAction::AnswerUnknown };
+constexpr Rule kRespond{ AttemptAction::Respond, AttemptAction::Respond };
+constexpr Rule kNotRun{ AttemptAction::RespondNotRun,
+                        AttemptAction::RespondNotRun };
+constexpr Rule kUnknown{ AttemptAction::RespondUnknown,
+                         AttemptAction::RespondUnknown };
 constexpr Rule kClose{ AttemptAction::CloseCaller, AttemptAction::CloseCaller };
-constexpr Rule kRetryOrNotRun{ AttemptAction::AnswerNotRun,
+constexpr Rule kRetryOrNotRun{ AttemptAction::RespondNotRun,
                                AttemptAction::Retry };
-constexpr Rule kRetryOrUnknown{ AttemptAction::AnswerUnknown,
+constexpr Rule kRetryOrUnknown{ AttemptAction::RespondUnknown,
                                 AttemptAction::Retry };
 
-constexpr std::array<RulePair, static_cast<size_t>(ExchangeEnd::Count)>
+constexpr std::array<RulePair, static_cast<size_t>(ExchangeOutcome::Count)>
   kRules = {
-    RulePair{ kAnswer, kAnswer },               // Complete
+    RulePair{ kRespond, kRespond },             // Complete
     RulePair{ kRetryOrNotRun, kRetryOrNotRun }, // NoConnection
     RulePair{ kRetryOrNotRun, kRetryOrNotRun }, // Refused
-    RulePair{ kRetryOrNotRun, kNotRun },        // PartlyWritten
-    RulePair{ kRetryOrUnknown, kUnknown },      // NoAnswer
-    RulePair{ kRetryOrUnknown, kUnknown },      // PartialAnswer
+    RulePair{ kRetryOrNotRun, kNotRun },        // PartiallyWritten
+    RulePair{ kRetryOrUnknown, kUnknown },      // NoResponse
+    RulePair{ kRetryOrUnknown, kUnknown },      // PartialResponse
     RulePair{ kClose, kClose },                 // PartialAfterHead
     RulePair{ kRetryOrUnknown, kUnknown },      // Silent
-    RulePair{ kClose, kClose },                 // CallerGone
+    RulePair{ kClose, kClose },                 // CallerDisconnected
   };
 
 }
 
-ExchangeEnd OutcomeClassifier::FailureEnd(ExchangeStage aStage,
-                                          absl::StatusCode aStatus,
-                                          bool aHeadSent)
+ExchangeOutcome OutcomeClassifier::ClassifyFailure(ExchangeStage aStage,
+                                                   absl::StatusCode aStatus,
+                                                   bool aHeadSent)
 {
   if (aHeadSent) {
-    return ExchangeEnd::PartialAfterHead;
+    return ExchangeOutcome::PartialAfterHead;
   }
   switch (aStage) {
     case ExchangeStage::Idle:
     case ExchangeStage::Connecting:
-      return ExchangeEnd::NoConnection;
+      return ExchangeOutcome::NoConnection;
     case ExchangeStage::Writing:
-      return ExchangeEnd::PartlyWritten;
+      return ExchangeOutcome::PartiallyWritten;
     case ExchangeStage::AwaitingHead:
       return aStatus == absl::StatusCode::kDeadlineExceeded
-               ? ExchangeEnd::Silent
-               : ExchangeEnd::NoAnswer;
+               ? ExchangeOutcome::TimedOut
+               : ExchangeOutcome::NoResponse;
     case ExchangeStage::ReadingBody:
       return aStatus == absl::StatusCode::kDeadlineExceeded
-               ? ExchangeEnd::Silent
-               : ExchangeEnd::PartialAnswer;
+               ? ExchangeOutcome::TimedOut
+               : ExchangeOutcome::PartialResponse;
     case ExchangeStage::Done:
     case ExchangeStage::Count:
       break;
   }
-  return ExchangeEnd::PartialAnswer;
+  return ExchangeOutcome::PartialResponse;
 }
 
-AttemptAction OutcomeClassifier::Decide(ExchangeEnd aEnd,
+AttemptAction OutcomeClassifier::Decide(ExchangeOutcome aOutcome,
                                         bool aIdempotent,
                                         bool aCanRetry)
 {
-  const auto& pair = detail::kRules[static_cast<size_t>(aEnd)];
+  const auto& pair = detail::kRules[static_cast<size_t>(aOutcome)];
   const auto& rule = aIdempotent ? pair.idempotent_ : pair.nonIdempotent_;
   return aCanRetry ? rule.retryable_ : rule.final_;
 }
@@ -90,10 +90,11 @@
          aReason == NotRunReason::Draining;
 }
 
-bool OutcomeClassifier::IsCertainlyNotRun(ExchangeEnd aEnd)
+bool OutcomeClassifier::IsCertainlyNotRun(ExchangeOutcome aOutcome)
 {
-  return aEnd == ExchangeEnd::NoConnection || aEnd == ExchangeEnd::Refused ||
-         aEnd == ExchangeEnd::PartlyWritten;
+  return aOutcome == ExchangeOutcome::NoConnection ||
+         aOutcome == ExchangeOutcome::Refused ||
+         aOutcome == ExchangeOutcome::PartiallyWritten;
 }
 
 }
--- a/router/OutcomeClassifier.hpp
+++ b/router/OutcomeClassifier.hpp
@@ -11,22 +11,22 @@
 namespace cactuspitch {
 
 /// How one attempt at a backend server ended (docs/design.md, section 6).
-enum class ExchangeEnd : uint8_t
+enum class ExchangeOutcome : uint8_t
 {
-  Complete,         ///< the whole answer was received
-  NoConnection,     ///< nothing was written
-  Refused,          ///< the server says that it did not run the request
-  PartlyWritten,    ///< the server cannot have the whole request
-  NoAnswer,         ///< written, then closed without an answer
-  PartialAnswer,    ///< part of the answer, nothing sent to the caller yet
-  PartialAfterHead, ///< part of the answer, its head sent to the caller
-  Silent,           ///< written, no complete answer by the time limit
-  CallerGone,       ///< a write to the caller failed
+  Complete,           ///< the whole answer was received
+  NoConnection,       ///< nothing was written
+  Refused,            ///< the server says that it did not run the request
+  PartiallyWritten,   ///< the server cannot have the whole request
+  NoResponse,         ///< written, then closed without an answer
+  PartialResponse,    ///< part of the answer, nothing sent to the caller yet
+  PartialAfterHead,   ///< part of the answer, its head sent to the caller
+  TimedOut,           ///< written, no complete answer by the time limit
+  CallerDisconnected, ///< a write to the caller failed
   Count
 };
 
 template<>
-struct EnumNames<ExchangeEnd>
+struct EnumNames<ExchangeOutcome>
 {
   static constexpr std::string_view kNames[] = {
     "complete",           "no-connection", "refused",
@@ -38,10 +38,10 @@
 /// What the router does after an attempt.
 enum class AttemptAction : uint8_t
 {
-  Answer, ///< hand the complete answer to the caller
+  Respond, ///< hand the complete answer to the caller
   Retry,
-  AnswerNotRun,
-  AnswerUnknown,
+  RespondNotRun,
+  RespondUnknown,
   CloseCaller, ///< end the connection so that the answer looks truncated
   Count
 };
@@ -59,12 +59,12 @@
 {
 public:
   /// Classifies an attempt that failed with aStatus at aStage.
-  static ExchangeEnd FailureEnd(ExchangeStage aStage,
-                                absl::StatusCode aStatus,
-                                bool aHeadSent);
+  static ExchangeOutcome ClassifyFailure(ExchangeStage aStage,
+                                         absl::StatusCode aStatus,
+                                         bool aHeadSent);
 
   /// aCanRetry: time, attempts and retry budget are left.
-  static AttemptAction Decide(ExchangeEnd aEnd,
+  static AttemptAction Decide(ExchangeOutcome aOutcome,
                               bool aIdempotent,
                               bool aCanRetry);
 
@@ -72,7 +72,7 @@
   static bool IsOwnershipRefusal(NotRunReason aReason);
 
   /// True when the request cannot have run.
-  static bool IsCertainlyNotRun(ExchangeEnd aEnd);
+  static bool IsCertainlyNotRun(ExchangeOutcome aOutcome);
 };
 
 }
--- a/router/PeerPool.hpp
+++ b/router/PeerChannelPool.hpp
@@ -15,13 +15,13 @@
 /// Thrift channels to peers, reused by many threads. A peer that did not answer
 /// in time is left out for a moment, so that it does not hold every request up.
 template<typename Client>
-class PeerPool
+class PeerChannelPool
 {
 public:
-  PeerPool(const Clock& aClock,
-           int aConnectTimeoutMs,
-           int aCallTimeoutMs,
-           std::string aSecret = {})
+  PeerChannelPool(const Clock& aClock,
+                  int aConnectTimeoutMs,
+                  int aCallTimeoutMs,
+                  std::string aSecret = {})
     : clock_(aClock)
     , connectTimeoutMs_(aConnectTimeoutMs)
     , callTimeoutMs_(aCallTimeoutMs)
--- a/router/PeerService.cpp
+++ b/router/PeerService.cpp
@@ -1,6 +1,6 @@
 #include "PeerService.hpp"
 
-#include "ThriftLedgerPeers.hpp"
+#include "ThriftLedgerTransport.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -9,15 +9,15 @@
 
 namespace cactuspitch {
 
-static_assert(static_cast<int>(LedgerEntry::Unseen) ==
+static_assert(static_cast<int>(LedgerEntryState::Unseen) ==
               wire::LedgerState::Unseen);
-static_assert(static_cast<int>(LedgerEntry::InProgress) ==
+static_assert(static_cast<int>(LedgerEntryState::InProgress) ==
               wire::LedgerState::InProgress);
-static_assert(static_cast<int>(LedgerEntry::Completed) ==
+static_assert(static_cast<int>(LedgerEntryState::Completed) ==
               wire::LedgerState::Completed);
-static_assert(static_cast<int>(LedgerEntry::NotRun) ==
+static_assert(static_cast<int>(LedgerEntryState::NotRun) ==
               wire::LedgerState::NotRun);
-static_assert(static_cast<int>(LedgerEntry::Unknown) ==
+static_assert(static_cast<int>(LedgerEntryState::Unknown) ==
               wire::LedgerState::Unknown);
 
 wire::QuarantineEntry ToWire(const CrashSuspect& aSuspect)
@@ -46,8 +46,8 @@
   return suspect;
 }
 
-PeerService::PeerService(LedgerHolder& aLedger,
-                         QuarantineKeeper& aQuarantine,
+PeerService::PeerService(SynchronizedLedger& aLedger,
+                         SynchronizedQuarantine& aQuarantine,
                          SloCounters& aSlo,
                          StatusSource aStatus)
   : ledger_(aLedger)
@@ -61,11 +61,11 @@
                                const std::string& aServiceName,
                                const std::string& aRequestId)
 {
-  LedgerEntry state = LedgerEntry::Unseen;
-  const auto id = ThriftLedgerPeers::DecodeId(aServiceName, aRequestId);
+  LedgerEntryState state = LedgerEntryState::Unseen;
+  const auto id = ThriftLedgerTransport::DecodeId(aServiceName, aRequestId);
   switch (ledger_.Begin(id, state)) {
     case RequestLedger::BeginResult::Recorded:
-      state = LedgerEntry::Unseen;
+      state = LedgerEntryState::Unseen;
       break;
     case RequestLedger::BeginResult::Seen:
       break;
@@ -80,8 +80,8 @@
                                 const std::string& aRequestId,
                                 wire::LedgerState::type aState)
 {
-  ledger_.Finish(ThriftLedgerPeers::DecodeId(aServiceName, aRequestId),
-                 static_cast<LedgerEntry>(aState));
+  ledger_.Finish(ThriftLedgerTransport::DecodeId(aServiceName, aRequestId),
+                 static_cast<LedgerEntryState>(aState));
 }
 
 void PeerService::ShareQuarantine(
--- a/router/PeerService.hpp
+++ b/router/PeerService.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "LedgerHolder.hpp"
-#include "QuarantineKeeper.hpp"
 #include "SloCounters.hpp"
+#include "SynchronizedLedger.hpp"
+#include "SynchronizedQuarantine.hpp"
 
 #include <functional>
 
@@ -16,8 +16,8 @@
 public:
   using StatusSource = std::function<wire::ProcessStatus()>;
 
-  PeerService(LedgerHolder& aLedger,
-              QuarantineKeeper& aQuarantine,
+  PeerService(SynchronizedLedger& aLedger,
+              SynchronizedQuarantine& aQuarantine,
               SloCounters& aSlo,
               StatusSource aStatus);
 
@@ -36,8 +36,8 @@
   void GetStatus(wire::ProcessStatus& aResult) override;
 
 private:
-  LedgerHolder& ledger_;
-  QuarantineKeeper& quarantine_;
+  SynchronizedLedger& ledger_;
+  SynchronizedQuarantine& quarantine_;
   SloCounters& slo_;
   StatusSource status_;
 };
--- a/router/RequestRun.cpp
+++ b/router/RequestHandler.cpp
@@ -1,7 +1,7 @@
-#include "RequestRun.hpp"
+#include "RequestHandler.hpp"
 
-#include "CrashReporter.hpp"
-#include "HeaderRules.hpp"
+#include "BackendCrashDetector.hpp"
+#include "HeaderFilter.hpp"
 
 #include <algorithm>
 #include <random>
@@ -42,22 +42,22 @@
 
 }
 
-RequestRun::RequestRun(RouterContext& aContext, HttpExchange& aCaller)
+RequestHandler::RequestHandler(RouterContext& aContext, HttpExchange& aCaller)
   : context_(aContext)
   , caller_(aCaller)
-  , answer_(aCaller)
+  , response_(aCaller)
   , startMs_(aContext.clock_.NowMs())
 {
 }
 
-void RequestRun::Run()
+void RequestHandler::Run()
 {
-  if (Accept() && ReadBody() && BeginLedger()) {
+  if (ValidateAndRoute() && ReadBody() && BeginInLedger()) {
     RunAttempts();
   }
 }
 
-bool RequestRun::Accept()
+bool RequestHandler::ValidateAndRoute()
 {
   const CallerInput input{ caller_.Method(),
                            caller_.Path(),
@@ -67,18 +67,18 @@
   const auto refusal = ParseCallerRequest(input, context_.limits_, request_);
   if (refusal.status_ != 0) {
     caller_.DiscardBody(detail::kMaxDiscardBytes);
-    answer_.Refuse(refusal.status_, refusal.text_);
+    response_.Refuse(refusal.status_, refusal.text_);
     return false;
   }
   target_.table_ = context_.tables_.Table(request_.service_, request_.hash_);
   const auto& table = target_.table_;
   if (!table) {
     if (context_.tables_.IsReady()) {
-      answer_.Refuse(detail::kNotFound, "unknown service");
+      response_.Refuse(detail::kNotFound, "unknown service");
     } else {
-      answer_.NotRun(NotRunReason::NoOwner,
-                     detail::kTakeoverRetryMs,
-                     "the router has no table yet");
+      response_.NotRun(NotRunReason::NoOwner,
+                       detail::kTakeoverRetryMs,
+                       "the router has no table yet");
     }
     return false;
   }
@@ -91,26 +91,26 @@
              rules_->maxDeadlineMs_);
   deadlineMs_ = startMs_ + length;
   // A default deadline bounds the wait for the answer, not a long download.
-  streamEndMs_ =
+  streamDeadlineMs_ =
     request_.deadlineMs_ ? deadlineMs_ : startMs_ + rules_->maxDeadlineMs_;
   return true;
 }
 
-bool RequestRun::ReadBody()
+bool RequestHandler::ReadBody()
 {
   if (caller_.ContentLength() > 0) {
     auto body = caller_.ReadBody(static_cast<size_t>(rules_->maxRequestBytes_));
     if (!body.ok()) {
       caller_.DiscardBody(detail::kMaxDiscardBytes);
-      answer_.Refuse(absl::IsOutOfRange(body.status()) ? detail::kTooLarge
-                                                       : detail::kBadRequest,
-                     body.status().message().data());
+      response_.Refuse(absl::IsOutOfRange(body.status()) ? detail::kTooLarge
+                                                         : detail::kBadRequest,
+                       body.status().message().data());
       return false;
     }
     body_ = *std::move(body);
   }
-  headers_ = HeaderRules::ForServer(caller_.Headers());
-  fingerprint_ = Fingerprint(request_, body_);
+  headers_ = HeaderFilter::ForServer(caller_.Headers());
+  fingerprint_ = RequestFingerprint(request_, body_);
   if (request_.requestId_.empty()) {
     request_.requestId_ =
       Concat(context_.instance_,
@@ -120,7 +120,7 @@
   return true;
 }
 
-bool RequestRun::BeginLedger()
+bool RequestHandler::BeginInLedger()
 {
   if (request_.isIdempotent_) {
     return true;
@@ -132,35 +132,35 @@
     case LedgerTicket::Verdict::Forward:
       return true;
     case LedgerTicket::Verdict::AlreadySeen:
-      answer_.Repeated(ticket_.state_);
+      response_.Repeated(ticket_.state_);
       Count(Outcome::Unknown, {});
       return false;
     case LedgerTicket::Verdict::Unavailable:
       break;
   }
-  answer_.NotRun(NotRunReason::Ledger,
-                 detail::kDefaultRetryMs,
-                 "no holder of the request ledger can be asked");
+  response_.NotRun(NotRunReason::Ledger,
+                   detail::kDefaultRetryMs,
+                   "no holder of the request ledger can be asked");
   Count(Outcome::NotRun, EnumName(NotRunReason::Ledger));
   return false;
 }
 
-void RequestRun::RunAttempts()
+void RequestHandler::RunAttempts()
 {
-  while (FindTarget() && EnterQuarantine() && EnterGate()) {
+  while (FindTarget() && AwaitQuarantine() && AwaitAdmission()) {
     auto result = RunExchange();
-    Settle(result);
-    if (!Continue(result)) {
+    RecordAttempt(result);
+    if (!HandleAttemptResult(result)) {
       return;
     }
   }
 }
 
-bool RequestRun::FindTarget()
+bool RequestHandler::FindTarget()
 {
   while (true) {
     // The first attempt uses the table that the request was accepted with.
-    if (attempts_ + parks_ > 0) {
+    if (attempts_ + parkCount_ > 0) {
       target_.table_ =
         context_.tables_.Table(request_.service_, request_.hash_);
     }
@@ -193,14 +193,14 @@
   }
 }
 
-bool RequestRun::HasViewLease() const
+bool RequestHandler::HasViewLease() const
 {
   return target_.record_->checksFence_ ||
          target_.table_->viewLeaseUntilMs_.Get() >
            context_.clock_.NowMs() + detail::kMinViewLeaseMs;
 }
 
-bool RequestRun::BeginParking()
+bool RequestHandler::TryReserveParkingSlot()
 {
   if (context_.parked_.fetch_add(1) < context_.maxParked_) {
     return true;
@@ -209,14 +209,14 @@
   return false;
 }
 
-bool RequestRun::Park(NotRunReason aReason, std::string_view aText)
+bool RequestHandler::Park(NotRunReason aReason, std::string_view aText)
 {
   const TimeMs now = context_.clock_.NowMs();
   if (now >= deadlineMs_) {
     EndNotRun(aReason, detail::kTakeoverRetryMs, aText);
     return false;
   }
-  if (!BeginParking()) {
+  if (!TryReserveParkingSlot()) {
     EndNotRun(aReason, detail::kTakeoverRetryMs, aText);
     return false;
   }
@@ -228,8 +228,8 @@
     aReason == NotRunReason::ViewLease
       ? detail::kViewLeasePollMs
       : std::min(detail::kLongestParkMs,
-                 detail::kFirstParkMs << std::min(parks_, kMaxShift));
-  ++parks_;
+                 detail::kFirstParkMs << std::min(parkCount_, kMaxShift));
+  ++parkCount_;
   context_.tables_.WaitNewer(request_.service_,
                              request_.hash_,
                              table.term_,
@@ -239,7 +239,7 @@
   return true;
 }
 
-bool RequestRun::EnterQuarantine()
+bool RequestHandler::AwaitQuarantine()
 {
   while (context_.quarantine_.HasSuspects()) {
     const auto decision =
@@ -267,13 +267,13 @@
   return true;
 }
 
-bool RequestRun::EnterGate()
+bool RequestHandler::AwaitAdmission()
 {
-  const auto gateRules = context_.rules_.ForServer(
+  const auto admissionRules = context_.rules_.ForServer(
     request_.service_, target_.record_->failureDomain_, target_.record_->id_);
-  gate_ =
-    &target_.server_->Gate(*gateRules, *target_.record_, context_.routers_);
-  const auto result = gate_->Enter(request_.hash_, deadlineMs_);
+  admission_ = &target_.server_->Admission(
+    *admissionRules, *target_.record_, context_.routers_);
+  const auto result = admission_->Acquire(request_.hash_, deadlineMs_);
   if (result.admitted_) {
     return true;
   }
@@ -287,7 +287,7 @@
   return false;
 }
 
-OutboundRequest RequestRun::MakeOutbound() const
+OutboundRequest RequestHandler::MakeOutbound() const
 {
   const TimeMs now = context_.clock_.NowMs();
   OutboundRequest outbound;
@@ -297,7 +297,7 @@
   outbound.epoch_ = target_.slice_->epoch_;
   outbound.isIdempotent_ = request_.isIdempotent_;
   outbound.needsClock_ = !target_.record_->checksFence_;
-  outbound.attemptEndMs_ =
+  outbound.attemptDeadlineMs_ =
     request_.isIdempotent_
       ? std::min(deadlineMs_, now + rules_->attemptTimeoutMs_)
       : deadlineMs_;
@@ -305,12 +305,12 @@
     outbound.needsClock_
       ? std::min(deadlineMs_, target_.table_->viewLeaseUntilMs_.Get())
       : deadlineMs_;
-  outbound.streamEndMs_ = streamEndMs_;
-  outbound.streamStallMs_ = rules_->attemptTimeoutMs_;
+  outbound.streamDeadlineMs_ = streamDeadlineMs_;
+  outbound.streamStallTimeoutMs_ = rules_->attemptTimeoutMs_;
   return outbound;
 }
 
-ExchangeResult RequestRun::RunExchange()
+ExchangeResult RequestHandler::RunExchange()
 {
   ++attempts_;
   auto outbound = MakeOutbound();
@@ -318,61 +318,62 @@
     .Run(outbound, caller_);
 }
 
-void RequestRun::Settle(const ExchangeResult& aResult)
+void RequestHandler::RecordAttempt(const ExchangeResult& aResult)
 {
   auto& server = *target_.server_;
   server.requests_.fetch_add(1, std::memory_order_relaxed);
-  gate_->Leave(aResult.GateEnd(), aResult.headMs_);
-  switch (aResult.end_) {
-    case ExchangeEnd::Complete:
-    case ExchangeEnd::CallerGone:
-    case ExchangeEnd::PartialAfterHead:
+  admission_->Release(aResult.AdmissionFeedback(), aResult.headMs_);
+  switch (aResult.outcome_) {
+    case ExchangeOutcome::Complete:
+    case ExchangeOutcome::CallerDisconnected:
+    case ExchangeOutcome::PartialAfterHead:
       server.Latency().Record(static_cast<int64_t>(aResult.headMs_ * 1000));
-      context_.measurements_.Record(request_.service_,
+      context_.loadRecorder_.Record(request_.service_,
                                     target_.slice_->begin_,
                                     request_.hash_,
                                     aResult.latencyMs_);
       break;
-    case ExchangeEnd::Refused:
+    case ExchangeOutcome::Refused:
       server.refusals_.fetch_add(1, std::memory_order_relaxed);
       break;
     default:
       server.failures_.fetch_add(1, std::memory_order_relaxed);
   }
   if (aResult.mayBeCrash_) {
-    CrashReporter(context_.clock_, context_.quarantine_)
+    BackendCrashDetector(context_.clock_, context_.quarantine_)
       .Check(server, aResult.incarnation_);
     server.Pool().RemoveInFlight(fingerprint_);
   }
   if (isSuspect_) {
     context_.quarantine_.OnEnd(
-      fingerprint_, server.Id(), aResult.end_ == ExchangeEnd::Complete);
+      fingerprint_, server.Id(), aResult.outcome_ == ExchangeOutcome::Complete);
     isSuspect_ = false;
   }
 }
 
-bool RequestRun::Continue(ExchangeResult& aResult)
+bool RequestHandler::HandleAttemptResult(ExchangeResult& aResult)
 {
-  if (aResult.end_ == ExchangeEnd::Refused || aResult.isRefusedConnection_) {
-    return ContinueRefused(aResult);
+  if (aResult.outcome_ == ExchangeOutcome::Refused ||
+      aResult.isConnectionRefused_) {
+    return HandleRefusal(aResult);
   }
   const bool mayRetry =
-    OutcomeClassifier::Decide(aResult.end_, request_.isIdempotent_, true) ==
+    OutcomeClassifier::Decide(aResult.outcome_, request_.isIdempotent_, true) ==
       AttemptAction::Retry &&
     CanRetry();
-  switch (
-    OutcomeClassifier::Decide(aResult.end_, request_.isIdempotent_, mayRetry)) {
+  switch (OutcomeClassifier::Decide(
+    aResult.outcome_, request_.isIdempotent_, mayRetry)) {
     case AttemptAction::Retry:
       return true;
-    case AttemptAction::Answer:
+    case AttemptAction::Respond:
       EndComplete(aResult);
       return false;
-    case AttemptAction::AnswerNotRun:
+    case AttemptAction::RespondNotRun:
       EndNotRun(aResult.reason_, detail::kDefaultRetryMs, aResult.text_);
       return false;
-    case AttemptAction::AnswerUnknown:
+    case AttemptAction::RespondUnknown:
       Cancel();
-      EndUnknown(aResult.end_ == ExchangeEnd::Silent, aResult.text_);
+      EndUnknown(aResult.outcome_ == ExchangeOutcome::TimedOut, aResult.text_);
       return false;
     case AttemptAction::CloseCaller:
     case AttemptAction::Count:
@@ -383,11 +384,11 @@
   return false;
 }
 
-bool RequestRun::ContinueRefused(const ExchangeResult& aResult)
+bool RequestHandler::HandleRefusal(const ExchangeResult& aResult)
 {
   // Ownership is about to change; these retries cost the server nothing, so
   // they use neither attempts nor the retry budget.
-  if (aResult.isRefusedConnection_) {
+  if (aResult.isConnectionRefused_) {
     --attempts_;
     return Park(NotRunReason::Unreachable, aResult.text_);
   }
@@ -401,36 +402,38 @@
     return true;
   }
   EndNotRun(aResult.reason_,
-            aResult.reason_ == NotRunReason::Busy ? gate_->RetryAfterMs()
+            aResult.reason_ == NotRunReason::Busy ? admission_->RetryAfterMs()
                                                   : detail::kDefaultRetryMs,
             "refused by the backend server");
   return false;
 }
 
-void RequestRun::Cancel()
+void RequestHandler::Cancel()
 {
   // Only when the request has ended here. All attempts have the id that the
   // answer names, so a cancellation could hit the attempt that replaced one.
-  context_.canceller_.Cancel(target_.record_->address_, request_.requestId_);
+  context_.cancellationSender_.Cancel(target_.record_->address_,
+                                      request_.requestId_);
 }
 
-bool RequestRun::CanRetry()
+bool RequestHandler::CanRetry()
 {
-  return attempts_ < rules_->maxAttempts_ + sheds_ &&
+  return attempts_ < rules_->maxAttempts_ + shedCount_ &&
          context_.clock_.NowMs() < deadlineMs_ &&
          service_->TryTakeRetry(rules_->retryBudgetPercent_);
 }
 
-bool RequestRun::CanRetryShed()
+bool RequestHandler::CanRetryShed()
 {
   // A shed attempt was not run and lowers the limit of the gate, which paces
   // the next one. Charging the retry budget as well would refuse a quarter of
   // the requests that could be served (docs/load.md).
-  ++sheds_;
-  return sheds_ <= detail::kMaxSheds && context_.clock_.NowMs() < deadlineMs_;
+  ++shedCount_;
+  return shedCount_ <= detail::kMaxSheds &&
+         context_.clock_.NowMs() < deadlineMs_;
 }
 
-std::string_view RequestRun::CompleteCause(int aStatus) const
+std::string_view RequestHandler::CompleteCause(int aStatus) const
 {
   if (aStatus >= detail::kFirstServerError) {
     return "server-error";
@@ -438,42 +441,44 @@
   return context_.clock_.NowMs() - startMs_ > rules_->latencyMs_ ? "slow" : "";
 }
 
-void RequestRun::EndComplete(ExchangeResult& aResult)
+void RequestHandler::EndComplete(ExchangeResult& aResult)
 {
-  FinishLedger(LedgerEntry::Completed);
+  FinishLedger(LedgerEntryState::Completed);
   if (!aResult.isStreamed_) {
-    answer_.Complete(aResult);
+    response_.Complete(aResult);
   }
   Count(Outcome::Complete, CompleteCause(aResult.head_.status_));
 }
 
-void RequestRun::EndNotRun(NotRunReason aReason,
-                           TimeMs aRetryAfterMs,
-                           std::string_view aText)
+void RequestHandler::EndNotRun(NotRunReason aReason,
+                               TimeMs aRetryAfterMs,
+                               std::string_view aText)
 {
   // Before the answer, so that an early repeat of the caller may run.
-  FinishLedger(LedgerEntry::NotRun);
-  answer_.NotRun(aReason, aRetryAfterMs, aText);
+  FinishLedger(LedgerEntryState::NotRun);
+  response_.NotRun(aReason, aRetryAfterMs, aText);
   Count(Outcome::NotRun, EnumName(aReason));
 }
 
-void RequestRun::EndUnknown(bool aTimedOut, std::string_view aText)
+void RequestHandler::EndUnknown(bool aTimedOut, std::string_view aText)
 {
-  FinishLedger(LedgerEntry::Unknown);
-  answer_.Unknown(aTimedOut, aText);
+  FinishLedger(LedgerEntryState::Unknown);
+  response_.Unknown(aTimedOut, aText);
   Count(Outcome::Unknown, "unknown");
 }
 
-void RequestRun::EndTruncated(const ExchangeResult& aResult)
+void RequestHandler::EndTruncated(const ExchangeResult& aResult)
 {
-  caller_.CloseAfter();
-  const bool callerGone = aResult.end_ == ExchangeEnd::CallerGone;
-  FinishLedger(callerGone ? LedgerEntry::Completed : LedgerEntry::Unknown);
+  caller_.CloseAfterResponse();
+  const bool callerGone =
+    aResult.outcome_ == ExchangeOutcome::CallerDisconnected;
+  FinishLedger(callerGone ? LedgerEntryState::Completed
+                          : LedgerEntryState::Unknown);
   Count(Outcome::Unknown,
         callerGone ? std::string_view() : std::string_view("truncated"));
 }
 
-void RequestRun::FinishLedger(LedgerEntry aState)
+void RequestHandler::FinishLedger(LedgerEntryState aState)
 {
   if (request_.isIdempotent_) {
     return;
@@ -483,7 +488,7 @@
   context_.ledger_.Finish(ticket_, aState, left > detail::kLedgerWaitMs);
 }
 
-void RequestRun::Count(Outcome aOutcome, std::string_view aCause)
+void RequestHandler::Count(Outcome aOutcome, std::string_view aCause)
 {
   const auto* server = target_.server_;
   context_.slo_.Record(
--- a/router/RequestLedger.cpp
+++ b/router/RequestLedger.cpp
@@ -33,7 +33,7 @@
 }
 
 bool RequestLedger::Insert(const Key& aKey,
-                           LedgerEntry aState,
+                           LedgerEntryState aState,
                            uint64_t aToken,
                            TimeMs aNowMs)
 {
@@ -51,7 +51,7 @@
                                                 std::string_view aRequestId,
                                                 uint64_t aToken,
                                                 TimeMs aNowMs,
-                                                LedgerEntry& aState)
+                                                LedgerEntryState& aState)
 {
   Expire(aNowMs);
   const auto key = MakeKey(aService, aRequestId);
@@ -60,11 +60,11 @@
     const auto& entry = found->second;
     aState = entry.state_;
     const bool isRepeatedMessage =
-      entry.token_ == aToken && entry.state_ == LedgerEntry::InProgress;
+      entry.token_ == aToken && entry.state_ == LedgerEntryState::InProgress;
     return isRepeatedMessage ? BeginResult::Recorded : BeginResult::Seen;
   }
-  aState = LedgerEntry::Unseen;
-  return Insert(key, LedgerEntry::InProgress, aToken, aNowMs)
+  aState = LedgerEntryState::Unseen;
+  return Insert(key, LedgerEntryState::InProgress, aToken, aNowMs)
            ? BeginResult::Recorded
            : BeginResult::Full;
 }
@@ -72,15 +72,15 @@
 void RequestLedger::Finish(std::string_view aService,
                            std::string_view aRequestId,
                            uint64_t aToken,
-                           LedgerEntry aState,
+                           LedgerEntryState aState,
                            TimeMs aNowMs)
 {
   Expire(aNowMs);
   const auto key = MakeKey(aService, aRequestId);
   const auto found = entries_.find(key);
-  if (aState == LedgerEntry::NotRun) {
+  if (aState == LedgerEntryState::NotRun) {
     if (found != entries_.end() &&
-        found->second.state_ == LedgerEntry::InProgress &&
+        found->second.state_ == LedgerEntryState::InProgress &&
         found->second.token_ == aToken) {
       entries_.erase(found);
     }
--- a/router/RequestLedger.hpp
+++ b/router/RequestLedger.hpp
@@ -12,7 +12,7 @@
 namespace cactuspitch {
 
 /// What a holder knows of a request id. The values are those of the wire.
-enum class LedgerEntry : uint8_t
+enum class LedgerEntryState : uint8_t
 {
   Unseen,
   InProgress,
@@ -23,7 +23,7 @@
 };
 
 template<>
-struct EnumNames<LedgerEntry>
+struct EnumNames<LedgerEntryState>
 {
   static constexpr std::string_view kNames[] = {
     "unseen", "in-progress", "completed", "not-run", "unknown",
@@ -50,14 +50,14 @@
                     std::string_view aRequestId,
                     uint64_t aToken,
                     TimeMs aNowMs,
-                    LedgerEntry& aState);
+                    LedgerEntryState& aState);
   /// Sets the state. NotRun forgets the id, so that a repeat may run, unless
   /// it was begun again since: a late message must not forget that. Other
   /// states are also recorded by a holder that could not be asked at the begin.
   void Finish(std::string_view aService,
               std::string_view aRequestId,
               uint64_t aToken,
-              LedgerEntry aState,
+              LedgerEntryState aState,
               TimeMs aNowMs);
   size_t Size() const { return entries_.size(); }
 
@@ -78,7 +78,7 @@
   };
   struct Entry
   {
-    LedgerEntry state_ = LedgerEntry::Unseen;
+    LedgerEntryState state_ = LedgerEntryState::Unseen;
     uint32_t generation_ = 0;
     uint64_t token_ = 0;
   };
@@ -92,7 +92,7 @@
   static Key MakeKey(std::string_view aService, std::string_view aRequestId);
   void Expire(TimeMs aNowMs);
   bool Insert(const Key& aKey,
-              LedgerEntry aState,
+              LedgerEntryState aState,
               uint64_t aToken,
               TimeMs aNowMs);
 
--- a/router/AnswerWriter.cpp
+++ b/router/ResponseWriter.cpp
@@ -1,6 +1,6 @@
-#include "AnswerWriter.hpp"
+#include "ResponseWriter.hpp"
 
-#include "HeaderRules.hpp"
+#include "HeaderFilter.hpp"
 #include "common/Strings.hpp"
 
 #include <algorithm>
@@ -20,31 +20,31 @@
 
 }
 
-bool AnswerWriter::Complete(ExchangeResult& aResult)
+bool ResponseWriter::Complete(ExchangeResult& aResult)
 {
-  auto headers = HeaderRules::ForCaller(std::move(aResult.head_.headers_));
+  auto headers = HeaderFilter::ForCaller(std::move(aResult.head_.headers_));
   headers.emplace_back(header::kOutcome, EnumName(Outcome::Complete));
   const auto& head = aResult.head_;
   if (caller_.Method() != "HEAD") {
     return caller_.Respond(head.status_, headers, aResult.body_);
   }
-  return caller_.BeginAnswer(
+  return caller_.BeginResponse(
     head.status_, headers, head.contentLength_.value_or(0));
 }
 
-TimeMs AnswerWriter::Jitter(TimeMs aMs)
+TimeMs ResponseWriter::Jitter(TimeMs aMs)
 {
   static thread_local std::minstd_rand random(std::random_device{}());
   std::uniform_int_distribution<TimeMs> spread(aMs / 2, aMs + aMs / 2);
   return std::max<TimeMs>(1, spread(random));
 }
 
-HttpHeaders AnswerWriter::RefusalHeaders()
+HttpHeaders ResponseWriter::ErrorResponseHeaders()
 {
   return NotRunHeaders(detail::kInputRetryMs);
 }
 
-HttpHeaders AnswerWriter::NotRunHeaders(TimeMs aRetryAfterMs)
+HttpHeaders ResponseWriter::NotRunHeaders(TimeMs aRetryAfterMs)
 {
   const auto retryMs = Jitter(aRetryAfterMs);
   const auto seconds =
@@ -54,9 +54,9 @@
            { header::kRetryAfterMs, std::to_string(retryMs) } };
 }
 
-void AnswerWriter::NotRun(NotRunReason aReason,
-                          TimeMs aRetryAfterMs,
-                          std::string_view aText)
+void ResponseWriter::NotRun(NotRunReason aReason,
+                            TimeMs aRetryAfterMs,
+                            std::string_view aText)
 {
   auto headers = NotRunHeaders(aRetryAfterMs);
   headers.emplace_back(header::kNotRun, EnumName(aReason));
@@ -65,7 +65,7 @@
                   Concat("not run (", EnumName(aReason), "): ", aText, "\n"));
 }
 
-void AnswerWriter::Unknown(bool aTimedOut, std::string_view aText)
+void ResponseWriter::Unknown(bool aTimedOut, std::string_view aText)
 {
   const HttpHeaders headers = { { header::kOutcome,
                                   std::string(EnumName(Outcome::Unknown)) } };
@@ -74,7 +74,7 @@
                   Concat("outcome is unknown: ", aText, "\n"));
 }
 
-void AnswerWriter::Repeated(LedgerEntry aState)
+void ResponseWriter::Repeated(LedgerEntryState aState)
 {
   const HttpHeaders headers = { { header::kOutcome,
                                   std::string(EnumName(Outcome::Unknown)) } };
@@ -87,7 +87,7 @@
                          "\n"));
 }
 
-void AnswerWriter::Refuse(int aStatus, std::string_view aText)
+void ResponseWriter::Refuse(int aStatus, std::string_view aText)
 {
   caller_.Respond(
     aStatus, NotRunHeaders(detail::kInputRetryMs), Concat(aText, "\n"));
--- a/router/AnswerWriter.hpp
+++ b/router/ResponseWriter.hpp
@@ -10,10 +10,10 @@
 namespace cactuspitch {
 
 /// Final answers to a caller; each carries X-Outcome.
-class AnswerWriter
+class ResponseWriter
 {
 public:
-  explicit AnswerWriter(HttpExchange& aCaller)
+  explicit ResponseWriter(HttpExchange& aCaller)
     : caller_(aCaller)
   {
   }
@@ -27,12 +27,12 @@
               std::string_view aText);
   void Unknown(bool aTimedOut, std::string_view aText);
   /// The request ledger knows the id already.
-  void Repeated(LedgerEntry aState);
+  void Repeated(LedgerEntryState aState);
   /// Input that cannot be forwarded.
   void Refuse(int aStatus, std::string_view aText);
 
   /// Headers of answers to input that never reaches a handler.
-  static HttpHeaders RefusalHeaders();
+  static HttpHeaders ErrorResponseHeaders();
   /// Between half of and one and a half times aMs, at least 1.
   static TimeMs Jitter(TimeMs aMs);
 
--- a/router/Router.cpp
+++ b/router/Router.cpp
@@ -1,7 +1,7 @@
 #include "Router.hpp"
 
 #include "PeerService.hpp"
-#include "RequestRun.hpp"
+#include "RequestHandler.hpp"
 #include "common/Log.hpp"
 
 #include <algorithm>
@@ -28,7 +28,7 @@
            .threads_ = aSettings.threads_,
            .requestTimeoutMs_ = aSettings.writeTimeoutMs_,
            .keepAliveTimeoutMs_ = aSettings.keepAliveMs_,
-           .refusalHeaders_ = AnswerWriter::RefusalHeaders() };
+           .errorResponseHeaders_ = ResponseWriter::ErrorResponseHeaders() };
 }
 
 void AddMetric(std::string& aText,
@@ -53,7 +53,7 @@
   , tables_(aTables)
   , startMs_(aClock.NowMs())
   , registry_(aClock)
-  , ledgerHolder_(aClock, settings_.ledgerEntries_)
+  , localLedger_(aClock, settings_.ledgerEntries_)
   , routerPool_(aClock,
                 settings_.peerTimeoutMs_,
                 settings_.peerTimeoutMs_,
@@ -62,28 +62,28 @@
                   settings_.peerTimeoutMs_,
                   settings_.peerTimeoutMs_,
                   settings_.secret_)
-  , ledgerPeers_(aClock, settings_.rpcListen_, ledgerHolder_, routerPool_)
-  , ledger_(ledgerPeers_)
+  , ledgerTransport_(aClock, settings_.rpcListen_, localLedger_, routerPool_)
+  , ledger_(ledgerTransport_)
   , quarantine_(aClock)
-  , measurements_(aClock)
+  , loadRecorder_(aClock)
   , slo_(&detail::UnixMinute)
-  , canceller_(aClock)
+  , cancellationSender_(aClock)
   , context_{ .clock_ = aClock,
               .tables_ = aTables,
               .registry_ = registry_,
               .rules_ = rules_,
               .ledger_ = ledger_,
               .quarantine_ = quarantine_,
-              .measurements_ = measurements_,
+              .loadRecorder_ = loadRecorder_,
               .slo_ = slo_,
-              .canceller_ = canceller_,
+              .cancellationSender_ = cancellationSender_,
               .instance_ = settings_.instance_,
               .limits_ = { .maxPathBytes_ = settings_.maxPathBytes_ },
               .maxParked_ = settings_.maxParked_ }
-  , duties_(context_, settings_.rpcListen_, routerPool_, assignerPool_)
+  , backgroundTasks_(context_, settings_.rpcListen_, routerPool_, assignerPool_)
   , rpc_(settings_.rpcListen_,
          std::make_shared<wire::RouterPeerProcessor>(
-           std::make_shared<PeerService>(ledgerHolder_,
+           std::make_shared<PeerService>(localLedger_,
                                          quarantine_,
                                          slo_,
                                          [this] { return Status(); })),
@@ -95,14 +95,14 @@
 
 Router::~Router()
 {
-  duties_.Stop();
+  backgroundTasks_.Stop();
   http_.Stop();
   rpc_.Stop();
 }
 
 absl::Status Router::Start()
 {
-  duties_.Refresh();
+  backgroundTasks_.Refresh();
   auto status = rpc_.Start();
   if (status.ok()) {
     status = http_.Start();
@@ -110,7 +110,7 @@
   if (!status.ok()) {
     return status;
   }
-  duties_.Start();
+  backgroundTasks_.Start();
   ready_ = true;
   return absl::OkStatus();
 }
@@ -140,9 +140,9 @@
         { { "inFlight", http_.InFlight() } });
   }
   http_.Stop();
-  duties_.Stop();
-  ledgerPeers_.Stop();
-  canceller_.Stop();
+  backgroundTasks_.Stop();
+  ledgerTransport_.Stop();
+  cancellationSender_.Stop();
   rpc_.Stop();
   return idle;
 }
@@ -152,7 +152,7 @@
   if (aExchange.Path().starts_with("/_")) {
     HandleOwn(aExchange);
   } else {
-    RequestRun(context_, aExchange).Run();
+    RequestHandler(context_, aExchange).Run();
   }
 }
 
@@ -172,7 +172,7 @@
       kOk, { { "Content-Type", "text/plain; version=0.0.4" } }, MetricsText());
   } else {
     constexpr int kNotFound = 404;
-    AnswerWriter(aExchange).Refuse(kNotFound, "no such endpoint");
+    ResponseWriter(aExchange).Refuse(kNotFound, "no such endpoint");
   }
 }
 
@@ -189,16 +189,16 @@
   detail::AddMetric(text, "requests_in_flight", "", http_.InFlight());
   detail::AddMetric(text, "requests_parked", "", context_.parked_);
   detail::AddMetric(
-    text, "ledger_entries", "", static_cast<double>(ledgerHolder_.Size()));
+    text, "ledger_entries", "", static_cast<double>(localLedger_.Size()));
   detail::AddMetric(text,
                     "cancellations_sent_total",
                     "",
-                    static_cast<double>(canceller_.Sent()));
+                    static_cast<double>(cancellationSender_.Sent()));
   detail::AddMetric(text,
                     "load_reports_sent_total",
                     "",
-                    static_cast<double>(duties_.ReportsSent()));
-  for (const auto& server : duties_.LastMeasurements()) {
+                    static_cast<double>(backgroundTasks_.ReportsSent()));
+  for (const auto& server : backgroundTasks_.LastMeasurements()) {
     const auto label = Concat("server=\"", server.server, "\"");
     detail::AddMetric(text, "server_in_flight", label, server.inFlight);
     detail::AddMetric(
@@ -231,7 +231,7 @@
   };
   add("requestsInFlight", http_.InFlight());
   add("requestsParked", context_.parked_);
-  add("ledgerEntries", static_cast<double>(ledgerHolder_.Size()));
+  add("ledgerEntries", static_cast<double>(localLedger_.Size()));
   add("rulesVersion", static_cast<double>(rules_.Version()));
   return status;
 }
--- a/router/Router.hpp
+++ b/router/Router.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "LedgerHolder.hpp"
+#include "RouterBackgroundTasks.hpp"
 #include "RouterContext.hpp"
-#include "RouterDuties.hpp"
 #include "RouterSettings.hpp"
-#include "ThriftLedgerPeers.hpp"
+#include "SynchronizedLedger.hpp"
+#include "ThriftLedgerTransport.hpp"
 #include "common/HttpServer.hpp"
 #include "rpc/ThriftServer.hpp"
 
@@ -31,7 +31,10 @@
   bool StopGracefully();
 
   const RouterContext& Context() const { return context_; }
-  const RouterDuties& Duties() const { return duties_; }
+  const RouterBackgroundTasks& BackgroundTasks() const
+  {
+    return backgroundTasks_;
+  }
 
 private:
   void Handle(HttpExchange& aExchange);
@@ -44,18 +47,18 @@
   RoutingTables& tables_;
   const TimeMs startMs_;
   StateRegistry registry_;
-  RuleBook rules_;
-  LedgerHolder ledgerHolder_;
-  RouterPeerPool routerPool_;
-  AssignerPeerPool assignerPool_;
-  ThriftLedgerPeers ledgerPeers_;
+  RuleCache rules_;
+  SynchronizedLedger localLedger_;
+  RouterChannelPool routerPool_;
+  AssignerChannelPool assignerPool_;
+  ThriftLedgerTransport ledgerTransport_;
   LedgerClient ledger_;
-  QuarantineKeeper quarantine_;
-  Measurements measurements_;
+  SynchronizedQuarantine quarantine_;
+  LoadRecorder loadRecorder_;
   SloCounters slo_;
-  Canceller canceller_;
+  CancellationSender cancellationSender_;
   RouterContext context_;
-  RouterDuties duties_;
+  RouterBackgroundTasks backgroundTasks_;
   ThriftServer rpc_;
   HttpServer http_;
   std::atomic<bool> ready_ = false;
--- a/router/RouterDuties.cpp
+++ b/router/RouterBackgroundTasks.cpp
@@ -1,4 +1,4 @@
-#include "RouterDuties.hpp"
+#include "RouterBackgroundTasks.hpp"
 
 #include "PeerService.hpp"
 #include "common/Log.hpp"
@@ -23,10 +23,10 @@
 
 }
 
-RouterDuties::RouterDuties(RouterContext& aContext,
-                           std::string aOwnAddress,
-                           RouterPeerPool& aRouters,
-                           AssignerPeerPool& aAssigners)
+RouterBackgroundTasks::RouterBackgroundTasks(RouterContext& aContext,
+                                             std::string aOwnAddress,
+                                             RouterChannelPool& aRouters,
+                                             AssignerChannelPool& aAssigners)
   : context_(aContext)
   , ownAddress_(std::move(aOwnAddress))
   , routers_(aRouters)
@@ -34,19 +34,19 @@
 {
 }
 
-RouterDuties::~RouterDuties()
+RouterBackgroundTasks::~RouterBackgroundTasks()
 {
   Stop();
 }
 
-void RouterDuties::Start()
+void RouterBackgroundTasks::Start()
 {
   threads_.emplace_back([this] { RunRefresh(); });
   threads_.emplace_back([this] { RunQuarantine(); });
   threads_.emplace_back([this] { RunReports(); });
 }
 
-void RouterDuties::Stop()
+void RouterBackgroundTasks::Stop()
 {
   {
     const std::lock_guard lock(mutex_);
@@ -59,21 +59,21 @@
   threads_.clear();
 }
 
-bool RouterDuties::Pause(TimeMs aMs)
+bool RouterBackgroundTasks::SleepFor(TimeMs aMs)
 {
   std::unique_lock lock(mutex_);
   return !stopped_.wait_for(
     lock, std::chrono::milliseconds(aMs), [this] { return stopping_; });
 }
 
-void RouterDuties::RunRefresh()
+void RouterBackgroundTasks::RunRefresh()
 {
   do {
     Refresh();
-  } while (Pause(detail::kRefreshMs));
+  } while (SleepFor(detail::kRefreshMs));
 }
 
-void RouterDuties::Refresh()
+void RouterBackgroundTasks::Refresh()
 {
   const auto now = UnixNowMs();
   const auto config = context_.tables_.Config();
@@ -100,11 +100,11 @@
   context_.quarantine_.SetMembers(ownAddress_, peers);
 }
 
-void RouterDuties::RunQuarantine()
+void RouterBackgroundTasks::RunQuarantine()
 {
   FetchQuarantine();
   TimeMs lastShareMs = context_.clock_.NowMs();
-  while (Pause(detail::kQuarantineCheckMs)) {
+  while (SleepFor(detail::kQuarantineCheckMs)) {
     const TimeMs now = context_.clock_.NowMs();
     const bool repeat = now - lastShareMs >= detail::kQuarantineRepeatMs &&
                         context_.quarantine_.HasSuspects();
@@ -115,7 +115,7 @@
   }
 }
 
-void RouterDuties::FetchQuarantine()
+void RouterBackgroundTasks::FetchQuarantine()
 {
   for (const auto& peer : context_.tables_.RouterPeers()) {
     if (peer == ownAddress_) {
@@ -134,7 +134,7 @@
   }
 }
 
-void RouterDuties::ShareQuarantine()
+void RouterBackgroundTasks::ShareQuarantine()
 {
   std::vector<wire::QuarantineEntry> entries;
   std::ranges::transform(
@@ -150,7 +150,8 @@
   }
 }
 
-std::map<std::string, wire::ServerMeasurement> RouterDuties::MeasureServers()
+std::map<std::string, wire::ServerMeasurement>
+RouterBackgroundTasks::MeasureServers()
 {
   std::map<std::string, wire::ServerMeasurement> measurements;
   for (const auto& server : context_.registry_.Servers().All()) {
@@ -168,7 +169,8 @@
   return measurements;
 }
 
-RouterDuties::Reports RouterDuties::MakeReports(TimeMs aWindowMs)
+RouterBackgroundTasks::Reports RouterBackgroundTasks::MakeReports(
+  TimeMs aWindowMs)
 {
   Reports reports;
   const auto measurements = MeasureServers();
@@ -194,9 +196,9 @@
   return reports;
 }
 
-void RouterDuties::AddLoad(Reports& aReports)
+void RouterBackgroundTasks::AddLoad(Reports& aReports)
 {
-  const auto window = context_.measurements_.EndWindow(detail::kHotKeys);
+  const auto window = context_.loadRecorder_.EndWindow(detail::kHotKeys);
   const auto reportOf = [&](const std::string& aService,
                             KeyHash aHash) -> wire::LoadReport* {
     const auto table = context_.tables_.Table(aService, aHash);
@@ -234,10 +236,10 @@
   }
 }
 
-void RouterDuties::RunReports()
+void RouterBackgroundTasks::RunReports()
 {
   TimeMs lastMs = context_.clock_.NowMs();
-  while (Pause(detail::kReportMs)) {
+  while (SleepFor(detail::kReportMs)) {
     const TimeMs now = context_.clock_.NowMs();
     for (const auto& [assigner, report] : MakeReports(now - lastMs)) {
       if (assigner.empty()) {
@@ -249,11 +251,11 @@
       reportsSent_ += status.ok() ? 1 : 0;
     }
     lastMs = now;
-    DropIdle();
+    CloseIdleConnections();
   }
 }
 
-void RouterDuties::DropIdle()
+void RouterBackgroundTasks::CloseIdleConnections()
 {
   const TimeMs limit = context_.clock_.NowMs() - detail::kIdleConnectionMs;
   for (const auto& server : context_.registry_.Servers().All()) {
@@ -261,7 +263,8 @@
   }
 }
 
-std::vector<wire::ServerMeasurement> RouterDuties::LastMeasurements() const
+std::vector<wire::ServerMeasurement> RouterBackgroundTasks::LastMeasurements()
+  const
 {
   const std::lock_guard lock(mutex_);
   return lastMeasurements_;
--- a/router/RouterDuties.hpp
+++ b/router/RouterBackgroundTasks.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "PeerPool.hpp"
+#include "PeerChannelPool.hpp"
 #include "RouterContext.hpp"
-#include "ThriftLedgerPeers.hpp"
+#include "ThriftLedgerTransport.hpp"
 
 #include <condition_variable>
 #include <map>
@@ -14,21 +14,21 @@
 
 namespace cactuspitch {
 
-using AssignerPeerPool = PeerPool<wire::AssignerPeerClient>;
+using AssignerChannelPool = PeerChannelPool<wire::AssignerPeerClient>;
 
 /// Periodic work of the router: load reports each second to the assigner of
 /// each group, shared quarantine, rules from the configuration, idle
 /// connections. Each duty has a thread, so that a silent peer delays no other.
-class RouterDuties
+class RouterBackgroundTasks
 {
 public:
-  RouterDuties(RouterContext& aContext,
-               std::string aOwnAddress,
-               RouterPeerPool& aRouters,
-               AssignerPeerPool& aAssigners);
-  ~RouterDuties();
-  RouterDuties(const RouterDuties&) = delete;
-  RouterDuties& operator=(const RouterDuties&) = delete;
+  RouterBackgroundTasks(RouterContext& aContext,
+                        std::string aOwnAddress,
+                        RouterChannelPool& aRouters,
+                        AssignerChannelPool& aAssigners);
+  ~RouterBackgroundTasks();
+  RouterBackgroundTasks(const RouterBackgroundTasks&) = delete;
+  RouterBackgroundTasks& operator=(const RouterBackgroundTasks&) = delete;
 
   void Start();
   void Stop();
@@ -43,7 +43,7 @@
   using Reports = std::map<std::string, wire::LoadReport>;
 
   /// False when the duties end.
-  bool Pause(TimeMs aMs);
+  bool SleepFor(TimeMs aMs);
   void RunRefresh();
   void RunQuarantine();
   void RunReports();
@@ -52,12 +52,12 @@
   Reports MakeReports(TimeMs aWindowMs);
   std::map<std::string, wire::ServerMeasurement> MeasureServers();
   void AddLoad(Reports& aReports);
-  void DropIdle();
+  void CloseIdleConnections();
 
   RouterContext& context_;
   const std::string ownAddress_;
-  RouterPeerPool& routers_;
-  AssignerPeerPool& assigners_;
+  RouterChannelPool& routers_;
+  AssignerChannelPool& assigners_;
 
   mutable std::mutex mutex_;
   std::condition_variable stopped_;
--- a/router/RouterContext.hpp
+++ b/router/RouterContext.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "CallerRequest.hpp"
-#include "Canceller.hpp"
+#include "CancellationSender.hpp"
 #include "LedgerClient.hpp"
-#include "Measurements.hpp"
-#include "QuarantineKeeper.hpp"
+#include "LoadRecorder.hpp"
 #include "RoutingTables.hpp"
-#include "RuleBook.hpp"
+#include "RuleCache.hpp"
 #include "SloCounters.hpp"
 #include "StateRegistry.hpp"
+#include "SynchronizedQuarantine.hpp"
 
 #include <array>
 #include <atomic>
@@ -22,12 +22,12 @@
   const Clock& clock_;
   RoutingTables& tables_;
   StateRegistry& registry_;
-  RuleBook& rules_;
+  RuleCache& rules_;
   LedgerClient& ledger_;
-  QuarantineKeeper& quarantine_;
-  Measurements& measurements_;
+  SynchronizedQuarantine& quarantine_;
+  LoadRecorder& loadRecorder_;
   SloCounters& slo_;
-  Canceller& canceller_;
+  CancellationSender& cancellationSender_;
   std::string instance_;
   InputLimits limits_;
   /// Requests that may wait for an owner at once. Each holds a thread; more
--- a/router/RuleBook.cpp
+++ b/router/RuleCache.cpp
@@ -1,4 +1,4 @@
-#include "RuleBook.hpp"
+#include "RuleCache.hpp"
 
 #include "common/Strings.hpp"
 
@@ -14,12 +14,12 @@
 
 }
 
-RuleBook::RuleBook()
+RuleCache::RuleCache()
 {
   Install({}, 0);
 }
 
-RuleBook::ThreadCache& RuleBook::Current() const
+RuleCache::ThreadCache& RuleCache::Current() const
 {
   static thread_local ThreadCache cache;
   const auto generation = generation_.load(std::memory_order_acquire);
@@ -33,7 +33,7 @@
   return cache;
 }
 
-void RuleBook::Install(FleetDocument aDocument, UnixMs aNowMs)
+void RuleCache::Install(FleetDocument aDocument, UnixMs aNowMs)
 {
   auto snapshot = std::make_shared<Snapshot>();
   snapshot->document_ = std::move(aDocument);
@@ -44,9 +44,9 @@
   generation_.store(detail::NextGeneration(), std::memory_order_release);
 }
 
-absl::Status RuleBook::Update(std::string_view aJson,
-                              int64_t aVersion,
-                              UnixMs aNowMs)
+absl::Status RuleCache::Update(std::string_view aJson,
+                               int64_t aVersion,
+                               UnixMs aNowMs)
 {
   if (aVersion <= Version()) {
     return absl::OkStatus();
@@ -61,7 +61,7 @@
   return absl::OkStatus();
 }
 
-void RuleBook::Expire(UnixMs aNowMs)
+void RuleCache::Expire(UnixMs aNowMs)
 {
   const auto snapshot = Current().snapshot_;
   if (snapshot->resolver_->NextExpiryMs() <= aNowMs) {
@@ -69,12 +69,12 @@
   }
 }
 
-int64_t RuleBook::Version() const
+int64_t RuleCache::Version() const
 {
   return Current().snapshot_->document_.version_;
 }
 
-uint8_t RuleBook::ThreadCache::Dimensions(std::string_view aService)
+uint8_t RuleCache::ThreadCache::Dimensions(std::string_view aService)
 {
   const auto found = dimensions_.find(ToAbsl(aService));
   if (found != dimensions_.end()) {
@@ -84,9 +84,9 @@
   return dimensions_[service] = snapshot_->resolver_->UsedDimensions(service);
 }
 
-RuleBook::Rules RuleBook::ForServer(std::string_view aService,
-                                    std::string_view aFailureDomain,
-                                    std::string_view aServer) const
+RuleCache::Rules RuleCache::ForServer(std::string_view aService,
+                                      std::string_view aFailureDomain,
+                                      std::string_view aServer) const
 {
   constexpr auto kServerDimensions =
     ScopeBit(ScopeDimension::FailureDomain) | ScopeBit(ScopeDimension::Server);
@@ -111,11 +111,11 @@
   return rules;
 }
 
-RuleBook::Rules RuleBook::ForKey(const Rules& aServerRules,
-                                 std::string_view aService,
-                                 std::string_view aFailureDomain,
-                                 std::string_view aServer,
-                                 std::string_view aKey) const
+RuleCache::Rules RuleCache::ForKey(const Rules& aServerRules,
+                                   std::string_view aService,
+                                   std::string_view aFailureDomain,
+                                   std::string_view aServer,
+                                   std::string_view aKey) const
 {
   auto& cache = Current();
   if ((cache.Dimensions(aService) & ScopeBit(ScopeDimension::Key)) == 0) {
@@ -128,9 +128,9 @@
                                           std::string(aKey) }));
 }
 
-RuleBook::Rules RuleBook::ForRequest(const GroupTable& aTable,
-                                     KeyHash aHash,
-                                     std::string_view aKey) const
+RuleCache::Rules RuleCache::ForRequest(const GroupTable& aTable,
+                                       KeyHash aHash,
+                                       std::string_view aKey) const
 {
   static const std::string kNone;
   const auto* owner = aTable.Server(aTable.FindSlice(aHash).owner_);
--- a/router/RuleBook.hpp
+++ b/router/RuleCache.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "common/SliceTable.hpp"
+#include "common/GroupTable.hpp"
 #include "config/RuleResolver.hpp"
 #include "config/ServiceRules.hpp"
 
@@ -17,12 +17,12 @@
 
 /// Rules in force, from the configuration document; defaults until there is
 /// one. Lookups of rules without exceptions for single keys are cached.
-class RuleBook
+class RuleCache
 {
 public:
   using Rules = std::shared_ptr<const ServiceRules>;
 
-  RuleBook();
+  RuleCache();
 
   /// Takes a newer document over; an older one is ignored. A document that is
   /// malformed is refused and the last one stays in force.
--- a/router/ServerExchange.cpp
+++ b/router/ServerExchange.cpp
@@ -1,6 +1,6 @@
 #include "ServerExchange.hpp"
 
-#include "HeaderRules.hpp"
+#include "HeaderFilter.hpp"
 #include "common/Strings.hpp"
 
 #include <algorithm>
@@ -36,16 +36,16 @@
 
 }
 
-AttemptEnd ExchangeResult::GateEnd() const
+AttemptEnd ExchangeResult::AdmissionFeedback() const
 {
-  switch (end_) {
-    case ExchangeEnd::Complete:
-    case ExchangeEnd::PartialAfterHead:
+  switch (outcome_) {
+    case ExchangeOutcome::Complete:
+    case ExchangeOutcome::PartialAfterHead:
       return AttemptEnd::Answered;
-    case ExchangeEnd::Refused:
+    case ExchangeOutcome::Refused:
       return reason_ == NotRunReason::Busy ? AttemptEnd::Shed
                                            : AttemptEnd::Cancelled;
-    case ExchangeEnd::CallerGone:
+    case ExchangeOutcome::CallerDisconnected:
       return AttemptEnd::Cancelled;
     default:
       return AttemptEnd::Failed;
@@ -63,8 +63,8 @@
 {
   ExchangeResult result;
   start_ = std::chrono::steady_clock::now();
-  if (Prepare(aRequest, result) && ReadHead(aRequest, result)) {
-    ReadAnswer(aRequest, result, aCaller);
+  if (ConnectAndSend(aRequest, result) && ReadHead(aRequest, result)) {
+    ReadResponseBody(aRequest, result, aCaller);
   }
   if (connection_) {
     result.incarnation_ = connection_->incarnation_;
@@ -85,10 +85,11 @@
   return std::chrono::duration<double, std::milli>(taken).count();
 }
 
-bool ServerExchange::Prepare(OutboundRequest& aRequest, ExchangeResult& aResult)
+bool ServerExchange::ConnectAndSend(OutboundRequest& aRequest,
+                                    ExchangeResult& aResult)
 {
   connection_ = server_.Pool().Acquire(aRequest.fingerprint_,
-                                       aRequest.attemptEndMs_,
+                                       aRequest.attemptDeadlineMs_,
                                        aRequest.isIdempotent_
                                          ? detail::kMaxIdleMs
                                          : detail::kMaxIdleNonIdempotentMs);
@@ -108,7 +109,7 @@
     headers.emplace_back(header::kDeadlineClockMs, std::to_string(*deadline));
   }
   const auto written =
-    connection_->http_.Write(aRequest.http_, aRequest.attemptEndMs_);
+    connection_->http_.Write(aRequest.http_, aRequest.attemptDeadlineMs_);
   headers.resize(plainHeaders);
   if (!written.ok()) {
     Fail(written, aResult);
@@ -133,7 +134,7 @@
   return receivedMs + connection_->clockOffsetMs_ + shorterMs;
 }
 
-bool ServerExchange::IsClockNeeded(const OutboundRequest& aRequest) const
+bool ServerExchange::NeedsClockProbe(const OutboundRequest& aRequest) const
 {
   if (!aRequest.needsClock_) {
     return !server_.ClockOffsetMs();
@@ -148,12 +149,12 @@
 {
   auto& http = connection_->http_;
   if (!http.IsOpen()) {
-    const auto connected = http.Connect(aRequest.attemptEndMs_);
+    const auto connected = http.Connect(aRequest.attemptDeadlineMs_);
     if (!connected.ok()) {
-      aResult.isRefusedConnection_ =
+      aResult.isConnectionRefused_ =
         connected.code() == absl::StatusCode::kUnavailable;
-      if (aResult.isRefusedConnection_) {
-        server_.OnProcessGone();
+      if (aResult.isConnectionRefused_) {
+        server_.OnProcessExit();
       }
       Fail(connected, aResult);
       return false;
@@ -161,12 +162,12 @@
   }
   // The clock of another process could be far behind, and a deadline in its
   // terms far in the future, so it is learned on the connection itself.
-  if (!IsClockNeeded(aRequest)) {
+  if (!NeedsClockProbe(aRequest)) {
     return true;
   }
-  const auto learned = LearnClock(aRequest.attemptEndMs_);
+  const auto learned = ReadServerClock(aRequest.attemptDeadlineMs_);
   if (learned.ok() && (connection_->clockKnown_ || !aRequest.needsClock_)) {
-    server_.Pool().NoteSend(*connection_);
+    server_.Pool().RecordSend(*connection_);
     return true;
   }
   http.Close();
@@ -175,7 +176,7 @@
   return false;
 }
 
-absl::Status ServerExchange::LearnClock(TimeMs aDeadlineMs)
+absl::Status ServerExchange::ReadServerClock(TimeMs aDeadlineMs)
 {
   auto& http = connection_->http_;
   const HttpRequest probe{ "GET", "/_cactuspitch/health", {}, {} };
@@ -187,7 +188,7 @@
   if (!head.ok()) {
     return head.status();
   }
-  server_.OnAnswer(*connection_, *head);
+  server_.OnResponse(*connection_, *head);
   auto& buffer = detail::ThreadBuffer();
   size_t total = 0;
   while (total <= detail::kMaxHealthBytes) {
@@ -211,11 +212,11 @@
   auto& pool = server_.Pool();
   const TimeMs sentMs = clock_.NowMs();
   TimeMs boundMs =
-    std::min(aRequest.attemptEndMs_, sentMs + pool.SilenceLimitMs());
+    std::min(aRequest.attemptDeadlineMs_, sentMs + pool.SilenceLimitMs());
   while (true) {
     auto head = http.ReadHead(boundMs);
     if (head.ok()) {
-      server_.OnAnswer(*connection_, *head);
+      server_.OnResponse(*connection_, *head);
       if (head->status_ < detail::kFirstFinalStatus) {
         continue;
       }
@@ -225,7 +226,7 @@
     }
     const TimeMs now = clock_.NowMs();
     if (!absl::IsDeadlineExceeded(head.status()) ||
-        now >= aRequest.attemptEndMs_) {
+        now >= aRequest.attemptDeadlineMs_) {
       Fail(head.status(), aResult);
       return false;
     }
@@ -237,26 +238,27 @@
         return false;
       }
     }
-    boundMs = std::min(aRequest.attemptEndMs_, now + detail::kSilenceCheckMs);
+    boundMs =
+      std::min(aRequest.attemptDeadlineMs_, now + detail::kSilenceCheckMs);
   }
 }
 
-void ServerExchange::ReadAnswer(const OutboundRequest& aRequest,
-                                ExchangeResult& aResult,
-                                HttpExchange& aCaller)
+void ServerExchange::ReadResponseBody(const OutboundRequest& aRequest,
+                                      ExchangeResult& aResult,
+                                      HttpExchange& aCaller)
 {
   auto& buffer = detail::ThreadBuffer();
   size_t size = 0;
   while (size < buffer.size()) {
     const auto got = connection_->http_.ReadBody(
-      buffer.data() + size, buffer.size() - size, aRequest.attemptEndMs_);
+      buffer.data() + size, buffer.size() - size, aRequest.attemptDeadlineMs_);
     if (!got.ok()) {
       Fail(got.status(), aResult);
       return;
     }
     if (*got == 0) {
       aResult.body_ = { buffer.data(), size };
-      aResult.end_ = ExchangeEnd::Complete;
+      aResult.outcome_ = ExchangeOutcome::Complete;
       CheckRefusal(aResult);
       return;
     }
@@ -270,13 +272,13 @@
                             HttpExchange& aCaller,
                             size_t aBuffered)
 {
-  server_.Pool().NoteAnswer(*connection_);
-  auto headers = HeaderRules::ForCaller(std::move(aResult.head_.headers_));
+  server_.Pool().RecordResponse(*connection_);
+  auto headers = HeaderFilter::ForCaller(std::move(aResult.head_.headers_));
   headers.emplace_back(header::kOutcome, EnumName(Outcome::Complete));
   const auto length = aResult.head_.contentLength_;
   aResult.isStreamed_ = true;
   bool sent = length
-                ? aCaller.BeginAnswer(aResult.head_.status_, headers, *length)
+                ? aCaller.BeginResponse(aResult.head_.status_, headers, *length)
                 : aCaller.BeginChunked(aResult.head_.status_, headers);
   auto& buffer = detail::ThreadBuffer();
   size_t size = aBuffered;
@@ -286,11 +288,12 @@
       break;
     }
     const TimeMs bound =
-      std::min(aRequest.streamEndMs_, clock_.NowMs() + aRequest.streamStallMs_);
+      std::min(aRequest.streamDeadlineMs_,
+               clock_.NowMs() + aRequest.streamStallTimeoutMs_);
     const auto got =
       connection_->http_.ReadBody(buffer.data(), buffer.size(), bound);
     if (!got.ok()) {
-      aResult.end_ = ExchangeEnd::PartialAfterHead;
+      aResult.outcome_ = ExchangeOutcome::PartialAfterHead;
       aResult.text_ = std::string(got.status().message());
       connection_->http_.Close();
       return;
@@ -300,7 +303,8 @@
   if (sent && !length) {
     sent = aCaller.EndChunked();
   }
-  aResult.end_ = sent ? ExchangeEnd::Complete : ExchangeEnd::CallerGone;
+  aResult.outcome_ =
+    sent ? ExchangeOutcome::Complete : ExchangeOutcome::CallerDisconnected;
   if (!sent) {
     connection_->http_.Close();
   }
@@ -309,8 +313,8 @@
 void ServerExchange::Fail(const absl::Status& aStatus, ExchangeResult& aResult)
 {
   const auto stage = connection_->http_.Stage();
-  aResult.end_ =
-    OutcomeClassifier::FailureEnd(stage, aStatus.code(), aResult.isStreamed_);
+  aResult.outcome_ = OutcomeClassifier::ClassifyFailure(
+    stage, aStatus.code(), aResult.isStreamed_);
   aResult.text_ = std::string(aStatus.message());
   const bool wasSent = stage == ExchangeStage::Writing ||
                        stage == ExchangeStage::AwaitingHead ||
@@ -325,7 +329,7 @@
   if (aResult.head_.status_ != detail::kServiceUnavailable || refusal.empty()) {
     return;
   }
-  aResult.end_ = ExchangeEnd::Refused;
+  aResult.outcome_ = ExchangeOutcome::Refused;
   aResult.reason_ =
     ParseEnum<NotRunReason>(refusal).value_or(NotRunReason::Busy);
 }
--- a/router/ServerExchange.hpp
+++ b/router/ServerExchange.hpp
@@ -23,34 +23,34 @@
   /// The server does not check the fence, so its clock must be known.
   bool needsClock_ = false;
   /// End of the attempt, and the deadline that is sent to the server.
-  TimeMs attemptEndMs_ = 0;
+  TimeMs attemptDeadlineMs_ = 0;
   TimeMs serverDeadlineMs_ = 0;
   /// Bounds of an answer whose head was sent to the caller.
-  TimeMs streamEndMs_ = 0;
-  TimeMs streamStallMs_ = 0;
+  TimeMs streamDeadlineMs_ = 0;
+  TimeMs streamStallTimeoutMs_ = 0;
 };
 
 struct ExchangeResult
 {
-  ExchangeEnd end_ = ExchangeEnd::NoConnection;
+  ExchangeOutcome outcome_ = ExchangeOutcome::NoConnection;
   NotRunReason reason_ = NotRunReason::Unreachable;
   std::string text_;
   HttpResponseHead head_;
-  /// The whole body when end_ is Complete and isStreamed_ is false. Valid
+  /// The whole body when outcome_ is Complete and isStreamed_ is false. Valid
   /// until the next exchange of this thread.
   std::string_view body_;
   /// The caller has received the answer, or its head.
   bool isStreamed_ = false;
   /// The connection ended without an answer, which a crash can have caused.
   bool mayBeCrash_ = false;
-  bool isRefusedConnection_ = false;
+  bool isConnectionRefused_ = false;
   uint64_t incarnation_ = 0;
   /// Time to the answer, and to its end including a slow caller.
   double headMs_ = 0;
   double latencyMs_ = 0;
 
   /// What the end says to the admission policy about the server.
-  AttemptEnd GateEnd() const;
+  AttemptEnd AdmissionFeedback() const;
 };
 
 /// Runs one attempt at a backend server and hands large answers through to the
@@ -63,17 +63,17 @@
   ExchangeResult Run(OutboundRequest& aRequest, HttpExchange& aCaller);
 
 private:
-  bool Prepare(OutboundRequest& aRequest, ExchangeResult& aResult);
+  bool ConnectAndSend(OutboundRequest& aRequest, ExchangeResult& aResult);
   bool ConnectIfNew(const OutboundRequest& aRequest, ExchangeResult& aResult);
   /// Learns the clock of the process at the other end of this connection.
   /// The request's deadline in the server's clock; empty when it is unknown.
   std::optional<TimeMs> ServerDeadlineMs(const OutboundRequest& aRequest) const;
-  bool IsClockNeeded(const OutboundRequest& aRequest) const;
-  absl::Status LearnClock(TimeMs aDeadlineMs);
+  bool NeedsClockProbe(const OutboundRequest& aRequest) const;
+  absl::Status ReadServerClock(TimeMs aDeadlineMs);
   bool ReadHead(const OutboundRequest& aRequest, ExchangeResult& aResult);
-  void ReadAnswer(const OutboundRequest& aRequest,
-                  ExchangeResult& aResult,
-                  HttpExchange& aCaller);
+  void ReadResponseBody(const OutboundRequest& aRequest,
+                        ExchangeResult& aResult,
+                        HttpExchange& aCaller);
   void Stream(const OutboundRequest& aRequest,
               ExchangeResult& aResult,
               HttpExchange& aCaller,
--- a/router/SloCounters.cpp
+++ b/router/SloCounters.cpp
@@ -1,6 +1,6 @@
 #include "SloCounters.hpp"
 
-#include "Measurements.hpp"
+#include "LoadRecorder.hpp"
 #include "common/Strings.hpp"
 
 #include <algorithm>
@@ -29,7 +29,7 @@
                          std::string_view aFailureDomain)
 {
   const auto minute = minutes_();
-  auto& shard = shards_[ThreadShard(kShards)];
+  auto& shard = shards_[ThreadShardIndex(kShards)];
   const std::lock_guard lock(shard.mutex_);
   if (shard.minute_ != minute) {
     Flush(shard);
@@ -63,7 +63,7 @@
       counts.causes_.clear();
     }
   }
-  const auto oldest = minutes_() - kKeptMinutes;
+  const auto oldest = minutes_() - kRetentionMinutes;
   while (!totals_.empty() && std::get<0>(totals_.begin()->first) < oldest) {
     totals_.erase(totals_.begin());
   }
--- a/router/SloCounters.hpp
+++ b/router/SloCounters.hpp
@@ -44,7 +44,7 @@
   std::vector<SloCount> Since(int64_t aSinceMinute);
 
   /// Minutes that are kept for readers.
-  static constexpr int64_t kKeptMinutes = 65;
+  static constexpr int64_t kRetentionMinutes = 65;
 
 private:
   struct ServerCounts
--- a/router/StateRegistry.hpp
+++ b/router/StateRegistry.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "BackendServer.hpp"
-#include "Measurements.hpp"
+#include "LoadRecorder.hpp"
 #include "ServiceState.hpp"
 #include "common/Strings.hpp"
 
@@ -20,13 +20,13 @@
 /// until the end. Each group of threads looks up in a copy of the index, since
 /// one index with a reader lock costs a contended cache line each time.
 template<typename T>
-class NamedObjects
+class ShardedObjectMap
 {
 public:
   template<typename Make>
   T& Get(std::string_view aName, Make&& aMake)
   {
-    auto& index = indexes_[ThreadShard(kIndexes)];
+    auto& index = indexes_[ThreadShardIndex(kIndexes)];
     const std::lock_guard lock(index.mutex_);
     const auto found = index.objects_.find(ToAbsl(aName));
     if (found != index.objects_.end()) {
@@ -86,13 +86,13 @@
       return std::make_unique<ServiceState>(std::string(aName));
     });
   }
-  NamedObjects<BackendServer>& Servers() { return servers_; }
-  NamedObjects<ServiceState>& Services() { return services_; }
+  ShardedObjectMap<BackendServer>& Servers() { return servers_; }
+  ShardedObjectMap<ServiceState>& Services() { return services_; }
 
 private:
   const Clock& clock_;
-  NamedObjects<BackendServer> servers_;
-  NamedObjects<ServiceState> services_;
+  ShardedObjectMap<BackendServer> servers_;
+  ShardedObjectMap<ServiceState> services_;
 };
 
 }
--- a/router/LedgerHolder.hpp
+++ b/router/SynchronizedLedger.hpp
@@ -10,23 +10,24 @@
 namespace cactuspitch {
 
 /// The ledger that this router holds, for many threads.
-class LedgerHolder
+class SynchronizedLedger
 {
 public:
-  LedgerHolder(const Clock& aClock, size_t aMaxEntries)
+  SynchronizedLedger(const Clock& aClock, size_t aMaxEntries)
     : clock_(aClock)
     , startMs_(aClock.NowMs())
     , ledger_(aMaxEntries)
   {
   }
 
-  RequestLedger::BeginResult Begin(const LedgerId& aId, LedgerEntry& aState)
+  RequestLedger::BeginResult Begin(const LedgerId& aId,
+                                   LedgerEntryState& aState)
   {
     const std::lock_guard lock(mutex_);
     return ledger_.Begin(
       aId.service_, aId.requestId_, aId.token_, clock_.NowMs(), aState);
   }
-  void Finish(const LedgerId& aId, LedgerEntry aState)
+  void Finish(const LedgerId& aId, LedgerEntryState aState)
   {
     const std::lock_guard lock(mutex_);
     ledger_.Finish(
--- a/router/QuarantineKeeper.hpp
+++ b/router/SynchronizedQuarantine.hpp
@@ -12,11 +12,11 @@
 namespace cactuspitch {
 
 /// CrashQuarantine of this router, for many threads.
-class QuarantineKeeper
+class SynchronizedQuarantine
 {
 public:
-  explicit QuarantineKeeper(const Clock& aClock,
-                            QuarantineOptions aOptions = {});
+  explicit SynchronizedQuarantine(const Clock& aClock,
+                                  QuarantineOptions aOptions = {});
 
   /// Lock-free; lets the hot path skip the other calls.
   bool HasSuspects() const
@@ -24,10 +24,10 @@
     return hasSuspects_.load(std::memory_order_acquire);
   }
   SuspectDecision TryBegin(uint64_t aFingerprint, std::string_view aServer);
-  void OnEnd(uint64_t aFingerprint, std::string_view aServer, bool aEndedWell);
+  void OnEnd(uint64_t aFingerprint, std::string_view aServer, bool aSucceeded);
   void OnCrash(std::string_view aServer,
                const std::vector<uint64_t>& aInFlight,
-               uint64_t aLife = 0);
+               uint64_t aIncarnation = 0);
   void Release(uint64_t aFingerprint);
   void Merge(const std::vector<CrashSuspect>& aEntries);
   std::vector<CrashSuspect> Entries();
--- a/router/ThriftLedgerPeers.cpp
+++ b/router/ThriftLedgerTransport.cpp
@@ -1,4 +1,4 @@
-#include "ThriftLedgerPeers.hpp"
+#include "ThriftLedgerTransport.hpp"
 
 #include <chrono>
 
@@ -13,40 +13,40 @@
 /// Request ids are printable, so the separator cannot be part of one.
 constexpr char kTokenSeparator = '\x1f';
 
-HolderAnswer ToAnswer(RequestLedger::BeginResult aResult)
+ReplicaResponse ToAnswer(RequestLedger::BeginResult aResult)
 {
   switch (aResult) {
     case RequestLedger::BeginResult::Recorded:
-      return HolderAnswer::Recorded;
+      return ReplicaResponse::Recorded;
     case RequestLedger::BeginResult::Seen:
-      return HolderAnswer::Seen;
+      return ReplicaResponse::Seen;
     case RequestLedger::BeginResult::Full:
       break;
   }
-  return HolderAnswer::Unreachable;
+  return ReplicaResponse::Unreachable;
 }
 
 }
 
-ThriftLedgerPeers::ThriftLedgerPeers(const Clock& aClock,
-                                     std::string aOwnAddress,
-                                     LedgerHolder& aOwn,
-                                     RouterPeerPool& aPool)
+ThriftLedgerTransport::ThriftLedgerTransport(const Clock& aClock,
+                                             std::string aOwnAddress,
+                                             SynchronizedLedger& aLocalLedger,
+                                             RouterChannelPool& aPool)
   : clock_(aClock)
   , ownAddress_(std::move(aOwnAddress))
-  , own_(aOwn)
+  , localLedger_(aLocalLedger)
   , pool_(aPool)
   , pending_(detail::kPendingFinishes)
   , thread_([this] { RunFinishes(); })
 {
 }
 
-ThriftLedgerPeers::~ThriftLedgerPeers()
+ThriftLedgerTransport::~ThriftLedgerTransport()
 {
   Stop();
 }
 
-void ThriftLedgerPeers::Stop()
+void ThriftLedgerTransport::Stop()
 {
   pending_.Close();
   if (thread_.joinable()) {
@@ -54,14 +54,14 @@
   }
 }
 
-std::string ThriftLedgerPeers::EncodeId(const LedgerId& aId)
+std::string ThriftLedgerTransport::EncodeId(const LedgerId& aId)
 {
   return Concat(
     aId.requestId_, std::string(1, detail::kTokenSeparator), aId.token_);
 }
 
-LedgerId ThriftLedgerPeers::DecodeId(const std::string& aService,
-                                     const std::string& aText)
+LedgerId ThriftLedgerTransport::DecodeId(const std::string& aService,
+                                         const std::string& aText)
 {
   LedgerId id{ aService, aText, 0 };
   const auto separator = aText.rfind(detail::kTokenSeparator);
@@ -72,29 +72,29 @@
   return id;
 }
 
-HolderAnswer ThriftLedgerPeers::Begin(const std::string& aPeer,
-                                      const LedgerId& aId,
-                                      LedgerEntry& aState)
+ReplicaResponse ThriftLedgerTransport::Begin(const std::string& aPeer,
+                                             const LedgerId& aId,
+                                             LedgerEntryState& aState)
 {
   if (aPeer == ownAddress_) {
-    return detail::ToAnswer(own_.Begin(aId, aState));
+    return detail::ToAnswer(localLedger_.Begin(aId, aState));
   }
   wire::BeginRequestResponse response;
   const auto status = pool_.Run(aPeer, [&](auto& aClient) {
     aClient.BeginRequest(response, aId.service_, EncodeId(aId));
   });
   if (!status.ok()) {
-    return IsConnectionRefused(status) ? HolderAnswer::Gone
-                                       : HolderAnswer::Unreachable;
+    return IsConnectionRefused(status) ? ReplicaResponse::Exited
+                                       : ReplicaResponse::Unreachable;
   }
-  aState = static_cast<LedgerEntry>(response.state);
-  return aState == LedgerEntry::Unseen ? HolderAnswer::Recorded
-                                       : HolderAnswer::Seen;
+  aState = static_cast<LedgerEntryState>(response.state);
+  return aState == LedgerEntryState::Unseen ? ReplicaResponse::Recorded
+                                            : ReplicaResponse::Seen;
 }
 
-bool ThriftLedgerPeers::SendFinish(const std::string& aPeer,
-                                   const LedgerId& aId,
-                                   LedgerEntry aState)
+bool ThriftLedgerTransport::SendFinish(const std::string& aPeer,
+                                       const LedgerId& aId,
+                                       LedgerEntryState aState)
 {
   const auto status = pool_.Run(aPeer, [&](auto& aClient) {
     aClient.FinishRequest(aId.service_,
@@ -104,30 +104,30 @@
   return status.ok();
 }
 
-void ThriftLedgerPeers::Finish(const std::string& aPeer,
-                               const LedgerId& aId,
-                               LedgerEntry aState)
+void ThriftLedgerTransport::Finish(const std::string& aPeer,
+                                   const LedgerId& aId,
+                                   LedgerEntryState aState)
 {
   if (aPeer == ownAddress_) {
-    own_.Finish(aId, aState);
+    localLedger_.Finish(aId, aState);
   } else if (!SendFinish(aPeer, aId, aState)) {
-    FinishLater(aPeer, aId, aState);
+    FinishAsync(aPeer, aId, aState);
   }
 }
 
-void ThriftLedgerPeers::FinishLater(const std::string& aPeer,
-                                    const LedgerId& aId,
-                                    LedgerEntry aState)
+void ThriftLedgerTransport::FinishAsync(const std::string& aPeer,
+                                        const LedgerId& aId,
+                                        LedgerEntryState aState)
 {
   if (aPeer == ownAddress_) {
-    own_.Finish(aId, aState);
+    localLedger_.Finish(aId, aState);
     return;
   }
   pending_.TryPush(
     { aPeer, aId, aState, clock_.NowMs() + detail::kFinishRetryMs });
 }
 
-void ThriftLedgerPeers::RunFinishes()
+void ThriftLedgerTransport::RunFinishes()
 {
   constexpr auto kPopTimeout = std::chrono::milliseconds(200);
   constexpr auto kRetryPause = std::chrono::milliseconds(20);
@@ -140,7 +140,7 @@
       continue;
     }
     if (SendFinish(pending->peer_, pending->id_, pending->state_) ||
-        clock_.NowMs() >= pending->giveUpMs_ || pending_.IsClosed()) {
+        clock_.NowMs() >= pending->retryUntilMs_ || pending_.IsClosed()) {
       continue;
     }
     pending_.TryPush(std::move(*pending));
--- a/router/ThriftLedgerPeers.hpp
+++ b/router/ThriftLedgerTransport.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "LedgerClient.hpp"
-#include "LedgerHolder.hpp"
-#include "PeerPool.hpp"
+#include "PeerChannelPool.hpp"
+#include "SynchronizedLedger.hpp"
 #include "common/BoundedRing.hpp"
 
 #include <string>
@@ -12,28 +12,28 @@
 
 namespace cactuspitch {
 
-using RouterPeerPool = PeerPool<wire::RouterPeerClient>;
+using RouterChannelPool = PeerChannelPool<wire::RouterPeerClient>;
 
 /// Ledgers of all routers: the own one directly, others over Thrift.
-class ThriftLedgerPeers final : public LedgerPeers
+class ThriftLedgerTransport final : public LedgerTransport
 {
 public:
   /// aOwnAddress is the Thrift address under which peers know this router.
-  ThriftLedgerPeers(const Clock& aClock,
-                    std::string aOwnAddress,
-                    LedgerHolder& aOwn,
-                    RouterPeerPool& aPool);
-  ~ThriftLedgerPeers() override;
+  ThriftLedgerTransport(const Clock& aClock,
+                        std::string aOwnAddress,
+                        SynchronizedLedger& aLocalLedger,
+                        RouterChannelPool& aPool);
+  ~ThriftLedgerTransport() override;
 
-  HolderAnswer Begin(const std::string& aPeer,
-                     const LedgerId& aId,
-                     LedgerEntry& aState) override;
+  ReplicaResponse Begin(const std::string& aPeer,
+                        const LedgerId& aId,
+                        LedgerEntryState& aState) override;
   void Finish(const std::string& aPeer,
               const LedgerId& aId,
-              LedgerEntry aState) override;
-  void FinishLater(const std::string& aPeer,
+              LedgerEntryState aState) override;
+  void FinishAsync(const std::string& aPeer,
                    const LedgerId& aId,
-                   LedgerEntry aState) override;
+                   LedgerEntryState aState) override;
   void Stop();
 
   /// Request id and token as one string of the wire protocol.
@@ -46,19 +46,19 @@
   {
     std::string peer_;
     LedgerId id_;
-    LedgerEntry state_ = LedgerEntry::Unknown;
-    TimeMs giveUpMs_ = 0;
+    LedgerEntryState state_ = LedgerEntryState::Unknown;
+    TimeMs retryUntilMs_ = 0;
   };
 
   bool SendFinish(const std::string& aPeer,
                   const LedgerId& aId,
-                  LedgerEntry aState);
+                  LedgerEntryState aState);
   void RunFinishes();
 
   const Clock& clock_;
   const std::string ownAddress_;
-  LedgerHolder& own_;
-  RouterPeerPool& pool_;
+  SynchronizedLedger& localLedger_;
+  RouterChannelPool& pool_;
   BoundedRing<PendingFinish> pending_;
   std::thread thread_;
 };
--- a/rpc/TableCodec.hpp
+++ b/rpc/TableCodec.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "common/SliceTable.hpp"
+#include "common/GroupTable.hpp"
 
 #include <absl/status/status.h>
 #include <cactuspitch_types.h>
--- a/standin/StandinBackend.cpp
+++ b/standin/StandinBackend.cpp
@@ -199,7 +199,7 @@
   }
   if (server_.Connections() >
       options_.connections_ + detail::kControlConnections - 1) {
-    aExchange.CloseAfter();
+    aExchange.CloseAfterResponse();
     Refuse(aExchange, NotRunReason::Busy);
     return;
   }
@@ -327,7 +327,7 @@
 {
   constexpr size_t kPartBytes = 64 * 1024;
   const std::string part(kPartBytes, 'b');
-  if (!aExchange.BeginAnswer(detail::kOk, Stamp(), aBytes)) {
+  if (!aExchange.BeginResponse(detail::kOk, Stamp(), aBytes)) {
     return;
   }
   while (aBytes > 0) {
--- a/store/HttpObjectStore.cpp
+++ b/store/HttpObjectStore.cpp
@@ -20,7 +20,7 @@
 constexpr int kServerError = 500;
 constexpr int kServiceUnavailable = 503;
 /// A list holds every object of a kind, each up to 1 MB.
-constexpr size_t kMaxAnswerBytes = 64 << 20;
+constexpr size_t kMaxResponseBytes = 64 << 20;
 constexpr size_t kMaxIdleConnections = 8;
 
 std::string EncodeSegment(std::string_view aText)
@@ -230,7 +230,7 @@
     return connected;
   }
   auto response =
-    connection->Exchange(aRequest, deadline, detail::kMaxAnswerBytes);
+    connection->Exchange(aRequest, deadline, detail::kMaxResponseBytes);
   aSent = connection->Stage() >= ExchangeStage::AwaitingHead;
   if (response.ok()) {
     ReturnConnection(std::move(connection));
--- a/tests/CallerRequestTest.cpp
+++ b/tests/CallerRequestTest.cpp
@@ -1,6 +1,6 @@
 #include "router/CallerRequest.hpp"
 
-#include "router/HeaderRules.hpp"
+#include "router/HeaderFilter.hpp"
 
 #include <algorithm>
 
@@ -109,7 +109,7 @@
 
 // Guards against callers that forge headers of the internal protocol, and
 // against forwarding headers that only concern one connection.
-TEST(HeaderRules, InternalAndHopByHopHeadersAreRemoved)
+TEST(HeaderFilter, InternalAndHopByHopHeadersAreRemoved)
 {
   const HttpHeaders sent = {
     { "Connection", "close, X-Private" },
@@ -125,16 +125,16 @@
     { "Host", "example" },
     { "Accept", "text/plain" },
   };
-  const auto forwarded = HeaderRules::ForServer(sent);
+  const auto forwarded = HeaderFilter::ForServer(sent);
   ASSERT_EQ(forwarded.size(), 1u);
   EXPECT_EQ(forwarded[0].first, "Accept");
-  const auto answered = HeaderRules::ForCaller({ { "Connection", "X-Private" },
-                                                 { "X-Private", "1" },
-                                                 { "x-clock-ms", "1" },
-                                                 { "X-Not-Run", "busy" },
-                                                 { "X-Outcome", "complete" },
-                                                 { "Transfer-Encoding", "c" },
-                                                 { "ETag", "v" } });
+  const auto answered = HeaderFilter::ForCaller({ { "Connection", "X-Private" },
+                                                  { "X-Private", "1" },
+                                                  { "x-clock-ms", "1" },
+                                                  { "X-Not-Run", "busy" },
+                                                  { "X-Outcome", "complete" },
+                                                  { "Transfer-Encoding", "c" },
+                                                  { "ETag", "v" } });
   EXPECT_EQ(answered.size(), 1u);
   EXPECT_TRUE(Has(answered, "ETag"));
 }
--- a/tests/FakeBackend.cpp
+++ b/tests/FakeBackend.cpp
@@ -148,7 +148,7 @@
   return true;
 }
 
-FakeBackend::Answer FakeBackend::Respond(const Request& aRequest)
+FakeBackend::Response FakeBackend::Respond(const Request& aRequest)
 {
   const auto path = aRequest.Path();
   if (path == "/_cactuspitch/health") {
@@ -175,15 +175,15 @@
     const auto answer = Respond(request);
     std::this_thread::sleep_for(std::chrono::milliseconds(answer.delayMs_));
     SendAll(aSocket, answer.bytes_);
-    if (answer.then_ == Then::Hang) {
+    if (answer.afterResponse_ == AfterResponse::Hang) {
       while (ReadRequest(aSocket, buffer, request)) {
       }
     }
-    if (answer.then_ == Then::Reset) {
+    if (answer.afterResponse_ == AfterResponse::Reset) {
       const linger now{ 1, 0 };
       setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
     }
-    if (answer.then_ != Then::Keep) {
+    if (answer.afterResponse_ != AfterResponse::Keep) {
       break;
     }
   }
@@ -204,9 +204,9 @@
   return cancelled_;
 }
 
-FakeBackend::Answer FakeBackend::Ok(const std::string& aBody,
-                                    const std::string& aHeaders,
-                                    int aStatus) const
+FakeBackend::Response FakeBackend::Ok(const std::string& aBody,
+                                      const std::string& aHeaders,
+                                      int aStatus) const
 {
   const std::lock_guard lock(mutex_);
   return { Concat("HTTP/1.1 ",
@@ -223,7 +223,7 @@
                   aBody) };
 }
 
-FakeBackend::Answer FakeBackend::NotRun(const std::string& aReason) const
+FakeBackend::Response FakeBackend::NotRun(const std::string& aReason) const
 {
   return Ok("", Concat("X-Not-Run: ", aReason, "\r\n"), 503);
 }
--- a/tests/FakeBackend.hpp
+++ b/tests/FakeBackend.hpp
@@ -16,17 +16,17 @@
 class FakeBackend
 {
 public:
-  enum class Then : uint8_t
+  enum class AfterResponse : uint8_t
   {
     Keep,
     Close,
     Reset,
     Hang ///< keeps the connection open and sends nothing more
   };
-  struct Answer
+  struct Response
   {
     std::string bytes_;
-    Then then_ = Then::Keep;
+    AfterResponse afterResponse_ = AfterResponse::Keep;
     int delayMs_ = 0;
   };
   struct Request
@@ -36,7 +36,7 @@
     std::string Path() const;
     std::string Header(const std::string& aName) const;
   };
-  using Script = std::function<Answer(const Request&)>;
+  using Script = std::function<Response(const Request&)>;
 
   explicit FakeBackend(Script aScript);
   ~FakeBackend();
@@ -54,16 +54,16 @@
   void SetClockMs(int64_t aMs) { clockMs_ = aMs; }
 
   /// Whole answer with the headers of every backend server answer.
-  Answer Ok(const std::string& aBody,
-            const std::string& aHeaders = {},
-            int aStatus = 200) const;
-  Answer NotRun(const std::string& aReason) const;
+  Response Ok(const std::string& aBody,
+              const std::string& aHeaders = {},
+              int aStatus = 200) const;
+  Response NotRun(const std::string& aReason) const;
 
 private:
   void Listen();
   void Accept(int aListener);
   void Serve(int aSocket);
-  Answer Respond(const Request& aRequest);
+  Response Respond(const Request& aRequest);
   static bool ReadRequest(int aSocket, std::string& aBuffer, Request& aRequest);
 
   ReservedPort port_;
--- a/tests/FaultyStore.hpp
+++ b/tests/FaultyStore.hpp
@@ -34,7 +34,7 @@
                                    const std::string& aName) override
   {
     const std::lock_guard lock(mutex_);
-    RunDelayed();
+    ApplyDelayedWrites();
     if (Chance(faults_.unavailable_)) {
       return absl::UnavailableError("store down");
     }
@@ -49,7 +49,7 @@
     const std::string& aKind) override
   {
     const std::lock_guard lock(mutex_);
-    RunDelayed();
+    ApplyDelayedWrites();
     std::vector<StoredObject> result;
     for (const auto& [name, object] : objects_) {
       if (name.first == aKind) {
@@ -65,7 +65,7 @@
                               const std::string& aValue) override
   {
     const std::lock_guard lock(mutex_);
-    RunDelayed();
+    ApplyDelayedWrites();
     ++puts_;
     StoredObject write{ aKind, aName, aExpectedVersion, aValue };
     if (Chance(faults_.unavailable_)) {
@@ -139,7 +139,7 @@
     return object.version_;
   }
 
-  void RunDelayed()
+  void ApplyDelayedWrites()
   {
     for (auto& [calls, write] : delayed_) {
       if (--calls == 0) {
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -37,7 +37,7 @@
   int Port() const { return port_; }
 
   /// Accepts one connection, sends aText and keeps it open until the end.
-  std::thread AnswerOnce(std::string aText)
+  std::thread RespondOnce(std::string aText)
   {
     return std::thread([this, text = std::move(aText)] {
       const int client = accept(fd_, nullptr, nullptr);
@@ -160,7 +160,7 @@
 {
   SilentListener listener;
   auto peer =
-    listener.AnswerOnce("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    listener.RespondOnce("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
   {
     HttpConnection connection(clock_, listener.Address());
     const auto response = connection.Exchange(
--- a/tests/LedgerTest.cpp
+++ b/tests/LedgerTest.cpp
@@ -17,11 +17,11 @@
 TEST(RequestLedger, IdIsKnownForTenMinutes)
 {
   RequestLedger ledger(10);
-  LedgerEntry state{};
+  LedgerEntryState state{};
   EXPECT_EQ(ledger.Begin("svc", "a", 1, 0, state), Begin::Recorded);
-  ledger.Finish("svc", "a", 1, LedgerEntry::Completed, 5);
+  ledger.Finish("svc", "a", 1, LedgerEntryState::Completed, 5);
   EXPECT_EQ(ledger.Begin("svc", "a", 2, 599999, state), Begin::Seen);
-  EXPECT_EQ(state, LedgerEntry::Completed);
+  EXPECT_EQ(state, LedgerEntryState::Completed);
   EXPECT_EQ(ledger.Begin("other", "a", 3, 599999, state), Begin::Recorded);
   EXPECT_EQ(ledger.Begin("svc", "a", 4, 600000, state), Begin::Recorded);
 }
@@ -31,13 +31,13 @@
 TEST(RequestLedger, FullLedgerRefusesInsteadOfForgetting)
 {
   RequestLedger ledger(2);
-  LedgerEntry state{};
+  LedgerEntryState state{};
   EXPECT_EQ(ledger.Begin("svc", "a", 1, 0, state), Begin::Recorded);
   EXPECT_EQ(ledger.Begin("svc", "b", 2, 0, state), Begin::Recorded);
   EXPECT_EQ(ledger.Begin("svc", "c", 3, 0, state), Begin::Full);
   EXPECT_EQ(ledger.Begin("svc", "a", 4, 0, state), Begin::Seen);
   // Ids that were begun and forgotten must not occupy memory without bound.
-  ledger.Finish("svc", "a", 1, LedgerEntry::NotRun, 0);
+  ledger.Finish("svc", "a", 1, LedgerEntryState::NotRun, 0);
   EXPECT_EQ(ledger.Begin("svc", "c", 3, 600000, state), Begin::Recorded);
 }
 
@@ -46,49 +46,49 @@
 TEST(RequestLedger, LateNotRunDoesNotForgetTheNextAttempt)
 {
   RequestLedger ledger(10);
-  LedgerEntry state{};
+  LedgerEntryState state{};
   ledger.Begin("svc", "a", 1, 0, state);
-  ledger.Finish("svc", "a", 1, LedgerEntry::NotRun, 1);
+  ledger.Finish("svc", "a", 1, LedgerEntryState::NotRun, 1);
   EXPECT_EQ(ledger.Begin("svc", "a", 2, 2, state), Begin::Recorded);
-  ledger.Finish("svc", "a", 1, LedgerEntry::NotRun, 3);
+  ledger.Finish("svc", "a", 1, LedgerEntryState::NotRun, 3);
   EXPECT_EQ(ledger.Begin("svc", "a", 3, 4, state), Begin::Seen);
-  EXPECT_EQ(state, LedgerEntry::InProgress);
+  EXPECT_EQ(state, LedgerEntryState::InProgress);
 }
 
 /// Ledgers of several routers with faults.
-class FakeLedgers final : public LedgerPeers
+class FakeLedgerTransport final : public LedgerTransport
 {
 public:
-  HolderAnswer Begin(const std::string& aPeer,
-                     const LedgerId& aId,
-                     LedgerEntry& aState) override
+  ReplicaResponse Begin(const std::string& aPeer,
+                        const LedgerId& aId,
+                        LedgerEntryState& aState) override
   {
     if (gone_.contains(aPeer)) {
-      return HolderAnswer::Gone;
+      return ReplicaResponse::Exited;
     }
     if (lost_.contains(aPeer)) {
-      return HolderAnswer::Unreachable;
+      return ReplicaResponse::Unreachable;
     }
     const auto result = Ledger(aPeer).Begin(
       aId.service_, aId.requestId_, aId.token_, nowMs_, aState);
     if (loseAnswers_.contains(aPeer)) {
-      return HolderAnswer::Unreachable;
+      return ReplicaResponse::Unreachable;
     }
-    return result == Begin::Recorded ? HolderAnswer::Recorded
-                                     : HolderAnswer::Seen;
+    return result == Begin::Recorded ? ReplicaResponse::Recorded
+                                     : ReplicaResponse::Seen;
   }
   void Finish(const std::string& aPeer,
               const LedgerId& aId,
-              LedgerEntry aState) override
+              LedgerEntryState aState) override
   {
     if (!lost_.contains(aPeer)) {
       Ledger(aPeer).Finish(
         aId.service_, aId.requestId_, aId.token_, aState, nowMs_);
     }
   }
-  void FinishLater(const std::string& aPeer,
+  void FinishAsync(const std::string& aPeer,
                    const LedgerId& aId,
-                   LedgerEntry aState) override
+                   LedgerEntryState aState) override
   {
     later_.push_back([=, this] { Finish(aPeer, aId, aState); });
   }
@@ -119,13 +119,13 @@
 TEST(LedgerClient, RepeatIsRecognisedAfterTheLossOfAnyHolder)
 {
   for (const size_t lostIndex : { 0U, 1U, 2U }) {
-    FakeLedgers peers;
+    FakeLedgerTransport peers;
     LedgerClient client(peers);
     const auto first = client.Begin(kRouters, { "svc", "id", 1 });
     ASSERT_EQ(first.verdict_, Verdict::Forward);
-    const auto holders = LedgerClient::Holders(kRouters, "id");
-    ASSERT_EQ(holders.size(), 3u);
-    peers.lost_.insert(holders[lostIndex]);
+    const auto replicas = LedgerClient::Replicas(kRouters, "id");
+    ASSERT_EQ(replicas.size(), 3u);
+    peers.lost_.insert(replicas[lostIndex]);
     EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 2 }).verdict_,
               Verdict::AlreadySeen);
   }
@@ -134,11 +134,11 @@
 // Guards against two routers that each reach other holders and both forward.
 TEST(LedgerClient, RoutersThatReachDifferentHoldersDoNotBothForward)
 {
-  const auto holders = LedgerClient::Holders(kRouters, "id");
-  for (const auto& reachedByFirst : holders) {
-    FakeLedgers peers;
+  const auto replicas = LedgerClient::Replicas(kRouters, "id");
+  for (const auto& reachedByFirst : replicas) {
+    FakeLedgerTransport peers;
     LedgerClient client(peers);
-    const std::set<std::string> all = { holders.begin(), holders.end() };
+    const std::set<std::string> all = { replicas.begin(), replicas.end() };
     peers.lost_ = all;
     peers.lost_.erase(reachedByFirst);
     const auto first = client.Begin(kRouters, { "svc", "id", 1 });
@@ -152,9 +152,9 @@
 // Guards against forwarding a request that no majority of holders recorded.
 TEST(LedgerClient, RefusesWithoutAMajority)
 {
-  FakeLedgers peers;
-  const auto holders = LedgerClient::Holders(kRouters, "id");
-  peers.lost_ = { holders[0], holders[2] };
+  FakeLedgerTransport peers;
+  const auto replicas = LedgerClient::Replicas(kRouters, "id");
+  peers.lost_ = { replicas[0], replicas[2] };
   LedgerClient client(peers);
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 3 }).verdict_,
             Verdict::Unavailable);
@@ -169,15 +169,15 @@
 // still listed.
 TEST(LedgerClient, EndedHoldersAreNotWaitedFor)
 {
-  FakeLedgers peers;
-  const auto holders = LedgerClient::Holders(kRouters, "id");
+  FakeLedgerTransport peers;
+  const auto replicas = LedgerClient::Replicas(kRouters, "id");
   LedgerClient client(peers);
-  peers.gone_ = { holders[0], holders[1] };
+  peers.gone_ = { replicas[0], replicas[1] };
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 1 }).verdict_,
             Verdict::Forward);
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 2 }).verdict_,
             Verdict::AlreadySeen);
-  peers.gone_.insert(holders[2]);
+  peers.gone_.insert(replicas[2]);
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 3 }).verdict_,
             Verdict::Unavailable);
 }
@@ -186,10 +186,10 @@
 // reported as not run.
 TEST(LedgerClient, RepeatRunsAfterNotRun)
 {
-  FakeLedgers peers;
+  FakeLedgerTransport peers;
   LedgerClient client(peers);
   const auto first = client.Begin(kRouters, { "svc", "id", 1 });
-  client.Finish(first, LedgerEntry::NotRun);
+  client.Finish(first, LedgerEntryState::NotRun);
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 2 }).verdict_,
             Verdict::Forward);
 }
@@ -198,10 +198,10 @@
 // reordered messages, and one holder that comes and goes.
 RC_GTEST_PROP(LedgerClient, IdRunsAtMostOnce, ())
 {
-  FakeLedgers peers;
+  FakeLedgerTransport peers;
   LedgerClient client(peers);
-  const auto holders = LedgerClient::Holders(kRouters, "id");
-  const auto flaky = holders[*rc::gen::inRange<size_t>(0, 3)];
+  const auto replicas = LedgerClient::Replicas(kRouters, "id");
+  const auto flaky = replicas[*rc::gen::inRange<size_t>(0, 3)];
   int runs = 0;
   uint64_t token = 0;
   std::vector<LedgerTicket> open;
@@ -217,11 +217,11 @@
         RC_ASSERT(runs == 0);
       }
     } else if (step == 1 && !open.empty()) {
-      client.Finish(open.back(), LedgerEntry::NotRun);
+      client.Finish(open.back(), LedgerEntryState::NotRun);
       open.pop_back();
     } else if (step == 2 && !open.empty()) {
       ++runs;
-      client.Finish(open.back(), LedgerEntry::Completed);
+      client.Finish(open.back(), LedgerEntryState::Completed);
       open.pop_back();
     } else if (step == 3) {
       peers.lost_ = { flaky };
--- a/tests/LoadGeneratorTest.cpp
+++ b/tests/LoadGeneratorTest.cpp
@@ -63,7 +63,7 @@
 {
   const auto report = Run([](HttpExchange& aExchange) {
     const auto text = Answer(aExchange);
-    aExchange.BeginAnswer(200, {}, text.size() + 1);
+    aExchange.BeginResponse(200, {}, text.size() + 1);
     aExchange.Write(text);
   });
   EXPECT_EQ(report.Count(LoadOutcome::Complete), 0);
--- a/tests/OutcomeClassifierTest.cpp
+++ b/tests/OutcomeClassifierTest.cpp
@@ -7,11 +7,11 @@
 namespace {
 
 using Action = AttemptAction;
-using End = ExchangeEnd;
+using End = ExchangeOutcome;
 
 struct Row
 {
-  End end_;
+  End outcome_;
   Action idempotentRetryable_;
   Action idempotentFinal_;
   Action otherRetryable_;
@@ -21,46 +21,46 @@
 /// The table of docs/design.md, section 6, written out a second time.
 constexpr Row kRows[] = {
   { End::Complete,
-    Action::Answer,
-    Action::Answer,
-    Action::Answer,
-    Action::Answer },
+    Action::Respond,
+    Action::Respond,
+    Action::Respond,
+    Action::Respond },
   { End::NoConnection,
     Action::Retry,
-    Action::AnswerNotRun,
+    Action::RespondNotRun,
     Action::Retry,
-    Action::AnswerNotRun },
+    Action::RespondNotRun },
   { End::Refused,
     Action::Retry,
-    Action::AnswerNotRun,
+    Action::RespondNotRun,
     Action::Retry,
-    Action::AnswerNotRun },
-  { End::PartlyWritten,
+    Action::RespondNotRun },
+  { End::PartiallyWritten,
     Action::Retry,
-    Action::AnswerNotRun,
-    Action::AnswerNotRun,
-    Action::AnswerNotRun },
-  { End::NoAnswer,
+    Action::RespondNotRun,
+    Action::RespondNotRun,
+    Action::RespondNotRun },
+  { End::NoResponse,
     Action::Retry,
-    Action::AnswerUnknown,
-    Action::AnswerUnknown,
-    Action::AnswerUnknown },
-  { End::PartialAnswer,
+    Action::RespondUnknown,
+    Action::RespondUnknown,
+    Action::RespondUnknown },
+  { End::PartialResponse,
     Action::Retry,
-    Action::AnswerUnknown,
-    Action::AnswerUnknown,
-    Action::AnswerUnknown },
+    Action::RespondUnknown,
+    Action::RespondUnknown,
+    Action::RespondUnknown },
   { End::PartialAfterHead,
     Action::CloseCaller,
     Action::CloseCaller,
     Action::CloseCaller,
     Action::CloseCaller },
-  { End::Silent,
+  { End::TimedOut,
     Action::Retry,
-    Action::AnswerUnknown,
-    Action::AnswerUnknown,
-    Action::AnswerUnknown },
-  { End::CallerGone,
+    Action::RespondUnknown,
+    Action::RespondUnknown,
+    Action::RespondUnknown },
+  { End::CallerDisconnected,
     Action::CloseCaller,
     Action::CloseCaller,
     Action::CloseCaller,
@@ -74,13 +74,15 @@
 {
   for (const auto& row : kRows) {
     const auto decide = [&](bool aIdempotent, bool aCanRetry) {
-      return OutcomeClassifier::Decide(row.end_, aIdempotent, aCanRetry);
+      return OutcomeClassifier::Decide(row.outcome_, aIdempotent, aCanRetry);
     };
     EXPECT_EQ(decide(true, true), row.idempotentRetryable_)
-      << EnumName(row.end_);
-    EXPECT_EQ(decide(true, false), row.idempotentFinal_) << EnumName(row.end_);
-    EXPECT_EQ(decide(false, true), row.otherRetryable_) << EnumName(row.end_);
-    EXPECT_EQ(decide(false, false), row.otherFinal_) << EnumName(row.end_);
+      << EnumName(row.outcome_);
+    EXPECT_EQ(decide(true, false), row.idempotentFinal_)
+      << EnumName(row.outcome_);
+    EXPECT_EQ(decide(false, true), row.otherRetryable_)
+      << EnumName(row.outcome_);
+    EXPECT_EQ(decide(false, false), row.otherFinal_) << EnumName(row.outcome_);
   }
 }
 
@@ -90,15 +92,15 @@
   const auto closed = absl::StatusCode::kUnknown;
   const auto late = absl::StatusCode::kDeadlineExceeded;
   const auto end = [](ExchangeStage aStage, absl::StatusCode aStatus) {
-    return OutcomeClassifier::FailureEnd(aStage, aStatus, false);
+    return OutcomeClassifier::ClassifyFailure(aStage, aStatus, false);
   };
   EXPECT_EQ(end(ExchangeStage::Connecting, late), End::NoConnection);
-  EXPECT_EQ(end(ExchangeStage::Writing, closed), End::PartlyWritten);
-  EXPECT_EQ(end(ExchangeStage::Writing, late), End::PartlyWritten);
-  EXPECT_EQ(end(ExchangeStage::AwaitingHead, closed), End::NoAnswer);
-  EXPECT_EQ(end(ExchangeStage::AwaitingHead, late), End::Silent);
-  EXPECT_EQ(end(ExchangeStage::ReadingBody, closed), End::PartialAnswer);
-  EXPECT_EQ(end(ExchangeStage::ReadingBody, late), End::Silent);
+  EXPECT_EQ(end(ExchangeStage::Writing, closed), End::PartiallyWritten);
+  EXPECT_EQ(end(ExchangeStage::Writing, late), End::PartiallyWritten);
+  EXPECT_EQ(end(ExchangeStage::AwaitingHead, closed), End::NoResponse);
+  EXPECT_EQ(end(ExchangeStage::AwaitingHead, late), End::TimedOut);
+  EXPECT_EQ(end(ExchangeStage::ReadingBody, closed), End::PartialResponse);
+  EXPECT_EQ(end(ExchangeStage::ReadingBody, late), End::TimedOut);
 }
 
 // Guards against a second run of a non-idempotent request: nothing that may
@@ -109,16 +111,16 @@
     *rc::gen::inRange(0, static_cast<int>(ExchangeStage::Count)));
   const auto status = static_cast<absl::StatusCode>(*rc::gen::inRange(1, 17));
   const bool headSent = *rc::gen::arbitrary<bool>();
-  const auto end = OutcomeClassifier::FailureEnd(stage, status, headSent);
+  const auto end = OutcomeClassifier::ClassifyFailure(stage, status, headSent);
   const auto action =
     OutcomeClassifier::Decide(end, false, *rc::gen::arbitrary<bool>());
   const bool mayHaveRun = stage >= ExchangeStage::AwaitingHead;
   if (mayHaveRun) {
     RC_ASSERT(action != Action::Retry);
-    RC_ASSERT(action != Action::AnswerNotRun);
+    RC_ASSERT(action != Action::RespondNotRun);
     RC_ASSERT(!OutcomeClassifier::IsCertainlyNotRun(end));
   }
-  RC_ASSERT(action != Action::Answer);
+  RC_ASSERT(action != Action::Respond);
 }
 
 }
--- a/tests/RouterFaultTest.cpp
+++ b/tests/RouterFaultTest.cpp
@@ -1,4 +1,4 @@
-#include "RouterRig.hpp"
+#include "RouterFixture.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -12,9 +12,9 @@
 namespace cactuspitch {
 namespace {
 
-using Answer = FakeBackend::Answer;
+using Response = FakeBackend::Response;
 using Request = FakeBackend::Request;
-using Then = FakeBackend::Then;
+using AfterResponse = FakeBackend::AfterResponse;
 
 std::string OutcomeOf(const HttpResponse& aResponse)
 {
@@ -39,17 +39,17 @@
 }
 
 /// Servers whose process ends when they run the poison.
-class Crashing
+class CrashingServer
 {
 public:
-  Crashing()
+  CrashingServer()
     : backend_([this](const Request& aRequest) {
       if (aRequest.Path().find("poison") == std::string::npos) {
         return backend_.Ok("value");
       }
       ++poisoned_;
       backend_.Crash();
-      return Answer{ "", Then::Reset };
+      return Response{ "", AfterResponse::Reset };
     })
   {
   }
@@ -61,12 +61,12 @@
 // and against a quarantine that hits requests which merely were beside it.
 TEST(RouterFault, CrashingRequestCostsTwoServers)
 {
-  std::vector<std::unique_ptr<Crashing>> servers;
+  std::vector<std::unique_ptr<CrashingServer>> servers;
   for (int i = 0; i < 4; ++i) {
-    servers.push_back(std::make_unique<Crashing>());
+    servers.push_back(std::make_unique<CrashingServer>());
   }
-  RouterRig rig;
-  rig.Own(servers[0]->backend_);
+  RouterFixture fixture;
+  fixture.SetOwner(servers[0]->backend_);
   std::atomic<bool> done = false;
   std::thread takeover([&] {
     size_t owner = 0;
@@ -74,14 +74,15 @@
       Sleep(10);
       if (servers[owner]->poisoned_ > 0 && owner + 1 < servers.size()) {
         ++owner;
-        rig.Own(servers[owner]->backend_, static_cast<Epoch>(owner + 1));
+        fixture.SetOwner(servers[owner]->backend_,
+                         static_cast<Epoch>(owner + 1));
       }
     }
   });
   int quarantined = 0;
   for (int repeat = 0; repeat < 6; ++repeat) {
     const auto response =
-      rig.Send("GET", "/svc/poison", { { "X-Deadline-Ms", "1000" } });
+      fixture.Send("GET", "/svc/poison", { { "X-Deadline-Ms", "1000" } });
     ASSERT_TRUE(response.ok()) << response.status();
     EXPECT_NE(OutcomeOf(*response), "complete");
     quarantined += response->head_.Header(header::kNotRun) == "quarantined";
@@ -94,7 +95,7 @@
     crashes += server->poisoned_;
   }
   EXPECT_EQ(crashes, 2);
-  EXPECT_EQ(OutcomeOf(*rig.Get()), "complete");
+  EXPECT_EQ(OutcomeOf(*fixture.Get()), "complete");
 }
 
 // Guards against a lost connection that is taken for a crash.
@@ -103,13 +104,14 @@
   FakeBackend* self = nullptr;
   std::atomic<int> requests = 0;
   FakeBackend backend([&](const Request&) {
-    return ++requests == 1 ? Answer{ "", Then::Reset } : self->Ok("value");
+    return ++requests == 1 ? Response{ "", AfterResponse::Reset }
+                           : self->Ok("value");
   });
   self = &backend;
-  RouterRig rig;
-  rig.Own(backend);
-  EXPECT_EQ(OutcomeOf(*rig.Get()), "complete");
-  EXPECT_FALSE(rig.router_->Context().quarantine_.HasSuspects());
+  RouterFixture fixture;
+  fixture.SetOwner(backend);
+  EXPECT_EQ(OutcomeOf(*fixture.Get()), "complete");
+  EXPECT_FALSE(fixture.router_->Context().quarantine_.HasSuspects());
 }
 
 // Guards against waiting for the deadline on a connection that went silent
@@ -120,25 +122,25 @@
   std::atomic<bool> silenced = false;
   FakeBackend backend([&](const Request& aRequest) {
     if (aRequest.Path() == "/svc/slow" && !silenced.exchange(true)) {
-      return Answer{ "", Then::Hang };
+      return Response{ "", AfterResponse::Hang };
     }
     return self->Ok("value");
   });
   self = &backend;
-  RouterRig rig;
-  rig.Own(backend);
-  ASSERT_TRUE(rig.Get().ok());
+  RouterFixture fixture;
+  fixture.SetOwner(backend);
+  ASSERT_TRUE(fixture.Get().ok());
   std::atomic<bool> done = false;
   std::thread others([&] {
     while (!done) {
-      EXPECT_TRUE(rig.Get().ok());
+      EXPECT_TRUE(fixture.Get().ok());
       Sleep(20);
     }
   });
-  const TimeMs start = rig.clock_.NowMs();
+  const TimeMs start = fixture.clock_.NowMs();
   const auto response =
-    rig.Send("GET", "/svc/slow", { { "X-Deadline-Ms", "5000" } });
-  const TimeMs taken = rig.clock_.NowMs() - start;
+    fixture.Send("GET", "/svc/slow", { { "X-Deadline-Ms", "5000" } });
+  const TimeMs taken = fixture.clock_.NowMs() - start;
   done = true;
   others.join();
   ASSERT_TRUE(response.ok()) << response.status();
@@ -160,9 +162,9 @@
     return answer;
   });
   self = &backend;
-  RouterRig rig;
-  rig.Own(backend);
-  const auto response = rig.Get();
+  RouterFixture fixture;
+  fixture.SetOwner(backend);
+  const auto response = fixture.Get();
   ASSERT_TRUE(response.ok());
   EXPECT_EQ(OutcomeOf(*response), "complete");
   EXPECT_EQ(backend.Requests().size(), 1u);
@@ -193,9 +195,9 @@
   const std::string large(32 << 20, 'x');
   FakeBackend backend([&](const Request&) { return self->Ok(large); });
   self = &backend;
-  RouterRig rig;
-  rig.Own(backend);
-  AbandonRequest(rig.http_.Port(), 100);
+  RouterFixture fixture;
+  fixture.SetOwner(backend);
+  AbandonRequest(fixture.http_.Port(), 100);
   EXPECT_TRUE(Eventually([&] {
     const auto cancelled = backend.Cancelled();
     return std::ranges::find(cancelled, "gone") != cancelled.end();
@@ -209,12 +211,13 @@
   const std::string large(32 << 20, 'x');
   FakeBackend backend([&](const Request&) { return self->Ok(large); });
   self = &backend;
-  RouterRig rig; // gives up after 2 s without progress
-  rig.Own(backend);
-  std::thread slow([&] { AbandonRequest(rig.http_.Port(), 4000); });
+  RouterFixture fixture; // gives up after 2 s without progress
+  fixture.SetOwner(backend);
+  std::thread slow([&] { AbandonRequest(fixture.http_.Port(), 4000); });
   Sleep(3500);
   EXPECT_EQ(
-    rig.router_->Context().registry_.Servers().All().at(0)->Pool().Open(), 0);
+    fixture.router_->Context().registry_.Servers().All().at(0)->Pool().Open(),
+    0);
   slow.join();
 }
 
@@ -229,21 +232,21 @@
     return answer;
   });
   self = &backend;
-  RouterRig rig;
-  rig.Own(backend);
-  EXPECT_EQ(rig.Send("GET", "/_ready")->head_.status_, 200);
+  RouterFixture fixture;
+  fixture.SetOwner(backend);
+  EXPECT_EQ(fixture.Send("GET", "/_ready")->head_.status_, 200);
   std::vector<std::thread> callers;
   std::atomic<int> complete = 0;
   for (int i = 0; i < 4; ++i) {
     callers.emplace_back([&] {
-      const auto response = rig.Get();
+      const auto response = fixture.Get();
       complete += response.ok() && OutcomeOf(*response) == "complete";
     });
   }
   Sleep(100);
-  std::thread stopper([&] { EXPECT_TRUE(rig.router_->StopGracefully()); });
+  std::thread stopper([&] { EXPECT_TRUE(fixture.router_->StopGracefully()); });
   Sleep(50);
-  EXPECT_EQ(rig.Send("GET", "/_ready")->head_.status_, 503);
+  EXPECT_EQ(fixture.Send("GET", "/_ready")->head_.status_, 503);
   for (auto& caller : callers) {
     caller.join();
   }
@@ -262,19 +265,19 @@
     return answer;
   });
   self = &backend;
-  RouterRig rig;
-  rig.Own(backend); // 8 slots
+  RouterFixture fixture;
+  fixture.SetOwner(backend); // 8 slots
   std::atomic<int> refused = 0;
   std::atomic<int> late = 0;
   std::vector<std::thread> callers;
   for (int i = 0; i < 14; ++i) {
     callers.emplace_back([&] {
       for (int n = 0; n < 4; ++n) {
-        const TimeMs start = rig.clock_.NowMs();
-        const auto response = rig.Get({ { "X-Deadline-Ms", "500" } });
+        const TimeMs start = fixture.clock_.NowMs();
+        const auto response = fixture.Get({ { "X-Deadline-Ms", "500" } });
         ASSERT_TRUE(response.ok()) << response.status();
         refused += OutcomeOf(*response) == "not-run";
-        late += rig.clock_.NowMs() - start > 600;
+        late += fixture.clock_.NowMs() - start > 600;
       }
     });
   }
@@ -295,8 +298,8 @@
     one_.tables_.SetPeers(peers);
     two_.tables_.SetPeers(peers);
   }
-  RouterRig one_;
-  RouterRig two_;
+  RouterFixture one_;
+  RouterFixture two_;
 };
 
 // Guards against a repeat that runs because it arrives at another router, also
@@ -307,8 +310,8 @@
   FakeBackend backend([&](const Request&) { return self->Ok("value"); });
   self = &backend;
   RouterPair routers;
-  routers.one_.Own(backend);
-  routers.two_.Own(backend);
+  routers.one_.SetOwner(backend);
+  routers.two_.SetOwner(backend);
   EXPECT_EQ(OutcomeOf(*routers.one_.Post("a")), "complete");
   EXPECT_EQ(routers.two_.Post("a")->head_.status_, 409);
   EXPECT_EQ(OutcomeOf(*routers.one_.Post("b")), "complete");
--- a/tests/RouterRig.cpp
+++ b/tests/RouterFixture.cpp
@@ -1,10 +1,10 @@
-#include "RouterRig.hpp"
+#include "RouterFixture.hpp"
 
 #include <chrono>
 
 namespace cactuspitch {
 
-void FakeTables::Set(GroupTable aTable, TimeMs aViewLeaseUntilMs)
+void FakeRoutingTables::Set(GroupTable aTable, TimeMs aViewLeaseUntilMs)
 {
   {
     const std::lock_guard lock(mutex_);
@@ -14,25 +14,25 @@
   changed_.notify_all();
 }
 
-std::vector<std::string> FakeTables::RouterPeers() const
+std::vector<std::string> FakeRoutingTables::RouterPeers() const
 {
   const std::lock_guard lock(mutex_);
   return peers_;
 }
 
-void FakeTables::SetPeers(std::vector<std::string> aPeers)
+void FakeRoutingTables::SetPeers(std::vector<std::string> aPeers)
 {
   const std::lock_guard lock(mutex_);
   peers_ = std::move(aPeers);
 }
 
-void FakeTables::OnRefresh(std::function<void()> aAction)
+void FakeRoutingTables::OnRefresh(std::function<void()> aAction)
 {
   const std::lock_guard lock(mutex_);
   onRefresh_ = std::move(aAction);
 }
 
-std::shared_ptr<const FollowedTable> FakeTables::Table(
+std::shared_ptr<const FollowedTable> FakeRoutingTables::Table(
   std::string_view aService,
   KeyHash /*aHash*/) const
 {
@@ -40,17 +40,18 @@
   return table_ && table_->table_.service_ == aService ? table_ : nullptr;
 }
 
-std::vector<std::shared_ptr<const FollowedTable>> FakeTables::Tables() const
+std::vector<std::shared_ptr<const FollowedTable>> FakeRoutingTables::Tables()
+  const
 {
   const std::lock_guard lock(mutex_);
   return { table_ };
 }
 
-bool FakeTables::WaitNewer(std::string_view /*aService*/,
-                           KeyHash /*aHash*/,
-                           Term aTerm,
-                           int64_t aSequence,
-                           TimeMs aDeadlineMs)
+bool FakeRoutingTables::WaitNewer(std::string_view /*aService*/,
+                                  KeyHash /*aHash*/,
+                                  Term aTerm,
+                                  int64_t aSequence,
+                                  TimeMs aDeadlineMs)
 {
   std::unique_lock lock(mutex_);
   return changed_.wait_for(
@@ -61,8 +62,8 @@
     });
 }
 
-void FakeTables::RequestRefresh(std::string_view /*aService*/,
-                                KeyHash /*aHash*/)
+void FakeRoutingTables::RequestRefresh(std::string_view /*aService*/,
+                                       KeyHash /*aHash*/)
 {
   ++refreshes_;
   std::function<void()> action;
@@ -75,7 +76,7 @@
   }
 }
 
-RouterRig::RouterRig()
+RouterFixture::RouterFixture()
   : tables_(clock_)
 {
   tables_.SetPeers({ rpc_.Address() });
@@ -92,7 +93,7 @@
   settings.writeTimeoutMs_ = 2000;
   settings.stopTimeoutMs_ = 5000;
   settings.peerTimeoutMs_ = 200;
-  OwnNobody();
+  ClearOwner();
   router_ = std::make_unique<Router>(clock_, settings, tables_);
   const auto started = router_->Start();
   if (!started.ok()) {
@@ -100,10 +101,10 @@
   }
 }
 
-void RouterRig::Own(const FakeBackend& aBackend,
-                    Epoch aEpoch,
-                    bool aChecksFence,
-                    TimeMs aViewLeaseUntilMs)
+void RouterFixture::SetOwner(const FakeBackend& aBackend,
+                             Epoch aEpoch,
+                             bool aChecksFence,
+                             TimeMs aViewLeaseUntilMs)
 {
   GroupTable table;
   table.service_ = "svc";
@@ -119,7 +120,7 @@
   tables_.Set(std::move(table), aViewLeaseUntilMs);
 }
 
-void RouterRig::OwnNobody(Epoch aEpoch)
+void RouterFixture::ClearOwner(Epoch aEpoch)
 {
   GroupTable table;
   table.service_ = "svc";
@@ -128,10 +129,10 @@
   tables_.Set(std::move(table));
 }
 
-absl::StatusOr<HttpResponse> RouterRig::Send(const std::string& aMethod,
-                                             const std::string& aPath,
-                                             HttpHeaders aHeaders,
-                                             const std::string& aBody) const
+absl::StatusOr<HttpResponse> RouterFixture::Send(const std::string& aMethod,
+                                                 const std::string& aPath,
+                                                 HttpHeaders aHeaders,
+                                                 const std::string& aBody) const
 {
   constexpr TimeMs kTimeoutMs = 10000;
   constexpr size_t kMaxBytes = 64 << 20;
@@ -141,8 +142,8 @@
                              kMaxBytes);
 }
 
-absl::StatusOr<HttpResponse> RouterRig::Post(const std::string& aId,
-                                             HttpHeaders aHeaders) const
+absl::StatusOr<HttpResponse> RouterFixture::Post(const std::string& aId,
+                                                 HttpHeaders aHeaders) const
 {
   aHeaders.emplace_back(header::kRequestId, aId);
   return Send("POST", "/svc/key", std::move(aHeaders), "body");
--- a/tests/RouterRig.hpp
+++ b/tests/RouterFixture.hpp
@@ -14,10 +14,10 @@
 namespace cactuspitch {
 
 /// RoutingTables whose tables the test sets.
-class FakeTables final : public RoutingTables
+class FakeRoutingTables final : public RoutingTables
 {
 public:
-  explicit FakeTables(const Clock& aClock)
+  explicit FakeRoutingTables(const Clock& aClock)
     : clock_(aClock)
   {
   }
@@ -59,16 +59,16 @@
 };
 
 /// A router in this process whose service "svc" has one slice.
-class RouterRig
+class RouterFixture
 {
 public:
-  RouterRig();
+  RouterFixture();
   /// Names the backend server as owner of all keys.
-  void Own(const FakeBackend& aBackend,
-           Epoch aEpoch = 1,
-           bool aChecksFence = true,
-           TimeMs aViewLeaseUntilMs = INT64_MAX);
-  void OwnNobody(Epoch aEpoch = 1);
+  void SetOwner(const FakeBackend& aBackend,
+                Epoch aEpoch = 1,
+                bool aChecksFence = true,
+                TimeMs aViewLeaseUntilMs = INT64_MAX);
+  void ClearOwner(Epoch aEpoch = 1);
   absl::StatusOr<HttpResponse> Send(const std::string& aMethod,
                                     const std::string& aPath,
                                     HttpHeaders aHeaders = {},
@@ -82,7 +82,7 @@
                                     HttpHeaders aHeaders = {}) const;
 
   SteadyClock clock_;
-  FakeTables tables_;
+  FakeRoutingTables tables_;
   ReservedPort http_;
   ReservedPort rpc_;
   std::unique_ptr<Router> router_;
--- a/tests/RouterMeasurementTest.cpp
+++ b/tests/RouterMeasurementTest.cpp
@@ -1,5 +1,5 @@
 #include "router/LatencyHistogram.hpp"
-#include "router/Measurements.hpp"
+#include "router/LoadRecorder.hpp"
 #include "router/SloCounters.hpp"
 
 #include <algorithm>
@@ -34,12 +34,12 @@
 
 // Guards against requests that are lost or counted twice between threads and
 // windows, which would misplace the load.
-TEST(Measurements, ThreadsAndWindowsAddUp)
+TEST(LoadRecorder, ThreadsAndWindowsAddUp)
 {
   constexpr int kThreads = 8;
   constexpr int kRequests = 2000;
   const SteadyClock clock;
-  Measurements measurements(clock);
+  LoadRecorder measurements(clock);
   std::vector<std::thread> threads;
   for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&] {
@@ -66,11 +66,11 @@
 }
 
 // Guards against a hot key that the sampling before the sketch hides.
-TEST(Measurements, HotKeyComesFirst)
+TEST(LoadRecorder, HotKeyComesFirst)
 {
   constexpr KeyHash kHot = 7;
   const SteadyClock clock;
-  Measurements measurements(clock);
+  LoadRecorder measurements(clock);
   for (KeyHash n = 0; n < 20000; ++n) {
     measurements.Record("svc", 0, n % 5 == 0 ? kHot : 1000 + n, 1);
   }
@@ -100,7 +100,7 @@
   EXPECT_EQ(all[2].server_, "s2");
   EXPECT_EQ(all[2].failureDomain_, "giza-a");
   EXPECT_EQ(counters.Since(101).size(), 1u);
-  minute = 101 + SloCounters::kKeptMinutes + 1;
+  minute = 101 + SloCounters::kRetentionMinutes + 1;
   EXPECT_TRUE(counters.Since(0).empty());
 }
 
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -1,4 +1,4 @@
-#include "RouterRig.hpp"
+#include "RouterFixture.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -10,9 +10,9 @@
 namespace cactuspitch {
 namespace {
 
-using Answer = FakeBackend::Answer;
+using Response = FakeBackend::Response;
 using Request = FakeBackend::Request;
-using Then = FakeBackend::Then;
+using AfterResponse = FakeBackend::AfterResponse;
 
 std::string OutcomeOf(const HttpResponse& aResponse)
 {
@@ -20,10 +20,11 @@
 }
 
 /// Backend server whose n-th request gets the n-th answer, the last for ever.
-class Scripted
+class ScriptedBackend
 {
 public:
-  explicit Scripted(std::vector<std::function<Answer(FakeBackend&)>> aAnswers)
+  explicit ScriptedBackend(
+    std::vector<std::function<Response(FakeBackend&)>> aAnswers)
     : answers_(std::move(aAnswers))
     , backend_([this](const Request&) {
       const auto index = std::min(next_++, answers_.size() - 1);
@@ -32,17 +33,17 @@
   {
   }
 
-  std::vector<std::function<Answer(FakeBackend&)>> answers_;
+  std::vector<std::function<Response(FakeBackend&)>> answers_;
   std::atomic<size_t> next_ = 0;
   FakeBackend backend_;
 };
 
-Answer Ok(FakeBackend& aBackend)
+Response Ok(FakeBackend& aBackend)
 {
   return aBackend.Ok("value");
 }
 
-Answer Raw(std::string aBytes, Then aThen)
+Response Raw(std::string aBytes, AfterResponse aThen)
 {
   return { std::move(aBytes), aThen };
 }
@@ -51,11 +52,11 @@
 // against internal headers that reach a caller.
 TEST(Router, ForwardsWithTheProtocolHeaders)
 {
-  Scripted server({ Ok });
-  RouterRig rig;
-  rig.Own(server.backend_, 7);
+  ScriptedBackend server({ Ok });
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_, 7);
   const auto response =
-    rig.Send("GET", "/svc/key/more?q=1", { { "X-Request-Id", "r1" } });
+    fixture.Send("GET", "/svc/key/more?q=1", { { "X-Request-Id", "r1" } });
   ASSERT_TRUE(response.ok()) << response.status();
   EXPECT_EQ(response->body_, "value");
   EXPECT_EQ(OutcomeOf(*response), "complete");
@@ -71,11 +72,11 @@
 // the caller.
 TEST(Router, DeadlineIsInTheClockOfTheServer)
 {
-  Scripted server({ Ok });
+  ScriptedBackend server({ Ok });
   server.backend_.SetClockMs(5000000);
-  RouterRig rig;
-  rig.Own(server.backend_);
-  ASSERT_TRUE(rig.Get({ { "X-Deadline-Ms", "800" } }).ok());
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_);
+  ASSERT_TRUE(fixture.Get({ { "X-Deadline-Ms", "800" } }).ok());
   TimeMs deadline = 0;
   ASSERT_TRUE(ParseNumber(
     server.backend_.Requests().at(0).Header("X-Deadline-Clock-Ms"), deadline));
@@ -86,11 +87,11 @@
 // Guards against a new connection for each request.
 TEST(Router, ConnectionsAreReused)
 {
-  Scripted server({ Ok });
-  RouterRig rig;
-  rig.Own(server.backend_);
+  ScriptedBackend server({ Ok });
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_);
   for (int i = 0; i < 10; ++i) {
-    ASSERT_TRUE(rig.Get().ok());
+    ASSERT_TRUE(fixture.Get().ok());
   }
   EXPECT_EQ(server.backend_.Connections(), 1);
 }
@@ -98,34 +99,38 @@
 struct FailureCase
 {
   const char* name_;
-  std::function<Answer(FakeBackend&)> failure_;
+  std::function<Response(FakeBackend&)> failure_;
   /// What a POST gets; a GET is retried and completes.
   const char* postOutcome_;
 };
 
 const FailureCase kFailures[] = {
   { "closed-without-answer",
-    [](FakeBackend&) { return Raw("", Then::Close); },
+    [](FakeBackend&) { return Raw("", AfterResponse::Close); },
+    "unknown" },
+  { "reset",
+    [](FakeBackend&) { return Raw("", AfterResponse::Reset); },
     "unknown" },
-  { "reset", [](FakeBackend&) { return Raw("", Then::Reset); }, "unknown" },
   { "partial-head",
-    [](FakeBackend&) { return Raw("HTTP/1.1 200 OK\r\nA: ", Then::Close); },
+    [](FakeBackend&) {
+      return Raw("HTTP/1.1 200 OK\r\nA: ", AfterResponse::Close);
+    },
     "unknown" },
   { "partial-body",
     [](FakeBackend&) {
       return Raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
-                 Then::Close);
+                 AfterResponse::Close);
     },
     "unknown" },
   { "partial-chunk",
     [](FakeBackend&) {
       return Raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                  "4\r\nhalf\r\n",
-                 Then::Close);
+                 AfterResponse::Close);
     },
     "unknown" },
   { "malformed-answer",
-    [](FakeBackend&) { return Raw("BOGUS\r\n\r\n", Then::Close); },
+    [](FakeBackend&) { return Raw("BOGUS\r\n\r\n", AfterResponse::Close); },
     "unknown" },
   { "busy",
     [](FakeBackend& aServer) { return aServer.NotRun("busy"); },
@@ -140,11 +145,11 @@
 TEST(Router, FailureOfTheFirstAttempt)
 {
   for (const bool isGet : { true, false }) {
-    RouterRig rig;
+    RouterFixture fixture;
     for (const auto& failure : kFailures) {
-      Scripted server({ failure.failure_, Ok });
-      rig.Own(server.backend_);
-      const auto response = isGet ? rig.Get() : rig.Post(failure.name_);
+      ScriptedBackend server({ failure.failure_, Ok });
+      fixture.SetOwner(server.backend_);
+      const auto response = isGet ? fixture.Get() : fixture.Post(failure.name_);
       ASSERT_TRUE(response.ok()) << failure.name_ << response.status();
       const std::string expected = isGet ? "complete" : failure.postOutcome_;
       EXPECT_EQ(OutcomeOf(*response), expected)
@@ -166,14 +171,14 @@
 // given up, and against callers that come back all at once.
 TEST(Router, GivesUpAtOnceWithARetryTime)
 {
-  Scripted server(
+  ScriptedBackend server(
     { [](FakeBackend& aServer) { return aServer.NotRun("busy"); } });
-  RouterRig rig;
-  rig.Own(server.backend_);
-  const TimeMs start = rig.clock_.NowMs();
-  const auto response = rig.Get({ { "X-Deadline-Ms", "5000" } });
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_);
+  const TimeMs start = fixture.clock_.NowMs();
+  const auto response = fixture.Get({ { "X-Deadline-Ms", "5000" } });
   ASSERT_TRUE(response.ok());
-  EXPECT_LT(rig.clock_.NowMs() - start, 1000);
+  EXPECT_LT(fixture.clock_.NowMs() - start, 1000);
   EXPECT_EQ(response->head_.status_, 503);
   EXPECT_EQ(OutcomeOf(*response), "not-run");
   EXPECT_NE(response->head_.Header("Retry-After"), "");
@@ -183,36 +188,38 @@
 // Guards against a caller without a final answer when the server is silent.
 TEST(Router, SilentServerEndsByTheDeadline)
 {
-  Scripted server({ [](FakeBackend&) { return Raw("", Then::Hang); } });
-  RouterRig rig;
-  rig.Own(server.backend_);
+  ScriptedBackend server(
+    { [](FakeBackend&) { return Raw("", AfterResponse::Hang); } });
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_);
   for (const bool isGet : { true, false }) {
-    const TimeMs start = rig.clock_.NowMs();
+    const TimeMs start = fixture.clock_.NowMs();
     const HttpHeaders deadline = { { "X-Deadline-Ms", "400" } };
-    const auto response = isGet ? rig.Get(deadline) : rig.Post("id", deadline);
+    const auto response =
+      isGet ? fixture.Get(deadline) : fixture.Post("id", deadline);
     ASSERT_TRUE(response.ok()) << response.status();
     EXPECT_EQ(OutcomeOf(*response), "unknown");
-    EXPECT_LT(rig.clock_.NowMs() - start, 500);
+    EXPECT_LT(fixture.clock_.NowMs() - start, 500);
   }
 }
 
 // Guards against requests that fail while a slice moves to its standby.
 TEST(Router, ParksUntilTheKeyHasANewOwner)
 {
-  Scripted old(
+  ScriptedBackend old(
     { [](FakeBackend& aServer) { return aServer.NotRun("not-owner"); } });
-  Scripted next({ Ok });
-  RouterRig rig;
-  rig.Own(old.backend_, 1);
+  ScriptedBackend next({ Ok });
+  RouterFixture fixture;
+  fixture.SetOwner(old.backend_, 1);
   std::thread mover;
-  rig.tables_.OnRefresh([&] {
-    rig.OwnNobody(1);
+  fixture.tables_.OnRefresh([&] {
+    fixture.ClearOwner(1);
     mover = std::thread([&] {
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
-      rig.Own(next.backend_, 2);
+      fixture.SetOwner(next.backend_, 2);
     });
   });
-  const auto response = rig.Post("id");
+  const auto response = fixture.Post("id");
   mover.join();
   ASSERT_TRUE(response.ok()) << response.status();
   EXPECT_EQ(OutcomeOf(*response), "complete");
@@ -222,31 +229,31 @@
 // Guards against waiting for an owner beyond the deadline.
 TEST(Router, NoOwnerIsNotRunByTheDeadline)
 {
-  RouterRig rig;
-  const TimeMs start = rig.clock_.NowMs();
-  const auto response = rig.Post("id", { { "X-Deadline-Ms", "200" } });
+  RouterFixture fixture;
+  const TimeMs start = fixture.clock_.NowMs();
+  const auto response = fixture.Post("id", { { "X-Deadline-Ms", "200" } });
   ASSERT_TRUE(response.ok());
   EXPECT_EQ(OutcomeOf(*response), "not-run");
   EXPECT_EQ(response->head_.Header(header::kNotRun), "no-owner");
-  EXPECT_LT(rig.clock_.NowMs() - start, 300);
+  EXPECT_LT(fixture.clock_.NowMs() - start, 300);
 }
 
 // Guards against forwarding to a server that does not check the fence under a
 // table that may be out of date, and against a deadline after the view lease.
 TEST(Router, ViewLeaseBoundsServersThatDoNotCheck)
 {
-  Scripted server({ Ok });
+  ScriptedBackend server({ Ok });
   server.backend_.SetClockMs(1000000);
-  RouterRig rig;
-  rig.Own(server.backend_, 1, false, rig.clock_.NowMs() - 1);
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_, 1, false, fixture.clock_.NowMs() - 1);
   const HttpHeaders deadline = { { "X-Deadline-Ms", "300" } };
-  const auto refused = rig.Get(deadline);
+  const auto refused = fixture.Get(deadline);
   ASSERT_TRUE(refused.ok());
   EXPECT_EQ(refused->head_.Header(header::kNotRun), "view-lease");
   EXPECT_TRUE(server.backend_.Requests().empty());
 
-  rig.Own(server.backend_, 1, false, rig.clock_.NowMs() + 200);
-  const auto response = rig.Get(deadline);
+  fixture.SetOwner(server.backend_, 1, false, fixture.clock_.NowMs() + 200);
+  const auto response = fixture.Get(deadline);
   ASSERT_TRUE(response.ok());
   EXPECT_EQ(OutcomeOf(*response), "complete");
   TimeMs sent = 0;
@@ -259,11 +266,11 @@
 // reaches the deadline after the router's view lease has ended.
 TEST(Router, DeadlineAllowsForASlowClock)
 {
-  Scripted server({ Ok });
+  ScriptedBackend server({ Ok });
   server.backend_.SetClockMs(1000000);
-  RouterRig rig;
-  rig.Own(server.backend_, 1, false, rig.clock_.NowMs() + 10000);
-  ASSERT_TRUE(rig.Get({ { "X-Deadline-Ms", "20000" } }).ok());
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_, 1, false, fixture.clock_.NowMs() + 10000);
+  ASSERT_TRUE(fixture.Get({ { "X-Deadline-Ms", "20000" } }).ok());
   TimeMs sent = 0;
   ASSERT_TRUE(ParseNumber(
     server.backend_.Requests().at(0).Header("X-Deadline-Clock-Ms"), sent));
@@ -275,14 +282,14 @@
 // restarted server, which does not check the fence, far into the future.
 TEST(Router, ClockIsLearnedAgainAfterARestart)
 {
-  Scripted server({ Ok });
+  ScriptedBackend server({ Ok });
   server.backend_.SetClockMs(900000000);
-  RouterRig rig;
-  rig.Own(server.backend_, 1, false);
-  ASSERT_TRUE(rig.Get().ok());
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_, 1, false);
+  ASSERT_TRUE(fixture.Get().ok());
   server.backend_.SetClockMs(1000);
   server.backend_.Restart("two");
-  const auto response = rig.Get();
+  const auto response = fixture.Get();
   ASSERT_TRUE(response.ok());
   TimeMs sent = 0;
   ASSERT_TRUE(ParseNumber(
@@ -293,11 +300,11 @@
 // Guards against a repeat of a non-idempotent request that runs again.
 TEST(Router, RepeatedIdIsNotForwarded)
 {
-  Scripted server({ Ok });
-  RouterRig rig;
-  rig.Own(server.backend_);
-  ASSERT_EQ(OutcomeOf(*rig.Post("same")), "complete");
-  const auto repeat = rig.Post("same");
+  ScriptedBackend server({ Ok });
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_);
+  ASSERT_EQ(OutcomeOf(*fixture.Post("same")), "complete");
+  const auto repeat = fixture.Post("same");
   ASSERT_TRUE(repeat.ok());
   EXPECT_EQ(repeat->head_.status_, 409);
   EXPECT_EQ(OutcomeOf(*repeat), "unknown");
@@ -308,18 +315,18 @@
 // Guards against two runs of one id that arrives on many connections at once.
 TEST(Router, ConcurrentRepeatsRunOnce)
 {
-  Scripted server({ [](FakeBackend& aServer) {
+  ScriptedBackend server({ [](FakeBackend& aServer) {
     auto answer = aServer.Ok("value");
     answer.delayMs_ = 20;
     return answer;
   } });
-  RouterRig rig;
-  rig.Own(server.backend_);
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_);
   std::atomic<int> complete = 0;
   std::vector<std::thread> callers;
   for (int i = 0; i < 8; ++i) {
     callers.emplace_back([&] {
-      const auto response = rig.Post("same");
+      const auto response = fixture.Post("same");
       complete += response.ok() && OutcomeOf(*response) == "complete" ? 1 : 0;
     });
   }
@@ -333,12 +340,12 @@
 // Guards against a POST that is forwarded although no holder recorded its id.
 TEST(Router, NoHolderMeansNotRun)
 {
-  Scripted server({ Ok });
-  RouterRig rig;
-  rig.Own(server.backend_);
+  ScriptedBackend server({ Ok });
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_);
   const ReservedPort nobody;
-  rig.tables_.SetPeers({ nobody.Address() });
-  const auto response = rig.Post("id");
+  fixture.tables_.SetPeers({ nobody.Address() });
+  const auto response = fixture.Post("id");
   ASSERT_TRUE(response.ok());
   EXPECT_EQ(response->head_.Header(header::kNotRun), "ledger");
   EXPECT_TRUE(server.backend_.Requests().empty());
@@ -349,7 +356,7 @@
 {
   const std::string part(200000, 'x');
   for (const bool chunked : { false, true }) {
-    Scripted server({ [&](FakeBackend&) {
+    ScriptedBackend server({ [&](FakeBackend&) {
       return Raw(chunked ? Concat("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
                                   "chunked\r\n\r\n30d40\r\n",
                                   part,
@@ -357,11 +364,11 @@
                          : Concat("HTTP/1.1 200 OK\r\nContent-Length: "
                                   "400000\r\n\r\n",
                                   part),
-                 Then::Close);
+                 AfterResponse::Close);
     } });
-    RouterRig rig;
-    rig.Own(server.backend_);
-    const auto response = rig.Get();
+    RouterFixture fixture;
+    fixture.SetOwner(server.backend_);
+    const auto response = fixture.Get();
     EXPECT_FALSE(response.ok()) << chunked;
     EXPECT_EQ(server.backend_.Requests().size(), 1u);
   }
@@ -375,10 +382,11 @@
   for (size_t i = 0; i < body.size(); ++i) {
     body[i] = static_cast<char>('a' + i * i % 26);
   }
-  Scripted server({ [&](FakeBackend& aServer) { return aServer.Ok(body); } });
-  RouterRig rig;
-  rig.Own(server.backend_);
-  const auto response = rig.Get();
+  ScriptedBackend server(
+    { [&](FakeBackend& aServer) { return aServer.Ok(body); } });
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_);
+  const auto response = fixture.Get();
   ASSERT_TRUE(response.ok()) << response.status();
   EXPECT_TRUE(response->body_ == body);
   EXPECT_EQ(OutcomeOf(*response), "complete");
@@ -387,12 +395,13 @@
 // Guards against a HEAD that waits for a body or loses the length.
 TEST(Router, HeadKeepsTheLength)
 {
-  Scripted server({ [](FakeBackend&) {
-    return Raw("HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r\n", Then::Keep);
+  ScriptedBackend server({ [](FakeBackend&) {
+    return Raw("HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r\n",
+               AfterResponse::Keep);
   } });
-  RouterRig rig;
-  rig.Own(server.backend_);
-  const auto response = rig.Send("HEAD", "/svc/key");
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_);
+  const auto response = fixture.Send("HEAD", "/svc/key");
   ASSERT_TRUE(response.ok()) << response.status();
   EXPECT_EQ(response->head_.contentLength_, 1234u);
   EXPECT_NE(response->head_.Header("Connection"), "close");
@@ -400,11 +409,11 @@
 }
 
 /// The status that the router gives to these bytes, 0 without an answer.
-int StatusOfBytes(const RouterRig& aRig, const std::string& aBytes)
+int StatusOfBytes(const RouterFixture& aFixture, const std::string& aBytes)
 {
   boost::asio::ip::tcp::iostream stream;
   stream.expires_after(std::chrono::seconds(3));
-  const auto address = aRig.http_.Address();
+  const auto address = aFixture.http_.Address();
   const auto colon = address.rfind(':');
   stream.connect(address.substr(0, colon), address.substr(colon + 1));
   stream << aBytes << std::flush;
@@ -418,13 +427,13 @@
 // so that a part of one is taken for another caller's request.
 TEST(Router, AmbiguousBytesAreRefused)
 {
-  Scripted server({ Ok });
-  RouterRig rig;
-  rig.Own(server.backend_);
-  const auto status = [&rig](const std::string& aPath,
-                             const std::string& aHeader) {
+  ScriptedBackend server({ Ok });
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_);
+  const auto status = [&fixture](const std::string& aPath,
+                                 const std::string& aHeader) {
     return StatusOfBytes(
-      rig, Concat("GET ", aPath, " HTTP/1.1\r\n", aHeader, "\r\n"));
+      fixture, Concat("GET ", aPath, " HTTP/1.1\r\n", aHeader, "\r\n"));
   };
   const std::string host = "Host: h\r\n";
   EXPECT_EQ(status("/svc/key", ""), 400);
@@ -450,16 +459,16 @@
 // Guards against unclear answers to input that cannot be forwarded.
 TEST(Router, BadInputIsRefusedWithAnOutcome)
 {
-  Scripted server({ Ok });
-  RouterRig rig;
-  rig.Own(server.backend_);
+  ScriptedBackend server({ Ok });
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_);
   const std::string large((1 << 20) + 1, 'b');
   const HttpHeaders id = { { "X-Request-Id", "i" } };
   const auto status = [&](const char* aMethod,
                           const std::string& aPath,
                           const HttpHeaders& aHeaders,
                           const std::string& aBody) {
-    const auto response = rig.Send(aMethod, aPath, aHeaders, aBody);
+    const auto response = fixture.Send(aMethod, aPath, aHeaders, aBody);
     EXPECT_TRUE(response.ok()) << response.status();
     EXPECT_EQ(OutcomeOf(*response), "not-run");
     return response->head_.status_;
