--- a/router/AdmissionController.cpp
+++ b/router/AdmissionController.cpp
@@ -7,7 +7,8 @@
 
 namespace detail {
 
-/// Reused by each thread so that the hot path does not allocate.
+/// Empty actions. Each thread reuses one object so that the hot path does not
+/// allocate.
 GateActions& ClearedActions()
 {
   static thread_local GateActions actions;
--- a/router/AdmissionController.hpp
+++ b/router/AdmissionController.hpp
@@ -13,23 +13,27 @@
 struct AdmissionResult
 {
   bool admitted_ = false;
-  /// Time after which a refused caller should come back.
+  /// Time after which a refused caller should retry.
   TimeMs retryAfterMs_ = 0;
 };
 
-/// ServerGate for the threads of the router: a request waits in its own thread
-/// until it is admitted or refused.
+/// Thread-safe wrapper of ServerGate. The thread of a request blocks until the
+/// request is admitted or refused.
 class AdmissionController
 {
 public:
   AdmissionController(const Clock& aClock, std::unique_ptr<ServerGate> aGate);
 
-  /// An admitted request must be given back with Leave().
+  /// Blocks until the request is admitted or refused, at most until
+  /// aDeadlineMs. Each admitted request must be followed by one Release().
   AdmissionResult Acquire(KeyHash aKey, TimeMs aDeadlineMs);
   void Release(AttemptEnd aEnd, double aLatencyMs);
+  /// The backend server has restarted and has to warm up.
   void OnColdStart();
   void OnLoadHint(double aLoad);
+  /// Time after which a caller refused now should retry.
   TimeMs RetryAfterMs();
+  /// Concurrency limit now in force.
   double Limit() const;
   int InFlight() const;
   size_t Waiting() const;
@@ -51,7 +55,7 @@
   AdmissionResult Wait(std::unique_lock<std::mutex>& aLock,
                        uint64_t aId,
                        TimeMs aDeadlineMs);
-  /// Wakes the threads that aActions names.
+  /// Wakes the threads whose requests aActions admits or refuses.
   void Apply(const GateActions& aActions);
 
   const Clock& clock_;
--- a/router/BackendCrashDetector.cpp
+++ b/router/BackendCrashDetector.cpp
@@ -11,7 +11,7 @@
 
 namespace detail {
 
-constexpr TimeMs kCrashCheckMs = 100;
+constexpr TimeMs kCheckTimeoutMs = 100;
 
 }
 
@@ -37,7 +37,7 @@
   const auto suspects = aServer.Pool().TakeCrashSuspects(incarnation);
   if (!suspects.empty()) {
     Log(LogLevel::Warning,
-        "backend server was lost with requests in flight",
+        "backend server process exited with requests in flight",
         { { "server", aServer.Id() }, { "requests", suspects.size() } });
     quarantine_.OnCrash(aServer.Id(), suspects, incarnation);
   }
@@ -47,12 +47,12 @@
                                             uint64_t aIncarnation)
 {
   constexpr size_t kMaxHealthBytes = 64 * 1024;
-  constexpr auto kPause = std::chrono::milliseconds(5);
-  const TimeMs bound = clock_.NowMs() + detail::kCrashCheckMs;
+  constexpr auto kProbeInterval = std::chrono::milliseconds(5);
+  const TimeMs deadlineMs = clock_.NowMs() + detail::kCheckTimeoutMs;
   const HttpRequest request{ "GET", "/_cactuspitch/health", {}, {} };
   HttpConnection probe(clock_, aServer.Address());
-  while (clock_.NowMs() < bound) {
-    const auto health = probe.Exchange(request, bound, kMaxHealthBytes);
+  while (clock_.NowMs() < deadlineMs) {
+    const auto health = probe.Exchange(request, deadlineMs, kMaxHealthBytes);
     if (health.ok()) {
       const auto now = health->head_.Header(header::kIncarnation);
       return !now.empty() && aIncarnation != 0 && HashKey(now) != aIncarnation;
@@ -60,9 +60,9 @@
     if (absl::IsUnavailable(health.status())) {
       return true;
     }
-    // A process that is ending can still accept for a moment.
+    // A process that is exiting can still accept connections for a moment.
     probe.Close();
-    std::this_thread::sleep_for(kPause);
+    std::this_thread::sleep_for(kProbeInterval);
   }
   return false;
 }
--- a/router/BackendCrashDetector.hpp
+++ b/router/BackendCrashDetector.hpp
@@ -8,9 +8,9 @@
 
 namespace cactuspitch {
 
-/// Finds out whether a connection that ended without an answer means that the
-/// process of the backend server is gone, and reports the requests that were
-/// in flight there as suspects.
+/// Checks whether a connection closed without a response means that the backend
+/// server process has exited. If so, reports the requests in flight at that
+/// server as suspects to the quarantine.
 class BackendCrashDetector
 {
 public:
@@ -20,8 +20,8 @@
   {
   }
 
-  /// aIncarnation is the one at the other end of the lost connection, 0 when
-  /// it is unknown. Takes 100 ms at most.
+  /// aIncarnation is the incarnation that the lost connection led to; 0 when
+  /// unknown. Blocks for 100 ms at most.
   void Check(BackendServer& aServer, uint64_t aIncarnation);
 
 private:
@@ -31,7 +31,7 @@
   SynchronizedQuarantine& quarantine_;
 };
 
-/// Hash of method, path and body, the same at all routers.
+/// Hash of method, target and body. All routers compute the same value.
 uint64_t RequestFingerprint(const CallerRequest& aRequest,
                             std::string_view aBody);
 
--- a/router/BackendServer.cpp
+++ b/router/BackendServer.cpp
@@ -12,7 +12,8 @@
 
 namespace detail {
 
-/// Differs when any input of an admission gate differs.
+/// Hash of all inputs of an admission controller. A controller is reused as
+/// long as its key does not change.
 uint64_t AdmissionKey(const ServiceRules& aRules,
                       const BackendServerRecord& aRecord,
                       int aRouters)
@@ -66,7 +67,7 @@
   const BackendServerRecord& aRecord,
   int aRouters) const
 {
-  // Routers with the same seed would retry and call back at the same moments.
+  // With equal seeds, all routers would ask callers to retry at the same times.
   const uint64_t seed = std::random_device{}() ^ HashKey(id_);
   const AdmissionOptions options{ .slots_ = static_cast<double>(aRecord.slots_),
                                   .routers_ = aRouters,
@@ -75,10 +76,10 @@
   auto policy =
     AdmissionRegistry::Global().Create(aRules.admissionPolicy_, options);
   if (!policy) {
-    // The configuration is validated before it is accepted; a mixed fleet can
-    // still name a policy that this version does not have.
+    // The configuration is validated before it is accepted. In a fleet of
+    // mixed versions it can still name a policy that this version lacks.
     Log(LogLevel::Error,
-        "unknown admission policy, using static",
+        "unknown admission policy; using static",
         { { "policy", aRules.admissionPolicy_ } });
     policy = AdmissionRegistry::Global().Create("static", options);
   }
@@ -99,7 +100,8 @@
 {
   TimeMs stamp = 0;
   if (ParseNumber(aHead.Header(header::kClockMs), stamp)) {
-    // The stamp was taken before this millisecond of the local clock ended.
+    // The server read its clock before the current millisecond of the local
+    // clock ended. Subtracting 1 ms makes the offset a lower bound.
     aConnection.clockReceivedMs_ = clock_.NowMs();
     aConnection.clockOffsetMs_ = stamp - aConnection.clockReceivedMs_ - 1;
     aConnection.clockKnown_ = true;
@@ -114,7 +116,7 @@
     incarnation_.exchange(aConnection.incarnation_, std::memory_order_relaxed);
   if (before != 0 && before != aConnection.incarnation_) {
     Log(LogLevel::Info,
-        "backend server has a new incarnation",
+        "backend server restarted",
         { { "server", id_ }, { "incarnation", incarnation } });
     if (auto* admission = CurrentAdmission()) {
       admission->OnColdStart();
--- a/router/BackendServer.hpp
+++ b/router/BackendServer.hpp
@@ -15,7 +15,8 @@
 
 namespace cactuspitch {
 
-/// What the router knows of one backend server.
+/// State that the router keeps for one backend server: connections, admission
+/// control, latencies, clock offset and counters. Thread-safe.
 class BackendServer
 {
 public:
@@ -27,28 +28,33 @@
   ConnectionPool& Pool() { return pool_; }
   LatencyHistogram& Latency() { return latency_; }
 
-  /// Gate of the policy that the rules name; another one when the rules, the
-  /// slots or the number of routers change. Valid as long as this object.
+  /// Admission controller for these rules. A change of the rules, the slots,
+  /// the connection limit or the number of routers selects another one. The
+  /// reference stays valid as long as this object.
   AdmissionController& Admission(const ServiceRules& aRules,
                                  const BackendServerRecord& aRecord,
                                  int aRouters);
-  /// Gate in use; null before the first request.
+  /// Admission controller in use; null before the first request.
   AdmissionController* CurrentAdmission() const
   {
     return admission_.load(std::memory_order_acquire);
   }
 
-  /// Reads the clock and incarnation headers of an answer received now.
+  /// Reads the clock and incarnation headers of a response that was received
+  /// just now.
   void OnResponse(PooledConnection& aConnection, const HttpResponseHead& aHead);
-  /// Lower bound of (server clock - local clock); empty when unknown.
+  /// Lower bound of (server clock - local clock) in ms; empty when unknown.
   std::optional<TimeMs> ClockOffsetMs() const;
-  /// The process that was known is gone; its clock is no longer valid.
+  /// The server process has exited: discards its clock offset and closes the
+  /// idle connections to it.
   void OnProcessExit();
+  /// Hash of the incarnation seen last; 0 when none was seen.
   uint64_t Incarnation() const
   {
     return incarnation_.load(std::memory_order_relaxed);
   }
 
+  // Counts since the last load report.
   std::atomic<int64_t> requests_ = 0;
   std::atomic<int64_t> refusals_ = 0;
   std::atomic<int64_t> failures_ = 0;
@@ -72,7 +78,8 @@
   std::atomic<AdmissionController*> admission_ = nullptr;
   std::atomic<uint64_t> admissionKey_ = 0;
   std::mutex admissionMutex_;
-  /// By key. Requests of an earlier configuration may still use theirs.
+  /// By AdmissionKey(). Controllers of earlier configurations stay, since
+  /// requests may still use them.
   std::map<uint64_t, std::unique_ptr<AdmissionController>> admissionByKey_;
 };
 
--- a/router/CallerRequest.cpp
+++ b/router/CallerRequest.cpp
@@ -22,7 +22,7 @@
   bool idempotent_;
 };
 
-/// Only look-ups count as idempotent (docs/design.md, section 1.2).
+/// Only lookups count as idempotent (docs/design.md, section 1.2).
 constexpr std::array kMethods = {
   MethodRule{ "GET", true },     MethodRule{ "HEAD", true },
   MethodRule{ "POST", false },   MethodRule{ "PUT", false },
@@ -39,9 +39,10 @@
   return lower >= 'a' && lower <= 'f' ? lower - 'a' + kTen : -1;
 }
 
-/// False for a malformed escape, a control character, or an encoded separator,
-/// which a backend server may resolve to other path elements.
-bool DecodeElement(std::string_view aText, std::string& aResult)
+/// Percent-decodes one path segment. False for a malformed escape, a control
+/// character, a dot segment or an encoded separator: a backend server could
+/// resolve these to another path.
+bool DecodeSegment(std::string_view aText, std::string& aResult)
 {
   constexpr int kHexBase = 16;
   aResult.clear();
@@ -65,19 +66,19 @@
   return aResult != "." && aResult != "..";
 }
 
-/// Splits the path; false when an element is not acceptable.
+/// Reads service and key from the path. False when a segment is invalid.
 bool ParsePath(std::string_view aPath, CallerRequest& aRequest)
 {
-  std::string element;
+  std::string segment;
   size_t index = 0;
   aPath.remove_prefix(1);
   while (true) {
     const auto slash = aPath.find('/');
-    if (!DecodeElement(aPath.substr(0, slash), element)) {
+    if (!DecodeSegment(aPath.substr(0, slash), segment)) {
       return false;
     }
     if (index < 2) {
-      (index == 0 ? aRequest.service_ : aRequest.key_) = element;
+      (index == 0 ? aRequest.service_ : aRequest.key_) = segment;
     }
     ++index;
     if (slash == std::string_view::npos) {
--- a/router/CancellationSender.cpp
+++ b/router/CancellationSender.cpp
@@ -10,7 +10,7 @@
 
 namespace detail {
 
-constexpr size_t kCancelMessages = 1024;
+constexpr size_t kMaxQueuedCancellations = 1024;
 constexpr TimeMs kCancelTimeoutMs = 200;
 constexpr size_t kMaxResponseBytes = 4096;
 
@@ -38,7 +38,7 @@
 
 CancellationSender::CancellationSender(const Clock& aClock)
   : clock_(aClock)
-  , messages_(detail::kCancelMessages)
+  , messages_(detail::kMaxQueuedCancellations)
   , thread_([this] { Run(); })
 {
 }
--- a/router/CancellationSender.hpp
+++ b/router/CancellationSender.hpp
@@ -10,8 +10,9 @@
 
 namespace cactuspitch {
 
-/// Tells backend servers on a thread of its own that nobody waits for the
-/// answer of a request any more. Best effort: a full ring drops the message.
+/// Notifies backend servers that the response to a request is no longer
+/// needed. A background thread sends the notifications. Best effort: when the
+/// queue is full, the notification is dropped.
 class CancellationSender
 {
 public:
@@ -22,6 +23,7 @@
 
   void Cancel(const std::string& aAddress, const std::string& aRequestId);
   void Stop();
+  /// Number of cancellations that a backend server responded to.
   int64_t Sent() const { return sent_.load(std::memory_order_relaxed); }
 
 private:
--- a/router/ConnectionPool.cpp
+++ b/router/ConnectionPool.cpp
@@ -17,7 +17,7 @@
                                                  TimeMs aMaxIdleMs)
 {
   while (!idle_.empty()) {
-    // The connection used last is the least likely to have been closed.
+    // The most recently used connection is the least likely to be closed.
     auto connection = std::move(idle_.back());
     idle_.pop_back();
     if (aNowMs - connection->lastUsedMs_ <= aMaxIdleMs) {
@@ -67,7 +67,7 @@
 
 void ConnectionPool::Release(Pointer aConnection, const ReleaseInfo& aInfo)
 {
-  // Acquire() looks at the socket, so here the exchange decides.
+  // Acquire() checks the socket, so only the state of the exchange is checked.
   const bool complete = aConnection->http_.IsComplete();
   if (!complete) {
     aConnection->http_.Close();
@@ -156,7 +156,7 @@
     return {};
   }
   reportedIncarnation_ = aIncarnation;
-  // Several callers of one request count as one crash.
+  // Concurrent copies of one request count as one suspect.
   auto requests = inFlight_;
   std::ranges::sort(requests);
   requests.erase(std::unique(requests.begin(), requests.end()), requests.end());
--- a/router/ConnectionPool.hpp
+++ b/router/ConnectionPool.hpp
@@ -13,8 +13,8 @@
 
 namespace cactuspitch {
 
-/// A connection and what was learned on it. All its exchanges reach the same
-/// incarnation of the backend server.
+/// A connection with the incarnation and clock offset read on it. All its
+/// exchanges reach the same incarnation of the backend server.
 struct PooledConnection
 {
   PooledConnection(const Clock& aClock, const std::string& aAddress)
@@ -25,48 +25,50 @@
 
   HttpConnection http_;
   SilentConnectionDetector::ConnectionId id_ = 0;
-  /// Request in flight on the connection.
+  /// Fingerprint of the request in flight on the connection.
   uint64_t fingerprint_ = 0;
   TimeMs openedMs_;
   TimeMs lastUsedMs_ = 0;
-  /// Hash of the incarnation, 0 when unknown.
+  /// Hash of the incarnation; 0 when unknown.
   uint64_t incarnation_ = 0;
-  /// Lower bound of (server clock - local clock), valid when clockKnown_.
+  /// Lower bound of (server clock - local clock); valid when clockKnown_.
   TimeMs clockOffsetMs_ = 0;
+  /// Local time at which the clock header was received.
   TimeMs clockReceivedMs_ = 0;
   bool clockKnown_ = false;
-  /// The detector knows of the answer.
+  /// The response was recorded in the SilentConnectionDetector.
   bool responseRecorded_ = false;
 };
 
-/// How an exchange left its connection.
+/// How the exchange on a released connection ended.
 struct ReleaseInfo
 {
-  bool answered_ = false;
-  /// The process may have crashed: its requests stay listed until
-  /// RemoveInFlight().
+  bool answered_ = false; ///< a response head was received
+  /// The server may have crashed: the request stays in the list of requests
+  /// in flight until RemoveInFlight().
   bool keepInFlight_ = false;
 };
 
-/// Reused connections to one backend server under its connection limit, and
-/// the requests in flight on them. One lock when a connection is taken and one
-/// when it comes back keep the hot path short.
+/// Pool of connections to one backend server, up to its connection limit, with
+/// the requests in flight on them. A request locks the pool only when it
+/// acquires and when it releases its connection, which keeps the hot path
+/// short.
 class ConnectionPool
 {
 public:
   ConnectionPool(const Clock& aClock, std::string aAddress);
 
-  /// A reusable connection, or a new one that is not connected yet. Waits for
-  /// one while the limit is reached; null at the deadline. Connections idle for
-  /// longer than aMaxIdleMs are not reused.
+  /// Returns an idle connection, or a new one that is not connected yet.
+  /// Blocks while the connection limit is reached; null when aDeadlineMs
+  /// passes. Connections idle for longer than aMaxIdleMs are not reused.
   std::unique_ptr<PooledConnection> Acquire(uint64_t aFingerprint,
                                             TimeMs aDeadlineMs,
                                             TimeMs aMaxIdleMs);
-  /// Takes the connection back; it is closed unless it can be reused.
+  /// Returns the connection to the pool, or closes it when it cannot be reused.
   void Release(std::unique_ptr<PooledConnection> aConnection,
                const ReleaseInfo& aInfo);
 
-  // Silent connections, see SilentConnectionDetector.
+  // Detection of unresponsive connections; see SilentConnectionDetector.
   void RecordSend(const PooledConnection& aConnection);
   void RecordResponse(PooledConnection& aConnection);
   bool IsSilent(const PooledConnection& aConnection) const;
@@ -75,17 +77,20 @@
     return silenceLimitMs_.load(std::memory_order_relaxed);
   }
 
-  // Requests in flight by fingerprint, suspects when the process is lost.
+  // Fingerprints of the requests in flight. They are the suspects when the
+  // server process crashes.
   void RemoveInFlight(uint64_t aFingerprint);
   int InFlight() const;
-  /// Requests that were in flight when the incarnation was lost, each once;
-  /// empty when its loss was reported before.
+  /// Distinct requests in flight when the incarnation crashed. Empty when the
+  /// crash of aIncarnation was already reported.
   std::vector<uint64_t> TakeCrashSuspects(uint64_t aIncarnation);
 
-  /// Closes idle connections opened at or before aOpenedMs.
+  /// Closes the idle connections opened at or before aOpenedMs.
   void CloseIdleOpenedBefore(TimeMs aOpenedMs);
+  /// Closes the idle connections last used before aLastUsedMs.
   void CloseIdleUnusedSince(TimeMs aLastUsedMs);
   void SetLimit(int aLimit);
+  /// Number of connections, idle and in use.
   int Open() const;
   const std::string& Address() const { return address_; }
 
@@ -105,7 +110,7 @@
   std::condition_variable released_;
   std::vector<Pointer> idle_;
   SilentConnectionDetector detector_;
-  /// Read without the lock.
+  /// Copy of the detector's limit that is read without the lock.
   std::atomic<TimeMs> silenceLimitMs_;
   std::vector<uint64_t> inFlight_;
   std::optional<uint64_t> reportedIncarnation_;
--- a/router/HeaderFilter.cpp
+++ b/router/HeaderFilter.cpp
@@ -15,7 +15,8 @@
 
 constexpr std::string_view kConnection = "Connection";
 
-/// Framing and hop-by-hop headers; both sides are framed anew.
+/// Hop-by-hop headers and Content-Length. The router writes its own framing
+/// headers on both connections.
 constexpr std::string_view kHopByHop[] = {
   kConnection,           "Keep-Alive", "Proxy-Authenticate",
   "Proxy-Authorization", "TE",         "Trailer",
@@ -64,7 +65,8 @@
   });
 }
 
-/// Removes hop-by-hop headers and aInternal.
+/// Removes hop-by-hop headers, the headers that a Connection header lists, and
+/// the headers in aInternal.
 void Remove(HttpHeaders& aHeaders, std::span<const std::string_view> aInternal)
 {
   const bool hasConnection =
--- a/router/HeaderFilter.hpp
+++ b/router/HeaderFilter.hpp
@@ -6,14 +6,15 @@
 
 namespace cactuspitch {
 
-/// Which headers pass the router. Hop-by-hop headers, those named by a
-/// Connection header and those of the internal protocol are removed.
+/// Removes headers that the router must not forward: hop-by-hop headers,
+/// headers that a Connection header lists, and headers of the internal
+/// protocol.
 class HeaderFilter
 {
 public:
-  /// Headers of a caller's request that go to a backend server.
+  /// Headers of a caller's request to forward to the backend server.
   static HttpHeaders ForServer(HttpHeaders aHeaders);
-  /// Headers of a backend server's answer that go to the caller.
+  /// Headers of a backend server's response to forward to the caller.
   static HttpHeaders ForCaller(HttpHeaders aHeaders);
 };
 
--- a/router/LatencyHistogram.hpp
+++ b/router/LatencyHistogram.hpp
@@ -7,11 +7,12 @@
 
 namespace cactuspitch {
 
-/// Lock-free histogram of durations with a relative error of 1/8, averaged over
-/// recent windows.
+/// Lock-free histogram of durations with a relative error of 1/8 and
+/// exponential decay over recent windows.
 class LatencyHistogram
 {
 public:
+  /// Sample count and mean of the last window; p99 over decayed windows.
   struct Window
   {
     int64_t samples_ = 0;
@@ -20,8 +21,9 @@
   };
 
   void Record(int64_t aMicros);
-  /// Ends a window; called by one thread. Older windows count half as much
-  /// with each call, so that a few samples do not move the quantile much.
+  /// Ends the window and returns its statistics. Only one thread may call it.
+  /// Each call halves the weight of earlier windows, so that a few samples do
+  /// not change the quantile much.
   Window EndWindow();
 
 private:
--- a/router/LedgerClient.cpp
+++ b/router/LedgerClient.cpp
@@ -43,8 +43,8 @@
         ++recorded;
         break;
       case ReplicaResponse::Seen:
-        // A holder that recorded this attempt keeps the id as in progress, so
-        // the id stays refused when the other holders are lost.
+        // Replicas that recorded this attempt keep the id as in progress, so
+        // that it stays refused when the other replicas are lost.
         ticket.verdict_ = LedgerTicket::Verdict::AlreadySeen;
         ticket.state_ = state;
         return ticket;
@@ -63,7 +63,7 @@
     ticket.verdict_ = LedgerTicket::Verdict::Forward;
     return ticket;
   }
-  // A holder may have recorded the id, also one whose answer was lost.
+  // A replica may have recorded the id even if its response was lost.
   for (const auto& replica : ticket.replicas_) {
     transport_.FinishAsync(replica, ticket.id_, LedgerEntryState::NotRun);
   }
--- a/router/LoadRecorder.cpp
+++ b/router/LoadRecorder.cpp
@@ -36,8 +36,8 @@
   auto& load = found->second->slices_[aSliceBegin];
   ++load.requests_;
   load.busyMs_ += aBusyMs;
-  // A sketch update costs more than the rest of the counting. A key that is
-  // hot enough to matter is sampled often enough.
+  // An update of the sketch costs more than the counters above, so only one in
+  // kKeySampling requests updates it. Hot keys are still sampled often enough.
   if (++shard.sample_ % kKeySampling == 0) {
     found->second->hotKeys_.Add(aKey, kKeySampling, clock_.NowMs());
   }
--- a/router/LoadRecorder.hpp
+++ b/router/LoadRecorder.hpp
@@ -22,27 +22,28 @@
   double busyMs_ = 0;
 };
 
-/// Counts of one window by service.
+/// Load of one window.
 struct LoadWindow
 {
   std::vector<SliceCount> slices_;
-  /// Hot keys of each service, heaviest first.
+  /// Hot keys of each service, highest load first.
   std::vector<std::pair<std::string, std::vector<HotKey>>> hotKeys_;
 };
 
-/// Load by slice and key. Threads write to shards of their own, so a lock is
-/// rarely contended.
+/// Counts requests and busy time by slice and tracks hot keys. Threads are
+/// spread over shards with a lock each, so that locks are rarely contended.
 class LoadRecorder
 {
 public:
   explicit LoadRecorder(const Clock& aClock);
 
-  /// Counts an attempt that a backend server ran.
+  /// Counts an attempt that a backend server executed.
   void Record(std::string_view aService,
               KeyHash aSliceBegin,
               KeyHash aKey,
               double aBusyMs);
-  /// Ends the window: slice counts restart, hot keys decay.
+  /// Ends the window and returns its load with up to aHotKeys keys for each
+  /// service. Slice counts restart at 0; hot keys decay.
   LoadWindow EndWindow(size_t aHotKeys);
 
 private:
@@ -69,7 +70,7 @@
   std::array<Shard, kShards> shards_;
 };
 
-/// Index of the calling thread among aShards.
+/// Shard of the calling thread, below aShards.
 size_t ThreadShardIndex(size_t aShards);
 
 }
--- a/router/OutcomeClassifier.cpp
+++ b/router/OutcomeClassifier.cpp
@@ -6,7 +6,7 @@
 
 namespace detail {
 
-/// Action without and with a possible retry.
+/// Action when no retry is possible, and when one is.
 struct Rule
 {
   AttemptAction final_;
@@ -39,7 +39,7 @@
     RulePair{ kRetryOrUnknown, kUnknown },      // NoResponse
     RulePair{ kRetryOrUnknown, kUnknown },      // PartialResponse
     RulePair{ kClose, kClose },                 // PartialAfterHead
-    RulePair{ kRetryOrUnknown, kUnknown },      // Silent
+    RulePair{ kRetryOrUnknown, kUnknown },      // TimedOut
     RulePair{ kClose, kClose },                 // CallerDisconnected
   };
 
--- a/router/OutcomeClassifier.hpp
+++ b/router/OutcomeClassifier.hpp
@@ -10,17 +10,18 @@
 
 namespace cactuspitch {
 
-/// How one attempt at a backend server ended (docs/design.md, section 6).
+/// Outcome of one attempt to execute a request at a backend server
+/// (docs/design.md, section 6).
 enum class ExchangeOutcome : uint8_t
 {
-  Complete,           ///< the whole answer was received
-  NoConnection,       ///< nothing was written
-  Refused,            ///< the server says that it did not run the request
-  PartiallyWritten,   ///< the server cannot have the whole request
-  NoResponse,         ///< written, then closed without an answer
-  PartialResponse,    ///< part of the answer, nothing sent to the caller yet
-  PartialAfterHead,   ///< part of the answer, its head sent to the caller
-  TimedOut,           ///< written, no complete answer by the time limit
+  Complete,           ///< the whole response was received
+  NoConnection,       ///< nothing was sent
+  Refused,            ///< the server reported that it did not execute it
+  PartiallyWritten,   ///< the request was not sent completely
+  NoResponse,         ///< sent; the server closed without a response
+  PartialResponse,    ///< truncated response; nothing sent to the caller
+  PartialAfterHead,   ///< truncated response; its head was sent on
+  TimedOut,           ///< sent; no complete response before the deadline
   CallerDisconnected, ///< a write to the caller failed
   Count
 };
@@ -35,14 +36,14 @@
   };
 };
 
-/// What the router does after an attempt.
+/// Reaction of the router to the outcome of an attempt.
 enum class AttemptAction : uint8_t
 {
-  Respond, ///< hand the complete answer to the caller
+  Respond, ///< forward the complete response to the caller
   Retry,
   RespondNotRun,
   RespondUnknown,
-  CloseCaller, ///< end the connection so that the answer looks truncated
+  CloseCaller, ///< close, so that the caller sees a truncated response
   Count
 };
 
@@ -54,24 +55,26 @@
   };
 };
 
-/// The rules of section 6 as a table, free of sockets and clocks.
+/// Decides when a request is retried (docs/design.md, section 6). Stateless: it
+/// uses neither sockets nor clocks.
 class OutcomeClassifier
 {
 public:
-  /// Classifies an attempt that failed with aStatus at aStage.
+  /// Classifies an attempt that failed with aStatus at aStage. aHeadSent: the
+  /// response head was already sent to the caller.
   static ExchangeOutcome ClassifyFailure(ExchangeStage aStage,
                                          absl::StatusCode aStatus,
                                          bool aHeadSent);
 
-  /// aCanRetry: time, attempts and retry budget are left.
+  /// aCanRetry: deadline, attempt limit and retry budget allow a retry.
   static AttemptAction Decide(ExchangeOutcome aOutcome,
                               bool aIdempotent,
                               bool aCanRetry);
 
-  /// True when another table or a moment later the request can run.
+  /// True when the request may succeed later or with a newer table.
   static bool IsOwnershipRefusal(NotRunReason aReason);
 
-  /// True when the request cannot have run.
+  /// True when the request cannot have been executed.
   static bool IsCertainlyNotRun(ExchangeOutcome aOutcome);
 };
 
--- a/router/PeerChannelPool.hpp
+++ b/router/PeerChannelPool.hpp
@@ -12,8 +12,9 @@
 
 namespace cactuspitch {
 
-/// Thrift channels to peers, reused by many threads. A peer that did not answer
-/// in time is left out for a moment, so that it does not hold every request up.
+/// Thread-safe pool of Thrift channels to peers. After a failed call, calls to
+/// the same peer fail immediately for kBackoffMs, so that an unresponsive peer
+/// does not delay every request.
 template<typename Client>
 class PeerChannelPool
 {
@@ -29,73 +30,73 @@
   {
   }
 
-  /// Runs aCall(client). Calls must be repeatable: one that fails on a reused
-  /// channel is sent again on a new one.
+  /// Runs aCall(client). The call must be idempotent: when it fails on a reused
+  /// channel, it is retried on a new one.
   template<typename Call>
   absl::Status Run(const std::string& aAddress, Call&& aCall)
   {
-    auto channel = Take(aAddress);
-    if (!channel.leftOut_.ok()) {
-      return channel.leftOut_;
+    auto acquired = Acquire(aAddress);
+    if (!acquired.backoffStatus_.ok()) {
+      return acquired.backoffStatus_;
     }
     const TimeMs start = clock_.NowMs();
     auto status = absl::UnknownError("");
-    if (channel.reused_) {
-      status = channel.reused_->Run(aCall);
+    if (acquired.channel_) {
+      status = acquired.channel_->Run(aCall);
     }
     const bool wasQuick = clock_.NowMs() - start < callTimeoutMs_;
     if (!status.ok() && wasQuick) {
-      channel.reused_ = std::make_unique<Channel>(
+      acquired.channel_ = std::make_unique<Channel>(
         aAddress, connectTimeoutMs_, callTimeoutMs_, secret_);
-      status = channel.reused_->Run(aCall);
+      status = acquired.channel_->Run(aCall);
     }
-    Return(aAddress, std::move(channel.reused_), status);
+    Release(aAddress, std::move(acquired.channel_), status);
     return status;
   }
 
 private:
   using Channel = ThriftChannel<Client>;
   static constexpr size_t kMaxIdle = 16;
-  static constexpr TimeMs kLeaveOutMs = 500;
+  static constexpr TimeMs kBackoffMs = 500;
 
   struct Peer
   {
     std::vector<std::unique_ptr<Channel>> idle_;
-    TimeMs leftOutUntilMs_ = 0;
-    absl::Status failure_;
+    TimeMs backoffUntilMs_ = 0;
+    absl::Status lastFailure_;
   };
-  struct Taken
+  struct AcquiredChannel
   {
-    absl::Status leftOut_;
-    std::unique_ptr<Channel> reused_;
+    absl::Status backoffStatus_;
+    std::unique_ptr<Channel> channel_;
   };
 
-  Taken Take(const std::string& aAddress)
+  AcquiredChannel Acquire(const std::string& aAddress)
   {
     const std::lock_guard lock(mutex_);
     auto& peer = peers_[aAddress];
-    if (clock_.NowMs() < peer.leftOutUntilMs_) {
-      return { peer.failure_, nullptr };
+    if (clock_.NowMs() < peer.backoffUntilMs_) {
+      return { peer.lastFailure_, nullptr };
     }
-    Taken taken;
+    AcquiredChannel acquired;
     if (!peer.idle_.empty()) {
-      taken.reused_ = std::move(peer.idle_.back());
+      acquired.channel_ = std::move(peer.idle_.back());
       peer.idle_.pop_back();
     }
-    return taken;
+    return acquired;
   }
 
-  void Return(const std::string& aAddress,
-              std::unique_ptr<Channel> aChannel,
-              const absl::Status& aStatus)
+  void Release(const std::string& aAddress,
+               std::unique_ptr<Channel> aChannel,
+               const absl::Status& aStatus)
   {
     std::vector<std::unique_ptr<Channel>> closed;
     const std::lock_guard lock(mutex_);
     auto& peer = peers_[aAddress];
     if (!aStatus.ok()) {
       closed.swap(peer.idle_);
-      peer.failure_ = aStatus;
-      peer.leftOutUntilMs_ = clock_.NowMs() + kLeaveOutMs;
+      peer.lastFailure_ = aStatus;
+      peer.backoffUntilMs_ = clock_.NowMs() + kBackoffMs;
     } else if (peer.idle_.size() < kMaxIdle) {
       peer.idle_.push_back(std::move(aChannel));
     }
--- a/router/PeerService.cpp
+++ b/router/PeerService.cpp
@@ -70,7 +70,7 @@
     case RequestLedger::BeginResult::Seen:
       break;
     case RequestLedger::BeginResult::Full:
-      throw apache::thrift::TApplicationException("the ledger is full");
+      throw apache::thrift::TApplicationException("request ledger is full");
   }
   aResult.state = static_cast<wire::LedgerState::type>(state);
   aResult.uptimeMs = ledger_.UptimeMs();
--- a/router/PeerService.hpp
+++ b/router/PeerService.hpp
@@ -10,7 +10,8 @@
 
 namespace cactuspitch {
 
-/// RouterPeer server: ledger, quarantine, counters and status.
+/// RouterPeer Thrift service: gives peers and operators access to the ledger,
+/// the quarantine, the SLO counters and the status of this router.
 class PeerService final : public wire::RouterPeerIf
 {
 public:
--- a/router/RequestHandler.cpp
+++ b/router/RequestHandler.cpp
@@ -14,24 +14,28 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kTooLarge = 413;
-/// Callers that send more are cut off without a readable answer.
+/// Largest request body that is read and discarded before a rejection. A caller
+/// that sends more is disconnected and cannot read the response.
 constexpr uint64_t kMaxDiscardBytes = 16 << 20;
 constexpr int kFirstServerError = 500;
 
-/// Waits for a newer table grow, since a router that asks each millisecond
-/// would load an assigner that is already late.
-constexpr TimeMs kFirstParkMs = 5;
-constexpr TimeMs kLongestParkMs = 100;
-constexpr TimeMs kViewLeasePollMs = 10;
-/// A view lease that ends sooner leaves the server no time to run.
+/// Delays between fetches of the table while a request is parked. They grow
+/// exponentially: a fetch every millisecond would add load to an assigner that
+/// is already late.
+constexpr TimeMs kMinParkMs = 5;
+constexpr TimeMs kMaxParkMs = 100;
+constexpr TimeMs kViewLeasePollIntervalMs = 10;
+/// A view lease that expires sooner leaves the server no time to execute the
+/// request.
 constexpr TimeMs kMinViewLeaseMs = 20;
-/// Time after which an owner is usually found again (docs/design.md, 4.5).
+/// Time in which a takeover usually completes (docs/design.md, section 4.5).
 constexpr TimeMs kTakeoverRetryMs = 1000;
 constexpr TimeMs kDefaultRetryMs = 500;
-/// Two calls to holders of the request ledger that do not answer.
+/// Duration of two calls to unresponsive replicas of the request ledger.
 constexpr TimeMs kLedgerWaitMs = 500;
 constexpr TimeMs kQuarantineRetryMs = 60000;
-/// A server that sheds a request more often is out of order rather than busy.
+/// A server that sheds one request more often than this is considered faulty
+/// rather than busy.
 constexpr int kMaxSheds = 12;
 
 uint64_t RandomToken()
@@ -90,7 +94,8 @@
     std::min(request_.deadlineMs_.value_or(rules_->defaultDeadlineMs_),
              rules_->maxDeadlineMs_);
   deadlineMs_ = startMs_ + length;
-  // A default deadline bounds the wait for the answer, not a long download.
+  // The default deadline limits the wait for a response, but not the duration
+  // of a long download.
   streamDeadlineMs_ =
     request_.deadlineMs_ ? deadlineMs_ : startMs_ + rules_->maxDeadlineMs_;
   return true;
@@ -132,7 +137,7 @@
     case LedgerTicket::Verdict::Forward:
       return true;
     case LedgerTicket::Verdict::AlreadySeen:
-      response_.Repeated(ticket_.state_);
+      response_.Duplicate(ticket_.state_);
       Count(Outcome::Unknown, {});
       return false;
     case LedgerTicket::Verdict::Unavailable:
@@ -140,7 +145,7 @@
   }
   response_.NotRun(NotRunReason::Ledger,
                    detail::kDefaultRetryMs,
-                   "no holder of the request ledger can be asked");
+                   "no majority of request ledger replicas is reachable");
   Count(Outcome::NotRun, EnumName(NotRunReason::Ledger));
   return false;
 }
@@ -159,7 +164,7 @@
 bool RequestHandler::FindTarget()
 {
   while (true) {
-    // The first attempt uses the table that the request was accepted with.
+    // The first attempt uses the table from ValidateAndRoute().
     if (attempts_ + parkCount_ > 0) {
       target_.table_ =
         context_.tables_.Table(request_.service_, request_.hash_);
@@ -223,12 +228,13 @@
   const auto& table = target_.table_->table_;
   context_.tables_.RequestRefresh(request_.service_, request_.hash_);
   constexpr int kMaxShift = 5;
-  // A renewed view lease comes with an unchanged table version.
+  // Renewing the view lease does not change the table version, so WaitNewer()
+  // does not return early for it.
   const TimeMs step =
     aReason == NotRunReason::ViewLease
-      ? detail::kViewLeasePollMs
-      : std::min(detail::kLongestParkMs,
-                 detail::kFirstParkMs << std::min(parkCount_, kMaxShift));
+      ? detail::kViewLeasePollIntervalMs
+      : std::min(detail::kMaxParkMs,
+                 detail::kMinParkMs << std::min(parkCount_, kMaxShift));
   ++parkCount_;
   context_.tables_.WaitNewer(request_.service_,
                              request_.hash_,
@@ -258,7 +264,7 @@
     if (left <= 0) {
       EndNotRun(NotRunReason::Quarantined,
                 detail::kTakeoverRetryMs,
-                "other suspects of a crash run first");
+                "waiting for other suspects of a crash");
       return false;
     }
     std::this_thread::sleep_for(
@@ -283,7 +289,7 @@
   }
   EndNotRun(NotRunReason::Overload,
             result.retryAfterMs_,
-            "the backend server is at its limit");
+            "the backend server is at its admission limit");
   return false;
 }
 
@@ -386,8 +392,8 @@
 
 bool RequestHandler::HandleRefusal(const ExchangeResult& aResult)
 {
-  // Ownership is about to change; these retries cost the server nothing, so
-  // they use neither attempts nor the retry budget.
+  // Ownership is about to change. These retries cost the server nothing, so
+  // they count neither as attempts nor against the retry budget.
   if (aResult.isConnectionRefused_) {
     --attempts_;
     return Park(NotRunReason::Unreachable, aResult.text_);
@@ -410,8 +416,9 @@
 
 void RequestHandler::Cancel()
 {
-  // Only when the request has ended here. All attempts have the id that the
-  // answer names, so a cancellation could hit the attempt that replaced one.
+  // Called only after the last attempt. All attempts have the same request id,
+  // so an earlier cancellation could cancel the attempt that replaced the
+  // cancelled one.
   context_.cancellationSender_.Cancel(target_.record_->address_,
                                       request_.requestId_);
 }
@@ -425,9 +432,9 @@
 
 bool RequestHandler::CanRetryShed()
 {
-  // A shed attempt was not run and lowers the limit of the gate, which paces
-  // the next one. Charging the retry budget as well would refuse a quarter of
-  // the requests that could be served (docs/load.md).
+  // A shed attempt was not executed and lowers the admission limit, which
+  // delays the next attempt. Charging the retry budget as well would refuse a
+  // quarter of the requests that could be served (docs/load.md).
   ++shedCount_;
   return shedCount_ <= detail::kMaxSheds &&
          context_.clock_.NowMs() < deadlineMs_;
@@ -454,7 +461,8 @@
                                TimeMs aRetryAfterMs,
                                std::string_view aText)
 {
-  // Before the answer, so that an early repeat of the caller may run.
+  // The ledger is updated before the response is sent, so that an immediate
+  // retry by the caller may be executed.
   FinishLedger(LedgerEntryState::NotRun);
   response_.NotRun(aReason, aRetryAfterMs, aText);
   Count(Outcome::NotRun, EnumName(aReason));
@@ -483,7 +491,7 @@
   if (request_.isIdempotent_) {
     return;
   }
-  // A holder that is silent would delay the answer by its time limit.
+  // An unresponsive replica delays the response until its call times out.
   const TimeMs left = deadlineMs_ - context_.clock_.NowMs();
   context_.ledger_.Finish(ticket_, aState, left > detail::kLedgerWaitMs);
 }
--- a/router/RequestHandler.hpp
+++ b/router/RequestHandler.hpp
@@ -9,8 +9,9 @@
 
 namespace cactuspitch {
 
-/// The way of one caller's request from its check to its final answer. Runs on
-/// the thread of the caller's connection.
+/// Handles one request of a caller: validates it, forwards it to the owner of
+/// its key with retries, and sends the final response. Runs on the thread of
+/// the caller's connection.
 class RequestHandler
 {
 public:
@@ -19,7 +20,7 @@
   void Run();
 
 private:
-  /// Where the next attempt goes.
+  /// Destination of the next attempt.
   struct Target
   {
     std::shared_ptr<const FollowedTable> table_;
@@ -28,30 +29,45 @@
     BackendServer* server_ = nullptr;
   };
 
-  /// False when the request was refused and answered.
+  /// Parses the request, looks up its table and rules, and sets its deadline.
+  /// False when the request was refused; the response was then sent.
   bool ValidateAndRoute();
+  /// False when the body could not be read; the response was then sent.
   bool ReadBody();
+  /// Records a non-idempotent request in the request ledger. False when it must
+  /// not be forwarded; the response was then sent.
   bool BeginInLedger();
-  /// Runs attempts until one of the final answers was given.
+  /// Runs attempts until the final response was sent.
   void RunAttempts();
-  /// Waits for an owner that may be used; false after a final answer.
+  /// Sets target_ to the owner of the key. Waits while there is no usable
+  /// owner; false when the final response was sent.
   bool FindTarget();
+  /// True when the table may be used for this attempt. Servers that check the
+  /// fence need no view lease.
   bool HasViewLease() const;
-  /// Takes a place among the waiting requests; false when all are taken.
+  /// False when the limit of parked requests is reached.
   bool TryReserveParkingSlot();
-  /// Waits for a newer table; false after a final answer.
+  /// Waits for a newer table. False when the deadline or the limit of parked
+  /// requests was reached; the final response was then sent.
   bool Park(NotRunReason aReason, std::string_view aText);
+  /// Waits while the quarantine delays a suspect request. False when it is
+  /// refused; the final response was then sent.
   bool AwaitQuarantine();
+  /// Waits for admission by the backend server's AdmissionController. False
+  /// when it refuses; the final response was then sent.
   bool AwaitAdmission();
   ExchangeResult RunExchange();
   OutboundRequest MakeOutbound() const;
+  /// Updates admission, measurements, crash detection and quarantine.
   void RecordAttempt(const ExchangeResult& aResult);
-  /// Acts on the end of an attempt; false when the request has ended.
+  /// Decides what follows an attempt: true for a retry, false when the request
+  /// has ended.
   bool HandleAttemptResult(ExchangeResult& aResult);
   bool HandleRefusal(const ExchangeResult& aResult);
-  /// Tells the server that nobody waits for the answer any more.
+  /// Notifies the backend server that the response is no longer needed.
   void Cancel();
   bool CanRetry();
+  /// Like CanRetry(), for an attempt that the server shed as busy.
   bool CanRetryShed();
 
   void EndComplete(ExchangeResult& aResult);
@@ -61,8 +77,10 @@
   void EndUnknown(bool aTimedOut, std::string_view aText);
   void EndTruncated(const ExchangeResult& aResult);
   void FinishLedger(LedgerEntryState aState);
-  /// Counts the end of the request; aCause is a literal.
+  /// Counts the outcome of the request. aCause is a string literal; empty when
+  /// the request met its objective.
   void Count(Outcome aOutcome, std::string_view aCause);
+  /// Cause counted for a complete response: "server-error", "slow" or empty.
   std::string_view CompleteCause(int aStatus) const;
 
   RouterContext& context_;
@@ -82,7 +100,7 @@
   AdmissionController* admission_ = nullptr;
   int attempts_ = 0;
   int shedCount_ = 0; ///< attempts that the server refused as busy
-  int parkCount_ = 0;
+  int parkCount_ = 0; ///< waits for a newer table
   bool isSuspect_ = false;
 };
 
--- a/router/RequestLedger.cpp
+++ b/router/RequestLedger.cpp
@@ -20,10 +20,10 @@
 
 void RequestLedger::Expire(TimeMs aNowMs)
 {
-  while (!expiries_.empty() && expiries_.front().atMs_ <= aNowMs) {
+  while (!expiries_.empty() && expiries_.front().expiresMs_ <= aNowMs) {
     const auto& expiry = expiries_.front();
     const auto found = entries_.find(expiry.key_);
-    // An id that was forgotten and begun again has a later expiry.
+    // An id that was removed and recorded again has a later expiry.
     if (found != entries_.end() &&
         found->second.generation_ == expiry.generation_) {
       entries_.erase(found);
@@ -37,7 +37,7 @@
                            uint64_t aToken,
                            TimeMs aNowMs)
 {
-  // Counted by expiries, since forgotten ids still occupy one.
+  // Counts expiries, since ids that were removed still occupy one.
   if (expiries_.size() >= maxEntries_) {
     return false;
   }
--- a/router/RequestLedger.hpp
+++ b/router/RequestLedger.hpp
@@ -11,7 +11,8 @@
 
 namespace cactuspitch {
 
-/// What a holder knows of a request id. The values are those of the wire.
+/// State of a request id in the ledger. The values equal those of
+/// wire::LedgerState.
 enum class LedgerEntryState : uint8_t
 {
   Unseen,
@@ -30,30 +31,32 @@
   };
 };
 
-/// Ids of non-idempotent requests that were begun, kept for 10 min in bounded
-/// memory. Not thread-safe; time is an input.
+/// Request ids of non-idempotent requests, kept for 10 min in bounded memory to
+/// detect duplicates. Not thread-safe; callers pass the current time.
 class RequestLedger
 {
 public:
   enum class BeginResult : uint8_t
   {
     Recorded, ///< the id was unseen
-    Seen,     ///< see aState
-    Full      ///< no room: an entry younger than 10 min is never dropped
+    Seen,     ///< the id is a duplicate; aState is its state
+    Full      ///< no space: entries younger than 10 min are never evicted
   };
 
   explicit RequestLedger(size_t aMaxEntries);
 
-  /// Records the id as in progress, or reports how it is recorded. aToken names
-  /// the attempt to begin, so that a repeated message is recognised.
+  /// Records an unseen id as in progress, or sets aState to its recorded state.
+  /// aToken identifies the attempt: a repeated message of the attempt that
+  /// recorded the id returns Recorded again.
   BeginResult Begin(std::string_view aService,
                     std::string_view aRequestId,
                     uint64_t aToken,
                     TimeMs aNowMs,
                     LedgerEntryState& aState);
-  /// Sets the state. NotRun forgets the id, so that a repeat may run, unless
-  /// it was begun again since: a late message must not forget that. Other
-  /// states are also recorded by a holder that could not be asked at the begin.
+  /// Sets the state of an id. NotRun removes the id, so that a retry may be
+  /// executed, unless a later attempt (another aToken) has recorded it: a
+  /// delayed message must not remove that record. Other states are recorded
+  /// even if Begin() did not reach this replica.
   void Finish(std::string_view aService,
               std::string_view aRequestId,
               uint64_t aToken,
@@ -64,7 +67,7 @@
   static constexpr TimeMs kRetentionMs = 600000;
 
 private:
-  /// 128 bits, so that two ids do not collide in practice.
+  /// 128-bit hash, so that ids do not collide in practice.
   struct Key
   {
     uint64_t high_ = 0;
@@ -86,7 +89,7 @@
   {
     Key key_;
     uint32_t generation_ = 0;
-    TimeMs atMs_ = 0;
+    TimeMs expiresMs_ = 0;
   };
 
   static Key MakeKey(std::string_view aService, std::string_view aRequestId);
--- a/router/ResponseWriter.cpp
+++ b/router/ResponseWriter.cpp
@@ -15,8 +15,9 @@
 constexpr int kNotRunStatus = 503;
 constexpr int kGatewayTimeout = 504;
 constexpr TimeMs kMsPerSecond = 1000;
-/// A request that was refused for its form gains nothing from a quick repeat.
-constexpr TimeMs kInputRetryMs = 10000;
+/// Retry time sent with the rejection of a malformed request, which an early
+/// retry would not help.
+constexpr TimeMs kRejectionRetryMs = 10000;
 
 }
 
@@ -41,7 +42,7 @@
 
 HttpHeaders ResponseWriter::ErrorResponseHeaders()
 {
-  return NotRunHeaders(detail::kInputRetryMs);
+  return NotRunHeaders(detail::kRejectionRetryMs);
 }
 
 HttpHeaders ResponseWriter::NotRunHeaders(TimeMs aRetryAfterMs)
@@ -74,7 +75,7 @@
                   Concat("outcome is unknown: ", aText, "\n"));
 }
 
-void ResponseWriter::Repeated(LedgerEntryState aState)
+void ResponseWriter::Duplicate(LedgerEntryState aState)
 {
   const HttpHeaders headers = { { header::kOutcome,
                                   std::string(EnumName(Outcome::Unknown)) } };
@@ -82,7 +83,7 @@
                   headers,
                   Concat("a request with this ",
                          header::kRequestId,
-                         " was begun before; its state is ",
+                         " was received before; its state is ",
                          EnumName(aState),
                          "\n"));
 }
@@ -90,7 +91,7 @@
 void ResponseWriter::Refuse(int aStatus, std::string_view aText)
 {
   caller_.Respond(
-    aStatus, NotRunHeaders(detail::kInputRetryMs), Concat(aText, "\n"));
+    aStatus, NotRunHeaders(detail::kRejectionRetryMs), Concat(aText, "\n"));
 }
 
 }
--- a/router/ResponseWriter.hpp
+++ b/router/ResponseWriter.hpp
@@ -9,7 +9,8 @@
 
 namespace cactuspitch {
 
-/// Final answers to a caller; each carries X-Outcome.
+/// Writes the final response to a caller. Each response has an X-Outcome
+/// header.
 class ResponseWriter
 {
 public:
@@ -18,22 +19,25 @@
   {
   }
 
-  /// False when the caller is gone.
+  /// Forwards the response of the backend server. False when the caller has
+  /// disconnected.
   bool Complete(ExchangeResult& aResult);
-  /// aRetryAfterMs is spread by jitter, so that refused callers do not come
-  /// back together.
+  /// Responds with 503 to a request that was not executed. aRetryAfterMs gets
+  /// jitter, so that refused callers do not retry at the same time.
   void NotRun(NotRunReason aReason,
               TimeMs aRetryAfterMs,
               std::string_view aText);
+  /// Responds with 504 (aTimedOut) or 502 when the request may have been
+  /// executed.
   void Unknown(bool aTimedOut, std::string_view aText);
-  /// The request ledger knows the id already.
-  void Repeated(LedgerEntryState aState);
-  /// Input that cannot be forwarded.
+  /// Responds with 409 when the request ledger already has the request id.
+  void Duplicate(LedgerEntryState aState);
+  /// Rejects a request that cannot be forwarded.
   void Refuse(int aStatus, std::string_view aText);
 
-  /// Headers of answers to input that never reaches a handler.
+  /// Headers of responses to malformed requests that never reach a handler.
   static HttpHeaders ErrorResponseHeaders();
-  /// Between half of and one and a half times aMs, at least 1.
+  /// Random time between 0.5 and 1.5 times aMs, at least 1 ms.
   static TimeMs Jitter(TimeMs aMs);
 
 private:
--- a/router/Router.cpp
+++ b/router/Router.cpp
@@ -12,9 +12,10 @@
 
 namespace detail {
 
-/// Time for callers to close their connections after the balancer has stopped.
-constexpr TimeMs kCloseMs = 1000;
-constexpr TimeMs kPollMs = 5;
+/// Time that callers get to close their connections after the load balancer
+/// has stopped sending new ones.
+constexpr TimeMs kMaxCloseWaitMs = 1000;
+constexpr TimeMs kPollIntervalMs = 5;
 
 int64_t UnixMinute()
 {
@@ -117,26 +118,28 @@
 
 bool Router::StopGracefully()
 {
-  const TimeMs end = clock_.NowMs() + settings_.stopTimeoutMs_;
+  const TimeMs deadlineMs = clock_.NowMs() + settings_.stopTimeoutMs_;
   ready_ = false;
   Log(LogLevel::Info,
       "stopping",
       { { "readyFailMs", settings_.readyFailMs_ },
         { "inFlight", http_.InFlight() } });
-  // Callers learn with each answer that their connection ends, so few of the
-  // connections are still open when the balancer has stopped to use them.
+  // From here on each response closes its connection, so few connections are
+  // left when the load balancer has stopped using them.
   http_.BeginDrain();
   std::this_thread::sleep_for(
     std::chrono::milliseconds(settings_.readyFailMs_));
-  // A request can be under way on a connection that is still open.
-  const TimeMs closeEnd = std::min(end, clock_.NowMs() + detail::kCloseMs);
-  while (http_.Connections() > 0 && clock_.NowMs() < closeEnd) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(detail::kPollMs));
+  // A caller may have sent a request on a connection that is still open.
+  const TimeMs closeDeadlineMs =
+    std::min(deadlineMs, clock_.NowMs() + detail::kMaxCloseWaitMs);
+  while (http_.Connections() > 0 && clock_.NowMs() < closeDeadlineMs) {
+    std::this_thread::sleep_for(
+      std::chrono::milliseconds(detail::kPollIntervalMs));
   }
-  const bool idle = http_.WaitIdle(end - clock_.NowMs());
+  const bool idle = http_.WaitIdle(deadlineMs - clock_.NowMs());
   if (!idle) {
     Log(LogLevel::Warning,
-        "requests were cut off at the stop time limit",
+        "requests were aborted because the stop timeout expired",
         { { "inFlight", http_.InFlight() } });
   }
   http_.Stop();
@@ -150,13 +153,13 @@
 void Router::Handle(HttpExchange& aExchange)
 {
   if (aExchange.Path().starts_with("/_")) {
-    HandleOwn(aExchange);
+    HandleInternalEndpoint(aExchange);
   } else {
     RequestHandler(context_, aExchange).Run();
   }
 }
 
-void Router::HandleOwn(HttpExchange& aExchange)
+void Router::HandleInternalEndpoint(HttpExchange& aExchange)
 {
   constexpr int kOk = 200;
   constexpr int kUnavailable = 503;
--- a/router/Router.hpp
+++ b/router/Router.hpp
@@ -16,7 +16,8 @@
 
 namespace cactuspitch {
 
-/// The router process without its table follower, which is passed in.
+/// The router: serves callers over HTTP and peers over Thrift. The source of
+/// the routing tables is passed in.
 class Router
 {
 public:
@@ -25,9 +26,11 @@
   Router(const Router&) = delete;
   Router& operator=(const Router&) = delete;
 
+  /// Starts the listeners and the background tasks.
   absl::Status Start();
-  /// Fails readiness, waits for the balancer, finishes the requests in flight
-  /// and stops. False when requests were still in flight at the time limit.
+  /// Fails the readiness check, waits for the load balancer, completes the
+  /// requests in flight and stops. False when requests were still in flight
+  /// when the stop timeout expired.
   bool StopGracefully();
 
   const RouterContext& Context() const { return context_; }
@@ -38,7 +41,7 @@
 
 private:
   void Handle(HttpExchange& aExchange);
-  void HandleOwn(HttpExchange& aExchange);
+  void HandleInternalEndpoint(HttpExchange& aExchange);
   std::string MetricsText() const;
   wire::ProcessStatus Status() const;
 
--- a/router/RouterBackgroundTasks.cpp
+++ b/router/RouterBackgroundTasks.cpp
@@ -12,14 +12,16 @@
 
 namespace detail {
 
-constexpr TimeMs kRefreshMs = 100;
-/// Changes reach all instances within 2 s, also when one message is lost.
-constexpr TimeMs kQuarantineCheckMs = 100;
-constexpr TimeMs kQuarantineRepeatMs = 1000;
-constexpr TimeMs kReportMs = 1000;
+constexpr TimeMs kRefreshIntervalMs = 100;
+/// With these intervals, changes reach all instances within 2 s, even if one
+/// message is lost.
+constexpr TimeMs kQuarantineCheckIntervalMs = 100;
+constexpr TimeMs kQuarantineResendIntervalMs = 1000;
+constexpr TimeMs kReportIntervalMs = 1000;
 constexpr size_t kHotKeys = 84;
-/// Servers close idle connections by themselves after some time.
-constexpr TimeMs kIdleConnectionMs = 30000;
+/// Idle time after which a connection is closed, since servers also close idle
+/// connections after some time.
+constexpr TimeMs kMaxIdleConnectionMs = 30000;
 
 }
 
@@ -70,7 +72,7 @@
 {
   do {
     Refresh();
-  } while (SleepFor(detail::kRefreshMs));
+  } while (SleepFor(detail::kRefreshIntervalMs));
 }
 
 void RouterBackgroundTasks::Refresh()
@@ -83,12 +85,12 @@
       context_.rules_.Update(config->json_, config->version_, now);
     if (updated.ok()) {
       Log(LogLevel::Info,
-          "configuration is in force",
+          "configuration applied",
           { { "version", config->version_ } });
     } else {
       rejectedVersion_ = config->version_;
       Log(LogLevel::Error,
-          "configuration is malformed, the last one stays in force",
+          "configuration is malformed; keeping the previous one",
           { { "version", config->version_ },
             { "findings", std::string(updated.message()) } });
     }
@@ -104,11 +106,12 @@
 {
   FetchQuarantine();
   TimeMs lastShareMs = context_.clock_.NowMs();
-  while (SleepFor(detail::kQuarantineCheckMs)) {
+  while (SleepFor(detail::kQuarantineCheckIntervalMs)) {
     const TimeMs now = context_.clock_.NowMs();
-    const bool repeat = now - lastShareMs >= detail::kQuarantineRepeatMs &&
-                        context_.quarantine_.HasSuspects();
-    if (context_.quarantine_.TakeChanged() || repeat) {
+    const bool resend =
+      now - lastShareMs >= detail::kQuarantineResendIntervalMs &&
+      context_.quarantine_.HasSuspects();
+    if (context_.quarantine_.TakeChanged() || resend) {
       ShareQuarantine();
       lastShareMs = now;
     }
@@ -143,7 +146,7 @@
     [](const CrashSuspect& aSuspect) { return ToWire(aSuspect); });
   for (const auto& peer : context_.tables_.RouterPeers()) {
     if (peer != ownAddress_) {
-      // A lost message is repeated by the next share.
+      // The next periodic message makes up for a lost one.
       (void)routers_.Run(
         peer, [&](auto& aClient) { aClient.ShareQuarantine(entries); });
     }
@@ -223,7 +226,8 @@
   for (const auto& [service, keys] : window.hotKeys_) {
     for (const auto& key : keys) {
       if (auto* report = reportOf(service, key.hash_)) {
-        // The upper bound of a cold key is mostly that of the sketch's error.
+        // For a cold key, the upper bound consists mostly of the sketch's
+        // error.
         const double lowerBound = key.perSecond_ - key.errorPerSecond_;
         wire::KeyLoad load;
         load.serviceName = service;
@@ -239,7 +243,7 @@
 void RouterBackgroundTasks::RunReports()
 {
   TimeMs lastMs = context_.clock_.NowMs();
-  while (SleepFor(detail::kReportMs)) {
+  while (SleepFor(detail::kReportIntervalMs)) {
     const TimeMs now = context_.clock_.NowMs();
     for (const auto& [assigner, report] : MakeReports(now - lastMs)) {
       if (assigner.empty()) {
@@ -257,7 +261,7 @@
 
 void RouterBackgroundTasks::CloseIdleConnections()
 {
-  const TimeMs limit = context_.clock_.NowMs() - detail::kIdleConnectionMs;
+  const TimeMs limit = context_.clock_.NowMs() - detail::kMaxIdleConnectionMs;
   for (const auto& server : context_.registry_.Servers().All()) {
     server->Pool().CloseIdleUnusedSince(limit);
   }
--- a/router/RouterBackgroundTasks.hpp
+++ b/router/RouterBackgroundTasks.hpp
@@ -16,9 +16,11 @@
 
 using AssignerChannelPool = PeerChannelPool<wire::AssignerPeerClient>;
 
-/// Periodic work of the router: load reports each second to the assigner of
-/// each group, shared quarantine, rules from the configuration, idle
-/// connections. Each duty has a thread, so that a silent peer delays no other.
+/// Periodic tasks of the router: applying the configuration, exchanging the
+/// quarantine with other routers, and, once a second, sending load reports to
+/// the assigner of each group and closing idle connections. Configuration,
+/// quarantine and reports each have a thread, so that an unresponsive peer
+/// delays only one of them.
 class RouterBackgroundTasks
 {
 public:
@@ -32,17 +34,17 @@
 
   void Start();
   void Stop();
-  /// Takes the configuration and the live routers over.
+  /// Applies the latest configuration and list of live routers.
   void Refresh();
-  /// Measurements of the last window, for the metrics page.
+  /// Measurements of the last window, for the metrics endpoint.
   std::vector<wire::ServerMeasurement> LastMeasurements() const;
   int64_t ReportsSent() const { return reportsSent_; }
 
 private:
-  /// Reports by assigner address.
+  /// Load reports by assigner address.
   using Reports = std::map<std::string, wire::LoadReport>;
 
-  /// False when the duties end.
+  /// False when the tasks are stopping.
   bool SleepFor(TimeMs aMs);
   void RunRefresh();
   void RunQuarantine();
--- a/router/RouterContext.hpp
+++ b/router/RouterContext.hpp
@@ -16,7 +16,7 @@
 
 namespace cactuspitch {
 
-/// Everything that a request needs; owned by Router.
+/// Shared state of all requests. Router owns it and the objects it refers to.
 struct RouterContext
 {
   const Clock& clock_;
@@ -30,8 +30,8 @@
   CancellationSender& cancellationSender_;
   std::string instance_;
   InputLimits limits_;
-  /// Requests that may wait for an owner at once. Each holds a thread; more
-  /// would starve the requests of other services.
+  /// Limit of requests that wait for an owner at the same time. Each blocks a
+  /// thread; without a limit they would starve requests to other services.
   int maxParked_ = 1;
 
   std::atomic<int> parked_ = 0;
--- a/router/RouterMain.cpp
+++ b/router/RouterMain.cpp
@@ -33,7 +33,7 @@
     return EXIT_FAILURE;
   }
   Log(LogLevel::Info,
-      "router is running",
+      "router started",
       { { "listen", settings.listen_ },
         { "rpcListen", settings.rpcListen_ },
         { "instance", settings.instance_ } });
--- a/router/RouterSettings.hpp
+++ b/router/RouterSettings.hpp
@@ -10,7 +10,7 @@
 
 namespace cactuspitch {
 
-/// Checked settings of the router.
+/// Parsed settings of the router; RouterSettingSpecs() describes them.
 struct RouterSettings
 {
   std::string instance_;
@@ -35,7 +35,7 @@
 
 RouterSettings ReadRouterSettings(const Settings& aSettings);
 
-/// Adds contradictions between settings to aFindings.
+/// Adds a finding for each contradiction between settings.
 void CheckRouterSettings(const Settings& aSettings, Findings& aFindings);
 
 }
--- a/router/RoutingTables.hpp
+++ b/router/RoutingTables.hpp
@@ -9,7 +9,7 @@
 
 namespace cactuspitch {
 
-/// What the data path needs of the TableFollower; tests fake it.
+/// Interface of TableFollower for the data path; tests use a fake.
 class RoutingTables
 {
 public:
@@ -17,9 +17,10 @@
   virtual std::shared_ptr<const FollowedTable> Table(std::string_view aService,
                                                      KeyHash aHash) const = 0;
   virtual std::vector<std::shared_ptr<const FollowedTable>> Tables() const = 0;
+  /// Thrift addresses of the live routers.
   virtual std::vector<std::string> RouterPeers() const = 0;
   virtual std::shared_ptr<const FollowedConfig> Config() const = 0;
-  /// Thrift address of an assigner that a table names; empty when unknown.
+  /// Thrift address of the assigner aName; empty when unknown.
   virtual std::string AssignerAddress(const std::string& aName) const = 0;
   virtual bool IsReady() const = 0;
   virtual bool WaitNewer(std::string_view aService,
@@ -30,7 +31,7 @@
   virtual void RequestRefresh(std::string_view aService, KeyHash aHash) = 0;
 };
 
-/// RoutingTables of a running TableFollower.
+/// RoutingTables on top of a running TableFollower.
 class FollowerRoutingTables final : public RoutingTables
 {
 public:
--- a/router/RuleCache.cpp
+++ b/router/RuleCache.cpp
@@ -92,12 +92,12 @@
     ScopeBit(ScopeDimension::FailureDomain) | ScopeBit(ScopeDimension::Server);
   auto& cache = Current();
   const bool byServer = (cache.Dimensions(aService) & kServerDimensions) != 0;
-  cache.name_ = aService;
+  cache.cacheKey_ = aService;
   if (byServer) {
-    cache.name_.push_back('/');
-    cache.name_.append(aServer);
+    cache.cacheKey_.push_back('/');
+    cache.cacheKey_.append(aServer);
   }
-  auto& rules = cache.rules_[cache.name_];
+  auto& rules = cache.rules_[cache.cacheKey_];
   if (!rules) {
     RuleScope target;
     target.service_ = aService;
--- a/router/RuleCache.hpp
+++ b/router/RuleCache.hpp
@@ -15,8 +15,9 @@
 
 namespace cactuspitch {
 
-/// Rules in force, from the configuration document; defaults until there is
-/// one. Lookups of rules without exceptions for single keys are cached.
+/// Resolves service rules from the configuration document; defaults apply until
+/// there is one. Each thread caches the resolved rules, except those with
+/// exceptions for single keys. Thread-safe.
 class RuleCache
 {
 public:
@@ -24,10 +25,10 @@
 
   RuleCache();
 
-  /// Takes a newer document over; an older one is ignored. A document that is
-  /// malformed is refused and the last one stays in force.
+  /// Installs a document; one that is not newer is ignored. A malformed
+  /// document returns an error, and the previous one stays in force.
   absl::Status Update(std::string_view aJson, int64_t aVersion, UnixMs aNowMs);
-  /// Drops exceptions that have expired.
+  /// Removes expired exceptions.
   void Expire(UnixMs aNowMs);
   int64_t Version() const;
 
@@ -41,7 +42,7 @@
                    std::string_view aKey) const;
 
 private:
-  /// aServerRules when no exception of the service names keys.
+  /// Returns aServerRules when the service has no exceptions for keys.
   Rules ForKey(const Rules& aServerRules,
                std::string_view aService,
                std::string_view aFailureDomain,
@@ -53,7 +54,7 @@
     FleetDocument document_;
     std::unique_ptr<const RuleResolver> resolver_;
   };
-  /// What one thread has resolved; no other thread shares the reference counts.
+  /// Rules resolved by one thread. Threads do not share reference counts.
   struct ThreadCache
   {
     uint64_t generation_ = 0;
@@ -62,16 +63,17 @@
     /// server.
     absl::flat_hash_map<std::string, Rules> rules_;
     absl::flat_hash_map<std::string, uint8_t> dimensions_;
-    std::string name_;
+    std::string cacheKey_;
 
     uint8_t Dimensions(std::string_view aService);
   };
 
-  /// Cache of this thread; a lock is taken only after a change.
+  /// Cache of the calling thread. Locks only after a change of the document.
   ThreadCache& Current() const;
   void Install(FleetDocument aDocument, UnixMs aNowMs);
 
-  /// Differs between all states of all objects.
+  /// Unique among all snapshots of all RuleCache objects, since the thread
+  /// cache is shared by all of them.
   std::atomic<uint64_t> generation_ = 0;
   mutable std::mutex mutex_;
   std::shared_ptr<const Snapshot> snapshot_;
--- a/router/ServerExchange.cpp
+++ b/router/ServerExchange.cpp
@@ -11,18 +11,20 @@
 
 namespace detail {
 
-/// An answer that fits is sent in one piece and can be retried until it is
-/// complete; a larger one is handed through in parts of this size.
+/// A response body that fits is buffered, so that the attempt can be retried
+/// until the response is complete. A larger one is streamed in parts of this
+/// size.
 constexpr size_t kBufferBytes = 64 * 1024;
-/// An idle connection may have been closed at the other end, unseen so far.
-/// A non-idempotent request cannot be retried then, so it waits less.
+/// An idle connection may have been closed by the server without the router's
+/// knowledge. A non-idempotent request cannot be retried in that case, so its
+/// limit is lower.
 constexpr TimeMs kMaxIdleMs = 10000;
 constexpr TimeMs kMaxIdleNonIdempotentMs = 1000;
-constexpr TimeMs kSilenceCheckMs = 50;
+constexpr TimeMs kSilenceCheckIntervalMs = 50;
 /// Clock rates differ by 1% at most (docs/design.md, section 4.1).
 constexpr TimeMs kSlowestClockPercent = 99;
-/// An older stamp of a server that does not check the fence is taken again;
-/// the allowance for the clock rate grows with its age.
+/// For a server that does not check the fence, an older clock reading is
+/// replaced, since the allowance for clock drift grows with its age.
 constexpr TimeMs kMaxClockAgeMs = 2000;
 constexpr size_t kMaxHealthBytes = 64 * 1024;
 constexpr int kFirstFinalStatus = 200;
@@ -125,8 +127,8 @@
     return offset ? std::optional(aRequest.serverDeadlineMs_ + *offset)
                   : std::nullopt;
   }
-  // A slower clock of the server would reach the deadline after this router's
-  // view lease has ended.
+  // A server whose clock runs slower would reach the deadline after the view
+  // lease of this router has expired.
   const auto receivedMs = connection_->clockReceivedMs_;
   const auto spanMs = aRequest.serverDeadlineMs_ - receivedMs;
   const auto shorterMs =
@@ -160,8 +162,9 @@
       return false;
     }
   }
-  // The clock of another process could be far behind, and a deadline in its
-  // terms far in the future, so it is learned on the connection itself.
+  // The clock is read on this connection, because another process of the
+  // server may have had a clock far ahead, which would put the deadline far
+  // into the future.
   if (!NeedsClockProbe(aRequest)) {
     return true;
   }
@@ -202,7 +205,7 @@
     }
     total += *got;
   }
-  return absl::DataLossError("health answer is too large");
+  return absl::DataLossError("health response is too large");
 }
 
 bool ServerExchange::ReadHead(const OutboundRequest& aRequest,
@@ -211,10 +214,10 @@
   auto& http = connection_->http_;
   auto& pool = server_.Pool();
   const TimeMs sentMs = clock_.NowMs();
-  TimeMs boundMs =
+  TimeMs deadlineMs =
     std::min(aRequest.attemptDeadlineMs_, sentMs + pool.SilenceLimitMs());
   while (true) {
-    auto head = http.ReadHead(boundMs);
+    auto head = http.ReadHead(deadlineMs);
     if (head.ok()) {
       server_.OnResponse(*connection_, *head);
       if (head->status_ < detail::kFirstFinalStatus) {
@@ -231,15 +234,15 @@
       return false;
     }
     if (pool.IsSilent(*connection_)) {
-      // Siblings of the same age probably took the same broken path.
+      // Older connections probably use the same broken network path.
       pool.CloseIdleOpenedBefore(connection_->openedMs_);
       if (aRequest.isIdempotent_) {
         Fail(head.status(), aResult);
         return false;
       }
     }
-    boundMs =
-      std::min(aRequest.attemptDeadlineMs_, now + detail::kSilenceCheckMs);
+    deadlineMs = std::min(aRequest.attemptDeadlineMs_,
+                          now + detail::kSilenceCheckIntervalMs);
   }
 }
 
@@ -287,11 +290,11 @@
     if (!sent) {
       break;
     }
-    const TimeMs bound =
+    const TimeMs partDeadlineMs =
       std::min(aRequest.streamDeadlineMs_,
                clock_.NowMs() + aRequest.streamStallTimeoutMs_);
     const auto got =
-      connection_->http_.ReadBody(buffer.data(), buffer.size(), bound);
+      connection_->http_.ReadBody(buffer.data(), buffer.size(), partDeadlineMs);
     if (!got.ok()) {
       aResult.outcome_ = ExchangeOutcome::PartialAfterHead;
       aResult.text_ = std::string(got.status().message());
--- a/router/ServerExchange.hpp
+++ b/router/ServerExchange.hpp
@@ -12,20 +12,23 @@
 
 namespace cactuspitch {
 
-/// One attempt, ready to be sent.
+/// Request of one attempt to a backend server.
 struct OutboundRequest
 {
-  HttpRequest http_; ///< without the protocol headers
+  HttpRequest http_; ///< without the headers of the internal protocol
   std::string_view requestId_;
   uint64_t fingerprint_ = 0;
   Epoch epoch_ = 0;
   bool isIdempotent_ = true;
-  /// The server does not check the fence, so its clock must be known.
+  /// The server does not check the fence, so the deadline must be sent in the
+  /// time of its clock.
   bool needsClock_ = false;
-  /// End of the attempt, and the deadline that is sent to the server.
+  /// Local time at which the attempt ends.
   TimeMs attemptDeadlineMs_ = 0;
+  /// Deadline that is sent to the server, in local time.
   TimeMs serverDeadlineMs_ = 0;
-  /// Bounds of an answer whose head was sent to the caller.
+  /// Limits for a response whose head was sent to the caller: its end, and the
+  /// longest time without progress.
   TimeMs streamDeadlineMs_ = 0;
   TimeMs streamStallTimeoutMs_ = 0;
 };
@@ -36,25 +39,27 @@
   NotRunReason reason_ = NotRunReason::Unreachable;
   std::string text_;
   HttpResponseHead head_;
-  /// The whole body when outcome_ is Complete and isStreamed_ is false. Valid
-  /// until the next exchange of this thread.
+  /// Whole body when outcome_ is Complete and isStreamed_ is false. Valid until
+  /// the next exchange of this thread.
   std::string_view body_;
-  /// The caller has received the answer, or its head.
+  /// At least the response head was sent to the caller.
   bool isStreamed_ = false;
-  /// The connection ended without an answer, which a crash can have caused.
+  /// The connection failed after the request was sent, possibly by a crash.
   bool mayBeCrash_ = false;
   bool isConnectionRefused_ = false;
+  /// Hash of the incarnation that was reached; 0 when unknown.
   uint64_t incarnation_ = 0;
-  /// Time to the answer, and to its end including a slow caller.
+  /// Time to the response head, and to the end of the response, which includes
+  /// waiting for a slow caller.
   double headMs_ = 0;
   double latencyMs_ = 0;
 
-  /// What the end says to the admission policy about the server.
+  /// Result of the attempt for the admission policy.
   AttemptEnd AdmissionFeedback() const;
 };
 
-/// Runs one attempt at a backend server and hands large answers through to the
-/// caller with a bounded buffer.
+/// Executes one attempt at a backend server. Streams large responses to the
+/// caller through a bounded buffer.
 class ServerExchange
 {
 public:
@@ -65,11 +70,15 @@
 private:
   bool ConnectAndSend(OutboundRequest& aRequest, ExchangeResult& aResult);
   bool ConnectIfNew(const OutboundRequest& aRequest, ExchangeResult& aResult);
-  /// Learns the clock of the process at the other end of this connection.
-  /// The request's deadline in the server's clock; empty when it is unknown.
+  /// Deadline of the request in the time of the server's clock; empty when its
+  /// offset is unknown.
   std::optional<TimeMs> ServerDeadlineMs(const OutboundRequest& aRequest) const;
   bool NeedsClockProbe(const OutboundRequest& aRequest) const;
+  /// Reads the clock of the process at the other end of this connection with a
+  /// health request.
   absl::Status ReadServerClock(TimeMs aDeadlineMs);
+  /// Skips interim responses. Fails early on an unresponsive connection when
+  /// the request is idempotent.
   bool ReadHead(const OutboundRequest& aRequest, ExchangeResult& aResult);
   void ReadResponseBody(const OutboundRequest& aRequest,
                         ExchangeResult& aResult,
@@ -78,8 +87,11 @@
               ExchangeResult& aResult,
               HttpExchange& aCaller,
               size_t aBuffered);
+  /// Classifies the failure in aResult and closes the connection.
   void Fail(const absl::Status& aStatus, ExchangeResult& aResult);
   double ElapsedMs() const;
+  /// Sets the outcome to Refused when the server reports that it did not
+  /// execute the request.
   void CheckRefusal(ExchangeResult& aResult) const;
 
   const Clock& clock_;
--- a/router/ServiceState.hpp
+++ b/router/ServiceState.hpp
@@ -9,7 +9,7 @@
 
 namespace cactuspitch {
 
-/// What the router keeps for one service.
+/// State that the router keeps for one service: its retry budget. Thread-safe.
 class ServiceState
 {
 public:
@@ -20,20 +20,25 @@
 
   const std::string& Name() const { return name_; }
 
-  /// Every request earns a share of a retry.
-  void OnRequest() { earned_.fetch_add(1, std::memory_order_relaxed); }
+  /// Counts a request, which adds to the retry budget.
+  void OnRequest()
+  {
+    uncountedRequests_.fetch_add(1, std::memory_order_relaxed);
+  }
+  /// Takes one retry from the budget; false when it is used up. The budget
+  /// grows by aBudgetPercent retries for 100 requests.
   bool TryTakeRetry(int64_t aBudgetPercent)
   {
-    // More requests than this fill the bucket at any share.
-    constexpr int64_t kEnough = 10000;
+    // This many requests fill the budget at any percentage.
+    constexpr int64_t kMaxRequests = 10000;
     const std::lock_guard lock(mutex_);
     if (aBudgetPercent != percent_) {
       percent_ = aBudgetPercent;
       budget_.SetPercent(static_cast<double>(aBudgetPercent));
     }
-    const auto earned =
-      std::min(earned_.exchange(0, std::memory_order_relaxed), kEnough);
-    for (int64_t i = 0; i < earned; ++i) {
+    const auto requests = std::min(
+      uncountedRequests_.exchange(0, std::memory_order_relaxed), kMaxRequests);
+    for (int64_t i = 0; i < requests; ++i) {
       budget_.OnRequest();
     }
     return budget_.TryTake();
@@ -41,7 +46,7 @@
 
 private:
   const std::string name_;
-  std::atomic<int64_t> earned_ = 0;
+  std::atomic<int64_t> uncountedRequests_ = 0;
   std::mutex mutex_;
   int64_t percent_ = 0;
   RetryBudget budget_{ 0 };
--- a/router/SloCounters.cpp
+++ b/router/SloCounters.cpp
@@ -18,8 +18,8 @@
 
 }
 
-SloCounters::SloCounters(MinuteSource aMinutes)
-  : minutes_(std::move(aMinutes))
+SloCounters::SloCounters(MinuteSource aCurrentMinute)
+  : currentMinute_(std::move(aCurrentMinute))
 {
 }
 
@@ -28,7 +28,7 @@
                          std::string_view aServer,
                          std::string_view aFailureDomain)
 {
-  const auto minute = minutes_();
+  const auto minute = currentMinute_();
   auto& shard = shards_[ThreadShardIndex(kShards)];
   const std::lock_guard lock(shard.mutex_);
   if (shard.minute_ != minute) {
@@ -63,7 +63,7 @@
       counts.causes_.clear();
     }
   }
-  const auto oldest = minutes_() - kRetentionMinutes;
+  const auto oldest = currentMinute_() - kRetentionMinutes;
   while (!totals_.empty() && std::get<0>(totals_.begin()->first) < oldest) {
     totals_.erase(totals_.begin());
   }
--- a/router/SloCounters.hpp
+++ b/router/SloCounters.hpp
@@ -19,31 +19,32 @@
 {
   int64_t epochMinute_ = 0;
   std::string service_;
-  std::string cause_; ///< empty: served within the objective
+  std::string cause_; ///< empty when the request met the objective
   std::string server_;
   std::string failureDomain_;
   int64_t requests_ = 0;
 };
 
-/// Requests by minute, service, cause and backend server, for the burn report.
+/// Counts requests by minute, service, cause and backend server for the SLO
+/// burn report. Thread-safe.
 class SloCounters
 {
 public:
-  /// Current minute since the epoch; passed in so that tests control it.
+  /// Returns the current minute since the epoch; tests pass their own.
   using MinuteSource = std::function<int64_t()>;
 
-  explicit SloCounters(MinuteSource aMinutes);
+  explicit SloCounters(MinuteSource aCurrentMinute);
 
-  /// aServer is empty when no backend server was chosen. aCause must outlive
-  /// the object (a literal).
+  /// Counts a request. aServer is empty when no backend server was chosen.
+  /// aCause must outlive the object, as a string literal does.
   void Record(std::string_view aService,
               std::string_view aCause,
               std::string_view aServer,
               std::string_view aFailureDomain);
-  /// Counts of the minutes from aSinceMinute on.
+  /// Counts from aSinceMinute on, the current minute included.
   std::vector<SloCount> Since(int64_t aSinceMinute);
 
-  /// Minutes that are kept for readers.
+  /// Minutes after which counts are dropped.
   static constexpr int64_t kRetentionMinutes = 65;
 
 private:
@@ -67,10 +68,11 @@
   };
   static constexpr size_t kShards = 16;
 
-  /// Adds the shard's minute to totals_ and clears it.
+  /// Adds the counts of the shard to totals_, clears them and drops expired
+  /// minutes. The caller holds the shard's lock.
   void Flush(Shard& aShard);
 
-  MinuteSource minutes_;
+  MinuteSource currentMinute_;
   std::array<Shard, kShards> shards_;
   std::mutex totalsMutex_;
   std::map<Key, Total> totals_; ///< minute, service, cause, server
--- a/router/StateRegistry.hpp
+++ b/router/StateRegistry.hpp
@@ -16,9 +16,9 @@
 
 namespace cactuspitch {
 
-/// Objects found by name from many threads, created on first use and kept
-/// until the end. Each group of threads looks up in a copy of the index, since
-/// one index with a reader lock costs a contended cache line each time.
+/// Thread-safe map of named objects, which are created on first use and never
+/// removed. Threads are spread over copies of the index: with one index under a
+/// reader lock, each lookup would contend for a cache line.
 template<typename T>
 class ShardedObjectMap
 {
@@ -64,7 +64,7 @@
   absl::flat_hash_map<std::string, std::unique_ptr<T>> objects_;
 };
 
-/// Backend servers and services that this router has met.
+/// Backend servers and services that this router has used.
 class StateRegistry
 {
 public:
@@ -73,7 +73,8 @@
   {
   }
 
-  /// A server that came back under another address is a new object.
+  /// Objects are found by address, so a server that restarts with another
+  /// address gets a new object.
   BackendServer& Server(const BackendServerRecord& aRecord)
   {
     return servers_.Get(aRecord.address_, [&] {
--- a/router/SynchronizedLedger.hpp
+++ b/router/SynchronizedLedger.hpp
@@ -9,7 +9,7 @@
 
 namespace cactuspitch {
 
-/// The ledger that this router holds, for many threads.
+/// Thread-safe RequestLedger: this router's replica of the request ledger.
 class SynchronizedLedger
 {
 public:
--- a/router/SynchronizedQuarantine.hpp
+++ b/router/SynchronizedQuarantine.hpp
@@ -11,14 +11,14 @@
 
 namespace cactuspitch {
 
-/// CrashQuarantine of this router, for many threads.
+/// Thread-safe CrashQuarantine of this router.
 class SynchronizedQuarantine
 {
 public:
   explicit SynchronizedQuarantine(const Clock& aClock,
                                   QuarantineOptions aOptions = {});
 
-  /// Lock-free; lets the hot path skip the other calls.
+  /// Lock-free. The hot path skips the other calls when there are no suspects.
   bool HasSuspects() const
   {
     return hasSuspects_.load(std::memory_order_acquire);
--- a/router/ThriftLedgerTransport.cpp
+++ b/router/ThriftLedgerTransport.cpp
@@ -6,14 +6,15 @@
 
 namespace detail {
 
-constexpr size_t kPendingFinishes = 16384;
-/// A finish that does not reach its holder leaves the id in progress there,
-/// which is safe; this bounds the work for a lost holder.
-constexpr TimeMs kFinishRetryMs = 10000;
-/// Request ids are printable, so the separator cannot be part of one.
+constexpr size_t kMaxPendingFinishes = 16384;
+/// Time limit for reporting a final state to an unreachable replica. If the
+/// report never arrives, the id stays in progress at that replica, which is
+/// safe.
+constexpr TimeMs kFinishRetryTimeoutMs = 10000;
+/// Request ids contain only printable characters, so never this one.
 constexpr char kTokenSeparator = '\x1f';
 
-ReplicaResponse ToAnswer(RequestLedger::BeginResult aResult)
+ReplicaResponse ToReplicaResponse(RequestLedger::BeginResult aResult)
 {
   switch (aResult) {
     case RequestLedger::BeginResult::Recorded:
@@ -36,8 +37,8 @@
   , ownAddress_(std::move(aOwnAddress))
   , localLedger_(aLocalLedger)
   , pool_(aPool)
-  , pending_(detail::kPendingFinishes)
-  , thread_([this] { RunFinishes(); })
+  , pending_(detail::kMaxPendingFinishes)
+  , thread_([this] { SendPendingFinishes(); })
 {
 }
 
@@ -77,7 +78,7 @@
                                              LedgerEntryState& aState)
 {
   if (aPeer == ownAddress_) {
-    return detail::ToAnswer(localLedger_.Begin(aId, aState));
+    return detail::ToReplicaResponse(localLedger_.Begin(aId, aState));
   }
   wire::BeginRequestResponse response;
   const auto status = pool_.Run(aPeer, [&](auto& aClient) {
@@ -124,13 +125,13 @@
     return;
   }
   pending_.TryPush(
-    { aPeer, aId, aState, clock_.NowMs() + detail::kFinishRetryMs });
+    { aPeer, aId, aState, clock_.NowMs() + detail::kFinishRetryTimeoutMs });
 }
 
-void ThriftLedgerTransport::RunFinishes()
+void ThriftLedgerTransport::SendPendingFinishes()
 {
   constexpr auto kPopTimeout = std::chrono::milliseconds(200);
-  constexpr auto kRetryPause = std::chrono::milliseconds(20);
+  constexpr auto kRetryInterval = std::chrono::milliseconds(20);
   while (true) {
     auto pending = pending_.Pop(kPopTimeout);
     if (!pending) {
@@ -144,7 +145,7 @@
       continue;
     }
     pending_.TryPush(std::move(*pending));
-    std::this_thread::sleep_for(kRetryPause);
+    std::this_thread::sleep_for(kRetryInterval);
   }
 }
 
--- a/router/ThriftLedgerTransport.hpp
+++ b/router/ThriftLedgerTransport.hpp
@@ -14,11 +14,12 @@
 
 using RouterChannelPool = PeerChannelPool<wire::RouterPeerClient>;
 
-/// Ledgers of all routers: the own one directly, others over Thrift.
+/// Calls the local ledger directly and the ledgers of other routers over
+/// Thrift.
 class ThriftLedgerTransport final : public LedgerTransport
 {
 public:
-  /// aOwnAddress is the Thrift address under which peers know this router.
+  /// aOwnAddress is the Thrift address that peers use for this router.
   ThriftLedgerTransport(const Clock& aClock,
                         std::string aOwnAddress,
                         SynchronizedLedger& aLocalLedger,
@@ -36,7 +37,7 @@
                    LedgerEntryState aState) override;
   void Stop();
 
-  /// Request id and token as one string of the wire protocol.
+  /// Joins request id and token to one string for the wire protocol.
   static std::string EncodeId(const LedgerId& aId);
   static LedgerId DecodeId(const std::string& aService,
                            const std::string& aText);
@@ -53,7 +54,7 @@
   bool SendFinish(const std::string& aPeer,
                   const LedgerId& aId,
                   LedgerEntryState aState);
-  void RunFinishes();
+  void SendPendingFinishes();
 
   const Clock& clock_;
   const std::string ownAddress_;
