Describe store/, kernel/ and common/ in the field's terms

Cause: comments used figures ("each open connection holds a thread", "a slow consumer between two duties") and left out errors and defaults.

Change: doc comments state errors, defaults and ownership in plain terms. The status codes and headers of HTTP responses stay.

--- a/common/BoundedRing.hpp
+++ b/common/BoundedRing.hpp
@@ -10,8 +10,8 @@
 
 namespace cactuspitch {
 
-/// Bounded queue between two duties. Producers never block: a full ring
-/// refuses the item, so that a slow consumer cannot stall the data path.
+/// Thread-safe bounded queue on a ring buffer. Producers never block: a full
+/// queue rejects the item, so that a slow consumer cannot stall the data path.
 template<typename T>
 class BoundedRing
 {
@@ -21,7 +21,7 @@
   {
   }
 
-  /// False when the ring is full or closed; aItem is then unchanged.
+  /// False when the queue is full or closed; aItem is then unchanged.
   bool TryPush(T&& aItem)
   {
     {
@@ -36,7 +36,8 @@
     return true;
   }
 
-  /// Waits up to aTimeout for an item; empty on timeout or when closed.
+  /// Waits up to aTimeout for an item. Empty on timeout, and when the queue is
+  /// closed and has no more items.
   std::optional<T> Pop(std::chrono::milliseconds aTimeout)
   {
     std::unique_lock lock(mutex_);
@@ -50,7 +51,8 @@
     return item;
   }
 
-  /// Wakes all consumers; items already queued can still be popped.
+  /// Rejects further items and wakes all consumers. Queued items can still be
+  /// popped.
   void Close()
   {
     {
--- a/common/CancelSignal.cpp
+++ b/common/CancelSignal.cpp
@@ -21,7 +21,7 @@
 void CancelSignal::Cancel()
 {
   const uint64_t one = 1;
-  // A full counter is already readable, so a failed write changes nothing.
+  // The write fails only when the counter is full, and then it is readable.
   [[maybe_unused]] const auto written = write(fd_, &one, sizeof(one));
 }
 
--- a/common/CancelSignal.hpp
+++ b/common/CancelSignal.hpp
@@ -2,7 +2,7 @@
 
 namespace cactuspitch {
 
-/// Wakes a thread that waits in a bounded I/O call, from any thread.
+/// Cancels the I/O calls of a DeadlineSocket from any thread.
 class CancelSignal
 {
 public:
@@ -12,9 +12,10 @@
   CancelSignal& operator=(const CancelSignal&) = delete;
 
   void Cancel();
+  /// Clears the signal for reuse.
   void Reset();
   bool IsCancelled() const;
-  /// Becomes readable on Cancel().
+  /// Descriptor for poll(); readable after Cancel() until Reset().
   int FileDescriptor() const { return fd_; }
 
 private:
--- a/common/Clock.hpp
+++ b/common/Clock.hpp
@@ -4,10 +4,11 @@
 
 namespace cactuspitch {
 
-/// Milliseconds since 1970, by the machine's clock, which may be set.
+/// Milliseconds since the Unix epoch by the system clock, which may be
+/// adjusted.
 int64_t UnixNowMs();
 
-/// Source of monotonic time, passed to constructors so that tests control it.
+/// Source of monotonic time. Tests pass their own.
 class Clock
 {
 public:
@@ -15,8 +16,8 @@
   virtual TimeMs NowMs() const = 0;
 };
 
-/// CLOCK_BOOTTIME: keeps counting while the machine is suspended, so a lease
-/// also ends for a process that was asleep.
+/// Uses CLOCK_BOOTTIME, which also counts the time while the machine is
+/// suspended, so that leases expire during a suspension.
 class SteadyClock final : public Clock
 {
 public:
--- a/common/DeadlineSocket.cpp
+++ b/common/DeadlineSocket.cpp
@@ -109,7 +109,7 @@
       return error == boost::asio::error::operation_aborted
                ? absl::CancelledError("connect cancelled")
                : absl::DeadlineExceededError(
-                   Concat("connect to ", aAddress, ": no answer"));
+                   Concat("connect to ", aAddress, ": timed out"));
     }
     socklen_t size = sizeof(failure);
     getsockopt(fd_, SOL_SOCKET, SO_ERROR, &failure, &size);
--- a/common/DeadlineSocket.hpp
+++ b/common/DeadlineSocket.hpp
@@ -13,8 +13,8 @@
 
 namespace cactuspitch {
 
-/// TCP socket whose every call ends by a deadline or a cancellation. Meets the
-/// SyncStream requirements of Boost.Beast.
+/// Non-blocking TCP socket with blocking calls that end at a deadline or on
+/// cancellation. Meets the SyncStream requirements of Boost.Beast.
 class DeadlineSocket
 {
 public:
@@ -23,17 +23,20 @@
   DeadlineSocket(const DeadlineSocket&) = delete;
   DeadlineSocket& operator=(const DeadlineSocket&) = delete;
 
-  /// Applies to all following calls. aCancel may be null.
+  /// Sets deadline and cancellation signal of all following calls. aCancel may
+  /// be null.
   void SetDeadline(TimeMs aDeadlineMs, const CancelSignal* aCancel);
 
-  /// aAddress is "IP:port". Unavailable: the connection was refused.
-  /// DeadlineExceeded, Cancelled or Unknown otherwise.
+  /// Connects to aAddress, an "IP:port". Unavailable when the connection was
+  /// refused, InvalidArgument when aAddress is malformed; otherwise
+  /// DeadlineExceeded, Cancelled, ResourceExhausted or Unknown.
   absl::Status Connect(const std::string& aAddress);
   void Close();
   bool IsOpen() const { return fd_ >= 0; }
-  /// True when the peer closed or sent bytes that nobody asked for.
+  /// True when the peer closed the idle connection or sent unexpected bytes.
   bool IsClosedOrReadable() const;
-  /// The next read waits first, which saves the attempt that finds nothing.
+  /// Makes the next read poll the socket first, which saves a recv() call when
+  /// no data can have arrived yet.
   void PollBeforeNextRead() { pollBeforeNextRead_ = true; }
   size_t BytesWritten() const { return bytesWritten_; }
   void ResetBytesWritten() { bytesWritten_ = 0; }
@@ -91,7 +94,8 @@
   size_t Send(const iovec* aParts,
               size_t aCount,
               boost::beast::error_code& aError);
-  /// Waits for the poll events; sets aError on timeout or cancellation.
+  /// Waits for the poll events. False on error, timeout or cancellation, with
+  /// the reason in aError.
   bool Wait(short aEvents, boost::beast::error_code& aError) const;
 
   const Clock& clock_;
--- a/common/EnumNames.hpp
+++ b/common/EnumNames.hpp
@@ -7,8 +7,8 @@
 
 namespace cactuspitch {
 
-/// Specialised beside each enumeration with `kNames`, one entry for each
-/// enumerator in order. The enumeration ends with `Count`.
+/// Names of the values of an enumeration. Specialise it with `kNames`, one
+/// entry for each enumerator in order. The enumeration must end with `Count`.
 template<typename E>
 struct EnumNames;
 
--- a/common/Findings.hpp
+++ b/common/Findings.hpp
@@ -7,7 +7,8 @@
 
 namespace cactuspitch {
 
-/// One violated rule with its place: which object, field and value.
+/// One violated validation rule, with the object, field and value that violate
+/// it.
 struct Finding
 {
   std::string object_;
@@ -16,7 +17,7 @@
   std::string rule_;
 };
 
-/// Collects all findings of a check so that they are reported together.
+/// Collects all findings of a validation, so that they are reported together.
 class Findings
 {
 public:
@@ -29,9 +30,9 @@
   bool IsEmpty() const { return findings_.empty(); }
   const std::vector<Finding>& All() const { return findings_; }
 
-  /// One line for each finding.
+  /// Formats each finding as one line.
   std::string ToText() const;
-  /// OK when empty, otherwise InvalidArgument with ToText().
+  /// Ok when there are no findings, otherwise InvalidArgument with ToText().
   absl::Status ToStatus() const;
 
 private:
--- a/common/GroupTable.hpp
+++ b/common/GroupTable.hpp
@@ -9,20 +9,21 @@
 
 namespace cactuspitch {
 
-/// Index into GroupTable::servers_ of a slice without owner or standby.
+/// Value of owner_ or standby_ for a slice that has none.
 inline constexpr int32_t kNoServer = -1;
 
-/// Ownership of the hashes from begin_ up to the begin of the next slice.
+/// Ownership of a slice: the hashes from begin_ up to the begin of the next
+/// slice.
 struct SliceRecord
 {
   KeyHash begin_ = 0;
   Epoch epoch_ = 0;
-  int32_t owner_ = kNoServer;
-  int32_t standby_ = kNoServer;
+  int32_t owner_ = kNoServer;   ///< index into GroupTable::servers_
+  int32_t standby_ = kNoServer; ///< index into GroupTable::servers_
 
   bool operator==(const SliceRecord&) const = default;
 };
-// docs/CAPACITY.md sizes the table of a daemon with this.
+// The table size in docs/CAPACITY.md is calculated with this value.
 static_assert(sizeof(SliceRecord) == 24);
 
 struct BackendServerRecord
@@ -40,7 +41,8 @@
   bool operator==(const BackendServerRecord&) const = default;
 };
 
-/// Table of one assignment group. Versions are ordered by (term, sequence).
+/// Ownership table of one assignment group. Versions are ordered by
+/// (term, sequence).
 struct GroupTable
 {
   std::string service_;
@@ -52,11 +54,11 @@
   std::vector<BackendServerRecord> servers_;
   std::vector<SliceRecord> slices_; ///< sorted by begin_, first begins at 0
 
-  /// Slice that holds the hash; slices_ must not be empty.
+  /// Slice that contains the hash; slices_ must not be empty.
   const SliceRecord& FindSlice(KeyHash aHash) const;
   /// Last hash of the slice at aIndex.
   KeyHash SliceEnd(size_t aIndex) const;
-  /// Null for kNoServer.
+  /// Server at an index; null for kNoServer.
   const BackendServerRecord* Server(int32_t aIndex) const;
   bool IsNewerThan(const GroupTable& aOther) const;
 };
--- a/common/HttpConnection.cpp
+++ b/common/HttpConnection.cpp
@@ -59,9 +59,10 @@
   std::optional<ResponseParser> parser_;
   ExchangeStage stage_ = ExchangeStage::Idle;
   bool isHeadRequest_ = false;
-  std::string head_; ///< kept, so that a reused connection does not allocate
+  std::string head_; ///< reused, so that later requests do not allocate
 
-  /// Beast's message and serializer took a sixth of the time of an exchange.
+  /// Formats the request head without Beast's message and serializer, which
+  /// took a sixth of the time of an exchange.
   void BuildHead(const HttpRequest& aRequest)
   {
     head_.clear();
@@ -235,7 +236,7 @@
     }
     if (response.body_.size() + *got > aMaxBodyBytes) {
       Close();
-      return absl::DataLossError("answer body exceeds the limit");
+      return absl::DataLossError("response body exceeds the limit");
     }
     response.body_.append(chunk, *got);
   }
--- a/common/HttpConnection.hpp
+++ b/common/HttpConnection.hpp
@@ -32,7 +32,7 @@
   std::optional<uint64_t> contentLength_;
   bool hasBody_ = false;
 
-  /// Empty when absent; names compare without case.
+  /// Value of a header, whose name is case-insensitive; empty when absent.
   std::string_view Header(std::string_view aName) const;
 };
 
@@ -42,13 +42,14 @@
   std::string body_;
 };
 
-/// How far an exchange came; decides whether the request may have run.
+/// Progress of an exchange, from which follows whether the request may have
+/// been executed.
 enum class ExchangeStage : uint8_t
 {
   Idle,         ///< nothing sent
   Connecting,   ///< nothing sent
-  Writing,      ///< the server does not have the whole request
-  AwaitingHead, ///< the whole request was handed to the kernel
+  Writing,      ///< the request was not sent completely
+  AwaitingHead, ///< the whole request was passed to the kernel
   ReadingBody,
   Done,
   Count
@@ -62,10 +63,10 @@
   };
 };
 
-/// HTTP/1.1 client connection that is reused for one exchange after another.
-/// Every call is bounded by a deadline and can be cancelled. Status codes:
-/// Unavailable (refused), DeadlineExceeded, Cancelled, DataLoss (the answer
-/// is malformed or ended early), Unknown (any other socket error).
+/// HTTP/1.1 client connection with keep-alive. Every call has a deadline and
+/// can be cancelled. Errors: Unavailable (connection refused),
+/// DeadlineExceeded, Cancelled, DataLoss (the response is malformed or
+/// truncated), Unknown (any other socket error).
 class HttpConnection
 {
 public:
@@ -82,23 +83,23 @@
   absl::StatusOr<HttpResponseHead> ReadHead(
     TimeMs aDeadlineMs,
     const CancelSignal* aCancel = nullptr);
-  /// Bytes read; 0 when the body is complete.
+  /// Reads a part of the body. Returns the bytes read; 0 when the body is
+  /// complete.
   absl::StatusOr<size_t> ReadBody(char* aData,
                                   size_t aSize,
                                   TimeMs aDeadlineMs,
                                   const CancelSignal* aCancel = nullptr);
-  /// Connects when necessary and runs a whole exchange; a connection that
-  /// Connect() just opened is used as it is. Fails with DataLoss when the body
-  /// exceeds aMaxBodyBytes.
+  /// Executes a whole exchange. Connects unless Connect() was just called or
+  /// the connection is reusable. DataLoss when the body exceeds aMaxBodyBytes.
   absl::StatusOr<HttpResponse> Exchange(const HttpRequest& aRequest,
                                         TimeMs aDeadlineMs,
                                         size_t aMaxBodyBytes,
                                         const CancelSignal* aCancel = nullptr);
 
   ExchangeStage Stage() const;
-  /// True after a complete exchange on a connection that the peer keeps open.
+  /// True after a complete exchange when the server keeps the connection open.
   bool IsReusable() const;
-  /// IsReusable() without a look at the socket, for use right after an
+  /// Like IsReusable() without checking the socket, for use right after an
   /// exchange.
   bool IsComplete() const;
   bool IsOpen() const;
--- a/common/HttpServer.cpp
+++ b/common/HttpServer.cpp
@@ -19,12 +19,12 @@
 constexpr int kBadRequest = 400;
 constexpr int kLengthRequired = 411;
 constexpr int kHeaderTooLarge = 431;
-/// Beyond this a Content-Length cannot be meant seriously.
+/// Longest Content-Length value that is accepted.
 constexpr size_t kMaxLengthDigits = 18;
 
 struct Framing
 {
-  int errorStatus_ = 0; ///< status, 0 when the framing is sound
+  int errorStatus_ = 0; ///< HTTP status; 0 when the framing is valid
   const char* reason_ = "";
   uint64_t contentLength_ = 0;
 };
@@ -40,10 +40,10 @@
          std::ranges::all_of(aText, absl::ascii_isdigit);
 }
 
-/// CivetWeb ends the header at a line that begins with white space and drops
-/// the rest, a Content-Length included. Its texts point into the received
-/// header, with NUL in place of each line end: the byte that follows the last
-/// value tells whether the empty line was reached.
+/// False when CivetWeb did not parse all header lines. It stops at a line that
+/// begins with white space and drops the rest, including a Content-Length. Its
+/// strings point into the received header, where NUL replaces each line end, so
+/// the byte after the last value tells whether the empty line was reached.
 bool IsHeaderComplete(const mg_request_info& aInfo)
 {
   const auto headers = HeaderSpan(aInfo);
@@ -62,8 +62,8 @@
 }
 
 /// CivetWeb passes requests with conflicting or malformed framing to the
-/// handler. Forwarded on a reused connection they could shift answers to the
-/// wrong caller.
+/// handler. Forwarding these on a reused connection would allow request
+/// smuggling: responses could go to the wrong caller.
 Framing CheckFraming(const mg_request_info& aInfo)
 {
   Framing framing;
@@ -79,7 +79,7 @@
     const std::string_view name = header.name;
     hosts += EqualsIgnoreCase(name, "Host") ? 1 : 0;
     if (EqualsIgnoreCase(name, "Transfer-Encoding")) {
-      return { kLengthRequired, "request body needs Content-Length", 0 };
+      return { kLengthRequired, "request body requires Content-Length", 0 };
     }
     if (!EqualsIgnoreCase(name, "Content-Length")) {
       continue;
@@ -102,7 +102,7 @@
   }
   const bool needsHost = std::string_view(aInfo.http_version) != "1.0";
   if (hosts > 1 || (needsHost && hosts == 0)) {
-    return { kBadRequest, "the request needs one Host header", 0 };
+    return { kBadRequest, "request must have exactly one Host header", 0 };
   }
   return framing;
 }
@@ -231,7 +231,8 @@
   }
   started_ = true;
   status_ = aStatus;
-  // One write, so that a small answer is one segment.
+  // Sends head and body in one write, so that a small response fits in one TCP
+  // segment.
   auto text = Concat("HTTP/1.1 ", aStatus, " ", HttpReason(aStatus), "\r\n");
   for (const auto& [name, value] : aHeaders) {
     AppendTo(text, name, ": ", value, "\r\n");
@@ -301,9 +302,9 @@
 
 void HttpExchange::Abort()
 {
-  // CivetWeb takes a non-zero status as a request that was handled.
-  constexpr int kNoAnswer = 444;
-  status_ = kNoAnswer;
+  // CivetWeb treats a non-zero status as a handled request.
+  constexpr int kNoResponse = 444;
+  status_ = kNoResponse;
   started_ = true;
   ended_ = true;
   CloseAfterResponse();
@@ -325,24 +326,26 @@
   const auto threads = std::to_string(options_.threads_);
   const auto requestTimeout = std::to_string(options_.requestTimeoutMs_);
   const auto keepAliveTimeout = std::to_string(options_.keepAliveTimeoutMs_);
-  const char* settings[] = { "listening_ports",
-                             options_.listen_.c_str(),
-                             "num_threads",
-                             threads.c_str(),
-                             "request_timeout_ms",
-                             requestTimeout.c_str(),
-                             "keep_alive_timeout_ms",
-                             keepAliveTimeout.c_str(),
-                             "enable_keep_alive",
-                             "yes",
-                             "tcp_nodelay",
-                             "1",
-                             // It decodes in place and cuts the path at "%00".
-                             "decode_url",
-                             "no",
-                             nullptr };
+  const char* settings[] = {
+    "listening_ports",
+    options_.listen_.c_str(),
+    "num_threads",
+    threads.c_str(),
+    "request_timeout_ms",
+    requestTimeout.c_str(),
+    "keep_alive_timeout_ms",
+    keepAliveTimeout.c_str(),
+    "enable_keep_alive",
+    "yes",
+    "tcp_nodelay",
+    "1",
+    // Decoding in place would truncate the path at "%00".
+    "decode_url",
+    "no",
+    nullptr
+  };
   mg_callbacks callbacks{};
-  // CivetWeb would otherwise write its own messages to standard error.
+  // Without this callback, CivetWeb logs to standard error.
   callbacks.log_message = [](const mg_connection*, const char*) { return 1; };
   callbacks.init_connection = &HttpServer::OnConnect;
   callbacks.connection_closed = &HttpServer::OnClosed;
@@ -362,8 +365,8 @@
       Concat("cannot listen on ", options_.listen_, ": ", text));
   }
   context_ = context;
-  // Without a handler of its own CivetWeb looks for a password file at each
-  // request.
+  // Without an authorization handler, CivetWeb looks for a password file at
+  // each request.
   mg_set_auth_handler(
     context, "**", [](mg_connection*, void*) { return 1; }, nullptr);
   mg_set_request_handler(context, "**", &HttpServer::OnRequest, this);
@@ -424,17 +427,18 @@
   const auto* server = static_cast<const HttpServer*>(
     mg_get_user_data(mg_get_context(aConnection)));
   const auto body = Concat(aText ? aText : "", "\n");
-  auto answer = Concat("HTTP/1.1 ", aStatus, " ", HttpReason(aStatus), "\r\n");
+  auto response =
+    Concat("HTTP/1.1 ", aStatus, " ", HttpReason(aStatus), "\r\n");
   for (const auto& [name, value] : server->options_.errorResponseHeaders_) {
-    AppendTo(answer, name, ": ", value, "\r\n");
+    AppendTo(response, name, ": ", value, "\r\n");
   }
-  AppendTo(answer,
+  AppendTo(response,
            "Connection: close\r\nContent-Length: ",
            body.size(),
            "\r\n\r\n",
            body);
   mg_disable_connection_keep_alive(aConnection);
-  mg_write(aConnection, answer.data(), answer.size());
+  mg_write(aConnection, response.data(), response.size());
   return 0;
 }
 
@@ -465,7 +469,7 @@
       (exchange.chunked_ || exchange.writtenBytes_ < exchange.declaredBytes_);
     if (!exchange.started_) {
       constexpr int kInternalError = 500;
-      exchange.Respond(kInternalError, {}, "no answer\n");
+      exchange.Respond(kInternalError, {}, "handler sent no response\n");
     } else if (truncated || exchange.bodyBytesRead_ < framing.contentLength_) {
       exchange.CloseAfterResponse();
     }
--- a/common/HttpServer.hpp
+++ b/common/HttpServer.hpp
@@ -16,49 +16,52 @@
 
 namespace cactuspitch {
 
-/// One request and its answer on a CivetWeb connection. The framing has been
-/// checked: there is at most one Content-Length and no Transfer-Encoding.
+/// One request on a CivetWeb connection and its response. HttpServer has
+/// checked the framing: at most one Content-Length and no Transfer-Encoding.
 class HttpExchange
 {
 public:
   HttpExchange(mg_connection* aConnection, const mg_request_info& aInfo);
 
   std::string_view Method() const;
-  /// Raw path, not decoded.
+  /// Path of the request, not decoded.
   std::string_view Path() const;
-  /// Decoded path.
+  /// Percent-decoded path.
   std::string DecodedPath() const;
-  /// Without the question mark; empty when absent.
+  /// Query string without the question mark; empty when absent.
   std::string_view Query() const;
   /// Decoded value of a query parameter; empty when absent.
   std::string QueryValue(const std::string& aName) const;
+  /// Value of a header, whose name is case-insensitive; empty when absent.
   std::string_view Header(std::string_view aName) const;
   std::string RemoteAddress() const;
   HttpHeaders Headers() const;
   uint64_t ContentLength() const { return contentLength_; }
 
-  /// OutOfRange when the body exceeds the limit, DataLoss when it ends early.
+  /// Reads the whole body. OutOfRange when it exceeds aMaxBytes, DataLoss when
+  /// it ends early; both close the connection after the response.
   absl::StatusOr<std::string> ReadBody(size_t aMaxBytes);
-  /// Reads and drops up to aMaxBytes of the body. A caller that is still
-  /// sending when its connection closes cannot read the refusal.
+  /// Reads and discards up to aMaxBytes of the body. A caller that is still
+  /// sending when its connection is closed cannot read an error response.
   void DiscardBody(uint64_t aMaxBytes);
 
-  /// Sends a whole answer. False when the caller is gone.
+  /// Sends a whole response. False when the caller has disconnected.
   bool Respond(int aStatus,
                const HttpHeaders& aHeaders,
                std::string_view aBody);
-  /// Starts an answer of known length; Write() sends the parts.
+  /// Starts a response of known length; Write() sends the body.
   bool BeginResponse(int aStatus,
                      const HttpHeaders& aHeaders,
                      uint64_t aLength);
-  /// Starts an answer of unknown length in chunked encoding.
+  /// Starts a response of unknown length in chunked encoding.
   bool BeginChunked(int aStatus, const HttpHeaders& aHeaders);
   bool Write(std::string_view aPart);
-  /// Ends a chunked answer. Without this call the answer is seen as truncated.
+  /// Ends a chunked response. Without this call the response is truncated.
   bool EndChunked();
-  /// Closes the connection after this exchange, also in mid answer.
+  /// Closes the connection after this exchange, even if the response is
+  /// incomplete.
   void CloseAfterResponse();
-  /// Closes the connection without an answer.
+  /// Closes the connection without a response.
   void Abort();
   bool HasStarted() const { return started_; }
 
@@ -85,19 +88,21 @@
 struct HttpServerOptions
 {
   std::string listen_; ///< IP:port
-  /// Each open connection holds a thread.
+  /// Limit of open connections; each uses a thread.
   int threads_ = 64;
   int64_t requestTimeoutMs_ = 30000;
   int64_t keepAliveTimeoutMs_ = 60000;
-  /// Headers of answers that the server gives without the handler, e.g. to
-  /// malformed requests.
+  /// Headers of responses that the server sends without calling the handler,
+  /// for example to malformed requests.
   HttpHeaders errorResponseHeaders_ = {};
-  /// Runs on the connection's thread before its first request; may be empty.
+  /// Called on the thread of a connection before its first request; may be
+  /// empty.
   std::function<void()> onConnect_ = {};
 };
 
-/// HTTP server on CivetWeb. Malformed framing is refused with 400, a chunked
-/// request body with 411, and the connection closed, before the handler runs.
+/// HTTP server on CivetWeb. Before it calls the handler, it rejects malformed
+/// framing with status 400, too many header lines with 431 and a chunked
+/// request body with 411, and closes the connection.
 class HttpServer
 {
 public:
@@ -109,14 +114,14 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   absl::Status Start();
-  /// Closes all connections; call WaitIdle() before for a graceful stop.
+  /// Closes all connections. Call WaitIdle() first for a graceful stop.
   void Stop();
-  /// From now on every answer closes its connection.
+  /// From this call on, each response closes its connection.
   void BeginDrain();
-  /// Waits until no request is in flight; false on timeout.
+  /// Waits until no request is in flight. False on timeout.
   bool WaitIdle(TimeMs aTimeoutMs) const;
   int InFlight() const { return inFlight_.load(std::memory_order_relaxed); }
-  /// Open connections that have a thread.
+  /// Number of open connections that a thread serves.
   int Connections() const
   {
     return connections_.load(std::memory_order_relaxed);
--- a/common/JsonField.hpp
+++ b/common/JsonField.hpp
@@ -9,8 +9,9 @@
 
 namespace cactuspitch {
 
-/// Field of an object that another writer may have stored: aDefault where it is
-/// missing or of another type, or where aJson is no object. Never throws.
+/// Reads a field of JSON that may come from another version or writer. Returns
+/// aDefault when the field is missing or of another type, or when aJson is not
+/// an object. Never throws.
 template<typename T>
 T FieldOr(const nlohmann::json& aJson, const char* aName, T aDefault)
 {
--- a/common/KeyHash.hpp
+++ b/common/KeyHash.hpp
@@ -6,11 +6,12 @@
 
 namespace cactuspitch {
 
-/// Hashes a key to its position in the hash space. The value is stored and
-/// exchanged between versions, so the function never changes.
+/// Hashes a key to its position in the hash space. Hashes are stored and
+/// exchanged between versions, so the function must never change.
 KeyHash HashKey(std::string_view aKey);
 
-/// Rendezvous hashing: the rank of a candidate for an item; highest wins.
+/// Score of a candidate for an item in rendezvous hashing; the highest score
+/// wins.
 uint64_t RendezvousScore(std::string_view aItem, std::string_view aCandidate);
 
 }
--- a/common/Log.hpp
+++ b/common/Log.hpp
@@ -41,10 +41,11 @@
   std::string value_;
 };
 
-/// Configures Boost.Log: one line an event on standard error.
+/// Configures Boost.Log to write one line per event to standard error. Events
+/// below aMinimum are dropped.
 void InitLog(std::string_view aProgram, LogLevel aMinimum);
 
-/// Writes one line: time, level, program, event and fields.
+/// Writes one line with time, level, program, event and fields.
 void Log(LogLevel aLevel,
          std::string_view aEvent,
          std::initializer_list<LogField> aFields = {});
--- a/common/Metrics.cpp
+++ b/common/Metrics.cpp
@@ -39,9 +39,9 @@
 }
 
 template<typename Family>
-auto& Lookup(Family& aFamily,
-             const std::string& aName,
-             const MetricLabels& aLabels)
+auto& FindOrCreate(Family& aFamily,
+                   const std::string& aName,
+                   const MetricLabels& aLabels)
 {
   using Pointer = typename Family::mapped_type::mapped_type;
   auto& entry = aFamily[aName][FormatLabels(aLabels)];
@@ -134,21 +134,21 @@
                                      const MetricLabels& aLabels)
 {
   const std::lock_guard lock(mutex_);
-  return detail::Lookup(counters_, aName, aLabels);
+  return detail::FindOrCreate(counters_, aName, aLabels);
 }
 
 Gauge& MetricsRegistry::GetGauge(const std::string& aName,
                                  const MetricLabels& aLabels)
 {
   const std::lock_guard lock(mutex_);
-  return detail::Lookup(gauges_, aName, aLabels);
+  return detail::FindOrCreate(gauges_, aName, aLabels);
 }
 
 DurationSummary& MetricsRegistry::GetSummary(const std::string& aName,
                                              const MetricLabels& aLabels)
 {
   const std::lock_guard lock(mutex_);
-  return detail::Lookup(summaries_, aName, aLabels);
+  return detail::FindOrCreate(summaries_, aName, aLabels);
 }
 
 std::string MetricsRegistry::ToPrometheus() const
--- a/common/Metrics.hpp
+++ b/common/Metrics.hpp
@@ -30,7 +30,7 @@
   std::atomic<int64_t> value_ = 0;
 };
 
-/// Last value of a quantity.
+/// Value that can go up and down; the last one set is reported.
 class Gauge
 {
 public:
@@ -41,8 +41,9 @@
   std::atomic<double> value_ = 0;
 };
 
-/// Mean and quantiles of a duration (Boost.Accumulators, P-square). Samples are
-/// spread over shards so that concurrent threads rarely share a lock.
+/// Mean and estimated quantiles of a duration (P-square algorithm of
+/// Boost.Accumulators). Samples are spread over shards, so that concurrent
+/// threads rarely share a lock.
 class DurationSummary
 {
 public:
@@ -51,7 +52,8 @@
   void Record(double aMs);
   int64_t Samples() const;
   double MeanMs() const;
-  /// aIndex into kQuantiles; the sample-weighted mean of the shards.
+  /// Estimate of kQuantiles[aIndex]: the mean of the shards' estimates,
+  /// weighted by their samples.
   double QuantileMs(size_t aIndex) const;
 
   static constexpr std::array<double, 3> kQuantiles = { 0.5, 0.9, 0.99 };
@@ -62,8 +64,8 @@
   std::array<std::unique_ptr<Shard>, kShards> shards_;
 };
 
-/// Named metrics of a process. References stay valid for its lifetime, so hot
-/// paths look a metric up once.
+/// Named metrics of a process, created on first use. References stay valid for
+/// the lifetime of the registry, so hot paths look up a metric only once.
 class MetricsRegistry
 {
 public:
@@ -72,7 +74,7 @@
   Gauge& GetGauge(const std::string& aName, const MetricLabels& aLabels = {});
   DurationSummary& GetSummary(const std::string& aName,
                               const MetricLabels& aLabels = {});
-  /// Prometheus text exposition format.
+  /// Formats all metrics in the Prometheus text exposition format.
   std::string ToPrometheus() const;
 
 private:
--- a/common/ProcessSettings.cpp
+++ b/common/ProcessSettings.cpp
@@ -9,7 +9,7 @@
 namespace detail {
 
 constexpr size_t kMinSecretBytes = 16;
-/// A length of one byte precedes the secret on Thrift connections.
+/// On Thrift connections, the length of the secret is sent as one byte.
 constexpr size_t kMaxSecretBytes = 255;
 
 bool UsesOnlyLoopback(const Settings& aSettings)
@@ -28,13 +28,18 @@
 {
   using enum SettingType;
   std::vector<SettingSpec> specs = {
-    { "instance", Text, "", "Name of this entry instance.", true },
+    { "instance", Text, "", "Name of this instance.", true },
     { "failure-domain", Text, "", "Failure domain of the instance.", true },
-    { "listen", Address, "", "HTTP address that this program serves.", true },
+    { "listen",
+      Address,
+      "",
+      "Address that this program serves HTTP on.",
+      true },
     { "assigners",
       AddressList,
       "",
-      "Thrift addresses of some assigners, to find the others.",
+      "Thrift addresses of some assigners, from which the others are "
+      "discovered.",
       true },
     { "auth-token",
       Text,
--- a/common/ProcessSettings.hpp
+++ b/common/ProcessSettings.hpp
@@ -9,21 +9,21 @@
 
 namespace cactuspitch {
 
-/// Adds the settings that every program of an entry instance has: instance,
+/// Adds the settings that all programs of an instance have: instance,
 /// failure-domain, listen, assigners, auth-token and log-level.
 std::vector<SettingSpec> WithProcessSettings(std::vector<SettingSpec> aSpecs);
 
-/// Rules that concern more than one of them: an address beyond loopback needs
-/// a shared secret of a sensible length, and the log level must exist.
+/// Validates these settings: addresses other than loopback require a shared
+/// secret, the secret must have 16 to 255 bytes, and the log level must exist.
 void CheckProcessSettings(const Settings& aSettings, Findings& aFindings);
 
-/// The checked log level.
+/// Value of log-level; Info when it is invalid.
 LogLevel ProcessLogLevel(const Settings& aSettings);
 
 bool IsLoopbackAddress(std::string_view aAddress);
 
-/// Compares in a time that depends only on the lengths, so that an attacker
-/// learns nothing about how many leading bytes are right.
+/// Compares in a time that depends only on the lengths, so that timing does not
+/// reveal how many leading bytes match.
 bool IsSameSecret(std::string_view aExpected, std::string_view aGiven);
 
 }
--- a/common/Settings.cpp
+++ b/common/Settings.cpp
@@ -128,7 +128,7 @@
   options.push_back({ "version", no_argument, nullptr, kVersion });
   options.push_back({ nullptr, 0, nullptr, 0 });
 
-  // 0 makes glibc restart the scan, so a test can parse more than once.
+  // With 0, glibc restarts the scan, so that tests can parse more than once.
   optind = 0;
   opterr = 0;
   int code = 0;
--- a/common/Settings.hpp
+++ b/common/Settings.hpp
@@ -12,7 +12,7 @@
 
 namespace cactuspitch {
 
-/// Kind of value that a setting accepts.
+/// Type of the value of a setting.
 enum class SettingType : uint8_t
 {
   Text,
@@ -20,7 +20,7 @@
   Boolean,
   Address,     ///< IP:port
   AddressList, ///< comma separated IP:port
-  File,        ///< readable file
+  File,        ///< path of a readable file
   Count
 };
 
@@ -32,8 +32,8 @@
   };
 };
 
-/// Declaration of a setting. The flag is `--name`, the environment variable
-/// `CACTUSPITCH_NAME` with dashes as underscores.
+/// Declaration of a setting. Its flag is `--name`, and its environment variable
+/// is `CACTUSPITCH_NAME`, with underscores for dashes.
 struct SettingSpec
 {
   std::string name_;
@@ -45,7 +45,7 @@
   int64_t max_ = INT64_MAX;
 };
 
-/// What the command line asked for besides running.
+/// What the program should do after parsing the command line.
 enum class SettingsAction : uint8_t
 {
   Run,
@@ -66,8 +66,8 @@
   };
 };
 
-/// Settings of a process, from flags and environment variables; flags win.
-/// All wrong settings are collected as findings.
+/// Settings of a process from flags and environment variables. Flags take
+/// precedence. All invalid settings are collected as findings.
 class Settings
 {
 public:
@@ -75,7 +75,8 @@
 
   explicit Settings(std::vector<SettingSpec> aSpecs);
 
-  /// Accepts positional arguments only when aAllowPositional is set.
+  /// Parses and validates all settings. Positional arguments are findings
+  /// unless aAllowPositional is set.
   SettingsAction Parse(int aArgc,
                        char** aArgv,
                        const Environment& aEnvironment,
@@ -84,6 +85,7 @@
   const Findings& GetFindings() const { return findings_; }
   const std::vector<std::string>& Positional() const { return positional_; }
 
+  // Value of a setting; empty, 0 or false when it is unknown or unset.
   std::string Text(std::string_view aName) const;
   int64_t Integer(std::string_view aName) const;
   bool Boolean(std::string_view aName) const;
@@ -92,12 +94,12 @@
   std::string HelpText(std::string_view aProgram,
                        std::string_view aSummary) const;
 
-  /// Rules that concern more than one setting.
+  /// Validates rules that concern more than one setting.
   using Check = std::function<void(const Settings&, Findings&)>;
 
-  /// Parses and handles --help, --version and findings: prints all findings,
-  /// also those of aCheck, and exits with status 0 or 2. Returns only when the
-  /// process should run.
+  /// Parses the command line and returns only when the process should run.
+  /// Otherwise prints the help or the version and exits with status 0, or
+  /// prints all findings, including those of aCheck, and exits with status 2.
   void ParseOrExit(int aArgc,
                    char** aArgv,
                    std::string_view aProgram,
@@ -110,7 +112,7 @@
 
   std::vector<SettingSpec> specs_;
   std::map<std::string, std::string, std::less<>> values_;
-  /// Where each value came from, named in findings.
+  /// Source of each value, for findings.
   std::map<std::string, std::string> sources_;
   std::vector<std::string> positional_;
   Findings findings_;
@@ -120,7 +122,7 @@
 /// True for "IP:port" with a numeric IPv4 or bracketed IPv6 address.
 bool IsValidAddress(std::string_view aText);
 
-/// Value of a name table entry from the process environment.
+/// All variables of the process environment.
 Settings::Environment ProcessEnvironment();
 
 }
--- a/common/Strings.hpp
+++ b/common/Strings.hpp
@@ -11,8 +11,8 @@
 
 namespace cactuspitch {
 
-// Debian builds Abseil with a string_view of its own, which does not convert
-// from std::string_view. These helpers bridge the two.
+// Debian builds Abseil with its own string_view type, which does not convert
+// to and from std::string_view. These helpers convert explicitly.
 
 inline absl::string_view ToAbsl(std::string_view aText)
 {
@@ -38,14 +38,14 @@
 
 }
 
-/// absl::StrCat that also takes std::string_view.
+/// Like absl::StrCat; also accepts std::string_view.
 template<typename... Args>
 std::string Concat(const Args&... aArgs)
 {
   return absl::StrCat(detail::StrCatArgument(aArgs)...);
 }
 
-/// absl::StrAppend that also takes std::string_view.
+/// Like absl::StrAppend; also accepts std::string_view.
 template<typename... Args>
 void AppendTo(std::string& aText, const Args&... aArgs)
 {
@@ -57,7 +57,8 @@
   return absl::EqualsIgnoreCase(ToAbsl(aLeft), ToAbsl(aRight));
 }
 
-/// Parses the whole text as a number; false leaves aResult unchanged.
+/// Parses the whole text as a number. On failure returns false and leaves
+/// aResult unchanged.
 template<typename Number>
 bool ParseNumber(std::string_view aText, Number& aResult)
 {
--- a/common/TerminationSignal.hpp
+++ b/common/TerminationSignal.hpp
@@ -4,16 +4,16 @@
 
 namespace cactuspitch {
 
-/// Delivers SIGTERM and SIGINT to one waiting thread. Construct it before any
-/// other thread starts, since threads inherit the blocked signals.
+/// Lets one thread wait for SIGTERM or SIGINT. Construct it before any other
+/// thread starts, since threads inherit the blocked signals.
 class TerminationSignal
 {
 public:
   TerminationSignal();
 
-  /// Blocks until the process is asked to end.
+  /// Blocks until SIGTERM or SIGINT arrives.
   void Wait() const;
-  /// True when the process was asked to end within aTimeoutMs.
+  /// True when SIGTERM or SIGINT arrives within aTimeoutMs.
   bool WaitFor(TimeMs aTimeoutMs) const;
 };
 
--- a/common/Types.hpp
+++ b/common/Types.hpp
@@ -9,14 +9,14 @@
 
 /// Position in the 64-bit hash space of a service.
 using KeyHash = uint64_t;
-/// Ownership generation of a slice; only grows.
+/// Ownership generation of a slice; increases monotonically.
 using Epoch = int64_t;
-/// Generation of a group's assigner; only grows.
+/// Generation of a group's leading assigner; increases monotonically.
 using Term = int64_t;
-/// Milliseconds of a monotonic clock, not comparable across processes.
+/// Milliseconds of a monotonic clock; not comparable across processes.
 using TimeMs = int64_t;
 
-/// What the answer tells the caller about the execution of its request.
+/// What a response tells the caller about the execution of its request.
 enum class Outcome : uint8_t
 {
   Complete,
@@ -33,7 +33,7 @@
                                                  "unknown" };
 };
 
-/// Why a request was refused without being run.
+/// Why a request was refused without being executed.
 enum class NotRunReason : uint8_t
 {
   StaleEpoch,
--- a/kernel/StrategyRegistry.hpp
+++ b/kernel/StrategyRegistry.hpp
@@ -29,7 +29,7 @@
     factories_[std::move(aName)] = std::move(aFactory);
   }
 
-  /// Null when no strategy has that name.
+  /// Creates the strategy aName; null when none is registered by that name.
   std::unique_ptr<Interface> Create(std::string_view aName, Args... aArgs) const
   {
     const auto found = factories_.find(aName);
--- a/store/HttpObjectStore.cpp
+++ b/store/HttpObjectStore.cpp
@@ -19,7 +19,7 @@
 constexpr int kPreconditionFailed = 412;
 constexpr int kServerError = 500;
 constexpr int kServiceUnavailable = 503;
-/// A list holds every object of a kind, each up to 1 MB.
+/// A list response contains every object of a kind, each up to 1 MB.
 constexpr size_t kMaxResponseBytes = 64 << 20;
 constexpr size_t kMaxIdleConnections = 8;
 
@@ -63,7 +63,7 @@
     tag = tag.substr(1, tag.size() - 2);
   }
   if (!ParseNumber(tag, version)) {
-    return absl::UnknownError("store: answer without a version");
+    return absl::UnknownError("store: response has no version in ETag");
   }
   return version;
 }
@@ -79,7 +79,7 @@
     case kServiceUnavailable:
       return absl::UnavailableError(text);
     default:
-      // An internal error does not say whether a write took effect.
+      // After an internal error, a write may or may not have taken effect.
       return aResponse.head_.status_ >= kServerError
                ? absl::UnknownError(text)
                : absl::InvalidArgumentError(text);
@@ -92,7 +92,7 @@
 {
   const auto document = nlohmann::json::parse(aBody, nullptr, false);
   if (document.is_discarded() || !document.contains("objects")) {
-    return absl::UnknownError("store: malformed list");
+    return absl::UnknownError("store: object list is malformed");
   }
   try {
     aRevision = document.value("revision", aRevision);
@@ -106,7 +106,7 @@
     return objects;
   } catch (const nlohmann::json::exception& failure) {
     return absl::UnknownError(
-      Concat("store: malformed list: ", failure.what()));
+      Concat("store: object list is malformed: ", failure.what()));
   }
 }
 
@@ -191,10 +191,10 @@
 }
 
 absl::StatusOr<HttpResponse> HttpObjectStore::Read(const std::string& aTarget,
-                                                   TimeMs aExtraMs)
+                                                   TimeMs aExtraTimeoutMs)
 {
   bool sent = false;
-  auto response = Call({ "GET", aTarget, {}, {} }, aExtraMs, sent);
+  auto response = Call({ "GET", aTarget, {}, {} }, aExtraTimeoutMs, sent);
   if (response.ok()) {
     return response->head_.status_ == detail::kOk
              ? std::move(response)
@@ -220,10 +220,11 @@
 }
 
 absl::StatusOr<HttpResponse> HttpObjectStore::Call(const HttpRequest& aRequest,
-                                                   TimeMs aExtraMs,
+                                                   TimeMs aExtraTimeoutMs,
                                                    bool& aSent)
 {
-  const TimeMs deadline = clock_.NowMs() + options_.callTimeoutMs_ + aExtraMs;
+  const TimeMs deadline =
+    clock_.NowMs() + options_.callTimeoutMs_ + aExtraTimeoutMs;
   auto connection = TakeConnection();
   const auto connected = EnsureConnected(*connection, deadline);
   if (!connected.ok()) {
@@ -235,7 +236,7 @@
   if (response.ok()) {
     ReturnConnection(std::move(connection));
   } else {
-    // The idle ones may have gone silent for the same reason.
+    // Idle connections may be broken for the same reason.
     const std::lock_guard lock(mutex_);
     idle_.clear();
   }
--- a/store/HttpObjectStore.hpp
+++ b/store/HttpObjectStore.hpp
@@ -15,12 +15,12 @@
 {
   std::string address_; ///< IP:port
   TimeMs connectTimeoutMs_ = 500;
-  /// Bounds a whole call; a watch may take its wait time in addition.
+  /// Limit for a whole call; the wait time of a watch is added to it.
   TimeMs callTimeoutMs_ = 1000;
 };
 
-/// ObjectStore over the platform's HTTP interface. Any thread may call it;
-/// concurrent calls use connections of their own.
+/// ObjectStore over the platform's HTTP interface. Thread-safe; concurrent
+/// calls use separate connections.
 class HttpObjectStore final : public ObjectStore
 {
 public:
@@ -46,11 +46,12 @@
   using Connection = std::unique_ptr<HttpConnection>;
 
   absl::StatusOr<HttpResponse> Read(const std::string& aTarget,
-                                    TimeMs aExtraMs);
+                                    TimeMs aExtraTimeoutMs);
   absl::StatusOr<HttpResponse> Write(const HttpRequest& aRequest);
-  /// Runs one exchange; aSent tells whether the store may have run it.
+  /// Executes one HTTP exchange. aSent is set to whether the whole request was
+  /// sent, so that the store may have executed it.
   absl::StatusOr<HttpResponse> Call(const HttpRequest& aRequest,
-                                    TimeMs aExtraMs,
+                                    TimeMs aExtraTimeoutMs,
                                     bool& aSent);
   absl::Status EnsureConnected(HttpConnection& aConnection,
                                TimeMs aDeadlineMs) const;
--- a/store/ObjectStore.hpp
+++ b/store/ObjectStore.hpp
@@ -10,7 +10,7 @@
 
 namespace cactuspitch {
 
-/// Object of the platform's store. Versions of one object only grow.
+/// Object in the platform's store. The version of an object only increases.
 struct StoredObject
 {
   std::string kind_;
@@ -19,16 +19,17 @@
   std::string value_;
 };
 
-/// Version that a conditional update expects when the object must not exist.
+/// Expected version of a conditional update that must create the object.
 inline constexpr int64_t kMustNotExist = 0;
 
 /// The platform's object API. Errors:
 /// - NotFound: no such object.
 /// - FailedPrecondition: the version differs; nothing was written.
-/// - Unavailable: the store did not get the request; nothing was written.
-/// - Unknown: the answer was lost; the write may have taken effect, so the
+/// - Unavailable: the store did not receive the request or cannot serve it;
+///   nothing was written.
+/// - Unknown: the response was lost. The write may have taken effect, so the
 ///   caller reads the object back and compares.
-/// - DeadlineExceeded (reads): no answer in time.
+/// - DeadlineExceeded (reads): no response in time.
 class ObjectStore
 {
 public:
@@ -38,17 +39,20 @@
                                            const std::string& aName) = 0;
   virtual absl::StatusOr<std::vector<StoredObject>> List(
     const std::string& aKind) = 0;
-  /// Replaces the object if it still has aExpectedVersion; the new version.
+  /// Replaces the object if its version is aExpectedVersion; kMustNotExist
+  /// creates it. Returns the new version.
   virtual absl::StatusOr<int64_t> Put(const std::string& aKind,
                                       const std::string& aName,
                                       int64_t aExpectedVersion,
                                       const std::string& aValue) = 0;
+  /// Deletes the object if its version is aExpectedVersion.
   virtual absl::Status Delete(const std::string& aKind,
                               const std::string& aName,
                               int64_t aExpectedVersion) = 0;
-  /// Objects of the kind changed after aSince, waiting up to aWaitMs for one.
-  /// aRevision receives the store revision to continue from. A deleted object
-  /// is reported with version kMustNotExist and an empty value.
+  /// Returns the objects of the kind that changed after store revision aSince.
+  /// Waits up to aWaitMs for a change. aRevision is set to the store revision
+  /// to pass as aSince next. A deleted object has version kMustNotExist and an
+  /// empty value.
   virtual absl::StatusOr<std::vector<StoredObject>> Watch(
     const std::string& aKind,
     int64_t aSince,
