Describe the tests of router/, store/ and common/ in the field's terms

Cause: heads and names of tests told of holders, repeats that run and callers that are given up, which a reader cannot search for.

Change: each head says in plain words which failure the test guards against and how it comes about. Messages of the fake store are reworded; no test reads them. The fake store's lostAnswer_ is now lostResponse_, also in ConfigEditorTest and SloTest.

--- a/tests/CallerRequestTest.cpp
+++ b/tests/CallerRequestTest.cpp
@@ -25,8 +25,8 @@
   return { "GET", aPath, "", "", "" };
 }
 
-// Guards against paths that a backend server resolves to another key, or to
-// its grant endpoint, than the one that was routed.
+// Guards against a path that a backend server resolves to another key than the
+// router did, or to its grant endpoint.
 TEST(CallerRequest, AmbiguousPathsAreRefused)
 {
   for (const char* path : {
@@ -47,7 +47,8 @@
   }
 }
 
-// Guards against unclear errors for missing parts and reserved names.
+// Guards against a wrong status for missing path segments, reserved service
+// names, long paths and unknown methods.
 TEST(CallerRequest, MissingPartsAreRefused)
 {
   EXPECT_EQ(StatusOf(Get("/svc")), 400);
@@ -60,7 +61,8 @@
   EXPECT_EQ(StatusOf({ "BREW", "/svc/key", "", "id", "" }), 405);
 }
 
-// Guards against a non-idempotent request that the ledger cannot recognise.
+// Guards against a non-idempotent request without a valid request id, whose
+// duplicates the request ledger could not detect.
 TEST(CallerRequest, RequestIdIsRequiredForNonIdempotent)
 {
   for (const char* method : { "POST", "PUT", "DELETE", "PATCH" }) {
@@ -78,7 +80,7 @@
   EXPECT_EQ(StatusOf({ "POST", "/svc/key", "", longId, "" }), 400);
 }
 
-// Guards against a deadline that is silently ignored.
+// Guards against a malformed deadline that is ignored.
 TEST(CallerRequest, BadDeadlineIsRefused)
 {
   for (const char* text : { "0", "-5", "abc", "1.5", "99999999999999999999" }) {
@@ -89,8 +91,8 @@
   EXPECT_EQ(request.deadlineMs_, 250);
 }
 
-// Guards against two spellings of a key that reach different owners.
-TEST(CallerRequest, KeyIsHashedDecoded)
+// Guards against routing two encodings of the same key to different owners.
+TEST(CallerRequest, KeyIsDecodedBeforeHashing)
 {
   CallerRequest plain;
   CallerRequest encoded;
@@ -108,7 +110,7 @@
 }
 
 // Guards against callers that forge headers of the internal protocol, and
-// against forwarding headers that only concern one connection.
+// against forwarding hop-by-hop headers.
 TEST(HeaderFilter, InternalAndHopByHopHeadersAreRemoved)
 {
   const HttpHeaders sent = {
--- a/tests/ConfigEditorTest.cpp
+++ b/tests/ConfigEditorTest.cpp
@@ -123,7 +123,7 @@
 TEST_F(ConfigEditorTest, RacingEditorsLoseAndDoubleNothing)
 {
   store_.SetFaults({ .unavailable_ = 5,
-                     .lostAnswer_ = 10,
+                     .lostResponse_ = 10,
                      .lostRequest_ = 5,
                      .delayedWrite_ = 10 });
   std::mutex mutex;
--- a/tests/FakeBackend.cpp
+++ b/tests/FakeBackend.cpp
@@ -54,7 +54,7 @@
 FakeBackend::~FakeBackend()
 {
   Crash();
-  // An acceptor may still add a connection; only after its end are all known.
+  // An acceptor may still add a connection, so the second call closes those.
   std::ranges::for_each(acceptors_, &std::thread::join);
   Crash();
   std::ranges::for_each(threads_, &std::thread::join);
@@ -172,18 +172,18 @@
   std::string buffer;
   Request request;
   while (ReadRequest(aSocket, buffer, request)) {
-    const auto answer = Respond(request);
-    std::this_thread::sleep_for(std::chrono::milliseconds(answer.delayMs_));
-    SendAll(aSocket, answer.bytes_);
-    if (answer.afterResponse_ == AfterResponse::Hang) {
+    const auto response = Respond(request);
+    std::this_thread::sleep_for(std::chrono::milliseconds(response.delayMs_));
+    SendAll(aSocket, response.bytes_);
+    if (response.afterResponse_ == AfterResponse::Hang) {
       while (ReadRequest(aSocket, buffer, request)) {
       }
     }
-    if (answer.afterResponse_ == AfterResponse::Reset) {
+    if (response.afterResponse_ == AfterResponse::Reset) {
       const linger now{ 1, 0 };
       setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
     }
-    if (answer.afterResponse_ != AfterResponse::Keep) {
+    if (response.afterResponse_ != AfterResponse::Keep) {
       break;
     }
   }
--- a/tests/FakeBackend.hpp
+++ b/tests/FakeBackend.hpp
@@ -11,17 +11,18 @@
 
 namespace cactuspitch {
 
-/// In-process backend server on raw sockets, so that a test decides on every
-/// byte of an answer and on how the connection ends.
+/// In-process backend server on raw sockets. The test controls every byte of a
+/// response and how the connection ends.
 class FakeBackend
 {
 public:
+  /// What happens to the connection after the response was sent.
   enum class AfterResponse : uint8_t
   {
     Keep,
     Close,
     Reset,
-    Hang ///< keeps the connection open and sends nothing more
+    Hang ///< keeps the connection open without sending anything
   };
   struct Response
   {
@@ -44,16 +45,19 @@
   FakeBackend& operator=(const FakeBackend&) = delete;
 
   std::string Address() const { return port_.Address(); }
-  /// Closes the listening socket and all connections, as a crash does.
+  /// Closes the listening socket and all connections, like a crash.
   void Crash();
+  /// Crashes and listens again as another incarnation.
   void Restart(const std::string& aIncarnation);
-  /// Requests other than those to the server's own endpoints.
+  /// Received requests, except health requests and cancellations.
   std::vector<Request> Requests() const;
+  /// Request ids of the received cancellations.
   std::vector<std::string> Cancelled() const;
+  /// Number of connections accepted so far.
   int Connections() const { return connections_; }
   void SetClockMs(int64_t aMs) { clockMs_ = aMs; }
 
-  /// Whole answer with the headers of every backend server answer.
+  /// Complete response with the headers that all backend servers send.
   Response Ok(const std::string& aBody,
               const std::string& aHeaders = {},
               int aStatus = 200) const;
--- a/tests/FaultyStore.hpp
+++ b/tests/FaultyStore.hpp
@@ -11,16 +11,16 @@
 
 namespace cactuspitch {
 
-/// Shares of calls that fail, in percent.
+/// Percentages of calls that fail.
 struct StoreFaults
 {
-  int unavailable_ = 0;  ///< refused, nothing written
-  int lostAnswer_ = 0;   ///< written, answered with Unknown
-  int lostRequest_ = 0;  ///< not written, answered with Unknown
-  int delayedWrite_ = 0; ///< answered with Unknown, written a few calls later
+  int unavailable_ = 0;  ///< not written, returns Unavailable
+  int lostResponse_ = 0; ///< written, returns Unknown
+  int lostRequest_ = 0;  ///< not written, returns Unknown
+  int delayedWrite_ = 0; ///< returns Unknown, written a few calls later
 };
 
-/// Store in memory that fails at random.
+/// In-memory ObjectStore that injects random faults.
 class FaultyStore final : public ObjectStore
 {
 public:
@@ -35,8 +35,8 @@
   {
     const std::lock_guard lock(mutex_);
     ApplyDelayedWrites();
-    if (Chance(faults_.unavailable_)) {
-      return absl::UnavailableError("store down");
+    if (ShouldFail(faults_.unavailable_)) {
+      return absl::UnavailableError("store is unavailable");
     }
     const auto found = objects_.find({ aKind, aName });
     if (found == objects_.end()) {
@@ -68,20 +68,20 @@
     ApplyDelayedWrites();
     ++puts_;
     StoredObject write{ aKind, aName, aExpectedVersion, aValue };
-    if (Chance(faults_.unavailable_)) {
-      return absl::UnavailableError("store down");
+    if (ShouldFail(faults_.unavailable_)) {
+      return absl::UnavailableError("store is unavailable");
     }
-    if (Chance(faults_.lostRequest_)) {
-      return absl::UnknownError("no answer");
+    if (ShouldFail(faults_.lostRequest_)) {
+      return absl::UnknownError("no response");
     }
-    if (Chance(faults_.delayedWrite_)) {
+    if (ShouldFail(faults_.delayedWrite_)) {
       delayed_.emplace_back(std::uniform_int_distribution(1, 6)(random_),
                             std::move(write));
-      return absl::UnknownError("no answer");
+      return absl::UnknownError("no response");
     }
     auto version = Write(write);
-    if (Chance(faults_.lostAnswer_)) {
-      return absl::UnknownError("no answer");
+    if (ShouldFail(faults_.lostResponse_)) {
+      return absl::UnknownError("no response");
     }
     return version;
   }
@@ -107,7 +107,7 @@
                                                   TimeMs,
                                                   int64_t&) override
   {
-    return absl::UnimplementedError("not used");
+    return absl::UnimplementedError("watch is not supported");
   }
 
   void SetFaults(StoreFaults aFaults)
@@ -123,7 +123,7 @@
   }
 
 private:
-  bool Chance(int aPercent)
+  bool ShouldFail(int aPercent)
   {
     return std::uniform_int_distribution(0, 99)(random_) < aPercent;
   }
--- a/tests/HttpObjectStoreTest.cpp
+++ b/tests/HttpObjectStoreTest.cpp
@@ -41,7 +41,8 @@
   HttpObjectStore store_;
 };
 
-// Guards against a conditional update that overwrites another writer's.
+// Guards against a conditional update that overwrites the update of another
+// writer.
 TEST_F(HttpObjectStoreTest, ConditionalUpdate)
 {
   const auto first = store_.Put("group", "a.0", kMustNotExist, "one");
@@ -59,7 +60,7 @@
   EXPECT_TRUE(store_.List("group")->empty());
 }
 
-// Guards against a watch that misses a change or reports one twice.
+// Guards against a watch that misses a change or reports it twice.
 TEST_F(HttpObjectStoreTest, WatchReportsEachChangeOnce)
 {
   int64_t revision = 0;
@@ -76,8 +77,9 @@
   EXPECT_TRUE(store_.Watch("config", revision, 50, revision)->empty());
 }
 
-// Guards against taking a write whose answer was lost as not written.
-TEST_F(HttpObjectStoreTest, LostAnswerIsUnknownAndReadBack)
+// Guards against reporting a write as failed when it took effect but its
+// response was lost.
+TEST_F(HttpObjectStoreTest, LostResponseIsUnknown)
 {
   Send("POST", "/_fault", R"({"loseAnswers": 1})");
   EXPECT_TRUE(
@@ -85,8 +87,9 @@
   EXPECT_EQ(store_.Get("group", "a.0")->value_, "x");
 }
 
-// Guards against an unbounded call or a wrong class while the store is down.
-TEST_F(HttpObjectStoreTest, DownIsClassified)
+// Guards against calls without a timeout and wrong status codes while the store
+// is down.
+TEST_F(HttpObjectStoreTest, StoreFailuresAreClassified)
 {
   const auto put = [this] {
     return store_.Put("group", "a.0", kMustNotExist, "x").status();
@@ -104,7 +107,8 @@
     refused.Put("group", "a.0", kMustNotExist, "x").status()));
 }
 
-// Guards against a platform list in tests that is fresher than the real one.
+// Guards against a stand-in store without the replication lag of the real
+// platform: a list may lag behind the writes.
 TEST_F(HttpObjectStoreTest, ListLags)
 {
   Send("POST", "/_fault", R"({"lagMs": {"server": 300}})");
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -14,11 +14,11 @@
 constexpr TimeMs kTimeoutMs = 2000;
 constexpr size_t kMaxBodyBytes = 1 << 20;
 
-/// Listening loopback socket on a free port that never answers.
-class SilentListener
+/// Listening loopback socket on a free port that never responds.
+class UnresponsiveListener
 {
 public:
-  SilentListener()
+  UnresponsiveListener()
     : fd_(socket(AF_INET, SOCK_STREAM, 0))
   {
     sockaddr_in address{};
@@ -31,12 +31,12 @@
     getsockname(fd_, generic, &size);
     port_ = ntohs(address.sin_port);
   }
-  ~SilentListener() { close(fd_); }
+  ~UnresponsiveListener() { close(fd_); }
 
   std::string Address() const { return Concat("127.0.0.1:", port_); }
   int Port() const { return port_; }
 
-  /// Accepts one connection, sends aText and keeps it open until the end.
+  /// Accepts one connection, sends aText and waits until the peer closes it.
   std::thread RespondOnce(std::string aText)
   {
     return std::thread([this, text = std::move(aText)] {
@@ -56,7 +56,7 @@
 
 int FreePort()
 {
-  return SilentListener().Port();
+  return UnresponsiveListener().Port();
 }
 
 class HttpTest : public testing::Test
@@ -74,7 +74,8 @@
     EXPECT_TRUE(server_.Start().ok());
   }
 
-  /// Sends raw bytes and reads until the server closes or is silent.
+  /// Sends raw bytes and returns the response, read until the server closes the
+  /// connection or sends nothing for 1 s.
   std::string SendRaw(std::string_view aText) const
   {
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -88,15 +89,15 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
     send(fd, aText.data(), aText.size(), MSG_NOSIGNAL);
-    std::string answer;
+    std::string response;
     char buffer[4096];
     ssize_t got = 0;
     while ((got = recv(fd, buffer, sizeof(buffer), 0)) > 0) {
-      answer.append(buffer, static_cast<size_t>(got));
+      response.append(buffer, static_cast<size_t>(got));
     }
     const bool closed = got == 0;
     close(fd);
-    return Concat(answer, closed ? "|closed" : "|open");
+    return Concat(response, closed ? "|closed" : "|open");
   }
 
   SteadyClock clock_;
@@ -104,7 +105,7 @@
   HttpServer server_;
 };
 
-// Guards against a connection that cannot be used for a second exchange.
+// Guards against a connection that cannot be reused for a second exchange.
 TEST_F(HttpTest, ConnectionIsReused)
 {
   HttpConnection connection(clock_, address_);
@@ -117,8 +118,8 @@
   }
 }
 
-// Guards against request smuggling: ambiguous framing must be refused and the
-// connection closed, so that no further bytes are taken as a request.
+// Guards against request smuggling: the server must reject ambiguous framing
+// and close the connection, so that no further bytes are parsed as a request.
 TEST_F(HttpTest, AmbiguousFramingIsRefused)
 {
   const std::string tail = "Host: a\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n";
@@ -134,18 +135,20 @@
          "Transfer-Encoding: chunked\r\n",
          "Transfer-Encoding: identity\r\n",
        }) {
-    const auto answer = SendRaw(Concat("POST /a HTTP/1.1\r\n", headers, tail));
-    EXPECT_TRUE(answer.starts_with("HTTP/1.1 4")) << headers << answer;
-    EXPECT_TRUE(answer.ends_with("|closed")) << headers << answer;
-    EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos)
-      << headers << answer;
+    const auto response =
+      SendRaw(Concat("POST /a HTTP/1.1\r\n", headers, tail));
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 4")) << headers << response;
+    EXPECT_TRUE(response.ends_with("|closed")) << headers << response;
+    EXPECT_EQ(response.find("HTTP/1.1", 1), std::string::npos)
+      << headers << response;
   }
 }
 
-// Guards against an unbounded wait for a peer that accepts and stays silent.
-TEST_F(HttpTest, SilentPeerEndsByDeadline)
+// Guards against a wait without timeout for a peer that accepts the connection
+// and never responds.
+TEST_F(HttpTest, UnresponsivePeerTimesOut)
 {
-  const SilentListener listener;
+  const UnresponsiveListener listener;
   HttpConnection connection(clock_, listener.Address());
   const TimeMs start = clock_.NowMs();
   const auto response =
@@ -155,10 +158,10 @@
   EXPECT_FALSE(connection.IsReusable());
 }
 
-// Guards against an unbounded wait for a body that stalls half way.
-TEST_F(HttpTest, StalledBodyEndsByDeadline)
+// Guards against a wait without timeout for a body that stalls.
+TEST_F(HttpTest, StalledBodyTimesOut)
 {
-  SilentListener listener;
+  UnresponsiveListener listener;
   auto peer =
     listener.RespondOnce("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
   {
@@ -171,10 +174,10 @@
   peer.join();
 }
 
-// Guards against a cancelled request that holds its thread until the deadline.
-TEST_F(HttpTest, CancelWakesTheWait)
+// Guards against a cancelled request that blocks its thread until the deadline.
+TEST_F(HttpTest, CancelInterruptsWait)
 {
-  const SilentListener listener;
+  const UnresponsiveListener listener;
   CancelSignal cancel;
   HttpConnection connection(clock_, listener.Address());
   std::thread canceller([&] { cancel.Cancel(); });
@@ -184,7 +187,7 @@
   EXPECT_EQ(response.status().code(), absl::StatusCode::kCancelled);
 }
 
-// Guards against confusing a refused connection with an unknown outcome.
+// Guards against reporting a refused connection as an unknown outcome.
 TEST_F(HttpTest, RefusedConnectionIsUnavailable)
 {
   HttpConnection connection(clock_, Concat("127.0.0.1:", FreePort()));
--- a/tests/LedgerTest.cpp
+++ b/tests/LedgerTest.cpp
@@ -13,7 +13,7 @@
 using Begin = RequestLedger::BeginResult;
 using Verdict = LedgerTicket::Verdict;
 
-// Guards against forgetting an id early, or keeping it for ever.
+// Guards against removing an id too early or keeping it forever.
 TEST(RequestLedger, IdIsKnownForTenMinutes)
 {
   RequestLedger ledger(10);
@@ -26,9 +26,9 @@
   EXPECT_EQ(ledger.Begin("svc", "a", 4, 600000, state), Begin::Recorded);
 }
 
-// Guards against dropping a young id when memory is full, which would let its
-// repeat run.
-TEST(RequestLedger, FullLedgerRefusesInsteadOfForgetting)
+// Guards against evicting a recent id when the ledger is full, after which its
+// duplicate would be executed.
+TEST(RequestLedger, FullLedgerRefusesInsteadOfEvicting)
 {
   RequestLedger ledger(2);
   LedgerEntryState state{};
@@ -36,14 +36,14 @@
   EXPECT_EQ(ledger.Begin("svc", "b", 2, 0, state), Begin::Recorded);
   EXPECT_EQ(ledger.Begin("svc", "c", 3, 0, state), Begin::Full);
   EXPECT_EQ(ledger.Begin("svc", "a", 4, 0, state), Begin::Seen);
-  // Ids that were begun and forgotten must not occupy memory without bound.
+  // A removed id must not occupy memory after its retention time.
   ledger.Finish("svc", "a", 1, LedgerEntryState::NotRun, 0);
   EXPECT_EQ(ledger.Begin("svc", "c", 3, 600000, state), Begin::Recorded);
 }
 
-// Guards against a delayed "not run" of one attempt that erases the record of
-// the next one.
-TEST(RequestLedger, LateNotRunDoesNotForgetTheNextAttempt)
+// Guards against a delayed NotRun message of one attempt that removes the
+// record of the next attempt.
+TEST(RequestLedger, DelayedNotRunKeepsNextAttempt)
 {
   RequestLedger ledger(10);
   LedgerEntryState state{};
@@ -55,7 +55,7 @@
   EXPECT_EQ(state, LedgerEntryState::InProgress);
 }
 
-/// Ledgers of several routers with faults.
+/// In-memory ledgers of several routers with injected faults.
 class FakeLedgerTransport final : public LedgerTransport
 {
 public:
@@ -92,7 +92,7 @@
   {
     later_.push_back([=, this] { Finish(aPeer, aId, aState); });
   }
-  /// Delivers the delayed message at the index.
+  /// Delivers the delayed message at aIndex.
   void Deliver(size_t aIndex)
   {
     later_[aIndex]();
@@ -115,8 +115,8 @@
 
 const std::vector<std::string> kRouters = { "r1", "r2", "r3", "r4" };
 
-// Guards against a repeat that runs again after one of the holders is lost.
-TEST(LedgerClient, RepeatIsRecognisedAfterTheLossOfAnyHolder)
+// Guards against executing a duplicate after one of the replicas is lost.
+TEST(LedgerClient, DuplicateIsDetectedAfterLossOfAnyReplica)
 {
   for (const size_t lostIndex : { 0U, 1U, 2U }) {
     FakeLedgerTransport peers;
@@ -131,8 +131,9 @@
   }
 }
 
-// Guards against two routers that each reach other holders and both forward.
-TEST(LedgerClient, RoutersThatReachDifferentHoldersDoNotBothForward)
+// Guards against two routers that reach different replicas and both forward the
+// request.
+TEST(LedgerClient, RoutersThatReachDifferentReplicasDoNotBothForward)
 {
   const auto replicas = LedgerClient::Replicas(kRouters, "id");
   for (const auto& reachedByFirst : replicas) {
@@ -149,7 +150,7 @@
   }
 }
 
-// Guards against forwarding a request that no majority of holders recorded.
+// Guards against forwarding a request that no majority of replicas recorded.
 TEST(LedgerClient, RefusesWithoutAMajority)
 {
   FakeLedgerTransport peers;
@@ -165,9 +166,9 @@
             Verdict::Unavailable);
 }
 
-// Guards against refusing all recordings while processes that have ended are
-// still listed.
-TEST(LedgerClient, EndedHoldersAreNotWaitedFor)
+// Guards against refusing all requests while routers whose process has exited
+// are still listed.
+TEST(LedgerClient, ExitedReplicasAreIgnored)
 {
   FakeLedgerTransport peers;
   const auto replicas = LedgerClient::Replicas(kRouters, "id");
@@ -182,9 +183,9 @@
             Verdict::Unavailable);
 }
 
-// Guards against a repeat that is refused for ever after a request that was
-// reported as not run.
-TEST(LedgerClient, RepeatRunsAfterNotRun)
+// Guards against refusing all retries of a request that was reported as not
+// executed.
+TEST(LedgerClient, RetryIsForwardedAfterNotRun)
 {
   FakeLedgerTransport peers;
   LedgerClient client(peers);
@@ -194,9 +195,9 @@
             Verdict::Forward);
 }
 
-// Guards against a second run of one id under lost answers, delayed and
-// reordered messages, and one holder that comes and goes.
-RC_GTEST_PROP(LedgerClient, IdRunsAtMostOnce, ())
+// Guards against executing one id twice when responses are lost, messages are
+// delayed and reordered, and one replica is intermittently unreachable.
+RC_GTEST_PROP(LedgerClient, IdExecutesAtMostOnce, ())
 {
   FakeLedgerTransport peers;
   LedgerClient client(peers);
@@ -212,7 +213,7 @@
       auto ticket = client.Begin(kRouters, { "svc", "id", ++token });
       if (ticket.verdict_ == Verdict::Forward) {
         open.push_back(ticket);
-        // Two attempts under way at once could both reach a server.
+        // Two concurrent attempts could both reach a server.
         RC_ASSERT(open.size() <= 1u);
         RC_ASSERT(runs == 0);
       }
--- a/tests/OutcomeClassifierTest.cpp
+++ b/tests/OutcomeClassifierTest.cpp
@@ -18,7 +18,7 @@
   Action otherFinal_;
 };
 
-/// The table of docs/design.md, section 6, written out a second time.
+/// The table of docs/design.md, section 6, independent of the implementation.
 constexpr Row kRows[] = {
   { End::Complete,
     Action::Respond,
@@ -69,8 +69,8 @@
 static_assert(std::size(kRows) == static_cast<size_t>(End::Count));
 
 // Guards against a rule that differs from the documented table, for every
-// failure and kind of request.
-TEST(OutcomeClassifier, EveryRowOfTheTable)
+// outcome and kind of request.
+TEST(OutcomeClassifier, MatchesDocumentedTable)
 {
   for (const auto& row : kRows) {
     const auto decide = [&](bool aIdempotent, bool aCanRetry) {
@@ -86,8 +86,8 @@
   }
 }
 
-// Guards against a failure at some stage that is taken for a safer one.
-TEST(OutcomeClassifier, StageDecidesTheFailure)
+// Guards against classifying a failure as safer to retry than its stage allows.
+TEST(OutcomeClassifier, StageDeterminesOutcome)
 {
   const auto closed = absl::StatusCode::kUnknown;
   const auto late = absl::StatusCode::kDeadlineExceeded;
@@ -103,8 +103,8 @@
   EXPECT_EQ(end(ExchangeStage::ReadingBody, late), End::TimedOut);
 }
 
-// Guards against a second run of a non-idempotent request: nothing that may
-// have run is retried, and nothing that may have run is reported as not run.
+// Guards against executing a non-idempotent request twice: a request that may
+// have been executed is neither retried nor reported as not executed.
 RC_GTEST_PROP(OutcomeClassifier, NonIdempotentIsNeverSentTwice, ())
 {
   const auto stage = static_cast<ExchangeStage>(
--- a/tests/RouterFaultTest.cpp
+++ b/tests/RouterFaultTest.cpp
@@ -38,7 +38,7 @@
   return false;
 }
 
-/// Servers whose process ends when they run the poison.
+/// Server that crashes when it executes the request "poison".
 class CrashingServer
 {
 public:
@@ -57,9 +57,9 @@
   FakeBackend backend_;
 };
 
-// Guards against a request that takes down one backend server after another,
-// and against a quarantine that hits requests which merely were beside it.
-TEST(RouterFault, CrashingRequestCostsTwoServers)
+// Guards against a request that crashes one backend server after another, and
+// against a quarantine of requests that were in flight beside it.
+TEST(RouterFault, CrashingRequestCrashesTwoServers)
 {
   std::vector<std::unique_ptr<CrashingServer>> servers;
   for (int i = 0; i < 4; ++i) {
@@ -98,8 +98,8 @@
   EXPECT_EQ(OutcomeOf(*fixture.Get()), "complete");
 }
 
-// Guards against a lost connection that is taken for a crash.
-TEST(RouterFault, ResetOfALivingServerMakesNoSuspect)
+// Guards against treating a connection reset by a running server as a crash.
+TEST(RouterFault, ResetByRunningServerCreatesNoSuspect)
 {
   FakeBackend* self = nullptr;
   std::atomic<int> requests = 0;
@@ -114,9 +114,9 @@
   EXPECT_FALSE(fixture.router_->Context().quarantine_.HasSuspects());
 }
 
-// Guards against waiting for the deadline on a connection that went silent
-// while the server answers on others, and against blaming the server.
-TEST(RouterFault, SilentConnectionIsReplaced)
+// Guards against waiting until the deadline on an unresponsive connection while
+// the server responds on others, and against treating the server as failed.
+TEST(RouterFault, UnresponsiveConnectionIsReplaced)
 {
   FakeBackend* self = nullptr;
   std::atomic<bool> silenced = false;
@@ -147,19 +147,19 @@
   EXPECT_EQ(OutcomeOf(*response), "complete");
   EXPECT_GE(taken, 250);
   EXPECT_LT(taken, 700);
-  // The replacement has the same id, which a cancellation would hit.
+  // The retry has the same request id, so a cancellation would cancel it.
   EXPECT_TRUE(backend.Cancelled().empty());
 }
 
-// Guards against taking a server that is slow on all connections for a broken
-// connection, which would double its load.
-TEST(RouterFault, SlowServerIsNotSilent)
+// Guards against treating a server that is slow on all connections as a broken
+// connection; retries would double its load.
+TEST(RouterFault, SlowServerIsNotUnresponsive)
 {
   FakeBackend* self = nullptr;
   FakeBackend backend([&](const Request&) {
-    auto answer = self->Ok("value");
-    answer.delayMs_ = 500;
-    return answer;
+    auto response = self->Ok("value");
+    response.delayMs_ = 500;
+    return response;
   });
   self = &backend;
   RouterFixture fixture;
@@ -170,7 +170,7 @@
   EXPECT_EQ(backend.Requests().size(), 1u);
 }
 
-/// Sends a GET and reads nothing; closes after aOpenMs.
+/// Sends a GET request, does not read the response and closes after aOpenMs.
 void AbandonRequest(int aPort, int aOpenMs)
 {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -188,8 +188,9 @@
   close(fd);
 }
 
-// Guards against a server that keeps working for a caller that has gone.
-TEST(RouterFault, CallerThatLeavesCancelsTheRequest)
+// Guards against a server that keeps executing the request of a caller that has
+// disconnected.
+TEST(RouterFault, CallerDisconnectCancelsRequest)
 {
   FakeBackend* self = nullptr;
   const std::string large(32 << 20, 'x');
@@ -204,14 +205,15 @@
   }));
 }
 
-// Guards against a slow caller that holds its thread and connection for ever.
-TEST(RouterFault, SlowCallerIsGivenUp)
+// Guards against a caller that does not read and blocks its thread and backend
+// connection forever.
+TEST(RouterFault, SlowCallerIsDisconnected)
 {
   FakeBackend* self = nullptr;
   const std::string large(32 << 20, 'x');
   FakeBackend backend([&](const Request&) { return self->Ok(large); });
   self = &backend;
-  RouterFixture fixture; // gives up after 2 s without progress
+  RouterFixture fixture; // disconnects a caller that does not read for 2 s
   fixture.SetOwner(backend);
   std::thread slow([&] { AbandonRequest(fixture.http_.Port(), 4000); });
   Sleep(3500);
@@ -221,15 +223,15 @@
   slow.join();
 }
 
-// Guards against a planned stop that cuts off a request in flight, or keeps
-// the balancer sending callers to a router that is about to end.
+// Guards against a graceful stop that aborts a request in flight, or that
+// leaves the readiness check succeeding while the router stops.
 TEST(RouterFault, StopFinishesRequestsInFlight)
 {
   FakeBackend* self = nullptr;
   FakeBackend backend([&](const Request&) {
-    auto answer = self->Ok("value");
-    answer.delayMs_ = 600;
-    return answer;
+    auto response = self->Ok("value");
+    response.delayMs_ = 600;
+    return response;
   });
   self = &backend;
   RouterFixture fixture;
@@ -254,15 +256,15 @@
   EXPECT_EQ(complete, 4);
 }
 
-// Guards against an overloaded server that all callers wait for: beyond the
-// queue they are refused at once.
-TEST(RouterFault, ExcessIsRefusedEarly)
+// Guards against callers that all wait for an overloaded server: requests
+// beyond the queue limit are refused without waiting.
+TEST(RouterFault, ExcessLoadIsRefusedEarly)
 {
   FakeBackend* self = nullptr;
   FakeBackend backend([&](const Request&) {
-    auto answer = self->Ok("value");
-    answer.delayMs_ = 400;
-    return answer;
+    auto response = self->Ok("value");
+    response.delayMs_ = 400;
+    return response;
   });
   self = &backend;
   RouterFixture fixture;
@@ -288,7 +290,7 @@
   EXPECT_EQ(late, 0);
 }
 
-/// Two routers that know each other.
+/// Two routers that list each other as peers.
 struct RouterPair
 {
   RouterPair()
@@ -302,9 +304,9 @@
   RouterFixture two_;
 };
 
-// Guards against a repeat that runs because it arrives at another router, also
-// after the router that forwarded the request has stopped.
-TEST(RouterFault, RepeatIsRecognisedByAnotherRouter)
+// Guards against executing a duplicate that arrives at another router,
+// including after the router that forwarded the first request has stopped.
+TEST(RouterFault, DuplicateIsDetectedByAnotherRouter)
 {
   FakeBackend* self = nullptr;
   FakeBackend backend([&](const Request&) { return self->Ok("value"); });
@@ -317,14 +319,14 @@
   EXPECT_EQ(OutcomeOf(*routers.one_.Post("b")), "complete");
   EXPECT_TRUE(routers.one_.router_->StopGracefully());
   EXPECT_EQ(routers.two_.Post("b")->head_.status_, 409);
-  // New ids are served with the one holder that is left.
+  // New ids are accepted with the one replica that is left.
   EXPECT_EQ(OutcomeOf(*routers.two_.Post("c")), "complete");
   EXPECT_EQ(backend.Requests().size(), 3u);
 }
 
-// Guards against a quarantine that other instances learn of too late, and
-// against one that comes back after an operator has released it.
-TEST(RouterFault, QuarantineReachesTheOtherRouter)
+// Guards against a quarantine that reaches other instances too late, and
+// against one that reappears after an operator has released it.
+TEST(RouterFault, QuarantineReachesOtherRouter)
 {
   constexpr uint64_t kFingerprint = 77;
   RouterPair routers;
--- a/tests/RouterFixture.hpp
+++ b/tests/RouterFixture.hpp
@@ -13,7 +13,7 @@
 
 namespace cactuspitch {
 
-/// RoutingTables whose tables the test sets.
+/// RoutingTables with one table that the test sets.
 class FakeRoutingTables final : public RoutingTables
 {
 public:
@@ -23,8 +23,9 @@
   }
 
   void Set(GroupTable aTable, TimeMs aViewLeaseUntilMs = INT64_MAX);
-  /// Runs on the next RequestRefresh.
+  /// Sets an action that the next RequestRefresh() runs once.
   void OnRefresh(std::function<void()> aAction);
+  /// Number of RequestRefresh() calls.
   int Refreshes() const { return refreshes_; }
 
   std::shared_ptr<const FollowedTable> Table(std::string_view aService,
@@ -58,16 +59,17 @@
   std::atomic<int> refreshes_ = 0;
 };
 
-/// A router in this process whose service "svc" has one slice.
+/// In-process router with one service, "svc", of one slice.
 class RouterFixture
 {
 public:
   RouterFixture();
-  /// Names the backend server as owner of all keys.
+  /// Makes the backend server the owner of all keys.
   void SetOwner(const FakeBackend& aBackend,
                 Epoch aEpoch = 1,
                 bool aChecksFence = true,
                 TimeMs aViewLeaseUntilMs = INT64_MAX);
+  /// Leaves all keys without an owner.
   void ClearOwner(Epoch aEpoch = 1);
   absl::StatusOr<HttpResponse> Send(const std::string& aMethod,
                                     const std::string& aPath,
@@ -77,7 +79,7 @@
   {
     return Send("GET", "/svc/key", std::move(aHeaders));
   }
-  /// POST with the request id.
+  /// Sends a POST with the request id aId.
   absl::StatusOr<HttpResponse> Post(const std::string& aId,
                                     HttpHeaders aHeaders = {}) const;
 
--- a/tests/RouterMeasurementTest.cpp
+++ b/tests/RouterMeasurementTest.cpp
@@ -12,7 +12,7 @@
 namespace cactuspitch {
 namespace {
 
-// Guards against a p99 that is off by more than the width of a bucket; the
+// Guards against a p99 that is off by more than the width of a bucket. The
 // silence limit and the load reports depend on it.
 RC_GTEST_PROP(LatencyHistogram, P99IsWithinOneEighth, ())
 {
@@ -32,8 +32,8 @@
   RC_ASSERT(window.p99Ms_ <= exactMs * 1.126 + 0.001);
 }
 
-// Guards against requests that are lost or counted twice between threads and
-// windows, which would misplace the load.
+// Guards against losing or double-counting requests across threads and windows,
+// which would distort the measured load.
 TEST(LoadRecorder, ThreadsAndWindowsAddUp)
 {
   constexpr int kThreads = 8;
@@ -65,7 +65,8 @@
   EXPECT_DOUBLE_EQ(busyMs, kThreads * kRequests * 0.5);
 }
 
-// Guards against a hot key that the sampling before the sketch hides.
+// Guards against a hot key that is missed because only some requests are
+// sampled.
 TEST(LoadRecorder, HotKeyComesFirst)
 {
   constexpr KeyHash kHot = 7;
@@ -79,9 +80,9 @@
   EXPECT_EQ(window.hotKeys_[0].second.at(0).hash_, kHot);
 }
 
-// Guards against counts of the burn report that move between minutes, and
-// against memory that grows with each minute.
-TEST(SloCounters, MinutesStayApartAndExpire)
+// Guards against counting a request in the wrong minute of the burn report, and
+// against memory use that grows with each minute.
+TEST(SloCounters, MinutesAreSeparateAndExpire)
 {
   int64_t minute = 100;
   SloCounters counters([&] { return minute; });
--- a/tests/RouterSettingsTest.cpp
+++ b/tests/RouterSettingsTest.cpp
@@ -10,7 +10,7 @@
 
 using Flags = std::map<std::string, std::string>;
 
-/// Fields with findings after parsing and all checks.
+/// Names of the settings with findings, in sorted order.
 std::vector<std::string> WrongFields(Flags aChanged)
 {
   Flags flags = { { "instance", "e1" },
@@ -43,7 +43,7 @@
 
 using Fields = std::vector<std::string>;
 
-// Guards against a start with limits that contradict each other.
+// Guards against starting with settings that contradict each other.
 TEST(RouterSettings, ContradictionsAreFindings)
 {
   EXPECT_EQ(WrongFields({}), Fields{});
@@ -57,7 +57,7 @@
   EXPECT_EQ(WrongFields({ { "log-level", "loud" } }), Fields{ "log-level" });
 }
 
-// Guards against a start that reports one wrong setting after the other.
+// Guards against reporting only the first of several invalid settings.
 TEST(RouterSettings, AllFindingsAreReportedTogether)
 {
   EXPECT_EQ(WrongFields({ { "threads", "64" },
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -19,21 +19,22 @@
   return std::string(aResponse.head_.Header(header::kOutcome));
 }
 
-/// Backend server whose n-th request gets the n-th answer, the last for ever.
+/// Backend server that sends a list of responses in order and then repeats the
+/// last one.
 class ScriptedBackend
 {
 public:
   explicit ScriptedBackend(
-    std::vector<std::function<Response(FakeBackend&)>> aAnswers)
-    : answers_(std::move(aAnswers))
+    std::vector<std::function<Response(FakeBackend&)>> aResponses)
+    : responses_(std::move(aResponses))
     , backend_([this](const Request&) {
-      const auto index = std::min(next_++, answers_.size() - 1);
-      return answers_[index](backend_);
+      const auto index = std::min(next_++, responses_.size() - 1);
+      return responses_[index](backend_);
     })
   {
   }
 
-  std::vector<std::function<Response(FakeBackend&)>> answers_;
+  std::vector<std::function<Response(FakeBackend&)>> responses_;
   std::atomic<size_t> next_ = 0;
   FakeBackend backend_;
 };
@@ -48,9 +49,9 @@
   return { std::move(aBytes), aThen };
 }
 
-// Guards against a request that reaches the server without what it checks, and
-// against internal headers that reach a caller.
-TEST(Router, ForwardsWithTheProtocolHeaders)
+// Guards against forwarding a request without the headers that the server
+// checks, and against internal headers in the response to the caller.
+TEST(Router, ForwardsProtocolHeaders)
 {
   ScriptedBackend server({ Ok });
   RouterFixture fixture;
@@ -68,9 +69,9 @@
   EXPECT_NE(sent.Header("X-Deadline-Clock-Ms"), "");
 }
 
-// Guards against a deadline in the server's clock that lies after the one of
-// the caller.
-TEST(Router, DeadlineIsInTheClockOfTheServer)
+// Guards against sending the server a deadline that is later than the caller's,
+// converted to the server's clock.
+TEST(Router, DeadlineIsConvertedToServerClock)
 {
   ScriptedBackend server({ Ok });
   server.backend_.SetClockMs(5000000);
@@ -84,7 +85,7 @@
   EXPECT_GT(deadline, 5000600);
 }
 
-// Guards against a new connection for each request.
+// Guards against opening a new connection for each request.
 TEST(Router, ConnectionsAreReused)
 {
   ScriptedBackend server({ Ok });
@@ -100,7 +101,7 @@
 {
   const char* name_;
   std::function<Response(FakeBackend&)> failure_;
-  /// What a POST gets; a GET is retried and completes.
+  /// Expected X-Outcome of a POST. A GET is retried and completes.
   const char* postOutcome_;
 };
 
@@ -140,8 +141,8 @@
     "complete" },
 };
 
-// Guards against a GET that is given up although it could be retried, and
-// against a POST that is sent twice after it may have run.
+// Guards against failing a GET that could be retried, and against sending a
+// POST twice after it may have been executed.
 TEST(Router, FailureOfTheFirstAttempt)
 {
   for (const bool isGet : { true, false }) {
@@ -158,7 +159,7 @@
       EXPECT_EQ(server.backend_.Requests().size(),
                 expected == "complete" ? 2u : 1u)
         << failure.name_ << isGet;
-      // The answer names the id of its request, also after a retry.
+      // All attempts of a request have the same request id.
       const auto sent = server.backend_.Requests();
       ASSERT_FALSE(sent.empty());
       EXPECT_EQ(sent.front().Header("X-Request-Id"),
@@ -167,9 +168,10 @@
   }
 }
 
-// Guards against an answer held back until the deadline after the router has
-// given up, and against callers that come back all at once.
-TEST(Router, GivesUpAtOnceWithARetryTime)
+// Guards against delaying the response until the deadline after the last retry,
+// and against a refusal without a retry time, after which callers would retry
+// at the same time.
+TEST(Router, RefusesImmediatelyWithRetryTime)
 {
   ScriptedBackend server(
     { [](FakeBackend& aServer) { return aServer.NotRun("busy"); } });
@@ -185,8 +187,9 @@
   EXPECT_NE(response->head_.Header(header::kRetryAfterMs), "");
 }
 
-// Guards against a caller without a final answer when the server is silent.
-TEST(Router, SilentServerEndsByTheDeadline)
+// Guards against a caller that gets no final response because the server does
+// not respond.
+TEST(Router, UnresponsiveServerTimesOutAtDeadline)
 {
   ScriptedBackend server(
     { [](FakeBackend&) { return Raw("", AfterResponse::Hang); } });
@@ -203,8 +206,8 @@
   }
 }
 
-// Guards against requests that fail while a slice moves to its standby.
-TEST(Router, ParksUntilTheKeyHasANewOwner)
+// Guards against requests that fail while a slice moves to its standby server.
+TEST(Router, ParksUntilKeyHasNewOwner)
 {
   ScriptedBackend old(
     { [](FakeBackend& aServer) { return aServer.NotRun("not-owner"); } });
@@ -226,8 +229,8 @@
   EXPECT_EQ(next.backend_.Requests().at(0).Header("X-Slice-Epoch"), "2");
 }
 
-// Guards against waiting for an owner beyond the deadline.
-TEST(Router, NoOwnerIsNotRunByTheDeadline)
+// Guards against waiting for an owner after the deadline.
+TEST(Router, NoOwnerIsNotRunAtDeadline)
 {
   RouterFixture fixture;
   const TimeMs start = fixture.clock_.NowMs();
@@ -238,9 +241,9 @@
   EXPECT_LT(fixture.clock_.NowMs() - start, 300);
 }
 
-// Guards against forwarding to a server that does not check the fence under a
-// table that may be out of date, and against a deadline after the view lease.
-TEST(Router, ViewLeaseBoundsServersThatDoNotCheck)
+// For a server that does not check the fence: guards against forwarding with a
+// table that may be outdated, and against a deadline after the view lease.
+TEST(Router, ViewLeaseLimitsServersWithoutFenceCheck)
 {
   ScriptedBackend server({ Ok });
   server.backend_.SetClockMs(1000000);
@@ -262,9 +265,9 @@
   EXPECT_LE(sent, 1000200);
 }
 
-// Guards against a server without the fence check whose clock is 1% slow and
-// reaches the deadline after the router's view lease has ended.
-TEST(Router, DeadlineAllowsForASlowClock)
+// Guards against a server without the fence check whose clock runs 1% slow, so
+// that it reaches the deadline after the router's view lease has expired.
+TEST(Router, DeadlineAllowsForSlowClock)
 {
   ScriptedBackend server({ Ok });
   server.backend_.SetClockMs(1000000);
@@ -278,9 +281,10 @@
   EXPECT_LE(sent, 1000000 + 10000 * 99 / 100);
 }
 
-// Guards against a clock of the previous process that puts the deadline of a
-// restarted server, which does not check the fence, far into the future.
-TEST(Router, ClockIsLearnedAgainAfterARestart)
+// Guards against using the clock offset of the previous process after a restart
+// of a server that does not check the fence. It could put the deadline far into
+// the future.
+TEST(Router, ClockIsReadAgainAfterRestart)
 {
   ScriptedBackend server({ Ok });
   server.backend_.SetClockMs(900000000);
@@ -297,8 +301,8 @@
   EXPECT_LE(sent, 1000 + 2000);
 }
 
-// Guards against a repeat of a non-idempotent request that runs again.
-TEST(Router, RepeatedIdIsNotForwarded)
+// Guards against executing a duplicate of a non-idempotent request.
+TEST(Router, DuplicateIdIsNotForwarded)
 {
   ScriptedBackend server({ Ok });
   RouterFixture fixture;
@@ -312,13 +316,14 @@
   EXPECT_EQ(server.backend_.Requests().size(), 1u);
 }
 
-// Guards against two runs of one id that arrives on many connections at once.
-TEST(Router, ConcurrentRepeatsRunOnce)
+// Guards against executing one request id twice when duplicates arrive
+// concurrently.
+TEST(Router, ConcurrentDuplicatesExecuteOnce)
 {
   ScriptedBackend server({ [](FakeBackend& aServer) {
-    auto answer = aServer.Ok("value");
-    answer.delayMs_ = 20;
-    return answer;
+    auto response = aServer.Ok("value");
+    response.delayMs_ = 20;
+    return response;
   } });
   RouterFixture fixture;
   fixture.SetOwner(server.backend_);
@@ -337,8 +342,8 @@
   EXPECT_EQ(server.backend_.Requests().size(), 1u);
 }
 
-// Guards against a POST that is forwarded although no holder recorded its id.
-TEST(Router, NoHolderMeansNotRun)
+// Guards against forwarding a POST whose id no replica recorded.
+TEST(Router, NoReachableReplicaMeansNotRun)
 {
   ScriptedBackend server({ Ok });
   RouterFixture fixture;
@@ -351,8 +356,8 @@
   EXPECT_TRUE(server.backend_.Requests().empty());
 }
 
-// Guards against a truncated answer of a server that looks complete.
-TEST(Router, TruncatedLargeAnswerIsNeverComplete)
+// Guards against forwarding a truncated response so that it looks complete.
+TEST(Router, TruncatedLargeResponseIsNeverComplete)
 {
   const std::string part(200000, 'x');
   for (const bool chunked : { false, true }) {
@@ -374,9 +379,9 @@
   }
 }
 
-// Guards against large answers that are damaged on their way through the
+// Guards against corrupting large responses that are streamed through the
 // bounded buffer.
-TEST(Router, LargeAnswersPassUnchanged)
+TEST(Router, LargeResponsesAreForwardedUnchanged)
 {
   std::string body(3000000, '\0');
   for (size_t i = 0; i < body.size(); ++i) {
@@ -392,8 +397,8 @@
   EXPECT_EQ(OutcomeOf(*response), "complete");
 }
 
-// Guards against a HEAD that waits for a body or loses the length.
-TEST(Router, HeadKeepsTheLength)
+// Guards against a HEAD request that waits for a body or drops Content-Length.
+TEST(Router, HeadKeepsContentLength)
 {
   ScriptedBackend server({ [](FakeBackend&) {
     return Raw("HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r\n",
@@ -408,8 +413,8 @@
   EXPECT_EQ(OutcomeOf(*response), "complete");
 }
 
-/// The status that the router gives to these bytes, 0 without an answer.
-int StatusOfBytes(const RouterFixture& aFixture, const std::string& aBytes)
+/// Status of the router's response to raw bytes; 0 without a response.
+int StatusOfRawRequest(const RouterFixture& aFixture, const std::string& aBytes)
 {
   boost::asio::ip::tcp::iostream stream;
   stream.expires_after(std::chrono::seconds(3));
@@ -423,16 +428,16 @@
   return status;
 }
 
-// Guards against requests that routers and backend servers read differently,
-// so that a part of one is taken for another caller's request.
-TEST(Router, AmbiguousBytesAreRefused)
+// Guards against request smuggling: bytes that the router and a backend server
+// parse differently must be rejected.
+TEST(Router, AmbiguousRequestsAreRefused)
 {
   ScriptedBackend server({ Ok });
   RouterFixture fixture;
   fixture.SetOwner(server.backend_);
   const auto status = [&fixture](const std::string& aPath,
                                  const std::string& aHeader) {
-    return StatusOfBytes(
+    return StatusOfRawRequest(
       fixture, Concat("GET ", aPath, " HTTP/1.1\r\n", aHeader, "\r\n"));
   };
   const std::string host = "Host: h\r\n";
@@ -456,7 +461,8 @@
   EXPECT_EQ(server.backend_.Requests().at(0).Path(), "/svc/a%20b");
 }
 
-// Guards against unclear answers to input that cannot be forwarded.
+// Guards against responses without X-Outcome or with a wrong status for
+// requests that cannot be forwarded.
 TEST(Router, BadInputIsRefusedWithAnOutcome)
 {
   ScriptedBackend server({ Ok });
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -28,8 +28,8 @@
   return aSettings.Parse(argc, argv.data(), aEnvironment);
 }
 
-// Guards against an environment variable overriding a flag.
-TEST(Settings, FlagsWinOverEnvironment)
+// Guards against an environment variable that overrides a flag.
+TEST(Settings, FlagsOverrideEnvironment)
 {
   Settings settings(Specs());
   EXPECT_EQ(Parse(settings,
@@ -41,7 +41,7 @@
   EXPECT_TRUE(settings.Boolean("verbose"));
 }
 
-// Guards against a start that reports only the first wrong setting.
+// Guards against reporting only the first of several invalid settings.
 TEST(Settings, AllFindingsAreReportedTogether)
 {
   Settings settings(Specs());
@@ -61,7 +61,7 @@
   EXPECT_EQ(Parse(settings, {}), SettingsAction::Invalid);
 }
 
-// Guards against accepting names or malformed ports as addresses.
+// Guards against accepting host names or malformed ports as addresses.
 TEST(Settings, AddressesAreNumeric)
 {
   EXPECT_TRUE(IsValidAddress("10.0.0.1:8080"));
--- a/tests/SloTest.cpp
+++ b/tests/SloTest.cpp
@@ -58,7 +58,7 @@
 RC_GTEST_FIXTURE_PROP(SloArchiveTest, ConcurrentWritersCountOnce, ())
 {
   store_.SetFaults(
-    { .unavailable_ = 5, .lostAnswer_ = 20, .delayedWrite_ = 20 });
+    { .unavailable_ = 5, .lostResponse_ = 20, .delayedWrite_ = 20 });
   SloArchive left(store_, clock_);
   SloArchive right(store_, clock_);
   int64_t largest[2] = {};
