--- a/router/CrashReporter.cpp
+++ b/router/BackendCrashDetector.cpp
@@ -1,4 +1,4 @@
-#include "CrashReporter.hpp"
+#include "BackendCrashDetector.hpp"
 
 #include "common/Log.hpp"
 
@@ -11,11 +11,12 @@
 
 namespace detail {
 
-constexpr TimeMs kCrashCheckMs = 100;
+constexpr TimeMs kCheckTimeoutMs = 100;
 
 }
 
-uint64_t Fingerprint(const CallerRequest& aRequest, std::string_view aBody)
+uint64_t RequestFingerprint(const CallerRequest& aRequest,
+                            std::string_view aBody)
 {
   const auto method =
     XXH3_64bits(aRequest.method_.data(), aRequest.method_.size());
@@ -25,33 +26,33 @@
                        : XXH3_64bits_withSeed(aBody.data(), aBody.size(), path);
 }
 
-void CrashReporter::Check(BackendServer& aServer, uint64_t aIncarnation)
+void BackendCrashDetector::Check(BackendServer& aServer, uint64_t aIncarnation)
 {
   const auto incarnation =
     aIncarnation != 0 ? aIncarnation : aServer.Incarnation();
-  if (!IsProcessGone(aServer, incarnation)) {
+  if (!HasProcessExited(aServer, incarnation)) {
     return;
   }
-  aServer.OnProcessGone();
-  const auto suspects = aServer.Pool().TakeCrash(incarnation);
+  aServer.OnProcessExit();
+  const auto suspects = aServer.Pool().TakeCrashSuspects(incarnation);
   if (!suspects.empty()) {
     Log(LogLevel::Warning,
-        "backend server was lost with requests in flight",
+        "backend server process exited with requests in flight",
         { { "server", aServer.Id() }, { "requests", suspects.size() } });
     quarantine_.OnCrash(aServer.Id(), suspects, incarnation);
   }
 }
 
-bool CrashReporter::IsProcessGone(const BackendServer& aServer,
-                                  uint64_t aIncarnation)
+bool BackendCrashDetector::HasProcessExited(const BackendServer& aServer,
+                                            uint64_t aIncarnation)
 {
   constexpr size_t kMaxHealthBytes = 64 * 1024;
-  constexpr auto kPause = std::chrono::milliseconds(5);
-  const TimeMs bound = clock_.NowMs() + detail::kCrashCheckMs;
+  constexpr auto kProbeInterval = std::chrono::milliseconds(5);
+  const TimeMs deadlineMs = clock_.NowMs() + detail::kCheckTimeoutMs;
   const HttpRequest request{ "GET", "/_cactuspitch/health", {}, {} };
   HttpConnection probe(clock_, aServer.Address());
-  while (clock_.NowMs() < bound) {
-    const auto health = probe.Exchange(request, bound, kMaxHealthBytes);
+  while (clock_.NowMs() < deadlineMs) {
+    const auto health = probe.Exchange(request, deadlineMs, kMaxHealthBytes);
     if (health.ok()) {
       const auto now = health->head_.Header(header::kIncarnation);
       return !now.empty() && aIncarnation != 0 && HashKey(now) != aIncarnation;
@@ -59,9 +60,9 @@
     if (absl::IsUnavailable(health.status())) {
       return true;
     }
-    // A process that is ending can still accept for a moment.
+    // A process that is exiting can still accept connections for a moment.
     probe.Close();
-    std::this_thread::sleep_for(kPause);
+    std::this_thread::sleep_for(kProbeInterval);
   }
   return false;
 }
--- a/router/BackendServer.cpp
+++ b/router/BackendServer.cpp
@@ -12,10 +12,11 @@
 
 namespace detail {
 
-/// Differs when any input of an admission gate differs.
-uint64_t GateKey(const ServiceRules& aRules,
-                 const BackendServerRecord& aRecord,
-                 int aRouters)
+/// Hash of all inputs of an admission controller. A controller is reused as
+/// long as its key does not change.
+uint64_t AdmissionKey(const ServiceRules& aRules,
+                      const BackendServerRecord& aRecord,
+                      int aRouters)
 {
   uint64_t key = 1;
   for (const int64_t part : { static_cast<int64_t>(aRecord.slots_),
@@ -40,32 +41,33 @@
 {
 }
 
-AdmissionGate& BackendServer::Gate(const ServiceRules& aRules,
-                                   const BackendServerRecord& aRecord,
-                                   int aRouters)
+AdmissionController& BackendServer::Admission(
+  const ServiceRules& aRules,
+  const BackendServerRecord& aRecord,
+  int aRouters)
 {
-  const auto key = detail::GateKey(aRules, aRecord, aRouters);
-  auto* current = gate_.load(std::memory_order_acquire);
-  if (current && gateKey_.load(std::memory_order_relaxed) == key) {
+  const auto key = detail::AdmissionKey(aRules, aRecord, aRouters);
+  auto* current = admission_.load(std::memory_order_acquire);
+  if (current && admissionKey_.load(std::memory_order_relaxed) == key) {
     return *current;
   }
-  const std::lock_guard lock(gateMutex_);
-  auto& gate = gates_[key];
-  if (!gate) {
-    gate = MakeGate(aRules, aRecord, aRouters);
+  const std::lock_guard lock(admissionMutex_);
+  auto& admission = admissionByKey_[key];
+  if (!admission) {
+    admission = MakeAdmission(aRules, aRecord, aRouters);
   }
   pool_.SetLimit(aRecord.connections_ / std::max(1, aRouters));
-  gateKey_.store(key, std::memory_order_relaxed);
-  gate_.store(gate.get(), std::memory_order_release);
-  return *gate;
+  admissionKey_.store(key, std::memory_order_relaxed);
+  admission_.store(admission.get(), std::memory_order_release);
+  return *admission;
 }
 
-std::unique_ptr<AdmissionGate> BackendServer::MakeGate(
+std::unique_ptr<AdmissionController> BackendServer::MakeAdmission(
   const ServiceRules& aRules,
   const BackendServerRecord& aRecord,
   int aRouters) const
 {
-  // Routers with the same seed would retry and call back at the same moments.
+  // With equal seeds, all routers would ask callers to retry at the same times.
   const uint64_t seed = std::random_device{}() ^ HashKey(id_);
   const AdmissionOptions options{ .slots_ = static_cast<double>(aRecord.slots_),
                                   .routers_ = aRouters,
@@ -74,10 +76,10 @@
   auto policy =
     AdmissionRegistry::Global().Create(aRules.admissionPolicy_, options);
   if (!policy) {
-    // The configuration is validated before it is accepted; a mixed fleet can
-    // still name a policy that this version does not have.
+    // The configuration is validated before it is accepted. In a fleet of
+    // mixed versions it can still name a policy that this version lacks.
     Log(LogLevel::Error,
-        "unknown admission policy, using static",
+        "unknown admission policy; using static",
         { { "policy", aRules.admissionPolicy_ } });
     policy = AdmissionRegistry::Global().Create("static", options);
   }
@@ -85,7 +87,7 @@
   if (aRecord.warmupPercent_ < kWarm) {
     policy->OnColdStart(clock_.NowMs());
   }
-  return std::make_unique<AdmissionGate>(
+  return std::make_unique<AdmissionController>(
     clock_,
     std::make_unique<ServerGate>(
       std::move(policy),
@@ -93,12 +95,13 @@
       seed));
 }
 
-void BackendServer::OnAnswer(PooledConnection& aConnection,
-                             const HttpResponseHead& aHead)
+void BackendServer::OnResponse(PooledConnection& aConnection,
+                               const HttpResponseHead& aHead)
 {
   TimeMs stamp = 0;
   if (ParseNumber(aHead.Header(header::kClockMs), stamp)) {
-    // The stamp was taken before this millisecond of the local clock ended.
+    // The server read its clock before the current millisecond of the local
+    // clock ended. Subtracting 1 ms makes the offset a lower bound.
     aConnection.clockReceivedMs_ = clock_.NowMs();
     aConnection.clockOffsetMs_ = stamp - aConnection.clockReceivedMs_ - 1;
     aConnection.clockKnown_ = true;
@@ -113,10 +116,10 @@
     incarnation_.exchange(aConnection.incarnation_, std::memory_order_relaxed);
   if (before != 0 && before != aConnection.incarnation_) {
     Log(LogLevel::Info,
-        "backend server has a new incarnation",
+        "backend server restarted",
         { { "server", id_ }, { "incarnation", incarnation } });
-    if (auto* gate = CurrentGate()) {
-      gate->OnColdStart();
+    if (auto* admission = CurrentAdmission()) {
+      admission->OnColdStart();
     }
   }
 }
@@ -127,7 +130,7 @@
   return offset == kClockUnknown ? std::nullopt : std::optional(offset);
 }
 
-void BackendServer::OnProcessGone()
+void BackendServer::OnProcessExit()
 {
   clockOffsetMs_.store(kClockUnknown, std::memory_order_relaxed);
   pool_.CloseIdleOpenedBefore(clock_.NowMs());
--- a/router/BackendServer.hpp
+++ b/router/BackendServer.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "AdmissionGate.hpp"
+#include "AdmissionController.hpp"
 #include "ConnectionPool.hpp"
 #include "LatencyHistogram.hpp"
-#include "common/SliceTable.hpp"
+#include "common/GroupTable.hpp"
 #include "config/ServiceRules.hpp"
 
 #include <atomic>
@@ -15,7 +15,8 @@
 
 namespace cactuspitch {
 
-/// What the router knows of one backend server.
+/// State that the router keeps for one backend server: connections, admission
+/// control, latencies, clock offset and counters. Thread-safe.
 class BackendServer
 {
 public:
@@ -27,36 +28,42 @@
   ConnectionPool& Pool() { return pool_; }
   LatencyHistogram& Latency() { return latency_; }
 
-  /// Gate of the policy that the rules name; another one when the rules, the
-  /// slots or the number of routers change. Valid as long as this object.
-  AdmissionGate& Gate(const ServiceRules& aRules,
-                      const BackendServerRecord& aRecord,
-                      int aRouters);
-  /// Gate in use; null before the first request.
-  AdmissionGate* CurrentGate() const
+  /// Admission controller for these rules. A change of the rules, the slots,
+  /// the connection limit or the number of routers selects another one. The
+  /// reference stays valid as long as this object.
+  AdmissionController& Admission(const ServiceRules& aRules,
+                                 const BackendServerRecord& aRecord,
+                                 int aRouters);
+  /// Admission controller in use; null before the first request.
+  AdmissionController* CurrentAdmission() const
   {
-    return gate_.load(std::memory_order_acquire);
+    return admission_.load(std::memory_order_acquire);
   }
 
-  /// Reads the clock and incarnation headers of an answer received now.
-  void OnAnswer(PooledConnection& aConnection, const HttpResponseHead& aHead);
-  /// Lower bound of (server clock - local clock); empty when unknown.
+  /// Reads the clock and incarnation headers of a response that was received
+  /// just now.
+  void OnResponse(PooledConnection& aConnection, const HttpResponseHead& aHead);
+  /// Lower bound of (server clock - local clock) in ms; empty when unknown.
   std::optional<TimeMs> ClockOffsetMs() const;
-  /// The process that was known is gone; its clock is no longer valid.
-  void OnProcessGone();
+  /// The server process has exited: discards its clock offset and closes the
+  /// idle connections to it.
+  void OnProcessExit();
+  /// Hash of the incarnation seen last; 0 when none was seen.
   uint64_t Incarnation() const
   {
     return incarnation_.load(std::memory_order_relaxed);
   }
 
+  // Counts since the last load report.
   std::atomic<int64_t> requests_ = 0;
   std::atomic<int64_t> refusals_ = 0;
   std::atomic<int64_t> failures_ = 0;
 
 private:
-  std::unique_ptr<AdmissionGate> MakeGate(const ServiceRules& aRules,
-                                          const BackendServerRecord& aRecord,
-                                          int aRouters) const;
+  std::unique_ptr<AdmissionController> MakeAdmission(
+    const ServiceRules& aRules,
+    const BackendServerRecord& aRecord,
+    int aRouters) const;
 
   static constexpr TimeMs kClockUnknown = INT64_MIN;
 
@@ -68,11 +75,12 @@
   std::atomic<uint64_t> incarnation_ = 0;
   std::atomic<TimeMs> clockOffsetMs_ = kClockUnknown;
 
-  std::atomic<AdmissionGate*> gate_ = nullptr;
-  std::atomic<uint64_t> gateKey_ = 0;
-  std::mutex gateMutex_;
-  /// By key. Requests of an earlier configuration may still use theirs.
-  std::map<uint64_t, std::unique_ptr<AdmissionGate>> gates_;
+  std::atomic<AdmissionController*> admission_ = nullptr;
+  std::atomic<uint64_t> admissionKey_ = 0;
+  std::mutex admissionMutex_;
+  /// By AdmissionKey(). Controllers of earlier configurations stay, since
+  /// requests may still use them.
+  std::map<uint64_t, std::unique_ptr<AdmissionController>> admissionByKey_;
 };
 
 }
--- a/router/Canceller.hpp
+++ b/router/CancellationSender.hpp
@@ -10,18 +10,20 @@
 
 namespace cactuspitch {
 
-/// Tells backend servers on a thread of its own that nobody waits for the
-/// answer of a request any more. Best effort: a full ring drops the message.
-class Canceller
+/// Notifies backend servers that the response to a request is no longer
+/// needed. A background thread sends the notifications. Best effort: when the
+/// queue is full, the notification is dropped.
+class CancellationSender
 {
 public:
-  explicit Canceller(const Clock& aClock);
-  ~Canceller();
-  Canceller(const Canceller&) = delete;
-  Canceller& operator=(const Canceller&) = delete;
+  explicit CancellationSender(const Clock& aClock);
+  ~CancellationSender();
+  CancellationSender(const CancellationSender&) = delete;
+  CancellationSender& operator=(const CancellationSender&) = delete;
 
   void Cancel(const std::string& aAddress, const std::string& aRequestId);
   void Stop();
+  /// Number of cancellations that a backend server responded to.
   int64_t Sent() const { return sent_.load(std::memory_order_relaxed); }
 
 private:
--- a/router/OutcomeClassifier.hpp
+++ b/router/OutcomeClassifier.hpp
@@ -10,23 +10,24 @@
 
 namespace cactuspitch {
 
-/// How one attempt at a backend server ended (docs/design.md, section 6).
-enum class ExchangeEnd : uint8_t
+/// Outcome of one attempt to execute a request at a backend server
+/// (docs/design.md, section 6).
+enum class ExchangeOutcome : uint8_t
 {
-  Complete,         ///< the whole answer was received
-  NoConnection,     ///< nothing was written
-  Refused,          ///< the server says that it did not run the request
-  PartlyWritten,    ///< the server cannot have the whole request
-  NoAnswer,         ///< written, then closed without an answer
-  PartialAnswer,    ///< part of the answer, nothing sent to the caller yet
-  PartialAfterHead, ///< part of the answer, its head sent to the caller
-  Silent,           ///< written, no complete answer by the time limit
-  CallerGone,       ///< a write to the caller failed
+  Complete,           ///< the whole response was received
+  NoConnection,       ///< nothing was sent
+  Refused,            ///< the server reported that it did not execute it
+  PartiallyWritten,   ///< the request was not sent completely
+  NoResponse,         ///< sent; the server closed without a response
+  PartialResponse,    ///< truncated response; nothing sent to the caller
+  PartialAfterHead,   ///< truncated response; its head was sent on
+  TimedOut,           ///< sent; no complete response before the deadline
+  CallerDisconnected, ///< a write to the caller failed
   Count
 };
 
 template<>
-struct EnumNames<ExchangeEnd>
+struct EnumNames<ExchangeOutcome>
 {
   static constexpr std::string_view kNames[] = {
     "complete",           "no-connection", "refused",
@@ -35,14 +36,14 @@
   };
 };
 
-/// What the router does after an attempt.
+/// Reaction of the router to the outcome of an attempt.
 enum class AttemptAction : uint8_t
 {
-  Answer, ///< hand the complete answer to the caller
+  Respond, ///< forward the complete response to the caller
   Retry,
-  AnswerNotRun,
-  AnswerUnknown,
-  CloseCaller, ///< end the connection so that the answer looks truncated
+  RespondNotRun,
+  RespondUnknown,
+  CloseCaller, ///< close, so that the caller sees a truncated response
   Count
 };
 
@@ -54,25 +55,27 @@
   };
 };
 
-/// The rules of section 6 as a table, free of sockets and clocks.
+/// Decides when a request is retried (docs/design.md, section 6). Stateless: it
+/// uses neither sockets nor clocks.
 class OutcomeClassifier
 {
 public:
-  /// Classifies an attempt that failed with aStatus at aStage.
-  static ExchangeEnd FailureEnd(ExchangeStage aStage,
-                                absl::StatusCode aStatus,
-                                bool aHeadSent);
+  /// Classifies an attempt that failed with aStatus at aStage. aHeadSent: the
+  /// response head was already sent to the caller.
+  static ExchangeOutcome ClassifyFailure(ExchangeStage aStage,
+                                         absl::StatusCode aStatus,
+                                         bool aHeadSent);
 
-  /// aCanRetry: time, attempts and retry budget are left.
-  static AttemptAction Decide(ExchangeEnd aEnd,
+  /// aCanRetry: deadline, attempt limit and retry budget allow a retry.
+  static AttemptAction Decide(ExchangeOutcome aOutcome,
                               bool aIdempotent,
                               bool aCanRetry);
 
-  /// True when another table or a moment later the request can run.
+  /// True when the request may succeed later or with a newer table.
   static bool IsOwnershipRefusal(NotRunReason aReason);
 
-  /// True when the request cannot have run.
-  static bool IsCertainlyNotRun(ExchangeEnd aEnd);
+  /// True when the request cannot have been executed.
+  static bool IsCertainlyNotRun(ExchangeOutcome aOutcome);
 };
 
 }
--- a/router/RequestLedger.cpp
+++ b/router/RequestLedger.cpp
@@ -20,10 +20,10 @@
 
 void RequestLedger::Expire(TimeMs aNowMs)
 {
-  while (!expiries_.empty() && expiries_.front().atMs_ <= aNowMs) {
+  while (!expiries_.empty() && expiries_.front().expiresMs_ <= aNowMs) {
     const auto& expiry = expiries_.front();
     const auto found = entries_.find(expiry.key_);
-    // An id that was forgotten and begun again has a later expiry.
+    // An id that was removed and recorded again has a later expiry.
     if (found != entries_.end() &&
         found->second.generation_ == expiry.generation_) {
       entries_.erase(found);
@@ -33,11 +33,11 @@
 }
 
 bool RequestLedger::Insert(const Key& aKey,
-                           LedgerEntry aState,
+                           LedgerEntryState aState,
                            uint64_t aToken,
                            TimeMs aNowMs)
 {
-  // Counted by expiries, since forgotten ids still occupy one.
+  // Counts expiries, since ids that were removed still occupy one.
   if (expiries_.size() >= maxEntries_) {
     return false;
   }
@@ -51,7 +51,7 @@
                                                 std::string_view aRequestId,
                                                 uint64_t aToken,
                                                 TimeMs aNowMs,
-                                                LedgerEntry& aState)
+                                                LedgerEntryState& aState)
 {
   Expire(aNowMs);
   const auto key = MakeKey(aService, aRequestId);
@@ -60,11 +60,11 @@
     const auto& entry = found->second;
     aState = entry.state_;
     const bool isRepeatedMessage =
-      entry.token_ == aToken && entry.state_ == LedgerEntry::InProgress;
+      entry.token_ == aToken && entry.state_ == LedgerEntryState::InProgress;
     return isRepeatedMessage ? BeginResult::Recorded : BeginResult::Seen;
   }
-  aState = LedgerEntry::Unseen;
-  return Insert(key, LedgerEntry::InProgress, aToken, aNowMs)
+  aState = LedgerEntryState::Unseen;
+  return Insert(key, LedgerEntryState::InProgress, aToken, aNowMs)
            ? BeginResult::Recorded
            : BeginResult::Full;
 }
@@ -72,15 +72,15 @@
 void RequestLedger::Finish(std::string_view aService,
                            std::string_view aRequestId,
                            uint64_t aToken,
-                           LedgerEntry aState,
+                           LedgerEntryState aState,
                            TimeMs aNowMs)
 {
   Expire(aNowMs);
   const auto key = MakeKey(aService, aRequestId);
   const auto found = entries_.find(key);
-  if (aState == LedgerEntry::NotRun) {
+  if (aState == LedgerEntryState::NotRun) {
     if (found != entries_.end() &&
-        found->second.state_ == LedgerEntry::InProgress &&
+        found->second.state_ == LedgerEntryState::InProgress &&
         found->second.token_ == aToken) {
       entries_.erase(found);
     }
--- a/router/Router.hpp
+++ b/router/Router.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "LedgerHolder.hpp"
+#include "RouterBackgroundTasks.hpp"
 #include "RouterContext.hpp"
-#include "RouterDuties.hpp"
 #include "RouterSettings.hpp"
-#include "ThriftLedgerPeers.hpp"
+#include "SynchronizedLedger.hpp"
+#include "ThriftLedgerTransport.hpp"
 #include "common/HttpServer.hpp"
 #include "rpc/ThriftServer.hpp"
 
@@ -16,7 +16,8 @@
 
 namespace cactuspitch {
 
-/// The router process without its table follower, which is passed in.
+/// The router: serves callers over HTTP and peers over Thrift. The source of
+/// the routing tables is passed in.
 class Router
 {
 public:
@@ -25,17 +26,22 @@
   Router(const Router&) = delete;
   Router& operator=(const Router&) = delete;
 
+  /// Starts the listeners and the background tasks.
   absl::Status Start();
-  /// Fails readiness, waits for the balancer, finishes the requests in flight
-  /// and stops. False when requests were still in flight at the time limit.
+  /// Fails the readiness check, waits for the load balancer, completes the
+  /// requests in flight and stops. False when requests were still in flight
+  /// when the stop timeout expired.
   bool StopGracefully();
 
   const RouterContext& Context() const { return context_; }
-  const RouterDuties& Duties() const { return duties_; }
+  const RouterBackgroundTasks& BackgroundTasks() const
+  {
+    return backgroundTasks_;
+  }
 
 private:
   void Handle(HttpExchange& aExchange);
-  void HandleOwn(HttpExchange& aExchange);
+  void HandleInternalEndpoint(HttpExchange& aExchange);
   std::string MetricsText() const;
   wire::ProcessStatus Status() const;
 
@@ -44,18 +50,18 @@
   RoutingTables& tables_;
   const TimeMs startMs_;
   StateRegistry registry_;
-  RuleBook rules_;
-  LedgerHolder ledgerHolder_;
-  RouterPeerPool routerPool_;
-  AssignerPeerPool assignerPool_;
-  ThriftLedgerPeers ledgerPeers_;
+  RuleCache rules_;
+  SynchronizedLedger localLedger_;
+  RouterChannelPool routerPool_;
+  AssignerChannelPool assignerPool_;
+  ThriftLedgerTransport ledgerTransport_;
   LedgerClient ledger_;
-  QuarantineKeeper quarantine_;
-  Measurements measurements_;
+  SynchronizedQuarantine quarantine_;
+  LoadRecorder loadRecorder_;
   SloCounters slo_;
-  Canceller canceller_;
+  CancellationSender cancellationSender_;
   RouterContext context_;
-  RouterDuties duties_;
+  RouterBackgroundTasks backgroundTasks_;
   ThriftServer rpc_;
   HttpServer http_;
   std::atomic<bool> ready_ = false;
--- a/router/RouterDuties.cpp
+++ b/router/RouterBackgroundTasks.cpp
@@ -1,4 +1,4 @@
-#include "RouterDuties.hpp"
+#include "RouterBackgroundTasks.hpp"
 
 #include "PeerService.hpp"
 #include "common/Log.hpp"
@@ -12,21 +12,23 @@
 
 namespace detail {
 
-constexpr TimeMs kRefreshMs = 100;
-/// Changes reach all instances within 2 s, also when one message is lost.
-constexpr TimeMs kQuarantineCheckMs = 100;
-constexpr TimeMs kQuarantineRepeatMs = 1000;
-constexpr TimeMs kReportMs = 1000;
+constexpr TimeMs kRefreshIntervalMs = 100;
+/// With these intervals, changes reach all instances within 2 s, even if one
+/// message is lost.
+constexpr TimeMs kQuarantineCheckIntervalMs = 100;
+constexpr TimeMs kQuarantineResendIntervalMs = 1000;
+constexpr TimeMs kReportIntervalMs = 1000;
 constexpr size_t kHotKeys = 84;
-/// Servers close idle connections by themselves after some time.
-constexpr TimeMs kIdleConnectionMs = 30000;
+/// Idle time after which a connection is closed, since servers also close idle
+/// connections after some time.
+constexpr TimeMs kMaxIdleConnectionMs = 30000;
 
 }
 
-RouterDuties::RouterDuties(RouterContext& aContext,
-                           std::string aOwnAddress,
-                           RouterPeerPool& aRouters,
-                           AssignerPeerPool& aAssigners)
+RouterBackgroundTasks::RouterBackgroundTasks(RouterContext& aContext,
+                                             std::string aOwnAddress,
+                                             RouterChannelPool& aRouters,
+                                             AssignerChannelPool& aAssigners)
   : context_(aContext)
   , ownAddress_(std::move(aOwnAddress))
   , routers_(aRouters)
@@ -34,19 +36,19 @@
 {
 }
 
-RouterDuties::~RouterDuties()
+RouterBackgroundTasks::~RouterBackgroundTasks()
 {
   Stop();
 }
 
-void RouterDuties::Start()
+void RouterBackgroundTasks::Start()
 {
   threads_.emplace_back([this] { RunRefresh(); });
   threads_.emplace_back([this] { RunQuarantine(); });
   threads_.emplace_back([this] { RunReports(); });
 }
 
-void RouterDuties::Stop()
+void RouterBackgroundTasks::Stop()
 {
   {
     const std::lock_guard lock(mutex_);
@@ -59,21 +61,21 @@
   threads_.clear();
 }
 
-bool RouterDuties::Pause(TimeMs aMs)
+bool RouterBackgroundTasks::SleepFor(TimeMs aMs)
 {
   std::unique_lock lock(mutex_);
   return !stopped_.wait_for(
     lock, std::chrono::milliseconds(aMs), [this] { return stopping_; });
 }
 
-void RouterDuties::RunRefresh()
+void RouterBackgroundTasks::RunRefresh()
 {
   do {
     Refresh();
-  } while (Pause(detail::kRefreshMs));
+  } while (SleepFor(detail::kRefreshIntervalMs));
 }
 
-void RouterDuties::Refresh()
+void RouterBackgroundTasks::Refresh()
 {
   const auto now = UnixNowMs();
   const auto config = context_.tables_.Config();
@@ -83,12 +85,12 @@
       context_.rules_.Update(config->json_, config->version_, now);
     if (updated.ok()) {
       Log(LogLevel::Info,
-          "configuration is in force",
+          "configuration applied",
           { { "version", config->version_ } });
     } else {
       rejectedVersion_ = config->version_;
       Log(LogLevel::Error,
-          "configuration is malformed, the last one stays in force",
+          "configuration is malformed; keeping the previous one",
           { { "version", config->version_ },
             { "findings", std::string(updated.message()) } });
     }
@@ -100,22 +102,23 @@
   context_.quarantine_.SetMembers(ownAddress_, peers);
 }
 
-void RouterDuties::RunQuarantine()
+void RouterBackgroundTasks::RunQuarantine()
 {
   FetchQuarantine();
   TimeMs lastShareMs = context_.clock_.NowMs();
-  while (Pause(detail::kQuarantineCheckMs)) {
+  while (SleepFor(detail::kQuarantineCheckIntervalMs)) {
     const TimeMs now = context_.clock_.NowMs();
-    const bool repeat = now - lastShareMs >= detail::kQuarantineRepeatMs &&
-                        context_.quarantine_.HasSuspects();
-    if (context_.quarantine_.TakeChanged() || repeat) {
+    const bool resend =
+      now - lastShareMs >= detail::kQuarantineResendIntervalMs &&
+      context_.quarantine_.HasSuspects();
+    if (context_.quarantine_.TakeChanged() || resend) {
       ShareQuarantine();
       lastShareMs = now;
     }
   }
 }
 
-void RouterDuties::FetchQuarantine()
+void RouterBackgroundTasks::FetchQuarantine()
 {
   for (const auto& peer : context_.tables_.RouterPeers()) {
     if (peer == ownAddress_) {
@@ -134,7 +137,7 @@
   }
 }
 
-void RouterDuties::ShareQuarantine()
+void RouterBackgroundTasks::ShareQuarantine()
 {
   std::vector<wire::QuarantineEntry> entries;
   std::ranges::transform(
@@ -143,14 +146,15 @@
     [](const CrashSuspect& aSuspect) { return ToWire(aSuspect); });
   for (const auto& peer : context_.tables_.RouterPeers()) {
     if (peer != ownAddress_) {
-      // A lost message is repeated by the next share.
+      // The next periodic message makes up for a lost one.
       (void)routers_.Run(
         peer, [&](auto& aClient) { aClient.ShareQuarantine(entries); });
     }
   }
 }
 
-std::map<std::string, wire::ServerMeasurement> RouterDuties::MeasureServers()
+std::map<std::string, wire::ServerMeasurement>
+RouterBackgroundTasks::MeasureServers()
 {
   std::map<std::string, wire::ServerMeasurement> measurements;
   for (const auto& server : context_.registry_.Servers().All()) {
@@ -168,7 +172,8 @@
   return measurements;
 }
 
-RouterDuties::Reports RouterDuties::MakeReports(TimeMs aWindowMs)
+RouterBackgroundTasks::Reports RouterBackgroundTasks::MakeReports(
+  TimeMs aWindowMs)
 {
   Reports reports;
   const auto measurements = MeasureServers();
@@ -194,9 +199,9 @@
   return reports;
 }
 
-void RouterDuties::AddLoad(Reports& aReports)
+void RouterBackgroundTasks::AddLoad(Reports& aReports)
 {
-  const auto window = context_.measurements_.EndWindow(detail::kHotKeys);
+  const auto window = context_.loadRecorder_.EndWindow(detail::kHotKeys);
   const auto reportOf = [&](const std::string& aService,
                             KeyHash aHash) -> wire::LoadReport* {
     const auto table = context_.tables_.Table(aService, aHash);
@@ -221,7 +226,8 @@
   for (const auto& [service, keys] : window.hotKeys_) {
     for (const auto& key : keys) {
       if (auto* report = reportOf(service, key.hash_)) {
-        // The upper bound of a cold key is mostly that of the sketch's error.
+        // For a cold key, the upper bound consists mostly of the sketch's
+        // error.
         const double lowerBound = key.perSecond_ - key.errorPerSecond_;
         wire::KeyLoad load;
         load.serviceName = service;
@@ -234,10 +240,10 @@
   }
 }
 
-void RouterDuties::RunReports()
+void RouterBackgroundTasks::RunReports()
 {
   TimeMs lastMs = context_.clock_.NowMs();
-  while (Pause(detail::kReportMs)) {
+  while (SleepFor(detail::kReportIntervalMs)) {
     const TimeMs now = context_.clock_.NowMs();
     for (const auto& [assigner, report] : MakeReports(now - lastMs)) {
       if (assigner.empty()) {
@@ -249,19 +255,20 @@
       reportsSent_ += status.ok() ? 1 : 0;
     }
     lastMs = now;
-    DropIdle();
+    CloseIdleConnections();
   }
 }
 
-void RouterDuties::DropIdle()
+void RouterBackgroundTasks::CloseIdleConnections()
 {
-  const TimeMs limit = context_.clock_.NowMs() - detail::kIdleConnectionMs;
+  const TimeMs limit = context_.clock_.NowMs() - detail::kMaxIdleConnectionMs;
   for (const auto& server : context_.registry_.Servers().All()) {
     server->Pool().CloseIdleUnusedSince(limit);
   }
 }
 
-std::vector<wire::ServerMeasurement> RouterDuties::LastMeasurements() const
+std::vector<wire::ServerMeasurement> RouterBackgroundTasks::LastMeasurements()
+  const
 {
   const std::lock_guard lock(mutex_);
   return lastMeasurements_;
--- a/router/RouterContext.hpp
+++ b/router/RouterContext.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "CallerRequest.hpp"
-#include "Canceller.hpp"
+#include "CancellationSender.hpp"
 #include "LedgerClient.hpp"
-#include "Measurements.hpp"
-#include "QuarantineKeeper.hpp"
+#include "LoadRecorder.hpp"
 #include "RoutingTables.hpp"
-#include "RuleBook.hpp"
+#include "RuleCache.hpp"
 #include "SloCounters.hpp"
 #include "StateRegistry.hpp"
+#include "SynchronizedQuarantine.hpp"
 
 #include <array>
 #include <atomic>
@@ -16,22 +16,22 @@
 
 namespace cactuspitch {
 
-/// Everything that a request needs; owned by Router.
+/// Shared state of all requests. Router owns it and the objects it refers to.
 struct RouterContext
 {
   const Clock& clock_;
   RoutingTables& tables_;
   StateRegistry& registry_;
-  RuleBook& rules_;
+  RuleCache& rules_;
   LedgerClient& ledger_;
-  QuarantineKeeper& quarantine_;
-  Measurements& measurements_;
+  SynchronizedQuarantine& quarantine_;
+  LoadRecorder& loadRecorder_;
   SloCounters& slo_;
-  Canceller& canceller_;
+  CancellationSender& cancellationSender_;
   std::string instance_;
   InputLimits limits_;
-  /// Requests that may wait for an owner at once. Each holds a thread; more
-  /// would starve the requests of other services.
+  /// Limit of requests that wait for an owner at the same time. Each blocks a
+  /// thread; without a limit they would starve requests to other services.
   int maxParked_ = 1;
 
   std::atomic<int> parked_ = 0;
--- a/router/ServerExchange.cpp
+++ b/router/ServerExchange.cpp
@@ -1,6 +1,6 @@
 #include "ServerExchange.hpp"
 
-#include "HeaderRules.hpp"
+#include "HeaderFilter.hpp"
 #include "common/Strings.hpp"
 
 #include <algorithm>
@@ -11,18 +11,20 @@
 
 namespace detail {
 
-/// An answer that fits is sent in one piece and can be retried until it is
-/// complete; a larger one is handed through in parts of this size.
+/// A response body that fits is buffered, so that the attempt can be retried
+/// until the response is complete. A larger one is streamed in parts of this
+/// size.
 constexpr size_t kBufferBytes = 64 * 1024;
-/// An idle connection may have been closed at the other end, unseen so far.
-/// A non-idempotent request cannot be retried then, so it waits less.
+/// An idle connection may have been closed by the server without the router's
+/// knowledge. A non-idempotent request cannot be retried in that case, so its
+/// limit is lower.
 constexpr TimeMs kMaxIdleMs = 10000;
 constexpr TimeMs kMaxIdleNonIdempotentMs = 1000;
-constexpr TimeMs kSilenceCheckMs = 50;
+constexpr TimeMs kSilenceCheckIntervalMs = 50;
 /// Clock rates differ by 1% at most (docs/design.md, section 4.1).
 constexpr TimeMs kSlowestClockPercent = 99;
-/// An older stamp of a server that does not check the fence is taken again;
-/// the allowance for the clock rate grows with its age.
+/// For a server that does not check the fence, an older clock reading is
+/// replaced, since the allowance for clock drift grows with its age.
 constexpr TimeMs kMaxClockAgeMs = 2000;
 constexpr size_t kMaxHealthBytes = 64 * 1024;
 constexpr int kFirstFinalStatus = 200;
@@ -36,16 +38,16 @@
 
 }
 
-AttemptResult ExchangeResult::GateEnd() const
+AttemptResult ExchangeResult::AdmissionFeedback() const
 {
-  switch (end_) {
-    case ExchangeEnd::Complete:
-    case ExchangeEnd::PartialAfterHead:
+  switch (outcome_) {
+    case ExchangeOutcome::Complete:
+    case ExchangeOutcome::PartialAfterHead:
       return AttemptResult::Answered;
-    case ExchangeEnd::Refused:
+    case ExchangeOutcome::Refused:
       return reason_ == NotRunReason::Busy ? AttemptResult::Shed
                                            : AttemptResult::Cancelled;
-    case ExchangeEnd::CallerGone:
+    case ExchangeOutcome::CallerDisconnected:
       return AttemptResult::Cancelled;
     default:
       return AttemptResult::Failed;
@@ -63,8 +65,8 @@
 {
   ExchangeResult result;
   start_ = std::chrono::steady_clock::now();
-  if (Prepare(aRequest, result) && ReadHead(aRequest, result)) {
-    ReadAnswer(aRequest, result, aCaller);
+  if (ConnectAndSend(aRequest, result) && ReadHead(aRequest, result)) {
+    ReadResponseBody(aRequest, result, aCaller);
   }
   if (connection_) {
     result.incarnation_ = connection_->incarnation_;
@@ -85,10 +87,11 @@
   return std::chrono::duration<double, std::milli>(taken).count();
 }
 
-bool ServerExchange::Prepare(OutboundRequest& aRequest, ExchangeResult& aResult)
+bool ServerExchange::ConnectAndSend(OutboundRequest& aRequest,
+                                    ExchangeResult& aResult)
 {
   connection_ = server_.Pool().Acquire(aRequest.fingerprint_,
-                                       aRequest.attemptEndMs_,
+                                       aRequest.attemptDeadlineMs_,
                                        aRequest.isIdempotent_
                                          ? detail::kMaxIdleMs
                                          : detail::kMaxIdleNonIdempotentMs);
@@ -108,7 +111,7 @@
     headers.emplace_back(header::kDeadlineClockMs, std::to_string(*deadline));
   }
   const auto written =
-    connection_->http_.Write(aRequest.http_, aRequest.attemptEndMs_);
+    connection_->http_.Write(aRequest.http_, aRequest.attemptDeadlineMs_);
   headers.resize(plainHeaders);
   if (!written.ok()) {
     Fail(written, aResult);
@@ -124,8 +127,8 @@
     return offset ? std::optional(aRequest.serverDeadlineMs_ + *offset)
                   : std::nullopt;
   }
-  // A slower clock of the server would reach the deadline after this router's
-  // view lease has ended.
+  // A server whose clock runs slower would reach the deadline after the view
+  // lease of this router has expired.
   const auto receivedMs = connection_->clockReceivedMs_;
   const auto spanMs = aRequest.serverDeadlineMs_ - receivedMs;
   const auto shorterMs =
@@ -133,7 +136,7 @@
   return receivedMs + connection_->clockOffsetMs_ + shorterMs;
 }
 
-bool ServerExchange::IsClockNeeded(const OutboundRequest& aRequest) const
+bool ServerExchange::NeedsClockProbe(const OutboundRequest& aRequest) const
 {
   if (!aRequest.needsClock_) {
     return !server_.ClockOffsetMs();
@@ -148,25 +151,26 @@
 {
   auto& http = connection_->http_;
   if (!http.IsOpen()) {
-    const auto connected = http.Connect(aRequest.attemptEndMs_);
+    const auto connected = http.Connect(aRequest.attemptDeadlineMs_);
     if (!connected.ok()) {
-      aResult.isRefusedConnection_ =
+      aResult.isConnectionRefused_ =
         connected.code() == absl::StatusCode::kUnavailable;
-      if (aResult.isRefusedConnection_) {
-        server_.OnProcessGone();
+      if (aResult.isConnectionRefused_) {
+        server_.OnProcessExit();
       }
       Fail(connected, aResult);
       return false;
     }
   }
-  // The clock of another process could be far behind, and a deadline in its
-  // terms far in the future, so it is learned on the connection itself.
-  if (!IsClockNeeded(aRequest)) {
+  // The clock is read on this connection, because another process of the
+  // server may have had a clock far ahead, which would put the deadline far
+  // into the future.
+  if (!NeedsClockProbe(aRequest)) {
     return true;
   }
-  const auto learned = LearnClock(aRequest.attemptEndMs_);
+  const auto learned = ReadServerClock(aRequest.attemptDeadlineMs_);
   if (learned.ok() && (connection_->clockKnown_ || !aRequest.needsClock_)) {
-    server_.Pool().NoteSend(*connection_);
+    server_.Pool().RecordSend(*connection_);
     return true;
   }
   http.Close();
@@ -175,7 +179,7 @@
   return false;
 }
 
-absl::Status ServerExchange::LearnClock(TimeMs aDeadlineMs)
+absl::Status ServerExchange::ReadServerClock(TimeMs aDeadlineMs)
 {
   auto& http = connection_->http_;
   const HttpRequest probe{ "GET", "/_cactuspitch/health", {}, {} };
@@ -187,7 +191,7 @@
   if (!head.ok()) {
     return head.status();
   }
-  server_.OnAnswer(*connection_, *head);
+  server_.OnResponse(*connection_, *head);
   auto& buffer = detail::ThreadBuffer();
   size_t total = 0;
   while (total <= detail::kMaxHealthBytes) {
@@ -201,7 +205,7 @@
     }
     total += *got;
   }
-  return absl::DataLossError("health answer is too large");
+  return absl::DataLossError("health response is too large");
 }
 
 bool ServerExchange::ReadHead(const OutboundRequest& aRequest,
@@ -210,12 +214,12 @@
   auto& http = connection_->http_;
   auto& pool = server_.Pool();
   const TimeMs sentMs = clock_.NowMs();
-  TimeMs boundMs =
-    std::min(aRequest.attemptEndMs_, sentMs + pool.SilenceLimitMs());
+  TimeMs deadlineMs =
+    std::min(aRequest.attemptDeadlineMs_, sentMs + pool.SilenceLimitMs());
   while (true) {
-    auto head = http.ReadHead(boundMs);
+    auto head = http.ReadHead(deadlineMs);
     if (head.ok()) {
-      server_.OnAnswer(*connection_, *head);
+      server_.OnResponse(*connection_, *head);
       if (head->status_ < detail::kFirstFinalStatus) {
         continue;
       }
@@ -225,38 +229,39 @@
     }
     const TimeMs now = clock_.NowMs();
     if (!absl::IsDeadlineExceeded(head.status()) ||
-        now >= aRequest.attemptEndMs_) {
+        now >= aRequest.attemptDeadlineMs_) {
       Fail(head.status(), aResult);
       return false;
     }
     if (pool.IsSilent(*connection_)) {
-      // Siblings of the same age probably took the same broken path.
+      // Older connections probably use the same broken network path.
       pool.CloseIdleOpenedBefore(connection_->openedMs_);
       if (aRequest.isIdempotent_) {
         Fail(head.status(), aResult);
         return false;
       }
     }
-    boundMs = std::min(aRequest.attemptEndMs_, now + detail::kSilenceCheckMs);
+    deadlineMs = std::min(aRequest.attemptDeadlineMs_,
+                          now + detail::kSilenceCheckIntervalMs);
   }
 }
 
-void ServerExchange::ReadAnswer(const OutboundRequest& aRequest,
-                                ExchangeResult& aResult,
-                                HttpExchange& aCaller)
+void ServerExchange::ReadResponseBody(const OutboundRequest& aRequest,
+                                      ExchangeResult& aResult,
+                                      HttpExchange& aCaller)
 {
   auto& buffer = detail::ThreadBuffer();
   size_t size = 0;
   while (size < buffer.size()) {
     const auto got = connection_->http_.ReadBody(
-      buffer.data() + size, buffer.size() - size, aRequest.attemptEndMs_);
+      buffer.data() + size, buffer.size() - size, aRequest.attemptDeadlineMs_);
     if (!got.ok()) {
       Fail(got.status(), aResult);
       return;
     }
     if (*got == 0) {
       aResult.body_ = { buffer.data(), size };
-      aResult.end_ = ExchangeEnd::Complete;
+      aResult.outcome_ = ExchangeOutcome::Complete;
       CheckRefusal(aResult);
       return;
     }
@@ -270,13 +275,13 @@
                             HttpExchange& aCaller,
                             size_t aBuffered)
 {
-  server_.Pool().NoteAnswer(*connection_);
-  auto headers = HeaderRules::ForCaller(std::move(aResult.head_.headers_));
+  server_.Pool().RecordResponse(*connection_);
+  auto headers = HeaderFilter::ForCaller(std::move(aResult.head_.headers_));
   headers.emplace_back(header::kOutcome, EnumName(Outcome::Complete));
   const auto length = aResult.head_.contentLength_;
   aResult.isStreamed_ = true;
   bool sent = length
-                ? aCaller.BeginAnswer(aResult.head_.status_, headers, *length)
+                ? aCaller.BeginResponse(aResult.head_.status_, headers, *length)
                 : aCaller.BeginChunked(aResult.head_.status_, headers);
   auto& buffer = detail::ThreadBuffer();
   size_t size = aBuffered;
@@ -285,12 +290,13 @@
     if (!sent) {
       break;
     }
-    const TimeMs bound =
-      std::min(aRequest.streamEndMs_, clock_.NowMs() + aRequest.streamStallMs_);
+    const TimeMs partDeadlineMs =
+      std::min(aRequest.streamDeadlineMs_,
+               clock_.NowMs() + aRequest.streamStallTimeoutMs_);
     const auto got =
-      connection_->http_.ReadBody(buffer.data(), buffer.size(), bound);
+      connection_->http_.ReadBody(buffer.data(), buffer.size(), partDeadlineMs);
     if (!got.ok()) {
-      aResult.end_ = ExchangeEnd::PartialAfterHead;
+      aResult.outcome_ = ExchangeOutcome::PartialAfterHead;
       aResult.text_ = std::string(got.status().message());
       connection_->http_.Close();
       return;
@@ -300,7 +306,8 @@
   if (sent && !length) {
     sent = aCaller.EndChunked();
   }
-  aResult.end_ = sent ? ExchangeEnd::Complete : ExchangeEnd::CallerGone;
+  aResult.outcome_ =
+    sent ? ExchangeOutcome::Complete : ExchangeOutcome::CallerDisconnected;
   if (!sent) {
     connection_->http_.Close();
   }
@@ -309,8 +316,8 @@
 void ServerExchange::Fail(const absl::Status& aStatus, ExchangeResult& aResult)
 {
   const auto stage = connection_->http_.Stage();
-  aResult.end_ =
-    OutcomeClassifier::FailureEnd(stage, aStatus.code(), aResult.isStreamed_);
+  aResult.outcome_ = OutcomeClassifier::ClassifyFailure(
+    stage, aStatus.code(), aResult.isStreamed_);
   aResult.text_ = std::string(aStatus.message());
   const bool wasSent = stage == ExchangeStage::Writing ||
                        stage == ExchangeStage::AwaitingHead ||
@@ -325,7 +332,7 @@
   if (aResult.head_.status_ != detail::kServiceUnavailable || refusal.empty()) {
     return;
   }
-  aResult.end_ = ExchangeEnd::Refused;
+  aResult.outcome_ = ExchangeOutcome::Refused;
   aResult.reason_ =
     ParseEnum<NotRunReason>(refusal).value_or(NotRunReason::Busy);
 }
--- a/router/StateRegistry.hpp
+++ b/router/StateRegistry.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "BackendServer.hpp"
-#include "Measurements.hpp"
+#include "LoadRecorder.hpp"
 #include "ServiceState.hpp"
 #include "common/Strings.hpp"
 
@@ -16,17 +16,17 @@
 
 namespace cactuspitch {
 
-/// Objects found by name from many threads, created on first use and kept
-/// until the end. Each group of threads looks up in a copy of the index, since
-/// one index with a reader lock costs a contended cache line each time.
+/// Thread-safe map of named objects, which are created on first use and never
+/// removed. Threads are spread over copies of the index: with one index under a
+/// reader lock, each lookup would contend for a cache line.
 template<typename T>
-class NamedObjects
+class ShardedObjectMap
 {
 public:
   template<typename Make>
   T& Get(std::string_view aName, Make&& aMake)
   {
-    auto& index = indexes_[ThreadShard(kIndexes)];
+    auto& index = indexes_[ThreadShardIndex(kIndexes)];
     const std::lock_guard lock(index.mutex_);
     const auto found = index.objects_.find(ToAbsl(aName));
     if (found != index.objects_.end()) {
@@ -64,7 +64,7 @@
   absl::flat_hash_map<std::string, std::unique_ptr<T>> objects_;
 };
 
-/// Backend servers and services that this router has met.
+/// Backend servers and services that this router has used.
 class StateRegistry
 {
 public:
@@ -73,7 +73,8 @@
   {
   }
 
-  /// A server that came back under another address is a new object.
+  /// Objects are found by address, so a server that restarts with another
+  /// address gets a new object.
   BackendServer& Server(const BackendServerRecord& aRecord)
   {
     return servers_.Get(aRecord.address_, [&] {
@@ -86,13 +87,13 @@
       return std::make_unique<ServiceState>(std::string(aName));
     });
   }
-  NamedObjects<BackendServer>& Servers() { return servers_; }
-  NamedObjects<ServiceState>& Services() { return services_; }
+  ShardedObjectMap<BackendServer>& Servers() { return servers_; }
+  ShardedObjectMap<ServiceState>& Services() { return services_; }
 
 private:
   const Clock& clock_;
-  NamedObjects<BackendServer> servers_;
-  NamedObjects<ServiceState> services_;
+  ShardedObjectMap<BackendServer> servers_;
+  ShardedObjectMap<ServiceState> services_;
 };
 
 }
--- a/router/QuarantineKeeper.hpp
+++ b/router/SynchronizedQuarantine.hpp
@@ -11,20 +11,20 @@
 
 namespace cactuspitch {
 
-/// CrashQuarantine of this router, for many threads.
-class QuarantineKeeper
+/// Thread-safe CrashQuarantine of this router.
+class SynchronizedQuarantine
 {
 public:
-  explicit QuarantineKeeper(const Clock& aClock,
-                            QuarantineOptions aOptions = {});
+  explicit SynchronizedQuarantine(const Clock& aClock,
+                                  QuarantineOptions aOptions = {});
 
-  /// Lock-free; lets the hot path skip the other calls.
+  /// Lock-free. The hot path skips the other calls when there are no suspects.
   bool HasSuspects() const
   {
     return hasSuspects_.load(std::memory_order_acquire);
   }
   SuspectDecision TryBegin(uint64_t aFingerprint, std::string_view aServer);
-  void OnEnd(uint64_t aFingerprint, std::string_view aServer, bool aEndedWell);
+  void OnEnd(uint64_t aFingerprint, std::string_view aServer, bool aSucceeded);
   void OnCrash(std::string_view aServer,
                const std::vector<uint64_t>& aInFlight,
                uint64_t aIncarnation = 0);
--- a/tests/FakeBackend.cpp
+++ b/tests/FakeBackend.cpp
@@ -54,7 +54,7 @@
 FakeBackend::~FakeBackend()
 {
   Crash();
-  // An acceptor may still add a connection; only after its end are all known.
+  // An acceptor may still add a connection, so the second call closes those.
   std::ranges::for_each(acceptors_, &std::thread::join);
   Crash();
   std::ranges::for_each(threads_, &std::thread::join);
@@ -148,7 +148,7 @@
   return true;
 }
 
-FakeBackend::Answer FakeBackend::Respond(const Request& aRequest)
+FakeBackend::Response FakeBackend::Respond(const Request& aRequest)
 {
   const auto path = aRequest.Path();
   if (path == "/_cactuspitch/health") {
@@ -172,18 +172,18 @@
   std::string buffer;
   Request request;
   while (ReadRequest(aSocket, buffer, request)) {
-    const auto answer = Respond(request);
-    std::this_thread::sleep_for(std::chrono::milliseconds(answer.delayMs_));
-    SendAll(aSocket, answer.bytes_);
-    if (answer.then_ == Then::Hang) {
+    const auto response = Respond(request);
+    std::this_thread::sleep_for(std::chrono::milliseconds(response.delayMs_));
+    SendAll(aSocket, response.bytes_);
+    if (response.afterResponse_ == AfterResponse::Hang) {
       while (ReadRequest(aSocket, buffer, request)) {
       }
     }
-    if (answer.then_ == Then::Reset) {
+    if (response.afterResponse_ == AfterResponse::Reset) {
       const linger now{ 1, 0 };
       setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
     }
-    if (answer.then_ != Then::Keep) {
+    if (response.afterResponse_ != AfterResponse::Keep) {
       break;
     }
   }
@@ -204,9 +204,9 @@
   return cancelled_;
 }
 
-FakeBackend::Answer FakeBackend::Ok(const std::string& aBody,
-                                    const std::string& aHeaders,
-                                    int aStatus) const
+FakeBackend::Response FakeBackend::Ok(const std::string& aBody,
+                                      const std::string& aHeaders,
+                                      int aStatus) const
 {
   const std::lock_guard lock(mutex_);
   return { Concat("HTTP/1.1 ",
@@ -223,7 +223,7 @@
                   aBody) };
 }
 
-FakeBackend::Answer FakeBackend::NotRun(const std::string& aReason) const
+FakeBackend::Response FakeBackend::NotRun(const std::string& aReason) const
 {
   return Ok("", Concat("X-Not-Run: ", aReason, "\r\n"), 503);
 }
--- a/tests/LedgerTest.cpp
+++ b/tests/LedgerTest.cpp
@@ -13,86 +13,86 @@
 using Begin = RequestLedger::BeginResult;
 using Verdict = LedgerTicket::Verdict;
 
-// Guards against forgetting an id early, or keeping it for ever.
+// Guards against removing an id too early or keeping it forever.
 TEST(RequestLedger, IdIsKnownForTenMinutes)
 {
   RequestLedger ledger(10);
-  LedgerEntry state{};
+  LedgerEntryState state{};
   EXPECT_EQ(ledger.Begin("svc", "a", 1, 0, state), Begin::Recorded);
-  ledger.Finish("svc", "a", 1, LedgerEntry::Completed, 5);
+  ledger.Finish("svc", "a", 1, LedgerEntryState::Completed, 5);
   EXPECT_EQ(ledger.Begin("svc", "a", 2, 599999, state), Begin::Seen);
-  EXPECT_EQ(state, LedgerEntry::Completed);
+  EXPECT_EQ(state, LedgerEntryState::Completed);
   EXPECT_EQ(ledger.Begin("other", "a", 3, 599999, state), Begin::Recorded);
   EXPECT_EQ(ledger.Begin("svc", "a", 4, 600000, state), Begin::Recorded);
 }
 
-// Guards against dropping a young id when memory is full, which would let its
-// repeat run.
-TEST(RequestLedger, FullLedgerRefusesInsteadOfForgetting)
+// Guards against evicting a recent id when the ledger is full, after which its
+// duplicate would be executed.
+TEST(RequestLedger, FullLedgerRefusesInsteadOfEvicting)
 {
   RequestLedger ledger(2);
-  LedgerEntry state{};
+  LedgerEntryState state{};
   EXPECT_EQ(ledger.Begin("svc", "a", 1, 0, state), Begin::Recorded);
   EXPECT_EQ(ledger.Begin("svc", "b", 2, 0, state), Begin::Recorded);
   EXPECT_EQ(ledger.Begin("svc", "c", 3, 0, state), Begin::Full);
   EXPECT_EQ(ledger.Begin("svc", "a", 4, 0, state), Begin::Seen);
-  // Ids that were begun and forgotten must not occupy memory without bound.
-  ledger.Finish("svc", "a", 1, LedgerEntry::NotRun, 0);
+  // A removed id must not occupy memory after its retention time.
+  ledger.Finish("svc", "a", 1, LedgerEntryState::NotRun, 0);
   EXPECT_EQ(ledger.Begin("svc", "c", 3, 600000, state), Begin::Recorded);
 }
 
-// Guards against a delayed "not run" of one attempt that erases the record of
-// the next one.
-TEST(RequestLedger, LateNotRunDoesNotForgetTheNextAttempt)
+// Guards against a delayed NotRun message of one attempt that removes the
+// record of the next attempt.
+TEST(RequestLedger, DelayedNotRunKeepsNextAttempt)
 {
   RequestLedger ledger(10);
-  LedgerEntry state{};
+  LedgerEntryState state{};
   ledger.Begin("svc", "a", 1, 0, state);
-  ledger.Finish("svc", "a", 1, LedgerEntry::NotRun, 1);
+  ledger.Finish("svc", "a", 1, LedgerEntryState::NotRun, 1);
   EXPECT_EQ(ledger.Begin("svc", "a", 2, 2, state), Begin::Recorded);
-  ledger.Finish("svc", "a", 1, LedgerEntry::NotRun, 3);
+  ledger.Finish("svc", "a", 1, LedgerEntryState::NotRun, 3);
   EXPECT_EQ(ledger.Begin("svc", "a", 3, 4, state), Begin::Seen);
-  EXPECT_EQ(state, LedgerEntry::InProgress);
+  EXPECT_EQ(state, LedgerEntryState::InProgress);
 }
 
-/// Ledgers of several routers with faults.
-class FakeLedgers final : public LedgerPeers
+/// In-memory ledgers of several routers with injected faults.
+class FakeLedgerTransport final : public LedgerTransport
 {
 public:
-  HolderAnswer Begin(const std::string& aPeer,
-                     const LedgerId& aId,
-                     LedgerEntry& aState) override
+  ReplicaResponse Begin(const std::string& aPeer,
+                        const LedgerId& aId,
+                        LedgerEntryState& aState) override
   {
     if (gone_.contains(aPeer)) {
-      return HolderAnswer::Gone;
+      return ReplicaResponse::Exited;
     }
     if (lost_.contains(aPeer)) {
-      return HolderAnswer::Unreachable;
+      return ReplicaResponse::Unreachable;
     }
     const auto result = Ledger(aPeer).Begin(
       aId.service_, aId.requestId_, aId.token_, nowMs_, aState);
     if (loseAnswers_.contains(aPeer)) {
-      return HolderAnswer::Unreachable;
+      return ReplicaResponse::Unreachable;
     }
-    return result == Begin::Recorded ? HolderAnswer::Recorded
-                                     : HolderAnswer::Seen;
+    return result == Begin::Recorded ? ReplicaResponse::Recorded
+                                     : ReplicaResponse::Seen;
   }
   void Finish(const std::string& aPeer,
               const LedgerId& aId,
-              LedgerEntry aState) override
+              LedgerEntryState aState) override
   {
     if (!lost_.contains(aPeer)) {
       Ledger(aPeer).Finish(
         aId.service_, aId.requestId_, aId.token_, aState, nowMs_);
     }
   }
-  void FinishLater(const std::string& aPeer,
+  void FinishAsync(const std::string& aPeer,
                    const LedgerId& aId,
-                   LedgerEntry aState) override
+                   LedgerEntryState aState) override
   {
     later_.push_back([=, this] { Finish(aPeer, aId, aState); });
   }
-  /// Delivers the delayed message at the index.
+  /// Delivers the delayed message at aIndex.
   void Deliver(size_t aIndex)
   {
     later_[aIndex]();
@@ -115,30 +115,31 @@
 
 const std::vector<std::string> kRouters = { "r1", "r2", "r3", "r4" };
 
-// Guards against a repeat that runs again after one of the holders is lost.
-TEST(LedgerClient, RepeatIsRecognisedAfterTheLossOfAnyHolder)
+// Guards against executing a duplicate after one of the replicas is lost.
+TEST(LedgerClient, DuplicateIsDetectedAfterLossOfAnyReplica)
 {
   for (const size_t lostIndex : { 0U, 1U, 2U }) {
-    FakeLedgers peers;
+    FakeLedgerTransport peers;
     LedgerClient client(peers);
     const auto first = client.Begin(kRouters, { "svc", "id", 1 });
     ASSERT_EQ(first.verdict_, Verdict::Forward);
-    const auto holders = LedgerClient::Holders(kRouters, "id");
-    ASSERT_EQ(holders.size(), 3u);
-    peers.lost_.insert(holders[lostIndex]);
+    const auto replicas = LedgerClient::Replicas(kRouters, "id");
+    ASSERT_EQ(replicas.size(), 3u);
+    peers.lost_.insert(replicas[lostIndex]);
     EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 2 }).verdict_,
               Verdict::AlreadySeen);
   }
 }
 
-// Guards against two routers that each reach other holders and both forward.
-TEST(LedgerClient, RoutersThatReachDifferentHoldersDoNotBothForward)
+// Guards against two routers that reach different replicas and both forward the
+// request.
+TEST(LedgerClient, RoutersThatReachDifferentReplicasDoNotBothForward)
 {
-  const auto holders = LedgerClient::Holders(kRouters, "id");
-  for (const auto& reachedByFirst : holders) {
-    FakeLedgers peers;
+  const auto replicas = LedgerClient::Replicas(kRouters, "id");
+  for (const auto& reachedByFirst : replicas) {
+    FakeLedgerTransport peers;
     LedgerClient client(peers);
-    const std::set<std::string> all = { holders.begin(), holders.end() };
+    const std::set<std::string> all = { replicas.begin(), replicas.end() };
     peers.lost_ = all;
     peers.lost_.erase(reachedByFirst);
     const auto first = client.Begin(kRouters, { "svc", "id", 1 });
@@ -149,12 +150,12 @@
   }
 }
 
-// Guards against forwarding a request that no majority of holders recorded.
+// Guards against forwarding a request that no majority of replicas recorded.
 TEST(LedgerClient, RefusesWithoutAMajority)
 {
-  FakeLedgers peers;
-  const auto holders = LedgerClient::Holders(kRouters, "id");
-  peers.lost_ = { holders[0], holders[2] };
+  FakeLedgerTransport peers;
+  const auto replicas = LedgerClient::Replicas(kRouters, "id");
+  peers.lost_ = { replicas[0], replicas[2] };
   LedgerClient client(peers);
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 3 }).verdict_,
             Verdict::Unavailable);
@@ -165,43 +166,43 @@
             Verdict::Unavailable);
 }
 
-// Guards against refusing all recordings while processes that have ended are
-// still listed.
-TEST(LedgerClient, EndedHoldersAreNotWaitedFor)
+// Guards against refusing all requests while routers whose process has exited
+// are still listed.
+TEST(LedgerClient, ExitedReplicasAreIgnored)
 {
-  FakeLedgers peers;
-  const auto holders = LedgerClient::Holders(kRouters, "id");
+  FakeLedgerTransport peers;
+  const auto replicas = LedgerClient::Replicas(kRouters, "id");
   LedgerClient client(peers);
-  peers.gone_ = { holders[0], holders[1] };
+  peers.gone_ = { replicas[0], replicas[1] };
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 1 }).verdict_,
             Verdict::Forward);
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 2 }).verdict_,
             Verdict::AlreadySeen);
-  peers.gone_.insert(holders[2]);
+  peers.gone_.insert(replicas[2]);
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 3 }).verdict_,
             Verdict::Unavailable);
 }
 
-// Guards against a repeat that is refused for ever after a request that was
-// reported as not run.
-TEST(LedgerClient, RepeatRunsAfterNotRun)
+// Guards against refusing all retries of a request that was reported as not
+// executed.
+TEST(LedgerClient, RetryIsForwardedAfterNotRun)
 {
-  FakeLedgers peers;
+  FakeLedgerTransport peers;
   LedgerClient client(peers);
   const auto first = client.Begin(kRouters, { "svc", "id", 1 });
-  client.Finish(first, LedgerEntry::NotRun);
+  client.Finish(first, LedgerEntryState::NotRun);
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 2 }).verdict_,
             Verdict::Forward);
 }
 
-// Guards against a second run of one id under lost answers, delayed and
-// reordered messages, and one holder that comes and goes.
-RC_GTEST_PROP(LedgerClient, IdRunsAtMostOnce, ())
+// Guards against executing one id twice when responses are lost, messages are
+// delayed and reordered, and one replica is intermittently unreachable.
+RC_GTEST_PROP(LedgerClient, IdExecutesAtMostOnce, ())
 {
-  FakeLedgers peers;
+  FakeLedgerTransport peers;
   LedgerClient client(peers);
-  const auto holders = LedgerClient::Holders(kRouters, "id");
-  const auto flaky = holders[*rc::gen::inRange<size_t>(0, 3)];
+  const auto replicas = LedgerClient::Replicas(kRouters, "id");
+  const auto flaky = replicas[*rc::gen::inRange<size_t>(0, 3)];
   int runs = 0;
   uint64_t token = 0;
   std::vector<LedgerTicket> open;
@@ -212,16 +213,16 @@
       auto ticket = client.Begin(kRouters, { "svc", "id", ++token });
       if (ticket.verdict_ == Verdict::Forward) {
         open.push_back(ticket);
-        // Two attempts under way at once could both reach a server.
+        // Two concurrent attempts could both reach a server.
         RC_ASSERT(open.size() <= 1u);
         RC_ASSERT(runs == 0);
       }
     } else if (step == 1 && !open.empty()) {
-      client.Finish(open.back(), LedgerEntry::NotRun);
+      client.Finish(open.back(), LedgerEntryState::NotRun);
       open.pop_back();
     } else if (step == 2 && !open.empty()) {
       ++runs;
-      client.Finish(open.back(), LedgerEntry::Completed);
+      client.Finish(open.back(), LedgerEntryState::Completed);
       open.pop_back();
     } else if (step == 3) {
       peers.lost_ = { flaky };
--- a/tests/RouterFaultTest.cpp
+++ b/tests/RouterFaultTest.cpp
@@ -1,4 +1,4 @@
-#include "RouterRig.hpp"
+#include "RouterFixture.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -12,9 +12,9 @@
 namespace cactuspitch {
 namespace {
 
-using Answer = FakeBackend::Answer;
+using Response = FakeBackend::Response;
 using Request = FakeBackend::Request;
-using Then = FakeBackend::Then;
+using AfterResponse = FakeBackend::AfterResponse;
 
 std::string OutcomeOf(const HttpResponse& aResponse)
 {
@@ -38,18 +38,18 @@
   return false;
 }
 
-/// Servers whose process ends when they run the poison.
-class Crashing
+/// Server that crashes when it executes the request "poison".
+class CrashingServer
 {
 public:
-  Crashing()
+  CrashingServer()
     : backend_([this](const Request& aRequest) {
       if (aRequest.Path().find("poison") == std::string::npos) {
         return backend_.Ok("value");
       }
       ++poisoned_;
       backend_.Crash();
-      return Answer{ "", Then::Reset };
+      return Response{ "", AfterResponse::Reset };
     })
   {
   }
@@ -57,16 +57,16 @@
   FakeBackend backend_;
 };
 
-// Guards against a request that takes down one backend server after another,
-// and against a quarantine that hits requests which merely were beside it.
-TEST(RouterFault, CrashingRequestCostsTwoServers)
+// Guards against a request that crashes one backend server after another, and
+// against a quarantine of requests that were in flight beside it.
+TEST(RouterFault, CrashingRequestCrashesTwoServers)
 {
-  std::vector<std::unique_ptr<Crashing>> servers;
+  std::vector<std::unique_ptr<CrashingServer>> servers;
   for (int i = 0; i < 4; ++i) {
-    servers.push_back(std::make_unique<Crashing>());
+    servers.push_back(std::make_unique<CrashingServer>());
   }
-  RouterRig rig;
-  rig.Own(servers[0]->backend_);
+  RouterFixture fixture;
+  fixture.SetOwner(servers[0]->backend_);
   std::atomic<bool> done = false;
   std::thread takeover([&] {
     size_t owner = 0;
@@ -74,14 +74,15 @@
       Sleep(10);
       if (servers[owner]->poisoned_ > 0 && owner + 1 < servers.size()) {
         ++owner;
-        rig.Own(servers[owner]->backend_, static_cast<Epoch>(owner + 1));
+        fixture.SetOwner(servers[owner]->backend_,
+                         static_cast<Epoch>(owner + 1));
       }
     }
   });
   int quarantined = 0;
   for (int repeat = 0; repeat < 6; ++repeat) {
     const auto response =
-      rig.Send("GET", "/svc/poison", { { "X-Deadline-Ms", "1000" } });
+      fixture.Send("GET", "/svc/poison", { { "X-Deadline-Ms", "1000" } });
     ASSERT_TRUE(response.ok()) << response.status();
     EXPECT_NE(OutcomeOf(*response), "complete");
     quarantined += response->head_.Header(header::kNotRun) == "quarantined";
@@ -94,81 +95,82 @@
     crashes += server->poisoned_;
   }
   EXPECT_EQ(crashes, 2);
-  EXPECT_EQ(OutcomeOf(*rig.Get()), "complete");
+  EXPECT_EQ(OutcomeOf(*fixture.Get()), "complete");
 }
 
-// Guards against a lost connection that is taken for a crash.
-TEST(RouterFault, ResetOfALivingServerMakesNoSuspect)
+// Guards against treating a connection reset by a running server as a crash.
+TEST(RouterFault, ResetByRunningServerCreatesNoSuspect)
 {
   FakeBackend* self = nullptr;
   std::atomic<int> requests = 0;
   FakeBackend backend([&](const Request&) {
-    return ++requests == 1 ? Answer{ "", Then::Reset } : self->Ok("value");
+    return ++requests == 1 ? Response{ "", AfterResponse::Reset }
+                           : self->Ok("value");
   });
   self = &backend;
-  RouterRig rig;
-  rig.Own(backend);
-  EXPECT_EQ(OutcomeOf(*rig.Get()), "complete");
-  EXPECT_FALSE(rig.router_->Context().quarantine_.HasSuspects());
+  RouterFixture fixture;
+  fixture.SetOwner(backend);
+  EXPECT_EQ(OutcomeOf(*fixture.Get()), "complete");
+  EXPECT_FALSE(fixture.router_->Context().quarantine_.HasSuspects());
 }
 
-// Guards against waiting for the deadline on a connection that went silent
-// while the server answers on others, and against blaming the server.
-TEST(RouterFault, SilentConnectionIsReplaced)
+// Guards against waiting until the deadline on an unresponsive connection while
+// the server responds on others, and against treating the server as failed.
+TEST(RouterFault, UnresponsiveConnectionIsReplaced)
 {
   FakeBackend* self = nullptr;
   std::atomic<bool> silenced = false;
   FakeBackend backend([&](const Request& aRequest) {
     if (aRequest.Path() == "/svc/slow" && !silenced.exchange(true)) {
-      return Answer{ "", Then::Hang };
+      return Response{ "", AfterResponse::Hang };
     }
     return self->Ok("value");
   });
   self = &backend;
-  RouterRig rig;
-  rig.Own(backend);
-  ASSERT_TRUE(rig.Get().ok());
+  RouterFixture fixture;
+  fixture.SetOwner(backend);
+  ASSERT_TRUE(fixture.Get().ok());
   std::atomic<bool> done = false;
   std::thread others([&] {
     while (!done) {
-      EXPECT_TRUE(rig.Get().ok());
+      EXPECT_TRUE(fixture.Get().ok());
       Sleep(20);
     }
   });
-  const TimeMs start = rig.clock_.NowMs();
+  const TimeMs start = fixture.clock_.NowMs();
   const auto response =
-    rig.Send("GET", "/svc/slow", { { "X-Deadline-Ms", "5000" } });
-  const TimeMs taken = rig.clock_.NowMs() - start;
+    fixture.Send("GET", "/svc/slow", { { "X-Deadline-Ms", "5000" } });
+  const TimeMs taken = fixture.clock_.NowMs() - start;
   done = true;
   others.join();
   ASSERT_TRUE(response.ok()) << response.status();
   EXPECT_EQ(OutcomeOf(*response), "complete");
   EXPECT_GE(taken, 250);
   EXPECT_LT(taken, 700);
-  // The replacement has the same id, which a cancellation would hit.
+  // The retry has the same request id, so a cancellation would cancel it.
   EXPECT_TRUE(backend.Cancelled().empty());
 }
 
-// Guards against taking a server that is slow on all connections for a broken
-// connection, which would double its load.
-TEST(RouterFault, SlowServerIsNotSilent)
+// Guards against treating a server that is slow on all connections as a broken
+// connection; retries would double its load.
+TEST(RouterFault, SlowServerIsNotUnresponsive)
 {
   FakeBackend* self = nullptr;
   FakeBackend backend([&](const Request&) {
-    auto answer = self->Ok("value");
-    answer.delayMs_ = 500;
-    return answer;
+    auto response = self->Ok("value");
+    response.delayMs_ = 500;
+    return response;
   });
   self = &backend;
-  RouterRig rig;
-  rig.Own(backend);
-  const auto response = rig.Get();
+  RouterFixture fixture;
+  fixture.SetOwner(backend);
+  const auto response = fixture.Get();
   ASSERT_TRUE(response.ok());
   EXPECT_EQ(OutcomeOf(*response), "complete");
   EXPECT_EQ(backend.Requests().size(), 1u);
 }
 
-/// Sends a GET and reads nothing; closes after aOpenMs.
+/// Sends a GET request, does not read the response and closes after aOpenMs.
 void AbandonRequest(int aPort, int aOpenMs)
 {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -186,64 +188,67 @@
   close(fd);
 }
 
-// Guards against a server that keeps working for a caller that has gone.
-TEST(RouterFault, CallerThatLeavesCancelsTheRequest)
+// Guards against a server that keeps executing the request of a caller that has
+// disconnected.
+TEST(RouterFault, CallerDisconnectCancelsRequest)
 {
   FakeBackend* self = nullptr;
   const std::string large(32 << 20, 'x');
   FakeBackend backend([&](const Request&) { return self->Ok(large); });
   self = &backend;
-  RouterRig rig;
-  rig.Own(backend);
-  AbandonRequest(rig.http_.Port(), 100);
+  RouterFixture fixture;
+  fixture.SetOwner(backend);
+  AbandonRequest(fixture.http_.Port(), 100);
   EXPECT_TRUE(Eventually([&] {
     const auto cancelled = backend.Cancelled();
     return std::ranges::find(cancelled, "gone") != cancelled.end();
   }));
 }
 
-// Guards against a slow caller that holds its thread and connection for ever.
-TEST(RouterFault, SlowCallerIsGivenUp)
+// Guards against a caller that does not read and blocks its thread and backend
+// connection forever.
+TEST(RouterFault, SlowCallerIsDisconnected)
 {
   FakeBackend* self = nullptr;
   const std::string large(32 << 20, 'x');
   FakeBackend backend([&](const Request&) { return self->Ok(large); });
   self = &backend;
-  RouterRig rig; // gives up after 2 s without progress
-  rig.Own(backend);
-  std::thread slow([&] { AbandonRequest(rig.http_.Port(), 4000); });
+  RouterFixture fixture; // disconnects a caller that does not read for 2 s
+  fixture.SetOwner(backend);
+  std::thread slow([&] { AbandonRequest(fixture.http_.Port(), 4000); });
   Sleep(3500);
   EXPECT_EQ(
-    rig.router_->Context().registry_.Servers().All().at(0)->Pool().Open(), 0);
+    fixture.router_->Context().registry_.Servers().All().at(0)->Pool().Open(),
+    0);
   slow.join();
 }
 
-// Guards against a planned stop that cuts off a request in flight, or keeps
-// the balancer sending callers to a router that is about to end.
+// Guards against a graceful stop that aborts a request in flight, or that
+// leaves the readiness check succeeding while the router stops.
 TEST(RouterFault, StopFinishesRequestsInFlight)
 {
   FakeBackend* self = nullptr;
   FakeBackend backend([&](const Request&) {
-    auto answer = self->Ok("value");
-    answer.delayMs_ = 600;
-    return answer;
+    auto response = self->Ok("value");
+    response.delayMs_ = 600;
+    return response;
   });
   self = &backend;
-  RouterRig rig;
-  rig.Own(backend);
-  EXPECT_EQ(rig.Send("GET", "/_ready")->head_.status_, 200);
+  RouterFixture fixture;
+  fixture.SetOwner(backend);
+  EXPECT_EQ(fixture.Send("GET", "/_ready")->head_.status_, 200);
   std::vector<std::thread> callers;
   std::atomic<int> complete = 0;
   for (int i = 0; i < 4; ++i) {
     callers.emplace_back([&] {
-      const auto response = rig.Get();
+      const auto response = fixture.Get();
       complete += response.ok() && OutcomeOf(*response) == "complete";
     });
   }
   Sleep(100);
-  std::thread stopper([&] { EXPECT_TRUE(rig.router_->StopGracefully()); });
+  std::thread stopper([&] { EXPECT_TRUE(fixture.router_->StopGracefully()); });
   Sleep(50);
-  EXPECT_EQ(rig.Send("GET", "/_ready")->head_.status_, 503);
+  EXPECT_EQ(fixture.Send("GET", "/_ready")->head_.status_, 503);
   for (auto& caller : callers) {
     caller.join();
   }
@@ -251,30 +256,30 @@
   EXPECT_EQ(complete, 4);
 }
 
-// Guards against an overloaded server that all callers wait for: beyond the
-// queue they are refused at once.
-TEST(RouterFault, ExcessIsRefusedEarly)
+// Guards against callers that all wait for an overloaded server: requests
+// beyond the queue limit are refused without waiting.
+TEST(RouterFault, ExcessLoadIsRefusedEarly)
 {
   FakeBackend* self = nullptr;
   FakeBackend backend([&](const Request&) {
-    auto answer = self->Ok("value");
-    answer.delayMs_ = 400;
-    return answer;
+    auto response = self->Ok("value");
+    response.delayMs_ = 400;
+    return response;
   });
   self = &backend;
-  RouterRig rig;
-  rig.Own(backend); // 8 slots
+  RouterFixture fixture;
+  fixture.SetOwner(backend); // 8 slots
   std::atomic<int> refused = 0;
   std::atomic<int> late = 0;
   std::vector<std::thread> callers;
   for (int i = 0; i < 14; ++i) {
     callers.emplace_back([&] {
       for (int n = 0; n < 4; ++n) {
-        const TimeMs start = rig.clock_.NowMs();
-        const auto response = rig.Get({ { "X-Deadline-Ms", "500" } });
+        const TimeMs start = fixture.clock_.NowMs();
+        const auto response = fixture.Get({ { "X-Deadline-Ms", "500" } });
         ASSERT_TRUE(response.ok()) << response.status();
         refused += OutcomeOf(*response) == "not-run";
-        late += rig.clock_.NowMs() - start > 600;
+        late += fixture.clock_.NowMs() - start > 600;
       }
     });
   }
@@ -285,7 +290,7 @@
   EXPECT_EQ(late, 0);
 }
 
-/// Two routers that know each other.
+/// Two routers that list each other as peers.
 struct RouterPair
 {
   RouterPair()
@@ -295,33 +300,33 @@
     one_.tables_.SetPeers(peers);
     two_.tables_.SetPeers(peers);
   }
-  RouterRig one_;
-  RouterRig two_;
+  RouterFixture one_;
+  RouterFixture two_;
 };
 
-// Guards against a repeat that runs because it arrives at another router, also
-// after the router that forwarded the request has stopped.
-TEST(RouterFault, RepeatIsRecognisedByAnotherRouter)
+// Guards against executing a duplicate that arrives at another router,
+// including after the router that forwarded the first request has stopped.
+TEST(RouterFault, DuplicateIsDetectedByAnotherRouter)
 {
   FakeBackend* self = nullptr;
   FakeBackend backend([&](const Request&) { return self->Ok("value"); });
   self = &backend;
   RouterPair routers;
-  routers.one_.Own(backend);
-  routers.two_.Own(backend);
+  routers.one_.SetOwner(backend);
+  routers.two_.SetOwner(backend);
   EXPECT_EQ(OutcomeOf(*routers.one_.Post("a")), "complete");
   EXPECT_EQ(routers.two_.Post("a")->head_.status_, 409);
   EXPECT_EQ(OutcomeOf(*routers.one_.Post("b")), "complete");
   EXPECT_TRUE(routers.one_.router_->StopGracefully());
   EXPECT_EQ(routers.two_.Post("b")->head_.status_, 409);
-  // New ids are served with the one holder that is left.
+  // New ids are accepted with the one replica that is left.
   EXPECT_EQ(OutcomeOf(*routers.two_.Post("c")), "complete");
   EXPECT_EQ(backend.Requests().size(), 3u);
 }
 
-// Guards against a quarantine that other instances learn of too late, and
-// against one that comes back after an operator has released it.
-TEST(RouterFault, QuarantineReachesTheOtherRouter)
+// Guards against a quarantine that reaches other instances too late, and
+// against one that reappears after an operator has released it.
+TEST(RouterFault, QuarantineReachesOtherRouter)
 {
   constexpr uint64_t kFingerprint = 77;
   RouterPair routers;
--- a/tests/RouterRig.hpp
+++ b/tests/RouterFixture.hpp
@@ -13,18 +13,19 @@
 
 namespace cactuspitch {
 
-/// RoutingTables whose tables the test sets.
-class FakeTables final : public RoutingTables
+/// RoutingTables with one table that the test sets.
+class FakeRoutingTables final : public RoutingTables
 {
 public:
-  explicit FakeTables(const Clock& aClock)
+  explicit FakeRoutingTables(const Clock& aClock)
     : clock_(aClock)
   {
   }
 
   void Set(GroupTable aTable, TimeMs aViewLeaseUntilMs = INT64_MAX);
-  /// Runs on the next RequestRefresh.
+  /// Sets an action that the next RequestRefresh() runs once.
   void OnRefresh(std::function<void()> aAction);
+  /// Number of RequestRefresh() calls.
   int Refreshes() const { return refreshes_; }
 
   std::shared_ptr<const FollowedTable> Table(std::string_view aService,
@@ -58,17 +59,18 @@
   std::atomic<int> refreshes_ = 0;
 };
 
-/// A router in this process whose service "svc" has one slice.
-class RouterRig
+/// In-process router with one service, "svc", of one slice.
+class RouterFixture
 {
 public:
-  RouterRig();
-  /// Names the backend server as owner of all keys.
-  void Own(const FakeBackend& aBackend,
-           Epoch aEpoch = 1,
-           bool aChecksFence = true,
-           TimeMs aViewLeaseUntilMs = INT64_MAX);
-  void OwnNobody(Epoch aEpoch = 1);
+  RouterFixture();
+  /// Makes the backend server the owner of all keys.
+  void SetOwner(const FakeBackend& aBackend,
+                Epoch aEpoch = 1,
+                bool aChecksFence = true,
+                TimeMs aViewLeaseUntilMs = INT64_MAX);
+  /// Leaves all keys without an owner.
+  void ClearOwner(Epoch aEpoch = 1);
   absl::StatusOr<HttpResponse> Send(const std::string& aMethod,
                                     const std::string& aPath,
                                     HttpHeaders aHeaders = {},
@@ -77,12 +79,12 @@
   {
     return Send("GET", "/svc/key", std::move(aHeaders));
   }
-  /// POST with the request id.
+  /// Sends a POST with the request id aId.
   absl::StatusOr<HttpResponse> Post(const std::string& aId,
                                     HttpHeaders aHeaders = {}) const;
 
   SteadyClock clock_;
-  FakeTables tables_;
+  FakeRoutingTables tables_;
   ReservedPort http_;
   ReservedPort rpc_;
   std::unique_ptr<Router> router_;
--- a/tests/RouterMeasurementTest.cpp
+++ b/tests/RouterMeasurementTest.cpp
@@ -1,5 +1,5 @@
 #include "router/LatencyHistogram.hpp"
-#include "router/Measurements.hpp"
+#include "router/LoadRecorder.hpp"
 #include "router/SloCounters.hpp"
 
 #include <algorithm>
@@ -12,7 +12,7 @@
 namespace cactuspitch {
 namespace {
 
-// Guards against a p99 that is off by more than the width of a bucket; the
+// Guards against a p99 that is off by more than the width of a bucket. The
 // silence limit and the load reports depend on it.
 RC_GTEST_PROP(LatencyHistogram, P99IsWithinOneEighth, ())
 {
@@ -32,14 +32,14 @@
   RC_ASSERT(window.p99Ms_ <= exactMs * 1.126 + 0.001);
 }
 
-// Guards against requests that are lost or counted twice between threads and
-// windows, which would misplace the load.
-TEST(Measurements, ThreadsAndWindowsAddUp)
+// Guards against losing or double-counting requests across threads and windows,
+// which would distort the measured load.
+TEST(LoadRecorder, ThreadsAndWindowsAddUp)
 {
   constexpr int kThreads = 8;
   constexpr int kRequests = 2000;
   const SteadyClock clock;
-  Measurements measurements(clock);
+  LoadRecorder measurements(clock);
   std::vector<std::thread> threads;
   for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&] {
@@ -65,12 +65,13 @@
   EXPECT_DOUBLE_EQ(busyMs, kThreads * kRequests * 0.5);
 }
 
-// Guards against a hot key that the sampling before the sketch hides.
-TEST(Measurements, HotKeyComesFirst)
+// Guards against a hot key that is missed because only some requests are
+// sampled.
+TEST(LoadRecorder, HotKeyComesFirst)
 {
   constexpr KeyHash kHot = 7;
   const SteadyClock clock;
-  Measurements measurements(clock);
+  LoadRecorder measurements(clock);
   for (KeyHash n = 0; n < 20000; ++n) {
     measurements.Record("svc", 0, n % 5 == 0 ? kHot : 1000 + n, 1);
   }
@@ -79,9 +80,9 @@
   EXPECT_EQ(window.hotKeys_[0].second.at(0).hash_, kHot);
 }
 
-// Guards against counts of the burn report that move between minutes, and
-// against memory that grows with each minute.
-TEST(SloCounters, MinutesStayApartAndExpire)
+// Guards against counting a request in the wrong minute of the burn report, and
+// against memory use that grows with each minute.
+TEST(SloCounters, MinutesAreSeparateAndExpire)
 {
   int64_t minute = 100;
   SloCounters counters([&] { return minute; });
@@ -100,7 +101,7 @@
   EXPECT_EQ(all[2].server_, "s2");
   EXPECT_EQ(all[2].failureDomain_, "giza-a");
   EXPECT_EQ(counters.Since(101).size(), 1u);
-  minute = 101 + SloCounters::kKeptMinutes + 1;
+  minute = 101 + SloCounters::kRetentionMinutes + 1;
   EXPECT_TRUE(counters.Since(0).empty());
 }
 
