--- a/keyspace/KeyBalancer.hpp
+++ b/keyspace/KeyBalancer.hpp
@@ -23,7 +23,7 @@
   /// Smallest load worth moving, as a fraction of the mean utilization times
   /// the capacity of the target.
   double minMoveShare_ = 0.08;
-  /// A key that servers at least this fraction of its owner's capacity moves to
+  /// A key that uses at least this fraction of its owner's capacity moves to
   /// a faster server,
   double dominantShare_ = 0.6;
   /// if one has at least this many times the capacity and its utilization is
--- a/tests/LoadPerKeyPolicyTest.cpp
+++ b/tests/LoadPerKeyPolicyTest.cpp
@@ -195,7 +195,7 @@
   }
 }
 
-// Guards against out-of-bounds access when the input is inconsistent.
+// Guards against a crash when the input is inconsistent.
 TEST_F(LoadPerKeyPolicyTest, InconsistentInputIsIgnored)
 {
   auto input = Input();
