Complete the wording of keyspace, policy and membership

A second reading found half sentences in KeyBalanceOptions, parameters without a doc comment, and private names such as HashOf and foreignEndMs.

They are reworded, and FleetLoadTable::kForgetMs is named kExpiryMs as in OwnerAdmission.

--- a/keyspace/KeyBalancer.hpp
+++ b/keyspace/KeyBalancer.hpp
@@ -12,11 +12,11 @@
 /// Thresholds and limits of KeyBalancer.
 struct KeyBalanceOptions
 {
-  /// A server is overloaded when its utilization exceeds the mean by more than
-  /// this factor,
+  /// A server is overloaded only if its utilization exceeds the mean by more
+  /// than this factor.
   double imbalanceThreshold_ = 1.15;
-  /// by at least this many standard deviations of the request count from which
-  /// the utilization was measured.
+  /// The excess must remain after subtracting this many standard deviations of
+  /// the request count from which the utilization was measured.
   double significance_ = 1.0;
   /// Servers below this utilization are never overloaded: they have free slots.
   double idleUtilization_ = 0.3;
@@ -26,8 +26,8 @@
   /// A key that uses at least this fraction of its owner's capacity moves to
   /// a faster server,
   double dominantShare_ = 0.6;
-  /// if one has at least this many times the capacity and its utilization is
-  /// lower by the same factor.
+  /// A server counts as faster if it has at least this many times the capacity
+  /// and its utilization is lower by more than the same factor.
   double fasterRatio_ = 1.25;
   /// Maximum number of moves in one plan, per server.
   double movesPerServer_ = 0.75;
--- a/keyspace/KeyOwnerMap.cpp
+++ b/keyspace/KeyOwnerMap.cpp
@@ -8,17 +8,17 @@
 
 using Range = KeyOwnerMap::Range;
 
-bool SameOwner(const KeyOwner& aLeft, const KeyOwner& aRight)
+bool IsSameOwner(const KeyOwner& aLeft, const KeyOwner& aRight)
 {
   return aLeft.fence_ == aRight.fence_ && aLeft.id_ == aRight.id_ &&
          aLeft.active_ == aRight.active_;
 }
 
-void JoinEqual(std::vector<Range>& aRanges)
+void MergeEqualNeighbours(std::vector<Range>& aRanges)
 {
   size_t kept = 0;
   for (size_t index = 1; index < aRanges.size(); ++index) {
-    if (SameOwner(aRanges[kept].owner_, aRanges[index].owner_)) {
+    if (IsSameOwner(aRanges[kept].owner_, aRanges[index].owner_)) {
       aRanges[kept].last_ = aRanges[index].last_;
     } else if (++kept != index) {
       aRanges[kept] = std::move(aRanges[index]);
@@ -51,7 +51,7 @@
       range.owner_ = aRange.owner_;
     }
   }
-  detail::JoinEqual(ranges);
+  detail::MergeEqualNeighbours(ranges);
   return true;
 }
 
--- a/keyspace/KeyOwnership.cpp
+++ b/keyspace/KeyOwnership.cpp
@@ -71,8 +71,8 @@
                          const std::function<int64_t()>& aNextFence,
                          TimeMs aNowMs)
 {
-  const TimeMs foreignEndMs = LeaseEndMs(aNowMs + timing_.earlierLeaderRenewMs_,
-                                         timing_.maxEarlierLeaseMs_);
+  const TimeMs earlierLeaderEndMs = LeaseEndMs(
+    aNowMs + timing_.earlierLeaderRenewMs_, timing_.maxEarlierLeaseMs_);
   segments_.clear();
   for (auto& segment : aSegments) {
     const bool mergesWithLast =
@@ -89,9 +89,10 @@
   }
   segmentStates_.assign(segments_.size(), {});
   for (size_t index = 0; index < segments_.size(); ++index) {
-    segmentStates_[index].owner_.earlierLeaderEndMs_ = foreignEndMs;
+    segmentStates_[index].owner_.earlierLeaderEndMs_ = earlierLeaderEndMs;
     for (const auto& id : segments_[index].previous_) {
-      segmentStates_[index].previous_[id].earlierLeaderEndMs_ = foreignEndMs;
+      segmentStates_[index].previous_[id].earlierLeaderEndMs_ =
+        earlierLeaderEndMs;
     }
   }
   ++revision_;
--- a/membership/BackendDirectory.cpp
+++ b/membership/BackendDirectory.cpp
@@ -12,7 +12,7 @@
 
 namespace detail {
 
-uint64_t HashOf(const BackendEntry& aEntry)
+uint64_t EntryHash(const BackendEntry& aEntry)
 {
   const auto text = Concat(aEntry.id_,
                            " ",
@@ -72,10 +72,10 @@
     if (known->second.IsSameState(entry)) {
       return;
     }
-    digest_ -= detail::HashOf(known->second);
+    digest_ -= detail::EntryHash(known->second);
     known->second = entry;
   }
-  digest_ += detail::HashOf(entry);
+  digest_ += detail::EntryHash(entry);
   changes_.insert(entry.id_);
 }
 
@@ -153,7 +153,7 @@
 {
   const auto known = entries_.find(aId);
   if (known != entries_.end()) {
-    digest_ -= detail::HashOf(known->second);
+    digest_ -= detail::EntryHash(known->second);
     entries_.erase(known);
     changes_.insert(aId);
   }
--- a/policy/FleetLoadTable.cpp
+++ b/policy/FleetLoadTable.cpp
@@ -29,7 +29,7 @@
 std::vector<FleetLoadEntry> FleetLoadTable::TakeChanged(TimeMs aNowMs)
 {
   std::erase_if(states_, [&](const auto& aItem) {
-    return aNowMs - aItem.second.atMs_ > kForgetMs;
+    return aNowMs - aItem.second.atMs_ > kExpiryMs;
   });
   std::vector<FleetLoadEntry> changed;
   for (auto& [server, state] : states_) {
--- a/policy/FleetLoadTable.hpp
+++ b/policy/FleetLoadTable.hpp
@@ -23,7 +23,7 @@
 {
 public:
   /// Entries that have not been updated for this long are dropped.
-  static constexpr TimeMs kForgetMs = 5000;
+  static constexpr TimeMs kExpiryMs = 5000;
 
   void Add(const FleetLoadEntry& aEntry, TimeMs aNowMs);
   /// Entries that were updated since the last call.
--- a/policy/MovingAverages.hpp
+++ b/policy/MovingAverages.hpp
@@ -5,10 +5,11 @@
 
 namespace cactuspitch {
 
-/// Exponential moving averages by name; every new value has the same weight.
+/// Exponential moving averages by name.
 class MovingAverages
 {
 public:
+  /// aWeight, from 0 to 1, is the weight of a new value.
   explicit MovingAverages(double aWeight)
     : weight_(aWeight)
   {
--- a/policy/PacedLimit.hpp
+++ b/policy/PacedLimit.hpp
@@ -12,6 +12,7 @@
 class PacedLimit
 {
 public:
+  /// Starts an attempt. Returns false if the limit doesn't allow one now.
   bool TryAcquire(TimeMs aNowMs, double aLimit);
   void Release(TimeMs aNowMs, double aLimit);
   /// Earliest time at which TryAcquire() can succeed without a Release();
--- a/policy/SilentConnectionDetector.cpp
+++ b/policy/SilentConnectionDetector.cpp
@@ -35,10 +35,10 @@
   }
   found->second.waiting_ = false;
   RecordLatency(aNowMs - found->second.sentMs_);
-  if (answers_[0].connection_ != aConnection) {
-    answers_[1] = answers_[0];
+  if (responses_[0].connection_ != aConnection) {
+    responses_[1] = responses_[0];
   }
-  answers_[0] = { aConnection, aNowMs };
+  responses_[0] = { aConnection, aNowMs };
 }
 
 bool SilentConnectionDetector::IsSilent(ConnectionId aConnection,
@@ -53,8 +53,8 @@
   if (aNowMs - sentMs < limitMs) {
     return false;
   }
-  const Answer& other =
-    answers_[0].connection_ == aConnection ? answers_[1] : answers_[0];
+  const Response& other =
+    responses_[0].connection_ == aConnection ? responses_[1] : responses_[0];
   // A response right after the send is no evidence that the connection is at
   // fault: the server may have frozen since then, and a frozen server responds
   // on no connection.
--- a/policy/SilentConnectionDetector.hpp
+++ b/policy/SilentConnectionDetector.hpp
@@ -40,7 +40,7 @@
     TimeMs sentMs_ = 0;
     bool waiting_ = false;
   };
-  struct Answer
+  struct Response
   {
     ConnectionId connection_ = 0;
     TimeMs atMs_ = -1;
@@ -52,7 +52,7 @@
   std::unordered_map<ConnectionId, State> connections_;
   ConnectionId nextId_ = 1;
   /// Latest responses on the two connections with the most recent ones.
-  std::array<Answer, 2> answers_;
+  std::array<Response, 2> responses_;
   std::array<TimeMs, kSamples> latencies_{};
   size_t samples_ = 0;
   TimeMs p99Ms_ = 0;
--- a/tests/KeyOwnershipPropertyTest.cpp
+++ b/tests/KeyOwnershipPropertyTest.cpp
@@ -116,8 +116,8 @@
     // The lease duration depends on the number of servers that the leader
     // knows.
     auto timing = LeaseTiming::For(*rc::gen::inRange<size_t>(0, 2) * 200, 9000);
-    maxLeaseMs_ = std::max(maxLeaseMs_, timing.leaseMs_);
-    timing.maxEarlierLeaseMs_ = maxLeaseMs_;
+    storedLeaseMs_ = std::max(storedLeaseMs_, timing.leaseMs_);
+    timing.maxEarlierLeaseMs_ = storedLeaseMs_;
     leader_ = std::make_unique<KeyOwnership>("s", timing);
     fence_ = (++term_) << 24;
     if (!storedTable_.empty()) {
@@ -282,7 +282,7 @@
 
   std::unique_ptr<KeyOwnership> leader_;
   std::vector<EarlierLeader> earlierLeaders_;
-  TimeMs maxLeaseMs_ = 0;
+  TimeMs storedLeaseMs_ = 0;
   KeySegments storedTable_;
 };
 
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -161,7 +161,7 @@
   EXPECT_EQ(changed[0].load_, 5);
   EXPECT_EQ(changed[0].serviceTimeMs_, 100)
     << "an unknown time keeps the known one";
-  EXPECT_TRUE(table.TakeChanged(1200 + FleetLoadTable::kForgetMs + 1).empty());
+  EXPECT_TRUE(table.TakeChanged(1200 + FleetLoadTable::kExpiryMs + 1).empty());
   EXPECT_EQ(table.ServiceTimeMs(7), 0);
 }
 
