--- a/keyspace/KeyBalancer.hpp
+++ b/keyspace/KeyBalancer.hpp
@@ -15,16 +15,16 @@
   /// A server is overloaded only if its utilization exceeds the mean by more
   /// than this factor.
   double imbalanceThreshold_ = 1.15;
-  /// The excess must remain after subtracting this many standard deviations of
-  /// the request count from which the utilization was measured.
+  /// The utilization must exceed that threshold by this many standard
+  /// deviations of the request count from which it was measured.
   double significance_ = 1.0;
   /// Servers below this utilization are never overloaded: they have free slots.
   double idleUtilization_ = 0.3;
   /// Smallest load worth moving, as a fraction of the mean utilization times
   /// the capacity of the target.
   double minMoveShare_ = 0.08;
-  /// A key that uses at least this fraction of its owner's capacity moves to
-  /// a faster server,
+  /// A key is dominant, and moves to a faster server, if it uses at least this
+  /// fraction of its owner's capacity.
   double dominantShare_ = 0.6;
   /// A server counts as faster if it has at least this many times the capacity
   /// and its utilization is lower by more than the same factor.
