--- a/gateway/BackendConnection.cpp
+++ b/gateway/BackendConnection.cpp
@@ -211,8 +211,8 @@
   if (info.idleTimeoutMs_) {
     idleTimeoutMs_ = *info.idleTimeoutMs_;
   }
-  const bool isOwnResponse =
-    info.requestId_ == requestId_ || (info.requestId_.empty() && info.notRun_);
+  const bool isOwnResponse = info.requestId_ == requestId_ ||
+                             (info.requestId_.empty() && info.notExecuted_);
   if (!isOwnResponse) {
     if (parser_.IsCloseDelimited() || info.requestId_.empty()) {
       Fail(AttemptFailure::MaybeExecuted, "answer of another request");
@@ -224,15 +224,15 @@
   headReceived_ = true;
   constexpr int kFirstServerError = 500;
   succeeded_ =
-    info.sealed_ && !info.notRun_ && head.status_ < kFirstServerError;
-  refused_ = info.notRun_;
+    info.sealed_ && !info.notExecuted_ && head.status_ < kFirstServerError;
+  refused_ = info.notExecuted_;
   HandleNotices(info);
   const TimeMs nowMs = pool_.loop_.NowMs();
   if (info.load_) {
     backend_->load_.OnReport(*info.load_, nowMs);
     backend_->hasNewReport_ = true;
   }
-  if (info.notRun_) {
+  if (info.notExecuted_) {
     backend_->load_.OnShed(nowMs);
   }
   if (handler_ != nullptr) {
@@ -309,7 +309,7 @@
        AttemptOutcome::ConnectionLost);
 }
 
-void BackendConnection::Fail(AttemptFailure aEnd,
+void BackendConnection::Fail(AttemptFailure aFailure,
                              std::string_view aCause,
                              AttemptOutcome aOutcome)
 {
@@ -320,12 +320,12 @@
   timer_.Stop();
   backend_->load_.OnFailed(pool_.loop_.NowMs());
   auto* handler = std::exchange(handler_, nullptr);
-  EndAttempt(aEnd == AttemptFailure::NotSent ? AttemptOutcome::NotExecuted
-                                             : aOutcome);
+  EndAttempt(aFailure == AttemptFailure::NotSent ? AttemptOutcome::NotExecuted
+                                                 : aOutcome);
   stream_.Abort();
   pool_.Release(self, false);
   if (handler != nullptr) {
-    handler->OnAttemptFailed(aEnd, aCause);
+    handler->OnAttemptFailed(aFailure, aCause);
   }
 }
 
--- a/gateway/BackendConnection.hpp
+++ b/gateway/BackendConnection.hpp
@@ -65,7 +65,7 @@
   virtual void OnResponseBody(std::string& aBody) = 0;
   virtual void OnResponseDone() = 0;
   /// No complete answer comes any more.
-  virtual void OnAttemptFailed(AttemptFailure aEnd,
+  virtual void OnAttemptFailed(AttemptFailure aFailure,
                                std::string_view aCause) = 0;
 };
 
@@ -111,7 +111,7 @@
   bool HandleHead();
   void FinishResponse(bool aReusable);
   /// aOutcome is Other unless the end is known to be another one.
-  void Fail(AttemptFailure aEnd,
+  void Fail(AttemptFailure aFailure,
             std::string_view aCause,
             AttemptOutcome aOutcome = AttemptOutcome::Other);
   void EndAttempt(AttemptOutcome aOutcome);
--- a/gateway/CallerConnection.cpp
+++ b/gateway/CallerConnection.cpp
@@ -28,9 +28,9 @@
 
 }
 
-CallerConnection::CallerConnection(CallerListener& aServer,
+CallerConnection::CallerConnection(CallerListener& aOwner,
                                    Forwarder& aForwarder)
-  : server_(aServer)
+  : owner_(aOwner)
   , forwarder_(aForwarder)
   , stream_(aForwarder.Loop(), *this)
   , timer_(aForwarder.Loop(), [this] { OnTimer(); })
@@ -67,7 +67,7 @@
 void CallerConnection::StartTimer()
 {
   const auto& limits = detail::LimitsOf(forwarder_);
-  const bool inHead = parser_.HasStarted() && reading_ == nullptr;
+  const bool inHead = parser_.HasStarted() && incompleteRequest_ == nullptr;
   timer_.Start(inHead ? limits.headerTimeoutMs_ : limits.idleTimeoutMs_);
 }
 
@@ -104,7 +104,7 @@
   if (disconnected_) {
     return;
   }
-  if (closing_ && reading_ == nullptr) {
+  if (closing_ && incompleteRequest_ == nullptr) {
     stream_.Input().clear();
   }
   UpdateReading();
@@ -118,7 +118,7 @@
 
 bool CallerConnection::IsReading() const
 {
-  return reading_ != nullptr ||
+  return incompleteRequest_ != nullptr ||
          (!closing_ && pipeline_.size() < detail::kMaxPipelinedRequests);
 }
 
@@ -126,33 +126,34 @@
 {
   const bool startedBefore = parser_.HasStarted();
   std::string none;
-  auto& body = reading_ != nullptr ? reading_->Body() : none;
+  auto& body =
+    incompleteRequest_ != nullptr ? incompleteRequest_->Body() : none;
   const auto state = parser_.Parse(stream_.Input(), body);
   if (state == ParseState::Failed) {
     RejectMalformed();
     return false;
   }
-  if (parser_.HasHead() && reading_ == nullptr) {
+  if (parser_.HasHead() && incompleteRequest_ == nullptr) {
     BeginRequest();
     if (disconnected_) {
       return false;
     }
-    reading_->Body().append(none);
+    incompleteRequest_->Body().append(none);
   } else if (!startedBefore && parser_.HasStarted()) {
     StartTimer();
   }
-  if (reading_ != nullptr && reading_->IsCompleted() &&
+  if (incompleteRequest_ != nullptr && incompleteRequest_->IsCompleted() &&
       state != ParseState::Done) {
     // Refused before its end: the rest of it is not read.
     closing_ = true;
-    reading_ = nullptr;
+    incompleteRequest_ = nullptr;
     WriteResponses();
     return false;
   }
   if (state != ParseState::Done) {
     return false;
   }
-  const auto request = std::exchange(reading_, nullptr);
+  const auto request = std::exchange(incompleteRequest_, nullptr);
   parser_ = HttpParser(HttpMessageType::Request,
                        detail::LimitsOf(forwarder_).headerBytes_);
   StartTimer();
@@ -169,10 +170,10 @@
   auto head = std::move(parser_.Head());
   const bool expectsContinue = head.HasToken("Expect", "100-continue");
   const bool keepsAlive = head.KeepsAlive();
-  reading_ =
+  incompleteRequest_ =
     std::make_shared<ForwardedRequest>(forwarder_, *this, std::move(head));
-  pipeline_.push_back(reading_);
-  const auto request = reading_;
+  pipeline_.push_back(incompleteRequest_);
+  const auto request = incompleteRequest_;
   request->Begin();
   if (disconnected_) {
     return;
@@ -189,18 +190,18 @@
 {
   closing_ = true;
   const int status = parser_.IsTooLarge() ? 431 : 400;
-  if (reading_ == nullptr) {
-    reading_ =
+  if (incompleteRequest_ == nullptr) {
+    incompleteRequest_ =
       std::make_shared<ForwardedRequest>(forwarder_, *this, HttpHead());
-    pipeline_.push_back(reading_);
+    pipeline_.push_back(incompleteRequest_);
   }
-  const auto request = std::exchange(reading_, nullptr);
+  const auto request = std::exchange(incompleteRequest_, nullptr);
   request->Reject(status, "malformed-request", 0);
 }
 
 bool CallerConnection::WantsClose(const ForwardedRequest& aRequest) const
 {
-  return (closing_ || server_.IsDraining()) &&
+  return (closing_ || owner_.IsDraining()) &&
          (pipeline_.empty() || pipeline_.back().get() == &aRequest);
 }
 
@@ -230,7 +231,7 @@
     }
     pipeline_.pop_front();
     if (request->AnnouncedClose() ||
-        (closing_ && pipeline_.empty() && reading_ == nullptr)) {
+        (closing_ && pipeline_.empty() && incompleteRequest_ == nullptr)) {
       ended = true;
       break;
     }
@@ -304,11 +305,11 @@
   }
   timer_.Stop();
   const auto self = shared_from_this();
-  reading_ = nullptr;
+  incompleteRequest_ = nullptr;
   for (auto& request : std::exchange(pipeline_, {})) {
     request->OnCallerDisconnected();
   }
-  server_.connections_.erase(this);
+  owner_.connections_.erase(this);
   forwarder_.Loop().Defer([self] {});
 }
 
--- a/gateway/CallerConnection.hpp
+++ b/gateway/CallerConnection.hpp
@@ -20,7 +20,7 @@
   , public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  CallerConnection(CallerListener& aServer, Forwarder& aForwarder);
+  CallerConnection(CallerListener& aOwner, Forwarder& aForwarder);
 
   void Start(int aFd);
   /// Reads no further requests and closes after the answers to those that were
@@ -51,12 +51,12 @@
   void StartTimer();
   void OnDisconnected();
 
-  CallerListener& server_;
+  CallerListener& owner_;
   Forwarder& forwarder_;
   TcpStream stream_;
   Timer timer_;
   HttpParser parser_;
-  RequestPtr reading_; ///< its body is still to come
+  RequestPtr incompleteRequest_; ///< its body is still to come
   std::deque<RequestPtr> pipeline_;
   bool closing_ = false;   ///< reads no further requests
   bool lingering_ = false; ///< all output is written, waits for the caller
--- a/gateway/CommandSender.cpp
+++ b/gateway/CommandSender.cpp
@@ -85,10 +85,10 @@
                request,
                [this,
                 aCommand,
-                bornMs = server->second.startTimeMs_,
+                startTimeMs = server->second.startTimeMs_,
                 generation = generation_](const CallResult& aResult) {
                  if (generation == generation_) {
-                   OnDone(aCommand, bornMs, aResult);
+                   OnDone(aCommand, startTimeMs, aResult);
                  }
                });
 }
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -254,11 +254,11 @@
 {
   responseHead_ = aHead;
   responseInfo_ = aInfo;
-  if (!aInfo.notRun_) {
+  if (!aInfo.notExecuted_) {
     mayHaveExecuted_ = true;
   }
   const bool success = responseHead_.status_ < 300;
-  if (aInfo.notRun_ || (success && !aInfo.sealed_) ||
+  if (aInfo.notExecuted_ || (success && !aInfo.sealed_) ||
       responseHead_.HasField("Content-Encoding")) {
     discardResponse_ = true;
   }
@@ -298,7 +298,7 @@
   if (sink_ == nullptr || completed_) {
     return;
   }
-  if (responseInfo_.notRun_) {
+  if (responseInfo_.notExecuted_) {
     forwarder_.Metrics().OnAttempt("not-run");
     OnNotExecuted();
     return;
@@ -325,14 +325,14 @@
   FinishResponse();
 }
 
-void ForwardedRequest::OnAttemptFailed(AttemptFailure aEnd,
+void ForwardedRequest::OnAttemptFailed(AttemptFailure aFailure,
                                        std::string_view aCause)
 {
   const auto connection = std::exchange(connection_, nullptr);
   const auto self = shared_from_this();
-  forwarder_.Metrics().OnAttempt(EnumName(aEnd));
+  forwarder_.Metrics().OnAttempt(EnumName(aFailure));
   forwarder_.OnAttemptEnded();
-  if (aEnd == AttemptFailure::MaybeExecuted) {
+  if (aFailure == AttemptFailure::MaybeExecuted) {
     mayHaveExecuted_ = true;
   }
   if (sink_ == nullptr || completed_) {
@@ -345,7 +345,7 @@
     sink_->OnResponseAborted();
     return;
   }
-  if (aEnd == AttemptFailure::NotSent) {
+  if (aFailure == AttemptFailure::NotSent) {
     --attempts_;
     ++unsentAttempts_;
     triedBackends_.insert(lastBackend_);
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -77,7 +77,8 @@
                       const ResponseMetadata& aInfo) override;
   void OnResponseBody(std::string& aBody) override;
   void OnResponseDone() override;
-  void OnAttemptFailed(AttemptFailure aEnd, std::string_view aCause) override;
+  void OnAttemptFailed(AttemptFailure aFailure,
+                       std::string_view aCause) override;
 
   bool IsIdempotent() const;
   void Dispatch();
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -699,7 +699,7 @@
   settings_.graceMs_ = reloaded->graceMs_;
   log_.SetMinimum(reloaded->logLevel_);
   forwarder_.SetRetryLimits(reloaded->retryRatio_, reloaded->retryExtra_);
-  coordinator_.SetMaxHold(reloaded->maxHoldMs_);
+  coordinator_.SetMaxLease(reloaded->maxHoldMs_);
   LogSettings("settings-reloaded", *reloaded);
 }
 
--- a/gateway/KeyCoordinator.hpp
+++ b/gateway/KeyCoordinator.hpp
@@ -45,7 +45,7 @@
                  HttpClient& aClient,
                  const CommandProtocol& aProtocol,
                  const FleetLoadTable& aFleetLoads,
-                 TimeMs aMaxHoldMs,
+                 TimeMs aMaxLeaseMs,
                  Handlers aHandlers);
 
   /// Request that reads the key table.
@@ -55,7 +55,7 @@
   void Stop();
   void OnEarlierLeadersEnded();
   /// Applies from the next term on.
-  void SetMaxHold(TimeMs aMaxHoldMs) { maxHoldMs_ = aMaxHoldMs; }
+  void SetMaxLease(TimeMs aMaxLeaseMs) { maxLeaseMs_ = aMaxLeaseMs; }
 
   void SetKeyedServices(std::set<std::string> aKeyedServices);
   /// Updates the servers in aChanged from aEntries. A server without an entry
@@ -88,8 +88,8 @@
                      const CommandResponse& aResponse);
   void UpdateCandidates();
   /// Mean service time of a request, over the servers with measurements.
-  double MeanWorkMs(const std::string& aService) const;
-  double MeanWorkSeconds(const std::string& aService) const;
+  double MeanServiceTimeMs(const std::string& aService) const;
+  double MeanServiceTimeSeconds(const std::string& aService) const;
   void ReportChanges();
   std::vector<KeyOwnership::Move> PlanMoves(const std::string& aService,
                                             const KeyOwnership& aOwnership);
@@ -101,7 +101,7 @@
   StoreClient& store_;
   CommandSender sender_;
   const FleetLoadTable& fleetLoads_;
-  TimeMs maxHoldMs_; ///< longest lease that backend servers accept
+  TimeMs maxLeaseMs_; ///< longest lease that backend servers accept
   Handlers handlers_;
   Timer timer_;
   Timer retryTimer_;
--- a/gateway/StoreClient.cpp
+++ b/gateway/StoreClient.cpp
@@ -23,7 +23,7 @@
   return std::uniform_int_distribution<TimeMs>(0, aMs)(random_);
 }
 
-void StoreClient::Call(CallRequest aRequest, Done aDone)
+void StoreClient::Call(CallRequest aRequest, Callback aCallback)
 {
   ++calls_;
   // After a failure idle connections may be dead.
@@ -31,11 +31,11 @@
     failures_ > 0 ? ConnectionPolicy::NewOnly : ConnectionPolicy::ReuseOrNew;
   client_.Call(store_,
                aRequest,
-               [this, sentMs = loop_.NowMs(), done = std::move(aDone)](
+               [this, sentMs = loop_.NowMs(), callback = std::move(aCallback)](
                  const CallResult& aResult) {
                  auto response = protocol_.ParseResponse(aResult);
                  RecordResult(response, aResult.cause_, sentMs);
-                 done(std::move(response));
+                 callback(std::move(response));
                });
 }
 
--- a/gateway/StoreRelay.hpp
+++ b/gateway/StoreRelay.hpp
@@ -43,7 +43,7 @@
     std::function<void(int64_t aRevision)> onRevision_;
     /// Another watcher has seen the removal of a registration.
     std::function<void(const std::string& aBackend)> onRemovalSeen_;
-    std::function<void(const nlohmann::json& aSpec, std::string aPacked)>
+    std::function<void(const nlohmann::json& aSpec, std::string aCompressed)>
       onConfig_;
     std::function<int64_t()> configVersion_;
     std::function<bool()> hasDirectory_;
--- a/net/EventLoop.hpp
+++ b/net/EventLoop.hpp
@@ -24,9 +24,9 @@
   /// CLOCK_BOOTTIME in ms, read once for each round of events. It counts the
   /// time of a suspended instance, which leases must not miss.
   TimeMs NowMs() const override;
-  /// Runs aTask after the handlers of this round; objects that end during
+  /// Runs aCallback after the handlers of this round; objects that end during
   /// their own handler are released this way.
-  void Defer(std::function<void()> aTask);
+  void Defer(std::function<void()> aCallback);
 
   struct ev_loop* Native() { return loop_; }
 
@@ -46,7 +46,7 @@
 class Timer
 {
 public:
-  Timer(EventLoop& aLoop, std::function<void()> aTask);
+  Timer(EventLoop& aLoop, std::function<void()> aCallback);
   ~Timer();
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
@@ -59,7 +59,7 @@
   static void OnTimer(struct ev_loop*, ev_timer* aWatcher, int);
 
   EventLoop& loop_;
-  std::function<void()> task_;
+  std::function<void()> callback_;
   ev_timer watcher_;
 };
 
@@ -69,7 +69,7 @@
 public:
   using IoCallback = std::function<void(bool aReadable, bool aWritable)>;
 
-  IoWatcher(EventLoop& aLoop, IoCallback aTask);
+  IoWatcher(EventLoop& aLoop, IoCallback aCallback);
   ~IoWatcher();
   IoWatcher(const IoWatcher&) = delete;
   IoWatcher& operator=(const IoWatcher&) = delete;
@@ -81,7 +81,7 @@
   static void OnIo(struct ev_loop*, ev_io* aWatcher, int aEvents);
 
   EventLoop& loop_;
-  IoCallback task_;
+  IoCallback callback_;
   ev_io watcher_;
   int events_ = 0;
 };
@@ -90,7 +90,7 @@
 class SignalWatcher
 {
 public:
-  SignalWatcher(EventLoop& aLoop, int aSignal, std::function<void()> aTask);
+  SignalWatcher(EventLoop& aLoop, int aSignal, std::function<void()> aCallback);
   ~SignalWatcher();
   SignalWatcher(const SignalWatcher&) = delete;
   SignalWatcher& operator=(const SignalWatcher&) = delete;
@@ -99,7 +99,7 @@
   static void OnSignal(struct ev_loop*, ev_signal* aWatcher, int);
 
   EventLoop& loop_;
-  std::function<void()> task_;
+  std::function<void()> callback_;
   ev_signal watcher_;
 };
 
--- a/net/TcpStream.cpp
+++ b/net/TcpStream.cpp
@@ -274,8 +274,8 @@
   handler_.OnStreamClosed(aReason);
 }
 
-TcpListener::TcpListener(EventLoop& aLoop, AcceptCallback aTask)
-  : task_(std::move(aTask))
+TcpListener::TcpListener(EventLoop& aLoop, AcceptCallback aCallback)
+  : callback_(std::move(aCallback))
   , watcher_(aLoop, [this](bool, bool) { AcceptAvailable(); })
 {
 }
@@ -320,7 +320,7 @@
     if (fd < 0) {
       return;
     }
-    task_(fd);
+    callback_(fd);
   }
 }
 
--- a/net/TcpStream.hpp
+++ b/net/TcpStream.hpp
@@ -115,7 +115,7 @@
 public:
   using AcceptCallback = std::function<void(int aFd)>;
 
-  TcpListener(EventLoop& aLoop, AcceptCallback aTask);
+  TcpListener(EventLoop& aLoop, AcceptCallback aCallback);
   ~TcpListener();
 
   bool Listen(const Endpoint& aEndpoint);
@@ -124,7 +124,7 @@
 private:
   void AcceptAvailable();
 
-  AcceptCallback task_;
+  AcceptCallback callback_;
   IoWatcher watcher_;
   int fd_ = -1;
 };
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -271,14 +271,14 @@
                    { "Cactuspitch-Server-Load", "3,0,8" },
                    { "Keep-Alive", "timeout=10" } };
   const auto info = RequestCodec().ParseResponse(head);
-  EXPECT_TRUE(info.notRun_);
+  EXPECT_TRUE(info.notExecuted_);
   EXPECT_FALSE(info.sealed_);
   ASSERT_TRUE(info.load_);
   EXPECT_EQ(info.load_->slots_, 8);
   EXPECT_EQ(info.idleTimeoutMs_, 10000);
   head.fields_ = { { "Cactuspitch-Server-Load", "3,x,8" } };
   head.status_ = 421;
-  EXPECT_TRUE(RequestCodec().ParseResponse(head).notRun_);
+  EXPECT_TRUE(RequestCodec().ParseResponse(head).notExecuted_);
   EXPECT_FALSE(RequestCodec().ParseResponse(head).load_);
 }
 
