--- a/gateway/BackendConnection.cpp
+++ b/gateway/BackendConnection.cpp
@@ -10,15 +10,15 @@
 namespace detail {
 
 constexpr size_t kMaxResponseHeadBytes = 32768;
-/// Servers are at most a few ms away; a lost first packet is sent again after
-/// a second, which is too late for most requests.
+/// Servers are at most a few ms away. A lost SYN is retransmitted after 1 s,
+/// which is too late for most requests.
 constexpr TimeMs kConnectTimeoutMs = 300;
-/// A reset of a new connection arrives within a round trip of at most 2 ms and
-/// the 1 ms that a server needs for the connection.
+/// Delay before the first request on a new connection: a reset arrives within a
+/// round trip of at most 2 ms plus the 1 ms that a server takes to reject it.
 constexpr TimeMs kNewConnectionDelayMs = 4;
 constexpr TimeMs kDefaultIdleTimeoutMs = 4000;
-/// Interim answers and late answers of other requests that are passed over
-/// before the own one; a server in trouble may send them without end.
+/// Limit of interim responses and late responses to other requests that are
+/// skipped before the expected one; a faulty server may send them without end.
 constexpr int kMaxSkippedResponses = 8;
 
 }
@@ -36,20 +36,22 @@
 
 bool Backend::HasOpenConnection() const
 {
-  const auto isOpen = [](const auto& aLink) { return aLink->IsConnected(); };
+  const auto isOpen = [](const auto& aConnection) {
+    return aConnection->IsConnected();
+  };
   return std::ranges::any_of(idle_, isOpen) ||
          std::ranges::any_of(busy_, isOpen);
 }
 
 void BackendConnection::Start(AttemptHandler& aHandler,
-                              AttemptCrashInfo aTag,
+                              AttemptCrashInfo aCrashInfo,
                               std::string aHead,
                               std::string_view aBody,
                               std::string aRequestId,
                               bool aExpectsBody)
 {
   handler_ = &aHandler;
-  crashInfo_ = aTag;
+  crashInfo_ = aCrashInfo;
   succeeded_ = false;
   refused_ = false;
   busy_ = true;
@@ -138,7 +140,7 @@
 void BackendConnection::OnInput()
 {
   if (!busy_) {
-    // Bytes without a request belong to nobody.
+    // Unsolicited bytes: no request is in progress.
     stream_.Abort();
     pool_.Release(shared_from_this(), false);
     return;
@@ -168,13 +170,13 @@
       return;
     }
     if (!skippingResponse_) {
-      const bool wholeRequest =
+      const bool wroteWholeRequest =
         stream_.WrittenBytes() - writtenBytesAtStart_ == requestBytes_;
-      FinishResponse(responseKeepsAlive_ && wholeRequest &&
+      FinishResponse(responseKeepsAlive_ && wroteWholeRequest &&
                      stream_.Input().empty());
       return;
     }
-    // The answer of another request is over; the own one is still to come.
+    // The skipped response is complete; the expected one follows.
     skippingResponse_ = false;
     if (++skippedResponses_ > detail::kMaxSkippedResponses) {
       Fail(AttemptFailure::MaybeExecuted, "too many answers of others");
@@ -199,7 +201,7 @@
 {
   auto& head = parser_.Head();
   if (head.status_ >= 100 && head.status_ < 200) {
-    // An interim answer has no body and is followed by the real one.
+    // An interim (1xx) response has no body and precedes the final one.
     skippingResponse_ = true;
     responseKeepsAlive_ = true;
     return true;
@@ -209,9 +211,9 @@
   if (info.idleTimeoutMs_) {
     idleTimeoutMs_ = *info.idleTimeoutMs_;
   }
-  const bool ownAnswer =
+  const bool isOwnResponse =
     info.requestId_ == requestId_ || (info.requestId_.empty() && info.notRun_);
-  if (!ownAnswer) {
+  if (!isOwnResponse) {
     if (parser_.IsCloseDelimited() || info.requestId_.empty()) {
       Fail(AttemptFailure::MaybeExecuted, "answer of another request");
       return false;
@@ -299,7 +301,7 @@
   }
   const bool unsent = stream_.WrittenBytes() == writtenBytesAtStart_;
   if (unsent) {
-    // The server has as many connections as it takes.
+    // The server has reached its limit of connections.
     backend_->load_.OnShed(pool_.loop_.NowMs());
   }
   Fail(unsent ? AttemptFailure::NotSent : AttemptFailure::MaybeExecuted,
@@ -307,7 +309,7 @@
        AttemptOutcome::ConnectionLost);
 }
 
-void BackendConnection::Fail(AttemptFailure aEnd,
+void BackendConnection::Fail(AttemptFailure aFailure,
                              std::string_view aCause,
                              AttemptOutcome aOutcome)
 {
@@ -318,12 +320,12 @@
   timer_.Stop();
   backend_->load_.OnFailed(pool_.loop_.NowMs());
   auto* handler = std::exchange(handler_, nullptr);
-  EndAttempt(aEnd == AttemptFailure::NotSent ? AttemptOutcome::NotExecuted
-                                             : aOutcome);
+  EndAttempt(aFailure == AttemptFailure::NotSent ? AttemptOutcome::NotExecuted
+                                                 : aOutcome);
   stream_.Abort();
   pool_.Release(self, false);
   if (handler != nullptr) {
-    handler->OnAttemptFailed(aEnd, aCause);
+    handler->OnAttemptFailed(aFailure, aCause);
   }
 }
 
--- a/gateway/BackendConnection.hpp
+++ b/gateway/BackendConnection.hpp
@@ -15,25 +15,26 @@
 
 enum class AttemptFailure : uint8_t
 {
-  NotSent,       ///< certainly nothing of the request arrived
-  MaybeExecuted, ///< sent, but no usable answer came
+  NotSent,       ///< the server received no part of the request
+  MaybeExecuted, ///< sent, but no valid response arrived
   Count
 };
 
 template<>
 struct EnumNames<AttemptFailure>
 {
+  /// Label values of the metric cactuspitch_attempts_total.
   static constexpr std::string_view kNames[] = { "not-sent", "maybe-run" };
 };
 
-/// How the server dealt with an attempt, as far as its connection tells.
+/// Outcome of an attempt at its server, as far as the connection shows it.
 enum class AttemptOutcome : uint8_t
 {
-  Succeeded,      ///< ran to a good end
-  NotExecuted,    ///< refused, or certainly nothing of it arrived
-  ConnectionLost, ///< the server ended the connection under it
-  Cancelled,      ///< this gateway ended the connection under it
-  Other,          ///< a failure of the server, or bytes that are no answer
+  Succeeded,      ///< executed, with a valid response below status 500
+  NotExecuted,    ///< rejected by the server, or never received by it
+  ConnectionLost, ///< the server closed the connection during the attempt
+  Cancelled,      ///< this gateway closed the connection during the attempt
+  Other,          ///< a server error, or bytes that are not a valid response
   Count
 };
 
@@ -47,25 +48,26 @@
                                                  "other" };
 };
 
-/// What an attempt carries for policy/CrashQuarantine.
+/// Data about an attempt that policy/CrashQuarantine needs at its end.
 struct AttemptCrashInfo
 {
   uint64_t fingerprint_ = 0;
-  int knownCrashes_ = 0; ///< of the request, when the attempt began
+  /// Crashes attributed to the request when the attempt began.
+  int knownCrashes_ = 0;
 };
 
-/// Receives the answer of one attempt.
+/// Receives the response of one attempt.
 class AttemptHandler
 {
 public:
   virtual ~AttemptHandler() = default;
   virtual void OnResponseHead(const HttpHead& aHead,
                               const AnswerInfo& aInfo) = 0;
-  /// Takes the bytes out of aBody.
+  /// Must consume aBody and leave it empty.
   virtual void OnResponseBody(std::string& aBody) = 0;
   virtual void OnResponseDone() = 0;
-  /// No complete answer comes any more.
-  virtual void OnAttemptFailed(AttemptFailure aEnd,
+  /// The attempt ended without a complete response.
+  virtual void OnAttemptFailed(AttemptFailure aFailure,
                                std::string_view aCause) = 0;
 };
 
@@ -80,20 +82,20 @@
 public:
   BackendConnection(BackendPool& aPool, std::shared_ptr<Backend> aBackend);
 
-  /// Starts an attempt. A new connection is left alone for a moment before it
-  /// carries the request, because a server that has too many resets it at once;
-  /// a request that was sent by then may have run.
-  /// aHandler stays valid until it was told of an end, or
-  /// until Detach or Cancel.
+  /// Starts an attempt. On a new connection the request is sent only after a
+  /// short delay, because a server with too many connections resets a new one
+  /// at once, and a request that was already sent by then may have been
+  /// executed. aHandler must stay valid until the attempt has ended, or until
+  /// Detach or Cancel.
   void Start(AttemptHandler& aHandler,
-             AttemptCrashInfo aTag,
+             AttemptCrashInfo aCrashInfo,
              std::string aHead,
              std::string_view aBody,
              std::string aRequestId,
              bool aExpectsBody);
-  /// Closes the connection, so that the server drops the request.
+  /// Resets the connection, so that the server cancels the request.
   void Cancel();
-  /// Lets the request run to its end without anybody listening.
+  /// Lets the request complete and discards its response.
   void Detach();
   void PauseReading(bool aPaused);
   bool IsConnected() const { return stream_.IsConnected(); }
@@ -110,12 +112,14 @@
   void ReadResponses();
   bool HandleHead();
   void FinishResponse(bool aReusable);
-  /// aOutcome is Other unless the end is known to be another one.
-  void Fail(AttemptFailure aEnd,
+  /// Ends the attempt without a response. When aFailure is NotSent, the outcome
+  /// is NotExecuted, else aOutcome.
+  void Fail(AttemptFailure aFailure,
             std::string_view aCause,
             AttemptOutcome aOutcome = AttemptOutcome::Other);
   void EndAttempt(AttemptOutcome aOutcome);
-  /// What the server says about itself besides the answer.
+  /// Handles what the response says about the server itself: that it leaves, or
+  /// asks for a pause.
   void HandleNotices(const AnswerInfo& aInfo);
 
   BackendPool& pool_;
@@ -126,18 +130,20 @@
   std::string body_;
   AttemptHandler* handler_ = nullptr;
   AttemptCrashInfo crashInfo_;
-  bool succeeded_ = false; ///< the answer's head tells so
-  bool refused_ = false;   ///< as not run
+  /// The response head shows that the request succeeded.
+  bool succeeded_ = false;
+  /// The server reported that it did not execute the request.
+  bool refused_ = false;
   bool busy_ = false;
   bool headReceived_ = false;
-  bool skippingResponse_ =
-    false;                   ///< reads an answer that belongs to no request
-  int skippedResponses_ = 0; ///< such answers for the present request
+  /// Reading a response that does not belong to the current request.
+  bool skippingResponse_ = false;
+  int skippedResponses_ = 0; ///< responses skipped during the current attempt
   bool responseKeepsAlive_ = false;
   bool expectsBody_ = true;
   std::string requestId_;
-  std::string
-    unsentRequest_; ///< request that waits for the connection to settle
+  /// Request that is sent after kNewConnectionDelayMs.
+  std::string unsentRequest_;
   uint64_t writtenBytesAtStart_ = 0;
   uint64_t requestBytes_ = 0;
   TimeMs sentMs_ = 0;
@@ -146,7 +152,7 @@
   double loadAtSend_ = 0;
 };
 
-/// One backend server as this gateway uses it.
+/// State of one backend server at this gateway.
 struct Backend
 {
   BackendEntry entry_;
@@ -154,13 +160,14 @@
   BackendLoad load_;
   std::vector<std::shared_ptr<BackendConnection>> idle_;
   std::vector<std::shared_ptr<BackendConnection>> busy_;
-  uint32_t idHash_ = 0;       ///< names the server among gateways
-  bool hasNewReport_ = false; ///< told its load since the last TakeLoadReports
-  bool home_ = false;         ///< preferred by this gateway
-  bool registered_ = true;    ///< false once the registration is gone
-  /// A later life of a server has its address.
+  uint32_t idHash_ = 0; ///< identifies the server in messages between gateways
+  /// Reported its load since the last TakeLoadReports.
+  bool hasNewReport_ = false;
+  bool home_ = false;      ///< preferred by this gateway
+  bool registered_ = true; ///< false once the registration was removed
+  /// A server that started later is registered at the same address.
   bool superseded_ = false;
-  /// Connecting fails: no requests until then, when one may try again.
+  /// After a failed connect, no requests are sent until this time.
   TimeMs downUntilMs_ = 0;
   int connectFailures_ = 0;
 
@@ -175,7 +182,7 @@
   {
     return IsUsable() && !pause_.IsActive(aNowMs);
   }
-  /// A connection is open, so the server has not ended.
+  /// True when a connection is established, so the server process is running.
   bool HasOpenConnection() const;
   size_t Connections() const { return idle_.size() + busy_.size(); }
 };
--- a/gateway/BackendLoad.cpp
+++ b/gateway/BackendLoad.cpp
@@ -7,20 +7,22 @@
 
 namespace detail {
 
-/// Weight of a new sample in the means.
+/// Weights of a new sample in the moving averages.
 constexpr double kServiceTimeWeight = 0.08;
 constexpr double kFailureWeight = 0.15;
 constexpr double kOtherGatewaysWeight = 0.4;
-/// Reports of other gateways' requests lose half of their weight in this time.
+/// Half-life of the estimated load from other gateways.
 constexpr double kOtherGatewaysHalfLifeMs = 600;
-/// Shared reports are about as old as this when they arrive.
+/// Shared reports are about this old when they arrive, so a report to this
+/// gateway takes precedence for this time.
 constexpr TimeMs kOwnReportValidMs = 300;
 constexpr double kFailureHalfLifeMs = 2000;
-/// A server that shed a request counts as full for this long.
+/// A server that shed a request counts as full for this time.
 constexpr TimeMs kShedBackoffMs = 60;
-/// A server that has just started works about half as fast.
+/// Service time of a server that has just started, relative to a warm one.
 constexpr double kColdFactor = 2;
-/// Samples far from the mean are cut, one slow request says little.
+/// Cap of a sample relative to the mean, because a single slow request says
+/// little.
 constexpr double kMaxSampleFactor = 3;
 
 }
@@ -80,10 +82,10 @@
 void BackendLoad::OnReport(const ReportedLoad& aReport, TimeMs aNowMs)
 {
   slots_ = std::max(1, aReport.slots_);
-  const double others =
+  const double otherGateways =
     std::max(0, aReport.running_ + aReport.waiting_ - inFlight_);
   otherGatewaysLoad_ +=
-    (others - otherGatewaysLoad_) * detail::kOtherGatewaysWeight;
+    (otherGateways - otherGatewaysLoad_) * detail::kOtherGatewaysWeight;
   reportedTotal_ = aReport.running_ + aReport.waiting_;
   reportedMs_ = aNowMs;
 }
@@ -95,7 +97,8 @@
   if (aServiceTimeMs > 0) {
     sharedServiceTimeMs_ = aServiceTimeMs;
   }
-  // An own report that is as new is exact about the own share.
+  // A report to this gateway of similar age is more accurate: this gateway's
+  // own requests are subtracted exactly.
   if (aNowMs - reportedMs_ < detail::kOwnReportValidMs) {
     return;
   }
@@ -106,9 +109,9 @@
 double BackendLoad::Load(TimeMs aNowMs) const
 {
   const double ageMs = static_cast<double>(aNowMs - reportedMs_);
-  const double others =
+  const double otherGateways =
     otherGatewaysLoad_ * std::exp2(-ageMs / detail::kOtherGatewaysHalfLifeMs);
-  const double load = inFlight_ + others;
+  const double load = inFlight_ + otherGateways;
   if (lastShedMs_ != 0 && aNowMs - lastShedMs_ < detail::kShedBackoffMs) {
     return std::max(load, static_cast<double>(slots_) * 2);
   }
--- a/gateway/BackendLoad.hpp
+++ b/gateway/BackendLoad.hpp
@@ -5,46 +5,50 @@
 
 namespace cactuspitch {
 
-/// Load and speed of one backend server as this gateway can tell: its own
-/// requests are known, those of the other gateways follow from the server's
-/// reports, which are old when they arrive. Pure.
+/// Estimated load and service time of one backend server. Requests of this
+/// gateway are counted exactly; those of other gateways are estimated from the
+/// server's load reports, which are already old when they arrive. Does no I/O.
 class BackendLoad
 {
 public:
   explicit BackendLoad(int aSlots = 1);
 
   void SetSlots(int aSlots);
-  /// Until aUntilMs the server works at a part of its speed.
+  /// Until aUntilMs the server is warming up and slower than usual.
   void SetColdUntil(TimeMs aUntilMs) { coldUntilMs_ = aUntilMs; }
-  /// Mean work time of the service, used until the server is measured.
+  /// Mean service time over the servers of the service, used until this server
+  /// is measured.
   void SetDefaultServiceTimeMs(double aServiceTimeMs)
   {
     defaultServiceTimeMs_ = aServiceTimeMs;
   }
 
   void OnSent();
-  /// The server gave a full answer after aLatencyMs.
+  /// The server sent a complete response after aLatencyMs. aLoadAtSend is the
+  /// Load at the time of sending.
   void OnResponse(double aLatencyMs, double aLoadAtSend, TimeMs aNowMs);
   void OnShed(TimeMs aNowMs);
   void OnFailed(TimeMs aNowMs);
   void OnEnded();
   void OnReport(const ReportedLoad& aReport, TimeMs aNowMs);
-  /// What another gateway saw; aServiceTimeMs 0 when it is not known.
+  /// Applies a load report that another gateway received. aServiceTimeMs is 0
+  /// when unknown.
   void OnSharedReport(double aLoad, double aServiceTimeMs, TimeMs aNowMs);
 
   int InFlight() const { return inFlight_; }
-  /// Requests at the server, own and others'.
+  /// Requests in progress at the server, those of other gateways included.
   double Load(TimeMs aNowMs) const;
-  /// Time of one request that does not queue.
+  /// Service time of one request, without queueing.
   double WorkMs(TimeMs aNowMs) const;
-  /// Expected time until the answer of one more request.
+  /// Expected response time of one more request, with queueing.
   double ExpectedMs(TimeMs aNowMs) const;
   /// Share of recent requests that failed or were shed, 0 to 1.
   double FailureShare(TimeMs aNowMs) const;
   bool IsMeasured() const { return sampleCount_ >= kMinSamples; }
-  /// Own mean of the work time, 0 until it is measured.
+  /// Mean service time measured by this gateway; 0 until it is measured.
   double MeasuredServiceTimeMs() const { return IsMeasured() ? workMs_ : 0; }
-  /// Requests there by the last report, own or shared.
+  /// Requests in progress according to the server's last report to this
+  /// gateway.
   double ReportedTotal() const { return reportedTotal_; }
 
 private:
@@ -52,7 +56,7 @@
 
   int slots_;
   int inFlight_ = 0;
-  double otherGatewaysLoad_ = 0; ///< requests of other gateways
+  double otherGatewaysLoad_ = 0; ///< estimated requests of other gateways
   double reportedTotal_ = 0;
   double sharedServiceTimeMs_ = 0;
   TimeMs reportedMs_ = 0;
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -12,7 +12,7 @@
 
 constexpr TimeMs kReconnectDelayMs = 400;
 constexpr TimeMs kMaxReconnectDelayMs = 1500;
-/// Idle connections are closed this long before the server would do it.
+/// Idle connections are closed this long before the idle timeout of the server.
 constexpr TimeMs kIdleMarginMs = 1500;
 constexpr double kMeanServiceTimeWeight = 0.02;
 constexpr double kInitialServiceTimeMs = 100;
@@ -148,24 +148,25 @@
 {
   const TimeMs nowMs = loop_.NowMs();
   auto& idle = aBackend->idle_;
-  std::shared_ptr<BackendConnection> link;
-  // The last one returned is the one most surely alive.
+  std::shared_ptr<BackendConnection> connection;
+  // The most recently used connection is the least likely to be closed already.
   if (!idle.empty() && nowMs - idle.back()->idleSinceMs_ <= aMaxIdleMs) {
-    link = std::move(idle.back());
+    connection = std::move(idle.back());
     idle.pop_back();
   } else if (aBackend->busy_.size() < aMaxConnections) {
     if (aBackend->Connections() >= aMaxConnections) {
-      // All idle ones are too old for this request; the oldest makes room.
+      // All idle connections are too old for this request; the oldest one is
+      // closed to keep the limit.
       loop_.Defer([oldest = std::move(idle.front())] {});
       idle.erase(idle.begin());
     }
-    link = std::make_shared<BackendConnection>(*this, aBackend);
+    connection = std::make_shared<BackendConnection>(*this, aBackend);
     ++opened_;
   } else {
     return nullptr;
   }
-  aBackend->busy_.push_back(link);
-  return link;
+  aBackend->busy_.push_back(connection);
+  return connection;
 }
 
 void BackendPool::CloseIdle()
@@ -173,11 +174,11 @@
   const TimeMs nowMs = loop_.NowMs();
   std::vector<std::shared_ptr<BackendConnection>> closed;
   for (auto& [id, backend] : backends_) {
-    std::erase_if(backend->idle_, [&](const auto& aLink) {
-      const bool old = nowMs - aLink->idleSinceMs_ >
-                       aLink->idleTimeoutMs_ - detail::kIdleMarginMs;
+    std::erase_if(backend->idle_, [&](const auto& aConnection) {
+      const bool old = nowMs - aConnection->idleSinceMs_ >
+                       aConnection->idleTimeoutMs_ - detail::kIdleMarginMs;
       if (old) {
-        closed.push_back(aLink);
+        closed.push_back(aConnection);
       }
       return old;
     });
@@ -228,7 +229,7 @@
 
 void BackendPool::CloseIdleOf(Backend& aBackend)
 {
-  // One of them may be the caller.
+  // Deferred, because the caller may be a member function of one of them.
   loop_.Defer([idle = std::exchange(aBackend.idle_, {})] {});
 }
 
@@ -275,20 +276,20 @@
   workMs_.Add(aBackend.entry_.service_, aLatencyMs);
 }
 
-void BackendPool::Release(const std::shared_ptr<BackendConnection>& aLink,
+void BackendPool::Release(const std::shared_ptr<BackendConnection>& aConnection,
                           bool aReusable)
 {
-  auto& backend = aLink->GetBackend();
-  std::erase(backend.busy_, aLink);
-  std::erase(backend.idle_, aLink);
+  auto& backend = aConnection->GetBackend();
+  std::erase(backend.busy_, aConnection);
+  std::erase(backend.idle_, aConnection);
   if (aReusable && backend.registered_ && !backend.entry_.leaving_ &&
-      aLink->stream_.IsOpen()) {
-    aLink->idleSinceMs_ = loop_.NowMs();
-    aLink->stream_.PauseReading(false);
-    backend.idle_.push_back(aLink);
+      aConnection->stream_.IsOpen()) {
+    aConnection->idleSinceMs_ = loop_.NowMs();
+    aConnection->stream_.PauseReading(false);
+    backend.idle_.push_back(aConnection);
   } else {
-    // Kept alive until its handlers have returned.
-    loop_.Defer([aLink] {});
+    // Keeps the connection alive until its handlers have returned.
+    loop_.Defer([aConnection] {});
   }
 }
 
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -18,26 +18,27 @@
 
 namespace cactuspitch {
 
-/// Told of what becomes of attempts and backend servers.
+/// Notified when attempts end and when backend servers fail or are removed.
 class BackendObserver
 {
 public:
   virtual ~BackendObserver() = default;
   virtual void OnAttemptFinished(const std::shared_ptr<Backend>& aBackend,
-                                 const AttemptCrashInfo& aTag,
+                                 const AttemptCrashInfo& aCrashInfo,
                                  AttemptOutcome aOutcome) = 0;
-  /// The server does not take connections any more.
+  /// A connection to the server could not be established.
   virtual void OnBackendDown(const Backend& aBackend) = 0;
-  /// The registration of this life of the server is gone.
+  /// The registration of this incarnation of the server was removed or
+  /// superseded.
   virtual void OnBackendRemoved(const Backend& aBackend) = 0;
 };
 
-/// Backend servers and the connections to them.
+/// The registered backend servers and the connections to them.
 class BackendPool
 {
 public:
   using BackendPtr = std::shared_ptr<Backend>;
-  /// Told once of each server that said that it leaves.
+  /// Called once for each server that announced that it leaves.
   using LeavingCallback = std::function<void(const BackendEntry& aEntry)>;
 
   BackendPool(EventLoop& aLoop,
@@ -48,7 +49,8 @@
               LeavingCallback aOnLeaving);
   ~BackendPool();
 
-  /// Takes over the entries of the named servers; one without entry is gone.
+  /// Applies the entries of the servers in aChanged. A server without an entry
+  /// is removed.
   void Update(const std::map<std::string, BackendEntry>& aEntries,
               const std::set<std::string>& aChanged);
   BackendPtr Find(const std::string& aId) const;
@@ -57,13 +59,15 @@
   {
     return byService_;
   }
-  /// Connection for one request, or null when the limit is reached.
+  /// Returns a connection for one request, or null when aMaxConnections is
+  /// reached. Reuses only connections that were idle for at most aMaxIdleMs.
   std::shared_ptr<BackendConnection> Acquire(const BackendPtr& aBackend,
                                              size_t aMaxConnections,
                                              TimeMs aMaxIdleMs);
-  /// Closes connections that were idle too long.
+  /// Closes connections that are about to reach the idle timeout of their
+  /// server.
   void CloseIdle();
-  /// Loads that servers have reported since the last call.
+  /// Returns the loads that servers have reported since the last call.
   std::vector<BoardEntry> TakeLoadReports();
   void ApplySharedLoad(const BoardEntry& aEntry);
   double MeanServiceTimeMs(const std::string& aService) const;
@@ -75,7 +79,8 @@
   BackendPtr NewBackend(const BackendEntry& aEntry);
   void Add(const BackendPtr& aBackend);
   void Remove(const BackendPtr& aBackend);
-  /// The server has ended: registrations outlive their servers by some seconds.
+  /// Marks a server as ended because a later one has its address. Registrations
+  /// outlive their servers by some seconds.
   void Supersede(const BackendPtr& aBackend);
   void OnConnectFailed(Backend& aBackend, std::string_view aCause);
   void OnLeaving(Backend& aBackend);
@@ -83,7 +88,8 @@
   void OnMalformedPause(Backend& aBackend);
   void CloseIdleOf(Backend& aBackend);
   void RecordServiceTime(const Backend& aBackend, double aLatencyMs);
-  void Release(const std::shared_ptr<BackendConnection>& aLink, bool aReusable);
+  void Release(const std::shared_ptr<BackendConnection>& aConnection,
+               bool aReusable);
 
   EventLoop& loop_;
   EventLog& log_;
@@ -94,7 +100,7 @@
   std::map<std::string, BackendPtr> backends_;
   std::map<std::string, std::vector<BackendPtr>> byService_;
   std::unordered_map<uint32_t, BackendPtr> byHash_;
-  /// The last life at each address.
+  /// The server that started last at each address.
   std::unordered_map<std::string, BackendPtr> byAddress_;
   RunningMeans workMs_;
   int64_t opened_ = 0;
--- a/gateway/CallerConnection.cpp
+++ b/gateway/CallerConnection.cpp
@@ -8,14 +8,15 @@
 
 namespace detail {
 
-/// Requests of one connection that are read ahead.
+/// Limit of pipelined requests of one connection.
 constexpr size_t kMaxPipelinedRequests = 16;
-/// Bytes of further requests that are read although they have to wait, so that
-/// the end of the stream behind them is noticed.
+/// Bytes of further requests that are read while the pipeline is full, so that
+/// a close behind them is noticed.
 constexpr size_t kMaxReadAheadBytes = 65536;
-/// Answers that wait for the caller to read pause the reading of requests.
+/// With this much unsent output, further responses wait, and so does the
+/// reading of requests.
 constexpr size_t kMaxPendingOutput = 524288;
-/// Time for the caller to read the last answer and close.
+/// Time for the caller to read the last response and close.
 constexpr TimeMs kLingerMs = 500;
 /// Limits before the first configuration is known.
 constexpr CallerLimits kDefaultLimits;
@@ -28,9 +29,9 @@
 
 }
 
-CallerConnection::CallerConnection(CallerListener& aServer,
+CallerConnection::CallerConnection(CallerListener& aOwner,
                                    Forwarder& aForwarder)
-  : server_(aServer)
+  : owner_(aOwner)
   , forwarder_(aForwarder)
   , stream_(aForwarder.Loop(), *this)
   , timer_(aForwarder.Loop(), [this] { OnTimer(); })
@@ -67,7 +68,7 @@
 void CallerConnection::StartTimer()
 {
   const auto& limits = detail::LimitsOf(forwarder_);
-  const bool inHead = parser_.HasStarted() && reading_ == nullptr;
+  const bool inHead = parser_.HasStarted() && incompleteRequest_ == nullptr;
   timer_.Start(inHead ? limits.headerTimeoutMs_ : limits.idleTimeoutMs_);
 }
 
@@ -78,7 +79,7 @@
     return;
   }
   if (!pipeline_.empty()) {
-    // The requests have limits of their own.
+    // The requests in progress have timeouts of their own.
     StartTimer();
     return;
   }
@@ -88,8 +89,8 @@
 void CallerConnection::OnInput()
 {
   const auto self = shared_from_this();
-  // A gateway that ran late finds requests whose caller has given up: the end
-  // of the stream follows them, and nothing is sent on for nobody.
+  // After a delay of this process, a request may be read together with the end
+  // of its stream: the caller has given up, so the request is not forwarded.
   if (stream_.HasPeerClosed()) {
     Close();
     return;
@@ -104,7 +105,7 @@
   if (disconnected_) {
     return;
   }
-  if (closing_ && reading_ == nullptr) {
+  if (closing_ && incompleteRequest_ == nullptr) {
     stream_.Input().clear();
   }
   UpdateReading();
@@ -118,7 +119,7 @@
 
 bool CallerConnection::IsReading() const
 {
-  return reading_ != nullptr ||
+  return incompleteRequest_ != nullptr ||
          (!closing_ && pipeline_.size() < detail::kMaxPipelinedRequests);
 }
 
@@ -126,39 +127,40 @@
 {
   const bool startedBefore = parser_.HasStarted();
   std::string none;
-  auto& body = reading_ != nullptr ? reading_->Body() : none;
+  auto& body =
+    incompleteRequest_ != nullptr ? incompleteRequest_->Body() : none;
   const auto state = parser_.Parse(stream_.Input(), body);
   if (state == ParseState::Failed) {
     RejectMalformed();
     return false;
   }
-  if (parser_.HasHead() && reading_ == nullptr) {
+  if (parser_.HasHead() && incompleteRequest_ == nullptr) {
     BeginRequest();
     if (disconnected_) {
       return false;
     }
-    reading_->Body().append(none);
+    incompleteRequest_->Body().append(none);
   } else if (!startedBefore && parser_.HasStarted()) {
     StartTimer();
   }
-  if (reading_ != nullptr && reading_->IsCompleted() &&
+  if (incompleteRequest_ != nullptr && incompleteRequest_->IsCompleted() &&
       state != ParseState::Done) {
-    // Refused before its end: the rest of it is not read.
+    // Rejected before it was complete: the remainder is not read.
     closing_ = true;
-    reading_ = nullptr;
+    incompleteRequest_ = nullptr;
     WriteResponses();
     return false;
   }
   if (state != ParseState::Done) {
     return false;
   }
-  const auto request = std::exchange(reading_, nullptr);
+  const auto request = std::exchange(incompleteRequest_, nullptr);
   parser_ = HttpParser(HttpMessageType::Request,
                        detail::LimitsOf(forwarder_).headerBytes_);
   StartTimer();
-  // A request that must not run twice waits until the answers before it are
-  // written: one of them might close the connection, and then the caller sends
-  // it again.
+  // A non-idempotent request waits until the responses before it are written:
+  // one of them might close the connection, and then the caller sends the
+  // request again.
   const bool isFront = pipeline_.front() == request;
   request->OnRequestRead(isFront || request->IsRepeatable());
   return true;
@@ -169,10 +171,10 @@
   auto head = std::move(parser_.Head());
   const bool expectsContinue = head.HasToken("Expect", "100-continue");
   const bool keepsAlive = head.KeepsAlive();
-  reading_ =
+  incompleteRequest_ =
     std::make_shared<ForwardedRequest>(forwarder_, *this, std::move(head));
-  pipeline_.push_back(reading_);
-  const auto request = reading_;
+  pipeline_.push_back(incompleteRequest_);
+  const auto request = incompleteRequest_;
   request->Begin();
   if (disconnected_) {
     return;
@@ -189,18 +191,18 @@
 {
   closing_ = true;
   const int status = parser_.IsTooLarge() ? 431 : 400;
-  if (reading_ == nullptr) {
-    reading_ =
+  if (incompleteRequest_ == nullptr) {
+    incompleteRequest_ =
       std::make_shared<ForwardedRequest>(forwarder_, *this, HttpHead());
-    pipeline_.push_back(reading_);
+    pipeline_.push_back(incompleteRequest_);
   }
-  const auto request = std::exchange(reading_, nullptr);
+  const auto request = std::exchange(incompleteRequest_, nullptr);
   request->Reject(status, "malformed-request", 0);
 }
 
 bool CallerConnection::WantsClose(const ForwardedRequest& aRequest) const
 {
-  return (closing_ || server_.IsDraining()) &&
+  return (closing_ || owner_.IsDraining()) &&
          (pipeline_.empty() || pipeline_.back().get() == &aRequest);
 }
 
@@ -230,7 +232,7 @@
     }
     pipeline_.pop_front();
     if (request->AnnouncedClose() ||
-        (closing_ && pipeline_.empty() && reading_ == nullptr)) {
+        (closing_ && pipeline_.empty() && incompleteRequest_ == nullptr)) {
       ended = true;
       break;
     }
@@ -242,7 +244,7 @@
   }
   if (ended) {
     closing_ = true;
-    // Later requests were not answered; the caller sends them again.
+    // Later requests got no response; the caller sends them again.
     for (auto& request : std::exchange(pipeline_, {})) {
       request->OnCallerDisconnected();
     }
@@ -260,8 +262,8 @@
 
 void CallerConnection::StartLingering()
 {
-  // Closing with unread bytes would reset the connection, and the caller could
-  // lose the answer: it gets the end of the stream first.
+  // Closing with unread input would reset the connection, and the caller could
+  // lose the response. So the sending direction is shut down first.
   lingering_ = true;
   stream_.ShutdownOutput();
   timer_.Start(detail::kLingerMs);
@@ -276,7 +278,7 @@
 
 void CallerConnection::OnResponseAborted()
 {
-  // The caller must not take what it has for the whole answer.
+  // A reset keeps the caller from taking the partial response as complete.
   const auto self = shared_from_this();
   stream_.Abort();
   OnDisconnected();
@@ -304,30 +306,30 @@
   }
   timer_.Stop();
   const auto self = shared_from_this();
-  reading_ = nullptr;
+  incompleteRequest_ = nullptr;
   for (auto& request : std::exchange(pipeline_, {})) {
     request->OnCallerDisconnected();
   }
-  server_.connections_.erase(this);
+  owner_.connections_.erase(this);
   forwarder_.Loop().Defer([self] {});
 }
 
 CallerListener::CallerListener(EventLoop& aLoop, Forwarder& aForwarder)
   : forwarder_(aForwarder)
   , listener_(aLoop, [this](int aFd) {
-    auto stream = std::make_shared<CallerConnection>(*this, forwarder_);
-    connections_[stream.get()] = stream;
+    auto connection = std::make_shared<CallerConnection>(*this, forwarder_);
+    connections_[connection.get()] = connection;
     forwarder_.Metrics().OnConnection();
-    stream->Start(aFd);
+    connection->Start(aFd);
   })
 {
 }
 
 CallerListener::~CallerListener()
 {
-  auto streams = std::exchange(connections_, {});
-  for (auto& [key, stream] : streams) {
-    stream->Close();
+  auto connections = std::exchange(connections_, {});
+  for (auto& [key, connection] : connections) {
+    connection->Close();
   }
 }
 
@@ -339,9 +341,9 @@
 void CallerListener::StartDraining()
 {
   draining_ = true;
-  auto streams = connections_;
-  for (auto& [key, stream] : streams) {
-    stream->Drain();
+  auto connections = connections_;
+  for (auto& [key, connection] : connections) {
+    connection->Drain();
   }
 }
 
--- a/gateway/CallerConnection.hpp
+++ b/gateway/CallerConnection.hpp
@@ -12,7 +12,7 @@
 
 class CallerListener;
 
-/// Connection of a caller. Requests may be pipelined; answers leave in the
+/// Connection of a caller. Requests may be pipelined; responses are sent in the
 /// order of the requests.
 class CallerConnection final
   : public StreamHandler
@@ -20,11 +20,11 @@
   , public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  CallerConnection(CallerListener& aServer, Forwarder& aForwarder);
+  CallerConnection(CallerListener& aOwner, Forwarder& aForwarder);
 
   void Start(int aFd);
-  /// Reads no further requests and closes after the answers to those that were
-  /// read.
+  /// Reads no further requests and closes after the responses to those that
+  /// were read.
   void Drain();
   void Close();
 
@@ -51,15 +51,16 @@
   void StartTimer();
   void OnDisconnected();
 
-  CallerListener& server_;
+  CallerListener& owner_;
   Forwarder& forwarder_;
   TcpStream stream_;
   Timer timer_;
   HttpParser parser_;
-  RequestPtr reading_; ///< its body is still to come
+  RequestPtr incompleteRequest_; ///< request whose body is not yet complete
   std::deque<RequestPtr> pipeline_;
-  bool closing_ = false;   ///< reads no further requests
-  bool lingering_ = false; ///< all output is written, waits for the caller
+  bool closing_ = false; ///< reads no further requests
+  /// All output is written; waits until the caller closes.
+  bool lingering_ = false;
   bool writingResponses_ = false;
   bool disconnected_ = false;
 };
@@ -72,7 +73,8 @@
   ~CallerListener();
 
   bool Listen(const Endpoint& aEndpoint);
-  /// From now on each connection ends after the requests that it has sent.
+  /// Closes each connection after the responses to the requests that it has
+  /// received.
   void StartDraining();
   void StopListening() { listener_.Close(); }
   bool IsDraining() const { return draining_; }
--- a/gateway/Compression.cpp
+++ b/gateway/Compression.cpp
@@ -8,7 +8,8 @@
 
 namespace detail {
 
-/// zlib takes input through a pointer to non-const bytes, which it only reads.
+/// zlib takes its input through a pointer to non-const bytes, but does not
+/// modify them.
 Bytef* InputOf(std::string_view aBytes)
 {
   // NOLINTNEXTLINE(cppcoreguidelines-pro-type-const-cast)
--- a/gateway/Compression.hpp
+++ b/gateway/Compression.hpp
@@ -7,11 +7,12 @@
 
 namespace cactuspitch {
 
-/// Compressed form (zlib) of a text that many gateways fetch from one.
+/// Compresses a text with zlib, for texts that many gateways fetch from one.
+/// Returns an empty string when zlib fails.
 std::string Compress(std::string_view aText);
 
-/// Nothing for bytes that are not compressed text, or for text that exceeds
-/// aMaxBytes.
+/// Returns nullopt when aBytes is not a complete compressed text, or when the
+/// text exceeds aMaxBytes.
 std::optional<std::string> Decompress(std::string_view aBytes,
                                       size_t aMaxBytes);
 
--- a/gateway/EventLog.hpp
+++ b/gateway/EventLog.hpp
@@ -11,15 +11,16 @@
 
 namespace cactuspitch {
 
-/// Structured log on standard output, one line an event:
+/// Structured log on standard output, one line per event:
 ///   ts=MS level=info event=NAME key="value" ...
-/// A write never blocks: what the pipe does not take is dropped and counted.
+/// A write never blocks: lines that the pipe does not accept are dropped and
+/// counted.
 /// Each event name has a token bucket, so that rare events are always written
 /// and frequent ones are sampled; dropped lines are counted in `log-dropped`.
 class EventLog
 {
 public:
-  /// Lines a second of one event name, and the burst above that.
+  /// Lines per second of one event name, and the burst above that rate.
   static constexpr double kLinesPerSecond = 4;
   static constexpr double kBurstLines = 20;
 
@@ -29,10 +30,10 @@
   void Write(LogLevel aLevel,
              std::string_view aEvent,
              std::initializer_list<LogField> aFields = {});
-  /// True when the next line of that event would be written: callers skip the
-  /// cost of the fields otherwise.
+  /// True when the next line of the event would be written. Callers check it to
+  /// avoid the cost of the fields.
   bool Allows(LogLevel aLevel, std::string_view aEvent);
-  /// Reports the lines dropped since the last call.
+  /// Logs the number of lines dropped since the last call.
   void ReportDropped();
 
 private:
@@ -43,7 +44,9 @@
     int64_t dropped_ = 0;
   };
 
-  /// The event's bucket if a line may be written; counts it as dropped if not.
+  /// Returns the event's bucket if a line may be written. Otherwise returns
+  /// null, and counts the line as dropped unless its level is below the
+  /// minimum.
   Bucket* Admit(LogLevel aLevel, std::string_view aEvent);
   Bucket& Refill(std::string_view aEvent);
   void Emit(LogLevel aLevel,
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -11,22 +11,23 @@
 
 namespace detail {
 
-/// Answers up to this size are sent once they are complete, so that one that
-/// breaks off can be asked for again; larger ones are passed on as they come.
+/// Responses up to this size are buffered until they are complete, so that a
+/// truncated one can be retried; larger ones are streamed.
 constexpr size_t kBufferedResponseBytes = 262144;
-/// Output of a streamed answer that the caller has not taken yet.
+/// Limit of buffered output of a streamed response; above it, reading from the
+/// backend server pauses.
 constexpr size_t kMaxOutputBytes = 262144;
 constexpr TimeMs kNoConfigRetryMs = 250;
 constexpr TimeMs kDefaultDeadlineMs = 30000;
-/// The server ends the work itself at the deadline it was given; its own
-/// answer is on the way for this long.
+/// The server itself ends the request at the deadline that it was given; this
+/// is the time for its response to arrive.
 constexpr TimeMs kDeadlineSlackMs = 25;
-/// Below this, a repeat has no chance to be answered.
+/// With less remaining time than this, a retry cannot get a response.
 constexpr TimeMs kMinRetryTimeMs = 20;
-/// Connections that may fail for one request before it is refused; more of them
-/// only keep a full server busy.
+/// Limit of failed connections for one request; more of them only keep a full
+/// server busy.
 constexpr int kMaxUnsentAttempts = 3;
-/// A connection idle for longer may be gone; a request that must not run twice
+/// A connection idle for longer may be closed already; a non-idempotent request
 /// is not risked on it.
 constexpr TimeMs kMaxIdleNonIdempotentMs = 1500;
 constexpr TimeMs kMaxIdleMs = 8000;
@@ -204,10 +205,11 @@
   return text;
 }
 
-bool ForwardedRequest::MayRunOn(const SuspectDecision& aDecision)
+bool ForwardedRequest::PassesQuarantine(const SuspectDecision& aDecision)
 {
   if (aDecision.verdict_ == SuspectVerdict::Refuse) {
-    // What an earlier attempt may have run is no refusal.
+    // 503 promises that the request was not executed, which does not hold if an
+    // earlier attempt may have been.
     Reject(mayHaveExecuted_ ? 502 : 503,
            "quarantined",
            aDecision.waitMs_ > 0 ? aDecision.waitMs_ : RemainingMs());
@@ -223,14 +225,14 @@
   const auto& backend = aChoice.backend_;
   auto& crashes = forwarder_.Crashes();
   const auto decision = crashes.TryBegin(fingerprint_, *backend);
-  if (!MayRunOn(decision)) {
+  if (!PassesQuarantine(decision)) {
     return;
   }
-  auto link = forwarder_.Pool().Acquire(
+  auto connection = forwarder_.Pool().Acquire(
     backend,
     aChoice.maxConnections_,
     IsIdempotent() ? detail::kMaxIdleMs : detail::kMaxIdleNonIdempotentMs);
-  if (link == nullptr) {
+  if (connection == nullptr) {
     crashes.GiveBack(fingerprint_, *backend);
     queued_ = true;
     forwarder_.Enqueue(shared_from_this());
@@ -240,13 +242,13 @@
   lastBackend_ = backend->entry_.id_;
   discardResponse_ = false;
   responseBody_.clear();
-  connection_ = link;
-  link->Start(*this,
-              { fingerprint_, decision.knownCrashes_ },
-              MakeRequestHead(*backend),
-              body_,
-              caller_.requestId_,
-              head_.method_ != "HEAD");
+  connection_ = connection;
+  connection->Start(*this,
+                    { fingerprint_, decision.knownCrashes_ },
+                    MakeRequestHead(*backend),
+                    body_,
+                    caller_.requestId_,
+                    head_.method_ != "HEAD");
 }
 
 void ForwardedRequest::OnResponseHead(const HttpHead& aHead,
@@ -325,14 +327,14 @@
   FinishResponse();
 }
 
-void ForwardedRequest::OnAttemptFailed(AttemptFailure aEnd,
+void ForwardedRequest::OnAttemptFailed(AttemptFailure aFailure,
                                        std::string_view aCause)
 {
-  const auto link = std::exchange(connection_, nullptr);
+  const auto connection = std::exchange(connection_, nullptr);
   const auto self = shared_from_this();
-  forwarder_.Metrics().OnAttempt(EnumName(aEnd));
+  forwarder_.Metrics().OnAttempt(EnumName(aFailure));
   forwarder_.OnAttemptEnded();
-  if (aEnd == AttemptFailure::MaybeExecuted) {
+  if (aFailure == AttemptFailure::MaybeExecuted) {
     mayHaveExecuted_ = true;
   }
   if (sink_ == nullptr || completed_) {
@@ -345,7 +347,7 @@
     sink_->OnResponseAborted();
     return;
   }
-  if (aEnd == AttemptFailure::NotSent) {
+  if (aFailure == AttemptFailure::NotSent) {
     --attempts_;
     ++unsentAttempts_;
     triedBackends_.insert(lastBackend_);
@@ -373,7 +375,7 @@
     return;
   }
   if (mayHaveExecuted_) {
-    // An earlier attempt may have run, so this is no refusal.
+    // An earlier attempt may have been executed, so 503 would be wrong.
     Reject(502, "attempts-exhausted", 0);
     return;
   }
@@ -389,14 +391,14 @@
   Reject(502, aCause, 0);
 }
 
-bool ForwardedRequest::TryRetry(std::string_view aCause, bool aCounts)
+bool ForwardedRequest::TryRetry(std::string_view aCause, bool aUsesBudget)
 {
   std::string_view decision = "retried";
   if (attempts_ >= route_->maxAttempts_) {
     decision = "attempts used up";
   } else if (RemainingMs() < detail::kMinRetryTimeMs) {
     decision = "deadline too near";
-  } else if (aCounts && !forwarder_.TryTakeRetry(service_)) {
+  } else if (aUsesBudget && !forwarder_.TryTakeRetry(service_)) {
     decision = "retry budget used up";
   }
   const bool retried = decision == "retried";
@@ -414,10 +416,11 @@
   if (!retried) {
     return false;
   }
-  if (aCounts) {
+  if (aUsesBudget) {
     forwarder_.Metrics().OnRetry();
   }
-  // Not from within the handler of the connection that has just ended.
+  // Deferred, because the handler of the connection that has just ended is
+  // running.
   queued_ = true;
   forwarder_.Loop().Defer([self = shared_from_this()] {
     if (self->queued_) {
@@ -433,22 +436,22 @@
     return;
   }
   const auto self = shared_from_this();
-  // The timer that runs this belongs to the request.
+  // Keeps the request, which owns the running timer, alive.
   forwarder_.Loop().Defer([self] {});
-  const bool underWay = connection_ != nullptr;
+  const bool inProgress = connection_ != nullptr;
   if (headWritten_) {
     completed_ = true;
     LogCompletion(responseHead_.status_, "deadline-in-answer", lastBackend_);
-    if (auto link = std::exchange(connection_, nullptr)) {
-      link->Cancel();
+    if (auto connection = std::exchange(connection_, nullptr)) {
+      connection->Cancel();
     }
     if (sink_ != nullptr) {
       sink_->OnResponseAborted();
     }
     return;
   }
-  if (auto link = std::exchange(connection_, nullptr)) {
-    link->Cancel();
+  if (auto connection = std::exchange(connection_, nullptr)) {
+    connection->Cancel();
   }
   if (sink_ == nullptr) {
     completed_ = true;
@@ -456,7 +459,7 @@
   }
   if (!requestRead_) {
     Reject(408, "request-incomplete", 0);
-  } else if (underWay || mayHaveExecuted_) {
+  } else if (inProgress || mayHaveExecuted_) {
     Reject(504, "deadline", 0);
   } else {
     Reject(503, "deadline-unsent", 0);
@@ -481,7 +484,7 @@
              static_cast<double>(aRetryAfterMs) / kMsPerSecond,
              "\r\n");
   }
-  // A request whose end is unknown leaves the connection unusable.
+  // After a partly read request, the connection cannot be used for another one.
   announcedClose_ = sink_->WantsClose(*this) || !requestRead_;
   AppendTo(output_,
            announcedClose_ ? "Connection: close\r\n" : "",
@@ -572,8 +575,9 @@
     return;
   }
   if (connection_ != nullptr && !IsIdempotent()) {
-    // What is being recorded is recorded in full; nobody hears of it. The
-    // request stays alive until its server has answered.
+    // A non-idempotent request is executed to its end and its response is
+    // discarded. The connection to the server stays open until the server has
+    // responded.
     deadlineTimer_.Stop();
     connection_->Detach();
     connection_ = nullptr;
@@ -581,8 +585,8 @@
     LogCompletion(0, "caller-left", lastBackend_);
     return;
   }
-  if (auto link = std::exchange(connection_, nullptr)) {
-    link->Cancel();
+  if (auto connection = std::exchange(connection_, nullptr)) {
+    connection->Cancel();
   }
   completed_ = true;
   deadlineTimer_.Stop();
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -14,23 +14,24 @@
 
 class ForwardedRequest;
 
-/// Takes the answer of a request, on the caller's side.
+/// Receives the response of a request, on the caller's side.
 class ResponseSink
 {
 public:
   virtual ~ResponseSink() = default;
   /// Bytes were added to the request's output.
   virtual void OnResponseBytes() = 0;
-  /// The answer broke off after its head was sent: the connection must end.
+  /// The response was cut off after its head was sent, so the caller's
+  /// connection must be closed.
   virtual void OnResponseAborted() = 0;
-  /// True when the answer of aRequest should announce the end of the
-  /// connection.
+  /// True when the response of aRequest should announce that the connection
+  /// closes.
   virtual bool WantsClose(const ForwardedRequest& aRequest) const = 0;
 };
 
-/// One request of a caller, from its head to its final answer. It is read,
-/// then parked or sent to backend servers one after the other, and answered
-/// exactly once.
+/// One request of a caller, from its head to its final response. It is read,
+/// then queued or sent to one backend server after another, and gets exactly
+/// one response.
 class ForwardedRequest final
   : public AttemptHandler
   , public std::enable_shared_from_this<ForwardedRequest>
@@ -39,25 +40,28 @@
   ForwardedRequest(Forwarder& aForwarder, ResponseSink& aSink, HttpHead aHead);
   ~ForwardedRequest() override;
 
-  /// Checks the head; answers at once where no backend server is needed.
+  /// Validates the head and finds the route. Responds at once where no backend
+  /// server is needed.
   void Begin();
   std::string& Body() { return body_; }
-  /// The whole request was read. Dispatches unless it is held back.
+  /// The whole request was read. Dispatches it if aMayDispatch, else waits for
+  /// AllowDispatch.
   void OnRequestRead(bool aMayDispatch);
-  /// A held back request may run now.
+  /// Dispatches a request that was held back.
   void AllowDispatch();
-  /// The caller has left.
+  /// The caller closed its connection.
   void OnCallerDisconnected();
-  /// Looks again for a backend server.
+  /// Dispatches a queued request again.
   void Redispatch();
-  /// The caller took some of the output.
+  /// Some of the output was moved to the caller's connection.
   void OnOutputWritten();
-  /// Answers with an error of the gateway's own.
+  /// Responds with an error of the gateway itself. aRetryAfterMs applies to
+  /// status 503 only.
   void Reject(int aStatus, std::string_view aCause, TimeMs aRetryAfterMs);
 
   std::string& Output() { return output_; }
   bool IsCompleted() const { return completed_; }
-  /// Ends a request that waits, if it still does.
+  /// Rejects the request if it is queued.
   void RejectQueued(std::string_view aCause);
   bool AnnouncedClose() const { return announcedClose_; }
   bool IsRepeatable() const { return IsIdempotent(); }
@@ -76,19 +80,22 @@
   void OnResponseHead(const HttpHead& aHead, const AnswerInfo& aInfo) override;
   void OnResponseBody(std::string& aBody) override;
   void OnResponseDone() override;
-  void OnAttemptFailed(AttemptFailure aEnd, std::string_view aCause) override;
+  void OnAttemptFailed(AttemptFailure aFailure,
+                       std::string_view aCause) override;
 
   bool IsIdempotent() const;
   void Dispatch();
   void SendTo(const BackendChoice& aChoice);
-  /// False when a request that crashes servers must wait or was refused.
-  bool MayRunOn(const SuspectDecision& aDecision);
+  /// Returns false when the crash quarantine has queued or rejected the
+  /// request.
+  bool PassesQuarantine(const SuspectDecision& aDecision);
   std::string MakeRequestHead(const Backend& aBackend) const;
   void OnNotExecuted();
-  /// An attempt may have run and gave no usable answer.
+  /// An attempt may have been executed but gave no valid response.
   void OnOutcomeUnknown(std::string_view aCause);
-  /// aCounts: the next attempt draws on the retry budget.
-  bool TryRetry(std::string_view aCause, bool aCounts);
+  /// Schedules another attempt; returns false when none is allowed.
+  /// aUsesBudget: the attempt counts against the retry budget.
+  bool TryRetry(std::string_view aCause, bool aUsesBudget);
   void OnDeadline();
   void StartResponse(bool aComplete);
   void FinishResponse();
@@ -113,11 +120,12 @@
   std::set<std::string> triedBackends_;
   std::string lastBackend_;
   int attempts_ = 0;
-  int unsentAttempts_ = 0; ///< connections that ended before the request
+  /// Attempts whose connection failed before the request was sent.
+  int unsentAttempts_ = 0;
   bool begun_ = false;
   bool requestRead_ = false;
   bool dispatched_ = false;
-  bool mayHaveExecuted_ = false; ///< an attempt may have run
+  bool mayHaveExecuted_ = false; ///< an attempt may have been executed
   bool queued_ = false;
   bool completed_ = false;
   bool announcedClose_ = false;
@@ -125,7 +133,8 @@
   AnswerInfo responseInfo_;
   std::string responseBody_;
   bool headWritten_ = false;
-  bool discardResponse_ = false; ///< the attempt's answer is not for the caller
+  /// The response of the attempt must not reach the caller.
+  bool discardResponse_ = false;
 };
 
 }
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -12,24 +12,26 @@
 
 namespace detail {
 
-/// Waiting requests are looked at this often even if nothing ends.
+/// Interval at which queued requests are dispatched again even if no attempt
+/// ends.
 constexpr TimeMs kQueueIntervalMs = 10;
-/// Part of the retry budget that is used: the others' clocks and windows
-/// differ from ours.
+/// Fraction of the retry budget that is used, because the clocks and time
+/// windows of other processes differ from those of this one.
 constexpr double kRetryBudgetSafetyFactor = 0.8;
 constexpr double kPercent = 100;
-/// The owner of a key is being changed: callers come back after this.
+/// Retry-After time while the owner of a key is being changed.
 constexpr TimeMs kMoveRetryMs = 60;
-/// A move of keys is over within this time, where both servers answer.
+/// Fraction of the route's latency objective for which a request waits for a
+/// key move; a move takes no longer if both servers respond.
 constexpr double kMoveWaitShare = 0.4;
-/// Callers of an overloaded owner come back after this part of their remaining
-/// time at the earliest.
+/// Lower bound of the Retry-After time of an overloaded owner, as a fraction of
+/// the caller's remaining time.
 constexpr double kMinRetryAfterShare = 0.1;
-/// Servers of other gateways that are compared for one request. All gateways
-/// share the same reports, so all of them would choose the same best server;
-/// the best of a few drawn ones spreads them.
+/// Number of non-preferred servers that are compared for one request. All
+/// gateways share the same load reports, so all of them would choose the same
+/// best server; choosing from a random sample spreads them.
 constexpr size_t kSampledBackends = 6;
-/// Size of the answers of a route before the first one.
+/// Assumed response size of a route before its first response.
 constexpr double kInitialResponseBytes = 2048;
 constexpr double kInitialDownloadBytes = 65536;
 constexpr double kResponseBytesWeight = 0.05;
@@ -40,15 +42,15 @@
                      EventLog& aLog,
                      GatewayMetrics& aMetrics,
                      const RequestProtocol& aProtocol,
-                     ForwardingLimits aBounds,
-                     CrashWatch::ChangeTask aOnSuspects,
+                     ForwardingLimits aLimits,
+                     CrashWatch::ChangeTask aOnSuspectsChanged,
                      BackendPool::LeavingCallback aOnLeaving)
   : loop_(aLoop)
   , log_(aLog)
   , metrics_(aMetrics)
   , protocol_(aProtocol)
-  , bounds_(std::move(aBounds))
-  , crashes_(aLoop, aLog, std::move(aOnSuspects))
+  , limits_(std::move(aLimits))
+  , crashes_(aLoop, aLog, std::move(aOnSuspectsChanged))
   , pool_(aLoop, aLog, aMetrics, aProtocol, crashes_, std::move(aOnLeaving))
   , admission_(std::random_device{}())
   , responseBytes_(detail::kResponseBytesWeight)
@@ -95,22 +97,22 @@
   }
 }
 
-void Forwarder::SetRetryBounds(double aRatio, double aExtra)
+void Forwarder::SetRetryLimits(double aRatio, double aExtra)
 {
-  bounds_.retryRatio_ = aRatio;
-  bounds_.retryExtra_ = aExtra;
+  limits_.retryRatio_ = aRatio;
+  limits_.retryExtra_ = aExtra;
   UpdateRetryBudgets();
 }
 
 double Forwarder::RetryPercent() const
 {
-  return bounds_.retryRatio_ * detail::kRetryBudgetSafetyFactor *
+  return limits_.retryRatio_ * detail::kRetryBudgetSafetyFactor *
          detail::kPercent;
 }
 
 double Forwarder::RetryBurst() const
 {
-  return bounds_.retryExtra_ * detail::kRetryBudgetSafetyFactor /
+  return limits_.retryExtra_ * detail::kRetryBudgetSafetyFactor /
          static_cast<double>(gatewayCount_);
 }
 
@@ -140,8 +142,8 @@
 
 size_t Forwarder::ConnectionShare(const ServiceSpec& aService) const
 {
-  // All gateways share the connections of a server; a tenth stays free for
-  // the orders of the leader.
+  // All gateways share the connections of a server; a tenth is left to the
+  // commands of the leader.
   constexpr double kUsableShare = 0.9;
   const double share = aService.maxConnections_ * kUsableShare /
                        static_cast<double>(gatewayCount_);
@@ -158,7 +160,7 @@
   candidate.expectedMs_ = aBackend.load_.ExpectedMs(nowMs);
   candidate.failureShare_ = aBackend.load_.FailureShare(nowMs);
   candidate.sameDomain_ =
-    aBackend.entry_.failureDomain_ == bounds_.failureDomain_;
+    aBackend.entry_.failureDomain_ == limits_.failureDomain_;
   candidate.home_ = aBackend.home_;
   candidate.down_ = aBackend.downUntilMs_ > nowMs;
   candidate.full_ =
@@ -264,7 +266,8 @@
     return;
   }
   std::uniform_int_distribution<size_t> pick(0, aAll.size() - 1);
-  // Draws may hit a home or a leaving server; twice as many are enough.
+  // A draw may hit a preferred or a leaving server; twice as many draws are
+  // enough.
   for (size_t draw = 0;
        draw < 2 * detail::kSampledBackends && aUsable.size() < wanted;
        ++draw) {
@@ -312,7 +315,8 @@
     return choice;
   }
   auto candidate = MakeCandidate(*backend, aRequest, choice.maxConnections_);
-  // Nobody else can run it, so a server that failed it is asked again.
+  // Only the owner can execute the request, so a failed attempt is retried
+  // there.
   candidate.tried_ = false;
   const auto decision =
     Place(options_,
@@ -348,13 +352,14 @@
 
 void Forwarder::DispatchQueued()
 {
-  // More urgent routes first, then in the order of arrival.
-  auto waiting = std::exchange(queue_, {});
-  waiting.remove_if([](const auto& aRequest) { return !aRequest->IsQueued(); });
-  waiting.sort([](const auto& aLeft, const auto& aRight) {
+  // By priority of the route, then in the order of arrival (the sort is
+  // stable).
+  auto queued = std::exchange(queue_, {});
+  queued.remove_if([](const auto& aRequest) { return !aRequest->IsQueued(); });
+  queued.sort([](const auto& aLeft, const auto& aRight) {
     return aLeft->GetRoute()->priority_ < aRight->GetRoute()->priority_;
   });
-  std::ranges::for_each(waiting,
+  std::ranges::for_each(queued,
                         [](const auto& aRequest) { aRequest->Redispatch(); });
   metrics_.QueuedRequests().Set(static_cast<double>(queue_.size()));
   if (!queue_.empty()) {
@@ -364,9 +369,9 @@
 
 void Forwarder::RejectQueued(std::string_view aCause)
 {
-  const auto waiting = std::exchange(queue_, {});
+  const auto queued = std::exchange(queue_, {});
   std::ranges::for_each(
-    waiting, [&](const auto& aRequest) { aRequest->RejectQueued(aCause); });
+    queued, [&](const auto& aRequest) { aRequest->RejectQueued(aCause); });
 }
 
 void Forwarder::OnFirstAttempt(const ForwardedRequest& aRequest)
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -25,15 +25,16 @@
 
 class ForwardedRequest;
 
-/// Bounds of the deployment that forwarding keeps.
+/// Limits of the deployment that apply to forwarding.
 struct ForwardingLimits
 {
-  double retryRatio_ = 0.2; ///< repeats allowed for each request
-  double retryExtra_ = 56;  ///< and beyond that, all gateways together
+  double retryRatio_ = 0.2; ///< retries allowed per request
+  /// Additional retries in 10 s, shared by all gateways.
+  double retryExtra_ = 56;
   std::string failureDomain_;
 };
 
-/// Where a request should go now.
+/// Decision where to send a request.
 struct BackendChoice
 {
   PlacementVerdict verdict_ = PlacementVerdict::Refuse;
@@ -43,7 +44,7 @@
   std::string_view cause_;
 };
 
-/// State that all requests of a gateway share, and the choice of backend
+/// State that the requests of a gateway share, and the selection of backend
 /// servers.
 class Forwarder
 {
@@ -52,21 +53,22 @@
             EventLog& aLog,
             GatewayMetrics& aMetrics,
             const RequestProtocol& aProtocol,
-            ForwardingLimits aBounds,
-            CrashWatch::ChangeTask aOnSuspects,
+            ForwardingLimits aLimits,
+            CrashWatch::ChangeTask aOnSuspectsChanged,
             BackendPool::LeavingCallback aOnLeaving);
   ~Forwarder();
 
   void SetConfig(RoutingConfig aConfig);
   void UpdateBackends(const std::map<std::string, BackendEntry>& aEntries,
                       const std::set<std::string>& aChanged);
-  /// Live gateways, this one included; it decides which servers this one
-  /// prefers and what share of limits it has.
+  /// Sets the live gateways, including this one (aSelf). They determine which
+  /// servers this gateway prefers and its share of the limits.
   void SetGateways(const std::string& aSelf,
                    const std::vector<PlacedName>& aGateways);
-  /// New bounds on repeats of requests.
-  void SetRetryBounds(double aRatio, double aExtra);
-  /// Looks again at waiting requests: owners or servers have changed.
+  /// Replaces the limits on retries.
+  void SetRetryLimits(double aRatio, double aExtra);
+  /// Schedules a dispatch of the queued requests after key owners or servers
+  /// changed.
   void OnRoutingStateChanged() { ScheduleDispatch(); }
 
   std::shared_ptr<RouteTable> Routes() { return routes_; }
@@ -76,22 +78,23 @@
 
   BackendChoice ChooseBackend(const ForwardedRequest& aRequest);
   void Enqueue(const std::shared_ptr<ForwardedRequest>& aRequest);
-  /// Refuses all waiting requests.
+  /// Rejects all queued requests.
   void RejectQueued(std::string_view aCause);
   /// Counts a request for the retry budget and the load of its key.
   void OnFirstAttempt(const ForwardedRequest& aRequest);
   bool TryTakeRetry(const std::string& aService);
-  /// False when the owner of the request's key has more demand than it can run
-  /// and this request is not in this gateway's part.
+  /// Returns false when the owner of the request's key has more demand than
+  /// capacity and the request exceeds this gateway's share of it.
   bool TryAdmit(const ForwardedRequest& aRequest);
   OwnerAdmission& Admission() { return admission_; }
-  /// Time to come back that spreads the callers of an overloaded owner.
+  /// Returns a random Retry-After time, which spreads the retries of the
+  /// callers of an overloaded owner.
   TimeMs RandomRetryAfterMs(TimeMs aRemainingMs);
   void OnAttemptEnded() { ScheduleDispatch(); }
-  /// A server gave an answer of this size to a request of the route.
+  /// Records the size of a server's response to a request of the route.
   void RecordResponseBytes(const Route& aRoute, size_t aBytes);
 
-  /// Requests of each key since the last call, by service.
+  /// Number of requests per key since the last call, by service.
   using KeyCounts = std::map<std::string, std::map<uint32_t, int>>;
   KeyCounts TakeKeyCounts();
 
@@ -109,16 +112,18 @@
                             const ServiceSpec& aService);
   BackendChoice ChooseAny(const ForwardedRequest& aRequest,
                           const ServiceSpec& aService);
-  /// Refuses until the first of the paused servers wants requests again.
+  /// If servers are paused, makes the rejection last until the first pause
+  /// ends.
   void ApplyPause(const std::vector<BackendPool::BackendPtr>& aAll,
                   BackendChoice& aChoice) const;
-  /// Adds servers that are not homes: all of a few, else some drawn at random.
+  /// Adds servers that are not preferred: all of them if they are few, else a
+  /// random sample.
   void AddSampledBackends(const std::vector<BackendPool::BackendPtr>& aAll,
                           std::vector<BackendPool::BackendPtr>& aUsable);
   PlacementCandidate MakeCandidate(const Backend& aBackend,
                                    const ForwardedRequest& aRequest,
                                    size_t aMaxConnections) const;
-  /// Mean size of the route's answers.
+  /// Mean response size of the route, in bytes.
   size_t MeanResponseBytes(const Route& aRoute) const;
   size_t ConnectionShare(const ServiceSpec& aService) const;
   double RetryPercent() const;
@@ -132,7 +137,7 @@
   EventLog& log_;
   GatewayMetrics& metrics_;
   const RequestProtocol& protocol_;
-  ForwardingLimits bounds_;
+  ForwardingLimits limits_;
   PlacementOptions options_;
   std::shared_ptr<RouteTable> routes_;
   KeyView keys_;
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -19,33 +19,40 @@
 constexpr const char* kGatewayKind = "cactuspitch";
 constexpr std::string_view kInstancePrefix = "instance.";
 constexpr TimeMs kHousekeepingIntervalMs = 100;
-/// Waiting times of watches: each answered one is a call. The watch of the
-/// configuration also proves each second that the store is there.
+/// Timeouts of watches (long polls). Each response costs a store call. The
+/// watch of the configuration also shows each second that the store is
+/// reachable.
 constexpr TimeMs kConfigWatchTimeoutMs = 1000;
 constexpr TimeMs kWatchTimeoutMs = 5000;
 constexpr TimeMs kRegisterRetryIntervalMs = 500;
 constexpr TimeMs kDrainIntervalMs = 50;
-/// The balancer takes a process out after two questions a second apart.
+/// The load balancer removes a process after two health checks, a second apart.
 constexpr TimeMs kBalancerRemovalMs = 2300;
-/// Idle connections of callers are closed and the process ends after this.
+/// Minimum time of a drain: after it the process exits once no request and no
+/// caller's connection is left.
 constexpr TimeMs kMinDrainMs = 3000;
-/// The process is gone this long before it would be killed.
+/// The process exits this long before the end of its grace period, when it
+/// would be killed.
 constexpr TimeMs kGraceMarginMs = 250;
-/// What still waits so long before the end of the grace time is refused, so
-/// that its caller has the answer and time to go elsewhere.
+/// Requests that are still queued this long before the end of the grace period
+/// are rejected, so that the callers get a response in time to retry elsewhere.
 constexpr TimeMs kRejectQueuedMarginMs = 750;
-/// Changes of registrations are gathered for this long: when a failure domain
-/// is replaced, hundreds come within seconds, and each recomputes the homes.
+/// Changes of registrations are batched for this time: when a failure domain is
+/// replaced, hundreds arrive within seconds, and each batch recomputes the
+/// preferred servers.
 constexpr TimeMs kChangesIntervalMs = 50;
-/// Rounds of housekeeping, 5 s.
+/// Intervals in rounds of housekeeping; 5 s between the reports of dropped log
+/// lines.
 constexpr uint64_t kLogReportRounds = 50;
 constexpr uint64_t kGatewayListRounds = 5;
-/// 300 ms; idle connections are closed 1.5 s before their servers do it.
+/// 300 ms, because idle connections are to be closed 1.5 s before their servers
+/// close them.
 constexpr uint64_t kCloseIdleRounds = 3;
-/// Without a leader's gossip, the owners are read from the store this often.
+/// Interval at which the key owners are read from the store while no gossip of
+/// a leader arrives.
 constexpr TimeMs kKeyTableReadIntervalMs = 2000;
-/// Gateways of a large fleet read the list of all again this often while the
-/// leader names some that they do not know.
+/// Interval at which a gateway of a large fleet lists all gateways again while
+/// the leader names some that it does not know.
 constexpr TimeMs kMembersReadIntervalMs = 1000;
 
 int64_t NewBootId()
@@ -301,7 +308,7 @@
 {
   store_.SetWatcher({ [this] { directory_.OnStoreDisturbed(loop_.NowMs()); },
                       [this] {
-                        // Pending watches may hang on dead connections.
+                        // Pending watches may be stuck on broken connections.
                         configFollower_.Refresh();
                         backendFollower_.Refresh();
                         gatewayWatcher_.Refresh();
@@ -319,7 +326,7 @@
 
 void Gateway::OnConfigEvents(const std::vector<ObjectEvent>& aEvents)
 {
-  // Only the newest one counts; versions in between need no parsing.
+  // Only the newest version matters; those in between need no parsing.
   const auto newest = std::ranges::find_if(
     aEvents.rbegin(), aEvents.rend(), [this](const ObjectEvent& aEvent) {
       return !aEvent.removed_ &&
@@ -388,7 +395,8 @@
 
 void Gateway::OnBackendList(const std::vector<StoreObject>& aObjects)
 {
-  // Start lists may be old; another gateway may have told a newer state.
+  // The list read at the start may be stale; another gateway may have sent a
+  // newer state.
   if (relayedDirectory_ &&
       backendFollower_.Revision() < directory_.Revision()) {
     return;
@@ -406,7 +414,7 @@
 
 void Gateway::OnBackendEvents(const std::vector<ObjectEvent>& aEvents)
 {
-  // A newer state was taken over from another watcher meanwhile.
+  // Another gateway has sent a newer state in the meantime.
   if (backendFollower_.Revision() <= directory_.Revision()) {
     return;
   }
@@ -420,7 +428,7 @@
       directory_.ApplyPut(*entry, nowMs);
       StoreRelay::AddChange(*entry, false, changes);
     } else {
-      // An entry that cannot be read names no server to use.
+      // A server whose entry cannot be decoded is removed.
       directory_.ApplyRemoved(event.object_.name_, nowMs);
       BackendEntry removed;
       removed.id_ = event.object_.name_;
@@ -436,7 +444,8 @@
   }
   directory_.AdvanceTo(backendFollower_.Revision());
   OnBackendsChanged();
-  // Beats of cold servers change no state that others need.
+  // Heartbeats of servers that are warming up change nothing that other
+  // gateways need.
   if (directory_.Digest() != digest) {
     gossip_.TellChanges(std::move(changes.changes));
   }
@@ -505,7 +514,8 @@
 
 void Gateway::ReadKeyTable()
 {
-  // All gateways together read about as often as a small fleet would.
+  // The interval grows with the fleet, so that all gateways together read about
+  // as often as those of a small fleet.
   const auto share =
     static_cast<TimeMs>(1 + mesh_.Peers().size() / kMaxDirectGateways);
   if (election_.HearsLeader() || readingKeyTable_ ||
@@ -664,7 +674,7 @@
   ReadMembers();
   relay_.Update();
   if (election_.IsLeading() && relay_.ShouldResign()) {
-    election_.Resign("the store is reachable for others only");
+    election_.Resign("only other gateways can reach the store");
   }
   if (housekeepingRounds_ % detail::kGatewayListRounds == 0) {
     auto gateways = mesh_.AliveGateways(nowMs);
@@ -687,19 +697,19 @@
 void Gateway::Reload()
 {
   Findings findings;
-  const auto fresh = readSettings_(findings);
-  if (!fresh) {
+  const auto reloaded = readSettings_(findings);
+  if (!reloaded) {
     log_.Write(LogLevel::Error,
                "settings-rejected",
                { { "findings", findings.ToText() } });
     return;
   }
-  // Names and addresses hold until the next start.
-  settings_.graceMs_ = fresh->graceMs_;
-  log_.SetMinimum(fresh->logLevel_);
-  forwarder_.SetRetryBounds(fresh->retryRatio_, fresh->retryExtra_);
-  director_.SetMaxHold(fresh->maxHoldMs_);
-  LogSettings("settings-reloaded", *fresh);
+  // Names and addresses change only with the next start.
+  settings_.graceMs_ = reloaded->graceMs_;
+  log_.SetMinimum(reloaded->logLevel_);
+  forwarder_.SetRetryLimits(reloaded->retryRatio_, reloaded->retryExtra_);
+  director_.SetMaxHold(reloaded->maxHoldMs_);
+  LogSettings("settings-reloaded", *reloaded);
 }
 
 void Gateway::LogSettings(std::string_view aEvent,
@@ -727,7 +737,7 @@
                { "connections", callers_.Connections() } });
   election_.Retire();
   if (election_.IsLeading() && store_.IsReachable()) {
-    election_.Resign("process stops");
+    election_.Resign("process is stopping");
   }
   drainTimer_.Start(detail::kDrainIntervalMs);
 }
@@ -740,7 +750,7 @@
     callers_.StartDraining();
   }
   if (sinceMs >= settings_.graceMs_ / 2) {
-    // Later requests could not be answered before the end of the process.
+    // Later requests could not complete before the process exits.
     callers_.StopListening();
   }
   if (sinceMs >= settings_.graceMs_ - detail::kRejectQueuedMarginMs) {
@@ -757,7 +767,7 @@
 void Gateway::Exit()
 {
   if (election_.IsLeading()) {
-    election_.Resign("process stops");
+    election_.Resign("process is stopping");
   }
   log_.Write(LogLevel::Info,
              "gateway-stopped",
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -25,12 +25,12 @@
 
 namespace cactuspitch {
 
-/// One gateway process: forwards callers' requests, follows configuration and
-/// registrations in the store, and leads the assignment of keys when elected.
+/// One gateway process: forwards callers' requests, watches configuration and
+/// registrations in the store, and assigns keys while it is the elected leader.
 class Gateway
 {
 public:
-  /// Reads the settings again; nothing when there are findings.
+  /// Reads the settings again. Returns nullopt when there are findings.
   using SettingsReader =
     std::function<std::optional<GatewaySettings>(Findings&)>;
 
@@ -40,14 +40,15 @@
           PlatformPort aPort,
           SettingsReader aReadSettings);
 
-  /// False when an address cannot be used.
+  /// Returns false when the process cannot listen on one of its addresses.
   bool Start();
 
 private:
   void StartWatchers();
   void OnConfigObjects(const std::vector<StoreObject>& aObjects);
   void OnConfigEvents(const std::vector<ObjectEvent>& aEvents);
-  /// aCompressed: the compressed text, where it came so.
+  /// aCompressed is the compressed form, if another gateway sent it; otherwise
+  /// empty.
   void OnConfigObject(const StoreObject& aObject, std::string aCompressed = {});
   void ProbeStore();
   void FetchConfig();
@@ -55,14 +56,15 @@
   void OnBackendEvents(const std::vector<ObjectEvent>& aEvents);
   void OnGatewayObject(const StoreObject& aObject);
   std::optional<BackendEntry> DecodeBackend(const StoreObject& aObject);
-  /// A server said that it leaves.
+  /// A server announced that it leaves.
   void OnLeaving(const std::string& aBackend, int64_t aBornMs);
   void OnBackendsChanged();
   void ApplyBackendChanges();
   void Register();
-  /// Reads the owners from the store while no leader tells them.
+  /// Reads the key owners from the store while no leader sends them.
   void ReadKeyTable();
-  /// Learns of gateways that only the leader knows so far.
+  /// Lists the gateways in the store again while the leader names some that
+  /// this gateway does not know.
   void ReadMembers();
   void OnKeyTable(const StoreObject& aObject);
 
@@ -110,16 +112,16 @@
   SignalWatcher sigintWatcher_;
   SignalWatcher sighupWatcher_;
   int64_t configVersion_ = 0;
-  std::string compressedConfig_; ///< compressed, for gateways that ask
+  std::string compressedConfig_; ///< sent to gateways that request it
   bool fetchingConfig_ = false;
-  bool relayedDirectory_ = false;   ///< another gateway told all registrations
-  uint64_t housekeepingRounds_ = 0; ///< of housekeeping
+  bool relayedDirectory_ = false; ///< another gateway sent all registrations
+  uint64_t housekeepingRounds_ = 0;
   bool wasReady_ = false;
   bool readingKeyTable_ = false;
   TimeMs keyTableReadMs_ = 0;
   TimeMs membersReadMs_ = 0;
   TimeMs changesAppliedMs_ = 0;
-  TimeMs drainStartMs_ = 0; ///< when SIGTERM came
+  TimeMs drainStartMs_ = 0; ///< when SIGTERM or SIGINT arrived; 0 before
 };
 
 }
--- a/gateway/GatewayMain.cpp
+++ b/gateway/GatewayMain.cpp
@@ -20,7 +20,7 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitFailure = 1;
 
-/// Settings from the environment and the platform's settings file.
+/// Returns the settings of the environment and of the platform's settings file.
 Settings::Environment Environment(platform::SettingsFindings& aFindings)
 {
   auto environment = ProcessEnvironment();
@@ -31,7 +31,7 @@
   return platform::ReadSettingsFile(path, std::move(environment), aFindings);
 }
 
-/// Reads and checks all settings; nothing when there are findings.
+/// Reads and checks all settings. Returns nullopt when there are findings.
 std::optional<GatewaySettings> ReadSettings(Settings& aSettings,
                                             SettingsAction& aAction,
                                             int aArgc,
@@ -54,8 +54,8 @@
   return result;
 }
 
-/// Prints what the command line asks for or the findings and ends the process,
-/// unless the gateway should run.
+/// Returns the settings. Exits the process after printing the findings, or what
+/// the command line requests instead of a run.
 GatewaySettings ReadSettingsOrExit(int aArgc, char** aArgv)
 {
   Findings findings;
@@ -85,8 +85,8 @@
 
 int main(int aArgc, char** aArgv)
 {
-  // Settings may change again while they are read: the signal stays pending
-  // until the gateway handles it.
+  // Settings may change while they are read: SIGHUP stays pending until the
+  // gateway handles it.
   sigset_t reload;
   sigemptyset(&reload);
   sigaddset(&reload, SIGHUP);
@@ -104,9 +104,10 @@
                   settings,
                   { requests, orders, objects, registry },
                   [aArgc, aArgv](Findings& aFindings) {
-                    Settings fresh(GatewaySettingSpecs());
+                    Settings reloaded(GatewaySettingSpecs());
                     auto action = SettingsAction::Run;
-                    return ReadSettings(fresh, action, aArgc, aArgv, aFindings);
+                    return ReadSettings(
+                      reloaded, action, aArgc, aArgv, aFindings);
                   });
   sigprocmask(SIG_UNBLOCK, &reload, nullptr);
   if (!gateway.Start()) {
--- a/gateway/GatewayMetrics.hpp
+++ b/gateway/GatewayMetrics.hpp
@@ -7,7 +7,7 @@
 
 namespace cactuspitch {
 
-/// Counters and latencies of the gateway's requests.
+/// Metrics of the requests that a gateway forwards.
 class GatewayMetrics
 {
 public:
@@ -16,7 +16,7 @@
   void OnRequest(const std::string& aRoute);
   void OnResponse(int aStatus, std::string_view aCause, double aLatencyMs);
   void OnAttempt(std::string_view aEnd);
-  /// A server said something about itself: that it leaves, or wants a pause.
+  /// A server announced that it leaves, or asked for a pause.
   void OnServerNotice(std::string_view aReason, const std::string& aBackend);
   void OnRetry() { retries_.Add(); }
   void OnConnection() { connections_.Add(); }
--- a/gateway/GatewaySettings.hpp
+++ b/gateway/GatewaySettings.hpp
@@ -10,29 +10,33 @@
 
 namespace cactuspitch {
 
-/// Checked settings of a gateway.
+/// Validated settings of a gateway.
 struct GatewaySettings
 {
   std::string instance_;
   std::string failureDomain_;
-  Endpoint listen_;        ///< callers
-  Endpoint readyListen_;   ///< the balancer's question
+  Endpoint listen_;        ///< requests of callers
+  Endpoint readyListen_;   ///< health checks of the load balancer
   Endpoint peerListen_;    ///< datagrams of other gateways
-  Endpoint metricsListen_; ///< scrapers
+  Endpoint metricsListen_; ///< metrics scrapers
   Endpoint store_;
-  double retryRatio_ = 0; ///< repeats allowed for each request
-  double retryExtra_ = 0; ///< and beyond that, all gateways together
-  TimeMs graceMs_ = 0;    ///< from SIGTERM to the end of the process
-  TimeMs maxHoldMs_ = 0;  ///< longest grant that backend servers accept
-  /// A backend server that leaves gets no requests after this.
+  double retryRatio_ = 0; ///< retries allowed per request
+  /// Additional retries in 10 s, shared by all gateways.
+  double retryExtra_ = 0;
+  TimeMs graceMs_ = 0;   ///< from SIGTERM to the exit of the process
+  TimeMs maxHoldMs_ = 0; ///< longest lease that backend servers accept
+  /// A backend server that leaves gets no requests after this time.
   TimeMs backendDrainMs_ = 2000;
-  int cpuPercent_ = 100; ///< of a core; larger instances lead first
+  /// CPU of this instance, percent of a core; larger instances are preferred as
+  /// leader.
+  int cpuPercent_ = 100;
   LogLevel logLevel_ = LogLevel::Info;
-  Findings notes_; ///< settings that were not given and have their default
+  /// Settings that were not given and have their default value.
+  Findings notes_;
 };
 
 std::vector<SettingSpec> GatewaySettingSpecs();
-/// Rules beyond the type of a single setting.
+/// Checks the rules beyond the type of a single setting.
 void CheckGatewaySettings(const Settings& aSettings, Findings& aFindings);
 GatewaySettings ReadGatewaySettings(const Settings& aSettings);
 
--- a/gateway/StatusServer.cpp
+++ b/gateway/StatusServer.cpp
@@ -9,7 +9,8 @@
 namespace detail {
 
 constexpr size_t kMaxStatusHeadBytes = 8192;
-/// The balancer asks every second; a connection idle for longer is dropped.
+/// The load balancer sends a health check every second; a connection that is
+/// idle for longer than this is closed.
 constexpr TimeMs kStatusIdleMs = 10000;
 
 }
--- a/gateway/StatusServer.hpp
+++ b/gateway/StatusServer.hpp
@@ -10,8 +10,9 @@
 
 namespace cactuspitch {
 
-/// Answers every request on an address with what a function returns: readiness
-/// for the balancer, metrics for scrapers, state for other gateways.
+/// HTTP server that responds to every request with the page that a function
+/// returns: readiness for the load balancer, metrics for scrapers, state for
+/// other gateways.
 class StatusServer
 {
 public:
--- a/net/EventLoop.cpp
+++ b/net/EventLoop.cpp
@@ -55,9 +55,9 @@
   return nowMs_;
 }
 
-void EventLoop::Defer(std::function<void()> aTask)
+void EventLoop::Defer(std::function<void()> aCallback)
 {
-  deferred_.push_back(std::move(aTask));
+  deferred_.push_back(std::move(aCallback));
 }
 
 void EventLoop::OnPrepare(struct ev_loop*, ev_prepare* aWatcher, int)
@@ -74,13 +74,13 @@
 {
   while (!deferred_.empty()) {
     auto tasks = std::exchange(deferred_, {});
-    std::ranges::for_each(tasks, [](auto& aTask) { aTask(); });
+    std::ranges::for_each(tasks, [](auto& aCallback) { aCallback(); });
   }
 }
 
-Timer::Timer(EventLoop& aLoop, std::function<void()> aTask)
+Timer::Timer(EventLoop& aLoop, std::function<void()> aCallback)
   : loop_(aLoop)
-  , task_(std::move(aTask))
+  , callback_(std::move(aCallback))
 {
   ev_timer_init(&watcher_, &Timer::OnTimer, 0, 0);
   watcher_.data = this;
@@ -107,12 +107,12 @@
 
 void Timer::OnTimer(struct ev_loop*, ev_timer* aWatcher, int)
 {
-  static_cast<Timer*>(aWatcher->data)->task_();
+  static_cast<Timer*>(aWatcher->data)->callback_();
 }
 
-IoWatcher::IoWatcher(EventLoop& aLoop, IoCallback aTask)
+IoWatcher::IoWatcher(EventLoop& aLoop, IoCallback aCallback)
   : loop_(aLoop)
-  , task_(std::move(aTask))
+  , callback_(std::move(aCallback))
 {
   ev_io_init(&watcher_, &IoWatcher::OnIo, -1, 0);
   watcher_.data = this;
@@ -146,14 +146,14 @@
 void IoWatcher::OnIo(struct ev_loop*, ev_io* aWatcher, int aEvents)
 {
   static_cast<IoWatcher*>(aWatcher->data)
-    ->task_((aEvents & EV_READ) != 0, (aEvents & EV_WRITE) != 0);
+    ->callback_((aEvents & EV_READ) != 0, (aEvents & EV_WRITE) != 0);
 }
 
 SignalWatcher::SignalWatcher(EventLoop& aLoop,
                              int aSignal,
-                             std::function<void()> aTask)
+                             std::function<void()> aCallback)
   : loop_(aLoop)
-  , task_(std::move(aTask))
+  , callback_(std::move(aCallback))
 {
   ev_signal_init(&watcher_, &SignalWatcher::OnSignal, aSignal);
   watcher_.data = this;
@@ -167,7 +167,7 @@
 
 void SignalWatcher::OnSignal(struct ev_loop*, ev_signal* aWatcher, int)
 {
-  static_cast<SignalWatcher*>(aWatcher->data)->task_();
+  static_cast<SignalWatcher*>(aWatcher->data)->callback_();
 }
 
 }
--- a/net/EventLoop.hpp
+++ b/net/EventLoop.hpp
@@ -21,12 +21,13 @@
 
   void Run();
   void Stop();
-  /// CLOCK_BOOTTIME in ms, read once for each round of events. It counts the
-  /// time of a suspended instance, which leases must not miss.
+  /// CLOCK_BOOTTIME in ms, read once per iteration of the loop. It includes the
+  /// time for which the instance was suspended, so that leases expire in that
+  /// time too.
   TimeMs NowMs() const override;
-  /// Runs aTask after the handlers of this round; objects that end during
-  /// their own handler are released this way.
-  void Defer(std::function<void()> aTask);
+  /// Runs aCallback after the handlers of this iteration. An object that ends
+  /// in a handler of its own is destroyed this way.
+  void Defer(std::function<void()> aCallback);
 
   struct ev_loop* Native() { return loop_; }
 
@@ -46,7 +47,7 @@
 class Timer
 {
 public:
-  Timer(EventLoop& aLoop, std::function<void()> aTask);
+  Timer(EventLoop& aLoop, std::function<void()> aCallback);
   ~Timer();
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
@@ -59,17 +60,17 @@
   static void OnTimer(struct ev_loop*, ev_timer* aWatcher, int);
 
   EventLoop& loop_;
-  std::function<void()> task_;
+  std::function<void()> callback_;
   ev_timer watcher_;
 };
 
-/// Watches a file descriptor; the owner keeps and closes it.
+/// Watches a file descriptor, which stays owned by the caller.
 class IoWatcher
 {
 public:
   using IoCallback = std::function<void(bool aReadable, bool aWritable)>;
 
-  IoWatcher(EventLoop& aLoop, IoCallback aTask);
+  IoWatcher(EventLoop& aLoop, IoCallback aCallback);
   ~IoWatcher();
   IoWatcher(const IoWatcher&) = delete;
   IoWatcher& operator=(const IoWatcher&) = delete;
@@ -81,16 +82,16 @@
   static void OnIo(struct ev_loop*, ev_io* aWatcher, int aEvents);
 
   EventLoop& loop_;
-  IoCallback task_;
+  IoCallback callback_;
   ev_io watcher_;
   int events_ = 0;
 };
 
-/// Handles a signal on the loop.
+/// Runs a callback on the loop when a signal arrives.
 class SignalWatcher
 {
 public:
-  SignalWatcher(EventLoop& aLoop, int aSignal, std::function<void()> aTask);
+  SignalWatcher(EventLoop& aLoop, int aSignal, std::function<void()> aCallback);
   ~SignalWatcher();
   SignalWatcher(const SignalWatcher&) = delete;
   SignalWatcher& operator=(const SignalWatcher&) = delete;
@@ -99,7 +100,7 @@
   static void OnSignal(struct ev_loop*, ev_signal* aWatcher, int);
 
   EventLoop& loop_;
-  std::function<void()> task_;
+  std::function<void()> callback_;
   ev_signal watcher_;
 };
 
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -10,8 +10,7 @@
 namespace detail {
 
 constexpr size_t kMaxResponseHeadBytes = 16384;
-/// A first packet that is lost is sent again after a second; a new call is
-/// sooner than that.
+/// A lost SYN is retransmitted after 1 s; a new call is made sooner than that.
 constexpr TimeMs kConnectTimeoutMs = 900;
 
 std::string Serialize(const Endpoint& aServer, const CallRequest& aRequest)
@@ -51,9 +50,9 @@
 
   const Endpoint& Server() const { return server_; }
 
-  void Start(const CallRequest& aRequest, Callback aDone)
+  void Start(const CallRequest& aRequest, Callback aCallback)
   {
-    callback_ = std::move(aDone);
+    callback_ = std::move(aCallback);
     parser_ =
       HttpParser(HttpMessageType::Response, detail::kMaxResponseHeadBytes);
     body_.clear();
@@ -87,7 +86,7 @@
   void OnInput() override
   {
     if (!callback_) {
-      // Bytes without a call belong to nothing.
+      // Unsolicited bytes: no call is in progress.
       stream_.Close();
       client_.Remove(this);
       return;
@@ -114,7 +113,7 @@
            EnumName(aReason));
   }
 
-  void Finish(CallOutcome aEnd, std::string_view aCause = {})
+  void Finish(CallOutcome aOutcome, std::string_view aCause = {})
   {
     if (!callback_) {
       return;
@@ -122,22 +121,23 @@
     timer_.Stop();
     const auto self = shared_from_this();
     CallResult result;
-    result.outcome_ = aEnd;
+    result.outcome_ = aOutcome;
     result.cause_ = aCause;
-    if (aEnd == CallOutcome::Completed) {
+    if (aOutcome == CallOutcome::Completed) {
       result.head_ = std::move(parser_.Head());
       result.body_ = std::move(body_);
     }
-    const auto done = std::exchange(callback_, nullptr);
-    if (aEnd == CallOutcome::Completed && stream_.IsOpen() &&
+    const auto callback = std::exchange(callback_, nullptr);
+    if (aOutcome == CallOutcome::Completed && stream_.IsOpen() &&
         result.head_.KeepsAlive() && stream_.Input().empty()) {
       client_.Release(self);
     } else {
-      // A reset keeps bytes that are still under way from being carried out.
+      // A reset keeps the server from executing a request that is still in
+      // transit.
       stream_.Abort();
       client_.Remove(this);
     }
-    done(std::move(result));
+    callback(std::move(result));
   }
 
   HttpClient& client_;
@@ -166,7 +166,7 @@
 
 void HttpClient::Call(const Endpoint& aServer,
                       const CallRequest& aRequest,
-                      Callback aDone)
+                      Callback aCallback)
 {
   ConnectionPtr connection;
   auto& idle = idle_[KeyOf(aServer)];
@@ -175,17 +175,17 @@
     connection = std::move(idle.back());
     idle.pop_back();
   } else if (aRequest.connectionPolicy_ == ConnectionPolicy::ReuseOnly) {
-    loop_.Defer([done = std::move(aDone)] {
+    loop_.Defer([callback = std::move(aCallback)] {
       CallResult result;
-      result.cause_ = "no kept connection";
-      done(std::move(result));
+      result.cause_ = "no idle connection to reuse";
+      callback(std::move(result));
     });
     return;
   } else {
     connection = std::make_shared<Connection>(*this, aServer);
   }
   busy_.push_back(connection);
-  connection->Start(aRequest, std::move(aDone));
+  connection->Start(aRequest, std::move(aCallback));
 }
 
 void HttpClient::CloseIdle(const Endpoint& aServer)
@@ -207,17 +207,18 @@
 
 void HttpClient::Remove(const Connection* aConnection)
 {
-  const auto isIt = [&](const ConnectionPtr& aOther) {
+  const auto isSame = [&](const ConnectionPtr& aOther) {
     return aOther.get() == aConnection;
   };
-  // Kept alive until the handlers of this round have returned.
+  // Keeps the connection alive until the handlers of this iteration have
+  // returned.
   const auto drop = [&](auto& aContainer) {
     for (auto& connection : aContainer) {
-      if (isIt(connection)) {
+      if (isSame(connection)) {
         loop_.Defer([kept = connection] {});
       }
     }
-    std::erase_if(aContainer, isIt);
+    std::erase_if(aContainer, isSame);
   };
   drop(busy_);
   drop(idle_[KeyOf(aConnection->Server())]);
--- a/net/HttpClient.hpp
+++ b/net/HttpClient.hpp
@@ -15,9 +15,9 @@
 enum class ConnectionPolicy : uint8_t
 {
   ReuseOrNew, ///< an idle connection, else a new one
-  NewOnly,    ///< a new connection even if an idle one is there
-  ReuseOnly,  ///< an idle connection only: the server still runs that accepted
-              ///< it
+  NewOnly,    ///< a new connection even if there is an idle one
+  ReuseOnly,  ///< an idle connection only, so that the call reaches the same
+              ///< process as before
   Count
 };
 
@@ -30,8 +30,8 @@
 enum class CallOutcome : uint8_t
 {
   Completed,
-  NotSent,    ///< certainly not received by the server
-  NoResponse, ///< may have been carried out, or be carried out later
+  NotSent,    ///< the server received no part of the request
+  NoResponse, ///< may have been executed, or may be executed later
   Count
 };
 
@@ -48,7 +48,7 @@
   CallOutcome outcome_ = CallOutcome::NotSent;
   HttpHead head_;
   std::string body_;
-  std::string_view cause_; ///< of an end without an answer
+  std::string_view cause_; ///< reason when there is no response
 };
 
 struct CallRequest
@@ -59,11 +59,13 @@
   std::string body_;
   TimeMs timeoutMs_ = 1000;
   ConnectionPolicy connectionPolicy_ = ConnectionPolicy::ReuseOrNew;
-  /// The call fails when the body is larger; lists of the store are a few MB.
+  /// The call fails when the response body is larger. Lists of the store are a
+  /// few MB.
   size_t maxResponseBytes_ = size_t{ 16 } << 20;
 };
 
-/// Calls with small answers, over connections that are kept for reuse.
+/// HTTP client for calls with small responses. Keeps idle connections for
+/// reuse.
 class HttpClient
 {
 public:
@@ -72,11 +74,12 @@
   explicit HttpClient(EventLoop& aLoop);
   ~HttpClient();
 
-  /// aDone runs once, never before Call returns.
+  /// aCallback runs exactly once, never before Call returns.
   void Call(const Endpoint& aServer,
             const CallRequest& aRequest,
-            Callback aDone);
-  /// Ends idle connections, for example after one of them went silent.
+            Callback aCallback);
+  /// Closes idle connections, for example after one of them has stopped
+  /// responding.
   void CloseIdle(const Endpoint& aServer);
 
 private:
--- a/net/HttpParser.cpp
+++ b/net/HttpParser.cpp
@@ -31,7 +31,7 @@
   return aText.substr(first, aText.find_last_not_of(" \t") - first + 1);
 }
 
-/// Calls aVisit with each element of a comma separated field until it returns
+/// Calls aVisit with each element of a comma-separated list until it returns
 /// true.
 template<typename Visit>
 bool AnyElement(std::string_view aList, Visit aVisit)
@@ -46,7 +46,7 @@
   return false;
 }
 
-/// Gathers a message into an HttpHead and a body buffer.
+/// Collects a message into an HttpHead and a body buffer.
 template<bool isRequest>
 class Collector final : public http::basic_parser<isRequest>
 {
@@ -202,7 +202,8 @@
 
 namespace detail {
 
-/// A folded field line or a line end without CR can be read in two ways.
+/// True for folded field lines and for line ends without CR, which parsers read
+/// differently.
 bool HasAmbiguousLine(std::string_view aHead)
 {
   for (auto end = aHead.find('\n'); end != std::string_view::npos;
@@ -227,7 +228,7 @@
     : Base(aMaxHeadBytes)
   {
     parser_.eager(true);
-    // Without a limit, Beast 1.74 refuses every message that has a length.
+    // Without a limit, Beast 1.74 rejects every message that has a length.
     parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
     // The limit is checked here, before Beast sees the head.
     parser_.header_limit(static_cast<std::uint32_t>(aMaxHeadBytes * 2));
@@ -276,8 +277,8 @@
     if (parser_.is_done()) {
       return ParseState::Done;
     }
-    // What is left is the line of a chunk or a trailer; neither may grow
-    // without end.
+    // The unparsed rest is a chunk header or a trailer; neither may grow
+    // without limit.
     if (aInput.size() > this->maxHeadBytes_) {
       this->tooLarge_ = true;
       return ParseState::Failed;
@@ -303,9 +304,9 @@
 
 }
 
-HttpParser::HttpParser(HttpMessageType aRole, size_t aMaxHeadBytes)
+HttpParser::HttpParser(HttpMessageType aType, size_t aMaxHeadBytes)
 {
-  if (aRole == HttpMessageType::Request) {
+  if (aType == HttpMessageType::Request) {
     impl_ = std::make_unique<detail::BeastParser<true, Impl>>(aMaxHeadBytes);
   } else {
     impl_ = std::make_unique<detail::BeastParser<false, Impl>>(aMaxHeadBytes);
--- a/net/HttpParser.hpp
+++ b/net/HttpParser.hpp
@@ -15,26 +15,27 @@
 {
   std::string method_; ///< requests
   std::string target_; ///< requests
-  int status_ = 0;     ///< answers
-  std::string reason_; ///< answers
+  int status_ = 0;     ///< responses
+  std::string reason_; ///< responses
   bool isHttp10_ = false;
   std::vector<std::pair<std::string, std::string>> fields_;
   std::optional<uint64_t> contentLength_;
   bool chunked_ = false;
 
-  /// First field of that name, empty when there is none.
+  /// Value of the first field of that name, or empty when there is none.
   std::string_view Field(std::string_view aName) const;
   bool HasField(std::string_view aName) const;
-  /// True when a comma separated field holds aToken.
+  /// True when the comma-separated list in a field of that name contains
+  /// aToken.
   bool HasToken(std::string_view aName, std::string_view aToken) const;
   bool KeepsAlive() const;
 };
 
-/// True for fields that concern one connection only, besides those that the
-/// Connection field names.
+/// True for hop-by-hop fields. The fields that the Connection field names are
+/// hop-by-hop as well, but aren't checked here.
 bool IsHopByHopField(std::string_view aName);
-/// Fields to forward: without hop-by-hop fields and those that Connection
-/// names.
+/// Returns the fields to forward: all but the hop-by-hop fields and those that
+/// Connection names.
 std::vector<std::pair<std::string, std::string>> EndToEndFields(
   const HttpHead& aHead);
 
@@ -52,28 +53,29 @@
   Failed
 };
 
-/// Incremental parser of one message (Boost.Beast). Strict about framing: a
-/// message whose length two parties could read differently is refused.
+/// Incremental parser of one message (Boost.Beast). Strict about framing:
+/// rejects a message whose length two parsers could read differently.
 class HttpParser
 {
 public:
-  explicit HttpParser(HttpMessageType aRole, size_t aMaxHeadBytes);
+  explicit HttpParser(HttpMessageType aType, size_t aMaxHeadBytes);
   ~HttpParser();
   HttpParser(HttpParser&&) noexcept;
   HttpParser& operator=(HttpParser&&) noexcept;
 
-  /// Answers only: the request was HEAD, so no body follows.
+  /// Responses only: the request was HEAD, so no body follows.
   void ExpectNoBody();
   /// Consumes bytes from the front of aInput and appends body bytes to aBody.
   ParseState Parse(std::string& aInput, std::string& aBody);
-  /// Answers only: the stream ended in order; true when that completes it.
+  /// Responses only: the peer closed the stream in order. Returns true when
+  /// this completes the message.
   bool FinishAtEof();
 
   bool HasHead() const;
-  /// True once bytes of the message were seen.
+  /// True once bytes of the message were received.
   bool HasStarted() const;
   HttpHead& Head();
-  /// True when only the end of the connection ends the body.
+  /// True when the body ends only with the connection.
   bool IsCloseDelimited() const;
   bool IsTooLarge() const;
 
--- a/net/TcpStream.cpp
+++ b/net/TcpStream.cpp
@@ -17,8 +17,9 @@
 
 constexpr size_t kReadBytes = 32768;
 constexpr int kAcceptBacklog = 1024;
-/// A connection whose peer acknowledges nothing for this long is broken; a
-/// silent middlebox or an instance without power shows in no other way.
+/// A connection whose peer acknowledges nothing for this long is broken. A
+/// middlebox that drops packets, or an instance without power, shows in no
+/// other way.
 constexpr int kUserTimeoutMs = 3000;
 constexpr int kKeepAliveIdleS = 2;
 constexpr int kKeepAliveIntervalS = 1;
@@ -129,7 +130,7 @@
   }
   const bool wasEmpty = PendingOutput() == 0;
   if (connected_ && wasEmpty) {
-    // Writing directly saves the copy in the usual case.
+    // Direct writing avoids a copy in the usual case.
     const auto count = ::send(fd_, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
     if (count > 0) {
       writtenBytes_ += count;
@@ -177,8 +178,9 @@
 void TcpStream::Abort()
 {
   if (fd_ >= 0) {
-    const linger hard{ 1, 0 };
-    ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    const linger resetOnClose{ 1, 0 };
+    ::setsockopt(
+      fd_, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof resetOnClose);
   }
   Close();
 }
@@ -273,8 +275,8 @@
   handler_.OnStreamClosed(aReason);
 }
 
-TcpListener::TcpListener(EventLoop& aLoop, AcceptCallback aTask)
-  : task_(std::move(aTask))
+TcpListener::TcpListener(EventLoop& aLoop, AcceptCallback aCallback)
+  : callback_(std::move(aCallback))
   , watcher_(aLoop, [this](bool, bool) { AcceptAvailable(); })
 {
 }
@@ -319,7 +321,7 @@
     if (fd < 0) {
       return;
     }
-    task_(fd);
+    callback_(fd);
   }
 }
 
--- a/net/TcpStream.hpp
+++ b/net/TcpStream.hpp
@@ -16,7 +16,7 @@
   uint32_t ip_ = 0; ///< network byte order
   uint16_t port_ = 0;
 
-  /// False when aText is not "IP:port".
+  /// Returns false when aText is not "IP:port".
   static bool Parse(std::string_view aText, Endpoint& aResult);
   std::string ToText() const;
   sockaddr_in ToSockaddr() const;
@@ -51,9 +51,10 @@
   virtual void OnConnected() {}
   /// Bytes were appended to the stream's input.
   virtual void OnInput() = 0;
-  /// All output was handed to the kernel.
+  /// All output was passed to the kernel.
   virtual void OnOutputDrained() {}
-  /// The stream has closed itself; not called after Close().
+  /// The peer or an error closed the stream. Not called after Close() or
+  /// Abort().
   virtual void OnStreamClosed(CloseReason aReason) = 0;
 };
 
@@ -66,27 +67,28 @@
   TcpStream(const TcpStream&) = delete;
   TcpStream& operator=(const TcpStream&) = delete;
 
-  /// Starts to connect; false when no socket can be had.
+  /// Starts to connect. Returns false when this fails at once.
   bool Connect(const Endpoint& aEndpoint);
-  /// Takes over a connected socket.
+  /// Takes ownership of a connected socket.
   void Adopt(int aFd);
 
-  /// Queues bytes and writes what the kernel takes at once.
+  /// Writes what the kernel accepts at once and queues the rest.
   void Write(std::string_view aBytes);
   std::string& Input() { return input_; }
   size_t PendingOutput() const { return output_.size() - outputOffset_; }
-  /// Bytes that the kernel has taken since the connection was made.
+  /// Bytes that the kernel has accepted since the connection was made.
   uint64_t WrittenBytes() const { return writtenBytes_; }
   void PauseReading(bool aPaused);
-  /// The peer has closed the connection, and all that it sent was read.
+  /// True when the peer has closed the connection and all that it sent was
+  /// read.
   bool HasPeerClosed() const;
 
-  /// Sends the end of the stream; reading goes on.
+  /// Shuts down the sending direction; reading goes on.
   void ShutdownOutput();
   bool IsOpen() const { return fd_ >= 0; }
   bool IsConnected() const { return connected_; }
   void Close();
-  /// Closes with a reset, so that unsent bytes never arrive.
+  /// Closes with a reset, so that unsent bytes are dropped.
   void Abort();
 
 private:
@@ -115,7 +117,7 @@
 public:
   using AcceptCallback = std::function<void(int aFd)>;
 
-  TcpListener(EventLoop& aLoop, AcceptCallback aTask);
+  TcpListener(EventLoop& aLoop, AcceptCallback aCallback);
   ~TcpListener();
 
   bool Listen(const Endpoint& aEndpoint);
@@ -124,7 +126,7 @@
 private:
   void AcceptAvailable();
 
-  AcceptCallback task_;
+  AcceptCallback callback_;
   IoWatcher watcher_;
   int fd_ = -1;
 };
--- a/tests/CompressionTest.cpp
+++ b/tests/CompressionTest.cpp
@@ -10,31 +10,34 @@
 
 constexpr size_t kMaxBytes = 1 << 20;
 
-// Guards against text that arrives changed.
-RC_GTEST_PROP(Compression, GivesTheTextBack, (const std::string& aText))
+// Guards against text that changes in a round trip.
+RC_GTEST_PROP(Compression, RestoresTheText, (const std::string& aText))
 {
   RC_ASSERT(Decompress(Compress(aText), kMaxBytes) == aText);
 }
 
-// Guards against a crash or an endless loop on bytes of another kind.
-RC_GTEST_PROP(Compression, RefusesOtherBytes, (const std::string& aBytes))
+// Guards against a crash or an endless loop on bytes that are not compressed
+// text.
+RC_GTEST_PROP(Compression, RejectsInvalidBytes, (const std::string& aBytes))
 {
   RC_ASSERT(!Decompress(aBytes, kMaxBytes));
-  const auto packed = Compress(aBytes);
-  RC_ASSERT(!Decompress(packed.substr(0, packed.size() - 1), kMaxBytes));
+  const auto compressed = Compress(aBytes);
+  RC_ASSERT(
+    !Decompress(compressed.substr(0, compressed.size() - 1), kMaxBytes));
 }
 
-// Guards against a small message that fills the memory.
-TEST(Compression, BoundsTheText)
+// Guards against a small message that exhausts memory (decompression bomb).
+TEST(Compression, LimitsTheTextSize)
 {
-  const auto packed = Compress(std::string(kMaxBytes + 1, 'a'));
-  EXPECT_FALSE(Decompress(packed, kMaxBytes));
-  EXPECT_TRUE(Decompress(packed, kMaxBytes + 1));
+  const auto compressed = Compress(std::string(kMaxBytes + 1, 'a'));
+  EXPECT_FALSE(Decompress(compressed, kMaxBytes));
+  EXPECT_TRUE(Decompress(compressed, kMaxBytes + 1));
 }
 
-// Guards against a configuration of many routes that takes most of a second
-// from one gateway to each of 67 others (grown tas-south hunt-d275-7, CONFIG).
-TEST(Compression, RoutesBecomeSmall)
+// Guards against a configuration of many routes that takes most of a second to
+// send from one gateway to each of 67 others (grown tas-south hunt-d275-7,
+// CONFIG).
+TEST(Compression, CompressesRoutesWell)
 {
   std::string routes;
   for (int index = 0; index < 1800; ++index) {
--- a/tests/GatewayFaultTest.cpp
+++ b/tests/GatewayFaultTest.cpp
@@ -14,7 +14,7 @@
 
 using Exchange = ScriptedServer::Exchange;
 
-/// More than a gateway holds back until the answer is complete.
+/// More than a gateway buffers before it starts to stream a response.
 constexpr size_t kStreamedBytes = 600000;
 
 void Echo(Exchange& aExchange)
@@ -31,45 +31,45 @@
            .find("\r\n\r\nafter") != std::string::npos;
 }
 
-// Guards against an answer that breaks off after its head was passed on and
-// reaches the caller as a complete success.
-TEST(GatewayFault, BrokenStreamedAnswerIsNeverComplete)
+// Guards against a response that is truncated after its head was forwarded and
+// reaches the caller as a complete one.
+TEST(GatewayFault, TruncatedStreamedResponseIsNeverComplete)
 {
-  const auto broken = [](Exchange& aExchange, std::string aAnswer) {
-    aAnswer.resize(aAnswer.size() - 1000);
-    aExchange.write_(aAnswer);
+  const auto sendTruncated = [](Exchange& aExchange, std::string aResponse) {
+    aResponse.resize(aResponse.size() - 1000);
+    aExchange.write_(aResponse);
     aExchange.close_();
   };
   const std::vector<ScriptedServer::Script> scripts = {
     [&](Exchange& aExchange) {
-      broken(aExchange,
-             GatewayFixture::MakeResponse(aExchange.head_,
-                                          std::string(kStreamedBytes, 'a')));
+      sendTruncated(aExchange,
+                    GatewayFixture::MakeResponse(
+                      aExchange.head_, std::string(kStreamedBytes, 'a')));
     },
     [&](Exchange& aExchange) {
-      broken(aExchange,
-             Concat("HTTP/1.1 200 OK\r\nCactuspitch-Request-Id: ",
-                    aExchange.head_.Field("Cactuspitch-Request-Id"),
-                    "\r\nCactuspitch-Response-Seal: s\r\n"
-                    "Transfer-Encoding: chunked\r\n\r\n",
-                    absl::Hex(kStreamedBytes),
-                    "\r\n",
-                    std::string(kStreamedBytes, 'a'),
-                    "\r\n0\r\n\r\n"));
+      sendTruncated(aExchange,
+                    Concat("HTTP/1.1 200 OK\r\nCactuspitch-Request-Id: ",
+                           aExchange.head_.Field("Cactuspitch-Request-Id"),
+                           "\r\nCactuspitch-Response-Seal: s\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n",
+                           absl::Hex(kStreamedBytes),
+                           "\r\n",
+                           std::string(kStreamedBytes, 'a'),
+                           "\r\n0\r\n\r\n"));
     },
   };
   for (const auto& script : scripts) {
     GatewayFixture fixture(script, 1);
-    const auto answer =
+    const auto response =
       fixture.SendAndWait(GatewayFixture::MakeRequest("POST", "plain", "s"));
-    EXPECT_LT(answer.size(), kStreamedBytes);
-    EXPECT_FALSE(answer.ends_with("\r\n0\r\n\r\n"));
+    EXPECT_LT(response.size(), kStreamedBytes);
+    EXPECT_FALSE(response.ends_with("\r\n0\r\n\r\n"));
   }
 }
 
 // Guards against a planned stop that cuts off requests which were accepted
-// before it, or just after it while callers do not know of it yet.
-TEST(GatewayFault, PlannedStopAnswersWhatWasAccepted)
+// before it, or shortly after it while callers do not know of it yet.
+TEST(GatewayFault, PlannedStopCompletesAcceptedRequests)
 {
   EventLoop* loop = nullptr;
   std::vector<std::unique_ptr<Timer>> timers;
@@ -94,9 +94,9 @@
     std::string::npos);
 }
 
-// Guards against a planned stop that ends without an answer for what waits and
-// was never passed on.
-TEST(GatewayFault, PlannedStopRefusesWhatIsNotPassedOn)
+// Guards against a planned stop that leaves queued requests, which were never
+// forwarded, without a response.
+TEST(GatewayFault, PlannedStopRejectsQueuedRequests)
 {
   int calls = 0;
   GatewayFixture fixture(
@@ -114,18 +114,19 @@
   };
   fixture.SendAndWait(call("1"));
   fixture.RunFor(100);
-  // A suspect runs on one server at a time, so the next one waits for this one.
+  // A suspect request is executed on one server at a time, so the next request
+  // has to wait for this one.
   std::raise(SIGTERM);
   fixture.RunFor(500);
   const auto running = fixture.Send(call("2"));
   ASSERT_TRUE(fixture.RunUntil([&] { return calls == 2; }));
-  const auto answer = fixture.SendAndWait(call("3"));
-  EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+  const auto response = fixture.SendAndWait(call("3"));
+  EXPECT_NE(response.find(" 503 "), std::string::npos) << response;
   EXPECT_EQ(calls, 2);
 }
 
-// Guards against a process that ends because of one malformed message of a
-// peer or a caller.
+// Guards against a process that ends because of a malformed message of a peer
+// or a caller.
 TEST(GatewayFault, SurvivesMalformedMessages)
 {
   GatewayFixture fixture(Echo, 1);
@@ -158,9 +159,9 @@
   EXPECT_TRUE(IsServed(fixture));
 }
 
-// Guards against requests to a server that has ended, whose registration has
-// not lapsed yet: the next life at its address turns them away.
-TEST(GatewayFault, EarlierLifeAtAnAddressGetsNoRequests)
+// Guards against requests to a server that has ended but whose registration has
+// not expired yet: the next server at its address rejects them.
+TEST(GatewayFault, EarlierServerAtAnAddressGetsNoRequests)
 {
   int misdirected = 0;
   GatewayFixture fixture(
--- a/tests/GatewayFixture.cpp
+++ b/tests/GatewayFixture.cpp
@@ -30,9 +30,9 @@
   };
   const auto addServer = [&](const std::string& aService,
                              const std::string& aId,
-                             ScriptedServer::Script aAnswer) {
+                             ScriptedServer::Script aServerScript) {
     backends_.push_back(
-      std::make_unique<ScriptedServer>(loop_, std::move(aAnswer)));
+      std::make_unique<ScriptedServer>(loop_, std::move(aServerScript)));
     addEntry(aService, aId);
   };
   for (int index = 0; index < aServers; ++index) {
@@ -40,9 +40,9 @@
   }
   addServer("keyed", "k0", [this](ScriptedServer::Exchange& aExchange) {
     if (aExchange.head_.target_.starts_with("/-/")) {
-      orderBodies_.push_back(aExchange.body_);
-      if (orderScript_) {
-        orderScript_(aExchange);
+      commandBodies_.push_back(aExchange.body_);
+      if (commandScript_) {
+        commandScript_(aExchange);
       } else {
         aExchange.write_(TextResponse(200, ""));
       }
@@ -88,9 +88,9 @@
 
   settings_ = MakeSettings("g1");
   gateway_ = StartGateway(settings_);
-  // Granted keys show that configuration and registrations are known.
-  if (!RunUntil([this] { return !orderBodies_.empty(); })) {
-    throw std::runtime_error("the gateway grants no keys");
+  // Keys are granted only once configuration and registrations are known.
+  if (!RunUntil([this] { return !commandBodies_.empty(); })) {
+    throw std::runtime_error("the gateway did not grant keys in time");
   }
   RunFor(100);
 }
@@ -124,7 +124,7 @@
     PlatformPort{ requests_, orders_, objects_, registry_ },
     [this](Findings&) { return reloadedSettings_; });
   if (!gateway->Start()) {
-    throw std::runtime_error("the gateway does not start");
+    throw std::runtime_error("the gateway failed to start");
   }
   return gateway;
 }
@@ -188,15 +188,15 @@
 
 int TestCaller::ResponseCount() const
 {
-  int answers = 0;
+  int responses = 0;
   auto text = received_;
   HttpParser parser(HttpMessageType::Response, kMaxHeadBytes);
   std::string body;
   while (!text.empty() && parser.Parse(text, body) == ParseState::Done) {
-    ++answers;
+    ++responses;
     parser = HttpParser(HttpMessageType::Response, kMaxHeadBytes);
   }
-  return answers;
+  return responses;
 }
 
 void TestCaller::OnInput()
@@ -214,18 +214,19 @@
   return std::make_unique<TestCaller>(loop_, GatewayAddress(), aBytes);
 }
 
-std::string GatewayFixture::SendAndWait(const std::string& aBytes, int aAnswers)
+std::string GatewayFixture::SendAndWait(const std::string& aBytes,
+                                        int aResponses)
 {
-  return SendToAndWait(GatewayAddress(), aBytes, aAnswers);
+  return SendToAndWait(GatewayAddress(), aBytes, aResponses);
 }
 
 std::string GatewayFixture::SendToAndWait(const Endpoint& aGateway,
                                           const std::string& aBytes,
-                                          int aAnswers)
+                                          int aResponses)
 {
   const TestCaller caller(loop_, aGateway, aBytes);
   RunUntil(
-    [&] { return caller.IsClosed() || caller.ResponseCount() >= aAnswers; });
+    [&] { return caller.IsClosed() || caller.ResponseCount() >= aResponses; });
   return caller.Received();
 }
 
--- a/tests/GatewayFixture.hpp
+++ b/tests/GatewayFixture.hpp
@@ -13,8 +13,8 @@
 
 namespace cactuspitch {
 
-/// A caller that sends bytes on a connection of its own and gathers what it
-/// gets. Its connection closes with it.
+/// A caller that sends bytes on a connection of its own and collects what it
+/// receives. Destroying it closes the connection.
 class TestCaller final : public StreamHandler
 {
 public:
@@ -23,7 +23,7 @@
              std::string_view aBytes = {});
   void Write(std::string_view aBytes) { stream_.Write(aBytes); }
   const std::string& Received() const { return received_; }
-  /// Whole answers so far.
+  /// Number of complete responses received so far.
   int ResponseCount() const;
   bool IsClosed() const { return closed_; }
 
@@ -36,59 +36,62 @@
   bool closed_ = false;
 };
 
-/// A gateway with a small store, one service of scripted backend servers that
-/// needs no keys (host `plain`), and one whose keys are granted (host `keyed`).
+/// A gateway with an object store and two services of scripted backend servers:
+/// one without keys (host `plain`), and one whose keys are granted (host
+/// `keyed`).
 class GatewayFixture
 {
 public:
-  /// aScript answers the requests of the service without keys. The service with
-  /// keys has aKeyedServers registrations at one address.
+  /// aScript responds to the requests of the service without keys. The service
+  /// with keys has aKeyedServers registrations at one address.
   explicit GatewayFixture(const ScriptedServer::Script& aScript,
                           int aServers = 2,
                           int aKeyedServers = 1,
                           int aMaxConnections = 50);
   ~GatewayFixture();
 
-  /// Runs the loop until aDone holds; false after 5 s.
+  /// Runs the loop until aDone returns true. Returns false after 5 s.
   bool RunUntil(const std::function<bool()>& aDone);
   void RunFor(TimeMs aMs);
-  /// Sends bytes on a new connection and returns what came back once aDone
-  /// holds for it, or until the connection ends.
-  std::string SendAndWait(const std::string& aBytes, int aAnswers = 1);
-  /// The same at another gateway.
+  /// Sends bytes on a new connection. Returns what was received once aResponses
+  /// complete responses have arrived, the connection has ended, or 5 s have
+  /// passed.
+  std::string SendAndWait(const std::string& aBytes, int aResponses = 1);
+  /// The same for another gateway.
   std::string SendToAndWait(const Endpoint& aGateway,
                             const std::string& aBytes,
-                            int aAnswers = 1);
-  /// Sends bytes on a new connection and waits for nothing.
+                            int aResponses = 1);
+  /// Sends bytes on a new connection without waiting for a response.
   std::unique_ptr<TestCaller> Send(const std::string& aBytes);
-  /// Starts one more gateway on the same store and returns its address.
+  /// Starts another gateway with the same store and returns its address.
   Endpoint AddGateway(const std::string& aInstance);
   ScriptedServer& Backend(size_t aIndex) { return *backends_[aIndex]; }
   int BackendRequests() const;
   EventLoop& Loop() { return loop_; }
   Endpoint GatewayAddress() const { return settings_.listen_; }
-  /// Takes the store away, or gives it back.
+  /// Makes the store reset all connections, or serve again.
   void SetStoreDown(bool aDown)
   {
     store_.SetTrouble(aDown ? StoreTrouble::Resets : StoreTrouble::None);
   }
-  std::vector<std::string>& OrderBodies() { return orderBodies_; }
-  /// Answers the requests of the service with keys, orders excepted.
+  std::vector<std::string>& CommandBodies() { return commandBodies_; }
+  /// Sets the responses to requests of the service with keys, apart from
+  /// commands.
   void SetKeyedScript(ScriptedServer::Script aScript)
   {
     keyedScript_ = std::move(aScript);
   }
-  /// Answers the orders about keys; without it all are accepted.
-  void SetOrderScript(ScriptedServer::Script aScript)
+  /// Sets the responses to commands about keys; without it all are accepted.
+  void SetCommandScript(ScriptedServer::Script aScript)
   {
-    orderScript_ = std::move(aScript);
+    commandScript_ = std::move(aScript);
   }
   /// Writes the registration of a backend server without keys again, as another
-  /// life of it, and tells those that watch.
+  /// incarnation if aStartTimeMs differs, and notifies the watchers.
   void Reregister(size_t aIndex, int64_t aBornMs);
-  /// Writes a further registration at the address of that server.
+  /// Writes another registration at the address of backend server aIndex.
   void Register(const std::string& aId, size_t aIndex, int64_t aBornMs);
-  /// Reloads with these settings, or finds them wrong.
+  /// Reloads the settings; nullopt stands for settings that are invalid.
   void Reload(std::optional<GatewaySettings> aSettings);
   const GatewaySettings& Settings() const { return settings_; }
 
@@ -97,12 +100,12 @@
                                  const std::string& aId,
                                  const std::string& aExtra = {},
                                  const std::string& aBody = {});
-  /// Answer of a backend server to the request of that head.
+  /// Response of a backend server to the request with that head.
   static std::string MakeResponse(const HttpHead& aHead,
                                   const std::string& aBody);
 
 private:
-  /// Addresses of a new gateway.
+  /// Settings of a new gateway, with addresses of its own.
   GatewaySettings MakeSettings(const std::string& aInstance) const;
   std::unique_ptr<Gateway> StartGateway(const GatewaySettings& aSettings);
   nlohmann::json Registration(const std::string& aService,
@@ -116,9 +119,9 @@
   platform::Objects objects_;
   platform::Registry registry_;
   PlatformStore store_;
-  std::vector<std::string> orderBodies_;
+  std::vector<std::string> commandBodies_;
   ScriptedServer::Script keyedScript_;
-  ScriptedServer::Script orderScript_;
+  ScriptedServer::Script commandScript_;
   std::vector<std::unique_ptr<ScriptedServer>> backends_;
   GatewaySettings settings_;
   std::optional<GatewaySettings> reloadedSettings_;
--- a/tests/GatewayProcessTest.cpp
+++ b/tests/GatewayProcessTest.cpp
@@ -13,15 +13,15 @@
 namespace cactuspitch {
 namespace {
 
-// Guards against a process that ends, or keeps old settings, because they
-// change while it starts.
+// Guards against a process that ends, or keeps outdated settings, because the
+// settings change while it starts.
 TEST(GatewayProcess, SettingsMayChangeWhileItStarts)
 {
-  // A settings file that is read only when this test writes it.
+  // A settings file (FIFO) that can be read only when this test writes to it.
   const auto path = Concat(testing::TempDir(), "settings-", getpid(), ".env");
   ASSERT_EQ(mkfifo(path.c_str(), 0600), 0);
   int file = -1;
-  // Opens the file once the process reads it.
+  // Opens the file as soon as the process reads it.
   const auto openForReader = [&] {
     return WaitFor(5000, [&] {
       file = open(path.c_str(), O_WRONLY | O_NONBLOCK);
@@ -51,8 +51,8 @@
                  { "CACTUSPITCH_STORE", FreeEndpoint().ToText() } });
   ASSERT_TRUE(openForReader());
   kill(fleet.Pid("gateway"), SIGHUP);
-  constexpr auto kSignalTime = std::chrono::milliseconds(50);
-  std::this_thread::sleep_for(kSignalTime);
+  constexpr auto kSignalDelay = std::chrono::milliseconds(50);
+  std::this_thread::sleep_for(kSignalDelay);
   ASSERT_TRUE(fleet.IsRunning("gateway"));
   write();
   ASSERT_TRUE(hasLogged("settings-in-force"));
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -21,12 +21,12 @@
       aExchange.body_));
 }
 
-int StatusOf(const std::string& aAnswer)
+int StatusOf(const std::string& aResponse)
 {
-  return aAnswer.size() < 12 ? 0 : std::stoi(aAnswer.substr(9, 3));
+  return aResponse.size() < 12 ? 0 : std::stoi(aResponse.substr(9, 3));
 }
 
-/// Answers the first request by aFirst, later ones well.
+/// Responds to the first request by aFirst and echoes later ones.
 ScriptedServer::Script FirstThenEcho(ScriptedServer::Script aFirst)
 {
   auto count = std::make_shared<int>(0);
@@ -39,14 +39,14 @@
   };
 }
 
-// Guards against a broken path from caller to backend server.
+// Guards against a broken request path from caller to backend server.
 TEST(Gateway, ServesRequests)
 {
   GatewayFixture fixture(Echo);
-  const auto answer = fixture.SendAndWait(
+  const auto response = fixture.SendAndWait(
     GatewayFixture::MakeRequest("POST", "plain", "1", "", "body"));
-  EXPECT_EQ(StatusOf(answer), 200);
-  EXPECT_NE(answer.find("1body"), std::string::npos);
+  EXPECT_EQ(StatusOf(response), 200);
+  EXPECT_NE(response.find("1body"), std::string::npos);
   EXPECT_EQ(StatusOf(fixture.SendAndWait(GatewayFixture::MakeRequest(
               "GET", "keyed", "2", "Cactuspitch-Shard-Key: 77\r\n"))),
             200);
@@ -55,12 +55,12 @@
             404);
 }
 
-// Guards against answers that reach the wrong request of a pipeline.
-TEST(Gateway, AnswersPipelinedRequestsInOrder)
+// Guards against pipelined responses in the wrong order.
+TEST(Gateway, RespondsToPipelinedRequestsInOrder)
 {
   auto held = std::make_shared<std::vector<Exchange>>();
   GatewayFixture fixture([held](Exchange& aExchange) {
-    // The first answer comes last.
+    // The first request gets its response last.
     held->push_back(aExchange);
     if (held->size() == 3) {
       for (auto it = held->rbegin(); it != held->rend(); ++it) {
@@ -68,32 +68,33 @@
       }
     }
   });
-  const auto answers =
+  const auto responses =
     fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "one") +
                           GatewayFixture::MakeRequest("GET", "plain", "two") +
                           GatewayFixture::MakeRequest("GET", "plain", "three"),
                         3);
-  const auto first = answers.find("\r\n\r\none");
-  const auto second = answers.find("\r\n\r\ntwo");
-  const auto third = answers.find("\r\n\r\nthree");
-  ASSERT_NE(third, std::string::npos) << answers;
+  const auto first = responses.find("\r\n\r\none");
+  const auto second = responses.find("\r\n\r\ntwo");
+  const auto third = responses.find("\r\n\r\nthree");
+  ASSERT_NE(third, std::string::npos) << responses;
   EXPECT_LT(first, second);
   EXPECT_LT(second, third);
 }
 
-// Guards against chunked bodies that arrive changed.
+// Guards against chunked bodies that are altered by forwarding.
 TEST(Gateway, ForwardsChunkedBodies)
 {
   GatewayFixture fixture(Echo);
-  const auto answer = fixture.SendAndWait(
+  const auto response = fixture.SendAndWait(
     "POST /unsafe/x HTTP/1.1\r\nHost: plain\r\nCactuspitch-Request-Id: c\r\n"
     "Cactuspitch-Deadline-Remaining: 900\r\nTransfer-Encoding: chunked\r\n\r\n"
     "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
-  EXPECT_NE(answer.find("cabcdefg"), std::string::npos) << answer;
+  EXPECT_NE(response.find("cabcdefg"), std::string::npos) << response;
 }
 
-// Guards against smuggled requests and against limits that are not kept.
-TEST(Gateway, RefusesMalformedAndTooLargeRequests)
+// Guards against request smuggling and against size limits that are not
+// enforced.
+TEST(Gateway, RejectsMalformedAndTooLargeRequests)
 {
   GatewayFixture fixture(Echo);
   EXPECT_EQ(StatusOf(fixture.SendAndWait(GatewayFixture::MakeRequest(
@@ -110,13 +111,13 @@
   EXPECT_EQ(fixture.BackendRequests(), 0);
 }
 
-/// Stands for bytes without end: many times what any limit allows.
-constexpr size_t kEndless = 1 << 20;
+/// Stands for unbounded input: many times what any limit allows.
+constexpr size_t kUnboundedBytes = 1 << 20;
 
 std::string Repeated(std::string_view aText)
 {
   std::string text;
-  while (text.size() < kEndless) {
+  while (text.size() < kUnboundedBytes) {
     text += aText;
   }
   return text;
@@ -134,14 +135,15 @@
 {
   const char* name_;
   ScriptedServer::Script first_;
-  int safeStatus_;   ///< what the caller of an idempotent request gets
-  int unsafeStatus_; ///< what the caller of a non-idempotent request gets
-  int unsafeRuns_;   ///< sends of the non-idempotent request
+  int idempotentStatus_;    ///< response to an idempotent request
+  int nonIdempotentStatus_; ///< response to a non-idempotent request
+  int nonIdempotentSends_;  ///< times that the non-idempotent request was sent
 };
 
-// Guards, row by row, against a second run of a non-idempotent request, against
-// a false "not run", and against giving up an idempotent one too early.
-TEST(Gateway, EndsOfAnAttempt)
+// For each kind of failed attempt, guards against executing a non-idempotent
+// request twice, against reporting an executed request as not executed, and
+// against giving up an idempotent request too early.
+TEST(Gateway, OutcomesOfAFailedAttempt)
 {
   const auto write = [](const char* aText) {
     return [aText](Exchange& aExchange) { aExchange.write_(aText); };
@@ -149,30 +151,30 @@
   const std::vector<AttemptCase> cases = {
     { "reset", [](Exchange& aExchange) { aExchange.reset_(); }, 200, 502, 1 },
     { "closed", [](Exchange& aExchange) { aExchange.close_(); }, 200, 502, 1 },
-    { "no answer in HTTP", write("garbage\r\n\r\n"), 200, 502, 1 },
-    { "not run",
+    { "response is not HTTP", write("garbage\r\n\r\n"), 200, 502, 1 },
+    { "not executed",
       write("HTTP/1.1 503 X\r\nCactuspitch-Not-Executed: 1\r\n"
             "Content-Length: 0\r\n\r\n"),
       200,
       200,
       2 },
-    { "another server has the address",
+    { "another server at the address",
       write("HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"),
       200,
       200,
       2 },
     { "truncated",
       [](Exchange& aExchange) {
-        auto answer =
+        auto response =
           GatewayFixture::MakeResponse(aExchange.head_, "0123456789");
-        answer.resize(answer.size() - 4);
-        aExchange.write_(answer);
+        response.resize(response.size() - 4);
+        aExchange.write_(response);
         aExchange.close_();
       },
       200,
       502,
       1 },
-    { "without a seal",
+    { "missing seal",
       [](Exchange& aExchange) {
         aExchange.write_(
           "HTTP/1.1 200 OK\r\nCactuspitch-Request-Id: " +
@@ -184,43 +186,44 @@
       1 },
     { "server error",
       [](Exchange& aExchange) {
-        auto answer = GatewayFixture::MakeResponse(aExchange.head_, "sorry");
-        answer.replace(9, 3, "500");
-        aExchange.write_(answer);
+        auto response = GatewayFixture::MakeResponse(aExchange.head_, "sorry");
+        response.replace(9, 3, "500");
+        aExchange.write_(response);
       },
       200,
       500,
       1 },
-    { "head without end",
+    { "unbounded head",
       [](Exchange& aExchange) {
-        aExchange.write_("HTTP/1.1 200 OK\r\nX: " + std::string(kEndless, 'a'));
+        aExchange.write_("HTTP/1.1 200 OK\r\nX: " +
+                         std::string(kUnboundedBytes, 'a'));
       },
       200,
       502,
       1 },
-    { "header lines without end",
+    { "unbounded header fields",
       [](Exchange& aExchange) {
         aExchange.write_("HTTP/1.1 200 OK\r\n" + Repeated("X: a\r\n"));
       },
       200,
       502,
       1 },
-    { "interim answers without end",
+    { "unbounded interim responses",
       [](Exchange& aExchange) {
         aExchange.write_(Repeated("HTTP/1.1 100 Continue\r\n\r\n"));
       },
       200,
       502,
       1 },
-    { "chunk extension without end",
+    { "unbounded chunk extension",
       [](Exchange& aExchange) {
         aExchange.write_(ChunkedHead(aExchange) +
-                         "5;x=" + std::string(kEndless, 'a'));
+                         "5;x=" + std::string(kUnboundedBytes, 'a'));
       },
       200,
       502,
       1 },
-    { "trailer without end",
+    { "unbounded trailer",
       [](Exchange& aExchange) {
         aExchange.write_(ChunkedHead(aExchange) + "5\r\nwrong\r\n0\r\n" +
                          Repeated("X: a\r\n"));
@@ -228,7 +231,7 @@
       200,
       502,
       1 },
-    { "answers of other requests without end",
+    { "unbounded responses to other requests",
       [](Exchange& aExchange) {
         aExchange.write_(
           Repeated("HTTP/1.1 200 OK\r\nCactuspitch-Request-Id: other\r\n"
@@ -237,7 +240,7 @@
       200,
       502,
       1 },
-    { "answer of another request first",
+    { "response to another request first",
       [](Exchange& aExchange) {
         aExchange.write_("HTTP/1.1 200 OK\r\nCactuspitch-Request-Id: other\r\n"
                          "Cactuspitch-Response-Seal: s\r\n"
@@ -251,32 +254,32 @@
   for (const auto& row : cases) {
     {
       GatewayFixture fixture(FirstThenEcho(row.first_));
-      const auto answer =
+      const auto response =
         fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "s1"));
-      EXPECT_EQ(StatusOf(answer), row.safeStatus_) << row.name_;
-      EXPECT_EQ(answer.find("wrong"), std::string::npos) << row.name_;
-      EXPECT_NE(answer.find("\r\n\r\ns1"), std::string::npos) << row.name_;
+      EXPECT_EQ(StatusOf(response), row.idempotentStatus_) << row.name_;
+      EXPECT_EQ(response.find("wrong"), std::string::npos) << row.name_;
+      EXPECT_NE(response.find("\r\n\r\ns1"), std::string::npos) << row.name_;
     }
     GatewayFixture fixture(FirstThenEcho(row.first_));
-    const auto answer = fixture.SendAndWait(
+    const auto response = fixture.SendAndWait(
       GatewayFixture::MakeRequest("POST", "plain", "u1", "", "b"));
-    EXPECT_EQ(StatusOf(answer), row.unsafeStatus_) << row.name_;
-    EXPECT_EQ(fixture.BackendRequests(), row.unsafeRuns_) << row.name_;
+    EXPECT_EQ(StatusOf(response), row.nonIdempotentStatus_) << row.name_;
+    EXPECT_EQ(fixture.BackendRequests(), row.nonIdempotentSends_) << row.name_;
   }
 }
 
-// Guards against "may have run" for a request that reached no server: its
-// caller could not come back. Also against endless connections to a server that
-// has too many.
-TEST(Gateway, RefusesWhatReachedNoServer)
+// Guards against 502 for a request that reached no server, which its caller
+// could not retry, and against endless connection attempts to a server that has
+// too many connections.
+TEST(Gateway, RespondsWith503WhenNoServerIsReached)
 {
   for (const char* method : { "GET", "POST" }) {
     GatewayFixture fixture(Echo, 1);
     fixture.Backend(0).SetFull(true);
-    const auto answer =
+    const auto response =
       fixture.SendAndWait(GatewayFixture::MakeRequest(method, "plain", "f1"));
-    EXPECT_EQ(StatusOf(answer), 503) << method << answer;
-    EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+    EXPECT_EQ(StatusOf(response), 503) << method << response;
+    EXPECT_NE(response.find("Retry-After: "), std::string::npos) << response;
     EXPECT_EQ(fixture.BackendRequests(), 0);
     EXPECT_LE(fixture.Backend(0).Accepted(), 5);
     fixture.Backend(0).SetFull(false);
@@ -288,8 +291,8 @@
 }
 
 // Guards against a request that waits until its deadline because all
-// connections to the server are idle and too old for it.
-TEST(Gateway, StaleIdleConnectionsHoldNothingBack)
+// connections to the server are idle and too old to be reused for it.
+TEST(Gateway, StaleIdleConnectionsDelayNoRequest)
 {
   constexpr int kConnections = 10;
   std::vector<Exchange> held;
@@ -311,7 +314,7 @@
     fixture.RunFor(2);
   }
   fixture.RunFor(100);
-  // A tenth is left to the leader.
+  // A tenth of the connections is reserved for the leader.
   EXPECT_EQ(held.size(), kConnections - 1u);
   std::ranges::for_each(held, Echo);
   // Non-idempotent requests do not use connections that were idle for 1.5 s.
@@ -323,8 +326,9 @@
   EXPECT_LT(SteadyClock().NowMs() - begin, 200);
 }
 
-// Guards against a request that works on for a caller who has left.
-TEST(Gateway, CancelsForCallersThatLeave)
+// Guards against a request that goes on at the server after its caller has
+// disconnected.
+TEST(Gateway, CancelsWhenTheCallerDisconnects)
 {
   GatewayFixture fixture([](Exchange&) {}, 1);
   {
@@ -337,12 +341,13 @@
     fixture.RunUntil([&] { return fixture.Backend(0).ClosedByClient() == 1; }));
 }
 
-// Guards against a gateway that ran late and sends on what it reads only then,
-// although the caller has given up meanwhile (large eg-north, rule GONE).
-TEST(Gateway, DoesNotSendOnForCallersThatHaveLeft)
+// Guards against a delayed gateway that forwards requests whose callers have
+// disconnected in the meantime (large eg-north, rule GONE).
+TEST(Gateway, DoesNotForwardForDisconnectedCallers)
 {
   GatewayFixture fixture(Echo, 1);
-  // An open connection to the backend server takes a request at once.
+  // With an open connection to the backend server, a request would be sent at
+  // once.
   ASSERT_EQ(StatusOf(fixture.SendAndWait(
               GatewayFixture::MakeRequest("GET", "plain", "first"))),
             200);
@@ -355,15 +360,15 @@
   const auto request = GatewayFixture::MakeRequest("GET", "plain", "given-up");
   EXPECT_EQ(::send(caller, request.data(), request.size(), MSG_NOSIGNAL),
             static_cast<ssize_t>(request.size()));
-  // The rig's loop does not run until here.
+  // The event loop does not run until here.
   ::close(caller);
   fixture.RunFor(200);
   EXPECT_EQ(fixture.BackendRequests(), 1);
 }
 
-// Guards against a departure that is not noticed because reading is paused
+// Guards against a disconnect that is not noticed because reading is paused
 // while many requests of the connection wait.
-TEST(Gateway, NoticesDeparturesBehindManyRequests)
+TEST(Gateway, NoticesDisconnectBehindPipelinedRequests)
 {
   GatewayFixture fixture([](Exchange&) {}, 1);
   {
@@ -378,26 +383,27 @@
     fixture.RunFor(100);
   }
   fixture.RunFor(200);
-  // The deadline of the requests is later.
+  // The requests' deadline has not passed yet, so the disconnect ended the
+  // attempts.
   EXPECT_GT(fixture.Backend(0).ClosedByClient(), 0);
 }
 
-// Guards against an answer after the deadline, and against calling a request
-// "not run" that a silent server may have run.
-TEST(Gateway, SilentServerEndsAtTheDeadline)
+// Guards against a response after the deadline, and against reporting a request
+// as not executed that an unresponsive server may have executed.
+TEST(Gateway, UnresponsiveServerTimesOutAtTheDeadline)
 {
   GatewayFixture fixture([](Exchange&) {});
   const TimeMs startMs = SteadyClock().NowMs();
   EXPECT_EQ(StatusOf(fixture.SendAndWait(
               GatewayFixture::MakeRequest("POST", "plain", "1"))),
             504);
-  const TimeMs tookMs = SteadyClock().NowMs() - startMs;
-  EXPECT_GE(tookMs, 850);
-  EXPECT_LT(tookMs, 1400);
+  const TimeMs elapsedMs = SteadyClock().NowMs() - startMs;
+  EXPECT_GE(elapsedMs, 850);
+  EXPECT_LT(elapsedMs, 1400);
 }
 
-// Guards against settings that change only with the next start of the process,
-// and against wrong ones that replace those in force.
+// Guards against settings that take effect only after a restart, and against
+// invalid settings that replace those in force.
 TEST(Gateway, ReloadsItsSettings)
 {
   bool fails = true;
@@ -424,14 +430,15 @@
   EXPECT_EQ(fixture.BackendRequests(), 3);
 }
 
-// Guards against losing keys or requests while the store is away.
-TEST(Gateway, ServesWhileTheStoreIsAway)
+// Guards against losing keys or requests while the store is unreachable.
+TEST(Gateway, ServesWhileTheStoreIsUnreachable)
 {
   GatewayFixture fixture(Echo);
   fixture.SetStoreDown(true);
-  const auto before = fixture.OrderBodies().size();
+  const auto before = fixture.CommandBodies().size();
   fixture.RunFor(2500);
-  EXPECT_GE(fixture.OrderBodies().size(), before + 2) << "renewals stopped";
+  EXPECT_GE(fixture.CommandBodies().size(), before + 2)
+    << "leases are no longer renewed";
   EXPECT_EQ(StatusOf(fixture.SendAndWait(
               GatewayFixture::MakeRequest("GET", "plain", "1"))),
             200);
@@ -440,20 +447,20 @@
             200);
 }
 
-// Guards against a new leader that is silent while its first grants are
-// answered: each answer rebuilt all owners, so a leader with half a core was
-// replaced after 0.8 s, and the next one as well (large eg-north, after a power
-// loss of all).
-TEST(Gateway, ANewLeaderGrantsToManyServersInTime)
+// Guards against a new leader that sends no heartbeats while it handles the
+// responses to its first grants: each response rebuilt all owners, so a leader
+// with half a core was replaced after 0.8 s, and the next one as well (large
+// eg-north, after a power loss of all).
+TEST(Gateway, NewLeaderGrantsToManyServersInTime)
 {
   constexpr int kServers = 776;
-  // Half a core until the others take the leader as silent. The rig's store and
-  // servers are in this time as well.
+  // CPU time of half a core until the other gateways would replace the leader.
+  // It includes the store and the servers of the fixture.
   constexpr double kSeconds = LeaderTiming::kSilenceMs / 2000.0;
   const auto started = std::clock();
   GatewayFixture fixture(Echo, 1, kServers);
   ASSERT_TRUE(fixture.RunUntil(
-    [&] { return fixture.OrderBodies().size() >= size_t{ kServers }; }));
+    [&] { return fixture.CommandBodies().size() >= size_t{ kServers }; }));
   fixture.RunFor(50);
   const auto ticks = static_cast<double>(std::clock() - started);
   EXPECT_LT(ticks / CLOCKS_PER_SEC, kSeconds);
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -9,9 +9,9 @@
 namespace cactuspitch {
 namespace {
 
-// Guards against an answer without end that fills the memory until its time
-// limit: bodies of one length, of chunks, and up to the end of the connection.
-TEST(HttpClient, AnswersWithoutEndAreCutOff)
+// Guards against an unbounded response that exhausts memory until its timeout:
+// with a Content-Length, in chunks, and up to the end of the connection.
+TEST(HttpClient, UnboundedResponsesAreAborted)
 {
   constexpr size_t kLimit = 100000;
   constexpr size_t kBurst = 1 << 20;
--- a/tests/HttpParserTest.cpp
+++ b/tests/HttpParserTest.cpp
@@ -15,46 +15,46 @@
 {
   ParseState state_;
   std::string body_;
-  std::string rest_;
+  std::string remainder_;
   HttpHead head_;
 };
 
-/// Feeds the text in pieces of the given sizes, then the remainder.
-Parsed ParseInPieces(HttpMessageType aRole,
-                     const std::string& aText,
-                     const std::vector<size_t>& aSizes)
+/// Parses the text in segments of the given sizes, then the remainder.
+Parsed ParseInSegments(HttpMessageType aType,
+                       const std::string& aText,
+                       const std::vector<size_t>& aSizes)
 {
-  HttpParser parser(aRole, kMaxHead);
+  HttpParser parser(aType, kMaxHead);
   Parsed result;
   std::string input;
-  size_t at = 0;
+  size_t position = 0;
   const auto feed = [&](size_t aCount) {
-    input += aText.substr(at, aCount);
-    at = std::min(at + aCount, aText.size());
+    input += aText.substr(position, aCount);
+    position = std::min(position + aCount, aText.size());
     result.state_ = parser.Parse(input, result.body_);
     return result.state_ != ParseState::Done &&
            result.state_ != ParseState::Failed;
   };
-  bool goesOn = true;
-  for (size_t index = 0; goesOn && index < aSizes.size(); ++index) {
-    goesOn = feed(aSizes[index]);
+  bool needsInput = true;
+  for (size_t index = 0; needsInput && index < aSizes.size(); ++index) {
+    needsInput = feed(aSizes[index]);
   }
-  if (goesOn) {
+  if (needsInput) {
     feed(aText.size());
   }
-  result.rest_ = input + aText.substr(at);
+  result.remainder_ = input + aText.substr(position);
   result.head_ = parser.Head();
   return result;
 }
 
 Parsed ParseRequest(const std::string& aText)
 {
-  return ParseInPieces(HttpMessageType::Request, aText, {});
+  return ParseInSegments(HttpMessageType::Request, aText, {});
 }
 
-// Guards against requests whose end two servers would see at different places:
-// forwarded, the rest of one would be taken for the next.
-TEST(HttpParser, RefusesAmbiguousFraming)
+// Guards against requests whose end two servers could see at different places:
+// the end of a forwarded request could then be taken for the next request.
+TEST(HttpParser, RejectsAmbiguousFraming)
 {
   const std::vector<std::string> heads = {
     "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
@@ -77,8 +77,8 @@
   }
 }
 
-// Guards against a head that fills the memory.
-TEST(HttpParser, RefusesLargeHead)
+// Guards against a head that exhausts memory.
+TEST(HttpParser, RejectsLargeHead)
 {
   HttpParser parser(HttpMessageType::Request, kMaxHead);
   std::string input = "GET / HTTP/1.1\r\nX: " + std::string(2 * kMaxHead, 'a');
@@ -87,19 +87,19 @@
   EXPECT_TRUE(parser.IsTooLarge());
 }
 
-// Guards against losing the pipelined request behind another one.
+// Guards against losing the next pipelined request.
 TEST(HttpParser, LeavesTheNextMessage)
 {
   const auto parsed = ParseRequest(
     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhelloGET /b");
   EXPECT_EQ(parsed.state_, ParseState::Done);
   EXPECT_EQ(parsed.body_, "hello");
-  EXPECT_EQ(parsed.rest_, "GET /b");
+  EXPECT_EQ(parsed.remainder_, "GET /b");
 }
 
-// Guards against an answer without a length that counts as complete although
-// its connection broke, and against one that ends in order and counts as lost.
-TEST(HttpParser, UnframedAnswerEndsWithTheStream)
+// Guards against a close-delimited response that counts as complete although
+// its connection broke, and against one that ended in order and counts as lost.
+TEST(HttpParser, CloseDelimitedResponseEndsWithTheStream)
 {
   HttpParser parser(HttpMessageType::Response, kMaxHead);
   std::string input = "HTTP/1.1 200 OK\r\n\r\npart";
@@ -110,8 +110,8 @@
   EXPECT_EQ(body, "part");
 }
 
-// Guards against a truncated answer that looks complete.
-TEST(HttpParser, TruncatedAnswerIsNotComplete)
+// Guards against a truncated response that counts as complete.
+TEST(HttpParser, TruncatedResponseIsNotComplete)
 {
   HttpParser parser(HttpMessageType::Response, kMaxHead);
   std::string input = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
@@ -121,7 +121,7 @@
   EXPECT_FALSE(parser.FinishAtEof());
 }
 
-// Guards against forwarding fields that concern one connection only.
+// Guards against forwarding hop-by-hop fields.
 TEST(HttpParser, DropsHopByHopFields)
 {
   auto parsed = ParseRequest("GET / HTTP/1.1\r\nHost: h\r\nConnection: close, "
@@ -132,8 +132,8 @@
   EXPECT_FALSE(parsed.head_.KeepsAlive());
 }
 
-// Guards against results that depend on how the network cut the bytes.
-RC_GTEST_PROP(HttpParserProperty, PiecesMakeNoDifference, ())
+// Guards against results that depend on how the network segments the bytes.
+RC_GTEST_PROP(HttpParserProperty, ResultIsIndependentOfSegmentation, ())
 {
   const auto chunk =
     *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
@@ -151,17 +151,17 @@
   text += "GET /next";
   const auto sizes =
     *rc::gen::container<std::vector<size_t>>(rc::gen::inRange<size_t>(1, 20));
-  const auto parsed = ParseInPieces(HttpMessageType::Request, text, sizes);
+  const auto parsed = ParseInSegments(HttpMessageType::Request, text, sizes);
   RC_ASSERT(parsed.state_ == ParseState::Done);
   RC_ASSERT(parsed.body_ == chunk);
-  RC_ASSERT(parsed.rest_ == "GET /next");
+  RC_ASSERT(parsed.remainder_ == "GET /next");
 }
 
-// Guards against a crash or an endless loop on bytes that are no message.
-RC_GTEST_PROP(HttpParserProperty, SurvivesAnyBytes, ())
+// Guards against a crash or an endless loop on bytes that are no HTTP message.
+RC_GTEST_PROP(HttpParserProperty, SurvivesArbitraryBytes, ())
 {
   const auto text = *rc::gen::arbitrary<std::string>();
-  const auto role =
+  const auto type =
     *rc::gen::element(HttpMessageType::Request, HttpMessageType::Response);
   const auto prefix = *rc::gen::element<std::string>(
     "",
@@ -169,7 +169,7 @@
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
   const auto sizes =
     *rc::gen::container<std::vector<size_t>>(rc::gen::inRange<size_t>(1, 9));
-  ParseInPieces(role, prefix + text, sizes);
+  ParseInSegments(type, prefix + text, sizes);
 }
 
 }
--- a/tests/ReservedPort.cpp
+++ b/tests/ReservedPort.cpp
@@ -14,7 +14,7 @@
 
 namespace detail {
 
-// Below the range from which the kernel takes ports of outgoing connections.
+// Below the kernel's range of ephemeral ports.
 constexpr int kFirstPort = 22000;
 // scripts/demo uses the 100 ports that follow.
 constexpr int kPortCount = 900;
@@ -50,7 +50,7 @@
       return;
     }
   }
-  throw std::runtime_error("no free port");
+  throw std::runtime_error("no free port in the reserved range");
 }
 
 ReservedPort::~ReservedPort()
--- a/tests/ReservedPort.hpp
+++ b/tests/ReservedPort.hpp
@@ -4,9 +4,9 @@
 
 namespace cactuspitch {
 
-/// Loopback port that no other test takes while this object lives. The socket
+/// Loopback port that no other test uses while this object exists. The socket
 /// is bound but not listening, so a server that sets SO_REUSEADDR can still
-/// listen there, and until then connections are refused.
+/// listen on the port, and until then connections are refused.
 class ReservedPort
 {
 public:
--- a/tests/ScriptedServer.cpp
+++ b/tests/ScriptedServer.cpp
@@ -18,7 +18,7 @@
 
 Endpoint FreeEndpoint()
 {
-  // Reserved for the life of the test program.
+  // Reserved until the test program ends.
   static std::vector<ReservedPort> ports;
   ports.emplace_back();
   Endpoint endpoint;
@@ -81,7 +81,7 @@
   , address_(FreeEndpoint())
 {
   if (!listener_.Listen(address_)) {
-    throw std::runtime_error("cannot listen");
+    throw std::runtime_error("cannot listen on the reserved port");
   }
 }
 
@@ -98,7 +98,7 @@
 void ScriptedServer::Restart()
 {
   if (!listener_.Listen(address_)) {
-    throw std::runtime_error("cannot listen again");
+    throw std::runtime_error("cannot listen on the reserved port again");
   }
 }
 
--- a/tests/ScriptedServer.hpp
+++ b/tests/ScriptedServer.hpp
@@ -11,8 +11,8 @@
 
 namespace cactuspitch {
 
-/// HTTP server on the loop of the test. The script of a test decides what is
-/// written for each request, and whether the connection ends.
+/// HTTP server on the event loop of the test. The script of a test decides what
+/// is written for each request, and whether the connection ends.
 class ScriptedServer
 {
 public:
@@ -30,15 +30,15 @@
   ScriptedServer(EventLoop& aLoop, Script aScript);
   ~ScriptedServer();
   Endpoint Address() const { return address_; }
-  /// Resets each new connection, as a server does that has too many.
+  /// Resets each new connection, as a server with too many connections does.
   void SetFull(bool aFull) { full_ = aFull; }
-  /// Resets all connections and refuses new ones, as a process does that ends.
+  /// Resets all connections and refuses new ones, as when a process crashes.
   void Crash();
   /// Listens again at the same address.
   void Restart();
   int Accepted() const { return accepted_; }
   int Requests() const { return requests_; }
-  /// Connections that their client has closed.
+  /// Number of connections that their client has closed.
   int ClosedByClient() const { return closedByClient_; }
 
 private:
@@ -55,14 +55,14 @@
   std::vector<std::shared_ptr<Connection>> connections_;
 };
 
-/// An answer in HTTP with this body.
+/// Returns an HTTP response with this status and body.
 std::string TextResponse(int aStatus, std::string_view aBody);
 
 void RunLoopFor(EventLoop& aLoop, TimeMs aMs);
-/// Runs the loop until aDone holds; false after 5 s.
+/// Runs the loop until aDone returns true. Returns false after 5 s.
 bool RunLoopUntil(EventLoop& aLoop, const std::function<bool()>& aDone);
 
-/// Loopback address that stays reserved for the life of the test program.
+/// Returns a loopback address that stays reserved until the test program ends.
 Endpoint FreeEndpoint();
 
 }
--- a/tests/ServerNoticesTest.cpp
+++ b/tests/ServerNoticesTest.cpp
@@ -20,8 +20,9 @@
   return Concat(plain.substr(0, line), aFields, plain.substr(line));
 }
 
-/// Changes are gathered for 200 ms before they are watched for again.
-constexpr TimeMs kWatchMs = 500;
+/// Time until a change takes effect: changes are batched for 200 ms before the
+/// next watch.
+constexpr TimeMs kWatchDelayMs = 500;
 constexpr std::string_view kLeaving = "Server-Leaving: 1\r\n";
 
 std::string Refusal(std::string_view aFields)
@@ -31,24 +32,24 @@
                 "Content-Length: 0\r\n\r\n");
 }
 
-bool IsServed(const std::string& aAnswer)
+bool IsServed(const std::string& aResponse)
 {
-  return aAnswer.find("\r\n\r\nbody") != std::string::npos;
+  return aResponse.find("\r\n\r\nbody") != std::string::npos;
 }
 
-/// Requests that each server got.
+/// Number of requests that each server received.
 struct Counts
 {
   std::map<ScriptedServer*, int> requests_;
-  ScriptedServer* marked_ = nullptr; ///< the server that sends the notice
+  ScriptedServer* notifier_ = nullptr; ///< server that sends the notice
 };
 
-// Guards against requests that go to a server after it said that it leaves, in
-// any kind of answer, and against the notice reaching callers.
+// Guards against requests to a server after it announced in any kind of
+// response that it leaves, and against the notice reaching callers.
 TEST(ServerNotices, LeavingServerGetsNoNewRequests)
 {
   using Script = std::function<void(Exchange&)>;
-  const std::map<std::string, Script> answers = {
+  const std::map<std::string, Script> responses = {
     { "success",
       [](Exchange& aExchange) {
         aExchange.write_(MakeResponse(aExchange, kLeaving));
@@ -69,16 +70,16 @@
         aExchange.close_();
       } },
   };
-  for (const auto& entry : answers) {
+  for (const auto& entry : responses) {
     const auto& name = entry.first;
-    const auto& answer = entry.second;
+    const auto& response = entry.second;
     Counts counts;
     GatewayFixture fixture(
       [&](Exchange& aExchange) {
         ++counts.requests_[aExchange.server_];
-        if (counts.marked_ == nullptr) {
-          counts.marked_ = aExchange.server_;
-          answer(aExchange);
+        if (counts.notifier_ == nullptr) {
+          counts.notifier_ = aExchange.server_;
+          response(aExchange);
         } else {
           aExchange.write_(MakeResponse(aExchange, ""));
         }
@@ -86,26 +87,27 @@
       2);
     const auto first =
       fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "first"));
-    ASSERT_NE(counts.marked_, nullptr) << name;
+    ASSERT_NE(counts.notifier_, nullptr) << name;
     EXPECT_EQ(first.find("Server-Leaving"), std::string::npos) << name;
     for (int id = 0; id < 20; ++id) {
       EXPECT_TRUE(IsServed(fixture.SendAndWait(
         GatewayFixture::MakeRequest("GET", "plain", Concat(id)))))
         << name;
     }
-    EXPECT_EQ(counts.requests_[counts.marked_], 1) << name;
+    EXPECT_EQ(counts.requests_[counts.notifier_], 1) << name;
   }
 }
 
 // Guards against a leaving server that is used again because a watch replays
-// its registration, and against a new life at its address that is not used.
-TEST(ServerNotices, LeavingOutlivesReplaysAndEndsWithTheLife)
+// its registration, and against a new incarnation at its address that is not
+// used.
+TEST(ServerNotices, LeavingOutlivesReplaysAndEndsWithTheIncarnation)
 {
   Counts counts;
   GatewayFixture fixture(
     [&](Exchange& aExchange) {
       ++counts.requests_[aExchange.server_];
-      counts.marked_ = aExchange.server_;
+      counts.notifier_ = aExchange.server_;
       aExchange.write_(MakeResponse(
         aExchange,
         counts.requests_.at(aExchange.server_) == 1 ? kLeaving : ""));
@@ -114,18 +116,18 @@
   EXPECT_TRUE(IsServed(
     fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "1"))));
   fixture.Reregister(0, 1);
-  fixture.RunFor(kWatchMs);
+  fixture.RunFor(kWatchDelayMs);
   EXPECT_FALSE(IsServed(
     fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "2"))));
   EXPECT_EQ(counts.requests_.at(&fixture.Backend(0)), 1);
   fixture.Reregister(0, 2);
-  fixture.RunFor(kWatchMs);
+  fixture.RunFor(kWatchDelayMs);
   EXPECT_TRUE(IsServed(
     fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "3"))));
 }
 
-// Guards against another gateway that goes on sending to a leaving server until
-// it finds out by itself.
+// Guards against another gateway that keeps sending requests to a leaving
+// server until it learns of the leave by itself.
 TEST(ServerNotices, OtherGatewaysLearnOfLeavingServers)
 {
   int requests = 0;
@@ -145,9 +147,9 @@
   EXPECT_EQ(requests, 1);
 }
 
-// Guards against requests to a server that asked for a pause, and against a
-// server that is never used again after it.
-TEST(ServerNotices, PausedServerGetsNothingUntilThePauseEnds)
+// Guards against requests to a server during the pause that it asked for, and
+// against a server that is never used again after it.
+TEST(ServerNotices, PausedServerGetsNoRequestsUntilThePauseEnds)
 {
   int requests = 0;
   GatewayFixture fixture(
@@ -170,9 +172,9 @@
   }
 }
 
-// Guards against callers that wait although the only server has paused, and
-// against a time to come back that is not the rest of the pause.
-TEST(ServerNotices, RefusesAtOnceWhileAllServersPause)
+// Guards against queueing requests although the only server is paused, and
+// against a Retry-After time other than the rest of the pause.
+TEST(ServerNotices, RejectsAtOnceWhileAllServersArePaused)
 {
   int requests = 0;
   GatewayFixture fixture(
@@ -184,19 +186,19 @@
   fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "1"));
   fixture.RunFor(600);
   const auto begin = SteadyClock().NowMs();
-  const auto answer =
+  const auto response =
     fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "2"));
   EXPECT_LT(SteadyClock().NowMs() - begin, 100);
-  EXPECT_NE(answer.find(" 503 "), std::string::npos);
-  const auto field = answer.find("Retry-After: ");
+  EXPECT_NE(response.find(" 503 "), std::string::npos);
+  const auto field = response.find("Retry-After: ");
   ASSERT_NE(field, std::string::npos);
-  EXPECT_GT(std::stod(answer.substr(field + 13)), 1.5);
-  EXPECT_LT(std::stod(answer.substr(field + 13)), 4);
+  EXPECT_GT(std::stod(response.substr(field + 13)), 1.5);
+  EXPECT_LT(std::stod(response.substr(field + 13)), 4);
   EXPECT_EQ(requests, 1);
 }
 
-// Guards against a server that gets all waiting requests at once after a pause
-// because earlier requests of it went well meanwhile.
+// Guards against a server that gets all queued requests at once after a pause,
+// because earlier requests succeeded there during the pause.
 TEST(ServerNotices, RequestsReturnOneAtATimeAfterAPause)
 {
   std::vector<Exchange> held;
@@ -209,7 +211,7 @@
       }
     },
     1);
-  const auto answerAll = [&] {
+  const auto respondToAll = [&] {
     for (const auto& exchange : std::exchange(held, {})) {
       exchange.write_(MakeResponse(exchange, ""));
     }
@@ -221,7 +223,7 @@
   }
   ASSERT_TRUE(fixture.RunUntil([&] { return held.size() == 3; }));
   fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "refused"));
-  answerAll();
+  respondToAll();
   fixture.RunFor(1300);
   for (int id = 0; id < 4; ++id) {
     callers.push_back(
@@ -229,12 +231,12 @@
   }
   fixture.RunFor(40);
   EXPECT_EQ(held.size(), 1U);
-  answerAll();
+  respondToAll();
   fixture.RunFor(40);
   EXPECT_EQ(held.size(), 2U);
 }
 
-// Guards against a pause in fractions of a second that is not kept.
+// Guards against ignoring a pause given in fractions of a second.
 TEST(ServerNotices, FractionalPauseIsKept)
 {
   int requests = 0;
@@ -254,7 +256,8 @@
     fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "3"))));
 }
 
-// Guards against malformed times that bar a server or end the process.
+// Guards against malformed Retry-After values that exclude a server or end the
+// process.
 TEST(ServerNotices, MalformedPausesAreIgnored)
 {
   for (const char* value : { "",
@@ -283,8 +286,8 @@
   }
 }
 
-// Guards against keys that stay with a server that leaves although its
-// registration does not say so yet.
+// Guards against keys that stay with a leaving server while its registration
+// does not show yet that it leaves.
 TEST(ServerNotices, KeysOfALeavingServerMove)
 {
   GatewayFixture fixture([](Exchange&) {}, 1, 2);
@@ -302,20 +305,21 @@
       "GET", "keyed", Concat(aId), "Cactuspitch-Shard-Key: 77\r\n"));
   };
   EXPECT_TRUE(IsServed(ask(0)));
-  int late = 0;
+  int misroutedRequests = 0;
   fixture.SetKeyedScript([&](Exchange& aExchange) {
-    late += aExchange.head_.Field("Cactuspitch-Target-Instance") == first;
+    misroutedRequests +=
+      aExchange.head_.Field("Cactuspitch-Target-Instance") == first;
     aExchange.write_(MakeResponse(aExchange, ""));
   });
   fixture.RunFor(1000);
   for (int id = 1; id < 10; ++id) {
     EXPECT_TRUE(IsServed(ask(id)));
   }
-  EXPECT_EQ(late, 0);
+  EXPECT_EQ(misroutedRequests, 0);
 }
 
-// Guards against keys that stay with a leaving server that has no requests: it
-// says so only in its answers to orders.
+// Guards against keys that stay with a leaving server that receives no
+// requests: it announces the leave only in its responses to commands.
 TEST(ServerNotices, KeysOfAnIdleLeavingServerMove)
 {
   GatewayFixture fixture([](Exchange&) {}, 1, 2);
@@ -330,14 +334,14 @@
     return owner;
   };
   const auto first = ownerOf("1");
-  fixture.SetOrderScript([&](Exchange& aExchange) {
+  fixture.SetCommandScript([&](Exchange& aExchange) {
     const bool leaves =
       aExchange.head_.Field("Cactuspitch-Target-Instance") == first;
     aExchange.write_(Concat("HTTP/1.1 200 OK\r\n",
                             leaves ? kLeaving : "",
                             "Content-Length: 0\r\n\r\n"));
   });
-  // Holds are prolonged within this time.
+  // Leases are renewed within this time.
   fixture.RunFor(5000);
   EXPECT_NE(ownerOf("2"), first);
 }
