--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -12,7 +12,7 @@
 
 constexpr TimeMs kReconnectDelayMs = 400;
 constexpr TimeMs kMaxReconnectDelayMs = 1500;
-/// Idle connections are closed this long before the server would do it.
+/// Idle connections are closed this long before the idle timeout of the server.
 constexpr TimeMs kIdleMarginMs = 1500;
 constexpr double kMeanServiceTimeWeight = 0.02;
 constexpr double kInitialServiceTimeMs = 100;
@@ -150,13 +150,14 @@
   const TimeMs nowMs = loop_.NowMs();
   auto& idle = aBackend->idle_;
   std::shared_ptr<BackendConnection> connection;
-  // The last one returned is the one most surely alive.
+  // The most recently used connection is the least likely to be closed already.
   if (!idle.empty() && nowMs - idle.back()->idleSinceMs_ <= aMaxIdleMs) {
     connection = std::move(idle.back());
     idle.pop_back();
   } else if (aBackend->busy_.size() < aMaxConnections) {
     if (aBackend->Connections() >= aMaxConnections) {
-      // All idle ones are too old for this request; the oldest makes room.
+      // All idle connections are too old for this request; the oldest one is
+      // closed to keep the limit.
       loop_.Defer([oldest = std::move(idle.front())] {});
       idle.erase(idle.begin());
     }
@@ -229,7 +230,7 @@
 
 void BackendPool::CloseIdleOf(Backend& aBackend)
 {
-  // One of them may be the caller.
+  // Deferred, because the caller may be a member function of one of them.
   loop_.Defer([idle = std::exchange(aBackend.idle_, {})] {});
 }
 
@@ -288,7 +289,7 @@
     aConnection->stream_.PauseReading(false);
     backend.idle_.push_back(aConnection);
   } else {
-    // Kept alive until its handlers have returned.
+    // Keeps the connection alive until its handlers have returned.
     loop_.Defer([aConnection] {});
   }
 }
--- a/gateway/CallerConnection.cpp
+++ b/gateway/CallerConnection.cpp
@@ -8,14 +8,15 @@
 
 namespace detail {
 
-/// Requests of one connection that are read ahead.
+/// Limit of pipelined requests of one connection.
 constexpr size_t kMaxPipelinedRequests = 16;
-/// Bytes of further requests that are read although they have to wait, so that
-/// the end of the stream behind them is noticed.
+/// Bytes of further requests that are read while the pipeline is full, so that
+/// a close behind them is noticed.
 constexpr size_t kMaxReadAheadBytes = 65536;
-/// Answers that wait for the caller to read pause the reading of requests.
+/// With this much unsent output, further responses wait, and so does the
+/// reading of requests.
 constexpr size_t kMaxPendingOutput = 524288;
-/// Time for the caller to read the last answer and close.
+/// Time for the caller to read the last response and close.
 constexpr TimeMs kLingerMs = 500;
 /// Limits before the first configuration is known.
 constexpr CallerLimits kDefaultLimits;
@@ -78,7 +79,7 @@
     return;
   }
   if (!pipeline_.empty()) {
-    // The requests have limits of their own.
+    // The requests in progress have timeouts of their own.
     StartTimer();
     return;
   }
@@ -88,8 +89,8 @@
 void CallerConnection::OnInput()
 {
   const auto self = shared_from_this();
-  // A gateway that ran late finds requests whose caller has given up: the end
-  // of the stream follows them, and nothing is sent on for nobody.
+  // After a delay of this process, a request may be read together with the end
+  // of its stream: the caller has given up, so the request is not forwarded.
   if (stream_.HasPeerClosed()) {
     Close();
     return;
@@ -144,7 +145,7 @@
   }
   if (incompleteRequest_ != nullptr && incompleteRequest_->IsCompleted() &&
       state != ParseState::Done) {
-    // Refused before its end: the rest of it is not read.
+    // Rejected before it was complete: the remainder is not read.
     closing_ = true;
     incompleteRequest_ = nullptr;
     WriteResponses();
@@ -157,9 +158,9 @@
   parser_ = HttpParser(HttpMessageType::Request,
                        detail::LimitsOf(forwarder_).headerBytes_);
   StartTimer();
-  // A request that must not run twice waits until the answers before it are
-  // written: one of them might close the connection, and then the caller sends
-  // it again.
+  // A non-idempotent request waits until the responses before it are written:
+  // one of them might close the connection, and then the caller sends the
+  // request again.
   const bool isFront = pipeline_.front() == request;
   request->OnRequestRead(isFront || request->IsRepeatable());
   return true;
@@ -243,7 +244,7 @@
   }
   if (ended) {
     closing_ = true;
-    // Later requests were not answered; the caller sends them again.
+    // Later requests got no response; the caller sends them again.
     for (auto& request : std::exchange(pipeline_, {})) {
       request->OnCallerDisconnected();
     }
@@ -261,8 +262,8 @@
 
 void CallerConnection::StartLingering()
 {
-  // Closing with unread bytes would reset the connection, and the caller could
-  // lose the answer: it gets the end of the stream first.
+  // Closing with unread input would reset the connection, and the caller could
+  // lose the response. So the sending direction is shut down first.
   lingering_ = true;
   stream_.ShutdownOutput();
   timer_.Start(detail::kLingerMs);
@@ -277,7 +278,7 @@
 
 void CallerConnection::OnResponseAborted()
 {
-  // The caller must not take what it has for the whole answer.
+  // A reset keeps the caller from taking the partial response as complete.
   const auto self = shared_from_this();
   stream_.Abort();
   OnDisconnected();
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -11,22 +11,23 @@
 
 namespace detail {
 
-/// Answers up to this size are sent once they are complete, so that one that
-/// breaks off can be asked for again; larger ones are passed on as they come.
+/// Responses up to this size are buffered until they are complete, so that a
+/// truncated one can be retried; larger ones are streamed.
 constexpr size_t kBufferedResponseBytes = 262144;
-/// Output of a streamed answer that the caller has not taken yet.
+/// Limit of buffered output of a streamed response; above it, reading from the
+/// backend server pauses.
 constexpr size_t kMaxOutputBytes = 262144;
 constexpr TimeMs kNoConfigRetryMs = 250;
 constexpr TimeMs kDefaultDeadlineMs = 30000;
-/// The server ends the work itself at the deadline it was given; its own
-/// answer is on the way for this long.
+/// The server itself ends the request at the deadline that it was given; this
+/// is the time for its response to arrive.
 constexpr TimeMs kDeadlineSlackMs = 25;
-/// Below this, a repeat has no chance to be answered.
+/// With less remaining time than this, a retry cannot get a response.
 constexpr TimeMs kMinRetryTimeMs = 20;
-/// Connections that may fail for one request before it is refused; more of them
-/// only keep a full server busy.
+/// Limit of failed connections for one request; more of them only keep a full
+/// server busy.
 constexpr int kMaxUnsentAttempts = 3;
-/// A connection idle for longer may be gone; a request that must not run twice
+/// A connection idle for longer may be closed already; a non-idempotent request
 /// is not risked on it.
 constexpr TimeMs kMaxIdleNonIdempotentMs = 1500;
 constexpr TimeMs kMaxIdleMs = 8000;
@@ -207,7 +208,8 @@
 bool ForwardedRequest::PassesQuarantine(const SuspectDecision& aDecision)
 {
   if (aDecision.verdict_ == SuspectVerdict::Refuse) {
-    // What an earlier attempt may have run is no refusal.
+    // 503 promises that the request was not executed, which does not hold if an
+    // earlier attempt may have been.
     Reject(mayHaveExecuted_ ? 502 : 503,
            "quarantined",
            aDecision.waitMs_ > 0 ? aDecision.waitMs_ : RemainingMs());
@@ -373,7 +375,7 @@
     return;
   }
   if (mayHaveExecuted_) {
-    // An earlier attempt may have run, so this is no refusal.
+    // An earlier attempt may have been executed, so 503 would be wrong.
     Reject(502, "attempts-exhausted", 0);
     return;
   }
@@ -417,7 +419,8 @@
   if (aUsesBudget) {
     forwarder_.Metrics().OnRetry();
   }
-  // Not from within the handler of the connection that has just ended.
+  // Deferred, because the handler of the connection that has just ended is
+  // running.
   queued_ = true;
   forwarder_.Loop().Defer([self = shared_from_this()] {
     if (self->queued_) {
@@ -433,7 +436,7 @@
     return;
   }
   const auto self = shared_from_this();
-  // The timer that runs this belongs to the request.
+  // Keeps the request, which owns the running timer, alive.
   forwarder_.Loop().Defer([self] {});
   const bool inProgress = connection_ != nullptr;
   if (headWritten_) {
@@ -481,7 +484,7 @@
              static_cast<double>(aRetryAfterMs) / kMsPerSecond,
              "\r\n");
   }
-  // A request whose end is unknown leaves the connection unusable.
+  // After a partly read request, the connection cannot be used for another one.
   announcedClose_ = sink_->WantsClose(*this) || !requestRead_;
   AppendTo(output_,
            announcedClose_ ? "Connection: close\r\n" : "",
@@ -572,8 +575,9 @@
     return;
   }
   if (connection_ != nullptr && !IsIdempotent()) {
-    // What is being recorded is recorded in full; nobody hears of it. The
-    // request stays alive until its server has answered.
+    // A non-idempotent request is executed to its end and its response is
+    // discarded. The connection to the server stays open until the server has
+    // responded.
     deadlineTimer_.Stop();
     connection_->Detach();
     connection_ = nullptr;
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -12,24 +12,26 @@
 
 namespace detail {
 
-/// Waiting requests are looked at this often even if nothing ends.
+/// Interval at which queued requests are dispatched again even if no attempt
+/// ends.
 constexpr TimeMs kQueueIntervalMs = 10;
-/// Part of the retry budget that is used: the others' clocks and windows
-/// differ from ours.
+/// Fraction of the retry budget that is used, because the clocks and time
+/// windows of other processes differ from those of this one.
 constexpr double kRetryBudgetSafetyFactor = 0.8;
 constexpr double kPercent = 100;
-/// The owner of a key is being changed: callers come back after this.
+/// Retry-After time while the owner of a key is being changed.
 constexpr TimeMs kMoveRetryMs = 60;
-/// A move of keys is over within this time, where both servers answer.
+/// Fraction of the route's latency objective for which a request waits for a
+/// key move; a move takes no longer if both servers respond.
 constexpr double kMoveWaitShare = 0.4;
-/// Callers of an overloaded owner come back after this part of their remaining
-/// time at the earliest.
+/// Lower bound of the Retry-After time of an overloaded owner, as a fraction of
+/// the caller's remaining time.
 constexpr double kMinRetryAfterShare = 0.1;
-/// Servers of other gateways that are compared for one request. All gateways
-/// share the same reports, so all of them would choose the same best server;
-/// the best of a few drawn ones spreads them.
+/// Number of non-preferred servers that are compared for one request. All
+/// gateways share the same load reports, so all of them would choose the same
+/// best server; choosing from a random sample spreads them.
 constexpr size_t kSampledBackends = 6;
-/// Size of the answers of a route before the first one.
+/// Assumed response size of a route before its first response.
 constexpr double kInitialResponseBytes = 2048;
 constexpr double kInitialDownloadBytes = 65536;
 constexpr double kResponseBytesWeight = 0.05;
@@ -140,8 +142,8 @@
 
 size_t Forwarder::ConnectionShare(const ServiceSpec& aService) const
 {
-  // All gateways share the connections of a server; a tenth stays free for
-  // the orders of the leader.
+  // All gateways share the connections of a server; a tenth is left to the
+  // commands of the leader.
   constexpr double kUsableShare = 0.9;
   const double share = aService.maxConnections_ * kUsableShare /
                        static_cast<double>(gatewayCount_);
@@ -264,7 +266,8 @@
     return;
   }
   std::uniform_int_distribution<size_t> pick(0, aAll.size() - 1);
-  // Draws may hit a home or a leaving server; twice as many are enough.
+  // A draw may hit a preferred or a leaving server; twice as many draws are
+  // enough.
   for (size_t draw = 0;
        draw < 2 * detail::kSampledBackends && aUsable.size() < wanted;
        ++draw) {
@@ -312,7 +315,8 @@
     return choice;
   }
   auto candidate = MakeCandidate(*backend, aRequest, choice.maxConnections_);
-  // Nobody else can run it, so a server that failed it is asked again.
+  // Only the owner can execute the request, so a failed attempt is retried
+  // there.
   candidate.tried_ = false;
   const auto decision =
     Place(options_,
@@ -348,7 +352,8 @@
 
 void Forwarder::DispatchQueued()
 {
-  // More urgent routes first, then in the order of arrival.
+  // By priority of the route, then in the order of arrival (the sort is
+  // stable).
   auto queued = std::exchange(queue_, {});
   queued.remove_if([](const auto& aRequest) { return !aRequest->IsQueued(); });
   queued.sort([](const auto& aLeft, const auto& aRight) {
--- a/net/EventLoop.hpp
+++ b/net/EventLoop.hpp
@@ -21,11 +21,12 @@
 
   void Run();
   void Stop();
-  /// CLOCK_BOOTTIME in ms, read once for each round of events. It counts the
-  /// time of a suspended instance, which leases must not miss.
+  /// CLOCK_BOOTTIME in ms, read once per iteration of the loop. It includes the
+  /// time for which the instance was suspended, so that leases expire in that
+  /// time too.
   TimeMs NowMs() const override;
-  /// Runs aCallback after the handlers of this round; objects that end during
-  /// their own handler are released this way.
+  /// Runs aCallback after the handlers of this iteration. An object that ends
+  /// in a handler of its own is destroyed this way.
   void Defer(std::function<void()> aCallback);
 
   struct ev_loop* Native() { return loop_; }
@@ -63,7 +64,7 @@
   ev_timer watcher_;
 };
 
-/// Watches a file descriptor; the owner keeps and closes it.
+/// Watches a file descriptor, which stays owned by the caller.
 class IoWatcher
 {
 public:
@@ -86,7 +87,7 @@
   int events_ = 0;
 };
 
-/// Handles a signal on the loop.
+/// Runs a callback on the loop when a signal arrives.
 class SignalWatcher
 {
 public:
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -10,8 +10,7 @@
 namespace detail {
 
 constexpr size_t kMaxResponseHeadBytes = 16384;
-/// A first packet that is lost is sent again after a second; a new call is
-/// sooner than that.
+/// A lost SYN is retransmitted after 1 s; a new call is made sooner than that.
 constexpr TimeMs kConnectTimeoutMs = 900;
 
 std::string Serialize(const Endpoint& aServer, const CallRequest& aRequest)
@@ -87,7 +86,7 @@
   void OnInput() override
   {
     if (!callback_) {
-      // Bytes without a call belong to nothing.
+      // Unsolicited bytes: no call is in progress.
       stream_.Close();
       client_.Remove(this);
       return;
@@ -133,7 +132,8 @@
         result.head_.KeepsAlive() && stream_.Input().empty()) {
       client_.Release(self);
     } else {
-      // A reset keeps bytes that are still under way from being carried out.
+      // A reset keeps the server from executing a request that is still in
+      // transit.
       stream_.Abort();
       client_.Remove(this);
     }
@@ -177,7 +177,7 @@
   } else if (aRequest.connectionPolicy_ == ConnectionPolicy::ReuseOnly) {
     loop_.Defer([callback = std::move(aCallback)] {
       CallResult result;
-      result.cause_ = "no kept connection";
+      result.cause_ = "no idle connection to reuse";
       callback(std::move(result));
     });
     return;
@@ -210,7 +210,8 @@
   const auto isSame = [&](const ConnectionPtr& aOther) {
     return aOther.get() == aConnection;
   };
-  // Kept alive until the handlers of this round have returned.
+  // Keeps the connection alive until the handlers of this iteration have
+  // returned.
   const auto drop = [&](auto& aContainer) {
     for (auto& connection : aContainer) {
       if (isSame(connection)) {
--- a/net/TcpStream.cpp
+++ b/net/TcpStream.cpp
@@ -17,8 +17,9 @@
 
 constexpr size_t kReadBytes = 32768;
 constexpr int kAcceptBacklog = 1024;
-/// A connection whose peer acknowledges nothing for this long is broken; a
-/// silent middlebox or an instance without power shows in no other way.
+/// A connection whose peer acknowledges nothing for this long is broken. A
+/// middlebox that drops packets, or an instance without power, shows in no
+/// other way.
 constexpr int kUserTimeoutMs = 3000;
 constexpr int kKeepAliveIdleS = 2;
 constexpr int kKeepAliveIntervalS = 1;
@@ -129,7 +130,7 @@
   }
   const bool wasEmpty = PendingOutput() == 0;
   if (connected_ && wasEmpty) {
-    // Writing directly saves the copy in the usual case.
+    // Direct writing avoids a copy in the usual case.
     const auto count = ::send(fd_, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
     if (count > 0) {
       writtenBytes_ += count;
--- a/tests/CompressionTest.cpp
+++ b/tests/CompressionTest.cpp
@@ -10,13 +10,14 @@
 
 constexpr size_t kMaxBytes = 1 << 20;
 
-// Guards against text that arrives changed.
+// Guards against text that changes in a round trip.
 RC_GTEST_PROP(Compression, RestoresTheText, (const std::string& aText))
 {
   RC_ASSERT(Decompress(Compress(aText), kMaxBytes) == aText);
 }
 
-// Guards against a crash or an endless loop on bytes of another kind.
+// Guards against a crash or an endless loop on bytes that are not compressed
+// text.
 RC_GTEST_PROP(Compression, RejectsInvalidBytes, (const std::string& aBytes))
 {
   RC_ASSERT(!Decompress(aBytes, kMaxBytes));
@@ -25,7 +26,7 @@
     !Decompress(compressed.substr(0, compressed.size() - 1), kMaxBytes));
 }
 
-// Guards against a small message that fills the memory.
+// Guards against a small message that exhausts memory (decompression bomb).
 TEST(Compression, LimitsTheTextSize)
 {
   const auto compressed = Compress(std::string(kMaxBytes + 1, 'a'));
@@ -33,8 +34,9 @@
   EXPECT_TRUE(Decompress(compressed, kMaxBytes + 1));
 }
 
-// Guards against a configuration of many routes that takes most of a second
-// from one gateway to each of 67 others (grown tas-south hunt-d275-7, CONFIG).
+// Guards against a configuration of many routes that takes most of a second to
+// send from one gateway to each of 67 others (grown tas-south hunt-d275-7,
+// CONFIG).
 TEST(Compression, CompressesRoutesWell)
 {
   std::string routes;
--- a/tests/GatewayFaultTest.cpp
+++ b/tests/GatewayFaultTest.cpp
@@ -14,7 +14,7 @@
 
 using Exchange = ScriptedServer::Exchange;
 
-/// More than a gateway holds back until the answer is complete.
+/// More than a gateway buffers before it starts to stream a response.
 constexpr size_t kStreamedBytes = 600000;
 
 void Echo(Exchange& aExchange)
@@ -31,8 +31,8 @@
            .find("\r\n\r\nafter") != std::string::npos;
 }
 
-// Guards against an answer that breaks off after its head was passed on and
-// reaches the caller as a complete success.
+// Guards against a response that is truncated after its head was forwarded and
+// reaches the caller as a complete one.
 TEST(GatewayFault, TruncatedStreamedResponseIsNeverComplete)
 {
   const auto sendTruncated = [](Exchange& aExchange, std::string aResponse) {
@@ -68,7 +68,7 @@
 }
 
 // Guards against a planned stop that cuts off requests which were accepted
-// before it, or just after it while callers do not know of it yet.
+// before it, or shortly after it while callers do not know of it yet.
 TEST(GatewayFault, PlannedStopCompletesAcceptedRequests)
 {
   EventLoop* loop = nullptr;
@@ -94,8 +94,8 @@
     std::string::npos);
 }
 
-// Guards against a planned stop that ends without an answer for what waits and
-// was never passed on.
+// Guards against a planned stop that leaves queued requests, which were never
+// forwarded, without a response.
 TEST(GatewayFault, PlannedStopRejectsQueuedRequests)
 {
   int calls = 0;
@@ -114,7 +114,8 @@
   };
   fixture.SendAndWait(call("1"));
   fixture.RunFor(100);
-  // A suspect runs on one server at a time, so the next one waits for this one.
+  // A suspect request is executed on one server at a time, so the next request
+  // has to wait for this one.
   std::raise(SIGTERM);
   fixture.RunFor(500);
   const auto running = fixture.Send(call("2"));
@@ -124,8 +125,8 @@
   EXPECT_EQ(calls, 2);
 }
 
-// Guards against a process that ends because of one malformed message of a
-// peer or a caller.
+// Guards against a process that ends because of a malformed message of a peer
+// or a caller.
 TEST(GatewayFault, SurvivesMalformedMessages)
 {
   GatewayFixture fixture(Echo, 1);
@@ -158,8 +159,8 @@
   EXPECT_TRUE(IsServed(fixture));
 }
 
-// Guards against requests to a server that has ended, whose registration has
-// not lapsed yet: the next life at its address turns them away.
+// Guards against requests to a server that has ended but whose registration has
+// not expired yet: the next server at its address rejects them.
 TEST(GatewayFault, EarlierServerAtAnAddressGetsNoRequests)
 {
   int misdirected = 0;
--- a/tests/GatewayFixture.cpp
+++ b/tests/GatewayFixture.cpp
@@ -40,9 +40,9 @@
   }
   addServer("keyed", "k0", [this](ScriptedServer::Exchange& aExchange) {
     if (aExchange.head_.target_.starts_with("/-/")) {
-      orderBodies_.push_back(aExchange.body_);
-      if (orderScript_) {
-        orderScript_(aExchange);
+      commandBodies_.push_back(aExchange.body_);
+      if (commandScript_) {
+        commandScript_(aExchange);
       } else {
         aExchange.write_(TextResponse(200, ""));
       }
@@ -88,9 +88,9 @@
 
   settings_ = MakeSettings("g1");
   gateway_ = StartGateway(settings_);
-  // Granted keys show that configuration and registrations are known.
-  if (!RunUntil([this] { return !orderBodies_.empty(); })) {
-    throw std::runtime_error("the gateway grants no keys");
+  // Keys are granted only once configuration and registrations are known.
+  if (!RunUntil([this] { return !commandBodies_.empty(); })) {
+    throw std::runtime_error("the gateway did not grant keys in time");
   }
   RunFor(100);
 }
@@ -124,7 +124,7 @@
     PlatformInterface{ requests_, orders_, objects_, registry_ },
     [this](Findings&) { return reloadedSettings_; });
   if (!gateway->Start()) {
-    throw std::runtime_error("the gateway does not start");
+    throw std::runtime_error("the gateway failed to start");
   }
   return gateway;
 }
--- a/tests/HttpParserTest.cpp
+++ b/tests/HttpParserTest.cpp
@@ -19,7 +19,7 @@
   HttpHead head_;
 };
 
-/// Feeds the text in pieces of the given sizes, then the remainder.
+/// Parses the text in segments of the given sizes, then the remainder.
 Parsed ParseInSegments(HttpMessageType aType,
                        const std::string& aText,
                        const std::vector<size_t>& aSizes)
@@ -52,8 +52,8 @@
   return ParseInSegments(HttpMessageType::Request, aText, {});
 }
 
-// Guards against requests whose end two servers would see at different places:
-// forwarded, the rest of one would be taken for the next.
+// Guards against requests whose end two servers could see at different places:
+// the end of a forwarded request could then be taken for the next request.
 TEST(HttpParser, RejectsAmbiguousFraming)
 {
   const std::vector<std::string> heads = {
@@ -77,7 +77,7 @@
   }
 }
 
-// Guards against a head that fills the memory.
+// Guards against a head that exhausts memory.
 TEST(HttpParser, RejectsLargeHead)
 {
   HttpParser parser(HttpMessageType::Request, kMaxHead);
@@ -87,7 +87,7 @@
   EXPECT_TRUE(parser.IsTooLarge());
 }
 
-// Guards against losing the pipelined request behind another one.
+// Guards against losing the next pipelined request.
 TEST(HttpParser, LeavesTheNextMessage)
 {
   const auto parsed = ParseRequest(
@@ -97,8 +97,8 @@
   EXPECT_EQ(parsed.remainder_, "GET /b");
 }
 
-// Guards against an answer without a length that counts as complete although
-// its connection broke, and against one that ends in order and counts as lost.
+// Guards against a close-delimited response that counts as complete although
+// its connection broke, and against one that ended in order and counts as lost.
 TEST(HttpParser, CloseDelimitedResponseEndsWithTheStream)
 {
   HttpParser parser(HttpMessageType::Response, kMaxHead);
@@ -110,7 +110,7 @@
   EXPECT_EQ(body, "part");
 }
 
-// Guards against a truncated answer that looks complete.
+// Guards against a truncated response that counts as complete.
 TEST(HttpParser, TruncatedResponseIsNotComplete)
 {
   HttpParser parser(HttpMessageType::Response, kMaxHead);
@@ -121,7 +121,7 @@
   EXPECT_FALSE(parser.FinishAtEof());
 }
 
-// Guards against forwarding fields that concern one connection only.
+// Guards against forwarding hop-by-hop fields.
 TEST(HttpParser, DropsHopByHopFields)
 {
   auto parsed = ParseRequest("GET / HTTP/1.1\r\nHost: h\r\nConnection: close, "
@@ -132,7 +132,7 @@
   EXPECT_FALSE(parsed.head_.KeepsAlive());
 }
 
-// Guards against results that depend on how the network cut the bytes.
+// Guards against results that depend on how the network segments the bytes.
 RC_GTEST_PROP(HttpParserProperty, ResultIsIndependentOfSegmentation, ())
 {
   const auto chunk =
@@ -157,7 +157,7 @@
   RC_ASSERT(parsed.remainder_ == "GET /next");
 }
 
-// Guards against a crash or an endless loop on bytes that are no message.
+// Guards against a crash or an endless loop on bytes that are no HTTP message.
 RC_GTEST_PROP(HttpParserProperty, SurvivesArbitraryBytes, ())
 {
   const auto text = *rc::gen::arbitrary<std::string>();
--- a/tests/ServerNoticesTest.cpp
+++ b/tests/ServerNoticesTest.cpp
@@ -20,7 +20,8 @@
   return Concat(plain.substr(0, line), aFields, plain.substr(line));
 }
 
-/// Changes are gathered for 200 ms before they are watched for again.
+/// Time until a change takes effect: changes are batched for 200 ms before the
+/// next watch.
 constexpr TimeMs kWatchDelayMs = 500;
 constexpr std::string_view kLeaving = "Server-Leaving: 1\r\n";
 
@@ -36,15 +37,15 @@
   return aResponse.find("\r\n\r\nbody") != std::string::npos;
 }
 
-/// Requests that each server got.
+/// Number of requests that each server received.
 struct Counts
 {
   std::map<ScriptedServer*, int> requests_;
-  ScriptedServer* notifier_ = nullptr; ///< the server that sends the notice
+  ScriptedServer* notifier_ = nullptr; ///< server that sends the notice
 };
 
-// Guards against requests that go to a server after it said that it leaves, in
-// any kind of answer, and against the notice reaching callers.
+// Guards against requests to a server after it announced in any kind of
+// response that it leaves, and against the notice reaching callers.
 TEST(ServerNotices, LeavingServerGetsNoNewRequests)
 {
   using Script = std::function<void(Exchange&)>;
@@ -98,7 +99,8 @@
 }
 
 // Guards against a leaving server that is used again because a watch replays
-// its registration, and against a new life at its address that is not used.
+// its registration, and against a new incarnation at its address that is not
+// used.
 TEST(ServerNotices, LeavingOutlivesReplaysAndEndsWithTheIncarnation)
 {
   Counts counts;
@@ -124,8 +126,8 @@
     fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "3"))));
 }
 
-// Guards against another gateway that goes on sending to a leaving server until
-// it finds out by itself.
+// Guards against another gateway that keeps sending requests to a leaving
+// server until it learns of the leave by itself.
 TEST(ServerNotices, OtherGatewaysLearnOfLeavingServers)
 {
   int requests = 0;
@@ -145,8 +147,8 @@
   EXPECT_EQ(requests, 1);
 }
 
-// Guards against requests to a server that asked for a pause, and against a
-// server that is never used again after it.
+// Guards against requests to a server during the pause that it asked for, and
+// against a server that is never used again after it.
 TEST(ServerNotices, PausedServerGetsNoRequestsUntilThePauseEnds)
 {
   int requests = 0;
@@ -170,8 +172,8 @@
   }
 }
 
-// Guards against callers that wait although the only server has paused, and
-// against a time to come back that is not the rest of the pause.
+// Guards against queueing requests although the only server is paused, and
+// against a Retry-After time other than the rest of the pause.
 TEST(ServerNotices, RejectsAtOnceWhileAllServersArePaused)
 {
   int requests = 0;
@@ -195,8 +197,8 @@
   EXPECT_EQ(requests, 1);
 }
 
-// Guards against a server that gets all waiting requests at once after a pause
-// because earlier requests of it went well meanwhile.
+// Guards against a server that gets all queued requests at once after a pause,
+// because earlier requests succeeded there during the pause.
 TEST(ServerNotices, RequestsReturnOneAtATimeAfterAPause)
 {
   std::vector<Exchange> held;
@@ -234,7 +236,7 @@
   EXPECT_EQ(held.size(), 2U);
 }
 
-// Guards against a pause in fractions of a second that is not kept.
+// Guards against ignoring a pause given in fractions of a second.
 TEST(ServerNotices, FractionalPauseIsKept)
 {
   int requests = 0;
@@ -254,7 +256,8 @@
     fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "3"))));
 }
 
-// Guards against malformed times that bar a server or end the process.
+// Guards against malformed Retry-After values that exclude a server or end the
+// process.
 TEST(ServerNotices, MalformedPausesAreIgnored)
 {
   for (const char* value : { "",
@@ -283,8 +286,8 @@
   }
 }
 
-// Guards against keys that stay with a server that leaves although its
-// registration does not say so yet.
+// Guards against keys that stay with a leaving server while its registration
+// does not show yet that it leaves.
 TEST(ServerNotices, KeysOfALeavingServerMove)
 {
   GatewayFixture fixture([](Exchange&) {}, 1, 2);
@@ -315,8 +318,8 @@
   EXPECT_EQ(misroutedRequests, 0);
 }
 
-// Guards against keys that stay with a leaving server that has no requests: it
-// says so only in its answers to orders.
+// Guards against keys that stay with a leaving server that receives no
+// requests: it announces the leave only in its responses to commands.
 TEST(ServerNotices, KeysOfAnIdleLeavingServerMove)
 {
   GatewayFixture fixture([](Exchange&) {}, 1, 2);
@@ -331,14 +334,14 @@
     return owner;
   };
   const auto first = ownerOf("1");
-  fixture.SetOrderScript([&](Exchange& aExchange) {
+  fixture.SetCommandScript([&](Exchange& aExchange) {
     const bool leaves =
       aExchange.head_.Field("Cactuspitch-Target-Instance") == first;
     aExchange.write_(Concat("HTTP/1.1 200 OK\r\n",
                             leaves ? kLeaving : "",
                             "Content-Length: 0\r\n\r\n"));
   });
-  // Holds are prolonged within this time.
+  // Leases are renewed within this time.
   fixture.RunFor(5000);
   EXPECT_NE(ownerOf("2"), first);
 }
