Name the last send time and correct a comment of ServerLease

Cause: RecordSliceRemoval() is also called for all servers when an instance becomes assigner, which its comment left out; LastSentMs() returned sentMs_. Change: the comment covers both calls; lastSentMs_, HasReplied() and HasResponded() follow the names around them.

--- a/assigner/StoreSync.cpp
+++ b/assigner/StoreSync.cpp
@@ -56,7 +56,7 @@
 }
 
 /// True when the store responded, whatever the result was.
-bool IsAnswered(const absl::Status& aStatus)
+bool HasResponded(const absl::Status& aStatus)
 {
   return aStatus.ok() || absl::IsNotFound(aStatus) ||
          absl::IsFailedPrecondition(aStatus);
@@ -314,7 +314,7 @@
 
 void StoreSync::SetReachable(const absl::Status& aStatus)
 {
-  const bool reachable = detail::IsAnswered(aStatus);
+  const bool reachable = detail::HasResponded(aStatus);
   if (reachable_.exchange(reachable) != reachable) {
     Log(reachable ? LogLevel::Info : LogLevel::Warning,
         reachable ? "store reachable" : "store unreachable",
--- a/control/ServerLease.cpp
+++ b/control/ServerLease.cpp
@@ -8,7 +8,7 @@
 {
   fencedSinceMs_ = 0;
   // The server gets a command at once, and its silence counts from now on.
-  sentMs_ = lastGrantSentMs_ = -timing::kNever;
+  lastSentMs_ = lastGrantSentMs_ = -timing::kNever;
   monitoredSinceMs_ = aNowMs;
   firstUnansweredMs_ = 0;
   if (!aKeepReport) {
@@ -29,7 +29,7 @@
                              int64_t aSequence,
                              TimeMs aNowMs)
 {
-  sentMs_ = aNowMs;
+  lastSentMs_ = aNowMs;
   lastGrantSentMs_ = aSequence > 0 ? aNowMs : lastGrantSentMs_;
   if (firstUnansweredMs_ == 0) {
     firstUnansweredMs_ = aNowMs;
--- a/control/ServerLease.hpp
+++ b/control/ServerLease.hpp
@@ -29,7 +29,7 @@
 
   bool IsAwaitingReply(TimeMs aNowMs) const;
   bool IsSilent(TimeMs aNowMs) const;
-  bool HasAnswered() const { return lastReplyMs_ > 0; }
+  bool HasReplied() const { return lastReplyMs_ > 0; }
   /// The server replied to a command of the current term, so it refuses
   /// commands of earlier terms if it checks the fence.
   bool IsFenced() const { return fencedSinceMs_ > 0; }
@@ -51,8 +51,8 @@
   int64_t AcceptedSequence() const { return acceptedSequence_; }
   /// Sequence in the server's last report.
   int64_t ReportedSequence() const { return reportedSequence_; }
-  /// Call when a slice of the server was promoted to another server: commands
-  /// after aSequence no longer contain it.
+  /// Call when the server may hold a slice that is no longer granted to it:
+  /// commands after aSequence do not contain that slice.
   void RecordSliceRemoval(int64_t aSequence)
   {
     removalSequence_ = aSequence + 1;
@@ -61,7 +61,7 @@
   /// whatever it holds is safe.
   bool HasCurrentGrant() const { return acceptedSequence_ >= removalSequence_; }
   bool IsDraining() const { return draining_; }
-  TimeMs LastSentMs() const { return sentMs_; }
+  TimeMs LastSentMs() const { return lastSentMs_; }
   /// When the last command other than a report request was sent in this term.
   TimeMs LastGrantSentMs() const { return lastGrantSentMs_; }
   TimeMs LastReplyMs() const { return lastReplyMs_; }
@@ -82,7 +82,7 @@
   TimeMs lastReplyMs_ = 0;
   TimeMs fencedSinceMs_ = 0;
   TimeMs reportRequestedMs_ = 0;
-  TimeMs sentMs_ = -timing::kNever;
+  TimeMs lastSentMs_ = -timing::kNever;
   TimeMs lastGrantSentMs_ = -timing::kNever;
   TimeMs monitoredSinceMs_ = 0;  ///< silence is measured from this time on
   TimeMs firstUnansweredMs_ = 0; ///< first command since the last reply
