Finish renames and doc comments of gateway/ and platform/

Cause: some names still used the old terms (hold, work, broken, notRun_) and several handlers and methods had no doc comment.

--- a/gateway/BackendLink.cpp
+++ b/gateway/BackendLink.cpp
@@ -205,8 +205,8 @@
   if (info.idleTimeoutMs_) {
     idleTimeoutMs_ = *info.idleTimeoutMs_;
   }
-  const bool ownAnswer =
-    info.requestId_ == requestId_ || (info.requestId_.empty() && info.notRun_);
+  const bool ownAnswer = info.requestId_ == requestId_ ||
+                         (info.requestId_.empty() && info.notExecuted_);
   if (!ownAnswer) {
     if (parser_.IsUnframed() || info.requestId_.empty()) {
       Fail(AttemptEnd::MaybeRun, "answer of another request");
@@ -217,15 +217,16 @@
   }
   headTaken_ = true;
   constexpr int kFirstServerError = 500;
-  ranWell_ = info.sealed_ && !info.notRun_ && head.status_ < kFirstServerError;
-  refused_ = info.notRun_;
+  ranWell_ =
+    info.sealed_ && !info.notExecuted_ && head.status_ < kFirstServerError;
+  refused_ = info.notExecuted_;
   TakeNotices(info);
   const TimeMs nowMs = pool_.loop_.NowMs();
   if (info.load_) {
     backend_->load_.OnReport(*info.load_, nowMs);
     backend_->reported_ = true;
   }
-  if (info.notRun_) {
+  if (info.notExecuted_) {
     backend_->load_.OnShed(nowMs);
   }
   if (handler_ != nullptr) {
--- a/gateway/CommandSender.cpp
+++ b/gateway/CommandSender.cpp
@@ -81,15 +81,16 @@
   } else if (unresponsive_.contains(aCommand.backend_)) {
     request.connecting_ = Connecting::Fresh;
   }
-  client_.Call(
-    server->second.endpoint_,
-    request,
-    [this, aCommand, bornMs = server->second.bornMs_, generation = generation_](
-      const CallResult& aResult) {
-      if (generation == generation_) {
-        OnDone(aCommand, bornMs, aResult);
-      }
-    });
+  client_.Call(server->second.endpoint_,
+               request,
+               [this,
+                aCommand,
+                startTimeMs = server->second.bornMs_,
+                generation = generation_](const CallResult& aResult) {
+                 if (generation == generation_) {
+                   OnDone(aCommand, startTimeMs, aResult);
+                 }
+               });
 }
 
 void CommandSender::OnDone(const KeyOrder& aCommand,
--- a/gateway/CommandSender.hpp
+++ b/gateway/CommandSender.hpp
@@ -26,6 +26,7 @@
   {
     /// Whether new grants may be sent or only renewals.
     std::function<GrantScope()> grantScope_;
+    /// Called once for each command, unless Reset drops it.
     std::function<void(const KeyOrder&, const CommandResponse&)> onDone_;
     /// A response announced that the server shuts down.
     LeavingCallback onLeaving_;
@@ -42,6 +43,7 @@
   void SetServer(const std::string& aBackend,
                  const Endpoint& aEndpoint,
                  int64_t aBornMs);
+  /// Sends the command, or queues it if too many are in flight at the server.
   void Send(const KeyOrder& aCommand);
   /// Drops queued commands; responses to commands in flight are ignored.
   void Reset();
--- a/gateway/CrashDetector.cpp
+++ b/gateway/CrashDetector.cpp
@@ -11,10 +11,10 @@
 /// Time in which a crash after a lost connection is detected: registrations
 /// expire after three heartbeats of at most 1.5 s each, and changes reach all
 /// gateways within a second.
-constexpr TimeMs kBrokenWindowMs = 6000;
+constexpr TimeMs kConnectionLostWindowMs = 6000;
 /// A crash is attributed to an attempt that this gateway cancelled only if it
 /// follows within this time.
-constexpr TimeMs kAbandonedWindowMs = 1000;
+constexpr TimeMs kCancelledWindowMs = 1000;
 constexpr size_t kMaxUnresolvedAttempts = 2048;
 constexpr size_t kMaxProbes = 64;
 /// After this time without the request, no caller is retrying it any more.
@@ -99,13 +99,13 @@
   if (unresolved_.size() >= detail::kMaxUnresolvedAttempts) {
     unresolved_.pop_front();
   }
-  const bool broken = aOutcome == AttemptOutcome::Broken;
-  const TimeMs windowMs =
-    broken ? detail::kBrokenWindowMs : detail::kAbandonedWindowMs;
+  const bool connectionLost = aOutcome == AttemptOutcome::Broken;
+  const TimeMs windowMs = connectionLost ? detail::kConnectionLostWindowMs
+                                         : detail::kCancelledWindowMs;
   const auto& entry = aBackend->entry_;
   unresolved_.push_back({ aTag, entry.id_, entry.bornMs_, nowMs + windowMs });
   quarantine_.OnBroken(aTag.fingerprint_, entry.id_, nowMs + windowMs, nowMs);
-  if (broken) {
+  if (connectionLost) {
     if (log_.Allows(LogLevel::Info, "attempt-broken")) {
       log_.Write(LogLevel::Info,
                  "attempt-broken",
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -254,11 +254,11 @@
 {
   answerHead_ = aHead;
   answerInfo_ = aInfo;
-  if (!aInfo.notRun_) {
+  if (!aInfo.notExecuted_) {
     sent_ = true;
   }
   const bool success = answerHead_.status_ < 300;
-  if (aInfo.notRun_ || (success && !aInfo.sealed_) ||
+  if (aInfo.notExecuted_ || (success && !aInfo.sealed_) ||
       answerHead_.HasField("Content-Encoding")) {
     discard_ = true;
   }
@@ -298,7 +298,7 @@
   if (sink_ == nullptr || answered_) {
     return;
   }
-  if (answerInfo_.notRun_) {
+  if (answerInfo_.notExecuted_) {
     forwarder_.Metrics().OnAttempt("not-run");
     OnNotRun();
     return;
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -694,7 +694,7 @@
   settings_.graceMs_ = fresh->graceMs_;
   log_.SetMinimum(fresh->logLevel_);
   forwarder_.SetRetryBounds(fresh->retryRatio_, fresh->retryExtra_);
-  coordinator_.SetMaxHold(fresh->maxHoldMs_);
+  coordinator_.SetMaxLease(fresh->maxHoldMs_);
   LogSettings("settings-reloaded", *fresh);
 }
 
--- a/gateway/GossipAgent.cpp
+++ b/gateway/GossipAgent.cpp
@@ -339,9 +339,9 @@
   }
   for (const auto& [service, ownership] : coordinator_.Ownership()) {
     for (auto& part : KeyGossip::All(service, *ownership)) {
-      auto answer = MakeGossip();
-      answer.keys.push_back(std::move(part));
-      mesh_.SendTo(aReceiver, answer);
+      auto gossip = MakeGossip();
+      gossip.keys.push_back(std::move(part));
+      mesh_.SendTo(aReceiver, gossip);
     }
   }
 }
--- a/gateway/GossipAgent.hpp
+++ b/gateway/GossipAgent.hpp
@@ -34,6 +34,8 @@
     std::function<int64_t()> configVersion_;
     /// Hashes of servers that announced their shutdown, at most aMaxCount.
     std::function<std::vector<int32_t>(size_t aMaxCount)> leavingServers_;
+    /// Another gateway sent the hashes of servers that announced their
+    /// shutdown.
     std::function<void(const std::vector<int32_t>& aServers)> onLeaving_;
   };
 
@@ -60,7 +62,8 @@
   /// Must be called on the leader when owners of keys change. Changes are
   /// batched, applied to this gateway and sent to all others.
   void OnKeysChanged();
-  /// Must be called when a server announces its shutdown to this gateway.
+  /// Sends the servers that announced their shutdown to the leader, or to all
+  /// gateways if this process leads or knows no leader.
   void SendLeavingNotice();
   /// Must be called when this gateway has counted or cleared crashes of
   /// requests.
--- a/gateway/KeyCoordinator.cpp
+++ b/gateway/KeyCoordinator.cpp
@@ -25,7 +25,7 @@
 constexpr double kMaxSpeed = 3;
 constexpr double kColdCapacity = 0.6;
 constexpr double kMinRate = 5;
-constexpr double kDefaultWorkMs = 100;
+constexpr double kDefaultServiceTimeMs = 100;
 
 }
 
@@ -35,7 +35,7 @@
                                HttpClient& aClient,
                                const CommandProtocol& aProtocol,
                                const LoadBoard& aBoard,
-                               TimeMs aMaxHoldMs,
+                               TimeMs aMaxLeaseMs,
                                Handlers aHandlers)
   : loop_(aLoop)
   , log_(aLog)
@@ -53,7 +53,7 @@
           handlers_.onLeaving_(aBackend, aBornMs);
         } })
   , board_(aBoard)
-  , maxHoldMs_(aMaxHoldMs)
+  , maxLeaseMs_(aMaxLeaseMs)
   , handlers_(std::move(aHandlers))
   , timer_(aLoop, [this] { Tick(); })
   , retryTimer_(aLoop, [this] { std::exchange(retryTask_, nullptr)(); })
@@ -204,29 +204,29 @@
     }
   }
   timing_ =
-    GrantTiming::For(std::max(backends_.size(), owners.size()), maxHoldMs_);
+    GrantTiming::For(std::max(backends_.size(), owners.size()), maxLeaseMs_);
   timing_->foreignHoldMs_ = std::max(timing_->holdMs_, aEarlier.holdMs_);
 }
 
-double KeyCoordinator::MeanWorkMs(const std::string& aService) const
+double KeyCoordinator::MeanServiceTimeMs(const std::string& aService) const
 {
   double sum = 0;
   int count = 0;
   for (const auto& [id, entry] : backends_) {
-    const double workMs =
+    const double serviceTimeMs =
       entry.service_ == aService ? board_.WorkMs(ShortHash(id)) : 0;
-    if (workMs > 0) {
-      sum += workMs;
+    if (serviceTimeMs > 0) {
+      sum += serviceTimeMs;
       ++count;
     }
   }
-  return count == 0 ? detail::kDefaultWorkMs : sum / count;
+  return count == 0 ? detail::kDefaultServiceTimeMs : sum / count;
 }
 
-double KeyCoordinator::MeanWorkSeconds(const std::string& aService) const
+double KeyCoordinator::MeanServiceTimeSeconds(const std::string& aService) const
 {
   constexpr double kMsPerSecond = 1000;
-  return MeanWorkMs(aService) / kMsPerSecond;
+  return MeanServiceTimeMs(aService) / kMsPerSecond;
 }
 
 void KeyCoordinator::UpdateCandidates()
@@ -243,7 +243,7 @@
     if (ownership == nullptr) {
       ownership = std::make_unique<KeyOwnership>(name, *timing_);
     }
-    const double meanMs = MeanWorkMs(name);
+    const double meanMs = MeanServiceTimeMs(name);
     std::map<std::string, OwnerCandidate> candidates;
     for (const auto& [id, entry] : backends_) {
       if (entry.service_ != name) {
@@ -253,9 +253,10 @@
       candidate.bornMs_ = entry.bornMs_;
       candidate.usable_ = entry.TakesNewWork();
       double speed = 1;
-      if (const double workMs = board_.WorkMs(ShortHash(id)); workMs > 0) {
-        speed =
-          std::clamp(meanMs / workMs, detail::kMinSpeed, detail::kMaxSpeed);
+      if (const double serviceTimeMs = board_.WorkMs(ShortHash(id));
+          serviceTimeMs > 0) {
+        speed = std::clamp(
+          meanMs / serviceTimeMs, detail::kMinSpeed, detail::kMaxSpeed);
       }
       candidate.capacity_ = entry.slots_ * speed;
       if (nowMs < warmAtMs_[id]) {
@@ -303,8 +304,8 @@
   }
   lastBalanceMs_ = nowMs;
   const auto rates = load->second.Rates(nowMs);
-  auto moves =
-    KeyBalancer().Plan(aOwnership, rates, MeanWorkSeconds(aService), nowMs);
+  auto moves = KeyBalancer().Plan(
+    aOwnership, rates, MeanServiceTimeSeconds(aService), nowMs);
   for (const auto& move : moves) {
     log_.Write(LogLevel::Info,
                "keys-balanced",
@@ -333,12 +334,13 @@
     for (const auto& segment : ownership->Segments()) {
       byOwner[segment.owner_] += rates.Rate(segment.first_, segment.last_);
     }
-    const double workSeconds = MeanWorkSeconds(name);
+    const double serviceTimeSeconds = MeanServiceTimeSeconds(name);
     for (const auto& [id, candidate] : ownership->Candidates()) {
       const auto rate = byOwner.find(id);
       if (rate != byOwner.end()) {
-        demands.push_back(
-          { ShortHash(id), rate->second, candidate.capacity_ / workSeconds });
+        demands.push_back({ ShortHash(id),
+                            rate->second,
+                            candidate.capacity_ / serviceTimeSeconds });
       }
     }
   }
--- a/gateway/KeyCoordinator.hpp
+++ b/gateway/KeyCoordinator.hpp
@@ -36,6 +36,7 @@
     std::function<void()> onChanged_;
     /// A newer leader has written the key table.
     std::function<void(std::string_view aCause)> onSuperseded_;
+    /// A server announced its shutdown in a response to a command.
     CommandSender::LeavingCallback onLeaving_;
   };
 
@@ -45,23 +46,27 @@
                  HttpClient& aClient,
                  const CommandProtocol& aProtocol,
                  const LoadBoard& aBoard,
-                 TimeMs aMaxHoldMs,
+                 TimeMs aMaxLeaseMs,
                  Handlers aHandlers);
 
   /// Request that reads the key table.
   static CallRequest TableReadRequest(const ObjectProtocol& aProtocol);
 
+  /// Starts to assign keys as the leader of this term.
   void Start(int64_t aTerm);
   void Stop();
+  /// Must be called when all earlier leaders are known to have exited or
+  /// stopped leading.
   void OnEarlierLeadersEnded();
   /// Applies from the next term on.
-  void SetMaxHold(TimeMs aMaxHoldMs) { maxHoldMs_ = aMaxHoldMs; }
+  void SetMaxLease(TimeMs aMaxLeaseMs) { maxLeaseMs_ = aMaxLeaseMs; }
 
   void SetKeyedServices(std::set<std::string> aKeyedServices);
   /// Updates the servers in aChanged from aEntries. A server without an entry
   /// is removed.
   void UpdateBackends(const std::map<std::string, BackendEntry>& aEntries,
                       const std::set<std::string>& aChanged);
+  /// Adds a number of recent requests to the load of a key.
   void AddLoad(const std::string& aService, uint32_t aKey, int aRequests);
   /// Demand and capacity of all owners of keys, in requests per second.
   std::vector<OwnerDemand> Demands() const;
@@ -88,8 +93,8 @@
                      const CommandResponse& aResponse);
   void UpdateCandidates();
   /// Mean service time of a request, over the servers with measurements.
-  double MeanWorkMs(const std::string& aService) const;
-  double MeanWorkSeconds(const std::string& aService) const;
+  double MeanServiceTimeMs(const std::string& aService) const;
+  double MeanServiceTimeSeconds(const std::string& aService) const;
   void ReportChanges();
   std::vector<KeyOwnership::Move> PlanMoves(const std::string& aService,
                                             const KeyOwnership& aOwnership);
@@ -101,7 +106,7 @@
   StoreClient& store_;
   CommandSender sender_;
   const LoadBoard& board_;
-  TimeMs maxHoldMs_; ///< longest lease that backend servers accept
+  TimeMs maxLeaseMs_; ///< longest lease that backend servers accept
   Handlers handlers_;
   Timer timer_;
   Timer retryTimer_;
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -56,6 +56,7 @@
   {
     std::function<void(int64_t aTerm)> onElected_;
     std::function<void()> onLeadershipLost_;
+    /// All earlier leaders are known to have exited or stopped leading.
     std::function<void()> onEarlierLeadersEnded_;
   };
 
--- a/gateway/PeerMesh.hpp
+++ b/gateway/PeerMesh.hpp
@@ -35,7 +35,7 @@
 /// Sends and receives the datagrams between gateways (wire/gossip.thrift). Each
 /// datagram is self-contained, so the next one makes up for loss and
 /// reordering. In large fleets relays forward the datagrams that are sent to
-/// all (policy/RelayTree).
+/// all, see PlanSpread().
 class PeerMesh
 {
 public:
--- a/gateway/StoreClient.cpp
+++ b/gateway/StoreClient.cpp
@@ -23,18 +23,18 @@
   return std::uniform_int_distribution<TimeMs>(0, aMs)(random_);
 }
 
-void StoreClient::Call(CallRequest aRequest, Done aDone)
+void StoreClient::Call(CallRequest aRequest, Callback aCallback)
 {
   ++calls_;
   // After a failure idle connections may be dead.
   aRequest.connecting_ = failures_ > 0 ? Connecting::Fresh : Connecting::Reuse;
   client_.Call(store_,
                aRequest,
-               [this, sentMs = loop_.NowMs(), done = std::move(aDone)](
+               [this, sentMs = loop_.NowMs(), callback = std::move(aCallback)](
                  const CallResult& aResult) {
                  auto response = protocol_.ParseResponse(aResult);
                  RecordResult(response, aResult.cause_, sentMs);
-                 done(std::move(response));
+                 callback(std::move(response));
                });
 }
 
--- a/gateway/StoreClient.hpp
+++ b/gateway/StoreClient.hpp
@@ -15,7 +15,7 @@
 class StoreClient
 {
 public:
-  using Done = std::function<void(StoreResponse aResponse)>;
+  using Callback = std::function<void(StoreResponse aResponse)>;
   /// Called after every failed call and after the first successful call that
   /// follows a failure.
   struct Observer
@@ -31,8 +31,8 @@
               Endpoint aStore);
 
   void SetObserver(Observer aObserver) { observer_ = std::move(aObserver); }
-  /// Sends the request and calls aDone once with the response.
-  void Call(CallRequest aRequest, Done aDone);
+  /// Sends the request and calls aCallback once with the response.
+  void Call(CallRequest aRequest, Callback aCallback);
   const ObjectProtocol& Protocol() const { return protocol_; }
   bool IsReachable() const { return failures_ == 0; }
   /// Time since the first failed call, 0 while the store is reachable.
--- a/gateway/StoreRelay.hpp
+++ b/gateway/StoreRelay.hpp
@@ -24,8 +24,8 @@
   /// Number of watchers, including the leader, while the store is reachable.
   static constexpr size_t kWatchers = 3;
   /// More gateways become watchers if no watcher has received a response of the
-  /// store for this long. A configuration must be in force everywhere after 2
-  /// s, and the store may be rejecting exactly the instances that watch.
+  /// store for this long. A configuration must be in force everywhere within
+  /// 2 s, and the store may be rejecting exactly the instances that watch.
   static constexpr TimeMs kWidenAfterMs = 1300;
   static constexpr size_t kMinWidenedWatchers = 8;
   /// Limits of the two steps, so that calls do not grow with the fleet.
@@ -36,14 +36,18 @@
   {
     /// Starts and stops the watches of the configuration and of all kinds.
     std::function<void(bool aConfig, bool aAll)> setWatching_;
+    /// The complete directory at aRevision was fetched from another gateway.
     std::function<void(const std::vector<BackendEntry>&, int64_t aRevision)>
       onDirectory_;
+    /// A watcher sent a changed or removed registration.
     std::function<void(const BackendEntry&, bool aRemoved)> onBackend_;
     /// All changes up to this revision of the store have been passed on.
     std::function<void(int64_t aRevision)> onRevision_;
     /// Another watcher has seen the removal of a registration.
     std::function<void(const std::string& aBackend)> onRemovalSeen_;
-    std::function<void(const nlohmann::json& aSpec, std::string aPacked)>
+    /// The configuration was fetched from another gateway, which sent it as
+    /// aCompressed.
+    std::function<void(const nlohmann::json& aSpec, std::string aCompressed)>
       onConfig_;
     std::function<int64_t()> configVersion_;
     std::function<bool()> hasDirectory_;
@@ -78,6 +82,7 @@
   bool ShouldResign() const;
   /// Adds the state that is part of every datagram.
   void AddStoreState(wire::Gossip& aGossip) const;
+  /// Adds a changed or removed registration to aGossip.
   static void AddChange(const BackendEntry& aEntry,
                         bool aRemoved,
                         wire::Gossip& aGossip);
--- a/tests/CrashingCallsModelTest.cpp
+++ b/tests/CrashingCallsModelTest.cpp
@@ -95,7 +95,7 @@
     if (decision.verdict_ == SuspectVerdict::Refuse) {
       return false;
     }
-    if (nowMs_ - gateway.disturbedMs_ >= kStableWindowMs) {
+    if (nowMs_ - gateway.lastFaultMs_ >= kStableWindowMs) {
       aCall.connectedSendsMs_.push_back(nowMs_);
     }
     const InFlightRequest request(aCall.fingerprint_, decision.knownCrashes_);
@@ -157,7 +157,7 @@
     std::unique_ptr<CrashQuarantine> quarantine_;
     std::unique_ptr<SuspectExchange> exchange_;
     TimeMs downUntilMs_ = 0; ///< end of a freeze or cut
-    TimeMs disturbedMs_ = 0;
+    TimeMs lastFaultMs_ = 0;
     int incarnation_ = 0;
   };
 
@@ -194,7 +194,7 @@
       QuarantineOptions{ .turnMs_ = 40, .maxTurns_ = 8 });
     gateway.quarantine_->SetMembers(names_[aIndex], names_);
     gateway.exchange_ = std::make_unique<SuspectExchange>(*gateway.quarantine_);
-    gateway.disturbedMs_ = nowMs_;
+    gateway.lastFaultMs_ = nowMs_;
     ++gateway.incarnation_;
   }
 
@@ -210,7 +210,7 @@
       Start(index);
     } else {
       gateway.downUntilMs_ = nowMs_ + 500 + RandomBelow(4000);
-      gateway.disturbedMs_ = gateway.downUntilMs_;
+      gateway.lastFaultMs_ = gateway.downUntilMs_;
     }
   }
 
--- a/tests/CrashingCallsTest.cpp
+++ b/tests/CrashingCallsTest.cpp
@@ -137,8 +137,8 @@
   rig.AskAt(second, CrashingCall(3));
   const auto third = rig.AddGateway("g3");
   rig.RunFor(2500);
-  const auto answer = rig.AskAt(third, CrashingCall(4));
-  EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+  const auto response = rig.AskAt(third, CrashingCall(4));
+  EXPECT_NE(response.find(" 503 "), std::string::npos) << response;
   EXPECT_EQ(crashes, before);
 }
 
--- a/tests/LeaderElectionTest.cpp
+++ b/tests/LeaderElectionTest.cpp
@@ -59,7 +59,7 @@
   int reads_ = 0;
   int writes_ = 0;
   int elected_ = 0;
-  std::function<void()> onRead_; ///< runs before a read is answered
+  std::function<void()> onRead_; ///< called before the response to a read
   std::string stored_;   ///< response to reads instead of the winner's lease
   int64_t winnerMs_ = 0; ///< last renewal of the other gateway's lease
   ScriptedServer server_{ loop_, [this](auto& aExchange) {
--- a/tests/MutatedInputTest.cpp
+++ b/tests/MutatedInputTest.cpp
@@ -183,10 +183,10 @@
                               known ? *rc::gen::elementOf(kValues)
                                     : *rc::gen::arbitrary<std::string>());
   }
-  const auto answer = RequestCodec().ParseResponse(head);
+  const auto response = RequestCodec().ParseResponse(head);
   constexpr TimeMs kHourMs = 3600000;
-  RC_ASSERT(!answer.retryAfterMs_ ||
-            (*answer.retryAfterMs_ >= 0 && *answer.retryAfterMs_ <= kHourMs));
+  RC_ASSERT(!response.retryAfterMs_ || (*response.retryAfterMs_ >= 0 &&
+                                        *response.retryAfterMs_ <= kHourMs));
   const auto caller = RequestCodec().ParseRequest(head);
   RC_ASSERT(!caller.remainingMs_ || *caller.remainingMs_ >= 0);
 }
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -128,15 +128,15 @@
     { "/status/state", 1 },       { "/born", "today" },
     { "/info", Json::array() },   { "/status", "ready" },
   };
-  for (const auto& [place, value] : changes) {
+  for (const auto& [pointer, value] : changes) {
     auto json = Json::parse(kServer);
-    json[Json::json_pointer(place)] = value;
+    json[Json::json_pointer(pointer)] = value;
     StoreObject object;
     object.name_ = "i-1";
     object.spec_ = json;
     Findings findings;
     EXPECT_FALSE(RegistryCodec().DecodeBackend(object, findings))
-      << place << " " << value;
+      << pointer << " " << value;
     EXPECT_FALSE(findings.IsEmpty());
   }
 }
@@ -147,8 +147,8 @@
   auto json = Json::parse(*rc::gen::element<std::string>(kConfig, kServer));
   const auto flat = json.flatten();
   const auto index = *rc::gen::inRange<size_t>(0, flat.size());
-  const auto place = std::next(flat.begin(), static_cast<long>(index)).key();
-  json[Json::json_pointer(place)] =
+  const auto pointer = std::next(flat.begin(), static_cast<long>(index)).key();
+  json[Json::json_pointer(pointer)] =
     *rc::gen::element<Json>(nullptr, "x", -1, Json::array(), Json::object());
   StoreObject object;
   object.name_ = "x";
@@ -170,14 +170,14 @@
 // Guards against grants and releases in another format than servers expect.
 TEST(CommandCodec, WritesGrantAndRelease)
 {
-  KeyOrder order{ OrderKind::Grant, "s1", "i-1", 4096, 8191, 12, 4000, "h1" };
-  auto call = CommandCodec().MakeCommand(order);
+  KeyOrder command{ OrderKind::Grant, "s1", "i-1", 4096, 8191, 12, 4000, "h1" };
+  auto call = CommandCodec().MakeCommand(command);
   EXPECT_EQ(call.target_, "/-/grant");
   EXPECT_EQ(Json::parse(call.body_),
             Json::parse(R"({"from":4096,"to":8191,"fence":12,"hold-s":4.0,
                             "handover":"h1"})"));
-  order.kind_ = OrderKind::Release;
-  call = CommandCodec().MakeCommand(order);
+  command.kind_ = OrderKind::Release;
+  call = CommandCodec().MakeCommand(command);
   EXPECT_EQ(call.target_, "/-/release");
   EXPECT_EQ(Json::parse(call.body_),
             Json::parse(R"({"from":4096,"to":8191,"fence":12})"));
@@ -269,14 +269,14 @@
                    { "Cactuspitch-Server-Load", "3,0,8" },
                    { "Keep-Alive", "timeout=10" } };
   const auto info = RequestCodec().ParseResponse(head);
-  EXPECT_TRUE(info.notRun_);
+  EXPECT_TRUE(info.notExecuted_);
   EXPECT_FALSE(info.sealed_);
   ASSERT_TRUE(info.load_);
   EXPECT_EQ(info.load_->slots_, 8);
   EXPECT_EQ(info.idleTimeoutMs_, 10000);
   head.fields_ = { { "Cactuspitch-Server-Load", "3,x,8" } };
   head.status_ = 421;
-  EXPECT_TRUE(RequestCodec().ParseResponse(head).notRun_);
+  EXPECT_TRUE(RequestCodec().ParseResponse(head).notExecuted_);
   EXPECT_FALSE(RequestCodec().ParseResponse(head).load_);
 }
 
--- a/tests/PlatformStore.cpp
+++ b/tests/PlatformStore.cpp
@@ -33,7 +33,7 @@
 PlatformStore::PlatformStore(EventLoop& aLoop)
   : loop_(aLoop)
   , delayed_(aLoop)
-  , watchTimer_(aLoop, [this] { AnswerWatches(); })
+  , watchTimer_(aLoop, [this] { RespondToWatches(); })
   , server_(aLoop, [this](auto& aExchange) { Serve(aExchange); })
 {
 }
@@ -58,7 +58,7 @@
     oldestRevision_ = history_.front().revision_;
     history_.pop_front();
   }
-  AnswerWatches();
+  RespondToWatches();
 }
 
 void PlatformStore::Put(const std::string& aKind,
@@ -190,10 +190,10 @@
   }
   const auto waitMs = std::max<TimeMs>(0, QueryNumber(aQuery, "wait-ms"));
   watches_.push_back({ aExchange, aKind, revision, loop_.NowMs() + waitMs });
-  AnswerWatches();
+  RespondToWatches();
 }
 
-void PlatformStore::AnswerWatches()
+void PlatformStore::RespondToWatches()
 {
   std::erase_if(watches_, [&](const Watch& aWatch) {
     const bool hasEvent =
@@ -203,7 +203,7 @@
       });
     const bool ends = hasEvent || loop_.NowMs() >= aWatch.endMs_;
     if (ends) {
-      AnswerWatch(aWatch);
+      RespondToWatch(aWatch);
     }
     return ends;
   });
@@ -212,11 +212,11 @@
   }
 }
 
-void PlatformStore::AnswerWatch(const Watch& aWatch) const
+void PlatformStore::RespondToWatch(const Watch& aWatch) const
 {
-  const bool mayAnswer =
+  const bool responds =
     faultMode_ == StoreFaultMode::None || faultMode_ == StoreFaultMode::Slow;
-  if (!mayAnswer) {
+  if (!responds) {
     return;
   }
   auto events = Json::array();
--- a/tests/PlatformStore.hpp
+++ b/tests/PlatformStore.hpp
@@ -91,8 +91,8 @@
                   const std::string& aKind,
                   std::string_view aQuery);
   /// Responds to the watches that have events or whose wait time has ended.
-  void AnswerWatches();
-  void AnswerWatch(const Watch& aWatch) const;
+  void RespondToWatches();
+  void RespondToWatch(const Watch& aWatch) const;
   void Send(const ScriptedServer::Exchange& aExchange, const Reply& aReply);
   Json Item(const std::string& aKind, const std::string& aName) const;
   void AddEvent(const std::string& aKind, const Json& aItem, bool aRemoved);
--- a/tests/StoreRelayTest.cpp
+++ b/tests/StoreRelayTest.cpp
@@ -63,10 +63,10 @@
   /// there is no leader after the discovery time.
   bool StartWatching()
   {
-    bool answered = false;
+    bool responded = false;
     store_.Call(store_.Protocol().List("servers", {}, ReadMode::Latest),
-                [&](const StoreResponse&) { answered = true; });
-    return RunLoopUntil(loop_, [&] { return answered; }) &&
+                [&](const StoreResponse&) { responded = true; });
+    return RunLoopUntil(loop_, [&] { return responded; }) &&
            RunLoopUntil(loop_, [&] {
              relay_.Update();
              return watchesAll_;
