--- a/gateway/KeyCoordinator.hpp
+++ b/gateway/KeyCoordinator.hpp
@@ -36,6 +36,7 @@
     std::function<void()> onChanged_;
     /// A newer leader has written the key table.
     std::function<void(std::string_view aCause)> onSuperseded_;
+    /// A server announced its shutdown in a response to a command.
     CommandSender::LeavingCallback onLeaving_;
   };
 
@@ -51,8 +52,11 @@
   /// Request that reads the key table.
   static CallRequest TableReadRequest(const ObjectProtocol& aProtocol);
 
+  /// Starts to assign keys as the leader of this term.
   void Start(int64_t aTerm);
   void Stop();
+  /// Must be called when all earlier leaders are known to have exited or
+  /// stopped leading.
   void OnEarlierLeadersEnded();
   /// Applies from the next term on.
   void SetMaxLease(TimeMs aMaxLeaseMs) { maxLeaseMs_ = aMaxLeaseMs; }
@@ -62,6 +66,7 @@
   /// is removed.
   void UpdateBackends(const std::map<std::string, BackendEntry>& aEntries,
                       const std::set<std::string>& aChanged);
+  /// Adds a number of recent requests to the load of a key.
   void AddLoad(const std::string& aService, uint32_t aKey, int aRequests);
   /// Demand and capacity of all owners of keys, in requests per second.
   std::vector<OwnerDemand> Demands() const;
--- a/tests/CrashingCallsTest.cpp
+++ b/tests/CrashingCallsTest.cpp
@@ -137,8 +137,8 @@
   fixture.SendToAndWait(second, CrashingCall(3));
   const auto third = fixture.AddGateway("g3");
   fixture.RunFor(2500);
-  const auto answer = fixture.SendToAndWait(third, CrashingCall(4));
-  EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+  const auto response = fixture.SendToAndWait(third, CrashingCall(4));
+  EXPECT_NE(response.find(" 503 "), std::string::npos) << response;
   EXPECT_EQ(crashes, before);
 }
 
