Rename ambiguous members of the router and its tests

Cause: Open() of a pool reads like an action, Count() does not say what it counts, and the fake ledgers spoke of lost and gone peers.

Change: ConnectionPool::OpenConnections(), RequestHandler::CountOutcome(); members and locals of the tests say unreachable, exited, delayed, duplicate.

--- a/router/ConnectionPool.cpp
+++ b/router/ConnectionPool.cpp
@@ -204,7 +204,7 @@
   released_.notify_all();
 }
 
-int ConnectionPool::Open() const
+int ConnectionPool::OpenConnections() const
 {
   const std::lock_guard lock(mutex_);
   return open_;
--- a/router/ConnectionPool.hpp
+++ b/router/ConnectionPool.hpp
@@ -91,7 +91,7 @@
   void CloseIdleUnusedSince(TimeMs aLastUsedMs);
   void SetLimit(int aLimit);
   /// Number of connections, idle and in use.
-  int Open() const;
+  int OpenConnections() const;
   const std::string& Address() const { return address_; }
 
 private:
--- a/router/RequestHandler.cpp
+++ b/router/RequestHandler.cpp
@@ -138,7 +138,7 @@
       return true;
     case LedgerTicket::Verdict::AlreadySeen:
       response_.Duplicate(ticket_.state_);
-      Count(Outcome::Unknown, {});
+      CountOutcome(Outcome::Unknown, {});
       return false;
     case LedgerTicket::Verdict::Unavailable:
       break;
@@ -146,7 +146,7 @@
   response_.NotRun(NotRunReason::Ledger,
                    detail::kDefaultRetryMs,
                    "no majority of request ledger replicas is reachable");
-  Count(Outcome::NotRun, EnumName(NotRunReason::Ledger));
+  CountOutcome(Outcome::NotRun, EnumName(NotRunReason::Ledger));
   return false;
 }
 
@@ -454,7 +454,7 @@
   if (!aResult.isStreamed_) {
     response_.Complete(aResult);
   }
-  Count(Outcome::Complete, CompleteCause(aResult.head_.status_));
+  CountOutcome(Outcome::Complete, CompleteCause(aResult.head_.status_));
 }
 
 void RequestHandler::EndNotRun(NotRunReason aReason,
@@ -465,14 +465,14 @@
   // retry by the caller may be executed.
   FinishLedger(LedgerEntryState::NotRun);
   response_.NotRun(aReason, aRetryAfterMs, aText);
-  Count(Outcome::NotRun, EnumName(aReason));
+  CountOutcome(Outcome::NotRun, EnumName(aReason));
 }
 
 void RequestHandler::EndUnknown(bool aTimedOut, std::string_view aText)
 {
   FinishLedger(LedgerEntryState::Unknown);
   response_.Unknown(aTimedOut, aText);
-  Count(Outcome::Unknown, "unknown");
+  CountOutcome(Outcome::Unknown, "unknown");
 }
 
 void RequestHandler::EndTruncated(const ExchangeResult& aResult)
@@ -482,8 +482,8 @@
     aResult.outcome_ == ExchangeOutcome::CallerDisconnected;
   FinishLedger(callerGone ? LedgerEntryState::Completed
                           : LedgerEntryState::Unknown);
-  Count(Outcome::Unknown,
-        callerGone ? std::string_view() : std::string_view("truncated"));
+  CountOutcome(Outcome::Unknown,
+               callerGone ? std::string_view() : std::string_view("truncated"));
 }
 
 void RequestHandler::FinishLedger(LedgerEntryState aState)
@@ -496,7 +496,7 @@
   context_.ledger_.Finish(ticket_, aState, left > detail::kLedgerWaitMs);
 }
 
-void RequestHandler::Count(Outcome aOutcome, std::string_view aCause)
+void RequestHandler::CountOutcome(Outcome aOutcome, std::string_view aCause)
 {
   const auto* server = target_.server_;
   context_.slo_.Record(
--- a/router/RequestHandler.hpp
+++ b/router/RequestHandler.hpp
@@ -79,7 +79,7 @@
   void FinishLedger(LedgerEntryState aState);
   /// Counts the outcome of the request. aCause is a string literal; empty when
   /// the request met its objective.
-  void Count(Outcome aOutcome, std::string_view aCause);
+  void CountOutcome(Outcome aOutcome, std::string_view aCause);
   /// Cause counted for a complete response: "server-error", "slow" or empty.
   std::string_view CompleteCause(int aStatus) const;
 
--- a/tests/CallerRequestTest.cpp
+++ b/tests/CallerRequestTest.cpp
@@ -130,15 +130,15 @@
   const auto forwarded = HeaderFilter::ForServer(sent);
   ASSERT_EQ(forwarded.size(), 1u);
   EXPECT_EQ(forwarded[0].first, "Accept");
-  const auto answered = HeaderFilter::ForCaller({ { "Connection", "X-Private" },
+  const auto returned = HeaderFilter::ForCaller({ { "Connection", "X-Private" },
                                                   { "X-Private", "1" },
                                                   { "x-clock-ms", "1" },
                                                   { "X-Not-Run", "busy" },
                                                   { "X-Outcome", "complete" },
                                                   { "Transfer-Encoding", "c" },
                                                   { "ETag", "v" } });
-  EXPECT_EQ(answered.size(), 1u);
-  EXPECT_TRUE(Has(answered, "ETag"));
+  EXPECT_EQ(returned.size(), 1u);
+  EXPECT_TRUE(Has(returned, "ETag"));
 }
 
 }
--- a/tests/HttpObjectStoreTest.cpp
+++ b/tests/HttpObjectStoreTest.cpp
@@ -101,8 +101,8 @@
   EXPECT_TRUE(absl::IsDeadlineExceeded(store_.Get("group", "a.0").status()));
   Send("POST", "/_fault", R"({"down": "none"})");
   EXPECT_TRUE(put().ok());
-  const ReservedPort nobody;
-  HttpObjectStore refused(clock_, { nobody.Address(), 200, 300 });
+  const ReservedPort unusedPort;
+  HttpObjectStore refused(clock_, { unusedPort.Address(), 200, 300 });
   EXPECT_TRUE(absl::IsUnavailable(
     refused.Put("group", "a.0", kMustNotExist, "x").status()));
 }
--- a/tests/LedgerTest.cpp
+++ b/tests/LedgerTest.cpp
@@ -63,15 +63,15 @@
                         const LedgerId& aId,
                         LedgerEntryState& aState) override
   {
-    if (gone_.contains(aPeer)) {
+    if (exited_.contains(aPeer)) {
       return ReplicaResponse::Exited;
     }
-    if (lost_.contains(aPeer)) {
+    if (unreachable_.contains(aPeer)) {
       return ReplicaResponse::Unreachable;
     }
     const auto result = Ledger(aPeer).Begin(
       aId.service_, aId.requestId_, aId.token_, nowMs_, aState);
-    if (loseAnswers_.contains(aPeer)) {
+    if (losesResponses_.contains(aPeer)) {
       return ReplicaResponse::Unreachable;
     }
     return result == Begin::Recorded ? ReplicaResponse::Recorded
@@ -81,7 +81,7 @@
               const LedgerId& aId,
               LedgerEntryState aState) override
   {
-    if (!lost_.contains(aPeer)) {
+    if (!unreachable_.contains(aPeer)) {
       Ledger(aPeer).Finish(
         aId.service_, aId.requestId_, aId.token_, aState, nowMs_);
     }
@@ -90,19 +90,19 @@
                    const LedgerId& aId,
                    LedgerEntryState aState) override
   {
-    later_.push_back([=, this] { Finish(aPeer, aId, aState); });
+    delayed_.push_back([=, this] { Finish(aPeer, aId, aState); });
   }
   /// Delivers the delayed message at aIndex.
   void Deliver(size_t aIndex)
   {
-    later_[aIndex]();
-    later_.erase(later_.begin() + static_cast<ptrdiff_t>(aIndex));
+    delayed_[aIndex]();
+    delayed_.erase(delayed_.begin() + static_cast<ptrdiff_t>(aIndex));
   }
 
-  std::set<std::string> lost_;
-  std::set<std::string> gone_;
-  std::set<std::string> loseAnswers_;
-  std::vector<std::function<void()>> later_;
+  std::set<std::string> unreachable_;
+  std::set<std::string> exited_;
+  std::set<std::string> losesResponses_;
+  std::vector<std::function<void()>> delayed_;
   TimeMs nowMs_ = 0;
 
 private:
@@ -125,7 +125,7 @@
     ASSERT_EQ(first.verdict_, Verdict::Forward);
     const auto replicas = LedgerClient::Replicas(kRouters, "id");
     ASSERT_EQ(replicas.size(), 3u);
-    peers.lost_.insert(replicas[lostIndex]);
+    peers.unreachable_.insert(replicas[lostIndex]);
     EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 2 }).verdict_,
               Verdict::AlreadySeen);
   }
@@ -140,10 +140,10 @@
     FakeLedgerTransport peers;
     LedgerClient client(peers);
     const std::set<std::string> all = { replicas.begin(), replicas.end() };
-    peers.lost_ = all;
-    peers.lost_.erase(reachedByFirst);
+    peers.unreachable_ = all;
+    peers.unreachable_.erase(reachedByFirst);
     const auto first = client.Begin(kRouters, { "svc", "id", 1 });
-    peers.lost_ = { reachedByFirst };
+    peers.unreachable_ = { reachedByFirst };
     const auto second = client.Begin(kRouters, { "svc", "id", 2 });
     EXPECT_EQ(first.verdict_, Verdict::Unavailable);
     EXPECT_EQ(second.verdict_, Verdict::Forward);
@@ -155,11 +155,11 @@
 {
   FakeLedgerTransport peers;
   const auto replicas = LedgerClient::Replicas(kRouters, "id");
-  peers.lost_ = { replicas[0], replicas[2] };
+  peers.unreachable_ = { replicas[0], replicas[2] };
   LedgerClient client(peers);
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 3 }).verdict_,
             Verdict::Unavailable);
-  peers.lost_ = { kRouters.begin(), kRouters.end() };
+  peers.unreachable_ = { kRouters.begin(), kRouters.end() };
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 1 }).verdict_,
             Verdict::Unavailable);
   EXPECT_EQ(client.Begin({}, { "svc", "id", 1 }).verdict_,
@@ -173,12 +173,12 @@
   FakeLedgerTransport peers;
   const auto replicas = LedgerClient::Replicas(kRouters, "id");
   LedgerClient client(peers);
-  peers.gone_ = { replicas[0], replicas[1] };
+  peers.exited_ = { replicas[0], replicas[1] };
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 1 }).verdict_,
             Verdict::Forward);
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 2 }).verdict_,
             Verdict::AlreadySeen);
-  peers.gone_.insert(replicas[2]);
+  peers.exited_.insert(replicas[2]);
   EXPECT_EQ(client.Begin(kRouters, { "svc", "id", 3 }).verdict_,
             Verdict::Unavailable);
 }
@@ -225,12 +225,12 @@
       client.Finish(open.back(), LedgerEntryState::Completed);
       open.pop_back();
     } else if (step == 3) {
-      peers.lost_ = { flaky };
+      peers.unreachable_ = { flaky };
     } else if (step == 4) {
-      peers.lost_.clear();
-      peers.loseAnswers_ = { flaky };
-    } else if (step == 5 && !peers.later_.empty()) {
-      peers.Deliver(*rc::gen::inRange<size_t>(0, peers.later_.size()));
+      peers.unreachable_.clear();
+      peers.losesResponses_ = { flaky };
+    } else if (step == 5 && !peers.delayed_.empty()) {
+      peers.Deliver(*rc::gen::inRange<size_t>(0, peers.delayed_.size()));
     }
   }
 }
--- a/tests/OutcomeClassifierTest.cpp
+++ b/tests/OutcomeClassifierTest.cpp
@@ -14,8 +14,8 @@
   End outcome_;
   Action idempotentRetryable_;
   Action idempotentFinal_;
-  Action otherRetryable_;
-  Action otherFinal_;
+  Action nonIdempotentRetryable_;
+  Action nonIdempotentFinal_;
 };
 
 /// The table of docs/design.md, section 6, independent of the implementation.
@@ -80,9 +80,10 @@
       << EnumName(row.outcome_);
     EXPECT_EQ(decide(true, false), row.idempotentFinal_)
       << EnumName(row.outcome_);
-    EXPECT_EQ(decide(false, true), row.otherRetryable_)
+    EXPECT_EQ(decide(false, true), row.nonIdempotentRetryable_)
+      << EnumName(row.outcome_);
+    EXPECT_EQ(decide(false, false), row.nonIdempotentFinal_)
       << EnumName(row.outcome_);
-    EXPECT_EQ(decide(false, false), row.otherFinal_) << EnumName(row.outcome_);
   }
 }
 
--- a/tests/RouterFaultTest.cpp
+++ b/tests/RouterFaultTest.cpp
@@ -119,9 +119,9 @@
 TEST(RouterFault, UnresponsiveConnectionIsReplaced)
 {
   FakeBackend* self = nullptr;
-  std::atomic<bool> silenced = false;
+  std::atomic<bool> hung = false;
   FakeBackend backend([&](const Request& aRequest) {
-    if (aRequest.Path() == "/svc/slow" && !silenced.exchange(true)) {
+    if (aRequest.Path() == "/svc/slow" && !hung.exchange(true)) {
       return Response{ "", AfterResponse::Hang };
     }
     return self->Ok("value");
@@ -217,9 +217,13 @@
   fixture.SetOwner(backend);
   std::thread slow([&] { AbandonRequest(fixture.http_.Port(), 4000); });
   Sleep(3500);
-  EXPECT_EQ(
-    fixture.router_->Context().registry_.Servers().All().at(0)->Pool().Open(),
-    0);
+  EXPECT_EQ(fixture.router_->Context()
+              .registry_.Servers()
+              .All()
+              .at(0)
+              ->Pool()
+              .OpenConnections(),
+            0);
   slow.join();
 }
 
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -308,11 +308,11 @@
   RouterFixture fixture;
   fixture.SetOwner(server.backend_);
   ASSERT_EQ(OutcomeOf(*fixture.Post("same")), "complete");
-  const auto repeat = fixture.Post("same");
-  ASSERT_TRUE(repeat.ok());
-  EXPECT_EQ(repeat->head_.status_, 409);
-  EXPECT_EQ(OutcomeOf(*repeat), "unknown");
-  EXPECT_NE(repeat->body_.find("completed"), std::string::npos);
+  const auto duplicate = fixture.Post("same");
+  ASSERT_TRUE(duplicate.ok());
+  EXPECT_EQ(duplicate->head_.status_, 409);
+  EXPECT_EQ(OutcomeOf(*duplicate), "unknown");
+  EXPECT_NE(duplicate->body_.find("completed"), std::string::npos);
   EXPECT_EQ(server.backend_.Requests().size(), 1u);
 }
 
@@ -348,8 +348,8 @@
   ScriptedBackend server({ Ok });
   RouterFixture fixture;
   fixture.SetOwner(server.backend_);
-  const ReservedPort nobody;
-  fixture.tables_.SetPeers({ nobody.Address() });
+  const ReservedPort unusedPort;
+  fixture.tables_.SetPeers({ unusedPort.Address() });
   const auto response = fixture.Post("id");
   ASSERT_TRUE(response.ok());
   EXPECT_EQ(response->head_.Header(header::kNotRun), "ledger");
