Correct three comments in tests of gateway/

Cause: a second reading found an unclear subject and an incomplete description. Change: comments in LeaderElectionTest and PlatformStore.

--- a/tests/LeaderElectionTest.cpp
+++ b/tests/LeaderElectionTest.cpp
@@ -43,7 +43,8 @@
     const bool loses = writes_ == 1 && !isRead && winnerMs_ == 0;
     aExchange.write_(TextAnswer(loses ? 409 : 200, winner));
   }
-  /// Expects that the gateway reads the lease and does not write it.
+  /// Expects that the gateway reads the lease, does not write it and is not
+  /// elected.
   void ExpectWaitAfterRead()
   {
     ASSERT_TRUE(RunLoopUntil(loop_, [&] { return reads_ == 1; }));
@@ -78,7 +79,8 @@
 };
 
 // Guards against repeated elections at the first start: the loser of the race
-// to create the lease replaced the winner before it received its gossip.
+// to create the lease replaced the winner before the gossip of the winner
+// arrived.
 TEST_F(LeaderElectionTest, LoserOfCreateRaceWaitsForWinner)
 {
   election_.Start();
--- a/tests/PlatformStore.hpp
+++ b/tests/PlatformStore.hpp
@@ -104,7 +104,7 @@
   DelayedTasks delayed_; ///< responses in the mode Slow
   Timer watchTimer_;
   int64_t revision_ = 10;
-  int64_t oldestRevision_ = 0; ///< oldest revision in history_
+  int64_t oldestRevision_ = 0; ///< earliest start of a watch
   StoreFaultMode faultMode_ = StoreFaultMode::None;
   ScriptedServer server_;
 };
