Last local names and one comment of the forwarder's wording

Cause: two locals and one comment were left from the earlier wording. Change: sameLife, recorded and the reason for 502 instead of 503 are reworded.

--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -50,9 +50,10 @@
   for (const auto& id : aChanged) {
     const auto entry = aEntries.find(id);
     const auto known = backends_.find(id);
-    const bool sameLife = entry != aEntries.end() && known != backends_.end() &&
-                          entry->second.IsSameLife(known->second->entry_);
-    if (sameLife) {
+    const bool sameIncarnation =
+      entry != aEntries.end() && known != backends_.end() &&
+      entry->second.IsSameLife(known->second->entry_);
+    if (sameIncarnation) {
       known->second->entry_ = entry->second;
       known->second->load_.SetSlots(entry->second.slots_);
       if (entry->second.leaving_) {
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -208,8 +208,8 @@
 bool ForwardedRequest::PassesQuarantine(const SuspectDecision& aDecision)
 {
   if (aDecision.verdict_ == SuspectVerdict::Refuse) {
-    // 503 promises that the request was not executed, which does not hold if an
-    // earlier attempt may have been.
+    // 503 promises that the request was not executed, but an earlier attempt
+    // may have been.
     Reject(mayHaveExecuted_ ? 502 : 503,
            "quarantined",
            aDecision.waitMs_ > 0 ? aDecision.waitMs_ : RemainingMs());
--- a/tests/GatewayFixture.cpp
+++ b/tests/GatewayFixture.cpp
@@ -65,8 +65,8 @@
   };
   auto safe = route("r1", "safe");
   safe["service"] = "plain";
-  auto recorded = route("r2", "unsafe");
-  recorded["service"] = "plain";
+  auto nonIdempotent = route("r2", "unsafe");
+  nonIdempotent["service"] = "plain";
   auto keyed = route("r3", "safe");
   keyed["service"] = "keyed";
   nlohmann::json config;
@@ -82,7 +82,7 @@
                        { "idle-timeout-s", 2 } };
   config["virtual-hosts"] = nlohmann::json::array(
     { { { "host", "plain" },
-        { "paths", nlohmann::json::array({ safe, recorded }) } },
+        { "paths", nlohmann::json::array({ safe, nonIdempotent }) } },
       { { "host", "keyed" }, { "paths", nlohmann::json::array({ keyed }) } } });
   store_.Put("config", "main", config);
 
