--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -50,10 +50,10 @@
   for (const auto& id : aChanged) {
     const auto entry = aEntries.find(id);
     const auto known = backends_.find(id);
-    const bool sameLife =
+    const bool sameIncarnation =
       entry != aEntries.end() && known != backends_.end() &&
       entry->second.IsSameIncarnation(known->second->entry_);
-    if (sameLife) {
+    if (sameIncarnation) {
       known->second->entry_ = entry->second;
       known->second->load_.SetSlots(entry->second.slots_);
       if (entry->second.leaving_) {
