Keep the names of four router tests that docs/ cites

Change: Router.GivesUpAtOnceWithARetryTime, Router.DeadlineAllowsForASlowClock, RouterFault.RepeatIsRecognisedByAnotherRouter and RouterFault.QuarantineReachesTheOtherRouter have their earlier names again.

--- a/tests/RouterFaultTest.cpp
+++ b/tests/RouterFaultTest.cpp
@@ -310,7 +310,7 @@
 
 // Guards against executing a duplicate that arrives at another router,
 // including after the router that forwarded the first request has stopped.
-TEST(RouterFault, DuplicateIsDetectedByAnotherRouter)
+TEST(RouterFault, RepeatIsRecognisedByAnotherRouter)
 {
   FakeBackend* self = nullptr;
   FakeBackend backend([&](const Request&) { return self->Ok("value"); });
@@ -330,7 +330,7 @@
 
 // Guards against a quarantine that reaches other instances too late, and
 // against one that reappears after an operator has released it.
-TEST(RouterFault, QuarantineReachesOtherRouter)
+TEST(RouterFault, QuarantineReachesTheOtherRouter)
 {
   constexpr uint64_t kFingerprint = 77;
   RouterPair routers;
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -171,7 +171,7 @@
 // Guards against delaying the response until the deadline after the last retry,
 // and against a refusal without a retry time, after which callers would retry
 // at the same time.
-TEST(Router, RefusesImmediatelyWithRetryTime)
+TEST(Router, GivesUpAtOnceWithARetryTime)
 {
   ScriptedBackend server(
     { [](FakeBackend& aServer) { return aServer.NotRun("busy"); } });
@@ -267,7 +267,7 @@
 
 // Guards against a server without the fence check whose clock runs 1% slow, so
 // that it reaches the deadline after the router's view lease has expired.
-TEST(Router, DeadlineAllowsForSlowClock)
+TEST(Router, DeadlineAllowsForASlowClock)
 {
   ScriptedBackend server({ Ok });
   server.backend_.SetClockMs(1000000);
