--- a/admin/AdminProcess.cpp
+++ b/admin/AdminProcess.cpp
@@ -118,7 +118,7 @@
       moves_.Observe(followed->table_, UnixNowMs());
     }
     if (const auto config = follower_.Config()) {
-      editor_.NoteVersion(config->version_);
+      editor_.ObserveVersion(config->version_);
     }
     std::this_thread::sleep_for(detail::kFollowInterval);
   }
--- a/admin/FleetApi.cpp
+++ b/admin/FleetApi.cpp
@@ -216,7 +216,7 @@
   if (const auto config = follower_.Config()) {
     newest = std::max(newest, config->version_);
   }
-  editor_.NoteVersion(newest);
+  editor_.ObserveVersion(newest);
   return newest;
 }
 
--- a/config/ConfigChange.cpp
+++ b/config/ConfigChange.cpp
@@ -22,7 +22,7 @@
     if (!field) {
       aFindings.Add("defaults",
                     name.substr(0, kMaxChangeIdBytes),
-                    ValueText(member),
+                    FormatValue(member),
                     "unknown field");
       continue;
     }
@@ -51,7 +51,7 @@
     if (!entry.is_string() || entry.get_ref<const std::string&>().empty()) {
       aFindings.Add("change",
                     "retire",
-                    ValueText(entry),
+                    FormatValue(entry),
                     "expected the id of an exception");
       continue;
     }
@@ -76,25 +76,27 @@
   aText += "...";
 }
 
-void Retire(FleetDocument& aDocument,
-            const ConfigChange& aChange,
-            Findings& aFindings)
+void RemoveExceptions(FleetDocument& aDocument,
+                      const ConfigChange& aChange,
+                      Findings& aFindings)
 {
   for (const auto& id : aChange.retire_) {
     const auto removed = std::erase_if(
       aDocument.exceptions_,
       [&](const RuleException& aException) { return aException.id_ == id; });
     if (removed == 0) {
-      aFindings.Add(
-        "change", "retire", ValueText(nlohmann::json(id)), "no such exception");
+      aFindings.Add("change",
+                    "retire",
+                    FormatValue(nlohmann::json(id)),
+                    "no such exception");
     }
   }
 }
 
-void Add(FleetDocument& aDocument,
-         const ConfigChange& aChange,
-         UnixMs aNowMs,
-         Findings& aFindings)
+void AddExceptions(FleetDocument& aDocument,
+                   const ConfigChange& aChange,
+                   UnixMs aNowMs,
+                   Findings& aFindings)
 {
   for (auto exception : aChange.add_) {
     if (!exception.IsInForce(aNowMs)) {
@@ -191,8 +193,8 @@
   for (const auto& [field, value] : aChange.defaults_) {
     field->Set(result.defaults_, value);
   }
-  detail::Retire(result, aChange, aFindings);
-  detail::Add(result, aChange, aNowMs, aFindings);
+  detail::RemoveExceptions(result, aChange, aFindings);
+  detail::AddExceptions(result, aChange, aNowMs, aFindings);
   ValidateFleetDocument(result, aNowMs, aFindings);
   if (aFindings.All().size() > before) {
     return std::nullopt;
--- a/config/ConfigEditor.cpp
+++ b/config/ConfigEditor.cpp
@@ -57,11 +57,11 @@
                                                 largest,
                                                 " has been in force"));
   }
-  NoteVersion(version);
+  ObserveVersion(version);
   return stored;
 }
 
-void ConfigEditor::NoteVersion(int64_t aVersion)
+void ConfigEditor::ObserveVersion(int64_t aVersion)
 {
   int64_t largest = largestVersion_.load();
   while (largest < aVersion &&
@@ -69,12 +69,12 @@
   }
 }
 
-std::string ConfigEditor::NextChangeId(int64_t aNumber) const
+std::string ConfigEditor::MakeChangeId(int64_t aNumber) const
 {
   return Concat(writer_, "/", aNumber);
 }
 
-void ConfigEditor::Pause(TimeMs aDeadlineMs) const
+void ConfigEditor::WaitBeforeRetry(TimeMs aDeadlineMs) const
 {
   // Racing editors of one fault must not meet again at the same moment.
   constexpr TimeMs kMinPauseMs = 5;
@@ -86,9 +86,9 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(std::min(pause, left)));
 }
 
-ChangeResult ConfigEditor::Conflict(const FleetDocument& aDocument,
-                                    const ConfigChange& aChange,
-                                    bool aMayBeWritten) const
+ChangeResult ConfigEditor::MakeConflictResult(const FleetDocument& aDocument,
+                                              const ConfigChange& aChange,
+                                              bool aMayBeWritten) const
 {
   ChangeResult result;
   result.id_ = aChange.id_;
@@ -114,15 +114,15 @@
 
 ChangeResult ConfigEditor::Submit(ConfigChange aChange, TimeMs aDeadlineMs)
 {
-  const int64_t number = ++changes_;
+  const int64_t number = ++changeCount_;
   if (aChange.id_.empty()) {
-    aChange.id_ = NextChangeId(number);
+    aChange.id_ = MakeChangeId(number);
   }
   const UnixMs nowMs = unixClock_();
   ChangeResult result;
   result.id_ = aChange.id_;
   bool mayBeWritten = false;
-  for (; clock_.NowMs() < aDeadlineMs; Pause(aDeadlineMs)) {
+  for (; clock_.NowMs() < aDeadlineMs; WaitBeforeRetry(aDeadlineMs)) {
     const auto stored = Read();
     if (!stored.ok()) {
       result.error_ = std::string(ToStd(stored.status().message()));
@@ -142,7 +142,7 @@
       return result;
     }
     if (document.version_ != aChange.baseVersion_) {
-      return Conflict(document, aChange, mayBeWritten);
+      return MakeConflictResult(document, aChange, mayBeWritten);
     }
     auto next = ApplyChange(document, aChange, nowMs, result.findings_);
     if (!next) {
@@ -150,7 +150,7 @@
       return result;
     }
     next->writer_ = writer_;
-    next->change_ = number;
+    next->changeNumber_ = number;
     const auto text = ToJson(*next).dump();
     if (text.size() > kMaxDocumentBytes) {
       result.findings_.Add("document",
@@ -165,7 +165,7 @@
     const auto put =
       store_.Put(kConfigKind, kConfigName, stored->storeVersion_, text);
     if (put.ok()) {
-      NoteVersion(next->version_);
+      ObserveVersion(next->version_);
       result.outcome_ = ChangeOutcome::Accepted;
       result.version_ = next->version_;
       return result;
--- a/config/ConfigEditor.hpp
+++ b/config/ConfigEditor.hpp
@@ -79,20 +79,20 @@
 
   /// Takes notice of a version that other processes have in force, so that an
   /// older or missing object is not taken for the newest.
-  void NoteVersion(int64_t aVersion);
+  void ObserveVersion(int64_t aVersion);
 
 private:
-  std::string NextChangeId(int64_t aNumber) const;
-  ChangeResult Conflict(const FleetDocument& aDocument,
-                        const ConfigChange& aChange,
-                        bool aMayBeWritten) const;
-  void Pause(TimeMs aDeadlineMs) const;
+  std::string MakeChangeId(int64_t aNumber) const;
+  ChangeResult MakeConflictResult(const FleetDocument& aDocument,
+                                  const ConfigChange& aChange,
+                                  bool aMayBeWritten) const;
+  void WaitBeforeRetry(TimeMs aDeadlineMs) const;
 
   ObjectStore& store_;
   const Clock& clock_;
   UnixClock unixClock_;
   std::string writer_;
-  std::atomic<int64_t> changes_ = 0;
+  std::atomic<int64_t> changeCount_ = 0;
   std::atomic<int64_t> largestVersion_ = 0;
 };
 
--- a/config/FleetDocument.cpp
+++ b/config/FleetDocument.cpp
@@ -105,9 +105,9 @@
 }
 
 /// Refuses exceptions of one scope and field: neither is more specific.
-void CheckTies(const FleetDocument& aDocument,
-               UnixMs aNowMs,
-               Findings& aFindings)
+void CheckDuplicateScopes(const FleetDocument& aDocument,
+                          UnixMs aNowMs,
+                          Findings& aFindings)
 {
   std::map<std::string, const RuleException*> seen;
   for (const auto& exception : aDocument.exceptions_) {
@@ -148,36 +148,36 @@
         continue;
       }
       if (exception.field_ == relation_.left_) {
-        lefts_.push_back(&exception);
+        leftExceptions_.push_back(&exception);
       } else if (exception.field_ == relation_.right_) {
-        rights_.push_back(&exception);
+        rightExceptions_.push_back(&exception);
       }
     }
   }
 
   void Run()
   {
-    CheckAt({}, "defaults");
-    for (const auto* left : lefts_) {
-      CheckAt(left->scope_, Concat("exception ", left->id_));
+    CheckTarget({}, "defaults");
+    for (const auto* left : leftExceptions_) {
+      CheckTarget(left->scope_, Concat("exception ", left->id_));
     }
-    for (const auto* right : rights_) {
-      CheckAt(right->scope_, Concat("exception ", right->id_));
+    for (const auto* right : rightExceptions_) {
+      CheckTarget(right->scope_, Concat("exception ", right->id_));
     }
-    for (const auto* left : lefts_) {
-      for (const auto* right : rights_) {
+    for (const auto* left : leftExceptions_) {
+      for (const auto* right : rightExceptions_) {
         if (left->scope_.Overlaps(right->scope_) &&
             !left->scope_.Contains(right->scope_) &&
             !right->scope_.Contains(left->scope_)) {
-          CheckAt(left->scope_.Merge(right->scope_),
-                  Concat("exception ", left->id_, " with ", right->id_));
+          CheckTarget(left->scope_.Merge(right->scope_),
+                      Concat("exception ", left->id_, " with ", right->id_));
         }
       }
     }
   }
 
 private:
-  void CheckAt(const RuleScope& aTarget, std::string aObject)
+  void CheckTarget(const RuleScope& aTarget, std::string aObject)
   {
     const auto rules = resolver_.Resolve(aTarget);
     const auto left = std::get<int64_t>(left_.Get(rules));
@@ -202,8 +202,8 @@
   const RuleField& left_;
   const RuleField& right_;
   Findings& findings_;
-  std::vector<const RuleException*> lefts_;
-  std::vector<const RuleException*> rights_;
+  std::vector<const RuleException*> leftExceptions_;
+  std::vector<const RuleException*> rightExceptions_;
 };
 
 }
@@ -257,7 +257,8 @@
   FleetDocument document;
   document.version_ = reader.Integer("version", 1, INT64_MAX, true).value_or(0);
   document.writer_ = reader.Text("writer", { detail::kMaxIdBytes, true, true });
-  document.change_ = reader.Integer("change", 0, INT64_MAX, true).value_or(0);
+  document.changeNumber_ =
+    reader.Integer("change", 0, INT64_MAX, true).value_or(0);
   if (const auto* defaults = reader.Object("defaults", true)) {
     document.defaults_ = detail::ParseRules(*defaults, aFindings);
   }
@@ -300,7 +301,7 @@
                     "used more than once");
     }
   }
-  detail::CheckTies(aDocument, aNowMs, aFindings);
+  detail::CheckDuplicateScopes(aDocument, aNowMs, aFindings);
   for (const auto& relation : RuleRelations()) {
     detail::RelationCheck(aDocument, aNowMs, relation, aFindings).Run();
   }
@@ -360,7 +361,7 @@
   }
   return { { "version", aDocument.version_ },
            { "writer", aDocument.writer_ },
-           { "change", aDocument.change_ },
+           { "change", aDocument.changeNumber_ },
            { "defaults", ToJson(aDocument.defaults_) },
            { "exceptions", std::move(exceptions) },
            { "changes", std::move(changes) } };
--- a/config/FleetDocument.hpp
+++ b/config/FleetDocument.hpp
@@ -57,7 +57,7 @@
 {
   int64_t version_ = 0;
   std::string writer_;
-  int64_t change_ = 0;
+  int64_t changeNumber_ = 0;
   ServiceRules defaults_;
   std::vector<RuleException> exceptions_;
   std::vector<ChangeRecord> changes_;
--- a/config/JsonReader.cpp
+++ b/config/JsonReader.cpp
@@ -29,7 +29,7 @@
 
 }
 
-std::string ValueText(const nlohmann::json& aValue)
+std::string FormatValue(const nlohmann::json& aValue)
 {
   // Text in quotes and other values as JSON, so that "5" and 5 differ.
   auto text =
@@ -54,12 +54,12 @@
                   Concat("at most ", aMaxBytes, " B"));
     return std::nullopt;
   }
-  bool sound = true;
+  bool isValid = true;
   std::vector<std::set<std::string>> names;
   const auto check = [&](int aDepth, Json::parse_event_t aEvent, Json& aValue) {
-    if (aDepth > detail::kMaxDepth && sound) {
+    if (aDepth > detail::kMaxDepth && isValid) {
       aFindings.Add(aObject, "nesting", Concat(aDepth), "at most 16 levels");
-      sound = false;
+      isValid = false;
     }
     if (aEvent == Json::parse_event_t::object_start) {
       names.emplace_back();
@@ -68,8 +68,8 @@
     } else if (aEvent == Json::parse_event_t::key &&
                !names.back().insert(aValue.get<std::string>()).second) {
       aFindings.Add(
-        aObject, ValueText(aValue), "", "named more than once in one object");
-      sound = false;
+        aObject, FormatValue(aValue), "", "named more than once in one object");
+      isValid = false;
     }
     return true;
   };
@@ -77,11 +77,11 @@
   if (parsed.is_discarded()) {
     aFindings.Add(aObject,
                   "text",
-                  ValueText(std::string(aText.substr(0, 80))),
+                  FormatValue(std::string(aText.substr(0, 80))),
                   "not valid JSON");
     return std::nullopt;
   }
-  return sound ? std::optional<Json>(std::move(parsed)) : std::nullopt;
+  return isValid ? std::optional<Json>(std::move(parsed)) : std::nullopt;
 }
 
 JsonReader::JsonReader(const nlohmann::json& aValue,
@@ -92,21 +92,21 @@
   , findings_(aFindings)
 {
   if (!aValue.is_object()) {
-    findings_.Add(object_, "type", ValueText(aValue), "expected an object");
+    findings_.Add(object_, "type", FormatValue(aValue), "expected an object");
   }
 }
 
-void JsonReader::Refuse(const std::string& aName,
-                        const nlohmann::json& aValue,
-                        std::string aRule)
+void JsonReader::AddFinding(const std::string& aName,
+                            const nlohmann::json& aValue,
+                            std::string aRule)
 {
-  findings_.Add(object_, aName, ValueText(aValue), std::move(aRule));
+  findings_.Add(object_, aName, FormatValue(aValue), std::move(aRule));
 }
 
 const nlohmann::json* JsonReader::Member(const std::string& aName,
                                          bool aRequired)
 {
-  known_.insert(aName);
+  requestedMembers_.insert(aName);
   if (!value_.is_object()) {
     return nullptr;
   }
@@ -128,19 +128,19 @@
     return {};
   }
   if (!member->is_string()) {
-    Refuse(aName, *member, "expected text");
+    AddFinding(aName, *member, "expected text");
     return {};
   }
   const auto& text = member->get_ref<const std::string&>();
   if (ToStd(absl::StripAsciiWhitespace(text)).empty()) {
-    Refuse(aName, *member, "may not be empty");
+    AddFinding(aName, *member, "may not be empty");
   } else if (text.size() > aLimits.maxBytes_) {
-    Refuse(aName, *member, Concat("at most ", aLimits.maxBytes_, " B"));
+    AddFinding(aName, *member, Concat("at most ", aLimits.maxBytes_, " B"));
   } else if (!detail::IsPrintable(text)) {
-    Refuse(aName, *member, "no control characters");
+    AddFinding(aName, *member, "no control characters");
   } else if (aLimits.isName_ &&
              !std::ranges::all_of(text, detail::IsNameByte)) {
-    Refuse(aName, *member, "only letters, digits and . _ : / -");
+    AddFinding(aName, *member, "only letters, digits and . _ : / -");
   } else {
     return text;
   }
@@ -160,7 +160,7 @@
     member->is_number_integer() &&
     !(member->is_number_unsigned() && member->get<uint64_t>() > INT64_MAX);
   if (!fits || member->get<int64_t>() < aMin || member->get<int64_t>() > aMax) {
-    Refuse(
+    AddFinding(
       aName, *member, Concat("expected an integer from ", aMin, " to ", aMax));
     return std::nullopt;
   }
@@ -172,7 +172,7 @@
 {
   const auto* member = Member(aName, aRequired);
   if (member && !member->is_object()) {
-    Refuse(aName, *member, "expected an object");
+    AddFinding(aName, *member, "expected an object");
     return nullptr;
   }
   return member;
@@ -184,7 +184,7 @@
 {
   const auto* member = Member(aName, aRequired);
   if (member && !member->is_array()) {
-    Refuse(aName, *member, "expected an array");
+    AddFinding(aName, *member, "expected an array");
     return nullptr;
   }
   if (member && member->size() > aMaxSize) {
@@ -203,8 +203,9 @@
     return;
   }
   for (const auto& [name, member] : value_.items()) {
-    if (!known_.contains(name)) {
-      Refuse(name.substr(0, detail::kMaxShownBytes), member, "unknown field");
+    if (!requestedMembers_.contains(name)) {
+      AddFinding(
+        name.substr(0, detail::kMaxShownBytes), member, "unknown field");
     }
   }
 }
--- a/config/JsonReader.hpp
+++ b/config/JsonReader.hpp
@@ -20,7 +20,7 @@
                                         Findings& aFindings);
 
 /// Value as short printable text for a finding.
-std::string ValueText(const nlohmann::json& aValue);
+std::string FormatValue(const nlohmann::json& aValue);
 
 /// Bounds of a text field.
 struct TextLimits
@@ -56,14 +56,14 @@
   const std::string& ObjectName() const { return object_; }
 
 private:
-  void Refuse(const std::string& aName,
-              const nlohmann::json& aValue,
-              std::string aRule);
+  void AddFinding(const std::string& aName,
+                  const nlohmann::json& aValue,
+                  std::string aRule);
 
   const nlohmann::json& value_;
   std::string object_;
   Findings& findings_;
-  std::set<std::string> known_;
+  std::set<std::string> requestedMembers_;
 };
 
 }
--- a/ctl/ApiClient.cpp
+++ b/ctl/ApiClient.cpp
@@ -14,13 +14,15 @@
 {
 }
 
-absl::StatusOr<ApiAnswer> ApiClient::Get(const std::string& aTarget) const
+absl::StatusOr<ApiClientResponse> ApiClient::Get(
+  const std::string& aTarget) const
 {
   return Call("GET", aTarget, {});
 }
 
-absl::StatusOr<ApiAnswer> ApiClient::Post(const std::string& aTarget,
-                                          const nlohmann::json& aBody) const
+absl::StatusOr<ApiClientResponse> ApiClient::Post(
+  const std::string& aTarget,
+  const nlohmann::json& aBody) const
 {
   return Call(
     "POST",
@@ -28,11 +30,12 @@
     aBody.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
-absl::StatusOr<ApiAnswer> ApiClient::Call(const std::string& aMethod,
-                                          const std::string& aTarget,
-                                          const std::string& aBody) const
+absl::StatusOr<ApiClientResponse> ApiClient::Call(
+  const std::string& aMethod,
+  const std::string& aTarget,
+  const std::string& aBody) const
 {
-  constexpr size_t kMaxAnswerBytes = 64 * 1024 * 1024;
+  constexpr size_t kMaxResponseBytes = 64 * 1024 * 1024;
   HttpHeaders headers = { { "Content-Type", "application/json" } };
   if (!options_.token_.empty()) {
     headers.emplace_back("Authorization", Concat("Bearer ", options_.token_));
@@ -41,13 +44,14 @@
   const auto response =
     connection.Exchange({ aMethod, aTarget, headers, aBody },
                         clock_.NowMs() + options_.timeoutMs_,
-                        kMaxAnswerBytes);
+                        kMaxResponseBytes);
   if (!response.ok()) {
     return response.status();
   }
-  return ApiAnswer{ response->head_.status_,
-                    nlohmann::json::parse(response->body_, nullptr, false),
-                    response->body_ };
+  return ApiClientResponse{ response->head_.status_,
+                            nlohmann::json::parse(
+                              response->body_, nullptr, false),
+                            response->body_ };
 }
 
 std::string EncodeQuery(std::string_view aText)
--- a/ctl/ApiClient.hpp
+++ b/ctl/ApiClient.hpp
@@ -16,7 +16,7 @@
   TimeMs timeoutMs_ = 30000;
 };
 
-struct ApiAnswer
+struct ApiClientResponse
 {
   int status_ = 0;
   /// Discarded when the answer is not JSON.
@@ -32,14 +32,14 @@
 
   /// Unavailable: the request was not sent. Any other failure of a POST leaves
   /// open whether it was carried out.
-  absl::StatusOr<ApiAnswer> Get(const std::string& aTarget) const;
-  absl::StatusOr<ApiAnswer> Post(const std::string& aTarget,
-                                 const nlohmann::json& aBody) const;
+  absl::StatusOr<ApiClientResponse> Get(const std::string& aTarget) const;
+  absl::StatusOr<ApiClientResponse> Post(const std::string& aTarget,
+                                         const nlohmann::json& aBody) const;
 
 private:
-  absl::StatusOr<ApiAnswer> Call(const std::string& aMethod,
-                                 const std::string& aTarget,
-                                 const std::string& aBody) const;
+  absl::StatusOr<ApiClientResponse> Call(const std::string& aMethod,
+                                         const std::string& aTarget,
+                                         const std::string& aBody) const;
 
   const Clock& clock_;
   ApiClientOptions options_;
--- a/ctl/CtlMain.cpp
+++ b/ctl/CtlMain.cpp
@@ -1,4 +1,4 @@
-#include "Commands.hpp"
+#include "SubcommandRunner.hpp"
 #include "common/Settings.hpp"
 #include "common/Version.hpp"
 
@@ -28,7 +28,7 @@
     clock, { .address_ = arguments->admin_, .token_ = arguments->token_ });
   try {
     return static_cast<int>(
-      Commands(client, std::cout, std::cerr).Run(*arguments));
+      SubcommandRunner(client, std::cout, std::cerr).Run(*arguments));
   } catch (const nlohmann::json::exception& failure) {
     std::cerr << "unexpected answer: " << failure.what() << "\n";
     return static_cast<int>(CtlExit::Failure);
--- a/ctl/LogLine.cpp
+++ b/ctl/LogLine.cpp
@@ -9,7 +9,9 @@
 namespace detail {
 
 /// Takes `name=value` or `name="value"` off the text; false at its end.
-bool TakeField(std::string_view& aText, std::string& aName, std::string& aValue)
+bool ConsumeField(std::string_view& aText,
+                  std::string& aName,
+                  std::string& aValue)
 {
   const auto equals = aText.find('=');
   if (equals == std::string_view::npos) {
@@ -57,7 +59,7 @@
   aText.remove_prefix(start);
   std::string name;
   std::string value;
-  while (detail::TakeField(aText, name, value)) {
+  while (detail::ConsumeField(aText, name, value)) {
     if (name == "ts") {
       if (!ParseNumber(value, line.timeMs_)) {
         return std::nullopt;
--- a/ctl/RequestExplanation.cpp
+++ b/ctl/RequestExplanation.cpp
@@ -13,8 +13,8 @@
 
 /// State changes this long before a request may explain it: a lost owner is
 /// replaced within 5 s.
-constexpr int64_t kBeforeMs = 5000;
-constexpr int64_t kAfterMs = 1000;
+constexpr int64_t kWindowBeforeMs = 5000;
+constexpr int64_t kWindowAfterMs = 1000;
 
 struct CauseMeaning
 {
@@ -75,12 +75,14 @@
   "the connection to the server ended without an answer; it may have run";
 
 /// Lines about a server that tell why requests of its service are refused.
-constexpr std::string_view kServerNotices[] = { "backend-paused",
-                                                "backend-pause-malformed" };
-constexpr std::string_view kAllProcesses[] = { "leader-elected",
-                                               "leader-ended",
-                                               "earlier-leaders-ended" };
-constexpr std::string_view kOwnProcess[] = {
+constexpr std::string_view kServerNoticeEvents[] = {
+  "backend-paused",
+  "backend-pause-malformed"
+};
+constexpr std::string_view kAnyProcessEvents[] = { "leader-elected",
+                                                   "leader-ended",
+                                                   "earlier-leaders-ended" };
+constexpr std::string_view kSameProcessEvents[] = {
   "store-lost",        "store-regained",    "store-watch-changed",
   "history-gone",      "config-applied",    "config-rejected",
   "ready-changed",     "drain-started",     "gateway-started",
@@ -88,7 +90,7 @@
   "backend-unreadable"
 };
 
-int64_t Number(std::string_view aText, int64_t aDefault)
+int64_t ParseNumberOr(std::string_view aText, int64_t aDefault)
 {
   int64_t number = 0;
   return ParseNumber(aText, number) ? number : aDefault;
@@ -101,7 +103,7 @@
 }
 
 /// What is looked for around a request.
-struct Subject
+struct RequestContext
 {
   std::set<std::string, std::less<>> sources_;
   std::set<std::string, std::less<>> backends_;
@@ -119,31 +121,32 @@
     if (const auto service = aLine.Field("service"); !service.empty()) {
       service_ = service;
     }
-    key_ = std::max(key_, Number(aLine.Field("key"), -1));
+    key_ = std::max(key_, ParseNumberOr(aLine.Field("key"), -1));
     // A request's line is written at its end.
-    const auto heldMs = Number(aLine.Field("held_ms"), 0);
+    const auto heldMs = ParseNumberOr(aLine.Field("held_ms"), 0);
     firstMs_ = std::min(firstMs_, aLine.timeMs_ - heldMs);
     lastMs_ = std::max(lastMs_, aLine.timeMs_);
   }
 
-  bool Concerns(const LogLine& aLine) const
+  bool IsRelated(const LogLine& aLine) const
   {
-    if (aLine.timeMs_ < firstMs_ - kBeforeMs ||
-        aLine.timeMs_ > lastMs_ + kAfterMs || !aLine.Field("id").empty()) {
+    if (aLine.timeMs_ < firstMs_ - kWindowBeforeMs ||
+        aLine.timeMs_ > lastMs_ + kWindowAfterMs ||
+        !aLine.Field("id").empty()) {
       return false;
     }
-    if (Contains(kAllProcesses, aLine.event_)) {
+    if (Contains(kAnyProcessEvents, aLine.event_)) {
       return true;
     }
-    if (Contains(kOwnProcess, aLine.event_)) {
+    if (Contains(kSameProcessEvents, aLine.event_)) {
       return sources_.contains(aLine.source_);
     }
-    const auto first = Number(aLine.Field("first"), -1);
+    const auto first = ParseNumberOr(aLine.Field("first"), -1);
     const bool holdsKey = key_ >= 0 && first >= 0 && first <= key_ &&
-                          key_ <= Number(aLine.Field("last"), -1);
+                          key_ <= ParseNumberOr(aLine.Field("last"), -1);
     const auto service = aLine.Field("service");
     const bool isNotice = aLine.event_ == "backend-leaving" ||
-                          (Contains(kServerNotices, aLine.event_) &&
+                          (Contains(kServerNoticeEvents, aLine.event_) &&
                            sources_.contains(aLine.source_));
     if (isNotice && !service.empty() && service == service_) {
       return true;
@@ -166,14 +169,14 @@
                                   std::string_view aRequestId)
 {
   RequestExplanation result;
-  detail::Subject subject;
+  detail::RequestContext context;
   for (const auto& line : aLines) {
     if (line.Field("id") != aRequestId) {
       continue;
     }
     result.found_ = true;
     result.lines_.push_back(line);
-    subject.Add(line);
+    context.Add(line);
     if (line.event_ == "request-failed" || line.event_ == "request-served") {
       result.cause_ = line.Field("cause");
     }
@@ -184,7 +187,7 @@
   result.meaning_ = detail::MeaningOf(result.cause_);
   std::ranges::copy_if(
     aLines, std::back_inserter(result.lines_), [&](const LogLine& aLine) {
-      return subject.Concerns(aLine);
+      return context.IsRelated(aLine);
     });
   std::ranges::stable_sort(result.lines_, {}, &LogLine::timeMs_);
   return result;
--- a/ctl/Commands.cpp
+++ b/ctl/SubcommandRunner.cpp
@@ -1,4 +1,4 @@
-#include "Commands.hpp"
+#include "SubcommandRunner.hpp"
 
 #include "RequestExplanation.hpp"
 #include "TextOutput.hpp"
@@ -14,7 +14,7 @@
 namespace detail {
 
 /// Query of the read-only subcommands: flag names and parameter names.
-constexpr std::pair<const char*, const char*> kParameters[] = {
+constexpr std::pair<const char*, const char*> kQueryParameters[] = {
   { "service", "service" },      { "failure-domain", "failureDomain" },
   { "server", "server" },        { "key", "key" },
   { "since", "since" },          { "version", "version" },
@@ -22,11 +22,12 @@
   { "timeout-ms", "timeoutMs" },
 };
 
-std::string Target(const std::string& aPath, const CtlArguments& aArguments)
+std::string RequestTarget(const std::string& aPath,
+                          const CtlArguments& aArguments)
 {
   auto target = Concat("/v1/", aPath);
   char separator = '?';
-  for (const auto& [flag, parameter] : kParameters) {
+  for (const auto& [flag, parameter] : kQueryParameters) {
     const auto value = aArguments.Value(flag);
     if (!value.empty()) {
       AppendTo(
@@ -59,33 +60,33 @@
          !aArguments.Values("retire").empty();
 }
 
-CtlExit ExitOf(const ApiAnswer& aAnswer)
+CtlExit ExitForStatus(const ApiClientResponse& aResponse)
 {
   constexpr int kConflict = 409;
   constexpr int kUnavailable = 503;
   constexpr int kGatewayTimeout = 504;
   constexpr int kFirstError = 400;
   constexpr int kFirstServerError = 500;
-  if (aAnswer.status_ == kConflict) {
+  if (aResponse.status_ == kConflict) {
     return CtlExit::Conflict;
   }
-  if (aAnswer.status_ == kGatewayTimeout) {
+  if (aResponse.status_ == kGatewayTimeout) {
     return CtlExit::Unknown;
   }
-  if (aAnswer.status_ == kUnavailable) {
+  if (aResponse.status_ == kUnavailable) {
     return CtlExit::Unreachable;
   }
-  if (aAnswer.status_ >= kFirstServerError) {
+  if (aResponse.status_ >= kFirstServerError) {
     return CtlExit::Failure;
   }
-  if (aAnswer.status_ >= kFirstError) {
+  if (aResponse.status_ >= kFirstError) {
     return CtlExit::Usage;
   }
-  return aAnswer.body_.is_discarded() ? CtlExit::Failure : CtlExit::Success;
+  return aResponse.body_.is_discarded() ? CtlExit::Failure : CtlExit::Success;
 }
 
 /// Exit status that the content of a good answer calls for.
-CtlExit ContentExit(const nlohmann::json& aBody)
+CtlExit ExitForBody(const nlohmann::json& aBody)
 {
   if (aBody.contains("inForce") && !aBody.at("inForce").get<bool>()) {
     return CtlExit::NotInForce;
@@ -104,16 +105,16 @@
 
 }
 
-Commands::Commands(const ApiClient& aClient,
-                   std::ostream& aOut,
-                   std::ostream& aError)
+SubcommandRunner::SubcommandRunner(const ApiClient& aClient,
+                                   std::ostream& aOut,
+                                   std::ostream& aError)
   : client_(aClient)
   , out_(aOut)
   , error_(aError)
 {
 }
 
-CtlExit Commands::Run(const CtlArguments& aArguments)
+CtlExit SubcommandRunner::Run(const CtlArguments& aArguments)
 {
   if (detail::IsChange(aArguments)) {
     return Change(aArguments);
@@ -122,7 +123,7 @@
     return Release(aArguments);
   }
   if (!aArguments.Value("html").empty()) {
-    return WritePage(aArguments);
+    return WriteHtmlReport(aArguments);
   }
   if (!aArguments.command_->usesAdmin_) {
     return Explain(aArguments);
@@ -130,7 +131,7 @@
   return Show(aArguments);
 }
 
-CtlExit Commands::Explain(const CtlArguments& aArguments)
+CtlExit SubcommandRunner::Explain(const CtlArguments& aArguments)
 {
   Findings findings;
   std::vector<LogLine> lines;
@@ -148,28 +149,29 @@
     }
   }
   if (!findings.IsEmpty()) {
-    return Refuse(findings);
+    return ReportFindings(findings);
   }
   const auto explanation = ExplainRequest(lines, aArguments.Value("id"));
   out_ << ToText(explanation);
   return explanation.found_ ? CtlExit::Success : CtlExit::Failure;
 }
 
-CtlExit Commands::Refuse(const Findings& aFindings)
+CtlExit SubcommandRunner::ReportFindings(const Findings& aFindings)
 {
   error_ << aFindings.ToText();
   return CtlExit::Usage;
 }
 
-CtlExit Commands::Show(const CtlArguments& aArguments)
+CtlExit SubcommandRunner::Show(const CtlArguments& aArguments)
 {
-  const auto target = detail::Target(aArguments.command_->name_, aArguments);
-  return Finish(aArguments, client_.Get(target), CtlExit::Unreachable);
+  const auto target =
+    detail::RequestTarget(aArguments.command_->name_, aArguments);
+  return ReportResponse(aArguments, client_.Get(target), CtlExit::Unreachable);
 }
 
-nlohmann::json Commands::MakeChange(const CtlArguments& aArguments,
-                                    int64_t aBaseVersion,
-                                    Findings& aFindings) const
+nlohmann::json SubcommandRunner::MakeChange(const CtlArguments& aArguments,
+                                            int64_t aBaseVersion,
+                                            Findings& aFindings) const
 {
   nlohmann::json change = { { "baseVersion", aBaseVersion } };
   const bool isPreview = std::string(aArguments.command_->name_) == "preview";
@@ -202,7 +204,7 @@
   return change;
 }
 
-CtlExit Commands::Change(const CtlArguments& aArguments)
+CtlExit SubcommandRunner::Change(const CtlArguments& aArguments)
 {
   Findings findings;
   int64_t base = 0;
@@ -212,21 +214,21 @@
       "command line", "--base-version", baseText, "expected an integer");
   }
   if (!findings.IsEmpty()) {
-    return Refuse(findings);
+    return ReportFindings(findings);
   }
   if (baseText.empty()) {
     const auto newest = client_.Get("/v1/history");
-    if (!newest.ok() || detail::ExitOf(*newest) != CtlExit::Success) {
-      return Finish(aArguments, newest, CtlExit::Unreachable);
+    if (!newest.ok() || detail::ExitForStatus(*newest) != CtlExit::Success) {
+      return ReportResponse(aArguments, newest, CtlExit::Unreachable);
     }
     base = newest->body_.value("version", int64_t{ 0 });
   }
   auto change = MakeChange(aArguments, base, findings);
   if (!findings.IsEmpty()) {
-    return Refuse(findings);
+    return ReportFindings(findings);
   }
   if (std::string(aArguments.command_->name_) == "preview") {
-    return Finish(
+    return ReportResponse(
       aArguments, client_.Post("/v1/preview", change), CtlExit::Unreachable);
   }
   auto id = aArguments.Value("change-id");
@@ -235,21 +237,21 @@
   }
   change["id"] = id;
   // Sending the change again with its id is safe: it is accepted only once.
-  auto answer = client_.Post("/v1/changes", change);
-  if (!answer.ok() && !absl::IsUnavailable(answer.status())) {
-    answer = client_.Post("/v1/changes", change);
-    if (absl::IsUnavailable(answer.status())) {
-      answer = absl::UnknownError(answer.status().message());
+  auto response = client_.Post("/v1/changes", change);
+  if (!response.ok() && !absl::IsUnavailable(response.status())) {
+    response = client_.Post("/v1/changes", change);
+    if (absl::IsUnavailable(response.status())) {
+      response = absl::UnknownError(response.status().message());
     }
   }
-  if (!answer.ok() && !absl::IsUnavailable(answer.status())) {
+  if (!response.ok() && !absl::IsUnavailable(response.status())) {
     error_ << "outcome unknown; repeat with --change-id " << id
            << " --base-version " << base << "\n";
   }
-  return Finish(aArguments, answer, CtlExit::Unknown);
+  return ReportResponse(aArguments, response, CtlExit::Unknown);
 }
 
-CtlExit Commands::Release(const CtlArguments& aArguments)
+CtlExit SubcommandRunner::Release(const CtlArguments& aArguments)
 {
   nlohmann::json body = { { "fingerprint", aArguments.Value("release") } };
   for (const char* name : { "author", "reason" }) {
@@ -257,20 +259,21 @@
       body[name] = aArguments.Value(name);
     }
   }
-  return Finish(
+  return ReportResponse(
     aArguments, client_.Post("/v1/quarantine/release", body), CtlExit::Unknown);
 }
 
-CtlExit Commands::WritePage(const CtlArguments& aArguments)
+CtlExit SubcommandRunner::WriteHtmlReport(const CtlArguments& aArguments)
 {
-  const auto answer = client_.Get(detail::Target("slo.html", aArguments));
+  const auto response =
+    client_.Get(detail::RequestTarget("slo.html", aArguments));
   constexpr int kOk = 200;
-  if (!answer.ok() || answer->status_ != kOk) {
-    return Finish(aArguments, answer, CtlExit::Unreachable);
+  if (!response.ok() || response->status_ != kOk) {
+    return ReportResponse(aArguments, response, CtlExit::Unreachable);
   }
   const auto path = aArguments.Value("html");
   std::ofstream file(path);
-  file << answer->text_;
+  file << response->text_;
   file.close();
   if (!file) {
     error_ << "cannot write " << path << "\n";
@@ -279,26 +282,27 @@
   return CtlExit::Success;
 }
 
-CtlExit Commands::Finish(const CtlArguments& aArguments,
-                         const absl::StatusOr<ApiAnswer>& aAnswer,
-                         CtlExit aOnLostAnswer)
+CtlExit SubcommandRunner::ReportResponse(
+  const CtlArguments& aArguments,
+  const absl::StatusOr<ApiClientResponse>& aResponse,
+  CtlExit aOnLostResponse)
 {
-  if (!aAnswer.ok()) {
+  if (!aResponse.ok()) {
     error_ << "no answer from " << aArguments.admin_ << ": "
-           << std::string(ToStd(aAnswer.status().message())) << "\n";
-    return absl::IsUnavailable(aAnswer.status()) ? CtlExit::Unreachable
-                                                 : aOnLostAnswer;
+           << std::string(ToStd(aResponse.status().message())) << "\n";
+    return absl::IsUnavailable(aResponse.status()) ? CtlExit::Unreachable
+                                                   : aOnLostResponse;
   }
-  const auto exit = detail::ExitOf(*aAnswer);
-  const auto& body = aAnswer->body_;
+  const auto exit = detail::ExitForStatus(*aResponse);
+  const auto& body = aResponse->body_;
   if (aArguments.isJson_ || !body.is_object()) {
-    out_ << aAnswer->text_;
+    out_ << aResponse->text_;
   } else if (exit == CtlExit::Success) {
-    out_ << FormatAnswer(aArguments.command_->name_, body);
+    out_ << FormatResponse(aArguments.command_->name_, body);
   } else {
-    error_ << FormatFailure(body);
+    error_ << FormatError(body);
   }
-  return exit == CtlExit::Success ? detail::ContentExit(body) : exit;
+  return exit == CtlExit::Success ? detail::ExitForBody(body) : exit;
 }
 
 }
--- a/ctl/Commands.hpp
+++ b/ctl/SubcommandRunner.hpp
@@ -9,10 +9,12 @@
 namespace cactuspitch {
 
 /// Runs one subcommand and prints its answer.
-class Commands
+class SubcommandRunner
 {
 public:
-  Commands(const ApiClient& aClient, std::ostream& aOut, std::ostream& aError);
+  SubcommandRunner(const ApiClient& aClient,
+                   std::ostream& aOut,
+                   std::ostream& aError);
 
   CtlExit Run(const CtlArguments& aArguments);
 
@@ -23,13 +25,13 @@
                             Findings& aFindings) const;
   CtlExit Change(const CtlArguments& aArguments);
   CtlExit Release(const CtlArguments& aArguments);
-  CtlExit WritePage(const CtlArguments& aArguments);
+  CtlExit WriteHtmlReport(const CtlArguments& aArguments);
   CtlExit Explain(const CtlArguments& aArguments);
   CtlExit Show(const CtlArguments& aArguments);
-  CtlExit Finish(const CtlArguments& aArguments,
-                 const absl::StatusOr<ApiAnswer>& aAnswer,
-                 CtlExit aOnLostAnswer);
-  CtlExit Refuse(const Findings& aFindings);
+  CtlExit ReportResponse(const CtlArguments& aArguments,
+                         const absl::StatusOr<ApiClientResponse>& aResponse,
+                         CtlExit aOnLostResponse);
+  CtlExit ReportFindings(const Findings& aFindings);
 
   const ApiClient& client_;
   std::ostream& out_;
--- a/ctl/TextOutput.cpp
+++ b/ctl/TextOutput.cpp
@@ -16,7 +16,7 @@
 using Json = nlohmann::json;
 
 /// Scalar without quotes, so that text stays readable.
-std::string Plain(const Json& aValue)
+std::string FormatScalar(const Json& aValue)
 {
   if (aValue.is_null()) {
     return "-";
@@ -31,7 +31,7 @@
            : aValue.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-std::string UtcTime(const Json& aUnixMs)
+std::string FormatUtcTime(const Json& aUnixMs)
 {
   if (!aUnixMs.is_number()) {
     return "-";
@@ -51,22 +51,22 @@
   const char* member_;
 };
 
-bool IsTime(std::string_view aMember)
+bool IsTimeMember(std::string_view aMember)
 {
   return aMember == "time" || aMember == "created" || aMember == "expires" ||
          aMember == "since";
 }
 
-std::string Cell(const Json& aRow, const char* aMember)
+std::string FormatCell(const Json& aRow, const char* aMember)
 {
   const auto found = aRow.find(aMember);
   if (found == aRow.end()) {
     return "-";
   }
-  return IsTime(aMember) ? UtcTime(*found) : Plain(*found);
+  return IsTimeMember(aMember) ? FormatUtcTime(*found) : FormatScalar(*found);
 }
 
-std::string Table(const Json& aRows, const std::vector<Column>& aColumns)
+std::string FormatTable(const Json& aRows, const std::vector<Column>& aColumns)
 {
   std::vector<std::vector<std::string>> lines(1);
   for (const auto& column : aColumns) {
@@ -75,7 +75,7 @@
   for (const auto& row : aRows) {
     auto& line = lines.emplace_back();
     for (const auto& column : aColumns) {
-      line.push_back(Cell(row, column.member_));
+      line.push_back(FormatCell(row, column.member_));
     }
   }
   std::string text;
@@ -95,13 +95,16 @@
 }
 
 /// All scalar members, one a line.
-std::string Scalars(const Json& aBody)
+std::string FormatScalars(const Json& aBody)
 {
   std::string text;
   for (const auto& [name, value] : aBody.items()) {
     if (!value.is_array()) {
-      AppendTo(
-        text, name, ": ", IsTime(name) ? UtcTime(value) : Plain(value), "\n");
+      AppendTo(text,
+               name,
+               ": ",
+               IsTimeMember(name) ? FormatUtcTime(value) : FormatScalar(value),
+               "\n");
     }
   }
   return text;
@@ -184,24 +187,24 @@
     if (rule.contains("exception")) {
       const auto& exception = rule["exception"];
       rule["why"] = Concat("exception ",
-                           Plain(exception.at("id")),
+                           FormatScalar(exception.at("id")),
                            " by ",
-                           Plain(exception.at("author")),
+                           FormatScalar(exception.at("author")),
                            ": ",
-                           Plain(exception.at("reason")));
+                           FormatScalar(exception.at("reason")));
     } else {
       rule["why"] = "default";
     }
     rows.push_back(std::move(rule));
   }
   return Concat("version: ",
-                Plain(aBody.value("version", Json())),
+                FormatScalar(aBody.value("version", Json())),
                 "\n",
-                Table(rows,
-                      { { "field", "field" },
-                        { "value", "value" },
-                        { "unit", "unit" },
-                        { "why", "why" } }));
+                FormatTable(rows,
+                            { { "field", "field" },
+                              { "value", "value" },
+                              { "unit", "unit" },
+                              { "why", "why" } }));
 }
 
 std::string FormatDefaults(const Json& aBody)
@@ -209,19 +212,19 @@
   auto rows = Json::array();
   const auto defaults = aBody.value("defaults", Json::object());
   for (auto field : aBody.value("fields", Json::array())) {
-    field["value"] = defaults.value(Plain(field.at("name")), Json());
+    field["value"] = defaults.value(FormatScalar(field.at("name")), Json());
     rows.push_back(std::move(field));
   }
   return Concat("version: ",
-                Plain(aBody.value("version", Json())),
+                FormatScalar(aBody.value("version", Json())),
                 "\n",
-                Table(rows,
-                      { { "field", "name" },
-                        { "value", "value" },
-                        { "unit", "unit" },
-                        { "min", "min" },
-                        { "max", "max" },
-                        { "help", "help" } }));
+                FormatTable(rows,
+                            { { "field", "name" },
+                              { "value", "value" },
+                              { "unit", "unit" },
+                              { "min", "min" },
+                              { "max", "max" },
+                              { "help", "help" } }));
 }
 
 std::string FormatMeasures(const Json& aBody)
@@ -232,42 +235,43 @@
     measures["service"] = service;
     rows.push_back(std::move(measures));
   }
-  return Table(rows,
-               { { "service", "service" },
-                 { "imbalance", "imbalance" },
-                 { "churn %/min", "churnLastMinutePercent" },
-                 { "peak churn %/min", "churnPeakPercent" },
-                 { "by", "churnWeightedBy" },
-                 { "unavailable s", "unavailableSeconds" },
-                 { "longest gap ms", "longestGapMs" } });
+  return FormatTable(rows,
+                     { { "service", "service" },
+                       { "imbalance", "imbalance" },
+                       { "churn %/min", "churnLastMinutePercent" },
+                       { "peak churn %/min", "churnPeakPercent" },
+                       { "by", "churnWeightedBy" },
+                       { "unavailable s", "unavailableSeconds" },
+                       { "longest gap ms", "longestGapMs" } });
 }
 
 std::string FormatSlo(const Json& aBody)
 {
   constexpr double kPercent = 100;
-  std::string text = Concat(Plain(aBody.value("accuracy", Json(""))), "\n");
+  std::string text =
+    Concat(FormatScalar(aBody.value("accuracy", Json(""))), "\n");
   for (const auto& objective : aBody.value("objectives", Json::array())) {
     absl::StrAppendFormat(
       &text,
       "\n%s %s %.3f%%: budget left %.1f%%%s%s\n",
-      Plain(objective.at("service")),
-      Plain(objective.at("objective")),
+      FormatScalar(objective.at("service")),
+      FormatScalar(objective.at("objective")),
       objective.at("targetPercent").get<double>(),
       objective.at("budgetLeft").get<double>() * kPercent,
       objective.at("fastBurn").get<bool>() ? ", FAST BURN" : "",
       objective.at("slowBurn").get<bool>() ? ", SLOW BURN" : "");
-    text += Table(objective.at("windows"),
-                  { { "window", "window" },
-                    { "requests", "requests" },
-                    { "missed", "bad" },
-                    { "burn", "burn" } });
+    text += FormatTable(objective.at("windows"),
+                        { { "window", "window" },
+                          { "requests", "requests" },
+                          { "missed", "bad" },
+                          { "burn", "burn" } });
     if (!objective.at("causes").empty()) {
-      text += Table(objective.at("causes"),
-                    { { "cause (24h)", "cause" },
-                      { "server", "server" },
-                      { "failure domain", "failureDomain" },
-                      { "requests", "requests" },
-                      { "share", "shareOfBad" } });
+      text += FormatTable(objective.at("causes"),
+                          { { "cause (24h)", "cause" },
+                            { "server", "server" },
+                            { "failure domain", "failureDomain" },
+                            { "requests", "requests" },
+                            { "share", "shareOfBad" } });
     }
   }
   return text;
@@ -284,7 +288,8 @@
 
 }
 
-std::string FormatAnswer(std::string_view aCommand, const nlohmann::json& aBody)
+std::string FormatResponse(std::string_view aCommand,
+                           const nlohmann::json& aBody)
 {
   // The answer to a change has the same shape for every subcommand.
   if (!aBody.contains("outcome") && !aBody.contains("released")) {
@@ -296,17 +301,17 @@
     for (const auto& listing : detail::Listings()) {
       if (listing.command_ == aCommand) {
         const auto rows = aBody.value(listing.member_, nlohmann::json::array());
-        auto text = detail::Scalars(aBody);
+        auto text = detail::FormatScalars(aBody);
         for (const char* member : { "lagging", "unanswered" }) {
           if (aBody.contains(member)) {
             AppendTo(text, member, ": ", aBody[member].dump(), "\n");
           }
         }
-        return text + detail::Table(rows, listing.columns_);
+        return text + detail::FormatTable(rows, listing.columns_);
       }
     }
   }
-  auto text = detail::Scalars(aBody);
+  auto text = detail::FormatScalars(aBody);
   for (const char* member : { "lagging", "unanswered" }) {
     if (aBody.contains(member)) {
       AppendTo(text, member, ": ", aBody[member].dump(), "\n");
@@ -315,36 +320,36 @@
   return text;
 }
 
-std::string FormatFailure(const nlohmann::json& aBody)
+std::string FormatError(const nlohmann::json& aBody)
 {
   std::string text;
   if (aBody.contains("outcome")) {
     AppendTo(text,
-             detail::Plain(aBody.at("outcome")),
+             detail::FormatScalar(aBody.at("outcome")),
              ": ",
-             detail::Plain(aBody.value("error", nlohmann::json(""))),
+             detail::FormatScalar(aBody.value("error", nlohmann::json(""))),
              "\n");
   }
   for (const auto& finding : aBody.value("findings", nlohmann::json::array())) {
     AppendTo(text,
-             detail::Cell(finding, "object"),
+             detail::FormatCell(finding, "object"),
              ": ",
-             detail::Cell(finding, "field"),
+             detail::FormatCell(finding, "field"),
              " = '",
-             detail::Cell(finding, "value"),
+             detail::FormatCell(finding, "value"),
              "': ",
-             detail::Cell(finding, "rule"),
+             detail::FormatCell(finding, "rule"),
              "\n");
   }
   if (aBody.contains("since")) {
     AppendTo(text,
              "changed since:\n",
-             detail::Table(aBody.at("since"),
-                           { { "version", "version" },
-                             { "time", "time" },
-                             { "author", "author" },
-                             { "summary", "summary" },
-                             { "reason", "reason" } }));
+             detail::FormatTable(aBody.at("since"),
+                                 { { "version", "version" },
+                                   { "time", "time" },
+                                   { "author", "author" },
+                                   { "summary", "summary" },
+                                   { "reason", "reason" } }));
   }
   return text;
 }
--- a/tests/AdminTest.cpp
+++ b/tests/AdminTest.cpp
@@ -1,7 +1,7 @@
 #include "ReservedPort.hpp"
 #include "admin/AdminProcess.hpp"
 #include "common/ProcessSettings.hpp"
-#include "ctl/Commands.hpp"
+#include "ctl/SubcommandRunner.hpp"
 #include "rpc/ThriftServer.hpp"
 #include "standin/StandinStore.hpp"
 
@@ -119,8 +119,8 @@
       { { "CACTUSPITCH_ADMIN", fixture_->adminPort_.Address() } },
       findings);
     std::ostringstream out;
-    const auto exit =
-      parsed ? Commands(client_, out, out).Run(*parsed) : CtlExit::Usage;
+    const auto exit = parsed ? SubcommandRunner(client_, out, out).Run(*parsed)
+                             : CtlExit::Usage;
     text_ = out.str() + findings.ToText();
     return exit;
   }
--- a/tests/ConfigEditorTest.cpp
+++ b/tests/ConfigEditorTest.cpp
@@ -11,7 +11,7 @@
 namespace cactuspitch {
 namespace {
 
-constexpr TimeMs kLimitMs = 5000;
+constexpr TimeMs kSubmitTimeoutMs = 5000;
 
 ConfigChange AddException(int64_t aBase, const std::string& aId)
 {
@@ -34,7 +34,8 @@
 protected:
   ChangeResult Submit(ConfigChange aChange)
   {
-    return editor_.Submit(std::move(aChange), clock_.NowMs() + kLimitMs);
+    return editor_.Submit(std::move(aChange),
+                          clock_.NowMs() + kSubmitTimeoutMs);
   }
 
   SteadyClock clock_;
@@ -66,7 +67,7 @@
 }
 
 // Guards against a version that falls back when the store loses the object.
-TEST_F(ConfigEditorTest, VersionsNeverFallBack)
+TEST_F(ConfigEditorTest, VersionNeverDecreases)
 {
   ASSERT_EQ(Submit(AddException(0, "a")).version_, 1);
   const auto object = store_.Get(kConfigKind, kConfigName);
@@ -96,7 +97,7 @@
 
 // Guards against a read that is taken for a fallback because another thread of
 // the same editor wrote a newer version while it was under way.
-TEST_F(ConfigEditorTest, ThreadsOfOneEditorOnlyConflict)
+TEST_F(ConfigEditorTest, ThreadsOfOneEditorSeeOnlyConflicts)
 {
   std::vector<std::thread> operators;
   for (int i = 0; i < 4; ++i) {
@@ -120,7 +121,7 @@
 
 // Guards against lost, doubled or reverted changes of racing editors over a
 // store that loses requests and answers and delays writes.
-TEST_F(ConfigEditorTest, RacingEditorsLoseAndDoubleNothing)
+TEST_F(ConfigEditorTest, ConcurrentEditorsNeitherLoseNorRepeatChanges)
 {
   store_.SetFaults({ .unavailable_ = 5,
                      .lostResponse_ = 10,
@@ -136,8 +137,8 @@
       int64_t base = 0;
       for (int change = 0; change < 10;) {
         const auto id = Concat("e", i, "-", change);
-        const auto result =
-          editor.Submit(AddException(base, id), clock_.NowMs() + kLimitMs);
+        const auto result = editor.Submit(AddException(base, id),
+                                          clock_.NowMs() + kSubmitTimeoutMs);
         if (result.outcome_ != ChangeOutcome::Accepted) {
           ASSERT_EQ(result.outcome_, ChangeOutcome::Conflict);
           base = result.version_;
--- a/tests/RequestExplanationTest.cpp
+++ b/tests/RequestExplanationTest.cpp
@@ -9,7 +9,7 @@
 namespace cactuspitch {
 namespace {
 
-std::vector<LogLine> Read(std::initializer_list<const char*> aTexts)
+std::vector<LogLine> ParseLines(std::initializer_list<const char*> aTexts)
 {
   std::vector<LogLine> lines;
   for (const char* text : aTexts) {
@@ -20,7 +20,8 @@
   return lines;
 }
 
-bool Names(const RequestExplanation& aExplanation, std::string_view aEvent)
+bool ContainsEvent(const RequestExplanation& aExplanation,
+                   std::string_view aEvent)
 {
   return std::ranges::any_of(aExplanation.lines_, [&](const LogLine& aLine) {
     return aLine.event_ == aEvent;
@@ -47,9 +48,9 @@
 
 // Guards against a walk from an id that misses the lines of other processes or
 // drowns them in those that have nothing to do with the request.
-TEST(RequestExplanation, GathersWhatConcernsTheRequest)
+TEST(RequestExplanation, CollectsRelatedLines)
 {
-  const auto lines = Read({
+  const auto lines = ParseLines({
     R"(a ts=1000 level=info event=store-lost)",
     R"(b ts=1000 level=info event=store-lost)",
     R"(b ts=8000 level=info event=leader-elected term="3")",
@@ -69,11 +70,11 @@
   EXPECT_EQ(explanation.cause_, "key-moving");
   EXPECT_NE(explanation.meaning_.find("owner"), std::string::npos);
   EXPECT_EQ(explanation.lines_.size(), 6U) << ToText(explanation);
-  EXPECT_TRUE(Names(explanation, "leader-elected"));
-  EXPECT_TRUE(Names(explanation, "keys-moved"));
-  EXPECT_TRUE(Names(explanation, "backend-down"));
-  EXPECT_TRUE(Names(explanation, "store-regained"));
-  EXPECT_FALSE(Names(explanation, "store-lost"));
+  EXPECT_TRUE(ContainsEvent(explanation, "leader-elected"));
+  EXPECT_TRUE(ContainsEvent(explanation, "keys-moved"));
+  EXPECT_TRUE(ContainsEvent(explanation, "backend-down"));
+  EXPECT_TRUE(ContainsEvent(explanation, "store-regained"));
+  EXPECT_FALSE(ContainsEvent(explanation, "store-lost"));
   EXPECT_TRUE(
     std::ranges::is_sorted(explanation.lines_, {}, &LogLine::timeMs_));
   EXPECT_NE(ToText(explanation).find("-1500 ms b leader-elected"),
@@ -83,9 +84,9 @@
 
 // Guards against a refusal because of a server's notice that is explained as a
 // broken connection, and against the notices missing beside it.
-TEST(RequestExplanation, NamesNoticesOfServers)
+TEST(RequestExplanation, IncludesServerNotices)
 {
-  const auto lines = Read({
+  const auto lines = ParseLines({
     R"(a ts=9000 level=info event=backend-paused backend="s1" service="s" for_ms="3000")",
     R"(a ts=9010 level=info event=backend-paused backend="t1" service="t" for_ms="3000")",
     R"(b ts=9020 level=info event=backend-paused backend="s2" service="s" for_ms="3000")",
@@ -101,8 +102,8 @@
     << explanation.meaning_;
   // A pause belongs to the gateway that was asked for it.
   EXPECT_EQ(explanation.lines_.size(), 3U) << ToText(explanation);
-  EXPECT_TRUE(Names(explanation, "backend-paused"));
-  EXPECT_TRUE(Names(explanation, "backend-leaving"));
+  EXPECT_TRUE(ContainsEvent(explanation, "backend-paused"));
+  EXPECT_TRUE(ContainsEvent(explanation, "backend-leaving"));
   for (const char* id : { "k", "d", "e", "m" }) {
     const auto meaning = ExplainRequest(lines, id).meaning_;
     EXPECT_EQ(meaning.find("may have run"), std::string::npos) << meaning;
@@ -113,7 +114,7 @@
 // asks for the address of a process it does not call.
 TEST(RequestExplanation, UnknownIdAndCommandLine)
 {
-  EXPECT_FALSE(ExplainRequest(Read({ "a ts=1 event=x" }), "r").found_);
+  EXPECT_FALSE(ExplainRequest(ParseLines({ "a ts=1 event=x" }), "r").found_);
   Findings findings;
   const char* arguments[] = { "ctl", "explain", "--id", "r", "--log", "f" };
   EXPECT_TRUE(ParseCommandLine(6, const_cast<char**>(arguments), {}, findings))
--- a/tests/RulesTest.cpp
+++ b/tests/RulesTest.cpp
@@ -116,7 +116,7 @@
 }
 
 // Guards against accepting two exceptions of which neither is more specific.
-TEST(FleetDocument, TiesAndDuplicateIdsAreRefused)
+TEST(FleetDocument, DuplicateScopesAndIdsAreRejected)
 {
   const RuleScope scope{ .service_ = "a" };
   EXPECT_NE(Check({ MakeException("e1", scope, "maxAttempts", 2),
@@ -135,7 +135,7 @@
 
 // Guards against values that are sound alone but contradict each other only
 // where two exceptions of different scopes meet.
-TEST(FleetDocument, ContradictionWhereScopesMeetIsRefused)
+TEST(FleetDocument, ContradictionInOverlappingScopesIsRejected)
 {
   const auto timeout =
     MakeException("timeout", { .service_ = "a" }, "attemptTimeoutMs", 20000);
