Reword the comments and messages of ctl/ in plain English

Cause: comments, help texts and the meanings of causes read oddly ("the server ended within its answer", "another operator was faster") and left out who does what.

Change: doc comments say what a caller gets and what fails; help texts, error messages and the meanings that 'explain' prints name their subject.

--- a/ctl/ApiClient.hpp
+++ b/ctl/ApiClient.hpp
@@ -11,17 +11,17 @@
 
 struct ApiClientOptions
 {
-  std::string address_; ///< IP:port of an admin process
-  std::string token_;
-  TimeMs timeoutMs_ = 30000;
+  std::string address_;      ///< IP:port of an admin process
+  std::string token_;        ///< bearer token; not sent when empty
+  TimeMs timeoutMs_ = 30000; ///< time limit of one call
 };
 
 struct ApiClientResponse
 {
   int status_ = 0;
-  /// Discarded when the answer is not JSON.
+  /// Parsed response body; is_discarded() when it is not JSON.
   nlohmann::json body_;
-  std::string text_;
+  std::string text_; ///< response body as received
 };
 
 /// Client of the administration API.
@@ -30,8 +30,9 @@
 public:
   ApiClient(const Clock& aClock, ApiClientOptions aOptions);
 
-  /// Unavailable: the request was not sent. Any other failure of a POST leaves
-  /// open whether it was carried out.
+  /// Sends one request and waits for the response; any HTTP status is a
+  /// success. Unavailable means that the request was not sent. After any other
+  /// error of a POST the server may or may not have executed it.
   absl::StatusOr<ApiClientResponse> Get(const std::string& aTarget) const;
   absl::StatusOr<ApiClientResponse> Post(const std::string& aTarget,
                                          const nlohmann::json& aBody) const;
@@ -45,7 +46,7 @@
   ApiClientOptions options_;
 };
 
-/// Text in percent encoding.
+/// Percent-encodes all bytes except ASCII letters, digits, '-', '.' and '_'.
 std::string EncodeQuery(std::string_view aText);
 
 }
--- a/ctl/CommandLine.cpp
+++ b/ctl/CommandLine.cpp
@@ -15,26 +15,31 @@
 constexpr CtlOption kDomain = { "failure-domain", "Failure domain." };
 constexpr CtlOption kServer = { "server", "Backend server." };
 constexpr CtlOption kKey = { "key", "Key; needs --service." };
-constexpr CtlOption kAuthor = { "author", "Who makes the change." };
-constexpr CtlOption kReason = { "reason", "Why." };
+constexpr CtlOption kAuthor = { "author", "Author of the change." };
+constexpr CtlOption kReason = { "reason", "Reason for the change." };
 constexpr CtlOption kBase = {
   "base-version",
-  "Version that the change was made against; the newest when absent."
+  "Version that the change is based on; the newest by default."
 };
 constexpr CtlOption kChangeId = {
   "change-id",
-  "Id of the change; repeat a change of unknown outcome with the same id."
+  "Id of the change; reuse it to repeat a change of unknown outcome."
 };
 constexpr CtlOption kSet = { "set",
-                             "FIELD=VALUE of the defaults.",
+                             "Sets a default, given as FIELD=VALUE.",
                              false,
                              true };
-constexpr CtlOption kAdd = { "add",
-                             "Exception as JSON: {id, scope, field, value, "
-                             "reason, expires}.",
-                             false,
-                             true };
-constexpr CtlOption kRetire = { "retire", "Id of an exception.", false, true };
+constexpr CtlOption kAdd = {
+  "add",
+  "Adds an exception, given as JSON: {id, scope, field, value, "
+  "reason, expires}.",
+  false,
+  true
+};
+constexpr CtlOption kRetire = { "retire",
+                                "Removes the exception with this id.",
+                                false,
+                                true };
 
 CtlOption Required(CtlOption aOption)
 {
@@ -73,7 +78,8 @@
       aFindings.Add("command line", name, "", "required");
     }
     if (!entry.repeated_ && values.size() > 1) {
-      aFindings.Add("command line", name, values.back(), "given twice");
+      aFindings.Add(
+        "command line", name, values.back(), "given more than once");
     }
     if (std::ranges::find(values, "") != values.end()) {
       aFindings.Add("command line", name, "", "may not be empty");
@@ -93,7 +99,8 @@
                   Findings& aFindings)
 {
   const auto options = LongOptions(*aArguments.command_);
-  // 0 makes glibc restart the scan, so a test can parse more than once.
+  // optind = 0 makes glibc restart its scan; otherwise a process (a test) could
+  // parse only one command line.
   optind = 0;
   opterr = 0;
   int code = 0;
@@ -146,7 +153,7 @@
         kBase,
         kChangeId } },
     { "rules",
-      "Shows the rules in force and why.",
+      "Shows the rules in force and the reason for each.",
       { kService, kDomain, kServer, kKey } },
     { "preview",
       "Shows which rules a change would alter.",
@@ -160,7 +167,7 @@
       { { "version", "Version to wait for.", true },
         { "timeout-ms", "At most 25000; 5000 when absent." } } },
     { "owner",
-      "Shows who owns a key, by which epoch and since when.",
+      "Shows the owner of a key, its epoch and the time since it owns the key.",
       { Required(kService), Required(kKey) } },
     { "slices",
       "Lists the slices of a service with their load.",
@@ -172,16 +179,17 @@
       "Shows imbalance, churn and unavailable time.",
       { kService } },
     { "quarantine",
-      "Lists quarantined requests; with --release lets one run again.",
+      "Lists quarantined requests; with --release admits one again.",
       { { "release", "Fingerprint to release." }, kAuthor, kReason } },
     { "explain",
-      "Explains a failed request from the logs of gateways.",
+      "Explains a failed request from the logs of the gateways.",
       { { "id", "Id of the request.", true },
-        { "log", "Log file; its name is the process's.", true, true } },
+        { "log", "Log file, named after its process.", true, true } },
       false },
     { "slo",
-      "Shows the burn report.",
-      { kService, { "html", "Writes the report as a page to this file." } } },
+      "Shows the SLO burn rate report.",
+      { kService,
+        { "html", "Writes the report as an HTML page to this file." } } },
   };
   return kCommands;
 }
@@ -245,7 +253,7 @@
     "Flags of all subcommands:\n"
     "  --admin <IP:port>     Admin process, or CACTUSPITCH_ADMIN.\n"
     "  --auth-token <text>   Bearer token, or CACTUSPITCH_AUTH_TOKEN.\n"
-    "  --json                Prints the answer as JSON.\n"
+    "  --json                Prints the response as JSON.\n"
     "  --help\n\nSubcommands:\n";
   for (const auto& command : CtlCommands()) {
     AppendTo(text, "  ", command.name_, "\n      ", command.help_, "\n");
@@ -261,10 +269,11 @@
     }
   }
   return text +
-         "\nExit status: 0 done, 1 the API failed, 2 wrong command line or "
-         "refused with\nfindings, 3 no admin process answered, 4 conflict "
+         "\nExit status: 0 success, 1 the API failed, 2 wrong command line or "
+         "rejected with\nfindings, 3 no admin process responded, 4 conflict "
          "with another change,\n5 outcome unknown (repeat with the same "
-         "--change-id), 6 not in force in time,\n7 burn alert.\n";
+         "--change-id), 6 not in force before the\ntimeout, 7 burn rate "
+         "alert.\n";
 }
 
 }
--- a/ctl/CommandLine.hpp
+++ b/ctl/CommandLine.hpp
@@ -16,13 +16,13 @@
 enum class CtlExit : uint8_t
 {
   Success = 0,
-  Failure = 1,     ///< the API answered with an error of its own
-  Usage = 2,       ///< wrong command line, or refused with findings
-  Unreachable = 3, ///< no admin process answered; nothing was changed
-  Conflict = 4,    ///< another operator was faster
+  Failure = 1,     ///< server error of the API, or a local failure
+  Usage = 2,       ///< wrong command line, or rejected with findings
+  Unreachable = 3, ///< no admin process responded; nothing was changed
+  Conflict = 4,    ///< the base version is not the newest any more
   Unknown = 5,     ///< the change may have taken effect
-  NotInForce = 6,  ///< wait: not in force everywhere in time
-  Alert = 7,       ///< slo: some objective burns at an alert rate
+  NotInForce = 6,  ///< wait: not in force everywhere before the timeout
+  Alert = 7,       ///< slo: an objective burns at an alert rate
 };
 
 /// Option of a subcommand.
@@ -42,6 +42,7 @@
   bool usesAdmin_ = true; ///< needs the address of an admin process
 };
 
+/// All subcommands.
 std::span<const CtlCommand> CtlCommands();
 
 /// Parsed command line of one subcommand.
@@ -54,19 +55,23 @@
   bool isHelp_ = false;
   std::map<std::string, std::vector<std::string>> values_;
 
-  /// Last value; empty when absent.
+  /// Last value of the option; empty when absent.
   std::string Value(const std::string& aName) const;
+  /// All values of the option in the order of the command line.
   const std::vector<std::string>& Values(const std::string& aName) const;
 };
 
-/// Nothing, and all findings, when the command line is wrong. The environment
-/// variables CACTUSPITCH_ADMIN and CACTUSPITCH_AUTH_TOKEN give defaults.
+/// Returns nothing and adds all findings when the command line is wrong. The
+/// environment variables CACTUSPITCH_ADMIN and CACTUSPITCH_AUTH_TOKEN set the
+/// defaults of --admin and --auth-token. When isHelp_ is set, command_ may be
+/// null and required options may be absent.
 std::optional<CtlArguments> ParseCommandLine(
   int aArgc,
   char** aArgv,
   const std::map<std::string, std::string>& aEnvironment,
   Findings& aFindings);
 
+/// Text of --help for all subcommands.
 std::string CtlHelp();
 
 }
--- a/ctl/CtlMain.cpp
+++ b/ctl/CtlMain.cpp
@@ -30,7 +30,7 @@
     return static_cast<int>(
       SubcommandRunner(client, std::cout, std::cerr).Run(*arguments));
   } catch (const nlohmann::json::exception& failure) {
-    std::cerr << "unexpected answer: " << failure.what() << "\n";
+    std::cerr << "unexpected response: " << failure.what() << "\n";
     return static_cast<int>(CtlExit::Failure);
   }
 }
--- a/ctl/LogLine.cpp
+++ b/ctl/LogLine.cpp
@@ -8,7 +8,8 @@
 
 namespace detail {
 
-/// Takes `name=value` or `name="value"` off the text; false at its end.
+/// Parses the `name=value` or `name="value"` that aText starts with and removes
+/// it from aText. Returns false when no field is left.
 bool ConsumeField(std::string_view& aText,
                   std::string& aName,
                   std::string& aValue)
--- a/ctl/LogLine.hpp
+++ b/ctl/LogLine.hpp
@@ -8,7 +8,7 @@
 
 namespace cactuspitch {
 
-/// One line of a gateway's log (gateway/EventLog.hpp).
+/// One parsed line of a gateway's log (gateway/EventLog.hpp).
 struct LogLine
 {
   std::string source_; ///< process that wrote it
@@ -21,8 +21,9 @@
   std::string_view Field(std::string_view aName) const;
 };
 
-/// Nothing for text that is no line of a gateway. Text in front of the time
-/// stamp, as collectors of logs write it, names the source in place of aSource.
+/// Returns nothing when aText is not a line of a gateway's log. A prefix in
+/// front of the timestamp, as log collectors add, replaces aSource as the
+/// source.
 std::optional<LogLine> ParseLogLine(std::string_view aText,
                                     std::string_view aSource);
 
--- a/ctl/RequestExplanation.cpp
+++ b/ctl/RequestExplanation.cpp
@@ -11,8 +11,8 @@
 
 namespace detail {
 
-/// State changes this long before a request may explain it: a lost owner is
-/// replaced within 5 s.
+/// State changes up to 5 s before a request may explain its failure, since a
+/// failed owner is replaced within 5 s.
 constexpr int64_t kWindowBeforeMs = 5000;
 constexpr int64_t kWindowAfterMs = 1000;
 
@@ -25,63 +25,81 @@
 constexpr std::array kMeanings = {
   CauseMeaning{ "no-config", "the gateway had no configuration yet" },
   CauseMeaning{ "no-route", "no route of the configuration matches" },
-  CauseMeaning{ "missing-field", "the request lacks Host or its id" },
+  CauseMeaning{ "missing-field", "the request lacks the Host field or its id" },
   CauseMeaning{ "body-too-large", "the body exceeds the configured limit" },
-  CauseMeaning{ "request-incomplete", "the caller did not send all of it" },
-  CauseMeaning{ "malformed-request", "its head or body cannot be read" },
+  CauseMeaning{ "request-incomplete",
+                "the caller did not send the whole request" },
+  CauseMeaning{ "malformed-request",
+                "the head or body of the request cannot be parsed" },
   CauseMeaning{ "stopping",
-                "the gateway was stopping and had not sent it on; it did not "
-                "run" },
-  CauseMeaning{ "no-backend", "no server of the service is registered" },
+                "the gateway was stopping and had not forwarded the request; "
+                "it did not run" },
+  CauseMeaning{ "no-backend",
+                "no backend server of the service is registered" },
   CauseMeaning{ "overload",
-                "no server would have answered in time; it did not run" },
+                "no server would have responded in time; the request did not "
+                "run" },
   CauseMeaning{ "no-owner",
-                "nobody owned the key: look for the leader's lines and for the "
-                "store" },
-  CauseMeaning{ "key-moving", "the owner of the key was being changed" },
+                "the key had no owner; look for the events of the leader and "
+                "of the store" },
+  CauseMeaning{ "key-moving", "the key was being moved to another owner" },
   CauseMeaning{ "owner-overload",
-                "the owner of the key would have answered too late; look for "
-                "keys-balanced" },
+                "the owner of the key would have responded too late; look for "
+                "keys-balanced events" },
   CauseMeaning{ "owner-share",
-                "this gateway's part of what the owner of the key can run was "
-                "used up; it did not run" },
+                "this gateway had used up its share of the capacity of the "
+                "key's owner; the request did not run" },
   CauseMeaning{ "owner-paused",
-                "the owner of the key had refused and asked for a pause; it "
-                "did not run" },
+                "the owner of the key had rejected a request and asked for a "
+                "pause; the request did not run" },
   CauseMeaning{ "all-paused",
-                "all servers of the service had refused and asked for a pause; "
-                "it did not run" },
+                "all servers of the service had rejected a request and asked "
+                "for a pause; the request did not run" },
   CauseMeaning{ "quarantined",
-                "requests like it crashed backend servers; it did not run" },
-  CauseMeaning{ "backend-shed", "the servers refused it; it did not run" },
+                "similar requests crashed backend servers; the request did "
+                "not run" },
+  CauseMeaning{ "backend-shed",
+                "the servers rejected the request; it did not run" },
   CauseMeaning{ "misdirected",
-                "another server had the address, or the owner had changed" },
+                "another server was using the address, or the owner of the key "
+                "had changed" },
   CauseMeaning{ "backend-unreachable",
-                "no connection could be opened; it did not run" },
-  CauseMeaning{ "deadline-unsent", "it waited until its deadline unsent" },
+                "no connection to a server could be opened; the request did "
+                "not run" },
+  CauseMeaning{ "deadline-unsent",
+                "the deadline passed before the request was sent to a server" },
   CauseMeaning{ "deadline",
-                "a server had it until the deadline; it may have run" },
+                "the deadline passed while a server had the request; it may "
+                "have run" },
   CauseMeaning{ "unsealed-answer",
-                "the answer was not confirmed by the server; it may have run" },
+                "the server did not confirm the response; the request may "
+                "have run" },
   CauseMeaning{ "attempts-exhausted",
-                "an earlier attempt may have run, later ones did not" },
-  CauseMeaning{ "broken-answer", "the server ended within its answer" },
-  CauseMeaning{ "deadline-in-answer", "the deadline passed within the answer" },
+                "an earlier attempt may have run; the later attempts did not" },
+  CauseMeaning{ "broken-answer",
+                "the connection to the server ended before the response was "
+                "complete" },
+  CauseMeaning{ "deadline-in-answer",
+                "the deadline passed before the response was complete" },
   CauseMeaning{ "caller-left", "the caller closed its connection" },
-  CauseMeaning{ "answered", "a backend server's own answer" },
+  CauseMeaning{ "answered", "the response came from a backend server" },
 };
-/// Other causes are ends of connections.
+/// For causes not listed above: they say how a connection ended.
 constexpr const char* kConnectionMeaning =
-  "the connection to the server ended without an answer; it may have run";
+  "the connection to the server ended before a response; the request may have "
+  "run";
 
-/// Lines about a server that tell why requests of its service are refused.
+/// Events about a server that explain why requests of its service are rejected;
+/// related when logged by a process that handled the request.
 constexpr std::string_view kServerNoticeEvents[] = {
   "backend-paused",
   "backend-pause-malformed"
 };
+/// Related to the request whichever process logged them.
 constexpr std::string_view kAnyProcessEvents[] = { "leader-elected",
                                                    "leader-ended",
                                                    "earlier-leaders-ended" };
+/// Related to the request when logged by a process that handled it.
 constexpr std::string_view kSameProcessEvents[] = {
   "store-lost",        "store-regained",    "store-watch-changed",
   "history-gone",      "config-applied",    "config-rejected",
@@ -102,7 +120,8 @@
   return std::ranges::find(aEvents, aEvent) != aEvents.end();
 }
 
-/// What is looked for around a request.
+/// Processes, backend servers, service, key and time of a request, by which
+/// related log lines are selected.
 struct RequestContext
 {
   std::set<std::string, std::less<>> sources_;
@@ -122,7 +141,7 @@
       service_ = service;
     }
     key_ = std::max(key_, ParseNumberOr(aLine.Field("key"), -1));
-    // A request's line is written at its end.
+    // A request is logged when it ends, held_ms after it arrived.
     const auto heldMs = ParseNumberOr(aLine.Field("held_ms"), 0);
     firstMs_ = std::min(firstMs_, aLine.timeMs_ - heldMs);
     lastMs_ = std::max(lastMs_, aLine.timeMs_);
@@ -199,7 +218,7 @@
   const auto own = std::ranges::find_if(
     lines, [](const LogLine& aLine) { return !aLine.Field("id").empty(); });
   if (own == lines.end()) {
-    return "no line names this request\n";
+    return "no log line has the id of this request\n";
   }
   auto text =
     Concat("cause ", aExplanation.cause_, ": ", aExplanation.meaning_, "\n");
--- a/ctl/SubcommandRunner.cpp
+++ b/ctl/SubcommandRunner.cpp
@@ -13,7 +13,7 @@
 
 namespace detail {
 
-/// Query of the read-only subcommands: flag names and parameter names.
+/// Flags of the read-only subcommands and the query parameters that they set.
 constexpr std::pair<const char*, const char*> kQueryParameters[] = {
   { "service", "service" },      { "failure-domain", "failureDomain" },
   { "server", "server" },        { "key", "key" },
@@ -45,7 +45,7 @@
   return Concat("ctl-", absl::Hex(high | random()));
 }
 
-/// Numbers stay numbers; everything else is text.
+/// JSON number if aText is one, otherwise a JSON string.
 nlohmann::json ParseValue(const std::string& aText)
 {
   auto parsed = nlohmann::json::parse(aText, nullptr, false);
@@ -85,7 +85,8 @@
   return aResponse.body_.is_discarded() ? CtlExit::Failure : CtlExit::Success;
 }
 
-/// Exit status that the content of a good answer calls for.
+/// Exit status of a successful response: its body can report a version that is
+/// not in force, a burn rate alert or a release that some servers missed.
 CtlExit ExitForBody(const nlohmann::json& aBody)
 {
   if (aBody.contains("inForce") && !aBody.at("inForce").get<bool>()) {
@@ -236,7 +237,7 @@
     id = detail::MakeChangeId();
   }
   change["id"] = id;
-  // Sending the change again with its id is safe: it is accepted only once.
+  // Sending the change again is safe: a change id is accepted only once.
   auto response = client_.Post("/v1/changes", change);
   if (!response.ok() && !absl::IsUnavailable(response.status())) {
     response = client_.Post("/v1/changes", change);
@@ -288,7 +289,7 @@
   CtlExit aOnLostResponse)
 {
   if (!aResponse.ok()) {
-    error_ << "no answer from " << aArguments.admin_ << ": "
+    error_ << "no response from " << aArguments.admin_ << ": "
            << std::string(ToStd(aResponse.status().message())) << "\n";
     return absl::IsUnavailable(aResponse.status()) ? CtlExit::Unreachable
                                                    : aOnLostResponse;
--- a/ctl/SubcommandRunner.hpp
+++ b/ctl/SubcommandRunner.hpp
@@ -8,7 +8,7 @@
 
 namespace cactuspitch {
 
-/// Runs one subcommand and prints its answer.
+/// Runs one subcommand of cactuspitch-ctl and prints the result.
 class SubcommandRunner
 {
 public:
@@ -16,10 +16,11 @@
                    std::ostream& aOut,
                    std::ostream& aError);
 
+  /// aArguments must be complete, as ParseCommandLine() returns them.
   CtlExit Run(const CtlArguments& aArguments);
 
 private:
-  /// The change that the arguments describe; findings when malformed.
+  /// Request body of the change; adds a finding for each malformed argument.
   nlohmann::json MakeChange(const CtlArguments& aArguments,
                             int64_t aBaseVersion,
                             Findings& aFindings) const;
@@ -28,6 +29,8 @@
   CtlExit WriteHtmlReport(const CtlArguments& aArguments);
   CtlExit Explain(const CtlArguments& aArguments);
   CtlExit Show(const CtlArguments& aArguments);
+  /// Prints the response or the error of the call. aOnLostResponse is returned
+  /// when the request was sent but no response arrived.
   CtlExit ReportResponse(const CtlArguments& aArguments,
                          const absl::StatusOr<ApiClientResponse>& aResponse,
                          CtlExit aOnLostResponse);
--- a/ctl/TextOutput.cpp
+++ b/ctl/TextOutput.cpp
@@ -15,7 +15,7 @@
 
 using Json = nlohmann::json;
 
-/// Scalar without quotes, so that text stays readable.
+/// Formats a scalar; strings are not quoted.
 std::string FormatScalar(const Json& aValue)
 {
   if (aValue.is_null()) {
@@ -94,7 +94,7 @@
   return text;
 }
 
-/// All scalar members, one a line.
+/// All members except arrays, one per line.
 std::string FormatScalars(const Json& aBody)
 {
   std::string text;
@@ -291,7 +291,7 @@
 std::string FormatResponse(std::string_view aCommand,
                            const nlohmann::json& aBody)
 {
-  // The answer to a change has the same shape for every subcommand.
+  // The response to a change has the same members for every subcommand.
   if (!aBody.contains("outcome") && !aBody.contains("released")) {
     for (const auto& [command, formatter] : detail::kFormatters) {
       if (command == aCommand) {
--- a/ctl/TextOutput.hpp
+++ b/ctl/TextOutput.hpp
@@ -7,11 +7,12 @@
 
 namespace cactuspitch {
 
-/// Answer of a subcommand as text for a terminal.
+/// Formats the successful response to a subcommand for a terminal.
 std::string FormatResponse(std::string_view aCommand,
                            const nlohmann::json& aBody);
 
-/// Findings and, for a conflict, what changed since.
+/// Formats an error response: the outcome, the findings and, for a conflict,
+/// the changes since the base version.
 std::string FormatError(const nlohmann::json& aBody);
 
 }
