Reword the comments and messages of config/ and its tests

Cause: comments and messages read oddly ("the change changes nothing", "unnamed dimensions meet no exception that names them") and left out what a caller gets.

A few local variables are renamed.

--- a/config/ConfigChange.cpp
+++ b/config/ConfigChange.cpp
@@ -59,7 +59,8 @@
   }
 }
 
-/// Cuts at a character boundary, since JSON takes valid UTF-8 only.
+/// Shortens aText to at most aMaxBytes and appends "...". Cuts at a character
+/// boundary, since JSON strings must be valid UTF-8.
 void TruncateText(std::string& aText, size_t aMaxBytes)
 {
   if (aText.size() <= aMaxBytes) {
@@ -103,7 +104,7 @@
       aFindings.Add(Concat("exception ", exception.id_),
                     "expires",
                     Concat(*exception.expiresMs_),
-                    Concat("must be after now (", aNowMs, ")"));
+                    Concat("must be later than now (", aNowMs, ")"));
     }
     exception.author_ = aChange.author_;
     exception.createdMs_ = aNowMs;
@@ -172,7 +173,7 @@
     change.defaults_.empty() && change.add_.empty() && change.retire_.empty();
   if (isEmpty && aFindings.All().size() == before) {
     aFindings.Add(
-      "change", "defaults, add, retire", "", "the change changes nothing");
+      "change", "defaults, add, retire", "", "the change has no effect");
   }
   if (aFindings.All().size() > before) {
     return std::nullopt;
--- a/config/ConfigEditor.cpp
+++ b/config/ConfigEditor.cpp
@@ -35,7 +35,8 @@
 
 absl::StatusOr<StoredDocument> ConfigEditor::Read()
 {
-  // Taken before the read: another thread may write a newer version meanwhile.
+  // Loaded before the read, since another thread may write a newer version
+  // during it.
   const int64_t largest = largestVersion_.load();
   const auto object = store_.Get(kConfigKind, kConfigName);
   StoredDocument stored;
@@ -51,11 +52,12 @@
   }
   const int64_t version = stored.document_.version_;
   if (version < largest) {
-    return absl::FailedPreconditionError(Concat("the store has configuration ",
-                                                version,
-                                                ", but ",
-                                                largest,
-                                                " has been in force"));
+    return absl::FailedPreconditionError(
+      Concat("the store returned configuration version ",
+             version,
+             ", but version ",
+             largest,
+             " was in force before"));
   }
   ObserveVersion(version);
   return stored;
@@ -76,7 +78,8 @@
 
 void ConfigEditor::WaitBeforeRetry(TimeMs aDeadlineMs) const
 {
-  // Racing editors of one fault must not meet again at the same moment.
+  // Random, so that editors that failed at the same time do not retry at the
+  // same time.
   constexpr TimeMs kMinPauseMs = 5;
   constexpr TimeMs kMaxPauseMs = 40;
   thread_local std::minstd_rand random{ std::random_device{}() };
@@ -100,14 +103,14 @@
                        });
   result.isTruncated_ = aDocument.version_ - aChange.baseVersion_ >
                         static_cast<int64_t>(result.since_.size());
-  // A change that may have been written is ruled out only when the recorded
-  // ids reach back to its base version.
+  // If a write of the change had an unknown outcome, the missing id proves that
+  // it failed only when the recorded ids reach back to the base version.
   result.outcome_ = aMayBeWritten && result.isTruncated_
                       ? ChangeOutcome::Unknown
                       : ChangeOutcome::Conflict;
-  result.error_ = Concat("made against version ",
+  result.error_ = Concat("based on version ",
                          aChange.baseVersion_,
-                         ", the newest is ",
+                         ", but the newest is ",
                          aDocument.version_);
   return result;
 }
@@ -160,8 +163,9 @@
       result.outcome_ = ChangeOutcome::Invalid;
       return result;
     }
-    // The same version is expected on every attempt. A write that is still on
-    // its way after a lost answer therefore fails once another one succeeded.
+    // Every attempt expects the same store version. A write that is still in
+    // transit after its response was lost therefore fails once another write
+    // has succeeded.
     const auto put =
       store_.Put(kConfigKind, kConfigName, stored->storeVersion_, text);
     if (put.ok()) {
--- a/config/ConfigEditor.hpp
+++ b/config/ConfigEditor.hpp
@@ -22,8 +22,8 @@
   Accepted,
   Conflict,    ///< the base version is not the newest; nothing was changed
   Invalid,     ///< refused with findings; nothing was changed
-  Unavailable, ///< the store did not get the change; nothing was changed
-  Unknown,     ///< the change may take effect; ask again with its id
+  Unavailable, ///< the change did not reach the store; nothing was changed
+  Unknown,     ///< the change may take effect; submit it again with its id
   Count
 };
 
@@ -39,10 +39,11 @@
 {
   ChangeOutcome outcome_ = ChangeOutcome::Unavailable;
   std::string id_;
-  /// Version that holds the change when accepted, otherwise the newest known.
+  /// Version that contains the change when accepted, otherwise the newest
+  /// known.
   int64_t version_ = 0;
   Findings findings_;
-  /// On a conflict, what was changed since the base version.
+  /// On a conflict, the recorded changes since the base version.
   std::vector<ChangeRecord> since_;
   /// True when since_ does not reach back to the base version.
   bool isTruncated_ = false;
@@ -53,32 +54,35 @@
 struct StoredDocument
 {
   FleetDocument document_;
-  int64_t storeVersion_ = kMustNotExist;
+  int64_t storeVersion_ = kMustNotExist; ///< object version in the store
 };
 
-/// Reads and changes the configuration. Every change is one conditional
-/// update; a lost answer is resolved by reading the recorded change ids back.
-/// May be used by several threads if the store may.
+/// Reads and changes the configuration. Every change is one conditional update
+/// of the store. When its response is lost, the change ids recorded in the
+/// document show whether it was written. Thread-safe if the store is.
 class ConfigEditor
 {
 public:
   using UnixClock = std::function<UnixMs()>;
 
-  /// aWriter must differ between all processes and runs.
+  /// aWriter must be unique among all processes and their restarts.
   ConfigEditor(ObjectStore& aStore,
                const Clock& aClock,
                UnixClock aUnixClock,
                std::string aWriter);
 
-  /// Built-in defaults with version 0 when nothing was ever stored.
+  /// Returns the built-in defaults with version 0 when nothing was ever stored.
   /// InvalidArgument: the stored text is malformed. FailedPrecondition: the
-  /// store returned an older version than one that was seen before.
+  /// store returned an older version than one seen before.
   absl::StatusOr<StoredDocument> Read();
 
+  /// Retries transient failures of the store until aDeadlineMs (steady clock).
+  /// A change whose id is recorded already is reported as accepted and not
+  /// applied again.
   ChangeResult Submit(ConfigChange aChange, TimeMs aDeadlineMs);
 
-  /// Takes notice of a version that other processes have in force, so that an
-  /// older or missing object is not taken for the newest.
+  /// Records a version that other processes have in force, so that Read()
+  /// rejects an older or missing object.
   void ObserveVersion(int64_t aVersion);
 
 private:
--- a/config/FleetDocument.cpp
+++ b/config/FleetDocument.cpp
@@ -41,7 +41,7 @@
     aFindings.Add(aObject,
                   "scope",
                   aScope.ToText(),
-                  "names nothing; change the default instead");
+                  "no dimension is named; change the default instead");
   }
   if (!aScope.key_.empty() && aScope.service_.empty()) {
     aFindings.Add(aObject, "scope", aScope.ToText(), "a key needs its service");
@@ -104,7 +104,8 @@
   return change;
 }
 
-/// Refuses exceptions of one scope and field: neither is more specific.
+/// Rejects two exceptions for the same scope and field, since neither is more
+/// specific.
 void CheckDuplicateScopes(const FleetDocument& aDocument,
                           UnixMs aNowMs,
                           Findings& aFindings)
@@ -114,8 +115,9 @@
     if (!exception.IsInForce(aNowMs)) {
       continue;
     }
-    const auto place = Concat(exception.field_, " ", exception.scope_.ToText());
-    const auto [found, added] = seen.emplace(place, &exception);
+    const auto scopeKey =
+      Concat(exception.field_, " ", exception.scope_.ToText());
+    const auto [found, added] = seen.emplace(scopeKey, &exception);
     if (!added) {
       aFindings.Add(Concat("exception ", exception.id_),
                     exception.field_,
@@ -127,9 +129,10 @@
   }
 }
 
-/// Checks one relation at the defaults and at every scope where exceptions of
-/// its two fields meet. Those scopes suffice: exceptions that win for a target
-/// also win for the smallest target that both contain.
+/// Checks one relation for the defaults, for the scope of each exception of its
+/// two fields and for the intersection of overlapping scopes of both fields.
+/// These targets suffice: two exceptions that take precedence for some target
+/// also take precedence for the intersection of their scopes.
 class RelationCheck
 {
 public:
--- a/config/FleetDocument.hpp
+++ b/config/FleetDocument.hpp
@@ -14,16 +14,16 @@
 /// Unix time in milliseconds, for dates that operators see.
 using UnixMs = int64_t;
 
-/// The store limits a value to 1 MB; the rest is left for its own framing.
+/// The store limits a value to 1 MB; the remainder is left for its framing.
 inline constexpr size_t kMaxDocumentBytes = 900 * 1024;
 inline constexpr size_t kMaxExceptions = 1000;
-/// The document reaches every daemon on every change, so the history is short.
-/// It must hold the changes that others can make while a writer whose answer
-/// was lost reads back.
+/// Every change sends the document to every daemon, so the history is short. It
+/// must hold all changes that other writers can make while a writer whose
+/// response was lost reads the document back.
 inline constexpr size_t kMaxRecordedChanges = 128;
 inline constexpr size_t kMaxReasonBytes = 256;
 
-/// Rule of one scope that differs from the defaults.
+/// Value of one field that differs from the defaults within one scope.
 struct RuleException
 {
   std::string id_;
@@ -33,7 +33,7 @@
   std::string reason_;
   std::string author_;
   UnixMs createdMs_ = 0;
-  std::optional<UnixMs> expiresMs_;
+  std::optional<UnixMs> expiresMs_; ///< never expires when absent
 
   bool IsInForce(UnixMs aNowMs) const
   {
@@ -41,7 +41,7 @@
   }
 };
 
-/// One accepted change, newest last in the document.
+/// One accepted change. A document lists the newest change last.
 struct ChangeRecord
 {
   std::string id_;
@@ -52,31 +52,33 @@
   std::string summary_;
 };
 
-/// The object `config/fleet`.
+/// Content of the store object `config/fleet`.
 struct FleetDocument
 {
   int64_t version_ = 0;
-  std::string writer_;
-  int64_t changeNumber_ = 0;
+  std::string writer_;       ///< editor that wrote this version
+  int64_t changeNumber_ = 0; ///< number of the change at that editor
   ServiceRules defaults_;
   std::vector<RuleException> exceptions_;
   std::vector<ChangeRecord> changes_;
 
-  /// Null when the change is not among the recorded ones.
+  /// Null when no recorded change has this id.
   const ChangeRecord* FindChange(std::string_view aId) const;
 };
 
-/// Nothing, and all findings, when the text is malformed.
+/// Parses a document from JSON. Returns nothing and adds all findings when
+/// aText is malformed.
 std::optional<FleetDocument> ParseFleetDocument(std::string_view aText,
                                                 Findings& aFindings);
 
-/// Checks across fields and exceptions: duplicate ids, two exceptions for the
-/// same scope and field, and contradictory values for any target.
+/// Checks that span fields and exceptions: duplicate ids, two exceptions for
+/// the same scope and field, and contradictory values for any target.
 void ValidateFleetDocument(const FleetDocument& aDocument,
                            UnixMs aNowMs,
                            Findings& aFindings);
 
-/// Scope and value members of an exception, shared with the change request.
+/// Reads the members that a stored exception and one in a change request have
+/// in common: all except author and creation time.
 void ParseExceptionBody(class JsonReader& aReader,
                         RuleException& aException,
                         Findings& aFindings);
--- a/config/JsonReader.cpp
+++ b/config/JsonReader.cpp
@@ -31,7 +31,7 @@
 
 std::string FormatValue(const nlohmann::json& aValue)
 {
-  // Text in quotes and other values as JSON, so that "5" and 5 differ.
+  // Strings stay quoted, so that "5" and 5 differ.
   auto text =
     aValue.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
   if (text.size() > detail::kMaxShownBytes) {
@@ -68,7 +68,7 @@
     } else if (aEvent == Json::parse_event_t::key &&
                !names.back().insert(aValue.get<std::string>()).second) {
       aFindings.Add(
-        aObject, FormatValue(aValue), "", "named more than once in one object");
+        aObject, FormatValue(aValue), "", "repeated name in one object");
       isValid = false;
     }
     return true;
@@ -128,7 +128,7 @@
     return {};
   }
   if (!member->is_string()) {
-    AddFinding(aName, *member, "expected text");
+    AddFinding(aName, *member, "expected a string");
     return {};
   }
   const auto& text = member->get_ref<const std::string&>();
@@ -137,10 +137,11 @@
   } else if (text.size() > aLimits.maxBytes_) {
     AddFinding(aName, *member, Concat("at most ", aLimits.maxBytes_, " B"));
   } else if (!detail::IsPrintable(text)) {
-    AddFinding(aName, *member, "no control characters");
+    AddFinding(aName, *member, "must not contain control characters");
   } else if (aLimits.isName_ &&
              !std::ranges::all_of(text, detail::IsNameByte)) {
-    AddFinding(aName, *member, "only letters, digits and . _ : / -");
+    AddFinding(
+      aName, *member, "may contain only letters, digits and . _ : / -");
   } else {
     return text;
   }
--- a/config/JsonReader.hpp
+++ b/config/JsonReader.hpp
@@ -12,17 +12,18 @@
 
 namespace cactuspitch {
 
-/// Parses JSON text; duplicate names in one object, nesting deeper than 16 and
-/// texts over aMaxBytes are findings of aObject as well.
+/// Parses JSON text. Returns nothing and adds a finding for aObject when the
+/// text is not valid JSON, repeats a name in one object, is nested deeper than
+/// 16 levels or is longer than aMaxBytes.
 std::optional<nlohmann::json> ParseJson(std::string_view aText,
                                         size_t aMaxBytes,
                                         const std::string& aObject,
                                         Findings& aFindings);
 
-/// Value as short printable text for a finding.
+/// Formats a value as short printable text for a finding.
 std::string FormatValue(const nlohmann::json& aValue);
 
-/// Bounds of a text field.
+/// Limits of a string member.
 struct TextLimits
 {
   size_t maxBytes_ = 64;
@@ -31,27 +32,33 @@
   bool isName_ = false;
 };
 
-/// Reads the members of one JSON object and collects every wrong one.
+/// Reads the members of one JSON object and adds a finding for every invalid
+/// one.
 class JsonReader
 {
 public:
+  /// aObject names the object in findings. aValue and aFindings must outlive
+  /// the reader.
   JsonReader(const nlohmann::json& aValue,
              std::string aObject,
              Findings& aFindings);
 
-  /// Null when absent; a finding when required.
+  /// Null when absent, with a finding if aRequired.
   const nlohmann::json* Member(const std::string& aName, bool aRequired);
+  /// Empty when absent or outside of the limits.
   std::string Text(const std::string& aName, const TextLimits& aLimits);
+  /// Nothing when absent or not an integer from aMin to aMax.
   std::optional<int64_t> Integer(const std::string& aName,
                                  int64_t aMin,
                                  int64_t aMax,
                                  bool aRequired);
-  /// Null when absent or not of the type.
+  /// Null when absent or not an object.
   const nlohmann::json* Object(const std::string& aName, bool aRequired);
+  /// Null when absent, not an array or longer than aMaxSize.
   const nlohmann::json* Array(const std::string& aName,
                               size_t aMaxSize,
                               bool aRequired);
-  /// Every member that was not asked for is a finding.
+  /// Adds a finding for every member that was not read before.
   void RefuseUnknown();
   const std::string& ObjectName() const { return object_; }
 
--- a/config/RuleField.cpp
+++ b/config/RuleField.cpp
@@ -25,14 +25,14 @@
     1,
     600000,
     "ms",
-    "Deadline of a request that names none.",
+    "Deadline of a request that sets none.",
     kAny },
   { "maxDeadlineMs",
     &ServiceRules::maxDeadlineMs_,
     1,
     600000,
     "ms",
-    "Largest deadline that a caller may ask for.",
+    "Largest deadline that a caller may set.",
     kAny },
   { "attemptTimeoutMs",
     &ServiceRules::attemptTimeoutMs_,
@@ -46,14 +46,14 @@
     1,
     10,
     "attempts",
-    "Attempts for one idempotent request.",
+    "Largest number of attempts for one idempotent request.",
     kAny },
   { "retryBudgetPercent",
     &ServiceRules::retryBudgetPercent_,
     0,
     100,
     "%",
-    "Retries as a share of the requests.",
+    "Largest number of retries as a share of the requests.",
     kService },
   { "queueLimit",
     &ServiceRules::queueLimit_,
@@ -74,7 +74,7 @@
     1000,
     kDayMs,
     "ms",
-    "How long a request that crashes backend servers is refused.",
+    "How long a request that crashes backend servers is rejected.",
     kService },
   { "admissionPolicy",
     &ServiceRules::admissionPolicy_,
@@ -97,7 +97,7 @@
     0,
     100,
     "%/min",
-    "Load that balancing may move in a minute.",
+    "Share of the load that balancing may move in a minute.",
     kService },
   { "actAbovePercent",
     &ServiceRules::actAbovePercent_,
@@ -118,35 +118,35 @@
     1,
     100,
     "%",
-    "Share of a server's mean load above which a key is split out.",
+    "Share of the mean server load above which a key gets its own slice.",
     kService },
   { "warmupMs",
     &ServiceRules::warmupMs_,
     0,
     3600000,
     "ms",
-    "Time in which a joining backend server reaches full load.",
+    "Time in which a new backend server ramps up to full load.",
     kServer },
   { "availabilityPercent",
     &ServiceRules::availabilityPercent_,
     50,
     99.999,
     "%",
-    "Objective: requests answered completely.",
+    "Objective: share of requests with a complete response.",
     kService },
   { "latencyMs",
     &ServiceRules::latencyMs_,
     1,
     600000,
     "ms",
-    "Objective: time in which an answer counts as fast.",
+    "Objective: time in which a response counts as fast.",
     kService },
   { "latencyPercent",
     &ServiceRules::latencyPercent_,
     50,
     99.999,
     "%",
-    "Objective: complete answers that are fast.",
+    "Objective: share of the complete responses that are fast.",
     kService },
 };
 
@@ -218,7 +218,7 @@
                                           const std::string& aObject,
                                           Findings& aFindings) const
 {
-  const auto refuse = [&](std::string aRule) {
+  const auto reject = [&](std::string aRule) {
     aFindings.Add(aObject,
                   std::string(name_),
                   aValue.dump(-1, ' ', true).substr(0, 64),
@@ -228,7 +228,7 @@
   if (std::holds_alternative<std::string ServiceRules::*>(member_)) {
     if (!aValue.is_string() ||
         !detail::IsChoice(choices_, aValue.get_ref<const std::string&>())) {
-      return refuse(Concat("expected one of ", choices_));
+      return reject(Concat("expected one of ", choices_));
     }
     return aValue.get<std::string>();
   }
@@ -241,23 +241,25 @@
   if (std::holds_alternative<int64_t ServiceRules::*>(member_)) {
     const auto number = detail::AsInteger(aValue);
     return number && inRange(*number) ? std::optional<RuleValue>(*number)
-                                      : refuse(rule);
+                                      : reject(rule);
   }
   if (!aValue.is_number() || !inRange(aValue.get<double>())) {
-    return refuse(rule);
+    return reject(rule);
   }
   return aValue.get<double>();
 }
 
 std::string ToText(const RuleValue& aValue)
 {
-  return std::visit([](const auto& aHeld) { return Concat(aHeld); }, aValue);
+  return std::visit(
+    [](const auto& aAlternative) { return Concat(aAlternative); }, aValue);
 }
 
 nlohmann::json ToJson(const RuleValue& aValue)
 {
-  return std::visit([](const auto& aHeld) { return nlohmann::json(aHeld); },
-                    aValue);
+  return std::visit(
+    [](const auto& aAlternative) { return nlohmann::json(aAlternative); },
+    aValue);
 }
 
 }
--- a/config/RuleField.hpp
+++ b/config/RuleField.hpp
@@ -19,38 +19,40 @@
                                 double ServiceRules::*,
                                 std::string ServiceRules::*>;
 
-/// One field of ServiceRules: the table of these drives parsing, validation,
-/// help and resolution.
+/// Describes one field of ServiceRules. The table of all fields drives parsing,
+/// validation, help and resolution.
 struct RuleField
 {
-  std::string_view name_;
+  std::string_view name_; ///< in JSON and on the command line
   RuleMember member_;
-  double min_ = 0;
-  double max_ = 0;
+  double min_ = 0; ///< smallest valid number
+  double max_ = 0; ///< largest valid number
   std::string_view unit_;
   std::string_view help_;
-  /// Dimensions that an exception for this field may name.
+  /// Bit set (ScopeBit()) of the dimensions that an exception may name.
   uint8_t scopes_ = 0;
-  /// Names that a text field accepts, comma separated.
+  /// Values that a string field accepts, separated by commas.
   std::string_view choices_ = {};
 
   RuleValue Get(const ServiceRules& aRules) const;
   /// aValue must come from Parse() or Get() of the same field.
   void Set(ServiceRules& aRules, const RuleValue& aValue) const;
-  /// Adds a finding for aObject and returns nothing when type or range are
-  /// wrong.
+  /// Returns nothing and adds a finding for aObject when the type or the range
+  /// is wrong.
   std::optional<RuleValue> Parse(const nlohmann::json& aValue,
                                  const std::string& aObject,
                                  Findings& aFindings) const;
+  /// "integer", "number" or "name".
   std::string_view TypeName() const;
 };
 
-/// "left may not exceed right"; both are Integer fields.
+/// Requires that the value of left_ does not exceed the value of right_; both
+/// are names of integer fields.
 struct RuleRelation
 {
   std::string_view left_;
   std::string_view right_;
-  /// Equal values are refused as well.
+  /// Equal values are rejected as well.
   bool strict_ = false;
 };
 
--- a/config/RuleResolver.cpp
+++ b/config/RuleResolver.cpp
@@ -27,22 +27,23 @@
 template<typename Visit>
 void RuleResolver::ForEachMatch(const RuleScope& aTarget, Visit&& aVisit) const
 {
-  // Masks of exceptions with and without a service interleave, so the two
-  // sorted lists are merged.
+  // Exceptions with and without a service interleave in the order of
+  // specificity, so the two sorted lists are merged.
   static const std::vector<Entry> kNone;
   const auto find = [&](const std::string& aService) -> const auto&
   {
     const auto found = byService_.find(aService);
     return found == byService_.end() ? kNone : found->second;
   };
-  const auto& any = find({});
-  const auto& own = aTarget.service_.empty() ? kNone : find(aTarget.service_);
-  auto left = any.begin();
-  auto right = own.begin();
-  while (left != any.end() || right != own.end()) {
+  const auto& anyService = find({});
+  const auto& ownService =
+    aTarget.service_.empty() ? kNone : find(aTarget.service_);
+  auto left = anyService.begin();
+  auto right = ownService.begin();
+  while (left != anyService.end() || right != ownService.end()) {
     const bool takeLeft =
-      right == own.end() ||
-      (left != any.end() &&
+      right == ownService.end() ||
+      (left != anyService.end() &&
        left->exception_.scope_.Mask() < right->exception_.scope_.Mask());
     const auto& entry = takeLeft ? *left++ : *right++;
     if (entry.exception_.scope_.Contains(aTarget)) {
--- a/config/RuleResolver.hpp
+++ b/config/RuleResolver.hpp
@@ -8,7 +8,7 @@
 
 namespace cactuspitch {
 
-/// Why a field has its value: the exception that set it, null for a default.
+/// Value of a field and the exception that set it; null for a default.
 struct RuleOrigin
 {
   const RuleField* field_ = nullptr;
@@ -16,21 +16,24 @@
   const RuleException* exception_ = nullptr;
 };
 
-/// Rules in force by one version of the document. The most specific exception
-/// wins: key, backend server, failure domain, service. Immutable, so threads
-/// may share it; valid until NextExpiryMs().
+/// Resolves the rules of one version of the document. The most specific
+/// exception takes precedence: key before backend server, failure domain and
+/// service. Immutable, so threads may share it; valid until NextExpiryMs().
 class RuleResolver
 {
 public:
   /// Exceptions that have expired at aNowMs are left out.
   RuleResolver(const FleetDocument& aDocument, UnixMs aNowMs);
 
-  /// Unnamed dimensions of aTarget meet no exception that names them.
+  /// Rules for aTarget. An exception that names a dimension does not apply when
+  /// aTarget leaves that dimension empty.
   ServiceRules Resolve(const RuleScope& aTarget) const;
-  /// All fields with the reason for their values.
+  /// All fields with their values and the exceptions that set them. The
+  /// pointers are valid as long as the resolver.
   std::vector<RuleOrigin> Explain(const RuleScope& aTarget) const;
-  /// Dimensions that exceptions of the service name. Rules of targets that
-  /// differ only in others are the same, so a cache can leave them out.
+  /// Bit set of the dimensions that exceptions for aService name. Targets that
+  /// differ only in other dimensions have the same rules, so a cache can leave
+  /// these dimensions out of its key.
   uint8_t UsedDimensions(const std::string& aService) const;
 
   int64_t Version() const { return version_; }
@@ -49,8 +52,8 @@
 
   int64_t version_ = 0;
   ServiceRules defaults_;
-  /// By service and specificity, the most specific last; exceptions of any
-  /// service are under the empty name.
+  /// Exceptions by service, sorted by specificity with the most specific last.
+  /// The empty name holds the exceptions that name no service.
   std::map<std::string, std::vector<Entry>> byService_;
   UnixMs nextExpiryMs_ = INT64_MAX;
 };
@@ -64,8 +67,8 @@
   RuleValue to_;
 };
 
-/// Which rules a change alters, at the defaults and at the scope of each
-/// exception of either document.
+/// Rules that differ between the documents, compared for the defaults and for
+/// the scope of each exception in either document.
 std::vector<RuleDifference> CompareRules(const FleetDocument& aFrom,
                                          const FleetDocument& aTo,
                                          UnixMs aNowMs);
--- a/config/RuleScope.hpp
+++ b/config/RuleScope.hpp
@@ -8,7 +8,8 @@
 
 namespace cactuspitch {
 
-/// What an exception can be limited to, from least to most specific.
+/// Dimensions by which an exception can be limited, from the least to the most
+/// specific.
 enum class ScopeDimension : uint8_t
 {
   Service,
@@ -32,8 +33,8 @@
 inline constexpr size_t kScopeDimensions =
   static_cast<size_t>(ScopeDimension::Count);
 
-/// Scope of an exception, or the target that rules are resolved for. An empty
-/// name means any in a scope, and unknown in a target.
+/// Scope of an exception, or the target for which rules are resolved. An empty
+/// name means any value in a scope and an unknown value in a target.
 struct RuleScope
 {
   std::string service_{};
@@ -45,16 +46,16 @@
 
   const std::string& Name(ScopeDimension aDimension) const;
   std::string& Name(ScopeDimension aDimension);
-  /// Bit set of the named dimensions. The value is also the specificity: key
+  /// Bit set of the named dimensions. A larger value is more specific: key
   /// before backend server before failure domain before service.
   uint8_t Mask() const;
   /// True when every named dimension has the same name in aTarget.
   bool Contains(const RuleScope& aTarget) const;
   /// True when some target lies in both scopes.
   bool Overlaps(const RuleScope& aOther) const;
-  /// Target with the names of both; they must overlap.
+  /// Intersection of both scopes, with the names of both; they must overlap.
   RuleScope Merge(const RuleScope& aOther) const;
-  /// "service=a server=b"; "all" when nothing is named.
+  /// Such as "service=a server=b"; "all" when no dimension is named.
   std::string ToText() const;
 };
 
--- a/config/ServiceRules.hpp
+++ b/config/ServiceRules.hpp
@@ -5,8 +5,8 @@
 
 namespace cactuspitch {
 
-/// Rules in force for one service (and failure domain, backend server or key),
-/// after exceptions have been applied to the defaults.
+/// Rules in force for one service (and failure domain, backend server or key):
+/// the defaults with the exceptions applied.
 struct ServiceRules
 {
   // Requests
--- a/ctl/CommandLine.cpp
+++ b/ctl/CommandLine.cpp
@@ -187,7 +187,7 @@
         { "log", "Log file, named after its process.", true, true } },
       false },
     { "slo",
-      "Shows the SLO burn rate report.",
+      "Shows the SLO burn report.",
       { kService,
         { "html", "Writes the report as an HTML page to this file." } } },
   };
--- a/ctl/RequestExplanation.cpp
+++ b/ctl/RequestExplanation.cpp
@@ -142,8 +142,8 @@
     }
     key_ = std::max(key_, ParseNumberOr(aLine.Field("key"), -1));
     // A request is logged when it ends, held_ms after it arrived.
-    const auto heldMs = ParseNumberOr(aLine.Field("held_ms"), 0);
-    firstMs_ = std::min(firstMs_, aLine.timeMs_ - heldMs);
+    const auto elapsedMs = ParseNumberOr(aLine.Field("held_ms"), 0);
+    firstMs_ = std::min(firstMs_, aLine.timeMs_ - elapsedMs);
     lastMs_ = std::max(lastMs_, aLine.timeMs_);
   }
 
@@ -161,8 +161,8 @@
       return sources_.contains(aLine.source_);
     }
     const auto first = ParseNumberOr(aLine.Field("first"), -1);
-    const bool holdsKey = key_ >= 0 && first >= 0 && first <= key_ &&
-                          key_ <= ParseNumberOr(aLine.Field("last"), -1);
+    const bool containsKey = key_ >= 0 && first >= 0 && first <= key_ &&
+                             key_ <= ParseNumberOr(aLine.Field("last"), -1);
     const auto service = aLine.Field("service");
     const bool isNotice = aLine.event_ == "backend-leaving" ||
                           (Contains(kServerNoticeEvents, aLine.event_) &&
@@ -170,7 +170,7 @@
     if (isNotice && !service.empty() && service == service_) {
       return true;
     }
-    return (holdsKey && (service.empty() || service == service_)) ||
+    return (containsKey && (service.empty() || service == service_)) ||
            backends_.contains(aLine.Field("backend"));
   }
 };
@@ -215,15 +215,15 @@
 std::string ToText(const RequestExplanation& aExplanation)
 {
   const auto& lines = aExplanation.lines_;
-  const auto own = std::ranges::find_if(
+  const auto firstLine = std::ranges::find_if(
     lines, [](const LogLine& aLine) { return !aLine.Field("id").empty(); });
-  if (own == lines.end()) {
+  if (firstLine == lines.end()) {
     return "no log line has the id of this request\n";
   }
   auto text =
     Concat("cause ", aExplanation.cause_, ": ", aExplanation.meaning_, "\n");
   for (const auto& line : lines) {
-    const auto offsetMs = line.timeMs_ - own->timeMs_;
+    const auto offsetMs = line.timeMs_ - firstLine->timeMs_;
     AppendTo(text,
              offsetMs < 0 ? "" : "+",
              offsetMs,
--- a/tests/ConfigEditorTest.cpp
+++ b/tests/ConfigEditorTest.cpp
@@ -43,7 +43,8 @@
   ConfigEditor editor_{ store_, clock_, [] { return 1000; }, "w" };
 };
 
-// Guards against a racing operator whose change replaces another one unseen.
+// Guards against a change that overwrites the change of a concurrent operator
+// without reporting it.
 TEST_F(ConfigEditorTest, StaleBaseShowsWhatChanged)
 {
   EXPECT_EQ(Submit(AddException(0, "a")).version_, 1);
@@ -54,7 +55,7 @@
   EXPECT_FALSE(result.isTruncated_);
 }
 
-// Guards against a change that is applied twice when its client repeats it.
+// Guards against applying a change twice when its client sends it again.
 TEST_F(ConfigEditorTest, RepeatedIdIsTheSameChange)
 {
   auto change = AddException(0, "a");
@@ -66,7 +67,7 @@
   EXPECT_EQ(repeated.version_, 1);
 }
 
-// Guards against a version that falls back when the store loses the object.
+// Guards against starting again at version 1 when the store loses the object.
 TEST_F(ConfigEditorTest, VersionNeverDecreases)
 {
   ASSERT_EQ(Submit(AddException(0, "a")).version_, 1);
@@ -76,7 +77,8 @@
   EXPECT_TRUE(absl::IsNotFound(store_.Get(kConfigKind, kConfigName).status()));
 }
 
-// Guards against claiming that nothing was written when it may have been.
+// Guards against reporting that nothing was written when the request or its
+// response was lost and the write may have succeeded.
 TEST_F(ConfigEditorTest, OutcomeIsUnknownWhenNothingCanBeReadBack)
 {
   store_.SetFaults({ .lostRequest_ = 100 });
@@ -87,7 +89,7 @@
   EXPECT_EQ(down.outcome_, ChangeOutcome::Unavailable);
 }
 
-// Guards against a malformed object being replaced by the next change.
+// Guards against replacing a malformed object with the next change.
 TEST_F(ConfigEditorTest, MalformedObjectIsKept)
 {
   ASSERT_TRUE(store_.Put(kConfigKind, kConfigName, 0, "{}").ok());
@@ -95,8 +97,8 @@
   EXPECT_EQ(store_.Get(kConfigKind, kConfigName)->value_, "{}");
 }
 
-// Guards against a read that is taken for a fallback because another thread of
-// the same editor wrote a newer version while it was under way.
+// Guards against rejecting a read as outdated because another thread of the
+// same editor wrote a newer version during the read.
 TEST_F(ConfigEditorTest, ThreadsOfOneEditorSeeOnlyConflicts)
 {
   std::vector<std::thread> operators;
@@ -119,8 +121,8 @@
   EXPECT_EQ(editor_.Read()->document_.version_, 200);
 }
 
-// Guards against lost, doubled or reverted changes of racing editors over a
-// store that loses requests and answers and delays writes.
+// Guards against lost, repeated or reverted changes of concurrent editors when
+// the store loses requests and responses and delays writes.
 TEST_F(ConfigEditorTest, ConcurrentEditorsNeitherLoseNorRepeatChanges)
 {
   store_.SetFaults({ .unavailable_ = 5,
--- a/tests/DeployFilesTest.cpp
+++ b/tests/DeployFilesTest.cpp
@@ -23,7 +23,7 @@
 class DeployFilesTest : public testing::TestWithParam<const char*>
 {};
 
-// Guards against a first configuration that the processes refuse.
+// Guards against an initial configuration that the processes reject.
 TEST_P(DeployFilesTest, FleetDocumentIsValid)
 {
   Findings findings;
@@ -34,7 +34,8 @@
   EXPECT_TRUE(findings.IsEmpty()) << findings.ToText();
 }
 
-// Guards against names or malformed addresses in the shared settings.
+// Guards against host names or malformed addresses in the shared settings,
+// which must be IP:port.
 TEST_P(DeployFilesTest, AddressesAreValid)
 {
   std::istringstream lines(ReadFile(Concat(GetParam(), "/shared.env")));
@@ -55,8 +56,8 @@
   EXPECT_EQ(checked, 9);
 }
 
-// Guards against a deployment whose assigner and deputy would share a failure
-// domain, or which has a duplicate instance.
+// Guards against a deployment with a duplicate instance or with so few failure
+// domains that the assigner and its deputy could share one.
 TEST_P(DeployFilesTest, InstancesSpreadOverFailureDomains)
 {
   std::istringstream lines(ReadFile(Concat(GetParam(), "/instances.txt")));
--- a/tests/RequestExplanationTest.cpp
+++ b/tests/RequestExplanationTest.cpp
@@ -28,8 +28,9 @@
   });
 }
 
-// Guards against values with spaces and quotes that end a line's fields early,
-// and against text of collectors that hides the line.
+// Guards against a parser that ends a value at a space or an escaped quote
+// inside of it, or that misses a line because a log collector put a prefix in
+// front of it.
 TEST(LogLine, ReadsQuotedFields)
 {
   const auto line = ParseLogLine(
@@ -46,8 +47,8 @@
   EXPECT_FALSE(ParseLogLine("ts=x event=a", "file"));
 }
 
-// Guards against a walk from an id that misses the lines of other processes or
-// drowns them in those that have nothing to do with the request.
+// Guards against an explanation that misses related lines of other processes or
+// includes lines that have nothing to do with the request.
 TEST(RequestExplanation, CollectsRelatedLines)
 {
   const auto lines = ParseLines({
@@ -82,8 +83,9 @@
     << ToText(explanation);
 }
 
-// Guards against a refusal because of a server's notice that is explained as a
-// broken connection, and against the notices missing beside it.
+// Guards against explaining a rejection that follows a notice of a backend
+// server as a lost connection, and against leaving out the log lines of the
+// notices.
 TEST(RequestExplanation, IncludesServerNotices)
 {
   const auto lines = ParseLines({
@@ -100,7 +102,8 @@
   const auto explanation = ExplainRequest(lines, "r");
   EXPECT_NE(explanation.meaning_.find("pause"), std::string::npos)
     << explanation.meaning_;
-  // A pause belongs to the gateway that was asked for it.
+  // Only the gateway that received a pause applies it, so the pause that the
+  // other gateway received is unrelated.
   EXPECT_EQ(explanation.lines_.size(), 3U) << ToText(explanation);
   EXPECT_TRUE(ContainsEvent(explanation, "backend-paused"));
   EXPECT_TRUE(ContainsEvent(explanation, "backend-leaving"));
@@ -110,8 +113,8 @@
   }
 }
 
-// Guards against an unknown id that looks explained, and against a command that
-// asks for the address of a process it does not call.
+// Guards against explaining an id that no line has, and against requiring the
+// address of an admin process for a subcommand that does not call one.
 TEST(RequestExplanation, UnknownIdAndCommandLine)
 {
   EXPECT_FALSE(ExplainRequest(ParseLines({ "a ts=1 event=x" }), "r").found_);
--- a/tests/RulesTest.cpp
+++ b/tests/RulesTest.cpp
@@ -73,7 +73,7 @@
   }
 }
 
-// Guards against rules of an exception that has expired.
+// Guards against applying an exception that has expired.
 TEST(RuleResolver, ExpiredExceptionIsLeftOut)
 {
   FleetDocument document;
@@ -87,7 +87,7 @@
   EXPECT_EQ(after.Resolve({ .service_ = "a" }).maxAttempts_, 3);
 }
 
-// Guards against a document that changes when it is written and read.
+// Guards against a document that changes when it is serialized and parsed.
 TEST(FleetDocument, RoundTripKeepsEverything)
 {
   FleetDocument document;
@@ -105,7 +105,7 @@
   EXPECT_EQ(ToJson(*parsed).dump(), text);
 }
 
-/// Findings of the cross checks, one line each.
+/// Findings of ValidateFleetDocument(), one per line.
 std::string Check(std::vector<RuleException> aExceptions)
 {
   FleetDocument document;
@@ -115,7 +115,8 @@
   return findings.ToText();
 }
 
-// Guards against accepting two exceptions of which neither is more specific.
+// Guards against accepting two exceptions of which neither is more specific, or
+// two with the same id.
 TEST(FleetDocument, DuplicateScopesAndIdsAreRejected)
 {
   const RuleScope scope{ .service_ = "a" };
@@ -133,8 +134,8 @@
     "");
 }
 
-// Guards against values that are sound alone but contradict each other only
-// where two exceptions of different scopes meet.
+// Guards against accepting two exceptions that are valid alone but contradict
+// each other for a target that is in both of their scopes.
 TEST(FleetDocument, ContradictionInOverlappingScopesIsRejected)
 {
   const auto timeout =
