--- a/ctl/CommandLine.hpp
+++ b/ctl/CommandLine.hpp
@@ -16,7 +16,7 @@
 enum class CtlExit : uint8_t
 {
   Success = 0,
-  Failure = 1,     ///< server error of the API, or a local failure
+  Failure = 1,     ///< the API or a local step failed, or a partial result
   Usage = 2,       ///< wrong command line, or rejected with findings
   Unreachable = 3, ///< no admin process responded; nothing was changed
   Conflict = 4,    ///< the base version is not the newest any more
