--- a/config/ConfigChange.cpp
+++ b/config/ConfigChange.cpp
@@ -22,7 +22,7 @@
     if (!field) {
       aFindings.Add("defaults",
                     name.substr(0, kMaxChangeIdBytes),
-                    ValueText(member),
+                    FormatValue(member),
                     "unknown field");
       continue;
     }
@@ -51,7 +51,7 @@
     if (!entry.is_string() || entry.get_ref<const std::string&>().empty()) {
       aFindings.Add("change",
                     "retire",
-                    ValueText(entry),
+                    FormatValue(entry),
                     "expected the id of an exception");
       continue;
     }
@@ -59,7 +59,8 @@
   }
 }
 
-/// Cuts at a character boundary, since JSON takes valid UTF-8 only.
+/// Shortens aText to at most aMaxBytes and appends "...". Cuts at a character
+/// boundary, since JSON strings must be valid UTF-8.
 void TruncateText(std::string& aText, size_t aMaxBytes)
 {
   if (aText.size() <= aMaxBytes) {
@@ -76,32 +77,34 @@
   aText += "...";
 }
 
-void Retire(FleetDocument& aDocument,
-            const ConfigChange& aChange,
-            Findings& aFindings)
+void RemoveExceptions(FleetDocument& aDocument,
+                      const ConfigChange& aChange,
+                      Findings& aFindings)
 {
   for (const auto& id : aChange.retire_) {
     const auto removed = std::erase_if(
       aDocument.exceptions_,
       [&](const RuleException& aException) { return aException.id_ == id; });
     if (removed == 0) {
-      aFindings.Add(
-        "change", "retire", ValueText(nlohmann::json(id)), "no such exception");
+      aFindings.Add("change",
+                    "retire",
+                    FormatValue(nlohmann::json(id)),
+                    "no such exception");
     }
   }
 }
 
-void Add(FleetDocument& aDocument,
-         const ConfigChange& aChange,
-         UnixMs aNowMs,
-         Findings& aFindings)
+void AddExceptions(FleetDocument& aDocument,
+                   const ConfigChange& aChange,
+                   UnixMs aNowMs,
+                   Findings& aFindings)
 {
   for (auto exception : aChange.add_) {
     if (!exception.IsInForce(aNowMs)) {
       aFindings.Add(Concat("exception ", exception.id_),
                     "expires",
                     Concat(*exception.expiresMs_),
-                    Concat("must be after now (", aNowMs, ")"));
+                    Concat("must be later than now (", aNowMs, ")"));
     }
     exception.author_ = aChange.author_;
     exception.createdMs_ = aNowMs;
@@ -170,7 +173,7 @@
     change.defaults_.empty() && change.add_.empty() && change.retire_.empty();
   if (isEmpty && aFindings.All().size() == before) {
     aFindings.Add(
-      "change", "defaults, add, retire", "", "the change changes nothing");
+      "change", "defaults, add, retire", "", "the change has no effect");
   }
   if (aFindings.All().size() > before) {
     return std::nullopt;
@@ -191,8 +194,8 @@
   for (const auto& [field, value] : aChange.defaults_) {
     field->Set(result.defaults_, value);
   }
-  detail::Retire(result, aChange, aFindings);
-  detail::Add(result, aChange, aNowMs, aFindings);
+  detail::RemoveExceptions(result, aChange, aFindings);
+  detail::AddExceptions(result, aChange, aNowMs, aFindings);
   ValidateFleetDocument(result, aNowMs, aFindings);
   if (aFindings.All().size() > before) {
     return std::nullopt;
--- a/config/ConfigEditor.cpp
+++ b/config/ConfigEditor.cpp
@@ -35,7 +35,8 @@
 
 absl::StatusOr<StoredDocument> ConfigEditor::Read()
 {
-  // Taken before the read: another thread may write a newer version meanwhile.
+  // Loaded before the read, since another thread may write a newer version
+  // during it.
   const int64_t largest = largestVersion_.load();
   const auto object = store_.Get(kConfigKind, kConfigName);
   StoredDocument stored;
@@ -51,17 +52,18 @@
   }
   const int64_t version = stored.document_.version_;
   if (version < largest) {
-    return absl::FailedPreconditionError(Concat("the store has configuration ",
-                                                version,
-                                                ", but ",
-                                                largest,
-                                                " has been in force"));
+    return absl::FailedPreconditionError(
+      Concat("the store returned configuration version ",
+             version,
+             ", but version ",
+             largest,
+             " was in force before"));
   }
-  NoteVersion(version);
+  ObserveVersion(version);
   return stored;
 }
 
-void ConfigEditor::NoteVersion(int64_t aVersion)
+void ConfigEditor::ObserveVersion(int64_t aVersion)
 {
   int64_t largest = largestVersion_.load();
   while (largest < aVersion &&
@@ -69,14 +71,15 @@
   }
 }
 
-std::string ConfigEditor::NextChangeId(int64_t aNumber) const
+std::string ConfigEditor::MakeChangeId(int64_t aNumber) const
 {
   return Concat(writer_, "/", aNumber);
 }
 
-void ConfigEditor::Pause(TimeMs aDeadlineMs) const
+void ConfigEditor::WaitBeforeRetry(TimeMs aDeadlineMs) const
 {
-  // Racing editors of one fault must not meet again at the same moment.
+  // Random, so that editors that failed at the same time do not retry at the
+  // same time.
   constexpr TimeMs kMinPauseMs = 5;
   constexpr TimeMs kMaxPauseMs = 40;
   thread_local std::minstd_rand random{ std::random_device{}() };
@@ -86,9 +89,9 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(std::min(pause, left)));
 }
 
-ChangeResult ConfigEditor::Conflict(const FleetDocument& aDocument,
-                                    const ConfigChange& aChange,
-                                    bool aMayBeWritten) const
+ChangeResult ConfigEditor::MakeConflictResult(const FleetDocument& aDocument,
+                                              const ConfigChange& aChange,
+                                              bool aMayBeWritten) const
 {
   ChangeResult result;
   result.id_ = aChange.id_;
@@ -100,29 +103,29 @@
                        });
   result.isTruncated_ = aDocument.version_ - aChange.baseVersion_ >
                         static_cast<int64_t>(result.since_.size());
-  // A change that may have been written is ruled out only when the recorded
-  // ids reach back to its base version.
+  // If a write of the change had an unknown outcome, the missing id proves that
+  // it failed only when the recorded ids reach back to the base version.
   result.outcome_ = aMayBeWritten && result.isTruncated_
                       ? ChangeOutcome::Unknown
                       : ChangeOutcome::Conflict;
-  result.error_ = Concat("made against version ",
+  result.error_ = Concat("based on version ",
                          aChange.baseVersion_,
-                         ", the newest is ",
+                         ", but the newest is ",
                          aDocument.version_);
   return result;
 }
 
 ChangeResult ConfigEditor::Submit(ConfigChange aChange, TimeMs aDeadlineMs)
 {
-  const int64_t number = ++changes_;
+  const int64_t number = ++changeCount_;
   if (aChange.id_.empty()) {
-    aChange.id_ = NextChangeId(number);
+    aChange.id_ = MakeChangeId(number);
   }
   const UnixMs nowMs = unixClock_();
   ChangeResult result;
   result.id_ = aChange.id_;
   bool mayBeWritten = false;
-  for (; clock_.NowMs() < aDeadlineMs; Pause(aDeadlineMs)) {
+  for (; clock_.NowMs() < aDeadlineMs; WaitBeforeRetry(aDeadlineMs)) {
     const auto stored = Read();
     if (!stored.ok()) {
       result.error_ = std::string(ToStd(stored.status().message()));
@@ -142,7 +145,7 @@
       return result;
     }
     if (document.version_ != aChange.baseVersion_) {
-      return Conflict(document, aChange, mayBeWritten);
+      return MakeConflictResult(document, aChange, mayBeWritten);
     }
     auto next = ApplyChange(document, aChange, nowMs, result.findings_);
     if (!next) {
@@ -150,7 +153,7 @@
       return result;
     }
     next->writer_ = writer_;
-    next->change_ = number;
+    next->changeNumber_ = number;
     const auto text = ToJson(*next).dump();
     if (text.size() > kMaxDocumentBytes) {
       result.findings_.Add("document",
@@ -160,12 +163,13 @@
       result.outcome_ = ChangeOutcome::Invalid;
       return result;
     }
-    // The same version is expected on every attempt. A write that is still on
-    // its way after a lost answer therefore fails once another one succeeded.
+    // Every attempt expects the same store version. A write that is still in
+    // transit after its response was lost therefore fails once another write
+    // has succeeded.
     const auto put =
       store_.Put(kConfigKind, kConfigName, stored->storeVersion_, text);
     if (put.ok()) {
-      NoteVersion(next->version_);
+      ObserveVersion(next->version_);
       result.outcome_ = ChangeOutcome::Accepted;
       result.version_ = next->version_;
       return result;
--- a/config/FleetDocument.cpp
+++ b/config/FleetDocument.cpp
@@ -41,7 +41,7 @@
     aFindings.Add(aObject,
                   "scope",
                   aScope.ToText(),
-                  "names nothing; change the default instead");
+                  "no dimension is named; change the default instead");
   }
   if (!aScope.key_.empty() && aScope.service_.empty()) {
     aFindings.Add(aObject, "scope", aScope.ToText(), "a key needs its service");
@@ -104,18 +104,20 @@
   return change;
 }
 
-/// Refuses exceptions of one scope and field: neither is more specific.
-void CheckTies(const FleetDocument& aDocument,
-               UnixMs aNowMs,
-               Findings& aFindings)
+/// Rejects two exceptions for the same scope and field, since neither is more
+/// specific.
+void CheckDuplicateScopes(const FleetDocument& aDocument,
+                          UnixMs aNowMs,
+                          Findings& aFindings)
 {
   std::map<std::string, const RuleException*> seen;
   for (const auto& exception : aDocument.exceptions_) {
     if (!exception.IsInForce(aNowMs)) {
       continue;
     }
-    const auto place = Concat(exception.field_, " ", exception.scope_.ToText());
-    const auto [found, added] = seen.emplace(place, &exception);
+    const auto scopeKey =
+      Concat(exception.field_, " ", exception.scope_.ToText());
+    const auto [found, added] = seen.emplace(scopeKey, &exception);
     if (!added) {
       aFindings.Add(Concat("exception ", exception.id_),
                     exception.field_,
@@ -127,9 +129,10 @@
   }
 }
 
-/// Checks one relation at the defaults and at every scope where exceptions of
-/// its two fields meet. Those scopes suffice: exceptions that win for a target
-/// also win for the smallest target that both contain.
+/// Checks one relation for the defaults, for the scope of each exception of its
+/// two fields and for the intersection of overlapping scopes of both fields.
+/// These targets suffice: two exceptions that take precedence for some target
+/// also take precedence for the intersection of their scopes.
 class RelationCheck
 {
 public:
@@ -148,36 +151,36 @@
         continue;
       }
       if (exception.field_ == relation_.left_) {
-        lefts_.push_back(&exception);
+        leftExceptions_.push_back(&exception);
       } else if (exception.field_ == relation_.right_) {
-        rights_.push_back(&exception);
+        rightExceptions_.push_back(&exception);
       }
     }
   }
 
   void Run()
   {
-    CheckAt({}, "defaults");
-    for (const auto* left : lefts_) {
-      CheckAt(left->scope_, Concat("exception ", left->id_));
+    CheckTarget({}, "defaults");
+    for (const auto* left : leftExceptions_) {
+      CheckTarget(left->scope_, Concat("exception ", left->id_));
     }
-    for (const auto* right : rights_) {
-      CheckAt(right->scope_, Concat("exception ", right->id_));
+    for (const auto* right : rightExceptions_) {
+      CheckTarget(right->scope_, Concat("exception ", right->id_));
     }
-    for (const auto* left : lefts_) {
-      for (const auto* right : rights_) {
+    for (const auto* left : leftExceptions_) {
+      for (const auto* right : rightExceptions_) {
         if (left->scope_.Overlaps(right->scope_) &&
             !left->scope_.Contains(right->scope_) &&
             !right->scope_.Contains(left->scope_)) {
-          CheckAt(left->scope_.Merge(right->scope_),
-                  Concat("exception ", left->id_, " with ", right->id_));
+          CheckTarget(left->scope_.Merge(right->scope_),
+                      Concat("exception ", left->id_, " with ", right->id_));
         }
       }
     }
   }
 
 private:
-  void CheckAt(const RuleScope& aTarget, std::string aObject)
+  void CheckTarget(const RuleScope& aTarget, std::string aObject)
   {
     const auto rules = resolver_.Resolve(aTarget);
     const auto left = std::get<int64_t>(left_.Get(rules));
@@ -202,8 +205,8 @@
   const RuleField& left_;
   const RuleField& right_;
   Findings& findings_;
-  std::vector<const RuleException*> lefts_;
-  std::vector<const RuleException*> rights_;
+  std::vector<const RuleException*> leftExceptions_;
+  std::vector<const RuleException*> rightExceptions_;
 };
 
 }
@@ -257,7 +260,8 @@
   FleetDocument document;
   document.version_ = reader.Integer("version", 1, INT64_MAX, true).value_or(0);
   document.writer_ = reader.Text("writer", { detail::kMaxIdBytes, true, true });
-  document.change_ = reader.Integer("change", 0, INT64_MAX, true).value_or(0);
+  document.changeNumber_ =
+    reader.Integer("change", 0, INT64_MAX, true).value_or(0);
   if (const auto* defaults = reader.Object("defaults", true)) {
     document.defaults_ = detail::ParseRules(*defaults, aFindings);
   }
@@ -300,7 +304,7 @@
                     "used more than once");
     }
   }
-  detail::CheckTies(aDocument, aNowMs, aFindings);
+  detail::CheckDuplicateScopes(aDocument, aNowMs, aFindings);
   for (const auto& relation : RuleRelations()) {
     detail::RelationCheck(aDocument, aNowMs, relation, aFindings).Run();
   }
@@ -360,7 +364,7 @@
   }
   return { { "version", aDocument.version_ },
            { "writer", aDocument.writer_ },
-           { "change", aDocument.change_ },
+           { "change", aDocument.changeNumber_ },
            { "defaults", ToJson(aDocument.defaults_) },
            { "exceptions", std::move(exceptions) },
            { "changes", std::move(changes) } };
--- a/ctl/LogLine.cpp
+++ b/ctl/LogLine.cpp
@@ -8,8 +8,11 @@
 
 namespace detail {
 
-/// Takes `name=value` or `name="value"` off the text; false at its end.
-bool TakeField(std::string_view& aText, std::string& aName, std::string& aValue)
+/// Parses the `name=value` or `name="value"` that aText starts with and removes
+/// it from aText. Returns false when no field is left.
+bool ConsumeField(std::string_view& aText,
+                  std::string& aName,
+                  std::string& aValue)
 {
   const auto equals = aText.find('=');
   if (equals == std::string_view::npos) {
@@ -57,7 +60,7 @@
   aText.remove_prefix(start);
   std::string name;
   std::string value;
-  while (detail::TakeField(aText, name, value)) {
+  while (detail::ConsumeField(aText, name, value)) {
     if (name == "ts") {
       if (!ParseNumber(value, line.timeMs_)) {
         return std::nullopt;
--- a/tests/ConfigEditorTest.cpp
+++ b/tests/ConfigEditorTest.cpp
@@ -11,7 +11,7 @@
 namespace cactuspitch {
 namespace {
 
-constexpr TimeMs kLimitMs = 5000;
+constexpr TimeMs kSubmitTimeoutMs = 5000;
 
 ConfigChange AddException(int64_t aBase, const std::string& aId)
 {
@@ -34,7 +34,8 @@
 protected:
   ChangeResult Submit(ConfigChange aChange)
   {
-    return editor_.Submit(std::move(aChange), clock_.NowMs() + kLimitMs);
+    return editor_.Submit(std::move(aChange),
+                          clock_.NowMs() + kSubmitTimeoutMs);
   }
 
   SteadyClock clock_;
@@ -42,7 +43,8 @@
   ConfigEditor editor_{ store_, clock_, [] { return 1000; }, "w" };
 };
 
-// Guards against a racing operator whose change replaces another one unseen.
+// Guards against a change that overwrites the change of a concurrent operator
+// without reporting it.
 TEST_F(ConfigEditorTest, StaleBaseShowsWhatChanged)
 {
   EXPECT_EQ(Submit(AddException(0, "a")).version_, 1);
@@ -53,7 +55,7 @@
   EXPECT_FALSE(result.isTruncated_);
 }
 
-// Guards against a change that is applied twice when its client repeats it.
+// Guards against applying a change twice when its client sends it again.
 TEST_F(ConfigEditorTest, RepeatedIdIsTheSameChange)
 {
   auto change = AddException(0, "a");
@@ -65,8 +67,8 @@
   EXPECT_EQ(repeated.version_, 1);
 }
 
-// Guards against a version that falls back when the store loses the object.
-TEST_F(ConfigEditorTest, VersionsNeverFallBack)
+// Guards against starting again at version 1 when the store loses the object.
+TEST_F(ConfigEditorTest, VersionNeverDecreases)
 {
   ASSERT_EQ(Submit(AddException(0, "a")).version_, 1);
   const auto object = store_.Get(kConfigKind, kConfigName);
@@ -75,7 +77,8 @@
   EXPECT_TRUE(absl::IsNotFound(store_.Get(kConfigKind, kConfigName).status()));
 }
 
-// Guards against claiming that nothing was written when it may have been.
+// Guards against reporting that nothing was written when the request or its
+// response was lost and the write may have succeeded.
 TEST_F(ConfigEditorTest, OutcomeIsUnknownWhenNothingCanBeReadBack)
 {
   store_.SetFaults({ .lostRequest_ = 100 });
@@ -86,7 +89,7 @@
   EXPECT_EQ(down.outcome_, ChangeOutcome::Unavailable);
 }
 
-// Guards against a malformed object being replaced by the next change.
+// Guards against replacing a malformed object with the next change.
 TEST_F(ConfigEditorTest, MalformedObjectIsKept)
 {
   ASSERT_TRUE(store_.Put(kConfigKind, kConfigName, 0, "{}").ok());
@@ -94,9 +97,9 @@
   EXPECT_EQ(store_.Get(kConfigKind, kConfigName)->value_, "{}");
 }
 
-// Guards against a read that is taken for a fallback because another thread of
-// the same editor wrote a newer version while it was under way.
-TEST_F(ConfigEditorTest, ThreadsOfOneEditorOnlyConflict)
+// Guards against rejecting a read as outdated because another thread of the
+// same editor wrote a newer version during the read.
+TEST_F(ConfigEditorTest, ThreadsOfOneEditorSeeOnlyConflicts)
 {
   std::vector<std::thread> operators;
   for (int i = 0; i < 4; ++i) {
@@ -118,9 +121,9 @@
   EXPECT_EQ(editor_.Read()->document_.version_, 200);
 }
 
-// Guards against lost, doubled or reverted changes of racing editors over a
-// store that loses requests and answers and delays writes.
-TEST_F(ConfigEditorTest, RacingEditorsLoseAndDoubleNothing)
+// Guards against lost, repeated or reverted changes of concurrent editors when
+// the store loses requests and responses and delays writes.
+TEST_F(ConfigEditorTest, ConcurrentEditorsNeitherLoseNorRepeatChanges)
 {
   store_.SetFaults({ .unavailable_ = 5,
                      .lostResponse_ = 10,
@@ -136,8 +139,8 @@
       int64_t base = 0;
       for (int change = 0; change < 10;) {
         const auto id = Concat("e", i, "-", change);
-        const auto result =
-          editor.Submit(AddException(base, id), clock_.NowMs() + kLimitMs);
+        const auto result = editor.Submit(AddException(base, id),
+                                          clock_.NowMs() + kSubmitTimeoutMs);
         if (result.outcome_ != ChangeOutcome::Accepted) {
           ASSERT_EQ(result.outcome_, ChangeOutcome::Conflict);
           base = result.version_;
