--- a/admin/AdminProcess.cpp
+++ b/admin/AdminProcess.cpp
@@ -13,7 +13,7 @@
 
 namespace detail {
 
-constexpr auto kFollowInterval = std::chrono::milliseconds(100);
+constexpr auto kObserveInterval = std::chrono::milliseconds(100);
 
 /// Differs between all runs, so that change ids never repeat.
 std::string MakeWriterName(const std::string& aInstance)
@@ -24,7 +24,7 @@
 }
 
 template<typename T>
-void Extend(std::vector<T>& aList, std::vector<T> aMore)
+void Append(std::vector<T>& aList, std::vector<T> aMore)
 {
   std::move(aMore.begin(), aMore.end(), std::back_inserter(aList));
 }
@@ -92,8 +92,8 @@
 std::vector<ApiRoute> AdminProcess::AllRoutes()
 {
   auto routes = rulesApi_.Routes();
-  detail::Extend(routes, fleetApi_.Routes());
-  detail::Extend(routes, sloApi_.Routes());
+  detail::Append(routes, fleetApi_.Routes());
+  detail::Append(routes, sloApi_.Routes());
   return routes;
 }
 
@@ -107,11 +107,11 @@
   }
   follower_.Start();
   collector_.Start();
-  followThread_ = std::thread([this] { Follow(); });
+  observerThread_ = std::thread([this] { ObserveTables(); });
   return absl::OkStatus();
 }
 
-void AdminProcess::Follow()
+void AdminProcess::ObserveTables()
 {
   while (!stopping_.load()) {
     for (const auto& followed : follower_.Tables()) {
@@ -120,17 +120,17 @@
     if (const auto config = follower_.Config()) {
       editor_.NoteVersion(config->version_);
     }
-    std::this_thread::sleep_for(detail::kFollowInterval);
+    std::this_thread::sleep_for(detail::kObserveInterval);
   }
 }
 
 void AdminProcess::Stop()
 {
-  if (stopping_.exchange(true) || !followThread_.joinable()) {
+  if (stopping_.exchange(true) || !observerThread_.joinable()) {
     return;
   }
   server_.Stop();
-  followThread_.join();
+  observerThread_.join();
   collector_.Stop();
   follower_.Stop();
 }
--- a/admin/AdminProcess.hpp
+++ b/admin/AdminProcess.hpp
@@ -42,7 +42,7 @@
 private:
   std::vector<ApiRoute> AllRoutes();
   /// Feeds the move log.
-  void Follow();
+  void ObserveTables();
 
   const Clock& clock_;
   AdminOptions options_;
@@ -60,7 +60,7 @@
   SloApi sloApi_;
   ApiServer server_;
   std::atomic<bool> stopping_ = false;
-  std::thread followThread_;
+  std::thread observerThread_;
 };
 
 }
--- a/admin/ApiServer.cpp
+++ b/admin/ApiServer.cpp
@@ -15,19 +15,19 @@
 namespace detail {
 
 constexpr TimeMs kStopTimeoutMs = 5000;
-constexpr int kThreads = 32;
+constexpr int kWorkerThreads = 32;
 /// Shorter than usual, since every open connection holds a thread.
 constexpr int64_t kKeepAliveMs = 5000;
 
-ApiResponse Refusal(int aStatus,
-                    std::string aField,
-                    std::string_view aValue,
-                    std::string aRule)
+ApiResponse ErrorResponse(int aStatus,
+                          std::string aField,
+                          std::string_view aValue,
+                          std::string aRule)
 {
   Findings findings;
   findings.Add(
     "request", std::move(aField), std::string(aValue), std::move(aRule));
-  return FindingsAnswer(aStatus, findings);
+  return FindingsResponse(aStatus, findings);
 }
 
 }
@@ -44,7 +44,7 @@
   return list;
 }
 
-ApiResponse JsonAnswer(int aStatus, const nlohmann::json& aBody)
+ApiResponse JsonResponse(int aStatus, const nlohmann::json& aBody)
 {
   return {
     aStatus,
@@ -52,9 +52,9 @@
   };
 }
 
-ApiResponse FindingsAnswer(int aStatus, const Findings& aFindings)
+ApiResponse FindingsResponse(int aStatus, const Findings& aFindings)
 {
-  return JsonAnswer(aStatus, { { "findings", ToJson(aFindings) } });
+  return JsonResponse(aStatus, { { "findings", ToJson(aFindings) } });
 }
 
 ApiServer::ApiServer(ApiServerOptions aOptions,
@@ -66,7 +66,7 @@
   , metrics_(aMetrics)
   , isReady_(std::move(aIsReady))
   , server_({ .listen_ = options_.listen_,
-              .threads_ = detail::kThreads,
+              .threads_ = detail::kWorkerThreads,
               .keepAliveTimeoutMs_ = detail::kKeepAliveMs },
             [this](HttpExchange& aExchange) { Handle(aExchange); })
 {
@@ -81,28 +81,29 @@
 
 void ApiServer::Handle(HttpExchange& aExchange)
 {
-  ApiResponse answer;
+  ApiResponse response;
   try {
-    answer = Answer(aExchange);
+    response = Dispatch(aExchange);
   } catch (const std::exception& failure) {
     // CivetWeb is C code, which an exception must not cross.
     Log(LogLevel::Error, "request failed", { { "reason", failure.what() } });
-    answer = detail::Refusal(500, "path", aExchange.Path(), "internal error");
+    response =
+      detail::ErrorResponse(500, "path", aExchange.Path(), "internal error");
   }
   metrics_
     .GetCounter("cactuspitch_admin_requests_total",
-                { { "status", std::to_string(answer.status_) } })
+                { { "status", std::to_string(response.status_) } })
     .Add();
-  HttpHeaders headers = { { "Content-Type", answer.contentType_ },
+  HttpHeaders headers = { { "Content-Type", response.contentType_ },
                           { "Cache-Control", "no-store" } };
   constexpr int kUnauthorized = 401;
-  if (answer.status_ == kUnauthorized) {
+  if (response.status_ == kUnauthorized) {
     headers.emplace_back("WWW-Authenticate", "Bearer");
   }
-  aExchange.Respond(answer.status_, headers, answer.body_);
+  aExchange.Respond(response.status_, headers, response.body_);
 }
 
-ApiResponse ApiServer::AnswerProbe(std::string_view aPath) const
+ApiResponse ApiServer::MakeProbeResponse(std::string_view aPath) const
 {
   if (aPath == "/_metrics") {
     return { 200, metrics_.ToPrometheus(), "text/plain; version=0.0.4" };
@@ -123,38 +124,38 @@
          IsSameSecret(options_.token_, header.substr(kScheme.size()));
 }
 
-ApiResponse ApiServer::Answer(HttpExchange& aExchange)
+ApiResponse ApiServer::Dispatch(HttpExchange& aExchange)
 {
   const auto path = aExchange.Path();
   const auto method = aExchange.Method();
   if (method == "GET" &&
       (path == "/_health" || path == "/_ready" || path == "/_metrics")) {
-    return AnswerProbe(path);
+    return MakeProbeResponse(path);
   }
   if (!IsAuthorized(aExchange)) {
-    return detail::Refusal(
+    return detail::ErrorResponse(
       401, "Authorization", "", "expected the bearer token");
   }
   const auto hasPath = [&](const ApiRoute& aRoute) {
     return aRoute.path_ == path;
   };
   if (std::ranges::none_of(routes_, hasPath)) {
-    return detail::Refusal(404, "path", path, "no such resource");
+    return detail::ErrorResponse(404, "path", path, "no such resource");
   }
   const auto route = std::ranges::find_if(routes_, [&](const ApiRoute& aRoute) {
     return hasPath(aRoute) && aRoute.method_ == method;
   });
   if (route == routes_.end()) {
-    return detail::Refusal(
+    return detail::ErrorResponse(
       405, "method", method, "not a method of this resource");
   }
   const size_t limit = method == "GET" ? 0 : kMaxChangeBytes;
   auto body = aExchange.ReadBody(limit);
   if (!body.ok()) {
-    return detail::Refusal(absl::IsOutOfRange(body.status()) ? 413 : 400,
-                           "body",
-                           Concat(aExchange.ContentLength()),
-                           Concat("at most ", limit, " B, complete"));
+    return detail::ErrorResponse(absl::IsOutOfRange(body.status()) ? 413 : 400,
+                                 "body",
+                                 Concat(aExchange.ContentLength()),
+                                 Concat("at most ", limit, " B, complete"));
   }
   ApiRequest request;
   request.query_ = std::string(aExchange.Query());
--- a/admin/ApiServer.hpp
+++ b/admin/ApiServer.hpp
@@ -29,9 +29,9 @@
 };
 
 /// JSON answer; text that is not UTF-8 is replaced.
-ApiResponse JsonAnswer(int aStatus, const nlohmann::json& aBody);
+ApiResponse JsonResponse(int aStatus, const nlohmann::json& aBody);
 /// {"findings": [{object, field, value, rule}]}
-ApiResponse FindingsAnswer(int aStatus, const Findings& aFindings);
+ApiResponse FindingsResponse(int aStatus, const Findings& aFindings);
 nlohmann::json ToJson(const Findings& aFindings);
 
 struct ApiRoute
@@ -64,8 +64,8 @@
 
 private:
   void Handle(HttpExchange& aExchange);
-  ApiResponse Answer(HttpExchange& aExchange);
-  ApiResponse AnswerProbe(std::string_view aPath) const;
+  ApiResponse Dispatch(HttpExchange& aExchange);
+  ApiResponse MakeProbeResponse(std::string_view aPath) const;
   bool IsAuthorized(const HttpExchange& aExchange) const;
 
   ApiServerOptions options_;
--- a/admin/FleetApi.cpp
+++ b/admin/FleetApi.cpp
@@ -1,6 +1,6 @@
 #include "FleetApi.hpp"
 
-#include "Measures.hpp"
+#include "ServiceStatistics.hpp"
 #include "common/KeyHash.hpp"
 #include "common/Log.hpp"
 #include "config/JsonReader.hpp"
@@ -18,19 +18,19 @@
 
 namespace detail {
 
-constexpr int64_t kRecentMs = 3600000;
-constexpr int64_t kMsInMinute = 60000;
+constexpr int64_t kMoveHistoryMs = 3600000;
+constexpr int64_t kMsPerMinute = 60000;
 constexpr int64_t kMaxWaitMs = 25000;
-constexpr int64_t kMaxListed = 1000;
-constexpr auto kWaitPause = std::chrono::milliseconds(100);
+constexpr int64_t kMaxListEntries = 1000;
+constexpr auto kPollInterval = std::chrono::milliseconds(100);
 
 /// JSON numbers hold 53 bits exactly, so hashes are text.
-std::string HashText(uint64_t aHash)
+std::string FormatHash(uint64_t aHash)
 {
   return absl::StrFormat("0x%016x", aHash);
 }
 
-std::optional<uint64_t> ParseHashText(std::string_view aText)
+std::optional<uint64_t> ParseHash(std::string_view aText)
 {
   constexpr int kHex = 16;
   constexpr size_t kMaxDigits = 16;
@@ -65,8 +65,8 @@
   return entry;
 }
 
-nlohmann::json Lagging(const std::vector<PeerStatus>& aStatuses,
-                       int64_t aVersion)
+nlohmann::json LaggingProcesses(const std::vector<PeerStatus>& aStatuses,
+                                int64_t aVersion)
 {
   auto list = nlohmann::json::array();
   for (const auto& status : aStatuses) {
@@ -88,11 +88,11 @@
            { "draining", aServer->draining_ } };
 }
 
-ApiResponse NoSuchService(const std::string& aService)
+ApiResponse ServiceNotFoundResponse(const std::string& aService)
 {
   Findings findings;
   findings.Add("query", "service", aService, "no table of this service");
-  return FindingsAnswer(404, findings);
+  return FindingsResponse(404, findings);
 }
 
 nlohmann::json ToJson(const OwnerMove& aMove, const FleetDetails& aDetails)
@@ -100,8 +100,8 @@
   return { { "time", aMove.timeMs_ },
            { "service", aMove.service_ },
            { "group", aMove.group_ },
-           { "begin", HashText(aMove.begin_) },
-           { "end", HashText(aMove.end_) },
+           { "begin", FormatHash(aMove.begin_) },
+           { "end", FormatHash(aMove.end_) },
            { "from", aMove.from_ },
            { "to", aMove.to_ },
            { "epoch", aMove.epoch_ },
@@ -112,15 +112,16 @@
 }
 
 /// Answers of the routers that differ only in the time left, by fingerprint.
-nlohmann::json MergeQuarantine(const std::vector<PeerQuarantine>& aAnswers)
+nlohmann::json MergeQuarantine(
+  const std::vector<QuarantineResponse>& aResponses)
 {
   std::map<int64_t, nlohmann::json> merged;
-  for (const auto& answer : aAnswers) {
-    for (const auto& entry : answer.entries_) {
+  for (const auto& response : aResponses) {
+    for (const auto& entry : response.entries_) {
       auto& item = merged[entry.fingerprint];
       if (item.is_null()) {
         item = { { "fingerprint",
-                   HashText(static_cast<uint64_t>(entry.fingerprint)) },
+                   FormatHash(static_cast<uint64_t>(entry.fingerprint)) },
                  { "crashes", entry.crashes },
                  { "expiresInMs", entry.expiresInMs },
                  { "quarantined", entry.quarantined },
@@ -132,7 +133,7 @@
         std::max(item["expiresInMs"].get<int32_t>(), entry.expiresInMs);
       item["quarantined"] =
         item["quarantined"].get<bool>() || entry.quarantined;
-      item["routers"].push_back(answer.instance_);
+      item["routers"].push_back(response.instance_);
     }
   }
   auto list = nlohmann::json::array();
@@ -142,13 +143,13 @@
   return list;
 }
 
-nlohmann::json Unanswered(const std::vector<PeerQuarantine>& aAnswers)
+nlohmann::json FailedCalls(const std::vector<QuarantineResponse>& aResponses)
 {
   auto list = nlohmann::json::array();
-  for (const auto& answer : aAnswers) {
-    if (!answer.error_.empty()) {
+  for (const auto& response : aResponses) {
+    if (!response.error_.empty()) {
       list.push_back(
-        { { "instance", answer.instance_ }, { "error", answer.error_ } });
+        { { "instance", response.instance_ }, { "error", response.error_ } });
     }
   }
   return list;
@@ -224,21 +225,22 @@
 {
   QueryReader(aRequest.query_, aRequest.findings_).RefuseUnknown();
   if (!aRequest.findings_.IsEmpty()) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
-  const auto statuses = fleet_.Statuses();
+  const auto statuses = fleet_.FetchStatuses();
   const auto newest = NewestVersion(statuses);
   auto processes = nlohmann::json::array();
   for (const auto& status : statuses) {
     processes.push_back(detail::ToJson(status));
   }
   const auto config = follower_.Config();
-  return JsonAnswer(200,
-                    { { "newest", newest },
-                      { "answeredBy", instance_ },
-                      { "answererVersion", config ? config->version_ : 0 },
-                      { "processes", std::move(processes) },
-                      { "lagging", detail::Lagging(statuses, newest) } });
+  return JsonResponse(
+    200,
+    { { "newest", newest },
+      { "answeredBy", instance_ },
+      { "answererVersion", config ? config->version_ : 0 },
+      { "processes", std::move(processes) },
+      { "lagging", detail::LaggingProcesses(statuses, newest) } });
 }
 
 ApiResponse FleetApi::Wait(ApiRequest& aRequest)
@@ -253,30 +255,31 @@
     aRequest.findings_.Add("query", "version", "", "required");
   }
   if (!aRequest.findings_.IsEmpty()) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
   const auto startMs = clock_.NowMs();
-  auto waiting = fleet_.Statuses();
-  const auto asked = waiting.size();
-  const auto dropInForce = [&] {
-    std::erase_if(waiting, [&](const PeerStatus& aStatus) {
+  auto lagging = fleet_.FetchStatuses();
+  const auto processCount = lagging.size();
+  const auto removeUpToDate = [&] {
+    std::erase_if(lagging, [&](const PeerStatus& aStatus) {
       return !detail::IsLagging(aStatus, *version);
     });
   };
-  dropInForce();
-  while (!waiting.empty() && clock_.NowMs() < startMs + timeoutMs) {
-    std::this_thread::sleep_for(detail::kWaitPause);
-    fleet_.Refresh(waiting);
-    dropInForce();
+  removeUpToDate();
+  while (!lagging.empty() && clock_.NowMs() < startMs + timeoutMs) {
+    std::this_thread::sleep_for(detail::kPollInterval);
+    fleet_.RefreshStatuses(lagging);
+    removeUpToDate();
   }
   // A fleet of which nothing is known has nothing in force.
-  const bool inForce = waiting.empty() && asked > 0;
-  return JsonAnswer(200,
-                    { { "version", *version },
-                      { "inForce", inForce },
-                      { "processes", asked },
-                      { "elapsedMs", clock_.NowMs() - startMs },
-                      { "lagging", detail::Lagging(waiting, *version) } });
+  const bool inForce = lagging.empty() && processCount > 0;
+  return JsonResponse(
+    200,
+    { { "version", *version },
+      { "inForce", inForce },
+      { "processes", processCount },
+      { "elapsedMs", clock_.NowMs() - startMs },
+      { "lagging", detail::LaggingProcesses(lagging, *version) } });
 }
 
 ApiResponse FleetApi::ShowOwner(ApiRequest& aRequest)
@@ -286,27 +289,27 @@
   const auto key = query.Text("key", true);
   query.RefuseUnknown();
   if (!aRequest.findings_.IsEmpty()) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
   const auto hash = HashKey(key);
   const auto followed = follower_.Table(service, hash);
   if (!followed) {
-    return detail::NoSuchService(service);
+    return detail::ServiceNotFoundResponse(service);
   }
   const auto& table = followed->table_;
   const auto& slice = table.FindSlice(hash);
   const auto index = static_cast<size_t>(&slice - table.slices_.data());
-  nlohmann::json answer = {
+  nlohmann::json response = {
     { "service", service },
     { "key", key },
-    { "hash", detail::HashText(hash) },
+    { "hash", detail::FormatHash(hash) },
     { "group", table.group_ },
     { "term", table.term_ },
     { "sequence", table.sequence_ },
     { "assigner", table.assigner_ },
     { "deputy", table.deputy_ },
-    { "begin", detail::HashText(slice.begin_) },
-    { "end", detail::HashText(table.SliceEnd(index)) },
+    { "begin", detail::FormatHash(slice.begin_) },
+    { "end", detail::FormatHash(table.SliceEnd(index)) },
     { "epoch", slice.epoch_ },
     { "owner", detail::ToJson(table.Server(slice.owner_)) },
     { "standby", detail::ToJson(table.Server(slice.standby_)) },
@@ -314,9 +317,9 @@
   };
   const auto since = moves_.OwnedSinceMs(service, table.group_, hash);
   if (since) {
-    answer["since"] = *since;
+    response["since"] = *since;
   }
-  return JsonAnswer(200, answer);
+  return JsonResponse(200, response);
 }
 
 ApiResponse FleetApi::ShowSlices(ApiRequest& aRequest)
@@ -324,17 +327,17 @@
   QueryReader query(aRequest.query_, aRequest.findings_);
   const auto service = query.Text("service", true);
   const auto offset = query.Integer("offset", 0, INT32_MAX).value_or(0);
-  const auto limit =
-    query.Integer("limit", 1, detail::kMaxListed).value_or(detail::kMaxListed);
+  const auto limit = query.Integer("limit", 1, detail::kMaxListEntries)
+                       .value_or(detail::kMaxListEntries);
   query.RefuseUnknown();
   if (!aRequest.findings_.IsEmpty()) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
   const auto tables = Tables(service);
   if (tables.empty()) {
-    return detail::NoSuchService(service);
+    return detail::ServiceNotFoundResponse(service);
   }
-  const FleetDetails details(fleet_.Statuses());
+  const FleetDetails details(fleet_.FetchStatuses());
   auto list = nlohmann::json::array();
   int64_t count = 0;
   for (const auto& followed : tables) {
@@ -350,19 +353,19 @@
       const auto load = details.SliceLoad(service, slice.begin_);
       list.push_back(
         { { "group", table.group_ },
-          { "begin", detail::HashText(slice.begin_) },
-          { "end", detail::HashText(table.SliceEnd(i)) },
+          { "begin", detail::FormatHash(slice.begin_) },
+          { "end", detail::FormatHash(table.SliceEnd(i)) },
           { "epoch", slice.epoch_ },
           { "owner", owner ? owner->id_ : "" },
           { "standby", standby ? standby->id_ : "" },
           { "load", load ? nlohmann::json(*load) : nlohmann::json(nullptr) } });
     }
   }
-  return JsonAnswer(200,
-                    { { "service", service },
-                      { "total", count },
-                      { "offset", offset },
-                      { "slices", std::move(list) } });
+  return JsonResponse(200,
+                      { { "service", service },
+                        { "total", count },
+                        { "offset", offset },
+                        { "slices", std::move(list) } });
 }
 
 ApiResponse FleetApi::ShowMoves(ApiRequest& aRequest)
@@ -371,20 +374,21 @@
   const auto service = query.Text("service", false);
   query.RefuseUnknown();
   if (!aRequest.findings_.IsEmpty()) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
   if (!service.empty() && Tables(service).empty()) {
-    return detail::NoSuchService(service);
+    return detail::ServiceNotFoundResponse(service);
   }
-  const FleetDetails details(fleet_.Statuses());
-  auto moves = moves_.Moves(service, unixClock_() - detail::kRecentMs);
+  const FleetDetails details(fleet_.FetchStatuses());
+  auto moves = moves_.Moves(service, unixClock_() - detail::kMoveHistoryMs);
   const auto total = moves.size();
-  moves.resize(std::min<size_t>(total, detail::kMaxListed));
+  moves.resize(std::min<size_t>(total, detail::kMaxListEntries));
   auto list = nlohmann::json::array();
   for (const auto& move : moves) {
     list.push_back(detail::ToJson(move, details));
   }
-  return JsonAnswer(200, { { "total", total }, { "moves", std::move(list) } });
+  return JsonResponse(200,
+                      { { "total", total }, { "moves", std::move(list) } });
 }
 
 ApiResponse FleetApi::ShowMeasures(ApiRequest& aRequest)
@@ -393,11 +397,11 @@
   const auto service = query.Text("service", false);
   query.RefuseUnknown();
   if (!aRequest.findings_.IsEmpty()) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
   const auto tables = Tables(service);
   if (tables.empty() && !service.empty()) {
-    return detail::NoSuchService(service);
+    return detail::ServiceNotFoundResponse(service);
   }
   std::map<std::string, std::vector<std::string>> servers;
   for (const auto& followed : tables) {
@@ -407,16 +411,16 @@
                            &BackendServerRecord::id_);
   }
   const auto nowMs = unixClock_();
-  const FleetDetails details(fleet_.Statuses());
+  const FleetDetails details(fleet_.FetchStatuses());
   constexpr int64_t kMinutes = 60;
   const auto samples =
-    fleet_.SloSamples(nowMs / detail::kMsInMinute - kMinutes);
+    fleet_.FetchSloSamples(nowMs / detail::kMsPerMinute - kMinutes);
   auto result = nlohmann::json::object();
   for (const auto& [name, ids] : servers) {
-    result[name] =
-      ToJson(MeasureService(name, ids, samples, moves_, details, nowMs));
+    result[name] = ToJson(
+      ComputeServiceStatistics(name, ids, samples, moves_, details, nowMs));
   }
-  return JsonAnswer(
+  return JsonResponse(
     200, { { "routers", samples.size() }, { "services", std::move(result) } });
 }
 
@@ -424,12 +428,12 @@
 {
   QueryReader(aRequest.query_, aRequest.findings_).RefuseUnknown();
   if (!aRequest.findings_.IsEmpty()) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
-  const auto answers = fleet_.ListQuarantine();
-  return JsonAnswer(200,
-                    { { "entries", detail::MergeQuarantine(answers) },
-                      { "unanswered", detail::Unanswered(answers) } });
+  const auto responses = fleet_.ListQuarantine();
+  return JsonResponse(200,
+                      { { "entries", detail::MergeQuarantine(responses) },
+                        { "unanswered", detail::FailedCalls(responses) } });
 }
 
 ApiResponse FleetApi::ReleaseQuarantine(ApiRequest& aRequest)
@@ -440,42 +444,42 @@
   const auto parsed =
     ParseJson(aRequest.body_, kMaxReleaseBytes, "release", findings);
   if (!parsed) {
-    return FindingsAnswer(400, findings);
+    return FindingsResponse(400, findings);
   }
   JsonReader reader(*parsed, "release", findings);
   const auto text = reader.Text("fingerprint", {});
   const auto author = reader.Text("author", {});
   const auto reason = reader.Text("reason", { kMaxReasonBytes });
   reader.RefuseUnknown();
-  const auto fingerprint = detail::ParseHashText(text);
+  const auto fingerprint = detail::ParseHash(text);
   if (!fingerprint && !text.empty()) {
     findings.Add(
       "release", "fingerprint", text, "expected at most 16 hexadecimal digits");
   }
   if (!findings.IsEmpty()) {
-    return FindingsAnswer(400, findings);
+    return FindingsResponse(400, findings);
   }
   const auto number = static_cast<int64_t>(*fingerprint);
   const auto listed = fleet_.ListQuarantine();
   const bool isKnown =
-    std::ranges::any_of(listed, [&](const PeerQuarantine& aAnswer) {
-      return std::ranges::any_of(aAnswer.entries_, [&](const auto& aEntry) {
+    std::ranges::any_of(listed, [&](const QuarantineResponse& aResponse) {
+      return std::ranges::any_of(aResponse.entries_, [&](const auto& aEntry) {
         return aEntry.fingerprint == number;
       });
     });
   if (!isKnown) {
     findings.Add("release", "fingerprint", text, "no router has it");
-    return FindingsAnswer(404, findings);
+    return FindingsResponse(404, findings);
   }
-  const auto answers = fleet_.ReleaseQuarantine(number);
+  const auto responses = fleet_.ReleaseQuarantine(number);
   Log(LogLevel::Info,
       "quarantined request released",
       { { "fingerprint", text }, { "author", author }, { "reason", reason } });
-  const auto failed = detail::Unanswered(answers);
-  return JsonAnswer(200,
-                    { { "fingerprint", detail::HashText(*fingerprint) },
-                      { "released", answers.size() - failed.size() },
-                      { "unanswered", failed } });
+  const auto failed = detail::FailedCalls(responses);
+  return JsonResponse(200,
+                      { { "fingerprint", detail::FormatHash(*fingerprint) },
+                        { "released", responses.size() - failed.size() },
+                        { "unanswered", failed } });
 }
 
 }
--- a/admin/FleetClient.cpp
+++ b/admin/FleetClient.cpp
@@ -30,12 +30,13 @@
 {
 }
 
-void FleetClient::ForEach(size_t aCount,
-                          const std::function<void(size_t)>& aCall) const
+void FleetClient::ForEachConcurrently(
+  size_t aCount,
+  const std::function<void(size_t)>& aCall) const
 {
   std::atomic<size_t> next = 0;
   std::vector<std::jthread> threads;
-  for (size_t i = 0; i < std::min(aCount, options_.parallelCalls_); ++i) {
+  for (size_t i = 0; i < std::min(aCount, options_.maxConcurrentCalls_); ++i) {
     threads.emplace_back([&] {
       for (size_t index = next++; index < aCount; index = next++) {
         aCall(index);
@@ -44,7 +45,7 @@
   }
 }
 
-void FleetClient::Ask(PeerStatus& aStatus) const
+void FleetClient::FetchStatus(PeerStatus& aStatus) const
 {
   const auto run = [&]<typename Client>(std::type_identity<Client>) {
     ThriftChannel<Client> channel(aStatus.address_,
@@ -54,13 +55,14 @@
     return channel.Run(
       [&](Client& aClient) { aClient.GetStatus(aStatus.status_); });
   };
-  const auto answered = aStatus.program_ == "router"
-                          ? run(std::type_identity<wire::RouterPeerClient>())
-                          : run(std::type_identity<wire::AssignerPeerClient>());
-  aStatus.error_ = detail::ErrorText(answered);
+  const auto callStatus =
+    aStatus.program_ == "router"
+      ? run(std::type_identity<wire::RouterPeerClient>())
+      : run(std::type_identity<wire::AssignerPeerClient>());
+  aStatus.error_ = detail::ErrorText(callStatus);
 }
 
-std::vector<PeerStatus> FleetClient::Statuses()
+std::vector<PeerStatus> FleetClient::FetchStatuses()
 {
   std::vector<PeerStatus> statuses;
   for (const auto& instance : directory_.Instances()) {
@@ -77,16 +79,17 @@
     add("router", instance.router_);
     add("assigner", instance.assigner_);
   }
-  Refresh(statuses);
+  RefreshStatuses(statuses);
   return statuses;
 }
 
-void FleetClient::Refresh(std::vector<PeerStatus>& aStatuses)
+void FleetClient::RefreshStatuses(std::vector<PeerStatus>& aStatuses)
 {
-  ForEach(aStatuses.size(), [&](size_t aIndex) { Ask(aStatuses[aIndex]); });
+  ForEachConcurrently(aStatuses.size(),
+                      [&](size_t aIndex) { FetchStatus(aStatuses[aIndex]); });
 }
 
-std::vector<FleetClient::RouterAddress> FleetClient::Routers()
+std::vector<FleetClient::RouterAddress> FleetClient::ListRouters()
 {
   std::vector<RouterAddress> routers;
   for (const auto& instance : directory_.Instances()) {
@@ -97,44 +100,46 @@
   return routers;
 }
 
-std::vector<PeerQuarantine> FleetClient::AskRouters(const QuarantineCall& aCall)
+std::vector<QuarantineResponse> FleetClient::CallRouters(
+  const QuarantineCall& aCall)
 {
-  const auto routers = Routers();
-  std::vector<PeerQuarantine> answers(routers.size());
-  ForEach(routers.size(), [&](size_t aIndex) {
-    auto& answer = answers[aIndex];
-    answer.instance_ = routers[aIndex].instance_;
+  const auto routers = ListRouters();
+  std::vector<QuarantineResponse> responses(routers.size());
+  ForEachConcurrently(routers.size(), [&](size_t aIndex) {
+    auto& response = responses[aIndex];
+    response.instance_ = routers[aIndex].instance_;
     ThriftChannel<wire::RouterPeerClient> channel(routers[aIndex].address_,
                                                   options_.connectTimeoutMs_,
                                                   options_.callTimeoutMs_,
                                                   options_.secret_);
-    answer.error_ =
+    response.error_ =
       detail::ErrorText(channel.Run([&](wire::RouterPeerClient& aClient) {
-        aCall(aClient, answer.entries_);
+        aCall(aClient, response.entries_);
       }));
   });
-  return answers;
+  return responses;
 }
 
-std::vector<PeerQuarantine> FleetClient::ListQuarantine()
+std::vector<QuarantineResponse> FleetClient::ListQuarantine()
 {
-  return AskRouters([](wire::RouterPeerClient& aClient, auto& aEntries) {
+  return CallRouters([](wire::RouterPeerClient& aClient, auto& aEntries) {
     aClient.ListQuarantine(aEntries);
   });
 }
 
-std::vector<PeerQuarantine> FleetClient::ReleaseQuarantine(int64_t aFingerprint)
+std::vector<QuarantineResponse> FleetClient::ReleaseQuarantine(
+  int64_t aFingerprint)
 {
-  return AskRouters([=](wire::RouterPeerClient& aClient, auto& /*aEntries*/) {
+  return CallRouters([=](wire::RouterPeerClient& aClient, auto& /*aEntries*/) {
     aClient.ReleaseQuarantine(aFingerprint);
   });
 }
 
-std::vector<SloSample> FleetClient::SloSamples(int64_t aSinceMinute)
+std::vector<SloSample> FleetClient::FetchSloSamples(int64_t aSinceMinute)
 {
-  const auto routers = Routers();
-  std::vector<std::optional<SloSample>> answers(routers.size());
-  ForEach(routers.size(), [&](size_t aIndex) {
+  const auto routers = ListRouters();
+  std::vector<std::optional<SloSample>> responses(routers.size());
+  ForEachConcurrently(routers.size(), [&](size_t aIndex) {
     ThriftChannel<wire::RouterPeerClient> channel(routers[aIndex].address_,
                                                   options_.connectTimeoutMs_,
                                                   options_.callTimeoutMs_,
@@ -142,7 +147,7 @@
     SloSample sample;
     sample.instance_ = routers[aIndex].instance_;
     // Both calls go over one connection, so they reach the same run.
-    const auto answered = channel.Run([&](wire::RouterPeerClient& aClient) {
+    const auto callStatus = channel.Run([&](wire::RouterPeerClient& aClient) {
       wire::ProcessStatus status;
       aClient.GetStatus(status);
       sample.startMs_ = unixClock_() - status.uptimeMs;
@@ -156,14 +161,14 @@
           minute.requests;
       }
     });
-    if (answered.ok()) {
-      answers[aIndex] = std::move(sample);
+    if (callStatus.ok()) {
+      responses[aIndex] = std::move(sample);
     }
   });
   std::vector<SloSample> samples;
-  for (auto& answer : answers) {
-    if (answer) {
-      samples.push_back(*std::move(answer));
+  for (auto& response : responses) {
+    if (response) {
+      samples.push_back(*std::move(response));
     }
   }
   return samples;
--- a/admin/FleetClient.hpp
+++ b/admin/FleetClient.hpp
@@ -17,7 +17,7 @@
   int callTimeoutMs_ = 500;
   std::string secret_ = {}; ///< shared by all processes
   /// Calls that run at the same time.
-  size_t parallelCalls_ = 16;
+  size_t maxConcurrentCalls_ = 16;
 };
 
 /// Status of one router or assigner.
@@ -33,7 +33,7 @@
 };
 
 /// Answer of one router to a quarantine call.
-struct PeerQuarantine
+struct QuarantineResponse
 {
   std::string instance_;
   std::vector<wire::QuarantineEntry> entries_;
@@ -49,13 +49,13 @@
               std::function<int64_t()> aUnixClock,
               FleetClientOptions aOptions = {});
 
-  std::vector<PeerStatus> Statuses();
+  std::vector<PeerStatus> FetchStatuses();
   /// Asks the given processes again.
-  void Refresh(std::vector<PeerStatus>& aStatuses);
-  std::vector<PeerQuarantine> ListQuarantine();
-  std::vector<PeerQuarantine> ReleaseQuarantine(int64_t aFingerprint);
+  void RefreshStatuses(std::vector<PeerStatus>& aStatuses);
+  std::vector<QuarantineResponse> ListQuarantine();
+  std::vector<QuarantineResponse> ReleaseQuarantine(int64_t aFingerprint);
   /// Counts of all routers that answered.
-  std::vector<SloSample> SloSamples(int64_t aSinceMinute);
+  std::vector<SloSample> FetchSloSamples(int64_t aSinceMinute);
 
 private:
   struct RouterAddress
@@ -68,11 +68,12 @@
     std::function<void(wire::RouterPeerClient&,
                        std::vector<wire::QuarantineEntry>&)>;
 
-  std::vector<RouterAddress> Routers();
+  std::vector<RouterAddress> ListRouters();
   /// Runs the call at every router.
-  std::vector<PeerQuarantine> AskRouters(const QuarantineCall& aCall);
-  void ForEach(size_t aCount, const std::function<void(size_t)>& aCall) const;
-  void Ask(PeerStatus& aStatus) const;
+  std::vector<QuarantineResponse> CallRouters(const QuarantineCall& aCall);
+  void ForEachConcurrently(size_t aCount,
+                           const std::function<void(size_t)>& aCall) const;
+  void FetchStatus(PeerStatus& aStatus) const;
 
   InstanceDirectory& directory_;
   std::function<int64_t()> unixClock_;
--- a/admin/MoveLog.cpp
+++ b/admin/MoveLog.cpp
@@ -26,7 +26,7 @@
   return std::ldexp(static_cast<double>(end_ - begin_) + 1, -kHashBits);
 }
 
-std::optional<int64_t> MoveLog::ObserveSlice(const Followed& aOld,
+std::optional<int64_t> MoveLog::ObserveSlice(const ObservedGroup& aOld,
                                              const GroupTable& aNew,
                                              size_t aIndex,
                                              int64_t aNowMs)
@@ -46,11 +46,12 @@
     epoch = std::max(epoch, old.epoch_);
   }
   if (sameOwner && slice.epoch_ <= epoch) {
-    return aOld.since_[first];
+    return aOld.ownedSinceMs_[first];
   }
   const auto from = detail::OwnerId(aOld.table_, aOld.table_.slices_[first]);
-  const auto gapMs =
-    from.empty() ? aNowMs - aOld.since_[first].value_or(aNowMs) : int64_t{ 0 };
+  const auto gapMs = from.empty()
+                       ? aNowMs - aOld.ownedSinceMs_[first].value_or(aNowMs)
+                       : int64_t{ 0 };
   moves_.push_back({ aNowMs,
                      aNew.service_,
                      aNew.group_,
@@ -70,23 +71,23 @@
   }
   const std::lock_guard lock(mutex_);
   auto [found, added] = groups_.try_emplace({ aTable.service_, aTable.group_ });
-  auto& followed = found->second;
+  auto& group = found->second;
   if (added) {
-    followed.table_ = aTable;
-    followed.since_.resize(aTable.slices_.size());
+    group.table_ = aTable;
+    group.ownedSinceMs_.resize(aTable.slices_.size());
     return;
   }
-  if (!aTable.IsNewerThan(followed.table_)) {
+  if (!aTable.IsNewerThan(group.table_)) {
     return;
   }
   std::vector<std::optional<int64_t>> since;
   since.reserve(aTable.slices_.size());
   for (size_t i = 0; i < aTable.slices_.size(); ++i) {
-    since.push_back(ObserveSlice(followed, aTable, i, aNowMs));
+    since.push_back(ObserveSlice(group, aTable, i, aNowMs));
   }
-  followed = { aTable, std::move(since) };
+  group = { aTable, std::move(since) };
   while (!moves_.empty() && (moves_.size() > kMaxMoves ||
-                             moves_.front().timeMs_ < aNowMs - kKeptMs)) {
+                             moves_.front().timeMs_ < aNowMs - kRetentionMs)) {
     moves_.pop_front();
   }
 }
@@ -115,8 +116,8 @@
   if (found == groups_.end()) {
     return std::nullopt;
   }
-  const auto& followed = found->second;
-  return followed.since_[detail::SliceIndex(followed.table_, aHash)];
+  const auto& group = found->second;
+  return group.ownedSinceMs_[detail::SliceIndex(group.table_, aHash)];
 }
 
 int64_t MoveLog::LongestGapMs(const std::string& aService,
@@ -128,14 +129,14 @@
     longest = std::max(longest, move.gapMs_);
   }
   const std::lock_guard lock(mutex_);
-  for (const auto& [key, followed] : groups_) {
+  for (const auto& [key, group] : groups_) {
     if (key.first != aService) {
       continue;
     }
-    for (size_t i = 0; i < followed.since_.size(); ++i) {
-      if (followed.table_.slices_[i].owner_ == kNoServer) {
+    for (size_t i = 0; i < group.ownedSinceMs_.size(); ++i) {
+      if (group.table_.slices_[i].owner_ == kNoServer) {
         longest =
-          std::max(longest, aNowMs - followed.since_[i].value_or(aNowMs));
+          std::max(longest, aNowMs - group.ownedSinceMs_[i].value_or(aNowMs));
       }
     }
   }
--- a/admin/MoveLog.hpp
+++ b/admin/MoveLog.hpp
@@ -51,24 +51,24 @@
                        int64_t aNowMs) const;
 
 private:
-  struct Followed
+  struct ObservedGroup
   {
     GroupTable table_;
     /// Parallel to the slices; nothing when unknown.
-    std::vector<std::optional<int64_t>> since_;
+    std::vector<std::optional<int64_t>> ownedSinceMs_;
   };
   using GroupKey = std::pair<std::string, int32_t>;
 
-  static constexpr int64_t kKeptMs = 3600000;
+  static constexpr int64_t kRetentionMs = 3600000;
   static constexpr size_t kMaxMoves = 20000;
 
-  std::optional<int64_t> ObserveSlice(const Followed& aOld,
+  std::optional<int64_t> ObserveSlice(const ObservedGroup& aOld,
                                       const GroupTable& aNew,
                                       size_t aIndex,
                                       int64_t aNowMs);
 
   mutable std::mutex mutex_;
-  std::map<GroupKey, Followed> groups_;
+  std::map<GroupKey, ObservedGroup> groups_;
   std::deque<OwnerMove> moves_;
 };
 
--- a/admin/QueryReader.cpp
+++ b/admin/QueryReader.cpp
@@ -67,11 +67,11 @@
   }
   for (const auto part :
        absl::StrSplit(ToAbsl(aQuery), '&', absl::SkipEmpty())) {
-    Add(ToStd(part));
+    AddParameter(ToStd(part));
   }
 }
 
-void QueryReader::Add(std::string_view aPart)
+void QueryReader::AddParameter(std::string_view aPart)
 {
   const auto equals = aPart.find('=');
   const auto name = detail::DecodePercent(aPart.substr(0, equals));
@@ -91,7 +91,7 @@
                   *name,
                   Concat(value->size()),
                   Concat("at most ", detail::kMaxValueBytes, " B"));
-    known_.insert(*name);
+    requestedParameters_.insert(*name);
     return;
   }
   if (!values_.emplace(*name, *value).second) {
@@ -101,7 +101,7 @@
 
 std::string QueryReader::Text(const std::string& aName, bool aRequired)
 {
-  known_.insert(aName);
+  requestedParameters_.insert(aName);
   const auto found = values_.find(aName);
   if (found == values_.end()) {
     if (aRequired) {
@@ -119,7 +119,7 @@
                                             int64_t aMin,
                                             int64_t aMax)
 {
-  known_.insert(aName);
+  requestedParameters_.insert(aName);
   const auto found = values_.find(aName);
   if (found == values_.end()) {
     return std::nullopt;
@@ -150,7 +150,7 @@
 void QueryReader::RefuseUnknown()
 {
   for (const auto& [name, value] : values_) {
-    if (!known_.contains(name)) {
+    if (!requestedParameters_.contains(name)) {
       findings_.Add("query", name, value, "unknown parameter");
     }
   }
--- a/admin/QueryReader.hpp
+++ b/admin/QueryReader.hpp
@@ -30,11 +30,11 @@
   void RefuseUnknown();
 
 private:
-  void Add(std::string_view aPart);
+  void AddParameter(std::string_view aPart);
 
   Findings& findings_;
   std::map<std::string, std::string> values_;
-  std::set<std::string> known_;
+  std::set<std::string> requestedParameters_;
 };
 
 }
--- a/admin/RulesApi.cpp
+++ b/admin/RulesApi.cpp
@@ -14,7 +14,7 @@
 
 constexpr TimeMs kChangeTimeoutMs = 8000;
 constexpr TimeMs kReadTimeoutMs = 2000;
-constexpr auto kReadPause = std::chrono::milliseconds(20);
+constexpr auto kReadRetryDelay = std::chrono::milliseconds(20);
 
 nlohmann::json DescribeFields()
 {
@@ -63,7 +63,7 @@
 static_assert(std::size(kOutcomeStatus) ==
               static_cast<size_t>(ChangeOutcome::Count));
 
-ApiResponse ToAnswer(const ChangeResult& aResult)
+ApiResponse ToResponse(const ChangeResult& aResult)
 {
   nlohmann::json body = { { "outcome", EnumName(aResult.outcome_) },
                           { "id", aResult.id_ },
@@ -76,8 +76,8 @@
     body["since"] = ToJson(aResult.since_);
     body["sinceIsTruncated"] = aResult.isTruncated_;
   }
-  return JsonAnswer(kOutcomeStatus[static_cast<size_t>(aResult.outcome_)],
-                    body);
+  return JsonResponse(kOutcomeStatus[static_cast<size_t>(aResult.outcome_)],
+                      body);
 }
 
 }
@@ -111,7 +111,7 @@
   const TimeMs deadlineMs = clock_.NowMs() + detail::kReadTimeoutMs;
   auto stored = editor_.Read();
   while (absl::IsUnavailable(stored.status()) && clock_.NowMs() < deadlineMs) {
-    std::this_thread::sleep_for(detail::kReadPause);
+    std::this_thread::sleep_for(detail::kReadRetryDelay);
     stored = editor_.Read();
   }
   if (stored.ok()) {
@@ -121,7 +121,7 @@
   Findings findings;
   findings.Add(
     "store", "config/fleet", "", std::string(ToStd(stored.status().message())));
-  aFailure = FindingsAnswer(503, findings);
+  aFailure = FindingsResponse(503, findings);
   return false;
 }
 
@@ -129,17 +129,17 @@
 {
   QueryReader(aRequest.query_, aRequest.findings_).RefuseUnknown();
   if (!aRequest.findings_.IsEmpty()) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
   FleetDocument document;
   ApiResponse failure;
   if (!ReadDocument(document, failure)) {
     return failure;
   }
-  return JsonAnswer(200,
-                    { { "version", document.version_ },
-                      { "defaults", ToJson(document.defaults_) },
-                      { "fields", detail::DescribeFields() } });
+  return JsonResponse(200,
+                      { { "version", document.version_ },
+                        { "defaults", ToJson(document.defaults_) },
+                        { "fields", detail::DescribeFields() } });
 }
 
 ApiResponse RulesApi::ListExceptions(ApiRequest& aRequest)
@@ -148,7 +148,7 @@
   const auto target = query.Target();
   query.RefuseUnknown();
   if (!aRequest.findings_.IsEmpty()) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
   FleetDocument document;
   ApiResponse failure;
@@ -163,7 +163,7 @@
       list.push_back(std::move(entry));
     }
   }
-  return JsonAnswer(
+  return JsonResponse(
     200, { { "version", document.version_ }, { "exceptions", list } });
 }
 
@@ -173,7 +173,7 @@
   const auto target = query.Target();
   query.RefuseUnknown();
   if (!aRequest.findings_.IsEmpty()) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
   FleetDocument document;
   ApiResponse failure;
@@ -193,10 +193,10 @@
     }
     rules.push_back(std::move(entry));
   }
-  return JsonAnswer(200,
-                    { { "version", document.version_ },
-                      { "target", ToJson(target) },
-                      { "rules", std::move(rules) } });
+  return JsonResponse(200,
+                      { { "version", document.version_ },
+                        { "target", ToJson(target) },
+                        { "rules", std::move(rules) } });
 }
 
 ApiResponse RulesApi::Preview(ApiRequest& aRequest)
@@ -204,7 +204,7 @@
   QueryReader(aRequest.query_, aRequest.findings_).RefuseUnknown();
   const auto change = ParseConfigChange(aRequest.body_, aRequest.findings_);
   if (!change || !aRequest.findings_.IsEmpty()) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
   FleetDocument document;
   ApiResponse failure;
@@ -215,13 +215,13 @@
   const auto changed =
     ApplyChange(document, *change, nowMs, aRequest.findings_);
   if (!changed) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
   auto differences = nlohmann::json::array();
   for (const auto& difference : CompareRules(document, *changed, nowMs)) {
     differences.push_back(detail::ToJson(difference));
   }
-  return JsonAnswer(
+  return JsonResponse(
     200,
     { { "version", document.version_ },
       { "baseIsNewest", document.version_ == change->baseVersion_ },
@@ -234,9 +234,9 @@
   QueryReader(aRequest.query_, aRequest.findings_).RefuseUnknown();
   auto change = ParseConfigChange(aRequest.body_, aRequest.findings_);
   if (!change || !aRequest.findings_.IsEmpty()) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
-  return detail::ToAnswer(editor_.Submit(
+  return detail::ToResponse(editor_.Submit(
     std::move(*change), clock_.NowMs() + detail::kChangeTimeoutMs));
 }
 
@@ -246,7 +246,7 @@
   const auto since = query.Integer("since", 0, INT64_MAX).value_or(0);
   query.RefuseUnknown();
   if (!aRequest.findings_.IsEmpty()) {
-    return FindingsAnswer(400, aRequest.findings_);
+    return FindingsResponse(400, aRequest.findings_);
   }
   FleetDocument document;
   ApiResponse failure;
@@ -256,9 +256,9 @@
   std::erase_if(document.changes_, [&](const ChangeRecord& aChange) {
     return aChange.version_ <= since;
   });
-  return JsonAnswer(200,
-                    { { "version", document.version_ },
-                      { "changes", detail::ToJson(document.changes_) } });
+  return JsonResponse(200,
+                      { { "version", document.version_ },
+                        { "changes", detail::ToJson(document.changes_) } });
 }
 
 }
--- a/admin/Measures.cpp
+++ b/admin/ServiceStatistics.cpp
@@ -1,4 +1,4 @@
-#include "Measures.hpp"
+#include "ServiceStatistics.hpp"
 
 #include "common/Log.hpp"
 
@@ -11,8 +11,8 @@
 
 namespace detail {
 
-constexpr int64_t kMinuteMs = 60000;
-constexpr int64_t kHourMs = 3600000;
+constexpr int64_t kMsPerMinute = 60000;
+constexpr int64_t kMsPerHour = 3600000;
 constexpr int64_t kImbalanceMinutes = 5;
 constexpr double kSecondsPerMinute = 60;
 constexpr double kPercent = 100;
@@ -49,17 +49,17 @@
            : std::nullopt;
 }
 
-std::optional<KeyHash> HashMember(const nlohmann::json& aValue)
+std::optional<KeyHash> ParseBeginHash(const nlohmann::json& aValue)
 {
   const auto found = aValue.find("begin");
   return found == aValue.end() ? std::nullopt : ParseHash(*found);
 }
 
-double Churn(const std::vector<OwnerMove>& aMoves,
-             const FleetDetails& aDetails,
-             double aServiceLoad,
-             int64_t aFromMs,
-             int64_t aEndMs)
+double ComputeChurnPercent(const std::vector<OwnerMove>& aMoves,
+                           const FleetDetails& aDetails,
+                           double aServiceLoad,
+                           int64_t aFromMs,
+                           int64_t aEndMs)
 {
   double share = 0;
   for (const auto& move : aMoves) {
@@ -73,21 +73,22 @@
   return share * kPercent;
 }
 
-void MeasureChurn(const std::string& aService,
+void ComputeChurn(const std::string& aService,
                   const MoveLog& aMoves,
                   const FleetDetails& aDetails,
                   int64_t aNowMs,
-                  ServiceMeasures& aResult)
+                  ServiceStatistics& aResult)
 {
-  auto moves = aMoves.Moves(aService, aNowMs - kHourMs);
+  auto moves = aMoves.Moves(aService, aNowMs - kMsPerHour);
   // A promotion after a loss is a move as well; a slice that loses its owner
   // is counted once, when it gets the next one.
   std::erase_if(moves,
                 [](const OwnerMove& aMove) { return aMove.to_.empty(); });
   const double load = aDetails.ServiceLoad(aService);
   aResult.isChurnByLoad_ = load > 0;
-  for (auto end = aNowMs; end > aNowMs - kHourMs; end -= kMinuteMs) {
-    const auto churn = Churn(moves, aDetails, load, end - kMinuteMs, end);
+  for (auto end = aNowMs; end > aNowMs - kMsPerHour; end -= kMsPerMinute) {
+    const auto churn =
+      ComputeChurnPercent(moves, aDetails, load, end - kMsPerMinute, end);
     if (end == aNowMs) {
       aResult.churnLastMinutePercent_ = churn;
     }
@@ -95,10 +96,10 @@
   }
 }
 
-void MeasureImbalance(const SloCells& aCells,
+void ComputeImbalance(const SloCells& aCells,
                       const std::string& aService,
                       const std::vector<std::string>& aServers,
-                      ServiceMeasures& aResult)
+                      ServiceStatistics& aResult)
 {
   for (const auto& server : aServers) {
     aResult.requestsByServer_[server] = 0;
@@ -122,9 +123,9 @@
                  static_cast<double>(sum);
 }
 
-void MeasureUnavailable(const std::map<int64_t, SloCells>& aMinutes,
-                        const std::string& aService,
-                        ServiceMeasures& aResult)
+void ComputeUnavailability(const std::map<int64_t, SloCells>& aMinutes,
+                           const std::string& aService,
+                           ServiceStatistics& aResult)
 {
   for (const auto& [minute, cells] : aMinutes) {
     int64_t requests = 0;
@@ -172,14 +173,14 @@
   const auto service = aGroup.value("service", std::string());
   const auto none = nlohmann::json::array();
   for (const auto& slice : aGroup.value("slices", none)) {
-    const auto begin = detail::HashMember(slice);
+    const auto begin = detail::ParseBeginHash(slice);
     const auto load = slice.find("load");
     if (begin && load != slice.end() && load->is_number()) {
       loads_[{ service, *begin }] = load->get<double>();
     }
   }
   for (const auto& move : aGroup.value("moves", none)) {
-    const auto begin = detail::HashMember(move);
+    const auto begin = detail::ParseBeginHash(move);
     if (begin) {
       reasons_[{ { service, *begin }, move.value("epoch", Epoch{ 0 }) }] =
         move.value("reason", std::string());
@@ -211,14 +212,15 @@
   return found == reasons_.end() ? std::string() : found->second;
 }
 
-ServiceMeasures MeasureService(const std::string& aService,
-                               const std::vector<std::string>& aServers,
-                               const std::vector<SloSample>& aSamples,
-                               const MoveLog& aMoves,
-                               const FleetDetails& aDetails,
-                               int64_t aNowMs)
+ServiceStatistics ComputeServiceStatistics(
+  const std::string& aService,
+  const std::vector<std::string>& aServers,
+  const std::vector<SloSample>& aSamples,
+  const MoveLog& aMoves,
+  const FleetDetails& aDetails,
+  int64_t aNowMs)
 {
-  const auto nowMinute = aNowMs / detail::kMinuteMs;
+  const auto nowMinute = aNowMs / detail::kMsPerMinute;
   std::map<int64_t, SloCells> minutes;
   SloCells recent;
   for (const auto& sample : aSamples) {
@@ -230,27 +232,27 @@
       }
     }
   }
-  ServiceMeasures result;
-  detail::MeasureImbalance(recent, aService, aServers, result);
-  detail::MeasureUnavailable(minutes, aService, result);
-  detail::MeasureChurn(aService, aMoves, aDetails, aNowMs, result);
+  ServiceStatistics result;
+  detail::ComputeImbalance(recent, aService, aServers, result);
+  detail::ComputeUnavailability(minutes, aService, result);
+  detail::ComputeChurn(aService, aMoves, aDetails, aNowMs, result);
   result.longestGapMs_ =
-    aMoves.LongestGapMs(aService, aNowMs - detail::kHourMs, aNowMs);
+    aMoves.LongestGapMs(aService, aNowMs - detail::kMsPerHour, aNowMs);
   return result;
 }
 
-nlohmann::json ToJson(const ServiceMeasures& aMeasures)
+nlohmann::json ToJson(const ServiceStatistics& aStatistics)
 {
-  return { { "imbalance", aMeasures.imbalance_ },
-           { "requestsByServer", aMeasures.requestsByServer_ },
-           { "churnLastMinutePercent", aMeasures.churnLastMinutePercent_ },
-           { "churnPeakPercent", aMeasures.churnPeakPercent_ },
+  return { { "imbalance", aStatistics.imbalance_ },
+           { "requestsByServer", aStatistics.requestsByServer_ },
+           { "churnLastMinutePercent", aStatistics.churnLastMinutePercent_ },
+           { "churnPeakPercent", aStatistics.churnPeakPercent_ },
            { "churnWeightedBy",
-             aMeasures.isChurnByLoad_ ? "load" : "hash share" },
-           { "requests", aMeasures.requests_ },
-           { "unservedRequests", aMeasures.unservedRequests_ },
-           { "unavailableSeconds", aMeasures.unavailableSeconds_ },
-           { "longestGapMs", aMeasures.longestGapMs_ } };
+             aStatistics.isChurnByLoad_ ? "load" : "hash share" },
+           { "requests", aStatistics.requests_ },
+           { "unservedRequests", aStatistics.unservedRequests_ },
+           { "unavailableSeconds", aStatistics.unavailableSeconds_ },
+           { "longestGapMs", aStatistics.longestGapMs_ } };
 }
 
 }
--- a/admin/Measures.hpp
+++ b/admin/ServiceStatistics.hpp
@@ -37,7 +37,7 @@
 };
 
 /// The measures of docs/design.md, section 12, for one service.
-struct ServiceMeasures
+struct ServiceStatistics
 {
   /// Peak over mean requests of the backend servers, 0 without requests.
   double imbalance_ = 0;
@@ -57,13 +57,14 @@
 
 /// Imbalance is taken from the last five whole minutes, the rest from the last
 /// hour, both from the routers' counts. aServers are the ids in the table.
-ServiceMeasures MeasureService(const std::string& aService,
-                               const std::vector<std::string>& aServers,
-                               const std::vector<SloSample>& aSamples,
-                               const MoveLog& aMoves,
-                               const FleetDetails& aDetails,
-                               int64_t aNowMs);
+ServiceStatistics ComputeServiceStatistics(
+  const std::string& aService,
+  const std::vector<std::string>& aServers,
+  const std::vector<SloSample>& aSamples,
+  const MoveLog& aMoves,
+  const FleetDetails& aDetails,
+  int64_t aNowMs);
 
-nlohmann::json ToJson(const ServiceMeasures& aMeasures);
+nlohmann::json ToJson(const ServiceStatistics& aStatistics);
 
 }
--- a/admin/SloApi.cpp
+++ b/admin/SloApi.cpp
@@ -17,7 +17,7 @@
 {
   Findings findings;
   findings.Add("store", aObject, "", std::string(ToStd(aStatus.message())));
-  return FindingsAnswer(503, findings);
+  return FindingsResponse(503, findings);
 }
 
 /// Services that the history has counts of.
@@ -50,7 +50,7 @@
     SloReport report;
     ApiResponse failure;
     return MakeReport(aRequest, report, failure)
-             ? JsonAnswer(200, ToJson(report))
+             ? JsonResponse(200, ToJson(report))
              : failure;
   };
   const auto page = [this](ApiRequest& aRequest) {
@@ -73,7 +73,7 @@
   const auto service = query.Text("service", false);
   query.RefuseUnknown();
   if (!aRequest.findings_.IsEmpty()) {
-    aFailure = FindingsAnswer(400, aRequest.findings_);
+    aFailure = FindingsResponse(400, aRequest.findings_);
     return false;
   }
   const auto nowMs = unixClock_();
--- a/admin/SloArchive.cpp
+++ b/admin/SloArchive.cpp
@@ -11,11 +11,11 @@
 namespace detail {
 
 constexpr int64_t kMsPerMinute = 60000;
-constexpr int64_t kDetailHours = 7;
-constexpr int64_t kKeptHours = 48;
+constexpr int64_t kMinuteHistoryHours = 7;
+constexpr int64_t kHourRetentionHours = 48;
 /// The store limits a value to 1 MB.
 constexpr size_t kMaxBlockBytes = 900 * 1024;
-constexpr auto kRetryPause = std::chrono::milliseconds(5);
+constexpr auto kRetryDelay = std::chrono::milliseconds(5);
 
 std::string HourName(int64_t aHour)
 {
@@ -33,7 +33,7 @@
 }
 
 /// Closes slots from the oldest on until the text fits.
-absl::StatusOr<std::string> FitText(SloBlock& aBlock)
+absl::StatusOr<std::string> SerializeWithinLimit(SloBlock& aBlock)
 {
   auto text = aBlock.ToText();
   for (auto& [slot, counts] : aBlock.slots_) {
@@ -51,7 +51,7 @@
   return text;
 }
 
-bool MayRetry(const absl::Status& aStatus)
+bool IsRetryable(const absl::Status& aStatus)
 {
   return absl::IsUnavailable(aStatus) || absl::IsUnknown(aStatus) ||
          absl::IsDeadlineExceeded(aStatus) ||
@@ -65,9 +65,10 @@
 {
   const auto hourBegin = aHour * kMinutesPerHour;
   // Older minutes may have been folded into their day.
-  const auto first = std::max(hourBegin, aNowMinute - kMergeMinutes);
+  const auto first = std::max(hourBegin, aNowMinute - kMergeWindowMinutes);
   for (const auto& sample : aSamples) {
-    const auto source = aBlock.SourceName(sample.instance_, sample.startMs_);
+    const auto source =
+      aBlock.FindOrMakeSourceName(sample.instance_, sample.startMs_);
     const auto end = sample.minutes_.lower_bound(hourBegin + kMinutesPerHour);
     for (auto it = sample.minutes_.lower_bound(first); it != end; ++it) {
       aBlock.slots_[it->first].Merge(source, it->second);
@@ -102,10 +103,10 @@
   return *std::move(block);
 }
 
-absl::Status SloArchive::Change(const std::string& aName,
-                                int64_t aNowMs,
-                                TimeMs aDeadlineMs,
-                                const Update& aUpdate)
+absl::Status SloArchive::UpdateBlock(const std::string& aName,
+                                     int64_t aNowMs,
+                                     TimeMs aDeadlineMs,
+                                     const BlockUpdate& aUpdate)
 {
   absl::Status last = absl::DeadlineExceededError("no time left");
   while (clock_.NowMs() < aDeadlineMs) {
@@ -119,16 +120,16 @@
         return absl::OkStatus();
       }
       block->savedMs_ = aNowMs;
-      const auto text = detail::FitText(*block);
+      const auto text = detail::SerializeWithinLimit(*block);
       if (!text.ok()) {
         return text.status();
       }
       last = store_.Put(kSloKind, aName, version, *text).status();
     }
-    if (last.ok() || !detail::MayRetry(last)) {
+    if (last.ok() || !detail::IsRetryable(last)) {
       return last;
     }
-    std::this_thread::sleep_for(detail::kRetryPause);
+    std::this_thread::sleep_for(detail::kRetryDelay);
   }
   return last;
 }
@@ -139,7 +140,8 @@
 {
   const auto nowMinute = detail::MinuteOf(aNowMs);
   std::set<int64_t> hours = { nowMinute / kMinutesPerHour,
-                              (nowMinute - kOpenMinutes) / kMinutesPerHour };
+                              (nowMinute - kCloseDelayMinutes) /
+                                kMinutesPerHour };
   for (const auto& sample : aSamples) {
     for (const auto& [minute, cells] : sample.minutes_) {
       hours.insert(minute / kMinutesPerHour);
@@ -147,22 +149,22 @@
   }
   absl::Status result;
   for (const auto hour : hours) {
-    result.Update(Change(
+    result.Update(UpdateBlock(
       detail::HourName(hour), aNowMs, aDeadlineMs, [&](SloBlock& aBlock) {
         detail::MergeHour(aBlock, hour, aSamples, nowMinute);
-        aBlock.CloseBefore(nowMinute - kOpenMinutes);
+        aBlock.CloseBefore(nowMinute - kCloseDelayMinutes);
       }));
   }
   return result;
 }
 
-absl::Status SloArchive::Fold(const std::string& aName,
-                              int64_t aHour,
-                              const std::string& aText,
-                              int64_t aNowMs,
-                              TimeMs aDeadlineMs)
+absl::Status SloArchive::MergeHourIntoDay(const std::string& aName,
+                                          int64_t aHour,
+                                          const std::string& aText,
+                                          int64_t aNowMs,
+                                          TimeMs aDeadlineMs)
 {
-  if (folded_.contains(aName)) {
+  if (mergedHours_.contains(aName)) {
     return absl::OkStatus();
   }
   auto hour = SloBlock::Parse(aText);
@@ -174,13 +176,13 @@
   counts.sources_["hour"] = hour->Total();
   counts.Close();
   const auto first = aHour * kMinutesPerHour;
-  auto changed =
-    Change(detail::DayName(first / kMinutesPerDay),
-           aNowMs,
-           aDeadlineMs,
-           [&](SloBlock& aBlock) { aBlock.slots_.try_emplace(first, counts); });
+  auto changed = UpdateBlock(
+    detail::DayName(first / kMinutesPerDay),
+    aNowMs,
+    aDeadlineMs,
+    [&](SloBlock& aBlock) { aBlock.slots_.try_emplace(first, counts); });
   if (changed.ok()) {
-    folded_.insert(aName);
+    mergedHours_.insert(aName);
   }
   return changed;
 }
@@ -195,7 +197,7 @@
   const auto today = nowMinute / kMinutesPerDay;
   // Hours before this one no longer get counts, see MergeHour.
   const auto openHour =
-    (nowMinute - kMergeMinutes - kOpenMinutes) / kMinutesPerHour;
+    (nowMinute - kMergeWindowMinutes - kCloseDelayMinutes) / kMinutesPerHour;
   absl::Status result;
   for (const auto& object : *objects) {
     const auto dot = object.name_.find('.');
@@ -209,10 +211,10 @@
       if (number >= openHour) {
         continue;
       }
-      const auto folded =
-        Fold(object.name_, number, object.value_, aNowMs, aDeadlineMs);
-      result.Update(folded);
-      expired = folded.ok() && number < openHour - detail::kKeptHours;
+      const auto merged = MergeHourIntoDay(
+        object.name_, number, object.value_, aNowMs, aDeadlineMs);
+      result.Update(merged);
+      expired = merged.ok() && number < openHour - detail::kHourRetentionHours;
     }
     if (expired) {
       result.Update(store_.Delete(kSloKind, object.name_, object.version_));
@@ -225,8 +227,8 @@
 {
   {
     const std::lock_guard lock(mutex_);
-    const auto found = days_.find(aName);
-    if (found != days_.end()) {
+    const auto found = immutableDays_.find(aName);
+    if (found != immutableDays_.end()) {
       return found->second;
     }
   }
@@ -234,7 +236,7 @@
   auto block = Read(aName, version);
   if (block.ok()) {
     const std::lock_guard lock(mutex_);
-    days_[aName] = *block;
+    immutableDays_[aName] = *block;
   }
   return block;
 }
@@ -257,7 +259,8 @@
     }
   }
   const auto hour = nowMinute / kMinutesPerHour;
-  for (auto number = hour - detail::kDetailHours; number <= hour; ++number) {
+  for (auto number = hour - detail::kMinuteHistoryHours; number <= hour;
+       ++number) {
     int64_t version = 0;
     const auto block = Read(detail::HourName(number), version);
     if (!block.ok()) {
@@ -274,7 +277,7 @@
   return history;
 }
 
-absl::StatusOr<int64_t> SloArchive::NewestVersion(int64_t aNowMs)
+absl::StatusOr<int64_t> SloArchive::CurrentHourVersion(int64_t aNowMs)
 {
   const auto hour = detail::MinuteOf(aNowMs) / kMinutesPerHour;
   const auto object = store_.Get(kSloKind, detail::HourName(hour));
--- a/admin/SloArchive.hpp
+++ b/admin/SloArchive.hpp
@@ -19,9 +19,9 @@
 inline constexpr int64_t kMinutesPerHour = 60;
 inline constexpr int64_t kMinutesPerDay = 1440;
 /// A minute is closed this long after it ended.
-inline constexpr int64_t kOpenMinutes = 5;
+inline constexpr int64_t kCloseDelayMinutes = 5;
 /// Minutes that routers keep and that are merged; older ones are ignored.
-inline constexpr int64_t kMergeMinutes = 65;
+inline constexpr int64_t kMergeWindowMinutes = 65;
 inline constexpr int64_t kSloPeriodDays = 30;
 
 /// What one router reported about its current run.
@@ -60,30 +60,30 @@
   absl::Status Compact(int64_t aNowMs, TimeMs aDeadlineMs);
   absl::StatusOr<SloHistory> Load(int64_t aNowMs);
   /// Store version of the newest hour; changes whenever any writer saves.
-  absl::StatusOr<int64_t> NewestVersion(int64_t aNowMs);
+  absl::StatusOr<int64_t> CurrentHourVersion(int64_t aNowMs);
 
 private:
-  using Update = std::function<void(SloBlock&)>;
+  using BlockUpdate = std::function<void(SloBlock&)>;
 
-  absl::Status Change(const std::string& aName,
-                      int64_t aNowMs,
-                      TimeMs aDeadlineMs,
-                      const Update& aUpdate);
-  absl::Status Fold(const std::string& aName,
-                    int64_t aHour,
-                    const std::string& aText,
-                    int64_t aNowMs,
-                    TimeMs aDeadlineMs);
+  absl::Status UpdateBlock(const std::string& aName,
+                           int64_t aNowMs,
+                           TimeMs aDeadlineMs,
+                           const BlockUpdate& aUpdate);
+  absl::Status MergeHourIntoDay(const std::string& aName,
+                                int64_t aHour,
+                                const std::string& aText,
+                                int64_t aNowMs,
+                                TimeMs aDeadlineMs);
   absl::StatusOr<SloBlock> Read(const std::string& aName, int64_t& aVersion);
   absl::StatusOr<SloBlock> ReadCached(const std::string& aName);
 
   ObjectStore& store_;
   const Clock& clock_;
   /// Hours that are known to be in their day; used by one thread.
-  std::set<std::string> folded_;
+  std::set<std::string> mergedHours_;
   std::mutex mutex_;
   /// Days that no longer change.
-  std::map<std::string, SloBlock> days_;
+  std::map<std::string, SloBlock> immutableDays_;
 };
 
 }
--- a/admin/SloCollector.cpp
+++ b/admin/SloCollector.cpp
@@ -9,11 +9,11 @@
 namespace detail {
 
 constexpr int64_t kMsPerUnixMinute = 60000;
-constexpr TimeMs kTakeOverMs = 40000;
+constexpr TimeMs kFailoverDelayMs = 40000;
 constexpr TimeMs kSaveTimeoutMs = 8000;
 /// Processes of a higher rank never write; the list of instances would have to
 /// name this many dead ones first.
-constexpr int kWriterRanks = 8;
+constexpr int kMaxWriters = 8;
 
 }
 
@@ -45,7 +45,8 @@
   thread_ = std::thread([this] {
     std::unique_lock lock(mutex_);
     const auto interval = std::chrono::milliseconds(options_.intervalMs_);
-    while (!wake_.wait_for(lock, interval, [this] { return stopping_; })) {
+    while (
+      !stopCondition_.wait_for(lock, interval, [this] { return stopping_; })) {
       lock.unlock();
       RunOnce();
       lock.lock();
@@ -62,7 +63,7 @@
     const std::lock_guard lock(mutex_);
     stopping_ = true;
   }
-  wake_.notify_all();
+  stopCondition_.notify_all();
   thread_.join();
   // A planned stop saves the running minute.
   RunOnce();
@@ -70,29 +71,29 @@
 
 void SloCollector::RunOnce()
 {
-  if (IsTurn()) {
+  if (ShouldSave()) {
     Collect();
   }
 }
 
-bool SloCollector::IsTurn()
+bool SloCollector::ShouldSave()
 {
   const int rank = directory_.Rank("slo", options_.instance_);
   if (rank <= 0) {
     // A process that the lagging list does not hold yet waits as well.
     return rank == 0;
   }
-  if (rank >= detail::kWriterRanks) {
+  if (rank >= detail::kMaxWriters) {
     return false;
   }
-  const auto version = archive_.NewestVersion(unixClock_());
+  const auto version = archive_.CurrentHourVersion(unixClock_());
   const auto nowMs = clock_.NowMs();
-  if (!version.ok() || *version != seenVersion_) {
-    seenVersion_ = version.value_or(seenVersion_);
-    seenMs_ = nowMs;
+  if (!version.ok() || *version != lastVersion_) {
+    lastVersion_ = version.value_or(lastVersion_);
+    lastVersionChangeMs_ = nowMs;
     return false;
   }
-  return nowMs - seenMs_ > rank * detail::kTakeOverMs;
+  return nowMs - lastVersionChangeMs_ > rank * detail::kFailoverDelayMs;
 }
 
 void SloCollector::Collect()
@@ -100,9 +101,10 @@
   const auto nowMs = unixClock_();
   const auto minute = nowMs / detail::kMsPerUnixMinute;
   const auto since =
-    std::max(savedMinute_ - kOpenMinutes, minute - kMergeMinutes);
+    std::max(savedMinute_ - kCloseDelayMinutes, minute - kMergeWindowMinutes);
   const auto deadlineMs = clock_.NowMs() + detail::kSaveTimeoutMs;
-  const auto saved = archive_.Save(fleet_.SloSamples(since), nowMs, deadlineMs);
+  const auto saved =
+    archive_.Save(fleet_.FetchSloSamples(since), nowMs, deadlineMs);
   if (!saved.ok()) {
     failures_.Add();
     Log(LogLevel::Warning,
--- a/admin/SloCollector.hpp
+++ b/admin/SloCollector.hpp
@@ -40,7 +40,7 @@
 
 private:
   /// Whether this process is the one to write now.
-  bool IsTurn();
+  bool ShouldSave();
   void Collect();
 
   InstanceDirectory& directory_;
@@ -51,12 +51,12 @@
   const Clock& clock_;
   std::function<int64_t()> unixClock_;
   SloCollectorOptions options_;
-  int64_t seenVersion_ = -1;
-  TimeMs seenMs_ = 0;
+  int64_t lastVersion_ = -1;
+  TimeMs lastVersionChangeMs_ = 0;
   int64_t savedMinute_ = 0;
   int64_t compactedHour_ = 0;
   std::mutex mutex_;
-  std::condition_variable wake_;
+  std::condition_variable stopCondition_;
   bool stopping_ = false;
   std::thread thread_;
 };
--- a/admin/SloCounts.cpp
+++ b/admin/SloCounts.cpp
@@ -104,7 +104,8 @@
     bad, std::ranges::greater{}, &std::pair<SloKey, int64_t>::second);
   for (size_t i = 0; i < bad.size(); ++i) {
     const auto& [key, requests] = bad[i];
-    total_[i < kMaxClosedCells ? key : detail::WithoutServer(key)] += requests;
+    total_[i < kMaxClosedFailureCells ? key : detail::WithoutServer(key)] +=
+      requests;
   }
   sources_.clear();
   isClosed_ = true;
@@ -147,8 +148,8 @@
   }
 }
 
-std::string SloBlock::SourceName(const std::string& aInstance,
-                                 int64_t aStartMs) const
+std::string SloBlock::FindOrMakeSourceName(const std::string& aInstance,
+                                           int64_t aStartMs) const
 {
   const auto prefix = aInstance + "@";
   for (const auto& [slot, counts] : slots_) {
@@ -157,7 +158,7 @@
       if (source.starts_with(prefix) &&
           ParseNumber(std::string_view(source).substr(prefix.size()),
                       startMs) &&
-          std::abs(startMs - aStartMs) < kSameRunMs) {
+          std::abs(startMs - aStartMs) < kSameIncarnationMs) {
         return source;
       }
     }
--- a/admin/SloCounts.hpp
+++ b/admin/SloCounts.hpp
@@ -47,10 +47,11 @@
   SloCells Total() const;
   void Merge(const std::string& aSource, const SloCells& aCells);
   /// Requests within the objective lose their backend server, and beyond
-  /// kMaxClosedCells the smallest cells are merged, which bounds the object.
+  /// kMaxClosedFailureCells the smallest cells are merged, which bounds the
+  /// object.
   void Close();
 
-  static constexpr size_t kMaxClosedCells = 200;
+  static constexpr size_t kMaxClosedFailureCells = 200;
 };
 
 /// Counts of consecutive slots, stored as one object. A slot is a minute, or in
@@ -67,7 +68,8 @@
 
   /// Recorded source of the same run, so that all writers use one name: the
   /// start times that two processes work out differ a little.
-  std::string SourceName(const std::string& aInstance, int64_t aStartMs) const;
+  std::string FindOrMakeSourceName(const std::string& aInstance,
+                                   int64_t aStartMs) const;
   /// Closes the slots before aSlot.
   void CloseBefore(int64_t aSlot);
   /// Sum over all slots.
@@ -79,6 +81,6 @@
 /// Start times of one instance closer than this are taken for one run of the
 /// router. A router that is started twice within it is counted too low; clocks
 /// of admin processes must agree better than this.
-inline constexpr int64_t kSameRunMs = 30000;
+inline constexpr int64_t kSameIncarnationMs = 30000;
 
 }
--- a/admin/SloPage.cpp
+++ b/admin/SloPage.cpp
@@ -116,7 +116,7 @@
       window.name_,
       window.ratio_.total_,
       window.ratio_.bad_,
-      window.burn_);
+      window.burnRate_);
   }
   return table + "</table>\n";
 }
@@ -130,15 +130,15 @@
   std::string table =
     "<table><tr><th>cause (24 h)</th><th>backend server</th>"
     "<th>failure domain</th><th>requests</th><th>share</th></tr>\n";
-  for (const auto& part : aObjective.contributions_) {
+  for (const auto& contribution : aObjective.contributions_) {
     absl::StrAppendFormat(&table,
                           "<tr><td>%s</td><td>%s</td><td>%s</td><td>%d</td>"
                           "<td>%.1f %%</td></tr>\n",
-                          EscapeHtml(part.cause_),
-                          EscapeHtml(part.server_),
-                          EscapeHtml(part.failureDomain_),
-                          part.requests_,
-                          part.shareOfBad_ * kPercent);
+                          EscapeHtml(contribution.cause_),
+                          EscapeHtml(contribution.server_),
+                          EscapeHtml(contribution.failureDomain_),
+                          contribution.requests_,
+                          contribution.shareOfBad_ * kPercent);
   }
   return table + "</table>\n";
 }
@@ -155,7 +155,7 @@
   }
   absl::StrAppendFormat(&text,
                         "</h2><p>Error budget left: %.1f %% of 30 days.",
-                        aObjective.budgetLeft_ * kPercent);
+                        aObjective.remainingBudget_ * kPercent);
   if (aObjective.fastBurn_) {
     text += " <span class=\"fast\">Fast burn alert.</span>";
   }
@@ -166,8 +166,8 @@
            "</p>\n",
            WindowTable(aObjective),
            Plot("Burn rate, last 6 hours (dashed: slow burn alert)",
-                aObjective.burnSeries_,
-                kSlowBurn.burn_),
+                aObjective.burnRateSeries_,
+                kSlowBurn.burnRate_),
            Plot("Error budget left, last 30 days (dashed: spent)",
                 aObjective.budgetSeries_,
                 0),
--- a/admin/SloReport.cpp
+++ b/admin/SloReport.cpp
@@ -10,8 +10,8 @@
 namespace detail {
 
 constexpr int64_t kMsPerMinute = 60000;
-constexpr int64_t kSeriesMinutes = 360;
-constexpr int64_t kSeriesStep = 5;
+constexpr int64_t kBurnSeriesMinutes = 360;
+constexpr int64_t kBurnSeriesStepMinutes = 5;
 constexpr size_t kMaxContributions = 10;
 constexpr double kPercent = 100.0;
 
@@ -19,7 +19,7 @@
 {
   const char* name_;
   int64_t minutes_;
-  bool byMinute_; ///< from the minutes, otherwise from the hours
+  bool usesMinutes_; ///< from the minutes, otherwise from the hours
 };
 
 constexpr WindowSpec kWindows[] = {
@@ -35,11 +35,11 @@
   Objective(std::string aService, bool aIsLatency, double aTargetPercent)
     : service_(std::move(aService))
     , isLatency_(aIsLatency)
-    , allowed_((kPercent - aTargetPercent) / kPercent)
+    , allowedBadShare_((kPercent - aTargetPercent) / kPercent)
   {
   }
 
-  bool Counts(const SloKey& aKey) const
+  bool Includes(const SloKey& aKey) const
   {
     return aKey.service_ == service_ &&
            (!isLatency_ || aKey.cause_.empty() || aKey.cause_ == kSlowCause);
@@ -54,7 +54,7 @@
   void Add(const SloCells& aCells, SloRatio& aRatio) const
   {
     for (const auto& [key, requests] : aCells) {
-      if (Counts(key)) {
+      if (Includes(key)) {
         aRatio.total_ += requests;
         aRatio.bad_ += IsBad(key) ? requests : 0;
       }
@@ -74,17 +74,18 @@
     return ratio;
   }
 
-  double Burn(const SloRatio& aRatio) const
+  double BurnRate(const SloRatio& aRatio) const
   {
-    return aRatio.total_ == 0 ? 0
-                              : static_cast<double>(aRatio.bad_) /
-                                  static_cast<double>(aRatio.total_) / allowed_;
+    return aRatio.total_ == 0
+             ? 0
+             : static_cast<double>(aRatio.bad_) /
+                 static_cast<double>(aRatio.total_) / allowedBadShare_;
   }
 
 private:
   std::string service_;
   bool isLatency_;
-  double allowed_;
+  double allowedBadShare_;
 };
 
 const SloWindow& FindWindow(const SloObjective& aObjective,
@@ -93,10 +94,12 @@
   return *std::ranges::find(aObjective.windows_, aName, &SloWindow::name_);
 }
 
-bool IsAlert(const SloObjective& aObjective, const SloAlertRule& aRule)
+bool IsAlertFiring(const SloObjective& aObjective, const SloAlertRule& aRule)
 {
-  return FindWindow(aObjective, aRule.longWindow_).burn_ >= aRule.burn_ &&
-         FindWindow(aObjective, aRule.shortWindow_).burn_ >= aRule.burn_;
+  return FindWindow(aObjective, aRule.longWindow_).burnRate_ >=
+           aRule.burnRate_ &&
+         FindWindow(aObjective, aRule.shortWindow_).burnRate_ >=
+           aRule.burnRate_;
 }
 
 std::vector<SloContribution> FindContributions(const SloHistory& aHistory,
@@ -109,24 +112,25 @@
        it != aHistory.hours_.end();
        ++it) {
     for (const auto& [key, requests] : it->second) {
-      if (aObjective.Counts(key) && aObjective.IsBad(key)) {
+      if (aObjective.Includes(key) && aObjective.IsBad(key)) {
         bad[key] += requests;
         total += requests;
       }
     }
   }
-  std::vector<SloContribution> parts;
+  std::vector<SloContribution> contributions;
   for (const auto& [key, requests] : bad) {
-    parts.push_back(
+    contributions.push_back(
       { key.cause_,
         key.server_,
         key.failureDomain_,
         requests,
         static_cast<double>(requests) / static_cast<double>(total) });
   }
-  std::ranges::sort(parts, std::ranges::greater{}, &SloContribution::requests_);
-  parts.resize(std::min(parts.size(), kMaxContributions));
-  return parts;
+  std::ranges::sort(
+    contributions, std::ranges::greater{}, &SloContribution::requests_);
+  contributions.resize(std::min(contributions.size(), kMaxContributions));
+  return contributions;
 }
 
 /// Budget of a period is its allowed share of the period's requests, which is
@@ -144,7 +148,7 @@
     aObjective.Add(it->second, sum);
     const SloRatio spent{ whole.total_, sum.bad_ };
     series.push_back(
-      { it->first + kMinutesPerHour, 1 - aObjective.Burn(spent) });
+      { it->first + kMinutesPerHour, 1 - aObjective.BurnRate(spent) });
   }
   return series;
 }
@@ -166,20 +170,20 @@
     // The current minute is incomplete but already part of every window.
     const auto from = aNowMinute + 1 - spec.minutes_;
     const auto ratio = objective.Ratio(
-      spec.byMinute_ ? aHistory.minutes_ : aHistory.hours_, from, INT64_MAX);
+      spec.usesMinutes_ ? aHistory.minutes_ : aHistory.hours_, from, INT64_MAX);
     result.windows_.push_back(
-      { spec.name_, spec.minutes_, ratio, objective.Burn(ratio) });
+      { spec.name_, spec.minutes_, ratio, objective.BurnRate(ratio) });
   }
-  result.budgetLeft_ = 1 - result.windows_.back().burn_;
-  result.fastBurn_ = IsAlert(result, kFastBurn);
-  result.slowBurn_ = IsAlert(result, kSlowBurn);
+  result.remainingBudget_ = 1 - result.windows_.back().burnRate_;
+  result.fastBurn_ = IsAlertFiring(result, kFastBurn);
+  result.slowBurn_ = IsAlertFiring(result, kSlowBurn);
   result.contributions_ =
     FindContributions(aHistory, objective, aNowMinute + 1 - kMinutesPerDay);
-  for (auto minute = aNowMinute + 1 - kSeriesMinutes; minute <= aNowMinute;
-       minute += kSeriesStep) {
-    const auto ratio =
-      objective.Ratio(aHistory.minutes_, minute, minute + kSeriesStep);
-    result.burnSeries_.push_back({ minute, objective.Burn(ratio) });
+  for (auto minute = aNowMinute + 1 - kBurnSeriesMinutes; minute <= aNowMinute;
+       minute += kBurnSeriesStepMinutes) {
+    const auto ratio = objective.Ratio(
+      aHistory.minutes_, minute, minute + kBurnSeriesStepMinutes);
+    result.burnRateSeries_.push_back({ minute, objective.BurnRate(ratio) });
   }
   result.budgetSeries_ = BudgetSeries(
     aHistory, objective, aNowMinute + 1 - kSloPeriodDays * kMinutesPerDay);
@@ -202,26 +206,26 @@
     windows.push_back({ { "window", window.name_ },
                         { "requests", window.ratio_.total_ },
                         { "bad", window.ratio_.bad_ },
-                        { "burn", window.burn_ } });
+                        { "burn", window.burnRate_ } });
   }
-  auto parts = nlohmann::json::array();
-  for (const auto& part : aObjective.contributions_) {
-    parts.push_back({ { "cause", part.cause_ },
-                      { "server", part.server_ },
-                      { "failureDomain", part.failureDomain_ },
-                      { "requests", part.requests_ },
-                      { "shareOfBad", part.shareOfBad_ } });
+  auto contributions = nlohmann::json::array();
+  for (const auto& contribution : aObjective.contributions_) {
+    contributions.push_back({ { "cause", contribution.cause_ },
+                              { "server", contribution.server_ },
+                              { "failureDomain", contribution.failureDomain_ },
+                              { "requests", contribution.requests_ },
+                              { "shareOfBad", contribution.shareOfBad_ } });
   }
   return { { "service", aObjective.service_ },
            { "objective", aObjective.name_ },
            { "targetPercent", aObjective.targetPercent_ },
            { "latencyMs", aObjective.latencyMs_ },
-           { "budgetLeft", aObjective.budgetLeft_ },
+           { "budgetLeft", aObjective.remainingBudget_ },
            { "fastBurn", aObjective.fastBurn_ },
            { "slowBurn", aObjective.slowBurn_ },
            { "windows", std::move(windows) },
-           { "causes", std::move(parts) },
-           { "burnSeries", ToJson(aObjective.burnSeries_) },
+           { "causes", std::move(contributions) },
+           { "burnSeries", ToJson(aObjective.burnRateSeries_) },
            { "budgetSeries", ToJson(aObjective.budgetSeries_) } };
 }
 
--- a/admin/SloReport.hpp
+++ b/admin/SloReport.hpp
@@ -25,7 +25,7 @@
   SloRatio ratio_;
   /// Share of missed requests over the share that the objective allows; 1
   /// uses up the budget exactly at the end of the period.
-  double burn_ = 0;
+  double burnRate_ = 0;
 };
 
 /// One part of what used up the budget in the last 24 hours.
@@ -52,12 +52,12 @@
   int64_t latencyMs_ = 0; ///< 0 for availability
   std::vector<SloWindow> windows_;
   /// Share of the period's budget that is left; negative when overspent.
-  double budgetLeft_ = 1;
+  double remainingBudget_ = 1;
   bool fastBurn_ = false;
   bool slowBurn_ = false;
   std::vector<SloContribution> contributions_;
   /// Burn over five minutes, for the last six hours.
-  std::vector<SloPoint> burnSeries_;
+  std::vector<SloPoint> burnRateSeries_;
   /// Budget left at the end of each hour of the period.
   std::vector<SloPoint> budgetSeries_;
 };
@@ -76,7 +76,7 @@
 {
   const char* longWindow_;
   const char* shortWindow_;
-  double burn_;
+  double burnRate_;
 };
 /// 2% of a 30 day budget in one hour.
 inline constexpr SloAlertRule kFastBurn = { "1h", "5m", 14.4 };
--- a/tests/AdminFleetTest.cpp
+++ b/tests/AdminFleetTest.cpp
@@ -38,8 +38,8 @@
   {
     const ApiClient client(clock_,
                            { deployment_.AdminAddress(aAdmin), "", 10000 });
-    const auto answer = client.Get(aTarget);
-    return answer.ok() ? answer->body_ : nlohmann::json();
+    const auto response = client.Get(aTarget);
+    return response.ok() ? response->body_ : nlohmann::json();
   }
 
   int64_t SloRequests(int aAdmin)
@@ -56,7 +56,7 @@
   }
 
   /// Count after it has not changed for several save intervals.
-  int64_t Settle(int aAdmin)
+  int64_t WaitForStableCount(int aAdmin)
   {
     constexpr TimeMs kQuietMs = 2500;
     auto count = SloRequests(aAdmin);
@@ -147,9 +147,9 @@
 TEST_F(AdminFleetTest, BurnReportSurvivesReplacedProcesses)
 {
   // The deployment's own probes are counted as well.
-  const auto before = Settle(0);
+  const auto before = WaitForStableCount(0);
   const auto sent = Load();
-  const auto counted = Settle(0);
+  const auto counted = WaitForStableCount(0);
   EXPECT_EQ(counted - before, sent);
   deployment_.Fleet().Kill("router-0");
   deployment_.Fleet().Kill("admin-0");
@@ -160,7 +160,7 @@
     return HttpCall("GET", deployment_.Routers()[0], "/_ready").has_value() &&
            SloRequests(0) == counted;
   }));
-  EXPECT_EQ(Settle(0), counted);
+  EXPECT_EQ(WaitForStableCount(0), counted);
 }
 
 }
--- a/tests/AdminTest.cpp
+++ b/tests/AdminTest.cpp
@@ -162,7 +162,7 @@
 }
 
 // Guards against a command line that hides a conflict or its cause.
-TEST_F(AdminTest, RacingOperatorSeesWhatChanged)
+TEST_F(AdminTest, ConflictOutputShowsWhatChanged)
 {
   EXPECT_EQ(Ctl({ "defaults",
                   "--set",
@@ -197,7 +197,7 @@
 }
 
 // Guards against reporting a version as in force that a router lacks.
-TEST_F(AdminTest, WaitNamesTheProcessThatLags)
+TEST_F(AdminTest, WaitListsLaggingProcess)
 {
   EXPECT_EQ(Ctl({ "wait", "--version", "3", "--timeout-ms", "150" }),
             CtlExit::NotInForce);
--- a/tests/SloTest.cpp
+++ b/tests/SloTest.cpp
@@ -11,8 +11,8 @@
 
 constexpr int64_t kMsPerMinute = 60000;
 /// Some minute at the begin of an hour and of a day.
-constexpr int64_t kFirst = kMinutesPerDay * 20000;
-constexpr TimeMs kLimitMs = 5000;
+constexpr int64_t kFirstMinute = kMinutesPerDay * 20000;
+constexpr TimeMs kSaveTimeoutMs = 5000;
 
 SloKey Key(std::string aCause)
 {
@@ -38,7 +38,7 @@
                     int64_t aMinute)
   {
     return aArchive.Save(
-      aSamples, aMinute * kMsPerMinute, clock_.NowMs() + kLimitMs);
+      aSamples, aMinute * kMsPerMinute, clock_.NowMs() + kSaveTimeoutMs);
   }
 
   int64_t Count(int64_t aMinute)
@@ -55,7 +55,7 @@
 
 // Guards against counts that are lost or doubled when two admin processes save
 // different states of the same routers over a store that loses answers.
-RC_GTEST_FIXTURE_PROP(SloArchiveTest, ConcurrentWritersCountOnce, ())
+RC_GTEST_FIXTURE_PROP(SloArchiveTest, ConcurrentWritersCountEachRequestOnce, ())
 {
   store_.SetFaults(
     { .unavailable_ = 5, .lostResponse_ = 20, .delayedWrite_ = 20 });
@@ -70,13 +70,14 @@
     const auto requests = *rc::gen::inRange<int64_t>(1, 1000);
     largest[router] = std::max(largest[router], requests);
     RC_ASSERT(
-      Save(archive,
-           { Sample(router == 0 ? "a" : "b", 0, { { kFirst, requests } }) },
-           kFirst)
+      Save(
+        archive,
+        { Sample(router == 0 ? "a" : "b", 0, { { kFirstMinute, requests } }) },
+        kFirstMinute)
         .ok());
   }
   store_.SetFaults({});
-  RC_ASSERT(Count(kFirst) == largest[0] + largest[1]);
+  RC_ASSERT(Count(kFirstMinute) == largest[0] + largest[1]);
 }
 
 // Guards against losing what a replaced router counted, and against counting a
@@ -86,13 +87,16 @@
   SloArchive archive(store_, clock_);
   SloArchive other(store_, clock_);
   ASSERT_TRUE(
-    Save(archive, { Sample("a", 0, { { kFirst, 10 } }) }, kFirst).ok());
+    Save(archive, { Sample("a", 0, { { kFirstMinute, 10 } }) }, kFirstMinute)
+      .ok());
   ASSERT_TRUE(
-    Save(other, { Sample("a", 900, { { kFirst, 12 } }) }, kFirst).ok());
-  EXPECT_EQ(Count(kFirst), 12);
+    Save(other, { Sample("a", 900, { { kFirstMinute, 12 } }) }, kFirstMinute)
+      .ok());
+  EXPECT_EQ(Count(kFirstMinute), 12);
   ASSERT_TRUE(
-    Save(archive, { Sample("a", 50000, { { kFirst, 3 } }) }, kFirst).ok());
-  EXPECT_EQ(Count(kFirst), 15);
+    Save(archive, { Sample("a", 50000, { { kFirstMinute, 3 } }) }, kFirstMinute)
+      .ok());
+  EXPECT_EQ(Count(kFirstMinute), 15);
 }
 
 // Guards against minutes that change after the report has used them, and
@@ -100,40 +104,44 @@
 TEST_F(SloArchiveTest, ClosedMinutesStayAndUnsavedOnesAreRecovered)
 {
   SloArchive archive(store_, clock_);
-  const auto late = kFirst + kOpenMinutes + 2;
+  const auto late = kFirstMinute + kCloseDelayMinutes + 2;
   ASSERT_TRUE(
-    Save(archive, { Sample("a", 0, { { kFirst, 10 } }) }, kFirst).ok());
+    Save(archive, { Sample("a", 0, { { kFirstMinute, 10 } }) }, kFirstMinute)
+      .ok());
   ASSERT_TRUE(Save(archive, {}, late).ok());
   SloArchive replacement(store_, clock_);
-  ASSERT_TRUE(Save(replacement,
-                   { Sample("a", 0, { { kFirst, 99 }, { kFirst + 1, 7 } }) },
-                   late)
-                .ok());
-  EXPECT_EQ(Count(kFirst + 1), 7);
+  ASSERT_TRUE(
+    Save(replacement,
+         { Sample("a", 0, { { kFirstMinute, 99 }, { kFirstMinute + 1, 7 } }) },
+         late)
+      .ok());
+  EXPECT_EQ(Count(kFirstMinute + 1), 7);
   SloArchive reader(store_, clock_);
   const auto history = reader.Load(late * kMsPerMinute);
-  EXPECT_EQ(history->minutes_.at(kFirst).at(Key("overload")), 10);
+  EXPECT_EQ(history->minutes_.at(kFirstMinute).at(Key("overload")), 10);
 }
 
 // Guards against hours that are folded twice or not at all, and against
 // objects that are kept for ever.
-TEST_F(SloArchiveTest, HoursAreFoldedIntoDaysOnce)
+TEST_F(SloArchiveTest, HoursAreMergedIntoDaysOnce)
 {
   SloArchive archive(store_, clock_);
   ASSERT_TRUE(
-    Save(archive, { Sample("a", 0, { { kFirst, 10 } }) }, kFirst).ok());
+    Save(archive, { Sample("a", 0, { { kFirstMinute, 10 } }) }, kFirstMinute)
+      .ok());
   const auto compact = [&](SloArchive& aArchive, int64_t aMinute) {
-    return aArchive.Compact(aMinute * kMsPerMinute, clock_.NowMs() + kLimitMs);
+    return aArchive.Compact(aMinute * kMsPerMinute,
+                            clock_.NowMs() + kSaveTimeoutMs);
   };
-  const auto nextDay = kFirst + kMinutesPerDay;
+  const auto nextDay = kFirstMinute + kMinutesPerDay;
   ASSERT_TRUE(compact(archive, nextDay).ok());
   SloArchive other(store_, clock_);
   ASSERT_TRUE(compact(other, nextDay + 1).ok());
   const auto history = archive.Load(nextDay * kMsPerMinute);
-  EXPECT_EQ(history->hours_.at(kFirst).at(Key("overload")), 10);
-  ASSERT_TRUE(compact(other, kFirst + 3 * kMinutesPerDay).ok());
+  EXPECT_EQ(history->hours_.at(kFirstMinute).at(Key("overload")), 10);
+  ASSERT_TRUE(compact(other, kFirstMinute + 3 * kMinutesPerDay).ok());
   ASSERT_EQ(store_.List(kSloKind)->size(), 1u);
-  ASSERT_TRUE(compact(other, kFirst + 40 * kMinutesPerDay).ok());
+  ASSERT_TRUE(compact(other, kFirstMinute + 40 * kMinutesPerDay).ok());
   EXPECT_TRUE(store_.List(kSloKind)->empty());
 }
 
@@ -142,7 +150,7 @@
 TEST(SloReport, ArithmeticFollowsTheDefinition)
 {
   SloHistory history;
-  const auto now = kFirst + 600;
+  const auto now = kFirstMinute + 600;
   for (auto minute = now - 29; minute <= now; ++minute) {
     history.minutes_[minute] = { { Key(""), 950 },
                                  { Key("slow"), 30 },
@@ -153,22 +161,22 @@
     history, { { "idle", {} } }, ServiceRules(), now * kMsPerMinute);
   ASSERT_EQ(report.objectives_.size(), 4u);
   EXPECT_EQ(report.objectives_[0].service_, "idle");
-  EXPECT_EQ(report.objectives_[0].budgetLeft_, 1);
+  EXPECT_EQ(report.objectives_[0].remainingBudget_, 1);
   const auto& availability = report.objectives_[2];
   // 2% missed, 0.1% allowed.
-  EXPECT_NEAR(availability.windows_[0].burn_, 20, 1e-9);
+  EXPECT_NEAR(availability.windows_[0].burnRate_, 20, 1e-9);
   EXPECT_EQ(availability.windows_[0].ratio_.total_, 5000);
   EXPECT_EQ(availability.windows_[2].ratio_.total_, 30000);
-  EXPECT_NEAR(availability.budgetLeft_, -19, 1e-9);
+  EXPECT_NEAR(availability.remainingBudget_, -19, 1e-9);
   EXPECT_TRUE(availability.fastBurn_);
   EXPECT_TRUE(availability.slowBurn_);
   ASSERT_EQ(availability.contributions_.size(), 1u);
   EXPECT_EQ(availability.contributions_[0].cause_, "overload");
   EXPECT_EQ(availability.contributions_[0].shareOfBad_, 1);
-  EXPECT_NEAR(availability.burnSeries_.back().value_, 20, 1e-9);
+  EXPECT_NEAR(availability.burnRateSeries_.back().value_, 20, 1e-9);
   const auto& latency = report.objectives_[3];
   // 30 of 980 complete answers were slow, 1% allowed.
-  EXPECT_NEAR(latency.windows_[0].burn_, 30.0 / 980 / 0.01, 1e-9);
+  EXPECT_NEAR(latency.windows_[0].burnRate_, 30.0 / 980 / 0.01, 1e-9);
   EXPECT_FALSE(latency.fastBurn_);
 }
 
@@ -177,10 +185,10 @@
 TEST(SloPage, NamesAreEscapedAndThePageIsSelfContained)
 {
   SloHistory history;
-  history.minutes_[kFirst] = { { { "<script>", "x\"y", "", "" }, 1 } };
+  history.minutes_[kFirstMinute] = { { { "<script>", "x\"y", "", "" }, 1 } };
   history.hours_ = history.minutes_;
   const auto page = RenderSloPage(
-    MakeSloReport(history, {}, ServiceRules(), kFirst * kMsPerMinute));
+    MakeSloReport(history, {}, ServiceRules(), kFirstMinute * kMsPerMinute));
   EXPECT_EQ(page.find("<script"), std::string::npos);
   EXPECT_NE(page.find("&lt;script&gt;"), std::string::npos);
   EXPECT_NE(page.find("<svg"), std::string::npos);
