Reword the comments and messages of the admin process and its tests

Cause: comments used figurative words (fold, take over, answer, run) and often lacked a subject, a unit or the meaning of an empty value. Change: reword comments, doc comments, error messages and the texts of the SLO page in the field's terms; document what callers need.

--- a/admin/AdminProcess.cpp
+++ b/admin/AdminProcess.cpp
@@ -15,7 +15,7 @@
 
 constexpr auto kObserveInterval = std::chrono::milliseconds(100);
 
-/// Differs between all runs, so that change ids never repeat.
+/// Unique to this run of the process, so that change ids never repeat.
 std::string MakeWriterName(const std::string& aInstance)
 {
   std::random_device random;
--- a/admin/AdminProcess.hpp
+++ b/admin/AdminProcess.hpp
@@ -18,16 +18,18 @@
 {
   std::string instance_;
   std::string failureDomain_;
-  std::string listen_;
-  std::string store_;
+  std::string listen_; ///< HTTP address of the API
+  std::string store_;  ///< address of the object store
+  /// Bearer token of the API and secret of the Thrift calls; empty: none.
   std::string token_;
   std::vector<std::string> assigners_;
+  /// Interval at which the counters of the SLO report are saved.
   TimeMs sloIntervalMs_ = 15000;
 };
 
 std::vector<SettingSpec> AdminSettings();
 
-/// All parts of the administration process.
+/// Owns the components of the administration process and runs its threads.
 class AdminProcess
 {
 public:
@@ -36,12 +38,14 @@
   AdminProcess(const AdminProcess&) = delete;
   AdminProcess& operator=(const AdminProcess&) = delete;
 
+  /// Returns the error when the HTTP server cannot start.
   absl::Status Start();
   void Stop();
 
 private:
   std::vector<ApiRoute> AllRoutes();
-  /// Feeds the move log.
+  /// Thread that passes new tables to the move log and the configuration
+  /// version to the editor, until Stop() is called.
   void ObserveTables();
 
   const Clock& clock_;
--- a/admin/ApiServer.cpp
+++ b/admin/ApiServer.cpp
@@ -16,7 +16,7 @@
 
 constexpr TimeMs kStopTimeoutMs = 5000;
 constexpr int kWorkerThreads = 32;
-/// Shorter than usual, since every open connection holds a thread.
+/// Shorter than the default, since every open connection occupies a thread.
 constexpr int64_t kKeepAliveMs = 5000;
 
 ApiResponse ErrorResponse(int aStatus,
@@ -85,7 +85,7 @@
   try {
     response = Dispatch(aExchange);
   } catch (const std::exception& failure) {
-    // CivetWeb is C code, which an exception must not cross.
+    // CivetWeb is C code, so no exception may propagate into it.
     Log(LogLevel::Error, "request failed", { { "reason", failure.what() } });
     response =
       detail::ErrorResponse(500, "path", aExchange.Path(), "internal error");
@@ -134,7 +134,7 @@
   }
   if (!IsAuthorized(aExchange)) {
     return detail::ErrorResponse(
-      401, "Authorization", "", "expected the bearer token");
+      401, "Authorization", "", "a valid bearer token is required");
   }
   const auto hasPath = [&](const ApiRoute& aRoute) {
     return aRoute.path_ == path;
@@ -147,15 +147,16 @@
   });
   if (route == routes_.end()) {
     return detail::ErrorResponse(
-      405, "method", method, "not a method of this resource");
+      405, "method", method, "method is not allowed for this resource");
   }
   const size_t limit = method == "GET" ? 0 : kMaxChangeBytes;
   auto body = aExchange.ReadBody(limit);
   if (!body.ok()) {
-    return detail::ErrorResponse(absl::IsOutOfRange(body.status()) ? 413 : 400,
-                                 "body",
-                                 Concat(aExchange.ContentLength()),
-                                 Concat("at most ", limit, " B, complete"));
+    return detail::ErrorResponse(
+      absl::IsOutOfRange(body.status()) ? 413 : 400,
+      "body",
+      Concat(aExchange.ContentLength()),
+      Concat("at most ", limit, " B, sent completely"));
   }
   ApiRequest request;
   request.query_ = std::string(aExchange.Query());
--- a/admin/ApiServer.hpp
+++ b/admin/ApiServer.hpp
@@ -15,9 +15,9 @@
 
 struct ApiRequest
 {
-  /// Collects what is wrong with query and body.
+  /// Validation errors of the query and the body; filled by the handler.
   Findings findings_;
-  std::string query_;
+  std::string query_; ///< percent-encoded, without the question mark
   std::string body_;
 };
 
@@ -28,9 +28,9 @@
   std::string contentType_ = "application/json";
 };
 
-/// JSON answer; text that is not UTF-8 is replaced.
+/// JSON response; invalid UTF-8 is replaced by U+FFFD.
 ApiResponse JsonResponse(int aStatus, const nlohmann::json& aBody);
-/// {"findings": [{object, field, value, rule}]}
+/// Error response: {"findings": [{object, field, value, rule}]}
 ApiResponse FindingsResponse(int aStatus, const Findings& aFindings);
 nlohmann::json ToJson(const Findings& aFindings);
 
@@ -44,12 +44,13 @@
 struct ApiServerOptions
 {
   std::string listen_;
-  /// Bearer token that every route asks for; empty: none.
+  /// Bearer token required by every route; empty disables authentication.
   std::string token_;
 };
 
-/// HTTP server of the administration API: authentication, size limits and
-/// routing. Also answers /_health, /_ready and /_metrics, without a token.
+/// HTTP server of the administration API. Authenticates requests, enforces size
+/// limits and calls the handler of the route. Also serves /_health, /_ready and
+/// /_metrics, which require no token.
 class ApiServer
 {
 public:
@@ -59,7 +60,7 @@
             std::function<bool()> aIsReady);
 
   absl::Status Start() { return server_.Start(); }
-  /// Finishes the requests in flight.
+  /// Waits up to 5 s for the requests in flight, then stops the server.
   void Stop();
 
 private:
--- a/admin/FleetApi.cpp
+++ b/admin/FleetApi.cpp
@@ -24,12 +24,13 @@
 constexpr int64_t kMaxListEntries = 1000;
 constexpr auto kPollInterval = std::chrono::milliseconds(100);
 
-/// JSON numbers hold 53 bits exactly, so hashes are text.
+/// Hashes are sent as text, because JSON numbers are exact only up to 53 bits.
 std::string FormatHash(uint64_t aHash)
 {
   return absl::StrFormat("0x%016x", aHash);
 }
 
+/// Nothing unless aText has 1 to 16 hexadecimal digits, optionally after 0x.
 std::optional<uint64_t> ParseHash(std::string_view aText)
 {
   constexpr int kHex = 16;
@@ -91,7 +92,8 @@
 ApiResponse ServiceNotFoundResponse(const std::string& aService)
 {
   Findings findings;
-  findings.Add("query", "service", aService, "no table of this service");
+  findings.Add(
+    "query", "service", aService, "no assignment table for this service");
   return FindingsResponse(404, findings);
 }
 
@@ -111,7 +113,8 @@
                aMove.service_, aMove.begin_, aMove.epoch_) } };
 }
 
-/// Answers of the routers that differ only in the time left, by fingerprint.
+/// Merges the entries of all routers by fingerprint. The copies of an entry
+/// normally differ only in the time that is left; the largest value is taken.
 nlohmann::json MergeQuarantine(
   const std::vector<QuarantineResponse>& aResponses)
 {
@@ -143,6 +146,7 @@
   return list;
 }
 
+/// Routers whose call failed, with the error.
 nlohmann::json FailedCalls(const std::vector<QuarantineResponse>& aResponses)
 {
   auto list = nlohmann::json::array();
@@ -271,7 +275,7 @@
     fleet_.RefreshStatuses(lagging);
     removeUpToDate();
   }
-  // A fleet of which nothing is known has nothing in force.
+  // With no known process, no version counts as in force.
   const bool inForce = lagging.empty() && processCount > 0;
   return JsonResponse(
     200,
@@ -468,7 +472,10 @@
       });
     });
   if (!isKnown) {
-    findings.Add("release", "fingerprint", text, "no router has it");
+    findings.Add("release",
+                 "fingerprint",
+                 text,
+                 "no router has this fingerprint in quarantine");
     return FindingsResponse(404, findings);
   }
   const auto responses = fleet_.ReleaseQuarantine(number);
--- a/admin/FleetApi.hpp
+++ b/admin/FleetApi.hpp
@@ -10,8 +10,9 @@
 
 namespace cactuspitch {
 
-/// Routes for what the fleet does: versions in force, owners, slices, moves,
-/// measures and quarantined requests.
+/// Routes that show the state of the fleet (configuration versions in force,
+/// slice owners, loads and moves, statistics) and that list and release
+/// quarantined requests.
 class FleetApi
 {
 public:
@@ -29,6 +30,7 @@
   using Handler = ApiResponse (FleetApi::*)(ApiRequest&);
 
   ApiResponse ShowVersions(ApiRequest& aRequest);
+  /// Waits until all processes use the given version, or for the timeout.
   ApiResponse Wait(ApiRequest& aRequest);
   ApiResponse ShowOwner(ApiRequest& aRequest);
   ApiResponse ShowSlices(ApiRequest& aRequest);
@@ -37,10 +39,11 @@
   ApiResponse ListQuarantine(ApiRequest& aRequest);
   ApiResponse ReleaseQuarantine(ApiRequest& aRequest);
 
-  /// Tables of the service, of all when empty.
+  /// Tables of aService, or of all services when it is empty.
   std::vector<std::shared_ptr<const FollowedTable>> Tables(
     const std::string& aService) const;
-  /// Newest version that the store or any process knows.
+  /// Newest configuration version known to the store, to this process or to a
+  /// process of aStatuses. Reports it to the editor as well.
   int64_t NewestVersion(const std::vector<PeerStatus>& aStatuses);
 
   ConfigEditor& editor_;
--- a/admin/FleetClient.cpp
+++ b/admin/FleetClient.cpp
@@ -146,7 +146,8 @@
                                                   options_.secret_);
     SloSample sample;
     sample.instance_ = routers[aIndex].instance_;
-    // Both calls go over one connection, so they reach the same run.
+    // Both calls use the same connection, so they reach the same incarnation
+    // of the router.
     const auto callStatus = channel.Run([&](wire::RouterPeerClient& aClient) {
       wire::ProcessStatus status;
       aClient.GetStatus(status);
--- a/admin/FleetClient.hpp
+++ b/admin/FleetClient.hpp
@@ -15,33 +15,33 @@
 {
   int connectTimeoutMs_ = 200;
   int callTimeoutMs_ = 500;
-  std::string secret_ = {}; ///< shared by all processes
-  /// Calls that run at the same time.
+  std::string secret_ = {}; ///< shared by all processes; empty: none
+  /// Limit of calls in flight; each one occupies a thread.
   size_t maxConcurrentCalls_ = 16;
 };
 
 /// Status of one router or assigner.
 struct PeerStatus
 {
-  std::string program_;
+  std::string program_; ///< router or assigner
   std::string instance_;
   std::string failureDomain_;
   std::string address_;
   wire::ProcessStatus status_;
-  /// Empty when the process answered.
+  /// Error of the last call; empty when it succeeded.
   std::string error_;
 };
 
-/// Answer of one router to a quarantine call.
+/// Response of one router to a quarantine call.
 struct QuarantineResponse
 {
   std::string instance_;
   std::vector<wire::QuarantineEntry> entries_;
-  std::string error_;
+  std::string error_; ///< empty when the call succeeded
 };
 
-/// Asks the routers and assigners that the platform lists, by Thrift. Every
-/// call is bounded, and the number of calls at the same time as well.
+/// Thrift client of all routers and assigners in the instance directory. Every
+/// call has a timeout, and at most maxConcurrentCalls_ run at the same time.
 class FleetClient
 {
 public:
@@ -49,12 +49,14 @@
               std::function<int64_t()> aUnixClock,
               FleetClientOptions aOptions = {});
 
+  /// Status of every router and assigner; failed calls have an error_.
   std::vector<PeerStatus> FetchStatuses();
-  /// Asks the given processes again.
+  /// Fetches the status of the given processes again.
   void RefreshStatuses(std::vector<PeerStatus>& aStatuses);
   std::vector<QuarantineResponse> ListQuarantine();
   std::vector<QuarantineResponse> ReleaseQuarantine(int64_t aFingerprint);
-  /// Counts of all routers that answered.
+  /// Request counts by minute, from aSinceMinute (minutes since the Unix epoch)
+  /// on. Routers whose call failed are left out.
   std::vector<SloSample> FetchSloSamples(int64_t aSinceMinute);
 
 private:
@@ -69,8 +71,10 @@
                        std::vector<wire::QuarantineEntry>&)>;
 
   std::vector<RouterAddress> ListRouters();
-  /// Runs the call at every router.
+  /// Calls every router and returns one response for each.
   std::vector<QuarantineResponse> CallRouters(const QuarantineCall& aCall);
+  /// Calls aCall(0) to aCall(aCount - 1) in up to maxConcurrentCalls_ threads
+  /// and waits for all of them.
   void ForEachConcurrently(size_t aCount,
                            const std::function<void(size_t)>& aCall) const;
   void FetchStatus(PeerStatus& aStatus) const;
--- a/admin/InstanceDirectory.hpp
+++ b/admin/InstanceDirectory.hpp
@@ -9,7 +9,8 @@
 
 namespace cactuspitch {
 
-/// Entry instance as the platform lists it.
+/// Entry instance in the platform's list. A process that the instance does not
+/// run has an empty address.
 struct EntryInstance
 {
   std::string id_;
@@ -20,8 +21,9 @@
   std::string admin_;    ///< HTTP address
 };
 
-/// The platform's list of entry instances, read from the store at most every
-/// few seconds. When the store is down, the last list stays in use.
+/// Cache of the platform's list of entry instances, which is read from the
+/// store at most every 3 s. While the store is unavailable, the last list is
+/// used.
 class InstanceDirectory
 {
 public:
@@ -29,8 +31,8 @@
 
   /// Instances that are not leaving, sorted by id.
   std::vector<EntryInstance> Instances();
-  /// Place of aInstance among the admin processes for aItem, 0 is the first;
-  /// -1 when the list does not hold it.
+  /// Rank of aInstance among the instances with an admin process, by rendezvous
+  /// hashing of aItem. 0 is the highest; -1 when the list lacks aInstance.
   int Rank(const std::string& aItem, const std::string& aInstance);
 
 private:
--- a/admin/MoveLog.cpp
+++ b/admin/MoveLog.cpp
@@ -36,8 +36,8 @@
   const auto first = detail::SliceIndex(aOld.table_, slice.begin_);
   const auto last = detail::SliceIndex(aOld.table_, end);
   const auto owner = detail::OwnerId(aNew, slice);
-  // A split keeps owner and epoch, and a merge takes the largest epoch, so
-  // neither counts as a move.
+  // A split keeps the owner and epoch, and a merge takes the largest epoch of
+  // the merged slices. Hence a larger epoch or another owner indicates a move.
   bool sameOwner = true;
   Epoch epoch = 0;
   for (auto i = first; i <= last; ++i) {
--- a/admin/QueryReader.cpp
+++ b/admin/QueryReader.cpp
@@ -15,13 +15,16 @@
 
 bool IsUtf8(const std::string& aText)
 {
-  // nlohmann refuses invalid UTF-8 in both directions; so do the rules.
+  // Texts in rules must be valid UTF-8, and nlohmann's parser checks for that.
+  // With the option "ignore", dump() drops invalid bytes, so that the parsed
+  // text then differs.
   const auto quoted = nlohmann::json(aText).dump(
     -1, ' ', false, nlohmann::json::error_handler_t::ignore);
   return nlohmann::json::parse(quoted) == aText;
 }
 
-/// Nothing for a malformed escape, a control character or invalid UTF-8.
+/// Decodes percent escapes and plus signs. Returns nothing for a malformed
+/// escape, a control character or invalid UTF-8.
 std::optional<std::string> DecodePercent(std::string_view aText)
 {
   std::string result;
@@ -95,7 +98,7 @@
     return;
   }
   if (!values_.emplace(*name, *value).second) {
-    findings_.Add("query", *name, *value, "named more than once");
+    findings_.Add("query", *name, *value, "given more than once");
   }
 }
 
--- a/admin/QueryReader.hpp
+++ b/admin/QueryReader.hpp
@@ -12,24 +12,29 @@
 
 namespace cactuspitch {
 
-/// Query parameters of one request. Malformed, repeated and unknown ones are
-/// findings.
+/// Query parameters of one request. Adds a finding for each parameter that is
+/// malformed, repeated or unknown.
 class QueryReader
 {
 public:
   QueryReader(std::string_view aQuery, Findings& aFindings);
 
-  /// Empty when absent; a finding when required or empty.
+  /// Value of a parameter; empty when it is absent. Adds a finding when the
+  /// parameter is present without a value, or absent but required.
   std::string Text(const std::string& aName, bool aRequired);
+  /// Nothing when the parameter is absent. Adds a finding and returns nothing
+  /// when it isn't an integer from aMin to aMax.
   std::optional<int64_t> Integer(const std::string& aName,
                                  int64_t aMin,
                                  int64_t aMax);
-  /// Parameters named as the scope dimensions.
+  /// Scope read from the parameters that are named after the dimensions; absent
+  /// ones are empty.
   RuleScope Target();
-  /// Every parameter that was not asked for is a finding.
+  /// Adds a finding for each parameter that none of the above calls named.
   void RefuseUnknown();
 
 private:
+  /// Decodes and stores one name=value pair.
   void AddParameter(std::string_view aPart);
 
   Findings& findings_;
--- a/admin/RulesApi.cpp
+++ b/admin/RulesApi.cpp
@@ -59,6 +59,7 @@
   return list;
 }
 
+/// HTTP status by ChangeOutcome.
 constexpr int kOutcomeStatus[] = { 200, 409, 400, 503, 504 };
 static_assert(std::size(kOutcomeStatus) ==
               static_cast<size_t>(ChangeOutcome::Count));
--- a/admin/RulesApi.hpp
+++ b/admin/RulesApi.hpp
@@ -8,8 +8,8 @@
 namespace cactuspitch {
 
 /// Routes for defaults, exceptions, rules in force, previews, changes and the
-/// history. All read the store, so that a change is made against the newest
-/// version.
+/// change history. All of them read the store instead of a cache, so that an
+/// operator bases a change on the newest version.
 class RulesApi
 {
 public:
@@ -29,7 +29,8 @@
   ApiResponse Change(ApiRequest& aRequest);
   ApiResponse ShowHistory(ApiRequest& aRequest);
 
-  /// Newest document, or the answer that tells why there is none.
+  /// Reads the newest document; retries for 2 s while the store is unavailable.
+  /// Returns false, and an error response in aFailure, on failure.
   bool ReadDocument(FleetDocument& aDocument, ApiResponse& aFailure);
 
   ConfigEditor& editor_;
--- a/admin/ServiceStatistics.cpp
+++ b/admin/ServiceStatistics.cpp
@@ -17,7 +17,7 @@
 constexpr double kSecondsPerMinute = 60;
 constexpr double kPercent = 100;
 
-/// Causes that mean that no backend server served the key at that time.
+/// Failure causes which mean that no backend server was serving the key.
 constexpr std::string_view kUnservedCauses[] = {
   "no-owner",    "not-owner",  "stale-epoch", "lease-expired",
   "unreachable", "view-lease", "draining",
@@ -29,7 +29,8 @@
          std::end(kUnservedCauses);
 }
 
-/// Number of a hash that is written as integer or as hexadecimal text.
+/// Parses a hash written as an integer or as hexadecimal text. Returns nothing
+/// when it is malformed.
 std::optional<KeyHash> ParseHash(const nlohmann::json& aValue)
 {
   if (aValue.is_number_unsigned() || aValue.is_number_integer()) {
@@ -80,8 +81,8 @@
                   ServiceStatistics& aResult)
 {
   auto moves = aMoves.Moves(aService, aNowMs - kMsPerHour);
-  // A promotion after a loss is a move as well; a slice that loses its owner
-  // is counted once, when it gets the next one.
+  // The loss of an owner isn't counted, since the assignment of the next owner,
+  // such as the promotion of the standby, is a move of the same slice.
   std::erase_if(moves,
                 [](const OwnerMove& aMove) { return aMove.to_.empty(); });
   const double load = aDetails.ServiceLoad(aService);
@@ -162,7 +163,7 @@
       }
     } catch (const nlohmann::json::exception& failure) {
       Log(LogLevel::Warning,
-          "malformed process details",
+          "process status has malformed details",
           { { "instance", status.instance_ }, { "reason", failure.what() } });
     }
   }
--- a/admin/SloApi.cpp
+++ b/admin/SloApi.cpp
@@ -20,7 +20,7 @@
   return FindingsResponse(503, findings);
 }
 
-/// Services that the history has counts of.
+/// Adds the services that have request counts in aSlots.
 void AddServices(const std::map<int64_t, SloCells>& aSlots,
                  std::map<std::string, ServiceRules>& aRules)
 {
--- a/admin/SloApi.hpp
+++ b/admin/SloApi.hpp
@@ -9,8 +9,9 @@
 
 namespace cactuspitch {
 
-/// Routes for the burn report as JSON and as a page. Objectives are the rules
-/// in force for each service that has a table or counts.
+/// Routes for the SLO burn report as JSON and as an HTML page. The report
+/// covers every service that has a table or request counts; its objectives come
+/// from the rules in force.
 class SloApi
 {
 public:
@@ -22,7 +23,8 @@
   std::vector<ApiRoute> Routes();
 
 private:
-  /// Answers when there is no report; empty status otherwise.
+  /// Returns false, and an error response in aFailure, when the query is
+  /// invalid or the store cannot be read.
   bool MakeReport(ApiRequest& aRequest,
                   SloReport& aReport,
                   ApiResponse& aFailure);
--- a/admin/SloArchive.cpp
+++ b/admin/SloArchive.cpp
@@ -32,7 +32,8 @@
   return aUnixMs / kMsPerMinute;
 }
 
-/// Closes slots from the oldest on until the text fits.
+/// Closes slots, the oldest first, until the serialized block is at most
+/// kMaxBlockBytes long.
 absl::StatusOr<std::string> SerializeWithinLimit(SloBlock& aBlock)
 {
   auto text = aBlock.ToText();
@@ -46,7 +47,8 @@
     }
   }
   if (text.size() > kMaxBlockBytes) {
-    return absl::ResourceExhaustedError("burn report counters exceed 900 KB");
+    return absl::ResourceExhaustedError(
+      "SLO counters of one object exceed 900 KB");
   }
   return text;
 }
@@ -58,13 +60,15 @@
          absl::IsFailedPrecondition(aStatus);
 }
 
+/// Merges those minutes of the samples that belong to aHour and that are not
+/// older than kMergeWindowMinutes.
 void MergeHour(SloBlock& aBlock,
                int64_t aHour,
                const std::vector<SloSample>& aSamples,
                int64_t aNowMinute)
 {
   const auto hourBegin = aHour * kMinutesPerHour;
-  // Older minutes may have been folded into their day.
+  // Older minutes may already have been merged into their day.
   const auto first = std::max(hourBegin, aNowMinute - kMergeWindowMinutes);
   for (const auto& sample : aSamples) {
     const auto source =
@@ -108,7 +112,8 @@
                                      TimeMs aDeadlineMs,
                                      const BlockUpdate& aUpdate)
 {
-  absl::Status last = absl::DeadlineExceededError("no time left");
+  absl::Status last =
+    absl::DeadlineExceededError("deadline passed before the first attempt");
   while (clock_.NowMs() < aDeadlineMs) {
     int64_t version = 0;
     auto block = Read(aName, version);
@@ -195,7 +200,7 @@
   }
   const auto nowMinute = detail::MinuteOf(aNowMs);
   const auto today = nowMinute / kMinutesPerDay;
-  // Hours before this one no longer get counts, see MergeHour.
+  // Hours before this one receive no more counts, see detail::MergeHour.
   const auto openHour =
     (nowMinute - kMergeWindowMinutes - kCloseDelayMinutes) / kMinutesPerHour;
   absl::Status result;
@@ -249,7 +254,8 @@
   for (auto day = today - kSloPeriodDays; day <= today; ++day) {
     const auto name = detail::DayName(day);
     int64_t version = 0;
-    // Hours are deleted after two days, so older days no longer change.
+    // Hours are deleted two days after they ended, so older days no longer
+    // change.
     const auto block = day < today - 2 ? ReadCached(name) : Read(name, version);
     if (!block.ok()) {
       return block.status();
--- a/admin/SloCollector.cpp
+++ b/admin/SloCollector.cpp
@@ -11,8 +11,8 @@
 constexpr int64_t kMsPerUnixMinute = 60000;
 constexpr TimeMs kFailoverDelayMs = 40000;
 constexpr TimeMs kSaveTimeoutMs = 8000;
-/// Processes of a higher rank never write; the list of instances would have to
-/// name this many dead ones first.
+/// Number of ranks whose processes may save. Processes of further ranks are
+/// needed only if the list of instances has this many dead ones of lower rank.
 constexpr int kMaxWriters = 8;
 
 }
@@ -65,7 +65,7 @@
   }
   stopCondition_.notify_all();
   thread_.join();
-  // A planned stop saves the running minute.
+  // Saves the counts of the current minute on an orderly stop.
   RunOnce();
 }
 
@@ -80,7 +80,8 @@
 {
   const int rank = directory_.Rank("slo", options_.instance_);
   if (rank <= 0) {
-    // A process that the lagging list does not hold yet waits as well.
+    // Rank -1: the cached list does not contain this process yet. Such a
+    // process does not save.
     return rank == 0;
   }
   if (rank >= detail::kMaxWriters) {
--- a/admin/SloCollector.hpp
+++ b/admin/SloCollector.hpp
@@ -14,13 +14,14 @@
 struct SloCollectorOptions
 {
   std::string instance_;
-  TimeMs intervalMs_ = 15000;
+  TimeMs intervalMs_ = 15000; ///< between saves
 };
 
-/// Duty that collects the minute counters of all routers and saves them. One
-/// admin process does so, by rendezvous rank. The process of rank n steps in
-/// when no save was seen for n times the take-over time; two that write at the
-/// same time do no harm (SloMinuteCounts).
+/// Background task that collects the minute counts of all routers and saves
+/// them. Normally only the admin process of rendezvous rank 0 does so. The
+/// process of rank n takes over after it has seen no save for n times 40 s.
+/// Saves of two processes at the same time are harmless, since merging is
+/// idempotent (SloMinuteCounts).
 class SloCollector
 {
 public:
@@ -34,13 +35,16 @@
   ~SloCollector();
 
   void Start();
+  /// Stops the thread, then saves once more if this process has to.
   void Stop();
-  /// One round; Start() runs it at every interval.
+  /// Collects and saves if this process has to. After Start() the thread calls
+  /// this once per interval.
   void RunOnce();
 
 private:
-  /// Whether this process is the one to write now.
+  /// Whether this process has to save now, by rank and last save seen.
   bool ShouldSave();
+  /// Saves the counts since the last save, and compacts once per hour.
   void Collect();
 
   InstanceDirectory& directory_;
--- a/admin/SloCounts.cpp
+++ b/admin/SloCounts.cpp
@@ -48,7 +48,8 @@
   return minute;
 }
 
-/// Cell that a small one is merged into: only service and cause remain.
+/// Key of the cell that small cells are merged into; keeps only the service and
+/// the cause.
 SloKey WithoutServer(const SloKey& aKey)
 {
   return { aKey.service_, aKey.cause_, "", "" };
--- a/admin/SloPage.cpp
+++ b/admin/SloPage.cpp
@@ -45,8 +45,8 @@
   return UtcText(aMinute * kMsPerMinute);
 }
 
-/// One line over time with its smallest and largest value, and a dashed line
-/// at aMark.
+/// SVG line chart of a series, labelled with the limits of both axes, with a
+/// dashed horizontal line at aMark. Coordinates are in pixels.
 std::string Plot(const std::string& aTitle,
                  const std::vector<SloPoint>& aSeries,
                  double aMark)
@@ -108,7 +108,7 @@
 {
   std::string table =
     "<table><tr><th>window</th><th>requests</th><th>missed</th>"
-    "<th>burn</th></tr>\n";
+    "<th>burn rate</th></tr>\n";
   for (const auto& window : aObjective.windows_) {
     absl::StrAppendFormat(
       &table,
@@ -168,7 +168,7 @@
            Plot("Burn rate, last 6 hours (dashed: slow burn alert)",
                 aObjective.burnRateSeries_,
                 kSlowBurn.burnRate_),
-           Plot("Error budget left, last 30 days (dashed: spent)",
+           Plot("Error budget left, last 30 days (dashed: used up)",
                 aObjective.budgetSeries_,
                 0),
            CauseTable(aObjective));
@@ -191,13 +191,13 @@
 {
   auto page = Concat(
     detail::kHead,
-    "<p>Made ",
+    "<p>Generated ",
     detail::UtcText(aReport.nowMs_),
     ", counters saved ",
     aReport.savedMs_ > 0 ? detail::UtcText(aReport.savedMs_) : "never",
-    ". A burn of 1 spends the error budget exactly in 30 days. A replaced "
-    "router or admin process loses at most the last unsaved minute; nothing "
-    "is counted twice.</p>\n");
+    ". A burn rate of 1 uses up the error budget in exactly 30 days. A "
+    "replaced router or admin process loses at most the last unsaved minute; "
+    "nothing is counted twice.</p>\n");
   for (const auto& objective : aReport.objectives_) {
     page += detail::ObjectiveSection(objective);
   }
--- a/admin/SloPage.hpp
+++ b/admin/SloPage.hpp
@@ -6,10 +6,10 @@
 
 namespace cactuspitch {
 
-/// The report as one HTML page without references to other resources.
+/// Renders the report as a self-contained HTML page.
 std::string RenderSloPage(const SloReport& aReport);
 
-/// Text with the characters that HTML gives a meaning replaced.
+/// Replaces &, <, > and both quotes by character references.
 std::string EscapeHtml(std::string_view aText);
 
 }
--- a/admin/SloReport.cpp
+++ b/admin/SloReport.cpp
@@ -19,7 +19,8 @@
 {
   const char* name_;
   int64_t minutes_;
-  bool usesMinutes_; ///< from the minutes, otherwise from the hours
+  /// Whether it is computed from the minute counts instead of the hour counts.
+  bool usesMinutes_;
 };
 
 constexpr WindowSpec kWindows[] = {
@@ -28,7 +29,8 @@
   { "30d", 43200, false },
 };
 
-/// One objective of one service over the cells.
+/// Selects the cells that an objective of one service covers, and computes its
+/// burn rate.
 class Objective
 {
 public:
@@ -61,7 +63,7 @@
     }
   }
 
-  /// Over the slots from aFrom to aEnd, without aEnd.
+  /// Over the slots from aFrom to aEnd, excluding aEnd.
   SloRatio Ratio(const std::map<int64_t, SloCells>& aSlots,
                  int64_t aFrom,
                  int64_t aEnd) const
@@ -133,8 +135,8 @@
   return contributions;
 }
 
-/// Budget of a period is its allowed share of the period's requests, which is
-/// known only at the end; until then it is that of the requests so far.
+/// The error budget of a period is the allowed share of the period's requests.
+/// As their number is known only at the end, the requests so far are used.
 std::vector<SloPoint> BudgetSeries(const SloHistory& aHistory,
                                    const Objective& aObjective,
                                    int64_t aFromMinute)
@@ -167,7 +169,7 @@
   result.latencyMs_ = aIsLatency ? aRules.latencyMs_ : 0;
   const Objective objective(aService, aIsLatency, result.targetPercent_);
   for (const auto& spec : kWindows) {
-    // The current minute is incomplete but already part of every window.
+    // Every window includes the current minute, although it is incomplete.
     const auto from = aNowMinute + 1 - spec.minutes_;
     const auto ratio = objective.Ratio(
       spec.usesMinutes_ ? aHistory.minutes_ : aHistory.hours_, from, INT64_MAX);
--- a/admin/SloReport.hpp
+++ b/admin/SloReport.hpp
@@ -11,7 +11,7 @@
 
 namespace cactuspitch {
 
-/// Requests that an objective counts, and those that miss it.
+/// Requests that an objective covers, and those of them that miss it.
 struct SloRatio
 {
   int64_t total_ = 0;
@@ -23,24 +23,26 @@
   std::string name_;
   int64_t minutes_ = 0;
   SloRatio ratio_;
-  /// Share of missed requests over the share that the objective allows; 1
-  /// uses up the budget exactly at the end of the period.
+  /// Share of requests that miss the objective, divided by the share that it
+  /// allows. At a constant rate of 1, the error budget is used up exactly at
+  /// the end of the period.
   double burnRate_ = 0;
 };
 
-/// One part of what used up the budget in the last 24 hours.
+/// Requests of one cause and backend server that missed the objective in the
+/// last 24 hours.
 struct SloContribution
 {
   std::string cause_;
   std::string server_;
   std::string failureDomain_;
   int64_t requests_ = 0;
-  double shareOfBad_ = 0;
+  double shareOfBad_ = 0; ///< of all requests that missed it, up to 1
 };
 
 struct SloPoint
 {
-  int64_t minute_ = 0;
+  int64_t minute_ = 0; ///< since the Unix epoch
   double value_ = 0;
 };
 
@@ -51,12 +53,13 @@
   double targetPercent_ = 0;
   int64_t latencyMs_ = 0; ///< 0 for availability
   std::vector<SloWindow> windows_;
-  /// Share of the period's budget that is left; negative when overspent.
+  /// Share of the period's error budget that is left; negative when exceeded.
   double remainingBudget_ = 1;
   bool fastBurn_ = false;
   bool slowBurn_ = false;
+  /// The ten largest, in descending order.
   std::vector<SloContribution> contributions_;
-  /// Burn over five minutes, for the last six hours.
+  /// Burn rate of each five minutes of the last six hours.
   std::vector<SloPoint> burnRateSeries_;
   /// Budget left at the end of each hour of the period.
   std::vector<SloPoint> budgetSeries_;
@@ -64,27 +67,28 @@
 
 struct SloReport
 {
-  int64_t nowMs_ = 0;
-  /// Last save of the counters, 0 when there was none.
+  int64_t nowMs_ = 0; ///< Unix time
+  /// Unix time of the last save of the counts, 0 when there was none.
   int64_t savedMs_ = 0;
   std::vector<SloObjective> objectives_;
 };
 
-/// Two windows must both burn at this rate, so that an alert neither comes
-/// from a short spike nor stays on after the fault has ended.
+/// Alert that fires while the burn rate of both windows is at least burnRate_.
+/// The long window keeps short spikes from firing the alert, and the short one
+/// ends the alert soon after the fault has ended.
 struct SloAlertRule
 {
   const char* longWindow_;
   const char* shortWindow_;
   double burnRate_;
 };
-/// 2% of a 30 day budget in one hour.
+/// Uses up 2% of the 30-day error budget in one hour.
 inline constexpr SloAlertRule kFastBurn = { "1h", "5m", 14.4 };
-/// 5% of a 30 day budget in six hours.
+/// Uses up 5% of the 30-day error budget in six hours.
 inline constexpr SloAlertRule kSlowBurn = { "6h", "30m", 6.0 };
 
-/// Objectives are those of aRules for each service; services of the history
-/// without rules get aDefaults.
+/// Reports on every service in aRules or aHistory, with the objectives of
+/// aRules, or of aDefaults for services without rules. aNowMs is Unix time.
 SloReport MakeSloReport(const SloHistory& aHistory,
                         const std::map<std::string, ServiceRules>& aRules,
                         const ServiceRules& aDefaults,
--- a/tests/AdminFleetTest.cpp
+++ b/tests/AdminFleetTest.cpp
@@ -55,7 +55,7 @@
     return requests;
   }
 
-  /// Count after it has not changed for several save intervals.
+  /// Request count once it has not changed for 2.5 save intervals.
   int64_t WaitForStableCount(int aAdmin)
   {
     constexpr TimeMs kQuietMs = 2500;
@@ -84,8 +84,9 @@
   Deployment deployment_;
 };
 
-// Guards against a change that is reported as in force without being so, and
-// against answers that do not follow the assigners' tables and reasons.
+// Guards against a change that is reported as in force before all processes use
+// it, and against responses that do not reflect the assigners' current tables
+// and reasons of moves. The owner of a key is killed to cause a move.
 TEST_F(AdminFleetTest, ChangesAndMovesOfRealProcessesAreShown)
 {
   const ApiClient client(clock_, { deployment_.AdminAddress(0), "", 10000 });
@@ -129,7 +130,7 @@
             0);
 }
 
-// Guards against operators who see no load although the routers report it.
+// Guards against slices without a load although the routers report their load.
 TEST_F(AdminFleetTest, SlicesShowTheLoadOfTheRouters)
 {
   ASSERT_GT(Load(), 0);
@@ -142,11 +143,12 @@
   }));
 }
 
-// Guards against counts of the burn report that are lost or doubled when the
-// process that saved them and the router that counted them are replaced.
+// Guards against request counts of the SLO report that are lost or counted
+// twice when the admin process that saved them and the router that counted them
+// are killed and restarted.
 TEST_F(AdminFleetTest, BurnReportSurvivesReplacedProcesses)
 {
-  // The deployment's own probes are counted as well.
+  // Probe requests that the deployment itself sends are counted as well.
   const auto before = WaitForStableCount(0);
   const auto sent = Load();
   const auto counted = WaitForStableCount(0);
--- a/tests/AdminTest.cpp
+++ b/tests/AdminTest.cpp
@@ -15,7 +15,7 @@
 constexpr const char kToken[] = "0123456789abcdef";
 constexpr int64_t kFingerprint = 0x1234;
 
-/// Router that has one quarantined request and a configuration version.
+/// Router with one quarantined request and a settable configuration version.
 class FakeRouter : public wire::RouterPeerNull
 {
 public:
@@ -52,8 +52,8 @@
   std::atomic<bool> released_ = false;
 };
 
-/// Store and admin process. All tests share them, because CivetWeb takes 2 s
-/// to stop.
+/// Object store and admin process. All tests share them, because CivetWeb takes
+/// 2 s to stop.
 struct AdminFixture
 {
   AdminFixture()
@@ -102,7 +102,8 @@
     EXPECT_TRUE(routerServer_.Start().ok());
   }
 
-  /// Runs cactuspitch-ctl's code; its output is in text_.
+  /// Runs a cactuspitch-ctl command in this process and puts its output and its
+  /// findings into text_.
   CtlExit Ctl(std::vector<std::string> aArguments)
   {
     aArguments.insert(aArguments.begin(), "cactuspitch-ctl");
@@ -134,7 +135,8 @@
 
 std::unique_ptr<AdminFixture> AdminTest::fixture_;
 
-// Guards against an API that answers without the token or with a wrong one.
+// Guards against an API that accepts requests without the token or with a wrong
+// one. Health checks need no token.
 TEST_F(AdminTest, EveryRouteNeedsTheToken)
 {
   for (const std::string token :
@@ -149,8 +151,8 @@
   EXPECT_EQ(client_.Get("/v1/defaults")->status_, 200);
 }
 
-// Guards against bodies over the limit being read, and against a request of
-// the wrong kind being taken for another.
+// Guards against reading request bodies over the size limit, and against
+// accepting requests with a wrong method, path or query parameter.
 TEST_F(AdminTest, RequestsAreBounded)
 {
   EXPECT_EQ(
@@ -161,7 +163,8 @@
   EXPECT_EQ(client_.Get("/v1/defaults?x=1")->status_, 400);
 }
 
-// Guards against a command line that hides a conflict or its cause.
+// Guards against a command line tool that hides a conflict with another
+// operator's change, or hides what that change was.
 TEST_F(AdminTest, ConflictOutputShowsWhatChanged)
 {
   EXPECT_EQ(Ctl({ "defaults",
@@ -196,7 +199,8 @@
   EXPECT_NE(text_.find("may not exceed maxDeadlineMs"), std::string::npos);
 }
 
-// Guards against reporting a version as in force that a router lacks.
+// Guards against reporting a version as in force while a router has an older
+// one or is unreachable.
 TEST_F(AdminTest, WaitListsLaggingProcess)
 {
   EXPECT_EQ(Ctl({ "wait", "--version", "3", "--timeout-ms", "150" }),
@@ -210,7 +214,8 @@
             CtlExit::NotInForce);
 }
 
-// Guards against a release that does not reach the routers.
+// Guards against a release of a quarantined request that does not reach the
+// routers, or that is made without an author and a reason.
 TEST_F(AdminTest, QuarantinedRequestIsReleased)
 {
   EXPECT_EQ(Ctl({ "quarantine" }), CtlExit::Success);
@@ -229,7 +234,8 @@
   EXPECT_TRUE(router_->released_);
 }
 
-// Guards against an admin process that serves the network without a token.
+// Guards against an admin process that listens beyond the loopback interface
+// without a token, or with a short one.
 TEST(AdminSettings, BindingBeyondLoopbackNeedsTheToken)
 {
   const auto check = [](const std::string& aListen, const std::string& aToken) {
@@ -266,8 +272,8 @@
   return table;
 }
 
-// Guards against splits and merges that are listed as moves, and against moves
-// and gaps that are not listed.
+// Guards against splits and merges of slices that are listed as moves, and
+// against moves and times without an owner that are not listed.
 TEST(MoveLog, OnlyChangesOfOwnerAreMoves)
 {
   MoveLog log;
--- a/tests/SloTest.cpp
+++ b/tests/SloTest.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int64_t kMsPerMinute = 60000;
-/// Some minute at the begin of an hour and of a day.
+/// An arbitrary minute that begins an hour and a day.
 constexpr int64_t kFirstMinute = kMinutesPerDay * 20000;
 constexpr TimeMs kSaveTimeoutMs = 5000;
 
@@ -53,8 +53,9 @@
   FaultyStore store_;
 };
 
-// Guards against counts that are lost or doubled when two admin processes save
-// different states of the same routers over a store that loses answers.
+// Guards against counts that are lost or counted twice when two admin processes
+// save different states of the same routers, and the store is unavailable at
+// times, loses responses and delays writes.
 RC_GTEST_FIXTURE_PROP(SloArchiveTest, ConcurrentWritersCountEachRequestOnce, ())
 {
   store_.SetFaults(
@@ -66,7 +67,7 @@
   for (int i = 0; i < rounds; ++i) {
     auto& archive = *rc::gen::arbitrary<bool>() ? left : right;
     const int router = *rc::gen::inRange(0, 2);
-    // An older answer may be saved after a newer one.
+    // An older count may be saved after a newer one.
     const auto requests = *rc::gen::inRange<int64_t>(1, 1000);
     largest[router] = std::max(largest[router], requests);
     RC_ASSERT(
@@ -80,8 +81,9 @@
   RC_ASSERT(Count(kFirstMinute) == largest[0] + largest[1]);
 }
 
-// Guards against losing what a replaced router counted, and against counting a
-// run twice when admin processes work out start times that differ a little.
+// Guards against losing the counts of a router that is restarted, and against
+// counting one incarnation twice when two admin processes compute slightly
+// different start times for it.
 TEST_F(SloArchiveTest, ReplacedRouterKeepsItsCounts)
 {
   SloArchive archive(store_, clock_);
@@ -99,8 +101,8 @@
   EXPECT_EQ(Count(kFirstMinute), 15);
 }
 
-// Guards against minutes that change after the report has used them, and
-// against losing those that no process saved in time.
+// Guards against counts of closed minutes that change later, and against losing
+// minutes that no admin process saved before they should have been closed.
 TEST_F(SloArchiveTest, ClosedMinutesStayAndUnsavedOnesAreRecovered)
 {
   SloArchive archive(store_, clock_);
@@ -121,8 +123,8 @@
   EXPECT_EQ(history->minutes_.at(kFirstMinute).at(Key("overload")), 10);
 }
 
-// Guards against hours that are folded twice or not at all, and against
-// objects that are kept for ever.
+// Guards against hours that are merged into their day twice or not at all, and
+// against objects that never expire.
 TEST_F(SloArchiveTest, HoursAreMergedIntoDaysOnce)
 {
   SloArchive archive(store_, clock_);
@@ -145,8 +147,9 @@
   EXPECT_TRUE(store_.List(kSloKind)->empty());
 }
 
-// Guards against a burn rate, budget or alert that disagrees with the
-// definition: missed share over allowed share.
+// Guards against a burn rate, error budget or alert that disagrees with the
+// definition of the burn rate: the share of requests that miss the objective,
+// divided by the allowed share.
 TEST(SloReport, ArithmeticFollowsTheDefinition)
 {
   SloHistory history;
@@ -175,13 +178,13 @@
   EXPECT_EQ(availability.contributions_[0].shareOfBad_, 1);
   EXPECT_NEAR(availability.burnRateSeries_.back().value_, 20, 1e-9);
   const auto& latency = report.objectives_[3];
-  // 30 of 980 complete answers were slow, 1% allowed.
+  // 30 of 980 complete responses were slow, 1% allowed.
   EXPECT_NEAR(latency.windows_[0].burnRate_, 30.0 / 980 / 0.01, 1e-9);
   EXPECT_FALSE(latency.fastBurn_);
 }
 
-// Guards against script in the page from a name that a caller chose, and
-// against references that need another resource.
+// Guards against script injection by a service or cause name that a caller
+// chose, and against references to other resources.
 TEST(SloPage, NamesAreEscapedAndThePageIsSelfContained)
 {
   SloHistory history;
