--- a/admin/QueryReader.cpp
+++ b/admin/QueryReader.cpp
@@ -15,13 +15,16 @@
 
 bool IsUtf8(const std::string& aText)
 {
-  // nlohmann refuses invalid UTF-8 in both directions; so do the rules.
+  // Texts in rules must be valid UTF-8, and nlohmann's parser checks for that.
+  // With the option "ignore", dump() drops invalid bytes, so that the parsed
+  // text then differs.
   const auto quoted = nlohmann::json(aText).dump(
     -1, ' ', false, nlohmann::json::error_handler_t::ignore);
   return nlohmann::json::parse(quoted) == aText;
 }
 
-/// Nothing for a malformed escape, a control character or invalid UTF-8.
+/// Decodes percent escapes and plus signs. Returns nothing for a malformed
+/// escape, a control character or invalid UTF-8.
 std::optional<std::string> DecodePercent(std::string_view aText)
 {
   std::string result;
@@ -67,11 +70,11 @@
   }
   for (const auto part :
        absl::StrSplit(ToAbsl(aQuery), '&', absl::SkipEmpty())) {
-    Add(ToStd(part));
+    AddParameter(ToStd(part));
   }
 }
 
-void QueryReader::Add(std::string_view aPart)
+void QueryReader::AddParameter(std::string_view aPart)
 {
   const auto equals = aPart.find('=');
   const auto name = detail::DecodePercent(aPart.substr(0, equals));
@@ -91,17 +94,17 @@
                   *name,
                   Concat(value->size()),
                   Concat("at most ", detail::kMaxValueBytes, " B"));
-    known_.insert(*name);
+    requestedParameters_.insert(*name);
     return;
   }
   if (!values_.emplace(*name, *value).second) {
-    findings_.Add("query", *name, *value, "named more than once");
+    findings_.Add("query", *name, *value, "given more than once");
   }
 }
 
 std::string QueryReader::Text(const std::string& aName, bool aRequired)
 {
-  known_.insert(aName);
+  requestedParameters_.insert(aName);
   const auto found = values_.find(aName);
   if (found == values_.end()) {
     if (aRequired) {
@@ -119,7 +122,7 @@
                                             int64_t aMin,
                                             int64_t aMax)
 {
-  known_.insert(aName);
+  requestedParameters_.insert(aName);
   const auto found = values_.find(aName);
   if (found == values_.end()) {
     return std::nullopt;
@@ -150,7 +153,7 @@
 void QueryReader::RefuseUnknown()
 {
   for (const auto& [name, value] : values_) {
-    if (!known_.contains(name)) {
+    if (!requestedParameters_.contains(name)) {
       findings_.Add("query", name, value, "unknown parameter");
     }
   }
--- a/admin/SloPage.cpp
+++ b/admin/SloPage.cpp
@@ -45,8 +45,8 @@
   return UtcText(aMinute * kMsPerMinute);
 }
 
-/// One line over time with its smallest and largest value, and a dashed line
-/// at aMark.
+/// SVG line chart of a series, labelled with the limits of both axes, with a
+/// dashed horizontal line at aMark. Coordinates are in pixels.
 std::string Plot(const std::string& aTitle,
                  const std::vector<SloPoint>& aSeries,
                  double aMark)
@@ -108,7 +108,7 @@
 {
   std::string table =
     "<table><tr><th>window</th><th>requests</th><th>missed</th>"
-    "<th>burn</th></tr>\n";
+    "<th>burn rate</th></tr>\n";
   for (const auto& window : aObjective.windows_) {
     absl::StrAppendFormat(
       &table,
@@ -116,7 +116,7 @@
       window.name_,
       window.ratio_.total_,
       window.ratio_.bad_,
-      window.burn_);
+      window.burnRate_);
   }
   return table + "</table>\n";
 }
@@ -130,15 +130,15 @@
   std::string table =
     "<table><tr><th>cause (24 h)</th><th>backend server</th>"
     "<th>failure domain</th><th>requests</th><th>share</th></tr>\n";
-  for (const auto& part : aObjective.contributions_) {
+  for (const auto& contribution : aObjective.contributions_) {
     absl::StrAppendFormat(&table,
                           "<tr><td>%s</td><td>%s</td><td>%s</td><td>%d</td>"
                           "<td>%.1f %%</td></tr>\n",
-                          EscapeHtml(part.cause_),
-                          EscapeHtml(part.server_),
-                          EscapeHtml(part.failureDomain_),
-                          part.requests_,
-                          part.shareOfBad_ * kPercent);
+                          EscapeHtml(contribution.cause_),
+                          EscapeHtml(contribution.server_),
+                          EscapeHtml(contribution.failureDomain_),
+                          contribution.requests_,
+                          contribution.shareOfBad_ * kPercent);
   }
   return table + "</table>\n";
 }
@@ -155,7 +155,7 @@
   }
   absl::StrAppendFormat(&text,
                         "</h2><p>Error budget left: %.1f %% of 30 days.",
-                        aObjective.budgetLeft_ * kPercent);
+                        aObjective.remainingBudget_ * kPercent);
   if (aObjective.fastBurn_) {
     text += " <span class=\"fast\">Fast burn alert.</span>";
   }
@@ -166,9 +166,9 @@
            "</p>\n",
            WindowTable(aObjective),
            Plot("Burn rate, last 6 hours (dashed: slow burn alert)",
-                aObjective.burnSeries_,
-                kSlowBurn.burn_),
-           Plot("Error budget left, last 30 days (dashed: spent)",
+                aObjective.burnRateSeries_,
+                kSlowBurn.burnRate_),
+           Plot("Error budget left, last 30 days (dashed: used up)",
                 aObjective.budgetSeries_,
                 0),
            CauseTable(aObjective));
@@ -191,13 +191,13 @@
 {
   auto page = Concat(
     detail::kHead,
-    "<p>Made ",
+    "<p>Generated ",
     detail::UtcText(aReport.nowMs_),
     ", counters saved ",
     aReport.savedMs_ > 0 ? detail::UtcText(aReport.savedMs_) : "never",
-    ". A burn of 1 spends the error budget exactly in 30 days. A replaced "
-    "router or admin process loses at most the last unsaved minute; nothing "
-    "is counted twice.</p>\n");
+    ". A burn rate of 1 uses up the error budget in exactly 30 days. A "
+    "replaced router or admin process loses at most the last unsaved minute; "
+    "nothing is counted twice.</p>\n");
   for (const auto& objective : aReport.objectives_) {
     page += detail::ObjectiveSection(objective);
   }
--- a/tests/AdminFleetTest.cpp
+++ b/tests/AdminFleetTest.cpp
@@ -38,8 +38,8 @@
   {
     const ApiClient client(clock_,
                            { deployment_.AdminAddress(aAdmin), "", 10000 });
-    const auto answer = client.Get(aTarget);
-    return answer.ok() ? answer->body_ : nlohmann::json();
+    const auto response = client.Get(aTarget);
+    return response.ok() ? response->body_ : nlohmann::json();
   }
 
   int64_t SloRequests(int aAdmin)
@@ -55,8 +55,8 @@
     return requests;
   }
 
-  /// Count after it has not changed for several save intervals.
-  int64_t Settle(int aAdmin)
+  /// Request count once it has not changed for 2.5 save intervals.
+  int64_t WaitForStableCount(int aAdmin)
   {
     constexpr TimeMs kQuietMs = 2500;
     auto count = SloRequests(aAdmin);
@@ -84,8 +84,9 @@
   Deployment deployment_;
 };
 
-// Guards against a change that is reported as in force without being so, and
-// against answers that do not follow the assigners' tables and reasons.
+// Guards against a change that is reported as in force before all processes use
+// it, and against responses that do not reflect the assigners' current tables
+// and reasons of moves. The owner of a key is killed to cause a move.
 TEST_F(AdminFleetTest, ChangesAndMovesOfRealProcessesAreShown)
 {
   const ApiClient client(clock_, { deployment_.AdminAddress(0), "", 10000 });
@@ -129,7 +130,7 @@
             0);
 }
 
-// Guards against operators who see no load although the routers report it.
+// Guards against slices without a load although the routers report their load.
 TEST_F(AdminFleetTest, SlicesShowTheLoadOfTheRouters)
 {
   ASSERT_GT(Load(), 0);
@@ -142,14 +143,15 @@
   }));
 }
 
-// Guards against counts of the burn report that are lost or doubled when the
-// process that saved them and the router that counted them are replaced.
+// Guards against request counts of the SLO report that are lost or counted
+// twice when the admin process that saved them and the router that counted them
+// are killed and restarted.
 TEST_F(AdminFleetTest, BurnReportSurvivesReplacedProcesses)
 {
-  // The deployment's own probes are counted as well.
-  const auto before = Settle(0);
+  // Probe requests that the deployment itself sends are counted as well.
+  const auto before = WaitForStableCount(0);
   const auto sent = Load();
-  const auto counted = Settle(0);
+  const auto counted = WaitForStableCount(0);
   EXPECT_EQ(counted - before, sent);
   deployment_.Fleet().Kill("router-0");
   deployment_.Fleet().Kill("admin-0");
@@ -160,7 +162,7 @@
     return HttpCall("GET", deployment_.Routers()[0], "/_ready").has_value() &&
            SloRequests(0) == counted;
   }));
-  EXPECT_EQ(Settle(0), counted);
+  EXPECT_EQ(WaitForStableCount(0), counted);
 }
 
 }
