--- a/bench/DuplicatesBench.cpp
+++ b/bench/DuplicatesBench.cpp
@@ -178,8 +178,8 @@
     options.history_ =
       Concat(deployment_.Fleet().LogDirectory(), "/load-", aRound, ".history");
     const auto report = RunLoad(clock_, options);
-    unanswered_ += report.Count(LoadOutcome::Unanswered);
-    lost_ += report.Count(LoadOutcome::Lost);
+    unanswered_ += report.Count(LoadOutcome::TimedOut);
+    lost_ += report.Count(LoadOutcome::ConnectionLost);
     mismatched_ += report.Count(LoadOutcome::Mismatched);
     VisitHistory(options.history_, [this](const auto& aLine) {
       auto& record = records_[aLine.value("id", "")];
--- a/bench/PathOverheadBench.cpp
+++ b/bench/PathOverheadBench.cpp
@@ -92,7 +92,7 @@
     load.connections_ = kConnections;
     load.postPercent_ = 0;
     load.zipfExponent_ = 0;
-    load.maxSends_ = 1;
+    load.maxAttempts_ = 1;
     auto report = RunLoad(clock_, load);
     const auto complete = report.Count(LoadOutcome::Complete);
     if (complete < report.Requests()) {
--- a/bench/ReportCostBench.cpp
+++ b/bench/ReportCostBench.cpp
@@ -166,7 +166,7 @@
     load.connections_ = kConnections;
     load.postPercent_ = 0;
     load.zipfExponent_ = 0;
-    load.maxSends_ = 1;
+    load.maxAttempts_ = 1;
     const auto cpuBefore = CpuSeconds(deployment_.Fleet().Pid("router-0"));
     const auto result = RunLoad(clock_, load);
     cpu_[aWithReport] +=
--- a/bench/StreamedBench.cpp
+++ b/bench/StreamedBench.cpp
@@ -82,7 +82,7 @@
   load.connections_ = kCallers;
   load.blobBytes_ = kBlobBytes;
   load.deadlineMs_ = 30000;
-  load.maxSends_ = 20;
+  load.maxAttempts_ = 20;
   const auto idleKb = deployment.Fleet().ResidentKb("router-0");
   MemoryWatch watch(deployment.Fleet(), "router-0");
   const auto report = RunLoad(clock, load);
--- a/standin/BackendGrants.cpp
+++ b/standin/BackendGrants.cpp
@@ -22,79 +22,79 @@
   return aValue.get<KeyHash>();
 }
 
-nlohmann::json Entries(const nlohmann::json& aOrder, const char* aName)
+nlohmann::json ListMember(const nlohmann::json& aCommand, const char* aName)
 {
-  const auto found = aOrder.find(aName);
-  return found == aOrder.end() ? nlohmann::json::array() : *found;
+  const auto found = aCommand.find(aName);
+  return found == aCommand.end() ? nlohmann::json::array() : *found;
 }
 
 }
 
-BackendGrants::BackendGrants(std::string aIncarnation, bool aChecks)
+BackendGrants::BackendGrants(std::string aIncarnation, bool aFencingEnabled)
   : incarnation_(std::move(aIncarnation))
-  , checks_(aChecks)
+  , fencingEnabled_(aFencingEnabled)
 {
 }
 
-bool BackendGrants::IsOld(const nlohmann::json& aOrder, TimeMs aNowMs) const
+bool BackendGrants::IsStale(const nlohmann::json& aCommand, TimeMs aNowMs) const
 {
-  const auto incarnation = aOrder.value("incarnation", std::string());
+  const auto incarnation = aCommand.value("incarnation", std::string());
   const bool isReport = incarnation.empty();
   if (!isReport && incarnation != incarnation_) {
     return true;
   }
-  const std::pair version(aOrder.at("term").get<Term>(),
-                          aOrder.at("sequence").get<int64_t>());
-  if (checks_ && version < std::pair(term_, sequence_)) {
+  const std::pair version(aCommand.at("term").get<Term>(),
+                          aCommand.at("sequence").get<int64_t>());
+  if (fencingEnabled_ && version < std::pair(term_, sequence_)) {
     return true;
   }
   // An order that was delayed beyond its lease must not change anything.
-  return !isReport && aOrder.at("validUntilMs").get<TimeMs>() <= aNowMs;
+  return !isReport && aCommand.at("validUntilMs").get<TimeMs>() <= aNowMs;
 }
 
-bool BackendGrants::Apply(const nlohmann::json& aOrder,
+bool BackendGrants::Apply(const nlohmann::json& aCommand,
                           TimeMs aNowMs,
                           TimeMs aRevokeWaitMs)
 {
-  const std::lock_guard order(orderMutex_);
+  const std::lock_guard commandLock(commandMutex_);
   std::unique_lock lock(mutex_);
-  if (IsOld(aOrder, aNowMs)) {
+  if (IsStale(aCommand, aNowMs)) {
     return false;
   }
-  const std::pair version(aOrder.at("term").get<Term>(),
-                          aOrder.at("sequence").get<int64_t>());
+  const std::pair version(aCommand.at("term").get<Term>(),
+                          aCommand.at("sequence").get<int64_t>());
   if (version > std::pair(term_, sequence_)) {
     std::tie(term_, sequence_) = version;
   }
-  if (aOrder.value("incarnation", std::string()).empty()) {
+  if (aCommand.value("incarnation", std::string()).empty()) {
     return true;
   }
-  Slices next = aOrder.value("full", false) ? Slices() : held_;
-  for (const auto& entry : detail::Entries(aOrder, "remove")) {
+  Slices next = aCommand.value("full", false) ? Slices() : held_;
+  for (const auto& entry : detail::ListMember(aCommand, "remove")) {
     next.erase(detail::HashFromJson(entry.at("begin")));
   }
-  for (const auto& entry : detail::Entries(aOrder, "add")) {
+  for (const auto& entry : detail::ListMember(aCommand, "add")) {
     next[detail::HashFromJson(entry.at("begin"))] = {
       detail::HashFromJson(entry.at("end")), entry.at("epoch").get<Epoch>()
     };
   }
-  closing_ = std::exchange(held_, std::move(next));
-  leaseUntilMs_ = aOrder.at("validUntilMs").get<TimeMs>();
-  ended_.wait_for(lock, std::chrono::milliseconds(aRevokeWaitMs), [this] {
-    return !HasRunningOutside(held_);
-  });
-  closing_.clear();
+  revoking_ = std::exchange(held_, std::move(next));
+  leaseUntilMs_ = aCommand.at("validUntilMs").get<TimeMs>();
+  requestEnded_.wait_for(lock,
+                         std::chrono::milliseconds(aRevokeWaitMs),
+                         [this] { return !HasRequestsOutside(held_); });
+  revoking_.clear();
   return true;
 }
 
-void BackendGrants::Describe(nlohmann::json& aAnswer) const
+void BackendGrants::AddStatus(nlohmann::json& aStatus) const
 {
   const std::lock_guard lock(mutex_);
-  aAnswer["incarnation"] = incarnation_;
-  aAnswer["term"] = term_;
-  aAnswer["sequence"] = sequence_;
-  aAnswer["validUntilMs"] = leaseUntilMs_;
-  auto& held = aAnswer["held"] = nlohmann::json::array();
+  aStatus["incarnation"] = incarnation_;
+  aStatus["term"] = term_;
+  aStatus["sequence"] = sequence_;
+  aStatus["validUntilMs"] = leaseUntilMs_;
+  auto& held = aStatus["held"] = nlohmann::json::array();
   for (const auto& [begin, slice] : held_) {
     held.push_back(
       { { "begin", begin }, { "end", slice.end_ }, { "epoch", slice.epoch_ } });
@@ -106,11 +106,11 @@
                                                  TimeMs aNowMs)
 {
   const std::lock_guard lock(mutex_);
-  const auto refusal = Check(held_, aHash, aEpoch, aNowMs);
-  if (!refusal) {
+  const auto rejection = Check(held_, aHash, aEpoch, aNowMs);
+  if (!rejection) {
     running_.emplace(aHash, aEpoch);
   }
-  return refusal;
+  return rejection;
 }
 
 std::optional<NotRunReason> BackendGrants::Commit(KeyHash aHash,
@@ -118,9 +118,9 @@
                                                   TimeMs aNowMs) const
 {
   const std::lock_guard lock(mutex_);
-  const auto refusal = Check(held_, aHash, aEpoch, aNowMs);
-  const bool closes = refusal && !Check(closing_, aHash, aEpoch, aNowMs);
-  return closes ? std::nullopt : refusal;
+  const auto rejection = Check(held_, aHash, aEpoch, aNowMs);
+  const bool isRevoking = rejection && !Check(revoking_, aHash, aEpoch, aNowMs);
+  return isRevoking ? std::nullopt : rejection;
 }
 
 void BackendGrants::End(KeyHash aHash, Epoch aEpoch)
@@ -129,17 +129,17 @@
     const std::lock_guard lock(mutex_);
     running_.erase(running_.find({ aHash, aEpoch }));
   }
-  ended_.notify_all();
+  requestEnded_.notify_all();
 }
 
-bool BackendGrants::HoldsNothing() const
+bool BackendGrants::HoldsNoSlices() const
 {
   const std::lock_guard lock(mutex_);
   return held_.empty();
 }
 
-std::optional<Epoch> BackendGrants::EpochOf(const Slices& aSlices,
-                                            KeyHash aHash)
+std::optional<Epoch> BackendGrants::FindEpoch(const Slices& aSlices,
+                                              KeyHash aHash)
 {
   const auto next = aSlices.upper_bound(aHash);
   if (next == aSlices.begin()) {
@@ -154,10 +154,10 @@
                                                  Epoch aEpoch,
                                                  TimeMs aNowMs) const
 {
-  if (!checks_) {
+  if (!fencingEnabled_) {
     return std::nullopt;
   }
-  const auto epoch = EpochOf(aSlices, aHash);
+  const auto epoch = FindEpoch(aSlices, aHash);
   if (!epoch) {
     return NotRunReason::NotOwner;
   }
@@ -170,10 +170,10 @@
   return std::nullopt;
 }
 
-bool BackendGrants::HasRunningOutside(const Slices& aSlices) const
+bool BackendGrants::HasRequestsOutside(const Slices& aSlices) const
 {
   return std::ranges::any_of(running_, [&](const auto& aRequest) {
-    return EpochOf(aSlices, aRequest.first) != aRequest.second;
+    return FindEpoch(aSlices, aRequest.first) != aRequest.second;
   });
 }
 
--- a/standin/BackendGrants.hpp
+++ b/standin/BackendGrants.hpp
@@ -20,14 +20,16 @@
 {
 public:
   /// A server that does not check takes any order and runs any request.
-  BackendGrants(std::string aIncarnation, bool aChecks);
+  BackendGrants(std::string aIncarnation, bool aFencingEnabled);
 
   /// False when the order is refused as old. A revoke returns when the
   /// requests that run in the revoked slices have ended, at the latest after
   /// aRevokeWaitMs; the rest fails at commit.
-  bool Apply(const nlohmann::json& aOrder, TimeMs aNowMs, TimeMs aRevokeWaitMs);
+  bool Apply(const nlohmann::json& aCommand,
+             TimeMs aNowMs,
+             TimeMs aRevokeWaitMs);
   /// Adds term, sequence and held slices.
-  void Describe(nlohmann::json& aAnswer) const;
+  void AddStatus(nlohmann::json& aStatus) const;
 
   /// Empty when the request may start; End() must then follow.
   std::optional<NotRunReason> Begin(KeyHash aHash, Epoch aEpoch, TimeMs aNowMs);
@@ -36,7 +38,7 @@
                                      Epoch aEpoch,
                                      TimeMs aNowMs) const;
   void End(KeyHash aHash, Epoch aEpoch);
-  bool HoldsNothing() const;
+  bool HoldsNoSlices() const;
 
 private:
   struct Slice
@@ -46,26 +48,26 @@
   };
   using Slices = std::map<KeyHash, Slice>;
 
-  static std::optional<Epoch> EpochOf(const Slices& aSlices, KeyHash aHash);
+  static std::optional<Epoch> FindEpoch(const Slices& aSlices, KeyHash aHash);
   std::optional<NotRunReason> Check(const Slices& aSlices,
                                     KeyHash aHash,
                                     Epoch aEpoch,
                                     TimeMs aNowMs) const;
-  bool IsOld(const nlohmann::json& aOrder, TimeMs aNowMs) const;
-  bool HasRunningOutside(const Slices& aSlices) const;
+  bool IsStale(const nlohmann::json& aCommand, TimeMs aNowMs) const;
+  bool HasRequestsOutside(const Slices& aSlices) const;
 
   const std::string incarnation_;
-  const bool checks_;
+  const bool fencingEnabled_;
   /// Orders are applied one after another.
-  std::mutex orderMutex_;
+  std::mutex commandMutex_;
   mutable std::mutex mutex_;
-  std::condition_variable ended_;
+  std::condition_variable requestEnded_;
   Term term_ = 0;
   int64_t sequence_ = 0;
   TimeMs leaseUntilMs_ = 0;
   Slices held_;
   /// Revoked, but requests that run in them may still commit.
-  Slices closing_;
+  Slices revoking_;
   std::multiset<std::pair<KeyHash, Epoch>> running_;
 };
 
--- a/standin/BackendLoad.hpp
+++ b/standin/BackendLoadReporter.hpp
@@ -12,7 +12,7 @@
 
 /// What a backend server reports about its health and load; it can be told to
 /// report an old state or a false one.
-class BackendLoad
+class BackendLoadReporter
 {
 public:
   struct Sample
@@ -26,13 +26,13 @@
   /// null for the truth.
   void Configure(const nlohmann::json& aDocument);
   void Add(const Sample& aSample);
-  void Describe(nlohmann::json& aAnswer, TimeMs aNowMs) const;
+  void AddStatus(nlohmann::json& aStatus, TimeMs aNowMs) const;
 
 private:
   mutable std::mutex mutex_;
   std::deque<Sample> samples_;
   TimeMs lagMs_ = 0;
-  nlohmann::json lie_;
+  nlohmann::json overrides_;
 };
 
 }
--- /dev/null
+++ b/standin/ConcurrencyLimiter.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "common/Types.hpp"
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+
+namespace cactuspitch {
+
+/// Slots of a backend server with a short queue in front of them.
+class ConcurrencyLimiter
+{
+public:
+  enum class AcquireResult : uint8_t
+  {
+    Acquired,
+    QueueFull, ///< the queue is full
+    TimedOut   ///< no slot in time
+  };
+
+  ConcurrencyLimiter(int aSlots, int aMaxWaiting)
+    : slots_(aSlots)
+    , maxWaiting_(aMaxWaiting)
+  {
+  }
+
+  AcquireResult Acquire(TimeMs aTimeoutMs)
+  {
+    std::unique_lock lock(mutex_);
+    if (running_ < slots_ && waiting_ == 0) {
+      ++running_;
+      return AcquireResult::Acquired;
+    }
+    if (waiting_ >= maxWaiting_) {
+      return AcquireResult::QueueFull;
+    }
+    ++waiting_;
+    const bool acquired =
+      slotFreed_.wait_for(lock, std::chrono::milliseconds(aTimeoutMs), [this] {
+        return running_ < slots_;
+      });
+    --waiting_;
+    running_ += acquired ? 1 : 0;
+    return acquired ? AcquireResult::Acquired : AcquireResult::TimedOut;
+  }
+
+  void Release()
+  {
+    {
+      const std::lock_guard lock(mutex_);
+      --running_;
+    }
+    slotFreed_.notify_one();
+  }
+
+  int Running() const
+  {
+    const std::lock_guard lock(mutex_);
+    return running_;
+  }
+
+private:
+  const int slots_;
+  const int maxWaiting_;
+  mutable std::mutex mutex_;
+  std::condition_variable slotFreed_;
+  int running_ = 0;
+  int waiting_ = 0;
+};
+
+}
--- a/standin/ExecutionHistory.cpp
+++ b/standin/ExecutionHistory.cpp
@@ -37,7 +37,7 @@
                                 { "epoch", aExecution.epoch_ },
                                 { "startUs", aExecution.startUs_ },
                                 { "commitUs", aExecution.commitUs_ },
-                                { "answer", aExecution.answer_ } };
+                                { "answer", aExecution.response_ } };
   const auto text = Concat(line.dump(), "\n");
   const std::lock_guard lock(mutex_);
   if (file_.is_open()) {
--- a/standin/ExecutionHistory.hpp
+++ b/standin/ExecutionHistory.hpp
@@ -21,7 +21,7 @@
   int64_t startUs_ = 0;
   /// The clock reading that the lease was checked against.
   int64_t commitUs_ = 0;
-  std::string_view answer_;
+  std::string_view response_;
 };
 
 /// Lines of JSON, one for each execution, for the history checker.
--- a/standin/LoadGenerator.cpp
+++ b/standin/LoadGenerator.cpp
@@ -18,15 +18,15 @@
                         const LoadResult& aResult,
                         const std::string& aId)
 {
-  const auto& job = aResult.job_;
+  const auto& request = aResult.request_;
   const nlohmann::json line = {
     { "id", aId },
-    { "service", aOptions.services_[job.service_] },
-    { "key", KeyPopularity::Name(job.key_) },
-    { "method", job.isPost_ ? "POST" : "GET" },
-    { "send", job.send_ },
+    { "service", aOptions.services_[request.service_] },
+    { "key", ZipfKeyDistribution::KeyName(request.key_) },
+    { "method", request.isPost_ ? "POST" : "GET" },
+    { "send", request.attempt_ },
     { "final", aResult.isFinal_ },
-    { "intendedUs", job.intendedUs_ },
+    { "intendedUs", request.intendedUs_ },
     { "sentUs", aResult.sentUs_ },
     { "doneUs", aResult.doneUs_ },
     { "outcome", EnumName(aResult.outcome_) },
@@ -54,14 +54,15 @@
   }
   const int64_t start = BootTimeUs();
   LoadSchedule schedule(aOptions, start);
-  const TargetWatch watch(aClock, aOptions.targets_, aOptions.readyCheckMs_);
+  const ReadinessChecker readiness(
+    aClock, aOptions.targets_, aOptions.readyCheckMs_);
   std::list<LoadWorker> workers;
   std::list<std::thread> threads;
   for (int index = 0; index < aOptions.connections_; ++index) {
     auto& worker = workers.emplace_back(aClock,
                                         aOptions,
                                         schedule,
-                                        watch,
+                                        readiness,
                                         static_cast<size_t>(index),
                                         start,
                                         observer);
--- a/standin/LoadOptions.hpp
+++ b/standin/LoadOptions.hpp
@@ -23,7 +23,7 @@
   int postPercent_ = 20;
   TimeMs deadlineMs_ = 2000;
   /// Sends of one request, the first included.
-  int maxSends_ = 3;
+  int maxAttempts_ = 3;
   uint64_t blobBytes_ = 0; ///< above 0: every request is a download
   std::string idPrefix_ = "load";
   std::string history_; ///< file, empty: none
--- a/standin/LoadReport.cpp
+++ b/standin/LoadReport.cpp
@@ -43,30 +43,30 @@
 {
 }
 
-void LoadReport::Add(const LoadResult& aResult)
+void LoadReport::AddResult(const LoadResult& aResult)
 {
   const auto outcome = static_cast<size_t>(aResult.outcome_);
   const bool isComplete = aResult.outcome_ == LoadOutcome::Complete;
-  ++sends_[outcome];
-  lastUs_ = std::max(lastUs_, aResult.doneUs_);
-  auto& times = keys_[{ aResult.job_.service_, aResult.job_.key_ }];
+  ++attemptOutcomes_[outcome];
+  lastDoneUs_ = std::max(lastDoneUs_, aResult.doneUs_);
+  auto& times = keys_[{ aResult.request_.service_, aResult.request_.key_ }];
   if (isComplete) {
     times.completeUs_.push_back(aResult.doneUs_);
   } else {
-    times.failedUs_.push_back(aResult.job_.dueUs_);
+    times.failedUs_.push_back(aResult.request_.dueUs_);
   }
   if (!aResult.reason_.empty()) {
     ++reasons_[aResult.reason_];
   }
   if (aResult.outcome_ == LoadOutcome::NotRun && !aResult.hasRetryAfter_) {
-    ++withoutRetryTime_;
+    ++notRunWithoutRetryAfter_;
   }
   if (!aResult.isFinal_) {
     return;
   }
   ++requests_;
-  ++finals_[outcome];
-  const int64_t latencyUs = aResult.doneUs_ - aResult.job_.intendedUs_;
+  ++finalOutcomes_[outcome];
+  const int64_t latencyUs = aResult.doneUs_ - aResult.request_.intendedUs_;
   const bool isLate = latencyUs > options_.deadlineMs_ * detail::kReportUsPerMs;
   deadlineMissed_ += isLate ? 1 : 0;
   if (!isComplete) {
@@ -75,7 +75,7 @@
   ++servers_[aResult.server_];
   latenciesUs_.push_back(static_cast<uint32_t>(latencyUs));
   if (!isLate) {
-    ++good_;
+    ++goodRequests_;
     const auto second =
       static_cast<size_t>(std::max<int64_t>(0, aResult.doneUs_ - startUs_) /
                           detail::kReportUsPerSecond);
@@ -87,14 +87,18 @@
 void LoadReport::Merge(const LoadReport& aOther)
 {
   requests_ += aOther.requests_;
-  good_ += aOther.good_;
+  goodRequests_ += aOther.goodRequests_;
   deadlineMissed_ += aOther.deadlineMissed_;
-  withoutRetryTime_ += aOther.withoutRetryTime_;
-  lastUs_ = std::max(lastUs_, aOther.lastUs_);
-  std::ranges::transform(
-    sends_, aOther.sends_, sends_.begin(), std::plus<int64_t>());
-  std::ranges::transform(
-    finals_, aOther.finals_, finals_.begin(), std::plus<int64_t>());
+  notRunWithoutRetryAfter_ += aOther.notRunWithoutRetryAfter_;
+  lastDoneUs_ = std::max(lastDoneUs_, aOther.lastDoneUs_);
+  std::ranges::transform(attemptOutcomes_,
+                         aOther.attemptOutcomes_,
+                         attemptOutcomes_.begin(),
+                         std::plus<int64_t>());
+  std::ranges::transform(finalOutcomes_,
+                         aOther.finalOutcomes_,
+                         finalOutcomes_.begin(),
+                         std::plus<int64_t>());
   detail::AddCounts(reasons_, aOther.reasons_);
   detail::AddCounts(servers_, aOther.servers_);
   goodBySecond_.resize(
@@ -128,14 +132,14 @@
   return static_cast<double>(sum) / static_cast<double>(end - skip);
 }
 
-double LoadReport::LatencyMs(double aShare) const
+double LoadReport::LatencyMs(double aQuantile) const
 {
   if (latenciesUs_.empty()) {
     return 0;
   }
   const auto rank = std::min(
     latenciesUs_.size() - 1,
-    static_cast<size_t>(aShare * static_cast<double>(latenciesUs_.size())));
+    static_cast<size_t>(aQuantile * static_cast<double>(latenciesUs_.size())));
   const auto nth = latenciesUs_.begin() + static_cast<ptrdiff_t>(rank);
   std::nth_element(latenciesUs_.begin(), nth, latenciesUs_.end());
   return *nth / static_cast<double>(detail::kReportUsPerMs);
@@ -151,14 +155,14 @@
     auto complete = times.completeUs_;
     std::ranges::sort(failed);
     std::ranges::sort(complete);
-    int64_t coveredUntil = 0;
+    int64_t gapEnd = 0;
     for (const int64_t begin : failed) {
-      if (begin < coveredUntil) {
+      if (begin < gapEnd) {
         continue;
       }
       const auto next = std::ranges::upper_bound(complete, begin);
-      coveredUntil = next == complete.end() ? lastUs_ : *next;
-      const int64_t length = std::max<int64_t>(0, coveredUntil - begin);
+      gapEnd = next == complete.end() ? lastDoneUs_ : *next;
+      const int64_t length = std::max<int64_t>(0, gapEnd - begin);
       gaps.longestUs_ = std::max(gaps.longestUs_, length);
       gaps.sumUs_ += length;
     }
@@ -178,21 +182,21 @@
 
 nlohmann::json LoadReport::ToJson() const
 {
-  constexpr double kMedian = 0.5;
-  constexpr double kTail = 0.99;
+  constexpr double kMedianQuantile = 0.5;
+  constexpr double kTailQuantile = 0.99;
   const auto gaps = FindGaps();
   return {
     { "requests", requests_ },
-    { "outcomes", detail::CountsToJson(finals_) },
-    { "sends", detail::CountsToJson(sends_) },
+    { "outcomes", detail::CountsToJson(finalOutcomes_) },
+    { "sends", detail::CountsToJson(attemptOutcomes_) },
     { "notRunReasons", reasons_ },
-    { "notRunWithoutRetryTime", withoutRetryTime_ },
+    { "notRunWithoutRetryTime", notRunWithoutRetryAfter_ },
     { "deadlineMissed", deadlineMissed_ },
-    { "good", good_ },
+    { "good", goodRequests_ },
     { "goodputPerSecond", GoodputPerSecond() },
     { "goodBySecond", goodBySecond_ },
-    { "p50Ms", LatencyMs(kMedian) },
-    { "p99Ms", LatencyMs(kTail) },
+    { "p50Ms", LatencyMs(kMedianQuantile) },
+    { "p99Ms", LatencyMs(kTailQuantile) },
     { "maxMs", LatencyMs(1.0) },
     { "longestGapMs",
       static_cast<double>(gaps.longestUs_) / detail::kReportUsPerMs },
--- a/standin/LoadReport.hpp
+++ b/standin/LoadReport.hpp
@@ -21,11 +21,11 @@
   Complete,
   NotRun,
   Unknown,
-  Lost,        ///< the connection ended without an answer
-  Unanswered,  ///< no answer by the deadline plus 100 ms
-  Truncated,   ///< the connection ended within the body
-  Mismatched,  ///< the answer belongs to another request
-  Unreachable, ///< no entry instance accepts connections
+  ConnectionLost, ///< the connection ended without an answer
+  TimedOut,       ///< no answer by the deadline plus 100 ms
+  Truncated,      ///< the connection ended within the body
+  Mismatched,     ///< the answer belongs to another request
+  Unreachable,    ///< no entry instance accepts connections
   Count
 };
 
@@ -41,7 +41,7 @@
 /// One send and its end.
 struct LoadResult
 {
-  LoadJob job_;
+  ScheduledRequest request_;
   int64_t sentUs_ = 0;
   int64_t doneUs_ = 0;
   LoadOutcome outcome_ = LoadOutcome::Unreachable;
@@ -59,19 +59,19 @@
 public:
   explicit LoadReport(const LoadOptions& aOptions, int64_t aStartUs);
 
-  void Add(const LoadResult& aResult);
+  void AddResult(const LoadResult& aResult);
   void Merge(const LoadReport& aOther);
 
   int64_t Count(LoadOutcome aOutcome) const
   {
-    return sends_[static_cast<size_t>(aOutcome)];
+    return attemptOutcomes_[static_cast<size_t>(aOutcome)];
   }
   int64_t Requests() const { return requests_; }
   /// Complete requests whose latency is within the deadline.
-  int64_t Good() const { return good_; }
+  int64_t GoodRequests() const { return goodRequests_; }
   double GoodputPerSecond() const;
-  /// aShare from 0 to 1; milliseconds from the intended send time.
-  double LatencyMs(double aShare) const;
+  /// aQuantile from 0 to 1; milliseconds from the intended send time.
+  double LatencyMs(double aQuantile) const;
   /// Longest time for which a key that was asked for had no complete answer.
   double LongestGapMs() const;
   /// Sum over the keys of the times without a complete answer, in seconds.
@@ -99,17 +99,18 @@
   LoadOptions options_;
   int64_t startUs_;
   int64_t requests_ = 0;
-  int64_t good_ = 0;
+  int64_t goodRequests_ = 0;
   int64_t deadlineMissed_ = 0;
-  int64_t withoutRetryTime_ = 0;
-  std::array<int64_t, static_cast<size_t>(LoadOutcome::Count)> sends_{};
-  std::array<int64_t, static_cast<size_t>(LoadOutcome::Count)> finals_{};
+  int64_t notRunWithoutRetryAfter_ = 0;
+  std::array<int64_t, static_cast<size_t>(LoadOutcome::Count)>
+    attemptOutcomes_{};
+  std::array<int64_t, static_cast<size_t>(LoadOutcome::Count)> finalOutcomes_{};
   std::map<std::string, int64_t> reasons_;
   std::map<std::string, int64_t> servers_;
   std::vector<int64_t> goodBySecond_;
   mutable std::vector<uint32_t> latenciesUs_;
   std::map<KeyId, KeyTimes> keys_;
-  int64_t lastUs_ = 0;
+  int64_t lastDoneUs_ = 0;
 };
 
 }
--- a/standin/LoadSchedule.cpp
+++ b/standin/LoadSchedule.cpp
@@ -11,31 +11,33 @@
 
 LoadSchedule::LoadSchedule(const LoadOptions& aOptions, int64_t aStartUs)
   : options_(aOptions)
-  , popularity_(aOptions.keys_, aOptions.zipfExponent_)
+  , keyDistribution_(aOptions.keys_, aOptions.zipfExponent_)
   , startUs_(aStartUs)
   , endUs_(aStartUs + aOptions.durationMs_ * detail::kUsPerMs)
-  , random_(aOptions.seed_)
+  , randomEngine_(aOptions.seed_)
 {
 }
 
-LoadJob LoadSchedule::Draw(int64_t aDueUs)
+ScheduledRequest LoadSchedule::MakeRequest(int64_t aDueUs)
 {
   constexpr int kPercent = 100;
-  const auto shift =
+  const auto hotSetNumber =
     options_.hotSetChangeMs_ > 0
       ? (aDueUs - startUs_) / (options_.hotSetChangeMs_ * detail::kUsPerMs)
       : 0;
-  LoadJob job;
-  job.number_ = count_++;
-  job.intendedUs_ = aDueUs;
-  job.dueUs_ = aDueUs;
-  job.isPost_ = static_cast<int>(random_() % kPercent) < options_.postPercent_;
-  job.service_ = random_() % options_.services_.size();
-  job.key_ = popularity_.Draw(random_, static_cast<uint64_t>(shift));
-  return job;
+  ScheduledRequest request;
+  request.number_ = requestCount_++;
+  request.intendedUs_ = aDueUs;
+  request.dueUs_ = aDueUs;
+  request.isPost_ =
+    static_cast<int>(randomEngine_() % kPercent) < options_.postPercent_;
+  request.service_ = randomEngine_() % options_.services_.size();
+  request.key_ = keyDistribution_.SampleIndex(
+    randomEngine_, static_cast<uint64_t>(hotSetNumber));
+  return request;
 }
 
-std::optional<LoadJob> LoadSchedule::Next(int64_t aNowUs)
+std::optional<ScheduledRequest> LoadSchedule::Next(int64_t aNowUs)
 {
   if (options_.stop_ && *options_.stop_) {
     return std::nullopt;
@@ -43,29 +45,31 @@
   const std::lock_guard lock(mutex_);
   const int64_t due =
     options_.rate_ > 0
-      ? startUs_ + static_cast<int64_t>(static_cast<double>(count_) /
+      ? startUs_ + static_cast<int64_t>(static_cast<double>(requestCount_) /
                                         options_.rate_ * detail::kUsPerSecond)
       : aNowUs;
-  if (!repeats_.empty() && (due >= endUs_ || repeats_.top().dueUs_ <= due)) {
-    auto job = repeats_.top();
-    repeats_.pop();
-    return job;
+  if (!retries_.empty() && (due >= endUs_ || retries_.top().dueUs_ <= due)) {
+    auto request = retries_.top();
+    retries_.pop();
+    return request;
   }
   if (due >= endUs_) {
     return std::nullopt;
   }
-  return Draw(due);
+  return MakeRequest(due);
 }
 
-bool LoadSchedule::Repeat(LoadJob aJob, int64_t aNowUs, int64_t aDelayUs)
+bool LoadSchedule::ScheduleRetry(ScheduledRequest aScheduled,
+                                 int64_t aNowUs,
+                                 int64_t aDelayUs)
 {
-  if (aJob.send_ >= options_.maxSends_) {
+  if (aScheduled.attempt_ >= options_.maxAttempts_) {
     return false;
   }
-  ++aJob.send_;
-  aJob.dueUs_ = aNowUs + aDelayUs;
+  ++aScheduled.attempt_;
+  aScheduled.dueUs_ = aNowUs + aDelayUs;
   const std::lock_guard lock(mutex_);
-  repeats_.push(aJob);
+  retries_.push(aScheduled);
   return true;
 }
 
--- a/standin/LoadWorker.cpp
+++ b/standin/LoadWorker.cpp
@@ -12,8 +12,8 @@
 namespace detail {
 
 /// Requirement: a caller has its final answer by then.
-constexpr TimeMs kAnswerSlackMs = 100;
-constexpr TimeMs kConnectMs = 300;
+constexpr TimeMs kDeadlineToleranceMs = 100;
+constexpr TimeMs kConnectTimeoutMs = 300;
 constexpr int64_t kWorkerUsPerMs = 1000;
 constexpr int kOk = 200;
 
@@ -26,7 +26,7 @@
 }
 
 /// Value of a text member of a flat JSON object; empty when absent.
-std::string_view TextMember(std::string_view aJson, std::string_view aName)
+std::string_view StringMember(std::string_view aJson, std::string_view aName)
 {
   const auto marker = Concat("\"", aName, "\":\"");
   const auto found = aJson.find(marker);
@@ -42,14 +42,14 @@
 LoadWorker::LoadWorker(const Clock& aClock,
                        const LoadOptions& aOptions,
                        LoadSchedule& aSchedule,
-                       const TargetWatch& aWatch,
+                       const ReadinessChecker& aReadiness,
                        size_t aIndex,
                        int64_t aStartUs,
                        Observer aObserver)
   : clock_(aClock)
   , options_(aOptions)
   , schedule_(aSchedule)
-  , watch_(aWatch)
+  , readiness_(aReadiness)
   , target_(aIndex)
   , observer_(std::move(aObserver))
   , report_(aOptions, aStartUs)
@@ -58,44 +58,46 @@
 
 void LoadWorker::Run()
 {
-  while (const auto job = schedule_.Next(BootTimeUs())) {
-    detail::SleepUntilUs(job->dueUs_);
-    auto result = Send(*job);
-    if (WantsRepeat(result)) {
-      result.isFinal_ = !schedule_.Repeat(
-        *job, result.doneUs_, result.retryAfterMs_ * detail::kWorkerUsPerMs);
+  while (const auto scheduled = schedule_.Next(BootTimeUs())) {
+    detail::SleepUntilUs(scheduled->dueUs_);
+    auto result = Send(*scheduled);
+    if (ShouldRetry(result)) {
+      result.isFinal_ =
+        !schedule_.ScheduleRetry(*scheduled,
+                                 result.doneUs_,
+                                 result.retryAfterMs_ * detail::kWorkerUsPerMs);
     }
-    report_.Add(result);
+    report_.AddResult(result);
     if (observer_) {
-      observer_(result, RequestId(*job));
+      observer_(result, RequestId(*scheduled));
     }
   }
 }
 
 /// A caller repeats what was not run, and an idempotent request whose outcome
 /// it does not know.
-bool LoadWorker::WantsRepeat(const LoadResult& aResult) const
+bool LoadWorker::ShouldRetry(const LoadResult& aResult) const
 {
   switch (aResult.outcome_) {
     case LoadOutcome::NotRun:
     case LoadOutcome::Unreachable:
       return true;
     case LoadOutcome::Unknown:
-    case LoadOutcome::Lost:
+    case LoadOutcome::ConnectionLost:
     case LoadOutcome::Truncated:
-      return !aResult.job_.isPost_;
+      return !aResult.request_.isPost_;
     default:
       return false;
   }
 }
 
-LoadResult LoadWorker::Send(const LoadJob& aJob)
+LoadResult LoadWorker::Send(const ScheduledRequest& aScheduled)
 {
   LoadResult result;
-  result.job_ = aJob;
-  const auto request = MakeRequest(aJob);
+  result.request_ = aScheduled;
+  const auto request = MakeRequest(aScheduled);
   const TimeMs deadline =
-    clock_.NowMs() + options_.deadlineMs_ + detail::kAnswerSlackMs;
+    clock_.NowMs() + options_.deadlineMs_ + detail::kDeadlineToleranceMs;
   result.sentUs_ = BootTimeUs();
   if (Connect(deadline)) {
     Exchange(request, deadline, result);
@@ -107,7 +109,7 @@
 bool LoadWorker::Connect(TimeMs aDeadlineMs)
 {
   const size_t count = options_.targets_.size();
-  if (connection_ && watch_.IsReady(target_ % count) &&
+  if (connection_ && readiness_.IsReady(target_ % count) &&
       connection_->IsReusable()) {
     return true;
   }
@@ -115,8 +117,9 @@
     connection_ = std::make_unique<HttpConnection>(
       clock_, options_.targets_[target_ % count]);
     const TimeMs limit =
-      std::min(aDeadlineMs, clock_.NowMs() + detail::kConnectMs);
-    if (watch_.IsReady(target_ % count) && connection_->Connect(limit).ok()) {
+      std::min(aDeadlineMs, clock_.NowMs() + detail::kConnectTimeoutMs);
+    if (readiness_.IsReady(target_ % count) &&
+        connection_->Connect(limit).ok()) {
       return true;
     }
     ++target_;
@@ -124,32 +127,33 @@
   return false;
 }
 
-std::string LoadWorker::RequestId(const LoadJob& aJob) const
+std::string LoadWorker::RequestId(const ScheduledRequest& aScheduled) const
 {
-  return Concat(options_.idPrefix_, "-", options_.seed_, "-", aJob.number_);
+  return Concat(
+    options_.idPrefix_, "-", options_.seed_, "-", aScheduled.number_);
 }
 
-HttpRequest LoadWorker::MakeRequest(const LoadJob& aJob) const
+HttpRequest LoadWorker::MakeRequest(const ScheduledRequest& aScheduled) const
 {
   static const std::string kBody = R"({"amount":1})";
   HttpRequest request;
-  request.method_ = aJob.isPost_ ? "POST" : "GET";
+  request.method_ = aScheduled.isPost_ ? "POST" : "GET";
   request.target_ = Concat("/",
-                           options_.services_[aJob.service_],
+                           options_.services_[aScheduled.service_],
                            "/",
-                           KeyPopularity::Name(aJob.key_));
+                           ZipfKeyDistribution::KeyName(aScheduled.key_));
   if (options_.blobBytes_ > 0) {
     request.method_ = "GET";
     AppendTo(request.target_, "/blob?bytes=", options_.blobBytes_);
   }
-  request.headers_ = { { header::kRequestId, RequestId(aJob) },
+  request.headers_ = { { header::kRequestId, RequestId(aScheduled) },
                        { header::kDeadlineMs,
                          std::to_string(options_.deadlineMs_) } };
   if (options_.epoch_ > 0) {
     request.headers_.emplace_back(header::kSliceEpoch,
                                   std::to_string(options_.epoch_));
   }
-  request.body_ = aJob.isPost_ ? kBody : std::string_view();
+  request.body_ = aScheduled.isPost_ ? kBody : std::string_view();
   return request;
 }
 
@@ -157,7 +161,7 @@
                           TimeMs aDeadlineMs,
                           LoadResult& aResult)
 {
-  const auto end = [&](LoadOutcome aOutcome) {
+  const auto failAttempt = [&](LoadOutcome aOutcome) {
     aResult.outcome_ = aOutcome;
     connection_->Close();
     // The balancer sends the caller's next connection elsewhere.
@@ -165,26 +169,29 @@
   };
   const auto written = connection_->Write(aRequest, aDeadlineMs);
   if (!written.ok()) {
-    end(absl::IsDeadlineExceeded(written) ? LoadOutcome::Unanswered
-                                          : LoadOutcome::Lost);
+    failAttempt(absl::IsDeadlineExceeded(written)
+                  ? LoadOutcome::TimedOut
+                  : LoadOutcome::ConnectionLost);
     return;
   }
   const auto head = connection_->ReadHead(aDeadlineMs);
   if (!head.ok()) {
-    end(absl::IsDeadlineExceeded(head.status()) ? LoadOutcome::Unanswered
-                                                : LoadOutcome::Lost);
+    failAttempt(absl::IsDeadlineExceeded(head.status())
+                  ? LoadOutcome::TimedOut
+                  : LoadOutcome::ConnectionLost);
     return;
   }
-  Judge(*head, aResult);
-  const auto body = CheckBody(aResult.job_, aDeadlineMs, aResult.server_);
-  if (body == LoadOutcome::Truncated || body == LoadOutcome::Unanswered) {
-    end(body);
+  ClassifyResponse(*head, aResult);
+  const auto body = CheckBody(aResult.request_, aDeadlineMs, aResult.server_);
+  if (body == LoadOutcome::Truncated || body == LoadOutcome::TimedOut) {
+    failAttempt(body);
   } else if (aResult.outcome_ == LoadOutcome::Complete) {
     aResult.outcome_ = body;
   }
 }
 
-void LoadWorker::Judge(const HttpResponseHead& aHead, LoadResult& aResult) const
+void LoadWorker::ClassifyResponse(const HttpResponseHead& aHead,
+                                  LoadResult& aResult) const
 {
   aResult.status_ = aHead.status_;
   const auto outcome = ParseEnum<Outcome>(aHead.Header(header::kOutcome));
@@ -202,26 +209,26 @@
     ParseNumber(aHead.Header(header::kRetryAfterMs), aResult.retryAfterMs_);
 }
 
-LoadOutcome LoadWorker::CheckBody(const LoadJob& aJob,
+LoadOutcome LoadWorker::CheckBody(const ScheduledRequest& aScheduled,
                                   TimeMs aDeadlineMs,
                                   std::string& aServer)
 {
-  constexpr size_t kPartBytes = 64 * 1024;
-  thread_local std::string part(kPartBytes, '\0');
+  constexpr size_t kChunkBytes = 64 * 1024;
+  thread_local std::string chunk(kChunkBytes, '\0');
   std::string start;
   uint64_t size = 0;
   while (true) {
     const auto got =
-      connection_->ReadBody(part.data(), part.size(), aDeadlineMs);
+      connection_->ReadBody(chunk.data(), chunk.size(), aDeadlineMs);
     if (!got.ok()) {
-      return absl::IsDeadlineExceeded(got.status()) ? LoadOutcome::Unanswered
+      return absl::IsDeadlineExceeded(got.status()) ? LoadOutcome::TimedOut
                                                     : LoadOutcome::Truncated;
     }
     if (*got == 0) {
       break;
     }
     if (start.empty()) {
-      start.assign(part, 0, std::min<size_t>(*got, 1024));
+      start.assign(chunk, 0, std::min<size_t>(*got, 1024));
     }
     size += *got;
   }
@@ -229,11 +236,12 @@
     return size == options_.blobBytes_ ? LoadOutcome::Complete
                                        : LoadOutcome::Mismatched;
   }
-  aServer = detail::TextMember(start, "server");
-  const bool fits =
-    detail::TextMember(start, "id") == RequestId(aJob) &&
-    detail::TextMember(start, "key") == KeyPopularity::Name(aJob.key_);
-  return fits ? LoadOutcome::Complete : LoadOutcome::Mismatched;
+  aServer = detail::StringMember(start, "server");
+  const bool isMatch =
+    detail::StringMember(start, "id") == RequestId(aScheduled) &&
+    detail::StringMember(start, "key") ==
+      ZipfKeyDistribution::KeyName(aScheduled.key_);
+  return isMatch ? LoadOutcome::Complete : LoadOutcome::Mismatched;
 }
 
 }
--- a/standin/LoadWorker.hpp
+++ b/standin/LoadWorker.hpp
@@ -3,7 +3,7 @@
 #include "LoadOptions.hpp"
 #include "LoadReport.hpp"
 #include "LoadSchedule.hpp"
-#include "TargetWatch.hpp"
+#include "ReadinessChecker.hpp"
 #include "common/Clock.hpp"
 #include "common/HttpConnection.hpp"
 
@@ -24,7 +24,7 @@
   LoadWorker(const Clock& aClock,
              const LoadOptions& aOptions,
              LoadSchedule& aSchedule,
-             const TargetWatch& aWatch,
+             const ReadinessChecker& aReadiness,
              size_t aIndex,
              int64_t aStartUs,
              Observer aObserver);
@@ -33,25 +33,26 @@
   const LoadReport& Report() const { return report_; }
 
 private:
-  LoadResult Send(const LoadJob& aJob);
+  LoadResult Send(const ScheduledRequest& aScheduled);
   bool Connect(TimeMs aDeadlineMs);
-  HttpRequest MakeRequest(const LoadJob& aJob) const;
-  std::string RequestId(const LoadJob& aJob) const;
+  HttpRequest MakeRequest(const ScheduledRequest& aScheduled) const;
+  std::string RequestId(const ScheduledRequest& aScheduled) const;
   /// Sends on the open connection and reads the whole answer.
   void Exchange(const HttpRequest& aRequest,
                 TimeMs aDeadlineMs,
                 LoadResult& aResult);
-  void Judge(const HttpResponseHead& aHead, LoadResult& aResult) const;
+  void ClassifyResponse(const HttpResponseHead& aHead,
+                        LoadResult& aResult) const;
   /// Reads the body and checks that it belongs to the request.
-  LoadOutcome CheckBody(const LoadJob& aJob,
+  LoadOutcome CheckBody(const ScheduledRequest& aScheduled,
                         TimeMs aDeadlineMs,
                         std::string& aServer);
-  bool WantsRepeat(const LoadResult& aResult) const;
+  bool ShouldRetry(const LoadResult& aResult) const;
 
   const Clock& clock_;
   const LoadOptions& options_;
   LoadSchedule& schedule_;
-  const TargetWatch& watch_;
+  const ReadinessChecker& readiness_;
   size_t target_;
   Observer observer_;
   LoadReport report_;
--- a/standin/LoadgenMain.cpp
+++ b/standin/LoadgenMain.cpp
@@ -51,7 +51,7 @@
   options.hotSetChangeMs_ = aSettings.Integer("hot-change-ms");
   options.postPercent_ = static_cast<int>(aSettings.Integer("post-percent"));
   options.deadlineMs_ = aSettings.Integer("deadline-ms");
-  options.maxSends_ = static_cast<int>(aSettings.Integer("max-sends"));
+  options.maxAttempts_ = static_cast<int>(aSettings.Integer("max-sends"));
   options.blobBytes_ = static_cast<uint64_t>(aSettings.Integer("blob-bytes"));
   options.idPrefix_ = aSettings.Text("id-prefix");
   options.history_ = aSettings.Text("history");
--- a/standin/TargetWatch.cpp
+++ b/standin/ReadinessChecker.cpp
@@ -1,4 +1,4 @@
-#include "TargetWatch.hpp"
+#include "ReadinessChecker.hpp"
 
 #include "common/HttpConnection.hpp"
 
@@ -6,9 +6,9 @@
 
 namespace cactuspitch {
 
-TargetWatch::TargetWatch(const Clock& aClock,
-                         std::vector<std::string> aTargets,
-                         TimeMs aIntervalMs)
+ReadinessChecker::ReadinessChecker(const Clock& aClock,
+                                   std::vector<std::string> aTargets,
+                                   TimeMs aIntervalMs)
   : clock_(aClock)
   , targets_(std::move(aTargets))
   , intervalMs_(aIntervalMs)
@@ -22,7 +22,7 @@
   }
 }
 
-TargetWatch::~TargetWatch()
+ReadinessChecker::~ReadinessChecker()
 {
   stopping_ = true;
   if (thread_.joinable()) {
@@ -30,17 +30,19 @@
   }
 }
 
-void TargetWatch::Run()
+void ReadinessChecker::Run()
 {
-  constexpr TimeMs kCheckMs = 200;
-  constexpr size_t kMaxBytes = 1 << 16;
+  constexpr TimeMs kCheckTimeoutMs = 200;
+  constexpr size_t kMaxResponseBytes = 1 << 16;
   constexpr int kOk = 200;
   while (!stopping_) {
     for (size_t target = 0; target < targets_.size(); ++target) {
       HttpConnection connection(clock_, targets_[target]);
-      const auto answer = connection.Exchange(
-        { "GET", "/_ready", {}, {} }, clock_.NowMs() + kCheckMs, kMaxBytes);
-      ready_[target] = answer.ok() && answer->head_.status_ == kOk;
+      const auto response =
+        connection.Exchange({ "GET", "/_ready", {}, {} },
+                            clock_.NowMs() + kCheckTimeoutMs,
+                            kMaxResponseBytes);
+      ready_[target] = response.ok() && response->head_.status_ == kOk;
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(intervalMs_));
   }
--- a/standin/TargetWatch.hpp
+++ b/standin/ReadinessChecker.hpp
@@ -12,16 +12,16 @@
 
 /// Stands in for the readiness checks of the platform's balancer: asks every
 /// entry instance for /_ready in turn.
-class TargetWatch
+class ReadinessChecker
 {
 public:
   /// aIntervalMs 0: every target counts as ready.
-  TargetWatch(const Clock& aClock,
-              std::vector<std::string> aTargets,
-              TimeMs aIntervalMs);
-  ~TargetWatch();
-  TargetWatch(const TargetWatch&) = delete;
-  TargetWatch& operator=(const TargetWatch&) = delete;
+  ReadinessChecker(const Clock& aClock,
+                   std::vector<std::string> aTargets,
+                   TimeMs aIntervalMs);
+  ~ReadinessChecker();
+  ReadinessChecker(const ReadinessChecker&) = delete;
+  ReadinessChecker& operator=(const ReadinessChecker&) = delete;
 
   bool IsReady(size_t aTarget) const { return ready_[aTarget]; }
 
--- a/standin/StandinBackend.cpp
+++ b/standin/StandinBackend.cpp
@@ -18,17 +18,17 @@
 constexpr int kControlConnections = 16;
 constexpr size_t kMaxBodyBytes = 4 << 20;
 /// Longest wait for a slot without a deadline.
-constexpr TimeMs kMaxQueueMs = 1000;
-constexpr TimeMs kRevokeWaitMs = 200;
+constexpr TimeMs kMaxQueueWaitMs = 1000;
+constexpr TimeMs kMaxRevokeWaitMs = 200;
 /// A leaving server gets no new work after this time (requirement I6).
-constexpr TimeMs kLeaveMs = 3000;
+constexpr TimeMs kMaxDrainMs = 3000;
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 constexpr int kServiceUnavailable = 503;
 constexpr int kCrashStatus = 134;
-constexpr std::string_view kPoison = "poison-marker";
+constexpr std::string_view kPoisonMarker = "poison-marker";
 
 std::string NewIncarnation(const std::string& aId)
 {
@@ -37,7 +37,7 @@
 
 }
 
-struct StandinBackend::Work
+struct StandinBackend::Request
 {
   std::string service_;
   std::string key_;
@@ -57,7 +57,7 @@
   bool Parse(HttpExchange& aExchange);
 };
 
-bool StandinBackend::Work::Parse(HttpExchange& aExchange)
+bool StandinBackend::Request::Parse(HttpExchange& aExchange)
 {
   const std::vector<std::string> path =
     absl::StrSplit(aExchange.DecodedPath(), '/', absl::SkipEmpty());
@@ -75,8 +75,8 @@
   ParseNumber(aExchange.Header(header::kDeadlineClockMs), deadlineMs_);
   isBlob_ = path.size() > 2 && path[2] == "blob";
   ParseNumber(aExchange.QueryValue("bytes"), blobBytes_);
-  isPoison_ = body_.find(detail::kPoison) != std::string::npos ||
-              aExchange.Path().find(detail::kPoison) != std::string::npos;
+  isPoison_ = body_.find(detail::kPoisonMarker) != std::string::npos ||
+              aExchange.Path().find(detail::kPoisonMarker) != std::string::npos;
   return true;
 }
 
@@ -110,7 +110,7 @@
 {
   auto started = server_.Start();
   if (started.ok()) {
-    platform_ = std::thread([this] { RunPlatform(); });
+    backgroundThread_ = std::thread([this] { RunBackgroundLoop(); });
   }
   return started;
 }
@@ -122,8 +122,8 @@
     stopping_ = true;
   }
   changed_.notify_all();
-  if (platform_.joinable()) {
-    platform_.join();
+  if (backgroundThread_.joinable()) {
+    backgroundThread_.join();
   }
   server_.Stop();
 }
@@ -144,10 +144,10 @@
   if (path == "/_cactuspitch/grant") {
     HandleGrant(aExchange);
   } else if (path == "/_cactuspitch/health") {
-    aExchange.Respond(detail::kOk, Stamp(), Describe().dump());
+    aExchange.Respond(detail::kOk, CommonHeaders(), HealthStatus().dump());
   } else if (path == "/_cactuspitch/cancel") {
     Cancel(aExchange.QueryValue("id"));
-    aExchange.Respond(detail::kOk, Stamp(), {});
+    aExchange.Respond(detail::kOk, CommonHeaders(), {});
   } else if (path == "/_health" || path == "/_ready") {
     aExchange.Respond(detail::kOk, {}, "ok\n");
   } else if (path == "/_history") {
@@ -155,7 +155,7 @@
   } else if (path == "/_stats") {
     aExchange.Respond(detail::kOk, {}, Stats());
   } else if (path == "/_drain") {
-    drainedAtMs_ = clock_.NowMs();
+    drainStartMs_ = clock_.NowMs();
     changed_.notify_all();
     aExchange.Respond(detail::kOk, {}, {});
   } else if (path == "/_fault") {
@@ -176,105 +176,107 @@
 void StandinBackend::HandleGrant(HttpExchange& aExchange)
 {
   const auto body = aExchange.ReadBody(detail::kMaxBodyBytes);
-  const auto order =
+  const auto command =
     nlohmann::json::parse(body.ok() ? *body : "", nullptr, false);
   bool applied = false;
   try {
-    applied = grants_.Apply(order, NowMs(), detail::kRevokeWaitMs);
+    applied = grants_.Apply(command, NowMs(), detail::kMaxRevokeWaitMs);
   } catch (const nlohmann::json::exception& failure) {
     aExchange.Respond(
-      detail::kBadRequest, Stamp(), Concat(failure.what(), "\n"));
+      detail::kBadRequest, CommonHeaders(), Concat(failure.what(), "\n"));
     return;
   }
-  aExchange.Respond(
-    applied ? detail::kOk : detail::kConflict, Stamp(), Describe().dump());
+  aExchange.Respond(applied ? detail::kOk : detail::kConflict,
+                    CommonHeaders(),
+                    HealthStatus().dump());
 }
 
 void StandinBackend::HandleRequest(HttpExchange& aExchange)
 {
-  Work work;
-  if (!work.Parse(aExchange)) {
-    aExchange.Respond(detail::kBadRequest, Stamp(), "/{service}/{key}\n");
+  Request request;
+  if (!request.Parse(aExchange)) {
+    aExchange.Respond(
+      detail::kBadRequest, CommonHeaders(), "/{service}/{key}\n");
     return;
   }
   if (server_.Connections() >
       options_.connections_ + detail::kControlConnections - 1) {
     aExchange.CloseAfterResponse();
-    Refuse(aExchange, NotRunReason::Busy);
+    Reject(aExchange, NotRunReason::Busy);
     return;
   }
-  auto refusal = Admit(work);
-  if (!refusal) {
-    refusal = RunInSlot(aExchange, work);
-    if (!work.isDirect_) {
-      grants_.End(work.hash_, work.epoch_);
+  auto rejection = Admit(request);
+  if (!rejection) {
+    rejection = RunInSlot(aExchange, request);
+    if (!request.isDirect_) {
+      grants_.End(request.hash_, request.epoch_);
     }
   }
-  if (refusal) {
-    Refuse(aExchange, *refusal);
+  if (rejection) {
+    Reject(aExchange, *rejection);
   }
 }
 
-std::optional<NotRunReason> StandinBackend::Admit(Work& aWork)
+std::optional<NotRunReason> StandinBackend::Admit(Request& aRequest)
 {
-  aWork.startUs_ = BootTimeUs();
+  aRequest.startUs_ = BootTimeUs();
   const TimeMs now = NowMs();
-  if (now >= aWork.deadlineMs_) {
+  if (now >= aRequest.deadlineMs_) {
     return NotRunReason::Deadline;
   }
-  const TimeMs drainedAt = drainedAtMs_;
-  if (drainedAt > 0 && clock_.NowMs() - drainedAt > detail::kLeaveMs) {
-    arrivedLate_.fetch_add(1, std::memory_order_relaxed);
+  const TimeMs drainStart = drainStartMs_;
+  if (drainStart > 0 && clock_.NowMs() - drainStart > detail::kMaxDrainMs) {
+    arrivedAfterDrain_.fetch_add(1, std::memory_order_relaxed);
     return NotRunReason::Draining;
   }
-  if (drainedAt > 0 && grants_.HoldsNothing()) {
+  if (drainStart > 0 && grants_.HoldsNoSlices()) {
     return NotRunReason::Draining;
   }
-  if (aWork.isDirect_) {
+  if (aRequest.isDirect_) {
     return options_.acceptsDirect_ ? std::nullopt
                                    : std::optional(NotRunReason::NotOwner);
   }
-  return grants_.Begin(aWork.hash_, aWork.epoch_, now);
+  return grants_.Begin(aRequest.hash_, aRequest.epoch_, now);
 }
 
 std::optional<NotRunReason> StandinBackend::RunInSlot(HttpExchange& aExchange,
-                                                      Work& aWork)
+                                                      Request& aRequest)
 {
   const TimeMs wait =
-    std::min(aWork.deadlineMs_ - NowMs(), detail::kMaxQueueMs);
-  switch (slots_.Enter(wait)) {
-    case SlotQueue::Entry::Full:
+    std::min(aRequest.deadlineMs_ - NowMs(), detail::kMaxQueueWaitMs);
+  switch (slots_.Acquire(wait)) {
+    case ConcurrencyLimiter::AcquireResult::QueueFull:
       return NotRunReason::Busy;
-    case SlotQueue::Entry::TimedOut:
+    case ConcurrencyLimiter::AcquireResult::TimedOut:
       return NotRunReason::Deadline;
-    case SlotQueue::Entry::Slot:
+    case ConcurrencyLimiter::AcquireResult::Acquired:
       break;
   }
-  if (aWork.isPoison_) {
+  if (aRequest.isPoison_) {
     std::_Exit(detail::kCrashStatus);
   }
-  std::optional<NotRunReason> refusal;
-  if (!Serve(aWork)) {
-    refusal = NotRunReason::Deadline;
+  std::optional<NotRunReason> rejection;
+  if (!Execute(aRequest)) {
+    rejection = NotRunReason::Deadline;
   } else {
     // The request takes effect at this clock reading or not at all.
-    aWork.commitUs_ = BootTimeUs();
+    aRequest.commitUs_ = BootTimeUs();
     constexpr int64_t kUsPerMs = 1000;
-    const TimeMs now = aWork.commitUs_ / kUsPerMs + options_.clockOffsetMs_;
-    if (now >= aWork.deadlineMs_) {
-      refusal = NotRunReason::Deadline;
-    } else if (!aWork.isDirect_) {
-      refusal = grants_.Commit(aWork.hash_, aWork.epoch_, now);
+    const TimeMs now = aRequest.commitUs_ / kUsPerMs + options_.clockOffsetMs_;
+    if (now >= aRequest.deadlineMs_) {
+      rejection = NotRunReason::Deadline;
+    } else if (!aRequest.isDirect_) {
+      rejection = grants_.Commit(aRequest.hash_, aRequest.epoch_, now);
     }
   }
-  if (!refusal) {
-    Answer(aExchange, aWork);
+  if (!rejection) {
+    Respond(aExchange, aRequest);
   }
-  slots_.Leave();
-  return refusal;
+  slots_.Release();
+  return rejection;
 }
 
-bool StandinBackend::Serve(const Work& aWork)
+bool StandinBackend::Execute(const Request& aRequest)
 {
   int64_t serviceUs = serviceUs_;
   const TimeMs age = clock_.NowMs() - startMs_;
@@ -287,63 +289,63 @@
     return true;
   }
   std::unique_lock lock(mutex_);
-  const auto entry = served_.emplace(aWork.id_, false);
+  const auto entry = executing_.emplace(aRequest.id_, false);
   changed_.wait_for(lock, std::chrono::microseconds(serviceUs), [&] {
     return entry->second || stopping_;
   });
   const bool cancelled = entry->second;
-  served_.erase(entry);
+  executing_.erase(entry);
   return !cancelled;
 }
 
-void StandinBackend::Answer(HttpExchange& aExchange, const Work& aWork)
+void StandinBackend::Respond(HttpExchange& aExchange, const Request& aRequest)
 {
   executed_.fetch_add(1, std::memory_order_relaxed);
   const auto text = Concat(R"({"id":")",
-                           aWork.id_,
+                           aRequest.id_,
                            R"(","key":")",
-                           aWork.key_,
+                           aRequest.key_,
                            R"(","server":")",
                            options_.id_,
                            R"("})");
   if (options_.keepsHistory_) {
-    history_.Record({ aWork.id_,
-                      aWork.method_,
-                      aWork.service_,
-                      aWork.key_,
-                      aWork.epoch_,
-                      aWork.startUs_,
-                      aWork.commitUs_,
+    history_.Record({ aRequest.id_,
+                      aRequest.method_,
+                      aRequest.service_,
+                      aRequest.key_,
+                      aRequest.epoch_,
+                      aRequest.startUs_,
+                      aRequest.commitUs_,
                       text });
   }
-  if (aWork.isBlob_) {
-    SendBlob(aExchange, aWork.blobBytes_);
+  if (aRequest.isBlob_) {
+    SendBlob(aExchange, aRequest.blobBytes_);
   } else {
-    aExchange.Respond(detail::kOk, Stamp(), text);
+    aExchange.Respond(detail::kOk, CommonHeaders(), text);
   }
 }
 
 void StandinBackend::SendBlob(HttpExchange& aExchange, uint64_t aBytes)
 {
-  constexpr size_t kPartBytes = 64 * 1024;
-  const std::string part(kPartBytes, 'b');
-  if (!aExchange.BeginResponse(detail::kOk, Stamp(), aBytes)) {
+  constexpr size_t kChunkBytes = 64 * 1024;
+  const std::string chunk(kChunkBytes, 'b');
+  if (!aExchange.BeginResponse(detail::kOk, CommonHeaders(), aBytes)) {
     return;
   }
   while (aBytes > 0) {
-    const auto size = std::min<uint64_t>(aBytes, part.size());
-    if (!aExchange.Write(std::string_view(part).substr(0, size))) {
+    const auto size = std::min<uint64_t>(aBytes, chunk.size());
+    if (!aExchange.Write(std::string_view(chunk).substr(0, size))) {
       return;
     }
     aBytes -= size;
   }
 }
 
-void StandinBackend::Refuse(HttpExchange& aExchange, NotRunReason aReason)
+void StandinBackend::Reject(HttpExchange& aExchange, NotRunReason aReason)
 {
-  refused_[static_cast<size_t>(aReason)].fetch_add(1,
-                                                   std::memory_order_relaxed);
-  auto headers = Stamp();
+  rejected_[static_cast<size_t>(aReason)].fetch_add(1,
+                                                    std::memory_order_relaxed);
+  auto headers = CommonHeaders();
   headers.emplace_back(header::kNotRun, EnumName(aReason));
   aExchange.Respond(detail::kServiceUnavailable, headers, {});
 }
@@ -352,7 +354,7 @@
 {
   {
     const std::lock_guard lock(mutex_);
-    const auto [first, last] = served_.equal_range(aId);
+    const auto [first, last] = executing_.equal_range(aId);
     std::for_each(first, last, [](auto& aEntry) { aEntry.second = true; });
   }
   changed_.notify_all();
@@ -362,34 +364,34 @@
 {
   serviceUs_ = aDocument.value("serviceUs", serviceUs_.load());
   if (aDocument.contains("health")) {
-    load_.Configure(aDocument["health"]);
+    loadReporter_.Configure(aDocument["health"]);
   }
 }
 
-nlohmann::json StandinBackend::Describe() const
+nlohmann::json StandinBackend::HealthStatus() const
 {
   auto answer = nlohmann::json::object();
-  grants_.Describe(answer);
+  grants_.AddStatus(answer);
   answer["clockMs"] = NowMs();
-  answer["draining"] = drainedAtMs_ > 0;
+  answer["draining"] = drainStartMs_ > 0;
   answer["slots"] = options_.slots_;
-  load_.Describe(answer, clock_.NowMs());
+  loadReporter_.AddStatus(answer, clock_.NowMs());
   return answer;
 }
 
 std::string StandinBackend::Stats() const
 {
   nlohmann::json document = { { "executed", executed_.load() },
-                              { "arrivedLate", arrivedLate_.load() },
+                              { "arrivedLate", arrivedAfterDrain_.load() },
                               { "connections", server_.Connections() } };
-  for (size_t reason = 0; reason < refused_.size(); ++reason) {
+  for (size_t reason = 0; reason < rejected_.size(); ++reason) {
     const auto name = EnumName(static_cast<NotRunReason>(reason));
-    document["refused"][std::string(name)] = refused_[reason].load();
+    document["refused"][std::string(name)] = rejected_[reason].load();
   }
   return document.dump();
 }
 
-std::string StandinBackend::Registration() const
+std::string StandinBackend::RegistrationRecord() const
 {
   const nlohmann::json document = {
     { "id", options_.id_ },
@@ -397,7 +399,7 @@
     { "address",
       options_.advertise_.empty() ? options_.listen_ : options_.advertise_ },
     { "failureDomain", options_.failureDomain_ },
-    { "state", drainedAtMs_ > 0 ? "leaving" : "live" },
+    { "state", drainStartMs_ > 0 ? "leaving" : "live" },
     { "slots", options_.slots_ },
     { "connections", options_.connections_ },
     { "checksFence", options_.checksFence_ },
@@ -405,34 +407,34 @@
   return document.dump();
 }
 
-HttpHeaders StandinBackend::Stamp() const
+HttpHeaders StandinBackend::CommonHeaders() const
 {
   return { { header::kClockMs, std::to_string(NowMs()) },
            { header::kIncarnation, incarnation_ } };
 }
 
 /// Keeps the platform's list up to date and samples the load.
-void StandinBackend::RunPlatform()
+void StandinBackend::RunBackgroundLoop()
 {
   constexpr auto kInterval = std::chrono::milliseconds(50);
-  constexpr TimeMs kCallMs = 500;
+  constexpr TimeMs kCallTimeoutMs = 500;
   HttpConnection store(clock_, options_.store_);
   std::string registered;
   std::unique_lock lock(mutex_);
   while (!stopping_) {
     lock.unlock();
     const int running = slots_.Running();
-    load_.Add({ clock_.NowMs(),
-                running,
-                static_cast<double>(running) / options_.slots_ });
-    const auto wanted = Registration();
-    if (!options_.store_.empty() && registered != wanted) {
+    loadReporter_.Add({ clock_.NowMs(),
+                        running,
+                        static_cast<double>(running) / options_.slots_ });
+    const auto current = RegistrationRecord();
+    if (!options_.store_.empty() && registered != current) {
       const auto answer = store.Exchange(
-        { "PUT", Concat("/_platform/server/", options_.id_), {}, wanted },
-        clock_.NowMs() + kCallMs,
+        { "PUT", Concat("/_platform/server/", options_.id_), {}, current },
+        clock_.NowMs() + kCallTimeoutMs,
         detail::kMaxBodyBytes);
       if (answer.ok() && answer->head_.status_ == detail::kOk) {
-        registered = wanted;
+        registered = current;
       }
     }
     lock.lock();
--- a/standin/StandinBackend.hpp
+++ b/standin/StandinBackend.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "BackendGrants.hpp"
-#include "BackendLoad.hpp"
+#include "BackendLoadReporter.hpp"
+#include "ConcurrencyLimiter.hpp"
 #include "ExecutionHistory.hpp"
-#include "SlotQueue.hpp"
 #include "common/Clock.hpp"
 #include "common/HttpServer.hpp"
 
@@ -61,50 +61,51 @@
   void Stop();
 
 private:
-  struct Work;
+  struct Request;
 
   void Handle(HttpExchange& aExchange);
   bool HandleControl(HttpExchange& aExchange);
   void HandleGrant(HttpExchange& aExchange);
   void HandleRequest(HttpExchange& aExchange);
-  std::optional<NotRunReason> Admit(Work& aWork);
-  std::optional<NotRunReason> RunInSlot(HttpExchange& aExchange, Work& aWork);
+  std::optional<NotRunReason> Admit(Request& aRequest);
+  std::optional<NotRunReason> RunInSlot(HttpExchange& aExchange,
+                                        Request& aRequest);
   /// False when the request was cancelled.
-  bool Serve(const Work& aWork);
-  void Answer(HttpExchange& aExchange, const Work& aWork);
-  void Refuse(HttpExchange& aExchange, NotRunReason aReason);
+  bool Execute(const Request& aRequest);
+  void Respond(HttpExchange& aExchange, const Request& aRequest);
+  void Reject(HttpExchange& aExchange, NotRunReason aReason);
   void SendBlob(HttpExchange& aExchange, uint64_t aBytes);
   void Cancel(const std::string& aId);
   void Configure(const nlohmann::json& aDocument);
-  nlohmann::json Describe() const;
+  nlohmann::json HealthStatus() const;
   std::string Stats() const;
-  std::string Registration() const;
-  HttpHeaders Stamp() const;
+  std::string RegistrationRecord() const;
+  HttpHeaders CommonHeaders() const;
   TimeMs NowMs() const { return clock_.NowMs() + options_.clockOffsetMs_; }
-  void RunPlatform();
+  void RunBackgroundLoop();
 
   const Clock& clock_;
   const StandinBackendOptions options_;
   const std::string incarnation_;
   const TimeMs startMs_;
   BackendGrants grants_;
-  BackendLoad load_;
-  SlotQueue slots_;
+  BackendLoadReporter loadReporter_;
+  ConcurrencyLimiter slots_;
   ExecutionHistory history_;
   std::atomic<int64_t> serviceUs_;
-  std::atomic<TimeMs> drainedAtMs_ = 0; ///< 0: not draining
+  std::atomic<TimeMs> drainStartMs_ = 0; ///< 0: not draining
   std::atomic<int64_t> executed_ = 0;
   /// New work that came later than a leaving server may get it.
-  std::atomic<int64_t> arrivedLate_ = 0;
+  std::atomic<int64_t> arrivedAfterDrain_ = 0;
   std::array<std::atomic<int64_t>, static_cast<size_t>(NotRunReason::Count)>
-    refused_{};
+    rejected_{};
   std::mutex mutex_;
   std::condition_variable changed_;
   /// Requests in service by id; true when cancelled.
-  std::multimap<std::string, bool> served_;
+  std::multimap<std::string, bool> executing_;
   bool stopping_ = false;
   HttpServer server_;
-  std::thread platform_;
+  std::thread backgroundThread_;
 };
 
 }
--- a/standin/StandinCutMain.cpp
+++ b/standin/StandinCutMain.cpp
@@ -1,4 +1,4 @@
-#include "LinkCut.hpp"
+#include "TcpFaultProxy.hpp"
 #include "common/HttpServer.hpp"
 #include "common/Log.hpp"
 #include "common/Settings.hpp"
@@ -10,26 +10,26 @@
 namespace {
 
 /// PUT /_mode/{mode}, PUT /_silence-open, GET /_mode, GET /_health.
-void HandleControl(LinkCut& aLink, HttpExchange& aExchange)
+void HandleControl(TcpFaultProxy& aProxy, HttpExchange& aExchange)
 {
   constexpr int kOk = 200;
   constexpr int kNotFound = 404;
   constexpr std::string_view kPrefix = "/_mode/";
   const auto path = aExchange.Path();
   if (path == "/_silence-open") {
-    aLink.SilenceOpen();
+    aProxy.StallOpenConnections();
   } else if (path.starts_with(kPrefix)) {
-    const auto mode = ParseEnum<LinkMode>(path.substr(kPrefix.size()));
+    const auto mode = ParseEnum<ProxyMode>(path.substr(kPrefix.size()));
     if (!mode) {
       aExchange.Respond(kNotFound, {}, "no such mode\n");
       return;
     }
-    aLink.SetMode(*mode);
+    aProxy.SetMode(*mode);
   } else if (path != "/_mode" && path != "/_health") {
     aExchange.Respond(kNotFound, {}, "no such resource\n");
     return;
   }
-  aExchange.Respond(kOk, {}, EnumName(aLink.Mode()));
+  aExchange.Respond(kOk, {}, EnumName(aProxy.Mode()));
 }
 
 }
@@ -47,11 +47,11 @@
     argc, argv, "standin-cut", "Forwards TCP and shows network faults.");
   const TerminationSignal termination;
   InitLog("standin-cut", LogLevel::Info);
-  LinkCut link(settings.Text("listen"), settings.Text("target"));
+  TcpFaultProxy proxy(settings.Text("listen"), settings.Text("target"));
   HttpServer control(
     { .listen_ = settings.Text("control"), .threads_ = 4 },
-    [&](HttpExchange& aExchange) { HandleControl(link, aExchange); });
-  for (const auto& started : { link.Start(), control.Start() }) {
+    [&](HttpExchange& aExchange) { HandleControl(proxy, aExchange); });
+  for (const auto& started : { proxy.Start(), control.Start() }) {
     if (!started.ok()) {
       Log(LogLevel::Error, "start failed", { { "reason", started.message() } });
       return EXIT_FAILURE;
@@ -59,6 +59,6 @@
   }
   termination.Wait();
   control.Stop();
-  link.Stop();
+  proxy.Stop();
   return EXIT_SUCCESS;
 }
--- a/standin/StandinStore.cpp
+++ b/standin/StandinStore.cpp
@@ -16,7 +16,7 @@
 /// Every waiting watch holds a thread.
 constexpr int kStoreThreads = 200;
 constexpr size_t kMaxValueBytes = 1 << 20;
-constexpr TimeMs kMaxWatchMs = 60000;
+constexpr TimeMs kMaxWatchWaitMs = 60000;
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -66,7 +66,7 @@
 
 /// Holds the thread in small steps, so that a stop is not delayed.
 template<typename Condition>
-void SleepWhile(TimeMs aLimitMs, Condition&& aCondition)
+void SleepInStepsWhile(TimeMs aLimitMs, Condition&& aCondition)
 {
   constexpr TimeMs kStepMs = 5;
   for (TimeMs slept = 0; slept < aLimitMs && aCondition(); slept += kStepMs) {
@@ -109,7 +109,7 @@
   } else if (is("_health", 1) || is("_ready", 1)) {
     aExchange.Respond(detail::kOk, {}, "ok\n");
   } else if (is("_fault", 1)) {
-    HandleFault(aExchange);
+    HandleFaultSettings(aExchange);
   } else if (is("_platform", 3)) {
     Write(aExchange, path[1], path[2], std::nullopt, false);
   } else if (is("watch", 2) && method == "GET") {
@@ -134,8 +134,8 @@
 {
   CountCall(aCall, aKind);
   const bool isWrite = aCall == StoreCall::Put || aCall == StoreCall::Delete;
-  const auto fault = faults_.Next(isWrite);
-  if (ShowFault(aExchange, fault)) {
+  const auto fault = faults_.NextFault(isWrite);
+  if (InjectFault(aExchange, fault)) {
     return;
   }
   if (isWrite) {
@@ -144,7 +144,7 @@
       aExchange.Respond(detail::kPreconditionRequired, {}, "no version\n");
       return;
     }
-    Write(aExchange, aKind, aName, expected, fault.losesAnswer_);
+    Write(aExchange, aKind, aName, expected, fault.dropsResponse_);
   } else if (aCall == StoreCall::Get) {
     Read(aExchange, aKind, aName);
   } else if (aCall == StoreCall::List) {
@@ -154,30 +154,32 @@
   }
 }
 
-bool StandinStore::ShowFault(HttpExchange& aExchange, const StoreFault& aFault)
+bool StandinStore::InjectFault(HttpExchange& aExchange,
+                               const StoreFault& aFault)
 {
-  detail::SleepWhile(aFault.delayMs_, [this] { return !stopping_.load(); });
-  switch (aFault.down_) {
-    case StoreDown::Silent:
-      detail::SleepWhile(detail::kMaxWatchMs, [this] {
-        return !stopping_.load() && faults_.Down() == StoreDown::Silent;
+  detail::SleepInStepsWhile(aFault.delayMs_,
+                            [this] { return !stopping_.load(); });
+  switch (aFault.outage_) {
+    case StoreOutage::Hang:
+      detail::SleepInStepsWhile(detail::kMaxWatchWaitMs, [this] {
+        return !stopping_.load() && faults_.Outage() == StoreOutage::Hang;
       });
       aExchange.Abort();
       return true;
-    case StoreDown::Close:
+    case StoreOutage::Close:
       aExchange.Abort();
       return true;
-    case StoreDown::Answer:
+    case StoreOutage::Respond503:
       aExchange.Respond(detail::kServiceUnavailable, {}, "store is down\n");
       return true;
-    case StoreDown::None:
-    case StoreDown::Count:
+    case StoreOutage::None:
+    case StoreOutage::Count:
       break;
   }
-  if (aFault.fails_) {
+  if (aFault.returnsError_) {
     aExchange.Respond(detail::kServiceUnavailable, {}, "try again\n");
   }
-  return aFault.fails_;
+  return aFault.returnsError_;
 }
 
 void StandinStore::Read(HttpExchange& aExchange,
@@ -198,7 +200,8 @@
   aExchange.Respond(
     detail::kOk,
     {},
-    detail::ObjectsToJson(objects_.Changes(aKind, 0, faults_.LagMs(aKind)), 0));
+    detail::ObjectsToJson(objects_.ChangesSince(aKind, 0, faults_.LagMs(aKind)),
+                          0));
 }
 
 void StandinStore::Watch(HttpExchange& aExchange, const std::string& aKind)
@@ -210,14 +213,14 @@
     aExchange.Respond(detail::kBadRequest, {}, "since or timeoutMs missing\n");
     return;
   }
-  const auto changes =
-    objects_.WaitChanges(aKind,
-                         since,
-                         faults_.LagMs(aKind),
-                         std::clamp<TimeMs>(waitMs, 0, detail::kMaxWatchMs));
+  const auto changes = objects_.WaitForChanges(
+    aKind,
+    since,
+    faults_.LagMs(aKind),
+    std::clamp<TimeMs>(waitMs, 0, detail::kMaxWatchWaitMs));
   // A watch that was waiting when the store went down gets no answer either.
-  if (faults_.Down() != StoreDown::None) {
-    ShowFault(aExchange, { faults_.Down(), 0, false, false });
+  if (faults_.Outage() != StoreOutage::None) {
+    InjectFault(aExchange, { faults_.Outage(), 0, false, false });
     return;
   }
   aExchange.Respond(detail::kOk, {}, detail::ObjectsToJson(changes, since));
@@ -227,7 +230,7 @@
                          const std::string& aKind,
                          const std::string& aName,
                          const ExpectedVersion& aExpected,
-                         bool aLosesAnswer)
+                         bool aDropsResponse)
 {
   const auto method = aExchange.Method();
   if (method != "PUT" && method != "DELETE") {
@@ -246,8 +249,8 @@
   int64_t version = 0;
   const bool written =
     objects_.Write(aKind, aName, aExpected, std::move(value), version);
-  if (aLosesAnswer) {
-    lostAnswers_.fetch_add(1);
+  if (aDropsResponse) {
+    droppedResponses_.fetch_add(1);
     aExchange.Abort();
     return;
   }
@@ -256,7 +259,7 @@
                     {});
 }
 
-void StandinStore::HandleFault(HttpExchange& aExchange)
+void StandinStore::HandleFaultSettings(HttpExchange& aExchange)
 {
   if (aExchange.Method() == "POST") {
     const auto body = aExchange.ReadBody(detail::kMaxValueBytes);
@@ -292,7 +295,7 @@
       count;
   }
   document["calls"] = sum;
-  document["lostAnswers"] = lostAnswers_.load();
+  document["lostAnswers"] = droppedResponses_.load();
   const std::lock_guard lock(mutex_);
   document["byCallAndKind"] = callsByKind_;
   return document.dump();
--- a/standin/StandinStore.hpp
+++ b/standin/StandinStore.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "StoreFaults.hpp"
+#include "StoreFaultInjector.hpp"
 #include "VersionedObjects.hpp"
 #include "common/HttpServer.hpp"
 
@@ -54,7 +54,7 @@
                   const std::string& aKind,
                   const std::string& aName);
   /// True when the fault has ended the call.
-  bool ShowFault(HttpExchange& aExchange, const StoreFault& aFault);
+  bool InjectFault(HttpExchange& aExchange, const StoreFault& aFault);
   void Read(HttpExchange& aExchange,
             const std::string& aKind,
             const std::string& aName);
@@ -64,19 +64,19 @@
              const std::string& aKind,
              const std::string& aName,
              const ExpectedVersion& aExpected,
-             bool aLosesAnswer);
-  void HandleFault(HttpExchange& aExchange);
+             bool aDropsResponse);
+  void HandleFaultSettings(HttpExchange& aExchange);
   void CountCall(StoreCall aCall, const std::string& aKind);
   std::string Stats() const;
 
   VersionedObjects objects_;
-  StoreFaults faults_;
+  StoreFaultInjector faults_;
   HttpServer server_;
   std::array<std::atomic<int64_t>, static_cast<size_t>(StoreCall::Count)>
     calls_{};
   mutable std::mutex mutex_;
   std::map<std::string, int64_t> callsByKind_;
-  std::atomic<int64_t> lostAnswers_ = 0;
+  std::atomic<int64_t> droppedResponses_ = 0;
   std::atomic<bool> stopping_ = false;
 };
 
--- a/standin/LinkCut.cpp
+++ b/standin/TcpFaultProxy.cpp
@@ -1,4 +1,4 @@
-#include "LinkCut.hpp"
+#include "TcpFaultProxy.hpp"
 
 #include "common/Strings.hpp"
 
@@ -17,7 +17,7 @@
 
 namespace detail {
 
-sockaddr_in LoopbackAddress(const std::string& aText)
+sockaddr_in ParseAddress(const std::string& aText)
 {
   const auto colon = aText.rfind(':');
   uint16_t port = 0;
@@ -35,7 +35,7 @@
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   const int enabled = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-  const auto address = LoopbackAddress(aListen);
+  const auto address = ParseAddress(aListen);
   if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) !=
         0 ||
       listen(fd, kBacklog) != 0) {
@@ -46,7 +46,7 @@
 }
 
 /// Closes with a reset instead of an orderly end.
-void Reset(int aFd)
+void ResetConnection(int aFd)
 {
   const linger now{ .l_onoff = 1, .l_linger = 0 };
   setsockopt(aFd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
@@ -55,35 +55,35 @@
 
 }
 
-struct LinkCut::Link
+struct TcpFaultProxy::ConnectionPair
 {
   /// Bytes read from one side and not yet written to the other.
   struct Direction
   {
     std::vector<char> pending_;
-    bool sourceEnded_ = false;
-    bool endForwarded_ = false;
+    bool eofReceived_ = false;
+    bool eofForwarded_ = false;
   };
 
   int client_ = -1;
   int server_ = -1;
-  bool silenced_ = false;
-  Direction up_;
-  Direction down_;
+  bool stalled_ = false;
+  Direction toServer_;
+  Direction toClient_;
 };
 
-LinkCut::LinkCut(std::string aListen, std::string aTarget)
+TcpFaultProxy::TcpFaultProxy(std::string aListen, std::string aTarget)
   : listen_(std::move(aListen))
   , target_(std::move(aTarget))
 {
 }
 
-LinkCut::~LinkCut()
+TcpFaultProxy::~TcpFaultProxy()
 {
   Stop();
 }
 
-absl::Status LinkCut::Start()
+absl::Status TcpFaultProxy::Start()
 {
   listener_ = detail::OpenListener(listen_);
   if (listener_ < 0) {
@@ -93,7 +93,7 @@
   return absl::OkStatus();
 }
 
-void LinkCut::Stop()
+void TcpFaultProxy::Stop()
 {
   stopping_ = true;
   wake_.Cancel();
@@ -102,85 +102,87 @@
   }
 }
 
-void LinkCut::SetMode(LinkMode aMode)
+void TcpFaultProxy::SetMode(ProxyMode aMode)
 {
   mode_ = aMode;
   wake_.Cancel();
 }
 
-void LinkCut::SilenceOpen()
+void TcpFaultProxy::StallOpenConnections()
 {
-  silenceOpen_ = true;
+  stallOpenConnections_ = true;
   wake_.Cancel();
 }
 
-bool LinkCut::IsCut(const Link& aLink, bool aUp) const
+bool TcpFaultProxy::IsBlocked(const ConnectionPair& aPair, bool aToServer) const
 {
   const auto mode = mode_.load();
-  return aLink.silenced_ || mode == LinkMode::DropBoth ||
-         mode == (aUp ? LinkMode::DropUp : LinkMode::DropDown);
+  return aPair.stalled_ || mode == ProxyMode::DropBoth ||
+         mode ==
+           (aToServer ? ProxyMode::DropToServer : ProxyMode::DropToClient);
 }
 
-void LinkCut::ApplyCommands()
+void TcpFaultProxy::ApplyCommands()
 {
   wake_.Reset();
-  if (silenceOpen_.exchange(false)) {
-    std::ranges::for_each(links_, [](Link& aLink) { aLink.silenced_ = true; });
+  if (stallOpenConnections_.exchange(false)) {
+    std::ranges::for_each(pairs_,
+                          [](ConnectionPair& aPair) { aPair.stalled_ = true; });
   }
-  if (mode_ == LinkMode::Refuse && listener_ >= 0) {
+  if (mode_ == ProxyMode::Refuse && listener_ >= 0) {
     close(listener_);
     listener_ = -1;
-    for (const auto& link : links_) {
-      detail::Reset(link.client_);
-      detail::Reset(link.server_);
+    for (const auto& pair : pairs_) {
+      detail::ResetConnection(pair.client_);
+      detail::ResetConnection(pair.server_);
     }
-    links_.clear();
-  } else if (mode_ != LinkMode::Refuse && listener_ < 0) {
+    pairs_.clear();
+  } else if (mode_ != ProxyMode::Refuse && listener_ < 0) {
     listener_ = detail::OpenListener(listen_);
   }
 }
 
-void LinkCut::Accept()
+void TcpFaultProxy::Accept()
 {
-  Link link;
-  link.client_ =
+  ConnectionPair pair;
+  pair.client_ =
     accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-  if (link.client_ < 0) {
+  if (pair.client_ < 0) {
     return;
   }
-  link.server_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const auto target = detail::LoopbackAddress(target_);
+  pair.server_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const auto target = detail::ParseAddress(target_);
   // On loopback the connect ends at once, with success or a refusal.
-  if (connect(link.server_,
+  if (connect(pair.server_,
               reinterpret_cast<const sockaddr*>(&target),
               sizeof(target)) != 0) {
-    detail::Reset(link.client_);
-    close(link.server_);
+    detail::ResetConnection(pair.client_);
+    close(pair.server_);
     return;
   }
-  fcntl(link.server_, F_SETFL, O_NONBLOCK);
+  fcntl(pair.server_, F_SETFL, O_NONBLOCK);
   const int enabled = 1;
-  for (const int fd : { link.client_, link.server_ }) {
+  for (const int fd : { pair.client_, pair.server_ }) {
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
   }
-  links_.push_back(std::move(link));
+  pairs_.push_back(std::move(pair));
 }
 
-bool LinkCut::Move(Link& aLink, bool aUp) const
+bool TcpFaultProxy::Forward(ConnectionPair& aPair, bool aToServer) const
 {
   constexpr size_t kBufferBytes = 64 * 1024;
-  const int from = aUp ? aLink.client_ : aLink.server_;
-  const int to = aUp ? aLink.server_ : aLink.client_;
-  auto& direction = aUp ? aLink.up_ : aLink.down_;
-  if (IsCut(aLink, aUp)) {
+  const int from = aToServer ? aPair.client_ : aPair.server_;
+  const int to = aToServer ? aPair.server_ : aPair.client_;
+  auto& direction = aToServer ? aPair.toServer_ : aPair.toClient_;
+  if (IsBlocked(aPair, aToServer)) {
     return true;
   }
-  if (direction.pending_.empty() && !direction.sourceEnded_) {
+  if (direction.pending_.empty() && !direction.eofReceived_) {
     direction.pending_.resize(kBufferBytes);
     const auto got = recv(from, direction.pending_.data(), kBufferBytes, 0);
     direction.pending_.resize(got > 0 ? static_cast<size_t>(got) : 0);
     if (got == 0) {
-      direction.sourceEnded_ = true;
+      direction.eofReceived_ = true;
     } else if (got < 0 && errno != EAGAIN && errno != EINTR) {
       return false;
     }
@@ -196,54 +198,54 @@
                                direction.pending_.begin() + sent);
     }
   }
-  if (direction.sourceEnded_ && direction.pending_.empty() &&
-      !direction.endForwarded_) {
+  if (direction.eofReceived_ && direction.pending_.empty() &&
+      !direction.eofForwarded_) {
     shutdown(to, SHUT_WR);
-    direction.endForwarded_ = true;
+    direction.eofForwarded_ = true;
   }
-  return !(aLink.up_.endForwarded_ && aLink.down_.endForwarded_);
+  return !(aPair.toServer_.eofForwarded_ && aPair.toClient_.eofForwarded_);
 }
 
-void LinkCut::Run()
+void TcpFaultProxy::Run()
 {
   while (!stopping_) {
     std::vector<pollfd> entries = { { wake_.FileDescriptor(), POLLIN, 0 },
                                     { listener_, POLLIN, 0 } };
-    for (const auto& link : links_) {
-      const auto events = [&](bool aReadsUp) {
-        const auto& reads = aReadsUp ? link.up_ : link.down_;
-        const auto& writes = aReadsUp ? link.down_ : link.up_;
-        const bool wantsRead = !IsCut(link, aReadsUp) &&
-                               reads.pending_.empty() && !reads.sourceEnded_;
+    for (const auto& pair : pairs_) {
+      const auto events = [&](bool aReadsFromClient) {
+        const auto& reads = aReadsFromClient ? pair.toServer_ : pair.toClient_;
+        const auto& writes = aReadsFromClient ? pair.toClient_ : pair.toServer_;
+        const bool wantsRead = !IsBlocked(pair, aReadsFromClient) &&
+                               reads.pending_.empty() && !reads.eofReceived_;
         const bool wantsWrite =
-          !IsCut(link, !aReadsUp) && !writes.pending_.empty();
+          !IsBlocked(pair, !aReadsFromClient) && !writes.pending_.empty();
         return static_cast<short>((wantsRead ? POLLIN : 0) |
                                   (wantsWrite ? POLLOUT : 0));
       };
       // A negative descriptor is ignored; a cut side must not wake the loop
       // when the peer hangs up.
-      const short up = events(true);
-      const short down = events(false);
-      entries.push_back({ up ? link.client_ : -1, up, 0 });
-      entries.push_back({ down ? link.server_ : -1, down, 0 });
+      const short clientEvents = events(true);
+      const short serverEvents = events(false);
+      entries.push_back({ clientEvents ? pair.client_ : -1, clientEvents, 0 });
+      entries.push_back({ serverEvents ? pair.server_ : -1, serverEvents, 0 });
     }
     poll(entries.data(), entries.size(), -1);
     ApplyCommands();
     if (listener_ >= 0 && entries[1].revents != 0) {
       Accept();
     }
-    std::erase_if(links_, [this](Link& aLink) {
-      if (Move(aLink, true) && Move(aLink, false)) {
+    std::erase_if(pairs_, [this](ConnectionPair& aPair) {
+      if (Forward(aPair, true) && Forward(aPair, false)) {
         return false;
       }
-      detail::Reset(aLink.client_);
-      detail::Reset(aLink.server_);
+      detail::ResetConnection(aPair.client_);
+      detail::ResetConnection(aPair.server_);
       return true;
     });
   }
-  for (const auto& link : links_) {
-    close(link.client_);
-    close(link.server_);
+  for (const auto& pair : pairs_) {
+    close(pair.client_);
+    close(pair.server_);
   }
   if (listener_ >= 0) {
     close(listener_);
--- a/standin/VersionedObjects.cpp
+++ b/standin/VersionedObjects.cpp
@@ -8,7 +8,7 @@
 namespace detail {
 
 /// Longest lag that a list can show.
-constexpr TimeMs kKeptMs = 120000;
+constexpr TimeMs kHistoryRetentionMs = 120000;
 /// Lagged states become visible without a notification.
 constexpr TimeMs kLagPollMs = 10;
 
@@ -32,19 +32,20 @@
   if (object == kind->second.end()) {
     return std::nullopt;
   }
-  const auto* state = VisibleAt(object->second, clock_.NowMs() - aLagMs);
+  const auto* state = StateAt(object->second, clock_.NowMs() - aLagMs);
   return state && state->value_ ? std::optional(*state) : std::nullopt;
 }
 
-std::vector<ObjectRevision> VersionedObjects::Changes(const std::string& aKind,
-                                                      int64_t aSince,
-                                                      TimeMs aLagMs) const
+std::vector<ObjectRevision> VersionedObjects::ChangesSince(
+  const std::string& aKind,
+  int64_t aSince,
+  TimeMs aLagMs) const
 {
   const std::lock_guard lock(mutex_);
   return ChangesLocked(aKind, aSince, aLagMs);
 }
 
-std::vector<ObjectRevision> VersionedObjects::WaitChanges(
+std::vector<ObjectRevision> VersionedObjects::WaitForChanges(
   const std::string& aKind,
   int64_t aSince,
   TimeMs aLagMs,
@@ -83,7 +84,7 @@
     // Keeps the newest state that is older than the kept time.
     const auto firstKept =
       std::ranges::find_if(history, [now](const auto& aState) {
-        return aState.writtenMs_ > now - detail::kKeptMs;
+        return aState.writtenMs_ > now - detail::kHistoryRetentionMs;
       });
     if (firstKept - history.begin() > 1) {
       history.erase(history.begin(), firstKept - 1);
@@ -115,7 +116,7 @@
   }
   const TimeMs time = clock_.NowMs() - aLagMs;
   for (const auto& [name, history] : kind->second) {
-    const auto* state = VisibleAt(history, time);
+    const auto* state = StateAt(history, time);
     if (state && state->revision_ > aSince && (state->value_ || aSince > 0)) {
       changes.push_back(*state);
     }
@@ -123,8 +124,8 @@
   return changes;
 }
 
-const ObjectRevision* VersionedObjects::VisibleAt(const History& aHistory,
-                                                  TimeMs aTime) const
+const ObjectRevision* VersionedObjects::StateAt(const History& aHistory,
+                                                TimeMs aTime) const
 {
   const auto later =
     std::ranges::upper_bound(aHistory, aTime, {}, &ObjectRevision::writtenMs_);
--- a/standin/VersionedObjects.hpp
+++ b/standin/VersionedObjects.hpp
@@ -36,14 +36,14 @@
                                     const std::string& aName,
                                     TimeMs aLagMs) const;
   /// States of the kind after aSince, with deletions when aSince is above 0.
-  std::vector<ObjectRevision> Changes(const std::string& aKind,
-                                      int64_t aSince,
-                                      TimeMs aLagMs) const;
+  std::vector<ObjectRevision> ChangesSince(const std::string& aKind,
+                                           int64_t aSince,
+                                           TimeMs aLagMs) const;
   /// As Changes(), waiting up to aWaitMs for one.
-  std::vector<ObjectRevision> WaitChanges(const std::string& aKind,
-                                          int64_t aSince,
-                                          TimeMs aLagMs,
-                                          TimeMs aWaitMs) const;
+  std::vector<ObjectRevision> WaitForChanges(const std::string& aKind,
+                                             int64_t aSince,
+                                             TimeMs aLagMs,
+                                             TimeMs aWaitMs) const;
   /// Empty aValue deletes. On a conflict aVersion receives the present version
   /// and the result is false.
   bool Write(const std::string& aKind,
@@ -56,17 +56,17 @@
 
 private:
   using History = std::vector<ObjectRevision>;
-  using Kind = std::map<std::string, History>;
+  using ObjectHistories = std::map<std::string, History>;
 
   std::vector<ObjectRevision> ChangesLocked(const std::string& aKind,
                                             int64_t aSince,
                                             TimeMs aLagMs) const;
-  const ObjectRevision* VisibleAt(const History& aHistory, TimeMs aTime) const;
+  const ObjectRevision* StateAt(const History& aHistory, TimeMs aTime) const;
 
   const Clock& clock_;
   mutable std::mutex mutex_;
   mutable std::condition_variable changed_;
-  std::map<std::string, Kind> kinds_;
+  std::map<std::string, ObjectHistories> kinds_;
   int64_t revision_ = 0;
   bool closed_ = false;
 };
--- a/standin/KeyPopularity.hpp
+++ b/standin/ZipfKeyDistribution.hpp
@@ -10,17 +10,17 @@
 
 /// Zipf popularity over numbered keys. The hot set changes when a new shift
 /// maps the ranks to other keys.
-class KeyPopularity
+class ZipfKeyDistribution
 {
 public:
   /// aExponent 0: all keys alike.
-  KeyPopularity(size_t aKeys, double aExponent);
+  ZipfKeyDistribution(size_t aKeys, double aExponent);
 
-  size_t Draw(std::mt19937_64& aRandom, uint64_t aShift) const;
-  static std::string Name(size_t aIndex);
+  size_t SampleIndex(std::mt19937_64& aRandom, uint64_t aHotSetNumber) const;
+  static std::string KeyName(size_t aIndex);
 
 private:
-  std::vector<double> cumulative_;
+  std::vector<double> cumulativeWeights_;
 };
 
 }
--- a/tests/AdminFleetTest.cpp
+++ b/tests/AdminFleetTest.cpp
@@ -76,7 +76,7 @@
     load.warmupMs_ = 0;
     load.connections_ = 8;
     load.postPercent_ = 0;
-    load.maxSends_ = 1;
+    load.maxAttempts_ = 1;
     return RunLoad(clock_, load).Requests();
   }
 
--- a/tests/Deployment.hpp
+++ b/tests/Deployment.hpp
@@ -62,7 +62,7 @@
   std::string Address(const std::string& aName) const;
   std::vector<std::string> BackendNames(const std::string& aService) const;
   std::string HistoryFile(const std::string& aBackend) const;
-  /// Sets the mode of the cut in front of a process; see LinkMode.
+  /// Sets the mode of the cut in front of a process; see ProxyMode.
   bool SetCut(const std::string& aName, const std::string& aMode);
   bool SetStoreFault(const std::string& aJson);
 
--- a/tests/FailureRun.cpp
+++ b/tests/FailureRun.cpp
@@ -2,7 +2,7 @@
 
 #include "common/KeyHash.hpp"
 #include "common/Strings.hpp"
-#include "standin/KeyPopularity.hpp"
+#include "standin/ZipfKeyDistribution.hpp"
 #include "tests/HistoryChecker.hpp"
 
 #include <algorithm>
@@ -144,7 +144,7 @@
   load_.zipfExponent_ = 0.5;
   load_.postPercent_ = 40;
   load_.deadlineMs_ = 1500;
-  load_.maxSends_ = 10;
+  load_.maxAttempts_ = 10;
 }
 
 FailureRun::~FailureRun()
@@ -226,7 +226,7 @@
   const auto& routers = load_.targets_;
   for (size_t key = 0; key < detail::kKeys; ++key) {
     const auto target =
-      Concat("/", detail::kService, "/", KeyPopularity::Name(key));
+      Concat("/", detail::kService, "/", ZipfKeyDistribution::KeyName(key));
     const bool served = WaitFor(kServedMs, [&] {
       return std::ranges::any_of(routers, [&](const std::string& aRouter) {
         return HttpCall("GET", aRouter, target).has_value();
--- a/tests/GatewaySoak.cpp
+++ b/tests/GatewaySoak.cpp
@@ -167,8 +167,8 @@
     gateway.peer_ = FreeEndpoint();
     gateway.metrics_ = FreeEndpoint();
     gateway.store_ = FreeEndpoint().ToText();
-    gateway.storeLink_ =
-      std::make_unique<LinkCut>(gateway.store_, store_.Address().ToText());
+    gateway.storeLink_ = std::make_unique<TcpFaultProxy>(
+      gateway.store_, store_.Address().ToText());
     if (!gateway.storeLink_->Start().ok()) {
       throw std::runtime_error("a link to the store does not listen");
     }
@@ -427,14 +427,15 @@
 
 void GatewaySoak::CutGateway()
 {
-  static constexpr LinkMode kModes[] = {
-    LinkMode::DropUp, LinkMode::DropDown, LinkMode::DropBoth, LinkMode::Refuse
-  };
+  static constexpr ProxyMode kModes[] = { ProxyMode::DropToServer,
+                                          ProxyMode::DropToClient,
+                                          ProxyMode::DropBoth,
+                                          ProxyMode::Refuse };
   const int index = DrawGateway();
   gateways_[index].storeLink_->SetMode(kModes[Draw(0, 3)]);
   journal_.OnGatewayCut(index, true);
   tasks_.After(Draw(100, kLongestFaultMs), [this, index] {
-    gateways_[index].storeLink_->SetMode(LinkMode::Pass);
+    gateways_[index].storeLink_->SetMode(ProxyMode::Pass);
     journal_.OnGatewayCut(index, false);
   });
 }
@@ -489,9 +490,9 @@
 
 void GatewaySoak::CutBackend()
 {
-  static constexpr LinkMode kModes[] = { LinkMode::DropUp,
-                                         LinkMode::DropDown,
-                                         LinkMode::DropBoth };
+  static constexpr ProxyMode kModes[] = { ProxyMode::DropToServer,
+                                          ProxyMode::DropToClient,
+                                          ProxyMode::DropBoth };
   auto& backend = DrawBackend();
   // Grants that a link holds up do not count, so keyed servers keep theirs.
   if (!backend.IsKeyed()) {
--- a/tests/GatewaySoak.hpp
+++ b/tests/GatewaySoak.hpp
@@ -50,7 +50,7 @@
     Endpoint ready_;
     Endpoint peer_;
     Endpoint metrics_;
-    std::unique_ptr<LinkCut> storeLink_;
+    std::unique_ptr<TcpFaultProxy> storeLink_;
     std::string store_;
     GatewayState state_ = GatewayState::Down;
     int run_ = 0; ///< counts its starts
--- a/tests/LoadGeneratorTest.cpp
+++ b/tests/LoadGeneratorTest.cpp
@@ -11,7 +11,7 @@
 namespace cactuspitch {
 namespace {
 
-std::string Answer(const HttpExchange& aExchange)
+std::string MakeResponseBody(const HttpExchange& aExchange)
 {
   const auto path = aExchange.Path();
   return Concat(R"({"id":")",
@@ -44,12 +44,12 @@
 };
 
 // Guards against a check that takes another request's answer as correct.
-TEST_F(LoadGeneratorTest, ForeignAnswersAreFound)
+TEST_F(LoadGeneratorTest, MismatchedResponsesAreCounted)
 {
   int count = 0;
   std::string previous;
   const auto report = Run([&](HttpExchange& aExchange) {
-    const auto own = Answer(aExchange);
+    const auto own = MakeResponseBody(aExchange);
     aExchange.Respond(200, {}, ++count % 10 == 0 ? previous : own);
     previous = own;
   });
@@ -59,10 +59,10 @@
 }
 
 // Guards against a truncated answer that is counted as complete.
-TEST_F(LoadGeneratorTest, TruncatedAnswersAreFound)
+TEST_F(LoadGeneratorTest, TruncatedResponsesAreCounted)
 {
   const auto report = Run([](HttpExchange& aExchange) {
-    const auto text = Answer(aExchange);
+    const auto text = MakeResponseBody(aExchange);
     aExchange.BeginResponse(200, {}, text.size() + 1);
     aExchange.Write(text);
   });
@@ -72,14 +72,14 @@
 
 // Guards against latencies that hide a stall, because they count from the
 // time of a send that was itself late.
-TEST_F(LoadGeneratorTest, LatencyCountsFromTheIntendedSend)
+TEST_F(LoadGeneratorTest, LatencyIsMeasuredFromIntendedSendTime)
 {
   int count = 0;
   const auto report = Run([&](HttpExchange& aExchange) {
     if (++count == 1) {
       std::this_thread::sleep_for(std::chrono::milliseconds(150));
     }
-    aExchange.Respond(200, {}, Answer(aExchange));
+    aExchange.Respond(200, {}, MakeResponseBody(aExchange));
   });
   EXPECT_EQ(report.Requests(), 100);
   // The stall delays the first 75 requests, by 150 ms down to 0.
@@ -88,7 +88,7 @@
 
 // Guards against a caller that repeats before the time it was told, or that
 // repeats a booking whose outcome it does not know.
-TEST_F(LoadGeneratorTest, RepeatsRespectTheAnswer)
+TEST_F(LoadGeneratorTest, RetriesFollowTheResponse)
 {
   std::map<std::string, std::pair<int, TimeMs>, std::less<>> seen;
   const auto report = Run([&](HttpExchange& aExchange) {
@@ -107,7 +107,7 @@
                           { header::kRetryAfterMs, "50" } },
                         {});
     } else {
-      aExchange.Respond(200, {}, Answer(aExchange));
+      aExchange.Respond(200, {}, MakeResponseBody(aExchange));
     }
     EXPECT_TRUE(aExchange.Method() == "GET" || sends == 1);
   });
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -13,8 +13,9 @@
   void ExpectNothingLost()
   {
     EXPECT_EQ(run_.Finish(), "");
-    for (const auto outcome :
-         { LoadOutcome::Lost, LoadOutcome::Unknown, LoadOutcome::Truncated }) {
+    for (const auto outcome : { LoadOutcome::ConnectionLost,
+                                LoadOutcome::Unknown,
+                                LoadOutcome::Truncated }) {
       EXPECT_EQ(run_.Report().Count(outcome), 0) << EnumName(outcome);
     }
   }
--- a/tests/SoakBackend.cpp
+++ b/tests/SoakBackend.cpp
@@ -73,7 +73,7 @@
 {
   if (options_.linked_) {
     const auto listen = FreeEndpoint().ToText();
-    link_ = std::make_unique<LinkCut>(listen, address_);
+    link_ = std::make_unique<TcpFaultProxy>(listen, address_);
     if (!link_->Start().ok()) {
       throw std::runtime_error("the link does not listen");
     }
@@ -228,7 +228,7 @@
   ordersDelayedUntilMs_ = loop_.NowMs() + aForMs;
 }
 
-void SoakBackend::CutLink(LinkMode aMode, TimeMs aForMs)
+void SoakBackend::CutLink(ProxyMode aMode, TimeMs aForMs)
 {
   if (link_ == nullptr) {
     return;
@@ -237,7 +237,7 @@
   link_->SetMode(aMode);
   tasks_.After(aForMs, [this] {
     journal_.OnServerTrouble(id_);
-    link_->SetMode(LinkMode::Pass);
+    link_->SetMode(ProxyMode::Pass);
   });
 }
 
@@ -245,7 +245,7 @@
 {
   if (link_ != nullptr) {
     journal_.OnServerTrouble(id_);
-    link_->SilenceOpen();
+    link_->StallOpenConnections();
   }
 }
 
--- a/tests/SoakBackend.hpp
+++ b/tests/SoakBackend.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/EnumNames.hpp"
-#include "standin/LinkCut.hpp"
+#include "standin/TcpFaultProxy.hpp"
 #include "tests/PlatformStore.hpp"
 #include "tests/SoakJournal.hpp"
 
@@ -70,7 +70,7 @@
   void SetFaultMode(AnswerTrouble aTrouble, TimeMs aForMs);
   /// Grants and releases are carried out late and not answered.
   void DelayOrders(TimeMs aForMs);
-  void CutLink(LinkMode aMode, TimeMs aForMs);
+  void CutLink(ProxyMode aMode, TimeMs aForMs);
   void SilenceConnections();
   bool IsUp() const { return up_; }
   bool IsKeyed() const { return options_.keyed_; }
@@ -124,7 +124,7 @@
   Options options_;
   std::minstd_rand random_;
   ScriptedServer server_;
-  std::unique_ptr<LinkCut> link_;
+  std::unique_ptr<TcpFaultProxy> link_;
   std::string address_; ///< that it registers
   DelayedTasks tasks_;
   Timer beatTimer_;
--- a/tests/StandinBackendTest.cpp
+++ b/tests/StandinBackendTest.cpp
@@ -13,7 +13,10 @@
 
 constexpr TimeMs kOffsetMs = 1000000;
 
-json Order(Term aTerm, int64_t aSequence, TimeMs aUntilMs, Epoch aEpoch)
+json MakeGrantCommand(Term aTerm,
+                      int64_t aSequence,
+                      TimeMs aUntilMs,
+                      Epoch aEpoch)
 {
   return {
     { "group", "ledger.0" },
@@ -29,14 +32,16 @@
 
 // Guards against a stand-in that hides faults of the product by taking orders
 // or requests which a real server refuses.
-TEST(BackendGrants, OldOrdersAndRequestsAreRefused)
+TEST(BackendGrants, StaleCommandsAndRequestsAreRejected)
 {
   BackendGrants grants("inc", true);
   EXPECT_EQ(grants.Begin(5, 1, 0), NotRunReason::NotOwner);
-  EXPECT_TRUE(grants.Apply(Order(2, 1, 100, 7), 0, 0));
-  EXPECT_FALSE(grants.Apply(Order(1, 9, 100, 8), 0, 0)) << "lower term";
-  EXPECT_FALSE(grants.Apply(Order(2, 2, 50, 8), 50, 0)) << "expired order";
-  auto other = Order(2, 2, 100, 8);
+  EXPECT_TRUE(grants.Apply(MakeGrantCommand(2, 1, 100, 7), 0, 0));
+  EXPECT_FALSE(grants.Apply(MakeGrantCommand(1, 9, 100, 8), 0, 0))
+    << "lower term";
+  EXPECT_FALSE(grants.Apply(MakeGrantCommand(2, 2, 50, 8), 50, 0))
+    << "expired order";
+  auto other = MakeGrantCommand(2, 2, 100, 8);
   other["incarnation"] = "gone";
   EXPECT_FALSE(grants.Apply(other, 0, 0));
   EXPECT_EQ(grants.Begin(5, 6, 0), NotRunReason::StaleEpoch);
@@ -47,7 +52,8 @@
                         { "sequence", 0 },
                         { "incarnation", "" } };
   EXPECT_TRUE(grants.Apply(report, 0, 0));
-  EXPECT_FALSE(grants.Apply(Order(2, 5, 100, 7), 0, 0)) << "fenced term";
+  EXPECT_FALSE(grants.Apply(MakeGrantCommand(2, 5, 100, 7), 0, 0))
+    << "fenced term";
 }
 
 // Guards against a revoke that is acknowledged while a request of the revoked
@@ -55,7 +61,7 @@
 TEST(BackendGrants, RevokeWaitsForRunningRequests)
 {
   BackendGrants grants("inc", true);
-  ASSERT_TRUE(grants.Apply(Order(1, 1, 1000, 7), 0, 0));
+  ASSERT_TRUE(grants.Apply(MakeGrantCommand(1, 1, 1000, 7), 0, 0));
   ASSERT_EQ(grants.Begin(5, 7, 0), std::nullopt);
   json revoke = { { "term", 1 },
                   { "sequence", 2 },
@@ -108,10 +114,12 @@
   {
     const auto health =
       json::parse(Call("GET", "/_cactuspitch/health", {}).body_);
-    auto order = Order(1, 1, health["clockMs"].get<TimeMs>() + 5000, 7);
-    order["incarnation"] = health["incarnation"];
+    auto command =
+      MakeGrantCommand(1, 1, health["clockMs"].get<TimeMs>() + 5000, 7);
+    command["incarnation"] = health["incarnation"];
     EXPECT_EQ(
-      Call("POST", "/_cactuspitch/grant", {}, order.dump()).head_.status_, 200);
+      Call("POST", "/_cactuspitch/grant", {}, command.dump()).head_.status_,
+      200);
   }
 
   SteadyClock clock_;
@@ -121,7 +129,7 @@
 
 // Guards against executions without history, and against a server that takes
 // deadlines in a clock other than its own.
-TEST_F(StandinBackendTest, RunsWithinGrantAndDeadline)
+TEST_F(StandinBackendTest, RunsRequestsWithinGrantAndDeadline)
 {
   Grant();
   const HttpHeaders headers = { { header::kSliceEpoch, "7" },
--- a/tests/LinkCutTest.cpp
+++ b/tests/TcpFaultProxyTest.cpp
@@ -1,4 +1,4 @@
-#include "standin/LinkCut.hpp"
+#include "standin/TcpFaultProxy.hpp"
 
 #include "common/HttpServer.hpp"
 #include "tests/ReservedPort.hpp"
@@ -8,20 +8,20 @@
 namespace cactuspitch {
 namespace {
 
-class LinkCutTest : public testing::Test
+class TcpFaultProxyTest : public testing::Test
 {
 protected:
-  LinkCutTest()
+  TcpFaultProxyTest()
     : server_({ .listen_ = target_.Address(), .threads_ = 4 },
               [this](HttpExchange& aExchange) {
                 ++requests_;
                 aExchange.Respond(200, {}, "ok");
               })
-    , link_(listen_.Address(), target_.Address())
+    , proxy_(listen_.Address(), target_.Address())
     , connection_(clock_, listen_.Address())
   {
     EXPECT_TRUE(server_.Start().ok());
-    EXPECT_TRUE(link_.Start().ok());
+    EXPECT_TRUE(proxy_.Start().ok());
   }
 
   absl::Status Call(HttpConnection& aConnection, TimeMs aTimeoutMs = 3000)
@@ -36,39 +36,39 @@
   ReservedPort listen_;
   std::atomic<int> requests_ = 0;
   HttpServer server_;
-  LinkCut link_;
+  TcpFaultProxy proxy_;
   HttpConnection connection_;
 };
 
 // Guards against a cut that ends connections: a real one is silent.
-TEST_F(LinkCutTest, CutIsSilentAndEnds)
+TEST_F(TcpFaultProxyTest, DropIsSilentAndReversible)
 {
   ASSERT_TRUE(Call(connection_).ok());
-  link_.SetMode(LinkMode::DropUp);
+  proxy_.SetMode(ProxyMode::DropToServer);
   EXPECT_TRUE(absl::IsDeadlineExceeded(Call(connection_, 200)));
   EXPECT_EQ(requests_, 1);
-  link_.SetMode(LinkMode::DropDown);
+  proxy_.SetMode(ProxyMode::DropToClient);
   EXPECT_TRUE(absl::IsDeadlineExceeded(Call(connection_, 200)));
   EXPECT_GE(requests_, 2);
-  link_.SetMode(LinkMode::Pass);
+  proxy_.SetMode(ProxyMode::Pass);
   EXPECT_TRUE(Call(connection_).ok());
 }
 
 // Guards against a fault that also hits connections opened after it.
-TEST_F(LinkCutTest, OpenConnectionsGoSilentWhileNewOnesWork)
+TEST_F(TcpFaultProxyTest, OpenConnectionsStallWhileNewOnesWork)
 {
   ASSERT_TRUE(Call(connection_).ok());
-  link_.SilenceOpen();
+  proxy_.StallOpenConnections();
   HttpConnection second(clock_, listen_.Address());
   EXPECT_TRUE(absl::IsDeadlineExceeded(Call(connection_, 200)));
   EXPECT_TRUE(Call(second).ok());
 }
 
 // Guards against a refusal that looks like silence.
-TEST_F(LinkCutTest, RefusedLinkRefusesAtOnce)
+TEST_F(TcpFaultProxyTest, RefuseModeRejectsConnectionsAtOnce)
 {
   ASSERT_TRUE(Call(connection_).ok());
-  link_.SetMode(LinkMode::Refuse);
+  proxy_.SetMode(ProxyMode::Refuse);
   while (connection_.IsReusable()) {
   }
   EXPECT_TRUE(absl::IsUnavailable(Call(connection_)));
