Reword comments, help and error texts of the stand-ins

Cause: comments and help texts of standin/ and its three tests were terse or used words that the field doesn't use (send, answer, cut, refuse). Change: comments, doc comments, the help of settings and the error bodies of the stand-in servers are reworded; doc comments say what is returned on failure. No test, script or tool matches a changed text.

--- a/standin/BackendGrants.cpp
+++ b/standin/BackendGrants.cpp
@@ -10,8 +10,8 @@
 
 namespace detail {
 
-/// Hashes are JSON numbers, or strings for senders whose JSON library has no
-/// unsigned 64-bit numbers.
+/// Parses a hash given as a JSON number, or as a decimal string from clients
+/// whose JSON library lacks unsigned 64-bit integers.
 KeyHash HashFromJson(const nlohmann::json& aValue)
 {
   if (aValue.is_string()) {
@@ -22,6 +22,7 @@
   return aValue.get<KeyHash>();
 }
 
+/// Returns the named member, or an empty array when it is absent.
 nlohmann::json ListMember(const nlohmann::json& aCommand, const char* aName)
 {
   const auto found = aCommand.find(aName);
@@ -48,7 +49,7 @@
   if (fencingEnabled_ && version < std::pair(term_, sequence_)) {
     return true;
   }
-  // An order that was delayed beyond its lease must not change anything.
+  // A command that arrives after its lease has expired must have no effect.
   return !isReport && aCommand.at("validUntilMs").get<TimeMs>() <= aNowMs;
 }
 
--- a/standin/BackendGrants.hpp
+++ b/standin/BackendGrants.hpp
@@ -14,26 +14,32 @@
 
 namespace cactuspitch {
 
-/// What a backend server owns, and the rules by which it takes orders
-/// (docs/design.md, sections 4.1 and 7.2). Times are of the server's clock.
+/// Slices granted to a backend server, and the checks that it applies to grant
+/// commands and requests (docs/design.md, sections 4.1 and 7.2). All times are
+/// readings of the server's own clock, in milliseconds.
 class BackendGrants
 {
 public:
-  /// A server that does not check takes any order and runs any request.
+  /// Without aFencingEnabled the server accepts commands of earlier terms and
+  /// sequence numbers and runs every request.
   BackendGrants(std::string aIncarnation, bool aFencingEnabled);
 
-  /// False when the order is refused as old. A revoke returns when the
-  /// requests that run in the revoked slices have ended, at the latest after
-  /// aRevokeWaitMs; the rest fails at commit.
+  /// Applies a grant command. Returns false when the command is stale or has
+  /// expired. When slices are revoked, blocks until the requests that run in
+  /// them have ended, at most aRevokeWaitMs; requests that are still running
+  /// then fail in Commit(). Throws a JSON exception when the command is
+  /// malformed.
   bool Apply(const nlohmann::json& aCommand,
              TimeMs aNowMs,
              TimeMs aRevokeWaitMs);
-  /// Adds term, sequence and held slices.
+  /// Adds incarnation, term, sequence, lease end and held slices to aStatus.
   void AddStatus(nlohmann::json& aStatus) const;
 
-  /// Empty when the request may start; End() must then follow.
+  /// Checks whether a request may start. Returns the reason when it may not;
+  /// otherwise the caller must call End() later.
   std::optional<NotRunReason> Begin(KeyHash aHash, Epoch aEpoch, TimeMs aNowMs);
-  /// Empty when the request may take effect at aNowMs.
+  /// Checks whether a request may take effect at aNowMs. Returns the reason
+  /// when it may not.
   std::optional<NotRunReason> Commit(KeyHash aHash,
                                      Epoch aEpoch,
                                      TimeMs aNowMs) const;
@@ -58,7 +64,7 @@
 
   const std::string incarnation_;
   const bool fencingEnabled_;
-  /// Orders are applied one after another.
+  /// Serializes Apply(), which releases mutex_ while it waits.
   std::mutex commandMutex_;
   mutable std::mutex mutex_;
   std::condition_variable requestEnded_;
@@ -66,7 +72,8 @@
   int64_t sequence_ = 0;
   TimeMs leaseUntilMs_ = 0;
   Slices held_;
-  /// Revoked, but requests that run in them may still commit.
+  /// Slices held before the command that is being applied. Requests that
+  /// already run in them may still commit while Apply() waits.
   Slices revoking_;
   std::multiset<std::pair<KeyHash, Epoch>> running_;
 };
--- a/standin/BackendLoadReporter.hpp
+++ b/standin/BackendLoadReporter.hpp
@@ -10,8 +10,8 @@
 
 namespace cactuspitch {
 
-/// What a backend server reports about its health and load; it can be told to
-/// report an old state or a false one.
+/// Health and load figures that a backend server reports. Tests can make it
+/// report outdated or false figures.
 class BackendLoadReporter
 {
 public:
@@ -19,13 +19,17 @@
   {
     TimeMs timeMs_ = 0;
     int inFlight_ = 0;
-    double load_ = 0; ///< busy share of the slots
+    double load_ = 0; ///< fraction of the slots in use
   };
 
-  /// Members: lagMs; lie, an object that replaces members of the report, or
-  /// null for the truth.
+  /// Sets the faults of the report. Members of aDocument, all optional:
+  /// - lagMs: age of the reported sample.
+  /// - lie: object whose members replace those of the report; null disables
+  ///   the replacement.
   void Configure(const nlohmann::json& aDocument);
   void Add(const Sample& aSample);
+  /// Adds the figures sampled lagMs before aNowMs to aStatus, zeros when there
+  /// is no such sample, and then applies the replacements.
   void AddStatus(nlohmann::json& aStatus, TimeMs aNowMs) const;
 
 private:
--- a/standin/ConcurrencyLimiter.hpp
+++ b/standin/ConcurrencyLimiter.hpp
@@ -8,15 +8,16 @@
 
 namespace cactuspitch {
 
-/// Slots of a backend server with a short queue in front of them.
+/// Limits the requests that a backend server runs at once; further requests
+/// wait in a bounded queue.
 class ConcurrencyLimiter
 {
 public:
   enum class AcquireResult : uint8_t
   {
     Acquired,
-    QueueFull, ///< the queue is full
-    TimedOut   ///< no slot in time
+    QueueFull,
+    TimedOut ///< no slot became free within the timeout
   };
 
   ConcurrencyLimiter(int aSlots, int aMaxWaiting)
@@ -25,6 +26,8 @@
   {
   }
 
+  /// Blocks until a slot is free, at most aTimeoutMs. After Acquired the caller
+  /// must call Release().
   AcquireResult Acquire(TimeMs aTimeoutMs)
   {
     std::unique_lock lock(mutex_);
--- a/standin/ExecutionHistory.cpp
+++ b/standin/ExecutionHistory.cpp
@@ -10,7 +10,8 @@
 
 namespace detail {
 
-/// What GET /_history keeps; the file has no limit.
+/// Limit of the history kept in memory for GET /_history; the file is not
+/// limited.
 constexpr size_t kMaxHistoryBytes = 64 << 20;
 
 }
@@ -41,7 +42,7 @@
   const auto text = Concat(line.dump(), "\n");
   const std::lock_guard lock(mutex_);
   if (file_.is_open()) {
-    // Flushed at once, because the process may be killed at any moment.
+    // Flushes each line, since tests kill the process at arbitrary times.
     file_ << text << std::flush;
   }
   if (lines_.size() + text.size() <= detail::kMaxHistoryBytes) {
--- a/standin/ExecutionHistory.hpp
+++ b/standin/ExecutionHistory.hpp
@@ -10,7 +10,7 @@
 
 namespace cactuspitch {
 
-/// One request that took effect.
+/// A request that took effect.
 struct Execution
 {
   std::string_view requestId_;
@@ -19,21 +19,23 @@
   std::string_view key_;
   Epoch epoch_ = 0;
   int64_t startUs_ = 0;
-  /// The clock reading that the lease was checked against.
+  /// Clock reading at which the lease was checked before the commit.
   int64_t commitUs_ = 0;
   std::string_view response_;
 };
 
-/// Lines of JSON, one for each execution, for the history checker.
+/// Records executed requests as JSON lines for the history checker, in memory
+/// and optionally in a file. Thread-safe.
 class ExecutionHistory
 {
 public:
-  /// aFile may be empty.
+  /// Lines are appended to aFile; empty for none.
   ExecutionHistory(std::string aServer,
                    std::string aIncarnation,
                    const std::string& aFile);
 
   void Record(const Execution& aExecution);
+  /// The JSON lines kept in memory; lines beyond 64 MiB are left out.
   std::string Lines() const;
 
 private:
@@ -44,7 +46,8 @@
   std::ofstream file_;
 };
 
-/// CLOCK_BOOTTIME in microseconds, the same in all processes of a machine.
+/// CLOCK_BOOTTIME in microseconds; comparable between the processes of a
+/// machine.
 int64_t BootTimeUs();
 
 }
--- a/standin/LoadGenerator.hpp
+++ b/standin/LoadGenerator.hpp
@@ -6,8 +6,9 @@
 
 namespace cactuspitch {
 
-/// Runs a load to its end, with one thread for each connection, and writes the
-/// history file where one is named.
+/// Runs a load until it ends, with one thread for each connection, and returns
+/// the merged report. Writes one line for each attempt to the history file if
+/// aOptions names one.
 LoadReport RunLoad(const Clock& aClock, const LoadOptions& aOptions);
 
 }
--- a/standin/LoadReport.cpp
+++ b/standin/LoadReport.cpp
@@ -145,8 +145,8 @@
   return *nth / static_cast<double>(detail::kReportUsPerMs);
 }
 
-/// A gap begins with a failed send and ends with the next complete answer of
-/// the key; overlapping gaps count once.
+/// A gap begins when an attempt that fails was due, and ends with the next
+/// complete response for the key. Failures within a gap start no new gap.
 LoadReport::Gaps LoadReport::FindGaps() const
 {
   Gaps gaps;
--- a/standin/LoadReport.hpp
+++ b/standin/LoadReport.hpp
@@ -15,17 +15,17 @@
 
 namespace cactuspitch {
 
-/// How one send ended, as the caller sees it.
+/// Outcome of one attempt, as the client sees it.
 enum class LoadOutcome : uint8_t
 {
   Complete,
   NotRun,
   Unknown,
-  ConnectionLost, ///< the connection ended without an answer
-  TimedOut,       ///< no answer by the deadline plus 100 ms
-  Truncated,      ///< the connection ended within the body
-  Mismatched,     ///< the answer belongs to another request
-  Unreachable,    ///< no entry instance accepts connections
+  ConnectionLost, ///< the connection closed without a response
+  TimedOut,       ///< no response by the deadline plus 100 ms
+  Truncated,      ///< the connection closed within the body
+  Mismatched,     ///< the response belongs to another request
+  Unreachable,    ///< no entry instance accepted a connection
   Count
 };
 
@@ -38,7 +38,7 @@
   };
 };
 
-/// One send and its end.
+/// Result of one attempt.
 struct LoadResult
 {
   ScheduledRequest request_;
@@ -46,14 +46,14 @@
   int64_t doneUs_ = 0;
   LoadOutcome outcome_ = LoadOutcome::Unreachable;
   int status_ = 0;
-  std::string reason_; ///< of a not-run answer
-  std::string server_; ///< that ran it, where the answer says so
-  bool isFinal_ = true;
+  std::string reason_;  ///< X-Not-Run of a not-run response
+  std::string server_;  ///< server named in the body; may be empty
+  bool isFinal_ = true; ///< false: another attempt follows
   TimeMs retryAfterMs_ = 0;
   bool hasRetryAfter_ = false;
 };
 
-/// Counts of one worker; merged at the end.
+/// Statistics of one worker, or of all workers after Merge().
 class LoadReport
 {
 public:
@@ -62,26 +62,31 @@
   void AddResult(const LoadResult& aResult);
   void Merge(const LoadReport& aOther);
 
+  /// Number of attempts with the outcome.
   int64_t Count(LoadOutcome aOutcome) const
   {
     return attemptOutcomes_[static_cast<size_t>(aOutcome)];
   }
+  /// Number of requests, whatever their number of attempts.
   int64_t Requests() const { return requests_; }
-  /// Complete requests whose latency is within the deadline.
+  /// Number of requests completed within the deadline.
   int64_t GoodRequests() const { return goodRequests_; }
+  /// Mean rate of good requests, without the warm-up.
   double GoodputPerSecond() const;
-  /// aQuantile from 0 to 1; milliseconds from the intended send time.
+  /// Quantile, from 0 to 1, of the latency of complete requests, counted from
+  /// the intended send time; 0 when there are none.
   double LatencyMs(double aQuantile) const;
-  /// Longest time for which a key that was asked for had no complete answer.
+  /// Longest time from a failed attempt for a key to the next complete response
+  /// for that key.
   double LongestGapMs() const;
-  /// Sum over the keys of the times without a complete answer, in seconds.
+  /// Sum of these times over all gaps of all keys, in seconds.
   double UnavailableKeySeconds() const;
-  /// Requests by the server that ran them.
+  /// Number of complete requests by the server that ran them.
   const std::map<std::string, int64_t>& Servers() const { return servers_; }
   nlohmann::json ToJson() const;
 
 private:
-  /// Service and key by their numbers.
+  /// Index of the service and index of the key.
   using KeyId = std::pair<size_t, size_t>;
   struct KeyTimes
   {
--- a/standin/LoadSchedule.hpp
+++ b/standin/LoadSchedule.hpp
@@ -13,34 +13,37 @@
 
 namespace cactuspitch {
 
-/// One request of the load and its repeats.
+/// A request of the load, with its current attempt.
 struct ScheduledRequest
 {
   uint64_t number_ = 0;
-  int64_t intendedUs_ = 0; ///< of the first send
-  int64_t dueUs_ = 0;      ///< of this send
+  int64_t intendedUs_ = 0; ///< send time of the first attempt
+  int64_t dueUs_ = 0;      ///< send time of this attempt
   int attempt_ = 1;
   bool isPost_ = false;
   size_t service_ = 0;
   size_t key_ = 0;
 };
 
-/// Which request is sent when: an open loop at a fixed rate, or as fast as the
-/// connections allow. All draws come from the seed.
+/// Generates the requests of a load and their send times: an open loop at a
+/// fixed rate, or a closed loop that sends whenever a connection is free. The
+/// random choices depend on the seed alone. Thread-safe.
 class LoadSchedule
 {
 public:
   LoadSchedule(const LoadOptions& aOptions, int64_t aStartUs);
 
-  /// The next send, new or repeated; empty when the load has ended. The
-  /// caller waits until it is due.
+  /// Returns a new request or a retry, which the caller sends at dueUs_, or
+  /// nothing when the load has ended.
   std::optional<ScheduledRequest> Next(int64_t aNowUs);
-  /// Sends the job again after aDelayUs; false when it was sent often enough.
+  /// Schedules another attempt aDelayUs after aNowUs. Returns false when the
+  /// request has used all its attempts.
   bool ScheduleRetry(ScheduledRequest aScheduled,
                      int64_t aNowUs,
                      int64_t aDelayUs);
 
 private:
+  /// Orders the priority queue by the earliest send time.
   struct IsLater
   {
     bool operator()(const ScheduledRequest& aLeft,
--- a/standin/LoadWorker.cpp
+++ b/standin/LoadWorker.cpp
@@ -11,7 +11,8 @@
 
 namespace detail {
 
-/// Requirement: a caller has its final answer by then.
+/// A client must have its final response by the deadline plus this time
+/// (requirement).
 constexpr TimeMs kDeadlineToleranceMs = 100;
 constexpr TimeMs kConnectTimeoutMs = 300;
 constexpr int64_t kWorkerUsPerMs = 1000;
@@ -25,7 +26,7 @@
   }
 }
 
-/// Value of a text member of a flat JSON object; empty when absent.
+/// Value of a string member of a flat JSON object; empty when absent.
 std::string_view StringMember(std::string_view aJson, std::string_view aName)
 {
   const auto marker = Concat("\"", aName, "\":\"");
@@ -74,8 +75,8 @@
   }
 }
 
-/// A caller repeats what was not run, and an idempotent request whose outcome
-/// it does not know.
+/// A client retries a request that was not run, and an idempotent request
+/// whose outcome is unknown.
 bool LoadWorker::ShouldRetry(const LoadResult& aResult) const
 {
   switch (aResult.outcome_) {
@@ -164,7 +165,8 @@
   const auto failAttempt = [&](LoadOutcome aOutcome) {
     aResult.outcome_ = aOutcome;
     connection_->Close();
-    // The balancer sends the caller's next connection elsewhere.
+    // The load balancer routes the client's next connection to another
+    // instance.
     ++target_;
   };
   const auto written = connection_->Write(aRequest, aDeadlineMs);
--- a/standin/LoadgenMain.cpp
+++ b/standin/LoadgenMain.cpp
@@ -13,21 +13,21 @@
   return {
     { "targets", AddressList, "", "Entry instances.", true },
     { "services", Text, "", "Services, comma separated.", true },
-    { "rate", Integer, "100", "Requests a second; 0: closed loop." },
-    { "duration-ms", Integer, "5000", "Length of the load." },
-    { "warmup-ms", Integer, "0", "Start that the goodput leaves out." },
+    { "rate", Integer, "100", "Requests per second; 0: closed loop." },
+    { "duration-ms", Integer, "5000", "Duration of the load." },
+    { "warmup-ms", Integer, "0", "Time excluded from goodput." },
     { "connections", Integer, "8", "Connections.", false, 1, 2000 },
-    { "keys", Integer, "1000", "Keys of a service.", false, 1, 10000000 },
+    { "keys", Integer, "1000", "Keys per service.", false, 1, 10000000 },
     { "zipf-percent", Integer, "90", "Zipf exponent times 100." },
-    { "seed", Integer, "1", "Seed of all draws." },
-    { "hot-change-ms", Integer, "0", "Time to a new hot set; 0: never." },
-    { "post-percent", Integer, "20", "Share of POST.", false, 0, 100 },
+    { "seed", Integer, "1", "Seed of the random choices." },
+    { "hot-change-ms", Integer, "0", "Hot set change interval; 0: never." },
+    { "post-percent", Integer, "20", "Percentage of POST.", false, 0, 100 },
     { "deadline-ms", Integer, "2000", "Deadline of a request.", false, 1 },
-    { "max-sends", Integer, "3", "Sends of a request.", false, 1, 100 },
+    { "max-sends", Integer, "3", "Attempts per request.", false, 1, 100 },
     { "blob-bytes", Integer, "0", "Size of downloads; 0: none." },
     { "id-prefix", Text, "load", "Prefix of the request ids." },
-    { "history", Text, "", "File that gets a line for each send." },
-    { "ready-check-ms", Integer, "0", "Readiness checks; 0: none." },
+    { "history", Text, "", "File for one line per attempt." },
+    { "ready-check-ms", Integer, "0", "Readiness check interval; 0: none." },
     { "epoch", Integer, "0", "X-Slice-Epoch to send; 0: none." },
   };
 }
@@ -70,9 +70,9 @@
   settings.ParseOrExit(argc,
                        argv,
                        "loadgen",
-                       "Sends a load and prints a report as JSON. Exits with "
-                       "1 when an answer belonged to another request or a "
-                       "truncated one looked complete.");
+                       "Generates load and prints a report as JSON. Exits "
+                       "with 1 when a response belonged to another request or "
+                       "a truncated response looked complete.");
   const SteadyClock clock;
   const auto report = RunLoad(clock, ToOptions(settings));
   std::cout << report.ToJson().dump(2) << "\n";
--- a/standin/ReadinessChecker.hpp
+++ b/standin/ReadinessChecker.hpp
@@ -10,12 +10,13 @@
 
 namespace cactuspitch {
 
-/// Stands in for the readiness checks of the platform's balancer: asks every
-/// entry instance for /_ready in turn.
+/// Simulates the readiness checks of the platform's load balancer: polls
+/// /_ready of each entry instance in turn.
 class ReadinessChecker
 {
 public:
-  /// aIntervalMs 0: every target counts as ready.
+  /// With an interval of 0 there are no checks and every target counts as
+  /// ready.
   ReadinessChecker(const Clock& aClock,
                    std::vector<std::string> aTargets,
                    TimeMs aIntervalMs);
@@ -23,6 +24,7 @@
   ReadinessChecker(const ReadinessChecker&) = delete;
   ReadinessChecker& operator=(const ReadinessChecker&) = delete;
 
+  /// Result of the last check of the target; true before the first.
   bool IsReady(size_t aTarget) const { return ready_[aTarget]; }
 
 private:
--- a/standin/StandinBackend.cpp
+++ b/standin/StandinBackend.cpp
@@ -14,13 +14,14 @@
 
 namespace detail {
 
-/// Connections of assigners and tests, beyond those of routers.
+/// Connections for assigners and tests, in addition to those of the routers.
 constexpr int kControlConnections = 16;
 constexpr size_t kMaxBodyBytes = 4 << 20;
-/// Longest wait for a slot without a deadline.
+/// Longest wait for a slot, also when the request has no deadline.
 constexpr TimeMs kMaxQueueWaitMs = 1000;
 constexpr TimeMs kMaxRevokeWaitMs = 200;
-/// A leaving server gets no new work after this time (requirement I6).
+/// A draining server receives no new requests after this time (requirement
+/// I6).
 constexpr TimeMs kMaxDrainMs = 3000;
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
@@ -196,7 +197,7 @@
   Request request;
   if (!request.Parse(aExchange)) {
     aExchange.Respond(
-      detail::kBadRequest, CommonHeaders(), "/{service}/{key}\n");
+      detail::kBadRequest, CommonHeaders(), "path must be /{service}/{key}\n");
     return;
   }
   if (server_.Connections() >
@@ -259,7 +260,8 @@
   if (!Execute(aRequest)) {
     rejection = NotRunReason::Deadline;
   } else {
-    // The request takes effect at this clock reading or not at all.
+    // The deadline and the lease are checked at the time at which the request
+    // takes effect.
     aRequest.commitUs_ = BootTimeUs();
     constexpr int64_t kUsPerMs = 1000;
     const TimeMs now = aRequest.commitUs_ / kUsPerMs + options_.clockOffsetMs_;
@@ -370,13 +372,13 @@
 
 nlohmann::json StandinBackend::HealthStatus() const
 {
-  auto answer = nlohmann::json::object();
-  grants_.AddStatus(answer);
-  answer["clockMs"] = NowMs();
-  answer["draining"] = drainStartMs_ > 0;
-  answer["slots"] = options_.slots_;
-  loadReporter_.AddStatus(answer, clock_.NowMs());
-  return answer;
+  auto status = nlohmann::json::object();
+  grants_.AddStatus(status);
+  status["clockMs"] = NowMs();
+  status["draining"] = drainStartMs_ > 0;
+  status["slots"] = options_.slots_;
+  loadReporter_.AddStatus(status, clock_.NowMs());
+  return status;
 }
 
 std::string StandinBackend::Stats() const
@@ -413,7 +415,8 @@
            { header::kIncarnation, incarnation_ } };
 }
 
-/// Keeps the platform's list up to date and samples the load.
+/// Samples the load and registers the server with the platform, again whenever
+/// its registration record changes.
 void StandinBackend::RunBackgroundLoop()
 {
   constexpr auto kInterval = std::chrono::milliseconds(50);
@@ -429,11 +432,11 @@
                         static_cast<double>(running) / options_.slots_ });
     const auto current = RegistrationRecord();
     if (!options_.store_.empty() && registered != current) {
-      const auto answer = store.Exchange(
+      const auto response = store.Exchange(
         { "PUT", Concat("/_platform/server/", options_.id_), {}, current },
         clock_.NowMs() + kCallTimeoutMs,
         detail::kMaxBodyBytes);
-      if (answer.ok() && answer->head_.status_ == detail::kOk) {
+      if (response.ok() && response->head_.status_ == detail::kOk) {
         registered = current;
       }
     }
--- a/standin/StandinBackend.hpp
+++ b/standin/StandinBackend.hpp
@@ -17,38 +17,40 @@
 
 namespace cactuspitch {
 
+/// Options of the stand-in backend server.
 struct StandinBackendOptions
 {
   std::string id_;
   std::string service_;
   std::string failureDomain_;
   std::string listen_;
-  /// Address in the platform's list, where it differs from listen_.
+  /// Address to register with the platform; empty: listen_.
   std::string advertise_;
-  std::string store_; ///< empty: not registered
-  std::string history_;
-  int slots_ = 5;
-  int queue_ = 5;
+  std::string store_;   ///< address; empty: the server is not registered
+  std::string history_; ///< path of the history file; empty: none
+  int slots_ = 5;       ///< requests run at once
+  int queue_ = 5;       ///< requests that may wait for a slot
   int connections_ = 100;
   int64_t serviceUs_ = 0;
-  TimeMs connectCostMs_ = 1;
-  TimeMs coldStartMs_ = 0;
-  /// Service time at the start, as a multiple of the warm one.
+  TimeMs connectCostMs_ = 1; ///< delay of each new connection
+  TimeMs coldStartMs_ = 0;   ///< time until the server is warm
+  /// Service time at the start, as a multiple of the warm service time.
   double coldFactor_ = 4;
-  /// Added to the server's clock, so that its clock differs from all others.
+  /// Offset of the server's clock from those of other processes.
   TimeMs clockOffsetMs_ = 0;
   bool checksFence_ = true;
-  /// Runs requests without X-Slice-Epoch too, for a measurement without router.
+  /// Also runs requests without X-Slice-Epoch, for measurements without a
+  /// router.
   bool acceptsDirect_ = false;
   bool keepsHistory_ = true;
 };
 
-/// Stand-in for a backend server (docs/design.md, section 7.2). Beyond its
-/// protocol it offers:
+/// Stand-in for a backend server (docs/design.md, section 7.2). In addition to
+/// the protocol it serves:
 /// - POST /_fault: {serviceUs, health: {lagMs, lie}} as JSON.
-/// - POST /_drain: starts to leave, and says so in the platform's list.
+/// - POST /_drain: starts draining and registers the state "leaving".
 /// - GET /_history, GET /_stats.
-/// A request whose path or body contains "poison-marker" ends the process.
+/// A request whose path or body contains "poison-marker" crashes the process.
 class StandinBackend
 {
 public:
@@ -67,10 +69,13 @@
   bool HandleControl(HttpExchange& aExchange);
   void HandleGrant(HttpExchange& aExchange);
   void HandleRequest(HttpExchange& aExchange);
+  /// Checks whether the request may run. Returns the reason when it may not.
   std::optional<NotRunReason> Admit(Request& aRequest);
+  /// Waits for a slot, then runs the request and sends the response. Returns
+  /// the reason when the request wasn't run.
   std::optional<NotRunReason> RunInSlot(HttpExchange& aExchange,
                                         Request& aRequest);
-  /// False when the request was cancelled.
+  /// Waits for the service time. Returns false when the request was cancelled.
   bool Execute(const Request& aRequest);
   void Respond(HttpExchange& aExchange, const Request& aRequest);
   void Reject(HttpExchange& aExchange, NotRunReason aReason);
@@ -95,13 +100,13 @@
   std::atomic<int64_t> serviceUs_;
   std::atomic<TimeMs> drainStartMs_ = 0; ///< 0: not draining
   std::atomic<int64_t> executed_ = 0;
-  /// New work that came later than a leaving server may get it.
+  /// Requests that arrived after the drain time limit.
   std::atomic<int64_t> arrivedAfterDrain_ = 0;
   std::array<std::atomic<int64_t>, static_cast<size_t>(NotRunReason::Count)>
     rejected_{};
   std::mutex mutex_;
   std::condition_variable changed_;
-  /// Requests in service by id; true when cancelled.
+  /// Running requests by request id; the value is true when cancelled.
   std::multimap<std::string, bool> executing_;
   bool stopping_ = false;
   HttpServer server_;
--- a/standin/StandinCutMain.cpp
+++ b/standin/StandinCutMain.cpp
@@ -9,7 +9,7 @@
 namespace cactuspitch {
 namespace {
 
-/// PUT /_mode/{mode}, PUT /_silence-open, GET /_mode, GET /_health.
+/// Serves PUT /_mode/{mode}, PUT /_silence-open, GET /_mode and GET /_health.
 void HandleControl(TcpFaultProxy& aProxy, HttpExchange& aExchange)
 {
   constexpr int kOk = 200;
@@ -39,12 +39,20 @@
 {
   using namespace cactuspitch;
   Settings settings({
-    { "listen", SettingType::Address, "", "Address to forward from.", true },
+    { "listen",
+      SettingType::Address,
+      "",
+      "Address to accept connections at.",
+      true },
     { "target", SettingType::Address, "", "Address to forward to.", true },
-    { "control", SettingType::Address, "", "Address of the controls.", true },
+    { "control",
+      SettingType::Address,
+      "",
+      "Address of the control interface.",
+      true },
   });
   settings.ParseOrExit(
-    argc, argv, "standin-cut", "Forwards TCP and shows network faults.");
+    argc, argv, "standin-cut", "TCP proxy that injects network faults.");
   const TerminationSignal termination;
   InitLog("standin-cut", LogLevel::Info);
   TcpFaultProxy proxy(settings.Text("listen"), settings.Text("target"));
--- a/standin/StandinStore.cpp
+++ b/standin/StandinStore.cpp
@@ -13,7 +13,7 @@
 
 namespace detail {
 
-/// Every waiting watch holds a thread.
+/// Each waiting watch call occupies a thread.
 constexpr int kStoreThreads = 200;
 constexpr size_t kMaxValueBytes = 1 << 20;
 constexpr TimeMs kMaxWatchWaitMs = 60000;
@@ -31,7 +31,7 @@
   return { { "ETag", std::to_string(aVersion) } };
 }
 
-/// False when the request names no valid precondition.
+/// Returns false when the request has no valid precondition.
 bool ParsePrecondition(const HttpExchange& aExchange,
                        ExpectedVersion& aExpected)
 {
@@ -64,7 +64,8 @@
     -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-/// Holds the thread in small steps, so that a stop is not delayed.
+/// Sleeps while the condition holds, at most aLimitMs, in short steps so that
+/// the condition is rechecked and Stop() isn't delayed.
 template<typename Condition>
 void SleepInStepsWhile(TimeMs aLimitMs, Condition&& aCondition)
 {
@@ -141,7 +142,9 @@
   if (isWrite) {
     ExpectedVersion expected;
     if (!detail::ParsePrecondition(aExchange, expected)) {
-      aExchange.Respond(detail::kPreconditionRequired, {}, "no version\n");
+      aExchange.Respond(detail::kPreconditionRequired,
+                        {},
+                        "If-Match or If-None-Match is missing or invalid\n");
       return;
     }
     Write(aExchange, aKind, aName, expected, fault.dropsResponse_);
@@ -210,7 +213,8 @@
   TimeMs waitMs = 0;
   if (!ParseNumber(aExchange.QueryValue("since"), since) ||
       !ParseNumber(aExchange.QueryValue("timeoutMs"), waitMs)) {
-    aExchange.Respond(detail::kBadRequest, {}, "since or timeoutMs missing\n");
+    aExchange.Respond(
+      detail::kBadRequest, {}, "since or timeoutMs is missing or invalid\n");
     return;
   }
   const auto changes = objects_.WaitForChanges(
@@ -218,7 +222,7 @@
     since,
     faults_.LagMs(aKind),
     std::clamp<TimeMs>(waitMs, 0, detail::kMaxWatchWaitMs));
-  // A watch that was waiting when the store went down gets no answer either.
+  // An outage also applies to watch calls that were waiting when it began.
   if (faults_.Outage() != StoreOutage::None) {
     InjectFault(aExchange, { faults_.Outage(), 0, false, false });
     return;
@@ -234,12 +238,13 @@
 {
   const auto method = aExchange.Method();
   if (method != "PUT" && method != "DELETE") {
-    aExchange.Respond(detail::kMethodNotAllowed, {}, "PUT or DELETE\n");
+    aExchange.Respond(
+      detail::kMethodNotAllowed, {}, "method must be PUT or DELETE\n");
     return;
   }
   auto body = aExchange.ReadBody(detail::kMaxValueBytes);
   if (!body.ok()) {
-    aExchange.Respond(detail::kTooLarge, {}, "value above 1 MB\n");
+    aExchange.Respond(detail::kTooLarge, {}, "value exceeds 1 MiB\n");
     return;
   }
   std::optional<std::string> value;
@@ -265,9 +270,10 @@
     const auto body = aExchange.ReadBody(detail::kMaxValueBytes);
     const auto document =
       nlohmann::json::parse(body.ok() ? *body : "", nullptr, false);
-    const auto applied = document.is_object()
-                           ? faults_.Apply(document)
-                           : absl::InvalidArgumentError("not an object");
+    const auto applied =
+      document.is_object()
+        ? faults_.Apply(document)
+        : absl::InvalidArgumentError("fault settings must be a JSON object");
     if (!applied.ok()) {
       aExchange.Respond(
         detail::kBadRequest, {}, Concat(applied.message(), "\n"));
--- a/standin/StandinStore.hpp
+++ b/standin/StandinStore.hpp
@@ -12,7 +12,7 @@
 
 namespace cactuspitch {
 
-/// Kind of call, as the platform counts them.
+/// Kinds of store calls that the platform counts separately.
 enum class StoreCall : uint8_t
 {
   Get,
@@ -34,11 +34,11 @@
 };
 
 /// Stand-in for the platform's object store (docs/design.md, section 7.3).
-/// Beyond its protocol it offers, uncounted and free of faults:
-/// - PUT, DELETE /_platform/{kind}/{name}: writes without precondition, for
-///   the lists that the platform owns.
-/// - GET /_stats: calls by kind of call and by kind of object.
-/// - GET, POST /_fault: the faults to show, as JSON.
+/// In addition to the protocol it serves, without counting or faults:
+/// - PUT, DELETE /_platform/{kind}/{name}: writes without a precondition, for
+///   the objects that the platform maintains itself.
+/// - GET /_stats: number of calls, by kind of call and kind of object.
+/// - GET, POST /_fault: reads or sets the injected faults, as JSON.
 class StandinStore
 {
 public:
@@ -53,7 +53,8 @@
                   StoreCall aCall,
                   const std::string& aKind,
                   const std::string& aName);
-  /// True when the fault has ended the call.
+  /// Applies the fault to the call. Returns true when the call is finished and
+  /// needs no further response.
   bool InjectFault(HttpExchange& aExchange, const StoreFault& aFault);
   void Read(HttpExchange& aExchange,
             const std::string& aKind,
--- a/standin/StoreFaultInjector.cpp
+++ b/standin/StoreFaultInjector.cpp
@@ -11,7 +11,8 @@
     const auto name = aDocument.value("down", std::string(EnumName(outage_)));
     const auto outage = ParseEnum<StoreOutage>(name);
     if (!outage) {
-      return absl::InvalidArgumentError(Concat("unknown down: ", name));
+      return absl::InvalidArgumentError(
+        Concat("unknown value of down: ", name));
     }
     delayMs_ = aDocument.value("slowMs", delayMs_);
     responsesToDrop_ = aDocument.value("loseAnswers", responsesToDrop_);
--- a/standin/StoreFaultInjector.hpp
+++ b/standin/StoreFaultInjector.hpp
@@ -14,13 +14,13 @@
 
 namespace cactuspitch {
 
-/// How an unavailable store meets a call.
+/// How the store handles calls during an outage.
 enum class StoreOutage : uint8_t
 {
   None,
-  Respond503, ///< 503 at once
-  Close,      ///< closes the connection without an answer
-  Hang,       ///< holds the call until the fault ends, then closes
+  Respond503, ///< responds with 503 at once
+  Close,      ///< closes the connection without a response
+  Hang,       ///< sends nothing until the outage ends, then closes
   Count
 };
 
@@ -33,32 +33,35 @@
                                                  "silent" };
 };
 
-/// What happens to one call.
+/// Faults to inject into one call.
 struct StoreFault
 {
   StoreOutage outage_ = StoreOutage::None;
   TimeMs delayMs_ = 0;
-  /// Refused with 503 before it took effect.
+  /// The call gets a 503 and has no effect.
   bool returnsError_ = false;
-  /// It takes effect, but the connection closes without an answer.
+  /// The call takes effect, but the connection closes without a response.
   bool dropsResponse_ = false;
 };
 
-/// Faults that the stand-in store was told to show. Random ones come from a
-/// seed, so a run can be repeated.
+/// Decides which faults the stand-in store injects. Random faults depend on a
+/// seed, so that a run can be repeated. Thread-safe.
 class StoreFaultInjector
 {
 public:
-  /// Members that the document does not name keep their values.
+  /// Sets the faults named in the document; the others keep their values.
+  /// Returns an error when the document is invalid.
   absl::Status Apply(const nlohmann::json& aDocument);
   nlohmann::json ToJson() const;
 
+  /// Faults for the next call; only writes can lose their response.
   StoreFault NextFault(bool aIsWrite);
   StoreOutage Outage() const;
-  /// Age of the state that reads of the kind see.
+  /// Replication lag of the objects that reads of the kind return.
   TimeMs LagMs(const std::string& aKind) const;
 
 private:
+  /// Returns true with the probability aRate.
   bool Draw(double aRate);
 
   mutable std::mutex mutex_;
--- a/standin/TcpFaultProxy.cpp
+++ b/standin/TcpFaultProxy.cpp
@@ -45,7 +45,7 @@
   return fd;
 }
 
-/// Closes with a reset instead of an orderly end.
+/// Closes the connection with an RST instead of a FIN.
 void ResetConnection(int aFd)
 {
   const linger now{ .l_onoff = 1, .l_linger = 0 };
@@ -55,12 +55,14 @@
 
 }
 
+/// A client connection and the connection to the target that it is forwarded
+/// to.
 struct TcpFaultProxy::ConnectionPair
 {
-  /// Bytes read from one side and not yet written to the other.
+  /// State of the forwarding in one direction.
   struct Direction
   {
-    std::vector<char> pending_;
+    std::vector<char> pending_; ///< read, but not yet written
     bool eofReceived_ = false;
     bool eofForwarded_ = false;
   };
@@ -152,7 +154,7 @@
   }
   pair.server_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const auto target = detail::ParseAddress(target_);
-  // On loopback the connect ends at once, with success or a refusal.
+  // A blocking connect() on loopback succeeds or is refused at once.
   if (connect(pair.server_,
               reinterpret_cast<const sockaddr*>(&target),
               sizeof(target)) != 0) {
@@ -222,8 +224,8 @@
         return static_cast<short>((wantsRead ? POLLIN : 0) |
                                   (wantsWrite ? POLLOUT : 0));
       };
-      // A negative descriptor is ignored; a cut side must not wake the loop
-      // when the peer hangs up.
+      // poll() ignores negative descriptors. Without this, a peer that closes
+      // a blocked connection would wake the loop again and again (POLLHUP).
       const short clientEvents = events(true);
       const short serverEvents = events(false);
       entries.push_back({ clientEvents ? pair.client_ : -1, clientEvents, 0 });
--- a/standin/TcpFaultProxy.hpp
+++ b/standin/TcpFaultProxy.hpp
@@ -14,14 +14,14 @@
 
 namespace cactuspitch {
 
-/// State of a link between two processes.
+/// Fault that the proxy injects into all its connections.
 enum class ProxyMode : uint8_t
 {
   Pass,
   DropToServer, ///< nothing from the client reaches the server
   DropToClient, ///< nothing from the server reaches the client
   DropBoth,
-  Refuse, ///< connections are reset and new ones refused
+  Refuse, ///< open connections are reset and new ones refused
   Count
 };
 
@@ -33,9 +33,9 @@
   };
 };
 
-/// Forwards TCP connections and shows the faults of a network. Bytes that meet
-/// a cut stay in the senders' buffers and flow on when it ends, as TCP's own
-/// repeats would have it.
+/// TCP proxy that injects network faults. Bytes sent in a blocked direction
+/// stay in the socket buffers and are delivered when the fault ends, as TCP
+/// retransmission would do after a real partition.
 class TcpFaultProxy
 {
 public:
@@ -44,11 +44,12 @@
   TcpFaultProxy(const TcpFaultProxy&) = delete;
   TcpFaultProxy& operator=(const TcpFaultProxy&) = delete;
 
+  /// Returns an error when the proxy cannot listen on its address.
   absl::Status Start();
   void Stop();
   void SetMode(ProxyMode aMode);
-  /// Connections that are open now stay open and silent for ever; new ones
-  /// work.
+  /// Permanently stops forwarding on the connections that are open now, without
+  /// closing them. Later connections are not affected.
   void StallOpenConnections();
   ProxyMode Mode() const { return mode_; }
 
@@ -58,7 +59,8 @@
   void Run();
   void ApplyCommands();
   void Accept();
-  /// Moves bytes in one direction; false when the link is to be closed.
+  /// Forwards bytes in one direction. Returns false when both connections are
+  /// to be closed.
   bool Forward(ConnectionPair& aPair, bool aToServer) const;
   bool IsBlocked(const ConnectionPair& aPair, bool aToServer) const;
 
--- a/standin/VersionedObjects.cpp
+++ b/standin/VersionedObjects.cpp
@@ -7,9 +7,10 @@
 
 namespace detail {
 
-/// Longest lag that a list can show.
+/// Longest lag with which past states can be read.
 constexpr TimeMs kHistoryRetentionMs = 120000;
-/// Lagged states become visible without a notification.
+/// Waits for lagged states are polled, since no notification is sent when a
+/// state becomes visible.
 constexpr TimeMs kLagPollMs = 10;
 
 }
@@ -81,7 +82,8 @@
     }
     const TimeMs now = clock_.NowMs();
     history.push_back({ aName, ++revision_, now, std::move(aValue) });
-    // Keeps the newest state that is older than the kept time.
+    // Keeps the newest state from before the retention time, since it is the
+    // one that a read with the longest lag returns.
     const auto firstKept =
       std::ranges::find_if(history, [now](const auto& aState) {
         return aState.writtenMs_ > now - detail::kHistoryRetentionMs;
--- a/standin/VersionedObjects.hpp
+++ b/standin/VersionedObjects.hpp
@@ -12,7 +12,7 @@
 
 namespace cactuspitch {
 
-/// State of one object at one revision; a deleted one has no value.
+/// State of an object at one revision; a deleted object has no value.
 struct ObjectRevision
 {
   std::string name_;
@@ -21,37 +21,42 @@
   std::optional<std::string> value_;
 };
 
-/// Precondition of a write; empty for none, 0 for an absent object.
+/// Version that an object must have for a write to succeed. Empty: no
+/// precondition; 0: the object must not exist.
 using ExpectedVersion = std::optional<int64_t>;
 
-/// Objects in memory with versions, which are revisions of the whole store.
-/// Past states are kept for a while, so that lagging lists can be served.
+/// In-memory object store with optimistic concurrency. The version of an object
+/// is the store-wide revision of its last write. Past states are retained for
+/// two minutes, so that reads with a replication lag can be simulated.
+/// Thread-safe.
 class VersionedObjects
 {
 public:
   explicit VersionedObjects(const Clock& aClock);
 
-  /// Newest state no younger than aLagMs; empty when absent or deleted.
+  /// State of the object aLagMs ago; empty when absent or deleted.
   std::optional<ObjectRevision> Get(const std::string& aKind,
                                     const std::string& aName,
                                     TimeMs aLagMs) const;
-  /// States of the kind after aSince, with deletions when aSince is above 0.
+  /// States, as of aLagMs ago, of the kind's objects that changed after
+  /// revision aSince. Deletions are included when aSince is above 0.
   std::vector<ObjectRevision> ChangesSince(const std::string& aKind,
                                            int64_t aSince,
                                            TimeMs aLagMs) const;
-  /// As Changes(), waiting up to aWaitMs for one.
+  /// Like ChangesSince(), but waits up to aWaitMs for a change.
   std::vector<ObjectRevision> WaitForChanges(const std::string& aKind,
                                              int64_t aSince,
                                              TimeMs aLagMs,
                                              TimeMs aWaitMs) const;
-  /// Empty aValue deletes. On a conflict aVersion receives the present version
-  /// and the result is false.
+  /// Writes an object, or deletes it when aValue is empty. Sets aVersion to the
+  /// new version. When aExpected does not match, returns false and sets
+  /// aVersion to the current version.
   bool Write(const std::string& aKind,
              const std::string& aName,
              const ExpectedVersion& aExpected,
              std::optional<std::string> aValue,
              int64_t& aVersion);
-  /// Ends all waits; later ones return at once.
+  /// Ends all waits; later calls of WaitForChanges() return at once.
   void Close();
 
 private:
--- a/standin/ZipfKeyDistribution.cpp
+++ b/standin/ZipfKeyDistribution.cpp
@@ -20,7 +20,7 @@
 size_t ZipfKeyDistribution::SampleIndex(std::mt19937_64& aRandom,
                                         uint64_t aHotSetNumber) const
 {
-  // A prime step spreads the new hot set over the key space.
+  // A prime stride makes successive hot sets use distant keys.
   constexpr uint64_t kHotSetStride = 7919;
   std::uniform_real_distribution<double> uniform(0, cumulativeWeights_.back());
   const auto found =
--- a/standin/ZipfKeyDistribution.hpp
+++ b/standin/ZipfKeyDistribution.hpp
@@ -8,14 +8,15 @@
 
 namespace cactuspitch {
 
-/// Zipf popularity over numbered keys. The hot set changes when a new shift
-/// maps the ranks to other keys.
+/// Zipf distribution over numbered keys. Each hot set number maps the
+/// popularity ranks to different keys.
 class ZipfKeyDistribution
 {
 public:
-  /// aExponent 0: all keys alike.
+  /// An exponent of 0 gives the uniform distribution.
   ZipfKeyDistribution(size_t aKeys, double aExponent);
 
+  /// Returns a random key index from 0 to aKeys - 1.
   size_t SampleIndex(std::mt19937_64& aRandom, uint64_t aHotSetNumber) const;
   static std::string KeyName(size_t aIndex);
 
--- a/tests/LoadGeneratorTest.cpp
+++ b/tests/LoadGeneratorTest.cpp
@@ -43,7 +43,7 @@
   ReservedPort port_;
 };
 
-// Guards against a check that takes another request's answer as correct.
+// Guards against counting the response of another request as complete.
 TEST_F(LoadGeneratorTest, MismatchedResponsesAreCounted)
 {
   int count = 0;
@@ -58,7 +58,7 @@
   EXPECT_EQ(report.Count(LoadOutcome::Complete), 90);
 }
 
-// Guards against a truncated answer that is counted as complete.
+// Guards against counting a truncated response as complete.
 TEST_F(LoadGeneratorTest, TruncatedResponsesAreCounted)
 {
   const auto report = Run([](HttpExchange& aExchange) {
@@ -70,8 +70,8 @@
   EXPECT_GE(report.Count(LoadOutcome::Truncated), 100);
 }
 
-// Guards against latencies that hide a stall, because they count from the
-// time of a send that was itself late.
+// Guards against coordinated omission: latencies measured from an actual send
+// time that a stall has already delayed hide the stall.
 TEST_F(LoadGeneratorTest, LatencyIsMeasuredFromIntendedSendTime)
 {
   int count = 0;
@@ -86,8 +86,8 @@
   EXPECT_GE(report.LatencyMs(0.7), 75);
 }
 
-// Guards against a caller that repeats before the time it was told, or that
-// repeats a booking whose outcome it does not know.
+// Guards against a retry before the time in X-Retry-After-Ms, and against a
+// retry of a POST whose outcome is unknown.
 TEST_F(LoadGeneratorTest, RetriesFollowTheResponse)
 {
   std::map<std::string, std::pair<int, TimeMs>, std::less<>> seen;
--- a/tests/StandinBackendTest.cpp
+++ b/tests/StandinBackendTest.cpp
@@ -30,8 +30,8 @@
   };
 }
 
-// Guards against a stand-in that hides faults of the product by taking orders
-// or requests which a real server refuses.
+// Guards against a stand-in that accepts commands or requests that a real
+// server rejects, and so hides faults of the product.
 TEST(BackendGrants, StaleCommandsAndRequestsAreRejected)
 {
   BackendGrants grants("inc", true);
@@ -40,7 +40,7 @@
   EXPECT_FALSE(grants.Apply(MakeGrantCommand(1, 9, 100, 8), 0, 0))
     << "lower term";
   EXPECT_FALSE(grants.Apply(MakeGrantCommand(2, 2, 50, 8), 50, 0))
-    << "expired order";
+    << "expired command";
   auto other = MakeGrantCommand(2, 2, 100, 8);
   other["incarnation"] = "gone";
   EXPECT_FALSE(grants.Apply(other, 0, 0));
@@ -56,8 +56,8 @@
     << "fenced term";
 }
 
-// Guards against a revoke that is acknowledged while a request of the revoked
-// slice can still take effect.
+// Guards against a revocation that is acknowledged while a request in the
+// revoked slice can still take effect.
 TEST(BackendGrants, RevokeWaitsForRunningRequests)
 {
   BackendGrants grants("inc", true);
@@ -127,8 +127,8 @@
   StandinBackend backend_;
 };
 
-// Guards against executions without history, and against a server that takes
-// deadlines in a clock other than its own.
+// Guards against executions missing from the history, and against deadlines
+// compared with a clock other than the server's own.
 TEST_F(StandinBackendTest, RunsRequestsWithinGrantAndDeadline)
 {
   Grant();
@@ -149,7 +149,7 @@
   EXPECT_EQ(json::parse(history.substr(0, history.find('\n')))["id"], "r1");
 }
 
-// Guards against a cancelled or shed request that is run all the same.
+// Guards against running a request that was cancelled or rejected as busy.
 TEST_F(StandinBackendTest, CancelledAndShedRequestsAreNotRun)
 {
   Grant();
--- a/tests/TcpFaultProxyTest.cpp
+++ b/tests/TcpFaultProxyTest.cpp
@@ -40,7 +40,8 @@
   HttpConnection connection_;
 };
 
-// Guards against a cut that ends connections: a real one is silent.
+// Guards against a simulated partition that closes connections: in a real one
+// packets are lost without notice.
 TEST_F(TcpFaultProxyTest, DropIsSilentAndReversible)
 {
   ASSERT_TRUE(Call(connection_).ok());
@@ -54,7 +55,7 @@
   EXPECT_TRUE(Call(connection_).ok());
 }
 
-// Guards against a fault that also hits connections opened after it.
+// Guards against a stall that also affects connections opened after it.
 TEST_F(TcpFaultProxyTest, OpenConnectionsStallWhileNewOnesWork)
 {
   ASSERT_TRUE(Call(connection_).ok());
@@ -64,7 +65,7 @@
   EXPECT_TRUE(Call(second).ok());
 }
 
-// Guards against a refusal that looks like silence.
+// Guards against refused connections that time out instead of failing at once.
 TEST_F(TcpFaultProxyTest, RefuseModeRejectsConnectionsAtOnce)
 {
   ASSERT_TRUE(Call(connection_).ok());
