Name the intended send times and the commit time in comments

Cause: the comments left out that send times are intended ones, and that one clock reading decides on deadline and lease. Change: comments only. Result: no change of code.

--- a/standin/LoadSchedule.hpp
+++ b/standin/LoadSchedule.hpp
@@ -17,8 +17,8 @@
 struct ScheduledRequest
 {
   uint64_t number_ = 0;
-  int64_t intendedUs_ = 0; ///< send time of the first attempt
-  int64_t dueUs_ = 0;      ///< send time of this attempt
+  int64_t intendedUs_ = 0; ///< intended send time of the first attempt
+  int64_t dueUs_ = 0;      ///< intended send time of this attempt
   int attempt_ = 1;
   bool isPost_ = false;
   size_t service_ = 0;
@@ -26,8 +26,8 @@
 };
 
 /// Generates the requests of a load and their send times: an open loop at a
-/// fixed rate, or a closed loop that sends whenever a connection is free. The
-/// random choices depend on the seed alone. Thread-safe.
+/// fixed rate, or a closed loop that sends whenever a connection is free. All
+/// random choices derive from the seed. Thread-safe.
 class LoadSchedule
 {
 public:
--- a/standin/StandinBackend.cpp
+++ b/standin/StandinBackend.cpp
@@ -260,8 +260,8 @@
   if (!Execute(aRequest)) {
     rejection = NotRunReason::Deadline;
   } else {
-    // The deadline and the lease are checked at the time at which the request
-    // takes effect.
+    // The request takes effect at the clock reading commitUs_, against which
+    // both the deadline and the lease are checked.
     aRequest.commitUs_ = BootTimeUs();
     constexpr int64_t kUsPerMs = 1000;
     const TimeMs now = aRequest.commitUs_ / kUsPerMs + options_.clockOffsetMs_;
