--- a/standin/LoadSchedule.hpp
+++ b/standin/LoadSchedule.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "KeyPopularity.hpp"
 #include "LoadOptions.hpp"
+#include "ZipfKeyDistribution.hpp"
 
 #include <cstdint>
 #include <mutex>
@@ -13,50 +13,57 @@
 
 namespace cactuspitch {
 
-/// One request of the load and its repeats.
-struct LoadJob
+/// A request of the load, with its current attempt.
+struct ScheduledRequest
 {
   uint64_t number_ = 0;
-  int64_t intendedUs_ = 0; ///< of the first send
-  int64_t dueUs_ = 0;      ///< of this send
-  int send_ = 1;
+  int64_t intendedUs_ = 0; ///< intended send time of the first attempt
+  int64_t dueUs_ = 0;      ///< intended send time of this attempt
+  int attempt_ = 1;
   bool isPost_ = false;
   size_t service_ = 0;
   size_t key_ = 0;
 };
 
-/// Which request is sent when: an open loop at a fixed rate, or as fast as the
-/// connections allow. All draws come from the seed.
+/// Generates the requests of a load and their send times: an open loop at a
+/// fixed rate, or a closed loop that sends whenever a connection is free. All
+/// random choices derive from the seed. Thread-safe.
 class LoadSchedule
 {
 public:
   LoadSchedule(const LoadOptions& aOptions, int64_t aStartUs);
 
-  /// The next send, new or repeated; empty when the load has ended. The
-  /// caller waits until it is due.
-  std::optional<LoadJob> Next(int64_t aNowUs);
-  /// Sends the job again after aDelayUs; false when it was sent often enough.
-  bool Repeat(LoadJob aJob, int64_t aNowUs, int64_t aDelayUs);
+  /// Returns a new request or a retry, which the caller sends at dueUs_, or
+  /// nothing when the load has ended.
+  std::optional<ScheduledRequest> Next(int64_t aNowUs);
+  /// Schedules another attempt aDelayUs after aNowUs. Returns false when the
+  /// request has used all its attempts.
+  bool ScheduleRetry(ScheduledRequest aScheduled,
+                     int64_t aNowUs,
+                     int64_t aDelayUs);
 
 private:
+  /// Orders the priority queue by the earliest send time.
   struct IsLater
   {
-    bool operator()(const LoadJob& aLeft, const LoadJob& aRight) const
+    bool operator()(const ScheduledRequest& aLeft,
+                    const ScheduledRequest& aRight) const
     {
       return aLeft.dueUs_ > aRight.dueUs_;
     }
   };
 
-  LoadJob Draw(int64_t aDueUs);
+  ScheduledRequest MakeRequest(int64_t aDueUs);
 
   const LoadOptions& options_;
-  const KeyPopularity popularity_;
+  const ZipfKeyDistribution keyDistribution_;
   const int64_t startUs_;
   const int64_t endUs_;
   std::mutex mutex_;
-  std::mt19937_64 random_;
-  uint64_t count_ = 0;
-  std::priority_queue<LoadJob, std::vector<LoadJob>, IsLater> repeats_;
+  std::mt19937_64 randomEngine_;
+  uint64_t requestCount_ = 0;
+  std::priority_queue<ScheduledRequest, std::vector<ScheduledRequest>, IsLater>
+    retries_;
 };
 
 }
--- a/standin/StandinStore.cpp
+++ b/standin/StandinStore.cpp
@@ -13,10 +13,10 @@
 
 namespace detail {
 
-/// Every waiting watch holds a thread.
+/// Each waiting watch call occupies a thread.
 constexpr int kStoreThreads = 200;
 constexpr size_t kMaxValueBytes = 1 << 20;
-constexpr TimeMs kMaxWatchMs = 60000;
+constexpr TimeMs kMaxWatchWaitMs = 60000;
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -31,7 +31,7 @@
   return { { "ETag", std::to_string(aVersion) } };
 }
 
-/// False when the request names no valid precondition.
+/// Returns false when the request has no valid precondition.
 bool ParsePrecondition(const HttpExchange& aExchange,
                        ExpectedVersion& aExpected)
 {
@@ -64,9 +64,10 @@
     -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-/// Holds the thread in small steps, so that a stop is not delayed.
+/// Sleeps while the condition holds, at most aLimitMs, in short steps so that
+/// the condition is rechecked and Stop() isn't delayed.
 template<typename Condition>
-void SleepWhile(TimeMs aLimitMs, Condition&& aCondition)
+void SleepInStepsWhile(TimeMs aLimitMs, Condition&& aCondition)
 {
   constexpr TimeMs kStepMs = 5;
   for (TimeMs slept = 0; slept < aLimitMs && aCondition(); slept += kStepMs) {
@@ -109,7 +110,7 @@
   } else if (is("_health", 1) || is("_ready", 1)) {
     aExchange.Respond(detail::kOk, {}, "ok\n");
   } else if (is("_fault", 1)) {
-    HandleFault(aExchange);
+    HandleFaultSettings(aExchange);
   } else if (is("_platform", 3)) {
     Write(aExchange, path[1], path[2], std::nullopt, false);
   } else if (is("watch", 2) && method == "GET") {
@@ -134,17 +135,19 @@
 {
   CountCall(aCall, aKind);
   const bool isWrite = aCall == StoreCall::Put || aCall == StoreCall::Delete;
-  const auto fault = faults_.Next(isWrite);
-  if (ShowFault(aExchange, fault)) {
+  const auto fault = faults_.NextFault(isWrite);
+  if (InjectFault(aExchange, fault)) {
     return;
   }
   if (isWrite) {
     ExpectedVersion expected;
     if (!detail::ParsePrecondition(aExchange, expected)) {
-      aExchange.Respond(detail::kPreconditionRequired, {}, "no version\n");
+      aExchange.Respond(detail::kPreconditionRequired,
+                        {},
+                        "If-Match or If-None-Match is missing or invalid\n");
       return;
     }
-    Write(aExchange, aKind, aName, expected, fault.losesAnswer_);
+    Write(aExchange, aKind, aName, expected, fault.dropsResponse_);
   } else if (aCall == StoreCall::Get) {
     Read(aExchange, aKind, aName);
   } else if (aCall == StoreCall::List) {
@@ -154,30 +157,32 @@
   }
 }
 
-bool StandinStore::ShowFault(HttpExchange& aExchange, const StoreFault& aFault)
+bool StandinStore::InjectFault(HttpExchange& aExchange,
+                               const StoreFault& aFault)
 {
-  detail::SleepWhile(aFault.delayMs_, [this] { return !stopping_.load(); });
-  switch (aFault.down_) {
-    case StoreDown::Silent:
-      detail::SleepWhile(detail::kMaxWatchMs, [this] {
-        return !stopping_.load() && faults_.Down() == StoreDown::Silent;
+  detail::SleepInStepsWhile(aFault.delayMs_,
+                            [this] { return !stopping_.load(); });
+  switch (aFault.outage_) {
+    case StoreOutage::Hang:
+      detail::SleepInStepsWhile(detail::kMaxWatchWaitMs, [this] {
+        return !stopping_.load() && faults_.Outage() == StoreOutage::Hang;
       });
       aExchange.Abort();
       return true;
-    case StoreDown::Close:
+    case StoreOutage::Close:
       aExchange.Abort();
       return true;
-    case StoreDown::Answer:
+    case StoreOutage::Respond503:
       aExchange.Respond(detail::kServiceUnavailable, {}, "store is down\n");
       return true;
-    case StoreDown::None:
-    case StoreDown::Count:
+    case StoreOutage::None:
+    case StoreOutage::Count:
       break;
   }
-  if (aFault.fails_) {
+  if (aFault.returnsError_) {
     aExchange.Respond(detail::kServiceUnavailable, {}, "try again\n");
   }
-  return aFault.fails_;
+  return aFault.returnsError_;
 }
 
 void StandinStore::Read(HttpExchange& aExchange,
@@ -198,7 +203,8 @@
   aExchange.Respond(
     detail::kOk,
     {},
-    detail::ObjectsToJson(objects_.Changes(aKind, 0, faults_.LagMs(aKind)), 0));
+    detail::ObjectsToJson(objects_.ChangesSince(aKind, 0, faults_.LagMs(aKind)),
+                          0));
 }
 
 void StandinStore::Watch(HttpExchange& aExchange, const std::string& aKind)
@@ -207,17 +213,18 @@
   TimeMs waitMs = 0;
   if (!ParseNumber(aExchange.QueryValue("since"), since) ||
       !ParseNumber(aExchange.QueryValue("timeoutMs"), waitMs)) {
-    aExchange.Respond(detail::kBadRequest, {}, "since or timeoutMs missing\n");
+    aExchange.Respond(
+      detail::kBadRequest, {}, "since or timeoutMs is missing or invalid\n");
     return;
   }
-  const auto changes =
-    objects_.WaitChanges(aKind,
-                         since,
-                         faults_.LagMs(aKind),
-                         std::clamp<TimeMs>(waitMs, 0, detail::kMaxWatchMs));
-  // A watch that was waiting when the store went down gets no answer either.
-  if (faults_.Down() != StoreDown::None) {
-    ShowFault(aExchange, { faults_.Down(), 0, false, false });
+  const auto changes = objects_.WaitForChanges(
+    aKind,
+    since,
+    faults_.LagMs(aKind),
+    std::clamp<TimeMs>(waitMs, 0, detail::kMaxWatchWaitMs));
+  // An outage also applies to watch calls that were waiting when it began.
+  if (faults_.Outage() != StoreOutage::None) {
+    InjectFault(aExchange, { faults_.Outage(), 0, false, false });
     return;
   }
   aExchange.Respond(detail::kOk, {}, detail::ObjectsToJson(changes, since));
@@ -227,16 +234,17 @@
                          const std::string& aKind,
                          const std::string& aName,
                          const ExpectedVersion& aExpected,
-                         bool aLosesAnswer)
+                         bool aDropsResponse)
 {
   const auto method = aExchange.Method();
   if (method != "PUT" && method != "DELETE") {
-    aExchange.Respond(detail::kMethodNotAllowed, {}, "PUT or DELETE\n");
+    aExchange.Respond(
+      detail::kMethodNotAllowed, {}, "method must be PUT or DELETE\n");
     return;
   }
   auto body = aExchange.ReadBody(detail::kMaxValueBytes);
   if (!body.ok()) {
-    aExchange.Respond(detail::kTooLarge, {}, "value above 1 MB\n");
+    aExchange.Respond(detail::kTooLarge, {}, "value exceeds 1 MiB\n");
     return;
   }
   std::optional<std::string> value;
@@ -246,8 +254,8 @@
   int64_t version = 0;
   const bool written =
     objects_.Write(aKind, aName, aExpected, std::move(value), version);
-  if (aLosesAnswer) {
-    lostAnswers_.fetch_add(1);
+  if (aDropsResponse) {
+    droppedResponses_.fetch_add(1);
     aExchange.Abort();
     return;
   }
@@ -256,15 +264,16 @@
                     {});
 }
 
-void StandinStore::HandleFault(HttpExchange& aExchange)
+void StandinStore::HandleFaultSettings(HttpExchange& aExchange)
 {
   if (aExchange.Method() == "POST") {
     const auto body = aExchange.ReadBody(detail::kMaxValueBytes);
     const auto document =
       nlohmann::json::parse(body.ok() ? *body : "", nullptr, false);
-    const auto applied = document.is_object()
-                           ? faults_.Apply(document)
-                           : absl::InvalidArgumentError("not an object");
+    const auto applied =
+      document.is_object()
+        ? faults_.Apply(document)
+        : absl::InvalidArgumentError("fault settings must be a JSON object");
     if (!applied.ok()) {
       aExchange.Respond(
         detail::kBadRequest, {}, Concat(applied.message(), "\n"));
@@ -292,7 +301,7 @@
       count;
   }
   document["calls"] = sum;
-  document["lostAnswers"] = lostAnswers_.load();
+  document["lostAnswers"] = droppedResponses_.load();
   const std::lock_guard lock(mutex_);
   document["byCallAndKind"] = callsByKind_;
   return document.dump();
--- a/standin/StandinStore.hpp
+++ b/standin/StandinStore.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "StoreFaults.hpp"
+#include "StoreFaultInjector.hpp"
 #include "VersionedObjects.hpp"
 #include "common/HttpServer.hpp"
 
@@ -12,7 +12,7 @@
 
 namespace cactuspitch {
 
-/// Kind of call, as the platform counts them.
+/// Kinds of store calls that the platform counts separately.
 enum class StoreCall : uint8_t
 {
   Get,
@@ -34,11 +34,11 @@
 };
 
 /// Stand-in for the platform's object store (docs/design.md, section 7.3).
-/// Beyond its protocol it offers, uncounted and free of faults:
-/// - PUT, DELETE /_platform/{kind}/{name}: writes without precondition, for
-///   the lists that the platform owns.
-/// - GET /_stats: calls by kind of call and by kind of object.
-/// - GET, POST /_fault: the faults to show, as JSON.
+/// In addition to the protocol it serves, without counting or faults:
+/// - PUT, DELETE /_platform/{kind}/{name}: writes without a precondition, for
+///   the objects that the platform maintains itself.
+/// - GET /_stats: number of calls, by kind of call and kind of object.
+/// - GET, POST /_fault: reads or sets the injected faults, as JSON.
 class StandinStore
 {
 public:
@@ -53,8 +53,9 @@
                   StoreCall aCall,
                   const std::string& aKind,
                   const std::string& aName);
-  /// True when the fault has ended the call.
-  bool ShowFault(HttpExchange& aExchange, const StoreFault& aFault);
+  /// Applies the fault to the call. Returns true when the call is finished and
+  /// needs no further response.
+  bool InjectFault(HttpExchange& aExchange, const StoreFault& aFault);
   void Read(HttpExchange& aExchange,
             const std::string& aKind,
             const std::string& aName);
@@ -64,19 +65,19 @@
              const std::string& aKind,
              const std::string& aName,
              const ExpectedVersion& aExpected,
-             bool aLosesAnswer);
-  void HandleFault(HttpExchange& aExchange);
+             bool aDropsResponse);
+  void HandleFaultSettings(HttpExchange& aExchange);
   void CountCall(StoreCall aCall, const std::string& aKind);
   std::string Stats() const;
 
   VersionedObjects objects_;
-  StoreFaults faults_;
+  StoreFaultInjector faults_;
   HttpServer server_;
   std::array<std::atomic<int64_t>, static_cast<size_t>(StoreCall::Count)>
     calls_{};
   mutable std::mutex mutex_;
   std::map<std::string, int64_t> callsByKind_;
-  std::atomic<int64_t> lostAnswers_ = 0;
+  std::atomic<int64_t> droppedResponses_ = 0;
   std::atomic<bool> stopping_ = false;
 };
 
