--- a/bench/ServerNoticesBench.cpp
+++ b/bench/ServerNoticesBench.cpp
@@ -24,8 +24,8 @@
 ServerNoticesModel::Result Play(ServerNoticesModel::Options aOptions,
                                 bool aHeeds)
 {
-  aOptions.heedsLeaving_ = aHeeds;
-  aOptions.heedsPauses_ = aHeeds;
+  aOptions.obeysLeavingNotices_ = aHeeds;
+  aOptions.obeysPauses_ = aHeeds;
   ServerNoticesModel::Result sum;
   for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
     sum += ServerNoticesModel(aOptions, seed).Run();
@@ -47,9 +47,9 @@
               aResult.late_,
               aResult.refused_,
               aResult.lost_,
-              aResult.afterLeaving_,
-              aResult.inPause_,
-              aResult.returnShed_);
+              aResult.sentAfterLeavingNotice_,
+              aResult.sentInPause_,
+              aResult.shedAfterPause_);
 }
 
 int Run()
@@ -73,11 +73,11 @@
       return Concat("notices-", fleet.name_, "-", aFigure);
     };
     report.AtMost(name("after-leaving"),
-                  static_cast<double>(with.afterLeaving_),
+                  static_cast<double>(with.sentAfterLeavingNotice_),
                   "requests",
                   0);
     report.AtMost(
-      name("in-pause"), static_cast<double>(with.inPause_), "requests", 0);
+      name("in-pause"), static_cast<double>(with.sentInPause_), "requests", 0);
     report.AtMost(name("lost"), static_cast<double>(with.lost_), "requests", 0);
     report.AtMost(name("late"),
                   static_cast<double>(with.late_),
--- a/demo/GatewayDemoMain.cpp
+++ b/demo/GatewayDemoMain.cpp
@@ -26,7 +26,7 @@
 int64_t Sent(const SoakJournal& aJournal)
 {
   int64_t sent = 0;
-  for (const auto name : EnumNames<SoakKind>::kNames) {
+  for (const auto name : EnumNames<SoakRequestKind>::kNames) {
     sent += aJournal.Count(Concat("sent-", name));
   }
   return sent;
@@ -34,7 +34,7 @@
 
 int Run()
 {
-  GatewaySoak soak({ .faultsForMs_ = kDemoMs,
+  GatewaySoak soak({ .faultDurationMs_ = kDemoMs,
                      .faults_ = { "kill-gateway",
                                   "stop-gateway",
                                   "leave-backend",
--- a/tests/GatewaySoak.cpp
+++ b/tests/GatewaySoak.cpp
@@ -14,20 +14,20 @@
 constexpr TimeMs kGraceMs = 3000;
 constexpr TimeMs kDrainMs = 2000;
 /// From the start of all gateways until callers come.
-constexpr TimeMs kStartMs = 2500;
-constexpr TimeMs kWatchMs = 50;
+constexpr TimeMs kStartupMs = 2500;
+constexpr TimeMs kCheckIntervalMs = 50;
 /// From the start of a process to the first line of its main function.
 constexpr TimeMs kExecMs = 20;
-constexpr int kFaultEveryMinMs = 250;
-constexpr int kFaultEveryMaxMs = 900;
+constexpr int kMinFaultGapMs = 250;
+constexpr int kMaxFaultGapMs = 900;
 /// Longest fault; then all is healed by itself.
-constexpr int kLongestFaultMs = 4000;
+constexpr int kMaxFaultMs = 4000;
 /// Callers are served again within this time after all has healed.
 constexpr TimeMs kRecoveryMs = 15000;
 constexpr TimeMs kServedWindowMs = 1000;
-constexpr double kServedShare = 0.9;
+constexpr double kMinServedShare = 0.9;
 /// Keys may have two holders on their way for so long.
-constexpr TimeMs kSharedMs = 500;
+constexpr TimeMs kMaxConflictMs = 500;
 constexpr int kCallersPerGateway = 3;
 constexpr int kMaxCallers = 60;
 constexpr int kDomains = 3;
@@ -43,46 +43,46 @@
     { "kill-many-gateways", 1, &GatewaySoak::KillManyGateways },
     { "freeze-gateway", 1, &GatewaySoak::FreezeGateway },
     { "stop-gateway", 1, &GatewaySoak::StopGateway },
-    { "hang-up-gateway", 1, &GatewaySoak::HangUpGateway },
-    { "cut-gateway", 1, &GatewaySoak::CutGateway },
-    { "trouble-store", 1, &GatewaySoak::TroubleStore },
+    { "hang-up-gateway", 1, &GatewaySoak::SendSighupToGateway },
+    { "cut-gateway", 1, &GatewaySoak::CutStoreLink },
+    { "trouble-store", 1, &GatewaySoak::InjectStoreFault },
     { "forget-history", 1, &GatewaySoak::CompactHistory },
     { "crash-backend", 2, &GatewaySoak::CrashBackend },
     { "freeze-backend", 1, &GatewaySoak::FreezeBackend },
-    { "leave-backend", 2, &GatewaySoak::LeaveBackend },
+    { "leave-backend", 2, &GatewaySoak::ReplaceBackend },
     { "pause-backend", 2, &GatewaySoak::PauseBackend },
-    { "trouble-answers", 4, &GatewaySoak::TroubleAnswers },
-    { "delay-orders", 1, &GatewaySoak::DelayOrders },
-    { "cut-backend", 1, &GatewaySoak::CutBackend },
+    { "trouble-answers", 4, &GatewaySoak::InjectResponseFault },
+    { "delay-orders", 1, &GatewaySoak::DelayCommands },
+    { "cut-backend", 1, &GatewaySoak::CutBackendLink },
     { "silence-connections", 1, &GatewaySoak::SilenceConnections },
     { "change-config", 1, &GatewaySoak::ChangeConfig },
   };
   return kFaults;
 }
 
-std::vector<const GatewaySoak::FaultKind*> GatewaySoak::DrawnFaults() const
+std::vector<const GatewaySoak::FaultKind*> GatewaySoak::WeightedFaults() const
 {
-  std::vector<const FaultKind*> drawn;
+  std::vector<const FaultKind*> weighted;
   for (const auto& kind : Faults()) {
     if (options_.faults_.empty() ||
         std::ranges::find(options_.faults_, kind.name_) !=
           options_.faults_.end()) {
-      drawn.insert(drawn.end(), kind.weight_, &kind);
+      weighted.insert(weighted.end(), kind.weight_, &kind);
     }
   }
-  return drawn;
+  return weighted;
 }
 
 GatewaySoak::GatewaySoak(Options aOptions)
   : options_(std::move(aOptions))
-  , drawnFaults_(DrawnFaults())
+  , weightedFaults_(WeightedFaults())
   , random_(options_.seed_)
   , callRandom_(options_.seed_)
   , journal_(loop_, options_.gateways_)
   , store_(loop_)
   , fleet_(options_.binaryDir_)
   , tasks_(loop_)
-  , watchTimer_(loop_, [this] { Watch(); })
+  , checkTimer_(loop_, [this] { CheckProcesses(); })
 {
   PutConfig();
   AddBackends();
@@ -96,7 +96,7 @@
   }
 }
 
-int GatewaySoak::Draw(int aLow, int aHigh)
+int GatewaySoak::RandomInt(int aLow, int aHigh)
 {
   return std::uniform_int_distribution<int>(aLow, aHigh)(random_);
 }
@@ -150,7 +150,7 @@
     options.service_ = keyed ? "keyed" : "plain";
     options.failureDomain_ = Concat("z", index % kDomains);
     options.keyed_ = keyed;
-    options.linked_ = index % 2 == 1;
+    options.behindLink_ = index % 2 == 1;
     backends_.push_back(std::make_unique<SoakBackend>(
       loop_, store_, journal_, options, random_()));
   }
@@ -189,12 +189,12 @@
         gateways_[index].listen_,
         Concat("c", index, caller),
         random_(),
-        [this](SoakRequest& aRequest) { Choose(aRequest); }));
+        [this](SoakRequest& aRequest) { ChooseRequest(aRequest); }));
     }
   }
 }
 
-void GatewaySoak::Choose(SoakRequest& aRequest)
+void GatewaySoak::ChooseRequest(SoakRequest& aRequest)
 {
   constexpr int kOutOf = 200;
   const auto pick = [&](int aLow, int aHigh) {
@@ -202,19 +202,19 @@
   };
   const int draw = pick(1, kOutOf);
   if (draw <= 60) {
-    aRequest.kind_ = SoakKind::Unsafe;
+    aRequest.kind_ = SoakRequestKind::Unsafe;
   } else if (draw <= 120) {
-    aRequest.kind_ = SoakKind::Keyed;
+    aRequest.kind_ = SoakRequestKind::Keyed;
     const auto& keys = SoakBackend::Keys();
     // A third of them wants one key.
     constexpr int kHotShare = 3;
     const bool hot = pick(1, kHotShare) == 1;
     aRequest.key_ = keys[hot ? 0 : pick(0, static_cast<int>(keys.size()) - 1)];
   } else if (draw <= 140) {
-    aRequest.kind_ = SoakKind::Probe;
+    aRequest.kind_ = SoakRequestKind::Probe;
     aRequest.version_ = pick(1, static_cast<int>(version_));
-  } else if (draw == 141 && crashingCalls_) {
-    aRequest.kind_ = SoakKind::Crash;
+  } else if (draw == 141 && sendsCrashRequests_) {
+    aRequest.kind_ = SoakRequestKind::Crash;
   }
 }
 
@@ -224,7 +224,7 @@
   if (gateway.state_ != GatewayState::Down) {
     return;
   }
-  ++gateway.run_;
+  ++gateway.incarnation_;
   gateway.startedMs_ = loop_.NowMs();
   gateway.state_ = GatewayState::Up;
   fleet_.Launch(
@@ -248,61 +248,62 @@
   for (int index = 0; index < options_.gateways_; ++index) {
     StartGateway(index);
   }
-  Watch();
-  RunLoopFor(loop_, kStartMs);
+  CheckProcesses();
+  RunLoopFor(loop_, kStartupMs);
   AddCallers();
   RunLoopFor(loop_, kServedWindowMs);
   BeginFault();
-  tasks_.After(options_.faultsForMs_ / 2, [this] { crashingCalls_ = true; });
-  RunLoopFor(loop_, options_.faultsForMs_);
-  Heal();
-  const bool served = IsServedAgain();
+  tasks_.After(options_.faultDurationMs_ / 2,
+               [this] { sendsCrashRequests_ = true; });
+  RunLoopFor(loop_, options_.faultDurationMs_);
+  EndFaults();
+  const bool served = WaitForRecovery();
   for (const auto& caller : callers_) {
     caller->Stop();
   }
   RunLoopFor(loop_, kServedWindowMs);
   if (!served) {
-    journal_.Report(SoakFinding::NotServedAgain, "after all faults have ended");
+    journal_.Report(SoakViolation::NotRecovered, "after all faults have ended");
   }
   return journal_.Violations();
 }
 
 void GatewaySoak::BeginFault()
 {
-  if (healed_) {
+  if (faultsEnded_) {
     return;
   }
-  const auto& fault =
-    *drawnFaults_[Draw(0, static_cast<int>(drawnFaults_.size()) - 1)];
+  const auto& fault = *weightedFaults_[RandomInt(
+    0, static_cast<int>(weightedFaults_.size()) - 1)];
   std::printf("%ld %s\n", loop_.NowMs(), fault.name_);
   (this->*fault.begin_)();
-  tasks_.After(Draw(kFaultEveryMinMs, kFaultEveryMaxMs),
+  tasks_.After(RandomInt(kMinFaultGapMs, kMaxFaultGapMs),
                [this] { BeginFault(); });
 }
 
-void GatewaySoak::Heal()
+void GatewaySoak::EndFaults()
 {
-  healed_ = true;
-  crashingCalls_ = false;
+  faultsEnded_ = true;
+  sendsCrashRequests_ = false;
   // Faults end by themselves, stopped gateways start again.
-  RunLoopFor(loop_, kLongestFaultMs);
+  RunLoopFor(loop_, kMaxFaultMs);
 }
 
-bool GatewaySoak::IsServedAgain()
+bool GatewaySoak::WaitForRecovery()
 {
   const TimeMs endMs = loop_.NowMs() + kRecoveryMs;
-  journal_.TakeServed();
+  journal_.TakeServedCounts();
   while (loop_.NowMs() < endMs) {
     RunLoopFor(loop_, kServedWindowMs);
-    const auto [served, over] = journal_.TakeServed();
-    if (over > 0 && served >= kServedShare * over) {
+    const auto [served, completed] = journal_.TakeServedCounts();
+    if (completed > 0 && served >= kMinServedShare * completed) {
       return true;
     }
   }
   return false;
 }
 
-void GatewaySoak::Watch()
+void GatewaySoak::CheckProcesses()
 {
   for (int index = 0; index < options_.gateways_; ++index) {
     auto& gateway = gateways_[index];
@@ -319,46 +320,49 @@
     journal_.OnGatewayEnded(index);
     StartGateway(index);
   }
-  CheckOwners();
-  watchTimer_.Start(kWatchMs);
+  CheckKeyConflicts();
+  checkTimer_.Start(kCheckIntervalMs);
 }
 
-void GatewaySoak::CheckOwners()
+void GatewaySoak::CheckKeyConflicts()
 {
   for (const auto key : SoakBackend::Keys()) {
-    std::string lives;
+    std::string incarnations;
     int holders = 0;
     for (const auto& backend : backends_) {
       if (backend->IsKeyed() && backend->IsOwner(key)) {
         ++holders;
-        AppendTo(lives, lives.empty() ? "" : " and ", backend->Life());
+        AppendTo(incarnations,
+                 incarnations.empty() ? "" : " and ",
+                 backend->IncarnationId());
       }
     }
     if (holders < 2) {
-      sharedSinceMs_.erase(key);
+      conflictSinceMs_.erase(key);
       continue;
     }
-    const auto [since, isNew] = sharedSinceMs_.try_emplace(key, loop_.NowMs());
-    if (loop_.NowMs() - since->second > kSharedMs) {
-      journal_.OnKeysShared(key, lives);
+    const auto [since, isNew] =
+      conflictSinceMs_.try_emplace(key, loop_.NowMs());
+    if (loop_.NowMs() - since->second > kMaxConflictMs) {
+      journal_.OnKeyConflict(key, incarnations);
       since->second = loop_.NowMs();
     }
   }
 }
 
-int GatewaySoak::DrawGateway()
+int GatewaySoak::RandomGateway()
 {
-  return Draw(0, options_.gateways_ - 1);
+  return RandomInt(0, options_.gateways_ - 1);
 }
 
-SoakBackend& GatewaySoak::DrawBackend()
+SoakBackend& GatewaySoak::RandomBackend()
 {
-  return *backends_[Draw(0, static_cast<int>(backends_.size()) - 1)];
+  return *backends_[RandomInt(0, static_cast<int>(backends_.size()) - 1)];
 }
 
 void GatewaySoak::KillGateway()
 {
-  const int index = DrawGateway();
+  const int index = RandomGateway();
   auto& gateway = gateways_[index];
   if (gateway.state_ == GatewayState::Down) {
     return;
@@ -366,7 +370,7 @@
   fleet_.Kill(gateway.name_);
   gateway.state_ = GatewayState::Down;
   journal_.OnGatewayEnded(index);
-  tasks_.After(Draw(100, kLongestFaultMs / 2),
+  tasks_.After(RandomInt(100, kMaxFaultMs / 2),
                [this, index] { StartGateway(index); });
 }
 
@@ -379,7 +383,7 @@
 
 void GatewaySoak::FreezeGateway()
 {
-  const int index = DrawGateway();
+  const int index = RandomGateway();
   auto& gateway = gateways_[index];
   if (gateway.state_ != GatewayState::Up) {
     return;
@@ -387,19 +391,21 @@
   fleet_.Pause(gateway.name_);
   gateway.state_ = GatewayState::Frozen;
   journal_.OnGatewayFrozen(index);
-  tasks_.After(Draw(100, kLongestFaultMs), [this, index, run = gateway.run_] {
-    auto& frozen = gateways_[index];
-    if (frozen.state_ == GatewayState::Frozen && frozen.run_ == run) {
-      fleet_.Resume(frozen.name_);
-      frozen.state_ = GatewayState::Up;
-      journal_.OnGatewayThawed(index);
-    }
-  });
+  tasks_.After(RandomInt(100, kMaxFaultMs),
+               [this, index, incarnation = gateway.incarnation_] {
+                 auto& frozen = gateways_[index];
+                 if (frozen.state_ == GatewayState::Frozen &&
+                     frozen.incarnation_ == incarnation) {
+                   fleet_.Resume(frozen.name_);
+                   frozen.state_ = GatewayState::Up;
+                   journal_.OnGatewayResumed(index);
+                 }
+               });
 }
 
 void GatewaySoak::StopGateway()
 {
-  const int index = DrawGateway();
+  const int index = RandomGateway();
   auto& gateway = gateways_[index];
   if (gateway.state_ != GatewayState::Up) {
     return;
@@ -407,17 +413,18 @@
   gateway.state_ = GatewayState::Stopping;
   journal_.OnGatewayStopping(index);
   kill(fleet_.Pid(gateway.name_), SIGTERM);
-  tasks_.After(kGraceMs, [this, index, run = gateway.run_] {
+  tasks_.After(kGraceMs, [this, index, incarnation = gateway.incarnation_] {
     auto& stopping = gateways_[index];
-    if (stopping.state_ == GatewayState::Stopping && stopping.run_ == run) {
+    if (stopping.state_ == GatewayState::Stopping &&
+        stopping.incarnation_ == incarnation) {
       fleet_.Kill(stopping.name_);
     }
   });
 }
 
-void GatewaySoak::HangUpGateway()
+void GatewaySoak::SendSighupToGateway()
 {
-  const auto& gateway = gateways_[DrawGateway()];
+  const auto& gateway = gateways_[RandomGateway()];
   // No program can handle a signal before its own code runs.
   if (gateway.state_ == GatewayState::Up &&
       loop_.NowMs() - gateway.startedMs_ > kExecMs) {
@@ -425,28 +432,28 @@
   }
 }
 
-void GatewaySoak::CutGateway()
+void GatewaySoak::CutStoreLink()
 {
   static constexpr LinkMode kModes[] = {
     LinkMode::DropUp, LinkMode::DropDown, LinkMode::DropBoth, LinkMode::Refuse
   };
-  const int index = DrawGateway();
-  gateways_[index].storeLink_->SetMode(kModes[Draw(0, 3)]);
-  journal_.OnGatewayCut(index, true);
-  tasks_.After(Draw(100, kLongestFaultMs), [this, index] {
+  const int index = RandomGateway();
+  gateways_[index].storeLink_->SetMode(kModes[RandomInt(0, 3)]);
+  journal_.OnStoreLinkCut(index, true);
+  tasks_.After(RandomInt(100, kMaxFaultMs), [this, index] {
     gateways_[index].storeLink_->SetMode(LinkMode::Pass);
-    journal_.OnGatewayCut(index, false);
+    journal_.OnStoreLinkCut(index, false);
   });
 }
 
-void GatewaySoak::TroubleStore()
+void GatewaySoak::InjectStoreFault()
 {
   constexpr int kKinds = static_cast<int>(StoreFaultMode::Count);
-  store_.SetFaultMode(static_cast<StoreFaultMode>(Draw(1, kKinds - 1)));
-  journal_.OnStoreDisturbed(true);
-  tasks_.After(Draw(200, kLongestFaultMs), [this] {
+  store_.SetFaultMode(static_cast<StoreFaultMode>(RandomInt(1, kKinds - 1)));
+  journal_.OnStoreFault(true);
+  tasks_.After(RandomInt(200, kMaxFaultMs), [this] {
     store_.SetFaultMode(StoreFaultMode::None);
-    journal_.OnStoreDisturbed(false);
+    journal_.OnStoreFault(false);
   });
 }
 
@@ -457,51 +464,51 @@
 
 void GatewaySoak::CrashBackend()
 {
-  DrawBackend().Crash(Draw(50, kLongestFaultMs));
+  RandomBackend().Crash(RandomInt(50, kMaxFaultMs));
 }
 
 void GatewaySoak::FreezeBackend()
 {
-  DrawBackend().Freeze(Draw(100, kLongestFaultMs));
+  RandomBackend().Freeze(RandomInt(100, kMaxFaultMs));
 }
 
-void GatewaySoak::LeaveBackend()
+void GatewaySoak::ReplaceBackend()
 {
-  DrawBackend().Leave();
+  RandomBackend().Leave();
 }
 
 void GatewaySoak::PauseBackend()
 {
-  DrawBackend().Pause(Draw(600, kLongestFaultMs));
+  RandomBackend().Pause(RandomInt(600, kMaxFaultMs));
 }
 
-void GatewaySoak::TroubleAnswers()
+void GatewaySoak::InjectResponseFault()
 {
-  constexpr int kKinds = static_cast<int>(AnswerTrouble::Count);
-  const auto trouble = static_cast<AnswerTrouble>(Draw(1, kKinds - 1));
-  DrawBackend().SetFaultMode(trouble, Draw(100, kLongestFaultMs / 2));
+  constexpr int kKinds = static_cast<int>(ResponseFault::Count);
+  const auto fault = static_cast<ResponseFault>(RandomInt(1, kKinds - 1));
+  RandomBackend().SetFaultMode(fault, RandomInt(100, kMaxFaultMs / 2));
 }
 
-void GatewaySoak::DelayOrders()
+void GatewaySoak::DelayCommands()
 {
-  DrawBackend().DelayOrders(Draw(200, kLongestFaultMs));
+  RandomBackend().DelayCommands(RandomInt(200, kMaxFaultMs));
 }
 
-void GatewaySoak::CutBackend()
+void GatewaySoak::CutBackendLink()
 {
   static constexpr LinkMode kModes[] = { LinkMode::DropUp,
                                          LinkMode::DropDown,
                                          LinkMode::DropBoth };
-  auto& backend = DrawBackend();
+  auto& backend = RandomBackend();
   // Grants that a link holds up do not count, so keyed servers keep theirs.
   if (!backend.IsKeyed()) {
-    backend.CutLink(kModes[Draw(0, 2)], Draw(100, kLongestFaultMs));
+    backend.CutLink(kModes[RandomInt(0, 2)], RandomInt(100, kMaxFaultMs));
   }
 }
 
 void GatewaySoak::SilenceConnections()
 {
-  DrawBackend().SilenceConnections();
+  RandomBackend().SilenceConnections();
 }
 
 void GatewaySoak::ChangeConfig()
--- a/tests/GatewaySoak.hpp
+++ b/tests/GatewaySoak.hpp
@@ -21,7 +21,7 @@
   {
     uint32_t seed_ = 1;
     int gateways_ = 4;
-    TimeMs faultsForMs_ = 15000;
+    TimeMs faultDurationMs_ = 15000;
     /// Of these kinds; all when it names none.
     std::vector<std::string> faults_;
     std::string binaryDir_;
@@ -53,7 +53,7 @@
     std::unique_ptr<LinkCut> storeLink_;
     std::string store_;
     GatewayState state_ = GatewayState::Down;
-    int run_ = 0; ///< counts its starts
+    int incarnation_ = 0; ///< counts its starts
     TimeMs startedMs_ = 0;
   };
   struct FaultKind
@@ -64,7 +64,7 @@
   };
   static const std::vector<FaultKind>& Faults();
   /// Kinds to draw from, each as often as its weight says.
-  std::vector<const FaultKind*> DrawnFaults() const;
+  std::vector<const FaultKind*> WeightedFaults() const;
 
   void AddGateways();
   void AddBackends();
@@ -72,37 +72,37 @@
   void PutConfig();
   void StartGateway(int aGateway);
   void BeginFault();
-  void Heal();
-  bool IsServedAgain();
+  void EndFaults();
+  bool WaitForRecovery();
   /// Looks for ended processes and for keys with two holders.
-  void Watch();
-  void CheckOwners();
-  int Draw(int aLow, int aHigh);
-  int DrawGateway();
-  SoakBackend& DrawBackend();
-  void Choose(SoakRequest& aRequest);
+  void CheckProcesses();
+  void CheckKeyConflicts();
+  int RandomInt(int aLow, int aHigh);
+  int RandomGateway();
+  SoakBackend& RandomBackend();
+  void ChooseRequest(SoakRequest& aRequest);
 
   // Faults.
   void KillGateway();
   void KillManyGateways();
   void FreezeGateway();
   void StopGateway();
-  void HangUpGateway();
-  void CutGateway();
-  void TroubleStore();
+  void SendSighupToGateway();
+  void CutStoreLink();
+  void InjectStoreFault();
   void CompactHistory();
   void CrashBackend();
   void FreezeBackend();
-  void LeaveBackend();
+  void ReplaceBackend();
   void PauseBackend();
-  void TroubleAnswers();
-  void DelayOrders();
-  void CutBackend();
+  void InjectResponseFault();
+  void DelayCommands();
+  void CutBackendLink();
   void SilenceConnections();
   void ChangeConfig();
 
   Options options_;
-  const std::vector<const FaultKind*> drawnFaults_;
+  const std::vector<const FaultKind*> weightedFaults_;
   EventLoop loop_;
   std::mt19937 random_;
   std::mt19937 callRandom_; ///< of callers, so that a seed keeps its faults
@@ -113,11 +113,11 @@
   std::vector<std::unique_ptr<SoakBackend>> backends_;
   std::vector<std::unique_ptr<SoakCaller>> callers_;
   DelayedTasks tasks_;
-  Timer watchTimer_;
+  Timer checkTimer_;
   int64_t version_ = 0;
-  bool crashingCalls_ = false;
-  bool healed_ = false;
-  std::map<uint32_t, TimeMs> sharedSinceMs_;
+  bool sendsCrashRequests_ = false;
+  bool faultsEnded_ = false;
+  std::map<uint32_t, TimeMs> conflictSinceMs_;
 };
 
 }
--- a/tests/ProcessFleet.cpp
+++ b/tests/ProcessFleet.cpp
@@ -20,9 +20,9 @@
 
 namespace detail {
 
-constexpr TimeMs kEndMs = 5000;
-constexpr TimeMs kCallMs = 3000;
-constexpr size_t kMaxAnswerBytes = 64 << 20;
+constexpr TimeMs kExitTimeoutMs = 5000;
+constexpr TimeMs kCallTimeoutMs = 3000;
+constexpr size_t kMaxResponseBytes = 64 << 20;
 constexpr int kExecFailed = 127;
 
 /// The texts as execve() takes them.
@@ -74,7 +74,7 @@
     }
   }
   for (auto& [name, process] : processes_) {
-    Reap(process, detail::kEndMs);
+    Reap(process, detail::kExitTimeoutMs);
   }
 }
 
@@ -151,7 +151,7 @@
 void ProcessFleet::Kill(const std::string& aName)
 {
   Signal(aName, SIGKILL);
-  Reap(Find(aName), detail::kEndMs);
+  Reap(Find(aName), detail::kExitTimeoutMs);
 }
 
 void ProcessFleet::Pause(const std::string& aName)
@@ -213,13 +213,13 @@
   constexpr int kOk = 200;
   const SteadyClock clock;
   HttpConnection connection(clock, aAddress);
-  auto answer = connection.Exchange({ aMethod, aTarget, {}, aBody },
-                                    clock.NowMs() + detail::kCallMs,
-                                    detail::kMaxAnswerBytes);
-  if (!answer.ok() || answer->head_.status_ != kOk) {
+  auto response = connection.Exchange({ aMethod, aTarget, {}, aBody },
+                                      clock.NowMs() + detail::kCallTimeoutMs,
+                                      detail::kMaxResponseBytes);
+  if (!response.ok() || response->head_.status_ != kOk) {
     return std::nullopt;
   }
-  return std::move(answer->body_);
+  return std::move(response->body_);
 }
 
 }
--- a/tests/ServerNoticesModel.cpp
+++ b/tests/ServerNoticesModel.cpp
@@ -13,22 +13,22 @@
 constexpr TimeMs kSecondMs = 1000;
 constexpr int64_t kUsPerMs = 1000;
 /// A server's registration says that it drains so long after its answers do.
-constexpr TimeMs kRecordLagMs = 3000;
+constexpr TimeMs kRegistrationLagMs = 3000;
 /// It serves on so long after the drain time, then ends.
 constexpr TimeMs kEndSlackMs = 1000;
-constexpr TimeMs kReplacedAfterMs = 1000;
+constexpr TimeMs kReplacementDelayMs = 1000;
 /// Pauses and replacements begin once loads are known.
 constexpr TimeMs kWarmupMs = 2000;
 constexpr TimeMs kPeerDelayMs = 100;
-constexpr TimeMs kRecordDelayMs = 400;
-constexpr TimeMs kShareEveryMs = 500;
+constexpr TimeMs kRegistrationDelayMs = 400;
+constexpr TimeMs kLoadReportIntervalMs = 500;
 constexpr TimeMs kQueueIntervalMs = 10;
 constexpr TimeMs kNoticeAllowanceMs = 500;
 constexpr int kAllowedInPause = 2;
 constexpr int kMaxAttempts = 3;
-constexpr int kMaxReturns = 2;
+constexpr int kMaxCallerRetries = 2;
 constexpr int kDomains = 4;
-constexpr size_t kSample = 6;
+constexpr size_t kSampleSize = 6;
 constexpr int kPausingShare = 10; ///< one of so many servers
 /// Servers of a release that are being replaced at the same time.
 constexpr double kReleaseShare = 0.04;
@@ -56,9 +56,9 @@
   late_ += aOther.late_;
   refused_ += aOther.refused_;
   lost_ += aOther.lost_;
-  afterLeaving_ += aOther.afterLeaving_;
-  inPause_ += aOther.inPause_;
-  returnShed_ += aOther.returnShed_;
+  sentAfterLeavingNotice_ += aOther.sentAfterLeavingNotice_;
+  sentInPause_ += aOther.sentInPause_;
+  shedAfterPause_ += aOther.shedAfterPause_;
   return *this;
 }
 
@@ -74,11 +74,11 @@
   for (size_t index = 0; index < gateways_.size(); ++index) {
     auto& gateway = gateways_[index];
     gateway.views_.assign(servers_.size(), NewView());
-    const auto homes =
+    const auto preferredServers =
       PreferredServers(gatewayNames[index].first, gatewayNames, serverNames);
     for (size_t server = 0; server < servers_.size(); ++server) {
-      if (homes.contains(serverNames[server].first)) {
-        gateway.homes_.push_back(server);
+      if (preferredServers.contains(serverNames[server].first)) {
+        gateway.preferredServers_.push_back(server);
       }
     }
   }
@@ -97,20 +97,20 @@
   const TimeMs endMs = options_.seconds_ * kSecondMs;
   const auto atOnce =
     std::max(1.0, kReleaseShare * static_cast<double>(servers_.size()));
-  const auto leaveEveryMs =
-    static_cast<TimeMs>(static_cast<double>(kRecordLagMs + options_.drainMs_ +
-                                            kEndSlackMs + kReplacedAfterMs) /
-                        atOnce);
+  const auto leaveEveryMs = static_cast<TimeMs>(
+    static_cast<double>(kRegistrationLagMs + options_.drainMs_ + kEndSlackMs +
+                        kReplacementDelayMs) /
+    atOnce);
   for (size_t server = 0; server < servers_.size(); ++server) {
     After(kWarmupMs + static_cast<TimeMs>(server) * leaveEveryMs,
           [this, server] { StartReplacement(server); });
     if (server % kPausingShare == 0) {
-      After(kWarmupMs + static_cast<TimeMs>(DrawBetween(
+      After(kWarmupMs + static_cast<TimeMs>(RandomBetween(
                           workload_, 0, static_cast<double>(endMs) / 2)),
             [this, server] { StartPause(server); });
     }
   }
-  ShareLoads();
+  ReportLoads();
   Arrive();
   events_.RunUntil((endMs + options_.deadlineMs_) * kUsPerMs);
   return result_;
@@ -118,23 +118,24 @@
 
 void ServerNoticesModel::StartReplacement(size_t aServer)
 {
-  servers_[aServer].leaves_ = true;
-  After(kRecordLagMs, [this, aServer] {
-    servers_[aServer].drains_ = true;
+  servers_[aServer].leaving_ = true;
+  After(kRegistrationLagMs, [this, aServer] {
+    servers_[aServer].draining_ = true;
     for (auto& gateway : gateways_) {
-      After(static_cast<TimeMs>(DrawBetween(0, kRecordDelayMs)),
+      After(static_cast<TimeMs>(RandomBetween(0, kRegistrationDelayMs)),
             [&view = gateway.views_[aServer]] { view.takesNewWork_ = false; });
     }
   });
-  After(kRecordLagMs + options_.drainMs_ + kEndSlackMs, [this, aServer] {
+  After(kRegistrationLagMs + options_.drainMs_ + kEndSlackMs, [this, aServer] {
     auto& server = servers_[aServer];
     result_.lost_ += server.running_ + std::ssize(server.waiting_);
-    const int nextLife = server.life_ + 1;
+    const int nextIncarnation = server.incarnation_ + 1;
     server = {};
-    server.life_ = nextLife;
+    server.incarnation_ = nextIncarnation;
     server.up_ = false;
   });
-  After(kRecordLagMs + options_.drainMs_ + kEndSlackMs + kReplacedAfterMs,
+  After(kRegistrationLagMs + options_.drainMs_ + kEndSlackMs +
+          kReplacementDelayMs,
         [this, aServer] {
           servers_[aServer].up_ = true;
           for (auto& gateway : gateways_) {
@@ -147,11 +148,11 @@
 {
   auto& server = servers_[aServer];
   const auto pauseMs = static_cast<TimeMs>(
-    DrawBetween(workload_, kShortestPauseMs, kLongestPauseMs));
+    RandomBetween(workload_, kShortestPauseMs, kLongestPauseMs));
   server.pauseEndMs_ = events_.NowMs() + pauseMs;
 }
 
-void ServerNoticesModel::ShareLoads()
+void ServerNoticesModel::ReportLoads()
 {
   for (size_t server = 0; server < servers_.size(); ++server) {
     const auto load = static_cast<double>(
@@ -161,7 +162,7 @@
     }
   }
   if (events_.NowMs() < options_.seconds_ * kSecondMs) {
-    After(kShareEveryMs, [this] { ShareLoads(); });
+    After(kLoadReportIntervalMs, [this] { ReportLoads(); });
   }
 }
 
@@ -171,9 +172,9 @@
     return;
   }
   auto call = std::make_shared<Call>();
-  call->sentMs_ = call->readMs_ = events_.NowMs();
+  call->sentMs_ = call->receivedMs_ = events_.NowMs();
   ++result_.requests_;
-  Dispatch(Draw(gateways_.size()), call);
+  Dispatch(RandomIndex(gateways_.size()), call);
   const double perMs = options_.load_ * options_.servers_ * options_.slots_ /
                        options_.serviceTimeMs_;
   std::exponential_distribution<double> gapMs(perMs);
@@ -185,17 +186,18 @@
   std::vector<size_t> candidates;
   const auto add = [&](size_t aServer) {
     const auto& view = aGateway.views_[aServer];
-    const bool leaves = options_.heedsLeaving_ && view.noticedMs_ != 0;
+    const bool leaves =
+      options_.obeysLeavingNotices_ && view.leavingNoticeMs_ != 0;
     const bool pauses =
-      options_.heedsPauses_ && view.pause_.IsActive(events_.NowMs());
+      options_.obeysPauses_ && view.pause_.IsActive(events_.NowMs());
     if (view.takesNewWork_ && !leaves && !pauses &&
         std::ranges::find(candidates, aServer) == candidates.end()) {
       candidates.push_back(aServer);
     }
   };
-  std::ranges::for_each(aGateway.homes_, add);
-  for (size_t draw = 0; draw < kSample; ++draw) {
-    add(Draw(servers_.size()));
+  std::ranges::for_each(aGateway.preferredServers_, add);
+  for (size_t draw = 0; draw < kSampleSize; ++draw) {
+    add(RandomIndex(servers_.size()));
   }
   return candidates;
 }
@@ -214,8 +216,9 @@
     candidate.failureShare_ = view.load_.FailureShare(nowMs);
     candidate.sameDomain_ = aGateway % kDomains == server % kDomains;
     candidate.preferred_ =
-      std::ranges::find(gateway.homes_, server) != gateway.homes_.end();
-    candidate.full_ = options_.heedsPauses_ &&
+      std::ranges::find(gateway.preferredServers_, server) !=
+      gateway.preferredServers_.end();
+    candidate.full_ = options_.obeysPauses_ &&
                       view.pause_.IsFull(static_cast<size_t>(view.inFlight_));
     candidate.tried_ = aCall->tried_.contains(server);
     candidates.push_back(candidate);
@@ -223,7 +226,7 @@
   const TimeMs remainingMs = aCall->sentMs_ + options_.deadlineMs_ - nowMs;
   const auto decision = Place(
     placement_,
-    { remainingMs, options_.objectiveMs_, nowMs - aCall->readMs_, kBytes },
+    { remainingMs, options_.objectiveMs_, nowMs - aCall->receivedMs_, kBytes },
     candidates);
   switch (decision.verdict_) {
     case PlacementVerdict::Send:
@@ -242,17 +245,17 @@
 {
   const TimeMs nowMs = events_.NowMs();
   const TimeMs backMs = nowMs + aRetryAfterMs;
-  if (aCall->returns_ >= kMaxReturns ||
+  if (aCall->callerRetries_ >= kMaxCallerRetries ||
       backMs >= aCall->sentMs_ + options_.deadlineMs_) {
     ++result_.refused_;
     return;
   }
-  ++aCall->returns_;
+  ++aCall->callerRetries_;
   After(aRetryAfterMs, [this, aCall] {
-    aCall->readMs_ = events_.NowMs();
+    aCall->receivedMs_ = events_.NowMs();
     aCall->attempts_ = 0;
     aCall->tried_.clear();
-    Dispatch(Draw(gateways_.size()), aCall);
+    Dispatch(RandomIndex(gateways_.size()), aCall);
   });
 }
 
@@ -275,12 +278,13 @@
 void ServerNoticesModel::CountArrival(View& aView)
 {
   const TimeMs nowMs = events_.NowMs();
-  if (aView.noticedMs_ != 0 && nowMs > aView.noticedMs_ + options_.drainMs_) {
-    ++result_.afterLeaving_;
+  if (aView.leavingNoticeMs_ != 0 &&
+      nowMs > aView.leavingNoticeMs_ + options_.drainMs_) {
+    ++result_.sentAfterLeavingNotice_;
   }
-  if (nowMs > aView.askedMs_ + kNoticeAllowanceMs &&
-      nowMs < aView.askedUntilMs_ && ++aView.inPause_ > kAllowedInPause) {
-    ++result_.inPause_;
+  if (nowMs > aView.pauseStartMs_ + kNoticeAllowanceMs &&
+      nowMs < aView.pauseUntilMs_ && ++aView.sentInPause_ > kAllowedInPause) {
+    ++result_.sentInPause_;
   }
 }
 
@@ -291,26 +295,26 @@
   auto& server = servers_[aServer];
   const TimeMs nowMs = events_.NowMs();
   if (!server.up_) {
-    OnNotRun(aGateway, aServer, aCall, 0);
+    OnNotExecuted(aGateway, aServer, aCall, 0);
     return;
   }
   CountArrival(gateways_[aGateway].views_[aServer]);
   if (nowMs < server.pauseEndMs_) {
     // Whole seconds, not less than the rest.
     const TimeMs restMs = server.pauseEndMs_ - nowMs;
-    OnNotRun(aGateway,
-             aServer,
-             aCall,
-             (restMs + kSecondMs - 1) / kSecondMs * kSecondMs);
+    OnNotExecuted(aGateway,
+                  aServer,
+                  aCall,
+                  (restMs + kSecondMs - 1) / kSecondMs * kSecondMs);
   } else if (server.running_ < options_.slots_) {
     StartWork(aGateway, aServer, aCall);
   } else if (std::ssize(server.waiting_) < options_.slots_) {
     server.waiting_.emplace_back(aCall, aGateway);
   } else {
     if (server.pauseEndMs_ != 0 && nowMs < server.pauseEndMs_ + kSecondMs) {
-      ++result_.returnShed_;
+      ++result_.shedAfterPause_;
     }
-    OnNotRun(aGateway, aServer, aCall, 0);
+    OnNotExecuted(aGateway, aServer, aCall, 0);
   }
 }
 
@@ -320,26 +324,27 @@
 {
   auto& server = servers_[aServer];
   ++server.running_;
-  const auto workMs = static_cast<TimeMs>(
-    DrawBetween(options_.serviceTimeMs_ / 2, options_.serviceTimeMs_ * 3 / 2));
-  After(workMs, [this, aGateway, aServer, life = server.life_, aCall] {
-    OnWorkDone(aGateway, aServer, life, aCall);
-  });
+  const auto serviceTimeMs = static_cast<TimeMs>(RandomBetween(
+    options_.serviceTimeMs_ / 2, options_.serviceTimeMs_ * 3 / 2));
+  After(serviceTimeMs,
+        [this, aGateway, aServer, incarnation = server.incarnation_, aCall] {
+          OnWorkDone(aGateway, aServer, incarnation, aCall);
+        });
 }
 
 void ServerNoticesModel::OnWorkDone(size_t aGateway,
                                     size_t aServer,
-                                    int aLife,
+                                    int aIncarnation,
                                     const CallPtr& aCall)
 {
   auto& server = servers_[aServer];
-  if (server.life_ != aLife) {
+  if (server.incarnation_ != aIncarnation) {
     return; // lost with its server
   }
   --server.running_;
   auto& view = gateways_[aGateway].views_[aServer];
   const TimeMs nowMs = events_.NowMs();
-  const TimeMs tookMs = nowMs - aCall->readMs_;
+  const TimeMs tookMs = nowMs - aCall->receivedMs_;
   --view.inFlight_;
   view.load_.OnEnded();
   view.load_.OnResponse(
@@ -348,9 +353,9 @@
                         static_cast<int>(server.waiting_.size()),
                         options_.slots_ },
                       nowMs);
-  view.pause_.OnRequestSucceeded(aCall->readMs_, options_.slots_);
-  if (server.leaves_) {
-    NoteLeaving(aGateway, aServer);
+  view.pause_.OnRequestSucceeded(aCall->receivedMs_, options_.slots_);
+  if (server.leaving_) {
+    RecordLeavingNotice(aGateway, aServer);
   }
   ++result_.served_;
   if (nowMs - aCall->sentMs_ > options_.objectiveMs_) {
@@ -363,10 +368,10 @@
   }
 }
 
-void ServerNoticesModel::OnNotRun(size_t aGateway,
-                                  size_t aServer,
-                                  const CallPtr& aCall,
-                                  TimeMs aPauseMs)
+void ServerNoticesModel::OnNotExecuted(size_t aGateway,
+                                       size_t aServer,
+                                       const CallPtr& aCall,
+                                       TimeMs aPauseMs)
 {
   auto& gateway = gateways_[aGateway];
   auto& view = gateway.views_[aServer];
@@ -374,16 +379,16 @@
   view.inFlight_ = std::max(0, view.inFlight_ - 1);
   view.load_.OnEnded();
   view.load_.OnShed(nowMs);
-  if (servers_[aServer].leaves_) {
-    NoteLeaving(aGateway, aServer);
+  if (servers_[aServer].leaving_) {
+    RecordLeavingNotice(aGateway, aServer);
   }
   if (aPauseMs > 0) {
-    view.pause_.Begin(aPauseMs, DrawBetween(0, 1), nowMs);
-    if (nowMs >= view.askedUntilMs_) {
-      view.askedMs_ = nowMs;
-      view.inPause_ = 0;
+    view.pause_.Begin(aPauseMs, RandomBetween(0, 1), nowMs);
+    if (nowMs >= view.pauseUntilMs_) {
+      view.pauseStartMs_ = nowMs;
+      view.sentInPause_ = 0;
     }
-    view.askedUntilMs_ = std::max(view.askedUntilMs_, nowMs + aPauseMs);
+    view.pauseUntilMs_ = std::max(view.pauseUntilMs_, nowMs + aPauseMs);
   }
   aCall->tried_.insert(aServer);
   if (aCall->attempts_ < kMaxAttempts && gateway.budget_.TryTake()) {
@@ -393,40 +398,41 @@
   }
 }
 
-void ServerNoticesModel::NoteLeaving(size_t aGateway, size_t aServer)
+void ServerNoticesModel::RecordLeavingNotice(size_t aGateway, size_t aServer)
 {
   auto& own = gateways_[aGateway].views_[aServer];
-  if (own.noticedMs_ != 0) {
+  if (own.leavingNoticeMs_ != 0) {
     return;
   }
-  own.noticedMs_ = events_.NowMs();
-  if (!options_.heedsLeaving_) {
+  own.leavingNoticeMs_ = events_.NowMs();
+  if (!options_.obeysLeavingNotices_) {
     return;
   }
-  const auto life = servers_[aServer].life_;
+  const auto incarnation = servers_[aServer].incarnation_;
   for (auto& gateway : gateways_) {
-    After(static_cast<TimeMs>(DrawBetween(0, kPeerDelayMs)),
-          [this, &view = gateway.views_[aServer], aServer, life] {
-            if (servers_[aServer].life_ == life && view.noticedMs_ == 0) {
-              view.noticedMs_ = events_.NowMs();
+    After(static_cast<TimeMs>(RandomBetween(0, kPeerDelayMs)),
+          [this, &view = gateway.views_[aServer], aServer, incarnation] {
+            if (servers_[aServer].incarnation_ == incarnation &&
+                view.leavingNoticeMs_ == 0) {
+              view.leavingNoticeMs_ = events_.NowMs();
             }
           });
   }
 }
 
-size_t ServerNoticesModel::Draw(size_t aCount)
+size_t ServerNoticesModel::RandomIndex(size_t aCount)
 {
   return std::uniform_int_distribution<size_t>(0, aCount - 1)(random_);
 }
 
-double ServerNoticesModel::DrawBetween(double aLow, double aHigh)
+double ServerNoticesModel::RandomBetween(double aLow, double aHigh)
 {
-  return DrawBetween(random_, aLow, aHigh);
+  return RandomBetween(random_, aLow, aHigh);
 }
 
-double ServerNoticesModel::DrawBetween(std::mt19937& aRandom,
-                                       double aLow,
-                                       double aHigh)
+double ServerNoticesModel::RandomBetween(std::mt19937& aRandom,
+                                         double aLow,
+                                         double aHigh)
 {
   return std::uniform_real_distribution<double>(aLow, aHigh)(aRandom);
 }
--- a/tests/ServerNoticesModel.hpp
+++ b/tests/ServerNoticesModel.hpp
@@ -30,8 +30,8 @@
     double load_ = 0.9; ///< of all slots
     TimeMs drainMs_ = 2500;
     int seconds_ = 30;
-    bool heedsLeaving_ = true;
-    bool heedsPauses_ = true;
+    bool obeysLeavingNotices_ = true;
+    bool obeysPauses_ = true;
   };
   struct Result
   {
@@ -42,12 +42,12 @@
     int64_t lost_ = 0; ///< under way at a server that ended
     /// Sent to a server by a gateway that had had its notice for longer than
     /// the drain time.
-    int64_t afterLeaving_ = 0;
+    int64_t sentAfterLeavingNotice_ = 0;
     /// Beyond two from one gateway, from half a second after it was asked for
     /// a pause to the end of that.
-    int64_t inPause_ = 0;
+    int64_t sentInPause_ = 0;
     /// Turned away by full servers in the second after their pauses.
-    int64_t returnShed_ = 0;
+    int64_t shedAfterPause_ = 0;
 
     Result& operator+=(const Result& aOther);
   };
@@ -58,9 +58,9 @@
 private:
   struct Call
   {
-    TimeMs sentMs_ = 0; ///< by the caller, first attempt
-    TimeMs readMs_ = 0; ///< by the present gateway
-    int returns_ = 0;   ///< of the caller, after refusals
+    TimeMs sentMs_ = 0;     ///< by the caller, first attempt
+    TimeMs receivedMs_ = 0; ///< by the present gateway
+    int callerRetries_ = 0; ///< of the caller, after refusals
     int attempts_ = 0;
     std::set<size_t> tried_;
   };
@@ -68,10 +68,10 @@
 
   struct Server
   {
-    int life_ = 0;
+    int incarnation_ = 0;
     bool up_ = true;
-    bool leaves_ = false;
-    bool drains_ = false; ///< its registration says so
+    bool leaving_ = false;
+    bool draining_ = false; ///< its registration says so
     int running_ = 0;
     std::vector<std::pair<CallPtr, size_t>> waiting_; ///< with their gateways
     TimeMs pauseEndMs_ = 0;
@@ -84,23 +84,23 @@
     ServerPause pause_;
     int inFlight_ = 0;
     bool takesNewWork_ = true;
-    TimeMs noticedMs_ = 0; ///< 0: not told that it leaves
-    TimeMs askedMs_ = 0;   ///< for a pause
-    TimeMs askedUntilMs_ = 0;
-    int inPause_ = 0;
+    TimeMs leavingNoticeMs_ = 0; ///< 0: not told that it leaves
+    TimeMs pauseStartMs_ = 0;    ///< for a pause
+    TimeMs pauseUntilMs_ = 0;
+    int sentInPause_ = 0;
   };
 
   struct GatewayState
   {
     std::vector<View> views_;
-    std::vector<size_t> homes_;
+    std::vector<size_t> preferredServers_;
     RetryBudget budget_{ 16, 10 };
   };
 
   View NewView() const;
   void StartReplacement(size_t aServer);
   void StartPause(size_t aServer);
-  void ShareLoads();
+  void ReportLoads();
   void Arrive();
   void Dispatch(size_t aGateway, const CallPtr& aCall);
   void Refuse(const CallPtr& aCall, TimeMs aRetryAfterMs);
@@ -109,19 +109,19 @@
   void StartWork(size_t aGateway, size_t aServer, const CallPtr& aCall);
   void OnWorkDone(size_t aGateway,
                   size_t aServer,
-                  int aLife,
+                  int aIncarnation,
                   const CallPtr& aCall);
-  void OnNotRun(size_t aGateway,
-                size_t aServer,
-                const CallPtr& aCall,
-                TimeMs aPauseMs);
-  void NoteLeaving(size_t aGateway, size_t aServer);
+  void OnNotExecuted(size_t aGateway,
+                     size_t aServer,
+                     const CallPtr& aCall,
+                     TimeMs aPauseMs);
+  void RecordLeavingNotice(size_t aGateway, size_t aServer);
   void CountArrival(View& aView);
   /// Servers that a gateway compares for one request.
   std::vector<size_t> Candidates(const GatewayState& aGateway);
-  size_t Draw(size_t aCount);
-  double DrawBetween(double aLow, double aHigh);
-  static double DrawBetween(std::mt19937& aRandom, double aLow, double aHigh);
+  size_t RandomIndex(size_t aCount);
+  double RandomBetween(double aLow, double aHigh);
+  static double RandomBetween(std::mt19937& aRandom, double aLow, double aHigh);
   void After(TimeMs aDelayMs, EventQueue::Action aAction);
 
   Options options_;
--- a/tests/ServerNoticesModelTest.cpp
+++ b/tests/ServerNoticesModelTest.cpp
@@ -16,8 +16,8 @@
 {
   const auto result = ServerNoticesModel({ .seconds_ = 20 }, GetParam()).Run();
   EXPECT_GT(result.requests_, 10000);
-  EXPECT_EQ(result.afterLeaving_, 0);
-  EXPECT_EQ(result.inPause_, 0);
+  EXPECT_EQ(result.sentAfterLeavingNotice_, 0);
+  EXPECT_EQ(result.sentInPause_, 0);
   EXPECT_EQ(result.lost_, 0);
   EXPECT_EQ(result.served_ + result.refused_, result.requests_);
 }
@@ -28,11 +28,11 @@
 {
   const auto result =
     ServerNoticesModel(
-      { .seconds_ = 20, .heedsLeaving_ = false, .heedsPauses_ = false },
+      { .seconds_ = 20, .obeysLeavingNotices_ = false, .obeysPauses_ = false },
       GetParam())
       .Run();
-  EXPECT_GT(result.afterLeaving_, 0);
-  EXPECT_GT(result.inPause_, 0);
+  EXPECT_GT(result.sentAfterLeavingNotice_, 0);
+  EXPECT_GT(result.sentInPause_, 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, ServerNoticesModelTest, testing::Range(1U, 6U));
--- a/tests/SoakBackend.cpp
+++ b/tests/SoakBackend.cpp
@@ -12,18 +12,20 @@
 
 using Json = nlohmann::json;
 
-constexpr TimeMs kBeatMs = 870;
+constexpr TimeMs kHeartbeatMs = 870;
 /// An entry lapses after three beats of silence.
-constexpr TimeMs kLapseMs = 3 * kBeatMs;
+constexpr TimeMs kExpiryMs = 3 * kHeartbeatMs;
 constexpr TimeMs kDrainMs = 2000;
 constexpr TimeMs kEndSlackMs = 700;
-constexpr TimeMs kReplacedAfterMs = 1200;
-constexpr TimeMs kMaxLateCopyMs = 30;
+constexpr TimeMs kReplacementDelayMs = 1200;
+constexpr TimeMs kMaxDuplicateDelayMs = 30;
 constexpr double kMsPerSecond = 1000;
 /// Clocks of servers may run so much slow.
-constexpr double kSlowClock = 1.02;
+constexpr double kSlowClockFactor = 1.02;
 
-std::string Text(int aStatus, std::string_view aFields, std::string_view aBody)
+std::string ResponseText(int aStatus,
+                         std::string_view aFields,
+                         std::string_view aBody)
 {
   return Concat("HTTP/1.1 ",
                 aStatus,
@@ -35,7 +37,7 @@
                 aBody);
 }
 
-std::string IdOf(const ScriptedServer::Exchange& aExchange)
+std::string RequestIdOf(const ScriptedServer::Exchange& aExchange)
 {
   return std::string(aExchange.head_.Field("Cactuspitch-Request-Id"));
 }
@@ -69,9 +71,9 @@
   , server_(aLoop, [this](Exchange& aExchange) { OnExchange(aExchange); })
   , address_(server_.Address().ToText())
   , tasks_(aLoop)
-  , beatTimer_(aLoop, [this] { Beat(); })
+  , heartbeatTimer_(aLoop, [this] { SendHeartbeat(); })
 {
-  if (options_.linked_) {
+  if (options_.behindLink_) {
     const auto listen = FreeEndpoint().ToText();
     link_ = std::make_unique<LinkCut>(listen, address_);
     if (!link_->Start().ok()) {
@@ -79,7 +81,7 @@
     }
     address_ = listen;
   }
-  Start();
+  StartIncarnation();
 }
 
 SoakBackend::~SoakBackend()
@@ -91,36 +93,37 @@
 
 void SoakBackend::After(TimeMs aDelayMs, std::function<void()> aTask)
 {
-  tasks_.After(aDelayMs, [this, life = life_, task = std::move(aTask)] {
-    if (life == life_ && up_) {
-      task();
-    }
-  });
+  tasks_.After(aDelayMs,
+               [this, incarnation = incarnation_, task = std::move(aTask)] {
+                 if (incarnation == incarnation_ && up_) {
+                   task();
+                 }
+               });
 }
 
-void SoakBackend::Start()
+void SoakBackend::StartIncarnation()
 {
-  ++life_;
-  id_ = Concat(options_.name_, ".", life_);
+  ++incarnation_;
+  id_ = Concat(options_.name_, ".", incarnation_);
   startTimeMs_ = UnixNowMs();
   seq_ = 0;
   up_ = true;
   frozen_ = leaving_ = draining_ = false;
-  pausedUntilMs_ = ordersDelayedUntilMs_ = 0;
-  trouble_ = AnswerTrouble::None;
-  Beat();
+  pausedUntilMs_ = commandsDelayedUntilMs_ = 0;
+  fault_ = ResponseFault::None;
+  SendHeartbeat();
 }
 
-void SoakBackend::End()
+void SoakBackend::EndIncarnation()
 {
   up_ = false;
-  journal_.OnServerTrouble(id_);
+  journal_.OnServerFault(id_);
   server_.Crash();
-  beatTimer_.Stop();
-  frozenInput_.clear();
+  heartbeatTimer_.Stop();
+  deferredExchanges_.clear();
   running_.clear();
   waiting_.clear();
-  holds_.clear();
+  leases_.clear();
   releases_.clear();
 }
 
@@ -137,12 +140,12 @@
                { "status", { { "state", aState }, { "seq", ++seq_ } } } });
 }
 
-void SoakBackend::Beat()
+void SoakBackend::SendHeartbeat()
 {
   if (!frozen_) {
     Register(draining_ ? "draining" : "ready");
   }
-  beatTimer_.Start(kBeatMs);
+  heartbeatTimer_.Start(kHeartbeatMs);
 }
 
 void SoakBackend::Crash(TimeMs aBackAfterMs)
@@ -151,11 +154,11 @@
     return;
   }
   const auto id = id_;
-  End();
-  tasks_.After(kLapseMs, [this, id] { store_.Remove("servers", id); });
+  EndIncarnation();
+  tasks_.After(kExpiryMs, [this, id] { store_.Remove("servers", id); });
   tasks_.After(aBackAfterMs, [this] {
     server_.Restart();
-    Start();
+    StartIncarnation();
   });
 }
 
@@ -165,17 +168,17 @@
     return;
   }
   frozen_ = true;
-  journal_.OnServerTrouble(id_);
-  if (aForMs > kLapseMs) {
-    After(kLapseMs, [this] { store_.Remove("servers", id_); });
+  journal_.OnServerFault(id_);
+  if (aForMs > kExpiryMs) {
+    After(kExpiryMs, [this] { store_.Remove("servers", id_); });
   }
   After(aForMs, [this] {
     frozen_ = false;
-    journal_.OnServerTrouble(id_);
-    for (auto& exchange : std::exchange(frozenInput_, {})) {
+    journal_.OnServerFault(id_);
+    for (auto& exchange : std::exchange(deferredExchanges_, {})) {
       Handle(exchange);
     }
-    Beat();
+    SendHeartbeat();
   });
 }
 
@@ -196,11 +199,11 @@
   });
   After(lagMs + kDrainMs + kEndSlackMs, [this] {
     const auto id = id_;
-    End();
+    EndIncarnation();
     store_.Remove("servers", id);
-    tasks_.After(kReplacedAfterMs, [this] {
+    tasks_.After(kReplacementDelayMs, [this] {
       server_.Restart();
-      Start();
+      StartIncarnation();
     });
   });
 }
@@ -210,22 +213,22 @@
   pausedUntilMs_ = loop_.NowMs() + aForMs;
 }
 
-void SoakBackend::SetFaultMode(AnswerTrouble aTrouble, TimeMs aForMs)
+void SoakBackend::SetFaultMode(ResponseFault aFault, TimeMs aForMs)
 {
   if (!up_) {
     return;
   }
-  trouble_ = aTrouble;
-  journal_.OnServerTrouble(id_);
+  fault_ = aFault;
+  journal_.OnServerFault(id_);
   After(aForMs, [this] {
-    trouble_ = AnswerTrouble::None;
-    journal_.OnServerTrouble(id_);
+    fault_ = ResponseFault::None;
+    journal_.OnServerFault(id_);
   });
 }
 
-void SoakBackend::DelayOrders(TimeMs aForMs)
+void SoakBackend::DelayCommands(TimeMs aForMs)
 {
-  ordersDelayedUntilMs_ = loop_.NowMs() + aForMs;
+  commandsDelayedUntilMs_ = loop_.NowMs() + aForMs;
 }
 
 void SoakBackend::CutLink(LinkMode aMode, TimeMs aForMs)
@@ -233,10 +236,10 @@
   if (link_ == nullptr) {
     return;
   }
-  journal_.OnServerTrouble(id_);
+  journal_.OnServerFault(id_);
   link_->SetMode(aMode);
   tasks_.After(aForMs, [this] {
-    journal_.OnServerTrouble(id_);
+    journal_.OnServerFault(id_);
     link_->SetMode(LinkMode::Pass);
   });
 }
@@ -244,24 +247,24 @@
 void SoakBackend::SilenceConnections()
 {
   if (link_ != nullptr) {
-    journal_.OnServerTrouble(id_);
+    journal_.OnServerFault(id_);
     link_->SilenceOpen();
   }
 }
 
-std::string SoakBackend::Notice() const
+std::string SoakBackend::LeavingHeader() const
 {
   return leaving_ ? "Server-Leaving: 1\r\n" : "";
 }
 
 void SoakBackend::OnExchange(Exchange& aExchange)
 {
-  const auto id = IdOf(aExchange);
+  const auto id = RequestIdOf(aExchange);
   if (!id.empty()) {
     journal_.OnArrived(id, id_, aExchange.head_, aExchange.body_);
   }
   if (frozen_) {
-    frozenInput_.push_back(aExchange);
+    deferredExchanges_.push_back(aExchange);
   } else {
     Handle(aExchange);
   }
@@ -271,14 +274,14 @@
                          int aStatus,
                          std::string_view aFields) const
 {
-  aExchange.write_(Text(aStatus,
-                        Concat("Cactuspitch-Not-Executed: 1\r\n",
-                               "Cactuspitch-Request-Id: ",
-                               IdOf(aExchange),
-                               "\r\n",
-                               Notice(),
-                               aFields),
-                        ""));
+  aExchange.write_(ResponseText(aStatus,
+                                Concat("Cactuspitch-Not-Executed: 1\r\n",
+                                       "Cactuspitch-Request-Id: ",
+                                       RequestIdOf(aExchange),
+                                       "\r\n",
+                                       LeavingHeader(),
+                                       aFields),
+                                ""));
 }
 
 void SoakBackend::Handle(const Exchange& aExchange)
@@ -289,84 +292,88 @@
   const auto target = head.Field("Cactuspitch-Target-Instance");
   if (!target.empty() && target != id_) {
     // Another life or server is meant, which leaves or not for itself.
-    aExchange.write_(Text(kMisdirected, "Cactuspitch-Not-Executed: 1\r\n", ""));
+    aExchange.write_(
+      ResponseText(kMisdirected, "Cactuspitch-Not-Executed: 1\r\n", ""));
     return;
   }
   if (head.target_.starts_with("/-/")) {
-    HandleOrder(aExchange);
+    HandleCommand(aExchange);
     return;
   }
-  Work work{ aExchange, IdOf(aExchange), -1 };
+  PendingRequest request{ aExchange, RequestIdOf(aExchange), -1 };
   const TimeMs restMs = pausedUntilMs_ - loop_.NowMs();
   if (restMs > 0) {
     const double seconds = static_cast<double>(restMs) / kMsPerSecond;
-    journal_.OnPauseTold(work.id_, id_, restMs);
+    journal_.OnPauseNoticeSent(request.id_, id_, restMs);
     Refuse(aExchange, kUnavailable, Concat("Retry-After: ", seconds, "\r\n"));
     return;
   }
   if (options_.keyed_) {
-    ParseNumber(head.Field("Cactuspitch-Shard-Key"), work.key_);
-    if (!Holds(work.key_)) {
+    ParseNumber(head.Field("Cactuspitch-Shard-Key"), request.key_);
+    if (!HasLease(request.key_)) {
       Refuse(aExchange, kMisdirected);
       return;
     }
   }
   if (std::ssize(running_) < options_.slots_) {
-    Begin(work);
+    Begin(request);
   } else if (std::ssize(waiting_) < options_.slots_) {
-    waiting_.push_back(std::move(work));
+    waiting_.push_back(std::move(request));
   } else {
     Refuse(aExchange, kUnavailable);
   }
 }
 
-bool SoakBackend::Holds(int64_t aKey) const
+bool SoakBackend::HasLease(int64_t aKey) const
 {
-  const auto found = holds_.find(static_cast<uint32_t>(aKey));
-  return aKey >= 0 && found != holds_.end() &&
+  const auto found = leases_.find(static_cast<uint32_t>(aKey));
+  return aKey >= 0 && found != leases_.end() &&
          found->second.untilMs_ > loop_.NowMs();
 }
 
 bool SoakBackend::IsOwner(uint32_t aKey) const
 {
-  return up_ && Holds(aKey) && !holds_.at(aKey).excused_;
+  return up_ && HasLease(aKey) && !leases_.at(aKey).exempt_;
 }
 
-void SoakBackend::Begin(const Work& aWork)
+void SoakBackend::Begin(const PendingRequest& aRequest)
 {
-  journal_.OnBegun(aWork.id_, id_);
-  if (aWork.exchange_.head_.target_ == "/safe/crash") {
+  journal_.OnExecutionStarted(aRequest.id_, id_);
+  if (aRequest.exchange_.head_.target_ == "/safe/crash") {
     journal_.OnCrashed(id_);
     constexpr TimeMs kBackMs = 1500;
     // Not from within the handler of a connection that ends with it.
     After(1, [this] { Crash(kBackMs); });
     return;
   }
-  running_.push_back(aWork);
-  std::uniform_int_distribution<TimeMs> workMs(options_.serviceTimeMs_ / 2,
-                                               options_.serviceTimeMs_ * 2);
-  After(workMs(random_), [this, work = aWork] { Finish(work); });
+  running_.push_back(aRequest);
+  std::uniform_int_distribution<TimeMs> serviceTimeMs(
+    options_.serviceTimeMs_ / 2, options_.serviceTimeMs_ * 2);
+  After(serviceTimeMs(random_),
+        [this, request = aRequest] { Finish(request); });
 }
 
-void SoakBackend::Finish(const Work& aWork)
+void SoakBackend::Finish(const PendingRequest& aRequest)
 {
   if (frozen_) {
     constexpr TimeMs kAgainMs = 20;
-    After(kAgainMs, [this, work = aWork] { Finish(work); });
+    After(kAgainMs, [this, request = aRequest] { Finish(request); });
     return;
   }
-  std::erase_if(running_,
-                [&](const Work& aOther) { return aOther.id_ == aWork.id_; });
+  std::erase_if(running_, [&](const PendingRequest& aOther) {
+    return aOther.id_ == aRequest.id_;
+  });
   constexpr int kOk = 200;
   constexpr int kFailed = 500;
-  const bool lapsed =
-    aWork.key_ >= 0 && !Holds(aWork.key_) &&
+  const bool leaseExpired =
+    aRequest.key_ >= 0 && !HasLease(aRequest.key_) &&
     std::ranges::none_of(releases_, [&](const auto& aOther) {
-      return aOther.first_ <= aWork.key_ && aWork.key_ <= aOther.last_;
+      return aOther.first_ <= aRequest.key_ && aRequest.key_ <= aOther.last_;
     });
-  WriteAnswer(aWork,
-              lapsed || trouble_ == AnswerTrouble::Failing ? kFailed : kOk);
-  AnswerReleases();
+  WriteResponse(aRequest,
+                leaseExpired || fault_ == ResponseFault::ServerError ? kFailed
+                                                                     : kOk);
+  RespondToReleases();
   StartWaiting();
 }
 
@@ -375,7 +382,7 @@
   while (!waiting_.empty() && std::ssize(running_) < options_.slots_) {
     const auto next = std::move(waiting_.front());
     waiting_.erase(waiting_.begin());
-    if (options_.keyed_ && !Holds(next.key_)) {
+    if (options_.keyed_ && !HasLease(next.key_)) {
       constexpr int kMisdirected = 421;
       Refuse(next.exchange_, kMisdirected);
     } else {
@@ -384,137 +391,140 @@
   }
 }
 
-void SoakBackend::WriteAnswer(const Work& aWork, int aStatus)
-{
-  const auto& exchange = aWork.exchange_;
-  const auto text = Text(aStatus,
-                         Concat("Cactuspitch-Request-Id: ",
-                                aWork.id_,
-                                "\r\nCactuspitch-Response-Seal: s\r\n",
-                                "Cactuspitch-Server-Load: ",
-                                running_.size(),
-                                ",",
-                                waiting_.size(),
-                                ",",
-                                options_.slots_,
-                                "\r\n",
-                                Notice()),
-                         SoakJournal::BodyOf(aWork.id_));
-  switch (trouble_) {
-    case AnswerTrouble::Lost:
+void SoakBackend::WriteResponse(const PendingRequest& aRequest, int aStatus)
+{
+  const auto& exchange = aRequest.exchange_;
+  const auto text = ResponseText(aStatus,
+                                 Concat("Cactuspitch-Request-Id: ",
+                                        aRequest.id_,
+                                        "\r\nCactuspitch-Response-Seal: s\r\n",
+                                        "Cactuspitch-Server-Load: ",
+                                        running_.size(),
+                                        ",",
+                                        waiting_.size(),
+                                        ",",
+                                        options_.slots_,
+                                        "\r\n",
+                                        LeavingHeader()),
+                                 SoakJournal::BodyForRequest(aRequest.id_));
+  switch (fault_) {
+    case ResponseFault::Lost:
       return;
-    case AnswerTrouble::Truncated:
+    case ResponseFault::Truncated:
       exchange.write_(text.substr(0, text.size() - 1));
       exchange.close_();
       return;
-    case AnswerTrouble::Garbage:
+    case ResponseFault::Garbage:
       exchange.write_("\x01\x02 no answer at all\r\n\r\n");
       return;
-    case AnswerTrouble::Endless:
+    case ResponseFault::EndlessHeader:
       exchange.write_(
         Concat("HTTP/1.1 200 OK\r\nX: ", std::string(100000, 'x')));
       return;
-    case AnswerTrouble::LateCopy:
-      After(std::uniform_int_distribution<TimeMs>(1, kMaxLateCopyMs)(random_),
-            [exchange, text] { exchange.write_(text); });
+    case ResponseFault::DelayedDuplicate:
+      After(
+        std::uniform_int_distribution<TimeMs>(1, kMaxDuplicateDelayMs)(random_),
+        [exchange, text] { exchange.write_(text); });
       break;
     default:
       break;
   }
-  journal_.OnRunToEnd(aWork.id_);
+  journal_.OnExecutionFinished(aRequest.id_);
   if (leaving_) {
-    journal_.OnLeavingTold(aWork.id_, id_);
+    journal_.OnLeavingNoticeSent(aRequest.id_, id_);
   }
   exchange.write_(text);
 }
 
-void SoakBackend::HandleOrder(const Exchange& aExchange)
+void SoakBackend::HandleCommand(const Exchange& aExchange)
 {
   const TimeMs nowMs = loop_.NowMs();
-  if (nowMs >= ordersDelayedUntilMs_) {
-    ApplyOrder(aExchange, nowMs, true);
+  if (nowMs >= commandsDelayedUntilMs_) {
+    ApplyCommand(aExchange, nowMs, true);
     return;
   }
   std::uniform_int_distribution<TimeMs> delay(200, 2500);
   After(delay(random_),
-        [this, aExchange, nowMs] { ApplyOrder(aExchange, nowMs, false); });
+        [this, aExchange, nowMs] { ApplyCommand(aExchange, nowMs, false); });
 }
 
-void SoakBackend::ApplyOrder(const Exchange& aExchange,
-                             TimeMs aArrivedMs,
-                             bool aAnswers)
+void SoakBackend::ApplyCommand(const Exchange& aExchange,
+                               TimeMs aArrivedMs,
+                               bool aResponds)
 {
-  const auto order = Json::parse(aExchange.body_);
+  const auto command = Json::parse(aExchange.body_);
   if (aExchange.head_.target_ == "/-/release") {
-    Release(aExchange, order);
+    Release(aExchange, command);
     return;
   }
-  const int status = Grant(order, aArrivedMs);
-  if (aAnswers) {
-    aExchange.write_(Text(status, Notice(), ""));
+  const int status = Grant(command, aArrivedMs);
+  if (aResponds) {
+    aExchange.write_(ResponseText(status, LeavingHeader(), ""));
   }
 }
 
-int SoakBackend::Grant(const nlohmann::json& aOrder, TimeMs aArrivedMs)
+int SoakBackend::Grant(const nlohmann::json& aCommand, TimeMs aArrivedMs)
 {
   constexpr int kOk = 200;
   constexpr int kConflict = 409;
-  const uint32_t first = aOrder.at("from");
-  const uint32_t last = aOrder.at("to");
-  const int64_t fence = aOrder.at("fence");
-  const double holdMs =
-    aOrder.at("hold-s").get<double>() * kMsPerSecond * kSlowClock;
-  const TimeMs untilMs = aArrivedMs + static_cast<TimeMs>(holdMs);
+  const uint32_t first = aCommand.at("from");
+  const uint32_t last = aCommand.at("to");
+  const int64_t fence = aCommand.at("fence");
+  const double leaseMs =
+    aCommand.at("hold-s").get<double>() * kMsPerSecond * kSlowClockFactor;
+  const TimeMs untilMs = aArrivedMs + static_cast<TimeMs>(leaseMs);
   std::vector<uint32_t> keys;
   std::ranges::copy_if(Keys(), std::back_inserter(keys), [&](uint32_t aKey) {
     return first <= aKey && aKey <= last;
   });
   if (std::ranges::any_of(
-        keys, [&](uint32_t aKey) { return holds_[aKey].fence_ > fence; })) {
+        keys, [&](uint32_t aKey) { return leases_[aKey].fence_ > fence; })) {
     return kConflict;
   }
   const TimeMs nowMs = loop_.NowMs();
   for (const auto key : keys) {
-    auto& hold = holds_[key];
+    auto& lease = leases_[key];
     if (untilMs <= nowMs) {
-      hold.fence_ = fence;
+      lease.fence_ = fence;
       continue;
     }
-    const bool held = hold.untilMs_ > nowMs;
-    if (!held || hold.fence_ != fence) {
-      journal_.OnKeyTaken(key, fence, id_);
+    const bool held = lease.untilMs_ > nowMs;
+    if (!held || lease.fence_ != fence) {
+      journal_.OnKeyGranted(key, fence, id_);
     }
-    hold.excused_ = journal_.IsThawing();
-    hold.fence_ = fence;
-    hold.untilMs_ = std::max(hold.untilMs_, untilMs);
+    lease.exempt_ = journal_.HasJustRecovered();
+    lease.fence_ = fence;
+    lease.untilMs_ = std::max(lease.untilMs_, untilMs);
   }
   return kOk;
 }
 
 void SoakBackend::Release(const Exchange& aExchange,
-                          const nlohmann::json& aOrder)
-{
-  const uint32_t first = aOrder.at("from");
-  const uint32_t last = aOrder.at("to");
-  const int64_t fence = aOrder.at("fence");
-  for (auto& [key, hold] : holds_) {
-    if (first <= key && key <= last && hold.fence_ <= fence) {
-      hold.untilMs_ = 0;
+                          const nlohmann::json& aCommand)
+{
+  const uint32_t first = aCommand.at("from");
+  const uint32_t last = aCommand.at("to");
+  const int64_t fence = aCommand.at("fence");
+  for (auto& [key, lease] : leases_) {
+    if (first <= key && key <= last && lease.fence_ <= fence) {
+      lease.untilMs_ = 0;
     }
   }
   releases_.push_back({ aExchange, first, last });
-  AnswerReleases();
+  RespondToReleases();
 }
 
-void SoakBackend::AnswerReleases()
+void SoakBackend::RespondToReleases()
 {
   std::erase_if(releases_, [&](const PendingRelease& aRelease) {
-    const bool busy = std::ranges::any_of(running_, [&](const Work& aWork) {
-      return aRelease.first_ <= aWork.key_ && aWork.key_ <= aRelease.last_;
-    });
+    const bool busy =
+      std::ranges::any_of(running_, [&](const PendingRequest& aRequest) {
+        return aRelease.first_ <= aRequest.key_ &&
+               aRequest.key_ <= aRelease.last_;
+      });
     if (!busy) {
-      aRelease.exchange_.write_(
-        Text(200, Concat("Cactuspitch-Handover: h\r\n", Notice()), ""));
+      aRelease.exchange_.write_(ResponseText(
+        200, Concat("Cactuspitch-Handover: h\r\n", LeavingHeader()), ""));
     }
     return !busy;
   });
--- a/tests/SoakBackend.hpp
+++ b/tests/SoakBackend.hpp
@@ -14,20 +14,20 @@
 namespace cactuspitch {
 
 /// What is wrong with the answers of a backend server.
-enum class AnswerTrouble : uint8_t
+enum class ResponseFault : uint8_t
 {
   None,
-  Lost,      ///< it runs the request and says nothing
-  Truncated, ///< the answer ends within its body
-  Garbage,   ///< bytes that are no answer
-  LateCopy,  ///< the answer comes once more, later
-  Endless,   ///< header bytes without end
-  Failing,   ///< 500
+  Lost,             ///< it runs the request and says nothing
+  Truncated,        ///< the answer ends within its body
+  Garbage,          ///< bytes that are no answer
+  DelayedDuplicate, ///< the answer comes once more, later
+  EndlessHeader,    ///< header bytes without end
+  ServerError,      ///< 500
   Count
 };
 
 template<>
-struct EnumNames<AnswerTrouble>
+struct EnumNames<ResponseFault>
 {
   static constexpr std::string_view kNames[] = {
     "none", "lost", "truncated", "garbage", "late-copy", "endless", "failing",
@@ -46,7 +46,7 @@
     std::string service_;
     std::string failureDomain_;
     bool keyed_ = false;
-    bool linked_ = false; ///< reached through a link that can be cut
+    bool behindLink_ = false; ///< reached through a link that can be cut
     int slots_ = 4;
     int serviceTimeMs_ = 20;
   };
@@ -67,54 +67,56 @@
   /// Says in its answers that it leaves, drains, ends and is replaced.
   void Leave();
   void Pause(TimeMs aForMs);
-  void SetFaultMode(AnswerTrouble aTrouble, TimeMs aForMs);
+  void SetFaultMode(ResponseFault aFault, TimeMs aForMs);
   /// Grants and releases are carried out late and not answered.
-  void DelayOrders(TimeMs aForMs);
+  void DelayCommands(TimeMs aForMs);
   void CutLink(LinkMode aMode, TimeMs aForMs);
   void SilenceConnections();
   bool IsUp() const { return up_; }
   bool IsKeyed() const { return options_.keyed_; }
   bool IsLinked() const { return link_ != nullptr; }
-  const std::string& Life() const { return id_; }
+  const std::string& IncarnationId() const { return id_; }
   /// It holds the key by a grant that counts.
   bool IsOwner(uint32_t aKey) const;
 
 private:
   using Exchange = ScriptedServer::Exchange;
-  struct Hold
+  struct Lease
   {
     int64_t fence_ = 0;
     TimeMs untilMs_ = 0;
     /// Granted in a moment that does not count.
-    bool excused_ = false;
+    bool exempt_ = false;
   };
-  struct Work
+  struct PendingRequest
   {
     Exchange exchange_;
     std::string id_;
     int64_t key_ = -1;
   };
 
-  void Start();
-  void End();
+  void StartIncarnation();
+  void EndIncarnation();
   void Register(std::string_view aState);
-  void Beat();
+  void SendHeartbeat();
   void OnExchange(Exchange& aExchange);
   void Handle(const Exchange& aExchange);
-  void HandleOrder(const Exchange& aExchange);
-  void ApplyOrder(const Exchange& aExchange, TimeMs aArrivedMs, bool aAnswers);
-  int Grant(const nlohmann::json& aOrder, TimeMs aArrivedMs);
-  void Release(const Exchange& aExchange, const nlohmann::json& aOrder);
-  void AnswerReleases();
-  void Begin(const Work& aWork);
-  void Finish(const Work& aWork);
+  void HandleCommand(const Exchange& aExchange);
+  void ApplyCommand(const Exchange& aExchange,
+                    TimeMs aArrivedMs,
+                    bool aResponds);
+  int Grant(const nlohmann::json& aCommand, TimeMs aArrivedMs);
+  void Release(const Exchange& aExchange, const nlohmann::json& aCommand);
+  void RespondToReleases();
+  void Begin(const PendingRequest& aRequest);
+  void Finish(const PendingRequest& aRequest);
   void StartWaiting();
   void Refuse(const Exchange& aExchange,
               int aStatus,
               std::string_view aFields = {}) const;
-  void WriteAnswer(const Work& aWork, int aStatus);
-  std::string Notice() const;
-  bool Holds(int64_t aKey) const;
+  void WriteResponse(const PendingRequest& aRequest, int aStatus);
+  std::string LeavingHeader() const;
+  bool HasLease(int64_t aKey) const;
   /// Runs aTask after a while, in this life only.
   void After(TimeMs aDelayMs, std::function<void()> aTask);
 
@@ -127,8 +129,8 @@
   std::unique_ptr<LinkCut> link_;
   std::string address_; ///< that it registers
   DelayedTasks tasks_;
-  Timer beatTimer_;
-  int life_ = 0;
+  Timer heartbeatTimer_;
+  int incarnation_ = 0;
   std::string id_;
   int64_t startTimeMs_ = 0;
   int64_t seq_ = 0;
@@ -137,12 +139,12 @@
   bool leaving_ = false;
   bool draining_ = false;
   TimeMs pausedUntilMs_ = 0;
-  TimeMs ordersDelayedUntilMs_ = 0;
-  AnswerTrouble trouble_ = AnswerTrouble::None;
-  std::vector<Exchange> frozenInput_;
-  std::vector<Work> running_;
-  std::vector<Work> waiting_;
-  std::map<uint32_t, Hold> holds_;
+  TimeMs commandsDelayedUntilMs_ = 0;
+  ResponseFault fault_ = ResponseFault::None;
+  std::vector<Exchange> deferredExchanges_;
+  std::vector<PendingRequest> running_;
+  std::vector<PendingRequest> waiting_;
+  std::map<uint32_t, Lease> leases_;
   struct PendingRelease
   {
     Exchange exchange_;
--- a/tests/SoakCaller.cpp
+++ b/tests/SoakCaller.cpp
@@ -11,19 +11,19 @@
 namespace {
 
 constexpr size_t kMaxHeadBytes = 16384;
-constexpr TimeMs kCallerTimeMs = 900; ///< that a caller waits
+constexpr TimeMs kCallerTimeoutMs = 900; ///< that a caller waits
 constexpr TimeMs kOverdueMs = 1900;
-constexpr int kMinRestMs = 4;
-constexpr int kMaxRestMs = 40;
+constexpr int kMinGapMs = 4;
+constexpr int kMaxGapMs = 40;
 constexpr TimeMs kReconnectMs = 100;
 /// One of so many does not wait for its answer.
-constexpr int kLeaveShare = 50;
-constexpr TimeMs kLeaveMs = 15;
-constexpr size_t kMaxBody = 50000;
+constexpr int kDisconnectShare = 50;
+constexpr TimeMs kDisconnectDelayMs = 15;
+constexpr size_t kMaxBodyBytes = 50000;
 /// Of safe requests sent one behind the other.
 constexpr int kMaxPipelined = 3;
 
-std::string_view PathOf(SoakKind aKind)
+std::string_view PathOf(SoakRequestKind aKind)
 {
   static constexpr std::string_view kPaths[] = {
     "/safe/x", "/unsafe/x", "/keyed/x", "/v/", "/safe/crash",
@@ -48,16 +48,16 @@
   , chooser_(std::move(aChooser))
   , random_(aSeed)
   , timer_(aLoop, [this] { OnTimer(); })
-  , leaveTimer_(aLoop, [this] { OnLeaveTimer(); })
+  , disconnectTimer_(aLoop, [this] { OnDisconnectTimer(); })
   , parser_(HttpMessageType::Response, kMaxHeadBytes)
 {
-  Rest();
+  ScheduleNextRequest();
 }
 
-void SoakCaller::Rest()
+void SoakCaller::ScheduleNextRequest()
 {
-  std::uniform_int_distribution<int> rest(kMinRestMs, kMaxRestMs);
-  timer_.Start(rest(random_));
+  std::uniform_int_distribution<int> gap(kMinGapMs, kMaxGapMs);
+  timer_.Start(gap(random_));
 }
 
 void SoakCaller::OnTimer()
@@ -72,11 +72,11 @@
     return;
   }
   if (!stopped_) {
-    SendSome();
+    SendRequests();
   }
 }
 
-void SoakCaller::SendSome()
+void SoakCaller::SendRequests()
 {
   if (stream_ == nullptr || !stream_->IsOpen()) {
     stream_ = std::make_unique<TcpStream>(loop_, *this);
@@ -89,7 +89,7 @@
   }
   SoakRequest request;
   chooser_(request);
-  const bool mayPipeline = request.kind_ == SoakKind::Safe;
+  const bool mayPipeline = request.kind_ == SoakRequestKind::Safe;
   const int count =
     mayPipeline ? std::uniform_int_distribution<int>(1, kMaxPipelined)(random_)
                 : 1;
@@ -98,14 +98,14 @@
     request.id_ = Concat(name_, "-", ++sent_);
     request.gateway_ = gateway_;
     request.sentMs_ = loop_.NowMs();
-    request.deadlineMs_ = request.sentMs_ + kCallerTimeMs;
+    request.deadlineMs_ = request.sentMs_ + kCallerTimeoutMs;
     SetTargetAndBody(request);
     waiting_.push_back(request);
     journal_.OnSent(request);
     bytes += ToText(request);
   }
-  if (std::uniform_int_distribution<int>(1, kLeaveShare)(random_) == 1) {
-    leaveTimer_.Start(kLeaveMs);
+  if (std::uniform_int_distribution<int>(1, kDisconnectShare)(random_) == 1) {
+    disconnectTimer_.Start(kDisconnectDelayMs);
   }
   timer_.Start(kOverdueMs);
   stream_->Write(bytes);
@@ -114,28 +114,29 @@
 void SoakCaller::SetTargetAndBody(SoakRequest& aRequest) const
 {
   aRequest.target_ = PathOf(aRequest.kind_);
-  if (aRequest.kind_ == SoakKind::Probe) {
+  if (aRequest.kind_ == SoakRequestKind::Probe) {
     AppendTo(aRequest.target_, aRequest.version_, "/x");
-  } else if (aRequest.kind_ != SoakKind::Crash) {
+  } else if (aRequest.kind_ != SoakRequestKind::Crash) {
     // Gateways tell callers' retries from other requests by the target.
     AppendTo(aRequest.target_, "/", aRequest.id_);
   }
-  if (aRequest.kind_ == SoakKind::Unsafe) {
-    aRequest.body_ = SoakJournal::BodyOf(aRequest.id_).substr(0, kMaxBody);
+  if (aRequest.kind_ == SoakRequestKind::Unsafe) {
+    aRequest.body_ =
+      SoakJournal::BodyForRequest(aRequest.id_).substr(0, kMaxBodyBytes);
   }
 }
 
 std::string SoakCaller::ToText(const SoakRequest& aRequest)
 {
-  const bool hasBody = aRequest.kind_ == SoakKind::Unsafe;
+  const bool hasBody = aRequest.kind_ == SoakRequestKind::Unsafe;
   auto text = Concat(hasBody ? "POST " : "GET ",
                      aRequest.target_,
                      " HTTP/1.1\r\nHost: soak\r\nCactuspitch-Request-Id: ",
                      aRequest.id_,
                      "\r\nCactuspitch-Deadline-Remaining: ",
-                     kCallerTimeMs,
+                     kCallerTimeoutMs,
                      "\r\n");
-  if (aRequest.kind_ == SoakKind::Keyed) {
+  if (aRequest.kind_ == SoakRequestKind::Keyed) {
     AppendTo(text, "Cactuspitch-Shard-Key: ", aRequest.key_, "\r\n");
   }
   const auto& body = aRequest.body_;
@@ -154,13 +155,13 @@
   return text;
 }
 
-void SoakCaller::OnLeaveTimer()
+void SoakCaller::OnDisconnectTimer()
 {
   if (waiting_.empty()) {
     return;
   }
   for (const auto& request : waiting_) {
-    journal_.OnLeft(request.id_);
+    journal_.OnCallerDisconnected(request.id_);
   }
   EndConnection();
   timer_.Start(kReconnectMs);
@@ -170,14 +171,14 @@
 {
   while (stream_->IsOpen() && !stream_->Input().empty()) {
     if (waiting_.empty()) {
-      journal_.OnUnaskedAnswer(gateway_);
+      journal_.OnUnexpectedResponse(gateway_);
       EndConnection();
-      Rest();
+      ScheduleNextRequest();
       return;
     }
     const auto state = parser_.Parse(stream_->Input(), body_);
     if (state == ParseState::Failed) {
-      journal_.OnUnaskedAnswer(gateway_);
+      journal_.OnUnexpectedResponse(gateway_);
       EndConnection();
       timer_.Start(kReconnectMs);
       return;
@@ -187,7 +188,7 @@
     }
     const auto request = std::move(waiting_.front());
     waiting_.pop_front();
-    journal_.OnAnswer(request.id_, parser_.Head(), body_);
+    journal_.OnResponse(request.id_, parser_.Head(), body_);
     const bool keepsAlive = parser_.Head().KeepsAlive();
     body_.clear();
     parser_ = HttpParser(HttpMessageType::Response, kMaxHeadBytes);
@@ -195,7 +196,7 @@
       EndConnection();
     }
     if (waiting_.empty() || !keepsAlive) {
-      Rest();
+      ScheduleNextRequest();
     }
   }
 }
@@ -204,7 +205,7 @@
 {
   // The answers to requests behind a close are not owed.
   waiting_.clear();
-  leaveTimer_.Stop();
+  disconnectTimer_.Stop();
   if (stream_ != nullptr) {
     stream_->Close();
   }
--- a/tests/SoakCaller.hpp
+++ b/tests/SoakCaller.hpp
@@ -33,12 +33,12 @@
   void OnInput() override;
   void OnStreamClosed(CloseReason aReason) override;
   void OnTimer();
-  void SendSome();
+  void SendRequests();
   void SetTargetAndBody(SoakRequest& aRequest) const;
   static std::string ToText(const SoakRequest& aRequest);
-  void OnLeaveTimer();
+  void OnDisconnectTimer();
   void EndConnection();
-  void Rest();
+  void ScheduleNextRequest();
 
   EventLoop& loop_;
   SoakJournal& journal_;
@@ -48,7 +48,7 @@
   Chooser chooser_;
   std::minstd_rand random_;
   Timer timer_;
-  Timer leaveTimer_;
+  Timer disconnectTimer_;
   std::unique_ptr<TcpStream> stream_;
   HttpParser parser_;
   std::string body_;
--- a/tests/SoakJournal.cpp
+++ b/tests/SoakJournal.cpp
@@ -19,7 +19,7 @@
 constexpr size_t kToleratedCrashes = 3;
 constexpr int kAllowedCrashSends = 3;
 constexpr int kAllowedClosed = 3;
-constexpr int kAllowedForGone = 3;
+constexpr int kAllowedSentAfterDisconnect = 3;
 
 }
 
@@ -29,7 +29,7 @@
 {
 }
 
-std::string SoakJournal::BodyOf(const std::string& aId)
+std::string SoakJournal::BodyForRequest(const std::string& aId)
 {
   constexpr uint32_t kLargeShare = 40;
   constexpr size_t kLargeBytes = 300000; // streamed by gateways
@@ -43,61 +43,61 @@
   return Concat(aId, "|", body);
 }
 
-void SoakJournal::Forget(Gateway& aGateway) const
+void SoakJournal::ResetNotices(Gateway& aGateway) const
 {
   aGateway.leaving_.clear();
   aGateway.paused_.clear();
-  aGateway.disturbedMs_ = clock_.NowMs();
-  aGateway.killedMs_ = clock_.NowMs();
+  aGateway.lastFaultMs_ = clock_.NowMs();
+  aGateway.connectionsLostMs_ = clock_.NowMs();
 }
 
 void SoakJournal::OnGatewayStarted(int aGateway)
 {
   auto& gateway = gateways_[aGateway];
-  Forget(gateway);
+  ResetNotices(gateway);
   gateway.up_ = true;
   gateway.stopping_ = gateway.frozen_ = false;
-  gateway.served_ = 0;
+  gateway.seenVersion_ = 0;
 }
 
 void SoakJournal::OnGatewayEnded(int aGateway)
 {
-  Forget(gateways_[aGateway]);
+  ResetNotices(gateways_[aGateway]);
   gateways_[aGateway].up_ = false;
 }
 
 void SoakJournal::OnGatewayFrozen(int aGateway)
 {
-  Forget(gateways_[aGateway]);
+  ResetNotices(gateways_[aGateway]);
   gateways_[aGateway].frozen_ = true;
 }
 
-void SoakJournal::OnGatewayThawed(int aGateway)
+void SoakJournal::OnGatewayResumed(int aGateway)
 {
-  Forget(gateways_[aGateway]);
+  ResetNotices(gateways_[aGateway]);
   gateways_[aGateway].frozen_ = false;
-  thawedMs_ = clock_.NowMs();
+  recoveredMs_ = clock_.NowMs();
 }
 
 void SoakJournal::OnGatewayStopping(int aGateway)
 {
   gateways_[aGateway].stopping_ = true;
-  gateways_[aGateway].disturbedMs_ = clock_.NowMs();
+  gateways_[aGateway].lastFaultMs_ = clock_.NowMs();
 }
 
-void SoakJournal::OnGatewayCut(int aGateway, bool aCut)
+void SoakJournal::OnStoreLinkCut(int aGateway, bool aCut)
 {
   auto& gateway = gateways_[aGateway];
-  gateway.cut_ = aCut;
-  gateway.disturbedMs_ = clock_.NowMs();
+  gateway.storeLinkCut_ = aCut;
+  gateway.lastFaultMs_ = clock_.NowMs();
   gateway.paused_.clear();
-  thawedMs_ = clock_.NowMs();
+  recoveredMs_ = clock_.NowMs();
 }
 
-void SoakJournal::OnStoreDisturbed(bool aDisturbed)
+void SoakJournal::OnStoreFault(bool aFaulty)
 {
-  storeDisturbed_ = aDisturbed;
-  storeDisturbedMs_ = clock_.NowMs();
+  storeFaulty_ = aFaulty;
+  storeFaultChangedMs_ = clock_.NowMs();
 }
 
 void SoakJournal::OnConfigAccepted(int64_t aVersion)
@@ -105,23 +105,24 @@
   versions_[aVersion] = clock_.NowMs();
 }
 
-void SoakJournal::OnServerTrouble(const std::string& aLife)
+void SoakJournal::OnServerFault(const std::string& aIncarnation)
 {
-  troubled_[aLife] = clock_.NowMs();
+  serverFaultMs_[aIncarnation] = clock_.NowMs();
 }
 
-bool SoakJournal::IsInTouch(int aGateway) const
+bool SoakJournal::IsStable(int aGateway) const
 {
   const auto& gateway = gateways_[aGateway];
   const auto sinceMs =
-    clock_.NowMs() - std::max(gateway.disturbedMs_, storeDisturbedMs_);
+    clock_.NowMs() - std::max(gateway.lastFaultMs_, storeFaultChangedMs_);
   return gateway.up_ && !gateway.frozen_ && !gateway.stopping_ &&
-         !gateway.cut_ && !storeDisturbed_ && sinceMs > bounds_.stableWindowMs_;
+         !gateway.storeLinkCut_ && !storeFaulty_ &&
+         sinceMs > bounds_.stableWindowMs_;
 }
 
-bool SoakJournal::IsThawing() const
+bool SoakJournal::HasJustRecovered() const
 {
-  return clock_.NowMs() - thawedMs_ <= bounds_.thawSlackMs_;
+  return clock_.NowMs() - recoveredMs_ <= bounds_.recoverySlackMs_;
 }
 
 SoakJournal::Entry* SoakJournal::Find(const std::string& aId)
@@ -136,37 +137,38 @@
   ++counts_[Concat("sent-", EnumName(aRequest.kind_))];
 }
 
-void SoakJournal::OnAnswer(const std::string& aId,
-                           const HttpHead& aHead,
-                           const std::string& aBody)
+void SoakJournal::OnResponse(const std::string& aId,
+                             const HttpHead& aHead,
+                             const std::string& aBody)
 {
   auto* entry = Find(aId);
   if (entry == nullptr) {
     return;
   }
   entry->ended_ = true;
-  ++over_;
+  ++completed_;
   const int status = aHead.status_;
   ++counts_[Concat("status-", status)];
   if (status < kFirstFailure) {
     CheckSuccess(*entry, aHead, aBody);
     auto& gateway = gateways_[entry->request_.gateway_];
-    if (!entry->leavingLife_.empty() &&
-        entry->request_.sentMs_ > gateway.killedMs_) {
-      gateway.leaving_.try_emplace(entry->leavingLife_, clock_.NowMs());
+    if (!entry->leavingIncarnation_.empty() &&
+        entry->request_.sentMs_ > gateway.connectionsLostMs_) {
+      gateway.leaving_.try_emplace(entry->leavingIncarnation_, clock_.NowMs());
     }
   }
   if (std::ranges::find(kRefusals, status) != kRefusals.end()) {
     entry->refused_ = true;
-    if (entry->request_.kind_ == SoakKind::Unsafe && entry->begun_ > 0) {
-      Report(SoakFinding::FalseRefusal,
+    if (entry->request_.kind_ == SoakRequestKind::Unsafe &&
+        entry->executions_ > 0) {
+      Report(SoakViolation::FalseRefusal,
              Concat(aId, " got ", status, " and had run"));
     }
   }
-  if (entry->request_.kind_ == SoakKind::Probe) {
+  if (entry->request_.kind_ == SoakRequestKind::Probe) {
     CheckProbe(*entry, status);
   } else if (status == kNotFound) {
-    Report(SoakFinding::ProperRequestDenied, Concat(aId, " got 404"));
+    Report(SoakViolation::ValidRequestRejected, Concat(aId, " got 404"));
   }
 }
 
@@ -177,16 +179,16 @@
   const auto& id = aEntry.request_.id_;
   ++served_;
   latenciesMs_.push_back(clock_.NowMs() - aEntry.request_.sentMs_);
-  if (aBody != BodyOf(id)) {
-    Report(SoakFinding::WrongAnswer,
+  if (aBody != BodyForRequest(id)) {
+    Report(SoakViolation::WrongResponse,
            Concat(id, " got ", aBody.size(), " bytes that are not its answer"));
   }
-  if (!aHead.HasField("Cactuspitch-Response-Seal") || !aEntry.ranToEnd_) {
-    Report(SoakFinding::WrongAnswer,
+  if (!aHead.HasField("Cactuspitch-Response-Seal") || !aEntry.finished_) {
+    Report(SoakViolation::WrongResponse,
            Concat(id, " got a success that no server gave"));
   }
   if (aHead.HasField("Server-Leaving")) {
-    Report(SoakFinding::WrongAnswer,
+    Report(SoakViolation::WrongResponse,
            Concat(id, " got a notice that is not for callers"));
   }
 }
@@ -196,15 +198,16 @@
   const auto& request = aEntry.request_;
   auto& gateway = gateways_[request.gateway_];
   const auto version = request.version_;
-  if (aStatus < kFirstFailure && version > gateway.served_) {
-    gateway.served_ = version;
-    gateway.servedMs_ = clock_.NowMs();
+  if (aStatus < kFirstFailure && version > gateway.seenVersion_) {
+    gateway.seenVersion_ = version;
+    gateway.seenVersionMs_ = clock_.NowMs();
   }
-  if (aStatus != kNotFound || request.sentMs_ < gateway.killedMs_) {
+  if (aStatus != kNotFound || request.sentMs_ < gateway.connectionsLostMs_) {
     return;
   }
-  if (version <= gateway.served_ && request.sentMs_ > gateway.servedMs_) {
-    Report(SoakFinding::OldConfig,
+  if (version <= gateway.seenVersion_ &&
+      request.sentMs_ > gateway.seenVersionMs_) {
+    Report(SoakViolation::OldConfig,
            Concat("gateway ",
                   request.gateway_,
                   " went back to before version ",
@@ -212,8 +215,8 @@
   }
   const auto acceptedMs = versions_.at(version);
   if (request.sentMs_ > acceptedMs + bounds_.applyMs_ &&
-      IsInTouch(request.gateway_)) {
-    Report(SoakFinding::OldConfig,
+      IsStable(request.gateway_)) {
+    Report(SoakViolation::OldConfig,
            Concat("gateway ",
                   request.gateway_,
                   " does not know version ",
@@ -224,24 +227,26 @@
   }
 }
 
-void SoakJournal::OnUnaskedAnswer(int aGateway)
+void SoakJournal::OnUnexpectedResponse(int aGateway)
 {
-  Report(SoakFinding::WrongAnswer,
+  Report(SoakViolation::WrongResponse,
          Concat("gateway ", aGateway, " sent an answer unasked"));
 }
 
-bool SoakJournal::IsTroubledSince(const std::string& aLife, TimeMs aMs) const
+bool SoakJournal::HadServerFaultSince(const std::string& aIncarnation,
+                                      TimeMs aMs) const
 {
-  const auto found = troubled_.find(aLife);
-  return found != troubled_.end() &&
+  const auto found = serverFaultMs_.find(aIncarnation);
+  return found != serverFaultMs_.end() &&
          found->second + bounds_.stableWindowMs_ > aMs;
 }
 
-bool SoakJournal::IsTroubled(const Entry& aEntry) const
+bool SoakJournal::HadServerFault(const Entry& aEntry) const
 {
-  return std::ranges::any_of(aEntry.lives_, [&](const std::string& aLife) {
-    return IsTroubledSince(aLife, aEntry.request_.sentMs_);
-  });
+  return std::ranges::any_of(
+    aEntry.incarnations_, [&](const std::string& aIncarnation) {
+      return HadServerFaultSince(aIncarnation, aEntry.request_.sentMs_);
+    });
 }
 
 void SoakJournal::OnClosed(const std::string& aId)
@@ -251,14 +256,15 @@
     return;
   }
   entry->ended_ = true;
-  ++over_;
+  ++completed_;
   ++counts_["closed"];
   const auto& request = entry->request_;
-  const bool killed = gateways_[request.gateway_].killedMs_ >= request.sentMs_;
+  const bool connectionsLost =
+    gateways_[request.gateway_].connectionsLostMs_ >= request.sentMs_;
   const bool inTime = clock_.NowMs() < request.deadlineMs_;
-  if (entry->begun_ > 0 && !killed && inTime && !IsTroubled(*entry) &&
-      ++closedUnanswered_ > kAllowedClosed) {
-    Report(SoakFinding::CutOff,
+  if (entry->executions_ > 0 && !connectionsLost && inTime &&
+      !HadServerFault(*entry) && ++closedUnanswered_ > kAllowedClosed) {
+    Report(SoakViolation::ClosedWithoutResponse,
            Concat(aId, " was passed on, its connection closed"));
   }
 }
@@ -270,13 +276,13 @@
     return;
   }
   entry->ended_ = true;
-  ++over_;
+  ++completed_;
   const auto& request = entry->request_;
   const auto& gateway = gateways_[request.gateway_];
-  const bool disturbed =
-    !gateway.up_ || gateway.frozen_ || gateway.killedMs_ >= request.sentMs_;
-  if (!disturbed) {
-    Report(SoakFinding::NoFinalAnswer,
+  const bool faulty = !gateway.up_ || gateway.frozen_ ||
+                      gateway.connectionsLostMs_ >= request.sentMs_;
+  if (!faulty) {
+    Report(SoakViolation::NoFinalResponse,
            Concat(aId,
                   " ",
                   EnumName(request.kind_),
@@ -286,88 +292,92 @@
   }
 }
 
-void SoakJournal::OnLeft(const std::string& aId)
+void SoakJournal::OnCallerDisconnected(const std::string& aId)
 {
   auto* entry = Find(aId);
   if (entry != nullptr && !entry->ended_) {
     entry->ended_ = true;
-    entry->leftMs_ = clock_.NowMs();
+    entry->disconnectedMs_ = clock_.NowMs();
     ++counts_["left"];
   }
 }
 
 void SoakJournal::OnArrived(const std::string& aId,
-                            const std::string& aLife,
+                            const std::string& aIncarnation,
                             const HttpHead& aHead,
                             const std::string& aBody)
 {
   auto* entry = Find(aId);
   if (entry == nullptr) {
-    Report(SoakFinding::ChangedRequest, Concat("id ", aId, " at ", aLife));
+    Report(SoakViolation::ChangedRequest,
+           Concat("id ", aId, " at ", aIncarnation));
     return;
   }
-  entry->lives_.insert(aLife);
+  entry->incarnations_.insert(aIncarnation);
   const auto& request = entry->request_;
   if (aHead.target_ != request.target_ || aBody != request.body_) {
-    Report(SoakFinding::ChangedRequest,
-           Concat(aId, " arrives changed at ", aLife));
-  }
-  const bool late = entry->leftMs_ != 0 &&
-                    clock_.NowMs() > entry->leftMs_ + bounds_.goneMs_ &&
-                    !IsTroubledSince(aLife, clock_.NowMs());
-  if (late && IsInTouch(request.gateway_) && ++sentForGone_ > kAllowedForGone) {
-    Report(SoakFinding::SentForGoneCaller,
+    Report(SoakViolation::ChangedRequest,
+           Concat(aId, " arrives changed at ", aIncarnation));
+  }
+  const bool late =
+    entry->disconnectedMs_ != 0 &&
+    clock_.NowMs() > entry->disconnectedMs_ + bounds_.disconnectSlackMs_ &&
+    !HadServerFaultSince(aIncarnation, clock_.NowMs());
+  if (late && IsStable(request.gateway_) &&
+      ++sentAfterDisconnect_ > kAllowedSentAfterDisconnect) {
+    Report(SoakViolation::SentAfterDisconnect,
            Concat(aId,
                   " reached ",
-                  aLife,
+                  aIncarnation,
                   " ",
-                  clock_.NowMs() - entry->leftMs_,
+                  clock_.NowMs() - entry->disconnectedMs_,
                   " ms after its caller had left"));
   }
-  CheckNotices(request, aLife);
-  if (request.kind_ == SoakKind::Crash) {
+  CheckNotices(request, aIncarnation);
+  if (request.kind_ == SoakRequestKind::Crash) {
     CheckCrashes(request);
   }
 }
 
 void SoakJournal::CheckNotices(const SoakRequest& aRequest,
-                               const std::string& aLife)
+                               const std::string& aIncarnation)
 {
   const TimeMs nowMs = clock_.NowMs();
   auto& gateway = gateways_[aRequest.gateway_];
-  const auto leaving = gateway.leaving_.find(aLife);
+  const auto leaving = gateway.leaving_.find(aIncarnation);
   if (leaving != gateway.leaving_.end() &&
       aRequest.sentMs_ > leaving->second + bounds_.drainMs_) {
-    Report(SoakFinding::SentToLeaving,
+    Report(SoakViolation::SentToLeaving,
            Concat(aRequest.id_,
                   " reached ",
-                  aLife,
+                  aIncarnation,
                   " ",
                   nowMs - leaving->second,
                   " ms after gateway ",
                   aRequest.gateway_,
                   " was told that it leaves"));
   }
-  const auto draining = draining_.find(aLife);
-  if (draining != draining_.end() && IsInTouch(aRequest.gateway_) &&
+  const auto draining = draining_.find(aIncarnation);
+  if (draining != draining_.end() && IsStable(aRequest.gateway_) &&
       aRequest.sentMs_ > draining->second + bounds_.drainMs_) {
-    Report(SoakFinding::SentToLeaving,
+    Report(SoakViolation::SentToLeaving,
            Concat(aRequest.id_,
                   " reached ",
-                  aLife,
+                  aIncarnation,
                   " ",
                   nowMs - draining->second,
                   " ms after the store knew that it drains"));
   }
-  const auto pause = gateway.paused_.find(aLife);
+  const auto pause = gateway.paused_.find(aIncarnation);
   if (pause != gateway.paused_.end() &&
       nowMs > pause->second.fromMs_ + bounds_.pauseSlackMs_ &&
-      nowMs < pause->second.untilMs_ && !IsTroubledSince(aLife, nowMs) &&
+      nowMs < pause->second.untilMs_ &&
+      !HadServerFaultSince(aIncarnation, nowMs) &&
       ++pause->second.requests_ > kAllowedInPause) {
-    Report(SoakFinding::SentInPause,
+    Report(SoakViolation::SentInPause,
            Concat(aRequest.id_,
                   " reached ",
-                  aLife,
+                  aIncarnation,
                   " in its pause for gateway ",
                   aRequest.gateway_));
   }
@@ -380,9 +390,9 @@
   }
   const TimeMs thirdMs = crashes_[kToleratedCrashes - 1];
   if (clock_.NowMs() > thirdMs + bounds_.stableWindowMs_ &&
-      IsInTouch(aRequest.gateway_) &&
+      IsStable(aRequest.gateway_) &&
       ++sendsAfterCrashes_ > kAllowedCrashSends) {
-    Report(SoakFinding::RepeatedCrash,
+    Report(SoakViolation::RepeatedCrash,
            Concat("a crashing request was sent ",
                   sendsAfterCrashes_,
                   " times after ",
@@ -391,50 +401,52 @@
   }
 }
 
-void SoakJournal::OnBegun(const std::string& aId, const std::string& aLife)
+void SoakJournal::OnExecutionStarted(const std::string& aId,
+                                     const std::string& aIncarnation)
 {
   auto* entry = Find(aId);
   if (entry == nullptr) {
     return;
   }
   ++counts_["runs"];
-  ++entry->begun_;
-  if (entry->request_.kind_ != SoakKind::Unsafe) {
+  ++entry->executions_;
+  if (entry->request_.kind_ != SoakRequestKind::Unsafe) {
     return;
   }
-  if (entry->begun_ > 1) {
-    Report(SoakFinding::RunTwice, Concat(aId, " ran again at ", aLife));
+  if (entry->executions_ > 1) {
+    Report(SoakViolation::RunTwice,
+           Concat(aId, " ran again at ", aIncarnation));
   }
   if (entry->refused_) {
-    Report(SoakFinding::FalseRefusal,
-           Concat(aId, " runs at ", aLife, " after its refusal"));
+    Report(SoakViolation::FalseRefusal,
+           Concat(aId, " runs at ", aIncarnation, " after its refusal"));
   }
 }
 
-void SoakJournal::OnRunToEnd(const std::string& aId)
+void SoakJournal::OnExecutionFinished(const std::string& aId)
 {
   if (auto* entry = Find(aId)) {
-    entry->ranToEnd_ = true;
+    entry->finished_ = true;
   }
 }
 
-void SoakJournal::OnLeavingTold(const std::string& aId,
-                                const std::string& aLife)
+void SoakJournal::OnLeavingNoticeSent(const std::string& aId,
+                                      const std::string& aIncarnation)
 {
   if (auto* entry = Find(aId)) {
-    entry->leavingLife_ = aLife;
+    entry->leavingIncarnation_ = aIncarnation;
   }
 }
 
-void SoakJournal::OnPauseTold(const std::string& aId,
-                              const std::string& aLife,
-                              TimeMs aPauseMs)
+void SoakJournal::OnPauseNoticeSent(const std::string& aId,
+                                    const std::string& aIncarnation,
+                                    TimeMs aPauseMs)
 {
   if (const auto* entry = Find(aId); entry != nullptr && !entry->ended_) {
     auto& gateway = gateways_[entry->request_.gateway_];
-    if (entry->request_.sentMs_ > gateway.killedMs_) {
+    if (entry->request_.sentMs_ > gateway.connectionsLostMs_) {
       const TimeMs nowMs = clock_.NowMs();
-      auto& pause = gateway.paused_[aLife];
+      auto& pause = gateway.paused_[aIncarnation];
       if (nowMs >= pause.untilMs_) {
         pause = { nowMs, 0, 0 };
       }
@@ -443,44 +455,45 @@
   }
 }
 
-void SoakJournal::OnCrashed(const std::string& aLife)
+void SoakJournal::OnCrashed(const std::string& aIncarnation)
 {
   crashes_.push_back(clock_.NowMs());
   ++counts_["crashes-by-request"];
-  OnServerTrouble(aLife);
+  OnServerFault(aIncarnation);
 }
 
-void SoakJournal::OnDrainingAccepted(const std::string& aLife)
+void SoakJournal::OnDrainingAccepted(const std::string& aIncarnation)
 {
-  draining_[aLife] = clock_.NowMs();
+  draining_[aIncarnation] = clock_.NowMs();
 }
 
-void SoakJournal::OnKeyTaken(uint32_t aKey,
-                             int64_t aFence,
-                             const std::string& aLife)
+void SoakJournal::OnKeyGranted(uint32_t aKey,
+                               int64_t aFence,
+                               const std::string& aIncarnation)
 {
-  auto& [fence, life] = fences_[aKey];
-  if (aFence < fence || (aFence == fence && life != aLife)) {
-    Report(SoakFinding::TwoOwners,
-           Concat(aLife,
+  auto& [fence, incarnation] = fences_[aKey];
+  if (aFence < fence || (aFence == fence && incarnation != aIncarnation)) {
+    Report(SoakViolation::TwoOwners,
+           Concat(aIncarnation,
                   " takes key ",
                   aKey,
                   " with fence ",
                   aFence,
                   ", ",
-                  life,
+                  incarnation,
                   " had it with ",
                   fence));
   }
   if (aFence >= fence) {
     fence = aFence;
-    life = aLife;
+    incarnation = aIncarnation;
   }
 }
 
-void SoakJournal::OnKeysShared(uint32_t aKey, const std::string& aLives)
+void SoakJournal::OnKeyConflict(uint32_t aKey, const std::string& aIncarnations)
 {
-  Report(SoakFinding::TwoOwners, Concat("key ", aKey, " is held by ", aLives));
+  Report(SoakViolation::TwoOwners,
+         Concat("key ", aKey, " is held by ", aIncarnations));
 }
 
 int64_t SoakJournal::Count(const std::string& aWhat) const
@@ -498,15 +511,15 @@
   return text;
 }
 
-std::pair<int, int> SoakJournal::TakeServed()
+std::pair<int, int> SoakJournal::TakeServedCounts()
 {
-  return { std::exchange(served_, 0), std::exchange(over_, 0) };
+  return { std::exchange(served_, 0), std::exchange(completed_, 0) };
 }
 
-void SoakJournal::Report(SoakFinding aFinding, const std::string& aDetail)
+void SoakJournal::Report(SoakViolation aViolation, const std::string& aDetail)
 {
   violations_.push_back(
-    Concat(clock_.NowMs(), " ", EnumName(aFinding), ": ", aDetail));
+    Concat(clock_.NowMs(), " ", EnumName(aViolation), ": ", aDetail));
 }
 
 }
--- a/tests/SoakJournal.hpp
+++ b/tests/SoakJournal.hpp
@@ -12,7 +12,7 @@
 
 namespace cactuspitch {
 
-enum class SoakKind : uint8_t
+enum class SoakRequestKind : uint8_t
 {
   Safe,
   Unsafe, ///< must not run twice
@@ -23,7 +23,7 @@
 };
 
 template<>
-struct EnumNames<SoakKind>
+struct EnumNames<SoakRequestKind>
 {
   static constexpr std::string_view kNames[] = { "safe",
                                                  "unsafe",
@@ -33,27 +33,27 @@
 };
 
 /// Promise that a soak found broken.
-enum class SoakFinding : uint8_t
+enum class SoakViolation : uint8_t
 {
   TwoOwners,
   RunTwice,
   FalseRefusal,
-  WrongAnswer,
+  WrongResponse,
   ChangedRequest,
   SentToLeaving,
   SentInPause,
-  SentForGoneCaller,
+  SentAfterDisconnect,
   RepeatedCrash,
   OldConfig,
-  ProperRequestDenied,
-  CutOff,
-  NoFinalAnswer,
-  NotServedAgain,
+  ValidRequestRejected,
+  ClosedWithoutResponse,
+  NoFinalResponse,
+  NotRecovered,
   Count
 };
 
 template<>
-struct EnumNames<SoakFinding>
+struct EnumNames<SoakViolation>
 {
   static constexpr std::string_view kNames[] = {
     "two-owners",      "run-twice",       "false-refusal", "wrong-answer",
@@ -67,7 +67,7 @@
 struct SoakRequest
 {
   std::string id_;
-  SoakKind kind_ = SoakKind::Safe;
+  SoakRequestKind kind_ = SoakRequestKind::Safe;
   int gateway_ = 0;
   uint32_t key_ = 0;
   int64_t version_ = 0; ///< of the configuration, for a probe
@@ -84,12 +84,12 @@
   TimeMs drainMs_ = 2000;
   TimeMs applyMs_ = 2000;
   /// Grants that arrive so soon after a thaw or a healed link do not count.
-  TimeMs thawSlackMs_ = 300;
+  TimeMs recoverySlackMs_ = 300;
   TimeMs pauseSlackMs_ = 500;
   /// A final answer may come so long after the deadline.
-  TimeMs answerSlackMs_ = 1000;
+  TimeMs responseSlackMs_ = 1000;
   /// Requests may reach servers so long after their callers have left.
-  TimeMs goneMs_ = 500;
+  TimeMs disconnectSlackMs_ = 500;
 };
 
 /// What callers and backend servers of a soak see, checked as it comes in.
@@ -102,49 +102,53 @@
   void OnGatewayStarted(int aGateway);
   void OnGatewayEnded(int aGateway);
   void OnGatewayFrozen(int aGateway);
-  void OnGatewayThawed(int aGateway);
+  void OnGatewayResumed(int aGateway);
   void OnGatewayStopping(int aGateway);
   /// Its link to the store was cut, or has healed.
-  void OnGatewayCut(int aGateway, bool aCut);
-  void OnStoreDisturbed(bool aDisturbed);
+  void OnStoreLinkCut(int aGateway, bool aCut);
+  void OnStoreFault(bool aFaulty);
   void OnConfigAccepted(int64_t aVersion);
   /// Troubles of a server break off its requests.
-  void OnServerTrouble(const std::string& aLife);
-  bool IsInTouch(int aGateway) const;
+  void OnServerFault(const std::string& aIncarnation);
+  bool IsStable(int aGateway) const;
   /// A gateway was thawed, or a link healed, moments ago.
-  bool IsThawing() const;
+  bool HasJustRecovered() const;
 
   // Callers.
   void OnSent(const SoakRequest& aRequest);
-  void OnAnswer(const std::string& aId,
-                const HttpHead& aHead,
-                const std::string& aBody);
+  void OnResponse(const std::string& aId,
+                  const HttpHead& aHead,
+                  const std::string& aBody);
   /// An answer without a request that waits for it.
-  void OnUnaskedAnswer(int aGateway);
+  void OnUnexpectedResponse(int aGateway);
   void OnClosed(const std::string& aId);
   /// The caller closed its connection before it had an answer.
-  void OnLeft(const std::string& aId);
+  void OnCallerDisconnected(const std::string& aId);
   /// No final answer came, long after the deadline.
   void OnOverdue(const std::string& aId);
 
-  // Backend servers; aLife names one life of a server.
+  // Backend servers; aIncarnation names one life of a server.
   void OnArrived(const std::string& aId,
-                 const std::string& aLife,
+                 const std::string& aIncarnation,
                  const HttpHead& aHead,
                  const std::string& aBody);
-  void OnBegun(const std::string& aId, const std::string& aLife);
-  void OnRunToEnd(const std::string& aId);
-  void OnLeavingTold(const std::string& aId, const std::string& aLife);
-  void OnPauseTold(const std::string& aId,
-                   const std::string& aLife,
-                   TimeMs aPauseMs);
+  void OnExecutionStarted(const std::string& aId,
+                          const std::string& aIncarnation);
+  void OnExecutionFinished(const std::string& aId);
+  void OnLeavingNoticeSent(const std::string& aId,
+                           const std::string& aIncarnation);
+  void OnPauseNoticeSent(const std::string& aId,
+                         const std::string& aIncarnation,
+                         TimeMs aPauseMs);
   /// A crashing request ended this life.
-  void OnCrashed(const std::string& aLife);
-  void OnDrainingAccepted(const std::string& aLife);
-  void OnKeyTaken(uint32_t aKey, int64_t aFence, const std::string& aLife);
-  void OnKeysShared(uint32_t aKey, const std::string& aLives);
-
-  void Report(SoakFinding aFinding, const std::string& aDetail);
+  void OnCrashed(const std::string& aIncarnation);
+  void OnDrainingAccepted(const std::string& aIncarnation);
+  void OnKeyGranted(uint32_t aKey,
+                    int64_t aFence,
+                    const std::string& aIncarnation);
+  void OnKeyConflict(uint32_t aKey, const std::string& aIncarnations);
+
+  void Report(SoakViolation aViolation, const std::string& aDetail);
   /// A line for each broken promise.
   const std::vector<std::string>& Violations() const { return violations_; }
   int64_t Count(const std::string& aWhat) const;
@@ -152,9 +156,9 @@
   /// Of the requests that were answered well.
   const std::vector<TimeMs>& LatenciesMs() const { return latenciesMs_; }
   /// Requests answered well since the last call, and all that ended.
-  std::pair<int, int> TakeServed();
+  std::pair<int, int> TakeServedCounts();
   /// Body of the server's answer to that request.
-  static std::string BodyOf(const std::string& aId);
+  static std::string BodyForRequest(const std::string& aId);
 
 private:
   struct Gateway
@@ -162,11 +166,11 @@
     bool up_ = false;
     bool frozen_ = false;
     bool stopping_ = false;
-    bool cut_ = false;
-    TimeMs disturbedMs_ = 0;
-    TimeMs killedMs_ = 0; ///< or frozen: its connections may end
-    int64_t served_ = 0;  ///< newest version whose effect was seen
-    TimeMs servedMs_ = 0;
+    bool storeLinkCut_ = false;
+    TimeMs lastFaultMs_ = 0;
+    TimeMs connectionsLostMs_ = 0; ///< or frozen: its connections may end
+    int64_t seenVersion_ = 0;      ///< newest version whose effect was seen
+    TimeMs seenVersionMs_ = 0;
     struct Pause
     {
       TimeMs fromMs_ = 0;
@@ -179,43 +183,44 @@
   struct Entry
   {
     SoakRequest request_;
-    int begun_ = 0;
-    bool ranToEnd_ = false;
+    int executions_ = 0;
+    bool finished_ = false;
     bool refused_ = false;
     bool ended_ = false; ///< has its final answer, or none will come
-    TimeMs leftMs_ = 0;
-    std::set<std::string> lives_;
-    std::string leavingLife_; ///< said in its answer that it leaves
+    TimeMs disconnectedMs_ = 0;
+    std::set<std::string> incarnations_;
+    std::string leavingIncarnation_; ///< said in its answer that it leaves
   };
 
   Entry* Find(const std::string& aId);
-  void Forget(Gateway& aGateway) const;
+  void ResetNotices(Gateway& aGateway) const;
   void CheckSuccess(Entry& aEntry,
                     const HttpHead& aHead,
                     const std::string& aBody);
   void CheckProbe(Entry& aEntry, int aStatus);
-  void CheckNotices(const SoakRequest& aRequest, const std::string& aLife);
+  void CheckNotices(const SoakRequest& aRequest,
+                    const std::string& aIncarnation);
   void CheckCrashes(const SoakRequest& aRequest);
-  bool IsTroubled(const Entry& aEntry) const;
-  bool IsTroubledSince(const std::string& aLife, TimeMs aMs) const;
+  bool HadServerFault(const Entry& aEntry) const;
+  bool HadServerFaultSince(const std::string& aIncarnation, TimeMs aMs) const;
 
   const Clock& clock_;
   SoakBounds bounds_;
   std::vector<Gateway> gateways_;
   std::map<std::string, Entry> requests_;
-  std::map<std::string, TimeMs> troubled_; ///< last trouble of a life
+  std::map<std::string, TimeMs> serverFaultMs_; ///< last trouble of a life
   std::map<std::string, TimeMs> draining_;
   std::map<int64_t, TimeMs> versions_; ///< accepted by the store
   std::map<uint32_t, std::pair<int64_t, std::string>> fences_;
-  bool storeDisturbed_ = false;
-  TimeMs storeDisturbedMs_ = 0;
-  TimeMs thawedMs_ = 0;
+  bool storeFaulty_ = false;
+  TimeMs storeFaultChangedMs_ = 0;
+  TimeMs recoveredMs_ = 0;
   std::vector<TimeMs> crashes_;
   int sendsAfterCrashes_ = 0;
   int closedUnanswered_ = 0;
-  int sentForGone_ = 0;
+  int sentAfterDisconnect_ = 0;
   int served_ = 0;
-  int over_ = 0;
+  int completed_ = 0;
   std::vector<TimeMs> latenciesMs_;
   std::map<std::string, int64_t> counts_;
   std::vector<std::string> violations_;
