--- a/demo/GatewayDemoMain.cpp
+++ b/demo/GatewayDemoMain.cpp
@@ -1,5 +1,6 @@
-// Starts gateways on loopback among a store, backend servers and callers, ends
-// some of them on the way, and reports what callers got.
+// Demo of gateway failover: starts gateways, a store, backend servers and
+// callers on loopback, kills and restarts gateways and backend servers
+// meanwhile, and reports success rate and latencies of the callers' requests.
 
 #include "common/Strings.hpp"
 #include "tests/GatewaySoak.hpp"
@@ -41,7 +42,8 @@
                                   "crash-backend",
                                   "change-config" },
                      .binaryDir_ = BINARY_DIR });
-  std::printf("4 gateways, 9 backend servers; moments and faults:\n");
+  std::printf(
+    "4 gateways, 9 backend servers; times in ms and injected faults:\n");
   const auto violations = soak.Run();
   const auto& journal = soak.Journal();
   const auto& latencies = journal.LatenciesMs();
@@ -56,9 +58,9 @@
               Quantile(latencies, 0.99));
   std::printf("%s\n", journal.Summary().c_str());
   for (const auto& violation : violations) {
-    std::printf("broken promise: %s\n", violation.c_str());
+    std::printf("violation: %s\n", violation.c_str());
   }
-  std::printf("broken promises: %zu\n", violations.size());
+  std::printf("violations: %zu\n", violations.size());
   return violations.empty() ? 0 : 1;
 }
 
--- a/demo/StandinPlatformMain.cpp
+++ b/demo/StandinPlatformMain.cpp
@@ -1,5 +1,6 @@
-// Runs a store and backend servers on loopback, so that a gateway can be tried
-// by hand; prints the commands for it. Ends on SIGINT or SIGTERM.
+// Runs a simulated store and backend servers on loopback for manual tests of a
+// gateway, and prints the commands that start and call it. Ends on SIGINT or
+// SIGTERM.
 
 #include "tests/SoakBackend.hpp"
 
@@ -57,7 +58,7 @@
 int Run()
 {
   EventLoop loop;
-  // Its checks are for soaks; here it only gets what the servers tell.
+  // SoakBackend needs a journal; its checks are not used here.
   SoakJournal journal(loop, 1);
   PlatformStore store(loop);
   PutConfig(store);
--- a/tests/DelayedTasks.hpp
+++ b/tests/DelayedTasks.hpp
@@ -9,7 +9,8 @@
 
 namespace cactuspitch {
 
-/// Tasks that run once on a loop after a while, unless this ends before.
+/// One-shot delayed callbacks on an event loop; those that are still pending
+/// when this object is destroyed do not run.
 class DelayedTasks
 {
 public:
@@ -20,8 +21,8 @@
 
   void After(TimeMs aDelayMs, std::function<void()> aTask)
   {
-    // A timer that runs its task is swept by a later call only: the task runs
-    // after the timer's own handler.
+    // Only a later call deletes an expired timer. Its task is deferred until
+    // the timer's handler has returned, so a task may call After().
     std::erase_if(timers_,
                   [](const auto& aTimer) { return !aTimer->IsActive(); });
     timers_.push_back(std::make_unique<Timer>(
--- a/tests/GatewaySoak.cpp
+++ b/tests/GatewaySoak.cpp
@@ -13,20 +13,20 @@
 
 constexpr TimeMs kGraceMs = 3000;
 constexpr TimeMs kDrainMs = 2000;
-/// From the start of all gateways until callers come.
+/// Time from the start of all gateways to the first requests.
 constexpr TimeMs kStartupMs = 2500;
 constexpr TimeMs kCheckIntervalMs = 50;
-/// From the start of a process to the first line of its main function.
+/// Upper bound of the time from the start of a process to its main function.
 constexpr TimeMs kExecMs = 20;
 constexpr int kMinFaultGapMs = 250;
 constexpr int kMaxFaultGapMs = 900;
-/// Longest fault; then all is healed by itself.
+/// Longest duration of a fault; every fault ends by itself.
 constexpr int kMaxFaultMs = 4000;
-/// Callers are served again within this time after all has healed.
+/// Callers have to be served again within this time after the last fault.
 constexpr TimeMs kRecoveryMs = 15000;
 constexpr TimeMs kServedWindowMs = 1000;
 constexpr double kMinServedShare = 0.9;
-/// Keys may have two holders on their way for so long.
+/// A key may have two owners for so long while it is handed over.
 constexpr TimeMs kMaxConflictMs = 500;
 constexpr int kCallersPerGateway = 3;
 constexpr int kMaxCallers = 60;
@@ -170,7 +170,8 @@
     gateway.storeLink_ =
       std::make_unique<LinkCut>(gateway.store_, store_.Address().ToText());
     if (!gateway.storeLink_->Start().ok()) {
-      throw std::runtime_error("a link to the store does not listen");
+      throw std::runtime_error(
+        "cannot listen for a gateway's link to the store");
     }
     gateways_.push_back(std::move(gateway));
   }
@@ -206,7 +207,7 @@
   } else if (draw <= 120) {
     aRequest.kind_ = SoakRequestKind::Keyed;
     const auto& keys = SoakBackend::Keys();
-    // A third of them wants one key.
+    // A third of the keyed requests use the same key.
     constexpr int kHotShare = 3;
     const bool hot = pick(1, kHotShare) == 1;
     aRequest.key_ = keys[hot ? 0 : pick(0, static_cast<int>(keys.size()) - 1)];
@@ -285,7 +286,7 @@
 {
   faultsEnded_ = true;
   sendsCrashRequests_ = false;
-  // Faults end by themselves, stopped gateways start again.
+  // Active faults end and stopped gateways restart within this time.
   RunLoopFor(loop_, kMaxFaultMs);
 }
 
@@ -313,8 +314,9 @@
       continue;
     }
     if (gateway.state_ != GatewayState::Stopping) {
-      throw std::runtime_error(
-        Concat(gateway.name_, " ended: ", fleet_.LogTail(gateway.name_)));
+      throw std::runtime_error(Concat(gateway.name_,
+                                      " exited unexpectedly: ",
+                                      fleet_.LogTail(gateway.name_)));
     }
     gateway.state_ = GatewayState::Down;
     journal_.OnGatewayEnded(index);
@@ -425,7 +427,8 @@
 void GatewaySoak::SendSighupToGateway()
 {
   const auto& gateway = gateways_[RandomGateway()];
-  // No program can handle a signal before its own code runs.
+  // A process cannot handle SIGHUP before its main function has run, so a
+  // gateway that has just started is left out.
   if (gateway.state_ == GatewayState::Up &&
       loop_.NowMs() - gateway.startedMs_ > kExecMs) {
     kill(fleet_.Pid(gateway.name_), SIGHUP);
@@ -500,7 +503,8 @@
                                          LinkMode::DropDown,
                                          LinkMode::DropBoth };
   auto& backend = RandomBackend();
-  // Grants that a link holds up do not count, so keyed servers keep theirs.
+  // The checker doesn't count grants that a cut link delays, so the links of
+  // keyed servers stay intact.
   if (!backend.IsKeyed()) {
     backend.CutLink(kModes[RandomInt(0, 2)], RandomInt(100, kMaxFaultMs));
   }
--- a/tests/GatewaySoak.hpp
+++ b/tests/GatewaySoak.hpp
@@ -10,10 +10,11 @@
 
 namespace cactuspitch {
 
-/// Real gateways as processes, with a store, backend servers and callers of
-/// this process, and random faults: signals, cut links, troubles of the store
-/// and of servers, in series and overlapping. Afterwards all heals, and callers
-/// have to be served again.
+/// Fault injection test with real gateway processes. The store, the backend
+/// servers and the callers run in this process. Random faults follow each other
+/// and overlap: signals to gateways, cut links, faults of the store and of
+/// backend servers. After the last fault has ended, callers have to be served
+/// again.
 class GatewaySoak
 {
 public:
@@ -22,14 +23,15 @@
     uint32_t seed_ = 1;
     int gateways_ = 4;
     TimeMs faultDurationMs_ = 15000;
-    /// Of these kinds; all when it names none.
+    /// Names of the fault kinds to inject; empty injects all kinds.
     std::vector<std::string> faults_;
     std::string binaryDir_;
   };
 
   explicit GatewaySoak(Options aOptions);
   ~GatewaySoak();
-  /// Broken promises, each with its time.
+  /// Runs the whole soak; blocks. Returns one line per violation, each with its
+  /// time in ms.
   std::vector<std::string> Run();
   const SoakJournal& Journal() const { return journal_; }
   std::string LogDirectory() const { return fleet_.LogDirectory(); }
@@ -53,17 +55,17 @@
     std::unique_ptr<LinkCut> storeLink_;
     std::string store_;
     GatewayState state_ = GatewayState::Down;
-    int incarnation_ = 0; ///< counts its starts
+    int incarnation_ = 0; ///< number of starts so far
     TimeMs startedMs_ = 0;
   };
   struct FaultKind
   {
     const char* name_;
-    int weight_; ///< how often it comes, among the others
+    int weight_; ///< relative frequency among the fault kinds
     void (GatewaySoak::*begin_)();
   };
   static const std::vector<FaultKind>& Faults();
-  /// Kinds to draw from, each as often as its weight says.
+  /// The enabled fault kinds, each repeated as often as its weight says.
   std::vector<const FaultKind*> WeightedFaults() const;
 
   void AddGateways();
@@ -72,11 +74,15 @@
   void PutConfig();
   void StartGateway(int aGateway);
   void BeginFault();
+  /// Stops injecting faults and waits until the active ones have ended.
   void EndFaults();
+  /// Waits until callers are served again; false after kRecoveryMs.
   bool WaitForRecovery();
-  /// Looks for ended processes and for keys with two holders.
+  /// Restarts gateways that were stopped, throws if a gateway ended for another
+  /// reason, and checks that no key has two owners.
   void CheckProcesses();
   void CheckKeyConflicts();
+  /// Uniform in [aLow, aHigh].
   int RandomInt(int aLow, int aHigh);
   int RandomGateway();
   SoakBackend& RandomBackend();
@@ -105,7 +111,9 @@
   const std::vector<const FaultKind*> weightedFaults_;
   EventLoop loop_;
   std::mt19937 random_;
-  std::mt19937 callRandom_; ///< of callers, so that a seed keeps its faults
+  /// Separate generator for callers' requests, so that the sequence of faults
+  /// depends on the seed only.
+  std::mt19937 callRandom_;
   SoakJournal journal_;
   PlatformStore store_;
   ProcessFleet fleet_;
--- a/tests/GatewaySoakTest.cpp
+++ b/tests/GatewaySoakTest.cpp
@@ -10,7 +10,7 @@
 namespace cactuspitch {
 namespace {
 
-/// Seeds of CI; SOAK_SEEDS names others.
+/// Seeds from SOAK_SEEDS (separated by spaces), else those that CI runs.
 std::vector<uint32_t> Seeds()
 {
   const char* text = std::getenv("SOAK_SEEDS");
@@ -22,7 +22,7 @@
   return seeds;
 }
 
-/// SOAK_GATEWAYS names another number for runs by hand.
+/// Number of gateways from SOAK_GATEWAYS, else 4.
 int Gateways()
 {
   constexpr int kGateways = 4;
@@ -34,9 +34,10 @@
 class GatewaySoakTest : public testing::TestWithParam<uint32_t>
 {};
 
-// Guards the promises of the platform's pages with real processes and faults
-// from outside.
-TEST_P(GatewaySoakTest, KeepsItsPromises)
+// Guards against violations of the platform's guarantees that only show with
+// real gateway processes and external faults (signals, cut links, store and
+// server faults).
+TEST_P(GatewaySoakTest, MeetsGuaranteesUnderFaults)
 {
   GatewaySoak soak(
     { .seed_ = GetParam(), .gateways_ = Gateways(), .binaryDir_ = BINARY_DIR });
--- a/tests/ProcessFleet.cpp
+++ b/tests/ProcessFleet.cpp
@@ -25,8 +25,8 @@
 constexpr size_t kMaxResponseBytes = 64 << 20;
 constexpr int kExecFailed = 127;
 
-/// The texts as execve() takes them.
-std::vector<char*> Pointers(std::vector<std::string>& aTexts)
+/// Null-terminated array of pointers to the strings, as execve() takes it.
+std::vector<char*> NullTerminatedPointers(std::vector<std::string>& aTexts)
 {
   std::vector<char*> pointers;
   std::ranges::transform(aTexts,
@@ -36,7 +36,7 @@
   return pointers;
 }
 
-/// Runs in the child, where only async-signal-safe calls are allowed.
+/// Runs in the forked child, where only async-signal-safe calls are allowed.
 [[noreturn]] void Exec(const char* aProgram,
                        char* const* aArguments,
                        char* const* aEnvironment,
@@ -49,7 +49,8 @@
   }
   dup2(aLog, STDOUT_FILENO);
   dup2(aLog, STDERR_FILENO);
-  // The parent may have blocked signals for its own purposes.
+  // Resets the signal mask, since the child inherits signals that the parent
+  // has blocked.
   sigset_t none;
   sigemptyset(&none);
   sigprocmask(SIG_SETMASK, &none, nullptr);
@@ -92,8 +93,8 @@
   for (const auto& [name, value] : aSettings) {
     environment.push_back(Concat(name, "=", value));
   }
-  const auto arguments = detail::Pointers(aArguments);
-  const auto variables = detail::Pointers(environment);
+  const auto arguments = detail::NullTerminatedPointers(aArguments);
+  const auto variables = detail::NullTerminatedPointers(environment);
   const auto logFile = Concat(logDirectory_, "/", aName, ".log");
   const int log =
     open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
@@ -113,7 +114,7 @@
 {
   const auto found = processes_.find(aName);
   if (found == processes_.end()) {
-    throw std::invalid_argument(Concat("no process ", aName));
+    throw std::invalid_argument(Concat("no process named ", aName));
   }
   return found->second;
 }
@@ -142,7 +143,7 @@
 void ProcessFleet::Signal(const std::string& aName, int aSignal)
 {
   const auto& process = Find(aName);
-  // A reaped id may belong to another process by now.
+  // The kernel may have reused the id of a reaped process.
   if (!process.reaped_) {
     kill(process.pid_, aSignal);
   }
--- a/tests/ProcessFleet.hpp
+++ b/tests/ProcessFleet.hpp
@@ -13,14 +13,15 @@
 
 namespace cactuspitch {
 
-/// Real processes of a test or a measurement, by name. All are ended by the
-/// destructor; should this process die, the kernel ends them (so launch them
-/// from a thread that lives as long as the fleet).
+/// Starts and controls child processes of a test or benchmark, by name. The
+/// destructor kills all of them. If the parent thread dies first, the kernel
+/// kills them (PR_SET_PDEATHSIG), so launch them from a thread that lives as
+/// long as the fleet.
 class ProcessFleet
 {
 public:
-  /// Programs are taken from aBinaryDir; the output of each process goes to a
-  /// file of its own below it.
+  /// Programs are looked up in aBinaryDir; the output of each process goes to
+  /// its own log file below aBinaryDir/fleet.
   explicit ProcessFleet(std::string aBinaryDir);
   ~ProcessFleet();
   ProcessFleet(const ProcessFleet&) = delete;
@@ -28,8 +29,9 @@
 
   using Environment = std::map<std::string, std::string>;
 
-  /// Replaces an ended process of the same name. aSettings are added to the
-  /// environment.
+  /// Starts aProgram under the name aName, which may be that of an ended
+  /// process. aSettings are added to the environment. Throws if fork fails; a
+  /// program that cannot be executed ends with status 127.
   void Launch(const std::string& aName,
               const std::string& aProgram,
               std::vector<std::string> aArguments,
@@ -37,18 +39,19 @@
   bool IsRunning(const std::string& aName);
   pid_t Pid(const std::string& aName) const;
 
-  /// SIGKILL; returns when the process is gone.
+  /// Sends SIGKILL and waits until the process has ended (5 s at most).
   void Kill(const std::string& aName);
-  /// SIGSTOP; returns when the process has stopped.
+  /// Sends SIGSTOP and waits until the process has stopped or ended.
   void Pause(const std::string& aName);
   void Resume(const std::string& aName);
-  /// SIGTERM; the exit status, or empty when it did not end in time.
+  /// Sends SIGTERM and waits. Returns the exit status, the negative number of
+  /// the signal that ended the process, or empty on timeout.
   std::optional<int> Terminate(const std::string& aName, TimeMs aTimeoutMs);
 
-  /// Last lines of the output of a process.
+  /// Last 2000 bytes of the output of a process.
   std::string LogTail(const std::string& aName) const;
   std::string LogDirectory() const { return logDirectory_; }
-  /// Resident memory in kilobytes.
+  /// Resident memory in kilobytes; 0 if it cannot be read.
   int64_t ResidentKb(const std::string& aName) const;
 
 private:
@@ -60,7 +63,7 @@
   };
 
   Process& Find(const std::string& aName);
-  /// Waits for the end; false on timeout.
+  /// Waits until the process has ended and reaps it; false on timeout.
   bool Reap(Process& aProcess, TimeMs aTimeoutMs);
   void Signal(const std::string& aName, int aSignal);
 
@@ -70,13 +73,14 @@
   std::map<std::string, Process> processes_;
 };
 
-/// One HTTP call; the body, or empty when it failed or the status is not 200.
+/// Makes one HTTP call (3 s at most). Returns the body, or empty if the call
+/// failed or the status is not 200.
 std::optional<std::string> HttpCall(const std::string& aMethod,
                                     const std::string& aAddress,
                                     const std::string& aTarget,
                                     std::string_view aBody = {});
 
-/// Waits until aCondition holds; false on timeout.
+/// Polls every 10 ms until aCondition holds; false on timeout.
 template<typename Condition>
 bool WaitFor(TimeMs aTimeoutMs, Condition&& aCondition)
 {
--- a/tests/ProcessFleetTest.cpp
+++ b/tests/ProcessFleetTest.cpp
@@ -18,10 +18,10 @@
     : fleet_(std::make_unique<ProcessFleet>(BINARY_DIR))
   {
     fleet_->Launch("store", "standin-store", { "--listen", port_.Address() });
-    EXPECT_TRUE(WaitFor(kWaitMs, [this] { return IsAnswering(); }));
+    EXPECT_TRUE(WaitFor(kWaitMs, [this] { return IsResponding(); }));
   }
 
-  bool IsAnswering() const
+  bool IsResponding() const
   {
     return HttpCall("GET", port_.Address(), "/_health").has_value();
   }
@@ -30,18 +30,18 @@
   std::unique_ptr<ProcessFleet> fleet_;
 };
 
-// Guards against a pause that has not begun when the test goes on.
-TEST_F(ProcessFleetTest, PausedProcessIsSilentUntilResumed)
+// Guards against Pause() returning before the process has stopped.
+TEST_F(ProcessFleetTest, PausedProcessDoesNotRespondUntilResumed)
 {
   fleet_->Pause("store");
-  EXPECT_FALSE(IsAnswering());
+  EXPECT_FALSE(IsResponding());
   EXPECT_TRUE(fleet_->IsRunning("store"));
   fleet_->Resume("store");
-  EXPECT_TRUE(WaitFor(kWaitMs, [this] { return IsAnswering(); }));
+  EXPECT_TRUE(WaitFor(kWaitMs, [this] { return IsResponding(); }));
   EXPECT_EQ(fleet_->Terminate("store", kWaitMs), 0);
 }
 
-// Guards against processes that outlive a failed test, a paused one included.
+// Guards against processes, also paused ones, that outlive a failed test.
 TEST_F(ProcessFleetTest, DestructorEndsAllProcesses)
 {
   const pid_t pid = fleet_->Pid("store");
@@ -50,7 +50,7 @@
   EXPECT_EQ(kill(pid, 0), -1);
 }
 
-// Guards against a program that does not start and is taken as running.
+// Guards against a program that fails to start but is reported as running.
 TEST_F(ProcessFleetTest, MissingProgramHasEnded)
 {
   fleet_->Launch("other", "no-such-program", {});
--- a/tests/ServerNoticesModel.cpp
+++ b/tests/ServerNoticesModel.cpp
@@ -12,12 +12,13 @@
 
 constexpr TimeMs kSecondMs = 1000;
 constexpr int64_t kUsPerMs = 1000;
-/// A server's registration says that it drains so long after its answers do.
+/// Time from the first leaving notice in a server's responses to the draining
+/// state in its registration.
 constexpr TimeMs kRegistrationLagMs = 3000;
-/// It serves on so long after the drain time, then ends.
-constexpr TimeMs kEndSlackMs = 1000;
+/// A server ends so long after the drain time.
+constexpr TimeMs kShutdownDelayMs = 1000;
 constexpr TimeMs kReplacementDelayMs = 1000;
-/// Pauses and replacements begin once loads are known.
+/// Pauses and replacements begin after this, when gateways know the loads.
 constexpr TimeMs kWarmupMs = 2000;
 constexpr TimeMs kPeerDelayMs = 100;
 constexpr TimeMs kRegistrationDelayMs = 400;
@@ -29,14 +30,14 @@
 constexpr int kMaxCallerRetries = 2;
 constexpr int kDomains = 4;
 constexpr size_t kSampleSize = 6;
-constexpr int kPausingShare = 10; ///< one of so many servers
+constexpr int kPausingShare = 10; ///< one of so many servers pauses
 /// Servers of a release that are being replaced at the same time.
 constexpr double kReleaseShare = 0.04;
 constexpr double kShortestPauseMs = 1000;
 constexpr double kLongestPauseMs = 10000;
 constexpr size_t kBytes = 2048;
 
-std::vector<NodeLocation> Names(char aKind, size_t aCount)
+std::vector<NodeLocation> NodeLocations(char aKind, size_t aCount)
 {
   std::vector<NodeLocation> names;
   for (size_t index = 0; index < aCount; ++index) {
@@ -69,8 +70,8 @@
   , servers_(static_cast<size_t>(aOptions.servers_))
   , gateways_(static_cast<size_t>(aOptions.gateways_))
 {
-  const auto gatewayNames = Names('g', gateways_.size());
-  const auto serverNames = Names('s', servers_.size());
+  const auto gatewayNames = NodeLocations('g', gateways_.size());
+  const auto serverNames = NodeLocations('s', servers_.size());
   for (size_t index = 0; index < gateways_.size(); ++index) {
     auto& gateway = gateways_[index];
     gateway.views_.assign(servers_.size(), NewView());
@@ -95,14 +96,14 @@
 ServerNoticesModel::Result ServerNoticesModel::Run()
 {
   const TimeMs endMs = options_.seconds_ * kSecondMs;
-  const auto atOnce =
+  const auto concurrentReplacements =
     std::max(1.0, kReleaseShare * static_cast<double>(servers_.size()));
-  const auto leaveEveryMs = static_cast<TimeMs>(
-    static_cast<double>(kRegistrationLagMs + options_.drainMs_ + kEndSlackMs +
-                        kReplacementDelayMs) /
-    atOnce);
+  const auto replacementIntervalMs = static_cast<TimeMs>(
+    static_cast<double>(kRegistrationLagMs + options_.drainMs_ +
+                        kShutdownDelayMs + kReplacementDelayMs) /
+    concurrentReplacements);
   for (size_t server = 0; server < servers_.size(); ++server) {
-    After(kWarmupMs + static_cast<TimeMs>(server) * leaveEveryMs,
+    After(kWarmupMs + static_cast<TimeMs>(server) * replacementIntervalMs,
           [this, server] { StartReplacement(server); });
     if (server % kPausingShare == 0) {
       After(kWarmupMs + static_cast<TimeMs>(RandomBetween(
@@ -111,7 +112,7 @@
     }
   }
   ReportLoads();
-  Arrive();
+  SendNextCall();
   events_.RunUntil((endMs + options_.deadlineMs_) * kUsPerMs);
   return result_;
 }
@@ -122,19 +123,21 @@
   After(kRegistrationLagMs, [this, aServer] {
     servers_[aServer].draining_ = true;
     for (auto& gateway : gateways_) {
-      After(static_cast<TimeMs>(RandomBetween(0, kRegistrationDelayMs)),
-            [&view = gateway.views_[aServer]] { view.takesNewWork_ = false; });
+      After(
+        static_cast<TimeMs>(RandomBetween(0, kRegistrationDelayMs)),
+        [&view = gateway.views_[aServer]] { view.acceptsRequests_ = false; });
     }
   });
-  After(kRegistrationLagMs + options_.drainMs_ + kEndSlackMs, [this, aServer] {
-    auto& server = servers_[aServer];
-    result_.lost_ += server.running_ + std::ssize(server.waiting_);
-    const int nextIncarnation = server.incarnation_ + 1;
-    server = {};
-    server.incarnation_ = nextIncarnation;
-    server.up_ = false;
-  });
-  After(kRegistrationLagMs + options_.drainMs_ + kEndSlackMs +
+  After(kRegistrationLagMs + options_.drainMs_ + kShutdownDelayMs,
+        [this, aServer] {
+          auto& server = servers_[aServer];
+          result_.lost_ += server.running_ + std::ssize(server.waiting_);
+          const int nextIncarnation = server.incarnation_ + 1;
+          server = {};
+          server.incarnation_ = nextIncarnation;
+          server.up_ = false;
+        });
+  After(kRegistrationLagMs + options_.drainMs_ + kShutdownDelayMs +
           kReplacementDelayMs,
         [this, aServer] {
           servers_[aServer].up_ = true;
@@ -166,7 +169,7 @@
   }
 }
 
-void ServerNoticesModel::Arrive()
+void ServerNoticesModel::SendNextCall()
 {
   if (events_.NowMs() >= options_.seconds_ * kSecondMs) {
     return;
@@ -178,7 +181,7 @@
   const double perMs = options_.load_ * options_.servers_ * options_.slots_ /
                        options_.serviceTimeMs_;
   std::exponential_distribution<double> gapMs(perMs);
-  events_.After(gapMs(workload_) * kUsPerMs, [this] { Arrive(); });
+  events_.After(gapMs(workload_) * kUsPerMs, [this] { SendNextCall(); });
 }
 
 std::vector<size_t> ServerNoticesModel::Candidates(const GatewayState& aGateway)
@@ -190,7 +193,7 @@
       options_.obeysLeavingNotices_ && view.leavingNoticeMs_ != 0;
     const bool pauses =
       options_.obeysPauses_ && view.pause_.IsActive(events_.NowMs());
-    if (view.takesNewWork_ && !leaves && !pauses &&
+    if (view.acceptsRequests_ && !leaves && !pauses &&
         std::ranges::find(candidates, aServer) == candidates.end()) {
       candidates.push_back(aServer);
     }
@@ -244,9 +247,9 @@
 void ServerNoticesModel::Refuse(const CallPtr& aCall, TimeMs aRetryAfterMs)
 {
   const TimeMs nowMs = events_.NowMs();
-  const TimeMs backMs = nowMs + aRetryAfterMs;
+  const TimeMs retryAtMs = nowMs + aRetryAfterMs;
   if (aCall->callerRetries_ >= kMaxCallerRetries ||
-      backMs >= aCall->sentMs_ + options_.deadlineMs_) {
+      retryAtMs >= aCall->sentMs_ + options_.deadlineMs_) {
     ++result_.refused_;
     return;
   }
@@ -300,12 +303,12 @@
   }
   CountArrival(gateways_[aGateway].views_[aServer]);
   if (nowMs < server.pauseEndMs_) {
-    // Whole seconds, not less than the rest.
-    const TimeMs restMs = server.pauseEndMs_ - nowMs;
+    // The remaining time, rounded up to whole seconds as in Retry-After.
+    const TimeMs remainingMs = server.pauseEndMs_ - nowMs;
     OnNotExecuted(aGateway,
                   aServer,
                   aCall,
-                  (restMs + kSecondMs - 1) / kSecondMs * kSecondMs);
+                  (remainingMs + kSecondMs - 1) / kSecondMs * kSecondMs);
   } else if (server.running_ < options_.slots_) {
     StartWork(aGateway, aServer, aCall);
   } else if (std::ssize(server.waiting_) < options_.slots_) {
@@ -339,7 +342,7 @@
 {
   auto& server = servers_[aServer];
   if (server.incarnation_ != aIncarnation) {
-    return; // lost with its server
+    return; // lost when its server ended
   }
   --server.running_;
   auto& view = gateways_[aGateway].views_[aServer];
--- a/tests/ServerNoticesModel.hpp
+++ b/tests/ServerNoticesModel.hpp
@@ -13,9 +13,10 @@
 
 namespace cactuspitch {
 
-/// A service without keys at high load while its servers are replaced one
-/// after the other and some ask for pauses. Gateways place requests by the
-/// policies of the product; network, servers and callers are simulated.
+/// Discrete-event simulation of a service without keys at high load, while its
+/// servers are replaced one after the other and some announce pauses. Gateways
+/// place requests with the production policies; network, servers and callers
+/// are simulated.
 class ServerNoticesModel
 {
 public:
@@ -27,7 +28,7 @@
     double serviceTimeMs_ = 350;
     TimeMs objectiveMs_ = 1200;
     TimeMs deadlineMs_ = 6000;
-    double load_ = 0.9; ///< of all slots
+    double load_ = 0.9; ///< offered load, as a share of all slots
     TimeMs drainMs_ = 2500;
     int seconds_ = 30;
     bool obeysLeavingNotices_ = true;
@@ -37,16 +38,17 @@
   {
     int64_t requests_ = 0;
     int64_t served_ = 0;
-    int64_t late_ = 0; ///< of the served ones
+    int64_t late_ = 0; ///< served, but slower than the objective
     int64_t refused_ = 0;
-    int64_t lost_ = 0; ///< under way at a server that ended
-    /// Sent to a server by a gateway that had had its notice for longer than
-    /// the drain time.
+    int64_t lost_ = 0; ///< queued or running at a server that ended
+    /// Attempts that reached a server more than the drain time after the
+    /// gateway had received its leaving notice.
     int64_t sentAfterLeavingNotice_ = 0;
-    /// Beyond two from one gateway, from half a second after it was asked for
-    /// a pause to the end of that.
+    /// Attempts that reached a server in its pause, from half a second after
+    /// the gateway received the notice. The first two of each gateway in a
+    /// pause are allowed and don't count.
     int64_t sentInPause_ = 0;
-    /// Turned away by full servers in the second after their pauses.
+    /// Attempts rejected by full servers within a second after their pauses.
     int64_t shedAfterPause_ = 0;
 
     Result& operator+=(const Result& aOther);
@@ -58,9 +60,9 @@
 private:
   struct Call
   {
-    TimeMs sentMs_ = 0;     ///< by the caller, first attempt
-    TimeMs receivedMs_ = 0; ///< by the present gateway
-    int callerRetries_ = 0; ///< of the caller, after refusals
+    TimeMs sentMs_ = 0;     ///< first sent by the caller
+    TimeMs receivedMs_ = 0; ///< by the current gateway
+    int callerRetries_ = 0; ///< after refusals by gateways
     int attempts_ = 0;
     std::set<size_t> tried_;
   };
@@ -71,21 +73,21 @@
     int incarnation_ = 0;
     bool up_ = true;
     bool leaving_ = false;
-    bool draining_ = false; ///< its registration says so
+    bool draining_ = false; ///< registered as draining
     int running_ = 0;
-    std::vector<std::pair<CallPtr, size_t>> waiting_; ///< with their gateways
+    std::vector<std::pair<CallPtr, size_t>> waiting_; ///< call, gateway index
     TimeMs pauseEndMs_ = 0;
   };
 
-  /// A server as one gateway sees it.
+  /// State of a server as known to one gateway.
   struct View
   {
     BackendLoad load_;
     ServerPause pause_;
     int inFlight_ = 0;
-    bool takesNewWork_ = true;
-    TimeMs leavingNoticeMs_ = 0; ///< 0: not told that it leaves
-    TimeMs pauseStartMs_ = 0;    ///< for a pause
+    bool acceptsRequests_ = true;
+    TimeMs leavingNoticeMs_ = 0; ///< 0: no leaving notice received
+    TimeMs pauseStartMs_ = 0;    ///< first pause notice
     TimeMs pauseUntilMs_ = 0;
     int sentInPause_ = 0;
   };
@@ -101,7 +103,7 @@
   void StartReplacement(size_t aServer);
   void StartPause(size_t aServer);
   void ReportLoads();
-  void Arrive();
+  void SendNextCall();
   void Dispatch(size_t aGateway, const CallPtr& aCall);
   void Refuse(const CallPtr& aCall, TimeMs aRetryAfterMs);
   void Send(size_t aGateway, size_t aServer, const CallPtr& aCall);
@@ -117,7 +119,7 @@
                      TimeMs aPauseMs);
   void RecordLeavingNotice(size_t aGateway, size_t aServer);
   void CountArrival(View& aView);
-  /// Servers that a gateway compares for one request.
+  /// Indices of the servers that a gateway considers for one request.
   std::vector<size_t> Candidates(const GatewayState& aGateway);
   size_t RandomIndex(size_t aCount);
   double RandomBetween(double aLow, double aHigh);
@@ -126,7 +128,8 @@
 
   Options options_;
   std::mt19937 random_;
-  /// Of callers and servers, so that both ways see the same load.
+  /// Separate generator for arrivals and pauses, so that runs with and without
+  /// notices see the same load.
   std::mt19937 workload_;
   EventQueue events_;
   PlacementOptions placement_;
--- a/tests/ServerNoticesModelTest.cpp
+++ b/tests/ServerNoticesModelTest.cpp
@@ -10,9 +10,10 @@
 class ServerNoticesModelTest : public testing::TestWithParam<uint32_t>
 {};
 
-// Guards against requests at 90% load that gateways send to servers whose
-// notice they know, and against requests that are lost with a leaving server.
-TEST_P(ServerNoticesModelTest, NoticesAreKeptUnderLoad)
+// Guards, at 90% load, against gateways that send requests to servers whose
+// leaving or pause notice they have received, and against requests that are
+// lost when a leaving server ends.
+TEST_P(ServerNoticesModelTest, NoticesAreObeyedUnderLoad)
 {
   const auto result = ServerNoticesModel({ .seconds_ = 20 }, GetParam()).Run();
   EXPECT_GT(result.requests_, 10000);
@@ -22,9 +23,9 @@
   EXPECT_EQ(result.served_ + result.refused_, result.requests_);
 }
 
-// Shows that the model has leaving and pausing servers which are used if
-// nobody heeds them.
-TEST_P(ServerNoticesModelTest, IgnoredNoticesAreSeen)
+// Guards against a model that cannot fail: if gateways ignore notices, requests
+// do reach leaving and pausing servers.
+TEST_P(ServerNoticesModelTest, IgnoredNoticesAreDetected)
 {
   const auto result =
     ServerNoticesModel(
--- a/tests/SoakBackend.cpp
+++ b/tests/SoakBackend.cpp
@@ -13,14 +13,14 @@
 using Json = nlohmann::json;
 
 constexpr TimeMs kHeartbeatMs = 870;
-/// An entry lapses after three beats of silence.
+/// A registration expires after three missed heartbeats.
 constexpr TimeMs kExpiryMs = 3 * kHeartbeatMs;
 constexpr TimeMs kDrainMs = 2000;
-constexpr TimeMs kEndSlackMs = 700;
+constexpr TimeMs kShutdownDelayMs = 700;
 constexpr TimeMs kReplacementDelayMs = 1200;
 constexpr TimeMs kMaxDuplicateDelayMs = 30;
 constexpr double kMsPerSecond = 1000;
-/// Clocks of servers may run so much slow.
+/// A server's clock may run slow by this factor, so its leases last longer.
 constexpr double kSlowClockFactor = 1.02;
 
 std::string ResponseText(int aStatus,
@@ -77,7 +77,8 @@
     const auto listen = FreeEndpoint().ToText();
     link_ = std::make_unique<LinkCut>(listen, address_);
     if (!link_->Start().ok()) {
-      throw std::runtime_error("the link does not listen");
+      throw std::runtime_error(
+        "cannot listen for the link to a backend server");
     }
     address_ = listen;
   }
@@ -148,7 +149,7 @@
   heartbeatTimer_.Start(kHeartbeatMs);
 }
 
-void SoakBackend::Crash(TimeMs aBackAfterMs)
+void SoakBackend::Crash(TimeMs aRestartDelayMs)
 {
   if (!up_) {
     return;
@@ -156,23 +157,23 @@
   const auto id = id_;
   EndIncarnation();
   tasks_.After(kExpiryMs, [this, id] { store_.Remove("servers", id); });
-  tasks_.After(aBackAfterMs, [this] {
+  tasks_.After(aRestartDelayMs, [this] {
     server_.Restart();
     StartIncarnation();
   });
 }
 
-void SoakBackend::Freeze(TimeMs aForMs)
+void SoakBackend::Freeze(TimeMs aDurationMs)
 {
   if (!up_ || frozen_) {
     return;
   }
   frozen_ = true;
   journal_.OnServerFault(id_);
-  if (aForMs > kExpiryMs) {
+  if (aDurationMs > kExpiryMs) {
     After(kExpiryMs, [this] { store_.Remove("servers", id_); });
   }
-  After(aForMs, [this] {
+  After(aDurationMs, [this] {
     frozen_ = false;
     journal_.OnServerFault(id_);
     for (auto& exchange : std::exchange(deferredExchanges_, {})) {
@@ -197,7 +198,7 @@
       journal_.OnDrainingAccepted(id_);
     }
   });
-  After(lagMs + kDrainMs + kEndSlackMs, [this] {
+  After(lagMs + kDrainMs + kShutdownDelayMs, [this] {
     const auto id = id_;
     EndIncarnation();
     store_.Remove("servers", id);
@@ -208,37 +209,37 @@
   });
 }
 
-void SoakBackend::Pause(TimeMs aForMs)
+void SoakBackend::Pause(TimeMs aDurationMs)
 {
-  pausedUntilMs_ = loop_.NowMs() + aForMs;
+  pausedUntilMs_ = loop_.NowMs() + aDurationMs;
 }
 
-void SoakBackend::SetFaultMode(ResponseFault aFault, TimeMs aForMs)
+void SoakBackend::SetFaultMode(ResponseFault aFault, TimeMs aDurationMs)
 {
   if (!up_) {
     return;
   }
   fault_ = aFault;
   journal_.OnServerFault(id_);
-  After(aForMs, [this] {
+  After(aDurationMs, [this] {
     fault_ = ResponseFault::None;
     journal_.OnServerFault(id_);
   });
 }
 
-void SoakBackend::DelayCommands(TimeMs aForMs)
+void SoakBackend::DelayCommands(TimeMs aDurationMs)
 {
-  commandsDelayedUntilMs_ = loop_.NowMs() + aForMs;
+  commandsDelayedUntilMs_ = loop_.NowMs() + aDurationMs;
 }
 
-void SoakBackend::CutLink(LinkMode aMode, TimeMs aForMs)
+void SoakBackend::CutLink(LinkMode aMode, TimeMs aDurationMs)
 {
   if (link_ == nullptr) {
     return;
   }
   journal_.OnServerFault(id_);
   link_->SetMode(aMode);
-  tasks_.After(aForMs, [this] {
+  tasks_.After(aDurationMs, [this] {
     journal_.OnServerFault(id_);
     link_->SetMode(LinkMode::Pass);
   });
@@ -291,7 +292,8 @@
   const auto& head = aExchange.head_;
   const auto target = head.Field("Cactuspitch-Target-Instance");
   if (!target.empty() && target != id_) {
-    // Another life or server is meant, which leaves or not for itself.
+    // The request is meant for another server or incarnation, so the response
+    // carries no leaving notice of this one.
     aExchange.write_(
       ResponseText(kMisdirected, "Cactuspitch-Not-Executed: 1\r\n", ""));
     return;
@@ -301,10 +303,10 @@
     return;
   }
   PendingRequest request{ aExchange, RequestIdOf(aExchange), -1 };
-  const TimeMs restMs = pausedUntilMs_ - loop_.NowMs();
-  if (restMs > 0) {
-    const double seconds = static_cast<double>(restMs) / kMsPerSecond;
-    journal_.OnPauseNoticeSent(request.id_, id_, restMs);
+  const TimeMs remainingMs = pausedUntilMs_ - loop_.NowMs();
+  if (remainingMs > 0) {
+    const double seconds = static_cast<double>(remainingMs) / kMsPerSecond;
+    journal_.OnPauseNoticeSent(request.id_, id_, remainingMs);
     Refuse(aExchange, kUnavailable, Concat("Retry-After: ", seconds, "\r\n"));
     return;
   }
@@ -341,9 +343,10 @@
   journal_.OnExecutionStarted(aRequest.id_, id_);
   if (aRequest.exchange_.head_.target_ == "/safe/crash") {
     journal_.OnCrashed(id_);
-    constexpr TimeMs kBackMs = 1500;
-    // Not from within the handler of a connection that ends with it.
-    After(1, [this] { Crash(kBackMs); });
+    constexpr TimeMs kRestartDelayMs = 1500;
+    // Deferred, since the crash destroys the connection whose handler runs
+    // now.
+    After(1, [this] { Crash(kRestartDelayMs); });
     return;
   }
   running_.push_back(aRequest);
@@ -356,8 +359,8 @@
 void SoakBackend::Finish(const PendingRequest& aRequest)
 {
   if (frozen_) {
-    constexpr TimeMs kAgainMs = 20;
-    After(kAgainMs, [this, request = aRequest] { Finish(request); });
+    constexpr TimeMs kRecheckMs = 20;
+    After(kRecheckMs, [this, request = aRequest] { Finish(request); });
     return;
   }
   std::erase_if(running_, [&](const PendingRequest& aOther) {
--- a/tests/SoakBackend.hpp
+++ b/tests/SoakBackend.hpp
@@ -13,16 +13,16 @@
 
 namespace cactuspitch {
 
-/// What is wrong with the answers of a backend server.
+/// Fault of the responses of a backend server.
 enum class ResponseFault : uint8_t
 {
   None,
-  Lost,             ///< it runs the request and says nothing
-  Truncated,        ///< the answer ends within its body
-  Garbage,          ///< bytes that are no answer
-  DelayedDuplicate, ///< the answer comes once more, later
-  EndlessHeader,    ///< header bytes without end
-  ServerError,      ///< 500
+  Lost,             ///< the request is executed, but no response is sent
+  Truncated,        ///< the connection closes within the body
+  Garbage,          ///< bytes that are not HTTP
+  DelayedDuplicate, ///< the response is sent again after a delay
+  EndlessHeader,    ///< a header that never ends
+  ServerError,      ///< status 500
   Count
 };
 
@@ -34,9 +34,9 @@
   };
 };
 
-/// Stands in for a backend server of the platform: registration, slots and
-/// queue, grants of keys with fences, notices, and troubles. It tells the
-/// journal what happens to it.
+/// Simulated backend server of the platform: registration, slots and queue, key
+/// grants with fencing tokens, leaving and pause notices, and injected faults.
+/// Reports each event to the journal.
 class SoakBackend
 {
 public:
@@ -51,7 +51,7 @@
     int serviceTimeMs_ = 20;
   };
 
-  /// Keys that callers use; the server tracks these only.
+  /// The keys that callers use; leases are tracked for these only.
   static const std::vector<uint32_t>& Keys();
 
   SoakBackend(EventLoop& aLoop,
@@ -61,22 +61,27 @@
               uint32_t aSeed);
   ~SoakBackend();
 
-  /// Ends without a word and is back as another life.
-  void Crash(TimeMs aBackAfterMs);
-  void Freeze(TimeMs aForMs);
-  /// Says in its answers that it leaves, drains, ends and is replaced.
+  /// Ends without notice; a new incarnation starts after aRestartDelayMs.
+  void Crash(TimeMs aRestartDelayMs);
+  /// Stops processing and heartbeats for aDurationMs, as SIGSTOP does;
+  /// connections stay open.
+  void Freeze(TimeMs aDurationMs);
+  /// Announces in its responses that it leaves, then drains, ends and is
+  /// replaced by a new incarnation.
   void Leave();
-  void Pause(TimeMs aForMs);
-  void SetFaultMode(ResponseFault aFault, TimeMs aForMs);
-  /// Grants and releases are carried out late and not answered.
-  void DelayCommands(TimeMs aForMs);
-  void CutLink(LinkMode aMode, TimeMs aForMs);
+  /// Rejects requests with Retry-After for aDurationMs.
+  void Pause(TimeMs aDurationMs);
+  void SetFaultMode(ResponseFault aFault, TimeMs aDurationMs);
+  /// For aDurationMs, grants and releases are applied late; grants get no
+  /// response.
+  void DelayCommands(TimeMs aDurationMs);
+  void CutLink(LinkMode aMode, TimeMs aDurationMs);
   void SilenceConnections();
   bool IsUp() const { return up_; }
   bool IsKeyed() const { return options_.keyed_; }
   bool IsLinked() const { return link_ != nullptr; }
   const std::string& IncarnationId() const { return id_; }
-  /// It holds the key by a grant that counts.
+  /// True if it is up and holds a lease of the key that the checker counts.
   bool IsOwner(uint32_t aKey) const;
 
 private:
@@ -85,7 +90,8 @@
   {
     int64_t fence_ = 0;
     TimeMs untilMs_ = 0;
-    /// Granted in a moment that does not count.
+    /// Granted just after a gateway resumed or the state of its store link
+    /// changed; not counted as ownership.
     bool exempt_ = false;
   };
   struct PendingRequest
@@ -117,7 +123,7 @@
   void WriteResponse(const PendingRequest& aRequest, int aStatus);
   std::string LeavingHeader() const;
   bool HasLease(int64_t aKey) const;
-  /// Runs aTask after a while, in this life only.
+  /// Runs aTask after aDelayMs, unless this incarnation has ended by then.
   void After(TimeMs aDelayMs, std::function<void()> aTask);
 
   EventLoop& loop_;
@@ -127,7 +133,7 @@
   std::minstd_rand random_;
   ScriptedServer server_;
   std::unique_ptr<LinkCut> link_;
-  std::string address_; ///< that it registers
+  std::string address_; ///< registered address: the server's or its link's
   DelayedTasks tasks_;
   Timer heartbeatTimer_;
   int incarnation_ = 0;
--- a/tests/SoakCaller.cpp
+++ b/tests/SoakCaller.cpp
@@ -11,16 +11,16 @@
 namespace {
 
 constexpr size_t kMaxHeadBytes = 16384;
-constexpr TimeMs kCallerTimeoutMs = 900; ///< that a caller waits
+constexpr TimeMs kCallerTimeoutMs = 900; ///< sent as remaining deadline
 constexpr TimeMs kOverdueMs = 1900;
 constexpr int kMinGapMs = 4;
 constexpr int kMaxGapMs = 40;
 constexpr TimeMs kReconnectMs = 100;
-/// One of so many does not wait for its answer.
+/// One of so many sends is followed by an early disconnect of the caller.
 constexpr int kDisconnectShare = 50;
 constexpr TimeMs kDisconnectDelayMs = 15;
 constexpr size_t kMaxBodyBytes = 50000;
-/// Of safe requests sent one behind the other.
+/// Safe requests only.
 constexpr int kMaxPipelined = 3;
 
 std::string_view PathOf(SoakRequestKind aKind)
@@ -63,7 +63,7 @@
 void SoakCaller::OnTimer()
 {
   if (!waiting_.empty()) {
-    // Overdue: what follows on this connection cannot come either.
+    // Overdue: later responses on this connection cannot arrive either.
     for (const auto& request : waiting_) {
       journal_.OnOverdue(request.id_);
     }
@@ -117,7 +117,8 @@
   if (aRequest.kind_ == SoakRequestKind::Probe) {
     AppendTo(aRequest.target_, aRequest.version_, "/x");
   } else if (aRequest.kind_ != SoakRequestKind::Crash) {
-    // Gateways tell callers' retries from other requests by the target.
+    // Gateways recognize retries of a caller by the target, so each request
+    // gets its own.
     AppendTo(aRequest.target_, "/", aRequest.id_);
   }
   if (aRequest.kind_ == SoakRequestKind::Unsafe) {
@@ -203,7 +204,7 @@
 
 void SoakCaller::EndConnection()
 {
-  // The answers to requests behind a close are not owed.
+  // Gateways need not respond to pipelined requests behind a closed response.
   waiting_.clear();
   disconnectTimer_.Stop();
   if (stream_ != nullptr) {
--- a/tests/SoakCaller.hpp
+++ b/tests/SoakCaller.hpp
@@ -10,12 +10,12 @@
 
 namespace cactuspitch {
 
-/// A caller that sends requests to one gateway on a connection that it keeps
-/// until it ends, whatever happens to the gateway.
+/// Caller that sends requests to one gateway over a persistent connection, and
+/// reconnects whenever the connection ends.
 class SoakCaller final : public StreamHandler
 {
 public:
-  /// Chooses what is sent next.
+  /// Fills in kind, key and version of the next request.
   using Chooser = std::function<void(SoakRequest& aRequest)>;
 
   SoakCaller(EventLoop& aLoop,
@@ -25,7 +25,7 @@
              std::string aName,
              uint32_t aSeed,
              Chooser aChooser);
-  /// Sends nothing new from now on.
+  /// Sends no new requests; outstanding ones are still awaited.
   void Stop() { stopped_ = true; }
   bool IsIdle() const { return waiting_.empty(); }
 
@@ -52,7 +52,7 @@
   std::unique_ptr<TcpStream> stream_;
   HttpParser parser_;
   std::string body_;
-  std::deque<SoakRequest> waiting_; ///< for their answers, in order
+  std::deque<SoakRequest> waiting_; ///< sent, response outstanding; in order
   int64_t sent_ = 0;
   bool stopped_ = false;
 };
--- a/tests/SoakJournal.cpp
+++ b/tests/SoakJournal.cpp
@@ -13,7 +13,7 @@
 
 constexpr int kFirstFailure = 300;
 constexpr int kNotFound = 404;
-/// Each of them promises that the request has not run.
+/// Statuses that guarantee that the request was not executed.
 constexpr std::array kRefusals = { 408, 421, 429, 503 };
 constexpr int kAllowedInPause = 2;
 constexpr size_t kToleratedCrashes = 3;
@@ -162,7 +162,7 @@
     if (entry->request_.kind_ == SoakRequestKind::Unsafe &&
         entry->executions_ > 0) {
       Report(SoakViolation::FalseRefusal,
-             Concat(aId, " got ", status, " and had run"));
+             Concat(aId, " got ", status, " although it was executed"));
     }
   }
   if (entry->request_.kind_ == SoakRequestKind::Probe) {
@@ -180,16 +180,18 @@
   ++served_;
   latenciesMs_.push_back(clock_.NowMs() - aEntry.request_.sentMs_);
   if (aBody != BodyForRequest(id)) {
-    Report(SoakViolation::WrongResponse,
-           Concat(id, " got ", aBody.size(), " bytes that are not its answer"));
+    Report(
+      SoakViolation::WrongResponse,
+      Concat(id, " got ", aBody.size(), " bytes that are not its response"));
   }
   if (!aHead.HasField("Cactuspitch-Response-Seal") || !aEntry.finished_) {
     Report(SoakViolation::WrongResponse,
-           Concat(id, " got a success that no server gave"));
+           Concat(id, " got a success response that no server sent"));
   }
   if (aHead.HasField("Server-Leaving")) {
-    Report(SoakViolation::WrongResponse,
-           Concat(id, " got a notice that is not for callers"));
+    Report(
+      SoakViolation::WrongResponse,
+      Concat(id, " got a Server-Leaving header, which is not for callers"));
   }
 }
 
@@ -210,7 +212,7 @@
     Report(SoakViolation::OldConfig,
            Concat("gateway ",
                   request.gateway_,
-                  " went back to before version ",
+                  " reverted to a configuration before version ",
                   version));
   }
   const auto acceptedMs = versions_.at(version);
@@ -219,7 +221,7 @@
     Report(SoakViolation::OldConfig,
            Concat("gateway ",
                   request.gateway_,
-                  " does not know version ",
+                  " has not applied configuration version ",
                   version,
                   " after ",
                   request.sentMs_ - acceptedMs,
@@ -229,8 +231,9 @@
 
 void SoakJournal::OnUnexpectedResponse(int aGateway)
 {
-  Report(SoakViolation::WrongResponse,
-         Concat("gateway ", aGateway, " sent an answer unasked"));
+  Report(
+    SoakViolation::WrongResponse,
+    Concat("gateway ", aGateway, " sent an unexpected or invalid response"));
 }
 
 bool SoakJournal::HadServerFaultSince(const std::string& aIncarnation,
@@ -263,9 +266,11 @@
     gateways_[request.gateway_].connectionsLostMs_ >= request.sentMs_;
   const bool inTime = clock_.NowMs() < request.deadlineMs_;
   if (entry->executions_ > 0 && !connectionsLost && inTime &&
-      !HadServerFault(*entry) && ++closedUnanswered_ > kAllowedClosed) {
-    Report(SoakViolation::ClosedWithoutResponse,
-           Concat(aId, " was passed on, its connection closed"));
+      !HadServerFault(*entry) && ++closedWithoutResponse_ > kAllowedClosed) {
+    Report(
+      SoakViolation::ClosedWithoutResponse,
+      Concat(aId,
+             " was forwarded, but its connection closed without a response"));
   }
 }
 
@@ -286,7 +291,7 @@
            Concat(aId,
                   " ",
                   EnumName(request.kind_),
-                  " has none after ",
+                  " has no final response after ",
                   clock_.NowMs() - request.sentMs_,
                   " ms"));
   }
@@ -310,14 +315,15 @@
   auto* entry = Find(aId);
   if (entry == nullptr) {
     Report(SoakViolation::ChangedRequest,
-           Concat("id ", aId, " at ", aIncarnation));
+           Concat("unknown id ", aId, " at ", aIncarnation));
     return;
   }
   entry->incarnations_.insert(aIncarnation);
   const auto& request = entry->request_;
   if (aHead.target_ != request.target_ || aBody != request.body_) {
-    Report(SoakViolation::ChangedRequest,
-           Concat(aId, " arrives changed at ", aIncarnation));
+    Report(
+      SoakViolation::ChangedRequest,
+      Concat(aId, " arrived with another target or body at ", aIncarnation));
   }
   const bool late =
     entry->disconnectedMs_ != 0 &&
@@ -331,7 +337,7 @@
                   aIncarnation,
                   " ",
                   clock_.NowMs() - entry->disconnectedMs_,
-                  " ms after its caller had left"));
+                  " ms after its caller disconnected"));
   }
   CheckNotices(request, aIncarnation);
   if (request.kind_ == SoakRequestKind::Crash) {
@@ -355,7 +361,7 @@
                   nowMs - leaving->second,
                   " ms after gateway ",
                   aRequest.gateway_,
-                  " was told that it leaves"));
+                  " got its leaving notice"));
   }
   const auto draining = draining_.find(aIncarnation);
   if (draining != draining_.end() && IsStable(aRequest.gateway_) &&
@@ -366,7 +372,7 @@
                   aIncarnation,
                   " ",
                   nowMs - draining->second,
-                  " ms after the store knew that it drains"));
+                  " ms after it was registered as draining"));
   }
   const auto pause = gateway.paused_.find(aIncarnation);
   if (pause != gateway.paused_.end() &&
@@ -378,7 +384,7 @@
            Concat(aRequest.id_,
                   " reached ",
                   aIncarnation,
-                  " in its pause for gateway ",
+                  " during its pause, which was announced to gateway ",
                   aRequest.gateway_));
   }
 }
@@ -415,11 +421,11 @@
   }
   if (entry->executions_ > 1) {
     Report(SoakViolation::RunTwice,
-           Concat(aId, " ran again at ", aIncarnation));
+           Concat(aId, " was executed again at ", aIncarnation));
   }
   if (entry->refused_) {
     Report(SoakViolation::FalseRefusal,
-           Concat(aId, " runs at ", aIncarnation, " after its refusal"));
+           Concat(aId, " is executed at ", aIncarnation, " after its refusal"));
   }
 }
 
@@ -475,13 +481,13 @@
   if (aFence < fence || (aFence == fence && incarnation != aIncarnation)) {
     Report(SoakViolation::TwoOwners,
            Concat(aIncarnation,
-                  " takes key ",
+                  " was granted key ",
                   aKey,
                   " with fence ",
                   aFence,
                   ", ",
                   incarnation,
-                  " had it with ",
+                  " had it with fence ",
                   fence));
   }
   if (aFence >= fence) {
--- a/tests/SoakJournal.hpp
+++ b/tests/SoakJournal.hpp
@@ -17,8 +17,8 @@
   Safe,
   Unsafe, ///< must not run twice
   Keyed,
-  Probe, ///< on a route that a version of the configuration added
-  Crash, ///< ends each backend server that begins it
+  Probe, ///< on a route that a configuration version added
+  Crash, ///< crashes each backend server that starts it
   Count
 };
 
@@ -32,7 +32,7 @@
                                                  "crash" };
 };
 
-/// Promise that a soak found broken.
+/// Guarantee that a gateway violated in a soak.
 enum class SoakViolation : uint8_t
 {
   TwoOwners,
@@ -63,71 +63,77 @@
   };
 };
 
-/// One request of a caller of a soak.
+/// One request of a SoakCaller.
 struct SoakRequest
 {
   std::string id_;
   SoakRequestKind kind_ = SoakRequestKind::Safe;
   int gateway_ = 0;
   uint32_t key_ = 0;
-  int64_t version_ = 0; ///< of the configuration, for a probe
+  int64_t version_ = 0; ///< configuration version; for Probe only
   std::string target_;
   std::string body_;
   TimeMs sentMs_ = 0;
   TimeMs deadlineMs_ = 0;
 };
 
-/// Bounds that the promises of a soak refer to, in ms.
+/// Time limits of the checks of a soak, in ms.
 struct SoakBounds
 {
   TimeMs stableWindowMs_ = 3000;
   TimeMs drainMs_ = 2000;
   TimeMs applyMs_ = 2000;
-  /// Grants that arrive so soon after a thaw or a healed link do not count.
+  /// Grants that arrive so soon after a gateway resumed or a store link changed
+  /// do not count.
   TimeMs recoverySlackMs_ = 300;
   TimeMs pauseSlackMs_ = 500;
-  /// A final answer may come so long after the deadline.
+  /// A final response may arrive so long after the deadline.
   TimeMs responseSlackMs_ = 1000;
-  /// Requests may reach servers so long after their callers have left.
+  /// Requests may reach servers so long after their callers disconnected.
   TimeMs disconnectSlackMs_ = 500;
 };
 
-/// What callers and backend servers of a soak see, checked as it comes in.
+/// Records what callers and backend servers of a soak observe, and checks each
+/// event against the platform's guarantees as it arrives.
 class SoakJournal
 {
 public:
   SoakJournal(const Clock& aClock, int aGateways);
 
-  // The operator and the faults.
+  // Events of gateway processes and injected faults.
   void OnGatewayStarted(int aGateway);
   void OnGatewayEnded(int aGateway);
   void OnGatewayFrozen(int aGateway);
   void OnGatewayResumed(int aGateway);
   void OnGatewayStopping(int aGateway);
-  /// Its link to the store was cut, or has healed.
+  /// The gateway's link to the store was cut or restored.
   void OnStoreLinkCut(int aGateway, bool aCut);
   void OnStoreFault(bool aFaulty);
   void OnConfigAccepted(int64_t aVersion);
-  /// Troubles of a server break off its requests.
+  /// A fault of this server began or ended; excuses interrupted requests.
   void OnServerFault(const std::string& aIncarnation);
+  /// True if the gateway is up, connected to a working store and has been
+  /// without a fault for the stable window.
   bool IsStable(int aGateway) const;
-  /// A gateway was thawed, or a link healed, moments ago.
+  /// True if a gateway resumed, or the state of a store link changed, within
+  /// the recovery slack.
   bool HasJustRecovered() const;
 
-  // Callers.
+  // Events of callers.
   void OnSent(const SoakRequest& aRequest);
   void OnResponse(const std::string& aId,
                   const HttpHead& aHead,
                   const std::string& aBody);
-  /// An answer without a request that waits for it.
+  /// A response arrived that belongs to no outstanding request, or is invalid.
   void OnUnexpectedResponse(int aGateway);
+  /// The gateway closed the connection before the response.
   void OnClosed(const std::string& aId);
-  /// The caller closed its connection before it had an answer.
+  /// The caller closed its connection before the response.
   void OnCallerDisconnected(const std::string& aId);
-  /// No final answer came, long after the deadline.
+  /// No final response arrived until well after the deadline.
   void OnOverdue(const std::string& aId);
 
-  // Backend servers; aIncarnation names one life of a server.
+  // Events of backend servers; aIncarnation is the id of one incarnation.
   void OnArrived(const std::string& aId,
                  const std::string& aIncarnation,
                  const HttpHead& aHead,
@@ -140,7 +146,7 @@
   void OnPauseNoticeSent(const std::string& aId,
                          const std::string& aIncarnation,
                          TimeMs aPauseMs);
-  /// A crashing request ended this life.
+  /// A request of kind Crash ended this incarnation.
   void OnCrashed(const std::string& aIncarnation);
   void OnDrainingAccepted(const std::string& aIncarnation);
   void OnKeyGranted(uint32_t aKey,
@@ -149,15 +155,15 @@
   void OnKeyConflict(uint32_t aKey, const std::string& aIncarnations);
 
   void Report(SoakViolation aViolation, const std::string& aDetail);
-  /// A line for each broken promise.
+  /// One line per violation, with its time.
   const std::vector<std::string>& Violations() const { return violations_; }
   int64_t Count(const std::string& aWhat) const;
   std::string Summary() const;
-  /// Of the requests that were answered well.
+  /// Latencies of the successful requests.
   const std::vector<TimeMs>& LatenciesMs() const { return latenciesMs_; }
-  /// Requests answered well since the last call, and all that ended.
+  /// Numbers of successful and of all completed requests since the last call.
   std::pair<int, int> TakeServedCounts();
-  /// Body of the server's answer to that request.
+  /// Body that backend servers send in response to request aId.
   static std::string BodyForRequest(const std::string& aId);
 
 private:
@@ -168,8 +174,9 @@
     bool stopping_ = false;
     bool storeLinkCut_ = false;
     TimeMs lastFaultMs_ = 0;
-    TimeMs connectionsLostMs_ = 0; ///< or frozen: its connections may end
-    int64_t seenVersion_ = 0;      ///< newest version whose effect was seen
+    /// Last start, end, freeze or resume; each may end its connections.
+    TimeMs connectionsLostMs_ = 0;
+    int64_t seenVersion_ = 0; ///< newest version with an observed effect
     TimeMs seenVersionMs_ = 0;
     struct Pause
     {
@@ -177,7 +184,7 @@
       TimeMs untilMs_ = 0;
       int requests_ = 0;
     };
-    std::map<std::string, TimeMs> leaving_; ///< told so, by life
+    std::map<std::string, TimeMs> leaving_; ///< first notice, by incarnation
     std::map<std::string, Pause> paused_;
   };
   struct Entry
@@ -186,10 +193,10 @@
     int executions_ = 0;
     bool finished_ = false;
     bool refused_ = false;
-    bool ended_ = false; ///< has its final answer, or none will come
+    bool ended_ = false; ///< got its final response, or none is expected
     TimeMs disconnectedMs_ = 0;
     std::set<std::string> incarnations_;
-    std::string leavingIncarnation_; ///< said in its answer that it leaves
+    std::string leavingIncarnation_; ///< sent a leaving notice
   };
 
   Entry* Find(const std::string& aId);
@@ -208,16 +215,16 @@
   SoakBounds bounds_;
   std::vector<Gateway> gateways_;
   std::map<std::string, Entry> requests_;
-  std::map<std::string, TimeMs> serverFaultMs_; ///< last trouble of a life
+  std::map<std::string, TimeMs> serverFaultMs_; ///< last fault, by incarnation
   std::map<std::string, TimeMs> draining_;
-  std::map<int64_t, TimeMs> versions_; ///< accepted by the store
+  std::map<int64_t, TimeMs> versions_; ///< time the store accepted them
   std::map<uint32_t, std::pair<int64_t, std::string>> fences_;
   bool storeFaulty_ = false;
   TimeMs storeFaultChangedMs_ = 0;
   TimeMs recoveredMs_ = 0;
   std::vector<TimeMs> crashes_;
   int sendsAfterCrashes_ = 0;
-  int closedUnanswered_ = 0;
+  int closedWithoutResponse_ = 0;
   int sentAfterDisconnect_ = 0;
   int served_ = 0;
   int completed_ = 0;
