--- a/tests/GatewaySoak.hpp
+++ b/tests/GatewaySoak.hpp
@@ -10,10 +10,11 @@
 
 namespace cactuspitch {
 
-/// Real gateways as processes, with a store, backend servers and callers of
-/// this process, and random faults: signals, cut links, troubles of the store
-/// and of servers, in series and overlapping. Afterwards all heals, and callers
-/// have to be served again.
+/// Fault injection test with real gateway processes. The store, the backend
+/// servers and the callers run in this process. Random faults follow each other
+/// and overlap: signals to gateways, cut links, faults of the store and of
+/// backend servers. After the last fault has ended, callers have to be served
+/// again.
 class GatewaySoak
 {
 public:
@@ -21,15 +22,16 @@
   {
     uint32_t seed_ = 1;
     int gateways_ = 4;
-    TimeMs faultsForMs_ = 15000;
-    /// Of these kinds; all when it names none.
+    TimeMs faultDurationMs_ = 15000;
+    /// Names of the fault kinds to inject; empty injects all kinds.
     std::vector<std::string> faults_;
     std::string binaryDir_;
   };
 
   explicit GatewaySoak(Options aOptions);
   ~GatewaySoak();
-  /// Broken promises, each with its time.
+  /// Runs the whole soak; blocks. Returns one line per violation, each with its
+  /// time in ms.
   std::vector<std::string> Run();
   const SoakJournal& Journal() const { return journal_; }
   std::string LogDirectory() const { return fleet_.LogDirectory(); }
@@ -53,18 +55,18 @@
     std::unique_ptr<TcpFaultProxy> storeLink_;
     std::string store_;
     GatewayState state_ = GatewayState::Down;
-    int run_ = 0; ///< counts its starts
+    int incarnation_ = 0; ///< number of starts so far
     TimeMs startedMs_ = 0;
   };
   struct FaultKind
   {
     const char* name_;
-    int weight_; ///< how often it comes, among the others
+    int weight_; ///< relative frequency among the fault kinds
     void (GatewaySoak::*begin_)();
   };
   static const std::vector<FaultKind>& Faults();
-  /// Kinds to draw from, each as often as its weight says.
-  std::vector<const FaultKind*> DrawnFaults() const;
+  /// The enabled fault kinds, each repeated as often as its weight says.
+  std::vector<const FaultKind*> WeightedFaults() const;
 
   void AddGateways();
   void AddBackends();
@@ -72,40 +74,46 @@
   void PutConfig();
   void StartGateway(int aGateway);
   void BeginFault();
-  void Heal();
-  bool IsServedAgain();
-  /// Looks for ended processes and for keys with two holders.
-  void Watch();
-  void CheckOwners();
-  int Draw(int aLow, int aHigh);
-  int DrawGateway();
-  SoakBackend& DrawBackend();
-  void Choose(SoakRequest& aRequest);
+  /// Stops injecting faults and waits until the active ones have ended.
+  void EndFaults();
+  /// Waits until callers are served again; false after kRecoveryMs.
+  bool WaitForRecovery();
+  /// Restarts gateways that were stopped, throws if a gateway ended for another
+  /// reason, and checks that no key has two owners.
+  void CheckProcesses();
+  void CheckKeyConflicts();
+  /// Uniform in [aLow, aHigh].
+  int RandomInt(int aLow, int aHigh);
+  int RandomGateway();
+  SoakBackend& RandomBackend();
+  void ChooseRequest(SoakRequest& aRequest);
 
   // Faults.
   void KillGateway();
   void KillManyGateways();
   void FreezeGateway();
   void StopGateway();
-  void HangUpGateway();
-  void CutGateway();
-  void TroubleStore();
+  void SendSighupToGateway();
+  void CutStoreLink();
+  void InjectStoreFault();
   void CompactHistory();
   void CrashBackend();
   void FreezeBackend();
-  void LeaveBackend();
+  void ReplaceBackend();
   void PauseBackend();
-  void TroubleAnswers();
-  void DelayOrders();
-  void CutBackend();
+  void InjectResponseFault();
+  void DelayCommands();
+  void CutBackendLink();
   void SilenceConnections();
   void ChangeConfig();
 
   Options options_;
-  const std::vector<const FaultKind*> drawnFaults_;
+  const std::vector<const FaultKind*> weightedFaults_;
   EventLoop loop_;
   std::mt19937 random_;
-  std::mt19937 callRandom_; ///< of callers, so that a seed keeps its faults
+  /// Separate generator for callers' requests, so that the sequence of faults
+  /// depends on the seed only.
+  std::mt19937 callRandom_;
   SoakJournal journal_;
   PlatformStore store_;
   ProcessFleet fleet_;
@@ -113,11 +121,11 @@
   std::vector<std::unique_ptr<SoakBackend>> backends_;
   std::vector<std::unique_ptr<SoakCaller>> callers_;
   DelayedTasks tasks_;
-  Timer watchTimer_;
+  Timer checkTimer_;
   int64_t version_ = 0;
-  bool crashingCalls_ = false;
-  bool healed_ = false;
-  std::map<uint32_t, TimeMs> sharedSinceMs_;
+  bool sendsCrashRequests_ = false;
+  bool faultsEnded_ = false;
+  std::map<uint32_t, TimeMs> conflictSinceMs_;
 };
 
 }
