--- a/bench/DuplicatesBench.cpp
+++ b/bench/DuplicatesBench.cpp
@@ -63,9 +63,9 @@
         ++freezes_;
         break;
       case 2:
-        deployment_.SetCut(name, "drop-both");
+        deployment_.SetCutMode(name, "drop-both");
         Sleep(1500);
-        deployment_.SetCut(name, "pass");
+        deployment_.SetCutMode(name, "pass");
         ++cuts_;
         break;
       default:
--- a/tests/AssignerFailureTest.cpp
+++ b/tests/AssignerFailureTest.cpp
@@ -35,7 +35,7 @@
   run_.Fleet().Kill(assigner_);
   EXPECT_TRUE(WaitForOtherAssigner());
   run_.Fleet().Kill(run_.OwnerOf("key-0"));
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
 }
 
 // Guards against an assigner that resumes after a pause and sends commands of
@@ -45,10 +45,10 @@
   run_.Fleet().Pause(assigner_);
   EXPECT_TRUE(WaitForOtherAssigner());
   run_.Fleet().Kill(run_.OwnerOf("key-0"));
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   run_.Fleet().Resume(assigner_);
-  FailureRun::Let(2000);
-  EXPECT_TRUE(run_.IsServed());
+  FailureRun::SleepFor(2000);
+  EXPECT_TRUE(run_.AllKeysServed());
 }
 
 // Guards against two active assigners after assigner and owner are lost
@@ -58,11 +58,11 @@
   const auto owner = run_.OwnerOf("key-0");
   run_.Fleet().Pause(owner);
   run_.Fleet().Pause(assigner_);
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   run_.Fleet().Resume(assigner_);
   run_.Fleet().Resume(owner);
-  FailureRun::Let(2000);
-  EXPECT_TRUE(run_.IsServed());
+  FailureRun::SleepFor(2000);
+  EXPECT_TRUE(run_.AllKeysServed());
 }
 
 }
--- a/tests/CrashingRequestTest.cpp
+++ b/tests/CrashingRequestTest.cpp
@@ -16,7 +16,7 @@
   constexpr int kSends = 30;
   constexpr TimeMs kPauseMs = 200;
   const SteadyClock clock;
-  const auto routers = run_.Running().Routers();
+  const auto routers = run_.GetDeployment().Routers();
   for (int send = 0; send < kSends; ++send) {
     HttpConnection connection(clock, routers[send % routers.size()]);
     const auto answer =
@@ -28,9 +28,9 @@
                           1 << 20);
     ASSERT_TRUE(answer.ok()) << answer.status();
     EXPECT_NE(answer->head_.Header(header::kOutcome), "complete");
-    FailureRun::Let(kPauseMs);
+    FailureRun::SleepFor(kPauseMs);
   }
-  const auto names = run_.Running().BackendNames("inspection-ledger");
+  const auto names = run_.GetDeployment().BackendNames("inspection-ledger");
   const auto lost = std::ranges::count_if(names, [this](const auto& aName) {
     return !run_.Fleet().IsRunning(aName);
   });
--- a/tests/Deployment.cpp
+++ b/tests/Deployment.cpp
@@ -129,7 +129,7 @@
   const auto id = Concat("i", aIndex);
   const nlohmann::json document = {
     { "id", id },
-    { "failureDomain", Domain(aIndex) },
+    { "failureDomain", FailureDomain(aIndex) },
     { "state", "live" },
     { "assigner", Port(Concat("assigner-rpc-", aIndex)).Address() },
     { "router", Port(Concat("router-rpc-", aIndex)).Address() },
@@ -169,7 +169,7 @@
     "--clock-offset-ms",
     std::to_string((index + 1) * 1000000),
     "--failure-domain",
-    Domain(static_cast<int>(index)),
+    FailureDomain(static_cast<int>(index)),
   };
   flags.insert(flags.end(), service.flags_.begin(), service.flags_.end());
   fleet_.Launch(aName, "standin-backend", flags);
@@ -204,7 +204,7 @@
 {
   return {
     { "CACTUSPITCH_INSTANCE", Concat("i", aIndex) },
-    { "CACTUSPITCH_FAILURE_DOMAIN", Domain(aIndex) },
+    { "CACTUSPITCH_FAILURE_DOMAIN", FailureDomain(aIndex) },
     { "CACTUSPITCH_LISTEN", Address(Concat(aRole, "-", aIndex)) },
     { "CACTUSPITCH_RPC_LISTEN", Address(Concat(aRole, "-rpc-", aIndex)) },
     { "CACTUSPITCH_STORE", PublicAddress("store") },
@@ -240,7 +240,7 @@
   return list;
 }
 
-std::string Deployment::Domain(int aIndex) const
+std::string Deployment::FailureDomain(int aIndex) const
 {
   const auto& domains = options_.failureDomains_;
   return domains[static_cast<size_t>(aIndex) % domains.size()];
@@ -279,7 +279,7 @@
   return Concat(fleet_.LogDirectory(), "/", aBackend, ".history");
 }
 
-bool Deployment::SetCut(const std::string& aName, const std::string& aMode)
+bool Deployment::SetCutMode(const std::string& aName, const std::string& aMode)
 {
   const auto target =
     aMode == "silence-open" ? "/_silence-open" : Concat("/_mode/", aMode);
--- a/tests/Deployment.hpp
+++ b/tests/Deployment.hpp
@@ -63,7 +63,7 @@
   std::vector<std::string> BackendNames(const std::string& aService) const;
   std::string HistoryFile(const std::string& aBackend) const;
   /// Sets the mode of the cut in front of a process; see LinkMode.
-  bool SetCut(const std::string& aName, const std::string& aMode);
+  bool SetCutMode(const std::string& aName, const std::string& aMode);
   bool SetStoreFault(const std::string& aJson);
 
 private:
@@ -77,7 +77,7 @@
   ProcessFleet::Environment CommonSettings(const std::string& aRole,
                                            int aIndex) const;
   std::string AssignerList() const;
-  std::string Domain(int aIndex) const;
+  std::string FailureDomain(int aIndex) const;
   /// One request through the router of the service; empty when answered.
   std::string Probe(const std::string& aRouter,
                     const std::string& aService) const;
--- a/tests/FailureFixture.hpp
+++ b/tests/FailureFixture.hpp
@@ -19,7 +19,7 @@
   void SetUp() override
   {
     ASSERT_EQ(run_.Start(), "");
-    FailureRun::Let(1000);
+    FailureRun::SleepFor(1000);
   }
   void TearDown() override { EXPECT_EQ(run_.Finish(), ""); }
 
--- a/tests/FailureRun.cpp
+++ b/tests/FailureRun.cpp
@@ -77,9 +77,9 @@
 
 /// One answer for each request. Not run only if every send was refused so;
 /// unknown as soon as one send ended otherwise without being complete.
-std::vector<CallerAnswer> ToAnswers(const std::vector<RecordedSend>& aSends)
+std::vector<ClientResponse> ToResponses(const std::vector<RecordedSend>& aSends)
 {
-  std::map<std::string, CallerAnswer> answers;
+  std::map<std::string, ClientResponse> answers;
   for (const auto& send : aSends) {
     const auto outcome =
       send.outcome_ == "complete" ? Outcome::Complete
@@ -88,13 +88,13 @@
         : Outcome::Unknown;
     const auto [entry, isFirst] = answers.try_emplace(
       send.requestId_,
-      CallerAnswer{ send.requestId_, outcome, send.requestId_ });
+      ClientResponse{ send.requestId_, outcome, send.requestId_ });
     auto& known = entry->second.outcome_;
     if (outcome == Outcome::Complete || known == Outcome::NotRun) {
       known = outcome;
     }
   }
-  std::vector<CallerAnswer> list;
+  std::vector<ClientResponse> list;
   for (auto& [id, answer] : answers) {
     list.push_back(std::move(answer));
   }
@@ -108,14 +108,14 @@
 {
   History history;
   history.owners_ = detail::ToOwners(aExecutions);
-  history.answers_ = detail::ToAnswers(aSends);
+  history.responses_ = detail::ToResponses(aSends);
   for (const auto& run : aExecutions) {
     const bool isIdempotent = run.method_ != "POST";
     // A router numbers its attempts at an idempotent request: "id.2".
     const auto id = isIdempotent
                       ? run.requestId_.substr(0, run.requestId_.find('.'))
                       : run.requestId_;
-    history.runs_.push_back({ id, run.server_, isIdempotent });
+    history.executions_.push_back({ id, run.server_, isIdempotent });
   }
   auto violations = ToText(HistoryChecker(history).Check());
   for (const auto& send : aSends) {
@@ -175,7 +175,7 @@
   return {};
 }
 
-void FailureRun::Let(TimeMs aTimeMs)
+void FailureRun::SleepFor(TimeMs aTimeMs)
 {
   std::this_thread::sleep_for(std::chrono::milliseconds(aTimeMs));
 }
@@ -195,7 +195,7 @@
   return owner;
 }
 
-std::optional<int> FailureRun::InstanceOf(const char* aMember)
+std::optional<int> FailureRun::InstanceIndex(const char* aMember)
 {
   const auto text = HttpCall("GET",
                              deployment_.StoreAddress(),
@@ -212,15 +212,15 @@
 
 std::optional<int> FailureRun::AssignerIndex()
 {
-  return InstanceOf("assigner");
+  return InstanceIndex("assigner");
 }
 
 std::optional<int> FailureRun::DeputyIndex()
 {
-  return InstanceOf("deputy");
+  return InstanceIndex("deputy");
 }
 
-bool FailureRun::IsServed()
+bool FailureRun::AllKeysServed()
 {
   constexpr TimeMs kServedMs = 15000;
   const auto& routers = load_.targets_;
--- a/tests/FailureRun.hpp
+++ b/tests/FailureRun.hpp
@@ -53,21 +53,21 @@
   void UseRouters(std::vector<int> aIndices) { routers_ = std::move(aIndices); }
   /// Sends the load through readiness checks like those of the platform's
   /// balancer; called before Start().
-  void UseBalancer() { load_.readyCheckMs_ = 200; }
+  void UseReadinessChecks() { load_.readyCheckMs_ = 200; }
   /// Starts deployment and load; what is missing, or empty.
   std::string Start();
-  Deployment& Running() { return deployment_; }
+  Deployment& GetDeployment() { return deployment_; }
   ProcessFleet& Fleet() { return deployment_.Fleet(); }
 
   /// Time for the load to run on.
-  static void Let(TimeMs aTimeMs);
+  static void SleepFor(TimeMs aTimeMs);
   /// Backend server that the table names as owner of the key, from an answer.
   std::string OwnerOf(const std::string& aKey);
   /// Index of the instance that is the service's assigner, from the store.
   std::optional<int> AssignerIndex();
   std::optional<int> DeputyIndex();
   /// True when every key of the load is answered completely.
-  bool IsServed();
+  bool AllKeysServed();
 
   /// Ends the load and returns all violations as lines, empty when there are
   /// none.
@@ -76,7 +76,7 @@
   std::vector<RecordedExecution> Executions() const;
 
 private:
-  std::optional<int> InstanceOf(const char* aMember);
+  std::optional<int> InstanceIndex(const char* aMember);
   std::vector<RecordedSend> Sends() const;
 
   const SteadyClock clock_;
--- a/tests/HistoryChecker.cpp
+++ b/tests/HistoryChecker.cpp
@@ -11,7 +11,7 @@
 
 namespace detail {
 
-std::string Show(const OwnerInterval& aOwner)
+std::string Describe(const OwnerInterval& aOwner)
 {
   return Concat("key ",
                 aOwner.key_,
@@ -36,8 +36,8 @@
   CheckOwnerEpochs();
   CheckAssignments();
   CheckConfig();
-  CheckRuns();
-  CheckAnswers();
+  CheckExecutions();
+  CheckResponses();
   return std::move(violations_);
 }
 
@@ -60,8 +60,9 @@
                                last->server_ == owner->server_ &&
                                last->incarnation_ == owner->incarnation_;
       if (last != nullptr && !sameProcess && owner->startMs_ < last->endMs_) {
-        Report("single owner",
-               Concat(detail::Show(*last), " and ", detail::Show(*owner)));
+        Report(
+          "single owner",
+          Concat(detail::Describe(*last), " and ", detail::Describe(*owner)));
       }
       if (last == nullptr || owner->endMs_ > last->endMs_) {
         last = owner;
@@ -78,13 +79,15 @@
   for (const auto& owner : owners) {
     auto& last = newest[owner.key_];
     if (last != nullptr && owner.epoch_ < last->epoch_) {
-      Report("epochs grow",
-             Concat(detail::Show(owner), " after ", detail::Show(*last)));
+      Report(
+        "epochs grow",
+        Concat(detail::Describe(owner), " after ", detail::Describe(*last)));
     }
     if (last != nullptr && owner.epoch_ == last->epoch_ &&
         owner.server_ != last->server_) {
-      Report("one server an epoch",
-             Concat(detail::Show(owner), " after ", detail::Show(*last)));
+      Report(
+        "one server an epoch",
+        Concat(detail::Describe(owner), " after ", detail::Describe(*last)));
     }
     last = &owner;
   }
@@ -123,7 +126,7 @@
       if (ack.key_ == owner.key_ && ack.atMs_ < owner.startMs_ &&
           ack.epoch_ > owner.epoch_ && ack.server_ != owner.server_) {
         Report("assignments survive",
-               Concat(detail::Show(owner), " after epoch ", ack.epoch_));
+               Concat(detail::Describe(owner), " after epoch ", ack.epoch_));
         break;
       }
     }
@@ -145,10 +148,10 @@
   }
 }
 
-void HistoryChecker::CheckRuns()
+void HistoryChecker::CheckExecutions()
 {
   std::map<std::string, int> count;
-  for (const auto& run : history_.runs_) {
+  for (const auto& run : history_.executions_) {
     if (!run.idempotent_ && ++count[run.requestId_] == 2) {
       Report("non-idempotent at most once",
              Concat(run.requestId_, " ran again at ", run.server_));
@@ -156,14 +159,14 @@
   }
 }
 
-void HistoryChecker::CheckAnswers()
+void HistoryChecker::CheckResponses()
 {
   std::set<std::string> ran;
-  for (const auto& run : history_.runs_) {
+  for (const auto& run : history_.executions_) {
     ran.insert(run.requestId_);
   }
   std::set<std::string> answered;
-  for (const auto& answer : history_.answers_) {
+  for (const auto& answer : history_.responses_) {
     if (!answered.insert(answer.requestId_).second) {
       Report("one answer a request", answer.requestId_);
     }
--- a/tests/HistoryChecker.hpp
+++ b/tests/HistoryChecker.hpp
@@ -36,7 +36,7 @@
 };
 
 /// A backend server ran the request of this id.
-struct RequestRun
+struct RequestExecution
 {
   std::string requestId_;
   std::string server_;
@@ -44,7 +44,7 @@
 };
 
 /// What the caller of a request received.
-struct CallerAnswer
+struct ClientResponse
 {
   std::string requestId_;
   Outcome outcome_ = Outcome::Unknown;
@@ -57,8 +57,8 @@
   std::vector<OwnerInterval> owners_;
   std::vector<AssignmentAck> assignments_;
   std::vector<ConfigObservation> configs_;
-  std::vector<RequestRun> runs_;
-  std::vector<CallerAnswer> answers_;
+  std::vector<RequestExecution> executions_;
+  std::vector<ClientResponse> responses_;
 };
 
 struct Violation
@@ -83,8 +83,8 @@
   void CheckOwnerEpochs();
   void CheckAssignments();
   void CheckConfig();
-  void CheckRuns();
-  void CheckAnswers();
+  void CheckExecutions();
+  void CheckResponses();
   void Report(std::string aRule, std::string aDetail);
 
   const History& history_;
--- a/tests/OwnerFailureTest.cpp
+++ b/tests/OwnerFailureTest.cpp
@@ -21,7 +21,7 @@
 TEST_F(OwnerFailureTest, KilledOwnerIsReplaced)
 {
   run_.Fleet().Kill(owner_);
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   EXPECT_NE(run_.OwnerOf("key-0"), owner_);
 }
 
@@ -30,22 +30,22 @@
 TEST_F(OwnerFailureTest, PausedOwnerReturnsWithoutOwnership)
 {
   run_.Fleet().Pause(owner_);
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   run_.Fleet().Resume(owner_);
-  FailureRun::Let(2000);
-  EXPECT_TRUE(run_.IsServed());
+  FailureRun::SleepFor(2000);
+  EXPECT_TRUE(run_.AllKeysServed());
 }
 
 // Guards against a takeover that needs the store.
 TEST_F(OwnerFailureTest, OwnerIsReplacedWhileTheStoreIsSilent)
 {
   run_.Fleet().Pause("store");
-  FailureRun::Let(2000);
+  FailureRun::SleepFor(2000);
   run_.Fleet().Kill(owner_);
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   run_.Fleet().Resume("store");
-  FailureRun::Let(1000);
-  EXPECT_TRUE(run_.IsServed());
+  FailureRun::SleepFor(1000);
+  EXPECT_TRUE(run_.AllKeysServed());
 }
 
 }
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -7,10 +7,10 @@
 {
 protected:
   // A stopping router relies on the balancer, which sends no new requests.
-  PlannedStopTest() { run_.UseBalancer(); }
+  PlannedStopTest() { run_.UseReadinessChecks(); }
 
   /// No request was lost or cut short.
-  void ExpectNothingLost()
+  void ExpectNoRequestLost()
   {
     EXPECT_EQ(run_.Finish(), "");
     for (const auto outcome :
@@ -26,22 +26,22 @@
 TEST_F(PlannedStopTest, DrainedServerIsLeftInTime)
 {
   const auto owner = run_.OwnerOf("key-0");
-  const auto address = run_.Running().Address(owner);
+  const auto address = run_.GetDeployment().Address(owner);
   ASSERT_TRUE(HttpCall("POST", address, "/_drain"));
-  FailureRun::Let(4000);
+  FailureRun::SleepFor(4000);
   const auto stats = HttpCall("GET", address, "/_stats");
   ASSERT_TRUE(stats);
   EXPECT_NE(stats->find("\"arrivedLate\":0"), std::string::npos) << *stats;
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   EXPECT_NE(run_.OwnerOf("key-0"), owner);
-  ExpectNothingLost();
+  ExpectNoRequestLost();
 }
 
 // Guards against a router that cuts requests off when it is stopped.
 TEST_F(PlannedStopTest, StoppedRouterFinishesItsRequests)
 {
   EXPECT_EQ(run_.Fleet().Terminate("router-1", 30000), 0);
-  ExpectNothingLost();
+  ExpectNoRequestLost();
 }
 
 // Guards against unavailable keys while an assigner hands its groups over.
@@ -51,9 +51,9 @@
   ASSERT_TRUE(index);
   const auto name = "assigner-" + std::to_string(*index);
   EXPECT_EQ(run_.Fleet().Terminate(name, 30000), 0);
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   EXPECT_NE(run_.AssignerIndex(), index);
-  ExpectNothingLost();
+  ExpectNoRequestLost();
 }
 
 }
--- a/tests/RouterFailureTest.cpp
+++ b/tests/RouterFailureTest.cpp
@@ -10,13 +10,14 @@
 TEST_F(RouterFailureTest, KilledAndRestartedRouter)
 {
   run_.Fleet().Kill("router-1");
-  FailureRun::Let(2000);
-  EXPECT_TRUE(run_.IsServed());
-  run_.Running().LaunchRouter(1);
+  FailureRun::SleepFor(2000);
+  EXPECT_TRUE(run_.AllKeysServed());
+  run_.GetDeployment().LaunchRouter(1);
   EXPECT_TRUE(WaitFor(20000, [this] {
-    return HttpCall("GET", run_.Running().Routers()[1], "/_ready").has_value();
+    return HttpCall("GET", run_.GetDeployment().Routers()[1], "/_ready")
+      .has_value();
   }));
-  FailureRun::Let(1000);
+  FailureRun::SleepFor(1000);
 }
 
 }
--- a/tests/StaleRouterTest.cpp
+++ b/tests/StaleRouterTest.cpp
@@ -13,14 +13,14 @@
   FailureRun run(BINARY_DIR, FailureRun::DefaultOptions());
   run.UseRouters({ 0, 1 });
   ASSERT_EQ(run.Start(), "");
-  FailureRun::Let(1000);
+  FailureRun::SleepFor(1000);
   run.Fleet().Pause("router-2");
   const auto owner = run.OwnerOf("key-0");
   run.Fleet().Pause(owner);
-  EXPECT_TRUE(run.IsServed());
+  EXPECT_TRUE(run.AllKeysServed());
   run.Fleet().Resume(owner);
   run.Fleet().Resume("router-2");
-  const auto router = run.Running().Routers()[2];
+  const auto router = run.GetDeployment().Routers()[2];
   EXPECT_TRUE(WaitFor(15000, [&] {
     return HttpCall("GET", router, "/inspection-ledger/key-0").has_value();
   }));
--- a/tests/StoreFailureTest.cpp
+++ b/tests/StoreFailureTest.cpp
@@ -9,24 +9,24 @@
 TEST_F(StoreFailureTest, StoppedStoreDoesNotStopRequests)
 {
   run_.Fleet().Pause("store");
-  FailureRun::Let(4000);
-  EXPECT_TRUE(run_.IsServed());
+  FailureRun::SleepFor(4000);
+  EXPECT_TRUE(run_.AllKeysServed());
   run_.Fleet().Resume("store");
-  FailureRun::Let(1000);
-  EXPECT_TRUE(run_.IsServed());
+  FailureRun::SleepFor(1000);
+  EXPECT_TRUE(run_.AllKeysServed());
 }
 
 // Guards against a writer that takes a lost answer as a failed write, and
 // against one that ends its term on a call that failed at random.
-TEST_F(StoreFailureTest, LostAnswersAndRandomFailures)
+TEST_F(StoreFailureTest, LostResponsesAndRandomFailures)
 {
-  ASSERT_TRUE(run_.Running().SetStoreFault(
+  ASSERT_TRUE(run_.GetDeployment().SetStoreFault(
     R"({"seed": 7, "failRate": 0.3, "loseAnswerRate": 0.5, "slowMs": 50,
         "lagMs": {"server": 1000, "instance": 1000}})"));
   run_.Fleet().Kill(run_.OwnerOf("key-0"));
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   run_.Fleet().Kill(run_.OwnerOf("key-1"));
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
 }
 
 }
--- a/tests/UncheckedServerTest.cpp
+++ b/tests/UncheckedServerTest.cpp
@@ -7,7 +7,7 @@
 namespace cactuspitch {
 namespace {
 
-DeploymentOptions Unchecked()
+DeploymentOptions OptionsWithoutFenceCheck()
 {
   auto options = FailureRun::DefaultOptions();
   options.services_.front().checksFence_ = false;
@@ -18,7 +18,7 @@
 {
 protected:
   UncheckedServerTest()
-    : FailureFixture(Unchecked())
+    : FailureFixture(OptionsWithoutFenceCheck())
   {
     // Callers of a paused router get no answer, whatever the others do.
     run_.UseRouters({ 0, 2 });
@@ -31,10 +31,10 @@
 {
   const auto owner = run_.OwnerOf("key-0");
   run_.Fleet().Pause(owner);
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   run_.Fleet().Resume(owner);
-  FailureRun::Let(2000);
-  EXPECT_TRUE(run_.IsServed());
+  FailureRun::SleepFor(2000);
+  EXPECT_TRUE(run_.AllKeysServed());
 }
 
 // Guards against a paused router that resumes and forwards requests to former
@@ -43,7 +43,7 @@
 {
   run_.Fleet().Pause("router-1");
   // These wait in the router's sockets and are read when it resumes.
-  const auto router = run_.Running().Routers()[1];
+  const auto router = run_.GetDeployment().Routers()[1];
   std::vector<std::thread> callers;
   for (int key = 0; key < 20; ++key) {
     callers.emplace_back([&router, key] {
@@ -51,12 +51,12 @@
     });
   }
   run_.Fleet().Pause(run_.OwnerOf("key-0"));
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   run_.Fleet().Resume("router-1");
   for (auto& caller : callers) {
     caller.join();
   }
-  FailureRun::Let(1000);
+  FailureRun::SleepFor(1000);
 }
 
 }
