Reword the comments of the failure tests

Cause: comments and rule names read oddly and left out units, defaults and return values on failure. Change: plain wording; the rule names of HistoryChecker change together with HistoryCheckerTest, which compares them exactly as before. No full build and no test run.

--- a/tests/CrashingRequestTest.cpp
+++ b/tests/CrashingRequestTest.cpp
@@ -9,8 +9,8 @@
 
 using CrashingRequestTest = FailureFixture;
 
-// Guards against a request that crashes one backend server after another while
-// its caller sends it again, through other routers and with new ids.
+// Guards against a request that crashes one backend server after another: its
+// client resends it through other routers and with new ids.
 TEST_F(CrashingRequestTest, CostsAtMostTwoServers)
 {
   constexpr int kSends = 30;
--- a/tests/CutFailureTest.cpp
+++ b/tests/CutFailureTest.cpp
@@ -31,21 +31,22 @@
   }
 };
 
-// Guards against a server that gets no requests or orders and goes on to run
-// those that are under way, for keys that moved.
+// Guards against a backend server that receives neither requests nor commands
+// and still executes its requests in flight for keys that have moved.
 TEST_F(CutFailureTest, ServerReceivesNothing)
 {
   RunWithCutMode("drop-up");
 }
 
-// Guards against a server that still gets requests but whose answers are lost:
-// only a received answer may renew its lease.
+// Guards against renewing the lease of a backend server that receives requests
+// but whose responses are lost: only a received response may renew the lease.
 TEST_F(CutFailureTest, ServerResponsesAreLost)
 {
   RunWithCutMode("drop-down");
 }
 
-// Guards against a server that is blamed for connections that went silent.
+// Guards against treating a backend server as failed because its open
+// connections went silent: new connections to the server still work.
 TEST_F(CutFailureTest, NewConnectionsReplaceSilentOnes)
 {
   ASSERT_TRUE(run_.GetDeployment().SetCutMode(kServer, "silence-open"));
--- a/tests/Deployment.cpp
+++ b/tests/Deployment.cpp
@@ -165,7 +165,8 @@
     std::to_string(service.serviceUs_),
     "--checks-fence",
     service.checksFence_ ? "true" : "false",
-    // Clocks far apart show a process that mixes them.
+    // Large clock offsets between servers expose code that compares times of
+    // different clocks.
     "--clock-offset-ms",
     std::to_string((index + 1) * 1000000),
     "--failure-domain",
--- a/tests/Deployment.hpp
+++ b/tests/Deployment.hpp
@@ -17,7 +17,7 @@
   int slots_ = 5;
   bool checksFence_ = true;
   int64_t serviceUs_ = 1000;
-  /// Further flags of each backend server.
+  /// Additional command-line flags of each backend server.
   std::vector<std::string> flags_ = {};
 };
 
@@ -27,26 +27,27 @@
   std::vector<std::string> failureDomains_ = { "cairo-a", "cairo-b", "giza-a" };
   std::vector<DeployedService> services_;
   bool withAdmin_ = false;
-  /// Puts a standin-cut in front of each named address, e.g. "b-ledger-0" or
-  /// "store".
+  /// Processes that are reached through a fault-injecting proxy (standin-cut),
+  /// e.g. "b-ledger-0" or "store".
   std::vector<std::string> cuts_ = {};
   std::vector<std::string> routerFlags_ = {};
   std::vector<std::string> assignerFlags_ = {};
   std::vector<std::string> adminFlags_ = {};
 };
 
-/// A whole deployment on loopback: store, backend servers and entry instances
-/// with router, assigner and admin. Process names: store, b-{service}-{n},
-/// router-{n}, assigner-{n}, admin-{n}, cut-{name}.
+/// A complete deployment on the loopback interface: a store, backend servers
+/// and instances, each with a router, an assigner and optionally an admin
+/// server. Process names: store, b-{service}-{n}, router-{n}, assigner-{n},
+/// admin-{n}, cut-{name}.
 class Deployment
 {
 public:
   Deployment(std::string aBinaryDir, DeploymentOptions aOptions);
 
-  /// Starts everything and waits until every router takes traffic for every
-  /// service; an empty text, or what is missing.
+  /// Starts all processes and waits up to 15 s until every router serves every
+  /// service. Returns an empty string, or what isn't ready.
   std::string Start();
-  /// Starts the processes of one instance, e.g. after a kill.
+  /// Each starts one process, e.g. again after it was killed.
   void LaunchRouter(int aIndex);
   void LaunchAssigner(int aIndex);
   void LaunchAdmin(int aIndex);
@@ -58,27 +59,31 @@
   std::string StoreAddress() const { return Address("store"); }
   std::string AdminAddress(int aIndex) const;
   std::string AssignerRpc(int aIndex) const;
-  /// Address by process name, without a cut in front.
+  /// Address of the process itself, which bypasses its proxy.
   std::string Address(const std::string& aName) const;
   std::vector<std::string> BackendNames(const std::string& aService) const;
   std::string HistoryFile(const std::string& aBackend) const;
-  /// Sets the mode of the cut in front of a process; see LinkMode.
+  /// Sets the mode (see LinkMode) of the proxy in front of a process, or makes
+  /// its open connections silent with "silence-open". Returns false if the
+  /// proxy didn't accept the call.
   bool SetCutMode(const std::string& aName, const std::string& aMode);
+  /// Sends the fault settings to the store; false if it didn't accept them.
   bool SetStoreFault(const std::string& aJson);
 
 private:
-  /// The address that others are given: of the cut where there is one.
+  /// The address that other processes use: that of the proxy if there is one.
   std::string PublicAddress(const std::string& aName) const;
   const ReservedPort& Port(const std::string& aName);
   void LaunchCut(const std::string& aName);
   void RegisterInstance(int aIndex);
-  /// Settings that all programs share, as environment variables, because a
-  /// program ignores variables of settings that it does not have.
+  /// Settings for all programs. They are passed as environment variables, since
+  /// a program ignores variables for settings that it doesn't have.
   ProcessFleet::Environment CommonSettings(const std::string& aRole,
                                            int aIndex) const;
   std::string AssignerList() const;
   std::string FailureDomain(int aIndex) const;
-  /// One request through the router of the service; empty when answered.
+  /// Sends one request to the service through the router. Returns an empty
+  /// string if the response is complete, else a line with the error.
   std::string Probe(const std::string& aRouter,
                     const std::string& aService) const;
 
--- a/tests/FailureFixture.hpp
+++ b/tests/FailureFixture.hpp
@@ -6,8 +6,8 @@
 
 namespace cactuspitch {
 
-/// Starts a deployment under load before each test and checks the histories
-/// after it.
+/// Starts a deployment under load before each test and checks the recorded
+/// histories afterwards.
 class FailureFixture : public testing::Test
 {
 protected:
--- a/tests/FailureRun.cpp
+++ b/tests/FailureRun.cpp
@@ -26,7 +26,8 @@
 {
   std::ifstream file(aFile);
   for (std::string line; std::getline(file, line);) {
-    // The last line of a killed process may be cut short.
+    // A killed process may leave its last line incomplete; such a line is
+    // skipped.
     const auto document = nlohmann::json::parse(line, nullptr, false);
     if (document.is_object()) {
       aVisit(document);
@@ -47,8 +48,9 @@
            aLine.value("commitUs", int64_t{}) };
 }
 
-/// From the first to the last commit of a key by one process under one epoch;
-/// the unit is a microsecond.
+/// Ownership intervals, each from the first to the last commit of a key by one
+/// process under one epoch. The times are in microseconds, although the members
+/// of OwnerInterval end in Ms.
 std::vector<OwnerInterval> ToOwners(
   const std::vector<RecordedExecution>& aExecutions)
 {
@@ -75,8 +77,9 @@
   return list;
 }
 
-/// One answer for each request. Not run only if every send was refused so;
-/// unknown as soon as one send ended otherwise without being complete.
+/// Merges the sends of each request into one response. NotRun holds only if
+/// every send ended as not run or unreachable; Complete wins, and any other
+/// result makes the outcome Unknown.
 std::vector<ClientResponse> ToResponses(const std::vector<RecordedSend>& aSends)
 {
   std::map<std::string, ClientResponse> answers;
@@ -111,7 +114,8 @@
   history.responses_ = detail::ToResponses(aSends);
   for (const auto& run : aExecutions) {
     const bool isIdempotent = run.method_ != "POST";
-    // A router numbers its attempts at an idempotent request: "id.2".
+    // A router appends the attempt number to the id of an idempotent request,
+    // e.g. "id.2".
     const auto id = isIdempotent
                       ? run.requestId_.substr(0, run.requestId_.find('.'))
                       : run.requestId_;
@@ -242,13 +246,13 @@
 std::string FailureRun::Finish()
 {
   if (!loadThread_.joinable()) {
-    return "the load was not started\n";
+    return "the load generator was not started\n";
   }
   stop_ = true;
   loadThread_.join();
   auto violations = CheckHistories(Executions(), Sends());
   if (report_->Count(LoadOutcome::Complete) == 0) {
-    violations += "no request was complete\n";
+    violations += "no request completed\n";
   }
   return violations;
 }
--- a/tests/FailureRun.hpp
+++ b/tests/FailureRun.hpp
@@ -12,7 +12,7 @@
 
 namespace cactuspitch {
 
-/// One execution, as a backend server recorded it.
+/// One request execution as recorded by a backend server.
 struct RecordedExecution
 {
   std::string server_;
@@ -26,7 +26,7 @@
   int64_t commitUs_ = 0;
 };
 
-/// One send, as the load generator recorded it.
+/// One send of a request as recorded by the load generator.
 struct RecordedSend
 {
   std::string requestId_;
@@ -35,9 +35,9 @@
   std::string reason_;
 };
 
-/// A deployment under load while a fault is caused, and the checks of the
-/// invariants on the recorded histories. No check depends on the speed of the
-/// machine.
+/// Runs a deployment under load while a test injects faults, then checks the
+/// invariants on the recorded histories. These checks don't depend on the speed
+/// of the machine.
 class FailureRun
 {
 public:
@@ -46,31 +46,36 @@
   FailureRun(const FailureRun&) = delete;
   FailureRun& operator=(const FailureRun&) = delete;
 
-  /// Three instances and one service of four servers.
+  /// Three instances and one service with four backend servers.
   static DeploymentOptions DefaultOptions();
 
-  /// Sends the load to these routers only; called before Start().
+  /// Sends the load to these routers only. Call it before Start().
   void UseRouters(std::vector<int> aIndices) { routers_ = std::move(aIndices); }
-  /// Sends the load through readiness checks like those of the platform's
-  /// balancer; called before Start().
+  /// Polls the readiness of the routers every 200 ms and sends no new requests
+  /// to those that aren't ready, as the platform's load balancer does. Call it
+  /// before Start().
   void UseReadinessChecks() { load_.readyCheckMs_ = 200; }
-  /// Starts deployment and load; what is missing, or empty.
+  /// Starts the deployment and the load. Returns an empty string, or what
+  /// failed to start.
   std::string Start();
   Deployment& GetDeployment() { return deployment_; }
   ProcessFleet& Fleet() { return deployment_.Fleet(); }
 
-  /// Time for the load to run on.
+  /// Sleeps while the load goes on.
   static void SleepFor(TimeMs aTimeMs);
-  /// Backend server that the table names as owner of the key, from an answer.
+  /// Returns the backend server that responds to a request for the key; empty
+  /// when none does within 10 s.
   std::string OwnerOf(const std::string& aKey);
-  /// Index of the instance that is the service's assigner, from the store.
+  /// Index of the instance that the store records as the service's assigner;
+  /// nullopt when there is none.
   std::optional<int> AssignerIndex();
   std::optional<int> DeputyIndex();
-  /// True when every key of the load is answered completely.
+  /// True if each key of the load gets a complete response from some router of
+  /// the load; waits up to 15 s per key.
   bool AllKeysServed();
 
-  /// Ends the load and returns all violations as lines, empty when there are
-  /// none.
+  /// Stops the load and returns all violations, one per line; empty when there
+  /// are none. Call it once.
   std::string Finish();
   const LoadReport& Report() const { return *report_; }
   std::vector<RecordedExecution> Executions() const;
@@ -88,7 +93,8 @@
   std::thread loadThread_;
 };
 
-/// Violations of the invariants in the histories, one a line.
+/// Returns the violations of the invariants in the recorded histories, one per
+/// line; empty when there are none.
 std::string CheckHistories(const std::vector<RecordedExecution>& aExecutions,
                            const std::vector<RecordedSend>& aSends);
 
--- a/tests/HistoryChecker.cpp
+++ b/tests/HistoryChecker.cpp
@@ -80,13 +80,13 @@
     auto& last = newest[owner.key_];
     if (last != nullptr && owner.epoch_ < last->epoch_) {
       Report(
-        "epochs grow",
+        "epochs never decrease",
         Concat(detail::Describe(owner), " after ", detail::Describe(*last)));
     }
     if (last != nullptr && owner.epoch_ == last->epoch_ &&
         owner.server_ != last->server_) {
       Report(
-        "one server an epoch",
+        "one server per epoch",
         Concat(detail::Describe(owner), " after ", detail::Describe(*last)));
     }
     last = &owner;
@@ -105,7 +105,7 @@
       !isNew && (ack.epoch_ < last.epoch_ ||
                  (ack.epoch_ == last.epoch_ && ack.server_ != last.server_));
     if (reverts) {
-      Report("assignments survive",
+      Report("assignments never revert",
              Concat("key ",
                     ack.key_,
                     " epoch ",
@@ -119,13 +119,13 @@
     }
     last = ack;
   }
-  // After an acknowledged assignment no other server begins to own the key
-  // under an older epoch.
+  // Once an assignment is acknowledged, no other server may start to own the
+  // key under an older epoch.
   for (const auto& owner : history_.owners_) {
     for (const auto& ack : acks) {
       if (ack.key_ == owner.key_ && ack.atMs_ < owner.startMs_ &&
           ack.epoch_ > owner.epoch_ && ack.server_ != owner.server_) {
-        Report("assignments survive",
+        Report("assignments never revert",
                Concat(detail::Describe(owner), " after epoch ", ack.epoch_));
         break;
       }
@@ -154,7 +154,7 @@
   for (const auto& run : history_.executions_) {
     if (!run.idempotent_ && ++count[run.requestId_] == 2) {
       Report("non-idempotent at most once",
-             Concat(run.requestId_, " ran again at ", run.server_));
+             Concat(run.requestId_, " was executed again at ", run.server_));
     }
   }
 }
@@ -168,20 +168,20 @@
   std::set<std::string> answered;
   for (const auto& answer : history_.responses_) {
     if (!answered.insert(answer.requestId_).second) {
-      Report("one answer a request", answer.requestId_);
+      Report("one response per request", answer.requestId_);
     }
     if (answer.outcome_ == Outcome::NotRun && ran.contains(answer.requestId_)) {
-      Report("not run is true", answer.requestId_);
+      Report("not-run implies not executed", answer.requestId_);
     }
     if (answer.outcome_ != Outcome::Complete) {
       continue;
     }
     if (answer.bodyRequestId_ != answer.requestId_) {
-      Report("answer belongs to its request",
+      Report("response belongs to its request",
              Concat(answer.requestId_, " got ", answer.bodyRequestId_));
     }
     if (!ran.contains(answer.requestId_)) {
-      Report("complete means run", answer.requestId_);
+      Report("complete implies executed", answer.requestId_);
     }
   }
 }
--- a/tests/HistoryChecker.hpp
+++ b/tests/HistoryChecker.hpp
@@ -7,8 +7,9 @@
 
 namespace cactuspitch {
 
-/// A backend server could run requests for the key, or ran one, from startMs_
-/// up to, not including, endMs_. Times of a history are those of one clock.
+/// Half-open interval [startMs_, endMs_) in which a backend server could
+/// execute requests for the key, or executed one. All times of a history come
+/// from one clock; its unit is up to the recorder.
 struct OwnerInterval
 {
   std::string server_;
@@ -19,7 +20,7 @@
   TimeMs endMs_ = 0;
 };
 
-/// The store confirmed that the key belongs to the server.
+/// The store acknowledged the assignment of the key to the server.
 struct AssignmentAck
 {
   KeyHash key_ = 0;
@@ -35,7 +36,7 @@
   TimeMs atMs_ = 0;
 };
 
-/// A backend server ran the request of this id.
+/// One execution of a request by a backend server.
 struct RequestExecution
 {
   std::string requestId_;
@@ -43,12 +44,12 @@
   bool idempotent_ = false;
 };
 
-/// What the caller of a request received.
+/// The response that a client received for its request.
 struct ClientResponse
 {
   std::string requestId_;
   Outcome outcome_ = Outcome::Unknown;
-  /// Id of the request that the body answers, empty without a body.
+  /// Id of the request that the body responds to; empty without a body.
   std::string bodyRequestId_;
 };
 
@@ -76,6 +77,7 @@
   {
   }
 
+  /// Returns all violations found; call it once per checker.
   std::vector<Violation> Check();
 
 private:
@@ -91,7 +93,7 @@
   std::vector<Violation> violations_;
 };
 
-/// All violations, one a line; empty when there are none.
+/// Formats the violations, one per line; empty when there are none.
 std::string ToText(const std::vector<Violation>& aViolations);
 
 }
--- a/tests/HistoryCheckerTest.cpp
+++ b/tests/HistoryCheckerTest.cpp
@@ -31,13 +31,14 @@
   return history;
 }
 
-// Guards against a checker that reports sound histories.
+// Guards against violations reported for a valid history.
 TEST(HistoryChecker, ValidHistoryPasses)
 {
   EXPECT_EQ(ToText(HistoryChecker(ValidHistory()).Check()), "");
 }
 
-// Each of the following guards against a checker that misses its rule.
+// Each test below breaks one rule and guards against a checker that misses the
+// violation.
 TEST(HistoryChecker, TwoOwnersAreReported)
 {
   auto history = ValidHistory();
@@ -65,28 +66,28 @@
 {
   auto history = ValidHistory();
   history.owners_[1].epoch_ = 0;
-  EXPECT_TRUE(HasViolation(history, "epochs grow"));
+  EXPECT_TRUE(HasViolation(history, "epochs never decrease"));
 }
 
 TEST(HistoryChecker, SharedEpochIsReported)
 {
   auto history = ValidHistory();
   history.owners_[1].epoch_ = 1;
-  EXPECT_TRUE(HasViolation(history, "one server an epoch"));
+  EXPECT_TRUE(HasViolation(history, "one server per epoch"));
 }
 
 TEST(HistoryChecker, RevertedAssignmentIsReported)
 {
   auto history = ValidHistory();
   history.assignments_.push_back({ 7, 2, "c", 300 });
-  EXPECT_TRUE(HasViolation(history, "assignments survive"));
+  EXPECT_TRUE(HasViolation(history, "assignments never revert"));
 }
 
 TEST(HistoryChecker, OwnerOfASupersededEpochIsReported)
 {
   auto history = ValidHistory();
   history.owners_.push_back({ "a", "1", 7, 1, 300, 400 });
-  EXPECT_TRUE(HasViolation(history, "assignments survive"));
+  EXPECT_TRUE(HasViolation(history, "assignments never revert"));
 }
 
 TEST(HistoryChecker, RevertedConfigurationIsReported)
@@ -107,28 +108,28 @@
 {
   auto history = ValidHistory();
   history.responses_[0].bodyRequestId_ = "g";
-  EXPECT_TRUE(HasViolation(history, "answer belongs to its request"));
+  EXPECT_TRUE(HasViolation(history, "response belongs to its request"));
 }
 
 TEST(HistoryChecker, SecondResponseIsReported)
 {
   auto history = ValidHistory();
   history.responses_.push_back({ "n", Outcome::NotRun, "" });
-  EXPECT_TRUE(HasViolation(history, "one answer a request"));
+  EXPECT_TRUE(HasViolation(history, "one response per request"));
 }
 
 TEST(HistoryChecker, FalseNotRunIsReported)
 {
   auto history = ValidHistory();
   history.responses_[0].outcome_ = Outcome::NotRun;
-  EXPECT_TRUE(HasViolation(history, "not run is true"));
+  EXPECT_TRUE(HasViolation(history, "not-run implies not executed"));
 }
 
 TEST(HistoryChecker, CompleteWithoutExecutionIsReported)
 {
   auto history = ValidHistory();
   history.executions_.erase(history.executions_.begin());
-  EXPECT_TRUE(HasViolation(history, "complete means run"));
+  EXPECT_TRUE(HasViolation(history, "complete implies executed"));
 }
 
 }
--- a/tests/OwnerFailureTest.cpp
+++ b/tests/OwnerFailureTest.cpp
@@ -16,8 +16,8 @@
   std::string owner_;
 };
 
-// Guards against keys that stay without an owner, or requests that run twice,
-// after the owner's process is gone.
+// Guards against keys left without an owner, and non-idempotent requests that
+// run twice, after the owner's process is killed.
 TEST_F(OwnerFailureTest, KilledOwnerIsReplaced)
 {
   run_.Fleet().Kill(owner_);
@@ -25,8 +25,8 @@
   EXPECT_NE(run_.OwnerOf("key-0"), owner_);
 }
 
-// Guards against an owner that resumes after its lease has ended and runs
-// requests of keys that another server owns by now.
+// Guards against an owner that resumes after its lease expired and executes
+// requests for keys that another server owns by then.
 TEST_F(OwnerFailureTest, PausedOwnerReturnsWithoutOwnership)
 {
   run_.Fleet().Pause(owner_);
@@ -36,7 +36,8 @@
   EXPECT_TRUE(run_.AllKeysServed());
 }
 
-// Guards against a takeover that needs the store.
+// Guards against a failover that needs the store: the owner is killed while the
+// store doesn't respond.
 TEST_F(OwnerFailureTest, OwnerIsReplacedWhileTheStoreIsSilent)
 {
   run_.Fleet().Pause("store");
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -6,10 +6,11 @@
 class PlannedStopTest : public FailureFixture
 {
 protected:
-  // A stopping router relies on the balancer, which sends no new requests.
+  // A stopping router relies on the load balancer to send it no new requests.
   PlannedStopTest() { run_.UseReadinessChecks(); }
 
-  /// No request was lost or cut short.
+  /// Stops the load and expects that no request was lost or truncated and that
+  /// no outcome is unknown.
   void ExpectNoRequestLost()
   {
     EXPECT_EQ(run_.Finish(), "");
@@ -21,8 +22,8 @@
   void TearDown() override {}
 };
 
-// Guards against a leaving server that gets new work after 3 s, or whose
-// requests in flight are cut off.
+// Guards against a draining server that gets new requests later than 3 s after
+// the drain began, and against losing its requests in flight.
 TEST_F(PlannedStopTest, DrainedServerIsLeftInTime)
 {
   const auto owner = run_.OwnerOf("key-0");
@@ -37,14 +38,15 @@
   ExpectNoRequestLost();
 }
 
-// Guards against a router that cuts requests off when it is stopped.
+// Guards against a router that aborts requests in flight when it is stopped.
 TEST_F(PlannedStopTest, StoppedRouterFinishesItsRequests)
 {
   EXPECT_EQ(run_.Fleet().Terminate("router-1", 30000), 0);
   ExpectNoRequestLost();
 }
 
-// Guards against unavailable keys while an assigner hands its groups over.
+// Guards against keys that become unavailable while a stopping assigner hands
+// its groups over to another instance.
 TEST_F(PlannedStopTest, StoppedAssignerHandsOver)
 {
   const auto index = run_.AssignerIndex();
--- a/tests/RouterFailureTest.cpp
+++ b/tests/RouterFailureTest.cpp
@@ -5,8 +5,8 @@
 
 using RouterFailureTest = FailureFixture;
 
-// Guards against a repeat of a non-idempotent request that runs again after
-// the router of its first send is gone.
+// Guards against a second execution of a non-idempotent request: its client
+// resends it through another router after the first router was killed.
 TEST_F(RouterFailureTest, KilledAndRestartedRouter)
 {
   run_.Fleet().Kill("router-1");
--- a/tests/StaleRouterTest.cpp
+++ b/tests/StaleRouterTest.cpp
@@ -5,9 +5,9 @@
 namespace cactuspitch {
 namespace {
 
-// Guards against a router that resumes with an old table and sends requests to
-// former owners, which run them. Callers of the paused router get no answer,
-// so the load goes to the others.
+// Guards against a router that resumes with a stale table and sends requests to
+// former owners, which execute them. Clients of the paused router would get no
+// response, so the load goes to the other two routers.
 TEST(StaleRouterTest, ResumedRouterCausesNoExecutionByAFormerOwner)
 {
   FailureRun run(BINARY_DIR, FailureRun::DefaultOptions());
--- a/tests/StoreFailureTest.cpp
+++ b/tests/StoreFailureTest.cpp
@@ -5,7 +5,7 @@
 
 using StoreFailureTest = FailureFixture;
 
-// Guards against requests that fail because the store is down.
+// Guards against requests that fail while the store doesn't respond.
 TEST_F(StoreFailureTest, StoppedStoreDoesNotStopRequests)
 {
   run_.Fleet().Pause("store");
@@ -16,8 +16,9 @@
   EXPECT_TRUE(run_.AllKeysServed());
 }
 
-// Guards against a writer that takes a lost answer as a failed write, and
-// against one that ends its term on a call that failed at random.
+// Guards against an assigner that treats a write as failed when only the
+// response was lost, and against one that ends its term because a single store
+// call failed.
 TEST_F(StoreFailureTest, LostResponsesAndRandomFailures)
 {
   ASSERT_TRUE(run_.GetDeployment().SetStoreFault(
--- a/tests/UncheckedServerTest.cpp
+++ b/tests/UncheckedServerTest.cpp
@@ -20,13 +20,15 @@
   UncheckedServerTest()
     : FailureFixture(OptionsWithoutFenceCheck())
   {
-    // Callers of a paused router get no answer, whatever the others do.
+    // Clients of the paused router 1 would get no response, so the load goes to
+    // the other two routers.
     run_.UseRouters({ 0, 2 });
   }
 };
 
-// Guards against two servers that run requests of one key when the servers do
-// not check who gives an order, and a paused one resumes.
+// Guards against two backend servers that execute requests for one key when a
+// paused server resumes and the servers don't check which assigner sent a
+// command.
 TEST_F(UncheckedServerTest, PausedOwnerReturns)
 {
   const auto owner = run_.OwnerOf("key-0");
@@ -38,11 +40,12 @@
 }
 
 // Guards against a paused router that resumes and forwards requests to former
-// owners, which run whatever they get.
+// owners, which execute every request that they receive.
 TEST_F(UncheckedServerTest, PausedRouterReturns)
 {
   run_.Fleet().Pause("router-1");
-  // These wait in the router's sockets and are read when it resumes.
+  // These requests wait in the sockets of the paused router, which reads them
+  // after it resumes.
   const auto router = run_.GetDeployment().Routers()[1];
   std::vector<std::thread> callers;
   for (int key = 0; key < 20; ++key) {
