Rename and reword the ownership simulation

Cause: life, Task, SendOrder, SendQuestion and ShowPlatform aren't terms of the field or differ from the terms in the rest of the code. Change: incarnation, Callback, SendCommand, SendHeartbeat and UpdatePlatformLists; plain comments and test heads. No full build and no test run.

--- a/tests/OwnershipPropertyTest.cpp
+++ b/tests/OwnershipPropertyTest.cpp
@@ -13,14 +13,14 @@
 constexpr TimeMs kLastFaultMs = 4700;
 constexpr TimeMs kLongestFaultMs = 4000;
 
-/// A silent store, noticed late by some instances.
+/// The store stops responding; some instances notice this late.
 constexpr SimFault kSilentStore{ .kind_ = SimFaultKind::StoreDown,
                                  .target_ = 0,
                                  .atMs_ = kWarmUpMs,
                                  .durationMs_ = 8000 };
 constexpr uint64_t kOutageSeeds = 60;
 
-// A fixed seed keeps a run repeatable; bench/soak sets others.
+// The fixed seed makes a run repeatable; bench/soak sets other seeds.
 const int kConfigured = setenv("RC_PARAMS", "seed=20261204 max_success=250", 0);
 
 rc::Gen<SimFault> GenFault()
@@ -55,7 +55,7 @@
   return options;
 }
 
-void AssertSound(OwnershipSim& aSim)
+void AssertNoViolations(OwnershipSim& aSim)
 {
   const auto violations = HistoryChecker(aSim.Finish()).Check();
   if (!violations.empty()) {
@@ -64,9 +64,9 @@
   }
 }
 
-// Guards against two owners, lost assignments and falling epochs under up to
-// four faults at once, and against slices that stay without an owner after
-// the faults are healed.
+// Guards against two owners of a key, lost assignments and decreasing epochs
+// under up to four concurrent faults, and against slices left without an owner
+// after the faults have ended.
 RC_GTEST_PROP(Ownership, IsExclusiveAndComesBack, ())
 {
   OwnershipSim sim(GenOptions());
@@ -75,22 +75,23 @@
     sim.Inject(fault);
     healedMs = std::max(healedMs, fault.atMs_ + fault.durationMs_ + 500);
   }
-  // 2 s until a third instance acts, its rank, 0.6 s silence, a lease.
+  // Covers 2 s until a third instance acts, the delay by its rank, 0.6 s of
+  // silence and one lease.
   constexpr TimeMs kRecoveryMs = 6000;
   sim.RunUntil(healedMs + kRecoveryMs);
   const auto unserved = sim.Unserved();
   if (!unserved.empty()) {
     RC_LOG(sim.Describe());
   }
-  AssertSound(sim);
+  AssertNoViolations(sim);
   RC_ASSERT(unserved.empty());
 }
 
-// Guards against an assigner that loses its right because it noticed a silent
-// store before its deputy did.
+// Guards against an assigner that loses its authority because it noticed a
+// silent store before its deputy did.
 TEST(OwnershipOutage, SilentStoreLeavesEveryKeyServed)
 {
-  // Owners are known as of the last event, and instances step every 10 ms.
+  // Ownership is sampled at events, and instances step every 10 ms.
   constexpr TimeMs kEventMs = 10;
   for (uint64_t seed = 1; seed <= kOutageSeeds; ++seed) {
     OwnershipSim sim({ .seed_ = seed, .unchecked_ = 0 });
@@ -101,9 +102,10 @@
   }
 }
 
-// Guards against a takeover that needs the store, whoever noticed first that
-// it is silent, and against records of planned moves that are written to a
-// store which has fallen silent: their slices could not be promoted.
+// Guards against a failover that needs the store, regardless of which instance
+// first notices that the store is silent. Also guards against planned moves
+// whose records are written to a silent store: the standbys of their slices
+// couldn't be promoted.
 TEST(OwnershipOutage, KilledOwnerIsReplacedWhileTheStoreIsSilent)
 {
   const auto slices = static_cast<int>(SimOptions().slices_);
@@ -126,7 +128,7 @@
   }
 }
 
-// Guards against a single fault that keeps a key without an owner for longer
+// Guards against a single fault that leaves a key without an owner for more
 // than 3 s.
 RC_GTEST_PROP(Ownership, SingleFaultCostsAtMostThreeSeconds, ())
 {
@@ -140,7 +142,7 @@
   if (gapMs > 3000) {
     RC_LOG(sim.Describe());
   }
-  AssertSound(sim);
+  AssertNoViolations(sim);
   RC_ASSERT(gapMs <= 3000);
 }
 
--- a/tests/OwnershipSim.cpp
+++ b/tests/OwnershipSim.cpp
@@ -19,7 +19,8 @@
   , random_(aOptions.seed_)
 {
   const auto add = [this](Process& aProcess, std::string aId) {
-    constexpr int kMaxDeviation = 49; // 1/10,000, so that two differ by < 1%
+    constexpr int kMaxDeviation =
+      49; // in 1/10,000, so any two clocks differ by < 1%
     aProcess.index_ = static_cast<int>(processes_.size());
     aProcess.id_ = std::move(aId);
     aProcess.rate_ =
@@ -35,7 +36,7 @@
   for (int i = 0; i < options_.servers_; ++i) {
     auto& server = *servers_.emplace_back(std::make_unique<Server>());
     add(server, Concat("server-", i));
-    server.checks_ = i >= options_.unchecked_;
+    server.checksFence_ = i >= options_.unchecked_;
     server.isListed_ = i + 1 < options_.servers_;
   }
   for (int i = 0; i < options_.routers_; ++i) {
@@ -61,9 +62,10 @@
   return static_cast<TimeMs>(random_() % static_cast<uint64_t>(aBelow));
 }
 
-void OwnershipSim::At(TimeMs aTrueMs, Task aTask)
+void OwnershipSim::At(TimeMs aTrueMs, Callback aCallback)
 {
-  events_.push({ std::max(aTrueMs, nowMs_), ++eventOrder_, std::move(aTask) });
+  events_.push(
+    { std::max(aTrueMs, nowMs_), ++eventOrder_, std::move(aCallback) });
 }
 
 void OwnershipSim::RunUntil(TimeMs aTrueMs)
@@ -72,8 +74,8 @@
     auto event = events_.top();
     events_.pop();
     nowMs_ = event.atMs_;
-    // Owners that ended since the last event are closed before anything new
-    // begins.
+    // Close ownership intervals that ended since the last event before this
+    // event can start new ones.
     Sample();
     event.run_();
     Sample();
@@ -94,44 +96,44 @@
 
 bool OwnershipSim::IsCut(int aFrom, int aTo) const
 {
-  const auto cut = cuts_.find({ aFrom, aTo });
-  return cut != cuts_.end() && cut->second > nowMs_;
+  const auto cut = cutUntilMs_.find({ aFrom, aTo });
+  return cut != cutUntilMs_.end() && cut->second > nowMs_;
 }
 
 void OwnershipSim::Send(int aFrom,
                         int aTo,
-                        const Task& aTask,
-                        const Task& aRefused)
+                        const Callback& aCallback,
+                        const Callback& aRefused)
 {
   const bool bad = badNetworkUntilMs_ > nowMs_;
   if (IsCut(aFrom, aTo) || (bad && Chance(20))) {
     return;
   }
   const auto delayMs = 1 + Random(4) + (bad && Chance(30) ? Random(1500) : 0);
-  const int life = processes_[static_cast<size_t>(aTo)]->life_;
+  const int incarnation = processes_[static_cast<size_t>(aTo)]->incarnation_;
   const bool isServer = aTo >= options_.instances_;
   At(nowMs_ + delayMs, [=, this] {
     auto& to = *processes_[static_cast<size_t>(aTo)];
-    // A connection to an instance ends with its process. A request to a
-    // backend server may connect only after its restart.
-    if (to.alive_ && (isServer || to.life_ == life)) {
-      RunAt(to, aTask);
+    // A connection to an instance ends with the instance's process. A request
+    // to a backend server may connect only after the server has restarted.
+    if (to.alive_ && (isServer || to.incarnation_ == incarnation)) {
+      RunAt(to, aCallback);
     } else if (aRefused) {
       Send(aTo, aFrom, aRefused);
     }
   });
 }
 
-void OwnershipSim::RunAt(Process& aProcess, Task aTask)
+void OwnershipSim::RunAt(Process& aProcess, Callback aCallback)
 {
   if (!aProcess.alive_) {
     return;
   }
   if (aProcess.pausedUntilMs_ > nowMs_) {
-    aProcess.backlog_.push_back(std::move(aTask));
+    aProcess.backlog_.push_back(std::move(aCallback));
     return;
   }
-  aTask();
+  aCallback();
 }
 
 void OwnershipSim::Kill(Process& aProcess)
@@ -139,17 +141,19 @@
   aProcess.alive_ = false;
   aProcess.pausedUntilMs_ = 0;
   aProcess.backlog_.clear();
-  ++aProcess.life_;
+  ++aProcess.incarnation_;
 }
 
 void OwnershipSim::Pause(Process& aProcess, TimeMs aDurationMs)
 {
   aProcess.pausedUntilMs_ = nowMs_ + aDurationMs;
-  const int life = aProcess.life_;
-  At(nowMs_ + aDurationMs, [this, &aProcess, life] {
-    if (aProcess.life_ == life && aProcess.pausedUntilMs_ <= nowMs_) {
+  const int incarnation = aProcess.incarnation_;
+  At(nowMs_ + aDurationMs, [this, &aProcess, incarnation] {
+    if (aProcess.incarnation_ == incarnation &&
+        aProcess.pausedUntilMs_ <= nowMs_) {
       const auto backlog = std::exchange(aProcess.backlog_, {});
-      std::ranges::for_each(backlog, [](const Task& aTask) { aTask(); });
+      std::ranges::for_each(backlog,
+                            [](const Callback& aCallback) { aCallback(); });
     }
   });
 }
@@ -174,21 +178,23 @@
   for (size_t i = 0; i < servers_.size(); ++i) {
     const auto& server = *servers_[i];
     const auto clockMs = LocalMs(server);
-    if (server.checks_ && server.alive_ && clockMs < server.validUntilMs_) {
+    if (server.checksFence_ && server.alive_ &&
+        clockMs < server.validUntilMs_) {
       for (const auto& range : server.held_) {
         if (range.begin_ <= aKey && aKey <= range.end_) {
           owners.insert({ static_cast<int>(i), range.epoch_ });
         }
       }
     }
-    // Requests of routers run at a server that does not check up to their
-    // deadline, also at a process that was started meanwhile. It knows no
-    // epochs: it serves under the newest one that a router uses for it, while
-    // other routers may still send it requests under an older one.
+    // A server that doesn't check the fence executes requests from routers
+    // until their deadline, even if its process restarted meanwhile. It knows
+    // no epochs, so count it under the newest epoch that any router uses for
+    // it, although other routers may still send it requests under an older
+    // epoch.
     Epoch routed = 0;
     for (const auto& router : routers_) {
       const auto sent = router->sent_.find({ aKey, static_cast<int>(i) });
-      if (!server.checks_ && sent != router->sent_.end() &&
+      if (!server.checksFence_ && sent != router->sent_.end() &&
           clockMs < sent->second.second) {
         routed = std::max(routed, sent->second.first);
       }
@@ -209,10 +215,11 @@
       const auto& server = *servers_[static_cast<size_t>(index)];
       now.insert({ key,
                    index,
-                   server.checks_ ? Concat(server.life_) : std::string("any"),
+                   server.checksFence_ ? Concat(server.incarnation_)
+                                       : std::string("any"),
                    epoch });
     }
-    auto& served = servedMs_.try_emplace(key, -1).first->second;
+    auto& served = lastServedMs_.try_emplace(key, -1).first->second;
     if (!owners.empty()) {
       if (served >= 0 && nowMs_ - served > 1) {
         gaps_[key].emplace_back(served, nowMs_);
@@ -220,26 +227,30 @@
       served = nowMs_;
     }
   }
-  std::erase_if(open_, [&](const auto& aOpen) {
+  std::erase_if(openOwners_, [&](const auto& aOpen) {
     if (now.contains(aOpen.first)) {
       return false;
     }
-    const auto& [key, index, life, epoch] = aOpen.first;
-    history_.owners_.push_back(
-      { Concat("server-", index), life, key, epoch, aOpen.second, nowMs_ });
+    const auto& [key, index, incarnation, epoch] = aOpen.first;
+    history_.owners_.push_back({ Concat("server-", index),
+                                 incarnation,
+                                 key,
+                                 epoch,
+                                 aOpen.second,
+                                 nowMs_ });
     return true;
   });
   for (const auto& owner : now) {
-    open_.try_emplace(owner, nowMs_);
+    openOwners_.try_emplace(owner, nowMs_);
   }
 }
 
 const History& OwnershipSim::Finish()
 {
-  for (const auto& [owner, startMs] : std::exchange(open_, {})) {
-    const auto& [key, index, life, epoch] = owner;
+  for (const auto& [owner, startMs] : std::exchange(openOwners_, {})) {
+    const auto& [key, index, incarnation, epoch] = owner;
     history_.owners_.push_back(
-      { Concat("server-", index), life, key, epoch, startMs, nowMs_ });
+      { Concat("server-", index), incarnation, key, epoch, startMs, nowMs_ });
   }
   return history_;
 }
@@ -262,8 +273,8 @@
          found == gaps_.end() ? decltype(found->second)() : found->second) {
       longest = std::max(longest, to - std::max(from, aFromMs));
     }
-    const auto served = servedMs_.find(key);
-    if (served != servedMs_.end()) {
+    const auto served = lastServedMs_.find(key);
+    if (served != lastServedMs_.end()) {
       longest = std::max(longest, nowMs_ - std::max(served->second, aFromMs));
     }
   }
--- a/tests/OwnershipSim.hpp
+++ b/tests/OwnershipSim.hpp
@@ -60,7 +60,8 @@
   };
 };
 
-/// A fault of a schedule. Targets are taken modulo the number of processes.
+/// One fault of a schedule. target_ and other_ are taken modulo the number of
+/// processes or keys that the fault can affect.
 struct SimFault
 {
   SimFaultKind kind_ = SimFaultKind::KillServer;
@@ -76,17 +77,18 @@
   uint64_t seed_ = 1;
   int instances_ = 4;
   int servers_ = 4;
-  int unchecked_ = 1; ///< of them do not check the fence
+  int unchecked_ = 1; ///< number of servers that don't check the fence
   int routers_ = 2;
   size_t slices_ = 6;
-  /// An instance notices a silent store this late at most, when its open watch
-  /// should have ended.
+  /// Maximum delay until an instance notices a silent store: its open watch
+  /// request should have ended by then.
   TimeMs storeWatchMs_ = 3000;
 };
 
 /// Runs the control logic of several instances against simulated backend
-/// servers, routers and a store. Every process has its own clock; their rates
-/// differ by up to 1%. Deterministic from the seed and the faults.
+/// servers, routers and a store. Each process has its own clock; the rates of
+/// any two clocks differ by less than 1%. A run is deterministic for given
+/// options and faults.
 class OwnershipSim
 {
 public:
@@ -95,12 +97,12 @@
 
   void Inject(const SimFault& aFault);
   void RunUntil(TimeMs aTrueMs);
-  /// Closes open intervals; the history is complete after it.
+  /// Closes the open ownership intervals and returns the complete history.
   const History& Finish();
 
-  /// Keys without an owner now.
+  /// Keys that have no owner at the current time.
   std::vector<KeyHash> Unserved() const;
-  /// Longest time that a key was without an owner since aFromMs.
+  /// Longest time since aFromMs that any key was without an owner.
   TimeMs LongestGapMs(TimeMs aFromMs) const;
   std::string Describe() const;
 
@@ -119,40 +121,44 @@
       return std::tie(aOther.atMs_, aOther.order_) < std::tie(atMs_, order_);
     }
   };
-  using Task = std::function<void()>;
+  using Callback = std::function<void()>;
 
   TimeMs Random(TimeMs aBelow);
   bool Chance(int aPercent) { return Random(100) < aPercent; }
-  void At(TimeMs aTrueMs, Task aTask);
+  void At(TimeMs aTrueMs, Callback aCallback);
   TimeMs LocalMs(const Process& aProcess) const;
   TimeMs LocalMsAt(const Process& aProcess, TimeMs aTrueMs) const;
   bool IsCut(int aFrom, int aTo) const;
-  /// Runs aTask at aTo after a network delay; aRefused at aFrom when nothing
-  /// listens there.
-  void Send(int aFrom, int aTo, const Task& aTask, const Task& aRefused = {});
-  /// Runs at once, or when the process resumes.
-  void RunAt(Process& aProcess, Task aTask);
+  /// Runs aCallback at aTo after a network delay, or aRefused at aFrom if the
+  /// process at aTo is down. A lost message runs neither.
+  void Send(int aFrom,
+            int aTo,
+            const Callback& aCallback,
+            const Callback& aRefused = {});
+  /// Runs the callback at once, or after a paused process resumes; drops it if
+  /// the process is down.
+  void RunAt(Process& aProcess, Callback aCallback);
   void Kill(Process& aProcess);
   void Pause(Process& aProcess, TimeMs aDurationMs);
 
   void StartInstance(Instance& aInstance);
-  void TickInstance(Instance& aInstance, int aLife);
+  void TickInstance(Instance& aInstance, int aIncarnation);
   void Advance(Instance& aInstance);
   void Perform(Instance& aInstance, const Actions& aActions);
-  void SendOrder(Instance& aInstance, const GrantCommand& aOrder);
-  void SendQuestion(Instance& aInstance, const PeerHeartbeat& aQuestion);
+  void SendCommand(Instance& aInstance, const GrantCommand& aCommand);
+  void SendHeartbeat(Instance& aInstance, const PeerHeartbeat& aHeartbeat);
   void PollStore(Instance& aInstance);
   void WriteStore(Instance& aInstance, const WriteGroup& aWrite);
   void ApplyWrite(const WriteGroup& aWrite, WriteResult& aResult);
   void PingPeers(Instance& aInstance);
-  /// The platform's lists as this instance sees them.
-  void ShowPlatform(Instance& aInstance);
-  GrantReply Execute(Server& aServer, const GrantCommand& aOrder);
+  /// Passes the platform's current lists of instances and servers to aInstance.
+  void UpdatePlatformLists(Instance& aInstance);
+  GrantReply Execute(Server& aServer, const GrantCommand& aCommand);
   void TickRouter(Router& aRouter);
   void PollTable(Router& aRouter);
 
   Instance* Assigner();
-  /// Keys are served by (server index, epoch).
+  /// Owners of the key now, as pairs of server index and epoch.
   std::set<std::pair<int, Epoch>> OwnersOf(KeyHash aKey) const;
   void Sample();
 
@@ -164,8 +170,8 @@
   std::vector<std::unique_ptr<Server>> servers_;
   std::vector<std::unique_ptr<Instance>> instances_;
   std::vector<std::unique_ptr<Router>> routers_;
-  std::vector<Process*> processes_;            ///< instances, servers, routers
-  std::map<std::pair<int, int>, TimeMs> cuts_; ///< until
+  std::vector<Process*> processes_; ///< instances, servers, routers
+  std::map<std::pair<int, int>, TimeMs> cutUntilMs_; ///< by (from, to)
   TimeMs storeDownUntilMs_ = 0;
   TimeMs storeDownSinceMs_ = 0;
   TimeMs storeLossUntilMs_ = 0;
@@ -175,8 +181,8 @@
   GroupObject object_;
   std::vector<KeyHash> keys_;
   History history_;
-  std::map<std::tuple<KeyHash, int, std::string, Epoch>, TimeMs> open_;
-  std::map<KeyHash, TimeMs> servedMs_;
+  std::map<std::tuple<KeyHash, int, std::string, Epoch>, TimeMs> openOwners_;
+  std::map<KeyHash, TimeMs> lastServedMs_;
   std::map<KeyHash, std::vector<std::pair<TimeMs, TimeMs>>> gaps_;
 };
 
--- a/tests/OwnershipSimFaults.cpp
+++ b/tests/OwnershipSimFaults.cpp
@@ -14,7 +14,7 @@
   auto& server = pick(servers_, aFault.target_);
   auto& instance = pick(instances_, aFault.target_);
   auto& router = pick(routers_, aFault.target_);
-  // Any pair of instance and other process.
+  // A link between any instance and any instance or server.
   const int left = instance.index_;
   const int right = aFault.other_ % (options_.instances_ + options_.servers_);
   const auto durationMs = aFault.durationMs_;
@@ -52,14 +52,14 @@
         Pause(router, durationMs);
         break;
       case SimFaultKind::Cut:
-        cuts_[{ left, right }] = cuts_[{ right, left }] = until;
+        cutUntilMs_[{ left, right }] = cutUntilMs_[{ right, left }] = until;
         break;
       case SimFaultKind::CutOneWay:
-        cuts_[aFault.target_ % 2 == 0 ? std::pair(left, right)
-                                      : std::pair(right, left)] = until;
+        cutUntilMs_[aFault.target_ % 2 == 0 ? std::pair(left, right)
+                                            : std::pair(right, left)] = until;
         break;
       case SimFaultKind::CutFromStore:
-        cuts_[{ left, -1 }] = until;
+        cutUntilMs_[{ left, -1 }] = until;
         break;
       case SimFaultKind::StoreDown:
         storeDrops_ = aFault.target_ % 2 == 0;
@@ -77,7 +77,7 @@
         badNetworkUntilMs_ = until;
         break;
       case SimFaultKind::DrainServer:
-        server.drains_ = true;
+        server.draining_ = true;
         break;
       case SimFaultKind::JoinServer:
         servers_.back()->isListed_ = true;
--- a/tests/OwnershipSimProcesses.cpp
+++ b/tests/OwnershipSimProcesses.cpp
@@ -9,11 +9,11 @@
 namespace detail {
 constexpr TimeMs kTickMs = 10;
 constexpr TimeMs kStoreTimeoutMs = 150;
-constexpr int kDomains = 3;
+constexpr int kFailureDomains = 3;
 
-std::string DomainOf(int aIndex)
+std::string FailureDomainOf(int aIndex)
 {
-  return Concat("domain-", aIndex % kDomains);
+  return Concat("domain-", aIndex % kFailureDomains);
 }
 
 int IndexOf(const std::string& aId)
@@ -29,17 +29,17 @@
   aInstance.alive_ = true;
   aInstance.control_ = std::make_unique<GroupController>(
     GroupOptions{ .instance_ = aInstance.id_,
-                  .failureDomain_ = detail::DomainOf(aInstance.index_),
-                  .writer_ = Concat(aInstance.id_, "#", aInstance.life_),
+                  .failureDomain_ = detail::FailureDomainOf(aInstance.index_),
+                  .writer_ = Concat(aInstance.id_, "#", aInstance.incarnation_),
                   .service_ = "service",
                   .slices_ = options_.slices_ });
-  ShowPlatform(aInstance);
-  TickInstance(aInstance, aInstance.life_);
+  UpdatePlatformLists(aInstance);
+  TickInstance(aInstance, aInstance.incarnation_);
 }
 
-void OwnershipSim::TickInstance(Instance& aInstance, int aLife)
+void OwnershipSim::TickInstance(Instance& aInstance, int aIncarnation)
 {
-  if (aInstance.life_ != aLife) {
+  if (aInstance.incarnation_ != aIncarnation) {
     return;
   }
   if (aInstance.pausedUntilMs_ <= nowMs_) {
@@ -59,13 +59,14 @@
     if (isDue(aInstance.pingedMs_, kPingMs)) {
       PingPeers(aInstance);
     }
-    if (isDue(aInstance.shownMs_, kListMs)) {
-      ShowPlatform(aInstance);
+    if (isDue(aInstance.listsUpdatedMs_, kListMs)) {
+      UpdatePlatformLists(aInstance);
     }
     Advance(aInstance);
   }
-  At(nowMs_ + detail::kTickMs,
-     [this, &aInstance, aLife] { TickInstance(aInstance, aLife); });
+  At(nowMs_ + detail::kTickMs, [this, &aInstance, aIncarnation] {
+    TickInstance(aInstance, aIncarnation);
+  });
 }
 
 void OwnershipSim::Advance(Instance& aInstance)
@@ -78,10 +79,10 @@
 void OwnershipSim::Perform(Instance& aInstance, const Actions& aActions)
 {
   for (const auto& action : aActions) {
-    if (const auto* order = std::get_if<GrantCommand>(&action)) {
-      SendOrder(aInstance, *order);
-    } else if (const auto* question = std::get_if<PeerHeartbeat>(&action)) {
-      SendQuestion(aInstance, *question);
+    if (const auto* command = std::get_if<GrantCommand>(&action)) {
+      SendCommand(aInstance, *command);
+    } else if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&action)) {
+      SendHeartbeat(aInstance, *heartbeat);
     } else if (const auto* write = std::get_if<WriteGroup>(&action)) {
       WriteStore(aInstance, *write);
     } else if (std::holds_alternative<ReadGroup>(action)) {
@@ -90,15 +91,16 @@
   }
 }
 
-void OwnershipSim::SendOrder(Instance& aInstance, const GrantCommand& aOrder)
+void OwnershipSim::SendCommand(Instance& aInstance,
+                               const GrantCommand& aCommand)
 {
-  const auto server = static_cast<size_t>(detail::IndexOf(aOrder.server_));
-  const int life = aInstance.life_;
+  const auto server = static_cast<size_t>(detail::IndexOf(aCommand.server_));
+  const int incarnation = aInstance.incarnation_;
   const int from = aInstance.index_;
   const int to = options_.instances_ + static_cast<int>(server);
   const auto respond = [=, this, &aInstance](const GrantReply& aReply) {
     Send(to, from, [=, this, &aInstance] {
-      if (aInstance.life_ == life) {
+      if (aInstance.incarnation_ == incarnation) {
         aInstance.control_->OnReply(LocalMs(aInstance), aReply);
         Advance(aInstance);
       }
@@ -107,37 +109,37 @@
   Send(
     from,
     to,
-    [=, this] { respond(Execute(*servers_[server], aOrder)); },
+    [=, this] { respond(Execute(*servers_[server], aCommand)); },
     [=, this, &aInstance] {
-      if (aInstance.life_ == life) {
+      if (aInstance.incarnation_ == incarnation) {
         aInstance.control_->OnConnectionRefused(
-          LocalMs(aInstance), aOrder.server_, aOrder.id_);
+          LocalMs(aInstance), aCommand.server_, aCommand.id_);
         Advance(aInstance);
       }
     });
 }
 
-GrantReply OwnershipSim::Execute(Server& aServer, const GrantCommand& aOrder)
+GrantReply OwnershipSim::Execute(Server& aServer, const GrantCommand& aCommand)
 {
-  const auto incarnation = Concat(aServer.id_, "#", aServer.life_);
-  const bool isOld = std::tie(aOrder.term_, aOrder.sequence_) <
+  const auto incarnation = Concat(aServer.id_, "#", aServer.incarnation_);
+  const bool isOld = std::tie(aCommand.term_, aCommand.sequence_) <
                      std::tie(aServer.term_, aServer.sequence_);
-  const bool isReport = aOrder.incarnation_.empty();
+  const bool isReport = aCommand.incarnation_.empty();
   GrantReply reply;
-  reply.accepted_ = !(aServer.checks_ && isOld) &&
-                    (isReport || aOrder.incarnation_ == incarnation);
+  reply.accepted_ = !(aServer.checksFence_ && isOld) &&
+                    (isReport || aCommand.incarnation_ == incarnation);
   if (reply.accepted_) {
-    aServer.term_ = aOrder.term_;
-    aServer.sequence_ = aOrder.sequence_;
+    aServer.term_ = aCommand.term_;
+    aServer.sequence_ = aCommand.sequence_;
   }
   if (reply.accepted_ && !isReport) {
-    if (aOrder.full_) {
-      aServer.held_ = aOrder.add_;
+    if (aCommand.full_) {
+      aServer.held_ = aCommand.add_;
     }
     aServer.validUntilMs_ =
-      std::max(aServer.validUntilMs_, aOrder.validUntilMs_);
+      std::max(aServer.validUntilMs_, aCommand.validUntilMs_);
   }
-  reply.id_ = aOrder.id_;
+  reply.id_ = aCommand.id_;
   reply.server_ = aServer.id_;
   reply.incarnation_ = incarnation;
   reply.clockMs_ = LocalMs(aServer);
@@ -145,23 +147,23 @@
   reply.term_ = aServer.term_;
   reply.sequence_ = aServer.sequence_;
   reply.held_ = aServer.held_;
-  reply.draining_ = aServer.drains_;
+  reply.draining_ = aServer.draining_;
   return reply;
 }
 
-void OwnershipSim::SendQuestion(Instance& aInstance,
-                                const PeerHeartbeat& aQuestion)
+void OwnershipSim::SendHeartbeat(Instance& aInstance,
+                                 const PeerHeartbeat& aHeartbeat)
 {
-  const int to = detail::IndexOf(aQuestion.to_);
+  const int to = detail::IndexOf(aHeartbeat.to_);
   const int from = aInstance.index_;
-  const int life = aInstance.life_;
+  const int incarnation = aInstance.incarnation_;
   Send(from, to, [=, this, &aInstance] {
     auto& peer = *instances_[static_cast<size_t>(to)];
-    const auto answer = peer.control_->OnHeartbeat(LocalMs(peer), aQuestion);
+    const auto reply = peer.control_->OnHeartbeat(LocalMs(peer), aHeartbeat);
     Advance(peer);
     Send(to, from, [=, this, &aInstance] {
-      if (aInstance.life_ == life) {
-        aInstance.control_->OnHeartbeatReply(LocalMs(aInstance), answer);
+      if (aInstance.incarnation_ == incarnation) {
+        aInstance.control_->OnHeartbeatReply(LocalMs(aInstance), reply);
         Advance(aInstance);
       }
     });
@@ -171,7 +173,7 @@
 void OwnershipSim::PingPeers(Instance& aInstance)
 {
   const int from = aInstance.index_;
-  const int life = aInstance.life_;
+  const int incarnation = aInstance.incarnation_;
   for (const auto& name : aInstance.control_->PeersToProbe()) {
     auto& peer = *instances_[static_cast<size_t>(detail::IndexOf(name))];
     Send(
@@ -180,34 +182,36 @@
       [=, this, &aInstance, &peer] {
         const auto term = peer.control_->State().Table().term_;
         Send(peer.index_, from, [=, this, &aInstance, &peer] {
-          if (aInstance.life_ == life) {
+          if (aInstance.incarnation_ == incarnation) {
             aInstance.control_->OnPeerResponded(
               LocalMs(aInstance), peer.id_, term);
           }
         });
       },
       [=, this, &aInstance, &peer] {
-        if (aInstance.life_ == life) {
+        if (aInstance.incarnation_ == incarnation) {
           aInstance.control_->OnPeerExited(LocalMs(aInstance), peer.id_);
         }
       });
   }
 }
 
-void OwnershipSim::ShowPlatform(Instance& aInstance)
+void OwnershipSim::UpdatePlatformLists(Instance& aInstance)
 {
   std::vector<CandidateRecord> candidates;
   for (const auto& instance : instances_) {
-    candidates.push_back({ instance->id_, detail::DomainOf(instance->index_) });
+    candidates.push_back(
+      { instance->id_, detail::FailureDomainOf(instance->index_) });
   }
   std::vector<BackendServerRecord> servers;
   for (const auto& server : servers_) {
     if (server->isListed_) {
-      servers.push_back({ .id_ = server->id_,
-                          .address_ = server->id_,
-                          .failureDomain_ = detail::DomainOf(server->index_),
-                          .checksFence_ = server->checks_,
-                          .draining_ = server->drains_ });
+      servers.push_back(
+        { .id_ = server->id_,
+          .address_ = server->id_,
+          .failureDomain_ = detail::FailureDomainOf(server->index_),
+          .checksFence_ = server->checksFence_,
+          .draining_ = server->draining_ });
     }
   }
   aInstance.control_->SetCandidates(std::move(candidates));
@@ -216,13 +220,13 @@
 
 void OwnershipSim::PollStore(Instance& aInstance)
 {
-  const int life = aInstance.life_;
+  const int incarnation = aInstance.incarnation_;
   const bool fails = storeDownUntilMs_ > nowMs_ || IsCut(aInstance.index_, -1);
   const auto delayMs = fails ? detail::kStoreTimeoutMs : 1 + Random(4);
   const auto read = std::make_pair(version_, object_);
   At(nowMs_ + delayMs, [=, this, &aInstance] {
     RunAt(aInstance, [=, this, &aInstance] {
-      if (aInstance.life_ != life) {
+      if (aInstance.incarnation_ != incarnation) {
         return;
       }
       auto& control = *aInstance.control_;
@@ -267,12 +271,12 @@
 
 void OwnershipSim::WriteStore(Instance& aInstance, const WriteGroup& aWrite)
 {
-  const int life = aInstance.life_;
+  const int incarnation = aInstance.incarnation_;
   const auto reply = [=, this, &aInstance](
                        TimeMs aDelayMs, WriteResult aResult, int64_t aVersion) {
     At(nowMs_ + aDelayMs, [=, this, &aInstance] {
       RunAt(aInstance, [=, this, &aInstance] {
-        if (aInstance.life_ != life) {
+        if (aInstance.incarnation_ != incarnation) {
           return;
         }
         Actions actions;
@@ -301,14 +305,14 @@
     return;
   }
   const bool late = loses && Chance(30);
-  const bool answerLost = late || (loses && Chance(40));
-  if (answerLost) {
+  const bool responseLost = late || (loses && Chance(40));
+  if (responseLost) {
     reply(detail::kStoreTimeoutMs, WriteResult::Unknown, 0);
   }
   At(nowMs_ + 1 + Random(late ? 1500 : 4), [=, this] {
     WriteResult result{};
     ApplyWrite(aWrite, result);
-    if (!answerLost) {
+    if (!responseLost) {
       reply(1 + Random(3), result, version_);
     }
   });
@@ -332,7 +336,8 @@
       if (owner == nullptr || owner->checksFence_) {
         continue;
       }
-      // The stamp was taken some time before its answer arrived.
+      // The server took the clock stamp up to 20 ms before the response with
+      // the stamp arrived.
       const int index = detail::IndexOf(owner->id_);
       const auto stampMs =
         LocalMsAt(*servers_[static_cast<size_t>(index)], nowMs_ - Random(20));
--- a/tests/OwnershipSimProcesses.hpp
+++ b/tests/OwnershipSimProcesses.hpp
@@ -11,18 +11,18 @@
   double rate_ = 1;
   TimeMs offsetMs_ = 0;
   bool alive_ = true;
-  int life_ = 1;
+  int incarnation_ = 1;
   TimeMs pausedUntilMs_ = 0;
-  std::vector<Task> backlog_;
+  std::vector<Callback> backlog_;
 };
 
-/// Backend server. One that does not check the fence accepts every order and
-/// runs every request up to its deadline.
+/// A backend server. A server that doesn't check the fence accepts every
+/// command and executes every request until the request's deadline.
 struct OwnershipSim::Server : Process
 {
-  bool checks_ = true;
+  bool checksFence_ = true;
   bool isListed_ = true;
-  bool drains_ = false;
+  bool draining_ = false;
   Term term_ = 0;
   int64_t sequence_ = 0;
   TimeMs validUntilMs_ = 0;
@@ -34,8 +34,9 @@
   std::unique_ptr<GroupController> control_;
   TimeMs polledMs_ = -1000;
   TimeMs pingedMs_ = -1000;
-  TimeMs shownMs_ = -10000;
-  /// How long its watch stays open when the store falls silent.
+  TimeMs listsUpdatedMs_ = -10000;
+  /// How long the instance's watch request stays open after the store goes
+  /// silent.
   TimeMs watchLeftMs_ = 0;
 };
 
@@ -44,8 +45,8 @@
   GroupTable table_;
   TimeMs leaseUntilMs_ = 0;
   TimeMs polledMs_ = -1000;
-  /// Epoch and latest deadline, in the server's clock, of the requests that
-  /// the router could have sent for a key to a server.
+  /// By key and server index: epoch and latest deadline, on the server's clock,
+  /// of the requests that the router may have sent.
   std::map<std::pair<KeyHash, int>, std::pair<Epoch, TimeMs>> sent_;
 };
 
