--- a/tests/FailureFixture.hpp
+++ b/tests/FailureFixture.hpp
@@ -6,8 +6,8 @@
 
 namespace cactuspitch {
 
-/// Starts a deployment under load before each test and checks the histories
-/// after it.
+/// Starts a deployment under load before each test and checks the recorded
+/// histories afterwards.
 class FailureFixture : public testing::Test
 {
 protected:
@@ -19,7 +19,7 @@
   void SetUp() override
   {
     ASSERT_EQ(run_.Start(), "");
-    FailureRun::Let(1000);
+    FailureRun::SleepFor(1000);
   }
   void TearDown() override { EXPECT_EQ(run_.Finish(), ""); }
 
--- a/tests/FailureRun.cpp
+++ b/tests/FailureRun.cpp
@@ -26,7 +26,8 @@
 {
   std::ifstream file(aFile);
   for (std::string line; std::getline(file, line);) {
-    // The last line of a killed process may be cut short.
+    // A killed process may leave its last line incomplete; such a line is
+    // skipped.
     const auto document = nlohmann::json::parse(line, nullptr, false);
     if (document.is_object()) {
       aVisit(document);
@@ -47,8 +48,9 @@
            aLine.value("commitUs", int64_t{}) };
 }
 
-/// From the first to the last commit of a key by one process under one epoch;
-/// the unit is a microsecond.
+/// Ownership intervals, each from the first to the last commit of a key by one
+/// process under one epoch. The times are in microseconds, although the members
+/// of OwnerInterval end in Ms.
 std::vector<OwnerInterval> ToOwners(
   const std::vector<RecordedExecution>& aExecutions)
 {
@@ -75,11 +77,12 @@
   return list;
 }
 
-/// One answer for each request. Not run only if every send was refused so;
-/// unknown as soon as one send ended otherwise without being complete.
-std::vector<CallerAnswer> ToAnswers(const std::vector<RecordedSend>& aSends)
+/// Merges the sends of each request into one response. NotRun holds only if
+/// every send ended as not run or unreachable; Complete wins, and any other
+/// result makes the outcome Unknown.
+std::vector<ClientResponse> ToResponses(const std::vector<RecordedSend>& aSends)
 {
-  std::map<std::string, CallerAnswer> answers;
+  std::map<std::string, ClientResponse> answers;
   for (const auto& send : aSends) {
     const auto outcome =
       send.outcome_ == "complete" ? Outcome::Complete
@@ -88,13 +91,13 @@
         : Outcome::Unknown;
     const auto [entry, isFirst] = answers.try_emplace(
       send.requestId_,
-      CallerAnswer{ send.requestId_, outcome, send.requestId_ });
+      ClientResponse{ send.requestId_, outcome, send.requestId_ });
     auto& known = entry->second.outcome_;
     if (outcome == Outcome::Complete || known == Outcome::NotRun) {
       known = outcome;
     }
   }
-  std::vector<CallerAnswer> list;
+  std::vector<ClientResponse> list;
   for (auto& [id, answer] : answers) {
     list.push_back(std::move(answer));
   }
@@ -108,14 +111,15 @@
 {
   History history;
   history.owners_ = detail::ToOwners(aExecutions);
-  history.answers_ = detail::ToAnswers(aSends);
+  history.responses_ = detail::ToResponses(aSends);
   for (const auto& run : aExecutions) {
     const bool isIdempotent = run.method_ != "POST";
-    // A router numbers its attempts at an idempotent request: "id.2".
+    // A router appends the attempt number to the id of an idempotent request,
+    // e.g. "id.2".
     const auto id = isIdempotent
                       ? run.requestId_.substr(0, run.requestId_.find('.'))
                       : run.requestId_;
-    history.runs_.push_back({ id, run.server_, isIdempotent });
+    history.executions_.push_back({ id, run.server_, isIdempotent });
   }
   auto violations = ToText(HistoryChecker(history).Check());
   for (const auto& send : aSends) {
@@ -175,7 +179,7 @@
   return {};
 }
 
-void FailureRun::Let(TimeMs aTimeMs)
+void FailureRun::SleepFor(TimeMs aTimeMs)
 {
   std::this_thread::sleep_for(std::chrono::milliseconds(aTimeMs));
 }
@@ -195,7 +199,7 @@
   return owner;
 }
 
-std::optional<int> FailureRun::InstanceOf(const char* aMember)
+std::optional<int> FailureRun::InstanceIndex(const char* aMember)
 {
   const auto text = HttpCall("GET",
                              deployment_.StoreAddress(),
@@ -212,15 +216,15 @@
 
 std::optional<int> FailureRun::AssignerIndex()
 {
-  return InstanceOf("assigner");
+  return InstanceIndex("assigner");
 }
 
 std::optional<int> FailureRun::DeputyIndex()
 {
-  return InstanceOf("deputy");
+  return InstanceIndex("deputy");
 }
 
-bool FailureRun::IsServed()
+bool FailureRun::AllKeysServed()
 {
   constexpr TimeMs kServedMs = 15000;
   const auto& routers = load_.targets_;
@@ -242,13 +246,13 @@
 std::string FailureRun::Finish()
 {
   if (!loadThread_.joinable()) {
-    return "the load was not started\n";
+    return "the load generator was not started\n";
   }
   stop_ = true;
   loadThread_.join();
   auto violations = CheckHistories(Executions(), Sends());
   if (report_->Count(LoadOutcome::Complete) == 0) {
-    violations += "no request was complete\n";
+    violations += "no request completed\n";
   }
   return violations;
 }
--- a/tests/HistoryChecker.hpp
+++ b/tests/HistoryChecker.hpp
@@ -7,8 +7,9 @@
 
 namespace cactuspitch {
 
-/// A backend server could run requests for the key, or ran one, from startMs_
-/// up to, not including, endMs_. Times of a history are those of one clock.
+/// Half-open interval [startMs_, endMs_) in which a backend server could
+/// execute requests for the key, or executed one. All times of a history come
+/// from one clock; its unit is up to the recorder.
 struct OwnerInterval
 {
   std::string server_;
@@ -19,7 +20,7 @@
   TimeMs endMs_ = 0;
 };
 
-/// The store confirmed that the key belongs to the server.
+/// The store acknowledged the assignment of the key to the server.
 struct AssignmentAck
 {
   KeyHash key_ = 0;
@@ -35,20 +36,20 @@
   TimeMs atMs_ = 0;
 };
 
-/// A backend server ran the request of this id.
-struct RequestRun
+/// One execution of a request by a backend server.
+struct RequestExecution
 {
   std::string requestId_;
   std::string server_;
   bool idempotent_ = false;
 };
 
-/// What the caller of a request received.
-struct CallerAnswer
+/// The response that a client received for its request.
+struct ClientResponse
 {
   std::string requestId_;
   Outcome outcome_ = Outcome::Unknown;
-  /// Id of the request that the body answers, empty without a body.
+  /// Id of the request that the body responds to; empty without a body.
   std::string bodyRequestId_;
 };
 
@@ -57,8 +58,8 @@
   std::vector<OwnerInterval> owners_;
   std::vector<AssignmentAck> assignments_;
   std::vector<ConfigObservation> configs_;
-  std::vector<RequestRun> runs_;
-  std::vector<CallerAnswer> answers_;
+  std::vector<RequestExecution> executions_;
+  std::vector<ClientResponse> responses_;
 };
 
 struct Violation
@@ -76,6 +77,7 @@
   {
   }
 
+  /// Returns all violations found; call it once per checker.
   std::vector<Violation> Check();
 
 private:
@@ -83,15 +85,15 @@
   void CheckOwnerEpochs();
   void CheckAssignments();
   void CheckConfig();
-  void CheckRuns();
-  void CheckAnswers();
+  void CheckExecutions();
+  void CheckResponses();
   void Report(std::string aRule, std::string aDetail);
 
   const History& history_;
   std::vector<Violation> violations_;
 };
 
-/// All violations, one a line; empty when there are none.
+/// Formats the violations, one per line; empty when there are none.
 std::string ToText(const std::vector<Violation>& aViolations);
 
 }
--- a/tests/OwnerFailureTest.cpp
+++ b/tests/OwnerFailureTest.cpp
@@ -16,36 +16,37 @@
   std::string owner_;
 };
 
-// Guards against keys that stay without an owner, or requests that run twice,
-// after the owner's process is gone.
+// Guards against keys left without an owner, and non-idempotent requests that
+// run twice, after the owner's process is killed.
 TEST_F(OwnerFailureTest, KilledOwnerIsReplaced)
 {
   run_.Fleet().Kill(owner_);
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   EXPECT_NE(run_.OwnerOf("key-0"), owner_);
 }
 
-// Guards against an owner that resumes after its lease has ended and runs
-// requests of keys that another server owns by now.
+// Guards against an owner that resumes after its lease expired and executes
+// requests for keys that another server owns by then.
 TEST_F(OwnerFailureTest, PausedOwnerReturnsWithoutOwnership)
 {
   run_.Fleet().Pause(owner_);
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   run_.Fleet().Resume(owner_);
-  FailureRun::Let(2000);
-  EXPECT_TRUE(run_.IsServed());
+  FailureRun::SleepFor(2000);
+  EXPECT_TRUE(run_.AllKeysServed());
 }
 
-// Guards against a takeover that needs the store.
+// Guards against a failover that needs the store: the owner is killed while the
+// store doesn't respond.
 TEST_F(OwnerFailureTest, OwnerIsReplacedWhileTheStoreIsSilent)
 {
   run_.Fleet().Pause("store");
-  FailureRun::Let(2000);
+  FailureRun::SleepFor(2000);
   run_.Fleet().Kill(owner_);
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   run_.Fleet().Resume("store");
-  FailureRun::Let(1000);
-  EXPECT_TRUE(run_.IsServed());
+  FailureRun::SleepFor(1000);
+  EXPECT_TRUE(run_.AllKeysServed());
 }
 
 }
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -6,11 +6,12 @@
 class PlannedStopTest : public FailureFixture
 {
 protected:
-  // A stopping router relies on the balancer, which sends no new requests.
-  PlannedStopTest() { run_.UseBalancer(); }
+  // A stopping router relies on the load balancer to send it no new requests.
+  PlannedStopTest() { run_.UseReadinessChecks(); }
 
-  /// No request was lost or cut short.
-  void ExpectNothingLost()
+  /// Stops the load and expects that no request was lost or truncated and that
+  /// no outcome is unknown.
+  void ExpectNoRequestLost()
   {
     EXPECT_EQ(run_.Finish(), "");
     for (const auto outcome : { LoadOutcome::ConnectionLost,
@@ -22,39 +23,40 @@
   void TearDown() override {}
 };
 
-// Guards against a leaving server that gets new work after 3 s, or whose
-// requests in flight are cut off.
+// Guards against a draining server that gets new requests later than 3 s after
+// the drain began, and against losing its requests in flight.
 TEST_F(PlannedStopTest, DrainedServerIsLeftInTime)
 {
   const auto owner = run_.OwnerOf("key-0");
-  const auto address = run_.Running().Address(owner);
+  const auto address = run_.GetDeployment().Address(owner);
   ASSERT_TRUE(HttpCall("POST", address, "/_drain"));
-  FailureRun::Let(4000);
+  FailureRun::SleepFor(4000);
   const auto stats = HttpCall("GET", address, "/_stats");
   ASSERT_TRUE(stats);
   EXPECT_NE(stats->find("\"arrivedLate\":0"), std::string::npos) << *stats;
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   EXPECT_NE(run_.OwnerOf("key-0"), owner);
-  ExpectNothingLost();
+  ExpectNoRequestLost();
 }
 
-// Guards against a router that cuts requests off when it is stopped.
+// Guards against a router that aborts requests in flight when it is stopped.
 TEST_F(PlannedStopTest, StoppedRouterFinishesItsRequests)
 {
   EXPECT_EQ(run_.Fleet().Terminate("router-1", 30000), 0);
-  ExpectNothingLost();
+  ExpectNoRequestLost();
 }
 
-// Guards against unavailable keys while an assigner hands its groups over.
+// Guards against keys that become unavailable while a stopping assigner hands
+// its groups over to another instance.
 TEST_F(PlannedStopTest, StoppedAssignerHandsOver)
 {
   const auto index = run_.AssignerIndex();
   ASSERT_TRUE(index);
   const auto name = "assigner-" + std::to_string(*index);
   EXPECT_EQ(run_.Fleet().Terminate(name, 30000), 0);
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   EXPECT_NE(run_.AssignerIndex(), index);
-  ExpectNothingLost();
+  ExpectNoRequestLost();
 }
 
 }
--- a/tests/UncheckedServerTest.cpp
+++ b/tests/UncheckedServerTest.cpp
@@ -7,7 +7,7 @@
 namespace cactuspitch {
 namespace {
 
-DeploymentOptions Unchecked()
+DeploymentOptions OptionsWithoutFenceCheck()
 {
   auto options = FailureRun::DefaultOptions();
   options.services_.front().checksFence_ = false;
@@ -18,32 +18,35 @@
 {
 protected:
   UncheckedServerTest()
-    : FailureFixture(Unchecked())
+    : FailureFixture(OptionsWithoutFenceCheck())
   {
-    // Callers of a paused router get no answer, whatever the others do.
+    // Clients of the paused router 1 would get no response, so the load goes to
+    // the other two routers.
     run_.UseRouters({ 0, 2 });
   }
 };
 
-// Guards against two servers that run requests of one key when the servers do
-// not check who gives an order, and a paused one resumes.
+// Guards against two backend servers that execute requests for one key when a
+// paused server resumes and the servers don't check which assigner sent a
+// command.
 TEST_F(UncheckedServerTest, PausedOwnerReturns)
 {
   const auto owner = run_.OwnerOf("key-0");
   run_.Fleet().Pause(owner);
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   run_.Fleet().Resume(owner);
-  FailureRun::Let(2000);
-  EXPECT_TRUE(run_.IsServed());
+  FailureRun::SleepFor(2000);
+  EXPECT_TRUE(run_.AllKeysServed());
 }
 
 // Guards against a paused router that resumes and forwards requests to former
-// owners, which run whatever they get.
+// owners, which execute every request that they receive.
 TEST_F(UncheckedServerTest, PausedRouterReturns)
 {
   run_.Fleet().Pause("router-1");
-  // These wait in the router's sockets and are read when it resumes.
-  const auto router = run_.Running().Routers()[1];
+  // These requests wait in the sockets of the paused router, which reads them
+  // after it resumes.
+  const auto router = run_.GetDeployment().Routers()[1];
   std::vector<std::thread> callers;
   for (int key = 0; key < 20; ++key) {
     callers.emplace_back([&router, key] {
@@ -51,12 +54,12 @@
     });
   }
   run_.Fleet().Pause(run_.OwnerOf("key-0"));
-  EXPECT_TRUE(run_.IsServed());
+  EXPECT_TRUE(run_.AllKeysServed());
   run_.Fleet().Resume("router-1");
   for (auto& caller : callers) {
     caller.join();
   }
-  FailureRun::Let(1000);
+  FailureRun::SleepFor(1000);
 }
 
 }
