Restore an output of ctl explain; state when 600 ms were left

Cause: 'no line names this request' is on the list of names that stay, and the comment of kRenewIntervalMs gave an interval of 300 ms as if the lease of today left 600 ms with it, which it does not (1600 - 2 x 300 = 1000). Change: the old output again; the comment names the shorter lease.

--- a/control/Timing.hpp
+++ b/control/Timing.hpp
@@ -11,8 +11,8 @@
 /// The clock value is one interval old when it is used, and the lease is
 /// renewed one interval later. When an assigner is lost, kLeaseMs - 2 *
 /// kRenewIntervalMs are therefore left. The deputy needs 606 ms and a round
-/// trip to take over; an interval of 300 ms left only 600 ms and caused gaps in
-/// ownership.
+/// trip to take over. An interval of 300 ms, at a shorter lease, left only
+/// 600 ms and caused gaps in ownership.
 inline constexpr TimeMs kRenewIntervalMs = 400;
 /// A peer or backend server counts as unresponsive this long after its last
 /// reply.
--- a/ctl/RequestExplanation.cpp
+++ b/ctl/RequestExplanation.cpp
@@ -218,7 +218,7 @@
   const auto firstLine = std::ranges::find_if(
     lines, [](const LogLine& aLine) { return !aLine.Field("id").empty(); });
   if (firstLine == lines.end()) {
-    return "no log line has the id of this request\n";
+    return "no line names this request\n";
   }
   auto text =
     Concat("cause ", aExplanation.cause_, ": ", aExplanation.meaning_, "\n");
