--- a/review/standins/Standins.cpp
+++ b/review/standins/Standins.cpp
@@ -175,6 +175,11 @@
 
 int64_t Gateway::ResidentMb() const
 {
+  // Until it runs the program, the process has the memory of its parent.
+  if (ReadFile(Concat("/proc/", pid_, "/comm")).substr(0, 11) !=
+      "cactuspitch") {
+    return 0;
+  }
   std::ifstream file(Concat("/proc/", pid_, "/statm"));
   int64_t total = 0;
   int64_t resident = 0;
@@ -294,6 +299,15 @@
   } else if (aExchange.head_.Field("Cactuspitch-Request-Id").empty()) {
     Answer(aExchange, kBadRequest, kNotRun, "");
   } else {
+    if (!stray_.empty() && aExchange.requestsBefore_ > 0) {
+      record_.Add(Concat(Id(),
+                         " sends bytes after its last answer on the connection "
+                         "of ",
+                         aExchange.head_.Field("Cactuspitch-Request-Id"),
+                         ": ",
+                         stray_.substr(0, stray_.find("\r\n"))));
+      aExchange.write_(std::exchange(stray_, {}));
+    }
     RunOrQueue(aExchange);
   }
 }
--- a/review/standins/Standins.hpp
+++ b/review/standins/Standins.hpp
@@ -123,6 +123,9 @@
   void SetHooks(Hooks aHooks) { hooks_ = std::move(aHooks); }
   /// Reports draining, serves on for aMs, and ends.
   void Leave(TimeMs aMs);
+  /// Sends these bytes once, at the next request on a connection that has
+  /// carried one before, ahead of the answer.
+  void SendStray(std::string aBytes) { stray_ = std::move(aBytes); }
   bool IsUp() const { return up_; }
   const std::string& Id() const { return options_.id_; }
   /// True if it holds the key.
@@ -183,6 +186,7 @@
   std::vector<Running> running_;
   std::vector<Exchange> waiting_;
   std::vector<Release> releases_;
+  std::string stray_;
   TimeMs grantedMs_ = 0;
   int answers_ = 0;
 };
