Drop handover tokens that no grant can carry

What callers saw: review/3, a server that leaves answers the release of its keys with bytes that are not UTF-8 in Cactuspitch-Handover.

Change: the codec takes a token only if JSON can hold it unchanged. Else the release counts and the token is dropped: the server has let go of the keys, so that counting the answer as none would leave them without an owner until the lease ends, and would send the release again and again. The successor starts without the state of the keys. The event backend-handover-malformed and the metric cactuspitch_server_notices_total{reason="malformed-handover"} name the server and the size.

--- a/admin/QueryReader.cpp
+++ b/admin/QueryReader.cpp
@@ -1,10 +1,10 @@
 #include "QueryReader.hpp"
 
+#include "common/JsonText.hpp"
 #include "common/Strings.hpp"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_split.h>
-#include <nlohmann/json.hpp>
 
 namespace cactuspitch {
 
@@ -13,17 +13,8 @@
 constexpr size_t kMaxQueryBytes = 2048;
 constexpr size_t kMaxValueBytes = 256;
 
-bool IsUtf8(const std::string& aText)
-{
-  // Texts in rules must be valid UTF-8, and nlohmann's parser checks for that.
-  // With the option "ignore", dump() drops invalid bytes, so that the parsed
-  // text then differs.
-  const auto quoted = nlohmann::json(aText).dump(
-    -1, ' ', false, nlohmann::json::error_handler_t::ignore);
-  return nlohmann::json::parse(quoted) == aText;
-}
-
-/// Decodes percent escapes and plus signs. Returns nothing for a malformed
+/// Decodes percent escapes and plus signs. Texts in rules must be valid UTF-8.
+/// Returns nothing for a malformed
 /// escape, a control character or invalid UTF-8.
 std::optional<std::string> DecodePercent(std::string_view aText)
 {
--- a/common/JsonText.cpp
+++ b/common/JsonText.cpp
@@ -83,6 +83,21 @@
 
 }
 
+bool IsUtf8(std::string_view aText)
+{
+  const auto isAscii = [](char aByte) {
+    return static_cast<unsigned char>(aByte) < 0x80;
+  };
+  if (std::ranges::all_of(aText, isAscii)) {
+    return true;
+  }
+  // The writer drops invalid bytes, so that the text that is read back differs.
+  const auto text =
+    nlohmann::json(std::string(aText))
+      .dump(-1, ' ', false, nlohmann::json::error_handler_t::ignore);
+  return nlohmann::json::parse(text) == std::string(aText);
+}
+
 std::optional<nlohmann::json> ParseJson(std::string_view aText)
 {
   int deepest = 0;
--- a/common/JsonText.hpp
+++ b/common/JsonText.hpp
@@ -12,6 +12,10 @@
 /// printing a JSON value recurses, so that deeper ones could exhaust the stack.
 inline constexpr int kMaxJsonDepth = 64;
 
+/// True if a JSON string can hold the text unchanged, that is, if it is valid
+/// UTF-8.
+bool IsUtf8(std::string_view aText);
+
 struct JsonMember
 {
   std::string_view key_; ///< as written, without the quotation marks
--- a/gateway/CommandSender.cpp
+++ b/gateway/CommandSender.cpp
@@ -118,12 +118,14 @@
                  { "fence", aCommand.fence_ },
                  { "took_ms", loop_.NowMs() - aCommand.sentMs_ } });
   }
-  if (response.leaving_ || response.requestLimit_) {
+  if (response.leaving_ || response.requestLimit_ ||
+      response.malformedHandoverBytes_) {
     handlers_.onNotice_({ aCommand.backend_,
                           aStartTimeMs,
                           aCommand.sentMs_,
                           response.leaving_,
-                          response.requestLimit_ });
+                          response.requestLimit_,
+                          response.malformedHandoverBytes_ });
   }
   handlers_.onDone_(aCommand, response);
   SendWaiting(aCommand.backend_);
--- a/gateway/CommandSender.hpp
+++ b/gateway/CommandSender.hpp
@@ -26,6 +26,8 @@
     TimeMs sentMs_ = 0; ///< when the command was sent
     bool leaving_ = false;
     std::optional<double> requestLimit_;
+    /// Size of a handover token that was ignored.
+    std::optional<size_t> malformedHandoverBytes_;
   };
   using NoticeCallback = std::function<void(const Notice& aNotice)>;
 
@@ -35,7 +37,8 @@
     std::function<GrantScope()> grantScope_;
     /// Called once for each command, unless Reset drops it.
     std::function<void(const KeyCommand&, const CommandResponse&)> onDone_;
-    /// A response announced that the server shuts down, or named a limit.
+    /// A response announced that the server shuts down, named a limit, or had
+    /// a malformed token.
     NoticeCallback onNotice_;
   };
 
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -507,6 +507,14 @@
   if (aNotice.leaving_) {
     OnLeaving(aNotice.backend_, aNotice.startTimeMs_);
   }
+  if (aNotice.malformedHandoverBytes_) {
+    metrics_.OnServerNotice("malformed-handover", aNotice.backend_);
+    log_.Write(LogLevel::Warning,
+               "backend-handover-malformed",
+               { { "backend", aNotice.backend_ },
+                 { "bytes", *aNotice.malformedHandoverBytes_ },
+                 { "decision", "released without a token" } });
+  }
   if (aNotice.requestLimit_) {
     const auto hash = IncarnationHash(aNotice.backend_, aNotice.startTimeMs_);
     OnLimitChanged(
--- a/gateway/PlatformInterface.hpp
+++ b/gateway/PlatformInterface.hpp
@@ -83,6 +83,10 @@
 {
   KeyCommandResult result_ = KeyCommandResult::Unanswered;
   std::string handover_; ///< token returned by a completed release
+  /// Size of a token that no grant can carry, because it isn't UTF-8. The
+  /// Size of a token that is ignored because no grant can carry it: it isn't
+  /// UTF-8. The release counts, since the server has let go of the keys.
+  std::optional<size_t> malformedHandoverBytes_;
   bool leaving_ = false; ///< the server is about to shut down
   /// Requests per second that the server takes from all gateways together.
   std::optional<double> requestLimit_;
