Write JSON without exceptions for bytes that are not UTF-8

Each dump() throws on the first byte that is no UTF-8 and ends the process.

Change: WriteJson in common/ is the only writer; invalid bytes become U+FFFD. Documents of peers and of the settings file are read by ParseJson, which bounds the nesting: copying or writing one recurses.

Result: JsonTextProperty.AnyBytesCanBeWritten holds for drawn bytes in names and values, and the text reads back unchanged exactly if it is UTF-8.

--- a/admin/ApiServer.cpp
+++ b/admin/ApiServer.cpp
@@ -1,5 +1,6 @@
 #include "ApiServer.hpp"
 
+#include "common/JsonText.hpp"
 #include "common/Log.hpp"
 #include "common/ProcessSettings.hpp"
 #include "common/Strings.hpp"
@@ -46,10 +47,7 @@
 
 ApiResponse JsonResponse(int aStatus, const nlohmann::json& aBody)
 {
-  return {
-    aStatus,
-    aBody.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"
-  };
+  return { aStatus, WriteJson(aBody) + "\n" };
 }
 
 ApiResponse FindingsResponse(int aStatus, const Findings& aFindings)
--- a/admin/SloCounts.cpp
+++ b/admin/SloCounts.cpp
@@ -1,5 +1,6 @@
 #include "SloCounts.hpp"
 
+#include "common/JsonText.hpp"
 #include "common/Strings.hpp"
 
 #include <algorithm>
@@ -126,8 +127,7 @@
       entry["sources"][source] = detail::ToJson(cells);
     }
   }
-  return nlohmann::json({ { "saved", savedMs_ }, { "slots", slots } })
-    .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return WriteJson({ { "saved", savedMs_ }, { "slots", slots } });
 }
 
 std::optional<SloBlock> SloBlock::Parse(std::string_view aText)
--- a/assigner/AssignerStatus.cpp
+++ b/assigner/AssignerStatus.cpp
@@ -1,5 +1,6 @@
 #include "AssignerStatus.hpp"
 
+#include "common/JsonText.hpp"
 #include "common/Strings.hpp"
 
 #include <algorithm>
@@ -102,11 +103,9 @@
   for (const auto& group : aControl.All()) {
     groups.push_back(detail::GroupToJson(*group, aBalancer, aNowMs));
   }
-  return detail::Json{
-    { "groups", std::move(groups) },
-    { "storeReachable", aStoreReachable },
-    { "storeCalls", aStoreCalls }
-  }.dump();
+  return WriteJson({ { "groups", std::move(groups) },
+                     { "storeReachable", aStoreReachable },
+                     { "storeCalls", aStoreCalls } });
 }
 
 }
--- a/assigner/GrantSender.cpp
+++ b/assigner/GrantSender.cpp
@@ -1,5 +1,6 @@
 #include "GrantSender.hpp"
 
+#include "common/JsonText.hpp"
 #include "common/Log.hpp"
 #include "common/Strings.hpp"
 
@@ -34,7 +35,7 @@
     { "remove", nlohmann::json::array() },
     { "full", aCommand.full_ },
   };
-  return json.dump();
+  return WriteJson(json);
 }
 
 /// Throws on malformed JSON.
--- a/common/JsonText.cpp
+++ b/common/JsonText.cpp
@@ -98,6 +98,11 @@
   return nlohmann::json::parse(text) == std::string(aText);
 }
 
+std::string WriteJson(const nlohmann::json& aJson)
+{
+  return aJson.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 std::optional<nlohmann::json> ParseJson(std::string_view aText)
 {
   int deepest = 0;
--- a/common/JsonText.hpp
+++ b/common/JsonText.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -22,6 +23,9 @@
   std::string_view value_;
 };
 
+/// Writes a document. Strings come from other processes: bytes that are not
+/// UTF-8 are replaced by U+FFFD, where dump() throws.
+std::string WriteJson(const nlohmann::json& aJson);
 /// Parses a document. Empty if it is malformed, has a number out of range or is
 /// nested too deeply.
 std::optional<nlohmann::json> ParseJson(std::string_view aText);
--- a/config/ConfigEditor.cpp
+++ b/config/ConfigEditor.cpp
@@ -1,5 +1,6 @@
 #include "ConfigEditor.hpp"
 
+#include "common/JsonText.hpp"
 #include "common/Strings.hpp"
 
 #include <algorithm>
@@ -154,7 +155,7 @@
     }
     next->writer_ = writer_;
     next->changeNumber_ = number;
-    const auto text = ToJson(*next).dump();
+    const auto text = WriteJson(ToJson(*next));
     if (text.size() > kMaxDocumentBytes) {
       result.findings_.Add("document",
                            "size",
--- a/config/RuleField.cpp
+++ b/config/RuleField.cpp
@@ -1,6 +1,7 @@
 #include "RuleField.hpp"
 
 #include "common/Strings.hpp"
+#include "config/JsonReader.hpp"
 
 #include <algorithm>
 #include <string>
@@ -219,10 +220,8 @@
                                           Findings& aFindings) const
 {
   const auto reject = [&](std::string aRule) {
-    aFindings.Add(aObject,
-                  std::string(name_),
-                  aValue.dump(-1, ' ', true).substr(0, 64),
-                  std::move(aRule));
+    aFindings.Add(
+      aObject, std::string(name_), FormatValue(aValue), std::move(aRule));
     return std::nullopt;
   };
   if (std::holds_alternative<std::string ServiceRules::*>(member_)) {
--- a/control/GroupObject.cpp
+++ b/control/GroupObject.cpp
@@ -1,5 +1,6 @@
 #include "GroupObject.hpp"
 
+#include "common/JsonText.hpp"
 #include "common/Strings.hpp"
 
 #include <algorithm>
@@ -81,7 +82,7 @@
     { "change", aObject.change_ },
     { "earlierRenewers", aObject.earlierRenewers_ },
   };
-  auto text = json.dump();
+  auto text = WriteJson(json);
   if (text.size() > kMaxObjectBytes) {
     return absl::ResourceExhaustedError(
       Concat("group object is too large: ", text.size(), " bytes"));
--- a/ctl/ApiClient.cpp
+++ b/ctl/ApiClient.cpp
@@ -1,6 +1,7 @@
 #include "ApiClient.hpp"
 
 #include "common/HttpConnection.hpp"
+#include "common/JsonText.hpp"
 #include "common/Strings.hpp"
 
 #include <absl/strings/ascii.h>
@@ -24,10 +25,7 @@
   const std::string& aTarget,
   const nlohmann::json& aBody) const
 {
-  return Call(
-    "POST",
-    aTarget,
-    aBody.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  return Call("POST", aTarget, WriteJson(aBody));
 }
 
 absl::StatusOr<ApiClientResponse> ApiClient::Call(
--- a/ctl/TextOutput.cpp
+++ b/ctl/TextOutput.cpp
@@ -1,5 +1,6 @@
 #include "TextOutput.hpp"
 
+#include "common/JsonText.hpp"
 #include "common/Strings.hpp"
 
 #include <algorithm>
@@ -26,9 +27,7 @@
     return std::floor(number) == number ? absl::StrFormat("%.0f", number)
                                         : absl::StrFormat("%.3f", number);
   }
-  return aValue.is_string()
-           ? aValue.get<std::string>()
-           : aValue.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return aValue.is_string() ? aValue.get<std::string>() : WriteJson(aValue);
 }
 
 std::string FormatUtcTime(const Json& aUnixMs)
@@ -304,7 +303,7 @@
         auto text = detail::FormatScalars(aBody);
         for (const char* member : { "lagging", "unanswered" }) {
           if (aBody.contains(member)) {
-            AppendTo(text, member, ": ", aBody[member].dump(), "\n");
+            AppendTo(text, member, ": ", WriteJson(aBody[member]), "\n");
           }
         }
         return text + detail::FormatTable(rows, listing.columns_);
@@ -314,7 +313,7 @@
   auto text = detail::FormatScalars(aBody);
   for (const char* member : { "lagging", "unanswered" }) {
     if (aBody.contains(member)) {
-      AppendTo(text, member, ": ", aBody[member].dump(), "\n");
+      AppendTo(text, member, ": ", WriteJson(aBody[member]), "\n");
     }
   }
   return text;
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/Gateway.hpp"
 
 #include "common/JsonField.hpp"
+#include "common/JsonText.hpp"
 #include "common/Strings.hpp"
 #include "gateway/Compression.hpp"
 #include "gossip_types.h"
@@ -398,7 +399,7 @@
       { { "version", config->version_ }, { "findings", findings.ToText() } });
   }
   configVersion_ = config->version_;
-  compressedConfig_ = aCompressed.empty() ? Compress(aObject.spec_.dump())
+  compressedConfig_ = aCompressed.empty() ? Compress(WriteJson(aObject.spec_))
                                           : std::move(aCompressed);
   log_.Write(LogLevel::Info,
              "config-applied",
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -1,5 +1,6 @@
 #include "gateway/StoreRelay.hpp"
 
+#include "common/JsonText.hpp"
 #include "gateway/Compression.hpp"
 #include "gossip_types.h"
 
@@ -357,7 +358,7 @@
       return;
     }
     try {
-      const auto json = detail::Json::parse(aResult.body_);
+      const auto json = ParseJson(aResult.body_).value_or(nullptr);
       std::vector<BackendEntry> entries;
       std::ranges::transform(
         json.at("servers"), std::back_inserter(entries), detail::EntryFromJson);
@@ -389,8 +390,8 @@
     if (aResult.outcome_ == CallOutcome::Completed &&
         aResult.head_.status_ == 200) {
       const auto text = Decompress(aResult.body_, detail::kMaxConfigBytes);
-      const auto json = detail::Json::parse(text.value_or(""), nullptr, false);
-      handlers_.onConfig_(json, aResult.body_);
+      handlers_.onConfig_(ParseJson(text.value_or("")).value_or(nullptr),
+                          aResult.body_);
     }
     if (handlers_.configVersion_() < aVersion) {
       handlers_.fetchConfigFromStore_();
@@ -404,9 +405,8 @@
   for (const auto& [id, entry] : directory_.Entries()) {
     json.push_back(detail::EntryToJson(entry));
   }
-  return detail::Json{
-    { "revision", directory_.Revision() }, { "servers", std::move(json) }
-  }.dump();
+  return WriteJson(
+    { { "revision", directory_.Revision() }, { "servers", std::move(json) } });
 }
 
 }
--- a/tests/JsonTextTest.cpp
+++ b/tests/JsonTextTest.cpp
@@ -23,6 +23,17 @@
   EXPECT_TRUE(ParseJson(R"({"a": "[[[\"]"})"));
 }
 
+// Guards against sequences that a JSON writer rejects but the check accepts.
+TEST(JsonText, KnowsUtf8)
+{
+  for (const char* text : { "", "abc", "\xc3\xbc", "\xf0\x9f\x8c\xb5" }) {
+    EXPECT_TRUE(IsUtf8(text)) << text;
+  }
+  for (const char* text : { "\xff", "\xc3", "a\xc0\xaf", "\xed\xa0\x80" }) {
+    EXPECT_FALSE(IsUtf8(text)) << text;
+  }
+}
+
 // Guards against an unreadable member that hides its neighbours.
 TEST(JsonText, SplitsAroundUnreadableMembers)
 {
@@ -43,6 +54,18 @@
   }
 }
 
+// Guards against a writer that ends the process because a string that came
+// from elsewhere is no UTF-8, and against text that is changed on the way.
+RC_GTEST_PROP(JsonTextProperty, AnyBytesCanBeWritten, ())
+{
+  const auto bytes = *rc::gen::container<std::string>(
+    rc::gen::cast<char>(rc::gen::inRange(0, 256)));
+  const auto text = WriteJson({ { "name", bytes }, { bytes, 1 } });
+  const auto json = ParseJson(text);
+  RC_ASSERT(json);
+  RC_ASSERT((json->at("name") == bytes) == IsUtf8(bytes));
+}
+
 // Guards against a split that differs from what the library parses.
 RC_GTEST_PROP(JsonTextProperty, PartsAreThoseOfTheLibrary, ())
 {
