Reject names that documents and header fields cannot carry

What callers would see: a datagram of a gateway whose name, or the name of a server in it, has bytes that are not UTF-8 ends each gateway that becomes the leader after it: the name goes into the object of the leader and into the key table.

--- a/common/Strings.hpp
+++ b/common/Strings.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <algorithm>
 #include <charconv>
 #include <string>
 #include <string_view>
 #include <type_traits>
 #include <utility>
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
@@ -57,6 +59,14 @@
   return absl::EqualsIgnoreCase(ToAbsl(aLeft), ToAbsl(aRight));
 }
 
+/// True if the text holds a byte that would end or corrupt a header field.
+inline bool HasControlCharacter(std::string_view aText)
+{
+  return std::ranges::any_of(aText, [](char aByte) {
+    return absl::ascii_iscntrl(static_cast<unsigned char>(aByte));
+  });
+}
+
 /// Parses the whole text as a number. On failure returns false and leaves
 /// aResult unchanged.
 template<typename Number>
--- a/gateway/GatewaySettings.cpp
+++ b/gateway/GatewaySettings.cpp
@@ -1,6 +1,8 @@
 #include "gateway/GatewaySettings.hpp"
 
+#include "common/JsonText.hpp"
 #include "common/Log.hpp"
+#include "common/Strings.hpp"
 
 namespace cactuspitch {
 
@@ -89,6 +91,14 @@
                   aSettings.Text("log-level"),
                   "must be debug, info, warning or error");
   }
+  // Both are part of documents in the store and of messages.
+  for (const auto* name : { "instance", "failure-domain" }) {
+    const auto text = aSettings.Text(name);
+    if (!IsUtf8(text) || HasControlCharacter(text)) {
+      aFindings.Add(
+        "setting", name, text, "must be UTF-8 without control characters");
+    }
+  }
 }
 
 GatewaySettings ReadGatewaySettings(const Settings& aSettings)
--- a/gateway/PeerMesh.cpp
+++ b/gateway/PeerMesh.cpp
@@ -1,6 +1,8 @@
 #include "gateway/PeerMesh.hpp"
 
+#include "common/JsonText.hpp"
 #include "common/ShortHash.hpp"
+#include "common/Strings.hpp"
 #include "gossip_types.h"
 
 #include <algorithm>
@@ -49,6 +51,31 @@
   return buffer->getBufferAsString();
 }
 
+/// Names go on into JSON documents and header fields.
+bool IsName(const std::string& aText)
+{
+  return IsUtf8(aText) && !HasControlCharacter(aText);
+}
+
+bool HasOnlyNames(const wire::Gossip& aGossip)
+{
+  return IsName(aGossip.instance) && IsName(aGossip.failureDomain) &&
+         std::ranges::all_of(aGossip.keys,
+                             [](const wire::OwnedKeys& aKeys) {
+                               return IsName(aKeys.serviceName) &&
+                                      std::ranges::all_of(aKeys.owners, IsName);
+                             }) &&
+         std::ranges::all_of(aGossip.keyCounts,
+                             [](const wire::KeyCounts& aCounts) {
+                               return IsName(aCounts.serviceName);
+                             }) &&
+         std::ranges::all_of(
+           aGossip.changes, [](const wire::BackendChange& aChange) {
+             return IsName(aChange.id) && IsName(aChange.serviceName) &&
+                    IsName(aChange.address) && IsName(aChange.failureDomain);
+           });
+}
+
 bool Decode(std::string_view aBytes, wire::Gossip& aGossip)
 {
   const auto buffer = std::make_shared<TMemoryBuffer>(
@@ -59,7 +86,7 @@
                     static_cast<int32_t>(kMaxDatagramBytes));
   try {
     aGossip.read(&protocol);
-    return true;
+    return HasOnlyNames(aGossip);
   } catch (const apache::thrift::TException&) {
     return false;
   }
