Log an unhandled exception as the last event of the process

Operators saw two lines of the C++ runtime, which are no events and have no time. TerminationLog writes gateway-terminated with the cause and ends the process as before. There is no handler in the event loop: a callback that throws leaves state half changed (a queue with a command in flight that never ends, a write that is never finished), and a leader that goes on with it would be worse than a restart.

--- a/gateway/GatewayMain.cpp
+++ b/gateway/GatewayMain.cpp
@@ -1,5 +1,6 @@
 #include "common/Version.hpp"
 #include "gateway/Gateway.hpp"
+#include "gateway/TerminationLog.hpp"
 #include "platform/ObjectCodec.hpp"
 #include "platform/RequestCodec.hpp"
 #include "platform/SettingsFile.hpp"
@@ -95,6 +96,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
   EventLog log(loop, settings.logLevel_, STDOUT_FILENO);
+  const TerminationLog terminationLog(log);
   const platform::RequestCodec requests;
   const platform::CommandCodec orders;
   const platform::ObjectCodec objects;
