Do not repeat a grant with a token that the server rejected

A server that answers 400 to a grant with a handover token got the same grant again until it was taken for lost, after 1.2 s. The retry now goes without the token.

Result: KeyOwnership.RejectedTokenIsNotSentAgain failed before (the retry carried the token) and passes.

--- a/keyspace/KeyOwnership.cpp
+++ b/keyspace/KeyOwnership.cpp
@@ -451,6 +451,8 @@
         previous->second = LeaseState{};
       } else if (isOwner) {
         state.owner_ = LeaseState{};
+        // The server may have rejected the token.
+        state.handover_.clear();
       }
       state.releaseInFlight_ = false;
       state.lastGrantFailed_ = true;
--- a/tests/KeyOwnershipTest.cpp
+++ b/tests/KeyOwnershipTest.cpp
@@ -255,6 +255,31 @@
   EXPECT_TRUE(Grants(next.TakeCommands(nowMs_), "b", 0));
 }
 
+// Guards against keys without an owner because the new one rejects each grant
+// with the token of the previous one.
+TEST_F(KeyOwnershipTest, RejectedTokenIsNotSentAgain)
+{
+  Start();
+  SetServers({ "b" });
+  const auto release = *Release(Step());
+  ownership_.OnCommandDone(
+    release, KeyCommandResult::Accepted, "token", nowMs_);
+  const auto tokens = [](const std::vector<KeyCommand>& aCommands) {
+    std::vector<std::string> result;
+    std::ranges::transform(
+      aCommands, std::back_inserter(result), &KeyCommand::handover_);
+    return result;
+  };
+  const auto grants = Step();
+  EXPECT_EQ(tokens(grants), std::vector<std::string>{ "token" });
+  Complete(grants.front(), KeyCommandResult::Misdirected);
+  nowMs_ += timing_.retryIntervalMs_;
+  const auto retried = Step();
+  EXPECT_EQ(tokens(retried), std::vector<std::string>{ "" });
+  AcceptAll(retried);
+  EXPECT_TRUE(Grants(retried, "b", 0));
+}
+
 // Guards against a new leader that moves keys while an earlier leader may still
 // renew their leases, and against a new leader that waits longer than
 // necessary.
