Skip interim responses of calls instead of returning them

A server that sends 100 Continue before its answer to a command or a call of the store: the interim response counted as the answer, and the final one, still on its way, as that to the next call on the connection.

Change: HttpClient skips up to eight interim responses, as connections for requests do; more of them end the call.

Result: HttpClient.InterimResponsesAreSkipped failed before (empty bodies, and 1000 interim responses were a complete answer) and passes.

--- a/gateway/BackendConnection.cpp
+++ b/gateway/BackendConnection.cpp
@@ -200,8 +200,7 @@
 bool BackendConnection::HandleHead()
 {
   auto& head = parser_.Head();
-  if (head.status_ >= 100 && head.status_ < 200) {
-    // An interim (1xx) response has no body and precedes the final one.
+  if (head.IsInterim()) {
     skippingResponse_ = true;
     responseKeepsAlive_ = true;
     return true;
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -12,6 +12,8 @@
 constexpr size_t kMaxResponseHeadBytes = 16384;
 /// A lost SYN is retransmitted after 1 s; a new call is made sooner than that.
 constexpr TimeMs kConnectTimeoutMs = 900;
+/// Limit of interim (1xx) responses before the final one.
+constexpr int kMaxInterimResponses = 8;
 
 std::string Serialize(const Endpoint& aServer, const CallRequest& aRequest)
 {
@@ -56,6 +58,7 @@
     parser_ =
       HttpParser(HttpMessageType::Response, detail::kMaxResponseHeadBytes);
     body_.clear();
+    interimResponses_ = 0;
     writtenBytesAtStart_ = stream_.WrittenBytes();
     timeoutMs_ = aRequest.timeoutMs_;
     maxResponseBytes_ = aRequest.maxResponseBytes_;
@@ -91,7 +94,16 @@
       client_.Remove(this);
       return;
     }
-    const auto state = parser_.Parse(stream_.Input(), body_);
+    auto state = parser_.Parse(stream_.Input(), body_);
+    while (state == ParseState::Done && parser_.Head().IsInterim()) {
+      if (++interimResponses_ > detail::kMaxInterimResponses) {
+        Finish(CallOutcome::NoResponse, "too many interim answers");
+        return;
+      }
+      parser_ =
+        HttpParser(HttpMessageType::Response, detail::kMaxResponseHeadBytes);
+      state = parser_.Parse(stream_.Input(), body_);
+    }
     if (body_.size() > maxResponseBytes_) {
       Finish(CallOutcome::NoResponse, "answer too large");
     } else if (state == ParseState::Done) {
@@ -149,6 +161,7 @@
   Callback callback_;
   TimeMs timeoutMs_ = 0;
   size_t maxResponseBytes_ = 0;
+  int interimResponses_ = 0;
   uint64_t writtenBytesAtStart_ = 0;
 };
 
--- a/net/HttpParser.hpp
+++ b/net/HttpParser.hpp
@@ -29,6 +29,9 @@
   /// aToken.
   bool HasToken(std::string_view aName, std::string_view aToken) const;
   bool KeepsAlive() const;
+  /// True for an interim (1xx) response, which has no body and precedes the
+  /// final one.
+  bool IsInterim() const { return status_ >= 100 && status_ < 200; }
 };
 
 /// True for hop-by-hop fields. The fields that the Connection field names are
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -60,5 +60,43 @@
   }
 }
 
+// Guards against an interim response that is taken for the final one, which
+// then answers the next call on the connection, and against interim responses
+// without end.
+TEST(HttpClient, InterimResponsesAreSkipped)
+{
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  struct Case
+  {
+    int interims_;
+    CallOutcome outcome_;
+  };
+  for (const auto& [interims, outcome] :
+       { Case{ 2, CallOutcome::Completed },
+         Case{ 1000, CallOutcome::NoResponse } }) {
+    EventLoop loop;
+    ScriptedServer server(loop, [&](ScriptedServer::Exchange& aExchange) {
+      std::string text;
+      for (int index = 0; index < interims; ++index) {
+        text += interim;
+      }
+      aExchange.write_(text + TextResponse(200, aExchange.head_.target_));
+    });
+    HttpClient client(loop);
+    for (const char* target : { "/first", "/second" }) {
+      CallRequest request;
+      request.method_ = "GET";
+      request.target_ = target;
+      std::optional<CallResult> result;
+      client.Call(server.Address(), request, [&](CallResult aResult) {
+        result = std::move(aResult);
+      });
+      ASSERT_TRUE(RunLoopUntil(loop, [&] { return result.has_value(); }));
+      EXPECT_EQ(result->outcome_, outcome) << interims;
+      EXPECT_TRUE(outcome != CallOutcome::Completed || result->body_ == target);
+    }
+  }
+}
+
 }
 }
