Bound the memory that floods of servers and uploads take

Reported by other operators: a faulty server sent bytes without end, and the instance that had called it kept them all and ran out of memory. Here each part of a response had a bound of its own, but the sum had none, and some bytes were read until the deadline or, after the caller had left, for good.

Change: - Output to a caller that never lets it drain kept the part that was already sent; the stream now drops it. - Buffered responses share a fifth of the memory limit (setting memory-mb, from the platform's limits). Once it is used up, each response is streamed from 16 KB on instead of 256 KB, and reading from its server pauses beyond that. - A body that is not needed (not sealed, encoded, of another request, refused, caller gone) is read up to 1 MB, then its connection ends. A request whose caller has left ends at its own deadline. - A request's body is held once, and sent from there in parts of 64 KB. All bodies share half of the memory limit; a request that does not fit is rejected at once with 503 (memory-short), before it is forwarded. A body in chunks is checked as it grows.

--- a/gateway/BackendConnection.cpp
+++ b/gateway/BackendConnection.cpp
@@ -20,6 +20,11 @@
 /// Limit of interim responses and late responses to other requests that are
 /// skipped before the expected one; a faulty server may send them without end.
 constexpr int kMaxSkippedResponses = 8;
+/// Limit of body bytes that are read and dropped in one attempt, so that the
+/// connection can be reused; a faulty server may send them without end.
+constexpr size_t kMaxUnneededBytes = size_t{ 1 } << 20;
+/// A larger body is passed to the stream in parts, which the stream copies.
+constexpr size_t kBodyPartBytes = 65536;
 
 }
 
@@ -29,6 +34,7 @@
   , backend_(std::move(aBackend))
   , stream_(aPool.loop_, *this)
   , timer_(aPool.loop_, [this] { OnTimer(); })
+  , detachedTimer_(aPool.loop_, [this] { Cancel(); })
   , parser_(HttpMessageType::Response, detail::kMaxResponseHeadBytes)
   , idleTimeoutMs_(detail::kDefaultIdleTimeoutMs)
 {
@@ -46,7 +52,7 @@
 void BackendConnection::Start(AttemptHandler& aHandler,
                               AttemptCrashInfo aCrashInfo,
                               std::string aHead,
-                              std::string_view aBody,
+                              std::shared_ptr<const RequestBody> aBody,
                               std::string aRequestId,
                               bool aExpectsBody)
 {
@@ -58,19 +64,22 @@
   headReceived_ = false;
   skippingResponse_ = false;
   skippedResponses_ = 0;
+  unneededBytes_ = 0;
   expectsBody_ = aExpectsBody;
   requestId_ = std::move(aRequestId);
   body_.clear();
-  parser_ =
-    HttpParser(HttpMessageType::Response, detail::kMaxResponseHeadBytes);
-  if (!expectsBody_) {
-    parser_.ExpectNoBody();
-  }
+  parser_ = NewParser();
   writtenBytesAtStart_ = stream_.WrittenBytes();
   sentMs_ = pool_.loop_.NowMs();
   loadAtSend_ = backend_->load_.Load(sentMs_);
   backend_->load_.OnSent();
-  requestBytes_ = aHead.size() + aBody.size();
+  requestBytes_ = aHead.size() + aBody->text_.size();
+  if (aBody->text_.size() > detail::kBodyPartBytes) {
+    unsentBody_ = std::move(aBody);
+    bodyOffset_ = 0;
+  } else {
+    aHead.append(aBody->text_);
+  }
   if (!stream_.IsOpen()) {
     if (!stream_.Connect(backend_->endpoint_)) {
       pool_.loop_.Defer([self = shared_from_this()] {
@@ -80,18 +89,40 @@
     }
     timer_.Start(detail::kConnectTimeoutMs);
   }
-  aHead.append(aBody);
-  if (!stream_.IsConnected()) {
-    unsentRequest_ = std::move(aHead);
-  } else {
-    stream_.Write(aHead);
+  unsentRequest_ = std::move(aHead);
+  if (stream_.IsConnected()) {
+    SendRequest();
   }
 }
 
+HttpParser BackendConnection::NewParser() const
+{
+  HttpParser parser(HttpMessageType::Response, detail::kMaxResponseHeadBytes);
+  if (!expectsBody_) {
+    parser.ExpectNoBody();
+  }
+  return parser;
+}
+
 void BackendConnection::SendRequest()
 {
   const auto request = std::exchange(unsentRequest_, {});
   stream_.Write(request);
+  SendBody();
+}
+
+void BackendConnection::SendBody()
+{
+  while (unsentBody_ != nullptr && unsentRequest_.empty() &&
+         stream_.PendingOutput() < detail::kBodyPartBytes) {
+    const auto rest = std::string_view(unsentBody_->text_).substr(bodyOffset_);
+    const auto part = rest.substr(0, detail::kBodyPartBytes);
+    bodyOffset_ += part.size();
+    stream_.Write(part);
+    if (part.size() == rest.size()) {
+      unsentBody_ = nullptr;
+    }
+  }
 }
 
 void BackendConnection::Cancel()
@@ -106,10 +137,13 @@
   }
 }
 
-void BackendConnection::Detach()
+void BackendConnection::Detach(TimeMs aMaxMs)
 {
   handler_ = nullptr;
   stream_.PauseReading(false);
+  if (busy_) {
+    detachedTimer_.Start(aMaxMs);
+  }
 }
 
 void BackendConnection::PauseReading(bool aPaused)
@@ -161,11 +195,16 @@
       Fail(AttemptFailure::MaybeExecuted, "malformed answer");
       return;
     }
-    if (skippingResponse_ || handler_ == nullptr) {
+    if (skippingResponse_ || handler_ == nullptr || !bodyNeeded_) {
+      unneededBytes_ += body_.size();
       body_.clear();
     } else if (!body_.empty()) {
       handler_->OnResponseBody(body_);
     }
+    if (unneededBytes_ > detail::kMaxUnneededBytes) {
+      DropUnneeded();
+      return;
+    }
     if (state != ParseState::Done) {
       return;
     }
@@ -182,11 +221,7 @@
       Fail(AttemptFailure::MaybeExecuted, "too many answers of others");
       return;
     }
-    parser_ =
-      HttpParser(HttpMessageType::Response, detail::kMaxResponseHeadBytes);
-    if (!expectsBody_) {
-      parser_.ExpectNoBody();
-    }
+    parser_ = NewParser();
     if (!responseKeepsAlive_) {
       Fail(AttemptFailure::MaybeExecuted, "answer of another request");
       return;
@@ -197,6 +232,15 @@
   }
 }
 
+void BackendConnection::DropUnneeded()
+{
+  if (skippingResponse_) {
+    Fail(AttemptFailure::MaybeExecuted, "answer of another request");
+  } else {
+    FinishResponse(false);
+  }
+}
+
 bool BackendConnection::HandleHead()
 {
   auto& head = parser_.Head();
@@ -238,8 +282,10 @@
   if (info.notExecuted_) {
     backend_->load_.OnShed(nowMs);
   }
-  if (handler_ != nullptr) {
-    handler_->OnResponseHead(head, info);
+  bodyNeeded_ = handler_ != nullptr && handler_->OnResponseHead(head, info);
+  if (!bodyNeeded_ &&
+      head.contentLength_.value_or(0) > detail::kMaxUnneededBytes) {
+    FinishResponse(false);
   }
   return busy_ && stream_.IsOpen();
 }
@@ -340,6 +386,8 @@
 void BackendConnection::EndAttempt(AttemptOutcome aOutcome)
 {
   unsentRequest_.clear();
+  unsentBody_ = nullptr;
+  detachedTimer_.Stop();
   if (busy_) {
     busy_ = false;
     backend_->load_.OnEnded();
--- a/gateway/BackendConnection.hpp
+++ b/gateway/BackendConnection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/BackendLoad.hpp"
+#include "gateway/RequestBody.hpp"
 #include "net/HttpParser.hpp"
 #include "net/TcpStream.hpp"
 #include "policy/ServerPause.hpp"
@@ -61,10 +62,13 @@
 {
 public:
   virtual ~AttemptHandler() = default;
-  virtual void OnResponseHead(const HttpHead& aHead,
+  /// Returns false if the body is not needed.
+  virtual bool OnResponseHead(const HttpHead& aHead,
                               const ResponseMetadata& aInfo) = 0;
   /// Must consume aBody and leave it empty.
   virtual void OnResponseBody(std::string& aBody) = 0;
+  /// The response is complete, or the rest of a body that is not needed was
+  /// dropped.
   virtual void OnResponseDone() = 0;
   /// The attempt ended without a complete response.
   virtual void OnAttemptFailed(AttemptFailure aFailure,
@@ -90,13 +94,13 @@
   void Start(AttemptHandler& aHandler,
              AttemptCrashInfo aCrashInfo,
              std::string aHead,
-             std::string_view aBody,
+             std::shared_ptr<const RequestBody> aBody,
              std::string aRequestId,
              bool aExpectsBody);
   /// Resets the connection, so that the server cancels the request.
   void Cancel();
-  /// Lets the request complete and discards its response.
-  void Detach();
+  /// Lets the request complete within aMaxMs and discards its response.
+  void Detach(TimeMs aMaxMs);
   void PauseReading(bool aPaused);
   bool IsConnected() const { return stream_.IsConnected(); }
   Backend& GetBackend() { return *backend_; }
@@ -106,11 +110,17 @@
 
   void OnConnected() override;
   void OnInput() override;
+  void OnOutputDrained() override { SendBody(); }
   void OnStreamClosed(CloseReason aReason) override;
   void OnTimer();
   void SendRequest();
+  /// Passes as much of a large body to the stream as it may buffer.
+  void SendBody();
+  HttpParser NewParser() const;
   void ReadResponses();
   bool HandleHead();
+  /// Ends an attempt whose server sends too much that is not needed.
+  void DropUnneeded();
   void FinishResponse(bool aReusable);
   /// Ends the attempt without a response. When aFailure is NotSent, the outcome
   /// is NotExecuted, else aOutcome.
@@ -126,6 +136,7 @@
   std::shared_ptr<Backend> backend_;
   TcpStream stream_;
   Timer timer_;
+  Timer detachedTimer_; ///< ends a request whose caller has left
   HttpParser parser_;
   std::string body_;
   AttemptHandler* handler_ = nullptr;
@@ -136,14 +147,19 @@
   bool refused_ = false;
   bool busy_ = false;
   bool headReceived_ = false;
+  bool bodyNeeded_ = false;
+  size_t unneededBytes_ = 0; ///< dropped during the current attempt
   /// Reading a response that does not belong to the current request.
   bool skippingResponse_ = false;
   int skippedResponses_ = 0; ///< responses skipped during the current attempt
   bool responseKeepsAlive_ = false;
   bool expectsBody_ = true;
   std::string requestId_;
-  /// Request that is sent after kNewConnectionDelayMs.
+  /// Head, with a small body, that is sent after kNewConnectionDelayMs.
   std::string unsentRequest_;
+  /// Large body that is not yet passed to the stream as a whole.
+  std::shared_ptr<const RequestBody> unsentBody_;
+  size_t bodyOffset_ = 0;
   uint64_t writtenBytesAtStart_ = 0;
   uint64_t requestBytes_ = 0;
   TimeMs sentMs_ = 0;
--- a/gateway/CallerConnection.cpp
+++ b/gateway/CallerConnection.cpp
@@ -13,9 +13,8 @@
 /// Bytes of further requests that are read while the pipeline is full, so that
 /// a close behind them is noticed.
 constexpr size_t kMaxReadAheadBytes = 65536;
-/// With this much unsent output, further responses wait, and so does the
-/// reading of requests.
-constexpr size_t kMaxPendingOutput = 524288;
+/// Unsent output with which further responses wait, in buffers of a request.
+constexpr size_t kMaxPendingBuffers = 2;
 /// Time for the caller to read the last response and close.
 constexpr TimeMs kLingerMs = 500;
 /// Limits before the first configuration is known.
@@ -35,6 +34,7 @@
   , forwarder_(aForwarder)
   , stream_(aForwarder.Loop(), *this)
   , timer_(aForwarder.Loop(), [this] { OnTimer(); })
+  , pendingBytes_(aForwarder.ResponseBudget())
   , parser_(HttpMessageType::Request, detail::LimitsOf(aForwarder).headerBytes_)
 {
 }
@@ -143,6 +143,12 @@
   } else if (!startedBefore && parser_.HasStarted()) {
     StartTimer();
   }
+  if (incompleteRequest_ != nullptr) {
+    incompleteRequest_->OnBodyRead();
+  }
+  if (disconnected_) {
+    return false;
+  }
   if (incompleteRequest_ != nullptr && incompleteRequest_->IsCompleted() &&
       state != ParseState::Done) {
     // Rejected before it was complete: the remainder is not read.
@@ -222,9 +228,11 @@
   while (!pipeline_.empty() && !ended) {
     const auto request = pipeline_.front();
     if (!request->Output().empty() &&
-        stream_.PendingOutput() < detail::kMaxPendingOutput) {
-      auto bytes = std::exchange(request->Output(), {});
+        stream_.PendingOutput() <
+          detail::kMaxPendingBuffers * forwarder_.MaxBufferedBytes()) {
+      const auto bytes = std::exchange(request->Output(), {});
       stream_.Write(bytes);
+      pendingBytes_.Set(stream_.PendingOutput());
       request->OnOutputWritten();
     }
     if (!request->IsCompleted() || !request->Output().empty()) {
@@ -287,6 +295,7 @@
 void CallerConnection::OnOutputDrained()
 {
   const auto self = shared_from_this();
+  pendingBytes_.Set(0);
   if (closing_ && pipeline_.empty()) {
     StartLingering();
     return;
--- a/gateway/CallerConnection.hpp
+++ b/gateway/CallerConnection.hpp
@@ -55,6 +55,7 @@
   Forwarder& forwarder_;
   TcpStream stream_;
   Timer timer_;
+  ByteShare pendingBytes_; ///< output that the caller has not read
   HttpParser parser_;
   RequestPtr incompleteRequest_; ///< request whose body is not yet complete
   std::deque<RequestPtr> pipeline_;
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -11,12 +11,6 @@
 
 namespace detail {
 
-/// Responses up to this size are buffered until they are complete, so that a
-/// truncated one can be retried; larger ones are streamed.
-constexpr size_t kBufferedResponseBytes = 262144;
-/// Limit of buffered output of a streamed response; above it, reading from the
-/// backend server pauses.
-constexpr size_t kMaxOutputBytes = 262144;
 constexpr TimeMs kNoConfigRetryMs = 250;
 constexpr TimeMs kDefaultDeadlineMs = 30000;
 /// The server itself ends the request at the deadline that it was given; this
@@ -24,6 +18,8 @@
 constexpr TimeMs kDeadlineSlackMs = 25;
 /// With less remaining time than this, a retry cannot get a response.
 constexpr TimeMs kMinRetryTimeMs = 20;
+/// Bodies beyond this size count towards the memory limit before they arrive.
+constexpr size_t kSmallBodyBytes = 65536;
 /// Limit of failed connections for one request; more of them only keep a full
 /// server busy.
 constexpr int kMaxUnsentAttempts = 3;
@@ -64,6 +60,8 @@
   : forwarder_(aForwarder)
   , sink_(&aSink)
   , head_(std::move(aHead))
+  , body_(std::make_shared<RequestBody>(aForwarder.RequestBudget()))
+  , bufferedBytes_(aForwarder.ResponseBudget())
   , number_(aForwarder.NextRequestNumber())
   , receivedMs_(aForwarder.Loop().NowMs())
   , deadlineTimer_(aForwarder.Loop(), [this] { OnDeadline(); })
@@ -75,7 +73,8 @@
 {
   forwarder_.RemoveActive();
   if (connection_ != nullptr) {
-    connection_->Detach();
+    connection_->Detach(
+      std::max<TimeMs>(RemainingMs() + detail::kDeadlineSlackMs, 0));
   }
 }
 
@@ -112,8 +111,8 @@
     Reject(404, "no-route", 0);
     return;
   }
-  const auto& limits = routes_->Config().limits_;
-  if (head_.contentLength_.value_or(0) > limits.bodyBytes_) {
+  const auto bodyBytes = head_.contentLength_.value_or(0);
+  if (bodyBytes > routes_->Config().limits_.bodyBytes_) {
     Reject(413, "body-too-large", 0);
     return;
   }
@@ -123,21 +122,48 @@
   deadlineMs_ = receivedMs_ + std::min(deadlineMs, route_->timeoutMs_);
   deadlineTimer_.Start(deadlineMs_ - receivedMs_ + detail::kDeadlineSlackMs);
   forwarder_.Metrics().OnRequest(route_->name_);
+  if (bodyBytes > detail::kSmallBodyBytes) {
+    ReserveBody(bodyBytes);
+  }
 }
 
-void ForwardedRequest::OnRequestRead(bool aMayDispatch)
+void ForwardedRequest::ReserveBody(size_t aBytes)
 {
-  requestRead_ = true;
+  if (!body_->share_.TryGrowTo(aBytes)) {
+    Reject(503, "memory-short", forwarder_.RandomRetryAfterMs(RemainingMs()));
+    return;
+  }
+  body_->text_.reserve(aBytes);
+}
+
+void ForwardedRequest::OnBodyRead()
+{
+  const auto limitBytes =
+    routes_ == nullptr ? 0 : routes_->Config().limits_.bodyBytes_;
   if (completed_) {
     return;
   }
-  if (body_.size() > routes_->Config().limits_.bodyBytes_) {
+  if (BodyBytes() > limitBytes) {
     Reject(413, "body-too-large", 0);
     return;
   }
+  // The buffer of a body without a length grows by a factor of two.
+  const auto reserved = body_->share_.Bytes();
+  if (BodyBytes() > detail::kSmallBodyBytes && reserved < limitBytes &&
+      BodyBytes() + detail::kSmallBodyBytes > reserved) {
+    ReserveBody(std::min(2 * BodyBytes(), limitBytes));
+  }
+}
+
+void ForwardedRequest::OnRequestRead(bool aMayDispatch)
+{
+  requestRead_ = true;
+  if (completed_) {
+    return;
+  }
   const auto seed = XXH3_64bits(head_.target_.data(), head_.target_.size());
   fingerprint_ = XXH3_64bits_withSeed(
-    body_.data(), body_.size(), seed + head_.method_.size());
+    body_->text_.data(), BodyBytes(), seed + head_.method_.size());
   if (aMayDispatch) {
     AllowDispatch();
   }
@@ -199,8 +225,8 @@
   }
   forwarder_.Protocol().AddRequestFields(
     text, std::max<TimeMs>(RemainingMs(), 1), aBackend.entry_.id_);
-  if (!body_.empty() || head_.contentLength_ || head_.chunked_) {
-    AppendTo(text, "Content-Length: ", body_.size(), "\r\n");
+  if (BodyBytes() > 0 || head_.contentLength_ || head_.chunked_) {
+    AppendTo(text, "Content-Length: ", BodyBytes(), "\r\n");
   }
   text += "\r\n";
   return text;
@@ -254,7 +280,7 @@
                     head_.method_ != "HEAD");
 }
 
-void ForwardedRequest::OnResponseHead(const HttpHead& aHead,
+bool ForwardedRequest::OnResponseHead(const HttpHead& aHead,
                                       const ResponseMetadata& aInfo)
 {
   responseHead_ = aHead;
@@ -267,14 +293,11 @@
       responseHead_.HasField("Content-Encoding")) {
     discardResponse_ = true;
   }
+  return !discardResponse_;
 }
 
 void ForwardedRequest::OnResponseBody(std::string& aBody)
 {
-  if (discardResponse_) {
-    aBody.clear();
-    return;
-  }
   if (headWritten_) {
     if (responseHead_.contentLength_) {
       output_.append(aBody);
@@ -282,16 +305,45 @@
       AppendTo(output_, absl::Hex(aBody.size()), "\r\n", aBody, "\r\n");
     }
     aBody.clear();
-    if (output_.size() > detail::kMaxOutputBytes) {
-      connection_->PauseReading(true);
-    }
+    UpdateBufferedBytes();
+    PauseIfOutputIsLarge();
     sink_->OnResponseBytes();
     return;
   }
   responseBody_.append(aBody);
   aBody.clear();
-  if (responseBody_.size() > detail::kBufferedResponseBytes) {
+  UpdateBufferedBytes();
+  // A response that is complete can be retried if it was truncated, so only
+  // large ones are streamed.
+  if (responseBody_.size() > forwarder_.MaxBufferedBytes()) {
     StartResponse(false);
+    PauseIfOutputIsLarge();
+  }
+}
+
+void ForwardedRequest::PauseIfOutputIsLarge()
+{
+  if (connection_ != nullptr &&
+      output_.size() > forwarder_.MaxBufferedBytes()) {
+    connection_->PauseReading(true);
+  }
+}
+
+void ForwardedRequest::UpdateBufferedBytes()
+{
+  bufferedBytes_.Set(responseBody_.size() + output_.size());
+}
+
+void ForwardedRequest::AbortResponse(std::string_view aCause)
+{
+  completed_ = true;
+  deadlineTimer_.Stop();
+  LogCompletion(responseHead_.status_, aCause, lastBackend_);
+  if (auto connection = std::exchange(connection_, nullptr)) {
+    connection->Cancel();
+  }
+  if (sink_ != nullptr) {
+    sink_->OnResponseAborted();
   }
 }
 
@@ -344,10 +396,7 @@
     return;
   }
   if (headWritten_) {
-    completed_ = true;
-    deadlineTimer_.Stop();
-    LogCompletion(responseHead_.status_, "broken-answer", lastBackend_);
-    sink_->OnResponseAborted();
+    AbortResponse("broken-answer");
     return;
   }
   if (aFailure == AttemptFailure::NotSent) {
@@ -443,14 +492,7 @@
   forwarder_.Loop().Defer([self] {});
   const bool inProgress = connection_ != nullptr;
   if (headWritten_) {
-    completed_ = true;
-    LogCompletion(responseHead_.status_, "deadline-in-answer", lastBackend_);
-    if (auto connection = std::exchange(connection_, nullptr)) {
-      connection->Cancel();
-    }
-    if (sink_ != nullptr) {
-      sink_->OnResponseAborted();
-    }
+    AbortResponse("deadline-in-answer");
     return;
   }
   if (auto connection = std::exchange(connection_, nullptr)) {
@@ -542,7 +584,8 @@
              responseBody_,
              "\r\n");
   }
-  responseBody_ = {};
+  std::string().swap(responseBody_);
+  UpdateBufferedBytes();
   if (!aComplete) {
     sink_->OnResponseBytes();
   }
@@ -563,8 +606,9 @@
 
 void ForwardedRequest::OnOutputWritten()
 {
+  UpdateBufferedBytes();
   if (connection_ != nullptr && headWritten_ &&
-      output_.size() <= detail::kMaxOutputBytes) {
+      output_.size() <= forwarder_.MaxBufferedBytes()) {
     connection_->PauseReading(false);
   }
 }
@@ -582,7 +626,8 @@
     // discarded. The connection to the server stays open until the server has
     // responded.
     deadlineTimer_.Stop();
-    connection_->Detach();
+    connection_->Detach(
+      std::max<TimeMs>(RemainingMs() + detail::kDeadlineSlackMs, 0));
     connection_ = nullptr;
     completed_ = true;
     LogCompletion(0, "caller-left", lastBackend_);
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -43,7 +43,9 @@
   /// Validates the head and finds the route. Responds at once where no backend
   /// server is needed.
   void Begin();
-  std::string& Body() { return body_; }
+  std::string& Body() { return body_->text_; }
+  /// Rejects the request if its body has grown beyond a limit.
+  void OnBodyRead();
   /// The whole request was read. Dispatches it if aMayDispatch, else waits for
   /// AllowDispatch.
   void OnRequestRead(bool aMayDispatch);
@@ -73,13 +75,13 @@
   const std::set<std::string>& TriedBackends() const { return triedBackends_; }
   TimeMs RemainingMs() const;
   TimeMs ElapsedMs() const;
-  size_t BodyBytes() const { return body_.size(); }
+  size_t BodyBytes() const { return body_->text_.size(); }
   uint64_t Fingerprint() const { return fingerprint_; }
   /// Distinguishes the requests of this process.
   uint64_t Number() const { return number_; }
 
 private:
-  void OnResponseHead(const HttpHead& aHead,
+  bool OnResponseHead(const HttpHead& aHead,
                       const ResponseMetadata& aInfo) override;
   void OnResponseBody(std::string& aBody) override;
   void OnResponseDone() override;
@@ -100,8 +102,15 @@
   /// aUsesBudget: the attempt counts against the retry budget.
   bool TryRetry(std::string_view aCause, bool aUsesBudget);
   void OnDeadline();
+  /// Makes room for a body of that size, or rejects the request.
+  void ReserveBody(size_t aBytes);
+  /// Ends a response that cannot be completed after its head was written.
+  void AbortResponse(std::string_view aCause);
   void StartResponse(bool aComplete);
   void FinishResponse();
+  /// Reports the size of the buffered response to the budget.
+  void UpdateBufferedBytes();
+  void PauseIfOutputIsLarge();
   void LogCompletion(int aStatus,
                      std::string_view aCause,
                      std::string_view aBackend);
@@ -109,8 +118,9 @@
   Forwarder& forwarder_;
   ResponseSink* sink_;
   HttpHead head_;
-  std::string body_;
+  std::shared_ptr<RequestBody> body_;
   std::string output_;
+  ByteShare bufferedBytes_;            ///< of responseBody_ and output_
   std::shared_ptr<RouteTable> routes_; ///< keeps route_ alive
   const Route* route_ = nullptr;
   std::string service_;
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -33,6 +33,13 @@
 constexpr size_t kSampledBackends = 6;
 /// Assumed response size of a route before its first response.
 constexpr double kInitialResponseBytes = 2048;
+constexpr size_t kMaxBufferedBytes = 262144;
+/// The same while the responses of all requests use up their memory.
+constexpr size_t kMinBufferedBytes = 16384;
+/// Shares of the memory limit for bodies of requests and for responses. A body
+/// that grows is copied, which takes half as much again for a moment.
+constexpr size_t kRequestMemoryDivisor = 2;
+constexpr size_t kResponseMemoryDivisor = 5;
 constexpr double kInitialDownloadBytes = 65536;
 constexpr double kResponseBytesWeight = 0.05;
 
@@ -61,6 +68,10 @@
           std::move(aPoolHandlers))
   , admission_(std::random_device{}())
   , limiter_(aLimiter)
+  , requestBudget_(std::make_shared<ByteBudget>(limits_.memoryBytes_ /
+                                                detail::kRequestMemoryDivisor))
+  , responseBudget_(std::make_shared<ByteBudget>(
+      limits_.memoryBytes_ / detail::kResponseMemoryDivisor))
   , responseBytes_(detail::kResponseBytesWeight)
   , queueTimer_(aLoop, [this] { DispatchQueued(); })
   , random_(std::random_device{}())
@@ -208,6 +219,12 @@
   return ChooseAny(aRequest, *service);
 }
 
+size_t Forwarder::MaxBufferedBytes() const
+{
+  return responseBudget_->IsUsedUp() ? detail::kMinBufferedBytes
+                                     : detail::kMaxBufferedBytes;
+}
+
 size_t Forwarder::MeanResponseBytes(const Route& aRoute) const
 {
   const double first = aRoute.kind_ == RequestKind::Download
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/ByteBudget.hpp"
 #include "gateway/BackendPool.hpp"
 #include "gateway/CrashDetector.hpp"
 #include "gateway/EventLog.hpp"
@@ -33,6 +34,7 @@
   /// Additional retries in 10 s, shared by all gateways.
   double retryExtra_ = 56;
   std::string failureDomain_;
+  size_t memoryBytes_ = size_t{ 256 } << 20; ///< limit of this process
 };
 
 /// Decision where to send a request.
@@ -105,6 +107,23 @@
   using KeyCounts = std::map<std::string, std::map<uint32_t, int>>;
   KeyCounts TakeKeyCounts();
 
+  /// The process exits at aExitMs: attempts that cannot complete by then are
+  /// not started.
+  void SetExit(TimeMs aExitMs) { exitMs_ = aExitMs; }
+  TimeMs ExitMs() const { return exitMs_; }
+  /// From now on, requests that were not forwarded yet are rejected.
+  void StartStopping() { stopping_ = true; }
+  bool IsStopping() const { return stopping_; }
+
+  const std::shared_ptr<ByteBudget>& RequestBudget() { return requestBudget_; }
+  const std::shared_ptr<ByteBudget>& ResponseBudget()
+  {
+    return responseBudget_;
+  }
+  /// Limit of the response bytes that are buffered for one request; above it,
+  /// the response is streamed, and reading from its server pauses.
+  size_t MaxBufferedBytes() const;
+
   EventLoop& Loop() { return loop_; }
   EventLog& Log() { return log_; }
   GatewayMetrics& Metrics() { return metrics_; }
@@ -163,6 +182,10 @@
   BackendPool pool_;
   OwnerAdmission admission_;
   RequestLimiter& limiter_;
+  std::shared_ptr<ByteBudget> requestBudget_;
+  std::shared_ptr<ByteBudget> responseBudget_;
+  TimeMs exitMs_ = INT64_MAX;
+  bool stopping_ = false;
   uint64_t requestNumber_ = 0;
   std::map<std::string, RetryBudget> retryBudgets_;
   MovingAverages responseBytes_; ///< by route
--- a/gateway/GatewaySettings.cpp
+++ b/gateway/GatewaySettings.cpp
@@ -12,6 +12,9 @@
 constexpr int64_t kMinHoldMs = 1000;
 constexpr int64_t kMinBackendDrainMs = 600;
 constexpr double kPercent = 100;
+constexpr int64_t kMinMemoryMb = 32;
+constexpr int64_t kMaxMemoryMb = 1 << 20;
+constexpr int kBytesPerMbShift = 20;
 
 Endpoint EndpointOf(const Settings& aSettings, std::string_view aName)
 {
@@ -75,6 +78,11 @@
             "CPU of this instance, percent of a core",
             1,
             100000),
+    integer("memory-mb",
+            "256",
+            "memory that this process may use, MB",
+            detail::kMinMemoryMb,
+            detail::kMaxMemoryMb),
     { "check",
       SettingType::Boolean,
       "false",
@@ -118,6 +126,8 @@
   settings.maxHoldMs_ = aSettings.Integer("max-hold-ms");
   settings.backendDrainMs_ = aSettings.Integer("backend-drain-ms");
   settings.cpuPercent_ = static_cast<int>(aSettings.Integer("cpu-percent"));
+  settings.memoryBytes_ = static_cast<size_t>(aSettings.Integer("memory-mb"))
+                          << detail::kBytesPerMbShift;
   settings.logLevel_ =
     ParseEnum<LogLevel>(aSettings.Text("log-level")).value_or(LogLevel::Info);
   return settings;
--- a/gateway/GatewaySettings.hpp
+++ b/gateway/GatewaySettings.hpp
@@ -30,6 +30,8 @@
   /// CPU of this instance, percent of a core; larger instances are preferred as
   /// leader.
   int cpuPercent_ = 100;
+  /// Memory limit of this process; bounds what it buffers for requests.
+  size_t memoryBytes_ = size_t{ 256 } << 20;
   LogLevel logLevel_ = LogLevel::Info;
   /// Settings that were not given and have their default value.
   Findings notes_;
--- a/net/TcpStream.cpp
+++ b/net/TcpStream.cpp
@@ -138,6 +138,10 @@
     }
   }
   if (!aBytes.empty()) {
+    // A peer that reads slowly may never let the output drain.
+    if (outputOffset_ >= output_.size() / 2) {
+      output_.erase(0, std::exchange(outputOffset_, 0));
+    }
     output_.append(aBytes);
     UpdateEvents();
   }
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -518,6 +518,7 @@
     { "CACTUSPITCH_MAX_HOLD_MS", "8000" },
     { "CACTUSPITCH_BACKEND_DRAIN_MS", "2500" },
     { "CACTUSPITCH_CPU_PERCENT", "10" },
+    { "CACTUSPITCH_MEMORY_MB", "160" },
   };
   EXPECT_EQ(settings, wanted);
   std::remove(path.c_str());
