Test: datagrams of later terms reach the leader election

The messages of ForeignBytesTest had a term below that of the gateway, so that it stayed the leader and never wrote their names. With a later term, NamesOfOtherLeadersEndNoGateway fails on (type_error 316 from the object of the leader) and passes here.

--- a/tests/ForeignBytesTest.cpp
+++ b/tests/ForeignBytesTest.cpp
@@ -87,6 +87,9 @@
   }
 }
 
+/// Later than the term of the gateway.
+constexpr int64_t kLaterTerm = 1 << 30;
+
 /// A message with one entry of each list, from a leader of a later term.
 wire::Gossip MakeGossip(int64_t aTerm)
 {
@@ -343,7 +346,7 @@
   std::string commandFields_;
   std::string peerBody_;
   bool closes_ = false;
-  int64_t term_ = 100;
+  int64_t term_ = kLaterTerm;
   GatewayFixture fixture_;
   ScriptedServer peer_;
 };
@@ -390,7 +393,7 @@
 {
   for (const char* name : { "g\xff", "g\r\nX: y" }) {
     GatewayFixture fixture([](Exchange&) {}, 1);
-    auto gossip = MakeGossip(100);
+    auto gossip = MakeGossip(kLaterTerm);
     gossip.instance = name;
     gossip.keys.front().owners = { name };
     gossip.changes.front().id = name;
