Reject late requests in a planned stop instead of cutting them off

Reported by other operators: requests that came late in the grace time were forwarded and cut with no answer at its end, among them requests that may not be repeated.

Change: - A connection on which a part of a head has arrived goes on reading until that request is complete; its response closes the connection. - 3 s after the signal, or half of the grace time if that is shorter, requests that were not forwarded yet are rejected at once: 503 stopping, Connection: close. - An attempt is started only if its server is expected to respond before the process exits. - What is in progress 250 ms before the end of the grace time gets 502, or 503 if it was not forwarded, instead of a closed connection.

--- a/gateway/CallerConnection.cpp
+++ b/gateway/CallerConnection.cpp
@@ -56,7 +56,22 @@
     }
     return;
   }
-  closing_ = true;
+  // A request whose head is on its way is read and gets a response.
+  closing_ = closing_ || !IsReadingHead();
+}
+
+bool CallerConnection::IsReadingHead() const
+{
+  return parser_.HasStarted() && incompleteRequest_ == nullptr &&
+         pipeline_.size() < detail::kMaxPipelinedRequests;
+}
+
+void CallerConnection::OnExit()
+{
+  const auto self = shared_from_this();
+  const auto requests = pipeline_;
+  std::ranges::for_each(requests,
+                        [](const RequestPtr& aRequest) { aRequest->OnExit(); });
 }
 
 void CallerConnection::Close()
@@ -167,7 +182,7 @@
   // A non-idempotent request waits until the responses before it are written:
   // one of them might close the connection, and then the caller sends the
   // request again.
-  const bool isFront = pipeline_.front() == request;
+  const bool isFront = !pipeline_.empty() && pipeline_.front() == request;
   request->OnRequestRead(isFront || request->IsRepeatable());
   return true;
 }
@@ -185,7 +200,7 @@
   if (disconnected_) {
     return;
   }
-  if (!keepsAlive) {
+  if (!keepsAlive || owner_.IsDraining()) {
     closing_ = true;
   }
   if (expectsContinue && !request->IsCompleted() && pipeline_.size() == 1) {
@@ -208,7 +223,7 @@
 
 bool CallerConnection::WantsClose(const ForwardedRequest& aRequest) const
 {
-  return (closing_ || owner_.IsDraining()) &&
+  return (closing_ || owner_.IsDraining() || forwarder_.IsStopping()) &&
          (pipeline_.empty() || pipeline_.back().get() == &aRequest);
 }
 
@@ -356,4 +371,12 @@
   }
 }
 
+void CallerListener::OnExit()
+{
+  auto connections = connections_;
+  for (auto& [key, connection] : connections) {
+    connection->OnExit();
+  }
+}
+
 }
--- a/gateway/CallerConnection.hpp
+++ b/gateway/CallerConnection.hpp
@@ -27,6 +27,8 @@
   /// were read.
   void Drain();
   void Close();
+  /// Ends the requests in progress, each with a response where possible.
+  void OnExit();
 
 private:
   using RequestPtr = std::shared_ptr<ForwardedRequest>;
@@ -43,6 +45,8 @@
   void BeginRequest();
   void RejectMalformed();
   bool IsReading() const;
+  /// True if a part of the head of the next request has arrived.
+  bool IsReadingHead() const;
   void UpdateReading();
   void WriteResponses();
   void StartLingering();
@@ -77,6 +81,8 @@
   /// Closes each connection after the responses to the requests that it has
   /// received.
   void StartDraining();
+  /// Ends all requests in progress.
+  void OnExit();
   void StopListening() { listener_.Close(); }
   bool IsDraining() const { return draining_; }
   size_t Connections() const { return connections_.size(); }
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -88,6 +88,11 @@
   return deadlineMs_ - forwarder_.Loop().NowMs();
 }
 
+TimeMs ForwardedRequest::UsableMs() const
+{
+  return std::min(deadlineMs_, forwarder_.ExitMs()) - forwarder_.Loop().NowMs();
+}
+
 TimeMs ForwardedRequest::ElapsedMs() const
 {
   return forwarder_.Loop().NowMs() - receivedMs_;
@@ -98,6 +103,10 @@
   begun_ = true;
   routes_ = forwarder_.Routes();
   caller_ = forwarder_.Protocol().ParseRequest(head_);
+  if (forwarder_.IsStopping()) {
+    Reject(503, "stopping", 0);
+    return;
+  }
   if (routes_ == nullptr) {
     Reject(503, "no-config", detail::kNoConfigRetryMs);
     return;
@@ -174,6 +183,10 @@
   if (completed_ || dispatched_ || !requestRead_) {
     return;
   }
+  if (forwarder_.IsStopping()) {
+    Reject(503, "stopping", 0);
+    return;
+  }
   dispatched_ = true;
   forwarder_.OnFirstAttempt(*this);
   if (!forwarder_.TryAdmit(*this)) {
@@ -198,6 +211,24 @@
   }
 }
 
+void ForwardedRequest::OnExit()
+{
+  if (completed_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (headWritten_) {
+    AbortResponse("stopping");
+    return;
+  }
+  const auto connection = std::exchange(connection_, nullptr);
+  if (connection != nullptr) {
+    connection->Cancel();
+  }
+  const bool mayHaveExecuted = connection != nullptr || mayHaveExecuted_;
+  Reject(mayHaveExecuted ? 502 : 503, "stopping", 0);
+}
+
 void ForwardedRequest::Dispatch()
 {
   const auto choice = forwarder_.ChooseBackend(*this);
@@ -448,7 +479,7 @@
   std::string_view decision = "retried";
   if (attempts_ >= route_->maxAttempts_) {
     decision = "attempts used up";
-  } else if (RemainingMs() < detail::kMinRetryTimeMs) {
+  } else if (UsableMs() < detail::kMinRetryTimeMs) {
     decision = "deadline too near";
   } else if (aUsesBudget && !forwarder_.TryTakeRetry(service_)) {
     decision = "retry budget used up";
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -65,6 +65,8 @@
   bool IsCompleted() const { return completed_; }
   /// Rejects the request if it is queued.
   void RejectQueued(std::string_view aCause);
+  /// Ends the request because the process exits.
+  void OnExit();
   bool AnnouncedClose() const { return announcedClose_; }
   bool IsRepeatable() const { return IsIdempotent(); }
   bool IsQueued() const { return queued_; }
@@ -74,6 +76,9 @@
   const RequestMetadata& Caller() const { return caller_; }
   const std::set<std::string>& TriedBackends() const { return triedBackends_; }
   TimeMs RemainingMs() const;
+  /// Time in which an attempt can complete: until the deadline, or until the
+  /// process exits.
+  TimeMs UsableMs() const;
   TimeMs ElapsedMs() const;
   size_t BodyBytes() const { return body_->text_.size(); }
   uint64_t Fingerprint() const { return fingerprint_; }
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -261,7 +261,7 @@
   const auto& route = *aRequest.GetRoute();
   const auto decision =
     Place(options_,
-          { aRequest.RemainingMs(),
+          { aRequest.UsableMs(),
             route.objectiveMs_,
             aRequest.ElapsedMs(),
             aRequest.BodyBytes() + MeanResponseBytes(route) },
@@ -383,7 +383,7 @@
   candidate.tried_ = false;
   const auto decision =
     Place(options_,
-          { aRequest.RemainingMs(), route.objectiveMs_, aRequest.ElapsedMs() },
+          { aRequest.UsableMs(), route.objectiveMs_, aRequest.ElapsedMs() },
           { &candidate, 1 });
   choice.verdict_ = decision.verdict_;
   choice.retryAfterMs_ = decision.retryAfterMs_;
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -32,9 +32,15 @@
 /// Minimum time of a drain: after it the process exits once no request and no
 /// caller's connection is left.
 constexpr TimeMs kMinDrainMs = 3000;
-/// The process exits this long before the end of its grace period, when it
-/// would be killed.
+/// Requests that are not forwarded within this time after the signal are
+/// rejected: their callers have to go elsewhere, and no time would be left for
+/// their responses. Shorter if the grace period is.
+constexpr TimeMs kLastForwardMs = 3000;
+/// Requests in progress are ended this long before the end of the grace period,
+/// when the process would be killed.
 constexpr TimeMs kGraceMarginMs = 250;
+/// Time for the last responses to be written.
+constexpr TimeMs kLastWriteMs = 100;
 /// Requests that are still queued this long before the end of the grace period
 /// are rejected, so that the callers get a response in time to retry elsewhere.
 constexpr TimeMs kRejectQueuedMarginMs = 750;
@@ -832,6 +838,8 @@
   if (election_.IsLeading() && store_.IsReachable()) {
     election_.Resign("process is stopping");
   }
+  forwarder_.SetExit(drainStartMs_ + settings_.graceMs_ -
+                     detail::kGraceMarginMs);
   drainTimer_.Start(detail::kDrainIntervalMs);
 }
 
@@ -842,17 +850,21 @@
   if (sinceMs >= detail::kBalancerRemovalMs) {
     callers_.StartDraining();
   }
-  if (sinceMs >= settings_.graceMs_ / 2) {
-    // Later requests could not complete before the process exits.
+  if (sinceMs >= std::min(detail::kLastForwardMs, settings_.graceMs_ / 2)) {
     callers_.StopListening();
+    forwarder_.StartStopping();
   }
   if (sinceMs >= settings_.graceMs_ - detail::kRejectQueuedMarginMs) {
     forwarder_.RejectQueued("stopping");
   }
   const bool idle =
     forwarder_.ActiveRequests() == 0 && callers_.Connections() == 0;
+  if (sinceMs >= settings_.graceMs_ - detail::kGraceMarginMs) {
+    callers_.OnExit();
+  }
   if ((sinceMs >= detail::kMinDrainMs && idle) ||
-      sinceMs >= settings_.graceMs_ - detail::kGraceMarginMs) {
+      sinceMs >=
+        settings_.graceMs_ - detail::kGraceMarginMs + detail::kLastWriteMs) {
     Exit();
   }
 }
