Soak: servers spoil their answers to commands

New kind spoil-orders: fields with bytes that are not UTF-8, heads that break off, late copies and endless bodies in answers to grants and releases, half of the time while the server leaves. The soak had spoiled answers to requests only.

--- a/tests/GatewaySoak.cpp
+++ b/tests/GatewaySoak.cpp
@@ -55,6 +55,7 @@
     { "limit-backend", 2, &GatewaySoak::LimitBackend },
     { "trouble-answers", 4, &GatewaySoak::InjectResponseFault },
     { "delay-orders", 1, &GatewaySoak::DelayCommands },
+    { "spoil-orders", 2, &GatewaySoak::SpoilCommandResponses },
     { "cut-backend", 1, &GatewaySoak::CutBackendLink },
     { "silence-connections", 1, &GatewaySoak::SilenceConnections },
     { "change-config", 1, &GatewaySoak::ChangeConfig },
@@ -538,6 +539,18 @@
   RandomBackend().DelayCommands(RandomInt(200, kMaxFaultMs));
 }
 
+void GatewaySoak::SpoilCommandResponses()
+{
+  constexpr int kKinds = static_cast<int>(CommandFault::Count);
+  const auto fault = static_cast<CommandFault>(RandomInt(1, kKinds - 1));
+  auto& backend = *backends_[kPlainServers + RandomInt(0, kKeyedServers - 1)];
+  backend.SetCommandFault(fault, RandomInt(200, kMaxFaultMs));
+  // A server that leaves gets releases.
+  if (RandomInt(0, 1) == 1) {
+    backend.Leave();
+  }
+}
+
 void GatewaySoak::CutBackendLink()
 {
   static constexpr ProxyMode kModes[] = { ProxyMode::DropToServer,
--- a/tests/GatewaySoak.hpp
+++ b/tests/GatewaySoak.hpp
@@ -108,6 +108,7 @@
   void LimitBackend();
   void InjectResponseFault();
   void DelayCommands();
+  void SpoilCommandResponses();
   void CutBackendLink();
   void SilenceConnections();
   void ChangeConfig();
--- a/tests/SoakBackend.cpp
+++ b/tests/SoakBackend.cpp
@@ -113,6 +113,7 @@
   pausedUntilMs_ = commandsDelayedUntilMs_ = 0;
   limit_.reset();
   fault_ = ResponseFault::None;
+  commandFault_ = CommandFault::None;
   SendHeartbeat();
 }
 
@@ -228,6 +229,19 @@
   });
 }
 
+void SoakBackend::SetCommandFault(CommandFault aFault, TimeMs aDurationMs)
+{
+  if (!up_) {
+    return;
+  }
+  commandFault_ = aFault;
+  journal_.OnServerFault(id_);
+  After(aDurationMs, [this] {
+    commandFault_ = CommandFault::None;
+    journal_.OnServerFault(id_);
+  });
+}
+
 void SoakBackend::DelayCommands(TimeMs aDurationMs)
 {
   commandsDelayedUntilMs_ = loop_.NowMs() + aDurationMs;
@@ -482,7 +496,42 @@
   }
   const int status = Grant(command, aArrivedMs);
   if (aResponds) {
-    aExchange.write_(ResponseText(status, NoticeHeaders(), ""));
+    RespondToCommand(aExchange, status, NoticeHeaders());
+  }
+}
+
+void SoakBackend::RespondToCommand(const Exchange& aExchange,
+                                   int aStatus,
+                                   const std::string& aFields)
+{
+  const auto text = ResponseText(aStatus, aFields, "");
+  switch (commandFault_) {
+    case CommandFault::OddBytes:
+      aExchange.write_(
+        ResponseText(aStatus,
+                     Concat("Cactuspitch-Handover: \xd9\x4b\xf0\r\n"
+                            "Server-Limit: \xff\r\nX-\x80: \xfe\r\n",
+                            aFields),
+                     ""));
+      break;
+    case CommandFault::Truncated:
+      aExchange.write_(text.substr(0, text.size() / 2));
+      aExchange.close_();
+      break;
+    case CommandFault::DelayedDuplicate:
+      aExchange.write_(text);
+      After(
+        std::uniform_int_distribution<TimeMs>(1, kMaxDuplicateDelayMs)(random_),
+        [aExchange, text] { aExchange.write_(text); });
+      break;
+    case CommandFault::EndlessBody:
+      aExchange.write_(Concat("HTTP/1.1 ",
+                              aStatus,
+                              " X\r\nContent-Length: 1000000000000\r\n\r\n",
+                              std::string(200000, 'x')));
+      break;
+    default:
+      aExchange.write_(text);
   }
 }
 
@@ -546,8 +595,10 @@
                aRequest.key_ <= aRelease.last_;
       });
     if (!busy) {
-      aRelease.exchange_.write_(ResponseText(
-        200, Concat("Cactuspitch-Handover: h\r\n", NoticeHeaders()), ""));
+      constexpr int kOk = 200;
+      RespondToCommand(aRelease.exchange_,
+                       kOk,
+                       Concat("Cactuspitch-Handover: h\r\n", NoticeHeaders()));
     }
     return !busy;
   });
--- a/tests/SoakBackend.hpp
+++ b/tests/SoakBackend.hpp
@@ -35,6 +35,26 @@
   };
 };
 
+/// Fault of the responses of a backend server to commands about keys. The
+/// commands are applied.
+enum class CommandFault : uint8_t
+{
+  None,
+  OddBytes,         ///< fields with bytes that are not UTF-8
+  Truncated,        ///< the connection closes within the head
+  DelayedDuplicate, ///< the response is sent again after a delay
+  EndlessBody,
+  Count
+};
+
+template<>
+struct EnumNames<CommandFault>
+{
+  static constexpr std::string_view kNames[] = {
+    "none", "odd-bytes", "truncated", "late-copy", "endless",
+  };
+};
+
 /// Simulated backend server of the platform: registration, slots and queue, key
 /// grants with fencing tokens, leaving and pause notices, and injected faults.
 /// Reports each event to the journal.
@@ -76,6 +96,7 @@
   /// later call changes the limit.
   void Limit(double aPerSecond, TimeMs aDurationMs);
   void SetFaultMode(ResponseFault aFault, TimeMs aDurationMs);
+  void SetCommandFault(CommandFault aFault, TimeMs aDurationMs);
   /// For aDurationMs, grants and releases are applied late; grants get no
   /// response.
   void DelayCommands(TimeMs aDurationMs);
@@ -118,6 +139,9 @@
   int Grant(const nlohmann::json& aCommand, TimeMs aArrivedMs);
   void Release(const Exchange& aExchange, const nlohmann::json& aCommand);
   void RespondToReleases();
+  void RespondToCommand(const Exchange& aExchange,
+                        int aStatus,
+                        const std::string& aFields);
   void Begin(const PendingRequest& aRequest);
   void Finish(const PendingRequest& aRequest);
   void StartWaiting();
@@ -154,6 +178,7 @@
   int limitNumber_ = 0;         ///< distinguishes the limits of an incarnation
   TimeMs commandsDelayedUntilMs_ = 0;
   ResponseFault fault_ = ResponseFault::None;
+  CommandFault commandFault_ = CommandFault::None;
   std::vector<Exchange> deferredExchanges_;
   std::vector<PendingRequest> running_;
   std::vector<PendingRequest> waiting_;
