--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -71,13 +71,12 @@
     int interims_;
     CallOutcome outcome_;
   };
-  for (const auto& [interims, outcome] :
-       { Case{ 2, CallOutcome::Completed },
-         Case{ 1000, CallOutcome::NoResponse } }) {
+  for (const auto& row : { Case{ 2, CallOutcome::Completed },
+                           Case{ 1000, CallOutcome::NoResponse } }) {
     EventLoop loop;
     ScriptedServer server(loop, [&](ScriptedServer::Exchange& aExchange) {
       std::string text;
-      for (int index = 0; index < interims; ++index) {
+      for (int index = 0; index < row.interims_; ++index) {
         text += interim;
       }
       aExchange.write_(text + TextResponse(200, aExchange.head_.target_));
--- a/tests/MemoryLimitTest.cpp
+++ b/tests/MemoryLimitTest.cpp
@@ -44,26 +44,26 @@
   static const std::string kSeal = "Cactuspitch-Response-Seal: s\r\n";
   static const std::string kChunked =
     kSeal + "Transfer-Encoding: chunked\r\n\r\n";
-  static const std::string zeros(kPartBytes, '0');
+  static const std::string kZeros(kPartBytes, '0');
   static const std::vector<Flood> kFloods = {
-    { "head", true, "X: ", zeros },
+    { "head", true, "X: ", kZeros },
     { "fields", true, "", Repeated("X: a\r\n") },
-    { "length", true, kSeal + "Content-Length: 1000000000000\r\n\r\n", zeros },
-    { "chunks", true, kChunked, Concat("10000\r\n", zeros, "\r\n") },
-    { "extension", true, kChunked + "5;x=", zeros },
+    { "length", true, kSeal + "Content-Length: 1000000000000\r\n\r\n", kZeros },
+    { "chunks", true, kChunked, Concat("10000\r\n", kZeros, "\r\n") },
+    { "extension", true, kChunked + "5;x=", kZeros },
     { "trailer", true, kChunked + "5\r\nhello\r\n0\r\n", Repeated("X: a\r\n") },
-    { "close", true, kSeal + "Connection: close\r\n\r\n", zeros },
-    { "unsealed", true, "Content-Length: 1000000000000\r\n\r\n", zeros },
+    { "close", true, kSeal + "Connection: close\r\n\r\n", kZeros },
+    { "unsealed", true, "Content-Length: 1000000000000\r\n\r\n", kZeros },
     { "refusal",
       true,
       "Cactuspitch-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
-      Concat("10000\r\n", zeros, "\r\n") },
+      Concat("10000\r\n", kZeros, "\r\n") },
     { "interim", false, "", Repeated("HTTP/1.1 100 Continue\r\n\r\n") },
     { "foreign",
       false,
       "HTTP/1.1 200 OK\r\nCactuspitch-Request-Id: other\r\n"
       "Content-Length: 1000000000000\r\n\r\n",
-      zeros },
+      kZeros },
   };
   return kFloods;
 }
