--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -91,8 +91,9 @@
         result = std::move(aResult);
       });
       ASSERT_TRUE(RunLoopUntil(loop, [&] { return result.has_value(); }));
-      EXPECT_EQ(result->outcome_, outcome) << interims;
-      EXPECT_TRUE(outcome != CallOutcome::Completed || result->body_ == target);
+      EXPECT_EQ(result->outcome_, row.outcome_) << row.interims_;
+      EXPECT_TRUE(row.outcome_ != CallOutcome::Completed ||
+                  result->body_ == target);
     }
   }
 }
