Name requests that a stop ends in progress by a cause of their own

ctl explain said of cause="stopping" that the request did not run, which is false for one that a server was at work on. Such requests now have the cause stopped-in-progress; memory-short is explained, too.

Result: RequestExplanation.IncludesServerNotices covers both.

--- a/ctl/RequestExplanation.cpp
+++ b/ctl/RequestExplanation.cpp
@@ -34,6 +34,12 @@
   CauseMeaning{ "stopping",
                 "the gateway was stopping and had not forwarded the request; "
                 "it did not run" },
+  CauseMeaning{ "stopped-in-progress",
+                "the gateway had to exit while a server was at work on the "
+                "request; it may have run" },
+  CauseMeaning{ "memory-short",
+                "the bodies of other requests used up the memory of the "
+                "gateway; the request did not run" },
   CauseMeaning{ "no-backend",
                 "no backend server of the service is registered" },
   CauseMeaning{ "overload",
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -218,15 +218,18 @@
   }
   const auto self = shared_from_this();
   if (headWritten_) {
-    AbortResponse("stopping");
+    AbortResponse("stopped-in-progress");
     return;
   }
   const auto connection = std::exchange(connection_, nullptr);
   if (connection != nullptr) {
     connection->Cancel();
   }
-  const bool mayHaveExecuted = connection != nullptr || mayHaveExecuted_;
-  Reject(mayHaveExecuted ? 502 : 503, "stopping", 0);
+  if (connection != nullptr || mayHaveExecuted_) {
+    Reject(502, "stopped-in-progress", 0);
+  } else {
+    Reject(503, "stopping", 0);
+  }
 }
 
 void ForwardedRequest::Dispatch()
--- a/tests/RequestExplanationTest.cpp
+++ b/tests/RequestExplanationTest.cpp
@@ -98,6 +98,8 @@
     R"(a ts=9700 level=info event=request-failed id="d" status="503" cause="owner-share" service="s" key="7")",
     R"(a ts=9800 level=info event=request-failed id="e" status="503" cause="stopping" service="s")",
     R"(a ts=9900 level=info event=request-failed id="m" status="400" cause="malformed-request")",
+    R"(a ts=9910 level=info event=request-failed id="u" status="503" cause="memory-short" service="s")",
+    R"(a ts=9920 level=info event=request-failed id="x" status="502" cause="stopped-in-progress" service="s")",
   });
   const auto explanation = ExplainRequest(lines, "r");
   EXPECT_NE(explanation.meaning_.find("pause"), std::string::npos)
@@ -107,7 +109,9 @@
   EXPECT_EQ(explanation.lines_.size(), 3U) << ToText(explanation);
   EXPECT_TRUE(ContainsEvent(explanation, "backend-paused"));
   EXPECT_TRUE(ContainsEvent(explanation, "backend-leaving"));
-  for (const char* id : { "k", "d", "e", "m" }) {
+  EXPECT_NE(ExplainRequest(lines, "x").meaning_.find("may have run"),
+            std::string::npos);
+  for (const char* id : { "k", "d", "e", "m", "u" }) {
     const auto meaning = ExplainRequest(lines, id).meaning_;
     EXPECT_EQ(meaning.find("may have run"), std::string::npos) << meaning;
   }
