--- a/tests/ForeignBytesTest.cpp
+++ b/tests/ForeignBytesTest.cpp
@@ -129,6 +129,19 @@
   return buffer->getBufferAsString();
 }
 
+void SendDatagram(const Endpoint& aReceiver, const std::string& aBytes)
+{
+  const int sender = ::socket(AF_INET, SOCK_DGRAM, 0);
+  const auto address = aReceiver.ToSockaddr();
+  ::sendto(sender,
+           aBytes.data(),
+           aBytes.size(),
+           0,
+           reinterpret_cast<const sockaddr*>(&address),
+           sizeof address);
+  ::close(sender);
+}
+
 /// A gateway that is fed with foreign bytes at one door after the other.
 class Foreign
 {
@@ -225,12 +238,12 @@
         aName = bytes;
       }
     });
-    SendDatagram(Encode(gossip));
+    SendDatagram(fixture_.Settings().peerListen_, Encode(gossip));
     auto noise = Encode(gossip);
     if (!noise.empty()) {
       noise[*rc::gen::inRange<size_t>(0, noise.size())] =
         static_cast<char>(*rc::gen::inRange(0, 256));
-      SendDatagram(noise);
+      SendDatagram(fixture_.Settings().peerListen_, noise);
     }
     fixture_.RunFor(5);
   }
@@ -240,7 +253,7 @@
     auto gossip = MakeGossip(++term_);
     gossip.configVersion = INT32_MAX;
     gossip.statusPort = peer_.Address().port_;
-    SendDatagram(Encode(gossip));
+    SendDatagram(fixture_.Settings().peerListen_, Encode(gossip));
     fixture_.RunFor(20);
   }
   void CallOfPeer()
@@ -329,19 +342,6 @@
   static constexpr size_t kMaxNameBytes = 1000;
   static constexpr int kNames = 9; ///< in MakeGossip()
 
-  void SendDatagram(const std::string& aBytes) const
-  {
-    const int sender = ::socket(AF_INET, SOCK_DGRAM, 0);
-    const auto address = fixture_.Settings().peerListen_.ToSockaddr();
-    ::sendto(sender,
-             aBytes.data(),
-             aBytes.size(),
-             0,
-             reinterpret_cast<const sockaddr*>(&address),
-             sizeof address);
-    ::close(sender);
-  }
-
   std::string answer_;
   std::string commandFields_;
   std::string peerBody_;
@@ -397,16 +397,7 @@
     gossip.instance = name;
     gossip.keys.front().owners = { name };
     gossip.changes.front().id = name;
-    const auto bytes = Encode(gossip);
-    const int sender = ::socket(AF_INET, SOCK_DGRAM, 0);
-    const auto address = fixture.Settings().peerListen_.ToSockaddr();
-    ::sendto(sender,
-             bytes.data(),
-             bytes.size(),
-             0,
-             reinterpret_cast<const sockaddr*>(&address),
-             sizeof address);
-    ::close(sender);
+    SendDatagram(fixture.Settings().peerListen_, Encode(gossip));
     fixture.RunFor(100);
     fixture.CommandBodies().clear();
     EXPECT_TRUE(
