--- a/tests/KeyOwnershipTest.cpp
+++ b/tests/KeyOwnershipTest.cpp
@@ -255,6 +255,22 @@
   EXPECT_TRUE(Grants(next.TakeCommands(nowMs_), "b", 0));
 }
 
+// Guards against two owners: a renewal that is in flight when the release is
+// sent may reach the server after it, and its answer the leader before.
+TEST_F(KeyOwnershipTest, ReleaseBesideARenewalProvesNothing)
+{
+  Start();
+  nowMs_ += timing_.renewIntervalMs_;
+  const auto renewals = ownership_.TakeCommands(nowMs_);
+  ASSERT_TRUE(Grants(renewals, "a", 0));
+  const auto commands = Step(MoveTo(0, 9, "b"));
+  AcceptAll(renewals);
+  if (const auto* release = Release(commands)) {
+    Complete(*release, KeyCommandResult::Accepted);
+  }
+  EXPECT_FALSE(Grants(Step(), "b", 0));
+}
+
 // Guards against keys without an owner because the new one rejects each grant
 // with the token of the previous one.
 TEST_F(KeyOwnershipTest, RejectedTokenIsNotSentAgain)
