Tests: usual terms for input paths and invalid bytes

ForeignBytesTest is UntrustedInputTest, its doors are input paths; odd tokens and bytes are invalid ones.

--- a/tests/HandoverTokenTest.cpp
+++ b/tests/HandoverTokenTest.cpp
@@ -95,7 +95,7 @@
 
 // Guards against a leader that ends, or keys that stay without an owner,
 // because of the bytes of a handover token.
-TEST(HandoverToken, OddTokensEndNoLeader)
+TEST(HandoverToken, InvalidTokensTerminateNoLeader)
 {
   const std::string longText(8000, 'h');
   const std::vector<TokenCase> cases = {
@@ -118,8 +118,8 @@
   }
 }
 
-// Guards against odd tokens that end one leader after the other, or leave keys
-// without an owner, while servers leave in turn.
+// Guards against invalid tokens that terminate one leader after the other, or
+// leave keys without an owner, while servers leave in turn.
 TEST(HandoverToken, ServersLeaveInTurn)
 {
   Handover handover("\xff\xfe");
--- a/tests/SoakBackend.cpp
+++ b/tests/SoakBackend.cpp
@@ -506,7 +506,7 @@
 {
   const auto text = ResponseText(aStatus, aFields, "");
   switch (commandFault_) {
-    case CommandFault::OddBytes:
+    case CommandFault::InvalidBytes:
       aExchange.write_(
         ResponseText(aStatus,
                      Concat("Cactuspitch-Handover: \xd9\x4b\xf0\r\n"
--- a/tests/SoakBackend.hpp
+++ b/tests/SoakBackend.hpp
@@ -40,7 +40,7 @@
 enum class CommandFault : uint8_t
 {
   None,
-  OddBytes,         ///< fields with bytes that are not UTF-8
+  InvalidBytes,     ///< fields with bytes that are not UTF-8
   Truncated,        ///< the connection closes within the head
   DelayedDuplicate, ///< the response is sent again after a delay
   EndlessBody,
@@ -51,7 +51,7 @@
 struct EnumNames<CommandFault>
 {
   static constexpr std::string_view kNames[] = {
-    "none", "odd-bytes", "truncated", "late-copy", "endless",
+    "none", "invalid-bytes", "truncated", "late-copy", "endless",
   };
 };
 
--- a/tests/ForeignBytesTest.cpp
+++ b/tests/UntrustedInputTest.cpp
@@ -142,11 +142,11 @@
   ::close(sender);
 }
 
-/// A gateway that is fed with foreign bytes at one door after the other.
-class Foreign
+/// A gateway that gets drawn bytes on one input path after the other.
+class InputFeeder
 {
 public:
-  Foreign()
+  InputFeeder()
     : fixture_(
         [this](Exchange& aExchange) {
           aExchange.write_(answer_.empty() ? GatewayFixture::MakeResponse(
@@ -306,7 +306,8 @@
   }
   void SettingsOfProcess()
   {
-    const auto path = Concat(testing::TempDir(), "foreign-", getpid(), ".env");
+    const auto path =
+      Concat(testing::TempDir(), "untrusted-", getpid(), ".env");
     std::ofstream(path) << "CACTUSPITCH_INSTANCE=" << DrawBytes()
                         << "\nCACTUSPITCH_FAILURE_DOMAIN=" << DrawBytes()
                         << "\nCACTUSPITCH_LIMITS=" << DrawBytes() << "\n";
@@ -352,44 +353,44 @@
 };
 
 /// Place at which bytes of other processes come in.
-struct Door
+struct InputPath
 {
   const char* name_;
-  void (Foreign::*feed_)();
+  void (InputFeeder::*feed_)();
 };
 
-constexpr std::array<Door, 11> kDoors = { {
-  { "answer of a server to a request", &Foreign::AnswerToRequest },
-  { "answer of a server to a command", &Foreign::AnswerToCommand },
-  { "handover token", &Foreign::HandoverToken },
-  { "head of a caller's request", &Foreign::CallersHead },
-  { "body of a caller's request", &Foreign::CallersBody },
-  { "datagram of another gateway", &Foreign::Datagram },
-  { "page of another gateway", &Foreign::PeersPage },
-  { "call of another gateway", &Foreign::CallOfPeer },
-  { "answer of the store", &Foreign::AnswerOfStore },
-  { "entry in the store", &Foreign::StoredEntry },
-  { "settings", &Foreign::SettingsOfProcess },
+constexpr std::array<InputPath, 11> kInputPaths = { {
+  { "answer of a server to a request", &InputFeeder::AnswerToRequest },
+  { "answer of a server to a command", &InputFeeder::AnswerToCommand },
+  { "handover token", &InputFeeder::HandoverToken },
+  { "head of a caller's request", &InputFeeder::CallersHead },
+  { "body of a caller's request", &InputFeeder::CallersBody },
+  { "datagram of another gateway", &InputFeeder::Datagram },
+  { "page of another gateway", &InputFeeder::PeersPage },
+  { "call of another gateway", &InputFeeder::CallOfPeer },
+  { "answer of the store", &InputFeeder::AnswerOfStore },
+  { "entry in the store", &InputFeeder::StoredEntry },
+  { "settings", &InputFeeder::SettingsOfProcess },
 } };
 
 // Guards against a process that ends because of bytes of another one, at any
 // place where such bytes come in.
-TEST(ForeignBytes, EndNoGateway)
+TEST(UntrustedInput, TerminatesNoGateway)
 {
   // The draws share a gateway, so that what one of them leaves behind meets the
   // next.
-  Foreign foreign;
+  InputFeeder feeder;
   EXPECT_TRUE(rc::check([&] {
-    for (const auto& door : kDoors) {
-      (foreign.*door.feed_)();
-      RC_ASSERT(foreign.IsServed());
+    for (const auto& path : kInputPaths) {
+      (feeder.*path.feed_)();
+      RC_ASSERT(feeder.IsServed());
     }
   }));
 }
 
 // Guards against names in datagrams that end the gateway later, when it becomes
 // the leader and writes them to the store.
-TEST(ForeignBytes, NamesOfOtherLeadersEndNoGateway)
+TEST(UntrustedInput, NamesOfOtherLeadersTerminateNoGateway)
 {
   for (const char* name : { "g\xff", "g\r\nX: y" }) {
     GatewayFixture fixture([](Exchange&) {}, 1);
