--- a/admin/QueryReader.cpp
+++ b/admin/QueryReader.cpp
@@ -13,9 +13,8 @@
 constexpr size_t kMaxQueryBytes = 2048;
 constexpr size_t kMaxValueBytes = 256;
 
-/// Decodes percent escapes and plus signs. Texts in rules must be valid UTF-8.
-/// Returns nothing for a malformed
-/// escape, a control character or invalid UTF-8.
+/// Decodes percent escapes and plus signs. Returns nothing for a malformed
+/// escape, a control character or invalid UTF-8, which rules cannot hold.
 std::optional<std::string> DecodePercent(std::string_view aText)
 {
   std::string result;
