Read load reports of four figures

Cause: a load report with the slowness of a shared host as a fourth figure was dropped as a whole, so servers that send it were placed as if they reported nothing. Change: the three counts are read with or without it; the slowness, relative to its mean and with a half-life of 250 ms, scales the expected service time. An invalid report is counted (malformed-load) and logged once a server.

--- a/gateway/BackendConnection.cpp
+++ b/gateway/BackendConnection.cpp
@@ -301,6 +301,9 @@
   if (aInfo.malformedRetryAfter_) {
     pool_.OnMalformedPause(*backend_);
   }
+  if (aInfo.malformedLoad_) {
+    pool_.OnMalformedLoad(*backend_, *aInfo.malformedLoad_);
+  }
   if (aInfo.malformedRequestLimit_) {
     pool_.OnMalformedLimit(*backend_, *aInfo.malformedRequestLimit_);
   } else if (aInfo.requestLimit_ || aInfo.sealed_) {
--- a/gateway/BackendConnection.hpp
+++ b/gateway/BackendConnection.hpp
@@ -191,6 +191,7 @@
   ServerPause pause_;
   bool malformedPauseLogged_ = false;
   bool malformedLimitLogged_ = false;
+  bool malformedLoadLogged_ = false;
 
   bool IsUsable() const
   {
--- a/gateway/BackendLoad.cpp
+++ b/gateway/BackendLoad.cpp
@@ -17,6 +17,9 @@
 /// gateway takes precedence for this time.
 constexpr TimeMs kOwnReportValidMs = 300;
 constexpr double kFailureHalfLifeMs = 2000;
+/// Hosts that are shared with others keep their speed for about this long.
+constexpr double kSlownessHalfLifeMs = 250;
+constexpr double kMeanSlownessWeight = 0.05;
 /// A server that shed a request counts as full for this time.
 constexpr TimeMs kShedBackoffMs = 60;
 /// Service time of a server that has just started, relative to a warm one.
@@ -89,6 +92,11 @@
     (otherGateways - otherGatewaysLoad_) * detail::kOtherGatewaysWeight;
   reportedTotal_ = aReport.running_ + aReport.waiting_;
   reportedMs_ = aNowMs;
+  if (aReport.slowness_) {
+    slowness_ = *aReport.slowness_;
+    meanSlowness_ += (slowness_ - meanSlowness_) * detail::kMeanSlownessWeight;
+    slownessMs_ = aNowMs;
+  }
 }
 
 void BackendLoad::OnSharedReport(double aLoad,
@@ -119,11 +127,19 @@
   return load;
 }
 
+double BackendLoad::RelativeSlowness(TimeMs aNowMs) const
+{
+  const double ageMs = static_cast<double>(aNowMs - slownessMs_);
+  return 1 + (slowness_ / meanSlowness_ - 1) *
+               std::exp2(-ageMs / detail::kSlownessHalfLifeMs);
+}
+
 double BackendLoad::ServiceTimeMs(TimeMs aNowMs) const
 {
   const double sharedMs =
     sharedServiceTimeMs_ > 0 ? sharedServiceTimeMs_ : defaultServiceTimeMs_;
-  const double workMs = IsMeasured() ? serviceTimeMs_ : sharedMs;
+  const double workMs =
+    (IsMeasured() ? serviceTimeMs_ : sharedMs) * RelativeSlowness(aNowMs);
   return aNowMs < coldUntilMs_ ? workMs * detail::kColdFactor : workMs;
 }
 
--- a/gateway/BackendLoad.hpp
+++ b/gateway/BackendLoad.hpp
@@ -38,6 +38,10 @@
   int InFlight() const { return inFlight_; }
   /// Requests in progress at the server, those of other gateways included.
   double Load(TimeMs aNowMs) const;
+  /// Current duration of work relative to the mean, from the last report. The
+  /// server's host changes speed several times a second, so it tends to 1 as
+  /// the report gets older.
+  double RelativeSlowness(TimeMs aNowMs) const;
   /// Service time of one request, without queueing.
   double ServiceTimeMs(TimeMs aNowMs) const;
   /// Expected response time of one more request, with queueing.
@@ -61,6 +65,10 @@
   int inFlight_ = 0;
   double otherGatewaysLoad_ = 0; ///< estimated requests of other gateways
   double reportedTotal_ = 0;
+  /// Last reported slowness, and the mean of the reports.
+  double slowness_ = 1;
+  double meanSlowness_ = 1;
+  TimeMs slownessMs_ = 0;
   double sharedServiceTimeMs_ = 0;
   TimeMs reportedMs_ = 0;
   TimeMs lastShedMs_ = 0;
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -310,6 +310,16 @@
   }
 }
 
+void BackendPool::OnMalformedLoad(Backend& aBackend, std::string_view aText)
+{
+  metrics_.OnServerNotice("malformed-load", aBackend.entry_.id_);
+  if (!std::exchange(aBackend.malformedLoadLogged_, true)) {
+    log_.Write(LogLevel::Warning,
+               "backend-load-malformed",
+               { { "backend", aBackend.entry_.id_ }, { "value", aText } });
+  }
+}
+
 void BackendPool::RecordServiceTime(const Backend& aBackend, double aLatencyMs)
 {
   serviceTimeMs_.Add(aBackend.entry_.service_, aLatencyMs);
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -107,6 +107,7 @@
                     std::optional<double> aLimit,
                     TimeMs aSentMs);
   void OnMalformedLimit(Backend& aBackend, std::string_view aText);
+  void OnMalformedLoad(Backend& aBackend, std::string_view aText);
   void CloseIdleOf(Backend& aBackend);
   void RecordServiceTime(const Backend& aBackend, double aLatencyMs);
   void Release(const std::shared_ptr<BackendConnection>& aConnection,
--- a/gateway/PlatformInterface.hpp
+++ b/gateway/PlatformInterface.hpp
@@ -32,6 +32,9 @@
   int running_ = 0;
   int waiting_ = 0;
   int slots_ = 1;
+  /// Current duration of work at the server relative to the usual one, if the
+  /// server shares its host with others and reports it.
+  std::optional<double> slowness_;
 };
 
 /// Response metadata that a backend server sends in header fields.
@@ -43,6 +46,8 @@
   /// The server guarantees that it did not execute the request.
   bool notExecuted_ = false;
   std::optional<ReportedLoad> load_;
+  /// Start of a load report that is invalid, at least in part.
+  std::optional<std::string> malformedLoad_;
   std::optional<TimeMs> idleTimeoutMs_; ///< keep-alive timeout
   bool leaving_ = false;                ///< the server is about to shut down
   /// A server that rejected the request asks for no further requests during
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -385,6 +385,42 @@
   EXPECT_FALSE(RequestCodec().ParseResponse(head).load_);
 }
 
+// Guards against a load report with a fourth figure that is dropped as a whole,
+// and against a bad fourth figure that spoils the other three.
+TEST(RequestCodec, ReadsLoadReports)
+{
+  const auto read = [](const char* aText) {
+    HttpHead head;
+    head.status_ = 200;
+    head.fields_ = { { "Cactuspitch-Server-Load", aText } };
+    return RequestCodec().ParseResponse(head);
+  };
+  const auto slow = read("2,1,3,300");
+  ASSERT_TRUE(slow.load_);
+  EXPECT_EQ(slow.load_->running_, 2);
+  EXPECT_EQ(slow.load_->slowness_, 3);
+  EXPECT_FALSE(slow.malformedLoad_);
+  EXPECT_FALSE(read("2,1,3").load_->slowness_);
+  EXPECT_FALSE(read("2,1,3").malformedLoad_);
+  for (const auto* text : { "2,1,3,",
+                            "2,1,3,-100",
+                            "2,1,3,x",
+                            "2,1,3,0",
+                            "2,1,3,99999999999",
+                            "2,1,3,1e2",
+                            "2,1,3,100,1" }) {
+    const auto info = read(text);
+    ASSERT_TRUE(info.load_) << text;
+    EXPECT_EQ(info.load_->waiting_, 1);
+    EXPECT_FALSE(info.load_->slowness_) << text;
+    EXPECT_EQ(info.malformedLoad_, text);
+  }
+  for (const auto* text : { "2,1", "-1,0,3", "1,99999999999,3", "1,0,0,100" }) {
+    EXPECT_FALSE(read(text).load_) << text;
+    EXPECT_EQ(read(text).malformedLoad_, text);
+  }
+}
+
 // Guards against invalid Retry-After values: dates, malformed fractions and
 // times without an end, and against values from other responses than 503.
 TEST(RequestCodec, ReadsRetryAfter)
