--- a/gateway/gateway.cmake
+++ b/gateway/gateway.cmake
@@ -9,7 +9,7 @@
   wire/gen-cpp/gossip_types.cpp)
 file(GLOB GATEWAY_FOLDER_SOURCES CONFIGURE_DEPENDS
   gateway/*.cpp keyspace/*.cpp membership/*.cpp net/*.cpp platform/*.cpp
-  routing/*.cpp)
+  routing/*.cpp scheduling/*.cpp)
 list(FILTER GATEWAY_FOLDER_SOURCES EXCLUDE REGEX "Main\\.cpp$")
 list(APPEND GATEWAY_SOURCES ${GATEWAY_FOLDER_SOURCES})
 
--- a/wire/gen-cpp/gossip_types.cpp
+++ b/wire/gen-cpp/gossip_types.cpp
@@ -1330,6 +1330,1086 @@
 }
 
 
+SlotRequest::~SlotRequest() noexcept {
+}
+
+
+void SlotRequest::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void SlotRequest::__set_serviceHash(const int32_t val) {
+  this->serviceHash = val;
+}
+
+void SlotRequest::__set_route(const int32_t val) {
+  this->route = val;
+}
+
+void SlotRequest::__set_server(const int32_t val) {
+  this->server = val;
+}
+
+void SlotRequest::__set_rank(const int32_t val) {
+  this->rank = val;
+}
+
+void SlotRequest::__set_objectiveMs(const int32_t val) {
+  this->objectiveMs = val;
+}
+
+void SlotRequest::__set_objectiveLeftMs(const int32_t val) {
+  this->objectiveLeftMs = val;
+}
+
+void SlotRequest::__set_remainingMs(const int32_t val) {
+  this->remainingMs = val;
+}
+
+void SlotRequest::__set_bytes(const int32_t val) {
+  this->bytes = val;
+}
+
+void SlotRequest::__set_crossing(const bool val) {
+  this->crossing = val;
+}
+
+void SlotRequest::__set_returned(const bool val) {
+  this->returned = val;
+}
+
+void SlotRequest::__set_avoided(const std::vector<int32_t> & val) {
+  this->avoided = val;
+}
+
+void SlotRequest::__set_connected(const std::vector<int32_t> & val) {
+  this->connected = val;
+}
+std::ostream& operator<<(std::ostream& out, const SlotRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SlotRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->serviceHash);
+          this->__isset.serviceHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->route);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          this->__isset.rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->objectiveMs);
+          this->__isset.objectiveMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->objectiveLeftMs);
+          this->__isset.objectiveLeftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->remainingMs);
+          this->__isset.remainingMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->bytes);
+          this->__isset.bytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->crossing);
+          this->__isset.crossing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->returned);
+          this->__isset.returned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->avoided.clear();
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->avoided.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
+            {
+              xfer += iprot->readI32(this->avoided[_i44]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.avoided = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->connected.clear();
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->connected.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
+            {
+              xfer += iprot->readI32(this->connected[_i49]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.connected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SlotRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SlotRequest");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceHash", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->serviceHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->route);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->rank);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objectiveMs", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->objectiveMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objectiveLeftMs", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->objectiveLeftMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remainingMs", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->remainingMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bytes", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->bytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crossing", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->crossing);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->returned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("avoided", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->avoided.size()));
+    std::vector<int32_t> ::const_iterator _iter50;
+    for (_iter50 = this->avoided.begin(); _iter50 != this->avoided.end(); ++_iter50)
+    {
+      xfer += oprot->writeI32((*_iter50));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("connected", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->connected.size()));
+    std::vector<int32_t> ::const_iterator _iter51;
+    for (_iter51 = this->connected.begin(); _iter51 != this->connected.end(); ++_iter51)
+    {
+      xfer += oprot->writeI32((*_iter51));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SlotRequest &a, SlotRequest &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.serviceHash, b.serviceHash);
+  swap(a.route, b.route);
+  swap(a.server, b.server);
+  swap(a.rank, b.rank);
+  swap(a.objectiveMs, b.objectiveMs);
+  swap(a.objectiveLeftMs, b.objectiveLeftMs);
+  swap(a.remainingMs, b.remainingMs);
+  swap(a.bytes, b.bytes);
+  swap(a.crossing, b.crossing);
+  swap(a.returned, b.returned);
+  swap(a.avoided, b.avoided);
+  swap(a.connected, b.connected);
+  swap(a.__isset, b.__isset);
+}
+
+SlotRequest::SlotRequest(const SlotRequest& other52) {
+  number = other52.number;
+  serviceHash = other52.serviceHash;
+  route = other52.route;
+  server = other52.server;
+  rank = other52.rank;
+  objectiveMs = other52.objectiveMs;
+  objectiveLeftMs = other52.objectiveLeftMs;
+  remainingMs = other52.remainingMs;
+  bytes = other52.bytes;
+  crossing = other52.crossing;
+  returned = other52.returned;
+  avoided = other52.avoided;
+  connected = other52.connected;
+  __isset = other52.__isset;
+}
+SlotRequest& SlotRequest::operator=(const SlotRequest& other53) {
+  number = other53.number;
+  serviceHash = other53.serviceHash;
+  route = other53.route;
+  server = other53.server;
+  rank = other53.rank;
+  objectiveMs = other53.objectiveMs;
+  objectiveLeftMs = other53.objectiveLeftMs;
+  remainingMs = other53.remainingMs;
+  bytes = other53.bytes;
+  crossing = other53.crossing;
+  returned = other53.returned;
+  avoided = other53.avoided;
+  connected = other53.connected;
+  __isset = other53.__isset;
+  return *this;
+}
+void SlotRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SlotRequest(";
+  out << "number=" << to_string(number);
+  out << ", " << "serviceHash=" << to_string(serviceHash);
+  out << ", " << "route=" << to_string(route);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "rank=" << to_string(rank);
+  out << ", " << "objectiveMs=" << to_string(objectiveMs);
+  out << ", " << "objectiveLeftMs=" << to_string(objectiveLeftMs);
+  out << ", " << "remainingMs=" << to_string(remainingMs);
+  out << ", " << "bytes=" << to_string(bytes);
+  out << ", " << "crossing=" << to_string(crossing);
+  out << ", " << "returned=" << to_string(returned);
+  out << ", " << "avoided=" << to_string(avoided);
+  out << ", " << "connected=" << to_string(connected);
+  out << ")";
+}
+
+
+SlotAnswer::~SlotAnswer() noexcept {
+}
+
+
+void SlotAnswer::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void SlotAnswer::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+
+void SlotAnswer::__set_cause(const int32_t val) {
+  this->cause = val;
+}
+
+void SlotAnswer::__set_server(const int32_t val) {
+  this->server = val;
+}
+
+void SlotAnswer::__set_domain(const int32_t val) {
+  this->domain = val;
+}
+
+void SlotAnswer::__set_retryAfterMs(const int32_t val) {
+  this->retryAfterMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const SlotAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SlotAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cause);
+          this->__isset.cause = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retryAfterMs);
+          this->__isset.retryAfterMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SlotAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SlotAnswer");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cause", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->cause);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryAfterMs", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->retryAfterMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SlotAnswer &a, SlotAnswer &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.verdict, b.verdict);
+  swap(a.cause, b.cause);
+  swap(a.server, b.server);
+  swap(a.domain, b.domain);
+  swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.__isset, b.__isset);
+}
+
+SlotAnswer::SlotAnswer(const SlotAnswer& other54) noexcept {
+  number = other54.number;
+  verdict = other54.verdict;
+  cause = other54.cause;
+  server = other54.server;
+  domain = other54.domain;
+  retryAfterMs = other54.retryAfterMs;
+  __isset = other54.__isset;
+}
+SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other55) noexcept {
+  number = other55.number;
+  verdict = other55.verdict;
+  cause = other55.cause;
+  server = other55.server;
+  domain = other55.domain;
+  retryAfterMs = other55.retryAfterMs;
+  __isset = other55.__isset;
+  return *this;
+}
+void SlotAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SlotAnswer(";
+  out << "number=" << to_string(number);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "cause=" << to_string(cause);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "domain=" << to_string(domain);
+  out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ")";
+}
+
+
+SlotEnd::~SlotEnd() noexcept {
+}
+
+
+void SlotEnd::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void SlotEnd::__set_serviceHash(const int32_t val) {
+  this->serviceHash = val;
+}
+
+void SlotEnd::__set_server(const int32_t val) {
+  this->server = val;
+}
+
+void SlotEnd::__set_outcome(const int32_t val) {
+  this->outcome = val;
+}
+
+void SlotEnd::__set_latencyMs(const int32_t val) {
+  this->latencyMs = val;
+}
+
+void SlotEnd::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void SlotEnd::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void SlotEnd::__set_slownessPercent(const int32_t val) {
+  this->slownessPercent = val;
+}
+std::ostream& operator<<(std::ostream& out, const SlotEnd& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SlotEnd::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->serviceHash);
+          this->__isset.serviceHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->latencyMs);
+          this->__isset.latencyMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slownessPercent);
+          this->__isset.slownessPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SlotEnd::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SlotEnd");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceHash", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->serviceHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("latencyMs", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->latencyMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->running);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slownessPercent", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->slownessPercent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SlotEnd &a, SlotEnd &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.serviceHash, b.serviceHash);
+  swap(a.server, b.server);
+  swap(a.outcome, b.outcome);
+  swap(a.latencyMs, b.latencyMs);
+  swap(a.running, b.running);
+  swap(a.waiting, b.waiting);
+  swap(a.slownessPercent, b.slownessPercent);
+  swap(a.__isset, b.__isset);
+}
+
+SlotEnd::SlotEnd(const SlotEnd& other56) noexcept {
+  number = other56.number;
+  serviceHash = other56.serviceHash;
+  server = other56.server;
+  outcome = other56.outcome;
+  latencyMs = other56.latencyMs;
+  running = other56.running;
+  waiting = other56.waiting;
+  slownessPercent = other56.slownessPercent;
+  __isset = other56.__isset;
+}
+SlotEnd& SlotEnd::operator=(const SlotEnd& other57) noexcept {
+  number = other57.number;
+  serviceHash = other57.serviceHash;
+  server = other57.server;
+  outcome = other57.outcome;
+  latencyMs = other57.latencyMs;
+  running = other57.running;
+  waiting = other57.waiting;
+  slownessPercent = other57.slownessPercent;
+  __isset = other57.__isset;
+  return *this;
+}
+void SlotEnd::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SlotEnd(";
+  out << "number=" << to_string(number);
+  out << ", " << "serviceHash=" << to_string(serviceHash);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "latencyMs=" << to_string(latencyMs);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "waiting=" << to_string(waiting);
+  out << ", " << "slownessPercent=" << to_string(slownessPercent);
+  out << ")";
+}
+
+
+SlotSummary::~SlotSummary() noexcept {
+}
+
+
+void SlotSummary::__set_serviceHash(const int32_t val) {
+  this->serviceHash = val;
+}
+
+void SlotSummary::__set_domain(const int32_t val) {
+  this->domain = val;
+}
+
+void SlotSummary::__set_freeSlots(const int32_t val) {
+  this->freeSlots = val;
+}
+
+void SlotSummary::__set_utilization(const int32_t val) {
+  this->utilization = val;
+}
+
+void SlotSummary::__set_waitMs(const int32_t val) {
+  this->waitMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const SlotSummary& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SlotSummary::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->serviceHash);
+          this->__isset.serviceHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->freeSlots);
+          this->__isset.freeSlots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->utilization);
+          this->__isset.utilization = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waitMs);
+          this->__isset.waitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SlotSummary::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SlotSummary");
+
+  xfer += oprot->writeFieldBegin("serviceHash", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->serviceHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("freeSlots", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->freeSlots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("utilization", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->utilization);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitMs", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->waitMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SlotSummary &a, SlotSummary &b) {
+  using ::std::swap;
+  swap(a.serviceHash, b.serviceHash);
+  swap(a.domain, b.domain);
+  swap(a.freeSlots, b.freeSlots);
+  swap(a.utilization, b.utilization);
+  swap(a.waitMs, b.waitMs);
+  swap(a.__isset, b.__isset);
+}
+
+SlotSummary::SlotSummary(const SlotSummary& other58) noexcept {
+  serviceHash = other58.serviceHash;
+  domain = other58.domain;
+  freeSlots = other58.freeSlots;
+  utilization = other58.utilization;
+  waitMs = other58.waitMs;
+  __isset = other58.__isset;
+}
+SlotSummary& SlotSummary::operator=(const SlotSummary& other59) noexcept {
+  serviceHash = other59.serviceHash;
+  domain = other59.domain;
+  freeSlots = other59.freeSlots;
+  utilization = other59.utilization;
+  waitMs = other59.waitMs;
+  __isset = other59.__isset;
+  return *this;
+}
+void SlotSummary::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SlotSummary(";
+  out << "serviceHash=" << to_string(serviceHash);
+  out << ", " << "domain=" << to_string(domain);
+  out << ", " << "freeSlots=" << to_string(freeSlots);
+  out << ", " << "utilization=" << to_string(utilization);
+  out << ", " << "waitMs=" << to_string(waitMs);
+  out << ")";
+}
+
+
+ColdServer::~ColdServer() noexcept {
+}
+
+
+void ColdServer::__set_server(const int32_t val) {
+  this->server = val;
+}
+
+void ColdServer::__set_remainingMs(const int32_t val) {
+  this->remainingMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ColdServer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ColdServer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->remainingMs);
+          this->__isset.remainingMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ColdServer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ColdServer");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remainingMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->remainingMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ColdServer &a, ColdServer &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.remainingMs, b.remainingMs);
+  swap(a.__isset, b.__isset);
+}
+
+ColdServer::ColdServer(const ColdServer& other60) noexcept {
+  server = other60.server;
+  remainingMs = other60.remainingMs;
+  __isset = other60.__isset;
+}
+ColdServer& ColdServer::operator=(const ColdServer& other61) noexcept {
+  server = other61.server;
+  remainingMs = other61.remainingMs;
+  __isset = other61.__isset;
+  return *this;
+}
+void ColdServer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ColdServer(";
+  out << "server=" << to_string(server);
+  out << ", " << "remainingMs=" << to_string(remainingMs);
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -1442,6 +2522,34 @@
   this->permitReplies = val;
 }
 
+void Gossip::__set_slotRequests(const std::vector<SlotRequest> & val) {
+  this->slotRequests = val;
+}
+
+void Gossip::__set_slotAnswers(const std::vector<SlotAnswer> & val) {
+  this->slotAnswers = val;
+}
+
+void Gossip::__set_slotEnds(const std::vector<SlotEnd> & val) {
+  this->slotEnds = val;
+}
+
+void Gossip::__set_slotSummaries(const std::vector<SlotSummary> & val) {
+  this->slotSummaries = val;
+}
+
+void Gossip::__set_evacuatedDomains(const std::vector<std::string> & val) {
+  this->evacuatedDomains = val;
+}
+
+void Gossip::__set_evacuationRevision(const int64_t val) {
+  this->evacuationRevision = val;
+}
+
+void Gossip::__set_coldServers(const std::vector<ColdServer> & val) {
+  this->coldServers = val;
+}
+
 void Gossip::__set_wantsKeys(const bool val) {
   this->wantsKeys = val;
 }
@@ -1517,14 +2625,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->keys.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->keys.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->keys[_i44].read(iprot);
+              xfer += this->keys[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1537,14 +2645,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keyCounts.clear();
-            uint32_t _size45;
-            ::apache::thrift::protocol::TType _etype48;
-            xfer += iprot->readListBegin(_etype48, _size45);
-            this->keyCounts.resize(_size45);
-            uint32_t _i49;
-            for (_i49 = 0; _i49 < _size45; ++_i49)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->keyCounts.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += this->keyCounts[_i49].read(iprot);
+              xfer += this->keyCounts[_i71].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1557,14 +2665,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->suspects.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->suspects.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->suspects[_i54].read(iprot);
+              xfer += this->suspects[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1585,14 +2693,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->backendLoads.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->backendLoads.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->backendLoads.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
             {
-              xfer += iprot->readI32(this->backendLoads[_i59]);
+              xfer += iprot->readI32(this->backendLoads[_i81]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1621,14 +2729,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->changes.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->changes.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->changes[_i64].read(iprot);
+              xfer += this->changes[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1689,14 +2797,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->members.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->members.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += iprot->readI32(this->members[_i69]);
+              xfer += iprot->readI32(this->members[_i91]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1709,14 +2817,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->admissions.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->admissions.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->admissions.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += iprot->readI32(this->admissions[_i74]);
+              xfer += iprot->readI32(this->admissions[_i96]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1745,14 +2853,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leavingServers.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _etype78;
-            xfer += iprot->readListBegin(_etype78, _size75);
-            this->leavingServers.resize(_size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size97;
+            ::apache::thrift::protocol::TType _etype100;
+            xfer += iprot->readListBegin(_etype100, _size97);
+            this->leavingServers.resize(_size97);
+            uint32_t _i101;
+            for (_i101 = 0; _i101 < _size97; ++_i101)
             {
-              xfer += iprot->readI32(this->leavingServers[_i79]);
+              xfer += iprot->readI32(this->leavingServers[_i101]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1765,14 +2873,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->limits.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->limits.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += this->limits[_i84].read(iprot);
+              xfer += this->limits[_i106].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1785,14 +2893,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitRequests.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->permitRequests.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->permitRequests.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
             {
-              xfer += this->permitRequests[_i89].read(iprot);
+              xfer += this->permitRequests[_i111].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1805,14 +2913,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->permitReplies.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->permitReplies.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->permitReplies.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->permitReplies[_i94].read(iprot);
+              xfer += this->permitReplies[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1821,6 +2929,134 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 29:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->slotRequests.clear();
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->slotRequests.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
+            {
+              xfer += this->slotRequests[_i121].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.slotRequests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->slotAnswers.clear();
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->slotAnswers.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
+            {
+              xfer += this->slotAnswers[_i126].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.slotAnswers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->slotEnds.clear();
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->slotEnds.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
+            {
+              xfer += this->slotEnds[_i131].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.slotEnds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 32:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->slotSummaries.clear();
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->slotSummaries.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
+            {
+              xfer += this->slotSummaries[_i136].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.slotSummaries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 33:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->evacuatedDomains.clear();
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->evacuatedDomains.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
+            {
+              xfer += iprot->readString(this->evacuatedDomains[_i141]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.evacuatedDomains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 34:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuationRevision);
+          this->__isset.evacuationRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 35:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->coldServers.clear();
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->coldServers.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
+            {
+              xfer += this->coldServers[_i146].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.coldServers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->wantsKeys);
@@ -1869,10 +3105,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keys.size()));
-    std::vector<OwnedKeys> ::const_iterator _iter95;
-    for (_iter95 = this->keys.begin(); _iter95 != this->keys.end(); ++_iter95)
+    std::vector<OwnedKeys> ::const_iterator _iter147;
+    for (_iter147 = this->keys.begin(); _iter147 != this->keys.end(); ++_iter147)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter147).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1881,10 +3117,10 @@
   xfer += oprot->writeFieldBegin("keyCounts", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keyCounts.size()));
-    std::vector<KeyCounts> ::const_iterator _iter96;
-    for (_iter96 = this->keyCounts.begin(); _iter96 != this->keyCounts.end(); ++_iter96)
+    std::vector<KeyCounts> ::const_iterator _iter148;
+    for (_iter148 = this->keyCounts.begin(); _iter148 != this->keyCounts.end(); ++_iter148)
     {
-      xfer += (*_iter96).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1893,10 +3129,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<SuspectRequest> ::const_iterator _iter97;
-    for (_iter97 = this->suspects.begin(); _iter97 != this->suspects.end(); ++_iter97)
+    std::vector<SuspectRequest> ::const_iterator _iter149;
+    for (_iter149 = this->suspects.begin(); _iter149 != this->suspects.end(); ++_iter149)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1909,10 +3145,10 @@
   xfer += oprot->writeFieldBegin("backendLoads", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->backendLoads.size()));
-    std::vector<int32_t> ::const_iterator _iter98;
-    for (_iter98 = this->backendLoads.begin(); _iter98 != this->backendLoads.end(); ++_iter98)
+    std::vector<int32_t> ::const_iterator _iter150;
+    for (_iter150 = this->backendLoads.begin(); _iter150 != this->backendLoads.end(); ++_iter150)
     {
-      xfer += oprot->writeI32((*_iter98));
+      xfer += oprot->writeI32((*_iter150));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1933,10 +3169,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<BackendChange> ::const_iterator _iter99;
-    for (_iter99 = this->changes.begin(); _iter99 != this->changes.end(); ++_iter99)
+    std::vector<BackendChange> ::const_iterator _iter151;
+    for (_iter151 = this->changes.begin(); _iter151 != this->changes.end(); ++_iter151)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter151).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1969,10 +3205,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-    std::vector<int32_t> ::const_iterator _iter100;
-    for (_iter100 = this->members.begin(); _iter100 != this->members.end(); ++_iter100)
+    std::vector<int32_t> ::const_iterator _iter152;
+    for (_iter152 = this->members.begin(); _iter152 != this->members.end(); ++_iter152)
     {
-      xfer += oprot->writeI32((*_iter100));
+      xfer += oprot->writeI32((*_iter152));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1981,10 +3217,10 @@
   xfer += oprot->writeFieldBegin("admissions", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->admissions.size()));
-    std::vector<int32_t> ::const_iterator _iter101;
-    for (_iter101 = this->admissions.begin(); _iter101 != this->admissions.end(); ++_iter101)
+    std::vector<int32_t> ::const_iterator _iter153;
+    for (_iter153 = this->admissions.begin(); _iter153 != this->admissions.end(); ++_iter153)
     {
-      xfer += oprot->writeI32((*_iter101));
+      xfer += oprot->writeI32((*_iter153));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2001,10 +3237,10 @@
   xfer += oprot->writeFieldBegin("leavingServers", ::apache::thrift::protocol::T_LIST, 25);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->leavingServers.size()));
-    std::vector<int32_t> ::const_iterator _iter102;
-    for (_iter102 = this->leavingServers.begin(); _iter102 != this->leavingServers.end(); ++_iter102)
+    std::vector<int32_t> ::const_iterator _iter154;
+    for (_iter154 = this->leavingServers.begin(); _iter154 != this->leavingServers.end(); ++_iter154)
     {
-      xfer += oprot->writeI32((*_iter102));
+      xfer += oprot->writeI32((*_iter154));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2013,10 +3249,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 26);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<ServerLimit> ::const_iterator _iter103;
-    for (_iter103 = this->limits.begin(); _iter103 != this->limits.end(); ++_iter103)
+    std::vector<ServerLimit> ::const_iterator _iter155;
+    for (_iter155 = this->limits.begin(); _iter155 != this->limits.end(); ++_iter155)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter155).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2025,10 +3261,10 @@
   xfer += oprot->writeFieldBegin("permitRequests", ::apache::thrift::protocol::T_LIST, 27);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitRequests.size()));
-    std::vector<PermitRequest> ::const_iterator _iter104;
-    for (_iter104 = this->permitRequests.begin(); _iter104 != this->permitRequests.end(); ++_iter104)
+    std::vector<PermitRequest> ::const_iterator _iter156;
+    for (_iter156 = this->permitRequests.begin(); _iter156 != this->permitRequests.end(); ++_iter156)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter156).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2037,10 +3273,86 @@
   xfer += oprot->writeFieldBegin("permitReplies", ::apache::thrift::protocol::T_LIST, 28);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->permitReplies.size()));
-    std::vector<PermitReply> ::const_iterator _iter105;
-    for (_iter105 = this->permitReplies.begin(); _iter105 != this->permitReplies.end(); ++_iter105)
+    std::vector<PermitReply> ::const_iterator _iter157;
+    for (_iter157 = this->permitReplies.begin(); _iter157 != this->permitReplies.end(); ++_iter157)
+    {
+      xfer += (*_iter157).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slotRequests", ::apache::thrift::protocol::T_LIST, 29);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slotRequests.size()));
+    std::vector<SlotRequest> ::const_iterator _iter158;
+    for (_iter158 = this->slotRequests.begin(); _iter158 != this->slotRequests.end(); ++_iter158)
+    {
+      xfer += (*_iter158).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slotAnswers", ::apache::thrift::protocol::T_LIST, 30);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slotAnswers.size()));
+    std::vector<SlotAnswer> ::const_iterator _iter159;
+    for (_iter159 = this->slotAnswers.begin(); _iter159 != this->slotAnswers.end(); ++_iter159)
+    {
+      xfer += (*_iter159).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slotEnds", ::apache::thrift::protocol::T_LIST, 31);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slotEnds.size()));
+    std::vector<SlotEnd> ::const_iterator _iter160;
+    for (_iter160 = this->slotEnds.begin(); _iter160 != this->slotEnds.end(); ++_iter160)
+    {
+      xfer += (*_iter160).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slotSummaries", ::apache::thrift::protocol::T_LIST, 32);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slotSummaries.size()));
+    std::vector<SlotSummary> ::const_iterator _iter161;
+    for (_iter161 = this->slotSummaries.begin(); _iter161 != this->slotSummaries.end(); ++_iter161)
+    {
+      xfer += (*_iter161).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuatedDomains", ::apache::thrift::protocol::T_LIST, 33);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuatedDomains.size()));
+    std::vector<std::string> ::const_iterator _iter162;
+    for (_iter162 = this->evacuatedDomains.begin(); _iter162 != this->evacuatedDomains.end(); ++_iter162)
+    {
+      xfer += oprot->writeString((*_iter162));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuationRevision", ::apache::thrift::protocol::T_I64, 34);
+  xfer += oprot->writeI64(this->evacuationRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coldServers", ::apache::thrift::protocol::T_LIST, 35);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->coldServers.size()));
+    std::vector<ColdServer> ::const_iterator _iter163;
+    for (_iter163 = this->coldServers.begin(); _iter163 != this->coldServers.end(); ++_iter163)
     {
-      xfer += (*_iter105).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2080,71 +3392,92 @@
   swap(a.limits, b.limits);
   swap(a.permitRequests, b.permitRequests);
   swap(a.permitReplies, b.permitReplies);
+  swap(a.slotRequests, b.slotRequests);
+  swap(a.slotAnswers, b.slotAnswers);
+  swap(a.slotEnds, b.slotEnds);
+  swap(a.slotSummaries, b.slotSummaries);
+  swap(a.evacuatedDomains, b.evacuatedDomains);
+  swap(a.evacuationRevision, b.evacuationRevision);
+  swap(a.coldServers, b.coldServers);
   swap(a.wantsKeys, b.wantsKeys);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other106) {
-  instance = other106.instance;
-  bootId = other106.bootId;
-  term = other106.term;
-  leading = other106.leading;
-  configVersion = other106.configVersion;
-  keys = other106.keys;
-  keyCounts = other106.keyCounts;
-  suspects = other106.suspects;
-  deadTerm = other106.deadTerm;
-  backendLoads = other106.backendLoads;
-  failureDomain = other106.failureDomain;
-  cpuPercent = other106.cpuPercent;
-  changes = other106.changes;
-  directoryDigest = other106.directoryDigest;
-  storeOk = other106.storeOk;
-  storeAgeMs = other106.storeAgeMs;
-  statusPort = other106.statusPort;
-  passOn = other106.passOn;
-  origin = other106.origin;
-  members = other106.members;
-  admissions = other106.admissions;
-  directoryRevision = other106.directoryRevision;
-  suspectDigest = other106.suspectDigest;
-  leavingServers = other106.leavingServers;
-  limits = other106.limits;
-  permitRequests = other106.permitRequests;
-  permitReplies = other106.permitReplies;
-  wantsKeys = other106.wantsKeys;
-  __isset = other106.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other107) {
-  instance = other107.instance;
-  bootId = other107.bootId;
-  term = other107.term;
-  leading = other107.leading;
-  configVersion = other107.configVersion;
-  keys = other107.keys;
-  keyCounts = other107.keyCounts;
-  suspects = other107.suspects;
-  deadTerm = other107.deadTerm;
-  backendLoads = other107.backendLoads;
-  failureDomain = other107.failureDomain;
-  cpuPercent = other107.cpuPercent;
-  changes = other107.changes;
-  directoryDigest = other107.directoryDigest;
-  storeOk = other107.storeOk;
-  storeAgeMs = other107.storeAgeMs;
-  statusPort = other107.statusPort;
-  passOn = other107.passOn;
-  origin = other107.origin;
-  members = other107.members;
-  admissions = other107.admissions;
-  directoryRevision = other107.directoryRevision;
-  suspectDigest = other107.suspectDigest;
-  leavingServers = other107.leavingServers;
-  limits = other107.limits;
-  permitRequests = other107.permitRequests;
-  permitReplies = other107.permitReplies;
-  wantsKeys = other107.wantsKeys;
-  __isset = other107.__isset;
+Gossip::Gossip(const Gossip& other164) {
+  instance = other164.instance;
+  bootId = other164.bootId;
+  term = other164.term;
+  leading = other164.leading;
+  configVersion = other164.configVersion;
+  keys = other164.keys;
+  keyCounts = other164.keyCounts;
+  suspects = other164.suspects;
+  deadTerm = other164.deadTerm;
+  backendLoads = other164.backendLoads;
+  failureDomain = other164.failureDomain;
+  cpuPercent = other164.cpuPercent;
+  changes = other164.changes;
+  directoryDigest = other164.directoryDigest;
+  storeOk = other164.storeOk;
+  storeAgeMs = other164.storeAgeMs;
+  statusPort = other164.statusPort;
+  passOn = other164.passOn;
+  origin = other164.origin;
+  members = other164.members;
+  admissions = other164.admissions;
+  directoryRevision = other164.directoryRevision;
+  suspectDigest = other164.suspectDigest;
+  leavingServers = other164.leavingServers;
+  limits = other164.limits;
+  permitRequests = other164.permitRequests;
+  permitReplies = other164.permitReplies;
+  slotRequests = other164.slotRequests;
+  slotAnswers = other164.slotAnswers;
+  slotEnds = other164.slotEnds;
+  slotSummaries = other164.slotSummaries;
+  evacuatedDomains = other164.evacuatedDomains;
+  evacuationRevision = other164.evacuationRevision;
+  coldServers = other164.coldServers;
+  wantsKeys = other164.wantsKeys;
+  __isset = other164.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other165) {
+  instance = other165.instance;
+  bootId = other165.bootId;
+  term = other165.term;
+  leading = other165.leading;
+  configVersion = other165.configVersion;
+  keys = other165.keys;
+  keyCounts = other165.keyCounts;
+  suspects = other165.suspects;
+  deadTerm = other165.deadTerm;
+  backendLoads = other165.backendLoads;
+  failureDomain = other165.failureDomain;
+  cpuPercent = other165.cpuPercent;
+  changes = other165.changes;
+  directoryDigest = other165.directoryDigest;
+  storeOk = other165.storeOk;
+  storeAgeMs = other165.storeAgeMs;
+  statusPort = other165.statusPort;
+  passOn = other165.passOn;
+  origin = other165.origin;
+  members = other165.members;
+  admissions = other165.admissions;
+  directoryRevision = other165.directoryRevision;
+  suspectDigest = other165.suspectDigest;
+  leavingServers = other165.leavingServers;
+  limits = other165.limits;
+  permitRequests = other165.permitRequests;
+  permitReplies = other165.permitReplies;
+  slotRequests = other165.slotRequests;
+  slotAnswers = other165.slotAnswers;
+  slotEnds = other165.slotEnds;
+  slotSummaries = other165.slotSummaries;
+  evacuatedDomains = other165.evacuatedDomains;
+  evacuationRevision = other165.evacuationRevision;
+  coldServers = other165.coldServers;
+  wantsKeys = other165.wantsKeys;
+  __isset = other165.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -2177,6 +3510,13 @@
   out << ", " << "limits=" << to_string(limits);
   out << ", " << "permitRequests=" << to_string(permitRequests);
   out << ", " << "permitReplies=" << to_string(permitReplies);
+  out << ", " << "slotRequests=" << to_string(slotRequests);
+  out << ", " << "slotAnswers=" << to_string(slotAnswers);
+  out << ", " << "slotEnds=" << to_string(slotEnds);
+  out << ", " << "slotSummaries=" << to_string(slotSummaries);
+  out << ", " << "evacuatedDomains=" << to_string(evacuatedDomains);
+  out << ", " << "evacuationRevision=" << to_string(evacuationRevision);
+  out << ", " << "coldServers=" << to_string(coldServers);
   out << ", " << "wantsKeys=" << to_string(wantsKeys);
   out << ")";
 }
--- a/wire/gen-cpp/gossip_types.h
+++ b/wire/gen-cpp/gossip_types.h
@@ -37,6 +37,16 @@
 
 class PermitReply;
 
+class SlotRequest;
+
+class SlotAnswer;
+
+class SlotEnd;
+
+class SlotSummary;
+
+class ColdServer;
+
 class Gossip;
 
 typedef struct _OwnedRange__isset {
@@ -554,8 +564,424 @@
 
 std::ostream& operator<<(std::ostream& out, const PermitReply& obj);
 
+typedef struct _SlotRequest__isset {
+  _SlotRequest__isset() : number(false), serviceHash(false), route(false), server(false), rank(false), objectiveMs(false), objectiveLeftMs(false), remainingMs(false), bytes(false), crossing(false), returned(false), avoided(false), connected(false) {}
+  bool number :1;
+  bool serviceHash :1;
+  bool route :1;
+  bool server :1;
+  bool rank :1;
+  bool objectiveMs :1;
+  bool objectiveLeftMs :1;
+  bool remainingMs :1;
+  bool bytes :1;
+  bool crossing :1;
+  bool returned :1;
+  bool avoided :1;
+  bool connected :1;
+} _SlotRequest__isset;
+
+class SlotRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  SlotRequest(const SlotRequest&);
+  SlotRequest& operator=(const SlotRequest&);
+  SlotRequest() noexcept
+              : number(0),
+                serviceHash(0),
+                route(0),
+                server(0),
+                rank(0),
+                objectiveMs(0),
+                objectiveLeftMs(0),
+                remainingMs(0),
+                bytes(0),
+                crossing(0),
+                returned(0) {
+  }
+
+  virtual ~SlotRequest() noexcept;
+  int64_t number;
+  int32_t serviceHash;
+  int32_t route;
+  int32_t server;
+  int32_t rank;
+  int32_t objectiveMs;
+  int32_t objectiveLeftMs;
+  int32_t remainingMs;
+  int32_t bytes;
+  bool crossing;
+  bool returned;
+  std::vector<int32_t>  avoided;
+  std::vector<int32_t>  connected;
+
+  _SlotRequest__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_serviceHash(const int32_t val);
+
+  void __set_route(const int32_t val);
+
+  void __set_server(const int32_t val);
+
+  void __set_rank(const int32_t val);
+
+  void __set_objectiveMs(const int32_t val);
+
+  void __set_objectiveLeftMs(const int32_t val);
+
+  void __set_remainingMs(const int32_t val);
+
+  void __set_bytes(const int32_t val);
+
+  void __set_crossing(const bool val);
+
+  void __set_returned(const bool val);
+
+  void __set_avoided(const std::vector<int32_t> & val);
+
+  void __set_connected(const std::vector<int32_t> & val);
+
+  bool operator == (const SlotRequest & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(serviceHash == rhs.serviceHash))
+      return false;
+    if (!(route == rhs.route))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(rank == rhs.rank))
+      return false;
+    if (!(objectiveMs == rhs.objectiveMs))
+      return false;
+    if (!(objectiveLeftMs == rhs.objectiveLeftMs))
+      return false;
+    if (!(remainingMs == rhs.remainingMs))
+      return false;
+    if (!(bytes == rhs.bytes))
+      return false;
+    if (!(crossing == rhs.crossing))
+      return false;
+    if (!(returned == rhs.returned))
+      return false;
+    if (!(avoided == rhs.avoided))
+      return false;
+    if (!(connected == rhs.connected))
+      return false;
+    return true;
+  }
+  bool operator != (const SlotRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SlotRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SlotRequest &a, SlotRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const SlotRequest& obj);
+
+typedef struct _SlotAnswer__isset {
+  _SlotAnswer__isset() : number(false), verdict(false), cause(false), server(false), domain(false), retryAfterMs(false) {}
+  bool number :1;
+  bool verdict :1;
+  bool cause :1;
+  bool server :1;
+  bool domain :1;
+  bool retryAfterMs :1;
+} _SlotAnswer__isset;
+
+class SlotAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  SlotAnswer(const SlotAnswer&) noexcept;
+  SlotAnswer& operator=(const SlotAnswer&) noexcept;
+  SlotAnswer() noexcept
+             : number(0),
+               verdict(0),
+               cause(0),
+               server(0),
+               domain(0),
+               retryAfterMs(0) {
+  }
+
+  virtual ~SlotAnswer() noexcept;
+  int64_t number;
+  int32_t verdict;
+  int32_t cause;
+  int32_t server;
+  int32_t domain;
+  int32_t retryAfterMs;
+
+  _SlotAnswer__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_verdict(const int32_t val);
+
+  void __set_cause(const int32_t val);
+
+  void __set_server(const int32_t val);
+
+  void __set_domain(const int32_t val);
+
+  void __set_retryAfterMs(const int32_t val);
+
+  bool operator == (const SlotAnswer & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(verdict == rhs.verdict))
+      return false;
+    if (!(cause == rhs.cause))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(retryAfterMs == rhs.retryAfterMs))
+      return false;
+    return true;
+  }
+  bool operator != (const SlotAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SlotAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SlotAnswer &a, SlotAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const SlotAnswer& obj);
+
+typedef struct _SlotEnd__isset {
+  _SlotEnd__isset() : number(false), serviceHash(false), server(false), outcome(false), latencyMs(false), running(false), waiting(false), slownessPercent(false) {}
+  bool number :1;
+  bool serviceHash :1;
+  bool server :1;
+  bool outcome :1;
+  bool latencyMs :1;
+  bool running :1;
+  bool waiting :1;
+  bool slownessPercent :1;
+} _SlotEnd__isset;
+
+class SlotEnd : public virtual ::apache::thrift::TBase {
+ public:
+
+  SlotEnd(const SlotEnd&) noexcept;
+  SlotEnd& operator=(const SlotEnd&) noexcept;
+  SlotEnd() noexcept
+          : number(0),
+            serviceHash(0),
+            server(0),
+            outcome(0),
+            latencyMs(0),
+            running(0),
+            waiting(0),
+            slownessPercent(0) {
+  }
+
+  virtual ~SlotEnd() noexcept;
+  int64_t number;
+  int32_t serviceHash;
+  int32_t server;
+  int32_t outcome;
+  int32_t latencyMs;
+  int32_t running;
+  int32_t waiting;
+  int32_t slownessPercent;
+
+  _SlotEnd__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_serviceHash(const int32_t val);
+
+  void __set_server(const int32_t val);
+
+  void __set_outcome(const int32_t val);
+
+  void __set_latencyMs(const int32_t val);
+
+  void __set_running(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_slownessPercent(const int32_t val);
+
+  bool operator == (const SlotEnd & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(serviceHash == rhs.serviceHash))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(latencyMs == rhs.latencyMs))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(slownessPercent == rhs.slownessPercent))
+      return false;
+    return true;
+  }
+  bool operator != (const SlotEnd &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SlotEnd & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SlotEnd &a, SlotEnd &b);
+
+std::ostream& operator<<(std::ostream& out, const SlotEnd& obj);
+
+typedef struct _SlotSummary__isset {
+  _SlotSummary__isset() : serviceHash(false), domain(false), freeSlots(false), utilization(false), waitMs(false) {}
+  bool serviceHash :1;
+  bool domain :1;
+  bool freeSlots :1;
+  bool utilization :1;
+  bool waitMs :1;
+} _SlotSummary__isset;
+
+class SlotSummary : public virtual ::apache::thrift::TBase {
+ public:
+
+  SlotSummary(const SlotSummary&) noexcept;
+  SlotSummary& operator=(const SlotSummary&) noexcept;
+  SlotSummary() noexcept
+              : serviceHash(0),
+                domain(0),
+                freeSlots(0),
+                utilization(0),
+                waitMs(0) {
+  }
+
+  virtual ~SlotSummary() noexcept;
+  int32_t serviceHash;
+  int32_t domain;
+  int32_t freeSlots;
+  int32_t utilization;
+  int32_t waitMs;
+
+  _SlotSummary__isset __isset;
+
+  void __set_serviceHash(const int32_t val);
+
+  void __set_domain(const int32_t val);
+
+  void __set_freeSlots(const int32_t val);
+
+  void __set_utilization(const int32_t val);
+
+  void __set_waitMs(const int32_t val);
+
+  bool operator == (const SlotSummary & rhs) const
+  {
+    if (!(serviceHash == rhs.serviceHash))
+      return false;
+    if (!(domain == rhs.domain))
+      return false;
+    if (!(freeSlots == rhs.freeSlots))
+      return false;
+    if (!(utilization == rhs.utilization))
+      return false;
+    if (!(waitMs == rhs.waitMs))
+      return false;
+    return true;
+  }
+  bool operator != (const SlotSummary &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SlotSummary & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SlotSummary &a, SlotSummary &b);
+
+std::ostream& operator<<(std::ostream& out, const SlotSummary& obj);
+
+typedef struct _ColdServer__isset {
+  _ColdServer__isset() : server(false), remainingMs(false) {}
+  bool server :1;
+  bool remainingMs :1;
+} _ColdServer__isset;
+
+class ColdServer : public virtual ::apache::thrift::TBase {
+ public:
+
+  ColdServer(const ColdServer&) noexcept;
+  ColdServer& operator=(const ColdServer&) noexcept;
+  ColdServer() noexcept
+             : server(0),
+               remainingMs(0) {
+  }
+
+  virtual ~ColdServer() noexcept;
+  int32_t server;
+  int32_t remainingMs;
+
+  _ColdServer__isset __isset;
+
+  void __set_server(const int32_t val);
+
+  void __set_remainingMs(const int32_t val);
+
+  bool operator == (const ColdServer & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(remainingMs == rhs.remainingMs))
+      return false;
+    return true;
+  }
+  bool operator != (const ColdServer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ColdServer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ColdServer &a, ColdServer &b);
+
+std::ostream& operator<<(std::ostream& out, const ColdServer& obj);
+
 typedef struct _Gossip__isset {
-  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), passOn(false), origin(false), members(false), admissions(false), directoryRevision(false), suspectDigest(false), leavingServers(false), limits(false), permitRequests(false), permitReplies(false), wantsKeys(false) {}
+  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), passOn(false), origin(false), members(false), admissions(false), directoryRevision(false), suspectDigest(false), leavingServers(false), limits(false), permitRequests(false), permitReplies(false), slotRequests(false), slotAnswers(false), slotEnds(false), slotSummaries(false), evacuatedDomains(false), evacuationRevision(false), coldServers(false), wantsKeys(false) {}
   bool instance :1;
   bool bootId :1;
   bool term :1;
@@ -583,6 +1009,13 @@
   bool limits :1;
   bool permitRequests :1;
   bool permitReplies :1;
+  bool slotRequests :1;
+  bool slotAnswers :1;
+  bool slotEnds :1;
+  bool slotSummaries :1;
+  bool evacuatedDomains :1;
+  bool evacuationRevision :1;
+  bool coldServers :1;
   bool wantsKeys :1;
 } _Gossip__isset;
 
@@ -608,6 +1041,7 @@
            origin(0),
            directoryRevision(0),
            suspectDigest(0),
+           evacuationRevision(0),
            wantsKeys(0) {
   }
 
@@ -639,6 +1073,13 @@
   std::vector<ServerLimit>  limits;
   std::vector<PermitRequest>  permitRequests;
   std::vector<PermitReply>  permitReplies;
+  std::vector<SlotRequest>  slotRequests;
+  std::vector<SlotAnswer>  slotAnswers;
+  std::vector<SlotEnd>  slotEnds;
+  std::vector<SlotSummary>  slotSummaries;
+  std::vector<std::string>  evacuatedDomains;
+  int64_t evacuationRevision;
+  std::vector<ColdServer>  coldServers;
   bool wantsKeys;
 
   _Gossip__isset __isset;
@@ -697,6 +1138,20 @@
 
   void __set_permitReplies(const std::vector<PermitReply> & val);
 
+  void __set_slotRequests(const std::vector<SlotRequest> & val);
+
+  void __set_slotAnswers(const std::vector<SlotAnswer> & val);
+
+  void __set_slotEnds(const std::vector<SlotEnd> & val);
+
+  void __set_slotSummaries(const std::vector<SlotSummary> & val);
+
+  void __set_evacuatedDomains(const std::vector<std::string> & val);
+
+  void __set_evacuationRevision(const int64_t val);
+
+  void __set_coldServers(const std::vector<ColdServer> & val);
+
   void __set_wantsKeys(const bool val);
 
   bool operator == (const Gossip & rhs) const
@@ -755,6 +1210,20 @@
       return false;
     if (!(permitReplies == rhs.permitReplies))
       return false;
+    if (!(slotRequests == rhs.slotRequests))
+      return false;
+    if (!(slotAnswers == rhs.slotAnswers))
+      return false;
+    if (!(slotEnds == rhs.slotEnds))
+      return false;
+    if (!(slotSummaries == rhs.slotSummaries))
+      return false;
+    if (!(evacuatedDomains == rhs.evacuatedDomains))
+      return false;
+    if (!(evacuationRevision == rhs.evacuationRevision))
+      return false;
+    if (!(coldServers == rhs.coldServers))
+      return false;
     if (!(wantsKeys == rhs.wantsKeys))
       return false;
     return true;
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -68,6 +68,57 @@
   4: i32 waitMs // until another permit may be available
 }
 
+// Messages between gateways and the brokers of slots
+// (scheduling/SlotMessages.hpp).
+// Services, routes, servers and failure domains are XXH32 of their
+// names.
+struct SlotRequest {
+  1: i64 number // repeated in the answer
+  2: i32 serviceHash
+  3: i32 route
+  4: i32 server // the only one that can run the request; 0: any
+  5: i32 rank
+  6: i32 objectiveMs
+  7: i32 objectiveLeftMs
+  8: i32 remainingMs
+  9: i32 bytes
+  10: bool crossing
+  11: bool returned
+  12: list<i32> avoided
+  13: list<i32> connected
+}
+struct SlotAnswer {
+  1: i64 number
+  2: i32 verdict
+  3: i32 cause
+  4: i32 server
+  5: i32 domain
+  6: i32 retryAfterMs
+}
+struct SlotEnd {
+  1: i64 number
+  2: i32 serviceHash
+  3: i32 server
+  4: i32 outcome
+  5: i32 latencyMs
+  6: i32 running // -1: the server reported no load
+  7: i32 waiting
+  8: i32 slownessPercent
+}
+struct SlotSummary {
+  1: i32 serviceHash
+  2: i32 domain
+  3: i32 freeSlots // in thousandths
+  4: i32 utilization // in thousandths
+  5: i32 waitMs
+}
+
+// Backend server that is cold.
+struct ColdServer {
+  1: i32 server // XXH32 of "ID#BORN"
+  2: i32 remainingMs
+}
+
 struct Gossip {
   1: string instance
   2: i64 bootId // differs for each start of the instance
@@ -93,7 +144,8 @@
   17: i32 statusPort // where /config and /directory are served
   19: bool passOn // the receiver forwards it within its failure domain
   20: i64 origin // IP and port of the first sender, 0: the sender itself
-  // Gateways that the leader receives messages from, XXH32 of their names. The
+  // Gateways that the leader receives messages from, XXH32 of their
+// names. The
   // other gateways receive messages from only a few of each other.
   21: list<i32> members
   // Owners with more requests for their keys than they can run, two numbers
@@ -109,5 +161,14 @@
   26: list<ServerLimit> limits
   27: list<PermitRequest> permitRequests // to the leader
   28: list<PermitReply> permitReplies // from the leader
+  29: list<SlotRequest> slotRequests // to a broker
+  30: list<SlotAnswer> slotAnswers // from a broker
+  31: list<SlotEnd> slotEnds // to a broker
+  32: list<SlotSummary> slotSummaries // among brokers
+  // Failure domains whose servers are to get no requests, and the revision of
+  // the store that the list reflects; 0: unknown.
+  33: list<string> evacuatedDomains
+  34: i64 evacuationRevision
+  35: list<ColdServer> coldServers
   12: bool wantsKeys // the sender has just started and does not know the owners
 }
