Forwarding by slots: asks the broker before a backend server is chosen

Cause: gateways that guess the load of servers from old reports fill some and leave others idle (docs/design/demand.md). Change: in a large fleet a request waits for the slot that the broker assigns, and the end of its attempt returns the slot with the server's load. Without a broker, requests are placed as before.

--- a/gateway/BackendConnection.cpp
+++ b/gateway/BackendConnection.cpp
@@ -54,7 +54,8 @@
                               std::string aHead,
                               std::shared_ptr<const RequestBody> aBody,
                               std::string aRequestId,
-                              bool aExpectsBody)
+                              bool aExpectsBody,
+                              int64_t aSlot)
 {
   handler_ = &aHandler;
   crashInfo_ = aCrashInfo;
@@ -65,6 +66,9 @@
   skippingResponse_ = false;
   skippedResponses_ = 0;
   unneededBytes_ = 0;
+  slot_ = aSlot;
+  connectFailed_ = false;
+  reportedLoad_.reset();
   expectsBody_ = aExpectsBody;
   requestId_ = std::move(aRequestId);
   body_.clear();
@@ -167,6 +171,7 @@
     SendRequest();
     return;
   }
+  connectFailed_ = true;
   pool_.OnConnectFailed(*backend_, "time-out");
   Fail(AttemptFailure::NotSent, "connect time-out");
 }
@@ -278,6 +283,9 @@
   if (info.load_) {
     backend_->load_.OnReport(*info.load_, nowMs);
     backend_->hasNewReport_ = true;
+    reportedLoad_ = SlotLoad{ info.load_->running_,
+                              info.load_->waiting_,
+                              info.load_->slowness_.value_or(1) };
   }
   if (info.notExecuted_) {
     backend_->load_.OnShed(nowMs);
@@ -347,6 +355,7 @@
     return;
   }
   if (aReason == CloseReason::Refused || aReason == CloseReason::Unreachable) {
+    connectFailed_ = true;
     pool_.OnConnectFailed(*backend_, EnumName(aReason));
     Fail(AttemptFailure::NotSent, EnumName(aReason));
     return;
@@ -395,7 +404,34 @@
     busy_ = false;
     backend_->load_.OnEnded();
     pool_.observer_.OnAttemptFinished(backend_, crashInfo_, aOutcome);
+    FreeSlot(aOutcome);
   }
 }
 
+void BackendConnection::FreeSlot(AttemptOutcome aOutcome)
+{
+  const auto slot = std::exchange(slot_, 0);
+  if (slot == 0) {
+    return;
+  }
+  AttemptReport report;
+  switch (aOutcome) {
+    case AttemptOutcome::Succeeded:
+      report.outcome_ = SlotOutcome::Served;
+      break;
+    case AttemptOutcome::NotExecuted:
+      report.outcome_ =
+        connectFailed_ ? SlotOutcome::Unreachable : SlotOutcome::Rejected;
+      break;
+    case AttemptOutcome::Cancelled:
+      report.outcome_ = SlotOutcome::Unused;
+      break;
+    default:
+      report.outcome_ = SlotOutcome::Failed;
+  }
+  report.latencyMs_ = pool_.loop_.NowMs() - sentMs_;
+  report.load_ = reportedLoad_;
+  pool_.handlers_.onSlotFreed_(slot, report);
+}
+
 }
--- a/gateway/BackendConnection.hpp
+++ b/gateway/BackendConnection.hpp
@@ -6,9 +6,11 @@
 #include "net/TcpStream.hpp"
 #include "policy/ServerPause.hpp"
 #include "routing/RoutingConfig.hpp"
+#include "scheduling/SlotMessages.hpp"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,6 +59,14 @@
   int knownCrashes_ = 0;
 };
 
+/// What an attempt showed about its server, for the scheduling of its slots.
+struct AttemptReport
+{
+  SlotOutcome outcome_ = SlotOutcome::Unused;
+  TimeMs latencyMs_ = 0;
+  std::optional<SlotLoad> load_;
+};
+
 /// Receives the response of one attempt.
 class AttemptHandler
 {
@@ -90,13 +100,14 @@
   /// short delay, because a server with too many connections resets a new one
   /// at once, and a request that was already sent by then may have been
   /// executed. aHandler must stay valid until the attempt has ended, or until
-  /// Detach or Cancel.
+  /// Detach or Cancel. aSlot is the slot that the attempt uses, or 0.
   void Start(AttemptHandler& aHandler,
              AttemptCrashInfo aCrashInfo,
              std::string aHead,
              std::shared_ptr<const RequestBody> aBody,
              std::string aRequestId,
-             bool aExpectsBody);
+             bool aExpectsBody,
+             int64_t aSlot);
   /// Resets the connection, so that the server cancels the request.
   void Cancel();
   /// Lets the request complete within aMaxMs and discards its response.
@@ -128,6 +139,7 @@
             std::string_view aCause,
             AttemptOutcome aOutcome = AttemptOutcome::Other);
   void EndAttempt(AttemptOutcome aOutcome);
+  void FreeSlot(AttemptOutcome aOutcome);
   /// Handles what the response says about the server itself: that it leaves, or
   /// asks for a pause.
   void HandleNotices(const ResponseMetadata& aInfo);
@@ -166,6 +178,9 @@
   TimeMs idleSinceMs_ = 0;
   TimeMs idleTimeoutMs_ = 0;
   double loadAtSend_ = 0;
+  int64_t slot_ = 0; ///< slot that the current attempt uses, 0 if none
+  bool connectFailed_ = false;
+  std::optional<SlotLoad> reportedLoad_; ///< by the current attempt
 };
 
 /// State of one backend server at this gateway.
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -139,6 +139,12 @@
   return found == backends_.end() ? nullptr : found->second;
 }
 
+BackendPool::BackendPtr BackendPool::FindHash(uint32_t aHash) const
+{
+  const auto found = byHash_.find(aHash);
+  return found == byHash_.end() ? nullptr : found->second;
+}
+
 BackendPool::BackendPtr BackendPool::FindIncarnation(uint32_t aHash) const
 {
   const auto found = byIncarnation_.find(aHash);
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -48,6 +48,9 @@
     /// An answer of the server changed its request limit.
     std::function<void(const BackendEntry& aEntry, LimitChange aChange)>
       onLimitChanged_;
+    /// An attempt that used a slot has ended.
+    std::function<void(int64_t aSlot, const AttemptReport& aReport)>
+      onSlotFreed_;
   };
 
   BackendPool(EventLoop& aLoop,
@@ -64,6 +67,8 @@
   void Update(const std::map<std::string, BackendEntry>& aEntries,
               const std::set<std::string>& aChanged);
   BackendPtr Find(const std::string& aId) const;
+  /// The registered server whose id has that ShortHash().
+  BackendPtr FindHash(uint32_t aHash) const;
   /// The registered server with that BackendEntry::IncarnationHash().
   BackendPtr FindIncarnation(uint32_t aHash) const;
   const std::vector<BackendPtr>& OfService(const std::string& aService) const;
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -72,6 +72,7 @@
 ForwardedRequest::~ForwardedRequest()
 {
   forwarder_.RemoveActive();
+  forwarder_.Slots().Withdraw(number_);
   if (connection_ != nullptr) {
     connection_->Detach(RemainingMs() + detail::kDeadlineSlackMs);
   }
@@ -189,10 +190,6 @@
   }
   dispatched_ = true;
   forwarder_.OnFirstAttempt(*this);
-  if (!forwarder_.TryAdmit(*this)) {
-    Reject(503, "owner-share", forwarder_.RandomRetryAfterMs(RemainingMs()));
-    return;
-  }
   Dispatch();
 }
 
@@ -287,6 +284,7 @@
   auto& crashes = forwarder_.Crashes();
   const auto decision = crashes.TryBegin(fingerprint_, *backend);
   if (!PassesQuarantine(decision)) {
+    forwarder_.ReturnUnused(aChoice.slot_);
     return;
   }
   auto connection = forwarder_.Pool().Acquire(
@@ -296,6 +294,7 @@
     caller_.requestId_);
   if (connection == nullptr) {
     crashes.CancelBegin(fingerprint_, *backend);
+    forwarder_.ReturnUnused(aChoice.slot_);
     queued_ = true;
     forwarder_.Enqueue(shared_from_this());
     return;
@@ -311,7 +310,8 @@
                     MakeRequestHead(*backend),
                     body_,
                     caller_.requestId_,
-                    head_.method_ != "HEAD");
+                    head_.method_ != "HEAD",
+                    aChoice.slot_);
 }
 
 bool ForwardedRequest::OnResponseHead(const HttpHead& aHead,
@@ -630,6 +630,7 @@
   completed_ = true;
   queued_ = false;
   deadlineTimer_.Stop();
+  forwarder_.Slots().Withdraw(number_);
   if (headWritten_) {
     LogCompletion(responseHead_.status_, "answered", lastBackend_);
   }
@@ -655,6 +656,7 @@
   if (completed_) {
     return;
   }
+  forwarder_.Slots().Withdraw(number_);
   if (connection_ != nullptr && !IsIdempotent()) {
     // A non-idempotent request is executed to its end and its response is
     // discarded. The connection to the server stays open until the server has
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -84,6 +84,10 @@
   uint64_t Fingerprint() const { return fingerprint_; }
   /// Distinguishes the requests of this process.
   uint64_t Number() const { return number_; }
+  /// Whether the request is within this gateway's share of an overloaded
+  /// owner.
+  bool IsAdmitted() const { return admitted_; }
+  void SetAdmitted() { admitted_ = true; }
 
 private:
   bool OnResponseHead(const HttpHead& aHead,
@@ -144,6 +148,7 @@
   bool begun_ = false;
   bool requestRead_ = false;
   bool dispatched_ = false;
+  bool admitted_ = false;
   bool mayHaveExecuted_ = false; ///< an attempt may have been executed
   bool queued_ = false;
   bool completed_ = false;
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -31,6 +31,8 @@
 /// gateways share the same load reports, so all of them would choose the same
 /// best server; choosing from a random sample spreads them.
 constexpr size_t kSampledBackends = 6;
+/// Servers with an idle connection that a slot request names.
+constexpr size_t kMaxConnectedServers = 12;
 /// Assumed response size of a route before its first response.
 constexpr double kInitialResponseBytes = 2048;
 /// Response bytes that are buffered for one request, and the same while the
@@ -52,6 +54,7 @@
                      const RequestProtocol& aProtocol,
                      ForwardingLimits aLimits,
                      RequestLimiter& aLimiter,
+                     SlotExchange& aSlots,
                      CrashDetector::ChangeCallback aOnSuspectsChanged,
                      BackendPool::Handlers aPoolHandlers)
   : loop_(aLoop)
@@ -69,6 +72,7 @@
           std::move(aPoolHandlers))
   , admission_(std::random_device{}())
   , limiter_(aLimiter)
+  , slots_(aSlots)
   , requestBudget_(std::make_shared<ByteBudget>(limits_.memoryBytes_ /
                                                 detail::kRequestMemoryDivisor))
   , responseBudget_(std::make_shared<ByteBudget>(
@@ -207,19 +211,149 @@
   limiter_.Take(aBackend.incarnationHash_);
 }
 
-BackendChoice Forwarder::ChooseBackend(const ForwardedRequest& aRequest)
+BackendChoice Forwarder::ChooseBackend(ForwardedRequest& aRequest)
 {
   const auto* service = routes_->Service(aRequest.Service());
   static const ServiceSpec kUnknown;
   if (service == nullptr) {
     service = &kUnknown;
   }
+  if (slots_.IsActive()) {
+    if (const auto choice = ChooseBySlot(aRequest, *service)) {
+      return *choice;
+    }
+  }
+  if (!aRequest.IsAdmitted()) {
+    if (!TryAdmit(aRequest)) {
+      BackendChoice refused;
+      refused.cause_ = "owner-share";
+      refused.retryAfterMs_ = RandomRetryAfterMs(aRequest.RemainingMs());
+      return refused;
+    }
+    aRequest.SetAdmitted();
+  }
   if (service->keyed_ && aRequest.Caller().key_) {
     return ChooseOwner(aRequest, *service);
   }
   return ChooseAny(aRequest, *service);
 }
 
+std::optional<BackendChoice> Forwarder::ChooseBySlot(
+  const ForwardedRequest& aRequest,
+  const ServiceSpec& aService)
+{
+  const TimeMs nowMs = loop_.NowMs();
+  const bool keyed = aService.keyed_ && aRequest.Caller().key_;
+  const auto owner = keyed ? ReadyOwner(aRequest) : nullptr;
+  auto decision = Slots().Check(aRequest.Number(), nowMs);
+  if (decision.state_ == SlotState::Unasked) {
+    if (keyed && owner == nullptr) {
+      return std::nullopt;
+    }
+    decision = Slots().Ask(
+      aRequest.Number(),
+      MakeSlotRequest(aRequest, owner.get()),
+      ShortHash(keyed ? owner->entry_.failureDomain_ : limits_.failureDomain_),
+      nowMs);
+  }
+  BackendChoice choice;
+  switch (decision.state_) {
+    case SlotState::Pending:
+      choice.verdict_ = PlacementVerdict::Wait;
+      return choice;
+    case SlotState::Refused:
+      choice.cause_ = EnumName(decision.cause_);
+      choice.retryAfterMs_ = decision.retryAfterMs_;
+      return choice;
+    case SlotState::Assigned:
+      if (keyed && owner == nullptr) {
+        ReturnUnused(decision.number_);
+        return std::nullopt;
+      }
+      return UseSlot(decision, owner.get(), aService);
+    default:
+      return std::nullopt;
+  }
+}
+
+void Forwarder::ReturnUnused(int64_t aSlot)
+{
+  if (aSlot != 0) {
+    Slots().Return(aSlot, SlotOutcome::Unused, 0, {});
+  }
+}
+
+std::optional<BackendChoice> Forwarder::UseSlot(const SlotDecision& aDecision,
+                                                const Backend* aOwner,
+                                                const ServiceSpec& aService)
+{
+  const TimeMs nowMs = loop_.NowMs();
+  BackendChoice choice;
+  choice.backend_ = pool_.FindHash(aDecision.server_);
+  choice.maxConnections_ = ConnectionShare(aService);
+  choice.slot_ = aDecision.number_;
+  const auto* backend = choice.backend_.get();
+  if (backend == nullptr || !IsSelectable(*backend, nowMs)) {
+    ReturnUnused(aDecision.number_);
+    return std::nullopt;
+  }
+  const bool moved = aOwner != nullptr && aOwner != backend;
+  const bool down = backend->downUntilMs_ > nowMs;
+  if (moved || down) {
+    Slots().Return(aDecision.number_,
+                   down ? SlotOutcome::Unreachable : SlotOutcome::Unused,
+                   0,
+                   {});
+    choice.verdict_ = PlacementVerdict::Wait;
+    return choice;
+  }
+  choice.verdict_ = PlacementVerdict::Send;
+  return choice;
+}
+
+SlotRequest Forwarder::MakeSlotRequest(const ForwardedRequest& aRequest,
+                                       const Backend* aOwner) const
+{
+  const auto& route = *aRequest.GetRoute();
+  SlotRequest slot;
+  slot.service_ = ShortHash(aRequest.Service());
+  slot.route_ = ShortHash(route.name_);
+  slot.rank_ = route.priority_;
+  slot.objectiveMs_ = route.objectiveMs_;
+  slot.objectiveLeftMs_ = route.objectiveMs_ - aRequest.ElapsedMs();
+  slot.remainingMs_ = aRequest.UsableMs();
+  slot.bytes_ = static_cast<uint32_t>(std::min<size_t>(
+    aRequest.BodyBytes() + MeanResponseBytes(route), UINT32_MAX));
+  if (aOwner != nullptr) {
+    slot.server_ = aOwner->idHash_;
+    return slot;
+  }
+  std::ranges::transform(aRequest.TriedBackends(),
+                         std::back_inserter(slot.avoided_),
+                         [](const auto& aId) { return ShortHash(aId); });
+  for (const auto& backend : pool_.OfService(aRequest.Service())) {
+    if (slot.connected_.size() < detail::kMaxConnectedServers &&
+        !backend->idle_.empty()) {
+      slot.connected_.push_back(backend->idHash_);
+    }
+  }
+  return slot;
+}
+
+BackendPool::BackendPtr Forwarder::ReadyOwner(
+  const ForwardedRequest& aRequest) const
+{
+  const auto* owner = keys_.Find(aRequest.Service(), *aRequest.Caller().key_);
+  if (owner == nullptr || !owner->active_) {
+    return nullptr;
+  }
+  auto backend = pool_.Find(owner->id_);
+  const TimeMs nowMs = loop_.NowMs();
+  const bool ready = backend != nullptr && backend->TakesRequests(nowMs) &&
+                     backend->downUntilMs_ <= nowMs;
+  return ready ? backend : nullptr;
+}
+
 size_t Forwarder::MaxBufferedBytes() const
 {
   return responseBudget_->IsUsedUp() ? detail::kMinBufferedBytes
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -6,6 +6,7 @@
 #include "gateway/EventLog.hpp"
 #include "gateway/GatewayMetrics.hpp"
 #include "gateway/PlatformInterface.hpp"
+#include "gateway/SlotExchange.hpp"
 #include "keyspace/KeyOwnerMap.hpp"
 #include "policy/MovingAverages.hpp"
 #include "policy/OwnerAdmission.hpp"
@@ -19,6 +20,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -45,6 +47,7 @@
   size_t maxConnections_ = 1;
   TimeMs retryAfterMs_ = 0;
   std::string_view cause_;
+  int64_t slot_ = 0; ///< slot of the server that the request uses, 0 if none
 };
 
 /// State that the requests of a gateway share, and the selection of backend
@@ -58,6 +61,7 @@
             const RequestProtocol& aProtocol,
             ForwardingLimits aLimits,
             RequestLimiter& aLimiter,
+            SlotExchange& aSlots,
             CrashDetector::ChangeCallback aOnSuspectsChanged,
             BackendPool::Handlers aPoolHandlers);
   ~Forwarder();
@@ -80,16 +84,16 @@
   BackendPool& Pool() { return pool_; }
   CrashDetector& Crashes() { return crashes_; }
 
-  BackendChoice ChooseBackend(const ForwardedRequest& aRequest);
+  BackendChoice ChooseBackend(ForwardedRequest& aRequest);
+  SlotClient& Slots() { return slots_.Client(); }
+  /// Gives back a slot (0: none) that was not used.
+  void ReturnUnused(int64_t aSlot);
   void Enqueue(const std::shared_ptr<ForwardedRequest>& aRequest);
   /// Rejects all queued requests.
   void RejectQueued(std::string_view aCause);
   /// Counts a request for the retry budget and the load of its key.
   void OnFirstAttempt(const ForwardedRequest& aRequest);
   bool TryTakeRetry(const std::string& aService);
-  /// Returns false when the owner of the request's key has more demand than
-  /// capacity and the request exceeds this gateway's share of it.
-  bool TryAdmit(const ForwardedRequest& aRequest);
   OwnerAdmission& Admission() { return admission_; }
   /// Uses up a permit if the server limits its requests. To be called for each
   /// request that is sent.
@@ -134,6 +138,21 @@
   void RemoveActive() { --activeRequests_; }
 
 private:
+  /// Returns false when the owner of the request's key has more demand than
+  /// capacity and the request exceeds this gateway's share of it.
+  bool TryAdmit(const ForwardedRequest& aRequest);
+  /// Decision of the broker that schedules the slots of the servers; nullopt
+  /// if the gateway has to decide without one.
+  std::optional<BackendChoice> ChooseBySlot(const ForwardedRequest& aRequest,
+                                            const ServiceSpec& aService);
+  SlotRequest MakeSlotRequest(const ForwardedRequest& aRequest,
+                              const Backend* aOwner) const;
+  /// Sends the request to the assigned server if that can take it.
+  std::optional<BackendChoice> UseSlot(const SlotDecision& aDecision,
+                                       const Backend* aOwner,
+                                       const ServiceSpec& aService);
+  /// Owner of the request's key, if it can get requests.
+  BackendPool::BackendPtr ReadyOwner(const ForwardedRequest& aRequest) const;
   BackendChoice ChooseOwner(const ForwardedRequest& aRequest,
                             const ServiceSpec& aService);
   /// Makes the request wait for a permit, or refuses it, if the chosen owner
@@ -182,6 +201,7 @@
   BackendPool pool_;
   OwnerAdmission admission_;
   RequestLimiter& limiter_;
+  SlotExchange& slots_;
   std::shared_ptr<ByteBudget> requestBudget_;
   std::shared_ptr<ByteBudget> responseBudget_;
   TimeMs exitMs_ = INT64_MAX;
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -88,6 +88,18 @@
   , limiter_({ [this] { return PermitIssuerView(); },
                [this] { SchedulePermitRequests(); } },
              std::random_device{}())
+  , slots_(
+      aLoop,
+      aLog,
+      metrics_,
+      mesh_,
+      settings_.instance_,
+      settings_.failureDomain_,
+      settings_.cpuPercent_,
+      { [this] { return gossip_.MakeGossip(); },
+        [this] { forwarder_.OnRoutingStateChanged(); },
+        [this](const std::string& aService) { return ColdLimitsOf(aService); },
+        [](const std::string&) { return false; } })
   , forwarder_(aLoop,
                aLog,
                metrics_,
@@ -97,12 +109,19 @@
                  settings_.failureDomain_,
                  settings_.memoryBytes_ },
                limiter_,
+               slots_,
                [this] { gossip_.OnSuspectsChanged(); },
                { [this](const BackendEntry& aEntry) {
                   OnLeaving(aEntry.id_, aEntry.startTimeMs_);
                 },
                  [this](const BackendEntry& aEntry, LimitChange aChange) {
                    OnLimitChanged(aEntry.IncarnationHash(), aChange);
+                 },
+                 [this](int64_t aSlot, const AttemptReport& aReport) {
+                   slots_.Client().Return(aSlot,
+                                          aReport.outcome_,
+                                          aReport.latencyMs_,
+                                          aReport.load_);
                  } })
   , limits_(aLoop, aLog, metrics_, limiter_, forwarder_.Pool())
   , callers_(aLoop, forwarder_)
@@ -273,6 +292,7 @@
       relay_,
       forwarder_,
       limits_,
+      slots_,
       { [this] { return configVersion_; },
         [this](size_t aMost) { return directory_.LeavingIncarnations(aMost); },
         [this](const std::vector<int32_t>& aLives) {
@@ -588,6 +608,7 @@
   }
   changesAppliedMs_ = loop_.NowMs();
   forwarder_.UpdateBackends(directory_.Entries(), changes);
+  slots_.UpdateServers(forwarder_.Pool());
   coordinator_.UpdateBackends(directory_.Entries(), changes);
 }
 
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -11,6 +11,7 @@
 #include "gateway/LeaderElection.hpp"
 #include "gateway/PeerMesh.hpp"
 #include "gateway/PlatformInterface.hpp"
+#include "gateway/SlotExchange.hpp"
 #include "gateway/StatusServer.hpp"
 #include "gateway/StoreClient.hpp"
 #include "gateway/StoreRelay.hpp"
@@ -100,6 +101,7 @@
   HttpClient client_;
   StoreClient store_;
   RequestLimiter limiter_;
+  SlotExchange slots_;
   Forwarder forwarder_;
   LimitGossip limits_;
   CallerListener callers_;
--- a/gateway/GossipAgent.cpp
+++ b/gateway/GossipAgent.cpp
@@ -48,6 +48,7 @@
                          StoreRelay& aRelay,
                          Forwarder& aForwarder,
                          LimitGossip& aLimits,
+                         SlotExchange& aSlots,
                          Handlers aHandlers)
   : loop_(aLoop)
   , self_(std::move(aSelf))
@@ -58,6 +59,7 @@
   , relay_(aRelay)
   , forwarder_(aForwarder)
   , limits_(aLimits)
+  , slots_(aSlots)
   , handlers_(std::move(aHandlers))
   , timer_(aLoop, [this] { Tick(); })
   , keyChangeTimer_(aLoop, [this] { SendKeyChanges(); })
@@ -400,6 +402,7 @@
     handlers_.onLeaving_(aGossip.leavingServers);
   }
   ApplyLimits(aGossip, aOrigin);
+  slots_.OnReceived(aGossip);
   ApplySuspects(aGossip);
   SyncSuspects(aGossip, aOrigin);
   if (election_.IsLeading()) {
--- a/gateway/GossipAgent.hpp
+++ b/gateway/GossipAgent.hpp
@@ -6,6 +6,7 @@
 #include "gateway/LeaderElection.hpp"
 #include "gateway/LimitGossip.hpp"
 #include "gateway/PeerMesh.hpp"
+#include "gateway/SlotExchange.hpp"
 #include "gateway/StoreRelay.hpp"
 #include "policy/FleetLoadTable.hpp"
 #include "policy/SuspectExchange.hpp"
@@ -49,9 +50,12 @@
               StoreRelay& aRelay,
               Forwarder& aForwarder,
               LimitGossip& aLimits,
+              SlotExchange& aSlots,
               Handlers aHandlers);
 
   void Start();
+  /// A datagram with the state that every datagram carries.
+  wire::Gossip MakeGossip();
   /// Introduces this gateway to its failure domain.
   void Announce();
   void OnReceived(const wire::Gossip& aGossip,
@@ -77,8 +81,6 @@
   void Tick();
   void SendAsLeader(wire::Gossip& aGossip);
   void SendAsFollower(wire::Gossip& aGossip);
-  /// A datagram with the state that every datagram carries.
-  wire::Gossip MakeGossip();
   void SendToLeaderOrAll(const wire::Gossip& aGossip);
   static void FillSuspects(const std::vector<CrashSuspect>& aSuspects,
                            wire::Gossip& aGossip);
@@ -111,6 +113,7 @@
   StoreRelay& relay_;
   Forwarder& forwarder_;
   LimitGossip& limits_;
+  SlotExchange& slots_;
   Handlers handlers_;
   KeyGossip keyGossip_;
   Timer timer_;
