Name the failure domain in slot requests

A domain without gateways is scheduled by a gateway of another domain, which must know whose servers a request is for. The wire format and the message get the domain; Backend gets the time until which its server is cold.

--- a/gateway/BackendConnection.hpp
+++ b/gateway/BackendConnection.hpp
@@ -187,6 +187,7 @@
   /// After a failed connect, no requests are sent until this time.
   TimeMs downUntilMs_ = 0;
   int connectFailures_ = 0;
+  TimeMs coldUntilMs_ = 0;
 
   ServerPause pause_;
   bool malformedPauseLogged_ = false;
--- a/scheduling/SlotMessages.hpp
+++ b/scheduling/SlotMessages.hpp
@@ -26,6 +26,7 @@
   uint32_t gateway_ = 0;
   int64_t number_ = 0; ///< distinguishes the slot requests of the gateway
   uint32_t service_ = 0;
+  uint32_t domain_ = 0; ///< of the servers that may run it
   uint32_t route_ = 0;  ///< routes differ in the work of their requests
   uint32_t server_ = 0; ///< the only server that can run it; 0: any
   int rank_ = 0;        ///< 0 is the most urgent
--- a/wire/gen-cpp/gossip_types.cpp
+++ b/wire/gen-cpp/gossip_types.cpp
@@ -1385,6 +1385,10 @@
 void SlotRequest::__set_connected(const std::vector<int32_t> & val) {
   this->connected = val;
 }
+
+void SlotRequest::__set_domain(const int32_t val) {
+  this->domain = val;
+}
 std::ostream& operator<<(std::ostream& out, const SlotRequest& obj)
 {
   obj.printTo(out);
@@ -1541,6 +1545,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->domain);
+          this->__isset.domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1626,6 +1638,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->domain);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1646,6 +1662,7 @@
   swap(a.returned, b.returned);
   swap(a.avoided, b.avoided);
   swap(a.connected, b.connected);
+  swap(a.domain, b.domain);
   swap(a.__isset, b.__isset);
 }
 
@@ -1663,6 +1680,7 @@
   returned = other52.returned;
   avoided = other52.avoided;
   connected = other52.connected;
+  domain = other52.domain;
   __isset = other52.__isset;
 }
 SlotRequest& SlotRequest::operator=(const SlotRequest& other53) {
@@ -1679,6 +1697,7 @@
   returned = other53.returned;
   avoided = other53.avoided;
   connected = other53.connected;
+  domain = other53.domain;
   __isset = other53.__isset;
   return *this;
 }
@@ -1698,6 +1717,7 @@
   out << ", " << "returned=" << to_string(returned);
   out << ", " << "avoided=" << to_string(avoided);
   out << ", " << "connected=" << to_string(connected);
+  out << ", " << "domain=" << to_string(domain);
   out << ")";
 }
 
--- a/wire/gen-cpp/gossip_types.h
+++ b/wire/gen-cpp/gossip_types.h
@@ -565,7 +565,7 @@
 std::ostream& operator<<(std::ostream& out, const PermitReply& obj);
 
 typedef struct _SlotRequest__isset {
-  _SlotRequest__isset() : number(false), serviceHash(false), route(false), server(false), rank(false), objectiveMs(false), objectiveLeftMs(false), remainingMs(false), bytes(false), crossing(false), returned(false), avoided(false), connected(false) {}
+  _SlotRequest__isset() : number(false), serviceHash(false), route(false), server(false), rank(false), objectiveMs(false), objectiveLeftMs(false), remainingMs(false), bytes(false), crossing(false), returned(false), avoided(false), connected(false), domain(false) {}
   bool number :1;
   bool serviceHash :1;
   bool route :1;
@@ -579,6 +579,7 @@
   bool returned :1;
   bool avoided :1;
   bool connected :1;
+  bool domain :1;
 } _SlotRequest__isset;
 
 class SlotRequest : public virtual ::apache::thrift::TBase {
@@ -597,7 +598,8 @@
                 remainingMs(0),
                 bytes(0),
                 crossing(0),
-                returned(0) {
+                returned(0),
+                domain(0) {
   }
 
   virtual ~SlotRequest() noexcept;
@@ -614,6 +616,7 @@
   bool returned;
   std::vector<int32_t>  avoided;
   std::vector<int32_t>  connected;
+  int32_t domain;
 
   _SlotRequest__isset __isset;
 
@@ -643,6 +646,8 @@
 
   void __set_connected(const std::vector<int32_t> & val);
 
+  void __set_domain(const int32_t val);
+
   bool operator == (const SlotRequest & rhs) const
   {
     if (!(number == rhs.number))
@@ -671,6 +676,8 @@
       return false;
     if (!(connected == rhs.connected))
       return false;
+    if (!(domain == rhs.domain))
+      return false;
     return true;
   }
   bool operator != (const SlotRequest &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -86,6 +86,7 @@
   11: bool returned
   12: list<i32> avoided
   13: list<i32> connected
+  14: i32 domain // of the servers that may run the request
 }
 struct SlotAnswer {
   1: i64 number
