--- a/gateway/GatewayMetrics.cpp
+++ b/gateway/GatewayMetrics.cpp
@@ -67,4 +67,52 @@
   found->second->Add();
 }
 
+void GatewayMetrics::OnSlotRequest(std::string_view aRole,
+                                   std::string_view aVerdict,
+                                   std::string_view aCause)
+{
+  auto& counter = slotRequests_[{ aRole, aVerdict, aCause }];
+  if (counter == nullptr) {
+    counter = &registry_.GetCounter("cactuspitch_slot_requests_total",
+                                    { { "role", std::string(aRole) },
+                                      { "verdict", std::string(aVerdict) },
+                                      { "cause", std::string(aCause) } });
+  }
+  counter->Add();
+}
+
+void GatewayMetrics::OnSlotCrossing(const std::string& aDomain)
+{
+  registry_
+    .GetCounter("cactuspitch_slot_crossings_total", { { "domain", aDomain } })
+    .Add();
+}
+
+void GatewayMetrics::OnInvalidSlotMessages(size_t aCount)
+{
+  if (aCount > 0) {
+    registry_.GetCounter("cactuspitch_slot_messages_invalid_total")
+      .Add(static_cast<int64_t>(aCount));
+  }
+}
+
+void GatewayMetrics::SetSlotsWaiting(int aRank, int aCount)
+{
+  const auto known = slotsWaiting_.find(aRank);
+  if (known != slotsWaiting_.end()) {
+    known->second->Set(aCount);
+  } else if (aCount > 0) {
+    auto& gauge = registry_.GetGauge("cactuspitch_slots_waiting",
+                                     { { "rank", Concat(aRank) } });
+    gauge.Set(aCount);
+    slotsWaiting_[aRank] = &gauge;
+  }
+}
+
+void GatewayMetrics::SetSlotsInUse(size_t aCount)
+{
+  registry_.GetGauge("cactuspitch_slots_in_use")
+    .Set(static_cast<double>(aCount));
+}
+
 }
--- a/gateway/GatewayMetrics.hpp
+++ b/gateway/GatewayMetrics.hpp
@@ -4,6 +4,8 @@
 
 #include <map>
 #include <string>
+#include <string_view>
+#include <tuple>
 
 namespace cactuspitch {
 
@@ -23,6 +25,17 @@
   /// The server's request limit and this gateway's equal share of it, in
   /// requests per second; 0 for none.
   void SetLimit(const std::string& aBackend, double aLimit, double aShare);
+  /// A step of a slot request, as the gateway that asks or the broker sees it
+  /// (aRole). The texts must be literals.
+  void OnSlotRequest(std::string_view aRole,
+                     std::string_view aVerdict,
+                     std::string_view aCause);
+  /// A broker sent a request to another failure domain.
+  void OnSlotCrossing(const std::string& aDomain);
+  void OnInvalidSlotMessages(size_t aCount);
+  /// Requests of that rank that wait at the brokers of this gateway.
+  void SetSlotsWaiting(int aRank, int aCount);
+  void SetSlotsInUse(size_t aCount);
   void OnRetry() { retries_.Add(); }
   void OnConnection() { connections_.Add(); }
   Gauge& QueuedRequests() { return queuedRequests_; }
@@ -35,6 +48,10 @@
   Gauge& queuedRequests_;
   DurationSummary& latency_;
   std::map<std::string, Counter*, std::less<>> attempts_;
+  std::map<std::tuple<std::string_view, std::string_view, std::string_view>,
+           Counter*>
+    slotRequests_;
+  std::map<int, Gauge*> slotsWaiting_;
 };
 
 }
--- a/scheduling/SlotClient.hpp
+++ b/scheduling/SlotClient.hpp
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -57,6 +56,9 @@
     std::function<void(uint32_t aBroker, const SlotEnd& aEnd)> end_;
     /// A decision is available for a request that was pending.
     std::function<void()> onDecided_;
+    /// The broker left the request without an answer.
+    std::function<void(uint32_t aBroker, const SlotRequest& aRequest)>
+      onSilent_;
   };
   /// An unanswered request is sent again after this time, and decided without
   /// the broker after kSilentMs.
@@ -64,6 +66,11 @@
   static constexpr TimeMs kSilentMs = 45;
   /// A broker that did not answer is not asked again for this long.
   static constexpr TimeMs kAvoidMs = 500;
+  /// A request that waits is sent again after this time, because the assignment
+  /// may be lost.
+  static constexpr TimeMs kQueuedResendMs = 100;
+  /// Slots are forgotten after this time; their brokers have dropped them.
+  static constexpr TimeMs kForgetMs = 30000;
 
   SlotClient(Handlers aHandlers, uint32_t aGateway, uint32_t aDomain);
 
@@ -87,8 +94,64 @@
   void OnAnswer(uint32_t aBroker, const SlotAnswer& aAnswer, TimeMs aNowMs);
   /// To be called every few ms while requests are pending.
   void Poll(TimeMs aNowMs);
-  bool HasPending() const;
-  size_t SlotsInUse() const;
+  bool HasPending() const { return !pending_.empty(); }
+  size_t SlotsInUse() const { return slots_.size(); }
+
+private:
+  struct Pending
+  {
+    uint64_t requester_ = 0;
+    uint32_t broker_ = 0;
+    uint32_t homeDomain_ = 0; ///< domain that was asked first
+    SlotRequest request_;
+    TimeMs validMs_ = 0; ///< when the times left in request_ were valid
+    TimeMs resendMs_ = 0;
+    /// When the first message since the last answer was sent.
+    std::optional<TimeMs> unansweredMs_;
+  };
+  struct Slot
+  {
+    uint32_t broker_ = 0;
+    uint32_t service_ = 0;
+    uint32_t server_ = 0;
+    TimeMs assignedMs_ = 0;
+  };
+  struct Decided
+  {
+    SlotDecision decision_;
+    TimeMs atMs_ = 0;
+  };
+  /// Asks the broker of request_.domain_, under a new number. Returns false if
+  /// there is none that answers.
+  bool Send(Pending aPending, TimeMs aNowMs);
+  void Resend(Pending& aPending, TimeMs aNowMs);
+  /// Asks the first domain again after another one had no room or was silent.
+  void SendBack(Pending aPending, uint32_t aRefusedBy, TimeMs aNowMs);
+  void OnElsewhere(Pending aPending, uint32_t aDomain, TimeMs aNowMs);
+  void OnUnknown(uint32_t aBroker, const SlotAnswer& aAnswer);
+  void OnSilent(int64_t aNumber, TimeMs aNowMs);
+  /// Withdraws a request, or returns the slot of aServer unused.
+  void End(uint32_t aBroker,
+           int64_t aNumber,
+           uint32_t aService,
+           uint32_t aServer = 0);
+  Pending TakePending(int64_t aNumber);
+  void Decide(uint64_t aRequester, SlotDecision aDecision, TimeMs aNowMs);
+  /// After kAvoidMs, one request finds out whether the broker answers again.
+  bool MayAsk(uint32_t aBroker, TimeMs aNowMs);
+  void ForgetOld(TimeMs aNowMs);
+
+  Handlers handlers_;
+  uint32_t gateway_;
+  uint32_t domain_;
+  int64_t lastNumber_;
+  std::unordered_map<int64_t, Pending> pending_;
+  std::unordered_map<uint64_t, int64_t> numbers_; ///< of pending requests
+  std::unordered_map<uint64_t, Decided> decided_; ///< not yet returned
+  std::unordered_map<int64_t, Slot> slots_;
+  std::unordered_map<uint32_t, TimeMs> avoidedUntilMs_;
+  std::optional<uint64_t> asking_; ///< requester of the current Ask()
+  TimeMs forgotMs_ = 0;
 };
 
 }
--- a/scheduling/SlotMessages.hpp
+++ b/scheduling/SlotMessages.hpp
@@ -39,6 +39,7 @@
   bool crossing_ = false;
   /// Must be decided here: another domain had no room for it.
   bool returned_ = false;
+  uint32_t refusedBy_ = 0; ///< with returned_: the other domain
   std::vector<uint32_t> avoided_;   ///< servers that failed the request
   std::vector<uint32_t> connected_; ///< servers with an idle connection
 };
@@ -120,7 +121,7 @@
 {
   uint32_t gateway_ = 0;
   int64_t number_ = 0;
-  uint32_t service_ = 0;
+  uint32_t service_ = 0; ///< 0: unknown, after a late answer
   uint32_t server_ = 0;
   SlotOutcome outcome_ = SlotOutcome::Unused;
   TimeMs latencyMs_ = 0; ///< with Served: of the whole attempt
--- a/wire/gen-cpp/gossip_types.cpp
+++ b/wire/gen-cpp/gossip_types.cpp
@@ -1389,6 +1389,10 @@
 void SlotRequest::__set_domain(const int32_t val) {
   this->domain = val;
 }
+
+void SlotRequest::__set_refusedBy(const int32_t val) {
+  this->refusedBy = val;
+}
 std::ostream& operator<<(std::ostream& out, const SlotRequest& obj)
 {
   obj.printTo(out);
@@ -1553,6 +1557,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->refusedBy);
+          this->__isset.refusedBy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1642,6 +1654,10 @@
   xfer += oprot->writeI32(this->domain);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("refusedBy", ::apache::thrift::protocol::T_I32, 15);
+  xfer += oprot->writeI32(this->refusedBy);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1663,6 +1679,7 @@
   swap(a.avoided, b.avoided);
   swap(a.connected, b.connected);
   swap(a.domain, b.domain);
+  swap(a.refusedBy, b.refusedBy);
   swap(a.__isset, b.__isset);
 }
 
@@ -1681,6 +1698,7 @@
   avoided = other52.avoided;
   connected = other52.connected;
   domain = other52.domain;
+  refusedBy = other52.refusedBy;
   __isset = other52.__isset;
 }
 SlotRequest& SlotRequest::operator=(const SlotRequest& other53) {
@@ -1698,6 +1716,7 @@
   avoided = other53.avoided;
   connected = other53.connected;
   domain = other53.domain;
+  refusedBy = other53.refusedBy;
   __isset = other53.__isset;
   return *this;
 }
@@ -1718,6 +1737,7 @@
   out << ", " << "avoided=" << to_string(avoided);
   out << ", " << "connected=" << to_string(connected);
   out << ", " << "domain=" << to_string(domain);
+  out << ", " << "refusedBy=" << to_string(refusedBy);
   out << ")";
 }
 
--- a/wire/gen-cpp/gossip_types.h
+++ b/wire/gen-cpp/gossip_types.h
@@ -565,7 +565,7 @@
 std::ostream& operator<<(std::ostream& out, const PermitReply& obj);
 
 typedef struct _SlotRequest__isset {
-  _SlotRequest__isset() : number(false), serviceHash(false), route(false), server(false), rank(false), objectiveMs(false), objectiveLeftMs(false), remainingMs(false), bytes(false), crossing(false), returned(false), avoided(false), connected(false), domain(false) {}
+  _SlotRequest__isset() : number(false), serviceHash(false), route(false), server(false), rank(false), objectiveMs(false), objectiveLeftMs(false), remainingMs(false), bytes(false), crossing(false), returned(false), avoided(false), connected(false), domain(false), refusedBy(false) {}
   bool number :1;
   bool serviceHash :1;
   bool route :1;
@@ -580,6 +580,7 @@
   bool avoided :1;
   bool connected :1;
   bool domain :1;
+  bool refusedBy :1;
 } _SlotRequest__isset;
 
 class SlotRequest : public virtual ::apache::thrift::TBase {
@@ -599,7 +600,8 @@
                 bytes(0),
                 crossing(0),
                 returned(0),
-                domain(0) {
+                domain(0),
+                refusedBy(0) {
   }
 
   virtual ~SlotRequest() noexcept;
@@ -617,6 +619,7 @@
   std::vector<int32_t>  avoided;
   std::vector<int32_t>  connected;
   int32_t domain;
+  int32_t refusedBy;
 
   _SlotRequest__isset __isset;
 
@@ -648,6 +651,8 @@
 
   void __set_domain(const int32_t val);
 
+  void __set_refusedBy(const int32_t val);
+
   bool operator == (const SlotRequest & rhs) const
   {
     if (!(number == rhs.number))
@@ -678,6 +683,8 @@
       return false;
     if (!(domain == rhs.domain))
       return false;
+    if (!(refusedBy == rhs.refusedBy))
+      return false;
     return true;
   }
   bool operator != (const SlotRequest &rhs) const {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -87,6 +87,7 @@
   12: list<i32> avoided
   13: list<i32> connected
   14: i32 domain // of the servers that may run the request
+  15: i32 refusedBy // domain that had no room for it, 0: none
 }
 struct SlotAnswer {
   1: i64 number
