--- a/gateway/BrokerLookup.cpp
+++ b/gateway/BrokerLookup.cpp
@@ -3,7 +3,6 @@
 #include "common/ShortHash.hpp"
 
 #include <algorithm>
-#include <ranges>
 
 namespace cactuspitch {
 
@@ -101,9 +100,10 @@
   if (ageMs < PeerMesh::kAliveMs) {
     return true;
   }
-  const auto listed = std::ranges::count_if(
-    mesh_.Peers() | std::views::values,
-    [&](const Peer& aPeer) { return aPeer.listedByLeaderMs_ == aListMs; });
+  const auto listed =
+    std::ranges::count_if(mesh_.Peers(), [&](const auto& aEntry) {
+      return aEntry.second.listedByLeaderMs_ == aListMs;
+    });
   // The leader itself gets no lists, and hears from all.
   return mesh_.AliveCount(aNowMs) * 2 < static_cast<size_t>(listed);
 }
--- a/gateway/SlotExchange.cpp
+++ b/gateway/SlotExchange.cpp
@@ -6,8 +6,8 @@
 
 #include <algorithm>
 #include <array>
-#include <ranges>
 #include <set>
+#include <span>
 #include <utility>
 
 namespace cactuspitch {
@@ -44,7 +44,7 @@
                            EventLog& aLog,
                            GatewayMetrics& aMetrics,
                            PeerMesh& aMesh,
-                           std::string aInstance,
+                           const std::string& aInstance,
                            std::string aDomain,
                            int aCpuPercent,
                            Handlers aHandlers)
@@ -153,7 +153,7 @@
 {
   const auto count = std::min(aMessages.size(), SlotCodec::kMaxMessages);
   metrics_.OnInvalidSlotMessages(aMessages.size() - count);
-  for (const auto& message : aMessages | std::views::take(count)) {
+  for (const auto& message : std::span(aMessages).first(count)) {
     if (const auto converted = aConvert(message)) {
       aHandle(*converted);
     } else {
--- a/gateway/SlotExchange.hpp
+++ b/gateway/SlotExchange.hpp
@@ -49,7 +49,7 @@
                EventLog& aLog,
                GatewayMetrics& aMetrics,
                PeerMesh& aMesh,
-               std::string aInstance,
+               const std::string& aInstance,
                std::string aDomain,
                int aCpuPercent,
                Handlers aHandlers);
--- a/scheduling/BrokerChoice.cpp
+++ b/scheduling/BrokerChoice.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <ranges>
 
 #include <xxhash.h>
 
--- a/scheduling/SlotClient.cpp
+++ b/scheduling/SlotClient.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <random>
-#include <ranges>
 #include <utility>
 #include <vector>
 
--- a/tests/UntrustedInputTest.cpp
+++ b/tests/UntrustedInputTest.cpp
@@ -1,4 +1,5 @@
 #include "common/JsonText.hpp"
+#include "common/ShortHash.hpp"
 #include "common/Strings.hpp"
 #include "gateway/GatewaySettings.hpp"
 #include "gossip_types.h"
@@ -120,6 +121,75 @@
   return gossip;
 }
 
+int32_t DrawNumber()
+{
+  return *rc::gen::oneOf(
+    rc::gen::arbitrary<int32_t>(),
+    rc::gen::element<int32_t>(-1, 0, 1, 2, 100, 3600000, INT32_MIN, INT32_MAX));
+}
+
+/// Name of a service or server that the gateway knows, or any other one.
+int32_t DrawHash()
+{
+  return *rc::gen::arbitrary<bool>()
+           ? static_cast<int32_t>(ShortHash(
+               *rc::gen::element<std::string>("plain", "keyed", "p0", "k0")))
+           : DrawNumber();
+}
+
+std::vector<int32_t> DrawServers()
+{
+  return std::vector<int32_t>(*rc::gen::element<size_t>(0, 1, 64, 65),
+                              DrawHash());
+}
+
+/// One entry with drawn numbers in each list of slot messages.
+void AddSlotMessages(wire::Gossip& aGossip)
+{
+  wire::SlotRequest request;
+  request.number = DrawNumber();
+  request.serviceHash = DrawHash();
+  request.domain = DrawHash();
+  request.route = DrawNumber();
+  request.server = DrawHash();
+  request.rank = DrawNumber();
+  request.objectiveMs = DrawNumber();
+  request.objectiveLeftMs = DrawNumber();
+  request.remainingMs = DrawNumber();
+  request.bytes = DrawNumber();
+  request.crossing = *rc::gen::arbitrary<bool>();
+  request.returned = *rc::gen::arbitrary<bool>();
+  request.refusedBy = DrawHash();
+  request.avoided = DrawServers();
+  request.connected = DrawServers();
+  aGossip.slotRequests = { request };
+  wire::SlotAnswer answer;
+  answer.number = DrawNumber();
+  answer.verdict = DrawNumber();
+  answer.cause = DrawNumber();
+  answer.server = DrawHash();
+  answer.domain = DrawHash();
+  answer.retryAfterMs = DrawNumber();
+  aGossip.slotAnswers = { answer };
+  wire::SlotEnd end;
+  end.number = *rc::gen::arbitrary<bool>() ? request.number : DrawNumber();
+  end.serviceHash = DrawHash();
+  end.server = DrawHash();
+  end.outcome = DrawNumber();
+  end.latencyMs = DrawNumber();
+  end.running = DrawNumber();
+  end.waiting = DrawNumber();
+  end.slownessPercent = DrawNumber();
+  aGossip.slotEnds = { end };
+  wire::SlotSummary summary;
+  summary.serviceHash = DrawHash();
+  summary.domain = DrawHash();
+  summary.freeSlots = DrawNumber();
+  summary.utilization = DrawNumber();
+  summary.waitMs = DrawNumber();
+  aGossip.slotSummaries = { summary };
+}
+
 std::string Encode(const wire::Gossip& aGossip)
 {
   using apache::thrift::transport::TMemoryBuffer;
@@ -239,6 +309,8 @@
       }
     });
     SendDatagram(fixture_.Settings().peerListen_, Encode(gossip));
+    AddSlotMessages(gossip);
+    SendDatagram(fixture_.Settings().peerListen_, Encode(gossip));
     auto noise = Encode(gossip);
     if (!noise.empty()) {
       noise[*rc::gen::inRange<size_t>(0, noise.size())] =
