Schedule the slots of backend servers

Many gateways filled servers of few slots from old load reports: urgent requests were late behind large downloads, and servers rejected a third of the arrivals. SlotScheduler assigns all slots of a service in a failure domain: by rank, with admission by the predicted wait, a share for lower ranks, limits of cold servers and slots whose end was lost.

--- a/scheduling/SlotScheduler.hpp
+++ b/scheduling/SlotScheduler.hpp
@@ -3,27 +3,21 @@
 #include "common/Types.hpp"
 #include "scheduling/ColdRate.hpp"
 #include "scheduling/DomainCrossing.hpp"
+#include "scheduling/ServerSlots.hpp"
 #include "scheduling/SlotMessages.hpp"
+#include "scheduling/SlotQueue.hpp"
+#include "scheduling/WorkEstimate.hpp"
 
+#include <array>
 #include <cstdint>
-#include <deque>
 #include <map>
-#include <optional>
 #include <random>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace cactuspitch {
 
-/// Backend server of the scheduler's service and failure domain.
-struct SlotServer
-{
-  uint32_t id_ = 0;          ///< hash of the server's id
-  uint32_t incarnation_ = 0; ///< hash of this run of the server
-  int slots_ = 1;
-  TimeMs coldUntilMs_ = 0;
-};
-
 struct SlotOptions
 {
   /// A request may wait for this fraction of its objective in any case; beyond
@@ -65,6 +59,104 @@
   /// Room for requests of other domains.
   SlotSummary Summary(TimeMs aNowMs) const;
   bool IsIdle() const;
+
+private:
+  struct Server
+  {
+    ServerSlots slots_;
+    SlotQueue queue_ = {}; ///< requests that only this server can run
+    std::vector<SlotEntry*> inUse_ = {}; ///< oldest first
+    /// Work that is owed to the ranks below each rank.
+    std::array<double, SlotQueue::kRanks> owedMs_ = {};
+  };
+  struct Forecast
+  {
+    double waitMs_ = 0;
+    double available_ = 0; ///< slots that more urgent requests leave
+    SlotCause cause_ = SlotCause::Full;
+  };
+  using EntryKey = std::pair<uint32_t, int64_t>;
+  struct EntryKeyHash
+  {
+    size_t operator()(const EntryKey& aKey) const;
+  };
+
+  SlotEntry& AddEntry(const SlotRequest& aRequest, TimeMs aNowMs);
+  void Decide(SlotEntry& aEntry, TimeMs aNowMs);
+  void DecideCrossing(SlotEntry& aEntry, TimeMs aNowMs);
+  bool TryAssignNow(SlotEntry& aEntry, TimeMs aNowMs);
+  bool TryLeave(SlotEntry& aEntry, double aWaitMs, TimeMs aNowMs);
+  void Enqueue(SlotEntry& aEntry, TimeMs aNowMs);
+  void Assign(SlotEntry& aEntry, Server& aServer, TimeMs aNowMs);
+  void LeaveQueue(const SlotEntry& aEntry);
+  void Refuse(SlotEntry& aEntry,
+              SlotCause aCause,
+              TimeMs aRetryAfterMs,
+              TimeMs aNowMs);
+  void RefuseWaiting(SlotEntry& aEntry, TimeMs aNowMs);
+  void RefuseNoServer(SlotEntry& aEntry, TimeMs aNowMs);
+  void Close(SlotEntry& aEntry, SlotPhase aPhase, TimeMs aNowMs);
+  void ReleaseSlot(SlotEntry& aEntry, TimeMs aNowMs);
+  void Learn(const SlotEntry& aEntry,
+             const SlotEnd& aEnd,
+             Server& aServer,
+             TimeMs aNowMs);
+  void OnReport(const SlotEntry& aEnded,
+                const SlotLoad& aLoad,
+                Server& aServer,
+                TimeMs aNowMs);
+  void OnDue(SlotEntry& aEntry, TimeMs aNowMs);
+  void SetDue(SlotEntry& aEntry, TimeMs aDueMs);
+  void Forget(const SlotEntry& aEntry);
+  void Send(SlotEntry& aEntry, SlotVerdict aVerdict);
+
+  /// Starts waiting requests while the server has room.
+  void Fill(Server& aServer, TimeMs aNowMs);
+  SlotEntry* Next(Server& aServer, TimeMs aNowMs);
+  SlotEntry* NextOfRank(const Server& aServer, size_t aRank, TimeMs aNowMs);
+  /// Whether the request should start at the server rather than wait for a
+  /// faster one.
+  bool ShouldRun(const SlotEntry& aEntry,
+                 const ServerSlots& aServer,
+                 TimeMs aNowMs) const;
+  Server* BestServer(const SlotEntry& aEntry, TimeMs aNowMs);
+  Server* FindListed(uint32_t aServer);
+  SlotQueue& QueueOf(const SlotEntry& aEntry);
+  bool HasUsableServer(const SlotEntry& aEntry, TimeMs aNowMs) const;
+  bool HasRoom(const SlotEntry& aEntry, TimeMs aNowMs) const;
+  Forecast Predict(const SlotEntry& aEntry, TimeMs aNowMs);
+  double ExpectedMs(const SlotEntry& aEntry, TimeMs aNowMs);
+  /// Time that most requests like this one take.
+  double LikelyMs(const SlotEntry& aEntry, TimeMs aNowMs);
+  TimeMs RetryAfterMs(const SlotEntry& aEntry,
+                      const Forecast& aForecast,
+                      TimeMs aNowMs);
+  TimeMs WithinRetryLimits(const SlotEntry& aEntry,
+                           double aWantedMs,
+                           TimeMs aNowMs);
+  TimeMs MinWaitMs(const SlotEntry& aEntry) const;
+  void UpdateCapacity(TimeMs aNowMs);
+
+  SlotOptions options_;
+  DomainCrossing& crossing_;
+  std::minstd_rand random_;
+  WorkEstimate work_;
+  std::map<uint32_t, Server> servers_;
+  SlotQueue queue_; ///< requests that any server can run
+  /// Accepted requests that only one server can run.
+  SlotQueue ownerBound_;
+  std::unordered_map<EntryKey, SlotEntry, EntryKeyHash> entries_;
+  std::map<std::pair<TimeMs, uint64_t>, SlotEntry*> due_;
+  uint64_t sequence_ = 0;
+  size_t waiting_ = 0;
+  size_t inUse_ = 0;
+  std::vector<SlotAnswer> answers_;
+  /// Usable slots of all servers, their sum weighted by speed, and the part of
+  /// it that limits of cold servers leave.
+  double slots_ = 0;
+  double speed_ = 0;
+  double capacity_ = 0;
+  TimeMs capacityMs_ = -1;
 };
 
 }
