--- a/scheduling/SlotQueue.cpp
+++ b/scheduling/SlotQueue.cpp
@@ -66,6 +66,15 @@
     [](size_t aSum, const auto& aState) { return aSum + aState.Size(); });
 }
 
+size_t SlotQueue::LowestRank() const
+{
+  size_t rank = kRanks - 1;
+  while (rank > 0 && ranks_[rank].Size() == 0) {
+    --rank;
+  }
+  return rank;
+}
+
 std::vector<SlotEntry*> SlotQueue::Entries() const
 {
   std::vector<SlotEntry*> entries;
--- a/scheduling/SlotQueue.hpp
+++ b/scheduling/SlotQueue.hpp
@@ -54,6 +54,9 @@
   bool HasBehind(const SlotEntry& aEntry) const;
   /// Number of waiting requests of aRank and more urgent ones.
   size_t Ahead(size_t aRank) const;
+  /// The least urgent rank of those that wait; the most urgent one if none
+  /// does.
+  size_t LowestRank() const;
   std::vector<SlotEntry*> Entries() const;
   /// First request of the rank that aMayRun accepts. Looks at few requests, so
   /// that requests which avoid a server don't make each event expensive.
--- a/scheduling/SlotScheduler.cpp
+++ b/scheduling/SlotScheduler.cpp
@@ -746,7 +746,7 @@
   const auto used = static_cast<double>(inUse_ + queue_.Size());
   constexpr double kNoSlots = 1e6;
   summary.utilization_ = slots > 0 ? used / slots : kNoSlots;
-  const auto lowest = SlotQueue::kRanks - 1;
+  const auto lowest = queue_.LowestRank();
   const bool hasRoom = summary.freeSlots_ >= 1;
   if (!hasRoom) {
     const double available = capacity - queue_.AcceptedRate(lowest, aNowMs) -
--- a/tests/SlotSchedulerTest.cpp
+++ b/tests/SlotSchedulerTest.cpp
@@ -447,6 +447,25 @@
   EXPECT_EQ(broker.Scheduler().Summary(broker.NowMs()).freeSlots_, 0);
 }
 
+// Guards against neighbours that send requests to a full domain, or none to one
+// with room.
+TEST(SlotScheduler, TheSummaryShowsRoomAndWait)
+{
+  Broker broker({ { .id_ = 1, .slots_ = 2 } });
+  const auto free = broker.Scheduler().Summary(broker.NowMs());
+  EXPECT_EQ(free.freeSlots_, 2);
+  EXPECT_EQ(free.utilization_, 0);
+  EXPECT_EQ(free.waitMs_, 0);
+  for (int64_t number = 1; number <= 6; ++number) {
+    broker.Ask(number, { .rank_ = 2 });
+  }
+  const auto full = broker.Scheduler().Summary(broker.NowMs());
+  EXPECT_EQ(full.freeSlots_, 0);
+  EXPECT_EQ(full.utilization_, 3);
+  // 4 that wait and the next one, of 100 ms each, on 2 slots.
+  EXPECT_NEAR(static_cast<double>(full.waitMs_), 250, 25);
+}
+
 // Guards against more than the cold server's limit in any second, whatever the
 // times of the requests.
 RC_GTEST_PROP(ColdRate, StaysBelowTheLimitInAnySecond, ())
