Decide which requests leave a failure domain

Cause: each gateway added a fixed cost of crossing to old load estimates, so domains moved load to and fro and paid bytes for it. Change: scheduling/DomainCrossing takes the room that brokers report each 100 ms, uses a fair part of it as credit until the next summary, prefers neighbours by credit at random, and backs off from neighbours that refuse. A domain leaves only while its own last summary says that it is short, and is no target until 300 ms after that, so that no two domains send to each other. A missed objective brings a request across only if its bytes cost no more than half of the objective.

--- a/scheduling/DomainCrossing.hpp
+++ b/scheduling/DomainCrossing.hpp
@@ -38,7 +38,10 @@
 public:
   DomainCrossing(CrossingOptions aOptions, uint32_t aDomain, uint32_t aSeed);
 
-  /// Room in another domain.
+  /// Room in another domain, or in the own one: each summary that the broker
+  /// sends is also passed here. A domain sends requests away only while its own
+  /// last summary says that it is short, so that no other domain takes it for a
+  /// target at the same time.
   void OnSummary(const SlotSummary& aSummary, TimeMs aNowMs);
   /// The domain that the request should go to; 0 to stay.
   uint32_t Choose(const CrossingRequest& aRequest, TimeMs aNowMs);
@@ -46,16 +49,33 @@
   void OnReturned(uint32_t aDomain, TimeMs aNowMs);
 
 private:
-  struct Neighbour
+  struct Domain
   {
     SlotSummary summary_;
     TimeMs atMs_ = 0;
-    double credit_ = 0; ///< slots that may still be used until the next summary
+    bool isShort_ = false;
+    TimeMs shortSinceMs_ = 0;
+    TimeMs heldUntilMs_ = 0; ///< no target before this time
+    int credit_ = 0;         ///< slots that may be used until the next summary
+    int sent_ = 0;           ///< requests since the last summary
+    double recentSent_ = 0;  ///< requests, halved with each summary
+    double limit_ = 0;       ///< of the credit, after refusals
+    bool returned_ = false;  ///< has refused a request since the last summary
   };
 
+  bool IsFresh(const Domain& aDomain, TimeMs aNowMs) const;
+  bool IsTarget(const Domain& aDomain, TimeMs aNowMs) const;
+  bool MayLeave(TimeMs aNowMs) const;
+  bool Pays(const CrossingRequest& aRequest, const Domain& aTarget) const;
+  int Credit(const Domain& aTarget, TimeMs aNowMs);
+  /// For requests without a server in their own domain: the neighbour with the
+  /// most room, then the least wait.
+  Domain* Roomiest(TimeMs aNowMs);
+  static uint32_t Send(Domain& aTarget);
+
   CrossingOptions options_;
   uint32_t domain_;
-  std::map<uint32_t, Neighbour> neighbours_;
+  std::map<uint32_t, Domain> domains_; ///< with the own one
   std::minstd_rand random_;
 };
 
