Settings of the cost of traffic between failure domains

Cause: operators whose traffic between domains is dear, or free, could not say so. Nothing uses them until the exchange of slots passes them on.

--- a/gateway/GatewaySettings.cpp
+++ b/gateway/GatewaySettings.cpp
@@ -15,6 +15,7 @@
 constexpr int64_t kMinMemoryMb = 32;
 constexpr int64_t kMaxMemoryMb = 1 << 20;
 constexpr int kBytesPerMbShift = 20;
+constexpr int64_t kMaxCrossDomainMsPerKb = 10000;
 
 Endpoint EndpointOf(const Settings& aSettings, std::string_view aName)
 {
@@ -83,6 +84,16 @@
             "memory that this process may use, MB",
             detail::kMinMemoryMb,
             detail::kMaxMemoryMb),
+    integer("cross-domain-cost-ms-per-kb",
+            "5",
+            "cost of a KB between failure domains, in ms of waiting",
+            0,
+            detail::kMaxCrossDomainMsPerKb),
+    integer("cross-domain-cost-max-percent",
+            "50",
+            "upper limit of that cost, percent of the latency objective",
+            1,
+            100),
     { "check",
       SettingType::Boolean,
       "false",
@@ -128,6 +139,11 @@
   settings.cpuPercent_ = static_cast<int>(aSettings.Integer("cpu-percent"));
   settings.memoryBytes_ = static_cast<size_t>(aSettings.Integer("memory-mb"))
                           << detail::kBytesPerMbShift;
+  settings.crossing_.msPerKb_ =
+    static_cast<double>(aSettings.Integer("cross-domain-cost-ms-per-kb"));
+  settings.crossing_.maxCostShare_ =
+    static_cast<double>(aSettings.Integer("cross-domain-cost-max-percent")) /
+    detail::kPercent;
   settings.logLevel_ =
     ParseEnum<LogLevel>(aSettings.Text("log-level")).value_or(LogLevel::Info);
   return settings;
--- a/gateway/GatewaySettings.hpp
+++ b/gateway/GatewaySettings.hpp
@@ -4,6 +4,7 @@
 #include "common/Log.hpp"
 #include "common/Settings.hpp"
 #include "net/TcpStream.hpp"
+#include "scheduling/DomainCrossing.hpp"
 
 #include <string>
 #include <vector>
@@ -32,6 +33,8 @@
   int cpuPercent_ = 100;
   /// Memory limit of this process; bounds what it buffers for requests.
   size_t memoryBytes_ = size_t{ 256 } << 20;
+  /// Of requests that leave their failure domain.
+  CrossingOptions crossing_;
   LogLevel logLevel_ = LogLevel::Info;
   /// Settings that were not given and have their default value.
   Findings notes_;
