--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -98,7 +98,7 @@
       settings_.cpuPercent_,
       { [this] { return gossip_.MakeGossip(); },
         [this] { forwarder_.OnRoutingStateChanged(); },
-        [this](const std::string& aService) { return ColdLimitsOf(aService); },
+        [](const std::string&) { return ColdLimits(); },
         [](const std::string&) { return false; } })
   , forwarder_(aLoop,
                aLog,
