Find lost slots on busy servers

A slot whose end was lost stayed taken until its deadline when other requests ran at the server, since only slots older than 200 ms were compared with its load reports. All slots are compared, over 200 ms.

SlotSchedulerTest and SlotLoadTest pass.

--- a/scheduling/ServerSlots.cpp
+++ b/scheduling/ServerSlots.cpp
@@ -27,9 +27,9 @@
 constexpr double kServerFailureHalfLifeMs = 2000;
 constexpr TimeMs kRejectedBackoffMs = 60;
 constexpr TimeMs kUnreachableBackoffMs = 300;
-/// Two reports this far apart must agree that a slot is free. The end of a
-/// request may be on its way while one report is read.
-constexpr TimeMs kConfirmFreeMs = 10;
+/// All reports in this time must agree that a slot is free. Single ones don't
+/// count requests and ends that are on their way.
+constexpr TimeMs kConfirmFreeMs = 200;
 /// Part of the cold limit that the scheduler uses; the rest is for requests of
 /// gateways that decide without it.
 constexpr double kColdShare = 0.6;
@@ -135,7 +135,7 @@
     std::max(noStartUntilMs_, aNowMs + detail::kUnreachableBackoffMs);
 }
 
-int ServerSlots::OnReport(const SlotLoad& aLoad, int aOlderSlots, TimeMs aNowMs)
+int ServerSlots::OnReport(const SlotLoad& aLoad, int aOtherSlots, TimeMs aNowMs)
 {
   if (aLoad.running_ < 0 || aLoad.waiting_ < 0 ||
       aLoad.running_ > detail::kMaxSlots ||
@@ -152,7 +152,7 @@
   others_ =
     others + (std::max(0, total - inUse_) - others) * detail::kOthersWeight;
   othersMs_ = aNowMs;
-  const int free = std::max(0, aOlderSlots - total);
+  const int free = std::max(0, aOtherSlots - total);
   if (free == 0 || unconfirmedFree_ == 0) {
     unconfirmedFree_ = free;
     unconfirmedMs_ = aNowMs;
--- a/scheduling/ServerSlots.hpp
+++ b/scheduling/ServerSlots.hpp
@@ -41,10 +41,10 @@
   void OnRejected(TimeMs aNowMs);
   void OnFailed(TimeMs aNowMs);
   void OnUnreachable(TimeMs aNowMs);
-  /// Load report of a response. aOlderSlots: slots in use that the server must
-  /// know of, because they were taken some time ago. Returns how many of them
-  /// are free at the server: their end was lost.
-  int OnReport(const SlotLoad& aLoad, int aOlderSlots, TimeMs aNowMs);
+  /// Load report of a response. aOtherSlots: slots in use without that of the
+  /// response. Returns how many of them are free at the server: their end was
+  /// lost.
+  int OnReport(const SlotLoad& aLoad, int aOtherSlots, TimeMs aNowMs);
 
   int InUse() const { return inUse_; }
   int Slots() const { return server_.slots_; }
@@ -86,7 +86,7 @@
   TimeMs failureMs_ = 0;
   TimeMs noStartUntilMs_ = 0;
   bool unreachable_ = false; ///< until it serves a request again
-  /// Slots that the last report showed to be free although they are in use.
+  /// Slots in use that are free at the server, by all reports since then.
   int unconfirmedFree_ = 0;
   TimeMs unconfirmedMs_ = 0;
   std::optional<ColdRate> cold_;
--- a/scheduling/SlotScheduler.cpp
+++ b/scheduling/SlotScheduler.cpp
@@ -403,15 +403,19 @@
                              Server& aServer,
                              TimeMs aNowMs)
 {
-  const auto isKnown = [&](const SlotEntry* aEntry) {
+  const auto others = static_cast<int>(aServer.inUse_.size()) - 1;
+  auto lost = aServer.slots_.OnReport(aLoad, others, aNowMs);
+  // The ended one keeps its slot, so that the server stays in servers_.
+  const auto isOld = [&](const SlotEntry* aEntry) {
     return aEntry != &aEnded &&
            aNowMs - aEntry->startedMs_ > detail::kKnownToServerMs;
   };
-  const auto older = std::ranges::count_if(aServer.inUse_, isKnown);
-  auto lost = aServer.slots_.OnReport(aLoad, static_cast<int>(older), aNowMs);
-  // The ended one keeps its slot, so that the server stays in servers_.
-  while (lost-- > 0) {
-    ReleaseSlot(**std::ranges::find_if(aServer.inUse_, isKnown), aNowMs);
+  for (; lost > 0; --lost) {
+    const auto oldest = std::ranges::find_if(aServer.inUse_, isOld);
+    if (oldest == aServer.inUse_.end()) {
+      return;
+    }
+    ReleaseSlot(**oldest, aNowMs);
   }
 }
 
