Bound the room of cold servers; tell reused request numbers apart

A cold server with a token showed all its slots as free, to its neighbours too. A restarted gateway that counts from 1 again got slots of its earlier requests. SlotSchedulerTest (28) and SlotLoadTest (4) pass.

--- a/scheduling/ServerSlots.cpp
+++ b/scheduling/ServerSlots.cpp
@@ -174,10 +174,10 @@
   }
   const int room =
     server_.slots_ - inUse_ - static_cast<int>(std::lround(OtherLoad(aNowMs)));
-  if (room <= 0) {
-    return 0;
+  if (room > 0 && cold_ && IsColdLimited(aNowMs)) {
+    return cold_->WaitMs(aNowMs) > 0 ? 0 : 1;
   }
-  return cold_ && IsColdLimited(aNowMs) && cold_->WaitMs(aNowMs) > 0 ? 0 : room;
+  return std::max(0, room);
 }
 
 double ServerSlots::UsableSlots(TimeMs aNowMs) const
--- a/scheduling/ServerSlots.hpp
+++ b/scheduling/ServerSlots.hpp
@@ -48,7 +48,7 @@
 
   int InUse() const { return inUse_; }
   int Slots() const { return server_.slots_; }
-  /// Requests that may be started now.
+  /// Requests that may be started now; of a cold server one at a time.
   int Room(TimeMs aNowMs) const;
   /// Slots that this scheduler can fill once they are free.
   double UsableSlots(TimeMs aNowMs) const;
--- a/scheduling/SlotScheduler.cpp
+++ b/scheduling/SlotScheduler.cpp
@@ -100,10 +100,31 @@
 void SlotScheduler::OnRequest(const SlotRequest& aRequest, TimeMs aNowMs)
 {
   const auto known = entries_.find({ aRequest.gateway_, aRequest.number_ });
-  if (known == entries_.end()) {
-    Decide(AddEntry(aRequest, aNowMs), aNowMs);
-  } else if (known->second.phase_ != SlotPhase::Ended) {
-    answers_.push_back(known->second.answer_);
+  if (known != entries_.end()) {
+    auto& entry = known->second;
+    if (entry.request_.server_ == aRequest.server_ &&
+        entry.request_.route_ == aRequest.route_) {
+      if (entry.phase_ != SlotPhase::Ended) {
+        answers_.push_back(entry.answer_);
+      }
+      return;
+    }
+    // A restarted gateway counts its requests anew.
+    Drop(entry, aNowMs);
+  }
+  Decide(AddEntry(aRequest, aNowMs), aNowMs);
+}
+
+void SlotScheduler::Drop(SlotEntry& aEntry, TimeMs aNowMs)
+{
+  if (aEntry.phase_ == SlotPhase::InUse) {
+    ReleaseSlot(aEntry, aNowMs);
+  } else {
+    Close(aEntry, SlotPhase::Ended, aNowMs);
+  }
+  const EntryKey key{ aEntry.request_.gateway_, aEntry.request_.number_ };
+  if (const auto left = entries_.find(key); left != entries_.end()) {
+    Forget(left->second);
   }
 }
 
--- a/scheduling/SlotScheduler.hpp
+++ b/scheduling/SlotScheduler.hpp
@@ -82,6 +82,7 @@
   };
 
   SlotEntry& AddEntry(const SlotRequest& aRequest, TimeMs aNowMs);
+  void Drop(SlotEntry& aEntry, TimeMs aNowMs);
   void Decide(SlotEntry& aEntry, TimeMs aNowMs);
   void DecideCrossing(SlotEntry& aEntry, TimeMs aNowMs);
   bool TryAssignNow(SlotEntry& aEntry, TimeMs aNowMs);
--- a/tests/SlotSchedulerTest.cpp
+++ b/tests/SlotSchedulerTest.cpp
@@ -507,6 +507,7 @@
   }
   EXPECT_GE(causes[SlotCause::ColdServer], 20);
   EXPECT_EQ(broker.Ask(31).server_, 2U);
+  EXPECT_LE(broker.Scheduler().Summary(broker.NowMs()).freeSlots_, 1);
   const auto startedBefore = broker.Started().size();
   EXPECT_LE(startedBefore, 2U);
   broker.Wait(1000);
@@ -620,6 +621,19 @@
   EXPECT_TRUE(broker.Scheduler().IsIdle());
 }
 
+// Guards against a request that gets the slot of an earlier one at another
+// server, because its gateway was restarted and counts from 1 again.
+TEST(SlotScheduler, ARestartedGatewayMayReuseNumbers)
+{
+  Broker broker({ { .id_ = 1 }, { .id_ = 2 } });
+  EXPECT_EQ(broker.Ask(1, { .server_ = 1 }).server_, 1U);
+  EXPECT_EQ(broker.Ask(2, { .server_ = 1 }).verdict_, Queued);
+  EXPECT_EQ(broker.Ask(1, { .server_ = 2 }).server_, 2U);
+  broker.Wait(5);
+  EXPECT_EQ(broker.Last(2).server_, 1U);
+  EXPECT_EQ(broker.Ask(3, { .server_ = 2 }).verdict_, Queued);
+}
+
 // Guards against a crash, a lost slot or a disturbed estimate by numbers that
 // no gateway should send.
 TEST(SlotScheduler, BadNumbersChangeNothingElse)
