--- a/gateway/BrokerLookup.cpp
+++ b/gateway/BrokerLookup.cpp
@@ -26,15 +26,18 @@
 {
 }
 
-std::optional<uint32_t> BrokerLookup::Find(uint32_t aService, uint32_t aDomain)
+std::optional<uint32_t> BrokerLookup::Find(uint32_t aService,
+                                           uint32_t aDomain,
+                                           std::optional<uint32_t> aExcept)
 {
   Refresh();
   if (candidates_.size() <= kMaxDirectGateways) {
     return std::nullopt;
   }
-  const auto [entry, isNew] = brokers_.try_emplace({ aService, aDomain });
+  const auto [entry, isNew] =
+    brokers_.try_emplace({ aService, aDomain, aExcept.value_or(0) });
   if (isNew) {
-    entry->second = ChooseBroker(candidates_, aService, aDomain);
+    entry->second = ChooseBroker(candidates_, aService, aDomain, aExcept);
   }
   return entry->second;
 }
--- a/gateway/BrokerLookup.hpp
+++ b/gateway/BrokerLookup.hpp
@@ -6,8 +6,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace cactuspitch {
@@ -22,9 +22,12 @@
                const std::string& aDomain,
                int aCpuPercent);
 
-  /// Broker of the service in the domain. None while this gateway knows too few
-  /// others to agree with them on one: after its start, or cut off.
-  std::optional<uint32_t> Find(uint32_t aService, uint32_t aDomain);
+  /// Broker of the service in the domain, or its deputy without aExcept. None
+  /// while this gateway knows too few others to agree with them on one: after
+  /// its start, or cut off.
+  std::optional<uint32_t> Find(uint32_t aService,
+                               uint32_t aDomain,
+                               std::optional<uint32_t> aExcept = {});
   /// Null if the gateway is not known.
   const Peer* FindPeer(uint32_t aGateway) const;
   /// Name of the gateway, for logs.
@@ -42,7 +45,9 @@
   BrokerCandidate self_;
   std::optional<TimeMs> refreshedMs_;
   std::vector<BrokerCandidate> candidates_;
-  std::map<std::pair<uint32_t, uint32_t>, std::optional<uint32_t>> brokers_;
+  /// By service, failure domain and excepted gateway.
+  std::map<std::tuple<uint32_t, uint32_t, uint32_t>, std::optional<uint32_t>>
+    brokers_;
   std::unordered_map<uint32_t, std::string> names_;
 };
 
--- a/gateway/SlotExchange.cpp
+++ b/gateway/SlotExchange.cpp
@@ -67,8 +67,10 @@
 
 SlotClient SlotExchange::MakeClient(const std::string& aDomain)
 {
-  return { { [this](uint32_t aService, uint32_t aTarget) {
-              return FindBroker(aService, aTarget);
+  return { { [this](uint32_t aService,
+                    uint32_t aTarget,
+                    std::optional<uint32_t> aExcept) {
+              return FindBroker(aService, aTarget, aExcept);
             },
              [this](uint32_t aBroker, const SlotRequest& aRequest) {
                SendRequest(aBroker, aRequest);
@@ -87,10 +89,12 @@
            ShortHash(aDomain) };
 }
 
-std::optional<uint32_t> SlotExchange::FindBroker(uint32_t aService,
-                                                 uint32_t aDomain)
+std::optional<uint32_t> SlotExchange::FindBroker(
+  uint32_t aService,
+  uint32_t aDomain,
+  std::optional<uint32_t> aExcept)
 {
-  const auto broker = lookup_.Find(aService, aDomain);
+  const auto broker = lookup_.Find(aService, aDomain, aExcept);
   if (!broker) {
     metrics_.OnSlotRequest("client", "unscheduled", "no-broker");
   }
--- a/gateway/SlotExchange.hpp
+++ b/gateway/SlotExchange.hpp
@@ -97,7 +97,9 @@
   };
 
   SlotClient MakeClient(const std::string& aDomain);
-  std::optional<uint32_t> FindBroker(uint32_t aService, uint32_t aDomain);
+  std::optional<uint32_t> FindBroker(uint32_t aService,
+                                     uint32_t aDomain,
+                                     std::optional<uint32_t> aExcept);
   void SendRequest(uint32_t aBroker, const SlotRequest& aRequest);
   void SendEnd(uint32_t aBroker, const SlotEnd& aEnd);
   void SendSummary(uint32_t aGateway, const SlotSummary& aSummary);
--- a/scheduling/BrokerChoice.cpp
+++ b/scheduling/BrokerChoice.cpp
@@ -20,16 +20,18 @@
 std::optional<uint32_t> ChooseBroker(
   const std::vector<BrokerCandidate>& aCandidates,
   uint32_t aService,
-  uint32_t aDomain)
+  uint32_t aDomain,
+  std::optional<uint32_t> aExcept)
 {
   const bool hasOwn =
     std::ranges::any_of(aCandidates, [&](const BrokerCandidate& aCandidate) {
-      return aCandidate.domain_ == aDomain;
+      return aCandidate.domain_ == aDomain && aCandidate.gateway_ != aExcept;
     });
   const BrokerCandidate* best = nullptr;
   uint64_t bestScore = 0;
   for (const auto& candidate : aCandidates) {
-    if (hasOwn && candidate.domain_ != aDomain) {
+    if ((hasOwn && candidate.domain_ != aDomain) ||
+        candidate.gateway_ == aExcept) {
       continue;
     }
     // Without the domain, one gateway would get all domains of the service that
--- a/scheduling/ServerSlots.cpp
+++ b/scheduling/ServerSlots.cpp
@@ -9,6 +9,8 @@
 namespace detail {
 
 constexpr int kMaxSlots = 4096;
+/// Slots that were given back within this time may still count in a report.
+constexpr TimeMs kReportTravelMs = 100;
 constexpr double kOthersWeight = 0.4;
 constexpr double kOthersHalfLifeMs = 600;
 constexpr double kServerSpeedWeight = 0.08;
@@ -87,11 +89,20 @@
   }
 }
 
-void ServerSlots::Release()
+void ServerSlots::Release(TimeMs aNowMs)
 {
+  recentInUse_ = RecentInUse(aNowMs);
+  recentMs_ = aNowMs;
   inUse_ = std::max(0, inUse_ - 1);
 }
 
+int ServerSlots::RecentInUse(TimeMs aNowMs) const
+{
+  return aNowMs - recentMs_ < detail::kReportTravelMs
+           ? std::max(inUse_, recentInUse_)
+           : inUse_;
+}
+
 void ServerSlots::OnServed(TimeMs aNowMs)
 {
   failureShare_ = FailureShare(aNowMs) * (1 - detail::kServerFailureWeight);
@@ -109,15 +120,25 @@
   speedMs_ = aNowMs;
 }
 
-void ServerSlots::OnRejected(TimeMs aNowMs)
+void ServerSlots::OnRejected(const std::optional<SlotLoad>& aLoad,
+                             TimeMs aNowMs)
 {
+  const bool hasRoom =
+    aLoad && aLoad->running_ + aLoad->waiting_ < server_.slots_;
+  if (hasRoom) {
+    // A faulty server: waiting would not help.
+    OnFailed(aNowMs);
+    return;
+  }
   noStartUntilMs_ =
     std::max(noStartUntilMs_, aNowMs + detail::kRejectedBackoffMs);
-  // What doesn't come from here must fill the server. The rejected request
-  // still holds a slot here, and none at the server.
-  others_ = std::max(OtherLoad(aNowMs),
-                     static_cast<double>(server_.slots_ - (inUse_ - 1)));
-  othersMs_ = aNowMs;
+  if (!aLoad) {
+    // What doesn't come from here must fill the server. The rejected request
+    // still holds a slot here, and none at the server.
+    others_ = std::max(OtherLoad(aNowMs),
+                       static_cast<double>(server_.slots_ - (inUse_ - 1)));
+    othersMs_ = aNowMs;
+  }
 }
 
 void ServerSlots::OnFailed(TimeMs aNowMs)
@@ -150,7 +171,8 @@
   const int total = aLoad.running_ + aLoad.waiting_;
   const double others = OtherLoad(aNowMs);
   others_ =
-    others + (std::max(0, total - inUse_) - others) * detail::kOthersWeight;
+    others +
+    (std::max(0, total - RecentInUse(aNowMs)) - others) * detail::kOthersWeight;
   othersMs_ = aNowMs;
   const int free = std::max(0, aOtherSlots - total);
   if (free == 0 || unconfirmedFree_ == 0) {
--- a/scheduling/ServerSlots.hpp
+++ b/scheduling/ServerSlots.hpp
@@ -33,12 +33,13 @@
 
   /// Takes a slot, and the token of a cold server.
   void Take(TimeMs aNowMs);
-  void Release();
+  void Release(TimeMs aNowMs);
   void OnServed(TimeMs aNowMs);
   /// aFactor: duration of a request relative to the mean work of its route,
   /// without the current slowness.
   void OnSpeedSample(double aFactor, TimeMs aNowMs);
-  void OnRejected(TimeMs aNowMs);
+  /// The server rejected a request, with that load if it reported one.
+  void OnRejected(const std::optional<SlotLoad>& aLoad, TimeMs aNowMs);
   void OnFailed(TimeMs aNowMs);
   void OnUnreachable(TimeMs aNowMs);
   /// Load report of a response. aOtherSlots: slots in use without that of the
@@ -69,11 +70,15 @@
 
 private:
   double OtherLoad(TimeMs aNowMs) const;
+  /// Most slots in use while the last reports travelled.
+  int RecentInUse(TimeMs aNowMs) const;
   bool IsColdLimited(TimeMs aNowMs) const;
 
   SlotServer server_;
   bool listed_ = true;
   int inUse_ = 0;
+  int recentInUse_ = 0; ///< before the last slot was given back
+  TimeMs recentMs_ = 0;
   double others_ = 0; ///< requests that other schedulers and gateways sent
   TimeMs othersMs_ = 0;
   double speedFactor_ = 1;
--- a/scheduling/SlotClient.cpp
+++ b/scheduling/SlotClient.cpp
@@ -107,6 +107,7 @@
                           TimeMs aNowMs)
 {
   avoidedUntilMs_.erase(aBroker);
+  heardMs_[aBroker] = aNowMs;
   const auto found = pending_.find(aAnswer.number_);
   if (found == pending_.end() || found->second.broker_ != aBroker) {
     OnUnknown(aBroker, aAnswer);
@@ -193,8 +194,8 @@
 bool SlotClient::Send(Pending aPending, TimeMs aNowMs)
 {
   auto& request = aPending.request_;
-  const auto broker = handlers_.broker_(request.service_, request.domain_);
-  if (!broker || !MayAsk(*broker, aNowMs)) {
+  const auto broker = FindBroker(request.service_, request.domain_, aNowMs);
+  if (!broker) {
     return false;
   }
   detail::Age(request, aNowMs - aPending.validMs_);
@@ -204,6 +205,7 @@
   aPending.broker_ = *broker;
   aPending.resendMs_ = aNowMs + kResendMs;
   aPending.unansweredMs_ = aNowMs;
+  aPending.repeats_ = 0;
   numbers_[aPending.requester_] = request.number_;
   pending_[request.number_] = aPending;
   // The answer may come during the call.
@@ -218,7 +220,9 @@
   aPending.resendMs_ = aNowMs + kResendMs;
   if (!aPending.unansweredMs_) {
     aPending.unansweredMs_ = aNowMs;
+    aPending.repeats_ = 0;
   }
+  ++aPending.repeats_;
   const auto request = aPending.request_;
   handlers_.ask_(aPending.broker_, request);
 }
@@ -236,8 +240,7 @@
     if (found == pending_.end()) {
       continue;
     }
-    const auto& unanswered = found->second.unansweredMs_;
-    if (unanswered && aNowMs - *unanswered >= kSilentMs) {
+    if (IsSilent(found->second, aNowMs)) {
       OnSilent(number, aNowMs);
     } else {
       Resend(found->second, aNowMs);
@@ -246,6 +249,31 @@
   ForgetOld(aNowMs);
 }
 
+bool SlotClient::IsSilent(const Pending& aPending, TimeMs aNowMs) const
+{
+  if (!aPending.unansweredMs_ || aPending.repeats_ < kMinRepeats) {
+    return false;
+  }
+  const auto heard = heardMs_.find(aPending.broker_);
+  const TimeMs sinceMs =
+    heard == heardMs_.end()
+      ? *aPending.unansweredMs_
+      : std::max(heard->second, *aPending.unansweredMs_);
+  return aNowMs - sinceMs >= kSilentMs;
+}
+
+std::optional<uint32_t> SlotClient::FindBroker(uint32_t aService,
+                                               uint32_t aDomain,
+                                               TimeMs aNowMs)
+{
+  const auto broker = handlers_.broker_(aService, aDomain, {});
+  if (!broker || MayAsk(*broker, aNowMs)) {
+    return broker;
+  }
+  const auto deputy = handlers_.broker_(aService, aDomain, broker);
+  return deputy && MayAsk(*deputy, aNowMs) ? deputy : std::nullopt;
+}
+
 void SlotClient::OnSilent(int64_t aNumber, TimeMs aNowMs)
 {
   auto pending = TakePending(aNumber);
@@ -260,8 +288,11 @@
   if (pending.request_.domain_ != pending.homeDomain_) {
     const auto refusedBy = pending.request_.domain_;
     SendBack(std::move(pending), refusedBy, aNowMs);
-  } else {
-    Decide(pending.requester_, { SlotState::Unscheduled }, aNowMs);
+    return;
+  }
+  const auto requester = pending.requester_;
+  if (!Send(std::move(pending), aNowMs)) {
+    Decide(requester, { SlotState::Unscheduled }, aNowMs);
   }
 }
 
--- a/scheduling/SlotClient.hpp
+++ b/scheduling/SlotClient.hpp
@@ -48,9 +48,11 @@
 public:
   struct Handlers
   {
-    /// Broker of the service in the domain, if one is known. May be this
-    /// gateway.
-    std::function<std::optional<uint32_t>(uint32_t aService, uint32_t aDomain)>
+    /// Broker of the service in the domain, or its deputy without aExcept, as
+    /// far as known. May be this gateway.
+    std::function<std::optional<uint32_t>(uint32_t aService,
+                                          uint32_t aDomain,
+                                          std::optional<uint32_t> aExcept)>
       broker_;
     std::function<void(uint32_t aBroker, const SlotRequest& aRequest)> ask_;
     std::function<void(uint32_t aBroker, const SlotEnd& aEnd)> end_;
@@ -60,10 +62,12 @@
     std::function<void(uint32_t aBroker, const SlotRequest& aRequest)>
       onSilent_;
   };
-  /// An unanswered request is sent again after this time, and decided without
-  /// the broker after kSilentMs.
+  /// An unanswered request is sent again after this time. After kSilentMs and
+  /// kMinRepeats without a sign of the broker, its deputy is asked. A gateway
+  /// that stalled finds the answers of the broker after its first repeat.
   static constexpr TimeMs kResendMs = 15;
-  static constexpr TimeMs kSilentMs = 45;
+  static constexpr TimeMs kSilentMs = 60;
+  static constexpr int kMinRepeats = 3;
   /// A broker that did not answer is not asked again for this long.
   static constexpr TimeMs kAvoidMs = 500;
   /// A request that waits is sent again after this time, because the assignment
@@ -108,6 +112,7 @@
     TimeMs resendMs_ = 0;
     /// When the first message since the last answer was sent.
     std::optional<TimeMs> unansweredMs_;
+    int repeats_ = 0; ///< since then
   };
   struct Slot
   {
@@ -129,7 +134,12 @@
   void SendBack(Pending aPending, uint32_t aRefusedBy, TimeMs aNowMs);
   void OnElsewhere(Pending aPending, uint32_t aDomain, TimeMs aNowMs);
   void OnUnknown(uint32_t aBroker, const SlotAnswer& aAnswer);
+  bool IsSilent(const Pending& aPending, TimeMs aNowMs) const;
   void OnSilent(int64_t aNumber, TimeMs aNowMs);
+  /// The broker to ask, or its deputy while it does not answer.
+  std::optional<uint32_t> FindBroker(uint32_t aService,
+                                     uint32_t aDomain,
+                                     TimeMs aNowMs);
   /// Withdraws a request, or returns the slot of aServer unused.
   void End(uint32_t aBroker,
            int64_t aNumber,
@@ -145,6 +155,7 @@
   uint32_t gateway_;
   uint32_t domain_;
   int64_t lastNumber_;
+  std::unordered_map<uint32_t, TimeMs> heardMs_; ///< last answers of brokers
   std::unordered_map<int64_t, Pending> pending_;
   std::unordered_map<uint64_t, int64_t> numbers_; ///< of pending requests
   std::unordered_map<uint64_t, Decided> decided_; ///< not yet returned
--- a/scheduling/SlotScheduler.cpp
+++ b/scheduling/SlotScheduler.cpp
@@ -346,7 +346,7 @@
   const auto found = servers_.find(aEntry.answer_.server_);
   auto& server = found->second;
   std::erase(server.inUse_, &aEntry);
-  server.slots_.Release();
+  server.slots_.Release(aNowMs);
   --inUse_;
   Close(aEntry, SlotPhase::Ended, aNowMs);
   if (!server.slots_.IsListed() && server.inUse_.empty()) {
@@ -395,7 +395,7 @@
       slots.OnServed(aNowMs);
       break;
     case SlotOutcome::Rejected:
-      slots.OnRejected(aNowMs);
+      slots.OnRejected(aEnd.load_, aNowMs);
       return;
     case SlotOutcome::Failed:
       slots.OnFailed(aNowMs);
