--- a/scheduling/SlotQueue.hpp
+++ b/scheduling/SlotQueue.hpp
@@ -54,6 +54,10 @@
   bool HasBehind(const SlotEntry& aEntry) const;
   /// Number of waiting requests of aRank and more urgent ones.
   size_t Ahead(size_t aRank) const;
+  size_t MoreUrgent(size_t aRank) const
+  {
+    return aRank == 0 ? 0 : Ahead(aRank - 1);
+  }
   /// The least urgent rank of those that wait; the most urgent one if none
   /// does.
   size_t LowestRank() const;
--- a/scheduling/SlotScheduler.cpp
+++ b/scheduling/SlotScheduler.cpp
@@ -1,9 +1,6 @@
 #include "scheduling/SlotScheduler.hpp"
 
 #include <algorithm>
-#include <limits>
-#include <numeric>
-#include <ranges>
 
 namespace cactuspitch {
 
@@ -21,22 +18,14 @@
 /// Limit of all times in messages.
 constexpr TimeMs kMaxTimeMs = 3600000;
 constexpr size_t kMaxNamedServers = 64;
-constexpr double kFailurePenalty = 6;
 /// Most requests take no longer than this multiple of the mean time.
 constexpr double kLikelyFactor = 1.5;
-/// Cost of a new connection.
-constexpr double kConnectMs = 8;
 /// Expected wait while no server can be reached.
 constexpr double kUnreachableWaitMs = 300;
 /// Work owed to lower ranks is limited to what accrues in this time.
 constexpr double kOwedMs = 3000;
 constexpr double kReturnJitter = 0.2;
 
-bool Contains(const std::vector<uint32_t>& aServers, uint32_t aServer)
-{
-  return std::ranges::find(aServers, aServer) != aServers.end();
-}
-
 }
 
 size_t SlotScheduler::EntryKeyHash::operator()(const EntryKey& aKey) const
@@ -55,46 +44,33 @@
   : options_(aOptions)
   , crossing_(aCrossing)
   , random_(aSeed)
+  , servers_(aOptions.cold_)
 {
 }
 
 void SlotScheduler::SetServers(const std::vector<SlotServer>& aServers,
                                TimeMs aNowMs)
 {
-  for (auto& [id, server] : servers_) {
-    server.slots_.SetListed(false);
-  }
-  for (const auto& server : aServers) {
-    if (server.id_ == 0) {
-      continue;
-    }
-    const auto [known, isNew] = servers_.try_emplace(
-      server.id_,
-      Server{ .slots_ = ServerSlots(server, options_.cold_, aNowMs) });
-    if (!isNew) {
-      known->second.slots_.Update(server, options_.cold_, aNowMs);
-    }
-  }
+  servers_.Set(aServers, aNowMs);
   capacityMs_ = -1;
-  for (auto& [id, server] : servers_) {
+  std::vector<uint32_t> unlisted;
+  for (auto& [id, server] : servers_.All()) {
     if (!server.slots_.IsListed()) {
+      unlisted.push_back(id);
       for (auto* entry : server.queue_.Entries()) {
         RefuseNoServer(*entry, aNowMs);
       }
     }
   }
-  std::erase_if(servers_, [](const auto& aServer) {
-    return !aServer.second.slots_.IsListed() && aServer.second.inUse_.empty();
-  });
+  std::ranges::for_each(unlisted,
+                        [&](uint32_t aId) { servers_.EraseUnused(aId); });
   for (auto* entry : queue_.Entries()) {
-    if (!HasUsableServer(*entry, aNowMs) && !TryLeave(*entry, 0, aNowMs) &&
-        aServers.empty()) {
+    if (!servers_.AnyReachable(*entry, aNowMs) &&
+        !TryLeave(*entry, 0, aNowMs) && !servers_.AnyListed(*entry)) {
       RefuseNoServer(*entry, aNowMs);
     }
   }
-  for (auto& [id, server] : servers_) {
-    Fill(server, aNowMs);
-  }
+  FillAll(aNowMs);
 }
 
 void SlotScheduler::OnRequest(const SlotRequest& aRequest, TimeMs aNowMs)
@@ -164,7 +140,7 @@
     return;
   }
   const bool anyServer = request.server_ == 0;
-  if (!anyServer && FindListed(request.server_) == nullptr) {
+  if (!anyServer && servers_.FindListed(request.server_) == nullptr) {
     RefuseNoServer(aEntry, aNowMs);
     return;
   }
@@ -179,12 +155,7 @@
   if (TryLeave(aEntry, forecast.waitMs_, aNowMs)) {
     return;
   }
-  const bool hasServer =
-    !anyServer || std::ranges::any_of(servers_, [&](const auto& aServer) {
-      return aServer.second.slots_.IsListed() &&
-             !detail::Contains(request.avoided_, aServer.first);
-    });
-  if (!hasServer) {
+  if (anyServer && !servers_.AnyListed(aEntry)) {
     RefuseNoServer(aEntry, aNowMs);
     return;
   }
@@ -193,7 +164,7 @@
     doneMs > static_cast<double>(request.objectiveLeftMs_) &&
     forecast.waitMs_ > static_cast<double>(MinWaitMs(aEntry));
   // Where a slot is free, late is better than not at all.
-  if ((tooLate && !HasRoom(aEntry, aNowMs)) ||
+  if ((tooLate && !(anyServer && servers_.AnyRoom(aEntry, aNowMs))) ||
       waiting_ >= detail::kMaxWaiting) {
     Refuse(
       aEntry, forecast.cause_, RetryAfterMs(aEntry, forecast, aNowMs), aNowMs);
@@ -204,25 +175,18 @@
 
 void SlotScheduler::DecideCrossing(SlotEntry& aEntry, TimeMs aNowMs)
 {
-  const auto room = std::accumulate(
-    servers_.begin(),
-    servers_.end(),
-    size_t{ 0 },
-    [&](size_t aSum, auto& aEach) {
-      return aSum + static_cast<size_t>(aEach.second.slots_.Room(aNowMs));
-    });
-  if (room <= queue_.Size() || !TryAssignNow(aEntry, aNowMs)) {
+  if (servers_.Room(aNowMs) <= queue_.Size() || !TryAssignNow(aEntry, aNowMs)) {
     Refuse(aEntry, SlotCause::Full, 0, aNowMs);
   }
 }
 
 bool SlotScheduler::TryAssignNow(SlotEntry& aEntry, TimeMs aNowMs)
 {
-  Server* server = nullptr;
+  ScheduledServer* server = nullptr;
   if (aEntry.request_.server_ == 0) {
-    server = BestServer(aEntry, aNowMs);
+    server = servers_.Best(aEntry, queue_.MoreUrgent(aEntry.rank_), aNowMs);
   } else {
-    server = FindListed(aEntry.request_.server_);
+    server = servers_.FindListed(aEntry.request_.server_);
     if (server->queue_.Size() > 0 || server->slots_.Room(aNowMs) == 0) {
       return false;
     }
@@ -248,7 +212,7 @@
   const auto domain =
     crossing_.Choose({ .localWaitMs_ = static_cast<TimeMs>(std::min(
                          aWaitMs, static_cast<double>(detail::kMaxTimeMs))),
-                       .noLocalServer_ = !HasUsableServer(aEntry, aNowMs),
+                       .noLocalServer_ = !servers_.AnyReachable(aEntry, aNowMs),
                        .objectiveMs_ = request.objectiveMs_,
                        .objectiveLeftMs_ = aEntry.objectiveAtMs_ - aNowMs,
                        .bytes_ = request.bytes_ },
@@ -280,7 +244,9 @@
   Send(aEntry, SlotVerdict::Queued);
 }
 
-void SlotScheduler::Assign(SlotEntry& aEntry, Server& aServer, TimeMs aNowMs)
+void SlotScheduler::Assign(SlotEntry& aEntry,
+                           ScheduledServer& aServer,
+                           TimeMs aNowMs)
 {
   LeaveQueue(aEntry);
   aEntry.phase_ = SlotPhase::InUse;
@@ -343,15 +309,13 @@
 
 void SlotScheduler::ReleaseSlot(SlotEntry& aEntry, TimeMs aNowMs)
 {
-  const auto found = servers_.find(aEntry.answer_.server_);
-  auto& server = found->second;
+  const auto id = aEntry.answer_.server_;
+  auto& server = *servers_.Find(id);
   std::erase(server.inUse_, &aEntry);
   server.slots_.Release();
   --inUse_;
   Close(aEntry, SlotPhase::Ended, aNowMs);
-  if (!server.slots_.IsListed() && server.inUse_.empty()) {
-    servers_.erase(found);
-  }
+  servers_.EraseUnused(id);
 }
 
 void SlotScheduler::OnEnd(const SlotEnd& aEnd, TimeMs aNowMs)
@@ -371,19 +335,19 @@
       (aEnd.server_ != id && aEnd.server_ != 0)) {
     return;
   }
-  auto& server = servers_.at(id);
+  auto& server = *servers_.Find(id);
   if (aEnd.server_ == id) {
     Learn(entry, aEnd, server, aNowMs);
   }
   ReleaseSlot(entry, aNowMs);
-  if (const auto left = servers_.find(id); left != servers_.end()) {
-    Fill(left->second, aNowMs);
+  if (auto* left = servers_.Find(id)) {
+    Fill(*left, aNowMs);
   }
 }
 
 void SlotScheduler::Learn(const SlotEntry& aEntry,
                           const SlotEnd& aEnd,
-                          Server& aServer,
+                          ScheduledServer& aServer,
                           TimeMs aNowMs)
 {
   auto& slots = aServer.slots_;
@@ -421,12 +385,12 @@
 
 void SlotScheduler::OnReport(const SlotEntry& aEnded,
                              const SlotLoad& aLoad,
-                             Server& aServer,
+                             ScheduledServer& aServer,
                              TimeMs aNowMs)
 {
   const auto others = static_cast<int>(aServer.inUse_.size()) - 1;
   auto lost = aServer.slots_.OnReport(aLoad, others, aNowMs);
-  // The ended one keeps its slot, so that the server stays in servers_.
+  // The ended one keeps its slot, so that the server is not erased.
   const auto isOld = [&](const SlotEntry* aEntry) {
     return aEntry != &aEnded &&
            aNowMs - aEntry->startedMs_ > detail::kKnownToServerMs;
@@ -445,12 +409,7 @@
   while (!due_.empty() && due_.begin()->first.first <= aNowMs) {
     OnDue(*due_.begin()->second, aNowMs);
   }
-  if (waiting_ == 0) {
-    return;
-  }
-  for (auto& [id, server] : servers_) {
-    Fill(server, aNowMs);
-  }
+  FillAll(aNowMs);
 }
 
 void SlotScheduler::OnDue(SlotEntry& aEntry, TimeMs aNowMs)
@@ -498,7 +457,17 @@
   return std::exchange(answers_, {});
 }
 
-void SlotScheduler::Fill(Server& aServer, TimeMs aNowMs)
+void SlotScheduler::FillAll(TimeMs aNowMs)
+{
+  if (waiting_ == 0) {
+    return;
+  }
+  for (auto& [id, server] : servers_.All()) {
+    Fill(server, aNowMs);
+  }
+}
+
+void SlotScheduler::Fill(ScheduledServer& aServer, TimeMs aNowMs)
 {
   while (aServer.slots_.Room(aNowMs) > 0) {
     auto* entry = Next(aServer, aNowMs);
@@ -509,7 +478,7 @@
   }
 }
 
-SlotEntry* SlotScheduler::Next(Server& aServer, TimeMs aNowMs)
+SlotEntry* SlotScheduler::Next(ScheduledServer& aServer, TimeMs aNowMs)
 {
   SlotEntry* next = nullptr;
   std::array<bool, SlotQueue::kRanks> hasLower{};
@@ -544,17 +513,18 @@
   return next;
 }
 
-SlotEntry* SlotScheduler::NextOfRank(const Server& aServer,
+SlotEntry* SlotScheduler::NextOfRank(const ScheduledServer& aServer,
                                      size_t aRank,
                                      TimeMs aNowMs)
 {
+  const auto moreUrgent = queue_.MoreUrgent(aRank);
   for (const bool late : { false, true }) {
     // Other servers can run what waits for any.
     auto* entry =
       aServer.queue_.First(aRank, late, [](const auto&) { return true; });
     if (entry == nullptr) {
       entry = queue_.First(aRank, late, [&](const SlotEntry& aEntry) {
-        return ShouldRun(aEntry, aServer.slots_, aNowMs);
+        return servers_.ShouldRun(aEntry, aServer.slots_, moreUrgent, aNowMs);
       });
     }
     if (entry != nullptr) {
@@ -564,114 +534,30 @@
   return nullptr;
 }
 
-bool SlotScheduler::ShouldRun(const SlotEntry& aEntry,
-                              const ServerSlots& aServer,
-                              TimeMs aNowMs) const
-{
-  const auto& avoided = aEntry.request_.avoided_;
-  if (detail::Contains(avoided, aServer.Id())) {
-    return false;
-  }
-  const auto leftMs = static_cast<double>(aEntry.objectiveAtMs_ - aNowMs);
-  if (aEntry.late_ || aEntry.workMs_ * aServer.TimeFactor(aNowMs) <= leftMs) {
-    return true;
-  }
-  // Slots of the faster servers, and requests that they start per ms.
-  double slots = 0;
-  double rate = 0;
-  for (const auto& [id, other] : servers_) {
-    const double expectedMs = aEntry.workMs_ * other.slots_.TimeFactor(aNowMs);
-    if (expectedMs <= leftMs && !detail::Contains(avoided, id)) {
-      const double usable = other.slots_.UsableSlots(aNowMs);
-      slots += usable;
-      rate += usable / std::max(expectedMs, 1.0);
-    }
-  }
-  const auto ahead =
-    aEntry.rank_ == 0 ? size_t{ 0 } : queue_.Ahead(aEntry.rank_ - 1);
-  return rate == 0 || (static_cast<double>(ahead + 1) + slots) / rate > leftMs;
-}
-
-SlotScheduler::Server* SlotScheduler::BestServer(const SlotEntry& aEntry,
-                                                 TimeMs aNowMs)
-{
-  const auto& request = aEntry.request_;
-  Server* best = nullptr;
-  double bestMs = std::numeric_limits<double>::max();
-  for (auto& [id, server] : servers_) {
-    const auto& slots = server.slots_;
-    if (slots.Room(aNowMs) == 0 || detail::Contains(request.avoided_, id)) {
-      continue;
-    }
-    const double ms =
-      aEntry.workMs_ * slots.TimeFactor(aNowMs) *
-        (1 + detail::kFailurePenalty * slots.FailureShare(aNowMs)) -
-      (detail::Contains(request.connected_, id) ? detail::kConnectMs : 0);
-    if (ms < bestMs) {
-      bestMs = ms;
-      best = &server;
-    }
-  }
-  return best != nullptr && ShouldRun(aEntry, best->slots_, aNowMs) ? best
-                                                                    : nullptr;
-}
-
-SlotScheduler::Server* SlotScheduler::FindListed(uint32_t aServer)
-{
-  const auto found = servers_.find(aServer);
-  return found == servers_.end() || !found->second.slots_.IsListed()
-           ? nullptr
-           : &found->second;
-}
-
 SlotQueue& SlotScheduler::QueueOf(const SlotEntry& aEntry)
 {
   return aEntry.request_.server_ == 0
            ? queue_
-           : servers_.at(aEntry.request_.server_).queue_;
-}
-
-bool SlotScheduler::HasUsableServer(const SlotEntry& aEntry,
-                                    TimeMs aNowMs) const
-{
-  return std::ranges::any_of(servers_, [&](const auto& aServer) {
-    return aServer.second.slots_.IsReachable(aNowMs) &&
-           !detail::Contains(aEntry.request_.avoided_, aServer.first);
-  });
-}
-
-bool SlotScheduler::HasRoom(const SlotEntry& aEntry, TimeMs aNowMs) const
-{
-  const auto& request = aEntry.request_;
-  return request.server_ == 0 &&
-         std::ranges::any_of(servers_, [&](const auto& aServer) {
-           return aServer.second.slots_.Room(aNowMs) > 0 &&
-                  !detail::Contains(request.avoided_, aServer.first);
-         });
+           : servers_.Find(aEntry.request_.server_)->queue_;
 }
 
-void SlotScheduler::UpdateCapacity(TimeMs aNowMs)
+const SlotCapacity& SlotScheduler::Capacity(TimeMs aNowMs)
 {
-  if (capacityMs_ == aNowMs) {
-    return;
-  }
-  capacityMs_ = aNowMs;
-  slots_ = speed_ = capacity_ = 0;
-  for (const auto& [id, server] : servers_) {
-    const double usable = server.slots_.UsableSlots(aNowMs);
-    slots_ += usable;
-    speed_ += usable / server.slots_.TimeFactor(aNowMs);
-    capacity_ += server.slots_.Capacity(work_.MeanMs(), aNowMs);
+  if (capacityMs_ != aNowMs) {
+    capacityMs_ = aNowMs;
+    capacity_ = servers_.Capacity(work_.MeanMs(), aNowMs);
   }
+  return capacity_;
 }
 
 double SlotScheduler::ExpectedMs(const SlotEntry& aEntry, TimeMs aNowMs)
 {
-  if (const auto* owner = FindListed(aEntry.request_.server_)) {
+  if (const auto* owner = servers_.FindListed(aEntry.request_.server_)) {
     return aEntry.workMs_ * owner->slots_.TimeFactor(aNowMs);
   }
-  UpdateCapacity(aNowMs);
-  return speed_ > 0 ? aEntry.workMs_ * slots_ / speed_ : aEntry.workMs_;
+  const auto& all = Capacity(aNowMs);
+  return all.speed_ > 0 ? aEntry.workMs_ * all.slots_ / all.speed_
+                        : aEntry.workMs_;
 }
 
 double SlotScheduler::LikelyMs(const SlotEntry& aEntry, TimeMs aNowMs)
@@ -683,10 +569,9 @@
                                                TimeMs aNowMs)
 {
   const auto rank = aEntry.rank_;
-  auto* owner = FindListed(aEntry.request_.server_);
+  auto* owner = servers_.FindListed(aEntry.request_.server_);
   const auto& queue = owner == nullptr ? queue_ : owner->queue_;
-  UpdateCapacity(aNowMs);
-  const double capacity = owner == nullptr ? capacity_
+  const double capacity = owner == nullptr ? Capacity(aNowMs).work_
                                            : owner->slots_.UsableSlots(aNowMs) /
                                                owner->slots_.TimeFactor(aNowMs);
   Forecast forecast;
@@ -756,32 +641,26 @@
 
 SlotSummary SlotScheduler::Summary(TimeMs aNowMs) const
 {
-  SlotSummary summary;
-  double slots = 0;
-  double capacity = 0;
-  for (const auto& [id, server] : servers_) {
-    const auto& state = server.slots_;
-    const double factor = state.TimeFactor(aNowMs);
-    slots += state.UsableSlots(aNowMs);
-    capacity += state.Capacity(work_.MeanMs(), aNowMs);
-    summary.freeSlots_ += state.Room(aNowMs) / factor;
-  }
-  summary.freeSlots_ =
-    std::max(0.0, summary.freeSlots_ - static_cast<double>(queue_.Size()));
-  const auto used = static_cast<double>(inUse_ + queue_.Size());
+  const auto capacity = servers_.Capacity(work_.MeanMs(), aNowMs);
+  const auto waiting = static_cast<double>(queue_.Size());
   constexpr double kNoSlots = 1e6;
-  summary.utilization_ = slots > 0 ? used / slots : kNoSlots;
-  const auto lowest = queue_.LowestRank();
-  const bool hasRoom = summary.freeSlots_ >= 1;
-  if (!hasRoom) {
-    const double available = capacity - queue_.AcceptedRate(lowest, aNowMs) -
-                             ownerBound_.AcceptedRate(lowest + 1, aNowMs);
-    const double lowRank = capacity * options_.lowRankShare_;
-    summary.waitMs_ = static_cast<TimeMs>(std::min(
-      static_cast<double>(detail::kMaxTimeMs),
-      queue_.WaitMs(
-        lowest, work_.MeanMs(), std::max(available, lowRank), lowRank)));
-  }
+  SlotSummary summary;
+  summary.freeSlots_ = std::max(0.0, capacity.free_ - waiting);
+  summary.utilization_ =
+    capacity.slots_ > 0
+      ? (static_cast<double>(inUse_) + waiting) / capacity.slots_
+      : kNoSlots;
+  if (summary.freeSlots_ >= 1) {
+    return summary;
+  }
+  const auto rank = queue_.LowestRank();
+  const double available = capacity.work_ - queue_.AcceptedRate(rank, aNowMs) -
+                           ownerBound_.AcceptedRate(rank + 1, aNowMs);
+  const double lowRank = capacity.work_ * options_.lowRankShare_;
+  const double waitMs =
+    queue_.WaitMs(rank, work_.MeanMs(), std::max(available, lowRank), lowRank);
+  summary.waitMs_ = static_cast<TimeMs>(
+    std::min(static_cast<double>(detail::kMaxTimeMs), waitMs));
   return summary;
 }
 
--- a/scheduling/SlotScheduler.hpp
+++ b/scheduling/SlotScheduler.hpp
@@ -6,9 +6,9 @@
 #include "scheduling/ServerSlots.hpp"
 #include "scheduling/SlotMessages.hpp"
 #include "scheduling/SlotQueue.hpp"
+#include "scheduling/SlotServers.hpp"
 #include "scheduling/WorkEstimate.hpp"
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <random>
@@ -61,14 +61,6 @@
   bool IsIdle() const;
 
 private:
-  struct Server
-  {
-    ServerSlots slots_;
-    SlotQueue queue_ = {}; ///< requests that only this server can run
-    std::vector<SlotEntry*> inUse_ = {}; ///< oldest first
-    /// Work that is owed to the ranks below each rank.
-    std::array<double, SlotQueue::kRanks> owedMs_ = {};
-  };
   struct Forecast
   {
     double waitMs_ = 0;
@@ -88,7 +80,7 @@
   bool TryAssignNow(SlotEntry& aEntry, TimeMs aNowMs);
   bool TryLeave(SlotEntry& aEntry, double aWaitMs, TimeMs aNowMs);
   void Enqueue(SlotEntry& aEntry, TimeMs aNowMs);
-  void Assign(SlotEntry& aEntry, Server& aServer, TimeMs aNowMs);
+  void Assign(SlotEntry& aEntry, ScheduledServer& aServer, TimeMs aNowMs);
   void LeaveQueue(const SlotEntry& aEntry);
   void Refuse(SlotEntry& aEntry,
               SlotCause aCause,
@@ -100,31 +92,25 @@
   void ReleaseSlot(SlotEntry& aEntry, TimeMs aNowMs);
   void Learn(const SlotEntry& aEntry,
              const SlotEnd& aEnd,
-             Server& aServer,
+             ScheduledServer& aServer,
              TimeMs aNowMs);
   void OnReport(const SlotEntry& aEnded,
                 const SlotLoad& aLoad,
-                Server& aServer,
+                ScheduledServer& aServer,
                 TimeMs aNowMs);
   void OnDue(SlotEntry& aEntry, TimeMs aNowMs);
   void SetDue(SlotEntry& aEntry, TimeMs aDueMs);
   void Forget(const SlotEntry& aEntry);
   void Send(SlotEntry& aEntry, SlotVerdict aVerdict);
 
+  void FillAll(TimeMs aNowMs);
   /// Starts waiting requests while the server has room.
-  void Fill(Server& aServer, TimeMs aNowMs);
-  SlotEntry* Next(Server& aServer, TimeMs aNowMs);
-  SlotEntry* NextOfRank(const Server& aServer, size_t aRank, TimeMs aNowMs);
-  /// Whether the request should start at the server rather than wait for a
-  /// faster one.
-  bool ShouldRun(const SlotEntry& aEntry,
-                 const ServerSlots& aServer,
-                 TimeMs aNowMs) const;
-  Server* BestServer(const SlotEntry& aEntry, TimeMs aNowMs);
-  Server* FindListed(uint32_t aServer);
+  void Fill(ScheduledServer& aServer, TimeMs aNowMs);
+  SlotEntry* Next(ScheduledServer& aServer, TimeMs aNowMs);
+  SlotEntry* NextOfRank(const ScheduledServer& aServer,
+                        size_t aRank,
+                        TimeMs aNowMs);
   SlotQueue& QueueOf(const SlotEntry& aEntry);
-  bool HasUsableServer(const SlotEntry& aEntry, TimeMs aNowMs) const;
-  bool HasRoom(const SlotEntry& aEntry, TimeMs aNowMs) const;
   Forecast Predict(const SlotEntry& aEntry, TimeMs aNowMs);
   double ExpectedMs(const SlotEntry& aEntry, TimeMs aNowMs);
   /// Time that most requests like this one take.
@@ -136,13 +122,13 @@
                            double aWantedMs,
                            TimeMs aNowMs);
   TimeMs MinWaitMs(const SlotEntry& aEntry) const;
-  void UpdateCapacity(TimeMs aNowMs);
+  const SlotCapacity& Capacity(TimeMs aNowMs);
 
   SlotOptions options_;
   DomainCrossing& crossing_;
   std::minstd_rand random_;
   WorkEstimate work_;
-  std::map<uint32_t, Server> servers_;
+  SlotServers servers_;
   SlotQueue queue_; ///< requests that any server can run
   /// Accepted requests that only one server can run.
   SlotQueue ownerBound_;
@@ -152,11 +138,7 @@
   size_t waiting_ = 0;
   size_t inUse_ = 0;
   std::vector<SlotAnswer> answers_;
-  /// Usable slots of all servers, their sum weighted by speed, and the part of
-  /// it that limits of cold servers leave.
-  double slots_ = 0;
-  double speed_ = 0;
-  double capacity_ = 0;
+  SlotCapacity capacity_; ///< at capacityMs_
   TimeMs capacityMs_ = -1;
 };
 
