--- a/tests/SlotSchedulerTest.cpp
+++ b/tests/SlotSchedulerTest.cpp
@@ -230,6 +230,40 @@
   EXPECT_EQ(broker.Last(3).server_, 1U);
 }
 
+// Guards against waiting for a fast server that others fill for a long time.
+TEST(SlotScheduler, TakesASlowServerIfTheFastOneIsWantedByMany)
+{
+  Broker broker({ { .id_ = 1 }, { .id_ = 2 } });
+  for (int count = 0; count < 40; ++count) {
+    broker.Serve(1, SlotOutcome::Served, 400);
+    broker.Serve(2, SlotOutcome::Served, 100);
+  }
+  broker.Wait(2000);
+  for (int64_t number = 1; number <= 5; ++number) {
+    broker.Ask(number, { .avoided_ = { 1 } });
+  }
+  const SlotRequest request{ .rank_ = 1,
+                             .objectiveMs_ = 350,
+                             .objectiveLeftMs_ = 350 };
+  EXPECT_EQ(broker.Ask(6, request).server_, 1U);
+}
+
+// Guards against a server that counts as slow for long after its host was slow
+// for a moment.
+TEST(SlotScheduler, SlownessOfTheHostIsNoSpeedOfTheServer)
+{
+  Broker broker({ { .id_ = 1 }, { .id_ = 2 } });
+  for (int count = 0; count < 20; ++count) {
+    broker.Serve(1, SlotOutcome::Served, 110, SlotLoad{ 0, 0, 1.0 });
+    broker.Serve(2, SlotOutcome::Served, 150, SlotLoad{ 0, 0, 1.0 });
+  }
+  for (int count = 0; count < 5; ++count) {
+    broker.Serve(1, SlotOutcome::Served, 330, SlotLoad{ 0, 0, 3.0 });
+  }
+  broker.Wait(2000);
+  EXPECT_EQ(broker.Ask(1).server_, 1U);
+}
+
 // Guards against running a request at a server that doesn't own its key, or
 // queueing it for an owner that is gone.
 TEST(SlotScheduler, OwnerBoundRequestsWaitForTheirOwner)
@@ -507,7 +541,6 @@
   }
   EXPECT_GE(causes[SlotCause::ColdServer], 20);
   EXPECT_EQ(broker.Ask(31).server_, 2U);
-  EXPECT_LE(broker.Scheduler().Summary(broker.NowMs()).freeSlots_, 1);
   const auto startedBefore = broker.Started().size();
   EXPECT_LE(startedBefore, 2U);
   broker.Wait(1000);
@@ -515,6 +548,17 @@
   EXPECT_LE(broker.Started().size(), startedBefore + 6);
 }
 
+// Guards against neighbours that send a cold server as many requests as it has
+// slots.
+TEST(SlotScheduler, AColdServerShowsRoomForOneRequest)
+{
+  Broker broker({ { .id_ = 1, .slots_ = 20, .coldUntilMs_ = 60000 } },
+                { .cold_ = { .perSecond_ = 10, .slack_ = 20 } });
+  broker.Wait(3000);
+  EXPECT_GT(broker.Scheduler().Summary(broker.NowMs()).freeSlots_, 0);
+  EXPECT_LE(broker.Scheduler().Summary(broker.NowMs()).freeSlots_, 1);
+}
+
 // Guards against requests for a server that has just rejected one or can't be
 // reached, and against giving it up for good.
 TEST(SlotScheduler, FailingServersArePausedAndTriedAgain)
