Slots end with the head of the response; requests on their way don't fill servers

Cause: on links of 10 Mbit/s datagrams and responses wait behind large downloads for more than 60 ms. Change: a slot is given back with the head of a successful response; a server gets more requests than it has slots in proportion to those that its reports don't show; a broker is silent after 200 ms and 3 repeats without any sign of it, and its deputy is asked then.

--- a/gateway/BackendConnection.cpp
+++ b/gateway/BackendConnection.cpp
@@ -290,6 +290,10 @@
   if (info.notExecuted_) {
     backend_->load_.OnShed(nowMs);
   }
+  if (succeeded_) {
+    // The server has done the work; the body may take long on a narrow link.
+    FreeSlot(AttemptOutcome::Succeeded);
+  }
   bodyNeeded_ = handler_ != nullptr && handler_->OnResponseHead(head, info);
   if (!bodyNeeded_ &&
       head.contentLength_.value_or(0) > detail::kMaxUnneededBytes) {
--- a/scheduling/ServerSlots.cpp
+++ b/scheduling/ServerSlots.cpp
@@ -12,6 +12,8 @@
 /// Slots that were given back within this time may still count in a report.
 constexpr TimeMs kReportTravelMs = 100;
 constexpr double kOthersWeight = 0.4;
+constexpr double kPresentWeight = 0.08;
+constexpr double kMinPresentShare = 0.5;
 constexpr double kOthersHalfLifeMs = 600;
 constexpr double kServerSpeedWeight = 0.08;
 constexpr double kMinSpeedFactor = 0.1;
@@ -169,6 +171,10 @@
     slownessMs_ = aNowMs;
   }
   const int total = aLoad.running_ + aLoad.waiting_;
+  if (inUse_ >= server_.slots_) {
+    const double present = std::min(1.0, static_cast<double>(total) / inUse_);
+    presentShare_ += (present - presentShare_) * detail::kPresentWeight;
+  }
   const double others = OtherLoad(aNowMs);
   others_ =
     others +
@@ -186,6 +192,13 @@
            : std::exchange(unconfirmedFree_, 0);
 }
 
+int ServerSlots::Depth() const
+{
+  return static_cast<int>(
+    std::lround(server_.slots_ /
+                std::clamp(presentShare_, detail::kMinPresentShare, 1.0)));
+}
+
 int ServerSlots::Room(TimeMs aNowMs) const
 {
   if (!listed_ || noStartUntilMs_ > aNowMs) {
@@ -195,7 +208,7 @@
     return inUse_ == 0 ? 1 : 0;
   }
   const int room =
-    server_.slots_ - inUse_ - static_cast<int>(std::lround(OtherLoad(aNowMs)));
+    Depth() - inUse_ - static_cast<int>(std::lround(OtherLoad(aNowMs)));
   if (room > 0 && cold_ && IsColdLimited(aNowMs)) {
     return cold_->WaitMs(aNowMs) > 0 ? 0 : 1;
   }
--- a/scheduling/ServerSlots.hpp
+++ b/scheduling/ServerSlots.hpp
@@ -47,6 +47,9 @@
   /// lost.
   int OnReport(const SlotLoad& aLoad, int aOtherSlots, TimeMs aNowMs);
 
+  /// Requests that keep all slots of the server busy: more than it has slots,
+  /// because some are on their way.
+  int Depth() const;
   int InUse() const { return inUse_; }
   int Slots() const { return server_.slots_; }
   /// Requests that may be started now; of a cold server one at a time.
@@ -79,6 +82,9 @@
   int inUse_ = 0;
   int recentInUse_ = 0; ///< before the last slot was given back
   TimeMs recentMs_ = 0;
+  /// Part of the requests in use that is at the server, in its reports while
+  /// its slots are all in use. The others are on their way on narrow links.
+  double presentShare_ = 1;
   double others_ = 0; ///< requests that other schedulers and gateways sent
   TimeMs othersMs_ = 0;
   double speedFactor_ = 1;
--- a/scheduling/SlotClient.cpp
+++ b/scheduling/SlotClient.cpp
@@ -217,12 +217,11 @@
 {
   detail::Age(aPending.request_, aNowMs - aPending.validMs_);
   aPending.validMs_ = aNowMs;
-  aPending.resendMs_ = aNowMs + kResendMs;
   if (!aPending.unansweredMs_) {
     aPending.unansweredMs_ = aNowMs;
     aPending.repeats_ = 0;
   }
-  ++aPending.repeats_;
+  aPending.resendMs_ = aNowMs + (kResendMs << ++aPending.repeats_);
   const auto request = aPending.request_;
   handlers_.ask_(aPending.broker_, request);
 }
--- a/scheduling/SlotClient.hpp
+++ b/scheduling/SlotClient.hpp
@@ -62,11 +62,13 @@
     std::function<void(uint32_t aBroker, const SlotRequest& aRequest)>
       onSilent_;
   };
-  /// An unanswered request is sent again after this time. After kSilentMs and
-  /// kMinRepeats without a sign of the broker, its deputy is asked. A gateway
-  /// that stalled finds the answers of the broker after its first repeat.
-  static constexpr TimeMs kResendMs = 15;
-  static constexpr TimeMs kSilentMs = 60;
+  /// An unanswered request is sent again after this time, then after twice as
+  /// long. After kSilentMs and kMinRepeats without a sign of the broker, its
+  /// deputy is asked. Datagrams wait behind the responses of some large
+  /// downloads on a narrow link, and a gateway that stalled finds the answers
+  /// of the broker after its first repeat.
+  static constexpr TimeMs kResendMs = 20;
+  static constexpr TimeMs kSilentMs = 200;
   static constexpr int kMinRepeats = 3;
   /// A broker that did not answer is not asked again for this long.
   static constexpr TimeMs kAvoidMs = 500;
