Let some requests of an owner of keys wait at the server

Cause: no other server can run them, and a slot that is given back and assigned again through two narrow links leaves the owner idle in between. Change: owner-bound requests may exceed the slots of their server by half.

--- a/gateway/SlotExchange.cpp
+++ b/gateway/SlotExchange.cpp
@@ -67,26 +67,25 @@
 
 SlotClient SlotExchange::MakeClient(const std::string& aDomain)
 {
-  return { { [this](uint32_t aService,
-                    uint32_t aTarget,
-                    std::optional<uint32_t> aExcept) {
-              return FindBroker(aService, aTarget, aExcept);
-            },
-             [this](uint32_t aBroker, const SlotRequest& aRequest) {
-               SendRequest(aBroker, aRequest);
-             },
-             [this](uint32_t aBroker, const SlotEnd& aEnd) {
-               SendEnd(aBroker, aEnd);
-             },
-             [this] {
-               decidedDue_ = true;
-               ScheduleFlush();
-             },
-             [this](uint32_t aBroker, const SlotRequest& aRequest) {
-               OnSilent(aBroker, aRequest);
-             } },
-           self_,
-           ShortHash(aDomain) };
+  return {
+    { [this](
+        uint32_t aService, uint32_t aTarget, std::optional<uint32_t> aExcept) {
+       return FindBroker(aService, aTarget, aExcept);
+     },
+      [this](uint32_t aBroker, const SlotRequest& aRequest) {
+        SendRequest(aBroker, aRequest);
+      },
+      [this](uint32_t aBroker, const SlotEnd& aEnd) { SendEnd(aBroker, aEnd); },
+      [this] {
+        decidedDue_ = true;
+        ScheduleFlush();
+      },
+      [this](uint32_t aBroker, const SlotRequest& aRequest) {
+        OnSilent(aBroker, aRequest);
+      } },
+    self_,
+    ShortHash(aDomain)
+  };
 }
 
 std::optional<uint32_t> SlotExchange::FindBroker(
--- a/scheduling/BrokerChoice.hpp
+++ b/scheduling/BrokerChoice.hpp
@@ -19,8 +19,8 @@
 /// the domain's gateways with the most CPU, the one that a hash of gateway and
 /// service puts first. A domain without gateways is scheduled by one of another
 /// domain. All gateways with the same view choose the same; those with another
-/// view may choose another broker, which costs accuracy and nothing else. Without
-/// the broker (aExcept), its deputy is chosen.
+/// view may choose another broker, which costs accuracy and nothing else.
+/// Without the broker (aExcept), its deputy is chosen.
 std::optional<uint32_t> ChooseBroker(
   const std::vector<BrokerCandidate>& aCandidates,
   uint32_t aService,
--- a/scheduling/ServerSlots.cpp
+++ b/scheduling/ServerSlots.cpp
@@ -176,9 +176,8 @@
     presentShare_ += (present - presentShare_) * detail::kPresentWeight;
   }
   const double others = OtherLoad(aNowMs);
-  others_ =
-    others +
-    (std::max(0, total - RecentInUse(aNowMs)) - others) * detail::kOthersWeight;
+  others_ = others + (std::max(0, total - RecentInUse(aNowMs)) - others) *
+                       detail::kOthersWeight;
   othersMs_ = aNowMs;
   const int free = std::max(0, aOtherSlots - total);
   if (free == 0 || unconfirmedFree_ == 0) {
@@ -194,12 +193,21 @@
 
 int ServerSlots::Depth() const
 {
-  return static_cast<int>(
-    std::lround(server_.slots_ /
-                std::clamp(presentShare_, detail::kMinPresentShare, 1.0)));
+  return static_cast<int>(std::lround(
+    server_.slots_ / std::clamp(presentShare_, detail::kMinPresentShare, 1.0)));
 }
 
 int ServerSlots::Room(TimeMs aNowMs) const
+{
+  return RoomUpTo(Depth(), aNowMs);
+}
+
+int ServerSlots::OwnerRoom(TimeMs aNowMs) const
+{
+  return RoomUpTo(Depth() + (server_.slots_ + 1) / 2, aNowMs);
+}
+
+int ServerSlots::RoomUpTo(int aDepth, TimeMs aNowMs) const
 {
   if (!listed_ || noStartUntilMs_ > aNowMs) {
     return 0;
@@ -208,7 +216,7 @@
     return inUse_ == 0 ? 1 : 0;
   }
   const int room =
-    Depth() - inUse_ - static_cast<int>(std::lround(OtherLoad(aNowMs)));
+    aDepth - inUse_ - static_cast<int>(std::lround(OtherLoad(aNowMs)));
   if (room > 0 && cold_ && IsColdLimited(aNowMs)) {
     return cold_->WaitMs(aNowMs) > 0 ? 0 : 1;
   }
--- a/scheduling/ServerSlots.hpp
+++ b/scheduling/ServerSlots.hpp
@@ -54,6 +54,9 @@
   int Slots() const { return server_.slots_; }
   /// Requests that may be started now; of a cold server one at a time.
   int Room(TimeMs aNowMs) const;
+  /// The same for requests that no other server can run: a few more wait at the
+  /// server, so that it is never idle.
+  int OwnerRoom(TimeMs aNowMs) const;
   /// Slots that this scheduler can fill once they are free.
   double UsableSlots(TimeMs aNowMs) const;
   /// Work that it can do, in slots of a server of average speed. A cold server
@@ -72,6 +75,7 @@
   TimeMs ColdWaitMs(size_t aAhead, TimeMs aNowMs) const;
 
 private:
+  int RoomUpTo(int aDepth, TimeMs aNowMs) const;
   double OtherLoad(TimeMs aNowMs) const;
   /// Most slots in use while the last reports travelled.
   int RecentInUse(TimeMs aNowMs) const;
--- a/scheduling/SlotClient.cpp
+++ b/scheduling/SlotClient.cpp
@@ -254,10 +254,9 @@
     return false;
   }
   const auto heard = heardMs_.find(aPending.broker_);
-  const TimeMs sinceMs =
-    heard == heardMs_.end()
-      ? *aPending.unansweredMs_
-      : std::max(heard->second, *aPending.unansweredMs_);
+  const TimeMs sinceMs = heard == heardMs_.end()
+                           ? *aPending.unansweredMs_
+                           : std::max(heard->second, *aPending.unansweredMs_);
   return aNowMs - sinceMs >= kSilentMs;
 }
 
--- a/scheduling/SlotMessages.hpp
+++ b/scheduling/SlotMessages.hpp
@@ -39,7 +39,7 @@
   bool crossing_ = false;
   /// Must be decided here: another domain had no room for it.
   bool returned_ = false;
-  uint32_t refusedBy_ = 0; ///< with returned_: the other domain
+  uint32_t refusedBy_ = 0;          ///< with returned_: the other domain
   std::vector<uint32_t> avoided_;   ///< servers that failed the request
   std::vector<uint32_t> connected_; ///< servers with an idle connection
 };
--- a/scheduling/SlotQueue.cpp
+++ b/scheduling/SlotQueue.cpp
@@ -94,6 +94,16 @@
   return acceptedMs_ * std::exp(-ageMs / detail::kAcceptedMs);
 }
 
+SlotEntry* SlotQueue::First() const
+{
+  const auto rank = std::ranges::find_if(
+    ranks_, [](const RankState& aRank) { return aRank.Size() > 0; });
+  if (rank == ranks_.end()) {
+    return nullptr;
+  }
+  return rank->Of(rank->inTime_.empty()).begin()->second;
+}
+
 void SlotQueue::OnAccepted(size_t aRank, double aWorkMs, TimeMs aNowMs)
 {
   auto& rank = ranks_[aRank];
--- a/scheduling/SlotQueue.hpp
+++ b/scheduling/SlotQueue.hpp
@@ -79,6 +79,9 @@
     return nullptr;
   }
 
+  /// The request that is next; null if none waits.
+  SlotEntry* First() const;
+
   /// Records work that was accepted.
   void OnAccepted(size_t aRank, double aWorkMs, TimeMs aNowMs);
   /// Rate of accepted work of ranks below aEndRank, in slots.
--- a/scheduling/SlotScheduler.cpp
+++ b/scheduling/SlotScheduler.cpp
@@ -187,7 +187,7 @@
     server = servers_.Best(aEntry, queue_.MoreUrgent(aEntry.rank_), aNowMs);
   } else {
     server = servers_.FindListed(aEntry.request_.server_);
-    if (server->queue_.Size() > 0 || server->slots_.Room(aNowMs) == 0) {
+    if (server->queue_.Size() > 0 || server->slots_.OwnerRoom(aNowMs) == 0) {
       return false;
     }
   }
@@ -471,6 +471,13 @@
 {
   while (aServer.slots_.Room(aNowMs) > 0) {
     auto* entry = Next(aServer, aNowMs);
+    if (entry == nullptr) {
+      break;
+    }
+    Assign(*entry, aServer, aNowMs);
+  }
+  while (aServer.slots_.OwnerRoom(aNowMs) > 0) {
+    auto* entry = aServer.queue_.First();
     if (entry == nullptr) {
       return;
     }
