--- a/scheduling/SlotClient.cpp
+++ b/scheduling/SlotClient.cpp
@@ -221,7 +221,10 @@
     aPending.unansweredMs_ = aNowMs;
     aPending.repeats_ = 0;
   }
-  aPending.resendMs_ = aNowMs + (kResendMs << ++aPending.repeats_);
+  aPending.resendMs_ =
+    ++aPending.repeats_ < kMinRepeats
+      ? aNowMs + (kResendMs << aPending.repeats_)
+      : std::max(aNowMs + kResendMs, *aPending.unansweredMs_ + kSilentMs);
   const auto request = aPending.request_;
   handlers_.ask_(aPending.broker_, request);
 }
--- a/scheduling/SlotScheduler.cpp
+++ b/scheduling/SlotScheduler.cpp
@@ -159,7 +159,7 @@
     RefuseNoServer(aEntry, aNowMs);
     return;
   }
-  const double doneMs = forecast.waitMs_ + LikelyMs(aEntry, aNowMs);
+  const double doneMs = 2.0 * forecast.waitMs_ + LikelyMs(aEntry, aNowMs);
   const bool tooLate =
     doneMs > static_cast<double>(request.objectiveLeftMs_) &&
     forecast.waitMs_ > static_cast<double>(MinWaitMs(aEntry));
@@ -595,6 +595,9 @@
   forecast.waitMs_ =
     queue.WaitMs(rank, aEntry.workMs_, forecast.available_, lowRank);
   if (owner != nullptr) {
+    const auto& slots = owner->slots_;
+    forecast.waitMs_ += std::max(0, slots.InUse() - slots.Slots()) *
+                        aEntry.workMs_ / forecast.available_;
     const auto coldMs =
       static_cast<double>(owner->slots_.ColdWaitMs(queue.Ahead(rank), aNowMs));
     if (coldMs > forecast.waitMs_) {
