--- a/scheduling/ServerSlots.cpp
+++ b/scheduling/ServerSlots.cpp
@@ -204,7 +204,7 @@
 
 int ServerSlots::OwnerRoom(TimeMs aNowMs) const
 {
-  return RoomUpTo(Depth() + server_.slots_ / 2, aNowMs);
+  return RoomUpTo(Depth() + server_.slots_, aNowMs);
 }
 
 int ServerSlots::RoomUpTo(int aDepth, TimeMs aNowMs) const
--- a/scheduling/SlotScheduler.cpp
+++ b/scheduling/SlotScheduler.cpp
@@ -20,6 +20,8 @@
 constexpr size_t kMaxNamedServers = 64;
 /// Most requests take no longer than this multiple of the mean time.
 constexpr double kLikelyFactor = 1.5;
+/// Most waits are no longer than this multiple of the expected one.
+constexpr double kLikelyWaitFactor = 2;
 /// Expected wait while no server can be reached.
 constexpr double kUnreachableWaitMs = 300;
 /// Work owed to lower ranks is limited to what accrues in this time.
@@ -159,7 +161,8 @@
     RefuseNoServer(aEntry, aNowMs);
     return;
   }
-  const double doneMs = 2.0 * forecast.waitMs_ + LikelyMs(aEntry, aNowMs);
+  const double doneMs =
+    detail::kLikelyWaitFactor * forecast.waitMs_ + LikelyMs(aEntry, aNowMs);
   const bool tooLate =
     doneMs > static_cast<double>(request.objectiveLeftMs_) &&
     forecast.waitMs_ > static_cast<double>(MinWaitMs(aEntry));
