Read the limits and remaining times of cold servers

Cause: bounds of cold servers and evacuations, the fields cold-start-s and cold-per-s of services, and the header with the remaining cold time were not read; an unreadable remaining time removed the server. Change: three optional settings, fields of ServiceSpec, the header in ResponseMetadata; an odd remaining time in a registration is a finding and the server counts as warm.

--- a/gateway/GatewaySettings.cpp
+++ b/gateway/GatewaySettings.cpp
@@ -73,6 +73,21 @@
             "time after which a leaving backend server gets no requests, ms",
             detail::kMinBackendDrainMs,
             detail::kMaxDurationMs),
+    integer("evacuation-ms",
+            "0",
+            "time after which an evacuation must be in force, ms; 0: off",
+            0,
+            detail::kMaxDurationMs),
+    integer("cold-overshoot-percent",
+            "100",
+            "requests that a cold backend server gets, percent of its rate",
+            1,
+            10000),
+    integer("cold-slack",
+            "0",
+            "requests in one second beyond the rate of a cold backend server",
+            0,
+            1000000),
     integer("cpu-percent",
             "100",
             "CPU of this instance, percent of a core",
@@ -125,6 +140,11 @@
   settings.graceMs_ = aSettings.Integer("grace-ms");
   settings.maxHoldMs_ = aSettings.Integer("max-hold-ms");
   settings.backendDrainMs_ = aSettings.Integer("backend-drain-ms");
+  settings.evacuationMs_ = aSettings.Integer("evacuation-ms");
+  settings.coldOvershoot_ =
+    static_cast<double>(aSettings.Integer("cold-overshoot-percent")) /
+    detail::kPercent;
+  settings.coldSlack_ = static_cast<double>(aSettings.Integer("cold-slack"));
   settings.cpuPercent_ = static_cast<int>(aSettings.Integer("cpu-percent"));
   settings.memoryBytes_ = static_cast<size_t>(aSettings.Integer("memory-mb"))
                           << detail::kBytesPerMbShift;
--- a/gateway/GatewaySettings.hpp
+++ b/gateway/GatewaySettings.hpp
@@ -27,6 +27,12 @@
   TimeMs maxHoldMs_ = 0; ///< longest lease that backend servers accept
   /// A backend server that leaves gets no requests after this time.
   TimeMs backendDrainMs_ = 2000;
+  /// Time after which an evacuation must be in force; 0: none are read.
+  TimeMs evacuationMs_ = 0;
+  /// Requests that a cold backend server bears, relative to what its service is
+  /// configured for, and those that may exceed it in any one second.
+  double coldOvershoot_ = 1;
+  double coldSlack_ = 0;
   /// CPU of this instance, percent of a core; larger instances are preferred as
   /// leader.
   int cpuPercent_ = 100;
--- a/gateway/PlatformInterface.hpp
+++ b/gateway/PlatformInterface.hpp
@@ -58,6 +58,9 @@
   std::optional<double> requestLimit_;
   /// Start of an invalid request limit, which is ignored.
   std::optional<std::string> malformedRequestLimit_;
+  std::optional<TimeMs> coldRemainingMs_; ///< the server stays slow for it
+  /// Start of an invalid remaining cold time, which is ignored.
+  std::optional<std::string> malformedColdTime_;
 };
 
 using HttpFields = std::vector<std::pair<std::string, std::string>>;
@@ -215,12 +218,16 @@
   virtual std::string ConfigKind() const = 0;
   virtual std::string ConfigName() const = 0;
   virtual std::string BackendKind() const = 0;
+  /// Objects of this kind name the failure domains that are evacuated.
+  virtual std::string EvacuationKind() const = 0;
   /// Empty if the object is invalid. A returned configuration may come with
   /// findings about unknown values; the routes concerned are served
   /// nevertheless.
   virtual std::optional<RoutingConfig> DecodeConfig(
     const StoreObject& aObject,
     Findings& aFindings) const = 0;
+  /// The same; a returned entry may come with findings about its cold time,
+  /// which is then ignored.
   virtual std::optional<BackendEntry> DecodeBackend(
     const StoreObject& aObject,
     Findings& aFindings) const = 0;
--- a/routing/RoutingConfig.hpp
+++ b/routing/RoutingConfig.hpp
@@ -62,6 +62,9 @@
   int maxConnections_ = 0; ///< to one backend server, from all instances
   bool keyed_ = false;     ///< requests are routed to the owner of their key
   TimeMs warmupMs_ = 0;    ///< slow phase after keys arrive without handover
+  TimeMs coldMs_ = 0;      ///< time for which a server is slow after its start
+  /// Requests per second that a cold server bears; 0: no limit.
+  double coldPerSecond_ = 0;
 };
 
 /// Limits for the requests of callers.
@@ -104,7 +107,9 @@
   std::string failureDomain_;
   int slots_ = 1;
   BackendState state_ = BackendState::Ready;
-  TimeMs coldRemainingMs_ = 0;
+  TimeMs coldRemainingMs_ = 0; ///< as registered
+  /// Until then the server is cold, on this process's clock.
+  TimeMs coldUntilMs_ = 0;
   /// Wall clock time at which the server started; identifies its incarnation.
   int64_t startTimeMs_ = 0;
   /// The server has announced that it is leaving, whatever its registration
@@ -126,7 +131,7 @@
     return startTimeMs_ == aOther.startTimeMs_ && address_ == aOther.address_ &&
            service_ == aOther.service_;
   }
-  /// True if the entries are equal except for coldRemainingMs_.
+  /// True if the entries are equal except for how long the server is cold.
   bool IsSameState(const BackendEntry& aOther) const
   {
     return IsSameIncarnation(aOther) && state_ == aOther.state_ &&
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -199,6 +199,40 @@
   EXPECT_EQ(findings.All()[0].field_, "kind");
 }
 
+// Guards against limits of cold servers that are decoded incorrectly, or
+// invalid ones that come into force.
+TEST(RegistryCodec, ReadsColdLimits)
+{
+  const auto read = [](const Json& aSeconds, const Json& aPerSecond) {
+    auto json = Json::parse(kConfig);
+    json["services"][0]["cold-start-s"] = aSeconds;
+    json["services"][0]["cold-per-s"] = aPerSecond;
+    StoreObject object;
+    object.name_ = "main";
+    object.spec_ = json;
+    Findings findings;
+    const auto config = RegistryCodec().DecodeConfig(object, findings);
+    EXPECT_EQ(config.has_value(), findings.IsEmpty());
+    return config ? std::optional(config->services_.at("s1")) : std::nullopt;
+  };
+  const auto service = read(3.0, 4.7);
+  ASSERT_TRUE(service);
+  EXPECT_EQ(service->coldMs_, 3000);
+  EXPECT_EQ(service->coldPerSecond_, 4.7);
+  EXPECT_EQ(read(0, 0)->coldPerSecond_, 0);
+  EXPECT_FALSE(read(-1, 4.7));
+  EXPECT_FALSE(read(3, -4.7));
+  EXPECT_FALSE(read(3, 1e9));
+  EXPECT_FALSE(read(3, "4.7"));
+  EXPECT_FALSE(read(nullptr, 4.7));
+  Findings findings;
+  const auto config =
+    RegistryCodec().DecodeConfig(Object("main", kConfig), findings);
+  ASSERT_TRUE(config);
+  EXPECT_EQ(config->services_.at("s1").coldPerSecond_, 0);
+  EXPECT_EQ(RegistryCodec().EvacuationKind(), "evacuations");
+}
+
 const char* const kServer =
   R"({"address":"10.128.0.9:8080","born":1785533497000,
   "info":{"service":"s1","version":"v1","zone":"cairo-a","slots":6},
@@ -221,6 +255,31 @@
   EXPECT_EQ(entry->startTimeMs_, 1785533497000);
 }
 
+// Guards against a server that is lost because its remaining cold time cannot
+// be read. It counts as warm, with a finding.
+TEST(RegistryCodec, IgnoresOddColdTimes)
+{
+  for (const auto& value : { Json(-1),
+                             Json(-0.001),
+                             Json(3601),
+                             Json(1e300),
+                             Json("3"),
+                             Json(nullptr),
+                             Json::array() }) {
+    auto json = Json::parse(kServer);
+    json["status"]["cold-remaining-s"] = value;
+    StoreObject object;
+    object.name_ = "i-1";
+    object.spec_ = json;
+    Findings findings;
+    const auto entry = RegistryCodec().DecodeBackend(object, findings);
+    ASSERT_TRUE(entry) << value;
+    EXPECT_EQ(entry->coldRemainingMs_, 0) << value;
+    ASSERT_EQ(findings.All().size(), 1U) << value;
+    EXPECT_EQ(findings.All()[0].field_, "cold-remaining-s");
+  }
+}
+
 // Guards against invalid registrations that add a server.
 TEST(RegistryCodec, RejectsInvalidBackends)
 {
@@ -501,6 +560,43 @@
   EXPECT_TRUE(RequestCodec().IsInternalResponseField("SERVER-LIMIT"));
 }
 
+// Guards against a remaining cold time that is decoded incorrectly, is that of
+// another server at the same address, or reaches a caller.
+TEST(RequestCodec, ReadsColdRemaining)
+{
+  const auto read = [](int aStatus, const std::vector<std::string>& aValues) {
+    HttpHead head;
+    head.status_ = aStatus;
+    for (const auto& value : aValues) {
+      head.fields_.emplace_back("cactuspitch-cold-remaining", value);
+    }
+    return RequestCodec().ParseResponse(head);
+  };
+  EXPECT_EQ(read(200, { "2400" }).coldRemainingMs_, 2400);
+  EXPECT_EQ(read(503, { "0" }).coldRemainingMs_, 0);
+  EXPECT_EQ(read(200, { "12.5" }).coldRemainingMs_, 13);
+  EXPECT_FALSE(read(200, {}).coldRemainingMs_);
+  EXPECT_FALSE(read(200, {}).malformedColdTime_);
+  EXPECT_FALSE(read(421, { "2400" }).coldRemainingMs_);
+  EXPECT_FALSE(read(421, { "x" }).malformedColdTime_);
+  const std::vector<std::vector<std::string>> malformed = {
+    { "" },     { "-1" },
+    { "x" },    { "3600001" },
+    { "1e3" },  { "2s" },
+    { "nan" },  { "1", "1" },
+    { "5 " },   { "1785533497000" },
+    { "\xff" }, { std::string(5000, '1') }
+  };
+  for (const auto& values : malformed) {
+    const auto info = read(200, values);
+    EXPECT_FALSE(info.coldRemainingMs_) << values.front();
+    ASSERT_TRUE(info.malformedColdTime_) << values.front();
+    EXPECT_LE(info.malformedColdTime_->size(), 32U);
+  }
+  EXPECT_TRUE(
+    RequestCodec().IsInternalResponseField("CACTUSPITCH-COLD-REMAINING"));
+}
+
 // Guards against accepting the shutdown notice of another server at the same
 // address.
 TEST(RequestCodec, ReadsLeaving)
@@ -560,6 +656,35 @@
   std::remove(path.c_str());
 }
 
+// Guards against bounds of cold servers and evacuations that are not
+// translated. That they are missing is no finding: few deployments have them.
+TEST(SettingsFile, TranslatesOptionalBounds)
+{
+  const std::string common =
+    "\"drain-s\":2.5,\"grace-s\":6,\"retry-budget-ratio\":0.2,"
+    "\"retry-budget-extra\":220,\"hold-max-s\":10";
+  const auto path =
+    WriteSettings(Concat("CACTUSPITCH_BOUNDS={",
+                         common,
+                         ",\"cold-overshoot\":1.5,\"cold-slack\":8,"
+                         "\"evacuation-s\":5}\n"));
+  SettingsFindings findings;
+  const auto settings = ReadSettingsFile(path, {}, findings);
+  EXPECT_TRUE(findings.notes_.IsEmpty()) << findings.notes_.ToText();
+  EXPECT_EQ(settings.at("CACTUSPITCH_EVACUATION_MS"), "5000");
+  EXPECT_EQ(settings.at("CACTUSPITCH_COLD_OVERSHOOT_PERCENT"), "150");
+  EXPECT_EQ(settings.at("CACTUSPITCH_COLD_SLACK"), "8");
+  WriteSettings(Concat("CACTUSPITCH_BOUNDS={", common, "}\n"));
+  EXPECT_FALSE(
+    ReadSettingsFile(path, {}, findings).contains("CACTUSPITCH_EVACUATION_MS"));
+  EXPECT_TRUE(findings.notes_.IsEmpty()) << findings.notes_.ToText();
+  WriteSettings(
+    Concat("CACTUSPITCH_BOUNDS={", common, ",\"evacuation-s\":\"soon\"}\n"));
+  ReadSettingsFile(path, {}, findings);
+  EXPECT_EQ(findings.errors_.All().size(), 1U) << findings.errors_.ToText();
+  std::remove(path.c_str());
+}
+
 // Guards against bounds that are skipped without an error or a note.
 TEST(SettingsFile, ReportsUnreadableAndMissingBounds)
 {
