Keep the cold phases of backend servers in the directory

Cause: the remaining cold time counted only when a server was first seen; one that became cold again got the requests of a warm one, and other gateways did not learn of it. Change: BackendDirectory keeps the latest end known, tells on those that begin or last longer, in turns if there are many. The test HeartbeatsAreNotChanges took a server that becomes cold for a heartbeat; it now checks that this is one change, and that the heartbeats of the cold phase are none.

--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -58,7 +58,7 @@
   return entry;
 }
 
-Json EntryToJson(const BackendEntry& aEntry)
+Json EntryToJson(const BackendEntry& aEntry, TimeMs aNowMs)
 {
   return Json::array({ aEntry.id_,
                        aEntry.service_,
@@ -66,7 +66,8 @@
                        aEntry.failureDomain_,
                        aEntry.slots_,
                        EnumName(aEntry.state_),
-                       aEntry.startTimeMs_ });
+                       aEntry.startTimeMs_,
+                       std::max<TimeMs>(aEntry.coldUntilMs_ - aNowMs, 0) });
 }
 
 BackendEntry EntryFromJson(const Json& aJson)
@@ -80,6 +81,11 @@
   entry.state_ = ParseEnum<BackendState>(aJson.at(5).get<std::string>())
                    .value_or(BackendState::Draining);
   entry.startTimeMs_ = aJson.at(6).get<int64_t>();
+  // Older gateways don't send it.
+  constexpr size_t kColdIndex = 7;
+  if (aJson.size() > kColdIndex) {
+    entry.coldRemainingMs_ = aJson.at(kColdIndex).get<TimeMs>();
+  }
   return entry;
 }
 
@@ -403,7 +409,7 @@
 {
   auto json = detail::Json::array();
   for (const auto& [id, entry] : directory_.Entries()) {
-    json.push_back(detail::EntryToJson(entry));
+    json.push_back(detail::EntryToJson(entry, loop_.NowMs()));
   }
   return WriteJson(
     { { "revision", directory_.Revision() }, { "servers", std::move(json) } });
--- a/membership/BackendDirectory.cpp
+++ b/membership/BackendDirectory.cpp
@@ -84,11 +84,11 @@
          removed->second == aEntry.startTimeMs_;
 }
 
-void BackendDirectory::ApplyPut(const BackendEntry& aEntry, TimeMs aNowMs)
+bool BackendDirectory::ApplyPut(const BackendEntry& aEntry, TimeMs aNowMs)
 {
   if (IsDoubtful(aEntry, aNowMs)) {
     doubtful_[aEntry.id_] = aEntry;
-    return;
+    return false;
   }
   if (aEntry.state_ == BackendState::Draining) {
     // An older state may be read again.
@@ -99,16 +99,94 @@
   removals_.erase(aEntry.id_);
   auto entry = aEntry;
   entry.leaving_ = IsLeaving(entry);
+  entry.coldUntilMs_ = 0;
   const auto [known, isNew] = entries_.try_emplace(entry.id_, entry);
   if (!isNew) {
     if (known->second.IsSameState(entry)) {
-      return;
+      return ExtendCold(known->second, aEntry.coldRemainingMs_, aNowMs);
+    }
+    if (known->second.IsSameIncarnation(entry)) {
+      entry.coldUntilMs_ = known->second.coldUntilMs_;
     }
     digest_ -= detail::EntryHash(known->second);
     known->second = entry;
   }
   digest_ += detail::EntryHash(entry);
   changes_.insert(entry.id_);
+  return ExtendCold(known->second, aEntry.coldRemainingMs_, aNowMs);
+}
+
+bool BackendDirectory::ExtendCold(BackendEntry& aEntry,
+                                  TimeMs aRemainingMs,
+                                  TimeMs aNowMs)
+{
+  if (aRemainingMs <= 0 || aRemainingMs > kMaxColdMs) {
+    return false;
+  }
+  const TimeMs untilMs = aNowMs + aRemainingMs;
+  const bool wasCold = aEntry.coldUntilMs_ > aNowMs;
+  if (wasCold && untilMs <= aEntry.coldUntilMs_ + kColdToleranceMs) {
+    return false;
+  }
+  aEntry.coldUntilMs_ = untilMs;
+  std::erase_if(coldUntilMs_,
+                [aNowMs](const auto& aCold) { return aCold.second <= aNowMs; });
+  coldUntilMs_[detail::WireHash(aEntry.id_, aEntry.startTimeMs_)] = untilMs;
+  changes_.insert(aEntry.id_);
+  return true;
+}
+
+bool BackendDirectory::MarkCold(const std::string& aId,
+                                int64_t aStartTimeMs,
+                                TimeMs aRemainingMs,
+                                TimeMs aNowMs)
+{
+  const auto entry = entries_.find(aId);
+  return entry != entries_.end() &&
+         entry->second.startTimeMs_ == aStartTimeMs &&
+         ExtendCold(entry->second, aRemainingMs, aNowMs);
+}
+
+bool BackendDirectory::MarkCold(const std::vector<ColdNotice>& aNotices,
+                                TimeMs aNowMs)
+{
+  // Datagrams repeat them.
+  std::map<int32_t, TimeMs> news;
+  for (const auto& notice : aNotices) {
+    const auto known = coldUntilMs_.find(notice.server_);
+    if (known == coldUntilMs_.end() ||
+        aNowMs + notice.remainingMs_ > known->second + kColdToleranceMs) {
+      news[notice.server_] = notice.remainingMs_;
+    }
+  }
+  if (news.empty()) {
+    return false;
+  }
+  bool changed = false;
+  for (auto& [id, entry] : entries_) {
+    const auto found = news.find(detail::WireHash(id, entry.startTimeMs_));
+    changed |= found != news.end() && ExtendCold(entry, found->second, aNowMs);
+  }
+  return changed;
+}
+
+std::vector<ColdNotice> BackendDirectory::TakeColdNotices(size_t aMaxCount,
+                                                          TimeMs aNowMs)
+{
+  std::erase_if(coldUntilMs_,
+                [aNowMs](const auto& aCold) { return aCold.second <= aNowMs; });
+  const size_t count = std::min(aMaxCount, coldUntilMs_.size());
+  std::vector<ColdNotice> notices;
+  auto next = coldUntilMs_.upper_bound(lastColdNotice_);
+  while (notices.size() < count) {
+    if (next == coldUntilMs_.end()) {
+      next = coldUntilMs_.begin();
+    }
+    notices.push_back({ next->first, next->second - aNowMs });
+    lastColdNotice_ = next->first;
+    ++next;
+  }
+  return notices;
 }
 
 bool BackendDirectory::IsLeaving(const BackendEntry& aEntry) const
--- a/membership/BackendDirectory.hpp
+++ b/membership/BackendDirectory.hpp
@@ -11,6 +11,13 @@
 
 namespace cactuspitch {
 
+/// Backend server that is cold, as told in datagrams.
+struct ColdNotice
+{
+  int32_t server_ = 0; ///< hash of its incarnation
+  TimeMs remainingMs_ = 0;
+};
+
 /// Backend servers according to their registrations in the store. Registrations
 /// expire while the store is unavailable, although their servers are alive, so
 /// a registration that disappears around a failed store call is kept for a
@@ -33,6 +40,12 @@
   /// renew: three heartbeats of a second, and the delay of the removal.
   static constexpr TimeMs kRestoredExpiryMs = 3500;
 
+  /// Times at which a server stops to be cold differ by this much between the
+  /// reports of one cold phase, because reports take time to arrive.
+  static constexpr TimeMs kColdToleranceMs = 300;
+  /// Longer remaining cold times are ignored.
+  static constexpr TimeMs kMaxColdMs = 3600000;
+
   /// aDrainMs: time after the removal of a registration from which the server
   /// must not receive requests.
   explicit BackendDirectory(TimeMs aDrainMs);
@@ -40,7 +53,8 @@
   /// Applies a complete list of registrations. Known entries that are not
   /// listed count as removed.
   void ApplyList(const std::vector<BackendEntry>& aEntries, TimeMs aNowMs);
-  void ApplyPut(const BackendEntry& aEntry, TimeMs aNowMs);
+  /// Returns true if the server is cold now, or for longer, than was known.
+  bool ApplyPut(const BackendEntry& aEntry, TimeMs aNowMs);
   void ApplyRemoved(const std::string& aId, TimeMs aNowMs);
   /// The removal was seen by a gateway whose calls to the store have not
   /// failed, so no grace period is needed.
@@ -55,6 +69,16 @@
   /// Hashes of up to aMaxCount leaving incarnations whose registrations don't
   /// show it yet.
   std::vector<int32_t> LeavingIncarnations(size_t aMaxCount) const;
+  /// This incarnation of the server is cold for the given time. Returns false
+  /// if that was already known.
+  bool MarkCold(const std::string& aId,
+                int64_t aStartTimeMs,
+                TimeMs aRemainingMs,
+                TimeMs aNowMs);
+  /// The same for all that other gateways told. Returns false if none was news.
+  bool MarkCold(const std::vector<ColdNotice>& aNotices, TimeMs aNowMs);
+  /// Up to aMaxCount cold servers, others with each call if there are more.
+  std::vector<ColdNotice> TakeColdNotices(size_t aMaxCount, TimeMs aNowMs);
   /// The store was restored from an older copy. Until registrations of servers
   /// that have ended must have expired in it, those that had been removed
   /// before are not used.
@@ -89,6 +113,8 @@
   /// Longest grace period of a registration.
   TimeMs MaxGraceMs() const { return drainMs_ - kDrainMarginMs; }
   bool IsLeaving(const BackendEntry& aEntry) const;
+  /// Keeps the later end of the cold phase. Returns true if that is news.
+  bool ExtendCold(BackendEntry& aEntry, TimeMs aRemainingMs, TimeMs aNowMs);
   /// Whether a registration may be a leftover of a restored store.
   bool IsDoubtful(const BackendEntry& aEntry, TimeMs aNowMs) const;
   void Remove(const std::string& aId, TimeMs aNowMs);
@@ -121,6 +147,9 @@
   /// is leaving.
   std::map<std::string, int64_t> leavingStartTimeMs_;
   std::set<int32_t> leavingHashes_; ///< hashes of these incarnations
+  /// Ends of the cold phases, by the hashes of the incarnations.
+  std::map<int32_t, TimeMs> coldUntilMs_;
+  int32_t lastColdNotice_ = INT32_MIN;
   /// Sum of the entries' hashes, which does not depend on their order.
   uint64_t digest_ = 0;
   int64_t revision_ = 0;
--- a/tests/KeyspaceTest.cpp
+++ b/tests/KeyspaceTest.cpp
@@ -451,7 +451,12 @@
   EXPECT_EQ(directory.TakeChanges(), (std::set<std::string>{ "a", "b" }));
   auto heartbeat = Entry("a");
   heartbeat.coldRemainingMs_ = 700;
-  directory.ApplyPut(heartbeat, 1100);
+  EXPECT_TRUE(directory.ApplyPut(heartbeat, 1100));
+  EXPECT_EQ(directory.TakeChanges(), (std::set<std::string>{ "a" }));
+  heartbeat.coldRemainingMs_ = 620;
+  EXPECT_FALSE(directory.ApplyPut(heartbeat, 1150));
+  heartbeat.coldRemainingMs_ = 750;
+  EXPECT_FALSE(directory.ApplyPut(heartbeat, 1150));
   directory.ApplyList({ Entry("a"), Entry("b") }, 1200);
   EXPECT_TRUE(directory.TakeChanges().empty());
   directory.ApplyPut(Entry("a", BackendState::Draining), 1300);
@@ -461,6 +466,67 @@
   EXPECT_EQ(directory.TakeChanges(), (std::set<std::string>{ "a" }));
 }
 
+// Guards against a server that becomes cold again and gets the requests of a
+// warm one, from the report of its registration, of an answer or of another
+// gateway. And against reports that never end, because each is told on.
+TEST(BackendDirectory, ColdPhasesAreChangesAndEnd)
+{
+  BackendDirectory here(kDrainMs);
+  BackendDirectory peer(kDrainMs);
+  here.ApplyList({ Entry("a"), Entry("b") }, 1000);
+  peer.ApplyList({ Entry("a"), Entry("b") }, 1000);
+  peer.TakeChanges();
+  EXPECT_TRUE(here.TakeColdNotices(10, 1000).empty());
+  EXPECT_TRUE(here.MarkCold("a", Entry("a").startTimeMs_, 3000, 1000));
+  EXPECT_FALSE(here.MarkCold("a", Entry("a").startTimeMs_ + 1, 9000, 1000));
+  EXPECT_FALSE(here.MarkCold("c", 1, 3000, 1000));
+  EXPECT_EQ(here.Entries().at("a").coldUntilMs_, 4000);
+  EXPECT_TRUE(peer.MarkCold(here.TakeColdNotices(10, 1100), 1120));
+  EXPECT_EQ(peer.TakeChanges(), (std::set<std::string>{ "a" }));
+  for (TimeMs nowMs = 1200; nowMs < 3900; nowMs += 100) {
+    EXPECT_FALSE(here.MarkCold(peer.TakeColdNotices(10, nowMs), nowMs + 20));
+    EXPECT_FALSE(peer.MarkCold(here.TakeColdNotices(10, nowMs), nowMs + 20));
+  }
+  EXPECT_EQ(here.Entries().at("a").coldUntilMs_, 4000);
+  EXPECT_TRUE(here.TakeColdNotices(10, 4000).empty());
+  auto again = Entry("a");
+  again.coldRemainingMs_ = 2000;
+  EXPECT_TRUE(here.ApplyPut(again, 6000));
+  EXPECT_EQ(here.Entries().at("a").coldUntilMs_, 8000);
+  // A state that says nothing of it, such as that of a stale list.
+  here.ApplyPut(Entry("a", BackendState::Draining), 6500);
+  EXPECT_EQ(here.Entries().at("a").coldUntilMs_, 8000);
+  for (const TimeMs odd : { TimeMs{ 0 }, TimeMs{ -5 }, TimeMs{ INT32_MAX } }) {
+    EXPECT_FALSE(here.MarkCold("b", Entry("b").startTimeMs_, odd, 6500));
+  }
+  EXPECT_EQ(here.Entries().at("b").coldUntilMs_, 0);
+}
+
+// Guards against cold servers that are never told, because there are more of
+// them than fit into a datagram.
+TEST(BackendDirectory, AllColdServersAreTold)
+{
+  BackendDirectory here(kDrainMs);
+  BackendDirectory peer(kDrainMs);
+  std::vector<BackendEntry> entries;
+  for (int index = 0; index < 100; ++index) {
+    entries.push_back(Entry(std::to_string(index).c_str()));
+  }
+  peer.ApplyList(entries, 900);
+  for (auto& entry : entries) {
+    entry.coldRemainingMs_ = 3000;
+  }
+  here.ApplyList(entries, 1000);
+  for (int round = 0; round < 4; ++round) {
+    const auto notices = here.TakeColdNotices(32, 1000);
+    EXPECT_LE(notices.size(), 32U);
+    peer.MarkCold(notices, 1000);
+  }
+  EXPECT_TRUE(std::ranges::all_of(peer.Entries(), [](const auto& aEntry) {
+    return aEntry.second.coldUntilMs_ == 4000;
+  }));
+}
+
 // Guards against a gateway that doesn't notice that its directory differs from
 // that of another gateway.
 TEST(BackendDirectory, DigestDistinguishesDirectories)
