Apply evacuations and the limits of cold servers to requests and keys

Change: servers of an evacuated domain are not usable and own no keys; cold servers get the requests that ColdGuard admits; both states are told in datagrams, and a starting gateway waits for the evacuations before it is ready. Domains that are taken back count as cold.

--- a/ctl/RequestExplanation.cpp
+++ b/ctl/RequestExplanation.cpp
@@ -67,6 +67,16 @@
   CauseMeaning{ "all-limited",
                 "all servers of the service had named request limits, which "
                 "the gateways together had used up; the request did not run" },
+  CauseMeaning{ "owner-cold",
+                "the owner of the key was cold and had the requests that it "
+                "bears in a second; the request did not run" },
+  CauseMeaning{ "all-cold",
+                "the servers of the service that take requests were cold and "
+                "had those that they bear in a second; the request did not "
+                "run" },
+  CauseMeaning{ "evacuated",
+                "all servers of the service are in failure domains that the "
+                "operator has evacuated; the request did not run" },
   CauseMeaning{ "quarantined",
                 "similar requests crashed backend servers; the request did "
                 "not run" },
--- a/gateway/BackendConnection.cpp
+++ b/gateway/BackendConnection.cpp
@@ -304,6 +304,12 @@
   if (aInfo.malformedLoad_) {
     pool_.OnMalformedLoad(*backend_, *aInfo.malformedLoad_);
   }
+  if (aInfo.coldRemainingMs_) {
+    pool_.OnCold(*backend_, *aInfo.coldRemainingMs_);
+  }
+  if (aInfo.malformedColdTime_) {
+    pool_.OnMalformedColdTime(*backend_, *aInfo.malformedColdTime_);
+  }
   if (aInfo.malformedRequestLimit_) {
     pool_.OnMalformedLimit(*backend_, *aInfo.malformedRequestLimit_);
   } else if (aInfo.requestLimit_ || aInfo.sealed_) {
--- a/gateway/BackendConnection.hpp
+++ b/gateway/BackendConnection.hpp
@@ -192,10 +192,15 @@
   bool malformedPauseLogged_ = false;
   bool malformedLimitLogged_ = false;
   bool malformedLoadLogged_ = false;
+  bool malformedColdTimeLogged_ = false;
+  /// Until then the server is slow and bears few requests.
+  TimeMs coldUntilMs_ = 0;
+  bool evacuated_ = false; ///< its failure domain is to get no requests
 
+  bool IsCold(TimeMs aNowMs) const { return coldUntilMs_ > aNowMs; }
   bool IsUsable() const
   {
-    return registered_ && !superseded_ && entry_.TakesNewWork();
+    return registered_ && !superseded_ && !evacuated_ && entry_.TakesNewWork();
   }
   bool TakesRequests(TimeMs aNowMs) const
   {
--- a/gateway/BackendPool.cpp
+++ b/gateway/BackendPool.cpp
@@ -2,6 +2,7 @@
 
 #include "common/ShortHash.hpp"
 #include "common/Strings.hpp"
+#include "membership/BackendDirectory.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -14,6 +15,9 @@
 constexpr TimeMs kMaxReconnectDelayMs = 1500;
 /// Idle connections are closed this long before the idle timeout of the server.
 constexpr TimeMs kIdleMarginMs = 1500;
+/// Reports of a cold phase are applied only if they extend it by more than the
+/// tolerance, so the end may be this much later than known.
+constexpr TimeMs kColdMarginMs = BackendDirectory::kColdToleranceMs;
 constexpr double kMeanServiceTimeWeight = 0.02;
 constexpr double kInitialServiceTimeMs = 100;
 
@@ -56,8 +60,7 @@
       entry != aEntries.end() && known != backends_.end() &&
       entry->second.IsSameIncarnation(known->second->entry_);
     if (sameIncarnation) {
-      known->second->entry_ = entry->second;
-      known->second->load_.SetSlots(entry->second.slots_);
+      ApplyState(entry->second, *known->second);
       if (entry->second.leaving_) {
         CloseIdleOf(*known->second);
       }
@@ -76,18 +79,43 @@
 BackendPool::BackendPtr BackendPool::NewBackend(const BackendEntry& aEntry)
 {
   auto backend = std::make_shared<Backend>();
-  backend->entry_ = aEntry;
+  ApplyState(aEntry, *backend);
   Endpoint::Parse(aEntry.address_, backend->endpoint_);
   backend->idHash_ = ShortHash(aEntry.id_);
   backend->incarnationHash_ = aEntry.IncarnationHash();
   backend->load_.SetDefaultServiceTimeMs(MeanServiceTimeMs(aEntry.service_));
-  backend->load_.SetSlots(aEntry.slots_);
-  if (aEntry.coldRemainingMs_ > 0) {
-    backend->load_.SetColdUntil(loop_.NowMs() + aEntry.coldRemainingMs_);
-  }
   return backend;
 }
 
+void BackendPool::ApplyState(const BackendEntry& aEntry,
+                             Backend& aBackend) const
+{
+  aBackend.entry_ = aEntry;
+  aBackend.evacuated_ = evacuatedDomains_.contains(aEntry.failureDomain_);
+  aBackend.load_.SetSlots(aEntry.slots_);
+  if (aEntry.coldUntilMs_ > 0) {
+    aBackend.load_.SetColdUntil(aEntry.coldUntilMs_);
+    aBackend.coldUntilMs_ = aEntry.coldUntilMs_ + detail::kColdMarginMs;
+  }
+}
+
+void BackendPool::SetEvacuatedDomains(std::set<std::string> aDomains)
+{
+  evacuatedDomains_ = std::move(aDomains);
+  for (const auto& [id, backend] : backends_) {
+    backend->evacuated_ =
+      evacuatedDomains_.contains(backend->entry_.failureDomain_);
+  }
+}
+
+bool BackendPool::IsEvacuated(const std::string& aService) const
+{
+  const auto& backends = OfService(aService);
+  return !backends.empty() &&
+         std::ranges::all_of(
+           backends, [](const auto& aBackend) { return aBackend->evacuated_; });
+}
+
 void BackendPool::Add(const BackendPtr& aBackend)
 {
   const auto& entry = aBackend->entry_;
@@ -320,6 +348,23 @@
   }
 }
 
+void BackendPool::OnCold(const Backend& aBackend, TimeMs aRemainingMs)
+{
+  if (aRemainingMs > 0) {
+    handlers_.onCold_(aBackend.entry_, aRemainingMs);
+  }
+}
+
+void BackendPool::OnMalformedColdTime(Backend& aBackend, std::string_view aText)
+{
+  metrics_.OnServerNotice("malformed-cold-time", aBackend.entry_.id_);
+  if (!std::exchange(aBackend.malformedColdTimeLogged_, true)) {
+    log_.Write(LogLevel::Warning,
+               "backend-cold-time-malformed",
+               { { "backend", aBackend.entry_.id_ }, { "value", aText } });
+  }
+}
+
 void BackendPool::RecordServiceTime(const Backend& aBackend, double aLatencyMs)
 {
   serviceTimeMs_.Add(aBackend.entry_.service_, aLatencyMs);
--- a/gateway/BackendPool.hpp
+++ b/gateway/BackendPool.hpp
@@ -48,6 +48,9 @@
     /// An answer of the server changed its request limit.
     std::function<void(const BackendEntry& aEntry, LimitChange aChange)>
       onLimitChanged_;
+    /// The server said in an answer that it remains cold for aRemainingMs.
+    std::function<void(const BackendEntry& aEntry, TimeMs aRemainingMs)>
+      onCold_;
   };
 
   BackendPool(EventLoop& aLoop,
@@ -63,6 +66,10 @@
   /// is removed.
   void Update(const std::map<std::string, BackendEntry>& aEntries,
               const std::set<std::string>& aChanged);
+  /// Sets the failure domains whose servers are to get no requests.
+  void SetEvacuatedDomains(std::set<std::string> aDomains);
+  /// Whether all servers of the service are in evacuated failure domains.
+  bool IsEvacuated(const std::string& aService) const;
   BackendPtr Find(const std::string& aId) const;
   /// The registered server with that BackendEntry::IncarnationHash().
   BackendPtr FindIncarnation(uint32_t aHash) const;
@@ -92,6 +99,7 @@
   friend class BackendConnection;
 
   BackendPtr NewBackend(const BackendEntry& aEntry);
+  void ApplyState(const BackendEntry& aEntry, Backend& aBackend) const;
   void Add(const BackendPtr& aBackend);
   void Remove(const BackendPtr& aBackend);
   /// Marks a server as ended because a later one has its address. Registrations
@@ -108,6 +116,8 @@
                     TimeMs aSentMs);
   void OnMalformedLimit(Backend& aBackend, std::string_view aText);
   void OnMalformedLoad(Backend& aBackend, std::string_view aText);
+  void OnCold(const Backend& aBackend, TimeMs aRemainingMs);
+  void OnMalformedColdTime(Backend& aBackend, std::string_view aText);
   void CloseIdleOf(Backend& aBackend);
   void RecordServiceTime(const Backend& aBackend, double aLatencyMs);
   void Release(const std::shared_ptr<BackendConnection>& aConnection,
@@ -126,6 +136,7 @@
   std::unordered_map<uint32_t, BackendPtr> byIncarnation_;
   /// The server that started last at each address.
   std::unordered_map<std::string, BackendPtr> byAddress_;
+  std::set<std::string> evacuatedDomains_;
   MovingAverages serviceTimeMs_;
   int64_t opened_ = 0;
   std::minstd_rand random_;
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -69,6 +69,7 @@
           std::move(aPoolHandlers))
   , admission_(std::random_device{}())
   , limiter_(aLimiter)
+  , cold_(limits_.gateway_)
   , requestBudget_(std::make_shared<ByteBudget>(limits_.memoryBytes_ /
                                                 detail::kRequestMemoryDivisor))
   , responseBudget_(std::make_shared<ByteBudget>(
@@ -117,6 +118,24 @@
   }
 }
 
+void Forwarder::SetEvacuatedDomains(std::set<std::string> aDomains)
+{
+  pool_.SetEvacuatedDomains(std::move(aDomains));
+  AssignPreferredBackends();
+  ScheduleDispatch();
+}
+
+ColdLimits Forwarder::ColdLimitsOf(const std::string& aService) const
+{
+  const auto* service =
+    routes_ == nullptr ? nullptr : routes_->Service(aService);
+  if (service == nullptr || service->coldPerSecond_ <= 0) {
+    return {};
+  }
+  return { service->coldPerSecond_ * limits_.coldOvershoot_,
+           limits_.coldSlack_ };
+}
+
 void Forwarder::SetRetryLimits(double aRatio, double aExtra)
 {
   limits_.retryRatio_ = aRatio;
@@ -198,13 +217,30 @@
 
 bool Forwarder::IsSelectable(const Backend& aBackend, TimeMs aNowMs)
 {
-  return aBackend.TakesRequests(aNowMs) &&
+  return aBackend.TakesRequests(aNowMs) && MaySendCold(aBackend, aNowMs) &&
          CheckPermit(aBackend).verdict_ != PermitVerdict::Denied;
 }
 
+bool Forwarder::MaySendCold(const Backend& aBackend, TimeMs aNowMs)
+{
+  if (!aBackend.IsCold(aNowMs)) {
+    return true;
+  }
+  const auto limits = ColdLimitsOf(aBackend.entry_.service_);
+  return limits.perSecond_ <= 0 ||
+         cold_.MaySend(aBackend.incarnationHash_, limits, aNowMs);
+}
+
 void Forwarder::TakePermit(const Backend& aBackend)
 {
   limiter_.Take(aBackend.incarnationHash_);
+  const TimeMs nowMs = loop_.NowMs();
+  if (aBackend.IsCold(nowMs)) {
+    const auto limits = ColdLimitsOf(aBackend.entry_.service_);
+    if (limits.perSecond_ > 0) {
+      cold_.OnSent(aBackend.incarnationHash_, limits, nowMs);
+    }
+  }
 }
 
 BackendChoice Forwarder::ChooseBackend(const ForwardedRequest& aRequest)
@@ -214,6 +250,12 @@
   if (service == nullptr) {
     service = &kUnknown;
   }
+  if (pool_.IsEvacuated(aRequest.Service())) {
+    BackendChoice choice;
+    choice.cause_ = "evacuated";
+    choice.retryAfterMs_ = RandomRetryAfterMs(aRequest.RemainingMs());
+    return choice;
+  }
   if (service->keyed_ && aRequest.Caller().key_) {
     return ChooseOwner(aRequest, *service);
   }
@@ -273,6 +315,7 @@
   if (usable.empty()) {
     ApplyPause(backends, choice);
     ApplyLimits(backends, choice);
+    ApplyCold(backends, choice);
   }
   if (decision.verdict_ == PlacementVerdict::Send) {
     choice.backend_ = usable[decision.index_];
@@ -314,6 +357,27 @@
   }
 }
 
+void Forwarder::ApplyCold(const std::vector<BackendPool::BackendPtr>& aAll,
+                          BackendChoice& aChoice)
+{
+  const TimeMs nowMs = loop_.NowMs();
+  TimeMs waitMs = INT64_MAX;
+  for (const auto& backend : aAll) {
+    if (backend->TakesRequests(nowMs) && !MaySendCold(*backend, nowMs)) {
+      waitMs = std::min({ waitMs,
+                          backend->coldUntilMs_ - nowMs,
+                          cold_.WaitMs(backend->incarnationHash_,
+                                       ColdLimitsOf(backend->entry_.service_),
+                                       nowMs) });
+    }
+  }
+  if (waitMs != INT64_MAX) {
+    aChoice.retryAfterMs_ = std::max(waitMs, aChoice.retryAfterMs_);
+    aChoice.cause_ = "all-cold";
+    metrics_.OnColdRefusal(aAll.front()->entry_.service_);
+  }
+}
+
 void Forwarder::AddSampledBackends(
   const std::vector<BackendPool::BackendPtr>& aAll,
   std::vector<BackendPool::BackendPtr>& aUsable)
@@ -365,7 +429,9 @@
       static_cast<double>(aRequest.ElapsedMs()) <
       static_cast<double>(route.objectiveMs_) * detail::kMoveWaitShare;
     // The keys of a server that leaves are about to move.
-    const bool leaves = backend != nullptr && !backend->entry_.TakesNewWork();
+    const bool leaves =
+      backend != nullptr &&
+      (!backend->entry_.TakesNewWork() || backend->evacuated_);
     const bool moving = owner != nullptr && (!owner->active_ || leaves);
     choice.verdict_ =
       moving && mayWait ? PlacementVerdict::Wait : PlacementVerdict::Refuse;
@@ -393,9 +459,31 @@
   if (choice.verdict_ == PlacementVerdict::Send) {
     RequirePermit(aRequest, choice);
   }
+  if (choice.verdict_ == PlacementVerdict::Send) {
+    CheckColdOwner(aRequest, choice);
+  }
   return choice;
 }
 
+void Forwarder::CheckColdOwner(const ForwardedRequest& aRequest,
+                               BackendChoice& aChoice)
+{
+  const auto& backend = *aChoice.backend_;
+  const TimeMs nowMs = loop_.NowMs();
+  if (MaySendCold(backend, nowMs)) {
+    return;
+  }
+  const auto& service = backend.entry_.service_;
+  const TimeMs waitMs = std::min(
+    cold_.WaitMs(backend.incarnationHash_, ColdLimitsOf(service), nowMs),
+    backend.coldUntilMs_ - nowMs);
+  aChoice.verdict_ = PlacementVerdict::Refuse;
+  aChoice.cause_ = "owner-cold";
+  aChoice.retryAfterMs_ =
+    std::max(waitMs, RandomRetryAfterMs(aRequest.RemainingMs()));
+  metrics_.OnColdRefusal(service);
+}
+
 void Forwarder::RequirePermit(const ForwardedRequest& aRequest,
                               BackendChoice& aChoice)
 {
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -14,6 +14,7 @@
 #include "policy/RequestLimiter.hpp"
 #include "policy/RetryBudget.hpp"
 #include "routing/RouteTable.hpp"
+#include "scheduling/ColdGuard.hpp"
 
 #include <functional>
 #include <list>
@@ -35,6 +36,11 @@
   double retryExtra_ = 56;
   std::string failureDomain_;
   size_t memoryBytes_ = size_t{ 256 } << 20; ///< limit of this process
+  /// Requests to a cold server, relative to what its service is configured for,
+  /// and those that may exceed it in one second.
+  double coldOvershoot_ = 1;
+  double coldSlack_ = 0;
+  uint32_t gateway_ = 0; ///< hash of this gateway's name
 };
 
 /// Decision where to send a request.
@@ -69,6 +75,11 @@
   /// servers this gateway prefers and its share of the limits.
   void SetGateways(const std::string& aSelf,
                    const std::vector<NodeLocation>& aGateways);
+  /// Sets the failure domains whose servers are to get no requests.
+  void SetEvacuatedDomains(std::set<std::string> aDomains);
+  /// Limits of the service's cold servers; {} if there are none.
+  ColdLimits ColdLimitsOf(const std::string& aService) const;
+  ColdGuard& Cold() { return cold_; }
   /// Replaces the limits on retries.
   void SetRetryLimits(double aRatio, double aExtra);
   /// Schedules a dispatch of the queued requests after key owners or servers
@@ -150,6 +161,15 @@
                    BackendChoice& aChoice);
   /// Whether the server's limit lets it get a request without a key.
   PermitDecision CheckPermit(const Backend& aBackend);
+  /// Whether the server is warm, or may get another request while it is cold.
+  /// Not to be asked for requests that a broker has assigned.
+  bool MaySendCold(const Backend& aBackend, TimeMs aNowMs);
+  /// Refuses the request if the chosen owner is cold and had its requests.
+  void CheckColdOwner(const ForwardedRequest& aRequest, BackendChoice& aChoice);
+  /// If servers that could get requests are cold, makes the rejection last
+  /// until one of them may get another.
+  void ApplyCold(const std::vector<BackendPool::BackendPtr>& aAll,
+                 BackendChoice& aChoice);
   /// Whether the server may get a request without a key, now or once the leader
   /// has issued a permit.
   bool IsSelectable(const Backend& aBackend, TimeMs aNowMs);
@@ -182,6 +202,7 @@
   BackendPool pool_;
   OwnerAdmission admission_;
   RequestLimiter& limiter_;
+  ColdGuard cold_;
   std::shared_ptr<ByteBudget> requestBudget_;
   std::shared_ptr<ByteBudget> responseBudget_;
   TimeMs exitMs_ = INT64_MAX;
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -95,7 +95,10 @@
                { settings_.retryRatio_,
                  settings_.retryExtra_,
                  settings_.failureDomain_,
-                 settings_.memoryBytes_ },
+                 settings_.memoryBytes_,
+                 settings_.coldOvershoot_,
+                 settings_.coldSlack_,
+                 ShortHash(settings_.instance_) },
                limiter_,
                [this] { gossip_.OnSuspectsChanged(); },
                { [this](const BackendEntry& aEntry) {
@@ -103,6 +106,9 @@
                 },
                  [this](const BackendEntry& aEntry, LimitChange aChange) {
                    OnLimitChanged(aEntry.IncarnationHash(), aChange);
+                 },
+                 [this](const BackendEntry& aEntry, TimeMs aRemainingMs) {
+                   OnCold(aEntry, aRemainingMs);
                  } })
   , limits_(aLoop, aLog, metrics_, limiter_, forwarder_.Pool())
   , callers_(aLoop, forwarder_)
@@ -172,6 +178,22 @@
                           }
                         }
                       } })
+  , evacuations_(
+      aLoop,
+      aLog,
+      store_,
+      registry_,
+      platform_.registry_.EvacuationKind(),
+      settings_.evacuationMs_ > 0,
+      { [this](const EvacuationSet::Domains& aEnded, bool aFromStore) {
+         OnEvacuationsChanged(aEnded, aFromStore);
+       },
+        [this](const std::string& aDomain) {
+          return std::ranges::any_of(
+            directory_.Entries(), [&](const auto& aEntry) {
+              return aEntry.second.failureDomain_ == aDomain;
+            });
+        } })
   , election_(aLoop,
               aLog,
               store_,
@@ -208,12 +230,9 @@
           -> const std::vector<KeyOwnerMap::Range>& {
           return forwarder_.Keys().Ranges(aService);
         },
-        [this](const BackendEntry& aEntry) {
-          // Called for all servers many times a second; hashing costs.
-          return limiter_.Limits().IsEmpty()
-                   ? ServerLimits::kUnlimited
-                   : limiter_.Limits().SettledRate(aEntry.IncarnationHash(),
-                                                   loop_.NowMs());
+        [this](const BackendEntry& aEntry) { return RequestLimitOf(aEntry); },
+        [this](const std::string& aDomain) {
+          return evacuations_.IsEvacuated(aDomain);
         } })
   , relay_(
       aLoop,
@@ -229,6 +248,7 @@
          configWatcher_.SetActive(aConfig);
          backendWatcher_.SetActive(aAll);
          gatewayWatcher_.SetActive(aAll);
+         evacuations_.SetActive(aAll);
        },
         [this](const std::vector<BackendEntry>& aEntries, int64_t aRevision) {
           relayedDirectory_ = true;
@@ -273,12 +293,23 @@
       relay_,
       forwarder_,
       limits_,
+      evacuations_,
       { [this] { return configVersion_; },
         [this](size_t aMost) { return directory_.LeavingIncarnations(aMost); },
         [this](const std::vector<int32_t>& aLives) {
           if (directory_.MarkLeaving(aLives)) {
             OnBackendsChanged();
           }
+        },
+        [this](size_t aMost) {
+          return directory_.TakeColdNotices(aMost, loop_.NowMs());
+        },
+        [this](const std::vector<ColdNotice>& aServers) {
+          const bool changed = directory_.MarkCold(aServers, loop_.NowMs());
+          if (changed) {
+            OnBackendsChanged();
+          }
+          return changed;
         } })
   , changesTimer_(aLoop, [this] { ApplyBackendChanges(); })
   , housekeepTimer_(aLoop, [this] { Housekeep(); })
@@ -342,11 +373,13 @@
                          configWatcher_.Refresh();
                          backendWatcher_.Refresh();
                          gatewayWatcher_.Refresh();
+                         evacuations_.Refresh();
                        },
                        [this] { OnStoreRestored(); } });
   configWatcher_.Start();
   backendWatcher_.Start();
   gatewayWatcher_.Start();
+  evacuations_.Start();
 }
 
 void Gateway::OnStoreRestored()
@@ -354,6 +387,7 @@
   configWatcher_.OnRestored();
   backendWatcher_.OnRestored();
   gatewayWatcher_.OnRestored();
+  evacuations_.OnStoreRestored();
   directory_.OnStoreRestored(loop_.NowMs());
   election_.OnStoreRestored();
   coordinator_.OnStoreRestored();
@@ -432,6 +466,12 @@
       LogLevel::Warning,
       "backend-unreadable",
       { { "backend", aObject.name_ }, { "findings", findings.ToText() } });
+  } else if (!findings.IsEmpty()) {
+    metrics_.OnServerNotice("malformed-cold-time", aObject.name_);
+    log_.Write(
+      LogLevel::Warning,
+      "backend-findings",
+      { { "backend", aObject.name_ }, { "findings", findings.ToText() } });
   }
   return entry;
 }
@@ -462,12 +502,13 @@
   }
   const TimeMs nowMs = loop_.NowMs();
   const auto digest = directory_.Digest();
+  bool becameCold = false;
   wire::Gossip changes;
   for (const auto& event : LatestEventPerObject(aEvents)) {
     const auto entry =
       event.removed_ ? std::nullopt : DecodeBackend(event.object_);
     if (entry) {
-      directory_.ApplyPut(*entry, nowMs);
+      becameCold |= directory_.ApplyPut(*entry, nowMs);
       StoreRelay::AddChange(*entry, false, changes);
     } else {
       // A server whose entry cannot be decoded is removed.
@@ -488,7 +529,7 @@
   OnBackendsChanged();
   // Heartbeats of servers that are warming up change nothing that other
   // gateways need.
-  if (directory_.Digest() != digest) {
+  if (directory_.Digest() != digest || becameCold) {
     gossip_.BroadcastRegistrations(std::move(changes.changes));
   }
 }
@@ -510,6 +551,83 @@
   gossip_.SendServerNotices();
 }
 
+void Gateway::OnEvacuationsChanged(const EvacuationSet::Domains& aEnded,
+                                   bool aFromStore)
+{
+  // The servers may have become cold while they got no requests, and must be
+  // known to be cold before they get any.
+  const TimeMs nowMs = loop_.NowMs();
+  for (const auto& [id, entry] : directory_.Entries()) {
+    const auto routes = forwarder_.Routes();
+    const auto* service =
+      routes == nullptr ? nullptr : routes->Service(entry.service_);
+    if (service != nullptr && service->coldPerSecond_ > 0 &&
+        aEnded.contains(entry.failureDomain_)) {
+      directory_.MarkCold(id, entry.startTimeMs_, service->coldMs_, nowMs);
+    }
+  }
+  ApplyBackendChanges();
+  forwarder_.SetEvacuatedDomains(evacuations_.Set().All());
+  if (aFromStore) {
+    gossip_.BroadcastState();
+  }
+}
+
+void Gateway::OnCold(const BackendEntry& aEntry, TimeMs aRemainingMs)
+{
+  if (directory_.MarkCold(
+        aEntry.id_, aEntry.startTimeMs_, aRemainingMs, loop_.NowMs())) {
+    log_.Write(LogLevel::Info,
+               "backend-cold",
+               { { "backend", aEntry.id_ },
+                 { "service", aEntry.service_ },
+                 { "remaining_ms", aRemainingMs } });
+    OnBackendsChanged();
+    gossip_.SendServerNotices();
+  }
+}
+
+ColdLimits Gateway::ColdLimitsOf(const std::string& aService) const
+{
+  return forwarder_.ColdLimitsOf(aService);
+}
+
+double Gateway::RequestLimitOf(const BackendEntry& aEntry) const
+{
+  const TimeMs nowMs = loop_.NowMs();
+  // Called for all servers many times a second; hashing costs.
+  double limit =
+    limiter_.Limits().IsEmpty()
+      ? ServerLimits::kUnlimited
+      : limiter_.Limits().SettledRate(aEntry.IncarnationHash(), nowMs);
+  if (aEntry.coldUntilMs_ > nowMs) {
+    const auto cold = ColdLimitsOf(aEntry.service_);
+    if (cold.perSecond_ > 0) {
+      limit = std::min(limit, cold.perSecond_);
+    }
+  }
+  return limit;
+}
+
+void Gateway::ReportColdServers()
+{
+  const auto routes = forwarder_.Routes();
+  if (routes == nullptr) {
+    return;
+  }
+  const TimeMs nowMs = loop_.NowMs();
+  for (const auto& [name, service] : routes->Config().services_) {
+    if (service.coldPerSecond_ > 0) {
+      const auto& backends = forwarder_.Pool().OfService(name);
+      metrics_.SetColdServers(name,
+                              static_cast<size_t>(std::ranges::count_if(
+                                backends, [&](const auto& aBackend) {
+                                  return aBackend->IsCold(nowMs);
+                                })));
+    }
+  }
+}
+
 void Gateway::OnCommandNotice(const CommandSender::Notice& aNotice)
 {
   if (aNotice.leaving_) {
@@ -731,7 +849,8 @@
 
 bool Gateway::IsReady() const
 {
-  return drainStartMs_ == 0 && configVersion_ > 0 && HasDirectory();
+  return drainStartMs_ == 0 && configVersion_ > 0 && HasDirectory() &&
+         evacuations_.IsSettled();
 }
 
 std::string Gateway::MetricsText()
@@ -756,6 +875,7 @@
     .Set(static_cast<double>(forwarder_.ResponseBudget()->UsedBytes()));
   registry_.GetGauge("cactuspitch_backend_connections_opened")
     .Set(static_cast<double>(forwarder_.Pool().ConnectionsOpened()));
+  ReportColdServers();
   return registry_.ToPrometheus();
 }
 
@@ -766,12 +886,14 @@
   if (backendWatcher_.IsActive()) {
     directory_.AdvanceTo(backendWatcher_.Revision());
   }
+  evacuations_.Update();
   if (directory_.Expire(nowMs)) {
     OnBackendsChanged();
   }
   if (housekeepingRounds_ % detail::kCloseIdleRounds == 0) {
     forwarder_.Pool().CloseIdle();
     limiter_.Expire(nowMs);
+    forwarder_.Cold().Expire(nowMs);
   }
   ReadKeyTable();
   ReadMembers();
@@ -783,6 +905,11 @@
     auto gateways = mesh_.AliveGateways(nowMs);
     gateways.emplace_back(settings_.instance_, settings_.failureDomain_);
     forwarder_.SetGateways(settings_.instance_, gateways);
+    std::vector<uint32_t> known;
+    for (const auto& [name, peer] : mesh_.Peers()) {
+      known.push_back(ShortHash(name));
+    }
+    forwarder_.Cold().SetGateways(std::move(known));
   }
   const bool ready = IsReady();
   if (ready != std::exchange(wasReady_, ready)) {
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "common/Findings.hpp"
 #include "gateway/CallerConnection.hpp"
+#include "gateway/EvacuationWatch.hpp"
 #include "gateway/EventLog.hpp"
 #include "gateway/Forwarder.hpp"
 #include "gateway/GatewayMetrics.hpp"
@@ -58,6 +59,15 @@
   std::optional<BackendEntry> DecodeBackend(const StoreObject& aObject);
   /// The store was restored from an older copy.
   void OnStoreRestored();
+  void OnEvacuationsChanged(const EvacuationSet::Domains& aEnded,
+                            bool aFromStore);
+  /// A server told in an answer that it is cold.
+  void OnCold(const BackendEntry& aEntry, TimeMs aRemainingMs);
+  /// Limits of the service's cold servers; {} if there are none.
+  ColdLimits ColdLimitsOf(const std::string& aService) const;
+  /// Requests per second that the server takes from all gateways together.
+  double RequestLimitOf(const BackendEntry& aEntry) const;
+  void ReportColdServers();
   /// A server announced that it leaves.
   void OnLeaving(const std::string& aBackend, int64_t aStartTimeMs);
   /// A backend server's response to a command.
@@ -110,6 +120,7 @@
   StoreWatcher configWatcher_;
   StoreWatcher backendWatcher_;
   StoreWatcher gatewayWatcher_;
+  EvacuationWatch evacuations_;
   LeaderElection election_;
   FleetLoadTable fleetLoads_;
   KeyCoordinator coordinator_;
--- a/gateway/GatewayMetrics.cpp
+++ b/gateway/GatewayMetrics.cpp
@@ -56,6 +56,19 @@
   registry_.GetGauge("cactuspitch_server_limit_share", labels).Set(aShare);
 }
 
+void GatewayMetrics::OnColdRefusal(const std::string& aService)
+{
+  registry_
+    .GetCounter("cactuspitch_cold_refused_total", { { "service", aService } })
+    .Add();
+}
+
+void GatewayMetrics::SetColdServers(const std::string& aService, size_t aCount)
+{
+  registry_.GetGauge("cactuspitch_cold_servers", { { "service", aService } })
+    .Set(static_cast<double>(aCount));
+}
+
 void GatewayMetrics::OnAttempt(std::string_view aEnd)
 {
   auto found = attempts_.find(aEnd);
--- a/gateway/GatewayMetrics.hpp
+++ b/gateway/GatewayMetrics.hpp
@@ -23,6 +23,9 @@
   /// The server's request limit and this gateway's equal share of it, in
   /// requests per second; 0 for none.
   void SetLimit(const std::string& aBackend, double aLimit, double aShare);
+  /// A request was rejected because cold servers of the service had theirs.
+  void OnColdRefusal(const std::string& aService);
+  void SetColdServers(const std::string& aService, size_t aCount);
   void OnRetry() { retries_.Add(); }
   void OnConnection() { connections_.Add(); }
   Gauge& QueuedRequests() { return queuedRequests_; }
--- a/gateway/GossipAgent.cpp
+++ b/gateway/GossipAgent.cpp
@@ -29,6 +29,8 @@
 constexpr size_t kMaxLeavingServers = 100;
 /// Registrations in one datagram: about one kilobyte.
 constexpr size_t kMaxRegistrations = 12;
+/// Cold servers in one datagram: less than half a kilobyte.
+constexpr size_t kMaxColdNotices = 32;
 constexpr double kUsPerMs = 1000;
 constexpr double kAdmissionScale = 1000;
 /// Gateways to which a follower in a large fleet sends each second. They are
@@ -48,6 +50,7 @@
                          StoreRelay& aRelay,
                          Forwarder& aForwarder,
                          LimitGossip& aLimits,
+                         EvacuationWatch& aEvacuations,
                          Handlers aHandlers)
   : loop_(aLoop)
   , self_(std::move(aSelf))
@@ -58,12 +61,17 @@
   , relay_(aRelay)
   , forwarder_(aForwarder)
   , limits_(aLimits)
+  , evacuations_(aEvacuations)
   , handlers_(std::move(aHandlers))
   , timer_(aLoop, [this] { Tick(); })
   , keyChangeTimer_(aLoop, [this] { SendKeyChanges(); })
   , suspects_(aForwarder.Crashes().Quarantine())
   , suspectTimer_(aLoop, [this] { SendSuspects(); })
-  , serverNoticeTimer_(aLoop, [this] { SendToLeaderOrAll(MakeGossip()); })
+  , serverNoticeTimer_(aLoop, [this] {
+    auto gossip = MakeGossip();
+    FillColdServers(gossip);
+    SendToLeaderOrAll(gossip);
+  })
 {
 }
 
@@ -88,6 +96,7 @@
   gossip.suspectDigest = static_cast<int64_t>(suspects_.Digest(loop_.NowMs()));
   gossip.leavingServers = handlers_.leavingServers_(detail::kMaxLeavingServers);
   limits_.AddNotices(gossip);
+  evacuations_.AddState(gossip);
   relay_.AddStoreState(gossip);
   return gossip;
 }
@@ -97,6 +106,7 @@
   timer_.Start(detail::kGossipIntervalMs);
   ++rounds_;
   auto gossip = MakeGossip();
+  FillColdServers(gossip);
   if (election_.IsLeading()) {
     SendAsLeader(gossip);
   } else {
@@ -195,6 +205,31 @@
   }
 }
 
+void GossipAgent::FillColdServers(wire::Gossip& aGossip)
+{
+  for (const auto& notice : handlers_.coldServers_(detail::kMaxColdNotices)) {
+    wire::ColdServer server;
+    server.server = notice.server_;
+    server.remainingMs = static_cast<int32_t>(
+      std::min<TimeMs>(notice.remainingMs_, BackendDirectory::kMaxColdMs));
+    aGossip.coldServers.push_back(server);
+  }
+}
+
+void GossipAgent::ApplyColdServers(const wire::Gossip& aGossip)
+{
+  if (aGossip.coldServers.empty()) {
+    return;
+  }
+  std::vector<ColdNotice> notices;
+  for (const auto& server : aGossip.coldServers) {
+    notices.push_back({ server.server, server.remainingMs });
+  }
+  if (handlers_.onCold_(notices) && election_.IsLeading()) {
+    SendServerNotices();
+  }
+}
+
 void GossipAgent::SendServerNotices()
 {
   if (!serverNoticeTimer_.IsActive()) {
@@ -399,6 +434,8 @@
   if (!aGossip.leavingServers.empty()) {
     handlers_.onLeaving_(aGossip.leavingServers);
   }
+  ApplyColdServers(aGossip);
+  evacuations_.OnGossip(aGossip);
   ApplyLimits(aGossip, aOrigin);
   ApplySuspects(aGossip);
   SyncSuspects(aGossip, aOrigin);
--- a/gateway/GossipAgent.hpp
+++ b/gateway/GossipAgent.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/EvacuationWatch.hpp"
 #include "gateway/Forwarder.hpp"
 #include "gateway/KeyCoordinator.hpp"
 #include "gateway/KeyGossip.hpp"
@@ -38,6 +39,10 @@
     /// Another gateway sent the hashes of servers that announced their
     /// shutdown.
     std::function<void(const std::vector<int32_t>& aServers)> onLeaving_;
+    /// At most aMaxCount cold servers.
+    std::function<std::vector<ColdNotice>(size_t aMaxCount)> coldServers_;
+    /// Another gateway told of cold servers. Returns true if one was news.
+    std::function<bool(const std::vector<ColdNotice>& aServers)> onCold_;
   };
 
   GossipAgent(EventLoop& aLoop,
@@ -49,6 +54,7 @@
               StoreRelay& aRelay,
               Forwarder& aForwarder,
               LimitGossip& aLimits,
+              EvacuationWatch& aEvacuations,
               Handlers aHandlers);
 
   void Start();
@@ -61,11 +67,14 @@
   void OnLeadershipChanged();
   /// Sends changed registrations that this gateway has read from the store.
   void BroadcastRegistrations(std::vector<wire::BackendChange> aChanges);
+  /// Sends the state that every datagram carries to all gateways.
+  void BroadcastState() { mesh_.SendToAll(MakeGossip()); }
   /// Must be called on the leader when owners of keys change. Changes are
   /// batched, applied to this gateway and sent to all others.
   void OnKeysChanged();
-  /// Sends the servers that announced their shutdown or a limit to the leader,
-  /// or to all gateways if this process leads or knows no leader.
+  /// Sends the servers that announced their shutdown or a limit, and those
+  /// that are cold, to the leader, or to all gateways if this process leads or
+  /// knows no leader.
   void SendServerNotices();
   /// Sends this gateway's due requests for permits to the leader.
   void SendPermitRequests();
@@ -80,6 +89,8 @@
   /// A datagram with the state that every datagram carries.
   wire::Gossip MakeGossip();
   void SendToLeaderOrAll(const wire::Gossip& aGossip);
+  void FillColdServers(wire::Gossip& aGossip);
+  void ApplyColdServers(const wire::Gossip& aGossip);
   static void FillSuspects(const std::vector<CrashSuspect>& aSuspects,
                            wire::Gossip& aGossip);
   void ScheduleSendSuspects();
@@ -111,6 +122,7 @@
   StoreRelay& relay_;
   Forwarder& forwarder_;
   LimitGossip& limits_;
+  EvacuationWatch& evacuations_;
   Handlers handlers_;
   KeyGossip keyGossip_;
   Timer timer_;
--- a/gateway/KeyCoordinator.cpp
+++ b/gateway/KeyCoordinator.cpp
@@ -213,7 +213,6 @@
   const std::map<std::string, BackendEntry>& aEntries,
   const std::set<std::string>& aChanged)
 {
-  const TimeMs nowMs = loop_.NowMs();
   for (const auto& id : aChanged) {
     const auto entry = aEntries.find(id);
     if (entry == aEntries.end()) {
@@ -224,11 +223,6 @@
     if (Endpoint::Parse(entry->second.address_, endpoint)) {
       sender_.SetServer(id, endpoint, entry->second.startTimeMs_);
     }
-    const auto known = backends_.find(id);
-    if (known == backends_.end() ||
-        known->second.startTimeMs_ != entry->second.startTimeMs_) {
-      warmAtMs_[id] = nowMs + entry->second.coldRemainingMs_;
-    }
     backends_[id] = entry->second;
   }
   UpdateCandidates();
@@ -292,7 +286,8 @@
       }
       OwnerCandidate candidate;
       candidate.startTimeMs_ = entry.startTimeMs_;
-      candidate.usable_ = entry.TakesNewWork();
+      candidate.usable_ =
+        entry.TakesNewWork() && !handlers_.isEvacuated_(entry.failureDomain_);
       double speed = 1;
       if (const double serviceTimeMs = fleetLoads_.ServiceTimeMs(ShortHash(id));
           serviceTimeMs > 0) {
@@ -300,7 +295,7 @@
           meanMs / serviceTimeMs, detail::kMinSpeed, detail::kMaxSpeed);
       }
       candidate.capacity_ = entry.slots_ * speed;
-      if (nowMs < warmAtMs_[id]) {
+      if (nowMs < entry.coldUntilMs_) {
         candidate.capacity_ *= detail::kColdCapacity;
       }
       candidate.capacity_ = std::min(
--- a/gateway/KeyCoordinator.hpp
+++ b/gateway/KeyCoordinator.hpp
@@ -47,6 +47,8 @@
     /// Requests per second to which the server has limited itself for longer
     /// than a short time; infinite without a limit.
     std::function<double(const BackendEntry& aEntry)> requestLimit_;
+    /// Whether the servers of the failure domain are to own no keys.
+    std::function<bool(const std::string& aDomain)> isEvacuated_;
   };
 
   KeyCoordinator(EventLoop& aLoop,
@@ -143,7 +145,6 @@
   std::map<std::string, KeySegments> written_; ///< segments in the last write
   std::set<std::string> keyedServices_;
   std::map<std::string, BackendEntry> backends_;
-  std::map<std::string, TimeMs> warmAtMs_;
   std::map<std::string, std::unique_ptr<KeyOwnership>> services_;
   std::map<std::string, uint64_t> reportedRevisions_;
   std::map<std::string, KeyLoad> loads_;
--- a/tests/GatewayFixture.cpp
+++ b/tests/GatewayFixture.cpp
@@ -126,6 +126,7 @@
   settings.retryExtra_ = 50;
   settings.graceMs_ = 6000;
   settings.maxHoldMs_ = 10000;
+  settings.evacuationMs_ = 5000;
   return settings;
 }
 
--- a/tests/UntrustedInputTest.cpp
+++ b/tests/UntrustedInputTest.cpp
@@ -1,4 +1,5 @@
 #include "common/JsonText.hpp"
+#include "common/ShortHash.hpp"
 #include "common/Strings.hpp"
 #include "gateway/GatewaySettings.hpp"
 #include "gossip_types.h"
@@ -85,6 +86,7 @@
     aPlace(change.address);
     aPlace(change.failureDomain);
   }
+  std::ranges::for_each(aGossip.evacuatedDomains, aPlace);
 }
 
 /// Later than the term of the gateway.
@@ -117,6 +119,8 @@
   gossip.changes.front().serviceName = "plain";
   gossip.changes.front().address = "127.0.0.1:1";
   gossip.changes.front().slots = 1;
+  gossip.evacuatedDomains = { "elsewhere" };
+  gossip.coldServers.resize(1);
   return gossip;
 }
 
@@ -238,6 +242,12 @@
         aName = bytes;
       }
     });
+    // Only a later revision replaces the drawn domain.
+    gossip.evacuationRevision =
+      MakeRevision(fixture_.Store().Era(), fixture_.Store().Revision() + 1);
+    gossip.coldServers.front().server = *rc::gen::element(
+      static_cast<int32_t>(IncarnationHash("p0", 1)), 0, INT32_MIN);
+    gossip.coldServers.front().remainingMs = *rc::gen::arbitrary<int32_t>();
     SendDatagram(fixture_.Settings().peerListen_, Encode(gossip));
     auto noise = Encode(gossip);
     if (!noise.empty()) {
@@ -304,6 +314,15 @@
     fixture_.Store().Put("servers", text.substr(0, kMaxNameBytes), spec);
     fixture_.RunFor(5);
   }
+  void StoredEvacuation()
+  {
+    const auto bytes = DrawBytes().substr(0, kMaxNameBytes);
+    const auto name = IsUtf8(bytes) ? bytes : Concat("i", bytes.size(), "\r\n");
+    fixture_.Store().Put("evacuations",
+                         name,
+                         *rc::gen::element<Json>(nullptr, "x", Json::array()));
+    fixture_.RunFor(5);
+  }
   void SettingsOfProcess()
   {
     const auto path =
@@ -341,7 +360,7 @@
 
 private:
   static constexpr size_t kMaxNameBytes = 1000;
-  static constexpr int kNames = 9; ///< in MakeGossip()
+  static constexpr int kNames = 10; ///< in MakeGossip()
 
   std::string answer_;
   std::string commandFields_;
@@ -359,7 +378,7 @@
   void (InputFeeder::*feed_)();
 };
 
-constexpr std::array<InputPath, 11> kInputPaths = { {
+constexpr std::array<InputPath, 12> kInputPaths = { {
   { "answer of a server to a request", &InputFeeder::AnswerToRequest },
   { "answer of a server to a command", &InputFeeder::AnswerToCommand },
   { "handover token", &InputFeeder::HandoverToken },
@@ -370,6 +389,7 @@
   { "call of another gateway", &InputFeeder::CallOfPeer },
   { "answer of the store", &InputFeeder::AnswerOfStore },
   { "entry in the store", &InputFeeder::StoredEntry },
+  { "evacuation in the store", &InputFeeder::StoredEvacuation },
   { "settings", &InputFeeder::SettingsOfProcess },
 } };
 
