--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -557,8 +557,8 @@
   // The servers may have become cold while they got no requests, and must be
   // known to be cold before they get any.
   const TimeMs nowMs = loop_.NowMs();
+  const auto routes = forwarder_.Routes();
   for (const auto& [id, entry] : directory_.Entries()) {
-    const auto routes = forwarder_.Routes();
     const auto* service =
       routes == nullptr ? nullptr : routes->Service(entry.service_);
     if (service != nullptr && service->coldPerSecond_ > 0 &&
--- a/tests/EvacuationTest.cpp
+++ b/tests/EvacuationTest.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -138,6 +139,39 @@
   EXPECT_EQ(RequestsTo(inY_), 0);
 }
 
+// Guards against gateways that don't watch the store and hear of an evacuation
+// late or never. Six gateways, three of which watch.
+TEST_F(EvacuationTest, ReachesGatewaysThatDoNotWatch)
+{
+  std::vector<Endpoint> gateways{ fixture_.GatewayAddress(), second_ };
+  for (const char* name : { "g3", "g4", "g5", "g6" }) {
+    gateways.push_back(fixture_.AddGateway(name));
+  }
+  // All gateways watch for at least 5 s after the start.
+  fixture_.RunFor(8 * kSecondMs);
+  const auto ask = [&] {
+    requests_.clear();
+    int failed = 0;
+    for (const auto& gateway : gateways) {
+      failed += IsServed(fixture_.SendToAndWait(
+                  gateway,
+                  GatewayFixture::MakeRequest("GET", "plain", Concat(++sent_))))
+                  ? 0
+                  : 1;
+    }
+    return failed;
+  };
+  Evacuate("z");
+  fixture_.RunFor(kChangeMs);
+  EXPECT_EQ(ask(), 0);
+  EXPECT_EQ(RequestsTo(inZ_), 0);
+  TakeBack("z");
+  Evacuate("y");
+  fixture_.RunFor(kChangeMs);
+  EXPECT_EQ(ask(), 0);
+  EXPECT_EQ(RequestsTo(inY_), 0);
+}
+
 // Guards against an evacuation that ends because the store is away, and against
 // a gateway that starts meanwhile and does not know of it.
 TEST_F(EvacuationTest, HoldsWithoutTheStoreAndOverARestart)
