--- a/gateway/GatewayMetrics.hpp
+++ b/gateway/GatewayMetrics.hpp
@@ -36,6 +36,9 @@
   /// Requests of that rank that wait at the brokers of this gateway.
   void SetSlotsWaiting(int aRank, int aCount);
   void SetSlotsInUse(size_t aCount);
+  /// A request was rejected because cold servers of the service had theirs.
+  void OnColdRefusal(const std::string& aService);
+  void SetColdServers(const std::string& aService, size_t aCount);
   void OnRetry() { retries_.Add(); }
   void OnConnection() { connections_.Add(); }
   Gauge& QueuedRequests() { return queuedRequests_; }
--- a/gateway/GossipAgent.hpp
+++ b/gateway/GossipAgent.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/EvacuationWatch.hpp"
 #include "gateway/Forwarder.hpp"
 #include "gateway/KeyCoordinator.hpp"
 #include "gateway/KeyGossip.hpp"
@@ -39,6 +40,10 @@
     /// Another gateway sent the hashes of servers that announced their
     /// shutdown.
     std::function<void(const std::vector<int32_t>& aServers)> onLeaving_;
+    /// At most aMaxCount cold servers.
+    std::function<std::vector<ColdNotice>(size_t aMaxCount)> coldServers_;
+    /// Another gateway told of cold servers. Returns true if one was news.
+    std::function<bool(const std::vector<ColdNotice>& aServers)> onCold_;
   };
 
   GossipAgent(EventLoop& aLoop,
@@ -51,6 +56,7 @@
               Forwarder& aForwarder,
               LimitGossip& aLimits,
               SlotExchange& aSlots,
+              EvacuationWatch& aEvacuations,
               Handlers aHandlers);
 
   void Start();
@@ -65,11 +71,14 @@
   void OnLeadershipChanged();
   /// Sends changed registrations that this gateway has read from the store.
   void BroadcastRegistrations(std::vector<wire::BackendChange> aChanges);
+  /// Sends the state that every datagram carries to all gateways.
+  void BroadcastState() { mesh_.SendToAll(MakeGossip()); }
   /// Must be called on the leader when owners of keys change. Changes are
   /// batched, applied to this gateway and sent to all others.
   void OnKeysChanged();
-  /// Sends the servers that announced their shutdown or a limit to the leader,
-  /// or to all gateways if this process leads or knows no leader.
+  /// Sends the servers that announced their shutdown or a limit, and those
+  /// that are cold, to the leader, or to all gateways if this process leads or
+  /// knows no leader.
   void SendServerNotices();
   /// Sends this gateway's due requests for permits to the leader.
   void SendPermitRequests();
@@ -82,6 +91,8 @@
   void SendAsLeader(wire::Gossip& aGossip);
   void SendAsFollower(wire::Gossip& aGossip);
   void SendToLeaderOrAll(const wire::Gossip& aGossip);
+  void FillColdServers(wire::Gossip& aGossip);
+  void ApplyColdServers(const wire::Gossip& aGossip);
   static void FillSuspects(const std::vector<CrashSuspect>& aSuspects,
                            wire::Gossip& aGossip);
   void ScheduleSendSuspects();
@@ -114,6 +125,7 @@
   Forwarder& forwarder_;
   LimitGossip& limits_;
   SlotExchange& slots_;
+  EvacuationWatch& evacuations_;
   Handlers handlers_;
   KeyGossip keyGossip_;
   Timer timer_;
--- a/scheduling/SlotScheduler.cpp
+++ b/scheduling/SlotScheduler.cpp
@@ -21,7 +21,7 @@
 /// Most requests take no longer than this multiple of the mean time.
 constexpr double kLikelyFactor = 1.5;
 /// Most waits are no longer than this multiple of the expected one.
-constexpr double kLikelyWaitFactor = 2;
+constexpr double kLikelyWaitFactor = 1.5;
 /// Expected wait while no server can be reached.
 constexpr double kUnreachableWaitMs = 300;
 /// Work owed to lower ranks is limited to what accrues in this time.
