--- a/scheduling/ServerSlots.cpp
+++ b/scheduling/ServerSlots.cpp
@@ -14,6 +14,9 @@
 constexpr double kOthersWeight = 0.4;
 constexpr double kPresentWeight = 0.08;
 constexpr double kMinPresentShare = 0.5;
+/// Requests that wait at an owner of keys, relative to the share that is on its
+/// way: the next one must be there when a slot gets free.
+constexpr double kAheadFactor = 4;
 constexpr double kOthersHalfLifeMs = 600;
 constexpr double kServerSpeedWeight = 0.08;
 constexpr double kMinSpeedFactor = 0.1;
@@ -204,7 +207,9 @@
 
 int ServerSlots::OwnerRoom(TimeMs aNowMs) const
 {
-  return RoomUpTo(Depth() + server_.slots_, aNowMs);
+  const double ahead =
+    std::min(1.0, detail::kAheadFactor * (1 - presentShare_)) * server_.slots_;
+  return RoomUpTo(Depth() + static_cast<int>(std::lround(ahead)), aNowMs);
 }
 
 int ServerSlots::RoomUpTo(int aDepth, TimeMs aNowMs) const
--- a/scheduling/ServerSlots.hpp
+++ b/scheduling/ServerSlots.hpp
@@ -54,8 +54,9 @@
   int Slots() const { return server_.slots_; }
   /// Requests that may be started now; of a cold server one at a time.
   int Room(TimeMs aNowMs) const;
-  /// The same for requests that no other server can run: as many as it has
-  /// slots wait at the server, so that it is never idle.
+  /// The same for requests that no other server can run: while requests are
+  /// long on their way, up to as many as it has slots wait at the server, so
+  /// that it is never idle.
   int OwnerRoom(TimeMs aNowMs) const;
   /// Slots that this scheduler can fill once they are free.
   double UsableSlots(TimeMs aNowMs) const;
