Count a release only if it overlapped no grant

A renewal in flight beside a release may reach the server after it and be answered before it. The leader took the release for the end of the lease and granted the keys to the next owner. The late answer of a release of an earlier move was misread in the same way.

Commands are numbered. A release ends a lease only if no grant of it was in flight when the release was sent or was sent since; otherwise it is repeated without the retry interval.

--- a/keyspace/KeyOwnership.cpp
+++ b/keyspace/KeyOwnership.cpp
@@ -32,6 +32,11 @@
          detail::kRoundingMs;
 }
 
+bool KeyOwnership::LeaseState::IsEndedBy(const KeyCommand& aRelease) const
+{
+  return inFlight_ == 0 && aRelease.number_ > lastBesideGrant_;
+}
+
 bool KeyOwnership::LeaseState::HasEnded(TimeMs aNowMs) const
 {
   return inFlight_ == 0 && unansweredEndMs_ <= aNowMs &&
@@ -379,7 +384,8 @@
                           segment.fence_,
                           0,
                           {},
-                          aNowMs });
+                          aNowMs,
+                          ++lastCommand_ });
     return;
   }
 }
@@ -418,7 +424,8 @@
                          segment.fence_,
                          timing_.leaseMs_,
                          state.handover_,
-                         aNowMs });
+                         aNowMs,
+                         ++lastCommand_ });
   }
   return commands;
 }
@@ -463,7 +470,12 @@
       state.releaseInFlight_ = false;
       if (aResult == KeyCommandResult::Accepted &&
           previous != state.previous_.end()) {
-        previous->second.released_ = true;
+        if (previous->second.IsEndedBy(aCommand)) {
+          previous->second.released_ = true;
+        } else if (previous->second.inFlight_ == 0) {
+          // The next release follows at once.
+          state.lastReleaseMs_ = 0;
+        }
         if (!aHandover.empty()) {
           state.handover_ = aHandover;
         }
@@ -481,8 +493,11 @@
       continue;
     }
     lease->inFlight_ = std::max(0, lease->inFlight_ - 1);
+    lease->lastBesideGrant_ = lastCommand_;
     if (isOwner) {
       state.lastGrantFailed_ = aResult != KeyCommandResult::Accepted;
+    } else {
+      state.lastReleaseMs_ = 0;
     }
     if (aResult == KeyCommandResult::Accepted) {
       lease->acceptedEndMs_ =
--- a/keyspace/KeyOwnership.hpp
+++ b/keyspace/KeyOwnership.hpp
@@ -102,6 +102,7 @@
   TimeMs leaseMs_ = 0;
   std::string handover_; ///< token from the previous owner; may be empty
   TimeMs sentMs_ = 0;
+  uint64_t number_ = 0; ///< ascending in the order of TakeCommands()
 };
 
 enum class KeyCommandResult : uint8_t
@@ -215,7 +216,12 @@
     bool fenced_ = false; ///< accepted a fence of this term: rejects older ones
     bool released_ = false;
     int inFlight_ = 0; ///< grant commands without a result yet
+    /// Number of the last command that was taken before a grant had its result.
+    uint64_t lastBesideGrant_ = 0;
 
+    /// Whether an accepted aRelease was executed after all grants. The server
+    /// may execute commands that overlap in time in any order.
+    bool IsEndedBy(const KeyCommand& aRelease) const;
     bool HasEnded(TimeMs aNowMs) const;
     bool WasNeverGranted() const;
   };
@@ -259,6 +265,7 @@
   std::optional<TimeMs> firstServerMs_;
   TimeMs newestServerMs_ = 0;
   uint64_t revision_ = 1;
+  uint64_t lastCommand_ = 0;
 };
 
 }
--- a/tests/KeyOwnershipTest.cpp
+++ b/tests/KeyOwnershipTest.cpp
@@ -271,6 +271,54 @@
   EXPECT_FALSE(Grants(Step(), "b", 0));
 }
 
+// Guards against two owners: the answer to a release of an earlier move proves
+// nothing about a grant that the server was sent since, because the next owner
+// left.
+TEST_F(KeyOwnershipTest, LateAnswerOfAnEarlierReleaseProvesNothing)
+{
+  Start();
+  SetServers({ "b", "c" });
+  const auto early = *Release(Step());
+  ASSERT_EQ(early.backend_, "a");
+  SetServers({ "a" });
+  std::vector<KeyCommand> grants;
+  for (const TimeMs endMs = nowMs_ + 2 * timing_.leaseMs_; nowMs_ < endMs;
+       nowMs_ += 50) {
+    for (const auto& command : Step()) {
+      if (command.backend_ == "a") {
+        grants.push_back(command);
+      }
+      Complete(command, KeyCommandResult::Accepted);
+    }
+  }
+  ASSERT_TRUE(Grants(grants, "a", 0));
+  SetServers({ "b" });
+  const auto late = Step();
+  ASSERT_NE(Release(late), nullptr);
+  Complete(early, KeyCommandResult::Accepted);
+  const auto next = Step();
+  EXPECT_FALSE(Grants(next, "b", 0));
+  ASSERT_NE(Release(next), nullptr);
+  Complete(*Release(next), KeyCommandResult::Accepted);
+  EXPECT_TRUE(Grants(Step(), "b", 0));
+}
+
+// Guards against a move that waits for the retry interval after a release that
+// overlapped a renewal, and against releases without a pause until then.
+TEST_F(KeyOwnershipTest, ReleasesAgainWhenTheRenewalIsAnswered)
+{
+  Start();
+  nowMs_ += timing_.renewIntervalMs_;
+  const auto renewals = ownership_.TakeCommands(nowMs_);
+  Complete(*Release(Step(MoveTo(0, 9, "b"))), KeyCommandResult::Accepted);
+  EXPECT_EQ(Release(Step()), nullptr);
+  AcceptAll(renewals);
+  const auto again = Step();
+  ASSERT_NE(Release(again), nullptr);
+  Complete(*Release(again), KeyCommandResult::Accepted);
+  EXPECT_TRUE(Grants(Step(), "b", 0));
+}
+
 // Guards against keys without an owner because the new one rejects each grant
 // with the token of the previous one.
 TEST_F(KeyOwnershipTest, RejectedTokenIsNotSentAgain)
