Match answers to key commands by a request id

The leader matched an answer of a server to a grant or release by its place on the connection. A late copy of the answer to a grant passed for the answer to a release, and the keys were granted while their last owner was at work.

HttpClient sends an id with a call whose server repeats it (servers repeat Cactuspitch-Request-Id) and fails the call if the answer has another one. A connection whose last answer had no id is used again only for renewals of a leader that may have been replaced: these can't use new connections, and a renewal that is wrongly taken for answered grants nothing. Servers that repeat the id get no more connections than before. SoakBackend repeats it, as the platform's servers do.

--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -15,7 +15,9 @@
 /// Limit of interim (1xx) responses before the final one.
 constexpr int kMaxInterimResponses = 8;
 
-std::string Serialize(const Endpoint& aServer, const CallRequest& aRequest)
+std::string Serialize(const Endpoint& aServer,
+                      const CallRequest& aRequest,
+                      std::string_view aId)
 {
   auto text = Concat(aRequest.method_,
                      " ",
@@ -26,6 +28,9 @@
   for (const auto& [name, value] : aRequest.fields_) {
     AppendTo(text, name, ": ", value, "\r\n");
   }
+  if (!aRequest.idField_.empty()) {
+    AppendTo(text, aRequest.idField_, ": ", aId, "\r\n");
+  }
   if (!aRequest.body_.empty() || aRequest.method_ != "GET") {
     AppendTo(text, "Content-Length: ", aRequest.body_.size(), "\r\n");
   }
@@ -51,6 +56,9 @@
   }
 
   const Endpoint& Server() const { return server_; }
+  /// False if a late copy of the last response could be taken for the response
+  /// of the next call.
+  bool IdentifiesResponses() const { return identifiesResponses_; }
 
   void Start(const CallRequest& aRequest, Callback aCallback)
   {
@@ -59,21 +67,24 @@
       HttpParser(HttpMessageType::Response, detail::kMaxResponseHeadBytes);
     body_.clear();
     interimResponses_ = 0;
+    isReused_ = stream_.IsOpen();
+    idField_ = aRequest.idField_;
+    id_ = Concat("call-", ++client_.lastCallId_);
     writtenBytesAtStart_ = stream_.WrittenBytes();
     timeoutMs_ = aRequest.timeoutMs_;
     maxResponseBytes_ = aRequest.maxResponseBytes_;
-    if (stream_.IsOpen()) {
+    if (isReused_) {
       timer_.Start(timeoutMs_);
     } else {
       timer_.Start(std::min(timeoutMs_, detail::kConnectTimeoutMs));
     }
-    if (!stream_.IsOpen() && !stream_.Connect(server_)) {
+    if (!isReused_ && !stream_.Connect(server_)) {
       client_.loop_.Defer([self = shared_from_this()] {
         self->Finish(CallOutcome::NotSent, "no socket");
       });
       return;
     }
-    stream_.Write(detail::Serialize(server_, aRequest));
+    stream_.Write(detail::Serialize(server_, aRequest, id_));
   }
 
 private:
@@ -107,7 +118,7 @@
     if (body_.size() > maxResponseBytes_) {
       Finish(CallOutcome::NoResponse, "answer too large");
     } else if (state == ParseState::Done) {
-      Finish(CallOutcome::Completed);
+      FinishResponse();
     } else if (state == ParseState::Failed) {
       Finish(CallOutcome::NoResponse, "malformed answer");
     }
@@ -119,10 +130,28 @@
       client_.Remove(this);
       return;
     }
-    const bool complete =
-      aReason == CloseReason::EndOfStream && parser_.FinishAtEof();
-    Finish(complete ? CallOutcome::Completed : OutcomeWithoutResponse(),
-           EnumName(aReason));
+    if (aReason == CloseReason::EndOfStream && parser_.FinishAtEof()) {
+      FinishResponse();
+    } else {
+      Finish(OutcomeWithoutResponse(), EnumName(aReason));
+    }
+  }
+
+  bool HasOwnId()
+  {
+    return idField_.empty() || parser_.Head().Field(idField_) == id_;
+  }
+
+  void FinishResponse()
+  {
+    const bool hasOwnId = HasOwnId();
+    const bool mayLackId = !isReused_ || !identifiesResponses_;
+    if (!hasOwnId && !(mayLackId && parser_.Head().Field(idField_).empty())) {
+      Finish(CallOutcome::NoResponse, "answer of another call");
+      return;
+    }
+    identifiesResponses_ = hasOwnId;
+    Finish(CallOutcome::Completed);
   }
 
   void Finish(CallOutcome aOutcome, std::string_view aCause = {})
@@ -162,6 +191,10 @@
   TimeMs timeoutMs_ = 0;
   size_t maxResponseBytes_ = 0;
   int interimResponses_ = 0;
+  bool isReused_ = false;
+  bool identifiesResponses_ = true;
+  std::string_view idField_;
+  std::string id_;
   uint64_t writtenBytesAtStart_ = 0;
 };
 
@@ -181,20 +214,17 @@
                       const CallRequest& aRequest,
                       Callback aCallback)
 {
-  ConnectionPtr connection;
-  auto& idle = idle_[KeyOf(aServer)];
-  if (aRequest.connectionPolicy_ != ConnectionPolicy::NewOnly &&
-      !idle.empty()) {
-    connection = std::move(idle.back());
-    idle.pop_back();
-  } else if (aRequest.connectionPolicy_ == ConnectionPolicy::ReuseOnly) {
+  auto connection = TakeIdle(aServer, aRequest.connectionPolicy_);
+  if (connection == nullptr &&
+      aRequest.connectionPolicy_ == ConnectionPolicy::ReuseOnly) {
     loop_.Defer([callback = std::move(aCallback)] {
       CallResult result;
       result.cause_ = "no idle connection to reuse";
       callback(std::move(result));
     });
     return;
-  } else {
+  }
+  if (connection == nullptr) {
     connection = std::make_shared<Connection>(*this, aServer);
   }
   busy_.push_back(connection);
@@ -207,10 +237,42 @@
   loop_.Defer([dropped = std::move(dropped)] {});
 }
 
+HttpClient::ConnectionPtr HttpClient::TakeIdle(const Endpoint& aServer,
+                                               ConnectionPolicy aPolicy)
+{
+  if (aPolicy == ConnectionPolicy::NewOnly) {
+    return nullptr;
+  }
+  auto& idle = idle_[KeyOf(aServer)];
+  auto found = std::find_if(idle.rbegin(), idle.rend(), [](const auto& aIdle) {
+    return aIdle->IdentifiesResponses();
+  });
+  if (found == idle.rend() && aPolicy == ConnectionPolicy::ReuseOnly) {
+    found = idle.rbegin();
+  }
+  if (found == idle.rend()) {
+    return nullptr;
+  }
+  auto connection = std::move(*found);
+  idle.erase(std::next(found).base());
+  return connection;
+}
+
 void HttpClient::Release(ConnectionPtr aConnection)
 {
   std::erase(busy_, aConnection);
   auto& idle = idle_[KeyOf(aConnection->Server())];
+  if (!aConnection->IdentifiesResponses()) {
+    // One is enough for ReuseOnly calls, which are made one after the other.
+    const auto isReplaced = [](const auto& aIdle) {
+      return !aIdle->IdentifiesResponses();
+    };
+    const auto old = std::ranges::find_if(idle, isReplaced);
+    if (old != idle.end()) {
+      loop_.Defer([dropped = std::move(*old)] {});
+      idle.erase(old);
+    }
+  }
   if (idle.size() < kMaxIdleConnections) {
     idle.push_back(std::move(aConnection));
   } else {
--- a/net/HttpClient.hpp
+++ b/net/HttpClient.hpp
@@ -59,6 +59,11 @@
   std::string body_;
   TimeMs timeoutMs_ = 1000;
   ConnectionPolicy connectionPolicy_ = ConnectionPolicy::ReuseOrNew;
+  /// Name of the field with the id of the call, which the server repeats in its
+  /// response; empty if it has no such field. A late copy of a response has the
+  /// id of an earlier call: a response with another id is not accepted. After a
+  /// response without an id, only ReuseOnly calls use the connection again.
+  std::string_view idField_;
   /// The call fails when the response body is larger. Lists of the store are a
   /// few MB.
   size_t maxResponseBytes_ = size_t{ 16 } << 20;
@@ -88,10 +93,13 @@
   static constexpr size_t kMaxIdleConnections = 8;
 
   static uint64_t KeyOf(const Endpoint& aServer);
+  /// Returns nullptr if there is none.
+  ConnectionPtr TakeIdle(const Endpoint& aServer, ConnectionPolicy aPolicy);
   void Release(ConnectionPtr aConnection);
   void Remove(const Connection* aConnection);
 
   EventLoop& loop_;
+  uint64_t lastCallId_ = 0;
   std::map<uint64_t, std::vector<ConnectionPtr>> idle_;
   std::list<ConnectionPtr> busy_;
 };
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -1,5 +1,6 @@
 #include "net/HttpClient.hpp"
 
+#include "common/Strings.hpp"
 #include "tests/GatewayFixture.hpp"
 
 #include <functional>
@@ -98,5 +99,91 @@
   }
 }
 
+// Guards against a late copy of a response that is taken for the response of
+// the next call on the connection, from servers that repeat the id of a call
+// and from servers that don't.
+TEST(HttpClient, LateCopiesAnswerNoOtherCall)
+{
+  struct Case
+  {
+    bool repeatsId_;
+    bool copyHasId_;
+    int connections_;
+    CallOutcome second_;
+  };
+  for (const auto& row : { Case{ true, true, 1, CallOutcome::NoResponse },
+                           Case{ true, false, 1, CallOutcome::NoResponse },
+                           Case{ false, false, 2, CallOutcome::Completed } }) {
+    EventLoop loop;
+    const auto response = [](std::string_view aId, std::string_view aBody) {
+      return Concat("HTTP/1.1 200 X\r\n",
+                    aId.empty() ? "" : Concat("Id: ", aId, "\r\n"),
+                    "Content-Length: ",
+                    aBody.size(),
+                    "\r\n\r\n",
+                    aBody);
+    };
+    std::string first;
+    ScriptedServer server(loop, [&](ScriptedServer::Exchange& aExchange) {
+      const auto id = aExchange.head_.Field("Id");
+      if (aExchange.requestsBefore_ > 0) {
+        aExchange.write_(response(row.copyHasId_ ? first : "", "/first"));
+        return;
+      }
+      first = id;
+      aExchange.write_(
+        response(row.repeatsId_ ? id : "", aExchange.head_.target_));
+    });
+    HttpClient client(loop);
+    std::vector<CallResult> results;
+    for (const char* target : { "/first", "/second" }) {
+      CallRequest request;
+      request.method_ = "POST";
+      request.target_ = target;
+      request.idField_ = "Id";
+      const auto before = results.size();
+      client.Call(server.Address(), request, [&](CallResult aResult) {
+        results.push_back(std::move(aResult));
+      });
+      ASSERT_TRUE(RunLoopUntil(loop, [&] { return results.size() > before; }));
+    }
+    EXPECT_EQ(results[0].body_, "/first");
+    EXPECT_EQ(results[1].outcome_, row.second_);
+    EXPECT_NE(results[1].body_, "/first");
+    EXPECT_EQ(server.Accepted(), row.connections_);
+  }
+}
+
+// Guards against a leader without the store that can't renew leases at servers
+// that don't repeat the id, and against connections that pile up at these.
+TEST(HttpClient, ReuseOnlyNeedsNoIds)
+{
+  EventLoop loop;
+  ScriptedServer server(loop, [&](ScriptedServer::Exchange& aExchange) {
+    aExchange.write_(TextResponse(200, ""));
+  });
+  HttpClient client(loop);
+  const auto call = [&](ConnectionPolicy aPolicy) {
+    CallRequest request;
+    request.method_ = "POST";
+    request.target_ = "/";
+    request.idField_ = "Id";
+    request.connectionPolicy_ = aPolicy;
+    std::optional<CallOutcome> outcome;
+    client.Call(server.Address(), request, [&](const CallResult& aResult) {
+      outcome = aResult.outcome_;
+    });
+    RunLoopUntil(loop, [&] { return outcome.has_value(); });
+    return outcome;
+  };
+  EXPECT_EQ(call(ConnectionPolicy::ReuseOnly), CallOutcome::NotSent);
+  for (int count = 1; count <= 3; ++count) {
+    EXPECT_EQ(call(ConnectionPolicy::ReuseOrNew), CallOutcome::Completed);
+    EXPECT_EQ(call(ConnectionPolicy::ReuseOnly), CallOutcome::Completed);
+    EXPECT_EQ(server.Accepted(), count);
+  }
+  EXPECT_TRUE(RunLoopUntil(loop, [&] { return server.ClosedByClient() == 2; }));
+}
+
 }
 }
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -286,6 +286,7 @@
   EXPECT_EQ(call.target_, "/-/release");
   EXPECT_EQ(Json::parse(call.body_),
             Json::parse(R"({"from":4096,"to":8191,"fence":12})"));
+  EXPECT_EQ(call.idField_, "Cactuspitch-Request-Id");
 }
 
 // Guards against a lost response that counts as "not sent": the server may
--- a/tests/SoakBackend.cpp
+++ b/tests/SoakBackend.cpp
@@ -504,14 +504,18 @@
                                    int aStatus,
                                    const std::string& aFields)
 {
-  const auto text = ResponseText(aStatus, aFields, "");
+  const auto allFields = Concat("Cactuspitch-Request-Id: ",
+                                aExchange.head_.Field("Cactuspitch-Request-Id"),
+                                "\r\n",
+                                aFields);
+  const auto text = ResponseText(aStatus, allFields, "");
   switch (commandFault_) {
     case CommandFault::InvalidBytes:
       aExchange.write_(
         ResponseText(aStatus,
                      Concat("Cactuspitch-Handover: \xd9\x4b\xf0\r\n"
                             "Server-Limit: \xff\r\nX-\x80: \xfe\r\n",
-                            aFields),
+                            allFields),
                      ""));
       break;
     case CommandFault::Truncated:
