Take no refusal without a request id for that of a non-idempotent request

Servers repeat the request id. A refusal without one may be bytes that belong to no request, but it counted as the server's statement about the request in progress: a non-idempotent request ran at a second server, or got a 503.

The outcome of such an attempt is unknown: 502 for a non-idempotent request; an idempotent one is sent to another server, and gets 502 if it can't be.

Gateway.OutcomesOfAFailedAttempt: the rows "not executed" and "another server at the address" now answer with the id, as servers do, and expect what they did; the answers without an id have rows of their own with 502 and one request, which failed before (200, two requests). A refusal with the id of another request has a row as well.

--- a/gateway/BackendConnection.cpp
+++ b/gateway/BackendConnection.cpp
@@ -272,7 +272,7 @@
   constexpr int kFirstServerError = 500;
   succeeded_ =
     info.sealed_ && !info.notExecuted_ && head.status_ < kFirstServerError;
-  refused_ = info.notExecuted_;
+  refused_ = info.notExecuted_ && !info.requestId_.empty();
   HandleNotices(info);
   const TimeMs nowMs = pool_.loop_.NowMs();
   if (info.load_) {
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -319,7 +319,7 @@
 {
   responseHead_ = aHead;
   responseInfo_ = aInfo;
-  if (!aInfo.notExecuted_) {
+  if (!aInfo.notExecuted_ || aInfo.requestId_.empty()) {
     mayHaveExecuted_ = true;
   }
   const bool success = responseHead_.status_ < 300;
@@ -454,9 +454,14 @@
 
 void ForwardedRequest::OnNotExecuted()
 {
-  triedBackends_.insert(lastBackend_);
   const std::string_view cause =
     responseHead_.status_ == 421 ? "misdirected" : "backend-shed";
+  if (responseInfo_.requestId_.empty()) {
+    // The response may belong to another request.
+    OnOutcomeUnknown(cause);
+    return;
+  }
+  triedBackends_.insert(lastBackend_);
   if (TryRetry(cause, true)) {
     return;
   }
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -148,21 +148,46 @@
   const auto write = [](const char* aText) {
     return [aText](Exchange& aExchange) { aExchange.write_(aText); };
   };
+  const auto respond = [](const char* aStatusAndFields) {
+    return [aStatusAndFields](Exchange& aExchange) {
+      aExchange.write_(Concat("HTTP/1.1 ",
+                              aStatusAndFields,
+                              "Cactuspitch-Request-Id: ",
+                              aExchange.head_.Field("Cactuspitch-Request-Id"),
+                              "\r\nContent-Length: 0\r\n\r\n"));
+    };
+  };
   const std::vector<AttemptCase> cases = {
     { "reset", [](Exchange& aExchange) { aExchange.reset_(); }, 200, 502, 1 },
     { "closed", [](Exchange& aExchange) { aExchange.close_(); }, 200, 502, 1 },
     { "response is not HTTP", write("garbage\r\n\r\n"), 200, 502, 1 },
     { "not executed",
-      write("HTTP/1.1 503 X\r\nCactuspitch-Not-Executed: 1\r\n"
-            "Content-Length: 0\r\n\r\n"),
+      respond("503 X\r\nCactuspitch-Not-Executed: 1\r\n"),
       200,
       200,
       2 },
-    { "another server at the address",
+    { "another server at the address", respond("421 X\r\n"), 200, 200, 2 },
+    { "not executed, without an id",
+      write("HTTP/1.1 503 X\r\nCactuspitch-Not-Executed: 1\r\n"
+            "Content-Length: 0\r\n\r\n"),
+      200,
+      502,
+      1 },
+    { "another server at the address, without an id",
       write("HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"),
       200,
+      502,
+      1 },
+    { "refusal of another request, then an answer",
+      [](Exchange& aExchange) {
+        aExchange.write_("HTTP/1.1 503 X\r\nCactuspitch-Request-Id: other\r\n"
+                         "Cactuspitch-Not-Executed: 1\r\n"
+                         "Content-Length: 0\r\n\r\n");
+        Echo(aExchange);
+      },
       200,
-      2 },
+      200,
+      1 },
     { "truncated",
       [](Exchange& aExchange) {
         auto response =
