Keep the connection open after rejecting a request without a body

A request that is rejected when its head is read (404, 400) announced the close of the connection, although without a body nothing was unread. Pipelined requests behind it were read, passed on to servers and dropped.

The close is announced only if a body may be unread, and nothing is read behind a response that announces it.

--- a/gateway/CallerConnection.cpp
+++ b/gateway/CallerConnection.cpp
@@ -134,8 +134,14 @@
 
 bool CallerConnection::IsReading() const
 {
-  return incompleteRequest_ != nullptr ||
-         (!closing_ && pipeline_.size() < detail::kMaxPipelinedRequests);
+  if (incompleteRequest_ != nullptr) {
+    return true;
+  }
+  // Requests behind a response that closes the connection get no response.
+  const bool closesAfterLast =
+    !pipeline_.empty() && pipeline_.back()->AnnouncedClose();
+  return !closing_ && !closesAfterLast &&
+         pipeline_.size() < detail::kMaxPipelinedRequests;
 }
 
 bool CallerConnection::ReadNextRequest()
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -569,7 +569,8 @@
              "\r\n");
   }
   // After a partly read request, the connection cannot be used for another one.
-  announcedClose_ = sink_->WantsClose(*this) || !requestRead_;
+  const bool hasBody = head_.chunked_ || head_.contentLength_.value_or(0) > 0;
+  announcedClose_ = sink_->WantsClose(*this) || (hasBody && !requestRead_);
   AppendTo(output_,
            announcedClose_ ? "Connection: close\r\n" : "",
            "Content-Type: text/plain\r\nContent-Length: ",
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -81,6 +81,31 @@
   EXPECT_LT(second, third);
 }
 
+// Guards against a rejected request whose response closes the connection under
+// pipelined requests behind it that were passed on to servers.
+TEST(Gateway, RejectedRequestsCutNoPipeline)
+{
+  GatewayFixture fixture(Echo);
+  const auto first = GatewayFixture::MakeRequest("GET", "plain", "one");
+  const auto last = GatewayFixture::MakeRequest("GET", "plain", "three");
+  const auto open = fixture.SendAndWait(
+    first + GatewayFixture::MakeRequest("GET", "nobody", "two") + last, 3);
+  EXPECT_NE(open.find("\r\n\r\none"), std::string::npos) << open;
+  EXPECT_NE(open.find("HTTP/1.1 404 "), std::string::npos) << open;
+  EXPECT_NE(open.find("\r\n\r\nthree"), std::string::npos) << open;
+  EXPECT_EQ(open.find("Connection: close"), std::string::npos) << open;
+  // A body may be unread, so the connection closes.
+  const int before = fixture.BackendRequests();
+  const auto closed = fixture.SendAndWait(
+    first + GatewayFixture::MakeRequest("POST", "nobody", "two", {}, "body") +
+      last,
+    2);
+  EXPECT_NE(closed.find("HTTP/1.1 404 "), std::string::npos) << closed;
+  EXPECT_NE(closed.find("Connection: close"), std::string::npos) << closed;
+  fixture.RunFor(50);
+  EXPECT_EQ(fixture.BackendRequests(), before + 1);
+}
+
 // Guards against chunked bodies that are altered by forwarding.
 TEST(Gateway, ForwardsChunkedBodies)
 {
