Reject responses whose status is outside 100 to 599

Reported by operators of other systems: a status 000 reached the client. Beast accepts any three digits. The gateway passed on 000 and 099 to any caller, 600 and 999 for non-idempotent requests; the router passed on 600 and 999 and took 000 and 099 for interim responses.

--- a/common/HttpConnection.cpp
+++ b/common/HttpConnection.cpp
@@ -19,6 +19,8 @@
 
 constexpr size_t kReadBufferBytes = 64 * 1024;
 constexpr uint32_t kMaxHeadBytes = 64 * 1024;
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 
 absl::Status ToStatus(const boost::beast::error_code& aError,
                       std::string_view aAction)
@@ -166,6 +168,10 @@
   HttpResponseHead head;
   const auto& message = parser.get();
   head.status_ = static_cast<int>(message.result_int());
+  // Beast accepts any three digits.
+  if (head.status_ < detail::kMinStatus || head.status_ > detail::kMaxStatus) {
+    return detail::ToStatus(http::error::bad_status, "read head");
+  }
   for (const auto& field : message) {
     head.headers_.emplace_back(std::string(field.name_string()),
                                std::string(field.value()));
--- a/net/HttpParser.cpp
+++ b/net/HttpParser.cpp
@@ -46,6 +46,12 @@
   return false;
 }
 
+/// Beast accepts any three digits.
+bool IsValidStatus(int aStatus)
+{
+  return aStatus >= 100 && aStatus < 600;
+}
+
 /// Collects a message into an HttpHead and a body buffer.
 template<bool isRequest>
 class Collector final : public http::basic_parser<isRequest>
@@ -69,8 +75,12 @@
   void on_response_impl(int aCode,
                         BeastView aReason,
                         int aVersion,
-                        error_code&) override
+                        error_code& aError) override
   {
+    if (!IsValidStatus(aCode)) {
+      aError = http::error::bad_status;
+      return;
+    }
     head_.status_ = aCode;
     head_.reason_ = View(aReason);
     head_.isHttp10_ = aVersion < 11;
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -182,7 +182,7 @@
                               "\r\nContent-Length: 0\r\n\r\n"));
     };
   };
-  const std::vector<AttemptCase> cases = {
+  std::vector<AttemptCase> cases = {
     { "reset", [](Exchange& aExchange) { aExchange.reset_(); }, 200, 502, 1 },
     { "closed", [](Exchange& aExchange) { aExchange.close_(); }, 200, 502, 1 },
     { "response is not HTTP", write("garbage\r\n\r\n"), 200, 502, 1 },
@@ -300,7 +300,23 @@
       200,
       200,
       1 },
+    { "interim responses first",
+      [](Exchange& aExchange) {
+        aExchange.write_("HTTP/1.1 150 X\r\n\r\nHTTP/1.1 199 X\r\n\r\n");
+        Echo(aExchange);
+      },
+      200,
+      200,
+      1 },
   };
+  for (const char* status : { "000", "099", "600", "999", "1000", "-200" }) {
+    const auto first = [status](Exchange& aExchange) {
+      auto response = GatewayFixture::MakeResponse(aExchange.head_, "wrong");
+      response.replace(9, 3, status);
+      aExchange.write_(response);
+    };
+    cases.push_back({ status, first, 200, 502, 1 });
+  }
   for (const auto& row : cases) {
     {
       GatewayFixture fixture(FirstThenEcho(row.first_));
--- a/tests/HttpParserTest.cpp
+++ b/tests/HttpParserTest.cpp
@@ -1,5 +1,7 @@
 #include "net/HttpParser.hpp"
 
+#include "common/Strings.hpp"
+
 #include <array>
 #include <cstdio>
 
@@ -110,6 +112,37 @@
   EXPECT_EQ(body, "part");
 }
 
+// Guards against passing on a status that is none, or taking it for that of an
+// interim response.
+TEST(HttpParser, RejectsInvalidStatus)
+{
+  const auto parse = [](std::string_view aStatus) {
+    return ParseInSegments(
+             HttpMessageType::Response,
+             Concat("HTTP/1.1 ", aStatus, " X\r\nContent-Length: 2\r\n\r\nok"),
+             {})
+      .state_;
+  };
+  for (const auto* status : { "000",
+                              "001",
+                              "099",
+                              "600",
+                              "999",
+                              "1000",
+                              "-01",
+                              "-200",
+                              "+200",
+                              "20",
+                              "2 0",
+                              "0x1",
+                              "" }) {
+    EXPECT_EQ(parse(status), ParseState::Failed) << status;
+  }
+  for (const auto* status : { "100", "199", "200", "204", "299", "599" }) {
+    EXPECT_EQ(parse(status), ParseState::Done) << status;
+  }
+}
+
 // Guards against a truncated response that counts as complete.
 TEST(HttpParser, TruncatedResponseIsNotComplete)
 {
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -133,6 +133,30 @@
   { "malformed-answer",
     [](FakeBackend&) { return Raw("BOGUS\r\n\r\n", AfterResponse::Close); },
     "unknown" },
+  { "status-000",
+    [](FakeBackend&) {
+      return Raw("HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nno",
+                 AfterResponse::Close);
+    },
+    "unknown" },
+  { "status-099",
+    [](FakeBackend&) {
+      return Raw("HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nno",
+                 AfterResponse::Close);
+    },
+    "unknown" },
+  { "status-600",
+    [](FakeBackend&) {
+      return Raw("HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nno",
+                 AfterResponse::Close);
+    },
+    "unknown" },
+  { "status-999",
+    [](FakeBackend&) {
+      return Raw("HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nno",
+                 AfterResponse::Close);
+    },
+    "unknown" },
   { "busy",
     [](FakeBackend& aServer) { return aServer.NotRun("busy"); },
     "complete" },
