--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -319,7 +319,7 @@
 {
   responseHead_ = aHead;
   responseInfo_ = aInfo;
-  if (!aInfo.notExecuted_) {
+  if (!aInfo.notExecuted_ || aInfo.requestId_.empty()) {
     mayHaveExecuted_ = true;
   }
   const bool success = responseHead_.status_ < 300;
@@ -454,9 +454,14 @@
 
 void ForwardedRequest::OnNotExecuted()
 {
-  triedBackends_.insert(lastBackend_);
   const std::string_view cause =
     responseHead_.status_ == 421 ? "misdirected" : "backend-shed";
+  if (responseInfo_.requestId_.empty()) {
+    // The response may belong to another request.
+    OnOutcomeUnknown(cause);
+    return;
+  }
+  triedBackends_.insert(lastBackend_);
   if (TryRetry(cause, true)) {
     return;
   }
@@ -564,7 +569,8 @@
              "\r\n");
   }
   // After a partly read request, the connection cannot be used for another one.
-  announcedClose_ = sink_->WantsClose(*this) || !requestRead_;
+  const bool hasBody = head_.chunked_ || head_.contentLength_.value_or(0) > 0;
+  announcedClose_ = sink_->WantsClose(*this) || (hasBody && !requestRead_);
   AppendTo(output_,
            announcedClose_ ? "Connection: close\r\n" : "",
            "Content-Type: text/plain\r\nContent-Length: ",
