--- a/scheduling/SlotScheduler.cpp
+++ b/scheduling/SlotScheduler.cpp
@@ -161,8 +161,11 @@
     RefuseNoServer(aEntry, aNowMs);
     return;
   }
+  // Tokens of a cold server come at a known pace.
+  const double waitFactor =
+    forecast.cause_ == SlotCause::ColdServer ? 1 : detail::kLikelyWaitFactor;
   const double doneMs =
-    detail::kLikelyWaitFactor * forecast.waitMs_ + LikelyMs(aEntry, aNowMs);
+    waitFactor * forecast.waitMs_ + LikelyMs(aEntry, aNowMs);
   const bool tooLate =
     doneMs > static_cast<double>(request.objectiveLeftMs_) &&
     forecast.waitMs_ > static_cast<double>(MinWaitMs(aEntry));
