--- a/gateway/BrokerLookup.cpp
+++ b/gateway/BrokerLookup.cpp
@@ -79,11 +79,17 @@
     listMs = std::max(listMs, peer.listedByLeaderMs_);
   }
   const bool usesList = UsesLeadersList(listMs, nowMs);
-  candidates_ = { self_ };
+  candidates_.clear();
+  if (!stopping_) {
+    candidates_.push_back(self_);
+  }
   brokers_.clear();
   for (const auto& [instance, peer] : peers) {
     const auto gateway = ShortHash(instance);
     names_.try_emplace(gateway, instance);
+    if (peer.stopping_) {
+      continue;
+    }
     if (usesList ? peer.listedByLeaderMs_ == listMs
                  : PeerMesh::IsAlive(peer, nowMs)) {
       candidates_.push_back(
--- a/gateway/BrokerLookup.hpp
+++ b/gateway/BrokerLookup.hpp
@@ -28,6 +28,8 @@
   std::optional<uint32_t> Find(uint32_t aService,
                                uint32_t aDomain,
                                std::optional<uint32_t> aExcept = {});
+  /// This gateway is about to exit: others become broker for its places.
+  void SetStopping() { stopping_ = true; }
   /// Null if the gateway is not known.
   const Peer* FindPeer(uint32_t aGateway) const;
   /// Name of the gateway, for logs.
@@ -43,6 +45,7 @@
   const PeerMesh& mesh_;
   std::string instance_;
   BrokerCandidate self_;
+  bool stopping_ = false;
   std::optional<TimeMs> refreshedMs_;
   std::vector<BrokerCandidate> candidates_;
   /// By service, failure domain and excepted gateway.
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -96,7 +96,8 @@
       settings_.instance_,
       settings_.failureDomain_,
       settings_.cpuPercent_,
-      { [this] { return gossip_.MakeGossip(); },
+      settings_.crossing_,
+      { [this] { return gossip_.MakeBriefGossip(); },
         [this] { forwarder_.OnRoutingStateChanged(); },
         [this](const std::string& aService) { return ColdLimitsOf(aService); },
         [this](const std::string& aDomain) {
@@ -476,6 +477,7 @@
     }
   }
   forwarder_.SetConfig(std::move(*config));
+  slots_.UpdateServers(forwarder_.Pool());
   coordinator_.SetKeyedServices(std::move(keyed));
 }
 
@@ -989,6 +991,8 @@
              "drain-started",
              { { "active", forwarder_.ActiveRequests() },
                { "connections", callers_.Connections() } });
+  slots_.SetStopping();
+  gossip_.OnStopping();
   election_.WithdrawCandidacy();
   if (election_.IsLeading() && store_.IsReachable()) {
     election_.Resign("process is stopping");
--- a/gateway/GossipAgent.cpp
+++ b/gateway/GossipAgent.cpp
@@ -84,6 +84,14 @@
 }
 
 wire::Gossip GossipAgent::MakeGossip()
+{
+  auto gossip = MakeBriefGossip();
+  gossip.leavingServers = handlers_.leavingServers_(detail::kMaxLeavingServers);
+  limits_.AddNotices(gossip);
+  return gossip;
+}
+
+wire::Gossip GossipAgent::MakeBriefGossip()
 {
   wire::Gossip gossip;
   gossip.instance = self_.instance_;
@@ -95,9 +103,8 @@
   gossip.configVersion = handlers_.configVersion_();
   gossip.deadTerm = election_.EndedTerm();
   gossip.statusPort = self_.statusPort_;
+  gossip.stopping = stopping_;
   gossip.suspectDigest = static_cast<int64_t>(suspects_.Digest(loop_.NowMs()));
-  gossip.leavingServers = handlers_.leavingServers_(detail::kMaxLeavingServers);
-  limits_.AddNotices(gossip);
   evacuations_.AddState(gossip);
   relay_.AddStoreState(gossip);
   return gossip;
@@ -407,6 +414,12 @@
   }
 }
 
+void GossipAgent::OnStopping()
+{
+  stopping_ = true;
+  mesh_.SendToAll(MakeGossip());
+}
+
 void GossipAgent::Announce()
 {
   mesh_.SendToDomain(MakeGossip());
--- a/gateway/GossipAgent.hpp
+++ b/gateway/GossipAgent.hpp
@@ -61,7 +61,9 @@
 
   void Start();
   /// A datagram with the state that every datagram carries.
-  wire::Gossip MakeGossip();
+  wire::Gossip MakeBriefGossip();
+  /// Tells all gateways that this process is about to exit.
+  void OnStopping();
   /// Introduces this gateway to its failure domain.
   void Announce();
   void OnReceived(const wire::Gossip& aGossip,
@@ -90,6 +92,8 @@
   void Tick();
   void SendAsLeader(wire::Gossip& aGossip);
   void SendAsFollower(wire::Gossip& aGossip);
+  /// A datagram that also carries recent notices of backend servers.
+  wire::Gossip MakeGossip();
   void SendToLeaderOrAll(const wire::Gossip& aGossip);
   void FillColdServers(wire::Gossip& aGossip);
   void ApplyColdServers(const wire::Gossip& aGossip);
@@ -132,6 +136,7 @@
   Timer keyChangeTimer_;
   TimeMs allKeysSentMs_ = 0;
   uint64_t rounds_ = 0;
+  bool stopping_ = false;
   SuspectExchange suspects_;
   Timer suspectTimer_;
   Timer serverNoticeTimer_;
--- a/gateway/PeerMesh.cpp
+++ b/gateway/PeerMesh.cpp
@@ -276,6 +276,7 @@
   peer.bootId_ = aGossip.bootId;
   peer.term_ = aGossip.term;
   peer.leading_ = aGossip.leading;
+  peer.stopping_ = aGossip.stopping;
   peer.failureDomain_ = aGossip.failureDomain;
   peer.cpuPercent_ = aGossip.cpuPercent;
   peer.lastHeardMs_ = loop_.NowMs();
--- a/gateway/PeerMesh.hpp
+++ b/gateway/PeerMesh.hpp
@@ -26,6 +26,7 @@
   int64_t bootId_ = 0;
   int64_t term_ = 0;
   bool leading_ = false;
+  bool stopping_ = false; ///< about to exit
   std::string failureDomain_;
   int cpuPercent_ = 0;
   TimeMs lastHeardMs_ = 0;      ///< 0: never heard
--- a/gateway/SlotExchange.cpp
+++ b/gateway/SlotExchange.cpp
@@ -30,11 +30,12 @@
 }
 
 SlotExchange::Broker::Broker(SlotOptions aOptions,
+                             CrossingOptions aCrossing,
                              Place aPlace,
                              uint32_t aSeed,
                              TimeMs aNowMs)
   : place_(aPlace)
-  , crossing_({}, aPlace.second, aSeed)
+  , crossing_(aCrossing, aPlace.second, aSeed)
   , scheduler_(aOptions, crossing_, aSeed)
   , usedMs_(aNowMs)
 {
@@ -47,6 +48,7 @@
                            const std::string& aInstance,
                            std::string aDomain,
                            int aCpuPercent,
+                           CrossingOptions aCrossing,
                            Handlers aHandlers)
   : loop_(aLoop)
   , log_(aLog)
@@ -54,6 +56,7 @@
   , mesh_(aMesh)
   , self_(ShortHash(aInstance))
   , domain_(ShortHash(aDomain))
+  , crossing_(aCrossing)
   , handlers_(std::move(aHandlers))
   , lookup_(aLoop, aMesh, aInstance, aDomain, aCpuPercent)
   , client_(MakeClient(aDomain))
@@ -279,8 +282,10 @@
     auto& broker = GetBroker(place);
     broker.crossing_.OnSummary(aSummary, nowMs);
     // A broker without work sends no summaries of its own.
+    auto& answeredMs = broker.answeredMs_[aGateway];
     if (IsQuiet(broker) && aSummary.utilization_ > 0 &&
-        nowMs - broker.summaryMs_ >= detail::kSummaryMs) {
+        nowMs - answeredMs >= detail::kSummaryMs) {
+      answeredMs = nowMs;
       SendSummary(aGateway, MakeSummary(broker));
     }
   }
@@ -311,11 +316,14 @@
   const TimeMs nowMs = loop_.NowMs();
   SlotOptions options;
   options.cold_ = handlers_.coldLimits_(ServiceName(aPlace.first));
-  auto& broker =
-    brokers_
-      .try_emplace(
-        aPlace, options, aPlace, static_cast<uint32_t>(seed_()), nowMs)
-      .first->second;
+  auto& broker = brokers_
+                   .try_emplace(aPlace,
+                                options,
+                                crossing_,
+                                aPlace,
+                                static_cast<uint32_t>(seed_()),
+                                nowMs)
+                   .first->second;
   const auto& servers = services_[aPlace.first].servers_;
   const auto own = servers.find(aPlace.second);
   if (own != servers.end()) {
@@ -395,6 +403,8 @@
     const auto service = services_.find(place.first);
     const bool hasServers = service != services_.end() &&
                             service->second.servers_.contains(place.second);
+    broker.scheduler_.SetColdLimits(
+      handlers_.coldLimits_(ServiceName(place.first)));
     broker.scheduler_.SetServers(hasServers
                                    ? service->second.servers_[place.second]
                                    : std::vector<SlotServer>{},
--- a/gateway/SlotExchange.hpp
+++ b/gateway/SlotExchange.hpp
@@ -52,6 +52,7 @@
                const std::string& aInstance,
                std::string aDomain,
                int aCpuPercent,
+               CrossingOptions aCrossing,
                Handlers aHandlers);
   ~SlotExchange();
 
@@ -60,6 +61,8 @@
   SlotClient& Client() { return client_; }
   /// To be called when servers, their states or the evacuated domains changed.
   void UpdateServers(const BackendPool& aPool);
+  /// This gateway is about to exit, and hands its places over.
+  void SetStopping() { lookup_.SetStopping(); }
   /// Handles the slot messages in a datagram of another gateway.
   void OnReceived(const wire::Gossip& aGossip);
 
@@ -72,7 +75,11 @@
   /// The broker of one place.
   struct Broker
   {
-    Broker(SlotOptions aOptions, Place aPlace, uint32_t aSeed, TimeMs aNowMs);
+    Broker(SlotOptions aOptions,
+           CrossingOptions aCrossing,
+           Place aPlace,
+           uint32_t aSeed,
+           TimeMs aNowMs);
 
     Place place_;
     DomainCrossing crossing_;
@@ -80,6 +87,8 @@
     std::map<RequestId, int> waitingRanks_;
     TimeMs usedMs_;
     TimeMs summaryMs_ = 0; ///< when the last summary was made
+    /// When a summary was last sent back to each broker of other domains.
+    std::map<uint32_t, TimeMs> answeredMs_;
   };
   struct Service
   {
@@ -146,6 +155,7 @@
   PeerMesh& mesh_;
   uint32_t self_;
   uint32_t domain_;
+  CrossingOptions crossing_;
   Handlers handlers_;
   BrokerLookup lookup_;
   SlotClient client_;
--- a/scheduling/SlotScheduler.hpp
+++ b/scheduling/SlotScheduler.hpp
@@ -48,6 +48,8 @@
   /// Replaces the servers that may get requests. Slots of servers that are not
   /// listed any more stay taken until they are given back.
   void SetServers(const std::vector<SlotServer>& aServers, TimeMs aNowMs);
+  /// Applies with the next SetServers().
+  void SetColdLimits(ColdLimits aLimits) { servers_.SetColdLimits(aLimits); }
   /// A request that is already known is answered again.
   void OnRequest(const SlotRequest& aRequest, TimeMs aNowMs);
   void OnEnd(const SlotEnd& aEnd, TimeMs aNowMs);
--- a/scheduling/SlotServers.hpp
+++ b/scheduling/SlotServers.hpp
@@ -41,6 +41,8 @@
 
   /// Servers that are not in aServers stay until their slots are given back.
   void Set(const std::vector<SlotServer>& aServers, TimeMs aNowMs);
+  /// Applies with the next Set().
+  void SetColdLimits(ColdLimits aLimits) { cold_ = aLimits; }
   /// Erases the server if it is not listed and has no slots in use.
   void EraseUnused(uint32_t aServer);
   ById& All() { return servers_; }
--- a/tests/SlotExchangeTest.cpp
+++ b/tests/SlotExchangeTest.cpp
@@ -67,6 +67,7 @@
                 name_,
                 domain_,
                 100,
+                {},
                 { [this] { return MakeGossip(); },
                   [this] { onDecided_(); },
                   [](const std::string&) { return ColdLimits{}; },
--- a/wire/gen-cpp/gossip_types.cpp
+++ b/wire/gen-cpp/gossip_types.cpp
@@ -2590,6 +2590,10 @@
   this->coldServers = val;
 }
 
+void Gossip::__set_stopping(const bool val) {
+  this->stopping = val;
+}
+
 void Gossip::__set_wantsKeys(const bool val) {
   this->wantsKeys = val;
 }
@@ -3097,6 +3101,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 36:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stopping);
+          this->__isset.stopping = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->wantsKeys);
@@ -3398,6 +3410,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("stopping", ::apache::thrift::protocol::T_BOOL, 36);
+  xfer += oprot->writeBool(this->stopping);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3439,6 +3455,7 @@
   swap(a.evacuatedDomains, b.evacuatedDomains);
   swap(a.evacuationRevision, b.evacuationRevision);
   swap(a.coldServers, b.coldServers);
+  swap(a.stopping, b.stopping);
   swap(a.wantsKeys, b.wantsKeys);
   swap(a.__isset, b.__isset);
 }
@@ -3478,6 +3495,7 @@
   evacuatedDomains = other164.evacuatedDomains;
   evacuationRevision = other164.evacuationRevision;
   coldServers = other164.coldServers;
+  stopping = other164.stopping;
   wantsKeys = other164.wantsKeys;
   __isset = other164.__isset;
 }
@@ -3516,6 +3534,7 @@
   evacuatedDomains = other165.evacuatedDomains;
   evacuationRevision = other165.evacuationRevision;
   coldServers = other165.coldServers;
+  stopping = other165.stopping;
   wantsKeys = other165.wantsKeys;
   __isset = other165.__isset;
   return *this;
@@ -3557,6 +3576,7 @@
   out << ", " << "evacuatedDomains=" << to_string(evacuatedDomains);
   out << ", " << "evacuationRevision=" << to_string(evacuationRevision);
   out << ", " << "coldServers=" << to_string(coldServers);
+  out << ", " << "stopping=" << to_string(stopping);
   out << ", " << "wantsKeys=" << to_string(wantsKeys);
   out << ")";
 }
--- a/wire/gen-cpp/gossip_types.h
+++ b/wire/gen-cpp/gossip_types.h
@@ -995,7 +995,7 @@
 std::ostream& operator<<(std::ostream& out, const ColdServer& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), passOn(false), origin(false), members(false), admissions(false), directoryRevision(false), suspectDigest(false), leavingServers(false), limits(false), permitRequests(false), permitReplies(false), slotRequests(false), slotAnswers(false), slotEnds(false), slotSummaries(false), evacuatedDomains(false), evacuationRevision(false), coldServers(false), wantsKeys(false) {}
+  _Gossip__isset() : instance(false), bootId(false), term(false), leading(false), configVersion(false), keys(false), keyCounts(false), suspects(false), deadTerm(false), backendLoads(false), failureDomain(false), cpuPercent(false), changes(false), directoryDigest(false), storeOk(false), storeAgeMs(false), statusPort(false), passOn(false), origin(false), members(false), admissions(false), directoryRevision(false), suspectDigest(false), leavingServers(false), limits(false), permitRequests(false), permitReplies(false), slotRequests(false), slotAnswers(false), slotEnds(false), slotSummaries(false), evacuatedDomains(false), evacuationRevision(false), coldServers(false), stopping(false), wantsKeys(false) {}
   bool instance :1;
   bool bootId :1;
   bool term :1;
@@ -1030,6 +1030,7 @@
   bool evacuatedDomains :1;
   bool evacuationRevision :1;
   bool coldServers :1;
+  bool stopping :1;
   bool wantsKeys :1;
 } _Gossip__isset;
 
@@ -1056,6 +1057,7 @@
            directoryRevision(0),
            suspectDigest(0),
            evacuationRevision(0),
+           stopping(0),
            wantsKeys(0) {
   }
 
@@ -1094,6 +1096,7 @@
   std::vector<std::string>  evacuatedDomains;
   int64_t evacuationRevision;
   std::vector<ColdServer>  coldServers;
+  bool stopping;
   bool wantsKeys;
 
   _Gossip__isset __isset;
@@ -1166,6 +1169,8 @@
 
   void __set_coldServers(const std::vector<ColdServer> & val);
 
+  void __set_stopping(const bool val);
+
   void __set_wantsKeys(const bool val);
 
   bool operator == (const Gossip & rhs) const
@@ -1238,6 +1243,8 @@
       return false;
     if (!(coldServers == rhs.coldServers))
       return false;
+    if (!(stopping == rhs.stopping))
+      return false;
     if (!(wantsKeys == rhs.wantsKeys))
       return false;
     return true;
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -172,5 +172,6 @@
   33: list<string> evacuatedDomains
   34: i64 evacuationRevision
   35: list<ColdServer> coldServers
+  36: bool stopping // the sender is about to exit
   12: bool wantsKeys // the sender has just started and does not know the owners
 }
