Mend what the review of slots and cold servers found

Cause: a server assigned by a broker was used whatever its service; refusals of brokers with an older directory were final; requests that a broker did not know were repeated until their deadline; permits that were still pending, paused servers and cancelled connects were misread; cold limits held from a broker's first moment; ends of cold phases that gateways report to each other late moved on; gateways with few known peers took the cold share of all; renewals in a lapse of the lead had one connection for three calls. Change: each is checked at the gateway that holds the request, the broker says that it can't decide, cold limits follow the configuration, only the leader passes reports of cold servers on, the cold share is nothing before the list of gateways is known, and cold servers are limited only if the platform gives the bound.

--- a/gateway/BackendConnection.cpp
+++ b/gateway/BackendConnection.cpp
@@ -129,13 +129,14 @@
   }
 }
 
-void BackendConnection::Cancel()
+void BackendConnection::Cancel(SlotOutcome aSlotOutcome)
 {
   handler_ = nullptr;
   if (busy_) {
     const bool sent = stream_.WrittenBytes() > writtenBytesAtStart_;
     stream_.Abort();
     timer_.Stop();
+    FreeSlot(aSlotOutcome);
     EndAttempt(sent ? AttemptOutcome::Cancelled : AttemptOutcome::NotExecuted);
     pool_.Release(shared_from_this(), false);
   }
@@ -292,7 +293,7 @@
   }
   if (succeeded_) {
     // The server has done the work; the body may take long on a narrow link.
-    FreeSlot(AttemptOutcome::Succeeded);
+    FreeSlot(SlotOutcome::Served);
   }
   bodyNeeded_ = handler_ != nullptr && handler_->OnResponseHead(head, info);
   if (!bodyNeeded_ &&
@@ -414,34 +415,30 @@
     busy_ = false;
     backend_->load_.OnEnded();
     pool_.observer_.OnAttemptFinished(backend_, crashInfo_, aOutcome);
-    FreeSlot(aOutcome);
+    FreeSlot(SlotOutcomeOf(aOutcome));
   }
 }
 
-void BackendConnection::FreeSlot(AttemptOutcome aOutcome)
+void BackendConnection::FreeSlot(SlotOutcome aOutcome)
 {
-  const auto slot = std::exchange(slot_, 0);
-  if (slot == 0) {
-    return;
+  if (const auto slot = std::exchange(slot_, 0); slot != 0) {
+    pool_.handlers_.onSlotFreed_(
+      slot, { aOutcome, pool_.loop_.NowMs() - sentMs_, reportedLoad_ });
   }
-  AttemptReport report;
+}
+
+SlotOutcome BackendConnection::SlotOutcomeOf(AttemptOutcome aOutcome) const
+{
   switch (aOutcome) {
     case AttemptOutcome::Succeeded:
-      report.outcome_ = SlotOutcome::Served;
-      break;
+      return SlotOutcome::Served;
     case AttemptOutcome::NotExecuted:
-      report.outcome_ =
-        connectFailed_ ? SlotOutcome::Unreachable : SlotOutcome::Rejected;
-      break;
+      return connectFailed_ ? SlotOutcome::Unreachable : SlotOutcome::Rejected;
     case AttemptOutcome::Cancelled:
-      report.outcome_ = SlotOutcome::Unused;
-      break;
+      return SlotOutcome::Unused;
     default:
-      report.outcome_ = SlotOutcome::Failed;
+      return SlotOutcome::Failed;
   }
-  report.latencyMs_ = pool_.loop_.NowMs() - sentMs_;
-  report.load_ = reportedLoad_;
-  pool_.handlers_.onSlotFreed_(slot, report);
 }
 
 }
--- a/gateway/BackendConnection.hpp
+++ b/gateway/BackendConnection.hpp
@@ -109,7 +109,8 @@
              bool aExpectsBody,
              int64_t aSlot);
   /// Resets the connection, so that the server cancels the request.
-  void Cancel();
+  /// aSlotOutcome: what this says about the server.
+  void Cancel(SlotOutcome aSlotOutcome = SlotOutcome::Unused);
   /// Lets the request complete within aMaxMs and discards its response.
   void Detach(TimeMs aMaxMs);
   void PauseReading(bool aPaused);
@@ -139,7 +140,9 @@
             std::string_view aCause,
             AttemptOutcome aOutcome = AttemptOutcome::Other);
   void EndAttempt(AttemptOutcome aOutcome);
-  void FreeSlot(AttemptOutcome aOutcome);
+  /// Gives the slot of the attempt back, if it still has one.
+  void FreeSlot(SlotOutcome aOutcome);
+  SlotOutcome SlotOutcomeOf(AttemptOutcome aOutcome) const;
   /// Handles what the response says about the server itself: that it leaves, or
   /// asks for a pause.
   void HandleNotices(const ResponseMetadata& aInfo);
--- a/gateway/EvacuationWatch.hpp
+++ b/gateway/EvacuationWatch.hpp
@@ -19,7 +19,7 @@
 
 /// Follows the operator's evacuations of failure domains in the store and in
 /// the datagrams of other gateways. Keeps the last known state while the store
-/// is away.
+/// is unavailable.
 class EvacuationWatch
 {
 public:
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -299,7 +299,7 @@
     forwarder_.Enqueue(shared_from_this());
     return;
   }
-  forwarder_.TakePermit(*backend);
+  forwarder_.TakePermit(*backend, aChoice.slot_ != 0);
   ++attempts_;
   lastBackend_ = backend->entry_.id_;
   discardResponse_ = false;
@@ -535,7 +535,7 @@
     return;
   }
   if (auto connection = std::exchange(connection_, nullptr)) {
-    connection->Cancel();
+    connection->Cancel(SlotOutcome::Failed);
   }
   if (sink_ == nullptr) {
     completed_ = true;
--- a/gateway/Forwarder.cpp
+++ b/gateway/Forwarder.cpp
@@ -133,13 +133,23 @@
 {
   const auto* service =
     routes_ == nullptr ? nullptr : routes_->Service(aService);
-  if (service == nullptr || service->coldPerSecond_ <= 0) {
+  if (service == nullptr || service->coldPerSecond_ <= 0 ||
+      limits_.coldOvershoot_ <= 0) {
     return {};
   }
   return { service->coldPerSecond_ * limits_.coldOvershoot_,
            limits_.coldSlack_ };
 }
 
+bool Forwarder::LimitsColdServers() const
+{
+  return routes_ != nullptr &&
+         std::ranges::any_of(
+           routes_->Config().services_, [this](const auto& aService) {
+             return ColdLimitsOf(aService.first).perSecond_ > 0;
+           });
+}
+
 void Forwarder::SetRetryLimits(double aRatio, double aExtra)
 {
   limits_.retryRatio_ = aRatio;
@@ -235,11 +245,11 @@
          cold_.MaySend(aBackend.incarnationHash_, limits, aNowMs);
 }
 
-void Forwarder::TakePermit(const Backend& aBackend)
+void Forwarder::TakePermit(const Backend& aBackend, bool aHasSlot)
 {
   limiter_.Take(aBackend.incarnationHash_);
   const TimeMs nowMs = loop_.NowMs();
-  if (aBackend.IsCold(nowMs)) {
+  if (!aHasSlot && aBackend.IsCold(nowMs)) {
     const auto limits = ColdLimitsOf(aBackend.entry_.service_);
     if (limits.perSecond_ > 0) {
       cold_.OnSent(aBackend.incarnationHash_, limits, nowMs);
@@ -304,15 +314,22 @@
       choice.verdict_ = PlacementVerdict::Wait;
       return choice;
     case SlotState::Refused:
+      if (decision.cause_ == SlotCause::NoServer) {
+        // This gateway's directory may be newer than that of the broker.
+        return std::nullopt;
+      }
       choice.cause_ = EnumName(decision.cause_);
-      choice.retryAfterMs_ = decision.retryAfterMs_;
+      choice.retryAfterMs_ =
+        RetryAfterMs(options_,
+                     aRequest.RemainingMs(),
+                     static_cast<double>(decision.retryAfterMs_));
       return choice;
     case SlotState::Assigned:
       if (keyed && owner == nullptr) {
         ReturnUnused(decision.number_);
         return std::nullopt;
       }
-      return UseSlot(decision, owner.get(), aService);
+      return UseSlot(decision, owner.get(), aService, aRequest.Service());
     default:
       return std::nullopt;
   }
@@ -327,7 +344,8 @@
 
 std::optional<BackendChoice> Forwarder::UseSlot(const SlotDecision& aDecision,
                                                 const Backend* aOwner,
-                                                const ServiceSpec& aService)
+                                                const ServiceSpec& aService,
+                                                const std::string& aName)
 {
   const TimeMs nowMs = loop_.NowMs();
   BackendChoice choice;
@@ -335,12 +353,17 @@
   choice.maxConnections_ = ConnectionShare(aService);
   choice.slot_ = aDecision.number_;
   const auto* backend = choice.backend_.get();
-  // The broker has counted the requests to cold servers.
-  if (backend == nullptr || !backend->TakesRequests(nowMs) ||
-      CheckPermit(*backend).verdict_ == PermitVerdict::Denied) {
+  if (backend == nullptr || backend->entry_.service_ != aName) {
     ReturnUnused(aDecision.number_);
     return std::nullopt;
   }
+  // The broker has counted the requests to cold servers.
+  const auto permit = CheckPermit(*backend).verdict_;
+  if (!backend->TakesRequests(nowMs) || permit == PermitVerdict::Denied ||
+      permit == PermitVerdict::Pending) {
+    Slots().Return(aDecision.number_, SlotOutcome::Rejected, 0, {});
+    return std::nullopt;
+  }
   const bool moved = aOwner != nullptr && aOwner != backend;
   const bool down = backend->downUntilMs_ > nowMs;
   if (moved || down) {
--- a/gateway/Forwarder.hpp
+++ b/gateway/Forwarder.hpp
@@ -83,6 +83,8 @@
   void SetEvacuatedDomains(std::set<std::string> aDomains);
   /// Limits of the service's cold servers; {} if there are none.
   ColdLimits ColdLimitsOf(const std::string& aService) const;
+  /// Whether any service limits the requests to its cold servers.
+  bool LimitsColdServers() const;
   ColdGuard& Cold() { return cold_; }
   /// Replaces the limits on retries.
   void SetRetryLimits(double aRatio, double aExtra);
@@ -108,7 +110,7 @@
   OwnerAdmission& Admission() { return admission_; }
   /// Uses up a permit if the server limits its requests. To be called for each
   /// request that is sent.
-  void TakePermit(const Backend& aBackend);
+  void TakePermit(const Backend& aBackend, bool aHasSlot);
   /// Number that distinguishes the requests of this process.
   uint64_t NextRequestNumber() { return ++requestNumber_; }
   /// Returns a random Retry-After time, which spreads the retries of the
@@ -161,7 +163,8 @@
   /// Sends the request to the assigned server if that can take it.
   std::optional<BackendChoice> UseSlot(const SlotDecision& aDecision,
                                        const Backend* aOwner,
-                                       const ServiceSpec& aService);
+                                       const ServiceSpec& aService,
+                                       const std::string& aName);
   /// Owner of the request's key, if it can get requests.
   BackendPool::BackendPtr ReadyOwner(const ForwardedRequest& aRequest) const;
   BackendChoice ChooseOwner(const ForwardedRequest& aRequest,
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -88,21 +88,24 @@
   , limiter_({ [this] { return PermitIssuerView(); },
                [this] { SchedulePermitRequests(); } },
              std::random_device{}())
-  , slots_(
-      aLoop,
-      aLog,
-      metrics_,
-      mesh_,
-      settings_.instance_,
-      settings_.failureDomain_,
-      settings_.cpuPercent_,
-      settings_.crossing_,
-      { [this] { return gossip_.MakeBriefGossip(); },
-        [this] { forwarder_.OnRoutingStateChanged(); },
-        [this](const std::string& aService) { return ColdLimitsOf(aService); },
-        [this](const std::string& aDomain) {
-          return evacuations_.IsEvacuated(aDomain);
-        } })
+  , slots_(aLoop,
+           aLog,
+           metrics_,
+           mesh_,
+           settings_.instance_,
+           settings_.failureDomain_,
+           settings_.cpuPercent_,
+           settings_.crossing_,
+           { [this] { return gossip_.MakeBriefGossip(); },
+             [this] { forwarder_.OnRoutingStateChanged(); },
+             [this](const std::string& aService) {
+               return configVersion_ == 0
+                        ? std::nullopt
+                        : std::optional(forwarder_.ColdLimitsOf(aService));
+             },
+             [this](const std::string& aDomain) {
+               return evacuations_.IsEvacuated(aDomain);
+             } })
   , forwarder_(aLoop,
                aLog,
                metrics_,
@@ -282,7 +285,7 @@
           if (aRemoved) {
             directory_.ApplyRemoved(aEntry.id_, loop_.NowMs());
           } else {
-            directory_.ApplyPut(aEntry, loop_.NowMs());
+            directory_.ApplyPut(aEntry, loop_.NowMs(), false);
           }
           OnBackendsChanged();
         },
@@ -301,39 +304,46 @@
         [this] { return HasDirectory(); },
         [this] { ProbeStore(); },
         [this] { FetchConfig(); } })
-  , gossip_(
-      aLoop,
-      { settings_.instance_,
-        settings_.failureDomain_,
-        bootId_,
-        settings_.cpuPercent_,
-        settings_.metricsListen_.port_ },
-      mesh_,
-      election_,
-      coordinator_,
-      fleetLoads_,
-      relay_,
-      forwarder_,
-      limits_,
-      slots_,
-      evacuations_,
-      { [this] { return configVersion_; },
-        [this](size_t aMost) { return directory_.LeavingIncarnations(aMost); },
-        [this](const std::vector<int32_t>& aLives) {
-          if (directory_.MarkLeaving(aLives)) {
-            OnBackendsChanged();
-          }
-        },
-        [this](size_t aMost) {
-          return directory_.TakeColdNotices(aMost, loop_.NowMs());
-        },
-        [this](const std::vector<ColdNotice>& aServers) {
-          const bool changed = directory_.MarkCold(aServers, loop_.NowMs());
-          if (changed) {
-            OnBackendsChanged();
-          }
-          return changed;
-        } })
+  , gossip_(aLoop,
+            { settings_.instance_,
+              settings_.failureDomain_,
+              bootId_,
+              settings_.cpuPercent_,
+              settings_.metricsListen_.port_ },
+            mesh_,
+            election_,
+            coordinator_,
+            fleetLoads_,
+            relay_,
+            forwarder_,
+            limits_,
+            slots_,
+            evacuations_,
+            { [this] { return configVersion_; },
+              [this](size_t aMaxCount) {
+                return directory_.LeavingIncarnations(aMaxCount);
+              },
+              [this](const std::vector<int32_t>& aLives) {
+                if (directory_.MarkLeaving(aLives)) {
+                  OnBackendsChanged();
+                }
+              },
+              [this](size_t aMaxCount) {
+                return forwarder_.LimitsColdServers()
+                         ? directory_.TakeColdNotices(aMaxCount, loop_.NowMs())
+                         : std::vector<ColdNotice>{};
+              },
+              [this](const std::vector<ColdNotice>& aServers) {
+                // Only the leader passes on what others report, so that an end
+                // which is late by the time on its way does not come back later
+                // still.
+                const bool changed = directory_.MarkCold(
+                  aServers, loop_.NowMs(), election_.IsLeading());
+                if (changed) {
+                  OnBackendsChanged();
+                }
+                return changed;
+              } })
   , changesTimer_(aLoop, [this] { ApplyBackendChanges(); })
   , housekeepTimer_(aLoop, [this] { Housekeep(); })
   , registerTimer_(aLoop, [this] { Register(); })
@@ -553,7 +563,8 @@
   OnBackendsChanged();
   // Heartbeats of servers that are warming up change nothing that other
   // gateways need.
-  if (directory_.Digest() != digest || becameCold) {
+  if (directory_.Digest() != digest ||
+      (becameCold && forwarder_.LimitsColdServers())) {
     gossip_.BroadcastRegistrations(std::move(changes.changes));
   }
 }
@@ -612,11 +623,6 @@
   }
 }
 
-ColdLimits Gateway::ColdLimitsOf(const std::string& aService) const
-{
-  return forwarder_.ColdLimitsOf(aService);
-}
-
 double Gateway::RequestLimitOf(const BackendEntry& aEntry) const
 {
   const TimeMs nowMs = loop_.NowMs();
@@ -626,7 +632,7 @@
       ? ServerLimits::kUnlimited
       : limiter_.Limits().SettledRate(aEntry.IncarnationHash(), nowMs);
   if (aEntry.coldUntilMs_ > nowMs) {
-    const auto cold = ColdLimitsOf(aEntry.service_);
+    const auto cold = forwarder_.ColdLimitsOf(aEntry.service_);
     if (cold.perSecond_ > 0) {
       limit = std::min(limit, cold.perSecond_);
     }
@@ -931,11 +937,13 @@
     auto gateways = mesh_.AliveGateways(nowMs);
     gateways.emplace_back(settings_.instance_, settings_.failureDomain_);
     forwarder_.SetGateways(settings_.instance_, gateways);
-    std::vector<uint32_t> known;
-    for (const auto& [name, peer] : mesh_.Peers()) {
-      known.push_back(ShortHash(name));
+    if (gatewayWatcher_.HasListed()) {
+      std::vector<uint32_t> known;
+      for (const auto& [name, peer] : mesh_.Peers()) {
+        known.push_back(ShortHash(name));
+      }
+      forwarder_.Cold().SetGateways(std::move(known));
     }
-    forwarder_.Cold().SetGateways(std::move(known));
   }
   const bool ready = IsReady();
   if (ready != std::exchange(wasReady_, ready)) {
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -64,8 +64,6 @@
                             bool aFromStore);
   /// A server told in an answer that it is cold.
   void OnCold(const BackendEntry& aEntry, TimeMs aRemainingMs);
-  /// Limits of the service's cold servers; {} if there are none.
-  ColdLimits ColdLimitsOf(const std::string& aService) const;
   /// Requests per second that the server takes from all gateways together.
   double RequestLimitOf(const BackendEntry& aEntry) const;
   void ReportColdServers();
--- a/gateway/GatewaySettings.cpp
+++ b/gateway/GatewaySettings.cpp
@@ -80,9 +80,10 @@
             0,
             detail::kMaxDurationMs),
     integer("cold-overshoot-percent",
-            "100",
-            "requests that a cold backend server gets, percent of its rate",
-            1,
+            "0",
+            "requests that a cold backend server gets, percent of its rate; 0: "
+            "not limited",
+            0,
             10000),
     integer("cold-slack",
             "0",
--- a/gateway/SlotExchange.cpp
+++ b/gateway/SlotExchange.cpp
@@ -219,8 +219,13 @@
 void SlotExchange::OnRequest(const SlotRequest& aRequest)
 {
   const auto place = PlaceOf(aRequest);
-  if (!place) {
+  if (!place || !handlers_.coldLimits_(ServiceName(place->first))) {
+    // Another view of the directory or the configuration: the gateway decides
+    // alone.
     metrics_.OnSlotRequest("broker", "ignored", "unknown-service");
+    SendAnswer({ .gateway_ = aRequest.gateway_,
+                 .number_ = aRequest.number_,
+                 .verdict_ = SlotVerdict::Elsewhere });
     return;
   }
   auto& broker = GetBroker(*place);
@@ -315,7 +320,8 @@
   }
   const TimeMs nowMs = loop_.NowMs();
   SlotOptions options;
-  options.cold_ = handlers_.coldLimits_(ServiceName(aPlace.first));
+  options.cold_ =
+    handlers_.coldLimits_(ServiceName(aPlace.first)).value_or(ColdLimits{});
   auto& broker = brokers_
                    .try_emplace(aPlace,
                                 options,
@@ -338,12 +344,17 @@
 {
   for (const auto& answer : aBroker.scheduler_.TakeAnswers()) {
     RecordAnswer(aBroker, answer, aRequest);
-    if (answer.gateway_ == self_) {
-      OnAnswer(self_, answer);
-    } else {
-      outboxes_[answer.gateway_].answers_.push_back(answer);
-      ScheduleFlush();
-    }
+    SendAnswer(answer);
+  }
+}
+
+void SlotExchange::SendAnswer(const SlotAnswer& aAnswer)
+{
+  if (aAnswer.gateway_ == self_) {
+    OnAnswer(self_, aAnswer);
+  } else {
+    outboxes_[aAnswer.gateway_].answers_.push_back(aAnswer);
+    ScheduleFlush();
   }
 }
 
@@ -404,7 +415,7 @@
     const bool hasServers = service != services_.end() &&
                             service->second.servers_.contains(place.second);
     broker.scheduler_.SetColdLimits(
-      handlers_.coldLimits_(ServiceName(place.first)));
+      handlers_.coldLimits_(ServiceName(place.first)).value_or(ColdLimits{}));
     broker.scheduler_.SetServers(hasServers
                                    ? service->second.servers_[place.second]
                                    : std::vector<SlotServer>{},
--- a/gateway/SlotExchange.hpp
+++ b/gateway/SlotExchange.hpp
@@ -39,8 +39,9 @@
     std::function<wire::Gossip()> makeGossip_;
     /// A broker has decided on requests that were pending.
     std::function<void()> onDecided_;
-    /// Limits of the service's cold servers.
-    std::function<ColdLimits(const std::string& aService)> coldLimits_;
+    /// Limits of the service's cold servers; none without a configuration.
+    std::function<std::optional<ColdLimits>(const std::string& aService)>
+      coldLimits_;
     /// Whether the servers of the failure domain are to get no requests.
     std::function<bool(const std::string& aDomain)> isEvacuated_;
   };
@@ -129,6 +130,7 @@
   void EndAt(Broker& aBroker, const SlotEnd& aEnd);
   /// Sends the scheduler's answers. aRequest is the one that it just got.
   void SendAnswers(Broker& aBroker, const SlotRequest* aRequest = nullptr);
+  void SendAnswer(const SlotAnswer& aAnswer);
   void RecordAnswer(Broker& aBroker,
                     const SlotAnswer& aAnswer,
                     const SlotRequest* aRequest);
--- a/membership/BackendDirectory.cpp
+++ b/membership/BackendDirectory.cpp
@@ -84,7 +84,9 @@
          removed->second == aEntry.startTimeMs_;
 }
 
-bool BackendDirectory::ApplyPut(const BackendEntry& aEntry, TimeMs aNowMs)
+bool BackendDirectory::ApplyPut(const BackendEntry& aEntry,
+                                TimeMs aNowMs,
+                                bool aPassesOn)
 {
   if (IsDoubtful(aEntry, aNowMs)) {
     doubtful_[aEntry.id_] = aEntry;
@@ -103,7 +105,8 @@
   const auto [known, isNew] = entries_.try_emplace(entry.id_, entry);
   if (!isNew) {
     if (known->second.IsSameState(entry)) {
-      return ExtendCold(known->second, aEntry.coldRemainingMs_, aNowMs);
+      return ExtendCold(
+        known->second, aEntry.coldRemainingMs_, aNowMs, aPassesOn);
     }
     if (known->second.IsSameIncarnation(entry)) {
       entry.coldUntilMs_ = known->second.coldUntilMs_;
@@ -113,12 +116,13 @@
   }
   digest_ += detail::EntryHash(entry);
   changes_.insert(entry.id_);
-  return ExtendCold(known->second, aEntry.coldRemainingMs_, aNowMs);
+  return ExtendCold(known->second, aEntry.coldRemainingMs_, aNowMs, aPassesOn);
 }
 
 bool BackendDirectory::ExtendCold(BackendEntry& aEntry,
                                   TimeMs aRemainingMs,
-                                  TimeMs aNowMs)
+                                  TimeMs aNowMs,
+                                  bool aPassesOn)
 {
   if (aRemainingMs <= 0 || aRemainingMs > kMaxColdMs) {
     return false;
@@ -129,9 +133,12 @@
     return false;
   }
   aEntry.coldUntilMs_ = untilMs;
-  std::erase_if(coldUntilMs_,
-                [aNowMs](const auto& aCold) { return aCold.second <= aNowMs; });
-  coldUntilMs_[detail::WireHash(aEntry.id_, aEntry.startTimeMs_)] = untilMs;
+  std::erase_if(coldPhases_, [aNowMs](const auto& aPhase) {
+    return aPhase.second.endMs_ <= aNowMs;
+  });
+  coldPhases_[detail::WireHash(aEntry.id_, aEntry.startTimeMs_)] = {
+    untilMs, aPassesOn
+  };
   changes_.insert(aEntry.id_);
   return true;
 }
@@ -144,28 +151,31 @@
   const auto entry = entries_.find(aId);
   return entry != entries_.end() &&
          entry->second.startTimeMs_ == aStartTimeMs &&
-         ExtendCold(entry->second, aRemainingMs, aNowMs);
+         ExtendCold(entry->second, aRemainingMs, aNowMs, true);
 }
 
 bool BackendDirectory::MarkCold(const std::vector<ColdNotice>& aNotices,
-                                TimeMs aNowMs)
+                                TimeMs aNowMs,
+                                bool aPassesOn)
 {
   // Datagrams repeat them.
-  std::map<int32_t, TimeMs> news;
+  std::map<int32_t, TimeMs> unknown;
   for (const auto& notice : aNotices) {
-    const auto known = coldUntilMs_.find(notice.server_);
-    if (known == coldUntilMs_.end() ||
-        aNowMs + notice.remainingMs_ > known->second + kColdToleranceMs) {
-      news[notice.server_] = notice.remainingMs_;
+    const auto known = coldPhases_.find(notice.server_);
+    if (known == coldPhases_.end() ||
+        aNowMs + notice.remainingMs_ >
+          known->second.endMs_ + kColdToleranceMs) {
+      unknown[notice.server_] = notice.remainingMs_;
     }
   }
-  if (news.empty()) {
+  if (unknown.empty()) {
     return false;
   }
   bool changed = false;
   for (auto& [id, entry] : entries_) {
-    const auto found = news.find(detail::WireHash(id, entry.startTimeMs_));
-    changed |= found != news.end() && ExtendCold(entry, found->second, aNowMs);
+    const auto found = unknown.find(detail::WireHash(id, entry.startTimeMs_));
+    changed |= found != unknown.end() &&
+               ExtendCold(entry, found->second, aNowMs, aPassesOn);
   }
   return changed;
 }
@@ -173,18 +183,21 @@
 std::vector<ColdNotice> BackendDirectory::TakeColdNotices(size_t aMaxCount,
                                                           TimeMs aNowMs)
 {
-  std::erase_if(coldUntilMs_,
-                [aNowMs](const auto& aCold) { return aCold.second <= aNowMs; });
-  const size_t count = std::min(aMaxCount, coldUntilMs_.size());
+  std::erase_if(coldPhases_, [aNowMs](const auto& aPhase) {
+    return aPhase.second.endMs_ <= aNowMs;
+  });
   std::vector<ColdNotice> notices;
-  auto next = coldUntilMs_.upper_bound(lastColdNotice_);
-  while (notices.size() < count) {
-    if (next == coldUntilMs_.end()) {
-      next = coldUntilMs_.begin();
+  auto next = coldPhases_.upper_bound(lastColdNotice_);
+  for (size_t seen = 0; seen < coldPhases_.size() && notices.size() < aMaxCount;
+       ++seen) {
+    if (next == coldPhases_.end()) {
+      next = coldPhases_.begin();
+    }
+    const auto& [server, phase] = *next++;
+    if (phase.passOn_) {
+      notices.push_back({ server, phase.endMs_ - aNowMs });
     }
-    notices.push_back({ next->first, next->second - aNowMs });
-    lastColdNotice_ = next->first;
-    ++next;
+    lastColdNotice_ = server;
   }
   return notices;
 }
@@ -265,6 +278,7 @@
   if (known != entries_.end()) {
     removals_[aId] = { known->second.startTimeMs_, aNowMs };
     digest_ -= detail::EntryHash(known->second);
+    coldPhases_.erase(detail::WireHash(aId, known->second.startTimeMs_));
     entries_.erase(known);
     changes_.insert(aId);
   }
--- a/membership/BackendDirectory.hpp
+++ b/membership/BackendDirectory.hpp
@@ -54,7 +54,10 @@
   /// listed count as removed.
   void ApplyList(const std::vector<BackendEntry>& aEntries, TimeMs aNowMs);
   /// Returns true if the server is cold now, or for longer, than was known.
-  bool ApplyPut(const BackendEntry& aEntry, TimeMs aNowMs);
+  /// aPassesOn: TakeColdNotices() returns the end of its cold phase.
+  bool ApplyPut(const BackendEntry& aEntry,
+                TimeMs aNowMs,
+                bool aPassesOn = true);
   void ApplyRemoved(const std::string& aId, TimeMs aNowMs);
   /// The removal was seen by a gateway whose calls to the store have not
   /// failed, so no grace period is needed.
@@ -75,8 +78,11 @@
                 int64_t aStartTimeMs,
                 TimeMs aRemainingMs,
                 TimeMs aNowMs);
-  /// The same for all that other gateways told. Returns false if none was news.
-  bool MarkCold(const std::vector<ColdNotice>& aNotices, TimeMs aNowMs);
+  /// The same for all that other gateways reported. Returns false if all were
+  /// already known. aPassesOn: see ApplyPut().
+  bool MarkCold(const std::vector<ColdNotice>& aNotices,
+                TimeMs aNowMs,
+                bool aPassesOn);
   /// Up to aMaxCount cold servers, others with each call if there are more.
   std::vector<ColdNotice> TakeColdNotices(size_t aMaxCount, TimeMs aNowMs);
   /// The store was restored from an older copy. Until registrations of servers
@@ -113,8 +119,11 @@
   /// Longest grace period of a registration.
   TimeMs MaxGraceMs() const { return drainMs_ - kDrainMarginMs; }
   bool IsLeaving(const BackendEntry& aEntry) const;
-  /// Keeps the later end of the cold phase. Returns true if that is news.
-  bool ExtendCold(BackendEntry& aEntry, TimeMs aRemainingMs, TimeMs aNowMs);
+  /// Keeps the later end of the cold phase. Returns true if that was not known.
+  bool ExtendCold(BackendEntry& aEntry,
+                  TimeMs aRemainingMs,
+                  TimeMs aNowMs,
+                  bool aPassesOn);
   /// Whether a registration may be a leftover of a restored store.
   bool IsDoubtful(const BackendEntry& aEntry, TimeMs aNowMs) const;
   void Remove(const std::string& aId, TimeMs aNowMs);
@@ -147,8 +156,13 @@
   /// is leaving.
   std::map<std::string, int64_t> leavingStartTimeMs_;
   std::set<int32_t> leavingHashes_; ///< hashes of these incarnations
-  /// Ends of the cold phases, by the hashes of the incarnations.
-  std::map<int32_t, TimeMs> coldUntilMs_;
+  struct ColdPhase
+  {
+    TimeMs endMs_ = 0;
+    bool passOn_ = false; ///< returned by TakeColdNotices()
+  };
+  /// By the hashes of the incarnations.
+  std::map<int32_t, ColdPhase> coldPhases_;
   int32_t lastColdNotice_ = INT32_MIN;
   /// Sum of the entries' hashes, which does not depend on their order.
   uint64_t digest_ = 0;
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -12,6 +12,9 @@
 constexpr size_t kMaxResponseHeadBytes = 16384;
 /// A lost SYN is retransmitted after 1 s; a new call is made sooner than that.
 constexpr TimeMs kConnectTimeoutMs = 900;
+/// Idle connections to one server whose responses name no request; as many
+/// calls to a server run at a time.
+constexpr ptrdiff_t kMaxUnidentified = 3;
 /// Limit of interim (1xx) responses before the final one.
 constexpr int kMaxInterimResponses = 8;
 
@@ -263,12 +266,12 @@
   std::erase(busy_, aConnection);
   auto& idle = idle_[KeyOf(aConnection->Server())];
   if (!aConnection->IdentifiesResponses()) {
-    // One is enough for ReuseOnly calls, which are made one after the other.
-    const auto isReplaced = [](const auto& aIdle) {
+    const auto isUnidentified = [](const auto& aIdle) {
       return !aIdle->IdentifiesResponses();
     };
-    const auto old = std::ranges::find_if(idle, isReplaced);
-    if (old != idle.end()) {
+    if (std::ranges::count_if(idle, isUnidentified) >=
+        detail::kMaxUnidentified) {
+      const auto old = std::ranges::find_if(idle, isUnidentified);
       loop_.Defer([dropped = std::move(*old)] {});
       idle.erase(old);
     }
--- a/scheduling/ColdGuard.cpp
+++ b/scheduling/ColdGuard.cpp
@@ -20,7 +20,6 @@
 
 ColdGuard::ColdGuard(uint32_t aGateway)
   : gateway_(aGateway)
-  , gateways_{ aGateway }
 {
 }
 
@@ -41,6 +40,9 @@
 
 size_t ColdGuard::Quota(uint32_t aServer, const ColdLimits& aLimits) const
 {
+  if (gateways_.empty()) {
+    return 0; // not known yet
+  }
   const auto total = static_cast<size_t>(
     std::max(0.0, (aLimits.perSecond_ + aLimits.slack_) * kShare));
   const auto own = std::pair(detail::GuardRank(gateway_, aServer), gateway_);
--- a/scheduling/ServerSlots.cpp
+++ b/scheduling/ServerSlots.cpp
@@ -67,6 +67,7 @@
     noStartUntilMs_ = 0;
     unreachable_ = false;
     others_ = 0;
+    presentShare_ = 1;
     slowness_ = meanSlowness_ = 1;
     cold_.reset();
   }
--- a/scheduling/SlotClient.cpp
+++ b/scheduling/SlotClient.cpp
@@ -339,6 +339,9 @@
   std::erase_if(decided_, [&](const auto& aEntry) {
     return aNowMs - aEntry.second.atMs_ >= kForgetMs;
   });
+  std::erase_if(heardMs_, [&](const auto& aEntry) {
+    return aNowMs - aEntry.second >= kForgetMs;
+  });
   std::erase_if(avoidedUntilMs_, [&](const auto& aEntry) {
     return aNowMs - aEntry.second >= kForgetMs;
   });
--- a/scheduling/SlotMessages.hpp
+++ b/scheduling/SlotMessages.hpp
@@ -124,11 +124,11 @@
   uint32_t service_ = 0; ///< 0: unknown, after a late answer
   uint32_t server_ = 0;
   SlotOutcome outcome_ = SlotOutcome::Unused;
-  TimeMs latencyMs_ = 0; ///< with Served: of the whole attempt
+  TimeMs latencyMs_ = 0; ///< with Served: to the head of the response
   std::optional<SlotLoad> load_;
 };
 
-/// Room of a service in one failure domain, told among its brokers.
+/// Room of a service in one failure domain, reported among its brokers.
 struct SlotSummary
 {
   uint32_t service_ = 0;
--- a/scheduling/SlotScheduler.cpp
+++ b/scheduling/SlotScheduler.cpp
@@ -95,12 +95,12 @@
 
 void SlotScheduler::Drop(SlotEntry& aEntry, TimeMs aNowMs)
 {
+  const EntryKey key{ aEntry.request_.gateway_, aEntry.request_.number_ };
   if (aEntry.phase_ == SlotPhase::InUse) {
     ReleaseSlot(aEntry, aNowMs);
   } else {
     Close(aEntry, SlotPhase::Ended, aNowMs);
   }
-  const EntryKey key{ aEntry.request_.gateway_, aEntry.request_.number_ };
   if (const auto left = entries_.find(key); left != entries_.end()) {
     Forget(left->second);
   }
--- a/tests/ColdGuardTest.cpp
+++ b/tests/ColdGuardTest.cpp
@@ -132,11 +132,12 @@
   EXPECT_EQ(most, 1U);
 }
 
-// Guards against a frozen gateway that sends a whole queue when it awakes: what
+// Guards against a frozen gateway that sends a whole queue when it resumes: what
 // it had decided on and what it may send then are both bounded by its part.
 TEST(ColdGuard, FrozenGatewayHasNoMoreThanItsPart)
 {
   ColdGuard guard(1);
+  guard.SetGateways({});
   const auto burst = [&](TimeMs aNowMs) {
     size_t sent = 0;
     for (; guard.MaySend(7, kLimits, aNowMs); ++sent) {
@@ -152,11 +153,22 @@
   EXPECT_EQ(before, after);
 }
 
+// Guards against a gateway that has just started, knows few of the others and
+// takes their part.
+TEST(ColdGuard, NothingWithoutTheListOfGateways)
+{
+  ColdGuard guard(1);
+  EXPECT_FALSE(guard.MaySend(7, kLimits, 0));
+  guard.SetGateways({});
+  EXPECT_TRUE(guard.MaySend(7, kLimits, 0));
+}
+
 // Guards against callers that are told to come back before there is room, or
 // long after.
 TEST(ColdGuard, WaitEndsWhenARequestMayBeSent)
 {
   ColdGuard guard(1);
+  guard.SetGateways({});
   EXPECT_EQ(guard.WaitMs(7, kLimits, 0), 0);
   while (guard.MaySend(7, kLimits, 100)) {
     guard.OnSent(7, kLimits, 100);
--- a/tests/KeyspaceTest.cpp
+++ b/tests/KeyspaceTest.cpp
@@ -481,11 +481,13 @@
   EXPECT_FALSE(here.MarkCold("a", Entry("a").startTimeMs_ + 1, 9000, 1000));
   EXPECT_FALSE(here.MarkCold("c", 1, 3000, 1000));
   EXPECT_EQ(here.Entries().at("a").coldUntilMs_, 4000);
-  EXPECT_TRUE(peer.MarkCold(here.TakeColdNotices(10, 1100), 1120));
+  EXPECT_TRUE(peer.MarkCold(here.TakeColdNotices(10, 1100), 1120, true));
   EXPECT_EQ(peer.TakeChanges(), (std::set<std::string>{ "a" }));
   for (TimeMs nowMs = 1200; nowMs < 3900; nowMs += 100) {
-    EXPECT_FALSE(here.MarkCold(peer.TakeColdNotices(10, nowMs), nowMs + 20));
-    EXPECT_FALSE(peer.MarkCold(here.TakeColdNotices(10, nowMs), nowMs + 20));
+    EXPECT_FALSE(
+      here.MarkCold(peer.TakeColdNotices(10, nowMs), nowMs + 20, true));
+    EXPECT_FALSE(
+      peer.MarkCold(here.TakeColdNotices(10, nowMs), nowMs + 20, true));
   }
   EXPECT_EQ(here.Entries().at("a").coldUntilMs_, 4000);
   EXPECT_TRUE(here.TakeColdNotices(10, 4000).empty());
@@ -502,6 +504,26 @@
   EXPECT_EQ(here.Entries().at("b").coldUntilMs_, 0);
 }
 
+// Guards against a cold phase that gateways keep alive by reporting to each
+// other what they heard late: only the leader passes reports of others on.
+TEST(BackendDirectory, ColdPhaseEndsAlthoughDatagramsAreLate)
+{
+  constexpr TimeMs kDelayMs = 400;
+  BackendDirectory leader(kDrainMs);
+  BackendDirectory follower(kDrainMs);
+  leader.ApplyList({ Entry("a") }, 1000);
+  follower.ApplyList({ Entry("a") }, 1000);
+  EXPECT_TRUE(follower.MarkCold("a", Entry("a").startTimeMs_, 3000, 1000));
+  for (TimeMs nowMs = 1000; nowMs < 10000; nowMs += 250) {
+    const auto fromFollower = follower.TakeColdNotices(10, nowMs);
+    const auto fromLeader = leader.TakeColdNotices(10, nowMs);
+    leader.MarkCold(fromFollower, nowMs + kDelayMs, true);
+    follower.MarkCold(fromLeader, nowMs + kDelayMs, false);
+  }
+  EXPECT_LE(leader.Entries().at("a").coldUntilMs_, 4000 + 2 * kDelayMs);
+  EXPECT_LE(follower.Entries().at("a").coldUntilMs_, 4000 + 2 * kDelayMs);
+}
+
 // Guards against cold servers that are never told, because there are more of
 // them than fit into a datagram.
 TEST(BackendDirectory, AllColdServersAreTold)
@@ -520,7 +542,7 @@
   for (int round = 0; round < 4; ++round) {
     const auto notices = here.TakeColdNotices(32, 1000);
     EXPECT_LE(notices.size(), 32U);
-    peer.MarkCold(notices, 1000);
+    peer.MarkCold(notices, 1000, false);
   }
   EXPECT_TRUE(std::ranges::all_of(peer.Entries(), [](const auto& aEntry) {
     return aEntry.second.coldUntilMs_ == 4000;
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -70,8 +70,7 @@
 
 // Messages between gateways and the brokers of slots
 // (scheduling/SlotMessages.hpp).
-// Services, routes, servers and failure domains are XXH32 of their
-// names.
+// Services, routes, servers and failure domains are XXH32 of their names.
 struct SlotRequest {
   1: i64 number // repeated in the answer
   2: i32 serviceHash
@@ -146,8 +145,7 @@
   17: i32 statusPort // where /config and /directory are served
   19: bool passOn // the receiver forwards it within its failure domain
   20: i64 origin // IP and port of the first sender, 0: the sender itself
-  // Gateways that the leader receives messages from, XXH32 of their
-// names. The
+  // Gateways that the leader receives messages from, XXH32 of their names. The
   // other gateways receive messages from only a few of each other.
   21: list<i32> members
   // Owners with more requests for their keys than they can run, two numbers
