--- a/gateway/SlotExchange.hpp
+++ b/gateway/SlotExchange.hpp
@@ -29,7 +29,7 @@
 
 /// Carries slot requests and answers between this gateway and the brokers, and
 /// runs the schedulers of the services and failure domains whose broker this
-/// gateway is. Does nothing in a small fleet.
+/// gateway is. Gets no requests in a small fleet.
 class SlotExchange
 {
 public:
