--- a/scheduling/SlotScheduler.hpp
+++ b/scheduling/SlotScheduler.hpp
@@ -35,10 +35,10 @@
 
 /// Decides which requests run when and where at the backend servers of one
 /// service in one failure domain. All gateways ask the scheduler of the
-/// domain's broker for slots, so that a server gets as many requests as keep its
-/// slots busy and few wait there (ServerSlots::Depth), no server is idle while a
-/// request waits elsewhere, and scarce room goes to the most urgent requests.
-/// Does no I/O.
+/// domain's broker for slots, so that a server gets as many requests as keep
+/// its slots busy and few wait there (ServerSlots::Depth), no server is idle
+/// while a request waits elsewhere, and scarce room goes to the most urgent
+/// requests. Does no I/O.
 class SlotScheduler
 {
 public:
--- a/tests/ColdGuardTest.cpp
+++ b/tests/ColdGuardTest.cpp
@@ -132,8 +132,9 @@
   EXPECT_EQ(most, 1U);
 }
 
-// Guards against a frozen gateway that sends a whole queue when it resumes: what
-// it had decided on and what it may send then are both bounded by its part.
+// Guards against a frozen gateway that sends a whole queue when it resumes:
+// what it had decided on and what it may send then are both bounded by its
+// part.
 TEST(ColdGuard, FrozenGatewayHasNoMoreThanItsPart)
 {
   ColdGuard guard(1);
