--- a/gateway/EvacuationWatch.cpp
+++ b/gateway/EvacuationWatch.cpp
@@ -163,10 +163,10 @@
   if (!enabled_ || aGossip.evacuationRevision <= set_.Revision()) {
     return;
   }
-  EvacuationSet::Domains told(aGossip.evacuatedDomains.begin(),
-                              aGossip.evacuatedDomains.end());
+  EvacuationSet::Domains reported(aGossip.evacuatedDomains.begin(),
+                                  aGossip.evacuatedDomains.end());
   const auto before = set_.All();
-  if (set_.Merge(told, aGossip.evacuationRevision)) {
+  if (set_.Merge(reported, aGossip.evacuationRevision)) {
     Report(before, aGossip.instance);
   }
 }
