--- a/scheduling/ColdGuard.hpp
+++ b/scheduling/ColdGuard.hpp
@@ -19,7 +19,8 @@
 {
 public:
   /// Part of the limit that all gateways use together without a broker. Brokers
-  /// use 0.6; the rest is for requests that a frozen gateway had decided on and
+  /// use 0.35 each, two while they change. One of them leaves the rest for
+  /// requests that a frozen gateway had decided on and
   /// sends when it resumes.
   static constexpr double kShare = 0.3;
   /// A request may be sent this much later than it is decided on, on a new
--- a/scheduling/ServerSlots.cpp
+++ b/scheduling/ServerSlots.cpp
@@ -37,9 +37,9 @@
 /// All reports in this time must agree that a slot is free. Single ones don't
 /// count requests and ends that are on their way.
 constexpr TimeMs kConfirmFreeMs = 200;
-/// Part of the cold limit that the scheduler uses; the rest is for requests of
-/// gateways that decide without it.
-constexpr double kColdShare = 0.6;
+/// Part of the cold limit that the scheduler uses. While brokers change, two
+/// use as much; the rest is for gateways that decide without one.
+constexpr double kColdShare = 0.35;
 constexpr double kMsPerSecond = 1000;
 
 double Decay(TimeMs aSinceMs, TimeMs aNowMs, double aHalfLifeMs)
