Review case 7: a replaced leader goes on granting keys

A leader that is cut off from the store and the other gateways goes on after its servers answer its grants with 409, and its stale grants are taken by servers that have crashed and come back under their ids. The cases 7 to 9 become 8 to 10.

--- a/review/7/FalseRefusal.cpp
+++ b/review/8/FalseRefusal.cpp
@@ -130,7 +130,7 @@
 [[noreturn]] void Run(const std::string& aFolder)
 {
   const bool trouble = HasTrouble();
-  Record record("review/7/record.txt");
+  Record record("review/8/record.txt");
   record.Line(trouble ? "run with the disruption" : "run without disruption");
   Store store(record, kGateways, {});
   store.Put(
--- a/review/standins-2/Testbed.cpp
+++ b/review/standins-2/Testbed.cpp
@@ -363,11 +363,11 @@
   std::set<Socket*> open_;
 };
 
-Server::Server(Handler aHandler)
+Server::Server(Handler aHandler, uint16_t aPort)
   : state_(std::make_shared<State>())
 {
   state_->handler_ = std::move(aHandler);
-  state_->listener_ = BoundSocket(SOCK_STREAM, 0);
+  state_->listener_ = BoundSocket(SOCK_STREAM, aPort);
   port_ = PortOf(state_->listener_);
   ::listen(state_->listener_, kBacklog);
   const auto serve = [](const std::shared_ptr<State>& aState, int aFd) {
@@ -471,6 +471,13 @@
   changed_.notify_all();
 }
 
+int Store::LastWriter(const std::string& aKind)
+{
+  const std::lock_guard lock(mutex_);
+  const auto found = lastWriters_.find(aKind);
+  return found == lastWriters_.end() ? -1 : found->second;
+}
+
 void Store::Remove(const std::string& aKind, const std::string& aName)
 {
   const std::lock_guard lock(mutex_);
@@ -552,6 +559,7 @@
     return { 404, Json::object() };
   }
   Store_(aKind, name, body.at("spec"));
+  lastWriters_[aKind] = static_cast<int>(aReader);
   return { 200, ToJson(aReader, aKind, name, kind[name]) };
 }
 
@@ -584,6 +592,12 @@
   if (!path.starts_with(kPrefix)) {
     return aSocket.Write(Response(404, "", "{}"));
   }
+  constexpr Millis kSilenceMs = 30000;
+  const auto isSilent = [&] { return silentFor_ == static_cast<int>(aReader); };
+  if (isSilent()) {
+    SleepMs(kSilenceMs);
+    return false;
+  }
   const auto rest = path.substr(kPrefix.size());
   const auto slash = rest.find('/');
   const auto kind = rest.substr(0, slash);
@@ -612,7 +626,8 @@
   , server_(std::make_unique<Server>(
       [this](Socket& aSocket, const Message& aRequest) {
         return Serve(aSocket, aRequest);
-      }))
+      },
+      options_.port_))
 {
   Register("ready");
 }
@@ -655,6 +670,21 @@
   }
 }
 
+void Worker::Crash()
+{
+  if (up_.exchange(false)) {
+    server_->Stop();
+    record_.Line("worker " + options_.id_ + " crashes");
+  }
+}
+
+Worker::Options Worker::NextLife() const
+{
+  auto options = options_;
+  options.port_ = server_->Port();
+  return options;
+}
+
 std::string Worker::AnswerFields(const Message& aRequest) const
 {
   return "Cactuspitch-Request-Id: " + aRequest.Field("Cactuspitch-Request-Id") +
@@ -847,6 +877,8 @@
       End end;
       end.fd_ = BoundSocket(SOCK_DGRAM, 0);
       end.port_ = PortOf(end.fd_);
+      end.from_ = static_cast<int>(aSender);
+      end.to_ = static_cast<int>(aReceiver);
       ends_.push_back(end);
     }
     return entry->second;
@@ -859,6 +891,13 @@
   return LocalAddress(ends_[there].port_);
 }
 
+bool Links::IsCut(const End& aEnd) const
+{
+  const int gateway = cutOff_;
+  return cut_ ||
+         (gateway >= 0 && (aEnd.from_ == gateway || aEnd.to_ == gateway));
+}
+
 void Links::Run()
 {
   constexpr int kWaitMs = 20;
@@ -889,7 +928,7 @@
                                     reinterpret_cast<sockaddr*>(&sender),
                                     &length);
       const auto& end = ends[index];
-      if (count <= 0 || cut_) {
+      if (count <= 0 || IsCut(end)) {
         continue;
       }
       {
--- a/review/standins-2/Testbed.hpp
+++ b/review/standins-2/Testbed.hpp
@@ -98,14 +98,15 @@
   std::string buffer_;
 };
 
-/// HTTP server on a free port of 127.0.0.1, with a thread for each connection.
+/// HTTP server on 127.0.0.1, with a thread for each connection. Port 0 stands
+/// for a free one.
 class Server
 {
 public:
   /// Returns false to close the connection.
   using Handler = std::function<bool(Socket&, const Message&)>;
 
-  explicit Server(Handler aHandler);
+  explicit Server(Handler aHandler, uint16_t aPort = 0);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
@@ -139,6 +140,10 @@
 
   std::string Address(size_t aReader) const;
   void SetAnswerMs(Millis aMs) { answerMs_ = aMs; }
+  /// Calls of the reader get no answer and have no effect; -1: of nobody.
+  void SetSilentFor(int aReader) { silentFor_ = aReader; }
+  /// The reader that has last written an object of a kind; -1: none.
+  int LastWriter(const std::string& aKind);
   void Put(const std::string& aKind,
            const std::string& aName,
            const Json& aSpec);
@@ -188,6 +193,8 @@
   Record& record_;
   LinkAddress linkAddress_;
   std::atomic<Millis> answerMs_{ 4 };
+  std::atomic<int> silentFor_{ -1 };
+  std::map<std::string, int> lastWriters_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, std::map<std::string, Object>> objects_;
@@ -210,6 +217,7 @@
     Millis workMs_ = 60;
     bool sharded_ = false;
     size_t bodyBytes_ = 1500;
+    uint16_t port_ = 0; ///< 0: a free one
   };
   struct Run
   {
@@ -235,6 +243,10 @@
   /// Announces that it drains; ends after aEndMs.
   void Drain();
   void End();
+  /// Ends without a word to the store.
+  void Crash();
+  /// Options of a new life under the same id, at the same address.
+  Options NextLife() const;
 
   static constexpr uint32_t kKeys = 65536;
   struct Hold
@@ -287,7 +299,10 @@
   Links();
   /// Address at which aFrom reaches aTo, whose own address is aAddress.
   std::string Address(size_t aFrom, size_t aTo, const std::string& aAddress);
+  /// Drops the datagrams of all links.
   void SetCut(bool aCut) { cut_ = aCut; }
+  /// Drops the datagrams to and from one gateway; -1: of none.
+  void SetCutOff(int aGateway) { cutOff_ = aGateway; }
 
 private:
   struct End
@@ -296,10 +311,14 @@
     uint16_t port_ = 0;
     uint16_t peer_ = 0; ///< datagrams that arrive here go on to this port
     size_t other_ = 0;  ///< and leave from this end
+    int from_ = -1;
+    int to_ = -1;
   };
   void Run();
+  bool IsCut(const End& aEnd) const;
 
   std::atomic<bool> cut_{ false };
+  std::atomic<int> cutOff_{ -1 };
   std::mutex mutex_;
   std::vector<End> ends_;
   std::map<std::pair<size_t, size_t>, size_t> byPair_;
