Log when the scope of a leader's grants changes

Change: event grant-scope with the age of the last confirmed renewal and whether the leader counts itself as isolated.

--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -94,6 +94,19 @@
   return confirmed || !IsIsolated() ? GrantScope::All : GrantScope::Renewals;
 }
 
+void LeaderElection::ReportGrantScope()
+{
+  const auto scope = AllowedGrantScope();
+  if (std::exchange(reportedScope_, scope) != scope) {
+    log_.Write(LogLevel::Info,
+               "grant-scope",
+               { { "term", term_ },
+                 { "scope", EnumName(scope) },
+                 { "unconfirmed_ms", loop_.NowMs() - confirmedMs_ },
+                 { "isolated", IsIsolated() ? 1 : 0 } });
+  }
+}
+
 bool LeaderElection::IsIsolated() const
 {
   const auto known =
@@ -125,6 +138,7 @@
   }
   if (state_ == State::Leading) {
     PruneEarlierLeaders();
+    ReportGrantScope();
     if (!renewing_ &&
         loop_.NowMs() - lastRenewalMs_ >= LeaderTiming::kRenewIntervalMs) {
       Renew();
@@ -365,6 +379,7 @@
   confirmedMs_ = aConfirmedMs;
   lastRenewalMs_ = loop_.NowMs();
   electedMs_ = loop_.NowMs();
+  reportedScope_ = GrantScope::All;
   renewing_ = false;
   highestTerm_ = std::max(highestTerm_, term_);
   leader_ = self_.instance_;
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -103,6 +103,8 @@
   };
 
   void Tick();
+  /// Logs a change of AllowedGrantScope().
+  void ReportGrantScope();
   bool ShouldAcquire() const;
   /// True if most of the known gateways are not heard any more.
   bool IsIsolated() const;
@@ -160,6 +162,7 @@
   TimeMs leaderHeardBeforeReadMs_ = 0;
   TimeMs lastRenewalMs_ = 0;
   bool renewing_ = false;
+  GrantScope reportedScope_ = GrantScope::All;
   bool everHeardLeader_ = false;
   uint64_t generation_ = 0;
   std::string leader_;
