A replaced leader reaches no restarted server

Cause: a leader kept the scope of all grants while its last confirmed renewal was younger than 1.5 s or while half of its peers counted as alive, which a silent peer does for 2.5 s. Its successor is elected after 0.8 s, took the first accepted fence of a server as a proof that the old leader is rejected there, and moved keys. A server that restarts under its id has forgotten the fence, and the old leader opened a connection to it and renewed the lease. Ruled out by the logs: queued commands and commands on open connections; they end with the process of the server.

Change: the old leader opens connections to servers only within kMaxUnconfirmedMs (1.5 s) after it sent its last confirmed renewal, checked when the connection is established; later it only renews leases on open connections, and releases nothing. A successor trusts a fence only if the grant was sent earlierLeaderConnectMs (1.6 s) after its term began, or after the earlier leaders are known to have ended, and moves keys off a living owner only then. A rejected fence makes the leader renew its lease at once; until that is confirmed it has the limited scope. One such renewal per server and second, so that a faulty server unseats nobody. The lease is renewed sooner while the store is slow.

--- a/gateway/CommandSender.cpp
+++ b/gateway/CommandSender.cpp
@@ -1,5 +1,6 @@
 #include "gateway/CommandSender.hpp"
 
+#include <memory>
 #include <utility>
 
 namespace cactuspitch {
@@ -68,66 +69,93 @@
 {
   const auto server = servers_.find(aCommand.backend_);
   if (server == servers_.end()) {
-    loop_.Defer([this, aCommand, generation = generation_] {
-      if (generation == generation_) {
-        OnDone(aCommand, 0, CallResult{});
-      }
-    });
+    FinishUnsent(aCommand, KeyCommandResult::NotSent);
+    return;
+  }
+  // The scope may have changed while the command was queued.
+  const bool mayConnect = handlers_.grantScope_() == GrantScope::All;
+  if (!mayConnect && !aCommand.renews_) {
+    FinishUnsent(aCommand, KeyCommandResult::Withheld);
     return;
   }
   auto request = protocol_.MakeCommand(aCommand);
-  if (handlers_.grantScope_() == GrantScope::Renewals) {
+  if (!mayConnect) {
     request.connectionPolicy_ = ConnectionPolicy::ReuseOnly;
   } else if (unresponsive_.contains(aCommand.backend_)) {
     request.connectionPolicy_ = ConnectionPolicy::NewOnly;
   }
+  const auto withheld = std::make_shared<bool>(!mayConnect);
+  request.maySendOnNew_ = [this, withheld, generation = generation_] {
+    *withheld = generation != generation_ ||
+                handlers_.grantScope_() == GrantScope::Renewals;
+    return !*withheld;
+  };
   client_.Call(server->second.endpoint_,
                request,
                [this,
                 aCommand,
+                withheld,
                 startTimeMs = server->second.startTimeMs_,
                 generation = generation_](const CallResult& aResult) {
-                 if (generation == generation_) {
-                   OnDone(aCommand, startTimeMs, aResult);
+                 if (generation != generation_) {
+                   return;
                  }
+                 auto response = protocol_.ParseResponse(aResult);
+                 if (response.result_ == KeyCommandResult::NotSent &&
+                     *withheld) {
+                   response.result_ = KeyCommandResult::Withheld;
+                 }
+                 OnDone(aCommand, startTimeMs, response, aResult.head_.status_);
                });
 }
 
+void CommandSender::FinishUnsent(const KeyCommand& aCommand,
+                                 KeyCommandResult aResult)
+{
+  loop_.Defer([this, aCommand, aResult, generation = generation_] {
+    if (generation == generation_) {
+      CommandResponse response;
+      response.result_ = aResult;
+      OnDone(aCommand, 0, response, 0);
+    }
+  });
+}
+
 void CommandSender::OnDone(const KeyCommand& aCommand,
                            int64_t aStartTimeMs,
-                           const CallResult& aResult)
+                           const CommandResponse& aResponse,
+                           int aHttpStatus)
 {
-  const auto response = protocol_.ParseResponse(aResult);
   --queues_[aCommand.backend_].inFlight_;
   // After a missing response the idle connections are probably dead as well. A
   // connection that could not be opened says nothing about the open ones.
-  if (response.result_ == KeyCommandResult::Unanswered) {
+  if (aResponse.result_ == KeyCommandResult::Unanswered) {
     unresponsive_.insert(aCommand.backend_);
-  } else {
+  } else if (aResponse.result_ != KeyCommandResult::Withheld) {
     unresponsive_.erase(aCommand.backend_);
   }
-  if (response.result_ != KeyCommandResult::Accepted) {
+  if (aResponse.result_ != KeyCommandResult::Accepted) {
     log_.Write(LogLevel::Warning,
                "order-failed",
                { { "order", EnumName(aCommand.kind_) },
-                 { "result", EnumName(response.result_) },
-                 { "http", aResult.head_.status_ },
+                 { "result", EnumName(aResponse.result_) },
+                 { "http", aHttpStatus },
                  { "backend", aCommand.backend_ },
                  { "first", aCommand.first_ },
                  { "last", aCommand.last_ },
                  { "fence", aCommand.fence_ },
                  { "took_ms", loop_.NowMs() - aCommand.sentMs_ } });
   }
-  if (response.leaving_ || response.requestLimit_ ||
-      response.malformedHandoverBytes_) {
+  if (aResponse.leaving_ || aResponse.requestLimit_ ||
+      aResponse.malformedHandoverBytes_) {
     handlers_.onNotice_({ aCommand.backend_,
                           aStartTimeMs,
                           aCommand.sentMs_,
-                          response.leaving_,
-                          response.requestLimit_,
-                          response.malformedHandoverBytes_ });
+                          aResponse.leaving_,
+                          aResponse.requestLimit_,
+                          aResponse.malformedHandoverBytes_ });
   }
-  handlers_.onDone_(aCommand, response);
+  handlers_.onDone_(aCommand, aResponse);
   SendWaiting(aCommand.backend_);
 }
 
--- a/gateway/CommandSender.hpp
+++ b/gateway/CommandSender.hpp
@@ -33,7 +33,8 @@
 
   struct Handlers
   {
-    /// Whether new grants may be sent or only renewals.
+    /// Whether all commands may be sent or only renewals on connections that
+    /// are open.
     std::function<GrantScope()> grantScope_;
     /// Called once for each command, unless Reset drops it.
     std::function<void(const KeyCommand&, const CommandResponse&)> onDone_;
@@ -55,7 +56,8 @@
                  int64_t aStartTimeMs);
   /// Sends the command, or queues it if too many are in flight at the server.
   void Send(const KeyCommand& aCommand);
-  /// Drops queued commands; responses to commands in flight are ignored.
+  /// Drops the commands that are queued or wait for a connection. Responses to
+  /// commands in flight are ignored.
   void Reset();
 
 private:
@@ -72,11 +74,14 @@
 
   void SendWaiting(const std::string& aBackend);
   void SendNow(const KeyCommand& aCommand);
+  /// Reports aResult later, without having sent the command.
+  void FinishUnsent(const KeyCommand& aCommand, KeyCommandResult aResult);
   /// aStartTimeMs identifies the incarnation that the command was sent to, 0 if
   /// it was not sent.
   void OnDone(const KeyCommand& aCommand,
               int64_t aStartTimeMs,
-              const CallResult& aResult);
+              const CommandResponse& aResponse,
+              int aHttpStatus);
 
   EventLoop& loop_;
   EventLog& log_;
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -248,6 +248,7 @@
         [this] { return election_.AllowedGrantScope(); },
         [this] { gossip_.OnKeysChanged(); },
         [this](std::string_view aCause) { election_.Resign(aCause); },
+        [this] { election_.OnFenceRejected(); },
         [this](const CommandSender::Notice& aNotice) {
           OnCommandNotice(aNotice);
         },
@@ -696,8 +697,8 @@
   const auto gateways = mesh_.AliveCount(loop_.NowMs()) + 1;
   if (election_.IsLeading()) {
     // While another leader may have been elected, both would issue permits.
-    const bool confirmed = election_.AllowedGrantScope() == GrantScope::All;
-    return { confirmed ? PermitIssuer::Self : PermitIssuer::None, gateways };
+    const bool sole = election_.IsProbablySoleLeader();
+    return { sole ? PermitIssuer::Self : PermitIssuer::None, gateways };
   }
   const bool reachable =
     election_.HearsLeader() && mesh_.Peers().contains(election_.Leader());
--- a/gateway/KeyCoordinator.cpp
+++ b/gateway/KeyCoordinator.cpp
@@ -18,6 +18,7 @@
 constexpr TimeMs kWriteIntervalMs = 100;
 constexpr TimeMs kWriteRetryMs = 200;
 constexpr TimeMs kBalanceIntervalMs = 400;
+constexpr TimeMs kRejectionIntervalMs = 1000;
 /// A fence holds the term in its upper bits and a counter in this many lower
 /// bits, so that fences of a later leader are higher than all earlier ones.
 constexpr int kFenceBits = 24;
@@ -85,6 +86,7 @@
   fenceCounter_ = 0;
   services_.clear();
   reportedRevisions_.clear();
+  rejectionsMs_.clear();
   sender_.Reset();
   LoadTable();
   timer_.Start(detail::kCoordinatorTickMs);
@@ -585,6 +587,9 @@
   }
   found->second->OnCommandDone(
     aCommand, aResponse.result_, aResponse.handover_, loop_.NowMs());
+  if (aResponse.result_ == KeyCommandResult::OlderFence) {
+    ReportRejectedFence(aCommand, *found->second);
+  }
   // Send the grant that follows a release without delay. Responses to grants
   // do not trigger this: a new leader receives about a thousand of them within
   // a second, and no new command is due after each.
@@ -595,6 +600,22 @@
   ReportChanges();
 }
 
+void KeyCoordinator::ReportRejectedFence(const KeyCommand& aCommand,
+                                         const KeyOwnership& aOwnership)
+{
+  const auto* segment = FindSegment(aOwnership.Segments(), aCommand.first_);
+  if (segment == nullptr || segment->fence_ != aCommand.fence_) {
+    return; // superseded by a fence of this term
+  }
+  const TimeMs nowMs = loop_.NowMs();
+  const auto [reported, isFirst] =
+    rejectionsMs_.try_emplace(aCommand.backend_, nowMs);
+  if (isFirst || nowMs - reported->second >= detail::kRejectionIntervalMs) {
+    reported->second = nowMs;
+    handlers_.onFenceRejected_();
+  }
+}
+
 void KeyCoordinator::ReportChanges()
 {
   bool changed = false;
--- a/gateway/KeyCoordinator.hpp
+++ b/gateway/KeyCoordinator.hpp
@@ -37,6 +37,9 @@
     std::function<void()> onChanged_;
     /// A newer leader has written the key table.
     std::function<void(std::string_view aCause)> onSuperseded_;
+    /// A server rejected the present fence of a lease, so a newer leader may
+    /// have been elected.
+    std::function<void()> onFenceRejected_;
     /// A server announced its shutdown or named a limit in a response to a
     /// command.
     CommandSender::NoticeCallback onNotice_;
@@ -109,6 +112,10 @@
   void SendCommands();
   void OnCommandDone(const KeyCommand& aCommand,
                      const CommandResponse& aResponse);
+  /// Reports a rejected fence, at most once per interval and server: a faulty
+  /// server may reject all of them.
+  void ReportRejectedFence(const KeyCommand& aCommand,
+                           const KeyOwnership& aOwnership);
   void UpdateCandidates();
   /// Mean service time of a request, over the servers with measurements.
   double MeanServiceTimeMs(const std::string& aService) const;
@@ -147,6 +154,8 @@
   std::map<std::string, BackendEntry> backends_;
   std::map<std::string, std::unique_ptr<KeyOwnership>> services_;
   std::map<std::string, uint64_t> reportedRevisions_;
+  /// When the rejected fence of a server was last reported.
+  std::map<std::string, TimeMs> rejectionsMs_;
   std::map<std::string, KeyLoad> loads_;
 };
 
--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -19,6 +19,10 @@
 constexpr const char* kLeaderKind = "cactuspitch-leader";
 constexpr const char* kLeaderName = "leader";
 
+// Includes clocks that run at slightly different rates.
+static_assert(LeaseTiming{}.earlierLeaderConnectMs_ >
+              LeaderTiming::kMaxUnconfirmedMs);
+
 }
 
 LeaderElection::LeaderElection(EventLoop& aLoop,
@@ -91,7 +95,30 @@
 {
   const bool confirmed =
     loop_.NowMs() - confirmedMs_ < LeaderTiming::kMaxUnconfirmedMs;
-  return confirmed || !IsIsolated() ? GrantScope::All : GrantScope::Renewals;
+  const bool settled = restoredMs_ == 0 || confirmedMs_ - restoredMs_ >=
+                                             LeaderTiming::kRestoreSettleMs;
+  return confirmed && settled && !rejectedSinceConfirmed_
+           ? GrantScope::All
+           : GrantScope::Renewals;
+}
+
+bool LeaderElection::IsProbablySoleLeader() const
+{
+  const bool confirmed =
+    loop_.NowMs() - confirmedMs_ < LeaderTiming::kMaxUnconfirmedMs;
+  return confirmed || !IsIsolated();
+}
+
+void LeaderElection::OnFenceRejected()
+{
+  if (state_ != State::Leading) {
+    return;
+  }
+  rejectedSinceConfirmed_ = true;
+  rejectedSinceSent_ = renewing_;
+  if (!renewing_) {
+    Renew();
+  }
 }
 
 void LeaderElection::ReportGrantScope()
@@ -139,8 +166,7 @@
   if (state_ == State::Leading) {
     PruneEarlierLeaders();
     ReportGrantScope();
-    if (!renewing_ &&
-        loop_.NowMs() - lastRenewalMs_ >= LeaderTiming::kRenewIntervalMs) {
+    if (!renewing_ && loop_.NowMs() - lastRenewalMs_ >= RenewIntervalMs()) {
       Renew();
     }
     if (!MaySendCommands()) {
@@ -381,6 +407,9 @@
   electedMs_ = loop_.NowMs();
   reportedScope_ = GrantScope::All;
   renewing_ = false;
+  rejectedSinceSent_ = false;
+  rejectedSinceConfirmed_ = false;
+  restoredMs_ = 0;
   highestTerm_ = std::max(highestTerm_, term_);
   leader_ = self_.instance_;
   log_.Write(LogLevel::Info,
@@ -402,9 +431,18 @@
   }
 }
 
+TimeMs LeaderElection::RenewIntervalMs() const
+{
+  // The next confirmation has to arrive before the last one is too old.
+  return std::clamp(LeaderTiming::kMaxUnconfirmedMs - 2 * renewalLatencyMs_,
+                    LeaderTiming::kMinRenewIntervalMs,
+                    LeaderTiming::kRenewIntervalMs);
+}
+
 void LeaderElection::Renew()
 {
   renewing_ = true;
+  rejectedSinceSent_ = false;
   lastRenewalMs_ = loop_.NowMs();
   store_.Call(
     store_.Protocol().Replace(
@@ -433,6 +471,7 @@
 void LeaderElection::RestoreLease()
 {
   renewing_ = true;
+  restoredMs_ = loop_.NowMs();
   lastRenewalMs_ = loop_.NowMs();
   store_.Call(
     store_.Protocol().Get(detail::kLeaderKind, detail::kLeaderName),
@@ -467,14 +506,12 @@
   renewing_ = false;
   switch (aResponse.status_) {
     case StoreStatus::Ok:
-      revision_ = aResponse.object_.revision_;
-      confirmedMs_ = aSentMs;
+      OnConfirmed(aResponse, aSentMs);
       break;
     case StoreStatus::Conflict:
       if (IsOwnSpec(aResponse.object_.spec_)) {
         // An earlier renewal of this process was applied late.
-        revision_ = aResponse.object_.revision_;
-        confirmedMs_ = aSentMs;
+        OnConfirmed(aResponse, aSentMs);
       } else {
         StepDown("another leader is stored");
       }
@@ -494,6 +531,17 @@
   }
 }
 
+void LeaderElection::OnConfirmed(const StoreResponse& aResponse, TimeMs aSentMs)
+{
+  revision_ = aResponse.object_.revision_;
+  confirmedMs_ = aSentMs;
+  renewalLatencyMs_ = loop_.NowMs() - aSentMs;
+  rejectedSinceConfirmed_ = rejectedSinceSent_;
+  if (rejectedSinceSent_) {
+    Renew();
+  }
+}
+
 void LeaderElection::StepDown(std::string_view aCause)
 {
   if (state_ != State::Leading) {
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -28,9 +28,15 @@
 {
   static constexpr TimeMs kLeaseMs = 8000;
   static constexpr TimeMs kRenewIntervalMs = 1000;
-  /// A leader that is isolated from most gateways and has had no confirmed
-  /// renewal for this long may have been replaced.
+  static constexpr TimeMs kMinRenewIntervalMs = 300;
+  /// A leader may have been replaced at any time since it sent its last
+  /// confirmed renewal. For this long it continues to open connections to
+  /// servers; a successor allows for that, see
+  /// LeaseTiming::earlierLeaderConnectMs_.
   static constexpr TimeMs kMaxUnconfirmedMs = 1500;
+  /// After a restore of the store a replaced leader may be able to renew its
+  /// lease, until its successor has written its own again.
+  static constexpr TimeMs kRestoreSettleMs = 2 * kRenewIntervalMs;
   /// A leader is replaced after three lost heartbeats.
   static constexpr TimeMs kElectionTimeoutMs = 800;
   /// Delay between candidates of consecutive ranks, so that they do not
@@ -82,9 +88,15 @@
   bool IsLeading() const { return state_ == State::Leading; }
   /// True while commands may be sent to backend servers.
   bool MaySendCommands() const;
-  /// Renewals only while another gateway may have been elected without this one
-  /// having received its gossip.
+  /// Renewals only without a recent confirmed renewal of the leader lease.
   GrantScope AllowedGrantScope() const;
+  /// False while another gateway is likely to lead without this one having
+  /// received its gossip.
+  bool IsProbablySoleLeader() const;
+  /// A server rejected the present fence of a lease, because it has seen a
+  /// higher one. The leader lease is renewed at once, and grants are limited to
+  /// renewals until that is confirmed.
+  void OnFenceRejected();
   int64_t Term() const { return term_; }
   int64_t HighestTerm() const { return highestTerm_; }
   /// Last term in which this process was the leader and which has ended.
@@ -129,12 +141,15 @@
   void VerifyWrite(TimeMs aSentMs);
   void BecomeLeader(TimeMs aConfirmedMs);
   void Renew();
+  /// Shorter while the store is slow, so that confirmations stay recent.
+  TimeMs RenewIntervalMs() const;
   /// Writes the lease of this leader to a store that was restored from an older
   /// copy, unless the copy names a newer leader.
   void RestoreLease();
   void OnRestoredLeaseRead(const StoreResponse& aResponse);
   StoreClient::Callback RenewalHandler(TimeMs aSentMs);
   void OnRenewed(const StoreResponse& aResponse, TimeMs aSentMs);
+  void OnConfirmed(const StoreResponse& aResponse, TimeMs aSentMs);
   void StepDown(std::string_view aCause);
   void PruneEarlierLeaders();
   nlohmann::json LeaseSpec() const;
@@ -161,7 +176,13 @@
   /// leaderHeardMs_ at the start of the read.
   TimeMs leaderHeardBeforeReadMs_ = 0;
   TimeMs lastRenewalMs_ = 0;
+  TimeMs renewalLatencyMs_ = 0; ///< of the last confirmed renewal
+  TimeMs restoredMs_ = 0; ///< last restore of the store in this term, or 0
   bool renewing_ = false;
+  /// A fence was rejected since the last renewal was sent, or since the last
+  /// confirmed one was.
+  bool rejectedSinceSent_ = false;
+  bool rejectedSinceConfirmed_ = false;
   GrantScope reportedScope_ = GrantScope::All;
   bool everHeardLeader_ = false;
   uint64_t generation_ = 0;
--- a/keyspace/KeyOwnership.cpp
+++ b/keyspace/KeyOwnership.cpp
@@ -41,7 +41,12 @@
 {
   return inFlight_ == 0 && unansweredEndMs_ <= aNowMs &&
          (released_ || acceptedEndMs_ <= aNowMs) &&
-         (fenced_ || earlierLeaderEndMs_ <= aNowMs);
+         IsSafeFromEarlierLeaders(aNowMs);
+}
+
+bool KeyOwnership::LeaseState::IsSafeFromEarlierLeaders(TimeMs aNowMs) const
+{
+  return fenced_ || earlierLeaderEndMs_ <= aNowMs;
 }
 
 bool KeyOwnership::LeaseState::WasNeverGranted() const
@@ -78,6 +83,7 @@
 {
   const TimeMs earlierLeaderEndMs = LeaseEndMs(
     aNowMs + timing_.earlierLeaderRenewMs_, timing_.maxEarlierLeaseMs_);
+  fencingSinceMs_ = aNowMs + timing_.earlierLeaderConnectMs_;
   segments_.clear();
   for (auto& segment : aSegments) {
     const bool mergesWithLast =
@@ -105,6 +111,7 @@
 
 void KeyOwnership::OnEarlierLeadersEnded(TimeMs aNowMs)
 {
+  fencingSinceMs_ = std::min(fencingSinceMs_, aNowMs);
   // Their last leases may still be valid, and their last commands may still be
   // executed.
   const TimeMs endMs = LeaseEndMs(aNowMs, timing_.maxEarlierLeaseMs_);
@@ -160,7 +167,19 @@
 
 bool KeyOwnership::IsStable(size_t aIndex) const
 {
-  return segments_[aIndex].previous_.empty() && segmentStates_[aIndex].granted_;
+  const auto& state = segmentStates_[aIndex];
+  return segments_[aIndex].previous_.empty() && state.granted_ &&
+         (state.owner_.fenced_ || state.owner_.earlierLeaderEndMs_ == 0);
+}
+
+bool KeyOwnership::AwaitsFence(size_t aIndex, TimeMs aNowMs) const
+{
+  const auto& state = segmentStates_[aIndex];
+  const auto& owner = segments_[aIndex].owner_;
+  const bool hasLeft = !candidates_.contains(owner) && state.lastGrantFailed_;
+  return !state.owner_.IsSafeFromEarlierLeaders(aNowMs) && !hasLeft &&
+         !IsLost(owner, aNowMs) &&
+         aNowMs < fencingSinceMs_ + timing_.lostAfterMs_;
 }
 
 bool KeyOwnership::CanGrant(size_t aIndex, TimeMs aNowMs) const
@@ -228,7 +247,8 @@
     }
   };
   std::ranges::for_each(aSegments, addKeys);
-  for (auto& segment : aSegments) {
+  for (size_t index = 0; index < aSegments.size(); ++index) {
+    auto& segment = aSegments[index];
     if (!NeedsNewOwner(segment, aNowMs)) {
       continue;
     }
@@ -237,6 +257,9 @@
       own != candidates_.end() && own->second.usable_ &&
       own->second.startTimeMs_ != segment.ownerStartTimeMs_ &&
       !IsLost(segment.owner_, aNowMs);
+    if (!restarted && AwaitsFence(index, aNowMs)) {
+      continue;
+    }
     const auto target =
       restarted ? segment.owner_ : PickTarget(keysPerCapacity);
     segment = WithOwner(segment, target, aNextFence());
@@ -398,7 +421,10 @@
     auto& state = segmentStates_[index];
     const auto& segment = segments_[index];
     if (!CanGrant(index, aNowMs)) {
-      AddReleases(index, commands, aNowMs);
+      // Servers refuse no release, not even that of a replaced leader.
+      if (aScope == GrantScope::All) {
+        AddReleases(index, commands, aNowMs);
+      }
       continue;
     }
     const bool renews = state.granted_ && !state.lastGrantFailed_ &&
@@ -408,8 +434,11 @@
     }
     const bool retries = (!state.granted_ || state.lastGrantFailed_) &&
                          !IsLost(segment.owner_, aNowMs);
+    const bool fences = state.lastGrantMs_ < fencingSinceMs_ &&
+                        fencingSinceMs_ <= aNowMs &&
+                        NeedsNewOwner(segment, aNowMs);
     const TimeMs intervalMs =
-      retries ? timing_.retryIntervalMs_ : timing_.renewIntervalMs_;
+      retries || fences ? timing_.retryIntervalMs_ : timing_.renewIntervalMs_;
     if (segment.owner_.empty() || state.owner_.inFlight_ > 0 ||
         (state.lastGrantMs_ != 0 && aNowMs - state.lastGrantMs_ < intervalMs)) {
       continue;
@@ -425,7 +454,8 @@
                          timing_.leaseMs_,
                          state.handover_,
                          aNowMs,
-                         ++lastCommand_ });
+                         ++lastCommand_,
+                         renews });
   }
   return commands;
 }
@@ -438,7 +468,7 @@
   if (aResult == KeyCommandResult::Accepted ||
       aResult == KeyCommandResult::OlderFence) {
     failureStreaks_.erase(aCommand.backend_);
-  } else {
+  } else if (aResult != KeyCommandResult::Withheld) {
     auto& streak = failureStreaks_[aCommand.backend_];
     if (streak.failures_++ == 0) {
       streak.firstFailureMs_ = aNowMs;
@@ -504,7 +534,7 @@
         std::max(lease->acceptedEndMs_, LeaseEndMs(aNowMs, aCommand.leaseMs_));
       lease->released_ = false;
       if (isOwner && aCommand.fence_ == segment.fence_) {
-        lease->fenced_ = true;
+        lease->fenced_ |= fencingSinceMs_ <= aCommand.sentMs_;
         state.handover_.clear();
         if (!state.granted_) {
           state.granted_ = true;
--- a/keyspace/KeyOwnership.hpp
+++ b/keyspace/KeyOwnership.hpp
@@ -32,6 +32,10 @@
   /// replaced, until its leader lease expires; includes the timeout of its last
   /// call.
   TimeMs earlierLeaderRenewMs_ = 8600;
+  /// How long an earlier leader may continue to open connections to servers
+  /// after it was replaced. After that it reaches only processes that were
+  /// running before.
+  TimeMs earlierLeaderConnectMs_ = 1600;
   /// Longest lease of any earlier leader, which may have had other settings or
   /// more backend servers.
   TimeMs maxEarlierLeaseMs_ = 2500;
@@ -63,10 +67,11 @@
 enum class GrantScope : uint8_t
 {
   All,
-  /// Only renewals of leases that have not been interrupted. A leader that may
-  /// have been replaced cannot tell whether a server that failed to respond has
-  /// restarted since. The new incarnation would accept a grant that the
-  /// previous one had rejected because it knew the fence of a newer leader.
+  /// Only renewals of leases that have not been interrupted, on connections
+  /// that are already open. A leader that may have been replaced cannot tell
+  /// whether a server has restarted since. The new incarnation would accept a
+  /// grant that the previous one had rejected because it knew the fence of a
+  /// newer leader.
   Renewals,
   Count
 };
@@ -103,6 +108,7 @@
   std::string handover_; ///< token from the previous owner; may be empty
   TimeMs sentMs_ = 0;
   uint64_t number_ = 0; ///< ascending in the order of TakeCommands()
+  bool renews_ = false; ///< grant of a lease that is valid already
 };
 
 enum class KeyCommandResult : uint8_t
@@ -110,6 +116,7 @@
   Accepted,
   OlderFence,  ///< rejected: the server has seen a higher fence
   NotSent,     ///< the server certainly did not receive the command
+  Withheld,    ///< not sent, because another leader may have been elected
   Unanswered,  ///< no response: the server may still execute the command
   Misdirected, ///< another server is listening on the address
   Count
@@ -118,11 +125,9 @@
 template<>
 struct EnumNames<KeyCommandResult>
 {
-  static constexpr std::string_view kNames[] = { "accepted",
-                                                 "older-fence",
-                                                 "not-sent",
-                                                 "unanswered",
-                                                 "misdirected" };
+  static constexpr std::string_view kNames[] = { "accepted",   "older-fence",
+                                                 "not-sent",   "withheld",
+                                                 "unanswered", "misdirected" };
 };
 
 /// Backend server that may own keys, as known to the leader.
@@ -199,8 +204,9 @@
   bool IsActive(size_t aIndex) const { return segmentStates_[aIndex].granted_; }
   /// True if the server has not responded to commands for lostAfterMs_.
   bool IsLost(const std::string& aBackend, TimeMs aNowMs) const;
-  /// True if the owner has accepted its lease and no previous owner is left in
-  /// the table.
+  /// True if the owner has accepted its lease, no previous owner is left in the
+  /// table, and the keys can move without waiting for leases of earlier
+  /// leaders.
   bool IsStable(size_t aIndex) const;
   /// Incremented with every change that other gateways have to be sent.
   uint64_t Revision() const { return revision_; }
@@ -213,7 +219,9 @@
     TimeMs acceptedEndMs_ = 0;
     TimeMs unansweredEndMs_ = 0;
     TimeMs earlierLeaderEndMs_ = 0; ///< granted or renewed by earlier leaders
-    bool fenced_ = false; ///< accepted a fence of this term: rejects older ones
+    /// Accepted a fence of this term when earlier leaders could reach no later
+    /// incarnation of the server any more: their commands are rejected.
+    bool fenced_ = false;
     bool released_ = false;
     int inFlight_ = 0; ///< grant commands without a result yet
     /// Number of the last command that was taken before a grant had its result.
@@ -224,6 +232,7 @@
     bool IsEndedBy(const KeyCommand& aRelease) const;
     bool HasEnded(TimeMs aNowMs) const;
     bool WasNeverGranted() const;
+    bool IsSafeFromEarlierLeaders(TimeMs aNowMs) const;
   };
   struct SegmentState
   {
@@ -244,6 +253,9 @@
   };
 
   bool CanGrant(size_t aIndex, TimeMs aNowMs) const;
+  /// Whether a move should wait until the owner is fenced. Otherwise, the next
+  /// owner would wait until all leases of earlier leaders have ended.
+  bool AwaitsFence(size_t aIndex, TimeMs aNowMs) const;
   bool NeedsNewOwner(const KeySegment& aSegment, TimeMs aNowMs) const;
   std::string PickTarget(const std::map<std::string, double>& aLoad) const;
   void ReassignSegments(KeySegments& aSegments,
@@ -264,6 +276,8 @@
   std::map<std::string, FailureStreak> failureStreaks_;
   std::optional<TimeMs> firstServerMs_;
   TimeMs newestServerMs_ = 0;
+  /// Grants that were sent before prove nothing about earlier leaders.
+  TimeMs fencingSinceMs_ = 0;
   uint64_t revision_ = 1;
   uint64_t lastCommand_ = 0;
 };
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -87,7 +87,12 @@
       });
       return;
     }
-    stream_.Write(detail::Serialize(server_, aRequest, id_));
+    if (isReused_) {
+      stream_.Write(detail::Serialize(server_, aRequest, id_));
+    } else {
+      unsent_ = detail::Serialize(server_, aRequest, id_);
+      maySendOnNew_ = aRequest.maySendOnNew_;
+    }
   }
 
 private:
@@ -98,7 +103,16 @@
              : CallOutcome::NoResponse;
   }
 
-  void OnConnected() override { timer_.Start(timeoutMs_); }
+  void OnConnected() override
+  {
+    const auto maySend = std::exchange(maySendOnNew_, nullptr);
+    if (maySend && !maySend()) {
+      Finish(CallOutcome::NotSent, "withheld");
+      return;
+    }
+    timer_.Start(timeoutMs_);
+    stream_.Write(std::exchange(unsent_, {}));
+  }
 
   void OnInput() override
   {
@@ -191,6 +205,8 @@
   HttpParser parser_;
   std::string body_;
   Callback callback_;
+  std::string unsent_; ///< request that waits for the connection
+  std::function<bool()> maySendOnNew_;
   TimeMs timeoutMs_ = 0;
   size_t maxResponseBytes_ = 0;
   int interimResponses_ = 0;
--- a/net/HttpClient.hpp
+++ b/net/HttpClient.hpp
@@ -59,6 +59,9 @@
   std::string body_;
   TimeMs timeoutMs_ = 1000;
   ConnectionPolicy connectionPolicy_ = ConnectionPolicy::ReuseOrNew;
+  /// Called when a new connection has been established. If it returns false,
+  /// the request is not sent. May be empty.
+  std::function<bool()> maySendOnNew_;
   /// Name of the field with the id of the call, which the server repeats in its
   /// response; empty if it has no such field. A late copy of a response has the
   /// id of an earlier call: a response with another id is not accepted. After a
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -99,6 +99,36 @@
   }
 }
 
+// Guards against a request on a new connection whose sender must not send it
+// any more once the connection has been established, and against the condition
+// being applied to an open connection.
+TEST(HttpClient, RequestIsWithheldOnANewConnection)
+{
+  EventLoop loop;
+  ScriptedServer server(loop, [&](ScriptedServer::Exchange& aExchange) {
+    aExchange.write_(TextResponse(200, ""));
+  });
+  HttpClient client(loop);
+  bool maySend = true;
+  const auto call = [&] {
+    CallRequest request;
+    request.method_ = "POST";
+    request.target_ = "/";
+    request.maySendOnNew_ = [&] { return std::exchange(maySend, false); };
+    std::optional<CallOutcome> outcome;
+    client.Call(server.Address(), request, [&](const CallResult& aResult) {
+      outcome = aResult.outcome_;
+    });
+    RunLoopUntil(loop, [&] { return outcome.has_value(); });
+    return outcome;
+  };
+  EXPECT_EQ(call(), CallOutcome::Completed);
+  EXPECT_EQ(call(), CallOutcome::Completed);
+  client.CloseIdle(server.Address());
+  EXPECT_EQ(call(), CallOutcome::NotSent);
+  EXPECT_EQ(server.Requests(), 2);
+}
+
 // Guards against a late copy of a response that is taken for the response of
 // the next call on the connection, from servers that repeat the id of a call
 // and from servers that don't.
--- a/tests/KeyOwnershipPropertyTest.cpp
+++ b/tests/KeyOwnershipPropertyTest.cpp
@@ -1,4 +1,4 @@
-#include "keyspace/KeyOwnership.hpp"
+#include "gateway/LeaderElection.hpp"
 
 #include <algorithm>
 #include <map>
@@ -53,13 +53,7 @@
   void Step()
   {
     nowMs_ += kStepMs;
-    std::map<std::string, OwnerCandidate> candidates;
-    for (const auto& [id, server] : servers_) {
-      if (!unregistered_.contains(id)) {
-        candidates[id] = { server.startTimeMs_, true, 1 };
-      }
-    }
-    leader_->SetCandidates(candidates, nowMs_);
+    leader_->SetCandidates(Registered(), nowMs_);
     ExecuteLate();
     const bool storeUp =
       !*rc::gen::weightedElement<bool>({ { 1, true }, { 9, false } });
@@ -83,6 +77,33 @@
   }
 
 private:
+  struct EarlierLeader
+  {
+    std::unique_ptr<KeyOwnership> ownership_;
+    TimeMs connectUntilMs_; ///< when it stops opening connections
+    TimeMs leaseUntilMs_;   ///< when it stops sending commands
+    /// Start of the incarnation of each server to which a connection is open.
+    std::map<std::string, int64_t> connectedStartMs_;
+  };
+
+  /// The registrations, in which a restarted server appears some time later.
+  std::map<std::string, OwnerCandidate> Registered()
+  {
+    std::map<std::string, OwnerCandidate> candidates;
+    for (const auto& [id, server] : servers_) {
+      if (server.up_ && *rc::gen::inRange(0, 4) == 0) {
+        registeredStartMs_[id] = server.startTimeMs_;
+      }
+      const auto startTimeMs = registeredStartMs_.try_emplace(id, 1);
+      if (!unregistered_.contains(id)) {
+        candidates[id] = { startTimeMs.first->second,
+                           !draining_.contains(id),
+                           1 };
+      }
+    }
+    return candidates;
+  }
+
   static std::vector<KeyOwnership::Move> RandomMoves(
     const KeyOwnership& aOwnership)
   {
@@ -109,9 +130,16 @@
   void Elect()
   {
     if (leader_ != nullptr && *rc::gen::inRange(0, 2) == 0) {
-      earlierLeaders_.push_back({ std::move(leader_),
-                                  nowMs_ + *rc::gen::inRange<TimeMs>(0, 8001),
-                                  servers_ });
+      const TimeMs confirmedMs =
+        nowMs_ - *rc::gen::inRange<TimeMs>(0, LeaderTiming::kLeaseMs);
+      EarlierLeader earlier{ std::move(leader_),
+                             confirmedMs + LeaderTiming::kMaxUnconfirmedMs,
+                             confirmedMs + LeaderTiming::kLeaseMs,
+                             {} };
+      for (const auto& [id, server] : servers_) {
+        earlier.connectedStartMs_[id] = server.startTimeMs_;
+      }
+      earlierLeaders_.push_back(std::move(earlier));
     }
     // The lease duration depends on the number of servers that the leader
     // knows.
@@ -141,19 +169,7 @@
   {
     for (auto& earlier : earlierLeaders_) {
       if (nowMs_ < earlier.leaseUntilMs_) {
-        for (const auto& command :
-             earlier.ownership_->TakeCommands(nowMs_, GrantScope::Renewals)) {
-          // Earlier leaders use only existing connections, which break when the
-          // server exits.
-          const auto& before = earlier.servers_.at(command.backend_);
-          if (before.up_ && before.startTimeMs_ ==
-                              servers_.at(command.backend_).startTimeMs_) {
-            Deliver(*earlier.ownership_, command);
-          } else {
-            earlier.ownership_->OnCommandDone(
-              command, KeyCommandResult::NotSent, "", nowMs_);
-          }
-        }
+        SendCommandsOf(earlier);
       }
     }
     const bool hadEarlierLeaders = !earlierLeaders_.empty();
@@ -166,6 +182,28 @@
     }
   }
 
+  /// An earlier leader opens connections for some time after it was replaced.
+  /// Later it uses only those that are open, which break when the server exits.
+  void SendCommandsOf(EarlierLeader& aEarlier)
+  {
+    const bool mayConnect = nowMs_ < aEarlier.connectUntilMs_;
+    const auto scope = mayConnect ? GrantScope::All : GrantScope::Renewals;
+    for (const auto& command :
+         aEarlier.ownership_->TakeCommands(nowMs_, scope)) {
+      const auto& server = servers_.at(command.backend_);
+      auto& connectedMs = aEarlier.connectedStartMs_[command.backend_];
+      if (mayConnect && server.up_) {
+        connectedMs = server.startTimeMs_;
+      }
+      if (server.up_ && connectedMs == server.startTimeMs_) {
+        Deliver(*aEarlier.ownership_, command);
+      } else {
+        aEarlier.ownership_->OnCommandDone(
+          command, KeyCommandResult::NotSent, "", nowMs_);
+      }
+    }
+  }
+
   void Deliver(KeyOwnership& aLeader, const KeyCommand& aCommand)
   {
     auto& server = servers_[aCommand.backend_];
@@ -237,14 +275,14 @@
     auto& server = chosen->second;
     if (fault == 0) {
       Elect();
-    } else if (fault == 1) {
+    } else if (fault == 1 || fault == 7) {
       server.up_ = false;
       server.leases_.clear();
       server.seenFences_.clear();
       std::erase_if(late_, [&](const LateCommand& aLate) {
         return aLate.command_.backend_ == chosen->first;
       });
-    } else if (fault < 5 && !server.up_) {
+    } else if ((fault < 5 || fault >= 40) && !server.up_) {
       server.up_ = true;
       ++server.startTimeMs_;
       unregistered_.erase(chosen->first);
@@ -252,6 +290,10 @@
       unregistered_.insert(chosen->first);
     } else if (fault == 6) {
       unregistered_.clear();
+    } else if (fault == 8 && draining_.size() + 1 < servers_.size()) {
+      draining_.insert(chosen->first);
+    } else if (fault == 9) {
+      draining_.clear();
     }
   }
 
@@ -272,14 +314,9 @@
   int64_t fence_ = 0;
   std::map<std::string, ModelServer> servers_;
   std::set<std::string> unregistered_;
+  std::set<std::string> draining_;
+  std::map<std::string, int64_t> registeredStartMs_;
   std::vector<LateCommand> late_;
-  struct EarlierLeader
-  {
-    std::unique_ptr<KeyOwnership> ownership_;
-    TimeMs leaseUntilMs_; ///< when it stops sending commands
-    std::map<std::string, ModelServer> servers_; ///< when it was replaced
-  };
-
   std::unique_ptr<KeyOwnership> leader_;
   std::vector<EarlierLeader> earlierLeaders_;
   TimeMs storedLeaseMs_ = 0;
--- a/tests/KeyOwnershipTest.cpp
+++ b/tests/KeyOwnershipTest.cpp
@@ -1,5 +1,6 @@
 #include "keyspace/KeyOwnership.hpp"
 
+#include "gateway/LeaderElection.hpp"
 #include "keyspace/KeyOwnerMap.hpp"
 
 #include <algorithm>
@@ -244,6 +245,13 @@
   std::map<std::string, OwnerCandidate> candidates;
   candidates["b"] = { 0, true, 1 };
   next.SetCandidates(candidates, nowMs_);
+  for (const auto& command : next.TakeCommands(nowMs_)) {
+    next.OnCommandDone(command,
+                       command.backend_ == "b" ? KeyCommandResult::Accepted
+                                               : KeyCommandResult::NotSent,
+                       "",
+                       nowMs_);
+  }
   const auto change = next.Propose([&] { return ++fence; }, {}, nowMs_);
   ASSERT_TRUE(change);
   next.Commit(*change, nowMs_);
@@ -448,13 +456,13 @@
   next.SetCandidates({ { "b", { 0, true, 1 } } }, nowMs_);
   next.OnEarlierLeadersEnded(nowMs_);
   const TimeMs leaseEndMs = nowMs_ + earlier.leaseMs_ * 102 / 100;
-  if (const auto change = next.Propose([&] { return ++fence; }, {}, nowMs_)) {
-    next.Commit(*change, nowMs_);
-  }
   for (; nowMs_ <= leaseEndMs; nowMs_ += 50) {
+    if (const auto change = next.Propose([&] { return ++fence; }, {}, nowMs_)) {
+      next.Commit(*change, nowMs_);
+    }
     for (const auto& command : next.TakeCommands(nowMs_)) {
       ASSERT_FALSE(command.kind_ == KeyCommandKind::Grant &&
-                   command.first_ == 0);
+                   command.backend_ == "b" && command.first_ == 0);
       next.OnCommandDone(command,
                          command.backend_ == "b" ? KeyCommandResult::Accepted
                                                  : KeyCommandResult::Unanswered,
@@ -466,6 +474,93 @@
   EXPECT_TRUE(Grants(next.TakeCommands(nowMs_), "b", 50));
 }
 
+// Guards against a new leader that takes a fence which a server accepted at
+// once for a proof: a replaced leader that does not know it opens connections
+// for some time, and a restarted server takes its grants (review/7).
+TEST_F(KeyOwnershipTest, EarlyFencesProveNothing)
+{
+  Start();
+  KeyOwnership next("s", timing_);
+  int64_t fence = 1 << 24;
+  next.Adopt(
+    ownership_.Segments(), [&] { return ++fence; }, nowMs_);
+  next.SetCandidates({ { "a", { 0, false, 1 } }, { "b", { 0, true, 1 } } },
+                     nowMs_);
+  const TimeMs connectUntilMs = nowMs_ + LeaderTiming::kMaxUnconfirmedMs;
+  bool fencedLate = false;
+  TimeMs movedMs = 0;
+  for (; movedMs == 0 && nowMs_ < connectUntilMs + 1000; nowMs_ += 10) {
+    if (const auto change = next.Propose([&] { return ++fence; }, {}, nowMs_)) {
+      next.Commit(*change, nowMs_);
+    }
+    for (const auto& command : next.TakeCommands(nowMs_)) {
+      const bool isGrant = command.kind_ == KeyCommandKind::Grant;
+      fencedLate |=
+        isGrant && command.backend_ == "a" && nowMs_ >= connectUntilMs;
+      if (isGrant && command.backend_ == "b" && command.first_ == 0) {
+        EXPECT_TRUE(fencedLate) << nowMs_ - connectUntilMs;
+        movedMs = nowMs_;
+      }
+      next.OnCommandDone(command, KeyCommandResult::Accepted, "", nowMs_);
+    }
+  }
+  EXPECT_GE(movedMs, connectUntilMs);
+  EXPECT_TRUE(fencedLate);
+}
+
+// Guards against a new leader that delays moves although the earlier leaders
+// are known to have ended.
+TEST_F(KeyOwnershipTest, FencesProveAtOnceThatEndedLeadersAreRejected)
+{
+  Start();
+  KeyOwnership next("s", timing_);
+  int64_t fence = 1 << 24;
+  next.Adopt(
+    ownership_.Segments(), [&] { return ++fence; }, nowMs_);
+  next.OnEarlierLeadersEnded(nowMs_);
+  next.SetCandidates({ { "a", { 0, false, 1 } }, { "b", { 0, true, 1 } } },
+                     nowMs_);
+  const auto accept = [&](const std::vector<KeyCommand>& aCommands) {
+    for (const auto& command : aCommands) {
+      next.OnCommandDone(command, KeyCommandResult::Accepted, "", nowMs_);
+    }
+  };
+  accept(next.TakeCommands(nowMs_));
+  const auto change = next.Propose([&] { return ++fence; }, {}, nowMs_);
+  ASSERT_TRUE(change);
+  next.Commit(*change, nowMs_);
+  accept(next.TakeCommands(nowMs_));
+  EXPECT_TRUE(Grants(next.TakeCommands(nowMs_), "b", 0));
+}
+
+// Guards against a release by a leader that may have been replaced: no server
+// refuses it, and the keys may belong to the server again.
+TEST_F(KeyOwnershipTest, PossiblyReplacedLeaderReleasesNothing)
+{
+  Start();
+  const auto change =
+    ownership_.Propose([this] { return ++fence_; }, MoveTo(0, 99, "b"), nowMs_);
+  ASSERT_TRUE(change);
+  ownership_.Commit(*change, nowMs_);
+  const auto commands = ownership_.TakeCommands(nowMs_, GrantScope::Renewals);
+  EXPECT_EQ(Release(commands), nullptr);
+  const auto later = ownership_.TakeCommands(nowMs_);
+  EXPECT_NE(Release(later), nullptr);
+}
+
+// Guards against a server that counts as lost, although the leader itself sent
+// it no commands.
+TEST_F(KeyOwnershipTest, WithheldCommandsSayNothingAboutTheServer)
+{
+  Start();
+  for (int round = 0; round < 20; ++round, nowMs_ += 100) {
+    for (const auto& command : ownership_.TakeCommands(nowMs_)) {
+      Complete(command, KeyCommandResult::Withheld);
+    }
+  }
+  EXPECT_FALSE(ownership_.IsLost("a", nowMs_));
+}
+
 // Guards against a leader that may have been replaced and grants a new lease to
 // a server that failed to respond. The server may be a new incarnation, which
 // does not know the fence of a newer leader.
--- a/tests/LeaderElectionTest.cpp
+++ b/tests/LeaderElectionTest.cpp
@@ -26,6 +26,9 @@
     if (isRead && onRead_) {
       onRead_();
     }
+    if (silent_) {
+      return;
+    }
     if (!stored_.empty() && isRead) {
       aExchange.write_(Respond(200, stored_));
       return;
@@ -40,9 +43,27 @@
              R"("renewedAtMs": )",
              winnerMs_,
              R"(}, "status": {}})");
-    const bool loses = writes_ == 1 && !isRead && winnerMs_ == 0;
+    const bool loses =
+      !isRead && (replaced_ || (writes_ == 1 && winnerMs_ == 0));
     aExchange.write_(Respond(loses ? 409 : 200, winner));
   }
+  /// Makes this gateway the leader.
+  void Lead()
+  {
+    winnerMs_ = kNowMs - 5000;
+    election_.Start();
+    ASSERT_TRUE(RunLoopUntil(loop_, [&] { return elected_ == 1; }));
+    ASSERT_EQ(election_.AllowedGrantScope(), GrantScope::All);
+  }
+  /// Receives gossip of three followers, so that the leader isn't isolated.
+  void HearFollowers()
+  {
+    for (const char* name : { "f1", "f2", "f3" }) {
+      wire::Gossip gossip;
+      gossip.instance = name;
+      mesh_.RecordHeard(gossip, {});
+    }
+  }
   std::string Respond(int aStatus, const std::string& aBody) const
   {
     auto text = TextResponse(aStatus, aBody);
@@ -66,6 +87,9 @@
   int reads_ = 0;
   int writes_ = 0;
   int elected_ = 0;
+  int leadershipsLost_ = 0;
+  bool silent_ = false;   ///< the store does not respond
+  bool replaced_ = false; ///< the store contains the lease of another leader
   std::function<void()> onRead_; ///< called before the response to a read
   std::string stored_; ///< response to reads instead of the winner's lease
   int64_t era_ = 0;
@@ -84,7 +108,7 @@
                             100,
                             [] { return kNowMs; },
                             { [this](int64_t) { ++elected_; },
-                              [] {},
+                              [this] { ++leadershipsLost_; },
                               [this] { ++earlierLeadersEnded_; } } };
 };
 
@@ -187,6 +211,53 @@
   EXPECT_EQ(earlierLeadersEnded_, 1);
 }
 
+// Guards against a leader that is cut off from the store and grants leases to
+// restarted servers, because the other gateways still count as alive after the
+// first of them has replaced it (review/7).
+TEST_F(LeaderElectionTest, UnconfirmedLeaderOnlyRenews)
+{
+  Lead();
+  silent_ = true;
+  HearFollowers();
+  RunLoopFor(loop_, LeaderTiming::kMaxUnconfirmedMs + 100);
+  EXPECT_TRUE(election_.IsLeading());
+  EXPECT_TRUE(election_.IsProbablySoleLeader());
+  EXPECT_EQ(election_.AllowedGrantScope(), GrantScope::Renewals);
+  silent_ = false;
+  EXPECT_TRUE(RunLoopUntil(
+    loop_, [&] { return election_.AllowedGrantScope() == GrantScope::All; }));
+}
+
+// Guards against a replaced leader that learns of its successor only with its
+// next regular renewal, although servers reject its fences.
+TEST_F(LeaderElectionTest, RejectedFenceUncoversTheSuccessor)
+{
+  Lead();
+  replaced_ = true;
+  election_.OnFenceRejected();
+  EXPECT_EQ(election_.AllowedGrantScope(), GrantScope::Renewals);
+  RunLoopFor(loop_, LeaderTiming::kRenewIntervalMs / 4);
+  EXPECT_EQ(leadershipsLost_, 1);
+  EXPECT_FALSE(election_.MaySendCommands());
+}
+
+// Guards against a faulty server that unseats a leader by rejecting all fences,
+// and against a renewal that was sent before the rejection and refutes it.
+TEST_F(LeaderElectionTest, RejectedFenceUnseatsNoConfirmedLeader)
+{
+  Lead();
+  silent_ = true;
+  const int writesBefore = writes_;
+  ASSERT_TRUE(RunLoopUntil(loop_, [&] { return writes_ > writesBefore; }));
+  election_.OnFenceRejected();
+  silent_ = false;
+  RunLoopFor(loop_, LeaderTiming::kRenewIntervalMs / 4);
+  EXPECT_EQ(election_.AllowedGrantScope(), GrantScope::Renewals);
+  ASSERT_TRUE(RunLoopUntil(
+    loop_, [&] { return election_.AllowedGrantScope() == GrantScope::All; }));
+  EXPECT_EQ(leadershipsLost_, 0);
+}
+
 // Guards against waiting for a leader that exited together with all other
 // processes.
 TEST_F(LeaderElectionTest, StartingGatewayReplacesExpiredLeader)
