A status of refusal without a guarantee is an unknown outcome

Cause: an answer with 408, 429 or 503 of a server that does not state that it did not execute the request was passed on as it is. A sealed 429 even counted as served, and an unsealed one as neither failure nor success, so a server that failed that way looked idle and was preferred.

Change: the codec names such answers ambiguous, and those of executed requests that bear the statement. They are discarded: idempotent requests go to another server, others get 502. They count as failures of the server, while a refusal with the statement still counts as shed load only. A request whose earlier attempt may have been executed and for which no server is left gets 502 too, idempotent or not, with the time to come back. Event answer-ambiguous (id, backend, status), attempts_total{end="ambiguous"}, cause ambiguous-answer.

--- a/ctl/RequestExplanation.cpp
+++ b/ctl/RequestExplanation.cpp
@@ -93,6 +93,10 @@
   CauseMeaning{ "deadline",
                 "the deadline passed while a server had the request; it may "
                 "have run" },
+  CauseMeaning{ "ambiguous-answer",
+                "the server's status says that the request did not run, but "
+                "the server gave no such guarantee (or the reverse); the "
+                "request may have run" },
   CauseMeaning{ "unsealed-answer",
                 "the server did not confirm the response; the request may "
                 "have run" },
--- a/gateway/BackendConnection.cpp
+++ b/gateway/BackendConnection.cpp
@@ -61,6 +61,7 @@
   crashInfo_ = aCrashInfo;
   succeeded_ = false;
   refused_ = false;
+  ambiguous_ = false;
   busy_ = true;
   headReceived_ = false;
   skippingResponse_ = false;
@@ -276,8 +277,9 @@
     responseKeepsAlive_ = false;
   }
   constexpr int kFirstServerError = 500;
-  succeeded_ =
-    info.sealed_ && !info.notExecuted_ && head.status_ < kFirstServerError;
+  ambiguous_ = info.ambiguous_;
+  succeeded_ = info.sealed_ && !info.notExecuted_ && !ambiguous_ &&
+               head.status_ < kFirstServerError;
   refused_ = info.notExecuted_ && !info.requestId_.empty();
   HandleNotices(info);
   const TimeMs nowMs = pool_.loop_.NowMs();
@@ -334,12 +336,12 @@
 {
   const TimeMs nowMs = pool_.loop_.NowMs();
   const int status = parser_.Head().status_;
-  if (status < 400) {
+  if (ambiguous_ || status >= 500) {
+    backend_->load_.OnFailed(nowMs);
+  } else if (status < 400) {
     const double latencyMs = static_cast<double>(nowMs - sentMs_);
     backend_->load_.OnResponse(latencyMs, loadAtSend_, nowMs);
     pool_.RecordServiceTime(*backend_, latencyMs);
-  } else if (status >= 500) {
-    backend_->load_.OnFailed(nowMs);
   }
   if (succeeded_) {
     backend_->pause_.OnRequestSucceeded(sentMs_, backend_->entry_.slots_);
--- a/gateway/BackendConnection.hpp
+++ b/gateway/BackendConnection.hpp
@@ -160,6 +160,7 @@
   bool succeeded_ = false;
   /// The server reported that it did not execute the request.
   bool refused_ = false;
+  bool ambiguous_ = false; ///< see ResponseMetadata
   bool busy_ = false;
   bool headReceived_ = false;
   bool bodyNeeded_ = false;
--- a/gateway/ForwardedRequest.cpp
+++ b/gateway/ForwardedRequest.cpp
@@ -204,7 +204,7 @@
 void ForwardedRequest::RejectQueued(std::string_view aCause)
 {
   if (queued_ && sink_ != nullptr) {
-    Reject(mayHaveExecuted_ ? 502 : 503, aCause, 0);
+    RejectUnserved(aCause, 0);
   }
 }
 
@@ -241,7 +241,7 @@
       forwarder_.Enqueue(shared_from_this());
       break;
     default:
-      Reject(503, choice.cause_, choice.retryAfterMs_);
+      RejectUnserved(choice.cause_, choice.retryAfterMs_);
   }
 }
 
@@ -266,11 +266,8 @@
 bool ForwardedRequest::PassesQuarantine(const SuspectDecision& aDecision)
 {
   if (aDecision.verdict_ == SuspectVerdict::Refuse) {
-    // 503 promises that the request was not executed, but an earlier attempt
-    // may have been.
-    Reject(mayHaveExecuted_ ? 502 : 503,
-           "quarantined",
-           aDecision.waitMs_ > 0 ? aDecision.waitMs_ : RemainingMs());
+    RejectUnserved("quarantined",
+                   aDecision.waitMs_ > 0 ? aDecision.waitMs_ : RemainingMs());
   } else if (aDecision.verdict_ == SuspectVerdict::Wait) {
     queued_ = true;
     forwarder_.Enqueue(shared_from_this());
@@ -323,10 +320,19 @@
     mayHaveExecuted_ = true;
   }
   const bool success = responseHead_.status_ < 300;
-  if (aInfo.notExecuted_ || (success && !aInfo.sealed_) ||
+  if (aInfo.notExecuted_ || aInfo.ambiguous_ || (success && !aInfo.sealed_) ||
       responseHead_.HasField("Content-Encoding")) {
     discardResponse_ = true;
   }
+  if (aInfo.ambiguous_) {
+    forwarder_.Log().Write(LogLevel::Info,
+                           "answer-ambiguous",
+                           { { "id", caller_.requestId_ },
+                             { "backend", lastBackend_ },
+                             { "status", responseHead_.status_ },
+                             { "sealed", aInfo.sealed_ ? 1 : 0 },
+                             { "attempt", attempts_ } });
+  }
   return !discardResponse_;
 }
 
@@ -394,6 +400,11 @@
     OnNotExecuted();
     return;
   }
+  if (responseInfo_.ambiguous_) {
+    forwarder_.Metrics().OnAttempt("ambiguous");
+    OnOutcomeUnknown("ambiguous-answer");
+    return;
+  }
   if (discardResponse_) {
     forwarder_.Metrics().OnAttempt("unsealed");
     OnOutcomeUnknown("unsealed-answer");
@@ -550,6 +561,13 @@
   }
 }
 
+void ForwardedRequest::RejectUnserved(std::string_view aCause,
+                                      TimeMs aRetryAfterMs)
+{
+  // 503 promises that the request was not executed.
+  Reject(mayHaveExecuted_ ? 502 : 503, aCause, aRetryAfterMs);
+}
+
 void ForwardedRequest::Reject(int aStatus,
                               std::string_view aCause,
                               TimeMs aRetryAfterMs)
@@ -561,7 +579,7 @@
   const auto body = Concat(aCause, "\n");
   output_ = Concat("HTTP/1.1 ", status, "\r\n");
   forwarder_.Protocol().AddGatewayResponseFields(output_, caller_.requestId_);
-  if (aStatus == 503) {
+  if (aStatus == 503 || (aStatus == 502 && aRetryAfterMs > 0)) {
     constexpr double kMsPerSecond = 1000;
     AppendTo(output_,
              "Retry-After: ",
--- a/gateway/ForwardedRequest.hpp
+++ b/gateway/ForwardedRequest.hpp
@@ -58,7 +58,7 @@
   /// Some of the output was moved to the caller's connection.
   void OnOutputWritten();
   /// Responds with an error of the gateway itself. aRetryAfterMs applies to
-  /// status 503 only.
+  /// status 503, and to 502 if it isn't 0.
   void Reject(int aStatus, std::string_view aCause, TimeMs aRetryAfterMs);
 
   std::string& Output() { return output_; }
@@ -98,6 +98,9 @@
                        std::string_view aCause) override;
 
   bool IsIdempotent() const;
+  /// Rejects a request for which no further attempt can be made, with 503 only
+  /// if no earlier one may have been executed.
+  void RejectUnserved(std::string_view aCause, TimeMs aRetryAfterMs);
   void Dispatch();
   void SendTo(const BackendChoice& aChoice);
   /// Returns false when the crash quarantine has queued or rejected the
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -445,6 +445,47 @@
   EXPECT_FALSE(RequestCodec().ParseResponse(head).load_);
 }
 
+// Guards against a status that is passed on as a guarantee which the server did
+// not give (review/8), and against a guarantee that is overlooked.
+TEST(RequestCodec, TellsGuaranteesFromStatuses)
+{
+  const HttpFields mark = { { "Cactuspitch-Not-Executed", "1" } };
+  const HttpFields odd = { { "Cactuspitch-Not-Executed", "0" },
+                           { "Cactuspitch-Not-Executed", "1" } };
+  const HttpFields seal = { { "Cactuspitch-Response-Seal", "s" } };
+  struct Case
+  {
+    int status_;
+    HttpFields fields_;
+    bool notExecuted_;
+    bool ambiguous_;
+  };
+  std::vector<Case> cases = {
+    { 421, {}, true, false },    { 421, mark, true, false },
+    { 400, mark, true, false },  { 500, mark, true, false },
+    { 200, seal, false, false }, { 200, mark, false, true },
+    { 304, mark, false, true }
+  };
+  for (const int status : { 408, 429, 503 }) {
+    cases.push_back({ status, {}, false, true });
+    cases.push_back({ status, seal, false, true });
+    cases.push_back({ status, mark, true, false });
+    cases.push_back({ status, odd, true, false });
+  }
+  for (const int status : { 400, 404, 409, 500, 502, 504 }) {
+    cases.push_back({ status, {}, false, false });
+    cases.push_back({ status, seal, false, false });
+  }
+  for (const auto& row : cases) {
+    HttpHead head;
+    head.status_ = row.status_;
+    head.fields_ = row.fields_;
+    const auto info = RequestCodec().ParseResponse(head);
+    EXPECT_EQ(info.notExecuted_, row.notExecuted_) << row.status_;
+    EXPECT_EQ(info.ambiguous_, row.ambiguous_) << row.status_;
+  }
+}
+
 // Guards against a load report with a fourth figure that is dropped as a whole,
 // and against a bad fourth figure that spoils the other three.
 TEST(RequestCodec, ReadsLoadReports)
