Router: no refusal after an attempt that may have run

Seen by callers: a request whose first attempt broke off, and whose repetition the server refused, was answered not-run. The end of a request looked at its last attempt only. Change: an idempotent request that was repeated after an attempt that may have run ends as unknown where it would have ended as not-run. An answer of the server itself was never taken for a refusal: callers read X-Outcome. Measured: Router.NoRefusalAfterAnAttemptThatMayHaveRun failed before (not-run), passes now; RouterTest 20 of 20.

--- a/router/RequestHandler.cpp
+++ b/router/RequestHandler.cpp
@@ -370,6 +370,7 @@
   switch (OutcomeClassifier::Decide(
     aResult.outcome_, request_.isIdempotent_, mayRetry)) {
     case AttemptAction::Retry:
+      mayHaveRun_ |= !OutcomeClassifier::IsCertainlyNotRun(aResult.outcome_);
       return true;
     case AttemptAction::Respond:
       EndComplete(aResult);
@@ -461,6 +462,10 @@
                                TimeMs aRetryAfterMs,
                                std::string_view aText)
 {
+  if (mayHaveRun_) {
+    EndUnknown(false, aText);
+    return;
+  }
   // The ledger is updated before the response is sent, so that an immediate
   // retry by the caller may be executed.
   FinishLedger(LedgerEntryState::NotRun);
--- a/router/RequestHandler.hpp
+++ b/router/RequestHandler.hpp
@@ -71,6 +71,7 @@
   bool CanRetryShed();
 
   void EndComplete(ExchangeResult& aResult);
+  /// Reports an unknown outcome instead if an earlier attempt may have run.
   void EndNotRun(NotRunReason aReason,
                  TimeMs aRetryAfterMs,
                  std::string_view aText);
@@ -99,8 +100,9 @@
   Target target_;
   AdmissionController* admission_ = nullptr;
   int attempts_ = 0;
-  int shedCount_ = 0; ///< attempts that the server refused as busy
-  int parkCount_ = 0; ///< waits for a newer table
+  bool mayHaveRun_ = false; ///< an attempt that was repeated may have run
+  int shedCount_ = 0;       ///< attempts that the server refused as busy
+  int parkCount_ = 0;       ///< waits for a newer table
   bool isSuspect_ = false;
 };
 
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -192,6 +192,21 @@
   }
 }
 
+// Guards against a refusal of a request whose first attempt may have run, when
+// the server refuses the retries.
+TEST(Router, NoRefusalAfterAnAttemptThatMayHaveRun)
+{
+  ScriptedBackend server(
+    { [](FakeBackend&) { return Raw("", AfterResponse::Close); },
+      [](FakeBackend& aServer) { return aServer.NotRun("busy"); } });
+  RouterFixture fixture;
+  fixture.SetOwner(server.backend_);
+  const auto response = fixture.Get();
+  ASSERT_TRUE(response.ok()) << response.status();
+  EXPECT_EQ(OutcomeOf(*response), "unknown") << response->body_;
+  EXPECT_GE(server.backend_.Requests().size(), 2U);
+}
+
 // Guards against delaying the response until the deadline after the last retry,
 // and against a refusal without a retry time, after which callers would retry
 // at the same time.
