A leader confirms itself before it commands a restarted server

Cause: nothing told a connection to the same process of a server from one to the next process. Change: HttpClient keeps when a connection to a server last ended or could not be opened. A new connection after that is used only by a leader whose lease was confirmed by a renewal sent later; it is renewed on demand, at most every 200 ms and not while renewals fail.

The soak draws the mix: cut-leader cuts the leader off from the store and the other gateways (SoakPeerLinks carries their datagrams), restart-backend drains a server and starts it again under its id, and servers answer 408, 429 or 503 without the guarantee after they have run a request.

--- a/gateway/CommandSender.cpp
+++ b/gateway/CommandSender.cpp
@@ -73,40 +73,50 @@
     return;
   }
   // The scope may have changed while the command was queued.
-  const bool mayConnect = handlers_.grantScope_() == GrantScope::All;
-  if (!mayConnect && !aCommand.renews_) {
+  if (!aCommand.renews_ && handlers_.grantScope_(0) == GrantScope::Renewals) {
     FinishUnsent(aCommand, KeyCommandResult::Withheld);
     return;
   }
+  Call(aCommand, server->second);
+}
+
+void CommandSender::Call(const KeyCommand& aCommand, const Server& aServer)
+{
+  // A new connection reaches another process if the server has restarted. Only
+  // the present leader may command that one.
+  const TimeMs sinceMs = client_.LastEndedMs(aServer.endpoint_);
+  const bool mayConnect = handlers_.grantScope_(sinceMs) == GrantScope::All;
   auto request = protocol_.MakeCommand(aCommand);
   if (!mayConnect) {
+    handlers_.requireConfirmation_(sinceMs);
     request.connectionPolicy_ = ConnectionPolicy::ReuseOnly;
   } else if (unresponsive_.contains(aCommand.backend_)) {
     request.connectionPolicy_ = ConnectionPolicy::NewOnly;
   }
   const auto withheld = std::make_shared<bool>(!mayConnect);
-  request.maySendOnNew_ = [this, withheld, generation = generation_] {
+  request.maySendOnNew_ = [this, withheld, sinceMs, generation = generation_] {
     *withheld = generation != generation_ ||
-                handlers_.grantScope_() == GrantScope::Renewals;
+                handlers_.grantScope_(sinceMs) == GrantScope::Renewals;
     return !*withheld;
   };
-  client_.Call(server->second.endpoint_,
-               request,
-               [this,
-                aCommand,
-                withheld,
-                startTimeMs = server->second.startTimeMs_,
-                generation = generation_](const CallResult& aResult) {
-                 if (generation != generation_) {
-                   return;
-                 }
-                 auto response = protocol_.ParseResponse(aResult);
-                 if (response.result_ == KeyCommandResult::NotSent &&
-                     *withheld) {
-                   response.result_ = KeyCommandResult::Withheld;
-                 }
-                 OnDone(aCommand, startTimeMs, response, aResult.head_.status_);
-               });
+  client_.Call(
+    aServer.endpoint_,
+    request,
+    [this, aCommand, withheld, server = aServer, generation = generation_](
+      const CallResult& aResult) {
+      if (generation != generation_) {
+        return;
+      }
+      if (aResult.outcome_ != CallOutcome::Completed) {
+        // In time for the next attempt.
+        handlers_.requireConfirmation_(client_.LastEndedMs(server.endpoint_));
+      }
+      auto response = protocol_.ParseResponse(aResult);
+      if (response.result_ == KeyCommandResult::NotSent && *withheld) {
+        response.result_ = KeyCommandResult::Withheld;
+      }
+      OnDone(aCommand, server.startTimeMs_, response, aResult.head_.status_);
+    });
 }
 
 void CommandSender::FinishUnsent(const KeyCommand& aCommand,
--- a/gateway/CommandSender.hpp
+++ b/gateway/CommandSender.hpp
@@ -34,8 +34,11 @@
   struct Handlers
   {
     /// Whether all commands may be sent or only renewals on connections that
-    /// are open.
-    std::function<GrantScope()> grantScope_;
+    /// are open. All requires a confirmation of the leader lease that was
+    /// requested at aSinceMs or later.
+    std::function<GrantScope(TimeMs aSinceMs)> grantScope_;
+    /// Requests such a confirmation.
+    std::function<void(TimeMs aSinceMs)> requireConfirmation_;
     /// Called once for each command, unless Reset drops it.
     std::function<void(const KeyCommand&, const CommandResponse&)> onDone_;
     /// A response announced that the server shuts down, named a limit, or had
@@ -74,6 +77,7 @@
 
   void SendWaiting(const std::string& aBackend);
   void SendNow(const KeyCommand& aCommand);
+  void Call(const KeyCommand& aCommand, const Server& aServer);
   /// Reports aResult later, without having sent the command.
   void FinishUnsent(const KeyCommand& aCommand, KeyCommandResult aResult);
   /// aStartTimeMs identifies the incarnation that the command was sent to, 0 if
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -245,7 +245,10 @@
       fleetLoads_,
       settings_.maxHoldMs_,
       { [this] { return election_.MaySendCommands(); },
-        [this] { return election_.AllowedGrantScope(); },
+        [this](TimeMs aSinceMs) {
+          return election_.AllowedGrantScope(aSinceMs);
+        },
+        [this](TimeMs aSinceMs) { election_.RequireConfirmation(aSinceMs); },
         [this] { gossip_.OnKeysChanged(); },
         [this](std::string_view aCause) { election_.Resign(aCause); },
         [this] { election_.OnFenceRejected(); },
--- a/gateway/KeyCoordinator.cpp
+++ b/gateway/KeyCoordinator.cpp
@@ -47,7 +47,8 @@
       aLog,
       aClient,
       aProtocol,
-      { [this] { return handlers_.grantScope_(); },
+      { [this](TimeMs aSinceMs) { return handlers_.grantScope_(aSinceMs); },
+        [this](TimeMs aSinceMs) { handlers_.requireConfirmation_(aSinceMs); },
         [this](const KeyCommand& aCommand, const CommandResponse& aResponse) {
           OnCommandDone(aCommand, aResponse);
         },
@@ -567,7 +568,7 @@
 void KeyCoordinator::SendCommands()
 {
   const TimeMs nowMs = loop_.NowMs();
-  const auto scope = handlers_.grantScope_();
+  const auto scope = handlers_.grantScope_(0);
   for (const auto& [name, ownership] : services_) {
     if (!reportedRevisions_.contains(name)) {
       continue; // fences are not durable yet
--- a/gateway/KeyCoordinator.hpp
+++ b/gateway/KeyCoordinator.hpp
@@ -32,7 +32,9 @@
   {
     /// True while commands may be sent.
     std::function<bool()> maySendCommands_;
-    std::function<GrantScope()> grantScope_;
+    /// The same as in CommandSender::Handlers.
+    std::function<GrantScope(TimeMs aSinceMs)> grantScope_;
+    std::function<void(TimeMs aSinceMs)> requireConfirmation_;
     /// Owners of keys have changed.
     std::function<void()> onChanged_;
     /// A newer leader has written the key table.
--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -91,9 +91,10 @@
          loop_.NowMs() - confirmedMs_ < LeaderTiming::kLeaseMs;
 }
 
-GrantScope LeaderElection::AllowedGrantScope() const
+GrantScope LeaderElection::AllowedGrantScope(TimeMs aSinceMs) const
 {
   const bool confirmed =
+    confirmedMs_ >= aSinceMs &&
     loop_.NowMs() - confirmedMs_ < LeaderTiming::kMaxUnconfirmedMs;
   const bool settled = restoredMs_ == 0 || confirmedMs_ - restoredMs_ >=
                                              LeaderTiming::kRestoreSettleMs;
@@ -109,6 +110,23 @@
   return confirmed || !IsIsolated();
 }
 
+void LeaderElection::RequireConfirmation(TimeMs aSinceMs)
+{
+  requiredSinceMs_ = std::max(requiredSinceMs_, aSinceMs);
+  if (state_ == State::Leading && IsRenewalDue()) {
+    Renew();
+  }
+}
+
+bool LeaderElection::IsRenewalDue() const
+{
+  const bool isRequired =
+    confirmedMs_ < requiredSinceMs_ && !lastRenewalFailed_;
+  const TimeMs intervalMs =
+    isRequired ? LeaderTiming::kMinRenewIntervalMs : RenewIntervalMs();
+  return !renewing_ && loop_.NowMs() - lastRenewalMs_ >= intervalMs;
+}
+
 void LeaderElection::OnFenceRejected()
 {
   if (state_ != State::Leading) {
@@ -166,7 +184,7 @@
   if (state_ == State::Leading) {
     PruneEarlierLeaders();
     ReportGrantScope();
-    if (!renewing_ && loop_.NowMs() - lastRenewalMs_ >= RenewIntervalMs()) {
+    if (IsRenewalDue()) {
       Renew();
     }
     if (!MaySendCommands()) {
@@ -409,6 +427,7 @@
   renewing_ = false;
   rejectedSinceSent_ = false;
   rejectedSinceConfirmed_ = false;
+  lastRenewalFailed_ = false;
   restoredMs_ = 0;
   highestTerm_ = std::max(highestTerm_, term_);
   leader_ = self_.instance_;
@@ -523,6 +542,7 @@
       RestoreLease();
       break;
     default:
+      lastRenewalFailed_ = true;
       // Retry sooner than the renewal interval, because the lease
       // continues to run.
       lastRenewalMs_ = loop_.NowMs() - LeaderTiming::kRenewIntervalMs +
@@ -535,6 +555,7 @@
 {
   revision_ = aResponse.object_.revision_;
   confirmedMs_ = aSentMs;
+  lastRenewalFailed_ = false;
   renewalLatencyMs_ = loop_.NowMs() - aSentMs;
   rejectedSinceConfirmed_ = rejectedSinceSent_;
   if (rejectedSinceSent_) {
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -28,7 +28,7 @@
 {
   static constexpr TimeMs kLeaseMs = 8000;
   static constexpr TimeMs kRenewIntervalMs = 1000;
-  static constexpr TimeMs kMinRenewIntervalMs = 300;
+  static constexpr TimeMs kMinRenewIntervalMs = 200;
   /// A leader may have been replaced at any time since it sent its last
   /// confirmed renewal. For this long it continues to open connections to
   /// servers; a successor allows for that, see
@@ -88,8 +88,12 @@
   bool IsLeading() const { return state_ == State::Leading; }
   /// True while commands may be sent to backend servers.
   bool MaySendCommands() const;
-  /// Renewals only without a recent confirmed renewal of the leader lease.
-  GrantScope AllowedGrantScope() const;
+  /// Renewals only without a recent confirmed renewal of the leader lease that
+  /// was sent at aSinceMs or later.
+  GrantScope AllowedGrantScope(TimeMs aSinceMs = 0) const;
+  /// Renews the leader lease soon if the last confirmed renewal was sent before
+  /// aSinceMs.
+  void RequireConfirmation(TimeMs aSinceMs);
   /// False while another gateway is likely to lead without this one having
   /// received its gossip.
   bool IsProbablySoleLeader() const;
@@ -141,6 +145,7 @@
   void VerifyWrite(TimeMs aSentMs);
   void BecomeLeader(TimeMs aConfirmedMs);
   void Renew();
+  bool IsRenewalDue() const;
   /// Shorter while the store is slow, so that confirmations stay recent.
   TimeMs RenewIntervalMs() const;
   /// Writes the lease of this leader to a store that was restored from an older
@@ -177,8 +182,10 @@
   TimeMs leaderHeardBeforeReadMs_ = 0;
   TimeMs lastRenewalMs_ = 0;
   TimeMs renewalLatencyMs_ = 0; ///< of the last confirmed renewal
+  TimeMs requiredSinceMs_ = 0;  ///< see RequireConfirmation
   TimeMs restoredMs_ = 0; ///< last restore of the store in this term, or 0
   bool renewing_ = false;
+  bool lastRenewalFailed_ = false;
   /// A fence was rejected since the last renewal was sent, or since the last
   /// confirmed one was.
   bool rejectedSinceSent_ = false;
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -107,6 +107,7 @@
   {
     const auto maySend = std::exchange(maySendOnNew_, nullptr);
     if (maySend && !maySend()) {
+      withheld_ = true;
       Finish(CallOutcome::NotSent, "withheld");
       return;
     }
@@ -144,6 +145,7 @@
   void OnStreamClosed(CloseReason aReason) override
   {
     if (!callback_) {
+      client_.RecordEnd(server_);
       client_.Remove(this);
       return;
     }
@@ -190,6 +192,9 @@
         result.head_.KeepsAlive() && stream_.Input().empty()) {
       client_.Release(self);
     } else {
+      if (!withheld_) {
+        client_.RecordEnd(server_);
+      }
       // A reset keeps the server from executing a request that is still in
       // transit.
       stream_.Abort();
@@ -207,6 +212,7 @@
   Callback callback_;
   std::string unsent_; ///< request that waits for the connection
   std::function<bool()> maySendOnNew_;
+  bool withheld_ = false;
   TimeMs timeoutMs_ = 0;
   size_t maxResponseBytes_ = 0;
   int interimResponses_ = 0;
@@ -256,6 +262,17 @@
   loop_.Defer([dropped = std::move(dropped)] {});
 }
 
+TimeMs HttpClient::LastEndedMs(const Endpoint& aServer) const
+{
+  const auto found = endedMs_.find(KeyOf(aServer));
+  return found == endedMs_.end() ? 0 : found->second;
+}
+
+void HttpClient::RecordEnd(const Endpoint& aServer)
+{
+  endedMs_[KeyOf(aServer)] = loop_.NowMs();
+}
+
 HttpClient::ConnectionPtr HttpClient::TakeIdle(const Endpoint& aServer,
                                                ConnectionPolicy aPolicy)
 {
--- a/net/HttpClient.hpp
+++ b/net/HttpClient.hpp
@@ -89,6 +89,10 @@
   /// Closes idle connections, for example after one of them has stopped
   /// responding.
   void CloseIdle(const Endpoint& aServer);
+  /// When a connection to the server last ended, could not be opened, or was
+  /// given up after a missing response; 0 if never. The server may have
+  /// restarted since.
+  TimeMs LastEndedMs(const Endpoint& aServer) const;
 
 private:
   class Connection;
@@ -100,11 +104,13 @@
   ConnectionPtr TakeIdle(const Endpoint& aServer, ConnectionPolicy aPolicy);
   void Release(ConnectionPtr aConnection);
   void Remove(const Connection* aConnection);
+  void RecordEnd(const Endpoint& aServer);
 
   EventLoop& loop_;
   uint64_t lastCallId_ = 0;
   std::map<uint64_t, std::vector<ConnectionPtr>> idle_;
   std::list<ConnectionPtr> busy_;
+  std::map<uint64_t, TimeMs> endedMs_;
 };
 
 }
--- a/tests/CommandSenderTest.cpp
+++ b/tests/CommandSenderTest.cpp
@@ -42,6 +42,8 @@
   HttpClient client_{ loop_ };
   platform::CommandCodec commands_;
   GrantScope scope_ = GrantScope::All;
+  TimeMs confirmedMs_ = 0; ///< when the last confirmation was requested
+  TimeMs requiredSinceMs_ = 0;
   std::vector<KeyCommandResult> results_;
   bool holdsResponses_ = false;
   ScriptedServer server_{ loop_, [this](ScriptedServer::Exchange& aExchange) {
@@ -49,16 +51,20 @@
                              aExchange.write_(TextResponse(200, ""));
                            }
                          } };
-  CommandSender sender_{ loop_,
-                         log_,
-                         client_,
-                         commands_,
-                         { [this] { return scope_; },
-                           [this](const KeyCommand&,
-                                  const CommandResponse& aResponse) {
-                             results_.push_back(aResponse.result_);
-                           },
-                           [](const CommandSender::Notice&) {} } };
+  CommandSender sender_{
+    loop_,
+    log_,
+    client_,
+    commands_,
+    { [this](TimeMs aSinceMs) {
+       return aSinceMs <= confirmedMs_ ? scope_ : GrantScope::Renewals;
+     },
+      [this](TimeMs aSinceMs) { requiredSinceMs_ = aSinceMs; },
+      [this](const KeyCommand&, const CommandResponse& aResponse) {
+        results_.push_back(aResponse.result_);
+      },
+      [](const CommandSender::Notice&) {} }
+  };
 };
 
 // Guards against a leader that may have been replaced and renews the lease of a
@@ -75,6 +81,9 @@
   EXPECT_EQ(server_.Requests(), 2);
   EXPECT_EQ(server_.Accepted(), 1);
   scope_ = GrantScope::All;
+  EXPECT_EQ(SendAndWait(Grant(true)), KeyCommandResult::Withheld);
+  EXPECT_GT(requiredSinceMs_, 0);
+  confirmedMs_ = requiredSinceMs_;
   EXPECT_EQ(SendAndWait(Grant(true)), KeyCommandResult::Accepted);
 }
 
--- a/tests/GatewaySoak.cpp
+++ b/tests/GatewaySoak.cpp
@@ -1,6 +1,7 @@
 #include "tests/GatewaySoak.hpp"
 
 #include "common/Strings.hpp"
+#include "policy/BroadcastPlan.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -59,6 +60,8 @@
     { "cut-backend", 1, &GatewaySoak::CutBackendLink },
     { "silence-connections", 1, &GatewaySoak::SilenceConnections },
     { "change-config", 1, &GatewaySoak::ChangeConfig },
+    { "cut-leader", 2, &GatewaySoak::CutLeader },
+    { "restart-backend", 3, &GatewaySoak::RestartBackend },
   };
   return kFaults;
 }
@@ -175,14 +178,34 @@
     gateway.peer_ = FreeEndpoint();
     gateway.metrics_ = FreeEndpoint();
     gateway.store_ = FreeEndpoint().ToText();
-    gateway.storeLink_ = std::make_unique<TcpFaultProxy>(
-      gateway.store_, store_.Address().ToText());
-    if (!gateway.storeLink_->Start().ok()) {
-      throw std::runtime_error(
-        "cannot listen for a gateway's link to the store");
-    }
     gateways_.push_back(std::move(gateway));
   }
+  // Relays of larger fleets tell others the address that they see.
+  if (gateways_.size() <= kMaxDirectGateways) {
+    std::vector<Endpoint> peers;
+    std::ranges::transform(
+      gateways_, std::back_inserter(peers), &GatewayProcess::peer_);
+    peerLinks_ = std::make_unique<SoakPeerLinks>(loop_, std::move(peers));
+  }
+  for (size_t index = 0; index < gateways_.size(); ++index) {
+    AddStoreLink(index);
+  }
+}
+
+void GatewaySoak::AddStoreLink(size_t aGateway)
+{
+  auto& gateway = gateways_[aGateway];
+  const auto store =
+    peerLinks_ == nullptr
+      ? store_.Address()
+      : store_.AddView([this, aGateway](std::string aResponse) {
+          return peerLinks_->Rewrite(aGateway, std::move(aResponse));
+        });
+  gateway.storeLink_ =
+    std::make_unique<TcpFaultProxy>(gateway.store_, store.ToText());
+  if (!gateway.storeLink_->Start().ok()) {
+    throw std::runtime_error("cannot listen for a gateway's link to the store");
+  }
 }
 
 void GatewaySoak::AddCallers()
@@ -458,6 +481,31 @@
   });
 }
 
+void GatewaySoak::CutLeader()
+{
+  const auto leader = store_.Spec("cactuspitch-leader", "leader");
+  const auto found = std::ranges::find_if(gateways_, [&](const auto& aGateway) {
+    return leader.is_object() && leader.value("instance", "") == aGateway.name_;
+  });
+  if (found == gateways_.end() || peerLinks_ == nullptr) {
+    return;
+  }
+  const int index = static_cast<int>(found - gateways_.begin());
+  const auto setCut = [this, index](bool aCut) {
+    gateways_[index].storeLink_->SetMode(aCut ? ProxyMode::DropBoth
+                                              : ProxyMode::Pass);
+    peerLinks_->SetCutOff(index, aCut);
+    journal_.OnStoreLinkCut(index, aCut);
+  };
+  setCut(true);
+  tasks_.After(RandomInt(kMaxFaultMs / 2, kMaxFaultMs),
+               [setCut] { setCut(false); });
+  // Servers that drain lose their keys to the next leader.
+  for (int count = RandomInt(0, 2); count > 0; --count) {
+    tasks_.After(RandomInt(0, kMaxFaultMs / 4), [this] { RestartBackend(); });
+  }
+}
+
 void GatewaySoak::InjectStoreFault()
 {
   constexpr int kKinds = static_cast<int>(StoreFaultMode::Count);
@@ -503,6 +551,19 @@
   RandomBackend().Crash(RandomInt(50, kMaxFaultMs));
 }
 
+SoakBackend& GatewaySoak::RandomKeyedBackend()
+{
+  return *backends_[kPlainServers + RandomInt(0, kKeyedServers - 1)];
+}
+
+void GatewaySoak::RestartBackend()
+{
+  constexpr int kMaxDrainMs = 1000;
+  constexpr int kMaxDownMs = 300;
+  RandomKeyedBackend().DrainAndRestart(RandomInt(100, kMaxDrainMs),
+                                       RandomInt(50, kMaxDownMs));
+}
+
 void GatewaySoak::FreezeBackend()
 {
   RandomBackend().Freeze(RandomInt(100, kMaxFaultMs));
@@ -543,7 +604,7 @@
 {
   constexpr int kKinds = static_cast<int>(CommandFault::Count);
   const auto fault = static_cast<CommandFault>(RandomInt(1, kKinds - 1));
-  auto& backend = *backends_[kPlainServers + RandomInt(0, kKeyedServers - 1)];
+  auto& backend = RandomKeyedBackend();
   backend.SetCommandFault(fault, RandomInt(200, kMaxFaultMs));
   // A server that leaves gets releases.
   if (RandomInt(0, 1) == 1) {
--- a/tests/GatewaySoak.hpp
+++ b/tests/GatewaySoak.hpp
@@ -3,6 +3,7 @@
 #include "tests/ProcessFleet.hpp"
 #include "tests/SoakBackend.hpp"
 #include "tests/SoakCaller.hpp"
+#include "tests/SoakPeerLinks.hpp"
 
 #include <memory>
 #include <string>
@@ -69,6 +70,7 @@
   std::vector<const FaultKind*> WeightedFaults() const;
 
   void AddGateways();
+  void AddStoreLink(size_t aGateway);
   void AddBackends();
   void AddCallers();
   /// Accepts a new version of the configuration.
@@ -89,6 +91,7 @@
   int RandomInt(int aLow, int aHigh);
   int RandomGateway();
   SoakBackend& RandomBackend();
+  SoakBackend& RandomKeyedBackend();
   void ChooseRequest(SoakRequest& aRequest);
 
   // Faults.
@@ -98,10 +101,12 @@
   void StopGateway();
   void SendSighupToGateway();
   void CutStoreLink();
+  void CutLeader();
   void InjectStoreFault();
   void CompactHistory();
   void RestoreStore();
   void CrashBackend();
+  void RestartBackend();
   void FreezeBackend();
   void ReplaceBackend();
   void PauseBackend();
@@ -124,6 +129,7 @@
   PlatformStore store_;
   ProcessFleet fleet_;
   std::vector<GatewayProcess> gateways_;
+  std::unique_ptr<SoakPeerLinks> peerLinks_; ///< in small fleets
   std::vector<std::unique_ptr<SoakBackend>> backends_;
   std::vector<std::unique_ptr<SoakCaller>> callers_;
   DelayedTasks tasks_;
--- a/tests/LeaderElectionTest.cpp
+++ b/tests/LeaderElectionTest.cpp
@@ -258,6 +258,20 @@
   EXPECT_EQ(leadershipsLost_, 0);
 }
 
+// Guards against a grant to a server that restarted after the leader was last
+// confirmed, and against a wait for the next regular renewal.
+TEST_F(LeaderElectionTest, ConfirmationIsRenewedOnDemand)
+{
+  Lead();
+  RunLoopFor(loop_, LeaderTiming::kMinRenewIntervalMs);
+  const TimeMs nowMs = loop_.NowMs();
+  EXPECT_EQ(election_.AllowedGrantScope(nowMs), GrantScope::Renewals);
+  EXPECT_EQ(election_.AllowedGrantScope(), GrantScope::All);
+  election_.RequireConfirmation(nowMs);
+  RunLoopFor(loop_, LeaderTiming::kRenewIntervalMs / 4);
+  EXPECT_EQ(election_.AllowedGrantScope(nowMs), GrantScope::All);
+}
+
 // Guards against waiting for a leader that exited together with all other
 // processes.
 TEST_F(LeaderElectionTest, StartingGatewayReplacesExpiredLeader)
--- a/tests/PlatformStore.cpp
+++ b/tests/PlatformStore.cpp
@@ -144,6 +144,20 @@
   return text;
 }
 
+Endpoint PlatformStore::AddView(
+  std::function<std::string(std::string aResponse)> aRewrite)
+{
+  views_.push_back(std::make_unique<ScriptedServer>(
+    loop_, [this, rewrite = std::move(aRewrite)](auto& aExchange) {
+      aExchange.write_ = [rewrite,
+                          write = aExchange.write_](std::string_view aText) {
+        write(rewrite(std::string(aText)));
+      };
+      Serve(aExchange);
+    }));
+  return views_.back()->Address();
+}
+
 void PlatformStore::Serve(ScriptedServer::Exchange& aExchange)
 {
   if (faultMode_ == StoreFaultMode::Silent) {
--- a/tests/PlatformStore.hpp
+++ b/tests/PlatformStore.hpp
@@ -43,6 +43,9 @@
   explicit PlatformStore(EventLoop& aLoop);
 
   Endpoint Address() const { return server_.Address(); }
+  /// Returns another address of the store, whose responses aRewrite changes. It
+  /// must keep the length of their bodies.
+  Endpoint AddView(std::function<std::string(std::string aResponse)> aRewrite);
   void SetFaultMode(StoreFaultMode aFaultMode) { faultMode_ = aFaultMode; }
   StoreFaultMode FaultMode() const { return faultMode_; }
   /// Drops the history. Watches from an earlier revision get 410.
@@ -132,6 +135,7 @@
   int64_t era_ = 1;            ///< incremented by Restore()
   StoreFaultMode faultMode_ = StoreFaultMode::None;
   ScriptedServer server_;
+  std::vector<std::unique_ptr<ScriptedServer>> views_;
 };
 
 }
--- a/tests/SoakBackend.cpp
+++ b/tests/SoakBackend.cpp
@@ -108,9 +108,14 @@
 }
 
 void SoakBackend::StartIncarnation()
+{
+  id_ = Concat(options_.name_, ".", incarnation_ + 1);
+  StartUnderSameId();
+}
+
+void SoakBackend::StartUnderSameId()
 {
   ++incarnation_;
-  id_ = Concat(options_.name_, ".", incarnation_);
   startTimeMs_ = UnixNowMs();
   seq_ = 0;
   up_ = true;
@@ -170,6 +175,22 @@
   });
 }
 
+void SoakBackend::DrainAndRestart(TimeMs aDrainMs, TimeMs aDownMs)
+{
+  if (!up_ || leaving_ || draining_) {
+    return;
+  }
+  draining_ = true;
+  Register("draining");
+  After(aDrainMs, [this, aDownMs] {
+    EndIncarnation();
+    tasks_.After(aDownMs, [this] {
+      server_.Restart();
+      StartUnderSameId();
+    });
+  });
+}
+
 void SoakBackend::Freeze(TimeMs aDurationMs)
 {
   if (!up_ || frozen_) {
@@ -437,6 +458,10 @@
 void SoakBackend::WriteResponse(const PendingRequest& aRequest, int aStatus)
 {
   const auto& exchange = aRequest.exchange_;
+  if (fault_ == ResponseFault::UnmarkedRefusal) {
+    static constexpr int kStatuses[] = { 408, 429, 503 };
+    aStatus = kStatuses[random_() % std::size(kStatuses)];
+  }
   const auto text = ResponseText(aStatus,
                                  Concat("Cactuspitch-Request-Id: ",
                                         aRequest.id_,
--- a/tests/SoakBackend.hpp
+++ b/tests/SoakBackend.hpp
@@ -24,6 +24,7 @@
   DelayedDuplicate, ///< the response is sent again after a delay
   EndlessHeader,    ///< a header that never ends
   ServerError,      ///< status 500
+  UnmarkedRefusal,  ///< 408, 429 or 503 without Cactuspitch-Not-Executed
   Count
 };
 
@@ -31,7 +32,8 @@
 struct EnumNames<ResponseFault>
 {
   static constexpr std::string_view kNames[] = {
-    "none", "lost", "truncated", "garbage", "late-copy", "endless", "failing",
+    "none",      "lost",    "truncated", "garbage",
+    "late-copy", "endless", "failing",   "unmarked-refusal",
   };
 };
 
@@ -84,6 +86,9 @@
 
   /// Ends without notice; a new incarnation starts after aRestartDelayMs.
   void Crash(TimeMs aRestartDelayMs);
+  /// Reports that it drains, ends aDrainMs later, and starts again under the
+  /// same id after aDownMs.
+  void DrainAndRestart(TimeMs aDrainMs, TimeMs aDownMs);
   /// Stops processing and heartbeats for aDurationMs, as SIGSTOP does;
   /// connections stay open.
   void Freeze(TimeMs aDurationMs);
@@ -127,6 +132,8 @@
   };
 
   void StartIncarnation();
+  /// Starts an incarnation with the present id.
+  void StartUnderSameId();
   void EndIncarnation();
   void Register(std::string_view aState);
   void SendHeartbeat();
