Gossip of all other gateways confirms a leader in an outage of the store

Cause: only the store confirmed a leader, so it opened no connection after 1.5 s of an outage, while no other gateway could replace it either. Change: gossip of all known gateways, each at most 1 s old and without a higher term, confirms a leader too. Not covered: a gateway that starts in the outage and that the leader never hears.

LeaderElectionTest.GossipOfAllOthersConfirmsALeaderInAnOutage.

--- a/gateway/LeaderElection.cpp
+++ b/gateway/LeaderElection.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <optional>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -93,16 +94,40 @@
 
 GrantScope LeaderElection::AllowedGrantScope(TimeMs aSinceMs) const
 {
-  const bool confirmed =
-    confirmedMs_ >= aSinceMs &&
-    loop_.NowMs() - confirmedMs_ < LeaderTiming::kMaxUnconfirmedMs;
   const bool settled = restoredMs_ == 0 || confirmedMs_ - restoredMs_ >=
                                              LeaderTiming::kRestoreSettleMs;
-  return confirmed && settled && !rejectedSinceConfirmed_
+  if (!settled || rejectedSinceConfirmed_) {
+    return GrantScope::Renewals;
+  }
+  const TimeMs nowMs = loop_.NowMs();
+  if (confirmedMs_ >= aSinceMs &&
+      nowMs - confirmedMs_ < LeaderTiming::kMaxUnconfirmedMs) {
+    return GrantScope::All;
+  }
+  const TimeMs heardMs = HeardFromAllSinceMs();
+  return heardMs >= aSinceMs && nowMs - heardMs < LeaderTiming::kMaxUnheardMs
            ? GrantScope::All
            : GrantScope::Renewals;
 }
 
+TimeMs LeaderElection::HeardFromAllSinceMs() const
+{
+  std::optional<TimeMs> heardMs;
+  for (const auto& [instance, peer] : peers_.Peers()) {
+    const bool counts =
+      peer.lastHeardMs_ != 0 && !peer.stopping_ &&
+      peer.lastHeardMs_ >= confirmedMs_ - LeaderTiming::kForgottenMs;
+    if (!counts) {
+      continue;
+    }
+    if (peer.term_ > term_) {
+      return 0;
+    }
+    heardMs = std::min(heardMs.value_or(peer.lastHeardMs_), peer.lastHeardMs_);
+  }
+  return heardMs.value_or(0);
+}
+
 bool LeaderElection::IsProbablySoleLeader() const
 {
   const bool confirmed =
--- a/gateway/LeaderElection.hpp
+++ b/gateway/LeaderElection.hpp
@@ -34,6 +34,12 @@
   /// servers; a successor allows for that, see
   /// LeaseTiming::earlierLeaderConnectMs_.
   static constexpr TimeMs kMaxUnconfirmedMs = 1500;
+  /// The same if all other gateways have been heard instead, which can't have
+  /// replaced the leader before they sent their last gossip.
+  static constexpr TimeMs kMaxUnheardMs = 1000;
+  /// A gateway that was not heard for so long before a confirmed renewal is
+  /// gone; otherwise it would have replaced the leader.
+  static constexpr TimeMs kForgottenMs = 10000;
   /// After a restore of the store a replaced leader may be able to renew its
   /// lease, until its successor has written its own again.
   static constexpr TimeMs kRestoreSettleMs = 2 * kRenewIntervalMs;
@@ -88,8 +94,8 @@
   bool IsLeading() const { return state_ == State::Leading; }
   /// True while commands may be sent to backend servers.
   bool MaySendCommands() const;
-  /// Renewals only without a recent confirmed renewal of the leader lease that
-  /// was sent at aSinceMs or later.
+  /// All after a recent confirmed renewal of the leader lease that was sent at
+  /// aSinceMs or later, or recent gossip of all other gateways.
   GrantScope AllowedGrantScope(TimeMs aSinceMs = 0) const;
   /// Renews the leader lease soon if the last confirmed renewal was sent before
   /// aSinceMs.
@@ -124,6 +130,10 @@
   bool ShouldAcquire() const;
   /// True if most of the known gateways are not heard any more.
   bool IsIsolated() const;
+  /// Time since when no other gateway can have replaced this leader according
+  /// to their gossip; 0 if unknown. Does not cover gateways that were never
+  /// heard.
+  TimeMs HeardFromAllSinceMs() const;
   TimeMs RankDelayMs() const;
   TimeMs InitialElectionTimeoutMs() const;
   void Acquire();
--- a/tests/LeaderElectionTest.cpp
+++ b/tests/LeaderElectionTest.cpp
@@ -59,11 +59,16 @@
   void HearFollowers()
   {
     for (const char* name : { "f1", "f2", "f3" }) {
-      wire::Gossip gossip;
-      gossip.instance = name;
-      mesh_.RecordHeard(gossip, {});
+      Hear(name);
     }
   }
+  void Hear(const char* aName, int64_t aTerm = 0)
+  {
+    wire::Gossip gossip;
+    gossip.instance = aName;
+    gossip.term = aTerm;
+    mesh_.RecordHeard(gossip, {});
+  }
   std::string Respond(int aStatus, const std::string& aBody) const
   {
     auto text = TextResponse(aStatus, aBody);
@@ -228,6 +233,28 @@
     loop_, [&] { return election_.AllowedGrantScope() == GrantScope::All; }));
 }
 
+// Guards against keys that lapse in an outage of the store, because the leader
+// opens no connections although it hears all other gateways, and against a
+// leader that takes a part of them for all.
+TEST_F(LeaderElectionTest, GossipOfAllOthersConfirmsALeaderInAnOutage)
+{
+  Lead();
+  silent_ = true;
+  RunLoopFor(loop_, LeaderTiming::kMaxUnconfirmedMs + 100);
+  HearFollowers();
+  EXPECT_EQ(election_.AllowedGrantScope(), GrantScope::All);
+  EXPECT_EQ(election_.AllowedGrantScope(loop_.NowMs() + 1),
+            GrantScope::Renewals);
+  Hear("f2", election_.Term() + 1);
+  EXPECT_EQ(election_.AllowedGrantScope(), GrantScope::Renewals);
+  Hear("f2", election_.Term());
+  EXPECT_EQ(election_.AllowedGrantScope(), GrantScope::All);
+  RunLoopFor(loop_, LeaderTiming::kMaxUnheardMs + 100);
+  Hear("f1");
+  Hear("f3");
+  EXPECT_EQ(election_.AllowedGrantScope(), GrantScope::Renewals);
+}
+
 // Guards against a replaced leader that learns of its successor only with its
 // next regular renewal, although servers reject its fences.
 TEST_F(LeaderElectionTest, RejectedFenceUncoversTheSuccessor)
