--- a/ctl/RequestExplanation.cpp
+++ b/ctl/RequestExplanation.cpp
@@ -126,6 +126,7 @@
 /// Related to the request whichever process logged them.
 constexpr std::string_view kAnyProcessEvents[] = { "leader-elected",
                                                    "leader-ended",
+                                                   "grant-scope",
                                                    "earlier-leaders-ended" };
 /// Related to the request when logged by a process that handled it.
 constexpr std::string_view kSameProcessEvents[] = {
--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -317,10 +317,20 @@
                               "503 X\r\nRetry-After: 0.01\r\n",
                               "503 X\r\nCactuspitch-Response-Seal: s\r\n",
                               "429 X\r\nCactuspitch-Response-Seal: s\r\n",
-                              "200 X\r\nCactuspitch-Response-Seal: s\r\n"
-                              "Cactuspitch-Not-Executed: 1\r\n" }) {
+                              "200 X\r\nCactuspitch-Not-Executed: 1\r\n" }) {
     cases.push_back({ answer, respond(answer), 200, 502, 1 });
   }
+  cases.push_back({ "served and marked as not executed",
+                    [](Exchange& aExchange) {
+                      auto response =
+                        GatewayFixture::MakeResponse(aExchange.head_, "wrong");
+                      response.insert(response.find("\r\n") + 2,
+                                      "Cactuspitch-Not-Executed: 1\r\n");
+                      aExchange.write_(response);
+                    },
+                    200,
+                    502,
+                    1 });
   cases.push_back({ "503, truncated",
                     [](Exchange& aExchange) {
                       aExchange.write_(
