Withheld renewals do not end a lease

Seen by callers: keys could lapse while a leader is not confirmed, although a connection to their server was open: of several renewals to one server those that found no idle connection counted as failed, and were not sent again. Cause: found by reading. An unconfirmed leader renews only leases whose last grant did not fail, and a withheld command counted as a failure. Change: a withheld command is retried after the retry interval and leaves the lease renewable. The connection itself shows that the process is the same.

--- a/keyspace/KeyOwnership.cpp
+++ b/keyspace/KeyOwnership.cpp
@@ -432,8 +432,9 @@
     if (aScope == GrantScope::Renewals && !renews) {
       continue;
     }
-    const bool retries = (!state.granted_ || state.lastGrantFailed_) &&
-                         !IsLost(segment.owner_, aNowMs);
+    const bool retries =
+      (!state.granted_ || state.lastGrantFailed_ || state.lastGrantWithheld_) &&
+      !IsLost(segment.owner_, aNowMs);
     const bool fences = state.lastGrantMs_ < fencingSinceMs_ &&
                         fencingSinceMs_ <= aNowMs &&
                         NeedsNewOwner(segment, aNowMs);
@@ -525,7 +526,10 @@
     lease->inFlight_ = std::max(0, lease->inFlight_ - 1);
     lease->lastBesideGrant_ = lastCommand_;
     if (isOwner) {
-      state.lastGrantFailed_ = aResult != KeyCommandResult::Accepted;
+      state.lastGrantWithheld_ = aResult == KeyCommandResult::Withheld;
+      if (!state.lastGrantWithheld_) {
+        state.lastGrantFailed_ = aResult != KeyCommandResult::Accepted;
+      }
     } else {
       state.lastReleaseMs_ = 0;
     }
--- a/keyspace/KeyOwnership.hpp
+++ b/keyspace/KeyOwnership.hpp
@@ -243,6 +243,7 @@
     bool releaseInFlight_ = false;
     bool granted_ = false;
     bool lastGrantFailed_ = false;
+    bool lastGrantWithheld_ = false;
     std::string handover_;
   };
   /// Consecutive failed commands to a server, since its last response.
--- a/tests/KeyOwnershipPropertyTest.cpp
+++ b/tests/KeyOwnershipPropertyTest.cpp
@@ -199,7 +199,10 @@
         Deliver(*aEarlier.ownership_, command);
       } else {
         aEarlier.ownership_->OnCommandDone(
-          command, KeyCommandResult::NotSent, "", nowMs_);
+          command,
+          mayConnect ? KeyCommandResult::NotSent : KeyCommandResult::Withheld,
+          "",
+          nowMs_);
       }
     }
   }
--- a/tests/KeyOwnershipTest.cpp
+++ b/tests/KeyOwnershipTest.cpp
@@ -549,7 +549,8 @@
 }
 
 // Guards against a server that counts as lost, although the leader itself sent
-// it no commands.
+// it no commands, and against leases that are renewed no more, because their
+// renewals had to wait for a connection.
 TEST_F(KeyOwnershipTest, WithheldCommandsSayNothingAboutTheServer)
 {
   Start();
@@ -559,6 +560,8 @@
     }
   }
   EXPECT_FALSE(ownership_.IsLost("a", nowMs_));
+  nowMs_ += timing_.retryIntervalMs_;
+  EXPECT_EQ(ownership_.TakeCommands(nowMs_, GrantScope::Renewals).size(), 2U);
 }
 
 // Guards against a leader that may have been replaced and grants a new lease to
