--- a/tests/SoakBackend.cpp
+++ b/tests/SoakBackend.cpp
@@ -121,7 +121,9 @@
   up_ = true;
   frozen_ = leaving_ = draining_ = false;
   pausedUntilMs_ = commandsDelayedUntilMs_ = 0;
-  limit_.reset();
+  if (std::exchange(limit_, std::nullopt)) {
+    journal_.OnLimitSet(id_, limit_);
+  }
   fault_ = ResponseFault::None;
   commandFault_ = CommandFault::None;
   SendHeartbeat();
@@ -204,8 +206,8 @@
   After(aDurationMs, [this] {
     frozen_ = false;
     journal_.OnServerFault(id_);
-    for (auto& exchange : std::exchange(deferredExchanges_, {})) {
-      Handle(exchange);
+    for (auto& [exchange, arrivedMs] : std::exchange(deferredExchanges_, {})) {
+      Handle(exchange, arrivedMs);
     }
     SendHeartbeat();
   });
@@ -322,9 +324,9 @@
     journal_.OnArrived(id, id_, aExchange.head_, aExchange.body_);
   }
   if (frozen_) {
-    deferredExchanges_.push_back(aExchange);
+    deferredExchanges_.emplace_back(aExchange, loop_.NowMs());
   } else {
-    Handle(aExchange);
+    Handle(aExchange, loop_.NowMs());
   }
 }
 
@@ -342,7 +344,7 @@
                                 ""));
 }
 
-void SoakBackend::Handle(const Exchange& aExchange)
+void SoakBackend::Handle(const Exchange& aExchange, TimeMs aArrivedMs)
 {
   constexpr int kMisdirected = 421;
   constexpr int kUnavailable = 503;
@@ -360,7 +362,7 @@
     return;
   }
   if (IsCommand(aExchange)) {
-    HandleCommand(aExchange);
+    HandleCommand(aExchange, aArrivedMs);
     return;
   }
   PendingRequest request{ aExchange, RequestIdOf(aExchange), -1 };
@@ -507,16 +509,16 @@
   exchange.write_(text);
 }
 
-void SoakBackend::HandleCommand(const Exchange& aExchange)
+void SoakBackend::HandleCommand(const Exchange& aExchange, TimeMs aArrivedMs)
 {
-  const TimeMs nowMs = loop_.NowMs();
-  if (nowMs >= commandsDelayedUntilMs_) {
-    ApplyCommand(aExchange, nowMs, true);
+  if (loop_.NowMs() >= commandsDelayedUntilMs_) {
+    ApplyCommand(aExchange, aArrivedMs, true);
     return;
   }
   std::uniform_int_distribution<TimeMs> delay(200, 2500);
-  After(delay(random_),
-        [this, aExchange, nowMs] { ApplyCommand(aExchange, nowMs, false); });
+  After(delay(random_), [this, aExchange, aArrivedMs] {
+    ApplyCommand(aExchange, aArrivedMs, false);
+  });
 }
 
 void SoakBackend::ApplyCommand(const Exchange& aExchange,
--- a/tests/SoakBackend.hpp
+++ b/tests/SoakBackend.hpp
@@ -138,8 +138,8 @@
   void Register(std::string_view aState);
   void SendHeartbeat();
   void OnExchange(Exchange& aExchange);
-  void Handle(const Exchange& aExchange);
-  void HandleCommand(const Exchange& aExchange);
+  void Handle(const Exchange& aExchange, TimeMs aArrivedMs);
+  void HandleCommand(const Exchange& aExchange, TimeMs aArrivedMs);
   void ApplyCommand(const Exchange& aExchange,
                     TimeMs aArrivedMs,
                     bool aResponds);
@@ -186,7 +186,8 @@
   TimeMs commandsDelayedUntilMs_ = 0;
   ResponseFault fault_ = ResponseFault::None;
   CommandFault commandFault_ = CommandFault::None;
-  std::vector<Exchange> deferredExchanges_;
+  /// Received while frozen, with the time of arrival.
+  std::vector<std::pair<Exchange, TimeMs>> deferredExchanges_;
   std::vector<PendingRequest> running_;
   std::vector<PendingRequest> waiting_;
   std::map<uint32_t, Lease> leases_;
