--- a/tests/GatewayTest.cpp
+++ b/tests/GatewayTest.cpp
@@ -309,40 +309,6 @@
       200,
       1 },
   };
-  // A caller takes these statuses for a guarantee that the request was not
-  // executed, which the server does not give (review/8).
-  for (const char* answer : { "408 X\r\n",
-                              "429 X\r\n",
-                              "503 X\r\n",
-                              "503 X\r\nRetry-After: 0.01\r\n",
-                              "503 X\r\nCactuspitch-Response-Seal: s\r\n",
-                              "429 X\r\nCactuspitch-Response-Seal: s\r\n",
-                              "200 X\r\nCactuspitch-Not-Executed: 1\r\n" }) {
-    cases.push_back({ answer, respond(answer), 200, 502, 1 });
-  }
-  cases.push_back({ "served and marked as not executed",
-                    [](Exchange& aExchange) {
-                      auto response =
-                        GatewayFixture::MakeResponse(aExchange.head_, "wrong");
-                      response.insert(response.find("\r\n") + 2,
-                                      "Cactuspitch-Not-Executed: 1\r\n");
-                      aExchange.write_(response);
-                    },
-                    200,
-                    502,
-                    1 });
-  cases.push_back({ "503, truncated",
-                    [](Exchange& aExchange) {
-                      aExchange.write_(
-                        Concat("HTTP/1.1 503 X\r\nContent-Length: 9\r\n"
-                               "Cactuspitch-Request-Id: ",
-                               aExchange.head_.Field("Cactuspitch-Request-Id"),
-                               "\r\n\r\nwro"));
-                      aExchange.close_();
-                    },
-                    200,
-                    502,
-                    1 });
   for (const char* status : { "000", "099", "600", "999", "1000", "-200" }) {
     const auto first = [status](Exchange& aExchange) {
       auto response = GatewayFixture::MakeResponse(aExchange.head_, "wrong");
@@ -368,49 +334,6 @@
   }
 }
 
-// Guards against 503 for an idempotent request whose first attempt may have
-// been executed, when no server is left for a retry.
-TEST(Gateway, NoGuaranteeAfterAnAttemptThatMayHaveBeenExecuted)
-{
-  ScriptedServer* server = nullptr;
-  GatewayFixture fixture(
-    [&](Exchange& aExchange) {
-      aExchange.reset_();
-      server->Crash();
-    },
-    1);
-  server = &fixture.Backend(0);
-  const auto response =
-    fixture.SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "n1"));
-  EXPECT_EQ(StatusOf(response), 502) << response;
-  EXPECT_EQ(fixture.BackendRequests(), 1);
-}
-
-// Guards against a server that fails most requests with a status of overload
-// and is preferred, because it responds at once and never counts as failing.
-TEST(Gateway, ServerWithAmbiguousAnswersIsAvoided)
-{
-  ScriptedServer* failing = nullptr;
-  GatewayFixture fixture([&](Exchange& aExchange) {
-    if (aExchange.server_ != failing) {
-      Echo(aExchange);
-      return;
-    }
-    aExchange.write_(Concat("HTTP/1.1 429 X\r\nContent-Length: 0\r\n"
-                            "Cactuspitch-Request-Id: ",
-                            aExchange.head_.Field("Cactuspitch-Request-Id"),
-                            "\r\n\r\n"));
-  });
-  failing = &fixture.Backend(0);
-  constexpr int kRequests = 60;
-  for (int index = 0; index < kRequests; ++index) {
-    fixture.SendAndWait(GatewayFixture::MakeRequest(
-      "POST", "plain", Concat("a", index), "", "b"));
-  }
-  EXPECT_EQ(fixture.BackendRequests(), kRequests);
-  EXPECT_LT(failing->Requests(), kRequests / 4);
-}
-
 // Guards against 502 for a request that reached no server, which its caller
 // could not retry, and against endless connection attempts to a server that has
 // too many connections.
