--- a/tests/ReservedPort.cpp
+++ b/tests/ReservedPort.cpp
@@ -14,10 +14,10 @@
 
 namespace detail {
 
-// Below the kernel's range of ephemeral ports.
-constexpr int kFirstPort = 22000;
-// scripts/demo uses the 100 ports that follow.
-constexpr int kPortCount = 900;
+// Below the kernel's range of ephemeral ports, which starts at 32768.
+// scripts/demo uses the 100 ports before.
+constexpr int kFirstPort = 23000;
+constexpr int kPortCount = 9000;
 
 /// Bound socket, or -1 when the port is taken.
 int BindPort(int aPort)
