--- a/review/standins-3/GatewayProcesses.cpp
+++ b/review/standins-3/GatewayProcesses.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <utility>
 
 #include <fcntl.h>
 #include <sys/prctl.h>
@@ -92,7 +93,12 @@
 
 GatewayProcesses::~GatewayProcesses()
 {
-  for (const auto& [name, pid] : processes_) {
+  EndAll();
+}
+
+void GatewayProcesses::EndAll()
+{
+  for (const auto& [name, pid] : std::exchange(processes_, {})) {
     ::kill(pid, SIGKILL);
     ::waitpid(pid, nullptr, 0);
   }
--- a/review/standins-3/GatewayProcesses.hpp
+++ b/review/standins-3/GatewayProcesses.hpp
@@ -37,6 +37,8 @@
   GatewayProcesses& operator=(const GatewayProcesses&) = delete;
 
   void Start(const GatewayAddresses& aAddresses);
+  /// Ends all processes and removes their files.
+  void EndAll();
   void Signal(const std::string& aName, int aSignal);
   /// Reaps the process if it has ended. Its wait status is in aStatus.
   bool HasEnded(const std::string& aName, int* aStatus = nullptr);
--- a/review/standins-3/OwnerCaseMain.cpp
+++ b/review/standins-3/OwnerCaseMain.cpp
@@ -9,6 +9,7 @@
 #include "net/HttpClient.hpp"
 #include "tests/SoakPeerLinks.hpp"
 
+#include <cstdio>
 #include <cstdlib>
 #include <iterator>
 #include <memory>
@@ -109,6 +110,8 @@
     return brokenKeys_ > 0 ? 1 : 0;
   }
 
+  void EndProcesses() { processes_.EndAll(); }
+
 private:
   using Json = nlohmann::json;
 
@@ -385,7 +388,11 @@
       trouble == nullptr || std::string(trouble) != "0",
       seed == nullptr ? std::random_device{}()
                       : static_cast<uint32_t>(std::atoi(seed)));
-    return run.Run();
+    const int result = run.Run();
+    run.EndProcesses();
+    // Tasks that are due would run when the stand-ins are destroyed.
+    std::fflush(nullptr);
+    std::_Exit(result);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "%s\n", error.what());
     return 2;
--- a/review/standins-3/PipelineCaseMain.cpp
+++ b/review/standins-3/PipelineCaseMain.cpp
@@ -8,6 +8,7 @@
 #include "Record.hpp"
 #include "net/HttpParser.hpp"
 
+#include <cstdio>
 #include <cstdlib>
 #include <deque>
 #include <memory>
@@ -209,6 +210,8 @@
     return broken ? 1 : 0;
   }
 
+  void EndProcesses() { processes_.EndAll(); }
+
 private:
   using Json = nlohmann::json;
 
@@ -319,7 +322,11 @@
     const char* trouble = std::getenv("TROUBLE");
     cactuspitch::PipelineCase run(
       aArgv[1], trouble == nullptr || std::string(trouble) != "0");
-    return run.Run();
+    const int result = run.Run();
+    run.EndProcesses();
+    // Tasks that are due would run when the stand-ins are destroyed.
+    std::fflush(nullptr);
+    std::_Exit(result);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "%s\n", error.what());
     return 2;
