Review: case 11 is replaced by one of an entry

The case that a new leader overwrites a move of the leader before it is dropped: review/6 shows the same fault with the same disruptions.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,6 +4,6 @@
 # file, then review/build-3.sh.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-program=build-review-3/OwnerCaseMain
+program=build-review-3/OddEntryCaseMain
 [ -x "$program" ] && [ -x target/cactuspitch-gateway ] || exit 2
 exec timeout -k 2 118 "$program" review/11/record.txt
--- a/review/standins-3/GatewayProcesses.hpp
+++ b/review/standins-3/GatewayProcesses.hpp
@@ -42,6 +42,7 @@
   void Signal(const std::string& aName, int aSignal);
   /// Reaps the process if it has ended. Its wait status is in aStatus.
   bool HasEnded(const std::string& aName, int* aStatus = nullptr);
+  pid_t Pid(const std::string& aName) const { return processes_.at(aName); }
   std::string LogPath(const std::string& aName) const;
 
 private:
