--- a/review/standins-3/OddEntryCaseMain.cpp
+++ b/review/standins-3/OddEntryCaseMain.cpp
@@ -34,7 +34,11 @@
 /// Planned work: machines are stopped and started in turn.
 constexpr int kStopped = 2;
 constexpr TimeMs kStopEveryMs = 8000;
-constexpr TimeMs kRunMs = 40000;
+constexpr TimeMs kRunMs = 44000;
+/// At the end all machines are killed at once and start again. From recovery-s
+/// on, the requests of some seconds are counted.
+constexpr TimeMs kRecoveryMs = 15000;
+constexpr TimeMs kLastMs = 5000;
 constexpr TimeMs kCheckMs = 20;
 constexpr TimeMs kRestartMs = 500;
 /// A process that exceeds its memory is killed.
@@ -195,14 +199,27 @@
       RunLoopFor(loop_, kStopEveryMs);
     }
     RunLoopFor(loop_, kRunMs);
-    return Judge();
+    const bool broken = JudgeLost();
+    record_.Line("all are killed");
+    for (const auto& gateway : gateways_) {
+      processes_.Signal(gateway.name_, SIGKILL);
+    }
+    RunLoopFor(loop_, kRestartMs + kRecoveryMs);
+    const auto served = seen_.served_;
+    const auto sent = seen_.sent_;
+    RunLoopFor(loop_, kLastMs);
+    record_.Finding(Concat("sent later than 15 s after all were back: ",
+                           seen_.sent_ - sent,
+                           ", answered 200 ",
+                           seen_.served_ - served));
+    return served == 0 ? 2 : broken ? 1 : 0;
   }
   void EndProcesses() { processes_.EndAll(); }
 
 private:
   using Json = nlohmann::json;
 
-  int Judge()
+  bool JudgeLost()
   {
     bool broken = false;
     for (const auto& gateway : gateways_) {
@@ -221,7 +238,7 @@
     }
     record_.Finding(
       Concat("requests sent ", seen_.sent_, ", answered 200 ", seen_.served_));
-    return seen_.served_ == 0 ? 2 : broken ? 1 : 0;
+    return broken;
   }
   void WriteConfig()
   {
