Stand-in store: lists in pages, strict decoding, entries of any bytes

Scripted servers answer a malformed request with 400 and close. PutText writes an entry that is sent as it is, for bytes that are no JSON.

--- a/demo/StandinPlatformMain.cpp
+++ b/demo/StandinPlatformMain.cpp
@@ -60,7 +60,7 @@
   EventLoop loop;
   // SoakBackend needs a journal; its checks are not used here.
   SoakJournal journal(loop, 1);
-  PlatformStore store(loop);
+  PlatformStore store(loop, kPlatformPages);
   PutConfig(store);
   std::vector<std::unique_ptr<SoakBackend>> servers;
   for (int index = 0; index < kServers; ++index) {
--- a/tests/GatewayFixture.cpp
+++ b/tests/GatewayFixture.cpp
@@ -22,7 +22,7 @@
                                int aKeyedServers,
                                int aMaxConnections)
   : log_(loop_, LogLevel::Error, STDERR_FILENO)
-  , store_(loop_)
+  , store_(loop_, kPlatformPages)
   , maxConnections_(aMaxConnections)
 {
   const auto addEntry = [&](const std::string& aService,
--- a/tests/MemoryLimitTest.cpp
+++ b/tests/MemoryLimitTest.cpp
@@ -195,7 +195,7 @@
 {
 protected:
   MemoryLimitTest()
-    : store_(loop_)
+    : store_(loop_, kPlatformPages)
     , fleet_(BINARY_DIR)
   {
     constexpr int kServers = 4;
--- a/tests/PlatformStore.cpp
+++ b/tests/PlatformStore.cpp
@@ -3,6 +3,11 @@
 #include "common/Strings.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <iterator>
+#include <utility>
+
+#include <absl/strings/ascii.h>
 
 namespace cactuspitch {
 
@@ -14,46 +19,114 @@
 constexpr TimeMs kWatchTickMs = 20;
 constexpr size_t kMaxHistory = 10000;
 
-/// Value of a numeric query parameter, -1 if it is missing or invalid.
-int64_t QueryNumber(std::string_view aQuery, std::string_view aName)
+/// True for the bytes that a URI may hold unescaped in a path or a query.
+bool IsUriByte(char aByte)
+{
+  constexpr std::string_view kPunctuation = "-._~!$&'()*+,;=:@/?%";
+  return absl::ascii_isalnum(static_cast<unsigned char>(aByte)) ||
+         kPunctuation.find(aByte) != std::string_view::npos;
+}
+
+/// Decodes percent escapes. Empty if one is malformed.
+std::optional<std::string> DecodeEscapes(std::string_view aText)
+{
+  constexpr size_t kDigits = 2;
+  constexpr int kHex = 16;
+  std::string result;
+  for (size_t at = 0; at < aText.size(); ++at) {
+    if (aText[at] != '%') {
+      result += aText[at];
+      continue;
+    }
+    const auto digits = aText.substr(at + 1, kDigits);
+    uint8_t byte = 0;
+    const auto* end = digits.data() + digits.size();
+    const auto [last, error] = std::from_chars(digits.data(), end, byte, kHex);
+    if (digits.size() != kDigits || error != std::errc() || last != end) {
+      return std::nullopt;
+    }
+    result += static_cast<char>(byte);
+    at += kDigits;
+  }
+  return result;
+}
+
+/// Splits aText at the first aMark. The second part is empty without one.
+std::pair<std::string_view, std::string_view> SplitAt(std::string_view aText,
+                                                      char aMark)
 {
-  const auto field = Concat(aName, "=");
-  const auto start = aQuery.find(field);
-  if (start == std::string_view::npos) {
-    return -1;
+  const auto at = aText.find(aMark);
+  return at == std::string_view::npos
+           ? std::pair(aText, std::string_view())
+           : std::pair(aText.substr(0, at), aText.substr(at + 1));
+}
+
+/// Empty if the query is malformed or has an unknown parameter.
+std::optional<std::map<std::string, std::string>> ParseQuery(
+  std::string_view aQuery)
+{
+  static constexpr std::string_view kParameters[] = {
+    "after", "serializable", "watch", "wait-ms", "revision",
+  };
+  std::map<std::string, std::string> query;
+  while (!aQuery.empty()) {
+    const auto [parameter, rest] = SplitAt(aQuery, '&');
+    const auto [name, text] = SplitAt(parameter, '=');
+    std::string form(text);
+    std::ranges::replace(form, '+', ' ');
+    const auto value = DecodeEscapes(form);
+    const bool isKnown =
+      std::ranges::find(kParameters, name) != std::end(kParameters);
+    if (!value || !isKnown ||
+        !query.try_emplace(std::string(name), *value).second) {
+      return std::nullopt;
+    }
+    aQuery = rest;
   }
-  auto value = aQuery.substr(start + field.size());
-  value = value.substr(0, value.find('&'));
-  int64_t number = -1;
-  return ParseNumber(value, number) ? number : -1;
+  return query;
+}
+
+std::string ObjectText(const PlatformStore::Json& aJson)
+{
+  return aJson.dump(
+    -1, ' ', false, PlatformStore::Json::error_handler_t::replace);
 }
 
 }
 
-PlatformStore::PlatformStore(EventLoop& aLoop)
+PlatformStore::PlatformStore(EventLoop& aLoop, PageLimits aPages)
   : loop_(aLoop)
+  , pages_(aPages)
   , delayed_(aLoop)
   , watchTimer_(aLoop, [this] { RespondToWatches(); })
   , server_(aLoop, [this](auto& aExchange) { Serve(aExchange); })
 {
 }
 
-PlatformStore::Json PlatformStore::Item(const std::string& aKind,
-                                        const std::string& aName) const
+std::string PlatformStore::Item(const std::string& aKind,
+                                const std::string& aName) const
 {
   const auto& object = objects_.at(aKind).at(aName);
-  return { { "metadata",
-             { { "name", aName }, { "revision", object.revision_ } } },
-           { "spec", object.spec_ },
-           { "status", object.status_ } };
+  return object.text_.empty()
+           ? ObjectText(
+               { { "metadata",
+                   { { "name", aName }, { "revision", object.revision_ } } },
+                 { "spec", object.spec_ },
+                 { "status", object.status_ } })
+           : object.text_;
 }
 
 void PlatformStore::AddEvent(const std::string& aKind,
-                             const Json& aItem,
+                             const std::string& aItem,
                              bool aRemoved)
 {
-  history_.push_back(
-    { revision_, aKind, { { "object", aItem }, { "removed", aRemoved } } });
+  history_.push_back({ revision_,
+                       aKind,
+                       Concat(R"({"object":)",
+                              aItem,
+                              R"(,"removed":)",
+                              aRemoved ? "true" : "false",
+                              "}") });
   if (history_.size() > kMaxHistory) {
     oldestRevision_ = history_.front().revision_;
     history_.pop_front();
@@ -61,15 +134,30 @@
   RespondToWatches();
 }
 
+void PlatformStore::Store(const std::string& aKind,
+                          const std::string& aName,
+                          Object aObject)
+{
+  aObject.revision_ = ++revision_;
+  objects_[aKind][aName] = aObject;
+  changes_.push_back(
+    { loop_.NowMs(), revision_, aKind, aName, std::move(aObject) });
+  AddEvent(aKind, Item(aKind, aName), false);
+}
+
 void PlatformStore::Put(const std::string& aKind,
                         const std::string& aName,
                         const Json& aSpec,
                         const Json& aStatus)
 {
-  objects_[aKind][aName] = { ++revision_, aSpec, aStatus };
-  changes_.push_back(
-    { loop_.NowMs(), revision_, aKind, aName, objects_[aKind][aName] });
-  AddEvent(aKind, Item(aKind, aName), false);
+  Store(aKind, aName, { 0, aSpec, aStatus, {} });
+}
+
+void PlatformStore::PutText(const std::string& aKind,
+                            const std::string& aName,
+                            std::string aText)
+{
+  Store(aKind, aName, { 0, nullptr, nullptr, std::move(aText) });
 }
 
 void PlatformStore::Remove(const std::string& aKind, const std::string& aName)
@@ -77,9 +165,8 @@
   if (!objects_[aKind].contains(aName)) {
     return;
   }
-  ++revision_;
-  auto item = Item(aKind, aName);
-  item["metadata"]["revision"] = revision_;
+  objects_[aKind][aName].revision_ = ++revision_;
+  const auto item = Item(aKind, aName);
   objects_[aKind].erase(aName);
   changes_.push_back({ loop_.NowMs(), revision_, aKind, aName, std::nullopt });
   AddEvent(aKind, item, true);
@@ -171,25 +258,57 @@
     aExchange.write_(StoreResponse(503, "{}"));
     return;
   }
-  const std::string_view target = aExchange.head_.target_;
-  const auto queryStart = target.find('?');
-  const auto path = target.substr(0, queryStart).substr(kPathPrefix.size());
-  const auto query = queryStart == std::string_view::npos
-                       ? std::string_view{}
-                       : target.substr(queryStart);
-  const auto slash = path.find('/');
-  const std::string kind(path.substr(0, slash));
-  const std::string name(
-    slash == std::string_view::npos ? "" : path.substr(slash + 1));
-  if (QueryNumber(query, "watch") >= 0) {
-    StartWatch(aExchange, kind, query);
-  } else if (aExchange.head_.method_ == "GET") {
-    Send(aExchange, Read(kind, name));
+  const auto target = ParseTarget(aExchange.head_.target_);
+  if (!target) {
+    ++refused_;
+    aExchange.write_(StoreResponse(400, "{}"));
+  } else if (target->query_.contains("watch")) {
+    StartWatch(aExchange, *target);
+  } else if (aExchange.head_.method_ != "GET") {
+    Send(aExchange,
+         Write(aExchange.head_.method_,
+               target->kind_,
+               target->name_,
+               Json::parse(aExchange.body_)));
+  } else if (!target->name_.empty()) {
+    Send(aExchange, Read(target->kind_, target->name_));
   } else {
+    ++pagesServed_;
+    const auto after = target->query_.find("after");
     Send(
       aExchange,
-      Write(aExchange.head_.method_, kind, name, Json::parse(aExchange.body_)));
+      List(target->kind_, after == target->query_.end() ? "" : after->second));
+  }
+}
+
+std::optional<int64_t> PlatformStore::Target::Number(
+  const std::string& aParameter) const
+{
+  const auto found = query_.find(aParameter);
+  int64_t number = 0;
+  return found != query_.end() && ParseNumber(found->second, number)
+           ? std::optional(number)
+           : std::nullopt;
+}
+
+std::optional<PlatformStore::Target> PlatformStore::ParseTarget(
+  std::string_view aTarget)
+{
+  if (!aTarget.starts_with(kPathPrefix) ||
+      !std::ranges::all_of(aTarget, IsUriByte)) {
+    return std::nullopt;
   }
+  const auto [path, queryText] =
+    SplitAt(aTarget.substr(kPathPrefix.size()), '?');
+  const auto [kindText, nameText] = SplitAt(path, '/');
+  const auto kind = DecodeEscapes(kindText);
+  const auto name = DecodeEscapes(nameText);
+  const auto query = ParseQuery(queryText);
+  if (!kind || kind->empty() || !name || !query ||
+      nameText.find('/') != std::string_view::npos) {
+    return std::nullopt;
+  }
+  return Target{ *kind, *name, *query };
 }
 
 void PlatformStore::Send(const ScriptedServer::Exchange& aExchange,
@@ -198,7 +317,7 @@
   if (faultMode_ == StoreFaultMode::LosesAnswers) {
     return;
   }
-  const auto text = StoreResponse(aReply.status_, aReply.body_.dump());
+  const auto text = StoreResponse(aReply.status_, aReply.body_);
   if (faultMode_ != StoreFaultMode::Slow) {
     aExchange.write_(text);
     return;
@@ -211,19 +330,36 @@
                                          const std::string& aName) const
 {
   const auto kind = objects_.find(aKind);
-  if (!aName.empty()) {
-    const bool exists = kind != objects_.end() && kind->second.contains(aName);
-    return exists ? Reply{ 200, Item(aKind, aName) }
-                  : Reply{ 404, Json::object() };
-  }
-  auto items = Json::array();
-  if (kind != objects_.end()) {
-    for (const auto& [name, object] : kind->second) {
-      items.push_back(Item(aKind, name));
+  const bool exists = kind != objects_.end() && kind->second.contains(aName);
+  return exists ? Reply{ 200, Item(aKind, aName) } : Reply{ 404, "{}" };
+}
+
+PlatformStore::Reply PlatformStore::List(const std::string& aKind,
+                                         const std::string& aAfter) const
+{
+  std::string items;
+  size_t count = 0;
+  bool hasMore = false;
+  if (const auto kind = objects_.find(aKind); kind != objects_.end()) {
+    for (auto next = kind->second.upper_bound(aAfter);
+         next != kind->second.end() && !hasMore;
+         ++next) {
+      const auto item = Item(aKind, next->first);
+      hasMore = count > 0 && (count >= pages_.objects_ ||
+                              items.size() + item.size() > pages_.bytes_);
+      if (!hasMore) {
+        AppendTo(items, count++ == 0 ? "" : ",", item);
+      }
     }
   }
   return { 200,
-           { { "items", items }, { "has-more", false }, { "at", revision_ } } };
+           Concat(R"({"items":[)",
+                  items,
+                  R"(],"has-more":)",
+                  hasMore ? "true" : "false",
+                  R"(,"at":)",
+                  revision_,
+                  "}") };
 }
 
 PlatformStore::Reply PlatformStore::Write(const std::string& aMethod,
@@ -241,7 +377,7 @@
     return { 409, Item(aKind, name) };
   }
   if (!exists && !isCreate) {
-    return { 404, Json::object() };
+    return { 404, "{}" };
   }
   if (!exists || objects_[aKind][name].spec_ != aBody.at("spec")) {
     Put(aKind, name, aBody.at("spec"));
@@ -250,16 +386,17 @@
 }
 
 void PlatformStore::StartWatch(const ScriptedServer::Exchange& aExchange,
-                               const std::string& aKind,
-                               std::string_view aQuery)
+                               const Target& aTarget)
 {
-  const auto revision = QueryNumber(aQuery, "watch");
+  const auto revision = aTarget.Number("watch").value_or(-1);
   if (revision < oldestRevision_ || revision > revision_) {
-    Send(aExchange, { 410, Json::object() });
+    Send(aExchange, { 410, "{}" });
     return;
   }
-  const auto waitMs = std::max<TimeMs>(0, QueryNumber(aQuery, "wait-ms"));
-  watches_.push_back({ aExchange, aKind, revision, loop_.NowMs() + waitMs });
+  const auto waitMs =
+    std::max<TimeMs>(0, aTarget.Number("wait-ms").value_or(0));
+  watches_.push_back(
+    { aExchange, aTarget.kind_, revision, loop_.NowMs() + waitMs });
   RespondToWatches();
 }
 
@@ -289,14 +426,14 @@
   if (!responds) {
     return;
   }
-  auto events = Json::array();
+  std::string events;
   for (const auto& event : history_) {
     if (event.kind_ == aWatch.kind_ && event.revision_ > aWatch.revision_) {
-      events.push_back(event.event_);
+      AppendTo(events, events.empty() ? "" : ",", event.text_);
     }
   }
   aWatch.exchange_.write_(StoreResponse(
-    200, Json{ { "events", events }, { "at", revision_ } }.dump()));
+    200, Concat(R"({"events":[)", events, R"(],"at":)", revision_, "}")));
 }
 
 }
--- a/tests/PlatformStore.hpp
+++ b/tests/PlatformStore.hpp
@@ -33,14 +33,26 @@
   };
 };
 
+/// Size of a page of a list. A page has at least one object.
+struct PageLimits
+{
+  size_t objects_ = SIZE_MAX;
+  size_t bytes_ = SIZE_MAX; ///< of all objects together
+};
+
+/// Pages of the platform's store.
+inline constexpr PageLimits kPlatformPages{ 500, 1000000 };
+
 /// Fake of the platform's object store with revisions, conditional writes,
-/// lists and watches. Runs on the event loop of the test.
+/// lists and watches. Decodes requests strictly: a plus sign in a query is a
+/// blank, and bytes that a URI must escape are refused. Runs on the event loop
+/// of the test.
 class PlatformStore
 {
 public:
   using Json = nlohmann::json;
 
-  explicit PlatformStore(EventLoop& aLoop);
+  explicit PlatformStore(EventLoop& aLoop, PageLimits aPages = {});
 
   Endpoint Address() const { return server_.Address(); }
   /// Returns another address of the store, whose responses aRewrite changes. It
@@ -66,8 +78,18 @@
            const std::string& aName,
            const Json& aSpec,
            const Json& aStatus = nullptr);
+  /// Writes an object that is sent as aText in lists, watches and reads, which
+  /// need not be JSON. aName is its place in lists.
+  void PutText(const std::string& aKind,
+               const std::string& aName,
+               std::string aText);
   /// Removes an object in the same way.
   void Remove(const std::string& aKind, const std::string& aName);
+  void SetPageLimits(PageLimits aPages) { pages_ = aPages; }
+  /// Number of lists and further pages that were asked for.
+  int PagesServed() const { return pagesServed_; }
+  /// Number of requests that were refused as malformed.
+  int Refused() const { return refused_; }
 
 private:
   struct Object
@@ -75,12 +97,13 @@
     int64_t revision_ = 0;
     Json spec_;
     Json status_;
+    std::string text_; ///< sent instead of the above if it is not empty
   };
   struct Event
   {
     int64_t revision_ = 0;
     std::string kind_;
-    Json event_;
+    std::string text_;
   };
   /// One write; without an object a removal.
   struct Change
@@ -101,28 +124,49 @@
   struct Reply
   {
     int status_ = 200;
-    Json body_;
+    std::string body_;
+  };
+  /// Target of a request, decoded.
+  struct Target
+  {
+    std::string kind_;
+    std::string name_; ///< empty: the whole kind
+    std::map<std::string, std::string> query_;
+    /// Empty if there is no such parameter or it is no number.
+    std::optional<int64_t> Number(const std::string& aParameter) const;
   };
 
   void Serve(ScriptedServer::Exchange& aExchange);
   /// Response with the header that every answer of the store has.
   std::string StoreResponse(int aStatus, const std::string& aBody) const;
+  /// Empty if the target is malformed.
+  static std::optional<Target> ParseTarget(std::string_view aTarget);
   Reply Read(const std::string& aKind, const std::string& aName) const;
+  /// The page of objects whose names are above aAfter.
+  Reply List(const std::string& aKind, const std::string& aAfter) const;
   Reply Write(const std::string& aMethod,
               const std::string& aKind,
               const std::string& aName,
               const Json& aBody);
   void StartWatch(const ScriptedServer::Exchange& aExchange,
-                  const std::string& aKind,
-                  std::string_view aQuery);
+                  const Target& aTarget);
   /// Responds to the watches that have events or whose wait time has ended.
   void RespondToWatches();
   void RespondToWatch(const Watch& aWatch) const;
   void Send(const ScriptedServer::Exchange& aExchange, const Reply& aReply);
-  Json Item(const std::string& aKind, const std::string& aName) const;
-  void AddEvent(const std::string& aKind, const Json& aItem, bool aRemoved);
+  /// The object as it is sent.
+  std::string Item(const std::string& aKind, const std::string& aName) const;
+  void Store(const std::string& aKind,
+             const std::string& aName,
+             Object aObject);
+  void AddEvent(const std::string& aKind,
+                const std::string& aItem,
+                bool aRemoved);
 
   EventLoop& loop_;
+  PageLimits pages_;
+  int pagesServed_ = 0;
+  int refused_ = 0;
   std::map<std::string, std::map<std::string, Object>> objects_;
   std::vector<Change> changes_; ///< since the start, for Restore()
   std::deque<Event> history_;
--- a/tests/ScriptedServer.cpp
+++ b/tests/ScriptedServer.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr size_t kMaxHeadBytes = 65536;
+constexpr int kBadRequest = 400;
 constexpr TimeMs kPollMs = 2;
 constexpr TimeMs kWaitTimeoutMs = 5000;
 
@@ -43,8 +44,10 @@
 private:
   void OnInput() override
   {
+    auto state = ParseState::NeedInput;
     while (stream_.IsOpen() &&
-           parser_.Parse(stream_.Input(), body_) == ParseState::Done) {
+           (state = parser_.Parse(stream_.Input(), body_)) ==
+             ParseState::Done) {
       Exchange exchange;
       exchange.server_ = &server_;
       exchange.head_ = parser_.Head();
@@ -60,6 +63,10 @@
       ++server_.requests_;
       server_.script_(exchange);
     }
+    if (state == ParseState::Failed && stream_.IsOpen()) {
+      stream_.Write(TextResponse(kBadRequest, {}));
+      stream_.Close();
+    }
   }
   void OnStreamClosed(CloseReason) override { ++server_.closedByClient_; }
 
