Escape names in requests to the store

Cause: ObjectCodec wrote names into paths and queries as they are. after=blue& green-3 is after=blue for the store, which gives the same page again, has-more stays true, and the watcher keeps all it has read. With a # or a blank the request is malformed and its failure is retried without end; a line end ends the head of the request.

Fix: every byte that is not unreserved (RFC 3986) is escaped, in each call. The router's three encoders of the same kind give way to one in common/. It works because a name then stands for itself whatever it holds; a name that already looks escaped has its % escaped.

--- a/ctl/ApiClient.cpp
+++ b/ctl/ApiClient.cpp
@@ -4,9 +4,6 @@
 #include "common/JsonText.hpp"
 #include "common/Strings.hpp"
 
-#include <absl/strings/ascii.h>
-#include <absl/strings/str_format.h>
-
 namespace cactuspitch {
 
 ApiClient::ApiClient(const Clock& aClock, ApiClientOptions aOptions)
@@ -52,18 +49,4 @@
                             response->body_ };
 }
 
-std::string EncodeQuery(std::string_view aText)
-{
-  std::string result;
-  for (const unsigned char byte : aText) {
-    if (absl::ascii_isalnum(byte) || byte == '-' || byte == '.' ||
-        byte == '_') {
-      result += static_cast<char>(byte);
-    } else {
-      absl::StrAppendFormat(&result, "%%%02X", static_cast<unsigned>(byte));
-    }
-  }
-  return result;
-}
-
 }
--- a/ctl/ApiClient.hpp
+++ b/ctl/ApiClient.hpp
@@ -46,7 +46,4 @@
   ApiClientOptions options_;
 };
 
-/// Percent-encodes all bytes except ASCII letters, digits, '-', '.' and '_'.
-std::string EncodeQuery(std::string_view aText);
-
 }
--- a/ctl/SubcommandRunner.cpp
+++ b/ctl/SubcommandRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "RequestExplanation.hpp"
 #include "TextOutput.hpp"
+#include "common/PercentEncoding.hpp"
 #include "common/Strings.hpp"
 
 #include <filesystem>
@@ -30,8 +31,11 @@
   for (const auto& [flag, parameter] : kQueryParameters) {
     const auto value = aArguments.Value(flag);
     if (!value.empty()) {
-      AppendTo(
-        target, std::string(1, separator), parameter, "=", EncodeQuery(value));
+      AppendTo(target,
+               std::string(1, separator),
+               parameter,
+               "=",
+               PercentEncode(value));
       separator = '&';
     }
   }
--- a/router/CancellationSender.cpp
+++ b/router/CancellationSender.cpp
@@ -1,11 +1,10 @@
 #include "CancellationSender.hpp"
 
+#include "common/PercentEncoding.hpp"
 #include "common/Strings.hpp"
 
 #include <chrono>
 
-#include <absl/strings/ascii.h>
-
 namespace cactuspitch {
 
 namespace detail {
@@ -14,26 +13,6 @@
 constexpr TimeMs kCancelTimeoutMs = 200;
 constexpr size_t kMaxResponseBytes = 4096;
 
-std::string PercentEncode(const std::string& aText)
-{
-  constexpr char kDigits[] = "0123456789ABCDEF";
-  std::string encoded;
-  for (const char byte : aText) {
-    const auto value = static_cast<unsigned char>(byte);
-    if (absl::ascii_isalnum(value) || byte == '-' || byte == '_' ||
-        byte == '.') {
-      encoded.push_back(byte);
-    } else {
-      constexpr unsigned kHighShift = 4;
-      constexpr unsigned kLowMask = 0xF;
-      encoded.push_back('%');
-      encoded.push_back(kDigits[value >> kHighShift]);
-      encoded.push_back(kDigits[value & kLowMask]);
-    }
-  }
-  return encoded;
-}
-
 }
 
 CancellationSender::CancellationSender(const Clock& aClock)
@@ -75,9 +54,8 @@
     }
     HttpConnection connection(clock_, message->address_);
     const HttpRequest request{ "POST",
-                               Concat(
-                                 "/_cactuspitch/cancel?id=",
-                                 detail::PercentEncode(message->requestId_)),
+                               Concat("/_cactuspitch/cancel?id=",
+                                      PercentEncode(message->requestId_)),
                                {},
                                {} };
     const auto response =
--- a/store/HttpObjectStore.cpp
+++ b/store/HttpObjectStore.cpp
@@ -1,11 +1,11 @@
 #include "HttpObjectStore.hpp"
 
+#include "common/PercentEncoding.hpp"
 #include "common/Strings.hpp"
 
 #include <algorithm>
 #include <utility>
 
-#include <absl/strings/ascii.h>
 #include <nlohmann/json.hpp>
 
 namespace cactuspitch {
@@ -23,28 +23,9 @@
 constexpr size_t kMaxResponseBytes = 64 << 20;
 constexpr size_t kMaxIdleConnections = 8;
 
-std::string EncodeSegment(std::string_view aText)
-{
-  constexpr char kHex[] = "0123456789ABCDEF";
-  constexpr std::string_view kPlain = "-_.~";
-  std::string result;
-  for (const char character : aText) {
-    const auto byte = static_cast<unsigned char>(character);
-    if (absl::ascii_isalnum(byte) ||
-        kPlain.find(character) != std::string_view::npos) {
-      result.push_back(character);
-    } else {
-      result.push_back('%');
-      result.push_back(kHex[byte >> 4]);
-      result.push_back(kHex[byte & 0xf]);
-    }
-  }
-  return result;
-}
-
 std::string ObjectTarget(const std::string& aKind, const std::string& aName)
 {
-  return Concat("/objects/", EncodeSegment(aKind), "/", EncodeSegment(aName));
+  return Concat("/objects/", PercentEncode(aKind), "/", PercentEncode(aName));
 }
 
 HttpHeaders Precondition(int64_t aExpectedVersion)
@@ -136,8 +117,7 @@
 absl::StatusOr<std::vector<StoredObject>> HttpObjectStore::List(
   const std::string& aKind)
 {
-  const auto response =
-    Read(Concat("/objects/", detail::EncodeSegment(aKind)), 0);
+  const auto response = Read(Concat("/objects/", PercentEncode(aKind)), 0);
   if (!response.ok()) {
     return response.status();
   }
@@ -178,7 +158,7 @@
   int64_t& aRevision)
 {
   const auto response = Read(Concat("/watch/",
-                                    detail::EncodeSegment(aKind),
+                                    PercentEncode(aKind),
                                     "?since=",
                                     aSince,
                                     "&timeoutMs=",
--- a/tests/PlatformCodecTest.cpp
+++ b/tests/PlatformCodecTest.cpp
@@ -52,6 +52,27 @@
   }
 }
 
+// Guards against names that change the meaning of a request: an entry of
+// another writer that ends a page is named in the request of the next one
+// (review/11).
+TEST(ObjectCodec, NamesStandForThemselvesInRequests)
+{
+  const std::string name = "a&b=c/d?e#f%41g+h i\r\nX: y\x7f\xff~-._";
+  const std::string escaped =
+    "a%26b%3Dc%2Fd%3Fe%23f%2541g%2Bh%20i%0D%0AX%3A%20y%7F%FF~-._";
+  const ObjectCodec codec;
+  EXPECT_EQ(codec.List("k&", name, ReadMode::Latest).target_,
+            Concat("/-/objects/k%26?after=", escaped));
+  EXPECT_EQ(codec.List("k", name, ReadMode::AllowStale).target_,
+            Concat("/-/objects/k?serializable=1&after=", escaped));
+  EXPECT_EQ(codec.Get("k&", name).target_, Concat("/-/objects/k%26/", escaped));
+  EXPECT_EQ(codec.Replace("k&", name, nullptr, 0).target_,
+            Concat("/-/objects/k%26/", escaped));
+  EXPECT_EQ(codec.Create("k&", name, nullptr).target_, "/-/objects/k%26");
+  EXPECT_EQ(codec.Watch("k&", 7, 100).target_,
+            "/-/objects/k%26?watch=7&wait-ms=100");
+}
+
 // Guards against one odd entry of another writer that ends the process, or
 // makes a whole list or watch unreadable for good.
 TEST(ObjectCodec, OddEntriesLeaveTheOthersReadable)
