End lists that do not move forward, and don't take them for complete

What callers saw: a store that returns the same page again, or an entry of another writer that leaves a page without a readable name, kept each gateway asking for that page without pause (101,914 calls in 1.6 s in the new test) and, once it was restarted, without any server. A page behind the first that always fails had the first page's servers wait for ever too.

Cause: StoreWatcher went on while has-more was true, from the last name of all pages so far, and passed objects on only when the list had ended.

Fix: ListCursor decides what follows a page. Otherwise it is cut short: what was read is used, what was not read is not taken for gone, neither by this gateway nor, through digest, revision or the served directory, by others. A watcher follows events meanwhile and lists again after 5 s. A gateway that starts with such a list waits 2.5 s for the directory of another one and is ready then. Objects are decoded page by page. A watch that returns the same events again or an unreadable or too large answer three times is replaced by a list.

--- a/gateway/EvacuationWatch.cpp
+++ b/gateway/EvacuationWatch.cpp
@@ -53,7 +53,9 @@
       detail::kEvacuationWatchMs,
       ResumeMode::List,
       false,
-      { [this](const std::vector<StoreObject>& aObjects) { OnList(aObjects); },
+      { [this] { listed_.clear(); },
+        [this](const std::vector<StoreObject>& aObjects) { OnPage(aObjects); },
+        [this](bool aComplete) { OnListEnd(aComplete); },
         [this](const std::vector<ObjectEvent>& aEvents) {
           OnEvents(aEvents);
         } })
@@ -117,16 +119,23 @@
   return isDomain;
 }
 
-void EvacuationWatch::OnList(const std::vector<StoreObject>& aObjects)
+void EvacuationWatch::OnPage(const std::vector<StoreObject>& aObjects)
 {
-  EvacuationSet::Domains domains;
   for (const auto& object : aObjects) {
     if (IsReadable(object)) {
-      domains.insert(object.name_);
+      listed_.insert(object.name_);
     }
   }
+}
+
+void EvacuationWatch::OnListEnd(bool aComplete)
+{
+  auto domains = std::exchange(listed_, {});
   const auto before = set_.All();
-  if (set_.Replace(std::move(domains), watcher_.Revision())) {
+  const bool changed = aComplete
+                         ? set_.Replace(std::move(domains), watcher_.Revision())
+                         : set_.ApplyPart(domains, {});
+  if (changed) {
     Report(before, "store");
   }
 }
@@ -143,7 +152,10 @@
     }
   }
   const auto before = set_.All();
-  if (set_.Apply(began, ended, watcher_.Revision())) {
+  const bool changed = watcher_.IsCutShort()
+                         ? set_.ApplyPart(began, ended)
+                         : set_.Apply(began, ended, watcher_.Revision());
+  if (changed) {
     Report(before, "store");
   }
 }
--- a/gateway/EvacuationWatch.hpp
+++ b/gateway/EvacuationWatch.hpp
@@ -60,7 +60,8 @@
   const EvacuationSet& Set() const { return set_; }
 
 private:
-  void OnList(const std::vector<StoreObject>& aObjects);
+  void OnPage(const std::vector<StoreObject>& aObjects);
+  void OnListEnd(bool aComplete);
   void OnEvents(const std::vector<ObjectEvent>& aEvents);
   /// Whether the object stands for a failure domain. Its content does not
   /// matter; an unreadable one is logged.
@@ -77,6 +78,7 @@
   bool enabled_;
   Handlers handlers_;
   EvacuationSet set_;
+  EvacuationSet::Domains listed_; ///< so far by the current list
   StoreWatcher watcher_;
   TimeMs startedMs_;
 };
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -62,6 +62,10 @@
 /// the leader names some that it does not know.
 constexpr TimeMs kMembersReadIntervalMs = 1000;
 
+/// Time in which a starting gateway receives the directory of another one, if
+/// its own list of the servers was cut short: gossip and two calls.
+constexpr TimeMs kDirectoryWaitMs = 2500;
+
 int64_t NewBootId()
 {
   std::random_device device;
@@ -163,9 +167,15 @@
                    detail::kConfigWatchTimeoutMs,
                    ResumeMode::Watch,
                    false,
-                   { [this](const std::vector<StoreObject>& aObjects) {
-                      OnConfigObjects(aObjects);
-                    },
+                   { [] {},
+                     [this](const std::vector<StoreObject>& aObjects) {
+                       OnConfigObjects(aObjects);
+                     },
+                     [this](bool aComplete) {
+                       if (!aComplete) {
+                         FetchConfig();
+                       }
+                     },
                      [this](const std::vector<ObjectEvent>& aEvents) {
                        OnConfigEvents(aEvents);
                      } })
@@ -176,9 +186,11 @@
                     detail::kWatchTimeoutMs,
                     ResumeMode::List,
                     false,
-                    { [this](const std::vector<StoreObject>& aObjects) {
-                       OnBackendList(aObjects);
-                     },
+                    { [this] { listedBackends_.clear(); },
+                      [this](const std::vector<StoreObject>& aObjects) {
+                        OnBackendPage(aObjects);
+                      },
+                      [this](bool aComplete) { OnBackendListEnd(aComplete); },
                       [this](const std::vector<ObjectEvent>& aEvents) {
                         OnBackendEvents(aEvents);
                       } })
@@ -189,13 +201,14 @@
                     detail::kWatchTimeoutMs,
                     ResumeMode::Watch,
                     false,
-                    { [this](const std::vector<StoreObject>& aObjects) {
-                       std::ranges::for_each(aObjects,
-                                             [this](const auto& aObject) {
-                                               OnGatewayObject(aObject);
-                                             });
-                       gossip_.Announce();
-                     },
+                    { [] {},
+                      [this](const std::vector<StoreObject>& aObjects) {
+                        std::ranges::for_each(aObjects,
+                                              [this](const auto& aObject) {
+                                                OnGatewayObject(aObject);
+                                              });
+                      },
+                      [this](bool) { gossip_.Announce(); },
                       [this](const std::vector<ObjectEvent>& aEvents) {
                         for (const auto& event : aEvents) {
                           if (!event.removed_) {
@@ -394,6 +407,7 @@
                "settings-missing",
                { { "findings", settings_.notes_.ToText() } });
   }
+  startedMs_ = loop_.NowMs();
   StartWatchers();
   Register();
   election_.Start();
@@ -514,28 +528,40 @@
   return entry;
 }
 
-void Gateway::OnBackendList(const std::vector<StoreObject>& aObjects)
+void Gateway::OnBackendPage(const std::vector<StoreObject>& aObjects)
+{
+  for (const auto& object : aObjects) {
+    if (auto entry = DecodeBackend(object)) {
+      listedBackends_.push_back(std::move(*entry));
+    }
+  }
+}
+
+void Gateway::OnBackendListEnd(bool aComplete)
 {
+  const auto entries = std::exchange(listedBackends_, {});
   // The list read at the start may be stale; another gateway may have sent a
   // newer state.
-  if (relayedDirectory_ && backendWatcher_.Revision() < directory_.Revision()) {
+  if ((relayedDirectory_ || !aComplete) &&
+      backendWatcher_.SeenRevision() < directory_.Revision()) {
     return;
   }
-  std::vector<BackendEntry> entries;
-  for (const auto& object : aObjects) {
-    if (auto entry = DecodeBackend(object)) {
-      entries.push_back(std::move(*entry));
-    }
+  const TimeMs nowMs = loop_.NowMs();
+  if (aComplete) {
+    directory_.ApplyList(entries, nowMs);
+    directory_.AdvanceTo(backendWatcher_.Revision());
+  } else {
+    std::ranges::for_each(
+      entries, [&](const auto& aEntry) { directory_.ApplyPut(aEntry, nowMs); });
+    hasPartialDirectory_ = true;
   }
-  directory_.ApplyList(entries, loop_.NowMs());
-  directory_.AdvanceTo(backendWatcher_.Revision());
   OnBackendsChanged();
 }
 
 void Gateway::OnBackendEvents(const std::vector<ObjectEvent>& aEvents)
 {
   // Another gateway has sent a newer state in the meantime.
-  if (backendWatcher_.Revision() <= directory_.Revision()) {
+  if (backendWatcher_.SeenRevision() <= directory_.Revision()) {
     return;
   }
   const TimeMs nowMs = loop_.NowMs();
@@ -883,9 +909,16 @@
   return backendWatcher_.HasListed() || relayedDirectory_;
 }
 
+bool Gateway::KnowsBackends() const
+{
+  return HasDirectory() ||
+         (hasPartialDirectory_ &&
+          loop_.NowMs() - startedMs_ >= detail::kDirectoryWaitMs);
+}
+
 bool Gateway::IsReady() const
 {
-  return drainStartMs_ == 0 && configVersion_ > 0 && HasDirectory() &&
+  return drainStartMs_ == 0 && configVersion_ > 0 && KnowsBackends() &&
          evacuations_.IsSettled();
 }
 
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -54,7 +54,8 @@
   void OnConfigObject(const StoreObject& aObject, std::string aCompressed = {});
   void ProbeStore();
   void FetchConfig();
-  void OnBackendList(const std::vector<StoreObject>& aObjects);
+  void OnBackendPage(const std::vector<StoreObject>& aObjects);
+  void OnBackendListEnd(bool aComplete);
   void OnBackendEvents(const std::vector<ObjectEvent>& aEvents);
   void OnGatewayObject(const StoreObject& aObject);
   std::optional<BackendEntry> DecodeBackend(const StoreObject& aObject);
@@ -89,6 +90,8 @@
   /// Metrics for scrapers; directory and configuration for other gateways.
   StatusServer::Page StatusPage(const std::string& aTarget);
   bool HasDirectory() const;
+  /// True once no further servers are to be expected soon.
+  bool KnowsBackends() const;
   bool IsReady() const;
   std::string MetricsText();
   void Housekeep();
@@ -138,6 +141,10 @@
   bool fetchingConfig_ = false;
   bool permitRequestsDue_ = false; ///< they are sent at the end of this turn
   bool relayedDirectory_ = false;  ///< another gateway sent all registrations
+  /// A list of the servers was cut short, which leaves some unknown.
+  bool hasPartialDirectory_ = false;
+  std::vector<BackendEntry> listedBackends_; ///< so far by the current list
+  TimeMs startedMs_ = 0;
   uint64_t housekeepingRounds_ = 0;
   bool wasReady_ = false;
   bool readingKeyTable_ = false;
--- a/gateway/PlatformInterface.hpp
+++ b/gateway/PlatformInterface.hpp
@@ -182,6 +182,7 @@
 /// Page of a list, or response to a watch.
 struct ObjectList
 {
+  bool hasItems_ = false; ///< this is a page of a list, which may be empty
   std::vector<StoreObject> items_;
   std::vector<ObjectEvent> events_; ///< filled by a watch
   int64_t revision_ = 0;            ///< revision of the store
@@ -199,7 +200,8 @@
 {
   StoreStatus status_ = StoreStatus::Unknown;
   int httpStatus_ = 0;
-  /// The store responded, but not in its format; the status is Unknown.
+  /// The store responded, but too much or not in its format; the status is
+  /// Unknown.
   bool isMalformed_ = false;
   std::optional<int64_t> era_; ///< of the store, if the response names it
   ObjectList list_;            ///< filled by List and Watch
--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -230,8 +230,10 @@
   constexpr TimeMs kLongestAgeMs = 1000000;
   aGossip.storeAgeMs =
     static_cast<int32_t>(std::min(store_.ResponseAgeMs(), kLongestAgeMs));
-  aGossip.directoryDigest =
-    IsStoreOk() && watchingAll_ ? directory_.Digest() : 0;
+  // Without a revision servers may be missing here.
+  const bool isAuthority =
+    IsStoreOk() && watchingAll_ && directory_.Revision() != 0;
+  aGossip.directoryDigest = isAuthority ? directory_.Digest() : 0;
   aGossip.directoryRevision = directory_.Revision();
 }
 
@@ -276,10 +278,11 @@
   if (aGossip.configVersion > handlers_.configVersion_()) {
     FetchConfig(status, aGossip.configVersion);
   }
-  if (!handlers_.hasDirectory_() &&
+  if (!handlers_.hasDirectory_() && aGossip.directoryRevision != 0 &&
       nowMs - startedMs_ > detail::kStoreReadGraceMs) {
-    // The store has been unreachable since the start, so the possibly outdated
-    // directory of a peer is used.
+    // The list could not be read from the store since the start, so the
+    // possibly outdated directory of a peer is used. A peer without a revision
+    // has none.
     FetchDirectory(status);
     return;
   }
--- a/gateway/StoreWatcher.cpp
+++ b/gateway/StoreWatcher.cpp
@@ -16,6 +16,15 @@
 constexpr TimeMs kBatchDelayMs = 200;
 constexpr TimeMs kMinBackoffMs = 100;
 constexpr TimeMs kMaxBackoffMs = 800;
+/// Delay from a list that was cut short to the next one. Its pages cost calls.
+constexpr TimeMs kRelistMs = 5000;
+/// Malformed responses to a watch after which the objects are listed instead.
+constexpr int kMaxMalformedWatches = 3;
+
+bool IsRestored(const StoreResponse& aResponse)
+{
+  return aResponse.status_ == StoreStatus::Restored;
+}
 
 }
 
@@ -42,7 +51,8 @@
                            ResumeMode aResumeMode,
                            bool aActive,
                            Handlers aHandlers)
-  : log_(aLog)
+  : loop_(aLoop)
+  , log_(aLog)
   , store_(aStore)
   , kind_(std::move(aKind))
   , waitMs_(aWaitMs)
@@ -51,7 +61,9 @@
   , retryTimer_(aLoop,
                 [this] {
                   if (synced_) {
-                    Watch();
+                    WatchOn();
+                  } else if (cursor_) {
+                    ReadPage();
                   } else {
                     List(mode_);
                   }
@@ -82,14 +94,14 @@
     ++generation_;
     retryTimer_.Stop();
   } else if (aActive) {
-    synced_ = synced_ && resumeMode_ == ResumeMode::Watch;
+    synced_ = IsInSync() && resumeMode_ == ResumeMode::Watch;
     Refresh();
   }
 }
 
 void StoreWatcher::OnRestored()
 {
-  if (!everListed_) {
+  if (!everListed_ && !synced_) {
     // The first list is pending or will be retried.
     return;
   }
@@ -105,7 +117,7 @@
     return;
   }
   retryTimer_.Stop();
-  if (synced_) {
+  if (IsInSync()) {
     Watch();
   } else {
     List(ReadMode::Latest);
@@ -114,49 +126,86 @@
 
 void StoreWatcher::List(ReadMode aMode)
 {
-  const auto generation = ++generation_;
   mode_ = aMode;
-  listed_.clear();
-  listRevision_ = 0;
-  store_.Call(store_.Protocol().List(kind_, {}, aMode),
-              [this, generation](const StoreResponse& aResponse) {
+  synced_ = false;
+  cursor_.emplace(loop_.NowMs());
+  handlers_.onListBegins_();
+  ReadPage();
+}
+
+void StoreWatcher::ReadPage()
+{
+  const auto generation = ++generation_;
+  store_.Call(store_.Protocol().List(kind_, cursor_->After(), mode_),
+              [this, generation](StoreResponse aResponse) {
                 if (generation == generation_) {
-                  OnListed(aResponse);
+                  OnPage(std::move(aResponse));
                 }
               });
 }
 
-void StoreWatcher::OnListed(const StoreResponse& aResponse)
+void StoreWatcher::OnPage(StoreResponse aResponse)
 {
-  if (aResponse.status_ != StoreStatus::Ok) {
-    RetryLater();
+  if (aResponse.status_ != StoreStatus::Ok || !aResponse.list_.hasItems_) {
+    OnPageFailed(aResponse);
     return;
   }
-  // Changes made while several pages are listed arrive with the watch.
-  if (listRevision_ == 0) {
-    listRevision_ = aResponse.list_.revision_;
-  }
-  std::ranges::copy_if(
-    aResponse.list_.items_, std::back_inserter(listed_), IsNamed);
-  if (aResponse.list_.hasMore_ && !listed_.empty()) {
-    const auto generation = generation_;
-    store_.Call(store_.Protocol().List(kind_, listed_.back().name_, mode_),
-                [this, generation](const StoreResponse& aPage) {
-                  if (generation == generation_) {
-                    OnListed(aPage);
-                  }
-                });
+  failures_ = 0;
+  const auto step = cursor_->OnPage(aResponse.list_, loop_.NowMs());
+  auto& objects = aResponse.list_.items_;
+  std::erase_if(objects, [](const auto& aObject) { return !IsNamed(aObject); });
+  handlers_.onPage_(objects);
+  if (step == ListStep::ReadPage) {
+    ReadPage();
+  } else {
+    EndList(step);
+  }
+}
+
+void StoreWatcher::OnPageFailed(const StoreResponse& aResponse)
+{
+  if (detail::IsRestored(aResponse)) {
+    // The pages so far are of the state before the restore.
+    cursor_.reset();
+    RetryLater();
     return;
   }
-  failures_ = 0;
+  const auto step = cursor_->OnFailure(loop_.NowMs());
+  if (step == ListStep::ReadPage) {
+    RetryLater();
+  } else {
+    EndList(step);
+  }
+}
+
+void StoreWatcher::EndList(ListStep aStep)
+{
   synced_ = true;
-  everListed_ = true;
-  revision_ = listRevision_;
-  const auto listed = std::exchange(listed_, {});
-  handlers_.onList_(listed);
+  complete_ = aStep == ListStep::Complete;
+  everListed_ = everListed_ || complete_;
+  revision_ = cursor_->Revision();
+  listEndedMs_ = loop_.NowMs();
+  malformedWatches_ = 0;
+  ReportList();
+  cursor_.reset();
+  handlers_.onListEnds_(complete_);
   Watch();
 }
 
+void StoreWatcher::ReportList()
+{
+  if (std::exchange(reportedCut_, cursor_->Cut()) == cursor_->Cut()) {
+    return;
+  }
+  constexpr size_t kMaxNameBytes = 256;
+  log_.Write(complete_ ? LogLevel::Info : LogLevel::Warning,
+             complete_ ? "store-list-complete" : "store-list-cut-short",
+             { { "kind", kind_ },
+               { "reason", EnumName(cursor_->Cut()) },
+               { "pages", cursor_->Pages() },
+               { "after", cursor_->After().substr(0, kMaxNameBytes) } });
+}
+
 void StoreWatcher::Watch()
 {
   if (!active_) {
@@ -164,44 +213,74 @@
   }
   const auto generation = ++generation_;
   store_.Call(store_.Protocol().Watch(kind_, revision_, waitMs_),
-              [this, generation](const StoreResponse& aResponse) {
+              [this, generation](StoreResponse aResponse) {
                 if (generation == generation_) {
-                  OnWatched(aResponse);
+                  OnWatched(std::move(aResponse));
                 }
               });
 }
 
-void StoreWatcher::OnWatched(const StoreResponse& aResponse)
+void StoreWatcher::OnWatched(StoreResponse aResponse)
 {
   if (aResponse.status_ == StoreStatus::HistoryCompacted ||
-      aResponse.status_ == StoreStatus::Restored) {
+      detail::IsRestored(aResponse)) {
     log_.Write(LogLevel::Info,
                "history-gone",
                { { "kind", kind_ },
                  { "revision", RevisionNumber(revision_) },
                  { "era", RevisionEra(revision_) } });
-    synced_ = false;
     List(ReadMode::Latest);
     return;
   }
+  auto& events = aResponse.list_.events_;
+  // A watch from the same revision returns the same events again.
+  const bool isStuck =
+    !events.empty() && aResponse.list_.revision_ <= revision_;
+  if (aResponse.isMalformed_ || isStuck) {
+    OnMalformedWatch();
+    return;
+  }
   if (aResponse.status_ != StoreStatus::Ok) {
     RetryLater();
     return;
   }
   failures_ = 0;
+  malformedWatches_ = 0;
   revision_ = std::max(revision_, aResponse.list_.revision_);
-  std::vector<ObjectEvent> events;
-  std::ranges::copy_if(
-    aResponse.list_.events_,
-    std::back_inserter(events),
-    [](const auto& aEvent) { return IsNamed(aEvent.object_); });
+  if (events.empty()) {
+    WatchOn();
+    return;
+  }
+  std::erase_if(events,
+                [](const auto& aEvent) { return !IsNamed(aEvent.object_); });
   if (!events.empty()) {
     handlers_.onEvents_(events);
   }
-  if (aResponse.list_.events_.empty()) {
-    Watch();
+  retryTimer_.Start(detail::kBatchDelayMs);
+}
+
+void StoreWatcher::OnMalformedWatch()
+{
+  if (++malformedWatches_ < detail::kMaxMalformedWatches) {
+    RetryLater();
+    return;
+  }
+  // The list shows the state behind the events that cannot be read.
+  malformedWatches_ = 0;
+  log_.Write(LogLevel::Warning,
+             "store-watch-malformed",
+             { { "kind", kind_ }, { "revision", RevisionNumber(revision_) } });
+  List(ReadMode::Latest);
+}
+
+void StoreWatcher::WatchOn()
+{
+  const bool isRelistDue =
+    !complete_ && loop_.NowMs() - listEndedMs_ >= detail::kRelistMs;
+  if (active_ && isRelistDue) {
+    List(ReadMode::Latest);
   } else {
-    retryTimer_.Start(detail::kBatchDelayMs);
+    Watch();
   }
 }
 
--- a/gateway/StoreWatcher.hpp
+++ b/gateway/StoreWatcher.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "gateway/EventLog.hpp"
+#include "gateway/ListCursor.hpp"
 #include "gateway/StoreClient.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,14 +32,19 @@
 
 /// Follows all objects of one kind: lists them once and then watches for
 /// changes. Lists again if the store has compacted the history since the last
-/// watch.
+/// watch, or if the last list was cut short. Objects that cannot be told from
+/// others are left out.
 class StoreWatcher
 {
 public:
   struct Handlers
   {
-    /// Called with a complete list.
-    std::function<void(const std::vector<StoreObject>&)> onList_;
+    /// A list begins. What was passed on of an unfinished one is void.
+    std::function<void()> onListBegins_;
+    std::function<void(const std::vector<StoreObject>&)> onPage_;
+    /// All pages were passed on. If aComplete is false, others are missing
+    /// whose objects may exist.
+    std::function<void(bool aComplete)> onListEnds_;
     std::function<void(const std::vector<ObjectEvent>&)> onEvents_;
   };
 
@@ -65,19 +72,32 @@
   /// Replaces the pending watch or list, which may hang on a dead connection.
   void Refresh();
   /// Revision of the store up to which all changes were passed on, 0 before the
-  /// first list and while a new list is needed.
-  int64_t Revision() const { return synced_ ? revision_ : 0; }
+  /// first complete list and while a new list is needed.
+  int64_t Revision() const { return IsInSync() ? revision_ : 0; }
+  /// The same of the objects that were passed on, also if others are missing.
+  int64_t SeenRevision() const { return revision_; }
   /// True once a complete list has been read.
   bool HasListed() const { return everListed_; }
+  /// True while objects are missing because the last list was cut short.
+  bool IsCutShort() const { return synced_ && !complete_; }
 
 private:
+  bool IsInSync() const { return synced_ && complete_; }
   void List(ReadMode aMode);
-  void OnListed(const StoreResponse& aResponse);
+  void ReadPage();
+  void OnPage(StoreResponse aResponse);
+  void OnPageFailed(const StoreResponse& aResponse);
+  void EndList(ListStep aStep);
+  void ReportList();
   void Watch();
-  void OnWatched(const StoreResponse& aResponse);
+  void OnWatched(StoreResponse aResponse);
+  void OnMalformedWatch();
+  /// Watches on, or lists again if objects are missing.
+  void WatchOn();
   void RetryLater();
   TimeMs BackoffMs();
 
+  EventLoop& loop_;
   EventLog& log_;
   StoreClient& store_;
   std::string kind_;
@@ -87,13 +107,16 @@
   Timer retryTimer_;
   uint64_t generation_ = 0; ///< responses of other generations are dropped
   bool active_;
-  bool synced_ = false;
+  bool synced_ = false;   ///< the last list has ended
+  bool complete_ = false; ///< the last list that has ended was complete
   bool everListed_ = false;
   int failures_ = 0;
+  int malformedWatches_ = 0; ///< in a row
   int64_t revision_ = 0;
-  std::vector<StoreObject> listed_;
   ReadMode mode_ = ReadMode::AllowStale; ///< of the current list
-  int64_t listRevision_ = 0;
+  std::optional<ListCursor> cursor_;     ///< while a list is being read
+  TimeMs listEndedMs_ = 0;
+  ListCut reportedCut_ = ListCut::None;
 };
 
 }
--- a/membership/EvacuationSet.cpp
+++ b/membership/EvacuationSet.cpp
@@ -22,11 +22,18 @@
   if (aRevision <= revision_) {
     return false;
   }
+  ApplyPart(aBegan, aEnded);
+  revision_ = aRevision;
+  return true;
+}
+
+bool EvacuationSet::ApplyPart(const Domains& aBegan, const Domains& aEnded)
+{
+  const auto before = domains_;
   std::ranges::for_each(
     aEnded, [this](const auto& aDomain) { domains_.erase(aDomain); });
   domains_.insert(aBegan.begin(), aBegan.end());
-  revision_ = aRevision;
-  return true;
+  return domains_ != before;
 }
 
 bool EvacuationSet::Merge(const Domains& aDomains, int64_t aRevision)
--- a/membership/EvacuationSet.hpp
+++ b/membership/EvacuationSet.hpp
@@ -23,6 +23,10 @@
   /// Applies all changes since the revision of an earlier list or change, up to
   /// aRevision. Returns false if the known state is as new.
   bool Apply(const Domains& aBegan, const Domains& aEnded, int64_t aRevision);
+  /// Applies what is known of a state that cannot be read as a whole. The
+  /// revision stays, so other gateways do not take it for theirs. Returns false
+  /// if nothing changes.
+  bool ApplyPart(const Domains& aBegan, const Domains& aEnded);
   /// Applies the state of another gateway, which may leave out domains without
   /// servers.
   bool Merge(const Domains& aDomains, int64_t aRevision);
--- a/net/HttpClient.cpp
+++ b/net/HttpClient.cpp
@@ -134,6 +134,7 @@
       state = parser_.Parse(stream_.Input(), body_);
     }
     if (body_.size() > maxResponseBytes_) {
+      isTooLarge_ = true;
       Finish(CallOutcome::NoResponse, "answer too large");
     } else if (state == ParseState::Done) {
       FinishResponse();
@@ -183,6 +184,7 @@
     CallResult result;
     result.outcome_ = aOutcome;
     result.cause_ = aCause;
+    result.isTooLarge_ = isTooLarge_;
     if (aOutcome == CallOutcome::Completed) {
       result.head_ = std::move(parser_.Head());
       result.body_ = std::move(body_);
@@ -213,6 +215,7 @@
   std::string unsent_; ///< request that waits for the connection
   std::function<bool()> maySendOnNew_;
   bool withheld_ = false;
+  bool isTooLarge_ = false;
   TimeMs timeoutMs_ = 0;
   size_t maxResponseBytes_ = 0;
   int interimResponses_ = 0;
--- a/net/HttpClient.hpp
+++ b/net/HttpClient.hpp
@@ -48,7 +48,8 @@
   CallOutcome outcome_ = CallOutcome::NotSent;
   HttpHead head_;
   std::string body_;
-  std::string_view cause_; ///< reason when there is no response
+  std::string_view cause_;  ///< reason when there is no response
+  bool isTooLarge_ = false; ///< the response exceeded maxResponseBytes_
 };
 
 struct CallRequest
--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -4,6 +4,7 @@
 #include "tests/GatewayFixture.hpp"
 
 #include <array>
+#include <functional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -108,8 +109,52 @@
   OddEntries{ "Content", &OddContent, kPlatformPages },
 };
 
+/// A gateway, two servers without keys and one with keys.
+class ServiceTest : public testing::Test
+{
+protected:
+  bool IsServed() { return IsServedAt(fixture_.GatewayAddress()); }
+  bool IsServedAt(const Endpoint& aGateway)
+  {
+    return fixture_
+             .SendToAndWait(aGateway,
+                            GatewayFixture::MakeRequest("GET", "plain", "x"))
+             .find("\r\n\r\nbody") != std::string::npos;
+  }
+  /// Whether the metrics of the first gateway have this line.
+  bool Shows(const std::string& aLine)
+  {
+    return fixture_
+             .SendToAndWait(
+               fixture_.Settings().metricsListen_,
+               "GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n")
+             .find(Concat(aLine, "\n")) != std::string::npos;
+  }
+  bool Eventually(const std::function<bool()>& aHolds, TimeMs aWithinMs = 5000)
+  {
+    const TimeMs endMs = fixture_.Loop().NowMs() + aWithinMs;
+    while (!aHolds()) {
+      if (fixture_.Loop().NowMs() > endMs) {
+        return false;
+      }
+      fixture_.RunFor(50);
+    }
+    return true;
+  }
+  void Restart()
+  {
+    fixture_.KillGateway();
+    fixture_.RestartGateway();
+  }
+
+  GatewayFixture fixture_{ [](Exchange& aExchange) {
+    aExchange.write_(GatewayFixture::MakeResponse(aExchange.head_, "body"));
+  } };
+};
+
 class OddEntryTest
-  : public testing::TestWithParam<std::tuple<FollowedKind, OddEntries>>
+  : public ServiceTest
+  , public testing::WithParamInterface<std::tuple<FollowedKind, OddEntries>>
 {
 protected:
   OddEntryTest() { fixture_.Store().SetPageLimits(Odd().pages_); }
@@ -150,42 +195,18 @@
   }
   bool IsChangeInForce()
   {
-    const auto page = fixture_.SendToAndWait(
-      fixture_.Settings().metricsListen_,
-      "GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n");
-    const auto shows = [&](const char* aLine) {
-      return page.find(aLine) != std::string::npos;
-    };
     const std::string kind = Kind().kind_;
     if (kind == "servers") {
-      return shows("cactuspitch_backends 4\n");
+      return Shows("cactuspitch_backends 4");
     }
     if (kind == "config") {
-      return shows("cactuspitch_config_version 2\n");
+      return Shows("cactuspitch_config_version 2");
     }
     if (kind == "evacuations") {
       // The domain of all servers.
-      return shows("cactuspitch_ready 1\n") && !IsServed();
+      return Shows("cactuspitch_ready 1") && !IsServed();
     }
-    return shows("cactuspitch_peers_alive 1\n");
-  }
-  bool IsServed()
-  {
-    return fixture_
-             .SendAndWait(GatewayFixture::MakeRequest("GET", "plain", "x"))
-             .find("\r\n\r\nbody") != std::string::npos;
-  }
-  bool Eventually(const std::function<bool()>& aHolds)
-  {
-    constexpr TimeMs kWithinMs = 5000;
-    const TimeMs endMs = fixture_.Loop().NowMs() + kWithinMs;
-    while (!aHolds()) {
-      if (fixture_.Loop().NowMs() > endMs) {
-        return false;
-      }
-      fixture_.RunFor(50);
-    }
-    return true;
+    return Shows("cactuspitch_peers_alive 1");
   }
   /// Waits until the change is in force, and undoes an evacuation.
   void ExpectChangeAndService()
@@ -195,10 +216,6 @@
     EXPECT_TRUE(Eventually([this] { return IsServed(); }));
     EXPECT_EQ(fixture_.Store().Refused(), 0);
   }
-
-  GatewayFixture fixture_{ [](Exchange& aExchange) {
-    aExchange.write_(GatewayFixture::MakeResponse(aExchange.head_, "body"));
-  } };
 };
 
 // Guards against a list that is not read to its end while an entry of another
@@ -208,8 +225,7 @@
 {
   PutOddEntries();
   Change();
-  fixture_.KillGateway();
-  fixture_.RestartGateway();
+  Restart();
   ExpectChangeAndService();
 }
 
@@ -232,5 +248,84 @@
                                          std::get<1>(aInfo.param).name_);
                          });
 
+/// A store whose list of servers cannot be read beyond p0: an object without a
+/// name fills the page behind it.
+class CutShortListTest : public ServiceTest
+{
+protected:
+  void CutListShort()
+  {
+    fixture_.Store().SetPageLimits(kSmallPages);
+    fixture_.Store().PutText("servers", kAnonymous, "7");
+  }
+  /// Makes the watchers list again.
+  void ForgetHistory()
+  {
+    fixture_.RunFor(50);
+    fixture_.Store().Put("servers", "odd", { { "note", "an event" } });
+    fixture_.Store().CompactHistory();
+  }
+  /// Whether the gateway serves although p0 is down.
+  bool UsesUnlistedServer(const Endpoint& aGateway)
+  {
+    fixture_.Backend(0).Crash();
+    const bool isServed = IsServedAt(aGateway);
+    fixture_.Backend(0).Restart();
+    return isServed;
+  }
+
+  static constexpr const char* kAnonymous = "p0a";
+};
+
+// Guards against a list that was cut short and makes all servers behind the cut
+// count as gone.
+TEST_F(CutShortListTest, ServersBehindTheCutStayInUse)
+{
+  CutListShort();
+  ForgetHistory();
+  const int pages = fixture_.Store().PagesServed();
+  fixture_.RunFor(1500);
+  EXPECT_GE(fixture_.Store().PagesServed() - pages, 3);
+  EXPECT_LE(fixture_.Store().PagesServed() - pages, 12);
+  EXPECT_TRUE(Shows("cactuspitch_backends 3"));
+  EXPECT_TRUE(UsesUnlistedServer(fixture_.GatewayAddress()));
+  // Changes are still followed.
+  fixture_.Store().Remove("servers", "p1");
+  EXPECT_TRUE(Eventually([this] { return Shows("cactuspitch_backends 2"); }));
+}
+
+// Guards against gateways that serve nothing because the store does not say
+// which further servers there are.
+TEST_F(CutShortListTest, AllStartWithTheServersBeforeTheCut)
+{
+  fixture_.KillGateway();
+  CutListShort();
+  fixture_.RestartGateway();
+  const auto other = fixture_.AddGateway("g2");
+  EXPECT_TRUE(Eventually([&] { return IsServed() && IsServedAt(other); }));
+  EXPECT_TRUE(Eventually([this] { return Shows("cactuspitch_ready 1"); }));
+  EXPECT_TRUE(Shows("cactuspitch_backends 2"));
+  // A server that drains shows in an event.
+  fixture_.Register("p2", 1, 2);
+  EXPECT_TRUE(Eventually([&] {
+    return UsesUnlistedServer(fixture_.GatewayAddress()) &&
+           UsesUnlistedServer(other);
+  }));
+  fixture_.Store().Remove("servers", kAnonymous);
+  constexpr TimeMs kRelistedWithinMs = 8000;
+  EXPECT_TRUE(Eventually([this] { return Shows("cactuspitch_backends 4"); },
+                         kRelistedWithinMs));
+}
+
+// Guards against a gateway that starts beside one that knows all servers, and
+// uses only those that it could list.
+TEST_F(CutShortListTest, StartingGatewayTakesTheDirectoryOfAnother)
+{
+  CutListShort();
+  fixture_.RunFor(500);
+  const auto other = fixture_.AddGateway("g2");
+  EXPECT_TRUE(Eventually([&] { return UsesUnlistedServer(other); }));
+}
+
 }
 }
