Large entries: test of the memory that a list takes, no restart of a long one

Cause: a gateway that becomes a watcher 1.5 s after its start began its first list anew, although its further pages were being read.

Change: a list with pages behind the first goes on. MemoryLimitTest has 60 entries of 1 MB, as text and as 333,000 values each; a list of them fails on with 791 MB (limit 160 MB).

--- a/gateway/StoreWatcher.cpp
+++ b/gateway/StoreWatcher.cpp
@@ -95,7 +95,10 @@
     retryTimer_.Stop();
   } else if (aActive) {
     synced_ = IsInSync() && resumeMode_ == ResumeMode::Watch;
-    Refresh();
+    const bool readsFurtherPages = cursor_ && cursor_->Pages() > 0;
+    if (!readsFurtherPages) {
+      Refresh();
+    }
   }
 }
 
--- a/tests/MemoryLimitTest.cpp
+++ b/tests/MemoryLimitTest.cpp
@@ -236,6 +236,11 @@
                            nlohmann::json::array(
                              { route("safe", "safe"),
                                route("unsafe", "upload") }) } } }) } });
+    Launch();
+  }
+
+  void Launch()
+  {
     fleet_.Launch("gateway",
                   "cactuspitch-gateway",
                   {},
@@ -372,5 +377,52 @@
   EXPECT_TRUE(fleet_.IsRunning("gateway")) << fleet_.LogTail("gateway");
 }
 
+// Guards against a gateway that runs out of memory because of entries of
+// another writer that are as large as the store allows: all were kept until the
+// list had ended.
+TEST_F(MemoryLimitTest, LargeEntriesStayWithinTheLimit)
+{
+  constexpr int kEntries = 60;
+  constexpr size_t kEntryBytes = 1000000;
+  constexpr TimeMs kExecMs = 100;
+  constexpr TimeMs kListMs = 4000;
+  const std::string text(kEntryBytes, 'x');
+  std::string values = "[[]";
+  while (values.size() < kEntryBytes) {
+    values += ",[]";
+  }
+  values += "]";
+  ASSERT_TRUE(WaitFor(5000, [this] { return IsServed(); }));
+  const auto beforeMb = PeakMb(100);
+  for (const auto& content : { Concat("\"", text, "\""), values }) {
+    for (int index = 0; index < kEntries; ++index) {
+      const auto name = Concat("odd", index);
+      store_.PutText("servers",
+                     name,
+                     Concat(R"({"metadata":{"name":")",
+                            name,
+                            R"(","revision":9},"spec":)",
+                            content,
+                            "}"));
+    }
+    const auto watchMb = PeakMb(kListMs);
+    EXPECT_TRUE(IsServed());
+    ASSERT_TRUE(fleet_.IsRunning("gateway")) << fleet_.LogTail("gateway");
+    fleet_.Kill("gateway");
+    Launch();
+    // A process that has just been forked holds the memory of this one.
+    RunLoopFor(loop_, kExecMs);
+    const auto listMb = PeakMb(kListMs);
+    EXPECT_TRUE(WaitFor(5000, [this] { return IsServed(); }));
+    std::printf("resident: %ld MB before, %ld MB watching, %ld MB listing\n",
+                beforeMb,
+                watchMb,
+                listMb);
+    EXPECT_LT(watchMb, kMemoryMb);
+    EXPECT_LT(listMb, kMemoryMb);
+    EXPECT_TRUE(fleet_.IsRunning("gateway")) << fleet_.LogTail("gateway");
+  }
+}
+
 }
 }
