An answer of the store that cannot be read is no outage

What callers saw: nothing by itself. While a list or watch could not be read, the store counted as lost with each such answer and as regained with each other one: directories went into their grace time, and all watchers called anew each time.

Cause: StoreClient took every response without a meaning for a failed call.

--- a/gateway/StoreClient.cpp
+++ b/gateway/StoreClient.cpp
@@ -5,6 +5,14 @@
 
 namespace cactuspitch {
 
+namespace detail {
+
+/// Interval of log lines about answers that cannot be read.
+constexpr TimeMs kMalformedLogIntervalMs = 60000;
+constexpr size_t kMaxLoggedTargetBytes = 256;
+
+}
+
 StoreClient::StoreClient(EventLoop& aLoop,
                          EventLog& aLog,
                          HttpClient& aClient,
@@ -44,10 +52,15 @@
                [this,
                 sentMs = loop_.NowMs(),
                 expectedEra = aRequest.expectedEra_,
+                target = aRequest.target_,
                 callback = std::move(aCallback)](const CallResult& aResult) {
                  auto response = protocol_.ParseResponse(aResult);
                  ApplyEra(expectedEra, response);
-                 RecordResult(response, aResult.cause_, sentMs);
+                 if (response.isMalformed_) {
+                   ReportMalformed(response, target, aResult.cause_);
+                 } else {
+                   RecordResult(response, aResult.cause_, sentMs);
+                 }
                  callback(std::move(response));
                });
 }
@@ -86,6 +99,23 @@
   }
 }
 
+void StoreClient::ReportMalformed(const StoreResponse& aResponse,
+                                  std::string_view aTarget,
+                                  std::string_view aCause)
+{
+  // The store is neither lost, nor does the answer say anything.
+  const TimeMs nowMs = loop_.NowMs();
+  if (malformedLoggedMs_ == 0 ||
+      nowMs - malformedLoggedMs_ >= detail::kMalformedLogIntervalMs) {
+    malformedLoggedMs_ = nowMs;
+    log_.Write(LogLevel::Warning,
+               "store-answer-malformed",
+               { { "target", aTarget.substr(0, detail::kMaxLoggedTargetBytes) },
+                 { "http", aResponse.httpStatus_ },
+                 { "cause", aCause } });
+  }
+}
+
 void StoreClient::RecordResult(const StoreResponse& aResponse,
                                std::string_view aCause,
                                TimeMs aSentMs)
--- a/gateway/StoreClient.hpp
+++ b/gateway/StoreClient.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace cactuspitch {
 
@@ -60,6 +61,9 @@
   /// Orders the response's revisions by its era, and its era by those before.
   void ApplyEra(const std::optional<int64_t>& aExpectedEra,
                 StoreResponse& aResponse);
+  void ReportMalformed(const StoreResponse& aResponse,
+                       std::string_view aTarget,
+                       std::string_view aCause);
   void RecordResult(const StoreResponse& aResponse,
                     std::string_view aCause,
                     TimeMs aSentMs);
@@ -75,6 +79,7 @@
   TimeMs unreachableSinceMs_ = 0;
   TimeMs lastResponseMs_ = 0; ///< last response of the store
   TimeMs lastFailedSentMs_ = 0;
+  TimeMs malformedLoggedMs_ = 0;
   int64_t calls_ = 0;
   std::minstd_rand random_;
 };
--- a/tests/StoreWatcherTest.cpp
+++ b/tests/StoreWatcherTest.cpp
@@ -276,6 +276,22 @@
   EXPECT_EQ(ends_, 1);
 }
 
+// Guards against a store that counts as lost because one of its answers cannot
+// be read: directories went into their grace time, and each answer in between
+// made all watchers call anew.
+TEST_F(OddStoreTest, AnswersThatCannotBeReadAreNoOutage)
+{
+  int failed = 0;
+  int recovered = 0;
+  store_.SetObserver({ [&] { ++failed; }, [&] { ++recovered; }, [] {} });
+  firstPage_ = R"({"items":[{"metadata":)";
+  ListEnds();
+  EXPECT_GE(pages_, 5);
+  EXPECT_EQ(failed, 0);
+  EXPECT_EQ(recovered, 0);
+  EXPECT_TRUE(store_.IsReachable());
+}
+
 // Guards against sending outdated states of one response to other gateways.
 TEST(LatestEventPerObject, KeepsLastEventOfEachObject)
 {
