Names that are none are not told on, and spoil no datagram

What callers saw: while another writer touched an entry with a control character in its name, service or domain, changes of servers that were read together with it reached the gateways that don't watch the store late, by a fetched directory (0.3 to 0.5 s; requests to servers that had left). With names of 64 KB the same.

Cause: each event that could not be decoded was announced as a removal, known or not, under its name; an entry with an odd service or domain was even announced as a server. Receivers drop a datagram whose names are not plain text as a whole, and one over 64 KB is not sent.

Fix: what names no server is not announced unless it was known as one; names, services and domains of registrations are plain text of at most 256 bytes; a receiver drops only the odd changes of a datagram. The rule stands once, in common/NameCheck, also for settings, evacuations and registered gateways.

--- a/gateway/EvacuationWatch.cpp
+++ b/gateway/EvacuationWatch.cpp
@@ -1,6 +1,7 @@
 #include "gateway/EvacuationWatch.hpp"
 
 #include "common/JsonText.hpp"
+#include "common/NameCheck.hpp"
 #include "common/Strings.hpp"
 #include "gossip_types.h"
 
@@ -15,8 +16,6 @@
 constexpr TimeMs kEvacuationWatchMs = 5000;
 /// Domains in each datagram: less than a kilobyte.
 constexpr size_t kMaxEvacuatedDomains = 32;
-/// Registrations with a longer domain are not written by the platform.
-constexpr size_t kMaxDomainBytes = 256;
 /// Longest time that a starting gateway waits for the state: the leader sends
 /// four times a second, and a list takes at most a second.
 constexpr TimeMs kMaxSettleMs = 3000;
@@ -103,18 +102,16 @@
 
 bool EvacuationWatch::IsReadable(const StoreObject& aObject)
 {
-  const bool isDomain =
-    !aObject.name_.empty() && aObject.name_.size() <= detail::kMaxDomainBytes &&
-    IsUtf8(aObject.name_) && !HasControlCharacter(aObject.name_);
+  const bool isDomain = IsName(aObject.name_);
   if (!isDomain || !aObject.spec_.is_object()) {
-    log_.Write(LogLevel::Warning,
-               "evacuation-unreadable",
-               { { "place",
-                   Concat("evacuation ",
-                          aObject.name_.substr(0, detail::kMaxDomainBytes)) },
-                 { "revision", RevisionNumber(aObject.revision_) },
-                 { "value", WriteJson(aObject.spec_).substr(0, 64) },
-                 { "decision", isDomain ? "evacuated" : "ignored" } });
+    log_.Write(
+      LogLevel::Warning,
+      "evacuation-unreadable",
+      { { "place",
+          Concat("evacuation ", aObject.name_.substr(0, kMaxNameBytes)) },
+        { "revision", RevisionNumber(aObject.revision_) },
+        { "value", WriteJson(aObject.spec_).substr(0, 64) },
+        { "decision", isDomain ? "evacuated" : "ignored" } });
   }
   return isDomain;
 }
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "common/JsonField.hpp"
 #include "common/JsonText.hpp"
+#include "common/NameCheck.hpp"
 #include "common/Strings.hpp"
 #include "gateway/Compression.hpp"
 #include "gossip_types.h"
@@ -569,23 +570,26 @@
   bool becameCold = false;
   wire::Gossip changes;
   for (const auto& event : LatestEventPerObject(aEvents)) {
+    const auto& name = event.object_.name_;
     const auto entry =
       event.removed_ ? std::nullopt : DecodeBackend(event.object_);
     if (entry) {
       becameCold |= directory_.ApplyPut(*entry, nowMs);
       StoreRelay::AddChange(*entry, false, changes);
-    } else {
+    } else if (event.removed_ || directory_.Entries().contains(name)) {
       // A server whose entry cannot be decoded is removed.
-      directory_.ApplyRemoved(event.object_.name_, nowMs);
-      BackendEntry removed;
-      removed.id_ = event.object_.name_;
-      if (!directory_.Entries().contains(removed.id_)) {
+      directory_.ApplyRemoved(name, nowMs);
+      if (IsName(name) && !directory_.Entries().contains(name)) {
+        BackendEntry removed;
+        removed.id_ = name;
         StoreRelay::AddChange(removed, true, changes);
       }
+    } else {
+      continue;
     }
     log_.Write(LogLevel::Info,
                "backend-changed",
-               { { "backend", event.object_.name_ },
+               { { "backend", name },
                  { "state", entry ? EnumName(entry->state_) : "removed" },
                  { "revision", RevisionNumber(event.object_.revision_) } });
   }
@@ -777,16 +781,16 @@
     return;
   }
   const auto& json = aObject.spec_;
+  const auto name = aObject.name_.substr(detail::kInstancePrefix.size());
+  const auto domain = FieldOr(json, "domain", std::string());
   Endpoint endpoint;
-  if (Endpoint::Parse(FieldOr(json, "peer", std::string()), endpoint)) {
-    const auto name = aObject.name_.substr(detail::kInstancePrefix.size());
-    if (name != settings_.instance_) {
-      mesh_.AddRegistered(name,
-                          endpoint,
-                          FieldOr(json, "bootId", int64_t{ 0 }),
-                          FieldOr(json, "domain", std::string()),
-                          FieldOr(json, "cpuPercent", 0));
-    }
+  if (name != settings_.instance_ && IsPlainText(name) && IsPlainText(domain) &&
+      Endpoint::Parse(FieldOr(json, "peer", std::string()), endpoint)) {
+    mesh_.AddRegistered(name,
+                        endpoint,
+                        FieldOr(json, "bootId", int64_t{ 0 }),
+                        domain,
+                        FieldOr(json, "cpuPercent", 0));
   }
 }
 
--- a/gateway/GatewaySettings.cpp
+++ b/gateway/GatewaySettings.cpp
@@ -1,7 +1,7 @@
 #include "gateway/GatewaySettings.hpp"
 
-#include "common/JsonText.hpp"
 #include "common/Log.hpp"
+#include "common/NameCheck.hpp"
 #include "common/Strings.hpp"
 
 namespace cactuspitch {
@@ -129,7 +129,7 @@
   // Both are part of documents in the store and of messages.
   for (const auto* name : { "instance", "failure-domain" }) {
     const auto text = aSettings.Text(name);
-    if (!IsUtf8(text) || HasControlCharacter(text)) {
+    if (!IsPlainText(text)) {
       aFindings.Add(
         "setting", name, text, "must be UTF-8 without control characters");
     }
--- a/gateway/PeerMesh.cpp
+++ b/gateway/PeerMesh.cpp
@@ -1,6 +1,6 @@
 #include "gateway/PeerMesh.hpp"
 
-#include "common/JsonText.hpp"
+#include "common/NameCheck.hpp"
 #include "common/ShortHash.hpp"
 #include "common/Strings.hpp"
 #include "gossip_types.h"
@@ -51,29 +51,25 @@
   return buffer->getBufferAsString();
 }
 
-/// Names go on into JSON documents and header fields.
-bool IsName(const std::string& aText)
+bool HasPlainNames(const wire::BackendChange& aChange)
 {
-  return IsUtf8(aText) && !HasControlCharacter(aText);
+  return IsPlainText(aChange.id) && IsPlainText(aChange.serviceName) &&
+         IsPlainText(aChange.address) && IsPlainText(aChange.failureDomain);
 }
 
-bool HasOnlyNames(const wire::Gossip& aGossip)
+bool HasPlainNames(const wire::Gossip& aGossip)
 {
-  return IsName(aGossip.instance) && IsName(aGossip.failureDomain) &&
+  return IsPlainText(aGossip.instance) && IsPlainText(aGossip.failureDomain) &&
          std::ranges::all_of(aGossip.keys,
                              [](const wire::OwnedKeys& aKeys) {
-                               return IsName(aKeys.serviceName) &&
-                                      std::ranges::all_of(aKeys.owners, IsName);
+                               return IsPlainText(aKeys.serviceName) &&
+                                      std::ranges::all_of(aKeys.owners,
+                                                          IsPlainText);
                              }) &&
          std::ranges::all_of(aGossip.keyCounts,
                              [](const wire::KeyCounts& aCounts) {
-                               return IsName(aCounts.serviceName);
-                             }) &&
-         std::ranges::all_of(
-           aGossip.changes, [](const wire::BackendChange& aChange) {
-             return IsName(aChange.id) && IsName(aChange.serviceName) &&
-                    IsName(aChange.address) && IsName(aChange.failureDomain);
-           });
+                               return IsPlainText(aCounts.serviceName);
+                             });
 }
 
 bool Decode(std::string_view aBytes, wire::Gossip& aGossip)
@@ -86,7 +82,11 @@
                     static_cast<int32_t>(kMaxDatagramBytes));
   try {
     aGossip.read(&protocol);
-    return HasOnlyNames(aGossip);
+    // The registration of another writer spoils no others.
+    std::erase_if(aGossip.changes, [](const wire::BackendChange& aChange) {
+      return !HasPlainNames(aChange);
+    });
+    return HasPlainNames(aGossip);
   } catch (const apache::thrift::TException&) {
     return false;
   }
