One odd entry in the directory of another gateway spoils no others

What callers saw: nothing in a fleet of one version. Beside a gateway of an earlier version whose directory holds an entry that names no server, a gateway that starts without the store, or is behind, could not take that directory.

Evidence: RelayedDirectoryTest.OddEntriesLeaveTheOthersInUse failed before.

Fix: entries are read one by one; one that is malformed, or whose names or address are none, is left out, as a registration would be.

--- a/gateway/StoreRelay.cpp
+++ b/gateway/StoreRelay.cpp
@@ -1,10 +1,12 @@
 #include "gateway/StoreRelay.hpp"
 
 #include "common/JsonText.hpp"
+#include "common/NameCheck.hpp"
 #include "gateway/Compression.hpp"
 #include "gossip_types.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include <xxhash.h>
@@ -70,6 +72,7 @@
                        std::max<TimeMs>(aEntry.coldUntilMs_ - aNowMs, 0) });
 }
 
+/// Throws if a field is missing or of another type.
 BackendEntry EntryFromJson(const Json& aJson)
 {
   BackendEntry entry;
@@ -89,6 +92,25 @@
   return entry;
 }
 
+bool IsValid(const BackendEntry& aEntry)
+{
+  Endpoint endpoint;
+  return IsName(aEntry.id_) && IsName(aEntry.service_) &&
+         IsName(aEntry.failureDomain_) &&
+         Endpoint::Parse(aEntry.address_, endpoint);
+}
+
+/// Empty if the entry names no server.
+std::optional<BackendEntry> ReadEntry(const Json& aJson)
+{
+  try {
+    auto entry = EntryFromJson(aJson);
+    return IsValid(entry) ? std::optional(std::move(entry)) : std::nullopt;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
 }
 
 StoreRelay::StoreRelay(EventLoop& aLoop,
@@ -369,8 +391,11 @@
     try {
       const auto json = ParseJson(aResult.body_).value_or(nullptr);
       std::vector<BackendEntry> entries;
-      std::ranges::transform(
-        json.at("servers"), std::back_inserter(entries), detail::EntryFromJson);
+      for (const auto& server : json.at("servers")) {
+        if (auto entry = detail::ReadEntry(server)) {
+          entries.push_back(std::move(*entry));
+        }
+      }
       const auto revision = json.at("revision").get<int64_t>();
       const bool isNewer = revision > directory_.Revision();
       const bool isComplete = watchingAll_ && handlers_.hasDirectory_();
--- a/tests/StoreRelayTest.cpp
+++ b/tests/StoreRelayTest.cpp
@@ -166,6 +166,39 @@
   EXPECT_LT(loop_.NowMs() - gossipMs, kConfigBoundMs);
 }
 
+// Guards against one odd entry in the directory of another gateway, such as an
+// earlier version, that makes all of it unreadable.
+TEST_F(RelayedDirectoryTest, OddEntriesLeaveTheOthersInUse)
+{
+  ScriptedServer peer(loop_, [](auto& aExchange) {
+    aExchange.write_(TextResponse(
+      200,
+      "{\"revision\": 130, \"servers\": ["
+      "[\"i-1\", \"s\", \"127.0.0.1:1\", \"z\", 4, \"ready\", 1, 0],"
+      "7, null, [], [\"i-3\"], {\"id\": \"i-4\"},"
+      "[\"i-5\", \"s\", \"127.0.0.1:1\", \"z\", \"four\", \"ready\", 1, 0],"
+      "[\"i-6\", \"s\\n\", \"127.0.0.1:1\", \"z\", 4, \"ready\", 1, 0],"
+      "[\"i-7\\u0000\", \"s\", \"127.0.0.1:1\", \"z\", 4, \"ready\", 1, 0],"
+      "[\"i-8\", \"s\", \"nowhere\", \"z\", 4, \"ready\", 1, 0],"
+      "[\"i-2\", \"s\", \"127.0.0.1:2\", \"z\", 4, \"draining\", 1, 0]]}"));
+  });
+  ASSERT_TRUE(StartWatching());
+  wire::Gossip gossip;
+  gossip.storeOk = true;
+  gossip.directoryRevision = 130;
+  gossip.directoryDigest = 1;
+  gossip.statusPort = peer.Address().port_;
+  EXPECT_TRUE(RunLoopUntil(loop_, [&] {
+    relay_.OnGossip(gossip, { peer.Address().ip_, 0 });
+    return directory_.Revision() == 130;
+  }));
+  std::vector<std::string> ids;
+  for (const auto& [id, entry] : directory_.Entries()) {
+    ids.push_back(id);
+  }
+  EXPECT_EQ(ids, (std::vector<std::string>{ "i-1", "i-2" }));
+}
+
 // Guards against a leader that resigns at the end of an outage because another
 // gateway reached the store a moment earlier, and against one that keeps the
 // lead although only others reach it.
