Labels of metrics escape what the text format knows

What callers saw: nothing; operators lose the whole metrics page of a gateway that has a notice about a server whose name is not ASCII.

Cause: labels were escaped as in C. The text format knows backslash, quote and line end only; an octal escape makes a page invalid.

Evidence: Metrics.LabelsHoldAnyName failed before.

Fix: these three are escaped, UTF-8 stays as it is.

Result: the test passes.

--- a/common/Metrics.cpp
+++ b/common/Metrics.cpp
@@ -4,8 +4,8 @@
 
 #include <thread>
 
-#include <absl/strings/escaping.h>
 #include <absl/strings/str_join.h>
+#include <absl/strings/str_replace.h>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/mean.hpp>
@@ -25,7 +25,13 @@
 {
   return absl::StrJoin(
     aLabels, ",", [](std::string* aText, const auto& aLabel) {
-      AppendTo(*aText, aLabel.first, "=\"", absl::CEscape(aLabel.second), "\"");
+      AppendTo(*aText,
+               aLabel.first,
+               "=\"",
+               absl::StrReplaceAll(
+                 aLabel.second,
+                 { { "\\", "\\\\" }, { "\"", "\\\"" }, { "\n", "\\n" } }),
+               "\"");
     });
 }
 
