Log an unreadable entry once a minute, of each kind

What operators saw: an unreadable registration in the log with each write of its writer (8 lines in 2.4 s in the new test, limited only by the log's 4 lines a second), and nothing at all of one that the watcher left out, or of other kinds.

Cause: each read was logged, by the readers of two kinds only.

Evidence: OddEntryLogTest.NamesEachEntryOnce failed before.

Fix: the watcher logs store-entry-unreadable with kind, name, reason and revision for whatever is unreadable of an object; a name passes once a minute, 256 names at most. backend-unreadable and evacuation-unreadable, for content that is readable but wrong, go through the same filter.

--- a/gateway/EvacuationWatch.cpp
+++ b/gateway/EvacuationWatch.cpp
@@ -103,15 +103,17 @@
 bool EvacuationWatch::IsReadable(const StoreObject& aObject)
 {
   const bool isDomain = IsName(aObject.name_);
-  if (!isDomain || !aObject.spec_.is_object()) {
-    log_.Write(
-      LogLevel::Warning,
-      "evacuation-unreadable",
-      { { "place",
-          Concat("evacuation ", aObject.name_.substr(0, kMaxNameBytes)) },
-        { "revision", RevisionNumber(aObject.revision_) },
-        { "value", WriteJson(aObject.spec_).substr(0, 64) },
-        { "decision", isDomain ? "evacuated" : "ignored" } });
+  const bool isOdd = !isDomain || !aObject.spec_.is_object();
+  const auto name = aObject.name_.substr(0, kMaxNameBytes);
+  // The watcher has logged objects that have a fault.
+  if (isOdd && aObject.fault_ == ObjectFault::None &&
+      reported_.Passes(name, loop_.NowMs())) {
+    log_.Write(LogLevel::Warning,
+               "evacuation-unreadable",
+               { { "place", Concat("evacuation ", name) },
+                 { "revision", RevisionNumber(aObject.revision_) },
+                 { "value", WriteJson(aObject.spec_).substr(0, 64) },
+                 { "decision", isDomain ? "evacuated" : "ignored" } });
   }
   return isDomain;
 }
--- a/gateway/EvacuationWatch.hpp
+++ b/gateway/EvacuationWatch.hpp
@@ -2,6 +2,7 @@
 
 #include "common/Metrics.hpp"
 #include "gateway/EventLog.hpp"
+#include "gateway/RepeatFilter.hpp"
 #include "gateway/StoreClient.hpp"
 #include "gateway/StoreWatcher.hpp"
 #include "membership/EvacuationSet.hpp"
@@ -79,6 +80,7 @@
   Handlers handlers_;
   EvacuationSet set_;
   EvacuationSet::Domains listed_; ///< so far by the current list
+  RepeatFilter reported_;         ///< unreadable evacuations, by name
   StoreWatcher watcher_;
   TimeMs startedMs_;
 };
--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -515,10 +515,16 @@
   Findings findings;
   auto entry = platform_.registry_.DecodeBackend(aObject, findings);
   if (!entry) {
-    log_.Write(
-      LogLevel::Warning,
-      "backend-unreadable",
-      { { "backend", aObject.name_ }, { "findings", findings.ToText() } });
+    // The watcher has logged objects that have a fault.
+    const auto name = aObject.name_.substr(0, kMaxNameBytes);
+    if (aObject.fault_ == ObjectFault::None &&
+        reportedBackends_.Passes(name, loop_.NowMs())) {
+      log_.Write(LogLevel::Warning,
+                 "backend-unreadable",
+                 { { "kind", platform_.registry_.BackendKind() },
+                   { "backend", name },
+                   { "findings", findings.ToText() } });
+    }
   } else if (!findings.IsEmpty()) {
     metrics_.OnServerNotice("malformed-cold-time", aObject.name_);
     log_.Write(
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -12,6 +12,7 @@
 #include "gateway/LeaderElection.hpp"
 #include "gateway/PeerMesh.hpp"
 #include "gateway/PlatformInterface.hpp"
+#include "gateway/RepeatFilter.hpp"
 #include "gateway/SlotExchange.hpp"
 #include "gateway/StatusServer.hpp"
 #include "gateway/StoreClient.hpp"
@@ -144,6 +145,7 @@
   /// A list of the servers was cut short, which leaves some unknown.
   bool hasPartialDirectory_ = false;
   std::vector<BackendEntry> listedBackends_; ///< so far by the current list
+  RepeatFilter reportedBackends_; ///< unreadable registrations, by name
   TimeMs startedMs_ = 0;
   uint64_t housekeepingRounds_ = 0;
   bool wasReady_ = false;
--- a/gateway/StoreWatcher.cpp
+++ b/gateway/StoreWatcher.cpp
@@ -1,5 +1,7 @@
 #include "gateway/StoreWatcher.hpp"
 
+#include "common/NameCheck.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -156,6 +158,8 @@
   failures_ = 0;
   const auto step = cursor_->OnPage(aResponse.list_, loop_.NowMs());
   auto& objects = aResponse.list_.items_;
+  std::ranges::for_each(objects,
+                        [this](const auto& aObject) { ReportFault(aObject); });
   std::erase_if(objects, [](const auto& aObject) { return !IsNamed(aObject); });
   handlers_.onPage_(objects);
   if (step == ListStep::ReadPage) {
@@ -200,7 +204,6 @@
   if (std::exchange(reportedCut_, cursor_->Cut()) == cursor_->Cut()) {
     return;
   }
-  constexpr size_t kMaxNameBytes = 256;
   log_.Write(complete_ ? LogLevel::Info : LogLevel::Warning,
              complete_ ? "store-list-complete" : "store-list-cut-short",
              { { "kind", kind_ },
@@ -209,6 +212,20 @@
                { "after", cursor_->After().substr(0, kMaxNameBytes) } });
 }
 
+void StoreWatcher::ReportFault(const StoreObject& aObject)
+{
+  const auto name = aObject.name_.substr(0, kMaxNameBytes);
+  if (aObject.fault_ != ObjectFault::None &&
+      reportedFaults_.Passes(name, loop_.NowMs())) {
+    log_.Write(LogLevel::Warning,
+               "store-entry-unreadable",
+               { { "kind", kind_ },
+                 { "name", name },
+                 { "reason", EnumName(aObject.fault_) },
+                 { "revision", RevisionNumber(aObject.revision_) } });
+  }
+}
+
 void StoreWatcher::Watch()
 {
   if (!active_) {
@@ -254,6 +271,8 @@
     WatchOn();
     return;
   }
+  std::ranges::for_each(
+    events, [this](const auto& aEvent) { ReportFault(aEvent.object_); });
   std::erase_if(events,
                 [](const auto& aEvent) { return !IsNamed(aEvent.object_); });
   if (!events.empty()) {
--- a/gateway/StoreWatcher.hpp
+++ b/gateway/StoreWatcher.hpp
@@ -2,6 +2,7 @@
 
 #include "gateway/EventLog.hpp"
 #include "gateway/ListCursor.hpp"
+#include "gateway/RepeatFilter.hpp"
 #include "gateway/StoreClient.hpp"
 
 #include <functional>
@@ -33,7 +34,7 @@
 /// Follows all objects of one kind: lists them once and then watches for
 /// changes. Lists again if the store has compacted the history since the last
 /// watch, or if the last list was cut short. Objects that cannot be told from
-/// others are left out.
+/// others are left out, and unreadable ones are logged.
 class StoreWatcher
 {
 public:
@@ -89,6 +90,8 @@
   void OnPageFailed(const StoreResponse& aResponse);
   void EndList(ListStep aStep);
   void ReportList();
+  /// Logs what is unreadable of the object, once in a while.
+  void ReportFault(const StoreObject& aObject);
   void Watch();
   void OnWatched(StoreResponse aResponse);
   void OnMalformedWatch();
@@ -117,6 +120,7 @@
   std::optional<ListCursor> cursor_;     ///< while a list is being read
   TimeMs listEndedMs_ = 0;
   ListCut reportedCut_ = ListCut::None;
+  RepeatFilter reportedFaults_; ///< by the names of the objects
 };
 
 }
