Router and assigner: one unreadable object spoils no list of the store

What callers saw: an object of another writer without a name, version or value, or with bytes that are no UTF-8, made the list or watch of its kind unreadable for assigners and admin processes, so no later change of groups, servers or configuration reached them.

Cause: as in the gateway, an exception on one object dropped the response. Names were escaped there already; the stand-in store decoded a path before it split it, so that a name with a slash was not found.

Evidence: HttpObjectStore.OddObjectsLeaveTheOthersReadable and HttpObjectStoreTest.NamesStandForThemselves failed on.

Fix: objects are read one by one, unreadable ones are logged once a minute. A list without its objects or revision is malformed; a watch that does not move on is an error, which is retried with a pause instead of at once.

--- a/common/HttpServer.cpp
+++ b/common/HttpServer.cpp
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/str_split.h>
 #include <boost/beast/http/status.hpp>
 #include <civetweb.h>
 
@@ -133,17 +134,21 @@
   return info_.request_uri ? info_.request_uri : "";
 }
 
-std::string HttpExchange::DecodedPath() const
+std::vector<std::string> HttpExchange::DecodedSegments() const
 {
-  const std::string path(Path());
-  std::string decoded(path.size() + 1, '\0');
-  const int size = mg_url_decode(path.data(),
-                                 static_cast<int>(path.size()),
-                                 decoded.data(),
-                                 static_cast<int>(decoded.size()),
-                                 0);
-  decoded.resize(size > 0 ? static_cast<size_t>(size) : 0);
-  return decoded;
+  std::vector<std::string> segments =
+    absl::StrSplit(ToAbsl(Path()), '/', absl::SkipEmpty());
+  for (auto& segment : segments) {
+    std::string decoded(segment.size() + 1, '\0');
+    const int size = mg_url_decode(segment.data(),
+                                   static_cast<int>(segment.size()),
+                                   decoded.data(),
+                                   static_cast<int>(decoded.size()),
+                                   0);
+    decoded.resize(size > 0 ? static_cast<size_t>(size) : 0);
+    segment = std::move(decoded);
+  }
+  return segments;
 }
 
 std::string_view HttpExchange::Query() const
--- a/common/HttpServer.hpp
+++ b/common/HttpServer.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <absl/status/statusor.h>
 
@@ -26,8 +27,9 @@
   std::string_view Method() const;
   /// Path of the request, not decoded.
   std::string_view Path() const;
-  /// Percent-decoded path.
-  std::string DecodedPath() const;
+  /// Segments of the path that are not empty, each percent-decoded, so that an
+  /// encoded slash is a part of its segment.
+  std::vector<std::string> DecodedSegments() const;
   /// Query string without the question mark; empty when absent.
   std::string_view Query() const;
   /// Decoded value of a query parameter; empty when absent.
--- a/common/JsonText.cpp
+++ b/common/JsonText.cpp
@@ -143,4 +143,14 @@
   return members;
 }
 
+std::string_view MemberText(const std::vector<JsonMember>& aMembers,
+                            std::string_view aName)
+{
+  const auto found =
+    std::find_if(aMembers.rbegin(), aMembers.rend(), [&](const auto& aMember) {
+      return aMember.key_ == aName;
+    });
+  return found == aMembers.rend() ? std::string_view() : found->value_;
+}
+
 }
--- a/gateway/RepeatFilter.cpp
+++ b/common/RepeatFilter.cpp
@@ -1,4 +1,4 @@
-#include "gateway/RepeatFilter.hpp"
+#include "common/RepeatFilter.hpp"
 
 namespace cactuspitch {
 
--- a/gateway/EvacuationWatch.hpp
+++ b/gateway/EvacuationWatch.hpp
@@ -2,7 +2,7 @@
 
 #include "common/Metrics.hpp"
 #include "gateway/EventLog.hpp"
-#include "gateway/RepeatFilter.hpp"
+#include "common/RepeatFilter.hpp"
 #include "gateway/StoreClient.hpp"
 #include "gateway/StoreWatcher.hpp"
 #include "membership/EvacuationSet.hpp"
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -12,7 +12,7 @@
 #include "gateway/LeaderElection.hpp"
 #include "gateway/PeerMesh.hpp"
 #include "gateway/PlatformInterface.hpp"
-#include "gateway/RepeatFilter.hpp"
+#include "common/RepeatFilter.hpp"
 #include "gateway/SlotExchange.hpp"
 #include "gateway/StatusServer.hpp"
 #include "gateway/StoreClient.hpp"
--- a/gateway/StoreWatcher.hpp
+++ b/gateway/StoreWatcher.hpp
@@ -2,7 +2,7 @@
 
 #include "gateway/EventLog.hpp"
 #include "gateway/ListCursor.hpp"
-#include "gateway/RepeatFilter.hpp"
+#include "common/RepeatFilter.hpp"
 #include "gateway/StoreClient.hpp"
 
 #include <functional>
--- a/gateway/gateway.cmake
+++ b/gateway/gateway.cmake
@@ -1,7 +1,7 @@
 # The gateway is one small process: it takes the sources that it needs from the
 # shared folders and links libraries statically, which keeps its memory low.
 set(GATEWAY_SOURCES
-  common/ByteBudget.cpp common/Clock.cpp common/Findings.cpp common/Metrics.cpp common/JsonText.cpp common/NameCheck.cpp common/Settings.cpp
+  common/ByteBudget.cpp common/Clock.cpp common/Findings.cpp common/Metrics.cpp common/JsonText.cpp common/NameCheck.cpp common/RepeatFilter.cpp common/Settings.cpp
   policy/CrashQuarantine.cpp policy/PreferredServers.cpp policy/FleetLoadTable.cpp
   policy/OwnerAdmission.cpp policy/Placement.cpp policy/BroadcastPlan.cpp policy/RetryBudget.cpp
   policy/RequestLimiter.cpp policy/ServerLimits.cpp
--- a/standin/StandinBackend.cpp
+++ b/standin/StandinBackend.cpp
@@ -7,7 +7,6 @@
 #include <chrono>
 #include <cstdlib>
 
-#include <absl/strings/str_split.h>
 #include <unistd.h>
 
 namespace cactuspitch {
@@ -60,8 +59,7 @@
 
 bool StandinBackend::Request::Parse(HttpExchange& aExchange)
 {
-  const std::vector<std::string> path =
-    absl::StrSplit(aExchange.DecodedPath(), '/', absl::SkipEmpty());
+  const auto path = aExchange.DecodedSegments();
   auto body = aExchange.ReadBody(detail::kMaxBodyBytes);
   if (path.size() < 2 || !body.ok()) {
     return false;
--- a/standin/StandinStore.cpp
+++ b/standin/StandinStore.cpp
@@ -6,7 +6,6 @@
 #include <chrono>
 #include <thread>
 
-#include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 
 namespace cactuspitch {
@@ -99,8 +98,7 @@
 
 void StandinStore::Handle(HttpExchange& aExchange)
 {
-  const std::vector<std::string> path =
-    absl::StrSplit(aExchange.DecodedPath(), '/', absl::SkipEmpty());
+  const auto path = aExchange.DecodedSegments();
   const auto method = aExchange.Method();
   const auto is = [&](std::string_view aFirst, size_t aSize) {
     return path.size() == aSize && path[0] == aFirst;
--- a/store/HttpObjectStore.cpp
+++ b/store/HttpObjectStore.cpp
@@ -1,9 +1,13 @@
 #include "HttpObjectStore.hpp"
 
+#include "common/JsonText.hpp"
+#include "common/Log.hpp"
+#include "common/NameCheck.hpp"
 #include "common/PercentEncoding.hpp"
 #include "common/Strings.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -67,30 +71,60 @@
   }
 }
 
-absl::StatusOr<std::vector<StoredObject>> ParseObjects(const std::string& aKind,
-                                                       const std::string& aBody,
-                                                       int64_t& aRevision)
+/// Empty if the object has no name, version or value that can be read.
+std::optional<StoredObject> ParseObject(const std::string& aKind,
+                                        std::string_view aText)
 {
-  const auto document = nlohmann::json::parse(aBody, nullptr, false);
-  if (document.is_discarded() || !document.contains("objects")) {
+  const auto json = ParseJson(aText).value_or(nullptr);
+  const auto is = [&](const char* aName, auto aIsType) {
+    return json.is_object() && json.contains(aName) && (json[aName].*aIsType)();
+  };
+  if (!is("name", &nlohmann::json::is_string) ||
+      !is("version", &nlohmann::json::is_number_integer) ||
+      !is("value", &nlohmann::json::is_string)) {
+    return std::nullopt;
+  }
+  return StoredObject{ aKind, json["name"], json["version"], json["value"] };
+}
+
+}
+
+absl::StatusOr<std::vector<StoredObject>> HttpObjectStore::ParseObjects(
+  const std::string& aKind,
+  const std::string& aBody,
+  int64_t& aRevision)
+{
+  const auto members =
+    SplitJsonObject(aBody).value_or(std::vector<JsonMember>());
+  const auto texts = SplitJsonArray(MemberText(members, "objects"));
+  const auto revision =
+    ParseJson(MemberText(members, "revision")).value_or(nullptr);
+  if (!texts || !revision.is_number_integer()) {
     return absl::UnknownError("store: object list is malformed");
   }
-  try {
-    aRevision = document.value("revision", aRevision);
-    std::vector<StoredObject> objects;
-    for (const auto& entry : document["objects"]) {
-      objects.push_back({ aKind,
-                          entry.at("name").get<std::string>(),
-                          entry.at("version").get<int64_t>(),
-                          entry.at("value").get<std::string>() });
+  aRevision = revision;
+  std::vector<StoredObject> objects;
+  for (const auto text : *texts) {
+    // One object that another writer has left unreadable spoils no others.
+    if (auto object = detail::ParseObject(aKind, text)) {
+      objects.push_back(std::move(*object));
+    } else {
+      ReportUnreadable(aKind, text);
     }
-    return objects;
-  } catch (const nlohmann::json::exception& failure) {
-    return absl::UnknownError(
-      Concat("store: object list is malformed: ", failure.what()));
   }
+  return objects;
 }
 
+void HttpObjectStore::ReportUnreadable(const std::string& aKind,
+                                       std::string_view aText)
+{
+  const auto start = aText.substr(0, kMaxNameBytes);
+  const std::lock_guard lock(mutex_);
+  if (unreadable_.Passes(Concat(aKind, " ", start), clock_.NowMs())) {
+    Log(LogLevel::Error,
+        "unreadable object in the store",
+        { { "kind", aKind }, { "object", start } });
+  }
 }
 
 HttpObjectStore::HttpObjectStore(const Clock& aClock,
@@ -122,7 +156,7 @@
     return response.status();
   }
   int64_t revision = 0;
-  return detail::ParseObjects(aKind, response->body_, revision);
+  return ParseObjects(aKind, response->body_, revision);
 }
 
 absl::StatusOr<int64_t> HttpObjectStore::Put(const std::string& aKind,
@@ -167,7 +201,11 @@
   if (!response.ok()) {
     return response.status();
   }
-  return detail::ParseObjects(aKind, response->body_, aRevision);
+  auto objects = ParseObjects(aKind, response->body_, aRevision);
+  if (objects.ok() && !objects->empty() && aRevision == aSince) {
+    return absl::UnknownError("store: watch does not move on");
+  }
+  return objects;
 }
 
 absl::StatusOr<HttpResponse> HttpObjectStore::Read(const std::string& aTarget,
--- a/store/HttpObjectStore.hpp
+++ b/store/HttpObjectStore.hpp
@@ -3,10 +3,12 @@
 #include "ObjectStore.hpp"
 #include "common/Clock.hpp"
 #include "common/HttpConnection.hpp"
+#include "common/RepeatFilter.hpp"
 
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cactuspitch {
@@ -45,6 +47,12 @@
 private:
   using Connection = std::unique_ptr<HttpConnection>;
 
+  /// Leaves out objects that cannot be read.
+  absl::StatusOr<std::vector<StoredObject>> ParseObjects(
+    const std::string& aKind,
+    const std::string& aBody,
+    int64_t& aRevision);
+  void ReportUnreadable(const std::string& aKind, std::string_view aText);
   absl::StatusOr<HttpResponse> Read(const std::string& aTarget,
                                     TimeMs aExtraTimeoutMs);
   absl::StatusOr<HttpResponse> Write(const HttpRequest& aRequest);
@@ -62,6 +70,7 @@
   HttpObjectStoreOptions options_;
   std::mutex mutex_;
   std::vector<Connection> idle_;
+  RepeatFilter unreadable_; ///< reported objects, by the start of their text
 };
 
 }
--- a/tests/HttpObjectStoreTest.cpp
+++ b/tests/HttpObjectStoreTest.cpp
@@ -1,9 +1,13 @@
 #include "store/HttpObjectStore.hpp"
 
+#include "common/HttpServer.hpp"
+#include "common/Strings.hpp"
 #include "standin/StandinStore.hpp"
 #include "tests/ReservedPort.hpp"
 
+#include <string>
 #include <thread>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -60,6 +64,87 @@
   EXPECT_TRUE(store_.List("group")->empty());
 }
 
+// Guards against names that change the meaning of a request.
+TEST_F(HttpObjectStoreTest, NamesStandForThemselves)
+{
+  const std::vector<std::string> names = { "a&b", "a+b",    "a#b",     "a%b",
+                                           "a b", "a/b",    "a?b",     "a%41b",
+                                           "..",  "a\r\nb", "\xc3\xa9" };
+  for (const auto& name : names) {
+    const auto version = store_.Put("odd", name, kMustNotExist, name);
+    ASSERT_TRUE(version.ok()) << name << version.status();
+    EXPECT_EQ(store_.Get("odd", name)->value_, name);
+  }
+  const auto listed = store_.List("odd");
+  ASSERT_TRUE(listed.ok());
+  EXPECT_EQ(listed->size(), names.size());
+  for (const auto& object : *listed) {
+    EXPECT_EQ(object.value_, object.name_);
+    EXPECT_TRUE(store_.Delete("odd", object.name_, object.version_).ok());
+  }
+  EXPECT_TRUE(store_.List("odd")->empty());
+}
+
+// Guards against one object of another writer that makes a whole list
+// unreadable: no group, server or configuration would be known.
+TEST(HttpObjectStore, OddObjectsLeaveTheOthersReadable)
+{
+  const SteadyClock clock;
+  const ReservedPort port;
+  std::string body;
+  HttpServer server(
+    { .listen_ = port.Address(), .threads_ = 4 },
+    [&](HttpExchange& aExchange) { aExchange.Respond(200, {}, body); });
+  ASSERT_TRUE(server.Start().ok());
+  HttpObjectStore store(clock, { port.Address(), 500, 500 });
+  const auto object = [](const std::string& aName, int aVersion) {
+    return Concat(
+      R"({"name":")", aName, R"(","version":)", aVersion, R"(,"value":"v"})");
+  };
+  int64_t revision = 0;
+  for (const auto& odd :
+       { std::string("7"),
+         std::string("null"),
+         std::string("{}"),
+         std::string("?"),
+         object("b\xff", 7),
+         std::string(R"({"name":7,"version":7,"value":""})"),
+         std::string(R"({"name":"b","value":""})"),
+         std::string(R"({"name":"b","version":1e999})"),
+         std::string(R"({"name":"b","version":7,"value":{}})"),
+         Concat(std::string(100000, '['), std::string(100000, ']')) }) {
+    body = Concat(R"({"objects":[)",
+                  object("a", 5),
+                  ",",
+                  odd,
+                  ",",
+                  object("c", 6),
+                  R"(],"revision":9})");
+    const auto listed = store.List("server");
+    ASSERT_TRUE(listed.ok()) << odd.substr(0, 99) << listed.status();
+    ASSERT_EQ(listed->size(), 2U) << odd.substr(0, 99);
+    EXPECT_EQ(listed->back().name_, "c");
+    const auto watched = store.Watch("server", 4, 0, revision);
+    ASSERT_TRUE(watched.ok()) << odd.substr(0, 99);
+    EXPECT_EQ(watched->size(), 2U);
+    EXPECT_EQ(revision, 9);
+  }
+  // Whether objects are missing is not known.
+  for (const char* malformed : { "",
+                                 "{}",
+                                 R"({"objects":[]})",
+                                 R"({"objects":{},"revision":9})",
+                                 R"({"objects":[{,"revision":9})",
+                                 R"({"objects":[],"revision":"9"})" }) {
+    body = malformed;
+    EXPECT_FALSE(store.List("server").ok()) << malformed;
+  }
+  // Watched again without a pause.
+  body = Concat(R"({"objects":[)", object("a", 5), R"(],"revision":9})");
+  EXPECT_FALSE(store.Watch("server", 9, 0, revision).ok());
+  server.Stop();
+}
+
 // Guards against a watch that misses a change or reports it twice.
 TEST_F(HttpObjectStoreTest, WatchReportsEachChangeOnce)
 {
--- a/tests/OddEntryLogTest.cpp
+++ b/tests/OddEntryLogTest.cpp
@@ -1,5 +1,5 @@
 #include "common/Strings.hpp"
-#include "gateway/RepeatFilter.hpp"
+#include "common/RepeatFilter.hpp"
 #include "tests/PlatformStore.hpp"
 #include "tests/ProcessFleet.hpp"
 
