Fault soak: odd entries of another writer, lists in pages of 8

Change: the fault odd-entry writes an entry with an odd name, unreadable metadata or content (one of them 1 MB) among servers, configurations or gateways; two thirds stay to the end, when callers have to be served again. The entries are those of OddEntryTest (tests/OddEntries).

--- a/tests/GatewaySoak.cpp
+++ b/tests/GatewaySoak.cpp
@@ -2,9 +2,11 @@
 
 #include "common/Strings.hpp"
 #include "policy/BroadcastPlan.hpp"
+#include "tests/OddEntries.hpp"
 
 #include <algorithm>
 #include <csignal>
+#include <iterator>
 #include <stdexcept>
 #include <utility>
 
@@ -29,6 +31,9 @@
 constexpr double kMinServedShare = 0.9;
 /// A key may have two owners for so long while it is handed over.
 constexpr TimeMs kMaxConflictMs = 500;
+/// Lists have several pages, of more objects than odd entries without a name
+/// can follow each other.
+constexpr PageLimits kPages{ 8, kPlatformPages.bytes_ };
 constexpr int kCallersPerGateway = 3;
 constexpr int kMaxCallers = 60;
 constexpr int kDomains = 3;
@@ -62,6 +67,7 @@
     { "change-config", 1, &GatewaySoak::ChangeConfig },
     { "cut-leader", 2, &GatewaySoak::CutLeader },
     { "restart-backend", 3, &GatewaySoak::RestartBackend },
+    { "odd-entry", 2, &GatewaySoak::WriteOddEntry },
   };
   return kFaults;
 }
@@ -85,7 +91,7 @@
   , random_(options_.seed_)
   , callRandom_(options_.seed_)
   , journal_(loop_, options_.gateways_)
-  , store_(loop_, kPlatformPages)
+  , store_(loop_, kPages)
   , fleet_(options_.binaryDir_)
   , tasks_(loop_)
   , checkTimer_(loop_, [this] { CheckProcesses(); })
@@ -635,4 +641,29 @@
   PutConfig();
 }
 
+void GatewaySoak::WriteOddEntry()
+{
+  static constexpr const char* kKinds[] = { "servers",
+                                            "config",
+                                            "cactuspitch" };
+  static constexpr const char* kPrefixes[] = { "", "instance.", "zz" };
+  static const auto kEntries = [] {
+    auto entries = OddNames();
+    std::ranges::copy(OddMetadata(), std::back_inserter(entries));
+    std::ranges::copy(OddContent(), std::back_inserter(entries));
+    return entries;
+  }();
+  const auto& entry =
+    kEntries[RandomInt(0, static_cast<int>(kEntries.size()) - 1)];
+  const std::string kind = kKinds[RandomInt(0, 2)];
+  const auto name =
+    PutOddEntry(store_, kind, kPrefixes[RandomInt(0, 2)], entry);
+  // Most stay to the end, when callers have to be served again.
+  constexpr int kStayShare = 3;
+  if (RandomInt(1, kStayShare) == 1) {
+    tasks_.After(RandomInt(200, kMaxFaultMs),
+                 [this, kind, name] { store_.Remove(kind, name); });
+  }
+}
+
 }
--- a/tests/GatewaySoak.hpp
+++ b/tests/GatewaySoak.hpp
@@ -117,6 +117,7 @@
   void CutBackendLink();
   void SilenceConnections();
   void ChangeConfig();
+  void WriteOddEntry();
 
   Options options_;
   const std::vector<const FaultKind*> weightedFaults_;
--- a/tests/OddEntryLogTest.cpp
+++ b/tests/OddEntryLogTest.cpp
@@ -1,5 +1,5 @@
-#include "common/Strings.hpp"
 #include "common/RepeatFilter.hpp"
+#include "common/Strings.hpp"
 #include "tests/PlatformStore.hpp"
 #include "tests/ProcessFleet.hpp"
 
--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -4,6 +4,7 @@
 #include "gateway/PeerMesh.hpp"
 #include "gossip_types.h"
 #include "tests/GatewayFixture.hpp"
+#include "tests/OddEntries.hpp"
 
 #include <array>
 #include <functional>
@@ -13,7 +14,6 @@
 #include <tuple>
 #include <vector>
 
-#include <absl/strings/str_replace.h>
 #include <gtest/gtest.h>
 #include <unistd.h>
 
@@ -22,68 +22,8 @@
 
 using Exchange = ScriptedServer::Exchange;
 
-/// An entry as the store sends it, with $ for its name. Without a text, one
-/// with a content of another type.
-struct OddEntry
-{
-  std::string name_;
-  std::string text_;
-};
-
-/// Names that a URI cannot hold unescaped, or that already look escaped.
-std::vector<OddEntry> OddNames()
-{
-  return {
-    { "a&b", {} },  { "a+b", {} },       { "a#b", {} },
-    { "a%b", {} },  { "a b", {} },       { "a/b", {} },
-    { "a?b", {} },  { "a=b", {} },       { "a%41b", {} },
-    { "a\"b", {} }, { "a\\b", {} },      { "a\r\nX: y", {} },
-    { "\r\n", {} }, { "&", {} },         { "\xc3\xa9t\xc3\xa9", {} },
-    { "/", {} },    { "a&after=z", {} }, { "a&after=z&watch=1", {} },
-  };
-}
-
-/// Metadata that lacks parts, has others of another type, or is no UTF-8.
-std::vector<OddEntry> OddMetadata()
-{
-  return {
-    { "a1", R"({"spec":{}})" },
-    { "a2", R"({"metadata":null,"spec":{}})" },
-    { "a3", R"({"metadata":{"revision":7}})" },
-    { "a4", R"({"metadata":{"name":7,"revision":7}})" },
-    { "a5", R"({"metadata":{"name":"$"}})" },
-    { "a6", R"({"metadata":{"name":"$","revision":"seven"}})" },
-    { "a7", "{\"metadata\":{\"name\":\"$\xff\",\"revision\":7}}" },
-    { "a8",
-      "{\"metadata\":{\"name\":\"$\",\"revision\":7,\"created-at\":\"\xff\"},"
-      "\"spec\":{}}" },
-    { "a9", "7" },
-  };
-}
-
-/// Content that cannot be read.
-std::vector<OddEntry> OddContent()
-{
-  const auto entry = [](const char* aName, const std::string& aSpec) {
-    return OddEntry{
-      aName,
-      Concat(R"({"metadata":{"name":"$","revision":7},"spec":)", aSpec, "}")
-    };
-  };
-  constexpr size_t kDeep = 100000;
-  constexpr size_t kLarge = 1000000;
-  return {
-    entry("a1", "null"),
-    entry("a2", "1e999"),
-    entry("a3", "\"\xff\""),
-    entry("a4", std::string(kDeep, '[') + std::string(kDeep, ']')),
-    entry("a5", Concat("\"", std::string(kLarge, 'x'), "\"")),
-    entry("a6",
-          R"({"address":7,"info":[],"status":"?","peer":{},"version":1})"),
-  };
-}
-
-struct OddEntries
+/// Odd entries, and the pages in which the store lists them.
+struct OddEntryTable
 {
   const char* name_;
   std::vector<OddEntry> (*entries_)();
@@ -109,9 +49,9 @@
 constexpr PageLimits kSmallPages{ 1, SIZE_MAX };
 
 const std::array kOddEntries = {
-  OddEntries{ "Names", &OddNames, kSmallPages },
-  OddEntries{ "Metadata", &OddMetadata, kPlatformPages },
-  OddEntries{ "Content", &OddContent, kPlatformPages },
+  OddEntryTable{ "Names", &OddNames, kSmallPages },
+  OddEntryTable{ "Metadata", &OddMetadata, kPlatformPages },
+  OddEntryTable{ "Content", &OddContent, kPlatformPages },
 };
 
 /// A gateway, two servers without keys and one with keys.
@@ -159,28 +99,21 @@
 
 class OddEntryTest
   : public ServiceTest
-  , public testing::WithParamInterface<std::tuple<FollowedKind, OddEntries>>
+  , public testing::WithParamInterface<std::tuple<FollowedKind, OddEntryTable>>
 {
 protected:
   OddEntryTest() { fixture_.Store().SetPageLimits(Odd().pages_); }
 
   static const FollowedKind& Kind() { return std::get<0>(GetParam()); }
-  static const OddEntries& Odd() { return std::get<1>(GetParam()); }
+  static const OddEntryTable& Odd() { return std::get<1>(GetParam()); }
 
   /// Puts the entries before and behind all others.
   void PutOddEntries()
   {
-    auto& store = fixture_.Store();
-    for (const std::string place : { "", "zz" }) {
+    for (const auto* place : { "", "zz" }) {
       for (const auto& entry : Odd().entries_()) {
-        const auto name = Concat(Kind().prefix_, place, entry.name_);
-        if (entry.text_.empty()) {
-          store.Put(Kind().kind_, name, { { "note", "of another writer" } });
-        } else {
-          store.PutText(Kind().kind_,
-                        name,
-                        absl::StrReplaceAll(entry.text_, { { "$", name } }));
-        }
+        PutOddEntry(
+          fixture_.Store(), Kind().kind_, Concat(Kind().prefix_, place), entry);
       }
     }
   }
