An unreadable key table hides owners, it does not free their keys

What callers could see: two owners of keys. After a restart of all gateways beside a key table that another writer has overwritten, the new leader granted all keys anew 1.77 s after the last renewal of leases that run for 2.5 s.

Cause: a table that cannot be decoded was taken for none, as at the first start of a deployment.

Fix: a leader that cannot read the table keeps the owners that gossip has shown, and assigns other keys only when the longest lease of any version has ended after the earlier leaders have: 4.1 s after they are known to have ended, 12.7 s at most. The line about an unreadable table comes once a minute in followers.

--- a/gateway/Gateway.cpp
+++ b/gateway/Gateway.cpp
@@ -838,9 +838,11 @@
 {
   KeyTable table;
   if (!DecodeKeyTable(aObject.spec_, table)) {
-    log_.Write(LogLevel::Error,
-               "key-table-unreadable",
-               { { "revision", RevisionNumber(aObject.revision_) } });
+    if (reportedKeyTable_.Passes({}, loop_.NowMs())) {
+      log_.Write(LogLevel::Error,
+                 "key-table-unreadable",
+                 { { "revision", RevisionNumber(aObject.revision_) } });
+    }
     return;
   }
   for (const auto& [service, segments] : table.services_) {
--- a/gateway/Gateway.hpp
+++ b/gateway/Gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/Findings.hpp"
+#include "common/RepeatFilter.hpp"
 #include "gateway/CallerConnection.hpp"
 #include "gateway/EvacuationWatch.hpp"
 #include "gateway/EventLog.hpp"
@@ -12,7 +13,6 @@
 #include "gateway/LeaderElection.hpp"
 #include "gateway/PeerMesh.hpp"
 #include "gateway/PlatformInterface.hpp"
-#include "common/RepeatFilter.hpp"
 #include "gateway/SlotExchange.hpp"
 #include "gateway/StatusServer.hpp"
 #include "gateway/StoreClient.hpp"
@@ -146,6 +146,7 @@
   bool hasPartialDirectory_ = false;
   std::vector<BackendEntry> listedBackends_; ///< so far by the current list
   RepeatFilter reportedBackends_; ///< unreadable registrations, by name
+  RepeatFilter reportedKeyTable_; ///< unreadable, without a name
   TimeMs startedMs_ = 0;
   uint64_t housekeepingRounds_ = 0;
   bool wasReady_ = false;
--- a/gateway/KeyCoordinator.cpp
+++ b/gateway/KeyCoordinator.cpp
@@ -80,6 +80,7 @@
   running_ = true;
   loaded_ = false;
   earlierLeadersEnded_ = false;
+  unknownLeasesEndMs_ = 0;
   writing_ = false;
   timing_.reset();
   ++generation_;
@@ -107,6 +108,8 @@
 void KeyCoordinator::OnEarlierLeadersEnded()
 {
   earlierLeadersEnded_ = true;
+  unknownLeasesEndMs_ =
+    std::min(unknownLeasesEndMs_, LeaseEndMs(loop_.NowMs(), kLongestLeaseMs));
   for (auto& [name, ownership] : services_) {
     ownership->OnEarlierLeadersEnded(loop_.NowMs());
   }
@@ -130,14 +133,18 @@
 void KeyCoordinator::OnTableLoaded(const StoreResponse& aResponse)
 {
   KeyTable table;
+  bool isReadable = true;
   if (aResponse.status_ == StoreStatus::NotFound) {
     revision_ = 0;
   } else if (aResponse.status_ == StoreStatus::Ok) {
     revision_ = aResponse.object_.revision_;
-    if (!DecodeKeyTable(aResponse.object_.spec_, table)) {
+    isReadable = DecodeKeyTable(aResponse.object_.spec_, table);
+    if (!isReadable) {
       log_.Write(LogLevel::Error,
                  "key-table-unreadable",
                  { { "revision", RevisionNumber(revision_) } });
+      table.leaseMs_ = kLongestLeaseMs;
+      WaitForUnknownOwners();
     }
     if (table.term_ > term_) {
       handlers_.onSuperseded_("newer key table");
@@ -148,7 +155,7 @@
     RetryLater([this] { LoadTable(); });
     return;
   }
-  if (store_.Era() > table.era_) {
+  if (!isReadable || store_.Era() > table.era_) {
     CompleteRestoredTable(table);
   }
   if (!table.services_.empty()) {
@@ -175,6 +182,14 @@
   }
 }
 
+void KeyCoordinator::WaitForUnknownOwners()
+{
+  const TimeMs leaderEndMs =
+    loop_.NowMs() +
+    (earlierLeadersEnded_ ? 0 : LeaseTiming{}.earlierLeaderRenewMs_);
+  unknownLeasesEndMs_ = LeaseEndMs(leaderEndMs, kLongestLeaseMs);
+}
+
 void KeyCoordinator::CompleteRestoredTable(KeyTable& aTable) const
 {
   const auto startTimeMs = [&](const std::string& aServer) {
@@ -407,8 +422,10 @@
   for (const auto& service : services_) {
     const auto& name = service.first;
     const auto& ownership = service.second;
-    if (ownership->Segments().empty() &&
-        !ownership->IsReadyForFirstTable({}, HasDemand(name), nowMs)) {
+    const bool mayBegin =
+      nowMs >= unknownLeasesEndMs_ &&
+      ownership->IsReadyForFirstTable({}, HasDemand(name), nowMs);
+    if (ownership->Segments().empty() && !mayBegin) {
       continue;
     }
     auto change =
--- a/gateway/KeyCoordinator.hpp
+++ b/gateway/KeyCoordinator.hpp
@@ -100,7 +100,11 @@
   void RetryLater(std::function<void()> aTask);
   void LoadTable();
   void OnTableLoaded(const StoreResponse& aResponse);
-  /// Completes a table that is a copy from before the restore of the store.
+  /// Grants no keys whose owners are not known otherwise before the leases of
+  /// the earlier leaders have ended.
+  void WaitForUnknownOwners();
+  /// Completes a table that is a copy from before the restore of the store, or
+  /// cannot be read, by what gossip has shown.
   void CompleteRestoredTable(KeyTable& aTable) const;
   /// True if there were recent requests for keys of the service.
   bool HasDemand(const std::string& aService) const;
@@ -141,6 +145,9 @@
   bool running_ = false;
   bool loaded_ = false; ///< the earlier leader's table has been loaded
   bool earlierLeadersEnded_ = false;
+  /// When the last lease of owners that the table does not show has ended; 0 if
+  /// it shows all.
+  TimeMs unknownLeasesEndMs_ = 0;
   uint64_t generation_ = 0; ///< responses of other generations are dropped
   int64_t term_ = 0;
   std::optional<LeaseTiming> timing_; ///< fixed for the current term
--- a/keyspace/KeySegment.cpp
+++ b/keyspace/KeySegment.cpp
@@ -10,8 +10,6 @@
 
 using Json = nlohmann::json;
 
-constexpr TimeMs kLongestLeaseMs = 4000;
-
 bool CoversAllKeys(const KeySegments& aSegments)
 {
   uint32_t next = 0;
@@ -81,7 +79,7 @@
     table.writeId_ = aJson.at("writeId").get<int64_t>();
     // Versions that didn't write this field may have granted the longest
     // leases.
-    table.leaseMs_ = aJson.value("holdMs", detail::kLongestLeaseMs);
+    table.leaseMs_ = aJson.value("holdMs", kLongestLeaseMs);
     table.era_ = aJson.value("era", int64_t{ 0 });
     for (const auto& [name, list] : aJson.at("services").items()) {
       auto& segments = table.services_[name];
--- a/keyspace/KeySegment.hpp
+++ b/keyspace/KeySegment.hpp
@@ -16,6 +16,8 @@
 namespace cactuspitch {
 
 inline constexpr uint32_t kKeyCount = 65536;
+/// Longest lease of any version.
+inline constexpr TimeMs kLongestLeaseMs = 4000;
 
 /// In KeySegment::previous_: servers that the table does not name.
 inline constexpr std::string_view kUnknownServer;
--- a/tests/OddEntries.cpp
+++ b/tests/OddEntries.cpp
@@ -23,13 +23,13 @@
   return {
     { "a1", R"({"spec":{}})" },
     { "a2", R"({"metadata":null,"spec":{}})" },
-    { "a3", R"({"metadata":{"revision":7}})" },
-    { "a4", R"({"metadata":{"name":7,"revision":7}})" },
+    { "a3", R"({"metadata":{"revision":@}})" },
+    { "a4", R"({"metadata":{"name":7,"revision":@}})" },
     { "a5", R"({"metadata":{"name":"$"}})" },
     { "a6", R"({"metadata":{"name":"$","revision":"seven"}})" },
-    { "a7", "{\"metadata\":{\"name\":\"$\xff\",\"revision\":7}}" },
+    { "a7", "{\"metadata\":{\"name\":\"$\xff\",\"revision\":@}}" },
     { "a8",
-      "{\"metadata\":{\"name\":\"$\",\"revision\":7,\"created-at\":\"\xff\"},"
+      "{\"metadata\":{\"name\":\"$\",\"revision\":@,\"created-at\":\"\xff\"},"
       "\"spec\":{}}" },
     { "a9", "7" },
   };
@@ -40,7 +40,7 @@
   const auto entry = [](const char* aName, const std::string& aSpec) {
     return OddEntry{
       aName,
-      Concat(R"({"metadata":{"name":"$","revision":7},"spec":)", aSpec, "}")
+      Concat(R"({"metadata":{"name":"$","revision":@},"spec":)", aSpec, "}")
     };
   };
   constexpr size_t kDeep = 100000;
@@ -66,7 +66,11 @@
     aStore.Put(aKind, name, { { "note", "of another writer" } });
   } else {
     aStore.PutText(
-      aKind, name, absl::StrReplaceAll(aEntry.text_, { { "$", name } }));
+      aKind,
+      name,
+      absl::StrReplaceAll(
+        aEntry.text_,
+        { { "$", name }, { "@", Concat(aStore.Revision() + 1) } }));
   }
   return name;
 }
--- a/tests/OddEntries.hpp
+++ b/tests/OddEntries.hpp
@@ -11,8 +11,8 @@
 struct OddEntry
 {
   std::string name_;
-  /// As the store sends it, with $ for the name. Empty: an entry whose content
-  /// is readable, but means nothing.
+  /// As the store sends it, with $ for the name and @ for the revision. Empty:
+  /// an entry whose content is readable, but means nothing.
   std::string text_;
 };
 
