--- a/gateway/ListCursor.cpp
+++ b/gateway/ListCursor.cpp
@@ -1,7 +1,6 @@
 #include "gateway/ListCursor.hpp"
 
 #include <algorithm>
-#include <ranges>
 
 namespace cactuspitch {
 
@@ -19,12 +18,12 @@
     return moves(aObject) && IsNamed(aObject) &&
            aObject.name_.size() <= ListCursor::kMaxAfterBytes;
   };
-  const auto backwards = aPage.items_ | std::views::reverse;
-  auto found = std::ranges::find_if(backwards, isSafe);
-  if (found == backwards.end()) {
-    found = std::ranges::find_if(backwards, moves);
+  const auto& objects = aPage.items_;
+  auto found = std::find_if(objects.rbegin(), objects.rend(), isSafe);
+  if (found == objects.rend()) {
+    found = std::find_if(objects.rbegin(), objects.rend(), moves);
   }
-  return found == backwards.end() ? std::string() : found->name_;
+  return found == objects.rend() ? std::string() : found->name_;
 }
 
 }
