A response to a watch without events is malformed; one test per shared object

Cause: a response to a watch that holds no events member was taken for one without changes and asked for again at once.

Change: such a response counts like other malformed ones. The test has one case for each object, with the bound of 5 s as before, and one for all of them together with the bound of the platform's recovery, 15 s. Lines about malformed answers and watches go through the filter of one a minute, too.

--- a/common/JsonText.hpp
+++ b/common/JsonText.hpp
@@ -33,11 +33,11 @@
 /// an unreadable member leaves the others readable. The members refer to aText.
 /// Empty if it is no object.
 std::optional<std::vector<JsonMember>> SplitJsonObject(std::string_view aText);
+/// The same for the elements of an array.
+std::optional<std::vector<std::string_view>> SplitJsonArray(
+  std::string_view aText);
 /// Text of the last member with that name; empty if there is none.
 std::string_view MemberText(const std::vector<JsonMember>& aMembers,
                             std::string_view aName);
-/// Splits the text of an array into its elements in the same way.
-std::optional<std::vector<std::string_view>> SplitJsonArray(
-  std::string_view aText);
 
 }
--- a/gateway/EvacuationWatch.hpp
+++ b/gateway/EvacuationWatch.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "common/Metrics.hpp"
-#include "gateway/EventLog.hpp"
 #include "common/RepeatFilter.hpp"
+#include "gateway/EventLog.hpp"
 #include "gateway/StoreClient.hpp"
 #include "gateway/StoreWatcher.hpp"
 #include "membership/EvacuationSet.hpp"
--- a/gateway/PlatformInterface.hpp
+++ b/gateway/PlatformInterface.hpp
@@ -182,7 +182,8 @@
 /// Page of a list, or response to a watch.
 struct ObjectList
 {
-  bool hasItems_ = false; ///< this is a page of a list, which may be empty
+  bool hasItems_ = false;  ///< this is a page of a list, which may be empty
+  bool hasEvents_ = false; ///< this is the response to a watch
   std::vector<StoreObject> items_;
   std::vector<ObjectEvent> events_; ///< filled by a watch
   int64_t revision_ = 0;            ///< revision of the store
--- a/gateway/StoreClient.cpp
+++ b/gateway/StoreClient.cpp
@@ -7,9 +7,8 @@
 
 namespace detail {
 
-/// Interval of log lines about answers that cannot be read.
-constexpr TimeMs kMalformedLogIntervalMs = 60000;
-constexpr size_t kMaxLoggedTargetBytes = 256;
+/// Part of a target that log lines name.
+constexpr size_t kMaxTargetBytes = 256;
 
 }
 
@@ -104,13 +103,12 @@
                                   std::string_view aCause)
 {
   // The store is neither lost, nor does the answer say anything.
-  const TimeMs nowMs = loop_.NowMs();
-  if (malformedLoggedMs_ == 0 ||
-      nowMs - malformedLoggedMs_ >= detail::kMalformedLogIntervalMs) {
-    malformedLoggedMs_ = nowMs;
+  const auto path =
+    aTarget.substr(0, std::min(aTarget.find('?'), detail::kMaxTargetBytes));
+  if (reportedMalformed_.Passes(path, loop_.NowMs())) {
     log_.Write(LogLevel::Warning,
                "store-answer-malformed",
-               { { "target", aTarget.substr(0, detail::kMaxLoggedTargetBytes) },
+               { { "target", aTarget.substr(0, detail::kMaxTargetBytes) },
                  { "http", aResponse.httpStatus_ },
                  { "cause", aCause } });
   }
--- a/gateway/StoreClient.hpp
+++ b/gateway/StoreClient.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/RepeatFilter.hpp"
 #include "gateway/EventLog.hpp"
 #include "gateway/PlatformInterface.hpp"
 #include "net/HttpClient.hpp"
@@ -79,7 +80,7 @@
   TimeMs unreachableSinceMs_ = 0;
   TimeMs lastResponseMs_ = 0; ///< last response of the store
   TimeMs lastFailedSentMs_ = 0;
-  TimeMs malformedLoggedMs_ = 0;
+  RepeatFilter reportedMalformed_; ///< answers, by the path of the call
   int64_t calls_ = 0;
   std::minstd_rand random_;
 };
--- a/gateway/StoreWatcher.cpp
+++ b/gateway/StoreWatcher.cpp
@@ -252,15 +252,17 @@
     List(ReadMode::Latest);
     return;
   }
+  const bool isOk = aResponse.status_ == StoreStatus::Ok;
   auto& events = aResponse.list_.events_;
   // A watch from the same revision returns the same events again.
   const bool isStuck =
     !events.empty() && aResponse.list_.revision_ <= revision_;
-  if (aResponse.isMalformed_ || isStuck) {
+  if (aResponse.isMalformed_ ||
+      (isOk && (isStuck || !aResponse.list_.hasEvents_))) {
     OnMalformedWatch();
     return;
   }
-  if (aResponse.status_ != StoreStatus::Ok) {
+  if (!isOk) {
     RetryLater();
     return;
   }
@@ -289,9 +291,12 @@
   }
   // The list shows the state behind the events that cannot be read.
   malformedWatches_ = 0;
-  log_.Write(LogLevel::Warning,
-             "store-watch-malformed",
-             { { "kind", kind_ }, { "revision", RevisionNumber(revision_) } });
+  if (reportedWatches_.Passes({}, loop_.NowMs())) {
+    log_.Write(
+      LogLevel::Warning,
+      "store-watch-malformed",
+      { { "kind", kind_ }, { "revision", RevisionNumber(revision_) } });
+  }
   List(ReadMode::Latest);
 }
 
--- a/gateway/StoreWatcher.hpp
+++ b/gateway/StoreWatcher.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "common/RepeatFilter.hpp"
 #include "gateway/EventLog.hpp"
 #include "gateway/ListCursor.hpp"
-#include "common/RepeatFilter.hpp"
 #include "gateway/StoreClient.hpp"
 
 #include <functional>
@@ -75,7 +75,7 @@
   /// Revision of the store up to which all changes were passed on, 0 before the
   /// first complete list and while a new list is needed.
   int64_t Revision() const { return IsInSync() ? revision_ : 0; }
-  /// The same of the objects that were passed on, also if others are missing.
+  /// The same for the objects that were passed on, also if others are missing.
   int64_t SeenRevision() const { return revision_; }
   /// True once a complete list has been read.
   bool HasListed() const { return everListed_; }
@@ -90,7 +90,7 @@
   void OnPageFailed(const StoreResponse& aResponse);
   void EndList(ListStep aStep);
   void ReportList();
-  /// Logs what is unreadable of the object, once in a while.
+  /// Logs what is unreadable of the object, at most once a minute.
   void ReportFault(const StoreObject& aObject);
   void Watch();
   void OnWatched(StoreResponse aResponse);
@@ -120,7 +120,8 @@
   std::optional<ListCursor> cursor_;     ///< while a list is being read
   TimeMs listEndedMs_ = 0;
   ListCut reportedCut_ = ListCut::None;
-  RepeatFilter reportedFaults_; ///< by the names of the objects
+  RepeatFilter reportedFaults_;  ///< by the names of the objects
+  RepeatFilter reportedWatches_; ///< malformed, without a name
 };
 
 }
--- a/tests/OverwrittenObjectTest.cpp
+++ b/tests/OverwrittenObjectTest.cpp
@@ -5,7 +5,6 @@
 #include "tests/ServiceFixture.hpp"
 
 #include <string>
-#include <utility>
 
 #include <gtest/gtest.h>
 
@@ -29,6 +28,15 @@
                          GetParam(),
                          "}") });
   }
+  /// Gives the owner of the keys another life, so that the table has to be
+  /// written.
+  void RestartOwner()
+  {
+    auto owner = fixture_.Store().Spec("servers", "k0");
+    owner["born"] = owner["born"].get<int64_t>() + 1;
+    fixture_.Store().Put("servers", "k0", owner);
+    fixture_.RunFor(300);
+  }
   bool IsKeyServed()
   {
     return fixture_
@@ -36,25 +44,39 @@
                "GET", "keyed", "x", "Cactuspitch-Shard-Key: 7\r\n"))
              .find("\r\n\r\nkeyed") != std::string::npos;
   }
+
+  static constexpr const char* kLeaderKind = "cactuspitch-leader";
+  static constexpr const char* kTableKind = "cactuspitch-keys";
 };
 
 // Guards against a leader, or a candidate, that an unreadable object keeps from
 // its duty for good.
-TEST_P(OverwrittenObjectTest, KeysStayServed)
+TEST_P(OverwrittenObjectTest, LeaderKeepsItsKeysServed)
 {
-  for (const auto& [kind, name] : { std::pair("cactuspitch-leader", "leader"),
-                                    std::pair("cactuspitch-keys", "keys"),
-                                    std::pair("cactuspitch", "instance.g1") }) {
-    Overwrite(kind, name);
-    fixture_.RunFor(300);
-    EXPECT_TRUE(IsKeyServed()) << kind;
-    // Another life of the owner, so that the key table has to be written.
-    auto owner = fixture_.Store().Spec("servers", "k0");
-    owner["born"] = owner["born"].get<int64_t>() + 1;
-    fixture_.Store().Put("servers", "k0", owner);
-    fixture_.RunFor(300);
-    EXPECT_TRUE(Eventually([this] { return IsKeyServed(); })) << kind;
-  }
+  Overwrite(kLeaderKind, "leader");
+  fixture_.RunFor(300);
+  EXPECT_TRUE(IsKeyServed());
+  RestartOwner();
+  EXPECT_TRUE(Eventually([this] { return IsKeyServed(); }));
+}
+
+TEST_P(OverwrittenObjectTest, TableIsWrittenAgain)
+{
+  Overwrite(kTableKind, "keys");
+  fixture_.RunFor(300);
+  EXPECT_TRUE(IsKeyServed());
+  RestartOwner();
+  EXPECT_TRUE(Eventually([this] { return IsKeyServed(); }));
+  EXPECT_TRUE(fixture_.Store().Spec(kTableKind, "keys").contains("services"));
+}
+
+TEST_P(OverwrittenObjectTest, OwnRegistrationIsNotNeeded)
+{
+  Overwrite("cactuspitch", "instance.g1");
+  fixture_.RunFor(300);
+  EXPECT_TRUE(IsKeyServed());
+  RestartOwner();
+  EXPECT_TRUE(Eventually([this] { return IsKeyServed(); }));
 }
 
 INSTANTIATE_TEST_SUITE_P(EachContent,
@@ -79,7 +101,7 @@
     fixture_.RunUntil([this] { return !fixture_.CommandBodies().empty(); }));
   const TimeMs renewedMs = fixture_.Loop().NowMs();
   fixture_.KillGateway();
-  Overwrite("cactuspitch-keys", "keys");
+  Overwrite(kTableKind, "keys");
   fixture_.CommandBodies().clear();
   fixture_.RestartGateway();
   EXPECT_TRUE(Eventually([this] { return !fixture_.CommandBodies().empty(); },
@@ -88,5 +110,25 @@
   EXPECT_TRUE(Eventually([this] { return IsKeyServed(); }));
 }
 
+class AllOverwrittenTest : public OverwrittenObjectTest
+{};
+
+// Neither the earlier leaders nor their grants are known then, so the keys wait
+// for the end of both.
+TEST_P(AllOverwrittenTest, KeysAreServedAgain)
+{
+  constexpr TimeMs kRecoveryMs = 15000;
+  Overwrite(kTableKind, "keys");
+  Overwrite(kLeaderKind, "leader");
+  Overwrite("cactuspitch", "instance.g1");
+  fixture_.KillGateway();
+  fixture_.RestartGateway();
+  EXPECT_TRUE(Eventually([this] { return IsKeyServed(); }, kRecoveryMs));
+}
+
+INSTANTIATE_TEST_SUITE_P(OneContent,
+                         AllOverwrittenTest,
+                         testing::Values("null"));
+
 }
 }
--- a/tests/StoreWatcherTest.cpp
+++ b/tests/StoreWatcherTest.cpp
@@ -232,6 +232,8 @@
   return {
     R"({"events":[{"removed":)",
     R"({"events":7,"at":11})",
+    R"({"at":11})",
+    R"({"items":[],"has-more":false,"at":11})",
     Concat(R"({"events":[)", event, "]}"),
     Concat(R"({"events":[)", event, R"(],"at":10})"),
     Concat(R"({"events":[)", std::string(kTooLarge, ' '), R"(],"at":11})"),
